--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Each target sets up what it needs; VENV may name a virtual environment to share.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: install test codestyle format typecheck
+
+install: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $(STAMP)
+
+test: install
+	$(PYTHON) -m pytest -n 6 --dist loadgroup
+
+codestyle: install
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+format: install
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+typecheck: install
+	$(PYTHON) -m mypy
--- /dev/null
+++ b/bamboovale/__main__.py
@@ -0,0 +1,12 @@
+"""Entry point of ``python -m bamboovale`` and of the built binary."""
+
+from bamboovale.cli.main import app
+
+
+def main() -> None:
+    """Run the command line."""
+    app(prog_name="bamboovale")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bamboovale/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""The catalogue aggregate: entries, revisions, fold, snapshots."""
--- /dev/null
+++ b/bamboovale/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of keyed non-idempotent requests, folded from the log."""
--- /dev/null
+++ b/bamboovale/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/bamboovale/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: pure modules without sockets, clocks or actors."""
--- /dev/null
+++ b/bamboovale/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Model engines: client, lease holder's state, orders."""
--- /dev/null
+++ b/bamboovale/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry VM: callers in, permits, answers out."""
--- /dev/null
+++ b/bamboovale/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases on endpoints, folded from the log."""
--- /dev/null
+++ b/bamboovale/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry VMs and endpoints are live or leaving."""
--- /dev/null
+++ b/bamboovale/models.py
@@ -0,0 +1,71 @@
+"""Words that every part shares: identifiers, classes of work and VM records.
+
+Times are seconds on the reader's monotonic clock unless a name says otherwise.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class WorkClass(StrEnum):
+    """How urgently a caller waits for the answer."""
+
+    INTERACTIVE = "interactive"
+    OVERNIGHT = "overnight"
+
+
+class VMKind(StrEnum):
+    """What runs on a VM of the platform's list."""
+
+    ENTRY = "entry"
+    RUNNER = "runner"
+    SERVICE = "service"
+
+
+class VMState(StrEnum):
+    """Whether a VM may receive new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True)
+class VM:
+    """One row of the platform's VM list.
+
+    ``pool`` names the group of endpoints it serves in (``tutor-llm``); it is
+    empty for an entry VM. ``ports`` is keyed by use: ``callers``, ``admin`` and
+    ``peers`` on an entry VM, ``http`` on an endpoint VM.
+    """
+
+    id: str
+    kind: VMKind
+    address: str
+    ports: dict[str, int] = field(default_factory=dict)
+    failure_domain: str = ""
+    region: str = ""
+    pool: str = ""
+    state: VMState = VMState.LIVE
+
+
+@dataclass(frozen=True, order=True)
+class AdapterVersion:
+    """An adapter at one version; engines know it by ``lora_name``."""
+
+    adapter: str
+    version: str
+
+    @property
+    def lora_name(self) -> str:
+        """Return the name under which engines load this version."""
+        return f"{self.adapter}@{self.version}"
+
+    @classmethod
+    def from_lora_name(cls, name: str) -> "AdapterVersion":
+        """Split ``adapter@version`` as an engine lists it.
+
+        >>> AdapterVersion.from_lora_name("summaries@7")
+        AdapterVersion(adapter='summaries', version='7')
+        """
+        adapter, _, version = name.rpartition("@")
+        return cls(adapter, version)
--- /dev/null
+++ b/bamboovale/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between entry VMs."""
--- /dev/null
+++ b/bamboovale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: log service and VM list."""
--- /dev/null
+++ b/bamboovale/services/__init__.py
@@ -0,0 +1,1 @@
+"""Plain services: client and forwarding."""
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generators, measurements and the history checker; not shipped."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; one class for each subject."""
