Declare the settings of an entry VM once, for flags, environment and checks

Cause: an entry VM learns its addresses, failure domain and secrets from its settings; a wrong one must be found before anything starts, all at once.

Help is plain text: the rich form cut variable names off at 80 columns.

--- a/bamboovale/cli/main.py
+++ b/bamboovale/cli/main.py
@@ -3,12 +3,15 @@
 import typer
 
 from bamboovale import __version__
+from bamboovale.cli import entry
 
 app = typer.Typer(
     name="bamboovale",
     help="Serve very many LoRA adapters on a few shared model engines.",
     no_args_is_help=True,
     add_completion=False,
+    rich_markup_mode=None,  # plain help: nothing is cut off in a narrow terminal
+    pretty_exceptions_enable=False,  # a traceback must not show tokens in locals
 )
 
 
@@ -18,6 +21,11 @@
     typer.echo(__version__)
 
 
+app.command("entry")(entry.entry)
+app.command("check-settings")(entry.check_settings)
+app.command("state")(entry.state)
+
+
 @app.callback()
 def root() -> None:
     """Serve very many LoRA adapters on a few shared model engines."""
--- /dev/null
+++ b/bamboovale/metrics.py
@@ -0,0 +1,182 @@
+"""Counters of one entry VM, in a registry of their own.
+
+Nothing global: two nodes in one test process count apart, and the default
+registry's collectors of the process and its garbage collector are not scraped.
+``docs/OPERATIONS.md`` explains each counter.
+"""
+
+from collections.abc import Sequence
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+PREFIX = "bamboovale_"
+
+# From below a token's time (56 ms) to the longest wait a caller is let in for.
+STALL_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
+
+# From a plain call on one network (milliseconds) to an overnight job.
+REQUEST_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 120)
+
+
+class Metrics:
+    """The counters, gauges and histograms; other modules use them by attribute."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry(auto_describe=False)
+        self._declare_requests()
+        self._declare_permits()
+        self._declare_engines()
+        self._declare_platform()
+        self._declare_peers()
+
+    def expose(self) -> bytes:
+        """Return all of them in the Prometheus text format."""
+        return generate_latest(self.registry)
+
+    def _declare_requests(self) -> None:
+        self.requests = self._counter(
+            "requests",
+            "Requests of callers by their outcome: ok or an error code.",
+            ["outcome"],
+        )
+        self.request_seconds = self._histogram(
+            "request_seconds",
+            "Seconds from a request's arrival to the end of its answer.",
+            REQUEST_BUCKETS_S,
+            ["kind"],
+        )
+        self.requests_running = self._gauge(
+            "requests_running",
+            "Requests of callers in flight.",
+        )
+        self.attempts = self._counter(
+            "attempts",
+            "Requests sent to endpoints, repeats included.",
+        )
+        self.retries = self._counter(
+            "retries",
+            "Attempts after the first of a request.",
+        )
+        self.ejections = self._counter(
+            "ejections",
+            "Endpoints taken out of rotation as outliers.",
+        )
+        self.suspects = self._counter(
+            "suspects",
+            "Requests that were running when an endpoint crashed.",
+        )
+        self.drains = self._counter("drains", "Planned stops begun.")
+
+    def _declare_permits(self) -> None:
+        self.permits_granted = self._counter(
+            "permits_granted",
+            "Places on engines granted by this lease holder.",
+        )
+        self.permits_refused = self._counter(
+            "permits_refused",
+            "Requests for a place refused by this lease holder.",
+        )
+        self.permits_discarded = self._counter(
+            "permits_discarded",
+            "Permits that reached this entry VM too late to be used.",
+        )
+        self.load_stall_seconds = self._histogram(
+            "load_stall_seconds",
+            "Seconds that a granted request waited for its adapter to be loaded.",
+            STALL_BUCKETS_S,
+        )
+
+    def _declare_engines(self) -> None:
+        self.loads = self._counter("loads", "Adapter versions loaded.")
+        self.load_failures = self._counter("load_failures", "Loads that failed.")
+        self.evictions = self._counter("evictions", "Adapter versions evicted.")
+        self.leases_held = self._gauge("leases_held", "Leases held now.")
+        self.leases_taken = self._counter("leases_taken", "Leases taken.")
+        self.leases_renewed = self._counter("leases_renewed", "Renewals read back.")
+        self.leases_lost = self._counter(
+            "leases_lost",
+            "Leases that lapsed or were taken while held.",
+        )
+
+    def _declare_platform(self) -> None:
+        self.catalogue_revision = self._gauge(
+            "catalogue_revision",
+            "Revision of the catalogue in force here.",
+        )
+        self.catalogue_edits = self._counter(
+            "catalogue_edits",
+            "Edits sent in here by their outcome.",
+            ["outcome"],
+        )
+        self.claims = self._counter(
+            "claims",
+            "Idempotency keys claimed here by their outcome.",
+            ["outcome"],
+        )
+        self.log_appends = self._counter(
+            "log_appends",
+            "Appends to the log service by their outcome.",
+            ["stream", "outcome"],
+        )
+        self.log_reads = self._counter(
+            "log_reads",
+            "Reads of the log service by their outcome.",
+            ["stream", "outcome"],
+        )
+
+    def _declare_peers(self) -> None:
+        self.peer_messages_in = self._counter(
+            "peer_messages_in",
+            "Messages from other entry VMs.",
+        )
+        self.peer_messages_out = self._counter(
+            "peer_messages_out",
+            "Messages to other entry VMs.",
+        )
+        self.peer_bytes_in = self._counter(
+            "peer_bytes_in",
+            "Bytes of messages from other entry VMs.",
+        )
+        self.peer_bytes_out = self._counter(
+            "peer_bytes_out",
+            "Bytes of messages to other entry VMs.",
+        )
+        self.peer_bad_messages = self._counter(
+            "peer_bad_messages",
+            "Malformed messages; each closes its link.",
+        )
+        self.peer_messages_dropped = self._counter(
+            "peer_messages_dropped",
+            "Messages dropped: queue full or link gone.",
+        )
+        self.peer_links_opened = self._counter(
+            "peer_links_opened",
+            "Links opened, both ways.",
+        )
+        self.peer_links_closed = self._counter(
+            "peer_links_closed",
+            "Links closed, by cause.",
+            ["cause"],
+        )
+
+    def _counter(self, name: str, text: str, labels: Sequence[str] = ()) -> Counter:
+        return Counter(PREFIX + name, text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(PREFIX + name, text, registry=self.registry)
+
+    def _histogram(
+        self,
+        name: str,
+        text: str,
+        buckets: Sequence[float],
+        labels: Sequence[str] = (),
+    ) -> Histogram:
+        return Histogram(
+            PREFIX + name,
+            text,
+            labels,
+            buckets=buckets,
+            registry=self.registry,
+        )
