Decide places, slots and refusals of one engine in a pure aggregate

The lease holder needs one writer for each engine's queue, slots and permits. EngineDispatch takes events and returns actions; the chosen policy and the baseline (LRU, first come first served, no refusal) drive the same aggregate. EngineView gains read_at: a state read before an order ended must not undo it. Ruled out: ending the pin of a silent entry VM at send-by alone, as a sent request may still run; it lingers until the engine no longer lists it.

--- /dev/null
+++ b/bamboovale/decisions/dispatch.py
@@ -0,0 +1,434 @@
+"""One engine at its lease holder: queue, slots and permits as one aggregate.
+
+Load pattern: many entry VMs want places on one engine at once. If each decided alone
+from reports that lag, they would overfill the batch and evict one another's adapters.
+One writer per engine makes both local rules:
+
+- grants never exceed the engine's batch, less what runs there without our permit;
+- an adapter with a permit, or that the engine lists as running, is never evicted;
+- a request gets its permit only while its adapter is loaded, as far as is known;
+- what cannot start in time is refused at once and never parked.
+
+Events are methods; each returns the actions to be carried out, in order. Nothing here
+reads a clock, a socket or chance: the same events give the same actions.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+from bamboovale.decisions.batching import QUEUE_BYTES, QUEUE_ITEMS, WaitQueue
+from bamboovale.decisions.estimates import MovingAverage
+from bamboovale.decisions.loading import SlotPlanner
+from bamboovale.decisions.permits import PermitBook
+from bamboovale.decisions.policy import Policy
+from bamboovale.decisions.spread import spread_seconds
+from bamboovale.decisions.work import (
+    Action,
+    EngineHint,
+    EngineView,
+    Grant,
+    Permit,
+    Refuse,
+    WorkItem,
+)
+from bamboovale.errors import ErrorCode, Refusal
+from bamboovale.models import WorkClass
+
+PERMIT_MARGIN_S = 1.0
+"""Added to send-by before a silent entry VM's pin may end: slow timers, slow links."""
+PRIORITY_BY_CLASS = {WorkClass.INTERACTIVE: 0, WorkClass.OVERNIGHT: 10}
+SHORTEST_RETRY_S = 1.0
+"""Sooner than this a refused caller finds the same queue."""
+PREDICTION_SLACK = 1.0
+"""Refuse once the predicted wait exceeds this share of the time left."""
+UNBOUNDED = 1 << 40
+
+
+@dataclass(frozen=True)
+class DispatchConfig:
+    """Settings of one engine's dispatch; times in seconds."""
+
+    engine_id: str
+    base_model: str
+    fencing: int
+    stall_weight: float = 0.5
+    load_seconds: float = 1.0
+    service_seconds: float = 2.0
+    send_within_s: float = 1.0
+    permit_margin_s: float = PERMIT_MARGIN_S
+    queue_limit: int = QUEUE_ITEMS
+    queue_bytes_limit: int = QUEUE_BYTES
+
+
+class EngineDispatch:
+    """Decides for one engine; the lease holder carries out what it returns."""
+
+    @classmethod
+    def from_config(cls, config: DispatchConfig, policy: Policy) -> "EngineDispatch":
+        """Return the aggregate of an engine about which nothing is known yet."""
+        return cls(config=config, policy=policy)
+
+    def __init__(self, *, config: DispatchConfig, policy: Policy) -> None:
+        self._config = config
+        self._policy = policy
+        bounded = policy.refuses_hopeless
+        self._queue = WaitQueue(
+            order=policy.make_queue_order(),
+            items_limit=config.queue_limit if bounded else UNBOUNDED,
+            bytes_limit=config.queue_bytes_limit if bounded else UNBOUNDED,
+        )
+        self._permits = PermitBook()
+        self._planner = SlotPlanner(
+            policy=policy,
+            queue=self._queue,
+            permits=self._permits,
+            load_seconds=config.load_seconds,
+        )
+        self._view: EngineView | None = None
+        self._leaving = False
+        self._permits_given = 0
+        self._granted_at_by_permit_id: dict[str, float] = {}
+        self._exclusive_permit_id: str | None = None
+        self._service = MovingAverage(config.service_seconds)
+
+    # Events from the engine.
+
+    def on_engine_view(self, view: EngineView, now: float) -> list[Action]:
+        """Take over the engine's exact state; a new boot ends all permits."""
+        read_at = now if view.read_at is None else view.read_at
+        if self._view is not None and self._view.boot_id != view.boot_id:
+            self._engine_restarted(now)
+        self._view = view
+        self._drop_permits_of_other_boots(view.boot_id)
+        self._planner.see(view, read_at, now)
+        self._permits.see(view, read_at)
+        return self._decide(now)
+
+    def on_loaded(self, lora_name: str, now: float) -> list[Action]:
+        """Serve what waited for a load that succeeded."""
+        self._planner.loaded(lora_name, now)
+        return self._decide(now)
+
+    def on_load_failed(
+        self,
+        lora_name: str,
+        now: float,
+        retry_after_s: float = 0.0,
+    ) -> list[Action]:
+        """Back off after a load that failed."""
+        self._planner.load_failed(lora_name, now, retry_after_s)
+        return self._decide(now)
+
+    def on_unloaded(self, lora_name: str, now: float) -> list[Action]:
+        """Load into the slot that an eviction made free."""
+        return self._planner.unloaded(lora_name, now) + self._decide(now)
+
+    def on_unload_failed(self, lora_name: str, now: float) -> list[Action]:
+        """Leave the slot alone until the engine has been looked at again."""
+        self._planner.slots.unload_failed(lora_name)
+        return self._decide(now)
+
+    # Events from entry VMs.
+
+    def on_request(self, item: WorkItem, now: float) -> list[Action]:
+        """Queue a request, or refuse it at once."""
+        if self._leaving:
+            return [self._refuse_leaving(item)]
+        if item.request_id in self._queue:
+            return []
+        refusals = self._refuse_hopeless(item, now) or self._make_room(item, now)
+        if any(refuse.request_id == item.request_id for refuse in refusals):
+            return list(refusals)
+        self._planner.wanted(item, now)
+        self._queue.add(item, self._spacing_s(item), now)
+        return [*refusals, *self._decide(now)]
+
+    def on_cancel(self, request_id: str, now: float) -> list[Action]:
+        """Drop a queued request whose caller is gone."""
+        self._queue.remove(request_id)
+        return self._decide(now)
+
+    def on_release(
+        self,
+        permit_id: str,
+        now: float,
+        *,
+        ended: bool = True,
+    ) -> list[Action]:
+        """Free a place; not ``ended`` if the engine may still run the request."""
+        if ended:
+            permit = self._permits.release(permit_id, now)
+        else:
+            permit = self._permits.linger(permit_id, not_before=now)
+        granted_at = self._granted_at_by_permit_id.pop(permit_id, None)
+        if permit is not None and ended and granted_at is not None:
+            self._service.add(now - granted_at)
+        if permit_id == self._exclusive_permit_id:
+            self._exclusive_permit_id = None
+        return self._decide(now)
+
+    def on_entry_gone(self, entry_vm: str, now: float) -> list[Action]:
+        """Drop the queue of a dead entry VM; its permits linger until seen over.
+
+        The VM may only be cut off from us and still send: until send-by and a margin
+        have passed, an engine that does not list the request proves nothing.
+        """
+        for item in [item for item in self._queue if item.entry_vm == entry_vm]:
+            self._queue.remove(item.request_id)
+        not_before = now + self._config.send_within_s + self._config.permit_margin_s
+        for permit in list(self._permits.permit_by_id.values()):
+            if permit.entry_vm == entry_vm:
+                self._permits.linger(permit.permit_id, not_before)
+                self._granted_at_by_permit_id.pop(permit.permit_id, None)
+        return self._decide(now)
+
+    def on_permits_adopted(self, permits: list[Permit], now: float) -> list[Action]:
+        """Take over the permits that live entry VMs hold from the last holder."""
+        boot_id = self._view.boot_id if self._view else None
+        for permit in permits:
+            if boot_id is None or permit.boot_id == boot_id:
+                self._permits.add(permit)
+        return self._decide(now)
+
+    # Events from the load scheduler, the lease and the catalogue.
+
+    def on_load_slot(self, lora_name: str, now: float) -> list[Action]:
+        """Use a turn at the weight store."""
+        return self._planner.turn(lora_name, now) + self._decide(now)
+
+    def on_new_version(
+        self,
+        lora_name: str,
+        source: str,
+        replaces: str,
+        now: float,
+    ) -> list[Action]:
+        """Warm a new version where the one it replaces was in demand."""
+        if self._planner.demand.count(replaces, now) > 0.0:
+            self._planner.warm(lora_name, source, replaces, now)
+        return self._decide(now)
+
+    def set_may_order(self, allowed: bool, now: float) -> list[Action]:
+        """Stop or resume loads and evictions with the lease."""
+        self._planner.may_order = allowed
+        return self._decide(now)
+
+    def set_may_evict_from(self, at: float) -> None:
+        """Evict nothing before the given moment."""
+        self._planner.may_evict_from = at
+
+    def set_leaving(self, now: float) -> list[Action]:
+        """Give no new permit; send the whole queue to other engines."""
+        self._leaving = True
+        items = list(self._queue)
+        for item in items:
+            self._queue.remove(item.request_id)
+        return [self._refuse_leaving(item) for item in items]
+
+    def on_tick(self, now: float) -> list[Action]:
+        """Let time pass: back-offs end, hopeless waits are refused."""
+        self._planner.tick(now)
+        refusals: list[Action] = []
+        for item in list(self._queue):
+            if self._policy.refuses_hopeless and self._is_too_late(item, now):
+                self._queue.remove(item.request_id)
+                refusals.append(self._refuse_late(item, self._wait(item, now)))
+        return refusals + self._decide(now)
+
+    # What it tells.
+
+    def hint(self, now: float) -> EngineHint:
+        """Return what entry VMs choose an engine by."""
+        slots = self._planner.slots
+        view = self._view
+        places = view.max_num_seqs if view else 0
+        coming = set(slots.loading_since) | set(self._planner.ask_by_name)
+        coming.update(name for name in slots.newcomer_by_victim.values() if name)
+        return EngineHint(
+            engine_id=self._config.engine_id,
+            base_model=self._config.base_model,
+            fencing=self._config.fencing,
+            loaded=tuple(sorted(self._planner.grantable)),
+            loading=tuple(sorted(coming)),
+            free_places=self._free_places(),
+            max_num_seqs=places,
+            queued=len(self._queue),
+            predicted_wait_s=self._wait_behind(len(self._queue)),
+            load_seconds=self._planner.load_wait.value,
+        )
+
+    def permits(self) -> dict[str, Permit]:
+        """Return the permits by id, without those that only linger."""
+        return dict(self._permits.permit_by_id)
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the state as JSON for operators."""
+        slots = self._planner.slots
+        return {
+            "engine_id": self._config.engine_id,
+            "fencing": self._config.fencing,
+            "policy": self._policy.name,
+            "boot_id": self._view.boot_id if self._view else None,
+            "leaving": self._leaving,
+            "may_order": self._planner.may_order,
+            "may_evict_in_s": max(0.0, self._planner.may_evict_from - now),
+            "queued": len(self._queue),
+            "queued_bytes": self._queue.size_bytes,
+            "free_places": self._free_places(),
+            "permits": len(self._permits.permit_by_id),
+            "lingering": sorted(self._permits.lingering_by_id),
+            "foreign": dict(self._permits.foreign_by_request_id),
+            "loaded": {
+                name: round(self._planner.value(name, now), 3)
+                for name in sorted(slots.loaded)
+            },
+            "loading": sorted(slots.loading_since),
+            "evicting": dict(slots.newcomer_by_victim),
+            "draining": sorted(self._planner.draining),
+            "asked": sorted(self._planner.ask_by_name),
+            "service_s": round(self._service.value, 3),
+            "load_wait_s": round(self._planner.load_wait.value, 3),
+        }
+
+    # Decisions.
+
+    def _decide(self, now: float) -> list[Action]:
+        if self._view is None or self._leaving:
+            return []
+        actions: list[Action] = []
+        while (item := self._next_item()) is not None:
+            actions.append(self._grant(item, now))
+        return actions + self._planner.plan(now)
+
+    def _free_places(self) -> int:
+        if self._view is None:
+            return 0
+        return max(0, self._view.max_num_seqs - self._permits.used_places)
+
+    def _next_item(self) -> WorkItem | None:
+        if not self._free_places() or self._exclusive_permit_id is not None:
+            return None
+        grantable = self._planner.grantable
+        exclusive = self._exclusive_item(set(grantable))
+        if exclusive is not None:
+            return None if self._permits.used_places else exclusive
+        return self._queue.next_item(grantable)
+
+    def _exclusive_item(self, grantable: set[str]) -> WorkItem | None:
+        """Return a crash suspect that could run now; all others wait until it has."""
+        for item in self._queue:
+            if item.exclusive and item.target.lora_name in grantable:
+                return item
+        return None
+
+    def _grant(self, item: WorkItem, now: float) -> Grant:
+        assert self._view is not None
+        self._queue.remove(item.request_id)
+        overnight_waits = self._queue.count(WorkClass.OVERNIGHT) > 0
+        self._queue.granted(item, overnight_waits)
+        self._permits_given += 1
+        config = self._config
+        permit = Permit(
+            permit_id=f"{config.engine_id}:{config.fencing}:{self._permits_given}",
+            request_id=item.request_id,
+            entry_vm=item.entry_vm,
+            engine_id=config.engine_id,
+            boot_id=self._view.boot_id,
+            lora_name=item.target.lora_name,
+            fencing=config.fencing,
+            send_within_s=config.send_within_s,
+            priority=PRIORITY_BY_CLASS[item.work_class],
+        )
+        self._permits.add(permit)
+        self._granted_at_by_permit_id[permit.permit_id] = now
+        self._planner.used(permit.lora_name, now)
+        if item.exclusive:
+            self._exclusive_permit_id = permit.permit_id
+        return Grant(permit)
+
+    def _engine_restarted(self, now: float) -> None:
+        self._permits.clear()
+        self._granted_at_by_permit_id.clear()
+        self._exclusive_permit_id = None
+        self._planner.restarted(now)
+
+    def _drop_permits_of_other_boots(self, boot_id: str) -> None:
+        """Drop permits that were adopted before the engine's boot was known."""
+        for permit in list(self._permits.permit_by_id.values()):
+            if permit.boot_id != boot_id:
+                self._permits.release(permit.permit_id, 0.0)
+
+    # Predicted waits and refusals.
+
+    def _spacing_s(self, item: WorkItem) -> float:
+        """Return the seconds between a customer's items if all get equal shares."""
+        return self._seconds_per_place() * max(1, self._queue.customers)
+
+    def _seconds_per_place(self) -> float:
+        places = self._view.max_num_seqs if self._view else 1
+        return self._service.value / max(1, places)
+
+    def _wait_behind(self, ahead: int) -> float:
+        if ahead < self._free_places():
+            return 0.0
+        return (ahead + 1 - self._free_places()) * self._seconds_per_place()
+
+    def _wait(self, item: WorkItem, now: float) -> float:
+        ahead, tag = self._queue.ahead_of(item)
+        queue_wait = max(self._wait_behind(ahead), 0.0)
+        if queue_wait > 0.0:
+            queue_wait = max(queue_wait, tag - now)
+        return max(queue_wait, self._planner.wait_for_load(item.target.lora_name, now))
+
+    def _refuse_hopeless(self, item: WorkItem, now: float) -> list[Refuse]:
+        if not self._policy.refuses_hopeless:
+            return []
+        wait_s = self._wait(item, now)
+        if now + wait_s * PREDICTION_SLACK <= item.latest_start:
+            return []
+        return [self._refuse_late(item, wait_s)]
+
+    def _make_room(self, item: WorkItem, now: float) -> list[Refuse]:
+        """Refuse what is furthest from its turn when the queue is full."""
+        if self._queue.has_room(item):
+            return []
+        last = self._queue.last_behind(item)
+        if last is None or last.size_bytes < item.size_bytes:
+            return [self._refuse_full(item, now)]
+        self._queue.remove(last.request_id)
+        return [self._refuse_full(last, now)]
+
+    def _is_too_late(self, item: WorkItem, now: float) -> bool:
+        name = item.target.lora_name
+        shortest = self._planner.shortest_wait_for_load(name, now)
+        return now + shortest > item.latest_start
+
+    def _refuse_leaving(self, item: WorkItem) -> Refuse:
+        refusal = Refusal(ErrorCode.DRAINING, "the engine is leaving", True, 0.0)
+        return Refuse(item.request_id, item.entry_vm, refusal)
+
+    def _refuse_full(self, item: WorkItem, now: float) -> Refuse:
+        retry_s = max(SHORTEST_RETRY_S, self._wait_behind(len(self._queue)))
+        return Refuse(
+            item.request_id,
+            item.entry_vm,
+            Refusal(
+                ErrorCode.OVERLOADED,
+                "the engine's queue is full",
+                True,
+                spread_seconds(retry_s, item.request_id),
+            ),
+        )
+
+    def _refuse_late(self, item: WorkItem, wait_s: float) -> Refuse:
+        retry_s = max(SHORTEST_RETRY_S, wait_s)
+        return Refuse(
+            item.request_id,
+            item.entry_vm,
+            Refusal(
+                ErrorCode.DEADLINE,
+                f"a place is expected in {wait_s:.1f} s, too late for this request",
+                True,
+                spread_seconds(retry_s, item.request_id),
+            ),
+        )
--- /dev/null
+++ b/bamboovale/decisions/loading.py
@@ -0,0 +1,350 @@
+"""Which adapters one engine's holder asks to load, and what makes room for them.
+
+Load pattern: more adapters are waited for than slots exist, at a weight store that
+gives a few loads a second and is at times down. Asking for all of them wastes turns;
+evicting before a turn is there leaves a slot empty for nothing; with a dead store,
+evicting for loads that fail would empty the engine. So a holder asks for a turn
+first, evicts only when it has one, and has few loads under way; after a failure it
+has one until a load succeeds.
+
+When running requests pin every slot, new work for the loaded adapters would keep them
+pinned for ever. After some patience the least valued slot takes no new work until it
+can be exchanged ("draining").
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bamboovale.decisions.batching import WaitQueue
+from bamboovale.decisions.demand import RecentDemand
+from bamboovale.decisions.estimates import MovingAverage
+from bamboovale.decisions.permits import PermitBook
+from bamboovale.decisions.policy import Policy
+from bamboovale.decisions.slots import EXCHANGE_FACTOR, Slot, SlotTable
+from bamboovale.decisions.work import (
+    Action,
+    AskLoadSlot,
+    EngineView,
+    Load,
+    Unload,
+    WorkItem,
+)
+from bamboovale.models import WorkClass
+
+LOADS_AT_ONCE = 2
+"""As many as the weight store serves at full speed: more only share its bandwidth."""
+ASKS_AT_ONCE = 8
+"""Enough for the scheduler to choose among; each ask is a small message."""
+ASK_AGAIN_S = 2.0
+"""A turn may get lost with its message; a repeated ask only renews its weight."""
+LOAD_GIVEN_UP_S = 60.0
+"""Far above any load; guards against an order whose outcome never came back."""
+EXPECTED_FOR_S = 10.0
+"""A slot is credited with the requests that demand lets expect in ten seconds."""
+URGENCY_PER_S = 0.5
+"""Waiting one second counts like half a request, so rare adapters get their turn."""
+PATIENCE_LOADS = 2.0
+DRAINS_AT_ONCE = 2
+
+
+@dataclass
+class Ask:
+    """A turn asked for."""
+
+    first_at: float
+    sent_at: float
+
+
+class SlotPlanner:
+    """Asks for turns, uses them, and keeps the slots of one engine."""
+
+    def __init__(
+        self,
+        *,
+        policy: Policy,
+        queue: WaitQueue,
+        permits: PermitBook,
+        load_seconds: float,
+    ) -> None:
+        self._policy = policy
+        self._queue = queue
+        self._permits = permits
+        self._rule = policy.make_slot_rule(load_seconds)
+        self.slots = SlotTable()
+        self.demand = RecentDemand()
+        self.load_wait = MovingAverage(2.0 * load_seconds)
+        self.load_seconds = load_seconds
+        self.may_order = True
+        self.may_evict_from = 0.0
+        self.draining: set[str] = set()
+        self.ask_by_name: dict[str, Ask] = {}
+        self._asked_at_by_name: dict[str, float] = {}
+        self._source_by_name: dict[str, str] = {}
+        self._warm: dict[str, None] = {}
+        self._store_failed = False
+
+    # What the holder learns.
+
+    def see(self, view: EngineView, read_at: float, now: float) -> None:
+        """Take over the engine's own list of loaded adapters."""
+        self.slots.max_loras = view.max_loras
+        self.slots.see(view.loaded, read_at, now)
+
+    def restarted(self, now: float) -> None:
+        """Start with empty slots; what was in demand is warmed again."""
+        self.slots.clear()
+        self.draining.clear()
+        self.ask_by_name.clear()
+        if self._policy.warms_after_restart:
+            known = [n for n in self.demand.top(64, now) if n in self._source_by_name]
+            self._warm = dict.fromkeys(known[: max(self.slots.max_loras, 1)])
+
+    def wanted(self, item: WorkItem, now: float) -> None:
+        """Count a request."""
+        name = item.target.lora_name
+        self.demand.add(name, now)
+        self._source_by_name[name] = item.source
+
+    def warm(self, name: str, source: str, replaces: str, now: float) -> None:
+        """Expect requests for a new version as many as for the one it replaces."""
+        self._source_by_name[name] = source
+        self.demand.move(replaces, name, now)
+        self._warm[name] = None
+
+    def used(self, name: str, now: float) -> None:
+        """Note a grant."""
+        slot = self.slots.loaded.get(name)
+        if slot is not None:
+            slot.used_at = now
+
+    def loaded(self, name: str, now: float) -> None:
+        """Note a finished load."""
+        if self.slots.load_done(name, now):
+            self._store_failed = False
+            asked_at = self._asked_at_by_name.pop(name, None)
+            if asked_at is not None:
+                self.load_wait.add(now - asked_at)
+        self._warm.pop(name, None)
+
+    def load_failed(self, name: str, now: float, wait_s: float) -> None:
+        """Note a failed load."""
+        self._store_failed = True
+        self._asked_at_by_name.pop(name, None)
+        self.slots.load_failed(name, now, wait_s)
+
+    def unloaded(self, victim: str, now: float) -> list[Action]:
+        """Use the slot that became free."""
+        newcomer = self.slots.unload_done(victim, now)
+        if newcomer is None or not self.may_order:
+            return []
+        return self._load(newcomer, now)
+
+    # What may be served.
+
+    @property
+    def grantable(self) -> Iterable[str]:
+        """Return the loaded adapters that take new work."""
+        if not self.draining:
+            return self.slots.loaded.keys()
+        return [name for name in self.slots.loaded if name not in self.draining]
+
+    def wait_for_load(self, name: str, now: float) -> float:
+        """Return the seconds until an adapter is probably loaded."""
+        if name in self.slots.loaded and name not in self.draining:
+            return 0.0
+        since = self.slots.loading_since.get(name)
+        if since is not None:
+            return max(0.0, since + self.load_seconds - now)
+        return self.load_wait.value
+
+    def shortest_wait_for_load(self, name: str, now: float) -> float:
+        """Return the seconds below which an adapter can't be loaded."""
+        if name in self.slots.loaded:
+            return 0.0
+        since = self.slots.loading_since.get(name)
+        return self.load_seconds if since is None else 0.0
+
+    # What it decides.
+
+    def plan(self, now: float) -> list[Action]:
+        """Ask for turns for what is worth a load."""
+        if not self.may_order or not self.slots.max_loras:
+            return []
+        missing = self._missing(now)
+        self._stop_asking(missing)
+        actions: list[Action] = []
+        for name in missing:
+            actions += self._ask(name, missing[name], now)
+        self._plan_drain(missing, now)
+        return actions
+
+    def turn(self, name: str, now: float) -> list[Action]:
+        """Use a turn at the weight store: evict or load; nothing if not needed."""
+        ask = self.ask_by_name.pop(name, None)
+        if not self.may_order or self._loads_under_way() >= self._loads_allowed():
+            return []
+        missing = self._missing(now)
+        if name not in missing:
+            name = next(iter(missing), "")
+        if not name:
+            return []
+        self._asked_at_by_name[name] = ask.first_at if ask else now
+        if self.slots.free:
+            return self._load(name, now)
+        victim = self._victim(missing[name], now)
+        if victim is None:
+            return []
+        self.draining.discard(victim)
+        self.slots.order_unload(victim, name)
+        return [Unload(victim)]
+
+    def tick(self, now: float) -> None:
+        """Forget what is old and give up orders whose outcome never came."""
+        self.slots.forget_back_offs(now)
+        self.demand.prune(now)
+        for name, since in list(self.slots.loading_since.items()):
+            if now - since > LOAD_GIVEN_UP_S:
+                self.load_failed(name, now, 0.0)
+        if len(self._source_by_name) > 2 * len(self.demand) + 64:
+            self._forget_sources()
+
+    def value(self, name: str, now: float) -> float:
+        """Return the requests that wait for an adapter or may be expected soon."""
+        waiting = self._waiting_worth(name)
+        return waiting + self.demand.rate(name, now) * EXPECTED_FOR_S
+
+    def _waiting_worth(self, name: str) -> float:
+        return sum(
+            1.0 if item.work_class is WorkClass.INTERACTIVE else self._overnight_worth
+            for item in self._queue.waiting_for(name)
+        )
+
+    @property
+    def _overnight_worth(self) -> float:
+        return 1.0 - 0.8 * self._policy.stall_weight
+
+    def _newcomer_worth(self, name: str, now: float) -> float:
+        waiting = self._queue.waiting_for(name)
+        if not waiting:
+            return 0.5 * self.value(name, now)
+        oldest = min(item.arrived_at for item in waiting)
+        if not self._policy.loads_by_weight:
+            return 1.0 / (1.0 + oldest)
+        return self.value(name, now) + URGENCY_PER_S * max(0.0, now - oldest)
+
+    def _missing(self, now: float) -> dict[str, float]:
+        """Return wanted adapters that are neither loaded nor coming, best first."""
+        names = set(self._queue.lora_names) | set(self._warm)
+        worth_by_name = {
+            name: self._newcomer_worth(name, now)
+            for name in names
+            if name not in self.slots.loaded
+            and name not in self.slots.newcomer_by_victim
+            and not self.slots.is_coming(name)
+            and not self.slots.backs_off(name, now)
+        }
+        ranked = sorted(worth_by_name, key=lambda name: (-worth_by_name[name], name))
+        return {name: worth_by_name[name] for name in ranked}
+
+    def _stop_asking(self, missing: dict[str, float]) -> None:
+        for name in list(self.ask_by_name):
+            if name not in missing:
+                del self.ask_by_name[name]
+
+    def _ask(self, name: str, worth: float, now: float) -> list[Action]:
+        ask = self.ask_by_name.get(name)
+        if ask is not None:
+            if now - ask.sent_at < ASK_AGAIN_S:
+                return []
+            ask.sent_at = now
+            return [AskLoadSlot(name, worth)]
+        if len(self.ask_by_name) >= self._asks_allowed(worth, now):
+            return []
+        self.ask_by_name[name] = Ask(first_at=now, sent_at=now)
+        return [AskLoadSlot(name, worth)]
+
+    def _asks_allowed(self, worth: float, now: float) -> int:
+        if self._loads_under_way() >= self._loads_allowed():
+            return 0
+        room = self.slots.free
+        if self._victim(worth, now) is not None:
+            room += len(self._evictable(now))
+        return min(ASKS_AT_ONCE, room)
+
+    def _loads_under_way(self) -> int:
+        return len(self.slots.loading_since) + len(self.slots.newcomer_by_victim)
+
+    def _loads_allowed(self) -> int:
+        return 1 if self._store_failed else LOADS_AT_ONCE
+
+    def _evictable(self, now: float) -> dict[str, Slot]:
+        if now < self.may_evict_from:
+            return {}
+        return {
+            name: slot
+            for name, slot in self.slots.loaded.items()
+            if not self._permits.is_pinned(name) and not self._not_served_yet(name)
+        }
+
+    def _not_served_yet(self, name: str) -> bool:
+        """Say whether work that an adapter was loaded for still waits for a place.
+
+        Evicting it would waste the load, and the same work would ask for it again.
+        """
+        slot = self.slots.loaded[name]
+        fresh = slot.used_at <= slot.loaded_at and name not in self.draining
+        return fresh and bool(self._queue.waiting_for(name))
+
+    def _victim(self, worth: float, now: float) -> str | None:
+        evictable = self._evictable(now)
+        drained = sorted(name for name in evictable if name in self.draining)
+        if drained:
+            return drained[0]
+        return self._rule.victim(
+            evictable,
+            worth,
+            lambda name: self.value(name, now),
+            now,
+        )
+
+    def _load(self, name: str, now: float) -> list[Action]:
+        source = self._source_by_name.get(name)
+        if source is None:
+            return []
+        self.slots.order_load(name, now)
+        return [Load(name, source)]
+
+    def _plan_drain(self, missing: dict[str, float], now: float) -> None:
+        needy = [name for name in missing if name not in self.ask_by_name]
+        if not needy:
+            self.draining.clear()
+            return
+        if not self._rule.drains or len(self.draining) >= DRAINS_AT_ONCE:
+            return
+        if self.slots.free or self._loads_under_way() >= self._loads_allowed():
+            return
+        waiting = self._queue.waiting_for(needy[0])
+        if not waiting or now < self.may_evict_from:
+            return
+        oldest = min(item.arrived_at for item in waiting)
+        if now - oldest < PATIENCE_LOADS * self.load_seconds:
+            return
+        self._start_drain(missing[needy[0]], now)
+
+    def _start_drain(self, worth: float, now: float) -> None:
+        value_by_name = {
+            name: self.value(name, now)
+            for name in self.slots.loaded
+            if name not in self.draining and self._permits.is_pinned(name)
+        }
+        if not value_by_name:
+            return
+        least = min(value_by_name, key=lambda name: (value_by_name[name], name))
+        if worth > value_by_name[least] * EXCHANGE_FACTOR:
+            self.draining.add(least)
+
+    def _forget_sources(self) -> None:
+        keep = set(self.demand) | set(self._queue.lora_names) | set(self._warm)
+        for name in list(self._source_by_name):
+            if name not in keep:
+                del self._source_by_name[name]
--- /dev/null
+++ b/bamboovale/decisions/policy.py
@@ -0,0 +1,73 @@
+"""The bundle of rules that drive an engine's decisions: the chosen one and a baseline.
+
+Both drive the same aggregates, so that a measured difference is the rules' own.
+``stall_weight`` is the one setting of a deployment: 1 cares for load stalls alone
+(Lernwerk: parents and tutors wait), 0 for full batches alone (Galley Exchange: long
+jobs fill the engines).
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bamboovale.decisions.batching import ArrivalOrder, FairOrder, QueueOrder
+from bamboovale.decisions.slots import (
+    RESIDENCE_LOADS,
+    LeastRecentlyUsed,
+    LeastValued,
+    SlotRule,
+)
+
+DEFAULT_STALL_WEIGHT = 0.5
+
+
+@dataclass(frozen=True)
+class Policy:
+    """Rules by name; the factories give each engine rules of its own."""
+
+    name: str
+    stall_weight: float
+    make_queue_order: Callable[[], QueueOrder]
+    make_slot_rule: Callable[[float], SlotRule]
+    refuses_hopeless: bool
+    places_by_adapter: bool
+    loads_by_weight: bool
+    warms_after_restart: bool
+
+    @classmethod
+    def chosen(cls, stall_weight: float = DEFAULT_STALL_WEIGHT) -> "Policy":
+        """Return the rules that the entry VMs run with."""
+        return cls(
+            name="chosen",
+            stall_weight=stall_weight,
+            make_queue_order=lambda: FairOrder(stall_weight),
+            make_slot_rule=lambda load_seconds: LeastValued(
+                residence_s=RESIDENCE_LOADS * load_seconds,
+            ),
+            refuses_hopeless=True,
+            places_by_adapter=True,
+            loads_by_weight=True,
+            warms_after_restart=True,
+        )
+
+    @classmethod
+    def baseline(cls) -> "Policy":
+        """Return least loaded, LRU slots, first come first served, no refusal."""
+        return cls(
+            name="baseline",
+            stall_weight=DEFAULT_STALL_WEIGHT,
+            make_queue_order=ArrivalOrder,
+            make_slot_rule=lambda load_seconds: LeastRecentlyUsed(),
+            refuses_hopeless=False,
+            places_by_adapter=False,
+            loads_by_weight=False,
+            warms_after_restart=False,
+        )
+
+    @classmethod
+    def from_name(cls, name: str, stall_weight: float) -> "Policy":
+        """Return a policy by its name, as a setting gives it."""
+        if name == "baseline":
+            return cls.baseline()
+        if name == "chosen":
+            return cls.chosen(stall_weight)
+        raise ValueError(f"unknown policy {name!r}: chosen or baseline")
--- a/bamboovale/decisions/work.py
+++ b/bamboovale/decisions/work.py
@@ -54,7 +54,11 @@
 
 @dataclass(frozen=True)
 class EngineView:
-    """The engine's own exact answer about its state."""
+    """The engine's own exact answer about its state.
+
+    ``read_at`` is the holder's clock before the question was sent; what the holder
+    learned later than that wins over the view. None means "just now".
+    """
 
     boot_id: str
     base_model: str
@@ -63,6 +67,7 @@
     loaded: frozenset[str]
     running_by_request_id: dict[str, str] = field(default_factory=dict)
     waiting: int = 0
+    read_at: float | None = None
 
 
 @dataclass(frozen=True)
