Link entry VMs: typed CBOR messages, mutual proof of the key, keepalive

Cause: ingress and lease holders must ask one another within milliseconds and know truly whether a request can have arrived.

All links share one thread with an event loop (websockets.asyncio). The library's keepalive was ruled out: its ping waits for room in the send buffer without a timeout, so a peer that reads nothing is never found. Ours aborts the connection. A queued request counts as not sent until its first byte goes out, so PeerUnreachableError is always true. Fields equal to their default are not sent. Exceptions end in Error, as PEP 8 and the linter ask.

--- a/bamboovale/peers/__init__.py
+++ b/bamboovale/peers/__init__.py
@@ -1,1 +1,1 @@
-"""Links between entry VMs."""
+"""Links between entry VMs: typed messages, handshake, requests and notices."""
--- /dev/null
+++ b/bamboovale/peers/incoming.py
@@ -0,0 +1,121 @@
+"""A link that a peer opened, over which its requests come in.
+
+Everything here runs on the event loop's thread, except the reply functions.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from websockets.exceptions import ConnectionClosed
+
+from bamboovale.metrics import Metrics
+from bamboovale.peers.channel import QUEUE_LIMIT, Channel
+from bamboovale.peers.codec import BadMessageError
+from bamboovale.peers.frames import Frame, FrameKind, decode_frame, encode_frame
+
+logger = logging.getLogger(__name__)
+
+Reply = Callable[[Any], None]
+RequestHandler = Callable[[str, Any, Reply], None]
+NoticeHandler = Callable[[str, Any], None]
+
+
+class IncomingLink:
+    """Hands a peer's messages to the handlers and sends the replies back."""
+
+    def __init__(
+        self,
+        sender: str,
+        channel: Channel,
+        metrics: Metrics,
+        on_request: RequestHandler,
+        on_notice: NoticeHandler,
+    ) -> None:
+        self.sender = sender
+        self._channel = channel
+        self._metrics = metrics
+        self._on_request = on_request
+        self._on_notice = on_notice
+        self._loop = asyncio.get_running_loop()
+        self._outbox: asyncio.Queue[bytes] = asyncio.Queue(QUEUE_LIMIT)
+
+    async def serve(self) -> None:
+        """Serve until the link closes."""
+        self._metrics.peer_links_opened.inc()
+        tasks = [
+            asyncio.create_task(self._read()),
+            asyncio.create_task(self._write()),
+            asyncio.create_task(self._channel.keep_alive()),
+        ]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            self._channel.abort("closed")
+            cause = self._channel.close_cause
+            self._metrics.peer_links_closed.labels(cause).inc()
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                self._take(decode_frame(await self._channel.receive()))
+        except ConnectionClosed:
+            return
+        except BadMessageError:
+            self._metrics.peer_bad_messages.inc()
+            self._channel.abort("bad_message")
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                await self._channel.send(await self._outbox.get())
+        except ConnectionClosed:
+            return
+
+    def _take(self, frame: Frame) -> None:
+        if frame.kind is FrameKind.REQUEST:
+            self._take_request(frame)
+        elif frame.kind is FrameKind.NOTICE:
+            try:
+                self._on_notice(self.sender, frame.message)
+            except Exception:
+                logger.exception("a notice of %s failed", self.sender)
+        else:
+            raise BadMessageError("a reply came over a link for requests")
+
+    def _take_request(self, frame: Frame) -> None:
+        """Call the handler; a handler that raises is told to the peer at once."""
+        try:
+            self._on_request(self.sender, frame.message, self._reply_to(frame.number))
+        except Exception as error:
+            logger.exception("a request of %s failed", self.sender)
+            text = type(error).__name__
+            self._enqueue(encode_frame(FrameKind.FAILURE, frame.number, text))
+
+    def _reply_to(self, number: int) -> Reply:
+        """Return the function that answers one request, from any thread."""
+
+        def reply(message: Any) -> None:
+            data = encode_frame(FrameKind.REPLY, number, message)
+            try:
+                self._loop.call_soon_threadsafe(self._enqueue, data)
+            except RuntimeError:  # the links were stopped meanwhile
+                self._metrics.peer_messages_dropped.inc()
+
+        return reply
+
+    def _enqueue(self, data: bytes) -> None:
+        """Queue a reply; a peer that leaves so many unread is cut off.
+
+        Dropping single replies would make each a timeout; a cut link tells the
+        peer at once that all its open requests are lost.
+        """
+        try:
+            self._outbox.put_nowait(data)
+        except asyncio.QueueFull:
+            self._metrics.peer_messages_dropped.inc()
+            self._channel.abort("slow_reader")
--- /dev/null
+++ b/bamboovale/peers/links.py
@@ -0,0 +1,328 @@
+"""Links between this entry VM and its peers: requests, replies and notices.
+
+All links share one thread with one event loop: a thread per link and direction costs
+more memory than the links themselves (``docs/design/peers.md`` has the figures).
+"""
+
+import asyncio
+import itertools
+import threading
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from concurrent.futures import Future
+from dataclasses import dataclass
+from typing import Any
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import ServerConnection, serve
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from bamboovale.metrics import Metrics
+from bamboovale.peers.channel import (
+    HANDSHAKE_TIMEOUT_S,
+    LIBRARY_LOGGER,
+    Channel,
+    is_loopback,
+)
+from bamboovale.peers.codec import MAX_FRAME_BYTES, BadMessageError
+from bamboovale.peers.frames import FrameKind, encode_frame
+from bamboovale.peers.handshake import (
+    MAX_HANDSHAKE_BYTES,
+    HandshakeError,
+    introduce,
+    receive,
+)
+from bamboovale.peers.incoming import IncomingLink, NoticeHandler, RequestHandler
+from bamboovale.peers.outgoing import Outbound, OutgoingLink, PeerUnreachableError
+from bamboovale.settings import Settings
+
+# Strangers may hold this many unproved connections open; each for a second.
+MAX_UNPROVED = 64
+
+# An unused link is closed, so that a VM does not end up linked to all others.
+IDLE_CLOSE_S = 60.0
+IDLE_SWEEP_S = 10.0
+
+START_TIMEOUT_S = 10.0
+STOP_TIMEOUT_S = 5.0
+
+AddressOf = Callable[[str], tuple[str, int] | None]
+
+
+@dataclass(frozen=True)
+class LinkState:
+    """What the state dump shows of the links with one peer.
+
+    ``outgoing`` is ``open``, ``connecting``, ``backing_off`` or ``idle``; ``incoming``
+    counts the links that the peer opened.
+    """
+
+    outgoing: str
+    incoming: int
+    queued: int
+    awaiting_reply: int
+    round_trip_s: float
+    last_error: str
+
+
+class PeerLinks:
+    """Sends messages to other entry VMs and receives theirs.
+
+    Its functions may be called from any thread; none of them blocks but ``start``
+    and ``stop``. Handlers and future callbacks run on the event loop's thread and
+    must not block.
+    """
+
+    def __init__(
+        self,
+        own_id: str,
+        address: str,
+        port: int,
+        key: str,
+        address_of: AddressOf,
+        metrics: Metrics,
+    ) -> None:
+        self._own_id = own_id
+        self._address = address
+        self._port = port
+        self._key = key
+        self._address_of = address_of
+        self._metrics = metrics
+        self._numbers = itertools.count(1)
+        self._link_by_vm_id: dict[str, OutgoingLink] = {}
+        self._incoming: set[IncomingLink] = set()
+        self._unproved = 0
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._stopping: asyncio.Event | None = None
+        self._thread: threading.Thread | None = None
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        address_of: AddressOf,
+        metrics: Metrics,
+    ) -> "PeerLinks":
+        """Create the links of an entry VM; nothing is opened yet.
+
+        ``address_of`` gives the address and peers' port of a VM, or None if it is
+        not known; it must not block.
+        """
+        return cls(
+            settings.id,
+            settings.address,
+            settings.peers_port,
+            settings.peer_key,
+            address_of,
+            metrics,
+        )
+
+    def start(self, on_request: RequestHandler, on_notice: NoticeHandler) -> None:
+        """Listen for peers; raises OSError if the port cannot be bound."""
+        started: Future[None] = Future()
+        main = self._main(on_request, on_notice, started)
+        self._thread = threading.Thread(
+            target=asyncio.run,
+            args=(main,),
+            name="peer-links",
+            daemon=True,
+        )
+        self._thread.start()
+        started.result(START_TIMEOUT_S)
+
+    def request(self, vm_id: str, message: Any, timeout_s: float) -> "Future[Any]":
+        """Send a request; the future holds the reply message.
+
+        Its exception is PeerUnreachableError (nothing was sent), or PeerTimeoutError
+        or PeerLostError (the request may have arrived). Raises BadMessageError for a
+        message that cannot be encoded.
+        """
+        number = next(self._numbers)
+        future: Future[Any] = Future()
+        data = encode_frame(FrameKind.REQUEST, number, message)
+        self._submit(vm_id, Outbound(number, data, future), timeout_s)
+        return future
+
+    def notify(self, vm_id: str, message: Any) -> None:
+        """Send a notice, best effort: it is dropped if the link is down or full."""
+        data = encode_frame(FrameKind.NOTICE, 0, message)
+        self._submit(vm_id, Outbound(0, data), None)
+
+    def connected(self) -> dict[str, LinkState]:
+        """Return the state of the links by VM id."""
+        incoming = Counter(link.sender for link in self._incoming.copy())
+        links = self._link_by_vm_id.copy()
+        return {
+            vm_id: _state_of(links.get(vm_id), incoming[vm_id])
+            for vm_id in sorted(links.keys() | incoming.keys())
+        }
+
+    def stop(self) -> None:
+        """Close all links; open requests fail."""
+        loop, thread, stopping = self._loop, self._thread, self._stopping
+        self._loop = None
+        if loop is None or thread is None or stopping is None:
+            return
+        loop.call_soon_threadsafe(stopping.set)
+        thread.join(STOP_TIMEOUT_S)
+
+    def _submit(self, vm_id: str, item: Outbound, timeout_s: float | None) -> None:
+        loop = self._loop
+        try:
+            if loop is None:
+                raise RuntimeError
+            loop.call_soon_threadsafe(self._enqueue, vm_id, item, timeout_s)
+        except RuntimeError:  # stopped, perhaps between the two lines above
+            item.settle(PeerUnreachableError("the links are stopped"))
+
+    def _enqueue(self, vm_id: str, item: Outbound, timeout_s: float | None) -> None:
+        link = self._link_by_vm_id.get(vm_id)
+        if link is None:
+
+            def open_channel() -> Coroutine[Any, Any, Channel]:
+                return self._open_channel(vm_id)
+
+            link = OutgoingLink(open_channel, self._metrics)
+            self._link_by_vm_id[vm_id] = link
+        link.submit(item, timeout_s)
+
+    async def _main(
+        self,
+        on_request: RequestHandler,
+        on_notice: NoticeHandler,
+        started: "Future[None]",
+    ) -> None:
+        """Serve until told to stop; runs on the thread of the links."""
+
+        async def accept(connection: ServerConnection) -> None:
+            await self._accept(connection, on_request, on_notice)
+
+        self._stopping = asyncio.Event()
+        try:
+            server = await serve(
+                accept,
+                self._address,
+                self._port,
+                compression=None,
+                max_size=MAX_HANDSHAKE_BYTES,
+                open_timeout=HANDSHAKE_TIMEOUT_S,
+                close_timeout=HANDSHAKE_TIMEOUT_S,
+                ping_interval=None,
+                server_header=None,
+                logger=LIBRARY_LOGGER,
+            )
+        except OSError as error:
+            started.set_exception(error)
+            return
+        self._loop = asyncio.get_running_loop()
+        started.set_result(None)
+        sweeping = asyncio.create_task(self._close_idle_links())
+        await self._stopping.wait()
+        sweeping.cancel()
+        await asyncio.gather(*(link.close() for link in self._link_by_vm_id.values()))
+        server.close()
+        await server.wait_closed()
+
+    async def _open_channel(self, vm_id: str) -> Channel:
+        """Connect to a peer and prove who we are; raises PeerUnreachableError."""
+        target = self._address_of(vm_id)
+        if target is None:
+            raise PeerUnreachableError("its address is not known")
+        address, port = target
+        if not self._key and not is_loopback(address):
+            raise PeerUnreachableError("no peer key: only loopback is called")
+        host = f"[{address}]" if ":" in address else address
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                connection = await connect(
+                    f"ws://{host}:{port}/",
+                    compression=None,
+                    max_size=MAX_FRAME_BYTES,
+                    open_timeout=None,
+                    close_timeout=HANDSHAKE_TIMEOUT_S,
+                    ping_interval=None,
+                    user_agent_header=None,
+                    proxy=None,
+                    logger=LIBRARY_LOGGER,
+                    local_addr=(self._address, 0),
+                )
+                try:
+                    await introduce(connection, self._own_id, vm_id, self._key)
+                except BaseException:
+                    connection.transport.abort()
+                    raise
+        except TimeoutError as error:
+            raise PeerUnreachableError("no handshake in time") from error
+        except (HandshakeError, BadMessageError) as error:
+            raise PeerUnreachableError(f"handshake: {error}") from error
+        except (OSError, WebSocketException) as error:
+            raise PeerUnreachableError(str(error)) from error
+        return Channel(connection, self._metrics)
+
+    async def _accept(
+        self,
+        connection: ServerConnection,
+        on_request: RequestHandler,
+        on_notice: NoticeHandler,
+    ) -> None:
+        """Let a peer prove who it is, then serve it."""
+        sender = await self._prove(connection)
+        if sender is None:
+            self._metrics.peer_links_closed.labels("unproved").inc()
+            connection.transport.abort()
+            return
+        connection.protocol.max_message_size = MAX_FRAME_BYTES
+        link = IncomingLink(
+            sender,
+            Channel(connection, self._metrics),
+            self._metrics,
+            on_request,
+            on_notice,
+        )
+        self._incoming.add(link)
+        try:
+            await link.serve()
+        finally:
+            self._incoming.discard(link)
+
+    async def _prove(self, connection: ServerConnection) -> str | None:
+        """Return the VM id of the other side, or None if it is not let in."""
+        remote = connection.remote_address[0]
+        if self._unproved >= MAX_UNPROVED:
+            return None
+        if not self._key and not is_loopback(remote):
+            return None
+        self._unproved += 1
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                return await receive(connection, self._own_id, self._key)
+        except (TimeoutError, HandshakeError, ConnectionClosed):
+            return None
+        except BadMessageError:
+            self._metrics.peer_bad_messages.inc()
+            return None
+        finally:
+            self._unproved -= 1
+
+    async def _close_idle_links(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(IDLE_SWEEP_S)
+            oldest = loop.time() - IDLE_CLOSE_S
+            for vm_id, link in list(self._link_by_vm_id.items()):
+                if link.last_used < oldest and not link.awaiting_reply:
+                    del self._link_by_vm_id[vm_id]
+                    await link.close()
+
+
+def _state_of(link: OutgoingLink | None, incoming: int) -> LinkState:
+    if link is None:
+        return LinkState("idle", incoming, 0, 0, 0.0, "")
+    return LinkState(
+        outgoing=link.state,
+        incoming=incoming,
+        queued=link.queued,
+        awaiting_reply=link.awaiting_reply,
+        round_trip_s=link.round_trip_s,
+        last_error=link.last_error,
+    )
--- /dev/null
+++ b/tests/test_peer_codec.py
@@ -0,0 +1,181 @@
+"""The codec of messages between entry VMs."""
+
+import subprocess
+import sys
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+import cbor2
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bamboovale.peers.codec import (
+    MAX_FRAME_BYTES,
+    BadMessageError,
+    decode,
+    encode,
+    message,
+)
+from bamboovale.peers.frames import FrameKind, decode_frame, encode_frame
+
+
+class Colour(StrEnum):
+    """An enum member of the sample."""
+
+    RED = "red"
+    BLUE = "blue"
+
+
+@dataclass(frozen=True)
+class Inner:
+    """A nested data class, not registered."""
+
+    name: str
+    weight: float = 1.0
+
+
+@message("test_other")
+@dataclass(frozen=True)
+class Other:
+    """A second message, for the choice."""
+
+    number: int
+
+
+@message("test_sample")
+@dataclass(frozen=True)
+class Sample:
+    """A message with a field of each kind."""
+
+    text: str
+    colour: Colour
+    inner: Inner
+    names: tuple[str, ...] = ()
+    pair: tuple[int, str] | None = None
+    by_name: dict[str, Inner] | None = None
+    members: frozenset[str] = frozenset()
+    choice: "Other | Sample | None" = None
+    plain: Any = None
+    data: bytes = b""
+    flag: bool = False
+
+
+SAMPLES = st.builds(
+    Sample,
+    text=st.text(),
+    colour=st.sampled_from(Colour),
+    inner=st.builds(Inner, st.text(), st.floats(allow_nan=False)),
+    names=st.lists(st.text()).map(tuple),
+    pair=st.none() | st.tuples(st.integers(), st.text()),
+    by_name=st.none() | st.dictionaries(st.text(), st.builds(Inner, st.text())),
+    members=st.frozensets(st.text()),
+    choice=st.none() | st.builds(Other, st.integers()),
+    plain=st.recursive(
+        st.none() | st.booleans() | st.text() | st.integers(),
+        lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+        max_leaves=5,
+    ),
+    data=st.binary(),
+    flag=st.booleans(),
+)
+
+GOOD = {"type": "test_sample", "text": "", "colour": "red", "inner": {"name": "x"}}
+
+
+class TestRoundTrip:
+    """What is encoded comes back the same."""
+
+    @given(SAMPLES)
+    def test_every_message_comes_back(self, sample: Sample) -> None:
+        assert decode(encode(sample)) == sample
+
+    def test_defaults_are_left_out(self) -> None:
+        sample = Sample("", Colour.RED, Inner("x"))
+        assert cbor2.loads(encode(sample)) == GOOD
+
+    def test_the_pure_form_of_the_library_writes_the_same_bytes(self) -> None:
+        script = (
+            "import sys; sys.modules['_cbor2'] = None\n"
+            "import cbor2, bamboovale.peers.codec as codec\n"
+            "assert cbor2.dumps.__module__ != '_cbor2'\n"
+            "from bamboovale.peers.handshake import Hello\n"
+            "hello = Hello('a', 'b', b'n')\n"
+            "assert codec.decode(codec.encode(hello)) == hello\n"
+            "print(codec.encode(hello).hex())"
+        )
+        from bamboovale.peers.handshake import Hello
+
+        done = subprocess.run(
+            [sys.executable, "-c", script],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        assert done.stdout.strip() == encode(Hello("a", "b", b"n")).hex()
+
+
+class TestBadMessages:
+    """Whatever does not fit is one typed error."""
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"type": "test_unknown"},
+            {"type": 7},
+            {"text": 1},
+            {"colour": "green"},
+            {"inner": {"name": "x", "more": 1}},
+            {"inner": {}},
+            {"inner": []},
+            {"unknown": 1},
+            {"names": "abc"},
+            {"names": [1]},
+            {"pair": [1]},
+            {"choice": {"type": "hello"}},
+            {"choice": {"type": "test_other", "number": True}},
+            {"by_name": {"a": None}},
+            {"plain": {1: 2}},
+            {"flag": 1},
+        ],
+    )
+    def test_a_wrong_value(self, change: dict[str, Any]) -> None:
+        with pytest.raises(BadMessageError):
+            decode(cbor2.dumps(GOOD | change))
+
+    @pytest.mark.parametrize(
+        "frame",
+        [
+            b"",
+            b"\xff",
+            cbor2.dumps([1]),
+            cbor2.dumps(GOOD) + b"x",
+            b"\x81" * 100_000,
+            b"\x9b\x00\x00\x00\xff\xff\xff\xff\xff",
+            b"x" * (MAX_FRAME_BYTES + 1),
+        ],
+    )
+    def test_a_malformed_frame(self, frame: bytes) -> None:
+        with pytest.raises(BadMessageError):
+            decode(frame)
+
+    @given(st.binary(max_size=200))
+    def test_garbage_is_never_another_error(self, frame: bytes) -> None:
+        for read in (decode, decode_frame):
+            with pytest.raises(BadMessageError):
+                read(frame)
+
+    def test_an_unregistered_class_cannot_be_sent(self) -> None:
+        with pytest.raises(BadMessageError):
+            encode(Inner("x"))
+
+    def test_a_message_that_is_too_large_cannot_be_sent(self) -> None:
+        sample = Sample("x" * MAX_FRAME_BYTES, Colour.RED, Inner("x"))
+        with pytest.raises(BadMessageError):
+            encode_frame(FrameKind.REQUEST, 1, sample)
+
+    @pytest.mark.parametrize("head", [[9, 1], [True, 1], [0, -1], [0, "1"], [0]])
+    def test_a_wrong_head_of_a_frame(self, head: list[Any]) -> None:
+        with pytest.raises(BadMessageError):
+            decode_frame(cbor2.dumps([*head, GOOD]))
--- /dev/null
+++ b/tests/test_peer_links.py
@@ -0,0 +1,393 @@
+"""Links between entry VMs: two nodes in one process, and what may go wrong."""
+
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import cbor2
+import pytest
+from websockets.exceptions import ConnectionClosed
+from websockets.sync.client import connect
+
+from bamboovale.metrics import Metrics
+from bamboovale.peers.channel import QUEUE_LIMIT
+from bamboovale.peers.codec import message
+from bamboovale.peers.links import PeerLinks
+from bamboovale.peers.outgoing import (
+    PeerLostError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+)
+
+KEY = "a key of the tests"
+
+# Pings find a silent peer within two seconds; the rest is for a busy machine.
+SILENCE_FOUND_WITHIN_S = 3.0
+
+
+@message("test_ask")
+@dataclass(frozen=True)
+class Ask:
+    """A request or notice of the tests."""
+
+    text: str
+
+
+@message("test_answer")
+@dataclass(frozen=True)
+class Answer:
+    """The reply to it."""
+
+    text: str
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def eventually(condition: Callable[[], bool], timeout_s: float = 5.0) -> None:
+    give_up_at = time.monotonic() + timeout_s
+    while not condition():
+        assert time.monotonic() < give_up_at, "did not happen in time"
+        time.sleep(0.01)
+
+
+class Node:
+    """One entry VM's links with handlers that record and echo."""
+
+    def __init__(self, name: str, ports: dict[str, int], key: str = KEY) -> None:
+        self.notices: list[tuple[str, Any]] = []
+        self.requests: list[tuple[str, Any]] = []
+        self.metrics = Metrics()
+        self.name = name
+        self.links = PeerLinks(
+            name,
+            "127.0.0.1",
+            ports[name],
+            key,
+            lambda vm_id: ("127.0.0.1", ports[vm_id]) if vm_id in ports else None,
+            self.metrics,
+        )
+
+    def on_request(self, sender: str, ask: Ask, reply: Callable[[Any], None]) -> None:
+        self.requests.append((sender, ask))
+        if ask.text == "fail":
+            raise RuntimeError("asked to")
+        if ask.text == "late":
+            threading.Timer(0.1, reply, [Answer("late")]).start()
+        elif ask.text != "ignore":
+            reply(Answer(ask.text * 2))
+
+    def on_notice(self, sender: str, notice: Any) -> None:
+        self.notices.append((sender, notice))
+
+    def start(self) -> "Node":
+        self.links.start(self.on_request, self.on_notice)
+        return self
+
+    def ask(self, vm_id: str, text: str, timeout_s: float = 5.0) -> Any:
+        return self.links.request(vm_id, Ask(text), timeout_s).result(10)
+
+    def count(self, name: str) -> float:
+        value = self.metrics.registry.get_sample_value(f"bamboovale_{name}")
+        return value or 0.0
+
+
+@contextlib.contextmanager
+def running(*nodes: Node) -> Iterator[None]:
+    try:
+        for node in nodes:
+            node.start()
+        yield
+    finally:
+        for node in nodes:
+            node.links.stop()
+
+
+@pytest.fixture
+def ports() -> dict[str, int]:
+    return {"a": free_port(), "b": free_port()}
+
+
+@pytest.fixture
+def pair(ports: dict[str, int]) -> Iterator[tuple[Node, Node]]:
+    nodes = Node("a", ports), Node("b", ports)
+    with running(*nodes):
+        yield nodes
+
+
+class Relay:
+    """Passes bytes between two nodes until it is told to drop a direction."""
+
+    def __init__(self, target: int) -> None:
+        self.drop_to_target = False
+        self.drop_from_target = False
+        self.paused = False
+        self._target = target
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        self._sockets: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            far = socket.create_connection(("127.0.0.1", self._target))
+            self._sockets += [near, far]
+            self._pass(near, far, lambda: self.drop_to_target)
+            self._pass(far, near, lambda: self.drop_from_target)
+
+    def _pass(
+        self,
+        source: socket.socket,
+        sink: socket.socket,
+        dropped: Callable[[], bool],
+    ) -> None:
+        def run() -> None:
+            with contextlib.suppress(OSError):
+                while data := source.recv(4096):
+                    while self.paused:
+                        time.sleep(0.01)
+                    if not dropped():
+                        sink.sendall(data)
+                sink.shutdown(socket.SHUT_WR)
+
+        threading.Thread(target=run, daemon=True).start()
+
+    def close(self) -> None:
+        self.paused = False
+        self._listener.close()
+        for item in self._sockets:
+            item.close()
+
+
+@pytest.fixture
+def relayed(ports: dict[str, int]) -> Iterator[tuple[Node, Node, Relay]]:
+    """Yield a and b, where a reaches b through a relay."""
+    relay = Relay(ports["b"])
+    nodes = Node("a", ports | {"b": relay.port}), Node("b", ports)
+    with running(*nodes):
+        yield *nodes, relay
+    relay.close()
+
+
+class TestMessages:
+    """Requests, replies and notices between two healthy nodes."""
+
+    def test_a_request_gets_its_reply_and_names_its_sender(self, pair) -> None:
+        a, b = pair
+        assert a.ask("b", "x") == Answer("xx")
+        assert b.ask("a", "y") == Answer("yy")
+        assert b.requests == [("a", Ask("x"))]
+
+    def test_replies_from_other_threads_reach_the_right_request(self, pair) -> None:
+        a, _ = pair
+        late = a.links.request("b", Ask("late"), 5)
+        futures = [a.links.request("b", Ask(str(n)), 5) for n in range(200)]
+        answers = [future.result(5).text for future in futures]
+        assert answers == [str(n) * 2 for n in range(200)]
+        assert late.result(5) == Answer("late")
+
+    def test_a_notice_arrives_once(self, pair) -> None:
+        a, b = pair
+        a.links.notify("b", Ask("news"))
+        eventually(lambda: b.notices == [("a", Ask("news"))])
+
+    def test_a_handler_that_raises_is_told_at_once(self, pair) -> None:
+        a, _ = pair
+        with pytest.raises(PeerLostError, match="RuntimeError"):
+            a.ask("b", "fail")
+        assert a.ask("b", "x") == Answer("xx")
+
+    def test_a_large_message_arrives(self, pair) -> None:
+        a, _ = pair
+        assert len(a.ask("b", "x" * 1_000_000).text) == 2_000_000
+
+    def test_the_state_of_links_is_shown(self, pair) -> None:
+        a, b = pair
+        a.ask("b", "x")
+        assert a.links.connected()["b"].outgoing == "open"
+        assert b.links.connected()["a"].incoming == 1
+
+
+class TestUnreachable:
+    """Nothing was sent: the caller may try elsewhere."""
+
+    def test_an_unknown_peer(self, pair) -> None:
+        with pytest.raises(PeerUnreachableError, match="not known"):
+            pair[0].ask("nobody", "x")
+
+    def test_a_peer_that_does_not_listen_fails_fast(self, ports) -> None:
+        a = Node("a", ports)
+        with running(a):
+            for _ in range(2):  # the second one falls into the back-off
+                began = time.monotonic()
+                with pytest.raises(PeerUnreachableError):
+                    a.ask("b", "x")
+                assert time.monotonic() - began < 1
+
+    def test_stopped_links(self, pair) -> None:
+        a, _ = pair
+        a.links.stop()
+        with pytest.raises(PeerUnreachableError):
+            a.ask("b", "x")
+
+    def test_a_port_in_use_is_reported_at_start(self, pair, ports) -> None:
+        with pytest.raises(OSError):
+            Node("a", ports).start()
+
+
+class TestAuthentication:
+    """Only holders of the key, under the name that was meant, are linked."""
+
+    def test_a_wrong_key_is_refused_both_ways(self, ports) -> None:
+        a, b = Node("a", ports), Node("b", ports, key="another key of the tests")
+        with running(a, b):
+            for near, far in ((a, "b"), (b, "a")):
+                with pytest.raises(PeerUnreachableError):
+                    near.ask(far, "x")
+            assert a.requests == b.requests == []
+
+    def test_another_vm_at_the_address_is_refused(self, ports) -> None:
+        """A VM is replaced and another one gets its address.
+
+        The list of VMs lags, so a peer still looks there for the old one. Its request
+        must not be taken by the new VM.
+        """
+        b = Node("b", ports)
+        a = Node("a", ports | {"gone": ports["b"]})
+        with running(a, b):
+            with pytest.raises(PeerUnreachableError):
+                a.ask("gone", "x")
+            assert b.requests == []
+
+    def test_without_a_key_only_loopback_is_called(self, ports) -> None:
+        a = Node("a", ports, key="")
+        a.links._address_of = lambda vm_id: ("192.0.2.1", 9)
+        with running(a), pytest.raises(PeerUnreachableError, match="loopback"):
+            a.ask("b", "x")
+
+    def test_a_mirrored_proof_is_refused(self, pair, ports) -> None:
+        """A stranger sends each proof back to the one who made it."""
+        b = pair[1]
+        with connect(f"ws://127.0.0.1:{ports['b']}/", compression=None) as stranger:
+            hello = {"type": "hello", "caller": "a", "called": "b", "nonce": b"n" * 16}
+            stranger.send(cbor2.dumps(hello))
+            challenge = cbor2.loads(stranger.recv())
+            stranger.send(cbor2.dumps({"type": "proof", "proof": challenge["proof"]}))
+            with pytest.raises(ConnectionClosed):
+                stranger.recv(timeout=3)
+        assert b.links.connected() == {}
+
+
+class TestStrangers:
+    """Bytes that are no message of ours."""
+
+    def test_garbage_closes_its_own_connection_only(self, pair, ports) -> None:
+        a, b = pair
+        assert a.ask("b", "x") == Answer("xx")
+        with connect(f"ws://127.0.0.1:{ports['b']}/", compression=None) as stranger:
+            stranger.send(b"\xff garbage")
+            with pytest.raises(ConnectionClosed):
+                stranger.recv(timeout=3)
+        with socket.create_connection(("127.0.0.1", ports["b"])) as raw:
+            raw.sendall(b"\x00garbage\r\n\r\n")
+            raw.settimeout(3)
+            with contextlib.suppress(ConnectionResetError):
+                while raw.recv(1000):
+                    pass
+        eventually(lambda: b.count("peer_bad_messages_total") == 1)
+        assert a.ask("b", "x") == Answer("xx")
+
+    def test_a_silent_stranger_is_dropped(self, pair, ports) -> None:
+        began = time.monotonic()
+        with (
+            connect(f"ws://127.0.0.1:{ports['b']}/", compression=None) as stranger,
+            pytest.raises(ConnectionClosed),
+        ):
+            stranger.recv(timeout=5)
+        assert time.monotonic() - began < 3
+
+
+class TestBrokenLinks:
+    """Peers that die, freeze or read nothing."""
+
+    def test_a_request_ends_when_its_peer_stops(self, pair) -> None:
+        """The peer stops while a request waits there.
+
+        The caller must learn at once that its outcome is open, and not wait for the
+        timeout.
+        """
+        a, b = pair
+        future = a.links.request("b", Ask("ignore"), 30)
+        eventually(lambda: bool(b.requests))
+        b.links.stop()
+        with pytest.raises(PeerLostError):
+            future.result(5)
+
+    def test_a_restarted_peer_is_reached_again(self, pair, ports) -> None:
+        a, b = pair
+        assert a.ask("b", "x") == Answer("xx")
+        b.links.stop()
+        again = Node("b", ports)
+        with running(again):
+
+            def reached() -> bool:
+                with contextlib.suppress(PeerUnreachableError, PeerLostError):
+                    return a.ask("b", "x") == Answer("xx")
+                return False
+
+            eventually(reached)
+
+    @pytest.mark.parametrize("direction", ["drop_to_target", "drop_from_target"])
+    def test_one_way_silence_is_found(self, relayed, direction) -> None:
+        """A switch drops one direction of a link; no side gets a reset.
+
+        Requests would wait for their timeouts one after the other. The pings see it
+        in two seconds, and open requests end as lost.
+        """
+        a, b, relay = relayed
+        assert a.ask("b", "x") == Answer("xx")
+        setattr(relay, direction, True)
+        began = time.monotonic()
+        with pytest.raises(PeerLostError):
+            a.ask("b", "ignore", timeout_s=30)
+        assert time.monotonic() - began < SILENCE_FOUND_WITHIN_S
+        eventually(lambda: b.links.connected().get("a") is None)
+
+    def test_a_timeout_says_that_the_request_may_have_arrived(self, pair) -> None:
+        a, b = pair
+        with pytest.raises(PeerTimeoutError):
+            a.ask("b", "ignore", timeout_s=0.2)
+        assert b.requests == [("a", Ask("ignore"))]
+
+    def test_a_slow_reader_bounds_the_queue_and_not_the_caller(self, relayed) -> None:
+        """A peer stops reading while we send much to it.
+
+        Its socket buffers fill, then ours, then the queue. Callers must not block
+        and memory must not grow: the rest fails as not sent, and the link is cut.
+        """
+        a, _, relay = relayed
+        assert a.ask("b", "x") == Answer("xx")
+        relay.paused = True
+        began = time.monotonic()
+        futures = [
+            a.links.request("b", Ask("y" * 50_000), 30) for _ in range(QUEUE_LIMIT * 2)
+        ]
+        assert time.monotonic() - began < 2
+        errors = [future.exception(10) for future in futures]
+        assert time.monotonic() - began < 10
+        assert {type(error) for error in errors} <= {
+            PeerUnreachableError,
+            PeerLostError,
+        }
+        assert PeerUnreachableError in {type(error) for error in errors}
