Fold the catalogue, leases and claims from the log

Cause: every entry VM must reach the same state and verdicts from the same records. Change: pure aggregates. Leases: one chain of renew, take and release for each engine, timing rules, the holder's own view. Claims: first claim in log order wins; a full table refuses and a gap means unknown for a whole horizon. Ruled out: copying all entries at each edit (a copy is made only after a reader was given a view); the same adapter version from two sources (engines know a version by name alone), which the fold rejects.

--- /dev/null
+++ b/bamboovale/catalogue/fields.py
@@ -0,0 +1,112 @@
+"""Typed reading of one JSON object, with every fault collected at its place."""
+
+import re
+from typing import Any
+
+from bamboovale.errors import Finding
+
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+MODEL_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]{0,127}")
+PRINTABLE = re.compile(r"[!-~]{1,512}")
+
+
+class FieldReader:
+    """Reads fields of ``data`` and keeps a finding for each that is wrong.
+
+    A faulty field reads as its default, so that reading goes on and the operator
+    sees all findings at once; the caller drops the object if there are any.
+    """
+
+    def __init__(self, data: Any, place: str) -> None:
+        self.findings: list[Finding] = []
+        self._place = place
+        self._unread: dict[Any, Any] = {}
+        if isinstance(data, dict):
+            self._unread = dict(data)
+        else:
+            self.findings.append(Finding(place, "must be an object"))
+
+    def place_of(self, field: str) -> str:
+        """Return the place of a field of this object."""
+        return f"{self._place}.{field}" if self._place else field
+
+    def add(self, field: str, message: str) -> None:
+        """Keep a finding about a field."""
+        self.findings.append(Finding(self.place_of(field), message))
+
+    def take(self, field: str) -> Any:
+        """Return a raw field, None when absent."""
+        return self._unread.pop(field, None)
+
+    def text(
+        self,
+        field: str,
+        *,
+        pattern: re.Pattern[str] = NAME,
+        default: str | None = None,
+    ) -> str:
+        """Read a string that matches the pattern as a whole."""
+        value = self.take(field)
+        if value is None and default is not None:
+            return default
+        if value is None:
+            self.add(field, "is required")
+        elif not isinstance(value, str):
+            self.add(field, "must be a string")
+        elif not pattern.fullmatch(value):
+            self.add(field, f"must match {pattern.pattern}")
+        else:
+            return value
+        return ""
+
+    def choice(self, field: str, choices: tuple[str, ...], default: str) -> str:
+        """Read one of a closed list of strings."""
+        value = self.take(field)
+        if value is None:
+            return default
+        if not isinstance(value, str) or value not in choices:
+            self.add(field, f"must be one of {', '.join(choices)}")
+            return default
+        return value
+
+    def flag(self, field: str, default: bool) -> bool:
+        """Read a boolean."""
+        value = self.take(field)
+        if value is None:
+            return default
+        if not isinstance(value, bool):
+            self.add(field, "must be true or false")
+            return default
+        return value
+
+    def integer(self, field: str, *, default: int, low: int, high: int) -> int:
+        """Read a whole number within bounds, both included."""
+        value = self.take(field)
+        if value is None:
+            return default
+        if isinstance(value, bool) or not isinstance(value, int):
+            self.add(field, "must be a whole number")
+        elif not low <= value <= high:
+            self.add(field, f"must be between {low} and {high}")
+        else:
+            return value
+        return default
+
+    def number(self, field: str, *, default: float, low: float, high: float) -> float:
+        """Read a finite number within bounds, both included."""
+        value = self.take(field)
+        if value is None:
+            return default
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            self.add(field, "must be a number")
+        elif not low <= value <= high:
+            self.add(field, f"must be between {low:g} and {high:g}")
+        else:
+            return float(value)
+        return default
+
+    def finish(self) -> list[Finding]:
+        """Add a finding for each field nobody read, and return all findings."""
+        for field in self._unread:
+            self.add(str(field)[:128], "is not a known field")
+        return self.findings
--- /dev/null
+++ b/bamboovale/catalogue/fold.py
@@ -0,0 +1,312 @@
+"""The catalogue as a deterministic fold of its stream on the log.
+
+Every entry VM applies the same records in the same order and so reaches the same
+state and the same verdict on each edit, whoever appended it. The revision is the
+offset of the last accepted edit plus one.
+"""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from hashlib import blake2b
+from typing import Any
+
+from result import Err
+
+from bamboovale.catalogue.edits import (
+    EDIT_ID,
+    EDIT_TYPE,
+    Action,
+    Change,
+    Edit,
+    EditOutcome,
+    RejectionReason,
+    parse_edit,
+)
+from bamboovale.catalogue.entries import (
+    AdapterEntry,
+    Entry,
+    Kind,
+    PoolEntry,
+    ServiceEntry,
+)
+from bamboovale.catalogue.history import (
+    HISTORY_CHANGES_PER_EDIT,
+    EntryChange,
+    HistoryRecord,
+    Journal,
+)
+from bamboovale.catalogue.index import EntryIndex, Tombstone
+from bamboovale.catalogue.rules import MAX_FINDINGS, find_conflicts, find_faults
+
+DIGEST_BYTES = 16
+
+
+class GapFoundError(Exception):
+    """Records between ``next_offset`` and ``offset`` were not read.
+
+    The fold is unchanged. Only a snapshot taken at or after the oldest kept offset
+    leads on from here.
+    """
+
+    def __init__(self, next_offset: int, offset: int) -> None:
+        super().__init__(f"expected offset {next_offset}, read {offset}")
+        self.next_offset = next_offset
+        self.offset = offset
+
+
+@dataclass(slots=True)
+class CatalogueCounters:
+    """Counts for metrics; they are no part of the folded state."""
+
+    accepted: int = 0
+    rejected: int = 0
+    repeated: int = 0
+    ignored: int = 0
+    regressions: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CatalogueView:
+    """The catalogue at one revision, safe to hand to other threads."""
+
+    revision: int
+    next_offset: int
+    digest: str
+    adapter_by_name: Mapping[str, AdapterEntry]
+    pool_by_name: Mapping[str, PoolEntry]
+    service_by_name: Mapping[str, ServiceEntry]
+    tombstone_by_key: Mapping[tuple[Kind, str], Tombstone]
+    history: tuple[HistoryRecord, ...]
+
+    def entry(self, kind: Kind, name: str) -> Entry | None:
+        """Return the entry, None if there is none."""
+        return self.table(kind).get(name)
+
+    def table(self, kind: Kind) -> Mapping[str, Any]:
+        """Return the entries of one kind by name."""
+        if kind is Kind.ADAPTER:
+            return self.adapter_by_name
+        if kind is Kind.POOL:
+            return self.pool_by_name
+        return self.service_by_name
+
+
+class Catalogue:
+    """The folded catalogue; owned by the one task that reads the stream."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.next_offset = 0
+        self.digest = ""
+        self.counters = CatalogueCounters()
+        self.index = EntryIndex()
+        self.journal = Journal()
+        self._view: CatalogueView | None = None
+
+    @classmethod
+    def empty(cls) -> "Catalogue":
+        """Return the state before the first record of the stream."""
+        return cls()
+
+    @property
+    def adapter_by_name(self) -> Mapping[str, AdapterEntry]:
+        """Return the adapter entries."""
+        return self.index.adapter_by_name
+
+    @property
+    def pool_by_name(self) -> Mapping[str, PoolEntry]:
+        """Return the pool entries."""
+        return self.index.pool_by_name
+
+    @property
+    def service_by_name(self) -> Mapping[str, ServiceEntry]:
+        """Return the service entries."""
+        return self.index.service_by_name
+
+    def outcome_of(self, edit_id: str) -> EditOutcome | None:
+        """Return what became of an edit, None if unknown or too long ago."""
+        remembered = self.journal.remembered_by_edit_id.get(edit_id)
+        return None if remembered is None else remembered.outcome
+
+    def view(self) -> CatalogueView:
+        """Return the state as a frozen view; the same one until the next change."""
+        if self._view is None:
+            self._view = CatalogueView(
+                revision=self.revision,
+                next_offset=self.next_offset,
+                digest=self.digest,
+                adapter_by_name=self.index.adapter_by_name,
+                pool_by_name=self.index.pool_by_name,
+                service_by_name=self.index.service_by_name,
+                tombstone_by_key=dict(self.index.tombstone_by_key),
+                history=tuple(self.journal.history),
+            )
+        return self._view
+
+    def apply(self, offset: int, value: Any) -> EditOutcome | None:
+        """Fold one record; return the outcome if it is an edit.
+
+        A record that was folded before is passed over (a reader may read again).
+        A snapshot found here changes nothing: its state was folded already.
+        Raises :class:`GapFoundError` if records are missing before this one.
+        """
+        if offset < self.next_offset:
+            return None
+        if offset > self.next_offset:
+            raise GapFoundError(self.next_offset, offset)
+        self.next_offset = offset + 1
+        self._view = None
+        record_type = value.get("type") if isinstance(value, dict) else None
+        if record_type != EDIT_TYPE:
+            self.counters.ignored += record_type != "snapshot"
+            self._extend_digest(offset, None, None)
+            return None
+        outcome = self._apply_edit(offset, value)
+        self._extend_digest(offset, value, outcome)
+        return outcome
+
+    def adopt(self, other: "Catalogue") -> bool:
+        """Take over another fold's state if it has read at least as far.
+
+        A snapshot or a peer's state may be older than what is in force here. Taking
+        it would revert accepted edits until the log is read again, and in an outage
+        of the log for as long as that lasts; it is refused and counted.
+        """
+        if other.next_offset < self.next_offset or other.revision < self.revision:
+            self.counters.regressions += 1
+            return False
+        self.revision = other.revision
+        self.next_offset = other.next_offset
+        self.digest = other.digest
+        self.index = other.index
+        self.journal = other.journal
+        self._view = None
+        return True
+
+    def _apply_edit(self, offset: int, value: dict[str, Any]) -> EditOutcome | None:
+        parsed = parse_edit(value)
+        if isinstance(parsed, Err):
+            return self._reject_unreadable(offset, value, parsed.err_value)
+        edit = parsed.ok_value
+        digest = edit.digest()
+        remembered = self.journal.remembered_by_edit_id.get(edit.edit_id)
+        if remembered is not None:
+            # An append whose answer was lost is repeated with the same id; both
+            # copies may be on the log. Only the first takes effect.
+            self.counters.repeated += 1
+            if remembered.digest == digest:
+                return remembered.outcome
+            return EditOutcome(
+                edit_id=edit.edit_id,
+                accepted=False,
+                revision=self.revision,
+                offset=offset,
+                reason=RejectionReason.EDIT_ID_REUSED,
+            )
+        outcome = self._judge(offset, edit)
+        self.journal.remember(outcome, digest)
+        return outcome
+
+    def _judge(self, offset: int, edit: Edit) -> EditOutcome:
+        conflicts = find_conflicts(edit.changes, self.index)
+        if conflicts:
+            return self._reject(
+                EditOutcome(
+                    edit_id=edit.edit_id,
+                    accepted=False,
+                    revision=self.revision,
+                    offset=offset,
+                    reason=RejectionReason.CONFLICT,
+                    conflicts=tuple(conflicts[:MAX_FINDINGS]),
+                )
+            )
+        findings = find_faults(edit.changes, self.index)
+        if findings:
+            return self._reject(
+                EditOutcome(
+                    edit_id=edit.edit_id,
+                    accepted=False,
+                    revision=self.revision,
+                    offset=offset,
+                    reason=RejectionReason.INVALID,
+                    findings=tuple(findings),
+                )
+            )
+        self._accept(offset, edit)
+        return EditOutcome(edit.edit_id, True, self.revision, offset)
+
+    def _reject_unreadable(
+        self,
+        offset: int,
+        value: dict[str, Any],
+        findings: list,
+    ) -> EditOutcome | None:
+        edit_id = value.get("edit_id")
+        if not isinstance(edit_id, str) or not EDIT_ID.fullmatch(edit_id):
+            self.counters.ignored += 1
+            return None
+        return self._reject(
+            EditOutcome(
+                edit_id=edit_id,
+                accepted=False,
+                revision=self.revision,
+                offset=offset,
+                reason=RejectionReason.INVALID,
+                findings=tuple(findings[:MAX_FINDINGS]),
+            )
+        )
+
+    def _reject(self, outcome: EditOutcome) -> EditOutcome:
+        self.counters.rejected += 1
+        return outcome
+
+    def _accept(self, offset: int, edit: Edit) -> None:
+        revision = offset + 1
+        if revision <= self.revision:
+            self.counters.regressions += 1
+            raise AssertionError(f"revision {revision} after {self.revision}")
+        self.revision = revision
+        self.counters.accepted += 1
+        listed: list[EntryChange] = []
+        for change in edit.changes:
+            entry_change = self._put(change, edit, revision)
+            if len(listed) < HISTORY_CHANGES_PER_EDIT:
+                listed.append(entry_change)
+        self.journal.add(
+            HistoryRecord(
+                revision=revision,
+                edit_id=edit.edit_id,
+                author=edit.author,
+                made_at=edit.made_at,
+                changes=tuple(listed),
+                omitted=len(edit.changes) - len(listed),
+            )
+        )
+
+    def _put(self, change: Change, edit: Edit, revision: int) -> EntryChange:
+        before = self.index.get(change.kind, change.name)
+        if change.action is Action.DELETE or change.entry is None:
+            self.index.remove(
+                Tombstone(
+                    kind=change.kind,
+                    name=change.name,
+                    revision=revision,
+                    author=edit.author,
+                    made_at=edit.made_at,
+                )
+            )
+            return EntryChange(change.kind, change.name, before, None)
+        after = replace(change.entry, revision=revision)
+        self.index.put(after)
+        return EntryChange(change.kind, change.name, before, after)
+
+    def _extend_digest(
+        self,
+        offset: int,
+        value: dict[str, Any] | None,
+        outcome: EditOutcome | None,
+    ) -> None:
+        content = [self.digest, offset, value, repr(outcome)]
+        text = json.dumps(content, sort_keys=True, default=str)
+        self.digest = blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
--- /dev/null
+++ b/bamboovale/catalogue/history.py
@@ -0,0 +1,91 @@
+"""What became of past edits: their outcomes by edit id, and a bounded history."""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+from bamboovale.catalogue.edits import EditOutcome
+from bamboovale.catalogue.entries import Entry, Kind
+
+# At 280 edits a day the outcomes reach back a week. A copy of an edit that comes
+# later than that is judged afresh: by its base revisions it is a conflict; without
+# them it would be applied again.
+OUTCOMES = 2048
+HISTORY_EDITS = 512
+HISTORY_CHANGES = 2048
+HISTORY_CHANGES_PER_EDIT = 256
+
+
+@dataclass(frozen=True, slots=True)
+class EntryChange:
+    """One entry before and after an edit; None where there was or is none."""
+
+    kind: Kind
+    name: str
+    before: Entry | None
+    after: Entry | None
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the JSON form."""
+        return {
+            "kind": self.kind.value,
+            "name": self.name,
+            "before": None if self.before is None else self.before.to_json(),
+            "after": None if self.after is None else self.after.to_json(),
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryRecord:
+    """One accepted edit. ``omitted`` counts changes beyond those listed."""
+
+    revision: int
+    edit_id: str
+    author: str
+    made_at: float
+    changes: tuple[EntryChange, ...]
+    omitted: int = 0
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the JSON form."""
+        return {
+            "revision": self.revision,
+            "edit_id": self.edit_id,
+            "author": self.author,
+            "made_at": self.made_at,
+            "changes": [change.to_json() for change in self.changes],
+            "omitted": self.omitted,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class RememberedOutcome:
+    """An outcome and the digest of the edit that it belongs to."""
+
+    outcome: EditOutcome
+    digest: str
+
+
+class Journal:
+    """Outcomes and history, the oldest dropped beyond their bounds."""
+
+    def __init__(self) -> None:
+        self.remembered_by_edit_id: dict[str, RememberedOutcome] = {}
+        self.history: deque[HistoryRecord] = deque()
+        self._change_count = 0
+
+    def remember(self, outcome: EditOutcome, digest: str) -> None:
+        """Keep the outcome of an edit."""
+        remembered = RememberedOutcome(outcome, digest)
+        self.remembered_by_edit_id[outcome.edit_id] = remembered
+        while len(self.remembered_by_edit_id) > OUTCOMES:
+            del self.remembered_by_edit_id[next(iter(self.remembered_by_edit_id))]
+
+    def add(self, record: HistoryRecord) -> None:
+        """Append an accepted edit to the history."""
+        self.history.append(record)
+        self._change_count += len(record.changes)
+        while len(self.history) > HISTORY_EDITS or (
+            self._change_count > HISTORY_CHANGES and len(self.history) > 1
+        ):
+            self._change_count -= len(self.history.popleft().changes)
--- /dev/null
+++ b/bamboovale/catalogue/rules.py
@@ -0,0 +1,164 @@
+"""Rules that an edit is judged by, at its offset, by every reader alike.
+
+Judged here: base revisions, one change per entry, deletions of what exists, an
+adapter's pool and base model, pools still in use, and that one adapter version
+always means the same weights. Not judged: whether a service's pool or a weight
+store's source exists, which only the platform knows.
+"""
+
+from collections.abc import Iterator, Sequence
+
+from bamboovale.catalogue.edits import Action, Change, Conflict
+from bamboovale.catalogue.entries import AdapterEntry, Entry, Kind, PoolEntry
+from bamboovale.catalogue.index import EntryIndex, Source
+from bamboovale.errors import Finding
+
+# An outcome stays small even if one edit breaks a pool of many thousand adapters.
+MAX_FINDINGS = 20
+
+
+def find_conflicts(changes: Sequence[Change], index: EntryIndex) -> list[Conflict]:
+    """Return the changes whose base is not the current revision of their entry.
+
+    Two operators who edit one entry from the same revision would each overwrite
+    what the other has just been told is accepted; the second is a conflict here.
+    """
+    conflicts = []
+    for change in changes:
+        if change.base_revision is None:
+            continue
+        current = index.get(change.kind, change.name)
+        current_revision = 0 if current is None else current.revision
+        if change.base_revision != current_revision:
+            conflicts.append(
+                Conflict(
+                    change.kind,
+                    change.name,
+                    change.base_revision,
+                    current_revision,
+                )
+            )
+    return conflicts
+
+
+def find_faults(changes: Sequence[Change], index: EntryIndex) -> list[Finding]:
+    """Return what would be wrong with the catalogue after the changes."""
+    staged = StagedEntries(changes, index)
+    findings = list(_repeated(changes))
+    for place, change in enumerate(changes):
+        prefix = f"changes[{place}]"
+        if change.action is Action.DELETE:
+            findings.extend(_faults_of_deletion(prefix, change, staged))
+        elif isinstance(change.entry, AdapterEntry):
+            findings.extend(_faults_of_adapter(prefix, change.entry, staged))
+        elif isinstance(change.entry, PoolEntry):
+            findings.extend(_faults_of_pool(prefix, change.entry, staged))
+        if len(findings) > MAX_FINDINGS:
+            break
+    return findings[:MAX_FINDINGS]
+
+
+class StagedEntries:
+    """The entries as they would stand after an edit."""
+
+    def __init__(self, changes: Sequence[Change], index: EntryIndex) -> None:
+        self.index = index
+        self._entry_by_key: dict[tuple[Kind, str], Entry | None] = {
+            (change.kind, change.name): change.entry for change in changes
+        }
+        self._adapters_by_adapter: dict[str, list[AdapterEntry]] = {}
+        for entry in self._entry_by_key.values():
+            if isinstance(entry, AdapterEntry):
+                self._adapters_by_adapter.setdefault(entry.adapter, []).append(entry)
+
+    def get(self, kind: Kind, name: str) -> Entry | None:
+        """Return the entry as it would stand."""
+        key = (kind, name)
+        if key in self._entry_by_key:
+            return self._entry_by_key[key]
+        return self.index.get(kind, name)
+
+    def users_of_adapter(self, adapter: str) -> Iterator[AdapterEntry]:
+        """Return entries that name the adapter, as they stand and as they would."""
+        yield from self.index.users_of_adapter(adapter)
+        yield from self._adapters_by_adapter.get(adapter, ())
+
+    def unchanged_in_pool(self, pool: str) -> Iterator[AdapterEntry]:
+        """Return the pool's adapters that the edit itself does not touch."""
+        for entry in self.index.adapters_in_pool(pool):
+            if (Kind.ADAPTER, entry.name) not in self._entry_by_key:
+                yield entry
+
+
+def _repeated(changes: Sequence[Change]) -> Iterator[Finding]:
+    seen = set()
+    for place, change in enumerate(changes):
+        key = (change.kind, change.name)
+        if key in seen:
+            yield Finding(
+                f"changes[{place}]",
+                f"{change.kind} {change.name} is changed twice in one edit",
+            )
+        seen.add(key)
+
+
+def _faults_of_deletion(
+    prefix: str,
+    change: Change,
+    staged: StagedEntries,
+) -> Iterator[Finding]:
+    if staged.index.get(change.kind, change.name) is None:
+        yield Finding(prefix, f"{change.kind} {change.name} does not exist")
+    elif change.kind is Kind.POOL:
+        for entry in staged.unchanged_in_pool(change.name):
+            yield Finding(prefix, f"adapter {entry.name} is still in the pool")
+
+
+def _faults_of_adapter(
+    prefix: str,
+    entry: AdapterEntry,
+    staged: StagedEntries,
+) -> Iterator[Finding]:
+    pool = staged.get(Kind.POOL, entry.pool)
+    if not isinstance(pool, PoolEntry):
+        yield Finding(f"{prefix}.entry.pool", f"pool {entry.pool} does not exist")
+    elif pool.base_model != entry.base_model:
+        yield Finding(
+            f"{prefix}.entry.base_model",
+            f"pool {pool.name} runs {pool.base_model}",
+        )
+    # Engines know a version by its name alone: were its source to change, an engine
+    # that holds the old weights would answer in the name of the new ones.
+    own = Source.of_entry(entry)
+    lora_name = entry.target.lora_name
+    known = [
+        (f"entry {user.name}", Source.of_entry(user))
+        for user in staged.users_of_adapter(entry.adapter)
+        if user.version == entry.version
+    ]
+    retired = staged.index.retired_source_by_lora_name.get(lora_name)
+    if retired is not None:
+        known.append(("an earlier entry", retired))
+    for who, source in known:
+        if source != own:
+            yield Finding(
+                f"{prefix}.entry.version",
+                f"{who} has {lora_name} from {source.source} for "
+                f"{source.base_model}; name a new version",
+            )
+            return
+
+
+def _faults_of_pool(
+    prefix: str,
+    entry: PoolEntry,
+    staged: StagedEntries,
+) -> Iterator[Finding]:
+    before = staged.index.get(Kind.POOL, entry.name)
+    if not isinstance(before, PoolEntry) or before.base_model == entry.base_model:
+        return
+    for adapter in staged.unchanged_in_pool(entry.name):
+        yield Finding(
+            f"{prefix}.entry.base_model",
+            f"adapter {adapter.name} is for {adapter.base_model}",
+        )
--- /dev/null
+++ b/bamboovale/leases/fold.py
@@ -0,0 +1,281 @@
+"""Leases on engines as a deterministic fold of the lease stream.
+
+The records of an engine form one chain that every reader folds alike. A record
+counts only if its writer knew the end of the chain: a renewal must come from the
+holder under its fencing number, a take must name the last record for that engine.
+A fencing number is the offset of the take or release that made the holder, so it
+is unique and only rises.
+
+A node here is one incarnation of an entry VM: a VM that starts anew under the same
+id must not take its forerunner's leases for its own.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from types import MappingProxyType
+from typing import Any
+
+from bamboovale.leases.records import (
+    LeaseRecord,
+    Release,
+    Renewal,
+    TableSnapshot,
+    Take,
+    parse_record,
+)
+
+# Offset that stands for "no record for this engine yet".
+NO_OFFSET = -1
+# Engines come and go under new ids. Beyond this many, the one whose last record is
+# oldest is forgotten; at 600 engines that is one that nobody renews any more.
+MAX_ENGINES = 4096
+
+
+class LeaseGapError(Exception):
+    """Records between ``next_offset`` and ``offset`` were not read."""
+
+    def __init__(self, next_offset: int, offset: int) -> None:
+        super().__init__(f"expected offset {next_offset}, read {offset}")
+        self.next_offset = next_offset
+        self.offset = offset
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """Who holds an engine, as far as the stream was read.
+
+    ``holder`` is None after a release that names nobody. ``last_offset`` is that of
+    the last record that counted, and ``read_at`` the reader's monotonic time when it
+    read that record: what the reader's own wait counts from, different on each.
+    """
+
+    engine: str
+    holder: str | None
+    fencing: int
+    last_offset: int
+    read_at: float
+
+
+class VoidReason(StrEnum):
+    """Why a record did not count."""
+
+    OVERTAKEN = "overtaken"
+    NOT_HOLDER = "not_holder"
+    UNREADABLE = "unreadable"
+
+
+@dataclass(frozen=True, slots=True)
+class Renewed:
+    """A renewal counted for ``engines``; those in ``refused`` are not held."""
+
+    offset: int
+    record_id: str
+    node: str
+    engines: tuple[str, ...]
+    refused: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """An engine has another holder, by a take or by a release."""
+
+    offset: int
+    record_id: str
+    engine: str
+    previous: str | None
+    holder: str | None
+    fencing: int
+    by_release: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Void:
+    """A record that changed nothing."""
+
+    offset: int
+    record_id: str
+    engine: str
+    node: str
+    reason: VoidReason
+
+
+LeaseOutcome = Renewed | Moved | Void
+
+
+class LeaseTable:
+    """The lease of each engine; owned by the one task that reads the stream."""
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.void_records = 0
+        self._lease_by_engine: dict[str, Lease] = {}
+
+    @classmethod
+    def empty(cls, next_offset: int = 0) -> "LeaseTable":
+        """Return a table without leases, to be read on from ``next_offset``.
+
+        Other than at offset 0 this is right only for a stream that holds no record
+        at all: every lease that was on it has lapsed long ago.
+        """
+        table = cls()
+        table.next_offset = next_offset
+        return table
+
+    @property
+    def lease_by_engine(self) -> Mapping[str, Lease]:
+        """Return the leases as a read-only view."""
+        return MappingProxyType(self._lease_by_engine)
+
+    def last_offset(self, engine: str) -> int:
+        """Return what a take of this engine must name as ``after``."""
+        lease = self._lease_by_engine.get(engine)
+        return NO_OFFSET if lease is None else lease.last_offset
+
+    def apply(self, offset: int, value: Any, read_at: float) -> LeaseOutcome | None:
+        """Fold one record that was read at ``read_at`` (monotonic seconds).
+
+        A record read again changes nothing, a snapshot neither. Raises
+        :class:`LeaseGapError` if records are missing before this one.
+        """
+        if offset < self.next_offset:
+            return None
+        if offset > self.next_offset:
+            raise LeaseGapError(self.next_offset, offset)
+        self.next_offset = offset + 1
+        record = parse_record(value)
+        if record is None:
+            self.void_records += 1
+            return Void(offset, "", "", "", VoidReason.UNREADABLE)
+        if isinstance(record, TableSnapshot):
+            return None
+        outcome = self._apply(offset, record, read_at)
+        if isinstance(outcome, Void):
+            self.void_records += 1
+        return outcome
+
+    def snapshot(self, record_id: str) -> dict[str, Any]:
+        """Return the table as a value for the log or for a peer."""
+        return {
+            "type": "snapshot",
+            "id": record_id,
+            "at": self.next_offset,
+            "leases": [
+                [lease.engine, lease.holder, lease.fencing, lease.last_offset]
+                for _, lease in sorted(self._lease_by_engine.items())
+            ],
+        }
+
+    @classmethod
+    def from_snapshot(
+        cls,
+        value: Any,
+        read_at: float,
+        first: int = 0,
+    ) -> "LeaseTable | None":
+        """Return the table a snapshot holds; None if the value is no snapshot.
+
+        None also if it was taken before ``first``, the oldest kept offset: the
+        records between are gone. The reader reads on from ``next_offset``. Every
+        lease counts as read now, which can only make the reader wait longer.
+        """
+        record = parse_record(value)
+        if not isinstance(record, TableSnapshot) or record.at < first:
+            return None
+        table = cls.empty(record.at)
+        for engine, holder, fencing, last_offset in record.leases:
+            lease = Lease(engine, holder, fencing, last_offset, read_at)
+            table._lease_by_engine[engine] = lease
+        return table
+
+    def _apply(
+        self,
+        offset: int,
+        record: LeaseRecord,
+        read_at: float,
+    ) -> LeaseOutcome:
+        if isinstance(record, Renewal):
+            return self._apply_renewal(offset, record, read_at)
+        if isinstance(record, Take):
+            return self._apply_take(offset, record, read_at)
+        return self._apply_release(offset, record, read_at)
+
+    def _apply_renewal(self, offset: int, record: Renewal, read_at: float) -> Renewed:
+        engines = []
+        refused = []
+        for engine, fencing in record.fencing_by_engine.items():
+            if not self._holds(record.node, engine, fencing):
+                refused.append(engine)
+                continue
+            self._lease_by_engine[engine] = replace(
+                self._lease_by_engine[engine],
+                last_offset=offset,
+                read_at=read_at,
+            )
+            engines.append(engine)
+        return Renewed(
+            offset=offset,
+            record_id=record.record_id,
+            node=record.node,
+            engines=tuple(engines),
+            refused=tuple(refused),
+        )
+
+    def _apply_take(self, offset: int, record: Take, read_at: float) -> Moved | Void:
+        # A taker that reads late, or was paused between its decision and its append,
+        # would take an engine whose holder has renewed since and still works: two
+        # holders. Any record that counted after the one it names voids the take.
+        if self.last_offset(record.engine) != record.after:
+            return self._void(offset, record, VoidReason.OVERTAKEN)
+        return self._move(offset, record, record.node, read_at)
+
+    def _apply_release(
+        self,
+        offset: int,
+        record: Release,
+        read_at: float,
+    ) -> Moved | Void:
+        if not self._holds(record.node, record.engine, record.fencing):
+            return self._void(offset, record, VoidReason.NOT_HOLDER)
+        return self._move(offset, record, record.next_node, read_at)
+
+    def _move(
+        self,
+        offset: int,
+        record: Take | Release,
+        holder: str | None,
+        read_at: float,
+    ) -> Moved:
+        before = self._lease_by_engine.get(record.engine)
+        self._lease_by_engine[record.engine] = Lease(
+            engine=record.engine,
+            holder=holder,
+            fencing=offset,
+            last_offset=offset,
+            read_at=read_at,
+        )
+        if len(self._lease_by_engine) > MAX_ENGINES:
+            leases = self._lease_by_engine.values()
+            oldest = min(leases, key=lambda lease: lease.last_offset)
+            del self._lease_by_engine[oldest.engine]
+        return Moved(
+            offset=offset,
+            record_id=record.record_id,
+            engine=record.engine,
+            previous=None if before is None else before.holder,
+            holder=holder,
+            fencing=offset,
+            by_release=isinstance(record, Release),
+        )
+
+    def _holds(self, node: str, engine: str, fencing: int) -> bool:
+        lease = self._lease_by_engine.get(engine)
+        return lease is not None and lease.holder == node and lease.fencing == fencing
+
+    def _void(
+        self,
+        offset: int,
+        record: Take | Release,
+        reason: VoidReason,
+    ) -> Void:
+        return Void(offset, record.record_id, record.engine, record.node, reason)
--- /dev/null
+++ b/bamboovale/leases/records.py
@@ -0,0 +1,173 @@
+"""Records of the lease stream: typed in the program, JSON maps on the log."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Err, Ok, Result
+
+
+@dataclass(frozen=True, slots=True)
+class Renewal:
+    """Extends all leases of one node; one record for all its engines."""
+
+    record_id: str
+    node: str
+    fencing_by_engine: dict[str, int] = field(default_factory=dict)
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the value for the log."""
+        return {
+            "type": "renew",
+            "id": self.record_id,
+            "node": self.node,
+            "fencing_by_engine": self.fencing_by_engine,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class Take:
+    """Makes the node holder if nothing counted for the engine since ``after``."""
+
+    record_id: str
+    node: str
+    engine: str
+    after: int
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the value for the log."""
+        return {
+            "type": "take",
+            "id": self.record_id,
+            "node": self.node,
+            "engine": self.engine,
+            "after": self.after,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Hands an engine over to ``next_node``, or to whoever takes it if None."""
+
+    record_id: str
+    node: str
+    engine: str
+    fencing: int
+    next_node: str | None = None
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the value for the log."""
+        return {
+            "type": "release",
+            "id": self.record_id,
+            "node": self.node,
+            "engine": self.engine,
+            "fencing": self.fencing,
+            "next": self.next_node,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class TableSnapshot:
+    """The whole table before offset ``at``, for readers that start after a gap."""
+
+    record_id: str
+    at: int
+    leases: tuple[tuple[str, str | None, int, int], ...]
+
+
+LeaseRecord = Renewal | Take | Release
+Record = LeaseRecord | TableSnapshot
+
+
+def parse_record(value: Any) -> Record | None:
+    """Return the record a value of the stream holds, None if it is none."""
+    if not isinstance(value, dict):
+        return None
+    parse = _PARSER_BY_TYPE.get(value.get("type"))
+    if parse is None:
+        return None
+    parsed = parse(value)
+    return parsed.ok_value if isinstance(parsed, Ok) else None
+
+
+def _parse_renewal(value: dict[str, Any]) -> Result[Renewal, str]:
+    fencing_by_engine = value.get("fencing_by_engine")
+    if not isinstance(fencing_by_engine, dict):
+        return Err("fencing_by_engine must be an object")
+    if not all(isinstance(engine, str) for engine in fencing_by_engine):
+        return Err("engines must be strings")
+    if not all(_is_offset(fencing) for fencing in fencing_by_engine.values()):
+        return Err("fencing numbers must be offsets")
+    if not _has_strings(value, "id", "node"):
+        return Err("id and node must be strings")
+    return Ok(Renewal(value["id"], value["node"], dict(fencing_by_engine)))
+
+
+def _parse_take(value: dict[str, Any]) -> Result[Take, str]:
+    after = value.get("after")
+    if not _is_offset(after) and after != -1:
+        return Err("after must be an offset or -1")
+    if not _has_strings(value, "id", "node", "engine"):
+        return Err("id, node and engine must be strings")
+    return Ok(Take(value["id"], value["node"], value["engine"], value["after"]))
+
+
+def _parse_release(value: dict[str, Any]) -> Result[Release, str]:
+    next_node = value.get("next")
+    if next_node is not None and not isinstance(next_node, str):
+        return Err("next must be a string or null")
+    if not _is_offset(value.get("fencing")):
+        return Err("fencing must be an offset")
+    if not _has_strings(value, "id", "node", "engine"):
+        return Err("id, node and engine must be strings")
+    return Ok(
+        Release(
+            record_id=value["id"],
+            node=value["node"],
+            engine=value["engine"],
+            fencing=value["fencing"],
+            next_node=next_node,
+        )
+    )
+
+
+def _parse_snapshot(value: dict[str, Any]) -> Result[TableSnapshot, str]:
+    rows = value.get("leases")
+    if not _is_offset(value.get("at")) or not isinstance(rows, list):
+        return Err("at must be an offset and leases a list")
+    if not _has_strings(value, "id") or not all(_is_row(row) for row in rows):
+        return Err("id must be a string and each lease a row")
+    return Ok(
+        TableSnapshot(
+            record_id=value["id"],
+            at=value["at"],
+            leases=tuple((row[0], row[1], row[2], row[3]) for row in rows),
+        )
+    )
+
+
+_PARSER_BY_TYPE: dict[Any, Any] = {
+    "renew": _parse_renewal,
+    "take": _parse_take,
+    "release": _parse_release,
+    "snapshot": _parse_snapshot,
+}
+
+
+def _has_strings(value: dict[str, Any], *fields: str) -> bool:
+    return all(isinstance(value.get(name), str) for name in fields)
+
+
+def _is_offset(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+
+
+def _is_row(row: Any) -> bool:
+    return (
+        isinstance(row, list)
+        and len(row) == 4
+        and isinstance(row[0], str)
+        and (row[1] is None or isinstance(row[1], str))
+        and _is_offset(row[2])
+        and _is_offset(row[3])
+    )
--- /dev/null
+++ b/bamboovale/rows.py
@@ -0,0 +1,61 @@
+"""Rows of JSON, compressed one at a time into a text and read back the same way.
+
+Snapshots of large tables are made and read like this, so that neither side ever
+holds the table a second time.
+"""
+
+import base64
+import json
+import zlib
+from collections.abc import Iterable, Iterator
+from hashlib import blake2b
+from typing import Any
+
+# No table of ours comes near this; more is a fault, not a snapshot.
+MAX_ROWS_BYTES = 256 * 1024 * 1024
+READ_BYTES = 64 * 1024
+CHECKSUM_BYTES = 16
+
+
+class RowsInvalidError(Exception):
+    """The text does not hold whole rows."""
+
+
+def pack_rows(rows: Iterable[Any]) -> str:
+    """Return the rows as a text; equal rows give equal texts."""
+    compressor = zlib.compressobj()
+    pieces = []
+    for row in rows:
+        line = json.dumps(row, separators=(",", ":")) + "\n"
+        pieces.append(compressor.compress(line.encode()))
+    pieces.append(compressor.flush())
+    return base64.b64encode(b"".join(pieces)).decode()
+
+
+def unpack_rows(text: str) -> Iterator[Any]:
+    """Return the rows of a text one by one, or raise RowsInvalidError."""
+    try:
+        for line in _lines(base64.b64decode(text, validate=True)):
+            yield json.loads(line)
+    except (ValueError, zlib.error) as error:
+        raise RowsInvalidError(str(error)) from error
+
+
+def checksum(text: str) -> str:
+    """Return a short digest of a text."""
+    return blake2b(text.encode(), digest_size=CHECKSUM_BYTES).hexdigest()
+
+
+def _lines(data: bytes) -> Iterator[bytes]:
+    decompressor = zlib.decompressobj()
+    total = 0
+    rest = b""
+    for start in range(0, len(data), READ_BYTES):
+        piece = decompressor.decompress(data[start : start + READ_BYTES])
+        total += len(piece)
+        if total > MAX_ROWS_BYTES:
+            raise RowsInvalidError("too large")
+        *lines, rest = (rest + piece).split(b"\n")
+        yield from lines
+    if rest or not decompressor.eof:
+        raise RowsInvalidError("cut short")
--- /dev/null
+++ b/tests/test_claims_fold.py
@@ -0,0 +1,122 @@
+"""The fold of the claim stream."""
+
+from typing import Any
+
+from bamboovale.claims.fold import ClaimTable, KeyState, Verdict
+from bamboovale.claims.records import (
+    Answered,
+    Claim,
+    ClaimItem,
+    Released,
+    group,
+    partition_of,
+)
+
+
+def claim(attempt: str, key: str = "k", body: str = "body", owner: str = "o") -> Claim:
+    return Claim(key, owner, body, f"node-{attempt}", "i1", attempt)
+
+
+def apply(table: ClaimTable, *items: ClaimItem, at: float = 0.0) -> list[Verdict]:
+    outcomes = table.apply(table.next_offset, group(items), at)
+    return [outcome.verdict for outcome in outcomes]
+
+
+class TestClaims:
+    """Who may send."""
+
+    def test_the_first_in_log_order_wins(self) -> None:
+        table = ClaimTable()
+        assert apply(table, claim("a"), claim("b")) == [Verdict.WON, Verdict.LOST]
+        assert table.report("o", "k", "body").attempt_id == "a"
+
+    def test_customers_do_not_share_keys(self) -> None:
+        table = ClaimTable()
+        verdicts = apply(table, claim("a", owner="o"), claim("b", owner="p"))
+        assert verdicts == [Verdict.WON, Verdict.WON]
+
+    def test_an_attempt_wins_once(self) -> None:
+        # An append whose answer was lost is repeated, and both copies are read.
+        table = ClaimTable()
+        assert apply(table, claim("a"), claim("a")) == [Verdict.WON, Verdict.REPEATED]
+
+    def test_a_key_with_another_body(self) -> None:
+        table = ClaimTable()
+        apply(table, claim("a"))
+        assert apply(table, claim("b", body="x")) == [Verdict.BODY_DIFFERS]
+        assert table.report("o", "k", "x").state is KeyState.BODY_DIFFERS
+
+    def test_a_release_by_the_winner_alone_frees_the_key(self) -> None:
+        table = ClaimTable()
+        apply(table, claim("a"), claim("b"), Released("k", "o", "b"))
+        assert table.report("o", "k", "body").attempt_id == "a"
+        apply(table, Released("k", "o", "a"))
+        assert apply(table, claim("c", body="x")) == [Verdict.WON]
+
+    def test_a_late_copy_of_a_released_claim_does_not_win(self) -> None:
+        # Its writer has told the caller "not run" and will never send; were the copy
+        # to win, the caller's repeats would be refused for the whole horizon.
+        table = ClaimTable()
+        verdicts = apply(table, claim("a"), Released("k", "o", "a"), claim("a"))
+        assert verdicts == [Verdict.WON, Verdict.GIVEN_UP]
+        assert apply(table, claim("b")) == [Verdict.WON]
+
+    def test_an_answer_is_kept_and_cannot_be_released(self) -> None:
+        table = ClaimTable()
+        answered = Answered("k", "o", "a", 201)
+        apply(table, claim("a"), answered, Released("k", "o", "a"))
+        report = table.report("o", "k", "body")
+        assert (report.state, report.status) == (KeyState.ANSWERED, 201)
+
+    def test_unreadable_items_are_counted(self) -> None:
+        table = ClaimTable()
+        values: list[Any] = [None, {"type": "claims", "items": [{"key": 1}]}, {}]
+        for offset, value in enumerate(values):
+            assert table.apply(offset, value, 0.0) == []
+        assert table.unreadable_items == 3
+
+    def test_partitions_are_stable(self) -> None:
+        assert partition_of("o", "k", 16) == partition_of("o", "k", 16)
+        assert len({partition_of("o", str(key), 4) for key in range(50)}) == 4
+
+
+class TestHorizon:
+    """Bounds in time and number."""
+
+    def test_a_key_is_forgotten_a_horizon_after_its_last_claim(self) -> None:
+        table = ClaimTable(horizon_s=100)
+        apply(table, claim("a"), at=0)
+        assert apply(table, claim("b"), at=99) == [Verdict.LOST]
+        assert apply(table, claim("c"), at=198) == [Verdict.LOST]
+        assert apply(table, claim("d"), at=298) == [Verdict.WON]
+
+    def test_a_log_clock_that_is_set_back_forgets_nothing_early(self) -> None:
+        table = ClaimTable(horizon_s=100)
+        apply(table, claim("a"), at=1000)
+        apply(table, claim("b", key="l"), at=10)
+        assert apply(table, claim("c"), at=1099) == [Verdict.LOST]
+
+    def test_a_full_table_refuses_and_forgets_nothing(self) -> None:
+        # Forgetting the oldest key to make room would let its repeat run again.
+        table = ClaimTable(max_claims=4)
+        for owner in "opqr":
+            assert apply(table, claim(owner, owner=owner)) == [Verdict.WON]
+        assert apply(table, claim("x", owner="s")) == [Verdict.TABLE_FULL]
+        assert apply(table, claim("y", owner="o")) == [Verdict.LOST]
+
+    def test_one_customer_cannot_fill_the_table(self) -> None:
+        table = ClaimTable(max_claims=8)
+        keys = [claim(str(key), key=str(key)) for key in range(3)]
+        assert apply(table, *keys)[-1] is Verdict.TABLE_FULL
+        assert apply(table, claim("x", owner="p")) == [Verdict.WON]
+
+    def test_after_a_gap_an_unseen_key_is_unknown_for_a_horizon(self) -> None:
+        # A VM starts when older claims have expired on the log. One of them may
+        # have run this key; the VM must not send it.
+        table = ClaimTable.after_gap(7, horizon_s=100)
+        assert table.report("o", "k", "body").state is KeyState.UNKNOWN
+        assert apply(table, claim("a"), at=50) == [Verdict.UNKNOWN]
+        apply(table, Released("k", "o", "a"), at=60)
+        assert apply(table, claim("b"), at=149) == [Verdict.UNKNOWN]
+        assert apply(table, claim("c", key="l"), at=150) == [Verdict.WON]
+        assert apply(table, claim("d"), at=151) == [Verdict.UNKNOWN]
--- /dev/null
+++ b/tests/test_leases_fold.py
@@ -0,0 +1,128 @@
+"""The fold of the lease stream and the rules of time."""
+
+from typing import Any
+
+import pytest
+
+from bamboovale.leases.fold import LeaseGapError, LeaseTable, Moved, Renewed, Void
+from bamboovale.leases.holding import OwnLeases
+from bamboovale.leases.records import Release, Renewal, Take
+from bamboovale.leases.timing import LeaseTerms
+
+TAKE_A = Take("r1", "a", "engine-1", after=-1)
+
+
+def fold(*records: Any) -> LeaseTable:
+    table = LeaseTable.empty()
+    for offset, record in enumerate(records):
+        table.apply(offset, record.to_json(), read_at=float(offset))
+    return table
+
+
+class TestChain:
+    """Which records count."""
+
+    def test_one_renewal_covers_all_leases_still_held(self) -> None:
+        table = fold(TAKE_A, Take("r2", "a", "engine-2", after=-1))
+        renewal = Renewal("r3", "a", {"engine-1": 0, "engine-2": 1, "engine-3": 0})
+        outcome = table.apply(2, renewal.to_json(), read_at=9.0)
+        assert isinstance(outcome, Renewed)
+        assert outcome.engines == ("engine-1", "engine-2")
+        assert outcome.refused == ("engine-3",)
+        assert table.lease_by_engine["engine-2"].read_at == 9.0
+
+    def test_a_take_that_was_overtaken_by_a_renewal_is_void(self) -> None:
+        # b saw the take at offset 0, waited, was paused, and appended after a had
+        # renewed. Were its take to count, a and b would both order loads.
+        table = fold(TAKE_A, Renewal("r2", "a", {"engine-1": 0}))
+        outcome = table.apply(2, Take("r3", "b", "engine-1", after=0).to_json(), 2.0)
+        assert isinstance(outcome, Void)
+        assert table.lease_by_engine["engine-1"].holder == "a"
+
+    def test_an_old_fencing_number_renews_nothing(self) -> None:
+        # a lost the engine and took it again; a copy of its old renewal comes late.
+        table = fold(
+            TAKE_A,
+            Take("r2", "b", "engine-1", after=0),
+            Take("r3", "a", "engine-1", after=1),
+        )
+        renewal = Renewal("r4", "a", {"engine-1": 0}).to_json()
+        outcome = table.apply(3, renewal, read_at=3.0)
+        assert isinstance(outcome, Renewed) and not outcome.engines
+        assert table.last_offset("engine-1") == 2
+
+    def test_a_release_names_the_next_holder(self) -> None:
+        table = fold(TAKE_A)
+        release = Release("r2", "a", "engine-1", fencing=0, next_node="b")
+        outcome = table.apply(1, release.to_json(), read_at=1.0)
+        assert isinstance(outcome, Moved)
+        assert (outcome.holder, outcome.fencing) == ("b", 1)
+        copy = table.apply(2, release.to_json(), read_at=2.0)
+        assert isinstance(copy, Void)
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            None,
+            {"type": "take"},
+            TAKE_A.to_json() | {"after": True},
+            TAKE_A.to_json() | {"engine": 7},
+            {"type": "renew", "id": "x", "node": "a", "fencing_by_engine": {"e": "0"}},
+            {"type": "snapshot", "id": "x", "at": 0, "leases": [["e", "a", 0]]},
+        ],
+    )
+    def test_unreadable_records_change_nothing(self, value: Any) -> None:
+        table = LeaseTable.empty()
+        assert isinstance(table.apply(0, value, read_at=0.0), Void)
+        assert not table.lease_by_engine
+
+    def test_a_gap_is_found_and_a_snapshot_leads_on(self) -> None:
+        table = fold(TAKE_A)
+        with pytest.raises(LeaseGapError):
+            table.apply(2, TAKE_A.to_json(), read_at=1.0)
+        value = table.snapshot("s1")
+        assert LeaseTable.from_snapshot(value, read_at=5.0, first=2) is None
+        late = LeaseTable.from_snapshot(value, read_at=5.0, first=1)
+        assert late is not None and late.next_offset == 1
+        assert late.lease_by_engine["engine-1"].read_at == 5.0
+
+
+class TestTiming:
+    """When a holder may act and a taker may take."""
+
+    terms = LeaseTerms(term_s=3.0, margin_s=0.5, clock_error=0.01, rank_step_s=0.25)
+
+    def test_a_taker_waits_from_when_it_read(self) -> None:
+        lease = fold(TAKE_A).lease_by_engine["engine-1"]
+        assert self.terms.may_take_at(lease, 0, 100.0) == pytest.approx(3.56)
+        assert self.terms.may_take_at(lease, 2, 100.0) == pytest.approx(4.06)
+        assert self.terms.may_take_at(None, 1, 100.0) == pytest.approx(100.25)
+
+    def test_a_renewal_counts_once_it_is_read_back(self) -> None:
+        table = LeaseTable.empty()
+        own = OwnLeases("a", self.terms)
+        own.note_sent("r1", now=10.0)
+        assert own.fencing("engine-1", now=10.0) is None
+        own.note_read(table.apply(0, TAKE_A.to_json(), read_at=11.0))
+        assert own.fencing("engine-1", now=12.9) == 0
+        assert own.fencing("engine-1", now=13.0) is None
+
+    def test_a_repeated_append_counts_from_its_first_sending(self) -> None:
+        own = OwnLeases("a", self.terms)
+        own.note_sent("r1", now=10.0)
+        own.note_sent("r1", now=12.0)
+        own.note_read(LeaseTable.empty().apply(0, TAKE_A.to_json(), read_at=12.5))
+        assert own.fencing("engine-1", now=13.5) is None
+
+    def test_a_hand_over_is_valid_from_the_first_own_renewal(self) -> None:
+        # Others wait from when they read the release, which may be long before the
+        # next holder does: its own reading time says nothing about theirs.
+        table = fold(TAKE_A)
+        own = OwnLeases("b", self.terms)
+        release = Release("r2", "a", "engine-1", fencing=0, next_node="b")
+        own.note_read(table.apply(1, release.to_json(), read_at=20.0))
+        assert own.fencing("engine-1", now=20.0) is None
+        renewal = own.renewal("r3")
+        own.note_sent("r3", now=20.0)
+        own.note_read(table.apply(2, renewal.to_json(), read_at=20.1))
+        assert own.fencing("engine-1", now=20.1) == 1
