--- a/bamboovale/cli/main.py
+++ b/bamboovale/cli/main.py
@@ -3,7 +3,7 @@
 import typer
 
 from bamboovale import __version__
-from bamboovale.cli import entry
+from bamboovale.cli import entry, standin
 
 app = typer.Typer(
     name="bamboovale",
@@ -13,6 +13,7 @@
     rich_markup_mode=None,  # plain help: nothing is cut off in a narrow terminal
     pretty_exceptions_enable=False,  # a traceback must not show tokens in locals
 )
+app.add_typer(standin.app, name="standin")
 
 
 @app.command()
--- /dev/null
+++ b/bamboovale/standins/history.py
@@ -0,0 +1,39 @@
+"""What a stand-in recorded, for history checking."""
+
+import threading
+import time
+from collections import deque
+from itertools import islice
+from typing import Any
+
+# At some 300 bytes an event this bounds a stand-in to about 60 MB.
+EVENTS_KEPT = 200_000
+
+
+class History:
+    """Events in the order they happened, each with its index and wall-clock time.
+
+    Only the last ``EVENTS_KEPT`` are kept: a reader sees that it missed some by the
+    index of the first event it gets.
+    """
+
+    def __init__(self, kept: int = EVENTS_KEPT) -> None:
+        self._lock = threading.Lock()
+        self._events: deque[dict[str, Any]] = deque(maxlen=kept)
+        self._next = 0
+
+    def record(self, event: str, **fields: Any) -> None:
+        """Add an event."""
+        with self._lock:
+            entry = {"index": self._next, "time": time.time(), "event": event}
+            entry.update(fields)
+            self._events.append(entry)
+            self._next += 1
+
+    def read(self, start: int = 0, limit: int | None = None) -> list[dict[str, Any]]:
+        """Return the kept events from index ``start`` on."""
+        with self._lock:
+            first = self._next - len(self._events)
+            skipped = max(start - first, 0)
+            stop = None if limit is None else skipped + limit
+            return list(islice(self._events, skipped, stop))
--- /dev/null
+++ b/bamboovale/standins/tokens.py
@@ -0,0 +1,48 @@
+"""The tokens of a stand-in's answer, so that a reader can check it whole.
+
+Token i is a function of (model, prompt, i) alone: whoever knows what was asked
+knows every byte of the right answer and sees another caller's or a cut one.
+"""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+CHARACTERS_PER_TOKEN = 4
+
+
+class AnswerTokens:
+    """The tokens that ``model`` generates for ``prompt``."""
+
+    def __init__(self, model: str, prompt: str) -> None:
+        self._seed = hashlib.blake2b(
+            f"{model}\0{prompt}".encode(),
+            digest_size=16,
+        ).digest()
+
+    def token(self, index: int) -> str:
+        """Return token ``index``: six hexadecimal digits and a space."""
+        numbered = self._seed + index.to_bytes(4, "big")
+        return hashlib.blake2b(numbered, digest_size=3).hexdigest() + " "
+
+    def text(self, count: int, start: int = 0) -> str:
+        """Return tokens ``start`` to ``count`` (exclusive) as text."""
+        return "".join(self.token(index) for index in range(start, count))
+
+
+def answer_text(model: str, prompt: str, count: int) -> str:
+    """Return the whole answer of ``count`` tokens."""
+    return AnswerTokens(model, prompt).text(count)
+
+
+def prompt_of_messages(messages: Iterable[Mapping[str, Any]]) -> str:
+    """Return the prompt that a chat's messages make."""
+    return "\n".join(
+        f"{message.get('role', '')}: {message.get('content', '')}"
+        for message in messages
+    )
+
+
+def count_prompt_tokens(prompt: str) -> int:
+    """Return the length of a prompt in tokens."""
+    return max(1, -(-len(prompt) // CHARACTERS_PER_TOKEN))
--- /dev/null
+++ b/bamboovale/standins/vms.py
@@ -0,0 +1,111 @@
+"""Stand-in of the platform's VM list: what it shows lags behind what is so."""
+
+import threading
+import time
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+from bamboovale.models import VMKind, VMState
+from bamboovale.standins.faults import Faults
+from bamboovale.standins.history import History
+from bamboovale.standins.server import Answer, Request, StandInServer
+
+FAULTS = ("lag_s", "stale")
+# Lists older than the longest lag are never shown again.
+LISTS_KEPT = 10_000
+
+
+@dataclass(frozen=True)
+class VMList:
+    """The list as it was from ``time`` on (monotonic seconds)."""
+
+    version: int
+    time: float
+    row_by_id: dict[str, dict[str, Any]]
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the list as it is shown."""
+        return {"version": self.version, "vms": list(self.row_by_id.values())}
+
+
+def normalize_row(vm_id: str, row: dict[str, Any]) -> dict[str, Any]:
+    """Fill in a row's defaults, or raise ValueError for a wrong kind or state."""
+    return {
+        "id": vm_id,
+        "kind": VMKind(row["kind"]).value,
+        "address": str(row["address"]),
+        "ports": {use: int(port) for use, port in row.get("ports", {}).items()},
+        "failure_domain": row.get("failure_domain", ""),
+        "region": row.get("region", ""),
+        "pool": row.get("pool", ""),
+        "state": VMState(row.get("state", VMState.LIVE)).value,
+    }
+
+
+class VMListStandIn:
+    """The list, its past and what is shown of it."""
+
+    def __init__(self, lag_s: float, faults: Faults, history: History) -> None:
+        self._lag_s = lag_s
+        self._faults = faults
+        self._history = history
+        self._lock = threading.Lock()
+        self._lists = deque([VMList(0, 0.0, {})], maxlen=LISTS_KEPT)
+        self._stale: VMList | None = None
+        faults.add_listener(self._freeze)
+
+    def answer(self, request: Request) -> Answer:
+        """Show the list, or change a row."""
+        if request.path == "/vms" and request.method == "GET":
+            return Answer(body=self._shown().to_json())
+        prefix, _, vm_id = request.path.rpartition("/")
+        if prefix != "/vms" or not vm_id:
+            return Answer.error(404, "not_found")
+        if request.method == "PUT":
+            row = normalize_row(vm_id, request.json())
+            return self._change(vm_id, row)
+        if request.method == "DELETE":
+            return self._change(vm_id, None)
+        return Answer.error(405, "method_not_allowed")
+
+    def _change(self, vm_id: str, row: dict[str, Any] | None) -> Answer:
+        with self._lock:
+            newest = self._lists[-1]
+            row_by_id = dict(newest.row_by_id)
+            if row is None:
+                row_by_id.pop(vm_id, None)
+            else:
+                row_by_id[vm_id] = row
+            changed = VMList(newest.version + 1, time.monotonic(), row_by_id)
+            self._lists.append(changed)
+            self._history.record("change", id=vm_id, row=row, version=changed.version)
+        return Answer(body={"version": changed.version})
+
+    def _shown(self) -> VMList:
+        with self._lock:
+            return self._stale or self._as_of(time.monotonic() - self._lag())
+
+    def _lag(self) -> float:
+        return float(self._faults.get("lag_s", self._lag_s))
+
+    def _as_of(self, moment: float) -> VMList:
+        for candidate in reversed(self._lists):
+            if candidate.time <= moment:
+                return candidate
+        return self._lists[0]
+
+    def _freeze(self, changes: Any) -> None:
+        if "stale" not in changes:
+            return
+        shown = self._shown()
+        with self._lock:
+            self._stale = shown if changes["stale"] else None
+
+
+def create_server(listen: str, lag_s: float = 0.5) -> StandInServer:
+    """Return a VM list that listens on ``listen`` once started."""
+    faults = Faults(FAULTS)
+    history = History()
+    vms = VMListStandIn(lag_s, faults, history)
+    return StandInServer(listen, vms.answer, faults, history)
