--- a/bench/checker.py
+++ b/bench/checker.py
@@ -26,6 +26,8 @@
 
 # Connections of a killed VM end, as its callers see it, within this time.
 FAULT_MARGIN_S = 1.0
+UNTYPED = "untyped"  # code of an error without the documented JSON body
+EVICTED = "evicted"  # the engine's reason for the end of such a run
 
 
 def check_right_version(history: History, bounds: Bounds) -> Iterator[Violation]:
@@ -99,6 +101,12 @@
     for run in history.runs:
         started = run.started
         place = (started.endpoint, started.boot_id, started.lora_name)
+        if run.ended and run.ended.reason == EVICTED:
+            yield Violation(
+                Promise.NO_EVICTION,
+                f"{started.request_id} ended with its adapter {started.lora_name}",
+                (started, run.ended),
+            )
         for unload in unloads_by_place.get(place, []):
             if run.covers(unload.at):
                 events = (
@@ -228,6 +236,12 @@
                 yield Violation(
                     Promise.ANSWERED, f"{sent.request_id} never ended", (sent,)
                 )
+            elif received.code.startswith(UNTYPED):
+                yield Violation(
+                    Promise.ANSWERED,
+                    f"{sent.request_id} got {received.code}, not a typed answer",
+                    (sent, received),
+                )
             elif received.outcome == Outcome.BROKEN and not any(
                 fault.at <= received.at + FAULT_MARGIN_S
                 and sent.at <= fault.until + FAULT_MARGIN_S
--- a/bench/edit_checks.py
+++ b/bench/edit_checks.py
@@ -92,7 +92,7 @@
     first_by_revision: dict[int, Edit] = {}
     for edit in accepted:
         first = first_by_revision.setdefault(edit.revision, edit)
-        if first is not edit:
+        if first.edit_id != edit.edit_id:
             yield Violation(
                 Promise.EDITS,
                 f"two edits were accepted as revision {edit.revision}",
--- a/bench/history.py
+++ b/bench/history.py
@@ -5,6 +5,7 @@
 """
 
 import re
+import threading
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -61,22 +62,23 @@
 
 @dataclass(frozen=True)
 class RunStarted(Event):
-    """An engine began to run a request."""
+    """An engine began to run a request, or went on with one (``again``)."""
 
     endpoint: str
     boot_id: str
     request_id: str
     lora_name: str
+    again: bool = False
 
 
 @dataclass(frozen=True)
 class RunEnded(Event):
-    """A run finished, was cancelled, or ended with its engine."""
+    """A run ended: complete, cancelled, crashed, or evicted with its adapter."""
 
     endpoint: str
     boot_id: str
     request_id: str
-    reason: str = "finished"
+    reason: str = "complete"
 
 
 @dataclass(frozen=True)
@@ -134,15 +136,25 @@
     until: float
 
 
+@dataclass(frozen=True)
+class FaultSpan(Event):
+    """A fault was on from ``at`` to ``until``; for the reader, checks ignore it."""
+
+    name: str
+    target: str
+    until: float
+
+
 @dataclass(frozen=True)
 class Edit(Event):
-    """An edit of one catalogue entry, answered ``at``; None: outcome unknown."""
+    """One entry's part of a catalogue edit, answered ``at``; None: outcome unknown."""
 
     sent_at: float
     entry: str
     lora_name: str
     accepted: bool | None
     revision: int = -1
+    edit_id: str = ""
 
 
 @dataclass(frozen=True)
@@ -173,6 +185,24 @@
 SomeEvent = TypeVar("SomeEvent", bound=Event)
 
 
+class Recorder:
+    """Takes events from many threads."""
+
+    def __init__(self) -> None:
+        self._events: list[Event] = []
+        self._lock = threading.Lock()
+
+    def record(self, *events: Event) -> None:
+        """Add events."""
+        with self._lock:
+            self._events.extend(events)
+
+    def events(self) -> list[Event]:
+        """Return a copy of all events so far."""
+        with self._lock:
+            return list(self._events)
+
+
 class History:
     """All events of one bench run, ordered by time, with the views checks need."""
 
@@ -218,6 +248,8 @@
         """Return all runs at endpoints by the request id that their caller gave."""
         starts: dict[str, list[RunStarted | ServiceRun]] = defaultdict(list)
         for event in self.events:
+            if isinstance(event, RunStarted) and event.again:
+                continue
             if isinstance(event, RunStarted | ServiceRun):
                 starts[caller_request_id(event.request_id)].append(event)
         return dict(starts)
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,106 @@
+"""Starts programs of the bench as processes and ends each by its own id."""
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+PROGRAM = (sys.executable, "-m", "bamboovale")
+START_TIMEOUT_S = 20.0
+POLL_S = 0.02
+LISTENING_PREFIX = "listening on "
+
+
+class StartError(Exception):
+    """A process ended or stayed silent instead of becoming ready."""
+
+
+@dataclass
+class Process:
+    """One process; its output goes to a file that is kept for the reader."""
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    output: Path
+
+    @classmethod
+    def start(
+        cls,
+        name: str,
+        arguments: Sequence[str],
+        directory: Path,
+        program: Sequence[str] = PROGRAM,
+    ) -> "Process":
+        """Start the program with these arguments."""
+        output = directory / f"{name}.out"
+        with output.open("wb") as file:
+            popen = subprocess.Popen(
+                [*program, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=file,
+                stderr=subprocess.STDOUT,
+            )
+        return cls(name, popen, output)
+
+    def wait_for_address(self) -> str:
+        """Return the HOST:PORT that a stand-in prints in its first line."""
+        for _ in waiting(START_TIMEOUT_S, f"{self.name} did not say where it listens"):
+            self.raise_if_ended()
+            for line in self.output.read_text(errors="replace").splitlines():
+                if line.startswith(LISTENING_PREFIX):
+                    return line.removeprefix(LISTENING_PREFIX).strip()
+        raise AssertionError("unreachable")
+
+    def raise_if_ended(self) -> None:
+        """Raise with the end of its output if the process ended."""
+        if self.popen.poll() is not None:
+            tail = self.output.read_text(errors="replace")[-2000:]
+            raise StartError(f"{self.name} exited {self.popen.returncode}:\n{tail}")
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.is_running:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process, also a frozen one, and wait for its end."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def terminate(self, timeout_s: float) -> int:
+        """Ask the process to stop; return its exit code, or raise TimeoutExpired."""
+        self.signal(signal.SIGTERM)
+        return self.popen.wait(timeout_s)
+
+
+def waiting(timeout_s: float, complaint: str) -> Iterator[float]:
+    """Yield the time waited until the loop is left; raise StartError at the end."""
+    started = time.monotonic()
+    while (waited := time.monotonic() - started) < timeout_s:
+        yield waited
+        time.sleep(POLL_S)
+    raise StartError(complaint)
+
+
+def find_free_port(address: str) -> int:
+    """Return a port of this address that nothing listens on."""
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind((address, 0))
+        return int(probe.getsockname()[1])
+
+
+def count_children() -> int:
+    """Return how many child processes this process has, ended ones included."""
+    children = Path(f"/proc/{os.getpid()}/task/{os.getpid()}/children")
+    return len(children.read_text().split())
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -41,8 +41,8 @@
     return RunStarted(at, "g1", "boot", request_id, lora_name)
 
 
-def ended(at: float, request_id: str = "job1t0") -> RunEnded:
-    return RunEnded(at, "g1", "boot", request_id)
+def ended(at: float, reason: str = "complete") -> RunEnded:
+    return RunEnded(at, "g1", "boot", "job1t0", reason)
 
 
 def unload(at: float) -> AdapterOrder:
@@ -50,7 +50,7 @@
 
 
 def edit(at: float, lora_name: str, revision: int, **more: object) -> Edit:
-    fields = {"accepted": True, **more}
+    fields = {"accepted": True, "edit_id": f"edit-{lora_name}", **more}
     return Edit(
         at,
         sent_at=at - 0.1,
@@ -100,6 +100,11 @@
         {Promise.NO_EVICTION},
         [*WHOLE_RUN, unload(10.5)],
     ),
+    (
+        "the engine ends a run with its adapter",
+        {Promise.NO_EVICTION},
+        [*WHOLE_RUN[:3], ended(10.9, reason="evicted"), *WHOLE_RUN[4:]],
+    ),
     (
         "answer with another's tokens",
         {Promise.OWN_ANSWER},
