Choose engines, endpoints, load turns and admissions in pure modules

Entry VMs need to place adapters without a shared table, to share the weight store's rate, to bound what they take in, and to keep retries and crashing requests from taking endpoints down. Each module is an aggregate with events in and decisions out; a turn that is not used goes back (ReturnLoadSlot).

--- a/bamboovale/decisions/loading.py
+++ b/bamboovale/decisions/loading.py
@@ -26,6 +26,7 @@
     AskLoadSlot,
     EngineView,
     Load,
+    ReturnLoadSlot,
     Unload,
     WorkItem,
 )
@@ -135,8 +136,10 @@
     def unloaded(self, victim: str, now: float) -> list[Action]:
         """Use the slot that became free."""
         newcomer = self.slots.unload_done(victim, now)
-        if newcomer is None or not self.may_order:
+        if newcomer is None:
             return []
+        if not self.may_order:
+            return [ReturnLoadSlot(newcomer)]
         return self._load(newcomer, now)
 
     # What may be served.
@@ -179,21 +182,27 @@
         return actions
 
     def turn(self, name: str, now: float) -> list[Action]:
-        """Use a turn at the weight store: evict or load; nothing if not needed."""
+        """Use a turn at the weight store: evict or load, or give it back.
+
+        A turn is a turn: if its adapter needs none any more, the best other one
+        takes it.
+        """
         ask = self.ask_by_name.pop(name, None)
+        unused: list[Action] = [ReturnLoadSlot(name)]
         if not self.may_order or self._loads_under_way() >= self._loads_allowed():
-            return []
+            return unused
         missing = self._missing(now)
         if name not in missing:
             name = next(iter(missing), "")
         if not name:
-            return []
-        self._asked_at_by_name[name] = ask.first_at if ask else now
+            return unused
         if self.slots.free:
+            self._asked_at_by_name[name] = ask.first_at if ask else now
             return self._load(name, now)
         victim = self._victim(missing[name], now)
         if victim is None:
-            return []
+            return unused
+        self._asked_at_by_name[name] = ask.first_at if ask else now
         self.draining.discard(victim)
         self.slots.order_unload(victim, name)
         return [Unload(victim)]
--- a/bamboovale/decisions/work.py
+++ b/bamboovale/decisions/work.py
@@ -112,7 +112,14 @@
     lora_name: str
 
 
-Action = Grant | Refuse | AskLoadSlot | Load | Unload
+@dataclass(frozen=True)
+class ReturnLoadSlot:
+    """Tell the load scheduler that a turn is not needed any more."""
+
+    lora_name: str
+
+
+Action = Grant | Refuse | AskLoadSlot | ReturnLoadSlot | Load | Unload
 
 
 @dataclass(frozen=True)
--- a/tests/test_decisions_dispatch.py
+++ b/tests/test_decisions_dispatch.py
@@ -16,6 +16,7 @@
     Load,
     Permit,
     Refuse,
+    ReturnLoadSlot,
     Unload,
     WorkItem,
 )
@@ -357,7 +358,7 @@
         dispatch.set_may_order(False, 0.0)
         assert grants(dispatch.on_request(make_item(1, "a"), 0.0))
         assert dispatch.on_request(make_item(2, "b"), 0.0) == []
-        assert dispatch.on_load_slot("b@1", 0.1) == []
+        assert dispatch.on_load_slot("b@1", 0.1) == [ReturnLoadSlot("b@1")]
         asked = dispatch.set_may_order(True, 0.2)
         assert [type(action) for action in asked] == [AskLoadSlot]
 
@@ -366,7 +367,7 @@
         dispatch.set_may_evict_from(5.0)
         dispatch.on_engine_view(make_view("a@1", "b@1"), 0.0)
         assert dispatch.on_request(make_item(1, "c"), 3.0) == []
-        assert dispatch.on_load_slot("c@1", 4.0) == []
+        assert dispatch.on_load_slot("c@1", 4.0) == [ReturnLoadSlot("c@1")]
         (ask,) = dispatch.on_tick(5.0)
         assert isinstance(ask, AskLoadSlot)
         (unload,) = dispatch.on_load_slot("c@1", 5.1)
--- /dev/null
+++ b/tests/test_decisions_routing.py
@@ -0,0 +1,95 @@
+"""Plain services: a slow or failing endpoint, judged by what callers wait."""
+
+import heapq
+import random
+from collections.abc import Callable
+
+import pytest
+
+from bamboovale.decisions.retries import RetryBudget, RetryConfig
+from bamboovale.decisions.routing import ServiceRouter
+
+ENDPOINTS = ["counter-1", "counter-2", "counter-3", "counter-4"]
+
+
+def run_calls(
+    latency: Callable[[str, float], float],
+    *,
+    seconds: float,
+    rate_per_s: float = 100.0,
+    router: ServiceRouter | None = None,
+) -> list[tuple[float, str, float]]:
+    """Return (start, endpoint, latency) of calls in a small event loop.
+
+    A latency below zero is a failed call.
+    """
+    rng = random.Random(1)
+    router = router or ServiceRouter()
+    router.set_endpoints(ENDPOINTS)
+    calls: list[tuple[float, str, float]] = []
+    ends: list[tuple[float, str, str, bool]] = []
+    for number in range(int(seconds * rate_per_s)):
+        now = number / rate_per_s
+        while ends and ends[0][0] <= now:
+            ended_at, name, call_id, ok = heapq.heappop(ends)
+            router.on_end(name, call_id, ended_at, ok=ok)
+        if number % 25 == 0:
+            router.on_tick(now)
+        name = router.choose(now, rng)
+        assert name is not None
+        took = latency(name, now)
+        router.on_start(name, str(number), now)
+        heapq.heappush(ends, (now + abs(took), name, str(number), took > 0))
+        calls.append((now, name, took))
+    return calls
+
+
+class TestSlowEndpoint:
+    """One endpoint hangs for ten seconds and mends."""
+
+    def test_loses_work_within_seconds_and_gets_it_back(self) -> None:
+        def latency(name: str, now: float) -> float:
+            return 2.0 if name == "counter-1" and 5.0 <= now < 15.0 else 0.02
+
+        calls = run_calls(latency, seconds=60.0)
+        hit = [at for at, _, took in calls if took == 2.0]
+        assert len(hit) <= 20
+        assert len([at for at in hit if at > 7.0]) <= 6
+        last = [name for at, name, _ in calls if at > 50.0]
+        assert last.count("counter-1") > len(last) / 8
+
+    def test_all_slow_ejects_at_most_a_third(self) -> None:
+        router = ServiceRouter()
+        run_calls(lambda name, now: -0.01, seconds=5.0, router=router)
+        assert len(router.ejected()) <= 1
+
+
+class TestConcurrencyLimit:
+    """Calls that never end fill an endpoint only up to its limit."""
+
+    def test_no_endpoint_without_room(self) -> None:
+        router = ServiceRouter()
+        router.set_endpoints(["only"])
+        rng = random.Random(1)
+        sent = 0
+        while (name := router.choose(0.0, rng)) is not None:
+            router.on_start(name, str(sent), 0.0)
+            sent += 1
+        assert sent == 32
+
+
+class TestRetryBudget:
+    """Repeats stay a share of fresh requests, also when everything fails."""
+
+    @pytest.mark.parametrize("rate_per_s", [1, 100])
+    def test_everything_fails(self, rate_per_s: int) -> None:
+        budget = RetryBudget.from_config(RetryConfig())
+        repeats = 0
+        for number in range(60 * rate_per_s):
+            now = number / rate_per_s
+            budget.on_fresh(now)
+            while budget.take(now):
+                repeats += 1
+        fresh = 60 * rate_per_s
+        floor = 3 * (1 + 60 / 10)
+        assert 0 < repeats <= 0.12 * fresh + floor
