--- /dev/null
+++ b/bamboovale/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API over HTTP."""
--- a/bamboovale/catalogue/fold.py
+++ b/bamboovale/catalogue/fold.py
@@ -269,8 +269,12 @@
         self.revision = revision
         self.counters.accepted += 1
         listed: list[EntryChange] = []
+        changed = 0
         for change in edit.changes:
             entry_change = self._put(change, edit, revision)
+            if entry_change.before == entry_change.after:
+                continue
+            changed += 1
             if len(listed) < HISTORY_CHANGES_PER_EDIT:
                 listed.append(entry_change)
         self.journal.add(
@@ -280,7 +284,7 @@
                 author=edit.author,
                 made_at=edit.made_at,
                 changes=tuple(listed),
-                omitted=len(edit.changes) - len(listed),
+                omitted=changed - len(listed),
             )
         )
 
@@ -297,6 +301,10 @@
                 )
             )
             return EntryChange(change.kind, change.name, before, None)
+        if before == change.entry:
+            # A file applied again: what it leaves as it was keeps its revision, so
+            # that it conflicts with nobody and fills no history.
+            return EntryChange(change.kind, change.name, before, before)
         after = replace(change.entry, revision=revision)
         self.index.put(after)
         return EntryChange(change.kind, change.name, before, after)
