--- a/bamboovale/peers/channel.py
+++ b/bamboovale/peers/channel.py
@@ -1,18 +1,11 @@
-"""What both ends of a link share: limits, counted sends and keepalive."""
+"""An authenticated connection with its counters."""
 
-import asyncio
 import ipaddress
 import logging
 from typing import Any
 
-from websockets.exceptions import ConnectionClosed
-
 from bamboovale.metrics import Metrics
 
-# Together they bound how long a frozen or half-open peer goes unseen: two seconds.
-PING_INTERVAL_S = 0.7
-PING_TIMEOUT_S = 1.2
-
 # A peer in the same region answers in milliseconds; another region in some 100 ms.
 HANDSHAKE_TIMEOUT_S = 1.0
 
@@ -33,7 +26,7 @@
 
 
 class Channel:
-    """An authenticated connection with its counters.
+    """Sends and receives frames, and remembers why it was closed.
 
     The library's own keepalive is not used: its ping waits for room in the send
     buffer without a timeout, so that a peer which reads nothing is never found.
@@ -43,7 +36,6 @@
         self._connection = connection
         self._metrics = metrics
         self.close_cause = "closed"
-        self.round_trip_s = 0.0
 
     async def send(self, data: bytes) -> None:
         """Send one frame; raises ConnectionClosed."""
@@ -63,28 +55,3 @@
         if self.close_cause == "closed":
             self.close_cause = cause
         self._connection.transport.abort()
-
-    async def close(self) -> None:
-        """Close in order: frames already written still arrive."""
-        await self._connection.close()
-
-    async def keep_alive(self) -> None:
-        """Ping until the peer is silent for too long, then abort.
-
-        Guards against a peer that is frozen, cut off one way or no longer reads:
-        TCP reports none of these for minutes, while every request to it would wait
-        for its timeout. An answer to each ping shows both directions and the peer's
-        event loop to be alive.
-        """
-        loop = asyncio.get_running_loop()
-        try:
-            while True:
-                await asyncio.sleep(PING_INTERVAL_S)
-                began = loop.time()
-                async with asyncio.timeout(PING_TIMEOUT_S):
-                    await (await self._connection.ping())
-                self.round_trip_s = loop.time() - began
-        except TimeoutError:
-            self.abort("silent")
-        except ConnectionClosed:
-            return
--- a/bamboovale/peers/frames.py
+++ b/bamboovale/peers/frames.py
@@ -20,11 +20,13 @@
     REPLY = 1
     NOTICE = 2
     FAILURE = 3
+    PING = 4
+    PONG = 5
 
 
 @dataclass(frozen=True)
 class Frame:
-    """A decoded frame; the message of a failure is its text."""
+    """A decoded frame; a failure's message is its text, a ping's and a pong's None."""
 
     kind: FrameKind
     number: int
@@ -57,6 +59,12 @@
         raise BadMessageError("a frame's number must be a whole number")
     if type(kind) is not int or kind not in FrameKind.__members__.values():
         raise BadMessageError(f"unknown kind of frame: {kind!r:.60}")
+    if kind in (FrameKind.PING, FrameKind.PONG):
+        return Frame(FrameKind(kind), number, None)
     if kind == FrameKind.FAILURE:
         return Frame(FrameKind.FAILURE, number, str(body))
     return Frame(FrameKind(kind), number, unpack(body))
+
+
+PING = cbor2.dumps([int(FrameKind.PING), 0, None])
+PONG = cbor2.dumps([int(FrameKind.PONG), 0, None])
--- a/bamboovale/peers/incoming.py
+++ b/bamboovale/peers/incoming.py
@@ -13,7 +13,8 @@
 from bamboovale.metrics import Metrics
 from bamboovale.peers.channel import QUEUE_LIMIT, Channel
 from bamboovale.peers.codec import BadMessageError
-from bamboovale.peers.frames import Frame, FrameKind, decode_frame, encode_frame
+from bamboovale.peers.frames import PONG, Frame, FrameKind, decode_frame, encode_frame
+from bamboovale.peers.keepalive import CALLED_SILENCE_S
 
 logger = logging.getLogger(__name__)
 
@@ -39,6 +40,7 @@
         self._on_request = on_request
         self._on_notice = on_notice
         self._loop = asyncio.get_running_loop()
+        self._last_received_at = self._loop.time()
         self._outbox: asyncio.Queue[bytes] = asyncio.Queue(QUEUE_LIMIT)
 
     async def serve(self) -> None:
@@ -47,7 +49,6 @@
         tasks = [
             asyncio.create_task(self._read()),
             asyncio.create_task(self._write()),
-            asyncio.create_task(self._channel.keep_alive()),
         ]
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -59,10 +60,22 @@
             cause = self._channel.close_cause
             self._metrics.peer_links_closed.labels(cause).inc()
 
+    def check(self, overslept_s: float) -> None:
+        """Cut the link if its peer, which pings, has been silent for too long.
+
+        Guards against keeping the memory of links whose peer vanished without a
+        reset; requests of ours do not go over this link.
+        """
+        self._last_received_at += overslept_s
+        if self._loop.time() - self._last_received_at > CALLED_SILENCE_S:
+            self._channel.abort("silent")
+
     async def _read(self) -> None:
         try:
             while True:
-                self._take(decode_frame(await self._channel.receive()))
+                data = await self._channel.receive()
+                self._last_received_at = self._loop.time()
+                self._take(decode_frame(data))
         except ConnectionClosed:
             return
         except BadMessageError:
@@ -77,7 +90,9 @@
             return
 
     def _take(self, frame: Frame) -> None:
-        if frame.kind is FrameKind.REQUEST:
+        if frame.kind is FrameKind.PING:
+            self._enqueue(PONG)
+        elif frame.kind is FrameKind.REQUEST:
             self._take_request(frame)
         elif frame.kind is FrameKind.NOTICE:
             try:
--- a/bamboovale/peers/links.py
+++ b/bamboovale/peers/links.py
@@ -33,6 +33,7 @@
     receive,
 )
 from bamboovale.peers.incoming import IncomingLink, NoticeHandler, RequestHandler
+from bamboovale.peers.keepalive import SWEEP_S
 from bamboovale.peers.outgoing import Outbound, OutgoingLink, PeerUnreachableError
 from bamboovale.settings import Settings
 
@@ -41,7 +42,6 @@
 
 # An unused link is closed, so that a VM does not end up linked to all others.
 IDLE_CLOSE_S = 60.0
-IDLE_SWEEP_S = 10.0
 
 START_TIMEOUT_S = 10.0
 STOP_TIMEOUT_S = 5.0
@@ -216,7 +216,7 @@
             return
         self._loop = asyncio.get_running_loop()
         started.set_result(None)
-        sweeping = asyncio.create_task(self._close_idle_links())
+        sweeping = asyncio.create_task(self._sweep())
         await self._stopping.wait()
         sweeping.cancel()
         await asyncio.gather(*(link.close() for link in self._link_by_vm_id.values()))
@@ -304,13 +304,24 @@
         finally:
             self._unproved -= 1
 
-    async def _close_idle_links(self) -> None:
+    async def _sweep(self) -> None:
+        """Look at all links now and then: ping, cut the silent, close the unused.
+
+        One timer serves all links, because a timer for each would wake the process
+        hundreds of times a second.
+        """
         loop = asyncio.get_running_loop()
+        looked_at = loop.time()
         while True:
-            await asyncio.sleep(IDLE_SWEEP_S)
-            oldest = loop.time() - IDLE_CLOSE_S
+            await asyncio.sleep(SWEEP_S)
+            overslept_s = max(0.0, loop.time() - looked_at - 2 * SWEEP_S)
+            looked_at = loop.time()
+            for incoming in list(self._incoming):
+                incoming.check(overslept_s)
             for vm_id, link in list(self._link_by_vm_id.items()):
-                if link.last_used < oldest and not link.awaiting_reply:
+                link.check(overslept_s)
+                unused_s = looked_at - link.last_used
+                if unused_s > IDLE_CLOSE_S and not link.awaiting_reply:
                     del self._link_by_vm_id[vm_id]
                     await link.close()
 
--- a/bamboovale/peers/outgoing.py
+++ b/bamboovale/peers/outgoing.py
@@ -16,7 +16,8 @@
 from bamboovale.metrics import Metrics
 from bamboovale.peers.channel import QUEUE_LIMIT, Channel
 from bamboovale.peers.codec import BadMessageError
-from bamboovale.peers.frames import Frame, FrameKind, decode_frame
+from bamboovale.peers.frames import PING, Frame, FrameKind, decode_frame
+from bamboovale.peers.keepalive import Check, Keepalive
 
 # The first pause is shorter than a restart, the last one shorter than a lease.
 BACK_OFF_FIRST_S = 0.05
@@ -93,6 +94,7 @@
         self._sent_by_number: dict[int, Outbound] = {}
         self._wake = asyncio.Event()
         self._channel: Channel | None = None
+        self._keepalive = Keepalive(self._loop.time())
         self._task: asyncio.Task[None] | None = None
         self._failures = 0
         self._retry_at = 0.0
@@ -109,7 +111,7 @@
     @property
     def round_trip_s(self) -> float:
         """Return the last ping's round trip in seconds; 0 when not known."""
-        return self._channel.round_trip_s if self._channel else 0.0
+        return self._keepalive.round_trip_s
 
     @property
     def queued(self) -> int:
@@ -132,17 +134,31 @@
             return
         if timeout_s is not None:
             item.timer = self._loop.call_later(timeout_s, self._expire, item)
-        self._queue.append(item)
-        self._wake.set()
+        self._keepalive.note_use()
+        self._enqueue(item)
         if self._task is None:
             self._task = self._loop.create_task(self._run())
 
+    def check(self, overslept_s: float) -> None:
+        """Ping the peer if that is due, or cut the link to a silent one."""
+        if self._channel is None:
+            return
+        check = self._keepalive.check(self._loop.time(), overslept_s)
+        if check is Check.PING:
+            self._enqueue(Outbound(0, PING))
+        elif check is Check.SILENT:
+            self._channel.abort("silent")
+
     async def close(self) -> None:
         """Close the link; what waits on it fails."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def _enqueue(self, item: Outbound) -> None:
+        self._queue.append(item)
+        self._wake.set()
+
     def _refuse(self, item: Outbound, why: str) -> None:
         self._metrics.peer_messages_dropped.inc()
         item.settle(PeerUnreachableError(why))
@@ -159,6 +175,7 @@
             self._failures = 0
             self._retry_at = 0.0
             self._channel = channel
+            self._keepalive = Keepalive(self._loop.time())
             self._metrics.peer_links_opened.inc()
             await self._serve(channel)
             cause = channel.close_cause
@@ -172,11 +189,10 @@
             self._fail_all(cause)
 
     async def _serve(self, channel: Channel) -> None:
-        """Read, write and ping; the first of them to end ends all."""
+        """Read and write; the first of them to end ends both."""
         tasks = [
             asyncio.create_task(self._read(channel)),
             asyncio.create_task(self._write(channel)),
-            asyncio.create_task(channel.keep_alive()),
         ]
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -205,7 +221,9 @@
     async def _read(self, channel: Channel) -> None:
         try:
             while True:
-                self._take(decode_frame(await channel.receive()))
+                data = await channel.receive()
+                self._keepalive.note_received(self._loop.time())
+                self._take(decode_frame(data))
         except ConnectionClosed:
             return
         except BadMessageError:
@@ -214,6 +232,8 @@
 
     def _take(self, frame: Frame) -> None:
         """Settle the request that a frame answers."""
+        if frame.kind is FrameKind.PONG:
+            return
         item = self._sent_by_number.pop(frame.number, None)
         if frame.kind is FrameKind.REPLY:
             result = frame.message
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,78 @@
+"""Reads what a process uses, and fits lines through such readings."""
+
+import os
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+KIB = 1024
+
+
+@dataclass(frozen=True)
+class Usage:
+    """What a process used up to a moment, and what it holds."""
+
+    at: float
+    cpu_s: float
+    resident_bytes: int
+    threads: int
+
+    @classmethod
+    def of_process(cls, pid: int) -> "Usage":
+        """Read a process's usage from the kernel."""
+        process = Path("/proc", str(pid))
+        members = process.joinpath("stat").read_text().rpartition(")")[2].split()
+        status = process.joinpath("status").read_text()
+        value_by_name = dict(
+            line.split(":", 1) for line in status.splitlines() if ":" in line
+        )
+        return cls(
+            at=time.monotonic(),
+            cpu_s=(int(members[11]) + int(members[12])) / TICKS_PER_S,
+            resident_bytes=int(value_by_name["VmRSS"].split()[0]) * KIB,
+            threads=int(value_by_name["Threads"]),
+        )
+
+    def cores_since(self, earlier: "Usage") -> float:
+        """Return the share of one core used since an earlier reading."""
+        return (self.cpu_s - earlier.cpu_s) / (self.at - earlier.at)
+
+
+@dataclass(frozen=True)
+class Line:
+    """A line fitted by least squares, with its greatest error at a point."""
+
+    slope: float
+    start: float
+    greatest_error: float
+
+    @classmethod
+    def through(cls, points: Sequence[tuple[float, float]]) -> "Line":
+        """Fit a line; needs two points that differ in x."""
+        mean_x = sum(x for x, _ in points) / len(points)
+        mean_y = sum(y for _, y in points) / len(points)
+        spread = sum((x - mean_x) ** 2 for x, _ in points)
+        slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+        start = mean_y - slope * mean_x
+        errors = [abs(y - start - slope * x) for x, y in points]
+        return cls(slope, start, max(errors))
+
+    def at(self, x: float) -> float:
+        """Return the line's value."""
+        return self.start + self.slope * x
+
+
+def print_slope(
+    title: str,
+    points: Sequence[tuple[float, float]],
+    per: str,
+    unit: str,
+) -> Line:
+    """Print the readings and the line through them; return the line."""
+    line = Line.through(points)
+    readings = ", ".join(f"{x:g}: {y:.4g}" for x, y in points)
+    print(f"{title}: {line.slope:.4g} {unit} per {per}, from {line.start:.4g} {unit}")
+    print(f"    readings {{{readings}}}, greatest error {line.greatest_error:.2g}")
+    return line
