--- /dev/null
+++ b/bamboovale/catalogue/keeper.py
@@ -0,0 +1,314 @@
+"""Reads the catalogue's stream, folds it and publishes the result."""
+
+import logging
+from collections.abc import Callable
+from concurrent.futures import Future
+from dataclasses import dataclass
+from typing import Any
+
+from bamboovale.actors import MessageActor, Tick
+from bamboovale.catalogue.edits import EDIT_TYPE, EditOutcome
+from bamboovale.catalogue.fold import Catalogue, GapFoundError
+from bamboovale.catalogue.snapshots import (
+    SnapshotAssembler,
+    SnapshotInvalidError,
+    read_snapshot,
+    split_snapshot,
+    write_snapshot,
+)
+from bamboovale.environment import Environment
+from bamboovale.platform.appender import Appender
+from bamboovale.platform.log_client import LogRecord, RecordBatch
+from bamboovale.views import Views
+
+CATALOGUE_STREAM = "catalogue"
+
+SNAPSHOT_AFTER_RECORDS = 500
+"""A VM that starts late reads at most this many records behind a snapshot."""
+
+SNAPSHOTS_PER_RETENTION = 4
+"""A snapshot is repeated this often within the log's retention, so that one failed
+append or a change of its writer never lets the last one expire."""
+
+ASK_PEER_EVERY_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class CatalogueBatchRead:
+    """Records of the catalogue stream from the log."""
+
+    batch: RecordBatch
+
+
+@dataclass(frozen=True)
+class CatalogueRecordsPassed:
+    """Records that a peer passed on."""
+
+    first_offset: int
+    values: tuple[Any, ...]
+
+
+@dataclass(frozen=True)
+class CatalogueFromPeer:
+    """A whole catalogue from a peer, None if it had none."""
+
+    snapshot: Any
+
+
+@dataclass(frozen=True)
+class PeerIsAhead:
+    """A peer has read further than this VM."""
+
+    vm_id: str
+    next_offset: int
+
+
+@dataclass(frozen=True)
+class AwaitOutcome:
+    """Settle the future when the edit is read back."""
+
+    edit_id: str
+    future: "Future[EditOutcome]"
+
+
+@dataclass(frozen=True)
+class SnapshotDuty:
+    """Whether this VM writes the snapshots of the catalogue."""
+
+    on_duty: bool
+
+
+@dataclass(frozen=True)
+class SnapshotAsked:
+    """A peer wants the whole catalogue."""
+
+    reply: Callable[[Any], None]
+
+
+@dataclass(frozen=True)
+class DumpCatalogue:
+    """Ask for the state as JSON."""
+
+
+@dataclass(frozen=True)
+class CatalogueCallbacks:
+    """What the keeper does with what it learns; called from its own thread."""
+
+    pass_on: Callable[[int, tuple[Any, ...]], None]
+    ask_peer: Callable[[str | None], None]
+    read_from: Callable[[int], None]
+    on_version_changed: Callable[[str, str, str], None]
+    on_change: Callable[[], None]
+
+
+class CatalogueKeeper(MessageActor):
+    """Owns the fold of the catalogue."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        views: Views,
+        appender: Appender,
+        callbacks: CatalogueCallbacks,
+    ) -> None:
+        super().__init__(environment.metrics.internal_faults.inc)
+        self._environment = environment
+        self._views = views
+        self._appender = appender
+        self._callbacks = callbacks
+        self._catalogue = Catalogue.empty()
+        self._assembler: SnapshotAssembler | None = None
+        self._waiting_by_edit_id: dict[str, list[Future[EditOutcome]]] = {}
+        self._on_duty = False
+        self._snapshot_at_offset = 0
+        self._next_snapshot_at = float("inf")
+        self._next_ask_at = 0.0
+        self.handle(CatalogueBatchRead, self._on_batch)
+        self.handle(CatalogueRecordsPassed, self._on_passed)
+        self.handle(CatalogueFromPeer, self._on_peer_catalogue)
+        self.handle(PeerIsAhead, self._on_peer_ahead)
+        self.handle(AwaitOutcome, self._on_await)
+        self.handle(SnapshotDuty, self._on_duty_changed)
+        self.handle(SnapshotAsked, self._on_snapshot_asked)
+        self.handle(Tick, self._on_tick)
+        self.handle(DumpCatalogue, self._on_dump)
+
+    # Reading.
+
+    def _on_batch(self, message: CatalogueBatchRead) -> None:
+        batch = message.batch
+        if batch.first > self._catalogue.next_offset and self._assembler is None:
+            logger.warning("catalogue: records expired before they were read")
+            self._assembler = SnapshotAssembler(batch.first)
+            self._callbacks.ask_peer(None)
+        if self._assembler is not None:
+            self._assemble(batch.records)
+            return
+        self._fold(batch.records)
+        if self._catalogue.next_offset >= batch.next:
+            self._publish()
+
+    def _fold(self, records: tuple[LogRecord, ...]) -> None:
+        before = self._catalogue.next_offset
+        fresh = [record for record in records if record.offset >= before]
+        try:
+            for record in fresh:
+                self._apply(record.offset, record.value)
+        except GapFoundError as gap:
+            logger.warning("catalogue: %s", gap)
+            self._callbacks.read_from(gap.next_offset)
+        if fresh and self._views.catalogue is not None:
+            values = tuple(record.value for record in fresh)
+            self._callbacks.pass_on(fresh[0].offset, values)
+
+    def _apply(self, offset: int, value: Any) -> None:
+        before = self._catalogue.view() if self._views.catalogue else None
+        outcome = self._catalogue.apply(offset, value)
+        if outcome is None:
+            return
+        for future in self._waiting_by_edit_id.pop(outcome.edit_id, []):
+            future.set_result(outcome)
+        if outcome.accepted and before is not None:
+            self._tell_version_changes(before, value)
+
+    def _tell_version_changes(self, before: Any, value: Any) -> None:
+        if value.get("type") != EDIT_TYPE:
+            return
+        for change in value["changes"]:
+            name = change.get("name")
+            old = before.adapter_by_name.get(name)
+            new = self._catalogue.adapter_by_name.get(name)
+            if old is None or new is None or old.target == new.target:
+                continue
+            self._callbacks.on_version_changed(
+                old.target.lora_name,
+                new.target.lora_name,
+                new.source,
+            )
+
+    def _publish(self) -> None:
+        view = self._catalogue.view()
+        self._environment.metrics.catalogue_revision.set(view.revision)
+        before, self._views.catalogue = self._views.catalogue, view
+        if before is None or before.revision != view.revision:
+            self._callbacks.on_change()
+
+    # Gaps and peers.
+
+    def _assemble(self, records: tuple[LogRecord, ...]) -> None:
+        assert self._assembler is not None
+        for record in records:
+            snapshot = self._assembler.add(record.value)
+            if snapshot is not None:
+                self._adopt(snapshot)
+                return
+
+    def _adopt(self, snapshot: Any) -> None:
+        try:
+            other = read_snapshot(snapshot)
+        except SnapshotInvalidError as error:
+            logger.warning("catalogue: a snapshot cannot be used: %s", error)
+            return
+        if not self._catalogue.adopt(other):
+            return
+        logger.info("catalogue: took over a snapshot at offset %d", other.next_offset)
+        self._assembler = None
+        self._callbacks.read_from(self._catalogue.next_offset)
+        self._settle_waiting()
+        self._publish()
+
+    def _settle_waiting(self) -> None:
+        for edit_id in list(self._waiting_by_edit_id):
+            outcome = self._catalogue.outcome_of(edit_id)
+            if outcome is not None:
+                for future in self._waiting_by_edit_id.pop(edit_id):
+                    future.set_result(outcome)
+
+    def _on_passed(self, message: CatalogueRecordsPassed) -> None:
+        """Fold what a peer passed on, if it follows what is here."""
+        if self._views.catalogue is None or self._assembler is not None:
+            return
+        if message.first_offset > self._catalogue.next_offset:
+            return
+        offsets = range(
+            message.first_offset, message.first_offset + len(message.values)
+        )
+        records = tuple(
+            LogRecord(offset, value)
+            for offset, value in zip(offsets, message.values, strict=True)
+        )
+        self._fold(records)
+        self._publish()
+
+    def _on_peer_catalogue(self, message: CatalogueFromPeer) -> None:
+        if message.snapshot is not None:
+            self._adopt(message.snapshot)
+
+    def _on_peer_ahead(self, message: PeerIsAhead) -> None:
+        now = self._environment.now()
+        if message.next_offset <= self._catalogue.next_offset:
+            return
+        if now >= self._next_ask_at:
+            self._next_ask_at = now + ASK_PEER_EVERY_S
+            self._callbacks.ask_peer(message.vm_id)
+
+    def _on_snapshot_asked(self, message: SnapshotAsked) -> None:
+        whole = self._views.catalogue is not None
+        message.reply(write_snapshot(self._catalogue) if whole else None)
+
+    # Edits.
+
+    def _on_await(self, message: AwaitOutcome) -> None:
+        outcome = self._catalogue.outcome_of(message.edit_id)
+        if outcome is not None:
+            message.future.set_result(outcome)
+            return
+        self._waiting_by_edit_id.setdefault(message.edit_id, []).append(message.future)
+
+    # Snapshots on the log.
+
+    def _on_duty_changed(self, message: SnapshotDuty) -> None:
+        self._on_duty = message.on_duty
+        self._next_snapshot_at = self._environment.now()
+
+    def _on_tick(self, _: Tick) -> None:
+        now = self._environment.now()
+        if self._views.catalogue is None:
+            if now >= self._next_ask_at:
+                self._next_ask_at = now + ASK_PEER_EVERY_S
+                self._callbacks.ask_peer(None)
+            return
+        if self._on_duty and self._snapshot_is_due(now):
+            self._write_snapshot(now)
+
+    def _snapshot_is_due(self, now: float) -> bool:
+        if self._catalogue.next_offset == self._snapshot_at_offset:
+            return False
+        fresh = self._catalogue.next_offset - self._snapshot_at_offset
+        return now >= self._next_snapshot_at or fresh >= SNAPSHOT_AFTER_RECORDS
+
+    def _write_snapshot(self, now: float) -> None:
+        retention_s = self._environment.settings.log_retention_s
+        self._next_snapshot_at = now + retention_s / SNAPSHOTS_PER_RETENTION
+        for part in split_snapshot(write_snapshot(self._catalogue)):
+            self._appender.append(part)
+        self._snapshot_at_offset = self._catalogue.next_offset
+
+    def _on_dump(self, _: DumpCatalogue) -> dict[str, Any]:
+        catalogue = self._catalogue
+        counters = catalogue.counters
+        return {
+            "revision": catalogue.revision,
+            "next_offset": catalogue.next_offset,
+            "digest": catalogue.digest,
+            "adapters": len(catalogue.adapter_by_name),
+            "pools": len(catalogue.pool_by_name),
+            "services": len(catalogue.service_by_name),
+            "accepted": counters.accepted,
+            "rejected": counters.rejected,
+            "regressions": counters.regressions,
+            "behind_a_gap": self._assembler is not None,
+            "writes_snapshots": self._on_duty,
+        }
--- a/bamboovale/decisions/work.py
+++ b/bamboovale/decisions/work.py
@@ -37,8 +37,10 @@
 class Permit:
     """A place on an engine and a pin on its adapter, until it is released.
 
-    ``send_within_s`` counts from the moment the entry VM *asked*, on its own
-    monotonic clock; a permit later than that is discarded unsent.
+    An entry VM repeats its ask while it waits; ``ask_number`` is the last one the
+    holder had seen. ``send_within_s`` counts from the moment the entry VM sent
+    that ask, on its own monotonic clock: a permit later than that is discarded
+    unsent, also by an entry VM that was paused and does not know it.
     """
 
     permit_id: str
@@ -50,6 +52,7 @@
     fencing: int
     send_within_s: float
     priority: int = 0
+    ask_number: int = 0
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/bamboovale/engines/orders.py
@@ -0,0 +1,110 @@
+"""Orders to one engine under one lease: checked before and after each.
+
+Failure: a holder is paused, its lease lapses, another VM takes over; it wakes up and
+goes on with the order it was about to give. The check right before the order makes
+the window as short as a call; the engine's own check of the fencing number closes it
+where the engine has one. The check after the order finds a pause that fell between.
+"""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import pykka
+from result import Ok
+
+from bamboovale.actors import tell
+from bamboovale.decisions.work import EngineView, Load, Unload
+from bamboovale.engines.client import EngineAddress, EngineOrders
+from bamboovale.environment import Environment
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class OrderEnded:
+    """A load or an eviction ended; ``order`` is its type.
+
+    ``given`` is False where the lease did not allow the order to be sent at all.
+    """
+
+    order: type
+    lora_name: str
+    given: bool
+    succeeded: bool
+
+
+class LeasedOrders:
+    """Gives orders to one engine while ``allowed`` says that the lease is valid."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        client: EngineOrders,
+        engine: EngineAddress,
+        fencing: int,
+        allowed: Callable[[], bool],
+    ) -> None:
+        self._environment = environment
+        self._client = client
+        self._engine = engine
+        self._fencing = fencing
+        self.allowed = allowed
+
+    def read_view(
+        self,
+        actor: pykka.ActorRef,
+        make_message: Callable[[EngineView | None], Any],
+    ) -> None:
+        """Read the engine's state and tell the actor."""
+        tell(actor, make_message(self._read()))
+
+    def carry_out(self, actor: pykka.ActorRef, order: Load | Unload) -> None:
+        """Give one order and tell the actor how it ended."""
+        given = self.allowed()
+        succeeded = given and self._give(order)
+        if succeeded and not self.allowed():
+            self._environment.metrics.orders_after_lapse.inc()
+            logger.warning(
+                "lease on %s lapsed while %s was ordered",
+                self._engine.id,
+                order.lora_name,
+            )
+        tell(actor, OrderEnded(type(order), order.lora_name, given, succeeded))
+
+    def _read(self) -> EngineView | None:
+        asked_at = self._environment.now()
+        answer = self._client.read_state(self._engine)
+        if isinstance(answer, Ok):
+            return replace(answer.ok_value, read_at=asked_at)
+        return None
+
+    def _give(self, order: Load | Unload) -> bool:
+        metrics = self._environment.metrics
+        if isinstance(order, Load):
+            ended = self._client.load(
+                self._engine,
+                order.lora_name,
+                order.source,
+                self._fencing,
+            )
+            (metrics.loads if ended.is_ok() else metrics.load_failures).inc()
+            return ended.is_ok()
+        if not self._is_idle(order.lora_name):
+            return False
+        ended = self._client.unload(self._engine, order.lora_name, self._fencing)
+        if ended.is_ok():
+            metrics.evictions.inc()
+        return ended.is_ok()
+
+    def _is_idle(self, lora_name: str) -> bool:
+        """Look once more before an eviction.
+
+        A request may run there without our permit: a lapsed holder in an outage of
+        the log granted it. The engine's list shows it; the pins here do not.
+        """
+        view = self._read()
+        if view is None:
+            return False
+        return lora_name not in view.running_by_request_id.values()
--- /dev/null
+++ b/bamboovale/entry/caller_app.py
@@ -0,0 +1,184 @@
+"""The WSGI application of the callers' port."""
+
+import json
+import random
+import threading
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs
+
+from result import Err
+
+from bamboovale.entry.caller_request import CallerRequest, read_request
+from bamboovale.entry.ending import JSON_TYPE, CallerAnswer, ClosingChunks
+from bamboovale.entry.model_call import PATHS as MODEL_PATHS
+from bamboovale.entry.model_requests import ModelRequests
+from bamboovale.entry.service_calls import PREFIX as SERVICE_PREFIX
+from bamboovale.entry.service_calls import ServiceCalls
+from bamboovale.environment import Environment
+from bamboovale.errors import ErrorCode, Refusal
+from bamboovale.models import VM
+from bamboovale.views import Views
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class CallerApp:
+    """Answers callers, each request on a thread of the HTTP server."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        views: Views,
+        models: ModelRequests,
+        services: ServiceCalls,
+    ) -> None:
+        self._environment = environment
+        self._views = views
+        self._models = models
+        self._services = services
+        self.closed = False
+        self._running = 0
+        self._lock = threading.Lock()
+
+    @property
+    def running(self) -> int:
+        """Return the requests that are being answered."""
+        return self._running
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one request (WSGI)."""
+        self._count(1)
+        try:
+            answer = self._answer(environ)
+        except BaseException:
+            self._count(-1)
+            raise
+
+        def count_end() -> None:
+            self._count(-1)
+            metrics = self._environment.metrics
+            metrics.requests.labels(outcome=answer.ending.code).inc()
+
+        phrase = HTTPStatus(answer.status).phrase
+        start_response(f"{answer.status} {phrase}", answer.headers)
+        return ClosingChunks(answer.chunks, count_end)
+
+    def _count(self, change: int) -> None:
+        with self._lock:
+            self._running += change
+        self._environment.metrics.requests_running.set(self._running)
+
+    def _answer(self, environ: dict[str, Any]) -> CallerAnswer:
+        limit = self._environment.settings.max_body_bytes
+        request = read_request(environ, limit, self._environment.now())
+        if isinstance(request, Err):
+            # What is left of the body is not read: it may be endless.
+            environ["bamboovale.close"]()
+            return CallerAnswer.refusal(
+                request.err_value,
+                environ.get("HTTP_X_REQUEST_ID", "")[:128],
+            )
+        return self._route(request.ok_value, environ)
+
+    def _route(self, request: CallerRequest, environ: dict[str, Any]) -> CallerAnswer:
+        path = request.path
+        if path == "/healthz":
+            return _json(200, {"ready": self._views.serving})
+        if path == "/v1/entries":
+            return self._only_get(request, self._entries)
+        refusal = self._not_serving(environ)
+        if refusal is not None:
+            return CallerAnswer.refusal(refusal, request.request_id)
+        if path == "/v1/models":
+            return self._only_get(request, self._list_models)
+        if path in MODEL_PATHS:
+            if request.method != "POST":
+                return _method_not_allowed(request, "POST")
+            return self._models.answer(request)
+        if path.startswith(SERVICE_PREFIX):
+            raw_path = environ.get("REQUEST_URI", path).partition("?")[0]
+            return self._services.answer(request, raw_path)
+        refusal = Refusal(ErrorCode.NOT_FOUND, f"no path {path[:128]}", not_run=True)
+        return CallerAnswer.refusal(refusal, request.request_id)
+
+    def _not_serving(self, environ: dict[str, Any]) -> Refusal | None:
+        """Refuse while this VM stops, or cannot vouch for what it knows."""
+        if self.closed:
+            environ["bamboovale.close"]()
+            return Refusal(
+                ErrorCode.DRAINING,
+                "this entry VM is stopping; ask for the entries again",
+                not_run=True,
+                retry_after_s=0.0,
+            )
+        if not self._views.serving:
+            return Refusal(
+                ErrorCode.NOT_READY,
+                "this entry VM has no sure view of the catalogue",
+                not_run=True,
+                retry_after_s=1.0,
+            )
+        return None
+
+    def _only_get(
+        self,
+        request: CallerRequest,
+        answer: Callable[[CallerRequest], CallerAnswer],
+    ) -> CallerAnswer:
+        if request.method != "GET":
+            return _method_not_allowed(request, "GET")
+        return answer(request)
+
+    def _entries(self, request: CallerRequest) -> CallerAnswer:
+        """Tell which entry VMs to use: the caller's failure domain first."""
+        near = parse_qs(request.query).get("failure_domain", [""])[0]
+        usable = self._views.membership.usable_entry_vms()
+        own_id = self._environment.settings.id
+        if not self._views.serving and len(usable) > 1:
+            usable = [vm for vm in usable if vm.id != own_id]
+        entries = [_entry_row(vm) for vm in _ordered(usable, near)]
+        ttl_s = self._environment.settings.entries_ttl_s
+        return _json(200, {"entries": entries, "valid_for_s": ttl_s})
+
+    def _list_models(self, request: CallerRequest) -> CallerAnswer:
+        catalogue = self._views.catalogue
+        names = [] if catalogue is None else sorted(catalogue.adapter_by_name)
+        data = [{"id": name, "object": "model"} for name in names]
+        return _json(200, {"object": "list", "data": data})
+
+
+def _ordered(vms: list[VM], near: str) -> list[VM]:
+    """Spread callers over the VMs: a new order for each, near ones first."""
+    shuffled = random.sample(vms, len(vms))
+    return sorted(shuffled, key=lambda vm: vm.failure_domain != near)
+
+
+def _entry_row(vm: VM) -> dict[str, Any]:
+    return {
+        "id": vm.id,
+        "address": vm.address,
+        "port": vm.ports.get("callers"),
+        "failure_domain": vm.failure_domain,
+        "region": vm.region,
+    }
+
+
+def _json(status: int, value: Any) -> CallerAnswer:
+    return CallerAnswer.whole(status, [JSON_TYPE], json.dumps(value).encode())
+
+
+def _method_not_allowed(request: CallerRequest, allowed: str) -> CallerAnswer:
+    refusal = Refusal(
+        ErrorCode.METHOD_NOT_ALLOWED,
+        f"only {allowed} is known here",
+        not_run=True,
+    )
+    answer = CallerAnswer.refusal(refusal, request.request_id)
+    answer.headers.append(("Allow", allowed))
+    return answer
--- /dev/null
+++ b/bamboovale/entry/crashes.py
@@ -0,0 +1,90 @@
+"""Tells which requests were running when an engine crashed, here and to the peers."""
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+
+from result import Ok
+
+from bamboovale.decisions.suspects import CrashNotice
+from bamboovale.decisions.work import Permit
+from bamboovale.engines.client import EngineAddress, EngineOrders
+from bamboovale.entry.desk import DecisionDesk
+from bamboovale.environment import Environment
+from bamboovale.views import Views
+
+RESTART_WAIT_S = 60.0
+"""How long to wait for an unreachable engine to say whether it restarted."""
+
+LOOK_EVERY_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+class CrashReports:
+    """Finds out whether a broken run was a crash of its engine."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        views: Views,
+        desk: DecisionDesk,
+        engines: EngineOrders,
+        publish: Callable[[CrashNotice], None],
+    ) -> None:
+        self._environment = environment
+        self._views = views
+        self._desk = desk
+        self._engines = engines
+        self._publish = publish
+
+    def report(self, permit: Permit, fingerprint: str, *, alone: bool) -> bool:
+        """Report the request if its engine crashed; return whether it did.
+
+        An engine that does not answer may only be cut off. That is enough to suspect
+        the request, not to refuse it everywhere: for that its new boot id is awaited.
+        """
+        boot_id = self._read_boot_id(permit.engine_id)
+        if boot_id == permit.boot_id:
+            return False
+        self._environment.metrics.suspects.inc()
+        proved = alone and boot_id is not None
+        self._tell(permit, fingerprint, alone=proved)
+        if alone and not proved:
+            threading.Thread(
+                target=self._await_restart,
+                args=(permit, fingerprint),
+                name="await-restart",
+                daemon=True,
+            ).start()
+        return True
+
+    def _await_restart(self, permit: Permit, fingerprint: str) -> None:
+        give_up_at = self._environment.now() + RESTART_WAIT_S
+        while self._environment.now() < give_up_at:
+            time.sleep(LOOK_EVERY_S)
+            boot_id = self._read_boot_id(permit.engine_id)
+            if boot_id is None:
+                continue
+            if boot_id != permit.boot_id:
+                self._tell(permit, fingerprint, alone=True)
+            return
+
+    def _tell(self, permit: Permit, fingerprint: str, *, alone: bool) -> None:
+        notice = CrashNotice(fingerprint, permit.engine_id, permit.boot_id, alone)
+        if self._desk.on_crash(notice):
+            logger.warning(
+                "engine %s crashed under request %s (alone: %s)",
+                permit.engine_id,
+                permit.request_id,
+                alone,
+            )
+            self._publish(notice)
+
+    def _read_boot_id(self, engine_id: str) -> str | None:
+        address = self._views.membership.address_of(engine_id, "http")
+        if address is None:
+            return None
+        state = self._engines.read_state(EngineAddress(engine_id, *address))
+        return state.ok_value.boot_id if isinstance(state, Ok) else None
--- /dev/null
+++ b/bamboovale/entry/desk.py
@@ -0,0 +1,197 @@
+"""The decisions of one entry VM under one lock, for its many caller threads."""
+
+import random
+import threading
+from collections import defaultdict
+from collections.abc import Collection
+from typing import Any
+
+from bamboovale.decisions.admission import Admission, AdmissionConfig, Arrival
+from bamboovale.decisions.placement import (
+    EnginePlacement,
+    EngineSite,
+    PlacementConfig,
+)
+from bamboovale.decisions.policy import Policy
+from bamboovale.decisions.retries import RetryBudget, RetryConfig
+from bamboovale.decisions.routing import ServiceRouter
+from bamboovale.decisions.suspects import CrashNotice, Suspects
+from bamboovale.decisions.work import EngineHint, WorkItem
+from bamboovale.environment import Environment
+from bamboovale.errors import Refusal
+from bamboovale.models import VM, VMKind
+from bamboovale.views import Views
+
+BYTES_PER_PLACE = 64 * 1024
+"""Mean body that a place may hold; a node's 64 MB leave about that much for bodies."""
+
+REFUSING_THREADS = 8
+"""Threads kept free of admitted work, so that a full VM still refuses at once."""
+
+
+class DecisionDesk:
+    """Placement, admission, routing, retries and suspects of this entry VM.
+
+    The decisions are pure and take microseconds; a lock around them costs less than a
+    message to an actor and back for each request.
+    """
+
+    def __init__(self, environment: Environment, views: Views, policy: Policy) -> None:
+        settings = environment.settings
+        places = max(1, settings.caller_threads - REFUSING_THREADS)
+        self._environment = environment
+        self._views = views
+        self._lock = threading.Lock()
+        self._rng = random.Random(environment.rng.random())
+        self._placement = EnginePlacement.from_config(
+            PlacementConfig(failure_domain=settings.failure_domain),
+            policy,
+        )
+        self._admission = Admission.from_config(
+            AdmissionConfig(
+                places=places,
+                size_bytes=max(settings.max_body_bytes, places * BYTES_PER_PLACE),
+            )
+        )
+        self._retries = RetryBudget.from_config(RetryConfig())
+        self._suspects = Suspects()
+        self._router_by_pool: dict[str, ServiceRouter] = defaultdict(ServiceRouter)
+
+    # Events.
+
+    def on_membership(self) -> None:
+        """Take the present VMs."""
+        membership = self._views.membership
+        catalogue = self._views.catalogue
+        pools = {} if catalogue is None else catalogue.pool_by_name
+        live = [vm for vm in membership.vm_by_id.values() if vm.state == "live"]
+        sites = [_site(vm, pools) for vm in live if vm.kind is VMKind.RUNNER]
+        entries = max(1, len(membership.usable_entry_vms()))
+        with self._lock:
+            self._placement.set_engines(site for site in sites if site is not None)
+            self._placement.set_live_entries(entries)
+            self._admission.set_live_entries(entries)
+            for pool in {vm.pool for vm in live if vm.kind is VMKind.SERVICE}:
+                self._router_by_pool[pool]
+            for pool, router in self._router_by_pool.items():
+                router.set_endpoints(vm.id for vm in membership.live_endpoints(pool))
+
+    def on_hint(self, hint: EngineHint) -> None:
+        """Take what a lease holder tells of its engine."""
+        with self._lock:
+            self._placement.on_hint(hint, self._now())
+
+    def on_crash(self, notice: CrashNotice) -> bool:
+        """Note a request seen at a crash; False if it was known."""
+        with self._lock:
+            return self._suspects.on_notice(notice, self._now())
+
+    def on_answered(self, fingerprint: str) -> None:
+        """Clear a suspect whose run ended."""
+        with self._lock:
+            self._suspects.on_answered(fingerprint, self._now())
+
+    def on_tick(self) -> None:
+        """Let time pass for all decisions."""
+        now = self._now()
+        with self._lock:
+            self._placement.on_tick(now)
+            for router in self._router_by_pool.values():
+                router.on_tick(now)
+
+    # Admission and repeats.
+
+    def admit(self, arrival: Arrival) -> Refusal | None:
+        """Take a request in, or return its refusal."""
+        with self._lock:
+            now = self._now()
+            refusal = self._admission.on_request(arrival, now, self._rng)
+            if refusal is None:
+                self._retries.on_fresh(now)
+            return refusal
+
+    def done(self, request_id: str) -> None:
+        """Free what a request held."""
+        with self._lock:
+            self._admission.on_done(request_id)
+
+    def may_repeat(self) -> bool:
+        """Take one repeat from the budget."""
+        with self._lock:
+            return self._retries.take(self._now())
+
+    # Engines.
+
+    def crash_refusal(self, fingerprint: str) -> Refusal | None:
+        """Return the final answer for a request that crashes endpoints."""
+        with self._lock:
+            return self._suspects.refusal(fingerprint, self._now())
+
+    def crashed_endpoints(self, fingerprint: str) -> frozenset[str]:
+        """Return the endpoints that a suspect must not run on again."""
+        with self._lock:
+            return self._suspects.crashed_endpoints(fingerprint, self._now())
+
+    def choose_engine(
+        self,
+        item: WorkItem,
+        base_model: str,
+        excluded: Collection[str],
+    ) -> str | None:
+        """Return the engine to ask for a place."""
+        with self._lock:
+            engine_id = self._placement.choose_engine(
+                item,
+                base_model,
+                self._now(),
+                self._rng,
+                excluded,
+            )
+            if engine_id is not None:
+                self._placement.on_sent(engine_id)
+            return engine_id
+
+    # Plain services.
+
+    def choose_endpoint(
+        self,
+        pool: str,
+        call_id: str,
+        excluded: Collection[str],
+    ) -> str | None:
+        """Return the endpoint to call and count the call."""
+        with self._lock:
+            router = self._router_by_pool[pool]
+            now = self._now()
+            endpoint_id = router.choose(now, self._rng, excluded)
+            if endpoint_id is not None:
+                router.on_start(endpoint_id, call_id, now)
+            return endpoint_id
+
+    def call_ended(self, pool: str, endpoint_id: str, call_id: str, ok: bool) -> None:
+        """Count the end of a call."""
+        with self._lock:
+            router = self._router_by_pool[pool]
+            router.on_end(endpoint_id, call_id, self._now(), ok=ok)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON."""
+        with self._lock:
+            return {
+                "open_requests": self._admission.open,
+                "suspects": len(self._suspects),
+                "ejected": {
+                    pool: router.ejected()
+                    for pool, router in self._router_by_pool.items()
+                },
+            }
+
+    def _now(self) -> float:
+        return self._environment.now()
+
+
+def _site(vm: VM, pools: Any) -> EngineSite | None:
+    pool = pools.get(vm.pool)
+    if pool is None:
+        return None
+    return EngineSite(vm.id, pool.base_model, vm.failure_domain)
--- /dev/null
+++ b/bamboovale/entry/endpoint_connections.py
@@ -0,0 +1,153 @@
+"""Connections to endpoints, opened and closed one request at a time.
+
+The entry VM must know whether a byte of a request can have reached the endpoint, and
+must be able to break off a running request from another thread. A pool that hides its
+connections offers neither, so this module holds ``urllib3`` connections itself.
+"""
+
+import contextlib
+import socket
+import threading
+from collections import defaultdict
+
+from urllib3 import BaseHTTPResponse
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+
+from bamboovale.http_client import CONNECT_TIMEOUT_S
+
+MAX_IDLE_PER_ENDPOINT = 32
+"""Kept connections; more than the batch of an engine are never busy at once."""
+
+
+class ConnectFailedError(Exception):
+    """No connection came about: the request was not sent."""
+
+
+class ExchangeFailedError(Exception):
+    """The connection broke after sending began: the request may have run."""
+
+
+class Exchange:
+    """One request on one connection."""
+
+    def __init__(self, connection: HTTPConnection) -> None:
+        self.connection = connection
+        self.response: BaseHTTPResponse | None = None
+        self.aborted = False
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> BaseHTTPResponse:
+        """Send the request and wait for the head of the answer."""
+        try:
+            self.connection.request(
+                method,
+                path,
+                body=body,
+                headers=headers,
+                preload_content=False,
+                decode_content=False,
+            )
+            self.response = self.connection.getresponse()
+        except (HTTPError, OSError, ValueError) as error:
+            raise ExchangeFailedError(type(error).__name__) from error
+        return self.response
+
+    def abort(self) -> None:
+        """Break the connection off; safe to call from another thread."""
+        self.aborted = True
+        sock = self.connection.sock
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+
+class EndpointConnections:
+    """Idle connections by address.
+
+    A connection on which an answer was given up on is closed and never used again:
+    what still arrives on it would be taken for the answer to the next request.
+    """
+
+    def __init__(self, source_address: str) -> None:
+        self._source = (source_address, 0)
+        self._idle_by_address: dict[tuple[str, int], list[HTTPConnection]] = (
+            defaultdict(list)
+        )
+        self._lock = threading.Lock()
+
+    def open(
+        self,
+        address: tuple[str, int],
+        read_timeout_s: float,
+        *,
+        fresh: bool = False,
+    ) -> Exchange:
+        """Return an exchange on a connected socket.
+
+        ``fresh`` is for requests that may run once only: a kept connection that the
+        endpoint closes just now breaks after sending, and nobody could tell whether
+        the request ran.
+        """
+        connection = None if fresh else self._take_idle(address)
+        if connection is None:
+            connection = self._connect(address)
+        assert connection.sock is not None
+        connection.sock.settimeout(read_timeout_s)
+        return Exchange(connection)
+
+    def give_back(self, address: tuple[str, int], exchange: Exchange) -> None:
+        """Keep the connection; its answer was read to the end."""
+        response = exchange.response
+        reusable = (
+            response is not None
+            and not exchange.aborted
+            and response.headers.get("Connection", "").lower() != "close"
+        )
+        with self._lock:
+            idle = self._idle_by_address[address]
+            if reusable and len(idle) < MAX_IDLE_PER_ENDPOINT:
+                idle.append(exchange.connection)
+                return
+        exchange.connection.close()
+
+    def discard(self, exchange: Exchange) -> None:
+        """Close the connection; whatever still arrives on it is nobody's answer."""
+        exchange.connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            for idle in self._idle_by_address.values():
+                for connection in idle:
+                    connection.close()
+            self._idle_by_address.clear()
+
+    def _take_idle(self, address: tuple[str, int]) -> HTTPConnection | None:
+        with self._lock:
+            idle = self._idle_by_address[address]
+            while idle:
+                connection = idle.pop()
+                if connection.is_connected:
+                    return connection
+                connection.close()
+        return None
+
+    def _connect(self, address: tuple[str, int]) -> HTTPConnection:
+        connection = HTTPConnection(
+            address[0],
+            address[1],
+            timeout=CONNECT_TIMEOUT_S,
+            source_address=self._source,
+        )
+        try:
+            connection.connect()
+        except (HTTPError, OSError) as error:
+            connection.close()
+            raise ConnectFailedError(type(error).__name__) from error
+        return connection
--- /dev/null
+++ b/bamboovale/entry/engine_run.py
@@ -0,0 +1,201 @@
+"""One run of one request on one engine, under a permit."""
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from urllib3 import BaseHTTPResponse
+from urllib3.exceptions import HTTPError
+
+from bamboovale.entry.endpoint_connections import (
+    ConnectFailedError,
+    EndpointConnections,
+    Exchange,
+    ExchangeFailedError,
+)
+
+HEAD_TIMEOUT_S = 600.0
+"""A whole answer of some thousand tokens at 56 ms each, behind the engine's queue."""
+
+STREAM_READ_BYTES = 64 * 1024
+DONE_EVENT = b"data: [DONE]"
+EVENT_END = b"\n\n"
+
+
+class RunFailure(StrEnum):
+    """Why a run brought no whole answer."""
+
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    WRONG = "wrong"
+    REJECTED = "rejected"
+
+
+class RunFailedError(Exception):
+    """A run that ended without a whole answer.
+
+    ``NOT_SENT`` and ``REFUSED`` did not run. ``REJECTED`` carries the engine's own
+    4xx answer, which is final and was not run either.
+    """
+
+    def __init__(self, failure: RunFailure, reason: str, answer: bytes = b"") -> None:
+        super().__init__(reason)
+        self.failure = failure
+        self.answer = answer
+
+    @property
+    def not_run(self) -> bool:
+        """Tell whether the request surely did not run."""
+        return self.failure in (
+            RunFailure.NOT_SENT,
+            RunFailure.REFUSED,
+            RunFailure.REJECTED,
+        )
+
+
+@dataclass(frozen=True)
+class RunTarget:
+    """Where a run goes and as what: the answer must name both names."""
+
+    address: tuple[str, int]
+    attempt_id: str
+    lora_name: str
+
+
+class EngineRun:
+    """Sends one attempt and reads its answer, checking whose it is."""
+
+    def __init__(
+        self,
+        connections: EndpointConnections,
+        target: RunTarget,
+        *,
+        fresh: bool,
+    ) -> None:
+        self._connections = connections
+        self._target = target
+        self._finished = False
+        try:
+            self.exchange: Exchange = connections.open(
+                target.address,
+                HEAD_TIMEOUT_S,
+                fresh=fresh,
+            )
+        except ConnectFailedError as error:
+            raise RunFailedError(RunFailure.NOT_SENT, str(error)) from error
+
+    def send(self, path: str, body: bytes) -> BaseHTTPResponse:
+        """Send the request and judge the head of its answer."""
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": self._target.attempt_id,
+        }
+        try:
+            response = self.exchange.send("POST", path, body, headers)
+        except ExchangeFailedError as error:
+            raise RunFailedError(RunFailure.BROKEN, str(error)) from error
+        if response.status != 200:
+            raise self._head_failure(response)
+        return response
+
+    def read_whole(self, response: BaseHTTPResponse) -> bytes:
+        """Return the whole answer of a request that is not a stream."""
+        data = self._read(response)
+        try:
+            answer = json.loads(data)
+        except ValueError as error:
+            raise RunFailedError(RunFailure.WRONG, "the answer is not JSON") from error
+        self._check_owner(answer)
+        self._check_whole(answer)
+        self._finished = True
+        self._connections.give_back(self._target.address, self.exchange)
+        return data
+
+    def read_events(self, response: BaseHTTPResponse) -> Iterator[bytes]:
+        """Yield the events of a stream up to its end marker.
+
+        Raises RunFailedError(BROKEN) for a stream without the marker at its end: who read it
+        would take the part for the whole.
+        """
+        pending = b""
+        first = True
+        for chunk in self._read_chunks(response):
+            pending += chunk
+            while EVENT_END in pending:
+                event, pending = pending.split(EVENT_END, 1)
+                if event.strip() == DONE_EVENT:
+                    self._read_rest(response)
+                    return
+                if first:
+                    self._check_owner(_event_json(event))
+                    first = False
+                yield event + EVENT_END
+        raise RunFailedError(
+            RunFailure.BROKEN, "the stream ended without its end marker"
+        )
+
+    def give_up(self) -> None:
+        """Close the connection: it cancels the run, and no late answer is read."""
+        if not self._finished:
+            self._connections.discard(self.exchange)
+
+    def _read(self, response: BaseHTTPResponse) -> bytes:
+        try:
+            return response.read()
+        except (HTTPError, OSError, ValueError) as error:
+            raise RunFailedError(RunFailure.BROKEN, type(error).__name__) from error
+
+    def _read_chunks(self, response: BaseHTTPResponse) -> Iterator[bytes]:
+        try:
+            yield from response.stream(STREAM_READ_BYTES)
+        except (HTTPError, OSError, ValueError, AttributeError) as error:
+            raise RunFailedError(RunFailure.BROKEN, type(error).__name__) from error
+
+    def _read_rest(self, response: BaseHTTPResponse) -> None:
+        """Read the empty end of the stream, so that the connection can be kept."""
+        try:
+            rest = response.read()
+        except (HTTPError, OSError, ValueError, AttributeError):
+            rest = b"?"
+        if not rest:
+            self._finished = True
+            self._connections.give_back(self._target.address, self.exchange)
+
+    def _head_failure(self, response: BaseHTTPResponse) -> RunFailedError:
+        data = self._read(response)
+        if response.status in (404, 503):
+            # The engine says itself that it did not take the request: the adapter is
+            # not loaded there (any more), or it is full.
+            return RunFailedError(RunFailure.REFUSED, f"status {response.status}")
+        if 400 <= response.status < 500:
+            return RunFailedError(
+                RunFailure.REJECTED, f"status {response.status}", data
+            )
+        return RunFailedError(RunFailure.BROKEN, f"status {response.status}")
+
+    def _check_owner(self, answer: Any) -> None:
+        """Refuse an answer that is another request's or another version's.
+
+        It shows as an id or a model that differs from what was sent: a connection
+        mixed up, an engine that fell back to another adapter.
+        """
+        target = self._target
+        named = isinstance(answer, dict) and (answer.get("id"), answer.get("model"))
+        if named != (target.attempt_id, target.lora_name):
+            raise RunFailedError(RunFailure.WRONG, f"the answer names {named}")
+
+    def _check_whole(self, answer: dict[str, Any]) -> None:
+        choices = answer.get("choices")
+        if not choices or not choices[0].get("finish_reason"):
+            raise RunFailedError(RunFailure.WRONG, "the answer has no finished choice")
+
+
+def _event_json(event: bytes) -> Any:
+    text = event.partition(b"data:")[2]
+    try:
+        return json.loads(text)
+    except ValueError as error:
+        raise RunFailedError(RunFailure.WRONG, "an event is not JSON") from error
--- /dev/null
+++ b/bamboovale/entry/hangups.py
@@ -0,0 +1,70 @@
+"""Notices callers that hang up while their request waits or runs.
+
+A thread that waits for a permit or for an engine does not look at the caller's
+socket. Without this, the engine would go on working for nobody: at overload, callers
+that lost patience and asked again would double the load.
+"""
+
+import contextlib
+import select
+import socket
+import threading
+from collections.abc import Callable, Iterator
+
+POLL_S = 1.0
+_GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+
+
+class HangupWatcher:
+    """One thread that watches the sockets of all waiting callers."""
+
+    def __init__(self) -> None:
+        self._epoll = select.epoll()
+        self._callback_by_descriptor: dict[int, Callable[[], None]] = {}
+        self._lock = threading.Lock()
+        self._stopping = False
+        self._thread = threading.Thread(
+            target=self._run,
+            name="hangups",
+            daemon=True,
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread."""
+        self._stopping = True
+        self._thread.join(timeout=2 * POLL_S)
+        self._epoll.close()
+
+    @contextlib.contextmanager
+    def watch(
+        self,
+        caller: socket.socket | None,
+        on_hangup: Callable[[], None],
+    ) -> Iterator[None]:
+        """Call ``on_hangup`` once, from the watcher's thread, if the caller goes."""
+        if caller is None or caller.fileno() < 0:
+            yield
+            return
+        descriptor = caller.fileno()
+        with self._lock:
+            self._callback_by_descriptor[descriptor] = on_hangup
+            self._epoll.register(descriptor, _GONE | select.EPOLLONESHOT)
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._callback_by_descriptor.pop(descriptor, None)
+                with contextlib.suppress(OSError):
+                    self._epoll.unregister(descriptor)
+
+    def _run(self) -> None:
+        while not self._stopping:
+            for descriptor, _ in self._epoll.poll(POLL_S):
+                with self._lock:
+                    callback = self._callback_by_descriptor.pop(descriptor, None)
+                if callback is not None:
+                    callback()
--- /dev/null
+++ b/bamboovale/entry/holder_links.py
@@ -0,0 +1,91 @@
+"""The way from this VM's requests to lease holders, here or on a peer."""
+
+from concurrent.futures import Future
+from typing import Any
+
+from bamboovale.actors import tell
+from bamboovale.engines.holder import (
+    AskReceived,
+    CancelReceived,
+    ReleaseReceived,
+)
+from bamboovale.entry.holders import Holders
+from bamboovale.errors import ErrorCode
+from bamboovale.peers.links import PeerLinks
+from bamboovale.peers.messages import (
+    PermitAsk,
+    PermitCancel,
+    PermitRelease,
+    PermitReply,
+)
+from bamboovale.views import Views
+
+
+class HolderRoutes:
+    """Implements :class:`~bamboovale.entry.permits.HolderLinks`."""
+
+    def __init__(
+        self,
+        own_id: str,
+        views: Views,
+        holders: Holders,
+        links: PeerLinks,
+    ) -> None:
+        self._own_id = own_id
+        self._views = views
+        self._holders = holders
+        self._links = links
+
+    def holder_of(self, engine_id: str) -> str | None:
+        """Return the VM that holds the engine's lease, as far as is known."""
+        return self._views.holder_by_engine.get(engine_id)
+
+    def ask(self, holder: str, ask: PermitAsk, timeout_s: float) -> "Future[Any]":
+        """Send the first ask of a request."""
+        if holder != self._own_id:
+            return self._links.request(holder, ask, timeout_s)
+        future: Future[Any] = Future()
+        deliver_ask(self._holders, self._own_id, ask, future.set_result)
+        return future
+
+    def tell(self, holder: str, message: Any) -> None:
+        """Send a message that needs no answer."""
+        if holder != self._own_id:
+            self._links.notify(holder, message)
+        else:
+            deliver_notice(self._holders, self._own_id, message)
+
+
+def deliver_ask(
+    holders: Holders,
+    from_vm: str,
+    ask: PermitAsk,
+    reply: Any,
+) -> None:
+    """Hand an ask to the engine's holder here, or send it elsewhere."""
+    holder = holders.find(ask.engine_id)
+    if holder is None:
+        reply(
+            PermitReply(
+                request_id=ask.request_id,
+                code=ErrorCode.NO_ENDPOINT,
+                reason="the lease on the engine is not here",
+                retry_after_s=0.0,
+                elsewhere=True,
+            )
+        )
+        return
+    tell(holder, AskReceived(from_vm, ask, reply))
+
+
+def deliver_notice(holders: Holders, from_vm: str, message: Any) -> None:
+    """Hand a repeat, a cancellation or a release to the engine's holder here."""
+    holder = holders.find(message.engine_id)
+    if holder is None:
+        return
+    if isinstance(message, PermitAsk):
+        tell(holder, AskReceived(from_vm, message, None))
+    elif isinstance(message, PermitCancel):
+        tell(holder, CancelReceived(message.request_id))
+    elif isinstance(message, PermitRelease):
+        tell(holder, ReleaseReceived(message.permit_id))
--- /dev/null
+++ b/bamboovale/entry/http_server.py
@@ -0,0 +1,71 @@
+"""HTTP listeners of an entry VM, one for callers and one for administration."""
+
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from cheroot import wsgi
+from cheroot.server import HTTPServer
+
+SOCKET_TIMEOUT_S = 5
+"""A caller that sends or reads nothing for this long is let go: it holds a thread."""
+
+KEPT_CONNECTIONS = 1000
+"""Idle connections of callers; each costs a descriptor and no thread."""
+
+ACCEPT_QUEUE = 256
+MAX_HEADER_BYTES = 32 * 1024
+BODY_SLACK_BYTES = 1024
+"""Our own check of a body's size answers in our form; the server's own, a little
+further up, is for bodies that lie about their size."""
+
+
+class ConnectionGateway(wsgi.Gateway_10):
+    """Gives the application the connection: to notice hang-ups, and to close it."""
+
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        """Return the WSGI environment with the connection's socket."""
+        environ = super().get_environ()
+        request = self.req
+        environ["bamboovale.socket"] = request.conn.socket
+        environ["bamboovale.close"] = lambda: setattr(request, "close_connection", True)
+        return environ
+
+
+class HttpListener:
+    """One listening port with its threads."""
+
+    def __init__(
+        self,
+        name: str,
+        address: tuple[str, int],
+        app: Callable[..., Any],
+        threads: int,
+        max_body_bytes: int,
+    ) -> None:
+        self._server: HTTPServer = wsgi.Server(
+            address,
+            app,
+            numthreads=threads,
+            request_queue_size=ACCEPT_QUEUE,
+            timeout=SOCKET_TIMEOUT_S,
+        )
+        self._server.gateway = ConnectionGateway
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.max_request_body_size = 2 * max_body_bytes + BODY_SLACK_BYTES
+        self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
+        self._thread = threading.Thread(
+            target=self._server.serve,
+            name=f"http-{name}",
+            daemon=True,
+        )
+
+    def start(self) -> None:
+        """Bind the port and serve; raises OSError if it cannot be bound."""
+        self._server.prepare()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop listening and end the threads."""
+        self._server.stop()
+        self._thread.join(timeout=SOCKET_TIMEOUT_S)
--- /dev/null
+++ b/bamboovale/entry/keyed.py
@@ -0,0 +1,237 @@
+"""Requests with an ``Idempotency-Key``: run at most once, whoever repeats them."""
+
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future
+from typing import Any
+
+import pykka
+
+from bamboovale.actors import tell
+from bamboovale.claims.answers import (
+    MAX_BODY_BYTES,
+    AnswerState,
+    AnswerStore,
+    KeptAnswer,
+)
+from bamboovale.claims.fold import ClaimOutcome, KeyReport, Verdict
+from bamboovale.claims.keeper import ClaimAsked, ClaimEnded
+from bamboovale.claims.records import Answered, Claim, Released
+from bamboovale.entry.caller_request import CallerRequest
+from bamboovale.entry.ending import CallerAnswer, ClosingChunks, Ending
+from bamboovale.environment import Environment
+from bamboovale.errors import ErrorCode, Refusal
+
+CLAIM_WAIT_S = 2.0
+"""A claim is read back within tens of milliseconds; past this the log is in trouble
+and the caller is told at once that its request was not run."""
+
+POLL_S = 0.2
+LONGEST_POLL_S = 10.0
+"""How long a repeat waits for the answer of the attempt that runs."""
+
+FindAnswer = Callable[[str, str], KeptAnswer]
+
+
+class KeyedRequests:
+    """Claims the key first, then runs, then keeps the answer for repeats."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        claims: pykka.ActorRef,
+        answers: AnswerStore,
+        find_answer: FindAnswer,
+    ) -> None:
+        self._environment = environment
+        self._claims = claims
+        self._answers = answers
+        self._find_answer = find_answer
+
+    def answer(
+        self,
+        request: CallerRequest,
+        attempt_id: str,
+        owner: str,
+        run: Callable[[], CallerAnswer],
+    ) -> CallerAnswer:
+        """Run the request if its key is won, else answer from what is known."""
+        claim = self._make_claim(request, attempt_id, owner)
+        self._answers.begin(attempt_id)
+        outcome = self._claim(claim, request)
+        if outcome is None:
+            return self._refuse(
+                request,
+                ErrorCode.LOG_UNAVAILABLE,
+                "the key could not be claimed on the log",
+                retry_after_s=2.0,
+            )
+        if outcome.verdict is Verdict.WON:
+            return self._run(request, claim, run)
+        return self._answer_loser(request, outcome)
+
+    def _make_claim(
+        self,
+        request: CallerRequest,
+        attempt_id: str,
+        owner: str,
+    ) -> Claim:
+        assert request.key is not None
+        return Claim(
+            key=request.key,
+            owner=owner,
+            body_hash=request.body_hash,
+            node=self._environment.settings.id,
+            incarnation=self._environment.incarnation,
+            attempt_id=attempt_id,
+            at=self._environment.wall_clock(),
+        )
+
+    def _claim(self, claim: Claim, request: CallerRequest) -> ClaimOutcome | None:
+        """Wait until the claim is read back; None: it is never sent."""
+        now = self._environment.now()
+        wait_s = min(CLAIM_WAIT_S, request.deadline_s or CLAIM_WAIT_S)
+        future: Future[ClaimOutcome | None] = Future()
+        tell(self._claims, ClaimAsked(claim, now + wait_s, future))
+        return future.result()
+
+    def _run(
+        self,
+        request: CallerRequest,
+        claim: Claim,
+        run: Callable[[], CallerAnswer],
+    ) -> CallerAnswer:
+        try:
+            answer = run()
+        except BaseException:
+            self._settle(claim, KeptAnswer(AnswerState.UNKNOWN))
+            raise
+        copy = _Copy(answer)
+
+        def settle() -> None:
+            self._settle(claim, copy.kept())
+
+        chunks = ClosingChunks(copy, settle)
+        return CallerAnswer(answer.status, answer.headers, chunks, answer.ending)
+
+    def _settle(self, claim: Claim, kept: KeptAnswer) -> None:
+        self._answers.end(claim.attempt_id, kept)
+        item: Answered | Released
+        if kept.state is AnswerState.NOT_RUN:
+            item = Released(claim.key, claim.owner, claim.attempt_id)
+        elif kept.state is AnswerState.ANSWERED:
+            item = Answered(claim.key, claim.owner, claim.attempt_id, kept.status)
+        else:
+            return  # the key stays claimed: nobody knows whether it ran
+        tell(self._claims, ClaimEnded(item))
+
+    def _answer_loser(
+        self,
+        request: CallerRequest,
+        outcome: ClaimOutcome,
+    ) -> CallerAnswer:
+        verdict = outcome.verdict
+        if verdict is Verdict.BODY_DIFFERS:
+            return self._refuse(
+                request,
+                ErrorCode.KEY_REUSED,
+                "the key was used with another request",
+                retry_after_s=None,
+            )
+        if verdict is Verdict.TABLE_FULL:
+            return self._refuse(
+                request,
+                ErrorCode.OVERLOADED,
+                "too many keys are remembered",
+                retry_after_s=60.0,
+            )
+        if verdict is Verdict.LOST:
+            return self._answer_repeat(request, outcome.holder)
+        return self._unknown(request, "nobody can tell whether this key ran before")
+
+    def _answer_repeat(self, request: CallerRequest, holder: KeyReport) -> CallerAnswer:
+        """Give a repeat the first attempt's answer, once there is one."""
+        wait_s = min(LONGEST_POLL_S, request.deadline_s or LONGEST_POLL_S)
+        give_up_at = self._environment.now() + wait_s
+        while True:
+            kept = self._find_answer(holder.node, holder.attempt_id)
+            if kept.state is AnswerState.ANSWERED:
+                headers = [
+                    *_without(kept.headers, "content-length", "x-request-id"),
+                    ("X-Request-Id", request.request_id),
+                    ("X-Repeated-Answer", "1"),
+                ]
+                return CallerAnswer.whole(kept.status, headers, kept.body)
+            if kept.state is AnswerState.NOT_RUN:
+                return self._refuse(
+                    request,
+                    ErrorCode.OVERLOADED,
+                    "the first attempt with this key was not run; send it again",
+                    retry_after_s=0.5,
+                )
+            if kept.state is AnswerState.UNKNOWN:
+                return self._unknown(request, "the first attempt's answer is not known")
+            if self._environment.now() >= give_up_at:
+                return self._unknown(request, "the first attempt still runs")
+            time.sleep(POLL_S)
+
+    def _unknown(self, request: CallerRequest, message: str) -> CallerAnswer:
+        refusal = Refusal(ErrorCode.OUTCOME_UNKNOWN, message, not_run=False)
+        return CallerAnswer.refusal(refusal, request.request_id)
+
+    def _refuse(
+        self,
+        request: CallerRequest,
+        code: ErrorCode,
+        message: str,
+        retry_after_s: float | None,
+    ) -> CallerAnswer:
+        refusal = Refusal(code, message, not_run=True, retry_after_s=retry_after_s)
+        return CallerAnswer.refusal(refusal, request.request_id)
+
+
+class _Copy:
+    """Passes an answer's chunks on and keeps a bounded copy for repeats."""
+
+    def __init__(self, answer: CallerAnswer) -> None:
+        self._answer = answer
+        self._chunks = iter(answer.chunks)
+        self._kept = bytearray()
+        self._whole = True
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        chunk = next(self._chunks)
+        if self._whole and len(self._kept) + len(chunk) <= MAX_BODY_BYTES:
+            self._kept += chunk
+        else:
+            self._whole = False
+        return chunk
+
+    def close(self) -> None:
+        """End the chunks below, which settles the ending."""
+        close_chunks = getattr(self._chunks, "close", None)
+        if close_chunks is not None:
+            close_chunks()
+
+    def kept(self) -> KeptAnswer:
+        """Return what is kept for repeats."""
+        answer = self._answer
+        state = _final_state(answer.ending)
+        if state is AnswerState.ANSWERED and not self._whole:
+            state = AnswerState.UNKNOWN
+        headers = tuple(answer.headers)
+        return KeptAnswer(state, answer.status, headers, bytes(self._kept))
+
+
+def _final_state(ending: Ending) -> AnswerState:
+    """Return how the attempt ended; one broken off while running is unknown."""
+    if ending.state is AnswerState.RUNNING:
+        return AnswerState.UNKNOWN
+    return ending.state
+
+
+def _without(headers: Any, *names: str) -> list[tuple[str, str]]:
+    return [pair for pair in headers if pair[0].lower() not in names]
--- /dev/null
+++ b/bamboovale/entry/model_requests.py
@@ -0,0 +1,399 @@
+"""Model requests: from the catalogue entry to the whole answer."""
+
+import contextlib
+import itertools
+import time
+from dataclasses import dataclass, field, replace
+
+from result import Err
+
+from bamboovale.catalogue.entries import AdapterEntry
+from bamboovale.decisions.admission import Arrival, Limits
+from bamboovale.decisions.work import WorkItem
+from bamboovale.entry.caller_request import CallerRequest
+from bamboovale.entry.crashes import CrashReports
+from bamboovale.entry.desk import DecisionDesk
+from bamboovale.entry.ending import CallerAnswer, ClosingChunks
+from bamboovale.entry.engine_run import RunFailedError, RunFailure
+from bamboovale.entry.hangups import HangupWatcher
+from bamboovale.entry.keyed import KeyedRequests
+from bamboovale.entry.model_call import (
+    DEFAULT_MAX_TOKENS,
+    ModelCall,
+    read_model_call,
+)
+from bamboovale.entry.model_runs import ModelRuns, RunOrder
+from bamboovale.entry.permits import (
+    CallerGone,
+    Hangup,
+    HeldPermit,
+    PermitDesk,
+    TryElsewhere,
+)
+from bamboovale.environment import Environment
+from bamboovale.errors import ErrorCode, Refusal
+from bamboovale.models import AdapterVersion
+from bamboovale.views import Views
+
+SEARCH_S = 5.0
+"""How long to look for an engine while leases move: a killed holder's engine is served
+again within this time."""
+
+PAUSE_S = 0.1
+"""Between two rounds over all engines while none has a holder."""
+
+MAX_REFUSALS = 2
+"""A refusal may come of an old hint; the second engine's refusal is final."""
+
+MAX_RUNS = 3
+"""Runs of one request at most, whatever the retry budget would allow."""
+
+MAX_BOUNCES = 10
+"""Permits whose run did not begin (adapter gone, no connection, send-by past)."""
+
+
+class HungUpError(Exception):
+    """The caller hung up: there is nobody to answer."""
+
+
+class FinalRefusalError(Exception):
+    """The request gets this final answer."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+@dataclass
+class Attempts:
+    """What one request has tried so far."""
+
+    request: CallerRequest
+    call: ModelCall
+    entry: AdapterEntry
+    idempotent: bool
+    hangup: Hangup
+    latest_start: float
+    fingerprint: str
+    excluded: set[str] = field(default_factory=set)
+    refusals: int = 0
+    bounces: int = 0
+    runs: int = 0
+    exclusive: bool = False
+
+
+class ModelRequests:
+    """Serves ``/v1/completions`` and ``/v1/chat/completions``."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        views: Views,
+        desk: DecisionDesk,
+        permits: PermitDesk,
+        runs: ModelRuns,
+        hangups: HangupWatcher,
+        keyed: KeyedRequests,
+        crashes: CrashReports,
+    ) -> None:
+        self._environment = environment
+        self._views = views
+        self._desk = desk
+        self._permits = permits
+        self._runs = runs
+        self._hangups = hangups
+        self._keyed = keyed
+        self._crashes = crashes
+        self._attempt_numbers = itertools.count(1)
+
+    def answer(self, request: CallerRequest) -> CallerAnswer:
+        """Return the answer to a model request."""
+        call = read_model_call(request.path, request.body)
+        if isinstance(call, Err):
+            return CallerAnswer.refusal(call.err_value, request.request_id)
+        entry = self._find_entry(call.ok_value.model)
+        if entry is None:
+            refusal = Refusal(
+                ErrorCode.NOT_FOUND,
+                f"no catalogue entry {call.ok_value.model!r}",
+                not_run=True,
+            )
+            return CallerAnswer.refusal(refusal, request.request_id)
+        return self._admit(request, call.ok_value, entry)
+
+    def new_attempt_id(self, request: CallerRequest) -> str:
+        """Return an id that no other attempt of any request has."""
+        number = next(self._attempt_numbers)
+        incarnation = self._environment.incarnation[:6]
+        return f"{request.request_id}.{incarnation}{number:x}"
+
+    def _find_entry(self, name: str) -> AdapterEntry | None:
+        catalogue = self._views.catalogue
+        return None if catalogue is None else catalogue.adapter_by_name.get(name)
+
+    def _admit(
+        self,
+        request: CallerRequest,
+        call: ModelCall,
+        entry: AdapterEntry,
+    ) -> CallerAnswer:
+        fingerprint = request.fingerprint(entry.target.lora_name)
+        admission_id = self.new_attempt_id(request)
+        refusal = self._desk.crash_refusal(fingerprint) or self._desk.admit(
+            Arrival(
+                request_id=admission_id,
+                customer=entry.owner,
+                entry=f"adapter/{entry.name}",
+                limits=Limits(entry.limits.requests_per_s, entry.limits.concurrency),
+                size_bytes=len(request.body),
+            )
+        )
+        if refusal is not None:
+            return CallerAnswer.refusal(refusal, request.request_id)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._desk.done, admission_id)
+            attempts = self._begin(request, call, entry, fingerprint)
+            answer = self._answer_admitted(attempts)
+            held = stack.pop_all()
+        answer.chunks = ClosingChunks(answer.chunks, held.close)
+        return answer
+
+    def _begin(
+        self,
+        request: CallerRequest,
+        call: ModelCall,
+        entry: AdapterEntry,
+        fingerprint: str,
+    ) -> Attempts:
+        wait_s = entry.limits.max_wait_s
+        if request.deadline_s is not None:
+            wait_s = min(wait_s, request.deadline_s)
+        return Attempts(
+            request=request,
+            call=call,
+            entry=entry,
+            idempotent=request.idempotent is not False,
+            hangup=Hangup(),
+            latest_start=request.arrived_at + wait_s,
+            fingerprint=fingerprint,
+        )
+
+    def _answer_admitted(self, attempts: Attempts) -> CallerAnswer:
+        request = attempts.request
+        if request.key is None:
+            return self._attempt(attempts)
+        return self._keyed.answer(
+            request,
+            self.new_attempt_id(request),
+            attempts.entry.owner,
+            lambda: self._attempt(attempts),
+        )
+
+    def _attempt(self, attempts: Attempts) -> CallerAnswer:
+        """Try engines until one answers or the request is given up on."""
+        request = attempts.request
+        with self._hangups.watch(request.connection, attempts.hangup.signal):
+            try:
+                while True:
+                    answer = self._try_once(attempts)
+                    if answer is not None:
+                        return answer
+            except FinalRefusalError as final:
+                ran = attempts.runs > 0
+                refusal = replace(
+                    final.refusal,
+                    not_run=final.refusal.not_run and not ran,
+                )
+                return CallerAnswer.refusal(refusal, request.request_id)
+            except HungUpError:
+                refusal = Refusal(ErrorCode.BAD_REQUEST, "the caller hung up", False)
+                return CallerAnswer.refusal(refusal, request.request_id)
+
+    def _try_once(self, attempts: Attempts) -> CallerAnswer | None:
+        """Get one permit and run under it; None means: try again."""
+        attempt_id = self.new_attempt_id(attempts.request)
+        held = self._get_permit(attempts, attempt_id)
+        if held is None:
+            return None
+        entry = self._find_entry(attempts.entry.name)
+        if entry is None or entry.target.lora_name != held.permit.lora_name:
+            # The catalogue changed while the request waited: it moves to the new
+            # version and never runs on the old one.
+            self._permits.release(held)
+            self._follow_catalogue(attempts, entry)
+            return None
+        try:
+            return self._runs.run(
+                RunOrder(
+                    held=held,
+                    attempt_id=attempt_id,
+                    call=attempts.call,
+                    entry=entry,
+                    max_tokens=self._max_tokens(attempts),
+                    idempotent=attempts.idempotent,
+                    fingerprint=attempts.fingerprint,
+                ),
+                attempts.request,
+                attempts.hangup,
+            )
+        except RunFailedError as failed:
+            self._settle_failure(attempts, held, failed)
+            return None
+
+    def _follow_catalogue(
+        self,
+        attempts: Attempts,
+        entry: AdapterEntry | None,
+    ) -> None:
+        if entry is None:
+            raise FinalRefusalError(
+                Refusal(ErrorCode.NOT_FOUND, "the entry was deleted", not_run=True)
+            )
+        attempts.entry = entry
+
+    # Permits.
+
+    def _get_permit(self, attempts: Attempts, attempt_id: str) -> HeldPermit | None:
+        item = self._work_item(attempts, attempt_id)
+        engine_id = self._desk.choose_engine(
+            item,
+            attempts.entry.base_model,
+            attempts.excluded,
+        )
+        if engine_id is None:
+            self._pause_or_refuse(attempts)
+            return None
+        answer = self._permits.acquire(item, engine_id, attempts.hangup)
+        if isinstance(answer, HeldPermit):
+            return answer
+        if isinstance(answer, CallerGone):
+            raise HungUpError
+        attempts.excluded.add(engine_id)
+        if isinstance(answer, TryElsewhere):
+            return None
+        attempts.refusals += 1
+        if attempts.refusals >= MAX_REFUSALS:
+            raise FinalRefusalError(answer)
+        return None
+
+    def _work_item(self, attempts: Attempts, attempt_id: str) -> WorkItem:
+        entry = attempts.entry
+        crashed = self._desk.crashed_endpoints(attempts.fingerprint)
+        attempts.exclusive = bool(crashed)
+        attempts.excluded.update(crashed)
+        return WorkItem(
+            request_id=attempt_id,
+            entry_vm=self._environment.settings.id,
+            target=AdapterVersion(entry.adapter, entry.version),
+            source=entry.source,
+            work_class=entry.work_class,
+            customer=entry.owner,
+            arrived_at=attempts.request.arrived_at,
+            latest_start=attempts.latest_start,
+            max_tokens=self._max_tokens(attempts),
+            size_bytes=len(attempts.request.body),
+            fingerprint=attempts.fingerprint,
+            exclusive=attempts.exclusive,
+        )
+
+    def _max_tokens(self, attempts: Attempts) -> int:
+        wanted = attempts.call.max_tokens or DEFAULT_MAX_TOKENS
+        return min(wanted, attempts.entry.limits.max_tokens)
+
+    def _pause_or_refuse(self, attempts: Attempts) -> None:
+        """Begin another round over the engines while their leases may be moving."""
+        now = self._environment.now()
+        request = attempts.request
+        give_up_at = min(attempts.latest_start, request.arrived_at + SEARCH_S)
+        if attempts.hangup.gone:
+            raise HungUpError
+        if now >= give_up_at:
+            raise FinalRefusalError(
+                Refusal(
+                    ErrorCode.NO_ENDPOINT,
+                    f"no engine of {attempts.entry.base_model} can take the request",
+                    not_run=attempts.runs == 0,
+                    retry_after_s=1.0,
+                )
+            )
+        attempts.excluded.clear()
+        time.sleep(PAUSE_S)
+
+    # Failures of runs.
+
+    def _settle_failure(
+        self,
+        attempts: Attempts,
+        held: HeldPermit,
+        failed: RunFailedError,
+    ) -> None:
+        """Decide whether the request may be tried again; raise if it may not."""
+        if attempts.hangup.gone:
+            raise HungUpError
+        if failed.failure is RunFailure.REJECTED:
+            raise FinalRefusalError(_rejection(failed))
+        if failed.not_run:
+            self._count_bounce(attempts, held, failed)
+            return
+        attempts.runs += 1
+        crashed = self._crashes.report(
+            held.permit,
+            attempts.fingerprint,
+            alone=attempts.exclusive,
+        )
+        refusal = self._desk.crash_refusal(attempts.fingerprint)
+        if refusal is not None:
+            raise FinalRefusalError(refusal)
+        if not attempts.idempotent:
+            raise FinalRefusalError(_outcome_unknown(failed))
+        suspect_failed = crashed and attempts.exclusive
+        if suspect_failed or attempts.runs >= MAX_RUNS or not self._desk.may_repeat():
+            raise FinalRefusalError(_endpoint_error(failed))
+        self._environment.metrics.retries.inc()
+        attempts.excluded.add(held.permit.engine_id)
+
+    def _count_bounce(
+        self,
+        attempts: Attempts,
+        held: HeldPermit,
+        failed: RunFailedError,
+    ) -> None:
+        """Go on after a run that did not begin, a bounded number of times."""
+        attempts.bounces += 1
+        if failed.failure is RunFailure.NOT_SENT:
+            attempts.excluded.add(held.permit.engine_id)
+        if attempts.bounces > MAX_BOUNCES:
+            raise FinalRefusalError(
+                Refusal(
+                    ErrorCode.NO_ENDPOINT,
+                    f"no engine took the request: {failed}",
+                    not_run=True,
+                    retry_after_s=1.0,
+                )
+            )
+
+
+def _rejection(failed: RunFailedError) -> Refusal:
+    reason = failed.answer[:500].decode(errors="replace")
+    return Refusal(
+        ErrorCode.BAD_REQUEST,
+        f"the engine rejects the request: {reason}",
+        not_run=True,
+    )
+
+
+def _outcome_unknown(failed: RunFailedError) -> Refusal:
+    return Refusal(
+        ErrorCode.OUTCOME_UNKNOWN,
+        f"the request was sent and its answer is lost ({failed})",
+        not_run=False,
+    )
+
+
+def _endpoint_error(failed: RunFailedError) -> Refusal:
+    return Refusal(
+        ErrorCode.ENDPOINT_ERROR,
+        f"the engine's answer is lost ({failed})",
+        not_run=False,
+        retry_after_s=2.0,
+    )
--- /dev/null
+++ b/bamboovale/entry/model_runs.py
@@ -0,0 +1,205 @@
+"""Runs model requests under permits and passes their answers on."""
+
+import contextlib
+import json
+from collections.abc import Generator, Iterator
+from dataclasses import dataclass
+
+from urllib3 import BaseHTTPResponse
+
+from bamboovale.catalogue.entries import AdapterEntry
+from bamboovale.claims.answers import AnswerState
+from bamboovale.entry.caller_request import CallerRequest
+from bamboovale.entry.desk import DecisionDesk
+from bamboovale.entry.ending import (
+    JSON_TYPE,
+    CallerAnswer,
+    ClosingChunks,
+    Ending,
+)
+from bamboovale.entry.endpoint_connections import EndpointConnections
+from bamboovale.entry.engine_run import (
+    DONE_EVENT,
+    EVENT_END,
+    EngineRun,
+    RunFailedError,
+    RunFailure,
+    RunTarget,
+)
+from bamboovale.entry.model_call import ModelCall
+from bamboovale.entry.permits import Hangup, HeldPermit, PermitDesk
+from bamboovale.environment import Environment
+from bamboovale.errors import ErrorCode, Refusal
+from bamboovale.views import Views
+
+STREAM_HEADERS = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache")]
+
+
+@dataclass(frozen=True)
+class RunOrder:
+    """One run: what, under which permit, for whom."""
+
+    held: HeldPermit
+    attempt_id: str
+    call: ModelCall
+    entry: AdapterEntry
+    max_tokens: int
+    idempotent: bool
+    fingerprint: str
+
+
+class ModelRuns:
+    """Sends runs to engines; the permit is released when the answer has been sent."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        views: Views,
+        desk: DecisionDesk,
+        permits: PermitDesk,
+        connections: EndpointConnections,
+    ) -> None:
+        self._environment = environment
+        self._views = views
+        self._desk = desk
+        self._permits = permits
+        self._connections = connections
+
+    def run(
+        self,
+        order: RunOrder,
+        request: CallerRequest,
+        hangup: Hangup,
+    ) -> CallerAnswer:
+        """Return the answer, or raise RunFailedError if there is none to pass on."""
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._permits.release, order.held)
+            run = self._open(order)
+            stack.callback(run.give_up)
+            hangup.attach(run.exchange.abort)
+            if not self._permits.may_still_send(order.held):
+                raise RunFailedError(RunFailure.NOT_SENT, "the permit came too late")
+            self._environment.metrics.attempts.inc()
+            response = run.send(order.call.path, self._body(order))
+            headers = self._headers(order, request)
+            if order.call.stream:
+                return self._stream(order, run, response, headers, stack)
+            body = run.read_whole(response)
+        self._desk.on_answered(order.fingerprint)
+        return CallerAnswer.whole(200, [JSON_TYPE, *headers], body)
+
+    def _open(self, order: RunOrder) -> EngineRun:
+        target = self._target(order)
+        return EngineRun(self._connections, target, fresh=not order.idempotent)
+
+    def _target(self, order: RunOrder) -> RunTarget:
+        permit = order.held.permit
+        address = self._views.membership.address_of(permit.engine_id, "http")
+        if address is None:
+            raise RunFailedError(RunFailure.NOT_SENT, "the engine is no longer listed")
+        return RunTarget(address, order.attempt_id, permit.lora_name)
+
+    def _body(self, order: RunOrder) -> bytes:
+        permit = order.held.permit
+        return order.call.body_for(permit.lora_name, order.max_tokens, permit.priority)
+
+    def _headers(
+        self,
+        order: RunOrder,
+        request: CallerRequest,
+    ) -> list[tuple[str, str]]:
+        catalogue = self._views.catalogue
+        revision = 0 if catalogue is None else catalogue.revision
+        return [
+            ("X-Request-Id", request.request_id),
+            ("X-Adapter", order.held.permit.lora_name),
+            ("X-Endpoint", order.held.permit.engine_id),
+            ("X-Entry", self._environment.settings.id),
+            ("X-Catalogue-Revision", str(revision)),
+        ]
+
+    # Streams.
+
+    def _stream(
+        self,
+        order: RunOrder,
+        run: EngineRun,
+        response: BaseHTTPResponse,
+        headers: list[tuple[str, str]],
+        stack: contextlib.ExitStack,
+    ) -> CallerAnswer:
+        """Begin to pass a stream on once its first event is there.
+
+        Until then nothing was passed on, and a break can still be mended by another
+        run; that is why the first event is read here.
+        """
+        events = run.read_events(response)
+        first = next(events, None)
+        ending = Ending()
+        chunks = self._pass_on(order, first, events, ending)
+        held = stack.pop_all()
+        return CallerAnswer(
+            200,
+            [*STREAM_HEADERS, *headers],
+            ClosingChunks(chunks, held.close),
+            ending,
+        )
+
+    def _pass_on(
+        self,
+        order: RunOrder,
+        first: bytes | None,
+        events: Iterator[bytes],
+        ending: Ending,
+    ) -> Iterator[bytes]:
+        passed = 0
+        try:
+            if first is not None:
+                yield first
+                passed = 1
+            for event in events:
+                yield event
+                passed += 1
+        except RunFailedError:
+            if not (yield from self._resume(order, passed)):
+                ending.state = AnswerState.UNKNOWN
+                ending.code = ErrorCode.OUTCOME_UNKNOWN.value
+                yield _error_event(order)
+                return
+        ending.state = AnswerState.ANSWERED
+        self._desk.on_answered(order.fingerprint)
+        yield DONE_EVENT + EVENT_END
+
+    def _resume(
+        self,
+        order: RunOrder,
+        offset: int,
+    ) -> Generator[bytes, None, bool]:
+        """Read a broken stream on from where it broke; tell whether it ended whole.
+
+        The engine still runs the request if only the connection broke.
+        """
+        body = {"request_id": order.attempt_id, "offset": offset}
+        try:
+            run = EngineRun(self._connections, self._target(order), fresh=True)
+        except RunFailedError:
+            return False
+        try:
+            response = run.send("/resume", json.dumps(body).encode())
+            yield from run.read_events(response)
+        except RunFailedError:
+            return False
+        finally:
+            run.give_up()
+        return True
+
+
+def _error_event(order: RunOrder) -> bytes:
+    """Return the event that ends a stream which cannot be completed."""
+    refusal = Refusal(
+        ErrorCode.OUTCOME_UNKNOWN,
+        "the engine broke off; what came so far is not the whole answer",
+        not_run=False,
+    )
+    data = json.dumps(refusal.to_json(order.attempt_id.rpartition(".")[0]))
+    return b"data: " + data.encode() + EVENT_END
--- /dev/null
+++ b/bamboovale/entry/peer_handler.py
@@ -0,0 +1,148 @@
+"""Hands messages of peers to the tasks of this entry VM; never blocks."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import pykka
+
+from bamboovale.actors import tell
+from bamboovale.catalogue.keeper import (
+    CATALOGUE_STREAM,
+    CatalogueRecordsPassed,
+    SnapshotAsked,
+)
+from bamboovale.claims.answers import AnswerStore
+from bamboovale.decisions.suspects import CrashNotice
+from bamboovale.engines.load_turns import TurnAsked, TurnEnded
+from bamboovale.entry.desk import DecisionDesk
+from bamboovale.entry.holder_links import deliver_ask, deliver_notice
+from bamboovale.entry.holders import Holders
+from bamboovale.entry.permits import PermitDesk
+from bamboovale.membership.keeper import StatusReceived
+from bamboovale.peers.messages import (
+    AnswerKept,
+    AnswerQuery,
+    CatalogueAnswer,
+    CatalogueQuery,
+    CrashSeen,
+    LoadTurnAsk,
+    LoadTurnEnded,
+    LoadTurnGiven,
+    PermitAsk,
+    PermitCancel,
+    PermitRelease,
+    PermitsHeld,
+    PermitsQuery,
+    RecordsNotice,
+    RevisionAnswer,
+    RevisionQuery,
+    StatusNotice,
+)
+from bamboovale.views import Views
+
+Reply = Callable[[Any], None]
+
+
+@dataclass(frozen=True)
+class PeerTargets:
+    """Where the messages of peers go."""
+
+    catalogue: pykka.ActorRef
+    membership: pykka.ActorRef
+    load_turns: pykka.ActorRef
+    holders: Holders
+    permits: PermitDesk
+    desk: DecisionDesk
+    answers: AnswerStore
+    give_turn: Callable[[LoadTurnGiven], None]
+
+
+class PeerHandler:
+    """One method for each message; runs on the links' thread."""
+
+    def __init__(self, views: Views, targets: PeerTargets) -> None:
+        self._views = views
+        self._targets = targets
+        self._request_by_type: dict[type, Callable[[str, Any, Reply], None]] = {
+            PermitAsk: self._on_permit_ask,
+            PermitsQuery: self._on_permits_query,
+            CatalogueQuery: self._on_catalogue_query,
+            RevisionQuery: self._on_revision_query,
+            AnswerQuery: self._on_answer_query,
+        }
+        self._notice_by_type: dict[type, Callable[[str, Any], None]] = {
+            PermitAsk: self._on_holder_notice,
+            PermitCancel: self._on_holder_notice,
+            PermitRelease: self._on_holder_notice,
+            StatusNotice: self._on_status,
+            RecordsNotice: self._on_records,
+            LoadTurnAsk: self._on_turn_ask,
+            LoadTurnGiven: self._on_turn_given,
+            LoadTurnEnded: self._on_turn_ended,
+            CrashSeen: self._on_crash,
+        }
+
+    def on_request(self, sender: str, message: Any, reply: Reply) -> None:
+        """Handle a message that wants a reply; unknown ones get none."""
+        handler = self._request_by_type.get(type(message))
+        if handler is not None:
+            handler(sender, message, reply)
+
+    def on_notice(self, sender: str, message: Any) -> None:
+        """Handle a message that wants no reply."""
+        handler = self._notice_by_type.get(type(message))
+        if handler is not None:
+            handler(sender, message)
+
+    def _on_permit_ask(self, sender: str, ask: PermitAsk, reply: Reply) -> None:
+        deliver_ask(self._targets.holders, sender, ask, reply)
+
+    def _on_holder_notice(self, sender: str, message: Any) -> None:
+        deliver_notice(self._targets.holders, sender, message)
+
+    def _on_permits_query(self, _: str, query: PermitsQuery, reply: Reply) -> None:
+        held = self._targets.permits.held_on(query.engine_id)
+        reply(PermitsHeld(query.engine_id, held))
+
+    def _on_catalogue_query(self, _: str, __: CatalogueQuery, reply: Reply) -> None:
+        asked = SnapshotAsked(lambda snapshot: reply(CatalogueAnswer(snapshot)))
+        tell(self._targets.catalogue, asked)
+
+    def _on_revision_query(self, _: str, __: RevisionQuery, reply: Reply) -> None:
+        catalogue = self._views.catalogue
+        reply(RevisionAnswer(0 if catalogue is None else catalogue.revision))
+
+    def _on_answer_query(self, _: str, query: AnswerQuery, reply: Reply) -> None:
+        kept = self._targets.answers.find(query.attempt_id)
+        reply(
+            AnswerKept(
+                attempt_id=query.attempt_id,
+                state=kept.state.value,
+                status=kept.status,
+                headers=kept.headers,
+                body=kept.body,
+            )
+        )
+
+    def _on_status(self, sender: str, notice: StatusNotice) -> None:
+        tell(self._targets.membership, StatusReceived(sender, notice))
+
+    def _on_records(self, _: str, notice: RecordsNotice) -> None:
+        if notice.stream == CATALOGUE_STREAM:
+            passed = CatalogueRecordsPassed(notice.first_offset, notice.values)
+            tell(self._targets.catalogue, passed)
+
+    def _on_turn_ask(self, sender: str, ask: LoadTurnAsk) -> None:
+        tell(self._targets.load_turns, TurnAsked(sender, ask))
+
+    def _on_turn_given(self, _: str, turn: LoadTurnGiven) -> None:
+        self._targets.give_turn(turn)
+
+    def _on_turn_ended(self, _: str, ended: LoadTurnEnded) -> None:
+        tell(self._targets.load_turns, TurnEnded(ended))
+
+    def _on_crash(self, _: str, seen: CrashSeen) -> None:
+        self._targets.desk.on_crash(
+            CrashNotice(seen.fingerprint, seen.endpoint_id, seen.boot_id, seen.alone)
+        )
--- /dev/null
+++ b/bamboovale/entry/service_calls.py
@@ -0,0 +1,306 @@
+"""Calls of plain services: any method and path below ``/services/NAME/``."""
+
+import contextlib
+import itertools
+from collections.abc import Iterable
+
+from result import Err, Ok, Result
+from urllib3.exceptions import HTTPError
+
+from bamboovale.catalogue.entries import ServiceEntry
+from bamboovale.decisions.admission import Arrival, Limits
+from bamboovale.entry.caller_request import CallerRequest
+from bamboovale.entry.desk import DecisionDesk
+from bamboovale.entry.ending import CallerAnswer, ClosingChunks
+from bamboovale.entry.endpoint_connections import (
+    ConnectFailedError,
+    EndpointConnections,
+    Exchange,
+    ExchangeFailedError,
+)
+from bamboovale.entry.hangups import HangupWatcher
+from bamboovale.entry.keyed import KeyedRequests
+from bamboovale.entry.permits import Hangup
+from bamboovale.environment import Environment
+from bamboovale.errors import ErrorCode, Refusal
+from bamboovale.views import Views
+
+PREFIX = "/services/"
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Answers are read whole, so that half an answer is never passed on as one."""
+
+MAX_TRIES = 3
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+"""Headers that belong to one connection (RFC 9110, section 7.6.1)."""
+
+
+class ServiceCalls:
+    """Routes calls to the endpoints of plain services."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        views: Views,
+        desk: DecisionDesk,
+        connections: EndpointConnections,
+        hangups: HangupWatcher,
+        keyed: KeyedRequests,
+    ) -> None:
+        self._environment = environment
+        self._views = views
+        self._desk = desk
+        self._connections = connections
+        self._hangups = hangups
+        self._keyed = keyed
+        self._attempt_numbers = itertools.count(1)
+
+    def answer(self, request: CallerRequest, raw_path: str) -> CallerAnswer:
+        """Return the answer to a call; ``raw_path`` as the caller wrote it."""
+        name, _, rest = raw_path[len(PREFIX) :].partition("/")
+        catalogue = self._views.catalogue
+        entry = None if catalogue is None else catalogue.service_by_name.get(name)
+        if entry is None:
+            refusal = Refusal(ErrorCode.NOT_FOUND, f"no service {name!r}", not_run=True)
+            return CallerAnswer.refusal(refusal, request.request_id)
+        call_id = self._new_attempt_id(request)
+        refused = self._desk.admit(
+            Arrival(
+                request_id=call_id,
+                customer=entry.owner,
+                entry=f"service/{entry.name}",
+                limits=Limits(entry.limits.requests_per_s, entry.limits.concurrency),
+                size_bytes=len(request.body),
+            )
+        )
+        if refused is not None:
+            return CallerAnswer.refusal(refused, request.request_id)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._desk.done, call_id)
+            answer = self._answer_admitted(request, entry, f"/{rest}", call_id)
+            held = stack.pop_all()
+        answer.chunks = ClosingChunks(answer.chunks, held.close)
+        return answer
+
+    def _answer_admitted(
+        self,
+        request: CallerRequest,
+        entry: ServiceEntry,
+        path: str,
+        call_id: str,
+    ) -> CallerAnswer:
+        if request.key is None:
+            return self._call(request, entry, path)
+        return self._keyed.answer(
+            request,
+            call_id,
+            entry.owner,
+            lambda: self._call(request, entry, path),
+        )
+
+    def _new_attempt_id(self, request: CallerRequest) -> str:
+        number = next(self._attempt_numbers)
+        incarnation = self._environment.incarnation[:6]
+        return f"{request.request_id}.{incarnation}s{number:x}"
+
+    def _call(
+        self,
+        request: CallerRequest,
+        entry: ServiceEntry,
+        path: str,
+    ) -> CallerAnswer:
+        """Call one endpoint after another while the call may be repeated."""
+        call = _Call(request, entry, path, _is_idempotent(request, entry))
+        while True:
+            result = self._try_once(call)
+            if isinstance(result, Ok):
+                return result.ok_value
+            refusal = result.err_value
+            if refusal is None:
+                continue
+            return CallerAnswer.refusal(refusal, request.request_id)
+
+    def _try_once(self, call: "_Call") -> Result[CallerAnswer, Refusal | None]:
+        """Call one endpoint; Err(None) means: try another one."""
+        attempt_id = self._new_attempt_id(call.request)
+        endpoint_id = self._desk.choose_endpoint(
+            call.entry.pool,
+            attempt_id,
+            call.excluded,
+        )
+        if endpoint_id is None:
+            return Err(self._no_endpoint(call))
+        ok = False
+        try:
+            answer = self._exchange(call, endpoint_id, attempt_id)
+            ok = answer.status < 500
+            return Ok(answer)
+        except ConnectFailedError as error:
+            call.excluded.add(endpoint_id)
+            return Err(self._after_not_run(call, str(error)))
+        except ExchangeFailedError as error:
+            call.excluded.add(endpoint_id)
+            call.ran = True
+            return Err(self._after_break(call, str(error)))
+        finally:
+            self._desk.call_ended(call.entry.pool, endpoint_id, attempt_id, ok)
+
+    def _exchange(
+        self,
+        call: "_Call",
+        endpoint_id: str,
+        attempt_id: str,
+    ) -> CallerAnswer:
+        address = self._views.membership.address_of(endpoint_id, "http")
+        if address is None:
+            raise ConnectFailedError("the endpoint is no longer listed")
+        timeout_s = self._time_left(call)
+        exchange = self._connections.open(
+            address,
+            timeout_s,
+            fresh=not call.idempotent,
+        )
+        finished = False
+        self._environment.metrics.attempts.inc()
+        try:
+            call.hangup.attach(exchange.abort)
+            with self._hangups.watch(call.request.connection, call.hangup.signal):
+                body = self._send(call, exchange, attempt_id, address[0])
+            finished = True
+        finally:
+            if finished:
+                self._connections.give_back(address, exchange)
+            else:
+                self._connections.discard(exchange)
+        assert exchange.response is not None
+        headers = [
+            *_end_to_end(exchange.response.headers.items()),
+            ("X-Request-Id", call.request.request_id),
+            ("X-Endpoint", endpoint_id),
+            ("X-Entry", self._environment.settings.id),
+        ]
+        return CallerAnswer.whole(exchange.response.status, headers, body)
+
+    def _send(
+        self,
+        call: "_Call",
+        exchange: Exchange,
+        attempt_id: str,
+        host: str,
+    ) -> bytes:
+        request = call.request
+        headers = dict(_end_to_end(request.header_by_name.items()))
+        headers["host"] = host
+        headers["x-request-id"] = attempt_id
+        headers["via"] = "1.1 bamboovale"
+        target = call.path + (f"?{request.query}" if request.query else "")
+        response = exchange.send(request.method, target, request.body, headers)
+        try:
+            body = response.read(MAX_ANSWER_BYTES + 1)
+        except (HTTPError, OSError, ValueError) as error:
+            raise ExchangeFailedError(type(error).__name__) from error
+        if len(body) > MAX_ANSWER_BYTES:
+            raise ExchangeFailedError(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+        return body
+
+    def _time_left(self, call: "_Call") -> float:
+        timeout_s = call.entry.timeout_s
+        deadline_s = call.request.deadline_s
+        if deadline_s is not None:
+            passed = self._environment.now() - call.request.arrived_at
+            timeout_s = min(timeout_s, max(0.01, deadline_s - passed))
+        return timeout_s
+
+    # Ends.
+
+    def _no_endpoint(self, call: "_Call") -> Refusal:
+        return Refusal(
+            ErrorCode.ENDPOINT_ERROR if call.ran else ErrorCode.NO_ENDPOINT,
+            f"no endpoint of {call.entry.pool} can take the call",
+            not_run=not call.ran,
+            retry_after_s=1.0,
+        )
+
+    def _after_not_run(self, call: "_Call", reason: str) -> Refusal | None:
+        call.tries += 1
+        if call.tries < MAX_TRIES:
+            return None
+        return Refusal(
+            ErrorCode.NO_ENDPOINT,
+            f"no endpoint took the call: {reason}",
+            not_run=not call.ran,
+            retry_after_s=1.0,
+        )
+
+    def _after_break(self, call: "_Call", reason: str) -> Refusal | None:
+        """Repeat an idempotent call within the budget; never one that is not."""
+        call.tries += 1
+        if not call.idempotent or call.hangup.gone:
+            return Refusal(
+                ErrorCode.OUTCOME_UNKNOWN,
+                f"the call was sent and its answer is lost ({reason})",
+                not_run=False,
+            )
+        if call.tries < MAX_TRIES and self._desk.may_repeat():
+            self._environment.metrics.retries.inc()
+            return None
+        return Refusal(
+            ErrorCode.ENDPOINT_ERROR,
+            f"the endpoint's answer is lost ({reason})",
+            not_run=False,
+            retry_after_s=1.0,
+        )
+
+
+class _Call:
+    """One call and what it has tried."""
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        entry: ServiceEntry,
+        path: str,
+        idempotent: bool,
+    ) -> None:
+        self.request = request
+        self.entry = entry
+        self.path = path
+        self.idempotent = idempotent
+        self.hangup = Hangup()
+        self.excluded: set[str] = set()
+        self.tries = 0
+        self.ran = False
+
+
+def _is_idempotent(request: CallerRequest, entry: ServiceEntry) -> bool:
+    """Judge by the caller's mark, then by the method, then by the entry."""
+    if request.idempotent is not None:
+        return request.idempotent
+    return request.method in SAFE_METHODS or entry.idempotent
+
+
+def _end_to_end(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Drop what belongs to one connection, and lengths that are set anew."""
+    pairs = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    dropped = HOP_BY_HOP | named | {"content-length", "host", "x-request-id"}
+    return [(name, value) for name, value in pairs if name.lower() not in dropped]
--- /dev/null
+++ b/bamboovale/entry/vm.py
@@ -0,0 +1,535 @@
+"""One entry VM: its tasks, how they are joined, its start, drain and stop."""
+
+import logging
+import random
+import time
+from concurrent.futures import Future
+from typing import Any
+
+import pykka
+
+from bamboovale.actors import Ticker, tell, tell_result
+from bamboovale.admin.app import AdministrationApp
+from bamboovale.catalogue.keeper import (
+    CATALOGUE_STREAM,
+    CatalogueBatchRead,
+    CatalogueCallbacks,
+    CatalogueFromPeer,
+    CatalogueKeeper,
+    DumpCatalogue,
+    PeerIsAhead,
+    SnapshotDuty,
+)
+from bamboovale.claims.answers import AnswerState, AnswerStore, KeptAnswer
+from bamboovale.claims.keeper import (
+    CLAIM_STREAM,
+    ClaimBatchRead,
+    ClaimKeeper,
+    DumpClaims,
+)
+from bamboovale.decisions.policy import Policy
+from bamboovale.decisions.suspects import CrashNotice
+from bamboovale.engines.client import VllmEngineOrders
+from bamboovale.engines.holder import PermitsReported, TurnGiven
+from bamboovale.engines.load_turns import (
+    DumpLoadTurns,
+    LoadTurnKeeper,
+    SchedulerLeaseChanged,
+    TurnAsked,
+    TurnEnded,
+)
+from bamboovale.entry.administration import Administration
+from bamboovale.entry.caller_app import CallerApp
+from bamboovale.entry.crashes import CrashReports
+from bamboovale.entry.desk import DecisionDesk
+from bamboovale.entry.endpoint_connections import EndpointConnections
+from bamboovale.entry.hangups import HangupWatcher
+from bamboovale.entry.holder_links import HolderRoutes
+from bamboovale.entry.holders import HolderLinksToVM, Holders
+from bamboovale.entry.http_server import HttpListener
+from bamboovale.entry.keyed import KeyedRequests
+from bamboovale.entry.model_requests import ModelRequests
+from bamboovale.entry.model_runs import ModelRuns
+from bamboovale.entry.peer_handler import PeerHandler, PeerTargets
+from bamboovale.entry.permits import PermitDesk
+from bamboovale.entry.service_calls import ServiceCalls
+from bamboovale.entry.state_dump import StateDump, as_json
+from bamboovale.environment import Environment
+from bamboovale.http_client import HttpClient
+from bamboovale.leases.keeper import (
+    LEASE_STREAM,
+    WEIGHT_STORE,
+    DumpLeases,
+    HandOverAll,
+    LeaseBatchRead,
+    LeaseCallbacks,
+    LeaseKeeper,
+)
+from bamboovale.membership.keeper import (
+    DrainBegun,
+    DumpMembership,
+    HintMade,
+    HolderStopped,
+    MembershipCallbacks,
+    MembershipKeeper,
+    VMListReader,
+    forward_list,
+)
+from bamboovale.peers.links import PeerLinks
+from bamboovale.peers.messages import (
+    AnswerKept,
+    AnswerQuery,
+    CatalogueQuery,
+    CrashSeen,
+    LoadTurnAsk,
+    LoadTurnEnded,
+    LoadTurnGiven,
+    PermitsHeld,
+    PermitsQuery,
+    RecordsNotice,
+)
+from bamboovale.platform.appender import Appender
+from bamboovale.platform.follower import LogHealth, StreamFollower
+from bamboovale.platform.log_client import LogClient, RecordBatch
+from bamboovale.platform.vm_list import VMListClient
+from bamboovale.views import Views
+
+NOTICE_STREAM = "notices"
+"""Crash notices, for VMs that start later than the crash."""
+
+PEER_TIMEOUT_S = 2.0
+PASS_ON_TO = 3
+"""Peers that get new records from each VM: after a few rounds all have them, and no
+VM sends more than three copies, however large the fleet."""
+
+ADMIN_THREADS = 6
+LOOK_EVERY_S = 0.05
+
+logger = logging.getLogger(__name__)
+
+
+class EntryVM:
+    """Builds and joins the tasks of an entry VM."""
+
+    def __init__(self, environment: Environment) -> None:
+        settings = environment.settings
+        self.environment = environment
+        self.views = Views()
+        self._policy = Policy.from_name(settings.policy, settings.stall_weight)
+        self._http = HttpClient(settings.address)
+        self._log = LogClient(settings.log, self._http)
+        self._health = LogHealth(environment.now)
+        self._links = PeerLinks.from_settings(
+            settings,
+            lambda vm_id: self.views.membership.address_of(vm_id, "peers"),
+            environment.metrics,
+        )
+        self._ticker = Ticker()
+        self._engines = VllmEngineOrders(self._http)
+        self._connections = EndpointConnections(settings.address)
+        self._hangups = HangupWatcher()
+        self._answers = AnswerStore()
+        self.desk = DecisionDesk(environment, self.views, self._policy)
+        self._appender_by_stream = {
+            stream: Appender(environment, self._log, stream)
+            for stream in (CATALOGUE_STREAM, LEASE_STREAM, CLAIM_STREAM, NOTICE_STREAM)
+        }
+        self._holders = Holders(
+            environment,
+            self.views,
+            self._policy,
+            self._engines,
+            self._ticker,
+        )
+        self._holder_links = HolderLinksToVM(
+            load_turns=self,
+            on_hint=lambda hint: tell(self._membership, HintMade(hint)),
+            on_started=self._ask_permits_held,
+            on_stopped=lambda engine_id: tell(
+                self._membership,
+                HolderStopped(engine_id),
+            ),
+        )
+        self._start_actors()
+        self._build_callers_side()
+        self._build_followers()
+
+    # Building.
+
+    def _start_actors(self) -> None:
+        environment = self.environment
+        self._membership = MembershipKeeper.start(
+            environment,
+            self.views,
+            self._health,
+            MembershipCallbacks(
+                send=self._links.notify,
+                on_change=self._on_membership,
+                on_peer_gone=self._holders.on_entry_vm_gone,
+                on_peer_ahead=self._on_peer_ahead,
+                on_hint=self.desk.on_hint,
+                on_interval=self.desk.on_tick,
+            ),
+        )
+        self._load_turns = LoadTurnKeeper.start(
+            environment,
+            self.views,
+            self._links.notify,
+            self._give_turn,
+        )
+        self._catalogue = CatalogueKeeper.start(
+            environment,
+            self.views,
+            self._appender_by_stream[CATALOGUE_STREAM],
+            CatalogueCallbacks(
+                pass_on=self._pass_on,
+                ask_peer=self._ask_peer_for_catalogue,
+                read_from=self._read_catalogue_from,
+                on_version_changed=self._holders.on_version_changed,
+                on_change=self._on_membership,
+            ),
+        )
+        self._leases = LeaseKeeper.start(
+            environment,
+            self.views,
+            self._appender_by_stream[LEASE_STREAM],
+            self._health,
+            LeaseCallbacks(on_held=self._on_held, on_lost=self._on_lost),
+        )
+        self._claims = ClaimKeeper.start(
+            environment,
+            self._appender_by_stream[CLAIM_STREAM],
+        )
+
+    def _build_callers_side(self) -> None:
+        environment = self.environment
+        settings = environment.settings
+        routes = HolderRoutes(settings.id, self.views, self._holders, self._links)
+        self._permits = PermitDesk(environment, routes)
+        keyed = KeyedRequests(
+            environment,
+            self._claims,
+            self._answers,
+            self._find_answer,
+        )
+        crashes = CrashReports(
+            environment,
+            self.views,
+            self.desk,
+            self._engines,
+            self._publish_crash,
+        )
+        runs = ModelRuns(
+            environment,
+            self.views,
+            self.desk,
+            self._permits,
+            self._connections,
+        )
+        models = ModelRequests(
+            environment,
+            self.views,
+            self.desk,
+            self._permits,
+            runs,
+            self._hangups,
+            keyed,
+            crashes,
+        )
+        services = ServiceCalls(
+            environment,
+            self.views,
+            self.desk,
+            self._connections,
+            self._hangups,
+            keyed,
+        )
+        self._caller_app = CallerApp(environment, self.views, models, services)
+        self._callers = HttpListener(
+            "callers",
+            (settings.address, settings.callers_port),
+            self._caller_app,
+            settings.caller_threads,
+            settings.max_body_bytes,
+        )
+        administration = Administration(
+            environment,
+            self.views,
+            self._catalogue,
+            self._appender_by_stream[CATALOGUE_STREAM],
+            self._links,
+            self._build_state_dump(),
+        )
+        self._admin = HttpListener(
+            "admin",
+            (settings.address, settings.admin_port),
+            AdministrationApp(administration, settings.admin_token),
+            ADMIN_THREADS,
+            max(settings.max_body_bytes, 16 * 1024 * 1024),
+        )
+
+    def _build_state_dump(self) -> StateDump:
+        dump = StateDump(self.environment, self.views)
+        dump.add_actor("membership", self._membership, DumpMembership())
+        dump.add_actor("catalogue", self._catalogue, DumpCatalogue())
+        dump.add_actor("leases", self._leases, DumpLeases())
+        dump.add_actor("claims", self._claims, DumpClaims())
+        dump.add_actor("load_turns", self._load_turns, DumpLoadTurns())
+        dump.add("engines", self._holders.dump)
+        dump.add("decisions", self.desk.dump)
+        dump.add("permits_in_use", lambda: self._permits.held_count())
+        dump.add("links", lambda: as_json(self._links.connected()))
+        dump.add(
+            "hints",
+            lambda: {
+                engine_id: {"from": hint.from_vm, **as_json(hint.hint)}
+                for engine_id, hint in sorted(self.views.hint_by_engine.items())
+            },
+        )
+        return dump
+
+    def _build_followers(self) -> None:
+        self._list_reader = VMListReader(
+            VMListClient(self.environment.settings.vms, self._http),
+            forward_list(self._membership),
+        )
+
+        def follow(stream: str, on_batch: Any) -> StreamFollower:
+            return StreamFollower(
+                self.environment,
+                self._log,
+                self._health,
+                stream,
+                on_batch,
+            )
+
+        self._catalogue_follower = follow(
+            CATALOGUE_STREAM,
+            lambda batch, _: tell(self._catalogue, CatalogueBatchRead(batch)),
+        )
+        self._followers = [
+            self._catalogue_follower,
+            follow(
+                LEASE_STREAM,
+                lambda batch, at: tell(self._leases, LeaseBatchRead(batch, at)),
+            ),
+            follow(
+                CLAIM_STREAM,
+                lambda batch, _: tell(self._claims, ClaimBatchRead(batch)),
+            ),
+            follow(NOTICE_STREAM, lambda batch, _: self._read_crashes(batch)),
+        ]
+
+    # Start, drain, stop.
+
+    def start(self) -> None:
+        """Open the ports and begin to read; raises OSError for a port in use."""
+        handler = PeerHandler(
+            self.views,
+            PeerTargets(
+                catalogue=self._catalogue,
+                membership=self._membership,
+                load_turns=self._load_turns,
+                holders=self._holders,
+                permits=self._permits,
+                desk=self.desk,
+                answers=self._answers,
+                give_turn=self._give_turn,
+            ),
+        )
+        self._links.start(handler.on_request, handler.on_notice)
+        self._callers.start()
+        self._admin.start()
+        self._hangups.start()
+        self._list_reader.start()
+        for follower in self._followers:
+            follower.start()
+        for actor in (
+            self._membership,
+            self._load_turns,
+            self._catalogue,
+            self._leases,
+            self._claims,
+        ):
+            self._ticker.add(actor)
+        self._ticker.start()
+
+    def drain(self) -> bool:
+        """Stop taking part without cutting off a request; False if time ran out.
+
+        Callers may keep the answer of ``GET /v1/entries`` for a while and connect
+        here meanwhile, so requests are taken until the last such answer is old.
+        """
+        settings = self.environment.settings
+        self.environment.metrics.drains.inc()
+        logger.info("draining")
+        self.views.draining = True
+        tell(self._membership, DrainBegun())
+        tell(self._leases, HandOverAll())
+        time.sleep(settings.entries_ttl_s + settings.hint_interval_s)
+        self._caller_app.closed = True
+        give_up_at = self.environment.now() + settings.drain_timeout_s
+        while self._caller_app.running and self.environment.now() < give_up_at:
+            time.sleep(LOOK_EVERY_S)
+        return not self._caller_app.running
+
+    def stop(self) -> None:
+        """Close everything."""
+        for follower in self._followers:
+            follower.stop()
+        self._list_reader.stop()
+        self._ticker.stop()
+        self._callers.stop()
+        self._admin.stop()
+        self._holders.stop_all()
+        for appender in self._appender_by_stream.values():
+            appender.stop()
+        self._links.stop()
+        pykka.ActorRegistry.stop_all(block=True, timeout=2.0)
+        self._hangups.stop()
+        self._connections.close()
+        self._http.close()
+
+    # Joints between the tasks; called from their threads, so they only tell.
+
+    def _on_membership(self) -> None:
+        self.desk.on_membership()
+        self._holders.on_membership()
+
+    def _on_held(self, engine_id: str, fencing: int, valid: Any) -> None:
+        if engine_id == WEIGHT_STORE:
+            tell(self._load_turns, SchedulerLeaseChanged(fencing, valid))
+            tell(self._catalogue, SnapshotDuty(on_duty=True))
+            return
+        self._holders.start(engine_id, fencing, valid, self._holder_links)
+
+    def _on_lost(self, engine_id: str) -> None:
+        if engine_id == WEIGHT_STORE:
+            tell(self._load_turns, SchedulerLeaseChanged(None, lambda: False))
+            tell(self._catalogue, SnapshotDuty(on_duty=False))
+            return
+        self._holders.stop(engine_id, self._holder_links)
+
+    def _ask_permits_held(self, engine_id: str) -> None:
+        """Ask every listed entry VM, this one too, for its permits on an engine."""
+        holder = self._holders.find(engine_id)
+        if holder is None:
+            return
+        tell(holder, PermitsReported(self._permits.held_on(engine_id)))
+        own_id = self.environment.settings.id
+
+        def report(answer: Any) -> PermitsReported:
+            held = answer.permits if isinstance(answer, PermitsHeld) else ()
+            return PermitsReported(held)
+
+        for vm in self.views.membership.listed_entry_vms():
+            if vm.id != own_id:
+                future = self._links.request(
+                    vm.id,
+                    PermitsQuery(engine_id),
+                    PEER_TIMEOUT_S,
+                )
+                tell_result(holder, future, report)
+
+    # Turns at the weight store (the holders' LoadTurns).
+
+    def ask(self, engine_id: str, lora_name: str, weight: float) -> None:
+        """Ask for a turn on behalf of a holder here."""
+        ask = LoadTurnAsk(engine_id, lora_name, weight)
+        tell(self._load_turns, TurnAsked(self.environment.settings.id, ask))
+
+    def end(self, turn: LoadTurnGiven, *, used: bool, loaded: bool) -> None:
+        """Give a turn back to the scheduler that gave it."""
+        ended = LoadTurnEnded(turn.scheduler, turn.number, used, loaded)
+        vm_id = turn.scheduler.rpartition(":")[0]
+        if vm_id == self.environment.settings.id:
+            tell(self._load_turns, TurnEnded(ended))
+        else:
+            self._links.notify(vm_id, ended)
+
+    def _give_turn(self, turn: LoadTurnGiven) -> None:
+        holder = self._holders.find(turn.engine_id)
+        if holder is None:
+            self.end(turn, used=False, loaded=False)
+        else:
+            tell(holder, TurnGiven(turn))
+
+    # Catalogue records between peers.
+
+    def _pass_on(self, first_offset: int, values: tuple[Any, ...]) -> None:
+        notice = RecordsNotice(CATALOGUE_STREAM, first_offset, values)
+        for vm_id in self._some_peers(PASS_ON_TO):
+            self._links.notify(vm_id, notice)
+
+    def _some_peers(self, count: int) -> list[str]:
+        own_id = self.environment.settings.id
+        usable = self.views.membership.usable_entry_vms()
+        peers = [vm.id for vm in usable if vm.id != own_id]
+        return random.sample(peers, min(count, len(peers)))
+
+    def _on_peer_ahead(self, vm_id: str, next_offset: int) -> None:
+        tell(self._catalogue, PeerIsAhead(vm_id, next_offset))
+
+    def _ask_peer_for_catalogue(self, vm_id: str | None) -> None:
+        peers = self._some_peers(1) if vm_id is None else [vm_id]
+        for peer in peers:
+            future: Future[Any] = self._links.request(
+                peer,
+                CatalogueQuery(),
+                PEER_TIMEOUT_S,
+            )
+            tell_result(
+                self._catalogue,
+                future,
+                lambda answer: CatalogueFromPeer(getattr(answer, "snapshot", None)),
+            )
+
+    def _read_catalogue_from(self, offset: int) -> None:
+        self._catalogue_follower.read_from(offset)
+
+    # Keyed answers and crashes.
+
+    def _find_answer(self, vm_id: str, attempt_id: str) -> KeptAnswer:
+        """Return an attempt's answer from the VM that ran it; blocks a little."""
+        if vm_id == self.environment.settings.id:
+            return self._answers.find(attempt_id)
+        future = self._links.request(vm_id, AnswerQuery(attempt_id), PEER_TIMEOUT_S)
+        try:
+            kept = future.result(2 * PEER_TIMEOUT_S)
+        except Exception:  # any failure of the link: nobody can tell
+            return KeptAnswer(AnswerState.UNKNOWN)
+        if not isinstance(kept, AnswerKept):
+            return KeptAnswer(AnswerState.UNKNOWN)
+        return KeptAnswer(
+            AnswerState(kept.state),
+            kept.status,
+            kept.headers,
+            kept.body,
+        )
+
+    def _publish_crash(self, notice: CrashNotice) -> None:
+        """Tell all peers at once, and the log for VMs that start later."""
+        seen = CrashSeen(
+            fingerprint=notice.fingerprint,
+            endpoint_id=notice.endpoint_id,
+            boot_id=notice.boot_id,
+            alone=notice.alone,
+        )
+        for vm in self.views.membership.listed_entry_vms():
+            if vm.id != self.environment.settings.id:
+                self._links.notify(vm.id, seen)
+        value = {"type": "crash", **as_json(notice)}
+        self._appender_by_stream[NOTICE_STREAM].append(value)
+
+    def _read_crashes(self, batch: RecordBatch) -> None:
+        for record in batch.records:
+            value = record.value
+            if isinstance(value, dict) and value.get("type") == "crash":
+                self.desk.on_crash(
+                    CrashNotice(
+                        fingerprint=value["fingerprint"],
+                        endpoint_id=value["endpoint_id"],
+                        boot_id=value["boot_id"],
+                        alone=value["alone"],
+                    )
+                )
--- /dev/null
+++ b/bamboovale/http_client.py
@@ -0,0 +1,112 @@
+"""HTTP towards the platform and orders to engines: no call is ever repeated here.
+
+A client library's own retry or redirect would send a request twice behind our back
+and break "at most once", so both are off for every call that leaves an entry VM.
+"""
+
+import json
+import threading
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+"""An endpoint in the same region answers a connect within milliseconds; a second
+covers one lost SYN."""
+
+POOL_SIZE = 64
+"""Kept connections to one address; about the open streams of an entry VM."""
+
+
+class HttpClient:
+    """Connection pools by address, from this VM's own source address."""
+
+    def __init__(self, source_address: str) -> None:
+        self._source = (source_address, 0)
+        self._pool_by_address: dict[tuple[str, int], urllib3.HTTPConnectionPool] = {}
+        self._lock = threading.Lock()
+
+    def pool(self, host: str, port: int) -> urllib3.HTTPConnectionPool:
+        """Return the pool of an address, made at its first use."""
+        with self._lock:
+            pool = self._pool_by_address.get((host, port))
+            if pool is None:
+                pool = urllib3.HTTPConnectionPool(
+                    host,
+                    port,
+                    maxsize=POOL_SIZE,
+                    block=False,
+                    retries=False,
+                    source_address=self._source,
+                )
+                self._pool_by_address[(host, port)] = pool
+            return pool
+
+    def request(
+        self,
+        method: str,
+        host: str,
+        port: int,
+        path: str,
+        *,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        read_timeout_s: float,
+        stream: bool = False,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send one request, once."""
+        return self.pool(host, port).urlopen(
+            method,
+            path,
+            body=body,
+            headers=headers or {},
+            retries=False,
+            redirect=False,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
+            preload_content=not stream,
+        )
+
+    def request_json(
+        self,
+        method: str,
+        host: str,
+        port: int,
+        path: str,
+        *,
+        value: Any = None,
+        headers: dict[str, str] | None = None,
+        read_timeout_s: float,
+    ) -> tuple[int, Any]:
+        """Send and read JSON; return the status and the parsed body."""
+        body = None if value is None else json.dumps(value).encode()
+        all_headers = {"Content-Type": "application/json", **(headers or {})}
+        response = self.request(
+            method,
+            host,
+            port,
+            path,
+            body=body,
+            headers=all_headers,
+            read_timeout_s=read_timeout_s,
+        )
+        try:
+            return response.status, json.loads(response.data or b"null")
+        except ValueError as error:
+            raise HTTPError(f"answer is not JSON: {error}") from error
+
+    def close(self) -> None:
+        """Close every kept connection."""
+        with self._lock:
+            for pool in self._pool_by_address.values():
+                pool.close()
+            self._pool_by_address.clear()
+
+
+def never_connected(error: Exception) -> bool:
+    """Tell whether the failure proves that no byte of the request was sent."""
+    return isinstance(error, NewConnectionError | ConnectTimeoutError)
--- /dev/null
+++ b/bamboovale/leases/keeper.py
@@ -0,0 +1,340 @@
+"""Renews, takes and hands over leases: the task that owns the lease table."""
+
+import itertools
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from bamboovale.actors import MessageActor, Tick
+from bamboovale.decisions.rendezvous import score
+from bamboovale.environment import Environment
+from bamboovale.leases.fold import LeaseOutcome, LeaseTable, Moved, Renewed
+from bamboovale.leases.holding import OwnLeases
+from bamboovale.leases.records import Release, TableSnapshot, Take, parse_record
+from bamboovale.leases.timing import LeaseTerms
+from bamboovale.platform.appender import Appender
+from bamboovale.platform.follower import LogHealth
+from bamboovale.platform.log_client import LogRecord, RecordBatch
+from bamboovale.views import Views
+
+LEASE_STREAM = "leases"
+WEIGHT_STORE = "@weight-store"
+"""The lease of the load scheduler, beside those named after runners."""
+
+TAKE_AGAIN_S = 2.0
+"""A take whose outcome was not read back by then is repeated."""
+
+SETTLED_S = 3.0
+"""A preferred holder must have been preferred for this long before a hand-over:
+a VM that comes and goes does not move leases."""
+
+HAND_OVER_EVERY_S = 0.5
+"""Hand-overs one by one: each costs its engine a moment without loads."""
+
+SNAPSHOT_EVERY_S = 60.0
+"""A VM that starts behind expired records waits at most this long for a snapshot."""
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class LeaseBatchRead:
+    """Records of the lease stream, with the moment of reading."""
+
+    batch: RecordBatch
+    read_at: float
+
+
+@dataclass(frozen=True)
+class HandOverAll:
+    """A planned stop: release every lease to the next in rank."""
+
+
+@dataclass(frozen=True)
+class DumpLeases:
+    """Ask for the state as JSON."""
+
+
+def node_name(vm_id: str, incarnation: str) -> str:
+    """Return the name of one incarnation of an entry VM on the lease stream."""
+    return f"{vm_id}/{incarnation}"
+
+
+def vm_of_node(node: str | None) -> str | None:
+    """Return the VM of a node name."""
+    return None if node is None else node.rpartition("/")[0]
+
+
+@dataclass(frozen=True)
+class LeaseCallbacks:
+    """What the keeper tells the rest of the VM, from its own thread.
+
+    ``on_held(engine, fencing, valid)``: ``valid`` may be asked from any thread.
+    """
+
+    on_held: Callable[[str, int, Callable[[], bool]], None]
+    on_lost: Callable[[str], None]
+
+
+class LeaseKeeper(MessageActor):
+    """Owns the lease table and this VM's own leases."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        views: Views,
+        appender: Appender,
+        health: LogHealth,
+        callbacks: LeaseCallbacks,
+    ) -> None:
+        super().__init__(environment.metrics.internal_faults.inc)
+        settings = environment.settings
+        self._environment = environment
+        self._views = views
+        self._appender = appender
+        self._health = health
+        self._callbacks = callbacks
+        self._terms = LeaseTerms(
+            term_s=settings.lease_term_s,
+            renew_every_s=settings.lease_renew_s,
+            margin_s=settings.lease_margin_s,
+        )
+        self._node = node_name(settings.id, environment.incarnation)
+        self._table: LeaseTable | None = None
+        self._unread: list[LogRecord] = []
+        self._own = OwnLeases(self._node, self._terms)
+        self._record_numbers = itertools.count()
+        self._first_seen_at: dict[str, float] = {}
+        self._take_sent_at: dict[str, float] = {}
+        self._preferred_since: dict[str, tuple[str, float]] = {}
+        self._next_renewal_at = 0.0
+        self._next_hand_over_at = 0.0
+        self._next_snapshot_at = 0.0
+        self._handing_over = False
+        self.handle(LeaseBatchRead, self._on_batch)
+        self.handle(Tick, self._on_tick)
+        self.handle(HandOverAll, self._on_hand_over_all)
+        self.handle(DumpLeases, self._on_dump)
+
+    # Reading.
+
+    def _on_batch(self, message: LeaseBatchRead) -> None:
+        batch = message.batch
+        if self._table is None:
+            self._begin(batch, message.read_at)
+        else:
+            self._fold(batch.records, message.read_at)
+        self._publish()
+
+    def _begin(self, batch: RecordBatch, read_at: float) -> None:
+        """Find a beginning: the stream's own, or a snapshot after expired records.
+
+        Without the records that made the present holders, this VM would take leases
+        that are held, by a fold that differs from everybody else's.
+        """
+        self._unread.extend(batch.records)
+        first = self._unread[0].offset if self._unread else batch.next
+        if first == 0 or not self._unread:
+            self._table = LeaseTable.empty(first)
+        else:
+            self._table = self._from_snapshot(first, read_at)
+        if self._table is not None:
+            records, self._unread = self._unread, []
+            self._fold(tuple(records), read_at)
+
+    def _from_snapshot(self, first: int, read_at: float) -> LeaseTable | None:
+        for record in reversed(self._unread):
+            snapshot = parse_record(record.value)
+            if isinstance(snapshot, TableSnapshot) and snapshot.at >= first:
+                return LeaseTable.from_snapshot(record.value, read_at)
+        return None
+
+    def _fold(self, records: tuple[LogRecord, ...], read_at: float) -> None:
+        assert self._table is not None
+        if records and records[0].offset > self._table.next_offset:
+            self._restart_fold(records, read_at)
+            return
+        for record in records:
+            outcome = self._table.apply(record.offset, record.value, read_at)
+            self._own.note_read(outcome)
+            self._tell(outcome)
+
+    def _restart_fold(self, records: tuple[LogRecord, ...], read_at: float) -> None:
+        """Begin anew after a gap; leases held till now are given up first."""
+        logger.warning("lease stream: records expired before they were read")
+        for engine in list(self._own.held_by_engine):
+            self._own.let_go(engine)
+            self._callbacks.on_lost(engine)
+        self._table = None
+        batch = RecordBatch(LEASE_STREAM, records, records[0].offset, 0)
+        self._begin(batch, read_at)
+
+    def _tell(self, outcome: LeaseOutcome | None) -> None:
+        metrics = self._environment.metrics
+        if isinstance(outcome, Renewed) and outcome.node == self._node:
+            metrics.leases_renewed.inc()
+        if not isinstance(outcome, Moved):
+            return
+        self._take_sent_at.pop(outcome.engine, None)
+        logger.info(
+            "lease on %s: %s (was %s), fencing %d",
+            outcome.engine,
+            outcome.holder,
+            outcome.previous,
+            outcome.fencing,
+        )
+        if outcome.previous == self._node and outcome.holder != self._node:
+            metrics.leases_lost.inc()
+            self._callbacks.on_lost(outcome.engine)
+        if outcome.holder == self._node:
+            metrics.leases_taken.inc()
+            self._hold(outcome.engine, outcome.fencing)
+
+    def _hold(self, engine: str, fencing: int) -> None:
+        def valid() -> bool:
+            return self._own.fencing(engine, self._environment.now()) == fencing
+
+        self._next_renewal_at = 0.0  # a hand-over is valid only once renewed
+        self._callbacks.on_held(engine, fencing, valid)
+
+    def _publish(self) -> None:
+        if self._table is None:
+            return
+        self._views.holder_by_engine = {
+            engine: vm_of_node(lease.holder) or ""
+            for engine, lease in self._table.lease_by_engine.items()
+            if lease.holder is not None
+        }
+        self._environment.metrics.leases_held.set(len(self._own.held_by_engine))
+
+    # Writing.
+
+    def _on_tick(self, _: Tick) -> None:
+        if self._table is None:
+            return
+        now = self._environment.now()
+        if now >= self._next_renewal_at and self._own.held_by_engine:
+            self._next_renewal_at = now + self._terms.renew_every_s
+            self._renew(now)
+        if self._handing_over or not self._views.serving:
+            return
+        for engine in self._wanted():
+            self._take_if_due(engine, now)
+        if now >= self._next_hand_over_at:
+            self._hand_over_one(now)
+        if WEIGHT_STORE in self._own.held_by_engine and now >= self._next_snapshot_at:
+            self._next_snapshot_at = now + SNAPSHOT_EVERY_S
+            self._appender.append(self._table.snapshot(self._record_id()))
+
+    def _wanted(self) -> list[str]:
+        runners = self._views.membership.runners()
+        return [WEIGHT_STORE, *(runner.id for runner in runners)]
+
+    def _renew(self, now: float) -> None:
+        record = self._own.renewal(self._record_id())
+        self._own.note_sent(record.record_id, now)
+        self._appender.append(record.to_json())
+
+    def _take_if_due(self, engine: str, now: float) -> None:
+        assert self._table is not None
+        lease = self._table.lease_by_engine.get(engine)
+        if lease is not None and lease.holder == self._node:
+            return
+        first_seen = self._first_seen_at.setdefault(engine, now)
+        rank = self._rank(engine, vm_of_node(lease.holder) if lease else None)
+        if rank is None or not self._health.reachable:
+            return
+        due = self._terms.may_take_at(lease, rank, first_seen)
+        if lease is not None and lease.holder is not None:
+            # After an outage the holder's renewal and this take would race: the
+            # holder, whose engine is warm, gets a term to renew first.
+            due = max(due, self._health.back_since + self._terms.wait_s)
+        if now < due or now < self._take_sent_at.get(engine, 0.0) + TAKE_AGAIN_S:
+            return
+        self._take_sent_at[engine] = now
+        record = Take(
+            record_id=self._record_id(),
+            node=self._node,
+            engine=engine,
+            after=self._table.last_offset(engine),
+        )
+        self._own.note_sent(record.record_id, now)
+        self._appender.append(record.to_json())
+
+    def _ranking(self, engine: str) -> list[str]:
+        usable = [vm.id for vm in self._views.membership.usable_entry_vms()]
+        return sorted(usable, key=lambda vm_id: score(engine, vm_id), reverse=True)
+
+    def _rank(self, engine: str, lapsed_holder: str | None) -> int | None:
+        """Return this VM's turn among the takers, None if it is not usable."""
+        own_id = self._environment.settings.id
+        others = [vm for vm in self._ranking(engine) if vm != lapsed_holder]
+        if own_id in others:
+            return others.index(own_id)
+        return len(others) if own_id == lapsed_holder else None
+
+    def _hand_over_one(self, now: float) -> None:
+        """Move one lease to the VM that ranks first for it."""
+        for engine in self._own.held_by_engine:
+            ranking = self._ranking(engine)
+            preferred = ranking[0] if ranking else self._environment.settings.id
+            before, since = self._preferred_since.get(engine, ("", now))
+            if before != preferred:
+                self._preferred_since[engine] = (preferred, now)
+                continue
+            incarnation = self._views.incarnation_by_vm.get(preferred)
+            if preferred == self._environment.settings.id or incarnation is None:
+                continue
+            if now - since >= SETTLED_S:
+                self._next_hand_over_at = now + HAND_OVER_EVERY_S
+                self._release(engine, node_name(preferred, incarnation))
+                return
+
+    def _on_hand_over_all(self, _: HandOverAll) -> None:
+        self._handing_over = True
+        own_id = self._environment.settings.id
+        for engine in list(self._own.held_by_engine):
+            others = [vm for vm in self._ranking(engine) if vm != own_id]
+            successors = [vm for vm in others if vm in self._views.incarnation_by_vm]
+            successor = None
+            if successors:
+                incarnation = self._views.incarnation_by_vm[successors[0]]
+                successor = node_name(successors[0], incarnation)
+            self._release(engine, successor)
+
+    def _release(self, engine: str, successor: str | None) -> None:
+        """Stop acting as holder first, then say so on the log."""
+        held = self._own.held_by_engine[engine]
+        self._own.let_go(engine)
+        self._callbacks.on_lost(engine)
+        record = Release(
+            record_id=self._record_id(),
+            node=self._node,
+            engine=engine,
+            fencing=held.fencing,
+            next_node=successor,
+        )
+        self._appender.append(record.to_json())
+
+    def _record_id(self) -> str:
+        return f"{self._node}#{next(self._record_numbers)}"
+
+    def _on_dump(self, _: DumpLeases) -> dict[str, Any]:
+        now = self._environment.now()
+        held = {
+            engine: {
+                "fencing": lease.fencing,
+                "valid_for_s": None
+                if lease.valid_until is None
+                else round(lease.valid_until - now, 2),
+            }
+            for engine, lease in self._own.held_by_engine.items()
+        }
+        return {
+            "node": self._node,
+            "held": held,
+            "holder_by_engine": dict(self._views.holder_by_engine),
+            "next_offset": None if self._table is None else self._table.next_offset,
+            "void_records": None if self._table is None else self._table.void_records,
+        }
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -67,6 +67,10 @@
             "Requests that were running when an endpoint crashed.",
         )
         self.drains = self._counter("drains", "Planned stops begun.")
+        self.internal_faults = self._counter(
+            "internal_faults",
+            "Messages whose handling failed: a fault of the program, see the log.",
+        )
 
     def _declare_permits(self) -> None:
         self.permits_granted = self._counter(
@@ -91,6 +95,10 @@
         self.loads = self._counter("loads", "Adapter versions loaded.")
         self.load_failures = self._counter("load_failures", "Loads that failed.")
         self.evictions = self._counter("evictions", "Adapter versions evicted.")
+        self.orders_after_lapse = self._counter(
+            "orders_after_lapse",
+            "Orders to engines during which the lease lapsed.",
+        )
         self.leases_held = self._gauge("leases_held", "Leases held now.")
         self.leases_taken = self._counter("leases_taken", "Leases taken.")
         self.leases_renewed = self._counter("leases_renewed", "Renewals read back.")
--- /dev/null
+++ b/bamboovale/platform/follower.py
@@ -0,0 +1,106 @@
+"""Follows one stream of the log and hands what it reads to the stream's owner."""
+
+import threading
+from collections.abc import Callable
+
+from result import Ok
+
+from bamboovale.environment import Environment
+from bamboovale.platform.log_client import LogClient, RecordBatch
+
+WAIT_S = 1.0
+"""Length of one long poll; an idle stream costs one call a second."""
+
+SHORTEST_BACKOFF_S = 0.1
+LONGEST_BACKOFF_S = 1.0
+"""A log that is back is found again within a second."""
+
+SILENT_AFTER_S = 3.0
+"""Without a successful read for this long the log counts as unreachable from here:
+a long poll and its slack have passed."""
+
+
+class LogHealth:
+    """When the log last answered; shared by the followers of all streams."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._answered_at = float("-inf")
+        self._silent_until = float("-inf")
+
+    def answered(self) -> None:
+        """Note a successful read."""
+        now = self._now()
+        if now - self._answered_at > SILENT_AFTER_S:
+            self._silent_until = now
+        self._answered_at = now
+
+    @property
+    def reachable(self) -> bool:
+        """Tell whether the log answered lately."""
+        return self._now() - self._answered_at <= SILENT_AFTER_S
+
+    @property
+    def back_since(self) -> float:
+        """Return the end of the last silence."""
+        return self._silent_until
+
+
+class StreamFollower:
+    """A thread that reads a stream from an offset on, for ever."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        log: LogClient,
+        health: LogHealth,
+        stream: str,
+        on_batch: Callable[[RecordBatch, float], None],
+        start: int = 0,
+    ) -> None:
+        self._environment = environment
+        self._log = log
+        self._health = health
+        self._stream = stream
+        self._on_batch = on_batch
+        self._next = start
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run,
+            name=f"follow-{stream}",
+            daemon=True,
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread after its current poll."""
+        self._stopped.set()
+
+    def read_from(self, offset: int) -> None:
+        """Read on from another offset: what lies before came from a snapshot."""
+        self._next = offset
+
+    def _run(self) -> None:
+        backoff_s = SHORTEST_BACKOFF_S
+        reads = self._environment.metrics.log_reads
+        while not self._stopped.is_set():
+            answer = self._log.read(self._stream, self._next, WAIT_S)
+            if isinstance(answer, Ok):
+                reads.labels(stream=self._stream, outcome="ok").inc()
+                backoff_s = SHORTEST_BACKOFF_S
+                self._take(answer.ok_value)
+                continue
+            reads.labels(stream=self._stream, outcome="failed").inc()
+            self._stopped.wait(backoff_s)
+            backoff_s = min(2 * backoff_s, LONGEST_BACKOFF_S)
+
+    def _take(self, batch: RecordBatch) -> None:
+        self._health.answered()
+        if batch.records:
+            self._next = batch.records[-1].offset + 1
+        elif batch.first > self._next:
+            self._next = batch.first
+        self._on_batch(batch, self._environment.now())
--- /dev/null
+++ b/bamboovale/platform/log_client.py
@@ -0,0 +1,109 @@
+"""Client of the platform's append-only log service.
+
+An append has three outcomes, and only two are known: appended, refused, or *unknown*
+(no answer: it may have taken effect). Callers settle the unknown by reading back.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlsplit
+
+from result import Err, Ok, Result
+from urllib3.exceptions import HTTPError
+
+from bamboovale.http_client import HttpClient, never_connected
+
+APPEND_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 3.0
+MAX_RECORDS_PER_READ = 500
+
+
+@dataclass(frozen=True)
+class LogRecord:
+    """One record as read back; ``time`` is the log's own wall clock at the append."""
+
+    offset: int
+    value: Any
+    time: float = 0.0
+
+
+@dataclass(frozen=True)
+class RecordBatch:
+    """Records read at once; ``first`` is the oldest offset that the log still keeps."""
+
+    stream: str
+    records: tuple[LogRecord, ...]
+    first: int
+    next: int
+
+
+@dataclass(frozen=True)
+class LogFailure:
+    """A call on the log service that brought no answer or a refusal.
+
+    ``may_have_taken_effect`` is False only where nothing can have been appended.
+    """
+
+    reason: str
+    may_have_taken_effect: bool
+
+
+class LogClient:
+    """Appends to and reads from the streams of the log service."""
+
+    def __init__(self, url: str, http: HttpClient) -> None:
+        parts = urlsplit(url)
+        self._host = parts.hostname or ""
+        self._port = parts.port or 80
+        self._http = http
+
+    def append(self, stream: str, value: Any) -> Result[int, LogFailure]:
+        """Append one record; return its offset, which is not yet read back."""
+        try:
+            status, answer = self._http.request_json(
+                "POST",
+                self._host,
+                self._port,
+                f"/streams/{stream}/records",
+                value={"value": value},
+                read_timeout_s=APPEND_TIMEOUT_S,
+            )
+        except (HTTPError, OSError) as error:
+            return Err(
+                LogFailure(
+                    reason=type(error).__name__,
+                    may_have_taken_effect=not never_connected(error),
+                )
+            )
+        if status != 200:
+            return Err(LogFailure(f"status {status}", may_have_taken_effect=False))
+        return Ok(answer["offset"])
+
+    def read(
+        self,
+        stream: str,
+        start: int,
+        wait_s: float,
+    ) -> Result[RecordBatch, LogFailure]:
+        """Read records from ``start`` on, waiting up to ``wait_s`` for the first."""
+        path = (
+            f"/streams/{stream}/records?from={start}&limit={MAX_RECORDS_PER_READ}"
+            f"&wait_ms={int(wait_s * 1000)}"
+        )
+        try:
+            status, answer = self._http.request_json(
+                "GET",
+                self._host,
+                self._port,
+                path,
+                read_timeout_s=READ_TIMEOUT_S + wait_s,
+            )
+        except (HTTPError, OSError) as error:
+            return Err(LogFailure(type(error).__name__, may_have_taken_effect=False))
+        if status != 200:
+            return Err(LogFailure(f"status {status}", may_have_taken_effect=False))
+        records = tuple(
+            LogRecord(record["offset"], record["value"], record["time"])
+            for record in answer["records"]
+        )
+        return Ok(RecordBatch(stream, records, answer["first"], answer["next"]))
--- /dev/null
+++ b/bamboovale/platform/vm_list.py
@@ -0,0 +1,55 @@
+"""Client of the platform's VM list, which shows live and leaving VMs with a lag."""
+
+from typing import Any
+from urllib.parse import urlsplit
+
+from result import Err, Ok, Result
+from urllib3.exceptions import HTTPError
+
+from bamboovale.http_client import HttpClient
+from bamboovale.models import VM, VMKind, VMState
+
+READ_TIMEOUT_S = 2.0
+
+
+def parse_vm(row: dict[str, Any]) -> VM:
+    """Return the VM of one row of the list."""
+    return VM(
+        id=row["id"],
+        kind=VMKind(row["kind"]),
+        address=row["address"],
+        ports=dict(row.get("ports", {})),
+        failure_domain=row.get("failure_domain", ""),
+        region=row.get("region", ""),
+        pool=row.get("pool", ""),
+        state=VMState(row.get("state", "live")),
+    )
+
+
+class VMListClient:
+    """Reads the VM list."""
+
+    def __init__(self, url: str, http: HttpClient) -> None:
+        parts = urlsplit(url)
+        self._host = parts.hostname or ""
+        self._port = parts.port or 80
+        self._http = http
+
+    def read(self) -> Result[tuple[VM, ...], str]:
+        """Return every VM of the list, or the reason why it could not be read."""
+        try:
+            status, answer = self._http.request_json(
+                "GET",
+                self._host,
+                self._port,
+                "/vms",
+                read_timeout_s=READ_TIMEOUT_S,
+            )
+        except (HTTPError, OSError) as error:
+            return Err(type(error).__name__)
+        if status != 200:
+            return Err(f"status {status}")
+        try:
+            return Ok(tuple(parse_vm(row) for row in answer["vms"]))
+        except (KeyError, TypeError, ValueError) as error:
+            return Err(f"malformed list: {error}")
--- a/bamboovale/settings.py
+++ b/bamboovale/settings.py
@@ -150,6 +150,12 @@
         low=1,
         high=604800,
     )
+    log_retention_s: float = setting(
+        3600.0,
+        "Seconds for which the log service keeps records; snapshots go by it.",
+        low=1,
+        high=31536000,
+    )
     weight_loads_per_s: float = setting(
         5.0,
         "Loads a second that the weight store allows.",
