--- a/bamboovale/entry/engine_run.py
+++ b/bamboovale/entry/engine_run.py
@@ -117,8 +117,8 @@
     def read_events(self, response: BaseHTTPResponse) -> Iterator[bytes]:
         """Yield the events of a stream up to its end marker.
 
-        Raises RunFailedError(BROKEN) for a stream without the marker at its end: who read it
-        would take the part for the whole.
+        Raises RunFailedError(BROKEN) for a stream that ends without the marker: whoever
+        read it would take the part for the whole.
         """
         pending = b""
         first = True
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,12 +1,14 @@
 """Settings: all findings together, each with its place."""
 
 import json
+from pathlib import Path
 
 import pytest
 from result import Err, Ok
 from typer.testing import CliRunner
 
 from bamboovale.cli.main import app
+from bamboovale.cli.settings_table import render_table
 from bamboovale.settings import Settings
 from bamboovale.status import ExitStatus
 
@@ -113,3 +115,18 @@
         assert done.exit_code == 0, done.output
         assert json.loads(done.stdout)["id"] == "entry-2"
         assert json.loads(done.stdout)["failure_domain"] == "muc-a"
+
+
+class TestPage:
+    """``docs/SETTINGS.md`` shows what the declaration says."""
+
+    def test_the_table_is_the_declared_one(self) -> None:
+        page = Path("docs/SETTINGS.md").read_text("utf-8")
+        assert page.endswith(f"\n\n{render_table()}\n"), "run bamboovale settings-table"
+
+    def test_the_example_of_findings_is_real(self) -> None:
+        page = Path("docs/SETTINGS.md").read_text("utf-8")
+        command, *lines = page.split("```")[1].splitlines()[1:]
+        done = CliRunner().invoke(app, command.split()[2:])
+        assert done.stderr.splitlines() == lines[:3]
+        assert done.exit_code == int(lines[-1])
