Give back places and turns that a lost message would keep

Cause: found by reading. A release lost with its link kept a place and a pin for ever; a turn at the weight store used for another adapter than it was asked for was never given back; an ask dropped for silence left its entry VM, if it was only slow, waiting to its deadline; renewals queued up behind a log that hangs; a VM behind a gap of expired records went on serving what it had. Ruled out: freeing places by a timer alone. A run may take minutes, and a request that waits inside the engine is not in its running list: only a look at the engine with nothing waiting, after send-by and margin, counts. Change: permits that the engine does not list linger and end; turns are kept as a queue; dropped asks are answered "elsewhere"; two renewals under way at most; the catalogue is taken back until a whole one is there. Before and after: tests/test_dispatch_lost_release.py fails on the old dispatch (the place never comes back) and passes now. The other four are not yet proved by a test of their own.

--- a/bamboovale/catalogue/keeper.py
+++ b/bamboovale/catalogue/keeper.py
@@ -142,6 +142,8 @@
         if batch.first > self._catalogue.next_offset and self._assembler is None:
             logger.warning("catalogue: records expired before they were read")
             self._assembler = SnapshotAssembler(batch.first)
+            # What is here may have been replaced by what expired: not served.
+            self._views.catalogue = None
             self._callbacks.ask_peer(None)
         if self._assembler is not None:
             self._assemble(batch.records)
--- a/bamboovale/decisions/dispatch.py
+++ b/bamboovale/decisions/dispatch.py
@@ -101,6 +101,7 @@
         self._view = view
         self._drop_permits_of_other_boots(view.boot_id)
         self._planner.see(view, read_at, now)
+        self._linger_unseen(view, read_at)
         self._permits.see(view, read_at)
         return self._decide(now)
 
@@ -188,6 +189,7 @@
         for permit in permits:
             if boot_id is None or permit.boot_id == boot_id:
                 self._permits.add(permit)
+                self._granted_at_by_permit_id.setdefault(permit.permit_id, now)
         return self._decide(now)
 
     # Events from the load scheduler, the lease and the catalogue.
@@ -358,6 +360,27 @@
             if permit.boot_id != boot_id:
                 self._permits.release(permit.permit_id, 0.0)
 
+    def _linger_unseen(self, view: EngineView, read_at: float) -> None:
+        """End permits whose release was lost with its message.
+
+        The engine does not list the request, nothing waits inside the engine, and
+        the time in which it could still have been sent has passed: the run is over.
+        Without this a lost message would take a place and a pin for ever.
+        """
+        if view.waiting:
+            return
+        config = self._config
+        late = read_at - config.send_within_s - config.permit_margin_s
+        for permit_id, granted_at in list(self._granted_at_by_permit_id.items()):
+            permit = self._permits.permit_by_id.get(permit_id)
+            if permit is None or granted_at >= late:
+                continue
+            if permit.request_id not in view.running_by_request_id:
+                self._permits.linger(permit_id, not_before=late)
+                del self._granted_at_by_permit_id[permit_id]
+                if permit_id == self._exclusive_permit_id:
+                    self._exclusive_permit_id = None
+
     # Predicted waits and refusals.
 
     def _spacing_s(self, item: WorkItem) -> float:
--- a/bamboovale/engines/holder.py
+++ b/bamboovale/engines/holder.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, replace
@@ -21,7 +22,7 @@
     Load,
     Permit,
     Refuse,
-    Unload,
+    ReturnLoadSlot,
     WorkItem,
 )
 from bamboovale.engines.client import EngineAddress
@@ -150,7 +151,7 @@
         self._dispatch = EngineDispatch.from_config(config, policy)
         self._orders = orders
         self._load_turns = load_turns
-        self._turn_by_lora_name: dict[str, LoadTurnGiven] = {}
+        self._turns: deque[LoadTurnGiven] = deque()
         self._on_hint = on_hint
         self._queued_by_id: dict[str, QueuedAsk] = {}
         self._source_by_lora_name: dict[str, str] = {}
@@ -192,7 +193,7 @@
     def on_stop(self) -> None:
         """Send what waits here to the next holder."""
         for request_id, queued in self._queued_by_id.items():
-            queued.reply(_lease_gone(request_id))
+            queued.reply(_elsewhere(request_id, "the lease on the engine has moved"))
         self._queued_by_id.clear()
         self._executor.shutdown(wait=False, cancel_futures=True)
 
@@ -233,11 +234,9 @@
         self._carry_out(self._dispatch.on_release(message.permit_id, self._now()))
 
     def _on_entry_vm_gone(self, message: EntryVMGone) -> None:
-        self._queued_by_id = {
-            request_id: queued
-            for request_id, queued in self._queued_by_id.items()
-            if queued.entry_vm != message.entry_vm
-        }
+        for request_id, queued in list(self._queued_by_id.items()):
+            if queued.entry_vm == message.entry_vm:
+                self._drop(request_id)
         self._carry_out(self._dispatch.on_entry_gone(message.entry_vm, self._now()))
 
     def _on_permits_reported(self, message: PermitsReported) -> None:
@@ -249,9 +248,17 @@
         silent_since = now - self._config.send_within_s
         for request_id, queued in list(self._queued_by_id.items()):
             if queued.heard_at < silent_since:
-                del self._queued_by_id[request_id]
+                self._drop(request_id)
                 self._carry_out(self._dispatch.on_cancel(request_id, now))
 
+    def _drop(self, request_id: str) -> None:
+        """Stop waiting for an entry VM that fell silent.
+
+        It may only be slow, and would then wait here for nothing: it is told.
+        """
+        queued = self._queued_by_id.pop(request_id)
+        queued.reply(_elsewhere(request_id, "the entry VM fell silent"))
+
     # The engine.
 
     def _on_tick(self, _: Tick) -> None:
@@ -291,7 +298,7 @@
         now = self._now()
         name = ended.lora_name
         if ended.order is Load:
-            self._end_turn(name, used=ended.given, loaded=ended.succeeded)
+            self._end_turn(used=ended.given, loaded=ended.succeeded)
             if ended.succeeded:
                 self._carry_out(self._dispatch.on_loaded(name, now))
             else:
@@ -299,21 +306,20 @@
         elif ended.succeeded:
             self._carry_out(self._dispatch.on_unloaded(name, now))
         else:
+            self._end_turn(used=False, loaded=False)
             self._carry_out(self._dispatch.on_unload_failed(name, now))
         if not ended.succeeded:
             self._read_view()
 
     def _on_turn(self, message: TurnGiven) -> None:
+        """Use a turn; it may go to another adapter than it was asked for."""
+        self._turns.append(message.turn)
         name = message.turn.lora_name
-        self._turn_by_lora_name[name] = message.turn
-        actions = self._dispatch.on_load_slot(name, self._now())
-        if not any(isinstance(action, Load | Unload) for action in actions):
-            self._end_turn(name, used=False, loaded=False)
-        self._carry_out(actions)
+        self._carry_out(self._dispatch.on_load_slot(name, self._now()))
 
-    def _end_turn(self, lora_name: str, *, used: bool, loaded: bool) -> None:
-        turn = self._turn_by_lora_name.pop(lora_name, None)
-        if turn is not None:
+    def _end_turn(self, *, used: bool, loaded: bool) -> None:
+        if self._turns:
+            turn = self._turns.popleft()
             self._load_turns.end(turn, used=used, loaded=loaded)
 
     def _on_leaving(self, _: LeavingSeen) -> None:
@@ -342,6 +348,8 @@
                 self._refuse(action.request_id, action.refusal)
             elif isinstance(action, AskLoadSlot):
                 self._load_turns.ask(self._engine.id, action.lora_name, action.weight)
+            elif isinstance(action, ReturnLoadSlot):
+                self._end_turn(used=False, loaded=False)
             else:
                 self._executor.submit(self._orders.carry_out, self.actor_ref, action)
 
@@ -352,6 +360,8 @@
         if queued is None or queued.heard_at < now - self._config.send_within_s:
             # Not carried out inside the dispatch's own decision: told to ourselves.
             tell(self.actor_ref, ReleaseReceived(permit.permit_id))
+            if queued is not None:
+                queued.reply(_elsewhere(permit.request_id, "the entry VM fell silent"))
             return
         self._environment.metrics.permits_granted.inc()
         stamped = replace(permit, ask_number=queued.ask_number)
@@ -390,11 +400,11 @@
     )
 
 
-def _lease_gone(request_id: str) -> PermitReply:
+def _elsewhere(request_id: str, reason: str) -> PermitReply:
     return PermitReply(
         request_id=request_id,
         code=ErrorCode.NO_ENDPOINT,
-        reason="the lease on the engine has moved",
+        reason=reason,
         retry_after_s=0.0,
         elsewhere=True,
     )
--- a/bamboovale/leases/keeper.py
+++ b/bamboovale/leases/keeper.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bamboovale.actors import MessageActor, Tick
+from bamboovale.actors import MessageActor, Tick, tell
 from bamboovale.decisions.rendezvous import score
 from bamboovale.environment import Environment
 from bamboovale.leases.fold import LeaseOutcome, LeaseTable, Moved, Renewed
@@ -32,6 +32,10 @@
 HAND_OVER_EVERY_S = 0.5
 """Hand-overs one by one: each costs its engine a moment without loads."""
 
+MAX_RENEWALS_UNDER_WAY = 2
+"""While the log hangs, further renewals would only queue up behind each other and be
+too old to count when it is back."""
+
 SNAPSHOT_EVERY_S = 60.0
 """A VM that starts behind expired records waits at most this long for a snapshot."""
 
@@ -51,6 +55,11 @@
     """A planned stop: release every lease to the next in rank."""
 
 
+@dataclass(frozen=True)
+class RenewalEnded:
+    """An append of a renewal ended, one way or the other."""
+
+
 @dataclass(frozen=True)
 class DumpLeases:
     """Ask for the state as JSON."""
@@ -109,12 +118,14 @@
         self._take_sent_at: dict[str, float] = {}
         self._preferred_since: dict[str, tuple[str, float]] = {}
         self._next_renewal_at = 0.0
+        self._renewals_under_way = 0
         self._next_hand_over_at = 0.0
         self._next_snapshot_at = 0.0
         self._handing_over = False
         self.handle(LeaseBatchRead, self._on_batch)
         self.handle(Tick, self._on_tick)
         self.handle(HandOverAll, self._on_hand_over_all)
+        self.handle(RenewalEnded, self._on_renewal_ended)
         self.handle(DumpLeases, self._on_dump)
 
     # Reading.
@@ -232,9 +243,18 @@
         return [WEIGHT_STORE, *(runner.id for runner in runners)]
 
     def _renew(self, now: float) -> None:
+        if self._renewals_under_way >= MAX_RENEWALS_UNDER_WAY:
+            return
+        self._renewals_under_way += 1
         record = self._own.renewal(self._record_id())
         self._own.note_sent(record.record_id, now)
-        self._appender.append(record.to_json())
+        self._appender.append(
+            record.to_json(),
+            lambda _: tell(self.actor_ref, RenewalEnded()),
+        )
+
+    def _on_renewal_ended(self, _: RenewalEnded) -> None:
+        self._renewals_under_way -= 1
 
     def _take_if_due(self, engine: str, now: float) -> None:
         assert self._table is not None
--- /dev/null
+++ b/tests/test_dispatch_lost_release.py
@@ -0,0 +1,75 @@
+"""A release that is lost on its way to the lease holder."""
+
+from bamboovale.decisions.dispatch import DispatchConfig, EngineDispatch
+from bamboovale.decisions.policy import Policy
+from bamboovale.decisions.work import EngineView, Grant, WorkItem
+from bamboovale.models import AdapterVersion, WorkClass
+
+
+def view(*running: str, waiting: int = 0, read_at: float) -> EngineView:
+    return EngineView(
+        boot_id="b1",
+        base_model="base",
+        max_num_seqs=1,
+        max_loras=1,
+        loaded=frozenset(["a@1"]),
+        running_by_request_id=dict.fromkeys(running, "a@1"),
+        waiting=waiting,
+        read_at=read_at,
+    )
+
+
+def item(request_id: str, now: float) -> WorkItem:
+    return WorkItem(
+        request_id=request_id,
+        entry_vm="e1",
+        target=AdapterVersion("a", "1"),
+        source="s",
+        work_class=WorkClass.INTERACTIVE,
+        customer="c",
+        arrived_at=now,
+        latest_start=now + 60.0,
+    )
+
+
+class TestLostRelease:
+    """The place of a run that is over is given again.
+
+    A caller waits although the engine is idle. The run before ended, but the message
+    that releases its permit was lost when the link between two entry VMs broke.
+    """
+
+    def dispatch_with_a_run(self) -> EngineDispatch:
+        config = DispatchConfig("g1", "base", fencing=1, send_within_s=1.0)
+        dispatch = EngineDispatch.from_config(config, Policy.chosen())
+        dispatch.on_engine_view(view(read_at=0.0), 0.0)
+        granted = dispatch.on_request(item("r1", 0.0), 0.0)
+        assert any(isinstance(action, Grant) for action in granted)
+        return dispatch
+
+    def grants(self, actions: list) -> list[str]:
+        return [a.permit.request_id for a in actions if isinstance(a, Grant)]
+
+    def test_the_place_comes_back_without_a_release(self) -> None:
+        dispatch = self.dispatch_with_a_run()
+        dispatch.on_request(item("r2", 4.0), 4.0)
+        actions = dispatch.on_engine_view(view(read_at=5.0), 5.0)
+        assert self.grants(actions) == ["r2"]
+
+    def test_a_listed_run_keeps_its_place(self) -> None:
+        dispatch = self.dispatch_with_a_run()
+        dispatch.on_request(item("r2", 4.0), 4.0)
+        actions = dispatch.on_engine_view(view("r1", read_at=5.0), 5.0)
+        assert self.grants(actions) == []
+
+    def test_a_permit_that_may_still_be_sent_keeps_its_place(self) -> None:
+        dispatch = self.dispatch_with_a_run()
+        dispatch.on_request(item("r2", 0.5), 0.5)
+        actions = dispatch.on_engine_view(view(read_at=1.0), 1.0)
+        assert self.grants(actions) == []
+
+    def test_a_request_that_waits_inside_the_engine_keeps_its_place(self) -> None:
+        dispatch = self.dispatch_with_a_run()
+        dispatch.on_request(item("r2", 4.0), 4.0)
+        actions = dispatch.on_engine_view(view(waiting=1, read_at=5.0), 5.0)
+        assert self.grants(actions) == []
