--- a/bamboovale/peers/keepalive.py
+++ b/bamboovale/peers/keepalive.py
@@ -4,9 +4,9 @@
 none of these for minutes, while every request to it would wait for its timeout. Any
 frame back after a ping shows both directions and the peer's event loop to be alive.
 
-Only the side that opened the link pings, often while the link is used and seldom
-while it is not: pinging every link from both ends every 0.7 s took 0.1% of a core
-for each peer (``docs/design/peers.md``). All times are seconds, monotonic.
+Only the side that opened the link pings, often while a request of its waits for a
+reply and seldom otherwise: pinging every link from both ends every 0.7 s took 0.1% of
+a core for each peer (``docs/design/peers.md``). All times are seconds, monotonic.
 """
 
 from enum import Enum, auto
@@ -14,12 +14,12 @@
 # How often all links are looked at, in one turn of one timer.
 SWEEP_S = 0.25
 
-# Together with the sweep they bound how long a silent peer in use goes unseen:
-# 0.5 + 1.0 + 0.25 s, below two seconds.
+# How long a peer that owes a reply can be silent unseen: a sweep until the first look,
+# the timeout, and a sweep until it is noticed. That is below two seconds.
 PING_INTERVAL_S = 0.5
 PING_TIMEOUT_S = 1.0
 
-# Nothing waits on an unused link, so it is enough to find it dead before its next use.
+# A notice may be lost, so a link without open requests may be dead for a while.
 IDLE_PING_INTERVAL_S = 10.0
 
 # The called side hears at least a ping in this time. The rest is for a late sweep.
@@ -39,21 +39,16 @@
 
     def __init__(self, now: float) -> None:
         self.round_trip_s = 0.0
-        self._used = False
         self._last_ping_at = now
         self._unanswered_since: float | None = None
 
-    def note_use(self) -> None:
-        """Note that a message was sent."""
-        self._used = True
-
     def note_received(self, now: float) -> None:
         """Note that a frame came in, whichever it was."""
         if self._unanswered_since is not None:
             self.round_trip_s = now - self._unanswered_since
             self._unanswered_since = None
 
-    def check(self, now: float, overslept_s: float) -> Check:
+    def check(self, now: float, *, awaiting_reply: bool, overslept_s: float) -> Check:
         """Return what to do now; ``overslept_s`` is how much too late the look is.
 
         A pause of our own process is not the peer's silence: its answer may lie in
@@ -63,10 +58,9 @@
             self._unanswered_since += overslept_s
             silent = now - self._unanswered_since > PING_TIMEOUT_S
             return Check.SILENT if silent else Check.NOTHING
-        interval = PING_INTERVAL_S if self._used else IDLE_PING_INTERVAL_S
+        interval = PING_INTERVAL_S if awaiting_reply else IDLE_PING_INTERVAL_S
         if now - self._last_ping_at < interval:
             return Check.NOTHING
-        self._used = False
         self._last_ping_at = now
         self._unanswered_since = now
         return Check.PING
--- a/bamboovale/peers/links.py
+++ b/bamboovale/peers/links.py
@@ -5,10 +5,11 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import threading
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from concurrent.futures import Future
 from dataclasses import dataclass
 from typing import Any
@@ -145,8 +146,15 @@
 
     def notify(self, vm_id: str, message: Any) -> None:
         """Send a notice, best effort: it is dropped if the link is down or full."""
+        self.notify_all([vm_id], message)
+
+    def notify_all(self, vm_ids: Iterable[str], message: Any) -> None:
+        """Send one notice to several peers; it is encoded once."""
         data = encode_frame(FrameKind.NOTICE, 0, message)
-        self._submit(vm_id, Outbound(0, data), None)
+        loop = self._loop
+        with contextlib.suppress(RuntimeError):  # stopped meanwhile
+            if loop is not None:
+                loop.call_soon_threadsafe(self._enqueue_notice, tuple(vm_ids), data)
 
     def connected(self) -> dict[str, LinkState]:
         """Return the state of the links by VM id."""
@@ -166,7 +174,7 @@
         loop.call_soon_threadsafe(stopping.set)
         thread.join(STOP_TIMEOUT_S)
 
-    def _submit(self, vm_id: str, item: Outbound, timeout_s: float | None) -> None:
+    def _submit(self, vm_id: str, item: Outbound, timeout_s: float) -> None:
         loop = self._loop
         try:
             if loop is None:
@@ -175,6 +183,10 @@
         except RuntimeError:  # stopped, perhaps between the two lines above
             item.settle(PeerUnreachableError("the links are stopped"))
 
+    def _enqueue_notice(self, vm_ids: tuple[str, ...], data: bytes) -> None:
+        for vm_id in vm_ids:
+            self._enqueue(vm_id, Outbound(0, data), None)
+
     def _enqueue(self, vm_id: str, item: Outbound, timeout_s: float | None) -> None:
         link = self._link_by_vm_id.get(vm_id)
         if link is None:
--- a/bamboovale/peers/outgoing.py
+++ b/bamboovale/peers/outgoing.py
@@ -134,7 +134,6 @@
             return
         if timeout_s is not None:
             item.timer = self._loop.call_later(timeout_s, self._expire, item)
-        self._keepalive.note_use()
         self._enqueue(item)
         if self._task is None:
             self._task = self._loop.create_task(self._run())
@@ -143,7 +142,11 @@
         """Ping the peer if that is due, or cut the link to a silent one."""
         if self._channel is None:
             return
-        check = self._keepalive.check(self._loop.time(), overslept_s)
+        check = self._keepalive.check(
+            self._loop.time(),
+            awaiting_reply=bool(self._sent_by_number),
+            overslept_s=overslept_s,
+        )
         if check is Check.PING:
             self._enqueue(Outbound(0, PING))
         elif check is Check.SILENT:
