--- a/bamboovale/claims/fold.py
+++ b/bamboovale/claims/fold.py
@@ -16,6 +16,8 @@
 from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
+from hashlib import blake2b
+from sys import intern
 from typing import Any
 
 from bamboovale.claims.records import (
@@ -31,13 +33,14 @@
 DEFAULT_HORIZON_S = 3600.0
 # A full table refuses new keys instead of forgetting old ones: forgetting one early
 # would let its repeat run a second time.
-DEFAULT_MAX_CLAIMS = 50_000
+DEFAULT_MAX_CLAIMS = 30_000
 # One customer cannot fill the table for all others.
 MAX_SHARE_OF_CUSTOMER = 0.25
 # A key that is claimed and released over and over keeps this many attempt ids. Were a
 # copy of an older claim to arrive later still, it would win and never be sent: the key
 # stays blocked for a horizon, and nothing runs twice.
 MAX_GIVEN_UP = 8
+BODY_DIGEST_BYTES = 7
 
 
 class ClaimGapError(Exception):
@@ -102,7 +105,7 @@
 
     owner: str
     expires_at: float = 0.0
-    body_hash: str = ""
+    body_digest: int = 0
     node: str = ""
     incarnation: str = ""
     attempt_id: str | None = None
@@ -208,11 +211,7 @@
                     Verdict.TABLE_FULL,
                     KeyReport(KeyState.FREE),
                 )
-            record = _KeyRecord(
-                owner=claim.owner,
-                unsure=not self.is_complete,
-            )
-            self._count_by_owner[claim.owner] += 1
+            record = self._new_record(claim.owner)
         self._touch(digest, record)
         verdict = self._judge(claim, record)
         return ClaimOutcome(claim, verdict, _report_of(record, claim.body_hash))
@@ -223,19 +222,25 @@
         if claim.attempt_id in record.given_up:
             return Verdict.GIVEN_UP
         if record.attempt_id is None:
-            record.body_hash = claim.body_hash
-            record.node = claim.node
-            record.incarnation = claim.incarnation
+            record.body_digest = _body_digest(claim.body_hash)
+            record.node = intern(claim.node)
+            record.incarnation = intern(claim.incarnation)
             record.attempt_id = claim.attempt_id
             return Verdict.WON
         if record.attempt_id == claim.attempt_id:
             return Verdict.REPEATED
-        if record.body_hash != claim.body_hash:
+        if record.body_digest != _body_digest(claim.body_hash):
             return Verdict.BODY_DIFFERS
         return Verdict.LOST
 
     def _release(self, released: Released) -> None:
-        record = self._record_by_digest.get(key_digest(released.owner, released.key))
+        digest = key_digest(released.owner, released.key)
+        record = self._record_by_digest.get(digest)
+        if record is None and not self._is_full(released.owner):
+            # The append of the claim may still be under way and land after this; it
+            # must not win for an attempt that is never sent.
+            record = self._new_record(released.owner)
+            self._touch(digest, record)
         if record is None or record.status is not None:
             return
         if released.attempt_id not in record.given_up:
@@ -246,6 +251,10 @@
         if record.attempt_id == released.attempt_id and not record.unsure:
             record.attempt_id = None
 
+    def _new_record(self, owner: str) -> _KeyRecord:
+        self._count_by_owner[owner] += 1
+        return _KeyRecord(owner=intern(owner), unsure=not self.is_complete)
+
     def _answer(self, answered: Answered) -> None:
         record = self._record_by_digest.get(key_digest(answered.owner, answered.key))
         if record is not None and record.attempt_id == answered.attempt_id:
@@ -285,12 +294,18 @@
                 del self._count_by_owner[record.owner]
 
 
+def _body_digest(body_hash: str) -> int:
+    """Return a short form of a body's hash: memory at many thousand claims."""
+    digest = blake2b(body_hash.encode(), digest_size=BODY_DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
 def _report_of(record: _KeyRecord, body_hash: str) -> KeyReport:
     if record.unsure:
         return KeyReport(KeyState.UNKNOWN)
     if record.attempt_id is None:
         return KeyReport(KeyState.FREE)
-    if record.body_hash != body_hash:
+    if record.body_digest != _body_digest(body_hash):
         state = KeyState.BODY_DIFFERS
     elif record.status is None:
         state = KeyState.CLAIMED
--- a/bamboovale/leases/fold.py
+++ b/bamboovale/leases/fold.py
@@ -20,6 +20,7 @@
     LeaseRecord,
     Release,
     Renewal,
+    Reset,
     TableSnapshot,
     Take,
     parse_record,
@@ -100,7 +101,15 @@
     reason: VoidReason
 
 
-LeaseOutcome = Renewed | Moved | Void
+@dataclass(frozen=True, slots=True)
+class Cleared:
+    """A reset ended every lease."""
+
+    offset: int
+    record_id: str
+
+
+LeaseOutcome = Renewed | Moved | Cleared | Void
 
 
 class LeaseTable:
@@ -109,6 +118,8 @@
     def __init__(self) -> None:
         self.next_offset = 0
         self.void_records = 0
+        # Offset of the last renewal, take or release, whether it counted or not.
+        self.last_record_offset = NO_OFFSET
         self._lease_by_engine: dict[str, Lease] = {}
 
     @classmethod
@@ -149,6 +160,9 @@
             return Void(offset, "", "", "", VoidReason.UNREADABLE)
         if isinstance(record, TableSnapshot):
             return None
+        if isinstance(record, Reset):
+            return self._apply_reset(offset, record)
+        self.last_record_offset = offset
         outcome = self._apply(offset, record, read_at)
         if isinstance(outcome, Void):
             self.void_records += 1
@@ -160,6 +174,7 @@
             "type": "snapshot",
             "id": record_id,
             "at": self.next_offset,
+            "last": self.last_record_offset,
             "leases": [
                 [lease.engine, lease.holder, lease.fencing, lease.last_offset]
                 for _, lease in sorted(self._lease_by_engine.items())
@@ -183,6 +198,7 @@
         if not isinstance(record, TableSnapshot) or record.at < first:
             return None
         table = cls.empty(record.at)
+        table.last_record_offset = record.last
         for engine, holder, fencing, last_offset in record.leases:
             lease = Lease(engine, holder, fencing, last_offset, read_at)
             table._lease_by_engine[engine] = lease
@@ -239,6 +255,15 @@
             return self._void(offset, record, VoidReason.NOT_HOLDER)
         return self._move(offset, record, record.next_node, read_at)
 
+    def _apply_reset(self, offset: int, record: Reset) -> Cleared | Void:
+        # Its writer waited until every lease it could not see had lapsed. A record
+        # that it had not read when it wrote may have extended one: the reset is void.
+        if self.last_record_offset > record.after:
+            self.void_records += 1
+            return Void(offset, record.record_id, "", record.node, VoidReason.OVERTAKEN)
+        self._lease_by_engine.clear()
+        return Cleared(offset, record.record_id)
+
     def _move(
         self,
         offset: int,
--- a/bamboovale/leases/holding.py
+++ b/bamboovale/leases/holding.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from bamboovale.leases.fold import Lease, LeaseOutcome, Moved, Renewed
+from bamboovale.leases.fold import Cleared, Lease, LeaseOutcome, Moved, Renewed
 from bamboovale.leases.records import Renewal
 from bamboovale.leases.timing import LeaseTerms
 
@@ -64,6 +64,8 @@
             self._note_move(outcome)
         elif isinstance(outcome, Renewed) and outcome.node == self._node:
             self._note_renewal(outcome)
+        elif isinstance(outcome, Cleared):
+            self._held_by_engine.clear()
 
     def let_go(self, engine: str) -> None:
         """Stop acting as holder, before the release is sent."""
--- a/bamboovale/leases/records.py
+++ b/bamboovale/leases/records.py
@@ -66,17 +66,43 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class Reset:
+    """Ends every lease if no renewal, take or release lies after ``after``.
+
+    Written by a reader that found no beginning of the stream and has read, for as
+    long as a taker waits, nothing that could extend a lease.
+    """
+
+    record_id: str
+    node: str
+    after: int
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the value for the log."""
+        return {
+            "type": "reset",
+            "id": self.record_id,
+            "node": self.node,
+            "after": self.after,
+        }
+
+
 @dataclass(frozen=True, slots=True)
 class TableSnapshot:
-    """The whole table before offset ``at``, for readers that start after a gap."""
+    """The whole table before offset ``at``, for readers that start after a gap.
+
+    ``last`` is the offset of the last renewal, take or release before it.
+    """
 
     record_id: str
     at: int
+    last: int
     leases: tuple[tuple[str, str | None, int, int], ...]
 
 
 LeaseRecord = Renewal | Take | Release
-Record = LeaseRecord | TableSnapshot
+Record = LeaseRecord | Reset | TableSnapshot
 
 
 def parse_record(value: Any) -> Record | None:
@@ -105,7 +131,7 @@
 
 def _parse_take(value: dict[str, Any]) -> Result[Take, str]:
     after = value.get("after")
-    if not _is_offset(after) and after != -1:
+    if not _is_last_offset(after):
         return Err("after must be an offset or -1")
     if not _has_strings(value, "id", "node", "engine"):
         return Err("id, node and engine must be strings")
@@ -131,16 +157,27 @@
     )
 
 
+def _parse_reset(value: dict[str, Any]) -> Result[Reset, str]:
+    if not _is_last_offset(value.get("after")):
+        return Err("after must be an offset or -1")
+    if not _has_strings(value, "id", "node"):
+        return Err("id and node must be strings")
+    return Ok(Reset(value["id"], value["node"], value["after"]))
+
+
 def _parse_snapshot(value: dict[str, Any]) -> Result[TableSnapshot, str]:
     rows = value.get("leases")
     if not _is_offset(value.get("at")) or not isinstance(rows, list):
         return Err("at must be an offset and leases a list")
+    if not _is_last_offset(value.get("last")):
+        return Err("last must be an offset or -1")
     if not _has_strings(value, "id") or not all(_is_row(row) for row in rows):
         return Err("id must be a string and each lease a row")
     return Ok(
         TableSnapshot(
             record_id=value["id"],
             at=value["at"],
+            last=value["last"],
             leases=tuple((row[0], row[1], row[2], row[3]) for row in rows),
         )
     )
@@ -150,6 +187,7 @@
     "renew": _parse_renewal,
     "take": _parse_take,
     "release": _parse_release,
+    "reset": _parse_reset,
     "snapshot": _parse_snapshot,
 }
 
@@ -162,6 +200,10 @@
     return isinstance(value, int) and not isinstance(value, bool) and value >= 0
 
 
+def _is_last_offset(value: Any) -> bool:
+    return _is_offset(value) or (value == -1 and isinstance(value, int))
+
+
 def _is_row(row: Any) -> bool:
     return (
         isinstance(row, list)
--- a/bamboovale/leases/timing.py
+++ b/bamboovale/leases/timing.py
@@ -60,5 +60,6 @@
     @property
     def wait_s(self) -> float:
         """Return how long a taker waits from reading the holder's last record."""
-        # Both clocks may be wrong, the holder's slow and the taker's fast.
-        return self.term_s * (1 + 2 * self.clock_error) + self.margin_s
+        # The holder's clock may be slow and the taker's fast, each by the error.
+        stretch = (1 + self.clock_error) / (1 - self.clock_error)
+        return self.term_s * stretch + self.margin_s
--- a/tests/test_catalogue_fold.py
+++ b/tests/test_catalogue_fold.py
@@ -190,6 +190,15 @@
             catalogue.apply(3, edit("00000002", deletion("pool", "tutor-llm")))
         assert catalogue.next_offset == 1
 
+    def test_a_record_read_again_changes_nothing(self) -> None:
+        records = [
+            edit("00000001", change(POOL)),
+            edit("00000002", deletion("pool", "tutor-llm")),
+        ]
+        catalogue = fold(*records)
+        assert catalogue.apply(0, records[0]) is None
+        assert (catalogue.next_offset, catalogue.revision) == (2, 2)
+
     def test_a_view_does_not_change(self) -> None:
         catalogue = fold(edit("00000001", change(POOL)))
         view = catalogue.view()
