--- /dev/null
+++ b/bamboovale/peers/doorway.py
@@ -0,0 +1,102 @@
+"""Opens links to peers and lets peers in, each only after both proved the key."""
+
+import asyncio
+from collections.abc import Callable
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import ServerConnection
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from bamboovale.metrics import Metrics
+from bamboovale.peers.channel import (
+    HANDSHAKE_TIMEOUT_S,
+    LIBRARY_LOGGER,
+    Channel,
+    is_loopback,
+)
+from bamboovale.peers.codec import MAX_FRAME_BYTES, BadMessageError
+from bamboovale.peers.handshake import HandshakeError, introduce, receive
+from bamboovale.peers.outgoing import PeerUnreachableError
+
+# Strangers may hold this many unproved connections open; each for a second.
+MAX_UNPROVED = 64
+
+AddressOf = Callable[[str], tuple[str, int] | None]
+
+
+class Doorway:
+    """Knows who we are and the shared key; without a key, only loopback passes."""
+
+    def __init__(
+        self,
+        own_id: str,
+        address: str,
+        key: str,
+        address_of: AddressOf,
+        metrics: Metrics,
+    ) -> None:
+        self._own_id = own_id
+        self._address = address
+        self._key = key
+        self._address_of = address_of
+        self._metrics = metrics
+        self._unproved = 0
+
+    async def open_channel(self, vm_id: str) -> Channel:
+        """Connect to a peer and prove who we are; raises PeerUnreachableError."""
+        target = self._address_of(vm_id)
+        if target is None:
+            raise PeerUnreachableError("its address is not known")
+        address, port = target
+        if not self._key and not is_loopback(address):
+            raise PeerUnreachableError("no peer key: only loopback is called")
+        host = f"[{address}]" if ":" in address else address
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                connection = await connect(
+                    f"ws://{host}:{port}/",
+                    compression=None,
+                    max_size=MAX_FRAME_BYTES,
+                    open_timeout=None,
+                    close_timeout=HANDSHAKE_TIMEOUT_S,
+                    ping_interval=None,
+                    user_agent_header=None,
+                    proxy=None,
+                    logger=LIBRARY_LOGGER,
+                    local_addr=(self._address, 0),
+                )
+                try:
+                    await introduce(connection, self._own_id, vm_id, self._key)
+                except BaseException:
+                    connection.transport.abort()
+                    raise
+        except TimeoutError as error:
+            raise PeerUnreachableError("no handshake in time") from error
+        except (HandshakeError, BadMessageError) as error:
+            raise PeerUnreachableError(f"handshake: {error}") from error
+        except (OSError, WebSocketException) as error:
+            raise PeerUnreachableError(str(error)) from error
+        return Channel(connection, self._metrics)
+
+    async def let_in(self, connection: ServerConnection) -> str | None:
+        """Return the VM id of the other side, or None if it is not let in.
+
+        Guards against strangers who open connections and say nothing: each is held
+        for a second at most, and only so many of them at a time.
+        """
+        remote = connection.remote_address[0]
+        if self._unproved >= MAX_UNPROVED:
+            return None
+        if not self._key and not is_loopback(remote):
+            return None
+        self._unproved += 1
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                return await receive(connection, self._own_id, self._key)
+        except (TimeoutError, HandshakeError, ConnectionClosed):
+            return None
+        except BadMessageError:
+            self._metrics.peer_bad_messages.inc()
+            return None
+        finally:
+            self._unproved -= 1
--- a/bamboovale/peers/links.py
+++ b/bamboovale/peers/links.py
@@ -9,46 +9,30 @@
 import itertools
 import threading
 from collections import Counter
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Coroutine, Iterable
 from concurrent.futures import Future
 from dataclasses import dataclass
 from typing import Any
 
-from websockets.asyncio.client import connect
 from websockets.asyncio.server import ServerConnection, serve
-from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from bamboovale.metrics import Metrics
-from bamboovale.peers.channel import (
-    HANDSHAKE_TIMEOUT_S,
-    LIBRARY_LOGGER,
-    Channel,
-    is_loopback,
-)
-from bamboovale.peers.codec import MAX_FRAME_BYTES, BadMessageError
+from bamboovale.peers.channel import HANDSHAKE_TIMEOUT_S, LIBRARY_LOGGER, Channel
+from bamboovale.peers.codec import MAX_FRAME_BYTES
+from bamboovale.peers.doorway import AddressOf, Doorway
 from bamboovale.peers.frames import FrameKind, encode_frame
-from bamboovale.peers.handshake import (
-    MAX_HANDSHAKE_BYTES,
-    HandshakeError,
-    introduce,
-    receive,
-)
+from bamboovale.peers.handshake import MAX_HANDSHAKE_BYTES
 from bamboovale.peers.incoming import IncomingLink, NoticeHandler, RequestHandler
 from bamboovale.peers.keepalive import SWEEP_S
 from bamboovale.peers.outgoing import Outbound, OutgoingLink, PeerUnreachableError
 from bamboovale.settings import Settings
 
-# Strangers may hold this many unproved connections open; each for a second.
-MAX_UNPROVED = 64
-
 # An unused link is closed, so that a VM does not end up linked to all others.
 IDLE_CLOSE_S = 60.0
 
 START_TIMEOUT_S = 10.0
 STOP_TIMEOUT_S = 5.0
 
-AddressOf = Callable[[str], tuple[str, int] | None]
-
 
 @dataclass(frozen=True)
 class LinkState:
@@ -83,16 +67,13 @@
         address_of: AddressOf,
         metrics: Metrics,
     ) -> None:
-        self._own_id = own_id
         self._address = address
         self._port = port
-        self._key = key
-        self._address_of = address_of
+        self._doorway = Doorway(own_id, address, key, address_of, metrics)
         self._metrics = metrics
         self._numbers = itertools.count(1)
         self._link_by_vm_id: dict[str, OutgoingLink] = {}
         self._incoming: set[IncomingLink] = set()
-        self._unproved = 0
         self._loop: asyncio.AbstractEventLoop | None = None
         self._stopping: asyncio.Event | None = None
         self._thread: threading.Thread | None = None
@@ -192,7 +173,7 @@
         if link is None:
 
             def open_channel() -> Coroutine[Any, Any, Channel]:
-                return self._open_channel(vm_id)
+                return self._doorway.open_channel(vm_id)
 
             link = OutgoingLink(open_channel, self._metrics)
             self._link_by_vm_id[vm_id] = link
@@ -235,42 +216,6 @@
         server.close()
         await server.wait_closed()
 
-    async def _open_channel(self, vm_id: str) -> Channel:
-        """Connect to a peer and prove who we are; raises PeerUnreachableError."""
-        target = self._address_of(vm_id)
-        if target is None:
-            raise PeerUnreachableError("its address is not known")
-        address, port = target
-        if not self._key and not is_loopback(address):
-            raise PeerUnreachableError("no peer key: only loopback is called")
-        host = f"[{address}]" if ":" in address else address
-        try:
-            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                connection = await connect(
-                    f"ws://{host}:{port}/",
-                    compression=None,
-                    max_size=MAX_FRAME_BYTES,
-                    open_timeout=None,
-                    close_timeout=HANDSHAKE_TIMEOUT_S,
-                    ping_interval=None,
-                    user_agent_header=None,
-                    proxy=None,
-                    logger=LIBRARY_LOGGER,
-                    local_addr=(self._address, 0),
-                )
-                try:
-                    await introduce(connection, self._own_id, vm_id, self._key)
-                except BaseException:
-                    connection.transport.abort()
-                    raise
-        except TimeoutError as error:
-            raise PeerUnreachableError("no handshake in time") from error
-        except (HandshakeError, BadMessageError) as error:
-            raise PeerUnreachableError(f"handshake: {error}") from error
-        except (OSError, WebSocketException) as error:
-            raise PeerUnreachableError(str(error)) from error
-        return Channel(connection, self._metrics)
-
     async def _accept(
         self,
         connection: ServerConnection,
@@ -278,7 +223,7 @@
         on_notice: NoticeHandler,
     ) -> None:
         """Let a peer prove who it is, then serve it."""
-        sender = await self._prove(connection)
+        sender = await self._doorway.let_in(connection)
         if sender is None:
             self._metrics.peer_links_closed.labels("unproved").inc()
             connection.transport.abort()
@@ -297,25 +242,6 @@
         finally:
             self._incoming.discard(link)
 
-    async def _prove(self, connection: ServerConnection) -> str | None:
-        """Return the VM id of the other side, or None if it is not let in."""
-        remote = connection.remote_address[0]
-        if self._unproved >= MAX_UNPROVED:
-            return None
-        if not self._key and not is_loopback(remote):
-            return None
-        self._unproved += 1
-        try:
-            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                return await receive(connection, self._own_id, self._key)
-        except (TimeoutError, HandshakeError, ConnectionClosed):
-            return None
-        except BadMessageError:
-            self._metrics.peer_bad_messages.inc()
-            return None
-        finally:
-            self._unproved -= 1
-
     async def _sweep(self) -> None:
         """Look at all links now and then: ping, cut the silent, close the unused.
 
