--- a/bamboovale/cli/standin.py
+++ b/bamboovale/cli/standin.py
@@ -102,3 +102,21 @@
     server.serve_until_terminated(
         service.create_server(listen, service_id, latency_ms),
     )
+
+
+@app.command()
+def relay(
+    listen: Listen,
+    target: Annotated[str, typer.Option(help="HOST:PORT to pass bytes on to.")],
+    control: Annotated[
+        str,
+        typer.Option(help="HOST:PORT of its rules."),
+    ] = "127.0.0.1:0",
+) -> None:
+    """Run a TCP relay that can cut links by source address."""
+    from bamboovale.standins import relay, server
+
+    link_relay, rules = relay.create_relay(listen, target, control)
+    print(f"listening on {link_relay.start()}", flush=True)
+    print(f"control on {rules.start_serving()}", flush=True)
+    server.wait_until_terminated()
--- a/bamboovale/standins/completions.py
+++ b/bamboovale/standins/completions.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from bamboovale.standins.faults import Faults
+from bamboovale.standins.messages import Answer, DroppedConnectionError, Request
 from bamboovale.standins.runs import Batch, Run, RunState
-from bamboovale.standins.server import Answer, DroppedConnectionError, Request
 from bamboovale.standins.tokens import AnswerTokens
 
 # How often a thread that waits looks whether its caller has gone.
@@ -84,11 +84,7 @@
 
     def _wait(self, event: Any) -> None:
         while not event.wait(LOOK_INTERVAL_S):
-            self._check_caller()
-
-    def _check_caller(self) -> None:
-        if not self._request.is_open():
-            raise DroppedConnectionError
+            self._request.check_open()
 
     def _refusal(self) -> Answer | None:
         if self._run.state is RunState.CRASHED:
@@ -139,7 +135,7 @@
                     self._batch.stepped.wait(LOOK_INTERVAL_S)
                 produced = run.produced
                 ended = run.ended.is_set()
-            self._check_caller()
+            self._request.check_open()
             if produced > sent:
                 return produced
             if ended:
--- a/bamboovale/standins/engine.py
+++ b/bamboovale/standins/engine.py
@@ -2,22 +2,15 @@
 
 import time
 import uuid
-from dataclasses import dataclass
 from typing import Any
-from urllib.parse import quote
-
-import urllib3
 
 from bamboovale.standins.completions import ANSWER_FAULTS, AnswerFaults, RunReader
 from bamboovale.standins.faults import Faults
 from bamboovale.standins.history import History
+from bamboovale.standins.messages import Answer, Request
+from bamboovale.standins.orders import AdapterOrders, EngineSettings, WeightClient
 from bamboovale.standins.runs import Batch, Run
-from bamboovale.standins.server import (
-    Answer,
-    DroppedConnectionError,
-    Request,
-    StandInServer,
-)
+from bamboovale.standins.server import StandInServer, parse_address
 from bamboovale.standins.tokens import prompt_of_messages
 
 FAULTS = (
@@ -37,21 +30,6 @@
 LOAD_LAG_S = 0.5
 EVENT_LAG_S = 0.2
 DEFAULT_MAX_TOKENS = 16
-WEIGHTS_TIMEOUT_S = 120.0
-
-
-@dataclass(frozen=True)
-class EngineSettings:
-    """What an engine is started with."""
-
-    engine_id: str
-    base_model: str
-    max_num_seqs: int = 8
-    max_loras: int = 4
-    step_ms: float = 20.0
-    weights: str = ""
-    check_fencing: bool = False
-    prefix_cache_blocks: int = 0
 
 
 class EngineStandIn:
@@ -59,6 +37,7 @@
 
     def __init__(
         self,
+        host: str,
         settings: EngineSettings,
         faults: Faults,
         history: History,
@@ -75,15 +54,19 @@
             history,
         )
         self._batch.on_crash = self._crash
-        self._loading: set[str] = set()
-        self._highest_token = -1
         self._boot_id = ""
-        self._pool = urllib3.PoolManager(maxsize=8, retries=False)
+        self._orders = AdapterOrders(
+            self._batch,
+            WeightClient(host, settings.weights),
+            settings,
+            faults,
+            history,
+        )
         self._handler_by_route = {
             ("POST", "/v1/completions"): self._complete,
             ("POST", "/v1/chat/completions"): self._complete,
-            ("POST", "/v1/load_lora_adapter"): self._order_load,
-            ("POST", "/v1/unload_lora_adapter"): self._order_unload,
+            ("POST", "/v1/load_lora_adapter"): self._orders.load,
+            ("POST", "/v1/unload_lora_adapter"): self._orders.unload,
             ("GET", "/v1/models"): self._models,
             ("GET", "/state"): self._state,
             ("GET", "/load"): self._load_report,
@@ -107,8 +90,7 @@
     def _boot(self) -> None:
         with self._batch.lock:
             self._boot_id = uuid.uuid4().hex
-            self._highest_token = -1
-            self._loading.clear()
+            self._orders.forget()
             self._batch.loaded[self._settings.base_model] = ""
         self._history.record("boot", boot_id=self._boot_id)
 
@@ -116,114 +98,18 @@
         restart_s = float(self._faults.get("restart_s", RESTART_S))
         with self._batch.lock:
             self._history.record("crash", boot_id=self._boot_id, restart_s=restart_s)
+            # Nothing listens before the first caller learns of the crash, else a
+            # quick one would reach the next boot ahead of its restart.
+            if self.server is not None:
+                self.server.refuse(restart_s)
             self._batch.crash()
             self._boot()
-        if self.server is not None:
-            self.server.refuse(restart_s)
 
     def _apply_faults(self, changes: Any) -> None:
         if changes.get("crash"):
             self._faults.merge({"crash": None})
             self._crash()
 
-    # Orders.
-
-    def _order_load(self, request: Request) -> Answer:
-        order = request.json()
-        name = str(order["lora_name"])
-        path = str(order.get("lora_path") or name)
-        with self._batch.lock:
-            refusal = self._check_token(request, name) or self._check_slot(name)
-            if refusal is not None:
-                return refusal
-            boot_id = self._boot_id
-            self._loading.add(name)
-        started = time.monotonic()
-        failure = self._fetch(name, path)
-        with self._batch.lock:
-            if boot_id != self._boot_id:
-                raise DroppedConnectionError
-            self._loading.discard(name)
-            if failure is not None:
-                self._history.record("load_failed", model=name, cause=failure)
-                return Answer.error(503, "load_failed", failure)
-            self._batch.loaded[name] = path
-            self._history.record(
-                "load",
-                model=name,
-                token=request.headers.get("x-fencing-token"),
-                seconds=time.monotonic() - started,
-                source=request.source,
-            )
-        return Answer(body={"message": f"LoRA adapter '{name}' added."})
-
-    def _check_token(self, request: Request, name: str) -> Answer | None:
-        if not self._settings.check_fencing:
-            return None
-        token = int(request.headers.get("x-fencing-token", -1))
-        if token < max(self._highest_token, 0):
-            self._history.record(
-                "order_refused",
-                order=request.path,
-                model=name,
-                token=token,
-                highest=self._highest_token,
-            )
-            return Answer.error(
-                409,
-                "stale_fencing_token",
-                f"highest seen is {self._highest_token}",
-            )
-        self._highest_token = token
-        return None
-
-    def _check_slot(self, name: str) -> Answer | None:
-        if name in self._batch.loaded:
-            return Answer.error(400, "already_loaded")
-        if name in self._loading:
-            return Answer.error(409, "load_in_progress")
-        # The base model is always there and takes no slot.
-        used = len(self._batch.loaded) - 1 + len(self._loading)
-        if used >= self._settings.max_loras:
-            return Answer.error(409, "no_slot", "all adapter slots are used")
-        return None
-
-    def _fetch(self, name: str, path: str) -> str | None:
-        """Fetch weights; return the cause of a failure."""
-        if self._faults.names_or_occurs("fail_loads", name):
-            return "switched by fail_loads"
-        if not self._settings.weights:
-            return None
-        url = f"{self._settings.weights.rstrip('/')}/weights/{quote(path, safe='')}"
-        try:
-            response = self._pool.request(
-                "GET",
-                url,
-                timeout=WEIGHTS_TIMEOUT_S,
-                redirect=False,
-            )
-        except urllib3.exceptions.HTTPError as error:
-            return type(error).__name__
-        return None if response.status == 200 else f"weight store: {response.status}"
-
-    def _order_unload(self, request: Request) -> Answer:
-        name = str(request.json()["lora_name"])
-        with self._batch.lock:
-            refusal = self._check_token(request, name)
-            if refusal is not None:
-                return refusal
-            if name not in self._batch.loaded or name == self._settings.base_model:
-                return Answer.error(404, "model_not_found")
-            del self._batch.loaded[name]
-            self._batch.evict(name)
-            self._history.record(
-                "unload",
-                model=name,
-                token=request.headers.get("x-fencing-token"),
-                source=request.source,
-            )
-        return Answer(body={"message": f"LoRA adapter '{name}' removed."})
-
     # Completions.
 
     def _complete(self, request: Request) -> Answer:
@@ -245,6 +131,7 @@
             chat=chat,
         )
         with self._batch.lock:
+            request.check_open()
             if model not in self._batch.loaded:
                 return self._refuse(run, 404, "model_not_found")
             if self._batch.readers >= MAX_OPEN_RUNS:
@@ -298,7 +185,7 @@
                 "max_num_seqs": self._settings.max_num_seqs,
                 "max_loras": self._settings.max_loras,
                 "loaded": self._adapters(),
-                "loading": sorted(self._loading),
+                "loading": sorted(self._orders.loading),
                 "running": running,
                 "waiting": self._batch.waiting_count(),
             }
@@ -339,7 +226,8 @@
     """Return a model engine that listens on ``listen`` once started."""
     faults = Faults(FAULTS)
     history = History()
-    engine = EngineStandIn(settings, faults, history)
+    host, _ = parse_address(listen)
+    engine = EngineStandIn(host, settings, faults, history)
     server = StandInServer(listen, engine.answer, faults, history, THREADS)
     engine.server = server
     return server
--- a/bamboovale/standins/log.py
+++ b/bamboovale/standins/log.py
@@ -9,12 +9,8 @@
 
 from bamboovale.standins.faults import Faults
 from bamboovale.standins.history import History
-from bamboovale.standins.server import (
-    Answer,
-    DroppedConnectionError,
-    Request,
-    StandInServer,
-)
+from bamboovale.standins.messages import Answer, DroppedConnectionError, Request
+from bamboovale.standins.server import StandInServer
 
 MAX_VALUE_BYTES = 1 << 20
 MAX_ANSWER_BYTES = 8 << 20
--- /dev/null
+++ b/bamboovale/standins/relay.py
@@ -0,0 +1,223 @@
+"""A TCP relay that cuts links between VMs, by source address and direction."""
+
+import contextlib
+import socket
+import struct
+import threading
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import Any
+
+from bamboovale.standins.faults import Faults
+from bamboovale.standins.history import History
+from bamboovale.standins.messages import Answer, Request
+from bamboovale.standins.server import StandInServer, parse_address
+
+FAULTS = (
+    "refuse",
+    "drop_to_target",
+    "drop_to_source",
+    "hold_to_target",
+    "hold_to_source",
+)
+READ_BYTES = 1 << 16
+CONNECT_TIMEOUT_S = 5.0
+BACKLOG = 128
+# Linger for no time: close answers with a reset in place of an orderly end.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Direction(StrEnum):
+    """Which way bytes go; the names of the rules end so."""
+
+    TO_TARGET = "to_target"
+    TO_SOURCE = "to_source"
+
+
+class Link:
+    """One relayed connection: two sockets and a thread for each direction."""
+
+    def __init__(
+        self,
+        relay: "Relay",
+        source: str,
+        inward: socket.socket,
+        outward: socket.socket,
+    ) -> None:
+        self.source = source
+        self.lost_bytes = False
+        self._is_broken = False
+        self._relay = relay
+        self._inward = inward
+        self._outward = outward
+        self._open_directions = 2
+
+    def start(self) -> None:
+        """Start both directions."""
+        for direction, read_from, write_to in (
+            (Direction.TO_TARGET, self._inward, self._outward),
+            (Direction.TO_SOURCE, self._outward, self._inward),
+        ):
+            threading.Thread(
+                target=self._pump,
+                args=(direction, read_from, write_to),
+                daemon=True,
+            ).start()
+
+    def reset(self) -> None:
+        """Break both connections with a reset."""
+        # The threads wake with an empty read. Set before, the mark keeps them from
+        # taking it for an orderly end and passing that on ahead of the reset.
+        self._is_broken = True
+        for end in (self._inward, self._outward):
+            reset(end)
+
+    def _pump(
+        self,
+        direction: Direction,
+        read_from: socket.socket,
+        write_to: socket.socket,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                data = read_from.recv(READ_BYTES)
+                if self._is_broken:
+                    break
+                self._relay.wait_while_held(self.source, direction)
+                if self._relay.has_rule(f"drop_{direction}", self.source):
+                    self.lost_bytes = True
+                    if not data:
+                        return
+                    continue
+                if not data:
+                    write_to.shutdown(socket.SHUT_WR)
+                    break
+                write_to.sendall(data)
+        self._finish_direction()
+
+    def _finish_direction(self) -> None:
+        self._open_directions -= 1
+        if self._open_directions == 0:
+            self._relay.forget(self)
+            self._inward.close()
+            self._outward.close()
+
+
+class Relay:
+    """Accepts connections and passes their bytes on, as far as the rules let it.
+
+    ``drop_*`` loses bytes without a sign, as a cut link does. A TCP stream cannot go
+    on with a gap, so a link that lost bytes is reset once its rule is lifted.
+    ``hold_*`` keeps bytes back and passes them on later, as a short cut does when
+    TCP sends again. ``refuse`` resets connections, old and new.
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        target: str,
+        faults: Faults,
+        history: History,
+    ) -> None:
+        self._target = parse_address(target)
+        self._faults = faults
+        self._history = history
+        self._changed = threading.Condition()
+        self._links: set[Link] = set()
+        self._listener = socket.create_server(parse_address(listen), backlog=BACKLOG)
+        faults.add_listener(self._apply_faults)
+
+    def start(self) -> str:
+        """Accept connections on a thread; return the address as HOST:PORT."""
+        threading.Thread(target=self._accept, name="accept", daemon=True).start()
+        host, port = self._listener.getsockname()
+        return f"{host}:{port}"
+
+    def has_rule(self, rule: str, source: str) -> bool:
+        """Return whether a rule names this source address."""
+        return source in self._faults.get(rule, ())
+
+    def wait_while_held(self, source: str, direction: Direction) -> None:
+        """Block while the rules hold this direction of the source's links."""
+        with self._changed:
+            while self.has_rule(f"hold_{direction}", source):
+                self._changed.wait()
+
+    def forget(self, link: Link) -> None:
+        """Drop a link that has ended."""
+        with self._changed:
+            self._links.discard(link)
+
+    def _accept(self) -> None:
+        while True:
+            inward, (source, _) = self._listener.accept()
+            if self.has_rule("refuse", source):
+                reset(inward)
+                continue
+            threading.Thread(
+                target=self._connect,
+                args=(source, inward),
+                daemon=True,
+            ).start()
+
+    def _connect(self, source: str, inward: socket.socket) -> None:
+        # The target sees the caller's own address, where the loopback lets us.
+        own = (source, 0) if source.startswith("127.") else None
+        try:
+            outward = socket.create_connection(
+                self._target,
+                timeout=CONNECT_TIMEOUT_S,
+                source_address=own,
+            )
+        except OSError as error:
+            self._history.record("unreachable", source=source, cause=str(error))
+            reset(inward)
+            return
+        outward.settimeout(None)
+        for end in (inward, outward):
+            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        link = Link(self, source, inward, outward)
+        with self._changed:
+            self._links.add(link)
+        self._history.record("connected", source=source)
+        link.start()
+
+    def _apply_faults(self, changes: Mapping[str, Any]) -> None:
+        with self._changed:
+            self._changed.notify_all()
+            links = list(self._links)
+        for link in links:
+            if self.has_rule("refuse", link.source) or self._is_broken(link):
+                link.reset()
+
+    def _is_broken(self, link: Link) -> bool:
+        rules = (f"drop_{direction}" for direction in Direction)
+        return link.lost_bytes and not any(
+            self.has_rule(rule, link.source) for rule in rules
+        )
+
+
+def reset(end: socket.socket) -> None:
+    """Close a connection with a reset; a thread that reads it wakes up."""
+    with contextlib.suppress(OSError):
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        end.shutdown(socket.SHUT_RD)
+    end.close()
+
+
+def create_relay(
+    listen: str,
+    target: str,
+    control: str,
+) -> tuple[Relay, StandInServer]:
+    """Return a relay and the server of its rules; start both."""
+    faults = Faults(FAULTS)
+    history = History()
+    relay = Relay(listen, target, faults, history)
+    server = StandInServer(control, answer_nothing, faults, history, threads=4)
+    return relay, server
+
+
+def answer_nothing(request: Request) -> Answer:
+    """Answer what is no control request."""
+    return Answer.error(404, "not_found")
--- a/bamboovale/standins/server.py
+++ b/bamboovale/standins/server.py
@@ -1,18 +1,15 @@
 """The HTTP server beneath every stand-in: faults, history and dropped connections."""
 
-import contextlib
-import errno
 import json
 import logging
-import os
 import select
 import selectors
 import signal
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterator, Mapping
+from contextlib import closing, contextmanager, suppress
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qsl, unquote
@@ -22,6 +19,12 @@
 
 from bamboovale.standins.faults import Faults, UnknownFaultError
 from bamboovale.standins.history import History
+from bamboovale.standins.messages import (
+    Answer,
+    DroppedConnectionError,
+    Handler,
+    Request,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -33,62 +36,6 @@
 CONTROL_PATHS = frozenset({"/faults", "/history", "/healthz"})
 
 
-class DroppedConnectionError(ConnectionResetError):
-    """The stand-in gives no answer and drops the connection."""
-
-    def __init__(self) -> None:
-        super().__init__(errno.ECONNRESET, "dropped by a fault")
-
-
-@dataclass(frozen=True)
-class Request:
-    """One HTTP request; header names are in lower case."""
-
-    method: str
-    path: str
-    query: Mapping[str, str]
-    headers: Mapping[str, str]
-    body: bytes
-    source: str
-    is_open: Callable[[], bool]
-
-    def json(self) -> dict[str, Any]:
-        """Return the body as a JSON object, or raise ValueError."""
-        value = json.loads(self.body)
-        if not isinstance(value, dict):
-            raise ValueError("the body must be a JSON object")
-        return value
-
-    def number(self, name: str, default: int) -> int:
-        """Return a whole number of the query string, or raise ValueError."""
-        return int(self.query.get(name, default))
-
-
-@dataclass(frozen=True)
-class Answer:
-    """One HTTP answer: ``body`` is JSON unless it is bytes; ``chunks`` streams."""
-
-    status: int = 200
-    body: Any = None
-    headers: Mapping[str, str] = field(default_factory=dict)
-    chunks: Iterator[bytes] | None = None
-
-    @classmethod
-    def error(
-        cls,
-        status: int,
-        kind: str,
-        message: str = "",
-        headers: Mapping[str, str] | None = None,
-    ) -> "Answer":
-        """Return an error in the form that engines use."""
-        body = {"error": {"type": kind, "message": message or kind, "code": status}}
-        return cls(status, body, headers or {})
-
-
-Handler = Callable[[Request], Answer]
-
-
 class Connection(HTTPConnection):
     """A connection that the server can drop while a request runs on it."""
 
@@ -104,7 +51,7 @@
 
     def drop(self) -> None:
         """End the connection under whoever reads or writes it."""
-        with contextlib.suppress(OSError):
+        with suppress(OSError):
             self.socket.shutdown(socket.SHUT_RDWR)
 
     def is_open(self) -> bool:
@@ -171,7 +118,7 @@
         self.req.outheaders.append((name.encode("latin-1"), value.encode("latin-1")))
 
     def _write_chunks(self, chunks: Iterator[bytes]) -> None:
-        with contextlib.closing(chunks):  # type: ignore[type-var]
+        with closing(chunks):  # type: ignore[type-var]
             for chunk in chunks:
                 self.req.ensure_headers_sent()
                 self.req.write(chunk)
@@ -196,6 +143,7 @@
         super().__init__(parse_address(listen), StandInGateway)
         self.requests = ThreadPool(self, min=threads, max=threads)
         self.open_connections: set[Connection] = set()
+        self._is_refusing = False
         self.handler = handler
         self.faults = faults
         self.history = history
@@ -216,6 +164,9 @@
         slow_ms = self.faults.get("slow_ms", 0)
         if slow_ms:
             time.sleep(slow_ms / 1000)
+        # A request that was read before a crash must not act after it.
+        if self._is_refusing:
+            raise DroppedConnectionError
         try:
             return self.handler(request)
         except (ValueError, KeyError, TypeError) as error:
@@ -254,6 +205,7 @@
 
     def refuse(self, seconds: float) -> None:
         """Drop all connections and refuse new ones for ``seconds``, then listen."""
+        self._is_refusing = True
         self._close_listener()
         for connection in list(self.open_connections):
             self._drop_unless_own(connection)
@@ -289,19 +241,34 @@
             selectors.EVENT_READ,
             data=self,
         )
+        self._is_refusing = False
         self.history.record("listening")
 
-    def start_in_background(self) -> str:
-        """Listen and serve on a thread; return the address as HOST:PORT."""
-        self.prepare()
-        # Accepted connections inherit it; without it those still closing would keep
-        # the port from being bound again after ``refuse``.
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        thread = threading.Thread(target=self.serve, name="serve", daemon=True)
-        thread.start()
+    def start_serving(self) -> str:
+        """Listen and serve on threads; return the address as HOST:PORT."""
+        listening = threading.Event()
+        threading.Thread(
+            target=self._serve,
+            args=(listening,),
+            name="serve",
+            daemon=True,
+        ).start()
+        listening.wait()
         host, port = self.bind_addr
         return f"{host}:{port}"
 
+    def _serve(self, listening: threading.Event) -> None:
+        # The workers are made on this thread and are daemons as it is: one that a
+        # fault holds for ever (``hang``) does not keep the process alive.
+        try:
+            self.prepare()
+            # Accepted connections inherit it; without it those still closing would
+            # keep the port from being bound again after ``refuse``.
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        finally:
+            listening.set()
+        self.serve()
+
 
 def parse_address(listen: str) -> tuple[str, int]:
     """Split HOST:PORT.
@@ -313,13 +280,26 @@
     return host, int(port)
 
 
-def serve_until_terminated(server: StandInServer) -> None:
-    """Print the address, then serve until SIGTERM or SIGINT and exit with 0."""
+@contextmanager
+def running(server: StandInServer) -> Iterator[str]:
+    """Serve while the block runs; yields the URL."""
+    address = server.start_serving()
+    try:
+        yield f"http://{address}"
+    finally:
+        # Stopping takes half a second, which nobody has to wait for.
+        threading.Thread(target=server.stop, daemon=True).start()
+
+
+def wait_until_terminated() -> None:
+    """Block until SIGTERM or SIGINT."""
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
-    address = server.start_in_background()
-    print(f"listening on {address}", flush=True)
     stopping.wait()
-    # A fault may hold a worker thread for ever (``hang``), so none is waited for.
-    os._exit(0)
+
+
+def serve_until_terminated(server: StandInServer) -> None:
+    """Print the address, then serve until SIGTERM or SIGINT."""
+    print(f"listening on {server.start_serving()}", flush=True)
+    wait_until_terminated()
--- a/bamboovale/standins/service.py
+++ b/bamboovale/standins/service.py
@@ -7,12 +7,8 @@
 
 from bamboovale.standins.faults import Faults
 from bamboovale.standins.history import History
-from bamboovale.standins.server import (
-    Answer,
-    DroppedConnectionError,
-    Request,
-    StandInServer,
-)
+from bamboovale.standins.messages import Answer, DroppedConnectionError, Request
+from bamboovale.standins.server import StandInServer
 
 FAULTS = ("error_share", "refuse_share", "drop_before_run", "drop_after_run", "hang")
 THREADS = 128
--- a/bamboovale/standins/vms.py
+++ b/bamboovale/standins/vms.py
@@ -9,7 +9,8 @@
 from bamboovale.models import VMKind, VMState
 from bamboovale.standins.faults import Faults
 from bamboovale.standins.history import History
-from bamboovale.standins.server import Answer, Request, StandInServer
+from bamboovale.standins.messages import Answer, Request
+from bamboovale.standins.server import StandInServer
 
 FAULTS = ("lag_s", "stale")
 # Lists older than the longest lag are never shown again.
--- a/bamboovale/standins/weights.py
+++ b/bamboovale/standins/weights.py
@@ -7,7 +7,8 @@
 from bamboovale.standins.faults import Faults
 from bamboovale.standins.history import History
 from bamboovale.standins.log import TokenBucket
-from bamboovale.standins.server import Answer, Request, StandInServer
+from bamboovale.standins.messages import Answer, Request
+from bamboovale.standins.server import StandInServer
 
 FAULTS = ("fail", "load_seconds", "loads_per_s")
 PREFIX = "/weights/"
