--- a/bamboovale/entry/vm.py
+++ b/bamboovale/entry/vm.py
@@ -58,6 +58,7 @@
 from bamboovale.http_client import HttpClient
 from bamboovale.leases.keeper import (
     LEASE_STREAM,
+    START_BEHIND,
     WEIGHT_STORE,
     DumpLeases,
     HandOverAll,
@@ -294,13 +295,14 @@
             forward_list(self._membership),
         )
 
-        def follow(stream: str, on_batch: Any) -> StreamFollower:
+        def follow(stream: str, on_batch: Any, **more: Any) -> StreamFollower:
             return StreamFollower(
                 self.environment,
                 self._log,
                 self._health,
                 stream,
                 on_batch,
+                **more,
             )
 
         self._catalogue_follower = follow(
@@ -312,6 +314,7 @@
             follow(
                 LEASE_STREAM,
                 lambda batch, at: tell(self._leases, LeaseBatchRead(batch, at)),
+                start_behind=START_BEHIND,
             ),
             follow(
                 CLAIM_STREAM,
