Settle edits by id and contents; begin leases anew when nobody knows the chains

An edit whose id belongs to another edit was told that one's outcome. The keeper looked the id up before the append and answered "accepted" for an edit that the fold rejects. 2. Change: an outcome carries the digest of its edit and the keeper settles by id and digest (waiting edits are bounded). The lease keeper reads through LeaseRecovery and appends a reset when it is due; a reset makes holders give up. Messages of the lease keeper moved to a module of their own. The machines of leases and claims gained whole turns: a take that lands after a renewal, a claim given up and committed, repeats for longer than a horizon.

--- a/bamboovale/catalogue/edits.py
+++ b/bamboovale/catalogue/edits.py
@@ -107,13 +107,15 @@
     """What the fold decided about an edit, the same for every reader.
 
     ``revision`` is the catalogue's revision after the edit, whether it was
-    accepted or not.
+    accepted or not. ``digest`` is that of the edit: with its id it tells whose
+    outcome this is.
     """
 
     edit_id: str
     accepted: bool
     revision: int
     offset: int
+    digest: str = ""
     reason: RejectionReason | None = None
     conflicts: tuple[Conflict, ...] = ()
     findings: tuple[Finding, ...] = ()
--- a/bamboovale/catalogue/fold.py
+++ b/bamboovale/catalogue/fold.py
@@ -124,10 +124,23 @@
         """Return the service entries."""
         return self.index.service_by_name
 
-    def outcome_of(self, edit_id: str) -> EditOutcome | None:
-        """Return what became of an edit, None if unknown or too long ago."""
-        remembered = self.journal.remembered_by_edit_id.get(edit_id)
-        return None if remembered is None else remembered.outcome
+    def outcome_of(self, edit_id: str, digest: str) -> EditOutcome | None:
+        """Return what became of an edit, None if unknown or too long ago.
+
+        An id that belongs to an edit with other contents is a rejection: its
+        sender must not be told the other's outcome.
+        """
+        known = self.journal.outcome_by_edit_id.get(edit_id)
+        if known is None or known.digest == digest:
+            return known
+        return EditOutcome(
+            edit_id=edit_id,
+            accepted=False,
+            revision=self.revision,
+            offset=known.offset,
+            digest=digest,
+            reason=RejectionReason.EDIT_ID_REUSED,
+        )
 
     def view(self) -> CatalogueView:
         """Return the state as a frozen view; the same one until the next change."""
@@ -190,25 +203,17 @@
             return self._reject_unreadable(offset, value, parsed.err_value)
         edit = parsed.ok_value
         digest = edit.digest()
-        remembered = self.journal.remembered_by_edit_id.get(edit.edit_id)
-        if remembered is not None:
+        known = self.outcome_of(edit.edit_id, digest)
+        if known is not None:
             # An append whose answer was lost is repeated with the same id; both
             # copies may be on the log. Only the first takes effect.
             self.counters.repeated += 1
-            if remembered.digest == digest:
-                return remembered.outcome
-            return EditOutcome(
-                edit_id=edit.edit_id,
-                accepted=False,
-                revision=self.revision,
-                offset=offset,
-                reason=RejectionReason.EDIT_ID_REUSED,
-            )
-        outcome = self._judge(offset, edit)
-        self.journal.remember(outcome, digest)
+            return known
+        outcome = self._judge(offset, edit, digest)
+        self.journal.remember(outcome)
         return outcome
 
-    def _judge(self, offset: int, edit: Edit) -> EditOutcome:
+    def _judge(self, offset: int, edit: Edit, digest: str) -> EditOutcome:
         conflicts = find_conflicts(edit.changes, self.index)
         if conflicts:
             return self._reject(
@@ -217,6 +222,7 @@
                     accepted=False,
                     revision=self.revision,
                     offset=offset,
+                    digest=digest,
                     reason=RejectionReason.CONFLICT,
                     conflicts=tuple(conflicts[:MAX_FINDINGS]),
                 )
@@ -229,12 +235,13 @@
                     accepted=False,
                     revision=self.revision,
                     offset=offset,
+                    digest=digest,
                     reason=RejectionReason.INVALID,
                     findings=tuple(findings),
                 )
             )
         self._accept(offset, edit)
-        return EditOutcome(edit.edit_id, True, self.revision, offset)
+        return EditOutcome(edit.edit_id, True, self.revision, offset, digest)
 
     def _reject_unreadable(
         self,
--- a/bamboovale/catalogue/history.py
+++ b/bamboovale/catalogue/history.py
@@ -58,28 +58,19 @@
         }
 
 
-@dataclass(frozen=True, slots=True)
-class RememberedOutcome:
-    """An outcome and the digest of the edit that it belongs to."""
-
-    outcome: EditOutcome
-    digest: str
-
-
 class Journal:
     """Outcomes and history, the oldest dropped beyond their bounds."""
 
     def __init__(self) -> None:
-        self.remembered_by_edit_id: dict[str, RememberedOutcome] = {}
+        self.outcome_by_edit_id: dict[str, EditOutcome] = {}
         self.history: deque[HistoryRecord] = deque()
         self._change_count = 0
 
-    def remember(self, outcome: EditOutcome, digest: str) -> None:
+    def remember(self, outcome: EditOutcome) -> None:
         """Keep the outcome of an edit."""
-        remembered = RememberedOutcome(outcome, digest)
-        self.remembered_by_edit_id[outcome.edit_id] = remembered
-        while len(self.remembered_by_edit_id) > OUTCOMES:
-            del self.remembered_by_edit_id[next(iter(self.remembered_by_edit_id))]
+        self.outcome_by_edit_id[outcome.edit_id] = outcome
+        while len(self.outcome_by_edit_id) > OUTCOMES:
+            del self.outcome_by_edit_id[next(iter(self.outcome_by_edit_id))]
 
     def add(self, record: HistoryRecord) -> None:
         """Append an accepted edit to the history."""
--- a/bamboovale/catalogue/keeper.py
+++ b/bamboovale/catalogue/keeper.py
@@ -32,6 +32,9 @@
 
 ASK_PEER_EVERY_S = 1.0
 
+MAX_WAITING_EDITS = 256
+"""Edits that were never read back are waited for no longer once as many follow."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -67,9 +70,13 @@
 
 @dataclass(frozen=True)
 class AwaitOutcome:
-    """Settle the future when the edit is read back."""
+    """Settle the future when the edit is read back.
+
+    ``digest`` tells it from another edit that was given the same id.
+    """
 
     edit_id: str
+    digest: str
     future: "Future[EditOutcome]"
 
 
@@ -120,7 +127,7 @@
         self._callbacks = callbacks
         self._catalogue = Catalogue.empty()
         self._assembler: SnapshotAssembler | None = None
-        self._waiting_by_edit_id: dict[str, list[Future[EditOutcome]]] = {}
+        self._waiting_by_edit: dict[tuple[str, str], list[Future[EditOutcome]]] = {}
         self._on_duty = False
         self._snapshot_at_offset = 0
         self._next_snapshot_at = float("inf")
@@ -170,7 +177,8 @@
         outcome = self._catalogue.apply(offset, value)
         if outcome is None:
             return
-        for future in self._waiting_by_edit_id.pop(outcome.edit_id, []):
+        edit = (outcome.edit_id, outcome.digest)
+        for future in self._waiting_by_edit.pop(edit, []):
             future.set_result(outcome)
         if outcome.accepted and before is not None:
             self._tell_version_changes(before, value)
@@ -222,10 +230,10 @@
         self._publish()
 
     def _settle_waiting(self) -> None:
-        for edit_id in list(self._waiting_by_edit_id):
-            outcome = self._catalogue.outcome_of(edit_id)
+        for edit_id, digest in list(self._waiting_by_edit):
+            outcome = self._catalogue.outcome_of(edit_id, digest)
             if outcome is not None:
-                for future in self._waiting_by_edit_id.pop(edit_id):
+                for future in self._waiting_by_edit.pop((edit_id, digest)):
                     future.set_result(outcome)
 
     def _on_passed(self, message: CatalogueRecordsPassed) -> None:
@@ -263,11 +271,14 @@
     # Edits.
 
     def _on_await(self, message: AwaitOutcome) -> None:
-        outcome = self._catalogue.outcome_of(message.edit_id)
+        edit = (message.edit_id, message.digest)
+        outcome = self._catalogue.outcome_of(*edit)
         if outcome is not None:
             message.future.set_result(outcome)
             return
-        self._waiting_by_edit_id.setdefault(message.edit_id, []).append(message.future)
+        self._waiting_by_edit.setdefault(edit, []).append(message.future)
+        while len(self._waiting_by_edit) > MAX_WAITING_EDITS:
+            del self._waiting_by_edit[next(iter(self._waiting_by_edit))]
 
     # Snapshots on the log.
 
--- a/bamboovale/catalogue/snapshots.py
+++ b/bamboovale/catalogue/snapshots.py
@@ -143,8 +143,8 @@
         ]
     for lora_name, source in index.retired_source_by_lora_name.items():
         yield ["retired", lora_name, source.source, source.base_model]
-    for remembered in catalogue.journal.remembered_by_edit_id.values():
-        yield ["outcome", remembered.digest, _outcome_row(remembered.outcome)]
+    for outcome in catalogue.journal.outcome_by_edit_id.values():
+        yield ["outcome", _outcome_row(outcome)]
     for record in catalogue.journal.history:
         yield ["history", _history_row(record)]
 
@@ -187,8 +187,8 @@
     catalogue.index.add_retired_source(lora_name, Source(source, base_model))
 
 
-def _add_outcome(catalogue: Catalogue, digest: str, row: Any) -> None:
-    catalogue.journal.remember(_read_outcome(row), digest)
+def _add_outcome(catalogue: Catalogue, row: Any) -> None:
+    catalogue.journal.remember(_read_outcome(row))
 
 
 def _add_history(catalogue: Catalogue, row: Any) -> None:
@@ -258,6 +258,7 @@
         outcome.accepted,
         outcome.revision,
         outcome.offset,
+        outcome.digest,
         None if outcome.reason is None else outcome.reason.value,
         [
             [item.kind.value, item.name, item.base_revision, item.current_revision]
@@ -268,12 +269,13 @@
 
 
 def _read_outcome(row: list[Any]) -> EditOutcome:
-    edit_id, accepted, revision, offset, reason, conflicts, findings = row
+    edit_id, accepted, revision, offset, digest, reason, conflicts, findings = row
     return EditOutcome(
         edit_id=edit_id,
         accepted=accepted,
         revision=revision,
         offset=offset,
+        digest=digest,
         reason=None if reason is None else RejectionReason(reason),
         conflicts=tuple(Conflict(Kind(kind), *rest) for kind, *rest in conflicts),
         findings=tuple(Finding(place, message) for place, message in findings),
--- a/bamboovale/engines/load_turns.py
+++ b/bamboovale/engines/load_turns.py
@@ -7,7 +7,7 @@
 from bamboovale.actors import MessageActor, Tick
 from bamboovale.decisions.loads import LoadConfig, LoadScheduler, LoadTurn
 from bamboovale.environment import Environment
-from bamboovale.leases.keeper import WEIGHT_STORE
+from bamboovale.leases.messages import WEIGHT_STORE
 from bamboovale.peers.messages import LoadTurnAsk, LoadTurnEnded, LoadTurnGiven
 from bamboovale.views import Views
 
@@ -97,7 +97,7 @@
             self._ask_elsewhere(ask, now)
 
     def _ask_elsewhere(self, ask: LoadTurnAsk, now: float) -> None:
-        scheduler = self._views.holder_of(WEIGHT_STORE)
+        scheduler = self._views.holder_by_engine.get(WEIGHT_STORE)
         usable = {vm.id for vm in self._views.membership.usable_entry_vms()}
         if scheduler in usable and scheduler != self._own_id:
             self._send(scheduler, ask)
--- a/bamboovale/entry/administration.py
+++ b/bamboovale/entry/administration.py
@@ -55,7 +55,7 @@
         the same, and only the read-back tells.
         """
         future: Future[EditOutcome] = Future()
-        tell(self._keeper, AwaitOutcome(edit.edit_id, future))
+        tell(self._keeper, AwaitOutcome(edit.edit_id, edit.digest(), future))
         appended = self._appender.append_now(edit.to_json())
         if isinstance(appended, Err) and not appended.err_value.may_have_taken_effect:
             self._count("log_unavailable")
--- a/bamboovale/entry/vm.py
+++ b/bamboovale/entry/vm.py
@@ -56,15 +56,14 @@
 from bamboovale.entry.state_dump import StateDump, as_json
 from bamboovale.environment import Environment
 from bamboovale.http_client import HttpClient
-from bamboovale.leases.keeper import (
+from bamboovale.leases.keeper import LeaseKeeper
+from bamboovale.leases.messages import (
     LEASE_STREAM,
-    START_BEHIND,
     WEIGHT_STORE,
     DumpLeases,
     HandOverAll,
     LeaseBatchRead,
     LeaseCallbacks,
-    LeaseKeeper,
 )
 from bamboovale.membership.keeper import (
     DrainBegun,
@@ -295,14 +294,13 @@
             forward_list(self._membership),
         )
 
-        def follow(stream: str, on_batch: Any, **more: Any) -> StreamFollower:
+        def follow(stream: str, on_batch: Any) -> StreamFollower:
             return StreamFollower(
                 self.environment,
                 self._log,
                 self._health,
                 stream,
                 on_batch,
-                **more,
             )
 
         self._catalogue_follower = follow(
@@ -314,7 +312,6 @@
             follow(
                 LEASE_STREAM,
                 lambda batch, at: tell(self._leases, LeaseBatchRead(batch, at)),
-                start_behind=START_BEHIND,
             ),
             follow(
                 CLAIM_STREAM,
--- a/bamboovale/leases/keeper.py
+++ b/bamboovale/leases/keeper.py
@@ -2,8 +2,6 @@
 
 import itertools
 import logging
-from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 from bamboovale.actors import MessageActor, Tick, tell
@@ -11,24 +9,30 @@
 from bamboovale.environment import Environment
 from bamboovale.leases.fold import (
     Cleared,
-    LeaseGapError,
     LeaseOutcome,
     LeaseTable,
     Moved,
     Renewed,
 )
 from bamboovale.leases.holding import OwnLeases
+from bamboovale.leases.messages import (
+    LEASE_STREAM,
+    WEIGHT_STORE,
+    DumpLeases,
+    HandOverAll,
+    LeaseBatchRead,
+    LeaseCallbacks,
+    RenewalEnded,
+    node_name,
+    vm_of_node,
+)
 from bamboovale.leases.records import Release, Take
 from bamboovale.leases.recovery import LeaseRecovery
 from bamboovale.leases.timing import LeaseTerms
 from bamboovale.platform.appender import Appender
 from bamboovale.platform.follower import LogHealth
 from bamboovale.platform.log_client import LogRecord, RecordBatch
-from bamboovale.views import KnownLease, Views
-
-LEASE_STREAM = "leases"
-WEIGHT_STORE = "@weight-store"
-"""The lease of the load scheduler, beside those named after runners."""
+from bamboovale.views import Views
 
 TAKE_AGAIN_S = 2.0
 """A take whose outcome was not read back by then is repeated."""
@@ -44,60 +48,12 @@
 """While the log hangs, further renewals would only queue up behind each other and be
 too old to count when it is back."""
 
-SNAPSHOT_EVERY_S = 30.0
+SNAPSHOT_EVERY_S = 60.0
 """A VM that starts behind expired records waits at most this long for a snapshot."""
 
-START_BEHIND = 5000
-"""How far before the stream's end a VM begins to read. It holds a snapshot even at
-100 renewals a second; reading an hour of renewals would delay each start."""
-
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True)
-class LeaseBatchRead:
-    """Records of the lease stream, with the moment of reading."""
-
-    batch: RecordBatch
-    read_at: float
-
-
-@dataclass(frozen=True)
-class HandOverAll:
-    """A planned stop: release every lease to the next in rank."""
-
-
-@dataclass(frozen=True)
-class RenewalEnded:
-    """An append of a renewal ended, one way or the other."""
-
-
-@dataclass(frozen=True)
-class DumpLeases:
-    """Ask for the state as JSON."""
-
-
-def node_name(vm_id: str, incarnation: str) -> str:
-    """Return the name of one incarnation of an entry VM on the lease stream."""
-    return f"{vm_id}/{incarnation}"
-
-
-def vm_of_node(node: str | None) -> str | None:
-    """Return the VM of a node name."""
-    return None if node is None else node.rpartition("/")[0]
-
-
-@dataclass(frozen=True)
-class LeaseCallbacks:
-    """What the keeper tells the rest of the VM, from its own thread.
-
-    ``on_held(engine, fencing, valid)``: ``valid`` may be asked from any thread.
-    """
-
-    on_held: Callable[[str, int, Callable[[], bool]], None]
-    on_lost: Callable[[str], None]
-
-
 class LeaseKeeper(MessageActor):
     """Owns the lease table and this VM's own leases."""
 
@@ -123,9 +79,11 @@
         )
         self._node = node_name(settings.id, environment.incarnation)
         self._table: LeaseTable | None = None
+        # Set while the stream was read from behind expired records and no state to
+        # read on from was found; the records read meanwhile are kept.
         self._recovery: LeaseRecovery | None = None
-        self._since_recovery: list[LogRecord] = []
-        self._reset_sent_at = float("-inf")
+        self._unfolded: list[LogRecord] = []
+        self._reset_sent_at = 0.0
         self._own = OwnLeases(self._node, self._terms)
         self._record_numbers = itertools.count()
         self._first_seen_at: dict[str, float] = {}
@@ -146,61 +104,74 @@
 
     def _on_batch(self, message: LeaseBatchRead) -> None:
         batch = message.batch
-        first = batch.records[0].offset if batch.records else batch.next
-        if self._table is None and self._recovery is None:
-            self._begin(first, message.read_at)
-        for record in batch.records:
-            self._read(record, message.read_at)
+        if self._table is None:
+            self._begin(batch, message.read_at)
+        else:
+            self._fold(batch.records, message.read_at)
         self._publish()
 
-    def _begin(self, first: int, now: float) -> None:
-        """Begin to read: at the stream's beginning, or with a recovery.
+    def _begin(self, batch: RecordBatch, read_at: float) -> None:
+        """Find a beginning: the stream's own, a snapshot or a reset.
 
         Without the records that made the present holders, this VM would take leases
         that are held, by a fold that differs from everybody else's.
         """
-        if first == 0:
-            self._table = LeaseTable.empty()
-        else:
-            self._recovery = LeaseRecovery(first, now)
-
-    def _read(self, record: LogRecord, read_at: float) -> None:
-        if self._table is None:
-            self._recover(record, read_at)
-            return
-        try:
-            self._fold(record, read_at)
-        except LeaseGapError as gap:
-            logger.warning("lease stream: %s", gap)
-            self._let_all_go()
-            self._table = None
-            self._recovery = LeaseRecovery(record.offset, read_at)
-            self._recover(record, read_at)
-
-    def _recover(self, record: LogRecord, read_at: float) -> None:
-        assert self._recovery is not None
-        self._since_recovery.append(record)
-        table = self._recovery.add(record.offset, record.value, read_at)
-        if table is None:
+        first = batch.records[0].offset if batch.records else batch.next
+        if self._recovery is None and (first == 0 or not batch.records):
+            self._table = LeaseTable.empty(first)
+            self._fold(batch.records, read_at)
             return
+        if self._recovery is None:
+            self._recovery = LeaseRecovery(first, read_at)
+        self._unfolded.extend(batch.records)
+        for record in batch.records:
+            table = self._recovery.add(record.offset, record.value, read_at)
+            if table is not None:
+                self._end_recovery(table, read_at)
+                return
+
+    def _end_recovery(self, table: LeaseTable, read_at: float) -> None:
+        logger.info("lease stream: reading on from offset %d", table.next_offset)
         self._table = table
         self._recovery = None
-        records, self._since_recovery = self._since_recovery, []
-        for earlier in records:
-            if earlier.offset >= table.next_offset:
-                self._fold(earlier, read_at)
+        records, self._unfolded = self._unfolded, []
+        first = table.next_offset
+        self._fold(tuple(item for item in records if item.offset >= first), read_at)
 
-    def _fold(self, record: LogRecord, read_at: float) -> None:
+    def _reset_if_due(self, now: float) -> None:
+        """Begin the chains anew if nobody knows them and no lease can be valid."""
+        recovery = self._recovery
+        rank = self._rank(WEIGHT_STORE, None)
+        if recovery is None or rank is None or not self._health.reachable:
+            return
+        due = recovery.may_reset_at(self._terms, rank)
+        if now < max(due, self._reset_sent_at + TAKE_AGAIN_S):
+            return
+        self._reset_sent_at = now
+        reset = recovery.reset(self._record_id(), self._node)
+        self._appender.append(reset.to_json())
+
+    def _fold(self, records: tuple[LogRecord, ...], read_at: float) -> None:
         assert self._table is not None
-        outcome = self._table.apply(record.offset, record.value, read_at)
-        held_before = set(self._own.held_by_engine)
-        self._own.note_read(outcome)
-        self._tell(outcome)
-        if isinstance(outcome, Cleared):
-            for engine in held_before:
-                self._callbacks.on_lost(engine)
-
-    def _let_all_go(self) -> None:
+        if records and records[0].offset > self._table.next_offset:
+            self._restart_fold(records, read_at)
+            return
+        for record in records:
+            outcome = self._table.apply(record.offset, record.value, read_at)
+            if isinstance(outcome, Cleared):
+                self._give_up_all()
+            self._own.note_read(outcome)
+            self._tell(outcome)
+
+    def _restart_fold(self, records: tuple[LogRecord, ...], read_at: float) -> None:
+        """Begin anew after a gap; leases held till now are given up first."""
+        logger.warning("lease stream: records expired before they were read")
+        self._give_up_all()
+        self._table = None
+        batch = RecordBatch(LEASE_STREAM, records, records[0].offset, 0)
+        self._begin(batch, read_at)
+
+    def _give_up_all(self) -> None:
         for engine in list(self._own.held_by_engine):
             self._own.let_go(engine)
             self._callbacks.on_lost(engine)
@@ -236,16 +207,11 @@
     def _publish(self) -> None:
         if self._table is None:
             return
-        known = {
-            engine: KnownLease(vm_of_node(lease.holder) or "", lease.fencing)
+        self._views.holder_by_engine = {
+            engine: vm_of_node(lease.holder) or ""
             for engine, lease in self._table.lease_by_engine.items()
             if lease.holder is not None
         }
-        for engine, received in self._views.hint_by_engine.items():
-            lease = known.get(engine)
-            if lease is not None and received.hint.fencing > lease.fencing:
-                known[engine] = KnownLease(received.from_vm, received.hint.fencing)
-        self._views.lease_by_engine = known
         self._environment.metrics.leases_held.set(len(self._own.held_by_engine))
 
     # Writing.
@@ -255,8 +221,6 @@
         if self._table is None:
             self._reset_if_due(now)
             return
-        self._yield_to_later_holders()
-        self._publish()
         if now >= self._next_renewal_at and self._own.held_by_engine:
             self._next_renewal_at = now + self._terms.renew_every_s
             self._renew(now)
@@ -270,34 +234,6 @@
             self._next_snapshot_at = now + SNAPSHOT_EVERY_S
             self._appender.append(self._table.snapshot(self._record_id()))
 
-    def _reset_if_due(self, now: float) -> None:
-        """End a recovery that finds no snapshot: no VM may have a state any more."""
-        recovery = self._recovery
-        if recovery is None or not self._health.reachable:
-            return
-        rank = self._rank(LEASE_STREAM, None)
-        if rank is None or now < recovery.may_reset_at(self._terms, rank):
-            return
-        if now < self._reset_sent_at + TAKE_AGAIN_S:
-            return
-        self._reset_sent_at = now
-        record = recovery.reset(self._record_id(), self._node)
-        self._appender.append(record.to_json())
-
-    def _yield_to_later_holders(self) -> None:
-        """Let go of engines for which a peer tells a later fencing number.
-
-        A VM cut off from the log does not read that its lease was taken. Its peers'
-        hints show it; without them it would go on granting places beside the new
-        holder.
-        """
-        for engine, held in self._own.held_by_engine.items():
-            received = self._views.hint_by_engine.get(engine)
-            if received is not None and received.hint.fencing > held.fencing:
-                self._environment.metrics.leases_lost.inc()
-                self._own.let_go(engine)
-                self._callbacks.on_lost(engine)
-
     def _wanted(self) -> list[str]:
         runners = self._views.membership.runners()
         return [WEIGHT_STORE, *(runner.id for runner in runners)]
@@ -414,10 +350,7 @@
         return {
             "node": self._node,
             "held": held,
-            "holder_by_engine": {
-                engine: lease.holder
-                for engine, lease in sorted(self._views.lease_by_engine.items())
-            },
+            "holder_by_engine": dict(self._views.holder_by_engine),
             "next_offset": None if self._table is None else self._table.next_offset,
             "void_records": None if self._table is None else self._table.void_records,
         }
--- a/bamboovale/peers/messages.py
+++ b/bamboovale/peers/messages.py
@@ -61,14 +61,10 @@
 @message("permit_release")
 @dataclass(frozen=True)
 class PermitRelease:
-    """The run is over, or the permit will never be used.
-
-    ``refused`` tells that the engine did not know the adapter.
-    """
+    """The run is over, or the permit will never be used."""
 
     engine_id: str
     permit_id: str
-    refused: bool = False
 
 
 @message("permits_query")
--- a/tests/test_claims_machine.py
+++ b/tests/test_claims_machine.py
@@ -158,6 +158,19 @@
         self.first = len(self.log)
         self.replace_a_vm(other, 99)
 
+    @rule(node=nodes, key=st.sampled_from(KEYS))
+    def claim_and_give_up(self, node: int, key: str) -> None:
+        self.claim(node, key, "x")
+        self.give_up_before_the_verdict(node)
+        self.commit(node)
+        self.log.append((self.time, self.in_flight.pop()))
+
+    @rule(node=nodes, key=st.sampled_from(KEYS))
+    def repeat_for_longer_than_a_horizon(self, node: int, key: str) -> None:
+        for _ in range(2):
+            self.time += 60.0
+            self.claim_read_and_send(node, key)
+
     @rule(node=nodes, key=st.sampled_from(KEYS))
     def claim_read_and_send(self, node: int, key: str) -> None:
         self.claim_commit_and_read(node, key)
--- a/tests/test_leases_machine.py
+++ b/tests/test_leases_machine.py
@@ -195,13 +195,32 @@
     @rule(node=nodes, seconds=st.sampled_from([0.5, 2.0]))
     def renew_again_after_a_lost_answer(self, node: int, seconds: float) -> None:
         holder = self.nodes[node]
+        self.read_on(holder, 99)
         renewal = holder.own.renewal(holder.next_record_id())
         self.send(holder, renewal)
         self.log.append(self.in_flight.pop())
+        for other in self.nodes:
+            if other is not holder:
+                self.read_on(other, 99)
         self.now += seconds
         self.send(holder, renewal)
         self.read_on(holder, 99)
 
+    @rule(node=nodes, holder=nodes, engine=engines)
+    def take_that_lands_after_a_renewal(
+        self,
+        node: int,
+        holder: int,
+        engine: str,
+    ) -> None:
+        """Its writer was right to take, and then paused before the append."""
+        self.renew_and_read_back(holder, 0.0)
+        self.take_at_the_first_moment(node, engine, at_once=False)
+        take = self.in_flight.pop() if self.in_flight else None
+        self.renew_and_read_back(holder, 0.0)
+        self.log.append(take)
+        self.read_on(self.nodes[node], 99)
+
     @rule(node=nodes, engine=engines, successor=nodes)
     def hand_over_and_renew(self, node: int, engine: str, successor: int) -> None:
         self.read_on(self.nodes[node], 99)
