--- /dev/null
+++ b/tests/test_engine_run.py
@@ -0,0 +1,212 @@
+"""Answers of engines that are broken, late, mixed up or cut short."""
+
+import contextlib
+import json
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from bamboovale.entry.endpoint_connections import EndpointConnections
+from bamboovale.entry.engine_run import (
+    EngineRun,
+    RunFailedError,
+    RunFailure,
+    RunTarget,
+)
+
+
+@contextlib.contextmanager
+def engine_that_sends(*answers: bytes) -> Iterator[tuple[str, int]]:
+    """Serve one raw answer to each request, on one connection after another."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        left = list(answers)
+        while left:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            with connection:
+                while left:
+                    if not _read_request(connection):
+                        break
+                    answer = left.pop(0)
+                    connection.sendall(answer)
+                    if b"Connection: close" in answer or not answer:
+                        break
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    try:
+        yield listener.getsockname()
+    finally:
+        listener.close()
+
+
+def _read_request(connection: socket.socket) -> bytes:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = connection.recv(65536)
+        if not part:
+            return b""
+        data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = next(
+        int(line.split(b":")[1])
+        for line in head.split(b"\r\n")
+        if line.lower().startswith(b"content-length")
+    )
+    while len(body) < length:
+        body += connection.recv(65536)
+    return data
+
+
+def whole(status: int, body: bytes) -> bytes:
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def stream(*events: bytes, ended: bool = True) -> bytes:
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(event), event) for event in events)
+    head = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+    return head + chunks + (b"0\r\n\r\n" if ended else b"")
+
+
+def answer(request_id: str = "r.1", model: str = "a@1", finish: str = "stop") -> bytes:
+    return json.dumps(
+        {"id": request_id, "model": model, "choices": [{"finish_reason": finish}]}
+    ).encode()
+
+
+def event(text: str, request_id: str = "r.1", model: str = "a@1") -> bytes:
+    value = {"id": request_id, "model": model, "choices": [{"text": text}]}
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+DONE = b"data: [DONE]\n\n"
+
+
+class Run:
+    """Runs against one raw engine."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.connections = EndpointConnections("127.0.0.1")
+        self.target = RunTarget(address, "r.1", "a@1")
+
+    def begin(self) -> EngineRun:
+        return EngineRun(self.connections, self.target, fresh=False)
+
+    def whole(self) -> bytes:
+        run = self.begin()
+        try:
+            return run.read_whole(run.send("/v1/completions", b"{}"))
+        finally:
+            run.give_up()
+
+    def events(self) -> list[bytes]:
+        run = self.begin()
+        try:
+            return list(run.read_events(run.send("/v1/completions", b"{}")))
+        finally:
+            run.give_up()
+
+    def failure(self, read: str) -> RunFailure:
+        with pytest.raises(RunFailedError) as raised:
+            getattr(self, read)()
+        return raised.value.failure
+
+
+class TestWholeAnswer:
+    """Only a request's own whole answer is passed on."""
+
+    def test_its_own_answer(self) -> None:
+        with engine_that_sends(whole(200, answer())) as address:
+            assert Run(address).whole() == answer()
+
+    @pytest.mark.parametrize(
+        "body",
+        [answer(request_id="r.2"), answer(model="a@2"), answer(finish=""), b"{"],
+        ids=["another request's", "another version's", "unfinished", "not JSON"],
+    )
+    def test_another_answer_is_not_passed_on(self, body: bytes) -> None:
+        with engine_that_sends(whole(200, body)) as address:
+            assert Run(address).failure("whole") is RunFailure.WRONG
+
+    def test_an_answer_cut_short_is_broken(self) -> None:
+        cut = whole(200, answer())[:-5]
+        cut = cut.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1)
+        with engine_that_sends(cut) as address:
+            assert Run(address).failure("whole") is RunFailure.BROKEN
+
+    def test_no_answer_may_have_run(self) -> None:
+        with engine_that_sends(b"") as address:
+            failure = Run(address).failure("whole")
+        assert failure is RunFailure.BROKEN
+
+    def test_an_unknown_adapter_was_not_run(self) -> None:
+        with engine_that_sends(whole(404, b"{}")) as address:
+            run = Run(address)
+            with pytest.raises(RunFailedError) as raised:
+                run.whole()
+        assert raised.value.not_run
+
+    def test_no_connection_was_not_run(self) -> None:
+        with engine_that_sends() as address:
+            pass
+        assert Run(address).failure("whole") is RunFailure.NOT_SENT
+
+
+class TestStream:
+    """A stream is whole only with its end marker."""
+
+    def test_a_whole_stream(self) -> None:
+        with engine_that_sends(stream(event("x"), event("y"), DONE)) as address:
+            assert Run(address).events() == [event("x"), event("y")]
+
+    def test_events_split_over_chunks(self) -> None:
+        data = event("x") + event("y") + DONE
+        parts = [data[start : start + 7] for start in range(0, len(data), 7)]
+        with engine_that_sends(stream(*parts)) as address:
+            assert Run(address).events() == [event("x"), event("y")]
+
+    def test_an_end_without_the_marker_is_broken(self) -> None:
+        """The engine dies; its half answer would be taken for the whole."""
+        with engine_that_sends(stream(event("x"))) as address:
+            assert Run(address).failure("events") is RunFailure.BROKEN
+
+    def test_a_broken_connection_is_broken(self) -> None:
+        with engine_that_sends(stream(event("x"), ended=False)) as address:
+            assert Run(address).failure("events") is RunFailure.BROKEN
+
+    def test_another_requests_stream_is_not_passed_on(self) -> None:
+        with engine_that_sends(stream(event("x", "r.2"), DONE)) as address:
+            assert Run(address).failure("events") is RunFailure.WRONG
+
+
+class TestLateAnswer:
+    """What arrives late on a connection is nobody's answer.
+
+    A caller gives up while the engine works. The engine's answer still comes, on a
+    connection that the next request would use: it would get the first one's answer.
+    """
+
+    def test_a_given_up_connection_is_not_used_again(self) -> None:
+        late = whole(200, answer())
+        with engine_that_sends(late, whole(200, answer())) as address:
+            run = Run(address)
+            first = run.begin()
+            first.send("/v1/completions", b"{}")
+            first.give_up()
+            second = run.begin()
+            assert second.exchange.connection is not first.exchange.connection
+            second.give_up()
+
+    def test_an_answered_connection_is_kept(self) -> None:
+        with engine_that_sends(whole(200, answer()), whole(200, answer())) as address:
+            run = Run(address)
+            first = run.begin()
+            first.read_whole(first.send("/v1/completions", b"{}"))
+            assert run.begin().exchange.connection is first.exchange.connection
