--- a/bamboovale/decisions/dispatch.py
+++ b/bamboovale/decisions/dispatch.py
@@ -86,6 +86,7 @@
         )
         self._view: EngineView | None = None
         self._leaving = False
+        self._may_grant = True
         self._permits_given = 0
         self._granted_at_by_permit_id: dict[str, float] = {}
         self._exclusive_permit_id: str | None = None
@@ -215,6 +216,16 @@
         self._planner.may_order = allowed
         return self._decide(now)
 
+    def set_may_grant(self, allowed: bool, now: float) -> list[Action]:
+        """Stop or resume grants.
+
+        A holder whose lease has lapsed goes on granting what is loaded while the log
+        is down for everybody, since nobody can take its lease then. If only this
+        holder is cut off, another VM takes over and may evict what is granted here.
+        """
+        self._may_grant = allowed
+        return self._decide(now)
+
     def set_may_evict_from(self, at: float) -> None:
         """Evict nothing before the given moment."""
         self._planner.may_evict_from = at
@@ -273,6 +284,7 @@
             "boot_id": self._view.boot_id if self._view else None,
             "leaving": self._leaving,
             "may_order": self._planner.may_order,
+            "may_grant": self._may_grant,
             "may_evict_in_s": max(0.0, self._planner.may_evict_from - now),
             "queued": len(self._queue),
             "queued_bytes": self._queue.size_bytes,
@@ -298,7 +310,7 @@
         if self._view is None or self._leaving:
             return []
         actions: list[Action] = []
-        while (item := self._next_item()) is not None:
+        while self._may_grant and (item := self._next_item()) is not None:
             actions.append(self._grant(item, now))
         return actions + self._planner.plan(now)
 
--- a/bamboovale/engines/holder.py
+++ b/bamboovale/engines/holder.py
@@ -57,9 +57,10 @@
 
 @dataclass(frozen=True)
 class ReleaseReceived:
-    """The entry VM is done with a permit."""
+    """The entry VM is done with a permit; see :class:`PermitRelease`."""
 
     permit_id: str
+    refused: bool = False
 
 
 @dataclass(frozen=True)
@@ -143,6 +144,7 @@
         orders: LeasedOrders,
         load_turns: LoadTurns,
         on_hint: Callable[[EngineHint], None],
+        log_is_down: Callable[[], bool],
     ) -> None:
         super().__init__(environment.metrics.internal_faults.inc)
         self._environment = environment
@@ -153,6 +155,7 @@
         self._load_turns = load_turns
         self._turns: deque[LoadTurnGiven] = deque()
         self._on_hint = on_hint
+        self._log_is_down = log_is_down
         self._queued_by_id: dict[str, QueuedAsk] = {}
         self._source_by_lora_name: dict[str, str] = {}
         self._executor = ThreadPoolExecutor(
@@ -231,6 +234,10 @@
                 self._carry_out(self._dispatch.on_release(permit.permit_id, now))
 
     def _on_release(self, message: ReleaseReceived) -> None:
+        if message.refused:
+            # The engine has restarted or lost the adapter; the next regular look may
+            # be half a second away, and every grant until then would be refused too.
+            self._read_view()
         self._carry_out(self._dispatch.on_release(message.permit_id, self._now()))
 
     def _on_entry_vm_gone(self, message: EntryVMGone) -> None:
@@ -263,7 +270,9 @@
 
     def _on_tick(self, _: Tick) -> None:
         now = self._now()
-        self._carry_out(self._dispatch.set_may_order(self._orders.allowed(), now))
+        valid = self._orders.allowed()
+        self._carry_out(self._dispatch.set_may_order(valid, now))
+        self._carry_out(self._dispatch.set_may_grant(valid or self._log_is_down(), now))
         self._drop_silent_asks(now)
         self._carry_out(self._dispatch.on_tick(now))
         if now >= self._next_view_at:
--- a/bamboovale/engines/load_turns.py
+++ b/bamboovale/engines/load_turns.py
@@ -97,7 +97,7 @@
             self._ask_elsewhere(ask, now)
 
     def _ask_elsewhere(self, ask: LoadTurnAsk, now: float) -> None:
-        scheduler = self._views.holder_by_engine.get(WEIGHT_STORE)
+        scheduler = self._views.holder_of(WEIGHT_STORE)
         usable = {vm.id for vm in self._views.membership.usable_entry_vms()}
         if scheduler in usable and scheduler != self._own_id:
             self._send(scheduler, ask)
--- a/bamboovale/entry/holder_links.py
+++ b/bamboovale/entry/holder_links.py
@@ -38,7 +38,12 @@
 
     def holder_of(self, engine_id: str) -> str | None:
         """Return the VM that holds the engine's lease, as far as is known."""
-        return self._views.holder_by_engine.get(engine_id)
+        return self._views.holder_of(engine_id)
+
+    def fencing_of(self, engine_id: str) -> int:
+        """Return the fencing number of the present holder, -1 if not known."""
+        lease = self._views.lease_by_engine.get(engine_id)
+        return -1 if lease is None else lease.fencing
 
     def ask(self, holder: str, ask: PermitAsk, timeout_s: float) -> "Future[Any]":
         """Send the first ask of a request."""
@@ -88,4 +93,4 @@
     elif isinstance(message, PermitCancel):
         tell(holder, CancelReceived(message.request_id))
     elif isinstance(message, PermitRelease):
-        tell(holder, ReleaseReceived(message.permit_id))
+        tell(holder, ReleaseReceived(message.permit_id, message.refused))
--- a/bamboovale/entry/holders.py
+++ b/bamboovale/entry/holders.py
@@ -88,6 +88,7 @@
             ),
             load_turns=links.load_turns,
             on_hint=links.on_hint,
+            log_is_down=lambda: self._views.log_down_for_all,
         )
         with self._lock:
             before = self._holder_by_engine.pop(engine_id, None)
--- a/bamboovale/entry/model_requests.py
+++ b/bamboovale/entry/model_requests.py
@@ -27,6 +27,7 @@
     CallerGone,
     Hangup,
     HeldPermit,
+    Outdated,
     PermitDesk,
     TryElsewhere,
 )
@@ -48,6 +49,9 @@
 MAX_RUNS = 3
 """Runs of one request at most, whatever the retry budget would allow."""
 
+BOUNCE_PAUSE_S = 0.02
+"""Grows with each; ten of them give a holder a second to see a restarted engine."""
+
 MAX_BOUNCES = 10
 """Permits whose run did not begin (adapter gone, no connection, send-by past)."""
 
@@ -263,11 +267,19 @@
         if engine_id is None:
             self._pause_or_refuse(attempts)
             return None
-        answer = self._permits.acquire(item, engine_id, attempts.hangup)
+        answer = self._permits.acquire(
+            item,
+            engine_id,
+            attempts.hangup,
+            lambda: self._is_current(attempts),
+        )
         if isinstance(answer, HeldPermit):
             return answer
         if isinstance(answer, CallerGone):
             raise HungUpError
+        if isinstance(answer, Outdated):
+            self._follow_catalogue(attempts, self._find_entry(attempts.entry.name))
+            return None
         attempts.excluded.add(engine_id)
         if isinstance(answer, TryElsewhere):
             return None
@@ -276,6 +288,10 @@
             raise FinalRefusalError(answer)
         return None
 
+    def _is_current(self, attempts: Attempts) -> bool:
+        entry = self._find_entry(attempts.entry.name)
+        return entry is not None and entry.target == attempts.entry.target
+
     def _work_item(self, attempts: Attempts, attempt_id: str) -> WorkItem:
         entry = attempts.entry
         crashed = self._desk.crashed_endpoints(attempts.fingerprint)
@@ -360,6 +376,7 @@
     ) -> None:
         """Go on after a run that did not begin, a bounded number of times."""
         attempts.bounces += 1
+        time.sleep(attempts.bounces * BOUNCE_PAUSE_S)
         if failed.failure is RunFailure.NOT_SENT:
             attempts.excluded.add(held.permit.engine_id)
         if attempts.bounces > MAX_BOUNCES:
--- a/bamboovale/entry/model_runs.py
+++ b/bamboovale/entry/model_runs.py
@@ -80,7 +80,7 @@
             if not self._permits.may_still_send(order.held):
                 raise RunFailedError(RunFailure.NOT_SENT, "the permit came too late")
             self._environment.metrics.attempts.inc()
-            response = run.send(order.call.path, self._body(order))
+            response = self._send(run, order)
             headers = self._headers(order, request)
             if order.call.stream:
                 return self._stream(order, run, response, headers, stack)
@@ -88,6 +88,14 @@
         self._desk.on_answered(order.fingerprint)
         return CallerAnswer.whole(200, [JSON_TYPE, *headers], body)
 
+    def _send(self, run: EngineRun, order: RunOrder) -> BaseHTTPResponse:
+        try:
+            return run.send(order.call.path, self._body(order))
+        except RunFailedError as failed:
+            if failed.failure is RunFailure.REFUSED:
+                self._permits.release(order.held, refused=True)
+            raise
+
     def _open(self, order: RunOrder) -> EngineRun:
         target = self._target(order)
         return EngineRun(self._connections, target, fresh=not order.idempotent)
--- a/bamboovale/entry/permits.py
+++ b/bamboovale/entry/permits.py
@@ -36,6 +36,10 @@
         """Return the VM that holds the engine's lease, as far as is known."""
         ...
 
+    def fencing_of(self, engine_id: str) -> int:
+        """Return the fencing number of the present holder, -1 if not known."""
+        ...
+
     def ask(self, holder: str, ask: PermitAsk, timeout_s: float) -> "Future[Any]":
         """Send the first ask; the future brings a :class:`PermitReply`."""
         ...
@@ -58,6 +62,11 @@
     retry_after_s: float | None = None
 
 
+@dataclass(frozen=True)
+class Outdated:
+    """The catalogue names another version now: the request moves to that one."""
+
+
 @dataclass(frozen=True)
 class HeldPermit:
     """A permit with the moment, on this VM's clock, past which it is discarded."""
@@ -67,7 +76,7 @@
     send_by: float
 
 
-Answer = HeldPermit | Refusal | TryElsewhere | CallerGone
+Answer = HeldPermit | Refusal | TryElsewhere | CallerGone | Outdated
 
 
 class Hangup:
@@ -100,24 +109,32 @@
         self._held_by_id: dict[str, HeldPermit] = {}
         self._lock = threading.Lock()
 
-    def acquire(self, item: WorkItem, engine_id: str, hangup: Hangup) -> Answer:
-        """Wait for a place on the engine."""
+    def acquire(
+        self,
+        item: WorkItem,
+        engine_id: str,
+        hangup: Hangup,
+        still_wanted: Callable[[], bool],
+    ) -> Answer:
+        """Wait for a place on the engine, while the version is ``still_wanted``."""
         holder = self._links.holder_of(engine_id)
         if holder is None:
             return TryElsewhere("the engine has no lease holder", retry_after_s=1.0)
-        return _Wait(self._environment, self._links, item, engine_id, holder).run(
-            hangup,
-            self._keep,
-        )
+        wait = _Wait(self._environment, self._links, item, engine_id, holder)
+        return wait.run(hangup, still_wanted, self._keep)
+
+    def release(self, held: HeldPermit, *, refused: bool = False) -> None:
+        """Tell the holder that the run is over or never happened.
 
-    def release(self, held: HeldPermit) -> None:
-        """Tell the holder that the run is over or never happened."""
+        ``refused`` tells that the engine did not know the adapter: the holder's view
+        of it is old. A second release of the same permit is nothing.
+        """
+        permit = held.permit
         with self._lock:
-            self._held_by_id.pop(held.permit.permit_id, None)
-        self._links.tell(
-            held.holder,
-            PermitRelease(held.permit.engine_id, held.permit.permit_id),
-        )
+            known = self._held_by_id.pop(permit.permit_id, None)
+        if known is not None:
+            message = PermitRelease(permit.engine_id, permit.permit_id, refused)
+            self._links.tell(held.holder, message)
 
     def may_still_send(self, held: HeldPermit) -> bool:
         """Check the send-by time, right before the first byte is sent."""
@@ -164,7 +181,12 @@
         self._asked_at_by_number: dict[int, float] = {}
         self._mailbox: queue.SimpleQueue[Any] = queue.SimpleQueue()
 
-    def run(self, hangup: Hangup, keep: Callable[[HeldPermit], None]) -> Answer:
+    def run(
+        self,
+        hangup: Hangup,
+        still_wanted: Callable[[], bool],
+        keep: Callable[[HeldPermit], None],
+    ) -> Answer:
         """Ask, repeat the ask while waiting, and settle how the wait ends."""
         hangup.attach(lambda: self._mailbox.put(CallerGone()))
         future = self._ask()
@@ -173,7 +195,7 @@
             try:
                 event = self._mailbox.get(timeout=self._repeat_s)
             except queue.Empty:
-                ending = self._repeat_or_end()
+                ending = self._repeat_or_end(still_wanted)
                 if ending is None:
                     continue
                 self._give_up(future)
@@ -211,8 +233,10 @@
             exclusive=item.exclusive,
         )
 
-    def _repeat_or_end(self) -> Answer | None:
+    def _repeat_or_end(self, still_wanted: Callable[[], bool]) -> Answer | None:
         now = self._now()
+        if not still_wanted():
+            return Outdated()
         if now > self._item.latest_start + GRACE_S:
             return Refusal(
                 ErrorCode.DEADLINE,
@@ -239,6 +263,11 @@
         if reply.permit is None:
             return _refusal(reply)
         held = self._held(reply.permit)
+        if self._links.fencing_of(self._engine_id) > reply.permit.fencing:
+            # Granted by a holder that does not know yet that its lease was taken: the
+            # new one may evict the adapter without seeing this permit.
+            self._cancel()
+            return TryElsewhere("the permit is of a former lease holder", 0.0)
         keep(held)
         return held
 
--- a/bamboovale/entry/readiness.py
+++ b/bamboovale/entry/readiness.py
@@ -46,3 +46,13 @@
         return False
     newest = max(peer.catalogue_next_offset for peer in inputs.peers)
     return inputs.catalogue_next_offset >= newest
+
+
+def log_is_down(inputs: ReadinessInputs) -> bool:
+    """Tell whether a log that does not answer here is down for everybody.
+
+    With no peer in reach the silence may be this VM's alone.
+    """
+    if inputs.other_entry_vms == 0:
+        return True
+    return bool(inputs.peers) and not any(peer.log_reachable for peer in inputs.peers)
--- a/bamboovale/entry/vm.py
+++ b/bamboovale/entry/vm.py
@@ -56,7 +56,7 @@
 from bamboovale.entry.state_dump import StateDump, as_json
 from bamboovale.environment import Environment
 from bamboovale.http_client import HttpClient
-from bamboovale.leases.keeper import LeaseKeeper
+from bamboovale.leases.keeper import START_BEHIND, LeaseKeeper
 from bamboovale.leases.messages import (
     LEASE_STREAM,
     WEIGHT_STORE,
@@ -294,13 +294,14 @@
             forward_list(self._membership),
         )
 
-        def follow(stream: str, on_batch: Any) -> StreamFollower:
+        def follow(stream: str, on_batch: Any, **more: Any) -> StreamFollower:
             return StreamFollower(
                 self.environment,
                 self._log,
                 self._health,
                 stream,
                 on_batch,
+                **more,
             )
 
         self._catalogue_follower = follow(
@@ -312,6 +313,7 @@
             follow(
                 LEASE_STREAM,
                 lambda batch, at: tell(self._leases, LeaseBatchRead(batch, at)),
+                start_behind=START_BEHIND,
             ),
             follow(
                 CLAIM_STREAM,
--- a/bamboovale/leases/keeper.py
+++ b/bamboovale/leases/keeper.py
@@ -32,7 +32,7 @@
 from bamboovale.platform.appender import Appender
 from bamboovale.platform.follower import LogHealth
 from bamboovale.platform.log_client import LogRecord, RecordBatch
-from bamboovale.views import Views
+from bamboovale.views import KnownLease, Views
 
 TAKE_AGAIN_S = 2.0
 """A take whose outcome was not read back by then is repeated."""
@@ -48,9 +48,13 @@
 """While the log hangs, further renewals would only queue up behind each other and be
 too old to count when it is back."""
 
-SNAPSHOT_EVERY_S = 60.0
+SNAPSHOT_EVERY_S = 30.0
 """A VM that starts behind expired records waits at most this long for a snapshot."""
 
+START_BEHIND = 5000
+"""How far before the stream's end a VM begins to read. It holds a snapshot even at
+100 renewals a second; reading an hour of renewals would delay each start."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -207,11 +211,16 @@
     def _publish(self) -> None:
         if self._table is None:
             return
-        self._views.holder_by_engine = {
-            engine: vm_of_node(lease.holder) or ""
+        known = {
+            engine: KnownLease(vm_of_node(lease.holder) or "", lease.fencing)
             for engine, lease in self._table.lease_by_engine.items()
             if lease.holder is not None
         }
+        for engine, received in self._views.hint_by_engine.items():
+            lease = known.get(engine)
+            if lease is not None and received.hint.fencing > lease.fencing:
+                known[engine] = KnownLease(received.from_vm, received.hint.fencing)
+        self._views.lease_by_engine = known
         self._environment.metrics.leases_held.set(len(self._own.held_by_engine))
 
     # Writing.
@@ -221,6 +230,8 @@
         if self._table is None:
             self._reset_if_due(now)
             return
+        self._yield_to_later_holders()
+        self._publish()
         if now >= self._next_renewal_at and self._own.held_by_engine:
             self._next_renewal_at = now + self._terms.renew_every_s
             self._renew(now)
@@ -234,6 +245,20 @@
             self._next_snapshot_at = now + SNAPSHOT_EVERY_S
             self._appender.append(self._table.snapshot(self._record_id()))
 
+    def _yield_to_later_holders(self) -> None:
+        """Let go of engines for which a peer tells a later fencing number.
+
+        A VM cut off from the log does not read that its lease was taken. Its peers'
+        hints show it; without them it would go on granting places beside the new
+        holder.
+        """
+        for engine, held in self._own.held_by_engine.items():
+            received = self._views.hint_by_engine.get(engine)
+            if received is not None and received.hint.fencing > held.fencing:
+                self._environment.metrics.leases_lost.inc()
+                self._own.let_go(engine)
+                self._callbacks.on_lost(engine)
+
     def _wanted(self) -> list[str]:
         runners = self._views.membership.runners()
         return [WEIGHT_STORE, *(runner.id for runner in runners)]
@@ -350,7 +375,10 @@
         return {
             "node": self._node,
             "held": held,
-            "holder_by_engine": dict(self._views.holder_by_engine),
+            "holder_by_engine": {
+                engine: lease.holder
+                for engine, lease in sorted(self._views.lease_by_engine.items())
+            },
             "next_offset": None if self._table is None else self._table.next_offset,
             "void_records": None if self._table is None else self._table.void_records,
         }
--- a/bamboovale/membership/keeper.py
+++ b/bamboovale/membership/keeper.py
@@ -15,7 +15,12 @@
 
 from bamboovale.actors import MessageActor, Tick, tell
 from bamboovale.decisions.work import EngineHint
-from bamboovale.entry.readiness import PeerReport, ReadinessInputs, may_serve
+from bamboovale.entry.readiness import (
+    PeerReport,
+    ReadinessInputs,
+    log_is_down,
+    may_serve,
+)
 from bamboovale.environment import Environment
 from bamboovale.models import VM
 from bamboovale.peers.messages import StatusNotice
@@ -248,7 +253,6 @@
 
     def _judge_readiness(self, now: float) -> None:
         reachable = self._health.reachable
-        self._views.log_reachable = reachable
         if reachable:
             self._seen_log_at = now
         membership = self._views.membership
@@ -262,17 +266,17 @@
             for vm in membership.listed_entry_vms()
             if vm.id in self._heard_by_vm and vm.id not in membership.unreachable_ids
         ]
-        serving = may_serve(
-            ReadinessInputs(
-                catalogue_whole=self._views.catalogue is not None,
-                list_read=self._list_read,
-                log_silent_s=now - self._seen_log_at,
-                catalogue_next_offset=self._catalogue_next_offset(),
-                other_entry_vms=len(membership.listed_entry_vms())
-                - (self._own_id in membership.vm_by_id),
-                peers=tuple(reports),
-            )
+        inputs = ReadinessInputs(
+            catalogue_whole=self._views.catalogue is not None,
+            list_read=self._list_read,
+            log_silent_s=now - self._seen_log_at,
+            catalogue_next_offset=self._catalogue_next_offset(),
+            other_entry_vms=len(membership.listed_entry_vms())
+            - (self._own_id in membership.vm_by_id),
+            peers=tuple(reports),
         )
+        self._views.log_down_for_all = not reachable and log_is_down(inputs)
+        serving = may_serve(inputs)
         if serving != self._views.serving:
             logger.info("serving: %s", serving)
             self._views.serving = serving
--- a/bamboovale/peers/messages.py
+++ b/bamboovale/peers/messages.py
@@ -61,10 +61,14 @@
 @message("permit_release")
 @dataclass(frozen=True)
 class PermitRelease:
-    """The run is over, or the permit will never be used."""
+    """The run is over, or the permit will never be used.
+
+    ``refused`` tells that the engine did not know the adapter.
+    """
 
     engine_id: str
     permit_id: str
+    refused: bool = False
 
 
 @message("permits_query")
--- a/bamboovale/platform/follower.py
+++ b/bamboovale/platform/follower.py
@@ -47,7 +47,10 @@
 
 
 class StreamFollower:
-    """A thread that reads a stream from an offset on, for ever."""
+    """A thread that reads a stream for ever, from its beginning.
+
+    With ``start_behind`` it begins at most that many records before the stream's end.
+    """
 
     def __init__(
         self,
@@ -56,14 +59,15 @@
         health: LogHealth,
         stream: str,
         on_batch: Callable[[RecordBatch, float], None],
-        start: int = 0,
+        start_behind: int | None = None,
     ) -> None:
         self._environment = environment
         self._log = log
         self._health = health
         self._stream = stream
         self._on_batch = on_batch
-        self._next = start
+        self._next = 0
+        self._start_behind = start_behind
         self._stopped = threading.Event()
         self._thread = threading.Thread(
             target=self._run,
@@ -97,8 +101,18 @@
             self._stopped.wait(backoff_s)
             backoff_s = min(2 * backoff_s, LONGEST_BACKOFF_S)
 
+    def _skip_to_start(self, batch: RecordBatch) -> bool:
+        """Skip what lies too far behind, once; the batch is then not handed on."""
+        behind, self._start_behind = self._start_behind, None
+        if behind is None or batch.next - behind <= batch.first:
+            return False
+        self._next = batch.next - behind
+        return True
+
     def _take(self, batch: RecordBatch) -> None:
         self._health.answered()
+        if self._skip_to_start(batch):
+            return
         if batch.records:
             self._next = batch.records[-1].offset + 1
         elif batch.first > self._next:
--- a/bamboovale/views.py
+++ b/bamboovale/views.py
@@ -20,19 +20,33 @@
     received_at: float
 
 
+@dataclass(frozen=True)
+class KnownLease:
+    """The VM that holds an engine's lease, and its fencing number."""
+
+    holder: str
+    fencing: int
+
+
 @dataclass
 class Views:
     """The latest published views.
 
-    ``holder_by_engine`` names the lease holder of each engine; ``serving`` is False
-    while this VM may not vouch for what it knows (see ``entry/readiness.py``).
+    ``lease_by_engine`` is what the log and the peers' hints say; ``serving`` is False
+    while this VM may not vouch for what it knows and ``log_down_for_all`` is True
+    while nobody here reaches the log (see ``entry/readiness.py``).
     """
 
     catalogue: CatalogueView | None = None
     membership: Membership = field(default_factory=Membership)
-    holder_by_engine: dict[str, str] = field(default_factory=dict)
+    lease_by_engine: dict[str, KnownLease] = field(default_factory=dict)
     incarnation_by_vm: dict[str, str] = field(default_factory=dict)
     hint_by_engine: dict[str, ReceivedHint] = field(default_factory=dict)
-    log_reachable: bool = False
+    log_down_for_all: bool = False
     serving: bool = False
     draining: bool = False
+
+    def holder_of(self, engine: str) -> str | None:
+        """Return the VM that holds an engine's lease, as far as is known."""
+        lease = self.lease_by_engine.get(engine)
+        return None if lease is None else lease.holder
