Split the entry VM's wiring: peers' exchange, turns' routes, attempts

Change: what is asked of peers, the way of load turns and the state of a request's attempts have modules of their own; crash records from the log are checked before they are used. Behaviour otherwise unchanged.

--- /dev/null
+++ b/bamboovale/engines/turn_routes.py
@@ -0,0 +1,63 @@
+"""The way of a turn at the weight store between its scheduler and a holder here."""
+
+from typing import Any, Protocol
+
+import pykka
+
+from bamboovale.actors import tell
+from bamboovale.engines.holder import TurnGiven
+from bamboovale.engines.load_turns import TurnAsked, TurnEnded
+from bamboovale.peers.messages import LoadTurnAsk, LoadTurnEnded, LoadTurnGiven
+
+
+class Notifier(Protocol):
+    """Sends notices to peers."""
+
+    def notify(self, vm_id: str, message: Any) -> None:
+        """Send a notice, best effort."""
+        ...
+
+
+class HolderFinder(Protocol):
+    """Knows the holders of this VM."""
+
+    def find(self, engine_id: str) -> pykka.ActorRef | None:
+        """Return the holder of an engine, None if it is not held here."""
+        ...
+
+
+class TurnRoutes:
+    """Implements the holders' :class:`~bamboovale.engines.holder.LoadTurns`."""
+
+    def __init__(self, own_id: str, links: Notifier, holders: HolderFinder) -> None:
+        self._own_id = own_id
+        self._links = links
+        self._holders = holders
+        self._keeper: pykka.ActorRef | None = None
+
+    def attach(self, keeper: pykka.ActorRef) -> None:
+        """Send asks to this keeper, which finds the scheduler or is it."""
+        self._keeper = keeper
+
+    def ask(self, engine_id: str, lora_name: str, weight: float) -> None:
+        """Ask for a turn on behalf of a holder here."""
+        ask = LoadTurnAsk(engine_id, lora_name, weight)
+        if self._keeper is not None:
+            tell(self._keeper, TurnAsked(self._own_id, ask))
+
+    def end(self, turn: LoadTurnGiven, *, used: bool, loaded: bool) -> None:
+        """Give a turn back to the scheduler that gave it."""
+        ended = LoadTurnEnded(turn.scheduler, turn.number, used, loaded)
+        vm_id = turn.scheduler.rpartition(":")[0]
+        if vm_id != self._own_id:
+            self._links.notify(vm_id, ended)
+        elif self._keeper is not None:
+            tell(self._keeper, TurnEnded(ended))
+
+    def give(self, turn: LoadTurnGiven) -> None:
+        """Hand a turn to the holder here; back if the engine is not held here."""
+        holder = self._holders.find(turn.engine_id)
+        if holder is None:
+            self.end(turn, used=False, loaded=False)
+        else:
+            tell(holder, TurnGiven(turn))
--- a/bamboovale/entry/model_requests.py
+++ b/bamboovale/entry/model_requests.py
@@ -3,13 +3,21 @@
 import contextlib
 import itertools
 import time
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from result import Err
 
 from bamboovale.catalogue.entries import AdapterEntry
 from bamboovale.decisions.admission import Arrival, Limits
 from bamboovale.decisions.work import WorkItem
+from bamboovale.entry.attempts import (
+    Attempts,
+    FinalRefusalError,
+    HungUpError,
+    endpoint_error,
+    outcome_unknown,
+    rejection,
+)
 from bamboovale.entry.caller_request import CallerRequest
 from bamboovale.entry.crashes import CrashReports
 from bamboovale.entry.desk import DecisionDesk
@@ -56,36 +64,6 @@
 """Permits whose run did not begin (adapter gone, no connection, send-by past)."""
 
 
-class HungUpError(Exception):
-    """The caller hung up: there is nobody to answer."""
-
-
-class FinalRefusalError(Exception):
-    """The request gets this final answer."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(refusal.message)
-        self.refusal = refusal
-
-
-@dataclass
-class Attempts:
-    """What one request has tried so far."""
-
-    request: CallerRequest
-    call: ModelCall
-    entry: AdapterEntry
-    idempotent: bool
-    hangup: Hangup
-    latest_start: float
-    fingerprint: str
-    excluded: set[str] = field(default_factory=set)
-    refusals: int = 0
-    bounces: int = 0
-    runs: int = 0
-    exclusive: bool = False
-
-
 class ModelRequests:
     """Serves ``/v1/completions`` and ``/v1/chat/completions``."""
 
@@ -347,7 +325,7 @@
         if attempts.hangup.gone:
             raise HungUpError
         if failed.failure is RunFailure.REJECTED:
-            raise FinalRefusalError(_rejection(failed))
+            raise FinalRefusalError(rejection(failed))
         if failed.not_run:
             self._count_bounce(attempts, held, failed)
             return
@@ -361,10 +339,10 @@
         if refusal is not None:
             raise FinalRefusalError(refusal)
         if not attempts.idempotent:
-            raise FinalRefusalError(_outcome_unknown(failed))
+            raise FinalRefusalError(outcome_unknown(failed))
         suspect_failed = crashed and attempts.exclusive
         if suspect_failed or attempts.runs >= MAX_RUNS or not self._desk.may_repeat():
-            raise FinalRefusalError(_endpoint_error(failed))
+            raise FinalRefusalError(endpoint_error(failed))
         self._environment.metrics.retries.inc()
         attempts.excluded.add(held.permit.engine_id)
 
@@ -388,29 +366,3 @@
                     retry_after_s=1.0,
                 )
             )
-
-
-def _rejection(failed: RunFailedError) -> Refusal:
-    reason = failed.answer[:500].decode(errors="replace")
-    return Refusal(
-        ErrorCode.BAD_REQUEST,
-        f"the engine rejects the request: {reason}",
-        not_run=True,
-    )
-
-
-def _outcome_unknown(failed: RunFailedError) -> Refusal:
-    return Refusal(
-        ErrorCode.OUTCOME_UNKNOWN,
-        f"the request was sent and its answer is lost ({failed})",
-        not_run=False,
-    )
-
-
-def _endpoint_error(failed: RunFailedError) -> Refusal:
-    return Refusal(
-        ErrorCode.ENDPOINT_ERROR,
-        f"the engine's answer is lost ({failed})",
-        not_run=False,
-        retry_after_s=2.0,
-    )
--- /dev/null
+++ b/bamboovale/entry/peer_exchange.py
@@ -0,0 +1,150 @@
+"""What this entry VM asks of its peers and tells them, beside places on engines."""
+
+import random
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Any
+
+import pykka
+
+from bamboovale.actors import tell, tell_result
+from bamboovale.catalogue.keeper import CATALOGUE_STREAM, CatalogueFromPeer
+from bamboovale.claims.answers import AnswerState, AnswerStore, KeptAnswer
+from bamboovale.decisions.suspects import CrashNotice
+from bamboovale.decisions.work import Permit
+from bamboovale.engines.holder import PermitsReported
+from bamboovale.peers.links import PeerLinks
+from bamboovale.peers.messages import (
+    AnswerKept,
+    AnswerQuery,
+    CatalogueQuery,
+    CrashSeen,
+    PermitsHeld,
+    PermitsQuery,
+    RecordsNotice,
+)
+from bamboovale.views import Views
+
+TIMEOUT_S = 2.0
+PASS_ON_TO = 3
+"""Peers that get new records from each VM: after a few rounds all have them, and no
+VM sends more than three copies, however large the fleet."""
+
+
+class PeerExchange:
+    """Calls over the links; none blocks but :meth:`find_answer`."""
+
+    def __init__(
+        self,
+        own_id: str,
+        views: Views,
+        links: PeerLinks,
+        answers: AnswerStore,
+    ) -> None:
+        self._own_id = own_id
+        self._views = views
+        self._links = links
+        self._answers = answers
+
+    def pass_on(self, first_offset: int, values: tuple[Any, ...]) -> None:
+        """Pass new catalogue records on to a few peers."""
+        notice = RecordsNotice(CATALOGUE_STREAM, first_offset, values)
+        for vm_id in self._some_peers(PASS_ON_TO):
+            self._links.notify(vm_id, notice)
+
+    def ask_catalogue(self, vm_id: str | None, keeper: pykka.ActorRef) -> None:
+        """Ask a peer, any if None, for a whole catalogue; the keeper gets it."""
+        for peer in self._some_peers(1) if vm_id is None else [vm_id]:
+            future: Future[Any] = self._links.request(
+                peer,
+                CatalogueQuery(),
+                TIMEOUT_S,
+            )
+            tell_result(
+                keeper,
+                future,
+                lambda answer: CatalogueFromPeer(getattr(answer, "snapshot", None)),
+            )
+
+    def ask_permits(
+        self,
+        engine_id: str,
+        own_permits: tuple[Permit, ...],
+        holder: pykka.ActorRef,
+    ) -> None:
+        """Tell a new holder which permits on its engine are in use, here and there."""
+        tell(holder, PermitsReported(own_permits))
+        for vm_id in self._all_peers():
+            future = self._links.request(vm_id, PermitsQuery(engine_id), TIMEOUT_S)
+            tell_result(holder, future, _permits_reported)
+
+    def publish_crash(
+        self,
+        notice: CrashNotice,
+        append: Callable[[dict[str, Any]], None],
+    ) -> None:
+        """Tell all peers at once, and the log for VMs that start later."""
+        seen = CrashSeen(
+            fingerprint=notice.fingerprint,
+            endpoint_id=notice.endpoint_id,
+            boot_id=notice.boot_id,
+            alone=notice.alone,
+        )
+        for vm_id in self._all_peers():
+            self._links.notify(vm_id, seen)
+        append(
+            {
+                "type": "crash",
+                "fingerprint": notice.fingerprint,
+                "endpoint_id": notice.endpoint_id,
+                "boot_id": notice.boot_id,
+                "alone": notice.alone,
+            }
+        )
+
+    def find_answer(self, vm_id: str, attempt_id: str) -> KeptAnswer:
+        """Return an attempt's answer from the VM that ran it; blocks a little."""
+        if vm_id == self._own_id:
+            return self._answers.find(attempt_id)
+        future = self._links.request(vm_id, AnswerQuery(attempt_id), TIMEOUT_S)
+        try:
+            kept = future.result(2 * TIMEOUT_S)
+        except Exception:  # any failure of the link: nobody can tell
+            return KeptAnswer(AnswerState.UNKNOWN)
+        if not isinstance(kept, AnswerKept):
+            return KeptAnswer(AnswerState.UNKNOWN)
+        return KeptAnswer(
+            AnswerState(kept.state),
+            kept.status,
+            kept.headers,
+            kept.body,
+        )
+
+    def _all_peers(self) -> list[str]:
+        listed = self._views.membership.listed_entry_vms()
+        return [vm.id for vm in listed if vm.id != self._own_id]
+
+    def _some_peers(self, count: int) -> list[str]:
+        usable = self._views.membership.usable_entry_vms()
+        peers = [vm.id for vm in usable if vm.id != self._own_id]
+        return random.sample(peers, min(count, len(peers)))
+
+
+def read_crash_notice(value: Any) -> CrashNotice | None:
+    """Return the notice a record of the log holds, None if it is none."""
+    if not isinstance(value, dict) or value.get("type") != "crash":
+        return None
+    fields = ("fingerprint", "endpoint_id", "boot_id")
+    if not all(isinstance(value.get(name), str) for name in fields):
+        return None
+    return CrashNotice(
+        fingerprint=value["fingerprint"],
+        endpoint_id=value["endpoint_id"],
+        boot_id=value["boot_id"],
+        alone=value.get("alone") is True,
+    )
+
+
+def _permits_reported(answer: Any) -> PermitsReported:
+    held = answer.permits if isinstance(answer, PermitsHeld) else ()
+    return PermitsReported(held)
--- a/bamboovale/entry/vm.py
+++ b/bamboovale/entry/vm.py
@@ -1,26 +1,23 @@
 """One entry VM: its tasks, how they are joined, its start, drain and stop."""
 
 import logging
-import random
 import time
-from concurrent.futures import Future
 from typing import Any
 
 import pykka
 
-from bamboovale.actors import TICK_S, Ticker, tell, tell_result
+from bamboovale.actors import TICK_S, Ticker, tell
 from bamboovale.admin.app import AdministrationApp
 from bamboovale.catalogue.keeper import (
     CATALOGUE_STREAM,
     CatalogueBatchRead,
     CatalogueCallbacks,
-    CatalogueFromPeer,
     CatalogueKeeper,
     DumpCatalogue,
     PeerIsAhead,
     SnapshotDuty,
 )
-from bamboovale.claims.answers import AnswerState, AnswerStore, KeptAnswer
+from bamboovale.claims.answers import AnswerStore
 from bamboovale.claims.keeper import (
     CLAIM_STREAM,
     ClaimBatchRead,
@@ -30,14 +27,12 @@
 from bamboovale.decisions.policy import Policy
 from bamboovale.decisions.suspects import CrashNotice
 from bamboovale.engines.client import VllmEngineOrders
-from bamboovale.engines.holder import PermitsReported, TurnGiven
 from bamboovale.engines.load_turns import (
     DumpLoadTurns,
     LoadTurnKeeper,
     SchedulerLeaseChanged,
-    TurnAsked,
-    TurnEnded,
 )
+from bamboovale.engines.turn_routes import TurnRoutes
 from bamboovale.entry.administration import Administration
 from bamboovale.entry.caller_app import CallerApp
 from bamboovale.entry.crashes import CrashReports
@@ -50,6 +45,7 @@
 from bamboovale.entry.keyed import KeyedRequests
 from bamboovale.entry.model_requests import ModelRequests
 from bamboovale.entry.model_runs import ModelRuns
+from bamboovale.entry.peer_exchange import PeerExchange, read_crash_notice
 from bamboovale.entry.peer_handler import PeerHandler, PeerTargets
 from bamboovale.entry.permits import PermitDesk
 from bamboovale.entry.service_calls import ServiceCalls
@@ -76,18 +72,6 @@
     forward_list,
 )
 from bamboovale.peers.links import PeerLinks
-from bamboovale.peers.messages import (
-    AnswerKept,
-    AnswerQuery,
-    CatalogueQuery,
-    CrashSeen,
-    LoadTurnAsk,
-    LoadTurnEnded,
-    LoadTurnGiven,
-    PermitsHeld,
-    PermitsQuery,
-    RecordsNotice,
-)
 from bamboovale.platform.appender import Appender
 from bamboovale.platform.follower import LogHealth, StreamFollower
 from bamboovale.platform.log_client import LogClient, RecordBatch
@@ -97,11 +81,6 @@
 NOTICE_STREAM = "notices"
 """Crash notices, for VMs that start later than the crash."""
 
-PEER_TIMEOUT_S = 2.0
-PASS_ON_TO = 3
-"""Peers that get new records from each VM: after a few rounds all have them, and no
-VM sends more than three copies, however large the fleet."""
-
 ADMIN_THREADS = 6
 LOOK_EVERY_S = 0.05
 
@@ -141,8 +120,15 @@
             self._engines,
             self._ticker,
         )
+        self._exchange = PeerExchange(
+            settings.id,
+            self.views,
+            self._links,
+            self._answers,
+        )
+        self._turn_routes = TurnRoutes(settings.id, self._links, self._holders)
         self._holder_links = HolderLinksToVM(
-            load_turns=self,
+            load_turns=self._turn_routes,
             on_hint=lambda hint: tell(self._membership, HintMade(hint)),
             on_started=self._ask_permits_held,
             on_stopped=lambda engine_id: tell(
@@ -166,7 +152,10 @@
                 send=self._links.notify,
                 on_change=self._on_membership,
                 on_peer_gone=self._holders.on_entry_vm_gone,
-                on_peer_ahead=self._on_peer_ahead,
+                on_peer_ahead=lambda vm_id, next_offset: tell(
+                    self._catalogue,
+                    PeerIsAhead(vm_id, next_offset),
+                ),
                 on_hint=self.desk.on_hint,
                 on_interval=self.desk.on_tick,
             ),
@@ -175,16 +164,20 @@
             environment,
             self.views,
             self._links.notify,
-            self._give_turn,
+            self._turn_routes.give,
         )
+        self._turn_routes.attach(self._load_turns)
         self._catalogue = CatalogueKeeper.start(
             environment,
             self.views,
             self._appender_by_stream[CATALOGUE_STREAM],
             CatalogueCallbacks(
-                pass_on=self._pass_on,
-                ask_peer=self._ask_peer_for_catalogue,
-                read_from=self._read_catalogue_from,
+                pass_on=self._exchange.pass_on,
+                ask_peer=lambda vm_id: self._exchange.ask_catalogue(
+                    vm_id,
+                    self._catalogue,
+                ),
+                read_from=lambda offset: self._catalogue_follower.read_from(offset),
                 on_version_changed=self._holders.on_version_changed,
                 on_change=self._on_membership,
             ),
@@ -210,7 +203,7 @@
             environment,
             self._claims,
             self._answers,
-            self._find_answer,
+            self._exchange.find_answer,
         )
         crashes = CrashReports(
             environment,
@@ -336,7 +329,7 @@
                 permits=self._permits,
                 desk=self.desk,
                 answers=self._answers,
-                give_turn=self._give_turn,
+                give_turn=self._turn_routes.give,
             ),
         )
         self._links.start(handler.on_request, handler.on_notice)
@@ -413,125 +406,17 @@
         self._holders.stop(engine_id, self._holder_links)
 
     def _ask_permits_held(self, engine_id: str) -> None:
-        """Ask every listed entry VM, this one too, for its permits on an engine."""
         holder = self._holders.find(engine_id)
-        if holder is None:
-            return
-        tell(holder, PermitsReported(self._permits.held_on(engine_id)))
-        own_id = self.environment.settings.id
-
-        def report(answer: Any) -> PermitsReported:
-            held = answer.permits if isinstance(answer, PermitsHeld) else ()
-            return PermitsReported(held)
-
-        for vm in self.views.membership.listed_entry_vms():
-            if vm.id != own_id:
-                future = self._links.request(
-                    vm.id,
-                    PermitsQuery(engine_id),
-                    PEER_TIMEOUT_S,
-                )
-                tell_result(holder, future, report)
-
-    # Turns at the weight store (the holders' LoadTurns).
-
-    def ask(self, engine_id: str, lora_name: str, weight: float) -> None:
-        """Ask for a turn on behalf of a holder here."""
-        ask = LoadTurnAsk(engine_id, lora_name, weight)
-        tell(self._load_turns, TurnAsked(self.environment.settings.id, ask))
-
-    def end(self, turn: LoadTurnGiven, *, used: bool, loaded: bool) -> None:
-        """Give a turn back to the scheduler that gave it."""
-        ended = LoadTurnEnded(turn.scheduler, turn.number, used, loaded)
-        vm_id = turn.scheduler.rpartition(":")[0]
-        if vm_id == self.environment.settings.id:
-            tell(self._load_turns, TurnEnded(ended))
-        else:
-            self._links.notify(vm_id, ended)
-
-    def _give_turn(self, turn: LoadTurnGiven) -> None:
-        holder = self._holders.find(turn.engine_id)
-        if holder is None:
-            self.end(turn, used=False, loaded=False)
-        else:
-            tell(holder, TurnGiven(turn))
-
-    # Catalogue records between peers.
-
-    def _pass_on(self, first_offset: int, values: tuple[Any, ...]) -> None:
-        notice = RecordsNotice(CATALOGUE_STREAM, first_offset, values)
-        for vm_id in self._some_peers(PASS_ON_TO):
-            self._links.notify(vm_id, notice)
-
-    def _some_peers(self, count: int) -> list[str]:
-        own_id = self.environment.settings.id
-        usable = self.views.membership.usable_entry_vms()
-        peers = [vm.id for vm in usable if vm.id != own_id]
-        return random.sample(peers, min(count, len(peers)))
-
-    def _on_peer_ahead(self, vm_id: str, next_offset: int) -> None:
-        tell(self._catalogue, PeerIsAhead(vm_id, next_offset))
-
-    def _ask_peer_for_catalogue(self, vm_id: str | None) -> None:
-        peers = self._some_peers(1) if vm_id is None else [vm_id]
-        for peer in peers:
-            future: Future[Any] = self._links.request(
-                peer,
-                CatalogueQuery(),
-                PEER_TIMEOUT_S,
-            )
-            tell_result(
-                self._catalogue,
-                future,
-                lambda answer: CatalogueFromPeer(getattr(answer, "snapshot", None)),
-            )
-
-    def _read_catalogue_from(self, offset: int) -> None:
-        self._catalogue_follower.read_from(offset)
-
-    # Keyed answers and crashes.
-
-    def _find_answer(self, vm_id: str, attempt_id: str) -> KeptAnswer:
-        """Return an attempt's answer from the VM that ran it; blocks a little."""
-        if vm_id == self.environment.settings.id:
-            return self._answers.find(attempt_id)
-        future = self._links.request(vm_id, AnswerQuery(attempt_id), PEER_TIMEOUT_S)
-        try:
-            kept = future.result(2 * PEER_TIMEOUT_S)
-        except Exception:  # any failure of the link: nobody can tell
-            return KeptAnswer(AnswerState.UNKNOWN)
-        if not isinstance(kept, AnswerKept):
-            return KeptAnswer(AnswerState.UNKNOWN)
-        return KeptAnswer(
-            AnswerState(kept.state),
-            kept.status,
-            kept.headers,
-            kept.body,
-        )
+        if holder is not None:
+            held = self._permits.held_on(engine_id)
+            self._exchange.ask_permits(engine_id, held, holder)
 
     def _publish_crash(self, notice: CrashNotice) -> None:
-        """Tell all peers at once, and the log for VMs that start later."""
-        seen = CrashSeen(
-            fingerprint=notice.fingerprint,
-            endpoint_id=notice.endpoint_id,
-            boot_id=notice.boot_id,
-            alone=notice.alone,
-        )
-        for vm in self.views.membership.listed_entry_vms():
-            if vm.id != self.environment.settings.id:
-                self._links.notify(vm.id, seen)
-        value = {"type": "crash", **as_json(notice)}
-        self._appender_by_stream[NOTICE_STREAM].append(value)
+        appender = self._appender_by_stream[NOTICE_STREAM]
+        self._exchange.publish_crash(notice, appender.append)
 
     def _read_crashes(self, batch: RecordBatch) -> None:
         for record in batch.records:
-            value = record.value
-            if isinstance(value, dict) and value.get("type") == "crash":
-                self.desk.on_crash(
-                    CrashNotice(
-                        fingerprint=value["fingerprint"],
-                        endpoint_id=value["endpoint_id"],
-                        boot_id=value["boot_id"],
-                        alone=value["alone"],
-                    )
-                )
+            notice = read_crash_notice(record.value)
+            if notice is not None:
+                self.desk.on_crash(notice)
