--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,127 @@
+"""What callers received, as one row of figures."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from bamboovale.models import WorkClass
+
+
+class Fate(StrEnum):
+    """How a request ended for its caller."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    GAVE_UP = "gave up"
+    BROKEN = "broken"
+    OPEN = "open"
+
+
+@dataclass
+class Record:
+    """One request as its caller saw it; times in seconds from the run's start."""
+
+    customer: str
+    work_class: WorkClass
+    arrived_at: float
+    max_wait_s: float
+    wait_s: float = 0.0
+    stall_s: float = 0.0
+    fate: Fate = Fate.OPEN
+    ended_at: float = 0.0
+
+
+@dataclass
+class Fill:
+    """Places used and places there while work waited, in place-seconds."""
+
+    used: float = 0.0
+    offered: float = 0.0
+
+    def add(self, used: int, offered: int, seconds: float) -> None:
+        """Add a span of time in which work waited."""
+        self.used += used * seconds
+        self.offered += offered * seconds
+
+    @property
+    def share(self) -> float:
+        """Return the batch efficiency."""
+        return self.used / self.offered if self.offered else 1.0
+
+
+@dataclass
+class Result:
+    """All records of a run."""
+
+    records: list[Record] = field(default_factory=list)
+    fill: Fill = field(default_factory=Fill)
+    loads: int = 0
+    seconds: float = 0.0
+
+
+def percentile(values: Iterable[float], share: float) -> float:
+    """Return the value below which the share of values lies."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def summarize(result: Result, *, settle_s: float = 0.0) -> dict[str, float]:
+    """Return the figures of a run by name, without arrivals of its first seconds.
+
+    A request that was given up counts with the stall and wait it had until then; a
+    refused one is counted as a refusal and its wait until then as well.
+    """
+    records = [r for r in result.records if r.arrived_at >= settle_s]
+    figures: dict[str, float] = {"requests": float(len(records))}
+    figures["goodput_per_s"] = sum(_is_good(r) for r in records) / max(
+        1e-9,
+        result.seconds - settle_s,
+    )
+    for fate in (Fate.REFUSED, Fate.GAVE_UP, Fate.BROKEN):
+        figures[f"{fate} share"] = _share(records, fate)
+    for work_class in WorkClass:
+        chosen = [r for r in records if r.work_class is work_class]
+        figures |= _waits(chosen, work_class.value)
+    figures |= _waits(records, "all")
+    figures["batch efficiency"] = result.fill.share
+    figures["loads"] = float(result.loads)
+    figures["worst customer / median"] = _fairness(records)
+    return figures
+
+
+def _is_good(record: Record) -> bool:
+    return record.fate is Fate.SERVED and record.wait_s <= record.max_wait_s
+
+
+def _share(records: Sequence[Record], fate: Fate) -> float:
+    return sum(r.fate is fate for r in records) / max(1, len(records))
+
+
+def _waits(records: Sequence[Record], label: str) -> dict[str, float]:
+    stalls = [r.stall_s for r in records]
+    waits = [r.wait_s for r in records if r.fate is not Fate.REFUSED]
+    stalled = sum(stall > 0.0 for stall in stalls) / max(1, len(stalls))
+    return {
+        f"{label} stalled share": stalled,
+        f"{label} stall p50": percentile(stalls, 0.5),
+        f"{label} stall p95": percentile(stalls, 0.95),
+        f"{label} stall p99": percentile(stalls, 0.99),
+        f"{label} wait p50": percentile(waits, 0.5),
+        f"{label} wait p95": percentile(waits, 0.95),
+        f"{label} wait p99": percentile(waits, 0.99),
+    }
+
+
+def _fairness(records: Sequence[Record]) -> float:
+    """Return the worst customer's served share against the median customer's."""
+    asked: dict[str, int] = {}
+    good: dict[str, int] = {}
+    for record in records:
+        asked[record.customer] = asked.get(record.customer, 0) + 1
+        good[record.customer] = good.get(record.customer, 0) + _is_good(record)
+    shares = [good[name] / asked[name] for name in asked if asked[name] >= 10]
+    if not shares:
+        return 1.0
+    return min(shares) / max(1e-9, percentile(shares, 0.5))
