Send cold adapters to engines whose slots open soonest

Stalls at 0.9x came from cold requests queued at an engine whose slots were all pinned while another had one to give: hints told only the time of a load. They now tell open slots and the time until one more opens (measured as slots that lose their last request), and entry VMs correct them by their own cold sends. Predicted waits for a load use the same figures, so hopeless ones are refused at once.

--- a/bamboovale/decisions/dispatch.py
+++ b/bamboovale/decisions/dispatch.py
@@ -163,8 +163,10 @@
         else:
             permit = self._permits.linger(permit_id, not_before=now)
         granted_at = self._granted_at_by_permit_id.pop(permit_id, None)
-        if permit is not None and ended and granted_at is not None:
-            self._service.add(now - granted_at)
+        if permit is not None and ended:
+            self._planner.unpinned(permit.lora_name, now)
+            if granted_at is not None:
+                self._service.add(now - granted_at)
         if permit_id == self._exclusive_permit_id:
             self._exclusive_permit_id = None
         return self._decide(now)
@@ -268,6 +270,8 @@
             queued=len(self._queue),
             predicted_wait_s=self._wait_behind(len(self._queue)),
             load_seconds=self._planner.load_wait.value,
+            open_slots=self._planner.open_slots(now),
+            slot_wait_s=self._planner.slot_wait(now),
         )
 
     def permits(self) -> dict[str, Permit]:
--- a/bamboovale/decisions/loading.py
+++ b/bamboovale/decisions/loading.py
@@ -45,6 +45,10 @@
 URGENCY_PER_S = 0.5
 """Waiting one second counts like half a request, so rare adapters get their turn."""
 PATIENCE_LOADS = 2.0
+UNPINNED = "unpinned"
+TURNOVER_HALF_LIFE_S = 10.0
+SLOWEST_TURNOVER_PER_S = 0.1
+"""A slot each 10 s when nothing was measured: about the length of one long answer."""
 DRAINS_AT_ONCE = 2
 
 
@@ -83,6 +87,7 @@
         self._source_by_name: dict[str, str] = {}
         self._warm: dict[str, None] = {}
         self._store_failed = False
+        self._unpinned = RecentDemand(half_life_s=TURNOVER_HALF_LIFE_S)
 
     # What the holder learns.
 
@@ -158,7 +163,30 @@
         since = self.slots.loading_since.get(name)
         if since is not None:
             return max(0.0, since + self.load_seconds - now)
-        return self.load_wait.value
+        wait_s = self.load_wait.value
+        already_waits = bool(self._queue.waiting_for(name))
+        over = 1 - self.open_slots(now) - already_waits
+        return wait_s + max(0, over) * self.slot_wait(now)
+
+    def open_slots(self, now: float) -> int:
+        """Return the slots for one more adapter, less those that wait for one."""
+        opening = len(self._evictable(now)) + self.slots.free
+        waiting = sum(
+            1
+            for name in self._queue.lora_names
+            if name not in self.slots.loaded and not self.slots.is_coming(name)
+        )
+        return opening - waiting
+
+    def slot_wait(self, now: float) -> float:
+        """Return the seconds between two slots that lose their last request."""
+        rate = self._unpinned.rate(UNPINNED, now)
+        return 1.0 / max(rate, SLOWEST_TURNOVER_PER_S)
+
+    def unpinned(self, name: str, now: float) -> None:
+        """Note that an adapter's last request ended."""
+        if not self._permits.is_pinned(name):
+            self._unpinned.add(UNPINNED, now)
 
     def shortest_wait_for_load(self, name: str, now: float) -> float:
         """Return the seconds below which an adapter can't be loaded."""
--- a/bamboovale/decisions/placement.py
+++ b/bamboovale/decisions/placement.py
@@ -23,6 +23,8 @@
 
 FILL_SHARE = 0.5
 """One copy carries half a batch of one adapter before the next one is opened."""
+SPILL_ENGINES = 3
+"""More engines to look at when the adapter has no open one among its own."""
 SHRINK_SHARE = 0.6
 """A copy is given up at 60 % of what opened it, or noise would open it again."""
 RANK_COST_S = 0.2
@@ -59,6 +61,7 @@
     hint: EngineHint
     heard_at: float
     sent_since: int = 0
+    cold_since: int = 0
 
 
 class EnginePlacement:
@@ -111,11 +114,15 @@
         for lora_name in hint.loaded:
             self._engines_by_lora.setdefault(lora_name, set()).add(hint.engine_id)
 
-    def on_sent(self, engine_id: str) -> None:
+    def on_sent(self, engine_id: str, lora_name: str) -> None:
         """Count a request that asks this engine for a place."""
         known = self._known_by_id.get(engine_id)
-        if known is not None:
-            known.sent_since += 1
+        if known is None:
+            return
+        known.sent_since += 1
+        hint = known.hint
+        if lora_name not in hint.loaded and lora_name not in hint.loading:
+            known.cold_since += 1
 
     def on_tick(self, now: float) -> None:
         """Forget hints that are too old, and copies that are not needed any more."""
@@ -175,7 +182,7 @@
         ranked = order.candidates(item.target.adapter)
         first = self._known_by_id.get(ranked[0]) if ranked else None
         places = first.hint.max_num_seqs if first else 1
-        count = self.copies(item.target.adapter, places, now) + 1
+        count = self.copies(item.target.adapter, places, now) + SPILL_ENGINES
         chosen = [name for name in ranked if name not in excluded][:count]
         for name in sorted(self._engines_by_lora.get(item.target.lora_name, ())):
             if name not in chosen and name not in excluded:
@@ -192,7 +199,7 @@
         if item.exclusive:
             hint = known.hint
             cost += (hint.max_num_seqs - hint.free_places) * self._place_seconds(hint)
-        return cost + self._wait(known) + self._load_cost(item, known.hint)
+        return cost + self._wait(known) + self._load_cost(item, known)
 
     def _wait(self, known: Known) -> float:
         hint = known.hint
@@ -203,12 +210,15 @@
     def _place_seconds(self, hint: EngineHint) -> float:
         return self._config.service_seconds / max(1, hint.max_num_seqs)
 
-    def _load_cost(self, item: WorkItem, hint: EngineHint) -> float:
+    def _load_cost(self, item: WorkItem, known: Known) -> float:
+        hint = known.hint
         name = item.target.lora_name
         if name in hint.loaded:
             return 0.0
-        share = 0.5 if name in hint.loading else 1.0
-        return hint.load_seconds * share
+        if name in hint.loading:
+            return hint.load_seconds / 2
+        over = 1 + known.cold_since * self._live_entries - hint.open_slots
+        return hint.load_seconds + max(0, over) * hint.slot_wait_s
 
     def _least_loaded(
         self,
--- a/bamboovale/decisions/work.py
+++ b/bamboovale/decisions/work.py
@@ -130,7 +130,10 @@
     """What a lease holder tells the entry VMs about its engine, now and then.
 
     A hint may be seconds old. A wrong one costs a wait or a refusal that sends the
-    request to the next engine, never a wrong answer.
+    request to the next engine, never a wrong answer. ``load_seconds`` is what a load
+    takes with its turn, ``open_slots`` are slots that one more adapter could take
+    (below zero: adapters already wait for one), and ``slot_wait_s`` is the time until
+    one more opens.
     """
 
     engine_id: str
@@ -143,3 +146,5 @@
     queued: int
     predicted_wait_s: float
     load_seconds: float
+    open_slots: int = 0
+    slot_wait_s: float = 0.0
--- a/bench/virtual_time.py
+++ b/bench/virtual_time.py
@@ -356,7 +356,7 @@
             self._settle(job, Fate.REFUSED)
             return
         job.tried.append(engine_id)
-        placement.on_sent(engine_id)
+        placement.on_sent(engine_id, job.item.target.lora_name)
         engine = self.engine_by_id[engine_id]
         self.loop.after(self._hop, lambda: self._request(engine, job))
 
--- a/tests/test_decisions_placement.py
+++ b/tests/test_decisions_placement.py
@@ -119,7 +119,7 @@
         for _ in range(60):
             name = choose(placement, "a", 0.2)
             assert name is not None
-            placement.on_sent(name)
+            placement.on_sent(name, "a@1")
             chosen.append(name)
         assert max(chosen.count(name) for name in ENGINES) <= 15
 
