Weigh a load's urgency by the share of patience used

Half a request a second made overnight work that may wait 600 s outweigh everything after a minute, so loads went by age alone. Urgency now is the share of the longest wait that has passed, worth five requests at its end: every class gets its turn before it is refused.

--- a/bamboovale/decisions/loading.py
+++ b/bamboovale/decisions/loading.py
@@ -42,8 +42,8 @@
 """Far above any load; guards against an order whose outcome never came back."""
 EXPECTED_FOR_S = 10.0
 """A slot is credited with the requests that demand lets expect in ten seconds."""
-URGENCY_PER_S = 0.5
-"""Waiting one second counts like half a request, so rare adapters get their turn."""
+URGENCY = 5.0
+"""At the end of its patience a request weighs as much as five fresh ones more."""
 PATIENCE_LOADS = 2.0
 UNPINNED = "unpinned"
 TURNOVER_HALF_LIFE_S = 10.0
@@ -264,10 +264,10 @@
         waiting = self._queue.waiting_for(name)
         if not waiting:
             return 0.5 * self.value(name, now)
-        oldest = min(item.arrived_at for item in waiting)
         if not self._policy.loads_by_weight:
-            return 1.0 / (1.0 + oldest)
-        return self.value(name, now) + URGENCY_PER_S * max(0.0, now - oldest)
+            return 1.0 / (1.0 + min(item.arrived_at for item in waiting))
+        used_up = max(_patience_used(item, now) for item in waiting)
+        return self.value(name, now) + URGENCY * used_up
 
     def _missing(self, now: float) -> dict[str, float]:
         """Return wanted adapters that are neither loaded nor coming, best first."""
@@ -385,3 +385,9 @@
         for name in list(self._source_by_name):
             if name not in keep:
                 del self._source_by_name[name]
+
+
+def _patience_used(item: WorkItem, now: float) -> float:
+    """Return the share of a request's longest wait that has passed."""
+    patience = max(1e-3, item.latest_start - item.arrived_at)
+    return max(0.0, now - item.arrived_at) / patience
--- a/bamboovale/decisions/placement.py
+++ b/bamboovale/decisions/placement.py
@@ -114,14 +114,15 @@
         for lora_name in hint.loaded:
             self._engines_by_lora.setdefault(lora_name, set()).add(hint.engine_id)
 
-    def on_sent(self, engine_id: str, lora_name: str) -> None:
-        """Count a request that asks this engine for a place."""
+    def on_sent(self, engine_id: str, lora_name: str = "") -> None:
+        """Count a request that asks this engine for a place, and maybe for a slot."""
         known = self._known_by_id.get(engine_id)
         if known is None:
             return
         known.sent_since += 1
         hint = known.hint
-        if lora_name not in hint.loaded and lora_name not in hint.loading:
+        present = lora_name in hint.loaded or lora_name in hint.loading
+        if lora_name and not present:
             known.cold_since += 1
 
     def on_tick(self, now: float) -> None:
