--- a/bamboovale/claims/fold.py
+++ b/bamboovale/claims/fold.py
@@ -29,13 +29,14 @@
 )
 
 # Callers and people at a counter repeat within minutes. The log must keep claims for
-# at least this long, or a starting VM has to ask a peer for its table.
-DEFAULT_HORIZON_S = 3600.0
+# longer, or a starting VM cannot judge new keys.
+DEFAULT_HORIZON_S = 3000.0
 # A full table refuses new keys instead of forgetting old ones: forgetting one early
 # would let its repeat run a second time.
-DEFAULT_MAX_CLAIMS = 30_000
-# One customer cannot fill the table for all others.
-MAX_SHARE_OF_CUSTOMER = 0.25
+DEFAULT_MAX_CLAIMS = 60_000
+# One customer cannot fill the table for all others. Half, because a deployment may
+# have one customer with nearly all the keys.
+MAX_SHARE_OF_CUSTOMER = 0.5
 # A key that is claimed and released over and over keeps this many attempt ids. Were a
 # copy of an older claim to arrive later still, it would win and never be sent: the key
 # stays blocked for a horizon, and nothing runs twice.
--- a/bamboovale/claims/keeper.py
+++ b/bamboovale/claims/keeper.py
@@ -18,9 +18,12 @@
 MAX_ITEMS_PER_APPEND = 1000
 """About 300 bytes each: a third of the largest record."""
 
-QUIET_APPEND_S = 30.0
-"""While the table is incomplete, an empty group tells the log's time on a quiet
-stream, so that the table becomes complete."""
+QUIET_APPEND_S = 10.0
+"""On a stream that was quiet for this long, up to twice, one VM appends an empty group.
+A VM that starts later learns from its time how far back the kept records reach.
+Without it the oldest kept claim on a quiet stream is much younger than the log's
+retention, and a new VM would answer ``outcome_unknown`` to every new key until a
+horizon has passed."""
 
 
 @dataclass(frozen=True)
@@ -74,7 +77,7 @@
         self._pending: list[ClaimItem] = []
         self._asked_by_attempt: dict[str, ClaimAsked] = {}
         self._appending = False
-        self._next_quiet_append_at = 0.0
+        self._next_quiet_append_at = self._environment.now() + QUIET_APPEND_S
         self.handle(ClaimBatchRead, self._on_batch)
         self.handle(ClaimAsked, self._on_asked)
         self.handle(ClaimEnded, self._on_ended)
@@ -84,6 +87,8 @@
 
     def _on_batch(self, message: ClaimBatchRead) -> None:
         batch = message.batch
+        if batch.records:
+            self._put_off_quiet_append()
         horizon_s = self._environment.settings.claim_horizon_s
         if self._table is None:
             self._table = ClaimTable(horizon_s=horizon_s)
@@ -163,9 +168,9 @@
             if now >= asked.give_up_at:
                 self._give_up(asked)
         self._append_pending()
-        table = self._table
-        if table is not None and not table.is_complete:
-            self._tell_time(now)
+        if now >= self._next_quiet_append_at and not self._appending:
+            self._put_off_quiet_append()
+            self._appender.append(group([]))
 
     def _give_up(self, asked: ClaimAsked) -> None:
         """End a wait for a read-back; the decision never to send comes first."""
@@ -178,11 +183,10 @@
         self._pending = [item for item in self._pending if item != claim]
         self._pending.append(Released(claim.key, claim.owner, claim.attempt_id))
 
-    def _tell_time(self, now: float) -> None:
-        if now < self._next_quiet_append_at or self._appending:
-            return
-        self._next_quiet_append_at = now + QUIET_APPEND_S
-        self._appender.append(group([]))
+    def _put_off_quiet_append(self) -> None:
+        # Spread at random, so that as a rule one VM appends and the others read it.
+        wait_s = QUIET_APPEND_S * (1 + self._environment.rng.random())
+        self._next_quiet_append_at = self._environment.now() + wait_s
 
     def _on_dump(self, _: DumpClaims) -> dict[str, Any]:
         table = self._table
--- a/bamboovale/leases/recovery.py
+++ b/bamboovale/leases/recovery.py
@@ -66,8 +66,9 @@
         self._quiet_since = now
 
     def _after_reset(self, offset: int, reset: Reset) -> LeaseTable | None:
-        has_read_since = reset.after >= self._first - 1
-        if not has_read_since or self._last_record_offset > reset.after:
+        # What lay before the first record read counts as a lease record: a reset that
+        # was written without having read it is not judged here.
+        if self._last_record_offset > reset.after:
             return None
         table = LeaseTable.empty(offset + 1)
         table.last_record_offset = self._last_record_offset
--- a/bamboovale/settings.py
+++ b/bamboovale/settings.py
@@ -21,6 +21,7 @@
 # A shorter secret can be guessed by trying.
 MIN_SECRET_LENGTH = 16
 
+CLAIM_RETENTION_SLACK_S = 60.0
 POLICIES = ("chosen", "baseline")
 LOG_FORMATS = ("text", "json")
 LOG_LEVELS = ("debug", "info", "warning", "error")
@@ -145,7 +146,7 @@
         high=86400,
     )
     claim_horizon_s: float = setting(
-        3600.0,
+        3000.0,
         "Seconds for which an idempotency key is remembered.",
         low=1,
         high=604800,
@@ -354,6 +355,14 @@
             ("drain_timeout_s", "entries_ttl_s"),
             "must be at least entries_ttl_s",
         )
+    # An entry VM that starts reads a whole horizon back, or it cannot tell whether a
+    # key has run; the stream may be quiet for some seconds at either end.
+    if settings.claim_horizon_s + CLAIM_RETENTION_SLACK_S > settings.log_retention_s:
+        yield _BrokenRule(
+            "claim_horizon_s",
+            ("claim_horizon_s", "log_retention_s"),
+            f"must be {CLAIM_RETENTION_SLACK_S:g} s below log_retention_s",
+        )
     yield from _port_clashes(settings)
     yield from _missing_secrets(settings)
 
--- a/bench/records_slope.py
+++ b/bench/records_slope.py
@@ -16,7 +16,7 @@
 from bamboovale.leases.fold import LeaseTable
 from bamboovale.leases.records import Renewal, Take
 
-CLAIMS = (5_000, 10_000, 20_000, 40_000)
+CLAIMS = (7_500, 15_000, 30_000, 60_000)
 CLAIMS_PER_APPEND = 20
 ENGINES = (75, 150, 300, 600)
 ENGINES_PER_NODE = 2
--- a/tests/test_claims_fold.py
+++ b/tests/test_claims_fold.py
@@ -112,7 +112,7 @@
         assert apply(table, claim("y", owner="o")) == [Verdict.LOST]
 
     def test_one_customer_cannot_fill_the_table(self) -> None:
-        table = ClaimTable(max_claims=8)
+        table = ClaimTable(max_claims=4)
         keys = [claim(str(key), key=str(key)) for key in range(3)]
         assert apply(table, *keys)[-1] is Verdict.TABLE_FULL
         assert apply(table, claim("x", owner="p")) == [Verdict.WON]
@@ -131,7 +131,7 @@
     def test_a_full_table_after_a_gap_knows_less_again(self) -> None:
         # After a gap this table still holds l, which the others refused to claim. It
         # is full for k, which they do claim; when it has room, it must not run k.
-        table = ClaimTable.after_gap(7, horizon_s=100, max_claims=4)
+        table = ClaimTable.after_gap(7, horizon_s=100, max_claims=2)
         apply(table, claim("l", key="l"), at=50)
         apply(table, claim("l2", key="l"), at=140)
         assert apply(table, claim("a"), at=160) == [Verdict.TABLE_FULL]
--- /dev/null
+++ b/tests/test_claims_keeper.py
@@ -0,0 +1,84 @@
+"""The task that claims keys for this VM."""
+
+import logging
+from collections.abc import Iterator
+from concurrent.futures import Future
+from typing import Any
+
+import pykka
+import pytest
+
+from bamboovale.actors import Tick
+from bamboovale.claims.fold import ClaimOutcome, Verdict
+from bamboovale.claims.keeper import ClaimAsked, ClaimBatchRead, ClaimKeeper
+from bamboovale.claims.records import Claim, group
+from bamboovale.environment import Environment
+from bamboovale.metrics import Metrics
+from bamboovale.platform.log_client import LogRecord, RecordBatch
+from bamboovale.settings import Settings
+
+RETENTION_S = 3600.0
+
+
+class ListLog:
+    """Lands each append at once, stamped with the log's time."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.records: list[LogRecord] = []
+
+    def append(self, value: Any, on_end: Any = None) -> None:
+        self.records.append(LogRecord(len(self.records), value, self.now))
+
+    def read(self, start: int = 0) -> RecordBatch:
+        oldest = self.now - RETENTION_S
+        kept = [item for item in self.records if item.time >= oldest]
+        first = kept[0].offset if kept else len(self.records)
+        records = tuple(item for item in kept if item.offset >= start)
+        return RecordBatch("claims", records, first, len(self.records))
+
+
+def start(log: ListLog) -> pykka.ActorRef:
+    environment = Environment(
+        settings=Settings(id="entry-1"),
+        metrics=Metrics(),
+        logger=logging.getLogger(),
+        now=lambda: log.now,
+    )
+    appender: Any = log
+    return ClaimKeeper.start(environment, appender)
+
+
+@pytest.fixture
+def log() -> Iterator[ListLog]:
+    yield ListLog()
+    pykka.ActorRegistry.stop_all()
+
+
+class TestStart:
+    """What a new VM may judge."""
+
+    def test_a_new_vm_judges_new_keys_at_once_on_a_quiet_stream(
+        self,
+        log: ListLog,
+    ) -> None:
+        # Nobody has used a key for forty minutes, and older claims have expired. A VM
+        # is replaced; each booking that reaches it is told "outcome unknown", because
+        # the VM cannot tell a quiet stream from claims that it did not read.
+        old = start(log)
+        log.append(group([Claim("j", "o", "body", "entry-1", "i1", "attempt-0")]))
+        read = 0
+        for _ in range(900):
+            old.ask(ClaimBatchRead(log.read(read)))
+            read = len(log.records)
+            log.now += 5.0
+            old.ask(Tick())
+        new = start(log)
+        new.ask(ClaimBatchRead(log.read()))
+        read = len(log.records)
+        future: Future[ClaimOutcome | None] = Future()
+        claim = Claim("k", "o", "body", "entry-1", "i2", "attempt-1")
+        new.ask(ClaimAsked(claim, log.now + 2.0, future))
+        new.ask(ClaimBatchRead(log.read(read)))
+        outcome = future.result(timeout=1)
+        assert outcome is not None and outcome.verdict is Verdict.WON
--- a/tests/test_claims_machine.py
+++ b/tests/test_claims_machine.py
@@ -18,7 +18,7 @@
 KEYS = ("a", "b", "c")
 HORIZON_S = 100.0
 # Two keys for each customer, so that tables run full.
-MAX_CLAIMS = 8
+MAX_CLAIMS = 4
 
 nodes = st.integers(0, NODES - 1)
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -65,6 +65,7 @@
             ({"lease_renew_s": "1.25"}, "--lease-renew-s"),
             ({"lease_margin_s": "2.5"}, "--lease-margin-s"),
             ({"drain_timeout_s": "5"}, "--drain-timeout-s"),
+            ({"claim_horizon_s": "3541"}, "--claim-horizon-s"),
             ({"admin_port": "8080"}, "--admin-port"),
             ({"admin_token": "short"}, "--admin-token"),
             ({"admin_token": SECRET, "peer_key": SECRET}, "--peer-key"),
