--- a/bamboovale/entry/endpoint_connections.py
+++ b/bamboovale/entry/endpoint_connections.py
@@ -98,7 +98,7 @@
         if connection is None:
             connection = self._connect(address)
         assert connection.sock is not None
-        connection.sock.settimeout(read_timeout_s)
+        connection.timeout = read_timeout_s
         return Exchange(connection)
 
     def give_back(self, address: tuple[str, int], exchange: Exchange) -> None:
