--- a/bamboovale/catalogue/keeper.py
+++ b/bamboovale/catalogue/keeper.py
@@ -127,6 +127,9 @@
         self._callbacks = callbacks
         self._catalogue = Catalogue.empty()
         self._assembler: SnapshotAssembler | None = None
+        # End of the stream, as far as the log was heard to tell it.
+        self._log_next = 0
+        self._settled: list[tuple[Future[EditOutcome], EditOutcome]] = []
         self._waiting_by_edit: dict[tuple[str, str], list[Future[EditOutcome]]] = {}
         self._on_duty = False
         self._snapshot_at_offset = 0
@@ -146,6 +149,7 @@
 
     def _on_batch(self, message: CatalogueBatchRead) -> None:
         batch = message.batch
+        self._log_next = max(self._log_next, batch.next)
         if batch.first > self._catalogue.next_offset and self._assembler is None:
             logger.warning("catalogue: records expired before they were read")
             self._assembler = SnapshotAssembler(batch.first)
@@ -179,7 +183,7 @@
             return
         edit = (outcome.edit_id, outcome.digest)
         for future in self._waiting_by_edit.pop(edit, []):
-            future.set_result(outcome)
+            self._settled.append((future, outcome))
         if outcome.accepted and before is not None:
             self._tell_version_changes(before, value)
 
@@ -199,11 +203,22 @@
             )
 
     def _publish(self) -> None:
-        view = self._catalogue.view()
-        self._environment.metrics.catalogue_revision.set(view.revision)
-        before, self._views.catalogue = self._views.catalogue, view
-        if before is None or before.revision != view.revision:
-            self._callbacks.on_change()
+        """Serve what was folded, then tell those who wait for it.
+
+        A VM that does not serve yet first reads up to the end of the stream: from a
+        snapshot on the log alone it would serve what accepted edits have replaced
+        since, and in an outage of the log for as long as that lasts.
+        """
+        before = self._views.catalogue
+        if before is not None or self._catalogue.next_offset >= self._log_next:
+            view = self._catalogue.view()
+            self._environment.metrics.catalogue_revision.set(view.revision)
+            self._views.catalogue = view
+            if before is None or before.revision != view.revision:
+                self._callbacks.on_change()
+        settled, self._settled = self._settled, []
+        for future, outcome in settled:
+            future.set_result(outcome)
 
     # Gaps and peers.
 
@@ -234,7 +249,7 @@
             outcome = self._catalogue.outcome_of(edit_id, digest)
             if outcome is not None:
                 for future in self._waiting_by_edit.pop((edit_id, digest)):
-                    future.set_result(outcome)
+                    self._settled.append((future, outcome))
 
     def _on_passed(self, message: CatalogueRecordsPassed) -> None:
         """Fold what a peer passed on, if it follows what is here."""
--- a/tests/test_catalogue_keeper.py
+++ b/tests/test_catalogue_keeper.py
@@ -16,12 +16,14 @@
     RejectionReason,
 )
 from bamboovale.catalogue.entries import Kind, PoolEntry
+from bamboovale.catalogue.fold import Catalogue
 from bamboovale.catalogue.keeper import (
     AwaitOutcome,
     CatalogueBatchRead,
     CatalogueCallbacks,
     CatalogueKeeper,
 )
+from bamboovale.catalogue.snapshots import split_snapshot, write_snapshot
 from bamboovale.environment import Environment
 from bamboovale.metrics import Metrics
 from bamboovale.platform.log_client import LogRecord, RecordBatch
@@ -36,11 +38,16 @@
 
 
 @pytest.fixture
-def keeper() -> Iterator[pykka.ActorRef]:
+def views() -> Views:
+    return Views()
+
+
+@pytest.fixture
+def keeper(views: Views) -> Iterator[pykka.ActorRef]:
     environment = Environment(Settings(id="entry-1"), Metrics(), logging.getLogger())
     callbacks = CatalogueCallbacks(*(lambda *_: None for _ in range(5)))
     appender: Any = None
-    actor = CatalogueKeeper.start(environment, Views(), appender, callbacks)
+    actor = CatalogueKeeper.start(environment, views, appender, callbacks)
     yield actor
     actor.stop()
 
@@ -82,3 +89,50 @@
         assert first.result(timeout=1).accepted
         reason = second.result(timeout=1).reason
         assert reason is RejectionReason.EDIT_ID_REUSED
+
+    def test_an_accepted_edit_is_in_force_here_when_its_sender_is_told(
+        self,
+        keeper: pykka.ActorRef,
+        views: Views,
+    ) -> None:
+        # An operator sets an entry and reads it at the same VM at once: not found.
+        seen: list[bool] = []
+        future = wait_for(keeper, edit("counter"))
+        future.add_done_callback(
+            lambda _: seen.append(
+                views.catalogue is not None
+                and "counter" in views.catalogue.pool_by_name
+            )
+        )
+        read(keeper, edit("counter"))
+        assert seen == [True]
+
+
+class TestStart:
+    """What is served while a VM reads up."""
+
+    def test_an_old_snapshot_is_not_served_before_what_follows_it(
+        self,
+        keeper: pykka.ActorRef,
+        views: Views,
+    ) -> None:
+        # The first records have expired. The kept snapshot is older than an accepted
+        # deletion; were the log to go down just then, the VM would serve the deleted
+        # entry for as long as the outage lasts.
+        deletion = Edit(
+            edit_id="edit-0002",
+            author="ines",
+            made_at=1.0,
+            changes=(Change(Action.DELETE, Kind.POOL, "counter"),),
+        )
+        catalogue = Catalogue.empty()
+        catalogue.apply(0, edit("counter").to_json())
+        parts = split_snapshot(write_snapshot(catalogue))
+        values = [deletion.to_json(), *parts]
+        records = tuple(LogRecord(1 + n, value) for n, value in enumerate(values))
+        batch = RecordBatch("catalogue", records, 1, 1 + len(records))
+        keeper.ask(CatalogueBatchRead(batch))
+        assert views.catalogue is None
+        keeper.ask(CatalogueBatchRead(batch))
+        assert views.catalogue is not None
+        assert not views.catalogue.pool_by_name
