Count load stalls, request times and ejections

Cause: three declared counters were never counted, and the users' first measure, load stalls, could not be seen on a running entry VM.

A stall counts where the lease holder granted a request whose adapter was not loaded when it came. Paths of callers make no labels.

--- a/bamboovale/engines/holder.py
+++ b/bamboovale/engines/holder.py
@@ -124,12 +124,16 @@
 
 @dataclass
 class QueuedAsk:
-    """An ask that waits: the last time its entry VM showed that it still waits."""
+    """An ask that waits: the last time its entry VM showed that it still waits.
+
+    ``stalled_since`` is when it came, if its adapter was not loaded then.
+    """
 
     entry_vm: str
     ask_number: int
     heard_at: float
     reply: Callable[[PermitReply], None]
+    stalled_since: float | None = None
 
 
 class EngineHolder(MessageActor):
@@ -222,6 +226,8 @@
             reply=received.reply,
         )
         item = _work_item(ask, received.from_vm, now)
+        if item.target.lora_name not in self._dispatch.hint(now).loaded:
+            self._queued_by_id[ask.request_id].stalled_since = now
         self._source_by_lora_name[item.target.lora_name] = ask.source
         self._carry_out(self._dispatch.on_request(item, now))
 
@@ -372,7 +378,10 @@
             if queued is not None:
                 queued.reply(_elsewhere(permit.request_id, "the entry VM fell silent"))
             return
-        self._environment.metrics.permits_granted.inc()
+        metrics = self._environment.metrics
+        metrics.permits_granted.inc()
+        if queued.stalled_since is not None:
+            metrics.load_stall_seconds.observe(now - queued.stalled_since)
         stamped = replace(permit, ask_number=queued.ask_number)
         queued.reply(PermitReply(request_id=permit.request_id, permit=stamped))
 
--- a/bamboovale/entry/caller_app.py
+++ b/bamboovale/entry/caller_app.py
@@ -53,6 +53,7 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         """Answer one request (WSGI)."""
+        began = self._environment.now()
         self._count(1)
         try:
             answer = self._answer(environ)
@@ -64,6 +65,9 @@
             self._count(-1)
             metrics = self._environment.metrics
             metrics.requests.labels(outcome=answer.ending.code).inc()
+            took_s = self._environment.now() - began
+            kind = _kind_of(environ.get("PATH_INFO", ""))
+            metrics.request_seconds.labels(kind=kind).observe(took_s)
 
         phrase = HTTPStatus(answer.status).phrase
         start_response(f"{answer.status} {phrase}", answer.headers)
@@ -153,6 +157,13 @@
         return _json(200, {"object": "list", "data": data})
 
 
+def _kind_of(path: str) -> str:
+    """Return the label of a request's time; paths of callers make no labels."""
+    if path in MODEL_PATHS:
+        return "model"
+    return "service" if path.startswith(SERVICE_PREFIX) else "other"
+
+
 def _ordered(vms: list[VM], near: str) -> list[VM]:
     """Spread callers over the VMs: a new order for each, near ones first."""
     shuffled = random.sample(vms, len(vms))
--- a/bamboovale/entry/desk.py
+++ b/bamboovale/entry/desk.py
@@ -1,9 +1,10 @@
 """The decisions of one entry VM under one lock, for its many caller threads."""
 
+import contextlib
 import random
 import threading
 from collections import defaultdict
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 from typing import Any
 
 from bamboovale.decisions.admission import Admission, AdmissionConfig, Arrival
@@ -97,7 +98,8 @@
         with self._lock:
             self._placement.on_tick(now)
             for router in self._router_by_pool.values():
-                router.on_tick(now)
+                with self._counting_ejections(router):
+                    router.on_tick(now)
 
     # Admission and repeats.
 
@@ -172,7 +174,15 @@
         """Count the end of a call."""
         with self._lock:
             router = self._router_by_pool[pool]
-            router.on_end(endpoint_id, call_id, self._now(), ok=ok)
+            with self._counting_ejections(router):
+                router.on_end(endpoint_id, call_id, self._now(), ok=ok)
+
+    @contextlib.contextmanager
+    def _counting_ejections(self, router: ServiceRouter) -> Iterator[None]:
+        before = set(router.ejected())
+        yield
+        for _ in set(router.ejected()) - before:
+            self._environment.metrics.ejections.inc()
 
     def dump(self) -> dict[str, Any]:
         """Return the state as JSON."""
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -87,7 +87,7 @@
         )
         self.load_stall_seconds = self._histogram(
             "load_stall_seconds",
-            "Seconds that a granted request waited for its adapter to be loaded.",
+            "Seconds until the permit of a request whose adapter was not loaded.",
             STALL_BUCKETS_S,
         )
 
