Take the stream's end, not the batch's, for the point up to which a VM has read

Cause, found by reading the log's page: `next` in an answer of the log is one past the last record of that answer. The client handed it on as the stream's end. A VM that started on a stream longer than one answer (500 records) therefore served the first five hundred edits as the whole catalogue until it had read on, or for an outage that began then; and the lease stream was never begun near its end.

--- a/bamboovale/catalogue/keeper.py
+++ b/bamboovale/catalogue/keeper.py
@@ -128,7 +128,7 @@
         self._catalogue = Catalogue.empty()
         self._assembler: SnapshotAssembler | None = None
         # End of the stream, as far as the log was heard to tell it.
-        self._log_next = 0
+        self._log_end = 0
         self._settled: list[tuple[Future[EditOutcome], EditOutcome]] = []
         self._waiting_by_edit: dict[tuple[str, str], list[Future[EditOutcome]]] = {}
         self._on_duty = False
@@ -149,7 +149,7 @@
 
     def _on_batch(self, message: CatalogueBatchRead) -> None:
         batch = message.batch
-        self._log_next = max(self._log_next, batch.next)
+        self._log_end = max(self._log_end, batch.end)
         if batch.first > self._catalogue.next_offset and self._assembler is None:
             logger.warning("catalogue: records expired before they were read")
             self._assembler = SnapshotAssembler(batch.first)
@@ -160,7 +160,7 @@
             self._assemble(batch.records)
             return
         self._fold(batch.records)
-        if self._catalogue.next_offset >= batch.next:
+        if self._catalogue.next_offset >= batch.end:
             self._publish()
 
     def _fold(self, records: tuple[LogRecord, ...]) -> None:
@@ -210,7 +210,7 @@
         since, and in an outage of the log for as long as that lasts.
         """
         before = self._views.catalogue
-        if before is not None or self._catalogue.next_offset >= self._log_next:
+        if before is not None or self._catalogue.next_offset >= self._log_end:
             view = self._catalogue.view()
             self._environment.metrics.catalogue_revision.set(view.revision)
             self._views.catalogue = view
--- a/bamboovale/leases/keeper.py
+++ b/bamboovale/leases/keeper.py
@@ -120,7 +120,7 @@
         Without the records that made the present holders, this VM would take leases
         that are held, by a fold that differs from everybody else's.
         """
-        first = batch.records[0].offset if batch.records else batch.next
+        first = batch.records[0].offset if batch.records else batch.end
         if self._recovery is None and (first == 0 or not batch.records):
             self._table = LeaseTable.empty(first)
             self._fold(batch.records, read_at)
--- a/bamboovale/platform/follower.py
+++ b/bamboovale/platform/follower.py
@@ -110,9 +110,9 @@
     def _skip_to_start(self, batch: RecordBatch) -> bool:
         """Skip what lies too far behind, once; the batch is then not handed on."""
         behind, self._start_behind = self._start_behind, None
-        if behind is None or batch.next - behind <= batch.first:
+        if behind is None or batch.end - behind <= batch.first:
             return False
-        self._next = batch.next - behind
+        self._next = batch.end - behind
         return True
 
     def _take(self, batch: RecordBatch) -> None:
--- a/bamboovale/platform/log_client.py
+++ b/bamboovale/platform/log_client.py
@@ -29,12 +29,16 @@
 
 @dataclass(frozen=True)
 class RecordBatch:
-    """Records read at once; ``first`` is the oldest offset that the log still keeps."""
+    """Records read at once.
+
+    ``first`` is the oldest offset that the log still keeps, ``end`` the offset that its
+    next append will get: the stream goes on behind a batch that ends before it.
+    """
 
     stream: str
     records: tuple[LogRecord, ...]
     first: int
-    next: int
+    end: int
 
 
 @dataclass(frozen=True)
@@ -106,4 +110,4 @@
             LogRecord(record["offset"], record["value"], record["time"])
             for record in answer["records"]
         )
-        return Ok(RecordBatch(stream, records, answer["first"], answer["next"]))
+        return Ok(RecordBatch(stream, records, answer["first"], answer["end"]))
--- a/tests/test_catalogue_keeper.py
+++ b/tests/test_catalogue_keeper.py
@@ -59,6 +59,11 @@
     keeper.ask(CatalogueBatchRead(RecordBatch("catalogue", records, 0, len(edits))))
 
 
+def read_part(keeper: pykka.ActorRef, item: Edit, end: int) -> None:
+    records = (LogRecord(0, item.to_json()),)
+    keeper.ask(CatalogueBatchRead(RecordBatch("catalogue", records, 0, end)))
+
+
 def wait_for(keeper: pykka.ActorRef, item: Edit) -> "Future[EditOutcome]":
     future: Future[EditOutcome] = Future()
     keeper.ask(AwaitOutcome(item.edit_id, item.digest(), future))
@@ -111,6 +116,14 @@
 class TestStart:
     """What is served while a VM reads up."""
 
+    def test_half_a_stream_is_not_served(
+        self,
+        keeper: pykka.ActorRef,
+        views: Views,
+    ) -> None:
+        read_part(keeper, edit("counter"), end=2)
+        assert views.catalogue is None
+
     def test_an_old_snapshot_is_not_served_before_what_follows_it(
         self,
         keeper: pykka.ActorRef,
