--- a/bamboovale/cli/catalogue.py
+++ b/bamboovale/cli/catalogue.py
@@ -13,6 +13,7 @@
 import typer
 
 from bamboovale.cli.administration import AdministrationClient, Answer
+from bamboovale.cli.catalogue_recovery import begin_anew
 from bamboovale.status import ExitStatus
 
 DEFAULT_ADMIN_URLS = ["http://127.0.0.1:8081"]
@@ -26,6 +27,8 @@
     rich_markup_mode=None,
 )
 
+app.command("begin-anew")(begin_anew)
+
 
 class OutputFormat(StrEnum):
     """How results are printed."""
