Serve what is loaded when loads stop; keep idle connections for a minute

Cause: (1) in a log outage one adapter was served to nobody for the whole outage: its slot was marked for exchange, which takes no new work until it is exchanged, and no exchange may be ordered. (2) A VM frozen for 6 s closed kept connections with requests in them: after SIGCONT the server's select comes back empty, past its deadline, and idle connections expire before they are read. Ruled out for (2): a failure in our handlers; no traceback, and the connections were idle ones. Change: marks are dropped when orders stop; idle connections last 60 s, reads and writes still time out after 5 s. The dispatch test fails without the change.

--- a/bamboovale/decisions/dispatch.py
+++ b/bamboovale/decisions/dispatch.py
@@ -227,6 +227,8 @@
             self._orders_stopped_at = None
         elif self._orders_stopped_at is None:
             self._orders_stopped_at = now
+            # A slot that takes no work until it is exchanged would take none at all.
+            self._planner.draining.clear()
         return self._decide(now)
 
     def set_may_grant(self, allowed: bool, now: float) -> list[Action]:
--- a/bamboovale/entry/http_server.py
+++ b/bamboovale/entry/http_server.py
@@ -5,13 +5,18 @@
 from typing import Any
 
 from cheroot import wsgi
-from cheroot.server import HTTPServer
+from cheroot.server import HTTPConnection, HTTPServer
 
 from bamboovale.entry.request_gate import GatedServer
 
 SOCKET_TIMEOUT_S = 5
 """A caller that sends or reads nothing for this long is let go: it holds a thread."""
 
+KEEP_ALIVE_S = 60
+"""Idle connections are closed after this. The server closes them by the clock before
+it looks for requests in them: a VM that was frozen for longer than this breaks the
+requests that were sent to it meanwhile."""
+
 KEPT_CONNECTIONS = 1000
 """Idle connections of callers; each costs a descriptor and no thread."""
 
@@ -34,6 +39,14 @@
         return environ
 
 
+class CallerConnection(HTTPConnection):
+    """A connection whose reads and writes time out sooner than its idle time."""
+
+    def __init__(self, server: Any, sock: Any, *more: Any) -> None:
+        super().__init__(server, sock, *more)
+        sock.settimeout(SOCKET_TIMEOUT_S)
+
+
 class HttpListener:
     """One listening port with its threads."""
 
@@ -50,9 +63,10 @@
             app,
             numthreads=threads,
             request_queue_size=ACCEPT_QUEUE,
-            timeout=SOCKET_TIMEOUT_S,
+            timeout=KEEP_ALIVE_S,
         )
         self._server.gateway = ConnectionGateway
+        self._server.ConnectionClass = CallerConnection
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = 2 * max_body_bytes + BODY_SLACK_BYTES
         self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -122,3 +122,21 @@
         dispatch.set_may_order(True, 5.0)
         actions = dispatch.on_request(self.cold_item("r1", 6.0), 6.0)
         assert self.refused(actions) == []
+
+    def test_a_slot_kept_for_exchange_takes_work_again(self) -> None:
+        """No exchange can come: the loaded adapter would be served to nobody."""
+        dispatch = self.dispatch_of_two_places()
+        dispatch.on_request(item("r1", 0.0), 0.0)
+        dispatch.on_request(self.cold_item("r2", 0.0), 0.0)
+        dispatch.on_tick(20.0)
+        assert dispatch.dump(20.0)["draining"] == ["a@1"]
+        dispatch.set_may_order(False, 20.0)
+        actions = dispatch.on_request(item("r3", 20.1), 20.1)
+        assert any(isinstance(action, Grant) for action in actions)
+
+    def dispatch_of_two_places(self) -> EngineDispatch:
+        config = DispatchConfig("g1", "base", fencing=1)
+        dispatch = EngineDispatch.from_config(config, Policy.chosen())
+        two_places = replace(view(read_at=0.0), max_num_seqs=2)
+        dispatch.on_engine_view(two_places, 0.0)
+        return dispatch
