Show the whole path in one command: make demo

Ruled out: listening ports from the range of outgoing connections, on addresses that test workers share: two of 24 set-ups failed with the address in use. Each bench process now has a loopback network of its own.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: install test codestyle format typecheck
+.PHONY: install test codestyle format typecheck demo fuzz measure-recovery
 
 install: $(STAMP)
 
@@ -25,3 +25,14 @@
 
 typecheck: install
 	$(PYTHON) -m mypy
+
+demo: install
+	$(PYTHON) -m bench.demo
+
+SECONDS ?= 60
+
+fuzz: install
+	$(PYTHON) -m bench.fuzz --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
+
+measure-recovery: install
+	$(PYTHON) -m bench.recovery $(NAMES)
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -1,6 +1,6 @@
 """A small deployment on loopback: stand-ins and entry VMs as separate processes.
 
-Every entry VM has a loopback address of its own (127.0.0.11, .12, ...), so that a
+Every entry VM has a loopback address of its own (127.x.y.11, .12, ...), so that a
 stand-in can cut it by its source address.
 """
 
@@ -26,7 +26,7 @@
     EntryVM,
     StandIn,
 )
-from bench.processes import PROGRAM, Process, find_free_port, waiting
+from bench.processes import PROGRAM, Process, find_free_port, own_network, waiting
 
 FAILURE_DOMAINS = ("muc-a", "muc-b", "nue-a")
 READY_TIMEOUT_S = 20.0
@@ -109,7 +109,7 @@
         number = next(self._numbers)
         earlier = self.entry_by_id.get(entry_id)
         address = address or (
-            earlier.address if earlier else f"127.0.0.{11 + number % 200}"
+            earlier.address if earlier else f"{own_network()}.{11 + number % 200}"
         )
         ports = {use: find_free_port(address) for use in ("callers", "admin", "peers")}
         failure_domain = FAILURE_DOMAINS[number % 3]
@@ -250,7 +250,6 @@
                 admin,
                 "--token",
                 ADMIN_TOKEN,
-                BASE_MODEL,
             ],
             capture_output=True,
             text=True,
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -14,6 +15,7 @@
 PROGRAM = (sys.executable, "-m", "bamboovale")
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
+LISTENING_PORTS = range(20_000, 32_000)
 LISTENING_PREFIX = "listening on "
 
 
@@ -94,10 +96,26 @@
 
 
 def find_free_port(address: str) -> int:
-    """Return a port of this address that nothing listens on."""
-    with contextlib.closing(socket.socket()) as probe:
-        probe.bind((address, 0))
-        return int(probe.getsockname()[1])
+    """Return a port of this address that nothing listens on.
+
+    It lies below the range from which the system takes ports of outgoing connections:
+    one from within could be taken by a connection before the process listens on it.
+    """
+    while True:
+        port = random.choice(LISTENING_PORTS)
+        with contextlib.closing(socket.socket()) as probe, contextlib.suppress(OSError):
+            probe.bind((address, port))
+            return port
+
+
+def own_network() -> str:
+    """Return the first three bytes of loopback addresses for this process alone.
+
+    Clusters of test workers run side by side; on shared addresses their ports would
+    collide between the choice of a port and its use.
+    """
+    process_id = os.getpid()
+    return f"127.{1 + process_id // 250 % 250}.{1 + process_id % 250}"
 
 
 def count_children() -> int:
--- /dev/null
+++ b/bench/verdict.py
@@ -0,0 +1,69 @@
+"""Sums up a history as the demo and the fuzzing print it."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bench.checker import find_violations
+from bench.history import History, Outcome
+from bench.violations import Bounds, Promise, Violation
+
+LOST_PROMISES = frozenset({Promise.ANSWERED, Promise.PLANNED_STOP})
+DOUBLED_PROMISES = frozenset({Promise.AT_MOST_ONCE})
+SHOWN_VIOLATIONS = 10
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """How the jobs ended, and which promises were broken.
+
+    A job whose caller hung up is no part of the sums: nobody took its answer.
+    """
+
+    outcomes: Counter[Outcome]
+    violations: tuple[Violation, ...]
+
+    @classmethod
+    def from_history(cls, history: History, bounds: Bounds | None = None) -> "Verdict":
+        """Judge a history."""
+        outcomes: Counter[Outcome] = Counter()
+        for sends in history.sends_by_job.values():
+            last = history.received_by_request_id.get(sends[-1].request_id)
+            outcomes[last.outcome if last else Outcome.UNREACHED] += 1
+        return cls(outcomes, tuple(find_violations(history, bounds)))
+
+    @property
+    def sent(self) -> int:
+        """Return the number of jobs whose callers took the answer."""
+        return self.outcomes.total() - self.outcomes[Outcome.HUNG_UP]
+
+    @property
+    def unknown(self) -> int:
+        """Return the jobs whose callers know that the outcome is unknown to them."""
+        return self.outcomes[Outcome.UNKNOWN] + self.outcomes[Outcome.BROKEN]
+
+    def count(self, promises: Iterable[Promise]) -> int:
+        """Return how many violations are of these promises."""
+        wanted = frozenset(promises)
+        return sum(violation.promise in wanted for violation in self.violations)
+
+    def summarize(self, title: str) -> str:
+        """Return the one line by which a run is judged."""
+        doubled = self.count(DOUBLED_PROMISES)
+        lost = self.count(LOST_PROMISES)
+        wrong = len(self.violations) - doubled - lost
+        return (
+            f"{title}: sent={self.sent}"
+            f" answered={self.outcomes[Outcome.ANSWERED]}"
+            f" not_run={self.outcomes[Outcome.NOT_RUN]}"
+            f" unknown={self.unknown}"
+            f" wrong={wrong} doubled={doubled} lost={lost}"
+        )
+
+    def describe_violations(self) -> str:
+        """Return the first violations with the events that show them."""
+        shown = [str(violation) for violation in self.violations[:SHOWN_VIOLATIONS]]
+        hidden = len(self.violations) - len(shown)
+        if hidden:
+            shown.append(f"and {hidden} more")
+        return "\n".join(shown)
