--- a/bamboovale/entry/holder_links.py
+++ b/bamboovale/entry/holder_links.py
@@ -37,13 +37,17 @@
         self._links = links
 
     def holder_of(self, engine_id: str) -> str | None:
-        """Return the VM that holds the engine's lease, as far as is known."""
-        return self._views.holder_of(engine_id)
+        """Return the VM that holds the engine's lease, as far as is known.
 
-    def fencing_of(self, engine_id: str) -> int:
-        """Return the fencing number of the present holder, -1 if not known."""
-        lease = self._views.lease_by_engine.get(engine_id)
-        return -1 if lease is None else lease.fencing
+        A VM that started during an outage of the log knows no leases. It would take
+        callers and refuse every model request; whoever sends the engine's hints is
+        asked instead, and judges for itself whether it still holds the lease.
+        """
+        holder = self._views.holder_by_engine.get(engine_id)
+        if holder is not None:
+            return holder
+        received = self._views.hint_by_engine.get(engine_id)
+        return None if received is None else received.from_vm
 
     def ask(self, holder: str, ask: PermitAsk, timeout_s: float) -> "Future[Any]":
         """Send the first ask of a request."""
@@ -93,4 +97,4 @@
     elif isinstance(message, PermitCancel):
         tell(holder, CancelReceived(message.request_id))
     elif isinstance(message, PermitRelease):
-        tell(holder, ReleaseReceived(message.permit_id, message.refused))
+        tell(holder, ReleaseReceived(message.permit_id))
