--- a/bamboovale/entry/holder_links.py
+++ b/bamboovale/entry/holder_links.py
@@ -43,12 +43,17 @@
         callers and refuse every model request; whoever sends the engine's hints is
         asked instead, and judges for itself whether it still holds the lease.
         """
-        holder = self._views.holder_by_engine.get(engine_id)
+        holder = self._views.holder_of(engine_id)
         if holder is not None:
             return holder
         received = self._views.hint_by_engine.get(engine_id)
         return None if received is None else received.from_vm
 
+    def fencing_of(self, engine_id: str) -> int:
+        """Return the fencing number of the present holder, -1 if not known."""
+        lease = self._views.lease_by_engine.get(engine_id)
+        return -1 if lease is None else lease.fencing
+
     def ask(self, holder: str, ask: PermitAsk, timeout_s: float) -> "Future[Any]":
         """Send the first ask of a request."""
         if holder != self._own_id:
@@ -97,4 +102,4 @@
     elif isinstance(message, PermitCancel):
         tell(holder, CancelReceived(message.request_id))
     elif isinstance(message, PermitRelease):
-        tell(holder, ReleaseReceived(message.permit_id))
+        tell(holder, ReleaseReceived(message.permit_id, message.refused))
