Predict waits from work that competes for places only

The wait told on arrival counted items of adapters that are not loaded, and shares of their customers, though these take no place: at 3x interactive work was refused beside places that then went to overnight work. Only work for loaded adapters counts now.

--- a/bamboovale/decisions/batching.py
+++ b/bamboovale/decisions/batching.py
@@ -13,7 +13,7 @@
 
 from bisect import insort
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -109,7 +109,6 @@
         self._bytes_limit = bytes_limit
         self._waiting_by_id: dict[str, Waiting] = {}
         self._lists_by_lora: dict[str, dict[WorkClass, list[Waiting]]] = {}
-        self._items_by_customer: Counter[str] = Counter()
         self._items_by_class: Counter[WorkClass] = Counter()
         self._bytes = 0
         self._numbers = 0
@@ -129,11 +128,6 @@
         """Return the bytes of all bodies that wait."""
         return self._bytes
 
-    @property
-    def customers(self) -> int:
-        """Return how many customers wait."""
-        return len(self._items_by_customer)
-
     @property
     def lora_names(self) -> Iterable[str]:
         """Return the adapters that are waited for."""
@@ -157,21 +151,32 @@
         by_class = self._lists_by_lora.setdefault(item.target.lora_name, {})
         insort(by_class.setdefault(item.work_class, []), waiting)
         self._waiting_by_id[item.request_id] = waiting
-        self._items_by_customer[item.customer] += 1
         self._items_by_class[item.work_class] += 1
         self._bytes += item.size_bytes
 
-    def ahead_of(self, item: WorkItem) -> tuple[int, float]:
-        """Return how many items would go first, and the tag the item would get."""
+    def ahead_of(
+        self,
+        item: WorkItem,
+        lora_names: Collection[str],
+    ) -> tuple[int, float]:
+        """Return how many items would go first, and the tag the item would get.
+
+        Items that wait for other adapters than the given ones hold up nobody.
+        """
         tag = self._order.tag(item)
         by_class = self._order.interactive_first() is not None
         ahead = sum(
             1
             for waiting in self._waiting_by_id.values()
-            if _goes_first(waiting, item, tag, by_class)
+            if waiting.item.target.lora_name in lora_names
+            and _goes_first(waiting, item, tag, by_class)
         )
         return ahead, tag
 
+    def adapters_waited_for(self, lora_names: Iterable[str]) -> int:
+        """Return how many of the given adapters are waited for."""
+        return sum(name in self._lists_by_lora for name in lora_names)
+
     def last_behind(self, item: WorkItem) -> WorkItem | None:
         """Return the last item that the given one goes before, if there is one."""
         tag = self._order.tag(item)
@@ -194,9 +199,6 @@
             del by_class[item.work_class]
         if not by_class:
             del self._lists_by_lora[item.target.lora_name]
-        self._items_by_customer[item.customer] -= 1
-        if not self._items_by_customer[item.customer]:
-            del self._items_by_customer[item.customer]
         self._items_by_class[item.work_class] -= 1
         self._bytes -= item.size_bytes
         return item
--- a/bamboovale/decisions/dispatch.py
+++ b/bamboovale/decisions/dispatch.py
@@ -416,8 +416,12 @@
     # Predicted waits and refusals.
 
     def _spacing_s(self, item: WorkItem) -> float:
-        """Return the seconds between a customer's items if all get equal shares."""
-        return self._seconds_per_place() * max(1, self._queue.customers)
+        """Return the seconds between a customer's items if all get equal shares.
+
+        Whoever waits for an adapter that is not loaded takes no place meanwhile.
+        """
+        sharing = self._queue.adapters_waited_for(self._planner.slots.loaded)
+        return self._seconds_per_place() * max(1, sharing)
 
     def _seconds_per_place(self) -> float:
         places = self._view.max_num_seqs if self._view else 1
@@ -429,7 +433,7 @@
         return (ahead + 1 - self._free_places()) * self._seconds_per_place()
 
     def _wait(self, item: WorkItem, now: float) -> float:
-        ahead, tag = self._queue.ahead_of(item)
+        ahead, tag = self._queue.ahead_of(item, self._planner.slots.loaded)
         queue_wait = max(self._wait_behind(ahead), 0.0)
         if queue_wait > 0.0:
             queue_wait = max(queue_wait, tag - now)
