Exchange idle slots at once; judge load patterns by what callers receive

(1) An engine that idled kept its slots: expected demand (rate x 10 s, unbounded) outweighed a waiting request. An eviction costs one later load at most, so the credit is now the chance of a request, below one. (2) At 3x one share for both classes let a customer's overnight work, and its long service time, push the customer's interactive work past its deadline: shares and service times are kept by class. (3) While the weight store failed, requests waited out their patience: what has failed for some time is expected to fail as long again, and one adapter is tried even when nobody waits, so that a mended store is noticed.

--- a/bamboovale/decisions/batching.py
+++ b/bamboovale/decisions/batching.py
@@ -72,16 +72,17 @@
         span = MOST_INTERACTIVE_PER_OVERNIGHT - FEWEST_INTERACTIVE_PER_OVERNIGHT
         more = round(span * stall_weight)
         self._interactive_per_overnight = FEWEST_INTERACTIVE_PER_OVERNIGHT + more
-        self._next_tag_by_customer: dict[str, float] = {}
+        self._next_tag_by_share: dict[tuple[str, WorkClass], float] = {}
 
     def tag(self, item: WorkItem) -> float:
         """Return the arrival, or later while the customer's share is used up."""
-        return max(item.arrived_at, self._next_tag_by_customer.get(item.customer, 0.0))
+        share = (item.customer, item.work_class)
+        return max(item.arrived_at, self._next_tag_by_share.get(share, 0.0))
 
     def queued(self, item: WorkItem, tag: float, spacing_s: float, now: float) -> None:
-        """Move the customer's next item one share later."""
-        self._next_tag_by_customer[item.customer] = tag + spacing_s
-        if len(self._next_tag_by_customer) > QUEUE_ITEMS:
+        """Move the customer's next item of the class one share later."""
+        self._next_tag_by_share[item.customer, item.work_class] = tag + spacing_s
+        if len(self._next_tag_by_share) > QUEUE_ITEMS:
             self._forget(now)
 
     def interactive_first(self) -> int | None:
@@ -89,9 +90,9 @@
         return self._interactive_per_overnight
 
     def _forget(self, now: float) -> None:
-        for customer, tag in list(self._next_tag_by_customer.items()):
+        for share, tag in list(self._next_tag_by_share.items()):
             if tag <= now:
-                del self._next_tag_by_customer[customer]
+                del self._next_tag_by_share[share]
 
 
 class WaitQueue:
--- a/bamboovale/decisions/dispatch.py
+++ b/bamboovale/decisions/dispatch.py
@@ -96,6 +96,10 @@
         self._granted_at_by_permit_id: dict[str, float] = {}
         self._exclusive_permit_id: str | None = None
         self._service = MovingAverage(config.service_seconds)
+        self._service_by_class = {
+            work_class: MovingAverage(config.service_seconds)
+            for work_class in WorkClass
+        }
 
     # Events from the engine.
 
@@ -173,7 +177,7 @@
         if permit is not None and ended:
             self._planner.unpinned(permit.lora_name, now)
             if granted_at is not None:
-                self._service.add(now - granted_at)
+                self._served(permit, now - granted_at)
         if permit_id == self._exclusive_permit_id:
             self._exclusive_permit_id = None
         return self._decide(now)
@@ -421,7 +425,15 @@
         Whoever waits for an adapter that is not loaded takes no place meanwhile.
         """
         sharing = self._queue.adapters_waited_for(self._planner.slots.loaded)
-        return self._seconds_per_place() * max(1, sharing)
+        places = self._view.max_num_seqs if self._view else 1
+        service_s = self._service_by_class[item.work_class].value
+        return service_s / max(1, places) * max(1, sharing)
+
+    def _served(self, permit: Permit, seconds: float) -> None:
+        self._service.add(seconds)
+        for work_class, priority in PRIORITY_BY_CLASS.items():
+            if permit.priority == priority:
+                self._service_by_class[work_class].add(seconds)
 
     def _seconds_per_place(self) -> float:
         places = self._view.max_num_seqs if self._view else 1
--- a/bamboovale/decisions/loading.py
+++ b/bamboovale/decisions/loading.py
@@ -12,6 +12,7 @@
 can be exchanged ("draining").
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -41,7 +42,7 @@
 LOAD_GIVEN_UP_S = 60.0
 """Far above any load; guards against an order whose outcome never came back."""
 EXPECTED_FOR_S = 10.0
-"""A slot is credited with the requests that demand lets expect in ten seconds."""
+"""A slot is credited with the chance of a request in the next ten seconds."""
 URGENCY = 5.0
 """At the end of its patience a request weighs as much as five fresh ones more."""
 PATIENCE_LOADS = 2.0
@@ -86,7 +87,7 @@
         self._asked_at_by_name: dict[str, float] = {}
         self._source_by_name: dict[str, str] = {}
         self._warm: dict[str, None] = {}
-        self._store_failed = False
+        self._failing_since: float | None = None
         self._unpinned = RecentDemand(half_life_s=TURNOVER_HALF_LIFE_S)
 
     # What the holder learns.
@@ -126,15 +127,20 @@
     def loaded(self, name: str, now: float) -> None:
         """Note a finished load."""
         if self.slots.load_done(name, now):
-            self._store_failed = False
+            self._failing_since = None
             asked_at = self._asked_at_by_name.pop(name, None)
             if asked_at is not None:
                 self.load_wait.add(now - asked_at)
         self._warm.pop(name, None)
 
     def load_failed(self, name: str, now: float, wait_s: float) -> None:
-        """Note a failed load."""
-        self._store_failed = True
+        """Note a failed load; it is tried again also when nobody waits any more.
+
+        Else a store that refused everybody would never be found mended.
+        """
+        if self._failing_since is None:
+            self._failing_since = now
+            self._warm[name] = None
         self._asked_at_by_name.pop(name, None)
         self.slots.load_failed(name, now, wait_s)
 
@@ -164,6 +170,9 @@
         if since is not None:
             return max(0.0, since + self.load_seconds - now)
         wait_s = self.load_wait.value
+        if self._failing_since is not None:
+            # What has failed for some time will probably fail for as long again.
+            wait_s = max(wait_s, now - self._failing_since)
         already_waits = bool(self._queue.waiting_for(name))
         over = 1 - self.open_slots(now) - already_waits
         return wait_s + max(0, over) * self.slot_wait(now)
@@ -246,9 +255,12 @@
             self._forget_sources()
 
     def value(self, name: str, now: float) -> float:
-        """Return the requests that wait for an adapter or may be expected soon."""
-        waiting = self._waiting_worth(name)
-        return waiting + self.demand.rate(name, now) * EXPECTED_FOR_S
+        """Return the requests that wait, and the chance that one will come soon.
+
+        A chance and not a number: whatever is evicted costs one more load at most.
+        """
+        expected = self.demand.rate(name, now) * EXPECTED_FOR_S
+        return self._waiting_worth(name) + 1.0 - math.exp(-expected)
 
     def _waiting_worth(self, name: str) -> float:
         return sum(
@@ -312,7 +324,7 @@
         return len(self.slots.loading_since) + len(self.slots.newcomer_by_victim)
 
     def _loads_allowed(self) -> int:
-        return 1 if self._store_failed else LOADS_AT_ONCE
+        return LOADS_AT_ONCE if self._failing_since is None else 1
 
     def _evictable(self, now: float) -> dict[str, Slot]:
         if now < self.may_evict_from:
--- a/bench/virtual_time.py
+++ b/bench/virtual_time.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -174,6 +174,7 @@
         scenario: Scenario,
         policy: Policy,
         seed: int = 1,
+        arriving: Iterator[Arrival] | None = None,
     ) -> None:
         self.profile = profile
         self.scenario = scenario
@@ -194,7 +195,7 @@
         self.placements = [
             self._make_placement(number) for number in range(profile.entries)
         ]
-        self._arrivals = arrivals(profile, scenario, seed)
+        self._arrivals = arriving or arrivals(profile, scenario, seed)
 
     def run(self) -> Result:
         """Run the scenario and return what callers received."""
--- a/tests/test_decisions_dispatch.py
+++ b/tests/test_decisions_dispatch.py
@@ -414,3 +414,30 @@
             dispatch.on_request(make_item(number, "a"), 0.0)
         actions = dispatch.on_request(make_item(99, "b", arrived_at=0.1), 0.1)
         assert [refuse.request_id for refuse in refusals(actions)] == ["r12"]
+
+
+class TestExchange:
+    """Waiting work gets an idle slot, however much its adapter was in demand.
+
+    Two adapters were in demand a moment ago; the engine now idles with both loaded. A
+    request for a third must not wait for their demand to be forgotten: an eviction
+    costs one later load at most, the wait is certain.
+    """
+
+    def test_idle_engine_exchanges_at_once(self) -> None:
+        dispatch = make_dispatch()
+        dispatch.on_engine_view(make_view("a@1", "b@1"), 0.0)
+        now = 0.0
+        for number in range(200):
+            now = number / 10
+            item = make_item(number, "ab"[number % 2], arrived_at=now)
+            for permit in grants(dispatch.on_request(item, now)):
+                dispatch.on_release(permit.permit_id, now)
+        waiting = make_item(999, "c", arrived_at=now, latest_start=now + 30.0)
+        asked = dispatch.on_request(waiting, now)
+        assert [type(action) for action in asked] == [AskLoadSlot]
+        (unload,) = dispatch.on_load_slot("c@1", now)
+        assert isinstance(unload, Unload)
+        (load,) = dispatch.on_unloaded(unload.lora_name, now)
+        assert isinstance(load, Load)
+        assert grants(dispatch.on_loaded("c@1", now + 1.0))
