--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: install test codestyle format typecheck demo fuzz measure-recovery
+.PHONY: install test codestyle format typecheck demo fuzz measure-recovery bench
 
 install: $(STAMP)
 
@@ -36,3 +36,9 @@
 
 measure-recovery: install
 	$(PYTHON) -m bench.recovery $(NAMES)
+
+# lernwerk or galley
+PROFILE ?= lernwerk
+
+bench: install
+	$(PYTHON) -m bench.bench $(PROFILE)
