--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: install test codestyle format typecheck demo fuzz measure-recovery bench
+.PHONY: install test codestyle format typecheck demo fuzz measure-recovery bench bench-cost
 
 install: $(STAMP)
 
@@ -42,3 +42,6 @@
 
 bench: install
 	$(PYTHON) -m bench.bench $(PROFILE)
+
+bench-cost: install
+	$(PYTHON) -m bench.bench_cost
--- a/bench/bench.py
+++ b/bench/bench.py
@@ -6,7 +6,6 @@
 """
 
 import argparse
-import subprocess
 import tempfile
 import time
 from collections.abc import Sequence
@@ -19,6 +18,7 @@
 
 from bamboovale.models import WorkClass
 from bench.bench_callers import Received, TraceOrder, send_trace
+from bench.bench_commit import read_commit, read_load_average
 from bench.bench_deployment import Deployment, running_deployment, scaled
 from bench.bench_figures import Observation, interactive_wait_p95, others_wait_p95
 from bench.bench_table import print_codes, print_targets, print_totals
@@ -267,18 +267,14 @@
         for scenario in SCENARIOS
         if not chosen or scenario.name in chosen
     ]
-    commit = subprocess.run(
-        ["git", "rev-parse", "--short", "HEAD"],
-        capture_output=True,
-        text=True,
-        check=False,
-    ).stdout.strip()
-    print(f"real entry VMs and stand-ins as processes: {profile.name}, commit {commit}")
+    print(f"real entry VMs and stand-ins as processes: {profile.name}")
+    print(f"commit {read_commit()}, load average before {read_load_average()}")
     print(
         f"{arguments.seconds:.0f} s a scenario, the first {SETTLE_S:.0f} s not counted"
     )
     with tempfile.TemporaryDirectory() as directory:
         run_profile(profile, scenarios, Path(directory), started)
+    print(f"load average after {read_load_average()}")
     print(f"took {time.monotonic() - started:.0f} s")
 
 
