Let slots rest for the load time measured; add make bench-virtual

A slot rested for twice the configured load time, which is 1 s until the catalogue's pool is known, though a load took 0.2 s. The rest now follows the load time measured.

--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,6 @@
 
 bench-cost: install
 	$(PYTHON) -m bench.bench_cost
+
+bench-virtual: install
+	$(PYTHON) -m bench.load_stalls $(PROFILE)
--- a/bamboovale/decisions/loading.py
+++ b/bamboovale/decisions/loading.py
@@ -21,7 +21,12 @@
 from bamboovale.decisions.estimates import MovingAverage
 from bamboovale.decisions.permits import PermitBook
 from bamboovale.decisions.policy import Policy
-from bamboovale.decisions.slots import EXCHANGE_FACTOR, Slot, SlotTable
+from bamboovale.decisions.slots import (
+    EXCHANGE_FACTOR,
+    RESIDENCE_LOADS,
+    Slot,
+    SlotTable,
+)
 from bamboovale.decisions.work import (
     Action,
     AskLoadSlot,
@@ -39,6 +44,8 @@
 """Enough for the scheduler to choose among; each ask is a small message."""
 ASK_AGAIN_S = 2.0
 """A turn may get lost with its message; a repeated ask only renews its weight."""
+LOAD_TIME_WEIGHT = 0.3
+"""A wrong setting or a slow store shows after a few loads."""
 LOAD_GIVEN_UP_S = 60.0
 """Far above any load; guards against an order whose outcome never came back."""
 EXPECTED_FOR_S = 10.0
@@ -75,11 +82,11 @@
         self._policy = policy
         self._queue = queue
         self._permits = permits
-        self._rule = policy.make_slot_rule(load_seconds)
+        self._rule = policy.make_slot_rule()
         self.slots = SlotTable()
         self.demand = RecentDemand()
         self.load_wait = MovingAverage(2.0 * load_seconds)
-        self.load_seconds = load_seconds
+        self._load_time = MovingAverage(load_seconds, weight=LOAD_TIME_WEIGHT)
         self.may_order = True
         self.may_evict_from = 0.0
         self.draining: set[str] = set()
@@ -126,7 +133,9 @@
 
     def loaded(self, name: str, now: float) -> None:
         """Note a finished load."""
-        if self.slots.load_done(name, now):
+        seconds = self.slots.load_done(name, now)
+        if seconds is not None:
+            self._load_time.add(seconds)
             self._failing_since = None
             asked_at = self._asked_at_by_name.pop(name, None)
             if asked_at is not None:
@@ -155,6 +164,11 @@
 
     # What may be served.
 
+    @property
+    def load_seconds(self) -> float:
+        """Return how long a load takes as measured, without the wait for its turn."""
+        return self._load_time.value
+
     @property
     def grantable(self) -> Iterable[str]:
         """Return the loaded adapters that take new work."""
@@ -353,7 +367,7 @@
             evictable,
             worth,
             lambda name: self.value(name, now),
-            now,
+            now - RESIDENCE_LOADS * self.load_seconds,
         )
 
     def _load(self, name: str, now: float) -> list[Action]:
--- a/bamboovale/decisions/policy.py
+++ b/bamboovale/decisions/policy.py
@@ -10,12 +10,7 @@
 from dataclasses import dataclass
 
 from bamboovale.decisions.batching import ArrivalOrder, FairOrder, QueueOrder
-from bamboovale.decisions.slots import (
-    RESIDENCE_LOADS,
-    LeastRecentlyUsed,
-    LeastValued,
-    SlotRule,
-)
+from bamboovale.decisions.slots import LeastRecentlyUsed, LeastValued, SlotRule
 
 DEFAULT_STALL_WEIGHT = 0.5
 
@@ -27,7 +22,7 @@
     name: str
     stall_weight: float
     make_queue_order: Callable[[], QueueOrder]
-    make_slot_rule: Callable[[float], SlotRule]
+    make_slot_rule: Callable[[], SlotRule]
     refuses_hopeless: bool
     places_by_adapter: bool
     loads_by_weight: bool
@@ -40,9 +35,7 @@
             name="chosen",
             stall_weight=stall_weight,
             make_queue_order=lambda: FairOrder(stall_weight),
-            make_slot_rule=lambda load_seconds: LeastValued(
-                residence_s=RESIDENCE_LOADS * load_seconds,
-            ),
+            make_slot_rule=LeastValued,
             refuses_hopeless=True,
             places_by_adapter=True,
             loads_by_weight=True,
@@ -56,7 +49,7 @@
             name="baseline",
             stall_weight=DEFAULT_STALL_WEIGHT,
             make_queue_order=ArrivalOrder,
-            make_slot_rule=lambda load_seconds: LeastRecentlyUsed(),
+            make_slot_rule=LeastRecentlyUsed,
             refuses_hopeless=False,
             places_by_adapter=False,
             loads_by_weight=False,
--- a/bamboovale/decisions/slots.py
+++ b/bamboovale/decisions/slots.py
@@ -50,9 +50,12 @@
         candidates: dict[str, Slot],
         newcomer: float,
         value: Callable[[str], float],
-        now: float,
+        loaded_before: float,
     ) -> str | None:
-        """Return the adapter to evict for a newcomer of that value, if any."""
+        """Return the adapter to evict for a newcomer of that value, if any.
+
+        Candidates loaded later than ``loaded_before`` have not rested long enough.
+        """
 
 
 class LeastRecentlyUsed:
@@ -65,7 +68,7 @@
         candidates: dict[str, Slot],
         newcomer: float,
         value: Callable[[str], float],
-        now: float,
+        loaded_before: float,
     ) -> str | None:
         """Return the least recently used candidate."""
         return min(
@@ -80,21 +83,18 @@
 
     drains = True
 
-    def __init__(self, *, residence_s: float) -> None:
-        self._residence_s = residence_s
-
     def victim(
         self,
         candidates: dict[str, Slot],
         newcomer: float,
         value: Callable[[str], float],
-        now: float,
+        loaded_before: float,
     ) -> str | None:
         """Return the least valued candidate that has rested long enough."""
         rested = {
             name: value(name)
             for name, slot in candidates.items()
-            if now - slot.loaded_at >= self._residence_s
+            if slot.loaded_at <= loaded_before
         }
         if not rested:
             return None
@@ -158,13 +158,14 @@
         self.loaded.pop(victim, None)
         self.newcomer_by_victim[victim] = newcomer
 
-    def load_done(self, name: str, now: float) -> bool:
-        """Note a finished load; False if it was not ordered in this boot."""
-        if self.loading_since.pop(name, None) is None:
-            return False
+    def load_done(self, name: str, now: float) -> float | None:
+        """Note a finished load and return its seconds; None if it was not ordered."""
+        since = self.loading_since.pop(name, None)
+        if since is None:
+            return None
         self.loaded[name] = Slot(loaded_at=now, used_at=now)
         self._back_off_by_name.pop(name, None)
-        return True
+        return now - since
 
     def load_failed(self, name: str, now: float, wait_s: float) -> None:
         """Note a failed load and wait longer after each one in a row."""
