Cut entry VMs from their peers in the fuzzing, one way and both

Cause: cuts from the log and the VM list were drawn, cuts between entry VMs were not.

Change: on request a relay stands before each entry VM's port for peers, and the VM list names the relay. A test isolates a VM from the log, the VM list and its peers while a version changes: it must refuse as not_ready, and nothing may run on the old version past the bound.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -26,9 +26,11 @@
     EntryVM,
     StandIn,
 )
+from bench.peer_cuts import CutWay, PeerCuts
 from bench.processes import PROGRAM, Process, find_free_port, own_network, waiting
 
 FAILURE_DOMAINS = ("muc-a", "muc-b", "nue-a")
+CONTROL_PREFIX = "control on "
 READY_TIMEOUT_S = 20.0
 # A planned stop waits for the longest answer and for callers' old entry lists.
 STOP_TIMEOUT_S = 60.0
@@ -48,6 +50,7 @@
     log_options: tuple[str, ...] = ()
     vms_options: tuple[str, ...] = ()
     weights_options: tuple[str, ...] = ("--load-seconds", "0.3")
+    relays: bool = False  # before the peers' ports, for cuts between entry VMs
 
     def with_program(self, program: Sequence[str]) -> "ClusterConfig":
         """Return this configuration with another program for the entry VMs."""
@@ -65,6 +68,7 @@
     entry_by_id: dict[str, EntryVM] = field(default_factory=dict)
     entry_id_by_callers_address: dict[str, str] = field(default_factory=dict)
     processes: list[Process] = field(default_factory=list)
+    peer_cuts: PeerCuts = field(default_factory=PeerCuts)
     _numbers: Iterator[int] = field(default_factory=itertools.count)
 
     # -- starting ---------------------------------------------------------------
@@ -132,11 +136,41 @@
             self.config.program,
         )
         entry = EntryVM(entry_id, address, ports, failure_domain, process, incarnation)
+        if self.config.relays:
+            self._start_relay(entry)
         self.entry_by_id[entry_id] = entry
         self.entry_id_by_callers_address[entry.callers_address] = entry_id
         self._put_vm(entry_id, entry.to_row("live"))
         return entry
 
+    def _start_relay(self, entry: EntryVM) -> None:
+        """Start the relay that the VM list names in place of the peers' port."""
+        earlier = self.peer_cuts.relay_by_entry_id.get(entry.id)
+        if earlier is not None:
+            earlier.process.kill()
+        relay_port = find_free_port(entry.address)
+        relay_id = f"relay-{entry.id}-{entry.incarnation}"
+        process = self._start(
+            relay_id,
+            [
+                "standin",
+                "relay",
+                "--listen",
+                f"{entry.address}:{relay_port}",
+                "--target",
+                f"{entry.address}:{entry.port_by_use['peers']}",
+            ],
+            PROGRAM,
+        )
+        url = f"http://{process.wait_for_line(CONTROL_PREFIX)}"
+        relay = StandIn(relay_id, "relay", url, process)
+        entry.port_by_use = {**entry.port_by_use, "peers": relay_port}
+        self.peer_cuts.relay_by_entry_id[entry.id] = relay
+
+    def cut_from_peers(self, entry_id: str, way: CutWay | None) -> None:
+        """Cut an entry VM from all its peers, or (None) link it again."""
+        self.peer_cuts.change(entry_id, way, self.entry_by_id)
+
     def start_entries(self) -> None:
         """Start the configured number of entry VMs and wait until they serve."""
         for number in range(1, self.config.entries + 1):
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -16,6 +16,7 @@
 from bench.jobs import JobKind
 from bench.members import EntryVM
 from bench.operators import ADAPTERS, Operator
+from bench.peer_cuts import CutWay
 
 CRASH_MARKER = "<<crash>>"
 CRASH_PROMPT_JOBS = 2
@@ -120,6 +121,45 @@
         restart_entry(self.bench, self.entry)
 
 
+@dataclass(frozen=True)
+class CutFromPeers:
+    """An entry VM is cut from its peers, one way or both; the platform answers it."""
+
+    bench: Bench
+    entry: str
+    way: CutWay
+
+    def begin(self) -> None:
+        """Cut its links."""
+        self.bench.cluster.cut_from_peers(self.entry, self.way)
+
+    def end(self) -> None:
+        """Link it again."""
+        self.bench.cluster.cut_from_peers(self.entry, None)
+
+
+@dataclass(frozen=True)
+class Isolated:
+    """An entry VM is cut from the log, the VM list and its peers; callers reach it."""
+
+    bench: Bench
+    entry: str
+
+    def begin(self) -> None:
+        """Cut it off."""
+        self._cut([self.bench.cluster.entry_by_id[self.entry].address], CutWay.BOTH)
+
+    def end(self) -> None:
+        """Link it again."""
+        self._cut(None, None)
+
+    def _cut(self, sources: list[str] | None, way: CutWay | None) -> None:
+        cluster = self.bench.cluster
+        for standin in ("log", "vms"):
+            cluster.standin_by_id[standin].set_faults(cut=sources)
+        cluster.cut_from_peers(self.entry, way)
+
+
 @dataclass(frozen=True)
 class Leaving:
     """An endpoint leaves with work queued, and comes back."""
@@ -215,6 +255,11 @@
     return make
 
 
+def _cut_from_peers(bench: Bench, targets: Targets, source: random.Random) -> Fault:
+    entry = source.choice(targets.entries)
+    return CutFromPeers(bench, entry, source.choice(list(CutWay)))
+
+
 def _leaving(bench: Bench, targets: Targets, source: random.Random) -> Fault:
     return Leaving(bench, source.choice([*targets.engines, *targets.services]))
 
@@ -251,6 +296,8 @@
     "entry frozen": _entry_fault(Frozen),
     "entry stopped": _entry_fault(Stopped),
     "entry cut from log": _cut_from("log"),
+    "entry cut from peers": _cut_from_peers,
+    "entry isolated": _entry_fault(Isolated),
     "entry cut from VM list": _cut_from("vms"),
     "engine crashed": _switched("engine", "crash", _always),
     "engine fails loads": _switched("engine", "fail_loads", _times(4)),
--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -33,6 +33,7 @@
 SETTLE_S = 6.0
 CONFIG = ClusterConfig(
     entries=4,
+    relays=True,
     entry_options=("--entries-ttl-s=2", "--drain-timeout-s=40"),
     engine_options=("--max-loras", "3", "--max-num-seqs", "8", "--step-ms", "15"),
 )
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -52,11 +52,15 @@
 
     def wait_for_address(self) -> str:
         """Return the HOST:PORT that a stand-in prints in its first line."""
-        for _ in waiting(START_TIMEOUT_S, f"{self.name} did not say where it listens"):
+        return self.wait_for_line(LISTENING_PREFIX)
+
+    def wait_for_line(self, prefix: str) -> str:
+        """Return the rest of the first line that begins so."""
+        for _ in waiting(START_TIMEOUT_S, f"{self.name} did not print {prefix!r}"):
             self.raise_if_ended()
             for line in self.output.read_text(errors="replace").splitlines():
-                if line.startswith(LISTENING_PREFIX):
-                    return line.removeprefix(LISTENING_PREFIX).strip()
+                if line.startswith(prefix):
+                    return line.removeprefix(prefix).strip()
         raise AssertionError("unreachable")
 
     def raise_if_ended(self) -> None:
--- a/tests/test_promises_engines.py
+++ b/tests/test_promises_engines.py
@@ -5,11 +5,12 @@
 
 import pytest
 
-from bench.callers import LoadConfig
+from bench.callers import Caller, LoadConfig
 from bench.checker import find_violations
-from bench.history import AdapterOrder, Outcome, RunStarted
+from bench.history import AdapterOrder, Outcome, Received, RunStarted
 from bench.jobs import JobKind
 from bench.operators import ADAPTERS, SERVICES
+from bench.peer_cuts import CutWay
 from bench.scenario import Scenario, running_scenario
 
 pytestmark = pytest.mark.xdist_group("promises-engines")
@@ -36,6 +37,10 @@
     return sum(order.order == "unload" and order.done for order in orders)
 
 
+def send_next(scenario: Scenario, caller: Caller) -> Received:
+    return caller.send(scenario.job(JobKind.COMPLETION)).received
+
+
 class TestEviction:
     """An adapter that a running request uses is never evicted under it."""
 
@@ -116,6 +121,27 @@
             time.sleep(1.0)
         assert find_violations(scenario.history()) == []
 
+    def test_an_isolated_entry_vm_refuses(self) -> None:
+        """A withdrawn version would be served by a VM that nobody can tell of it.
+
+        One entry VM loses the log, the VM list and all its peers, but not its callers
+        and engines; the version changes.
+        """
+        with running_scenario(relays=True) as scenario:
+            address = scenario.cluster.entry_by_id["e3"].address
+            for standin in ("log", "vms"):
+                scenario.cluster.standin_by_id[standin].set_faults(cut=[address])
+            scenario.cluster.cut_from_peers("e3", CutWay.BOTH)
+            assert scenario.operator.set_version(ADAPTERS[0], "2")
+            caller = scenario.caller(at="e3")
+            until = time.time() + 8.0
+            while time.time() < until:
+                send_next(scenario, caller)
+                time.sleep(0.3)
+            last = send_next(scenario, caller)
+            assert (last.outcome, last.code) == (Outcome.NOT_RUN, "not_ready")
+            assert find_violations(scenario.history()) == []
+
 
 class TestLeaving:
     """An endpoint that is leaving receives no new work within a few seconds."""
