End with 'cannot start' when a port is taken, not with a traceback

Cause: after a failed bind the stop of the listeners and of the hang-up watcher joined threads that never ran, and that error hid the first one.

--- a/bamboovale/entry/hangups.py
+++ b/bamboovale/entry/hangups.py
@@ -36,7 +36,8 @@
     def stop(self) -> None:
         """Stop the thread."""
         self._stopping = True
-        self._thread.join(timeout=2 * POLL_S)
+        if self._thread.is_alive():
+            self._thread.join(timeout=2 * POLL_S)
         self._epoll.close()
 
     @contextlib.contextmanager
--- a/bamboovale/entry/http_server.py
+++ b/bamboovale/entry/http_server.py
@@ -82,6 +82,7 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop listening and end the threads."""
+        """Stop listening and end the threads; nothing if the port was not bound."""
         self._server.stop()
-        self._thread.join(timeout=SOCKET_TIMEOUT_S)
+        if self._thread.is_alive():
+            self._thread.join(timeout=SOCKET_TIMEOUT_S)
--- /dev/null
+++ b/tests/test_entry_start.py
@@ -0,0 +1,45 @@
+"""An entry VM that cannot start."""
+
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from bamboovale.status import ExitStatus
+from bench.processes import find_free_port
+
+ADDRESS = "127.0.0.1"
+USES = ("callers", "admin", "peers")
+
+
+class TestOccupiedPort:
+    """One of the three ports is taken.
+
+    Story: an operator starts a second entry VM on a machine, or restarts one whose
+    earlier process still holds its ports. It must end, and say which port it lacks.
+    """
+
+    @pytest.mark.parametrize("use", USES)
+    def test_ends_and_says_so(self, use: str) -> None:
+        port_by_use = {use: find_free_port(ADDRESS) for use in USES}
+        ports = [f"--{name}-port={port}" for name, port in port_by_use.items()]
+        nowhere = f"http://{ADDRESS}:{find_free_port(ADDRESS)}"
+        with socket.create_server((ADDRESS, port_by_use[use])):
+            done = subprocess.run(
+                [
+                    *(sys.executable, "-m", "bamboovale", "entry"),
+                    *("--id=e1", "--failure-domain=muc-a"),
+                    *(f"--log={nowhere}", f"--vms={nowhere}"),
+                    *ports,
+                ],
+                capture_output=True,
+                text=True,
+                timeout=30,
+                check=False,
+            )
+        printed = done.stdout + done.stderr
+        assert done.returncode == ExitStatus.UNAVAILABLE, printed[-1500:]
+        assert "cannot start" in printed
+        assert str(port_by_use[use]) in printed
+        assert "Traceback" not in printed
