--- a/bamboovale/cli/standin.py
+++ b/bamboovale/cli/standin.py
@@ -116,7 +116,8 @@
     """Run a TCP relay that can cut links by source address."""
     from bamboovale.standins import relay, server
 
+    stopping = server.catch_termination()
     link_relay, rules = relay.create_relay(listen, target, control)
     print(f"listening on {link_relay.start()}", flush=True)
     print(f"control on {rules.start_serving()}", flush=True)
-    server.wait_until_terminated()
+    stopping.wait()
--- a/bamboovale/standins/server.py
+++ b/bamboovale/standins/server.py
@@ -291,15 +291,20 @@
         threading.Thread(target=server.stop, daemon=True).start()
 
 
-def wait_until_terminated() -> None:
-    """Block until SIGTERM or SIGINT."""
+def catch_termination() -> threading.Event:
+    """Return an event that SIGTERM and SIGINT set.
+
+    To be called before the address is printed: whoever reads it may end the process
+    at once, and means it to end with exit code 0.
+    """
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
-    stopping.wait()
+    return stopping
 
 
 def serve_until_terminated(server: StandInServer) -> None:
     """Print the address, then serve until SIGTERM or SIGINT."""
+    stopping = catch_termination()
     print(f"listening on {server.start_serving()}", flush=True)
-    wait_until_terminated()
+    stopping.wait()
