Split an engine's decisions by job; let a dead VM's suspect not hold its engine

A fault found on the way: the permit of a crash suspect that ran alone was forgotten only by its release. When its entry VM died the engine was never given to anybody again. It now holds the engine as long as the permit is held or lingers; a test kills the entry VM. Tried and dropped: keeping the last quarter of places from customers that hold a quarter of the batch. Worth divided by a customer's pinned slots: no effect.

--- a/bamboovale/decisions/batching.py
+++ b/bamboovale/decisions/batching.py
@@ -111,6 +111,7 @@
         self._waiting_by_id: dict[str, Waiting] = {}
         self._lists_by_lora: dict[str, dict[WorkClass, list[Waiting]]] = {}
         self._items_by_class: Counter[WorkClass] = Counter()
+        self._exclusive_ids: dict[str, None] = {}
         self._bytes = 0
         self._numbers = 0
         self._interactive_in_row = 0
@@ -153,6 +154,8 @@
         insort(by_class.setdefault(item.work_class, []), waiting)
         self._waiting_by_id[item.request_id] = waiting
         self._items_by_class[item.work_class] += 1
+        if item.exclusive:
+            self._exclusive_ids[item.request_id] = None
         self._bytes += item.size_bytes
 
     def ahead_of(
@@ -194,6 +197,7 @@
         if waiting is None:
             return None
         item = waiting.item
+        self._exclusive_ids.pop(request_id, None)
         by_class = self._lists_by_lora[item.target.lora_name]
         by_class[item.work_class].remove(waiting)
         if not by_class[item.work_class]:
@@ -222,6 +226,17 @@
             return None
         return self._between_classes(first_by_class).item
 
+    def next_exclusive(self, lora_names: Iterable[str]) -> WorkItem | None:
+        """Return a crash suspect that could run now; all others wait until it has."""
+        if not self._exclusive_ids:
+            return None
+        loaded = set(lora_names)
+        for request_id in self._exclusive_ids:
+            item = self._waiting_by_id[request_id].item
+            if item.target.lora_name in loaded:
+                return item
+        return None
+
     def granted(self, item: WorkItem, overnight_waits: bool) -> None:
         """Count a grant for the turn of the classes."""
         if item.work_class is WorkClass.OVERNIGHT or not overnight_waits:
--- a/bamboovale/decisions/dispatch.py
+++ b/bamboovale/decisions/dispatch.py
@@ -17,11 +17,16 @@
 from typing import Any
 
 from bamboovale.decisions.batching import QUEUE_BYTES, QUEUE_ITEMS, WaitQueue
-from bamboovale.decisions.estimates import MovingAverage
 from bamboovale.decisions.loading import SlotPlanner
 from bamboovale.decisions.permits import PermitBook
 from bamboovale.decisions.policy import Policy
-from bamboovale.decisions.spread import spread_seconds
+from bamboovale.decisions.refusals import (
+    refuse_full,
+    refuse_late,
+    refuse_leaving,
+    refuse_unloadable,
+)
+from bamboovale.decisions.waits import WaitForecast
 from bamboovale.decisions.work import (
     Action,
     EngineHint,
@@ -31,20 +36,13 @@
     Refuse,
     WorkItem,
 )
-from bamboovale.errors import ErrorCode, Refusal
 from bamboovale.models import WorkClass
 
 PERMIT_MARGIN_S = 1.0
 """Added to send-by before a silent entry VM's pin may end: slow timers, slow links."""
 PRIORITY_BY_CLASS = {WorkClass.INTERACTIVE: 0, WorkClass.OVERNIGHT: 10}
-SHORTEST_RETRY_S = 1.0
-"""Sooner than this a refused caller finds the same queue."""
 ORDERS_STOPPED_GRACE_S = 1.0
 """A late renewal stops orders for part of a second; an outage lasts longer."""
-UNLOADABLE_RETRY_S = 5.0
-"""Outages of the log last minutes; sooner than this nothing will have changed."""
-PREDICTION_SLACK = 1.0
-"""Refuse once the predicted wait exceeds this share of the time left."""
 UNBOUNDED = 1 << 40
 
 
@@ -93,13 +91,14 @@
         self._may_grant = True
         self._orders_stopped_at: float | None = None
         self._permits_given = 0
-        self._granted_at_by_permit_id: dict[str, float] = {}
-        self._exclusive_permit_id: str | None = None
-        self._service = MovingAverage(config.service_seconds)
-        self._service_by_class = {
-            work_class: MovingAverage(config.service_seconds)
-            for work_class in WorkClass
-        }
+        self._exclusive_permit_id = ""
+        self._send_margin_s = config.send_within_s + config.permit_margin_s
+        self._waits = WaitForecast(
+            queue=self._queue,
+            permits=self._permits,
+            planner=self._planner,
+            service_seconds=config.service_seconds,
+        )
 
     # Events from the engine.
 
@@ -109,9 +108,10 @@
         if self._view is not None and self._view.boot_id != view.boot_id:
             self._engine_restarted(now)
         self._view = view
-        self._drop_permits_of_other_boots(view.boot_id)
+        self._waits.places = view.max_num_seqs
+        self._permits.drop_other_boots(view.boot_id)
         self._planner.see(view, read_at, now)
-        self._linger_unseen(view, read_at)
+        self._permits.linger_unseen(view, read_at - self._send_margin_s)
         self._permits.see(view, read_at)
         return self._decide(now)
 
@@ -144,16 +144,16 @@
     def on_request(self, item: WorkItem, now: float) -> list[Action]:
         """Queue a request, or refuse it at once."""
         if self._leaving:
-            return [self._refuse_leaving(item)]
+            return [refuse_leaving(item)]
         if item.request_id in self._queue:
             return []
         if self._cannot_load(item, now):
-            return [self._refuse_unloadable(item)]
+            return [refuse_unloadable(item)]
         refusals = self._refuse_hopeless(item, now) or self._make_room(item, now)
         if any(refuse.request_id == item.request_id for refuse in refusals):
             return list(refusals)
         self._planner.wanted(item, now)
-        self._queue.add(item, self._spacing_s(item), now)
+        self._queue.add(item, self._waits.spacing(item), now)
         return [*refusals, *self._decide(now)]
 
     def on_cancel(self, request_id: str, now: float) -> list[Action]:
@@ -169,17 +169,14 @@
         ended: bool = True,
     ) -> list[Action]:
         """Free a place; not ``ended`` if the engine may still run the request."""
-        if ended:
-            permit = self._permits.release(permit_id, now)
-        else:
-            permit = self._permits.linger(permit_id, not_before=now)
-        granted_at = self._granted_at_by_permit_id.pop(permit_id, None)
-        if permit is not None and ended:
+        if not ended:
+            self._permits.linger(permit_id, not_before=now)
+            return self._decide(now)
+        seconds = self._permits.seconds_held(permit_id, now)
+        permit = self._permits.release(permit_id, now)
+        if permit is not None:
             self._planner.unpinned(permit.lora_name, now)
-            if granted_at is not None:
-                self._served(permit, now - granted_at)
-        if permit_id == self._exclusive_permit_id:
-            self._exclusive_permit_id = None
+            self._waits.served(permit_class(permit), seconds)
         return self._decide(now)
 
     def on_entry_gone(self, entry_vm: str, now: float) -> list[Action]:
@@ -190,11 +187,7 @@
         """
         for item in [item for item in self._queue if item.entry_vm == entry_vm]:
             self._queue.remove(item.request_id)
-        not_before = now + self._config.send_within_s + self._config.permit_margin_s
-        for permit in list(self._permits.permit_by_id.values()):
-            if permit.entry_vm == entry_vm:
-                self._permits.linger(permit.permit_id, not_before)
-                self._granted_at_by_permit_id.pop(permit.permit_id, None)
+        self._permits.linger_of(entry_vm, now + self._send_margin_s)
         return self._decide(now)
 
     def on_permits_adopted(self, permits: list[Permit], now: float) -> list[Action]:
@@ -202,8 +195,7 @@
         boot_id = self._view.boot_id if self._view else None
         for permit in permits:
             if boot_id is None or permit.boot_id == boot_id:
-                self._permits.add(permit)
-                self._granted_at_by_permit_id.setdefault(permit.permit_id, now)
+                self._permits.add(permit, now)
         return self._decide(now)
 
     # Events from the load scheduler, the lease and the catalogue.
@@ -220,7 +212,7 @@
         now: float,
     ) -> list[Action]:
         """Warm a new version where the one it replaces was in demand."""
-        if self._planner.demand.count(replaces, now) > 0.0:
+        if self._planner.worth.demand.count(replaces, now) > 0.0:
             self._planner.warm(lora_name, source, replaces, now)
         return self._decide(now)
 
@@ -255,19 +247,22 @@
         items = list(self._queue)
         for item in items:
             self._queue.remove(item.request_id)
-        return [self._refuse_leaving(item) for item in items]
+        return [refuse_leaving(item) for item in items]
 
     def on_tick(self, now: float) -> list[Action]:
         """Let time pass: back-offs end, hopeless waits are refused."""
         self._planner.tick(now)
         refusals: list[Action] = []
         for item in list(self._queue):
-            if self._policy.refuses_hopeless and self._is_too_late(item, now):
+            if (
+                self._policy.refuses_hopeless
+                and now + self._waits.shortest(item, now) > item.latest_start
+            ):
                 self._queue.remove(item.request_id)
-                refusals.append(self._refuse_late(item, self._wait(item, now)))
+                refusals.append(refuse_late(item, self._waits.of(item, now)))
             elif self._cannot_load(item, now):
                 self._queue.remove(item.request_id)
-                refusals.append(self._refuse_unloadable(item))
+                refusals.append(refuse_unloadable(item))
         return refusals + self._decide(now)
 
     # What it tells.
@@ -285,10 +280,10 @@
             fencing=self._config.fencing,
             loaded=tuple(sorted(self._planner.grantable)),
             loading=tuple(sorted(coming)),
-            free_places=self._free_places(),
+            free_places=self._waits.free_places,
             max_num_seqs=places,
             queued=len(self._queue),
-            predicted_wait_s=self._wait_behind(len(self._queue)),
+            predicted_wait_s=self._waits.behind(len(self._queue)),
             load_seconds=self._planner.load_wait.value,
             open_slots=self._planner.open_slots(now),
             slot_wait_s=self._planner.slot_wait(now),
@@ -312,19 +307,19 @@
             "may_evict_in_s": max(0.0, self._planner.may_evict_from - now),
             "queued": len(self._queue),
             "queued_bytes": self._queue.size_bytes,
-            "free_places": self._free_places(),
+            "free_places": self._waits.free_places,
             "permits": len(self._permits.permit_by_id),
             "lingering": sorted(self._permits.lingering_by_id),
             "foreign": dict(self._permits.foreign_by_request_id),
             "loaded": {
-                name: round(self._planner.value(name, now), 3)
+                name: round(self._planner.worth.of_slot(name, now), 3)
                 for name in sorted(slots.loaded)
             },
             "loading": sorted(slots.loading_since),
             "evicting": dict(slots.newcomer_by_victim),
             "draining": sorted(self._planner.draining),
             "asked": sorted(self._planner.ask_by_name),
-            "service_s": round(self._service.value, 3),
+            "service_s": round(self._waits.service_seconds, 3),
             "load_wait_s": round(self._planner.load_wait.value, 3),
         }
 
@@ -338,27 +333,17 @@
             actions.append(self._grant(item, now))
         return actions + self._planner.plan(now)
 
-    def _free_places(self) -> int:
-        if self._view is None:
-            return 0
-        return max(0, self._view.max_num_seqs - self._permits.used_places)
-
     def _next_item(self) -> WorkItem | None:
-        if not self._free_places() or self._exclusive_permit_id is not None:
+        if not self._waits.free_places:
+            return None
+        if self._permits.holds(self._exclusive_permit_id):
             return None
         grantable = self._planner.grantable
-        exclusive = self._exclusive_item(set(grantable))
+        exclusive = self._queue.next_exclusive(grantable)
         if exclusive is not None:
             return None if self._permits.used_places else exclusive
         return self._queue.next_item(grantable)
 
-    def _exclusive_item(self, grantable: set[str]) -> WorkItem | None:
-        """Return a crash suspect that could run now; all others wait until it has."""
-        for item in self._queue:
-            if item.exclusive and item.target.lora_name in grantable:
-                return item
-        return None
-
     def _grant(self, item: WorkItem, now: float) -> Grant:
         assert self._view is not None
         self._queue.remove(item.request_id)
@@ -377,8 +362,7 @@
             send_within_s=config.send_within_s,
             priority=PRIORITY_BY_CLASS[item.work_class],
         )
-        self._permits.add(permit)
-        self._granted_at_by_permit_id[permit.permit_id] = now
+        self._permits.add(permit, now)
         self._planner.used(permit.lora_name, now)
         if item.exclusive:
             self._exclusive_permit_id = permit.permit_id
@@ -386,78 +370,17 @@
 
     def _engine_restarted(self, now: float) -> None:
         self._permits.clear()
-        self._granted_at_by_permit_id.clear()
-        self._exclusive_permit_id = None
         self._planner.restarted(now)
 
-    def _drop_permits_of_other_boots(self, boot_id: str) -> None:
-        """Drop permits that were adopted before the engine's boot was known."""
-        for permit in list(self._permits.permit_by_id.values()):
-            if permit.boot_id != boot_id:
-                self._permits.release(permit.permit_id, 0.0)
-
-    def _linger_unseen(self, view: EngineView, read_at: float) -> None:
-        """End permits whose release was lost with its message.
-
-        The engine does not list the request, nothing waits inside the engine, and
-        the time in which it could still have been sent has passed: the run is over.
-        Without this a lost message would take a place and a pin for ever.
-        """
-        if view.waiting:
-            return
-        config = self._config
-        late = read_at - config.send_within_s - config.permit_margin_s
-        for permit_id, granted_at in list(self._granted_at_by_permit_id.items()):
-            permit = self._permits.permit_by_id.get(permit_id)
-            if permit is None or granted_at >= late:
-                continue
-            if permit.request_id not in view.running_by_request_id:
-                self._permits.linger(permit_id, not_before=late)
-                del self._granted_at_by_permit_id[permit_id]
-                if permit_id == self._exclusive_permit_id:
-                    self._exclusive_permit_id = None
-
     # Predicted waits and refusals.
 
-    def _spacing_s(self, item: WorkItem) -> float:
-        """Return the seconds between a customer's items if all get equal shares.
-
-        Whoever waits for an adapter that is not loaded takes no place meanwhile.
-        """
-        sharing = self._queue.adapters_waited_for(self._planner.slots.loaded)
-        places = self._view.max_num_seqs if self._view else 1
-        service_s = self._service_by_class[item.work_class].value
-        return service_s / max(1, places) * max(1, sharing)
-
-    def _served(self, permit: Permit, seconds: float) -> None:
-        self._service.add(seconds)
-        for work_class, priority in PRIORITY_BY_CLASS.items():
-            if permit.priority == priority:
-                self._service_by_class[work_class].add(seconds)
-
-    def _seconds_per_place(self) -> float:
-        places = self._view.max_num_seqs if self._view else 1
-        return self._service.value / max(1, places)
-
-    def _wait_behind(self, ahead: int) -> float:
-        if ahead < self._free_places():
-            return 0.0
-        return (ahead + 1 - self._free_places()) * self._seconds_per_place()
-
-    def _wait(self, item: WorkItem, now: float) -> float:
-        ahead, tag = self._queue.ahead_of(item, self._planner.slots.loaded)
-        queue_wait = max(self._wait_behind(ahead), 0.0)
-        if queue_wait > 0.0:
-            queue_wait = max(queue_wait, tag - now)
-        return max(queue_wait, self._planner.wait_for_load(item.target.lora_name, now))
-
     def _refuse_hopeless(self, item: WorkItem, now: float) -> list[Refuse]:
         if not self._policy.refuses_hopeless:
             return []
-        wait_s = self._wait(item, now)
-        if now + wait_s * PREDICTION_SLACK <= item.latest_start:
+        wait_s = self._waits.of(item, now)
+        if now + wait_s <= item.latest_start:
             return []
-        return [self._refuse_late(item, wait_s)]
+        return [refuse_late(item, wait_s)]
 
     def _make_room(self, item: WorkItem, now: float) -> list[Refuse]:
         """Refuse what is furthest from its turn when the queue is full."""
@@ -465,14 +388,9 @@
             return []
         last = self._queue.last_behind(item)
         if last is None or last.size_bytes < item.size_bytes:
-            return [self._refuse_full(item, now)]
+            return [refuse_full(item, self._waits.behind(len(self._queue)))]
         self._queue.remove(last.request_id)
-        return [self._refuse_full(last, now)]
-
-    def _is_too_late(self, item: WorkItem, now: float) -> bool:
-        name = item.target.lora_name
-        shortest = self._planner.shortest_wait_for_load(name, now)
-        return now + shortest > item.latest_start
+        return [refuse_full(last, self._waits.behind(len(self._queue)))]
 
     def _cannot_load(self, item: WorkItem, now: float) -> bool:
         """Tell whether a load is needed that nobody knows when to allow again."""
@@ -483,41 +401,8 @@
         loaded = item.target.lora_name in self._planner.slots.loaded
         return stopped_for_s > ORDERS_STOPPED_GRACE_S and not loaded
 
-    def _refuse_unloadable(self, item: WorkItem) -> Refuse:
-        refusal = Refusal(
-            ErrorCode.LOG_UNAVAILABLE,
-            "the adapter is not loaded, and loads wait for the log service",
-            True,
-            spread_seconds(UNLOADABLE_RETRY_S, item.request_id),
-        )
-        return Refuse(item.request_id, item.entry_vm, refusal)
-
-    def _refuse_leaving(self, item: WorkItem) -> Refuse:
-        refusal = Refusal(ErrorCode.DRAINING, "the engine is leaving", True, 0.0)
-        return Refuse(item.request_id, item.entry_vm, refusal)
-
-    def _refuse_full(self, item: WorkItem, now: float) -> Refuse:
-        retry_s = max(SHORTEST_RETRY_S, self._wait_behind(len(self._queue)))
-        return Refuse(
-            item.request_id,
-            item.entry_vm,
-            Refusal(
-                ErrorCode.OVERLOADED,
-                "the engine's queue is full",
-                True,
-                spread_seconds(retry_s, item.request_id),
-            ),
-        )
 
-    def _refuse_late(self, item: WorkItem, wait_s: float) -> Refuse:
-        retry_s = max(SHORTEST_RETRY_S, wait_s)
-        return Refuse(
-            item.request_id,
-            item.entry_vm,
-            Refusal(
-                ErrorCode.DEADLINE,
-                f"a place is expected in {wait_s:.1f} s, too late for this request",
-                True,
-                spread_seconds(retry_s, item.request_id),
-            ),
-        )
+def permit_class(permit: Permit) -> WorkClass:
+    """Return the class of the request that a permit was given to."""
+    overnight = permit.priority == PRIORITY_BY_CLASS[WorkClass.OVERNIGHT]
+    return WorkClass.OVERNIGHT if overnight else WorkClass.INTERACTIVE
--- a/bamboovale/decisions/loading.py
+++ b/bamboovale/decisions/loading.py
@@ -12,7 +12,6 @@
 can be exchanged ("draining").
 """
 
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -36,7 +35,7 @@
     Unload,
     WorkItem,
 )
-from bamboovale.models import WorkClass
+from bamboovale.decisions.worth import AdapterWorth
 
 LOADS_AT_ONCE = 2
 """As many as the weight store serves at full speed: more only share its bandwidth."""
@@ -48,16 +47,15 @@
 """A wrong setting or a slow store shows after a few loads."""
 LOAD_GIVEN_UP_S = 60.0
 """Far above any load; guards against an order whose outcome never came back."""
-EXPECTED_FOR_S = 10.0
-"""A slot is credited with the chance of a request in the next ten seconds."""
-URGENCY = 5.0
-"""At the end of its patience a request weighs as much as five fresh ones more."""
 PATIENCE_LOADS = 2.0
+"""A slot is drained for work that has waited as long as two loads take."""
 UNPINNED = "unpinned"
 TURNOVER_HALF_LIFE_S = 10.0
+"""About the length of one answer, in which a slot changes once."""
 SLOWEST_TURNOVER_PER_S = 0.1
 """A slot each 10 s when nothing was measured: about the length of one long answer."""
 DRAINS_AT_ONCE = 2
+"""Of 8 slots: more would empty the batch while their last requests end."""
 
 
 @dataclass
@@ -84,7 +82,7 @@
         self._permits = permits
         self._rule = policy.make_slot_rule()
         self.slots = SlotTable()
-        self.demand = RecentDemand()
+        self.worth = AdapterWorth(policy=policy, queue=queue)
         self.load_wait = MovingAverage(2.0 * load_seconds)
         self._load_time = MovingAverage(load_seconds, weight=LOAD_TIME_WEIGHT)
         self.may_order = True
@@ -110,19 +108,21 @@
         self.draining.clear()
         self.ask_by_name.clear()
         if self._policy.warms_after_restart:
-            known = [n for n in self.demand.top(64, now) if n in self._source_by_name]
+            known = [
+                n for n in self.worth.demand.top(64, now) if n in self._source_by_name
+            ]
             self._warm = dict.fromkeys(known[: max(self.slots.max_loras, 1)])
 
     def wanted(self, item: WorkItem, now: float) -> None:
         """Count a request."""
         name = item.target.lora_name
-        self.demand.add(name, now)
+        self.worth.demand.add(name, now)
         self._source_by_name[name] = item.source
 
     def warm(self, name: str, source: str, replaces: str, now: float) -> None:
         """Expect requests for a new version as many as for the one it replaces."""
         self._source_by_name[name] = source
-        self.demand.move(replaces, name, now)
+        self.worth.demand.move(replaces, name, now)
         self._warm[name] = None
 
     def used(self, name: str, now: float) -> None:
@@ -261,45 +261,18 @@
     def tick(self, now: float) -> None:
         """Forget what is old and give up orders whose outcome never came."""
         self.slots.forget_back_offs(now)
-        self.demand.prune(now)
+        self.worth.demand.prune(now)
         for name, since in list(self.slots.loading_since.items()):
             if now - since > LOAD_GIVEN_UP_S:
                 self.load_failed(name, now, 0.0)
-        if len(self._source_by_name) > 2 * len(self.demand) + 64:
+        if len(self._source_by_name) > 2 * len(self.worth.demand) + 64:
             self._forget_sources()
 
-    def value(self, name: str, now: float) -> float:
-        """Return the requests that wait, and the chance that one will come soon.
-
-        A chance and not a number: whatever is evicted costs one more load at most.
-        """
-        expected = self.demand.rate(name, now) * EXPECTED_FOR_S
-        return self._waiting_worth(name) + 1.0 - math.exp(-expected)
-
-    def _waiting_worth(self, name: str) -> float:
-        return sum(
-            1.0 if item.work_class is WorkClass.INTERACTIVE else self._overnight_worth
-            for item in self._queue.waiting_for(name)
-        )
-
-    @property
-    def _overnight_worth(self) -> float:
-        return 1.0 - 0.8 * self._policy.stall_weight
-
-    def _newcomer_worth(self, name: str, now: float) -> float:
-        waiting = self._queue.waiting_for(name)
-        if not waiting:
-            return 0.5 * self.value(name, now)
-        if not self._policy.loads_by_weight:
-            return 1.0 / (1.0 + min(item.arrived_at for item in waiting))
-        used_up = max(_patience_used(item, now) for item in waiting)
-        return self.value(name, now) + URGENCY * used_up
-
     def _missing(self, now: float) -> dict[str, float]:
         """Return wanted adapters that are neither loaded nor coming, best first."""
         names = set(self._queue.lora_names) | set(self._warm)
         worth_by_name = {
-            name: self._newcomer_worth(name, now)
+            name: self.worth.of_newcomer(name, now)
             for name in names
             if name not in self.slots.loaded
             and name not in self.slots.newcomer_by_victim
@@ -366,7 +339,7 @@
         return self._rule.victim(
             evictable,
             worth,
-            lambda name: self.value(name, now),
+            lambda name: self.worth.of_slot(name, now),
             now - RESIDENCE_LOADS * self.load_seconds,
         )
 
@@ -396,7 +369,7 @@
 
     def _start_drain(self, worth: float, now: float) -> None:
         value_by_name = {
-            name: self.value(name, now)
+            name: self.worth.of_slot(name, now)
             for name in self.slots.loaded
             if name not in self.draining and self._permits.is_pinned(name)
         }
@@ -407,13 +380,7 @@
             self.draining.add(least)
 
     def _forget_sources(self) -> None:
-        keep = set(self.demand) | set(self._queue.lora_names) | set(self._warm)
+        keep = set(self.worth.demand) | set(self._queue.lora_names) | set(self._warm)
         for name in list(self._source_by_name):
             if name not in keep:
                 del self._source_by_name[name]
-
-
-def _patience_used(item: WorkItem, now: float) -> float:
-    """Return the share of a request's longest wait that has passed."""
-    patience = max(1e-3, item.latest_start - item.arrived_at)
-    return max(0.0, now - item.arrived_at) / patience
--- a/bamboovale/decisions/permits.py
+++ b/bamboovale/decisions/permits.py
@@ -29,6 +29,7 @@
 
     def __init__(self) -> None:
         self.permit_by_id: dict[str, Permit] = {}
+        self._held_since_by_id: dict[str, float] = {}
         self.lingering_by_id: dict[str, Lingering] = {}
         self.foreign_by_request_id: dict[str, str] = {}
         self._released_at_by_request_id: dict[str, float] = {}
@@ -47,7 +48,15 @@
         """Say whether a request that uses the adapter runs or may run."""
         return self._pins[lora_name] > 0
 
-    def add(self, permit: Permit) -> None:
+    def holds(self, permit_id: str) -> bool:
+        """Say whether the permit's request runs or may run."""
+        return permit_id in self.permit_by_id or permit_id in self.lingering_by_id
+
+    def seconds_held(self, permit_id: str, now: float) -> float:
+        """Return how long a permit has been held here."""
+        return now - self._held_since_by_id.get(permit_id, now)
+
+    def add(self, permit: Permit, now: float) -> None:
         """Keep a permit given by this holder or adopted from its predecessor."""
         if permit.permit_id in self.permit_by_id:
             return
@@ -55,6 +64,7 @@
         if lingering is None:
             self._pins[permit.lora_name] += 1
         self.permit_by_id[permit.permit_id] = permit
+        self._held_since_by_id[permit.permit_id] = now
         self._drop_foreign(permit.request_id)
 
     def release(self, permit_id: str, now: float) -> Permit | None:
@@ -62,6 +72,7 @@
         permit = self.permit_by_id.pop(permit_id, None)
         if permit is None:
             return None
+        self._held_since_by_id.pop(permit_id, None)
         self._unpin(permit.lora_name)
         self._released_at_by_request_id[permit.request_id] = now
         return permit
@@ -70,9 +81,36 @@
         """Keep place and pin until the engine is seen without the request."""
         permit = self.permit_by_id.pop(permit_id, None)
         if permit is not None:
+            self._held_since_by_id.pop(permit_id, None)
             self.lingering_by_id[permit_id] = Lingering(permit, not_before)
         return permit
 
+    def linger_of(self, entry_vm: str, not_before: float) -> None:
+        """Let all permits of an entry VM linger."""
+        for permit in list(self.permit_by_id.values()):
+            if permit.entry_vm == entry_vm:
+                self.linger(permit.permit_id, not_before)
+
+    def linger_unseen(self, view: EngineView, sent_before: float) -> None:
+        """End permits whose release was lost with its message.
+
+        The engine does not list the request, nothing waits inside the engine, and
+        the time in which it could still have been sent has passed: the run is over.
+        Without this a lost message would take a place and a pin for ever.
+        """
+        if view.waiting:
+            return
+        for permit_id, since in list(self._held_since_by_id.items()):
+            request_id = self.permit_by_id[permit_id].request_id
+            if since < sent_before and request_id not in view.running_by_request_id:
+                self.linger(permit_id, not_before=sent_before)
+
+    def drop_other_boots(self, boot_id: str) -> None:
+        """Drop permits that were adopted before the engine's boot was known."""
+        for permit in list(self.permit_by_id.values()):
+            if permit.boot_id != boot_id:
+                self.release(permit.permit_id, 0.0)
+
     def see(self, view: EngineView, read_at: float) -> None:
         """Compare with what the engine runs."""
         self._end_lingering(view, read_at)
@@ -90,6 +128,7 @@
     def clear(self) -> None:
         """Forget all: the engine restarted, so nothing of the old boot runs."""
         self.permit_by_id.clear()
+        self._held_since_by_id.clear()
         self.lingering_by_id.clear()
         self.foreign_by_request_id.clear()
         self._pins.clear()
--- /dev/null
+++ b/bamboovale/decisions/waits.py
@@ -0,0 +1,78 @@
+"""When a request would probably start on an engine.
+
+Load pattern: overload. A request that waits until its deadline and is refused then has
+wasted its caller's time; one refused beside free places has wasted the engine's.
+The prediction counts only work that competes for places, at the pace at which places
+became free lately, and the load of an adapter that is not there.
+"""
+
+from bamboovale.decisions.batching import WaitQueue
+from bamboovale.decisions.estimates import MovingAverage
+from bamboovale.decisions.loading import SlotPlanner
+from bamboovale.decisions.permits import PermitBook
+from bamboovale.decisions.work import WorkItem
+from bamboovale.models import WorkClass
+
+
+class WaitForecast:
+    """Predicts waits from the queue and the service times measured."""
+
+    def __init__(
+        self,
+        *,
+        queue: WaitQueue,
+        permits: PermitBook,
+        planner: SlotPlanner,
+        service_seconds: float,
+    ) -> None:
+        self._queue = queue
+        self._permits = permits
+        self._planner = planner
+        self.places = 0
+        self._service = MovingAverage(service_seconds)
+        self._service_by_class = {
+            work_class: MovingAverage(service_seconds) for work_class in WorkClass
+        }
+
+    @property
+    def service_seconds(self) -> float:
+        """Return how long a request takes a place, on average."""
+        return self._service.value
+
+    @property
+    def free_places(self) -> int:
+        """Return the places that nothing holds."""
+        return max(0, self.places - self._permits.used_places)
+
+    def served(self, work_class: WorkClass, seconds: float) -> None:
+        """Learn from a request that ended."""
+        self._service.add(seconds)
+        self._service_by_class[work_class].add(seconds)
+
+    def spacing(self, item: WorkItem) -> float:
+        """Return the seconds between a customer's items if all get equal shares.
+
+        Whoever waits for an adapter that is not loaded takes no place meanwhile.
+        """
+        sharing = self._queue.adapters_waited_for(self._planner.slots.loaded)
+        seconds = self._service_by_class[item.work_class].value
+        return seconds / max(1, self.places) * max(1, sharing)
+
+    def behind(self, ahead: int) -> float:
+        """Return the wait behind so many items that compete for places."""
+        if ahead < self.free_places:
+            return 0.0
+        seconds_per_place = self._service.value / max(1, self.places)
+        return (ahead + 1 - self.free_places) * seconds_per_place
+
+    def of(self, item: WorkItem, now: float) -> float:
+        """Return the wait of an item that would be queued now."""
+        ahead, tag = self._queue.ahead_of(item, self._planner.slots.loaded)
+        queue_wait = self.behind(ahead)
+        if queue_wait > 0.0:
+            queue_wait = max(queue_wait, tag - now)
+        return max(queue_wait, self._planner.wait_for_load(item.target.lora_name, now))
+
+    def shortest(self, item: WorkItem, now: float) -> float:
+        """Return the wait that an item has at least."""
+        return self._planner.shortest_wait_for_load(item.target.lora_name, now)
--- a/bench/load_stalls.py
+++ b/bench/load_stalls.py
@@ -76,12 +76,17 @@
             print(line)
 
 
-def hot_caller(profile: Profile, seconds: float, customer: str) -> dict[str, float]:
+def hot_caller(
+    profile: Profile,
+    seconds: float,
+    customer: str,
+    load: float = 0.6,
+) -> dict[str, float]:
     """Return the others' p95 wait without and with a customer at ten times."""
     policy = Policy.chosen(profile.stall_weight)
     figures = {}
     for label, hot in (("without", ""), ("with", customer)):
-        scenario = Scenario("hot caller", 0.6, seconds=seconds, hot_customer=hot)
+        scenario = Scenario("hot caller", load, seconds=seconds, hot_customer=hot)
         result = run_scenario(profile, scenario, policy)
         others = [r for r in result.records if r.customer != customer]
         summary = summarize(
--- a/tests/test_decisions_dispatch.py
+++ b/tests/test_decisions_dispatch.py
@@ -389,6 +389,20 @@
         after = grants(dispatch.on_release(alone.permit_id, 2.0))
         assert [permit.request_id for permit in after] == ["r3", "r4"]
 
+    def test_dead_entry_vm_holds_the_engine_only_until_seen_over(self) -> None:
+        """An entry VM dies while its suspect holds an engine alone.
+
+        The suspect's permit lingers; once the engine no longer lists the request, the
+        others must be served again, though nobody ever releases the permit.
+        """
+        dispatch = make_dispatch()
+        dispatch.on_engine_view(make_view("a@1"), 0.0)
+        suspect = make_item(1, exclusive=True)
+        assert grants(dispatch.on_request(suspect, 0.0))
+        assert not grants(dispatch.on_request(make_item(2, entry_vm="entry-2"), 0.0))
+        assert not grants(dispatch.on_entry_gone("entry-1", 1.0))
+        assert grants(dispatch.on_engine_view(make_view("a@1", read_at=9.0), 9.0))
+
 
 class TestRefusals:
     """What cannot start in time is refused at once, with spread retries."""
