Show that each promise's test fails without its guard: make guards

Cause: a test that passes with and without the guard it is about proves nothing.

Change: each guard is taken out of a scratch copy, where its test must fail. The run exits 1 when a test does not notice, or when the guard's text is no longer there.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: install test codestyle format typecheck demo fuzz measure-recovery bench bench-cost
+.PHONY: install test codestyle format typecheck demo fuzz guards measure-recovery bench bench-cost
 
 install: $(STAMP)
 
@@ -34,6 +34,9 @@
 fuzz: install
 	$(PYTHON) -m bench.fuzz --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
 
+guards: install
+	$(PYTHON) -m bench.guards $(PROMISES)
+
 measure-recovery: install
 	$(PYTHON) -m bench.recovery $(NAMES)
 
