Read the catalogue a little at a time, so that a start stays small

Cause: a VM that starts with 17,000 adapters on the log read all edits in one call and queued them parsed, faster than they were folded: 83,264 KiB resident, above 64 MB.

Now two records a read, and the reader waits until each batch was folded: 68,660 KiB (start of one VM beside one other, 17 edits of 1,000 adapters; ready after 2.0 s instead of 2.1 s). Ruled out: two memory arenas of the C library alone (83,668 KiB); it takes 4 MiB off a VM that accepted the edits, not off one that starts.

--- a/bamboovale/actors.py
+++ b/bamboovale/actors.py
@@ -107,6 +107,17 @@
         logger.debug("dropped %s for a stopped actor", type(message).__name__)
 
 
+def hand_over(actor: pykka.ActorRef, message: Any) -> None:
+    """Send a message and wait until it was handled; a stopped actor ends the wait.
+
+    For a sender that is quicker than the actor: its messages would pile up.
+    """
+    try:
+        actor.ask(message)
+    except pykka.ActorDeadError:
+        logger.debug("dropped %s for a stopped actor", type(message).__name__)
+
+
 def tell_result(
     actor: pykka.ActorRef,
     future: "concurrent.futures.Future[Any]",
--- a/bamboovale/entry/vm.py
+++ b/bamboovale/entry/vm.py
@@ -6,7 +6,7 @@
 
 import pykka
 
-from bamboovale.actors import TICK_S, Ticker, tell
+from bamboovale.actors import TICK_S, Ticker, hand_over, tell
 from bamboovale.admin.app import AdministrationApp
 from bamboovale.catalogue.keeper import (
     CATALOGUE_STREAM,
@@ -85,6 +85,10 @@
 """Pause between reads of lease records: a fourth of the renewal interval, so a renewal
 is read back in good time, and every read brings the records of several VMs."""
 
+CATALOGUE_RECORDS_PER_READ = 2
+"""One edit may set a thousand entries: half a megabyte, and several times that once
+parsed. A VM that starts would hold all edits on the log like that at once."""
+
 ADMIN_THREADS = 6
 LOOK_EVERY_S = 0.05
 
@@ -304,7 +308,8 @@
 
         self._catalogue_follower = follow(
             CATALOGUE_STREAM,
-            lambda batch, _: tell(self._catalogue, CatalogueBatchRead(batch)),
+            lambda batch, _: hand_over(self._catalogue, CatalogueBatchRead(batch)),
+            limit=CATALOGUE_RECORDS_PER_READ,
         )
         self._followers = [
             self._catalogue_follower,
--- a/bamboovale/platform/follower.py
+++ b/bamboovale/platform/follower.py
@@ -6,7 +6,7 @@
 from result import Ok
 
 from bamboovale.environment import Environment
-from bamboovale.platform.log_client import LogClient, RecordBatch
+from bamboovale.platform.log_client import MAX_RECORDS_PER_READ, LogClient, RecordBatch
 
 WAIT_S = 2.0
 """Length of one long poll; an idle stream costs one call in two seconds."""
@@ -52,6 +52,7 @@
     With ``start_behind`` it begins at most that many records before the stream's end.
     ``pace_s`` is a pause after each read that brought records: on a stream to which
     every entry VM appends, each append would otherwise cost every VM a call.
+    ``limit`` bounds the records of one read.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         on_batch: Callable[[RecordBatch, float], None],
         start_behind: int | None = None,
         pace_s: float = 0.0,
+        limit: int = MAX_RECORDS_PER_READ,
     ) -> None:
         self._environment = environment
         self._log = log
@@ -72,6 +74,7 @@
         self._next = 0
         self._start_behind = start_behind
         self._pace_s = pace_s
+        self._limit = limit
         self._stopped = threading.Event()
         self._thread = threading.Thread(
             target=self._run,
@@ -95,7 +98,12 @@
         backoff_s = SHORTEST_BACKOFF_S
         reads = self._environment.metrics.log_reads
         while not self._stopped.is_set():
-            answer = self._log.read(self._stream, self._next, WAIT_S)
+            answer = self._log.read(
+                self._stream,
+                self._next,
+                WAIT_S,
+                self._limit,
+            )
             if isinstance(answer, Ok):
                 reads.labels(stream=self._stream, outcome="ok").inc()
                 backoff_s = SHORTEST_BACKOFF_S
--- a/bamboovale/platform/log_client.py
+++ b/bamboovale/platform/log_client.py
@@ -88,10 +88,11 @@
         stream: str,
         start: int,
         wait_s: float,
+        limit: int = MAX_RECORDS_PER_READ,
     ) -> Result[RecordBatch, LogFailure]:
         """Read records from ``start`` on, waiting up to ``wait_s`` for the first."""
         path = (
-            f"/streams/{stream}/records?from={start}&limit={MAX_RECORDS_PER_READ}"
+            f"/streams/{stream}/records?from={start}&limit={limit}"
             f"&wait_ms={int(wait_s * 1000)}"
         )
         try:
