--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: install test codestyle format typecheck demo fuzz guards measure-recovery bench bench-cost
+.PHONY: install test codestyle format typecheck demo fuzz guards measure-recovery bench bench-cost capacity
 
 install: $(STAMP)
 
@@ -51,3 +51,7 @@
 
 bench-virtual: install
 	$(PYTHON) -m bench.load_stalls $(PROFILE)
+
+# The slopes behind docs/CAPACITY.md; takes less than ten minutes.
+capacity: install
+	$(PYTHON) -m bench.capacity
--- a/bench/capacity_links.py
+++ b/bench/capacity_links.py
@@ -10,7 +10,7 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from multiprocessing.connection import Connection
 from typing import Any
 
@@ -179,8 +179,9 @@
     names: list[str],
 ) -> dict[str, float]:
     pid = hub.recv()
-    memory, idle = [], []
+    memory, idle, opening = [], [], []
     linked = 0
+    began = Usage.of_process(pid)
     for count in LINK_COUNTS:
         for name in names[linked:count]:
             ends[name].send(name)
@@ -188,9 +189,14 @@
             hub.send(("link", name))
             hub.recv()
         linked = count
+        opened = Usage.of_process(pid)
+        opening.append((count, (opened.cpu_s - began.cpu_s) * 1000))
         usage, cores = _read(pid)
         memory.append((count, usage.resident_bytes / KIB))
         idle.append((count, cores * 100))
+        # Time spent idle meanwhile is not part of the opening.
+        spent_s = Usage.of_process(pid).cpu_s - opened.cpu_s
+        began = replace(began, cpu_s=began.cpu_s + spent_s)
     busy = []
     for rate in MESSAGE_RATES:
         hub.send(("rate", rate))
@@ -201,6 +207,7 @@
     peer = "peer linked both ways"
     lines = {
         "link_kib": print_slope("links, resident memory", memory, peer, "KiB"),
+        "open_cpu": print_slope("links, opening", opening, peer, "ms of a core"),
         "link_cpu": print_slope("links, idle (pings)", idle, peer, "% of a core"),
         "request_cpu": print_slope(
             f"requests sent by the hub at {linked} links",
