Hold an engine only once the catalogue names its pool

Cause: an entry VM that took a lease before the first catalogue guessed 2 s for a load of 0.4 s, and kept the guess for as long as it held the lease.

Ruled out: starting such a holder anew when the pool appears (permit ids begin again under the same fencing number).

Change: a lease whose pool the catalogue does not name yet has no holder; it starts when the catalogue changes. Before, no request can name the engine. Still open: a later edit of load_seconds reaches a holder only with its next lease.

--- a/bamboovale/entry/holders.py
+++ b/bamboovale/entry/holders.py
@@ -8,6 +8,7 @@
 import pykka
 
 from bamboovale.actors import Ticker, tell
+from bamboovale.catalogue.entries import PoolEntry
 from bamboovale.decisions.dispatch import DispatchConfig
 from bamboovale.decisions.policy import Policy
 from bamboovale.decisions.work import EngineHint
@@ -38,6 +39,15 @@
     on_stopped: Callable[[str], None]
 
 
+@dataclass(frozen=True)
+class HeldLease:
+    """What a holder is started with."""
+
+    fencing: int
+    valid: Callable[[], bool]
+    links: HolderLinksToVM
+
+
 class Holders:
     """Starts and stops holders as leases come and go."""
 
@@ -55,7 +65,8 @@
         self._client = client
         self._ticker = ticker
         self._holder_by_engine: dict[str, pykka.ActorRef] = {}
-        self._lock = threading.Lock()
+        self._lease_by_engine_without_pool: dict[str, HeldLease] = {}
+        self._lock = threading.RLock()
 
     def find(self, engine_id: str) -> pykka.ActorRef | None:
         """Return the holder of an engine, None if it is not held here."""
@@ -74,27 +85,32 @@
         if vm is None or address is None:
             return  # not listed any more: the lease lapses with nobody renewing it
         engine = EngineAddress(engine_id, *address)
-        holder = EngineHolder.start(
-            environment=self._environment,
-            engine=engine,
-            config=self._config(engine_id, vm.pool, fencing),
-            policy=self._policy,
-            orders=LeasedOrders(
-                self._environment,
-                self._client,
-                engine,
-                fencing,
-                valid,
-            ),
-            load_turns=links.load_turns,
-            on_hint=links.on_hint,
-            log_is_down=lambda: self._views.log_down_for_all,
-        )
         with self._lock:
             before = self._holder_by_engine.pop(engine_id, None)
+            if before is not None:
+                self._end(before)
+            self._lease_by_engine_without_pool.pop(engine_id, None)
+            if self._awaits_pool(vm.pool):
+                held = HeldLease(fencing, valid, links)
+                self._lease_by_engine_without_pool[engine_id] = held
+                return
+            holder = EngineHolder.start(
+                environment=self._environment,
+                engine=engine,
+                config=self._config(engine_id, vm.pool, fencing),
+                policy=self._policy,
+                orders=LeasedOrders(
+                    self._environment,
+                    self._client,
+                    engine,
+                    fencing,
+                    valid,
+                ),
+                load_turns=links.load_turns,
+                on_hint=links.on_hint,
+                log_is_down=lambda: self._views.log_down_for_all,
+            )
             self._holder_by_engine[engine_id] = holder
-        if before is not None:
-            self._end(before)
         self._ticker.add(holder)
         if self._views.membership.is_leaving(engine_id):
             tell(holder, LeavingSeen())
@@ -103,6 +119,7 @@
     def stop(self, engine_id: str, links: HolderLinksToVM) -> None:
         """Stop holding an engine; what waits there is sent elsewhere."""
         with self._lock:
+            self._lease_by_engine_without_pool.pop(engine_id, None)
             holder = self._holder_by_engine.pop(engine_id, None)
         if holder is not None:
             self._end(holder)
@@ -113,14 +130,20 @@
         with self._lock:
             holders = list(self._holder_by_engine.values())
             self._holder_by_engine.clear()
+            self._lease_by_engine_without_pool.clear()
         for holder in holders:
             self._end(holder)
 
     def on_membership(self) -> None:
-        """Tell holders of engines that leave."""
+        """Tell holders of engines that leave; start those whose pool became known."""
         for engine_id, holder in list(self._holder_by_engine.items()):
             if self._views.membership.is_leaving(engine_id):
                 tell(holder, LeavingSeen())
+        for engine_id in list(self._lease_by_engine_without_pool):
+            with self._lock:
+                held = self._lease_by_engine_without_pool.get(engine_id)
+                if held is not None:
+                    self.start(engine_id, held.fencing, held.valid, held.links)
 
     def on_entry_vm_gone(self, vm_id: str) -> None:
         """Tell all holders that an entry VM fell silent."""
@@ -145,8 +168,7 @@
 
     def _config(self, engine_id: str, pool: str, fencing: int) -> DispatchConfig:
         settings = self._environment.settings
-        catalogue = self._views.catalogue
-        entry = None if catalogue is None else catalogue.pool_by_name.get(pool)
+        entry = self._pool_entry(pool)
         return DispatchConfig(
             engine_id=engine_id,
             base_model="" if entry is None else entry.base_model,
@@ -157,3 +179,17 @@
             ),
             send_within_s=settings.send_within_s,
         )
+
+    def _awaits_pool(self, pool: str) -> bool:
+        """Tell whether the catalogue is known but does not name the pool yet.
+
+        A holder started then would guess how long a load takes. A guess far too long
+        keeps new adapters away from its engine, so that nothing ever corrects it: the
+        engine idles while others exchange their slots. Nobody can ask for the engine
+        before its pool is named, so waiting costs nothing.
+        """
+        return self._views.catalogue is not None and self._pool_entry(pool) is None
+
+    def _pool_entry(self, pool: str) -> PoolEntry | None:
+        catalogue = self._views.catalogue
+        return None if catalogue is None else catalogue.pool_by_name.get(pool)
--- /dev/null
+++ b/tests/test_entry_holders.py
@@ -0,0 +1,99 @@
+"""Holders of engines: when they start, and with which settings of their pool."""
+
+from collections.abc import Iterator
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from result import Err
+
+from bamboovale.actors import Ticker
+from bamboovale.catalogue.entries import PoolEntry
+from bamboovale.decisions.policy import Policy
+from bamboovale.entry.holders import HolderLinksToVM, Holders
+from bamboovale.environment import Environment
+from bamboovale.membership.view import Membership
+from bamboovale.models import VM, VMKind
+from bamboovale.settings import Settings
+from bamboovale.views import Views
+
+ENGINE = VM("g1", VMKind.RUNNER, "127.0.0.1", {"http": 1}, pool="tutor-llm")
+POOL = PoolEntry("tutor-llm", "base-7b", load_seconds=0.25)
+
+
+class SilentEngine:
+    """An engine that does not answer."""
+
+    def read_state(self, engine: Any) -> Any:
+        return Err("no answer")
+
+
+class Deployment:
+    """Holders of one VM, with a catalogue that the test edits."""
+
+    def __init__(self) -> None:
+        self.views = Views(membership=Membership([ENGINE]))
+        self.started: list[str] = []
+        self.links = HolderLinksToVM(
+            load_turns=SimpleNamespace(),
+            on_hint=lambda hint: None,
+            on_started=self.started.append,
+            on_stopped=lambda engine_id: None,
+        )
+        self.holders = Holders(
+            Environment.from_settings(Settings(id="e1")),
+            self.views,
+            Policy.chosen(),
+            SilentEngine(),
+            Ticker(),
+        )
+
+    def name_pools(self, *pools: PoolEntry) -> None:
+        by_name = {pool.name: pool for pool in pools}
+        self.views.catalogue = SimpleNamespace(pool_by_name=by_name)
+        self.holders.on_membership()
+
+    def hold(self) -> None:
+        self.holders.start("g1", 5, lambda: True, self.links)
+
+
+@pytest.fixture
+def deployment() -> Iterator[Deployment]:
+    deployment = Deployment()
+    yield deployment
+    deployment.holders.stop_all()
+
+
+class TestPools:
+    """A holder needs its pool's load time.
+
+    VMs start before the operators publish their first catalogue. Their holders guessed
+    two seconds for a load of 0.4, asked for none on four engines of six, and callers
+    waited for slots on the other two for as long as the leases stood.
+    """
+
+    def test_an_engine_is_held_only_once_its_pool_is_named(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.name_pools()
+        deployment.hold()
+        assert deployment.holders.find("g1") is None
+        deployment.name_pools(POOL)
+        assert deployment.holders.dump()["g1"]["load_wait_s"] == 2 * POOL.load_seconds
+        assert deployment.started == ["g1"]
+
+    def test_a_lease_lost_meanwhile_starts_no_holder(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.name_pools()
+        deployment.hold()
+        deployment.holders.stop("g1", deployment.links)
+        deployment.name_pools(POOL)
+        assert deployment.holders.find("g1") is None
+
+    def test_a_holder_is_started_once(self, deployment: Deployment) -> None:
+        deployment.name_pools(POOL)
+        deployment.hold()
+        holder = deployment.holders.find("g1")
+        deployment.name_pools(POOL)
+        assert deployment.holders.find("g1") is holder
