--- a/bamboovale/cli/catalogue.py
+++ b/bamboovale/cli/catalogue.py
@@ -178,7 +178,7 @@
     answer = _client(admin, token).call(
         "POST",
         "/admin/v1/apply",
-        _read_file(file),
+        _without_revisions(_read_file(file)),
         headers,
     )
     _report_edit(answer, output)
@@ -284,6 +284,16 @@
     return data
 
 
+def _without_revisions(data: dict[str, Any]) -> dict[str, Any]:
+    """Take a list as ``list --format json`` prints it: a copy can be applied again."""
+    data.pop("revision", None)
+    entries = data.get("entries")
+    for entry in entries if isinstance(entries, list) else ():
+        if isinstance(entry, dict):
+            entry.pop("revision", None)
+    return data
+
+
 def _report_edit(answer: Answer, output: OutputFormat) -> None:
     _exit_unless_ok(answer)
     if output is OutputFormat.JSON:
--- a/tests/test_admin_cli.py
+++ b/tests/test_admin_cli.py
@@ -78,6 +78,20 @@
             "entries[0].base_model: is required",
         ]
 
+    def test_a_printed_list_can_be_applied_again(self, console: Console) -> None:
+        """The log lost the catalogue; the operator has kept a printed list of it."""
+        console.run("set", console.file(POOL))
+        kept = json.loads(console.run("list", "--format=json").output)
+        console.run("delete", "pool", "tutor-llm")
+        done = console.run("apply", console.file(kept))
+        assert done.output == "accepted at revision 3\n"
+        assert "tutor-llm" in console.run("list").output
+
+    def test_entries_that_are_no_list_are_findings(self, console: Console) -> None:
+        for entries in (7, "x", {"a": 1}):
+            done = console.run("apply", console.file({"entries": entries}))
+            assert done.exit_code == ExitStatus.REJECTED, done.output
+
     def test_the_next_url_is_tried_when_one_is_unreachable(
         self,
         console: Console,
