--- a/bamboovale/cli/catalogue.py
+++ b/bamboovale/cli/catalogue.py
@@ -13,6 +13,12 @@
 import typer
 
 from bamboovale.cli.administration import AdministrationClient, Answer
+from bamboovale.cli.catalogue_output import (
+    entry_line,
+    history_lines,
+    print_in_force,
+    print_json,
+)
 from bamboovale.cli.catalogue_recovery import begin_anew
 from bamboovale.status import ExitStatus
 
@@ -90,10 +96,10 @@
     answer = _client(admin, token).call("GET", f"/admin/v1/entries{query}")
     _exit_unless_ok(answer)
     if output is OutputFormat.JSON:
-        _print_json(answer.body)
+        print_json(answer.body)
         return
     for entry in answer.body["entries"]:
-        typer.echo(_entry_line(entry))
+        typer.echo(entry_line(entry))
 
 
 @app.command("get")
@@ -106,7 +112,7 @@
     """Print one entry as JSON, with its revision."""
     answer = _client(admin, token).call("GET", _entry_path(kind, name))
     _exit_unless_ok(answer)
-    _print_json(answer.body)
+    print_json(answer.body)
 
 
 @app.command("set")
@@ -197,10 +203,10 @@
     answer = _client(admin, token).call("GET", f"/admin/v1/history?{query}")
     _exit_unless_ok(answer)
     if output is OutputFormat.JSON:
-        _print_json(answer.body)
+        print_json(answer.body)
         return
     for record in answer.body["history"]:
-        for line in _history_lines(record):
+        for line in history_lines(record):
             typer.echo(line)
 
 
@@ -234,9 +240,9 @@
             break
         time.sleep(0.1)
     if output is OutputFormat.JSON:
-        _print_json(answer.body)
+        print_json(answer.body)
     else:
-        _print_in_force(answer.body)
+        print_in_force(answer.body)
     if not answer.body["in_force"]:
         raise typer.Exit(ExitStatus.TIMEOUT)
 
@@ -297,7 +303,7 @@
 def _report_edit(answer: Answer, output: OutputFormat) -> None:
     _exit_unless_ok(answer)
     if output is OutputFormat.JSON:
-        _print_json(answer.body)
+        print_json(answer.body)
         return
     parts = answer.body["parts"]
     split = f" (split into {parts} edits)" if parts > 1 else ""
@@ -310,47 +316,3 @@
     for line in answer.error_lines():
         typer.echo(line, err=True)
     raise typer.Exit(answer.status)
-
-
-def _print_json(data: Any) -> None:
-    typer.echo(json.dumps(data, indent=2))
-
-
-def _entry_line(entry: dict[str, Any]) -> str:
-    detail = entry.get("base_model", "")
-    if entry["kind"] == "adapter":
-        detail = f"{entry['adapter']}@{entry['version']} in {entry['pool']}"
-    elif entry["kind"] == "service":
-        detail = f"in {entry['pool']}"
-    owner = entry.get("owner", "-")
-    return (
-        f"{entry['kind']:8} {entry['name']:32} {entry['revision']:>8}  "
-        f"{owner:20} {detail}"
-    )
-
-
-def _history_lines(record: dict[str, Any]) -> list[str]:
-    moment = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(record["made_at"]))
-    head = f"{record['revision']:>8}  {moment}  {record['author']}  {record['edit_id']}"
-    lines = [head]
-    for change in record["changes"]:
-        verb = "set" if change["after"] else "deleted"
-        if change["after"] and not change["before"]:
-            verb = "created"
-        lines.append(f"          {verb} {change['kind']} {change['name']}")
-    if record["omitted"]:
-        lines.append(f"          and {record['omitted']} more")
-    return lines
-
-
-def _print_in_force(report: dict[str, Any]) -> None:
-    if report["in_force"]:
-        count = len(report["revision_by_vm"])
-        typer.echo(f"revision {report['revision']} is in force on {count} entry VMs")
-        return
-    for vm in report["behind"]:
-        typer.echo(f"{vm}: at revision {report['revision_by_vm'][vm]}", err=True)
-    for vm in report["missing"]:
-        typer.echo(f"{vm}: does not answer", err=True)
-    if not report["revision_by_vm"] and not report["missing"]:
-        typer.echo("no entry VM is known to be live", err=True)
