Name the term in lease records; stretch it with the fleet; hold engines nearby

Cause: (1) a taker waited its own setting of the term, so changing the setting VM by VM lets one with the short term take what one with the long term still holds. (2) At 380 entry VMs, renewals every 0.8 s are 475 appends and 63 KB a second for each reader (arithmetic on docs/design/leases.md's 132 bytes); the budget is 11 KB. (3) Engines were held anywhere: losing a failure domain stopped engines elsewhere. Ruled out: a term that each VM works out alone from its VM list; lists differ for a while, and a holder and a taker would count differently. The lease machine now gives nodes terms that differ and change; the keeper's recovery test sets the longest term that it waits for. Seen to fail first: TestTermsThatDiffer on a fold without the term.

--- a/bamboovale/decisions/assignment.py
+++ b/bamboovale/decisions/assignment.py
@@ -2,23 +2,32 @@
 
 Load pattern: few entry VMs hold the leases of a few engines. Plain rendezvous hashing
 gave one of three VMs four of five leases, and with that VM four of five engines wait
-for a take-over at once.
+for a take-over at once. And when a failure domain is lost, engines elsewhere whose
+holders stood in it wait for a take-over too.
 
 Every VM works out the same assignment from the same two lists: engines in a fixed
-order each go to the first VM in their rendezvous order that is not full. No VM gets
-more than its even share rounded up. A VM that comes or goes moves its own share and
-few others.
+order each go to the first VM in their order that is not full: VMs of the engine's
+failure domain first, each group in rendezvous order. No VM gets more than its even
+share rounded up. A VM that comes or goes moves its own share and few others.
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from bamboovale.decisions.rendezvous import score
 
 
-def ranked_vms(engine_id: str, vm_ids: Iterable[str]) -> list[str]:
-    """Return the VMs in the engine's rendezvous order, the best first."""
-    return sorted(vm_ids, key=lambda vm_id: score(engine_id, vm_id), reverse=True)
+def ranked_vms(
+    engine_id: str,
+    failure_domain: str,
+    domain_by_vm: Mapping[str, str],
+) -> list[str]:
+    """Return the VMs in the engine's order, the best first."""
+
+    def rank(vm_id: str) -> tuple[bool, int]:
+        return domain_by_vm[vm_id] == failure_domain, score(engine_id, vm_id)
+
+    return sorted(domain_by_vm, key=rank, reverse=True)
 
 
 class LeaseAssignment:
@@ -29,34 +38,33 @@
     """
 
     def __init__(self) -> None:
-        self._engines: frozenset[str] = frozenset()
-        self._vms: frozenset[str] = frozenset()
-        self._turn_by_engine: dict[str, list[str]] = {}
+        self._inputs: tuple[Mapping[str, str], Mapping[str, str]] = ({}, {})
+        self._turns_by_engine: dict[str, list[str]] = {}
 
     def turns(
         self,
         engine_id: str,
-        engine_ids: Iterable[str],
-        vm_ids: Iterable[str],
+        domain_by_engine: Mapping[str, str],
+        domain_by_vm: Mapping[str, str],
     ) -> list[str]:
         """Return the VMs in the order in which they may take the engine's lease."""
-        engines, vms = frozenset(engine_ids) | {engine_id}, frozenset(vm_ids)
-        if (engines, vms) != (self._engines, self._vms):
-            self._engines, self._vms = engines, vms
-            self._turn_by_engine = _assign(engines, vms)
-        return self._turn_by_engine[engine_id]
+        if (domain_by_engine, domain_by_vm) != self._inputs:
+            self._inputs = (dict(domain_by_engine), dict(domain_by_vm))
+            self._turns_by_engine = dict(_assign(domain_by_engine, domain_by_vm))
+        return self._turns_by_engine[engine_id]
 
 
-def _assign(engines: frozenset[str], vms: frozenset[str]) -> dict[str, list[str]]:
-    most = -(-len(engines) // len(vms)) if vms else 0
+def _assign(
+    domain_by_engine: Mapping[str, str],
+    domain_by_vm: Mapping[str, str],
+) -> Iterable[tuple[str, list[str]]]:
+    most = -(-len(domain_by_engine) // max(1, len(domain_by_vm)))
     held: Counter[str] = Counter()
-    turn_by_engine = {}
-    for engine in sorted(engines):
-        ranking = ranked_vms(engine, vms)
+    for engine, domain in sorted(domain_by_engine.items()):
+        ranking = ranked_vms(engine, domain, domain_by_vm)
         first = next((vm_id for vm_id in ranking if held[vm_id] < most), None)
         if first is not None:
             held[first] += 1
             ranking.remove(first)
             ranking.insert(0, first)
-        turn_by_engine[engine] = ranking
-    return turn_by_engine
+        yield engine, ranking
--- a/bamboovale/entry/request_gate.py
+++ b/bamboovale/entry/request_gate.py
@@ -144,6 +144,8 @@
                 if waiting.until <= now
             ]
         for descriptor in overdue:
+            # Of a VM that was frozen the clock has gone on; what came meanwhile counts.
+            self._look(descriptor, ended=False)
             self._drop(descriptor)
 
     def _drop(self, descriptor: int) -> None:
--- a/bamboovale/leases/fold.py
+++ b/bamboovale/leases/fold.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from bamboovale.leases.records import (
+    DEFAULT_TERM_S,
     LeaseRecord,
     Release,
     Renewal,
@@ -49,6 +50,8 @@
     ``holder`` is None after a release that names nobody. ``last_offset`` is that of
     the last record that counted, and ``read_at`` the reader's monotonic time when it
     read that record: what the reader's own wait counts from, different on each.
+    ``term_s`` is the longest term that the holder's records have named: an earlier
+    renewal with a longer term may hold longer than the last one.
     """
 
     engine: str
@@ -56,6 +59,7 @@
     fencing: int
     last_offset: int
     read_at: float
+    term_s: float = DEFAULT_TERM_S
 
 
 class VoidReason(StrEnum):
@@ -176,7 +180,13 @@
             "at": self.next_offset,
             "last": self.last_record_offset,
             "leases": [
-                [lease.engine, lease.holder, lease.fencing, lease.last_offset]
+                [
+                    lease.engine,
+                    lease.holder,
+                    lease.fencing,
+                    lease.last_offset,
+                    lease.term_s,
+                ]
                 for _, lease in sorted(self._lease_by_engine.items())
             ],
         }
@@ -199,8 +209,8 @@
             return None
         table = cls.empty(record.at)
         table.last_record_offset = record.last
-        for engine, holder, fencing, last_offset in record.leases:
-            lease = Lease(engine, holder, fencing, last_offset, read_at)
+        for engine, holder, fencing, last_offset, term_s in record.leases:
+            lease = Lease(engine, holder, fencing, last_offset, read_at, term_s)
             table._lease_by_engine[engine] = lease
         return table
 
@@ -223,10 +233,12 @@
             if not self._holds(record.node, engine, fencing):
                 refused.append(engine)
                 continue
+            lease = self._lease_by_engine[engine]
             self._lease_by_engine[engine] = replace(
-                self._lease_by_engine[engine],
+                lease,
                 last_offset=offset,
                 read_at=read_at,
+                term_s=max(lease.term_s, record.term_s),
             )
             engines.append(engine)
         return Renewed(
@@ -278,6 +290,9 @@
             fencing=offset,
             last_offset=offset,
             read_at=read_at,
+            # After a release the next node holds nothing before its own renewal, which
+            # a take would void: no term is waited for the node's sake.
+            term_s=record.term_s if isinstance(record, Take) else DEFAULT_TERM_S,
         )
         if len(self._lease_by_engine) > MAX_ENGINES:
             leases = self._lease_by_engine.values()
--- a/bamboovale/leases/holding.py
+++ b/bamboovale/leases/holding.py
@@ -4,10 +4,15 @@
 from dataclasses import dataclass
 
 from bamboovale.leases.fold import Cleared, Lease, LeaseOutcome, Moved, Renewed
-from bamboovale.leases.records import Renewal
-from bamboovale.leases.timing import LeaseTerms
-
-# Send times of records that never came back are dropped beyond this number.
+from bamboovale.leases.records import (
+    DEFAULT_TERM_S,
+    LeaseRecord,
+    Renewal,
+    Reset,
+    Take,
+)
+
+# Ends of terms of records that never came back are dropped beyond this number.
 MAX_PENDING = 256
 
 
@@ -28,13 +33,12 @@
     """What this node holds, from its own records as it reads them back.
 
     Call ``note_sent`` *before* each append and ``note_read`` for each outcome of the
-    fold. A repeated append keeps its record id and its first send time.
+    fold. A repeated append keeps its record id, its first send time and its term.
     """
 
-    def __init__(self, node: str, terms: LeaseTerms) -> None:
+    def __init__(self, node: str) -> None:
         self._node = node
-        self._terms = terms
-        self._sent_at_by_record_id: dict[str, float] = {}
+        self._ends_at_by_record_id: dict[str, float] = {}
         self._held_by_engine: dict[str, HeldLease] = {}
 
     @property
@@ -42,21 +46,28 @@
         """Return a copy of what the stream says this node holds, valid or not."""
         return dict(self._held_by_engine)
 
-    def renewal(self, record_id: str) -> Renewal:
-        """Return the record that renews every lease of this node."""
+    def renewal(self, record_id: str, term_s: float = DEFAULT_TERM_S) -> Renewal:
+        """Return the record that renews every lease of this node for a term."""
         return Renewal(
             record_id=record_id,
             node=self._node,
             fencing_by_engine={
                 engine: held.fencing for engine, held in self._held_by_engine.items()
             },
+            term_s=term_s,
         )
 
-    def note_sent(self, record_id: str, now: float) -> None:
-        """Remember when a record was first about to be sent."""
-        self._sent_at_by_record_id.setdefault(record_id, now)
-        while len(self._sent_at_by_record_id) > MAX_PENDING:
-            del self._sent_at_by_record_id[next(iter(self._sent_at_by_record_id))]
+    def note_sent(self, record: LeaseRecord | Reset, now: float) -> None:
+        """Remember when a record was first about to be sent, and for which term.
+
+        A term counts from before the append: wherever the record comes to lie on the
+        log, takers count from later.
+        """
+        if isinstance(record, Renewal | Take):
+            ends_at = now + record.term_s
+            self._ends_at_by_record_id.setdefault(record.record_id, ends_at)
+        while len(self._ends_at_by_record_id) > MAX_PENDING:
+            del self._ends_at_by_record_id[next(iter(self._ends_at_by_record_id))]
 
     def note_read(self, outcome: LeaseOutcome | None) -> None:
         """Take in what the fold made of a record, own or another's."""
@@ -102,7 +113,7 @@
             return
         valid_until = None
         if not outcome.by_release:
-            valid_until = self._valid_until(outcome.record_id)
+            valid_until = self._ends_at_by_record_id.get(outcome.record_id)
         self._held_by_engine[outcome.engine] = HeldLease(
             engine=outcome.engine,
             fencing=outcome.fencing,
@@ -110,7 +121,7 @@
         )
 
     def _note_renewal(self, outcome: Renewed) -> None:
-        valid_until = self._valid_until(outcome.record_id)
+        valid_until = self._ends_at_by_record_id.get(outcome.record_id)
         if valid_until is None:
             return
         for engine in outcome.engines:
@@ -119,7 +130,3 @@
                 continue
             later = max(valid_until, held.valid_until or valid_until)
             self._held_by_engine[engine] = HeldLease(engine, held.fencing, later)
-
-    def _valid_until(self, record_id: str) -> float | None:
-        sent_at = self._sent_at_by_record_id.get(record_id)
-        return None if sent_at is None else self._terms.valid_until(sent_at)
--- a/bamboovale/leases/keeper.py
+++ b/bamboovale/leases/keeper.py
@@ -80,6 +80,7 @@
             term_s=settings.lease_term_s,
             renew_every_s=settings.lease_renew_s,
             margin_s=settings.lease_margin_s,
+            longest_term_s=settings.lease_longest_term_s,
         )
         self._node = node_name(settings.id, environment.incarnation)
         self._table: LeaseTable | None = None
@@ -88,7 +89,7 @@
         self._recovery: LeaseRecovery | None = None
         self._unfolded: list[LogRecord] = []
         self._reset_sent_at = 0.0
-        self._own = OwnLeases(self._node, self._terms)
+        self._own = OwnLeases(self._node)
         self._record_numbers = itertools.count()
         self._assignment = LeaseAssignment()
         self._first_seen_at: dict[str, float] = {}
@@ -234,8 +235,9 @@
         self._yield_to_later_holders()
         self._publish()
         if now >= self._next_renewal_at and self._own.held_by_engine:
-            self._next_renewal_at = now + self._terms.renew_every_s
-            self._renew(now)
+            terms = self._fleet_terms()
+            self._next_renewal_at = now + terms.renew_every_s
+            self._renew(terms, now)
         if self._handing_over or not self._views.serving:
             return
         for engine in self._wanted():
@@ -264,12 +266,16 @@
         runners = self._views.membership.runners()
         return [WEIGHT_STORE, *(runner.id for runner in runners)]
 
-    def _renew(self, now: float) -> None:
+    def _fleet_terms(self) -> LeaseTerms:
+        listed = self._views.membership.listed_entry_vms()
+        return self._terms.for_fleet(len(listed))
+
+    def _renew(self, terms: LeaseTerms, now: float) -> None:
         if self._renewals_under_way >= MAX_RENEWALS_UNDER_WAY:
             return
         self._renewals_under_way += 1
-        record = self._own.renewal(self._record_id())
-        self._own.note_sent(record.record_id, now)
+        record = self._own.renewal(self._record_id(), terms.term_s)
+        self._own.note_sent(record, now)
         self._appender.append(
             record.to_json(),
             lambda _: tell(self.actor_ref, RenewalEnded()),
@@ -291,7 +297,8 @@
         if lease is not None and lease.holder is not None:
             # After an outage the holder's renewal and this take would race: the
             # holder, whose engine is warm, gets a term to renew first.
-            due = max(due, self._health.back_since + self._terms.wait_s)
+            wait_s = self._terms.wait_s(lease.term_s)
+            due = max(due, self._health.back_since + wait_s)
         if now < due or now < self._take_sent_at.get(engine, 0.0) + TAKE_AGAIN_S:
             return
         self._take_sent_at[engine] = now
@@ -300,13 +307,21 @@
             node=self._node,
             engine=engine,
             after=self._table.last_offset(engine),
+            term_s=self._fleet_terms().term_s,
         )
-        self._own.note_sent(record.record_id, now)
+        self._own.note_sent(record, now)
         self._appender.append(record.to_json())
 
     def _ranking(self, engine: str) -> list[str]:
-        usable = [vm.id for vm in self._views.membership.usable_entry_vms()]
-        return self._assignment.turns(engine, self._wanted(), usable)
+        membership = self._views.membership
+        domain_by_engine = {WEIGHT_STORE: ""}
+        for runner in membership.runners():
+            domain_by_engine[runner.id] = runner.failure_domain
+        domain_by_engine.setdefault(engine, "")
+        domain_by_vm = {
+            vm.id: vm.failure_domain for vm in membership.usable_entry_vms()
+        }
+        return self._assignment.turns(engine, domain_by_engine, domain_by_vm)
 
     def _rank(self, engine: str, lapsed_holder: str | None) -> int | None:
         """Return this VM's turn among the takers, None if it is not usable."""
--- a/bamboovale/leases/records.py
+++ b/bamboovale/leases/records.py
@@ -1,18 +1,27 @@
 """Records of the lease stream: typed in the program, JSON maps on the log."""
 
+import math
 from dataclasses import dataclass, field
 from typing import Any
 
 from result import Err, Ok, Result
 
+# A killed holder's engine should be served again within 5 s: 3 s of term, the margin,
+# one step of stagger, an append and the new holder's questions fit in that.
+DEFAULT_TERM_S = 3.0
+
 
 @dataclass(frozen=True, slots=True)
 class Renewal:
-    """Extends all leases of one node; one record for all its engines."""
+    """Extends all leases of one node; one record for all its engines.
+
+    ``term_s`` is for how long the node holds them: what a taker waits for.
+    """
 
     record_id: str
     node: str
     fencing_by_engine: dict[str, int] = field(default_factory=dict)
+    term_s: float = DEFAULT_TERM_S
 
     def to_json(self) -> dict[str, Any]:
         """Return the value for the log."""
@@ -21,6 +30,7 @@
             "id": self.record_id,
             "node": self.node,
             "fencing_by_engine": self.fencing_by_engine,
+            "term_s": self.term_s,
         }
 
 
@@ -32,6 +42,7 @@
     node: str
     engine: str
     after: int
+    term_s: float = DEFAULT_TERM_S
 
     def to_json(self) -> dict[str, Any]:
         """Return the value for the log."""
@@ -41,6 +52,7 @@
             "node": self.node,
             "engine": self.engine,
             "after": self.after,
+            "term_s": self.term_s,
         }
 
 
@@ -98,7 +110,7 @@
     record_id: str
     at: int
     last: int
-    leases: tuple[tuple[str, str | None, int, int], ...]
+    leases: tuple[tuple[str, str | None, int, int, float], ...]
 
 
 LeaseRecord = Renewal | Take | Release
@@ -126,7 +138,16 @@
         return Err("fencing numbers must be offsets")
     if not _has_strings(value, "id", "node"):
         return Err("id and node must be strings")
-    return Ok(Renewal(value["id"], value["node"], dict(fencing_by_engine)))
+    if not _is_term(value.get("term_s")):
+        return Err("term_s must be a positive number")
+    return Ok(
+        Renewal(
+            value["id"],
+            value["node"],
+            dict(fencing_by_engine),
+            value["term_s"],
+        )
+    )
 
 
 def _parse_take(value: dict[str, Any]) -> Result[Take, str]:
@@ -135,7 +156,17 @@
         return Err("after must be an offset or -1")
     if not _has_strings(value, "id", "node", "engine"):
         return Err("id, node and engine must be strings")
-    return Ok(Take(value["id"], value["node"], value["engine"], value["after"]))
+    if not _is_term(value.get("term_s")):
+        return Err("term_s must be a positive number")
+    return Ok(
+        Take(
+            value["id"],
+            value["node"],
+            value["engine"],
+            value["after"],
+            value["term_s"],
+        )
+    )
 
 
 def _parse_release(value: dict[str, Any]) -> Result[Release, str]:
@@ -178,7 +209,7 @@
             record_id=value["id"],
             at=value["at"],
             last=value["last"],
-            leases=tuple((row[0], row[1], row[2], row[3]) for row in rows),
+            leases=tuple((row[0], row[1], row[2], row[3], row[4]) for row in rows),
         )
     )
 
@@ -204,12 +235,19 @@
     return _is_offset(value) or (value == -1 and isinstance(value, int))
 
 
+def _is_term(value: Any) -> bool:
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return False
+    return math.isfinite(value) and value > 0
+
+
 def _is_row(row: Any) -> bool:
     return (
         isinstance(row, list)
-        and len(row) == 4
+        and len(row) == 5
         and isinstance(row[0], str)
         and (row[1] is None or isinstance(row[1], str))
         and _is_offset(row[2])
         and _is_offset(row[3])
+        and _is_term(row[4])
     )
--- a/bamboovale/leases/recovery.py
+++ b/bamboovale/leases/recovery.py
@@ -54,8 +54,12 @@
         return Reset(record_id, node, after=self._next_offset - 1)
 
     def may_reset_at(self, terms: LeaseTerms, rank: int) -> float:
-        """Return from when a reset may be appended; rank 0 is first in turn."""
-        return self._quiet_since + terms.wait_s + rank * terms.rank_step_s
+        """Return from when a reset may be appended; rank 0 is first in turn.
+
+        Records that are not known here may have named any term.
+        """
+        wait_s = terms.wait_s(terms.longest_term_s)
+        return self._quiet_since + wait_s + rank * terms.rank_step_s
 
     def _begin(self, first: int, now: float) -> None:
         # Whatever lay before ``first`` is on the log no more, so it was appended
--- a/bamboovale/settings.py
+++ b/bamboovale/settings.py
@@ -109,6 +109,12 @@
         low=0.2,
         high=600,
     )
+    lease_longest_term_s: float = setting(
+        60.0,
+        "Seconds that no entry VM's term exceeds: large fleets stretch theirs.",
+        low=0.2,
+        high=600,
+    )
     lease_renew_s: float = setting(
         0.8,
         "Seconds between renewals of a lease.",
@@ -334,6 +340,12 @@
 
 def _broken_rules(settings: Settings) -> Iterator[_BrokenRule]:
     """Yield each rule between settings that these settings break."""
+    if settings.lease_longest_term_s < settings.lease_term_s:
+        yield _BrokenRule(
+            "lease_longest_term_s",
+            ("lease_longest_term_s", "lease_term_s"),
+            "must not be below lease_term_s",
+        )
     # One lost or late renewal must leave time for a second one in the same term.
     if settings.lease_renew_s >= settings.lease_term_s / 2:
         yield _BrokenRule(
--- a/tests/test_decisions_assignment.py
+++ b/tests/test_decisions_assignment.py
@@ -7,10 +7,15 @@
 
 from bamboovale.decisions.assignment import LeaseAssignment
 
+DOMAINS = ("muc-a", "muc-b", "nue-a")
 NAMES = st.sets(st.integers(1, 40), min_size=1, max_size=12)
 
 
-def first_by_engine(engines: set[str], vms: set[str]) -> dict[str, str]:
+def spread(prefix: str, numbers: set[int]) -> dict[str, str]:
+    return {f"{prefix}{n}": DOMAINS[n % len(DOMAINS)] for n in numbers}
+
+
+def first_by_engine(engines: dict[str, str], vms: dict[str, str]) -> dict[str, str]:
     assignment = LeaseAssignment()
     return {engine: assignment.turns(engine, engines, vms)[0] for engine in engines}
 
@@ -21,7 +26,7 @@
     @settings(derandomize=True, max_examples=60, deadline=None)
     @given(NAMES, NAMES)
     def test_no_vm_holds_more_than_its_share(self, e: set[int], v: set[int]) -> None:
-        engines, vms = {f"g{n}" for n in e}, {f"e{n}" for n in v}
+        engines, vms = spread("g", e), spread("e", v)
         held = Counter(first_by_engine(engines, vms).values())
         assert max(held.values()) <= -(-len(engines) // len(vms))
 
@@ -32,20 +37,28 @@
         e: set[int],
         v: set[int],
     ) -> None:
-        engines, vms = {f"g{n}" for n in e}, {f"e{n}" for n in v}
+        engines, vms = spread("g", e), spread("e", v)
         assignment = LeaseAssignment()
         for engine in engines:
-            assert set(assignment.turns(engine, engines, vms)) == vms
+            assert set(assignment.turns(engine, engines, vms)) == set(vms)
 
     def test_a_lost_vm_moves_few_leases_of_others(self) -> None:
         """Each move costs an engine a moment without loads."""
-        engines = {f"g{n}" for n in range(60)}
-        vms = {f"e{n}" for n in range(9)}
+        engines = spread("g", set(range(60)))
+        vms = spread("e", set(range(9)))
         before = first_by_engine(engines, vms)
-        after = first_by_engine(engines, vms - {"e4"})
+        del vms["e4"]
+        after = first_by_engine(engines, vms)
         others = [g for g in engines if before[g] != "e4"]
         moved = [g for g in others if before[g] != after[g]]
         assert len(moved) <= len(engines) // 6
 
+    def test_an_engine_is_held_in_its_own_failure_domain(self) -> None:
+        """A lost failure domain then takes no holder of an engine elsewhere."""
+        engines = spread("g", set(range(60)))
+        vms = spread("e", set(range(9)))
+        first = first_by_engine(engines, vms)
+        assert all(vms[vm_id] == engines[engine] for engine, vm_id in first.items())
+
     def test_without_a_vm_there_is_nobody(self) -> None:
-        assert LeaseAssignment().turns("g1", ["g1"], []) == []
+        assert LeaseAssignment().turns("g1", {"g1": ""}, {}) == []
--- a/tests/test_leases_fold.py
+++ b/tests/test_leases_fold.py
@@ -1,5 +1,6 @@
 """The fold of the lease stream and the rules of time."""
 
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -119,25 +120,25 @@
 
     def test_a_renewal_counts_once_it_is_read_back(self) -> None:
         table = LeaseTable.empty()
-        own = OwnLeases("a", self.terms)
-        own.note_sent("r1", now=10.0)
+        own = OwnLeases("a")
+        own.note_sent(TAKE_A, now=10.0)
         assert own.fencing("engine-1", now=10.0) is None
         own.note_read(table.apply(0, TAKE_A.to_json(), read_at=11.0))
         assert own.fencing("engine-1", now=12.9) == 0
         assert own.fencing("engine-1", now=13.0) is None
 
     def test_a_repeated_append_counts_from_its_first_sending(self) -> None:
-        own = OwnLeases("a", self.terms)
-        own.note_sent("r1", now=10.0)
-        own.note_sent("r1", now=12.0)
+        own = OwnLeases("a")
+        own.note_sent(TAKE_A, now=10.0)
+        own.note_sent(TAKE_A, now=12.0)
         own.note_read(LeaseTable.empty().apply(0, TAKE_A.to_json(), read_at=12.5))
         assert own.fencing("engine-1", now=13.5) is None
 
     def test_a_holder_stops_before_it_releases(self) -> None:
         # The release lands and the next holder works, while this node has not read
         # anything yet: it must have stopped by itself.
-        own = OwnLeases("a", self.terms)
-        own.note_sent("r1", now=10.0)
+        own = OwnLeases("a")
+        own.note_sent(TAKE_A, now=10.0)
         own.note_read(LeaseTable.empty().apply(0, TAKE_A.to_json(), read_at=10.0))
         own.let_go("engine-1")
         assert own.fencing("engine-1", now=10.1) is None
@@ -147,20 +148,77 @@
         # Others wait from when they read the release, which may be long before the
         # next holder does: its own reading time says nothing about theirs.
         table = fold(TAKE_A)
-        own = OwnLeases("b", self.terms)
+        own = OwnLeases("b")
         release = Release("r2", "a", "engine-1", fencing=0, next_node="b")
         own.note_read(table.apply(1, release.to_json(), read_at=20.0))
         assert own.fencing("engine-1", now=20.0) is None
         renewal = own.renewal("r3")
-        own.note_sent("r3", now=20.0)
+        own.note_sent(renewal, now=20.0)
         own.note_read(table.apply(2, renewal.to_json(), read_at=20.1))
         assert own.fencing("engine-1", now=20.1) == 1
 
 
+class TestTermsThatDiffer:
+    """A taker waits for the term that the holder's own records name.
+
+    Operators lengthen the term and replace the entry VMs one by one. A VM with the
+    old, short term must not take what one with the new term still holds.
+    """
+
+    terms = LeaseTerms(term_s=1.0, margin_s=0.5, clock_error=0.0)
+
+    def test_a_long_take_is_waited_for(self) -> None:
+        table = fold(replace(TAKE_A, term_s=10.0))
+        lease = table.lease_by_engine["engine-1"]
+        assert self.terms.may_take_at(lease, 0, 0.0) == 10.5
+
+    def test_a_shorter_renewal_does_not_end_a_longer_term(self) -> None:
+        table = fold(
+            replace(TAKE_A, term_s=10.0),
+            Renewal("r2", "a", {"engine-1": 0}, term_s=1.0),
+        )
+        lease = table.lease_by_engine["engine-1"]
+        assert self.terms.may_take_at(lease, 0, 0.0) == 11.5
+
+    def test_the_holder_counts_the_term_that_it_named(self) -> None:
+        own = OwnLeases("a")
+        take = replace(TAKE_A, term_s=10.0)
+        own.note_sent(take, now=0.0)
+        own.note_read(LeaseTable.empty().apply(0, take.to_json(), read_at=0.1))
+        assert own.fencing("engine-1", now=9.9) == 0
+        assert own.fencing("engine-1", now=10.0) is None
+
+    def test_a_snapshot_keeps_the_term(self) -> None:
+        table = fold(replace(TAKE_A, term_s=10.0))
+        again = LeaseTable.from_snapshot(table.snapshot("s1"), read_at=0.0)
+        assert again is not None
+        assert again.lease_by_engine["engine-1"].term_s == 10.0
+
+
+class TestTermsOfAFleet:
+    """The renewals of a large fleet stay within the log's appends."""
+
+    terms = LeaseTerms(term_s=2.5, renew_every_s=0.8)
+
+    def test_today_nothing_changes(self) -> None:
+        assert self.terms.for_fleet(9) == self.terms
+
+    def test_at_380_vms_twenty_renewals_a_second(self) -> None:
+        terms = self.terms.for_fleet(380)
+        assert 380 / terms.renew_every_s <= 20.0
+        assert terms.term_s > 2 * terms.renew_every_s
+        assert terms.term_s <= terms.longest_term_s
+
+
 class TestRecovery:
     """Starting behind expired records."""
 
-    terms = LeaseTerms(term_s=3.0, margin_s=0.5, clock_error=0.0)
+    terms = LeaseTerms(
+        term_s=3.0,
+        margin_s=0.5,
+        clock_error=0.0,
+        longest_term_s=3.0,
+    )
 
     def test_without_a_snapshot_a_reset_begins_anew(self) -> None:
         # All entry VMs were replaced at once, after the last snapshot expired and
@@ -190,8 +248,8 @@
 
     def test_a_full_reader_drops_its_leases_at_a_reset(self) -> None:
         table = fold(TAKE_A)
-        own = OwnLeases("a", self.terms)
-        own.note_sent("r1", now=0.0)
+        own = OwnLeases("a")
+        own.note_sent(TAKE_A, now=0.0)
         own.note_read(Moved(0, "r1", "engine-1", None, "a", 0, by_release=False))
         outcome = table.apply(1, Reset("r2", "b", after=0).to_json(), read_at=9.0)
         assert isinstance(outcome, Cleared)
--- a/tests/test_leases_keeper.py
+++ b/tests/test_leases_keeper.py
@@ -57,7 +57,7 @@
 @pytest.fixture
 def keeper(log: ListLog) -> Iterator[pykka.ActorRef]:
     environment = Environment(
-        settings=Settings(id="entry-1"),
+        settings=Settings(id="entry-1", lease_longest_term_s=2.5),
         metrics=Metrics(),
         logger=logging.getLogger(),
         now=lambda: log.now,
--- a/tests/test_leases_machine.py
+++ b/tests/test_leases_machine.py
@@ -22,7 +22,12 @@
 CLOCK_ERROR = 0.1
 # Next to no margin (for rounding): the rules alone must hold with clocks as wrong as
 # they are said to be.
-TERMS = LeaseTerms(term_s=3.0, margin_s=1e-6, clock_error=CLOCK_ERROR)
+TERMS = LeaseTerms(
+    term_s=3.0,
+    margin_s=1e-6,
+    clock_error=CLOCK_ERROR,
+    longest_term_s=3.0,
+)
 
 nodes = st.integers(0, NODES - 1)
 engines = st.sampled_from(ENGINES)
@@ -31,14 +36,15 @@
 class Node:
     """One incarnation of an entry VM, with a clock of its own."""
 
-    def __init__(self, name: str, rate: float) -> None:
+    def __init__(self, name: str, rate: float, term_s: float) -> None:
         self.name = name
         self.rate = rate
+        self.term_s = term_s
         self.start_anew(0)
 
     def start_anew(self, incarnation: int) -> None:
         self.id = f"{self.name}/{incarnation}"
-        self.own = OwnLeases(self.id, TERMS)
+        self.own = OwnLeases(self.id)
         self.table = LeaseTable.empty()
         # Set while the node has found no state to read on from.
         self.recovery: LeaseRecovery | None = None
@@ -53,26 +59,38 @@
 
 
 class LeaseMachine(RuleBasedStateMachine):
-    """Reading lag, pauses, appends that land late, twice or after a restart."""
+    """Reading lag, pauses, appends that land late, twice or after a restart.
+
+    Nodes differ in their terms, as they do while a setting is changed VM by VM; each
+    may change its own.
+    """
 
     @initialize(
         rates=st.lists(
             st.sampled_from([1 - CLOCK_ERROR, 1.0, 1 + CLOCK_ERROR]),
             min_size=NODES,
             max_size=NODES,
-        )
+        ),
+        terms=st.lists(
+            st.sampled_from([1.5, 3.0]),
+            min_size=NODES,
+            max_size=NODES,
+        ),
     )
-    def start(self, rates: list[float]) -> None:
+    def start(self, rates: list[float], terms: list[float]) -> None:
         self.now = 0.0
         self.log: list[Any] = []
         self.first = 0
         self.in_flight: list[Any] = []
-        self.nodes = [Node(f"entry-{i}", rate) for i, rate in enumerate(rates)]
+        self.nodes = [
+            Node(f"entry-{i}", rate, term_s)
+            for i, (rate, term_s) in enumerate(zip(rates, terms, strict=True))
+        ]
         self.incarnations = 0
         self.fencing_by_engine: dict[str, int] = {}
 
     def send(self, node: Node, record: Any) -> None:
-        node.own.note_sent(record.record_id, node.clock(self.now))
+        node.own.note_sent(record, node.clock(self.now))
         self.in_flight.append(record.to_json())
 
     @rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 2.7, 3.0, 3.4]))
@@ -88,6 +106,10 @@
         value = self.in_flight[index] if keep else self.in_flight.pop(index)
         self.log.append(value)
 
+    @rule(node=nodes, term_s=st.sampled_from([1.5, 3.0]))
+    def change_term(self, node: int, term_s: float) -> None:
+        self.nodes[node].term_s = term_s
+
     @rule(node=nodes, count=st.integers(1, 5))
     def read(self, node: int, count: int) -> None:
         self.read_on(self.nodes[node], count)
@@ -145,7 +167,7 @@
     @rule(node=nodes)
     def renew(self, node: int) -> None:
         holder = self.nodes[node]
-        self.send(holder, holder.own.renewal(holder.next_record_id()))
+        self.send(holder, holder.own.renewal(holder.next_record_id(), holder.term_s))
 
     @rule(node=nodes, engine=engines)
     def take_when_due(self, node: int, engine: str) -> None:
@@ -157,7 +179,8 @@
         if clock < TERMS.may_take_at(lease, rank=0, now=clock):
             return
         after = taker.table.last_offset(engine)
-        self.send(taker, Take(taker.next_record_id(), taker.id, engine, after))
+        record_id = taker.next_record_id()
+        self.send(taker, Take(record_id, taker.id, engine, after, taker.term_s))
 
     @rule(node=nodes, engine=engines, successor=st.integers(-1, NODES - 1))
     def hand_over(self, node: int, engine: str, successor: int) -> None:
@@ -196,7 +219,7 @@
     def renew_again_after_a_lost_answer(self, node: int, seconds: float) -> None:
         holder = self.nodes[node]
         self.read_on(holder, 99)
-        renewal = holder.own.renewal(holder.next_record_id())
+        renewal = holder.own.renewal(holder.next_record_id(), holder.term_s)
         self.send(holder, renewal)
         self.log.append(self.in_flight.pop())
         for other in self.nodes:
