Choose ports for links' tests and measurement outside those of outgoing connections

A port from the system's own range can be taken by an outgoing connection of another test between its choice and its use.

--- a/bench/capacity_links.py
+++ b/bench/capacity_links.py
@@ -6,7 +6,6 @@
 
 import multiprocessing
 import os
-import socket
 import threading
 import time
 from collections.abc import Callable
@@ -17,6 +16,7 @@
 from bamboovale.metrics import Metrics
 from bamboovale.peers.codec import encode, message
 from bamboovale.peers.links import PeerLinks
+from bench.processes import find_free_port
 from bench.slopes import KIB, Usage, print_slope
 
 LINK_COUNTS = (0, 40, 80, 160, 320)
@@ -61,12 +61,11 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of loopback that nothing listens on."""
-    probes = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
+    """Return different ports of loopback that nothing listens on."""
+    ports: set[int] = set()
+    while len(ports) < count:
+        ports.add(find_free_port("127.0.0.1"))
+    return list(ports)
 
 
 def _start_links(name: str, port_by_name: dict[str, int]) -> PeerLinks:
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -59,10 +59,6 @@
         errors = [abs(y - start - slope * x) for x, y in points]
         return cls(slope, start, max(errors))
 
-    def at(self, x: float) -> float:
-        """Return the line's value."""
-        return self.start + self.slope * x
-
 
 def print_slope(
     title: str,
--- a/tests/test_capacity_bench.py
+++ b/tests/test_capacity_bench.py
@@ -18,7 +18,6 @@
         assert line.slope == pytest.approx(2)
         assert line.start == pytest.approx(3)
         assert line.greatest_error == pytest.approx(0, abs=1e-9)
-        assert line.at(10) == pytest.approx(23)
 
     def test_the_greatest_error_is_that_of_the_worst_reading(self) -> None:
         line = Line.through([(0, 0.0), (1, 3.0), (2, 0.0)])
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -30,6 +30,7 @@
     PeerTimeoutError,
     PeerUnreachableError,
 )
+from bench.processes import find_free_port
 
 KEY = "a key of the tests"
 
@@ -53,12 +54,6 @@
     text: str
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def eventually(condition: Callable[[], bool], timeout_s: float = 5.0) -> None:
     give_up_at = time.monotonic() + timeout_s
     while not condition():
@@ -120,7 +115,7 @@
 
 @pytest.fixture
 def ports() -> dict[str, int]:
-    return {"a": free_port(), "b": free_port()}
+    return {"a": find_free_port("127.0.0.1"), "b": find_free_port("127.0.0.1")}
 
 
 @pytest.fixture
