Build the one binary: an executable zip (red until typer is pinned lower)

Cause: the product ships as one binary; VMs have no disk to unpack it to.

typer 0.29.2 builds every parameter through pydantic, whose core is native, and a zip cannot hold it: importing typer does not load it, running any command does.

Tried and dropped: a test that two builds are equal. Byte code is not equal from one build to the next in one process.

Open: a typer of the series that builds on click (0.2x before pydantic came) would be pure. It is not installed here, so it was not tried.

--- /dev/null
+++ b/tests/test_binary.py
@@ -0,0 +1,100 @@
+"""The one binary: built as it ships, and run from its archive."""
+
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.standin_client import StandInClient
+from tools.build_binary import build
+
+PROC = Path("/proc")
+
+
+@pytest.fixture(scope="module")
+def binary(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    target = tmp_path_factory.mktemp("dist") / "bamboovale"
+    build(target)
+    return target
+
+
+def bare_environment(binary: Path) -> dict[str, str]:
+    """Return an environment that shows the binary no other packages."""
+    interpreter = Path(sys.base_prefix) / "bin"
+    return {
+        "PATH": f"{interpreter}:/usr/bin:/bin",
+        "PYTHONPATH": "",
+        "HOME": str(binary.parent),
+        "TMPDIR": str(binary.parent),
+    }
+
+
+@pytest.fixture
+def log_process(binary: Path) -> Iterator[tuple[subprocess.Popen[str], str]]:
+    process = subprocess.Popen(
+        [str(binary), "standin", "log", "--listen", "127.0.0.1:0"],
+        stdout=subprocess.PIPE,
+        text=True,
+        cwd=binary.parent,
+        env=bare_environment(binary),
+    )
+    assert process.stdout is not None
+    yield process, process.stdout.readline().split()[-1]
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(5) == 0
+
+
+def children_of(pid: int) -> list[str]:
+    """Return the child processes that any thread of a process has started."""
+    tasks = (PROC / str(pid) / "task").iterdir()
+    return [
+        child for task in tasks for child in (task / "children").read_text().split()
+    ]
+
+
+def mapped_files(pid: int) -> list[str]:
+    """Return the files that a process has mapped."""
+    lines = (PROC / str(pid) / "maps").read_text().splitlines()
+    return [line.split()[5] for line in lines if len(line.split()) > 5]
+
+
+class TestBinary:
+    """The binary on a machine that has nothing but Python."""
+
+    def test_prints_its_version(self, binary: Path) -> None:
+        done = subprocess.run(
+            [str(binary), "version"],
+            capture_output=True,
+            text=True,
+            env=bare_environment(binary),
+            check=True,
+        )
+        assert done.stdout.strip() == "0.1.0"
+
+    def test_reports_a_wrong_option(self, binary: Path) -> None:
+        done = subprocess.run(
+            [str(binary), "standin", "log", "--listen", "x", "--appends-per-s", "y"],
+            capture_output=True,
+            text=True,
+            env=bare_environment(binary),
+            check=False,
+        )
+        assert done.returncode == 2
+        assert "--appends-per-s" in done.stderr
+        assert "Traceback" not in done.stderr
+
+    def test_serves_with_nothing_unpacked_and_no_child(
+        self, binary: Path, log_process: tuple[subprocess.Popen[str], str]
+    ) -> None:
+        process, address = log_process
+        client = StandInClient(f"http://{address}")
+        assert client.call("POST", "/streams/a/records", {"value": 1})[0] == 200
+        time.sleep(0.2)
+        assert children_of(process.pid) == []
+        assert list(binary.parent.iterdir()) == [binary]
+        mapped = mapped_files(process.pid)
+        assert [name for name in mapped if "site-packages" in name] == []
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the developers."""
--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,189 @@
+"""Build the one binary: an executable zip that runs without being unpacked.
+
+The dependencies are copied from this interpreter's installed packages, so that the
+binary carries exactly what the tests ran with and the build needs no network. Python
+imports only pure modules from a zip: native parts are left out, and a package that
+cannot do without its own is reported.
+"""
+
+import argparse
+import importlib.metadata
+import py_compile
+import sys
+import tempfile
+import zipfile
+from collections.abc import Iterator
+from dataclasses import dataclass
+from importlib.metadata import Distribution
+from pathlib import Path, PurePosixPath
+
+from packaging.requirements import Requirement
+
+ROOT = Path(__file__).resolve().parent.parent
+# -I leaves out PYTHONPATH and the user's packages, -S the machine's packages: the
+# binary runs the same whatever the machine has installed.
+SHEBANG = b"#!/usr/bin/env -S python3 -I -S\n"
+MAIN = b"from bamboovale.__main__ import main\n\nmain()\n"
+# The first date that a zip can hold; nothing reads the dates.
+DATE = (1980, 1, 1, 0, 0, 0)
+NATIVE_SUFFIXES = (".so", ".pyd")
+LEFT_OUT = (".pyi", ".pyc", ".pth", ".c", *NATIVE_SUFFIXES)
+# Metadata that programs read (versions) or that must go along (licences).
+METADATA_LEFT_OUT = frozenset({"RECORD", "INSTALLER", "REQUESTED", "direct_url.json"})
+
+
+class NativeOnlyError(Exception):
+    """Packages that have no pure form."""
+
+
+@dataclass(frozen=True)
+class Member:
+    """One file of the archive."""
+
+    name: str
+    content: bytes
+
+
+def read_requirements(path: Path) -> list[Requirement]:
+    """Return what a requirements file names, without its comments."""
+    lines = (line.partition("#")[0].strip() for line in path.read_text().splitlines())
+    return [Requirement(line) for line in lines if line]
+
+
+def find_distributions(requirements: list[Requirement]) -> dict[str, Distribution]:
+    """Return the installed packages that the requirements need, keyed by name."""
+    distribution_by_name: dict[str, Distribution] = {}
+    pending = list(requirements)
+    while pending:
+        requirement = pending.pop()
+        marker = requirement.marker
+        if marker is not None and not marker.evaluate({"extra": ""}):
+            continue
+        distribution = importlib.metadata.distribution(requirement.name)
+        name = distribution.metadata["Name"]
+        if name in distribution_by_name:
+            continue
+        distribution_by_name[name] = distribution
+        pending.extend(Requirement(text) for text in distribution.requires or [])
+    return dict(sorted(distribution_by_name.items()))
+
+
+def is_native_only(distribution: Distribution) -> bool:
+    """Return whether a package is a wrapper of a native module.
+
+    Packages with an optional native part (cbor2, websockets) bring pure modules of
+    the same job beside it; by far the most of a wrapper's bytes are its native part.
+    """
+    sizes = {True: 0, False: 0}
+    for file in distribution.files or []:
+        path = Path(str(distribution.locate_file(file)))
+        if file.suffix in (".py", *NATIVE_SUFFIXES) and path.exists():
+            sizes[file.suffix in NATIVE_SUFFIXES] += path.stat().st_size
+    return sizes[True] > 10 * sizes[False]
+
+
+def check_pure(distributions: dict[str, Distribution]) -> None:
+    """Raise NativeOnlyError with all packages that a zip cannot hold."""
+    found = [name for name, found in distributions.items() if is_native_only(found)]
+    if found:
+        raise NativeOnlyError(f"no pure form: {', '.join(found)}")
+
+
+def is_wanted(file: PurePosixPath) -> bool:
+    """Return whether a package's file goes into the archive."""
+    if ".." in file.parts or file.suffix in LEFT_OUT or file.parts[0] == "bin":
+        return False
+    in_metadata = file.parts[0].endswith(".dist-info")
+    return not (in_metadata and file.name in METADATA_LEFT_OUT)
+
+
+def package_members(distribution: Distribution) -> Iterator[Member]:
+    """Yield the pure files of an installed package."""
+    for file in distribution.files or []:
+        if is_wanted(file):
+            path = Path(str(distribution.locate_file(file)))
+            yield Member(file.as_posix(), path.read_bytes())
+
+
+def own_members(root: Path) -> Iterator[Member]:
+    """Yield this project's modules."""
+    for path in (root / "bamboovale").rglob("*.py"):
+        yield Member(path.relative_to(root).as_posix(), path.read_bytes())
+
+
+def compile_member(source: Member, scratch: Path) -> Member:
+    """Return a module's byte code, to be put beside its source.
+
+    It is never checked against the source, which the archive cannot change. Another
+    release of Python does not take it and compiles the source.
+    """
+    path = scratch / "module.py"
+    path.write_bytes(source.content)
+    compiled = py_compile.compile(
+        str(path),
+        cfile=str(scratch / "module.pyc"),
+        dfile=source.name,
+        doraise=True,
+        invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+    )
+    return Member(f"{source.name}c", Path(str(compiled)).read_bytes())
+
+
+def folders_of(names: list[str]) -> set[str]:
+    """Return the folders of the files: namespace packages need entries of theirs."""
+    return {
+        f"{parent.as_posix()}/"
+        for name in names
+        for parent in PurePosixPath(name).parents
+        if parent.name
+    }
+
+
+def write_archive(target: Path, members: list[Member]) -> None:
+    """Write an executable archive."""
+    content_by_name = {member.name: member.content for member in members}
+    for folder in folders_of(list(content_by_name)):
+        content_by_name[folder] = b""
+    target.parent.mkdir(parents=True, exist_ok=True)
+    with target.open("wb") as file:
+        file.write(SHEBANG)
+        with zipfile.ZipFile(file, "w", zipfile.ZIP_DEFLATED) as archive:
+            for name, content in sorted(content_by_name.items()):
+                archive.writestr(
+                    zipfile.ZipInfo(name, DATE),
+                    content,
+                    zipfile.ZIP_DEFLATED,
+                )
+    target.chmod(0o755)
+
+
+def build(target: Path) -> None:
+    """Build the binary at ``target``."""
+    distributions = find_distributions(read_requirements(ROOT / "requirements.txt"))
+    check_pure(distributions)
+    members = [Member("__main__.py", MAIN), *own_members(ROOT)]
+    for distribution in distributions.values():
+        members.extend(package_members(distribution))
+    with tempfile.TemporaryDirectory() as scratch:
+        compiled = [
+            compile_member(member, Path(scratch))
+            for member in members
+            if member.name.endswith(".py")
+        ]
+    write_archive(target, members + compiled)
+
+
+def main() -> None:
+    """Run the command line."""
+    parser = argparse.ArgumentParser(description="Build the one binary.")
+    parser.add_argument("target", type=Path, nargs="?", default="dist/bamboovale")
+    target = parser.parse_args().target
+    try:
+        build(target)
+    except NativeOnlyError as error:
+        sys.exit(str(error))
+    print(f"{target}: {target.stat().st_size} bytes")
+
+
+if __name__ == "__main__":
+    main()
