--- a/Makefile
+++ b/Makefile
@@ -56,5 +56,6 @@
 # The slopes behind docs/CAPACITY.md; takes less than ten minutes.
 capacity: install
 	$(PYTHON) -m bench.capacity
+
 binary: install
 	$(PYTHON) -m tools.build_binary dist/bamboovale
