--- a/bamboovale/decisions/batching.py
+++ b/bamboovale/decisions/batching.py
@@ -222,6 +222,11 @@
         by_class = self._lists_by_lora.get(lora_name, {})
         return [entry.item for entries in by_class.values() for entry in entries]
 
+    def has_interactive(self, lora_name: str) -> bool:
+        """Say whether interactive work waits for an adapter."""
+        by_class = self._lists_by_lora.get(lora_name, {})
+        return WorkClass.INTERACTIVE in by_class
+
     def next_item(self, lora_names: Iterable[str]) -> WorkItem | None:
         """Return the item to be served next among adapters that are loaded."""
         first_by_class: dict[WorkClass, Waiting] = {}
--- a/bamboovale/decisions/loading.py
+++ b/bamboovale/decisions/loading.py
@@ -36,6 +36,7 @@
     WorkItem,
 )
 from bamboovale.decisions.worth import AdapterWorth
+from bamboovale.models import WorkClass
 
 LOADS_AT_ONCE = 2
 """As many as the weight store serves at full speed: more only share its bandwidth."""
@@ -176,7 +177,7 @@
             return self.slots.loaded.keys()
         return [name for name in self.slots.loaded if name not in self.draining]
 
-    def wait_for_load(self, name: str, now: float) -> float:
+    def wait_for_load(self, name: str, work_class: WorkClass, now: float) -> float:
         """Return the seconds until an adapter is probably loaded."""
         if name in self.slots.loaded and name not in self.draining:
             return 0.0
@@ -188,16 +189,25 @@
             # What has failed for some time will probably fail for as long again.
             wait_s = max(wait_s, now - self._failing_since)
         already_waits = bool(self._queue.waiting_for(name))
-        over = 1 - self.open_slots(now) - already_waits
+        over = 1 - self.open_slots(now, work_class) - already_waits
         return wait_s + max(0, over) * self.slot_wait(now)
 
-    def open_slots(self, now: float) -> int:
-        """Return the slots for one more adapter, less those that wait for one."""
+    def open_slots(self, now: float, work_class: WorkClass | None = None) -> int:
+        """Return the slots for one more adapter, less those that wait for one.
+
+        For a class only the adapters count that wait for that class or a faster one:
+        interactive work does not queue behind a night's copy.
+        """
         opening = len(self._evictable(now)) + self.slots.free
         waiting = sum(
             1
             for name in self._queue.lora_names
-            if name not in self.slots.loaded and not self.slots.is_coming(name)
+            if name not in self.slots.loaded
+            and not self.slots.is_coming(name)
+            and (
+                work_class is not WorkClass.INTERACTIVE
+                or self._queue.has_interactive(name)
+            )
         )
         return opening - waiting
 
--- a/bamboovale/decisions/waits.py
+++ b/bamboovale/decisions/waits.py
@@ -71,7 +71,12 @@
         queue_wait = self.behind(ahead)
         if queue_wait > 0.0:
             queue_wait = max(queue_wait, tag - now)
-        return max(queue_wait, self._planner.wait_for_load(item.target.lora_name, now))
+        load_wait = self._planner.wait_for_load(
+            item.target.lora_name,
+            item.work_class,
+            now,
+        )
+        return max(queue_wait, load_wait)
 
     def shortest(self, item: WorkItem, now: float) -> float:
         """Return the wait that an item has at least."""
--- a/tests/test_decisions_load_patterns.py
+++ b/tests/test_decisions_load_patterns.py
@@ -204,4 +204,11 @@
         assert len(served) > 0.6 * len(during)
         assert percentile(served, 0.8) < 0.05
         assert percentile(refused, 0.5) < 5.0
-        assert p95_wait(between(result, 70.0, 85.0)) < 1.5
+
+    def test_waits_recover_after_it_is_back(self) -> None:
+        """Pooled over eight seeds: in one run of 90 requests p95 is mostly chance."""
+        late: list[Record] = []
+        for seed in range(1, 9):
+            scenario = Scenario("down", 0.6, seconds=85.0, store_down_at=40.0)
+            late += between(run_scenario(SMALL, scenario, CHOSEN, seed), 70.0, 85.0)
+        assert p95_wait(late) < 1.5
