Let an old failure of the weight store expire

While loads fail, requests for what is not loaded are refused on the word of the last failure, and one adapter is tried to notice the end. If that one try is never made (its turn lost, the engine restarted, or the adapter found loaded by a look at the engine), nothing would end the refusals. Found by reading; the test loses the turn. Also tested: refusal at once while the store fails, warming of a new version.

--- a/bamboovale/decisions/loading.py
+++ b/bamboovale/decisions/loading.py
@@ -21,6 +21,7 @@
 from bamboovale.decisions.permits import PermitBook
 from bamboovale.decisions.policy import Policy
 from bamboovale.decisions.slots import (
+    BACK_OFF_MOST_S,
     EXCHANGE_FACTOR,
     RESIDENCE_LOADS,
     Slot,
@@ -46,6 +47,8 @@
 """A turn may get lost with its message; a repeated ask only renews its weight."""
 LOAD_TIME_WEIGHT = 0.3
 """A wrong setting or a slow store shows after a few loads."""
+FAILURE_IS_NEWS_S = 2 * BACK_OFF_MOST_S
+"""Two of the longest pauses between tries: later a failure says nothing any more."""
 LOAD_GIVEN_UP_S = 60.0
 """Far above any load; guards against an order whose outcome never came back."""
 PATIENCE_LOADS = 2.0
@@ -94,6 +97,7 @@
         self._source_by_name: dict[str, str] = {}
         self._warm: dict[str, None] = {}
         self._failing_since: float | None = None
+        self._failed_at = 0.0
         self._unpinned = RecentDemand(half_life_s=TURNOVER_HALF_LIFE_S)
 
     # What the holder learns.
@@ -108,6 +112,7 @@
         self.slots.clear()
         self.draining.clear()
         self.ask_by_name.clear()
+        self._failing_since = None
         if self._policy.warms_after_restart:
             known = [
                 n for n in self.worth.demand.top(64, now) if n in self._source_by_name
@@ -148,6 +153,7 @@
 
         Else a store that refused everybody would never be found mended.
         """
+        self._failed_at = now
         if self._failing_since is None:
             self._failing_since = now
             self._warm[name] = None
@@ -187,7 +193,7 @@
         wait_s = self.load_wait.value
         if self._failing_since is not None:
             # What has failed for some time will probably fail for as long again.
-            wait_s = max(wait_s, now - self._failing_since)
+            wait_s = max(wait_s, self._failed_at - self._failing_since)
         already_waits = bool(self._queue.waiting_for(name))
         over = 1 - self.open_slots(now, work_class) - already_waits
         return wait_s + max(0, over) * self.slot_wait(now)
@@ -269,6 +275,9 @@
     def tick(self, now: float) -> None:
         """Forget what is old and give up orders whose outcome never came."""
         self.slots.forget_back_offs(now)
+        if now - self._failed_at > FAILURE_IS_NEWS_S:
+            # No load was tried for long, so nothing would end the refusals.
+            self._failing_since = None
         self.worth.demand.prune(now)
         for name, since in list(self.slots.loading_since.items()):
             if now - since > LOAD_GIVEN_UP_S:
--- a/tests/test_decisions_dispatch.py
+++ b/tests/test_decisions_dispatch.py
@@ -455,3 +455,46 @@
         (load,) = dispatch.on_unloaded(unload.lora_name, now)
         assert isinstance(load, Load)
         assert grants(dispatch.on_loaded("c@1", now + 1.0))
+
+
+class TestFailingLoads:
+    """A failing weight store refuses at once, and is found mended."""
+
+    def fail_for_a_minute(self) -> EngineDispatch:
+        """Let loads of one adapter fail until its request is refused."""
+        dispatch = make_dispatch()
+        dispatch.on_engine_view(make_view(), 0.0)
+        dispatch.on_request(make_item(1, "c", latest_start=60.0), 0.0)
+        for second in range(60):
+            dispatch.on_tick(float(second))
+            dispatch.on_load_slot("c@1", float(second))
+            dispatch.on_load_failed("c@1", float(second))
+        return dispatch
+
+    def test_refuses_at_once_while_it_fails(self) -> None:
+        dispatch = self.fail_for_a_minute()
+        item = make_item(2, "d", arrived_at=60.0, latest_start=75.0)
+        assert refusals(dispatch.on_request(item, 60.0))
+
+    def test_serves_again_though_nobody_waited(self) -> None:
+        """The store mends, but the one adapter tried meanwhile is never loaded.
+
+        Its turn gets lost, so no load succeeds. Everybody else would be refused for
+        ever on the word of an old failure.
+        """
+        dispatch = self.fail_for_a_minute()
+        dispatch.on_tick(95.0)
+        item = make_item(3, "d", arrived_at=95.0, latest_start=110.0)
+        assert not refusals(dispatch.on_request(item, 95.0))
+
+
+class TestNewVersion:
+    """A new version is warmed at its edit where the old one was in demand."""
+
+    def test_asks_for_a_load_before_anybody_waits(self) -> None:
+        dispatch = make_dispatch()
+        dispatch.on_engine_view(make_view("a@1"), 0.0)
+        dispatch.on_request(make_item(1), 0.0)
+        asked = dispatch.on_new_version("a@2", "store/a/2", "a@1", 1.0)
+        assert [action.lora_name for action in asked] == ["a@2"]
+        assert dispatch.on_new_version("z@2", "store/z/2", "z@1", 1.0) == []
