Let judgements end by the clock; send callers only to VMs that serve

A VM frozen and cut off answered 5 of 8 requests with an old version 6.8 s after the new one was accepted, before the task's first tick after the pause. (2) Requests waiting at such a VM held on to their 30 s. (3) A VM that had just started was handed to callers before it served: 7 refused connections and 1 not_ready among 2381 sends of a rolling replacement. Ruled out: checking the log at each request; it would cost a call each. Change: both judgements hold for 1.5 s by the monotonic clock and are looked at when a request comes in, before each attempt, after its permit and at each grant; waits end when serving ends; peers' notices say whether they serve and others are not used until they do. Seen to fail first: TestPause and TestStartingVM of test_entry_readiness. The promises' process tests pass with it (65 tests).

--- a/bamboovale/engines/holder.py
+++ b/bamboovale/engines/holder.py
@@ -278,7 +278,7 @@
         now = self._now()
         valid = self._orders.allowed()
         self._carry_out(self._dispatch.set_may_order(valid, now))
-        self._carry_out(self._dispatch.set_may_grant(valid or self._log_is_down(), now))
+        self._carry_out(self._dispatch.set_may_grant(self._may_grant(), now))
         self._drop_silent_asks(now)
         self._carry_out(self._dispatch.on_tick(now))
         if now >= self._next_view_at:
@@ -369,14 +369,16 @@
                 self._executor.submit(self._orders.carry_out, self.actor_ref, action)
 
     def _grant(self, permit: Permit) -> None:
-        """Hand the permit out, unless its entry VM has fallen silent meanwhile."""
+        """Hand the permit out, unless either side was silent or paused meanwhile."""
         queued = self._queued_by_id.pop(permit.request_id, None)
         now = self._now()
-        if queued is None or queued.heard_at < now - self._config.send_within_s:
-            # Not carried out inside the dispatch's own decision: told to ourselves.
-            tell(self.actor_ref, ReleaseReceived(permit.permit_id))
-            if queued is not None:
-                queued.reply(_elsewhere(permit.request_id, "the entry VM fell silent"))
+        if queued is None:
+            self._take_back(permit)
+            return
+        silent = queued.heard_at < now - self._config.send_within_s
+        if silent or not self._may_grant():
+            self._take_back(permit)
+            queued.reply(_elsewhere(permit.request_id, "no place can be granted now"))
             return
         metrics = self._environment.metrics
         metrics.permits_granted.inc()
@@ -385,6 +387,14 @@
         stamped = replace(permit, ask_number=queued.ask_number)
         queued.reply(PermitReply(request_id=permit.request_id, permit=stamped))
 
+    def _take_back(self, permit: Permit) -> None:
+        # Not carried out inside the dispatch's own decision: told to ourselves.
+        tell(self.actor_ref, ReleaseReceived(permit.permit_id))
+
+    def _may_grant(self) -> bool:
+        """Look at the clock itself: the VM may have been paused since its last tick."""
+        return self._orders.allowed() or self._log_is_down()
+
     def _refuse(self, request_id: str, refusal: Refusal) -> None:
         queued = self._queued_by_id.pop(request_id, None)
         if queued is None:
--- a/bamboovale/entry/model_requests.py
+++ b/bamboovale/entry/model_requests.py
@@ -193,11 +193,15 @@
 
     def _try_once(self, attempts: Attempts) -> CallerAnswer | None:
         """Get one permit and run under it; None means: try again."""
+        self._check_serving()
         attempt_id = self.new_attempt_id(attempts.request)
         held = self._get_permit(attempts, attempt_id)
         if held is None:
             return None
         entry = self._find_entry(attempts.entry.name)
+        if not self._views.serving:
+            self._permits.release(held)
+            return None
         if entry is None or entry.target.lora_name != held.permit.lora_name:
             # The catalogue changed while the request waited: it moves to the new
             # version and never runs on the old one.
@@ -266,7 +270,21 @@
             raise FinalRefusalError(answer)
         return None
 
+    def _check_serving(self) -> None:
+        """End a request that waits here while this VM cannot vouch for its version."""
+        if not self._views.serving:
+            raise FinalRefusalError(
+                Refusal(
+                    ErrorCode.NOT_READY,
+                    "this entry VM has no sure view of the catalogue",
+                    not_run=True,
+                    retry_after_s=1.0,
+                )
+            )
+
     def _is_current(self, attempts: Attempts) -> bool:
+        if not self._views.serving:
+            return False
         entry = self._find_entry(attempts.entry.name)
         return entry is not None and entry.target == attempts.entry.target
 
--- a/bamboovale/entry/vm.py
+++ b/bamboovale/entry/vm.py
@@ -101,7 +101,7 @@
     def __init__(self, environment: Environment) -> None:
         settings = environment.settings
         self.environment = environment
-        self.views = Views()
+        self.views = Views(now=environment.now)
         self._policy = Policy.from_name(settings.policy, settings.stall_weight)
         self._http = HttpClient(settings.address)
         self._log = LogClient(settings.log, self._http)
--- a/bamboovale/membership/keeper.py
+++ b/bamboovale/membership/keeper.py
@@ -36,6 +36,9 @@
 
 READ_LIST_EVERY_S = 1.0
 
+JUDGEMENT_HOLDS_S = 1.5
+"""Five ticks of this task; a pause that is longer ends what it judged before."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -145,6 +148,7 @@
         self._interval_s = environment.settings.hint_interval_s
         self._list_read = False
         self._draining = False
+        self._serving = False
         self._heard_by_vm: dict[str, HeardPeer] = {}
         self._own_hint_by_engine: dict[str, EngineHint] = {}
         self._next_status_at = 0.0
@@ -184,7 +188,8 @@
             self._take_hint(hint, message.from_vm, now)
         if notice.catalogue_next_offset > self._catalogue_next_offset():
             self._callbacks.on_peer_ahead(message.from_vm, notice.catalogue_next_offset)
-        if before is None or before.notice.draining != notice.draining:
+        flags = (notice.draining, notice.serving)
+        if before is None or flags != (before.notice.draining, before.notice.serving):
             self._judge_peers(now)
 
     def _on_hint(self, message: HintMade) -> None:
@@ -232,13 +237,15 @@
         draining = {vm for vm in heard if self._heard_by_vm[vm].notice.draining}
         if self._draining:
             draining.add(self._own_id)
+        starting = {vm for vm in heard if not self._heard_by_vm[vm].notice.serving}
         before = self._views.membership
-        if (unreachable, draining) == (before.unreachable_ids, before.draining_ids):
-            return
         after = before.with_changes(
             unreachable_ids=unreachable,
             draining_ids=frozenset(draining),
+            starting_ids=frozenset(starting),
         )
+        if after.states() == before.states():
+            return
         self._views.membership = after
         for vm_id in unreachable - before.unreachable_ids:
             logger.info("entry VM %s fell silent", vm_id)
@@ -275,11 +282,15 @@
             - (self._own_id in membership.vm_by_id),
             peers=tuple(reports),
         )
-        self._views.log_down_for_all = not reachable and log_is_down(inputs)
+        until = now + JUDGEMENT_HOLDS_S
+        down = not reachable and log_is_down(inputs)
+        self._views.log_down_until = until if down else now
         serving = may_serve(inputs)
-        if serving != self._views.serving:
+        self._views.serving_until = until if serving else now
+        if serving != self._serving:
             logger.info("serving: %s", serving)
-            self._views.serving = serving
+            self._serving = serving
+            self._next_status_at = 0.0
 
     def _catalogue_next_offset(self) -> int:
         catalogue = self._views.catalogue
@@ -297,6 +308,7 @@
         notice = StatusNotice(
             incarnation=self._environment.incarnation,
             draining=self._draining,
+            serving=self._serving,
             log_reachable=self._health.reachable,
             catalogue_revision=0 if catalogue is None else catalogue.revision,
             catalogue_next_offset=self._catalogue_next_offset(),
--- a/bamboovale/membership/view.py
+++ b/bamboovale/membership/view.py
@@ -9,7 +9,8 @@
     """An immutable view, made anew from each reading of the VM list.
 
     ``draining_ids`` are entry VMs that told their peers of a planned stop before the
-    list showed it; ``unreachable_ids`` are entry VMs whose links are down.
+    list showed it; ``unreachable_ids`` are entry VMs that are not heard, and
+    ``starting_ids`` those that are heard and do not serve (yet).
     """
 
     def __init__(
@@ -17,10 +18,16 @@
         vms: Iterable[VM] = (),
         draining_ids: frozenset[str] = frozenset(),
         unreachable_ids: frozenset[str] = frozenset(),
+        starting_ids: frozenset[str] = frozenset(),
     ) -> None:
         self.vm_by_id = {vm.id: vm for vm in vms}
         self.draining_ids = draining_ids
         self.unreachable_ids = unreachable_ids
+        self.starting_ids = starting_ids
+
+    def states(self) -> tuple[frozenset[str], ...]:
+        """Return what is known beyond the list."""
+        return self.draining_ids, self.unreachable_ids, self.starting_ids
 
     def listed_entry_vms(self) -> list[VM]:
         """Return every entry VM of the list, leaving or not."""
@@ -34,6 +41,7 @@
             if vm.state is VMState.LIVE
             and vm.id not in self.draining_ids
             and vm.id not in self.unreachable_ids
+            and vm.id not in self.starting_ids
         ]
 
     def runners(self) -> list[VM]:
@@ -65,10 +73,12 @@
         vms: Iterable[VM] | None = None,
         draining_ids: frozenset[str] | None = None,
         unreachable_ids: frozenset[str] | None = None,
+        starting_ids: frozenset[str] | None = None,
     ) -> "Membership":
         """Return a view with some parts replaced."""
         return Membership(
             self.vm_by_id.values() if vms is None else vms,
             self.draining_ids if draining_ids is None else draining_ids,
             self.unreachable_ids if unreachable_ids is None else unreachable_ids,
+            self.starting_ids if starting_ids is None else starting_ids,
         )
--- a/bamboovale/peers/messages.py
+++ b/bamboovale/peers/messages.py
@@ -93,11 +93,13 @@
 class StatusNotice:
     """What an entry VM tells its peers every hint interval.
 
-    ``log_reachable`` is what tells a log that is down from a VM that is cut off.
+    ``log_reachable`` is what tells a log that is down from a VM that is cut off;
+    ``serving`` tells whether callers may be sent there.
     """
 
     incarnation: str
     draining: bool
+    serving: bool
     log_reachable: bool
     catalogue_revision: int
     catalogue_next_offset: int
--- a/bamboovale/views.py
+++ b/bamboovale/views.py
@@ -4,6 +4,8 @@
 caller threads thus need no lock and no message to resolve an entry or pick an engine.
 """
 
+import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bamboovale.catalogue.fold import CatalogueView
@@ -32,9 +34,11 @@
 class Views:
     """The latest published views.
 
-    ``lease_by_engine`` is what the log and the peers' hints say; ``serving`` is False
-    while this VM may not vouch for what it knows and ``log_down_for_all`` is True
-    while nobody here reaches the log (see ``entry/readiness.py``).
+    ``lease_by_engine`` is what the log and the peers' hints say. Whether this VM may
+    vouch for what it knows (``serving``) and whether the log is down for everybody are
+    judged now and then (``entry/readiness.py``) and hold until a moment on the clock
+    ``now``: a VM that was paused would otherwise serve an old version, by a judgement
+    from before the pause, until its task gets round to the next one.
     """
 
     catalogue: CatalogueView | None = None
@@ -42,9 +46,20 @@
     lease_by_engine: dict[str, KnownLease] = field(default_factory=dict)
     incarnation_by_vm: dict[str, str] = field(default_factory=dict)
     hint_by_engine: dict[str, ReceivedHint] = field(default_factory=dict)
-    log_down_for_all: bool = False
-    serving: bool = False
+    serving_until: float = float("-inf")
+    log_down_until: float = float("-inf")
     draining: bool = False
+    now: Callable[[], float] = time.monotonic
+
+    @property
+    def serving(self) -> bool:
+        """Tell whether this VM may take requests."""
+        return self.now() < self.serving_until
+
+    @property
+    def log_down_for_all(self) -> bool:
+        """Tell whether nobody in reach reaches the log."""
+        return self.now() < self.log_down_until
 
     def holder_of(self, engine: str) -> str | None:
         """Return the VM that holds an engine's lease, as far as is known."""
--- a/tests/test_entry_readiness.py
+++ b/tests/test_entry_readiness.py
@@ -9,6 +9,9 @@
     log_is_down,
     may_serve,
 )
+from bamboovale.membership.view import Membership
+from bamboovale.models import VM, VMKind
+from bamboovale.views import Views
 
 SOUND = ReadinessInputs(
     catalogue_whole=True,
@@ -59,3 +62,30 @@
     def test_without_peers_the_silence_may_be_ours(self) -> None:
         assert not log_is_down(SILENT)
         assert log_is_down(replace(SILENT, other_entry_vms=0))
+
+
+class TestPause:
+    """A judgement from before a pause does not outlive it.
+
+    A VM is frozen and cut off. Elsewhere version 2 is accepted. The VM wakes up with
+    requests in its sockets and answered five of eight with version 1, before its task
+    came round to judging that it knows nothing for sure any more.
+    """
+
+    def test_serving_ends_by_the_clock(self) -> None:
+        clock = [10.0]
+        views = Views(serving_until=11.5, log_down_until=11.5, now=lambda: clock[0])
+        assert views.serving
+        assert views.log_down_for_all
+        clock[0] = 17.0
+        assert not views.serving
+        assert not views.log_down_for_all
+
+
+class TestStartingVM:
+    """Callers are not sent to a VM that does not serve yet."""
+
+    def test_it_is_not_usable(self) -> None:
+        vms = [VM(vm_id, VMKind.ENTRY, "127.0.0.1") for vm_id in ("e1", "e2")]
+        membership = Membership(vms=vms, starting_ids=frozenset({"e2"}))
+        assert [vm.id for vm in membership.usable_entry_vms()] == ["e1"]
--- a/tests/test_leases_keeper.py
+++ b/tests/test_leases_keeper.py
@@ -65,7 +65,9 @@
     )
     entry_vm = VM("entry-1", VMKind.ENTRY, "127.0.0.1")
     runner = VM("runner-1", VMKind.RUNNER, "127.0.0.2")
-    views = Views(membership=Membership(vms=(entry_vm, runner)), serving=True)
+    views = Views(
+        membership=Membership(vms=(entry_vm, runner)), serving_until=float("inf")
+    )
     callbacks = LeaseCallbacks(lambda *_: None, lambda *_: None)
     appender: Any = log
     actor = LeaseKeeper.start(environment, views, appender, log.health, callbacks)
