Warm up longer before the capacity is tried; show how late refusals come

At 3x refusals seemed to come late, but the table did not say how late.

Change: 40 s of load first, a fourth step of 1.5, columns for all stalls and for the wait until a refusal.

--- a/bench/bench.py
+++ b/bench/bench.py
@@ -34,9 +34,9 @@
 SEED = 1
 IDLE_REQUESTS = 30
 IDLE_PAUSE_S = 0.5
-WARM_UP_S = 15.0
+WARM_UP_S = 40.0
 CAPACITY_S = 24.0
-CAPACITY_STEPS = (0.8, 1.0, 1.25)
+CAPACITY_STEPS = (0.8, 1.0, 1.25, 1.5)
 """Loads tried to find the capacity, as parts of the profile's estimate."""
 
 CODES_OF_OWN_FAULTS = frozenset({"bad_request", "not_found", "untyped"})
--- a/bench/bench_figures.py
+++ b/bench/bench_figures.py
@@ -48,6 +48,14 @@
             seconds=self.seconds,
         )
         figures = summarize(result, settle_s=self.settle_s)
+        figures["refusal wait p95"] = percentile(
+            (
+                item.wait_s
+                for item in self.received
+                if item.ending is Ending.REFUSED and item.arrival.at >= self.settle_s
+            ),
+            0.95,
+        )
         figures["entry CPU ms per request"] = (
             1000 * self.entry_cpu_s / max(1, len(self.received))
         )
--- a/bench/bench_table.py
+++ b/bench/bench_table.py
@@ -5,6 +5,7 @@
 from bench.bench_figures import Observation
 
 COLUMNS = (
+    "all stall p95",
     "interactive stalled share",
     "interactive stall p50",
     "interactive stall p95",
@@ -19,6 +20,7 @@
     "batch efficiency",
     "goodput_per_s",
     "refused share",
+    "refusal wait p95",
     "gave up share",
     "broken share",
     "loads",
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -63,10 +63,13 @@
         assert figures["interactive stall p99"] == pytest.approx(1.0)
 
     def test_a_refusal_is_no_goodput(self) -> None:
-        refused = Received(arrival(1.0), ending=Ending.REFUSED, code="overloaded")
+        refused = Received(
+            arrival(1.0), ended_at=9.0, ending=Ending.REFUSED, code="overloaded"
+        )
         figures = observe([refused], []).figures(LERNWERK, IDLE_S)
         assert figures["goodput_per_s"] == 0.0
         assert figures[f"{Fate.REFUSED} share"] == 1.0
+        assert figures["refusal wait p95"] == pytest.approx(8.0)
 
     def test_the_hot_customer_does_not_count_among_the_others(self) -> None:
         items = [received(1.0, 9.0, "customer-2"), received(1.0, 2.0)]
