--- a/bamboovale/decisions/dispatch.py
+++ b/bamboovale/decisions/dispatch.py
@@ -18,6 +18,7 @@
 
 from bamboovale.decisions.batching import QUEUE_BYTES, QUEUE_ITEMS, WaitQueue
 from bamboovale.decisions.loading import SlotPlanner
+from bamboovale.decisions.openings import SlotForecast
 from bamboovale.decisions.permits import PermitBook
 from bamboovale.decisions.policy import Policy
 from bamboovale.decisions.refusals import (
@@ -93,10 +94,16 @@
         self._permits_given = 0
         self._exclusive_permit_id = ""
         self._send_margin_s = config.send_within_s + config.permit_margin_s
+        self._openings = SlotForecast(
+            planner=self._planner,
+            queue=self._queue,
+            permits=self._permits,
+        )
         self._waits = WaitForecast(
             queue=self._queue,
             permits=self._permits,
             planner=self._planner,
+            openings=self._openings,
             service_seconds=config.service_seconds,
         )
 
@@ -175,7 +182,7 @@
         seconds = self._permits.seconds_held(permit_id, now)
         permit = self._permits.release(permit_id, now)
         if permit is not None:
-            self._planner.unpinned(permit.lora_name, now)
+            self._openings.released(permit.lora_name, now)
             self._waits.served(permit_class(permit), seconds)
         return self._decide(now)
 
@@ -256,7 +263,7 @@
         for item in list(self._queue):
             if (
                 self._policy.refuses_hopeless
-                and now + self._waits.shortest(item, now) > item.latest_start
+                and now + self._waits.shortest(item) > item.latest_start
             ):
                 self._queue.remove(item.request_id)
                 refusals.append(refuse_late(item, self._waits.of(item, now)))
@@ -269,24 +276,19 @@
 
     def hint(self, now: float) -> EngineHint:
         """Return what entry VMs choose an engine by."""
-        slots = self._planner.slots
-        view = self._view
-        places = view.max_num_seqs if view else 0
-        coming = set(slots.loading_since) | set(self._planner.ask_by_name)
-        coming.update(name for name in slots.newcomer_by_victim.values() if name)
         return EngineHint(
             engine_id=self._config.engine_id,
             base_model=self._config.base_model,
             fencing=self._config.fencing,
             loaded=tuple(sorted(self._planner.grantable)),
-            loading=tuple(sorted(coming)),
+            loading=tuple(sorted(self._planner.coming())),
             free_places=self._waits.free_places,
-            max_num_seqs=places,
+            max_num_seqs=self._waits.places,
             queued=len(self._queue),
             predicted_wait_s=self._waits.behind(len(self._queue)),
             load_seconds=self._planner.load_wait.value,
-            open_slots=self._planner.open_slots(now),
-            slot_wait_s=self._planner.slot_wait(now),
+            open_slots=self._openings.open_slots(now),
+            slot_wait_s=self._openings.slot_wait(now),
         )
 
     def permits(self) -> dict[str, Permit]:
@@ -295,32 +297,19 @@
 
     def dump(self, now: float) -> dict[str, Any]:
         """Return the state as JSON for operators."""
-        slots = self._planner.slots
         return {
             "engine_id": self._config.engine_id,
             "fencing": self._config.fencing,
             "policy": self._policy.name,
             "boot_id": self._view.boot_id if self._view else None,
             "leaving": self._leaving,
-            "may_order": self._planner.may_order,
             "may_grant": self._may_grant,
-            "may_evict_in_s": max(0.0, self._planner.may_evict_from - now),
             "queued": len(self._queue),
             "queued_bytes": self._queue.size_bytes,
             "free_places": self._waits.free_places,
-            "permits": len(self._permits.permit_by_id),
-            "lingering": sorted(self._permits.lingering_by_id),
-            "foreign": dict(self._permits.foreign_by_request_id),
-            "loaded": {
-                name: round(self._planner.worth.of_slot(name, now), 3)
-                for name in sorted(slots.loaded)
-            },
-            "loading": sorted(slots.loading_since),
-            "evicting": dict(slots.newcomer_by_victim),
-            "draining": sorted(self._planner.draining),
-            "asked": sorted(self._planner.ask_by_name),
             "service_s": round(self._waits.service_seconds, 3),
-            "load_wait_s": round(self._planner.load_wait.value, 3),
+            **self._permits.dump(),
+            **self._planner.dump(now),
         }
 
     # Decisions.
--- a/bamboovale/decisions/loading.py
+++ b/bamboovale/decisions/loading.py
@@ -14,9 +14,9 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
 from bamboovale.decisions.batching import WaitQueue
-from bamboovale.decisions.demand import RecentDemand
 from bamboovale.decisions.estimates import MovingAverage
 from bamboovale.decisions.permits import PermitBook
 from bamboovale.decisions.policy import Policy
@@ -37,7 +37,6 @@
     WorkItem,
 )
 from bamboovale.decisions.worth import AdapterWorth
-from bamboovale.models import WorkClass
 
 LOADS_AT_ONCE = 2
 """As many as the weight store serves at full speed: more only share its bandwidth."""
@@ -53,11 +52,6 @@
 """Far above any load; guards against an order whose outcome never came back."""
 PATIENCE_LOADS = 2.0
 """A slot is drained for work that has waited as long as two loads take."""
-UNPINNED = "unpinned"
-TURNOVER_HALF_LIFE_S = 10.0
-"""About the length of one answer, in which a slot changes once."""
-SLOWEST_TURNOVER_PER_S = 0.1
-"""A slot each 10 s when nothing was measured: about the length of one long answer."""
 DRAINS_AT_ONCE = 2
 """Of 8 slots: more would empty the batch while their last requests end."""
 
@@ -98,7 +92,6 @@
         self._warm: dict[str, None] = {}
         self._failing_since: float | None = None
         self._failed_at = 0.0
-        self._unpinned = RecentDemand(half_life_s=TURNOVER_HALF_LIFE_S)
 
     # What the holder learns.
 
@@ -183,56 +176,36 @@
             return self.slots.loaded.keys()
         return [name for name in self.slots.loaded if name not in self.draining]
 
-    def wait_for_load(self, name: str, work_class: WorkClass, now: float) -> float:
-        """Return the seconds until an adapter is probably loaded."""
-        if name in self.slots.loaded and name not in self.draining:
-            return 0.0
-        since = self.slots.loading_since.get(name)
-        if since is not None:
-            return max(0.0, since + self.load_seconds - now)
-        wait_s = self.load_wait.value
-        if self._failing_since is not None:
-            # What has failed for some time will probably fail for as long again.
-            wait_s = max(wait_s, self._failed_at - self._failing_since)
-        already_waits = bool(self._queue.waiting_for(name))
-        over = 1 - self.open_slots(now, work_class) - already_waits
-        return wait_s + max(0, over) * self.slot_wait(now)
-
-    def open_slots(self, now: float, work_class: WorkClass | None = None) -> int:
-        """Return the slots for one more adapter, less those that wait for one.
-
-        For a class only the adapters count that wait for that class or a faster one:
-        interactive work does not queue behind a night's copy.
-        """
-        opening = len(self._evictable(now)) + self.slots.free
-        waiting = sum(
-            1
-            for name in self._queue.lora_names
-            if name not in self.slots.loaded
-            and not self.slots.is_coming(name)
-            and (
-                work_class is not WorkClass.INTERACTIVE
-                or self._queue.has_interactive(name)
-            )
-        )
-        return opening - waiting
-
-    def slot_wait(self, now: float) -> float:
-        """Return the seconds between two slots that lose their last request."""
-        rate = self._unpinned.rate(UNPINNED, now)
-        return 1.0 / max(rate, SLOWEST_TURNOVER_PER_S)
-
-    def unpinned(self, name: str, now: float) -> None:
-        """Note that an adapter's last request ended."""
-        if not self._permits.is_pinned(name):
-            self._unpinned.add(UNPINNED, now)
-
-    def shortest_wait_for_load(self, name: str, now: float) -> float:
-        """Return the seconds below which an adapter can't be loaded."""
-        if name in self.slots.loaded:
+    @property
+    def failing_for_s(self) -> float:
+        """Return how long loads have been seen to fail; zero if the last succeeded."""
+        if self._failing_since is None:
             return 0.0
-        since = self.slots.loading_since.get(name)
-        return self.load_seconds if since is None else 0.0
+        return self._failed_at - self._failing_since
+
+    def coming(self) -> set[str]:
+        """Return the adapters that are asked for or being loaded."""
+        newcomers = self.slots.newcomer_by_victim.values()
+        coming = set(self.slots.loading_since) | set(self.ask_by_name)
+        coming.update(name for name in newcomers if name)
+        return coming
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the state as JSON, each loaded adapter with its worth."""
+        loaded = sorted(self.slots.loaded)
+        return {
+            "may_order": self.may_order,
+            "may_evict_in_s": max(0.0, self.may_evict_from - now),
+            "loaded": {
+                name: round(self.worth.of_slot(name, now), 3) for name in loaded
+            },
+            "loading": sorted(self.slots.loading_since),
+            "evicting": dict(self.slots.newcomer_by_victim),
+            "draining": sorted(self.draining),
+            "asked": sorted(self.ask_by_name),
+            "load_wait_s": round(self.load_wait.value, 3),
+            "failing_for_s": round(self.failing_for_s, 3),
+        }
 
     # What it decides.
 
@@ -264,7 +237,7 @@
         if self.slots.free:
             self._asked_at_by_name[name] = ask.first_at if ask else now
             return self._load(name, now)
-        victim = self._victim(missing[name], self._evictable(now), now)
+        victim = self._victim(missing[name], self.evictable(now), now)
         if victim is None:
             return unused
         self._asked_at_by_name[name] = ask.first_at if ask else now
@@ -315,7 +288,7 @@
     def _ask_more(self, missing: dict[str, float], now: float) -> list[Action]:
         """Ask for the best; where one is not worth a slot, no later one is."""
         actions: list[Action] = []
-        evictable = self._evictable(now)
+        evictable = self.evictable(now)
         for name, worth in missing.items():
             if name in self.ask_by_name:
                 continue
@@ -344,7 +317,8 @@
     def _loads_allowed(self) -> int:
         return LOADS_AT_ONCE if self._failing_since is None else 1
 
-    def _evictable(self, now: float) -> dict[str, Slot]:
+    def evictable(self, now: float) -> dict[str, Slot]:
+        """Return the slots that no request uses or is about to use."""
         if now < self.may_evict_from:
             return {}
         return {
--- a/bamboovale/decisions/permits.py
+++ b/bamboovale/decisions/permits.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
 from bamboovale.decisions.work import EngineView, Permit
 
@@ -133,6 +134,14 @@
         self.foreign_by_request_id.clear()
         self._pins.clear()
 
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON."""
+        return {
+            "permits": len(self.permit_by_id),
+            "lingering": sorted(self.lingering_by_id),
+            "foreign": dict(self.foreign_by_request_id),
+        }
+
     def _end_lingering(self, view: EngineView, read_at: float) -> None:
         for permit_id, lingering in list(self.lingering_by_id.items()):
             seen_over = lingering.permit.request_id not in view.running_by_request_id
--- a/bamboovale/decisions/waits.py
+++ b/bamboovale/decisions/waits.py
@@ -9,6 +9,7 @@
 from bamboovale.decisions.batching import WaitQueue
 from bamboovale.decisions.estimates import MovingAverage
 from bamboovale.decisions.loading import SlotPlanner
+from bamboovale.decisions.openings import SlotForecast
 from bamboovale.decisions.permits import PermitBook
 from bamboovale.decisions.work import WorkItem
 from bamboovale.models import WorkClass
@@ -23,11 +24,13 @@
         queue: WaitQueue,
         permits: PermitBook,
         planner: SlotPlanner,
+        openings: SlotForecast,
         service_seconds: float,
     ) -> None:
         self._queue = queue
         self._permits = permits
         self._planner = planner
+        self._openings = openings
         self.places = 0
         self._service = MovingAverage(service_seconds)
         self._service_by_class = {
@@ -71,13 +74,13 @@
         queue_wait = self.behind(ahead)
         if queue_wait > 0.0:
             queue_wait = max(queue_wait, tag - now)
-        load_wait = self._planner.wait_for_load(
+        load_wait = self._openings.wait_for_load(
             item.target.lora_name,
             item.work_class,
             now,
         )
         return max(queue_wait, load_wait)
 
-    def shortest(self, item: WorkItem, now: float) -> float:
+    def shortest(self, item: WorkItem) -> float:
         """Return the wait that an item has at least."""
-        return self._planner.shortest_wait_for_load(item.target.lora_name, now)
+        return self._openings.shortest_wait_for_load(item.target.lora_name)
