Bring a handed-over lease into force at once

The new holder's first renewal waited for the keeper's tick, its being read back for the holder's tick (0.3 s), and what asked in between was sent elsewhere. Ruled out: the follower's polls; the release is read within 20 ms. Change: the first renewal goes out as the hand-over is read, the holder is woken when it is in force, and asks wait in its queue meanwhile.

--- a/bamboovale/engines/holder.py
+++ b/bamboovale/engines/holder.py
@@ -194,7 +194,10 @@
         """
         margin_s = self._environment.settings.lease_margin_s
         wait_s = self._config.send_within_s + margin_s
-        self._dispatch.set_may_evict_from(self._now() + wait_s)
+        now = self._now()
+        self._dispatch.set_may_evict_from(now + wait_s)
+        # After a hand-over the lease is not in force yet: what asks now waits for it.
+        self._dispatch.set_may_grant(self._may_grant(), now)
         self._read_view()
 
     def on_stop(self) -> None:
--- a/bamboovale/entry/desk.py
+++ b/bamboovale/entry/desk.py
@@ -150,7 +150,7 @@
                 excluded,
             )
             if engine_id is not None:
-                self._placement.on_sent(engine_id)
+                self._placement.on_sent(engine_id, item.target.lora_name)
             return engine_id
 
     # Plain services.
--- a/bamboovale/entry/holders.py
+++ b/bamboovale/entry/holders.py
@@ -7,7 +7,7 @@
 
 import pykka
 
-from bamboovale.actors import Ticker, tell
+from bamboovale.actors import Tick, Ticker, tell
 from bamboovale.catalogue.entries import PoolEntry
 from bamboovale.decisions.dispatch import DispatchConfig
 from bamboovale.decisions.policy import Policy
@@ -134,6 +134,12 @@
         for holder in holders:
             self._end(holder)
 
+    def wake(self, engine_id: str) -> None:
+        """Let a holder look at its lease at once, not at its next tick."""
+        holder = self._holder_by_engine.get(engine_id)
+        if holder is not None:
+            tell(holder, Tick())
+
     def on_membership(self) -> None:
         """Tell holders of engines that leave; start those whose pool became known."""
         for engine_id, holder in list(self._holder_by_engine.items()):
--- a/bamboovale/entry/vm.py
+++ b/bamboovale/entry/vm.py
@@ -195,7 +195,11 @@
             self.views,
             self._appender_by_stream[LEASE_STREAM],
             self._health,
-            LeaseCallbacks(on_held=self._on_held, on_lost=self._on_lost),
+            LeaseCallbacks(
+                on_held=self._on_held,
+                on_lost=self._on_lost,
+                on_valid=self._holders.wake,
+            ),
         )
         self._claims = ClaimKeeper.start(
             environment,
--- a/bamboovale/leases/keeper.py
+++ b/bamboovale/leases/keeper.py
@@ -166,8 +166,19 @@
             outcome = self._table.apply(record.offset, record.value, read_at)
             if isinstance(outcome, Cleared):
                 self._give_up_all()
+            valid_before = self._valid_engines()
             self._own.note_read(outcome)
             self._tell(outcome)
+            for engine in self._valid_engines() - valid_before:
+                self._callbacks.on_valid(engine)
+
+    def _valid_engines(self) -> set[str]:
+        now = self._environment.now()
+        return {
+            engine
+            for engine in self._own.held_by_engine
+            if self._own.fencing(engine, now) is not None
+        }
 
     def _restart_fold(self, records: tuple[LogRecord, ...], read_at: float) -> None:
         """Begin anew after a gap; leases held till now are given up first."""
@@ -207,8 +218,10 @@
         def valid() -> bool:
             return self._own.fencing(engine, self._environment.now()) == fencing
 
-        self._next_renewal_at = 0.0  # a hand-over is valid only once renewed
         self._callbacks.on_held(engine, fencing, valid)
+        if not valid():
+            # A hand-over is valid only once renewed; the engine waits for it.
+            self._renew(self._fleet_terms(), self._environment.now())
 
     def _publish(self) -> None:
         if self._table is None:
--- a/bamboovale/leases/messages.py
+++ b/bamboovale/leases/messages.py
@@ -48,7 +48,9 @@
     """What the keeper tells the rest of the VM, from its own thread.
 
     ``on_held(engine, fencing, valid)``: ``valid`` may be asked from any thread.
+    ``on_valid(engine)``: the lease came into force, after a hand-over or a lapse.
     """
 
     on_held: Callable[[str, int, Callable[[], bool]], None]
     on_lost: Callable[[str], None]
+    on_valid: Callable[[str], None]
--- a/tests/test_leases_keeper.py
+++ b/tests/test_leases_keeper.py
@@ -68,7 +68,11 @@
     views = Views(
         membership=Membership(vms=(entry_vm, runner)), serving_until=float("inf")
     )
-    callbacks = LeaseCallbacks(lambda *_: None, lambda *_: None)
+    callbacks = LeaseCallbacks(
+        on_held=lambda *_: None,
+        on_lost=lambda *_: None,
+        on_valid=lambda *_: None,
+    )
     appender: Any = log
     actor = LeaseKeeper.start(environment, views, appender, log.health, callbacks)
     yield actor
