--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: install test codestyle format typecheck binary demo fuzz guards
+.PHONY: install test codestyle format typecheck binary demo demo-binary fuzz guards
 .PHONY: measure-recovery bench bench-cost bench-virtual capacity
 
 install: $(STAMP)
@@ -59,3 +59,6 @@
 
 binary: install
 	$(PYTHON) -m tools.build_binary dist/bamboovale
+
+demo-binary: binary
+	$(PYTHON) -m bench.demo --program dist/bamboovale
