Free the key of a request whose caller left before it was sent

Cause: found by reading. A caller that hung up while its keyed request waited for a place left the key claimed as "may have run"; its repeat got outcome_unknown for a request that never left the entry VM. Ruled out: freeing it after a hang-up during the run. Change: a hang-up says not_run unless a run was sent; admission, claiming and attempt ids, which stood twice, are one module (entry/admitted.py); the holder's messages and the building of the callers' side have modules of their own.

--- a/bamboovale/engines/holder.py
+++ b/bamboovale/engines/holder.py
@@ -17,7 +17,6 @@
 from bamboovale.decisions.work import (
     AskLoadSlot,
     EngineHint,
-    EngineView,
     Grant,
     Load,
     Permit,
@@ -26,6 +25,18 @@
     WorkItem,
 )
 from bamboovale.engines.client import EngineAddress
+from bamboovale.engines.messages import (
+    AskReceived,
+    CancelReceived,
+    DumpState,
+    EntryVMGone,
+    LeavingSeen,
+    PermitsReported,
+    ReleaseReceived,
+    TurnGiven,
+    VersionChanged,
+    ViewRead,
+)
 from bamboovale.engines.orders import LeasedOrders, OrderEnded
 from bamboovale.environment import Environment
 from bamboovale.errors import ErrorCode, Refusal
@@ -39,77 +50,6 @@
 """One reads the state while two loads run, the store's full-speed number."""
 
 
-@dataclass(frozen=True)
-class AskReceived:
-    """An ask with the way back to the entry VM that sent it."""
-
-    from_vm: str
-    ask: PermitAsk
-    reply: Callable[[PermitReply], None] | None
-
-
-@dataclass(frozen=True)
-class CancelReceived:
-    """The entry VM gave up on a request."""
-
-    request_id: str
-
-
-@dataclass(frozen=True)
-class ReleaseReceived:
-    """The entry VM is done with a permit; see :class:`PermitRelease`."""
-
-    permit_id: str
-    refused: bool = False
-
-
-@dataclass(frozen=True)
-class EntryVMGone:
-    """The link to an entry VM broke."""
-
-    entry_vm: str
-
-
-@dataclass(frozen=True)
-class PermitsReported:
-    """What a live entry VM holds on this engine, asked after a take-over."""
-
-    permits: tuple[Permit, ...]
-
-
-@dataclass(frozen=True)
-class ViewRead:
-    """The engine's state, or None if it did not answer."""
-
-    view: EngineView | None
-
-
-@dataclass(frozen=True)
-class TurnGiven:
-    """The load scheduler gave a turn for an adapter version."""
-
-    turn: LoadTurnGiven
-
-
-@dataclass(frozen=True)
-class LeavingSeen:
-    """The VM list shows the engine as leaving."""
-
-
-@dataclass(frozen=True)
-class VersionChanged:
-    """A catalogue edit replaced one adapter version by another."""
-
-    replaced: str
-    lora_name: str
-    source: str
-
-
-@dataclass(frozen=True)
-class DumpState:
-    """Ask for the state as JSON."""
-
-
 class LoadTurns(Protocol):
     """Turns at the weight store, wherever their scheduler is."""
 
--- /dev/null
+++ b/bamboovale/engines/messages.py
@@ -0,0 +1,78 @@
+"""Messages to the lease holder of an engine."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bamboovale.decisions.work import EngineView, Permit
+from bamboovale.peers.messages import LoadTurnGiven, PermitAsk, PermitReply
+
+
+@dataclass(frozen=True)
+class AskReceived:
+    """An ask with the way back to the entry VM that sent it."""
+
+    from_vm: str
+    ask: PermitAsk
+    reply: Callable[[PermitReply], None] | None
+
+
+@dataclass(frozen=True)
+class CancelReceived:
+    """The entry VM gave up on a request."""
+
+    request_id: str
+
+
+@dataclass(frozen=True)
+class ReleaseReceived:
+    """The entry VM is done with a permit; see :class:`PermitRelease`."""
+
+    permit_id: str
+    refused: bool = False
+
+
+@dataclass(frozen=True)
+class EntryVMGone:
+    """The link to an entry VM broke."""
+
+    entry_vm: str
+
+
+@dataclass(frozen=True)
+class PermitsReported:
+    """What a live entry VM holds on this engine, asked after a take-over."""
+
+    permits: tuple[Permit, ...]
+
+
+@dataclass(frozen=True)
+class ViewRead:
+    """The engine's state, or None if it did not answer."""
+
+    view: EngineView | None
+
+
+@dataclass(frozen=True)
+class TurnGiven:
+    """The load scheduler gave a turn for an adapter version."""
+
+    turn: LoadTurnGiven
+
+
+@dataclass(frozen=True)
+class LeavingSeen:
+    """The VM list shows the engine as leaving."""
+
+
+@dataclass(frozen=True)
+class VersionChanged:
+    """A catalogue edit replaced one adapter version by another."""
+
+    replaced: str
+    lora_name: str
+    source: str
+
+
+@dataclass(frozen=True)
+class DumpState:
+    """Ask for the state as JSON."""
--- a/bamboovale/engines/turn_routes.py
+++ b/bamboovale/engines/turn_routes.py
@@ -5,8 +5,10 @@
 import pykka
 
 from bamboovale.actors import tell
-from bamboovale.engines.holder import TurnGiven
 from bamboovale.engines.load_turns import TurnAsked, TurnEnded
+from bamboovale.engines.messages import (
+    TurnGiven,
+)
 from bamboovale.peers.messages import LoadTurnAsk, LoadTurnEnded, LoadTurnGiven
 
 
--- /dev/null
+++ b/bamboovale/entry/admitted.py
@@ -0,0 +1,63 @@
+"""What model requests and plain calls have in common around their run."""
+
+import contextlib
+import itertools
+from collections.abc import Callable
+
+from bamboovale.decisions.admission import Arrival, Limits
+from bamboovale.entry.caller_request import CallerRequest
+from bamboovale.entry.desk import DecisionDesk
+from bamboovale.entry.ending import CallerAnswer, ClosingChunks
+from bamboovale.entry.keyed import KeyedRequests
+from bamboovale.environment import Environment
+
+
+class AdmittedRequests:
+    """Takes a request in, claims its key if it has one, and frees both at its end."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        desk: DecisionDesk,
+        keyed: KeyedRequests,
+    ) -> None:
+        self._incarnation = environment.incarnation[:6]
+        self._desk = desk
+        self._keyed = keyed
+        self._attempt_numbers = itertools.count(1)
+
+    def new_attempt_id(self, request: CallerRequest) -> str:
+        """Return an id that no other attempt of any request has."""
+        number = next(self._attempt_numbers)
+        return f"{request.request_id}.{self._incarnation}{number:x}"
+
+    def answer(
+        self,
+        request: CallerRequest,
+        entry: str,
+        owner: str,
+        limits: Limits,
+        run: Callable[[], CallerAnswer],
+    ) -> CallerAnswer:
+        """Run an admitted request; its place is held until its answer has been sent."""
+        attempt_id = self.new_attempt_id(request)
+        refusal = self._desk.admit(
+            Arrival(
+                request_id=attempt_id,
+                customer=owner,
+                entry=entry,
+                limits=limits,
+                size_bytes=len(request.body),
+            )
+        )
+        if refusal is not None:
+            return CallerAnswer.refusal(refusal, request.request_id)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._desk.done, attempt_id)
+            if request.key is None:
+                answer = run()
+            else:
+                answer = self._keyed.answer(request, attempt_id, owner, run)
+            held = stack.pop_all()
+        answer.chunks = ClosingChunks(answer.chunks, held.close)
+        return answer
--- /dev/null
+++ b/bamboovale/entry/callers_side.py
@@ -0,0 +1,60 @@
+"""Builds what answers callers from the parts of an entry VM."""
+
+from dataclasses import dataclass
+
+from bamboovale.entry.admitted import AdmittedRequests
+from bamboovale.entry.caller_app import CallerApp
+from bamboovale.entry.crashes import CrashReports
+from bamboovale.entry.desk import DecisionDesk
+from bamboovale.entry.endpoint_connections import EndpointConnections
+from bamboovale.entry.hangups import HangupWatcher
+from bamboovale.entry.model_requests import ModelRequests
+from bamboovale.entry.model_runs import ModelRuns
+from bamboovale.entry.permits import PermitDesk
+from bamboovale.entry.service_calls import ServiceCalls
+from bamboovale.environment import Environment
+from bamboovale.views import Views
+
+
+@dataclass(frozen=True)
+class CallerParts:
+    """What model requests and plain calls need of the entry VM."""
+
+    environment: Environment
+    views: Views
+    desk: DecisionDesk
+    permits: PermitDesk
+    connections: EndpointConnections
+    hangups: HangupWatcher
+    admitted: AdmittedRequests
+    crashes: CrashReports
+
+
+def build_caller_app(parts: CallerParts) -> CallerApp:
+    """Return the application of the callers' port."""
+    runs = ModelRuns(
+        parts.environment,
+        parts.views,
+        parts.desk,
+        parts.permits,
+        parts.connections,
+    )
+    models = ModelRequests(
+        parts.environment,
+        parts.views,
+        parts.desk,
+        parts.permits,
+        runs,
+        parts.hangups,
+        parts.admitted,
+        parts.crashes,
+    )
+    services = ServiceCalls(
+        parts.environment,
+        parts.views,
+        parts.desk,
+        parts.connections,
+        parts.hangups,
+        parts.admitted,
+    )
+    return CallerApp(parts.environment, parts.views, models, services)
--- a/bamboovale/entry/holder_links.py
+++ b/bamboovale/entry/holder_links.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from bamboovale.actors import tell
-from bamboovale.engines.holder import (
+from bamboovale.engines.messages import (
     AskReceived,
     CancelReceived,
     ReleaseReceived,
--- a/bamboovale/entry/holders.py
+++ b/bamboovale/entry/holders.py
@@ -14,11 +14,13 @@
 from bamboovale.decisions.work import EngineHint
 from bamboovale.engines.client import EngineAddress, EngineOrders
 from bamboovale.engines.holder import (
-    DumpState,
     EngineHolder,
+    LoadTurns,
+)
+from bamboovale.engines.messages import (
+    DumpState,
     EntryVMGone,
     LeavingSeen,
-    LoadTurns,
     VersionChanged,
 )
 from bamboovale.engines.orders import LeasedOrders
--- a/bamboovale/entry/model_requests.py
+++ b/bamboovale/entry/model_requests.py
@@ -1,15 +1,14 @@
 """Model requests: from the catalogue entry to the whole answer."""
 
-import contextlib
-import itertools
 import time
 from dataclasses import replace
 
 from result import Err
 
 from bamboovale.catalogue.entries import AdapterEntry
-from bamboovale.decisions.admission import Arrival, Limits
+from bamboovale.decisions.admission import Limits
 from bamboovale.decisions.work import WorkItem
+from bamboovale.entry.admitted import AdmittedRequests
 from bamboovale.entry.attempts import (
     Attempts,
     FinalRefusalError,
@@ -21,10 +20,9 @@
 from bamboovale.entry.caller_request import CallerRequest
 from bamboovale.entry.crashes import CrashReports
 from bamboovale.entry.desk import DecisionDesk
-from bamboovale.entry.ending import CallerAnswer, ClosingChunks
+from bamboovale.entry.ending import CallerAnswer
 from bamboovale.entry.engine_run import RunFailedError, RunFailure
 from bamboovale.entry.hangups import HangupWatcher
-from bamboovale.entry.keyed import KeyedRequests
 from bamboovale.entry.model_call import (
     DEFAULT_MAX_TOKENS,
     ModelCall,
@@ -75,7 +73,7 @@
         permits: PermitDesk,
         runs: ModelRuns,
         hangups: HangupWatcher,
-        keyed: KeyedRequests,
+        admitted: AdmittedRequests,
         crashes: CrashReports,
     ) -> None:
         self._environment = environment
@@ -84,9 +82,8 @@
         self._permits = permits
         self._runs = runs
         self._hangups = hangups
-        self._keyed = keyed
+        self._admitted = admitted
         self._crashes = crashes
-        self._attempt_numbers = itertools.count(1)
 
     def answer(self, request: CallerRequest) -> CallerAnswer:
         """Return the answer to a model request."""
@@ -101,56 +98,26 @@
                 not_run=True,
             )
             return CallerAnswer.refusal(refusal, request.request_id)
-        return self._admit(request, call.ok_value, entry)
-
-    def new_attempt_id(self, request: CallerRequest) -> str:
-        """Return an id that no other attempt of any request has."""
-        number = next(self._attempt_numbers)
-        incarnation = self._environment.incarnation[:6]
-        return f"{request.request_id}.{incarnation}{number:x}"
+        return self._answer(request, call.ok_value, entry)
 
     def _find_entry(self, name: str) -> AdapterEntry | None:
         catalogue = self._views.catalogue
         return None if catalogue is None else catalogue.adapter_by_name.get(name)
 
-    def _admit(
+    def _answer(
         self,
         request: CallerRequest,
         call: ModelCall,
         entry: AdapterEntry,
     ) -> CallerAnswer:
         fingerprint = request.fingerprint(entry.target.lora_name)
-        admission_id = self.new_attempt_id(request)
-        refusal = self._desk.crash_refusal(fingerprint) or self._desk.admit(
-            Arrival(
-                request_id=admission_id,
-                customer=entry.owner,
-                entry=f"adapter/{entry.name}",
-                limits=Limits(entry.limits.requests_per_s, entry.limits.concurrency),
-                size_bytes=len(request.body),
-            )
-        )
+        refusal = self._desk.crash_refusal(fingerprint)
         if refusal is not None:
             return CallerAnswer.refusal(refusal, request.request_id)
-        with contextlib.ExitStack() as stack:
-            stack.callback(self._desk.done, admission_id)
-            attempts = self._begin(request, call, entry, fingerprint)
-            answer = self._answer_admitted(attempts)
-            held = stack.pop_all()
-        answer.chunks = ClosingChunks(answer.chunks, held.close)
-        return answer
-
-    def _begin(
-        self,
-        request: CallerRequest,
-        call: ModelCall,
-        entry: AdapterEntry,
-        fingerprint: str,
-    ) -> Attempts:
         wait_s = entry.limits.max_wait_s
         if request.deadline_s is not None:
             wait_s = min(wait_s, request.deadline_s)
-        return Attempts(
+        attempts = Attempts(
             request=request,
             call=call,
             entry=entry,
@@ -159,15 +126,11 @@
             latest_start=request.arrived_at + wait_s,
             fingerprint=fingerprint,
         )
-
-    def _answer_admitted(self, attempts: Attempts) -> CallerAnswer:
-        request = attempts.request
-        if request.key is None:
-            return self._attempt(attempts)
-        return self._keyed.answer(
+        return self._admitted.answer(
             request,
-            self.new_attempt_id(request),
-            attempts.entry.owner,
+            f"adapter/{entry.name}",
+            entry.owner,
+            Limits(entry.limits.requests_per_s, entry.limits.concurrency),
             lambda: self._attempt(attempts),
         )
 
@@ -188,13 +151,17 @@
                 )
                 return CallerAnswer.refusal(refusal, request.request_id)
             except HungUpError:
-                refusal = Refusal(ErrorCode.BAD_REQUEST, "the caller hung up", False)
+                refusal = Refusal(
+                    ErrorCode.BAD_REQUEST,
+                    "the caller hung up",
+                    not_run=attempts.runs == 0,
+                )
                 return CallerAnswer.refusal(refusal, request.request_id)
 
     def _try_once(self, attempts: Attempts) -> CallerAnswer | None:
         """Get one permit and run under it; None means: try again."""
         self._check_serving()
-        attempt_id = self.new_attempt_id(attempts.request)
+        attempt_id = self._admitted.new_attempt_id(attempts.request)
         held = self._get_permit(attempts, attempt_id)
         if held is None:
             return None
@@ -341,6 +308,7 @@
     ) -> None:
         """Decide whether the request may be tried again; raise if it may not."""
         if attempts.hangup.gone:
+            attempts.runs += not failed.not_run
             raise HungUpError
         if failed.failure is RunFailure.REJECTED:
             raise FinalRefusalError(rejection(failed))
--- a/bamboovale/entry/peer_exchange.py
+++ b/bamboovale/entry/peer_exchange.py
@@ -12,7 +12,9 @@
 from bamboovale.claims.answers import AnswerState, AnswerStore, KeptAnswer
 from bamboovale.decisions.suspects import CrashNotice
 from bamboovale.decisions.work import Permit
-from bamboovale.engines.holder import PermitsReported
+from bamboovale.engines.messages import (
+    PermitsReported,
+)
 from bamboovale.peers.links import PeerLinks
 from bamboovale.peers.messages import (
     AnswerKept,
--- a/bamboovale/entry/service_calls.py
+++ b/bamboovale/entry/service_calls.py
@@ -1,17 +1,16 @@
 """Calls of plain services: any method and path below ``/services/NAME/``."""
 
-import contextlib
-import itertools
 from collections.abc import Iterable
 
 from result import Err, Ok, Result
 from urllib3.exceptions import HTTPError
 
 from bamboovale.catalogue.entries import ServiceEntry
-from bamboovale.decisions.admission import Arrival, Limits
+from bamboovale.decisions.admission import Limits
+from bamboovale.entry.admitted import AdmittedRequests
 from bamboovale.entry.caller_request import CallerRequest
 from bamboovale.entry.desk import DecisionDesk
-from bamboovale.entry.ending import CallerAnswer, ClosingChunks
+from bamboovale.entry.ending import CallerAnswer
 from bamboovale.entry.endpoint_connections import (
     ConnectFailedError,
     EndpointConnections,
@@ -19,7 +18,6 @@
     ExchangeFailedError,
 )
 from bamboovale.entry.hangups import HangupWatcher
-from bamboovale.entry.keyed import KeyedRequests
 from bamboovale.entry.permits import Hangup
 from bamboovale.environment import Environment
 from bamboovale.errors import ErrorCode, Refusal
@@ -59,15 +57,14 @@
         desk: DecisionDesk,
         connections: EndpointConnections,
         hangups: HangupWatcher,
-        keyed: KeyedRequests,
+        admitted: AdmittedRequests,
     ) -> None:
         self._environment = environment
         self._views = views
         self._desk = desk
         self._connections = connections
         self._hangups = hangups
-        self._keyed = keyed
-        self._attempt_numbers = itertools.count(1)
+        self._admitted = admitted
 
     def answer(self, request: CallerRequest, raw_path: str) -> CallerAnswer:
         """Return the answer to a call; ``raw_path`` as the caller wrote it."""
@@ -77,46 +74,14 @@
         if entry is None:
             refusal = Refusal(ErrorCode.NOT_FOUND, f"no service {name!r}", not_run=True)
             return CallerAnswer.refusal(refusal, request.request_id)
-        call_id = self._new_attempt_id(request)
-        refused = self._desk.admit(
-            Arrival(
-                request_id=call_id,
-                customer=entry.owner,
-                entry=f"service/{entry.name}",
-                limits=Limits(entry.limits.requests_per_s, entry.limits.concurrency),
-                size_bytes=len(request.body),
-            )
-        )
-        if refused is not None:
-            return CallerAnswer.refusal(refused, request.request_id)
-        with contextlib.ExitStack() as stack:
-            stack.callback(self._desk.done, call_id)
-            answer = self._answer_admitted(request, entry, f"/{rest}", call_id)
-            held = stack.pop_all()
-        answer.chunks = ClosingChunks(answer.chunks, held.close)
-        return answer
-
-    def _answer_admitted(
-        self,
-        request: CallerRequest,
-        entry: ServiceEntry,
-        path: str,
-        call_id: str,
-    ) -> CallerAnswer:
-        if request.key is None:
-            return self._call(request, entry, path)
-        return self._keyed.answer(
+        return self._admitted.answer(
             request,
-            call_id,
+            f"service/{entry.name}",
             entry.owner,
-            lambda: self._call(request, entry, path),
+            Limits(entry.limits.requests_per_s, entry.limits.concurrency),
+            lambda: self._call(request, entry, f"/{rest}"),
         )
 
-    def _new_attempt_id(self, request: CallerRequest) -> str:
-        number = next(self._attempt_numbers)
-        incarnation = self._environment.incarnation[:6]
-        return f"{request.request_id}.{incarnation}s{number:x}"
-
     def _call(
         self,
         request: CallerRequest,
@@ -136,7 +101,7 @@
 
     def _try_once(self, call: "_Call") -> Result[CallerAnswer, Refusal | None]:
         """Call one endpoint; Err(None) means: try another one."""
-        attempt_id = self._new_attempt_id(call.request)
+        attempt_id = self._admitted.new_attempt_id(call.request)
         endpoint_id = self._desk.choose_endpoint(
             call.entry.pool,
             attempt_id,
--- a/bamboovale/entry/vm.py
+++ b/bamboovale/entry/vm.py
@@ -34,7 +34,8 @@
 )
 from bamboovale.engines.turn_routes import TurnRoutes
 from bamboovale.entry.administration import Administration
-from bamboovale.entry.caller_app import CallerApp
+from bamboovale.entry.admitted import AdmittedRequests
+from bamboovale.entry.callers_side import CallerParts, build_caller_app
 from bamboovale.entry.crashes import CrashReports
 from bamboovale.entry.desk import DecisionDesk
 from bamboovale.entry.endpoint_connections import EndpointConnections
@@ -43,12 +44,9 @@
 from bamboovale.entry.holders import HolderLinksToVM, Holders
 from bamboovale.entry.http_server import HttpListener
 from bamboovale.entry.keyed import KeyedRequests
-from bamboovale.entry.model_requests import ModelRequests
-from bamboovale.entry.model_runs import ModelRuns
 from bamboovale.entry.peer_exchange import PeerExchange, read_crash_notice
 from bamboovale.entry.peer_handler import PeerHandler, PeerTargets
 from bamboovale.entry.permits import PermitDesk
-from bamboovale.entry.service_calls import ServiceCalls
 from bamboovale.entry.state_dump import StateDump, as_json
 from bamboovale.environment import Environment
 from bamboovale.http_client import HttpClient
@@ -225,32 +223,18 @@
             self._engines,
             self._publish_crash,
         )
-        runs = ModelRuns(
-            environment,
-            self.views,
-            self.desk,
-            self._permits,
-            self._connections,
-        )
-        models = ModelRequests(
-            environment,
-            self.views,
-            self.desk,
-            self._permits,
-            runs,
-            self._hangups,
-            keyed,
-            crashes,
-        )
-        services = ServiceCalls(
-            environment,
-            self.views,
-            self.desk,
-            self._connections,
-            self._hangups,
-            keyed,
+        self._caller_app = build_caller_app(
+            CallerParts(
+                environment=environment,
+                views=self.views,
+                desk=self.desk,
+                permits=self._permits,
+                connections=self._connections,
+                hangups=self._hangups,
+                admitted=AdmittedRequests(environment, self.desk, keyed),
+                crashes=crashes,
+            )
         )
-        self._caller_app = CallerApp(environment, self.views, models, services)
         self._callers = HttpListener(
             "callers",
             (settings.address, settings.callers_port),
