Queue nothing for an engine that does not answer

While an engine restarted, its holder went on queueing requests for it; they waited for the restart and then for its loads, while other engines had places. Change: after two readings of the engine's state without an answer its holder sends the queue, and what comes, to other engines until it is read again.

--- a/bamboovale/engines/holder.py
+++ b/bamboovale/engines/holder.py
@@ -46,6 +46,10 @@
 VIEW_INTERVAL_S = 0.5
 """How often the engine's exact state is read: finds cold restarts within a second."""
 
+MISSED_VIEWS = 2
+"""Readings in a row without an answer after which nothing is queued here: about a
+second. A restart takes several; one missed reading may be a lost packet."""
+
 ORDER_THREADS = 3
 """One reads the state while two loads run, the store's full-speed number."""
 
@@ -108,6 +112,7 @@
         )
         self._boot_id: str | None = None
         self._reading_view = False
+        self._missed_views = 0
         self._next_view_at = 0.0
         self._next_hint_at = 0.0
         self._register_handlers()
@@ -161,6 +166,9 @@
             return
         if received.reply is None:
             return  # a repeat that crossed our answer
+        if self._is_unreachable():
+            received.reply(_elsewhere(ask.request_id, "the engine does not answer"))
+            return
         now = self._now()
         self._queued_by_id[ask.request_id] = QueuedAsk(
             entry_vm=received.from_vm,
@@ -207,13 +215,27 @@
                 self._drop(request_id)
                 self._carry_out(self._dispatch.on_cancel(request_id, now))
 
+    def _is_unreachable(self) -> bool:
+        return self._missed_views >= MISSED_VIEWS
+
+    def _send_queue_away(self) -> None:
+        """Send what waits for an engine that is down to the others.
+
+        It would wait here for the engine's restart and its loads, while other engines
+        have places; callers see stalls of ten seconds and more.
+        """
+        now = self._now()
+        for request_id in list(self._queued_by_id):
+            self._drop(request_id)
+            self._carry_out(self._dispatch.on_cancel(request_id, now))
+
     def _drop(self, request_id: str) -> None:
-        """Stop waiting for an entry VM that fell silent.
+        """Stop queueing a request, and say so.
 
-        It may only be slow, and would then wait here for nothing: it is told.
+        An entry VM that seemed silent may only be slow, and would wait for nothing.
         """
         queued = self._queued_by_id.pop(request_id)
-        queued.reply(_elsewhere(request_id, "the entry VM fell silent"))
+        queued.reply(_elsewhere(request_id, "the engine or the entry VM is silent"))
 
     # The engine.
 
@@ -241,7 +263,11 @@
         self._reading_view = False
         view = message.view
         if view is None:
+            self._missed_views += 1
+            if self._is_unreachable():
+                self._send_queue_away()
             return
+        self._missed_views = 0
         if view.boot_id != self._boot_id:
             logging.getLogger(__name__).info(
                 "engine %s runs as boot %s (was %s)",
