Ask every engine before saying that an adapter cannot be loaded

Ruled out: the change of itself; both refusals came from engines that answer. Change: such a refusal is final only once no engine is left to ask.

--- a/bamboovale/entry/attempts.py
+++ b/bamboovale/entry/attempts.py
@@ -35,6 +35,7 @@
     fingerprint: str
     excluded: set[str] = field(default_factory=set)
     refusals: int = 0
+    unloadable: Refusal | None = None
     bounces: int = 0
     runs: int = 0
     exclusive: bool = False
--- a/bamboovale/entry/model_requests.py
+++ b/bamboovale/entry/model_requests.py
@@ -232,6 +232,10 @@
         attempts.excluded.add(engine_id)
         if isinstance(answer, TryElsewhere):
             return None
+        if answer.code is ErrorCode.LOG_UNAVAILABLE:
+            # It cannot be loaded there now; another engine may have it loaded.
+            attempts.unloadable = answer
+            return None
         attempts.refusals += 1
         if attempts.refusals >= MAX_REFUSALS:
             raise FinalRefusalError(answer)
@@ -286,6 +290,8 @@
         give_up_at = min(attempts.latest_start, request.arrived_at + SEARCH_S)
         if attempts.hangup.gone:
             raise HungUpError
+        if attempts.unloadable is not None:
+            raise FinalRefusalError(attempts.unloadable)
         if now >= give_up_at:
             raise FinalRefusalError(
                 Refusal(
