--- a/tests/test_model_requests.py
+++ b/tests/test_model_requests.py
@@ -17,7 +17,7 @@
 from bamboovale.entry.model_requests import ModelRequests
 from bamboovale.entry.permits import CallerGone, HeldPermit
 from bamboovale.environment import Environment
-from bamboovale.errors import ErrorCode
+from bamboovale.errors import ErrorCode, Refusal
 from bamboovale.metrics import Metrics
 from bamboovale.settings import Settings
 from bamboovale.views import Views
@@ -239,3 +239,18 @@
         assert world.answer().status == 200
         assert world.played.targets == ["a@1", "a@2"]
         assert world.played.released == 1
+
+
+class TestUnloadableAdapter:
+    """In a log outage the engine that has the adapter loaded is found.
+
+    Two engines cannot load it and refuse; a third has it loaded, but its hint has not
+    arrived here yet. The second refusal was final.
+    """
+
+    def test_a_third_engine_is_asked(self) -> None:
+        world = World()
+        refusal = Refusal(ErrorCode.LOG_UNAVAILABLE, "not loaded", not_run=True)
+        world.played.permit_answers = [refusal, refusal, grant]
+        world.played.run_endings = [DONE]
+        assert world.answer().status == 200
