--- a/bamboovale/catalogue/keeper.py
+++ b/bamboovale/catalogue/keeper.py
@@ -17,8 +17,8 @@
     write_snapshot,
 )
 from bamboovale.environment import Environment
-from bamboovale.platform.appender import Appender
-from bamboovale.platform.log_client import LogRecord, RecordBatch
+from bamboovale.log_service.appender import Appender
+from bamboovale.log_service.log_client import LogRecord, RecordBatch
 from bamboovale.views import Views
 
 CATALOGUE_STREAM = "catalogue"
--- a/bamboovale/claims/keeper.py
+++ b/bamboovale/claims/keeper.py
@@ -10,8 +10,8 @@
 from bamboovale.claims.fold import ClaimGapError, ClaimOutcome, ClaimTable, Verdict
 from bamboovale.claims.records import Answered, Claim, ClaimItem, Released, group
 from bamboovale.environment import Environment
-from bamboovale.platform.appender import Appender
-from bamboovale.platform.log_client import LogFailure, RecordBatch
+from bamboovale.log_service.appender import Appender
+from bamboovale.log_service.log_client import LogFailure, RecordBatch
 
 CLAIM_STREAM = "claims"
 
--- a/bamboovale/cli/catalogue_recovery.py
+++ b/bamboovale/cli/catalogue_recovery.py
@@ -15,7 +15,7 @@
 from bamboovale.catalogue.snapshots import split_snapshot, write_snapshot
 from bamboovale.cli.administration import AdministrationClient
 from bamboovale.http_client import HttpClient
-from bamboovale.platform.log_client import LogClient, LogFailure
+from bamboovale.log_service.log_client import LogClient, LogFailure
 from bamboovale.status import ExitStatus
 
 
--- a/bamboovale/entry/administration.py
+++ b/bamboovale/entry/administration.py
@@ -16,9 +16,9 @@
 from bamboovale.entry.state_dump import StateDump
 from bamboovale.environment import Environment
 from bamboovale.errors import ErrorCode, Refusal
+from bamboovale.log_service.appender import Appender
 from bamboovale.peers.links import PeerLinks
 from bamboovale.peers.messages import RevisionAnswer, RevisionQuery
-from bamboovale.platform.appender import Appender
 from bamboovale.views import Views
 
 ASK_AGAIN_S = 0.1
--- a/bamboovale/entry/vm.py
+++ b/bamboovale/entry/vm.py
@@ -59,6 +59,9 @@
     LeaseBatchRead,
     LeaseCallbacks,
 )
+from bamboovale.log_service.appender import Appender
+from bamboovale.log_service.follower import LogHealth, StreamFollower
+from bamboovale.log_service.log_client import LogClient, RecordBatch
 from bamboovale.membership.keeper import (
     DrainBegun,
     DumpMembership,
@@ -69,11 +72,8 @@
     VMListReader,
     forward_list,
 )
+from bamboovale.membership.vm_list import VMListClient
 from bamboovale.peers.links import PeerLinks
-from bamboovale.platform.appender import Appender
-from bamboovale.platform.follower import LogHealth, StreamFollower
-from bamboovale.platform.log_client import LogClient, RecordBatch
-from bamboovale.platform.vm_list import VMListClient
 from bamboovale.views import Views
 
 NOTICE_STREAM = "notices"
--- a/bamboovale/leases/keeper.py
+++ b/bamboovale/leases/keeper.py
@@ -29,9 +29,9 @@
 from bamboovale.leases.records import Release, Take
 from bamboovale.leases.recovery import LeaseRecovery
 from bamboovale.leases.timing import LeaseTerms
-from bamboovale.platform.appender import Appender
-from bamboovale.platform.follower import LogHealth
-from bamboovale.platform.log_client import LogRecord, RecordBatch
+from bamboovale.log_service.appender import Appender
+from bamboovale.log_service.follower import LogHealth
+from bamboovale.log_service.log_client import LogRecord, RecordBatch
 from bamboovale.views import KnownLease, Views
 
 TAKE_AGAIN_S = 2.0
--- a/bamboovale/leases/messages.py
+++ b/bamboovale/leases/messages.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from bamboovale.platform.log_client import RecordBatch
+from bamboovale.log_service.log_client import RecordBatch
 
 LEASE_STREAM = "leases"
 WEIGHT_STORE = "@weight-store"
--- /dev/null
+++ b/bamboovale/log_service/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the append-only log service of the product's own interface."""
--- a/bamboovale/platform/appender.py
+++ b/bamboovale/log_service/appender.py
@@ -7,7 +7,7 @@
 from result import Ok, Result
 
 from bamboovale.environment import Environment
-from bamboovale.platform.log_client import LogClient, LogFailure
+from bamboovale.log_service.log_client import LogClient, LogFailure
 
 APPEND_THREADS = 2
 """One slow append does not hold up the next renewal."""
--- a/bamboovale/platform/follower.py
+++ b/bamboovale/log_service/follower.py
@@ -6,7 +6,11 @@
 from result import Ok
 
 from bamboovale.environment import Environment
-from bamboovale.platform.log_client import MAX_RECORDS_PER_READ, LogClient, RecordBatch
+from bamboovale.log_service.log_client import (
+    MAX_RECORDS_PER_READ,
+    LogClient,
+    RecordBatch,
+)
 
 WAIT_S = 2.0
 """Length of one long poll; an idle stream costs one call in two seconds."""
--- a/bamboovale/membership/keeper.py
+++ b/bamboovale/membership/keeper.py
@@ -23,10 +23,10 @@
     may_serve,
 )
 from bamboovale.environment import Environment
+from bamboovale.log_service.follower import LogHealth
+from bamboovale.membership.vm_list import VMListClient
 from bamboovale.models import VM
 from bamboovale.peers.messages import StatusNotice
-from bamboovale.platform.follower import LogHealth
-from bamboovale.platform.vm_list import VMListClient
 from bamboovale.views import ReceivedHint, Views
 
 FANOUT = 12
--- a/bamboovale/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of the platform: log service and VM list."""
--- a/tests/test_catalogue_begin_anew.py
+++ b/tests/test_catalogue_begin_anew.py
@@ -12,7 +12,7 @@
 from bamboovale.catalogue.snapshots import SnapshotAssembler, read_snapshot
 from bamboovale.cli.main import app
 from bamboovale.http_client import HttpClient
-from bamboovale.platform.log_client import LogClient
+from bamboovale.log_service.log_client import LogClient
 from bamboovale.standins import log
 from bamboovale.standins.server import running
 from bamboovale.status import ExitStatus
--- a/tests/test_catalogue_keeper.py
+++ b/tests/test_catalogue_keeper.py
@@ -25,8 +25,8 @@
 )
 from bamboovale.catalogue.snapshots import split_snapshot, write_snapshot
 from bamboovale.environment import Environment
+from bamboovale.log_service.log_client import LogRecord, RecordBatch
 from bamboovale.metrics import Metrics
-from bamboovale.platform.log_client import LogRecord, RecordBatch
 from bamboovale.settings import Settings
 from bamboovale.views import Views
 
--- a/tests/test_claims_keeper.py
+++ b/tests/test_claims_keeper.py
@@ -13,8 +13,8 @@
 from bamboovale.claims.keeper import ClaimAsked, ClaimBatchRead, ClaimKeeper
 from bamboovale.claims.records import Claim, group
 from bamboovale.environment import Environment
+from bamboovale.log_service.log_client import LogRecord, RecordBatch
 from bamboovale.metrics import Metrics
-from bamboovale.platform.log_client import LogRecord, RecordBatch
 from bamboovale.settings import Settings
 
 RETENTION_S = 3600.0
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -8,9 +8,9 @@
 
 from bamboovale.actors import MessageActor, hand_over
 from bamboovale.environment import Environment
+from bamboovale.log_service.follower import LogHealth, StreamFollower
+from bamboovale.log_service.log_client import LogRecord, RecordBatch
 from bamboovale.metrics import Metrics
-from bamboovale.platform.follower import LogHealth, StreamFollower
-from bamboovale.platform.log_client import LogRecord, RecordBatch
 
 
 class BusyLog:
--- a/tests/test_leases_keeper.py
+++ b/tests/test_leases_keeper.py
@@ -16,11 +16,11 @@
     LeaseCallbacks,
 )
 from bamboovale.leases.records import Renewal
+from bamboovale.log_service.follower import LogHealth
+from bamboovale.log_service.log_client import LogRecord, RecordBatch
 from bamboovale.membership.view import Membership
 from bamboovale.metrics import Metrics
 from bamboovale.models import VM, VMKind
-from bamboovale.platform.follower import LogHealth
-from bamboovale.platform.log_client import LogRecord, RecordBatch
 from bamboovale.settings import Settings
 from bamboovale.views import Views
 
--- a/tests/test_log_client.py
+++ b/tests/test_log_client.py
@@ -1,7 +1,7 @@
 """The log client against the stand-in of the log."""
 
 from bamboovale.http_client import HttpClient
-from bamboovale.platform.log_client import MAX_RECORDS_PER_READ, LogClient
+from bamboovale.log_service.log_client import MAX_RECORDS_PER_READ, LogClient
 from bamboovale.standins import log
 from bamboovale.standins.server import running
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,6 +12,7 @@
 from bamboovale.actors import Tick
 from bamboovale.environment import Environment
 from bamboovale.http_client import HttpClient
+from bamboovale.log_service.follower import LogHealth
 from bamboovale.membership.keeper import (
     FANOUT,
     LARGE_FLEET_FANOUT,
@@ -20,11 +21,10 @@
     StatusReceived,
     VMListRead,
 )
+from bamboovale.membership.vm_list import VMListClient
 from bamboovale.metrics import Metrics
 from bamboovale.models import VM, VMKind
 from bamboovale.peers.messages import StatusNotice
-from bamboovale.platform.follower import LogHealth
-from bamboovale.platform.vm_list import VMListClient
 from bamboovale.settings import Settings
 from bamboovale.standins.server import running
 from bamboovale.standins.vms import create_server
