--- /dev/null
+++ b/bamboovale/cli/gateway.py
@@ -0,0 +1,73 @@
+"""``bamboovale gateway``: an entry VM on the routed interface."""
+
+import asyncio
+import os
+import signal
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from result import Err
+
+from bamboovale.status import ExitStatus
+
+
+def gateway(
+    node_file: Annotated[
+        Path | None,
+        typer.Option(
+            envvar="BAMBOOVALE_NODE_FILE",
+            help="Settings file that the platform lays down for this process.",
+        ),
+    ] = None,
+    peer_key: Annotated[
+        str,
+        typer.Option(
+            envvar="BAMBOOVALE_PEER_KEY",
+            help="Shared key of all entry VMs; without it only loopback is called.",
+        ),
+    ] = "",
+    check: Annotated[
+        bool,
+        typer.Option("--check", help="Check the settings and end."),
+    ] = False,
+) -> None:
+    """Run an entry VM on the users' platform; SIGTERM drains it first."""
+    from bamboovale.platform.node_file import NodeSettings
+
+    if node_file is None:
+        typer.echo("node-file: a settings file is required", err=True)
+        raise typer.Exit(ExitStatus.SETTINGS_INVALID)
+    checked = NodeSettings.from_file(node_file)
+    if isinstance(checked, Err):
+        for finding in checked.err_value:
+            typer.echo(f"{finding.place}: {finding.message}", err=True)
+        raise typer.Exit(ExitStatus.SETTINGS_INVALID)
+    if check:
+        typer.echo(f"{node_file}: settings of {checked.ok_value.name} are valid")
+        return
+    raise typer.Exit(asyncio.run(_run(checked.ok_value, peer_key)))
+
+
+async def _run(node: "object", peer_key: str) -> ExitStatus:
+    # Imported late: the other commands start without the server's libraries.
+    from bamboovale.gateway.journal import Journal, configure_journal
+    from bamboovale.gateway.vm import GatewayVM
+    from bamboovale.metrics import Metrics
+    from bamboovale.platform.node_file import NodeSettings
+    from bamboovale.platform.translation import PlatformTranslation
+
+    assert isinstance(node, NodeSettings)
+    configure_journal()
+    journal = Journal(node.name)
+    vm = GatewayVM(PlatformTranslation(node), Metrics(), journal, peer_key)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, vm.stop)
+    loop.add_signal_handler(signal.SIGINT, vm.stop)
+    loop.add_signal_handler(signal.SIGHUP, vm.reload)
+    try:
+        await vm.run()
+    except OSError as error:
+        journal.write("cannot_start", error=str(error), pid=os.getpid())
+        return ExitStatus.UNAVAILABLE
+    return ExitStatus.SUCCESS
--- a/bamboovale/cli/main.py
+++ b/bamboovale/cli/main.py
@@ -3,7 +3,7 @@
 import typer
 
 from bamboovale import __version__
-from bamboovale.cli import catalogue, entry, settings_table, standin
+from bamboovale.cli import catalogue, entry, gateway, settings_table, standin
 
 app = typer.Typer(
     name="bamboovale",
@@ -23,6 +23,7 @@
 
 
 app.command("entry")(entry.entry)
+app.command("gateway")(gateway.gateway)
 app.command("check-settings")(entry.check_settings)
 app.command("state")(entry.state)
 app.command("settings-table")(settings_table.settings_table)
--- /dev/null
+++ b/bamboovale/gateway/attempts.py
@@ -0,0 +1,141 @@
+"""One attempt of a request at one endpoint."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import h11
+
+from bamboovale.gateway.call import CallCodec
+from bamboovale.gateway.model import AnswerFacts, EndpointRecord
+from bamboovale.http1.connection import AnswerBroken, ConnectFailed, Connection
+from bamboovale.http1.pool import ConnectionPool
+
+STRAY_ANSWERS = 2
+"""Answers of earlier requests that are skipped on one connection."""
+MOST_BUFFERED_BYTES = 8 * 1024 * 1024
+"""Of a plain answer, which is passed on only once it is whole."""
+
+
+class NotRun(Exception):  # noqa: N818 - reads as what happened
+    """The endpoint did not run the request, or was never reached.
+
+    ``reached`` tells whether it got there: such an arrival counts as a try.
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        *,
+        reached: bool,
+        wrong_endpoint: bool = False,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(reason)
+        self.reached = reached
+        self.wrong_endpoint = wrong_endpoint
+        self.retry_after_s = retry_after_s
+
+
+class MayHaveRun(Exception):  # noqa: N818 - reads as what happened
+    """The request was sent and no proper answer came."""
+
+
+@dataclass
+class Attempt:
+    """An answer that has begun."""
+
+    connection: Connection
+    facts: AnswerFacts
+
+    async def whole_body(self) -> bytes:
+        """Return the rest of the answer; raises MayHaveRun if it is cut short."""
+        parts = []
+        size = 0
+        try:
+            while (data := await self.connection.data()) is not None:
+                parts.append(data)
+                size += len(data)
+                if size > MOST_BUFFERED_BYTES:
+                    raise MayHaveRun("the answer is too large")
+        except AnswerBroken as error:
+            raise MayHaveRun(f"answer cut: {error}") from error
+        return b"".join(parts)
+
+
+class Attempts:
+    """Sends requests to endpoints over kept connections."""
+
+    def __init__(self, pool: ConnectionPool, codec: CallCodec) -> None:
+        self._pool = pool
+        self._codec = codec
+
+    async def connect(
+        self,
+        record: EndpointRecord,
+        *,
+        once_only: bool,
+    ) -> Connection:
+        """Return a connection; raises NotRun if the endpoint cannot be reached."""
+        try:
+            return await self._pool.take(
+                record.endpoint_id,
+                record.address,
+                fresh_only=once_only,
+            )
+        except ConnectFailed as error:
+            raise NotRun(f"connect: {error}", reached=False) from error
+
+    async def begin(
+        self,
+        connection: Connection,
+        request: h11.Request,
+        body: bytes,
+        request_id: str,
+    ) -> Attempt:
+        """Send the request and wait for the head of its answer.
+
+        Raises NotRun or MayHaveRun.
+        """
+        if connection.closed:
+            raise NotRun("the connection ended unused", reached=False)
+        connection.send(request, body)
+        try:
+            facts = await self._own_head(connection, request_id)
+        except AnswerBroken as error:
+            raise MayHaveRun(f"no answer: {error}") from error
+        attempt = Attempt(connection, facts)
+        if facts.not_run:
+            await attempt.whole_body()
+            raise NotRun(
+                f"endpoint said {facts.status}",
+                reached=True,
+                wrong_endpoint=facts.wrong_endpoint,
+                retry_after_s=facts.retry_after_s,
+            )
+        if not facts.signed:
+            raise MayHaveRun(f"{facts.status} without signature")
+        return attempt
+
+    @contextmanager
+    def closing(self, record: EndpointRecord, connection: Connection) -> Iterator[None]:
+        """Keep the connection after a whole answer; close it in every other case.
+
+        Closing tells the endpoint that nobody waits for the run any more.
+        """
+        try:
+            yield
+        finally:
+            self._pool.give_back(record.endpoint_id, connection)
+
+    async def _own_head(self, connection: Connection, request_id: str) -> AnswerFacts:
+        """Return the head of our answer, past answers to earlier requests."""
+        for _ in range(STRAY_ANSWERS + 1):
+            facts = self._codec.decode_answer(await connection.head())
+            if facts.request_id in (None, request_id):
+                return facts
+            while await connection.data() is not None:
+                pass
+            if not connection.skip_answer():
+                break
+        raise AnswerBroken("answers of other requests")
--- /dev/null
+++ b/bamboovale/gateway/call.py
@@ -0,0 +1,85 @@
+"""One request of a caller on its way, and the ways in which it can end."""
+
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+import h11
+
+from bamboovale.gateway.model import AnswerFacts, CallFacts, Route
+from bamboovale.http1.connection import AnswerHead, Headers
+from bamboovale.http1.server import Request, Responder
+
+
+class CallCodec(Protocol):
+    """Puts requests and answers into the wire's format."""
+
+    def decode_call(self, request: Request) -> CallFacts:
+        """Read a caller's headers; raises BadRequest."""
+
+    def encode_call(
+        self,
+        request: Request,
+        facts: CallFacts,
+        *,
+        endpoint_id: str,
+        left_s: float,
+        version: int | None = None,
+        urgency: int | None = None,
+        resume_after: str | None = None,
+    ) -> h11.Request:
+        """Return the request for an endpoint."""
+
+    def decode_answer(self, head: AnswerHead) -> AnswerFacts:
+        """Read the head of an answer."""
+
+    def encode_refusal(
+        self,
+        retry_after_s: float | None,
+        request_id: str | None,
+    ) -> Headers:
+        """Return the headers of an answer of our own."""
+
+
+class CallRefused(Exception):  # noqa: N818 - reads as what happened
+    """The request has not run and will not run; the caller may come back."""
+
+    def __init__(self, reason: str, retry_after_s: float) -> None:
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
+
+
+class CallFailed(Exception):  # noqa: N818 - reads as what happened
+    """The request may have run; its answer is lost."""
+
+
+@dataclass
+class Call:
+    """A request with its route; times are the event loop's.
+
+    ``give_up_at`` is when the caller or the route stops waiting. ``notes`` collects
+    what the log line of the request tells.
+    """
+
+    request: Request
+    facts: CallFacts
+    route: Route
+    service: str
+    responder: Responder
+    give_up_at: float
+    notes: dict[str, Any] = field(default_factory=dict)
+    attempts: int = 0
+
+    @property
+    def goal_at(self) -> float:
+        """Return until when an answer is worth most."""
+        return self.request.received_at + self.route.goal_s
+
+    def left_s(self, now: float) -> float:
+        """Return for how long somebody still waits."""
+        return max(0.0, self.give_up_at - now)
+
+    def note_attempt(self, **fields: Any) -> dict[str, Any]:
+        """Add one attempt to the log line; the returned map may be completed."""
+        self.attempts += 1
+        self.notes.setdefault("attempts", []).append(fields)
+        return fields
--- /dev/null
+++ b/bamboovale/gateway/engine_orders.py
@@ -0,0 +1,129 @@
+"""Calls to one engine: its report, and orders with fencing number."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+import h11
+
+from bamboovale.gateway.model import (
+    EndpointRecord,
+    EngineOrder,
+    EngineReport,
+    OrderOutcome,
+)
+from bamboovale.http1.connection import AnswerBroken, ConnectFailed
+from bamboovale.http1.pool import ConnectionPool
+
+REPORT_TIMEOUT_S = 1.0
+"""An engine answers a report within milliseconds; a slow link takes some hundred."""
+ORDER_TIMEOUT_S = 1.0
+
+
+class EngineCodec(Protocol):
+    """Puts reports and orders into the engine's format; raises ValueError kinds."""
+
+    def report_request(self, endpoint_id: str, host: str) -> h11.Request:
+        """Return the call for a report."""
+
+    def decode_report(self, body: bytes) -> EngineReport:
+        """Read a report; raises ValueError."""
+
+    def order_request(
+        self,
+        order: EngineOrder,
+        *,
+        endpoint_id: str,
+        host: str,
+        holder: str,
+        fence: int,
+        expected_orders: int | None,
+    ) -> tuple[h11.Request, bytes]:
+        """Return the call that gives an order."""
+
+    def order_outcome(self, status: int) -> OrderOutcome:
+        """Read the status of an order's answer."""
+
+
+class EngineCallFailed(Exception):  # noqa: N818 - reads as what happened
+    """No usable answer; what was asked may be done all the same."""
+
+
+class EngineCalls:
+    """Calls engines over a pool of connections of their own."""
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        codec: EngineCodec,
+        holder: str,
+        on_call: Callable[[str, str], None] = lambda name, outcome: None,
+    ) -> None:
+        self._pool = pool
+        self._codec = codec
+        self._holder = holder
+        self._on_call = on_call
+
+    async def report(self, record: EndpointRecord) -> EngineReport:
+        """Return the engine's report; raises EngineCallFailed."""
+        request = self._codec.report_request(record.endpoint_id, _host(record))
+        status, body = await self._exchange(record, request, b"", REPORT_TIMEOUT_S)
+        self._on_call("report", str(status))
+        if status != 200:
+            raise EngineCallFailed(f"report: {status}")
+        try:
+            return self._codec.decode_report(body)
+        except ValueError as error:
+            raise EngineCallFailed(str(error)) from error
+
+    async def order(
+        self,
+        record: EndpointRecord,
+        order: EngineOrder,
+        fence: int,
+        expected_orders: int | None,
+    ) -> OrderOutcome:
+        """Give an order; UNKNOWN if no answer came: it may be carried out late."""
+        request, body = self._codec.order_request(
+            order,
+            endpoint_id=record.endpoint_id,
+            host=_host(record),
+            holder=self._holder,
+            fence=fence,
+            expected_orders=expected_orders,
+        )
+        try:
+            status, _ = await self._exchange(record, request, body, ORDER_TIMEOUT_S)
+        except EngineCallFailed:
+            outcome = OrderOutcome.UNKNOWN
+        else:
+            outcome = self._codec.order_outcome(status)
+        self._on_call("order", outcome.name.lower())
+        return outcome
+
+    async def _exchange(
+        self,
+        record: EndpointRecord,
+        request: h11.Request,
+        body: bytes,
+        timeout_s: float,
+    ) -> tuple[int, bytes]:
+        connection = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._pool.take(record.endpoint_id, record.address)
+                connection.send(request, body)
+                head = await connection.head()
+                parts = []
+                while (data := await connection.data()) is not None:
+                    parts.append(data)
+        except (TimeoutError, ConnectFailed, AnswerBroken, OSError) as error:
+            if connection is not None:
+                connection.close()
+            raise EngineCallFailed(f"{type(error).__name__}: {error}") from error
+        self._pool.give_back(record.endpoint_id, connection)
+        return head.status, b"".join(parts)
+
+
+def _host(record: EndpointRecord) -> str:
+    return f"{record.address[0]}:{record.address[1]}"
--- /dev/null
+++ b/bamboovale/gateway/engine_owner.py
@@ -0,0 +1,318 @@
+"""The task of one engine at its owner: carries out what ``EnginePlaces`` decides."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bamboovale.decisions.engine_places import (
+    Action,
+    EngineCapacity,
+    EngineFacts,
+    EnginePlaces,
+    Grant,
+    OrderLoad,
+    OrderUnload,
+    PlaceAsk,
+    Refuse,
+)
+from bamboovale.gateway.engine_orders import EngineCallFailed, EngineCalls
+from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.messages import EngineStatus, PlaceReply, PlaceRequest
+from bamboovale.gateway.model import (
+    EndpointRecord,
+    EngineOrder,
+    EngineReport,
+    OrderOutcome,
+)
+
+REPORT_IDLE_S = 2.0
+"""Between reports while nothing is expected: finds an adapter that was evicted or an
+order that another owner gave. Each report is a priced call."""
+REPORT_LOADING_S = 0.06
+"""Between reports while a load is about to end: requests wait for it."""
+FAILED_PAUSE_S = 0.25
+TICK_S = 0.1
+"""How often hopeless waits are refused."""
+
+Reply = Callable[[PlaceReply], None]
+
+
+@dataclass(frozen=True)
+class OwnerContext:
+    """What an owner's task is given; ``fence`` is the number of the present lease."""
+
+    calls: EngineCalls
+    journal: Journal
+    now: Callable[[], float]
+    may_order: Callable[[str], bool]
+    fence: Callable[[], int]
+
+
+class EngineOwner:
+    """Owns one engine while the lease lasts."""
+
+    def __init__(
+        self,
+        record: EndpointRecord,
+        capacity: EngineCapacity,
+        context: OwnerContext,
+    ) -> None:
+        self.record = record
+        self.places = EnginePlaces(capacity)
+        self._context = context
+        self._reply_by_ask: dict[str, Reply] = {}
+        self._orders_seen: int | None = None
+        self._fenced_at: int | None = None
+        self._wake = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._look_at = 0.0
+
+    def start(self) -> None:
+        """Begin to read reports."""
+        self._spawn(self._look_forever())
+        self._spawn(self._tick_forever())
+
+    def stop(self) -> None:
+        """End all tasks; whoever waits is told to ask the next owner."""
+        for task in list(self._tasks):
+            task.cancel()
+        for ask_id, reply in list(self._reply_by_ask.items()):
+            reply(PlaceReply(ask_id, reason="not the owner", not_owner=True))
+        self._reply_by_ask.clear()
+
+    # Requests of entry VMs.
+
+    def ask(self, entry_vm: str, request: PlaceRequest, reply: Reply) -> None:
+        """Decide on a request for a place, now or later."""
+        now = self._context.now()
+        ask = PlaceAsk(
+            ask_id=request.ask_id,
+            entry_vm=entry_vm,
+            model=request.model,
+            adapter=request.adapter,
+            version=request.version,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            rank=request.rank,
+            goal_at=now + request.goal_within_s,
+            latest_start=now + request.starts_within_s,
+        )
+        self._reply_by_ask[ask.ask_id] = reply
+        self._carry_out(self.places.on_ask(ask, now))
+
+    def cancel(self, ask_id: str) -> None:
+        """Drop a request."""
+        self._reply_by_ask.pop(ask_id, None)
+        self._carry_out(self.places.on_cancel(ask_id, self._context.now()))
+
+    def release(self, ask_id: str, *, refused: bool) -> None:
+        """Free a place."""
+        now = self._context.now()
+        if refused:
+            self._carry_out(self.places.on_refused_run(ask_id, now))
+            self._hurry(now)
+        else:
+            self._carry_out(self.places.on_release(ask_id, now))
+
+    def entry_gone(self, entry_vm: str) -> None:
+        """Free what a dead entry VM held."""
+        self._carry_out(self.places.on_entry_gone(entry_vm, self._context.now()))
+
+    def note_version(self, model: str, adapter: str, version: int) -> None:
+        """Learn of a new version."""
+        now = self._context.now()
+        self.places.note_version((model, adapter), version, now)
+        self._carry_out(self.places.decide(now))
+
+    def status(self, generation: int) -> EngineStatus:
+        """Return what peers are told."""
+        outlook = self.places.outlook(self._context.now())
+        return EngineStatus(
+            engine_id=self.record.endpoint_id,
+            generation=generation,
+            loaded=tuple((*key, v) for key, v in outlook.loaded.items()),
+            coming=tuple((*key, v) for key, v in outlook.coming.items()),
+            models=outlook.models,
+            active=outlook.active,
+            places=outlook.places,
+            queued=outlook.queued,
+            backlog_s=round(outlook.backlog_s, 3),
+            free_slots=outlook.free_slots,
+        )
+
+    # Carrying out.
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Grant):
+                self._tell(action.ask, PlaceReply(action.ask.ask_id, action.version))
+            elif isinstance(action, Refuse):
+                self._refuse(action)
+            else:
+                self._spawn(self._order(action))
+
+    def _tell(self, ask: PlaceAsk, reply: PlaceReply) -> None:
+        waiting = self._reply_by_ask.pop(ask.ask_id, None)
+        if waiting is not None:
+            waiting(reply)
+
+    def _refuse(self, refusal: Refuse) -> None:
+        self._context.journal.write(
+            "place_refused",
+            engine=self.record.endpoint_id,
+            ask=refusal.ask.ask_id,
+            adapter=refusal.ask.adapter,
+            reason=refusal.reason.name.lower(),
+            queued=self.places.waiting(),
+        )
+        reply = PlaceReply(
+            refusal.ask.ask_id,
+            reason=refusal.reason.name.lower(),
+            retry_after_s=refusal.retry_after_s,
+        )
+        self._tell(refusal.ask, reply)
+
+    async def _order(self, action: OrderLoad | OrderUnload) -> None:
+        load = isinstance(action, OrderLoad)
+        version = action.version if isinstance(action, OrderLoad) else None
+        order = EngineOrder(load, action.model, action.adapter, version or None)
+        fence = self._context.fence()
+        if not self._allowed(fence):
+            self._failed(action, certain=True)
+            return
+        outcome = await self._context.calls.order(
+            self.record,
+            order,
+            fence,
+            self._orders_seen,
+        )
+        self._context.journal.write(
+            "order",
+            engine=self.record.endpoint_id,
+            load=load,
+            model=action.model,
+            adapter=action.adapter,
+            version=version,
+            fence=fence,
+            expected=self._orders_seen,
+            outcome=outcome.name.lower(),
+        )
+        self._take_outcome(action, outcome, fence)
+
+    def _take_outcome(
+        self,
+        action: OrderLoad | OrderUnload,
+        outcome: OrderOutcome,
+        fence: int,
+    ) -> None:
+        now = self._context.now()
+        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.HOLDS):
+            if self._orders_seen is not None and not self._held_already(
+                outcome, action
+            ):
+                self._orders_seen += 1
+            self._carry_out(self.places.on_order_done(action, now))
+            self._expect_news(now)
+            return
+        if outcome is OrderOutcome.FENCED:
+            self._fenced_at = fence
+        self._orders_seen = None
+        self._failed(action, certain=outcome is not OrderOutcome.UNKNOWN)
+        self._hurry(now)
+
+    def _held_already(
+        self,
+        outcome: OrderOutcome,
+        action: OrderLoad | OrderUnload,
+    ) -> bool:
+        """Tell whether nothing was done: an unload at once answers like one held."""
+        return outcome is OrderOutcome.HOLDS and isinstance(action, OrderLoad)
+
+    def _failed(self, action: OrderLoad | OrderUnload, *, certain: bool) -> None:
+        now = self._context.now()
+        self._carry_out(self.places.on_order_failed(action, now, certain=certain))
+
+    def _allowed(self, fence: int) -> bool:
+        """Tell whether an order may go out now, looked at just before it does."""
+        if self._fenced_at is not None and fence <= self._fenced_at:
+            return False
+        return self._context.may_order(self.record.endpoint_id)
+
+    # Reports.
+
+    async def _look_forever(self) -> None:
+        while True:
+            seen = await self._look()
+            now = self._context.now()
+            self._look_at = now + self._pause_s(seen)
+            while (left := self._look_at - self._context.now()) > 0:
+                self._wake.clear()
+                try:
+                    async with asyncio.timeout(left):
+                        await self._wake.wait()
+                except TimeoutError:
+                    break
+
+    def _pause_s(self, seen: bool) -> float:
+        if not seen:
+            return FAILED_PAUSE_S
+        if self.places.has_loads_coming():
+            return REPORT_LOADING_S
+        return REPORT_IDLE_S
+
+    async def _look(self) -> bool:
+        asked_at = self._context.now()
+        try:
+            report = await self._context.calls.report(self.record)
+        except EngineCallFailed as error:
+            self._context.journal.write(
+                "report_failed",
+                engine=self.record.endpoint_id,
+                error=str(error),
+            )
+            return False
+        if self._orders_seen is None or report.orders > self._orders_seen:
+            self._orders_seen = report.orders
+        now = self._context.now()
+        self.places.may_order = self._allowed(self._context.fence())
+        self._carry_out(self.places.on_facts(facts_of(report, asked_at), now))
+        return True
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.places.may_order = self._allowed(self._context.fence())
+            if self.places.waiting():
+                self._carry_out(self.places.decide(self._context.now()))
+
+    def _hurry(self, now: float) -> None:
+        """Look at the engine at once."""
+        self._look_at = now
+        self._wake.set()
+
+    def _expect_news(self, now: float) -> None:
+        """Look again when the load just ordered is about to end."""
+        if self.places.has_loads_coming():
+            soon = now + max(0.05, self.places.load_s.value - 2 * REPORT_LOADING_S)
+            self._look_at = min(self._look_at, soon)
+            self._wake.set()
+
+    def _spawn(self, job: "object") -> None:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(job)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def facts_of(report: EngineReport, read_at: float) -> EngineFacts:
+    """Return a report as the decisions read it."""
+    return EngineFacts(
+        version_by_model={model.name: model.version for model in report.models},
+        version_by_adapter={
+            (model.name, adapter): version
+            for model in report.models
+            for adapter, version in model.version_by_adapter.items()
+        },
+        loading=report.loading,
+        active=report.active,
+        read_at=read_at,
+    )
--- /dev/null
+++ b/bamboovale/gateway/engines.py
@@ -0,0 +1,216 @@
+"""What this entry VM knows of the engines, and asking their owners for places."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from concurrent.futures import Future
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from bamboovale.decisions.engine_choice import EngineView
+from bamboovale.decisions.engine_places import PREFILL_TOKENS_PER_S, EngineOutlook
+from bamboovale.gateway.engine_owner import EngineOwner
+from bamboovale.gateway.fleet import Fleet
+from bamboovale.gateway.messages import (
+    EngineStatus,
+    PlaceCancel,
+    PlaceRelease,
+    PlaceReply,
+    PlaceRequest,
+)
+from bamboovale.gateway.model import EndpointRecord
+from bamboovale.peers.outgoing import (
+    PeerLostError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+)
+
+LOOK_S = 0.25
+"""How often a waiting request looks whether the owner still lives."""
+
+
+class OwnerSilent(Exception):  # noqa: N818 - reads as what happened
+    """The engine's owner did not answer, or owns it no more."""
+
+
+class Links(Protocol):
+    """Messages to other entry VMs."""
+
+    def request(self, vm_id: str, message: Any, timeout_s: float) -> "Future[Any]":
+        """Send a request."""
+
+    def notify(self, vm_id: str, message: Any) -> None:
+        """Send a notice."""
+
+
+@dataclass
+class _Sent:
+    """Prompt time sent to an engine since its owner was last heard."""
+
+    heard_at: float = 0.0
+    backlog_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class HeldPlace:
+    """A place that was granted; to be released by the same VM."""
+
+    engine_id: str
+    ask_id: str
+    owner: str
+    version: int
+
+
+@dataclass
+class Engines:
+    """Views of engines by id, and the way to their owners."""
+
+    own_id: str
+    fleet: Fleet
+    links: Links
+    now: Callable[[], float]
+    owner_by_engine: dict[str, EngineOwner] = field(default_factory=dict)
+    _sent_by_id: dict[str, _Sent] = field(default_factory=dict)
+
+    def views(self, records: list[EndpointRecord]) -> dict[str, EngineView]:
+        """Return what is known of each of the engines."""
+        return {record.endpoint_id: self._view(record) for record in records}
+
+    def note_sent(self, engine_id: str, prompt_tokens: int) -> None:
+        """Count what the owner's next status will show."""
+        sent = self._sent_by_id.setdefault(engine_id, _Sent())
+        sent.backlog_s += prompt_tokens / PREFILL_TOKENS_PER_S
+
+    async def ask(self, engine_id: str, request: PlaceRequest) -> PlaceReply:
+        """Ask the engine's owner for a place; raises OwnerSilent."""
+        owner = self._owner_of(engine_id)
+        if owner is None:
+            raise OwnerSilent("no owner")
+        future = self._send_ask(owner, request)
+        try:
+            reply = await self._wait_for(future, owner, engine_id)
+        except BaseException:
+            self._cancel(owner, engine_id, request.ask_id)
+            raise
+        if reply.not_owner:
+            raise OwnerSilent("owned by another VM")
+        return reply
+
+    def release(self, place: HeldPlace, *, refused: bool = False) -> None:
+        """Tell the owner that a run is over."""
+        local = self.owner_by_engine.get(place.engine_id)
+        if place.owner == self.own_id:
+            if local is not None:
+                local.release(place.ask_id, refused=refused)
+            return
+        notice = PlaceRelease(place.engine_id, place.ask_id, refused)
+        self.links.notify(place.owner, notice)
+
+    def owner_name(self, engine_id: str) -> str | None:
+        """Return the live owner of an engine."""
+        return self._owner_of(engine_id)
+
+    def _send_ask(
+        self,
+        owner: str,
+        request: PlaceRequest,
+    ) -> "asyncio.Future[PlaceReply]":
+        if owner != self.own_id:
+            timeout_s = request.starts_within_s + LOOK_S
+            return asyncio.wrap_future(
+                self.links.request(owner, request, timeout_s),
+            )
+        future: asyncio.Future[PlaceReply]
+        future = asyncio.get_running_loop().create_future()
+
+        def reply(answer: PlaceReply) -> None:
+            if not future.done():
+                future.set_result(answer)
+
+        self.owner_by_engine[request.engine_id].ask(owner, request, reply)
+        return future
+
+    async def _wait_for(
+        self,
+        future: "asyncio.Future[PlaceReply]",
+        owner: str,
+        engine_id: str,
+    ) -> PlaceReply:
+        """Wait for the reply while its owner lives.
+
+        Guards against an owner that is frozen or cut off: it never answers, while the
+        engine itself is well and others could take over.
+        """
+        while True:
+            done, _ = await asyncio.wait({future}, timeout=LOOK_S)
+            if done:
+                break
+            if self._owner_of(engine_id) != owner:
+                future.cancel()
+                raise OwnerSilent("the owner fell silent")
+        try:
+            return future.result()
+        except (PeerUnreachableError, PeerLostError, PeerTimeoutError) as error:
+            raise OwnerSilent(str(error)) from error
+
+    def _cancel(self, owner: str, engine_id: str, ask_id: str) -> None:
+        if owner != self.own_id:
+            self.links.notify(owner, PlaceCancel(engine_id, ask_id))
+            return
+        with contextlib.suppress(KeyError):
+            self.owner_by_engine[engine_id].cancel(ask_id)
+
+    def _owner_of(self, engine_id: str) -> str | None:
+        if engine_id in self.owner_by_engine:
+            return self.own_id
+        owned = self.fleet.engine(engine_id)
+        if owned is None or owned.owner == self.own_id:
+            return None
+        return owned.owner if self.fleet.is_live(owned.owner, self.now()) else None
+
+    def _view(self, record: EndpointRecord) -> EngineView:
+        engine_id = record.endpoint_id
+        owned = self.fleet.engine(engine_id)
+        if owned is None:
+            return EngineView(engine_id, outlook_of(record), self._owner_of(engine_id))
+        sent = self._sent_by_id.setdefault(engine_id, _Sent())
+        if owned.heard_at > sent.heard_at:
+            sent.heard_at = owned.heard_at
+            sent.backlog_s = 0.0
+        return EngineView(
+            engine_id,
+            _outlook(owned.status),
+            self._owner_of(engine_id),
+            sent.backlog_s,
+        )
+
+
+def outlook_of(record: EndpointRecord) -> EngineOutlook:
+    """Return what an engine's own record tells while no owner has spoken."""
+    return EngineOutlook(
+        loaded={
+            (model.name, adapter): version
+            for model in record.models
+            for adapter, version in model.version_by_adapter.items()
+        },
+        coming={},
+        models=tuple(model.name for model in record.models),
+        active=0,
+        places=record.slots,
+        queued=0,
+        backlog_s=0.0,
+        free_slots=0,
+    )
+
+
+def _outlook(status: EngineStatus) -> EngineOutlook:
+    return EngineOutlook(
+        loaded={(model, name): version for model, name, version in status.loaded},
+        coming={(model, name): version for model, name, version in status.coming},
+        models=status.models,
+        active=status.active,
+        places=status.places,
+        queued=status.queued,
+        backlog_s=status.backlog_s,
+        free_slots=status.free_slots,
+    )
--- /dev/null
+++ b/bamboovale/gateway/events.py
@@ -0,0 +1,78 @@
+"""Cuts a stream of server-sent events into whole events and follows their ids."""
+
+from dataclasses import dataclass
+
+MAX_EVENT_BYTES = 1024 * 1024
+"""Far above any event; a stream without an end of event must not fill the memory."""
+
+
+class EventsBroken(Exception):  # noqa: N818 - reads as what happened
+    """The bytes are no proper continuation of the stream."""
+
+
+@dataclass(frozen=True)
+class Event:
+    """One whole event as received; ``event_id`` None if it carries none."""
+
+    data: bytes
+    event_id: str | None
+
+
+class EventBuffer:
+    """Collects bytes until an event is whole.
+
+    Guards against an endpoint that stops in the middle of an event: half an event
+    would reach the caller, and what another endpoint continues would not fit on. Ids
+    that do not rise mean a piece that came twice or out of order.
+    """
+
+    def __init__(self, resume_after: str | None = None) -> None:
+        self.last_id = resume_after
+        self._pending = b""
+
+    @property
+    def has_partial(self) -> bool:
+        """Tell whether bytes of an unfinished event are held."""
+        return bool(self._pending.strip())
+
+    def restart(self) -> None:
+        """Forget a partial event: another endpoint sends it anew."""
+        self._pending = b""
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Return the events that are whole now; raises EventsBroken."""
+        self._pending += data
+        if len(self._pending) > MAX_EVENT_BYTES:
+            raise EventsBroken("an event without end")
+        events = []
+        while (end := _end_of_event(self._pending)) > 0:
+            chunk, self._pending = self._pending[:end], self._pending[end:]
+            event = Event(chunk, _id_of(chunk))
+            if event.event_id is not None:
+                self._check_order(event.event_id)
+                self.last_id = event.event_id
+            events.append(event)
+        return events
+
+    def _check_order(self, event_id: str) -> None:
+        if self.last_id is None or not (event_id.isdigit() and self.last_id.isdigit()):
+            return
+        if int(event_id) <= int(self.last_id):
+            raise EventsBroken(f"event {event_id} after {self.last_id}")
+
+
+def _end_of_event(data: bytes) -> int:
+    """Return the length of the first whole event, 0 if there is none."""
+    ends = [
+        at + len(mark)
+        for mark in (b"\n\n", b"\r\n\r\n")
+        if (at := data.find(mark)) >= 0
+    ]
+    return min(ends, default=0)
+
+
+def _id_of(event: bytes) -> str | None:
+    for line in event.splitlines():
+        if line.startswith(b"id:"):
+            return line[3:].strip().decode("latin-1")
+    return None
--- /dev/null
+++ b/bamboovale/gateway/fleet.py
@@ -0,0 +1,144 @@
+"""The entry VMs that are there, as seen from one of them.
+
+Each VM registers its address once in the metadata store, where others find it when
+they start. Whether it lives is told by short statuses from VM to VM: the store may be
+down or cut off while everything else works.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from bamboovale.gateway.messages import EngineStatus, GatewayStatus
+
+STATUS_INTERVAL_S = 0.3
+"""Between two statuses in a small fleet."""
+STATUSES_PER_S = 60.0
+"""Most that one VM receives: larger fleets tell less often (75 VMs: every 1.25 s)."""
+MISSED_STATUSES = 3.0
+"""Statuses in a row after which a VM counts as silent; links drop none but broken."""
+SLACK_S = 0.2
+
+
+@dataclass(frozen=True)
+class Peer:
+    """Another entry VM; ``heard_at`` None: known from the store only."""
+
+    vm_id: str
+    address: tuple[str, int]
+    status: GatewayStatus | None = None
+    heard_at: float | None = None
+
+
+@dataclass(frozen=True)
+class OwnedEngine:
+    """What an engine's owner last told."""
+
+    owner: str
+    status: EngineStatus
+    heard_at: float
+
+
+class Fleet:
+    """Aggregate of all peers; no sockets, no clock."""
+
+    def __init__(self, own_id: str) -> None:
+        self._own_id = own_id
+        self._peer_by_id: dict[str, Peer] = {}
+        self._engine_by_id: dict[str, OwnedEngine] = {}
+
+    @property
+    def peer_by_id(self) -> Mapping[str, Peer]:
+        """Return all peers that are known."""
+        return self._peer_by_id
+
+    def size(self, now: float) -> int:
+        """Return how many entry VMs live, ourselves included."""
+        return 1 + sum(self.is_live(vm_id, now) for vm_id in self._peer_by_id)
+
+    def interval_s(self) -> float:
+        """Return the time between two statuses; it grows with the fleet."""
+        return max(STATUS_INTERVAL_S, len(self._peer_by_id) / STATUSES_PER_S)
+
+    def silent_after_s(self) -> float:
+        """Return for how long a live VM may be unheard."""
+        return MISSED_STATUSES * self.interval_s() + SLACK_S
+
+    def on_registered(self, vm_id: str, address: tuple[str, int]) -> None:
+        """Take a VM's address from the store."""
+        if vm_id == self._own_id:
+            return
+        known = self._peer_by_id.get(vm_id)
+        if known is None or known.heard_at is None:
+            self._peer_by_id[vm_id] = Peer(vm_id, address)
+
+    def on_status(self, vm_id: str, status: GatewayStatus, now: float) -> None:
+        """Take a peer's status."""
+        address = (status.address, status.peers_port)
+        self._peer_by_id[vm_id] = Peer(vm_id, address, status, now)
+        for engine in status.engines:
+            self._take_engine(OwnedEngine(vm_id, engine, now))
+
+    def on_own_engines(self, engines: tuple[EngineStatus, ...], now: float) -> None:
+        """Take what we ourselves own."""
+        for engine in engines:
+            self._take_engine(OwnedEngine(self._own_id, engine, now))
+
+    def address_of(self, vm_id: str) -> tuple[str, int] | None:
+        """Return where a peer takes links."""
+        peer = self._peer_by_id.get(vm_id)
+        return None if peer is None else peer.address
+
+    def is_live(self, vm_id: str, now: float) -> bool:
+        """Tell whether a peer was heard of late."""
+        if vm_id == self._own_id:
+            return True
+        peer = self._peer_by_id.get(vm_id)
+        if peer is None or peer.heard_at is None:
+            return False
+        return now - peer.heard_at <= self.silent_after_s()
+
+    def serving(self, now: float) -> list[GatewayStatus]:
+        """Return the statuses of live peers that take callers."""
+        return [
+            peer.status
+            for peer in self._peer_by_id.values()
+            if peer.status is not None
+            and peer.status.serving
+            and self.is_live(peer.vm_id, now)
+        ]
+
+    def engine(self, engine_id: str) -> OwnedEngine | None:
+        """Return what is known of an engine's owner."""
+        return self._engine_by_id.get(engine_id)
+
+    def to_tell(self, now: float, forget_after_s: float = 20.0) -> list[str]:
+        """Return the peers to send statuses to; silent ones are tried for a while."""
+        return [
+            peer.vm_id
+            for peer in self._peer_by_id.values()
+            if peer.heard_at is None or now - peer.heard_at < forget_after_s
+        ]
+
+    def drop_engines(self, live_ids: set[str]) -> None:
+        """Forget engines that are gone."""
+        for engine_id in list(self._engine_by_id):
+            if engine_id not in live_ids:
+                del self._engine_by_id[engine_id]
+
+    def newest_config(self, now: float) -> tuple[str, int] | None:
+        """Return the live peer with the newest configuration, and its version."""
+        versions = [
+            (peer.status.config_version, peer.vm_id)
+            for peer in self._peer_by_id.values()
+            if peer.status is not None and self.is_live(peer.vm_id, now)
+        ]
+        if not versions:
+            return None
+        version, vm_id = max(versions)
+        return vm_id, version
+
+    def _take_engine(self, owned: OwnedEngine) -> None:
+        """Believe the owner of the highest generation."""
+        known = self._engine_by_id.get(owned.status.engine_id)
+        if known is None or owned.status.generation >= known.status.generation:
+            self._engine_by_id[owned.status.engine_id] = owned
--- /dev/null
+++ b/bamboovale/gateway/front.py
@@ -0,0 +1,222 @@
+"""Takes callers' requests: finds the route, bounds the time, answers every one."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from bamboovale.decisions.suspects import fingerprint
+from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
+from bamboovale.gateway.crashes import CrashGuard
+from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.model import CallFacts, Route, RoutingTable
+from bamboovale.gateway.model_calls import ModelCalls, StreamCut
+from bamboovale.gateway.plain_calls import PlainCalls
+from bamboovale.http1.server import BadRequest, Request, Responder
+from bamboovale.metrics import Metrics
+
+NOT_READY_RETRY_S = 1.0
+SUSPECT_RETRY_S = 30.0
+"""A request that crashes endpoints will do so again; nobody should try it soon."""
+DEFAULT_WAIT_S = 60.0
+"""For a caller that names no deadline; the route's own time-out is shorter."""
+
+
+class Situation(Protocol):
+    """What the front must know of its VM."""
+
+    def table(self) -> RoutingTable | None:
+        """Return the configuration in force, None before the first."""
+
+    def stopping(self) -> bool:
+        """Tell whether this VM is about to stop."""
+
+    def takes_work(self) -> bool:
+        """Tell whether new work may begin here."""
+
+
+class Front:
+    """Handles one request at a time for each connection."""
+
+    def __init__(
+        self,
+        *,
+        codec: CallCodec,
+        plain_calls: PlainCalls,
+        model_calls: ModelCalls,
+        crashes: CrashGuard,
+        situation: Situation,
+        journal: Journal,
+        metrics: Metrics,
+        now: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._codec = codec
+        self._plain_calls = plain_calls
+        self._model_calls = model_calls
+        self._crashes = crashes
+        self._situation = situation
+        self._journal = journal
+        self._metrics = metrics
+        self._now = now
+        self._rng = rng
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request; the task is cancelled if its caller leaves."""
+        if self._situation.stopping():
+            responder.close_after()
+        try:
+            facts = self._codec.decode_call(request)
+        except BadRequest as bad:
+            self.on_bad_request(bad)
+            self._answer(responder, bad.status, None, None)
+            return
+        table = self._situation.table()
+        if table is None or not self._situation.takes_work():
+            self._log_short(request, facts, "not_ready", table)
+            self._refuse(responder, facts, NOT_READY_RETRY_S)
+            return
+        route = table.match(facts.host, request.target)
+        if route is None:
+            self._log_short(request, facts, "no_route", table)
+            self._answer(responder, 404, None, facts.request_id)
+            return
+        await self._carry(request, facts, route, table, responder)
+
+    def on_bad_request(self, bad: BadRequest) -> None:
+        """Count and log bytes that are no acceptable request."""
+        self._metrics.gateway_requests.labels("bad_request", "none").inc()
+        self._journal.write("bad_request", status=bad.status, reason=str(bad))
+
+    async def _carry(
+        self,
+        request: Request,
+        facts: CallFacts,
+        route: Route,
+        table: RoutingTable,
+        responder: Responder,
+    ) -> None:
+        wait_s = min(route.timeout_s, facts.deadline_s or DEFAULT_WAIT_S)
+        call = Call(
+            request=request,
+            facts=facts,
+            route=route,
+            service=self._pick_service(route),
+            responder=responder,
+            give_up_at=request.received_at + wait_s,
+        )
+        outcome = "left"
+        try:
+            outcome = await self._run(call, table)
+        finally:
+            self._log(call, outcome, table)
+
+    async def _run(self, call: Call, table: RoutingTable) -> str:
+        """Run the call to its final answer; return the outcome for log and counter."""
+        try:
+            async with asyncio.timeout_at(call.give_up_at):
+                await self._dispatch(call, table)
+            return "answered"
+        except TimeoutError:
+            return self._fail(call, 504, "timed_out")
+        except CallRefused as refusal:
+            call.notes["reason"] = str(refusal)
+            self._refuse(call.responder, call.facts, refusal.retry_after_s)
+            return "refused"
+        except (CallFailed, StreamCut) as failure:
+            call.notes["reason"] = str(failure)
+            return self._fail(call, 502, "failed")
+
+    async def _dispatch(self, call: Call, table: RoutingTable) -> None:
+        service = table.service_by_name.get(call.service)
+        work = call.facts.work
+        print_of = fingerprint(call.facts.host, call.request.target, call.request.body)
+        if self._crashes.refuses(print_of):
+            raise CallRefused("it crashed endpoints before", SUSPECT_RETRY_S)
+        if service is None or service.engines is None or work is None:
+            with self._crashes.watching(print_of, call):
+                await self._plain_calls.run(call)
+            return
+        if work.model not in service.engines.model_by_name:
+            self._answer(call.responder, 404, None, call.facts.request_id)
+            call.notes["reason"] = "unknown model"
+            return
+        with self._crashes.watching(print_of, call):
+            await self._model_calls.run(call, work)
+
+    def _pick_service(self, route: Route) -> str:
+        weights = route.weight_by_service
+        if len(weights) == 1:
+            return next(iter(weights))
+        return self._rng.choices(list(weights), list(weights.values()))[0]
+
+    def _fail(self, call: Call, status: int, outcome: str) -> str:
+        """End a call whose request may have run."""
+        if call.responder.started:
+            # Ended properly, a stream without its last events would look whole.
+            call.responder.abort()
+        else:
+            self._answer(call.responder, status, None, call.facts.request_id)
+        call.notes["status"] = status
+        return outcome
+
+    def _refuse(
+        self,
+        responder: Responder,
+        facts: CallFacts,
+        retry_after_s: float,
+    ) -> None:
+        # Callers refused together must not come back together.
+        spread_s = retry_after_s * self._rng.uniform(0.75, 1.25)
+        self._answer(responder, 503, spread_s, facts.request_id)
+
+    def _answer(
+        self,
+        responder: Responder,
+        status: int,
+        retry_after_s: float | None,
+        request_id: str | None,
+    ) -> None:
+        headers = self._codec.encode_refusal(retry_after_s, request_id)
+        responder.answer(status, headers, b"")
+
+    def _log_short(
+        self,
+        request: Request,
+        facts: CallFacts,
+        outcome: str,
+        table: RoutingTable | None,
+    ) -> None:
+        self._metrics.gateway_requests.labels(outcome, "none").inc()
+        self._journal.write(
+            "request",
+            id=facts.request_id,
+            outcome=outcome,
+            host=facts.host,
+            target=request.target,
+            config=table.version if table else None,
+        )
+
+    def _log(self, call: Call, outcome: str, table: RoutingTable) -> None:
+        kind = call.route.kind.name.lower()
+        total_s = self._now() - call.request.received_at
+        self._metrics.gateway_requests.labels(outcome, kind).inc()
+        self._metrics.gateway_request_seconds.labels(kind).observe(total_s)
+        if "first_s" in call.notes:
+            self._metrics.gateway_first_event_seconds.observe(call.notes["first_s"])
+        work = call.facts.work
+        self._journal.write(
+            "request",
+            id=call.facts.request_id,
+            outcome=outcome,
+            route=call.route.name,
+            kind=kind,
+            service=call.service,
+            model=work.model if work else None,
+            adapter=work.adapter if work else None,
+            tokens=[work.prompt_tokens, work.output_tokens] if work else None,
+            wait_s=round(call.give_up_at - call.request.received_at, 3),
+            total_s=round(total_s, 4),
+            config=table.version,
+            **call.notes,
+        )
--- /dev/null
+++ b/bamboovale/gateway/messages.py
@@ -0,0 +1,111 @@
+"""What entry VMs say to one another about the routed interface."""
+
+from dataclasses import dataclass
+
+from bamboovale.peers.codec import message
+
+
+@message("place_ask")
+@dataclass(frozen=True)
+class PlaceRequest:
+    """Ask an engine's owner for a place; times are durations in seconds."""
+
+    engine_id: str
+    ask_id: str
+    model: str
+    adapter: str | None
+    version: int
+    prompt_tokens: int
+    output_tokens: int
+    rank: int
+    goal_within_s: float
+    starts_within_s: float
+
+
+@message("place_reply")
+@dataclass(frozen=True)
+class PlaceReply:
+    """The owner's decision: a version to expect, or why there is no place.
+
+    ``not_owner`` tells that another VM owns the engine now.
+    """
+
+    ask_id: str
+    version: int | None = None
+    reason: str = ""
+    retry_after_s: float = 0.0
+    not_owner: bool = False
+
+
+@message("place_cancel")
+@dataclass(frozen=True)
+class PlaceCancel:
+    """The caller is gone, or another engine was chosen."""
+
+    engine_id: str
+    ask_id: str
+
+
+@message("place_release")
+@dataclass(frozen=True)
+class PlaceRelease:
+    """The run is over; ``refused`` if the engine did not hold the adapter."""
+
+    engine_id: str
+    ask_id: str
+    refused: bool = False
+
+
+@message("engine_status")
+@dataclass(frozen=True)
+class EngineStatus:
+    """What an owner tells of one engine; adapters are (model, adapter, version)."""
+
+    engine_id: str
+    generation: int
+    loaded: tuple[tuple[str, str, int], ...]
+    coming: tuple[tuple[str, str, int], ...]
+    models: tuple[str, ...]
+    active: int
+    places: int
+    queued: int
+    backlog_s: float
+    free_slots: int
+
+
+@message("gateway_status")
+@dataclass(frozen=True)
+class GatewayStatus:
+    """What an entry VM tells its peers at short intervals."""
+
+    incarnation: str
+    address: str
+    peers_port: int
+    callers_port: int
+    failure_domain: str
+    serving: bool
+    config_version: int
+    engines: tuple[EngineStatus, ...] = ()
+
+
+@message("table_query")
+@dataclass(frozen=True)
+class TableQuery:
+    """Ask a peer for its configuration."""
+
+
+@message("table_answer")
+@dataclass(frozen=True)
+class TableAnswer:
+    """A peer's configuration as the operator wrote it; None if it has none."""
+
+    source: bytes | None
+
+
+@message("suspect_seen")
+@dataclass(frozen=True)
+class SuspectSeen:
+    """A request that was running when its endpoint crashed."""
+
+    fingerprint: str
+    endpoint_id: str
--- /dev/null
+++ b/bamboovale/gateway/model.py
@@ -0,0 +1,247 @@
+"""What the routed interface knows: routes, services, endpoints and requests."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from urllib.parse import urlsplit
+
+from bamboovale.http1.connection import Headers
+
+
+class CallKind(Enum):
+    """What may be repeated: ``SAFE`` any time, the others once at most."""
+
+    SAFE = auto()
+    UNSAFE = auto()
+    STREAM = auto()
+
+
+@dataclass(frozen=True)
+class Route:
+    """One route; times in seconds, ``weight_by_service`` splits its traffic.
+
+    ``goal_s`` is the time within which an answer is worth most. ``priority`` 0 is the
+    most urgent. ``gap_s`` is the longest good pause between events of a stream.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: CallKind
+    timeout_s: float
+    goal_s: float
+    priority: int
+    weight_by_service: Mapping[str, float]
+    max_attempts: int
+    resumable: bool = False
+    gap_s: float | None = None
+
+
+@dataclass(frozen=True)
+class BaseModel:
+    """A base model: weights in MB, load time in seconds, its adapters in number."""
+
+    name: str
+    weights_mb: float
+    load_s: float
+    adapters: int
+    adapter_mb: float
+
+
+@dataclass(frozen=True)
+class EnginePool:
+    """What all engines of a service have in common; ``loads_per_s`` over all of them.
+
+    ``slots`` are requests in one batch, ``kv_tokens`` the memory for their tokens.
+    """
+
+    slots: int
+    kv_tokens: int
+    adapter_slots: int
+    weights_mb: float
+    loads_per_s: float
+    model_by_name: Mapping[str, BaseModel]
+
+
+@dataclass(frozen=True)
+class Service:
+    """A plain service, or a pool of engines if ``engines`` is set."""
+
+    name: str
+    max_connections: int
+    engines: EnginePool | None = None
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """What callers may send; bytes and seconds."""
+
+    head_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True)
+class RoutingTable:
+    """One version of the whole configuration; never changed in place."""
+
+    version: int
+    routes: tuple[Route, ...]
+    service_by_name: Mapping[str, Service]
+    limits: CallerLimits
+    source: bytes = b""
+    _route_by_prefix_by_host: Mapping[str, Mapping[str, Route]] = field(
+        default_factory=dict,
+        repr=False,
+    )
+
+    @classmethod
+    def from_routes(
+        cls,
+        version: int,
+        routes: tuple[Route, ...],
+        services: tuple[Service, ...],
+        limits: CallerLimits,
+        source: bytes = b"",
+    ) -> "RoutingTable":
+        """Index the routes by host and prefix, so that a look-up costs no scan."""
+        index: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            index.setdefault(route.host.lower(), {})[route.path_prefix] = route
+        by_name = {service.name: service for service in services}
+        return cls(version, routes, by_name, limits, source, index)
+
+    def match(self, host: str, target: str) -> Route | None:
+        """Return the route with the longest prefix of the path, or None."""
+        by_prefix = self._route_by_prefix_by_host.get(_bare_host(host))
+        if by_prefix is None:
+            return None
+        path = target.partition("?")[0]
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+def _bare_host(host: str) -> str:
+    """Return the name without port, lower case."""
+    return (urlsplit(f"//{host}").hostname or "") if ":" in host else host.lower()
+
+
+@dataclass(frozen=True)
+class LoadedModel:
+    """A base model at an engine, with the versions of its adapters by name."""
+
+    name: str
+    version: int
+    version_by_adapter: Mapping[str, int]
+
+
+@dataclass(frozen=True)
+class EndpointRecord:
+    """One incarnation of an endpoint, as it registered itself."""
+
+    endpoint_id: str
+    service: str
+    address: tuple[str, int]
+    failure_domain: str
+    ready: bool
+    slots: int
+    models: tuple[LoadedModel, ...] = ()
+    remaining_s: float | None = None
+
+
+@dataclass(frozen=True)
+class EngineReport:
+    """An engine's own report, some 100 ms old; ``orders`` counts accepted orders.
+
+    ``loading`` are adapters in transit as (model, adapter).
+    """
+
+    models: tuple[LoadedModel, ...]
+    loading: frozenset[tuple[str, str]]
+    busy: bool
+    orders: int
+    queued: int
+    active: int
+
+
+@dataclass(frozen=True)
+class EngineOrder:
+    """An order to load or unload a model, or an adapter of a loaded model."""
+
+    load: bool
+    model: str
+    adapter: str | None = None
+    version: int | None = None
+
+
+class OrderOutcome(Enum):
+    """What is known of an order after the call; ``UNKNOWN`` may be carried out late."""
+
+    ACCEPTED = auto()
+    HOLDS = auto()
+    CONFLICT = auto()
+    FENCED = auto()
+    GONE = auto()
+    REJECTED = auto()
+    UNKNOWN = auto()
+
+
+@dataclass(frozen=True)
+class ModelWork:
+    """What a request asks of an engine.
+
+    ``prompt_tokens`` and ``output_tokens`` are its upper bounds; ``prompt_parts`` are
+    (id, tokens) in order, shared with other requests but for the last.
+    """
+
+    model: str
+    adapter: str | None
+    prompt_tokens: int
+    output_tokens: int
+    prompt_parts: tuple[tuple[str, int], ...] = ()
+
+
+@dataclass(frozen=True)
+class CallFacts:
+    """A caller's request, decoded; ``deadline_s`` is what the caller will wait.
+
+    ``forward`` are the headers that pass on unchanged. ``resume_after`` is the last
+    event that the caller has of a stream.
+    """
+
+    request_id: str
+    host: str
+    deadline_s: float | None
+    work: ModelWork | None
+    forward: Headers
+    resume_after: str | None = None
+
+
+@dataclass(frozen=True)
+class AnswerFacts:
+    """The head of an endpoint's answer, decoded.
+
+    ``not_run`` is the endpoint's promise that it did not run the request. ``signed``
+    tells that it carries the endpoint's signature.
+    """
+
+    status: int
+    request_id: str | None
+    signed: bool
+    not_run: bool
+    wrong_endpoint: bool
+    retry_after_s: float | None
+    headers: Headers
+
+    @property
+    def is_event_stream(self) -> bool:
+        """Tell whether the body is a stream of server-sent events."""
+        return any(
+            name == b"content-type" and value.startswith(b"text/event-stream")
+            for name, value in self.headers
+        )
--- /dev/null
+++ b/bamboovale/gateway/model_calls.py
@@ -0,0 +1,308 @@
+"""Requests for a model: a place at an engine, then the stream from there."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from bamboovale.decisions.engine_choice import EngineChooser
+from bamboovale.decisions.retry_share import RetryShare
+from bamboovale.gateway.attempts import Attempt, Attempts, MayHaveRun, NotRun
+from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
+from bamboovale.gateway.endpoints import EndpointView
+from bamboovale.gateway.engines import Engines, HeldPlace, OwnerSilent
+from bamboovale.gateway.events import EventBuffer, EventsBroken
+from bamboovale.gateway.messages import PlaceRequest
+from bamboovale.gateway.model import EndpointRecord, ModelWork
+from bamboovale.http1.connection import AnswerBroken
+
+MOST_TRIES = 4
+"""Engines asked for one request; what cannot be placed by then is refused."""
+RUN_LEAST_S = 0.4
+"""A run that starts with less time left ends after its caller: reading the prompt and
+a few tokens take about this."""
+NO_ENGINE_RETRY_S = 1.0
+REFUSED_RETRY_S = 0.3
+URGENCY_BASE = 4
+"""Urgency of the most urgent routes; the engine's own default is one below."""
+URGENCY_LAST = 9
+OK = 200
+
+
+class StreamCut(Exception):  # noqa: N818 - reads as what happened
+    """The engine's stream ended before its end."""
+
+
+@dataclass
+class _Progress:
+    """What a caller has of its stream so far."""
+
+    events: EventBuffer
+    started: bool = False
+    runs: int = 0
+    arrivals: int = 0
+    excluded: set[str] = field(default_factory=set)
+
+
+class ModelCalls:
+    """Carries requests to engines."""
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        codec: CallCodec,
+        endpoints: EndpointView,
+        engines: Engines,
+        version_of: Callable[[str, str | None], int],
+        share_of: Callable[[str], RetryShare],
+        now: Callable[[], float],
+    ) -> None:
+        self._attempts = attempts
+        self._codec = codec
+        self._endpoints = endpoints
+        self._engines = engines
+        self._version_of = version_of
+        self._share_of = share_of
+        self._now = now
+        self._chooser_by_service: dict[str, EngineChooser] = {}
+
+    async def run(self, call: Call, work: ModelWork) -> None:
+        """Answer the request; raises CallRefused, CallFailed or StreamCut."""
+        share = self._share_of(call.service)
+        share.on_fresh(self._now())
+        resume_after = call.facts.resume_after if call.route.resumable else None
+        progress = _Progress(EventBuffer(resume_after))
+        for _ in range(MOST_TRIES):
+            engine, place = await self._find_place(call, work, progress)
+            if progress.arrivals and not share.take(self._now()):
+                self._release(place, refused=False)
+                raise self._given_up(progress, "the retry budget is used up")
+            if await self._try_engine(call, work, engine, place, progress):
+                return
+        raise self._given_up(progress, "no engine took the request")
+
+    def _given_up(self, progress: _Progress, reason: str) -> Exception:
+        if progress.started:
+            return StreamCut(reason)
+        if progress.runs:
+            return CallFailed(reason)
+        return CallRefused(reason, REFUSED_RETRY_S)
+
+    # Places.
+
+    async def _find_place(
+        self,
+        call: Call,
+        work: ModelWork,
+        progress: _Progress,
+    ) -> tuple[EndpointRecord, HeldPlace | None]:
+        """Return an engine that holds the adapter; None as place: without its owner."""
+        version = self._version_of(work.model, work.adapter)
+        key = None if work.adapter is None else (work.model, work.adapter)
+        chooser = self._chooser_by_service.setdefault(call.service, EngineChooser())
+        silent: set[str] = set()
+        while True:
+            records = self._endpoints.ready(call.service)
+            views = self._engines.views(records)
+            excluded = progress.excluded | silent
+            chosen = chooser.choose(key, version, views, excluded)
+            if chosen is None:
+                chosen = chooser.choose(key, version, views, silent)
+            if chosen is None:
+                return self._without_owner(call, work, views, version, progress)
+            record = self._endpoints.record_by_id[chosen]
+            if views[chosen].owner is None:
+                return record, None
+            try:
+                return record, await self._ask(call, work, record, version, progress)
+            except OwnerSilent as error:
+                call.notes.setdefault("silent_owners", []).append(
+                    {"engine": chosen, "error": str(error)}
+                )
+                silent.add(chosen)
+
+    def _without_owner(
+        self,
+        call: Call,
+        work: ModelWork,
+        views: dict,
+        version: int,
+        progress: _Progress,
+    ) -> tuple[EndpointRecord, HeldPlace | None]:
+        """Go straight to an engine that held the adapter when last heard of."""
+        key = None if work.adapter is None else (work.model, work.adapter)
+        holders = [
+            name
+            for name, view in views.items()
+            if view.outlook is not None
+            and name not in progress.excluded
+            and (key is None or view.outlook.loaded.get(key, 0) >= version)
+        ]
+        if not holders:
+            call.notes["engines"] = len(views)
+            raise self._refusal(progress, "no engine can load it now")
+        chosen = min(holders, key=lambda name: views[name].cost_s())
+        return self._endpoints.record_by_id[chosen], None
+
+    def _refusal(self, progress: _Progress, reason: str) -> Exception:
+        if progress.started or progress.runs:
+            return self._given_up(progress, reason)
+        return CallRefused(reason, NO_ENGINE_RETRY_S)
+
+    async def _ask(
+        self,
+        call: Call,
+        work: ModelWork,
+        record: EndpointRecord,
+        version: int,
+        progress: _Progress,
+    ) -> HeldPlace:
+        now = self._now()
+        ask_id = f"{call.facts.request_id}.{len(call.notes.get('asks', []))}"
+        left_s = call.left_s(now)
+        request = PlaceRequest(
+            engine_id=record.endpoint_id,
+            ask_id=ask_id,
+            model=work.model,
+            adapter=work.adapter,
+            version=version,
+            prompt_tokens=work.prompt_tokens,
+            output_tokens=work.output_tokens,
+            rank=call.route.priority,
+            goal_within_s=call.goal_at - now,
+            starts_within_s=max(0.0, left_s - min(RUN_LEAST_S, left_s / 2)),
+        )
+        self._engines.note_sent(record.endpoint_id, work.prompt_tokens)
+        owner = self._engines.owner_name(record.endpoint_id)
+        note: dict[str, Any] = {"engine": record.endpoint_id, "owner": owner}
+        call.notes.setdefault("asks", []).append(note)
+        try:
+            reply = await self._engines.ask(record.endpoint_id, request)
+        finally:
+            note["s"] = round(self._now() - now, 4)
+        if reply.version is None:
+            note["refused"] = reply.reason
+            if progress.started or progress.runs:
+                raise self._given_up(progress, f"no place: {reply.reason}")
+            raise CallRefused(f"no place: {reply.reason}", reply.retry_after_s)
+        note["version"] = reply.version
+        assert owner is not None
+        return HeldPlace(record.endpoint_id, ask_id, owner, reply.version)
+
+    def _release(self, place: HeldPlace | None, *, refused: bool) -> None:
+        if place is not None:
+            self._engines.release(place, refused=refused)
+
+    # One engine.
+
+    async def _try_engine(
+        self,
+        call: Call,
+        work: ModelWork,
+        record: EndpointRecord,
+        place: HeldPlace | None,
+        progress: _Progress,
+    ) -> bool:
+        """Return True once the caller has the whole answer, False to try again."""
+        started_at = self._now()
+        note = call.note_attempt(endpoint=record.endpoint_id)
+        refused = False
+        try:
+            await self._exchange(call, work, record, place, progress)
+            return True
+        except NotRun as error:
+            note["failed"] = str(error)
+            progress.arrivals += error.reached
+            refused = error.wrong_endpoint
+            if not refused:
+                progress.excluded.add(record.endpoint_id)
+            return False
+        except (MayHaveRun, StreamCut) as error:
+            note["failed"] = str(error)
+            progress.arrivals += 1
+            progress.runs += 1
+            progress.excluded.add(record.endpoint_id)
+            self._check_resumable(call, progress, str(error))
+            return False
+        finally:
+            note["s"] = round(self._now() - started_at, 4)
+            self._release(place, refused=refused)
+
+    def _check_resumable(self, call: Call, progress: _Progress, reason: str) -> None:
+        """Raise unless another engine may go on with the stream."""
+        if call.route.resumable and progress.runs < call.route.max_attempts:
+            progress.events.restart()
+            return
+        raise StreamCut(reason) if progress.started else CallFailed(reason)
+
+    async def _exchange(
+        self,
+        call: Call,
+        work: ModelWork,
+        record: EndpointRecord,
+        place: HeldPlace | None,
+        progress: _Progress,
+    ) -> None:
+        once_only = not call.route.resumable
+        connection = await self._attempts.connect(record, once_only=once_only)
+        with self._attempts.closing(record, connection):
+            request = self._codec.encode_call(
+                call.request,
+                call.facts,
+                endpoint_id=record.endpoint_id,
+                left_s=call.left_s(self._now()),
+                version=place.version if place else None,
+                urgency=min(URGENCY_LAST, URGENCY_BASE + call.route.priority),
+                resume_after=progress.events.last_id,
+            )
+            attempt = await self._attempts.begin(
+                connection,
+                request,
+                call.request.body,
+                call.facts.request_id,
+            )
+            if attempt.facts.status != OK or not attempt.facts.is_event_stream:
+                await self._pass_whole(call, attempt, progress)
+            else:
+                await self._pass_events(call, attempt, progress)
+
+    async def _pass_whole(
+        self,
+        call: Call,
+        attempt: Attempt,
+        progress: _Progress,
+    ) -> None:
+        """Hand on an answer that is no stream, unless a stream has begun."""
+        body = await attempt.whole_body()
+        if progress.started:
+            raise StreamCut(f"engine said {attempt.facts.status}")
+        call.notes["status"] = attempt.facts.status
+        call.responder.answer(attempt.facts.status, attempt.facts.headers, body)
+
+    async def _pass_events(
+        self,
+        call: Call,
+        attempt: Attempt,
+        progress: _Progress,
+    ) -> None:
+        try:
+            while (data := await attempt.connection.data()) is not None:
+                events = progress.events.feed(data)
+                if not events:
+                    continue
+                self._start(call, attempt, progress)
+                await call.responder.write(b"".join(event.data for event in events))
+        except (AnswerBroken, EventsBroken) as error:
+            raise StreamCut(f"stream cut: {error}") from error
+        if progress.events.has_partial:
+            raise StreamCut("the stream ended within an event")
+        self._start(call, attempt, progress)
+        call.responder.finish()
+        call.notes["status"] = OK
+
+    def _start(self, call: Call, attempt: Attempt, progress: _Progress) -> None:
+        """Send the head with the first event: until then another engine may answer."""
+        if progress.started:
+            return
+        progress.started = True
+        call.notes["first_s"] = round(self._now() - call.request.received_at, 4)
+        call.responder.start(attempt.facts.status, attempt.facts.headers)
--- /dev/null
+++ b/bamboovale/gateway/ownership.py
@@ -0,0 +1,160 @@
+"""Which engines this entry VM may order: a lease by group membership in the store.
+
+Engines are hashed to partitions of one group; the store gives each partition to one
+member, and its generation rises with each change. The generation is the fencing number
+of our orders.
+"""
+
+import asyncio
+import hashlib
+import time
+from collections.abc import Callable
+
+from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.store import Membership, MetadataStore, StoreError
+
+GROUP = "engine-owners"
+TOPIC = "engines"
+TTL_S = 2.0
+"""How long an owner may be unheard before its engines go to others: two to three
+renewals. Shorter loses engines to a slow store, longer leaves them without loads."""
+RENEW_S = 0.6
+RETRY_S = 0.3
+MARGIN_S = 0.3
+"""An order sent so close to the end may arrive after it."""
+
+
+def lease_clock() -> float:
+    """Return seconds that also pass while the machine is suspended.
+
+    Guards against a machine that is frozen past its lease and wakes up believing that
+    no time has passed: the steady clock stands still meanwhile.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def partition_of(engine_id: str, partitions: int) -> int:
+    """Return the partition of an engine, the same at every entry VM."""
+    digest = hashlib.blake2b(engine_id.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") % partitions
+
+
+class Ownership:
+    """What this VM holds and until when; ``keep`` renews it."""
+
+    def __init__(
+        self,
+        member: str,
+        partitions: int,
+        store: MetadataStore,
+        journal: Journal,
+        *,
+        engines_check_fencing: bool,
+        settle_s: float,
+        on_change: Callable[[], None],
+        clock: Callable[[], float] = lease_clock,
+    ) -> None:
+        self.generation = 0
+        self.reachable = False
+        self._member = member
+        self._partitions = partitions
+        self._store = store
+        self._journal = journal
+        self._fenced = engines_check_fencing
+        self._settle_s = 0.0 if engines_check_fencing else settle_s
+        self._on_change = on_change
+        self._clock = clock
+        self._held_until = 0.0
+        self._held_since: dict[int, float] = {}
+        self._leaving = False
+
+    def holds(self, engine_id: str) -> bool:
+        """Tell whether we own an engine, whatever the lease's age."""
+        return partition_of(engine_id, self._partitions) in self._held_since
+
+    def may_order(self, engine_id: str) -> bool:
+        """Tell whether an order to an engine may be sent now.
+
+        Where engines refuse an older fencing number, an owner goes on while the store
+        cannot be reached: nobody else can take over then, and if we alone are cut off,
+        the engine refuses us. Elsewhere the lease must be in force, and the last
+        owner's lease must be over for long.
+        """
+        since = self._held_since.get(partition_of(engine_id, self._partitions))
+        if since is None or self._leaving:
+            return False
+        now = self._clock()
+        if now - since < self._settle_s:
+            return False
+        if now < self._held_until:
+            return True
+        return self._fenced and not self.reachable
+
+    async def keep(self) -> None:
+        """Renew for ever."""
+        while True:
+            before = self.generation
+            await self._renew()
+            if not self.reachable:
+                await asyncio.sleep(RETRY_S)
+            elif self.generation == before:
+                await asyncio.sleep(RENEW_S)
+            else:
+                # What we no longer hold goes on only once we have said that we know.
+                await asyncio.sleep(0.02)
+
+    async def leave(self) -> None:
+        """Give up all engines at once, for a planned stop."""
+        self._leaving = True
+        self._held_since.clear()
+        self._on_change()
+        try:
+            await self._store.leave(GROUP, self._member)
+        except StoreError as error:
+            self._journal.write("ownership_leave_failed", error=str(error))
+
+    async def _renew(self) -> None:
+        asked_at = self._clock()
+        try:
+            membership = await self._store.join(
+                GROUP,
+                self._member,
+                [TOPIC],
+                TTL_S,
+                self.generation,
+                timeout_s=TTL_S - MARGIN_S,
+            )
+        except StoreError as error:
+            if self.reachable:
+                self._journal.write("ownership_store_lost", error=str(error))
+            self.reachable = False
+            return
+        if not self.reachable:
+            self._journal.write("ownership_store_regained", waited=self.generation)
+        self.reachable = True
+        if self._leaving:
+            return
+        self._held_until = asked_at + TTL_S - MARGIN_S
+        self._take(membership)
+
+    def _take(self, membership: Membership) -> None:
+        now = self._clock()
+        numbers = {partition.number for partition in membership.partitions}
+        if (
+            numbers != self._held_since.keys()
+            or membership.generation < self.generation
+        ):
+            self._journal.write(
+                "ownership_changed",
+                generation=membership.generation,
+                before=self.generation,
+                gained=sorted(numbers - self._held_since.keys()),
+                lost=sorted(self._held_since.keys() - numbers),
+            )
+        self._held_since = {
+            number: self._held_since.get(number, now) for number in numbers
+        }
+        changed = membership.generation != self.generation
+        self.generation = membership.generation
+        if changed:
+            self._on_change()
--- /dev/null
+++ b/bamboovale/gateway/plain_calls.py
@@ -0,0 +1,161 @@
+"""Calls of plain services: choose an endpoint, repeat what may be repeated."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from bamboovale.decisions.retry_share import RetryShare
+from bamboovale.decisions.routing import ServiceRouter
+from bamboovale.gateway.attempts import Attempts, MayHaveRun, NotRun
+from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
+from bamboovale.gateway.endpoints import EndpointView
+from bamboovale.gateway.model import AnswerFacts, CallKind, EndpointRecord
+
+REFUSED_RETRY_S = 0.2
+"""When to come back if no endpoint takes a call: a few service times."""
+FIRST_TRY_SHARE = 0.45
+"""Of the time left, after which a safe call is tried elsewhere: an endpoint that hangs
+must leave time for the other one."""
+FIRST_TRY_LEAST_S = 0.15
+MOST_TRIES = 3
+SERVER_ERROR = 500
+
+
+class PlainCalls:
+    """Carries calls to the endpoints of plain services."""
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        codec: CallCodec,
+        endpoints: EndpointView,
+        share_of: Callable[[str], RetryShare],
+        now: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._attempts = attempts
+        self._codec = codec
+        self._endpoints = endpoints
+        self._share_of = share_of
+        self._now = now
+        self._rng = rng
+        self._router_by_service: dict[str, ServiceRouter] = {}
+        self._listed_by_service: dict[str, frozenset[str]] = {}
+        self._numbers = 0
+
+    async def run(self, call: Call) -> None:
+        """Answer the call; raises CallRefused or CallFailed."""
+        share = self._share_of(call.service)
+        share.on_fresh(self._now())
+        excluded: set[str] = set()
+        runs = 0
+        answered: tuple[AnswerFacts, bytes] | None = None
+        failure: Exception | None = None
+        for number in range(MOST_TRIES):
+            record = self._choose(call.service, excluded)
+            if record is None or (number and not share.take(self._now())):
+                break
+            excluded.add(record.endpoint_id)
+            try:
+                facts, body = await self._try_once(call, record, number)
+            except NotRun as error:
+                failure = failure if isinstance(failure, MayHaveRun) else error
+                continue
+            except MayHaveRun as error:
+                failure = error
+                runs += 1
+            else:
+                runs += 1
+                answered = (facts, body)
+                if facts.status < SERVER_ERROR:
+                    break
+            if call.route.kind is not CallKind.SAFE or runs >= call.route.max_attempts:
+                break
+        if answered is not None:
+            facts, body = answered
+            call.notes["status"] = facts.status
+            call.responder.answer(facts.status, facts.headers, body)
+            return
+        self._give_up(failure)
+
+    def _give_up(self, failure: Exception | None) -> None:
+        if isinstance(failure, MayHaveRun):
+            raise CallFailed(str(failure))
+        if isinstance(failure, NotRun):
+            raise CallRefused(str(failure), failure.retry_after_s or REFUSED_RETRY_S)
+        raise CallRefused("no endpoint takes calls", REFUSED_RETRY_S)
+
+    async def _try_once(
+        self,
+        call: Call,
+        record: EndpointRecord,
+        number: int,
+    ) -> tuple[AnswerFacts, bytes]:
+        router = self._router_by_service[call.service]
+        self._numbers += 1
+        call_id = str(self._numbers)
+        started_at = self._now()
+        note = call.note_attempt(endpoint=record.endpoint_id)
+        router.on_start(record.endpoint_id, call_id, started_at)
+        ok = False
+        try:
+            async with asyncio.timeout(self._patience_s(call, number)):
+                answer = await self._exchange(call, record)
+            note["status"] = answer[0].status
+            ok = True
+            return answer
+        except TimeoutError as error:
+            note["failed"] = "no answer in time"
+            raise MayHaveRun("no answer in time") from error
+        except (NotRun, MayHaveRun) as error:
+            note["failed"] = str(error)
+            raise
+        except asyncio.CancelledError:
+            ok = True
+            raise
+        finally:
+            note["s"] = round(self._now() - started_at, 4)
+            router.on_end(record.endpoint_id, call_id, self._now(), ok=ok)
+
+    def _patience_s(self, call: Call, number: int) -> float | None:
+        """Return how long to wait for one endpoint; None: as long as the caller."""
+        repeatable = call.route.kind is CallKind.SAFE and call.route.max_attempts > 1
+        if not repeatable or number + 1 >= call.route.max_attempts:
+            return None
+        left_s = call.left_s(self._now())
+        return max(FIRST_TRY_LEAST_S, FIRST_TRY_SHARE * left_s)
+
+    async def _exchange(
+        self,
+        call: Call,
+        record: EndpointRecord,
+    ) -> tuple[AnswerFacts, bytes]:
+        once_only = call.route.kind is not CallKind.SAFE
+        connection = await self._attempts.connect(record, once_only=once_only)
+        with self._attempts.closing(record, connection):
+            request = self._codec.encode_call(
+                call.request,
+                call.facts,
+                endpoint_id=record.endpoint_id,
+                left_s=call.left_s(self._now()),
+            )
+            attempt = await self._attempts.begin(
+                connection,
+                request,
+                call.request.body,
+                call.facts.request_id,
+            )
+            return attempt.facts, await attempt.whole_body()
+
+    def _choose(self, service: str, excluded: set[str]) -> EndpointRecord | None:
+        router = self._router_by_service.setdefault(service, ServiceRouter())
+        listed = frozenset(
+            record.endpoint_id for record in self._endpoints.ready(service)
+        )
+        if listed != self._listed_by_service.get(service):
+            self._listed_by_service[service] = listed
+            router.set_endpoints(listed)
+        now = self._now()
+        router.on_tick(now)
+        name = router.choose(now, self._rng, excluded)
+        return None if name is None else self._endpoints.record_by_id.get(name)
--- /dev/null
+++ b/bamboovale/gateway/translation.py
@@ -0,0 +1,65 @@
+"""What the routed interface needs of the platform around it, as one interface."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from bamboovale.gateway.call import CallCodec
+from bamboovale.gateway.engine_orders import EngineCodec
+from bamboovale.gateway.model import EndpointRecord, RoutingTable
+from bamboovale.gateway.store import MetadataStore
+from bamboovale.http1.pool import ConnectionPool
+
+
+class VersionChange(Protocol):
+    """A new version of an adapter, or (``adapter`` None) of a base model."""
+
+    @property
+    def model(self) -> str:
+        """Return the base model."""
+
+    @property
+    def adapter(self) -> str | None:
+        """Return the adapter."""
+
+    @property
+    def version(self) -> int:
+        """Return the version."""
+
+
+class Translation(CallCodec, EngineCodec, Protocol):
+    """Names, formats and calls of the platform; decides nothing."""
+
+    node: Any
+    operator_topic: str
+    endpoints_topic: str
+
+    def store(
+        self,
+        pool: ConnectionPool,
+        on_call: Callable[[str], None],
+    ) -> MetadataStore:
+        """Return the client of the metadata store."""
+
+    def decode_operator_record(
+        self,
+        key: str,
+        value: bytes,
+    ) -> RoutingTable | VersionChange | str | None:
+        """Read what the operator wrote; a text says what is wrong with it."""
+
+    def decode_table(self, source: bytes) -> RoutingTable | str:
+        """Read a configuration."""
+
+    def decode_endpoint_record(self, key: str, value: bytes) -> EndpointRecord | str:
+        """Read an endpoint's record."""
+
+    def directory_answer(
+        self,
+        target: str,
+        addresses_for: Callable[[str], list[tuple[str, int]]],
+        ttl_s: float,
+    ) -> bytes | None:
+        """Return the body for a question where to connect; None: no answer."""
+
+    def is_readiness_query(self, target: str) -> bool:
+        """Tell whether a call asks for readiness."""
--- /dev/null
+++ b/bamboovale/http1/connection.py
@@ -0,0 +1,241 @@
+"""One connection to an endpoint or to the platform, one exchange at a time."""
+
+import asyncio
+import contextlib
+import socket
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+
+CONNECT_TIMEOUT_S = 0.6
+"""An endpoint in the same region accepts within milliseconds; a lost opening packet is
+sent again only after a second, when another endpoint has long answered."""
+USER_TIMEOUT_MS = 3000
+"""Unacknowledged bytes and silent peers end a connection after this time. A partition
+drops packets without a reset, and TCP alone would wait for many minutes."""
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_PROBES = 2
+MAX_HEAD_BYTES = 64 * 1024
+HIGH_WATER_BYTES = 256 * 1024
+"""Answer bytes buffered for a caller who reads slowly before reading stops."""
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class ConnectFailed(Exception):  # noqa: N818 - reads as what happened
+    """The connection could not be opened: nothing was sent."""
+
+
+class AnswerBroken(Exception):  # noqa: N818 - reads as what happened
+    """The connection ended, or sent no HTTP, before the answer was complete."""
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """Status and headers of an answer; header names are lower case."""
+
+    status: int
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a header."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+class Connection(asyncio.Protocol):
+    """A client connection; ``open`` returns one that is ready to use."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self.used = False
+        self.idle_since = 0.0
+        self.keep_alive_s: float | None = None
+        self.reusable = False
+        self._reset = False
+        self._busy = False
+        self._buffered = 0
+        self._wake: asyncio.Future[None] | None = None
+        self._wire = self._new_wire()
+        self._request: h11.Request | None = None
+        self._transport: Any = None
+
+    @classmethod
+    async def open(
+        cls,
+        host: str,
+        port: int,
+        source: str | None = None,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> "Connection":
+        """Connect; raises ConnectFailed."""
+        loop = asyncio.get_running_loop()
+        local = (source, 0) if source else None
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, connection = await loop.create_connection(
+                    cls, host, port, local_addr=local
+                )
+        except (OSError, TimeoutError) as error:
+            raise ConnectFailed(str(error) or "timeout") from error
+        return connection
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: Any) -> None:
+        """Bound how long a silent or partitioned peer holds the connection."""
+        self._transport = transport
+        watch_for_silence(transport.get_extra_info("socket"))
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; bytes that no request asked for end the connection."""
+        if not self._busy:
+            self.close()
+            return
+        self._buffered += len(data)
+        if self._buffered > HIGH_WATER_BYTES:
+            self._transport.pause_reading()
+        self._receive(data)
+
+    def eof_received(self) -> None:
+        """Take the peer's orderly end, which may complete an answer."""
+        if self._busy:
+            self._receive(b"")
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note whether the connection was reset: such an answer is not whole."""
+        self.closed = True
+        self._reset = error is not None
+        self._notify()
+
+    # Used by callers.
+
+    def send(self, request: h11.Request, body: bytes) -> None:
+        """Write a whole request."""
+        self._busy = True
+        self.used = True
+        self.reusable = False
+        self._request = request
+        data = self._wire.send(request)
+        if body:
+            data += self._wire.send(h11.Data(data=body))
+        data += self._wire.send(h11.EndOfMessage())
+        self._transport.write(data)
+
+    async def head(self) -> AnswerHead:
+        """Return the final head of the answer; raises AnswerBroken."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise AnswerBroken("no head")
+            self._note_keep_alive(event)
+            return AnswerHead(event.status_code, list(event.headers))
+
+    async def data(self) -> bytes | None:
+        """Return the next bytes of the body, None at its end; raises AnswerBroken."""
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self._finish()
+            return None
+        raise AnswerBroken("no body")
+
+    def skip_answer(self) -> bool:
+        """Go on to the next answer on this connection after one of another request.
+
+        Guards against an endpoint that answers an earlier request twice: the stray
+        answer comes first, ours right behind it. False if the connection ended.
+        """
+        if self.closed or self._request is None:
+            return False
+        rest, _ = self._wire.trailing_data
+        self._wire = self._new_wire()
+        self._wire.send(self._request)
+        self._wire.send(h11.EndOfMessage())
+        self._busy = True
+        self._receive(bytes(rest))
+        return True
+
+    def close(self) -> None:
+        """Close at once; the peer's endpoint drops what it still runs."""
+        self.closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _new_wire(self) -> h11.Connection:
+        return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+    def _receive(self, data: bytes) -> None:
+        try:
+            self._wire.receive_data(data)
+        except h11.RemoteProtocolError:
+            self.closed = True
+        self._notify()
+
+    def _notify(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+    async def _next_event(self) -> Any:
+        while True:
+            try:
+                event = self._wire.next_event()
+            except h11.RemoteProtocolError as error:
+                self.close()
+                raise AnswerBroken(str(error)) from error
+            if event is h11.NEED_DATA:
+                if self.closed:
+                    raise AnswerBroken("reset" if self._reset else "ended")
+                self._buffered = 0
+                self._transport.resume_reading()
+                self._wake = asyncio.get_running_loop().create_future()
+                await self._wake
+                continue
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                raise AnswerBroken("ended")
+            return event
+
+    def _note_keep_alive(self, head: h11.Response) -> None:
+        for name, value in head.headers:
+            if name == b"keep-alive":
+                self.keep_alive_s = _keep_alive_seconds(value)
+
+    def _finish(self) -> None:
+        """Make the connection ready for the next request, if it may have one."""
+        self._busy = False
+        rest, _ = self._wire.trailing_data
+        unsent = self._transport.get_write_buffer_size()
+        if rest or unsent or self.closed:
+            return
+        with contextlib.suppress(h11.LocalProtocolError):
+            self._wire.start_next_cycle()
+            self.reusable = True
+
+
+def watch_for_silence(sock: Any) -> None:
+    """Let the kernel find a peer that went silent without a reset."""
+    if sock is None or not hasattr(sock, "setsockopt"):
+        return
+    tcp = socket.IPPROTO_TCP
+    settings = (
+        (tcp, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (tcp, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S),
+        (tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, option, value in settings:
+        with contextlib.suppress(OSError):  # not offered by this kernel
+            sock.setsockopt(level, option, value)
+
+
+def _keep_alive_seconds(value: bytes) -> float | None:
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.strip().lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return None
--- /dev/null
+++ b/bamboovale/http1/pool.py
@@ -0,0 +1,109 @@
+"""Idle connections of each endpoint, kept for the next request."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bamboovale.http1.connection import Connection
+
+IDLE_MOST_S = 4.0
+"""Used when the endpoint names no time; it closes idle connections by its own."""
+IDLE_MARGIN_S = 1.0
+"""Sent so close to the endpoint's own limit, a request may cross its close."""
+FRESH_S = 1.0
+"""A request that must not run twice uses only a connection idle for less than this: a
+connection that an endpoint dropped silently is found out only by the next request, and
+then nobody knows whether it ran."""
+
+
+@dataclass
+class EndpointPool:
+    """The idle connections of one endpoint, the last used first."""
+
+    idle: deque[Connection] = field(default_factory=deque)
+    opened: int = 0
+
+
+class ConnectionPool:
+    """Hands out connections by endpoint id; an id is never used again."""
+
+    def __init__(
+        self,
+        now: Callable[[], float],
+        on_opened: Callable[[], None] = lambda: None,
+        source: str | None = None,
+    ) -> None:
+        self._now = now
+        self._on_opened = on_opened
+        self._source = source
+        self._pool_by_id: dict[str, EndpointPool] = {}
+
+    async def take(
+        self,
+        endpoint_id: str,
+        address: tuple[str, int],
+        *,
+        fresh_only: bool = False,
+        timeout_s: float | None = None,
+    ) -> Connection:
+        """Return an idle connection or a new one; raises ConnectFailed."""
+        pool = self._pool_by_id.setdefault(endpoint_id, EndpointPool())
+        idle = self._take_idle(pool, FRESH_S if fresh_only else IDLE_MOST_S * 10)
+        if idle is not None:
+            return idle
+        self._on_opened()
+        host, port = address
+        if timeout_s is None:
+            return await Connection.open(host, port, self._source)
+        return await Connection.open(host, port, self._source, timeout_s)
+
+    def give_back(self, endpoint_id: str, connection: Connection) -> None:
+        """Keep a connection whose answer was whole; close any other."""
+        pool = self._pool_by_id.get(endpoint_id)
+        if pool is None or not connection.reusable or connection.closed:
+            connection.close()
+            return
+        connection.idle_since = self._now()
+        pool.idle.appendleft(connection)
+
+    def forget(self, endpoint_id: str) -> None:
+        """Close the idle connections of an endpoint that is gone."""
+        pool = self._pool_by_id.pop(endpoint_id, None)
+        for connection in pool.idle if pool else ():
+            connection.close()
+
+    def sweep(self) -> None:
+        """Close what has been idle for too long."""
+        for pool in self._pool_by_id.values():
+            while pool.idle and not self._usable(pool.idle[-1], IDLE_MOST_S * 10):
+                pool.idle.pop().close()
+
+    def idle_count(self) -> int:
+        """Return how many connections are kept."""
+        return sum(len(pool.idle) for pool in self._pool_by_id.values())
+
+    def _take_idle(self, pool: EndpointPool, most_s: float) -> Connection | None:
+        while pool.idle:
+            connection = pool.idle[0]
+            if connection.closed or not self._usable(connection, IDLE_MOST_S * 10):
+                pool.idle.popleft()
+                connection.close()
+                continue
+            if not self._usable(connection, most_s):
+                return None
+            return pool.idle.popleft()
+        return None
+
+    def _usable(self, connection: Connection, most_s: float) -> bool:
+        named_s = connection.keep_alive_s
+        limit_s = IDLE_MOST_S if named_s is None else named_s - IDLE_MARGIN_S
+        idle_s = self._now() - connection.idle_since
+        return not connection.closed and idle_s < min(limit_s, most_s)
+
+
+async def sweep_forever(pool: ConnectionPool, interval_s: float = 1.0) -> None:
+    """Close connections that have been idle for too long, now and then."""
+    while True:
+        await asyncio.sleep(interval_s)
+        pool.sweep()
--- /dev/null
+++ b/bamboovale/http1/server.py
@@ -0,0 +1,387 @@
+"""Server side: reads whole requests, hands them to a handler, streams its answer."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+
+from bamboovale.http1.connection import Headers, watch_for_silence
+
+logger = logging.getLogger(__name__)
+
+READ_AHEAD_BYTES = 256 * 1024
+"""Unread bytes of one caller that are held; a request body may be larger."""
+REASON_BY_STATUS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@dataclass(frozen=True)
+class ServerLimits:
+    """What a caller may send and how long it may take, in bytes and seconds."""
+
+    head_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    head_timeout_s: float = 3.0
+    body_timeout_s: float = 10.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True)
+class Request:
+    """A whole request; header names are lower case, values as sent.
+
+    ``received_at`` is the loop's time at which its head was complete.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    received_at: float
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a header."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+class BadRequest(Exception):  # noqa: N818 - reads as what happened
+    """The bytes are no acceptable request; ``status`` says why."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+Handler = Callable[[Request, "Responder"], Awaitable[None]]
+
+
+class Responder:
+    """Writes the answer of one request."""
+
+    def __init__(self, connection: "ServerConnection") -> None:
+        self._connection = connection
+        self.started = False
+
+    def close_after(self) -> None:
+        """End the connection once this answer is complete."""
+        self._connection.close_after = True
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Write the head."""
+        self.started = True
+        self._connection.write_head(status, headers)
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes of the body; waits while the caller does not read."""
+        self._connection.write_data(data)
+        await self._connection.drain()
+
+    def finish(self) -> None:
+        """End the body: the answer is whole."""
+        self._connection.write_end()
+
+    def abort(self) -> None:
+        """Cut the connection: what the caller has must not look whole."""
+        self._connection.abort()
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole answer with a length."""
+        length = (b"content-length", str(len(body)).encode())
+        self.start(status, [*headers, length])
+        if body:
+            self._connection.write_data(body)
+        self.finish()
+
+
+class ServerConnection(asyncio.Protocol):
+    """Serves the requests of one connection, one after the other.
+
+    The task that runs the handler is cancelled when the caller leaves.
+    """
+
+    def __init__(self, server: "Server") -> None:
+        self.close_after = False
+        self.busy = False
+        self._server = server
+        self._wire = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits().head_bytes
+        )
+        self._transport: Any = None
+        self._task: asyncio.Task[None] | None = None
+        self._wake: asyncio.Future[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._unread = 0
+        self._lost = False
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: Any) -> None:
+        """Begin to serve."""
+        self._transport = transport
+        watch_for_silence(transport.get_extra_info("socket"))
+        self._server.connections.add(self)
+        self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; a caller far ahead of its answers is read no further."""
+        self._unread += len(data)
+        if self.busy and self._unread > READ_AHEAD_BYTES:
+            self._transport.pause_reading()
+        with contextlib.suppress(h11.RemoteProtocolError):
+            self._wire.receive_data(data)
+        self._notify()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """End the run of a caller that has left."""
+        self._lost = True
+        self._server.connections.discard(self)
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Let writers wait: the caller does not keep up."""
+        self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    # Used by the responder.
+
+    def write_head(self, status: int, headers: Headers) -> None:
+        """Write the head of an answer."""
+        if self.close_after:
+            headers = [*headers, (b"connection", b"close")]
+        reason = REASON_BY_STATUS.get(status, b"")
+        self._write(h11.Response(status_code=status, headers=headers, reason=reason))
+
+    def write_data(self, data: bytes) -> None:
+        """Write bytes of a body."""
+        self._write(h11.Data(data=data))
+
+    def write_end(self) -> None:
+        """Complete a body."""
+        self._write(h11.EndOfMessage())
+
+    async def drain(self) -> None:
+        """Wait until the caller has read enough."""
+        if self._writable is not None:
+            await self._writable
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self.close_after = True
+        self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Close a connection on which no request is under way."""
+        if not self.busy and not self._unread:
+            self._transport.close()
+
+    def _write(self, event: Any) -> None:
+        data = self._wire.send(event)
+        if data and not self._lost:
+            self._transport.write(data)
+
+    def _notify(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+    # The task.
+
+    async def _serve(self) -> None:
+        try:
+            while await self._serve_one():
+                pass
+        except asyncio.CancelledError:
+            if not self._lost:
+                raise
+        except Exception:
+            logger.exception("a connection failed")
+        finally:
+            if not self._lost:
+                self._transport.close()
+
+    async def _serve_one(self) -> bool:
+        """Serve one request; False when the connection is to be closed."""
+        try:
+            request = await self._read_request()
+        except BadRequest as bad:
+            self._refuse(bad)
+            return False
+        if request is None:
+            return False
+        self.busy = True
+        responder = Responder(self)
+        try:
+            await self._server.handler(request, responder)
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            logger.exception("a request failed")
+            if responder.started:
+                self.abort()
+                return False
+            responder.close_after()
+            responder.answer(500, [], b"")
+        self.busy = False
+        self._unread = 0
+        if self.close_after or self._wire.our_state is not h11.DONE:
+            return False
+        if self._wire.their_state is not h11.DONE:
+            return False
+        self._wire.start_next_cycle()
+        self._transport.resume_reading()
+        return True
+
+    async def _read_request(self) -> Request | None:
+        limits = self._server.limits()
+        loop = asyncio.get_running_loop()
+        first = self._wire.trailing_data[0]
+        if not first and not await self._wait(limits.idle_timeout_s):
+            return None
+        deadline = loop.time() + limits.head_timeout_s
+        head = await self._event(deadline, "the head took too long")
+        if not isinstance(head, h11.Request):
+            return None
+        self.busy = True
+        received_at = loop.time()
+        headers = [(bytes(name), bytes(value)) for name, value in head.headers]
+        check_framing(headers)
+        body = await self._read_body(headers, limits, received_at)
+        return Request(
+            method=head.method.decode("ascii"),
+            target=head.target.decode("latin-1"),
+            headers=headers,
+            body=body,
+            received_at=received_at,
+        )
+
+    async def _read_body(
+        self,
+        headers: Headers,
+        limits: ServerLimits,
+        started_at: float,
+    ) -> bytes:
+        named = next((v for k, v in headers if k == b"content-length"), b"0")
+        if int(named) > limits.body_bytes:
+            raise BadRequest(413, "the body is too large")
+        if self._wire.they_are_waiting_for_100_continue:
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+        deadline = started_at + limits.body_timeout_s
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._event(deadline, "the body took too long")
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if not isinstance(event, h11.Data):
+                raise BadRequest(400, "the body is cut short")
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > limits.body_bytes:
+                raise BadRequest(413, "the body is too large")
+
+    async def _event(self, deadline: float, late: str) -> Any:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                event = self._wire.next_event()
+            except h11.RemoteProtocolError as error:
+                hint = error.error_status_hint
+                raise BadRequest(hint, str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._unread = 0
+            if not await self._wait(deadline - loop.time()):
+                raise BadRequest(408, late)
+
+    async def _wait(self, timeout_s: float) -> bool:
+        """Wait for bytes; False when none came in time."""
+        self._wake = asyncio.get_running_loop().create_future()
+        try:
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                await self._wake
+        except TimeoutError:
+            return False
+        finally:
+            self._wake = None
+        return True
+
+    def _refuse(self, bad: BadRequest) -> None:
+        """Answer a request that cannot be read, and close."""
+        self.close_after = True
+        self._server.on_bad_request(bad)
+        if self._wire.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        body = str(bad).encode("utf-8", "replace")
+        Responder(self).answer(bad.status, [(b"content-type", b"text/plain")], body)
+
+
+class Server:
+    """Listens on one address; ``limits`` may change while it runs."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], ServerLimits] = ServerLimits,
+        on_bad_request: Callable[[BadRequest], None] = lambda bad: None,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.on_bad_request = on_bad_request
+        self.connections: set[ServerConnection] = set()
+        self._listener: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> int:
+        """Bind and return the port; raises OSError."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: ServerConnection(self), host, port, backlog=1024
+        )
+        return int(self._listener.sockets[0].getsockname()[1])
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self._listener is not None:
+            self._listener.close()
+
+    def close_idle(self) -> None:
+        """Close the connections that carry no request."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    @property
+    def busy(self) -> int:
+        """Return how many requests are under way."""
+        return sum(connection.busy for connection in self.connections)
+
+
+def check_framing(headers: Headers) -> None:
+    """Refuse a head whose body length could be read in two ways.
+
+    Guards against request smuggling: with both a length and chunks, two servers may
+    disagree on where the next request begins. Raises BadRequest.
+    """
+    names = [name for name, _ in headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        raise BadRequest(400, "both a length and a transfer encoding")
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -29,11 +29,45 @@
         self._declare_engines()
         self._declare_platform()
         self._declare_peers()
+        self._declare_gateway()
 
     def expose(self) -> bytes:
         """Return all of them in the Prometheus text format."""
         return generate_latest(self.registry)
 
+    def _declare_gateway(self) -> None:
+        self.gateway_requests = self._counter(
+            "gateway_requests",
+            "Requests on the routed interface by outcome and kind of route.",
+            ["outcome", "kind"],
+        )
+        self.gateway_request_seconds = self._histogram(
+            "gateway_request_seconds",
+            "Seconds from a routed request's arrival to the end of its answer.",
+            REQUEST_BUCKETS_S,
+            ["kind"],
+        )
+        self.gateway_first_event_seconds = self._histogram(
+            "gateway_first_event_seconds",
+            "Seconds from a routed request's arrival to its stream's first event.",
+            REQUEST_BUCKETS_S,
+        )
+        self.gateway_connections_opened = self._counter(
+            "gateway_connections_opened",
+            "New connections to endpoints and to the metadata store.",
+            ["target"],
+        )
+        self.gateway_store_calls = self._counter(
+            "gateway_store_calls",
+            "Calls to the metadata store by name.",
+            ["call"],
+        )
+        self.gateway_engine_calls = self._counter(
+            "gateway_engine_calls",
+            "Reports read from engines and orders given, by outcome.",
+            ["call", "outcome"],
+        )
+
     def _declare_requests(self) -> None:
         self.requests = self._counter(
             "requests",
--- a/bamboovale/peers/links.py
+++ b/bamboovale/peers/links.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from websockets.asyncio.server import ServerConnection, serve
+from websockets.asyncio.server import Server, ServerConnection, serve
 
 from bamboovale.metrics import Metrics
 from bamboovale.peers.channel import HANDSHAKE_TIMEOUT_S, LIBRARY_LOGGER, Channel
@@ -75,6 +75,8 @@
         self._link_by_vm_id: dict[str, OutgoingLink] = {}
         self._incoming: set[IncomingLink] = set()
         self._loop: asyncio.AbstractEventLoop | None = None
+        self._server: Server | None = None
+        self._sweeping: asyncio.Task[None] | None = None
         self._stopping: asyncio.Event | None = None
         self._thread: threading.Thread | None = None
 
@@ -179,6 +181,39 @@
             self._link_by_vm_id[vm_id] = link
         link.submit(item, timeout_s)
 
+    async def open(self, on_request: RequestHandler, on_notice: NoticeHandler) -> None:
+        """Listen on the running event loop; raises OSError.
+
+        For a process whose handlers live on one loop: no thread is started.
+        """
+
+        async def accept(connection: ServerConnection) -> None:
+            await self._accept(connection, on_request, on_notice)
+
+        self._server = await serve(
+            accept,
+            self._address,
+            self._port,
+            compression=None,
+            max_size=MAX_HANDSHAKE_BYTES,
+            open_timeout=HANDSHAKE_TIMEOUT_S,
+            close_timeout=HANDSHAKE_TIMEOUT_S,
+            ping_interval=None,
+            server_header=None,
+            logger=LIBRARY_LOGGER,
+        )
+        self._loop = asyncio.get_running_loop()
+        self._sweeping = asyncio.create_task(self._sweep())
+
+    async def close(self) -> None:
+        """Close what ``open`` opened; runs on the same loop."""
+        if self._sweeping is not None:
+            self._sweeping.cancel()
+        await asyncio.gather(*(link.close() for link in self._link_by_vm_id.values()))
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
     async def _main(
         self,
         on_request: RequestHandler,
@@ -186,35 +221,15 @@
         started: "Future[None]",
     ) -> None:
         """Serve until told to stop; runs on the thread of the links."""
-
-        async def accept(connection: ServerConnection) -> None:
-            await self._accept(connection, on_request, on_notice)
-
         self._stopping = asyncio.Event()
         try:
-            server = await serve(
-                accept,
-                self._address,
-                self._port,
-                compression=None,
-                max_size=MAX_HANDSHAKE_BYTES,
-                open_timeout=HANDSHAKE_TIMEOUT_S,
-                close_timeout=HANDSHAKE_TIMEOUT_S,
-                ping_interval=None,
-                server_header=None,
-                logger=LIBRARY_LOGGER,
-            )
+            await self.open(on_request, on_notice)
         except OSError as error:
             started.set_exception(error)
             return
-        self._loop = asyncio.get_running_loop()
         started.set_result(None)
-        sweeping = asyncio.create_task(self._sweep())
         await self._stopping.wait()
-        sweeping.cancel()
-        await asyncio.gather(*(link.close() for link in self._link_by_vm_id.values()))
-        server.close()
-        await server.wait_closed()
+        await self.close()
 
     async def _accept(
         self,
--- /dev/null
+++ b/bamboovale/platform/configuration.py
@@ -0,0 +1,131 @@
+"""The operator's records in the store: the configuration and adapter versions."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from bamboovale.gateway.model import (
+    BaseModel,
+    CallerLimits,
+    CallKind,
+    EnginePool,
+    Route,
+    RoutingTable,
+    Service,
+)
+
+KIND_BY_NAME = {
+    "safe": CallKind.SAFE,
+    "unsafe": CallKind.UNSAFE,
+    "stream": CallKind.STREAM,
+}
+
+
+class BadRecordError(ValueError):
+    """A record that is malformed; the last good view stays in force."""
+
+
+@dataclass(frozen=True)
+class AdapterVersion:
+    """The newest version of an adapter (``adapter`` None: of the model itself)."""
+
+    model: str
+    adapter: str | None
+    version: int
+
+
+def decode_routing_table(source: bytes) -> RoutingTable:
+    """Read a whole configuration; raises BadRecordError."""
+    try:
+        document = json.loads(source)
+        return RoutingTable.from_routes(
+            version=int(document["version"]),
+            routes=tuple(_route(item) for item in document["routes"]),
+            services=tuple(_service(item) for item in document["services"]),
+            limits=_limits(document.get("limits", {})),
+            source=source,
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise BadRecordError(f"configuration: {error!r}") from error
+
+
+def _route(item: Mapping[str, Any]) -> Route:
+    split = item.get("split") or [{"service": item["service"], "weight": 1}]
+    gap_ms = item.get("gap-target-ms")
+    return Route(
+        name=str(item["name"]),
+        host=str(item["host"]),
+        path_prefix=str(item["path-prefix"]),
+        kind=KIND_BY_NAME.get(item["type"], CallKind.UNSAFE),
+        timeout_s=float(item["timeout-ms"]) / 1000,
+        goal_s=float(item.get("goal-ms") or item["timeout-ms"]) / 1000,
+        priority=int(item.get("priority", 0)),
+        weight_by_service={
+            str(part["service"]): float(part.get("weight", 1)) for part in split
+        },
+        max_attempts=max(1, int(item.get("max-attempts", 1))),
+        resumable=bool(item.get("resumable", False)),
+        gap_s=None if gap_ms is None else float(gap_ms) / 1000,
+    )
+
+
+def _service(item: Mapping[str, Any]) -> Service:
+    engine = item.get("engine")
+    return Service(
+        name=str(item["name"]),
+        max_connections=int(item.get("max-conns", 64)),
+        engines=_engine_pool(engine) if engine else None,
+    )
+
+
+def _engine_pool(item: Mapping[str, Any]) -> EnginePool:
+    models = [_base_model(model) for model in item.get("models", [])]
+    return EnginePool(
+        slots=int(item["slots"]),
+        kv_tokens=int(item["kv-capacity"]),
+        adapter_slots=int(item.get("adapter-slots", 0)),
+        weights_mb=float(item.get("weights-mb", 0)),
+        loads_per_s=float(item.get("loads-per-s", 1)),
+        model_by_name={model.name: model for model in models},
+    )
+
+
+def _base_model(item: Mapping[str, Any]) -> BaseModel:
+    return BaseModel(
+        name=str(item["name"]),
+        weights_mb=float(item["weights-mb"]),
+        load_s=float(item["load-s"]),
+        adapters=int(item.get("adapters", 0)),
+        adapter_mb=float(item.get("adapter-mb", 0)),
+    )
+
+
+def _limits(item: Mapping[str, Any]) -> CallerLimits:
+    default = CallerLimits()
+    return CallerLimits(
+        head_bytes=int(item.get("max-header-bytes", default.head_bytes)),
+        body_bytes=int(item.get("max-body-bytes", default.body_bytes)),
+        head_timeout_s=float(item.get("header-timeout-ms", 3000)) / 1000,
+        idle_timeout_s=float(item.get("idle-timeout-ms", 15000)) / 1000,
+    )
+
+
+def decode_adapter_version(source: bytes) -> AdapterVersion:
+    """Read the record of a new version; raises BadRecordError."""
+    try:
+        document = json.loads(source)
+        adapter = document.get("adapter")
+        return AdapterVersion(
+            model=str(document["model"]),
+            adapter=_adapter_name(adapter),
+            version=int(document["version"]),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise BadRecordError(f"adapter version: {error!r}") from error
+
+
+def _adapter_name(value: Any) -> str | None:
+    if value in (None, ""):
+        return None
+    return str(value)
--- /dev/null
+++ b/bamboovale/platform/names.py
@@ -0,0 +1,72 @@
+"""Names on the platform's wire. Nothing outside this folder uses them."""
+
+# Calls that arrive here.
+READY_PATH = "/api/readyz"
+RESOLVE_PATH = "/api/resolve"
+
+# Headers of callers that say what a request is; they pass on unchanged.
+REQUEST_ID = b"x-request-id"
+MODEL = b"x-model"
+TOKEN_COUNT = b"x-token-count"
+PROMPT_PREFIX = b"x-prompt-prefix"
+LENGTH_HINT = b"x-length-hint"
+LAST_EVENT_ID = b"last-event-id"
+DEADLINE = b"x-deadline-ms"
+
+# Headers that only the system may set.
+EXPECT_INSTANCE = b"x-expect-instance"
+EXPECT_VERSION = b"x-expect-version"
+URGENCY = b"x-request-urgency"
+
+# Headers of answers.
+SERVER_STAMP = b"x-server-stamp"
+NOT_EXECUTED = b"x-not-executed"
+INSTANCE_ID = b"x-instance-id"
+RETRY_AFTER = b"retry-after"
+CONTENT_LENGTH = b"content-length"
+
+# Engine calls.
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
+
+# Topics of the store.
+OPERATOR_TOPIC = "keyed.op"
+SERVERS_TOPIC = "keyed.servers"
+CONFIG_KEY = "config"
+VERSION_PREFIX = "version/"
+
+# A caller's own values for these would be taken for ours: a hold or a KV source that
+# does not exist makes an endpoint refuse the request.
+CALLER_MAY_NOT_SET = frozenset(
+    {
+        EXPECT_INSTANCE,
+        EXPECT_VERSION,
+        URGENCY,
+        DEADLINE,
+        LAST_EVENT_ID,
+        b"x-hold",
+        b"x-pin-ms",
+        b"x-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"wait-ms",
+        SERVER_STAMP,
+        NOT_EXECUTED,
+        INSTANCE_ID,
+    }
+)
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        CONTENT_LENGTH,
+    }
+)
--- /dev/null
+++ b/bamboovale/platform/requests.py
@@ -0,0 +1,146 @@
+"""Headers of requests and answers, decoded and encoded."""
+
+import h11
+
+from bamboovale.gateway.model import AnswerFacts, CallFacts, ModelWork
+from bamboovale.http1.connection import AnswerHead, Headers
+from bamboovale.http1.server import BadRequest, Request
+from bamboovale.platform import names
+
+MOST_DEADLINE_S = 3600.0
+
+
+def decode_call(request: Request) -> CallFacts:
+    """Read a caller's headers; raises BadRequest for malformed values."""
+    request_id = request.get(names.REQUEST_ID)
+    if request_id is None:
+        raise BadRequest(400, "a request id is required")
+    host = request.get(b"host") or b""
+    resume_after = request.get(names.LAST_EVENT_ID)
+    return CallFacts(
+        request_id=request_id.decode("latin-1"),
+        host=host.decode("latin-1"),
+        deadline_s=_decode_deadline(request.get(names.DEADLINE)),
+        work=_decode_work(request),
+        forward=_forwarded(request.headers),
+        resume_after=None if resume_after is None else resume_after.decode("latin-1"),
+    )
+
+
+def _decode_deadline(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        milliseconds = float(value)
+    except ValueError as error:
+        raise BadRequest(400, "the deadline is no number") from error
+    return min(max(milliseconds / 1000, 0.0), MOST_DEADLINE_S)
+
+
+def _decode_work(request: Request) -> ModelWork | None:
+    name = request.get(names.MODEL)
+    if name is None:
+        return None
+    model, _, adapter = name.decode("latin-1").partition("/")
+    try:
+        tokens_in, tokens_out = _decode_tokens(request.get(names.TOKEN_COUNT))
+        parts = _decode_parts(request.get(names.PROMPT_PREFIX))
+    except ValueError as error:
+        raise BadRequest(400, "malformed token counts") from error
+    return ModelWork(
+        model=model,
+        adapter=adapter or None,
+        prompt_tokens=tokens_in,
+        output_tokens=tokens_out,
+        prompt_parts=parts,
+    )
+
+
+def _decode_tokens(value: bytes | None) -> tuple[int, int]:
+    if value is None:
+        return 0, 0
+    tokens_in, _, tokens_out = value.partition(b",")
+    return int(tokens_in), int(tokens_out or b"0")
+
+
+def _decode_parts(value: bytes | None) -> tuple[tuple[str, int], ...]:
+    if not value:
+        return ()
+    parts = []
+    for item in value.decode("latin-1").split(","):
+        part_id, _, tokens = item.strip().partition(":")
+        parts.append((part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _forwarded(headers: Headers) -> Headers:
+    """Leave out what concerns one connection and what only we may set."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    keep = names.HOP_BY_HOP | names.CALLER_MAY_NOT_SET | named
+    return [(name, value) for name, value in headers if name not in keep]
+
+
+def encode_call(
+    request: Request,
+    facts: CallFacts,
+    *,
+    endpoint_id: str,
+    left_s: float,
+    version: int | None = None,
+    urgency: int | None = None,
+    resume_after: str | None = None,
+) -> h11.Request:
+    """Return the request for an endpoint; ``left_s`` is what the caller still waits."""
+    headers = list(facts.forward)
+    headers.append((names.DEADLINE, str(max(1, int(left_s * 1000))).encode()))
+    headers.append((names.EXPECT_INSTANCE, endpoint_id.encode("latin-1")))
+    if version is not None:
+        headers.append((names.EXPECT_VERSION, str(version).encode()))
+    if urgency is not None:
+        headers.append((names.URGENCY, str(urgency).encode()))
+    if resume_after is not None:
+        headers.append((names.LAST_EVENT_ID, resume_after.encode("latin-1")))
+    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        headers.append((names.CONTENT_LENGTH, str(len(request.body)).encode()))
+    return h11.Request(
+        method=request.method,
+        target=request.target.encode("latin-1"),
+        headers=headers,
+    )
+
+
+def decode_answer(head: AnswerHead) -> AnswerFacts:
+    """Read the head of an endpoint's answer."""
+    request_id = head.get(names.REQUEST_ID)
+    headers = [pair for pair in head.headers if pair[0] not in names.HOP_BY_HOP]
+    return AnswerFacts(
+        status=head.status,
+        request_id=None if request_id is None else request_id.decode("latin-1"),
+        signed=head.get(names.SERVER_STAMP) is not None,
+        not_run=head.get(names.NOT_EXECUTED) is not None or head.status == 421,
+        wrong_endpoint=head.status == 421,
+        retry_after_s=_decode_seconds(head.get(names.RETRY_AFTER)),
+        headers=headers,
+    )
+
+
+def _decode_seconds(value: bytes | None) -> float | None:
+    try:
+        return None if value is None else float(value)
+    except ValueError:
+        return None
+
+
+def encode_refusal(retry_after_s: float | None, request_id: str | None) -> Headers:
+    """Return the headers of an answer of our own."""
+    headers: Headers = [(b"content-type", b"text/plain")]
+    if request_id is not None:
+        headers.append((names.REQUEST_ID, request_id.encode("latin-1")))
+    if retry_after_s is not None:
+        headers.append((names.RETRY_AFTER, f"{retry_after_s:.2f}".encode()))
+    return headers
--- /dev/null
+++ b/bamboovale/platform/translation.py
@@ -0,0 +1,164 @@
+"""The adapter as one object, handed to the routed interface at start."""
+
+from collections.abc import Callable
+
+import h11
+
+from bamboovale.gateway.model import (
+    AnswerFacts,
+    CallFacts,
+    EndpointRecord,
+    EngineOrder,
+    EngineReport,
+    OrderOutcome,
+    RoutingTable,
+)
+from bamboovale.gateway.store import MetadataStore
+from bamboovale.http1.connection import AnswerHead, Headers
+from bamboovale.http1.pool import ConnectionPool
+from bamboovale.http1.server import Request
+from bamboovale.platform import directory, endpoints, names, requests
+from bamboovale.platform.configuration import (
+    AdapterVersion,
+    BadRecordError,
+    decode_adapter_version,
+    decode_routing_table,
+)
+from bamboovale.platform.node_file import NodeSettings
+from bamboovale.platform.store import StoreClient
+
+
+class PlatformTranslation:
+    """Implements ``gateway.translation.Translation`` for the users' platform."""
+
+    operator_topic = names.OPERATOR_TOPIC
+    endpoints_topic = names.SERVERS_TOPIC
+
+    def __init__(self, node: NodeSettings) -> None:
+        self.node = node
+
+    def store(
+        self,
+        pool: ConnectionPool,
+        on_call: Callable[[str], None],
+    ) -> MetadataStore:
+        """Return the client of the metadata store."""
+        return StoreClient(self.node.store, pool, on_call)
+
+    def decode_operator_record(
+        self,
+        key: str,
+        value: bytes,
+    ) -> RoutingTable | AdapterVersion | str | None:
+        """Read what the operator wrote; a text says what is wrong with it."""
+        if key == names.CONFIG_KEY:
+            return self.decode_table(value)
+        if not key.startswith(names.VERSION_PREFIX):
+            return None
+        try:
+            return decode_adapter_version(value)
+        except BadRecordError as error:
+            return str(error)
+
+    def decode_table(self, source: bytes) -> RoutingTable | str:
+        """Read a configuration."""
+        try:
+            return decode_routing_table(source)
+        except BadRecordError as error:
+            return str(error)
+
+    def decode_endpoint_record(self, key: str, value: bytes) -> EndpointRecord | str:
+        """Read an endpoint's record."""
+        try:
+            return endpoints.decode_endpoint(key, value)
+        except BadRecordError as error:
+            return str(error)
+
+    def decode_call(self, request: Request) -> CallFacts:
+        """Read a caller's headers."""
+        return requests.decode_call(request)
+
+    def encode_call(
+        self,
+        request: Request,
+        facts: CallFacts,
+        *,
+        endpoint_id: str,
+        left_s: float,
+        version: int | None = None,
+        urgency: int | None = None,
+        resume_after: str | None = None,
+    ) -> h11.Request:
+        """Return the request for an endpoint."""
+        return requests.encode_call(
+            request,
+            facts,
+            endpoint_id=endpoint_id,
+            left_s=left_s,
+            version=version,
+            urgency=urgency,
+            resume_after=resume_after,
+        )
+
+    def decode_answer(self, head: AnswerHead) -> AnswerFacts:
+        """Read the head of an answer."""
+        return requests.decode_answer(head)
+
+    def encode_refusal(
+        self,
+        retry_after_s: float | None,
+        request_id: str | None,
+    ) -> Headers:
+        """Return the headers of an answer of our own."""
+        return requests.encode_refusal(retry_after_s, request_id)
+
+    def report_request(self, endpoint_id: str, host: str) -> h11.Request:
+        """Return the call for an engine's report."""
+        return endpoints.report_request(endpoint_id, host)
+
+    def decode_report(self, body: bytes) -> EngineReport:
+        """Read an engine's report."""
+        return endpoints.decode_report(body)
+
+    def order_request(
+        self,
+        order: EngineOrder,
+        *,
+        endpoint_id: str,
+        host: str,
+        holder: str,
+        fence: int,
+        expected_orders: int | None,
+    ) -> tuple[h11.Request, bytes]:
+        """Return the call that gives an order."""
+        return endpoints.order_request(
+            order,
+            endpoint_id=endpoint_id,
+            host=host,
+            holder=holder,
+            fence=fence,
+            expected_orders=expected_orders,
+        )
+
+    def order_outcome(self, status: int) -> OrderOutcome:
+        """Read the status of an order's answer."""
+        return endpoints.OUTCOME_BY_STATUS.get(status, OrderOutcome.UNKNOWN)
+
+    def directory_answer(
+        self,
+        target: str,
+        addresses_for: Callable[[str], list[tuple[str, int]]],
+        ttl_s: float,
+    ) -> bytes | None:
+        """Return the body for a question where to connect."""
+        query = directory.decode_query(target)
+        if query is None:
+            return None
+        addresses = addresses_for(query.failure_domain)
+        if not addresses:
+            return None
+        return directory.encode_addresses(addresses[: directory.MOST_ADDRESSES], ttl_s)
+
+    def is_readiness_query(self, target: str) -> bool:
+        """Tell whether a call asks for readiness."""
+        return directory.is_readiness_query(target)
