--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -39,6 +39,10 @@
 """How long requests still start on a replaced version while it is busy, so that they
 do not wait for its runs; far below the five seconds allowed."""
 
+STOPPED_GRACE_S = 0.4
+"""A lease that is renewed a little late costs nobody a place; past this, another
+engine is the better choice."""
+
 AdapterKey = tuple[str, str]
 
 
@@ -203,6 +207,8 @@
         self._slot_by_key: dict[AdapterKey, Slot] = {}
         self._version_by_model: dict[str, int] = {}
         self._model_loading_since: dict[str, float] = {}
+        self._unloaded_at: dict[AdapterKey, float] = {}
+        self._stopped_at: float | None = None
         self._queue: list[PlaceAsk] = []
         self._place_by_id: dict[str, Place] = {}
         self._newest_by_key: dict[AdapterKey, _Newest] = {}
@@ -221,9 +227,10 @@
         for model in facts.version_by_model:
             self._model_loading_since.pop(model, None)
         for key, version in facts.version_by_adapter.items():
-            self._see_loaded(key, version, now)
+            if not self._just_unloaded(key, facts):
+                self._see_loaded(key, version, now)
         for key in facts.loading:
-            if key not in self._slot_by_key:
+            if key not in self._slot_by_key and not self._just_unloaded(key, facts):
                 newest = self._newest_by_key.get(key)
                 version = newest.version if newest else 1
                 self._slot_by_key[key] = Slot(version, SlotState.LOADING, now)
@@ -236,7 +243,9 @@
         """Take an order that was accepted, or that already held."""
         self._order_open = False
         if isinstance(order, OrderUnload) and order.adapter is not None:
-            self._slot_by_key.pop((order.model, order.adapter), None)
+            key = (order.model, order.adapter)
+            self._slot_by_key.pop(key, None)
+            self._unloaded_at[key] = now
         return self.decide(now)
 
     def on_order_failed(
@@ -326,6 +335,7 @@
         """Return what follows from the present state."""
         if not self._known:
             return []
+        self._note_stop(now)
         actions: list[Action] = self._grants(now)
         actions += self._refusals(now)
         if self.may_order and not self._order_open:
@@ -410,12 +420,29 @@
 
     def _refusals(self, now: float) -> list[Action]:
         """Refuse what can no longer start in time."""
-        late = [ask for ask in self._queue if now > ask.latest_start]
-        if not late:
-            return []
-        gone = {ask.ask_id for ask in late}
-        self._queue = [ask for ask in self._queue if ask.ask_id not in gone]
-        return [Refuse(ask, RefusalReason.LATE, self.load_s.value) for ask in late]
+        reason_by_id: dict[str, RefusalReason] = {}
+        for ask in self._queue:
+            if now > ask.latest_start:
+                reason_by_id[ask.ask_id] = RefusalReason.LATE
+            elif self._cannot_load(ask, now):
+                reason_by_id[ask.ask_id] = RefusalReason.CANNOT_LOAD
+        refused = [ask for ask in self._queue if ask.ask_id in reason_by_id]
+        if refused:
+            self._queue = [a for a in self._queue if a.ask_id not in reason_by_id]
+        retry_s = self.load_s.value
+        return [Refuse(ask, reason_by_id[ask.ask_id], retry_s) for ask in refused]
+
+    def _note_stop(self, now: float) -> None:
+        if self.may_order:
+            self._stopped_at = None
+        elif self._stopped_at is None:
+            self._stopped_at = now
+
+    def _cannot_load(self, ask: PlaceAsk, now: float) -> bool:
+        """Tell whether a load is needed and orders have been forbidden for a while."""
+        if self._stopped_at is None or now - self._stopped_at < STOPPED_GRACE_S:
+            return False
+        return ask.key is not None and ask.key not in self._slot_by_key
 
     def _next_order(self, now: float) -> OrderLoad | OrderUnload | None:
         for ask in self._queue:
@@ -512,6 +539,20 @@
         """Tell whether a replacement that waits for runs has waited long enough."""
         return now - slot.changed_at > LOAD_LOST_S and not slot.active
 
+    def _just_unloaded(self, key: AdapterKey, facts: EngineFacts) -> bool:
+        """Tell whether the report may be older than an unload.
+
+        Guards against taking an adapter for loaded that is gone: it would be evicted
+        again and again, each time with an order that does nothing.
+        """
+        at = self._unloaded_at.get(key)
+        if at is None:
+            return False
+        if facts.read_at - at < REPORT_LAG_S:
+            return True
+        del self._unloaded_at[key]
+        return False
+
     def _miss(self, key: AdapterKey, now: float) -> None:
         slot = self._slot_by_key[key]
         kept_s = LOAD_LOST_S if slot.state is SlotState.LOADING else REPORT_LAG_S
--- a/bamboovale/gateway/engine_orders.py
+++ b/bamboovale/gateway/engine_orders.py
@@ -17,7 +17,9 @@
 
 REPORT_TIMEOUT_S = 1.0
 """An engine answers a report within milliseconds; a slow link takes some hundred."""
-ORDER_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 0.2
+"""An engine answers an order within some milliseconds, also while it loads; what has
+no answer by then is given again with the same expected number."""
 
 
 class EngineCodec(Protocol):
@@ -46,7 +48,14 @@
 
 
 class EngineCallFailed(Exception):  # noqa: N818 - reads as what happened
-    """No usable answer; what was asked may be done all the same."""
+    """No usable answer; what was asked may be done all the same.
+
+    ``unreachable`` tells that the engine refused the connection: nobody listens.
+    """
+
+    def __init__(self, message: str, *, unreachable: bool = False) -> None:
+        super().__init__(message)
+        self.unreachable = unreachable
 
 
 class EngineCalls:
@@ -70,7 +79,8 @@
         status, body = await self._exchange(record, request, b"", REPORT_TIMEOUT_S)
         self._on_call("report", str(status))
         if status != 200:
-            raise EngineCallFailed(f"report: {status}")
+            gone = self._codec.order_outcome(status) is OrderOutcome.GONE
+            raise EngineCallFailed(f"report: {status}", unreachable=gone)
         try:
             return self._codec.decode_report(body)
         except ValueError as error:
@@ -120,7 +130,10 @@
         except (TimeoutError, ConnectFailed, AnswerBroken, OSError) as error:
             if connection is not None:
                 connection.close()
-            raise EngineCallFailed(f"{type(error).__name__}: {error}") from error
+            raise EngineCallFailed(
+                f"{type(error).__name__}: {error}",
+                unreachable=isinstance(error, ConnectFailed),
+            ) from error
         self._pool.give_back(record.endpoint_id, connection)
         return head.status, b"".join(parts)
 
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -13,6 +13,7 @@
     OrderLoad,
     OrderUnload,
     PlaceAsk,
+    RefusalReason,
     Refuse,
 )
 from bamboovale.gateway.engine_orders import EngineCallFailed, EngineCalls
@@ -31,6 +32,12 @@
 REPORT_LOADING_S = 0.06
 """Between reports while a load is about to end: requests wait for it."""
 FAILED_PAUSE_S = 0.25
+CONFLICT_PAUSE_S = 0.12
+"""An engine's report lags by some 100 ms: read sooner after a conflict, it would name
+the order number that has just been refused."""
+ORDER_TRIES = 5
+"""An order without an answer is given again at once: both expect the same number of
+orders before them, so that the engine carries out one of them at most."""
 TICK_S = 0.1
 """How often hopeless waits are refused."""
 
@@ -59,6 +66,7 @@
     ) -> None:
         self.record = record
         self.places = EnginePlaces(capacity)
+        self.answers = True
         self._context = context
         self._reply_by_ask: dict[str, Reply] = {}
         self._orders_seen: int | None = None
@@ -97,6 +105,9 @@
             goal_at=now + request.goal_within_s,
             latest_start=now + request.starts_within_s,
         )
+        if not self.answers:
+            reply(PlaceReply(ask.ask_id, reason="engine is lost", not_owner=True))
+            return
         self._reply_by_ask[ask.ask_id] = reply
         self._carry_out(self.places.on_ask(ask, now))
 
@@ -110,7 +121,7 @@
         now = self._context.now()
         if refused:
             self._carry_out(self.places.on_refused_run(ask_id, now))
-            self._hurry(now)
+            self._look_by(now)
         else:
             self._carry_out(self.places.on_release(ask_id, now))
 
@@ -138,6 +149,7 @@
             queued=outlook.queued,
             backlog_s=round(outlook.backlog_s, 3),
             free_slots=outlook.free_slots,
+            answers=self.answers,
         )
 
     # Carrying out.
@@ -169,64 +181,74 @@
             refusal.ask.ask_id,
             reason=refusal.reason.name.lower(),
             retry_after_s=refusal.retry_after_s,
+            not_owner=refusal.reason is RefusalReason.CANNOT_LOAD,
         )
         self._tell(refusal.ask, reply)
 
     async def _order(self, action: OrderLoad | OrderUnload) -> None:
-        load = isinstance(action, OrderLoad)
+        """Give an order until its outcome is known, for a few tries."""
+        lost = 0
+        while lost < ORDER_TRIES:
+            fence = self._context.fence()
+            expected = self._orders_seen
+            if expected is None or not self._allowed(fence):
+                self._failed(action, certain=lost == 0)
+                return
+            outcome = await self._give(action, fence, expected)
+            if outcome is not OrderOutcome.UNKNOWN:
+                self._take_outcome(action, outcome, fence, lost)
+                return
+            lost += 1
+        self._failed(action, certain=False)
+
+    async def _give(
+        self,
+        action: OrderLoad | OrderUnload,
+        fence: int,
+        expected: int,
+    ) -> OrderOutcome:
         version = action.version if isinstance(action, OrderLoad) else None
-        order = EngineOrder(load, action.model, action.adapter, version or None)
-        fence = self._context.fence()
-        if not self._allowed(fence):
-            self._failed(action, certain=True)
-            return
-        outcome = await self._context.calls.order(
-            self.record,
-            order,
-            fence,
-            self._orders_seen,
+        order = EngineOrder(
+            load=isinstance(action, OrderLoad),
+            model=action.model,
+            adapter=action.adapter,
+            version=version or None,
         )
+        outcome = await self._context.calls.order(self.record, order, fence, expected)
         self._context.journal.write(
             "order",
             engine=self.record.endpoint_id,
-            load=load,
-            model=action.model,
-            adapter=action.adapter,
+            load=order.load,
+            model=order.model,
+            adapter=order.adapter,
             version=version,
             fence=fence,
-            expected=self._orders_seen,
+            expected=expected,
             outcome=outcome.name.lower(),
         )
-        self._take_outcome(action, outcome, fence)
+        return outcome
 
     def _take_outcome(
         self,
         action: OrderLoad | OrderUnload,
         outcome: OrderOutcome,
         fence: int,
+        lost: int,
     ) -> None:
         now = self._context.now()
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.HOLDS):
-            if self._orders_seen is not None and not self._held_already(
-                outcome, action
-            ):
+            if self._orders_seen is not None and _counts(action, outcome):
                 self._orders_seen += 1
             self._carry_out(self.places.on_order_done(action, now))
             self._expect_news(now)
             return
         if outcome is OrderOutcome.FENCED:
             self._fenced_at = fence
+        if outcome is OrderOutcome.GONE:
+            self._engine_lost()
         self._orders_seen = None
-        self._failed(action, certain=outcome is not OrderOutcome.UNKNOWN)
-        self._hurry(now)
-
-    def _held_already(
-        self,
-        outcome: OrderOutcome,
-        action: OrderLoad | OrderUnload,
-    ) -> bool:
-        """Tell whether nothing was done: an unload at once answers like one held."""
-        return outcome is OrderOutcome.HOLDS and isinstance(action, OrderLoad)
+        self._failed(action, certain=lost == 0)
+        self._look_by(now + CONFLICT_PAUSE_S)
 
     def _failed(self, action: OrderLoad | OrderUnload, *, certain: bool) -> None:
         now = self._context.now()
@@ -270,7 +292,10 @@
                 engine=self.record.endpoint_id,
                 error=str(error),
             )
+            if error.unreachable:
+                self._engine_lost()
             return False
+        self.answers = True
         if self._orders_seen is None or report.orders > self._orders_seen:
             self._orders_seen = report.orders
         now = self._context.now()
@@ -285,17 +310,25 @@
             if self.places.waiting():
                 self._carry_out(self.places.decide(self._context.now()))
 
-    def _hurry(self, now: float) -> None:
-        """Look at the engine at once."""
-        self._look_at = now
-        self._wake.set()
+    def _look_by(self, at: float) -> None:
+        """Look at the engine no later than the given time."""
+        if at < self._look_at:
+            self._look_at = at
+            self._wake.set()
 
     def _expect_news(self, now: float) -> None:
         """Look again when the load just ordered is about to end."""
         if self.places.has_loads_coming():
-            soon = now + max(0.05, self.places.load_s.value - 2 * REPORT_LOADING_S)
-            self._look_at = min(self._look_at, soon)
-            self._wake.set()
+            before_end_s = self.places.load_s.value - 2 * REPORT_LOADING_S
+            self._look_by(now + max(0.05, before_end_s))
+
+    def _engine_lost(self) -> None:
+        """Send whoever waits to other engines: this one does not answer any more."""
+        self.answers = False
+        for ask_id, reply in list(self._reply_by_ask.items()):
+            self.places.on_cancel(ask_id, self._context.now())
+            reply(PlaceReply(ask_id, reason="engine is lost", not_owner=True))
+        self._reply_by_ask.clear()
 
     def _spawn(self, job: "object") -> None:
         task: asyncio.Task[None] = asyncio.get_running_loop().create_task(job)  # type: ignore[arg-type]
@@ -303,6 +336,11 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _counts(action: OrderLoad | OrderUnload, outcome: OrderOutcome) -> bool:
+    """Tell whether the engine counted the order: an unload done at once is counted."""
+    return outcome is OrderOutcome.ACCEPTED or isinstance(action, OrderUnload)
+
+
 def facts_of(report: EngineReport, read_at: float) -> EngineFacts:
     """Return a report as the decisions read it."""
     return EngineFacts(
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -74,7 +74,11 @@
 
     def views(self, records: list[EndpointRecord]) -> dict[str, EngineView]:
         """Return what is known of each of the engines."""
-        return {record.endpoint_id: self._view(record) for record in records}
+        return {
+            record.endpoint_id: self._view(record)
+            for record in records
+            if self._answers(record.endpoint_id)
+        }
 
     def note_sent(self, engine_id: str, prompt_tokens: int) -> None:
         """Count what the owner's next status will show."""
@@ -87,6 +91,8 @@
         if owner is None:
             raise OwnerSilent("no owner")
         future = self._send_ask(owner, request)
+        # A caller who leaves leaves the future behind; its end is of no interest then.
+        future.add_done_callback(_consume)
         try:
             reply = await self._wait_for(future, owner, engine_id)
         except BaseException:
@@ -168,6 +174,10 @@
             return None
         return owned.owner if self.fleet.is_live(owned.owner, self.now()) else None
 
+    def _answers(self, engine_id: str) -> bool:
+        owned = self.fleet.engine(engine_id)
+        return owned is None or owned.status.answers
+
     def _view(self, record: EndpointRecord) -> EngineView:
         engine_id = record.endpoint_id
         owned = self.fleet.engine(engine_id)
@@ -185,6 +195,11 @@
         )
 
 
+def _consume(future: "asyncio.Future[PlaceReply]") -> None:
+    if not future.cancelled():
+        future.exception()
+
+
 def outlook_of(record: EndpointRecord) -> EngineOutlook:
     """Return what an engine's own record tells while no owner has spoken."""
     return EngineOutlook(
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -59,7 +59,10 @@
 @message("engine_status")
 @dataclass(frozen=True)
 class EngineStatus:
-    """What an owner tells of one engine; adapters are (model, adapter, version)."""
+    """What an owner tells of one engine; adapters are (model, adapter, version).
+
+    ``answers`` is False while the engine refuses connections.
+    """
 
     engine_id: str
     generation: int
@@ -71,6 +74,7 @@
     queued: int
     backlog_s: float
     free_slots: int
+    answers: bool = True
 
 
 @message("gateway_status")
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -20,6 +20,11 @@
 RUN_LEAST_S = 0.4
 """A run that starts with less time left ends after its caller: reading the prompt and
 a few tokens take about this."""
+GAP_LEAST_S = 2.0
+GAP_GOALS = 4.0
+GAP_PAUSES = 8.0
+"""Callers abandon a stream after the longest of these: seconds, times the goal, times
+the longest good pause between events (the platform's pages)."""
 NO_ENGINE_RETRY_S = 1.0
 REFUSED_RETRY_S = 0.3
 URGENCY_BASE = 4
@@ -158,7 +163,6 @@
     ) -> HeldPlace:
         now = self._now()
         ask_id = f"{call.facts.request_id}.{len(call.notes.get('asks', []))}"
-        left_s = call.left_s(now)
         request = PlaceRequest(
             engine_id=record.endpoint_id,
             ask_id=ask_id,
@@ -169,7 +173,7 @@
             output_tokens=work.output_tokens,
             rank=call.route.priority,
             goal_within_s=call.goal_at - now,
-            starts_within_s=max(0.0, left_s - min(RUN_LEAST_S, left_s / 2)),
+            starts_within_s=self._starts_within_s(call, progress, now),
         )
         self._engines.note_sent(record.endpoint_id, work.prompt_tokens)
         owner = self._engines.owner_name(record.endpoint_id)
@@ -188,6 +192,20 @@
         assert owner is not None
         return HeldPlace(record.endpoint_id, ask_id, owner, reply.version)
 
+    def _starts_within_s(self, call: Call, progress: _Progress, now: float) -> float:
+        """Return how long the caller will wait for a place.
+
+        Callers give a stream up after a long gap, also before its first event: what
+        cannot start by then is refused at once instead of being held to no end.
+        """
+        left_s = call.left_s(now)
+        route = call.route
+        gap_s = route.gap_s or 0.0
+        patience_s = max(GAP_LEAST_S, GAP_GOALS * route.goal_s, GAP_PAUSES * gap_s)
+        begun_at = now if progress.started else call.request.received_at
+        waits_s = min(left_s, begun_at + patience_s - now)
+        return max(0.0, waits_s - min(RUN_LEAST_S, waits_s / 2))
+
     def _release(self, place: HeldPlace | None, *, refused: bool) -> None:
         if place is not None:
             self._engines.release(place, refused=refused)
