--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -16,6 +16,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum, auto
+from typing import Any
 
 from bamboovale.decisions.estimates import MovingAverage
 
@@ -365,6 +366,23 @@
             free_slots=self.capacity.adapter_slots - len(self._slot_by_key),
         )
 
+    def summary(self, now: float) -> dict[str, Any]:
+        """Return how full the engine is, for the log."""
+        states = [slot.state for slot in self._slot_by_key.values()]
+        return {
+            "active": len(self._place_by_id),
+            "queued": len(self._queue),
+            "reported": self._reported_active,
+            "slots": self.capacity.adapter_slots,
+            "loaded": states.count(SlotState.LOADED),
+            "loading": states.count(SlotState.LOADING),
+            "pinned": sum(slot.active > 0 for slot in self._slot_by_key.values()),
+            "backlog_s": round(max(0.0, self._backlog_until - now), 2),
+            "load_s": round(self.load_s.value, 3),
+            "may_order": self.may_order,
+            "order_open": self._order_open,
+        }
+
     def has_loads_coming(self) -> bool:
         """Tell whether a fresh report would bring news."""
         coming = SlotState.LOADING
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -38,6 +38,7 @@
 ORDER_TRIES = 5
 """An order without an answer is given again at once: both expect the same number of
 orders before them, so that the engine carries out one of them at most."""
+LOG_S = 1.0
 TICK_S = 0.1
 """How often hopeless waits are refused."""
 
@@ -79,6 +80,7 @@
         """Begin to read reports."""
         self._spawn(self._look_forever())
         self._spawn(self._tick_forever())
+        self._spawn(self._tell_forever())
 
     def stop(self) -> None:
         """End all tasks; whoever waits is told to ask the next owner."""
@@ -303,6 +305,16 @@
         self._carry_out(self.places.on_facts(facts_of(report, asked_at), now))
         return True
 
+    async def _tell_forever(self) -> None:
+        """Log how full the engine is, for reading back why a request waited."""
+        while True:
+            await asyncio.sleep(LOG_S)
+            self._context.journal.write(
+                "engine",
+                engine=self.record.endpoint_id,
+                **self.places.summary(self._context.now()),
+            )
+
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
