--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -22,7 +22,12 @@
 BATCH_COST_S = 0.15
 """What a full batch adds to a request, so that half-empty engines are preferred."""
 QUEUED_COST_S = 0.05
-"""For each request that waits for a place or a load at the engine."""
+"""For each request that waits for a slot at the engine; what needs no load does not
+wait behind them."""
+FULL_COST_S = 1.0
+"""A batch without a free place: about one run must end first."""
+UNKNOWN_COST_S = 1.0
+"""An engine nobody has told about is used when all others are busy."""
 SPREAD_S = 0.12
 """An engine is passed over for a load if it is busier than the least busy by this."""
 
@@ -40,17 +45,21 @@
     owner: str | None
     own_backlog_s: float = 0.0
 
-    def cost_s(self) -> float:
-        """Return the expected wait in seconds without a load."""
+    def run_cost_s(self) -> float:
+        """Return the expected wait in seconds where no load is needed."""
         outlook = self.outlook
         if outlook is None:
-            return 1.0
+            return UNKNOWN_COST_S
         used = outlook.active / max(1, outlook.places)
-        waits = QUEUED_COST_S * outlook.queued
-        full = 1.0 if outlook.active >= outlook.places else 0.0
-        return (
-            outlook.backlog_s + self.own_backlog_s + used * BATCH_COST_S + waits + full
-        )
+        full_s = FULL_COST_S if outlook.active >= outlook.places else 0.0
+        return outlook.backlog_s + self.own_backlog_s + used * BATCH_COST_S + full_s
+
+    def load_cost_s(self) -> float:
+        """Return the expected wait in seconds where the adapter must be loaded."""
+        outlook = self.outlook
+        if outlook is None:
+            return UNKNOWN_COST_S + LOAD_COST_S
+        return self.run_cost_s() + QUEUED_COST_S * outlook.queued + LOAD_COST_S
 
     def holds(self, key: AdapterKey | None, version: int) -> bool:
         """Tell whether the adapter is loaded, or about to be, in this version."""
@@ -86,16 +95,18 @@
         holders = [
             name for name, view in open_views.items() if view.holds(key, version)
         ]
-        best = min(holders, key=lambda name: open_views[name].cost_s(), default=None)
+        best = min(
+            holders,
+            key=lambda name: open_views[name].run_cost_s(),
+            default=None,
+        )
         if key is None:
             return best or self._for_load("", open_views)
         fresh = self._for_load(f"{key[0]}/{key[1]}", open_views, holders)
-        if best is None:
-            return fresh
-        if fresh is None:
-            return best
-        loading_s = open_views[fresh].cost_s() + LOAD_COST_S
-        return best if open_views[best].cost_s() <= loading_s else fresh
+        if best is None or fresh is None:
+            return best or fresh
+        cheaper = open_views[best].run_cost_s() <= open_views[fresh].load_cost_s()
+        return best if cheaper else fresh
 
     def _for_load(
         self,
@@ -104,7 +115,7 @@
         holders: Collection[str] = (),
     ) -> str | None:
         able = {
-            engine_id: view.cost_s()
+            engine_id: view.load_cost_s()
             for engine_id, view in views.items()
             if view.owner is not None and engine_id not in holders
         }
--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -36,6 +36,8 @@
 PREFILL_TOKENS_PER_S = 20_000.0
 """How fast an engine reads prompts, for comparing engines; only its order of size
 matters, since all engines of a pool are compared by the same figure."""
+FIRST_TOKEN_S = 0.1
+"""From a started run to its first event besides reading the prompt."""
 VERSION_GRACE_S = 1.5
 """How long requests still start on a replaced version while it is busy, so that they
 do not wait for its runs; far below the five seconds allowed."""
@@ -291,7 +293,6 @@
         if ask.key is not None:
             self.note_version(ask.key, ask.version, now)
         self._queue.append(ask)
-        self._queue.sort(key=lambda item: (item.rank, item.goal_at))
         return self.decide(now)
 
     def on_cancel(self, ask_id: str, now: float) -> list[Action]:
@@ -337,6 +338,7 @@
         if not self._known:
             return []
         self._note_stop(now)
+        self._sort_queue(now)
         actions: list[Action] = self._grants(now)
         actions += self._refusals(now)
         if self.may_order and not self._order_open:
@@ -394,6 +396,27 @@
         """Return how many requests wait."""
         return len(self._queue)
 
+    def _sort_queue(self, now: float) -> None:
+        """Put first what can still meet its goal, the earliest goal before others.
+
+        Past capacity, first come first served makes every request late by the same
+        wait. Serving those that can still be in time keeps most of them in time; the
+        late ones take what is left until their callers' patience ends.
+        """
+        load_s = self.load_s.value
+
+        def place_in_queue(ask: PlaceAsk) -> tuple[bool, float]:
+            start_s = 0.0 if self._is_loaded(ask) else load_s
+            reading_s = ask.prompt_tokens / PREFILL_TOKENS_PER_S
+            late = now + start_s + reading_s + FIRST_TOKEN_S > ask.goal_at
+            return late, ask.latest_start if late else ask.goal_at
+
+        self._queue.sort(key=place_in_queue)
+
+    def _is_loaded(self, ask: PlaceAsk) -> bool:
+        slot = self._slot_by_key.get(ask.key) if ask.key else None
+        return slot is not None and slot.state is SlotState.LOADED
+
     def _grants(self, now: float) -> list[Action]:
         grants: list[Action] = []
         kept: list[PlaceAsk] = []
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -145,7 +145,7 @@
         if not holders:
             call.notes["engines"] = len(views)
             raise self._refusal(progress, "no engine can load it now")
-        chosen = min(holders, key=lambda name: views[name].cost_s())
+        chosen = min(holders, key=lambda name: views[name].run_cost_s())
         return self._endpoints.record_by_id[chosen], None
 
     def _refusal(self, progress: _Progress, reason: str) -> Exception:
