--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -28,7 +28,7 @@
 """A batch without a free place: about one run must end first."""
 UNKNOWN_COST_S = 1.0
 """An engine nobody has told about is used when all others are busy."""
-SPREAD_S = 0.12
+SPREAD_S = 0.3
 """An engine is passed over for a load if it is busier than the least busy by this."""
 
 
--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -13,6 +13,7 @@
 Events are methods that return actions. Nothing here reads a clock or a socket.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -24,6 +25,22 @@
 """An engine fetches no more adapters than this at a time."""
 LOAD_GUESS_S = 0.3
 """Until loads have been measured: what one takes from a weight store without queue."""
+REPORT_DELAY_S = 0.13
+"""From the end of a load until a report shows it: reports lag by some 100 ms and are
+read every 60 ms while a load is expected to end."""
+READY_MARGIN_S = 0.03
+"""Added to the expected end of a load; a request sent too early is refused by the
+engine, which costs a round trip and retry budget."""
+WARM_LOAD_S = 0.06
+"""An adapter that the engine held recently comes from its own memory, ten times as
+fast as from the weight store."""
+HELD_KEPT = 100
+"""Adapters that an engine is taken to keep in its own memory, the latest ones."""
+UNSTARTED_LEAST = 2
+"""Runs without a first event before their age says something of the engine."""
+EARLY_PENALTY_S = 0.1
+"""Added to the expected load time after a request came too early."""
+FIRST_EVENT_WEIGHT = 0.15
 LOAD_LOST_S = 1.5
 """A load that the engine lists neither as loaded nor in transit after this time never
 began; reports are some 100 ms old."""
@@ -76,10 +93,14 @@
 
 @dataclass(frozen=True)
 class Grant:
-    """The request may be sent; the engine holds this version."""
+    """The request may be sent; the engine holds this version.
+
+    ``confirmed`` is False while no report has shown the adapter's load to be complete.
+    """
 
     ask: PlaceAsk
     version: int
+    confirmed: bool = True
 
 
 class RefusalReason(Enum):
@@ -137,6 +158,8 @@
     active: int = 0
     demand: float = 0.0
     used_at: float = 0.0
+    ready_at: float | None = None
+    confirmed: bool = True
 
     def demand_at(self, now: float) -> float:
         """Return the recent uses, fading by half-lives."""
@@ -173,7 +196,8 @@
 class EngineOutlook:
     """What entry VMs choose an engine by.
 
-    ``backlog_s`` is the time that prompts already sent keep the engine reading.
+    ``backlog_s`` is the time that prompts already sent keep the engine reading, or by
+    which its first events come late.
     """
 
     loaded: dict[AdapterKey, int]
@@ -192,6 +216,7 @@
 
     ask: PlaceAsk
     granted_at: float
+    started: bool = False
 
 
 @dataclass
@@ -211,6 +236,8 @@
         self._version_by_model: dict[str, int] = {}
         self._model_loading_since: dict[str, float] = {}
         self._unloaded_at: dict[AdapterKey, float] = {}
+        self._held: OrderedDict[AdapterKey, None] = OrderedDict()
+        self._late_s = MovingAverage(0.0, weight=FIRST_EVENT_WEIGHT)
         self._stopped_at: float | None = None
         self._queue: list[PlaceAsk] = []
         self._place_by_id: dict[str, Place] = {}
@@ -249,8 +276,23 @@
             key = (order.model, order.adapter)
             self._slot_by_key.pop(key, None)
             self._unloaded_at[key] = now
+        elif order.adapter is not None:
+            self._load_accepted((order.model, order.adapter), now)
         return self.decide(now)
 
+    def _load_accepted(self, key: AdapterKey, now: float) -> None:
+        slot = self._slot_by_key.get(key)
+        if slot is None or slot.state is not SlotState.LOADING:
+            return
+        slot.changed_at = now
+        # A replacement waits for runs: only a report tells when it is complete.
+        if not slot.active:
+            slot.ready_at = now + self._expected_load_s(key)
+        self._held[key] = None
+        self._held.move_to_end(key)
+        if len(self._held) > HELD_KEPT:
+            self._held.popitem(last=False)
+
     def on_order_failed(
         self,
         order: OrderLoad | OrderUnload,
@@ -277,15 +319,30 @@
             del self._slot_by_key[key]
         return []
 
-    def on_refused_run(self, ask_id: str, now: float) -> list[Action]:
-        """Forget an adapter that the engine says it does not hold."""
+    def on_refused_run(
+        self,
+        ask_id: str,
+        now: float,
+        *,
+        not_held: bool,
+    ) -> list[Action]:
+        """Take an engine's refusal; ``not_held`` if it says it lacks the adapter."""
         place = self._place_by_id.get(ask_id)
-        if place is not None and place.ask.key is not None:
-            slot = self._slot_by_key.get(place.ask.key)
-            if slot is not None and slot.state is SlotState.LOADED:
-                del self._slot_by_key[place.ask.key]
+        key = place.ask.key if place is not None else None
+        slot = self._slot_by_key.get(key) if key is not None else None
+        if key is not None and slot is not None and slot.state is SlotState.LOADED:
+            if not slot.confirmed:
+                self._came_early(slot)
+            elif not_held:
+                del self._slot_by_key[key]
         return self.on_release(ask_id, now)
 
+    def _came_early(self, slot: Slot) -> None:
+        """Wait for a report: the load was not complete when it was expected."""
+        slot.state = SlotState.LOADING
+        slot.ready_at = None
+        self.load_s.add(self.load_s.value + EARLY_PENALTY_S)
+
     # Events from entry VMs.
 
     def on_ask(self, ask: PlaceAsk, now: float) -> list[Action]:
@@ -300,6 +357,14 @@
         self._queue = [ask for ask in self._queue if ask.ask_id != ask_id]
         return self.on_release(ask_id, now)
 
+    def on_started(self, ask_id: str, now: float) -> None:
+        """Take the first event of a run: how late it came tells how busy we are."""
+        place = self._place_by_id.get(ask_id)
+        if place is None or place.started:
+            return
+        place.started = True
+        self._late_s.add(now - place.granted_at - _reading_s(place.ask))
+
     def on_release(self, ask_id: str, now: float) -> list[Action]:
         """Free a place."""
         place = self._place_by_id.pop(ask_id, None)
@@ -338,6 +403,7 @@
         if not self._known:
             return []
         self._note_stop(now)
+        self._note_ready(now)
         self._sort_queue(now)
         actions: list[Action] = self._grants(now)
         actions += self._refusals(now)
@@ -364,7 +430,7 @@
             active=len(self._place_by_id),
             places=self.capacity.places,
             queued=len(self._queue),
-            backlog_s=max(0.0, self._backlog_until - now),
+            backlog_s=self._backlog_s(now),
             free_slots=self.capacity.adapter_slots - len(self._slot_by_key),
         )
 
@@ -379,23 +445,61 @@
             "loaded": states.count(SlotState.LOADED),
             "loading": states.count(SlotState.LOADING),
             "pinned": sum(slot.active > 0 for slot in self._slot_by_key.values()),
-            "backlog_s": round(max(0.0, self._backlog_until - now), 2),
+            "backlog_s": round(self._backlog_s(now), 2),
+            "late_s": round(self._late_s.value, 3),
             "load_s": round(self.load_s.value, 3),
             "may_order": self.may_order,
             "order_open": self._order_open,
         }
 
+    def _backlog_s(self, now: float) -> float:
+        """Return how long a new prompt waits, by what was sent and by what was seen.
+
+        Guards against an engine that turned slow: what was sent says nothing then, and
+        first events that have not come yet have no measured time. Their age counts.
+        """
+        ages = [
+            now - place.granted_at - _reading_s(place.ask)
+            for place in self._place_by_id.values()
+            if not place.started
+        ]
+        waiting_s = sum(ages) / len(ages) if len(ages) >= UNSTARTED_LEAST else 0.0
+        return max(0.0, self._backlog_until - now, self._late_s.value, waiting_s)
+
     def has_loads_coming(self) -> bool:
         """Tell whether a fresh report would bring news."""
-        coming = SlotState.LOADING
         return bool(self._model_loading_since) or any(
-            slot.state is coming for slot in self._slot_by_key.values()
+            slot.state is SlotState.LOADING or not slot.confirmed
+            for slot in self._slot_by_key.values()
         )
 
     def waiting(self) -> int:
         """Return how many requests wait."""
         return len(self._queue)
 
+    def next_ready_at(self) -> float | None:
+        """Return when the next load is expected to be complete."""
+        times = [
+            slot.ready_at
+            for slot in self._slot_by_key.values()
+            if slot.state is SlotState.LOADING and slot.ready_at is not None
+        ]
+        return min(times, default=None)
+
+    def _note_ready(self, now: float) -> None:
+        """Take loads for complete once their expected time is over."""
+        for slot in self._slot_by_key.values():
+            if slot.state is not SlotState.LOADING or slot.ready_at is None:
+                continue
+            if now >= slot.ready_at:
+                slot.state = SlotState.LOADED
+                slot.confirmed = False
+
+    def _expected_load_s(self, key: AdapterKey) -> float:
+        if key in self._held:
+            return WARM_LOAD_S
+        return max(WARM_LOAD_S, self.load_s.value - REPORT_DELAY_S) + READY_MARGIN_S
+
     def _sort_queue(self, now: float) -> None:
         """Put first what can still meet its goal, the earliest goal before others.
 
@@ -407,8 +511,7 @@
 
         def place_in_queue(ask: PlaceAsk) -> tuple[bool, float]:
             start_s = 0.0 if self._is_loaded(ask) else load_s
-            reading_s = ask.prompt_tokens / PREFILL_TOKENS_PER_S
-            late = now + start_s + reading_s + FIRST_TOKEN_S > ask.goal_at
+            late = now + start_s + _reading_s(ask) + FIRST_TOKEN_S > ask.goal_at
             return late, ask.latest_start if late else ask.goal_at
 
         self._queue.sort(key=place_in_queue)
@@ -455,9 +558,9 @@
             slot = self._slot_by_key[ask.key]
             slot.active += 1
             slot.use(now)
-        reading_s = ask.prompt_tokens / PREFILL_TOKENS_PER_S
-        self._backlog_until = max(now, self._backlog_until) + reading_s
-        return Grant(ask, version)
+        self._backlog_until = max(now, self._backlog_until) + _reading_s(ask)
+        confirmed = ask.key is None or self._slot_by_key[ask.key].confirmed
+        return Grant(ask, version, confirmed)
 
     def _refusals(self, now: float) -> list[Action]:
         """Refuse what can no longer start in time."""
@@ -531,6 +634,8 @@
             slot.state = SlotState.LOADING
             slot.version = version
             slot.changed_at = now
+            slot.ready_at = None
+            self._held.pop(key, None)  # the new version comes from the weight store
         return OrderLoad(*key, version)
 
     def _is_outdated(self, key: AdapterKey, slot: Slot, now: float) -> bool:
@@ -564,10 +669,10 @@
         if slot is None:
             self._slot_by_key[key] = Slot(version, SlotState.LOADED, now)
         elif slot.state is SlotState.LOADING and version >= slot.version:
-            self.load_s.add(now - slot.changed_at)
-            slot.version = version
-            slot.state = SlotState.LOADED
-            slot.changed_at = now
+            self._confirm(slot, version, now)
+        elif slot.state is SlotState.LOADED and not slot.confirmed:
+            if version >= slot.version:
+                self._confirm(slot, version, now)
         elif slot.state is SlotState.LOADING and self._is_old(slot, now):
             slot.state = SlotState.LOADED
             slot.version = version
@@ -576,6 +681,15 @@
         elif now - slot.changed_at > LOAD_LOST_S and not self._order_open:
             slot.state = SlotState.LOADED
 
+    def _confirm(self, slot: Slot, version: int, now: float) -> None:
+        took_s = now - slot.changed_at
+        if took_s > 2 * WARM_LOAD_S + REPORT_DELAY_S:
+            self.load_s.add(took_s)
+        slot.version = version
+        slot.state = SlotState.LOADED
+        slot.confirmed = True
+        slot.ready_at = None
+
     def _is_old(self, slot: Slot, now: float) -> bool:
         """Tell whether a replacement that waits for runs has waited long enough."""
         return now - slot.changed_at > LOAD_LOST_S and not slot.active
@@ -596,7 +710,8 @@
 
     def _miss(self, key: AdapterKey, now: float) -> None:
         slot = self._slot_by_key[key]
-        kept_s = LOAD_LOST_S if slot.state is SlotState.LOADING else REPORT_LAG_S
+        coming = slot.state is SlotState.LOADING or not slot.confirmed
+        kept_s = LOAD_LOST_S if coming else REPORT_LAG_S
         if now - slot.changed_at > kept_s:
             del self._slot_by_key[key]
 
@@ -606,5 +721,9 @@
         return placed | {ask.entry_vm for ask in self._queue}
 
 
+def _reading_s(ask: PlaceAsk) -> float:
+    return ask.prompt_tokens / PREFILL_TOKENS_PER_S
+
+
 def _tokens(ask: PlaceAsk) -> int:
     return ask.prompt_tokens + ask.output_tokens
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -39,6 +39,8 @@
 """An order without an answer is given again at once: both expect the same number of
 orders before them, so that the engine carries out one of them at most."""
 LOG_S = 1.0
+READY_SLACK_S = 0.002
+"""Timers may fire a little early against the clock."""
 TICK_S = 0.1
 """How often hopeless waits are refused."""
 
@@ -118,11 +120,16 @@
         self._reply_by_ask.pop(ask_id, None)
         self._carry_out(self.places.on_cancel(ask_id, self._context.now()))
 
-    def release(self, ask_id: str, *, refused: bool) -> None:
+    def started(self, ask_id: str) -> None:
+        """Note the first event of a run."""
+        self.places.on_started(ask_id, self._context.now())
+
+    def release(self, ask_id: str, *, refused: bool, not_held: bool) -> None:
         """Free a place."""
         now = self._context.now()
         if refused:
-            self._carry_out(self.places.on_refused_run(ask_id, now))
+            actions = self.places.on_refused_run(ask_id, now, not_held=not_held)
+            self._carry_out(actions)
             self._look_by(now)
         else:
             self._carry_out(self.places.on_release(ask_id, now))
@@ -159,7 +166,14 @@
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Grant):
-                self._tell(action.ask, PlaceReply(action.ask.ask_id, action.version))
+                self._tell(
+                    action.ask,
+                    PlaceReply(
+                        action.ask.ask_id,
+                        action.version,
+                        confirmed=action.confirmed,
+                    ),
+                )
             elif isinstance(action, Refuse):
                 self._refuse(action)
             else:
@@ -243,6 +257,7 @@
                 self._orders_seen += 1
             self._carry_out(self.places.on_order_done(action, now))
             self._expect_news(now)
+            self._decide_when_ready(now)
             return
         if outcome is OrderOutcome.FENCED:
             self._fenced_at = fence
@@ -334,6 +349,18 @@
             before_end_s = self.places.load_s.value - 2 * REPORT_LOADING_S
             self._look_by(now + max(0.05, before_end_s))
 
+    def _decide_when_ready(self, now: float) -> None:
+        """Decide again once the load just ordered is expected to be complete."""
+        ready_at = self.places.next_ready_at()
+        if ready_at is not None:
+            delay_s = max(0.0, ready_at - now) + READY_SLACK_S
+            asyncio.get_running_loop().call_later(delay_s, self._on_ready)
+
+    def _on_ready(self) -> None:
+        now = self._context.now()
+        self._carry_out(self.places.decide(now))
+        self._decide_when_ready(now)
+
     def _engine_lost(self) -> None:
         """Send whoever waits to other engines: this one does not answer any more."""
         self.answers = False
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -17,6 +17,7 @@
     PlaceRelease,
     PlaceReply,
     PlaceRequest,
+    PlaceStarted,
 )
 from bamboovale.gateway.model import EndpointRecord
 from bamboovale.peers.outgoing import (
@@ -59,6 +60,7 @@
     ask_id: str
     owner: str
     version: int
+    confirmed: bool = True
 
 
 @dataclass
@@ -102,15 +104,29 @@
             raise OwnerSilent("owned by another VM")
         return reply
 
-    def release(self, place: HeldPlace, *, refused: bool = False) -> None:
+    def started(self, place: HeldPlace) -> None:
+        """Tell the owner that the first event has come."""
+        local = self.owner_by_engine.get(place.engine_id)
+        if place.owner != self.own_id:
+            notice = PlaceStarted(place.engine_id, place.ask_id)
+            self.links.notify(place.owner, notice)
+        elif local is not None:
+            local.started(place.ask_id)
+
+    def release(
+        self,
+        place: HeldPlace,
+        *,
+        refused: bool = False,
+        not_held: bool = False,
+    ) -> None:
         """Tell the owner that a run is over."""
         local = self.owner_by_engine.get(place.engine_id)
-        if place.owner == self.own_id:
-            if local is not None:
-                local.release(place.ask_id, refused=refused)
-            return
-        notice = PlaceRelease(place.engine_id, place.ask_id, refused)
-        self.links.notify(place.owner, notice)
+        if place.owner != self.own_id:
+            notice = PlaceRelease(place.engine_id, place.ask_id, refused, not_held)
+            self.links.notify(place.owner, notice)
+        elif local is not None:
+            local.release(place.ask_id, refused=refused, not_held=not_held)
 
     def owner_name(self, engine_id: str) -> str | None:
         """Return the live owner of an engine."""
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -27,7 +27,8 @@
 class PlaceReply:
     """The owner's decision: a version to expect, or why there is no place.
 
-    ``not_owner`` tells that another VM owns the engine now.
+    ``not_owner`` tells that another VM owns the engine now. ``confirmed`` is False if
+    the adapter is only expected to be loaded.
     """
 
     ask_id: str
@@ -35,6 +36,7 @@
     reason: str = ""
     retry_after_s: float = 0.0
     not_owner: bool = False
+    confirmed: bool = True
 
 
 @message("place_cancel")
@@ -49,11 +51,24 @@
 @message("place_release")
 @dataclass(frozen=True)
 class PlaceRelease:
-    """The run is over; ``refused`` if the engine did not hold the adapter."""
+    """The run is over.
+
+    ``refused`` if the engine did not run it, ``not_held`` if it lacked the adapter.
+    """
 
     engine_id: str
     ask_id: str
     refused: bool = False
+    not_held: bool = False
+
+
+@message("place_started")
+@dataclass(frozen=True)
+class PlaceStarted:
+    """The first event of the run has come."""
+
+    engine_id: str
+    ask_id: str
 
 
 @message("engine_status")
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -79,7 +79,7 @@
         for _ in range(MOST_TRIES):
             engine, place = await self._find_place(call, work, progress)
             if progress.arrivals and not share.take(self._now()):
-                self._release(place, refused=False)
+                self._release(place)
                 raise self._given_up(progress, "the retry budget is used up")
             if await self._try_engine(call, work, engine, place, progress):
                 return
@@ -190,7 +190,13 @@
             raise CallRefused(f"no place: {reply.reason}", reply.retry_after_s)
         note["version"] = reply.version
         assert owner is not None
-        return HeldPlace(record.endpoint_id, ask_id, owner, reply.version)
+        return HeldPlace(
+            record.endpoint_id,
+            ask_id,
+            owner,
+            reply.version,
+            reply.confirmed,
+        )
 
     def _starts_within_s(self, call: Call, progress: _Progress, now: float) -> float:
         """Return how long the caller will wait for a place.
@@ -206,9 +212,15 @@
         waits_s = min(left_s, begun_at + patience_s - now)
         return max(0.0, waits_s - min(RUN_LEAST_S, waits_s / 2))
 
-    def _release(self, place: HeldPlace | None, *, refused: bool) -> None:
+    def _release(
+        self,
+        place: HeldPlace | None,
+        *,
+        refused: bool = False,
+        not_held: bool = False,
+    ) -> None:
         if place is not None:
-            self._engines.release(place, refused=refused)
+            self._engines.release(place, refused=refused, not_held=not_held)
 
     # One engine.
 
@@ -223,15 +235,17 @@
         """Return True once the caller has the whole answer, False to try again."""
         started_at = self._now()
         note = call.note_attempt(endpoint=record.endpoint_id)
-        refused = False
+        refused = not_held = False
         try:
             await self._exchange(call, work, record, place, progress)
             return True
         except NotRun as error:
             note["failed"] = str(error)
             progress.arrivals += error.reached
-            refused = error.wrong_endpoint
-            if not refused:
+            refused = error.reached
+            not_held = error.wrong_endpoint
+            # Sent before the load was complete: the same engine is asked again.
+            if not not_held and (place is None or place.confirmed):
                 progress.excluded.add(record.endpoint_id)
             return False
         except (MayHaveRun, StreamCut) as error:
@@ -243,7 +257,7 @@
             return False
         finally:
             note["s"] = round(self._now() - started_at, 4)
-            self._release(place, refused=refused)
+            self._release(place, refused=refused, not_held=not_held)
 
     def _check_resumable(self, call: Call, progress: _Progress, reason: str) -> None:
         """Raise unless another engine may go on with the stream."""
@@ -281,7 +295,7 @@
             if attempt.facts.status != OK or not attempt.facts.is_event_stream:
                 await self._pass_whole(call, attempt, progress)
             else:
-                await self._pass_events(call, attempt, progress)
+                await self._pass_events(call, attempt, place, progress)
 
     async def _pass_whole(
         self,
@@ -300,13 +314,18 @@
         self,
         call: Call,
         attempt: Attempt,
+        place: HeldPlace | None,
         progress: _Progress,
     ) -> None:
+        first = True
         try:
             while (data := await attempt.connection.data()) is not None:
                 events = progress.events.feed(data)
                 if not events:
                     continue
+                if first and place is not None:
+                    self._engines.started(place)
+                first = False
                 self._start(call, attempt, progress)
                 await call.responder.write(b"".join(event.data for event in events))
         except (AnswerBroken, EventsBroken) as error:
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -28,6 +28,7 @@
     PlaceRelease,
     PlaceReply,
     PlaceRequest,
+    PlaceStarted,
     SuspectSeen,
     TableAnswer,
     TableQuery,
@@ -549,7 +550,15 @@
         elif isinstance(message, PlaceRelease):
             owner = self._engines.owner_by_engine.get(message.engine_id)
             if owner is not None:
-                owner.release(message.ask_id, refused=message.refused)
+                owner.release(
+                    message.ask_id,
+                    refused=message.refused,
+                    not_held=message.not_held,
+                )
+        elif isinstance(message, PlaceStarted):
+            owner = self._engines.owner_by_engine.get(message.engine_id)
+            if owner is not None:
+                owner.started(message.ask_id)
         elif isinstance(message, SuspectSeen):
             self._crashes.on_notice(message)
 
