Own a partition that comes without a new generation; stand-ins and tests of the whole path

Cause: the store gives a partition to its next member once the last one has let go, under the generation that the next member already knows. Only a new generation was taken for a change, so nobody owned such an engine. Found by TestOutages.test_another_vm_takes_over_a_dead_owners_engines, which failed before.

--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -281,7 +281,7 @@
 
     async def _look_forever(self) -> None:
         while True:
-            seen = await self._look()
+            seen = await self.look()
             now = self._context.now()
             self._look_at = now + self._pause_s(seen)
             while (left := self._look_at - self._context.now()) > 0:
@@ -299,7 +299,8 @@
             return REPORT_LOADING_S
         return REPORT_IDLE_S
 
-    async def _look(self) -> bool:
+    async def look(self) -> bool:
+        """Read one report; False if the engine gave none."""
         asked_at = self._context.now()
         try:
             report = await self._context.calls.report(self.record)
--- a/bamboovale/gateway/ownership.py
+++ b/bamboovale/gateway/ownership.py
@@ -140,10 +140,10 @@
     def _take(self, membership: Membership) -> None:
         now = self._clock()
         numbers = {partition.number for partition in membership.partitions}
-        if (
-            numbers != self._held_since.keys()
-            or membership.generation < self.generation
-        ):
+        # A partition may come without a new generation, once its last owner let go.
+        moved = numbers != self._held_since.keys()
+        changed = moved or membership.generation != self.generation
+        if moved:
             self._journal.write(
                 "ownership_changed",
                 generation=membership.generation,
@@ -154,7 +154,6 @@
         self._held_since = {
             number: self._held_since.get(number, now) for number in numbers
         }
-        changed = membership.generation != self.generation
         self.generation = membership.generation
         if changed:
             self._on_change()
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -231,17 +231,32 @@
             self._spawn(job)
         await self._stop_event.wait()
         await self._drain()
+        await self.close()
+        self._journal.write("stopped")
+
+    async def close(self) -> None:
+        """End every task and close every socket at once."""
         for task in list(self._tasks):
             task.cancel()
+        for owner in self._engines.owner_by_engine.values():
+            owner.stop()
+        for server in (self._callers, self._directory, self._readiness, self._watch):
+            server.close()
+        for pool in (self._endpoint_pool, self._control_pool, self._store_pool):
+            pool.close()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(0.2):
                 await self._links.close()
-        self._journal.write("stopped")
 
     def stop(self) -> None:
         """Begin the planned stop."""
         self._stop_event.set()
 
+    async def look_at_engines(self) -> None:
+        """Read the reports of all owned engines now."""
+        for owner in list(self._engines.owner_by_engine.values()):
+            await owner.look()
+
     def reload(self) -> None:
         """Note that the settings file changed; its addresses last a process's life."""
         self._journal.write("reload", config=self._table and self._table.version)
@@ -637,6 +652,10 @@
                 endpoint_id: {"service": record.service, "ready": record.ready}
                 for endpoint_id, record in self._endpoints.record_by_id.items()
             },
+            "owner_by_engine": {
+                engine_id: self._engines.owner_name(engine_id)
+                for engine_id in self._endpoints.record_by_id
+            },
             "owned_engines": [
                 owner.status(self._ownership.generation)
                 for owner in self._engines.owner_by_engine.values()
--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -73,6 +73,11 @@
         for connection in pool.idle if pool else ():
             connection.close()
 
+    def close(self) -> None:
+        """Close every idle connection."""
+        for endpoint_id in list(self._pool_by_id):
+            self.forget(endpoint_id)
+
     def sweep(self) -> None:
         """Close what has been idle for too long."""
         for pool in self._pool_by_id.values():
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -365,6 +365,12 @@
         if self._listener is not None:
             self._listener.close()
 
+    def close(self) -> None:
+        """Stop listening and cut every connection."""
+        self.stop_listening()
+        for connection in list(self.connections):
+            connection.abort()
+
     def close_idle(self) -> None:
         """Close the connections that carry no request."""
         for connection in list(self.connections):
--- /dev/null
+++ b/bamboovale/standins/platform_store.py
@@ -0,0 +1,304 @@
+"""Stand-in of the users' metadata store: keyed topics and consumer groups.
+
+Speaks the published calls over HTTP, keeps everything in memory, and misbehaves when
+told to. Partition handovers wait for the old member, as the real store's do.
+"""
+
+import asyncio
+import base64
+import contextlib
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from bamboovale.http1.connection import Headers
+from bamboovale.http1.server import Request, Responder, Server
+
+JSON: Headers = [(b"content-type", b"application/json")]
+PARTITIONS = 12
+
+
+@dataclass
+class StoreFaults:
+    """What goes wrong now.
+
+    ``mode`` is ``ok``, ``busy`` (503), ``silent`` or ``reset``. ``delay_s`` holds every
+    answer back. ``lost_joins`` joins are carried out and not answered.
+    """
+
+    mode: str = "ok"
+    delay_s: float = 0.0
+    lost_joins: int = 0
+
+
+@dataclass
+class _Topic:
+    """Records of one keyed topic from ``first`` on, and the newest of each key."""
+
+    first: int = 0
+    records: list[tuple[str, bytes | None]] = field(default_factory=list)
+    newest: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+    def append(self, key: str, value: bytes | None) -> int:
+        offset = self.end
+        self.records.append((key, value))
+        if value is None:
+            self.newest.pop(key, None)
+        else:
+            self.newest[key] = (offset, value)
+        return offset
+
+    def forget_history(self) -> None:
+        self.first = self.end
+        self.records.clear()
+
+
+@dataclass
+class _Member:
+    seen_at: float
+    ttl_s: float
+    generation: int
+
+
+@dataclass
+class _Group:
+    """Partitions of one group; a moved one waits for its old member's word."""
+
+    generation: int = 0
+    member_by_name: dict[str, _Member] = field(default_factory=dict)
+    owner_by_part: dict[int, str] = field(default_factory=dict)
+    leaving_by_part: dict[int, tuple[str, int]] = field(default_factory=dict)
+
+
+class PlatformStore:
+    """The store as one object; ``handle`` serves its calls."""
+
+    def __init__(self, now: Callable[[], float] = time.monotonic) -> None:
+        self.faults = StoreFaults()
+        self.calls: list[str] = []
+        self._now = now
+        self._topic_by_name: dict[str, _Topic] = {}
+        self._group_by_name: dict[str, _Group] = {}
+        self._changed = asyncio.Condition()
+        self._server = Server(self.handle)
+
+    async def listen(self, host: str, port: int = 0) -> tuple[str, int]:
+        """Serve; return the address."""
+        return host, await self._server.listen(host, port)
+
+    def close(self) -> None:
+        """Stop serving and cut every connection."""
+        self._server.close()
+
+    # Used by tests and by the other stand-ins.
+
+    async def put(self, topic: str, key: str, document: Any) -> int:
+        """Write a record as the operator or an endpoint does; None drops the key."""
+        value = None if document is None else json.dumps(document).encode()
+        offset = self._topic(topic).append(key, value)
+        async with self._changed:
+            self._changed.notify_all()
+        return offset
+
+    def forget_history(self) -> None:
+        """Delete all records but the newest of each key."""
+        for topic in self._topic_by_name.values():
+            topic.forget_history()
+
+    def deal_anew(self, group: str) -> None:
+        """Give every partition to another member at once, without asking."""
+        state = self._group_by_name[group]
+        names = sorted(state.member_by_name)
+        state.generation += 1
+        state.leaving_by_part.clear()
+        for part, owner in state.owner_by_part.items():
+            after = (names.index(owner) + 1) % len(names) if owner in names else 0
+            state.owner_by_part[part] = names[after]
+
+    def owner_of(self, group: str, part: int) -> str | None:
+        """Return the member that a partition is given to."""
+        return self._group_by_name[group].owner_by_part.get(part)
+
+    # Calls.
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Serve one call, or misbehave."""
+        url = urlsplit(request.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        call = url.path.rpartition("/")[2]
+        self.calls.append(call)
+        if self.faults.mode != "ok":
+            await self._misbehave(responder)
+            return
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        handler = {
+            "log-newest": self._newest,
+            "log-read": self._read,
+            "log-append": self._append,
+            "log-join": self._join,
+            "log-leave": self._leave,
+        }.get(call)
+        if handler is None:
+            responder.answer(404, [], b"")
+            return
+        await handler(request, responder, query)
+
+    async def _misbehave(self, responder: Responder) -> None:
+        if self.faults.mode == "busy":
+            responder.answer(503, [], b"")
+        elif self.faults.mode == "reset":
+            responder.abort()
+        else:
+            await asyncio.sleep(3600)
+
+    async def _newest(
+        self,
+        request: Request,
+        responder: Responder,
+        query: dict[str, str],
+    ) -> None:
+        topic = self._topic(query["topic"])
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (offset, value) in sorted(topic.newest.items())
+        ]
+        body = {"items": items, "more": False, "end": topic.end}
+        responder.answer(200, JSON, json.dumps(body).encode())
+
+    async def _read(
+        self,
+        request: Request,
+        responder: Responder,
+        query: dict[str, str],
+    ) -> None:
+        topic = self._topic(query["topic"])
+        offset = int(query["from"])
+        wait_s = int(query.get("wait-ms", "0")) / 1000
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(lambda: topic.end > offset)
+        if offset < topic.first:
+            responder.answer(410, JSON, json.dumps({"first": topic.first}).encode())
+            return
+        data = topic.end.to_bytes(8, "big") + topic.first.to_bytes(8, "big")
+        for key, value in topic.records[offset - topic.first :]:
+            name = key.encode()
+            content = bytes([len(name)]) + name + (value or b"")
+            data += len(content).to_bytes(4, "big") + content
+        responder.answer(200, [], data)
+
+    async def _append(
+        self,
+        request: Request,
+        responder: Responder,
+        query: dict[str, str],
+    ) -> None:
+        if query["topic"] in ("keyed.op", "keyed.servers"):
+            responder.answer(403, [], b"")
+            return
+        body = request.body
+        topic = self._topic(query["topic"])
+        first = topic.end
+        while body:
+            size = int.from_bytes(body[:4], "big")
+            content, body = body[4 : 4 + size], body[4 + size :]
+            key = content[1 : 1 + content[0]].decode()
+            topic.append(key, content[1 + content[0] :] or None)
+        async with self._changed:
+            self._changed.notify_all()
+        answer = {"offset": first, "end": topic.end}
+        responder.answer(200, JSON, json.dumps(answer).encode())
+
+    async def _join(
+        self,
+        request: Request,
+        responder: Responder,
+        query: dict[str, str],
+    ) -> None:
+        document = json.loads(request.body)
+        group = self._group_by_name.setdefault(document["group"], _Group())
+        name = document["member"]
+        now = self._now()
+        known = group.member_by_name.get(name)
+        ttl_s = document["ttl-ms"] / 1000
+        group.member_by_name[name] = _Member(now, ttl_s, document["generation"])
+        if known is None:
+            self._rebalance(group)
+        self._expire(group)
+        if self.faults.lost_joins > 0:
+            self.faults.lost_joins -= 1
+            responder.abort()
+            return
+        rows = [[document["topics"][0], part, 0] for part in self._held_by(group, name)]
+        answer = {
+            "generation": group.generation,
+            "ttl-ms": document["ttl-ms"],
+            "parts": rows,
+        }
+        responder.answer(200, JSON, json.dumps(answer).encode())
+
+    async def _leave(
+        self,
+        request: Request,
+        responder: Responder,
+        query: dict[str, str],
+    ) -> None:
+        document = json.loads(request.body)
+        group = self._group_by_name.setdefault(document["group"], _Group())
+        if group.member_by_name.pop(document["member"], None) is not None:
+            self._rebalance(group)
+        responder.answer(200, JSON, b"{}")
+
+    # Groups.
+
+    def _topic(self, name: str) -> _Topic:
+        return self._topic_by_name.setdefault(name, _Topic())
+
+    def _expire(self, group: _Group) -> None:
+        now = self._now()
+        dead = [
+            name
+            for name, member in group.member_by_name.items()
+            if now - member.seen_at > member.ttl_s
+        ]
+        for name in dead:
+            del group.member_by_name[name]
+        if dead:
+            self._rebalance(group)
+
+    def _rebalance(self, group: _Group) -> None:
+        """Spread the partitions evenly; moved ones wait for their old member."""
+        group.generation += 1
+        names = sorted(group.member_by_name)
+        if not names:
+            group.owner_by_part.clear()
+            return
+        for part in range(PARTITIONS):
+            old = group.owner_by_part.get(part)
+            new = names[part % len(names)]
+            group.owner_by_part[part] = new
+            if old not in (None, new) and old in group.member_by_name:
+                group.leaving_by_part[part] = (str(old), group.generation)
+
+    def _held_by(self, group: _Group, name: str) -> list[int]:
+        for part, (old, generation) in list(group.leaving_by_part.items()):
+            member = group.member_by_name.get(old)
+            if member is None or member.generation >= generation:
+                del group.leaving_by_part[part]
+        return [
+            part
+            for part, owner in sorted(group.owner_by_part.items())
+            if owner == name and part not in group.leaving_by_part
+        ]
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,523 @@
+"""The whole path on the routed interface, against stand-ins of the users' platform."""
+
+import asyncio
+
+from bamboovale.http1.connection import Connection
+from tests.gateway_site import (
+    HOST,
+    MODEL,
+    call,
+    configuration,
+    eventually,
+    request_id,
+    route,
+    run,
+    running_site,
+)
+
+
+class TestPlainCalls:
+    """Calls of plain services."""
+
+    def test_the_answer_is_the_endpoints_own(self) -> None:
+        async def test() -> None:
+            async with running_site() as site:
+                attempt = request_id()
+                answer = await call(
+                    site.vms[0].address, "/book/1?x=%2F", attempt=attempt
+                )
+                assert (answer.status, answer.whole) == (200, True)
+                assert answer.body == f"service-0 {attempt}".encode()
+                assert answer.header("x-server-stamp") == "stamp.service-0"
+                [seen] = site.services[0].runs
+                assert (seen.target, seen.body) == ("/book/1?x=%2F", b"hello")
+
+        run(test())
+
+    def test_headers_that_are_ours_to_set_do_not_pass(self) -> None:
+        """A caller sends headers that only the system may set.
+
+        Passed on, a made-up hold or KV source makes the endpoint refuse the request,
+        and a made-up instance sends it astray. The cause is trust in callers' headers.
+        """
+
+        async def test() -> None:
+            async with running_site() as site:
+                forged = {
+                    "X-Hold": "h",
+                    "X-Pin-Ms": "100",
+                    "Kv-From": "1.2.3.4:1/x",
+                    "X-Kv-Backup": "1.2.3.4:1",
+                    "X-Expect-Instance": "somebody",
+                    "X-Expect-Version": "9",
+                    "X-Request-Urgency": "0",
+                    "X-Length-Hint": "12",
+                }
+                answer = await call(site.vms[0].address, "/book/1", headers=forged)
+                assert answer.status == 200
+                seen = dict(site.services[0].runs[0].headers)
+                assert seen[b"x-expect-instance"] == b"service-0"
+                assert seen[b"x-length-hint"] == b"12"
+                assert b"x-hold" not in seen and b"kv-from" not in seen
+                assert b"x-kv-backup" not in seen and b"x-pin-ms" not in seen
+
+        run(test())
+
+    def test_a_safe_call_that_hangs_is_answered_by_another_endpoint(self) -> None:
+        """One endpoint takes calls and never answers them.
+
+        A caller would wait until its deadline. The call is safe, so it is sent to
+        another endpoint while there is time; the cause is a process that hangs.
+        """
+
+        async def test() -> None:
+            async with running_site(services=2) as site:
+                site.services[0].faults.hang = True
+                for _ in range(4):
+                    answer = await call(
+                        site.vms[0].address,
+                        "/check/1",
+                        method="GET",
+                        deadline_ms=1000,
+                    )
+                    assert answer.status == 200
+
+        run(test())
+
+    def test_an_unsafe_call_without_answer_is_not_sent_again(self) -> None:
+        """An endpoint runs a booking and answers with bytes that are no HTTP.
+
+        Sent again, a family would be charged twice. The caller gets a status that
+        promises nothing; the cause is an answer lost after the run.
+        """
+
+        async def test() -> None:
+            async with running_site(services=2) as site:
+                for service in site.services:
+                    service.faults.garble = True
+                answer = await call(site.vms[0].address, "/book/1")
+                assert answer.status == 502
+                assert sum(len(service.runs) for service in site.services) == 1
+
+        run(test())
+
+    def test_a_second_answer_never_reaches_the_next_caller(self) -> None:
+        """An endpoint answers a request twice; the next one shares its connection.
+
+        The next caller would get the stray answer. The cause is an endpoint that sends
+        bytes nobody asked for, right behind a whole answer.
+        """
+
+        async def test() -> None:
+            async with running_site() as site:
+                site.services[0].faults.stray = True
+                for _ in range(5):
+                    attempt = request_id()
+                    answer = await call(site.vms[0].address, "/book/1", attempt=attempt)
+                    assert answer.body == f"service-0 {attempt}".encode()
+
+        run(test())
+
+    def test_a_refusal_says_when_to_come_back(self) -> None:
+        async def test() -> None:
+            async with running_site() as site:
+                site.services[0].faults.refuse = True
+                answer = await call(site.vms[0].address, "/book/1")
+                assert answer.status == 503
+                assert float(answer.header("retry-after") or 0) > 0
+                assert site.services[0].runs == []
+
+        run(test())
+
+    def test_the_route_ends_a_call_that_takes_too_long(self) -> None:
+        """An endpoint hangs; the route allows 300 ms, the caller would wait 3 s.
+
+        The operator's bound must hold: the caller gets a final answer at it, and the
+        endpoint's connection is closed so that it stops working.
+        """
+
+        async def test() -> None:
+            short = route("short", "app", "unsafe", **{"timeout-ms": 300})
+            config = configuration(extra=(short,))
+            async with running_site(config=config) as site:
+                site.services[0].faults.hang = True
+                began = asyncio.get_running_loop().time()
+                answer = await call(site.vms[0].address, "/short/1")
+                assert answer.status == 504
+                assert asyncio.get_running_loop().time() - began < 0.6
+                await eventually(lambda: site.services[0].runs[0].ended == "cancelled")
+
+        run(test())
+
+    def test_a_caller_who_leaves_ends_the_run(self) -> None:
+        """A caller closes its connection while the endpoint works.
+
+        The endpoint would work for nobody, for seconds on a busy day. The cause: only
+        the entry VM sees that the caller is gone.
+        """
+
+        async def test() -> None:
+            async with running_site() as site:
+                site.services[0].faults.hang = True
+                caller = asyncio.create_task(call(site.vms[0].address, "/book/1"))
+                await eventually(lambda: bool(site.services[0].runs))
+                caller.cancel()
+                await eventually(
+                    lambda: site.services[0].runs[0].ended == "cancelled",
+                    timeout_s=0.5,
+                )
+
+        run(test())
+
+
+class TestModelRequests:
+    """Requests for an adapter of a model."""
+
+    def test_an_adapter_is_loaded_and_its_stream_is_whole(self) -> None:
+        async def test() -> None:
+            async with running_site() as site:
+                answer = await call(site.vms[0].address, "/chat/1", adapter="a7")
+                assert (answer.status, answer.whole) == (200, True)
+                assert answer.body.count(b"data: a7@1\n\n") == 5
+                [seen] = site.runners[0].runs
+                assert dict(seen.headers)[b"x-expect-version"] == b"1"
+
+        run(test())
+
+    def test_more_adapters_than_slots_never_overfill_the_engine(self) -> None:
+        """Callers ask for eight adapters at once, the engine has two slots.
+
+        Ordered past its slots an engine crashes with all its streams. The cause would
+        be loads counted only when a report shows them.
+        """
+
+        async def test() -> None:
+            async with running_site(vms=2) as site:
+                answers = await asyncio.gather(
+                    *(
+                        call(site.vms[n % 2].address, "/chat/1", adapter=f"a{n}")
+                        for n in range(8)
+                    )
+                )
+                assert [answer.status for answer in answers] == [200] * 8
+                assert not site.runners[0].overfilled
+                bodies = [answer.body for answer in answers]
+                for number, body in enumerate(bodies):
+                    assert body.count(f"data: a{number}@1\n\n".encode()) == 5
+
+        run(test())
+
+    def test_an_order_without_answer_is_given_again_with_the_same_number(self) -> None:
+        """An engine carries out a load and its answer is lost.
+
+        Counted as failed, its slot would be given away and the engine overfilled;
+        waited for, the caller would wait for seconds. The cause is a lost answer.
+        """
+
+        async def test() -> None:
+            async with running_site() as site:
+                site.runners[0].faults.lost_orders = 1
+                answer = await call(site.vms[0].address, "/chat/1", adapter="a1")
+                assert (answer.status, answer.whole) == (200, True)
+                orders = site.runners[0].orders
+                assert [order.document["expect"] for order in orders[:2]] == [0, 0]
+                assert [order.status for order in orders[:2]] == [202, 409]
+                assert not site.runners[0].overfilled
+
+        run(test())
+
+    def test_a_new_version_serves_everyone_soon(self) -> None:
+        """The operator names a new version of an adapter that is loaded and in use.
+
+        Requests would go on getting the old behaviour. The version must be replaced
+        within seconds, although the engine holds the old one.
+        """
+
+        async def test() -> None:
+            async with running_site() as site:
+                address = site.vms[0].address
+                await call(address, "/chat/1", adapter="a1")
+                named = {"model": MODEL, "adapter": "a1", "version": 2}
+                await site.store.put("keyed.op", f"version/{MODEL}.a1", named)
+                await eventually(lambda: site.vms[0].vm.version_of(MODEL, "a1") == 2)
+                answer = await call(address, "/chat/1", adapter="a1")
+                assert answer.body.count(b"data: a1@2\n\n") == 5
+
+        run(test())
+
+    def test_a_broken_stream_never_looks_complete(self) -> None:
+        """An engine breaks off in the middle of an event of a stream.
+
+        Ended properly, the summary would look whole without its last lines. The
+        caller's connection is cut instead, after the last whole event.
+        """
+
+        async def test() -> None:
+            async with running_site() as site:
+                site.runners[0].faults.cut_after = 2
+                answer = await call(site.vms[0].address, "/chat/1", adapter="a1")
+                assert not answer.whole
+                assert answer.body == b"id: 1\ndata: a1@1\n\nid: 2\ndata: a1@1\n\n"
+
+        run(test())
+
+    def test_a_resumable_stream_goes_on_at_another_engine(self) -> None:
+        """An engine breaks off a stream that may be resumed.
+
+        The caller gets the rest from another engine, each event once and under the
+        first head; the cause is a crash in the middle of an event.
+        """
+
+        async def test() -> None:
+            async with running_site(runners=2) as site:
+                for runner in site.runners:
+                    runner.hold("a1")
+                    await runner.register("ready")
+                site.runners[0].faults.cut_after = 2
+                site.runners[1].faults.cut_after = 2
+                caller = asyncio.create_task(
+                    call(site.vms[0].address, "/long/1", adapter="a1")
+                )
+                await eventually(lambda: sum(len(r.runs) for r in site.runners) == 1)
+                for runner in site.runners:
+                    if not runner.runs:
+                        runner.faults.cut_after = None
+                answer = await caller
+                assert (answer.status, answer.whole) == (200, True)
+                assert answer.body.count(b"\n\n") == 5
+                ids = [line for line in answer.body.split(b"\n") if b"id:" in line]
+                assert ids == [f"id: {n}".encode() for n in range(1, 6)]
+
+        run(test())
+
+    def test_an_engine_that_lost_its_model_gets_it_again(self) -> None:
+        """An engine restarts empty at another incarnation.
+
+        Without an order it would stay empty and idle while the others are full.
+        """
+
+        async def test() -> None:
+            async with running_site() as site:
+                site.runners[0].lose_model()
+                await site.vms[0].vm.look_at_engines()
+                answer = await call(site.vms[0].address, "/chat/1", adapter="a1")
+                assert answer.status == 200
+
+        run(test())
+
+
+class TestRouting:
+    """Hosts and paths."""
+
+    def test_an_unknown_path_is_not_found(self) -> None:
+        async def test() -> None:
+            async with running_site() as site:
+                answer = await call(site.vms[0].address, "/nowhere/1")
+                assert answer.status == 404
+
+        run(test())
+
+    def test_a_change_is_in_force_at_once_and_never_goes_back(self) -> None:
+        """The operator adds a route, then an older version arrives late.
+
+        A request on the new route would get 404 again. The cause is a store that
+        answers from an older state to one reader.
+        """
+
+        async def test() -> None:
+            async with running_site(vms=2) as site:
+                new = route("new", "app", "safe")
+                later = configuration(version=7, extra=(new,))
+                await site.store.put("keyed.op", "config", later)
+                await eventually(
+                    lambda: all(item.vm.table().version == 7 for item in site.vms)
+                )
+                await site.store.put("keyed.op", "config", configuration(version=3))
+                await asyncio.sleep(0.2)
+                for item in site.vms:
+                    answer = await call(item.address, "/new/1", method="GET")
+                    assert answer.status == 200
+
+        run(test())
+
+    def test_a_vm_without_configuration_refuses_for_now(self) -> None:
+        """A VM starts while the store is down and no peer can help.
+
+        Answered with 404, a proper request would be given up. It is told to come back.
+        """
+
+        async def test() -> None:
+            async with running_site() as site:
+                site.store.faults.mode = "busy"
+                site.vms[0].task.cancel()
+                await site.vms[0].vm.close()
+                late = await site.add_vm("entry-late")
+                await asyncio.sleep(0.3)
+                answer = await call(late.address, "/book/1")
+                assert answer.status == 503
+                assert answer.header("retry-after") is not None
+
+        run(test())
+
+    def test_a_vm_takes_the_configuration_from_a_peer(self) -> None:
+        """The store answers some VMs and refuses one that has an old configuration."""
+
+        async def test() -> None:
+            async with running_site(vms=2) as site:
+                first, second = site.vms
+                table = first.vm.table()
+                newer = configuration(version=9)
+                await site.store.put("keyed.op", "other", {})
+                decoded = first.vm._translation.decode_table(
+                    __import__("json").dumps(newer).encode()
+                )
+                first.vm.take_table(decoded, origin="test")
+                assert table.version == 1
+                await eventually(lambda: second.vm.table().version == 9)
+
+        run(test())
+
+
+class TestStops:
+    """Planned stops and leaving endpoints."""
+
+    def test_a_planned_stop_cuts_nothing_off(self) -> None:
+        """A VM is told to stop while a stream runs and callers still know its address.
+
+        The stream ends whole, new calls are served while old address lists live, and
+        the process ends by itself.
+        """
+
+        async def test() -> None:
+            async with running_site(vms=2) as site:
+                for runner in site.runners:
+                    runner.faults.event_s = 0.2
+                leaving = site.vms[0]
+                stream = asyncio.create_task(
+                    call(leaving.address, "/chat/1", adapter="a1")
+                )
+                await eventually(lambda: bool(site.runners[0].runs))
+                leaving.vm.stop()
+                await asyncio.sleep(0.3)
+                late = await call(leaving.address, "/book/1")
+                assert late.status == 200
+                assert late.header("connection") == "close"
+                answer = await stream
+                assert (answer.status, answer.whole) == (200, True)
+                await asyncio.wait_for(leaving.task, 6.0)
+
+        run(test())
+
+    def test_a_leaving_endpoint_gets_nothing_new(self) -> None:
+        async def test() -> None:
+            async with running_site(services=2) as site:
+                await site.services[0].register("draining")
+                await asyncio.sleep(1.8)
+                before = len(site.services[0].runs)
+                for _ in range(10):
+                    await call(site.vms[0].address, "/check/1", method="GET")
+                assert len(site.services[0].runs) == before
+
+        run(test())
+
+    def test_the_directory_leaves_out_a_stopping_vm(self) -> None:
+        async def test() -> None:
+            async with running_site(vms=2) as site:
+                first, second = site.vms
+                await eventually(lambda: len(second.vm._addresses_for("a")) == 2)
+                first.vm.stop()
+                await eventually(
+                    lambda: second.vm._addresses_for("a") == [second.address],
+                    timeout_s=1.0,
+                )
+
+        run(test())
+
+
+class TestOutages:
+    """The store fails while callers go on."""
+
+    def test_what_runs_goes_on_while_the_store_is_down(self) -> None:
+        """The store is silent for longer than a lease.
+
+        Endpoints must not be taken for gone, and the owner of an engine that checks
+        fencing numbers goes on loading: nobody else can take over meanwhile.
+        """
+
+        async def test() -> None:
+            async with running_site(vms=2, runners=1) as site:
+                site.store.faults.mode = "reset"
+                await asyncio.sleep(3.0)
+                answer = await call(site.vms[0].address, "/chat/1", adapter="a9")
+                assert (answer.status, answer.whole) == (200, True)
+                assert (await call(site.vms[1].address, "/book/1")).status == 200
+
+        run(test())
+
+    def test_a_lapsed_record_counts_as_gone_only_after_the_stores_return(self) -> None:
+        """Records of endpoints lapse in an outage and come back a moment after it.
+
+        Dropped at the first read, every endpoint would be unknown for two seconds.
+        """
+
+        async def test() -> None:
+            async with running_site() as site:
+                site.store.faults.mode = "busy"
+                await asyncio.sleep(1.5)
+                await site.services[0].unregister()
+                site.store.forget_history()
+                site.store.faults.mode = "ok"
+                await asyncio.sleep(1.5)
+                assert (await call(site.vms[0].address, "/book/1")).status == 200
+                await eventually(
+                    lambda: "service-0" not in site.vms[0].vm.dump()["endpoints"]
+                )
+
+        run(test())
+
+    def test_another_vm_takes_over_a_dead_owners_engines(self) -> None:
+        """The owner of an engine dies; requests need an adapter that is not loaded.
+
+        Without a new owner they would be refused for ever. The fencing number of the
+        new owner's orders is higher than that of the dead one's.
+        """
+
+        async def test() -> None:
+            async with running_site(vms=2) as site:
+                await call(site.vms[0].address, "/chat/1", adapter="a1")
+                owner = site.owned()["runner-0"]
+                other = next(item for item in site.vms if item is not owner)
+                owner.task.cancel()
+                await owner.vm.close()
+                site.vms.remove(owner)
+                await eventually(lambda: site.owned().get("runner-0") is other)
+                answer = await call(other.address, "/chat/1", adapter="a2")
+                assert answer.status == 200
+                fences = [order.document["fence"] for order in site.runners[0].orders]
+                assert fences[-1] > fences[0]
+
+        run(test())
+
+
+class TestConnections:
+    """What callers do on their connections."""
+
+    def test_a_connection_serves_many_requests(self) -> None:
+        async def test() -> None:
+            async with running_site() as site:
+                connection = await Connection.open(*site.vms[0].address)
+                import h11
+
+                for _ in range(3):
+                    headers = [("Host", HOST), ("X-Request-Id", request_id())]
+                    request = h11.Request(
+                        method="GET", target="/check/1", headers=headers
+                    )
+                    connection.send(request, b"")
+                    head = await connection.head()
+                    while await connection.data() is not None:
+                        pass
+                    assert head.status == 200
+                connection.close()
+
+        run(test())
