--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -40,6 +40,8 @@
 """Runs without a first event before their age says something of the engine."""
 EARLY_PENALTY_S = 0.1
 """Added to the expected load time after a request came too early."""
+UNLOAD_LOST_S = 5.0
+"""An adapter that is still there so long after its unload was accepted stays."""
 FIRST_EVENT_WEIGHT = 0.15
 LOAD_LOST_S = 1.5
 """A load that the engine lists neither as loaded nor in transit after this time never
@@ -269,13 +271,27 @@
                 self._miss(key, now)
         return self.decide(now)
 
-    def on_order_done(self, order: OrderLoad | OrderUnload, now: float) -> list[Action]:
-        """Take an order that was accepted, or that already held."""
+    def on_order_done(
+        self,
+        order: OrderLoad | OrderUnload,
+        now: float,
+        *,
+        at_once: bool,
+    ) -> list[Action]:
+        """Take an order that was accepted; ``at_once``: it holds already.
+
+        An unload that was only accepted waits for runs that we do not know of: its
+        slot stays taken until a report shows it empty. Given away before, the engine
+        would be ordered past its slots.
+        """
         self._order_open = False
         if isinstance(order, OrderUnload) and order.adapter is not None:
             key = (order.model, order.adapter)
-            self._slot_by_key.pop(key, None)
-            self._unloaded_at[key] = now
+            if at_once:
+                self._slot_by_key.pop(key, None)
+                self._unloaded_at[key] = now
+            elif key in self._slot_by_key:
+                self._slot_by_key[key].changed_at = now
         elif order.adapter is not None:
             self._load_accepted((order.model, order.adapter), now)
         return self.decide(now)
@@ -678,7 +694,7 @@
             slot.version = version
         elif slot.state is SlotState.LOADED:
             slot.version = version
-        elif now - slot.changed_at > LOAD_LOST_S and not self._order_open:
+        elif now - slot.changed_at > UNLOAD_LOST_S:
             slot.state = SlotState.LOADED
 
     def _confirm(self, slot: Slot, version: int, now: float) -> None:
@@ -710,7 +726,8 @@
 
     def _miss(self, key: AdapterKey, now: float) -> None:
         slot = self._slot_by_key[key]
-        coming = slot.state is SlotState.LOADING or not slot.confirmed
+        expected = slot.state is SlotState.LOADED and not slot.confirmed
+        coming = slot.state is SlotState.LOADING or expected
         kept_s = LOAD_LOST_S if coming else REPORT_LAG_S
         if now - slot.changed_at > kept_s:
             del self._slot_by_key[key]
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -255,7 +255,9 @@
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.HOLDS):
             if self._orders_seen is not None and _counts(action, outcome):
                 self._orders_seen += 1
-            self._carry_out(self.places.on_order_done(action, now))
+            at_once = outcome is OrderOutcome.HOLDS
+            actions = self.places.on_order_done(action, now, at_once=at_once)
+            self._carry_out(actions)
             self._expect_news(now)
             self._decide_when_ready(now)
             return
--- /dev/null
+++ b/tests/test_decisions_engine_places.py
@@ -0,0 +1,188 @@
+"""One engine at its owner: places, slots and queue, without a network."""
+
+from bamboovale.decisions.engine_places import (
+    EngineCapacity,
+    EngineFacts,
+    EnginePlaces,
+    Grant,
+    OrderLoad,
+    OrderUnload,
+    PlaceAsk,
+    RefusalReason,
+    Refuse,
+)
+
+MODEL = "base"
+
+
+def places(slots: int = 2, batch: int = 8) -> EnginePlaces:
+    """Return an engine that has its model and no adapter."""
+    engine = EnginePlaces(EngineCapacity(batch, 100_000, slots))
+    engine.may_order = True
+    engine.on_facts(facts(0.0), 0.0)
+    return engine
+
+
+def facts(read_at: float, **version_by_adapter: int) -> EngineFacts:
+    """Return a report."""
+    adapters = {(MODEL, name): v for name, v in version_by_adapter.items()}
+    return EngineFacts({MODEL: 1}, adapters, frozenset(), 0, read_at)
+
+
+def ask(name: str, adapter: str, now: float = 0.0, **fields: float) -> PlaceAsk:
+    """Return a request that has a goal of a second and waits for three."""
+    return PlaceAsk(
+        ask_id=name,
+        entry_vm="entry-0",
+        model=MODEL,
+        adapter=adapter,
+        version=int(fields.get("version", 1)),
+        prompt_tokens=100,
+        output_tokens=20,
+        rank=0,
+        goal_at=now + fields.get("goal_s", 1.0),
+        latest_start=now + fields.get("waits_s", 3.0),
+    )
+
+
+def load(engine: EnginePlaces, adapter: str, now: float) -> None:
+    """Bring an adapter in, by a request that ends at once."""
+    [order] = engine.on_ask(ask(f"load-{adapter}", adapter, now), now)
+    assert order == OrderLoad(MODEL, adapter, 1)
+    engine.on_order_done(order, now, at_once=False)
+    later = now + 1.0
+    engine.decide(later)
+    engine.on_release(f"load-{adapter}", later)
+
+
+class TestSlots:
+    """Adapters come and go within the slots."""
+
+    def test_an_accepted_unload_keeps_its_slot_until_a_report_shows_it_empty(
+        self,
+    ) -> None:
+        """An adapter is evicted while a run that its owner does not know still uses it.
+
+        The engine accepts the unload and lets it wait for the run. Were its slot given
+        away at once, the next load would be one too many and crash the engine with all
+        its streams. The cause: a caller left, or another VM sent without a place.
+        """
+        engine = places(slots=1)
+        load(engine, "a1", 0.0)
+        [order] = engine.on_ask(ask("r", "a2", 2.0), 2.0)
+        assert order == OrderUnload(MODEL, "a1")
+        assert engine.on_order_done(order, 2.0, at_once=False) == []
+        assert engine.on_facts(facts(2.4, a1=1), 2.4) == []
+        [order] = engine.on_facts(facts(2.8), 2.8)
+        assert order == OrderLoad(MODEL, "a2", 1)
+
+    def test_a_report_older_than_an_unload_brings_nothing_back(
+        self,
+    ) -> None:
+        """Reports lag; one that is read just after an unload still lists the adapter.
+
+        Taken for loaded it would be evicted again and again, each time with an order
+        that does nothing and holds up the loads that callers wait for.
+        """
+        engine = places(slots=1)
+        load(engine, "a1", 0.0)
+        [order] = engine.on_ask(ask("r", "a2", 2.0), 2.0)
+        [order] = engine.on_order_done(order, 2.0, at_once=True)
+        assert order == OrderLoad(MODEL, "a2", 1)
+        engine.on_order_done(order, 2.0, at_once=False)
+        engine.on_facts(facts(2.1, a1=1), 2.1)
+        assert (MODEL, "a1") not in engine.outlook(2.1).loaded
+
+    def test_an_adapter_in_use_is_never_evicted(self) -> None:
+        engine = places(slots=1)
+        [order] = engine.on_ask(ask("r1", "a1"), 0.0)
+        engine.on_order_done(order, 0.0, at_once=False)
+        assert any(isinstance(item, Grant) for item in engine.decide(1.0))
+        assert engine.on_ask(ask("r2", "a2", 1.0), 1.0) == []
+        [order] = engine.on_release("r1", 1.5)
+        assert order == OrderUnload(MODEL, "a1")
+
+    def test_a_request_that_came_before_its_load_was_complete_waits_for_a_report(
+        self,
+    ) -> None:
+        """A load takes longer than expected and the engine refuses the first request.
+
+        Sent again at once it would be refused again, which costs retry budget.
+        """
+        engine = places()
+        [order] = engine.on_ask(ask("r1", "a1"), 0.0)
+        engine.on_order_done(order, 0.0, at_once=False)
+        [grant] = engine.decide(0.5)
+        assert isinstance(grant, Grant) and not grant.confirmed
+        engine.on_refused_run("r1", 0.5, not_held=True)
+        assert engine.on_ask(ask("r2", "a1", 0.5), 0.5) == []
+        [grant] = engine.on_facts(facts(0.7, a1=1), 0.7)
+        assert isinstance(grant, Grant) and grant.confirmed
+
+
+class TestVersions:
+    """New versions replace old ones."""
+
+    def test_nothing_new_starts_on_an_old_version_that_is_idle(self) -> None:
+        engine = places()
+        load(engine, "a1", 0.0)
+        [order] = engine.on_ask(ask("r", "a1", 2.0, version=2), 2.0)
+        assert order == OrderLoad(MODEL, "a1", 2)
+
+    def test_a_busy_old_version_serves_on_for_a_moment_only(self) -> None:
+        """A new version of a hot adapter is named while runs on it never cease.
+
+        The replacement waits for the runs; if new ones went on starting on the old
+        version, it would never come. After a moment nothing new starts on it.
+        """
+        engine = places()
+        load(engine, "a1", 0.0)
+        [grant] = engine.on_ask(ask("r1", "a1", 2.0), 2.0)
+        assert isinstance(grant, Grant)
+        actions = engine.on_ask(ask("r2", "a1", 2.1, version=2), 2.1)
+        assert any(isinstance(item, Grant) and item.version == 1 for item in actions)
+        actions = engine.on_ask(ask("r3", "a1", 4.0), 4.0)
+        assert actions == [OrderLoad(MODEL, "a1", 2)]
+
+
+class TestOverload:
+    """More requests than slots."""
+
+    def test_what_can_meet_its_goal_goes_before_what_is_late_already(self) -> None:
+        """Twice as many adapters are asked for as the slots can take, for a while.
+
+        First come first served, everyone would be late by the same wait; the requests
+        that came last can still be in time.
+        """
+        engine = places(slots=1)
+        [order] = engine.on_ask(ask("r0", "a0"), 0.0)
+        engine.on_order_done(order, 0.0, at_once=False)
+        engine.decide(1.0)
+        engine.on_ask(ask("old", "a1", 0.0, goal_s=1.0), 1.0)
+        engine.on_ask(ask("new", "a2", 1.0, goal_s=1.0), 1.0)
+        [order] = engine.on_release("r0", 1.2)
+        [order] = engine.on_order_done(order, 1.2, at_once=True)
+        assert order == OrderLoad(MODEL, "a2", 1)
+
+    def test_what_cannot_start_in_time_is_refused(self) -> None:
+        engine = places(slots=1)
+        [order] = engine.on_ask(ask("r0", "a0"), 0.0)
+        engine.on_order_done(order, 0.0, at_once=False)
+        engine.decide(1.0)
+        engine.on_ask(ask("r1", "a1", 1.0, waits_s=0.5), 1.0)
+        [refusal] = engine.decide(1.6)
+        assert isinstance(refusal, Refuse)
+        assert refusal.reason is RefusalReason.LATE
+
+    def test_without_leave_to_order_a_load_is_refused_soon(self) -> None:
+        """The owner lost its lease; a request needs an adapter that is not loaded.
+
+        Kept waiting it would end at its deadline, while another engine could load it.
+        """
+        engine = places()
+        engine.may_order = False
+        engine.decide(0.0)
+        engine.on_ask(ask("r1", "a1", 0.1), 0.1)
+        [refusal] = engine.decide(0.6)
+        assert isinstance(refusal, Refuse)
+        assert refusal.reason is RefusalReason.CANNOT_LOAD
