Evict only adapters that are surely loaded; stand in for owners lost in an outage

An unconfirmed adapter is no victim now; test first. A live VM now stands in with a higher fencing number where engines check it. Requests whose predicted turn comes too late are refused at once instead of after their patience.

--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -13,7 +13,7 @@
 Events are methods that return actions. Nothing here reads a clock or a socket.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -42,6 +42,13 @@
 """Added to the expected load time after a request came too early."""
 UNLOAD_LOST_S = 5.0
 """An adapter that is still there so long after its unload was accepted stays."""
+RATE_WINDOW_S = 2.0
+RATE_LEAST_PER_S = 8.0
+"""Slots that an engine hands on a second, by the loads of the last seconds; at least
+what one with slots for two loads a quarter second can do, so that a quiet engine
+refuses nobody."""
+SLACK_LOADS = 4
+"""Requests ahead that do not count: these loads run side by side."""
 FIRST_EVENT_WEIGHT = 0.15
 LOAD_LOST_S = 1.5
 """A load that the engine lists neither as loaded nor in transit after this time never
@@ -168,6 +175,10 @@
         faded = 0.5 ** (max(0.0, now - self.used_at) / DEMAND_HALF_LIFE_S)
         return self.demand * faded
 
+    def is_evictable(self) -> bool:
+        """Tell whether it is surely loaded and nobody uses it."""
+        return self.state is SlotState.LOADED and self.confirmed and not self.active
+
     def use(self, now: float) -> None:
         """Count one use."""
         self.demand = self.demand_at(now) + 1.0
@@ -239,6 +250,7 @@
         self._model_loading_since: dict[str, float] = {}
         self._unloaded_at: dict[AdapterKey, float] = {}
         self._held: OrderedDict[AdapterKey, None] = OrderedDict()
+        self._loads_at: deque[float] = deque()
         self._late_s = MovingAverage(0.0, weight=FIRST_EVENT_WEIGHT)
         self._stopped_at: float | None = None
         self._queue: list[PlaceAsk] = []
@@ -304,6 +316,7 @@
         # A replacement waits for runs: only a report tells when it is complete.
         if not slot.active:
             slot.ready_at = now + self._expected_load_s(key)
+        self._loads_at.append(now)
         self._held[key] = None
         self._held.move_to_end(key)
         if len(self._held) > HELD_KEPT:
@@ -581,8 +594,9 @@
     def _refusals(self, now: float) -> list[Action]:
         """Refuse what can no longer start in time."""
         reason_by_id: dict[str, RefusalReason] = {}
-        for ask in self._queue:
-            if now > ask.latest_start:
+        waits_s = self._predicted_waits(now)
+        for ask, wait_s in zip(self._queue, waits_s, strict=True):
+            if now + wait_s > ask.latest_start:
                 reason_by_id[ask.ask_id] = RefusalReason.LATE
             elif self._cannot_load(ask, now):
                 reason_by_id[ask.ask_id] = RefusalReason.CANNOT_LOAD
@@ -592,6 +606,28 @@
         retry_s = self.load_s.value
         return [Refuse(ask, reason_by_id[ask.ask_id], retry_s) for ask in refused]
 
+    def _predicted_waits(self, now: float) -> list[float]:
+        """Return for each waiting request when its turn for a slot should come.
+
+        What needs a load waits for those before it, at the rate at which requests have
+        lately got slots. What waits for a load under way waits for no one else.
+        """
+        rate_per_s = self._slot_rate_per_s(now)
+        waits_s = []
+        ahead: set[AdapterKey] = set()
+        for ask in self._queue:
+            if ask.key is None or ask.key in self._slot_by_key or not self.may_order:
+                waits_s.append(0.0)
+                continue
+            ahead.add(ask.key)
+            waits_s.append(max(0.0, (len(ahead) - SLACK_LOADS) / rate_per_s))
+        return waits_s
+
+    def _slot_rate_per_s(self, now: float) -> float:
+        while self._loads_at and now - self._loads_at[0] > RATE_WINDOW_S:
+            self._loads_at.popleft()
+        return max(RATE_LEAST_PER_S, len(self._loads_at) / RATE_WINDOW_S)
+
     def _note_stop(self, now: float) -> None:
         if self.may_order:
             self._stopped_at = None
@@ -660,12 +696,17 @@
         return slot.version < self._newest_by_key[key].version
 
     def _victim(self, now: float) -> AdapterKey | None:
-        """Return the idle adapter that is least worth its slot: outdated, then cold."""
+        """Return the idle adapter that is least worth its slot: outdated, then cold.
+
+        An adapter that is only expected to be loaded may still be in transit. Told to
+        unload it, the engine answers that it does not hold it, and it arrives later in
+        a slot that has been given away.
+        """
         wanted = {ask.key for ask in self._queue}
         idle = [
             (not self._outdated(key), slot.demand_at(now), slot.used_at, key)
             for key, slot in self._slot_by_key.items()
-            if slot.state is SlotState.LOADED and not slot.active and key not in wanted
+            if slot.is_evictable() and key not in wanted
         ]
         return min(idle)[-1] if idle else None
 
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -49,13 +49,18 @@
 
 @dataclass(frozen=True)
 class OwnerContext:
-    """What an owner's task is given; ``fence`` is the number of the present lease."""
+    """What an owner's task is given.
+
+    ``fence`` is the fencing number of an engine's orders; ``on_fenced`` is told which
+    number the engine refused.
+    """
 
     calls: EngineCalls
     journal: Journal
     now: Callable[[], float]
     may_order: Callable[[str], bool]
-    fence: Callable[[], int]
+    fence: Callable[[str], int]
+    on_fenced: Callable[[str, int], None]
 
 
 class EngineOwner:
@@ -144,12 +149,12 @@
         self.places.note_version((model, adapter), version, now)
         self._carry_out(self.places.decide(now))
 
-    def status(self, generation: int) -> EngineStatus:
+    def status(self) -> EngineStatus:
         """Return what peers are told."""
         outlook = self.places.outlook(self._context.now())
         return EngineStatus(
             engine_id=self.record.endpoint_id,
-            generation=generation,
+            fence=self._fence(),
             loaded=tuple((*key, v) for key, v in outlook.loaded.items()),
             coming=tuple((*key, v) for key, v in outlook.coming.items()),
             models=outlook.models,
@@ -205,7 +210,7 @@
         """Give an order until its outcome is known, for a few tries."""
         lost = 0
         while lost < ORDER_TRIES:
-            fence = self._context.fence()
+            fence = self._fence()
             expected = self._orders_seen
             if expected is None or not self._allowed(fence):
                 self._failed(action, certain=lost == 0)
@@ -263,6 +268,7 @@
             return
         if outcome is OrderOutcome.FENCED:
             self._fenced_at = fence
+            self._context.on_fenced(self.record.endpoint_id, fence)
         if outcome is OrderOutcome.GONE:
             self._engine_lost()
         self._orders_seen = None
@@ -273,6 +279,9 @@
         now = self._context.now()
         self._carry_out(self.places.on_order_failed(action, now, certain=certain))
 
+    def _fence(self) -> int:
+        return self._context.fence(self.record.endpoint_id)
+
     def _allowed(self, fence: int) -> bool:
         """Tell whether an order may go out now, looked at just before it does."""
         if self._fenced_at is not None and fence <= self._fenced_at:
@@ -319,7 +328,7 @@
         if self._orders_seen is None or report.orders > self._orders_seen:
             self._orders_seen = report.orders
         now = self._context.now()
-        self.places.may_order = self._allowed(self._context.fence())
+        self.places.may_order = self._allowed(self._fence())
         self._carry_out(self.places.on_facts(facts_of(report, asked_at), now))
         return True
 
@@ -336,7 +345,7 @@
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            self.places.may_order = self._allowed(self._context.fence())
+            self.places.may_order = self._allowed(self._fence())
             if self.places.waiting():
                 self._carry_out(self.places.decide(self._context.now()))
 
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -186,7 +186,7 @@
         if engine_id in self.owner_by_engine:
             return self.own_id
         owned = self.fleet.engine(engine_id)
-        if owned is None or owned.owner == self.own_id:
+        if owned is None or owned.given_up or owned.owner == self.own_id:
             return None
         return owned.owner if self.fleet.is_live(owned.owner, self.now()) else None
 
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bamboovale.gateway.messages import EngineStatus, GatewayStatus
 
@@ -31,11 +31,12 @@
 
 @dataclass(frozen=True)
 class OwnedEngine:
-    """What an engine's owner last told."""
+    """What an engine's owner last told; ``given_up`` once it no longer owns it."""
 
     owner: str
     status: EngineStatus
     heard_at: float
+    given_up: bool = False
 
 
 class Fleet:
@@ -75,13 +76,11 @@
         """Take a peer's status."""
         address = (status.address, status.peers_port)
         self._peer_by_id[vm_id] = Peer(vm_id, address, status, now)
-        for engine in status.engines:
-            self._take_engine(OwnedEngine(vm_id, engine, now))
+        self._take_engines(vm_id, status.engines, now)
 
     def on_own_engines(self, engines: tuple[EngineStatus, ...], now: float) -> None:
         """Take what we ourselves own."""
-        for engine in engines:
-            self._take_engine(OwnedEngine(self._own_id, engine, now))
+        self._take_engines(self._own_id, engines, now)
 
     def address_of(self, vm_id: str) -> tuple[str, int] | None:
         """Return where a peer takes links."""
@@ -137,8 +136,47 @@
         version, vm_id = max(versions)
         return vm_id, version
 
+    def _take_engines(
+        self,
+        vm_id: str,
+        engines: tuple[EngineStatus, ...],
+        now: float,
+    ) -> None:
+        """Take what a VM owns; what it no longer names it has given up."""
+        named = {engine.engine_id for engine in engines}
+        for engine_id, owned in list(self._engine_by_id.items()):
+            if owned.owner == vm_id and engine_id not in named:
+                self._engine_by_id[engine_id] = replace(owned, given_up=True)
+        for engine in engines:
+            self._take_engine(OwnedEngine(vm_id, engine, now))
+
     def _take_engine(self, owned: OwnedEngine) -> None:
-        """Believe the owner of the highest generation."""
+        """Believe the owner with the highest fencing number, while it lives."""
         known = self._engine_by_id.get(owned.status.engine_id)
-        if known is None or owned.status.generation >= known.status.generation:
-            self._engine_by_id[owned.status.engine_id] = owned
+        if known is not None and known.owner != owned.owner and not known.given_up:
+            newer = owned.status.fence >= known.status.fence
+            if not newer and self.is_live(known.owner, owned.heard_at):
+                return
+        self._engine_by_id[owned.status.engine_id] = owned
+
+    def nobody_reaches_store(self, now: float) -> bool:
+        """Tell whether no live peer reaches the store either."""
+        return not any(
+            peer.status is not None
+            and peer.status.store_reachable
+            and self.is_live(peer.vm_id, now)
+            for peer in self._peer_by_id.values()
+        )
+
+    def live_ids(self, now: float) -> list[str]:
+        """Return the VMs that live and serve, ourselves included."""
+        return [
+            self._own_id,
+            *(
+                peer.vm_id
+                for peer in self._peer_by_id.values()
+                if peer.status is not None
+                and peer.status.serving
+                and self.is_live(peer.vm_id, now)
+            ),
+        ]
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -76,11 +76,12 @@
 class EngineStatus:
     """What an owner tells of one engine; adapters are (model, adapter, version).
 
-    ``answers`` is False while the engine refuses connections.
+    ``fence`` is the fencing number of its orders; ``answers`` is False while the engine
+    refuses connections.
     """
 
     engine_id: str
-    generation: int
+    fence: int
     loaded: tuple[tuple[str, str, int], ...]
     coming: tuple[tuple[str, str, int], ...]
     models: tuple[str, ...]
@@ -104,6 +105,7 @@
     failure_domain: str
     serving: bool
     config_version: int
+    store_reachable: bool
     engines: tuple[EngineStatus, ...] = ()
 
 
--- a/bamboovale/gateway/ownership.py
+++ b/bamboovale/gateway/ownership.py
@@ -20,6 +20,10 @@
 renewals. Shorter loses engines to a slow store, longer leaves them without loads."""
 RENEW_S = 0.6
 RETRY_S = 0.3
+TOKENS_PER_GENERATION = 1 << 24
+VMS_PER_STEP = 1 << 14
+"""A fencing number has three parts: the store's generation, a step within it for owners
+that stood in, and a number of the VM, so that no two VMs use the same one."""
 MARGIN_S = 0.3
 """An order sent so close to the end may arrive after it."""
 
@@ -64,14 +68,70 @@
         self._settle_s = 0.0 if engines_check_fencing else settle_s
         self._on_change = on_change
         self._clock = clock
+        digest = hashlib.blake2b(member.encode(), digest_size=8).digest()
+        self._own_number = int.from_bytes(digest, "big") % VMS_PER_STEP
         self._held_until = 0.0
         self._held_since: dict[int, float] = {}
+        self._stand_in_token: dict[str, int] = {}
+        self._bumped_token: dict[str, int] = {}
+        self._unreachable_since: float | None = None
         self._leaving = False
 
     def holds(self, engine_id: str) -> bool:
         """Tell whether we own an engine, whatever the lease's age."""
+        if engine_id in self._stand_in_token:
+            return True
         return partition_of(engine_id, self._partitions) in self._held_since
 
+    def fence(self, engine_id: str) -> int:
+        """Return the fencing number of our orders to an engine."""
+        stand_in = self._stand_in_token.get(engine_id)
+        if stand_in is not None:
+            return stand_in
+        granted = self.generation * TOKENS_PER_GENERATION
+        return max(granted, self._bumped_token.get(engine_id, 0))
+
+    def away_s(self) -> float:
+        """Return for how long the store has not answered us."""
+        if self._unreachable_since is None:
+            return 0.0
+        return self._clock() - self._unreachable_since
+
+    def stand_in(self, engine_id: str, above: int) -> None:
+        """Own an engine that nobody owns while the store cannot say who should.
+
+        Only where engines refuse an older fencing number: the token is higher than the
+        last owner's and differs from that of any other VM that has the same idea, so
+        that the engine obeys one of them. It ends when the store answers again.
+        """
+        if self._fenced and not self._leaving:
+            self._stand_in_token[engine_id] = self._next_token(above)
+            self._journal.write(
+                "stand_in",
+                engine=engine_id,
+                token=self._stand_in_token[engine_id],
+                above=above,
+                store_away_s=round(self.away_s(), 2),
+            )
+
+    def on_fenced(self, engine_id: str, above: int) -> None:
+        """Take an engine's word that another VM used a higher number.
+
+        The rightful owner, confirmed by the store, goes on with a higher one; anybody
+        else stops.
+        """
+        if engine_id in self._stand_in_token:
+            del self._stand_in_token[engine_id]
+            self._on_change()
+        elif self.reachable and self.holds(engine_id):
+            used = max(above, self.fence(engine_id))
+            self._bumped_token[engine_id] = self._next_token(used)
+
+    def _next_token(self, above: int) -> int:
+        """Return a token above another that no other VM makes."""
+        step = above // VMS_PER_STEP + 1
+        return step * VMS_PER_STEP + self._own_number
+
     def may_order(self, engine_id: str) -> bool:
         """Tell whether an order to an engine may be sent now.
 
@@ -80,8 +140,12 @@
         the engine refuses us. Elsewhere the lease must be in force, and the last
         owner's lease must be over for long.
         """
+        if self._leaving:
+            return False
+        if engine_id in self._stand_in_token:
+            return not self.reachable
         since = self._held_since.get(partition_of(engine_id, self._partitions))
-        if since is None or self._leaving:
+        if since is None:
             return False
         now = self._clock()
         if now - since < self._settle_s:
@@ -128,10 +192,13 @@
             if self.reachable:
                 self._journal.write("ownership_store_lost", error=str(error))
             self.reachable = False
+            if self._unreachable_since is None:
+                self._unreachable_since = self._clock()
             return
         if not self.reachable:
             self._journal.write("ownership_store_regained", waited=self.generation)
         self.reachable = True
+        self._unreachable_since = None
         if self._leaving:
             return
         self._held_until = asked_at + TTL_S - MARGIN_S
@@ -141,7 +208,8 @@
         now = self._clock()
         numbers = {partition.number for partition in membership.partitions}
         # A partition may come without a new generation, once its last owner let go.
-        moved = numbers != self._held_since.keys()
+        moved = numbers != self._held_since.keys() or bool(self._stand_in_token)
+        self._stand_in_token.clear()
         changed = moved or membership.generation != self.generation
         if moved:
             self._journal.write(
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from bamboovale.decisions.engine_places import EngineCapacity
+from bamboovale.decisions.rendezvous import score
 from bamboovale.decisions.retry_share import RetryShare, RetryShareConfig
 from bamboovale.gateway.attempts import Attempts
 from bamboovale.gateway.crashes import CrashGuard
@@ -33,7 +34,7 @@
     TableAnswer,
     TableQuery,
 )
-from bamboovale.gateway.model import RoutingTable
+from bamboovale.gateway.model import EndpointRecord, RoutingTable
 from bamboovale.gateway.model_calls import ModelCalls
 from bamboovale.gateway.ownership import Ownership, lease_clock
 from bamboovale.gateway.plain_calls import PlainCalls
@@ -66,6 +67,8 @@
 STOP_MARGIN_S = 0.7
 """Before the platform kills the process."""
 TABLE_TIMEOUT_S = 1.0
+STORE_AWAY_S = 1.5
+"""An outage of the store shorter than this ends before a lease does."""
 LAG_WARNING_S = 0.5
 
 
@@ -150,7 +153,8 @@
             journal=self._journal,
             now=self.now,
             may_order=self._ownership.may_order,
-            fence=lambda: self._ownership.generation,
+            fence=self._ownership.fence,
+            on_fenced=self._on_fenced,
         )
 
     def _build_calls(self) -> None:
@@ -432,18 +436,62 @@
         if self._table is None or self._stopping:
             return {}
         wanted = {}
-        for engine_id, record in self._endpoints.record_by_id.items():
-            service = self._table.service_by_name.get(record.service)
-            if service is None or service.engines is None or not record.ready:
-                continue
-            if self._ownership.holds(engine_id):
-                wanted[engine_id] = EngineCapacity(
-                    places=service.engines.slots,
-                    kv_tokens=service.engines.kv_tokens,
-                    adapter_slots=service.engines.adapter_slots,
+        for record in self._model_engines():
+            pool = self._table.service_by_name[record.service].engines
+            if pool is not None and self._ownership.holds(record.endpoint_id):
+                wanted[record.endpoint_id] = EngineCapacity(
+                    places=pool.slots,
+                    kv_tokens=pool.kv_tokens,
+                    adapter_slots=pool.adapter_slots,
                 )
         return wanted
 
+    def _model_engines(self) -> list[EndpointRecord]:
+        """Return the model engines that take new work."""
+        if self._table is None:
+            return []
+        pools = {
+            service.name
+            for service in self._table.service_by_name.values()
+            if service.engines is not None
+        }
+        return [
+            record
+            for record in self._endpoints.record_by_id.values()
+            if record.service in pools and record.ready
+        ]
+
+    def _on_fenced(self, engine_id: str, token: int) -> None:
+        owned = self._fleet.engine(engine_id)
+        seen = owned.status.fence if owned is not None else 0
+        self._ownership.on_fenced(engine_id, max(seen, token))
+
+    def _stand_in_for_lost_owners(self) -> None:
+        """Own engines whose owner is gone while no VM reaches the store.
+
+        Guards against a long outage in which VMs stop or die: the store cannot name
+        new owners, and fewer and fewer engines could load anything.
+        """
+        now = self.now()
+        if self._ownership.away_s() < STORE_AWAY_S:
+            return
+        if not self.serving() or not self._fleet.nobody_reaches_store(now):
+            return
+        live = self._fleet.live_ids(now)
+        changed = False
+        for record in self._model_engines():
+            engine_id = record.endpoint_id
+            if self._ownership.holds(engine_id) or self._engines.owner_name(engine_id):
+                continue
+            if max(live, key=lambda vm_id: score(engine_id, vm_id)) == self._node.name:
+                owned = self._fleet.engine(engine_id)
+                granted = self._ownership.fence(engine_id)
+                above = max(granted, owned.status.fence if owned is not None else 0)
+                self._ownership.stand_in(engine_id, above)
+                changed = True
+        if changed:
+            self._assign_engines()
+
     # Peers.
 
     async def _register(self) -> None:
@@ -479,12 +527,12 @@
                 self._journal.write("loop_late", late_s=round(late_s, 3))
             self._tell_peers()
             live = self._note_live(live)
+            self._stand_in_for_lost_owners()
             self._fetch_newer_table()
 
     def _tell_peers(self) -> None:
         engines = tuple(
-            owner.status(self._ownership.generation)
-            for owner in self._engines.owner_by_engine.values()
+            owner.status() for owner in self._engines.owner_by_engine.values()
         )
         now = self.now()
         self._fleet.on_own_engines(engines, now)
@@ -496,6 +544,7 @@
             failure_domain=self._node.failure_domain,
             serving=self.serving(),
             config_version=self._table.version if self._table else -1,
+            store_reachable=self._ownership.reachable,
             engines=engines,
         )
         self._links.notify_all(self._fleet.to_tell(now), status)
@@ -657,8 +706,7 @@
                 for engine_id in self._endpoints.record_by_id
             },
             "owned_engines": [
-                owner.status(self._ownership.generation)
-                for owner in self._engines.owner_by_engine.values()
+                owner.status() for owner in self._engines.owner_by_engine.values()
             ],
             "requests_under_way": self._callers.busy,
             "idle_connections": self._endpoint_pool.idle_count(),
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -51,7 +51,7 @@
     assert order == OrderLoad(MODEL, adapter, 1)
     engine.on_order_done(order, now, at_once=False)
     later = now + 1.0
-    engine.decide(later)
+    engine.on_facts(facts(later, **{adapter: 1}), later)
     engine.on_release(f"load-{adapter}", later)
 
 
@@ -93,12 +93,28 @@
         engine.on_facts(facts(2.1, a1=1), 2.1)
         assert (MODEL, "a1") not in engine.outlook(2.1).loaded
 
+    def test_an_adapter_that_may_still_be_in_transit_is_not_evicted(self) -> None:
+        """A load takes longer than expected, its caller leaves, a slot is wanted.
+
+        The engine answers the unload as done, since it does not hold the adapter yet,
+        which then arrives in a slot that was given away: one too many, and a crash.
+        """
+        engine = places(slots=1)
+        [order] = engine.on_ask(ask("r1", "a1"), 0.0)
+        engine.on_order_done(order, 0.0, at_once=False)
+        engine.decide(0.4)
+        engine.on_cancel("r1", 0.4)
+        assert engine.on_ask(ask("r2", "a2", 0.4), 0.4) == []
+        [order] = engine.on_facts(facts(0.6, a1=1), 0.6)
+        assert order == OrderUnload(MODEL, "a1")
+
     def test_an_adapter_in_use_is_never_evicted(self) -> None:
         engine = places(slots=1)
         [order] = engine.on_ask(ask("r1", "a1"), 0.0)
         engine.on_order_done(order, 0.0, at_once=False)
         assert any(isinstance(item, Grant) for item in engine.decide(1.0))
         assert engine.on_ask(ask("r2", "a2", 1.0), 1.0) == []
+        engine.on_facts(facts(1.2, a1=1), 1.2)
         [order] = engine.on_release("r1", 1.5)
         assert order == OrderUnload(MODEL, "a1")
 
@@ -160,6 +176,7 @@
         engine.decide(1.0)
         engine.on_ask(ask("old", "a1", 0.0, goal_s=1.0), 1.0)
         engine.on_ask(ask("new", "a2", 1.0, goal_s=1.0), 1.0)
+        engine.on_facts(facts(1.2, a0=1), 1.2)
         [order] = engine.on_release("r0", 1.2)
         [order] = engine.on_order_done(order, 1.2, at_once=True)
         assert order == OrderLoad(MODEL, "a2", 1)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -521,3 +521,36 @@
                 connection.close()
 
         run(test())
+
+
+class TestStandIns:
+    """Owners that stand in while the store is away."""
+
+    def test_an_engine_is_owned_again_although_the_store_is_down(self) -> None:
+        """The store goes down, then the owner of an engine dies.
+
+        The store cannot name another owner, so every adapter that is not loaded would
+        be refused until the outage ends. A live VM stands in with a higher fencing
+        number; when the store is back, its word counts again.
+        """
+
+        async def test() -> None:
+            async with running_site(vms=3) as site:
+                await call(site.vms[0].address, "/chat/1", adapter="a1")
+                site.store.faults.mode = "busy"
+                await asyncio.sleep(0.5)
+                owner = site.owned()["runner-0"]
+                owner.task.cancel()
+                await owner.vm.close()
+                site.vms.remove(owner)
+                await eventually(lambda: "runner-0" in site.owned())
+                answer = await call(site.vms[0].address, "/chat/1", adapter="a2")
+                assert answer.status == 200
+                fences = [order.document["fence"] for order in site.runners[0].orders]
+                assert fences[-1] > fences[0]
+                site.store.faults.mode = "ok"
+                await asyncio.sleep(3.5)
+                answer = await call(site.vms[0].address, "/chat/1", adapter="a3")
+                assert answer.status == 200
+
+        run(test())
