--- /dev/null
+++ b/bamboovale/decisions/engine_busyness.py
@@ -0,0 +1,67 @@
+"""How busy one engine is: how late its first events come, how fast slots turn over.
+
+Load pattern: an engine turns slow, or its slots are all pinned. What was sent there
+tells neither; requests would go on queueing at it while others are idle, and callers
+would be kept waiting for turns that never come.
+"""
+
+from collections import deque
+from collections.abc import Collection
+
+from bamboovale.decisions.estimates import MovingAverage
+
+UNSTARTED_LEAST = 2
+"""Runs without a first event before their age says something of the engine."""
+FIRST_EVENT_WEIGHT = 0.15
+"""A slow engine shows after some five first events, one late event does not."""
+RATE_WINDOW_S = 2.0
+RATE_LEAST_PER_S = 8.0
+"""Slots that an engine hands on a second, by the loads of the last seconds; at least
+what one with slots for two loads a quarter second can do, so that a quiet engine
+refuses nobody."""
+SLACK_LOADS = 4
+"""Requests ahead that do not count: their loads run side by side."""
+
+
+class EngineBusyness:
+    """Measures of one engine; times are seconds on the owner's clock."""
+
+    def __init__(self) -> None:
+        self._late_s = MovingAverage(0.0, weight=FIRST_EVENT_WEIGHT)
+        self._loads_at: deque[float] = deque()
+        self._reading_until = 0.0
+
+    @property
+    def late_s(self) -> float:
+        """Return by how much first events came later than their prompts take."""
+        return self._late_s.value
+
+    def on_granted(self, reading_s: float, now: float) -> None:
+        """Count a prompt that is about to be read."""
+        self._reading_until = max(now, self._reading_until) + reading_s
+
+    def on_first_event(self, late_s: float) -> None:
+        """Count a first event."""
+        self._late_s.add(late_s)
+
+    def on_load(self, now: float) -> None:
+        """Count a slot that was handed on."""
+        self._loads_at.append(now)
+
+    def backlog_s(self, unstarted_ages_s: Collection[float], now: float) -> float:
+        """Return how long a new prompt waits, by what was sent and by what was seen.
+
+        Guards against an engine that turned slow: what was sent says nothing then, and
+        first events that have not come yet have no measured time. Their age counts.
+        """
+        waiting_s = 0.0
+        if len(unstarted_ages_s) >= UNSTARTED_LEAST:
+            waiting_s = sum(unstarted_ages_s) / len(unstarted_ages_s)
+        return max(0.0, self._reading_until - now, self.late_s, waiting_s)
+
+    def turn_s(self, ahead: int, now: float) -> float:
+        """Return when the request behind ``ahead`` others should get a slot."""
+        while self._loads_at and now - self._loads_at[0] > RATE_WINDOW_S:
+            self._loads_at.popleft()
+        rate_per_s = max(RATE_LEAST_PER_S, len(self._loads_at) / RATE_WINDOW_S)
+        return max(0.0, (ahead - SLACK_LOADS) / rate_per_s)
--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -14,7 +14,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-from bamboovale.decisions.engine_places import AdapterKey, EngineOutlook
+from bamboovale.decisions.place_work import AdapterKey, EngineOutlook
 from bamboovale.decisions.rendezvous import RendezvousOrder
 
 LOAD_COST_S = 0.35
--- /dev/null
+++ b/bamboovale/decisions/place_work.py
@@ -0,0 +1,132 @@
+"""Requests for places at an engine, what is decided on them, and what engines hold."""
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+PREFILL_TOKENS_PER_S = 20_000.0
+"""How fast an engine reads prompts, for comparing engines; only its order of size
+matters, since all engines of a pool are compared by the same figure."""
+
+AdapterKey = tuple[str, str]
+
+
+@dataclass(frozen=True)
+class PlaceAsk:
+    """A request that wants a place; times are seconds on the owner's clock.
+
+    ``rank`` orders by urgency, 0 first. ``latest_start`` is when a start would be too
+    late for the caller. ``adapter`` None asks for the base model itself.
+    """
+
+    ask_id: str
+    entry_vm: str
+    model: str
+    adapter: str | None
+    version: int
+    prompt_tokens: int
+    output_tokens: int
+    rank: int
+    goal_at: float
+    latest_start: float
+
+    @property
+    def key(self) -> AdapterKey | None:
+        """Return the adapter's key, None for the base model."""
+        return None if self.adapter is None else (self.model, self.adapter)
+
+    @property
+    def tokens(self) -> int:
+        """Return the most token memory that the request may take."""
+        return self.prompt_tokens + self.output_tokens
+
+    @property
+    def reading_s(self) -> float:
+        """Return the time to read its prompt, in seconds."""
+        return self.prompt_tokens / PREFILL_TOKENS_PER_S
+
+
+@dataclass(frozen=True)
+class Grant:
+    """The request may be sent; the engine holds this version.
+
+    ``confirmed`` is False while no report has shown the adapter's load to be complete.
+    """
+
+    ask: PlaceAsk
+    version: int
+    confirmed: bool = True
+
+
+class RefusalReason(Enum):
+    """Why a place is not given."""
+
+    LATE = auto()
+    FULL = auto()
+    CANNOT_LOAD = auto()
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """The request was not sent; it may come back after ``retry_after_s``."""
+
+    ask: PlaceAsk
+    reason: RefusalReason
+    retry_after_s: float
+
+
+@dataclass(frozen=True)
+class OrderLoad:
+    """Ask the engine to load an adapter, or to replace it with another version."""
+
+    model: str
+    adapter: str | None
+    version: int
+
+
+@dataclass(frozen=True)
+class OrderUnload:
+    """Ask the engine to drop an adapter or a model."""
+
+    model: str
+    adapter: str | None
+
+
+Action = Grant | Refuse | OrderLoad | OrderUnload
+
+
+@dataclass(frozen=True)
+class EngineFacts:
+    """What the engine holds, as far as is known: a report or our own belief."""
+
+    version_by_model: dict[str, int]
+    version_by_adapter: dict[AdapterKey, int]
+    loading: frozenset[AdapterKey]
+    active: int
+    read_at: float
+
+
+@dataclass(frozen=True)
+class EngineCapacity:
+    """Places, token memory and adapter slots of one engine."""
+
+    places: int
+    kv_tokens: int
+    adapter_slots: int
+
+
+@dataclass(frozen=True)
+class EngineOutlook:
+    """What entry VMs choose an engine by.
+
+    ``backlog_s`` is the time that prompts already sent keep the engine reading, or by
+    which its first events come late.
+    """
+
+    loaded: dict[AdapterKey, int]
+    coming: dict[AdapterKey, int]
+    models: tuple[str, ...]
+    active: int
+    places: int
+    queued: int
+    backlog_s: float
+    free_slots: int
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from bamboovale.decisions.engine_places import (
+from bamboovale.decisions.engine_places import EnginePlaces
+from bamboovale.decisions.place_work import (
     Action,
     EngineCapacity,
     EngineFacts,
-    EnginePlaces,
     Grant,
     OrderLoad,
     OrderUnload,
@@ -146,7 +146,7 @@
     def note_version(self, model: str, adapter: str, version: int) -> None:
         """Learn of a new version."""
         now = self._context.now()
-        self.places.note_version((model, adapter), version, now)
+        self.places.slots.note_version((model, adapter), version, now)
         self._carry_out(self.places.decide(now))
 
     def status(self) -> EngineStatus:
@@ -276,8 +276,7 @@
         self._look_by(now + CONFLICT_PAUSE_S)
 
     def _failed(self, action: OrderLoad | OrderUnload, *, certain: bool) -> None:
-        now = self._context.now()
-        self._carry_out(self.places.on_order_failed(action, now, certain=certain))
+        self.places.on_order_failed(action, certain=certain)
 
     def _fence(self) -> int:
         return self._context.fence(self.record.endpoint_id)
@@ -358,12 +357,12 @@
     def _expect_news(self, now: float) -> None:
         """Look again when the load just ordered is about to end."""
         if self.places.has_loads_coming():
-            before_end_s = self.places.load_s.value - 2 * REPORT_LOADING_S
+            before_end_s = self.places.slots.load_s.value - 2 * REPORT_LOADING_S
             self._look_by(now + max(0.05, before_end_s))
 
     def _decide_when_ready(self, now: float) -> None:
         """Decide again once the load just ordered is expected to be complete."""
-        ready_at = self.places.next_ready_at()
+        ready_at = self.places.slots.next_ready_at()
         if ready_at is not None:
             delay_s = max(0.0, ready_at - now) + READY_SLACK_S
             asyncio.get_running_loop().call_later(delay_s, self._on_ready)
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from bamboovale.decisions.engine_choice import EngineView
-from bamboovale.decisions.engine_places import PREFILL_TOKENS_PER_S, EngineOutlook
+from bamboovale.decisions.place_work import PREFILL_TOKENS_PER_S, EngineOutlook
 from bamboovale.gateway.engine_owner import EngineOwner
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.messages import (
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -10,7 +10,7 @@
 from concurrent.futures import Future
 from typing import Any
 
-from bamboovale.decisions.engine_places import EngineCapacity
+from bamboovale.decisions.place_work import EngineCapacity
 from bamboovale.decisions.rendezvous import score
 from bamboovale.decisions.retry_share import RetryShare, RetryShareConfig
 from bamboovale.gateway.attempts import Attempts
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -1,9 +1,9 @@
 """One engine at its owner: places, slots and queue, without a network."""
 
-from bamboovale.decisions.engine_places import (
+from bamboovale.decisions.engine_places import EnginePlaces
+from bamboovale.decisions.place_work import (
     EngineCapacity,
     EngineFacts,
-    EnginePlaces,
     Grant,
     OrderLoad,
     OrderUnload,
