Bound heads that arrive in one piece; never reuse a connection that ended

Both found by tests that failed first: the framing library bounds only heads that are incomplete when looked at, and takes an answer without length for one that leaves the connection usable.

--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -53,6 +53,7 @@
         self.keep_alive_s: float | None = None
         self.reusable = False
         self._reset = False
+        self._ended = False
         self._busy = False
         self._buffered = 0
         self._wake: asyncio.Future[None] | None = None
@@ -99,6 +100,7 @@
 
     def eof_received(self) -> None:
         """Take the peer's orderly end, which may complete an answer."""
+        self._ended = True
         if self._busy:
             self._receive(b"")
 
@@ -208,7 +210,7 @@
         self._busy = False
         rest, _ = self._wire.trailing_data
         unsent = self._transport.get_write_buffer_size()
-        if rest or unsent or self.closed:
+        if rest or unsent or self._ended or self.closed:
             return
         with contextlib.suppress(h11.LocalProtocolError):
             self._wire.start_next_cycle()
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -267,6 +267,9 @@
         received_at = loop.time()
         headers = [(bytes(name), bytes(value)) for name, value in head.headers]
         check_framing(headers)
+        # The library bounds only heads that are incomplete when they are looked at.
+        if head_size(head) > limits.head_bytes:
+            raise BadRequest(431, "the head is too large")
         body = await self._read_body(headers, limits, received_at)
         return Request(
             method=head.method.decode("ascii"),
@@ -382,6 +385,12 @@
         return sum(connection.busy for connection in self.connections)
 
 
+def head_size(head: h11.Request) -> int:
+    """Return about how many bytes a head took on the wire."""
+    lines = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return lines + len(head.method) + len(head.target) + 14
+
+
 def check_framing(headers: Headers) -> None:
     """Refuse a head whose body length could be read in two ways.
 
