--- a/bamboovale/decisions/crash_counts.py
+++ b/bamboovale/decisions/crash_counts.py
@@ -5,8 +5,8 @@
 
 A run that breaks off says little: links are cut and endpoints restart for other
 reasons, and whatever else ran there broke off too. Only a run that broke off at an
-endpoint which then went without saying that it leaves counts, and only the third such
-endpoint convicts: innocent requests that ran beside a guilty one hardly meet three
+endpoint which then went without saying that it leaves counts, and only the second such
+endpoint convicts: an innocent request that ran beside a guilty one hardly meets two
 crashes, while a guilty one does at once.
 """
 
--- /dev/null
+++ b/tests/test_decisions_engine_choice.py
@@ -0,0 +1,68 @@
+"""Which engine an entry VM asks, judged by where requests go."""
+
+from collections import Counter
+
+from bamboovale.decisions.engine_choice import EngineChooser, EngineView
+from bamboovale.decisions.place_work import EngineOutlook
+
+KEY = ("base", "a1")
+
+
+def view(name: str, owner: str | None = "entry-0", **fields: object) -> EngineView:
+    """Return an engine with 18 slots and a batch of 128."""
+    values: dict = {
+        "loaded": {},
+        "coming": {},
+        "models": ("base",),
+        "active": 10,
+        "places": 128,
+        "queued": 0,
+        "backlog_s": 0.0,
+        "free_slots": 0,
+    }
+    return EngineView(name, EngineOutlook(**(values | fields)), owner)
+
+
+class TestEngineChoice:
+    """Affinity against load."""
+
+    def test_every_vm_finds_the_same_engine_for_an_adapter(self) -> None:
+        views = {f"e{n}": view(f"e{n}") for n in range(6)}
+        chosen = {EngineChooser().choose(KEY, 1, views) for _ in range(5)}
+        assert len(chosen) == 1
+
+    def test_adapters_spread_over_the_engines(self) -> None:
+        views = {f"e{n}": view(f"e{n}") for n in range(6)}
+        chooser = EngineChooser()
+        counts = Counter(
+            chooser.choose(("base", f"a{n}"), 1, views) for n in range(600)
+        )
+        assert len(counts) == 6
+        assert max(counts.values()) < 150
+
+    def test_a_holder_is_preferred_while_others_queue_there_for_slots(self) -> None:
+        """Many requests wait at an engine for slots; ours needs none.
+
+        Sent elsewhere, it would load a copy that takes a slot from others.
+        """
+        views = {f"e{n}": view(f"e{n}") for n in range(3)}
+        views["e1"] = view("e1", loaded={KEY: 1}, queued=40)
+        assert EngineChooser().choose(KEY, 1, views) == "e1"
+
+    def test_a_slow_holder_gets_a_copy_beside_it(self) -> None:
+        """The engine that holds a hot adapter turns slow: first events come late."""
+        views = {f"e{n}": view(f"e{n}") for n in range(3)}
+        views["e1"] = view("e1", loaded={KEY: 1}, backlog_s=2.0)
+        assert EngineChooser().choose(KEY, 1, views) != "e1"
+
+    def test_an_old_version_is_no_holder(self) -> None:
+        views = {f"e{n}": view(f"e{n}") for n in range(3)}
+        home = EngineChooser().choose(KEY, 2, views)
+        other = next(name for name in views if name != home)
+        views[other] = view(other, loaded={KEY: 1})
+        assert EngineChooser().choose(KEY, 2, views) == home
+
+    def test_an_engine_without_owner_serves_what_it_holds_only(self) -> None:
+        views = {"e0": view("e0", owner=None, loaded={KEY: 1})}
+        assert EngineChooser().choose(KEY, 1, views) == "e0"
+        assert EngineChooser().choose(("base", "a2"), 1, views) is None
--- /dev/null
+++ b/tests/test_gateway_parts.py
@@ -0,0 +1,347 @@
+"""Parts of the routed interface that need no socket."""
+
+import asyncio
+import json
+import logging
+import os
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bamboovale.gateway.events import EventBuffer, EventsBroken
+from bamboovale.gateway.fleet import Fleet
+from bamboovale.gateway.journal import BURST_LINES, Journal, NonBlockingHandler
+from bamboovale.gateway.messages import EngineStatus, GatewayStatus
+from bamboovale.gateway.model import CallerLimits, CallKind, Route, RoutingTable
+from bamboovale.gateway.ownership import TTL_S, Ownership, partition_of
+from bamboovale.gateway.store import Membership, Partition, StoreError
+from bamboovale.platform.configuration import BadRecordError, decode_routing_table
+from bamboovale.platform.endpoints import decode_endpoint
+from bamboovale.platform.node_file import NodeSettings
+from tests.gateway_site import configuration, node_document, run
+
+
+class TestEvents:
+    """Streams cut into whole events."""
+
+    @given(st.lists(st.integers(1, 7), min_size=1, max_size=40))
+    def test_events_are_the_same_however_the_bytes_come(self, sizes: list[int]) -> None:
+        data = b"".join(f"id: {n}\ndata: {n}\n\n".encode() for n in range(1, 6))
+        buffer = EventBuffer()
+        events = []
+        at = 0
+        for size in sizes:
+            events += buffer.feed(data[at : at + size])
+            at += size
+        events += buffer.feed(data[at:])
+        assert [event.event_id for event in events] == list("12345")
+        assert b"".join(event.data for event in events) == data
+        assert not buffer.has_partial
+
+    def test_an_event_that_comes_twice_breaks_the_stream(self) -> None:
+        buffer = EventBuffer()
+        buffer.feed(b"id: 1\n\nid: 2\n\n")
+        with pytest.raises(EventsBroken):
+            buffer.feed(b"id: 2\n\n")
+
+    def test_a_resumed_stream_must_go_on_behind_its_last_event(self) -> None:
+        buffer = EventBuffer(resume_after="7")
+        with pytest.raises(EventsBroken):
+            buffer.feed(b"id: 7\n\n")
+
+
+def table(*prefixes: str) -> RoutingTable:
+    """Return a table of routes on one host."""
+    routes = tuple(
+        Route(p, "h.example", p, CallKind.SAFE, 1.0, 1.0, 0, {"s": 1.0}, 1)
+        for p in prefixes
+    )
+    return RoutingTable.from_routes(1, routes, (), CallerLimits())
+
+
+class TestRoutingTable:
+    """The longest prefix wins."""
+
+    def test_the_longest_prefix_wins(self) -> None:
+        found = table("/a/", "/a/b/", "/").match("h.example:80", "/a/b/c?x=/d/")
+        assert found is not None and found.path_prefix == "/a/b/"
+
+    @pytest.mark.parametrize("target", ["/ab/x", "/a", "a/", ""])
+    def test_a_prefix_ends_with_its_slash(self, target: str) -> None:
+        assert table("/a/").match("h.example", target) is None
+
+    def test_another_host_has_no_routes(self) -> None:
+        assert table("/").match("other.example", "/") is None
+
+    def test_many_routes_cost_no_scan(self) -> None:
+        many = table(*(f"/r{n}/" for n in range(5000)))
+        assert many.match("H.EXAMPLE", "/r4999/x") is not None
+
+
+class TestRecords:
+    """What the operator and endpoints write, also when it is malformed."""
+
+    @pytest.mark.parametrize(
+        "source",
+        [b"", b"[]", b"{}", b'{"version": "x"}', b"\xff", b'{"version":1,"routes":3}'],
+    )
+    def test_a_malformed_configuration_is_refused(self, source: bytes) -> None:
+        with pytest.raises(BadRecordError):
+            decode_routing_table(source)
+
+    @given(st.dictionaries(st.sampled_from(["service", "addr", "slots"]), st.text()))
+    def test_a_malformed_endpoint_never_escapes_as_another_error(
+        self, record: dict[str, str]
+    ) -> None:
+        try:
+            decode_endpoint("e", json.dumps(record).encode())
+        except BadRecordError:
+            return
+
+    def test_a_split_route_keeps_its_weights(self) -> None:
+        document = configuration()
+        document["routes"][0]["split"] = [
+            {"service": "a", "weight": 90},
+            {"service": "b", "weight": 10},
+        ]
+        decoded = decode_routing_table(json.dumps(document).encode())
+        assert decoded.routes[0].weight_by_service == {"a": 90.0, "b": 10.0}
+
+
+class TestNodeFile:
+    """The settings file of the platform."""
+
+    def test_every_finding_is_reported_with_its_place(self) -> None:
+        document = node_document(("127.0.0.1", 1), "entry-0")
+        document["listen"]["front"] = "nowhere"
+        document["bounds"]["grace-s"] = "long"
+        del document["ip"]
+        findings = NodeSettings.from_document(document).unwrap_err()
+        places = {finding.place for finding in findings}
+        assert places == {"ip", "listen.front", "bounds.grace-s"}
+
+
+def status(name: str, fence: int, *engines: str, serving: bool = True) -> GatewayStatus:
+    """Return what a peer tells."""
+    owned = tuple(
+        EngineStatus(engine, fence, (), (), (), 0, 8, 0, 0.0, 2) for engine in engines
+    )
+    return GatewayStatus(name, "127.0.0.1", 1, 2, "a", serving, 1, True, owned)
+
+
+class TestFleet:
+    """Who lives and who owns what."""
+
+    def test_a_silent_peer_is_left_out(self) -> None:
+        fleet = Fleet("me")
+        fleet.on_status("a", status("a", 1), 0.0)
+        assert len(fleet.serving(0.5)) == 1
+        assert fleet.serving(5.0) == []
+
+    def test_a_stopping_peer_is_left_out_at_once(self) -> None:
+        fleet = Fleet("me")
+        fleet.on_status("a", status("a", 1), 0.0)
+        fleet.on_status("a", status("a", 1, serving=False), 0.1)
+        assert fleet.serving(0.2) == []
+
+    def test_the_owner_with_the_higher_number_is_believed(self) -> None:
+        """An owner that was frozen wakes up and still tells what it owned.
+
+        Asked for a place it could order nothing any more; requests would wait there.
+        """
+        fleet = Fleet("me")
+        fleet.on_status("new", status("new", 5, "e"), 1.0)
+        fleet.on_status("old", status("old", 4, "e"), 1.1)
+        owned = fleet.engine("e")
+        assert owned is not None and owned.owner == "new"
+
+    def test_an_engine_that_its_owner_no_longer_names_is_given_up(self) -> None:
+        fleet = Fleet("me")
+        fleet.on_status("a", status("a", 5, "e"), 1.0)
+        fleet.on_status("a", status("a", 5), 1.1)
+        owned = fleet.engine("e")
+        assert owned is not None and owned.given_up
+        fleet.on_status("b", status("b", 4, "e"), 1.2)
+        owned = fleet.engine("e")
+        assert owned is not None and owned.owner == "b"
+
+    def test_a_large_fleet_tells_less_often(self) -> None:
+        fleet = Fleet("me")
+        for number in range(75):
+            fleet.on_registered(f"vm{number}", ("10.0.0.1", number))
+        assert 1.0 < fleet.interval_s() < 2.0
+
+
+class FakeStore:
+    """Answers joins as told."""
+
+    def __init__(self) -> None:
+        self.answer: Membership | None = None
+
+    async def join(self, *args: Any, **kwargs: Any) -> Membership:
+        """Answer, or fail."""
+        if self.answer is None:
+            raise StoreError("down")
+        return self.answer
+
+    async def leave(self, group: str, member: str) -> None:
+        """Do nothing."""
+
+
+def ownership(
+    store: FakeStore,
+    clock: list[float],
+    *,
+    fenced: bool = True,
+    name: str = "me",
+) -> Ownership:
+    """Return the ownership of one VM over one partition."""
+    return Ownership(
+        name,
+        1,
+        store,  # type: ignore[arg-type]
+        Journal(name, logging.getLogger("none")),
+        engines_check_fencing=fenced,
+        settle_s=3.0,
+        on_change=lambda: None,
+        clock=lambda: clock[0],
+    )
+
+
+HELD = Membership(4, (Partition("engines", 0),))
+
+
+class TestOwnership:
+    """When orders may go out."""
+
+    def test_a_vm_frozen_past_its_lease_orders_nothing(self) -> None:
+        """A VM is frozen longer than its lease and wakes up; engines check nothing.
+
+        Another VM owns its engines by now. The steady clock has not moved; the lease
+        is measured by a clock that has.
+        """
+
+        async def test() -> None:
+            clock = [0.0]
+            store = FakeStore()
+            held = ownership(store, clock, fenced=False)
+            store.answer = HELD
+            await held._renew()
+            clock[0] = 3.1
+            await held._renew()
+            assert held.may_order("e")
+            clock[0] += TTL_S
+            assert not held.may_order("e")
+
+        run(test())
+
+    def test_where_nobody_checks_numbers_the_last_lease_must_be_over(self) -> None:
+        async def test() -> None:
+            clock = [0.0]
+            store = FakeStore()
+            store.answer = HELD
+            held = ownership(store, clock, fenced=False)
+            await held._renew()
+            assert not held.may_order("e")
+
+        run(test())
+
+    def test_an_owner_goes_on_in_an_outage_where_engines_check_numbers(self) -> None:
+        async def test() -> None:
+            clock = [0.0]
+            store = FakeStore()
+            store.answer = HELD
+            held = ownership(store, clock)
+            await held._renew()
+            store.answer = None
+            clock[0] = 60.0
+            await held._renew()
+            assert held.may_order("e")
+
+        run(test())
+
+    def test_stand_ins_never_use_the_same_number(self) -> None:
+        """Two VMs each believe that they should stand in for a lost owner."""
+        clock = [0.0]
+        tokens = set()
+        for name in ("a", "b"):
+            held = ownership(FakeStore(), clock, name=name)
+            held.stand_in("e", above=4 << 24)
+            tokens.add(held.fence("e"))
+        assert len(tokens) == 2
+        assert min(tokens) > 4 << 24
+
+    def test_the_stores_word_ends_a_stand_in(self) -> None:
+        async def test() -> None:
+            clock = [0.0]
+            store = FakeStore()
+            held = ownership(store, clock)
+            held.stand_in("e", above=0)
+            assert held.may_order("e")
+            store.answer = Membership(5, ())
+            await held._renew()
+            assert not held.holds("e") and not held.may_order("e")
+
+        run(test())
+
+    def test_the_rightful_owner_passes_a_number_that_a_stand_in_used(self) -> None:
+        """A stand-in used a higher number; the store names the old owner again.
+
+        Its orders would be refused for ever under the old number.
+        """
+
+        async def test() -> None:
+            clock = [0.0]
+            store = FakeStore()
+            store.answer = HELD
+            held = ownership(store, clock)
+            await held._renew()
+            used = (4 << 24) + (1 << 14) + 77
+            held.on_fenced("e", used)
+            assert held.fence("e") > used
+
+        run(test())
+
+    def test_every_vm_finds_the_same_partition(self) -> None:
+        assert partition_of("i-1", 12) == partition_of("i-1", 12)
+
+
+class TestJournal:
+    """Lines are bounded and never block."""
+
+    def test_a_flood_is_cut_and_counted(self) -> None:
+        lines: list[str] = []
+        logger = logging.Logger("test")
+        handler = logging.Handler()
+        handler.emit = lambda record: lines.append(record.getMessage())  # type: ignore
+        logger.addHandler(handler)
+        now = [0.0]
+        journal = Journal("me", logger, now=lambda: now[0])
+        for _ in range(10_000):
+            journal.write("request")
+        assert len(lines) == BURST_LINES
+        now[0] = 1.0
+        journal.write("request")
+        assert json.loads(lines[-1])["lines_left_out"] == 10_000 - BURST_LINES
+
+    def test_a_reader_that_stops_never_blocks_the_writer(self) -> None:
+        """Whoever collects the logs hangs; the pipe fills up.
+
+        A blocking write would stop every request on this VM.
+        """
+        reader, writer = os.pipe()
+        with os.fdopen(writer, "w") as stream:
+            handler = NonBlockingHandler(stream)
+            record = logging.LogRecord("x", 20, "", 1, "y" * 1000, None, None)
+            for _ in range(1000):
+                handler.emit(record)
+            assert handler.dropped > 0
+        os.close(reader)
+
+
+def test_loops_are_closed() -> None:
+    """The helpers leave no running loop behind."""
+    with pytest.raises(RuntimeError):
+        asyncio.get_running_loop()
