--- a/bamboovale/decisions/engine_busyness.py
+++ b/bamboovale/decisions/engine_busyness.py
@@ -14,6 +14,9 @@
 """Runs without a first event before their age says something of the engine."""
 FIRST_EVENT_WEIGHT = 0.15
 """A slow engine shows after some five first events, one late event does not."""
+LATE_HALF_LIFE_S = 1.0
+"""An engine that was slow gets no requests and so no new samples: what was measured
+fades, so that it is tried again within seconds."""
 RATE_WINDOW_S = 2.0
 RATE_LEAST_PER_S = 8.0
 """Slots that an engine hands on a second, by the loads of the last seconds; at least
@@ -28,21 +31,24 @@
 
     def __init__(self) -> None:
         self._late_s = MovingAverage(0.0, weight=FIRST_EVENT_WEIGHT)
+        self._late_at = 0.0
         self._loads_at: deque[float] = deque()
         self._reading_until = 0.0
 
-    @property
-    def late_s(self) -> float:
+    def late_s(self, now: float) -> float:
         """Return by how much first events came later than their prompts take."""
-        return self._late_s.value
+        unmeasured_s = max(0.0, now - self._late_at - LATE_HALF_LIFE_S)
+        return self._late_s.value * 0.5 ** (unmeasured_s / LATE_HALF_LIFE_S)
 
     def on_granted(self, reading_s: float, now: float) -> None:
         """Count a prompt that is about to be read."""
         self._reading_until = max(now, self._reading_until) + reading_s
 
-    def on_first_event(self, late_s: float) -> None:
+    def on_first_event(self, late_s: float, now: float) -> None:
         """Count a first event."""
+        self._late_s.value = self.late_s(now)
         self._late_s.add(late_s)
+        self._late_at = now
 
     def on_load(self, now: float) -> None:
         """Count a slot that was handed on."""
@@ -57,7 +63,7 @@
         waiting_s = 0.0
         if len(unstarted_ages_s) >= UNSTARTED_LEAST:
             waiting_s = sum(unstarted_ages_s) / len(unstarted_ages_s)
-        return max(0.0, self._reading_until - now, self.late_s, waiting_s)
+        return max(0.0, self._reading_until - now, self.late_s(now), waiting_s)
 
     def turn_s(self, ahead: int, now: float) -> float:
         """Return when the request behind ``ahead`` others should get a slot."""
--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -19,8 +19,9 @@
 
 LOAD_COST_S = 0.35
 """A load and the eviction before it, as measured by owners without queue."""
-BATCH_COST_S = 0.15
-"""What a full batch adds to a request, so that half-empty engines are preferred."""
+ACTIVE_COST_S = 0.008
+"""What each running request adds: all of a batch share its steps, and every new prompt
+is read between them. Ten more requests make a run of 70 steps about 0.1 s longer."""
 QUEUED_COST_S = 0.05
 """For each request that waits for a slot at the engine; what needs no load does not
 wait behind them."""
@@ -50,9 +51,9 @@
         outlook = self.outlook
         if outlook is None:
             return UNKNOWN_COST_S
-        used = outlook.active / max(1, outlook.places)
+        batch_s = ACTIVE_COST_S * outlook.active
         full_s = FULL_COST_S if outlook.active >= outlook.places else 0.0
-        return outlook.backlog_s + self.own_backlog_s + used * BATCH_COST_S + full_s
+        return outlook.backlog_s + self.own_backlog_s + batch_s + full_s
 
     def load_cost_s(self) -> float:
         """Return the expected wait in seconds where the adapter must be loaded."""
--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -155,7 +155,7 @@
             return
         place.started = True
         late_s = now - place.granted_at - place.ask.reading_s
-        self._busyness.on_first_event(late_s)
+        self._busyness.on_first_event(late_s, now)
 
     def on_release(self, ask_id: str, now: float) -> list[Action]:
         """Free a place."""
@@ -222,7 +222,7 @@
             "loading": self.slots.count(SlotState.LOADING),
             "pinned": self.slots.pinned(),
             "backlog_s": round(self._backlog_s(now), 2),
-            "late_s": round(self._busyness.late_s, 3),
+            "late_s": round(self._busyness.late_s(now), 3),
             "load_s": round(self.slots.load_s.value, 3),
             "may_order": self.may_order,
             "order_open": self._order_open,
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -168,6 +168,12 @@
             for peer in self._peer_by_id.values()
         )
 
+    def live_and_silent(self, now: float) -> tuple[set[str], set[str]]:
+        """Return the peers that live and those that were heard and fell silent."""
+        live = {vm_id for vm_id in self._peer_by_id if self.is_live(vm_id, now)}
+        heard = {p.vm_id for p in self._peer_by_id.values() if p.heard_at is not None}
+        return live, heard - live
+
     def live_ids(self, now: float) -> list[str]:
         """Return the VMs that live and serve, ourselves included."""
         return [
--- a/bamboovale/gateway/ownership.py
+++ b/bamboovale/gateway/ownership.py
@@ -76,6 +76,7 @@
         self._bumped_token: dict[str, int] = {}
         self._unreachable_since: float | None = None
         self._leaving = False
+        self._stepped_back = False
 
     def holds(self, engine_id: str) -> bool:
         """Tell whether we own an engine, whatever the lease's age."""
@@ -157,6 +158,9 @@
     async def keep(self) -> None:
         """Renew for ever."""
         while True:
+            if self._stepped_back:
+                await asyncio.sleep(RETRY_S)
+                continue
             before = self.generation
             await self._renew()
             if not self.reachable:
@@ -167,6 +171,24 @@
                 # What we no longer hold goes on only once we have said that we know.
                 await asyncio.sleep(0.02)
 
+    async def step_back(self, back: bool) -> None:
+        """Give up all engines while most other VMs do not hear us, or take part again.
+
+        Guards against an owner that is cut off from its peers but not from the store:
+        it would keep its engines and nobody could ask it for a place.
+        """
+        if back == self._stepped_back:
+            return
+        self._stepped_back = back
+        self._journal.write("ownership_step_back", back=back)
+        if back:
+            self._held_since.clear()
+            self._on_change()
+            try:
+                await self._store.leave(GROUP, self._member)
+            except StoreError as error:
+                self._journal.write("ownership_leave_failed", error=str(error))
+
     async def leave(self) -> None:
         """Give up all engines at once, for a planned stop."""
         self._leaving = True
@@ -199,7 +221,7 @@
             self._journal.write("ownership_store_regained", waited=self.generation)
         self.reachable = True
         self._unreachable_since = None
-        if self._leaving:
+        if self._leaving or self._stepped_back:
             return
         self._held_until = asked_at + TTL_S - MARGIN_S
         self._take(membership)
--- a/bamboovale/gateway/store.py
+++ b/bamboovale/gateway/store.py
@@ -79,3 +79,6 @@
 
     async def leave(self, group: str, member: str) -> None:
         """Leave a group."""
+
+    async def members(self, group: str) -> frozenset[str]:
+        """Return the members of a group that hold a partition."""
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -36,7 +36,7 @@
 )
 from bamboovale.gateway.model import EndpointRecord, RoutingTable
 from bamboovale.gateway.model_calls import ModelCalls
-from bamboovale.gateway.ownership import Ownership, lease_clock
+from bamboovale.gateway.ownership import GROUP, Ownership, lease_clock
 from bamboovale.gateway.plain_calls import PlainCalls
 from bamboovale.gateway.store import KeyedRecord, StoreError
 from bamboovale.gateway.translation import Translation
@@ -70,6 +70,7 @@
 STORE_AWAY_S = 1.5
 """An outage of the store shorter than this ends before a lease does."""
 LAG_WARNING_S = 0.5
+ISOLATION_LOOK_S = 0.5
 
 
 class GatewayVM:
@@ -94,6 +95,7 @@
         self._share_by_service: dict[str, RetryShare] = {}
         self._stopping = False
         self._draining = False
+        self._isolated = False
         self._stop_event = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._fleet = Fleet(node.name)
@@ -214,7 +216,7 @@
     def serving(self) -> bool:
         """Tell whether callers may be sent here."""
         known = self._table is not None and bool(self._endpoints.record_by_id)
-        return known and not self._stopping
+        return known and not self._stopping and not self._isolated
 
     def version_of(self, model: str, adapter: str | None) -> int:
         """Return the newest version that the operator named."""
@@ -300,6 +302,7 @@
             self._ownership.keep(),
             self._register(),
             self._tell_forever(),
+            self._watch_isolation(),
             sweep_forever(self._endpoint_pool),
             sweep_forever(self._control_pool),
         ]
@@ -530,6 +533,34 @@
             self._stand_in_for_lost_owners()
             self._fetch_newer_table()
 
+    async def _watch_isolation(self) -> None:
+        """Step back while most VMs that the store knows do not hear us.
+
+        Guards against a VM that is cut off from its peers only: it would keep engines
+        that nobody can ask for, and send callers to itself. The store tells such a cut
+        from the death of many VMs, whose memberships lapse.
+        """
+        while True:
+            await asyncio.sleep(ISOLATION_LOOK_S)
+            live, silent = self._fleet.live_and_silent(self.now())
+            minority = len(silent) > len(live) + 1
+            if minority and not self._isolated:
+                try:
+                    members = await self._store.members(GROUP)
+                except StoreError as error:
+                    self._journal.write("members_unknown", error=str(error))
+                    continue
+                minority = len(members & silent) > len(members & live) + 1
+            if minority != self._isolated and not self._stopping:
+                self._isolated = minority
+                self._journal.write(
+                    "isolated" if minority else "joined_again",
+                    live=sorted(live),
+                    silent=sorted(silent),
+                )
+                self._tell_peers()
+                await self._ownership.step_back(minority)
+
     def _tell_peers(self) -> None:
         engines = tuple(
             owner.status() for owner in self._engines.owner_by_engine.values()
--- a/bamboovale/platform/store.py
+++ b/bamboovale/platform/store.py
@@ -114,6 +114,11 @@
         """Leave a group, so that others take over at once."""
         await self._json("POST", "log-leave", {}, {"group": group, "member": member})
 
+    async def members(self, group: str) -> frozenset[str]:
+        """Return the members of a group that hold a partition."""
+        answer = await self._json("GET", "log-owners", {"group": group})
+        return frozenset(str(row[2]) for row in _owner_rows(answer) if row[2])
+
     async def _json(
         self,
         method: str,
@@ -176,6 +181,12 @@
         return head.status, b"".join(parts)
 
 
+def _owner_rows(answer: Any) -> list[list[Any]]:
+    """Return rows of topic, partition, member and offset."""
+    rows = answer.get("parts", answer.get("owners", [])) if answer else []
+    return [row for row in rows if isinstance(row, list) and len(row) > 2]
+
+
 def _keyed_item(item: dict[str, Any]) -> KeyedRecord:
     value = base64.b64decode(item["value"])
     return KeyedRecord(str(item["key"]), value, int(item["offset"]))
--- a/bamboovale/standins/platform_store.py
+++ b/bamboovale/standins/platform_store.py
@@ -145,6 +145,7 @@
             "log-append": self._append,
             "log-join": self._join,
             "log-leave": self._leave,
+            "log-owners": self._owners,
         }.get(call)
         if handler is None:
             responder.answer(404, [], b"")
@@ -261,6 +262,18 @@
             self._rebalance(group)
         responder.answer(200, JSON, b"{}")
 
+    async def _owners(
+        self,
+        request: Request,
+        responder: Responder,
+        query: dict[str, str],
+    ) -> None:
+        group = self._group_by_name.setdefault(query["group"], _Group())
+        self._expire(group)
+        owners = sorted(group.owner_by_part.items())
+        rows = [["engines", part, owner, 0] for part, owner in owners]
+        responder.answer(200, JSON, json.dumps({"parts": rows}).encode())
+
     # Groups.
 
     def _topic(self, name: str) -> _Topic:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,11 +1,14 @@
 """The whole path on the routed interface, against stand-ins of the users' platform."""
 
 import asyncio
+from concurrent.futures import Future
 
 from bamboovale.http1.connection import Connection
+from bamboovale.peers.outgoing import PeerUnreachableError
 from tests.gateway_site import (
     HOST,
     MODEL,
+    RunningVM,
     call,
     configuration,
     eventually,
@@ -554,3 +557,47 @@
                 assert answer.status == 200
 
         run(test())
+
+
+class TestIsolation:
+    """A VM that is cut off from its peers but not from the store."""
+
+    def test_it_gives_up_its_engines_and_sends_callers_elsewhere(self) -> None:
+        """One of four VMs is cut off from the others; store and engines answer it.
+
+        It would keep its engines, which nobody could ask for: their slots stand empty
+        while the other engines are full. The store tells that the others live.
+        """
+
+        async def test() -> None:
+            async with running_site(vms=4) as site:
+                cut = site.owned()["runner-0"]
+                others = [item for item in site.vms if item is not cut]
+                block_links(cut, others)
+                await eventually(lambda: bool(cut.journal.of("isolated")))
+                assert not cut.vm.serving()
+                await eventually(
+                    lambda: site.owned().get("runner-0") in others,
+                    timeout_s=6.0,
+                )
+                answer = await call(others[0].address, "/chat/1", adapter="a5")
+                assert answer.status == 200
+
+        run(test())
+
+
+def block_links(cut: RunningVM, others: list[RunningVM]) -> None:
+    """Drop every message between one VM and the others."""
+    names = {item.node.name for item in others}
+    cut.vm._links.request = refuse_request  # type: ignore[method-assign]
+    cut.vm._links.notify_all = lambda ids, message: None  # type: ignore
+    for handler in list(cut.vm._links._incoming):
+        if handler.sender in names:
+            handler._on_notice = lambda sender, message: None  # type: ignore
+
+
+def refuse_request(vm_id: str, message: object, timeout_s: float) -> Future:
+    """Fail a request as one to a VM that cannot be reached."""
+    future: Future = Future()
+    future.set_exception(PeerUnreachableError("cut off"))
+    return future
