Tell an engine's new owner of the runs under way; never evict under a run we broke off

The engine accepted the unload, waited for its run and refused all other orders with a conflict for 2.8 s, while 14 requests waited and two slots were free. Entry VMs now tell a new owner their runs, which evicts nothing until it has heard them; a run that was broken off keeps its adapter until a report no longer lists it. TestIsolation failed each time once owners were told earlier: a VM cut off before it had heard its peers counted only those heard. It counts all that the store knows now.

--- a/bamboovale/decisions/adapter_slots.py
+++ b/bamboovale/decisions/adapter_slots.py
@@ -8,7 +8,7 @@
 
 from collections import OrderedDict
 from collections.abc import Collection, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, auto
 
 from bamboovale.decisions.estimates import MovingAverage
@@ -34,6 +34,8 @@
 began."""
 UNLOAD_LOST_S = 5.0
 """An adapter that is still there so long after its unload was accepted stays."""
+RUNS_LAG_S = 0.15
+"""A report read sooner after the end of a run may still list it."""
 REPORT_LAG_S = 0.5
 """A report read sooner after a change may still show the state before it."""
 DEMAND_HALF_LIFE_S = 8.0
@@ -60,6 +62,7 @@
     used_at: float = 0.0
     ready_at: float | None = None
     confirmed: bool = True
+    aborted_at: dict[str, float] = field(default_factory=dict)
 
     def demand_at(self, now: float) -> float:
         """Return the recent uses, fading by half-lives."""
@@ -67,8 +70,20 @@
         return self.demand * faded
 
     def is_evictable(self) -> bool:
-        """Tell whether it is surely loaded and nobody uses it."""
-        return self.state is SlotState.LOADED and self.confirmed and not self.active
+        """Tell whether it is surely loaded and nobody uses it.
+
+        An engine may run on what we broke off. Told to unload an adapter in use it
+        waits for the run, for seconds, and refuses every other order meanwhile.
+        """
+        used = self.active or self.aborted_at
+        return self.state is SlotState.LOADED and self.confirmed and not used
+
+    def forget_ended(self, facts: EngineFacts) -> None:
+        """Forget broken-off runs that the engine surely no longer has."""
+        for request_id, at in list(self.aborted_at.items()):
+            shown = facts.read_at - at > RUNS_LAG_S
+            if shown and request_id not in facts.running:
+                del self.aborted_at[request_id]
 
     def use(self, now: float) -> None:
         """Count one use."""
@@ -189,6 +204,10 @@
             newest.version = version
             newest.known_at = now
 
+    def hold(self, key: AdapterKey, version: int, now: float) -> Slot:
+        """Return the slot of an adapter that surely is loaded."""
+        return self._slot_by_key.setdefault(key, Slot(version, SlotState.LOADED, now))
+
     def begin_load(self, key: AdapterKey, now: float) -> int:
         """Take a slot for an adapter, or replace its version; return the version."""
         version = self.newest(key).version
@@ -277,6 +296,8 @@
 
     def see(self, facts: EngineFacts, now: float) -> None:
         """Take a report; what it may not show yet is kept as it is believed."""
+        for slot in self._slot_by_key.values():
+            slot.forget_ended(facts)
         for key, version in facts.version_by_adapter.items():
             if not self._just_unloaded(key, facts):
                 self._see_loaded(key, version, now)
--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -60,6 +60,7 @@
     def __init__(self, capacity: EngineCapacity) -> None:
         self.capacity = capacity
         self.may_order = False
+        self.may_evict_from = 0.0
         self.slots = AdapterSlots(capacity.adapter_slots)
         self._busyness = EngineBusyness()
         self._version_by_model: dict[str, int] = {}
@@ -157,14 +158,32 @@
         late_s = now - place.granted_at - place.ask.reading_s
         self._busyness.on_first_event(late_s, now)
 
-    def on_release(self, ask_id: str, now: float) -> list[Action]:
-        """Free a place."""
+    def on_held(self, ask: PlaceAsk, version: int, now: float) -> None:
+        """Take over a place that the engine's last owner granted."""
+        if ask.ask_id in self._place_by_id:
+            return
+        self._place_by_id[ask.ask_id] = Place(ask, now, started=True)
+        self._tokens += ask.tokens
+        if ask.key is not None:
+            self.slots.note_version(ask.key, version, now)
+            self.slots.hold(ask.key, version, now).active += 1
+
+    def on_release(
+        self,
+        ask_id: str,
+        now: float,
+        *,
+        aborted: bool = False,
+    ) -> list[Action]:
+        """Free a place; ``aborted``: the engine may still work on the request."""
         place = self._place_by_id.pop(ask_id, None)
         if place is not None:
             self._tokens -= place.ask.tokens
             slot = self.slots.get(place.ask.key)
             if slot is not None:
                 slot.active = max(0, slot.active - 1)
+                if aborted:
+                    slot.aborted_at[place.ask.request_id] = now
         return self.decide(now)
 
     def on_entry_gone(self, entry_vm: str, now: float) -> list[Action]:
@@ -375,8 +394,12 @@
     ) -> OrderLoad | OrderUnload | None:
         if self.slots.count(SlotState.LOADING) >= LOADS_AT_ONCE:
             return None
+        if self.slots.count(SlotState.UNLOADING):
+            return None
         if self.slots.has_free():
             return self._order_load(key, now)
+        if now < self.may_evict_from:
+            return None
         victim = self.slots.victim({ask.key for ask in self._queue}, now)
         if victim is None:
             return None
--- a/bamboovale/decisions/place_work.py
+++ b/bamboovale/decisions/place_work.py
@@ -34,6 +34,11 @@
         """Return the adapter's key, None for the base model."""
         return None if self.adapter is None else (self.model, self.adapter)
 
+    @property
+    def request_id(self) -> str:
+        """Return the request's id, which the engine knows; an ask has a number more."""
+        return self.ask_id.rpartition(".")[0]
+
     @property
     def tokens(self) -> int:
         """Return the most token memory that the request may take."""
@@ -96,13 +101,14 @@
 
 @dataclass(frozen=True)
 class EngineFacts:
-    """What the engine holds, as far as is known: a report or our own belief."""
+    """What the engine reports: what it holds and loads, and the requests it runs."""
 
     version_by_model: dict[str, int]
     version_by_adapter: dict[AdapterKey, int]
     loading: frozenset[AdapterKey]
     active: int
     read_at: float
+    running: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bamboovale.decisions.adapter_slots import RUNS_LAG_S
 from bamboovale.decisions.engine_places import EnginePlaces
 from bamboovale.decisions.place_work import (
     Action,
@@ -18,7 +19,13 @@
 )
 from bamboovale.gateway.engine_orders import EngineCallFailed, EngineCalls
 from bamboovale.gateway.journal import Journal
-from bamboovale.gateway.messages import EngineStatus, PlaceReply, PlaceRequest
+from bamboovale.gateway.messages import (
+    EngineStatus,
+    PlaceHeld,
+    PlaceRelease,
+    PlaceReply,
+    PlaceRequest,
+)
 from bamboovale.gateway.model import (
     EndpointRecord,
     EngineOrder,
@@ -52,7 +59,8 @@
     """What an owner's task is given.
 
     ``fence`` is the fencing number of an engine's orders; ``on_fenced`` is told which
-    number the engine refused.
+    number the engine refused. ``hold_off_s`` is how long a new owner evicts nothing,
+    until it has heard which runs are under way.
     """
 
     calls: EngineCalls
@@ -61,6 +69,7 @@
     may_order: Callable[[str], bool]
     fence: Callable[[str], int]
     on_fenced: Callable[[str, int], None]
+    hold_off_s: Callable[[], float]
 
 
 class EngineOwner:
@@ -74,6 +83,7 @@
     ) -> None:
         self.record = record
         self.places = EnginePlaces(capacity)
+        self.places.may_evict_from = context.now() + context.hold_off_s()
         self.answers = True
         self._context = context
         self._reply_by_ask: dict[str, Reply] = {}
@@ -129,15 +139,37 @@
         """Note the first event of a run."""
         self.places.on_started(ask_id, self._context.now())
 
-    def release(self, ask_id: str, *, refused: bool, not_held: bool) -> None:
+    def held(self, entry_vm: str, held: PlaceHeld) -> None:
+        """Take over a run that an entry VM has under way."""
+        now = self._context.now()
+        ask = PlaceAsk(
+            ask_id=held.ask_id,
+            entry_vm=entry_vm,
+            model=held.model,
+            adapter=held.adapter,
+            version=held.version,
+            prompt_tokens=held.prompt_tokens,
+            output_tokens=held.output_tokens,
+            rank=0,
+            goal_at=now,
+            latest_start=now,
+        )
+        self.places.on_held(ask, held.version, now)
+
+    def release(self, notice: PlaceRelease) -> None:
         """Free a place."""
+        ask_id = notice.ask_id
         now = self._context.now()
-        if refused:
+        if notice.refused:
+            not_held = notice.not_held
             actions = self.places.on_refused_run(ask_id, now, not_held=not_held)
             self._carry_out(actions)
             self._look_by(now)
         else:
-            self._carry_out(self.places.on_release(ask_id, now))
+            aborted = notice.aborted
+            self._carry_out(self.places.on_release(ask_id, now, aborted=aborted))
+            if aborted:
+                self._look_by(now + 2 * RUNS_LAG_S)
 
     def entry_gone(self, entry_vm: str) -> None:
         """Free what a dead entry VM held."""
@@ -403,4 +435,5 @@
         loading=report.loading,
         active=report.active,
         read_at=read_at,
+        running=report.running,
     )
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -14,6 +14,7 @@
 from bamboovale.gateway.messages import (
     EngineStatus,
     PlaceCancel,
+    PlaceHeld,
     PlaceRelease,
     PlaceReply,
     PlaceRequest,
@@ -73,6 +74,8 @@
     now: Callable[[], float]
     owner_by_engine: dict[str, EngineOwner] = field(default_factory=dict)
     _sent_by_id: dict[str, _Sent] = field(default_factory=dict)
+    _held_by_id: dict[str, PlaceHeld] = field(default_factory=dict)
+    _owner_by_held: dict[str, str] = field(default_factory=dict)
 
     def views(self, records: list[EndpointRecord]) -> dict[str, EngineView]:
         """Return what is known of each of the engines."""
@@ -113,20 +116,58 @@
         elif local is not None:
             local.started(place.ask_id)
 
+    def hold(self, place: HeldPlace, request: PlaceRequest) -> None:
+        """Note a run that begins, for an owner that comes to own its engine later."""
+        self._held_by_id[place.ask_id] = PlaceHeld(
+            engine_id=place.engine_id,
+            ask_id=place.ask_id,
+            model=request.model,
+            adapter=request.adapter,
+            version=place.version,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+        )
+        self._owner_by_held[place.ask_id] = place.owner
+
+    def tell_new_owners(self) -> None:
+        """Tell engines' new owners which of our runs are under way there.
+
+        Guards against an owner that evicts an adapter in use, because the last owner
+        granted its place: the engine waits for the run and refuses all other orders.
+        """
+        for ask_id, held in self._held_by_id.items():
+            owner = self._owner_of(held.engine_id)
+            if owner is None or owner == self._owner_by_held[ask_id]:
+                continue
+            self._owner_by_held[ask_id] = owner
+            if owner == self.own_id:
+                self.owner_by_engine[held.engine_id].held(self.own_id, held)
+            else:
+                self.links.notify(owner, held)
+
     def release(
         self,
         place: HeldPlace,
         *,
         refused: bool = False,
         not_held: bool = False,
+        aborted: bool = False,
     ) -> None:
         """Tell the owner that a run is over."""
+        self._held_by_id.pop(place.ask_id, None)
+        owner = self._owner_by_held.pop(place.ask_id, place.owner)
+        notice = PlaceRelease(
+            place.engine_id,
+            place.ask_id,
+            refused,
+            not_held,
+            aborted,
+        )
         local = self.owner_by_engine.get(place.engine_id)
-        if place.owner != self.own_id:
-            notice = PlaceRelease(place.engine_id, place.ask_id, refused, not_held)
-            self.links.notify(place.owner, notice)
+        if owner != self.own_id:
+            self.links.notify(owner, notice)
         elif local is not None:
-            local.release(place.ask_id, refused=refused, not_held=not_held)
+            local.release(notice)
 
     def owner_name(self, engine_id: str) -> str | None:
         """Return the live owner of an engine."""
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -169,10 +169,9 @@
         )
 
     def live_and_silent(self, now: float) -> tuple[set[str], set[str]]:
-        """Return the peers that live and those that were heard and fell silent."""
+        """Return the known peers that live and those that are not heard."""
         live = {vm_id for vm_id in self._peer_by_id if self.is_live(vm_id, now)}
-        heard = {p.vm_id for p in self._peer_by_id.values() if p.heard_at is not None}
-        return live, heard - live
+        return live, self._peer_by_id.keys() - live
 
     def live_ids(self, now: float) -> list[str]:
         """Return the VMs that live and serve, ourselves included."""
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -54,12 +54,28 @@
     """The run is over.
 
     ``refused`` if the engine did not run it, ``not_held`` if it lacked the adapter.
+    ``aborted`` if we broke it off: the engine may work on it for a while.
     """
 
     engine_id: str
     ask_id: str
     refused: bool = False
     not_held: bool = False
+    aborted: bool = False
+
+
+@message("place_held")
+@dataclass(frozen=True)
+class PlaceHeld:
+    """A run under way, told to an engine's new owner."""
+
+    engine_id: str
+    ask_id: str
+    model: str
+    adapter: str | None
+    version: int
+    prompt_tokens: int
+    output_tokens: int
 
 
 @message("place_started")
--- a/bamboovale/gateway/model.py
+++ b/bamboovale/gateway/model.py
@@ -158,7 +158,8 @@
 class EngineReport:
     """An engine's own report, some 100 ms old; ``orders`` counts accepted orders.
 
-    ``loading`` are adapters in transit as (model, adapter).
+    ``loading`` are adapters in transit as (model, adapter); ``running`` the ids of the
+    requests that run.
     """
 
     models: tuple[LoadedModel, ...]
@@ -167,6 +168,7 @@
     orders: int
     queued: int
     active: int
+    running: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -79,7 +79,8 @@
         for _ in range(MOST_TRIES):
             engine, place = await self._find_place(call, work, progress)
             if progress.arrivals and not share.take(self._now()):
-                self._release(place)
+                if place is not None:
+                    self._engines.release(place)
                 raise self._given_up(progress, "the retry budget is used up")
             if await self._try_engine(call, work, engine, place, progress):
                 return
@@ -190,13 +191,15 @@
             raise CallRefused(f"no place: {reply.reason}", reply.retry_after_s)
         note["version"] = reply.version
         assert owner is not None
-        return HeldPlace(
+        place = HeldPlace(
             record.endpoint_id,
             ask_id,
             owner,
             reply.version,
             reply.confirmed,
         )
+        self._engines.hold(place, request)
+        return place
 
     def _starts_within_s(self, call: Call, progress: _Progress, now: float) -> float:
         """Return how long the caller will wait for a place.
@@ -212,16 +215,6 @@
         waits_s = min(left_s, begun_at + patience_s - now)
         return max(0.0, waits_s - min(RUN_LEAST_S, waits_s / 2))
 
-    def _release(
-        self,
-        place: HeldPlace | None,
-        *,
-        refused: bool = False,
-        not_held: bool = False,
-    ) -> None:
-        if place is not None:
-            self._engines.release(place, refused=refused, not_held=not_held)
-
     # One engine.
 
     async def _try_engine(
@@ -236,8 +229,10 @@
         started_at = self._now()
         note = call.note_attempt(endpoint=record.endpoint_id)
         refused = not_held = False
+        aborted = True
         try:
             await self._exchange(call, work, record, place, progress)
+            aborted = False
             return True
         except NotRun as error:
             note["failed"] = str(error)
@@ -257,7 +252,13 @@
             return False
         finally:
             note["s"] = round(self._now() - started_at, 4)
-            self._release(place, refused=refused, not_held=not_held)
+            if place is not None:
+                self._engines.release(
+                    place,
+                    refused=refused,
+                    not_held=not_held,
+                    aborted=aborted,
+                )
 
     def _check_resumable(self, call: Call, progress: _Progress, reason: str) -> None:
         """Raise unless another engine may go on with the stream."""
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -26,6 +26,7 @@
 from bamboovale.gateway.messages import (
     GatewayStatus,
     PlaceCancel,
+    PlaceHeld,
     PlaceRelease,
     PlaceReply,
     PlaceRequest,
@@ -67,10 +68,15 @@
 STOP_MARGIN_S = 0.7
 """Before the platform kills the process."""
 TABLE_TIMEOUT_S = 1.0
+HOLD_OFF_S = 0.25
+"""Beside an interval of statuses: by then every live VM has heard of an engine's new
+owner and told it which runs are under way there."""
 STORE_AWAY_S = 1.5
 """An outage of the store shorter than this ends before a lease does."""
 LAG_WARNING_S = 0.5
 ISOLATION_LOOK_S = 0.5
+ISOLATED_AFTER_S = 1.5
+"""Peers that start together hear of one another within a second."""
 
 
 class GatewayVM:
@@ -157,6 +163,7 @@
             may_order=self._ownership.may_order,
             fence=self._ownership.fence,
             on_fenced=self._on_fenced,
+            hold_off_s=lambda: HOLD_OFF_S + self._fleet.interval_s(),
         )
 
     def _build_calls(self) -> None:
@@ -413,6 +420,7 @@
         """Begin to own the engines that the store gives us, end to own others."""
         wanted = self._engines_to_own()
         owners = self._engines.owner_by_engine
+        before = set(owners)
         for engine_id in list(owners):
             if engine_id not in wanted:
                 owners.pop(engine_id).stop()
@@ -434,6 +442,9 @@
                 generation=self._ownership.generation,
             )
         self._fleet.drop_engines(set(self._endpoints.record_by_id))
+        if owners.keys() != before:
+            self._tell_peers()
+            self._engines.tell_new_owners()
 
     def _engines_to_own(self) -> dict[str, EngineCapacity]:
         if self._table is None or self._stopping:
@@ -540,11 +551,16 @@
         that nobody can ask for, and send callers to itself. The store tells such a cut
         from the death of many VMs, whose memberships lapse.
         """
+        since = self.now()
         while True:
             await asyncio.sleep(ISOLATION_LOOK_S)
             live, silent = self._fleet.live_and_silent(self.now())
             minority = len(silent) > len(live) + 1
+            if not minority:
+                since = self.now()
             if minority and not self._isolated:
+                if self.now() - since < ISOLATED_AFTER_S:
+                    continue
                 try:
                     members = await self._store.members(GROUP)
                 except StoreError as error:
@@ -638,6 +654,7 @@
     def _on_peer_notice(self, sender: str, message: Any) -> None:
         if isinstance(message, GatewayStatus):
             self._fleet.on_status(sender, message, self.now())
+            self._engines.tell_new_owners()
         elif isinstance(message, PlaceCancel):
             owner = self._engines.owner_by_engine.get(message.engine_id)
             if owner is not None:
@@ -645,11 +662,11 @@
         elif isinstance(message, PlaceRelease):
             owner = self._engines.owner_by_engine.get(message.engine_id)
             if owner is not None:
-                owner.release(
-                    message.ask_id,
-                    refused=message.refused,
-                    not_held=message.not_held,
-                )
+                owner.release(message)
+        elif isinstance(message, PlaceHeld):
+            owner = self._engines.owner_by_engine.get(message.engine_id)
+            if owner is not None:
+                owner.held(sender, message)
         elif isinstance(message, PlaceStarted):
             owner = self._engines.owner_by_engine.get(message.engine_id)
             if owner is not None:
--- a/bamboovale/platform/endpoints.py
+++ b/bamboovale/platform/endpoints.py
@@ -81,6 +81,7 @@
             orders=int(document.get("seq", 0)),
             queued=int(document.get("queued", 0)),
             active=int(document.get("active", 0)),
+            running=frozenset(str(row[0]) for row in document.get("runs") or []),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise BadRecordError(f"report: {error!r}") from error
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -136,6 +136,48 @@
         assert isinstance(grant, Grant) and grant.confirmed
 
 
+class TestRunsUnknown:
+    """Runs that the owner did not grant, or no longer counts."""
+
+    def test_a_run_of_the_last_owner_keeps_its_adapter(self) -> None:
+        """An engine changes its owner while runs are under way.
+
+        The new owner evicts an adapter in use; the engine waits for the run, for
+        seconds, and refuses every other order meanwhile: nobody gets a slot.
+        """
+        engine = places(slots=1)
+        engine.on_facts(facts(1.0, a1=1), 1.0)
+        engine.on_held(ask("old.0", "a1", 1.0), 1, 1.0)
+        assert engine.on_ask(ask("r.0", "a2", 1.1), 1.1) == []
+        [order] = engine.on_release("old.0", 1.5)
+        assert order == OrderUnload(MODEL, "a1")
+
+    def test_a_new_owner_evicts_nothing_before_it_has_heard_of_the_runs(self) -> None:
+        engine = places(slots=1)
+        engine.may_evict_from = 1.6
+        engine.on_facts(facts(1.0, a1=1), 1.0)
+        assert engine.on_ask(ask("r.0", "a2", 1.1), 1.1) == []
+        [order] = engine.decide(1.7)
+        assert order == OrderUnload(MODEL, "a1")
+
+    def test_a_run_that_we_broke_off_keeps_its_adapter_until_it_is_gone(self) -> None:
+        """A caller leaves; the engine goes on with the run, as some do.
+
+        Its adapter looks idle. Evicted, it blocks the engine's orders until the end.
+        """
+        engine = places(slots=1)
+        load(engine, "a1", 0.0)
+        engine.on_ask(ask("r1.0", "a1", 2.0), 2.0)
+        engine.on_release("r1.0", 2.1, aborted=True)
+        assert engine.on_ask(ask("r2.0", "a2", 2.1), 2.1) == []
+        running = EngineFacts(
+            {MODEL: 1}, {(MODEL, "a1"): 1}, frozenset(), 1, 2.5, frozenset({"r1"})
+        )
+        assert engine.on_facts(running, 2.5) == []
+        [order] = engine.on_facts(facts(2.9, a1=1), 2.9)
+        assert order == OrderUnload(MODEL, "a1")
+
+
 class TestVersions:
     """New versions replace old ones."""
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -573,7 +573,7 @@
             async with running_site(vms=4) as site:
                 cut = site.owned()["runner-0"]
                 others = [item for item in site.vms if item is not cut]
-                block_links(cut, others)
+                block_links(cut)
                 await eventually(lambda: bool(cut.journal.of("isolated")))
                 assert not cut.vm.serving()
                 await eventually(
@@ -586,14 +586,11 @@
         run(test())
 
 
-def block_links(cut: RunningVM, others: list[RunningVM]) -> None:
+def block_links(cut: RunningVM) -> None:
     """Drop every message between one VM and the others."""
-    names = {item.node.name for item in others}
     cut.vm._links.request = refuse_request  # type: ignore[method-assign]
     cut.vm._links.notify_all = lambda ids, message: None  # type: ignore
-    for handler in list(cut.vm._links._incoming):
-        if handler.sender in names:
-            handler._on_notice = lambda sender, message: None  # type: ignore
+    cut.vm._fleet.on_status = lambda vm_id, status, now: None  # type: ignore
 
 
 def refuse_request(vm_id: str, message: object, timeout_s: float) -> Future:
