--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -11,7 +11,7 @@
 """Used when the endpoint names no time; it closes idle connections by its own."""
 IDLE_MARGIN_S = 1.0
 """Sent so close to the endpoint's own limit, a request may cross its close."""
-FRESH_S = 1.0
+FRESH_S = 2.5
 """A request that must not run twice uses only a connection idle for less than this: a
 connection that an endpoint dropped silently is found out only by the next request, and
 then nobody knows whether it ran."""
