--- a/bamboovale/gateway/translation.py
+++ b/bamboovale/gateway/translation.py
@@ -32,6 +32,7 @@
     node: Any
     operator_topic: str
     endpoints_topic: str
+    registration_topic: str
 
     def store(
         self,
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -53,7 +53,6 @@
     PeerUnreachableError,
 )
 
-REGISTRATION_TOPIC = "keyed.entries"
 REGISTRATION_LOOK_S = 5.0
 """Between reads of other VMs' addresses: newcomers tell us themselves, this finds those
 that could not reach us."""
@@ -247,6 +246,9 @@
             incarnation=self._incarnation,
             failure_domain=self._node.failure_domain,
             first_start=self._node.first_start,
+            callers_port=self._node.callers[1],
+            peers_port=self._node.peers_port,
+            metrics_port=self._node.metrics_port,
         )
         for job in self._jobs():
             self._spawn(job)
@@ -551,9 +553,13 @@
         while True:
             try:
                 if not registered:
-                    await self._store.put(REGISTRATION_TOPIC, self._node.name, value)
+                    await self._store.put(
+                        self._translation.registration_topic, self._node.name, value
+                    )
                     registered = True
-                snapshot = await self._store.newest(REGISTRATION_TOPIC)
+                snapshot = await self._store.newest(
+                    self._translation.registration_topic
+                )
                 for record in snapshot.records:
                     if record.value is not None:
                         host, port = json.loads(record.value)
--- a/bamboovale/platform/names.py
+++ b/bamboovale/platform/names.py
@@ -32,6 +32,7 @@
 # Topics of the store.
 OPERATOR_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
+ENTRIES_TOPIC = "keyed.entries"  # our own: where other entry VMs find this one
 CONFIG_KEY = "config"
 VERSION_PREFIX = "version/"
 
--- a/bamboovale/platform/translation.py
+++ b/bamboovale/platform/translation.py
@@ -33,6 +33,7 @@
 
     operator_topic = names.OPERATOR_TOPIC
     endpoints_topic = names.SERVERS_TOPIC
+    registration_topic = names.ENTRIES_TOPIC
 
     def __init__(self, node: NodeSettings) -> None:
         self.node = node
