--- a/bamboovale/cli/gateway.py
+++ b/bamboovale/cli/gateway.py
@@ -27,6 +27,15 @@
             help="Shared key of all entry VMs; without it only loopback is called.",
         ),
     ] = "",
+    metrics_port: Annotated[
+        int,
+        typer.Option(
+            envvar="BAMBOOVALE_METRICS_PORT",
+            min=0,
+            max=65535,
+            help="Port of /metrics and /state; 0 takes a free one.",
+        ),
+    ] = 9464,
     check: Annotated[
         bool,
         typer.Option("--check", help="Check the settings and end."),
@@ -46,10 +55,10 @@
     if check:
         typer.echo(f"{node_file}: settings of {checked.ok_value.name} are valid")
         return
-    raise typer.Exit(asyncio.run(_run(checked.ok_value, peer_key)))
+    raise typer.Exit(asyncio.run(_run(checked.ok_value, peer_key, metrics_port)))
 
 
-async def _run(node: "object", peer_key: str) -> ExitStatus:
+async def _run(node: "object", peer_key: str, metrics_port: int) -> ExitStatus:
     # Imported late: the other commands start without the server's libraries.
     from bamboovale.gateway.journal import Journal, configure_journal
     from bamboovale.gateway.vm import GatewayVM
@@ -60,7 +69,13 @@
     assert isinstance(node, NodeSettings)
     configure_journal()
     journal = Journal(node.name)
-    vm = GatewayVM(PlatformTranslation(node), Metrics(), journal, peer_key)
+    vm = GatewayVM(
+        PlatformTranslation(node),
+        Metrics(),
+        journal,
+        peer_key,
+        metrics_port,
+    )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, vm.stop)
     loop.add_signal_handler(signal.SIGINT, vm.stop)
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -95,8 +95,10 @@
         metrics: Metrics,
         journal: Journal,
         peer_key: str,
+        metrics_port: int,
     ) -> None:
         node = translation.node
+        self._metrics_port = metrics_port
         self._node = node
         self._translation = translation
         self._metrics = metrics
@@ -248,7 +250,7 @@
             first_start=self._node.first_start,
             callers_port=self._node.callers[1],
             peers_port=self._node.peers_port,
-            metrics_port=self._node.metrics_port,
+            metrics_port=self._metrics_port,
         )
         for job in self._jobs():
             self._spawn(job)
@@ -289,7 +291,7 @@
         await self._links.open(self._on_peer_request, self._on_peer_notice)
         await self._directory.listen(*node.directory)
         await self._readiness.listen(*node.readiness)
-        await self._watch.listen(node.ip, node.metrics_port)
+        await self._watch.listen(node.ip, self._metrics_port)
         await self._callers.listen(*node.callers)
 
     def _jobs(self) -> list[Coroutine[Any, Any, None]]:
--- a/bamboovale/platform/node_file.py
+++ b/bamboovale/platform/node_file.py
@@ -59,7 +59,6 @@
     readiness: Address
     directory: Address
     peers_port: int
-    metrics_port: int
     store: Address
     store_limits: StoreLimits
     bounds: Bounds
@@ -98,7 +97,6 @@
             readiness=listen.address("ready"),
             directory=listen.address("directory"),
             peers_port=int(ports[0]),
-            metrics_port=int(ports[-1]),
             store=platform.address("addr"),
             store_limits=StoreLimits(
                 partitions=int(platform.number("parts", 12)),
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -44,18 +44,18 @@
 
 def node_document(store: tuple[str, int], name: str, **bounds: Any) -> dict[str, Any]:
     """Return an entry VM's settings file as a table."""
-    ports = [free_port() for _ in range(5)]
+    ports = [free_port() for _ in range(4)]
     address = "127.0.0.1"
     return {
         "node-name": name,
         "ip": address,
         "zone": "a",
         "region": "r",
-        "port-range": [ports[0], ports[1]],
+        "port-range": [ports[0], ports[0]],
         "listen": {
-            "front": f"{address}:{ports[2]}",
-            "ready": f"{address}:{ports[3]}",
-            "directory": f"{address}:{ports[4]}",
+            "front": f"{address}:{ports[1]}",
+            "ready": f"{address}:{ports[2]}",
+            "directory": f"{address}:{ports[3]}",
         },
         "bounds": {"fenced": True, "grace-s": 6, **bounds},
         "platform": {"addr": f"{store[0]}:{store[1]}", "parts": 12},
@@ -170,7 +170,7 @@
         document = node_document(self.store_address, name, **bounds)
         node = NodeSettings.from_document(document).unwrap()
         journal = RecordedJournal(name)
-        vm = GatewayVM(PlatformTranslation(node), Metrics(), journal, "test-key")
+        vm = GatewayVM(PlatformTranslation(node), Metrics(), journal, "test-key", 0)
         task = asyncio.get_running_loop().create_task(vm.run())
         running = RunningVM(vm, node, journal, task)
         self.vms.append(running)
