--- a/bamboovale/gateway/followers.py
+++ b/bamboovale/gateway/followers.py
@@ -70,6 +70,7 @@
         self._now = now
         self._offset: int | None = None
         self._news_at = 0.0
+        self._reading = False
 
     async def follow(self) -> None:
         """Read for ever; failures are logged once and tried again."""
@@ -99,15 +100,28 @@
             self._offset = snapshot.end
             return
         first = self._offset
-        records, following = await self._store.read(self.topic, first, self._wait_s)
+        self._reading = True
+        try:
+            records, following = await self._store.read(
+                self.topic,
+                first,
+                self._wait_s,
+            )
+        finally:
+            self._reading = False
         changed = tuple(r for r in records if self._on_record(r) is not False)
         self._offset = max(following, self._offset)
         self._news_at = self._now()
         self._on_news(News(first, following, changed))
 
     def take_news(self, news: News) -> None:
-        """Take what another VM has read, if nothing is missing before it."""
-        if self._offset is None or news.first_offset > self._offset:
+        """Take what another VM has read, if nothing is missing before it.
+
+        Not during a read of our own: what we take from others would seem unchanged in
+        what we read, so that our news would leave it out, and a VM that hears ours
+        first would never learn of it.
+        """
+        if self._reading or self._offset is None or news.first_offset > self._offset:
             return
         for record in news.records:
             if record.offset >= self._offset:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -419,3 +419,57 @@
             assert seen == []
 
         run(test())
+
+    def test_a_reader_passes_on_what_another_reader_found_as_well(self) -> None:
+        """Two VMs read the same records at the same time and hear of each other's.
+
+        If one took the other's news during its own read, its news would leave the
+        change out; VMs that hear it first would skip the other's as old. An engine
+        that came at that moment would get no request all day.
+        """
+
+        async def test() -> None:
+            known: set[int] = set()
+            passed: list[News] = []
+
+            def take(record: KeyedRecord) -> bool:
+                fresh = record.offset not in known
+                known.add(record.offset)
+                return fresh
+
+            store = SlowStore()
+            reader = TopicFollower(
+                "t",
+                store,  # type: ignore[arg-type]
+                Journal("me", logging.getLogger("none")),
+                on_record=take,
+                on_snapshot=lambda keys: None,
+                wait_s=0.0,
+                pause_s=lambda: 0.0,
+                on_news=passed.append,
+            )
+            task = asyncio.create_task(reader.follow())
+            await asyncio.sleep(0.05)
+            reader.take_news(News(10, 11, (KeyedRecord("e", b"{}", 10),)))
+            store.go.set()
+            await asyncio.sleep(0.05)
+            task.cancel()
+            assert [record.offset for record in passed[0].records] == [10]
+
+        run(test())
+
+
+class SlowStore(ScriptedStore):
+    """A topic whose reads wait until they are let go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go = asyncio.Event()
+
+    async def read(
+        self, topic: str, offset: int, wait_s: float
+    ) -> tuple[tuple[KeyedRecord, ...], int]:
+        """Wait, then return one record more."""
+        await self.go.wait()
+        await asyncio.sleep(0.01)
+        return await super().read(topic, offset, wait_s)
