--- /dev/null
+++ b/bamboovale/gateway/engine_assignment.py
@@ -0,0 +1,104 @@
+"""Which engines this VM owns now, and standing in for owners that are lost."""
+
+from bamboovale.decisions.place_work import EngineCapacity
+from bamboovale.decisions.rendezvous import score
+from bamboovale.gateway.engine_owner import EngineOwner, OwnerContext
+from bamboovale.gateway.engines import Engines
+from bamboovale.gateway.ownership import Ownership
+from bamboovale.gateway.vm_state import VMState
+
+STORE_AWAY_S = 1.5
+"""An outage of the store shorter than this ends before a lease does."""
+
+
+class EngineAssignment:
+    """Starts and stops owners' tasks as the store and the fleet ask for it."""
+
+    def __init__(
+        self,
+        state: VMState,
+        engines: Engines,
+        ownership: Ownership,
+        owner_context: OwnerContext,
+    ) -> None:
+        self._state = state
+        self._engines = engines
+        self._ownership = ownership
+        self._owner_context = owner_context
+
+    def assign(self) -> bool:
+        """Begin to own the engines that the store gives us, end to own others.
+
+        Returns whether anything changed.
+        """
+        wanted = self._engines_to_own()
+        owners = self._engines.owner_by_engine
+        before = set(owners)
+        for engine_id in list(owners):
+            if engine_id not in wanted:
+                owners.pop(engine_id).stop()
+                self._state.journal.write("owner_stopped", engine=engine_id)
+        for engine_id, capacity in wanted.items():
+            record = self._state.endpoints.record_by_id[engine_id]
+            if engine_id in owners:
+                owners[engine_id].record = record
+                continue
+            owner = EngineOwner(record, capacity, self._owner_context)
+            owners[engine_id] = owner
+            for (model, adapter), version in self._state.version_by_adapter.items():
+                if adapter is not None:
+                    owner.note_version(model, adapter, version)
+            owner.start()
+            self._state.journal.write(
+                "owner_started",
+                engine=engine_id,
+                generation=self._ownership.generation,
+            )
+        self._state.fleet.drop_engines(set(self._state.endpoints.record_by_id))
+        return owners.keys() != before
+
+    def _engines_to_own(self) -> dict[str, EngineCapacity]:
+        if self._state.table is None or self._state.stopping:
+            return {}
+        wanted = {}
+        for record in self._state.model_engines():
+            pool = self._state.table.service_by_name[record.service].engines
+            if pool is not None and self._ownership.holds(record.endpoint_id):
+                wanted[record.endpoint_id] = EngineCapacity(
+                    places=pool.slots,
+                    kv_tokens=pool.kv_tokens,
+                    adapter_slots=pool.adapter_slots,
+                )
+        return wanted
+
+    def on_fenced(self, engine_id: str, token: int) -> None:
+        """Take an engine's word that another VM used a higher fencing number."""
+        owned = self._state.fleet.engine(engine_id)
+        seen = owned.status.fence if owned is not None else 0
+        self._ownership.on_fenced(engine_id, max(seen, token))
+
+    def stand_in_for_lost_owners(self) -> bool:
+        """Own engines whose owner is gone while no VM reaches the store; True if any.
+
+        Guards against a long outage in which VMs stop or die: the store cannot name
+        new owners, and fewer and fewer engines could load anything.
+        """
+        now = self._state.now()
+        if self._ownership.away_s() < STORE_AWAY_S:
+            return False
+        if not self._state.serving() or not self._state.fleet.nobody_reaches_store(now):
+            return False
+        live = self._state.fleet.live_ids(now)
+        changed = False
+        for record in self._state.model_engines():
+            engine_id = record.endpoint_id
+            if self._ownership.holds(engine_id) or self._engines.owner_name(engine_id):
+                continue
+            first = max(live, key=lambda vm_id: score(engine_id, vm_id))
+            if first == self._state.node.name:
+                owned = self._state.fleet.engine(engine_id)
+                granted = self._ownership.fence(engine_id)
+                above = max(granted, owned.status.fence if owned is not None else 0)
+                self._ownership.stand_in(engine_id, above)
+                changed = True
+        return changed
--- a/bamboovale/gateway/front.py
+++ b/bamboovale/gateway/front.py
@@ -2,16 +2,14 @@
 
 import asyncio
 import random
-from collections.abc import Callable
-from typing import Protocol
 
 from bamboovale.decisions.suspects import fingerprint
 from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
 from bamboovale.gateway.crashes import CrashGuard
-from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.model import CallFacts, Route, RoutingTable
 from bamboovale.gateway.model_calls import ModelCalls, StreamCut
 from bamboovale.gateway.plain_calls import PlainCalls
+from bamboovale.gateway.vm_state import VMState
 from bamboovale.http1.server import BadRequest, Request, Responder
 from bamboovale.metrics import Metrics
 
@@ -22,19 +20,6 @@
 """For a caller that names no deadline; the route's own time-out is shorter."""
 
 
-class Situation(Protocol):
-    """What the front must know of its VM."""
-
-    def table(self) -> RoutingTable | None:
-        """Return the configuration in force, None before the first."""
-
-    def stopping(self) -> bool:
-        """Tell whether this VM is about to stop."""
-
-    def takes_work(self) -> bool:
-        """Tell whether new work may begin here."""
-
-
 class Front:
     """Handles one request at a time for each connection."""
 
@@ -45,25 +30,23 @@
         plain_calls: PlainCalls,
         model_calls: ModelCalls,
         crashes: CrashGuard,
-        situation: Situation,
-        journal: Journal,
+        state: VMState,
         metrics: Metrics,
-        now: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self._codec = codec
         self._plain_calls = plain_calls
         self._model_calls = model_calls
         self._crashes = crashes
-        self._situation = situation
-        self._journal = journal
+        self._state = state
+        self._journal = state.journal
+        self._now = state.now
         self._metrics = metrics
-        self._now = now
         self._rng = rng
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request; the task is cancelled if its caller leaves."""
-        if self._situation.stopping():
+        if self._state.stopping:
             responder.close_after()
         try:
             facts = self._codec.decode_call(request)
@@ -71,8 +54,8 @@
             self.on_bad_request(bad)
             self._answer(responder, bad.status, None, None)
             return
-        table = self._situation.table()
-        if table is None or not self._situation.takes_work():
+        table = self._state.table
+        if table is None or not self._state.takes_work():
             self._log_short(request, facts, "not_ready", table)
             self._refuse(responder, facts, NOT_READY_RETRY_S)
             return
--- /dev/null
+++ b/bamboovale/gateway/ports.py
@@ -0,0 +1,86 @@
+"""The ports beside the callers': directory, readiness, counters and state dump."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from bamboovale.gateway.translation import Translation
+from bamboovale.gateway.vm_state import VMState
+from bamboovale.http1.server import Request, Responder, Server
+from bamboovale.metrics import Metrics
+
+DIRECTORY_TTL_S = 1.0
+"""A VM that stops or dies is not chosen for longer than this and a status."""
+
+
+class Ports:
+    """Answers who asks where to connect, whether we are ready, and how we are."""
+
+    def __init__(
+        self,
+        state: VMState,
+        translation: Translation,
+        metrics: Metrics,
+        dump: Callable[[], dict[str, Any]],
+        metrics_port: int,
+    ) -> None:
+        self._state = state
+        self._translation = translation
+        self._metrics = metrics
+        self._dump = dump
+        self._metrics_port = metrics_port
+        self._directory = Server(self._answer_directory)
+        self._readiness = Server(self._answer_readiness)
+        self._watch = Server(self._answer_watch)
+
+    async def listen(self) -> None:
+        """Bind all of them; raises OSError."""
+        node = self._state.node
+        await self._directory.listen(*node.directory)
+        await self._readiness.listen(*node.readiness)
+        await self._watch.listen(node.ip, self._metrics_port)
+
+    def close(self) -> None:
+        """Close all of them at once."""
+        for server in (self._directory, self._readiness, self._watch):
+            server.close()
+
+    def addresses_for(self, failure_domain: str) -> list[tuple[str, int]]:
+        """Return the addresses of serving VMs, near ones only if there are enough."""
+        near: list[tuple[str, int]] = []
+        others: list[tuple[str, int]] = []
+        if self._state.serving():
+            mine = near if failure_domain == self._state.node.failure_domain else others
+            mine.append(self._state.node.callers)
+        for status in self._state.fleet.serving(self._state.now()):
+            group = near if status.failure_domain == failure_domain else others
+            group.append((status.address, status.callers_port))
+        return near if len(near) > 1 else near + others
+
+    async def _answer_directory(self, request: Request, responder: Responder) -> None:
+        body = self._translation.directory_answer(
+            request.target,
+            self.addresses_for,
+            min(DIRECTORY_TTL_S, self._state.node.bounds.directory_ttl_most_s),
+        )
+        if body is None:
+            responder.answer(503, [(b"retry-after", b"1")], b"")
+            return
+        responder.answer(200, [(b"content-type", b"application/json")], body)
+
+    async def _answer_readiness(self, request: Request, responder: Responder) -> None:
+        if not self._translation.is_readiness_query(request.target):
+            responder.answer(404, [], b"")
+        else:
+            responder.answer(200 if self._state.serving() else 503, [], b"")
+
+    async def _answer_watch(self, request: Request, responder: Responder) -> None:
+        """Serve counters and, on request, the state of this process."""
+        if request.target.startswith("/state"):
+            kind, body = b"application/json", json.dumps(self._dump(), default=str)
+            responder.answer(200, [(b"content-type", kind)], body.encode())
+        elif request.target.startswith("/metrics"):
+            kind = b"text/plain; version=0.0.4"
+            responder.answer(200, [(b"content-type", kind)], self._metrics.expose())
+        else:
+            responder.answer(404, [], b"")
