--- a/bamboovale/decisions/adapter_slots.py
+++ b/bamboovale/decisions/adapter_slots.py
@@ -265,18 +265,24 @@
         if slot is not None and slot.state is SlotState.UNLOADING:
             slot.state = SlotState.LOADED
 
-    def run_refused(self, key: AdapterKey, *, not_held: bool) -> None:
-        """Take an engine's refusal of a run; ``not_held``: it lacks the adapter."""
+    def run_refused(self, key: AdapterKey, now: float, *, not_held: bool) -> None:
+        """Take an engine's refusal of a run; ``not_held``: it lacks the adapter.
+
+        The slot stays taken until a report tells. An engine also refuses a run whose
+        version it does not have: were the slot given away on its word, the next load
+        would be one too many and crash it.
+        """
         slot = self._slot_by_key.get(key)
         if slot is None or slot.state is not SlotState.LOADED:
             return
+        if slot.confirmed and not not_held:
+            return
         if not slot.confirmed:
-            # The load was not complete when it was expected: wait for a report.
-            slot.state = SlotState.LOADING
-            slot.ready_at = None
             self.load_s.add(self.load_s.value + EARLY_PENALTY_S)
-        elif not_held:
-            del self._slot_by_key[key]
+        slot.state = SlotState.LOADING
+        slot.ready_at = None
+        slot.changed_at = now
+        slot.confirmed = False
 
     def note_ready(self, now: float) -> None:
         """Take loads for complete once their expected time is over."""
--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -132,7 +132,7 @@
         """Take an engine's refusal; ``not_held`` if it says it lacks the adapter."""
         place = self._place_by_id.get(ask_id)
         if place is not None and place.ask.key is not None:
-            self.slots.run_refused(place.ask.key, not_held=not_held)
+            self.slots.run_refused(place.ask.key, now, not_held=not_held)
         return self.on_release(ask_id, now)
 
     # Events from entry VMs.
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -136,6 +136,26 @@
         assert isinstance(grant, Grant) and grant.confirmed
 
 
+class TestRefusedRuns:
+    """What an engine refuses tells little about its slots."""
+
+    def test_a_refused_run_gives_no_slot_away(self) -> None:
+        """An engine refuses a run, since it holds another version of the adapter.
+
+        Taken for gone, the adapter's slot would be given to the next load at once,
+        which is one too many: the engine crashes with all its streams.
+        """
+        engine = places(slots=1)
+        load(engine, "a1", 0.0)
+        [grant] = engine.on_ask(ask("r1.0", "a1", 2.0), 2.0)
+        assert isinstance(grant, Grant)
+        engine.on_ask(ask("r2.0", "a2", 2.0), 2.0)
+        assert engine.on_refused_run("r1.0", 2.1, not_held=True) == []
+        assert engine.on_facts(facts(2.15), 2.15) == []
+        [order] = engine.on_facts(facts(2.3, a1=1), 2.3)
+        assert order == OrderUnload(MODEL, "a1")
+
+
 class TestRunsUnknown:
     """Runs that the owner did not grant, or no longer counts."""
 
