Keep an engine's holder when its hand-over meets an outage of the log

Known red: a VM that starts while the log is down answered no_endpoint or log_unavailable just after it said that it was ready. Readiness, which was suspected, has no part in it.

- A release that surely did not reach the log is taken back at once; one without an answer once nobody in reach reaches the log and no peer told a later fencing number.
- No hand-over begins while the log does not answer.
- A request goes on looking while the lease on some engine moves, instead of taking the word of those engines that cannot load.

--- a/bamboovale/entry/attempts.py
+++ b/bamboovale/entry/attempts.py
@@ -24,7 +24,11 @@
 
 @dataclass
 class Attempts:
-    """What one request has tried so far."""
+    """What one request has tried so far.
+
+    ``unloadable`` is what an engine said that cannot load the adapter now;
+    ``unanswered`` tells that nobody could speak for some engine in this round.
+    """
 
     request: CallerRequest
     call: ModelCall
@@ -36,6 +40,7 @@
     excluded: set[str] = field(default_factory=set)
     refusals: int = 0
     unloadable: Refusal | None = None
+    unanswered: bool = False
     bounces: int = 0
     runs: int = 0
     exclusive: bool = False
--- a/bamboovale/entry/model_requests.py
+++ b/bamboovale/entry/model_requests.py
@@ -231,6 +231,7 @@
             return None
         attempts.excluded.add(engine_id)
         if isinstance(answer, TryElsewhere):
+            attempts.unanswered = True
             return None
         if answer.code is ErrorCode.LOG_UNAVAILABLE:
             # It cannot be loaded there now; another engine may have it loaded.
@@ -290,7 +291,9 @@
         give_up_at = min(attempts.latest_start, request.arrived_at + SEARCH_S)
         if attempts.hangup.gone:
             raise HungUpError
-        if attempts.unloadable is not None:
+        # An engine whose lease is moving may have the adapter loaded: look again.
+        looked_long_enough = not attempts.unanswered or now >= give_up_at
+        if attempts.unloadable is not None and looked_long_enough:
             raise FinalRefusalError(attempts.unloadable)
         if now >= give_up_at:
             raise FinalRefusalError(
@@ -302,6 +305,7 @@
                 )
             )
         attempts.excluded.clear()
+        attempts.unanswered = False
         time.sleep(PAUSE_S)
 
     # Failures of runs.
--- a/bamboovale/leases/holding.py
+++ b/bamboovale/leases/holding.py
@@ -82,6 +82,10 @@
         """Stop acting as holder, before the release is sent."""
         self._held_by_engine.pop(engine, None)
 
+    def take_back(self, held: HeldLease) -> None:
+        """Act as holder again: the release was refused, so nobody else can."""
+        self._held_by_engine.setdefault(held.engine, held)
+
     def reconcile(self, lease_by_engine: Mapping[str, Lease]) -> None:
         """Drop what a table read from a snapshot does not confirm.
 
--- a/bamboovale/leases/keeper.py
+++ b/bamboovale/leases/keeper.py
@@ -4,6 +4,8 @@
 import logging
 from typing import Any
 
+from result import Err, Result
+
 from bamboovale.actors import MessageActor, Tick, tell
 from bamboovale.decisions.assignment import LeaseAssignment
 from bamboovale.environment import Environment
@@ -14,7 +16,7 @@
     Moved,
     Renewed,
 )
-from bamboovale.leases.holding import OwnLeases
+from bamboovale.leases.holding import HeldLease, OwnLeases
 from bamboovale.leases.messages import (
     LEASE_STREAM,
     WEIGHT_STORE,
@@ -22,6 +24,7 @@
     HandOverAll,
     LeaseBatchRead,
     LeaseCallbacks,
+    ReleaseFailed,
     RenewalEnded,
     node_name,
     vm_of_node,
@@ -31,7 +34,7 @@
 from bamboovale.leases.timing import LeaseTerms
 from bamboovale.log_service.appender import Appender
 from bamboovale.log_service.follower import LogHealth
-from bamboovale.log_service.log_client import LogRecord, RecordBatch
+from bamboovale.log_service.log_client import LogFailure, LogRecord, RecordBatch
 from bamboovale.views import KnownLease, Views
 
 TAKE_AGAIN_S = 2.0
@@ -99,17 +102,21 @@
         self._renewals_under_way = 0
         self._next_hand_over_at = 0.0
         self._next_snapshot_at = 0.0
+        self._release_unknown_by_engine: dict[str, HeldLease] = {}
         self._handing_over = False
         self.handle(LeaseBatchRead, self._on_batch)
         self.handle(Tick, self._on_tick)
         self.handle(HandOverAll, self._on_hand_over_all)
         self.handle(RenewalEnded, self._on_renewal_ended)
+        self.handle(ReleaseFailed, self._on_release_failed)
         self.handle(DumpLeases, self._on_dump)
 
     # Reading.
 
     def _on_batch(self, message: LeaseBatchRead) -> None:
         batch = message.batch
+        # The log answers: what became of a release is read from it.
+        self._release_unknown_by_engine.clear()
         if self._table is None:
             self._begin(batch, message.read_at)
         else:
@@ -246,6 +253,7 @@
             self._reset_if_due(now)
             return
         self._yield_to_later_holders()
+        self._take_back_lost_releases()
         self._publish()
         if now >= self._next_renewal_at and self._own.held_by_engine:
             terms = self._fleet_terms()
@@ -255,7 +263,7 @@
             return
         for engine in self._wanted():
             self._take_if_due(engine, now)
-        if now >= self._next_hand_over_at:
+        if now >= self._next_hand_over_at and self._health.reachable:
             self._hand_over_one(now)
         if WEIGHT_STORE in self._own.held_by_engine and now >= self._next_snapshot_at:
             self._next_snapshot_at = now + SNAPSHOT_EVERY_S
@@ -385,7 +393,54 @@
             fencing=held.fencing,
             next_node=successor,
         )
-        self._appender.append(record.to_json())
+        self._appender.append(
+            record.to_json(),
+            lambda ended: self._release_ended(held, ended),
+        )
+
+    def _release_ended(
+        self,
+        held: HeldLease,
+        ended: Result[int, LogFailure],
+    ) -> None:
+        """Say from the appending thread that a release may not have reached the log."""
+        if isinstance(ended, Err):
+            refused = not ended.err_value.may_have_taken_effect
+            tell(self.actor_ref, ReleaseFailed(held, refused))
+
+    def _on_release_failed(self, message: ReleaseFailed) -> None:
+        """Note a hand-over that failed.
+
+        Guards against a hand-over that begins as the log goes down: nobody would hold
+        the engine for the whole outage, and what it has loaded could not be used.
+        """
+        if self._handing_over:
+            return
+        held = message.held
+        if message.refused:
+            self._take_back(held)
+        else:
+            self._release_unknown_by_engine[held.engine] = held
+
+    def _take_back_lost_releases(self) -> None:
+        """Hold engines on whose release is lost, once the log is down for everybody.
+
+        Had the release reached the log before, its new holder would have told a later
+        fencing number by now; no VM can read it any more.
+        """
+        if not self._views.log_down_for_all:
+            return
+        for held in self._release_unknown_by_engine.values():
+            self._take_back(held)
+        self._release_unknown_by_engine.clear()
+
+    def _take_back(self, held: HeldLease) -> None:
+        known = self._views.lease_by_engine.get(held.engine)
+        if known is not None and known.fencing > held.fencing:
+            return
+        logger.info("lease on %s: kept, its release failed", held.engine)
+        self._own.take_back(held)
+        self._hold(held.engine, held.fencing)
 
     def _record_id(self) -> str:
         return f"{self._node}#{next(self._record_numbers)}"
--- a/bamboovale/leases/messages.py
+++ b/bamboovale/leases/messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bamboovale.leases.holding import HeldLease
 from bamboovale.log_service.log_client import RecordBatch
 
 LEASE_STREAM = "leases"
@@ -28,6 +29,14 @@
     """An append of a renewal ended, one way or the other."""
 
 
+@dataclass(frozen=True)
+class ReleaseFailed:
+    """A release of ours had no answer, or (``refused``) surely is not on the log."""
+
+    held: HeldLease
+    refused: bool
+
+
 @dataclass(frozen=True)
 class DumpLeases:
     """Ask for the state as JSON."""
--- a/tests/test_model_requests.py
+++ b/tests/test_model_requests.py
@@ -15,7 +15,7 @@
 from bamboovale.entry.ending import CallerAnswer
 from bamboovale.entry.engine_run import RunFailedError, RunFailure
 from bamboovale.entry.model_requests import ModelRequests
-from bamboovale.entry.permits import CallerGone, HeldPermit
+from bamboovale.entry.permits import CallerGone, HeldPermit, TryElsewhere
 from bamboovale.environment import Environment
 from bamboovale.errors import ErrorCode, Refusal
 from bamboovale.metrics import Metrics
@@ -46,6 +46,7 @@
         self.run_endings: list[Any] = []
         self.released = 0
         self.targets: list[str] = []
+        self.engines: tuple[str, ...] = ()
 
     # The desk.
 
@@ -55,9 +56,11 @@
     def crashed_endpoints(self, fingerprint: str) -> frozenset[str]:
         return frozenset()
 
-    def choose_engine(self, item: Any, base_model: str, excluded: Any) -> str:
+    def choose_engine(self, item: Any, base_model: str, excluded: Any) -> str | None:
         self.targets.append(item.target.lora_name)
-        return "g1"
+        if not self.engines:
+            return "g1"
+        return next((name for name in self.engines if name not in excluded), None)
 
     def may_repeat(self) -> bool:
         return True
@@ -254,3 +257,24 @@
         world.played.permit_answers = [refusal, refusal, grant]
         world.played.run_endings = [DONE]
         assert world.answer().status == 200
+
+    def test_an_engine_without_holder_is_asked_again(self) -> None:
+        """The adapter was loaded, and its requests were refused for a moment.
+
+        In a log outage one engine cannot load it. The other one has it loaded, but its
+        lease has just moved, so that nobody answers for it in the first round.
+        """
+        world = World()
+        world.played.engines = ("g1", "g2")
+        refusal = Refusal(ErrorCode.LOG_UNAVAILABLE, "not loaded", not_run=True)
+        nobody = TryElsewhere("the engine has no lease holder")
+        world.played.permit_answers = [refusal, nobody, refusal, grant]
+        world.played.run_endings = [DONE]
+        assert world.answer().status == 200
+
+    def test_it_is_refused_at_once_if_every_engine_cannot_load_it(self) -> None:
+        world = World()
+        world.played.engines = ("g1", "g2")
+        refusal = Refusal(ErrorCode.LOG_UNAVAILABLE, "not loaded", not_run=True)
+        world.played.permit_answers = [refusal, refusal]
+        assert world.answer().ending.code == ErrorCode.LOG_UNAVAILABLE.value
