Follow the settings file while a process runs; tell load every 0.38 s at 75 VMs

SIGHUP was logged and nothing else: changed bounds or another address of the store were met only at the next start. The file is read on SIGHUP and every 2 s; the last good settings stay when it is malformed; a VM's own names and addresses last its life.

--- a/bamboovale/cli/gateway.py
+++ b/bamboovale/cli/gateway.py
@@ -55,10 +55,16 @@
     if check:
         typer.echo(f"{node_file}: settings of {checked.ok_value.name} are valid")
         return
-    raise typer.Exit(asyncio.run(_run(checked.ok_value, peer_key, metrics_port)))
+    status = asyncio.run(_run(checked.ok_value, node_file, peer_key, metrics_port))
+    raise typer.Exit(status)
 
 
-async def _run(node: "object", peer_key: str, metrics_port: int) -> ExitStatus:
+async def _run(
+    node: "object",
+    node_file: Path,
+    peer_key: str,
+    metrics_port: int,
+) -> ExitStatus:
     # Imported late: the other commands start without the server's libraries.
     from bamboovale.gateway.journal import Journal, configure_journal
     from bamboovale.gateway.vm import GatewayVM
@@ -75,6 +81,7 @@
         journal,
         peer_key,
         metrics_port,
+        lambda: NodeSettings.from_file(node_file),
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, vm.stop)
--- a/bamboovale/decisions/retry_share.py
+++ b/bamboovale/decisions/retry_share.py
@@ -38,6 +38,10 @@
         self._repeats_at: deque[float] = deque()
         self.fleet_size = 1
 
+    def set_config(self, config: RetryShareConfig) -> None:
+        """Go by another bound from now on; what was counted stays."""
+        self._config = config
+
     def on_fresh(self, now: float) -> None:
         """Count a caller's request."""
         self._fresh_at.append(now)
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -19,8 +19,10 @@
 """Between two words on how busy an owner's engines are. Entry VMs choose by it: told
 every 0.3 s only, they send a slot's worth of loads too many to the same engine (in
 virtual time at 170 requests a second 0.73 in time, at 0.1 s 0.85)."""
-LOADS_SENT_PER_S = 80.0
-"""Most that one owner sends: larger fleets are told less often."""
+LOADS_SENT_PER_S = 200.0
+"""Most that one owner sends: larger fleets are told less often, 75 VMs every 0.38 s. In
+virtual time at 460 requests a second over 45 engines 0.98 in time every 0.3 s against
+0.96 every 0.94 s, and the slowest three in a hundred 0.6 s against 1.1 s."""
 MISSED_STATUSES = 3.0
 """Statuses in a row after which a VM counts as silent; links drop none but broken."""
 SLACK_S = 0.2
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -22,6 +22,7 @@
 from bamboovale.gateway.plain_calls import PlainCalls
 from bamboovale.gateway.ports import Ports
 from bamboovale.gateway.records import Records
+from bamboovale.gateway.settings_watch import ReadSettings, SettingsWatch
 from bamboovale.gateway.store import StoreError
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
@@ -51,6 +52,7 @@
         journal: Journal,
         peer_key: str,
         metrics_port: int,
+        read_settings: ReadSettings,
     ) -> None:
         self.state = VMState(translation.node, journal)
         self._translation = translation
@@ -58,6 +60,11 @@
         self._rng = random.Random()
         self._stop_event = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
+        self.settings_watch = SettingsWatch(
+            self.state,
+            read_settings,
+            self._on_settings,
+        )
         self._build_clients(peer_key)
         self._build_parts()
         self.ports = Ports(self.state, translation, metrics, self.dump, metrics_port)
@@ -233,6 +240,7 @@
             self.records.operator.follow(),
             self.records.endpoints.follow(),
             self.state.endpoints.watch_lapsed(),
+            self.settings_watch.watch(),
             self._ownership.keep(),
             self.peering.register(),
             self.peering.tell_forever(),
@@ -252,10 +260,18 @@
             await owner.look()
 
     def reload(self) -> None:
-        """Note that the settings file changed; its addresses last a process's life."""
-        table = self.state.table
-        version = table.version if table is not None else None
+        """Look at the settings file now."""
+        version = self.state.table.version if self.state.table is not None else None
         self.state.journal.write("reload", config=version)
+        self.settings_watch.look()
+
+    def _on_settings(self, before: Any, after: Any) -> None:
+        """Use changed settings; what is under way keeps what it began with."""
+        self._translation.node = after
+        if after.store != before.store:
+            self._store_pool.close()
+        if after.bounds != before.bounds:
+            self.state.set_retry_bounds()
 
     async def _drain(self) -> None:
         """Stop without cutting anything off: unlisted first, then nothing new."""
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -67,13 +67,20 @@
         """Return our share of a service's retry budget."""
         share = self.share_by_service.get(service)
         if share is None:
-            bounds = self.node.bounds
-            config = RetryShareConfig(
-                ratio=bounds.retry_ratio,
-                burst=bounds.retry_burst,
-                window_s=bounds.retry_window_s,
-            )
-            share = RetryShare.from_config(config)
+            share = RetryShare.from_config(self._retry_bounds())
             share.fleet_size = self.fleet.size(self.now())
             self.share_by_service[service] = share
         return share
+
+    def set_retry_bounds(self) -> None:
+        """Let every service's share go by the settings as they are now."""
+        for share in self.share_by_service.values():
+            share.set_config(self._retry_bounds())
+
+    def _retry_bounds(self) -> RetryShareConfig:
+        bounds = self.node.bounds
+        return RetryShareConfig(
+            ratio=bounds.retry_ratio,
+            burst=bounds.retry_burst,
+            window_s=bounds.retry_window_s,
+        )
--- a/bamboovale/platform/store.py
+++ b/bamboovale/platform/store.py
@@ -27,16 +27,18 @@
 
 
 class StoreClient:
-    """Calls the store; every method raises StoreError."""
+    """Calls the store; every method raises StoreError.
+
+    ``address`` is asked before each call: the settings may change.
+    """
 
     def __init__(
         self,
-        address: tuple[str, int],
+        address: Callable[[], tuple[str, int]],
         pool: ConnectionPool,
         on_call: Callable[[str], None] = lambda name: None,
     ) -> None:
         self._address = address
-        self._host = f"{address[0]}:{address[1]}"
         self._pool = pool
         self._on_call = on_call
 
@@ -162,12 +164,14 @@
         target: str,
         body: bytes,
     ) -> tuple[int, bytes]:
-        headers: Headers = [(b"host", self._host.encode())]
+        address = self._address()
+        host = f"{address[0]}:{address[1]}"
+        headers: Headers = [(b"host", host.encode())]
         if method == "POST":
             headers.append((b"content-type", b"application/json"))
             headers.append((b"content-length", str(len(body)).encode()))
         request = h11.Request(method=method, target=target, headers=headers)
-        connection = await self._pool.take(STORE_ID, self._address)
+        connection = await self._pool.take(STORE_ID, address)
         try:
             connection.send(request, body)
             head = await connection.head()
--- a/bamboovale/platform/translation.py
+++ b/bamboovale/platform/translation.py
@@ -44,7 +44,7 @@
         on_call: Callable[[str], None],
     ) -> MetadataStore:
         """Return the client of the metadata store."""
-        return StoreClient(self.node.store, pool, on_call)
+        return StoreClient(lambda: self.node.store, pool, on_call)
 
     def decode_operator_record(
         self,
