Expect the adapter's version also where an engine is sent to without its owner

The engine's owner had told that version 2 was coming and was stopped; a VM that knew version 2 went straight to the engine, named no version, and the engine ran what it had. The VM now expects the version it knows, so that the engine refuses, and counts only what is loaded, not what is coming, as held without an owner. The test on the stand-ins fails before.

The soak itself: one lane's restart of a VM excludes the other's, ends asked for are waited for, and a process that is stopped before it says that it started may end by the signal (its log is empty: it had no request).

--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -86,8 +86,15 @@
             return False
         if key is None:
             return True
-        loaded = self.outlook.loaded.get(key, 0)
-        return max(loaded, self.outlook.coming.get(key, 0)) >= version
+        if self.has_loaded(key, version):
+            return True
+        return self.outlook.coming.get(key, 0) >= version
+
+    def has_loaded(self, key: AdapterKey | None, version: int) -> bool:
+        """Tell whether the adapter is loaded in this version, not only expected."""
+        if self.outlook is None:
+            return False
+        return key is None or self.outlook.loaded.get(key, 0) >= version
 
 
 class HeldLately:
@@ -150,7 +157,7 @@
         open_views = {
             name: view
             for name, view in view_by_id.items()
-            if name not in excluded and (view.owner or view.holds(key, version))
+            if name not in excluded and (view.owner or view.has_loaded(key, version))
         }
         if not open_views:
             return None
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -303,7 +303,7 @@
                 call.facts,
                 endpoint_id=record.endpoint_id,
                 left_s=call.left_s(self._now()),
-                version=place.version if place else None,
+                version=place.version if place else self._least_version(work),
                 urgency=min(URGENCY_LAST, URGENCY_BASE + call.route.priority),
                 resume_after=progress.events.last_id,
             )
@@ -318,6 +318,17 @@
             else:
                 await self._pass_events(call, attempt, place, progress)
 
+    def _least_version(self, work: ModelWork) -> int | None:
+        """Return the version to expect at an engine that is sent to without an owner.
+
+        Guards against an old version: what its last owner told may not have come
+        about, and an engine that is told no version runs what it has. It refuses the
+        request instead, and another engine is tried.
+        """
+        if work.adapter is None:
+            return None
+        return self._version_of(work.model, work.adapter)
+
     async def _pass_whole(
         self,
         call: Call,
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -1,6 +1,7 @@
 """What a soak must hold, from what callers got and what endpoints ran."""
 
 import re
+import signal
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -151,6 +152,8 @@
             continue
         if life.stopped_at is None:
             yield Violation("lives", life.vm, f"ended by itself, {life.exit_code}")
+        elif not life.began and life.exit_code == -signal.SIGTERM:
+            continue  # stopped before it could take a request or a signal
         elif life.exit_code != 0:
             yield Violation("planned stop", life.vm, f"exit code {life.exit_code}")
         elif life.ended_at - life.stopped_at > GRACE_S + STOP_SLACK_S:
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -72,20 +72,23 @@
 
     async def _kill(self) -> None:
         vm = self._vm()
-        async with self._span("killed", vm.name):
+        async with vm.lock, self._span("killed", vm.name):
             await vm.kill()
             await asyncio.sleep(self._rng.random())
-            await self._start(vm)
+            await vm.start()
 
     async def _stop(self) -> None:
-        vm = self._vm()
-        await vm.stop()
-        await self._start(vm)
+        await self._replace(self._vm())
 
     async def _stop_all_in_turn(self) -> None:
         for vm in list(self._site.vms):
+            await self._replace(vm)
+
+    async def _replace(self, vm: VMProcess) -> None:
+        """Stop as planned and start anew; the lock keeps lanes from starting two."""
+        async with vm.lock:
             await vm.stop()
-            await self._start(vm)
+            await vm.start()
 
     async def _pause(self) -> None:
         vm = self._vm()
@@ -94,10 +97,6 @@
             await self._last()
             vm.signal(signal.SIGCONT)
 
-    async def _start(self, vm: VMProcess) -> None:
-        if not vm.is_running:
-            await vm.start()
-
     # The store.
 
     async def _store_misbehaves(self) -> None:
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -27,10 +27,14 @@
 
 @dataclass
 class Life:
-    """One process of an entry VM; times on the monotonic clock, None: not yet."""
+    """One process of an entry VM; times on the monotonic clock, None: not yet.
+
+    ``began`` tells whether it got as far as to say that it had started.
+    """
 
     vm: str
     started_at: float
+    began: bool = False
     stopped_at: float | None = None
     killed_at: float | None = None
     ended_at: float | None = None
@@ -47,6 +51,7 @@
     directory: Path
     process: asyncio.subprocess.Process | None = None
     lives: list[Life] = field(default_factory=list)
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     @property
     def callers(self) -> tuple[str, int]:
@@ -63,7 +68,7 @@
         """Start a process on the VM's settings."""
         file = self.directory / f"{self.name}.toml"
         file.write_text(to_toml(self.document))
-        log = (self.directory / f"{self.name}-{len(self.lives)}.log").open("wb")
+        log = self._log_of(len(self.lives)).open("wb")
         program = [sys.executable, "-m", "bamboovale", "gateway"]
         options = [f"--node-file={file}", "--metrics-port=0", f"--peer-key={PEER_KEY}"]
         with log:
@@ -120,6 +125,11 @@
         life = self.lives[-1]
         if life.ended_at is None:
             life.ended_at, life.exit_code = time.monotonic(), code
+            log = self._log_of(len(self.lives) - 1).read_bytes()
+            life.began = b'"event":"started"' in log
+
+    def _log_of(self, number: int) -> Path:
+        return self.directory / f"{self.name}-{number}.log"
 
 
 @dataclass
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -309,6 +309,53 @@
 
         run(test())
 
+    def test_without_an_owner_no_old_version_runs(self) -> None:
+        """A parent gets a summary from the adapter that was replaced seconds ago.
+
+        The owner of an engine has told that the new version is coming, and dies before
+        the engine has it. Another VM goes straight to that engine, which still holds
+        the old version. Found by the soak, seed 2.
+        """
+
+        async def test() -> None:
+            async with running_site(vms=2, load_s=30.0) as site:
+                runner = site.runners[0]
+                runner.hold("a1")
+                owner = site.owned()["runner-0"]
+                other = next(item for item in site.vms if item is not owner)
+                await owner.vm.look_at_engines()
+                await site.store.put(
+                    "keyed.op",
+                    f"version/{MODEL}.a1",
+                    {"model": MODEL, "adapter": "a1", "version": 2},
+                )
+                asking = asyncio.ensure_future(
+                    call(owner.address, "/chat/1", adapter="a1", deadline_ms=900)
+                )
+                await eventually(lambda: _coming(other) == {(MODEL, "a1"): 2})
+                site.store.faults.mode = "silent"
+                owner.task.cancel()
+                await owner.vm.close()
+                site.vms.remove(owner)
+                await asking
+                runner._loading.clear()
+                await asyncio.sleep(1.3)
+                answer = await call(
+                    other.address, "/chat/2", adapter="a1", deadline_ms=1000
+                )
+                site.store.faults.mode = "ok"
+                assert answer.status == 503
+                assert [run.version for run in runner.runs] == []
+
+        run(test())
+
+
+def _coming(vm: RunningVM) -> dict:
+    """Return the adapters that the VM believes to be on their way to the engine."""
+    owned = vm.vm.state.fleet.engine("runner-0")
+    told = owned.status.coming if owned is not None else ()
+    return {(model, adapter): version for model, adapter, version in told}
+
 
 class TestRouting:
     """Hosts and paths."""
