--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: install test codestyle format typecheck binary demo demo-binary fuzz guards
+.PHONY: install test codestyle format typecheck binary demo demo-binary fuzz soak guards
 .PHONY: measure-recovery bench bench-cost bench-virtual capacity
 
 install: $(STAMP)
@@ -39,6 +39,10 @@
 fuzz: install
 	$(PYTHON) -m bench.fuzz --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
 
+# Real processes of the routed interface under faults from outside.
+soak: install
+	$(PYTHON) -m bench.soak --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
+
 guards: install
 	$(PYTHON) -m bench.guards $(PROMISES)
 
--- a/bench/soak_proxy.py
+++ b/bench/soak_proxy.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import contextlib
+import socket
 from dataclasses import dataclass
 
+from bamboovale.standins.relay import RESET_ON_CLOSE
+
 HOLD_LOOK_S = 0.02
 CHUNK_BYTES = 65536
 
@@ -46,7 +49,7 @@
     def reset(self) -> None:
         """Reset every open connection; new ones are taken."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            _reset(writer)
 
     async def _accept(
         self,
@@ -54,12 +57,12 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         if self.faults.refuse:
-            writer.transport.abort()
+            _reset(writer)
             return
         try:
             far_reader, far_writer = await asyncio.open_connection(*self._target)
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         ends = {writer, far_writer}
         self._writers |= ends
@@ -101,3 +104,12 @@
     def _holds(self, *, answers: bool) -> bool:
         faults = self.faults
         return faults.hold_answers if answers else faults.hold_requests
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection by a reset instead of a proper end."""
+    end = writer.get_extra_info("socket")
+    if end is not None:
+        with contextlib.suppress(OSError):
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,164 @@
+"""The soak of the routed interface: its checks, and short runs with fixed seeds."""
+
+import asyncio
+import signal
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from bamboovale.standins.platform_endpoints import Run
+from bench.soak import SoakConfig, describe, run_soak
+from bench.soak_callers import Attempt, Kind
+from bench.soak_checks import Evidence, FaultSpan, find_violations
+from bench.soak_proxy import Proxy
+from bench.soak_site import GRACE_S, Life, to_toml
+
+EVENTS = b"".join(f"id: {n}\ndata: a1@1\n\n".encode() for n in range(1, 6))
+STREAM = Attempt("r1", Kind.CHAT, "vm", "a1", 10.0, 10.5, 200, True, EVENTS)
+CALL = Attempt("r2", Kind.BOOK, "vm", None, 10.0, 10.1, 200, True, b"app-1 r2")
+RUNS = (Run("r1", "/chat/x", b"", []), Run("r2", "/book/x", b"", []))
+STOPPED = Life("vm", 0.0, True, 10.2, None, 12.0, 0)
+
+
+def promises(
+    *attempts: Attempt,
+    runs: tuple[Run, ...] = RUNS,
+    lives: tuple[Life, ...] = (),
+    faults: tuple[FaultSpan, ...] = (),
+    **fields: Any,
+) -> list[str]:
+    """Return the names of the promises that the evidence breaks."""
+    evidence = Evidence(attempts, runs, lives, faults, **fields)
+    return [violation.promise for violation in find_violations(evidence)]
+
+
+class TestChecks:
+    """Each check finds the fault that is planted for it, and nothing in a good run."""
+
+    def test_a_good_run_breaks_nothing(self) -> None:
+        assert promises(STREAM, CALL, lives=(STOPPED,)) == []
+
+    def test_a_booking_that_ran_twice(self) -> None:
+        assert promises(CALL, runs=(*RUNS, RUNS[1])) == ["at most once"]
+
+    def test_a_refusal_of_what_ran(self) -> None:
+        refused = replace(CALL, status=503, body=b"")
+        assert promises(refused) == ["not run is true"]
+
+    def test_an_answer_to_another_request(self) -> None:
+        assert promises(replace(CALL, body=b"app-1 r9")) == ["own whole answer"]
+
+    def test_a_stream_that_looks_complete_without_its_last_event(self) -> None:
+        cut = replace(STREAM, body=EVENTS[: EVENTS.rindex(b"id:")])
+        assert promises(cut) == ["own whole answer"]
+
+    def test_an_event_that_came_twice(self) -> None:
+        doubled = replace(STREAM, body=EVENTS + EVENTS[EVENTS.rindex(b"id:") :])
+        assert promises(doubled) == ["own whole answer"]
+
+    def test_another_adapter(self) -> None:
+        other = replace(STREAM, adapter="a2")
+        assert promises(other) == ["right adapter"]
+
+    def test_an_old_version(self) -> None:
+        acks = {"a1": [(4.0, 2)]}
+        assert promises(STREAM, version_acks=acks) == ["right version"]
+
+    def test_an_old_version_within_the_time_allowed_is_no_fault(self) -> None:
+        assert promises(STREAM, version_acks={"a1": [(6.0, 2)]}) == []
+
+    def test_an_old_version_while_the_store_was_down_is_no_fault(self) -> None:
+        down = FaultSpan("store busy", "store", 4.5, 5.0)
+        acks = {"a1": [(4.0, 2)]}
+        assert promises(STREAM, version_acks=acks, faults=(down,)) == []
+
+    def test_an_engine_ordered_past_its_slots(self) -> None:
+        assert promises(CALL, overfilled=("runner-1",)) == ["slots"]
+
+    def test_a_process_that_ends_by_itself(self) -> None:
+        ended = replace(STOPPED, stopped_at=None, exit_code=1)
+        assert promises(CALL, lives=(ended,)) == ["lives"]
+
+    def test_a_stop_that_fails(self) -> None:
+        failed = replace(STOPPED, exit_code=1)
+        assert promises(CALL, lives=(failed,)) == ["planned stop"]
+
+    def test_a_process_that_drops_its_work_at_the_signal(self) -> None:
+        dropped = replace(STOPPED, exit_code=-signal.SIGTERM)
+        assert promises(CALL, lives=(dropped,)) == ["planned stop"]
+        assert promises(CALL, lives=(replace(dropped, began=False),)) == []
+
+    def test_a_stop_that_takes_too_long(self) -> None:
+        slow = replace(STOPPED, ended_at=STOPPED.stopped_at + GRACE_S + 1.0)
+        assert promises(CALL, lives=(slow,)) == ["planned stop"]
+
+    def test_an_answer_cut_by_a_planned_stop(self) -> None:
+        cut = replace(STREAM, whole=False, body=EVENTS[:20])
+        assert promises(cut, lives=(STOPPED,)) == ["planned stop"]
+        crash = FaultSpan("runner crashes", "runner-1", 10.3, 10.4)
+        assert promises(cut, lives=(STOPPED,), faults=(crash,)) == []
+
+
+class TestProxy:
+    """The proxy does what its faults say."""
+
+    def test_it_holds_back_delays_and_resets(self) -> None:
+        async def test() -> None:
+            async def echo(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                while data := await reader.read(100):
+                    writer.write(data)
+
+            server = await asyncio.start_server(echo, "127.0.0.1", 0)
+            proxy = Proxy(server.sockets[0].getsockname()[:2])
+            await proxy.start()
+            reader, writer = await asyncio.open_connection(*proxy.address)
+            writer.write(b"one")
+            assert await reader.read(3) == b"one"
+            proxy.faults.hold_answers = True
+            writer.write(b"two")
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(reader.read(3), 0.2)
+            proxy.faults.hold_answers = False
+            assert await asyncio.wait_for(reader.read(3), 1.0) == b"two"
+            proxy.reset()
+            with pytest.raises(ConnectionError):
+                assert await reader.read(1)
+                raise AssertionError("the connection is open")
+            proxy.close()
+            server.close()
+
+        asyncio.run(test())
+
+
+class TestSettingsFile:
+    """The soak writes what the platform would."""
+
+    def test_tables_and_values(self) -> None:
+        text = to_toml({"name": "vm", "ports": [1, 2], "bounds": {"fenced": True}})
+        assert text == 'name = "vm"\nports = [1, 2]\n[bounds]\nfenced = true\n'
+
+
+class TestSoak:
+    """Real processes under faults, short enough for every run of the tests.
+
+    Seed 2 found an old version that ran where an engine had lost its owner, and a
+    process that was stopped while it started.
+    """
+
+    @pytest.mark.parametrize(
+        "seed",
+        [
+            pytest.param(seed, marks=pytest.mark.xdist_group(f"soak-{seed}"))
+            for seed in (1, 2)
+        ],
+    )
+    def test_no_promise_is_broken(self, seed: int, tmp_path: Path) -> None:
+        config = SoakConfig(seconds=12.0, seed=seed, callers=8)
+        soak, found = asyncio.run(run_soak(config, tmp_path))
+        assert not found, describe(soak, found)
+        assert sum(a.status == 200 for a in soak.attempts) > 50
+        assert len(soak.faults) >= 3
