--- a/bamboovale/cli/main.py
+++ b/bamboovale/cli/main.py
@@ -3,7 +3,14 @@
 import typer
 
 from bamboovale import __version__
-from bamboovale.cli import catalogue, entry, gateway, settings_table, standin
+from bamboovale.cli import (
+    catalogue,
+    entry,
+    gateway,
+    report,
+    settings_table,
+    standin,
+)
 
 app = typer.Typer(
     name="bamboovale",
@@ -24,6 +31,7 @@
 
 app.command("entry")(entry.entry)
 app.command("gateway")(gateway.gateway)
+app.command("report")(report.report)
 app.command("check-settings")(entry.check_settings)
 app.command("state")(entry.state)
 app.command("settings-table")(settings_table.settings_table)
--- /dev/null
+++ b/bamboovale/cli/report.py
@@ -0,0 +1,40 @@
+"""``bamboovale report``: how requests fared, from the log lines of entry VMs."""
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from bamboovale.status import ExitStatus
+
+
+def report(
+    files: Annotated[
+        list[Path] | None,
+        typer.Argument(help="Logs of entry VMs; standard input if none is named."),
+    ] = None,
+    goal: Annotated[
+        float,
+        typer.Option(min=0.001, help="Seconds to the first event of a good stream."),
+    ] = 1.0,
+) -> None:
+    """Print outcomes, waits, reasons and how full engines were."""
+    # Imported late: the other commands start without it.
+    from bamboovale.report.lines import read_lines
+    from bamboovale.report.tables import render
+
+    try:
+        typer.echo(render(read_lines(_texts(files or [])), goal))
+    except OSError as error:
+        typer.echo(f"{error.filename}: {error.strerror}", err=True)
+        raise typer.Exit(ExitStatus.USAGE) from error
+
+
+def _texts(files: list[Path]) -> Iterator[str]:
+    if not files:
+        yield from sys.stdin
+    for file in files:
+        with file.open(errors="replace") as lines:
+            yield from lines
--- /dev/null
+++ b/tests/test_report.py
@@ -0,0 +1,91 @@
+"""The report on requests, from log lines as entry VMs write them."""
+
+import json
+from pathlib import Path
+
+from typer.testing import CliRunner
+
+from bamboovale.cli.main import app
+from bamboovale.report.lines import read_lines
+from bamboovale.report.tables import render
+
+
+def request(**fields: object) -> str:
+    """Return the line of one request, with the VM's name and time before it."""
+    values = {
+        "event": "request",
+        "vm": "entry-1",
+        "at": 12.5,
+        "id": "r",
+        "outcome": "answered",
+        "kind": "stream",
+        "total_s": 1.5,
+        "asks": [{"engine": "e1", "owner": "entry-2", "s": 0.5, "version": 1}],
+        "attempts": [{"endpoint": "e1", "s": 1.0}],
+        "first_s": 0.7,
+    }
+    return " 12.5 entry-1 " + json.dumps(values | fields)
+
+
+ENGINE = json.dumps(
+    {
+        "event": "engine",
+        "at": 12.0,
+        "engine": "e1",
+        "active": 20,
+        "queued": 3,
+        "pinned": 9,
+        "slots": 18,
+        "loading": 1,
+    }
+)
+
+
+class TestLines:
+    """Reading log lines."""
+
+    def test_waits_for_several_places_add_up(self) -> None:
+        asks = [{"engine": "e1", "s": 0.5}, {"engine": "e2", "s": 0.25}]
+        [line] = read_lines([request(asks=asks)]).requests
+        assert (line.place_s, line.first_s) == (0.75, 0.7)
+
+    def test_what_is_no_log_line_is_counted(self) -> None:
+        texts = ["Traceback", "{broken", "[1]", '{"event": "request"}', request()]
+        lines = read_lines(texts)
+        assert (len(lines.requests), lines.skipped) == (1, 4)
+
+
+class TestReport:
+    """What the report says."""
+
+    def test_late_streams_are_put_down_to_their_wait(self) -> None:
+        slow = request(asks=[{"engine": "e1", "s": 1.0}], first_s=1.2)
+        text = render(read_lines([request(), request(), slow, ENGINE]), 1.0)
+        assert "2 of 3 streams within 1.0 s" in text
+        assert "of 1 late ones 1 waited over half of it for a place" in text
+        assert text.endswith("0.50          ##########..........")
+
+    def test_reasons_are_listed_most_often_first(self) -> None:
+        refused = request(outcome="refused", reason="no place: late", first_s=None)
+        failed = request(outcome="failed", reason="stream cut", first_s=None)
+        text = render(read_lines([failed, refused, refused]), 1.0)
+        assert text.index("no place: late") < text.index("stream cut")
+
+    def test_nothing_read_gives_an_empty_table(self) -> None:
+        assert render(read_lines([]), 1.0).startswith("kind")
+
+
+class TestCommand:
+    """``bamboovale report``."""
+
+    def test_it_reads_files(self, tmp_path: Path) -> None:
+        log = tmp_path / "entry-1.log"
+        log.write_text(request() + "\n" + ENGINE + "\n")
+        result = CliRunner().invoke(app, ["report", str(log), "--goal", "0.5"])
+        assert result.exit_code == 0
+        assert "0 of 1 streams within 0.5 s" in result.output
+
+    def test_a_missing_file_is_an_error(self, tmp_path: Path) -> None:
+        result = CliRunner().invoke(app, ["report", str(tmp_path / "none")])
+        assert result.exit_code == 2
+        assert "No such file" in result.output
