--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -40,6 +40,8 @@
 REPORT_LOADING_S = 0.06
 """Between reports while a load is about to end: requests wait for it."""
 FAILED_PAUSE_S = 0.25
+"""After a report that failed: an engine that restarts is back within seconds, and each
+try is a priced call."""
 CONFLICT_PAUSE_S = 0.12
 """An engine's report lags by some 100 ms: read sooner after a conflict, it would name
 the order number that has just been refused."""
@@ -47,6 +49,8 @@
 """An order without an answer is given again at once: both expect the same number of
 orders before them, so that the engine carries out one of them at most."""
 LOG_S = 1.0
+"""Between two lines on how full an engine is: one engine's lines are a hundredth of the
+lines on its requests at 100 requests a second."""
 READY_SLACK_S = 0.002
 """Timers may fire a little early against the clock."""
 TICK_S = 0.1
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -26,6 +26,7 @@
 MISSED_STATUSES = 3.0
 """Statuses in a row after which a VM counts as silent; links drop none but broken."""
 SLACK_S = 0.2
+"""Added to these: a status that crosses a slow link or waits for a busy loop."""
 OWNER_CANDIDATES = 24
 """VMs of a large fleet that may own engines: twice the partitions, so that partitions
 find a new owner when several VMs end at once. Each that takes part renews its
--- a/bamboovale/gateway/followers.py
+++ b/bamboovale/gateway/followers.py
@@ -14,6 +14,8 @@
 )
 
 NEWS_LOOK_S = 0.2
+"""Between two looks whether other readers' news has become too old: a sixth of the time
+after which it has."""
 RETRY_S = 0.5
 """Between tries while the store fails; a call is priced, an outage lasts seconds."""
 RETURN_S = 2.5
--- a/bamboovale/gateway/front.py
+++ b/bamboovale/gateway/front.py
@@ -14,6 +14,8 @@
 from bamboovale.metrics import Metrics
 
 NOT_READY_RETRY_S = 1.0
+"""A VM knows its configuration 0.02 s after its start and all endpoints some seconds
+later; other VMs may serve at once."""
 SUSPECT_RETRY_S = 30.0
 """A request that crashes endpoints will do so again; nobody should try it soon."""
 DEFAULT_WAIT_S = 60.0
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -27,10 +27,12 @@
 """Callers abandon a stream after the longest of these: seconds, times the goal, times
 the longest good pause between events (the platform's pages)."""
 NO_ENGINE_RETRY_S = 0.5
+"""An engine whose owner died gets another within about two seconds, most sooner."""
 OWNER_WAIT_S = 0.35
 OWNER_LOOK_S = 0.04
 """A VM hears of an engine's new owner within an interval of statuses, 0.3 s."""
 REFUSED_RETRY_S = 0.3
+"""About a load, after which another engine may have the adapter."""
 URGENCY_BASE = 4
 """Urgency of the most urgent routes; the engine's own default is one below."""
 URGENCY_LAST = 9
--- a/bamboovale/gateway/ownership.py
+++ b/bamboovale/gateway/ownership.py
@@ -20,6 +20,7 @@
 renewals. Shorter loses engines to a slow store, longer leaves them without loads."""
 RENEW_S = 0.6
 RETRY_S = 0.3
+"""After a failed renewal: half the usual time, so that one lost call ends no lease."""
 TOKENS_PER_GENERATION = 1 << 24
 VMS_PER_STEP = 1 << 14
 """A fencing number has three parts: the store's generation, a step within it for owners
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -44,8 +44,13 @@
 REGISTRATION_ALONE_S = 1.0
 """The same while nobody is heard, or after a failure."""
 TABLE_TIMEOUT_S = 1.0
+"""A peer answers from memory; past this the next status names whom to ask."""
 LAG_WARNING_S = 0.5
+"""Lateness of the event loop that is logged: half of the time after which peers take a
+VM for silent."""
 ISOLATION_LOOK_S = 0.5
+"""Between two looks whether most peers are silent: a third of the time that this must
+last."""
 ISOLATED_AFTER_S = 1.5
 """Beside two intervals of statuses: by then peers that start together have heard of
 one another."""
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -17,7 +17,9 @@
 """Of the time left, after which a safe call is tried elsewhere: an endpoint that hangs
 must leave time for the other one."""
 FIRST_TRY_LEAST_S = 0.15
+"""Below this a usual answer, of some 50 ms with its queue, would be taken for none."""
 MOST_TRIES = 3
+"""Endpoints tried for one call, refusals included; services have three and more."""
 SERVER_ERROR = 500
 
 
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -17,10 +17,13 @@
 CONFIG_PAUSE_S = 0.02
 """Between two reads of the operator's topic, when changes come in quick series."""
 ENDPOINTS_WAIT_S = 1.0
+"""How long a read of the endpoints' topic waits for a change: less than a heartbeat, so
+that silence tells of a store that does not answer."""
 ENDPOINTS_PAUSE_S = 0.6
 """Between reads of the endpoints' topic, which changes with every heartbeat. A leaving
 endpoint must get no new work two seconds after it said so."""
 ALL_READ_UP_TO = 12
+"""VMs up to which each reads for itself: 9 make some 900 priced calls a minute."""
 READERS = 4
 """VMs that read the endpoints' topic in a fleet of more than twelve; 75 that all read
 made 8,262 calls in a day of 56 s, 0.13 of its worth."""
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -40,6 +40,8 @@
 """Beside an interval of statuses: by then every live VM has heard of an engine's new
 owner and told it which runs are under way there."""
 LINKS_CLOSE_S = 0.2
+"""A peer that does not answer the end of its link is not waited for longer: closing is
+the last step before the process ends, and nothing depends on it."""
 
 
 class GatewayVM:
