Learn how many adapters an engine keeps in its own memory

Owners took the last 100 adapters that an engine had held for loadable in 0.06 s; that engine keeps none, so that each such load was used too early and cost a repeat.

A request that came too early lowers the number towards the adapter's place in the order of use, a load that a report shows within 0.25 s raises it; entry VMs are told it and prefer only engines that should still keep the adapter.

The soak also lets endpoints leave as planned and checks that they get nothing new.

--- a/bamboovale/decisions/adapter_slots.py
+++ b/bamboovale/decisions/adapter_slots.py
@@ -26,8 +26,14 @@
 WARM_LOAD_S = 0.06
 """An adapter that the engine held recently comes from its own memory, ten times as
 fast as from the weight store."""
-HELD_KEPT = 100
-"""Adapters that an engine is taken to keep in its own memory, the latest ones."""
+QUICK_LOAD_S = 0.25
+"""A load that a report shows so soon came from the engine's own memory: twice the time
+of such a load and the report's delay."""
+HELD_GUESS = 100
+"""Adapters that an engine is taken to keep in its own memory, the latest ones, until
+loads have shown better; engines of four deployments keep 41 to 120."""
+HELD_MOST = 256
+"""Adapters whose order of use is remembered; more than any engine is known to keep."""
 EARLY_PENALTY_S = 0.1
 """Added to the expected load time after a request came too early."""
 LOAD_LOST_S = 1.5
@@ -62,6 +68,8 @@
     demand: float = 0.0
     used_at: float = 0.0
     ready_at: float | None = None
+    uses_since: int | None = None
+    warm: bool = False
     confirmed: bool = True
     aborted_at: dict[str, float] = field(default_factory=dict)
 
@@ -106,6 +114,7 @@
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.load_s = MovingAverage(LOAD_GUESS_S)
+        self.held_kept = HELD_GUESS
         self._slot_by_key: dict[AdapterKey, Slot] = {}
         self._newest_by_key: dict[AdapterKey, Newest] = {}
         self._unloaded_at: dict[AdapterKey, float] = {}
@@ -241,11 +250,13 @@
             return
         slot.changed_at = now
         # A replacement waits for runs: only a report tells when it is complete.
+        slot.uses_since = self._uses_since(key)
+        slot.warm = slot.uses_since is not None and slot.uses_since < self.held_kept
         if not slot.active:
-            slot.ready_at = now + self._expected_load_s(key)
+            slot.ready_at = now + self._expected_load_s(warm=slot.warm)
         self._held[key] = None
         self._held.move_to_end(key)
-        if len(self._held) > HELD_KEPT:
+        if len(self._held) > HELD_MOST:
             self._held.popitem(last=False)
 
     def unload_accepted(self, key: AdapterKey, now: float, *, at_once: bool) -> None:
@@ -286,12 +297,23 @@
         if slot.confirmed and not not_held:
             return
         if not slot.confirmed:
-            self.load_s.add(self.load_s.value + EARLY_PENALTY_S)
+            self._note_early(slot)
         slot.state = SlotState.LOADING
         slot.ready_at = None
         slot.changed_at = now
         slot.confirmed = False
 
+    def _note_early(self, slot: Slot) -> None:
+        """Learn from a request that came before its load was complete.
+
+        An adapter that should have been in the engine's memory was not: the engine
+        keeps fewer. Taken for kept all the same, every load of it would cost a repeat.
+        """
+        if slot.warm and slot.uses_since is not None:
+            self.held_kept = (self.held_kept + 3 * slot.uses_since) // 4
+        else:
+            self.load_s.add(self.load_s.value + EARLY_PENALTY_S)
+
     def note_ready(self, now: float) -> None:
         """Take loads for complete once their expected time is over."""
         for slot in self._slot_by_key.values():
@@ -301,10 +323,15 @@
                 slot.state = SlotState.LOADED
                 slot.confirmed = False
 
-    def _expected_load_s(self, key: AdapterKey) -> float:
-        if key in self._held:
-            return WARM_LOAD_S
-        return max(WARM_LOAD_S, self.load_s.value - REPORT_DELAY_S) + READY_MARGIN_S
+    def _expected_load_s(self, *, warm: bool) -> float:
+        cold_s = max(WARM_LOAD_S, self.load_s.value - REPORT_DELAY_S) + READY_MARGIN_S
+        return WARM_LOAD_S if warm else cold_s
+
+    def _uses_since(self, key: AdapterKey) -> int | None:
+        """Return how many other adapters were loaded since this one; None: unknown."""
+        if key not in self._held:
+            return None
+        return next(n for n, held in enumerate(reversed(self._held)) if held == key)
 
     # Reports against belief.
 
@@ -340,8 +367,10 @@
 
     def _confirm(self, slot: Slot, version: int, now: float) -> None:
         took_s = now - slot.changed_at
-        if took_s > 2 * WARM_LOAD_S + REPORT_DELAY_S:
+        if took_s > QUICK_LOAD_S:
             self.load_s.add(took_s)
+        elif slot.uses_since is not None:
+            self.held_kept = max(self.held_kept, slot.uses_since + 1)
         slot.version = version
         slot.state = SlotState.LOADED
         slot.confirmed = True
--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -42,8 +42,6 @@
 """An engine nobody has told about is used when all others are busy."""
 SPREAD_S = 0.3
 """An engine is passed over for a load if it is busier than the least busy by this."""
-HELD_KEPT = 100
-"""Adapters that an engine is taken to keep in its own memory, the latest ones."""
 
 
 @dataclass(frozen=True)
@@ -117,9 +115,10 @@
             del self._seen_by_engine[engine_id]
         for engine_id, view in view_by_id.items():
             if view.outlook is not None:
-                self._see_engine(engine_id, view.outlook.loaded)
+                self._see_engine(engine_id, view.outlook)
 
-    def _see_engine(self, engine_id: str, loaded: dict[AdapterKey, int]) -> None:
+    def _see_engine(self, engine_id: str, outlook: EngineOutlook) -> None:
+        loaded = outlook.loaded
         if loaded is self._seen_by_engine.get(engine_id):
             return  # the same word of its owner as before
         self._seen_by_engine[engine_id] = loaded
@@ -127,7 +126,7 @@
         for key, version in loaded.items():
             held[key] = version
             held.move_to_end(key)
-        while len(held) > HELD_KEPT:
+        while len(held) > outlook.kept:
             held.popitem(last=False)
 
     def holders(self, key: AdapterKey, version: int) -> set[str]:
--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -228,6 +228,7 @@
             queued=len(self._queue),
             backlog_s=self._backlog_s(now),
             open_slots=self._open_slots(),
+            kept=self.slots.held_kept,
         )
 
     def summary(self, now: float) -> dict[str, Any]:
@@ -243,6 +244,7 @@
             "backlog_s": round(self._backlog_s(now), 2),
             "late_s": round(self._busyness.late_s(now), 3),
             "load_s": round(self.slots.load_s.value, 3),
+            "kept": self.slots.held_kept,
             "may_order": self.may_order,
             "order_open": self._order_open,
         }
--- a/bamboovale/decisions/place_work.py
+++ b/bamboovale/decisions/place_work.py
@@ -125,7 +125,10 @@
     """What entry VMs choose an engine by.
 
     ``backlog_s`` is the time that prompts already sent keep the engine reading, or by
-    which its first events come late.
+    which its first events come late. ``open_slots`` are the slots that one more adapter
+    could have now, less the adapters that wait for one: negative while there are more
+    of these. ``kept`` is how many adapters, the latest ones, the engine is taken to
+    keep in its own memory.
     """
 
     loaded: dict[AdapterKey, int]
@@ -136,3 +139,4 @@
     queued: int
     backlog_s: float
     open_slots: int
+    kept: int
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -200,6 +200,7 @@
             queued=outlook.queued,
             backlog_s=round(outlook.backlog_s, 3),
             open_slots=outlook.open_slots,
+            kept=outlook.kept,
             answers=self.answers,
         )
 
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -281,6 +281,7 @@
             queued=status.queued,
             backlog_s=status.backlog_s,
             open_slots=status.open_slots,
+            kept=status.kept,
         )
 
     def _view(self, record: EndpointRecord) -> EngineView:
@@ -326,4 +327,5 @@
         queued=0,
         backlog_s=0.0,
         open_slots=0,
+        kept=0,
     )
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -106,6 +106,7 @@
     queued: int
     backlog_s: float
     open_slots: int
+    kept: int
     answers: bool = True
 
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -85,6 +85,12 @@
             faults=list(self.faults),
             overfilled=[r.endpoint_id for r in site.runners if r.overfilled],
             version_acks=site.version_acks,
+            leaving_at=site.leaving_at,
+            runs_by_leaving={
+                endpoint.endpoint_id: endpoint.runs
+                for endpoint in endpoints
+                if endpoint.endpoint_id in site.leaving_at
+            },
         )
 
     def _callers(self) -> list[Caller]:
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -15,6 +15,9 @@
 VERSION_S = 5.0
 """From the store's acknowledgement of a version to its last older run, as settings say;
 only while the store answers everybody."""
+LEAVING_S = 2.0
+"""From the store's acknowledgement that an endpoint leaves to the last request that
+begins there, as settings say; only while nothing disturbs the store or a VM."""
 STOP_SLACK_S = 0.5
 EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
 
@@ -48,7 +51,7 @@
 
 @dataclass
 class Evidence:
-    """Everything that was seen."""
+    """Everything that was seen; ``leaving_at``: when endpoints said that they leave."""
 
     attempts: Sequence[Attempt]
     runs: Sequence[Run]
@@ -58,6 +61,8 @@
     version_acks: Mapping[str, Sequence[tuple[float, int]]] = field(
         default_factory=dict
     )
+    leaving_at: Mapping[str, float] = field(default_factory=dict)
+    runs_by_leaving: Mapping[str, Sequence[Run]] = field(default_factory=dict)
 
 
 def find_violations(evidence: Evidence) -> list[Violation]:
@@ -73,6 +78,7 @@
         found += _own_whole_answer(attempt)
         found += _right_adapter(attempt, evidence)
     found += _never_overfilled(evidence.overfilled)
+    found += _nothing_new_to_what_leaves(evidence)
     found += _planned_stops(evidence)
     return found
 
@@ -146,6 +152,19 @@
         yield Violation("slots", name, "ordered past its adapter slots")
 
 
+def _nothing_new_to_what_leaves(evidence: Evidence) -> Iterator[Violation]:
+    """Find runs that began too long after their endpoint had said that it leaves."""
+    for endpoint, said_at in evidence.leaving_at.items():
+        for run in evidence.runs_by_leaving.get(endpoint, ()):
+            late_s = run.started_at - said_at
+            disturbed = any(
+                fault.overlaps(said_at, run.started_at) for fault in evidence.faults
+            )
+            if late_s > LEAVING_S and not disturbed:
+                detail = f"run {run.request_id} began {late_s:.1f} s after its word"
+                yield Violation("nothing new to what leaves", endpoint, detail)
+
+
 def _planned_stops(evidence: Evidence) -> Iterator[Violation]:
     for life in evidence.lives:
         if life.ended_at is None or life.killed_at is not None:
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -16,6 +16,9 @@
 
 LONGEST_FAULT_S = 4.0
 LONGEST_PAUSE_S = 1.0
+LEAVES_AFTER_S = 4.0
+"""From an endpoint's word that it leaves to its end: twice the time allowed for new
+requests, so that late ones are seen."""
 
 Strike = Callable[[], Awaitable[None]]
 
@@ -44,6 +47,7 @@
             self._runner_misbehaves,
             self._service_misbehaves,
             self._runner_crashes,
+            self._endpoint_leaves,
             self._operator_changes,
         ]
 
@@ -60,11 +64,20 @@
             vm.store.faults = LinkFaults()
             vm.signal(signal.SIGCONT)
             await vm.finish()
+        await self._replace_leaving()
         for endpoint in [*self._site.runners, *self._site.services]:
             endpoint.faults = EndpointFaults()
             self._site.proxy_by_endpoint[endpoint.endpoint_id].faults = LinkFaults()
         await self._site.wait_until_ready()
 
+    async def _replace_leaving(self) -> None:
+        """Take away what still leaves, as its lane would have."""
+        site = self._site
+        for runner in [r for r in site.runners if r.endpoint_id in site.leaving_at]:
+            await site.replace_runner(runner)
+        for service in [s for s in site.services if s.endpoint_id in site.leaving_at]:
+            await site.replace_service(service)
+
     # Processes.
 
     def _vm(self) -> VMProcess:
@@ -158,6 +171,19 @@
         async with self._span("runner crashes", runner.endpoint_id):
             await self._site.replace_runner(runner)
 
+    async def _endpoint_leaves(self) -> None:
+        """Let an endpoint leave as planned: it says so, serves on, and is replaced."""
+        site = self._site
+        leaving = self._rng.choice([*site.runners, *site.services])
+        if leaving.endpoint_id in site.leaving_at:
+            return
+        await site.say_leaving(leaving)
+        await asyncio.sleep(LEAVES_AFTER_S)
+        if leaving in site.runners:
+            await site.replace_runner(leaving)
+        elif leaving in site.services:
+            await site.replace_service(leaving)
+
     # The operator.
 
     async def _operator_changes(self) -> None:
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -145,6 +145,7 @@
     proxy_by_endpoint: dict[str, Proxy] = field(default_factory=dict)
     config_version: int = 1
     version_acks: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
+    leaving_at: dict[str, float] = field(default_factory=dict)
     _numbers: Any = field(default_factory=itertools.count)
 
     @property
@@ -188,6 +189,20 @@
         await runner.unregister()
         await self.add_runner()
 
+    async def say_leaving(self, endpoint: PlatformEndpoint) -> None:
+        """Let an endpoint say that it leaves; it serves on for a while."""
+        await endpoint.register("draining")
+        self.leaving_at[endpoint.endpoint_id] = time.monotonic()
+
+    async def replace_service(self, service: PlatformEndpoint) -> None:
+        """Take a plain endpoint away; another comes under another id."""
+        self.services.remove(service)
+        self.gone.append(service)
+        await service.unregister()
+        self.proxy_by_endpoint[service.endpoint_id].close()
+        service.crash()
+        await self.add_service()
+
     async def name_version(self, adapter: str, version: int) -> None:
         """Name a new version of an adapter."""
         record = {"model": MODEL, "adapter": adapter, "version": version}
--- a/tests/test_decisions_engine_choice.py
+++ b/tests/test_decisions_engine_choice.py
@@ -19,6 +19,7 @@
         "queued": 0,
         "backlog_s": 0.0,
         "open_slots": 0,
+        "kept": 100,
     }
     return EngineView(name, EngineOutlook(**(values | fields)), owner)
 
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -132,6 +132,46 @@
         [grant] = engine.decide(0.36)
         assert isinstance(grant, Grant)
 
+    def test_an_engine_that_keeps_no_adapters_is_found_out(self) -> None:
+        """At an engine that keeps few evicted adapters every second load fails.
+
+        Its owner takes an adapter that it held before for quickly loaded, and sends the
+        request after 0.06 s; the engine fetches it anew and refuses the request, which
+        costs a repeat each time, and is refused once the budget of repeats is used up.
+        """
+        engine = places(slots=1)
+        early = 0
+        now = 0.0
+        load(engine, "a1", now)
+        for number in range(12):
+            adapter = "a2" if number % 2 == 0 else "a1"
+            now += 5.0
+            early += self._load_again(engine, f"r{number}", adapter, now)
+        assert early <= 4
+
+    def _load_again(
+        self,
+        engine: EnginePlaces,
+        name: str,
+        adapter: str,
+        now: float,
+    ) -> bool:
+        """Load an adapter in 0.25 s; True if its request was sent before that."""
+        [unload] = engine.on_ask(ask(name, adapter, now), now)
+        [order] = engine.on_order_done(unload, now, at_once=True)
+        assert isinstance(order, OrderLoad)
+        engine.on_order_done(order, now, at_once=False)
+        sent_at = now
+        while not any(isinstance(a, Grant) for a in engine.decide(sent_at)):
+            sent_at += 0.01
+        early = sent_at - now < 0.25
+        if early:
+            engine.on_refused_run(name, sent_at, not_held=True)
+        else:
+            engine.on_release(name, now + 1.0)
+        engine.on_facts(facts(now + 1.0, **{adapter: 1}), now + 1.0)
+        return early
+
     def test_a_request_that_came_before_its_load_was_complete_waits_for_a_report(
         self,
     ) -> None:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -143,7 +143,8 @@
 def status(name: str, fence: int, *engines: str, serving: bool = True) -> GatewayStatus:
     """Return what a peer tells."""
     owned = tuple(
-        EngineStatus(engine, fence, (), (), (), 0, 8, 0, 0.0, 2) for engine in engines
+        EngineStatus(engine, fence, (), (), (), 0, 8, 0, 0.0, 2, 100)
+        for engine in engines
     )
     return GatewayStatus(name, "127.0.0.1", 1, 2, "a", serving, 1, True, owned)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -77,6 +77,13 @@
     def test_an_engine_ordered_past_its_slots(self) -> None:
         assert promises(CALL, overfilled=("runner-1",)) == ["slots"]
 
+    def test_a_run_on_an_endpoint_that_leaves(self) -> None:
+        run = Run("r2", "/book/x", b"", [], started_at=12.5)
+        fields = {"leaving_at": {"app-1": 10.0}, "runs_by_leaving": {"app-1": (run,)}}
+        assert promises(CALL, **fields) == ["nothing new to what leaves"]
+        down = FaultSpan("store busy", "store", 10.5, 11.0)
+        assert promises(CALL, faults=(down,), **fields) == []
+
     def test_a_process_that_ends_by_itself(self) -> None:
         ended = replace(STOPPED, stopped_at=None, exit_code=1)
         assert promises(CALL, lives=(ended,)) == ["lives"]
