--- a/bamboovale/leases/keeper.py
+++ b/bamboovale/leases/keeper.py
@@ -16,6 +16,7 @@
     Moved,
     Renewed,
 )
+from bamboovale.leases.hand_over import HandOvers
 from bamboovale.leases.holding import HeldLease, OwnLeases
 from bamboovale.leases.messages import (
     LEASE_STREAM,
@@ -40,13 +41,6 @@
 TAKE_AGAIN_S = 2.0
 """A take whose outcome was not read back by then is repeated."""
 
-SETTLED_S = 3.0
-"""A preferred holder must have been preferred for this long before a hand-over:
-a VM that comes and goes does not move leases."""
-
-HAND_OVER_EVERY_S = 0.5
-"""Hand-overs one by one: each costs its engine a moment without loads."""
-
 MAX_RENEWALS_UNDER_WAY = 2
 """While the log hangs, further renewals would only queue up behind each other and be
 too old to count when it is back."""
@@ -97,12 +91,10 @@
         self._assignment = LeaseAssignment()
         self._first_seen_at: dict[str, float] = {}
         self._take_sent_at: dict[str, float] = {}
-        self._preferred_since: dict[str, tuple[str, float]] = {}
+        self._hand_overs = HandOvers(settings.id)
         self._next_renewal_at = 0.0
         self._renewals_under_way = 0
-        self._next_hand_over_at = 0.0
         self._next_snapshot_at = 0.0
-        self._release_unknown_by_engine: dict[str, HeldLease] = {}
         self._handing_over = False
         self.handle(LeaseBatchRead, self._on_batch)
         self.handle(Tick, self._on_tick)
@@ -115,8 +107,7 @@
 
     def _on_batch(self, message: LeaseBatchRead) -> None:
         batch = message.batch
-        # The log answers: what became of a release is read from it.
-        self._release_unknown_by_engine.clear()
+        self._hand_overs.on_log_read()
         if self._table is None:
             self._begin(batch, message.read_at)
         else:
@@ -263,7 +254,7 @@
             return
         for engine in self._wanted():
             self._take_if_due(engine, now)
-        if now >= self._next_hand_over_at and self._health.reachable:
+        if self._health.reachable:
             self._hand_over_one(now)
         if WEIGHT_STORE in self._own.held_by_engine and now >= self._next_snapshot_at:
             self._next_snapshot_at = now + SNAPSHOT_EVERY_S
@@ -354,20 +345,16 @@
 
     def _hand_over_one(self, now: float) -> None:
         """Move one lease to the VM that ranks first for it."""
-        for engine in self._own.held_by_engine:
-            ranking = self._ranking(engine)
-            preferred = ranking[0] if ranking else self._environment.settings.id
-            before, since = self._preferred_since.get(engine, ("", now))
-            if before != preferred:
-                self._preferred_since[engine] = (preferred, now)
-                continue
-            incarnation = self._views.incarnation_by_vm.get(preferred)
-            if preferred == self._environment.settings.id or incarnation is None:
-                continue
-            if now - since >= SETTLED_S:
-                self._next_hand_over_at = now + HAND_OVER_EVERY_S
-                self._release(engine, node_name(preferred, incarnation))
-                return
+        incarnation_by_vm = self._views.incarnation_by_vm
+        move = self._hand_overs.next(
+            self._own.held_by_engine,
+            self._ranking,
+            incarnation_by_vm,
+            now,
+        )
+        if move is not None:
+            engine, vm_id = move
+            self._release(engine, node_name(vm_id, incarnation_by_vm[vm_id]))
 
     def _on_hand_over_all(self, _: HandOverAll) -> None:
         self._handing_over = True
@@ -420,7 +407,7 @@
         if message.refused:
             self._take_back(held)
         else:
-            self._release_unknown_by_engine[held.engine] = held
+            self._hand_overs.on_unknown(held)
 
     def _take_back_lost_releases(self) -> None:
         """Hold engines on whose release is lost, once the log is down for everybody.
@@ -428,11 +415,9 @@
         Had the release reached the log before, its new holder would have told a later
         fencing number by now; no VM can read it any more.
         """
-        if not self._views.log_down_for_all:
-            return
-        for held in self._release_unknown_by_engine.values():
-            self._take_back(held)
-        self._release_unknown_by_engine.clear()
+        if self._views.log_down_for_all:
+            for held in self._hand_overs.take_unknown():
+                self._take_back(held)
 
     def _take_back(self, held: HeldLease) -> None:
         known = self._views.lease_by_engine.get(held.engine)
