--- a/bamboovale/decisions/adapter_slots.py
+++ b/bamboovale/decisions/adapter_slots.py
@@ -59,7 +59,12 @@
 
 @dataclass
 class Slot:
-    """One adapter at the engine."""
+    """One adapter at the engine.
+
+    ``uses_since`` is how many other adapters were loaded there since this one was, when
+    its load began; None if it never was. ``warm`` tells that it should come from the
+    engine's own memory. ``confirmed`` is False while no report has shown it loaded.
+    """
 
     version: int
     state: SlotState
@@ -249,9 +254,9 @@
         if slot is None or slot.state is not SlotState.LOADING:
             return
         slot.changed_at = now
-        # A replacement waits for runs: only a report tells when it is complete.
         slot.uses_since = self._uses_since(key)
         slot.warm = slot.uses_since is not None and slot.uses_since < self.held_kept
+        # A replacement waits for runs: only a report tells when it is complete.
         if not slot.active:
             slot.ready_at = now + self._expected_load_s(warm=slot.warm)
         self._held[key] = None
