--- a/bamboovale/decisions/order_patience.py
+++ b/bamboovale/decisions/order_patience.py
@@ -1,9 +1,9 @@
 """How long an engine's answer to an order is awaited before the order is given again.
 
-Load pattern: some engines leave orders without an answer, three in ten for a while. An
+Load pattern: some engines leave orders without an answer, one in four for a while. An
 engine takes one order after another, so everything that needs a load there waits for
 the answer that does not come: at 0.2 s for each lost one, engines with free slots had
-queues of ten and served at a third of their pace. Given again with the same expected
+queues of 4 to 12. Given again with the same expected
 number an order is carried out once at most, so that an early repeat costs a call.
 
 Without it either a lost answer stops an engine for long, or a slow VM or link repeats
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -30,8 +30,8 @@
 OWNER_CANDIDATES = 24
 """VMs of a large fleet that may own engines: twice the partitions, so that partitions
 find a new owner when several VMs end at once. Each that takes part renews its
-membership in the store, and every renewal is a priced call: 75 VMs made about 750
-calls' worth a minute."""
+membership in the store, and every renewal is priced as a tenth of a call: 75 VMs make
+750 calls' worth a minute, by their interval."""
 
 
 @dataclass(frozen=True)
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -40,7 +40,7 @@
 that could not reach us."""
 REGISTRATION_LARGE_S = 30.0
 """The same in a fleet of more than twelve, where a newcomer reaches some VM that others
-hear: 75 VMs that looked every 5 s made 900 calls a minute, 0.014 of a day's worth."""
+hear: 75 VMs that look every 5 s make 900 calls a minute, by their interval."""
 REGISTRATION_ALONE_S = 1.0
 """The same while nobody is heard, or after a failure."""
 TABLE_TIMEOUT_S = 1.0
