Keep endpoints by their start; decode records of others strictly

Cause: an endpoint may start again under its id, and records may come from other writers. Everything was kept by the registered id, so that slots, order number, connections, lateness and crashes of the old process counted for the new one; fields were coerced. Ruled out: following the start in each table by itself, which leaves every new table to be remembered. One id a start holds for all of them; ownership and fencing numbers go by the registered id, which the store's partitions are dealt by.

--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -21,7 +21,7 @@
         request: Request,
         facts: CallFacts,
         *,
-        endpoint_id: str,
+        registered_id: str,
         left_s: float,
         version: int | None = None,
         urgency: int | None = None,
--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -21,6 +21,9 @@
 class EndpointView:
     """All records by id and by service; tells listeners of each change.
 
+    An endpoint may start again under the id that it had. Its new start is another
+    endpoint here: the one before is gone, with everything that was kept of it.
+
     While the store is away, and until a moment after its return, nobody is taken for
     gone because a record is missing: records lapse meanwhile and come back.
     """
@@ -33,6 +36,7 @@
         self._journal = journal
         self._now = now
         self._record_by_id: dict[str, EndpointRecord] = {}
+        self._id_by_registration: dict[str, str] = {}
         self._lapsed: set[str] = set()
         self._listeners: list[Callable[[EndpointChange], None]] = []
         self._store_away_until = 0.0
@@ -44,7 +48,7 @@
 
     @property
     def record_by_id(self) -> Mapping[str, EndpointRecord]:
-        """Return every record."""
+        """Return every record, one start of each endpoint."""
         return self._record_by_id
 
     def ready(self, service: str) -> list[EndpointRecord]:
@@ -55,36 +59,60 @@
             if record.service == service and record.ready
         ]
 
-    def on_record(self, endpoint_id: str, record: EndpointRecord | None) -> bool:
-        """Take a record, or (None) its removal; False if it is only a heartbeat."""
+    def on_record(self, registered_id: str, record: EndpointRecord | None) -> bool:
+        """Take a record, or (None) its removal; False if it changes nothing."""
         if record is None:
-            self._lapse(endpoint_id)
+            self._lapse(registered_id)
             return True
-        returned = endpoint_id in self._lapsed
-        self._lapsed.discard(endpoint_id)
-        before = self._record_by_id.get(endpoint_id)
-        self._record_by_id[endpoint_id] = record
+        before = self._current(registered_id)
+        if before is not None and record.is_start_before(before):
+            self._journal.write(
+                "earlier_start",
+                endpoint=record.endpoint_id,
+                known=before.endpoint_id,
+            )
+            return False
+        returned = registered_id in self._lapsed
+        self._lapsed.discard(registered_id)
+        if before is not None and before.endpoint_id != record.endpoint_id:
+            self._drop(registered_id)
+            before = None
+        self._record_by_id[record.endpoint_id] = record
+        self._id_by_registration[registered_id] = record.endpoint_id
         if before is not None and replace(before, models=record.models) == record:
             # Adapters come and go with every heartbeat; their owners tell of them.
             return returned
-        if before is None or before.ready != record.ready:
-            self._journal.write(
-                "endpoint",
-                endpoint=endpoint_id,
-                service=record.service,
-                address=f"{record.address[0]}:{record.address[1]}",
-                failure_domain=record.failure_domain,
-                ready=record.ready,
-                remaining_s=record.remaining_s,
-            )
-        self._tell(EndpointChange(endpoint_id, record, bool(before and before.ready)))
+        self._note_change(before, record)
         return True
 
+    def on_unreadable_record(self, registered_id: str, finding: str) -> bool:
+        """Take a record that names no endpoint to use; False if nothing changes.
+
+        Guards against work for an endpoint whose record somebody else has overwritten:
+        what we knew may no longer hold. It gets no new work until it registers again,
+        with its next heartbeat; what runs there goes on.
+        """
+        self._journal.write("bad_record", key=registered_id, error=finding)
+        known = self._current(registered_id)
+        if known is None or not known.ready:
+            return False
+        return self.on_record(registered_id, replace(known, ready=False))
+
+    def on_start_seen(self, record: EndpointRecord, born_ms: int) -> None:
+        """Take an endpoint's own word that it has started since it registered.
+
+        It holds nothing; its record says so with the next heartbeat.
+        """
+        known = self._current(record.registered_id)
+        if known is not None:
+            fresh = replace(known, born_ms=born_ms, models=())
+            self.on_record(record.registered_id, fresh)
+
     def on_snapshot(self, present: set[str]) -> None:
         """Drop what a full read no longer holds."""
-        for endpoint_id in list(self._record_by_id):
-            if endpoint_id not in present:
-                self._lapse(endpoint_id)
+        for registered_id in list(self._id_by_registration):
+            if registered_id not in present:
+                self._lapse(registered_id)
 
     def on_progress(self, reachable: bool) -> None:
         """Note whether the store answers."""
@@ -102,22 +130,45 @@
         """Drop records whose time to come back is over."""
         if not self._reachable or self._now() < self._store_away_until:
             return
-        for endpoint_id in self._lapsed:
-            self._drop(endpoint_id)
+        for registered_id in self._lapsed:
+            self._drop(registered_id)
         self._lapsed.clear()
 
-    def _lapse(self, endpoint_id: str) -> None:
-        if endpoint_id not in self._record_by_id:
+    def _current(self, registered_id: str) -> EndpointRecord | None:
+        endpoint_id = self._id_by_registration.get(registered_id)
+        return None if endpoint_id is None else self._record_by_id[endpoint_id]
+
+    def _note_change(
+        self,
+        before: EndpointRecord | None,
+        record: EndpointRecord,
+    ) -> None:
+        if before is None or before.ready != record.ready:
+            self._journal.write(
+                "endpoint",
+                endpoint=record.endpoint_id,
+                service=record.service,
+                address=f"{record.address[0]}:{record.address[1]}",
+                failure_domain=record.failure_domain,
+                ready=record.ready,
+                remaining_s=record.remaining_s,
+            )
+        was_ready = before is not None and before.ready
+        self._tell(EndpointChange(record.endpoint_id, record, was_ready))
+
+    def _lapse(self, registered_id: str) -> None:
+        if registered_id not in self._id_by_registration:
             return
         if self._reachable and self._now() >= self._store_away_until:
-            self._drop(endpoint_id)
+            self._drop(registered_id)
         else:
-            self._lapsed.add(endpoint_id)
+            self._lapsed.add(registered_id)
 
-    def _drop(self, endpoint_id: str) -> None:
-        record = self._record_by_id.pop(endpoint_id, None)
-        if record is None:
+    def _drop(self, registered_id: str) -> None:
+        endpoint_id = self._id_by_registration.pop(registered_id, None)
+        if endpoint_id is None:
             return
+        record = self._record_by_id.pop(endpoint_id)
         self._journal.write("endpoint_gone", endpoint=endpoint_id)
         self._tell(EndpointChange(endpoint_id, None, record.ready))
 
--- a/bamboovale/gateway/engine_assignment.py
+++ b/bamboovale/gateway/engine_assignment.py
@@ -4,6 +4,7 @@
 from bamboovale.decisions.rendezvous import score
 from bamboovale.gateway.engine_owner import EngineOwner, OwnerContext
 from bamboovale.gateway.engines import Engines
+from bamboovale.gateway.model import EndpointRecord
 from bamboovale.gateway.ownership import Ownership
 from bamboovale.gateway.vm_state import VMState
 
@@ -63,7 +64,7 @@
         wanted = {}
         for record in self._state.model_engines():
             pool = self._state.table.service_by_name[record.service].engines
-            if pool is not None and self._ownership.holds(record.endpoint_id):
+            if pool is not None and self._ownership.holds(record.registered_id):
                 wanted[record.endpoint_id] = EngineCapacity(
                     places=pool.slots,
                     kv_tokens=pool.kv_tokens,
@@ -71,11 +72,11 @@
                 )
         return wanted
 
-    def on_fenced(self, engine_id: str, token: int) -> None:
+    def on_fenced(self, record: EndpointRecord, token: int) -> None:
         """Take an engine's word that another VM used a higher fencing number."""
-        owned = self._state.fleet.engine(engine_id)
+        owned = self._state.fleet.engine(record.endpoint_id)
         seen = owned.status.fence if owned is not None else 0
-        self._ownership.on_fenced(engine_id, max(seen, token))
+        self._ownership.on_fenced(record.registered_id, max(seen, token))
 
     def stand_in_for_lost_owners(self) -> bool:
         """Own engines whose owner is gone while no VM reaches the store; True if any.
@@ -92,13 +93,16 @@
         changed = False
         for record in self._state.model_engines():
             engine_id = record.endpoint_id
-            if self._ownership.holds(engine_id) or self._engines.owner_name(engine_id):
+            registered_id = record.registered_id
+            if self._ownership.holds(registered_id) or self._engines.owner_name(
+                engine_id
+            ):
                 continue
             first = max(candidates, key=lambda vm_id: score(engine_id, vm_id))
             if first == self._state.node.name:
                 owned = self._state.fleet.engine(engine_id)
-                granted = self._ownership.fence(engine_id)
+                granted = self._ownership.fence(registered_id)
                 above = max(granted, owned.status.fence if owned is not None else 0)
-                self._ownership.stand_in(engine_id, above)
+                self._ownership.stand_in(registered_id, above)
                 changed = True
         return changed
--- a/bamboovale/gateway/engine_orders.py
+++ b/bamboovale/gateway/engine_orders.py
@@ -24,7 +24,7 @@
 class EngineCodec(Protocol):
     """Puts reports and orders into the engine's format; raises ValueError kinds."""
 
-    def report_request(self, endpoint_id: str, host: str) -> h11.Request:
+    def report_request(self, registered_id: str, host: str) -> h11.Request:
         """Return the call for a report."""
 
     def decode_report(self, body: bytes) -> EngineReport:
@@ -34,7 +34,7 @@
         self,
         order: EngineOrder,
         *,
-        endpoint_id: str,
+        registered_id: str,
         host: str,
         holder: str,
         fence: int,
@@ -75,7 +75,7 @@
 
     async def report(self, record: EndpointRecord) -> EngineReport:
         """Return the engine's report; raises EngineCallFailed."""
-        request = self._codec.report_request(record.endpoint_id, _host(record))
+        request = self._codec.report_request(record.registered_id, _host(record))
         status, body = await self._exchange(record, request, b"", REPORT_TIMEOUT_S)
         self._on_call("report", str(status))
         if status != 200:
@@ -100,7 +100,7 @@
         """
         request, body = self._codec.order_request(
             order,
-            endpoint_id=record.endpoint_id,
+            registered_id=record.registered_id,
             host=_host(record),
             holder=self._holder,
             fence=fence,
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -65,7 +65,8 @@
 
     ``fence`` is the fencing number of an engine's orders; ``on_fenced`` is told which
     number the engine refused. ``hold_off_s`` is how long a new owner evicts nothing,
-    until it has heard which runs are under way.
+    until it has heard which runs are under way. ``on_start_seen`` is told when the
+    engine says that it started later than its record tells.
     """
 
     calls: EngineCalls
@@ -73,7 +74,8 @@
     now: Callable[[], float]
     may_order: Callable[[str], bool]
     fence: Callable[[str], int]
-    on_fenced: Callable[[str, int], None]
+    on_fenced: Callable[[EndpointRecord, int], None]
+    on_start_seen: Callable[[EndpointRecord, int], None]
     hold_off_s: Callable[[], float]
 
 
@@ -324,7 +326,7 @@
             return
         if outcome is OrderOutcome.FENCED:
             self._fenced_at = fence
-            self._context.on_fenced(self.record.endpoint_id, fence)
+            self._context.on_fenced(self.record, fence)
         if outcome is OrderOutcome.GONE:
             self._engine_lost()
         self._orders_seen = None
@@ -335,13 +337,13 @@
         self.places.on_order_failed(action, certain=certain)
 
     def _fence(self) -> int:
-        return self._context.fence(self.record.endpoint_id)
+        return self._context.fence(self.record.registered_id)
 
     def _allowed(self, fence: int) -> bool:
         """Tell whether an order may go out now, looked at just before it does."""
         if self._fenced_at is not None and fence <= self._fenced_at:
             return False
-        return self._context.may_order(self.record.endpoint_id)
+        return self._context.may_order(self.record.registered_id)
 
     # Reports.
 
@@ -379,6 +381,8 @@
             if error.unreachable:
                 self._engine_lost()
             return False
+        if not self._is_same_start(report):
+            return False
         self.answers = True
         if self._orders_seen is None or report.orders > self._orders_seen:
             self._orders_seen = report.orders
@@ -387,6 +391,25 @@
         self._carry_out(self.places.on_facts(facts_of(report, asked_at), now))
         return True
 
+    def _is_same_start(self, report: EngineReport) -> bool:
+        """Tell whether the start that we own gave the report.
+
+        Guards against an engine that came back under its id before its record changed:
+        it holds nothing and counts orders anew. Taken for the same, its owner would
+        send runs to adapters that are gone and order by a number of before.
+        """
+        born_ms = report.born_ms
+        if born_ms is None or born_ms == self.record.born_ms:
+            return True
+        self._context.journal.write(
+            "report_of_another_start",
+            engine=self.record.endpoint_id,
+            born_ms=born_ms,
+        )
+        if born_ms > (self.record.born_ms or 0):
+            self._context.on_start_seen(self.record, born_ms)
+        return False
+
     async def _tell_forever(self) -> None:
         """Log how full the engine is, for reading back why a request waited."""
         while True:
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -303,7 +303,7 @@
             request = self._codec.encode_call(
                 call.request,
                 call.facts,
-                endpoint_id=record.endpoint_id,
+                registered_id=record.registered_id,
                 left_s=call.left_s(self._now()),
                 version=place.version if place else self._least_version(work),
                 urgency=min(URGENCY_LAST, URGENCY_BASE + call.route.priority),
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -25,7 +25,7 @@
 from bamboovale.gateway.model import RoutingTable
 from bamboovale.gateway.ownership import GROUP, Ownership
 from bamboovale.gateway.records import ALL_READ_UP_TO, Records
-from bamboovale.gateway.store import MetadataStore, StoreError
+from bamboovale.gateway.store import KeyedRecord, MetadataStore, StoreError
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.peers.links import PeerLinks
@@ -100,15 +100,25 @@
                     registered = True
                 snapshot = await self._store.newest(topic)
                 for record in snapshot.records:
-                    if record.value is not None:
-                        host, port = json.loads(record.value)
-                        self._state.fleet.on_registered(record.key, (host, int(port)))
-            except (StoreError, ValueError) as error:
+                    self._take_registration(record)
+            except StoreError as error:
                 self._state.journal.write("registration_failed", error=str(error))
                 await asyncio.sleep(REGISTRATION_ALONE_S)
                 continue
             await asyncio.sleep(self._registration_pause_s())
 
+    def _take_registration(self, record: KeyedRecord) -> None:
+        """Take another VM's address; one bad record leaves the others in force."""
+        if record.value is None:
+            return
+        try:
+            host, port = json.loads(record.value)
+            address = (str(host), int(port))
+        except (ValueError, TypeError) as error:
+            self._state.journal.write("bad_record", key=record.key, error=str(error))
+            return
+        self._state.fleet.on_registered(record.key, address)
+
     def _registration_pause_s(self) -> float:
         live = self._state.fleet.size(self._state.now())
         if live == 1:
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -145,7 +145,7 @@
             request = self._codec.encode_call(
                 call.request,
                 call.facts,
-                endpoint_id=record.endpoint_id,
+                registered_id=record.registered_id,
                 left_s=call.left_s(self._now()),
             )
             attempt = await self._attempts.begin(
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -117,8 +117,7 @@
             return self._state.endpoints.on_record(record.key, None)
         decoded = self._translation.decode_endpoint_record(record.key, record.value)
         if isinstance(decoded, str):
-            self._state.journal.write("bad_record", key=record.key, error=decoded)
-            return False
+            return self._state.endpoints.on_unreadable_record(record.key, decoded)
         return self._state.endpoints.on_record(record.key, decoded)
 
     def _may_read_endpoints(self, news_age_s: float) -> bool:
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -130,10 +130,8 @@
             now=self.state.now,
             may_order=self._ownership.may_order,
             fence=self._ownership.fence,
-            on_fenced=lambda engine_id, token: self._assignment.on_fenced(
-                engine_id,
-                token,
-            ),
+            on_fenced=lambda record, token: self._assignment.on_fenced(record, token),
+            on_start_seen=self.state.endpoints.on_start_seen,
             hold_off_s=lambda: HOLD_OFF_S + self.state.fleet.interval_s(),
         )
 
--- a/bamboovale/platform/configuration.py
+++ b/bamboovale/platform/configuration.py
@@ -14,6 +14,7 @@
     RoutingTable,
     Service,
 )
+from bamboovale.platform.decoding import BadRecordError, decode
 
 KIND_BY_NAME = {
     "safe": CallKind.SAFE,
@@ -22,10 +23,6 @@
 }
 
 
-class BadRecordError(ValueError):
-    """A record that is malformed; the last good view stays in force."""
-
-
 @dataclass(frozen=True)
 class AdapterVersion:
     """The newest version of an adapter (``adapter`` None: of the model itself)."""
@@ -111,21 +108,16 @@
     )
 
 
-def decode_adapter_version(source: bytes) -> AdapterVersion:
-    """Read the record of a new version; raises BadRecordError."""
-    try:
-        document = json.loads(source)
-        adapter = document.get("adapter")
-        return AdapterVersion(
-            model=str(document["model"]),
-            adapter=_adapter_name(adapter),
-            version=int(document["version"]),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise BadRecordError(f"adapter version: {error!r}") from error
+@dataclass(frozen=True)
+class _VersionEntry:
+    """The record of a new version; ``adapter`` empty for the model itself."""
 
+    model: str
+    version: int
+    adapter: str | None = None
 
-def _adapter_name(value: Any) -> str | None:
-    if value in (None, ""):
-        return None
-    return str(value)
+
+def decode_adapter_version(source: bytes) -> AdapterVersion:
+    """Read the record of a new version; raises BadRecordError."""
+    entry = decode(source, _VersionEntry, "adapter version")
+    return AdapterVersion(entry.model, entry.adapter or None, entry.version)
--- a/bamboovale/platform/endpoints.py
+++ b/bamboovale/platform/endpoints.py
@@ -1,7 +1,8 @@
 """Endpoints' records in the store, and engines' reports and orders."""
 
+import ipaddress
 import json
-from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 import h11
@@ -15,9 +16,12 @@
 )
 from bamboovale.http1.connection import Headers
 from bamboovale.platform import names
-from bamboovale.platform.configuration import BadRecordError
+from bamboovale.platform.decoding import BadRecordError, decode, rename
 from bamboovale.platform.node_file import parse_address
 
+READY = "ready"
+STATES = frozenset({READY, "draining"})
+
 OUTCOME_BY_STATUS = {
     200: OrderOutcome.HOLDS,
     202: OrderOutcome.ACCEPTED,
@@ -29,83 +33,136 @@
 }
 
 
-def decode_endpoint(endpoint_id: str, source: bytes) -> EndpointRecord:
+@dataclass(frozen=True)
+class _ModelEntry:
+    """A loaded base model; ``adapters`` as NAME@VERSION."""
+
+    name: str
+    version: int = 1
+    adapters: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class _EndpointEntry:
+    """An endpoint's record; ``remaining_ms`` only where it leaves at short notice."""
+
+    service: str
+    addr: str
+    zone: str
+    state: str
+    slots: int
+    models: tuple[_ModelEntry, ...] = ()
+    remaining_ms: float | None = None
+    born: int | None = None
+
+
+@dataclass(frozen=True)
+class _ReportEntry:
+    """An engine's report; ``runs`` begin with a request's id, ``seq`` counts orders."""
+
+    models: tuple[_ModelEntry, ...] = ()
+    loading: tuple[str, ...] = ()
+    busy: bool = False
+    seq: int = 0
+    queued: int = 0
+    active: int = 0
+    runs: tuple[list[Any], ...] = ()
+    born: int | None = None
+
+
+rename(_EndpointEntry, remaining_ms="remaining-ms")
+
+
+def decode_endpoint(registered_id: str, source: bytes) -> EndpointRecord:
     """Read an endpoint's record; raises BadRecordError."""
+    what = f"endpoint {registered_id}"
+    entry = decode(source, _EndpointEntry, what)
+    address = _decode_address(entry.addr)
+    if address is None:
+        raise BadRecordError(f"{what}: no address @ $.addr")
+    if entry.state not in STATES:
+        raise BadRecordError(f"{what}: unknown state @ $.state")
+    if not entry.service or entry.slots < 1:
+        raise BadRecordError(f"{what}: no service or no slots")
+    remaining_ms = entry.remaining_ms
+    return EndpointRecord(
+        registered_id=registered_id,
+        service=entry.service,
+        address=address,
+        failure_domain=entry.zone,
+        ready=entry.state == READY,
+        slots=entry.slots,
+        models=_models(entry.models, what),
+        remaining_s=None if remaining_ms is None else remaining_ms / 1000,
+        born_ms=entry.born,
+    )
+
+
+def _decode_address(text: str) -> tuple[str, int] | None:
+    """Return host and port of an IPv4 address with a port; None if it is none."""
     try:
-        document = json.loads(source)
-        address = parse_address(document["addr"])
-        if address is None:
-            raise BadRecordError(f"endpoint {endpoint_id}: address")
-        remaining_ms = document.get("remaining-ms")
-        return EndpointRecord(
-            endpoint_id=endpoint_id,
-            service=str(document["service"]),
-            address=address,
-            failure_domain=str(document.get("zone", "")),
-            ready=document.get("state") == "ready",
-            slots=int(document.get("slots", 1)),
-            models=_models(document.get("models") or []),
-            remaining_s=None if remaining_ms is None else float(remaining_ms) / 1000,
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise BadRecordError(f"endpoint {endpoint_id}: {error!r}") from error
+        address = parse_address(text)
+        if address is None or not 0 < address[1] < 65536:
+            return None
+        ipaddress.IPv4Address(address[0])
+    except ValueError:
+        return None
+    return address
 
 
-def _models(items: list[Mapping[str, Any]]) -> tuple[LoadedModel, ...]:
+def _models(entries: tuple[_ModelEntry, ...], what: str) -> tuple[LoadedModel, ...]:
     return tuple(
         LoadedModel(
-            name=str(item["name"]),
-            version=int(item.get("version", 1)),
-            version_by_adapter=dict(
-                _adapter(text) for text in item.get("adapters") or []
-            ),
+            name=entry.name,
+            version=entry.version,
+            version_by_adapter=dict(_adapter(text, what) for text in entry.adapters),
         )
-        for item in items
+        for entry in entries
     )
 
 
-def _adapter(text: str) -> tuple[str, int]:
+def _adapter(text: str, what: str) -> tuple[str, int]:
     """Split NAME@VERSION."""
     name, _, version = text.partition("@")
+    if not name or (version and not version.isdecimal()):
+        raise BadRecordError(f"{what}: malformed adapter {text!r}")
     return name, int(version or 1)
 
 
 def decode_report(body: bytes) -> EngineReport:
     """Read an engine's report; raises BadRecordError."""
-    try:
-        document = json.loads(body)
-        return EngineReport(
-            models=_models(document.get("models") or []),
-            loading=frozenset(_loading(text) for text in document.get("loading") or []),
-            busy=bool(document.get("busy", False)),
-            orders=int(document.get("seq", 0)),
-            queued=int(document.get("queued", 0)),
-            active=int(document.get("active", 0)),
-            running=frozenset(str(row[0]) for row in document.get("runs") or []),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise BadRecordError(f"report: {error!r}") from error
+    entry = decode(body, _ReportEntry, "report")
+    return EngineReport(
+        models=_models(entry.models, "report"),
+        loading=frozenset(_loading(text) for text in entry.loading),
+        busy=entry.busy,
+        orders=entry.seq,
+        queued=entry.queued,
+        active=entry.active,
+        running=frozenset(str(row[0]) for row in entry.runs if row),
+        born_ms=entry.born,
+    )
 
 
 def _loading(text: str) -> tuple[str, str]:
     """Split MODEL/NAME@VERSION."""
     model, _, rest = text.partition("/")
-    return model, _adapter(rest)[0]
+    return model, _adapter(rest, "report")[0]
 
 
-def report_request(endpoint_id: str, host: str) -> h11.Request:
+def report_request(registered_id: str, host: str) -> h11.Request:
     """Return the call for an engine's report."""
     return h11.Request(
         method="GET",
         target=names.REPORT_PATH,
-        headers=_engine_headers(endpoint_id, host),
+        headers=_engine_headers(registered_id, host),
     )
 
 
 def order_request(
     order: EngineOrder,
     *,
-    endpoint_id: str,
+    registered_id: str,
     host: str,
     holder: str,
     fence: int,
@@ -125,14 +182,14 @@
     if expected_orders is not None:
         document["expect"] = expected_orders
     body = json.dumps(document).encode()
-    headers = _engine_headers(endpoint_id, host)
+    headers = _engine_headers(registered_id, host)
     headers.append((b"content-type", b"application/json"))
     headers.append((names.CONTENT_LENGTH, str(len(body)).encode()))
     return h11.Request(method="POST", target=names.ORDER_PATH, headers=headers), body
 
 
-def _engine_headers(endpoint_id: str, host: str) -> Headers:
+def _engine_headers(registered_id: str, host: str) -> Headers:
     return [
         (b"host", host.encode("latin-1")),
-        (names.EXPECT_INSTANCE, endpoint_id.encode("latin-1")),
+        (names.EXPECT_INSTANCE, registered_id.encode("latin-1")),
     ]
--- a/bamboovale/platform/requests.py
+++ b/bamboovale/platform/requests.py
@@ -89,7 +89,7 @@
     request: Request,
     facts: CallFacts,
     *,
-    endpoint_id: str,
+    registered_id: str,
     left_s: float,
     version: int | None = None,
     urgency: int | None = None,
@@ -98,7 +98,7 @@
     """Return the request for an endpoint; ``left_s`` is what the caller still waits."""
     headers = list(facts.forward)
     headers.append((names.DEADLINE, str(max(1, int(left_s * 1000))).encode()))
-    headers.append((names.EXPECT_INSTANCE, endpoint_id.encode("latin-1")))
+    headers.append((names.EXPECT_INSTANCE, registered_id.encode("latin-1")))
     if version is not None:
         headers.append((names.EXPECT_VERSION, str(version).encode()))
     if urgency is not None:
--- a/bamboovale/platform/translation.py
+++ b/bamboovale/platform/translation.py
@@ -84,7 +84,7 @@
         request: Request,
         facts: CallFacts,
         *,
-        endpoint_id: str,
+        registered_id: str,
         left_s: float,
         version: int | None = None,
         urgency: int | None = None,
@@ -94,7 +94,7 @@
         return requests.encode_call(
             request,
             facts,
-            endpoint_id=endpoint_id,
+            registered_id=registered_id,
             left_s=left_s,
             version=version,
             urgency=urgency,
@@ -113,9 +113,9 @@
         """Return the headers of an answer of our own."""
         return requests.encode_refusal(retry_after_s, request_id)
 
-    def report_request(self, endpoint_id: str, host: str) -> h11.Request:
+    def report_request(self, registered_id: str, host: str) -> h11.Request:
         """Return the call for an engine's report."""
-        return endpoints.report_request(endpoint_id, host)
+        return endpoints.report_request(registered_id, host)
 
     def decode_report(self, body: bytes) -> EngineReport:
         """Read an engine's report."""
@@ -125,7 +125,7 @@
         self,
         order: EngineOrder,
         *,
-        endpoint_id: str,
+        registered_id: str,
         host: str,
         holder: str,
         fence: int,
@@ -134,7 +134,7 @@
         """Return the call that gives an order."""
         return endpoints.order_request(
             order,
-            endpoint_id=endpoint_id,
+            registered_id=registered_id,
             host=host,
             holder=holder,
             fence=fence,
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -70,6 +70,8 @@
         self.runs: list[Run] = []
         self.address = ("", 0)
         self.connections_opened = 0
+        self.refused = 0
+        self.born_ms: int | None = None
         self._store = store
         self._failure_domain = failure_domain
         self._server = Server(self.handle)
@@ -89,6 +91,7 @@
             "state": state,
             "cold-left-ms": 0,
             "seq": 0,
+            **self.born(),
             **self.description(),
             **fields,
         }
@@ -102,6 +105,10 @@
         """End without a word: every connection is reset."""
         self._server.close()
 
+    def born(self) -> dict[str, Any]:
+        """Return when this start began, if the endpoint tells."""
+        return {} if self.born_ms is None else {"born": self.born_ms}
+
     def description(self) -> dict[str, Any]:
         """Return what the record says beside address and state."""
         return {"slots": 6}
@@ -159,6 +166,7 @@
         return expected in (None, self.endpoint_id.encode())
 
     def _refuse(self, request: Request, responder: Responder, status: int) -> None:
+        self.refused += 1
         headers: Headers = [
             (b"x-not-executed", b"1"),
             (b"x-instance-id", self.endpoint_id.encode()),
@@ -221,6 +229,21 @@
         self._model = None
         self.version_by_adapter.clear()
 
+    async def start_again(self, born_ms: int, *, registers: bool = True) -> None:
+        """Crash and come back under the same id and address, without adapters."""
+        self.crash()
+        self._server = Server(self.handle)
+        self.version_by_adapter.clear()
+        self._loading.clear()
+        self._reports.clear()
+        self._fence = 0
+        self._accepted = 0
+        self.born_ms = born_ms
+        host, port = self.address
+        await self._server.listen(host, port)
+        if registers:
+            await self.register("ready")
+
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serve a report, an order or a request."""
         path = request.target.partition("?")[0]
@@ -252,6 +275,7 @@
             "queued": 0,
             "active": sum(self._active_by_adapter.values()),
             "loading": [f"{self._model}/{n}@{v}" for n, v in self._loading.items()],
+            **self.born(),
         }
         self._reports.append((now, current))
         old = [shown for at, shown in self._reports if at <= now - REPORT_LAG_S]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,10 +5,12 @@
 
 from bamboovale.http1.connection import Connection
 from bamboovale.peers.outgoing import PeerUnreachableError
+from bamboovale.standins.platform_endpoints import PlatformRunner
 from tests.gateway_site import (
     HOST,
     MODEL,
     RunningVM,
+    Site,
     call,
     configuration,
     eventually,
@@ -173,6 +175,14 @@
         run(test())
 
 
+def _all_know_start(site: Site, runner: PlatformRunner) -> bool:
+    """Tell whether every VM knows this start of an engine and who owns it."""
+    engine_id = f"{runner.endpoint_id}@{runner.born_ms}"
+    dumps = [item.vm.dump() for item in site.vms]
+    known = all(dump["owner_by_engine"].get(engine_id) for dump in dumps)
+    return known and engine_id in site.owned()
+
+
 class TestModelRequests:
     """Requests for an adapter of a model."""
 
@@ -309,6 +319,50 @@
 
         run(test())
 
+    def test_an_engine_that_comes_back_under_its_id_is_taken_for_empty(self) -> None:
+        """An engine crashes and is back under its id within a moment, with nothing.
+
+        Its owner still believes the adapters of before: requests are sent and refused
+        until the retry budget is used up, and orders name a number that the new
+        process never reached.
+        """
+
+        async def test() -> None:
+            async with running_site(vms=2, config=configuration()) as site:
+                runner = site.runners[0]
+                for born_ms in (1000, 2000):
+                    for vm in site.vms:
+                        answer = await call(vm.address, "/chat/1", adapter="a1")
+                        assert (answer.status, answer.whole) == (200, True)
+                    refused = runner.refused
+                    await runner.start_again(born_ms)
+                    await eventually(lambda: _all_know_start(site, runner))
+                for vm in site.vms:
+                    answer = await call(vm.address, "/chat/1", adapter="a1")
+                    assert (answer.status, answer.whole) == (200, True)
+                assert runner.refused == refused
+
+        run(test())
+
+    def test_an_engine_tells_of_its_new_start_before_its_record_does(self) -> None:
+        """An engine comes back under its id; its record is written seconds later.
+
+        Its reports tell. Without that word its owner orders by the number of the old
+        process and waits for adapters that nobody loads.
+        """
+
+        async def test() -> None:
+            async with running_site() as site:
+                runner = site.runners[0]
+                await call(site.vms[0].address, "/chat/1", adapter="a1")
+                await runner.start_again(1000, registers=False)
+                await eventually(lambda: _all_know_start(site, runner))
+                answer = await call(site.vms[0].address, "/chat/1", adapter="a1")
+                assert (answer.status, answer.whole) == (200, True)
+                assert runner.refused == 0
+
+        run(test())
+
     def test_without_an_owner_no_old_version_runs(self) -> None:
         """A parent gets a summary from the adapter that was replaced seconds ago.
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -1,6 +1,7 @@
 """Parts of the routed interface that need no socket."""
 
 import asyncio
+import contextlib
 import json
 import logging
 import os
@@ -34,8 +35,12 @@
     Snapshot,
     StoreError,
 )
-from bamboovale.platform.configuration import BadRecordError, decode_routing_table
-from bamboovale.platform.endpoints import decode_endpoint
+from bamboovale.platform.configuration import (
+    decode_adapter_version,
+    decode_routing_table,
+)
+from bamboovale.platform.decoding import BadRecordError
+from bamboovale.platform.endpoints import decode_endpoint, decode_report
 from bamboovale.platform.node_file import NodeSettings
 from tests.gateway_site import configuration, node_document, run
 
@@ -97,6 +102,21 @@
         assert many.match("H.EXAMPLE", "/r4999/x") is not None
 
 
+ENDPOINT_RECORD = {
+    "service": "llm",
+    "addr": "10.0.0.1:80",
+    "zone": "a",
+    "state": "ready",
+    "slots": 6,
+    "seq": 1,
+}
+FIELD_NAMES = st.sampled_from([*ENDPOINT_RECORD, "models", "born", "runs", "loading"])
+
+
+def _json(document: dict[str, Any]) -> bytes:
+    return json.dumps(document).encode()
+
+
 class TestRecords:
     """What the operator and endpoints write, also when it is malformed."""
 
@@ -117,6 +137,81 @@
         except BadRecordError:
             return
 
+    @pytest.mark.parametrize(
+        "field, value",
+        [
+            ("service", 7),
+            ("service", ""),
+            ("service", None),
+            ("addr", "10.0.0.1"),
+            ("addr", "10.0.0.1:99999"),
+            ("addr", "somewhere:80"),
+            ("addr", ["10.0.0.1", 80]),
+            ("state", "resting"),
+            ("state", None),
+            ("slots", "6"),
+            ("slots", 6.5),
+            ("slots", True),
+            ("slots", 0),
+            ("zone", 3),
+            ("models", {"name": "m"}),
+            ("models", [{"name": "m", "adapters": "a1@1"}]),
+            ("models", [{"name": "m", "adapters": ["a1@x"]}]),
+            ("models", [{"version": 1}]),
+            ("born", "1760000000000"),
+            ("born", 1.5),
+            ("remaining-ms", "soon"),
+        ],
+    )
+    def test_a_record_of_another_writer_names_no_endpoint(
+        self, field: str, value: Any
+    ) -> None:
+        """Somebody else writes into the endpoints' topic with fields of other types.
+
+        Coerced, a number became a service's name and a state that nobody knows took an
+        endpoint out of use without a word; requests went to what is no endpoint.
+        """
+        record = {**ENDPOINT_RECORD, field: value}
+        with pytest.raises(BadRecordError, match="endpoint e"):
+            decode_endpoint("e", json.dumps(record).encode())
+
+    @pytest.mark.parametrize("field", ["service", "addr", "zone", "state", "slots"])
+    def test_a_record_without_a_field_names_no_endpoint(self, field: str) -> None:
+        record = {k: v for k, v in ENDPOINT_RECORD.items() if k != field}
+        with pytest.raises(BadRecordError, match=field):
+            decode_endpoint("e", json.dumps(record).encode())
+
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+            lambda inner: st.lists(inner) | st.dictionaries(FIELD_NAMES, inner),
+            max_leaves=8,
+        )
+        | st.dictionaries(FIELD_NAMES, st.text() | st.integers())
+    )
+    def test_any_document_is_read_or_refused_as_a_bad_record(self, value: Any) -> None:
+        source = json.dumps(value).encode()
+        for read in (
+            lambda: decode_endpoint("e", source),
+            lambda: decode_report(source),
+        ):
+            with contextlib.suppress(BadRecordError):
+                read()
+
+    @given(st.binary())
+    def test_any_bytes_are_read_or_refused_as_a_bad_record(self, source: bytes) -> None:
+        with contextlib.suppress(BadRecordError):
+            decode_endpoint("e", source)
+        with contextlib.suppress(BadRecordError):
+            decode_adapter_version(source)
+
+    def test_the_start_of_an_endpoint_is_read(self) -> None:
+        record = {**ENDPOINT_RECORD, "born": 1_760_000_000_123}
+        decoded = decode_endpoint("e", json.dumps(record).encode())
+        assert decoded.born_ms == 1_760_000_000_123
+        assert decoded.endpoint_id != decode_endpoint("e", _json(ENDPOINT_RECORD))
+        assert decode_report(b'{"born": 17, "models": []}').born_ms == 17
+
     def test_a_split_route_keeps_its_weights(self) -> None:
         document = configuration()
         document["routes"][0]["split"] = [
@@ -478,6 +573,71 @@
         assert len(changes) == 2
 
 
+def _view() -> tuple[EndpointView, list[EndpointChange]]:
+    view = EndpointView(Journal("me", logging.getLogger("none")), lambda: 0.0)
+    changes: list[EndpointChange] = []
+    view.listen(changes.append)
+    return view, changes
+
+
+class TestStartsUnderOneId:
+    """An endpoint that starts again under the id that it had."""
+
+    OLD = EndpointRecord("e", "llm", ("10.0.0.1", 1), "a", True, 8, born_ms=1000)
+    NEW = EndpointRecord("e", "llm", ("10.0.0.2", 1), "a", True, 8, born_ms=2000)
+
+    def test_the_start_before_is_gone_with_all_that_was_kept_of_it(self) -> None:
+        """An engine crashes and registers again before its old record lapses.
+
+        Its adapters, connections, lateness and crashes were those of the process
+        before. Kept for the new one, requests went to adapters that it does not hold.
+        """
+        view, changes = _view()
+        view.on_record("e", self.OLD)
+        assert view.on_record("e", self.NEW)
+        assert list(view.record_by_id) == [self.NEW.endpoint_id]
+        gone, came = changes[1:]
+        assert (gone.endpoint_id, gone.record) == (self.OLD.endpoint_id, None)
+        assert (came.record, came.was_ready) == (self.NEW, False)
+
+    def test_a_record_of_an_earlier_start_changes_nothing(self) -> None:
+        """A slow write of the old process is carried out after the new one's record."""
+        view, _ = _view()
+        view.on_record("e", self.NEW)
+        assert not view.on_record("e", self.OLD)
+        assert not view.on_record("e", replace(self.OLD, born_ms=None))
+        assert view.ready("llm") == [self.NEW]
+
+    def test_its_removal_takes_the_start_that_is_known(self) -> None:
+        view, _ = _view()
+        view.on_record("e", self.OLD)
+        view.on_record("e", self.NEW)
+        view.on_record("e", None)
+        assert not view.record_by_id
+
+    def test_its_own_word_counts_before_its_record(self) -> None:
+        view, _ = _view()
+        held = (LoadedModel("base", 1, {"a1": 1}),)
+        view.on_record("e", replace(self.OLD, models=held))
+        view.on_start_seen(self.OLD, 1500)
+        [record] = view.ready("llm")
+        assert (record.born_ms, record.models) == (1500, ())
+        view.on_record("e", self.NEW)
+        assert view.ready("llm") == [self.NEW]
+
+    def test_an_unreadable_record_stops_new_work_until_the_next_good_one(self) -> None:
+        """Somebody else overwrites an endpoint's record with bytes nobody can read."""
+        view, _ = _view()
+        other = replace(self.NEW, registered_id="f")
+        view.on_record("e", self.OLD)
+        view.on_record("f", other)
+        assert view.on_unreadable_record("e", "no JSON")
+        assert not view.on_unreadable_record("g", "no JSON")
+        assert view.ready("llm") == [other]
+        assert view.on_record("e", self.OLD)
+        assert len(view.ready("llm")) == 2
+
+
 class TestNews:
     """Reads of the store shared between VMs."""
 
