--- a/bamboovale/decisions/pause_evidence.py
+++ b/bamboovale/decisions/pause_evidence.py
@@ -43,12 +43,13 @@
         self._at = 0.0
         self._is_held_up = False
 
-    def assume(self) -> None:
+    def assume(self, now: float) -> None:
         """Begin as held up, as the pool's other engines are; streams tell better."""
         if not self._streams:
             self._streams = ASSUMED_STREAMS
             self._held_up = ASSUMED_STREAMS * ON_SHARE
             self._is_held_up = True
+            self._at = now
 
     def on_stream(self, now: float) -> None:
         """Count a stream that begins."""
--- a/bamboovale/decoding.py
+++ b/bamboovale/decoding.py
@@ -45,13 +45,13 @@
 
 def _sequence(wanted: Any, converter: cattrs.Converter) -> Any:
     """Return a hook for a list; a text is no list of its letters."""
-    item = get_args(wanted)[0]
-    structure_item = converter.get_structure_hook(item)
+    items = list[get_args(wanted)[0]]  # type: ignore[misc, valid-type]
+    structure_items = converter.get_structure_hook(items)
 
     def structure(value: Any, _: Any) -> Any:
         if type(value) is not list:
             raise TypeError("list expected")
-        return tuple(structure_item(part, item) for part in value)
+        return tuple(structure_items(value, items))
 
     return structure
 
--- a/bamboovale/emulator/play.py
+++ b/bamboovale/emulator/play.py
@@ -29,7 +29,7 @@
 GAP_PAUSES = 8.0
 """As entry VMs of the routed interface do."""
 HELD_UP_LEAST = 2
-HELD_UP_SHARE = 0.25
+HELD_UP_SHARE = 0.2
 """As owners of the routed interface take a pool for held up."""
 AFTER_S = 20.0
 """Played on after the last request, so that streams can end."""
--- a/bamboovale/gateway/engine_assignment.py
+++ b/bamboovale/gateway/engine_assignment.py
@@ -10,7 +10,7 @@
 from bamboovale.gateway.vm_state import VMState
 
 HELD_UP_LEAST = 2
-HELD_UP_SHARE = 0.25
+HELD_UP_SHARE = 0.2
 """Engines of a pool that are held up before the others take it for their own case."""
 STORE_AWAY_S = 1.5
 """An outage of the store shorter than this ends before a lease does."""
@@ -103,7 +103,7 @@
     def _assume(self, owner: EngineOwner) -> None:
         service = owner.record.service
         if self.pool_held_up(service) or self._notes.held_up(service):
-            owner.places.pacing.evidence.assume()
+            owner.places.pacing.evidence.assume(self._state.now())
 
     def on_fenced(self, record: EndpointRecord, token: int) -> None:
         """Take an engine's word that another VM used a higher fencing number."""
--- a/bamboovale/gateway/front.py
+++ b/bamboovale/gateway/front.py
@@ -200,6 +200,8 @@
             model=work.model if work else None,
             adapter=work.adapter if work else None,
             tokens=[work.prompt_tokens, work.output_tokens] if work else None,
+            goal_s=call.route.goal_s,
+            pause_allowed_s=call.route.gap_s,
             wait_s=round(call.give_up_at - call.request.received_at, 3),
             total_s=round(total_s, 4),
             config=table.version,
--- a/bamboovale/report/lines.py
+++ b/bamboovale/report/lines.py
@@ -10,8 +10,9 @@
 class RequestLine:
     """The end of one request; times in seconds, ``at`` on the VM's own clock.
 
-    ``place_s`` was spent waiting for places at engines; ``first_s`` is None if no event
-    came, or for a plain call.
+    ``place_s`` was spent waiting for places at engines, ``paced_s`` of it only because
+    of the pauses of other streams; ``first_s`` is None if no event came, or for a plain
+    call. ``pause_s`` is the longest pause between events.
     """
 
     at: float
@@ -22,6 +23,24 @@
     place_s: float
     first_s: float | None
     attempts: int
+    route: str = ""
+    goal_s: float | None = None
+    pause_s: float = 0.0
+    pause_allowed_s: float | None = None
+    paced_s: float = 0.0
+
+    @property
+    def is_late_by_first(self) -> bool:
+        """Tell whether the first event came after the route's goal."""
+        if self.first_s is None or self.goal_s is None:
+            return False
+        return self.first_s > self.goal_s
+
+    @property
+    def is_late_by_pause(self) -> bool:
+        """Tell whether the stream paused for longer than its route allows."""
+        allowed_s = self.pause_allowed_s
+        return allowed_s is not None and self.pause_s > allowed_s
 
 
 @dataclass(frozen=True)
@@ -76,19 +95,28 @@
 
 
 def _request(document: dict[str, Any]) -> RequestLine:
-    first_s = document.get("first_s")
+    asks = document.get("asks", ())
     return RequestLine(
         at=float(document["at"]),
         kind=str(document.get("kind") or "none"),
         outcome=str(document["outcome"]),
         reason=str(document.get("reason") or ""),
         total_s=float(document.get("total_s") or 0.0),
-        place_s=sum(float(ask.get("s", 0.0)) for ask in document.get("asks", ())),
-        first_s=None if first_s is None else float(first_s),
+        place_s=sum(float(ask.get("s", 0.0)) for ask in asks),
+        first_s=_seconds(document.get("first_s")),
         attempts=len(document.get("attempts", ())),
+        route=str(document.get("route") or ""),
+        goal_s=_seconds(document.get("goal_s")),
+        pause_s=float(document.get("pause_s") or 0.0),
+        pause_allowed_s=_seconds(document.get("pause_allowed_s")),
+        paced_s=sum(float(ask.get("paced_s", 0.0)) for ask in asks),
     )
 
 
+def _seconds(value: Any) -> float | None:
+    return None if value is None else float(value)
+
+
 def _engine(document: dict[str, Any]) -> EngineLine:
     return EngineLine(
         at=float(document["at"]),
--- a/bamboovale/report/tables.py
+++ b/bamboovale/report/tables.py
@@ -15,6 +15,7 @@
     parts = [
         _outcomes(lines.requests),
         _stream_waits(lines.requests, goal_s),
+        _lateness(lines.requests),
         _reasons(lines.requests),
         _engines(lines.engines),
     ]
@@ -61,6 +62,33 @@
     )
 
 
+def _lateness(requests: Sequence[RequestLine]) -> str:
+    """Return by route how many streams were late, and by what."""
+    by_route: dict[str, list[RequestLine]] = defaultdict(list)
+    for request in requests:
+        if request.kind == "stream" and request.goal_s is not None:
+            by_route[request.route].append(request)
+    if not by_route:
+        return ""
+    rows = [["route", "streams", "in time", "late first", "long pause", "unserved"]]
+    rows[0] += ["p90 paced s", "p90 pause s"]
+    for route, group in sorted(by_route.items()):
+        served = [r for r in group if r.outcome == "answered"]
+        first = sum(r.is_late_by_first for r in served)
+        paused = sum(r.is_late_by_pause for r in served)
+        late = sum(r.is_late_by_first or r.is_late_by_pause for r in served)
+        counts = (len(group), len(served) - late, first, paused)
+        rows.append([route, *map(str, counts), str(len(group) - len(served))])
+        rows[-1] += [_quantile([r.paced_s for r in served])]
+        rows[-1] += [_quantile([r.pause_s for r in served])]
+    return _table(rows)
+
+
+def _quantile(values: Sequence[float], share: float = 0.9) -> str:
+    ordered = sorted(values)
+    return f"{ordered[int((len(ordered) - 1) * share)]:.3f}" if ordered else "-"
+
+
 def _reasons(requests: Sequence[RequestLine]) -> str:
     """Return why requests were refused or failed."""
     counts = Counter((r.outcome, r.reason) for r in requests if r.reason)
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -65,6 +65,22 @@
         assert "of 1 late ones 1 waited over half of it for a place" in text
         assert text.endswith("0.50          ##########..........")
 
+    def test_late_streams_are_put_down_to_first_event_or_pause(self) -> None:
+        """A user's first events are in time and yet half of its streams are late."""
+        bounds = {"route": "draft", "goal_s": 0.8, "pause_allowed_s": 0.3}
+        lines = [
+            request(**bounds, pause_s=0.1),
+            request(**bounds, pause_s=0.4),
+            request(**bounds, pause_s=0.4, first_s=0.9),
+            request(**bounds, outcome="refused", first_s=None),
+        ]
+        [row] = [
+            line.split()
+            for line in render(read_lines(lines), 1.0).splitlines()
+            if line.startswith("draft")
+        ]
+        assert row[1:6] == ["4", "1", "1", "2", "1"]
+
     def test_reasons_are_listed_most_often_first(self) -> None:
         refused = request(outcome="refused", reason="no place: late", first_s=None)
         failed = request(outcome="failed", reason="stream cut", first_s=None)
