Keep requests from engines without their base model, and load it unasked

Cause: an engine that has just started is idle, so that the choice preferred it, and what was sent there waited 5.7 s for the model's weights until it was refused; its model was loaded only for such a request.

--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -106,6 +106,10 @@
         queued_s = QUEUED_COST_S * self.outlook.queued
         return self.run_cost_s(prompt) + max(slot_s, queued_s) + load_s
 
+    def has_model(self, model: str) -> bool:
+        """Tell whether the engine has the base model, as far as is known."""
+        return self.outlook is None or model in self.outlook.models
+
     def is_held_up(self) -> bool:
         """Tell whether reading has held up the engine's streams of late."""
         return self.outlook is not None and self.outlook.held_up
@@ -134,6 +138,16 @@
     return HOLD_UP_COST_S * max(0.0, reading_s / pause_s - HOLD_UP_FROM)
 
 
+def _with_model(views: dict[str, EngineView], model: str) -> dict[str, EngineView]:
+    """Leave out engines without the base model while others have it.
+
+    Guards against an engine that has just started: idle as it is, it looks best, and
+    what is sent there waits for the model's weights, 0.6 to 5.7 s.
+    """
+    able = {name: view for name, view in views.items() if view.has_model(model)}
+    return able or views
+
+
 class HeldLately:
     """The adapters that engines have held of late, in the versions they had.
 
@@ -201,6 +215,8 @@
         }
         if not open_views:
             return None
+        if key is not None:
+            open_views = _with_model(open_views, key[0])
         if not self._minds_pauses(open_views):
             prompt = PromptFacts(prompt.tokens)
         holders = [
--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -296,6 +296,10 @@
         """Tell whether a fresh report would bring news."""
         return bool(self._model_loading_since) or self.slots.awaits_report()
 
+    def loads_model(self) -> bool:
+        """Tell whether the engine loads its base model, which takes seconds."""
+        return bool(self._model_loading_since)
+
     def waiting(self) -> int:
         """Return how many requests wait."""
         return len(self._queue)
@@ -450,6 +454,9 @@
         return ask.key is not None and ask.key not in self.slots
 
     def _next_order(self, now: float) -> OrderLoad | OrderUnload | None:
+        if len(self.capacity.models) == 1 and not self._version_by_model:
+            # Nobody is sent to an engine without its model; it is loaded unasked.
+            return self._load_model(self.capacity.models[0], now)
         for ask in self._queue:
             if ask.model not in self._version_by_model:
                 model_order = self._load_model(ask.model, now)
--- a/bamboovale/decisions/place_work.py
+++ b/bamboovale/decisions/place_work.py
@@ -108,11 +108,15 @@
 
 @dataclass(frozen=True)
 class EngineCapacity:
-    """Places, token memory and adapter slots of one engine."""
+    """Places, token memory and adapter slots of one engine.
+
+    ``models`` are the base models of its pool.
+    """
 
     places: int
     kv_tokens: int
     adapter_slots: int
+    models: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/bamboovale/decisions/prompt_pacing.py
+++ b/bamboovale/decisions/prompt_pacing.py
@@ -137,22 +137,15 @@
     def on_first_event(self, ask_id: str, now: float) -> None:
         """Learn from a first event how fast the engine reads.
 
-        A prompt that was read alone tells it best: others share its steps, and all of a
-        step's tokens come at its end. Until some were, the last of those that were read
-        one behind another tells of all of them: where the guess is twice too fast, few
-        prompts are read alone, and 0.78 of the worth was served where 0.82 are so.
+        Only from a prompt that was read alone: others share its steps, and all of a
+        step's tokens come at its end.
         """
         self.evidence.on_stream(now)
-        if not self._spans or self._spans[-1].ask_id != ask_id:
+        if not self._spans:
             return
-        read_tokens = 0
-        for span in reversed(self._spans):
-            read_tokens += span.tokens
-            if span.starts_at <= span.granted_at:
-                self.speed.add(read_tokens, now - span.granted_at)
-                return
-            if self.speed.is_settled:
-                return
+        last = self._spans[-1]
+        if last.ask_id == ask_id and last.starts_at <= last.granted_at:
+            self.speed.add(last.tokens, now - last.granted_at)
 
 
 KEPT_S = 2.0
--- a/bamboovale/decisions/reading_speed.py
+++ b/bamboovale/decisions/reading_speed.py
@@ -28,8 +28,6 @@
 guess is known after some 15 prompts."""
 FIRST_RATE = 0.4
 """The first prompts move it by more; their share falls with their number."""
-SETTLED_AFTER = 15
-"""Prompts; by then an engine that is a third slower than the guess is known."""
 FIXED_RATE = 0.3
 """Of the rate, for the fixed time, which differs less between engines."""
 MOST_WEIGHT = 2.0
@@ -48,11 +46,6 @@
         self._usual_tokens = MovingAverage(GUESS_TOKENS)
         self._seen = 0
 
-    @property
-    def is_settled(self) -> bool:
-        """Tell whether enough prompts were seen to be choosy."""
-        return self._seen >= SETTLED_AFTER
-
     def reading_s(self, tokens: int) -> float:
         """Return how long a prompt keeps the engine reading."""
         return tokens * self.s_per_token
--- a/bamboovale/gateway/engine_assignment.py
+++ b/bamboovale/gateway/engine_assignment.py
@@ -76,6 +76,7 @@
                     places=pool.slots,
                     kv_tokens=pool.kv_tokens,
                     adapter_slots=pool.adapter_slots,
+                    models=tuple(pool.model_by_name),
                 )
         return wanted
 
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -40,6 +40,8 @@
 order that another owner gave. Each report is a priced call."""
 REPORT_LOADING_S = 0.06
 """Between reports while a load is about to end: requests wait for it."""
+REPORT_MODEL_S = 0.2
+"""Between reports while a base model is loaded, which takes 0.6 to 5.7 s."""
 FAILED_PAUSE_S = 0.25
 """After a report that failed: an engine that restarts is back within seconds, and each
 try is a priced call."""
@@ -391,6 +393,8 @@
     def _pause_s(self, seen: bool) -> float:
         if not seen:
             return FAILED_PAUSE_S
+        if self.places.loads_model():
+            return REPORT_MODEL_S
         if self.places.has_loads_coming():
             return REPORT_LOADING_S
         return REPORT_IDLE_S
--- a/tests/test_decisions_engine_choice.py
+++ b/tests/test_decisions_engine_choice.py
@@ -137,3 +137,19 @@
                 "fast": view("fast", s_per_token=1 / 19_000, open_slots=3),
             }
             assert EngineChooser().choose(KEY, 1, views, prompt=prompt) == chosen
+
+    def test_an_engine_without_its_model_gets_nothing(self) -> None:
+        """An engine of three has just started and loads its model for seconds.
+
+        Idle it looks best of all: what was sent there waited for the weights until it
+        was refused, while the others had places.
+        """
+        views = {f"e{n}": view(f"e{n}", active=30, backlog_s=0.3) for n in range(2)}
+        views["e2"] = view("e2", active=0, models=(), open_slots=18)
+        chooser = EngineChooser()
+        chosen = {chooser.choose(("base", f"a{n}"), 1, views) for n in range(50)}
+        assert chosen == {"e0", "e1"}
+
+    def test_where_no_engine_has_the_model_one_is_asked_all_the_same(self) -> None:
+        views = {"e0": view("e0", models=())}
+        assert EngineChooser().choose(KEY, 1, views) == "e0"
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -319,3 +319,27 @@
         [refusal] = engine.decide(0.6)
         assert isinstance(refusal, Refuse)
         assert refusal.reason is RefusalReason.CANNOT_LOAD
+
+
+class TestBaseModel:
+    """An engine that has started without its model."""
+
+    def test_it_is_loaded_before_anybody_asks(self) -> None:
+        """An engine is replaced while the others serve; nobody is sent to it.
+
+        Loaded only for a request, its model came never, or a crowd waited for it.
+        """
+        engine = EnginePlaces(EngineCapacity(8, 100_000, 2, (MODEL,)))
+        engine.may_order = True
+        empty = EngineFacts({}, {}, frozenset(), 0, 0.0)
+        [order] = engine.on_facts(empty, 0.0)
+        assert order == OrderLoad(MODEL, None, 0)
+        assert engine.on_order_done(order, 0.0, at_once=False) == []
+        assert engine.on_facts(empty, 0.5) == [] and engine.loads_model()
+        engine.on_facts(facts(6.0), 6.0)
+        assert not engine.loads_model()
+
+    def test_of_several_models_none_is_guessed(self) -> None:
+        engine = EnginePlaces(EngineCapacity(8, 100_000, 2, (MODEL, "other")))
+        engine.may_order = True
+        assert engine.on_facts(EngineFacts({}, {}, frozenset(), 0, 0.0), 0.0) == []
