--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -39,30 +39,12 @@
 wait behind them."""
 FULL_COST_S = 1.0
 """A batch without a free place: about one run must end first."""
-HOLD_UP_COST_S = 4.0
-HOLD_UP_FROM = 0.9
-"""A prompt whose reading takes longer than this share of the allowed pause holds up all
-streams of the engine, whatever is paced; for each pause's length beyond it the engine
-costs so much more, where reading has held streams up of late. On engines a third slower
-0.25 of the streams paused too long by such prompts alone, in the play of one engine; a
-faster engine reads them in time."""
 UNKNOWN_COST_S = 1.0
 """An engine nobody has told about is used when all others are busy."""
 SPREAD_S = 0.3
 """An engine is passed over for a load if it is busier than the least busy by this."""
 
 
-@dataclass(frozen=True)
-class PromptFacts:
-    """What of a prompt matters for the choice; ``pause_s`` as its route allows."""
-
-    tokens: int = 0
-    pause_s: float | None = None
-
-
-NO_PROMPT = PromptFacts()
-
-
 @dataclass(frozen=True)
 class EngineView:
     """An engine as this entry VM knows it.
@@ -78,7 +60,7 @@
     own_tokens: int = 0
     own_loads: int = 0
 
-    def run_cost_s(self, prompt: PromptFacts = NO_PROMPT) -> float:
+    def run_cost_s(self, prompt_tokens: int = 0) -> float:
         """Return the seconds to the first event where no load is needed."""
         outlook = self.outlook
         if outlook is None:
@@ -86,13 +68,12 @@
         batch_s = ACTIVE_COST_S * outlook.active
         full_s = FULL_COST_S if outlook.active >= outlook.places else 0.0
         own_s = outlook.s_per_token * self.own_tokens
-        reading_s = outlook.s_per_token * prompt.tokens
-        hold_up_s = _hold_up_s(reading_s, prompt.pause_s)
-        return outlook.backlog_s + own_s + reading_s + hold_up_s + batch_s + full_s
+        reading_s = outlook.s_per_token * prompt_tokens
+        return outlook.backlog_s + own_s + reading_s + batch_s + full_s
 
     def load_cost_s(
         self,
-        prompt: PromptFacts = NO_PROMPT,
+        prompt_tokens: int = 0,
         *,
         warm: bool = False,
         by_slots: bool = True,
@@ -104,16 +85,12 @@
         open_slots = self.outlook.open_slots - self.own_loads
         slot_s = SLOT_TURN_S * max(0, 1 - open_slots) if by_slots else 0.0
         queued_s = QUEUED_COST_S * self.outlook.queued
-        return self.run_cost_s(prompt) + max(slot_s, queued_s) + load_s
+        return self.run_cost_s(prompt_tokens) + max(slot_s, queued_s) + load_s
 
     def has_model(self, model: str) -> bool:
         """Tell whether the engine has the base model, as far as is known."""
         return self.outlook is None or model in self.outlook.models
 
-    def is_held_up(self) -> bool:
-        """Tell whether reading has held up the engine's streams of late."""
-        return self.outlook is not None and self.outlook.held_up
-
     def holds(self, key: AdapterKey | None, version: int) -> bool:
         """Tell whether the adapter is loaded, or about to be, in this version."""
         if self.outlook is None:
@@ -131,13 +108,6 @@
         return key is None or self.outlook.loaded.get(key, 0) >= version
 
 
-def _hold_up_s(reading_s: float, pause_s: float | None) -> float:
-    """Return what a prompt costs that holds up the streams beside it."""
-    if pause_s is None:
-        return 0.0
-    return HOLD_UP_COST_S * max(0.0, reading_s / pause_s - HOLD_UP_FROM)
-
-
 def _with_model(views: dict[str, EngineView], model: str) -> dict[str, EngineView]:
     """Leave out engines without the base model while others have it.
 
@@ -205,7 +175,7 @@
         version: int,
         view_by_id: Mapping[str, EngineView],
         excluded: Collection[str] = (),
-        prompt: PromptFacts = NO_PROMPT,
+        prompt_tokens: int = 0,
     ) -> str | None:
         """Return the engine to ask, None if there is none."""
         open_views = {
@@ -217,18 +187,16 @@
             return None
         if key is not None:
             open_views = _with_model(open_views, key[0])
-        if not self._minds_pauses(open_views):
-            prompt = PromptFacts(prompt.tokens)
         holders = [
             name for name, view in open_views.items() if view.holds(key, version)
         ]
         best = min(
             holders,
-            key=lambda name: open_views[name].run_cost_s(prompt),
+            key=lambda name: open_views[name].run_cost_s(prompt_tokens),
             default=None,
         )
         if key is None:
-            return best or self._for_load("", open_views, prompt)[0]
+            return best or self._for_load("", open_views, prompt_tokens)[0]
         warm: set[str] = set()
         if self._mechanisms.has(Mechanism.HELD_LATELY):
             warm = self.held_lately.holders(key, version)
@@ -236,26 +204,20 @@
         fresh, fresh_s = self._for_load(
             name,
             open_views,
-            prompt,
+            prompt_tokens,
             holders,
             warm,
         )
         if best is None or fresh is None:
             return best or fresh
-        held_s = open_views[best].run_cost_s(prompt)
+        held_s = open_views[best].run_cost_s(prompt_tokens)
         return best if held_s <= fresh_s else fresh
 
-    def _minds_pauses(self, views: Mapping[str, EngineView]) -> bool:
-        """Tell whether long prompts hold streams up at these engines."""
-        if not self._mechanisms.has(Mechanism.LONG_PROMPTS_AWAY):
-            return False
-        return any(view.is_held_up() for view in views.values())
-
     def _for_load(
         self,
         name: str,
         views: Mapping[str, EngineView],
-        prompt: PromptFacts,
+        prompt_tokens: int,
         holders: Collection[str] = (),
         warm: Collection[str] = (),
     ) -> tuple[str | None, float]:
@@ -263,7 +225,7 @@
         by_slots = self._mechanisms.has(Mechanism.OPEN_SLOTS)
         able = {
             engine_id: view.load_cost_s(
-                prompt,
+                prompt_tokens,
                 warm=engine_id in warm,
                 by_slots=by_slots,
             )
--- a/bamboovale/decisions/mechanisms.py
+++ b/bamboovale/decisions/mechanisms.py
@@ -14,7 +14,6 @@
 
     PACING = "pacing"
     READING_SPEED = "reading-speed"
-    LONG_PROMPTS_AWAY = "long-prompts-away"
     HELD_LATELY = "held-lately"
     OPEN_SLOTS = "open-slots"
     GOAL_ORDER = "goal-order"
--- a/bamboovale/emulator/play.py
+++ b/bamboovale/emulator/play.py
@@ -14,7 +14,7 @@
 
 import simpy
 
-from bamboovale.decisions.engine_choice import EngineChooser, EngineView, PromptFacts
+from bamboovale.decisions.engine_choice import EngineChooser, EngineView
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.decisions.place_work import EngineOutlook, Grant, PlaceAsk, Refuse
 from bamboovale.emulator.engine import EngineModel, EngineRun, SharedStore
@@ -305,8 +305,8 @@
         asked_at = self._env.now
         for _ in range(MOST_TRIES):
             views = entry.views(self._play.live_engines())
-            prompt = PromptFacts(self._prompt_tokens, self._kind.pause_s)
-            name = entry.chooser.choose(self._key, 1, views, prompt=prompt)
+            tokens = self._prompt_tokens
+            name = entry.chooser.choose(self._key, 1, views, prompt_tokens=tokens)
             if name is None:
                 break
             entry.tokens_by_engine[name] += self._prompt_tokens
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -291,6 +291,7 @@
             open_slots=status.open_slots,
             kept=status.kept,
             s_per_token=status.s_per_token,
+            held_up=status.held_up,
         )
 
     def _view(self, record: EndpointRecord) -> EngineView:
