--- a/bamboovale/emulator/play.py
+++ b/bamboovale/emulator/play.py
@@ -7,27 +7,20 @@
 import itertools
 import math
 import random
-from collections import Counter
 from collections.abc import Generator
-from dataclasses import dataclass, field, fields, replace
+from dataclasses import fields
 from typing import Any
 
 import simpy
 
-from bamboovale.decisions.engine_choice import EngineChooser, EngineView
+from bamboovale.decisions.engine_choice import EngineChooser
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
-from bamboovale.decisions.place_work import EngineOutlook, Grant, PlaceAsk, Refuse
-from bamboovale.emulator.engine import EngineModel, EngineRun, SharedStore
+from bamboovale.emulator.caller import CallerRequest, EmulatedEntry
+from bamboovale.emulator.engine import EngineModel, SharedStore
 from bamboovale.emulator.outcomes import Outcome, Result
-from bamboovale.emulator.owner import MODEL, EmulatedOwner
+from bamboovale.emulator.owner import EmulatedOwner
 from bamboovale.emulator.scenario import Fault, RequestKind, Scenario, Tokens
 
-MOST_TRIES = 4
-RUN_LEAST_S = 0.4
-GAP_LEAST_S = 2.0
-GAP_GOALS = 4.0
-GAP_PAUSES = 8.0
-"""As entry VMs of the routed interface do."""
 HELD_UP_LEAST = 2
 HELD_UP_SHARE = 0.2
 """As owners of the routed interface take a pool for held up."""
@@ -35,39 +28,6 @@
 """Played on after the last request, so that streams can end."""
 
 
-@dataclass
-class EmulatedEntry:
-    """An entry VM: what it was told, and what it has sent since."""
-
-    chooser: EngineChooser
-    outlook_by_engine: dict[str, EngineOutlook] = field(default_factory=dict)
-    tokens_by_engine: Counter[str] = field(default_factory=Counter)
-    loads_by_engine: Counter[str] = field(default_factory=Counter)
-
-    def views(self, live: set[str]) -> dict[str, EngineView]:
-        """Return what it believes of the engines that live."""
-        return {
-            name: EngineView(
-                name,
-                outlook,
-                "owner",
-                self.tokens_by_engine[name],
-                self.loads_by_engine[name],
-            )
-            for name, outlook in self.outlook_by_engine.items()
-            if name in live
-        }
-
-    def hear(self, name: str, outlook: EngineOutlook, *, whole: bool) -> None:
-        """Take an owner's word; only a ``whole`` one tells which adapters are there."""
-        known = self.outlook_by_engine.get(name)
-        if known is not None and not whole:
-            outlook = replace(outlook, loaded=known.loaded, coming=known.coming)
-        self.outlook_by_engine[name] = outlook
-        self.tokens_by_engine[name] = 0
-        self.loads_by_engine[name] = 0
-
-
 class Play:
     """One play of a scenario with one seed; ``run`` returns what callers got."""
 
@@ -193,7 +153,7 @@
         )[0]
         adapter = f"a{(rank + self._shifted) % self._deployment.adapters}"
         prompt = self._draw(kind.prompt) + kind.shared_tokens
-        request = _Request(self, outcome, adapter, prompt, self._draw(kind.output))
+        request = CallerRequest(self, outcome, adapter, prompt, self._draw(kind.output))
         yield from request.run(self._rng.choice(self._entries))
         if not outcome.refused:
             return
@@ -278,138 +238,3 @@
     def live_engines(self) -> set[str]:
         """Return the engines that live."""
         return set(self._owner_by_name)
-
-
-class _Request:
-    """One request of a caller on its way."""
-
-    def __init__(
-        self,
-        play: Play,
-        outcome: Outcome,
-        adapter: str,
-        prompt_tokens: int,
-        output_tokens: int,
-    ) -> None:
-        self.retry_after_s = 0.3
-        self._play = play
-        self._env = play.env
-        self._outcome = outcome
-        self._kind = outcome.kind
-        self._key = (MODEL, adapter)
-        self._prompt_tokens = prompt_tokens
-        self._output_tokens = output_tokens
-
-    def run(self, entry: EmulatedEntry) -> Generator[Any, Any, None]:
-        """Try to be served."""
-        asked_at = self._env.now
-        for _ in range(MOST_TRIES):
-            views = entry.views(self._play.live_engines())
-            tokens = self._prompt_tokens
-            name = entry.chooser.choose(self._key, 1, views, prompt_tokens=tokens)
-            if name is None:
-                break
-            entry.tokens_by_engine[name] += self._prompt_tokens
-            entry.loads_by_engine[name] += not views[name].holds(self._key, 1)
-            decision = yield from self._ask(name, asked_at)
-            if isinstance(decision, Refuse):
-                self.retry_after_s = decision.retry_after_s
-                break
-            if decision is None:
-                continue
-            taken = yield from self._stream(name, decision)
-            if taken:
-                return
-        self._outcome.refused = self._outcome.first_s is None
-
-    def _ask(
-        self,
-        name: str,
-        asked_at: float,
-    ) -> Generator[Any, Any, Grant | Refuse | None]:
-        owner = self._play.owner(name)
-        if owner is None:
-            return None
-        yield self._env.timeout(self._play.hop_s)
-        answered = self._env.event()
-        owner.ask(self._place_ask(asked_at), answered.succeed)
-        decision = yield answered
-        yield self._env.timeout(self._play.hop_s)
-        return decision
-
-    def _place_ask(self, asked_at: float) -> PlaceAsk:
-        kind = self._kind
-        gap_s = max(GAP_LEAST_S, GAP_GOALS * kind.goal_s, GAP_PAUSES * kind.pause_s)
-        gives_up_at = min(asked_at + gap_s, self._outcome.asked_at + kind.deadline_s)
-        return PlaceAsk(
-            ask_id=f"r{self._play.next_number()}.0",
-            entry_vm="entry",
-            model=MODEL,
-            adapter=self._key[1],
-            version=1,
-            prompt_tokens=self._prompt_tokens,
-            output_tokens=self._output_tokens,
-            rank=0,
-            goal_at=self._outcome.asked_at + kind.goal_s,
-            latest_start=gives_up_at - RUN_LEAST_S,
-            pause_s=kind.pause_s,
-        )
-
-    def _stream(self, name: str, grant: Grant) -> Generator[Any, Any, bool]:
-        """Run at the engine; False if it refused."""
-        owner = self._play.owner(name)
-        if owner is None:
-            return False
-        yield self._env.timeout(self._play.hop_s)
-        ended = self._env.event()
-        listener = _Listener(self._outcome, owner, grant.ask.ask_id, self._kind)
-        run = EngineRun(
-            run_id=grant.ask.ask_id,
-            adapter=self._key,
-            prompt_tokens=self._prompt_tokens,
-            output_tokens=self._output_tokens,
-            on_event=listener.on_event,
-            on_end=lambda now: ended.succeed(True),
-            on_lost=lambda: ended.succeed(False),
-            parts=(("shared", self._kind.shared_tokens),),
-        )
-        if not owner.engine.begin(run, grant.version):
-            owner.refused_run(grant.ask.ask_id)
-            return False
-        left_s = self._outcome.asked_at + self._kind.deadline_s - self._env.now
-        yield ended | self._env.timeout(max(0.0, left_s))
-        self._outcome.complete = bool(ended.triggered and ended.value)
-        if not ended.triggered:
-            owner.engine.cancel(run.run_id)
-        owner.release(grant.ask.ask_id)
-        return True
-
-
-class _Listener:
-    """Follows the events of one stream for its caller and its engine's owner."""
-
-    def __init__(
-        self,
-        outcome: Outcome,
-        owner: EmulatedOwner,
-        ask_id: str,
-        kind: RequestKind,
-    ) -> None:
-        self._outcome = outcome
-        self._owner = owner
-        self._ask_id = ask_id
-        self._kind = kind
-        self._last_at: float | None = None
-
-    def on_event(self, now: float) -> None:
-        """Take one event."""
-        outcome = self._outcome
-        if self._last_at is None:
-            outcome.first_s = now - outcome.asked_at
-            self._owner.started(self._ask_id)
-        else:
-            pause_s = now - self._last_at
-            if pause_s > self._kind.pause_s >= outcome.longest_pause_s:
-                self._owner.paused(self._ask_id, pause_s)
-            outcome.longest_pause_s = max(outcome.longest_pause_s, pause_s)
-        self._last_at = now
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -1,15 +1,20 @@
 """The settings file of a process changes while it runs."""
 
+import json
 import logging
+from pathlib import Path
 from typing import Any
 
 from result import Err, Ok
+from typer.testing import CliRunner
 
+from bamboovale.cli.main import app
 from bamboovale.errors import Finding
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.settings_watch import SettingsWatch
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.platform.node_file import NodeSettings
+from bamboovale.status import ExitStatus
 from tests.gateway_site import node_document
 
 
@@ -75,3 +80,29 @@
         file.watch.look()
         assert file.state.node.callers == callers
         assert file.state.node.bounds.grace_s == 30
+
+
+def _toml_lines(document: dict[str, Any]) -> list[str]:
+    """Write a settings file; JSON's values are TOML's where nothing is missing."""
+    tables = {key: value for key, value in document.items() if isinstance(value, dict)}
+    plain = {key: value for key, value in document.items() if key not in tables}
+    lines = [f"{key} = {json.dumps(value)}" for key, value in plain.items()]
+    for name, table in tables.items():
+        lines.append(f"[{name}]")
+        lines += [f"{key} = {json.dumps(value)}" for key, value in table.items()]
+    return lines
+
+
+class TestWithout:
+    """Mechanisms that are left out for an experiment."""
+
+    def test_a_name_that_is_none_ends_the_process(self, tmp_path: Path) -> None:
+        """A misspelt name would run an experiment that leaves nothing out."""
+        file = tmp_path / "node.toml"
+        document = node_document(("127.0.0.1", 1), "entry-0")
+        file.write_text("\n".join(_toml_lines(document)))
+        args = ["gateway", "--node-file", str(file), "--check", "--without"]
+        refused = CliRunner().invoke(app, [*args, "pacing,paceing"])
+        assert refused.exit_code == ExitStatus.SETTINGS_INVALID
+        assert "paceing is none of pacing" in refused.output
+        assert CliRunner().invoke(app, [*args, "pacing, held-lately"]).exit_code == 0
