--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -604,6 +604,28 @@
         run(test())
 
 
+class TestRegistrations:
+    """VMs find one another by records in the store."""
+
+    def test_a_malformed_record_hides_no_other_vm(self) -> None:
+        """Somebody else writes into the topic of the VMs' addresses.
+
+        One record that was no pair ended the reading for good: a VM that started then
+        never found the others, and asked nobody for places.
+        """
+
+        async def test() -> None:
+            async with running_site() as site:
+                for key, value in (("a", 5), ("b", ["x"]), ("c", [1, "y"])):
+                    await site.store.put("keyed.entries", key, value)
+                added = await site.add_vm("entry-9")
+                await eventually(lambda: added.vm.dump()["peers"].get("entry-0"))
+                bad = added.journal.of("bad_record")
+                assert {line["key"] for line in bad} >= {"a", "b", "c"}
+
+        run(test())
+
+
 class TestConnections:
     """What callers do on their connections."""
 
