Check an engine's lease last before an eviction

Between the check of the lease and the order of an eviction stood the look at the engine's running list, an HTTP call. A holder paused during that call went on with an old look and a lapsed lease.

The window itself is shown by test_a_lapse_during_the_look_at_the_engine_evicts_nothing, which failed before the change. Ruled out by reading: the wait of a new holder before its first eviction, and permits adopted from the last holder.

--- a/bamboovale/engines/orders.py
+++ b/bamboovale/engines/orders.py
@@ -1,9 +1,11 @@
 """Orders to one engine under one lease: checked before and after each.
 
 Failure: a holder is paused, its lease lapses, another VM takes over; it wakes up and
-goes on with the order it was about to give. The check right before the order makes
-the window as short as a call; the engine's own check of the fencing number closes it
-where the engine has one. The check after the order finds a pause that fell between.
+goes on with the order it was about to give. The check of the lease comes last before
+the order, after the look at the engine that an eviction needs, so that what remains is
+the time between the check and the write. The engine's own check of the fencing number
+closes that where the engine has one. The check after the order finds a pause that fell
+between.
 """
 
 import logging
@@ -26,7 +28,8 @@
 class OrderEnded:
     """A load or an eviction ended; ``order`` is its type.
 
-    ``given`` is False where the lease did not allow the order to be sent at all.
+    ``given`` is False where the lease, or a run at the engine, did not allow the order
+    to be sent at all.
     """
 
     order: type
@@ -62,7 +65,7 @@
 
     def carry_out(self, actor: pykka.ActorRef, order: Load | Unload) -> None:
         """Give one order and tell the actor how it ended."""
-        given = self.allowed()
+        given = self._may_give(order)
         succeeded = given and self._give(order)
         if succeeded and not self.allowed():
             self._environment.metrics.orders_after_lapse.inc()
@@ -73,6 +76,17 @@
             )
         tell(actor, OrderEnded(type(order), order.lora_name, given, succeeded))
 
+    def _may_give(self, order: Load | Unload) -> bool:
+        """Look at the engine first and at the lease last.
+
+        Guards against a pause during the look at the engine, which takes milliseconds
+        where the check of the lease takes none: the look shows an idle adapter as it
+        was before the pause, and the next holder's request would lose its adapter.
+        """
+        if isinstance(order, Unload) and not self._is_idle(order.lora_name):
+            return False
+        return self.allowed()
+
     def _read(self) -> EngineView | None:
         asked_at = self._environment.now()
         answer = self._client.read_state(self._engine)
@@ -91,8 +105,6 @@
             )
             (metrics.loads if ended.is_ok() else metrics.load_failures).inc()
             return ended.is_ok()
-        if not self._is_idle(order.lora_name):
-            return False
         ended = self._client.unload(self._engine, order.lora_name, self._fencing)
         if ended.is_ok():
             metrics.evictions.inc()
--- a/tests/test_leased_orders.py
+++ b/tests/test_leased_orders.py
@@ -20,13 +20,19 @@
 
 @dataclass
 class FakeEngine:
-    """An engine that notes its orders; ``on_order`` runs in the middle of each."""
+    """An engine that notes its orders.
+
+    ``on_order`` runs in the middle of each, ``on_read`` while its state is read.
+    """
 
     running: dict[str, str] = field(default_factory=dict)
     orders: list[tuple[str, str, int]] = field(default_factory=list)
     on_order: Any = None
+    on_read: Any = None
 
     def read_state(self, engine: EngineAddress) -> Result[EngineView, str]:
+        if self.on_read:
+            self.on_read()
         return Ok(EngineView("b1", "base", 4, 2, frozenset(), dict(self.running)))
 
     def load(
@@ -116,6 +122,22 @@
         assert world.engine.orders == []
         assert inbox.ask("read") == [OrderEnded(Load, "a@1", False, False)]
 
+    def test_a_lapse_during_the_look_at_the_engine_evicts_nothing(
+        self,
+        inbox: Any,
+    ) -> None:
+        """A caller's stream would break off with its adapter gone.
+
+        The holder looks at the engine before an eviction and is paused during that
+        look, for longer than its lease. The next holder lets a request for the same
+        adapter run; the first one wakes up with a look that shows the adapter idle.
+        """
+        world = World()
+        world.engine.on_read = world.lapse
+        world.orders.carry_out(inbox, Unload("a@1"))
+        assert world.engine.orders == []
+        assert inbox.ask("read") == [OrderEnded(Unload, "a@1", False, False)]
+
     def test_a_lapse_during_the_order_is_counted(self, inbox: Any) -> None:
         world = World()
         world.engine.on_order = world.lapse
