Let VMs that meet tell each other at once, and requests wait for their owners

A VM had told its status before it had read the others' addresses, and then only with the next regular one.

--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -51,7 +51,8 @@
 
     ``own_tokens`` and ``own_loads`` are what we sent there since its owner was last
     heard: tokens of prompts, and requests that need a load. ``owner`` is None while no
-    entry VM may order loads there.
+    entry VM may order loads there. ``is_told`` is False while no owner has said a word
+    of it: what is known comes from its own record.
     """
 
     engine_id: str
@@ -59,6 +60,7 @@
     owner: str | None
     own_tokens: int = 0
     own_loads: int = 0
+    is_told: bool = True
 
     def run_cost_s(self, prompt_tokens: int = 0) -> float:
         """Return the seconds to the first event where no load is needed."""
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -298,7 +298,8 @@
         engine_id = record.endpoint_id
         owned = self.fleet.engine(engine_id)
         if owned is None:
-            return EngineView(engine_id, outlook_of(record), self._owner_of(engine_id))
+            owner = self._owner_of(engine_id)
+            return EngineView(engine_id, outlook_of(record), owner, is_told=False)
         sent = self._sent_by_id.setdefault(engine_id, _Sent())
         if owned.heard_at > sent.heard_at:
             sent.heard_at = owned.heard_at
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -134,7 +134,8 @@
             chosen = chooser.choose(key, version, views, excluded, tokens)
             if chosen is None:
                 chosen = chooser.choose(key, version, views, silent, tokens)
-            if chosen is None and self._owner_may_come(call):
+            unowned = chosen is None or self._is_unheard(views[chosen])
+            if unowned and self._owner_may_come(call):
                 await asyncio.sleep(OWNER_LOOK_S)
                 silent.clear()
                 continue
@@ -153,6 +154,16 @@
                 )
                 silent.add(chosen)
 
+    def _is_unheard(self, view: EngineView) -> bool:
+        """Tell whether an engine's owner is still to be heard of for the first time.
+
+        Guards against the crowd that comes back to VMs that have just started: sent
+        straight to engines that hold its adapters, past their owners, its prompts are
+        neither counted nor paced. After a restart of all VMs 121 of 161 streams went so
+        in the first half second, and 69 of them paused for longer than allowed.
+        """
+        return view.owner is None and not view.is_told
+
     def _owner_may_come(self, call: Call) -> bool:
         """Tell whether it is too early to say that no engine has an owner.
 
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -56,6 +56,13 @@
 VM for silent."""
 NOTES_LOOK_S = 1.0
 """Between two looks whether a note on a pool has to be written anew."""
+GREET_S = 0.1
+"""Between two words to peers that were never heard; VMs that start together listen
+within 0.3 s of one another, and a word that finds nobody listening is lost."""
+GREET_SHARE = 0.25
+"""The same at least, of an interval of statuses: larger fleets greet less often."""
+GREET_FOR_S = 3.0
+"""After the start; a peer that is still silent then is left to the regular statuses."""
 ISOLATION_LOOK_S = 0.5
 """Between two looks whether most peers are silent: a third of the time that this must
 last."""
@@ -99,7 +106,12 @@
             self._engines.tell_new_owners()
 
     async def register(self) -> None:
-        """Write our address into the store until it is there; read the others'."""
+        """Write our address into the store until it is there; read the others'.
+
+        VMs that were not known are told at once who we are and what we own. With the
+        next regular status they would hear of it up to 0.3 s later, in a fleet of 61
+        VMs 1 s, and send requests past the owners of engines meanwhile.
+        """
         value = json.dumps([self._state.node.ip, self._state.node.peers_port]).encode()
         topic = self._translation.registration_topic
         registered = False
@@ -109,8 +121,11 @@
                     await self._store.put(topic, self._state.node.name, value)
                     registered = True
                 snapshot = await self._store.newest(topic)
+                known = len(self._state.fleet.peer_by_id)
                 for record in snapshot.records:
                     self._take_registration(record)
+                if len(self._state.fleet.peer_by_id) > known:
+                    self.tell()
             except StoreError as error:
                 self._state.journal.write("registration_failed", error=str(error))
                 await asyncio.sleep(REGISTRATION_ALONE_S)
@@ -150,6 +165,21 @@
                 self.assign_engines()
             self._fetch_newer_table()
 
+    async def greet(self) -> None:
+        """Tell peers that were never heard who we are, for a while after the start.
+
+        Guards against VMs that start together: the first word of each is lost at those
+        that do not listen yet, and the next regular one would come 0.3 s later, in a
+        fleet of 61 VMs 1 s. Callers are back sooner.
+        """
+        until = self._state.now() + GREET_FOR_S
+        while self._state.now() < until:
+            pause_s = max(GREET_S, GREET_SHARE * self._state.fleet.interval_s())
+            await asyncio.sleep(pause_s)
+            unheard = self._state.fleet.unheard()
+            if unheard:
+                self._links.notify_all(unheard, self._status())
+
     async def write_notes_forever(self) -> None:
         """Keep in the store what has been learned of the pools of engines."""
         while True:
@@ -209,12 +239,16 @@
 
     def tell(self) -> None:
         """Tell every peer how we are and what we own."""
+        status = self._status()
+        to_tell = self._state.fleet.to_tell(self._state.now())
+        self._links.notify_all(to_tell, status)
+
+    def _status(self) -> GatewayStatus:
         engines = tuple(
             owner.status() for owner in self._engines.owner_by_engine.values()
         )
-        now = self._state.now()
-        self._state.fleet.on_own_engines(engines, now)
-        status = GatewayStatus(
+        self._state.fleet.on_own_engines(engines, self._state.now())
+        return GatewayStatus(
             incarnation=self._state.incarnation,
             address=self._state.node.ip,
             peers_port=self._state.node.peers_port,
@@ -225,7 +259,6 @@
             store_reachable=self._ownership.reachable,
             engines=engines,
         )
-        self._links.notify_all(self._state.fleet.to_tell(now), status)
 
     def _note_live(self, before: set[str]) -> set[str]:
         """Log peers that came or fell silent; free what the silent ones held."""
@@ -285,8 +318,7 @@
     def on_notice(self, sender: str, message: Any) -> None:
         """Take a peer's notice."""
         if isinstance(message, GatewayStatus):
-            self._state.fleet.on_status(sender, message, self._state.now())
-            self._engines.tell_new_owners()
+            self._on_status(sender, message)
         elif isinstance(message, EngineLoads):
             now = self._state.now()
             self._state.fleet.on_loads(sender, message.loads, now)
@@ -299,6 +331,18 @@
             if owner is not None:
                 _tell_owner(owner, sender, message)
 
+    def _on_status(self, sender: str, status: GatewayStatus) -> None:
+        """Take a peer's status; one that was not heard before gets ours at once.
+
+        It has just started, or read our address late: it knows none of our engines.
+        """
+        now = self._state.now()
+        is_new = not self._state.fleet.is_live(sender, now)
+        self._state.fleet.on_status(sender, status, now)
+        self._engines.tell_new_owners()
+        if is_new:
+            self._links.notify(sender, self._status())
+
 
 def _tell_owner(owner: EngineOwner, sender: str, message: PlaceNotice) -> None:
     if isinstance(message, PlaceCancel):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,6 +3,9 @@
 import asyncio
 from concurrent.futures import Future
 
+import pytest
+
+from bamboovale.gateway import fleet
 from bamboovale.http1.connection import Connection
 from bamboovale.peers.outgoing import PeerUnreachableError
 from bamboovale.standins.platform_endpoints import PlatformRunner
@@ -625,6 +628,63 @@
 
         run(test())
 
+    def test_vms_that_start_know_every_owner_before_the_first_interval(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """All VMs are killed and start again while callers go on.
+
+        A VM told the others who it is and what it owns only with its next regular
+        status, before it had even read their addresses. Until then it sent requests
+        past the owners of the engines: nobody counted them, nobody paced them.
+        """
+        monkeypatch.setattr(fleet, "STATUS_INTERVAL_S", 30.0)
+
+        async def test() -> None:
+            async with running_site(vms=3, runners=3) as site:
+                await _restart_all(site)
+                await site.ready()
+
+        run(test())
+
+    def test_requests_wait_for_owners_that_have_not_been_heard_yet(self) -> None:
+        """Many callers come back to VMs that have just started.
+
+        Their adapter is loaded, so that each VM sent them straight to the engine, past
+        its owner, which heard of none. All prompts together hold up every stream of
+        the engine. An owner is known some tens of milliseconds later.
+        """
+
+        async def test() -> None:
+            async with running_site(vms=2) as site:
+                site.runners[0].hold("a1")
+                await site.runners[0].register("ready")
+                await _restart_all(site)
+                await eventually(lambda: all(i.vm.state.serving() for i in site.vms))
+                asked = [
+                    call(item.address, "/chat/1", adapter="a1")
+                    for item in site.vms
+                    for _ in range(4)
+                ]
+                answers = await asyncio.gather(*asked)
+                assert {answer.status for answer in answers} == {200}
+                lines = [line for i in site.vms for line in i.journal.of("request")]
+                assert len(lines) == len(answers)
+                assert all(line.get("asks") for line in lines)
+
+        run(test())
+
+
+async def _restart_all(site: Site) -> None:
+    """Kill all VMs and start them again under their names, sooner than leases lapse."""
+    names = [item.node.name for item in site.vms]
+    for item in site.vms:
+        item.task.cancel()
+        await item.vm.close()
+    site.vms.clear()
+    for name in names:
+        await site.add_vm(name)
+
 
 class TestConnections:
     """What callers do on their connections."""
