Report streams by second, and draw them; tell the time of day in log lines

A report told how many streams were late and by what, not when: the steady clocks of several VMs cannot be laid side by side. Reports and experiments share the drawing.

--- a/bamboovale/cli/report.py
+++ b/bamboovale/cli/report.py
@@ -19,14 +19,22 @@
         float,
         typer.Option(min=0.001, help="Seconds to the first event of a good stream."),
     ] = 1.0,
+    plot: Annotated[
+        Path | None,
+        typer.Option(help="Draw the streams by second (needs matplotlib)."),
+    ] = None,
 ) -> None:
     """Print outcomes, waits, reasons and how full engines were."""
     # Imported late: the other commands start without it.
     from bamboovale.report.lines import read_lines
+    from bamboovale.report.seconds import draw
     from bamboovale.report.tables import render
 
     try:
-        typer.echo(render(read_lines(_texts(files or [])), goal))
+        lines = read_lines(_texts(files or []))
+        typer.echo(render(lines, goal))
+        if plot is not None:
+            draw(lines.requests, plot)
     except OSError as error:
         typer.echo(f"{error.filename}: {error.strerror}", err=True)
         raise typer.Exit(ExitStatus.USAGE) from error
--- a/bamboovale/emulator/experiment.py
+++ b/bamboovale/emulator/experiment.py
@@ -21,6 +21,7 @@
     Scenario,
     Tokens,
 )
+from bamboovale.plotting import axes_saved_to
 
 SHOWN = (
     "worth",
@@ -205,24 +206,14 @@
 
 def draw(rows: Sequence[Row], path: Path) -> None:
     """Draw the share in time by second for each policy; needs matplotlib."""
-    import matplotlib
-
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
-    figure, axes = pyplot.subplots(figsize=(9, 4))
-    for name in dict.fromkeys(row.policy for row in rows):
-        group = [dict(row.in_time_by_second) for row in rows if row.policy == name]
-        seconds = sorted({second for shares in group for second in shares})
-        means = [
-            statistics.fmean(shares[second] for shares in group if second in shares)
-            for second in seconds
-        ]
-        axes.plot(seconds, means, label=name)
-    axes.set_xlabel("second of the play")
-    axes.set_ylabel("share in time")
-    axes.set_ylim(0.0, 1.0)
-    axes.legend()
-    figure.tight_layout()
-    figure.savefig(path)
-    pyplot.close(figure)
+    labels = {"x_label": "second of the play", "y_label": "share in time"}
+    with axes_saved_to(path, **labels) as axes:
+        for name in dict.fromkeys(row.policy for row in rows):
+            group = [dict(row.in_time_by_second) for row in rows if row.policy == name]
+            seconds = sorted({second for shares in group for second in shares})
+            means = [
+                statistics.fmean(shares[second] for shares in group if second in shares)
+                for second in seconds
+            ]
+            axes.plot(seconds, means, label=name)
+        axes.set_ylim(0.0, 1.0)
--- a/bamboovale/gateway/journal.py
+++ b/bamboovale/gateway/journal.py
@@ -39,17 +39,23 @@
 
 
 class Journal:
-    """Writes events of one VM as lines."""
+    """Writes events of one VM as lines.
+
+    ``at`` is the VM's steady clock, by which spans are measured; ``time`` is its time
+    of day in seconds, which may jump, by which lines of several VMs are laid together.
+    """
 
     def __init__(
         self,
         vm_id: str,
         logger: logging.Logger | None = None,
         now: Callable[[], float] = time.monotonic,
+        time_of_day: Callable[[], float] = time.time,
     ) -> None:
         self._vm_id = vm_id
         self._logger = logger or logging.getLogger(JOURNAL_NAME)
         self._now = now
+        self._time_of_day = time_of_day
         self._rate_by_event: dict[str, _Rate] = {}
 
     def write(self, event: str, **fields: Any) -> None:
@@ -61,7 +67,13 @@
         if rate.dropped:
             fields["lines_left_out"] = rate.dropped
             rate.dropped = 0
-        line = {"event": event, "vm": self._vm_id, "at": round(now, 4), **fields}
+        line = {
+            "event": event,
+            "vm": self._vm_id,
+            "at": round(now, 4),
+            "time": round(self._time_of_day(), 3),
+            **fields,
+        }
         self._logger.info(json.dumps(line, default=str, separators=(",", ":")))
 
 
--- a/bamboovale/report/lines.py
+++ b/bamboovale/report/lines.py
@@ -12,7 +12,8 @@
 
     ``place_s`` was spent waiting for places at engines, ``paced_s`` of it only because
     of the pauses of other streams; ``first_s`` is None if no event came, or for a plain
-    call. ``pause_s`` is the longest pause between events.
+    call. ``pause_s`` is the longest pause between events. ``asked_at`` is the time of
+    day, None in lines that do not tell it.
     """
 
     at: float
@@ -28,6 +29,7 @@
     pause_s: float = 0.0
     pause_allowed_s: float | None = None
     paced_s: float = 0.0
+    asked_at: float | None = None
 
     @property
     def is_late_by_first(self) -> bool:
@@ -96,12 +98,14 @@
 
 def _request(document: dict[str, Any]) -> RequestLine:
     asks = document.get("asks", ())
+    ended_at = _seconds(document.get("time"))
+    total_s = float(document.get("total_s") or 0.0)
     return RequestLine(
         at=float(document["at"]),
         kind=str(document.get("kind") or "none"),
         outcome=str(document["outcome"]),
         reason=str(document.get("reason") or ""),
-        total_s=float(document.get("total_s") or 0.0),
+        total_s=total_s,
         place_s=sum(float(ask.get("s", 0.0)) for ask in asks),
         first_s=_seconds(document.get("first_s")),
         attempts=len(document.get("attempts", ())),
@@ -110,6 +114,7 @@
         pause_s=float(document.get("pause_s") or 0.0),
         pause_allowed_s=_seconds(document.get("pause_allowed_s")),
         paced_s=sum(float(ask.get("paced_s", 0.0)) for ask in asks),
+        asked_at=None if ended_at is None else ended_at - total_s,
     )
 
 
--- /dev/null
+++ b/bamboovale/report/seconds.py
@@ -0,0 +1,76 @@
+"""How streams fared by the second in which they were asked for."""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from bamboovale.plotting import axes_saved_to
+from bamboovale.report.lines import RequestLine
+
+STEP_S = 2.0
+"""Long enough for some tens of requests on a small deployment, short against most
+troubles."""
+MOST_STEPS = 40
+"""A longer log gets longer steps, so that the table still fits a screen."""
+
+
+@dataclass(frozen=True)
+class Step:
+    """Streams asked for from ``begins_s`` on, in seconds since the first request.
+
+    ``late_first`` and ``long_pause`` count served streams; one may be both.
+    """
+
+    begins_s: float
+    streams: int
+    in_time: int
+    late_first: int
+    long_pause: int
+    unserved: int
+
+
+def steps_of(requests: Sequence[RequestLine]) -> list[Step]:
+    """Return the steps of a log, also those without a request in between."""
+    streams = [r for r in requests if r.kind == "stream" and r.asked_at is not None]
+    if not streams:
+        return []
+    asked = [r.asked_at or 0.0 for r in streams]
+    first = min(asked)
+    step_s = STEP_S * max(1, math.ceil((max(asked) - first) / STEP_S / MOST_STEPS))
+    groups: list[list[RequestLine]] = [
+        [] for _ in range(int((max(asked) - first) / step_s) + 1)
+    ]
+    for request, at in zip(streams, asked, strict=True):
+        groups[int((at - first) / step_s)].append(request)
+    return [_step(step_s * number, group) for number, group in enumerate(groups)]
+
+
+def _step(begins_s: float, group: Sequence[RequestLine]) -> Step:
+    served = [r for r in group if r.outcome == "answered"]
+    late = sum(r.is_late_by_first or r.is_late_by_pause for r in served)
+    return Step(
+        begins_s=begins_s,
+        streams=len(group),
+        in_time=len(served) - late,
+        late_first=sum(r.is_late_by_first for r in served),
+        long_pause=sum(r.is_late_by_pause for r in served),
+        unserved=len(group) - len(served),
+    )
+
+
+def draw(requests: Sequence[RequestLine], path: Path) -> None:
+    """Draw the streams by second and what made them late; needs matplotlib."""
+    steps = steps_of(requests)
+    seconds = [step.begins_s for step in steps]
+    curves = {
+        "asked for": [step.streams for step in steps],
+        "in time": [step.in_time for step in steps],
+        "first event late": [step.late_first for step in steps],
+        "long pause": [step.long_pause for step in steps],
+        "not served": [step.unserved for step in steps],
+    }
+    with axes_saved_to(path, x_label="second", y_label="streams") as axes:
+        for name, counts in curves.items():
+            axes.step(seconds, counts, where="post", label=name)
+        axes.set_ylim(bottom=0.0)
--- a/bamboovale/report/tables.py
+++ b/bamboovale/report/tables.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Sequence
 
 from bamboovale.report.lines import EngineLine, Lines, RequestLine
+from bamboovale.report.seconds import steps_of
 
 MOST_REASONS = 10
 BAR_CELLS = 20
@@ -16,6 +17,7 @@
         _outcomes(lines.requests),
         _stream_waits(lines.requests, goal_s),
         _lateness(lines.requests),
+        _by_second(lines.requests),
         _reasons(lines.requests),
         _engines(lines.engines),
     ]
@@ -84,6 +86,21 @@
     return _table(rows)
 
 
+def _by_second(requests: Sequence[RequestLine]) -> str:
+    """Return how streams fared by the second in which they were asked for."""
+    steps = steps_of(requests)
+    if not steps:
+        return ""
+    rows = [["second", "streams", "in time", "late first", "long pause", "unserved"]]
+    rows[0].append("")
+    for step in steps:
+        late = (step.late_first, step.long_pause)
+        counts = (step.streams, step.in_time, *late, step.unserved)
+        bar = _bar(step.in_time / max(1, step.streams))
+        rows.append([f"{step.begins_s:g}", *map(str, counts), bar])
+    return _table(rows)
+
+
 def _quantile(values: Sequence[float], share: float = 0.9) -> str:
     ordered = sorted(values)
     return f"{ordered[int((len(ordered) - 1) * share)]:.3f}" if ordered else "-"
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -542,15 +542,21 @@
         assert partition_of("i-1", 12) == partition_of("i-1", 12)
 
 
+def collecting_logger() -> tuple[logging.Logger, list[str]]:
+    """Return a logger and the list that its lines go to."""
+    lines: list[str] = []
+    logger = logging.Logger("test")
+    handler = logging.Handler()
+    handler.emit = lambda record: lines.append(record.getMessage())  # type: ignore
+    logger.addHandler(handler)
+    return logger, lines
+
+
 class TestJournal:
     """Lines are bounded and never block."""
 
     def test_a_flood_is_cut_and_counted(self) -> None:
-        lines: list[str] = []
-        logger = logging.Logger("test")
-        handler = logging.Handler()
-        handler.emit = lambda record: lines.append(record.getMessage())  # type: ignore
-        logger.addHandler(handler)
+        logger, lines = collecting_logger()
         now = [0.0]
         journal = Journal("me", logger, now=lambda: now[0])
         for _ in range(10_000):
@@ -560,6 +566,20 @@
         journal.write("request")
         assert json.loads(lines[-1])["lines_left_out"] == 10_000 - BURST_LINES
 
+    def test_a_line_tells_the_time_of_day_beside_the_vms_own_clock(self) -> None:
+        """An engineer lays the lines of several VMs side by side.
+
+        Each VM's steady clock begins somewhere else, so that nothing told which line
+        came first.
+        """
+        logger, lines = collecting_logger()
+        journal = Journal(
+            "entry-1", logger, now=lambda: 7.25, time_of_day=lambda: 1000.5
+        )
+        journal.write("started")
+        [line] = [json.loads(text) for text in lines]
+        assert (line["at"], line["time"]) == (7.25, 1000.5)
+
     def test_a_reader_that_stops_never_blocks_the_writer(self) -> None:
         """Whoever collects the logs hangs; the pipe fills up.
 
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -2,11 +2,13 @@
 
 import json
 from pathlib import Path
+from typing import ClassVar
 
 from typer.testing import CliRunner
 
 from bamboovale.cli.main import app
 from bamboovale.report.lines import read_lines
+from bamboovale.report.seconds import Step, steps_of
 from bamboovale.report.tables import render
 
 
@@ -55,6 +57,48 @@
         assert (len(lines.requests), lines.skipped) == (1, 4)
 
 
+class TestSeconds:
+    """Streams by the second in which they were asked for."""
+
+    BOUNDS: ClassVar = {"goal_s": 0.8, "pause_allowed_s": 0.3}
+
+    def lines(self) -> list[str]:
+        return [
+            request(**self.BOUNDS, time=1001.5),
+            request(**self.BOUNDS, time=1002.0, pause_s=0.4),
+            request(**self.BOUNDS, time=1007.5, first_s=0.9),
+            request(**self.BOUNDS, time=1007.5, outcome="refused", first_s=None),
+        ]
+
+    def test_lines_of_several_vms_are_laid_together_by_time_of_day(self) -> None:
+        """A user asks what happened at six seconds past; each VM's clock differs."""
+        texts = self.lines()
+        texts[1] = texts[1].replace('"at": 12.5', '"at": 90000.0')
+        steps = steps_of(read_lines(texts).requests)
+        assert steps == [
+            Step(0.0, 2, 1, 0, 1, 0),
+            Step(2.0, 0, 0, 0, 0, 0),
+            Step(4.0, 0, 0, 0, 0, 0),
+            Step(6.0, 2, 0, 1, 0, 1),
+        ]
+
+    def test_a_long_log_gets_longer_steps(self) -> None:
+        texts = [request(time=1000.0 + 60.0 * minute) for minute in range(61)]
+        steps = steps_of(read_lines(texts).requests)
+        assert len(steps) <= 41
+        assert sum(step.streams for step in steps) == 61
+
+    def test_lines_without_time_of_day_have_no_seconds(self) -> None:
+        assert steps_of(read_lines([request()]).requests) == []
+
+    def test_the_picture_is_drawn(self, tmp_path: Path) -> None:
+        log, picture = tmp_path / "log", tmp_path / "streams.png"
+        log.write_text("\n".join(self.lines()))
+        result = CliRunner().invoke(app, ["report", str(log), "--plot", str(picture)])
+        assert result.exit_code == 0, result.output
+        assert picture.read_bytes().startswith(b"\x89PNG")
+
+
 class TestReport:
     """What the report says."""
 
