Split the giving of orders from an engine's owner

OrderGiver keeps the order number and the refused fencing number and gives an order until its outcome is known; the owner takes the outcome.

--- a/bamboovale/gateway/engine_assignment.py
+++ b/bamboovale/gateway/engine_assignment.py
@@ -3,9 +3,10 @@
 from bamboovale.decisions.pause_evidence import is_pool_held_up
 from bamboovale.decisions.place_work import EngineCapacity
 from bamboovale.decisions.rendezvous import score
-from bamboovale.gateway.engine_owner import EngineOwner, OwnerContext
+from bamboovale.gateway.engine_owner import EngineOwner
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.model import EndpointRecord
+from bamboovale.gateway.owner_context import OwnerContext
 from bamboovale.gateway.ownership import Ownership
 from bamboovale.gateway.pool_notes import PoolNotes
 from bamboovale.gateway.vm_state import VMState
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -2,11 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from bamboovale.decisions.adapter_slots import RUNS_LAG_S
 from bamboovale.decisions.engine_places import EnginePlaces
-from bamboovale.decisions.mechanisms import Mechanisms
 from bamboovale.decisions.place_work import (
     Action,
     EngineCapacity,
@@ -18,8 +16,7 @@
     RefusalReason,
     Refuse,
 )
-from bamboovale.gateway.engine_orders import EngineCallFailed, EngineCalls
-from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.engine_orders import EngineCallFailed
 from bamboovale.gateway.messages import (
     EngineLoad,
     EngineStatus,
@@ -28,12 +25,9 @@
     PlaceReply,
     PlaceRequest,
 )
-from bamboovale.gateway.model import (
-    EndpointRecord,
-    EngineOrder,
-    EngineReport,
-    OrderOutcome,
-)
+from bamboovale.gateway.model import EndpointRecord, EngineReport, OrderOutcome
+from bamboovale.gateway.order_giver import OrderGiver
+from bamboovale.gateway.owner_context import OwnerContext
 
 REPORT_IDLE_S = 2.0
 """Between reports while nothing is expected: finds an adapter that was evicted or an
@@ -48,9 +42,6 @@
 CONFLICT_PAUSE_S = 0.12
 """An engine's report lags by some 100 ms: read sooner after a conflict, it would name
 the order number that has just been refused."""
-ORDER_TRIES = 5
-"""An order without an answer is given again at once: both expect the same number of
-orders before them, so that the engine carries out one of them at most."""
 LOG_S = 1.0
 """Between two lines on how full an engine is: one engine's lines are a hundredth of the
 lines on its requests at 100 requests a second."""
@@ -62,29 +53,6 @@
 Reply = Callable[[PlaceReply], None]
 
 
-@dataclass(frozen=True)
-class OwnerContext:
-    """What an owner's task is given.
-
-    ``fence`` is the fencing number of an engine's orders; ``on_fenced`` is told which
-    number the engine refused. ``hold_off_s`` is how long a new owner evicts nothing,
-    until it has heard which runs are under way. ``on_start_seen`` is told when the
-    engine says that it started later than its record tells. ``pool_held_up`` tells of
-    a service whether reading holds up the streams of one of its engines.
-    """
-
-    calls: EngineCalls
-    journal: Journal
-    now: Callable[[], float]
-    may_order: Callable[[str], bool]
-    fence: Callable[[str], int]
-    on_fenced: Callable[[EndpointRecord, int], None]
-    on_start_seen: Callable[[EndpointRecord, int], None]
-    hold_off_s: Callable[[], float]
-    pool_held_up: Callable[[str], bool]
-    mechanisms: Mechanisms
-
-
 class EngineOwner:
     """Owns one engine while the lease lasts."""
 
@@ -100,8 +68,7 @@
         self.answers = True
         self._context = context
         self._reply_by_ask: dict[str, Reply] = {}
-        self._orders_seen: int | None = None
-        self._fenced_at: int | None = None
+        self._orders = OrderGiver(lambda: self.record, context)
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._look_at = 0.0
@@ -220,7 +187,7 @@
         outlook = self.places.outlook(self._context.now())
         return EngineStatus(
             engine_id=self.record.endpoint_id,
-            fence=self._fence(),
+            fence=self._orders.fence(),
             loaded=tuple((*key, v) for key, v in outlook.loaded.items()),
             coming=tuple((*key, v) for key, v in outlook.coming.items()),
             models=outlook.models,
@@ -289,91 +256,20 @@
         self._tell(refusal.ask, reply)
 
     async def _order(self, action: OrderLoad | OrderUnload) -> None:
-        """Give an order until its outcome is known, for a few tries."""
-        lost = 0
-        while lost < ORDER_TRIES:
-            fence = self._fence()
-            expected = self._orders_seen
-            if expected is None or not self._allowed(fence):
-                self._failed(action, certain=lost == 0)
-                return
-            outcome = await self._give(action, fence, expected, lost)
-            if outcome is not OrderOutcome.UNKNOWN:
-                self._take_outcome(action, outcome, fence, lost)
-                return
-            lost += 1
-        self._failed(action, certain=False)
-
-    async def _give(
-        self,
-        action: OrderLoad | OrderUnload,
-        fence: int,
-        expected: int,
-        lost: int,
-    ) -> OrderOutcome:
-        version = action.version if isinstance(action, OrderLoad) else None
-        order = EngineOrder(
-            load=isinstance(action, OrderLoad),
-            model=action.model,
-            adapter=action.adapter,
-            version=version or None,
-        )
-        outcome = await self._context.calls.order(
-            self.record,
-            order,
-            fence,
-            expected,
-            lost,
-        )
-        self._context.journal.write(
-            "order",
-            engine=self.record.endpoint_id,
-            load=order.load,
-            model=order.model,
-            adapter=order.adapter,
-            version=version,
-            fence=fence,
-            expected=expected,
-            outcome=outcome.name.lower(),
-        )
-        return outcome
-
-    def _take_outcome(
-        self,
-        action: OrderLoad | OrderUnload,
-        outcome: OrderOutcome,
-        fence: int,
-        lost: int,
-    ) -> None:
+        """Give an order and take its outcome."""
+        end = await self._orders.give(action)
         now = self._context.now()
-        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.HOLDS):
-            if self._orders_seen is not None and _counts(action, outcome):
-                self._orders_seen += 1
-            at_once = outcome is OrderOutcome.HOLDS
+        if end.is_done:
+            at_once = end.outcome is OrderOutcome.HOLDS
             actions = self.places.on_order_done(action, now, at_once=at_once)
             self._carry_out(actions)
             self._expect_news(now)
             return
-        if outcome is OrderOutcome.FENCED:
-            self._fenced_at = fence
-            self._context.on_fenced(self.record, fence)
-        if outcome is OrderOutcome.GONE:
+        if end.outcome is OrderOutcome.GONE:
             self._engine_lost()
-        self._orders_seen = None
-        self._failed(action, certain=lost == 0)
-        self._look_by(now + CONFLICT_PAUSE_S)
-
-    def _failed(self, action: OrderLoad | OrderUnload, *, certain: bool) -> None:
-        self.places.on_order_failed(action, certain=certain)
-
-    def _fence(self) -> int:
-        return self._context.fence(self.record.registered_id)
-
-    def _allowed(self, fence: int) -> bool:
-        """Tell whether an order may go out now, looked at just before it does."""
-        if self._fenced_at is not None and fence <= self._fenced_at:
-            return False
-        return self._context.may_order(self.record.registered_id)
+        self.places.on_order_failed(action, certain=end.is_certain)
+        if end.outcome is not None:
+            self._look_by(now + CONFLICT_PAUSE_S)
 
     # Reports.
 
@@ -416,10 +312,9 @@
         if not self._is_same_start(report):
             return False
         self.answers = True
-        if self._orders_seen is None or report.orders > self._orders_seen:
-            self._orders_seen = report.orders
+        self._orders.on_report(report.orders)
         now = self._context.now()
-        self.places.may_order = self._allowed(self._fence())
+        self.places.may_order = self._orders.may_order()
         self._carry_out(self.places.on_facts(facts_of(report, asked_at), now))
         return True
 
@@ -457,7 +352,7 @@
             await asyncio.sleep(TICK_S)
             pool_held_up = self._context.pool_held_up(self.record.service)
             self.places.pacing.pool_held_up = pool_held_up
-            self.places.may_order = self._allowed(self._fence())
+            self.places.may_order = self._orders.may_order()
             if self.places.waiting():
                 self._carry_out(self.places.decide(self._context.now()))
 
@@ -502,11 +397,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _counts(action: OrderLoad | OrderUnload, outcome: OrderOutcome) -> bool:
-    """Tell whether the engine counted the order: an unload done at once is counted."""
-    return outcome is OrderOutcome.ACCEPTED or isinstance(action, OrderUnload)
-
-
 def facts_of(report: EngineReport, read_at: float) -> EngineFacts:
     """Return a report as the decisions read it."""
     return EngineFacts(
--- /dev/null
+++ b/bamboovale/gateway/order_giver.py
@@ -0,0 +1,127 @@
+"""The orders to one engine: their number, their fencing, tries without an answer."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bamboovale.decisions.place_work import OrderLoad, OrderUnload
+from bamboovale.gateway.model import EndpointRecord, EngineOrder, OrderOutcome
+from bamboovale.gateway.owner_context import OwnerContext
+
+ORDER_TRIES = 5
+"""An order without an answer is given again at once: both expect the same number of
+orders before them, so that the engine carries out one of them at most."""
+
+
+@dataclass(frozen=True)
+class OrderEnd:
+    """How an order ended; ``outcome`` is None if it was not given or never answered.
+
+    ``lost`` counts the tries without an answer.
+    """
+
+    outcome: OrderOutcome | None
+    lost: int
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether the engine carries the order out, or holds it to be done."""
+        return self.outcome in (OrderOutcome.ACCEPTED, OrderOutcome.HOLDS)
+
+    @property
+    def is_certain(self) -> bool:
+        """Tell whether no try of an order that failed may still be carried out."""
+        return self.lost == 0
+
+
+class OrderGiver:
+    """Gives the orders of one engine's owner, one at a time."""
+
+    def __init__(
+        self,
+        record: Callable[[], EndpointRecord],
+        context: OwnerContext,
+    ) -> None:
+        self._record = record
+        self._context = context
+        self._orders_seen: int | None = None
+        self._fenced_at: int | None = None
+
+    def fence(self) -> int:
+        """Return the fencing number of the next order."""
+        return self._context.fence(self._record().registered_id)
+
+    def may_order(self) -> bool:
+        """Tell whether an order may go out now, looked at just before it does."""
+        return self._may_order_by(self.fence())
+
+    def on_report(self, orders: int) -> None:
+        """Take the number of orders that the engine says it has accepted."""
+        if self._orders_seen is None or orders > self._orders_seen:
+            self._orders_seen = orders
+
+    async def give(self, action: OrderLoad | OrderUnload) -> OrderEnd:
+        """Give an order until its outcome is known, for a few tries."""
+        for lost in range(ORDER_TRIES):
+            fence = self.fence()
+            expected = self._orders_seen
+            if expected is None or not self._may_order_by(fence):
+                return OrderEnd(None, lost)
+            outcome = await self._give_once(action, fence, expected, lost)
+            if outcome is not OrderOutcome.UNKNOWN:
+                self._take(action, outcome, fence)
+                return OrderEnd(outcome, lost)
+        return OrderEnd(None, ORDER_TRIES)
+
+    def _may_order_by(self, fence: int) -> bool:
+        if self._fenced_at is not None and fence <= self._fenced_at:
+            return False
+        return self._context.may_order(self._record().registered_id)
+
+    async def _give_once(
+        self,
+        action: OrderLoad | OrderUnload,
+        fence: int,
+        expected: int,
+        lost: int,
+    ) -> OrderOutcome:
+        record = self._record()
+        version = action.version if isinstance(action, OrderLoad) else None
+        order = EngineOrder(
+            load=isinstance(action, OrderLoad),
+            model=action.model,
+            adapter=action.adapter,
+            version=version or None,
+        )
+        outcome = await self._context.calls.order(record, order, fence, expected, lost)
+        self._context.journal.write(
+            "order",
+            engine=record.endpoint_id,
+            load=order.load,
+            model=order.model,
+            adapter=order.adapter,
+            version=version,
+            fence=fence,
+            expected=expected,
+            outcome=outcome.name.lower(),
+        )
+        return outcome
+
+    def _take(
+        self,
+        action: OrderLoad | OrderUnload,
+        outcome: OrderOutcome,
+        fence: int,
+    ) -> None:
+        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.HOLDS):
+            if self._orders_seen is not None and _is_counted(action, outcome):
+                self._orders_seen += 1
+            return
+        if outcome is OrderOutcome.FENCED:
+            self._fenced_at = fence
+            self._context.on_fenced(self._record(), fence)
+        self._orders_seen = None
+
+
+def _is_counted(action: OrderLoad | OrderUnload, outcome: OrderOutcome) -> bool:
+    """Tell whether the engine counted the order: an unload done at once is counted."""
+    return outcome is OrderOutcome.ACCEPTED or isinstance(action, OrderUnload)
--- /dev/null
+++ b/bamboovale/gateway/owner_context.py
@@ -0,0 +1,32 @@
+"""What the tasks of an engine's owner are given by their VM."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bamboovale.decisions.mechanisms import Mechanisms
+from bamboovale.gateway.engine_orders import EngineCalls
+from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.model import EndpointRecord
+
+
+@dataclass(frozen=True)
+class OwnerContext:
+    """What an owner's task is given.
+
+    ``fence`` is the fencing number of an engine's orders; ``on_fenced`` is told which
+    number the engine refused. ``hold_off_s`` is how long a new owner evicts nothing,
+    until it has heard which runs are under way. ``on_start_seen`` is told when the
+    engine says that it started later than its record tells. ``pool_held_up`` tells of
+    a service whether reading holds up the streams of many of its engines.
+    """
+
+    calls: EngineCalls
+    journal: Journal
+    now: Callable[[], float]
+    may_order: Callable[[str], bool]
+    fence: Callable[[str], int]
+    on_fenced: Callable[[EndpointRecord, int], None]
+    on_start_seen: Callable[[EndpointRecord, int], None]
+    hold_off_s: Callable[[], float]
+    pool_held_up: Callable[[str], bool]
+    mechanisms: Mechanisms
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -12,12 +12,12 @@
 from bamboovale.gateway.endpoints import EndpointChange
 from bamboovale.gateway.engine_assignment import EngineAssignment
 from bamboovale.gateway.engine_orders import EngineCalls
-from bamboovale.gateway.engine_owner import OwnerContext
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.front import Front
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.messages import SuspectSeen
 from bamboovale.gateway.model_calls import ModelCalls
+from bamboovale.gateway.owner_context import OwnerContext
 from bamboovale.gateway.ownership import Ownership, lease_clock
 from bamboovale.gateway.peering import Peering
 from bamboovale.gateway.plain_calls import PlainCalls
