--- a/bamboovale/decisions/pause_evidence.py
+++ b/bamboovale/decisions/pause_evidence.py
@@ -50,7 +50,8 @@
     Guards against one or two that turned slow or lost their runs: their streams pause
     too, and a pool whose pauses are wide would be paced for the rest of the day.
     """
-    return held_up >= max(min(POOL_LEAST, engines), POOL_SHARE * engines)
+    least = max(min(POOL_LEAST, engines), POOL_SHARE * engines)
+    return held_up > 0 and held_up >= least
 
 
 class PauseEvidence:
--- a/bamboovale/emulator/experiment.py
+++ b/bamboovale/emulator/experiment.py
@@ -206,8 +206,11 @@
 
 def draw(rows: Sequence[Row], path: Path) -> None:
     """Draw the share in time by second for each policy; needs matplotlib."""
-    labels = {"x_label": "second of the play", "y_label": "share in time"}
-    with axes_saved_to(path, **labels) as axes:
+    with axes_saved_to(
+        path,
+        x_label="second of the play",
+        y_label="share in time",
+    ) as axes:
         for name in dict.fromkeys(row.policy for row in rows):
             group = [dict(row.in_time_by_second) for row in rows if row.policy == name]
             seconds = sorted({second for shares in group for second in shares})
--- a/bamboovale/gateway/engine_assignment.py
+++ b/bamboovale/gateway/engine_assignment.py
@@ -80,11 +80,11 @@
         return wanted
 
     def pool_held_up(self, service: str) -> bool:
-        """Tell whether reading holds up the streams of most engines of this service."""
+        """Tell whether reading holds up the streams of a whole pool of engines."""
         records = self._state.endpoints.ready(service)
         engines = (self._state.fleet.engine(record.endpoint_id) for record in records)
         held_up = sum(owned is not None and owned.status.held_up for owned in engines)
-        return bool(records) and is_pool_held_up(held_up, len(records))
+        return is_pool_held_up(held_up, len(records))
 
     def held_up_by_service(self) -> dict[str, bool]:
         """Return for each pool of engines whether it is held up."""
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -25,9 +25,10 @@
 0.96 every 0.94 s, and the slowest three in a hundred 0.6 s against 1.1 s."""
 QUIET_INTERVALS = 2
 """Intervals between two statuses of a VM that owns no engine, in a fleet too large for
-the shortest interval. Of 61 VMs 49 own none; nobody chooses engines by their word, and
-what they change is told at once. Each message costs its sender and its receiver 0.3 ms
-together."""
+the shortest interval: with twelve partitions at most twelve VMs own any. Nobody chooses
+engines by the word of the others, and what they change is told at once. In twelve
+seconds of a heavy day with 61 VMs all processes together took 226 s of processor time,
+257 s when every VM told in each interval."""
 MISSED_STATUSES = 3.0
 """Statuses in a row after which a VM counts as silent; links drop none but broken."""
 SLACK_S = 0.2
--- a/tests/test_decisions_prompt_pacing.py
+++ b/tests/test_decisions_prompt_pacing.py
@@ -294,6 +294,7 @@
     @pytest.mark.parametrize(
         "held_up, engines, is_pool",
         [
+            (0, 0, False),
             (0, 6, False),
             (2, 6, False),
             (3, 6, True),
