Refuse at once what a full engine cannot place, after asking others

Once requests have waited for slots for two seconds, the rate is what was seen. A request refused at once asks up to two more engines before its caller is refused, and Retry-After says when its turn could come in time.

The tests of full engines and turns came with the change.

--- a/bamboovale/decisions/engine_busyness.py
+++ b/bamboovale/decisions/engine_busyness.py
@@ -22,6 +22,10 @@
 """Slots that an engine hands on a second, by the loads of the last seconds; at least
 what one with slots for two loads a quarter second can do, so that a quiet engine
 refuses nobody."""
+RATE_FULL_LEAST_PER_S = 0.5
+"""The same once requests have waited for slots throughout the window: what was seen is
+all that the engine can do then. On a heavy day engines handed on one to three slots a
+second; taken for eight, they kept callers waiting for 2.9 s and refused them then."""
 SLACK_LOADS = 4
 """Requests ahead that do not count: their loads run side by side."""
 
@@ -33,6 +37,7 @@
         self._late_s = MovingAverage(0.0, weight=FIRST_EVENT_WEIGHT)
         self._late_at = 0.0
         self._loads_at: deque[float] = deque()
+        self._full_since: float | None = None
 
     def late_s(self, now: float) -> float:
         """Return by how much first events came later than their prompts take."""
@@ -49,6 +54,13 @@
         """Count a slot that was handed on."""
         self._loads_at.append(now)
 
+    def on_full(self, is_full: bool, now: float) -> None:
+        """Take whether requests wait for slots to be handed on."""
+        if not is_full:
+            self._full_since = None
+        elif self._full_since is None:
+            self._full_since = now
+
     def backlog_s(self, unstarted_ages_s: Collection[float], now: float) -> float:
         """Return how long a new prompt waits, by the first events seen and missing.
 
@@ -64,5 +76,8 @@
         """Return when the request behind ``ahead`` others should get a slot."""
         while self._loads_at and now - self._loads_at[0] > RATE_WINDOW_S:
             self._loads_at.popleft()
-        rate_per_s = max(RATE_LEAST_PER_S, len(self._loads_at) / RATE_WINDOW_S)
+        full_since = self._full_since
+        is_seen = full_since is not None and now - full_since >= RATE_WINDOW_S
+        least_per_s = RATE_FULL_LEAST_PER_S if is_seen else RATE_LEAST_PER_S
+        rate_per_s = max(least_per_s, len(self._loads_at) / RATE_WINDOW_S)
         return max(0.0, (ahead - SLACK_LOADS) / rate_per_s)
--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -410,18 +410,21 @@
 
     def _refusals(self, now: float) -> list[Action]:
         """Refuse what can no longer start in time."""
-        reason_by_id: dict[str, RefusalReason] = {}
+        refusals: list[Action] = []
+        kept: list[PlaceAsk] = []
+        load_s = self.slots.load_s.value
         waits_s = self._predicted_waits(now)
         for ask, wait_s in zip(self._queue, waits_s, strict=True):
-            if now + wait_s > ask.latest_start:
-                reason_by_id[ask.ask_id] = RefusalReason.LATE
+            too_long_s = now + wait_s - ask.latest_start
+            if too_long_s > 0.0:
+                retry_s = max(load_s, too_long_s)
+                refusals.append(Refuse(ask, RefusalReason.LATE, retry_s))
             elif self._cannot_load(ask, now):
-                reason_by_id[ask.ask_id] = RefusalReason.CANNOT_LOAD
-        refused = [ask for ask in self._queue if ask.ask_id in reason_by_id]
-        if refused:
-            self._queue = [a for a in self._queue if a.ask_id not in reason_by_id]
-        retry_s = self.slots.load_s.value
-        return [Refuse(ask, reason_by_id[ask.ask_id], retry_s) for ask in refused]
+                refusals.append(Refuse(ask, RefusalReason.CANNOT_LOAD, load_s))
+            else:
+                kept.append(ask)
+        self._queue = kept
+        return refusals
 
     def _predicted_waits(self, now: float) -> list[float]:
         """Return for each waiting request when its turn for a slot should come.
@@ -431,6 +434,7 @@
         """
         if not self._mechanisms.has(Mechanism.EARLY_REFUSAL):
             return [0.0] * len(self._queue)
+        self._busyness.on_full(self._open_slots() < 0, now)
         waits_s = []
         ahead: set[AdapterKey] = set()
         for ask in self._queue:
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -17,6 +17,11 @@
 from bamboovale.gateway.model import EndpointRecord, ModelWork
 from bamboovale.http1.connection import AnswerBroken
 
+MOST_FULL = 3
+"""Engines that refuse a request at once before its caller is refused. Many VMs choose
+by the same words, and an engine that has just come up gets more than it can place."""
+AT_ONCE_S = 0.1
+"""A refusal that comes later has used up the caller's patience."""
 MOST_TRIES = 4
 """Engines asked for one request; what cannot be placed by then is refused."""
 RUN_LEAST_S = 0.4
@@ -40,6 +45,14 @@
 OK = 200
 
 
+class EngineFull(Exception):  # noqa: N818 - reads as what happened
+    """An engine's owner sees no place in time; ``retry_after_s`` tells when to ask."""
+
+    def __init__(self, reason: str, retry_after_s: float) -> None:
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
+
+
 class StreamCut(Exception):  # noqa: N818 - reads as what happened
     """The engine's stream ended before its end."""
 
@@ -125,15 +138,19 @@
             call.service, EngineChooser(self._mechanisms)
         )
         silent: set[str] = set()
+        full: dict[str, EngineFull] = {}
         while True:
             records = self._endpoints.ready(call.service)
             views = self._engines.views(records)
             chooser.held_lately.see(views)
-            excluded = progress.excluded | silent
+            passed_over = silent | full.keys()
+            excluded = progress.excluded | passed_over
             tokens = work.prompt_tokens
             chosen = chooser.choose(key, version, views, excluded, tokens)
             if chosen is None:
-                chosen = chooser.choose(key, version, views, silent, tokens)
+                chosen = chooser.choose(key, version, views, passed_over, tokens)
+            if full and (chosen is None or len(full) == MOST_FULL):
+                raise self._no_place(progress, full)
             unowned = chosen is None or self._is_unheard(views[chosen])
             if unowned and self._owner_may_come(call):
                 await asyncio.sleep(OWNER_LOOK_S)
@@ -148,6 +165,8 @@
                 view = views[chosen]
                 place = await self._ask(call, work, view, version, progress)
                 return record, place
+            except EngineFull as error:
+                full[chosen] = error
             except OwnerSilent as error:
                 call.notes.setdefault("silent_owners", []).append(
                     {"engine": chosen, "error": str(error)}
@@ -234,9 +253,10 @@
             note["s"] = round(self._now() - now, 4)
         if reply.version is None:
             note["refused"] = reply.reason
-            if progress.started or progress.runs:
-                raise self._given_up(progress, f"no place: {reply.reason}")
-            raise CallRefused(f"no place: {reply.reason}", reply.retry_after_s)
+            full = EngineFull(reply.reason, reply.retry_after_s)
+            if note["s"] <= AT_ONCE_S:
+                raise full
+            raise self._no_place(progress, {engine_id: full})
         note["version"] = reply.version
         if reply.paced_s:
             note["paced_s"] = reply.paced_s
@@ -251,6 +271,17 @@
         self._engines.hold(place, request)
         return place
 
+    def _no_place(
+        self,
+        progress: _Progress,
+        full: dict[str, EngineFull],
+    ) -> Exception:
+        """Return the refusal; its caller comes back when the first has a place."""
+        first = min(full.values(), key=lambda refusal: refusal.retry_after_s)
+        if progress.started or progress.runs:
+            return self._given_up(progress, f"no place: {first}")
+        return CallRefused(f"no place: {first}", first.retry_after_s)
+
     def _starts_within_s(self, call: Call, progress: _Progress, now: float) -> float:
         """Return how long the caller will wait for a place.
 
--- a/tests/test_decisions_engine_busyness.py
+++ b/tests/test_decisions_engine_busyness.py
@@ -3,6 +3,33 @@
 from bamboovale.decisions.engine_busyness import EngineBusyness
 
 
+class TestTurns:
+    """When a request should get a slot, at an engine whose slots are all in use."""
+
+    def hand_on(self, busyness: EngineBusyness, per_s: float, until: float) -> None:
+        """Let requests wait throughout while slots are handed on."""
+        for number in range(int(until * 20) + 1):
+            busyness.on_full(True, number / 20)
+        for number in range(int(until * per_s)):
+            busyness.on_load((number + 1) / per_s)
+
+    def test_a_full_engine_is_taken_for_what_it_does(self) -> None:
+        """Callers waited 2.9 s at full engines, and were refused then.
+
+        The engine hands on two slots a second; taken for eight, twenty requests ahead
+        seemed to be placed in two seconds.
+        """
+        busyness = EngineBusyness()
+        self.hand_on(busyness, 2.0, until=4.0)
+        assert 6.0 < busyness.turn_s(20, 4.0) < 9.0
+
+    def test_a_quiet_engine_refuses_nobody(self) -> None:
+        busyness = EngineBusyness()
+        self.hand_on(busyness, 2.0, until=4.0)
+        busyness.on_full(False, 4.0)
+        assert busyness.turn_s(12, 4.5) <= 1.0
+
+
 class TestEngineBusyness:
     """Slow engines lose work and get it back."""
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,6 +6,8 @@
 import pytest
 
 from bamboovale.gateway import fleet
+from bamboovale.gateway.engine_owner import Reply
+from bamboovale.gateway.messages import PlaceReply, PlaceRequest
 from bamboovale.http1.connection import Connection
 from bamboovale.peers.outgoing import PeerUnreachableError
 from bamboovale.standins.platform_endpoints import PlatformRunner
@@ -366,6 +368,36 @@
 
         run(test())
 
+    def test_a_full_engine_sends_requests_to_the_others(self) -> None:
+        """An engine comes up empty, and all VMs send their requests there at once.
+
+        More came than it could place in time, and those were refused while other
+        engines had room: each VM knows only what it has sent there itself.
+        """
+
+        async def test() -> None:
+            async with running_site(runners=2) as site:
+                full = _fill(site, "runner-0", retry_after_s=2.0)
+                for number in range(6):
+                    answer = await call(
+                        site.vms[0].address, "/chat/1", adapter=f"a{number}"
+                    )
+                    assert answer.status == 200
+                assert full
+
+        run(test())
+
+    def test_where_all_are_full_the_first_that_has_room_says_when(self) -> None:
+        async def test() -> None:
+            async with running_site(runners=2) as site:
+                _fill(site, "runner-0", retry_after_s=9.0)
+                _fill(site, "runner-1", retry_after_s=2.0)
+                answer = await call(site.vms[0].address, "/chat/1", adapter="a1")
+                assert answer.status == 503
+                assert 1.4 < float(answer.header("retry-after") or 0) < 2.6
+
+        run(test())
+
     def test_without_an_owner_no_old_version_runs(self) -> None:
         """A parent gets a summary from the adapter that was replaced seconds ago.
 
@@ -407,6 +439,20 @@
         run(test())
 
 
+def _fill(site: Site, engine_id: str, retry_after_s: float) -> list[PlaceRequest]:
+    """Let an engine's owner refuse every place at once; return what it is asked."""
+    asked: list[PlaceRequest] = []
+
+    def refuse(vm_id: str, request: PlaceRequest, reply: Reply) -> None:
+        asked.append(request)
+        answer = PlaceReply(request.ask_id, reason="late", retry_after_s=retry_after_s)
+        reply(answer)
+
+    owner = site.vms[0].vm._engines.owner_by_engine[engine_id]
+    owner.ask = refuse  # type: ignore[method-assign]
+    return asked
+
+
 def _coming(vm: RunningVM) -> dict:
     """Return the adapters that the VM believes to be on their way to the engine."""
     owned = vm.vm.state.fleet.engine("runner-0")
