--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -133,22 +133,13 @@
     ) -> tuple[EndpointRecord, HeldPlace | None]:
         """Return an engine that holds the adapter; None as place: without its owner."""
         version = self._version_of(work.model, work.adapter)
-        key = None if work.adapter is None else (work.model, work.adapter)
-        chooser = self._chooser_by_service.setdefault(
-            call.service, EngineChooser(self._mechanisms)
-        )
         silent: set[str] = set()
         full: dict[str, EngineFull] = {}
         while True:
             records = self._endpoints.ready(call.service)
             views = self._engines.views(records)
-            chooser.held_lately.see(views)
             passed_over = silent | full.keys()
-            excluded = progress.excluded | passed_over
-            tokens = work.prompt_tokens
-            chosen = chooser.choose(key, version, views, excluded, tokens)
-            if chosen is None:
-                chosen = chooser.choose(key, version, views, passed_over, tokens)
+            chosen = self._choose(call, work, views, passed_over, progress)
             if full and (chosen is None or len(full) == MOST_FULL):
                 raise self._no_place(progress, full)
             unowned = chosen is None or self._is_unheard(views[chosen])
@@ -173,6 +164,28 @@
                 )
                 silent.add(chosen)
 
+    def _choose(
+        self,
+        call: Call,
+        work: ModelWork,
+        views: dict[str, EngineView],
+        passed_over: set[str],
+        progress: _Progress,
+    ) -> str | None:
+        """Choose an engine; one that failed this request only if no other is left."""
+        chooser = self._chooser_by_service.setdefault(
+            call.service, EngineChooser(self._mechanisms)
+        )
+        chooser.held_lately.see(views)
+        key = None if work.adapter is None else (work.model, work.adapter)
+        version = self._version_of(work.model, work.adapter)
+        tokens = work.prompt_tokens
+        excluded = progress.excluded | passed_over
+        chosen = chooser.choose(key, version, views, excluded, tokens)
+        if chosen is None:
+            chosen = chooser.choose(key, version, views, passed_over, tokens)
+        return chosen
+
     def _is_unheard(self, view: EngineView) -> bool:
         """Tell whether an engine's owner is still to be heard of for the first time.
 
