--- a/bamboovale/decisions/pause_evidence.py
+++ b/bamboovale/decisions/pause_evidence.py
@@ -31,7 +31,7 @@
 some 25 decide."""
 ALONE_S = 6.0
 """For how long an engine is taken for held up while its pool is not; then its streams
-are looked at anew. Some 35 streams by then."""
+are looked at anew: some 35 streams by then. Not varied."""
 POOL_LEAST = 3
 POOL_SHARE = 1 / 3
 """Engines of a pool that are held up before the others take it for their own case. With
@@ -91,12 +91,6 @@
         """Tell whether reading holds up many of the engine's streams."""
         return self._is_held_up
 
-    def _fade(self, now: float) -> None:
-        faded = 0.5 ** (max(0.0, now - self._at) / HALF_LIFE_S)
-        self._streams *= faded
-        self._held_up *= faded
-        self._at = now
-
     def look_anew(self, now: float) -> None:
         """Forget what was seen, if the engine has long been held up.
 
@@ -108,6 +102,12 @@
             self._held_up = 0.0
             self._is_held_up = False
 
+    def _fade(self, now: float) -> None:
+        faded = 0.5 ** (max(0.0, now - self._at) / HALF_LIFE_S)
+        self._streams *= faded
+        self._held_up *= faded
+        self._at = now
+
     def _judge(self, now: float) -> None:
         share = self._held_up / max(1.0, self._streams)
         if self._held_up >= STREAMS_LEAST and share >= ON_SHARE:
