--- a/bamboovale/catalogue/fold.py
+++ b/bamboovale/catalogue/fold.py
@@ -214,15 +214,18 @@
         return outcome
 
     def _judge(self, offset: int, edit: Edit, digest: str) -> EditOutcome:
+        rejected = EditOutcome(
+            edit_id=edit.edit_id,
+            accepted=False,
+            revision=self.revision,
+            offset=offset,
+            digest=digest,
+        )
         conflicts = find_conflicts(edit.changes, self.index)
         if conflicts:
             return self._reject(
-                EditOutcome(
-                    edit_id=edit.edit_id,
-                    accepted=False,
-                    revision=self.revision,
-                    offset=offset,
-                    digest=digest,
+                replace(
+                    rejected,
                     reason=RejectionReason.CONFLICT,
                     conflicts=tuple(conflicts[:MAX_FINDINGS]),
                 )
@@ -230,12 +233,8 @@
         findings = find_faults(edit.changes, self.index)
         if findings:
             return self._reject(
-                EditOutcome(
-                    edit_id=edit.edit_id,
-                    accepted=False,
-                    revision=self.revision,
-                    offset=offset,
-                    digest=digest,
+                replace(
+                    rejected,
                     reason=RejectionReason.INVALID,
                     findings=tuple(findings),
                 )
