Split the search for a place from the calls for a model

model_calls.py had 462 lines and two jobs; how a request ends stood there three times over. PlaceSearch chooses and asks, Progress says how a request may end, ModelCalls carries it.

--- a/bamboovale/gateway/crashes.py
+++ b/bamboovale/gateway/crashes.py
@@ -7,7 +7,7 @@
 from bamboovale.gateway.call import Call, CallFailed
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.messages import SuspectSeen
-from bamboovale.gateway.model_calls import StreamCut
+from bamboovale.gateway.stream_progress import StreamCut
 
 
 class CrashGuard:
--- a/bamboovale/gateway/front.py
+++ b/bamboovale/gateway/front.py
@@ -7,8 +7,9 @@
 from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
 from bamboovale.gateway.crashes import CrashGuard
 from bamboovale.gateway.model import CallFacts, Route, RoutingTable
-from bamboovale.gateway.model_calls import ModelCalls, StreamCut
+from bamboovale.gateway.model_calls import ModelCalls
 from bamboovale.gateway.plain_calls import PlainCalls
+from bamboovale.gateway.stream_progress import StreamCut
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.http1.server import BadRequest, Request, Responder
 from bamboovale.metrics import Metrics
