--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -26,9 +26,9 @@
 QUIET_INTERVALS = 2
 """Intervals between two statuses of a VM that owns no engine, in a fleet too large for
 the shortest interval: with twelve partitions at most twelve VMs own any. Nobody chooses
-engines by the word of the others, and what they change is told at once. In twelve
-seconds of a heavy day with 61 VMs all processes together took 226 s of processor time,
-257 s when every VM told in each interval."""
+engines by the word of the others, and what they change is told at once. Forty idle VMs
+in one process took 5.2 s of processor time in eight seconds; where each told in every
+interval the process was busy throughout, with 7.9 s."""
 MISSED_STATUSES = 3.0
 """Statuses in a row after which a VM counts as silent; links drop none but broken."""
 SLACK_S = 0.2
