--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -17,6 +17,7 @@
 
 from bamboovale.decisions.adapter_slots import AdapterSlots, SlotState
 from bamboovale.decisions.engine_busyness import EngineBusyness
+from bamboovale.decisions.load_orders import LoadOrders
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanism, Mechanisms
 from bamboovale.decisions.place_work import (
     Action,
@@ -33,8 +34,6 @@
 )
 from bamboovale.decisions.prompt_pacing import PromptPacing
 
-LOADS_AT_ONCE = 4
-"""An engine fetches no more adapters than this at a time."""
 KV_SHARE = 0.92
 """Of the token memory, by upper bounds: past it the engine preempts running work."""
 FIRST_TOKEN_S = 0.1
@@ -72,14 +71,12 @@
         self._busyness = EngineBusyness()
         self.pacing = PromptPacing()
         self._paced_until: float | None = None
-        self._version_by_model: dict[str, int] = {}
-        self._model_loading_since: dict[str, float] = {}
+        self._orders = LoadOrders(capacity, self.slots)
         self._stopped_at: float | None = None
         self._queue: list[PlaceAsk] = []
         self._paced_since: dict[str, float] = {}
         self._place_by_id: dict[str, Place] = {}
         self._tokens = 0
-        self._order_open = False
         self._known = False
         self._reported_active = 0
 
@@ -88,10 +85,8 @@
     def on_facts(self, facts: EngineFacts, now: float) -> list[Action]:
         """Take a report."""
         self._known = True
-        self._version_by_model = dict(facts.version_by_model)
+        self._orders.see_models(facts.version_by_model)
         self._reported_active = facts.active
-        for model in facts.version_by_model:
-            self._model_loading_since.pop(model, None)
         self.slots.see(facts, now)
         return self.decide(now)
 
@@ -103,14 +98,9 @@
         at_once: bool,
     ) -> list[Action]:
         """Take an order that was accepted; ``at_once``: it holds already."""
-        self._order_open = False
-        if order.adapter is not None:
-            key = (order.model, order.adapter)
-            if isinstance(order, OrderUnload):
-                self.slots.unload_accepted(key, now, at_once=at_once)
-            else:
-                self.slots.load_accepted(key, now)
-                self._busyness.on_load(now)
+        self._orders.on_done(order, now, at_once=at_once)
+        if isinstance(order, OrderLoad) and order.adapter is not None:
+            self._busyness.on_load(now)
         return self.decide(now)
 
     def on_order_failed(
@@ -124,13 +114,7 @@
         An order without an answer may still be carried out: its slot stays taken until
         a report shows what became of it.
         """
-        self._order_open = False
-        if order.adapter is None:
-            self._model_loading_since.pop(order.model, None)
-        elif isinstance(order, OrderUnload):
-            self.slots.unload_failed((order.model, order.adapter))
-        elif certain:
-            self.slots.load_failed((order.model, order.adapter))
+        self._orders.on_failed(order, certain=certain)
 
     def on_refused_run(
         self,
@@ -229,10 +213,10 @@
         self._sort_queue(now)
         actions: list[Action] = self._grants(now)
         actions += self._refusals(now)
-        if self.may_order and not self._order_open:
-            order = self._next_order(now)
+        if self.may_order:
+            may_evict = now >= self.may_evict_from
+            order = self._orders.next(self._queue, now, may_evict=may_evict)
             if order is not None:
-                self._order_open = True
                 actions.append(order)
         return actions
 
@@ -241,7 +225,7 @@
         return EngineOutlook(
             loaded=self.slots.versions(SlotState.LOADED),
             coming=self.slots.versions(SlotState.LOADING),
-            models=tuple(self._version_by_model),
+            models=tuple(self._orders.version_by_model),
             active=len(self._place_by_id),
             places=self.capacity.places,
             queued=len(self._queue),
@@ -270,7 +254,7 @@
             "load_s": round(self.slots.load_s.value, 3),
             "kept": self.slots.held_kept,
             "may_order": self.may_order,
-            "order_open": self._order_open,
+            "order_open": self._orders.is_open,
         }
 
     def _open_slots(self) -> int:
@@ -294,11 +278,11 @@
 
     def has_loads_coming(self) -> bool:
         """Tell whether a fresh report would bring news."""
-        return bool(self._model_loading_since) or self.slots.awaits_report()
+        return self._orders.loads_model() or self.slots.awaits_report()
 
     def loads_model(self) -> bool:
         """Tell whether the engine loads its base model, which takes seconds."""
-        return bool(self._model_loading_since)
+        return self._orders.loads_model()
 
     def waiting(self) -> int:
         """Return how many requests wait."""
@@ -379,7 +363,7 @@
 
     def _startable_version(self, ask: PlaceAsk, now: float) -> int | None:
         if ask.key is None:
-            return self._version_by_model.get(ask.model)
+            return self._orders.version_by_model.get(ask.model)
         slot = self.slots.get(ask.key)
         if slot is None or slot.state is not SlotState.LOADED:
             return None
@@ -456,51 +440,3 @@
         if self._stopped_at is None or now - self._stopped_at < STOPPED_GRACE_S:
             return False
         return ask.key is not None and ask.key not in self.slots
-
-    def _next_order(self, now: float) -> OrderLoad | OrderUnload | None:
-        if len(self.capacity.models) == 1 and not self._version_by_model:
-            # Nobody is sent to an engine without its model; it is loaded unasked.
-            return self._load_model(self.capacity.models[0], now)
-        for ask in self._queue:
-            if ask.model not in self._version_by_model:
-                model_order = self._load_model(ask.model, now)
-                if model_order is not None:
-                    return model_order
-                continue
-            if ask.key is None:
-                continue
-            if ask.key not in self.slots:
-                order = self._load_adapter(ask.key, now)
-                if order is not None:
-                    return order
-            elif self.slots.is_outdated(ask.key):
-                return self._order_load(ask.key, now)
-        return None
-
-    def _load_model(self, model: str, now: float) -> OrderLoad | None:
-        if self._model_loading_since or self._version_by_model:
-            return None
-        self._model_loading_since[model] = now
-        return OrderLoad(model, None, 0)
-
-    def _load_adapter(
-        self,
-        key: AdapterKey,
-        now: float,
-    ) -> OrderLoad | OrderUnload | None:
-        if self.slots.count(SlotState.LOADING) >= LOADS_AT_ONCE:
-            return None
-        if self.slots.count(SlotState.UNLOADING):
-            return None
-        if self.slots.has_free():
-            return self._order_load(key, now)
-        if now < self.may_evict_from:
-            return None
-        victim = self.slots.victim({ask.key for ask in self._queue}, now)
-        if victim is None:
-            return None
-        self.slots.begin_unload(victim)
-        return OrderUnload(*victim)
-
-    def _order_load(self, key: AdapterKey, now: float) -> OrderLoad:
-        return OrderLoad(*key, self.slots.begin_load(key, now))
