End the back-off towards a peer that reaches us, in place of greeting peers

VMs that start together were greeted every 0.1 s for 3 s, because a first word at a VM that does not listen yet is lost and the link to it then backs off for up to a second. That was a mend at the wrong depth: a VM that was killed and came back while others went on telling it things still heard nothing, as their answers fell into the back-off.

A peer that opens a link to us lives, so ours to it is tried at once. Of two VMs that start together the later to listen reaches the earlier, which answers. The greeting is gone.

test_a_peer_that_reaches_us_is_reached_at_once failed before; test_a_vm_that_comes_back_is_answered_by_those_that_went_on fails without the answer.

--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -164,10 +164,6 @@
             if peer.heard_at is None or now - peer.heard_at < forget_after_s
         ]
 
-    def unheard(self) -> list[str]:
-        """Return the peers that are known from the store only."""
-        return [p.vm_id for p in self._peer_by_id.values() if p.heard_at is None]
-
     def drop_engines(self, live_ids: set[str]) -> None:
         """Forget engines that are gone."""
         for engine_id in list(self._engine_by_id):
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -57,13 +57,6 @@
 VM for silent."""
 NOTES_LOOK_S = 1.0
 """Between two looks whether a note on a pool has to be written anew."""
-GREET_S = 0.1
-"""Between two words to peers that were never heard; VMs that start together listen
-within 0.3 s of one another, and a word that finds nobody listening is lost."""
-GREET_SHARE = 0.25
-"""The same at least, of an interval of statuses: larger fleets greet less often."""
-GREET_FOR_S = 3.0
-"""After the start; a peer that is still silent then is left to the regular statuses."""
 ISOLATION_LOOK_S = 0.5
 """Between two looks whether most peers are silent: a third of the time that this must
 last."""
@@ -168,21 +161,6 @@
                 self.assign_engines()
             self._fetch_newer_table()
 
-    async def greet(self) -> None:
-        """Tell peers that were never heard who we are, for a while after the start.
-
-        Guards against VMs that start together: the first word of each is lost at those
-        that do not listen yet, and the next regular one would come 0.3 s later, in a
-        fleet of 61 VMs 1 s. Callers are back sooner.
-        """
-        until = self._state.now() + GREET_FOR_S
-        while self._state.now() < until:
-            pause_s = max(GREET_S, GREET_SHARE * self._state.fleet.interval_s())
-            await asyncio.sleep(pause_s)
-            unheard = self._state.fleet.unheard()
-            if unheard:
-                self._links.notify_all(unheard, self._status())
-
     async def write_notes_forever(self) -> None:
         """Keep in the store what has been learned of the pools of engines."""
         while True:
@@ -338,6 +316,8 @@
         """Take a peer's status; one that was not heard before gets ours at once.
 
         It has just started, or read our address late: it knows none of our engines.
+        Of two VMs that start together the later to listen reaches the earlier, which
+        answers here; what the earlier had told before was lost.
         """
         now = self._state.now()
         is_new = not self._state.fleet.is_live(sender, now)
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -259,7 +259,6 @@
             self.settings_watch.watch(),
             self._ownership.keep(),
             self.peering.register(),
-            self.peering.greet(),
             self.peering.tell_forever(),
             self.peering.tell_loads_forever(),
             self.peering.watch_isolation(),
--- a/bamboovale/peers/links.py
+++ b/bamboovale/peers/links.py
@@ -244,6 +244,9 @@
             connection.transport.abort()
             return
         connection.protocol.max_message_size = MAX_FRAME_BYTES
+        outgoing = self._link_by_vm_id.get(sender)
+        if outgoing is not None:
+            outgoing.end_back_off()
         link = IncomingLink(
             sender,
             Channel(connection, self._metrics),
--- a/bamboovale/peers/outgoing.py
+++ b/bamboovale/peers/outgoing.py
@@ -108,6 +108,11 @@
             return "connecting"
         return "backing_off" if self._loop.time() < self._retry_at else "idle"
 
+    @property
+    def back_off_s(self) -> float:
+        """Return for how long no new connection is tried."""
+        return max(0.0, self._retry_at - self._loop.time())
+
     @property
     def round_trip_s(self) -> float:
         """Return the last ping's round trip in seconds; 0 when not known."""
@@ -258,6 +263,15 @@
         self._retry_at = self._loop.time() + pause * random.uniform(0.5, 1.0)
         self.last_error = str(error) or type(error).__name__
 
+    def end_back_off(self) -> None:
+        """Connect again at once when there is something to send.
+
+        For a peer that has just proved over a link of its own that it lives. Without
+        it, what we tell a VM that comes back is dropped for up to a second.
+        """
+        self._retry_at = 0.0
+        self._failures = 0
+
     def _fail_all(self, cause: str) -> None:
         sent, self._sent_by_number = self._sent_by_number, {}
         queued, self._queue = self._queue, deque()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -693,6 +693,34 @@
 
         run(test())
 
+    def test_a_vm_that_comes_back_is_answered_by_those_that_went_on(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """One VM is killed and starts again; the others know it as silent by then.
+
+        It tells them who it is. Told what they own only with their next regular
+        status, it would send requests past the owners meanwhile.
+        """
+        monkeypatch.setattr(fleet, "STATUS_INTERVAL_S", 30.0)
+        monkeypatch.setattr(fleet, "MISSED_STATUSES", 0.0)
+
+        async def test() -> None:
+            async with running_site(vms=2, runners=3) as site:
+                engine_id, owner = next(iter(site.owned().items()))
+                gone = next(item for item in site.vms if item is not owner)
+                gone.task.cancel()
+                await gone.vm.close()
+                site.vms.remove(gone)
+                await asyncio.sleep(0.5)
+                added = await site.add_vm(gone.node.name)
+                heard = added.vm.state.fleet.engine
+                await eventually(lambda: heard(engine_id) is not None)
+                told = heard(engine_id)
+                assert told is not None and told.owner == owner.node.name
+
+        run(test())
+
     def test_requests_wait_for_owners_that_have_not_been_heard_yet(self) -> None:
         """Many callers come back to VMs that have just started.
 
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -274,6 +274,24 @@
                     a.ask("b", "x")
                 assert time.monotonic() - began < 1
 
+    def test_a_peer_that_reaches_us_is_reached_at_once(self, ports) -> None:
+        """A VM is killed and starts again while the others go on telling it things.
+
+        Their links to it back off, up to a second. It came back and asked for what
+        they had; their answers were dropped until the back-off ended.
+        """
+        a, b = Node("a", ports), Node("b", ports)
+        with running(a):
+            link = None
+            while link is None or link.back_off_s < 0.4:
+                with contextlib.suppress(PeerUnreachableError):
+                    a.ask("b", "x")
+                link = a.links._link_by_vm_id["b"]
+                time.sleep(0.01)
+            with running(b):
+                assert b.ask("a", "x") == Answer("xx")
+                assert a.ask("b", "x") == Answer("xx")
+
     def test_stopped_links(self, pair) -> None:
         a, _ = pair
         a.links.stop()
