Choose the ports of one test process so that they differ

Seen: one run of test_promises_entries ended with an entry VM that exited 3, 'peers-port must differ from admin_port'. Its three ports were chosen one by one at random from one range; two uses got the same.

--- a/bench/capacity_links.py
+++ b/bench/capacity_links.py
@@ -16,7 +16,7 @@
 from bamboovale.metrics import Metrics
 from bamboovale.peers.codec import encode, message
 from bamboovale.peers.links import PeerLinks
-from bench.processes import find_free_port
+from bench.processes import find_free_ports
 from bench.slopes import KIB, Usage, print_slope
 
 LINK_COUNTS = (0, 40, 80, 160, 320)
@@ -60,14 +60,6 @@
 )
 
 
-def free_ports(count: int) -> list[int]:
-    """Return different ports of loopback that nothing listens on."""
-    ports: set[int] = set()
-    while len(ports) < count:
-        ports.add(find_free_port("127.0.0.1"))
-    return list(ports)
-
-
 def _start_links(name: str, port_by_name: dict[str, int]) -> PeerLinks:
     links = PeerLinks(
         name,
@@ -141,7 +133,7 @@
 def measure_links() -> dict[str, float]:
     """Print the slopes of links and of messages; return them by name."""
     names = [f"entry-{number:03}" for number in range(max(LINK_COUNTS))]
-    ports = free_ports(len(names) + 1)
+    ports = find_free_ports("127.0.0.1", len(names) + 1)
     port_by_name = dict(zip([HUB, *names], ports, strict=True))
     context = multiprocessing.get_context("spawn")
     groups = [
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -27,7 +27,14 @@
     StandIn,
 )
 from bench.peer_cuts import CutWay, PeerCuts
-from bench.processes import PROGRAM, Process, find_free_port, own_network, waiting
+from bench.processes import (
+    PROGRAM,
+    Process,
+    find_free_port,
+    find_free_ports,
+    own_network,
+    waiting,
+)
 
 FAILURE_DOMAINS = ("muc-a", "muc-b", "nue-a")
 CONTROL_PREFIX = "control on "
@@ -115,7 +122,8 @@
         address = address or (
             earlier.address if earlier else f"{own_network()}.{11 + number % 200}"
         )
-        ports = {use: find_free_port(address) for use in ("callers", "admin", "peers")}
+        uses = ("callers", "admin", "peers")
+        ports = dict(zip(uses, find_free_ports(address, len(uses)), strict=True))
         failure_domain = FAILURE_DOMAINS[number % 3]
         flags = {
             "id": entry_id,
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -112,6 +112,20 @@
             return port
 
 
+def find_free_ports(address: str, count: int) -> list[int]:
+    """Return different ports of this address that nothing listens on.
+
+    Guards against a process that is given the same port for two uses: it ends at once,
+    about once in some thousand starts.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = find_free_port(address)
+        if port not in ports:
+            ports.append(port)
+    return ports
+
+
 def own_network() -> str:
     """Return the first three bytes of loopback addresses for this process alone.
 
--- a/tests/test_demo_cluster.py
+++ b/tests/test_demo_cluster.py
@@ -21,7 +21,7 @@
 )
 from bench.http import call_json
 from bench.jobs import Job, JobKind
-from bench.processes import find_free_port
+from bench.processes import find_free_port, find_free_ports
 from bench.tries import send_try
 
 STANDINS_ONLY = ClusterConfig(engines=1, services=1, entries=0)
@@ -125,7 +125,7 @@
     """Callers without a working entry VM fall back on what they knew first."""
 
     def test_nobody_answers(self) -> None:
-        seeds = [f"127.0.0.1:{find_free_port('127.0.0.1')}" for _ in range(2)]
+        seeds = [f"127.0.0.1:{port}" for port in find_free_ports("127.0.0.1", 2)]
         entries = EntryList(seeds, random.Random(1))
         began = time.monotonic()
         assert entries.choose() in seeds
--- a/tests/test_entry_start.py
+++ b/tests/test_entry_start.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bamboovale.status import ExitStatus
-from bench.processes import find_free_port
+from bench.processes import find_free_ports
 
 ADDRESS = "127.0.0.1"
 USES = ("callers", "admin", "peers")
@@ -22,9 +22,10 @@
 
     @pytest.mark.parametrize("use", USES)
     def test_ends_and_says_so(self, use: str) -> None:
-        port_by_use = {use: find_free_port(ADDRESS) for use in USES}
+        *found, unused = find_free_ports(ADDRESS, len(USES) + 1)
+        port_by_use = dict(zip(USES, found, strict=True))
         ports = [f"--{name}-port={port}" for name, port in port_by_use.items()]
-        nowhere = f"http://{ADDRESS}:{find_free_port(ADDRESS)}"
+        nowhere = f"http://{ADDRESS}:{unused}"
         with socket.create_server((ADDRESS, port_by_use[use])):
             done = subprocess.run(
                 [
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -30,7 +30,7 @@
     PeerTimeoutError,
     PeerUnreachableError,
 )
-from bench.processes import find_free_port
+from bench.processes import find_free_ports
 
 KEY = "a key of the tests"
 
@@ -115,7 +115,7 @@
 
 @pytest.fixture
 def ports() -> dict[str, int]:
-    return {"a": find_free_port("127.0.0.1"), "b": find_free_port("127.0.0.1")}
+    return dict(zip("ab", find_free_ports("127.0.0.1", 2), strict=True))
 
 
 @pytest.fixture
