--- a/bamboovale/cli/gateway.py
+++ b/bamboovale/cli/gateway.py
@@ -1,8 +1,6 @@
 """``bamboovale gateway``: an entry VM on the routed interface."""
 
 import asyncio
-import os
-import signal
 from pathlib import Path
 from typing import Annotated
 
@@ -49,75 +47,21 @@
     ] = False,
 ) -> None:
     """Run an entry VM on the users' platform; SIGTERM drains it first."""
-    from bamboovale.platform.node_file import NodeSettings
+    # Imported late: the other commands start without the server's libraries.
+    from bamboovale.routed_vm import ProcessOptions, serve
 
-    if node_file is None:
-        typer.echo("node-file: a settings file is required", err=True)
-        raise typer.Exit(ExitStatus.SETTINGS_INVALID)
-    checked = NodeSettings.from_file(node_file)
-    if isinstance(checked, Err):
-        for finding in checked.err_value:
+    options = ProcessOptions.from_values(
+        node_file=str(node_file or ""),
+        peer_key=peer_key,
+        metrics_port=metrics_port,
+        without=without,
+    )
+    if isinstance(options, Err):
+        for finding in options.err_value:
             typer.echo(f"{finding.place}: {finding.message}", err=True)
         raise typer.Exit(ExitStatus.SETTINGS_INVALID)
-    mechanisms = _mechanisms_without(without)
     if check:
-        typer.echo(f"{node_file}: settings of {checked.ok_value.name} are valid")
+        name = options.ok_value.node.name
+        typer.echo(f"{node_file}: settings of {name} are valid")
         return
-    status = asyncio.run(
-        _run(checked.ok_value, node_file, peer_key, metrics_port, mechanisms)
-    )
-    raise typer.Exit(status)
-
-
-def _mechanisms_without(names: str) -> "object":
-    """Return the mechanisms that are on; ends with every name that is none."""
-    from bamboovale.decisions.mechanisms import Mechanism, Mechanisms
-
-    named = [name.strip() for name in names.split(",") if name.strip()]
-    known = [mechanism.value for mechanism in Mechanism]
-    unknown = [name for name in named if name not in known]
-    for name in unknown:
-        typer.echo(f"without: {name} is none of {', '.join(known)}", err=True)
-    if unknown:
-        raise typer.Exit(ExitStatus.SETTINGS_INVALID)
-    return Mechanisms.without(named)
-
-
-async def _run(
-    node: "object",
-    node_file: Path,
-    peer_key: str,
-    metrics_port: int,
-    mechanisms: "object",
-) -> ExitStatus:
-    # Imported late: the other commands start without the server's libraries.
-    from bamboovale.decisions.mechanisms import Mechanisms
-    from bamboovale.gateway.journal import Journal, configure_journal
-    from bamboovale.gateway.vm import GatewayVM
-    from bamboovale.metrics import Metrics
-    from bamboovale.platform.node_file import NodeSettings
-    from bamboovale.platform.translation import PlatformTranslation
-
-    assert isinstance(node, NodeSettings)
-    assert isinstance(mechanisms, Mechanisms)
-    configure_journal()
-    journal = Journal(node.name)
-    vm = GatewayVM(
-        PlatformTranslation(node),
-        Metrics(),
-        journal,
-        peer_key,
-        metrics_port,
-        lambda: NodeSettings.from_file(node_file),
-        mechanisms,
-    )
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, vm.stop)
-    loop.add_signal_handler(signal.SIGINT, vm.stop)
-    loop.add_signal_handler(signal.SIGHUP, vm.reload)
-    try:
-        await vm.run()
-    except OSError as error:
-        journal.write("cannot_start", error=str(error), pid=os.getpid())
-        return ExitStatus.UNAVAILABLE
-    return ExitStatus.SUCCESS
+    raise typer.Exit(asyncio.run(serve(options.ok_value)))
--- a/bamboovale/decoding.py
+++ b/bamboovale/decoding.py
@@ -4,104 +4,168 @@
 type. Coerced, a text would become a number and a number a name; here every value has
 the type that the field says, or the document is refused with the place of each finding.
 
-``cattrs`` generates one function a type (24 microseconds for a report with 19 adapters
-and 16 runs; ``dacite``, its nearest kin, takes 736).
+No library: the strict ones that need no native code take longer to import than all
+else that an entry VM imports, and a fleet whose VMs all start again waits for that.
 """
 
+import dataclasses
 import json
-from typing import Any, TypeVar, get_args, get_origin
-
-import cattrs
-from cattrs.errors import BaseValidationError
-from cattrs.gen import make_dict_structure_fn, override
+import types
+import typing
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 Decoded = TypeVar("Decoded")
 
+Findings = list[str]
+Reader = Callable[[Any, str, Findings], Any]
+"""Takes a value and its place; returns it as its type, or adds what is wrong."""
+
+_reader_by_type: dict[Any, Reader] = {}
+_name_by_field: dict[type, dict[str, str]] = {}
+_closed: set[type] = set()
+
 
 class BadRecordError(ValueError):
     """A document that is malformed; the last good view stays in force."""
 
 
-def _exact(wanted: type) -> Any:
-    """Return a hook that takes just this type; a truth value is no whole number."""
-
-    def structure(value: Any, _: Any) -> Any:
-        if type(value) is not wanted:
-            raise TypeError(f"{wanted.__name__} expected")
-        return value
+def rename(wanted: type, **name_by_field: str) -> None:
+    """Say which fields of a type have other names on the wire."""
+    _name_by_field[wanted] = name_by_field
 
-    return structure
 
+def refuse_unknown(wanted: type) -> None:
+    """Take no other fields than the type's own: in a file that people write by hand."""
+    _closed.add(wanted)
 
-def _number(value: Any, _: Any) -> float:
-    if type(value) not in (int, float):
-        raise TypeError("number expected")
-    return float(value)
 
+def structure(document: Any, wanted: type[Decoded], what: str) -> Decoded:
+    """Read a parsed document; raises BadRecordError with ``what`` and the places."""
+    findings: Findings = []
+    try:
+        result = _reader_of(wanted)(document, "$", findings)
+    except (ValueError, TypeError, RecursionError) as error:
+        raise BadRecordError(f"{what}: {error}") from error
+    if findings:
+        raise BadRecordError(f"{what}: {'; '.join(findings)}")
+    return typing.cast(Decoded, result)
 
-def _is_sequence(wanted: Any) -> bool:
-    return get_origin(wanted) is tuple
 
+def decode(source: bytes, wanted: type[Decoded], what: str) -> Decoded:
+    """Read a JSON document; raises BadRecordError with ``what`` and the places."""
+    try:
+        document = json.loads(source)
+    except (ValueError, RecursionError) as error:
+        raise BadRecordError(f"{what}: {error}") from error
+    return structure(document, wanted, what)
 
-def _sequence(wanted: Any, converter: cattrs.Converter) -> Any:
-    """Return a hook for a list; a text is no list of its letters."""
-    items = list[get_args(wanted)[0]]  # type: ignore[misc, valid-type]
-    structure_items = converter.get_structure_hook(items)
 
-    def structure(value: Any, _: Any) -> Any:
-        if type(value) is not list:
-            raise TypeError("list expected")
-        return tuple(structure_items(value, items))
+def _reader_of(hint: Any) -> Reader:
+    """Return the reader of a type hint, built once."""
+    reader = _reader_by_type.get(hint)
+    if reader is None:
+        reader = _reader_by_type[hint] = _build_reader(hint)
+    return reader
 
-    return structure
 
+def _build_reader(hint: Any) -> Reader:
+    origin = typing.get_origin(hint)
+    arguments = typing.get_args(hint)
+    if hint is Any:
+        return lambda value, place, findings: value
+    if origin in (typing.Union, types.UnionType):
+        return _optional_reader(arguments)
+    if origin is tuple:
+        return _sequence_reader(_reader_of(arguments[0]))
+    if origin is dict:
+        return _map_reader(_reader_of(arguments[1]))
+    if dataclasses.is_dataclass(hint):
+        return _record_reader(typing.cast(type, hint))
+    if hint is float:
+        return _scalar_reader((float, int), float)
+    if hint in (str, int, bool, list) or origin is list:
+        return _scalar_reader((origin or hint,), lambda value: value)
+    raise TypeError(f"no reader for the type hint {hint!r}")
 
-def _build_converter() -> cattrs.Converter:
-    converter = cattrs.Converter()
-    for wanted in (str, int, bool, list):
-        converter.register_structure_hook(wanted, _exact(wanted))
-    converter.register_structure_hook(float, _number)
-    converter.register_structure_hook_factory(_is_sequence, _sequence)
-    return converter
 
+def _scalar_reader(kinds: tuple[type, ...], convert: Callable[[Any], Any]) -> Reader:
+    """Take just these types; a truth value is no whole number."""
 
-_converter = _build_converter()
+    def read(value: Any, place: str, findings: Findings) -> Any:
+        if type(value) in kinds:
+            return convert(value)
+        findings.append(f"{kinds[0].__name__} expected @ {place}")
+        return None
 
+    return read
 
-def rename(wanted: type, **name_by_field: str) -> None:
-    """Say which fields of a type have other names on the wire."""
-    renames: dict[str, Any] = {
-        field: override(rename=name) for field, name in name_by_field.items()
-    }
-    function: Any = make_dict_structure_fn(wanted, _converter, **renames)
-    _converter.register_structure_hook(wanted, function)
 
+def _optional_reader(arguments: tuple[Any, ...]) -> Reader:
+    (wanted,) = (item for item in arguments if item is not type(None))
+    reader = _reader_of(wanted)
 
-def structure(document: Any, wanted: type[Decoded], what: str) -> Decoded:
-    """Read a parsed document; raises BadRecordError with ``what`` and the places."""
-    try:
-        return _converter.structure(document, wanted)
-    except BaseValidationError as error:
-        findings = "; ".join(cattrs.transform_error(error))
-        raise BadRecordError(f"{what}: {findings}") from error
-    except (ValueError, TypeError, RecursionError) as error:
-        raise BadRecordError(f"{what}: {error}") from error
+    def read(value: Any, place: str, findings: Findings) -> Any:
+        return None if value is None else reader(value, place, findings)
 
+    return read
 
-def decode(source: bytes, wanted: type[Decoded], what: str) -> Decoded:
-    """Read a JSON document; raises BadRecordError with ``what`` and the places."""
-    try:
-        document = json.loads(source)
-    except (ValueError, RecursionError) as error:
-        raise BadRecordError(f"{what}: {error}") from error
-    return structure(document, wanted, what)
 
+def _sequence_reader(reader: Reader) -> Reader:
+    """Take a list; a text is no list of its letters."""
 
-def refuse_unknown(wanted: type) -> None:
-    """Take no other fields than the type's own: in a file that people write by hand."""
-    function: Any = make_dict_structure_fn(
-        wanted,
-        _converter,
-        _cattrs_forbid_extra_keys=True,
-    )
-    _converter.register_structure_hook(wanted, function)
+    def read(value: Any, place: str, findings: Findings) -> Any:
+        if type(value) is not list:
+            findings.append(f"list expected @ {place}")
+            return ()
+        return tuple(
+            [reader(item, f"{place}[{n}]", findings) for n, item in enumerate(value)]
+        )
+
+    return read
+
+
+def _map_reader(reader: Reader) -> Reader:
+    def read(value: Any, place: str, findings: Findings) -> Any:
+        if type(value) is not dict:
+            findings.append(f"map expected @ {place}")
+            return {}
+        return {
+            key: reader(item, f"{place}.{key}", findings) for key, item in value.items()
+        }
+
+    return read
+
+
+def _record_reader(wanted: type) -> Reader:
+    hints = typing.get_type_hints(wanted)
+    renames = _name_by_field.get(wanted, {})
+    fields = [
+        (renames.get(field.name, field.name), field.name, _reader_of(hints[field.name]))
+        for field in dataclasses.fields(wanted)
+    ]
+    required = {
+        renames.get(field.name, field.name)
+        for field in dataclasses.fields(wanted)
+        if field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+    }
+    known = {name for name, _, _ in fields}
+
+    def read(value: Any, place: str, findings: Findings) -> Any:
+        if type(value) is not dict:
+            findings.append(f"map expected @ {place}")
+            return None
+        before = len(findings)
+        missing = sorted(required - value.keys())
+        unknown = sorted(value.keys() - known) if wanted in _closed else []
+        findings.extend(f"required field missing @ {place}.{name}" for name in missing)
+        findings.extend(f"unknown field @ {place}.{name}" for name in unknown)
+        members = {
+            field: reader(value[name], f"{place}.{name}", findings)
+            for name, field, reader in fields
+            if name in value
+        }
+        return wanted(**members) if len(findings) == before else None
+
+    return read
--- /dev/null
+++ b/bamboovale/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Who the entry VMs are and how news spreads among them; pure, without sockets."""
--- a/bamboovale/gateway/crashes.py
+++ b/bamboovale/gateway/crashes.py
@@ -4,9 +4,9 @@
 from contextlib import contextmanager
 
 from bamboovale.decisions.crash_counts import CrashCounts
+from bamboovale.fleet.messages import SuspectSeen
 from bamboovale.gateway.call import Call, CallFailed
 from bamboovale.gateway.journal import Journal
-from bamboovale.gateway.messages import SuspectSeen
 from bamboovale.gateway.stream_progress import StreamCut
 
 
--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -108,11 +108,9 @@
             fresh = replace(known, born_ms=born_ms, models=())
             self.on_record(record.registered_id, fresh)
 
-    def on_snapshot(self, present: set[str]) -> None:
-        """Drop what a full read no longer holds."""
-        for registered_id in list(self._id_by_registration):
-            if registered_id not in present:
-                self._lapse(registered_id)
+    def registered_ids(self) -> set[str]:
+        """Return the ids under which endpoints are registered."""
+        return set(self._id_by_registration)
 
     def on_progress(self, reachable: bool) -> None:
         """Note whether the store answers."""
--- a/bamboovale/gateway/engine_assignment.py
+++ b/bamboovale/gateway/engine_assignment.py
@@ -1,5 +1,7 @@
 """Which engines this VM owns now, and standing in for owners that are lost."""
 
+import asyncio
+
 from bamboovale.decisions.pause_evidence import is_pool_held_up
 from bamboovale.decisions.place_work import EngineCapacity
 from bamboovale.decisions.rendezvous import score
@@ -11,6 +13,8 @@
 from bamboovale.gateway.pool_notes import PoolNotes
 from bamboovale.gateway.vm_state import VMState
 
+NOTES_LOOK_S = 1.0
+"""Between two looks whether a note on a pool has to be written anew."""
 STORE_AWAY_S = 1.5
 """An outage of the store shorter than this ends before a lease does."""
 
@@ -83,7 +87,8 @@
         """Tell whether reading holds up the streams of a whole pool of engines."""
         records = self._state.endpoints.ready(service)
         engines = (self._state.fleet.engine(record.endpoint_id) for record in records)
-        held_up = sum(owned is not None and owned.status.held_up for owned in engines)
+        statuses = (owned.status for owned in engines if owned is not None)
+        held_up = sum(status is not None and status.held_up for status in statuses)
         return is_pool_held_up(held_up, len(records))
 
     def held_up_by_service(self) -> dict[str, bool]:
@@ -91,6 +96,19 @@
         services = {record.service for record in self._state.model_engines()}
         return {service: self.pool_held_up(service) for service in services}
 
+    async def write_notes_forever(self) -> None:
+        """Keep in the store what has been learned of the pools of engines.
+
+        Only owners do: they hear of one another's engines.
+        """
+        while True:
+            await asyncio.sleep(NOTES_LOOK_S)
+            if not self._engines.owner_by_engine:
+                continue
+            owners = self._state.fleet.owner_ids()
+            held_up = self.held_up_by_service()
+            await self._notes.write_changes(held_up, owners, self._state.now())
+
     def on_note(self, service: str) -> None:
         """Let owners that know nothing yet begin with what was noted of their pool."""
         for owner in self._engines.owner_by_engine.values():
@@ -105,21 +123,20 @@
     def on_fenced(self, record: EndpointRecord, token: int) -> None:
         """Take an engine's word that another VM used a higher fencing number."""
         owned = self._state.fleet.engine(record.endpoint_id)
-        seen = owned.status.fence if owned is not None else 0
+        seen = owned.fence if owned is not None else 0
         self._ownership.on_fenced(record.registered_id, max(seen, token))
 
-    def stand_in_for_lost_owners(self) -> bool:
+    def stand_in_for_lost_owners(self, *, store_answers_others: bool) -> bool:
         """Own engines whose owner is gone while no VM reaches the store; True if any.
 
         Guards against a long outage in which VMs stop or die: the store cannot name
         new owners, and fewer and fewer engines could load anything.
         """
-        now = self._state.now()
-        if self._ownership.away_s() < STORE_AWAY_S:
+        if self._ownership.away_s() < STORE_AWAY_S or store_answers_others:
             return False
-        if not self._state.serving() or not self._state.fleet.nobody_reaches_store(now):
+        if not self._state.serving():
             return False
-        candidates = self._state.fleet.owner_candidates(now)
+        candidates = self._state.fleet.owner_candidates()
         changed = False
         for record in self._state.model_engines():
             engine_id = record.endpoint_id
@@ -132,7 +149,7 @@
             if first == self._state.node.name:
                 owned = self._state.fleet.engine(engine_id)
                 granted = self._ownership.fence(registered_id)
-                above = max(granted, owned.status.fence if owned is not None else 0)
+                above = max(granted, owned.fence if owned is not None else 0)
                 self._ownership.stand_in(registered_id, above)
                 changed = True
         return changed
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -50,6 +50,9 @@
     def notify(self, vm_id: str, message: Any) -> None:
         """Send a notice."""
 
+    def notify_all(self, vm_ids: Iterable[str], message: Any) -> None:
+        """Send one notice to several VMs."""
+
 
 @dataclass
 class _Sent:
@@ -89,13 +92,15 @@
     links: Links
     now: Callable[[], float]
     owner_by_engine: dict[str, EngineOwner] = field(default_factory=dict)
+    on_needed: Callable[[], None] = lambda: None
     _sent_by_id: dict[str, _Sent] = field(default_factory=dict)
     _loaded_by_id: dict[str, _Loaded] = field(default_factory=dict)
     _held_by_id: dict[str, PlaceHeld] = field(default_factory=dict)
     _owner_by_held: dict[str, str] = field(default_factory=dict)
 
     def views(self, records: list[EndpointRecord]) -> dict[str, EngineView]:
-        """Return what is known of each of the engines."""
+        """Return what is known of each of the engines, for a request."""
+        self.on_needed()
         self._forget_gone(records)
         return {
             record.endpoint_id: self._view(record)
@@ -268,11 +273,11 @@
         owned = self.fleet.engine(engine_id)
         if owned is None or owned.given_up or owned.owner == self.own_id:
             return None
-        return owned.owner if self.fleet.is_live(owned.owner, self.now()) else None
+        return owned.owner if self.fleet.is_live(owned.owner) else None
 
     def _answers(self, engine_id: str) -> bool:
         owned = self.fleet.engine(engine_id)
-        return owned is None or owned.status.answers
+        return owned is None or owned.status is None or owned.status.answers
 
     def _outlook(self, status: EngineStatus) -> EngineOutlook:
         told = (status.loaded, status.coming)
@@ -297,7 +302,7 @@
     def _view(self, record: EndpointRecord) -> EngineView:
         engine_id = record.endpoint_id
         owned = self.fleet.engine(engine_id)
-        if owned is None:
+        if owned is None or owned.status is None:
             owner = self._owner_of(engine_id)
             return EngineView(engine_id, outlook_of(record), owner, is_told=False)
         sent = self._sent_by_id.setdefault(engine_id, _Sent())
--- a/bamboovale/gateway/followers.py
+++ b/bamboovale/gateway/followers.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import time
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
 
+from bamboovale.fleet.messages import TopicRow
+from bamboovale.fleet.topic_changes import TopicChanges
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.store import (
     HistoryLostError,
@@ -13,9 +14,9 @@
     StoreError,
 )
 
-NEWS_LOOK_S = 0.2
-"""Between two looks whether other readers' news has become too old: a sixth of the time
-after which it has."""
+NEWS_LOOK_S = 0.5
+"""Between two looks whether other readers' news has become too old: an eighth of the
+time after which it has."""
 RETRY_S = 0.5
 """Between tries while the store fails; a call is priced, an outage lasts seconds."""
 RETURN_S = 2.5
@@ -26,21 +27,13 @@
 """Takes a record; False if it changed nothing that others need to know."""
 
 
-@dataclass(frozen=True)
-class News:
-    """The records that changed something between two offsets of a topic."""
-
-    first_offset: int
-    next_offset: int
-    records: tuple[KeyedRecord, ...]
-
-
 class TopicFollower:
     """Reads one keyed topic for ever and hands each change on.
 
-    ``on_snapshot`` gets the keys of a full read, so that the owner of the records can
-    drop what is missing. ``pause_s`` is the least time between two reads: a topic that
-    changes all the time would otherwise use up the calls that the store takes.
+    ``known_keys`` are those that a full read must hold: what it lacks is handed on as
+    gone. ``pause_s`` is the least time between two reads: a topic that changes all the
+    time would otherwise use up the calls that the store takes. ``changes`` are kept
+    for VMs that do not read; ``on_changed`` is called when there are new ones.
     """
 
     def __init__(
@@ -50,99 +43,126 @@
         journal: Journal,
         *,
         on_record: Apply,
-        on_snapshot: Callable[[set[str]], None],
         wait_s: float,
         pause_s: Callable[[], float],
+        retry_s: Callable[[], float] = lambda: RETRY_S,
+        known_keys: Callable[[], set[str]] = set,
         on_progress: Callable[[bool], None] = lambda reachable: None,
-        on_news: Callable[[News], None] = lambda news: None,
+        on_changed: Callable[[], None] = lambda: None,
+        on_answer: Callable[[], None] = lambda: None,
         may_read: Callable[[float], bool] = lambda news_age_s: True,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.topic = topic
         self.reachable = False
+        self.changes = TopicChanges()
         self._store = store
         self._journal = journal
         self._on_record = on_record
-        self._on_snapshot = on_snapshot
         self._wait_s = wait_s
         self._pause_s = pause_s
+        self._retry_s = retry_s
+        self._known_keys = known_keys
         self._on_progress = on_progress
-        self._on_news = on_news
+        self._on_changed = on_changed
+        self._on_answer = on_answer
         self._may_read = may_read
         self._now = now
-        self._offset: int | None = None
+        self._needs_snapshot = True
         self._news_at = 0.0
         self._reading = False
 
     async def follow(self) -> None:
         """Read for ever; failures are logged once and tried again."""
         while True:
-            if self._offset is not None and not self._may_read(self._news_age_s()):
+            if not self._needs_snapshot and not self._may_read(self._news_age_s()):
                 await asyncio.sleep(NEWS_LOOK_S)
                 continue
             try:
                 await self._step()
             except HistoryLostError:
-                self._journal.write("history_lost", topic=self.topic, at=self._offset)
-                self._offset = None
+                at = self.changes.next_offset
+                self._journal.write("history_lost", topic=self.topic, at=at)
+                self._needs_snapshot = True
                 continue
             except StoreError as error:
-                self._lost(error)
-                await asyncio.sleep(RETRY_S)
+                self._lost(str(error))
+                await asyncio.sleep(self._retry_s())
                 continue
+            self._on_answer()
             self._regained()
             await asyncio.sleep(self._pause_s())
 
     async def _step(self) -> None:
-        if self._offset is None:
-            snapshot = await self._store.newest(self.topic)
-            for record in snapshot.records:
-                self._on_record(record)
-            self._on_snapshot({record.key for record in snapshot.records})
-            self._offset = snapshot.end
-            return
-        first = self._offset
         self._reading = True
         try:
-            records, following = await self._store.read(
-                self.topic,
-                first,
-                self._wait_s,
-            )
+            await (self._read_all() if self._needs_snapshot else self._read_next())
         finally:
             self._reading = False
-        changed = tuple(r for r in records if self._on_record(r) is not False)
-        self._offset = max(following, self._offset)
         self._news_at = self._now()
-        self._on_news(News(first, following, changed))
 
-    def take_news(self, news: News) -> None:
-        """Take what another VM has read, if nothing is missing before it.
+    async def _read_all(self) -> None:
+        """Read the newest record of each key; a key that is missing is gone."""
+        snapshot = await self._store.newest(self.topic)
+        present = {record.key for record in snapshot.records}
+        last = max(0, snapshot.end - 1)
+        missing = sorted(self._known_keys() - present)
+        gone = tuple(KeyedRecord(key, None, last) for key in missing)
+        by_offset = sorted(snapshot.records, key=lambda record: record.offset)
+        self._apply((*by_offset, *gone), snapshot.end)
+        self._needs_snapshot = False
+
+    async def _read_next(self) -> None:
+        first = self.changes.next_offset or 0
+        records, following = await self._store.read(self.topic, first, self._wait_s)
+        self._apply(records, following)
+
+    def _apply(self, records: Iterable[KeyedRecord], next_offset: int) -> None:
+        """Hand records on, and keep those that changed something for other VMs."""
+        known = self.changes.next_offset or 0
+        changed = [r for r in records if self._on_record(r) is not False]
+        rows = [(r.key, r.value, max(r.offset, known)) for r in changed]
+        self.changes.advance(next_offset, rows)
+        if rows:
+            self._on_changed()
+
+    def take(
+        self, first_offset: int, next_offset: int, rows: Iterable[TopicRow]
+    ) -> None:
+        """Take what another VM knows, if nothing is missing before it.
 
-        Not during a read of our own: what we take from others would seem unchanged in
-        what we read, so that our news would leave it out, and a VM that hears ours
-        first would never learn of it.
+        Not during a read of our own: what we took from others would seem unchanged in
+        what we read, so that VMs that hear us first would never learn of it.
         """
-        if self._reading or self._offset is None or news.first_offset > self._offset:
+        known = self.changes.next_offset
+        if self._reading or known is None or first_offset > known:
+            return
+        if next_offset <= known:
             return
-        for record in news.records:
-            if record.offset >= self._offset:
-                self._on_record(record)
-        self._offset = max(self._offset, news.next_offset)
         self._news_at = self._now()
         self._regained()
+        self._apply([KeyedRecord(*row) for row in rows if row[2] >= known], next_offset)
+
+    def on_store_silent(self) -> None:
+        """Note that no VM has had an answer of the store for a while.
+
+        Guards against taking an endpoint for gone whose record lapsed in an outage,
+        at a VM that does not read the topic itself and so does not see the outage.
+        """
+        self._lost("no VM hears the store")
 
     def _news_age_s(self) -> float:
         return self._now() - self._news_at
 
-    def _lost(self, error: StoreError) -> None:
+    def _lost(self, error: str) -> None:
         if self.reachable:
-            self._journal.write("store_lost", topic=self.topic, error=str(error))
+            self._journal.write("store_lost", topic=self.topic, error=error)
         self.reachable = False
         self._on_progress(False)
 
     def _regained(self) -> None:
         if not self.reachable:
-            self._journal.write("store_regained", topic=self.topic, offset=self._offset)
+            offset = self.changes.next_offset
+            self._journal.write("store_regained", topic=self.topic, offset=offset)
         self.reachable = True
         self._on_progress(True)
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -146,33 +146,18 @@
     loads: tuple[EngineLoad, ...]
 
 
-@message("gateway_status")
+@message("engine_statuses")
 @dataclass(frozen=True)
-class GatewayStatus:
-    """What an entry VM tells its peers at short intervals."""
+class EngineStatuses:
+    """What an owner tells of all its engines, to VMs that asked of late."""
 
-    incarnation: str
-    address: str
-    peers_port: int
-    callers_port: int
-    failure_domain: str
-    serving: bool
-    config_version: int
-    store_reachable: bool
-    engines: tuple[EngineStatus, ...] = ()
+    statuses: tuple[EngineStatus, ...]
 
 
-@message("endpoint_news")
+@message("statuses_wanted")
 @dataclass(frozen=True)
-class EndpointNews:
-    """What one reader of the endpoints' topic found between two offsets.
-
-    Only records that changed in substance; ``value`` None means that the key is gone.
-    """
-
-    first_offset: int
-    next_offset: int
-    records: tuple[tuple[str, bytes | None, int], ...]
+class StatusesWanted:
+    """Ask an owner to tell of its engines for the next seconds."""
 
 
 @message("table_query")
@@ -187,12 +172,3 @@
     """A peer's configuration as the operator wrote it; None if it has none."""
 
     source: bytes | None
-
-
-@message("suspect_seen")
-@dataclass(frozen=True)
-class SuspectSeen:
-    """A request that was running when its endpoint crashed."""
-
-    fingerprint: str
-    endpoint_id: str
--- a/bamboovale/gateway/place_search.py
+++ b/bamboovale/gateway/place_search.py
@@ -126,10 +126,10 @@
 
         Guards against the crowd that comes back to VMs that have just started: sent
         straight to engines that hold its adapters, past their owners, its prompts are
-        neither counted nor paced. After a restart of all VMs 121 of 161 streams went so
-        in the first half second, and 69 of them paused for longer than allowed.
+        neither counted nor paced; and all VMs would choose by what endpoints last
+        registered, the same few engines each.
         """
-        return view.owner is None and not view.is_told
+        return not view.is_told
 
     def _owner_may_come(self, call: Call) -> bool:
         """Tell whether it is too early to say that no engine has an owner.
--- a/bamboovale/gateway/pool_notes.py
+++ b/bamboovale/gateway/pool_notes.py
@@ -93,15 +93,15 @@
     async def write_changes(
         self,
         held_up_by_service: dict[str, bool],
-        live_vms: list[str],
+        owner_ids: set[str],
         now: float,
     ) -> None:
-        """Write what has changed, if we are the VM that does."""
+        """Write what has changed, if we are the owner of engines that does."""
         for service, held_up in held_up_by_service.items():
             note = self._note_by_service.setdefault(service, PoolNote())
             if not note.may_write(now) or not note.judge(held_up, now):
                 continue
-            if self._own_id in first_members(service, live_vms, 1):
+            if self._own_id in first_members(service, owner_ids, 1):
                 note.written_at = now
                 await self._write(service, held_up)
 
--- a/bamboovale/gateway/ports.py
+++ b/bamboovale/gateway/ports.py
@@ -52,9 +52,9 @@
         if self._state.serving():
             mine = near if failure_domain == self._state.node.failure_domain else others
             mine.append(self._state.node.callers)
-        for status in self._state.fleet.serving(self._state.now()):
-            group = near if status.failure_domain == failure_domain else others
-            group.append((status.address, status.callers_port))
+        for member in self._state.fleet.serving():
+            group = near if member.failure_domain == failure_domain else others
+            group.append((member.address, member.callers_port))
         return near if len(near) > 1 else near + others
 
     async def _answer_directory(self, request: Request, responder: Responder) -> None:
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -1,16 +1,14 @@
 """What the operator and the endpoints wrote, from the store or from other VMs."""
 
+import random
 from collections.abc import Callable
 
-from bamboovale.decisions.rendezvous import first_members
 from bamboovale.gateway.engines import Engines
-from bamboovale.gateway.followers import News, TopicFollower
-from bamboovale.gateway.messages import EndpointNews
+from bamboovale.gateway.followers import RETRY_S, TopicFollower
 from bamboovale.gateway.model import RoutingTable
 from bamboovale.gateway.store import KeyedRecord, MetadataStore
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
-from bamboovale.peers.links import PeerLinks
 
 CONFIG_WAIT_S = 20.0
 """How long a read of the operator's topic waits for a change: one call, no delay."""
@@ -23,12 +21,16 @@
 """Between reads of the endpoints' topic, which changes with every heartbeat. A leaving
 endpoint must get no new work two seconds after it said so."""
 ALL_READ_UP_TO = 12
-"""VMs up to which each reads for itself: 9 make some 900 priced calls a minute."""
+"""VMs up to which each reads for itself: news takes no step then."""
 READERS = 4
-"""VMs that read the endpoints' topic in a fleet of more than twelve; 75 that all read
-made 8,262 calls in a day of 56 s, 0.13 of its worth."""
-NEWS_STALE_S = 1.2
-"""Readers pass on something every 0.6 s, also when nothing changed."""
+"""VMs that read the endpoints' topic in a larger fleet: every read is a priced call,
+and the topic changes with each heartbeat."""
+NEWS_STALE_S = 4.0
+"""Without progress for so long a VM reads for itself. Progress goes from neighbour to
+neighbour with the signs of life: some five steps in the largest fleet."""
+RETRY_LARGE_S = 2.0
+"""Between tries of one VM in a larger fleet while the store fails: those who reach it
+pass on what they read."""
 
 
 class Records:
@@ -40,33 +42,36 @@
         translation: Translation,
         store: MetadataStore,
         engines: Engines,
-        links: PeerLinks,
         on_table: Callable[[], None],
+        on_changed: Callable[[], None],
+        on_answer: Callable[[], None],
     ) -> None:
         self._state = state
         self._translation = translation
         self._engines = engines
-        self._links = links
         self._on_table = on_table
         self.operator = TopicFollower(
             translation.operator_topic,
             store,
             state.journal,
             on_record=self._on_operator_record,
-            on_snapshot=lambda keys: None,
             wait_s=CONFIG_WAIT_S,
             pause_s=lambda: CONFIG_PAUSE_S,
+            retry_s=lambda: self._retry_s(),
+            on_answer=on_answer,
         )
         self.endpoints = TopicFollower(
             translation.endpoints_topic,
             store,
             state.journal,
             on_record=self._on_endpoint_record,
-            on_snapshot=state.endpoints.on_snapshot,
+            known_keys=state.endpoints.registered_ids,
             wait_s=ENDPOINTS_WAIT_S,
             pause_s=lambda: ENDPOINTS_PAUSE_S,
+            retry_s=lambda: self._retry_s(),
             on_progress=state.endpoints.on_progress,
-            on_news=self._pass_news_on,
+            on_changed=on_changed,
+            on_answer=on_answer,
             may_read=self._may_read_endpoints,
             now=state.now,
         )
@@ -120,28 +125,17 @@
             return self._state.endpoints.on_unreadable_record(record.key, decoded)
         return self._state.endpoints.on_record(record.key, decoded)
 
-    def _may_read_endpoints(self, news_age_s: float) -> bool:
-        """Tell whether this VM reads the endpoints' topic itself now.
-
-        In a large fleet a few VMs read and pass on what changed: every read is a
-        priced call and the topic changes with each heartbeat. Whoever hears nothing
-        for a moment reads for itself.
-        """
-        live = self._state.fleet.live_ids(self._state.now())
-        if len(live) <= ALL_READ_UP_TO or news_age_s > NEWS_STALE_S:
+    def _is_reader(self) -> bool:
+        """Tell whether this VM reads the endpoints' topic for others too."""
+        fleet = self._state.fleet
+        if fleet.size() <= ALL_READ_UP_TO:
             return True
-        return self._state.node.name in first_members("readers", live, READERS)
+        return self._state.node.name in fleet.first("readers", READERS)
 
-    def _pass_news_on(self, news: News) -> None:
-        now = self._state.now()
-        if self._state.fleet.size(now) <= ALL_READ_UP_TO:
-            return
-        records = tuple((r.key, r.value, r.offset) for r in news.records)
-        notice = EndpointNews(news.first_offset, news.next_offset, records)
-        self._links.notify_all(self._state.fleet.to_tell(now), notice)
+    def _may_read_endpoints(self, news_age_s: float) -> bool:
+        """Tell whether this VM reads the endpoints' topic itself now."""
+        return news_age_s > NEWS_STALE_S or self._is_reader()
 
-    def on_endpoint_news(self, notice: EndpointNews) -> None:
-        """Take what another VM has read."""
-        records = tuple(KeyedRecord(*row) for row in notice.records)
-        news = News(notice.first_offset, notice.next_offset, records)
-        self.endpoints.take_news(news)
+    def _retry_s(self) -> float:
+        """Return the time to the next try while the store fails."""
+        return RETRY_S if self._is_reader() else RETRY_LARGE_S * random.uniform(0.7, 1)
--- /dev/null
+++ b/bamboovale/gateway/registration.py
@@ -0,0 +1,82 @@
+"""Where the other entry VMs are: addresses in the store, by VM."""
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+
+from bamboovale.gateway.pool_notes import PoolNotes
+from bamboovale.gateway.store import KeyedRecord, MetadataStore, StoreError
+from bamboovale.gateway.vm_state import VMState
+
+ALONE_S = 1.0
+"""Between reads while nobody is heard, or after a failure."""
+LOOK_S = 5.0
+"""Between reads of all VMs of a small fleet: newcomers tell us themselves, this finds
+those that could not reach us. In a larger one the VMs read so often together: whom one
+finds, all hear of."""
+SMALL_FLEET = 12
+
+
+class Registration:
+    """Writes our address into the store until it is there; reads the others'."""
+
+    def __init__(
+        self,
+        state: VMState,
+        topic: str,
+        store: MetadataStore,
+        notes: PoolNotes,
+        on_contact: Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._topic = topic
+        self._store = store
+        self._notes = notes
+        self._on_contact = on_contact
+        self._is_written = False
+
+    async def keep(self) -> None:
+        """Write and read for ever."""
+        while True:
+            try:
+                await self._write()
+                await self._read()
+            except StoreError as error:
+                self._state.journal.write("registration_failed", error=str(error))
+                await asyncio.sleep(ALONE_S)
+                continue
+            await asyncio.sleep(self._pause_s())
+
+    async def _write(self) -> None:
+        if self._is_written:
+            return
+        node = self._state.node
+        value = json.dumps([node.ip, node.peers_port]).encode()
+        await self._store.put(self._topic, node.name, value)
+        self._is_written = True
+
+    async def _read(self) -> None:
+        """Take all addresses; VMs that were not known are greeted at once."""
+        snapshot = await self._store.newest(self._topic)
+        is_new = [self._take(record) for record in snapshot.records]
+        if any(is_new):
+            self._on_contact()
+
+    def _take(self, record: KeyedRecord) -> bool:
+        """Take another VM's address; one bad record leaves the others in force."""
+        if record.value is None or self._notes.take(record):
+            return False
+        try:
+            host, port = json.loads(record.value)
+            address = (str(host), int(port))
+        except (ValueError, TypeError) as error:
+            self._state.journal.write("bad_record", key=record.key, error=str(error))
+            return False
+        return self._state.fleet.membership.on_contact(record.key, address)
+
+    def _pause_s(self) -> float:
+        live = self._state.fleet.size()
+        if live == 1:
+            return ALONE_S
+        return LOOK_S * max(1.0, live / SMALL_FLEET) * random.uniform(0.8, 1.2)
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -14,8 +14,8 @@
 from bamboovale.gateway.engine_orders import EngineCalls
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.front import Front
+from bamboovale.gateway.isolation import Isolation
 from bamboovale.gateway.journal import Journal
-from bamboovale.gateway.messages import SuspectSeen
 from bamboovale.gateway.model_calls import ModelCalls
 from bamboovale.gateway.owner_context import OwnerContext
 from bamboovale.gateway.ownership import Ownership, lease_clock
@@ -24,6 +24,7 @@
 from bamboovale.gateway.pool_notes import PoolNotes
 from bamboovale.gateway.ports import Ports
 from bamboovale.gateway.records import Records
+from bamboovale.gateway.registration import Registration
 from bamboovale.gateway.settings_watch import ReadSettings, SettingsWatch
 from bamboovale.gateway.store import StoreError
 from bamboovale.gateway.translation import Translation
@@ -39,8 +40,8 @@
 STOP_MARGIN_S = 0.7
 """Before the platform kills the process."""
 HOLD_OFF_S = 0.25
-"""Beside an interval of statuses: by then every live VM has heard of an engine's new
-owner and told it which runs are under way there."""
+"""Beside the time in which news reaches every VM: by then each has told an engine's new
+owner which runs are under way there."""
 LINKS_CLOSE_S = 0.2
 """A peer that does not answer the end of its link is not waited for longer: closing is
 the last step before the process ends, and nothing depends on it."""
@@ -137,7 +138,7 @@
             on_fenced=lambda record, token: self._assignment.on_fenced(record, token),
             on_start_seen=self.state.endpoints.on_start_seen,
             pool_held_up=lambda service: self._assignment.pool_held_up(service),
-            hold_off_s=lambda: HOLD_OFF_S + self.state.fleet.interval_s(),
+            hold_off_s=lambda: HOLD_OFF_S + self.peering.exchange.spread_s(),
             mechanisms=self._mechanisms,
         )
 
@@ -145,7 +146,7 @@
         self._crashes = CrashGuard(
             self.state.journal,
             self.state.now,
-            self._tell_suspect,
+            lambda suspect: self.peering.tell_suspect(suspect),
         )
         self._front = self._build_front()
         self._notes = PoolNotes(
@@ -167,20 +168,33 @@
             self._translation,
             self._store,
             self._engines,
-            self.links,
-            on_table=lambda: self.peering.assign_engines(),
+            on_table=lambda: self._on_table(),
+            on_changed=lambda: self.peering.wake(),
+            on_answer=lambda: self.peering.on_store_answer(),
         )
         self.peering = Peering(
             state=self.state,
             translation=self._translation,
-            store=self._store,
             links=self.links,
             engines=self._engines,
             ownership=self._ownership,
             assignment=self._assignment,
             records=self.records,
             crashes=self._crashes,
-            notes=self._notes,
+        )
+        self._registration = Registration(
+            self.state,
+            self._translation.registration_topic,
+            self._store,
+            self._notes,
+            on_contact=self.peering.wake,
+        )
+        self._isolation = Isolation(
+            self.state,
+            self.peering.exchange,
+            self._ownership,
+            self._store,
+            self.peering.tell,
         )
 
     def _build_front(self) -> Front:
@@ -229,6 +243,8 @@
             self._spawn(job)
         await self._stop_event.wait()
         await self._drain()
+        self.peering.tell_leaving()
+        await asyncio.sleep(0)
         await self.close()
         self.state.journal.write("stopped")
 
@@ -258,11 +274,14 @@
             self.state.endpoints.watch_lapsed(),
             self.settings_watch.watch(),
             self._ownership.keep(),
-            self.peering.register(),
-            self.peering.tell_forever(),
-            self.peering.tell_loads_forever(),
-            self.peering.watch_isolation(),
-            self.peering.write_notes_forever(),
+            self._registration.keep(),
+            self.peering.exchange_forever(),
+            self.peering.look_forever(),
+            self.peering.engine_news.tell_statuses_forever(),
+            self.peering.engine_news.tell_loads_forever(),
+            self.peering.engine_news.ask_forever(),
+            self._isolation.watch(),
+            self._assignment.write_notes_forever(),
             sweep_forever(self._endpoint_pool),
             sweep_forever(self._control_pool),
         ]
@@ -337,12 +356,12 @@
                 self._crashes.on_endpoint_gone(change.endpoint_id)
         self.peering.assign_engines()
 
-    def _may_own_engines(self) -> bool:
-        candidates = self.state.fleet.owner_candidates(self.state.now())
-        return self.state.node.name in candidates
+    def _on_table(self) -> None:
+        self.peering.assign_engines()
+        self.peering.tell()
 
-    def _tell_suspect(self, notice: SuspectSeen) -> None:
-        self.links.notify_all(self.state.fleet.to_tell(self.state.now()), notice)
+    def _may_own_engines(self) -> bool:
+        return self.state.node.name in self.state.fleet.owner_candidates()
 
     def _caller_limits(self) -> ServerLimits:
         if self.state.table is None:
@@ -355,9 +374,15 @@
             idle_timeout_s=limits.idle_timeout_s,
         )
 
+    def _dump_peers(self) -> dict[str, bool]:
+        membership = self.state.fleet.membership
+        silent = dict.fromkeys(membership.not_live(), False)
+        return silent | {member.vm_id: True for member in membership.live()}
+
     def dump(self) -> dict[str, Any]:
         """Return the state of this process as JSON for operators."""
         now = self.state.now()
+        membership = self.state.fleet.membership
         return {
             "vm": self.state.node.name,
             "incarnation": self.state.incarnation,
@@ -366,10 +391,21 @@
             "config_version": self.state.table.version if self.state.table else None,
             "generation": self._ownership.generation,
             "store_reachable": self._ownership.reachable,
-            "peers": {
-                vm_id: self.state.fleet.is_live(vm_id, now)
-                for vm_id in self.state.fleet.peer_by_id
+            "peers": self._dump_peers(),
+            "neighbours": {
+                vm_id: {
+                    "heard_s_ago": round(now - neighbour.heard_at, 2),
+                    "watched": neighbour.watched,
+                }
+                for vm_id, neighbour in self.peering.exchange.neighbour_by_id.items()
             },
+            "unheard": {
+                vm_id: membership.observers_against(vm_id)
+                for vm_id in membership.unheard_ids()
+            },
+            "store_answered_s_ago": round(
+                now - self.peering.exchange.store_answered_at, 2
+            ),
             "endpoints": {
                 endpoint_id: {"service": record.service, "ready": record.ready}
                 for endpoint_id, record in self.state.endpoints.record_by_id.items()
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -28,7 +28,7 @@
         self.stopping = False
         self.draining = False
         self.isolated = False
-        self.fleet = Fleet(node.name)
+        self.fleet = Fleet.from_node(node)
         self.endpoints = EndpointView(journal, self.now)
 
     def now(self) -> float:
@@ -68,7 +68,7 @@
         share = self.share_by_service.get(service)
         if share is None:
             share = RetryShare.from_config(self._retry_bounds())
-            share.fleet_size = self.fleet.size(self.now())
+            share.fleet_size = self.fleet.size()
             self.share_by_service[service] = share
         return share
 
--- a/bamboovale/peers/incoming.py
+++ b/bamboovale/peers/incoming.py
@@ -70,6 +70,10 @@
         if self._loop.time() - self._last_received_at > CALLED_SILENCE_S:
             self._channel.abort("silent")
 
+    def cut(self) -> None:
+        """End the connection without a word."""
+        self._channel.abort("silent")
+
     async def _read(self) -> None:
         try:
             while True:
@@ -95,10 +99,7 @@
         elif frame.kind is FrameKind.REQUEST:
             self._take_request(frame)
         elif frame.kind is FrameKind.NOTICE:
-            try:
-                self._on_notice(self.sender, frame.message)
-            except Exception:
-                logger.exception("a notice of %s failed", self.sender)
+            self._on_notice(self.sender, frame.message)
         else:
             raise BadMessageError("a reply came over a link for requests")
 
@@ -111,6 +112,10 @@
             text = type(error).__name__
             self._enqueue(encode_frame(FrameKind.FAILURE, frame.number, text))
 
+    def notify(self, data: bytes) -> None:
+        """Send a notice back over the link that the peer opened."""
+        self._enqueue(data)
+
     def _reply_to(self, number: int) -> Reply:
         """Return the function that answers one request, from any thread."""
 
--- a/bamboovale/peers/links.py
+++ b/bamboovale/peers/links.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import itertools
+import logging
 import threading
 from collections import Counter
 from collections.abc import Coroutine, Iterable
@@ -27,6 +28,8 @@
 from bamboovale.peers.outgoing import Outbound, OutgoingLink, PeerUnreachableError
 from bamboovale.settings import Settings
 
+logger = logging.getLogger(__name__)
+
 # An unused link is closed, so that a VM does not end up linked to all others.
 IDLE_CLOSE_S = 60.0
 
@@ -74,6 +77,8 @@
         self._numbers = itertools.count(1)
         self._link_by_vm_id: dict[str, OutgoingLink] = {}
         self._incoming: set[IncomingLink] = set()
+        self._newest_incoming: dict[str, IncomingLink] = {}
+        self._on_notice: NoticeHandler = _ignore
         self._loop: asyncio.AbstractEventLoop | None = None
         self._server: Server | None = None
         self._sweeping: asyncio.Task[None] | None = None
@@ -167,8 +172,32 @@
             item.settle(PeerUnreachableError("the links are stopped"))
 
     def _enqueue_notice(self, vm_ids: tuple[str, ...], data: bytes) -> None:
+        """Send a notice over our own link or, where there is none, over the peer's.
+
+        One link for each pair of VMs is enough then, whoever opened it.
+        """
         for vm_id in vm_ids:
-            self._enqueue(vm_id, Outbound(0, data), None)
+            incoming = self._newest_incoming.get(vm_id)
+            outgoing = self._link_by_vm_id.get(vm_id)
+            has_own = outgoing is not None and outgoing.state == "open"
+            if incoming is None or has_own:
+                self._enqueue(vm_id, Outbound(0, data), None)
+            else:
+                incoming.notify(data)
+
+    def cut(self, vm_id: str) -> None:
+        """Cut the links with a peer that we do not hear; the next message opens one.
+
+        Guards against connections that go silent without a reset while new ones work:
+        pings on a link without open requests find that only after ten seconds. Runs on
+        the event loop's thread.
+        """
+        outgoing = self._link_by_vm_id.get(vm_id)
+        if outgoing is not None:
+            outgoing.cut()
+        for incoming in list(self._incoming):
+            if incoming.sender == vm_id:
+                incoming.cut()
 
     def _enqueue(self, vm_id: str, item: Outbound, timeout_s: float | None) -> None:
         link = self._link_by_vm_id.get(vm_id)
@@ -177,7 +206,10 @@
             def open_channel() -> Coroutine[Any, Any, Channel]:
                 return self._doorway.open_channel(vm_id)
 
-            link = OutgoingLink(open_channel, self._metrics)
+            def take_notice(message: Any) -> None:
+                self._on_notice(vm_id, message)
+
+            link = OutgoingLink(open_channel, self._metrics, take_notice)
             self._link_by_vm_id[vm_id] = link
         link.submit(item, timeout_s)
 
@@ -187,8 +219,16 @@
         For a process whose handlers live on one loop: no thread is started.
         """
 
+        def take_notice(sender: str, message: Any) -> None:
+            try:
+                on_notice(sender, message)
+            except Exception:
+                logger.exception("a notice of %s failed", sender)
+
+        self._on_notice = take_notice
+
         async def accept(connection: ServerConnection) -> None:
-            await self._accept(connection, on_request, on_notice)
+            await self._accept(connection, on_request, take_notice)
 
         self._server = await serve(
             accept,
@@ -255,10 +295,13 @@
             on_notice,
         )
         self._incoming.add(link)
+        self._newest_incoming[sender] = link
         try:
             await link.serve()
         finally:
             self._incoming.discard(link)
+            if self._newest_incoming.get(sender) is link:
+                del self._newest_incoming[sender]
 
     async def _sweep(self) -> None:
         """Look at all links now and then: ping, cut the silent, close the unused.
@@ -282,6 +325,10 @@
                     await link.close()
 
 
+def _ignore(sender: str, message: Any) -> None:
+    """Take no notice before the links are open."""
+
+
 def _state_of(link: OutgoingLink | None, incoming: int) -> LinkState:
     if link is None:
         return LinkState("idle", incoming, 0, 0, 0.0, "")
--- a/bamboovale/peers/outgoing.py
+++ b/bamboovale/peers/outgoing.py
@@ -84,11 +84,13 @@
         self,
         open_channel: Callable[[], Awaitable[Channel]],
         metrics: Metrics,
+        on_notice: Callable[[Any], None],
     ) -> None:
         self.last_error = ""
         self.last_used = 0.0
         self._open_channel = open_channel
         self._metrics = metrics
+        self._on_notice = on_notice
         self._loop = asyncio.get_running_loop()
         self._queue: deque[Outbound] = deque()
         self._sent_by_number: dict[int, Outbound] = {}
@@ -157,6 +159,11 @@
         elif check is Check.SILENT:
             self._channel.abort("silent")
 
+    def cut(self) -> None:
+        """End the connection without a word; what was sent over it fails."""
+        if self._channel is not None:
+            self._channel.abort("silent")
+
     async def close(self) -> None:
         """Close the link; what waits on it fails."""
         if self._task is not None:
@@ -239,9 +246,12 @@
             channel.abort("bad_message")
 
     def _take(self, frame: Frame) -> None:
-        """Settle the request that a frame answers."""
+        """Settle the request that a frame answers, or hand on a notice."""
         if frame.kind is FrameKind.PONG:
             return
+        if frame.kind is FrameKind.NOTICE:
+            self._on_notice(frame.message)
+            return
         item = self._sent_by_number.pop(frame.number, None)
         if frame.kind is FrameKind.REPLY:
             result = frame.message
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -72,15 +72,18 @@
         file = self.directory / f"{self.name}.toml"
         file.write_text(to_toml(self.document))
         log = self._log_of(len(self.lives)).open("wb")
-        program = [sys.executable, "-m", "bamboovale", "gateway"]
-        options = [f"--node-file={file}", "--metrics-port=0", f"--peer-key={PEER_KEY}"]
+        program = [sys.executable, "-m", "bamboovale.routed_vm"]
+        options = {
+            "BAMBOOVALE_NODE_FILE": str(file),
+            "BAMBOOVALE_METRICS_PORT": "0",
+            "BAMBOOVALE_PEER_KEY": PEER_KEY,
+        }
         with log:
             self.process = await asyncio.create_subprocess_exec(
                 *program,
-                *options,
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "PYTHONHASHSEED": "0"},
+                env={**os.environ, **options, "PYTHONHASHSEED": "0"},
             )
         self.lives.append(Life(self.name, time.monotonic()))
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bamboovale.gateway import fleet
+from bamboovale.fleet import exchange
 from bamboovale.gateway.engine_owner import Reply
 from bamboovale.gateway.messages import PlaceReply, PlaceRequest
 from bamboovale.http1.connection import Connection
@@ -412,6 +412,7 @@
                 runner.hold("a1")
                 owner = site.owned()["runner-0"]
                 other = next(item for item in site.vms if item is not owner)
+                other.vm.peering.engine_news.on_needed()
                 await owner.vm.look_at_engines()
                 await site.store.put(
                     "keyed.op",
@@ -456,7 +457,7 @@
 def _coming(vm: RunningVM) -> dict:
     """Return the adapters that the VM believes to be on their way to the engine."""
     owned = vm.vm.state.fleet.engine("runner-0")
-    told = owned.status.coming if owned is not None else ()
+    told = owned.status.coming if owned is not None and owned.status else ()
     return {(model, adapter): version for model, adapter, version in told}
 
 
@@ -684,7 +685,7 @@
         status, before it had even read their addresses. Until then it sent requests
         past the owners of the engines: nobody counted them, nobody paced them.
         """
-        monkeypatch.setattr(fleet, "STATUS_INTERVAL_S", 30.0)
+        monkeypatch.setattr(exchange, "SMALL_INTERVAL_S", 30.0)
 
         async def test() -> None:
             async with running_site(vms=3, runners=3) as site:
@@ -702,8 +703,8 @@
         It tells them who it is. Told what they own only with their next regular
         status, it would send requests past the owners meanwhile.
         """
-        monkeypatch.setattr(fleet, "STATUS_INTERVAL_S", 30.0)
-        monkeypatch.setattr(fleet, "MISSED_STATUSES", 0.0)
+        monkeypatch.setattr(exchange, "SMALL_INTERVAL_S", 30.0)
+        monkeypatch.setattr(exchange, "MISSED", 0.0)
 
         async def test() -> None:
             async with running_site(vms=2, runners=3) as site:
@@ -848,7 +849,7 @@
     """Drop every message between one VM and the others."""
     cut.vm.links.request = refuse_request  # type: ignore[method-assign]
     cut.vm.links.notify_all = lambda ids, message: None  # type: ignore
-    cut.vm.state.fleet.on_status = lambda vm_id, status, now: None  # type: ignore
+    cut.vm.peering.exchange.on_gossip = lambda *args: None  # type: ignore
 
 
 def refuse_request(vm_id: str, message: object, timeout_s: float) -> Future:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -15,13 +15,14 @@
 
 from bamboovale.decisions.place_work import EngineOutlook
 from bamboovale.decoding import BadRecordError
+from bamboovale.fleet.messages import Member, Unheard
 from bamboovale.gateway.endpoints import EndpointChange, EndpointView
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.events import EventBuffer, EventsBroken
 from bamboovale.gateway.fleet import Fleet
-from bamboovale.gateway.followers import News, TopicFollower
+from bamboovale.gateway.followers import TopicFollower
 from bamboovale.gateway.journal import BURST_LINES, Journal, NonBlockingHandler
-from bamboovale.gateway.messages import EngineLoad, EngineStatus, GatewayStatus
+from bamboovale.gateway.messages import EngineLoad, EngineStatus
 from bamboovale.gateway.model import (
     CallerLimits,
     CallKind,
@@ -237,109 +238,133 @@
         assert places == {"ip", "listen.front", "bounds.grace-s"}
 
 
-def status(name: str, fence: int, *engines: str, serving: bool = True) -> GatewayStatus:
-    """Return what a peer tells."""
-    owned = tuple(
-        EngineStatus(engine, fence, (), (), (), 0, 8, 0, 0.0, 2, 100, 1 / 20_000)
-        for engine in engines
-    )
-    return GatewayStatus(name, "127.0.0.1", 1, 2, "a", serving, 1, True, owned)
+def status(engine: str, fence: int) -> EngineStatus:
+    """Return what an owner tells of one engine."""
+    return EngineStatus(engine, fence, (), (), (), 0, 8, 0, 0.0, 2, 100, 1 / 20_000)
+
+
+def member(name: str, revision: int, *owned: tuple[str, int], **fields: Any) -> Member:
+    """Return what a VM tells of itself."""
+    fields = {"serving": True, **fields}
+    return Member(name, 1, revision, "127.0.0.1", 1, 2, "a", owned=owned, **fields)
+
+
+def fleet_of(*members: Member) -> Fleet:
+    """Return the fleet of a VM that has heard of these."""
+    fleet = Fleet(member("me", 1))
+    for item in members:
+        fleet.membership.take(item, 0.0)
+    return fleet
 
 
 class TestFleet:
     """Who lives and who owns what."""
 
-    def test_a_silent_peer_is_left_out(self) -> None:
-        fleet = Fleet("me")
-        fleet.on_status("a", status("a", 1), 0.0)
-        assert len(fleet.serving(0.5)) == 1
-        assert fleet.serving(5.0) == []
+    def test_a_silent_vm_is_left_out(self) -> None:
+        fleet = fleet_of(member("a", 1))
+        assert [item.vm_id for item in fleet.serving()] == ["a"]
+        fleet.membership.on_unheard("a", 5.0)
+        assert fleet.serving() == []
 
-    def test_a_stopping_peer_is_left_out_at_once(self) -> None:
-        fleet = Fleet("me")
-        fleet.on_status("a", status("a", 1), 0.0)
-        fleet.on_status("a", status("a", 1, serving=False), 0.1)
-        assert fleet.serving(0.2) == []
+    def test_a_stopping_vm_is_left_out_at_once(self) -> None:
+        fleet = fleet_of(member("a", 1))
+        fleet.membership.take(member("a", 2, serving=False), 0.1)
+        assert fleet.serving() == []
 
     def test_the_owner_with_the_higher_number_is_believed(self) -> None:
         """An owner that was frozen wakes up and still tells what it owned.
 
         Asked for a place it could order nothing any more; requests would wait there.
         """
-        fleet = Fleet("me")
-        fleet.on_status("new", status("new", 5, "e"), 1.0)
-        fleet.on_status("old", status("old", 4, "e"), 1.1)
+        fleet = fleet_of(member("new", 1, ("e", 5)))
+        owned = fleet.engine("e")
+        assert owned is not None and owned.owner == "new"
+        fleet.membership.take(member("old", 1, ("e", 4)), 1.1)
+        fleet.on_statuses("old", [status("e", 4)], 1.2)
         owned = fleet.engine("e")
         assert owned is not None and owned.owner == "new"
 
+    def test_a_dead_owner_with_a_higher_number_is_not(self) -> None:
+        """An owner dies while the store is away; another VM stands in for it."""
+        fleet = fleet_of(member("dead", 1, ("e", 5)))
+        assert fleet.engine("e") is not None
+        fleet.membership.on_unheard("dead", 2.0)
+        fleet.membership.take(member("b", 1, ("e", 4)), 2.1)
+        owned = fleet.engine("e")
+        assert owned is not None and owned.owner == "b"
+
     def test_an_engine_that_its_owner_no_longer_names_is_given_up(self) -> None:
-        fleet = Fleet("me")
-        fleet.on_status("a", status("a", 5, "e"), 1.0)
-        fleet.on_status("a", status("a", 5), 1.1)
+        fleet = fleet_of(member("a", 1, ("e", 5)))
+        assert fleet.engine("e") is not None
+        fleet.membership.take(member("a", 2), 1.1)
         owned = fleet.engine("e")
         assert owned is not None and owned.given_up
-        fleet.on_status("b", status("b", 4, "e"), 1.2)
+        fleet.membership.take(member("b", 1, ("e", 4)), 1.2)
         owned = fleet.engine("e")
         assert owned is not None and owned.owner == "b"
 
-    def test_a_large_fleet_tells_less_often(self) -> None:
-        fleet = Fleet("me")
-        for number in range(75):
-            fleet.on_registered(f"vm{number}", ("10.0.0.1", number))
-        assert 1.0 < fleet.interval_s() < 2.0
-        assert 0.3 < fleet.loads_interval_s() < 0.4
+    def test_an_owners_word_may_come_before_the_news_of_it(self) -> None:
+        """An owner tells its VMs at once; that it owns the engine takes some steps.
 
-    def test_vms_without_engines_tell_seldom_where_many_listen(self) -> None:
-        """Statuses took half of an idle VM's processor time in a fleet of 61.
-
-        Every VM told all others once a second, though nobody chooses by the word of
-        one that owns no engine. It is still heard in time not to be taken for silent.
+        Its word must not be taken for given up just because its news is on the way.
         """
-        small, large = Fleet("me"), Fleet("me")
-        for number in range(5):
-            small.on_registered(f"vm{number}", ("10.0.0.1", number))
-        for number in range(60):
-            large.on_registered(f"vm{number}", ("10.0.0.1", number))
-        turns = range(4)
-        assert all(small.is_turn(n, owns_engines=False) for n in turns)
-        assert all(large.is_turn(n, owns_engines=True) for n in turns)
-        told = [n for n in turns if large.is_turn(n, owns_engines=False)]
-        assert told == [0, 2]
-        pause_s = (told[1] - told[0]) * large.interval_s()
-        assert pause_s + 0.5 * large.interval_s() < large.silent_after_s()
+        fleet = fleet_of(member("a", 1), member("b", 1))
+        fleet.on_statuses("a", [status("e", 4)], 1.0)
+        fleet.membership.take(member("b", 2), 1.1)
+        owned = fleet.engine("e")
+        assert owned is not None and not owned.given_up and owned.owner == "a"
+
+    def test_a_new_owner_goes_on_from_the_last_ones_word(self) -> None:
+        """An owner stops; who asks its successor first knows what is loaded."""
+        fleet = fleet_of(member("a", 1, ("e", 4)))
+        fleet.on_statuses("a", [replace(status("e", 4), kept=7)], 1.0)
+        fleet.membership.take(member("b", 1, ("e", 5)), 1.1)
+        owned = fleet.engine("e")
+        assert owned is not None and owned.owner == "b"
+        assert owned.status is not None and owned.status.kept == 7
 
     def test_every_vm_of_a_large_fleet_names_the_same_candidates(self) -> None:
         """Each VM that may own engines costs the store calls all day."""
         names = [f"vm{number}" for number in range(75)]
-        fleets = {name: Fleet(name) for name in names}
-        for name, fleet in fleets.items():
-            for peer in names:
-                if peer != name:
-                    fleet.on_status(peer, status(peer, 1), 0.0)
-        candidates = {tuple(fleet.owner_candidates(0.5)) for fleet in fleets.values()}
+        fleets = [Fleet(member(name, 1)) for name in names]
+        for fleet in fleets:
+            for name in names:
+                fleet.membership.take(member(name, 1), 0.0)
+        candidates = {tuple(fleet.owner_candidates()) for fleet in fleets}
         assert len(candidates) == 1
         assert len(candidates.pop()) == 24
 
     def test_words_on_load_change_nothing_but_the_load(self) -> None:
-        fleet = Fleet("me")
-        fleet.on_status("a", status("a", 5, "e"), 1.0)
+        fleet = fleet_of(member("a", 1, ("e", 5)))
+        fleet.on_statuses("a", [status("e", 5)], 1.0)
         fleet.on_loads("a", (EngineLoad("e", 7, 3, 0.5, -2),), 1.1)
         owned = fleet.engine("e")
         assert owned is not None and owned.heard_at == 1.1
+        assert owned.status is not None
         assert (owned.status.active, owned.status.open_slots) == (7, -2)
-        assert owned.status.fence == 5
+        assert owned.fence == 5
 
     def test_words_on_load_of_a_former_owner_are_not_taken(self) -> None:
         """An owner that was replaced still tells its view of the engine.
 
         Entry VMs would choose by slots that are long in use.
         """
-        fleet = Fleet("me")
-        fleet.on_status("a", status("a", 4, "e"), 1.0)
-        fleet.on_status("b", status("b", 5, "e"), 1.1)
+        fleet = fleet_of(member("a", 1, ("e", 4)))
+        fleet.on_statuses("a", [status("e", 4)], 1.0)
+        fleet.membership.take(member("b", 1, ("e", 5)), 1.1)
+        fleet.on_statuses("b", [status("e", 5)], 1.15)
         fleet.on_loads("a", (EngineLoad("e", 0, 0, 0.0, 18),), 1.2)
         owned = fleet.engine("e")
-        assert owned is not None and owned.status.open_slots == 2
+        assert owned is not None and owned.status is not None
+        assert owned.status.open_slots == 2
+
+    def test_a_word_that_was_refuted_is_void(self) -> None:
+        """Two neighbours of a VM that was frozen say so late, after it has woken up."""
+        fleet = fleet_of(*(member(name, 1) for name in "abc"))
+        fleet.membership.take(member("a", 2, refuted=1), 1.0)
+        for observer in "bc":
+            fleet.membership.take_unheard(Unheard(observer, "a", 1, 0), 1.1)
+        assert fleet.is_live("a")
 
 
 class TestEngineViews:
@@ -375,8 +400,8 @@
                 if item.name not in ("loaded", "coming")
             },
         )
-        fleet = Fleet("me")
-        fleet.on_status("a", replace(status("a", 1), engines=(told,)), 1.0)
+        fleet = fleet_of(member("a", 1, ("e", 1)))
+        fleet.on_statuses("a", [told], 1.0)
         engines = Engines("me", fleet, None, lambda: 1.0)  # type: ignore[arg-type]
         record = EndpointRecord("e", "llm", ("10.0.0.1", 1), "a", True, 8)
         assert engines.views([record])["e"].outlook == outlook
@@ -626,7 +651,6 @@
         store,  # type: ignore[arg-type]
         Journal("me", logging.getLogger("none")),
         on_record=lambda record: seen.append(record.offset),
-        on_snapshot=lambda keys: None,
         wait_s=0.0,
         pause_s=lambda: 0.01,
         may_read=lambda news_age_s: reads,
@@ -729,8 +753,8 @@
             waiting = follower(store, seen, reads=False)
             task = asyncio.create_task(waiting.follow())
             await asyncio.sleep(0.05)
-            waiting.take_news(News(10, 13, (KeyedRecord("e", b"{}", 11),)))
-            waiting.take_news(News(10, 12, (KeyedRecord("e", b"{}", 11),)))
+            waiting.take(10, 13, (("e", b"{}", 11),))
+            waiting.take(10, 12, (("e", b"{}", 11),))
             task.cancel()
             assert (store.reads, seen) == (0, [11])
 
@@ -747,7 +771,7 @@
             waiting = follower(ScriptedStore(), seen, reads=False)
             task = asyncio.create_task(waiting.follow())
             await asyncio.sleep(0.05)
-            waiting.take_news(News(20, 22, (KeyedRecord("e", b"{}", 21),)))
+            waiting.take(20, 22, (("e", b"{}", 21),))
             task.cancel()
             assert seen == []
 
@@ -763,7 +787,6 @@
 
         async def test() -> None:
             known: set[int] = set()
-            passed: list[News] = []
 
             def take(record: KeyedRecord) -> bool:
                 fresh = record.offset not in known
@@ -776,18 +799,17 @@
                 store,  # type: ignore[arg-type]
                 Journal("me", logging.getLogger("none")),
                 on_record=take,
-                on_snapshot=lambda keys: None,
                 wait_s=0.0,
                 pause_s=lambda: 0.0,
-                on_news=passed.append,
             )
             task = asyncio.create_task(reader.follow())
             await asyncio.sleep(0.05)
-            reader.take_news(News(10, 11, (KeyedRecord("e", b"{}", 10),)))
+            reader.take(10, 11, (("e", b"{}", 10),))
             store.go.set()
             await asyncio.sleep(0.05)
             task.cancel()
-            assert [record.offset for record in passed[0].records] == [10]
+            _, rows = reader.changes.rows_from(10)
+            assert rows[0] == ("e", b"{}", 10)
 
         run(test())
 
--- a/tests/test_gateway_pool_notes.py
+++ b/tests/test_gateway_pool_notes.py
@@ -43,7 +43,7 @@
             store = KeepingStore()
             kept = notes(store, [])
             for now in (0.0, 1.0, 10.0):
-                await kept.write_changes({"llm": True}, ["me"], now)
+                await kept.write_changes({"llm": True}, {"me"}, now)
             assert store.puts == [("pool:llm", b'{"held_up": true}')]
 
         run(test())
@@ -60,11 +60,11 @@
             kept = notes(store, noted)
             assert kept.take(record({"held_up": True}))
             assert noted == ["llm"] and kept.held_up("llm")
-            await kept.write_changes({"llm": False}, ["me"], 0.0)
-            await kept.write_changes({"llm": True}, ["me"], 3.0)
-            await kept.write_changes({"llm": False}, ["me"], QUIET_S - 1.0)
+            await kept.write_changes({"llm": False}, {"me"}, 0.0)
+            await kept.write_changes({"llm": True}, {"me"}, 3.0)
+            await kept.write_changes({"llm": False}, {"me"}, QUIET_S - 1.0)
             assert store.puts == []
-            await kept.write_changes({"llm": False}, ["me"], 2 * QUIET_S)
+            await kept.write_changes({"llm": False}, {"me"}, 2 * QUIET_S)
             assert store.puts == [("pool:llm", b'{"held_up": false}')]
 
         run(test())
@@ -74,7 +74,7 @@
             store = KeepingStore()
             store.down = True
             kept = notes(store, [])
-            await kept.write_changes({"llm": True}, ["me"], 0.0)
+            await kept.write_changes({"llm": True}, {"me"}, 0.0)
             assert kept.held_up("llm")
 
         run(test())
