Send rows as arrays; tell of a VM that starts once it serves

Cause: in virtual time each change of all 195 VMs crossed the links as 226,000 records of some 115 bytes, 28 MB; a VM that started was told of twice, and fencing numbers, which rise at all engines with each change of any owner, made owners tell of themselves again.

--- a/bamboovale/fleet/exchange.py
+++ b/bamboovale/fleet/exchange.py
@@ -377,7 +377,6 @@
         if now < self._probe_at:
             return []
         self._probe_at = now + PROBE_S * self._rng.uniform(0.8, 1.2)
-        self._membership.forget(now)
         silent = [
             v for v in self._membership.not_live() if v not in self.neighbour_by_id
         ]
@@ -405,6 +404,7 @@
             return
         self._chosen_at_version = version
         self._choose_again_at = now + self.interval_s()
+        self._membership.forget(now)
         own_id = self._membership.own.vm_id
         passed_over = self._is_passed_over(now)
         width = self._width(now)
--- a/bamboovale/fleet/membership.py
+++ b/bamboovale/fleet/membership.py
@@ -20,6 +20,8 @@
 WORDS_NEEDED = 2
 """Observers that must not hear a VM: one may be slow, cut off in one direction or
 wrong. What only we do not hear is still not live for us."""
+CONTACT_S = 3.0
+"""A VM that was registered and is not heard of by then is not there."""
 FORGET_S = 60.0
 """A VM that is out is known for so long: its late words are told from a new start."""
 MOST_MEMBERS = 4096
@@ -36,6 +38,14 @@
     out_at: float | None = None
 
 
+@dataclass(frozen=True)
+class _Contact:
+    """A VM of which only the address is known, since when."""
+
+    address: tuple[str, int]
+    since: float
+
+
 class Membership:
     """Aggregate of all entry VMs, as one of them believes; no sockets, no clock.
 
@@ -50,7 +60,7 @@
         self.rings.add(own.vm_id)
         self._changes = changes
         self._known_by_id: dict[str, _Known] = {}
-        self._contact_by_id: dict[str, tuple[str, int]] = {}
+        self._contact_by_id: dict[str, _Contact] = {}
         self._lapsed_by_id: dict[str, tuple[str, int]] = {}
         self._words_by_id: dict[str, dict[str, Unheard]] = {}
         self._unheard_by_us: set[str] = set()
@@ -86,12 +96,17 @@
         known = self._known_by_id.get(vm_id)
         return None if known is None else known.member
 
+    def contact_ids(self) -> list[str]:
+        """Return the VMs that were registered and have not told of themselves yet."""
+        return list(self._contact_by_id)
+
     def address_of(self, vm_id: str) -> tuple[str, int] | None:
         """Return where a VM takes links."""
         known = self._known_by_id.get(vm_id)
         if known is not None:
             return known.member.address, known.member.peers_port
-        return self._contact_by_id.get(vm_id) or self._lapsed_by_id.get(vm_id)
+        contact = self._contact_by_id.get(vm_id)
+        return contact.address if contact else self._lapsed_by_id.get(vm_id)
 
     def observers_against(self, vm_id: str) -> list[str]:
         """Return the VMs that do not hear a VM."""
@@ -127,22 +142,22 @@
 
     # What others tell.
 
-    def on_contact(self, vm_id: str, address: tuple[str, int]) -> bool:
+    def on_contact(self, vm_id: str, address: tuple[str, int], now: float) -> bool:
         """Take the address of a VM that has not told of itself; True if it is new."""
         is_known = vm_id in self._known_by_id or vm_id in self._contact_by_id
         if vm_id == self.own.vm_id or is_known or self._is_full():
             return False
         self._lapsed_by_id.pop(vm_id, None)
-        self._contact_by_id[vm_id] = address
+        self._contact_by_id[vm_id] = _Contact(address, now)
         self.rings.add(vm_id)
         return True
 
     def drop_contact(self, vm_id: str) -> bool:
         """Take a VM that never answered at its address off the rings."""
-        address = self._contact_by_id.pop(vm_id, None)
-        if address is None:
+        contact = self._contact_by_id.pop(vm_id, None)
+        if contact is None:
             return False
-        self._lapsed_by_id[vm_id] = address
+        self._lapsed_by_id[vm_id] = contact.address
         self.rings.remove(vm_id)
         return True
 
@@ -236,7 +251,10 @@
             self.version += 1
 
     def forget(self, now: float) -> None:
-        """Forget VMs that have been out for long."""
+        """Forget VMs that have been out for long, and contacts that never answered."""
+        for vm_id, contact in list(self._contact_by_id.items()):
+            if now - contact.since > CONTACT_S:
+                self.drop_contact(vm_id)
         for vm_id, known in list(self._known_by_id.items()):
             if known.out_at is None or now - known.out_at < FORGET_S:
                 continue
--- a/bamboovale/fleet/messages.py
+++ b/bamboovale/fleet/messages.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-from bamboovale.peers.codec import message
+from bamboovale.peers.codec import message, row
 
 
-@message("member")
+@row
 @dataclass(frozen=True)
 class Member:
     """An entry VM, as it tells of itself.
@@ -32,7 +32,7 @@
         return (self.start, self.revision) > (other.start, other.revision)
 
 
-@message("unheard")
+@row
 @dataclass(frozen=True)
 class Unheard:
     """An observer's word that a VM has fallen silent.
@@ -46,7 +46,7 @@
     refuted: int
 
 
-@message("suspect_seen")
+@row
 @dataclass(frozen=True)
 class SuspectSeen:
     """A request that was running when its endpoint crashed."""
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -103,8 +103,16 @@
         return known[1]
 
     def owner_candidates(self) -> list[str]:
-        """Return the live VMs that may own engines."""
-        return self.first("owners", OWNER_CANDIDATES)
+        """Return the live VMs that may own engines.
+
+        VMs that are registered and not heard of yet count: after a restart of a large
+        fleet each would otherwise take part until it has heard of the others.
+        """
+        expected = self.membership.contact_ids()
+        if not expected:
+            return self.first("owners", OWNER_CANDIDATES)
+        vm_ids = {*self.serving_ids(), *expected}
+        return first_members("owners", vm_ids, OWNER_CANDIDATES)
 
     def address_of(self, vm_id: str) -> tuple[str, int] | None:
         """Return where a VM takes links."""
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from bamboovale.peers.codec import message
+from bamboovale.peers.codec import message, row
 
 
 @message("place_ask")
@@ -101,7 +101,7 @@
     pause_s: float
 
 
-@message("engine_status")
+@row
 @dataclass(frozen=True)
 class EngineStatus:
     """What an owner tells of one engine; adapters are (model, adapter, version).
@@ -126,7 +126,7 @@
     answers: bool = True
 
 
-@message("engine_load")
+@row
 @dataclass(frozen=True)
 class EngineLoad:
     """How busy one engine is now: what changes with every request."""
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -46,6 +46,13 @@
 LAG_WARNING_S = 0.5
 """Lateness of the event loop that is logged: half of the time after which neighbours
 take a VM for silent."""
+START_WAIT_S = 0.5
+"""For so long a VM that starts waits to be able to serve before it tells of itself:
+what it tells crosses every link of the fleet, each time it changes."""
+START_LOOK_S = 0.02
+FENCES_S = 2.0
+"""Between two words on fencing numbers alone: they rise at all engines with each change
+of any owner, and decide only between two VMs that claim the same engine."""
 LOOK_S = 0.3
 """Between two looks at what follows from the news of others."""
 STORE_SILENT_S = 2.0
@@ -83,6 +90,7 @@
         self._crashes = crashes
         self._news = asyncio.Event()
         self._seen_version = -1
+        self._fences_told_at = -FENCES_S
         self._live: set[str] = set()
         self.engine_news = EngineNews(state, engines, links)
         self.exchange = Exchange(
@@ -97,13 +105,24 @@
 
     def tell(self) -> None:
         """Tell what has changed of us with the next message to each neighbour."""
+        membership = self._state.fleet.membership
+        membership.tell(serving=self._state.serving(), owned=self._owned())
+        self.exchange.config_version = self._config_version()
+        self._news.set()
+
+    def _owned(self) -> tuple[tuple[str, int], ...]:
+        """Return our engines with their fencing numbers, as told unless it is time."""
         owned = tuple(
             (engine_id, self._ownership.fence(owner.record.registered_id))
             for engine_id, owner in sorted(self._engines.owner_by_engine.items())
         )
-        self._state.fleet.membership.tell(serving=self._state.serving(), owned=owned)
-        self.exchange.config_version = self._config_version()
-        self._news.set()
+        told = self._state.fleet.membership.own.owned
+        is_same = [engine_id for engine_id, _ in owned] == [e for e, _ in told]
+        now = self._state.now()
+        if is_same and now - self._fences_told_at < FENCES_S:
+            return told
+        self._fences_told_at = now
+        return owned
 
     def tell_leaving(self) -> None:
         """Tell the neighbours that this process ends now."""
@@ -133,6 +152,7 @@
 
     async def exchange_forever(self) -> None:
         """Exchange messages with the neighbours, for ever."""
+        await self._wait_until_serving()
         while True:
             self._news.clear()
             self._send_due()
@@ -145,6 +165,14 @@
             except TimeoutError:
                 self._note_lateness(self._state.now() - asleep_from - wait_s)
 
+    async def _wait_until_serving(self) -> None:
+        began = self._state.now()
+        while not self._state.serving():
+            if self._state.now() - began > START_WAIT_S:
+                break
+            await asyncio.sleep(START_LOOK_S)
+        self.tell()
+
     def _note_lateness(self, late_s: float) -> None:
         if late_s > LAG_WARNING_S:
             self._state.journal.write("loop_late", late_s=round(late_s, 3))
--- a/bamboovale/gateway/registration.py
+++ b/bamboovale/gateway/registration.py
@@ -73,7 +73,8 @@
         except (ValueError, TypeError) as error:
             self._state.journal.write("bad_record", key=record.key, error=str(error))
             return False
-        return self._state.fleet.membership.on_contact(record.key, address)
+        membership = self._state.fleet.membership
+        return membership.on_contact(record.key, address, self._state.now())
 
     def _pause_s(self) -> float:
         live = self._state.fleet.size()
--- a/bamboovale/peers/codec.py
+++ b/bamboovale/peers/codec.py
@@ -4,6 +4,9 @@
 every value against the type hints, so that a handler never meets a half-read
 message. Fields that equal their default are left out: a message stays small, and a
 field added with a default is not sent to an older peer until it is used.
+
+Rows, of which one message holds many, are arrays in the order of their fields instead,
+without the trailing ones that equal their default. New fields go to their end.
 """
 
 import dataclasses
@@ -26,6 +29,7 @@
 
 _class_by_tag: dict[str, type] = {}
 _tag_by_class: dict[type, str] = {}
+_rows: set[type] = set()
 _coders_by_hint: dict[Any, tuple[Coder, Coder]] = {}
 
 
@@ -48,6 +52,14 @@
     return register
 
 
+def row(cls: MessageClass) -> MessageClass:
+    """Let a frozen data class go as an array, within messages that hold many of it."""
+    if not dataclasses.is_dataclass(cls):
+        raise TypeError(f"{cls.__name__} is no data class")
+    _rows.add(cls)
+    return cls
+
+
 def encode(item: Any) -> bytes:
     """Return the bytes of a registered message.
 
@@ -129,6 +141,8 @@
         return _frozenset_coders(arguments[0])
     if origin in (dict, Mapping):
         return _dict_coders(*arguments)
+    if hint in _rows:
+        return _row_coders(hint)
     if dataclasses.is_dataclass(hint):
         return _dataclass_coders(typing.cast(type, hint))
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
@@ -308,6 +322,36 @@
     return write, read
 
 
+def _row_coders(cls: type) -> tuple[Coder, Coder]:
+    hints = typing.get_type_hints(cls)
+    items = dataclasses.fields(cls)
+    names = [item.name for item in items]
+    coders = [_coders_of(hints[name]) for name in names]
+    defaults = [_default_of(item) for item in items]
+    required = sum(default is _NO_DEFAULT for default in defaults)
+
+    def write(value: Any) -> list[Any]:
+        if type(value) is not cls:
+            raise BadMessageError(
+                f"{cls.__name__} expected, not {type(value).__name__}"
+            )
+        members = [getattr(value, name) for name in names]
+        while len(members) > required and members[-1] == defaults[len(members) - 1]:
+            members.pop()
+        return [pair[0](m) for pair, m in zip(coders, members, strict=False)]
+
+    def read(value: Any) -> Any:
+        if not required <= len(_items(value)) <= len(coders):
+            raise BadMessageError(f"{len(coders)} fields of {cls.__name__} expected")
+        members = [pair[1](m) for pair, m in zip(coders, value, strict=False)]
+        try:
+            return cls(*members)
+        except ValueError as error:  # raised by the class's own rules
+            raise BadMessageError(f"{cls.__name__}: {error}") from error
+
+    return write, read
+
+
 _NO_DEFAULT = object()
 
 
--- a/tests/fleet_play.py
+++ b/tests/fleet_play.py
@@ -90,7 +90,7 @@
         vm = PlayedVM(vm_id, membership, exchange, topic)
         self.vm_by_id[vm_id] = vm
         for contact in contacts:
-            membership.on_contact(contact, (contact, 1))
+            membership.on_contact(contact, (contact, 1), self.now)
         began = self.now + self.rng.uniform(0.0, within_s)
         self.at(began, lambda: self._turn(vm))
         return vm
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -204,7 +204,7 @@
         view = membership()
         for number in range(MOST_MEMBERS + 100):
             view.take(member(f"vm{number}"), 0.0)
-            view.on_contact(f"contact{number}", ("10.0.0.1", 1))
+            view.on_contact(f"contact{number}", ("10.0.0.1", 1), 0.0)
         assert len(view.live()) + len(view.not_live()) <= MOST_MEMBERS
 
     def test_a_vm_that_is_out_for_long_is_forgotten(self) -> None:
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -17,6 +17,7 @@
     decode,
     encode,
     message,
+    row,
 )
 from bamboovale.peers.frames import FrameKind, decode_frame, encode_frame
 
@@ -44,6 +45,25 @@
     number: int
 
 
+@row
+@dataclass(frozen=True)
+class Row:
+    """A data class of which a message holds many."""
+
+    name: str
+    number: int
+    weight: float = 1.0
+    note: str = ""
+
+
+@message("test_rows")
+@dataclass(frozen=True)
+class Rows:
+    """A message with rows."""
+
+    rows: tuple[Row, ...] = ()
+
+
 @message("test_sample")
 @dataclass(frozen=True)
 class Sample:
@@ -179,3 +199,30 @@
     def test_a_wrong_head_of_a_frame(self, head: list[Any]) -> None:
         with pytest.raises(BadMessageError):
             decode_frame(cbor2.dumps([*head, GOOD]))
+
+
+rows = st.builds(
+    Row, st.text(max_size=5), st.integers(0, 9), st.floats(0, 1), st.text()
+)
+
+
+class TestRows:
+    """Data classes that go as arrays."""
+
+    @given(st.lists(rows, max_size=5))
+    def test_what_is_encoded_is_decoded(self, items: list[Row]) -> None:
+        sent = Rows(tuple(items))
+        assert decode(encode(sent)) == sent
+
+    def test_trailing_defaults_are_left_out(self) -> None:
+        value = cbor2.loads(encode(Rows((Row("a", 1), Row("b", 2, note="x")))))
+        assert value["rows"] == [["a", 1], ["b", 2, 1.0, "x"]]
+
+    @pytest.mark.parametrize(
+        "value",
+        [["a"], ["a", 1, 1.0, "", "more"], ["a", "1"], [1, 1], "ab", {"name": "a"}],
+    )
+    def test_what_is_no_row_is_refused(self, value: Any) -> None:
+        frame = cbor2.dumps({"type": "test_rows", "rows": [value]})
+        with pytest.raises(BadMessageError):
+            decode(frame)
