Name a fifth of a large fleet to callers; fewer calls of a start

Named to callers are now a fifth of a fleet of more than 24, by weighted rendezvous; twice as many while a quarter of them is busy, by the lateness of their timers. Before the addresses of the others are read no VM reads or joins on their behalf.

--- a/bamboovale/fleet/messages.py
+++ b/bamboovale/fleet/messages.py
@@ -12,7 +12,8 @@
 
     ``start`` orders the starts under one id, ``revision`` what is told in one start.
     ``refuted`` counts how often this start was said to be unheard and contradicted it.
-    ``owned`` are the engines it owns, each with the fencing number of its orders.
+    ``owned`` are the engines it owns, each with the fencing number of its orders;
+    ``cores`` is its share of processor time, ``busy`` that this is used up.
     """
 
     vm_id: str
@@ -26,6 +27,8 @@
     serving: bool = False
     left: bool = False
     owned: tuple[tuple[str, int], ...] = ()
+    cores: float = 1.0
+    busy: bool = False
 
     def replaces(self, other: "Member") -> bool:
         """Tell whether this is the later word of the same VM."""
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from bamboovale.decisions.named_vms import Candidate, named_in_domain
 from bamboovale.decisions.rendezvous import first_members
 from bamboovale.fleet.changes import ChangeLog
 from bamboovale.fleet.membership import Change, Membership
@@ -48,6 +49,8 @@
         self._engine_by_id: dict[str, OwnedEngine] = {}
         self._seen_version = -1
         self._live: list[Member] = []
+        self._named: dict[str, list[Member]] = {}
+        self._named_at_version = -1
         self._first_by_use: dict[tuple[str, int], tuple[int, list[str]]] = {}
 
     @classmethod
@@ -63,6 +66,7 @@
             peers_port=node.peers_port,
             callers_port=node.callers[1],
             failure_domain=node.failure_domain,
+            cores=round(node.cores, 3),
         )
         return cls(own)
 
@@ -77,6 +81,10 @@
         """Return how many entry VMs live, ourselves included."""
         return 1 + len(self.live())
 
+    def expected_size(self) -> int:
+        """Return how many VMs live or are registered and not heard of yet."""
+        return self.size() + len(self.membership.contact_ids())
+
     def live(self) -> list[Member]:
         """Return the other VMs that live."""
         self._refresh()
@@ -94,6 +102,21 @@
         """Return the VMs that live and serve, ourselves included."""
         return [self.membership.own.vm_id, *(m.vm_id for m in self.serving())]
 
+    def named_by_domain(self) -> dict[str, list[Member]]:
+        """Return the VMs to name to callers, ourselves included, by failure domain."""
+        if self._named_at_version == self.version:
+            return self._named
+        own = self.membership.own
+        members = [*self.serving(), *([own] if own.serving else [])]
+        by_domain: dict[str, list[Member]] = {}
+        for member in members:
+            by_domain.setdefault(member.failure_domain, []).append(member)
+        self._named = {
+            domain: _named(found, len(members)) for domain, found in by_domain.items()
+        }
+        self._named_at_version = self.version
+        return self._named
+
     def first(self, use: str, count: int) -> list[str]:
         """Return the serving VMs that do something for all, the same at every VM."""
         known = self._first_by_use.get((use, count))
@@ -217,3 +240,9 @@
         if known.owner == owned.owner or known.given_up:
             return True
         return owned.fence >= known.fence or not self.is_live(known.owner)
+
+
+def _named(members: list[Member], fleet_size: int) -> list[Member]:
+    candidates = [Candidate(m.vm_id, m.cores, m.busy) for m in members]
+    member_by_id = {member.vm_id: member for member in members}
+    return [member_by_id[v] for v in named_in_domain(candidates, fleet_size)]
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -5,6 +5,7 @@
 from concurrent.futures import Future
 from typing import Any, get_args
 
+from bamboovale.decisions.lateness_watch import LatenessWatch
 from bamboovale.fleet.exchange import Exchange
 from bamboovale.fleet.messages import Gossip, SuspectSeen
 from bamboovale.gateway.crashes import CrashGuard
@@ -91,6 +92,7 @@
         self._news = asyncio.Event()
         self._seen_version = -1
         self._fences_told_at = -FENCES_S
+        self._lateness = LatenessWatch()
         self._live: set[str] = set()
         self.engine_news = EngineNews(state, engines, links)
         self.exchange = Exchange(
@@ -106,7 +108,11 @@
     def tell(self) -> None:
         """Tell what has changed of us with the next message to each neighbour."""
         membership = self._state.fleet.membership
-        membership.tell(serving=self._state.serving(), owned=self._owned())
+        membership.tell(
+            serving=self._state.serving(),
+            owned=self._owned(),
+            busy=self._lateness.is_busy,
+        )
         self.exchange.config_version = self._config_version()
         self._news.set()
 
@@ -184,7 +190,10 @@
     async def look_forever(self) -> None:
         """Act on what others have told, for ever."""
         while True:
+            due_at = self._state.now() + LOOK_S
             await asyncio.sleep(LOOK_S)
+            now = self._state.now()
+            self._lateness.on_timer(now - due_at, now)
             self.tell()
             self._note_live()
             store_age_s = self._state.now() - self.exchange.store_answered_at
--- a/bamboovale/gateway/ports.py
+++ b/bamboovale/gateway/ports.py
@@ -49,12 +49,9 @@
         """Return the addresses of serving VMs, near ones only if there are enough."""
         near: list[tuple[str, int]] = []
         others: list[tuple[str, int]] = []
-        if self._state.serving():
-            mine = near if failure_domain == self._state.node.failure_domain else others
-            mine.append(self._state.node.callers)
-        for member in self._state.fleet.serving():
-            group = near if member.failure_domain == failure_domain else others
-            group.append((member.address, member.callers_port))
+        for domain, members in self._state.fleet.named_by_domain().items():
+            group = near if domain == failure_domain else others
+            group.extend((item.address, item.callers_port) for item in members)
         return near if len(near) > 1 else near + others
 
     async def _answer_directory(self, request: Request, responder: Responder) -> None:
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -128,7 +128,9 @@
     def _is_reader(self) -> bool:
         """Tell whether this VM reads the endpoints' topic for others too."""
         fleet = self._state.fleet
-        if fleet.size() <= ALL_READ_UP_TO:
+        if not self._state.knows_fleet:
+            return False
+        if fleet.expected_size() <= ALL_READ_UP_TO:
             return True
         return self._state.node.name in fleet.first("readers", READERS)
 
--- a/bamboovale/gateway/registration.py
+++ b/bamboovale/gateway/registration.py
@@ -42,8 +42,10 @@
             try:
                 await self._write()
                 await self._read()
+                self._state.knows_fleet = True
             except StoreError as error:
                 self._state.journal.write("registration_failed", error=str(error))
+                self._state.knows_fleet = True
                 await asyncio.sleep(ALONE_S)
                 continue
             await asyncio.sleep(self._pause_s())
@@ -77,7 +79,7 @@
         return membership.on_contact(record.key, address, self._state.now())
 
     def _pause_s(self) -> float:
-        live = self._state.fleet.size()
-        if live == 1:
+        size = self._state.fleet.expected_size()
+        if size == 1:
             return ALONE_S
-        return LOOK_S * max(1.0, live / SMALL_FLEET) * random.uniform(0.8, 1.2)
+        return LOOK_S * max(1.0, size / SMALL_FLEET) * random.uniform(0.8, 1.2)
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -42,6 +42,9 @@
 HOLD_OFF_S = 0.25
 """Beside the time in which news reaches every VM: by then each has told an engine's new
 owner which runs are under way there."""
+FLEET_WAIT_S = 0.5
+"""Addresses are one answer of the store away; longer means that it does not answer."""
+FLEET_LOOK_S = 0.01
 LINKS_CLOSE_S = 0.2
 """A peer that does not answer the end of its link is not waited for longer: closing is
 the last step before the process ends, and nothing depends on it."""
@@ -273,7 +276,7 @@
             self.records.endpoints.follow(),
             self.state.endpoints.watch_lapsed(),
             self.settings_watch.watch(),
-            self._ownership.keep(),
+            self._own_engines(),
             self._registration.keep(),
             self.peering.exchange_forever(),
             self.peering.look_forever(),
@@ -356,6 +359,17 @@
                 self._crashes.on_endpoint_gone(change.endpoint_id)
         self.peering.assign_engines()
 
+    async def _own_engines(self) -> None:
+        """Take part in owning engines, once it is known who else does.
+
+        Guards against a fleet that starts: each of hundreds of VMs would join the
+        owners, and every one that leaves again moves all engines.
+        """
+        deadline = self.state.now() + FLEET_WAIT_S
+        while not self.state.knows_fleet and self.state.now() < deadline:
+            await asyncio.sleep(FLEET_LOOK_S)
+        await self._ownership.keep()
+
     def _on_table(self) -> None:
         self.peering.assign_engines()
         self.peering.tell()
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -15,7 +15,9 @@
     """What one VM believes and how far its life is; parts read it, few write it.
 
     ``node`` are the settings of the process. ``table`` is the configuration in force,
-    None before the first. ``isolated`` is true while most other VMs do not hear us.
+    None before the first. ``knows_fleet`` is true once the addresses of the others were
+    read: until then a VM of hundreds would do what only a few of them should.
+    ``isolated`` is true while most other VMs do not hear us.
     """
 
     def __init__(self, node: Any, journal: Journal) -> None:
@@ -27,6 +29,7 @@
         self.share_by_service: dict[str, RetryShare] = {}
         self.stopping = False
         self.draining = False
+        self.knows_fleet = False
         self.isolated = False
         self.fleet = Fleet.from_node(node)
         self.endpoints = EndpointView(journal, self.now)
--- /dev/null
+++ b/tests/test_decisions_named_vms.py
@@ -0,0 +1,101 @@
+"""Which VMs callers are told of, and when a VM counts as busy."""
+
+from collections import Counter
+
+from bamboovale.decisions.lateness_watch import CALM_FOR_S, LatenessWatch
+from bamboovale.decisions.named_vms import (
+    LEAST_NAMED,
+    LEAST_NEAR,
+    NAMED_SHARE,
+    Candidate,
+    named_in_domain,
+)
+
+DOMAINS = 5
+
+
+def domain(count: int, *, busy: int = 0) -> list[Candidate]:
+    """Return the VMs of one failure domain; the first named ones are busy."""
+    candidates = [Candidate(f"vm{number}", 0.5) for number in range(count)]
+    named = named_in_domain(candidates, DOMAINS * count)
+    return [Candidate(c.vm_id, c.cores, c.vm_id in named[:busy]) for c in candidates]
+
+
+class TestNamedVMs:
+    """Callers of a fleet of hundreds, and of a small one."""
+
+    def test_a_small_fleet_is_named_whole(self) -> None:
+        candidates = [Candidate(f"vm{number}", 1.0) for number in range(3)]
+        assert len(named_in_domain(candidates, LEAST_NAMED)) == 3
+
+    def test_a_share_of_a_large_fleet_is_named(self) -> None:
+        named = named_in_domain(domain(40), 200)
+        assert len(named) == NAMED_SHARE * 40
+
+    def test_the_loss_of_vms_moves_few_callers(self) -> None:
+        """A named VM dies: one other takes its place, the rest stay named."""
+        candidates = domain(40)
+        before = named_in_domain(candidates, 200)
+        left = [c for c in candidates if c.vm_id != before[0]]
+        after = named_in_domain(left, 199)
+        assert set(before[1:]) <= set(after)
+
+    def test_each_failure_domain_has_some(self) -> None:
+        assert len(named_in_domain(domain(40)[:6], 200)) == LEAST_NEAR
+        assert len(named_in_domain(domain(40)[:2], 200)) == 2
+
+    def test_larger_vms_are_named_more_often(self) -> None:
+        counts: Counter[float] = Counter()
+        for fleet in range(50):
+            candidates = [
+                Candidate(f"vm{fleet}-{number}", 2.0 if number % 4 == 0 else 0.5)
+                for number in range(40)
+            ]
+            cores = {c.vm_id: c.cores for c in candidates}
+            counts.update(cores[v] for v in named_in_domain(candidates, 200))
+        # One VM in four is large.
+        assert 3 * counts[2.0] > 2 * counts[0.5]
+
+    def test_a_crowd_is_spread_over_more(self) -> None:
+        """Traffic jumps; the few VMs that callers know use up their processors.
+
+        Each request waits at every step there while most of the fleet stands idle.
+        """
+        calm = named_in_domain(domain(40), 200)
+        one_busy = named_in_domain(domain(40, busy=1), 200)
+        crowded = named_in_domain(domain(40, busy=4), 200)
+        assert one_busy == calm
+        assert len(crowded) == 2 * len(calm)
+
+    def test_all_are_named_where_all_are_busy(self) -> None:
+        candidates = [Candidate(f"vm{number}", 0.5, True) for number in range(40)]
+        assert len(named_in_domain(candidates, 200)) == 40
+
+
+class TestLatenessWatch:
+    """When a VM says that it is busy."""
+
+    def test_one_late_timer_is_no_crowd(self) -> None:
+        """A VM was frozen for seconds, and serves as before."""
+        watch = LatenessWatch()
+        watch.on_timer(6.0, 10.0)
+        assert watch._mean_s < 0.1
+        for number in range(20):
+            watch.on_timer(0.001, 10.0 + 0.3 * number)
+        assert not watch.is_busy
+
+    def test_timers_that_stay_late_are(self) -> None:
+        watch = LatenessWatch()
+        for number in range(10):
+            watch.on_timer(0.06, 0.3 * number)
+        assert watch.is_busy
+
+    def test_it_is_calm_again_after_a_while(self) -> None:
+        watch = LatenessWatch()
+        for number in range(10):
+            watch.on_timer(0.06, 0.3 * number)
+        now = 3.0
+        while watch.is_busy and now < 60.0:
+            now += 0.3
+            watch.on_timer(0.0, now)
+        assert CALM_FOR_S <= now - 3.0 < 2 * CALM_FOR_S
