--- a/bamboovale/fleet/exchange.py
+++ b/bamboovale/fleet/exchange.py
@@ -1,4 +1,4 @@
-"""What an entry VM tells which neighbours when, and what it makes of their silence.
+"""What an entry VM tells which neighbours when, and what it takes from them.
 
 Load pattern: hundreds of VMs that start, die and change at once. Told from each to
 all, news costs messages with the square of the fleet. Here each VM tells a bounded
@@ -11,7 +11,6 @@
 
 import math
 import random
-from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
@@ -19,42 +18,20 @@
 from bamboovale.fleet.changes import ChangeLog
 from bamboovale.fleet.membership import Change, Membership
 from bamboovale.fleet.messages import Gossip, Member, SuspectSeen, TopicRow, Unheard
+from bamboovale.fleet.neighbours import NEVER, SLACK_S, Neighbour, Neighbours
 from bamboovale.fleet.rings import ALL_LINKED_UP_TO
 from bamboovale.fleet.topic_changes import TopicChanges
 
-SMALL_INTERVAL_S = 0.3
-"""Between two signs of life where all VMs are neighbours."""
-INTERVAL_S = 0.4
 GAP_S = 0.1
 """Least time between two messages to one neighbour: bounds what a storm of changes
 costs, and is the time that news takes for a step."""
-CUT_AFTER = 2.0
-"""Intervals without a sign of life after which the link to a neighbour is opened anew:
-connections may go silent for good while new ones work."""
-MISSED = 3.0
-"""Intervals without a sign of life after which a neighbour counts as silent."""
-SLACK_S = 0.2
-"""Added to these: a message that crosses a slow link or waits for a busy loop."""
-OVERSLEPT_S = 0.3
-"""Lateness of our own looks that is not held against the neighbours: their messages
-may lie unread in our sockets."""
 STEPS_PER_FACTOR = 4.0
 """How many times more VMs a step of news reaches, with six neighbours."""
-WORDS_BEFORE_BLOCK = 2
-"""Words in a row that a VM contradicts without being heard: one direction of the link
-to it is broken, and another neighbour is watched for a while."""
-BLOCK_S = 10.0
-WIDTHS = (1, 2, 4)
-"""Neighbours tried at once on each side, where none, some and most of the last ones
-were silent: most of a fleet may have died, and those left must find one another."""
 WATCH_RENEWAL_S = 1.0
 """Between two messages to a VM that we watch and that does not watch us."""
 WATCHER_S = 3.5
 """Whoever asked for signs of life so lately gets them: three renewals and some. Its
 view of the rings may differ from ours while VMs come and go."""
-STRANGER_S = 1.0
-"""Whoever told us something so lately gets our news too, for the same reason."""
-MOST_STRANGERS = 16
 PULL_FIRST_S = 0.6
 """For so long a neighbour's view may differ from ours before we ask for all of it: news
 under way explains it until then. Doubled with each time that it did not help."""
@@ -69,7 +46,6 @@
 SUSPECT_KEPT = 256
 EARLY_S = 0.001
 """A timer may fire early by so much."""
-NEVER = -math.inf
 GREETING = -1
 """In place of a number of changes: the first message, which tells of us."""
 
@@ -85,33 +61,6 @@
         """Take what a neighbour knows of the topic, if nothing before it is missing."""
 
 
-@dataclass
-class Neighbour:
-    """One VM that we exchange messages with; times are of our clock.
-
-    ``told`` is the number of the last change that it was told, ``told_offset`` how far
-    it was told of the endpoints' topic. Silence counts from ``awaited_from`` or the
-    last message, whichever is later.
-    """
-
-    awaited_from: float
-    told: int
-    heard_at: float = NEVER
-    watches_us_until: float = NEVER
-    sent_at: float = NEVER
-    told_offset: int = 0
-    rows_sent_at: float = NEVER
-    watched: bool = False
-    cut: bool = False
-    greeted: bool = False
-    config_version: int = -1
-    differs_since: float | None = None
-
-    def quiet_since(self) -> float:
-        """Return since when its silence counts."""
-        return max(self.awaited_from, self.heard_at)
-
-
 class _State(NamedTuple):
     """What neighbours have in common that get the same message."""
 
@@ -145,33 +94,21 @@
         self.config_version = -1
         self.store_answered_at = NEVER
         self._store_count = 0
-        self.neighbour_by_id: dict[str, Neighbour] = {}
+        self.neighbours = Neighbours(membership, self._new_neighbour, cut_link, now)
         self._membership = membership
         self._changes = changes
         self._endpoints = endpoints
         self._rng = rng
         self._on_suspect = on_suspect
-        self._cut_link = cut_link
-        self._blocked_until: dict[str, float] = {}
-        self._words_by_id: dict[str, int] = {}
-        self._silent_at: deque[float] = deque()
-        self._chosen_at_version = -1
-        self._choose_again_at = 0.0
-        self._looked_at = now
         self._probe_at = now + PROBE_S
         self._pulls = _Pulls()
         self._suspects: dict[SuspectSeen, None] = {}
 
-    # Times.
-
-    def interval_s(self) -> float:
-        """Return the time between two signs of life."""
-        is_small = len(self._membership.rings) <= ALL_LINKED_UP_TO
-        return SMALL_INTERVAL_S if is_small else INTERVAL_S
+    def _new_neighbour(self, now: float) -> Neighbour:
+        offset = self._endpoints.changes.next_offset or 0
+        return Neighbour(now, self._changes.last, told_offset=offset)
 
-    def silent_after_s(self) -> float:
-        """Return for how long a live neighbour may be unheard."""
-        return MISSED * self.interval_s() + SLACK_S
+    # Times.
 
     def spread_s(self) -> float:
         """Return the time in which a change reaches every live VM."""
@@ -183,9 +120,9 @@
         """Return when ``due`` has something to do again."""
         pending_at = [
             neighbour.sent_at + self._pause_s(neighbour, now)
-            for neighbour in self.neighbour_by_id.values()
+            for neighbour in self.neighbours.by_id.values()
         ]
-        look_at = now + self.interval_s()
+        look_at = now + self.neighbours.interval_s()
         return max(now, min([*pending_at, look_at]))
 
     def _pause_s(self, neighbour: Neighbour, now: float) -> float:
@@ -193,31 +130,26 @@
         if self._is_behind(neighbour):
             return GAP_S
         if now < neighbour.watches_us_until:
-            return self.interval_s()
+            return self.neighbours.interval_s()
         return WATCH_RENEWAL_S if neighbour.watched else math.inf
 
     def hurry(self) -> None:
         """Let ``due`` send to every neighbour now, for the last words of a process."""
-        for neighbour in self.neighbour_by_id.values():
+        for neighbour in self.neighbours.by_id.values():
             neighbour.sent_at = NEVER
 
     def has_news(self) -> bool:
         """Tell whether a neighbour is to be told something before its interval ends."""
-        return any(self._is_behind(n) for n in self.neighbour_by_id.values())
+        return any(self._is_behind(n) for n in self.neighbours.by_id.values())
 
     # What neighbours tell.
 
     def on_gossip(self, sender: str, gossip: Gossip, now: float) -> None:
         """Take a message; what is new in it is passed on with the next ``due``."""
-        neighbour = self._neighbour(sender, now)
-        neighbour.heard_at = now
-        neighbour.cut = False
+        neighbour = self.neighbours.on_heard(sender, now)
         if gossip.watches:
             neighbour.watches_us_until = now + WATCHER_S
         neighbour.config_version = gossip.config_version
-        self._words_by_id.pop(sender, None)
-        self._blocked_until.pop(sender, None)
-        self._membership.on_heard(sender)
         for member in gossip.members:
             self._membership.take(member, now)
         for word in gossip.unheard:
@@ -277,7 +209,7 @@
         """Return the neighbour with the newest configuration, and its version."""
         versions = [
             (neighbour.config_version, vm_id)
-            for vm_id, neighbour in self.neighbour_by_id.items()
+            for vm_id, neighbour in self.neighbours.by_id.items()
             if self._membership.is_live(vm_id)
         ]
         if not versions:
@@ -285,19 +217,12 @@
         version, vm_id = max(versions)
         return vm_id, version
 
-    def heard_and_silent(self, now: float) -> tuple[set[str], set[str]]:
-        """Return the VMs heard of late, and those that we do not hear."""
-        last = now - self.silent_after_s()
-        heard = {v for v, n in self.neighbour_by_id.items() if n.heard_at >= last}
-        return heard, set(self._membership.not_live()) - heard
-
     def due(self, now: float) -> list[tuple[list[str], Gossip]]:
         """Return the messages to send now, each with those it goes to."""
-        self._watch(now)
-        self._choose(now)
+        self.neighbours.look(now)
         targets_by_state: dict[_State, list[str]] = {}
         puller = self._puller(now)
-        for vm_id, neighbour in self.neighbour_by_id.items():
+        for vm_id, neighbour in self.neighbours.by_id.items():
             is_puller = vm_id == puller
             pause_s = GAP_S if is_puller else self._pause_s(neighbour, now)
             if now - neighbour.sent_at < pause_s - EARLY_S:
@@ -320,7 +245,7 @@
     ) -> Gossip:
         """Return what VMs that were told the same do not know yet."""
         greets = state.told == GREETING
-        told = self.neighbour_by_id[targets[0]].told if greets else state.told
+        told = self.neighbours.by_id[targets[0]].told if greets else state.told
         items, told = self._changes.after(told, MOST_ITEMS)
         own = self._membership.own
         if greets and own not in items:
@@ -329,7 +254,7 @@
         next_offset = -1 if changes.next_offset is None else changes.next_offset
         first, rows = changes.rows_from(state.first_offset)
         for vm_id in targets:
-            neighbour = self.neighbour_by_id[vm_id]
+            neighbour = self.neighbours.by_id[vm_id]
             neighbour.told = told
             neighbour.told_offset = max(neighbour.told_offset, next_offset)
             neighbour.sent_at = now
@@ -361,7 +286,7 @@
             return None
         differing = [
             vm_id
-            for vm_id, neighbour in self.neighbour_by_id.items()
+            for vm_id, neighbour in self.neighbours.by_id.items()
             if neighbour.differs_since is not None
             and now - neighbour.differs_since >= self._pulls.pause_s
         ]
@@ -378,125 +303,11 @@
             return []
         self._probe_at = now + PROBE_S * self._rng.uniform(0.8, 1.2)
         silent = [
-            v for v in self._membership.not_live() if v not in self.neighbour_by_id
+            v for v in self._membership.not_live() if v not in self.neighbours.by_id
         ]
         if not silent:
             return []
         vm_id = self._rng.choice(silent)
-        self._neighbour(vm_id, now)
+        self.neighbours.get(vm_id, now)
         state = _State(GREETING, 0, watches=False, wants_all=False)
         return [([vm_id], self._message(state, [vm_id], now))]
-
-    # Whom we watch.
-
-    def _neighbour(self, vm_id: str, now: float) -> Neighbour:
-        neighbour = self.neighbour_by_id.get(vm_id)
-        if neighbour is None:
-            offset = self._endpoints.changes.next_offset or 0
-            neighbour = Neighbour(now, self._changes.last, told_offset=offset)
-            self.neighbour_by_id[vm_id] = neighbour
-        return neighbour
-
-    def _choose(self, now: float) -> None:
-        """Choose our neighbours anew where the fleet has changed."""
-        version = self._membership.version + len(self._membership.rings)
-        if version == self._chosen_at_version and now < self._choose_again_at:
-            return
-        self._chosen_at_version = version
-        self._choose_again_at = now + self.interval_s()
-        self._membership.forget(now)
-        own_id = self._membership.own.vm_id
-        passed_over = self._is_passed_over(now)
-        width = self._width(now)
-        rings = self._membership.rings
-        watched = rings.watched_by(own_id, passed_over, width)
-        for vm_id in watched:
-            neighbour = self._neighbour(vm_id, now)
-            if not neighbour.watched:
-                neighbour.watched = True
-                neighbour.awaited_from = now
-                neighbour.greeted = False
-        for vm_id, neighbour in list(self.neighbour_by_id.items()):
-            neighbour.watched = vm_id in watched
-        self._believe_others(watched, passed_over)
-        chosen = rings.neighbours(own_id, passed_over, width)
-        for vm_id in chosen - watched:
-            self._neighbour(vm_id, now)
-        self._drop_strangers(chosen, now)
-
-    def _believe_others(
-        self,
-        watched: set[str],
-        passed_over: Callable[[str], bool],
-    ) -> None:
-        """Go by the others' word on VMs that we did not hear and no longer watch."""
-        for vm_id in self._membership.unheard_by_us():
-            if vm_id not in watched and not passed_over(vm_id):
-                self._membership.on_heard(vm_id)
-
-    def _width(self, now: float) -> int:
-        """Return how many neighbours to try on each side of each ring."""
-        first = now - 2 * self.silent_after_s()
-        while self._silent_at and self._silent_at[0] < first:
-            self._silent_at.popleft()
-        silent = len(self._silent_at)
-        heard = sum(n.heard_at >= first for n in self.neighbour_by_id.values())
-        return WIDTHS[(silent > 1) + (silent > heard)]
-
-    def _drop_strangers(self, chosen: set[str], now: float) -> None:
-        """End the exchange with VMs that no longer take part in it."""
-        strangers = [
-            (neighbour.quiet_since(), vm_id)
-            for vm_id, neighbour in self.neighbour_by_id.items()
-            if vm_id not in chosen
-        ]
-        strangers.sort(reverse=True)
-        last = now - max(STRANGER_S, 2 * self.interval_s())
-        watching = {
-            vm_id
-            for vm_id, neighbour in self.neighbour_by_id.items()
-            if now < neighbour.watches_us_until
-        }
-        for number, (quiet_since, vm_id) in enumerate(strangers):
-            is_quiet = quiet_since < last and vm_id not in watching
-            if is_quiet or number >= MOST_STRANGERS:
-                del self.neighbour_by_id[vm_id]
-
-    def _is_passed_over(self, now: float) -> Callable[[str], bool]:
-        for vm_id, until in list(self._blocked_until.items()):
-            if until <= now:
-                del self._blocked_until[vm_id]
-        return lambda vm_id: (
-            vm_id in self._blocked_until or self._membership.is_unheard_by_us(vm_id)
-        )
-
-    def _watch(self, now: float) -> None:
-        """Give our word against watched neighbours that have fallen silent."""
-        overslept_s = now - self._looked_at - self.interval_s()
-        self._looked_at = now
-        if overslept_s > OVERSLEPT_S:
-            for neighbour in self.neighbour_by_id.values():
-                neighbour.awaited_from = now - self.interval_s()
-        last = now - self.silent_after_s()
-        late = now - CUT_AFTER * self.interval_s()
-        for vm_id, neighbour in list(self.neighbour_by_id.items()):
-            if not neighbour.watched:
-                continue
-            if neighbour.quiet_since() < last:
-                self._on_silent(vm_id, neighbour, now)
-            elif neighbour.quiet_since() < late and not neighbour.cut:
-                neighbour.cut = True
-                self._cut_link(vm_id)
-
-    def _on_silent(self, vm_id: str, neighbour: Neighbour, now: float) -> None:
-        neighbour.watched = False
-        self._choose_again_at = now
-        self._silent_at.append(now)
-        if self._membership.drop_contact(vm_id):
-            return
-        words = self._words_by_id.pop(vm_id, 0)
-        if words >= WORDS_BEFORE_BLOCK:
-            self._blocked_until[vm_id] = now + BLOCK_S
-            return
-        self._words_by_id[vm_id] = words + 1
-        self._membership.on_unheard(vm_id, now)
--- a/bamboovale/gateway/isolation.py
+++ b/bamboovale/gateway/isolation.py
@@ -42,12 +42,16 @@
         since = self._state.now()
         while True:
             await asyncio.sleep(LOOK_S)
-            heard, silent = self._exchange.heard_and_silent(self._state.now())
+            heard, silent = self._exchange.neighbours.heard_and_silent(
+                self._state.now()
+            )
             minority = len(silent) > len(heard) + 1
             if not minority:
                 since = self._state.now()
             if minority and not self._state.isolated:
-                heard_all_s = ISOLATED_AFTER_S + 2 * self._exchange.interval_s()
+                heard_all_s = (
+                    ISOLATED_AFTER_S + 2 * self._exchange.neighbours.interval_s()
+                )
                 if self._state.now() - since < heard_all_s:
                     continue
                 try:
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -411,7 +411,7 @@
                     "heard_s_ago": round(now - neighbour.heard_at, 2),
                     "watched": neighbour.watched,
                 }
-                for vm_id, neighbour in self.peering.exchange.neighbour_by_id.items()
+                for vm_id, neighbour in self.peering.exchange.neighbours.by_id.items()
             },
             "unheard": {
                 vm_id: membership.observers_against(vm_id)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,9 +11,10 @@
 )
 
 from bamboovale.fleet.changes import ChangeLog
-from bamboovale.fleet.exchange import MOST_ITEMS
+from bamboovale.fleet.exchange import MOST_ITEMS, WATCH_RENEWAL_S
 from bamboovale.fleet.membership import FORGET_S, MOST_MEMBERS, Change, Membership
 from bamboovale.fleet.messages import Gossip, Member, SuspectSeen, Unheard
+from bamboovale.fleet.neighbours import BLOCK_S, INTERVAL_S, WORDS_BEFORE_BLOCK
 from bamboovale.fleet.rings import ALL_LINKED_UP_TO, RINGS, Rings
 from bamboovale.fleet.subscriptions import IDLE_S, LAPSE_S, Interest, Subscriptions
 from bamboovale.fleet.topic_changes import MOST_ROWS, TopicChanges
@@ -256,8 +257,9 @@
         before = fleet.sent_by_id.copy()
         fleet.run(10.0)
         sent = max(fleet.sent_by_id[v] - before[v] for v in fleet.vm_by_id) / 10.0
-        assert sent <= 20.0
-        links = max(len(v.exchange.neighbour_by_id) for v in fleet.vm_by_id.values())
+        signs = RINGS / INTERVAL_S + RINGS / WATCH_RENEWAL_S
+        assert sent <= 1.2 * signs
+        links = max(len(v.exchange.neighbours.by_id) for v in fleet.vm_by_id.values())
         assert links <= 12
 
     def test_no_message_is_larger_than_its_bound(self) -> None:
@@ -352,6 +354,34 @@
                 live = {item.vm_id for item in vm.membership.live()}
                 assert len(live) == count - 1
 
+    def test_a_cut_direction_is_not_spoken_of_for_ever(self) -> None:
+        """One neighbour does not hear a VM, says so, and the VM contradicts.
+
+        Said again at once, each word and each contradiction would cross every link of
+        the fleet, as long as the direction is cut.
+        """
+        fleet = started(61)
+        vm = fleet.vm_by_id["vm5"]
+        observers = vm.membership.rings.neighbours("vm5")
+        fleet.passes = lambda a, b: a != "vm5" or b not in sorted(observers)[:1]
+        fleet.run(60.0)
+        rounds = 1 + 60.0 / BLOCK_S
+        assert vm.membership.own.refuted <= WORDS_BEFORE_BLOCK * rounds
+
+    def test_a_vm_that_overslept_blames_nobody(self) -> None:
+        """A process is stopped for seconds while its clock goes on, and wakes up.
+
+        Its neighbours' messages lie unread in its sockets when it looks first.
+        """
+        fleet = started(30)
+        vm = fleet.vm_by_id["vm5"]
+        vm.frozen_until = fleet.now + 5.0
+        fleet.run(4.99)
+        vm.inbox.clear()
+        fleet.run(0.3)
+        assert all(vm.membership.is_live(v) for v in fleet.vm_by_id)
+        assert vm.membership.unheard_ids() in ([], ["vm5"])
+
     def test_a_vm_that_hears_nobody_throws_nobody_out(self) -> None:
         """A VM can send and receives nothing: it says so of each of its neighbours."""
         fleet = started(LARGE)
@@ -398,6 +428,14 @@
                 fleet.kill(f"vm{number}")
         fleet.run_until(lambda: fleet.agree(fleet.vm_by_id), 20.0)
 
+    def test_the_few_that_are_left_find_one_another(self) -> None:
+        """Nineteen of twenty VMs lose power; service is to be back within 15 s."""
+        fleet = started(200)
+        for number in range(200):
+            if number % 20:
+                fleet.kill(f"vm{number}")
+        fleet.run_until(lambda: fleet.agree(fleet.vm_by_id), 15.0)
+
     @pytest.mark.parametrize("count", [9, 61, 195])
     def test_all_come_back_at_once(self, count: int) -> None:
         """All processes are killed and start again, with the addresses in the store."""
@@ -542,7 +580,7 @@
     def nobody_is_its_own_neighbour(self) -> None:
         """No VM exchanges messages with itself."""
         for vm in self.fleet.vm_by_id.values():
-            assert vm.vm_id not in vm.exchange.neighbour_by_id
+            assert vm.vm_id not in vm.exchange.neighbours.by_id
 
 
 TestFleetMachine = FleetMachine.TestCase
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bamboovale.fleet import exchange
+from bamboovale.fleet import neighbours
 from bamboovale.gateway.engine_owner import Reply
 from bamboovale.gateway.messages import PlaceReply, PlaceRequest
 from bamboovale.http1.connection import Connection
@@ -685,7 +685,7 @@
         status, before it had even read their addresses. Until then it sent requests
         past the owners of the engines: nobody counted them, nobody paced them.
         """
-        monkeypatch.setattr(exchange, "SMALL_INTERVAL_S", 30.0)
+        monkeypatch.setattr(neighbours, "SMALL_INTERVAL_S", 30.0)
 
         async def test() -> None:
             async with running_site(vms=3, runners=3) as site:
@@ -703,8 +703,8 @@
         It tells them who it is. Told what they own only with their next regular
         status, it would send requests past the owners meanwhile.
         """
-        monkeypatch.setattr(exchange, "SMALL_INTERVAL_S", 30.0)
-        monkeypatch.setattr(exchange, "MISSED", 0.0)
+        monkeypatch.setattr(neighbours, "SMALL_INTERVAL_S", 30.0)
+        monkeypatch.setattr(neighbours, "MISSED", 0.0)
 
         async def test() -> None:
             async with running_site(vms=2, runners=3) as site:
