--- a/bamboovale/fleet/exchange.py
+++ b/bamboovale/fleet/exchange.py
@@ -108,6 +108,11 @@
         offset = self._endpoints.changes.next_offset or 0
         return Neighbour(now, self._changes.last, told_offset=offset)
 
+    @property
+    def endpoints_offset(self) -> int | None:
+        """Return the offset up to which the endpoints' topic is known."""
+        return self._endpoints.changes.next_offset
+
     # Times.
 
     def spread_s(self) -> float:
--- a/bamboovale/fleet/rings.py
+++ b/bamboovale/fleet/rings.py
@@ -2,9 +2,8 @@
 
 All VMs stand on a few rings, on each in another pseudo-random order; each watches the
 next behind it and is watched by the one before it (as in Rapid: Suresh et al., "Stable
-and Consistent Membership at Scale with Rapid", 2018). News goes both ways. The graph
-has some five steps between any two of 300 VMs, and stays connected when a large part of
-them is gone.
+and Consistent Membership at Scale with Rapid", 2018). News goes both ways. Between any
+two VMs there are few steps, and the graph stays connected when a large part is gone.
 """
 
 import hashlib
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -63,7 +63,7 @@
 """The same before a VM stands in for a lost owner: a wrong look would set two owners
 against each other."""
 NAMED_IN_LOG = 12
-"""VMs named in one log line; the rest is counted."""
+"""VMs of each list in one log line; after a restart of all there are hundreds."""
 
 
 class Peering:
@@ -107,14 +107,14 @@
 
     def tell(self) -> None:
         """Tell what has changed of us with the next message to each neighbour."""
-        membership = self._state.fleet.membership
-        membership.tell(
+        self.exchange.config_version = self._config_version()
+        is_new = self._state.fleet.membership.tell(
             serving=self._state.serving(),
             owned=self._owned(),
             busy=self._lateness.is_busy,
         )
-        self.exchange.config_version = self._config_version()
-        self._news.set()
+        if is_new:
+            self._news.set()
 
     def _owned(self) -> tuple[tuple[str, int], ...]:
         """Return our engines with their fencing numbers, as told unless it is time."""
--- /dev/null
+++ b/bamboovale/gateway/state_dump.py
@@ -0,0 +1,67 @@
+"""What one entry VM believes, as JSON for operators."""
+
+import math
+from typing import Any
+
+from bamboovale.fleet.exchange import Exchange
+from bamboovale.gateway.engines import Engines
+from bamboovale.gateway.vm_state import VMState
+
+
+def dump_fleet(state: VMState, exchange: Exchange) -> dict[str, Any]:
+    """Return who we are, who lives, whom we watch and how old that is, in seconds."""
+    now = state.now()
+    membership = state.fleet.membership
+    peers = dict.fromkeys(membership.not_live(), False)
+    peers.update((member.vm_id, True) for member in membership.live())
+    return {
+        "vm": state.node.name,
+        "incarnation": state.incarnation,
+        "serving": state.serving(),
+        "stopping": state.stopping,
+        "config_version": state.table.version if state.table else None,
+        "peers": peers,
+        "neighbours": {
+            vm_id: {
+                "heard_s_ago": _age_s(now, neighbour.heard_at),
+                "watched": neighbour.watched,
+            }
+            for vm_id, neighbour in exchange.neighbours.by_id.items()
+        },
+        "unheard": {
+            vm_id: membership.observers_against(vm_id)
+            for vm_id in membership.unheard_ids()
+        },
+        "named": {
+            domain: [member.vm_id for member in members]
+            for domain, members in state.fleet.named_by_domain().items()
+        },
+        "store_answered_s_ago": _age_s(now, exchange.store_answered_at),
+        "endpoints_offset": exchange.endpoints_offset,
+    }
+
+
+def _age_s(now: float, at: float) -> float | None:
+    """Return how long ago something was, None if it never was."""
+    return round(now - at, 2) if math.isfinite(at) else None
+
+
+def dump_engines(state: VMState, engines: Engines) -> dict[str, Any]:
+    """Return the endpoints, who owns which engine, and what of ours is going on."""
+    record_by_id = state.endpoints.record_by_id
+    return {
+        "endpoints": {
+            endpoint_id: {"service": record.service, "ready": record.ready}
+            for endpoint_id, record in record_by_id.items()
+        },
+        "owner_by_engine": {
+            engine_id: engines.owner_name(engine_id) for engine_id in record_by_id
+        },
+        "status_s_ago": {
+            engine_id: round(state.now() - owned.heard_at, 2)
+            for engine_id in record_by_id
+            if (owned := state.fleet.engine(engine_id)) is not None
+            and owned.status is not None
+        },
+        "owned_engines": [owner.status() for owner in engines.owner_by_engine.values()],
+    }
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -26,6 +26,7 @@
 from bamboovale.gateway.records import Records
 from bamboovale.gateway.registration import Registration
 from bamboovale.gateway.settings_watch import ReadSettings, SettingsWatch
+from bamboovale.gateway.state_dump import dump_engines, dump_fleet
 from bamboovale.gateway.store import StoreError
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
@@ -388,49 +389,13 @@
             idle_timeout_s=limits.idle_timeout_s,
         )
 
-    def _dump_peers(self) -> dict[str, bool]:
-        membership = self.state.fleet.membership
-        silent = dict.fromkeys(membership.not_live(), False)
-        return silent | {member.vm_id: True for member in membership.live()}
-
     def dump(self) -> dict[str, Any]:
         """Return the state of this process as JSON for operators."""
-        now = self.state.now()
-        membership = self.state.fleet.membership
         return {
-            "vm": self.state.node.name,
-            "incarnation": self.state.incarnation,
-            "serving": self.state.serving(),
-            "stopping": self.state.stopping,
-            "config_version": self.state.table.version if self.state.table else None,
+            **dump_fleet(self.state, self.peering.exchange),
+            **dump_engines(self.state, self._engines),
             "generation": self._ownership.generation,
             "store_reachable": self._ownership.reachable,
-            "peers": self._dump_peers(),
-            "neighbours": {
-                vm_id: {
-                    "heard_s_ago": round(now - neighbour.heard_at, 2),
-                    "watched": neighbour.watched,
-                }
-                for vm_id, neighbour in self.peering.exchange.neighbours.by_id.items()
-            },
-            "unheard": {
-                vm_id: membership.observers_against(vm_id)
-                for vm_id in membership.unheard_ids()
-            },
-            "store_answered_s_ago": round(
-                now - self.peering.exchange.store_answered_at, 2
-            ),
-            "endpoints": {
-                endpoint_id: {"service": record.service, "ready": record.ready}
-                for endpoint_id, record in self.state.endpoints.record_by_id.items()
-            },
-            "owner_by_engine": {
-                engine_id: self._engines.owner_name(engine_id)
-                for engine_id in self.state.endpoints.record_by_id
-            },
-            "owned_engines": [
-                owner.status() for owner in self._engines.owner_by_engine.values()
-            ],
             "requests_under_way": self._callers.busy,
             "idle_connections": self._endpoint_pool.idle_count(),
         }
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,11 +1,13 @@
 """The whole path on the routed interface, against stand-ins of the users' platform."""
 
 import asyncio
+import json
 from concurrent.futures import Future
 
 import pytest
 
 from bamboovale.fleet import neighbours
+from bamboovale.fleet.neighbours import NEVER
 from bamboovale.gateway.engine_owner import Reply
 from bamboovale.gateway.messages import PlaceReply, PlaceRequest
 from bamboovale.http1.connection import Connection
@@ -761,6 +763,33 @@
         await site.add_vm(name)
 
 
+class TestStateDump:
+    """What operators read of one VM."""
+
+    def test_it_tells_whom_the_vm_watches_and_how_old_that_is(self) -> None:
+        async def test() -> None:
+            async with running_site(vms=2) as site:
+                dump = json.loads(json.dumps(site.vms[0].vm.dump(), default=str))
+                neighbour = dump["neighbours"]["entry-1"]
+                assert neighbour["watched"] and neighbour["heard_s_ago"] < 2.0
+                assert dump["peers"] == {"entry-1": True}
+                assert dump["unheard"] == {}
+                named = {v for vm_ids in dump["named"].values() for v in vm_ids}
+                assert named == {"entry-0", "entry-1"}
+                assert dump["store_answered_s_ago"] < 2.0
+
+        run(test())
+
+    def test_a_vm_that_knows_nobody_yet_has_a_dump_as_well(self) -> None:
+        async def test() -> None:
+            async with running_site() as site:
+                site.vms[0].vm.peering.exchange.store_answered_at = NEVER
+                text = json.dumps(site.vms[0].vm.dump(), default=str, allow_nan=False)
+                assert json.loads(text)["store_answered_s_ago"] is None
+
+        run(test())
+
+
 class TestConnections:
     """What callers do on their connections."""
 
