--- a/bamboovale/decoding.py
+++ b/bamboovale/decoding.py
@@ -4,8 +4,8 @@
 type. Coerced, a text would become a number and a number a name; here every value has
 the type that the field says, or the document is refused with the place of each finding.
 
-No library: the strict ones that need no native code take longer to import than all
-else that an entry VM imports, and a fleet whose VMs all start again waits for that.
+No library: those that are strict and need no native code add to what every start of a
+VM costs, and a fleet whose VMs all start again pays that for each at once.
 """
 
 import dataclasses
