Open a silent link anew in time, and answer at once who does

Cause: read, then played: the link to a silent neighbour was cut after two intervals, which a packet lost twice reaches; cut later, the sign of life over the new link came after the word against the neighbour: all VMs of a fleet of 61 whose links went silent at the same moment were thrown out (the new test failed on that). Now after two and a half intervals, looked at just then, and a VM that is greeted answers at once.

--- a/bamboovale/fleet/exchange.py
+++ b/bamboovale/fleet/exchange.py
@@ -127,12 +127,11 @@
             neighbour.sent_at + self._pause_s(neighbour, now)
             for neighbour in self.neighbours.by_id.values()
         ]
-        look_at = now + self.neighbours.interval_s()
-        return max(now, min([*pending_at, look_at]))
+        return max(now, min([*pending_at, self.neighbours.next_look_at(now)]))
 
     def _pause_s(self, neighbour: Neighbour, now: float) -> float:
         """Return the time between the last message to a neighbour and the next."""
-        if self._is_behind(neighbour):
+        if neighbour.sent_at == NEVER or self._is_behind(neighbour):
             return GAP_S
         if now < neighbour.watches_us_until:
             return self.neighbours.interval_s()
@@ -145,7 +144,10 @@
 
     def has_news(self) -> bool:
         """Tell whether a neighbour is to be told something before its interval ends."""
-        return any(self._is_behind(n) for n in self.neighbours.by_id.values())
+        return any(
+            neighbour.sent_at == NEVER or self._is_behind(neighbour)
+            for neighbour in self.neighbours.by_id.values()
+        )
 
     # What neighbours tell.
 
@@ -154,6 +156,8 @@
         neighbour = self.neighbours.on_heard(sender, now)
         if gossip.watches:
             neighbour.watches_us_until = now + WATCHER_S
+        if any(member.vm_id == sender for member in gossip.members):
+            self._answer_greeting(neighbour, now)
         neighbour.config_version = gossip.config_version
         for member in gossip.members:
             self._membership.take(member, now)
@@ -170,6 +174,15 @@
             neighbour.told = 0
         self._compare(neighbour, gossip.digest, now)
 
+    def _answer_greeting(self, neighbour: Neighbour, now: float) -> None:
+        """Answer a VM that tells of itself without waiting for the next interval.
+
+        It has opened its link to us anew, because it does not hear us; by the next
+        interval it may have given its word against us.
+        """
+        if now - neighbour.sent_at > self.neighbours.interval_s() / 2:
+            neighbour.sent_at = NEVER
+
     def _take_rows(self, neighbour: Neighbour, gossip: Gossip, now: float) -> None:
         if gossip.next_offset < 0:
             return
--- a/bamboovale/fleet/neighbours.py
+++ b/bamboovale/fleet/neighbours.py
@@ -16,9 +16,11 @@
 SMALL_INTERVAL_S = 0.3
 """Between two signs of life where all VMs are neighbours."""
 INTERVAL_S = 0.4
-CUT_AFTER = 2.0
+CUT_AFTER = 2.5
 """Intervals without a sign of life after which the link to a neighbour is opened anew:
-connections may go silent for good while new ones work."""
+connections may go silent for good while new ones work. A packet that is lost twice
+passes sooner, and cutting the link loses what it held; later, the sign of life over the
+new link would come after our word."""
 MISSED = 3.0
 """Intervals without a sign of life after which a neighbour counts as silent."""
 SLACK_S = 0.2
@@ -124,6 +126,17 @@
         heard = {v for v, n in self.by_id.items() if n.heard_at >= last}
         return heard, set(self._membership.not_live()) - heard
 
+    def next_look_at(self, now: float) -> float:
+        """Return when the next of those we watch will have been silent for too long."""
+        cut_after_s = CUT_AFTER * self.interval_s()
+        silent_after_s = self.silent_after_s()
+        looks = [
+            neighbour.quiet_since() + (silent_after_s if neighbour.cut else cut_after_s)
+            for neighbour in self.by_id.values()
+            if neighbour.watched
+        ]
+        return min([*looks, now + self.interval_s()])
+
     def look(self, now: float) -> None:
         """Give our word against the silent, and choose anew where that is due."""
         self._watch(now)
@@ -214,10 +227,11 @@
         for vm_id, neighbour in list(self.by_id.items()):
             if not neighbour.watched:
                 continue
-            if neighbour.quiet_since() < last:
+            if neighbour.quiet_since() <= last:
                 self._on_silent(vm_id, neighbour, now)
-            elif neighbour.quiet_since() < late and not neighbour.cut:
+            elif neighbour.quiet_since() <= late and not neighbour.cut:
                 neighbour.cut = True
+                neighbour.greeted = False
                 self._cut_link(vm_id)
 
     def _on_silent(self, vm_id: str, neighbour: Neighbour, now: float) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,7 @@
 """Who lives and how news spreads, in virtual time with up to 300 VMs."""
 
+from collections.abc import Callable
+
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -321,6 +323,19 @@
         assert min(at) >= fleet.now - 9.0
 
 
+def _opens_anew(
+    silent: set[tuple[str, str]],
+    vm_id: str,
+) -> Callable[[str], None]:
+    """Return what ends the silence between a VM and one that it cuts off."""
+
+    def cut(other: str) -> None:
+        silent.discard((vm_id, other))
+        silent.discard((other, vm_id))
+
+    return cut
+
+
 def _vms(fleet: PlayedFleet, *without: str) -> list[PlayedVM]:
     return [vm for vm_id, vm in fleet.vm_by_id.items() if vm_id not in without]
 
@@ -393,6 +408,22 @@
             live = {item.vm_id for item in vm.membership.live()} | {vm.vm_id}
             assert live >= {other.vm_id for other in others}
 
+    @pytest.mark.parametrize("count", [9, 61])
+    def test_links_that_go_silent_for_good_throw_nobody_out(self, count: int) -> None:
+        """All open connections go silent without a reset; new ones work.
+
+        Nobody hears anybody, though all VMs serve. Each opens its links anew before it
+        gives its word against a neighbour.
+        """
+        fleet = started(count)
+        silent = {(a, b) for a in fleet.vm_by_id for b in fleet.vm_by_id}
+        fleet.passes = lambda a, b: (a, b) not in silent
+        for vm in _vms(fleet):
+            vm.exchange.neighbours._cut_link = _opens_anew(silent, vm.vm_id)
+        for _ in range(30):
+            fleet.run(0.1)
+            assert fleet.agree(fleet.vm_by_id)
+
     def test_a_frozen_vm_is_out_and_comes_back(self) -> None:
         fleet = started(61)
         fleet.vm_by_id["vm5"].frozen_until = fleet.now + 6.0
