Tell how old an open read of the store is, and of records that lapse

What on-call engineers could not see in two incidents: whether an endpoint's removal had arrived and was held back, and whether a read of the operator's topic was still open, since when and from which offset. Whether `store_regained` came from the store or from a peer's news was not told either.

Added, no decision changed: `endpoint_lapsed` with the time for which it is kept; `origin` of `store_regained`; `offset` and `open_s` of `store_lost`; `store_reads` and `lapsed_endpoints` in the state dump; the gauge gateway_store_read_open_seconds.

The stand-in proxy can let open connections fall silent while new ones work.

--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -108,6 +108,10 @@
             fresh = replace(known, born_ms=born_ms, models=())
             self.on_record(record.registered_id, fresh)
 
+    def lapsed_ids(self) -> set[str]:
+        """Return the ids of endpoints whose records lapsed in an outage."""
+        return {self._id_by_registration[r] for r in self._lapsed}
+
     def registered_ids(self) -> set[str]:
         """Return the ids under which endpoints are registered."""
         return set(self._id_by_registration)
@@ -159,8 +163,15 @@
             return
         if self._reachable and self._now() >= self._store_away_until:
             self._drop(registered_id)
-        else:
-            self._lapsed.add(registered_id)
+            return
+        if registered_id not in self._lapsed:
+            self._journal.write(
+                "endpoint_lapsed",
+                endpoint=self._id_by_registration[registered_id],
+                store_reachable=self._reachable,
+                held_s=round(max(0.0, self._store_away_until - self._now()), 3),
+            )
+        self._lapsed.add(registered_id)
 
     def _drop(self, registered_id: str) -> None:
         endpoint_id = self._id_by_registration.pop(registered_id, None)
--- a/bamboovale/gateway/followers.py
+++ b/bamboovale/gateway/followers.py
@@ -71,6 +71,8 @@
         self._needs_snapshot = True
         self._news_at = 0.0
         self._reading = False
+        self._read_began_at: float | None = None
+        self._answered_at: float | None = None
 
     async def follow(self) -> None:
         """Read for ever; failures are logged once and tried again."""
@@ -86,14 +88,27 @@
                 self._needs_snapshot = True
                 continue
             except StoreError as error:
-                self._lost(str(error))
+                self._lost(str(error), self.open_read_s())
                 await asyncio.sleep(self._retry_s())
                 continue
+            self._answered_at = self._now()
             self._on_answer()
-            self._regained()
+            self._regained("store")
             await asyncio.sleep(self._pause_s())
 
+    def open_read_s(self) -> float | None:
+        """Return for how long the last read has gone without an answer, if it has."""
+        began_at, answered_at = self._read_began_at, self._answered_at
+        if began_at is None or (answered_at is not None and answered_at >= began_at):
+            return None
+        return self._now() - began_at
+
+    def answered_s_ago(self) -> float | None:
+        """Return how long ago the store answered a read, None if it never did."""
+        return None if self._answered_at is None else self._now() - self._answered_at
+
     async def _step(self) -> None:
+        self._read_began_at = self._now()
         self._reading = True
         try:
             await (self._read_all() if self._needs_snapshot else self._read_next())
@@ -140,7 +155,7 @@
         if next_offset <= known:
             return
         self._news_at = self._now()
-        self._regained()
+        self._regained("peer")
         self._apply([KeyedRecord(*row) for row in rows if row[2] >= known], next_offset)
 
     def on_store_silent(self) -> None:
@@ -149,20 +164,28 @@
         Guards against taking an endpoint for gone whose record lapsed in an outage,
         at a VM that does not read the topic itself and so does not see the outage.
         """
-        self._lost("no VM hears the store")
+        self._lost("no VM hears the store", self.open_read_s())
 
     def _news_age_s(self) -> float:
         return self._now() - self._news_at
 
-    def _lost(self, error: str) -> None:
+    def _lost(self, error: str, open_s: float | None) -> None:
         if self.reachable:
-            self._journal.write("store_lost", topic=self.topic, error=error)
+            self._journal.write(
+                "store_lost",
+                topic=self.topic,
+                error=error,
+                offset=self.changes.next_offset,
+                open_s=None if open_s is None else round(open_s, 3),
+            )
         self.reachable = False
         self._on_progress(False)
 
-    def _regained(self) -> None:
+    def _regained(self, origin: str) -> None:
         if not self.reachable:
             offset = self.changes.next_offset
-            self._journal.write("store_regained", topic=self.topic, offset=offset)
+            self._journal.write(
+                "store_regained", topic=self.topic, offset=offset, origin=origin
+            )
         self.reachable = True
         self._on_progress(True)
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -59,6 +59,7 @@
             pause_s=lambda: CONFIG_PAUSE_S,
             retry_s=lambda: self._retry_s(),
             on_answer=on_answer,
+            now=state.now,
         )
         self.endpoints = TopicFollower(
             translation.endpoints_topic,
@@ -76,6 +77,10 @@
             now=state.now,
         )
 
+    def followers(self) -> tuple[TopicFollower, ...]:
+        """Return the followers of all topics."""
+        return (self.operator, self.endpoints)
+
     def take_table(self, table: RoutingTable, origin: str) -> None:
         """Bring a configuration into force, unless it is older than ours."""
         before = self._state.table.version if self._state.table else None
--- a/bamboovale/gateway/state_dump.py
+++ b/bamboovale/gateway/state_dump.py
@@ -1,10 +1,12 @@
 """What one entry VM believes, as JSON for operators."""
 
 import math
+from collections.abc import Iterable
 from typing import Any
 
 from bamboovale.fleet.exchange import Exchange
 from bamboovale.gateway.engines import Engines
+from bamboovale.gateway.followers import TopicFollower
 from bamboovale.gateway.vm_state import VMState
 
 
@@ -41,6 +43,23 @@
     }
 
 
+def dump_reads(followers: Iterable[TopicFollower]) -> dict[str, Any]:
+    """Return by topic how far it is read, and how old its open read is, in seconds."""
+    return {
+        follower.topic: {
+            "offset": follower.changes.next_offset,
+            "reachable": follower.reachable,
+            "open_s": _rounded(follower.open_read_s()),
+            "answered_s_ago": _rounded(follower.answered_s_ago()),
+        }
+        for follower in followers
+    }
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 2)
+
+
 def _age_s(now: float, at: float) -> float | None:
     """Return how long ago something was, None if it never was."""
     return round(now - at, 2) if math.isfinite(at) else None
@@ -54,6 +73,7 @@
             endpoint_id: {"service": record.service, "ready": record.ready}
             for endpoint_id, record in record_by_id.items()
         },
+        "lapsed_endpoints": sorted(state.endpoints.lapsed_ids()),
         "owner_by_engine": {
             engine_id: engines.owner_name(engine_id) for engine_id in record_by_id
         },
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -26,7 +26,7 @@
 from bamboovale.gateway.records import Records
 from bamboovale.gateway.registration import Registration
 from bamboovale.gateway.settings_watch import ReadSettings, SettingsWatch
-from bamboovale.gateway.state_dump import dump_engines, dump_fleet
+from bamboovale.gateway.state_dump import dump_engines, dump_fleet, dump_reads
 from bamboovale.gateway.store import StoreError
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
@@ -176,6 +176,8 @@
             on_changed=lambda: self.peering.wake(),
             on_answer=lambda: self.peering.on_store_answer(),
         )
+        for follower in self.records.followers():
+            self._metrics.watch_open_read(follower.topic, follower.open_read_s)
         self.peering = Peering(
             state=self.state,
             translation=self._translation,
@@ -394,6 +396,7 @@
         return {
             **dump_fleet(self.state, self.peering.exchange),
             **dump_engines(self.state, self._engines),
+            "store_reads": dump_reads(self.records.followers()),
             "generation": self._ownership.generation,
             "store_reachable": self._ownership.reachable,
             "requests_under_way": self._callers.busy,
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -5,7 +5,7 @@
 ``docs/OPERATIONS.md`` explains each counter.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
@@ -35,6 +35,11 @@
         """Return all of them in the Prometheus text format."""
         return generate_latest(self.registry)
 
+    def watch_open_read(self, topic: str, open_s: Callable[[], float | None]) -> None:
+        """Show with each scrape how long a topic's open read has had no answer."""
+        gauge = self._gateway_open_read_seconds.labels(topic)
+        gauge.set_function(lambda: open_s() or 0.0)
+
     def _declare_gateway(self) -> None:
         self.gateway_requests = self._counter(
             "gateway_requests",
@@ -62,6 +67,12 @@
             "Calls to the metadata store by name.",
             ["call"],
         )
+        self._gateway_open_read_seconds = Gauge(
+            PREFIX + "gateway_store_read_open_seconds",
+            "Seconds for which the open read of a topic has had no answer.",
+            ["topic"],
+            registry=self.registry,
+        )
         self.gateway_engine_calls = self._counter(
             "gateway_engine_calls",
             "Reports read from engines and orders given, by outcome.",
--- a/bench/soak_proxy.py
+++ b/bench/soak_proxy.py
@@ -33,6 +33,7 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._pumps: set[asyncio.Task[None]] = set()
+        self._silent_writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -51,6 +52,10 @@
         for writer in list(self._writers):
             _reset(writer)
 
+    def silence_open(self) -> None:
+        """Pass nothing more on over open connections, for good; new ones work."""
+        self._silent_writers |= self._writers
+
     async def _accept(
         self,
         reader: asyncio.StreamReader,
@@ -78,6 +83,7 @@
             return
         finally:
             self._writers -= ends
+            self._silent_writers -= ends
             self._pumps.difference_update(pumps)
             for end in ends:
                 end.transport.abort()
@@ -94,7 +100,7 @@
             while data := await reader.read(CHUNK_BYTES):
                 if self.faults.delay_s:
                     await asyncio.sleep(self.faults.delay_s)
-                while self._holds(answers=answers):
+                while writer in self._silent_writers or self._holds(answers=answers):
                     await asyncio.sleep(HOLD_LOOK_S)
                 writer.write(data)
                 await writer.drain()
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -27,6 +27,7 @@
     request_id,
     route,
 )
+from bench.soak_proxy import Proxy
 
 PATIENCE_S = 10.0
 
@@ -77,17 +78,23 @@
 
 @dataclass
 class Site:
-    """Store, endpoints and entry VMs of one test."""
+    """Store, endpoints and entry VMs of one test.
+
+    ``store_proxy`` stands between the store and VMs that were told its address.
+    """
 
     store: PlatformStore
     store_address: tuple[str, int]
+    store_proxy: Proxy | None = None
     vms: list[RunningVM] = field(default_factory=list)
     runners: list[PlatformRunner] = field(default_factory=list)
     services: list[PlatformEndpoint] = field(default_factory=list)
 
-    async def add_vm(self, name: str, **bounds: Any) -> RunningVM:
-        """Start one more entry VM."""
-        document = node_document(self.store_address, name, **bounds)
+    async def add_vm(
+        self, name: str, store: tuple[str, int] | None = None, **bounds: Any
+    ) -> RunningVM:
+        """Start one more entry VM; ``store`` is where it finds the store."""
+        document = node_document(store or self.store_address, name, **bounds)
         node = NodeSettings.from_document(document).unwrap()
         journal = RecordedJournal(name)
         vm = GatewayVM(
@@ -159,11 +166,18 @@
     runners: int = 1,
     services: int = 1,
     config: dict[str, Any] | None = None,
+    *,
+    behind_proxy: bool = False,
     **options: Any,
 ) -> AsyncIterator[Site]:
-    """Run a small deployment that is ready to serve."""
+    """Run a small deployment that is ready to serve.
+
+    With ``behind_proxy`` its VMs reach the store through ``store_proxy`` alone.
+    """
     store = PlatformStore()
     site = Site(store, await store.listen("127.0.0.1"))
+    if behind_proxy:
+        site.store_proxy = await proxy_of_store(site)
     try:
         await store.put("keyed.op", "config", config or configuration())
         for number in range(runners):
@@ -171,7 +185,8 @@
         for number in range(services):
             await site.add_service(f"service-{number}")
         for number in range(vms):
-            await site.add_vm(f"entry-{number}")
+            proxy = site.store_proxy
+            await site.add_vm(f"entry-{number}", proxy and proxy.address)
         await site.ready()
         yield site
     finally:
@@ -182,9 +197,18 @@
             await item.vm.close()
         for endpoint in [*site.runners, *site.services]:
             endpoint.crash()
+        if site.store_proxy is not None:
+            site.store_proxy.close()
         store.close()
 
 
+async def proxy_of_store(site: Site) -> Proxy:
+    """Start a proxy before the store, for faults of some ways to it."""
+    proxy = Proxy(site.store_address)
+    await proxy.start()
+    return proxy
+
+
 async def eventually(condition: Any, timeout_s: float = PATIENCE_S) -> None:
     """Wait until a condition holds; fails after the timeout."""
     deadline = asyncio.get_running_loop().time() + timeout_s
