Take an endpoint for gone while one VM alone lacks the store

What callers saw: calls reached a plain endpoint up to 12.2 s after it had left, from two VMs that the store turned away while it served the other four.

Cause: each VM took its own failed read for an outage of the store, in which records lapse and come back, and a peer's news for the store's return. Each return begins anew the 2.5 s for which a missing record is kept; with a failed read and news in turn every 1.1 s the endpoint was never dropped. Class: a failure seen by one is taken for the state of all.

Evidence: in both logs store_lost and store_regained follow one another from 35.5 to 45.7 s, the news has passed the removal at 36.94 s (offset 167), and endpoint_gone comes 2.58 s after the last store_regained.

Now a VM whose reads have gone well for those 2.5 s speaks for all; its word travels as a count that rises. Our own failed read counts until the next word, so that the start of an outage still holds records at once, and a removal that a settled VM read counts when its news arrives. Own reads and news no longer share one flag; store_lost and store_regained are about own reads only.

--- a/bamboovale/fleet/exchange.py
+++ b/bamboovale/fleet/exchange.py
@@ -89,17 +89,20 @@
         rng: random.Random,
         now: float,
         on_suspect: Callable[[SuspectSeen], None] = lambda suspect: None,
+        on_settled: Callable[[], None] = lambda: None,
         cut_link: Callable[[str], None] = lambda vm_id: None,
     ) -> None:
         self.config_version = -1
         self.store_answered_at = NEVER
         self._store_count = 0
+        self._settled_count = 0
         self.neighbours = Neighbours(membership, self._new_neighbour, cut_link, now)
         self._membership = membership
         self._changes = changes
         self._endpoints = endpoints
         self._rng = rng
         self._on_suspect = on_suspect
+        self._on_settled = on_settled
         self._probe_at = now + PROBE_S
         self._pulls = _Pulls()
         self._suspects: dict[SuspectSeen, None] = {}
@@ -169,6 +172,9 @@
         if gossip.store_count > self._store_count:
             self._store_count = gossip.store_count
             self.store_answered_at = now
+        if gossip.settled_count > self._settled_count:
+            self._settled_count = gossip.settled_count
+            self._on_settled()
         self._take_rows(neighbour, gossip, now)
         if gossip.wants_all:
             neighbour.told = 0
@@ -213,8 +219,8 @@
             self._changes.drop(("suspect", oldest))
         return True
 
-    def note_store_answer(self, now: float) -> None:
-        """Note that the store has answered us.
+    def note_store_answer(self, now: float, *, settled: bool = False) -> None:
+        """Note that the store has answered us, and whether it is settled for us.
 
         Others see it by the count that rises. Told how long ago it was instead, each
         step would make it later by the time the message took, in a circle for ever: an
@@ -222,6 +228,9 @@
         """
         self._store_count += 1
         self.store_answered_at = now
+        if settled:
+            self._settled_count += 1
+            self._on_settled()
 
     def newest_config(self) -> tuple[str, int] | None:
         """Return the neighbour with the newest configuration, and its version."""
@@ -281,6 +290,7 @@
         return Gossip(
             digest=self._membership.digest,
             store_count=self._store_count,
+            settled_count=self._settled_count,
             config_version=self.config_version,
             first_offset=first,
             next_offset=next_offset,
--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
-from bamboovale.gateway.followers import RETURN_S
-from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.journal import Journal, finite_age_s
 from bamboovale.gateway.model import EndpointRecord
+from bamboovale.gateway.store_watch import StoreWatch
 
 
 @dataclass(frozen=True)
@@ -25,22 +25,18 @@
     endpoint here: the one before is gone, with everything that was kept of it.
 
     While the store is away, and until a moment after its return, nobody is taken for
-    gone because a record is missing: records lapse meanwhile and come back.
+    gone because a record is missing: records lapse meanwhile and come back. Where the
+    store is away for us alone, other VMs' word that it is settled counts.
     """
 
-    def __init__(
-        self,
-        journal: Journal,
-        now: Callable[[], float],
-    ) -> None:
+    def __init__(self, journal: Journal, store: StoreWatch) -> None:
         self._journal = journal
-        self._now = now
+        self._store = store
         self._record_by_id: dict[str, EndpointRecord] = {}
         self._id_by_registration: dict[str, str] = {}
         self._lapsed: set[str] = set()
+        store.listen(self.drop_lapsed)
         self._listeners: list[Callable[[EndpointChange], None]] = []
-        self._store_away_until = 0.0
-        self._reachable = True
 
     def listen(self, listener: Callable[[EndpointChange], None]) -> None:
         """Call the listener with each change."""
@@ -116,22 +112,15 @@
         """Return the ids under which endpoints are registered."""
         return set(self._id_by_registration)
 
-    def on_progress(self, reachable: bool) -> None:
-        """Note whether the store answers."""
-        if reachable and not self._reachable:
-            self._store_away_until = self._now() + RETURN_S
-        self._reachable = reachable
-
     async def watch_lapsed(self, interval_s: float = 0.25) -> None:
         """Take for gone what lapsed in an outage and did not come back."""
         while True:
             await asyncio.sleep(interval_s)
-            self.drop_lapsed()
+            if self._store.is_settled():
+                self.drop_lapsed()
 
     def drop_lapsed(self) -> None:
-        """Drop records whose time to come back is over."""
-        if not self._reachable or self._now() < self._store_away_until:
-            return
+        """Drop what lapsed in an outage and has had the time to come back."""
         for registered_id in self._lapsed:
             self._drop(registered_id)
         self._lapsed.clear()
@@ -161,15 +150,15 @@
     def _lapse(self, registered_id: str) -> None:
         if registered_id not in self._id_by_registration:
             return
-        if self._reachable and self._now() >= self._store_away_until:
+        if self._store.is_settled():
             self._drop(registered_id)
             return
         if registered_id not in self._lapsed:
             self._journal.write(
                 "endpoint_lapsed",
                 endpoint=self._id_by_registration[registered_id],
-                store_reachable=self._reachable,
-                held_s=round(max(0.0, self._store_away_until - self._now()), 3),
+                settled_s_ago=finite_age_s(self._store.settled_s_ago()),
+                read_failed_s_ago=finite_age_s(self._store.read_failed_s_ago()),
             )
         self._lapsed.add(registered_id)
 
--- a/bamboovale/gateway/followers.py
+++ b/bamboovale/gateway/followers.py
@@ -19,8 +19,6 @@
 time after which it has."""
 RETRY_S = 0.5
 """Between tries while the store fails; a call is priced, an outage lasts seconds."""
-RETURN_S = 2.5
-"""Records that lapsed in an outage are back within two seconds of its end."""
 
 
 Apply = Callable[[KeyedRecord], bool | None]
@@ -34,6 +32,7 @@
     gone. ``pause_s`` is the least time between two reads: a topic that changes all the
     time would otherwise use up the calls that the store takes. ``changes`` are kept
     for VMs that do not read; ``on_changed`` is called when there are new ones.
+    ``reachable`` tells whether our own last read was answered.
     """
 
     def __init__(
@@ -47,9 +46,9 @@
         pause_s: Callable[[], float],
         retry_s: Callable[[], float] = lambda: RETRY_S,
         known_keys: Callable[[], set[str]] = set,
-        on_progress: Callable[[bool], None] = lambda reachable: None,
         on_changed: Callable[[], None] = lambda: None,
         on_answer: Callable[[], None] = lambda: None,
+        on_failure: Callable[[], None] = lambda: None,
         may_read: Callable[[float], bool] = lambda news_age_s: True,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -63,9 +62,9 @@
         self._pause_s = pause_s
         self._retry_s = retry_s
         self._known_keys = known_keys
-        self._on_progress = on_progress
         self._on_changed = on_changed
         self._on_answer = on_answer
+        self._on_failure = on_failure
         self._may_read = may_read
         self._now = now
         self._needs_snapshot = True
@@ -88,12 +87,13 @@
                 self._needs_snapshot = True
                 continue
             except StoreError as error:
+                self._on_failure()
                 self._lost(str(error), self.open_read_s())
                 await asyncio.sleep(self._retry_s())
                 continue
             self._answered_at = self._now()
             self._on_answer()
-            self._regained("store")
+            self._regained()
             await asyncio.sleep(self._pause_s())
 
     def open_read_s(self) -> float | None:
@@ -155,17 +155,8 @@
         if next_offset <= known:
             return
         self._news_at = self._now()
-        self._regained("peer")
         self._apply([KeyedRecord(*row) for row in rows if row[2] >= known], next_offset)
 
-    def on_store_silent(self) -> None:
-        """Note that no VM has had an answer of the store for a while.
-
-        Guards against taking an endpoint for gone whose record lapsed in an outage,
-        at a VM that does not read the topic itself and so does not see the outage.
-        """
-        self._lost("no VM hears the store", self.open_read_s())
-
     def _news_age_s(self) -> float:
         return self._now() - self._news_at
 
@@ -179,13 +170,9 @@
                 open_s=None if open_s is None else round(open_s, 3),
             )
         self.reachable = False
-        self._on_progress(False)
 
-    def _regained(self, origin: str) -> None:
+    def _regained(self) -> None:
         if not self.reachable:
             offset = self.changes.next_offset
-            self._journal.write(
-                "store_regained", topic=self.topic, offset=offset, origin=origin
-            )
+            self._journal.write("store_regained", topic=self.topic, offset=offset)
         self.reachable = True
-        self._on_progress(True)
--- a/bamboovale/gateway/journal.py
+++ b/bamboovale/gateway/journal.py
@@ -7,6 +7,7 @@
 
 import json
 import logging
+import math
 import os
 import sys
 import time
@@ -20,6 +21,11 @@
 JOURNAL_NAME = "bamboovale.journal"
 
 
+def finite_age_s(age_s: float) -> float | None:
+    """Return an age in seconds as lines show it, None for what never was."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
+
+
 class _Rate:
     """A token bucket for the lines of one event."""
 
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -56,12 +56,9 @@
 of any owner, and decide only between two VMs that claim the same engine."""
 LOOK_S = 0.3
 """Between two looks at what follows from the news of others."""
-STORE_SILENT_S = 2.0
-"""Without an answer of the store to any VM for so long it counts as away. Several VMs
-read it twice a second, and the news of an answer takes some steps."""
 STORE_LOST_S = 3.0
-"""The same before a VM stands in for a lost owner: a wrong look would set two owners
-against each other."""
+"""Without an answer of the store to any VM for so long a VM stands in for a lost owner:
+a wrong look would set two owners against each other."""
 NAMED_IN_LOG = 12
 """VMs of each list in one log line; after a restart of all there are hundreds."""
 
@@ -102,6 +99,7 @@
             random.Random(),
             state.now(),
             on_suspect=crashes.on_notice,
+            on_settled=state.store_watch.on_settled,
             cut_link=links.cut,
         )
 
@@ -148,9 +146,9 @@
             self.engine_news.tell_statuses()
             self._engines.tell_new_owners()
 
-    def on_store_answer(self) -> None:
-        """Note that the store has answered us."""
-        self.exchange.note_store_answer(self._state.now())
+    def on_store_answer(self, *, settled: bool) -> None:
+        """Note that the store has answered us, and whether it is settled."""
+        self.exchange.note_store_answer(self._state.now(), settled=settled)
 
     def wake(self) -> None:
         """Send what is new without waiting for the next interval."""
@@ -197,8 +195,6 @@
             self.tell()
             self._note_live()
             store_age_s = self._state.now() - self.exchange.store_answered_at
-            if store_age_s > STORE_SILENT_S:
-                self._records.endpoints.on_store_silent()
             if self._assignment.stand_in_for_lost_owners(
                 store_answers_others=store_age_s <= STORE_LOST_S
             ):
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -34,7 +34,11 @@
 
 
 class Records:
-    """Keeps the configuration, versions and endpoints of one VM up to date."""
+    """Keeps the configuration, versions and endpoints of one VM up to date.
+
+    ``on_answer`` is called with each answer of the store to a read, and told whether
+    the store is settled: see ``StoreWatch``.
+    """
 
     def __init__(
         self,
@@ -44,7 +48,7 @@
         engines: Engines,
         on_table: Callable[[], None],
         on_changed: Callable[[], None],
-        on_answer: Callable[[], None],
+        on_answer: Callable[[bool], None],
     ) -> None:
         self._state = state
         self._translation = translation
@@ -58,7 +62,7 @@
             wait_s=CONFIG_WAIT_S,
             pause_s=lambda: CONFIG_PAUSE_S,
             retry_s=lambda: self._retry_s(),
-            on_answer=on_answer,
+            on_answer=lambda: on_answer(False),
             now=state.now,
         )
         self.endpoints = TopicFollower(
@@ -70,9 +74,9 @@
             wait_s=ENDPOINTS_WAIT_S,
             pause_s=lambda: ENDPOINTS_PAUSE_S,
             retry_s=lambda: self._retry_s(),
-            on_progress=state.endpoints.on_progress,
             on_changed=on_changed,
-            on_answer=on_answer,
+            on_answer=lambda: on_answer(state.store_watch.on_read()),
+            on_failure=state.store_watch.on_read_failed,
             may_read=self._may_read_endpoints,
             now=state.now,
         )
--- a/bamboovale/gateway/state_dump.py
+++ b/bamboovale/gateway/state_dump.py
@@ -1,12 +1,12 @@
 """What one entry VM believes, as JSON for operators."""
 
-import math
 from collections.abc import Iterable
 from typing import Any
 
 from bamboovale.fleet.exchange import Exchange
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.followers import TopicFollower
+from bamboovale.gateway.journal import finite_age_s
 from bamboovale.gateway.vm_state import VMState
 
 
@@ -25,7 +25,7 @@
         "peers": peers,
         "neighbours": {
             vm_id: {
-                "heard_s_ago": _age_s(now, neighbour.heard_at),
+                "heard_s_ago": finite_age_s(now - neighbour.heard_at),
                 "watched": neighbour.watched,
             }
             for vm_id, neighbour in exchange.neighbours.by_id.items()
@@ -38,7 +38,8 @@
             domain: [member.vm_id for member in members]
             for domain, members in state.fleet.named_by_domain().items()
         },
-        "store_answered_s_ago": _age_s(now, exchange.store_answered_at),
+        "store_answered_s_ago": finite_age_s(now - exchange.store_answered_at),
+        "store_settled": state.store_watch.is_settled(),
         "endpoints_offset": exchange.endpoints_offset,
     }
 
@@ -60,11 +61,6 @@
     return None if seconds is None else round(seconds, 2)
 
 
-def _age_s(now: float, at: float) -> float | None:
-    """Return how long ago something was, None if it never was."""
-    return round(now - at, 2) if math.isfinite(at) else None
-
-
 def dump_engines(state: VMState, engines: Engines) -> dict[str, Any]:
     """Return the endpoints, who owns which engine, and what of ours is going on."""
     record_by_id = state.endpoints.record_by_id
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -174,7 +174,7 @@
             self._engines,
             on_table=lambda: self._on_table(),
             on_changed=lambda: self.peering.wake(),
-            on_answer=lambda: self.peering.on_store_answer(),
+            on_answer=lambda settled: self.peering.on_store_answer(settled=settled),
         )
         for follower in self.records.followers():
             self._metrics.watch_open_read(follower.topic, follower.open_read_s)
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -9,6 +9,7 @@
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.model import EndpointRecord, RoutingTable
+from bamboovale.gateway.store_watch import StoreWatch
 
 
 class VMState:
@@ -32,7 +33,8 @@
         self.knows_fleet = False
         self.isolated = False
         self.fleet = Fleet.from_node(node)
-        self.endpoints = EndpointView(journal, self.now)
+        self.store_watch = StoreWatch(self.now)
+        self.endpoints = EndpointView(journal, self.store_watch)
 
     def now(self) -> float:
         """Return the event loop's time, in seconds."""
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -39,6 +39,7 @@
     Snapshot,
     StoreError,
 )
+from bamboovale.gateway.store_watch import StoreWatch
 from bamboovale.platform.configuration import (
     decode_adapter_version,
     decode_routing_table,
@@ -657,6 +658,12 @@
     )
 
 
+def _new_view() -> EndpointView:
+    store = StoreWatch(lambda: 0.0)
+    store.on_settled()
+    return EndpointView(Journal("me", logging.getLogger("none")), store)
+
+
 class TestEndpointView:
     """What counts as a change of an endpoint."""
 
@@ -666,7 +673,7 @@
         Passed on between 75 VMs as changes, they took more bytes and time than the
         requests themselves.
         """
-        view = EndpointView(Journal("me", logging.getLogger("none")), lambda: 0.0)
+        view = _new_view()
         changes: list[EndpointChange] = []
         view.listen(changes.append)
         record = EndpointRecord("e", "llm", ("10.0.0.1", 1), "a", True, 8)
@@ -679,7 +686,7 @@
 
 
 def _view() -> tuple[EndpointView, list[EndpointChange]]:
-    view = EndpointView(Journal("me", logging.getLogger("none")), lambda: 0.0)
+    view = _new_view()
     changes: list[EndpointChange] = []
     view.listen(changes.append)
     return view, changes
