Give up a waiting read of the store whose answer was lost

What callers saw: requests handled by version 16 from 19.7 s on although version 28 had been acknowledged, until the end of the kept logs 6.7 s later; adapters in an old version for the same reason. All six VMs alike, so that no peer had the newer one.

Cause: a read of the operator's topic waits up to 20 s for a change, and only its own timeout ended it. Begun while the store was silent, it was never answered: a call whose answer is lost gets none later. Class: a wait that is long when all is well is also the time after which a fault is noticed.

Evidence: store_lost for that topic at 12.60 s and no store_regained after it, while renewals were answered from 20.2 s and reads of the other topic from 21.3 s. Hypotheses 2 and 3 (read on from a wrong place, refused) would have written store_regained.

Now the calls of a VM speak for one another: once one has failed and then one is answered, reads that were open at the failure are given up and begun anew. That costs one call for each outage; in quiet times nothing. A read that had no answer is begun anew without a pause, and a call without answer also ends the idle connections to the store, which may be as silent: each would cost another timeout. The same holds for reads of the endpoints' topic.

--- a/bamboovale/gateway/followers.py
+++ b/bamboovale/gateway/followers.py
@@ -11,6 +11,7 @@
     HistoryLostError,
     KeyedRecord,
     MetadataStore,
+    NoAnswerError,
     StoreError,
 )
 
@@ -18,7 +19,8 @@
 """Between two looks whether other readers' news has become too old: an eighth of the
 time after which it has."""
 RETRY_S = 0.5
-"""Between tries while the store fails; a call is priced, an outage lasts seconds."""
+"""Between tries while the store fails; a call is priced, an outage lasts seconds. A
+read that had no answer has waited already."""
 
 
 Apply = Callable[[KeyedRecord], bool | None]
@@ -89,7 +91,8 @@
             except StoreError as error:
                 self._on_failure()
                 self._lost(str(error), self.open_read_s())
-                await asyncio.sleep(self._retry_s())
+                if not isinstance(error, NoAnswerError):
+                    await asyncio.sleep(self._retry_s())
                 continue
             self._answered_at = self._now()
             self._on_answer()
--- a/bamboovale/gateway/store.py
+++ b/bamboovale/gateway/store.py
@@ -12,6 +12,10 @@
         self.status = status
 
 
+class NoAnswerError(StoreError):
+    """No answer came in the time that the call had, or was waited for no longer."""
+
+
 class HistoryLostError(StoreError):
     """The records asked for are no longer kept: read the newest ones instead."""
 
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -28,6 +28,7 @@
 from bamboovale.gateway.settings_watch import ReadSettings, SettingsWatch
 from bamboovale.gateway.state_dump import dump_engines, dump_fleet, dump_reads
 from bamboovale.gateway.store import StoreError
+from bamboovale.gateway.store_contact import StoreContact
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.http1.pool import ConnectionPool, sweep_forever
@@ -98,9 +99,12 @@
         self._endpoint_pool = pool("endpoint")
         self._control_pool = pool("control")
         self._store_pool = pool("store")
-        self._store = self._translation.store(
-            self._store_pool,
-            lambda name: self._metrics.gateway_store_calls.labels(name).inc(),
+        self._store = StoreContact(
+            self._translation.store(
+                self._store_pool,
+                lambda name: self._metrics.gateway_store_calls.labels(name).inc(),
+            ),
+            self.state.now,
         )
         self.links = PeerLinks(
             node.name,
--- a/bamboovale/platform/store.py
+++ b/bamboovale/platform/store.py
@@ -13,6 +13,7 @@
     HistoryLostError,
     KeyedRecord,
     Membership,
+    NoAnswerError,
     Partition,
     Snapshot,
     StoreError,
@@ -149,7 +150,9 @@
             async with asyncio.timeout(timeout_s):
                 status, answer = await self._exchange(method, target, body)
         except TimeoutError as error:
-            raise StoreError(f"{target}: no answer in time") from error
+            # Idle connections may be as silent: each would cost another timeout.
+            self._pool.forget(STORE_ID)
+            raise NoAnswerError(f"{target}: no answer in time") from error
         except (ConnectFailed, AnswerBroken, OSError) as error:
             raise StoreError(f"{target}: {error}") from error
         if status == 410:
