--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -68,7 +68,9 @@
         self.answers = True
         self._context = context
         self._reply_by_ask: dict[str, Reply] = {}
-        self._orders = OrderGiver(lambda: self.record, context)
+        self._orders = OrderGiver(
+            lambda: self.record, context, lambda: self.places.slots.free()
+        )
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._look_at = 0.0
--- a/bamboovale/gateway/order_giver.py
+++ b/bamboovale/gateway/order_giver.py
@@ -34,15 +34,20 @@
 
 
 class OrderGiver:
-    """Gives the orders of one engine's owner, one at a time."""
+    """Gives the orders of one engine's owner, one at a time.
+
+    ``free_slots`` tells how many adapters still fit, as the owner believes.
+    """
 
     def __init__(
         self,
         record: Callable[[], EndpointRecord],
         context: OwnerContext,
+        free_slots: Callable[[], int],
     ) -> None:
         self._record = record
         self._context = context
+        self._free_slots = free_slots
         self._orders_seen: int | None = None
         self._fenced_at: int | None = None
 
@@ -65,6 +70,7 @@
             fence = self.fence()
             expected = self._orders_seen
             if expected is None or not self._may_order_by(fence):
+                self._note_not_given(action, fence, expected, lost)
                 return OrderEnd(None, lost)
             outcome = await self._give_once(action, fence, expected, lost)
             if outcome is not OrderOutcome.UNKNOWN:
@@ -72,6 +78,24 @@
                 return OrderEnd(outcome, lost)
         return OrderEnd(None, ORDER_TRIES)
 
+    def _note_not_given(
+        self,
+        action: OrderLoad | OrderUnload,
+        fence: int,
+        expected: int | None,
+        lost: int,
+    ) -> None:
+        """Log an order without a number to expect (None), or without leave."""
+        self._context.journal.write(
+            "order_not_given",
+            engine=self._record().endpoint_id,
+            load=isinstance(action, OrderLoad),
+            adapter=action.adapter,
+            fence=fence,
+            expected=expected,
+            lost=lost,
+        )
+
     def _may_order_by(self, fence: int) -> bool:
         if self._fenced_at is not None and fence <= self._fenced_at:
             return False
@@ -102,6 +126,7 @@
             version=version,
             fence=fence,
             expected=expected,
+            free_slots=self._free_slots(),
             outcome=outcome.name.lower(),
         )
         return outcome
