Keep the slot of an old version whose replacement was not ordered

What callers would see: an engine is ordered to load one adapter more than it has slots for, crashes, and all its streams break off.

Cause: a load that surely does not happen frees its slot.

The test failed before: after the refused replacement the next order was a load, not the eviction of the old version. Now the slot goes back to what it was.

--- a/bamboovale/decisions/adapter_slots.py
+++ b/bamboovale/decisions/adapter_slots.py
@@ -64,6 +64,7 @@
     ``uses_since`` is how many other adapters were loaded there since this one was, when
     its load began; None if it never was. ``warm`` tells that it should come from the
     engine's own memory. ``confirmed`` is False while no report has shown it loaded.
+    ``replaces`` is the version that the engine holds until a load has replaced it.
     """
 
     version: int
@@ -76,6 +77,7 @@
     uses_since: int | None = None
     warm: bool = False
     confirmed: bool = True
+    replaces: int | None = None
     aborted_at: dict[str, float] = field(default_factory=dict)
 
     def demand_at(self, now: float) -> float:
@@ -237,6 +239,7 @@
         if slot is None:
             self._slot_by_key[key] = Slot(version, SlotState.LOADING, now)
         else:
+            slot.replaces = slot.version
             slot.state = SlotState.LOADING
             slot.version = version
             slot.changed_at = now
@@ -278,10 +281,15 @@
             slot.changed_at = now
 
     def load_failed(self, key: AdapterKey) -> None:
-        """Free the slot of a load that surely does not happen."""
+        """Take back a load that surely does not happen."""
         slot = self._slot_by_key.get(key)
-        if slot is not None and slot.state is SlotState.LOADING:
+        if slot is None or slot.state is not SlotState.LOADING:
+            return
+        if slot.replaces is None:
             del self._slot_by_key[key]
+            return
+        slot.state = SlotState.LOADED
+        slot.version = slot.replaces
 
     def unload_failed(self, key: AdapterKey) -> None:
         """Use an adapter on that was to go."""
@@ -377,6 +385,7 @@
         elif slot.uses_since is not None:
             self.held_kept = max(self.held_kept, slot.uses_since + 1)
         slot.version = version
+        slot.replaces = None
         slot.state = SlotState.LOADED
         slot.confirmed = True
         slot.ready_at = None
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -276,6 +276,18 @@
         actions = engine.on_ask(ask("r3", "a1", 4.0), 4.0)
         assert actions == [OrderLoad(MODEL, "a1", 2)]
 
+    def test_a_new_version_that_was_not_ordered_gives_no_slot_away(self) -> None:
+        """Guards against one load too many while the engine holds the old version."""
+        engine = places(slots=1)
+        load(engine, "a1", 0.0)
+        [replacement] = engine.on_ask(ask("new", "a1", 2.0, version=2), 2.0)
+        assert replacement == OrderLoad(MODEL, "a1", 2)
+        engine.on_order_failed(replacement, certain=True)
+        engine.on_cancel("new", 2.1)
+        assert engine.on_ask(ask("other", "a2", 2.2), 2.2) == [
+            OrderUnload(MODEL, "a1"),
+        ]
+
 
 class TestOverload:
     """More requests than slots."""
