Give up an order's tries once a report tells another number of orders

Cause: an order without an answer is given again, and each try is to expect the same number of orders before it. The number was read anew before each try: a report that came between two tries raised it, and the next try passed the engine's check although it had been decided on a state that was past. The owner itself believed in -1 free slots at that moment. Class: a compare-and-set whose expected value is read anew for the retry.

Evidence: the real owner was played in virtual time against a model of an engine with orders lost, late and repeated, and owners that begin anew.

Now the tries end when the number changes; the slot of the load stays taken until a report shows what became of it.

--- a/bamboovale/gateway/order_giver.py
+++ b/bamboovale/gateway/order_giver.py
@@ -8,8 +8,8 @@
 from bamboovale.gateway.owner_context import OwnerContext
 
 ORDER_TRIES = 5
-"""An order without an answer is given again at once: both expect the same number of
-orders before them, so that the engine carries out one of them at most."""
+"""An order without an answer is given again at once: all tries expect the same number
+of orders before them, so that the engine carries out one of them at most."""
 
 
 @dataclass(frozen=True)
@@ -65,11 +65,16 @@
             self._orders_seen = orders
 
     async def give(self, action: OrderLoad | OrderUnload) -> OrderEnd:
-        """Give an order until its outcome is known, for a few tries."""
+        """Give an order until its outcome is known, for a few tries.
+
+        It ends without outcome once a report tells of another number: what was decided
+        rests on a state that is past.
+        """
+        expected = self._orders_seen
         for lost in range(ORDER_TRIES):
             fence = self.fence()
-            expected = self._orders_seen
-            if expected is None or not self._may_order_by(fence):
+            is_past = self._orders_seen != expected
+            if expected is None or is_past or not self._may_order_by(fence):
                 self._note_not_given(action, fence, expected, lost)
                 return OrderEnd(None, lost)
             outcome = await self._give_once(action, fence, expected, lost)
--- /dev/null
+++ b/tests/owner_play.py
@@ -0,0 +1,351 @@
+"""Plays one engine and its owner in virtual time, with orders lost, late and repeated.
+
+The owner is the real one; the engine is a model of what the users' platform says of
+engines: orders by expected number, adapters in transit, unloads that wait for runs,
+reports that are some 100 ms old.
+"""
+
+import asyncio
+import itertools
+import random
+import selectors
+from collections.abc import Coroutine
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from bamboovale.decisions.mechanisms import ALL_ON
+from bamboovale.decisions.place_work import AdapterKey, EngineCapacity
+from bamboovale.gateway.engine_orders import EngineCallFailed
+from bamboovale.gateway.engine_owner import EngineOwner
+from bamboovale.gateway.messages import (
+    PlaceHeld,
+    PlaceRelease,
+    PlaceReply,
+    PlaceRequest,
+)
+from bamboovale.gateway.model import (
+    EndpointRecord,
+    EngineOrder,
+    EngineReport,
+    LoadedModel,
+    OrderOutcome,
+)
+from bamboovale.gateway.owner_context import OwnerContext
+from tests.gateway_site import RecordedJournal
+
+BASE = "base"
+AT_ONCE = 4
+"""Adapters in transit to an engine at the same time."""
+ANSWER_S = 0.004
+PATIENCE_S = 0.05
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """How the engine and the way to it behave; shares are 0 to 1, times seconds."""
+
+    lost: float = 0.25
+    late: float = 0.25
+    no_leave: float = 0.1
+    cold_load_s: tuple[float, float] = (0.1, 0.6)
+    report_age_s: tuple[float, float] = (0.05, 0.3)
+    holds_before_number: bool = False
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time passes only while nothing is left to do."""
+
+    def __init__(self) -> None:
+        super().__init__(_JumpingSelector(self))
+        self.virtual_s = 0.0
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.virtual_s
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    def __init__(self, loop: VirtualLoop) -> None:
+        super().__init__()
+        self._loop = loop
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        self._loop.virtual_s += max(0.0, timeout or 0.0)
+        return super().select(0)
+
+
+@dataclass
+class _Snapshot:
+    at: float
+    report: EngineReport
+
+
+@dataclass
+class ModelEngine:
+    """An engine; ``overfilled`` are the loads that it had no slot for."""
+
+    rng: random.Random
+    trouble: Trouble
+    slots: int
+    overfilled: list[str] = field(default_factory=list)
+    orders: int = 0
+    version_by_key: dict[AdapterKey, int] = field(default_factory=dict)
+    coming: dict[AdapterKey, int] = field(default_factory=dict)
+    runs: dict[str, AdapterKey] = field(default_factory=dict)
+    newest: dict[AdapterKey, int] = field(default_factory=dict)
+    _waiting_unload: AdapterKey | None = None
+    _history: list[_Snapshot] = field(default_factory=list)
+    _recent: list[AdapterKey] = field(default_factory=list)
+    _seen_at: float = 0.0
+
+    def now(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+    # Calls.
+
+    async def report(self, record: EndpointRecord) -> EngineReport:
+        """Return a report as it stood a while ago."""
+        await asyncio.sleep(ANSWER_S)
+        if self.rng.random() < self.trouble.lost / 4:
+            raise EngineCallFailed("no answer")
+        age_s = self.rng.uniform(*self.trouble.report_age_s)
+        self._seen_at = max(self._seen_at, self.now() - age_s)
+        self._note()
+        older = [item for item in self._history if item.at <= self._seen_at]
+        return (older[-1] if older else self._history[0]).report
+
+    async def order(
+        self,
+        record: EndpointRecord,
+        order: EngineOrder,
+        fence: int,
+        expected_orders: int | None,
+        lost: int = 0,
+    ) -> OrderOutcome:
+        """Carry an order out, perhaps late, perhaps without an answer."""
+        loop = asyncio.get_running_loop()
+        if self.rng.random() < self.trouble.late:
+            late_s = self.rng.uniform(0.06, 12.0)
+            loop.call_later(late_s, self._carry_out, order, expected_orders)
+            await asyncio.sleep(PATIENCE_S * 2**lost)
+            return OrderOutcome.UNKNOWN
+        await asyncio.sleep(ANSWER_S / 2)
+        outcome = self._carry_out(order, expected_orders)
+        if self.rng.random() < self.trouble.lost:
+            await asyncio.sleep(PATIENCE_S * 2**lost)
+            return OrderOutcome.UNKNOWN
+        await asyncio.sleep(ANSWER_S / 2)
+        return outcome
+
+    def may_run(self, key: AdapterKey, version: int) -> bool:
+        """Tell whether a run may begin."""
+        return self.version_by_key.get(key) == version
+
+    def end(self, run: str) -> None:
+        """End a run."""
+        self.runs.pop(run, None)
+        self._end_waiting_unload()
+        self._note()
+
+    # Orders.
+
+    def _carry_out(self, order: EngineOrder, expected: int | None) -> OrderOutcome:
+        key = (order.model, order.adapter or "")
+        if self.trouble.holds_before_number and self._holds(order, key):
+            return OrderOutcome.HOLDS
+        if expected != self.orders or self._waiting_unload is not None:
+            return OrderOutcome.CONFLICT
+        if self._holds(order, key):
+            return OrderOutcome.HOLDS
+        outcome = self._load(key) if order.load else self._unload(key)
+        self._note()
+        return outcome
+
+    def _holds(self, order: EngineOrder, key: AdapterKey) -> bool:
+        if not order.load:
+            return key not in self.version_by_key
+        wanted = order.version or 1
+        return max(self.version_by_key.get(key, 0), self.coming.get(key, 0)) >= wanted
+
+    def _load(self, key: AdapterKey) -> OrderOutcome:
+        if len(self.coming) >= AT_ONCE:
+            return OrderOutcome.CONFLICT
+        self.orders += 1
+        self.coming[key] = self.newest.get(key, 1)
+        if len(self.version_by_key.keys() | self.coming.keys()) > self.slots:
+            self.overfilled.append(f"{key[1]} at {self.now():.3f}")
+        cold_s = self.rng.uniform(*self.trouble.cold_load_s)
+        load_s = cold_s / 10 if key in self._recent else cold_s
+        asyncio.get_running_loop().call_later(load_s, self._arrive, key)
+        return OrderOutcome.ACCEPTED
+
+    def _arrive(self, key: AdapterKey) -> None:
+        """End a load; a replacement waits for the runs of the version before."""
+        if key not in self.coming:
+            return
+        if key in self.runs.values():
+            asyncio.get_running_loop().call_later(0.05, self._arrive, key)
+            return
+        self.version_by_key[key] = self.coming.pop(key)
+        self._recent = [*(k for k in self._recent if k != key), key][-30:]
+        self._note()
+
+    def _unload(self, key: AdapterKey) -> OrderOutcome:
+        self.orders += 1
+        if key in self.runs.values():
+            self._waiting_unload = key
+            return OrderOutcome.ACCEPTED
+        del self.version_by_key[key]
+        return OrderOutcome.HOLDS
+
+    def _end_waiting_unload(self) -> None:
+        key = self._waiting_unload
+        if key is not None and key not in self.runs.values():
+            self._waiting_unload = None
+            self.version_by_key.pop(key, None)
+
+    def _note(self) -> None:
+        report = EngineReport(
+            models=(LoadedModel(BASE, 1, _by_name(self.version_by_key)),),
+            loading=frozenset(self.coming),
+            busy=False,
+            orders=self.orders,
+            queued=0,
+            active=len(self.runs),
+            running=frozenset(self.runs),
+        )
+        self._history = self._history[-400:]
+        self._history.append(_Snapshot(self.now(), report))
+
+
+def _by_name(version_by_key: dict[AdapterKey, int]) -> dict[str, int]:
+    return {name: version for (_, name), version in version_by_key.items()}
+
+
+class OwnerPlay:
+    """Requests for many adapters at one engine whose owner now and then is anew."""
+
+    def __init__(self, seed: int, trouble: Trouble, slots: int = 6) -> None:
+        self.rng = random.Random(seed)
+        self.engine = ModelEngine(self.rng, trouble, slots)
+        self.served = 0
+        self.refused_by_engine = 0
+        self.journal = RecordedJournal("owner")
+        self._trouble = trouble
+        self._fence = 1
+        self._held_by_ask: dict[str, PlaceHeld] = {}
+        self._no_leave_until = 0.0
+        self._asks = itertools.count()
+        self._record = EndpointRecord("e", "llm", ("10.0.0.1", 1), "a", True, 16)
+        self._capacity = EngineCapacity(16, 1_000_000, slots, (BASE,))
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, seconds: float, per_s: float = 25.0) -> None:
+        """Play a load for a while."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        self.engine._note()
+        self._begin_owner()
+        while loop.time() < end and not self.engine.overfilled:
+            await asyncio.sleep(self.rng.expovariate(per_s))
+            self._spawn(self._request())
+            draw = self.rng.random()
+            if draw < 0.002:
+                self._change_owner()
+            elif draw < 0.01:
+                self._name_version()
+            elif draw < 0.01 + self._trouble.no_leave / 5:
+                self._no_leave_until = loop.time() + self.rng.uniform(0.0, 0.4)
+        self._owner.stop()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _begin_owner(self) -> None:
+        loop = asyncio.get_running_loop()
+        context = OwnerContext(
+            calls=self.engine,  # type: ignore[arg-type]
+            journal=self.journal,
+            now=loop.time,
+            may_order=lambda engine_id: loop.time() >= self._no_leave_until,
+            fence=lambda engine_id: self._fence,
+            on_fenced=lambda record, token: None,
+            on_start_seen=lambda record, born_ms: None,
+            hold_off_s=lambda: 0.3,
+            pool_held_up=lambda service: False,
+            mechanisms=ALL_ON,
+        )
+        self._owner = EngineOwner(self._record, self._capacity, context)
+        self._owner.start()
+
+    def _change_owner(self) -> None:
+        """Let another task own the engine; it is told of the runs a moment later."""
+        self._owner.stop()
+        self._fence += 1
+        self._begin_owner()
+        loop = asyncio.get_running_loop()
+        for held in self._held_by_ask.values():
+            loop.call_later(self.rng.uniform(0.0, 0.25), self._tell_held, held)
+
+    def _tell_held(self, held: PlaceHeld) -> None:
+        if held.ask_id in self._held_by_ask:
+            self._owner.held("vm", held)
+
+    def _name_version(self) -> None:
+        name = self._adapter()
+        version = self.engine.newest.get((BASE, name), 1) + 1
+        self.engine.newest[BASE, name] = version
+        self._owner.note_version(BASE, name, version)
+
+    def _adapter(self) -> str:
+        return f"a{int(self.rng.paretovariate(0.7)) % 40}"
+
+    async def _request(self) -> None:
+        name = self._adapter()
+        ask_id = f"r{next(self._asks)}.1"
+        version = self.engine.newest.get((BASE, name), 1)
+        request = PlaceRequest("e", ask_id, BASE, name, version, 100, 20, 0, 0.8, 3.0)
+        answer: asyncio.Future[PlaceReply] = asyncio.get_running_loop().create_future()
+        self._owner.ask("vm", request, lambda reply: _set(answer, reply))
+        reply = await answer
+        if reply.version is None:
+            return
+        await asyncio.sleep(0.002)
+        release = PlaceRelease("e", ask_id)
+        key = (BASE, name)
+        if not self.engine.may_run(key, reply.version):
+            self.refused_by_engine += 1
+            not_held = key not in self.engine.version_by_key
+            self._owner.release(replace(release, refused=True, not_held=not_held))
+            return
+        self.engine.runs[ask_id] = key
+        self._held_by_ask[ask_id] = PlaceHeld(
+            "e", ask_id, BASE, name, reply.version, 100, 20
+        )
+        await asyncio.sleep(self.rng.uniform(0.05, 1.5))
+        self.engine.end(ask_id)
+        self.served += 1
+        await asyncio.sleep(0.002)
+        del self._held_by_ask[ask_id]
+        self._owner.release(release)
+
+    def _spawn(self, job: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _set(answer: "asyncio.Future[PlaceReply]", reply: PlaceReply) -> None:
+    if not answer.done():
+        answer.set_result(reply)
+
+
+def play(seed: int, trouble: Trouble, seconds: float = 60.0) -> OwnerPlay:
+    """Play one seed; return what came of it."""
+    loop = VirtualLoop()
+    try:
+        played = OwnerPlay(seed, trouble)
+        loop.run_until_complete(played.run(seconds))
+        return played
+    finally:
+        loop.close()
