Write nothing more to a caller whose connection has failed

Cause: engines had gone on sending while the VM stood still, their events were written in one go to callers who had long left, and the loop tells of a reset only after the handler has paused. The transport knows at once.

The test failed before, with a warning for each of 50 late pieces but the first few.

--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -199,7 +199,7 @@
 
     def _write(self, event: Any) -> None:
         data = self._wire.send(event)
-        if data and not self._lost:
+        if data and not self._lost and not self._transport.is_closing():
             self._transport.write(data)
 
     def _notify(self) -> None:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -332,6 +332,43 @@
         run(test())
 
 
+class TestCallersThatLeft:
+    """A handler that goes on writing after the caller's connection was reset."""
+
+    def test_many_late_pieces_write_no_line_of_the_event_loop(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """Guards against a flood of lines after a freeze, one for each event."""
+
+        async def test() -> None:
+            wrote = asyncio.Event()
+            left = asyncio.Event()
+
+            async def stream(request: Request, responder: Responder) -> None:
+                responder.start(200, [])
+                await responder.write(b"first")
+                wrote.set()
+                await left.wait()
+                # No pause: the loop has not told of the reset yet.
+                for _ in range(50):
+                    await responder.write(b"late")
+
+            running = Server(stream, lambda: LIMITS)
+            port = await running.listen("127.0.0.1", 0)
+            caller = socket.create_connection(("127.0.0.1", port))
+            caller.sendall(head())
+            await wrote.wait()
+            reset = struct.pack("ii", 1, 0)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+            caller.close()
+            left.set()
+            await asyncio.sleep(0.1)
+            running.close()
+
+        run(test())
+        assert [r for r in caplog.records if r.name == "asyncio"] == []
+
+
 class TestPool:
     """Kept connections."""
 
