Let open connections fall silent for good in the soak

A lane of its own, so that the draws of the others stay as they are: now and then the open connections of all VMs to the store, or those to one endpoint, pass nothing more on while new ones work.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -37,7 +37,8 @@
 class SoakConfig:
     """How long, from which seed, and how large.
 
-    ``starts_again``: engines also crash and come back under their ids.
+    ``starts_again``: engines also crash and come back under their ids. ``silences``:
+    open connections also fall silent for good while new ones work.
     """
 
     seconds: float = 60.0
@@ -47,6 +48,7 @@
     services: int = 2
     callers: int = 12
     starts_again: bool = True
+    silences: bool = True
 
 
 @dataclass
@@ -118,6 +120,10 @@
                 rng = random.Random(f"{self.config.seed}-starts")
                 starts = Striker.of_starts(self.site, self.faults, rng)
                 group.create_task(starts.run())
+            if self.config.silences:
+                rng = random.Random(f"{self.config.seed}-silences")
+                silences = Striker.of_silences(self.site, self.faults, rng)
+                group.create_task(silences.run())
 
     async def _recover(self) -> list[Violation]:
         """End all faults; every VM must serve every kind again."""
@@ -194,6 +200,11 @@
         action=argparse.BooleanOptionalAction,
         default=SoakConfig.starts_again,
     )
+    parser.add_argument(
+        "--silences",
+        action=argparse.BooleanOptionalAction,
+        default=SoakConfig.silences,
+    )
     options = parser.parse_args()
     config = SoakConfig(
         seconds=options.seconds,
@@ -202,6 +213,7 @@
         runners=options.runners,
         callers=options.callers,
         starts_again=options.starts_again,
+        silences=options.silences,
     )
     directory = Path(tempfile.mkdtemp(prefix="bamboovale-soak-"))
     soak, found = asyncio.run(run_soak(config, directory))
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -16,6 +16,9 @@
 
 LONGEST_FAULT_S = 4.0
 LONGEST_PAUSE_S = 1.0
+NOTICED_S = 3.0
+"""After connections fell silent all bounds hold again, as settings say."""
+FIRST_SILENCE_S = 8.0
 LEAVES_AFTER_S = 4.0
 """From an endpoint's word that it leaves to its end: twice the time allowed for new
 requests, so that late ones are seen."""
@@ -67,6 +70,18 @@
         striker._strikes = [striker._runner_starts_again]
         return striker
 
+    @classmethod
+    def of_silences(
+        cls,
+        site: SoakSite,
+        spans: list[FaultSpan],
+        rng: random.Random,
+    ) -> "Striker":
+        """Return a lane in which open connections fall silent for good."""
+        striker = cls(site, spans, rng)
+        striker._strikes = [striker._connections_fall_silent]
+        return striker
+
     async def run(self) -> None:
         """Strike for ever."""
         while True:
@@ -144,6 +159,21 @@
         async with self._span("store link", vm.name):
             await self._harm(vm.store)
 
+    async def _connections_fall_silent(self) -> None:
+        """Silence the open connections of all VMs to the store, or to an endpoint."""
+        await asyncio.sleep(FIRST_SILENCE_S * self._rng.random())
+        site = self._site
+        if self._rng.random() < 0.5:
+            subject, proxies = "store", [vm.store for vm in site.vms]
+        else:
+            endpoint = self._rng.choice([*site.runners, *site.services])
+            subject = endpoint.endpoint_id
+            proxies = [site.proxy_by_endpoint[subject]]
+        async with self._span("open connections silent", subject):
+            for proxy in proxies:
+                proxy.silence_open()
+            await asyncio.sleep(NOTICED_S)
+
     async def _store_forgets(self) -> None:
         async with self._span("store forgets", "store"):
             self._site.store.forget_history()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -140,6 +140,32 @@
 
         asyncio.run(test())
 
+    def test_open_connections_fall_silent_and_new_ones_work(self) -> None:
+        async def test() -> None:
+            async def echo(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                while data := await reader.read(100):
+                    writer.write(data)
+
+            server = await asyncio.start_server(echo, "127.0.0.1", 0)
+            proxy = Proxy(server.sockets[0].getsockname()[:2])
+            await proxy.start()
+            silent = await asyncio.open_connection(*proxy.address)
+            silent[1].write(b"one")
+            assert await silent[0].read(3) == b"one"
+            proxy.silence_open()
+            silent[1].write(b"two")
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(silent[0].read(3), 0.2)
+            sound = await asyncio.open_connection(*proxy.address)
+            sound[1].write(b"two")
+            assert await asyncio.wait_for(sound[0].read(3), 1.0) == b"two"
+            proxy.close()
+            server.close()
+
+        asyncio.run(test())
+
 
 class TestSettingsFile:
     """The soak writes what the platform would."""
@@ -157,20 +183,27 @@
     """
 
     @pytest.mark.parametrize(
-        "seed, starts_again",
+        "seed, starts_again, silences",
         [
             pytest.param(
                 seed,
                 starts_again,
+                silences,
                 marks=pytest.mark.xdist_group(f"soak-{seed}"),
             )
-            for seed, starts_again in ((1, False), (2, False), (3, True))
+            for seed, starts_again, silences in (
+                (1, False, False),
+                (2, False, False),
+                (3, True, False),
+                (4, True, True),
+            )
         ],
     )
     def test_no_promise_is_broken(
         self,
         seed: int,
         starts_again: bool,
+        silences: bool,
         tmp_path: Path,
     ) -> None:
         config = SoakConfig(
@@ -178,6 +211,7 @@
             seed=seed,
             callers=8,
             starts_again=starts_again,
+            silences=silences,
         )
         soak, found = asyncio.run(run_soak(config, tmp_path))
         assert not found, describe(soak, found)
