Hold a lapsed record from the store's first answer, also where others read

Now the store is settled once it has answered any VM for 2.5 s without a silence and without a failed read of ours, counted from the first answer after either; the first answer after our start ends no silence. What a message tells of records is taken before what it tells of the store, so that a record that comes back with the word is not dropped for a moment.

--- a/bamboovale/fleet/exchange.py
+++ b/bamboovale/fleet/exchange.py
@@ -89,6 +89,7 @@
         rng: random.Random,
         now: float,
         on_suspect: Callable[[SuspectSeen], None] = lambda suspect: None,
+        on_store_answer: Callable[[], None] = lambda: None,
         on_settled: Callable[[], None] = lambda: None,
         cut_link: Callable[[str], None] = lambda vm_id: None,
     ) -> None:
@@ -102,6 +103,7 @@
         self._endpoints = endpoints
         self._rng = rng
         self._on_suspect = on_suspect
+        self._on_store_answer = on_store_answer
         self._on_settled = on_settled
         self._probe_at = now + PROBE_S
         self._pulls = _Pulls()
@@ -169,13 +171,8 @@
         for suspect in gossip.suspects:
             if self.note_suspect(suspect):
                 self._on_suspect(suspect)
-        if gossip.store_count > self._store_count:
-            self._store_count = gossip.store_count
-            self.store_answered_at = now
-        if gossip.settled_count > self._settled_count:
-            self._settled_count = gossip.settled_count
-            self._on_settled()
         self._take_rows(neighbour, gossip, now)
+        self._take_counts(gossip, now)
         if gossip.wants_all:
             neighbour.told = 0
         self._compare(neighbour, gossip.digest, now)
@@ -197,6 +194,16 @@
         if gossip.next_offset > neighbour.told_offset or was_missed:
             neighbour.told_offset = gossip.next_offset
 
+    def _take_counts(self, gossip: Gossip, now: float) -> None:
+        """Take that the store has answered some VM, after the rows that it told."""
+        if gossip.store_count > self._store_count:
+            self._store_count = gossip.store_count
+            self.store_answered_at = now
+            self._on_store_answer()
+        if gossip.settled_count > self._settled_count:
+            self._settled_count = gossip.settled_count
+            self._on_settled()
+
     def _compare(self, neighbour: Neighbour, digest: int, now: float) -> None:
         if digest != self._membership.digest:
             if neighbour.differs_since is None:
@@ -228,6 +235,7 @@
         """
         self._store_count += 1
         self.store_answered_at = now
+        self._on_store_answer()
         if settled:
             self._settled_count += 1
             self._on_settled()
--- a/bamboovale/fleet/messages.py
+++ b/bamboovale/fleet/messages.py
@@ -69,8 +69,8 @@
 
     ``digest`` sums up the sender's view of who lives. ``store_count`` rises when any VM
     has had an answer of the store, as far as the sender knows, ``settled_count`` when
-    the store was settled for that VM besides. ``rows`` are the
-    records of the endpoints' topic that changed something between ``first_offset`` and
+    the store was settled for that VM besides. ``rows`` are the records of the
+    endpoints' topic that changed something between ``first_offset`` and
     ``next_offset``. ``watches`` asks the receiver for signs of life for a while,
     ``wants_all`` once for everything it knows of the fleet.
     """
--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -35,8 +35,8 @@
         self._record_by_id: dict[str, EndpointRecord] = {}
         self._id_by_registration: dict[str, str] = {}
         self._lapsed: set[str] = set()
-        store.listen(self.drop_lapsed)
         self._listeners: list[Callable[[EndpointChange], None]] = []
+        store.listen(self.drop_lapsed)
 
     def listen(self, listener: Callable[[EndpointChange], None]) -> None:
         """Call the listener with each change."""
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -99,6 +99,7 @@
             random.Random(),
             state.now(),
             on_suspect=crashes.on_notice,
+            on_store_answer=state.store_watch.on_answer,
             on_settled=state.store_watch.on_settled,
             cut_link=links.cut,
         )
--- a/bamboovale/gateway/store_contact.py
+++ b/bamboovale/gateway/store_contact.py
@@ -23,7 +23,7 @@
     StoreError,
 )
 
-Result = TypeVar("Result")
+Answer = TypeVar("Answer")
 
 FIRST_SERVER_ERROR = 500
 
@@ -78,16 +78,16 @@
         """Return the members of a group that hold a partition."""
         return await self._noted(self._store.members(group))
 
-    async def _noted(self, call: Coroutine[Any, Any, Result]) -> Result:
+    async def _noted(self, call: Coroutine[Any, Any, Answer]) -> Answer:
         """Make a call and take what its outcome says of the reads that wait."""
         try:
-            result = await call
+            answer = await call
         except StoreError as error:
             if error.status is None or error.status >= FIRST_SERVER_ERROR:
                 self._failed_at = self._now()
             raise
         self._give_up_lost()
-        return result
+        return answer
 
     def _give_up_lost(self) -> None:
         for read, began_at in self._began_at_by_read.items():
