Soak: do not count the time asleep of a stop; send requests that differ

The signal waits for the end of a pause, so the bound of 6.5 s counts the time awake. Without a pause, with one of another VM or with a shorter one it fails as before.

All callers of the soak sent the same body to the same path; two engines that ended under such a stream made it a request that comes again. Each request now has its own body; draws are as they were.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -135,7 +135,8 @@
         ("X-Request-Id", request_id),
         ("X-Deadline-Ms", str(int(PATIENCE_S * 1000))),
     ]
-    body = b"" if kind is Kind.CHECK else b"hello"
+    # Each its own: requests that are all the same count as one that comes again.
+    body = b"" if kind is Kind.CHECK else f"hello {request_id}".encode()
     if body:
         headers.append(("Content-Length", str(len(body))))
     if adapter is not None:
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -19,6 +19,8 @@
 """From the store's acknowledgement that an endpoint leaves to the last request that
 begins there, as settings say; only while nothing disturbs the store or a VM."""
 STOP_SLACK_S = 0.5
+PAUSED = "paused"
+"""Name of the fault that stops a VM's process for a while by a signal."""
 EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
 
 
@@ -165,6 +167,24 @@
                 yield Violation("nothing new to what leaves", endpoint, detail)
 
 
+def _awake_s(life: Life, faults: Iterable[FaultSpan]) -> float:
+    """Return how long a planned stop took, without the time the VM was paused.
+
+    A paused process takes no signal before it goes on.
+    """
+    assert life.stopped_at is not None
+    assert life.ended_at is not None
+    asleep_s = 0.0
+    awake_from = life.stopped_at
+    for fault in sorted(faults, key=lambda fault: fault.began_at):
+        if fault.name != PAUSED or fault.subject != life.vm:
+            continue
+        asleep_from = max(fault.began_at, awake_from)
+        awake_from = max(awake_from, min(fault.ended_at, life.ended_at))
+        asleep_s += max(0.0, awake_from - asleep_from)
+    return life.ended_at - life.stopped_at - asleep_s
+
+
 def _planned_stops(evidence: Evidence) -> Iterator[Violation]:
     for life in evidence.lives:
         if life.ended_at is None or life.killed_at is not None:
@@ -175,7 +195,7 @@
             continue  # stopped before it could take a request or a signal
         elif life.exit_code != 0:
             yield Violation("planned stop", life.vm, f"exit code {life.exit_code}")
-        elif life.ended_at - life.stopped_at > GRACE_S + STOP_SLACK_S:
+        elif _awake_s(life, evidence.faults) > GRACE_S + STOP_SLACK_S:
             yield Violation("planned stop", life.vm, "longer than the grace time")
         else:
             yield from _cut_by_stop(life, evidence)
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -10,7 +10,7 @@
 from bamboovale.standins.platform_endpoints import EndpointFaults
 from bamboovale.standins.platform_store import StoreFaults
 from bench.soak_callers import ADAPTERS
-from bench.soak_checks import FaultSpan
+from bench.soak_checks import PAUSED, FaultSpan
 from bench.soak_proxy import LinkFaults, Proxy
 from bench.soak_site import SoakSite, VMProcess
 
@@ -136,7 +136,7 @@
 
     async def _pause(self) -> None:
         vm = self._vm()
-        async with self._span("paused", vm.name):
+        async with self._span(PAUSED, vm.name):
             vm.signal(signal.SIGSTOP)
             await self._last()
             vm.signal(signal.SIGCONT)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -101,6 +101,18 @@
         slow = replace(STOPPED, ended_at=STOPPED.stopped_at + GRACE_S + 1.0)
         assert promises(CALL, lives=(slow,)) == ["planned stop"]
 
+    def test_a_stop_that_waits_for_the_end_of_a_pause_is_no_fault(self) -> None:
+        signalled_at = STOPPED.stopped_at
+        late = replace(STOPPED, ended_at=signalled_at + GRACE_S + 2.0)
+        paused = FaultSpan("paused", "vm", signalled_at - 1.0, signalled_at + 3.0)
+        assert promises(CALL, lives=(late,), faults=(paused,)) == []
+        other = replace(paused, subject="another")
+        assert promises(CALL, lives=(late,), faults=(other,)) == ["planned stop"]
+        short = replace(paused, ended_at=signalled_at + 1.0)
+        assert promises(CALL, lives=(late,), faults=(short,)) == ["planned stop"]
+        twice = (short, replace(short, began_at=signalled_at - 0.5))
+        assert promises(CALL, lives=(late,), faults=twice) == ["planned stop"]
+
     def test_an_answer_cut_by_a_planned_stop(self) -> None:
         cut = replace(STREAM, whole=False, body=EVENTS[:20])
         assert promises(cut, lives=(STOPPED,)) == ["planned stop"]
