--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -847,6 +847,43 @@
         run(test())
 
 
+class TestPlacesOfAVMThatRestarts:
+    """Places at an engine that were granted to a VM's process before this one."""
+
+    def test_places_are_freed_although_its_vm_is_back_before_it_is_missed(self) -> None:
+        """Guards against places, and slots, that stay taken for a process long dead."""
+
+        async def test() -> None:
+            async with running_site(vms=2) as site:
+                await call(site.vms[0].address, "/chat/1", adapter="a1")
+                owner = site.owned()["runner-0"]
+                other = next(item for item in site.vms if item is not owner)
+                await eventually(lambda: _active(owner) == 0)
+                site.runners[0].faults.hang = True
+                lost = asyncio.create_task(call(other.address, "/chat/1", adapter="a1"))
+                await eventually(lambda: _active(owner) == 1)
+                _says_nothing_more(other)
+                other.task.cancel()
+                await other.vm.close()
+                site.vms.remove(other)
+                site.runners[0].faults.hang = False
+                await site.add_vm(other.node.name)
+                await eventually(lambda: _active(owner) == 0, timeout_s=5.0)
+                lost.cancel()
+
+        run(test())
+
+
+def _says_nothing_more(vm: RunningVM) -> None:
+    """Let a VM end as if killed: no word to its peers leaves it."""
+    vm.vm.links.notify = lambda *message: None  # type: ignore[method-assign]
+    vm.vm.links.notify_all = lambda *message: None  # type: ignore[method-assign]
+
+
+def _active(owner: RunningVM) -> int:
+    return sum(status.active for status in owner.vm.dump()["owned_engines"])
+
+
 class TestIsolation:
     """A VM that is cut off from its peers but not from the store."""
 
