Free the places of a VM that restarts before it is missed

Callers saw refusals at an engine that stood idle: the owner counted runs of a process that had ended, as places were freed only when their VM fell silent. A VM that is back within a second never does.

Place requests and notices of runs in flight now carry the start of the sender's membership record. When a live VM's start changes, owners free the places of its earlier processes and keep those of the new one.

--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -187,15 +187,23 @@
                     slot.aborted_at[place.request.request_id] = now
         return self.decide(now)
 
-    def on_entry_gone(self, entry_vm: str, now: float) -> list[Action]:
-        """Free the places and drop the queued requests of a dead entry VM."""
-        self._queue = [
-            request for request in self._queue if request.entry_vm != entry_vm
-        ]
+    def on_entry_gone(
+        self, entry_vm: str, now: float, *, before_start: int | None = None
+    ) -> list[Action]:
+        """Free the places and drop the queued requests of a dead entry VM.
+
+        With ``before_start``, only those of its processes before that start.
+        """
+
+        def is_gone(request: QueuedRequest) -> bool:
+            ended = before_start is None or request.entry_start < before_start
+            return request.entry_vm == entry_vm and ended
+
+        self._queue = [request for request in self._queue if not is_gone(request)]
         gone = [
             ask_id
             for ask_id, place in self._place_by_id.items()
-            if place.request.entry_vm == entry_vm
+            if is_gone(place.request)
         ]
         actions: list[Action] = []
         for ask_id in gone:
--- a/bamboovale/decisions/place_work.py
+++ b/bamboovale/decisions/place_work.py
@@ -13,7 +13,8 @@
     ``rank`` orders by urgency, 0 first. ``goal_at`` is the time by which the first
     event should come, ``latest_start`` the time after which a start is useless to the
     caller. ``adapter`` is None for the base model. ``pause_s`` is the longest allowed
-    pause between the events of its answer.
+    pause between the events of its answer. ``entry_start`` tells the processes of an
+    entry VM apart; it rises with each start.
     """
 
     ask_id: str
@@ -27,6 +28,7 @@
     goal_at: float
     latest_start: float
     pause_s: float | None = None
+    entry_start: int = 0
 
     @property
     def key(self) -> AdapterKey | None:
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -108,6 +108,7 @@
             goal_at=now + request.goal_within_s,
             latest_start=now + request.starts_within_s,
             pause_s=request.pause_s,
+            entry_start=request.start,
         )
         if not self.reachable:
             reply(PlaceReply(queued.ask_id, reason="engine is lost", not_owner=True))
@@ -154,6 +155,7 @@
             goal_at=now,
             latest_start=now,
             pause_s=held.pause_s,
+            entry_start=held.start,
         )
         self.places.adopt_place(running, held.version, now)
 
@@ -172,9 +174,12 @@
             if aborted:
                 self._poll_by(now + 2 * RUN_REPORT_LAG_S)
 
-    def on_entry_gone(self, entry_vm: str) -> None:
-        """Free the places of an entry VM that is gone."""
-        self._carry_out(self.places.on_entry_gone(entry_vm, self._context.now()))
+    def on_entry_gone(self, entry_vm: str, before_start: int | None = None) -> None:
+        """Free the places of an entry VM, or of its processes before a start."""
+        actions = self.places.on_entry_gone(
+            entry_vm, self._context.now(), before_start=before_start
+        )
+        self._carry_out(actions)
 
     def note_version(self, model: str, adapter: str, version: int) -> None:
         """Set the newest version of an adapter."""
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -174,6 +174,7 @@
             prompt_tokens=request.prompt_tokens,
             output_tokens=request.output_tokens,
             pause_s=request.pause_s,
+            start=request.start,
         )
         self._owner_by_held[place.ask_id] = place.owner
 
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -8,7 +8,11 @@
 @message("place_ask")
 @dataclass(frozen=True)
 class PlaceRequest:
-    """Request for a place, to an engine's owner; times are durations in seconds."""
+    """Request for a place, to an engine's owner; times are durations in seconds.
+
+    ``start`` is that of the sender's membership record, which tells its processes
+    apart.
+    """
 
     engine_id: str
     ask_id: str
@@ -21,6 +25,7 @@
     goal_within_s: float
     starts_within_s: float
     pause_s: float | None = None
+    start: int = 0
 
 
 @message("place_reply")
@@ -82,6 +87,7 @@
     prompt_tokens: int
     output_tokens: int
     pause_s: float | None = None
+    start: int = 0
 
 
 @message("place_started")
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Mapping, Set
 from concurrent.futures import Future
 from typing import Any, get_args
 
@@ -90,7 +91,7 @@
         self._seen_version = -1
         self._fences_announced_at = -FENCE_ANNOUNCE_INTERVAL_S
         self._lag_monitor = TimerLagMonitor()
-        self._live: set[str] = set()
+        self._start_by_live: dict[str, int] = {}
         self.status_exchange = EngineStatusExchange(state, engines, links)
         self.gossip = GossipProtocol(
             state.fleet.membership,
@@ -210,10 +211,14 @@
         if self._state.fleet.version == self._seen_version:
             return
         self._seen_version = self._state.fleet.version
-        before = self._live
-        self._live = live = {member.vm_id for member in self._state.fleet.live()}
+        before_starts = self._start_by_live
+        self._start_by_live = {
+            member.vm_id: member.start for member in self._state.fleet.live()
+        }
         self._engines.notify_new_owners()
         self.status_exchange.subscribe_to_owners()
+        self._free_places_of_ended_processes(before_starts)
+        live, before = self._start_by_live.keys(), before_starts.keys()
         if live == before:
             return
         self._state.journal.write(
@@ -226,12 +231,22 @@
                 for vm_id in _first_ids(before - live)
             },
         )
-        for vm_id in before - live:
-            for owner in list(self._engines.owner_by_engine.values()):
-                owner.on_entry_gone(vm_id)
         for share in self._state.share_by_service.values():
             share.fleet_size = len(live) + 1
 
+    def _free_places_of_ended_processes(self, before: Mapping[str, int]) -> None:
+        """Free the places of VMs that are gone, or have restarted without being missed.
+
+        ``before`` holds the start of each VM that was live.
+        """
+        owners = list(self._engines.owner_by_engine.values())
+        for vm_id, start_before in before.items():
+            start = self._start_by_live.get(vm_id)
+            if start == start_before:
+                continue
+            for owner in owners:
+                owner.on_entry_gone(vm_id, before_start=start)
+
     def _fetch_newer_table(self) -> None:
         """Request the configuration from a peer that has a newer one.
 
@@ -291,7 +306,7 @@
                 _notify_owner(owner, sender, message)
 
 
-def _first_ids(vm_ids: set[str]) -> list[str]:
+def _first_ids(vm_ids: Set[str]) -> list[str]:
     """Return the first ids in order, for a log line."""
     return sorted(vm_ids)[:MAX_IDS_IN_LOG]
 
--- a/bamboovale/gateway/place_search.py
+++ b/bamboovale/gateway/place_search.py
@@ -194,6 +194,7 @@
             goal_within_s=call.goal_at - now,
             starts_within_s=self._starts_within_s(call, progress, now),
             pause_s=call.route.gap_s,
+            start=self._engines.fleet.membership.own.start,
         )
         self._engines.note_sent(candidate, request)
         owner = self._engines.owner_name(engine_id)
