--- /dev/null
+++ b/bamboovale/decisions/quota_meter.py
@@ -0,0 +1,276 @@
+"""What one entry VM may admit of each customer's quota, without asking first.
+
+A VM spends from a local allowance, a share of the customer's account (see
+``quota_account``), and reports what it admitted. A request is admitted while the
+allowance is not used up, whatever it costs, so that a request worth more than the VM's
+share is not refused for ever; the next reply accounts for the difference.
+"""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+DEMAND_MEMORY_S = 2.0
+"""Time constant of the mean demand."""
+REPORT_INTERVAL_S = 0.5
+EARLY_REPORT_INTERVAL_S = 0.2
+"""Interval of reports while an allowance is nearly used up."""
+URGENT_REPORT_INTERVAL_S = 0.05
+"""The same once it is used up although the account has more."""
+REPLY_TIMEOUT_S = 0.5
+"""Time after which a report without a reply is repeated."""
+CUSHION_SHARE = 0.125
+"""Share of what is left that one VM may overdraw until the reply to its report: a
+large request must not cause the refusal of those after it far below the limit."""
+ALLOWED_SHARE = 0.5
+"""Share of what is left in the account that the VMs may spend before they report:
+replies to other VMs are based on the same sum."""
+LEASE_S = 1.5
+"""Time for which a share of the rate holds without a new reply."""
+HOLD_S = 4.0
+"""Time for which a VM without replies goes on at its last demand, if that was far below
+the limit: longer than another VM needs to take over the account."""
+CALM_LEVEL = 0.5
+"""Part of a full account from which the demand counts as far below the limit."""
+DEMAND_GROWTH = 1.2
+"""Growth of the demand that a VM without replies follows."""
+ALONE_SHARE = 0.05
+"""Share of the rate for all VMs that have lost their account, so that two halves of a
+partitioned fleet stay near the limit."""
+STARTING_SHARE = 0.5
+"""The same for VMs that have just started and know no account yet."""
+STARTING_S = 6.0
+FIRST_ALLOWANCE = 1e-6
+"""Just enough to admit the first request of a customer."""
+MIN_RETRY_S = 0.25
+MAX_RETRY_S = 10.0
+
+
+class Limit(Protocol):
+    """The limit of a customer, in the unit of its costs."""
+
+    @property
+    def rate_per_s(self) -> float:
+        """Return the sustained rate."""
+
+    @property
+    def burst(self) -> float:
+        """Return the size of the bucket."""
+
+
+@dataclass(frozen=True)
+class QuotaReport:
+    """What a VM admitted of a customer since it started, repeated reports included.
+
+    ``granted_for`` is the part of ``used`` that the last reply had taken into account,
+    ``covered`` what the VM's share of the rate has allowed since: a new account charges
+    only what goes beyond it.
+    """
+
+    customer: str
+    start: int
+    used: float
+    granted_for: float
+    covered: float
+    demand_per_s: float
+
+
+@dataclass(frozen=True)
+class QuotaGrant:
+    """Reply to a report: what is left for the fleet and this VM's share of it.
+
+    ``used`` repeats that of the report.
+    """
+
+    customer: str
+    level: float
+    weight: float
+    used: float
+
+
+@dataclass
+class _Meter:
+    """Counts and allowance of one customer; times are of the VM's clock."""
+
+    limit: Limit
+    updated_at: float
+    allowance: float = FIRST_ALLOWANCE
+    granted: float = 0.0
+    granted_level: float = 0.0
+    granted_at: float = -math.inf
+    weight: float | None = None
+    granted_demand_per_s: float = 0.0
+    used: float = 0.0
+    granted_for: float = 0.0
+    demand_per_s: float = 0.0
+    reported_at: float = -math.inf
+    awaits_reply: bool = False
+    has_news: bool = False
+
+
+class QuotaMeter:
+    """The allowances of one VM by customer; no sockets, no clock.
+
+    ``start`` tells the starts of this VM apart. ``fleet_size`` is the number of VMs
+    that may share a quota without an account.
+    """
+
+    def __init__(self, start: int, now: float) -> None:
+        self.fleet_size = 1
+        self.start = start
+        self._started_at = now
+        self._limit_by_customer: Mapping[str, Limit] = {}
+        self._meter_by_customer: dict[str, _Meter] = {}
+
+    def set_limits(self, limit_by_customer: Mapping[str, Limit], now: float) -> None:
+        """Apply a configuration; customers without a limit are not listed."""
+        self._limit_by_customer = limit_by_customer
+        for customer, meter in list(self._meter_by_customer.items()):
+            limit = limit_by_customer.get(customer)
+            if limit is None:
+                del self._meter_by_customer[customer]
+                continue
+            self._refill(meter, now)
+            meter.limit = limit
+            meter.allowance = min(meter.allowance, self._most(meter))
+
+    def take(self, customer: str, cost: float, now: float) -> float | None:
+        """Admit a request; else return the seconds after which to try again."""
+        limit = self._limit_by_customer.get(customer)
+        if limit is None:
+            return None
+        meter = self._meter_by_customer.get(customer)
+        if meter is None:
+            meter = self._meter_by_customer[customer] = _Meter(limit, now)
+        self._refill(meter, now)
+        meter.demand_per_s += cost / DEMAND_MEMORY_S
+        meter.has_news = True
+        if meter.allowance <= -self._cushion(meter, now):
+            wait_s = -meter.allowance / max(self._rate_per_s(meter, now), 1e-9)
+            return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+        meter.allowance -= cost
+        meter.used += cost
+        return None
+
+    def give_back(self, customer: str, cost: float, now: float) -> None:
+        """Return the cost of an admitted request that did not run."""
+        meter = self._meter_by_customer.get(customer)
+        if meter is not None:
+            meter.allowance += cost
+            meter.used -= cost
+            meter.has_news = True
+
+    def due_reports(self, now: float) -> list[QuotaReport]:
+        """Return the reports to send now, and mark them as sent."""
+        due = []
+        for customer, meter in self._meter_by_customer.items():
+            if not self._is_due(meter, now):
+                continue
+            self._refill(meter, now)
+            meter.reported_at = now
+            meter.awaits_reply = True
+            meter.has_news = False
+            due.append(
+                QuotaReport(
+                    customer,
+                    self.start,
+                    meter.used,
+                    meter.granted_for,
+                    self._covered(meter, now),
+                    meter.demand_per_s,
+                )
+            )
+        return due
+
+    def wants_report(self, customer: str, now: float) -> bool:
+        """Return whether a report of this customer is due before the next interval."""
+        meter = self._meter_by_customer.get(customer)
+        return meter is not None and self._is_due(meter, now)
+
+    def on_grant(self, grant: QuotaGrant, now: float) -> None:
+        """Apply the reply to a report."""
+        meter = self._meter_by_customer.get(grant.customer)
+        if meter is None:
+            return
+        self._refill(meter, now)
+        meter.awaits_reply = False
+        meter.weight = grant.weight
+        meter.granted_at = now
+        meter.granted_level = grant.level
+        meter.granted_for = grant.used
+        meter.granted_demand_per_s = meter.demand_per_s
+        allowed = grant.weight * grant.level
+        if grant.level > 0.0:
+            allowed = max(FIRST_ALLOWANCE, ALLOWED_SHARE * allowed)
+        meter.allowance = allowed - (meter.used - grant.used)
+        meter.allowance = min(meter.allowance, self._most(meter))
+        meter.granted = max(0.0, meter.allowance)
+
+    def shares(self, now: float) -> dict[str, dict[str, float | None]]:
+        """Return by customer what the state dump shows."""
+        return {
+            customer: {
+                "allowance": round(meter.allowance, 1),
+                "share": meter.weight,
+                "used": round(meter.used, 1),
+                "demand_per_s": round(meter.demand_per_s, 1),
+                "granted_s_ago": (
+                    round(now - meter.granted_at, 2)
+                    if math.isfinite(meter.granted_at)
+                    else None
+                ),
+            }
+            for customer, meter in self._meter_by_customer.items()
+        }
+
+    def _is_due(self, meter: _Meter, now: float) -> bool:
+        since_s = now - meter.reported_at
+        if meter.awaits_reply:
+            return since_s >= REPLY_TIMEOUT_S
+        if not meter.has_news:
+            return False
+        if meter.allowance <= 0.0 and meter.granted_level > 0.0:
+            return since_s >= URGENT_REPORT_INTERVAL_S
+        is_low = meter.allowance < meter.granted / 2 or meter.allowance <= 0.0
+        return since_s >= (EARLY_REPORT_INTERVAL_S if is_low else REPORT_INTERVAL_S)
+
+    def _cushion(self, meter: _Meter, now: float) -> float:
+        """Return how far the allowance may be overdrawn."""
+        if now - meter.granted_at > LEASE_S:
+            return 0.0
+        return CUSHION_SHARE * max(0.0, meter.granted_level)
+
+    def _covered(self, meter: _Meter, now: float) -> float:
+        """Return what this VM's share of the rate has allowed since the last reply."""
+        if meter.weight is None:
+            return 0.0
+        since_s = min(HOLD_S, now - meter.granted_at)
+        return meter.limit.rate_per_s * meter.weight * since_s
+
+    def _refill(self, meter: _Meter, now: float) -> None:
+        elapsed_s = max(0.0, now - meter.updated_at)
+        added = self._rate_per_s(meter, now) * elapsed_s
+        most = max(meter.allowance, self._most(meter))
+        meter.allowance = min(most, meter.allowance + added)
+        meter.demand_per_s *= math.exp(-elapsed_s / DEMAND_MEMORY_S)
+        meter.updated_at = now
+
+    def _most(self, meter: _Meter) -> float:
+        """Return the largest allowance of a customer here."""
+        return max(FIRST_ALLOWANCE, (meter.weight or 0.0) * meter.limit.burst)
+
+    def _rate_per_s(self, meter: _Meter, now: float) -> float:
+        """Return the rate at which the allowance grows."""
+        rate_per_s = meter.limit.rate_per_s
+        granted_s_ago = now - meter.granted_at
+        if meter.weight is not None and granted_s_ago <= HOLD_S:
+            granted_per_s = rate_per_s * meter.weight
+            if granted_s_ago <= LEASE_S:
+                return granted_per_s
+            if meter.granted_level >= CALM_LEVEL * meter.limit.burst:
+                held_per_s = DEMAND_GROWTH * meter.granted_demand_per_s
+                return min(granted_per_s, held_per_s)
+        is_starting = meter.weight is None and now - self._started_at <= STARTING_S
+        share = STARTING_SHARE if is_starting else ALONE_SHARE
+        return rate_per_s * share / max(1, self.fleet_size)
--- a/bamboovale/fleet/gossip.py
+++ b/bamboovale/fleet/gossip.py
@@ -25,6 +25,7 @@
 from bamboovale.fleet.neighbours import NEVER, SLACK_S, Neighbour, Neighbours
 from bamboovale.fleet.rings import FULL_MESH_MAX_VMS
 from bamboovale.fleet.topic_changes import TopicChanges
+from bamboovale.fleet.view_proofs import NO_PROOF, ViewProofs
 
 MIN_SEND_INTERVAL_S = 0.1
 """Minimum time between messages to one neighbour: bounds the cost of a burst of changes
@@ -97,6 +98,7 @@
         on_store_answer: Callable[[], None] = lambda: None,
         on_settled: Callable[[], None] = lambda: None,
         abort_link: Callable[[str], None] = lambda vm_id: None,
+        proofs: ViewProofs | None = None,
     ) -> None:
         self.config_version = -1
         self.store_answered_at = NEVER
@@ -113,6 +115,7 @@
         self._probe_at = now + PROBE_INTERVAL_S
         self._pull_back_off = _PullBackOff()
         self._suspects: dict[SuspectRequest, None] = {}
+        self._proofs = proofs
 
     def _new_neighbour(self, now: float) -> Neighbour:
         offset = self._endpoints.changes.next_offset or 0
@@ -176,6 +179,7 @@
         for suspect in gossip.suspects:
             if self.note_suspect(suspect):
                 self._on_suspect(suspect)
+        self._apply_proof(sender, gossip)
         self._apply_rows(neighbour, gossip, now)
         self._apply_counts(gossip, now)
         if gossip.wants_all:
@@ -191,6 +195,14 @@
         if now - neighbour.sent_at > self.neighbours.interval_s() / 2:
             neighbour.sent_at = NEVER
 
+    def _apply_proof(self, sender: str, gossip: Gossip) -> None:
+        """Apply a proof of a view that is not newer than ours."""
+        if self._proofs is None:
+            return
+        self._proofs.on_stamp(sender, gossip.stamp)
+        if gossip.config_version <= self.config_version:
+            self._proofs.on_echoes(sender, gossip.echoes, gossip.view_age_ms)
+
     def _apply_rows(self, neighbour: Neighbour, gossip: Gossip, now: float) -> None:
         if gossip.next_offset < 0:
             return
@@ -260,6 +272,8 @@
     def due(self, now: float) -> list[tuple[list[str], Gossip]]:
         """Return the messages to send now, each with its receivers."""
         self.neighbours.check(now)
+        if self._proofs is not None:
+            self._proofs.retain(self.neighbours.by_id)
         targets_by_state: dict[_State, list[str]] = {}
         pull_target = self._pull_target(now)
         for vm_id, neighbour in self.neighbours.by_id.items():
@@ -308,6 +322,7 @@
             neighbour.sent_at = now
             neighbour.rows_sent_at = now if rows else neighbour.rows_sent_at
             neighbour.introduced = True
+        proofs = self._proofs if self._proofs and self._proofs.is_needed else None
         return Gossip(
             digest=self._membership.digest,
             store_count=self._store_count,
@@ -321,6 +336,9 @@
             unheard=tuple(item for item in items if isinstance(item, Suspicion)),
             suspects=tuple(item for item in items if isinstance(item, SuspectRequest)),
             rows=tuple(rows),
+            stamp=proofs.new_stamp() if proofs else 0,
+            echoes=proofs.echoes(targets) if proofs else (),
+            view_age_ms=proofs.age_ms() if proofs else NO_PROOF,
         )
 
     def _is_behind(self, neighbour: Neighbour) -> bool:
--- a/bamboovale/fleet/messages.py
+++ b/bamboovale/fleet/messages.py
@@ -13,7 +13,8 @@
     ``start`` orders the starts under one id, ``revision`` the records within a start.
     ``refuted`` counts the suspicions of this start that the VM has refuted. ``owned``
     are the engines it owns, each with the fencing number of its orders. ``cores`` is
-    its share of processor time, ``busy`` whether this is used up.
+    its share of processor time, ``busy`` whether this is used up. ``partitions`` are
+    those it holds in the store, each with the generation of the owners' group.
     """
 
     vm_id: str
@@ -29,6 +30,7 @@
     owned: tuple[tuple[str, int], ...] = ()
     cores: float = 1.0
     busy: bool = False
+    partitions: tuple[tuple[int, int], ...] = ()
 
     def replaces(self, other: "Member") -> bool:
         """Return whether this record of the same VM is newer."""
@@ -73,7 +75,8 @@
     ``settled_count`` when that VM also considers the store settled. ``rows`` are the
     records of the endpoints' topic that changed state between ``first_offset`` and
     ``next_offset``. ``watches`` requests heartbeats from the receiver for a while,
-    ``wants_all`` a full copy of its view of the fleet.
+    ``wants_all`` a full copy of its view of the fleet. ``stamp``, ``echoes`` and
+    ``view_age_ms`` prove how fresh the sender's configuration is (see ``ViewProofs``).
     """
 
     digest: int
@@ -88,3 +91,6 @@
     suspects: tuple[SuspectRequest, ...] = ()
     rows: tuple[TopicRow, ...] = ()
     settled_count: int = 0
+    stamp: int = 0
+    echoes: tuple[tuple[int, int], ...] = ()
+    view_age_ms: int = -1
--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from bamboovale.gateway.customers import Customer
 from bamboovale.gateway.model import AnswerFacts, CallFacts, Route
 from bamboovale.http1.connection import Headers, ResponseHead
 from bamboovale.http1.server import Request, Responder
@@ -16,6 +17,9 @@
     def decode_call(self, request: Request) -> CallFacts:
         """Read a caller's headers; raises BadRequest."""
 
+    def name_customer(self, facts: CallFacts, customer: str | None) -> CallFacts:
+        """Return the facts without the caller's key and with its customer's name."""
+
     def encode_call(
         self,
         request: Request,
@@ -36,8 +40,13 @@
         self,
         retry_after_s: float | None,
         request_id: str | None,
+        *,
+        needs_key: bool = False,
     ) -> Headers:
-        """Return the headers of an answer that the entry VM itself gives."""
+        """Return the headers of an answer that the entry VM itself gives.
+
+        ``needs_key`` asks the caller for a valid key.
+        """
 
 
 class CallRefused(Exception):  # noqa: N818 - reads as what happened
@@ -48,6 +57,14 @@
         self.retry_after_s = retry_after_s
 
 
+class KeyRejected(Exception):  # noqa: N818 - reads as what happened
+    """The route needs a key, and the caller has none that is known. It did not run."""
+
+
+class QuotaExceeded(CallRefused):
+    """The customer is over its quota; the request did not run."""
+
+
 class CallFailed(Exception):  # noqa: N818 - reads as what happened
     """The request may have run; its answer is lost."""
 
@@ -66,9 +83,17 @@
     service: str
     responder: Responder
     deadline: float
+    customer: Customer | None = None
     notes: dict[str, Any] = field(default_factory=dict)
     attempts: int = 0
 
+    @property
+    def priority(self) -> int:
+        """Return the customer's priority, else the route's; 0 is the most urgent."""
+        if self.customer is None or self.customer.priority is None:
+            return self.route.priority
+        return self.customer.priority
+
     @property
     def goal_at(self) -> float:
         """Return the time until which an answer has its full value."""
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -142,6 +142,16 @@
         """Return host and port at which a VM accepts peer links."""
         return self.membership.address_of(vm_id)
 
+    def partition_holder(self, number: int) -> str | None:
+        """Return the live VM that holds a partition, by the newest generation."""
+        holders = [
+            (generation, member.vm_id)
+            for member in self.live()
+            for partition, generation in member.partitions
+            if partition == number
+        ]
+        return max(holders)[1] if holders else None
+
     # Owners of engines.
 
     def engine(self, engine_id: str) -> OwnedEngine | None:
--- a/bamboovale/gateway/followers.py
+++ b/bamboovale/gateway/followers.py
@@ -7,6 +7,7 @@
 from bamboovale.fleet.messages import TopicRow
 from bamboovale.fleet.topic_changes import TopicChanges
 from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.ownership import lease_clock
 from bamboovale.gateway.store import (
     HistoryLostError,
     KeyedRecord,
@@ -26,6 +27,10 @@
 """Applies a record; returns False if it changed nothing that other VMs need."""
 
 
+class _ReadRestarted(Exception):  # noqa: N818 - reads as what happened
+    """The open read was cancelled in favour of a new one."""
+
+
 class TopicFollower:
     """Reads one keyed topic forever and passes each change on.
 
@@ -34,6 +39,8 @@
     topic that changes constantly. ``changes`` are kept for VMs that do not read;
     ``on_changed`` is called when there are new ones. ``may_read`` takes the seconds
     since the last progress. ``reachable`` is whether this VM's last read was answered.
+    ``on_proof`` is called with the latest moment, by ``lease_clock``, at which nothing
+    newer than what was read existed.
     """
 
     def __init__(
@@ -43,13 +50,14 @@
         journal: Journal,
         *,
         on_record: OnRecord,
-        wait_s: float,
+        wait_s: Callable[[], float],
         pause_s: Callable[[], float],
         retry_s: Callable[[], float] = lambda: RETRY_S,
         known_keys: Callable[[], set[str]] = set,
         on_changed: Callable[[], None] = lambda: None,
         on_answer: Callable[[], None] = lambda: None,
         on_failure: Callable[[], None] = lambda: None,
+        on_proof: Callable[[float], None] = lambda proven_at: None,
         may_read: Callable[[float], bool] = lambda progress_age_s: True,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -66,6 +74,7 @@
         self._on_changed = on_changed
         self._on_answer = on_answer
         self._on_failure = on_failure
+        self._on_proof = on_proof
         self._may_read = may_read
         self._now = now
         self._needs_snapshot = True
@@ -73,6 +82,8 @@
         self._reading = False
         self._read_started_at: float | None = None
         self._answered_at: float | None = None
+        self._open_poll: asyncio.Timeout | None = None
+        self._open_poll_s = 0.0
 
     async def follow(self) -> None:
         """Read forever; failures are retried, the first of a series is logged."""
@@ -82,6 +93,8 @@
                 continue
             try:
                 await self._step()
+            except _ReadRestarted:
+                continue
             except HistoryLostError:
                 at = self.changes.next_offset
                 self._journal.write("history_lost", topic=self.topic, at=at)
@@ -114,14 +127,21 @@
     async def _step(self) -> None:
         self._read_started_at = self._now()
         self._reading = True
+        sent_at = lease_clock()
         try:
-            await (self._read_all() if self._needs_snapshot else self._read_next())
+            waited_s = await (
+                self._read_all() if self._needs_snapshot else self._read_next()
+            )
         finally:
             self._reading = False
         self._progress_at = self._now()
+        self._on_proof(sent_at + waited_s)
+
+    async def _read_all(self) -> float:
+        """Read the newest record of each key; known keys that are missing are gone.
 
-    async def _read_all(self) -> None:
-        """Read the newest record of each key; known keys that are missing are gone."""
+        Returns 0: the records are at least as new as when the read was sent.
+        """
         snapshot = await self._store.newest(self.topic)
         present = {record.key for record in snapshot.records}
         last = max(0, snapshot.end - 1)
@@ -130,11 +150,37 @@
         by_offset = sorted(snapshot.records, key=lambda record: record.offset)
         self._apply((*by_offset, *gone), snapshot.end)
         self._needs_snapshot = False
+        return 0.0
 
-    async def _read_next(self) -> None:
+    async def _read_next(self) -> float:
+        """Read the next records; return for how long there were certainly none."""
         first = self.changes.next_offset or 0
-        records, following = await self._store.read(self.topic, first, self._wait_s)
+        wait_s = self._wait_s()
+        sent_at = lease_clock()
+        records, following = await self._read_until_restarted(first, wait_s)
         self._apply(records, following)
+        # An answer without records that came early does not tell when it was given.
+        return wait_s if not records and lease_clock() - sent_at >= wait_s else 0.0
+
+    async def _read_until_restarted(
+        self, first: int, wait_s: float
+    ) -> tuple[tuple[KeyedRecord, ...], int]:
+        try:
+            async with asyncio.timeout(None) as self._open_poll:
+                self._open_poll_s = wait_s
+                return await self._store.read(self.topic, first, wait_s)
+        except TimeoutError as error:
+            raise _ReadRestarted from error
+        finally:
+            self._open_poll = None
+
+    def restart_read(self, poll_s: float) -> None:
+        """Replace an open read that waits for longer by a new one.
+
+        An open read proves nothing until it is answered.
+        """
+        if self._open_poll is not None and self._open_poll_s > poll_s:
+            self._open_poll.reschedule(asyncio.get_running_loop().time())
 
     def _apply(self, records: Iterable[KeyedRecord], next_offset: int) -> None:
         """Pass records on, and keep those that changed something for other VMs."""
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -1,7 +1,8 @@
 """Messages between entry VMs on the routed interface."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from bamboovale.decisions.quota_meter import QuotaGrant, QuotaReport
 from bamboovale.peers.codec import message, row
 
 
@@ -168,6 +169,28 @@
     """Subscribes to an owner's engine status for the next seconds."""
 
 
+row(QuotaReport)
+row(QuotaGrant)
+
+
+@message("quota_reports")
+@dataclass(frozen=True)
+class QuotaReports:
+    """What the sender's process ``start`` admitted, to the VM with the accounts."""
+
+    start: int
+    reports: tuple[QuotaReport, ...]
+
+
+@message("quota_grants")
+@dataclass(frozen=True)
+class QuotaGrants:
+    """Replies to reports of the process ``start``."""
+
+    start: int
+    grants: tuple[QuotaGrant, ...]
+
+
 @message("table_query")
 @dataclass(frozen=True)
 class TableQuery:
@@ -179,4 +202,4 @@
 class TableAnswer:
     """A peer's configuration as the operator wrote it; None if it has none."""
 
-    source: bytes | None
+    source: bytes | None = field(repr=False)
--- a/bamboovale/gateway/model.py
+++ b/bamboovale/gateway/model.py
@@ -5,6 +5,7 @@
 from enum import Enum, auto
 from urllib.parse import urlsplit
 
+from bamboovale.gateway.customers import Customers
 from bamboovale.http1.connection import Headers
 
 
@@ -22,7 +23,8 @@
 
     ``goal_s`` is the time within which an answer has its full value. ``priority`` 0 is
     the most urgent. ``gap_s`` is the longest acceptable pause between events of a
-    stream. A stream that is ``resumable`` may be continued by another engine.
+    stream. A stream that is ``resumable`` may be continued by another engine. A
+    ``public`` route needs no key.
     """
 
     name: str
@@ -35,6 +37,7 @@
     weight_by_service: Mapping[str, float]
     max_attempts: int
     resumable: bool = False
+    public: bool = False
     gap_s: float | None = None
 
 
@@ -85,13 +88,17 @@
 
 @dataclass(frozen=True)
 class RoutingTable:
-    """One version of the whole configuration; immutable."""
+    """One version of the whole configuration; immutable.
+
+    Without ``customers`` requests need no key. ``source`` contains their keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     service_by_name: Mapping[str, Service]
     limits: CallerLimits
-    source: bytes = b""
+    source: bytes = field(default=b"", repr=False)
+    customers: Customers | None = None
     _route_by_prefix_by_host: Mapping[str, Mapping[str, Route]] = field(
         default_factory=dict,
         repr=False,
@@ -105,13 +112,14 @@
         services: tuple[Service, ...],
         limits: CallerLimits,
         source: bytes = b"",
+        customers: Customers | None = None,
     ) -> "RoutingTable":
         """Return a table whose routes are indexed by host and path prefix."""
         index: dict[str, dict[str, Route]] = {}
         for route in routes:
             index.setdefault(route.host.lower(), {})[route.path_prefix] = route
         by_name = {service.name: service for service in services}
-        return cls(version, routes, by_name, limits, source, index)
+        return cls(version, routes, by_name, limits, source, customers, index)
 
     def match(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of the path, or None."""
@@ -231,15 +239,19 @@
     """A caller's request, decoded; ``deadline_s`` is how long the caller will wait.
 
     ``forward`` are the headers to forward unchanged. ``resume_after`` is the id of the
-    last event of a stream that the caller received.
+    last event of a stream that the caller received. ``tokens`` are those of the prompt
+    and the longest answer, None if the caller gives no count. ``key`` is the caller's
+    API key, None if it has no valid one.
     """
 
     request_id: str
     host: str
     deadline_s: float | None
     work: ModelWork | None
-    forward: Headers
+    forward: Headers = field(repr=False)
     resume_after: str | None = None
+    tokens: int | None = None
+    key: bytes | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True)
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -146,7 +146,7 @@
                 registered_id=record.registered_id,
                 left_s=call.left_s(self._now()),
                 version=place.version if place else self._least_version(work),
-                urgency=min(LEAST_URGENT, MOST_URGENT + call.route.priority),
+                urgency=min(LEAST_URGENT, MOST_URGENT + max(0, call.priority)),
                 resume_after=progress.events.last_id,
             )
             attempt = await self._client.send(
--- a/bamboovale/gateway/ownership.py
+++ b/bamboovale/gateway/ownership.py
@@ -90,6 +90,10 @@
             return True
         return partition_of(engine_id, self._partitions) in self._held_since
 
+    def held_partitions(self) -> frozenset[int]:
+        """Return the partitions that the store assigned to this VM."""
+        return frozenset(self._held_since)
+
     def fence(self, engine_id: str) -> int:
         """Return the fencing number of this VM's orders to an engine."""
         takeover = self._takeover_fence.get(engine_id)
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -9,6 +9,7 @@
 from bamboovale.decisions.timer_lag import TimerLagMonitor
 from bamboovale.fleet.gossip import GossipProtocol
 from bamboovale.fleet.messages import Gossip, SuspectRequest
+from bamboovale.fleet.view_proofs import ViewProofs
 from bamboovale.gateway.crashes import CrashGuard
 from bamboovale.gateway.engine_assignment import EngineAssignment
 from bamboovale.gateway.engine_owner import EngineOwner
@@ -23,12 +24,15 @@
     PlaceReply,
     PlaceRequest,
     PlaceStarted,
+    QuotaGrants,
+    QuotaReports,
     StatusSubscription,
     TableAnswer,
     TableQuery,
 )
 from bamboovale.gateway.model import RoutingTable
-from bamboovale.gateway.ownership import Ownership
+from bamboovale.gateway.ownership import Ownership, lease_clock
+from bamboovale.gateway.quota_exchange import QuotaExchange
 from bamboovale.gateway.records import Records
 from bamboovale.gateway.status_exchange import EngineStatusExchange
 from bamboovale.gateway.translation import Translation
@@ -78,6 +82,7 @@
         assignment: EngineAssignment,
         records: Records,
         crashes: CrashGuard,
+        quotas: QuotaExchange,
     ) -> None:
         self._state = state
         self._translation = translation
@@ -87,6 +92,7 @@
         self._assignment = assignment
         self._records = records
         self._crashes = crashes
+        self._quotas = quotas
         self._wake_event = asyncio.Event()
         self._seen_version = -1
         self._fences_announced_at = -FENCE_ANNOUNCE_INTERVAL_S
@@ -103,6 +109,7 @@
             on_store_answer=state.store_watch.on_answer,
             on_settled=state.store_watch.on_settled,
             abort_link=links.abort,
+            proofs=ViewProofs(state.view, lease_clock, random.Random()),
         )
 
     def announce(self) -> None:
@@ -111,6 +118,7 @@
         is_new = self._state.fleet.membership.update_own(
             serving=self._state.serving(),
             owned=self._owned_to_announce(),
+            partitions=self._partitions_to_announce(),
             busy=self._lag_monitor.is_busy,
         )
         if is_new:
@@ -130,6 +138,17 @@
         self._fences_announced_at = now
         return owned
 
+    def _partitions_to_announce(self) -> tuple[tuple[int, int], ...]:
+        """Return the held partitions with the generation in which they last changed.
+
+        Generations rise at all VMs whenever one joins, which others need not hear.
+        """
+        held = self._ownership.held_partitions()
+        announced = self._state.fleet.membership.own.partitions
+        if held == {number for number, _ in announced}:
+            return announced
+        return tuple((number, self._ownership.generation) for number in sorted(held))
+
     def announce_leaving(self) -> None:
         """Announce to the neighbours that this process ends."""
         self._state.fleet.membership.update_own(serving=False, left=True)
@@ -298,6 +317,10 @@
             self._state.fleet.on_statuses(sender, message.statuses, now)
         elif isinstance(message, EngineLoads):
             self._state.fleet.on_loads(sender, message.loads, now)
+        elif isinstance(message, QuotaReports):
+            self._quotas.on_reports(sender, message)
+        elif isinstance(message, QuotaGrants):
+            self._quotas.on_grants(message)
         elif isinstance(message, StatusSubscription):
             self.status_exchange.on_subscribe(sender)
         elif isinstance(message, PLACE_NOTICES):
--- a/bamboovale/gateway/place_search.py
+++ b/bamboovale/gateway/place_search.py
@@ -190,7 +190,7 @@
             version=version,
             prompt_tokens=work.prompt_tokens,
             output_tokens=work.output_tokens,
-            rank=call.route.priority,
+            rank=call.priority,
             goal_within_s=call.goal_at - now,
             starts_within_s=self._starts_within_s(call, progress, now),
             pause_s=call.route.gap_s,
--- /dev/null
+++ b/bamboovale/gateway/quota_exchange.py
@@ -0,0 +1,173 @@
+"""Quotas of customers over the fleet: reports of what was admitted, and replies.
+
+The account of a customer is kept by the VM that holds a partition of the owners' group
+in the store, so that two halves of a partitioned fleet do not both keep one.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Protocol
+
+from bamboovale.decisions.quota_account import QuotaAccount
+from bamboovale.decisions.quota_meter import QuotaGrant, QuotaMeter, QuotaReport
+from bamboovale.gateway.customers import Quota
+from bamboovale.gateway.engines import Links
+from bamboovale.gateway.messages import QuotaGrants, QuotaReports
+from bamboovale.gateway.model import RoutingTable
+from bamboovale.gateway.ownership import partition_of
+from bamboovale.gateway.vm_state import VMState
+
+ACTIVE_INTERVAL_S = 0.1
+IDLE_INTERVAL_S = 1.0
+"""Intervals of checks for due reports and notices."""
+PARTITIONS_PER_ACCOUNTING_ONE = 4
+"""Accounts are spread over one partition in so many: a VM reports to few others."""
+UNREAD_FLEET_SIZE = 64
+"""Assumed number of VMs until the registered ones were read from the store."""
+
+
+class Partitions(Protocol):
+    """The partitions that this VM holds in the store."""
+
+    def held_partitions(self) -> frozenset[int]:
+        """Return the partitions that this VM holds."""
+
+
+class QuotaExchange:
+    """This VM's meter, and the accounts that it keeps for others.
+
+    ``meter`` is asked by each request and never waits for a reply.
+    """
+
+    def __init__(self, state: VMState, links: Links, partitions: Partitions) -> None:
+        self.meter = QuotaMeter(state.fleet.membership.own.start, state.now())
+        self._state = state
+        self._links = links
+        self._partitions = partitions
+        self._quota_by_customer: Mapping[str, Quota] = {}
+        self._account_by_customer: dict[str, QuotaAccount] = {}
+        self._wake_event = asyncio.Event()
+
+    def apply_table(self, table: RoutingTable) -> None:
+        """Apply the limits of a configuration."""
+        customers = table.customers.by_name.values() if table.customers else ()
+        self._quota_by_customer = {
+            customer.name: customer.quota
+            for customer in customers
+            if customer.quota is not None
+        }
+        now = self._state.now()
+        self.meter.set_limits(self._quota_by_customer, now)
+        for customer, account in list(self._account_by_customer.items()):
+            quota = self._quota_by_customer.get(customer)
+            if quota is None:
+                del self._account_by_customer[customer]
+            else:
+                account.set_limit(quota.rate_per_s, quota.burst, now)
+
+    def on_spent(self, customer: str) -> None:
+        """Send a report of the customer without delay, if one is due."""
+        if self.meter.wants_report(customer, self._state.now()):
+            self._wake_event.set()
+
+    async def exchange_forever(self) -> None:
+        """Send reports, and notices of the accounts kept here, forever."""
+        while True:
+            self._drop_lost_accounts()
+            self._send_reports()
+            self._send_notices()
+            interval_s = ACTIVE_INTERVAL_S if self._quota_by_customer else None
+            try:
+                async with asyncio.timeout(interval_s or IDLE_INTERVAL_S):
+                    await self._wake_event.wait()
+            except TimeoutError:
+                pass
+            self._wake_event.clear()
+
+    def on_reports(self, sender: str, message: QuotaReports) -> None:
+        """Charge a VM's reports to the accounts kept here, and reply."""
+        grants = tuple(
+            grant
+            for report in message.reports
+            if (grant := self._charge(sender, report)) is not None
+        )
+        if grants:
+            self._links.notify(sender, QuotaGrants(message.start, grants))
+
+    def on_grants(self, message: QuotaGrants) -> None:
+        """Apply replies to this process's reports."""
+        if message.start == self.meter.start:
+            for grant in message.grants:
+                self.meter.on_grant(grant, self._state.now())
+
+    def account_levels(self) -> dict[str, float]:
+        """Return by customer what is left in the accounts kept here."""
+        now = self._state.now()
+        return {
+            customer: round(account.level(now), 1)
+            for customer, account in self._account_by_customer.items()
+        }
+
+    def _charge(self, sender: str, report: QuotaReport) -> QuotaGrant | None:
+        quota = self._quota_by_customer.get(report.customer)
+        is_held = self._partition_of(report.customer) in self._held()
+        if quota is None or not is_held:
+            return None
+        now = self._state.now()
+        account = self._account_by_customer.get(report.customer)
+        if account is None:
+            account = QuotaAccount(report.customer, quota.rate_per_s, quota.burst, now)
+            self._account_by_customer[report.customer] = account
+        return account.on_report(sender, report, now)
+
+    def _send_reports(self) -> None:
+        self.meter.fleet_size = self._fleet_size()
+        own_id = self._state.node.name
+        reports_by_vm: dict[str, list[QuotaReport]] = {}
+        for report in self.meter.due_reports(self._state.now()):
+            holder = self._holder_of(report.customer)
+            if holder is not None:
+                reports_by_vm.setdefault(holder, []).append(report)
+        for vm_id, reports in reports_by_vm.items():
+            if vm_id != own_id:
+                message = QuotaReports(self.meter.start, tuple(reports))
+                self._links.notify(vm_id, message)
+                continue
+            for report in reports:
+                grant = self._charge(own_id, report)
+                if grant is not None:
+                    self.meter.on_grant(grant, self._state.now())
+
+    def _send_notices(self) -> None:
+        now = self._state.now()
+        for account in self._account_by_customer.values():
+            for vm_id, (start, grant) in account.due_notices(now).items():
+                message = QuotaGrants(start, (grant,))
+                if vm_id == self._state.node.name:
+                    self.on_grants(message)
+                else:
+                    self._links.notify(vm_id, message)
+
+    def _drop_lost_accounts(self) -> None:
+        held = self._held()
+        for customer in list(self._account_by_customer):
+            if self._partition_of(customer) not in held:
+                del self._account_by_customer[customer]
+
+    def _held(self) -> frozenset[int]:
+        return self._partitions.held_partitions()
+
+    def _holder_of(self, customer: str) -> str | None:
+        partition = self._partition_of(customer)
+        if partition in self._held():
+            return self._state.node.name
+        return self._state.fleet.partition_holder(partition)
+
+    def _partition_of(self, customer: str) -> int:
+        partitions = self._state.node.store_limits.partitions
+        accounting = max(1, partitions // PARTITIONS_PER_ACCOUNTING_ONE)
+        return partition_of(f"quota/{customer}", accounting)
+
+    def _fleet_size(self) -> int:
+        size = self._state.fleet.expected_size()
+        return size if self._state.has_read_fleet else max(size, UNREAD_FLEET_SIZE)
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -10,8 +10,6 @@
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
 
-CONFIG_LONG_POLL_S = 20.0
-"""How long a read of the operator's topic waits for a change."""
 CONFIG_PAUSE_S = 0.02
 """Pause between two reads of the operator's topic."""
 ENDPOINTS_LONG_POLL_S = 1.0
@@ -37,7 +35,8 @@
     """Keeps the configuration, versions and endpoints of one VM up to date.
 
     ``on_answer`` is called after each answer of the store to a read, with whether the
-    store is settled (see ``StoreWatch``).
+    store is settled (see ``StoreWatch``). ``config_poll_s`` returns how long a read of
+    the operator's topic waits for a change.
     """
 
     def __init__(
@@ -49,6 +48,7 @@
         on_table: Callable[[], None],
         on_changed: Callable[[], None],
         on_answer: Callable[[bool], None],
+        config_poll_s: Callable[[], float],
     ) -> None:
         self._state = state
         self._translation = translation
@@ -59,10 +59,11 @@
             store,
             state.journal,
             on_record=self._on_operator_record,
-            wait_s=CONFIG_LONG_POLL_S,
+            wait_s=config_poll_s,
             pause_s=lambda: CONFIG_PAUSE_S,
             retry_s=lambda: self._retry_s(),
             on_answer=lambda: on_answer(False),
+            on_proof=lambda proven_at: state.view.on_proof(proven_at, "store"),
             now=state.now,
         )
         self.endpoints = TopicFollower(
@@ -71,7 +72,7 @@
             state.journal,
             on_record=self._on_endpoint_record,
             known_keys=state.endpoints.registered_ids,
-            wait_s=ENDPOINTS_LONG_POLL_S,
+            wait_s=lambda: ENDPOINTS_LONG_POLL_S,
             pause_s=lambda: ENDPOINTS_PAUSE_S,
             retry_s=lambda: self._retry_s(),
             on_changed=on_changed,
--- a/bamboovale/gateway/registration.py
+++ b/bamboovale/gateway/registration.py
@@ -42,6 +42,7 @@
                 await self._write()
                 await self._read()
                 self._state.knows_fleet = True
+                self._state.has_read_fleet = True
             except StoreError as error:
                 self._state.journal.write("registration_failed", error=str(error))
                 self._state.knows_fleet = True
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -4,7 +4,15 @@
 import random
 
 from bamboovale.decisions.suspects import fingerprint
-from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
+from bamboovale.gateway.access import AccessControl, Admission
+from bamboovale.gateway.call import (
+    Call,
+    CallCodec,
+    CallFailed,
+    CallRefused,
+    KeyRejected,
+    QuotaExceeded,
+)
 from bamboovale.gateway.crashes import CrashGuard
 from bamboovale.gateway.model import CallFacts, Route, RoutingTable
 from bamboovale.gateway.model_calls import ModelCalls
@@ -31,6 +39,7 @@
         codec: CallCodec,
         plain_calls: PlainCalls,
         model_calls: ModelCalls,
+        access: AccessControl,
         crashes: CrashGuard,
         state: VMState,
         metrics: Metrics,
@@ -39,6 +48,7 @@
         self._codec = codec
         self._plain_calls = plain_calls
         self._model_calls = model_calls
+        self._access = access
         self._crashes = crashes
         self._state = state
         self._journal = state.journal
@@ -66,21 +76,47 @@
             self._log_unrouted(request, facts, "no_route", table)
             self._answer(responder, 404, None, facts.request_id)
             return
-        await self._handle_routed(request, facts, route, table, responder)
+        admission = self._admit(request, facts, route, table, responder)
+        if admission is not None:
+            await self._handle_admitted(request, admission, route, table, responder)
+
+    def _admit(
+        self,
+        request: Request,
+        facts: CallFacts,
+        route: Route,
+        table: RoutingTable,
+        responder: Responder,
+    ) -> Admission | None:
+        """Return the admission of a request, None once it was refused; it never ran."""
+        try:
+            return self._access.admit(facts, route, table)
+        except KeyRejected as rejection:
+            outcome, reason = "key_rejected", str(rejection)
+            self._answer(responder, 401, None, facts.request_id, needs_key=True)
+        except QuotaExceeded as refusal:
+            outcome, reason = "over_quota", str(refusal)
+            self._refuse(responder, facts, refusal.retry_after_s, status=429)
+        except CallRefused as refusal:
+            outcome, reason = "view_unproven", str(refusal)
+            self._refuse(responder, facts, refusal.retry_after_s)
+        self._log_unrouted(request, facts, outcome, table, reason)
+        return None
 
     def on_bad_request(self, bad: BadRequest) -> None:
         """Count and log a malformed request."""
         self._metrics.gateway_requests.labels("bad_request", "none").inc()
         self._journal.write("bad_request", status=bad.status, reason=str(bad))
 
-    async def _handle_routed(
+    async def _handle_admitted(
         self,
         request: Request,
-        facts: CallFacts,
+        admission: Admission,
         route: Route,
         table: RoutingTable,
         responder: Responder,
     ) -> None:
+        facts = admission.facts
         wait_s = min(route.timeout_s, facts.deadline_s or DEFAULT_TIMEOUT_S)
         call = Call(
             request=request,
@@ -89,11 +125,14 @@
             service=self._pick_service(route),
             responder=responder,
             deadline=request.received_at + wait_s,
+            customer=admission.customer,
         )
         outcome = "left"
         try:
             outcome = await self._run(call, table)
         finally:
+            if outcome == "refused" or not call.attempts:
+                self._access.give_back(admission)
             self._log(call, outcome, table)
 
     async def _run(self, call: Call, table: RoutingTable) -> str:
@@ -152,10 +191,11 @@
         responder: Responder,
         facts: CallFacts,
         retry_after_s: float,
+        status: int = 503,
     ) -> None:
         # Jitter: callers refused together must not retry together.
         spread_s = retry_after_s * self._rng.uniform(0.75, 1.25)
-        self._answer(responder, 503, spread_s, facts.request_id)
+        self._answer(responder, status, spread_s, facts.request_id)
 
     def _answer(
         self,
@@ -163,8 +203,12 @@
         status: int,
         retry_after_s: float | None,
         request_id: str | None,
+        *,
+        needs_key: bool = False,
     ) -> None:
-        headers = self._codec.encode_refusal(retry_after_s, request_id)
+        headers = self._codec.encode_refusal(
+            retry_after_s, request_id, needs_key=needs_key
+        )
         responder.answer(status, headers, b"")
 
     def _log_unrouted(
@@ -173,6 +217,7 @@
         facts: CallFacts,
         outcome: str,
         table: RoutingTable | None,
+        reason: str | None = None,
     ) -> None:
         self._metrics.gateway_requests.labels(outcome, "none").inc()
         self._journal.write(
@@ -182,6 +227,7 @@
             host=facts.host,
             target=request.target,
             config=table.version if table else None,
+            **({"reason": reason, "not_run": True} if reason else {}),
         )
 
     def _log(self, call: Call, outcome: str, table: RoutingTable) -> None:
@@ -199,6 +245,7 @@
             route=call.route.name,
             kind=kind,
             service=call.service,
+            customer=call.customer.name if call.customer else None,
             model=work.model if work else None,
             adapter=work.adapter if work else None,
             tokens=[work.prompt_tokens, work.output_tokens] if work else None,
--- a/bamboovale/gateway/state_dump.py
+++ b/bamboovale/gateway/state_dump.py
@@ -3,10 +3,13 @@
 from collections.abc import Iterable
 from typing import Any
 
+from bamboovale.decisions.view_freshness import ViewFreshness
 from bamboovale.fleet.gossip import GossipProtocol
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.followers import TopicFollower
 from bamboovale.gateway.journal import finite_age_s
+from bamboovale.gateway.ownership import lease_clock
+from bamboovale.gateway.quota_exchange import QuotaExchange
 from bamboovale.gateway.vm_state import VMState
 
 
@@ -61,6 +64,25 @@
     return None if seconds is None else round(seconds, 2)
 
 
+def dump_view(view: ViewFreshness) -> dict[str, Any]:
+    """Return the age of the newest proof of the configuration, in seconds."""
+    return {
+        "proven_s_ago": finite_age_s(view.age_s(lease_clock())),
+        "proven_by": view.source,
+        "bound_s": view.bound_s,
+        "fresh": view.is_fresh(lease_clock()),
+    }
+
+
+def dump_quotas(quotas: QuotaExchange, now: float) -> dict[str, Any]:
+    """Return this VM's shares of quotas, and the accounts that it keeps."""
+    return {
+        "shares": quotas.meter.shares(now),
+        "accounts": quotas.account_levels(),
+        "fleet_size": quotas.meter.fleet_size,
+    }
+
+
 def dump_engines(state: VMState, engines: Engines) -> dict[str, Any]:
     """Return the endpoints, the engines' owners and the status of owned engines."""
     record_by_id = state.endpoints.record_by_id
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
+from bamboovale.gateway.access import AccessControl
 from bamboovale.gateway.crashes import CrashGuard
 from bamboovale.gateway.endpoint_client import EndpointClient
 from bamboovale.gateway.endpoints import EndpointChange
@@ -22,14 +23,22 @@
 from bamboovale.gateway.peering import Peering
 from bamboovale.gateway.plain_calls import PlainCalls
 from bamboovale.gateway.ports import Ports
+from bamboovale.gateway.quota_exchange import QuotaExchange
 from bamboovale.gateway.records import Records
 from bamboovale.gateway.registration import Registration
 from bamboovale.gateway.request_handler import RequestHandler
 from bamboovale.gateway.settings_watch import ReadSettings, SettingsWatch
 from bamboovale.gateway.stall_records import StallRecords
-from bamboovale.gateway.state_dump import dump_engines, dump_fleet, dump_reads
+from bamboovale.gateway.state_dump import (
+    dump_engines,
+    dump_fleet,
+    dump_quotas,
+    dump_reads,
+    dump_view,
+)
 from bamboovale.gateway.store import StoreError
 from bamboovale.gateway.translation import Translation
+from bamboovale.gateway.view_watch import ViewWatch
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.http1.pool import ConnectionPool, sweep_forever
 from bamboovale.http1.server import Server, ServerLimits
@@ -155,6 +164,12 @@
             self.state.now,
             lambda suspect: self.peering.broadcast_suspect(suspect),
         )
+        self._quotas = QuotaExchange(self.state, self.links, self._ownership)
+        self._view_watch = ViewWatch(
+            self.state,
+            store_answered_at=lambda: self.peering.gossip.store_answered_at,
+            announce=lambda: self.peering.announce(),
+        )
         self._request_handler = self._build_request_handler()
         self._stall_records = StallRecords(
             self.state.node.name,
@@ -178,6 +193,7 @@
             on_table=lambda: self._on_table(),
             on_changed=lambda: self.peering.wake(),
             on_answer=lambda settled: self.peering.on_store_answer(settled=settled),
+            config_poll_s=self._view_watch.poll_s,
         )
         for follower in self.records.followers():
             self._metrics.watch_open_read(follower.topic, follower.open_read_s)
@@ -190,6 +206,7 @@
             assignment=self._assignment,
             records=self.records,
             crashes=self._crashes,
+            quotas=self._quotas,
         )
         self._registration = Registration(
             self.state,
@@ -228,6 +245,14 @@
                 self.state.now,
                 self._mechanisms,
             ),
+            access=AccessControl(
+                self._translation,
+                self.state.view,
+                self._quotas.meter,
+                clock=lease_clock,
+                now=self.state.now,
+                on_spent=self._quotas.on_spent,
+            ),
             crashes=self._crashes,
             state=self.state,
             metrics=self._metrics,
@@ -290,6 +315,8 @@
             self.peering.status_exchange.publish_loads_forever(),
             self.peering.status_exchange.subscribe_forever(),
             self._isolation.watch(),
+            self._view_watch.watch(self.records.operator),
+            self._quotas.exchange_forever(),
             self._assignment.write_stall_records_forever(),
             sweep_forever(self._endpoint_pool),
             sweep_forever(self._control_pool),
@@ -317,6 +344,7 @@
             self._store_pool.close()
         if after.bounds != before.bounds:
             self.state.set_retry_bounds()
+        self._view_watch.update_bound()
 
     async def _drain(self) -> None:
         """Release engines, serve while callers cache this address, then drain."""
@@ -377,6 +405,9 @@
         await self._ownership.renew_forever()
 
     def _on_table(self) -> None:
+        self._view_watch.update_bound()
+        assert self.state.table is not None
+        self._quotas.apply_table(self.state.table)
         self.peering.assign_engines()
         self.peering.announce()
 
@@ -399,6 +430,8 @@
         return {
             **dump_fleet(self.state, self.peering.gossip),
             **dump_engines(self.state, self._engines),
+            "view": dump_view(self.state.view),
+            "quotas": dump_quotas(self._quotas, self.state.now()),
             "store_reads": dump_reads(self.records.followers()),
             "generation": self._ownership.generation,
             "store_reachable": self._ownership.reachable,
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from bamboovale.decisions.retry_share import RetryShare, RetryShareConfig
+from bamboovale.decisions.view_freshness import ViewFreshness
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.journal import Journal
@@ -18,7 +19,9 @@
     ``node`` are the settings of the process. ``table`` is the current configuration,
     None before the first. ``knows_fleet`` is true after the first read of the other
     VMs' addresses, even if it failed; until then duties designated to a few VMs are not
-    performed. ``isolated`` is true while this VM is cut off from most others.
+    performed; ``has_read_fleet`` is true once a read succeeded. ``isolated`` is true
+    while this VM is cut off from most others, ``unproven`` while others can show that
+    their ``view`` of the configuration is the newest, but not this VM.
     """
 
     def __init__(self, node: Any, journal: Journal) -> None:
@@ -31,7 +34,10 @@
         self.stopping = False
         self.draining = False
         self.knows_fleet = False
+        self.has_read_fleet = False
         self.isolated = False
+        self.unproven = False
+        self.view = ViewFreshness()
         self.fleet = Fleet.from_node(node)
         self.store_watch = StoreWatch(self.now)
         self.endpoints = EndpointView(journal, self.store_watch)
@@ -47,7 +53,8 @@
     def serving(self) -> bool:
         """Return whether this VM may be advertised to callers."""
         known = self.table is not None and bool(self.endpoints.record_by_id)
-        return known and not self.stopping and not self.isolated
+        is_hindered = self.stopping or self.isolated or self.unproven
+        return known and not is_hindered
 
     def version_of(self, model: str, adapter: str | None) -> int:
         """Return the newest version that the operator published."""
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -4,7 +4,7 @@
 import contextlib
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import h11
@@ -18,9 +18,11 @@
 REASON_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     501: b"Not Implemented",
@@ -50,7 +52,7 @@
 
     method: str
     target: str
-    headers: Headers
+    headers: Headers = field(repr=False)
     body: bytes
     received_at: float
 
--- a/bamboovale/platform/configuration.py
+++ b/bamboovale/platform/configuration.py
@@ -15,6 +15,7 @@
     RoutingTable,
     Service,
 )
+from bamboovale.platform.customers import decode_customers
 
 KIND_BY_NAME = {
     "safe": CallKind.SAFE,
@@ -41,6 +42,7 @@
             routes=tuple(_route(item) for item in document["routes"]),
             services=tuple(_service(item) for item in document["services"]),
             limits=_limits(document.get("limits", {})),
+            customers=decode_customers(document),
             source=source,
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
@@ -63,6 +65,7 @@
         },
         max_attempts=max(1, int(item.get("max-attempts", 1))),
         resumable=bool(item.get("resumable", False)),
+        public=bool(item.get("public", False)),
         gap_s=None if gap_ms is None else float(gap_ms) / 1000,
     )
 
--- a/bamboovale/platform/names.py
+++ b/bamboovale/platform/names.py
@@ -12,17 +12,21 @@
 LENGTH_HINT = b"x-length-hint"
 LAST_EVENT_ID = b"last-event-id"
 DEADLINE = b"x-deadline-ms"
+AUTHORIZATION = b"authorization"
+KEY_SCHEME = b"token"
 
 # Headers that only the serving layer may set.
 EXPECT_INSTANCE = b"x-expect-instance"
 EXPECT_VERSION = b"x-expect-version"
 URGENCY = b"x-request-urgency"
+CUSTOMER = b"x-tenant"
 
 # Headers of answers.
 SERVER_STAMP = b"x-server-stamp"
 NOT_EXECUTED = b"x-not-executed"
 INSTANCE_ID = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
+CHALLENGE = b"www-authenticate"
 CONTENT_LENGTH = b"content-length"
 
 # Paths of engines.
--- a/bamboovale/platform/node_file.py
+++ b/bamboovale/platform/node_file.py
@@ -30,7 +30,9 @@
     """Bounds that the platform guarantees or requires; times in seconds.
 
     ``engines_check_fencing`` tells whether an engine refuses an older fencing number.
-    ``lease_s`` is the minimum time between orders of two holders.
+    ``lease_s`` is the minimum time between orders of two holders. With
+    ``strict_revoke`` a key must stop working at every VM ``revoke_s`` after it was
+    taken away, even if the VM cannot be told.
     """
 
     drain_s: float
@@ -44,6 +46,8 @@
     retry_window_s: float
     load_window_s: float
     directory_ttl_most_s: float
+    strict_revoke: bool
+    revoke_s: float
 
 
 @dataclass(frozen=True)
@@ -125,6 +129,8 @@
         retry_window_s=table.number("retry-window-s", 10),
         load_window_s=table.number("ceiling-window-s", 5),
         directory_ttl_most_s=table.number("ttl_max_s", 5),
+        strict_revoke=bool(table.document.get("strict-revoke", False)),
+        revoke_s=table.number("revoke-ms", 5000) / 1000,
     )
 
 
--- a/bamboovale/platform/requests.py
+++ b/bamboovale/platform/requests.py
@@ -1,11 +1,14 @@
 """Decoding and encoding of the headers of requests and answers."""
 
+from dataclasses import replace
+
 import h11
 
 from bamboovale.gateway.model import AnswerFacts, CallFacts, ModelWork
 from bamboovale.http1.connection import Headers, ResponseHead
 from bamboovale.http1.server import BadRequest, Request
-from bamboovale.platform import names
+from bamboovale.platform import customers, names
+from bamboovale.platform.customers import decode_key
 
 MAX_DEADLINE_S = 3600.0
 
@@ -17,13 +20,27 @@
         raise BadRequest(400, "a request id is required")
     host = request.get(b"host") or b""
     resume_after = request.get(names.LAST_EVENT_ID)
+    try:
+        tokens = _decode_tokens(request.get(names.TOKEN_COUNT))
+    except ValueError as error:
+        raise BadRequest(400, "malformed token counts") from error
     return CallFacts(
         request_id=request_id.decode("latin-1"),
         host=host.decode("latin-1"),
         deadline_s=_decode_deadline(request.get(names.DEADLINE)),
-        work=_decode_work(request),
+        work=_decode_work(request, tokens or (0, 0)),
         forward=_forwarded(request.headers),
         resume_after=None if resume_after is None else resume_after.decode("latin-1"),
+        tokens=None if tokens is None else sum(tokens),
+        key=decode_key(request.headers),
+    )
+
+
+def name_customer(facts: CallFacts, customer: str | None) -> CallFacts:
+    """Return the facts of a call that is forwarded without its key."""
+    return replace(
+        facts,
+        forward=customers.name_customer(facts.forward, facts.key, customer),
     )
 
 
@@ -37,30 +54,29 @@
     return min(max(milliseconds / 1000, 0.0), MAX_DEADLINE_S)
 
 
-def _decode_work(request: Request) -> ModelWork | None:
+def _decode_work(request: Request, tokens: tuple[int, int]) -> ModelWork | None:
     name = request.get(names.MODEL)
     if name is None:
         return None
     model, _, adapter = name.decode("latin-1").partition("/")
     try:
-        tokens_in, tokens_out = _decode_tokens(request.get(names.TOKEN_COUNT))
         parts = _decode_parts(request.get(names.PROMPT_PREFIX))
     except ValueError as error:
-        raise BadRequest(400, "malformed token counts") from error
+        raise BadRequest(400, "malformed prompt parts") from error
     return ModelWork(
         model=model,
         adapter=adapter or None,
-        prompt_tokens=tokens_in,
-        output_tokens=tokens_out,
+        prompt_tokens=tokens[0],
+        output_tokens=tokens[1],
         prompt_parts=parts,
     )
 
 
-def _decode_tokens(value: bytes | None) -> tuple[int, int]:
+def _decode_tokens(value: bytes | None) -> tuple[int, int] | None:
     if value is None:
-        return 0, 0
+        return None
     tokens_in, _, tokens_out = value.partition(b",")
-    return int(tokens_in), int(tokens_out or b"0")
+    return max(0, int(tokens_in)), max(0, int(tokens_out or b"0"))
 
 
 def _decode_parts(value: bytes | None) -> tuple[tuple[str, int], ...]:
@@ -139,9 +155,16 @@
         return None
 
 
-def encode_refusal(retry_after_s: float | None, request_id: str | None) -> Headers:
+def encode_refusal(
+    retry_after_s: float | None,
+    request_id: str | None,
+    *,
+    needs_key: bool = False,
+) -> Headers:
     """Return the headers of a refusal that the entry VM itself sends."""
     headers: Headers = [(b"content-type", b"text/plain")]
+    if needs_key:
+        headers.append((names.CHALLENGE, names.KEY_SCHEME.capitalize()))
     if request_id is not None:
         headers.append((names.REQUEST_ID, request_id.encode("latin-1")))
     if retry_after_s is not None:
--- a/bamboovale/platform/translation.py
+++ b/bamboovale/platform/translation.py
@@ -79,6 +79,10 @@
         """Decode a caller's headers; raises BadRequest."""
         return requests.decode_call(request)
 
+    def name_customer(self, facts: CallFacts, customer: str | None) -> CallFacts:
+        """Return the facts of a call that is forwarded without its key."""
+        return requests.name_customer(facts, customer)
+
     def encode_call(
         self,
         request: Request,
@@ -109,9 +113,11 @@
         self,
         retry_after_s: float | None,
         request_id: str | None,
+        *,
+        needs_key: bool = False,
     ) -> Headers:
         """Return the headers of a refusal that the entry VM itself sends."""
-        return requests.encode_refusal(retry_after_s, request_id)
+        return requests.encode_refusal(retry_after_s, request_id, needs_key=needs_key)
 
     def report_request(self, registered_id: str, host: str) -> h11.Request:
         """Return the HTTP request for an engine's report."""
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -168,11 +168,13 @@
     config: dict[str, Any] | None = None,
     *,
     behind_proxy: bool = False,
+    bounds: dict[str, Any] | None = None,
     **options: Any,
 ) -> AsyncIterator[Site]:
     """Run a small deployment that is ready to serve.
 
     With ``behind_proxy`` its VMs reach the store only through ``store_proxy``.
+    ``bounds`` go into the settings of its VMs, ``options`` to its engines.
     """
     store = PlatformStore()
     site = Site(store, await store.listen("127.0.0.1"))
@@ -186,7 +188,8 @@
             await site.add_service(f"service-{number}")
         for number in range(vms):
             proxy = site.store_proxy
-            await site.add_vm(f"entry-{number}", proxy and proxy.address)
+            address = proxy and proxy.address
+            await site.add_vm(f"entry-{number}", address, **(bounds or {}))
         await site.ready()
         yield site
     finally:
