Compare ways to keep quotas; give the soak customers; count refusals

The soak takes keys away and sends a part of its requests with old ones; runs are judged without excuse by faults.

--- a/bamboovale/decisions/advertised_vms.py
+++ b/bamboovale/decisions/advertised_vms.py
@@ -33,6 +33,13 @@
     is_busy: bool = False
 
 
+def advertised_count(fleet_size: int) -> int:
+    """Return how many VMs of a fleet are advertised while few are busy."""
+    if fleet_size <= MIN_ADVERTISED:
+        return fleet_size
+    return math.ceil(max(MIN_ADVERTISED, ADVERTISED_SHARE * fleet_size))
+
+
 def advertised_in_domain(candidates: Sequence[Candidate], fleet_size: int) -> list[str]:
     """Return the advertised VMs of one failure domain.
 
@@ -40,7 +47,7 @@
     """
     if fleet_size <= MIN_ADVERTISED:
         return [candidate.vm_id for candidate in candidates]
-    total = max(MIN_ADVERTISED, ADVERTISED_SHARE * fleet_size)
+    total = advertised_count(fleet_size)
     count = max(MIN_PER_DOMAIN, math.ceil(total * len(candidates) / fleet_size))
     order = sorted(candidates, key=_rank)
     while count < len(order):
--- a/bamboovale/decisions/quota_meter.py
+++ b/bamboovale/decisions/quota_meter.py
@@ -38,7 +38,7 @@
 ALONE_SHARE = 0.05
 """Share of the rate for all VMs that have lost their account, so that two halves of a
 partitioned fleet stay near the limit."""
-STARTING_SHARE = 0.5
+STARTING_SHARE = 1.0
 """The same for VMs that have just started and know no account yet."""
 STARTING_S = 6.0
 FIRST_ALLOWANCE = 1e-6
@@ -113,7 +113,7 @@
     """The allowances of one VM by customer; no sockets, no clock.
 
     ``start`` tells the starts of this VM apart. ``fleet_size`` is the number of VMs
-    that may share a quota without an account.
+    that callers are sent to, which share a quota while no account is known.
     """
 
     def __init__(self, start: int, now: float) -> None:
--- a/bamboovale/gateway/access.py
+++ b/bamboovale/gateway/access.py
@@ -87,5 +87,5 @@
         retry_s = self._meter.take(customer.name, cost, self._now())
         self._on_spent(customer.name)
         if retry_s is not None:
-            raise QuotaExceeded(f"{customer.name} is over its quota", retry_s)
+            raise QuotaExceeded(customer.name, retry_s)
         return cost
--- a/bamboovale/gateway/quota_exchange.py
+++ b/bamboovale/gateway/quota_exchange.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from typing import Protocol
 
+from bamboovale.decisions.advertised_vms import advertised_count
 from bamboovale.decisions.quota_account import QuotaAccount
 from bamboovale.decisions.quota_meter import QuotaGrant, QuotaMeter, QuotaReport
 from bamboovale.gateway.customers import Quota
@@ -169,5 +170,8 @@
         return partition_of(f"quota/{customer}", accounting)
 
     def _fleet_size(self) -> int:
+        """Return the number of VMs that callers are sent to."""
         size = self._state.fleet.expected_size()
-        return size if self._state.has_read_fleet else max(size, UNREAD_FLEET_SIZE)
+        if not self._state.has_read_fleet:
+            size = max(size, UNREAD_FLEET_SIZE)
+        return advertised_count(size)
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -96,6 +96,7 @@
             self._answer(responder, 401, None, facts.request_id, needs_key=True)
         except QuotaExceeded as refusal:
             outcome, reason = "over_quota", str(refusal)
+            self._metrics.count_refusal_of(refusal.customer)
             self._refuse(responder, facts, refusal.retry_after_s, status=429)
         except CallRefused as refusal:
             outcome, reason = "view_unproven", str(refusal)
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -197,6 +197,7 @@
         )
         for follower in self.records.followers():
             self._metrics.watch_open_read(follower.topic, follower.open_read_s)
+        self._metrics.watch_view_age(lambda: self.state.view.age_s(lease_clock()))
         self.peering = Peering(
             state=self.state,
             translation=self._translation,
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -16,6 +16,9 @@
 
 # From plain calls to overnight jobs.
 REQUEST_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 120)
+MAX_CUSTOMER_LABELS = 100
+OTHER_CUSTOMERS = "(others)"
+"""Customers with a label of their own, and the label of all others."""
 
 
 class Metrics:
@@ -23,6 +26,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry(auto_describe=False)
+        self._labelled_customers: set[str] = set()
         self._declare_requests()
         self._declare_permits()
         self._declare_engines()
@@ -39,6 +43,18 @@
         gauge = self._gateway_open_read_seconds.labels(topic)
         gauge.set_function(lambda: open_s() or 0.0)
 
+    def watch_view_age(self, age_s: Callable[[], float]) -> None:
+        """Export the age of the newest proof, evaluated at each scrape."""
+        self._gateway_view_age_seconds.set_function(age_s)
+
+    def count_refusal_of(self, customer: str) -> None:
+        """Count a refused request of a customer; later customers share one label."""
+        if len(self._labelled_customers) < MAX_CUSTOMER_LABELS:
+            self._labelled_customers.add(customer)
+        known = customer in self._labelled_customers
+        label = customer if known else OTHER_CUSTOMERS
+        self._gateway_customer_refusals.labels(label).inc()
+
     def _declare_gateway(self) -> None:
         self.gateway_requests = self._counter(
             "gateway_requests",
@@ -72,6 +88,15 @@
             ["topic"],
             registry=self.registry,
         )
+        self._gateway_view_age_seconds = self._gauge(
+            "gateway_view_proof_age_seconds",
+            "Age of the newest proof that the configuration in force is the newest.",
+        )
+        self._gateway_customer_refusals = self._counter(
+            "gateway_customer_refusals",
+            "Requests refused as over the quota of their customer.",
+            ["customer"],
+        )
         self.gateway_engine_calls = self._counter(
             "gateway_engine_calls",
             "Reports read from engines and orders given, by outcome.",
--- a/tests/quota_simulation.py
+++ b/bench/quota_simulation.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from bamboovale.decisions.quota_account import QuotaAccount
 from bamboovale.decisions.quota_meter import QuotaGrant, QuotaMeter, QuotaReport
@@ -41,11 +42,8 @@
 
     def next_request(self, rng: random.Random) -> float:
         """Return the cost of a request."""
-        return self.large_tokens if rng.random() < self.large_share else self.mean()
-
-    def mean(self) -> float:
-        """Return the cost of a usual request."""
-        return self.request_tokens
+        is_large = rng.random() < self.large_share
+        return self.large_tokens if is_large else self.request_tokens
 
     def gap_s(self, now: float, rng: random.Random) -> float:
         """Return the time until the next request."""
@@ -88,7 +86,7 @@
     """VMs that admit the requests of one customer by ``QuotaMeter``.
 
     ``accounts_at`` is the VM with the account, None while nobody has it. VMs of
-    ``cut_off`` exchange no messages with it.
+    ``cut_off`` exchange no messages with it. ``new_meter`` takes start and time.
     """
 
     def __init__(
@@ -100,6 +98,7 @@
         *,
         active_vms: int | None = None,
         latency_s: tuple[float, float] = (0.005, 0.04),
+        new_meter: Callable[[int, float], QuotaMeter] = QuotaMeter,
     ) -> None:
         self.now = 0.0
         self.limit = limit
@@ -111,15 +110,16 @@
         self._rng = random.Random(seed)
         self._latency_s = latency_s
         self._vms = vms
+        self._make_meter = new_meter
         self._active = list(range(active_vms or vms))
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
-        self.starts = 0
+        self._starts = 0
         self.account = self._new_account()
         self.meters = [self._new_meter() for _ in range(vms)]
         self._at(0.0, self._arrive)
         for vm in range(vms):
-            self._at(self._rng.random() * TICK_S, lambda vm=vm: self._tick(vm))
+            self._at(self._rng.random() * TICK_S, partial(self._tick, vm))
 
     def run_until(self, end: float) -> None:
         """Play until a time."""
@@ -167,9 +167,9 @@
             self.meters[vm] = self._new_meter()
 
     def _new_meter(self) -> QuotaMeter:
-        self.starts += 1
-        meter = QuotaMeter(self.starts, self.now)
-        meter.fleet_size = self._vms
+        self._starts += 1
+        meter = self._make_meter(self._starts, self.now)
+        meter.fleet_size = len(self._active)
         meter.set_limits({CUSTOMER: self.limit}, self.now)
         return meter
 
@@ -195,16 +195,14 @@
             self._report(vm)
         if vm == self.accounts_at and vm not in self.dead:
             for other, (start, grant) in self.account.due_notices(self.now).items():
-                self._send(
-                    int(other),
-                    lambda o=int(other), s=start, g=grant: self._on_grant(o, s, g),
-                )
+                deliver = partial(self._on_grant, int(other), start, grant)
+                self._send(int(other), deliver)
 
     def _report(self, vm: int) -> None:
         if self.accounts_at is None:
             return
         for report in self.meters[vm].due_reports(self.now):
-            self._send(vm, lambda report=report: self._on_report(vm, report))
+            self._send(vm, partial(self._on_report, vm, report))
 
     def _on_report(self, vm: int, report: QuotaReport) -> None:
         grant = self.account.on_report(str(vm), report, self.now)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -39,6 +39,7 @@
 
     ``starts_again``: engines also crash and restart under the same id. ``silences``:
     open connections also stop passing data for good, while new ones work.
+    ``revokes``: keys of customers are also taken away.
     """
 
     seconds: float = 60.0
@@ -49,6 +50,7 @@
     callers: int = 12
     starts_again: bool = True
     silences: bool = True
+    revokes: bool = True
 
 
 @dataclass
@@ -92,6 +94,8 @@
             overfilled=[r.endpoint_id for r in site.runners if r.overfilled],
             version_acks=site.version_acks,
             leaving_at=site.leaving_at,
+            revoked_at=dict(site.keys.revoked_at),
+            owner_by_key=dict(site.keys.owner_by_key),
             runs_by_leaving={
                 endpoint.endpoint_id: endpoint.runs
                 for endpoint in endpoints
@@ -106,6 +110,7 @@
                 self.attempts,
                 self.numbers,
                 random.Random(f"{self.config.seed}-{number}"),
+                self.site.keys,
             )
             for number in range(self.config.callers)
         ]
@@ -120,6 +125,10 @@
                 rng = random.Random(f"{self.config.seed}-starts")
                 starts = FaultLane.of_engine_restarts(self.site, self.faults, rng)
                 group.create_task(starts.run())
+            if self.config.revokes:
+                rng = random.Random(f"{self.config.seed}-keys")
+                revocations = FaultLane.of_revocations(self.site, self.faults, rng)
+                group.create_task(revocations.run())
             if self.config.silences:
                 rng = random.Random(f"{self.config.seed}-silences")
                 silences = FaultLane.of_silent_connections(self.site, self.faults, rng)
@@ -133,7 +142,9 @@
         found = []
         for vm in self.site.vms:
             for kind in Kind:
-                caller = Caller([vm], [], self.numbers, random.Random(vm.name))
+                caller = Caller(
+                    [vm], [], self.numbers, random.Random(vm.name), self.site.keys
+                )
                 good = 0
                 while good < GOOD_IN_A_ROW and time.monotonic() < deadline:
                     good = good + 1 if await _is_served(caller, kind, vm) else 0
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -11,6 +11,7 @@
 
 from bamboovale.http1.connection import ConnectFailed, Connection, IncompleteResponse
 from bench.routed import HOST, MODEL, CallerAnswer, read_answer
+from bench.soak_customers import Keys
 from bench.soak_site import VMProcess
 
 ADAPTERS = tuple(f"a{number}" for number in range(1, 9))
@@ -37,7 +38,7 @@
 class Attempt:
     """One request of a caller and its result; ``status`` is 0 without a response.
 
-    ``whole`` is true if the response was complete.
+    ``whole`` is true if the response was complete. ``key`` is the API key sent.
     """
 
     request_id: str
@@ -49,6 +50,7 @@
     status: int
     whole: bool
     body: bytes = b""
+    key: str | None = None
 
 
 class Caller:
@@ -60,7 +62,9 @@
         attempts: list[Attempt],
         numbers: "itertools.count[int]",
         rng: random.Random,
+        keys: Keys,
     ) -> None:
+        self._keys = keys
         self._vms = vms
         self._attempts = attempts
         self._numbers = numbers
@@ -77,15 +81,17 @@
             except (ConnectFailed, OSError):
                 await asyncio.sleep(PAUSE_S)
                 continue
-            self._attempts.append(await self._send(kind, connection))
+            key = self._keys.choose(self._rng)
+            self._attempts.append(await self._send(kind, connection, key))
             await asyncio.sleep(PAUSE_S * self._rng.random())
 
     async def send_once(self, kind: Kind, vm: VMProcess) -> Attempt:
-        """Send one request to one VM on a new connection."""
+        """Send one request to one VM on a new connection, with a key in use."""
         self._vm = vm
         connection = await Connection.open(*vm.callers)
         try:
-            return await self._send(kind, connection)
+            key = next(iter(self._keys.in_use.values()))[-1]
+            return await self._send(kind, connection, key)
         finally:
             connection.close()
 
@@ -100,7 +106,7 @@
         self._connection = await Connection.open(*self._vm.callers)
         return self._connection
 
-    async def _send(self, kind: Kind, connection: Connection) -> Attempt:
+    async def _send(self, kind: Kind, connection: Connection, key: str) -> Attempt:
         assert self._vm is not None
         request_id = f"soak{next(self._numbers)}"
         adapter = self._rng.choice(ADAPTERS) if kind in STREAMS else None
@@ -108,7 +114,7 @@
         answer: CallerAnswer | None = None
         try:
             async with asyncio.timeout(DEADLINE_S + 1.0):
-                connection.send(*_request(kind, request_id, adapter))
+                connection.send(*_request(kind, request_id, adapter, key))
                 answer = await read_answer(connection)
         except (TimeoutError, IncompleteResponse, OSError):
             connection.close()
@@ -122,6 +128,7 @@
             status=answer.status if answer else 0,
             whole=answer.whole if answer else False,
             body=answer.body if answer else b"",
+            key=key,
         )
 
 
@@ -129,10 +136,12 @@
     kind: Kind,
     request_id: str,
     adapter: str | None,
+    key: str,
 ) -> tuple[h11.Request, bytes]:
     headers = [
         ("Host", HOST),
         ("X-Request-Id", request_id),
+        ("Authorization", f"Token {key}"),
         ("X-Deadline-Ms", str(int(DEADLINE_S * 1000))),
     ]
     # Bodies differ, because identical requests count as repeats of one.
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -7,6 +7,7 @@
 
 from bamboovale.standins.platform_endpoints import Run
 from bench.soak_callers import ONCE_ONLY, STREAMS, Attempt, Kind
+from bench.soak_customers import broken_by
 from bench.soak_site import GRACE_S, Life
 
 NOT_RUN = (408, 421, 429, 503)
@@ -65,6 +66,8 @@
     )
     leaving_at: Mapping[str, float] = field(default_factory=dict)
     runs_by_leaving: Mapping[str, Sequence[Run]] = field(default_factory=dict)
+    revoked_at: Mapping[str, float] = field(default_factory=dict)
+    owner_by_key: Mapping[str, str] = field(default_factory=dict)
 
 
 def find_violations(evidence: Evidence) -> list[Violation]:
@@ -79,6 +82,7 @@
         found += _refused_means_not_run(attempt, runs)
         found += _complete_own_answer(attempt)
         found += _right_adapter(attempt, evidence)
+        found += _right_customer(attempt, runs, evidence)
     found += _never_overfilled(evidence.overfilled)
     found += _no_new_runs_while_leaving(evidence)
     found += _planned_stops(evidence)
@@ -126,6 +130,23 @@
             return
 
 
+def _right_customer(
+    attempt: Attempt, runs: list[Run], evidence: Evidence
+) -> Iterator[Violation]:
+    """Find runs of keys taken away, also under faults, and keys shown to endpoints."""
+    if attempt.key is None:
+        return
+    broken = broken_by(
+        attempt.key,
+        attempt.sent_at,
+        runs,
+        evidence.revoked_at,
+        evidence.owner_by_key,
+    )
+    for promise, detail in broken:
+        yield Violation(promise, attempt.request_id, detail)
+
+
 def _oldest_allowed(attempt: Attempt, evidence: Evidence) -> int:
     """Return the oldest version that may run, ignoring updates during faults."""
     allowed = 1
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -11,6 +11,7 @@
 from bamboovale.standins.platform_store import StoreFaults
 from bench.soak_callers import ADAPTERS
 from bench.soak_checks import PAUSED, FaultSpan
+from bench.soak_customers import CUSTOMERS
 from bench.soak_proxy import LinkFaults, Proxy
 from bench.soak_site import SoakSite, VMProcess
 
@@ -81,6 +82,18 @@
         lane._injections = [lane._connections_fall_silent]
         return lane
 
+    @classmethod
+    def of_revocations(
+        cls,
+        site: SoakSite,
+        spans: list[FaultSpan],
+        rng: random.Random,
+    ) -> "FaultLane":
+        """Return a lane that only replaces keys of customers."""
+        lane = cls(site, spans, rng)
+        lane._injections = [lane._key_is_replaced]
+        return lane
+
     async def run(self) -> None:
         """Inject faults until cancelled."""
         while True:
@@ -248,6 +261,10 @@
             await self._site.change_configuration()
             await asyncio.sleep(0.2 * self._rng.random())
 
+    async def _key_is_replaced(self) -> None:
+        await self._wait_for_duration()
+        await self._site.replace_key(self._rng.choice(CUSTOMERS))
+
     # Helpers.
 
     async def _disturb_link(self, proxy: Proxy) -> None:
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -16,6 +16,7 @@
 from bamboovale.standins.platform_endpoints import PlatformEndpoint, PlatformRunner
 from bamboovale.standins.platform_store import PlatformStore
 from bench.routed import MODEL, configuration, node_document
+from bench.soak_customers import BOUNDS, Keys
 from bench.soak_proxy import Proxy
 
 PEER_KEY = "soak-key-of-this-machine"
@@ -150,6 +151,7 @@
     gone: list[PlatformEndpoint] = field(default_factory=list)
     proxy_by_endpoint: dict[str, Proxy] = field(default_factory=dict)
     config_version: int = 1
+    keys: Keys = field(default_factory=Keys.from_start)
     version_acks: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
     leaving_at: dict[str, float] = field(default_factory=dict)
     _numbers: Any = field(default_factory=itertools.count)
@@ -231,8 +233,21 @@
     async def change_configuration(self) -> None:
         """Write the next configuration version with the same routes."""
         self.config_version += 1
-        document = configuration(self.config_version)
-        await self.store.put("keyed.op", "config", document)
+        await self.store.put("keyed.op", "config", self._configuration())
+
+    async def replace_key(self, customer: str) -> None:
+        """Take away the oldest key of a customer and give it a new one."""
+        oldest = self.keys.replace_oldest(customer)
+        await self.change_configuration()
+        self.keys.note_revoked(oldest)
+
+    async def write_configuration(self) -> None:
+        """Write the configuration as it is."""
+        await self.store.put("keyed.op", "config", self._configuration())
+
+    def _configuration(self) -> dict[str, Any]:
+        customers = self.keys.document()
+        return {**configuration(self.config_version), "tenants": customers}
 
     async def wait_until_ready(self) -> None:
         """Wait until every VM reports ready; raises TimeoutError."""
@@ -265,7 +280,7 @@
     """Run a deployment; all its processes end with the block."""
     site = SoakSite(directory, PlatformStore())
     store_address = await site.store.listen("127.0.0.1")
-    await site.store.put("keyed.op", "config", configuration())
+    await site.write_configuration()
     try:
         for _ in range(runners):
             await site.add_runner()
@@ -288,7 +303,7 @@
 async def _add_vm(site: SoakSite, name: str, store: tuple[str, int]) -> None:
     proxy = Proxy(store)
     await proxy.start()
-    document = node_document(proxy.address, name, **{"grace-s": GRACE_S})
+    document = node_document(proxy.address, name, **{"grace-s": GRACE_S}, **BOUNDS)
     vm = VMProcess(name, document, proxy, site.directory)
     site.vms.append(vm)
     await vm.start()
--- a/tests/test_decisions_quota.py
+++ b/tests/test_decisions_quota.py
@@ -6,7 +6,7 @@
 
 from bamboovale.decisions.quota_account import QuotaAccount
 from bamboovale.decisions.quota_meter import QuotaMeter, QuotaReport
-from tests.quota_simulation import CUSTOMER, WINDOW_S, Limit, Load, QuotaSimulation
+from bench.quota_simulation import CUSTOMER, WINDOW_S, Limit, Load, QuotaSimulation
 
 HOT = 7.5
 """Factor of the demand of a customer that sends many times its usual."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -84,6 +84,23 @@
         down = FaultSpan("store busy", "store", 10.5, 11.0)
         assert promises(CALL, faults=(down,), **fields) == []
 
+    def test_a_run_with_a_key_that_was_taken_away(self) -> None:
+        run = replace(RUNS[1], headers=[(b"x-tenant", b"agency-1")])
+        keyed = replace(CALL, key="key-1")
+        owners = {"key-1": "agency-1"}
+        fields = {"runs": (run,), "owner_by_key": owners}
+        assert promises(keyed, revoked_at={"key-1": 7.5}, **fields) == []
+        late = promises(keyed, revoked_at={"key-1": 6.5}, **fields)
+        assert late == ["no revoked key"]
+
+    def test_a_run_that_shows_the_key_or_another_customer(self) -> None:
+        headers = [(b"x-tenant", b"agency-2"), (b"x-note", b"key-1")]
+        run = replace(RUNS[1], headers=headers)
+        keyed = replace(CALL, key="key-1")
+        owners = {"key-1": "agency-1"}
+        found = promises(keyed, runs=(run,), owner_by_key=owners)
+        assert found == ["keys stay hidden", "right customer"]
+
     def test_a_process_that_ends_by_itself(self) -> None:
         ended = replace(STOPPED, stopped_at=None, exit_code=1)
         assert promises(CALL, lives=(ended,)) == ["lives"]
