End the read in which the store settles, so that others hear of it at once

Known red: a VM without the store called an endpoint more than 2 s after it left. The endpoint left 1.8 s after the readers had started; the read that showed it came too early, and the next answer, which said settled, came 1.6 s later, after a pause and a long poll.

A read now waits only until the reads show that the store is settled.

TestReadsUntilSettled holds the rule without a clock. Costs one more read for each start or outage of a reader.

--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -18,6 +18,8 @@
 ENDPOINTS_PAUSE_S = 0.6
 """Pause between reads of the endpoints' topic, which changes with every heartbeat. A
 leaving endpoint must get no new work two seconds after its record says so."""
+POLL_MARGIN_S = 0.01
+"""Added to a read that is to end when the store is settled."""
 MAX_ALL_READERS = 12
 """Fleet size up to which every VM reads the endpoints' topic."""
 READERS = 4
@@ -72,7 +74,7 @@
             state.journal,
             on_record=self._on_endpoint_record,
             known_keys=state.endpoints.registered_ids,
-            wait_s=lambda: ENDPOINTS_LONG_POLL_S,
+            wait_s=self._endpoints_poll_s,
             pause_s=lambda: ENDPOINTS_PAUSE_S,
             retry_s=lambda: self._retry_s(),
             on_changed=on_changed,
@@ -148,6 +150,17 @@
         """Return whether this VM should read the endpoints' topic now."""
         return progress_age_s > STALE_AFTER_S or self._is_reader()
 
+    def _endpoints_poll_s(self) -> float:
+        """Return how long the next read of the endpoints' topic may wait.
+
+        Whether the store is settled is told with each answer: guards against endpoints
+        that left and are known as expired for the length of one more read.
+        """
+        settles_in_s = self._state.store_watch.settles_in_s()
+        if settles_in_s is None:
+            return ENDPOINTS_LONG_POLL_S
+        return min(ENDPOINTS_LONG_POLL_S, settles_in_s + POLL_MARGIN_S)
+
     def _retry_s(self) -> float:
         """Return the delay before the next retry while the store fails."""
         return (
--- a/bamboovale/gateway/store_watch.py
+++ b/bamboovale/gateway/store_watch.py
@@ -24,6 +24,7 @@
         self._answered_since = -math.inf
         self._answered_at = -math.inf
         self._reads_ok_since: float | None = None
+        self._has_shown_settled = False
         self._failed_at = -math.inf
         self._failed_since_answer = False
         self._settled_at = -math.inf
@@ -51,11 +52,22 @@
         now = self._now()
         if self._reads_ok_since is None:
             self._reads_ok_since = now
-        return now - self._reads_ok_since >= RENEWAL_S
+        self._has_shown_settled = now - self._reads_ok_since >= RENEWAL_S
+        return self._has_shown_settled
+
+    def settles_in_s(self) -> float | None:
+        """Return after how long this VM's next read shows that the store is settled.
+
+        None without an answered read, and once a read has shown it.
+        """
+        if self._reads_ok_since is None or self._has_shown_settled:
+            return None
+        return max(0.0, self._reads_ok_since + RENEWAL_S - self._now())
 
     def on_read_failed(self) -> None:
         """Record that a read of this VM failed."""
         self._reads_ok_since = None
+        self._has_shown_settled = False
         self._failed_at = self._now()
         self._failed_since_answer = True
 
--- a/tests/test_gateway_store_watch.py
+++ b/tests/test_gateway_store_watch.py
@@ -149,3 +149,26 @@
         vm.store.on_settled()
         vm.view.on_record("e", None)
         assert not vm.knows_endpoint()
+
+
+class TestReadsUntilSettled:
+    """When this VM's reads show others that the store is settled."""
+
+    def test_the_next_read_is_due_when_the_store_settles(self) -> None:
+        """Guards against a settled store that is told of only after a long read."""
+        vm = WatchingVM()
+        assert vm.store.settles_in_s() is None
+        vm.read()
+        vm.now += 0.5
+        assert vm.store.settles_in_s() == RENEWAL_S - 0.5
+        vm.now += RENEWAL_S
+        assert vm.store.settles_in_s() == 0.0
+        assert vm.read()
+        assert vm.store.settles_in_s() is None
+
+    def test_a_failed_read_begins_anew(self) -> None:
+        vm = WatchingVM()
+        vm.read_for(RENEWAL_S + 1.0)
+        vm.store.on_read_failed()
+        vm.read()
+        assert vm.store.settles_in_s() == RENEWAL_S
