--- a/bamboovale/decisions/quota_meter.py
+++ b/bamboovale/decisions/quota_meter.py
@@ -26,7 +26,7 @@
 ALLOWED_SHARE = 0.5
 """Share of what is left in the account that the VMs may spend before they report:
 replies to other VMs are based on the same sum."""
-LEASE_S = 1.5
+LEASE_S = 1.0
 """Time for which a share of the rate holds without a new reply."""
 HOLD_S = 4.0
 """Time for which a VM without replies goes on at its last demand, if that was far below
