--- a/bamboovale/decisions/quota_account.py
+++ b/bamboovale/decisions/quota_account.py
@@ -50,6 +50,7 @@
         self._rate_per_s = rate_per_s
         self._burst = burst
         self._level = 0.0
+        self._charged = 0.0
         self._refilled_at = now
         self._is_open = False
         self._noticed_at = now
@@ -65,6 +66,7 @@
     def on_report(self, vm_id: str, report: QuotaReport, now: float) -> QuotaGrant:
         """Charge what a VM admitted, and return its share of what is left."""
         self._refill(now)
+        before = self._level
         known = self._reporter_by_vm.get(vm_id)
         is_same = known is not None and known.start == report.start
         if known is not None and is_same:
@@ -72,6 +74,7 @@
         else:
             uncounted = report.used - report.granted_for - report.covered
             self._level -= max(0.0, uncounted)
+        self._charged += before - self._level
         self._level = max(self._level, -MAX_DEBT_S * self._rate_per_s)
         self._reporter_by_vm[vm_id] = _Reporter(
             report.start, report.used, report.demand_per_s, now
@@ -107,6 +110,16 @@
         weight = demand_per_s / total_per_s if total_per_s > 0.0 else 0.0
         return QuotaGrant(self._customer, self._level, weight, used)
 
+    def summary(self, now: float) -> dict[str, float | bool | int]:
+        """Return the state of the account for the log."""
+        return {
+            "open": self._is_open,
+            "level": round(self.level(now), 1),
+            "charged": round(self._charged, 1),
+            "demand_per_s": round(self._demand_per_s(now), 1),
+            "vms": len(self._reporter_by_vm),
+        }
+
     def level(self, now: float) -> float:
         """Return what is left, below 0 for a debt."""
         self._refill(now)
--- a/bamboovale/gateway/quota_exchange.py
+++ b/bamboovale/gateway/quota_exchange.py
@@ -52,11 +52,13 @@
     def apply_table(self, table: RoutingTable) -> None:
         """Apply the limits of a configuration."""
         customers = table.customers.by_name.values() if table.customers else ()
+        before = self._quota_by_customer
         self._quota_by_customer = {
             customer.name: customer.quota
             for customer in customers
             if customer.quota is not None
         }
+        self._log_changes(before)
         now = self._state.now()
         self.meter.set_limits(self._quota_by_customer, now)
         for customer, account in list(self._account_by_customer.items()):
@@ -66,6 +68,18 @@
             else:
                 account.set_limit(quota.rate_per_s, quota.burst, now)
 
+    def _log_changes(self, before: Mapping[str, Quota]) -> None:
+        for customer in before.keys() | self._quota_by_customer.keys():
+            quota = self._quota_by_customer.get(customer)
+            if quota != before.get(customer):
+                self._state.journal.write(
+                    "quota",
+                    customer=customer,
+                    rate_per_s=quota.rate_per_s if quota else None,
+                    burst=quota.burst if quota else None,
+                    unit=quota.unit.name.lower() if quota else None,
+                )
+
     def on_spent(self, customer: str) -> None:
         """Send a report of the customer without delay, if one is due."""
         if self.meter.wants_report(customer, self._state.now()):
@@ -141,8 +155,13 @@
 
     def _send_notices(self) -> None:
         now = self._state.now()
-        for account in self._account_by_customer.values():
-            for vm_id, (start, grant) in account.due_notices(now).items():
+        for customer, account in self._account_by_customer.items():
+            notices = account.due_notices(now)
+            if notices:
+                self._state.journal.write(
+                    "quota_account", customer=customer, **account.summary(now)
+                )
+            for vm_id, (start, grant) in notices.items():
                 message = QuotaGrants(start, (grant,))
                 if vm_id == self._state.node.name:
                     self.on_grants(message)
