Load a new version of an adapter at another engine than the older one

The choice of an engine now adds the time of those runs to the cost of a load where an older version is held.

--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -8,6 +8,10 @@
 other engine by more than the cost of a load. Otherwise the adapter is loaded at an
 engine with an open slot, among these at one that recently held it and loads it from its
 own cache, and otherwise in rendezvous order, which is the same at every entry VM.
+
+A new version of an adapter is loaded at another engine than that which holds the older
+one: there the load would wait for the runs of the older version, and all requests for
+an adapter in constant use with it.
 """
 
 from collections import OrderedDict
@@ -32,6 +36,8 @@
 """Batch without a free place: about one run must end first."""
 UNKNOWN_COST_S = 1.0
 """Engine without a known state: used when all others are busy."""
+REPLACE_COST_S = 1.5
+"""A new version at an engine that holds an older one: the load waits for its runs."""
 SPREAD_S = 0.3
 """Largest excess over the least busy engine at which an engine gets a load."""
 
@@ -70,9 +76,11 @@
         *,
         warm: bool = False,
         by_slots: bool = True,
+        replaces: bool = False,
     ) -> float:
         """Return the expected seconds to the first event with a load."""
         load_s = WARM_LOAD_COST_S if warm else LOAD_COST_S
+        load_s += REPLACE_COST_S if replaces else 0.0
         if self.snapshot is None:
             return UNKNOWN_COST_S + load_s
         open_slots = self.snapshot.open_slots - self.own_loads
@@ -94,6 +102,13 @@
             return True
         return self.snapshot.coming.get(key, 0) >= version
 
+    def holds_older(self, key: AdapterKey, version: int) -> bool:
+        """Return whether an older version of the adapter is loaded or loading."""
+        if self.snapshot is None:
+            return False
+        held = self.snapshot.loaded.get(key) or self.snapshot.coming.get(key)
+        return held is not None and held < version
+
     def has_loaded(self, key: AdapterKey | None, version: int) -> bool:
         """Return whether the adapter is loaded in this version."""
         if self.snapshot is None:
@@ -198,13 +213,13 @@
             default=None,
         )
         if key is None:
-            return best or self._for_load("", open_candidates, prompt_tokens)[0]
+            return best or self._for_load(None, 0, open_candidates, prompt_tokens)[0]
         warm: set[str] = set()
         if self._mechanisms.has(Mechanism.HELD_LATELY):
             warm = self.recently_held.holders(key, version)
-        name = f"{key[0]}/{key[1]}"
         fresh, fresh_s = self._for_load(
-            name,
+            key,
+            version,
             open_candidates,
             prompt_tokens,
             holders,
@@ -217,7 +232,8 @@
 
     def _for_load(
         self,
-        name: str,
+        key: AdapterKey | None,
+        version: int,
         engines: Mapping[str, EngineCandidate],
         prompt_tokens: int,
         holders: Collection[str] = (),
@@ -225,11 +241,19 @@
     ) -> tuple[str | None, float]:
         """Return the engine that should load the adapter, and the expected wait."""
         by_slots = self._mechanisms.has(Mechanism.OPEN_SLOTS)
+        replaced: set[str] = set()
+        if key is not None and self._mechanisms.has(Mechanism.VERSION_ELSEWHERE):
+            replaced = {
+                engine_id
+                for engine_id, candidate in engines.items()
+                if candidate.holds_older(key, version)
+            }
         able = {
             engine_id: candidate.load_cost_s(
                 prompt_tokens,
                 warm=engine_id in warm,
                 by_slots=by_slots,
+                replaces=engine_id in replaced,
             )
             for engine_id, candidate in engines.items()
             if candidate.owner is not None and engine_id not in holders
@@ -243,6 +267,7 @@
             chosen = min(warm_acceptable, key=lambda engine_id: able[engine_id])
             return chosen, able[chosen]
         self._order.set_members(able)
+        name = "" if key is None else f"{key[0]}/{key[1]}"
         for engine_id in self._order.candidates(name):
             if engine_id in acceptable:
                 return engine_id, able[engine_id]
--- a/bamboovale/decisions/mechanisms.py
+++ b/bamboovale/decisions/mechanisms.py
@@ -19,6 +19,7 @@
     GOAL_ORDER = "goal-order"
     LATENESS = "lateness"
     EARLY_REFUSAL = "early-refusal"
+    VERSION_ELSEWHERE = "version-elsewhere"
 
 
 @dataclass(frozen=True)
--- a/bamboovale/emulator/caller.py
+++ b/bamboovale/emulator/caller.py
@@ -34,6 +34,9 @@
     def next_number(self) -> int:
         """Return a number that is unique within the simulation."""
 
+    def version_of(self, adapter: str) -> int:
+        """Return the newest version of an adapter."""
+
     def owner(self, name: str) -> EmulatedOwner | None:
         """Return the engine's owner, None while the engine is down."""
 
@@ -100,11 +103,12 @@
         for _ in range(MAX_ATTEMPTS):
             views = entry.views(self._simulation.live_engines())
             tokens = self._prompt_tokens
-            name = entry.chooser.choose(self._key, 1, views, prompt_tokens=tokens)
+            version = self._version
+            name = entry.chooser.choose(self._key, version, views, prompt_tokens=tokens)
             if name is None:
                 break
             entry.tokens_by_engine[name] += self._prompt_tokens
-            entry.loads_by_engine[name] += not views[name].holds(self._key, 1)
+            entry.loads_by_engine[name] += not views[name].holds(self._key, version)
             decision = yield from self._request_place(name, asked_at)
             if isinstance(decision, Refuse):
                 self.retry_after_s = decision.retry_after_s
@@ -116,6 +120,10 @@
                 return
         self._outcome.refused = self._outcome.first_s is None
 
+    @property
+    def _version(self) -> int:
+        return self._simulation.version_of(self._key[1])
+
     def _request_place(
         self,
         name: str,
@@ -144,7 +152,7 @@
             entry_vm="entry",
             model=MODEL,
             adapter=self._key[1],
-            version=1,
+            version=self._version,
             prompt_tokens=self._prompt_tokens,
             output_tokens=self._output_tokens,
             rank=0,
--- a/bamboovale/emulator/scenario.py
+++ b/bamboovale/emulator/scenario.py
@@ -78,7 +78,7 @@
     of a ``share`` of the engines by ``x``. ``crash`` stops a ``share`` of the engines,
     which restart without loaded adapters. ``shift`` moves the popularity ranking by
     ``x`` adapters and is permanent. ``lost_orders`` drops the answers to a ``share`` of
-    the orders.
+    the orders. ``new_version`` publishes a new version of the adapter of rank ``x``.
     """
 
     kind: str
@@ -88,7 +88,9 @@
     share: float = 0.2
 
 
-FAULT_KINDS = frozenset({"crowd", "slow", "crash", "shift", "lost_orders"})
+FAULT_KINDS = frozenset(
+    {"crowd", "slow", "crash", "shift", "lost_orders", "new_version"}
+)
 
 
 @dataclass(frozen=True)
--- a/bamboovale/emulator/simulation.py
+++ b/bamboovale/emulator/simulation.py
@@ -7,6 +7,7 @@
 import itertools
 import math
 import random
+from collections import Counter
 from collections.abc import Generator
 from dataclasses import fields
 from typing import Any
@@ -43,6 +44,7 @@
         self._rng = random.Random(seed)
         self._numbers = itertools.count()
         self._arrival_factor = 1.0
+        self._version_by_adapter: Counter[str] = Counter()
         self._popularity_shift = 0
         self._lost_orders_share = 0.0
         self._store = SharedStore(self._deployment.loads_at_full_speed)
@@ -151,7 +153,7 @@
             range(len(self._weights)),
             cum_weights=self._weights,
         )[0]
-        adapter = f"a{(rank + self._popularity_shift) % self._deployment.adapters}"
+        adapter = self._adapter(rank)
         prompt = self._draw(kind.prompt) + kind.shared_tokens
         request = CallerRequest(self, outcome, adapter, prompt, self._draw(kind.output))
         yield from request.run(self._rng.choice(self._entries))
@@ -163,6 +165,9 @@
             outcome.refused = False
             yield from request.run(self._rng.choice(self._entries))
 
+    def _adapter(self, rank: int) -> str:
+        return f"a{(rank + self._popularity_shift) % self._deployment.adapters}"
+
     def _draw(self, tokens: Tokens) -> int:
         if not tokens.spread:
             return min(tokens.most, round(tokens.mean))
@@ -188,6 +193,8 @@
             self._popularity_shift += round(fault.x)
         elif fault.kind == "lost_orders":
             self._set_lost_orders(fault.share)
+        elif fault.kind == "new_version":
+            self._version_by_adapter[self._adapter(round(fault.x))] += 1
         elif fault.kind == "slow":
             for name in chosen:
                 self._engine_by_name[name].slowness *= fault.x
@@ -226,6 +233,10 @@
         """Return a number that is unique within the simulation."""
         return next(self._numbers)
 
+    def version_of(self, adapter: str) -> int:
+        """Return the newest version of an adapter."""
+        return 1 + self._version_by_adapter[adapter]
+
     def owner(self, name: str) -> EmulatedOwner | None:
         """Return the engine's owner, None while the engine is down."""
         return self._owner_by_name.get(name)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -266,3 +266,34 @@
     def test_the_experiment_files_of_the_docs_are_valid(self) -> None:
         for file in sorted(Path("docs/experiments").glob("*.toml")):
             assert Experiment.from_file(file).policies
+
+
+class TestNewVersions:
+    """A new version of an adapter that is in constant use."""
+
+    KIND = replace(KIND, per_s=20.0, goal_s=1.0, output=Tokens(180.0, 0.5, 400))
+    GROUPS = (EngineGroup(6, replace(FIGURES, places=12, adapter_slots=7)),)
+    FAULT = Fault("new_version", at=4.0, x=0.0)
+
+    def in_time_after(self, *without: str) -> float:
+        """Return the share in time of requests in the seconds after the version."""
+        shares = [
+            share
+            for seed in (1, 2, 3)
+            for start, share in simulate(
+                *without,
+                seed=seed,
+                kind=self.KIND,
+                groups=self.GROUPS,
+                faults=(self.FAULT,),
+            ).in_time_by_second(1.0)
+            if 4.0 <= start < 9.0
+        ]
+        return sum(shares) / len(shares)
+
+    def test_callers_do_not_wait_for_the_runs_of_the_older_version(self) -> None:
+        """Guards against a load that waits, with all requests for its adapter."""
+        elsewhere = self.in_time_after()
+        in_place = self.in_time_after("version-elsewhere")
+        assert elsewhere >= 0.85
+        assert elsewhere > in_place + 0.05
