--- /dev/null
+++ b/bench/customer_guards.py
@@ -0,0 +1,114 @@
+"""Guards of the promises to customers: keys, revocation and quotas."""
+
+from bench.guard import Change, CustomerPromise, Guard
+
+CUSTOMER_GUARDS = (
+    Guard(
+        "headers that contain the key are dropped",
+        CustomerPromise.KEYS,
+        "tests/test_customers.py::TestKeys::"
+        "test_an_endpoint_sees_the_customer_and_never_the_key",
+        (
+            Change(
+                "bamboovale/platform/customers.py",
+                "(searched is None or searched not in value)",
+                "name",
+            ),
+        ),
+    ),
+    Guard(
+        "a customer that the caller names itself is dropped",
+        CustomerPromise.KEYS,
+        "tests/test_customers.py::TestKeys::"
+        "test_a_public_route_needs_no_key_and_hides_it",
+        (
+            Change(
+                "bamboovale/platform/customers.py",
+                "own = {names.AUTHORIZATION, names.CUSTOMER}",
+                "own = {names.AUTHORIZATION}",
+            ),
+        ),
+    ),
+    Guard(
+        "a VM without a proof of its view accepts no key",
+        CustomerPromise.REVOCATION,
+        "tests/test_customers.py::TestRevocation::"
+        "test_a_vm_without_any_proof_refuses_keys_after_the_bound",
+        (
+            Change(
+                "bamboovale/gateway/access.py",
+                "if not self._view.is_fresh(self._clock()):",
+                "if not facts:",
+            ),
+        ),
+    ),
+    Guard(
+        "a read proves the moment at which it was sent, not when it is answered",
+        CustomerPromise.REVOCATION,
+        "tests/test_gateway_parts.py::TestProofsOfReads::"
+        "test_a_late_answer_proves_the_moment_of_its_read",
+        (
+            Change(
+                "bamboovale/gateway/followers.py",
+                "self._on_proof(sent_at + waited_s)",
+                "self._on_proof(lease_clock() + waited_s)",
+            ),
+        ),
+    ),
+    Guard(
+        "a neighbour's proof is dated from our stamp",
+        CustomerPromise.REVOCATION,
+        "tests/test_decisions_view_freshness.py::TestProofs::"
+        "test_no_proof_is_dated_later_than_a_read_of_the_store",
+        (
+            Change(
+                "bamboovale/fleet/view_proofs.py",
+                "proven_at = sent_at + (held_ms - age_ms) / 1000",
+                "proven_at = self._clock() - age_ms / 1000",
+            ),
+        ),
+    ),
+    Guard(
+        "a new account begins used up",
+        CustomerPromise.QUOTAS,
+        "tests/test_decisions_quota.py::TestQuotaBudget::test_it_begins_used_up",
+        (
+            Change(
+                "bamboovale/decisions/quota_budget.py",
+                "self._in_bucket = 0.0",
+                "self._in_bucket = burst",
+            ),
+            Change(
+                "bamboovale/decisions/usage_window.py",
+                "self._used = self._capacity",
+                "self._used = 0.0",
+            ),
+        ),
+    ),
+    Guard(
+        "VMs that know no account share the rate",
+        CustomerPromise.QUOTAS,
+        "tests/test_decisions_quota.py::TestMeter::"
+        "test_without_an_account_first_requests_take_no_more_than_the_rate",
+        (
+            Change(
+                "bamboovale/decisions/quota_meter.py",
+                "is_admitted = self._rng.random() * cost < meter.allowance",
+                "is_admitted = True",
+            ),
+        ),
+    ),
+    Guard(
+        "a VM that has lost the account keeps its share for a while only",
+        CustomerPromise.QUOTAS,
+        "tests/test_decisions_quota.py::TestFleet::"
+        "test_the_bound_holds_while_halves_are_cut_apart[fleet1-150000.0]",
+        (
+            Change(
+                "bamboovale/decisions/quota_meter.py",
+                "LEASE_S = 1.0",
+                "LEASE_S = 30.0",
+            ),
+        ),
+    ),
+)
--- /dev/null
+++ b/bench/guard.py
@@ -0,0 +1,33 @@
+"""A guard of a promise, and the changes that remove it."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from bench.violations import Promise
+
+
+class CustomerPromise(StrEnum):
+    """A property of the routed interface that must hold for customers."""
+
+    KEYS = "endpoints see the customer of a request and never its key"
+    REVOCATION = "a key that was taken away runs nothing after the bound"
+    QUOTAS = "no window exceeds a customer's limit by more than the bound"
+
+
+@dataclass(frozen=True)
+class Change:
+    """A text replacement in one file."""
+
+    path: str
+    text: str
+    replacement: str
+
+
+@dataclass(frozen=True)
+class Guard:
+    """A guard, the changes that remove it, and the test that must then fail."""
+
+    name: str
+    promise: Promise | CustomerPromise
+    test: str
+    changes: tuple[Change, ...]
--- a/bench/guards.py
+++ b/bench/guards.py
@@ -12,9 +12,10 @@
 import tempfile
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 from pathlib import Path
 
+from bench.customer_guards import CUSTOMER_GUARDS
+from bench.guard import Change, Guard
 from bench.violations import Promise
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -25,25 +26,6 @@
 TEST_FAILURE = re.compile(r"^E +(assert .*|\w+Error.*|Failed.*)$", re.MULTILINE)
 
 
-@dataclass(frozen=True)
-class Change:
-    """A text replacement in one file."""
-
-    path: str
-    text: str
-    replacement: str
-
-
-@dataclass(frozen=True)
-class Guard:
-    """A guard, the changes that remove it, and the test that must then fail."""
-
-    name: str
-    promise: Promise
-    test: str
-    changes: tuple[Change, ...]
-
-
 GUARDS = (
     Guard(
         "a VM with a stale catalogue refuses; peers forward records",
@@ -257,7 +239,7 @@
     options = parser.parse_args(arguments)
     selected = [
         guard
-        for guard in GUARDS
+        for guard in (*GUARDS, *CUSTOMER_GUARDS)
         if not options.promises or guard.promise.name in options.promises
     ]
     all_failed = True
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -31,7 +31,12 @@
     Route,
     RoutingTable,
 )
-from bamboovale.gateway.ownership import TTL_S, Ownership, partition_of
+from bamboovale.gateway.ownership import (
+    TTL_S,
+    Ownership,
+    lease_clock,
+    partition_of,
+)
 from bamboovale.gateway.store import (
     KeyedRecord,
     Membership,
@@ -788,3 +793,58 @@
         await self.go.wait()
         await asyncio.sleep(0.01)
         return await super().read(topic, offset, wait_s)
+
+
+class TestProofsOfReads:
+    """What an answered read of a topic proves."""
+
+    def proofs_of(self, store: Any) -> list[float]:
+        """Return the moments that the reads of a second prove, by their age."""
+        proven: list[float] = []
+
+        async def test() -> None:
+            follower = TopicFollower(
+                "topic",
+                store,
+                Journal("vm"),
+                on_record=lambda record: None,
+                wait_s=lambda: 0.1,
+                pause_s=lambda: 0.0,
+                on_proof=lambda at: proven.append(lease_clock() - at),
+            )
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(follower.follow(), 1.0)
+
+        run(test())
+        return proven
+
+    def test_a_late_answer_proves_the_moment_of_its_read(self) -> None:
+        """Guards against an answer that a cut held back and that looks new."""
+
+        class HeldBackStore:
+            """Answers with a record 0.3 s after each read."""
+
+            async def newest(self, topic: str) -> Snapshot:
+                return Snapshot((), 0)
+
+            async def read(self, topic: str, offset: int, wait_s: float) -> Any:
+                await asyncio.sleep(0.3)
+                return (KeyedRecord("key", b"value", offset),), offset + 1
+
+        ages = self.proofs_of(HeldBackStore())
+        assert len(ages) >= 3
+        assert min(ages[1:]) >= 0.29
+
+    def test_an_answer_without_records_proves_the_end_of_its_wait(self) -> None:
+        class EmptyStore:
+            """Answers without records after the wait."""
+
+            async def newest(self, topic: str) -> Snapshot:
+                return Snapshot((), 0)
+
+            async def read(self, topic: str, offset: int, wait_s: float) -> Any:
+                await asyncio.sleep(wait_s + 0.01)
+                return (), offset
+
+        ages = self.proofs_of(EmptyStore())
+        assert max(ages[1:]) < 0.1
