Let a few VMs of a large fleet read the configuration and versions for all

Every VM read the operator's topic by long poll: each change cost as many calls as there are VMs.

In a fleet of more than twelve, three VMs read with a short wait. Versions of adapters spread as changes of the fleet; a newer configuration is told at once and fetched from the neighbour that tells of it. The proofs of fresh views, which were there for keys, show each VM that it misses nothing: one that has had none for 2.6 s reads for itself.

--- a/bamboovale/decisions/view_freshness.py
+++ b/bamboovale/decisions/view_freshness.py
@@ -11,18 +11,20 @@
 
 MARGIN_S = 0.25
 """Time before the bound at which a view no longer counts as fresh."""
-RENEWAL_SHARE = 0.7
-"""Share of the bound after which a VM that gets no proofs reads the store itself."""
+OWN_READ_AFTER_S = 2.6
+"""Age of the newest proof after which a VM that gets none reads the store itself."""
 
 
 class ViewFreshness:
     """The newest proof of one VM; no sockets, no clock.
 
-    ``bound_s`` is None while no bound is required. ``source`` names who gave the proof.
+    ``bound_s`` is None while no bound is required, ``is_shared`` is true while VMs rely
+    on one another's proofs. ``source`` names who gave the newest proof.
     """
 
     def __init__(self) -> None:
         self.bound_s: float | None = None
+        self.is_shared = False
         self.proven_at = -math.inf
         self.source = ""
 
@@ -42,6 +44,4 @@
 
     def needs_own_read(self, now: float) -> bool:
         """Return whether others' proofs fail to come, so that a read is worth it."""
-        return (
-            self.bound_s is not None and self.age_s(now) > RENEWAL_SHARE * self.bound_s
-        )
+        return self.is_shared and self.age_s(now) > OWN_READ_AFTER_S
--- a/bamboovale/fleet/gossip.py
+++ b/bamboovale/fleet/gossip.py
@@ -16,6 +16,7 @@
 from bamboovale.fleet.changes import ChangeLog
 from bamboovale.fleet.membership import Change, Membership
 from bamboovale.fleet.messages import (
+    AdapterNews,
     Gossip,
     Member,
     SuspectRequest,
@@ -99,8 +100,11 @@
         on_settled: Callable[[], None] = lambda: None,
         abort_link: Callable[[str], None] = lambda vm_id: None,
         proofs: ViewProofs | None = None,
+        on_version: Callable[[AdapterNews], None] = lambda news: None,
     ) -> None:
         self.config_version = -1
+        self._on_version = on_version
+        self._version_by_adapter: dict[tuple[str, str | None], int] = {}
         self.store_answered_at = NEVER
         self._store_count = 0
         self._settled_count = 0
@@ -151,7 +155,7 @@
         return WATCH_RENEWAL_S if neighbour.watched else math.inf
 
     def mark_all_due(self) -> None:
-        """Make a message to every neighbour due now, for a process that stops."""
+        """Make a message to every neighbour due now."""
         for neighbour in self.neighbours.by_id.values():
             neighbour.sent_at = NEVER
 
@@ -179,6 +183,9 @@
         for suspect in gossip.suspects:
             if self.note_suspect(suspect):
                 self._on_suspect(suspect)
+        for news in gossip.versions:
+            if self.note_version(news):
+                self._on_version(news)
         self._apply_proof(sender, gossip)
         self._apply_rows(neighbour, gossip, now)
         self._apply_counts(gossip, now)
@@ -243,6 +250,21 @@
             self._changes.drop(("suspect", oldest))
         return True
 
+    def note_version(self, news: AdapterNews) -> bool:
+        """Forward a version of an adapter; False if it is not newer."""
+        key = (news.model, news.adapter)
+        if news.version <= self._version_by_adapter.get(key, 0):
+            return False
+        self._version_by_adapter[key] = news.version
+        self._changes.put(("version", *key), news)
+        return True
+
+    def set_config_version(self, version: int) -> None:
+        """Set the version of our configuration; a newer one is told at once."""
+        if version > self.config_version:
+            self.config_version = version
+            self.mark_all_due()
+
     def note_store_answer(self, now: float, *, settled: bool = False) -> None:
         """Count an answer of the store to us; ``settled``: we consider it settled.
 
@@ -336,6 +358,7 @@
             unheard=tuple(item for item in items if isinstance(item, Suspicion)),
             suspects=tuple(item for item in items if isinstance(item, SuspectRequest)),
             rows=tuple(rows),
+            versions=tuple(item for item in items if isinstance(item, AdapterNews)),
             stamp=proofs.new_stamp() if proofs else 0,
             echoes=proofs.echoes(targets) if proofs else (),
             view_age_ms=proofs.age_ms() if proofs else NO_PROOF,
--- a/bamboovale/fleet/membership.py
+++ b/bamboovale/fleet/membership.py
@@ -12,7 +12,12 @@
 from typing import Any
 
 from bamboovale.fleet.changes import ChangeLog
-from bamboovale.fleet.messages import Member, SuspectRequest, Suspicion
+from bamboovale.fleet.messages import (
+    AdapterNews,
+    Member,
+    SuspectRequest,
+    Suspicion,
+)
 from bamboovale.fleet.rings import Rings
 
 SUSPICIONS_NEEDED = 2
@@ -26,7 +31,7 @@
 MAX_MEMBERS = 4096
 """Limit of known VMs, against malformed or hostile messages."""
 
-Change = Member | Suspicion | SuspectRequest
+Change = Member | Suspicion | SuspectRequest | AdapterNews
 
 
 @dataclass
--- a/bamboovale/fleet/messages.py
+++ b/bamboovale/fleet/messages.py
@@ -61,6 +61,16 @@
     endpoint_id: str
 
 
+@row
+@dataclass(frozen=True)
+class AdapterNews:
+    """The newest version of an adapter, or of the model if ``adapter`` is None."""
+
+    model: str
+    adapter: str | None
+    version: int
+
+
 TopicRow = tuple[str, bytes | None, int]
 """A record of a topic: key, value (None: the key was removed) and offset."""
 
@@ -77,6 +87,7 @@
     ``next_offset``. ``watches`` requests heartbeats from the receiver for a while,
     ``wants_all`` a full copy of its view of the fleet. ``stamp``, ``echoes`` and
     ``view_age_ms`` prove how fresh the sender's configuration is (see ``ViewProofs``).
+    ``versions`` are adapter versions that the operator published.
     """
 
     digest: int
@@ -94,3 +105,4 @@
     stamp: int = 0
     echoes: tuple[tuple[int, int], ...] = ()
     view_age_ms: int = -1
+    versions: tuple[AdapterNews, ...] = ()
--- a/bamboovale/fleet/view_proofs.py
+++ b/bamboovale/fleet/view_proofs.py
@@ -42,8 +42,8 @@
 
     @property
     def is_needed(self) -> bool:
-        """Return whether a bound on the age of views is required."""
-        return self._freshness.bound_s is not None
+        """Return whether VMs rely on one another's proofs."""
+        return self._freshness.is_shared
 
     def new_stamp(self) -> int:
         """Return the stamp of a message that is sent now."""
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -22,6 +22,10 @@
 owners remain when several VMs end at once. Each renewal of membership in the store is
 priced."""
 
+MAX_SMALL_FLEET = 12
+"""Fleet size up to which every VM reads all topics of the store. In a larger fleet a
+few VMs read, as every read is a priced call, and the others hear from neighbours."""
+
 
 @dataclass(frozen=True)
 class OwnedEngine:
@@ -85,6 +89,10 @@
         """Return the number of VMs that are live, or registered but not seen yet."""
         return self.size() + len(self.membership.contact_ids())
 
+    def is_large(self) -> bool:
+        """Return whether only a few VMs read from the store."""
+        return self.expected_size() > MAX_SMALL_FLEET
+
     def live(self) -> list[Member]:
         """Return the other live VMs."""
         self._refresh()
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -8,7 +8,7 @@
 
 from bamboovale.decisions.timer_lag import TimerLagMonitor
 from bamboovale.fleet.gossip import GossipProtocol
-from bamboovale.fleet.messages import Gossip, SuspectRequest
+from bamboovale.fleet.messages import AdapterNews, Gossip, SuspectRequest
 from bamboovale.fleet.view_proofs import ViewProofs
 from bamboovale.gateway.crashes import CrashGuard
 from bamboovale.gateway.engine_assignment import EngineAssignment
@@ -95,6 +95,8 @@
         self._quotas = quotas
         self._wake_event = asyncio.Event()
         self._seen_version = -1
+        self._requested_version = -1
+        self._table_requested_at = -POLL_INTERVAL_S
         self._fences_announced_at = -FENCE_ANNOUNCE_INTERVAL_S
         self._lag_monitor = TimerLagMonitor()
         self._start_by_live: dict[str, int] = {}
@@ -110,11 +112,12 @@
             on_settled=state.store_watch.on_settled,
             abort_link=links.abort,
             proofs=ViewProofs(state.view, lease_clock, random.Random()),
+            on_version=records.apply_news,
         )
 
     def announce(self) -> None:
         """Update this VM's membership entry and gossip it if it changed."""
-        self.gossip.config_version = self._config_version()
+        self.gossip.set_config_version(self._config_version())
         is_new = self._state.fleet.membership.update_own(
             serving=self._state.serving(),
             owned=self._owned_to_announce(),
@@ -160,6 +163,14 @@
         if self.gossip.note_suspect(suspect):
             self._wake_event.set()
 
+    def broadcast_version(self, news: AdapterNews) -> None:
+        """Gossip a version of an adapter that this VM read from the store.
+
+        In a small fleet every VM reads it.
+        """
+        if self._state.fleet.is_large() and self.gossip.note_version(news):
+            self._wake_event.set()
+
     def assign_engines(self) -> None:
         """Update the owned engines; announce them at once if they changed."""
         if self._assignment.assign():
@@ -272,9 +283,19 @@
         Guards against a store that is unreachable only for this VM.
         """
         newest = self.gossip.newest_config()
-        if newest is None or newest[1] <= self._config_version():
+        if newest is not None:
+            self._fetch_table(*newest)
+
+    def _fetch_table(self, vm_id: str, version: int) -> None:
+        """Request a peer's configuration if it is newer and was not just requested."""
+        now = self._state.now()
+        is_new = version > self._requested_version
+        is_due = is_new or now - self._table_requested_at >= POLL_INTERVAL_S
+        if version <= self._config_version() or not is_due:
             return
-        future = self._links.request(newest[0], TableQuery(), TABLE_TIMEOUT_S)
+        self._requested_version = version
+        self._table_requested_at = now
+        future = self._links.request(vm_id, TableQuery(), TABLE_TIMEOUT_S)
         future.add_done_callback(self._on_table_answer)
 
     def _on_table_answer(self, future: "Future[Any]") -> None:
@@ -309,6 +330,7 @@
         if isinstance(message, Gossip):
             version = self._state.fleet.version
             self.gossip.on_gossip(sender, message, now)
+            self._fetch_table(sender, message.config_version)
             if self.gossip.has_updates():
                 self._wake_event.set()
             if self._state.fleet.version != version:
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+from bamboovale.fleet.messages import AdapterNews
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.followers import RETRY_S, TopicFollower
 from bamboovale.gateway.model import RoutingTable
@@ -20,8 +21,6 @@
 leaving endpoint must get no new work two seconds after its record says so."""
 POLL_MARGIN_S = 0.01
 """Added to a read that is to end when the store is settled."""
-MAX_ALL_READERS = 12
-"""Fleet size up to which every VM reads the endpoints' topic."""
 READERS = 4
 """VMs that read the endpoints' topic in a larger fleet, as every read is a priced
 call."""
@@ -38,7 +37,8 @@
 
     ``on_answer`` is called after each answer of the store to a read, with whether the
     store is settled (see ``StoreWatch``). ``config_poll_s`` returns how long a read of
-    the operator's topic waits for a change.
+    the operator's topic waits for a change, ``may_read_operator`` whether this VM
+    should read it. ``on_version`` is called with each version that was read.
     """
 
     def __init__(
@@ -51,11 +51,14 @@
         on_changed: Callable[[], None],
         on_answer: Callable[[bool], None],
         config_poll_s: Callable[[], float],
+        may_read_operator: Callable[[], bool],
+        on_version: Callable[[AdapterNews], None],
     ) -> None:
         self._state = state
         self._translation = translation
         self._engines = engines
         self._on_table = on_table
+        self._on_version = on_version
         self.operator = TopicFollower(
             translation.operator_topic,
             store,
@@ -65,6 +68,7 @@
             pause_s=lambda: CONFIG_PAUSE_S,
             retry_s=lambda: self._retry_s(),
             on_answer=lambda: on_answer(False),
+            may_read=lambda progress_age_s: may_read_operator(),
             on_proof=lambda proven_at: state.view.on_proof(proven_at, "store"),
             now=state.now,
         )
@@ -114,9 +118,13 @@
         elif isinstance(change, RoutingTable):
             self.apply_table(change, origin="store")
         else:
-            self._apply_version(change.model, change.adapter, change.version)
+            news = AdapterNews(change.model, change.adapter, change.version)
+            self.apply_news(news)
+            self._on_version(news)
 
-    def _apply_version(self, model: str, adapter: str | None, version: int) -> None:
+    def apply_news(self, news: AdapterNews) -> None:
+        """Apply a version of an adapter, unless it is not newer than the known one."""
+        model, adapter, version = news.model, news.adapter, news.version
         key = (model, adapter)
         before = self._state.version_by_adapter.get(key, 1)
         if version <= before:
@@ -142,7 +150,7 @@
         fleet = self._state.fleet
         if not self._state.knows_fleet:
             return False
-        if fleet.expected_size() <= MAX_ALL_READERS:
+        if not fleet.is_large():
             return True
         return self._state.node.name in fleet.designated("readers", READERS)
 
--- a/bamboovale/gateway/view_watch.py
+++ b/bamboovale/gateway/view_watch.py
@@ -12,10 +12,10 @@
 READERS = 3
 """VMs that prove the view by short reads, as every read is a priced call; the others
 get proofs from their neighbours."""
-READER_POLL_S = 1.2
+READER_POLL_S = 0.8
 """How long a reader's read waits for a change, and so the age of its proofs."""
 LONG_POLL_S = 20.0
-"""How long the reads of all other VMs wait for a change."""
+"""How long the reads of all other VMs of a small fleet wait for a change."""
 OWN_READ_INTERVAL_S = 1.0
 """Interval of reads of a VM that gets no proofs from others."""
 STORE_ANSWERS_S = 2.5
@@ -42,19 +42,28 @@
 
     def poll_s(self) -> float:
         """Return how long this VM's next read of the configuration may wait."""
+        return READER_POLL_S if self._reads_often() else LONG_POLL_S
+
+    def may_read(self) -> bool:
+        """Return whether this VM should read the configuration from the store.
+
+        In a large fleet a few VMs do, as every read is a priced call: the others hear
+        of changes, and of proofs that there are none, from their neighbours.
+        """
+        return not self._state.fleet.is_large() or self._reads_often()
+
+    def _reads_often(self) -> bool:
         view = self._state.view
-        if view.bound_s is None:
-            return LONG_POLL_S
-        if self._is_reader() or view.needs_own_read(lease_clock()):
-            return READER_POLL_S
-        return LONG_POLL_S
+        if not view.is_shared:
+            return False
+        return self._is_reader() or view.needs_own_read(lease_clock())
 
     async def watch(self, follower: TopicFollower) -> None:
         """Check the age of the proof forever."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             self.update_bound()
-            if self._state.view.bound_s is not None and self._wants_read():
+            if self._wants_read():
                 self._own_read_at = self._state.now()
                 follower.restart_read(READER_POLL_S)
             self._update_service()
@@ -64,12 +73,14 @@
         table, bounds = self._state.table, self._state.node.bounds
         has_keys = table is not None and table.customers is not None
         strict = has_keys and bounds.strict_revoke
-        self._state.view.bound_s = bounds.revoke_s if strict else None
+        view = self._state.view
+        view.bound_s = bounds.revoke_s if strict else None
+        view.is_shared = strict or self._state.fleet.is_large()
 
     def _wants_read(self) -> bool:
         if self._state.now() - self._own_read_at < OWN_READ_INTERVAL_S:
             return False
-        return self._is_reader() or self._state.view.needs_own_read(lease_clock())
+        return self._reads_often()
 
     def _is_reader(self) -> bool:
         fleet = self._state.fleet
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -194,6 +194,8 @@
             on_changed=lambda: self.peering.wake(),
             on_answer=lambda settled: self.peering.on_store_answer(settled=settled),
             config_poll_s=self._view_watch.poll_s,
+            may_read_operator=self._view_watch.may_read,
+            on_version=lambda news: self.peering.broadcast_version(news),
         )
         for follower in self.records.followers():
             self._metrics.watch_open_read(follower.topic, follower.open_read_s)
