Send an engine's status to other VMs only when it changes beyond its load

Owners sent the whole status of all their engines to every subscriber at least each 0.3 s, changed or not; the part that changes with every request is published by itself each 0.1 s.

A status is sent when it differs from the last one sent beyond its load, and all are sent every 2 s in case a message was lost.

--- a/bamboovale/gateway/status_exchange.py
+++ b/bamboovale/gateway/status_exchange.py
@@ -1,14 +1,29 @@
-"""Publication of engine status by owners, and subscription to it by other VMs."""
+"""Publication of engine status by owners, and subscription to it by other VMs.
+
+A status holds what an engine has loaded, which changes with a load, and its load, which
+changes with every request and is published by itself. A status is sent when it changes
+beyond its load, and from time to time in case a message was lost.
+"""
 
 import asyncio
+from dataclasses import replace
 
 from bamboovale.fleet.subscriptions import Subscriber, Subscriptions
 from bamboovale.gateway.engines import Engines, Links
-from bamboovale.gateway.messages import EngineLoads, EngineStatuses, StatusSubscription
+from bamboovale.gateway.messages import (
+    EngineLoads,
+    EngineStatus,
+    EngineStatuses,
+    StatusSubscription,
+)
 from bamboovale.gateway.vm_state import VMState
 
 SUBSCRIBE_CHECK_INTERVAL_S = 0.5
 """Interval of checks which subscriptions are due: a quarter of a renewal interval."""
+REFRESH_INTERVAL_S = 2.0
+"""Interval at which the status of all engines is sent, changed or not."""
+SPEED_DIGITS = 2
+"""Significant digits of the prefill speed below which it counts as unchanged."""
 OWNER_CHECK_INTERVAL_S = 0.3
 """Interval of checks whether this VM owns engines while it owns none."""
 
@@ -22,6 +37,8 @@
         self._links = links
         self._subscriptions = Subscriptions()
         self._subscriber = Subscriber()
+        self._published_by_engine: dict[str, EngineStatus] = {}
+        self._refreshed_at = -REFRESH_INTERVAL_S
         engines.on_engine_needed = self.on_engine_needed
 
     # As an owner.
@@ -33,12 +50,25 @@
             self._links.notify(sender, self._statuses())
 
     def publish_statuses(self) -> None:
-        """Send the status of all owned engines to all subscribers."""
+        """Send the changed status of owned engines to all subscribers."""
         now = self._state.now()
-        statuses = self._statuses()
-        self._state.fleet.on_statuses(self._state.node.name, statuses.statuses, now)
-        if statuses.statuses:
-            self._links.notify_all(self._subscriptions.subscribers(now), statuses)
+        statuses = self._statuses().statuses
+        self._state.fleet.on_statuses(self._state.node.name, statuses, now)
+        is_refresh = now - self._refreshed_at >= REFRESH_INTERVAL_S
+        if is_refresh:
+            self._refreshed_at = now
+            self._published_by_engine.clear()
+        changed = tuple(status for status in statuses if self._is_news(status))
+        for status in changed:
+            self._published_by_engine[status.engine_id] = _without_load(status)
+        if changed:
+            subscribers = self._subscriptions.subscribers(now)
+            self._links.notify_all(subscribers, EngineStatuses(changed))
+
+    def _is_news(self, status: EngineStatus) -> bool:
+        """Return whether a status differs from the last one sent beyond its load."""
+        published = self._published_by_engine.get(status.engine_id)
+        return published != _without_load(status)
 
     async def publish_statuses_forever(self) -> None:
         """Publish engine status at intervals while this VM owns engines."""
@@ -94,3 +124,15 @@
         while True:
             await asyncio.sleep(SUBSCRIBE_CHECK_INTERVAL_S)
             self.subscribe_to_owners()
+
+
+def _without_load(status: EngineStatus) -> EngineStatus:
+    """Return the part of a status that its load does not contain, to compare it."""
+    return replace(
+        status,
+        active=0,
+        queued=0,
+        backlog_s=0.0,
+        open_slots=0,
+        s_per_token=float(f"{status.s_per_token:.{SPEED_DIGITS}g}"),
+    )
