--- a/bamboovale/decisions/quota_meter.py
+++ b/bamboovale/decisions/quota_meter.py
@@ -175,19 +175,23 @@
         """Spend the cost of a request if the allowance admits it.
 
         The last request may overdraw the allowance, as one may be worth more than this
-        VM's share. After a restart of all VMs, before any account is known, each of
-        them would admit one so: then a request that costs more than the allowance is
-        admitted in as many cases as the allowance is a part of the cost.
+        VM's share.
         """
-        if meter.weight is not None or self._knows_account(meter.customer):
-            is_admitted = meter.allowance > -self._cushion(meter, now)
-        else:
-            is_admitted = self._rng.random() * cost < meter.allowance
-            # The allowance is spent on the chance, whether it is admitted or not.
-            meter.allowance = max(0.0, meter.allowance - cost)
-            return is_admitted
-        if is_admitted:
-            meter.allowance -= cost
+        if meter.weight is None and not self._knows_account(meter.customer):
+            return self._spend_by_chance(meter, cost)
+        if meter.allowance <= -self._cushion(meter, now):
+            return False
+        meter.allowance -= cost
+        return True
+
+    def _spend_by_chance(self, meter: _Meter, cost: float) -> bool:
+        """Admit a request in as many cases as the allowance is a part of its cost.
+
+        Guards against a restart of all VMs, each of which would overdraw by a request.
+        The allowance is spent on the chance, whether it is admitted or not.
+        """
+        is_admitted = self._rng.random() * cost < meter.allowance
+        meter.allowance = max(0.0, meter.allowance - cost)
         return is_admitted
 
     def give_back(self, customer: str, cost: float, now: float) -> None:
