--- /dev/null
+++ b/bamboovale/gateway/drain.py
@@ -0,0 +1,49 @@
+"""The planned stop of an entry VM: it hands over, serves on for a while and drains."""
+
+import asyncio
+import contextlib
+
+from bamboovale.gateway.ownership import Ownership
+from bamboovale.gateway.peering import Peering
+from bamboovale.gateway.store import StoreError
+from bamboovale.gateway.vm_state import VMState
+from bamboovale.http1.server import Server
+
+LISTEN_AFTER_STOP_S = 3.2
+"""How long new requests are served after SIGTERM, as callers cache addresses."""
+STOP_MARGIN_S = 0.7
+"""Time left for the exit before the platform kills the process."""
+LEAVE_TIMEOUT_S = 1.0
+"""How long the store may take to release the engines."""
+
+
+async def drain(
+    state: VMState, callers: Server, ownership: Ownership, peering: Peering
+) -> None:
+    """Release engines, serve while callers cache this address, then drain."""
+    state.stopping = True
+    started_at = state.now()
+    state.journal.write("stopping", busy=callers.busy)
+    peering.announce()
+    with contextlib.suppress(StoreError, TimeoutError):
+        async with asyncio.timeout(LEAVE_TIMEOUT_S):
+            await ownership.leave()
+    peering.assign_engines()
+    while state.now() < started_at + LISTEN_AFTER_STOP_S:
+        await asyncio.sleep(0.1)
+    state.draining = True
+    callers.close_idle()
+    await _wait_for_callers(state, callers, started_at)
+    callers.stop_listening()
+    state.journal.write("drained", cut_off=callers.busy)
+
+
+async def _wait_for_callers(state: VMState, callers: Server, started_at: float) -> None:
+    """Wait until all connections are closed, or the grace time is nearly over."""
+    last = started_at + state.node.bounds.grace_s - STOP_MARGIN_S
+    while state.now() < last:
+        await asyncio.sleep(0.05)
+        if not callers.busy and not callers.connections:
+            break
+        if state.now() > started_at + LISTEN_AFTER_STOP_S + 1.0:
+            callers.close_idle()
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Mapping, Set
-from concurrent.futures import Future
 from typing import Any, get_args
 
 from bamboovale.decisions.timer_lag import TimerLagMonitor
@@ -27,28 +26,20 @@
     QuotaGrants,
     QuotaReports,
     StatusSubscription,
-    TableAnswer,
     TableQuery,
 )
-from bamboovale.gateway.model import RoutingTable
 from bamboovale.gateway.ownership import Ownership, lease_clock
 from bamboovale.gateway.quota_exchange import QuotaExchange
 from bamboovale.gateway.records import Records
 from bamboovale.gateway.status_exchange import EngineStatusExchange
+from bamboovale.gateway.table_exchange import TableExchange
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.peers.links import PeerLinks
-from bamboovale.peers.outgoing import (
-    PeerLostError,
-    PeerTimeoutError,
-    PeerUnreachableError,
-)
 
 PlaceNotice = PlaceCancel | PlaceRelease | PlaceHeld | PlaceStarted | PlacePaused
 PLACE_NOTICES = get_args(PlaceNotice)
 """Notices about a place, for the engine's owner."""
-TABLE_TIMEOUT_S = 1.0
-"""Timeout of a peer's configuration; gossip names a peer to ask next."""
 LOOP_LAG_LOG_S = 0.5
 """Lateness of the event loop that is logged, below the time after which neighbours
 suspect a VM."""
@@ -95,8 +86,9 @@
         self._quotas = quotas
         self._wake_event = asyncio.Event()
         self._seen_version = -1
-        self._requested_version = -1
-        self._table_requested_at = -POLL_INTERVAL_S
+        self._tables = TableExchange(
+            state, links, translation.decode_table, records.apply_table
+        )
         self._fences_announced_at = -FENCE_ANNOUNCE_INTERVAL_S
         self._lag_monitor = TimerLagMonitor()
         self._start_by_live: dict[str, int] = {}
@@ -117,7 +109,7 @@
 
     def announce(self) -> None:
         """Update this VM's membership entry and gossip it if it changed."""
-        self.gossip.set_config_version(self._config_version())
+        self.gossip.set_config_version(self._tables.own_version())
         is_new = self._state.fleet.membership.update_own(
             serving=self._state.serving(),
             owned=self._owned_to_announce(),
@@ -233,9 +225,6 @@
                 self.assign_engines()
             self._fetch_newer_table()
 
-    def _config_version(self) -> int:
-        return self._state.table.version if self._state.table else -1
-
     def _on_live_change(self) -> None:
         """Log VMs that joined or were lost; free the places of the lost ones."""
         if self._state.fleet.version == self._seen_version:
@@ -278,36 +267,10 @@
                 owner.on_entry_gone(vm_id, before_start=start)
 
     def _fetch_newer_table(self) -> None:
-        """Request the configuration from a peer that has a newer one.
-
-        Guards against a store that is unreachable only for this VM.
-        """
+        """Request the configuration from a neighbour that has a newer one."""
         newest = self.gossip.newest_config()
         if newest is not None:
-            self._fetch_table(*newest)
-
-    def _fetch_table(self, vm_id: str, version: int) -> None:
-        """Request a peer's configuration if it is newer and was not just requested."""
-        now = self._state.now()
-        is_new = version > self._requested_version
-        is_due = is_new or now - self._table_requested_at >= POLL_INTERVAL_S
-        if version <= self._config_version() or not is_due:
-            return
-        self._requested_version = version
-        self._table_requested_at = now
-        future = self._links.request(vm_id, TableQuery(), TABLE_TIMEOUT_S)
-        future.add_done_callback(self._on_table_answer)
-
-    def _on_table_answer(self, future: "Future[Any]") -> None:
-        try:
-            answer = future.result()
-        except (PeerUnreachableError, PeerLostError, PeerTimeoutError) as error:
-            self._state.journal.write("table_query_failed", error=str(error))
-            return
-        if isinstance(answer, TableAnswer) and answer.source is not None:
-            table = self._translation.decode_table(answer.source)
-            if isinstance(table, RoutingTable):
-                self._records.apply_table(table, origin="peer")
+            self._tables.fetch(*newest)
 
     def on_request(self, sender: str, message: Any, reply: Any) -> None:
         """Answer a peer's request."""
@@ -319,7 +282,7 @@
                 self.status_exchange.on_subscribe(sender)
                 owner.request_place(sender, message, reply)
         elif isinstance(message, TableQuery):
-            reply(TableAnswer(self._state.table.source if self._state.table else None))
+            reply(self._tables.answer())
         else:
             name = type(message).__name__
             self._state.journal.write("bad_message", sender=sender, type=name)
@@ -330,7 +293,7 @@
         if isinstance(message, Gossip):
             version = self._state.fleet.version
             self.gossip.on_gossip(sender, message, now)
-            self._fetch_table(sender, message.config_version)
+            self._tables.fetch(sender, message.config_version)
             if self.gossip.has_updates():
                 self._wake_event.set()
             if self._state.fleet.version != version:
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -9,6 +9,7 @@
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.gateway.access import AccessControl
 from bamboovale.gateway.crashes import CrashGuard
+from bamboovale.gateway.drain import drain
 from bamboovale.gateway.endpoint_client import EndpointClient
 from bamboovale.gateway.endpoints import EndpointChange
 from bamboovale.gateway.engine_assignment import EngineAssignment
@@ -36,7 +37,6 @@
     dump_reads,
     dump_view,
 )
-from bamboovale.gateway.store import StoreError
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.view_watch import ViewWatch
 from bamboovale.gateway.vm_state import VMState
@@ -45,10 +45,6 @@
 from bamboovale.metrics import Metrics
 from bamboovale.peers.links import PeerLinks
 
-LISTEN_AFTER_STOP_S = 3.2
-"""How long new requests are served after SIGTERM, as callers cache addresses."""
-STOP_MARGIN_S = 0.7
-"""Time left for the exit before the platform kills the process."""
 HOLD_OFF_S = 0.25
 """How long a new owner evicts nothing, beside the time in which gossip reaches every
 VM: by then all VMs have notified it of their runs in flight."""
@@ -279,7 +275,7 @@
         for job in self._background_tasks():
             self._spawn(job)
         await self._stop_event.wait()
-        await self._drain()
+        await drain(self.state, self._callers, self._ownership, self.peering)
         self.peering.announce_leaving()
         await asyncio.sleep(0)
         await self.close()
@@ -349,30 +345,6 @@
             self.state.set_retry_bounds()
         self._view_watch.update_bound()
 
-    async def _drain(self) -> None:
-        """Release engines, serve while callers cache this address, then drain."""
-        self.state.stopping = True
-        started_at = self.state.now()
-        self.state.journal.write("stopping", busy=self._callers.busy)
-        self.peering.announce()
-        with contextlib.suppress(StoreError, TimeoutError):
-            async with asyncio.timeout(1.0):
-                await self._ownership.leave()
-        self.peering.assign_engines()
-        last = started_at + self.state.node.bounds.grace_s - STOP_MARGIN_S
-        while self.state.now() < started_at + LISTEN_AFTER_STOP_S:
-            await asyncio.sleep(0.1)
-        self.state.draining = True
-        self._callers.close_idle()
-        while self.state.now() < last:
-            await asyncio.sleep(0.05)
-            if not self._callers.busy and not self._callers.connections:
-                break
-            if self.state.now() > started_at + LISTEN_AFTER_STOP_S + 1.0:
-                self._callers.close_idle()
-        self._callers.stop_listening()
-        self.state.journal.write("drained", cut_off=self._callers.busy)
-
     def _spawn(self, job: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(self._guard(job))
         self._tasks.add(task)
