--- a/bench/customer_guards.py
+++ b/bench/customer_guards.py
@@ -29,6 +29,30 @@
             ),
         ),
     ),
+    Guard(
+        "findings on a configuration name places, never values",
+        CustomerPromise.KEYS,
+        "tests/test_customers.py::TestKeys::test_keys_are_in_no_log_dump_or_metric",
+        (
+            Change(
+                "bamboovale/platform/customers.py",
+                'self._find(f"{path}.name", "printable text is required")',
+                'self._find(f"{path}.name", f"text is required: {item}")',
+            ),
+        ),
+    ),
+    Guard(
+        "a configuration does not show its source",
+        CustomerPromise.KEYS,
+        "tests/test_customers.py::TestKeys::test_keys_are_in_no_log_dump_or_metric",
+        (
+            Change(
+                "bamboovale/gateway/model.py",
+                'source: bytes = field(default=b"", repr=False)',
+                'source: bytes = field(default=b"")',
+            ),
+        ),
+    ),
     Guard(
         "a VM without a proof of its view accepts no key",
         CustomerPromise.REVOCATION,
