Let a request's rank count in the queue of an engine's owner

A customer's priority, and a route's, reached the engine but decided nothing at its owner, where requests wait. A rank now delays a request by 0.3 s in the order by goal, bounded, so that none waits for ever.

Both tests fail without the change (the first) or with a strict order by rank.

--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -40,6 +40,8 @@
 """Time from the start of a run to its first event, without the prefill."""
 VERSION_GRACE_S = 1.5
 """How long requests still start on a replaced version that is in use."""
+RANK_DELAY_S = 0.3
+"""Time by which a request of the next rank may be due earlier and still comes later."""
 STOPPED_GRACE_S = 0.4
 """Time after which stopped orders cause refusals: longer than a late lease renewal."""
 
@@ -299,20 +301,24 @@
         return len(self._queue)
 
     def _sort_queue(self, now: float) -> None:
-        """Sort requests that can still meet their goal first, by goal.
+        """Sort requests that can still meet their goal first, by goal and rank.
 
         Under overload, first come, first served makes every request late by the same
-        wait. Requests that are late already get the remaining places.
+        wait. Requests that are late already get the remaining places. A less urgent
+        rank delays a request by a bounded time, so that none waits for ever.
         """
         if not self._mechanisms.has(Mechanism.GOAL_ORDER):
             return
         load_s = self.slots.load_s.value
+        ranks = self._mechanisms.has(Mechanism.RANK_ORDER)
+        rank_delay_s = RANK_DELAY_S if ranks else 0.0
 
         def queue_position(request: QueuedRequest) -> tuple[bool, float]:
             start_s = 0.0 if self.slots.is_loaded(request.key) else load_s
             prefill_s = self.pacing.prefill_s(request.prompt_tokens)
             late = now + start_s + prefill_s + FIRST_TOKEN_S > request.goal_at
-            return late, request.latest_start if late else request.goal_at
+            due_at = request.latest_start if late else request.goal_at
+            return late, due_at + rank_delay_s * request.rank
 
         self._queue.sort(key=queue_position)
 
--- a/bamboovale/decisions/mechanisms.py
+++ b/bamboovale/decisions/mechanisms.py
@@ -20,6 +20,7 @@
     LATENESS = "lateness"
     EARLY_REFUSAL = "early-refusal"
     VERSION_ELSEWHERE = "version-elsewhere"
+    RANK_ORDER = "rank-order"
 
 
 @dataclass(frozen=True)
--- a/bamboovale/emulator/caller.py
+++ b/bamboovale/emulator/caller.py
@@ -155,7 +155,7 @@
             version=self._version,
             prompt_tokens=self._prompt_tokens,
             output_tokens=self._output_tokens,
-            rank=0,
+            rank=kind.rank,
             goal_at=self._outcome.asked_at + kind.goal_s,
             latest_start=gives_up_at - MIN_RUN_S,
             pause_s=kind.pause_s,
--- a/bamboovale/emulator/scenario.py
+++ b/bamboovale/emulator/scenario.py
@@ -24,7 +24,8 @@
 
     ``per_s`` is the arrival rate. A request is in time if its first event arrives
     within ``goal_s`` and no pause between events exceeds ``pause_s``; a late but
-    complete one earns ``late_credit`` instead of 1. ``shared_tokens`` is the length of
+    complete one earns ``late_credit`` instead of 1. ``rank`` orders by urgency, 0
+    first. ``shared_tokens`` is the length of
     the prefix that all prompts of an adapter share.
     """
 
@@ -37,6 +38,7 @@
     output: Tokens
     shared_tokens: int = 0
     late_credit: float = 0.3
+    rank: int = 0
 
 
 @dataclass(frozen=True)
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -41,7 +41,7 @@
         version=int(fields.get("version", 1)),
         prompt_tokens=100,
         output_tokens=20,
-        rank=0,
+        rank=int(fields.get("rank", 0)),
         goal_at=now + fields.get("goal_s", 1.0),
         latest_start=now + fields.get("waits_s", 3.0),
     )
@@ -281,6 +281,30 @@
         [order] = engine.on_order_done(order, 1.2, at_once=True)
         assert order == OrderLoad(MODEL, "a2", 1)
 
+    def granted_first(self, *requests: QueuedRequest) -> str:
+        """Return which request gets the only place of an engine once it is free."""
+        engine = make_places(batch=1)
+        load_adapter(engine, "a1", 0.0)
+        [grant] = engine.on_request(make_request("running", "a1", 2.0), 2.0)
+        assert isinstance(grant, Grant)
+        for request in requests:
+            assert engine.on_request(request, 2.0) == []
+        [grant] = engine.on_release("running", 2.1)
+        assert isinstance(grant, Grant)
+        return grant.request.ask_id
+
+    def test_the_more_urgent_of_two_requests_goes_first(self) -> None:
+        """Guards against a priority that decides nothing at a full engine."""
+        usual = make_request("usual", "a1", 2.0, rank=2)
+        urgent = make_request("urgent", "a1", 2.0, rank=0, goal_s=1.2)
+        assert self.granted_first(usual, urgent) == "urgent"
+
+    def test_a_less_urgent_request_does_not_wait_for_ever(self) -> None:
+        """Guards against requests that more urgent ones always overtake."""
+        waiting = make_request("waiting", "a1", 1.0, rank=1, goal_s=1.5)
+        urgent = make_request("urgent", "a1", 2.0, rank=0, goal_s=1.0)
+        assert self.granted_first(urgent, waiting) == "waiting"
+
     def test_a_request_that_cannot_start_in_time_is_refused(self) -> None:
         engine = make_places(slots=1)
         [order] = engine.on_request(make_request("r0", "a0"), 0.0)
