--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -19,6 +19,7 @@
 from bamboovale.decisions.engine_busyness import EngineBusyness
 from bamboovale.decisions.load_orders import LoadOrders
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanism, Mechanisms
+from bamboovale.decisions.place_queue import PlaceQueue
 from bamboovale.decisions.place_work import (
     Action,
     AdapterKey,
@@ -36,12 +37,8 @@
 
 MAX_KV_SHARE = 0.92
 """Share of the KV cache that granted requests may reserve, to avoid preemption."""
-FIRST_TOKEN_S = 0.1
-"""Time from the start of a run to its first event, without the prefill."""
 VERSION_GRACE_S = 1.5
 """How long requests still start on a replaced version that is in use."""
-RANK_DELAY_S = 0.3
-"""Time by which a request of the next rank may be due earlier and still comes later."""
 STOPPED_GRACE_S = 0.4
 """Time after which stopped orders cause refusals: longer than a late lease renewal."""
 
@@ -73,8 +70,7 @@
         self._paced_until: float | None = None
         self._orders = LoadOrders(capacity, self.slots)
         self._stopped_at: float | None = None
-        self._queue: list[QueuedRequest] = []
-        self._paced_since: dict[str, float] = {}
+        self._queue = PlaceQueue(self.slots, self.pacing, mechanisms)
         self._place_by_id: dict[str, Place] = {}
         self._tokens = 0
         self._has_report = False
@@ -136,12 +132,12 @@
         """Queue a request, grant it a place or refuse it."""
         if request.key is not None:
             self.slots.note_version(request.key, request.version, now)
-        self._queue.append(request)
+        self._queue.add(request)
         return self.decide(now)
 
     def on_cancel(self, ask_id: str, now: float) -> list[Action]:
         """Remove a request, queued or granted, whose caller disconnected."""
-        self._queue = [request for request in self._queue if request.ask_id != ask_id]
+        self._queue.remove(lambda request: request.ask_id == ask_id)
         return self.on_release(ask_id, now)
 
     def on_started(self, ask_id: str, now: float) -> None:
@@ -201,7 +197,7 @@
             ended = before_start is None or request.entry_start < before_start
             return request.entry_vm == entry_vm and ended
 
-        self._queue = [request for request in self._queue if not is_gone(request)]
+        self._queue.remove(is_gone)
         gone = [
             ask_id
             for ask_id, place in self._place_by_id.items()
@@ -220,12 +216,12 @@
             return []
         self._update_stopped_at(now)
         self.slots.mark_ready(now)
-        self._sort_queue(now)
+        self._queue.sort(now)
         actions: list[Action] = self._grants(now)
         actions += self._refusals(now)
         if self.may_order:
             may_evict = now >= self.may_evict_from
-            order = self._orders.next(self._queue, now, may_evict=may_evict)
+            order = self._orders.next(self._queue.requests, now, may_evict=may_evict)
             if order is not None:
                 actions.append(order)
         return actions
@@ -268,7 +264,7 @@
         }
 
     def _open_slots(self) -> int:
-        wanted = {request.key for request in self._queue}
+        wanted = self._queue.keys()
         waiting = sum(key is not None and key not in self.slots for key in wanted)
         return self.slots.free() + self.slots.evictable(wanted) - waiting
 
@@ -300,28 +296,6 @@
         """Return the number of queued requests."""
         return len(self._queue)
 
-    def _sort_queue(self, now: float) -> None:
-        """Sort requests that can still meet their goal first, by goal and rank.
-
-        Under overload, first come, first served makes every request late by the same
-        wait. Requests that are late already get the remaining places. A less urgent
-        rank delays a request by a bounded time, so that none waits for ever.
-        """
-        if not self._mechanisms.has(Mechanism.GOAL_ORDER):
-            return
-        load_s = self.slots.load_s.value
-        ranks = self._mechanisms.has(Mechanism.RANK_ORDER)
-        rank_delay_s = RANK_DELAY_S if ranks else 0.0
-
-        def queue_position(request: QueuedRequest) -> tuple[bool, float]:
-            start_s = 0.0 if self.slots.is_loaded(request.key) else load_s
-            prefill_s = self.pacing.prefill_s(request.prompt_tokens)
-            late = now + start_s + prefill_s + FIRST_TOKEN_S > request.goal_at
-            due_at = request.latest_start if late else request.goal_at
-            return late, due_at + rank_delay_s * request.rank
-
-        self._queue.sort(key=queue_position)
-
     def _grants(self, now: float) -> list[Action]:
         """Grant places in queue order, none behind a request that waits for pacing.
 
@@ -338,7 +312,7 @@
                 remaining.append(request)
                 continue
             if self._paced_until is not None:
-                self._paced_since.setdefault(request.ask_id, now)
+                self._queue.note_paced(request, now)
                 remaining.append(request)
                 continue
             pauses.append(request.pause_s)
@@ -346,12 +320,11 @@
             wait_s = self._pacing_wait_s(request, pause_s, now)
             if wait_s > 0.0:
                 self._paced_until = now + wait_s
-                self._paced_since.setdefault(request.ask_id, now)
+                self._queue.note_paced(request, now)
                 remaining.append(request)
             else:
                 grants.append(self._grant(request, version, now))
-        self._queue = remaining
-        self._remove_stale_paced()
+        self._queue.keep(remaining)
         return grants
 
     def _pacing_wait_s(
@@ -364,13 +337,6 @@
             return 0.0
         return self.pacing.wait_s(request.prompt_tokens, pause_s, now)
 
-    def _remove_stale_paced(self) -> None:
-        """Remove pacing times of requests that left the queue without a place."""
-        if len(self._paced_since) > len(self._queue):
-            waiting = {request.ask_id for request in self._queue}
-            for ask_id in self._paced_since.keys() - waiting:
-                del self._paced_since[ask_id]
-
     def next_decision_at(self) -> float | None:
         """Return when to decide next without an event, None if not needed."""
         times = (self.slots.next_ready_at(), self._paced_until)
@@ -398,7 +364,7 @@
     def _grant(self, request: QueuedRequest, version: int, now: float) -> Grant:
         self._place_by_id[request.ask_id] = Place(request, now)
         self._tokens += request.tokens
-        paced_s = now - self._paced_since.pop(request.ask_id, now)
+        paced_s = self._queue.end_pacing(request, now)
         self.pacing.on_granted(request.ask_id, request.prompt_tokens, now)
         slot = self.slots.get(request.key)
         if slot is None:
@@ -422,7 +388,7 @@
                 refusals.append(Refuse(request, RefusalReason.CANNOT_LOAD, load_s))
             else:
                 remaining.append(request)
-        self._queue = remaining
+        self._queue.keep(remaining)
         return refusals
 
     def _predicted_waits(self, now: float) -> list[float]:
