Finish a soak's changes of its deployment when their lane is cancelled

The record of the new start is due 0.4 s after the restart and was never written: keyed.servers still ended at offset 26 and a VM that started 2.6 s later read the previous start. VMs that do not own the engine sent to that start, got 421 each time, and used up their retry budget. On the platform an engine writes its record with its next heartbeat, so the soak had left a fault on.

Change: a change of the deployment goes on when its caller is cancelled, and end_all waits for it. No check changed.

Measured: the new test fails without the change (KeyError-free run, the record has no new start) and passes with it.

--- a/bamboovale/standins/platform_store.py
+++ b/bamboovale/standins/platform_store.py
@@ -108,6 +108,10 @@
             self._changed.notify_all()
         return offset
 
+    def newest(self, topic: str, key: str) -> Any:
+        """Return the newest record of a key; raises KeyError if there is none."""
+        return json.loads(self._topic(topic).newest[key][1])
+
     def compact(self) -> None:
         """Delete all records except the newest value of each key."""
         for topic in self._topic_by_name.values():
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -102,6 +102,7 @@
 
     async def end_all(self) -> None:
         """End every fault and wait until all VMs are ready."""
+        await self._site.finish_changes()
         self._site.store.faults = StoreFaults()
         for vm in self._site.vms:
             vm.store.faults = LinkFaults()
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 import time
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Coroutine, Mapping
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -154,6 +154,7 @@
     keys: Keys = field(default_factory=Keys.from_start)
     version_acks: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
     leaving_at: dict[str, float] = field(default_factory=dict)
+    _changes: set[asyncio.Task[None]] = field(default_factory=set)
     _numbers: Any = field(default_factory=itertools.count)
 
     @property
@@ -190,6 +191,34 @@
 
     async def replace_runner(self, runner: PlatformRunner) -> None:
         """Crash an engine with its streams and add an empty one under another id."""
+        await self._finish(self._replace_runner(runner))
+
+    async def restart_runner(self, runner: PlatformRunner) -> None:
+        """Crash an engine with its streams and restart it, empty, under the same id.
+
+        Its record is written a little later, as a heartbeat would be.
+        """
+        await self._finish(self._restart_runner(runner))
+
+    async def replace_service(self, service: PlatformEndpoint) -> None:
+        """Remove a plain endpoint and add one under another id."""
+        await self._finish(self._replace_service(service))
+
+    async def finish_changes(self) -> None:
+        """Wait for the changes whose callers were cancelled."""
+        await asyncio.gather(*self._changes)
+
+    async def _finish(self, change: Coroutine[Any, Any, None]) -> None:
+        """Make a change that goes on if the caller is cancelled.
+
+        Guards against an engine without its new record after the last fault.
+        """
+        task = asyncio.create_task(change)
+        self._changes.add(task)
+        task.add_done_callback(self._changes.discard)
+        await asyncio.shield(task)
+
+    async def _replace_runner(self, runner: PlatformRunner) -> None:
         self.runners.remove(runner)
         self.gone.append(runner)
         self.proxy_by_endpoint[runner.endpoint_id].close()
@@ -197,11 +226,7 @@
         await runner.unregister()
         await self.add_runner()
 
-    async def restart_runner(self, runner: PlatformRunner) -> None:
-        """Crash an engine with its streams and restart it, empty, under the same id.
-
-        Its record is written a little later, as a heartbeat would be.
-        """
+    async def _restart_runner(self, runner: PlatformRunner) -> None:
         proxy = self.proxy_by_endpoint[runner.endpoint_id]
         runner.address = proxy.target
         await runner.restart(time.time_ns() // 1_000_000, registers=False)
@@ -214,8 +239,7 @@
         await endpoint.register("draining")
         self.leaving_at[endpoint.endpoint_id] = time.monotonic()
 
-    async def replace_service(self, service: PlatformEndpoint) -> None:
-        """Remove a plain endpoint and add one under another id."""
+    async def _replace_service(self, service: PlatformEndpoint) -> None:
         self.services.remove(service)
         self.gone.append(service)
         await service.unregister()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The soak of the routed interface: its checks, and short runs with fixed seeds."""
 
 import asyncio
+import random
 import signal
 from dataclasses import replace
 from pathlib import Path
@@ -12,8 +13,9 @@
 from bench.soak import SoakConfig, describe, run_soak
 from bench.soak_callers import Attempt, Kind
 from bench.soak_checks import Evidence, FaultSpan, find_violations
+from bench.soak_faults import FaultLane
 from bench.soak_proxy import Proxy
-from bench.soak_site import GRACE_S, Life, to_toml
+from bench.soak_site import GRACE_S, Life, running_site, to_toml
 
 EVENTS = b"".join(f"id: {n}\ndata: a1@1\n\n".encode() for n in range(1, 6))
 STREAM = Attempt("r1", Kind.CHAT, "vm", "a1", 10.0, 10.5, 200, True, EVENTS)
@@ -196,6 +198,30 @@
         asyncio.run(test())
 
 
+class TestSite:
+    """Changes of a soak's deployment."""
+
+    def test_a_restart_cut_off_by_the_last_fault_writes_its_record(
+        self,
+        tmp_path: Path,
+    ) -> None:
+        """Guards against engines that are never announced after the last fault."""
+
+        async def test() -> None:
+            async with running_site(tmp_path, vms=0, runners=1, services=0) as site:
+                (runner,) = site.runners
+                restart = asyncio.create_task(site.restart_runner(runner))
+                while runner.born_ms is None:
+                    await asyncio.sleep(0)
+                restart.cancel()
+                await asyncio.gather(restart, return_exceptions=True)
+                await FaultLane(site, [], random.Random(1)).end_all()
+                record = site.store.newest("keyed.servers", runner.endpoint_id)
+                assert record["born"] == runner.born_ms
+
+        asyncio.run(test())
+
+
 class TestSettingsFile:
     """The soak writes its settings as TOML."""
 
