Read and log the limits that endpoints name in their answers

The adapter decodes the limit into a typed signal, each VM keeps it by endpoint and logs when it begins, changes or ends (endpoint_limit, bad_signal); the state dump shows it with its age. Nothing heeds it yet.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -1,12 +1,13 @@
 """HTTP client for endpoints: sends one attempt of a request to one endpoint."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
 import h11
 
 from bamboovale.gateway.call import CallCodec
+from bamboovale.gateway.endpoint_limits import AnswerNotice
 from bamboovale.gateway.model import AnswerFacts, EndpointRecord
 from bamboovale.http1.connection import ConnectFailed, Connection, IncompleteResponse
 from bamboovale.http1.pool import ConnectionPool
@@ -71,9 +72,17 @@
 class EndpointClient:
     """Sends requests to endpoints over pooled connections."""
 
-    def __init__(self, pool: ConnectionPool, codec: CallCodec) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        codec: CallCodec,
+        now: Callable[[], float],
+        on_answer: Callable[[AnswerNotice], None],
+    ) -> None:
         self._pool = pool
         self._codec = codec
+        self._now = now
+        self._on_answer = on_answer
 
     async def connect(
         self,
@@ -97,6 +106,7 @@
         request: h11.Request,
         body: bytes,
         request_id: str,
+        endpoint_id: str,
     ) -> EndpointAnswer:
         """Send the request and wait for the head of its answer.
 
@@ -106,7 +116,7 @@
             raise NotRun("the connection was closed before use", reached=False)
         connection.send(request, body)
         try:
-            facts = await self._own_head(connection, request_id)
+            facts = await self._own_head(connection, request_id, endpoint_id)
         except IncompleteResponse as error:
             raise MayHaveRun(f"no answer: {error}") from error
         attempt = EndpointAnswer(connection, facts)
@@ -133,11 +143,23 @@
         finally:
             self._pool.give_back(record.endpoint_id, connection)
 
-    async def _own_head(self, connection: Connection, request_id: str) -> AnswerFacts:
+    async def _own_head(
+        self, connection: Connection, request_id: str, endpoint_id: str
+    ) -> AnswerFacts:
         """Return the head of the answer to this request, skipping stale answers."""
+        sent_at = self._now()
         for _ in range(MAX_STALE_ANSWERS + 1):
             facts = self._codec.decode_answer(await connection.head())
-            if facts.request_id in (None, request_id):
+            is_own = facts.request_id in (None, request_id)
+            self._on_answer(
+                AnswerNotice(
+                    endpoint_id,
+                    facts.signals,
+                    sent_at,
+                    tells_all=is_own and facts.signed and not facts.not_run,
+                )
+            )
+            if is_own:
                 return facts
             while await connection.data() is not None:
                 pass
--- a/bamboovale/gateway/engine_client.py
+++ b/bamboovale/gateway/engine_client.py
@@ -8,13 +8,19 @@
 import h11
 
 from bamboovale.decisions.order_timeout import OrderTimeout
+from bamboovale.gateway.endpoint_limits import AnswerNotice
 from bamboovale.gateway.model import (
     EndpointRecord,
+    EndpointSignals,
     EngineOrder,
     EngineReport,
     OrderOutcome,
 )
-from bamboovale.http1.connection import ConnectFailed, IncompleteResponse
+from bamboovale.http1.connection import (
+    ConnectFailed,
+    IncompleteResponse,
+    ResponseHead,
+)
 from bamboovale.http1.pool import ConnectionPool
 
 REPORT_TIMEOUT_S = 1.0
@@ -42,6 +48,9 @@
     ) -> tuple[h11.Request, bytes]:
         """Return the request and body that send an order."""
 
+    def decode_signals(self, head: ResponseHead) -> EndpointSignals:
+        """Read what an engine says of itself in an answer."""
+
     def order_outcome(self, status: int) -> OrderOutcome:
         """Decode the HTTP status of an answer to an order."""
 
@@ -65,11 +74,13 @@
         pool: ConnectionPool,
         codec: EngineCodec,
         holder: str,
+        on_answer: Callable[[AnswerNotice], None],
         on_call: Callable[[str, str], None] = lambda name, outcome: None,
     ) -> None:
         self._pool = pool
         self._codec = codec
         self._holder = holder
+        self._on_answer = on_answer
         self._on_call = on_call
         self._order_timeout = OrderTimeout()
 
@@ -129,8 +140,12 @@
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._pool.take(record.endpoint_id, record.address)
+                sent_at = time.monotonic()
                 connection.send(request, body)
                 head = await connection.head()
+                signals = self._codec.decode_signals(head)
+                notice = AnswerNotice(record.endpoint_id, signals, sent_at)
+                self._on_answer(notice)
                 parts = []
                 while (data := await connection.data()) is not None:
                     parts.append(data)
--- a/bamboovale/gateway/model.py
+++ b/bamboovale/gateway/model.py
@@ -254,6 +254,18 @@
     key: bytes | None = field(default=None, repr=False)
 
 
+@dataclass(frozen=True)
+class EndpointSignals:
+    """What an endpoint says of itself in an answer, beside the answer's status.
+
+    ``limit_per_s`` is how many requests a second it takes from all VMs together, None
+    if it names no limit. ``malformed`` are the headers without a usable value.
+    """
+
+    limit_per_s: float | None = None
+    malformed: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True)
 class AnswerFacts:
     """The head of an endpoint's answer, decoded.
@@ -269,6 +281,7 @@
     wrong_endpoint: bool
     retry_after_s: float | None
     headers: Headers
+    signals: EndpointSignals = EndpointSignals()
 
     @property
     def is_event_stream(self) -> bool:
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -154,6 +154,7 @@
                 request,
                 call.request.body,
                 call.facts.request_id,
+                record.endpoint_id,
             )
             if attempt.facts.status != OK or not attempt.facts.is_event_stream:
                 await self._forward_body(call, attempt, progress)
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -182,6 +182,7 @@
                 request,
                 call.request.body,
                 call.facts.request_id,
+                record.endpoint_id,
             )
             return attempt.facts, await attempt.read_body()
 
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -141,6 +141,7 @@
                 self._control_pool,
                 self._translation,
                 node.name,
+                self.state.limits.on_answer,
                 lambda name, outcome: calls.labels(name, outcome).inc(),
             ),
             journal=self.state.journal,
@@ -223,7 +224,12 @@
         )
 
     def _build_request_handler(self) -> RequestHandler:
-        client = EndpointClient(self._endpoint_pool, self._translation)
+        client = EndpointClient(
+            self._endpoint_pool,
+            self._translation,
+            self.state.now,
+            self.state.limits.on_answer,
+        )
         return RequestHandler(
             codec=self._translation,
             plain_calls=PlainCalls(
@@ -364,6 +370,7 @@
         if change.record is None:
             self._endpoint_pool.forget(change.endpoint_id)
             self._control_pool.forget(change.endpoint_id)
+            self.state.limits.forget(change.endpoint_id)
             if change.was_ready:
                 self._crashes.on_endpoint_gone(change.endpoint_id)
         self.peering.assign_engines()
@@ -407,6 +414,7 @@
             **dump_engines(self.state, self._engines),
             "view": dump_view(self.state.view),
             "quotas": dump_quotas(self._quotas, self.state.now()),
+            "limits": self.state.limits.dump(),
             "store_reads": dump_reads(self.records.followers()),
             "generation": self._ownership.generation,
             "store_reachable": self._ownership.reachable,
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -6,6 +6,7 @@
 
 from bamboovale.decisions.retry_share import RetryShare, RetryShareConfig
 from bamboovale.decisions.view_freshness import ViewFreshness
+from bamboovale.gateway.endpoint_limits import EndpointLimits
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.journal import Journal
@@ -41,6 +42,7 @@
         self.fleet = Fleet.from_node(node)
         self.store_watch = StoreWatch(self.now)
         self.endpoints = EndpointView(journal, self.store_watch)
+        self.limits = EndpointLimits(journal, self.now)
 
     def now(self) -> float:
         """Return the monotonic time in seconds, as the event loop does."""
--- a/bamboovale/platform/names.py
+++ b/bamboovale/platform/names.py
@@ -26,6 +26,7 @@
 NOT_EXECUTED = b"x-not-executed"
 INSTANCE_ID = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
+SERVER_LIMIT = b"server-limit"
 CHALLENGE = b"www-authenticate"
 CONTENT_LENGTH = b"content-length"
 
--- a/bamboovale/platform/requests.py
+++ b/bamboovale/platform/requests.py
@@ -9,6 +9,7 @@
 from bamboovale.http1.server import BadRequest, Request
 from bamboovale.platform import customers, names
 from bamboovale.platform.customers import decode_key
+from bamboovale.platform.signals import decode_signals
 
 MAX_DEADLINE_S = 3600.0
 
@@ -145,6 +146,7 @@
         wrong_endpoint=head.status == 421,
         retry_after_s=_decode_seconds(head.get(names.RETRY_AFTER)),
         headers=headers,
+        signals=decode_signals(head.headers),
     )
 
 
--- a/bamboovale/platform/translation.py
+++ b/bamboovale/platform/translation.py
@@ -8,6 +8,7 @@
     AnswerFacts,
     CallFacts,
     EndpointRecord,
+    EndpointSignals,
     EngineOrder,
     EngineReport,
     OrderOutcome,
@@ -17,7 +18,7 @@
 from bamboovale.http1.connection import Headers, ResponseHead
 from bamboovale.http1.pool import ConnectionPool
 from bamboovale.http1.server import Request
-from bamboovale.platform import directory, endpoints, names, requests
+from bamboovale.platform import directory, endpoints, names, requests, signals
 from bamboovale.platform.configuration import (
     AdapterVersion,
     BadRecordError,
@@ -147,6 +148,10 @@
             expected_orders=expected_orders,
         )
 
+    def decode_signals(self, head: ResponseHead) -> EndpointSignals:
+        """Decode what an endpoint says of itself in an answer to a report or order."""
+        return signals.decode_signals(head.headers)
+
     def order_outcome(self, status: int) -> OrderOutcome:
         """Return the outcome that the status of an order's answer stands for."""
         return endpoints.OUTCOME_BY_STATUS.get(status, OrderOutcome.UNKNOWN)
