Keep to the limit that an endpoint names, over all VMs together

Cause: no VM read the limit. The class: a fact about an endpoint that comes with an answer, at one VM, and is not in the store, was nobody's input.

Change: a VM that reads a limit, its change or its end tells the others by gossip, numbered so that all agree. The owner of an engine paces the places it grants by the whole limit, in the order of its queue; one that the limit keeps past its goal is refused at once, so that another engine takes it, and the wait counts in the status by which VMs choose. What a VM sends by itself goes by a share: only as many VMs as may send one request a second share a limit, the first in rendezvous order. With all endpoints at their limits a call waits within half of its goal or is refused with the time.

Why it holds: the owner gives at most 4 L + max(1, L/4) in 4 s, sends without the owner L + L/4 + 2 more; shares of plain endpoints give 4 L + L + 1. The rule allows 6 L + 5.

--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -47,7 +47,8 @@
     """An engine as this entry VM knows it.
 
     ``own_tokens`` and ``own_loads`` count what this VM sent there since the last
-    status: prompt tokens and requests that need a load. ``owner`` is None while no
+    status: prompt tokens and requests that need a load; ``own_wait_s`` is how much
+    longer the engine's limit lets a request wait for them. ``owner`` is None while no
     entry VM may order loads there. ``has_status`` is False while only the engine's own
     record is known.
     """
@@ -58,6 +59,7 @@
     own_tokens: int = 0
     own_loads: int = 0
     has_status: bool = True
+    own_wait_s: float = 0.0
 
     def run_cost_s(self, prompt_tokens: int = 0) -> float:
         """Return the expected seconds to the first event without a load."""
@@ -68,7 +70,8 @@
         full_s = FULL_COST_S if snapshot.active >= snapshot.places else 0.0
         own_s = snapshot.s_per_token * self.own_tokens
         prefill_s = snapshot.s_per_token * prompt_tokens
-        return snapshot.backlog_s + own_s + prefill_s + batch_s + full_s
+        backlog_s = snapshot.backlog_s + self.own_wait_s
+        return backlog_s + own_s + prefill_s + batch_s + full_s
 
     def load_cost_s(
         self,
--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -7,6 +7,7 @@
 - a request is sent only once its adapter is loaded, since the engine refuses it
   otherwise;
 - an adapter with a place in use is not evicted, since the order would wait for the run;
+- an engine that names a limit gets no more requests a second than that;
 - a request that cannot start in time is refused at once.
 
 Events are methods that return actions. They use no clock or socket.
@@ -34,6 +35,7 @@
     ReportedState,
 )
 from bamboovale.decisions.prompt_pacing import PromptPacing
+from bamboovale.decisions.request_pace import RequestPace
 
 MAX_KV_SHARE = 0.92
 """Share of the KV cache that granted requests may reserve, to avoid preemption."""
@@ -67,6 +69,7 @@
         self.slots = AdapterSlots(capacity.adapter_slots)
         self._busyness = EngineBusyness()
         self.pacing = PromptPacing()
+        self._limit_pace = RequestPace()
         self._paced_until: float | None = None
         self._orders = LoadOrders(capacity, self.slots)
         self._stopped_at: float | None = None
@@ -78,6 +81,10 @@
 
     # Events from the engine.
 
+    def set_limit(self, limit_per_s: float | None, now: float) -> None:
+        """Set how many requests a second the engine takes, None if it names none."""
+        self._limit_pace.set_rate(limit_per_s, now)
+
     def on_report(self, report: ReportedState, now: float) -> list[Action]:
         """Apply a report of the engine."""
         self._has_report = True
@@ -254,6 +261,7 @@
             "pinned": self.slots.pinned(),
             "backlog_s": round(self._backlog_s(now), 2),
             "late_s": round(self._busyness.late_s(now), 3),
+            "limit_wait_s": round(self._limit_pace.wait_s(now), 3),
             "reads_per_s": round(1 / self.pacing.speed.s_per_token),
             "paced": self.pacing.is_on(),
             "fixed_s": round(self.pacing.speed.fixed_s, 4),
@@ -279,10 +287,11 @@
             for request in self._queue
             if self.slots.is_loaded(request.key)
         )
-        pacing_s = self.pacing.backlog_s(queued_tokens, now)
+        limit_s = self._limit_pace.wait_s(now, len(self._queue))
+        wait_s = max(limit_s, self.pacing.backlog_s(queued_tokens, now))
         if not self._mechanisms.has(Mechanism.LATENESS):
-            return pacing_s
-        return max(pacing_s, self._busyness.backlog_s(ages_s, now))
+            return wait_s
+        return max(wait_s, self._busyness.backlog_s(ages_s, now))
 
     def awaits_report(self) -> bool:
         """Return whether a report is expected to show a load as complete."""
@@ -300,11 +309,12 @@
         """Grant places in queue order, none behind a request that waits for pacing.
 
         Guards against short prompts that use up the prefill time for which a long one
-        waits.
+        waits. The engine's limit paces requests in the same order.
         """
         grants: list[Action] = []
         remaining: list[QueuedRequest] = []
         self._paced_until = None
+        is_paced = False
         pauses = [place.request.pause_s for place in self._place_by_id.values()]
         for request in self._queue:
             version = self._startable_version(request, now)
@@ -312,15 +322,19 @@
                 remaining.append(request)
                 continue
             if self._paced_until is not None:
-                self._queue.note_paced(request, now)
+                if is_paced:
+                    self._queue.note_paced(request, now)
                 remaining.append(request)
                 continue
             pauses.append(request.pause_s)
             pause_s = min((p for p in pauses if p is not None), default=None)
-            wait_s = self._pacing_wait_s(request, pause_s, now)
+            pacing_s = self._pacing_wait_s(request, pause_s, now)
+            wait_s = max(pacing_s, self._limit_pace.wait_s(now))
             if wait_s > 0.0:
                 self._paced_until = now + wait_s
-                self._queue.note_paced(request, now)
+                is_paced = pacing_s > 0.0
+                if is_paced:
+                    self._queue.note_paced(request, now)
                 remaining.append(request)
             else:
                 grants.append(self._grant(request, version, now))
@@ -364,6 +378,7 @@
     def _grant(self, request: QueuedRequest, version: int, now: float) -> Grant:
         self._place_by_id[request.ask_id] = Place(request, now)
         self._tokens += request.tokens
+        self._limit_pace.take(now)
         paced_s = self._queue.end_pacing(request, now)
         self.pacing.on_granted(request.ask_id, request.prompt_tokens, now)
         slot = self.slots.get(request.key)
@@ -374,16 +389,23 @@
         return Grant(request, version, slot.confirmed, paced_s)
 
     def _refusals(self, now: float) -> list[Action]:
-        """Refuse requests that can no longer start in time."""
+        """Refuse requests that can no longer start in time.
+
+        One that the engine's limit keeps past its goal is refused at once: another
+        engine may take it sooner.
+        """
         refusals: list[Action] = []
         remaining: list[QueuedRequest] = []
         load_s = self.slots.load_s.value
         waits_s = self._predicted_waits(now)
         for request, wait_s in zip(self._queue, waits_s, strict=True):
+            limit_s = self._limit_pace.wait_s(now, len(remaining))
             excess_s = now + wait_s - request.latest_start
             if excess_s > 0.0:
                 retry_s = max(load_s, excess_s)
                 refusals.append(Refuse(request, RefusalReason.LATE, retry_s))
+            elif limit_s > 0.0 and now + limit_s > request.goal_at:
+                refusals.append(Refuse(request, RefusalReason.LIMITED, limit_s))
             elif self._cannot_load(request, now):
                 refusals.append(Refuse(request, RefusalReason.CANNOT_LOAD, load_s))
             else:
--- a/bamboovale/decisions/place_work.py
+++ b/bamboovale/decisions/place_work.py
@@ -66,6 +66,7 @@
     LATE = auto()
     FULL = auto()
     CANNOT_LOAD = auto()
+    LIMITED = auto()
 
 
 @dataclass(frozen=True)
--- a/bamboovale/fleet/gossip.py
+++ b/bamboovale/fleet/gossip.py
@@ -17,6 +17,7 @@
 from bamboovale.fleet.membership import Change, Membership
 from bamboovale.fleet.messages import (
     AdapterNews,
+    EndpointLimit,
     Gossip,
     Member,
     SuspectRequest,
@@ -101,9 +102,11 @@
         abort_link: Callable[[str], None] = lambda vm_id: None,
         proofs: ViewProofs | None = None,
         on_version: Callable[[AdapterNews], None] = lambda news: None,
+        on_limit: Callable[[EndpointLimit], bool] = lambda news: False,
     ) -> None:
         self.config_version = -1
         self._on_version = on_version
+        self._on_limit = on_limit
         self._version_by_adapter: dict[tuple[str, str | None], int] = {}
         self.store_answered_at = NEVER
         self._store_count = 0
@@ -188,6 +191,9 @@
                 self._on_version(news)
         self._apply_proof(sender, gossip)
         self._apply_rows(neighbour, gossip, now)
+        for limit in gossip.limits:
+            if self._on_limit(limit):
+                self.note_limit(limit)
         self._apply_counts(gossip, now)
         if gossip.wants_all:
             neighbour.sent_number = 0
@@ -259,6 +265,14 @@
         self._changes.put(("version", *key), news)
         return True
 
+    def note_limit(self, news: EndpointLimit) -> None:
+        """Forward a change of an endpoint's limit."""
+        self._changes.put(("limit", news.endpoint_id), news)
+
+    def drop_limit(self, endpoint_id: str) -> None:
+        """Forward the limit of an endpoint that is gone no more."""
+        self._changes.drop(("limit", endpoint_id))
+
     def set_config_version(self, version: int) -> None:
         """Set the version of our configuration; a newer one is told at once."""
         if version > self.config_version:
@@ -359,6 +373,7 @@
             suspects=tuple(item for item in items if isinstance(item, SuspectRequest)),
             rows=tuple(rows),
             versions=tuple(item for item in items if isinstance(item, AdapterNews)),
+            limits=tuple(item for item in items if isinstance(item, EndpointLimit)),
             stamp=proofs.new_stamp() if proofs else 0,
             echoes=proofs.echoes(targets) if proofs else (),
             view_age_ms=proofs.age_ms() if proofs else NO_PROOF,
--- a/bamboovale/fleet/membership.py
+++ b/bamboovale/fleet/membership.py
@@ -14,6 +14,7 @@
 from bamboovale.fleet.changes import ChangeLog
 from bamboovale.fleet.messages import (
     AdapterNews,
+    EndpointLimit,
     Member,
     SuspectRequest,
     Suspicion,
@@ -31,7 +32,7 @@
 MAX_MEMBERS = 4096
 """Limit of known VMs, against malformed or hostile messages."""
 
-Change = Member | Suspicion | SuspectRequest | AdapterNews
+Change = Member | Suspicion | SuspectRequest | AdapterNews | EndpointLimit
 
 
 @dataclass
--- a/bamboovale/fleet/messages.py
+++ b/bamboovale/fleet/messages.py
@@ -71,6 +71,19 @@
     version: int
 
 
+@row
+@dataclass(frozen=True)
+class EndpointLimit:
+    """The limit that an endpoint names, None once it has ended.
+
+    ``limit_per_s`` is in requests a second from all VMs. ``number`` orders the changes.
+    """
+
+    endpoint_id: str
+    limit_per_s: float | None
+    number: int
+
+
 TopicRow = tuple[str, bytes | None, int]
 """A record of a topic: key, value (None: the key was removed) and offset."""
 
@@ -87,7 +100,8 @@
     ``next_offset``. ``watches`` requests heartbeats from the receiver for a while,
     ``wants_all`` a full copy of its view of the fleet. ``stamp``, ``echoes`` and
     ``view_age_ms`` prove how fresh the sender's configuration is (see ``ViewProofs``).
-    ``versions`` are adapter versions that the operator published.
+    ``versions`` are adapter versions that the operator published, ``limits`` those that
+    endpoints name.
     """
 
     digest: int
@@ -106,3 +120,4 @@
     echoes: tuple[tuple[int, int], ...] = ()
     view_age_ms: int = -1
     versions: tuple[AdapterNews, ...] = ()
+    limits: tuple[EndpointLimit, ...] = ()
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -114,6 +114,7 @@
             reply(PlaceReply(queued.ask_id, reason="engine is lost", not_owner=True))
             return
         self._reply_by_ask[queued.ask_id] = reply
+        self._apply_limit(now)
         self._carry_out(self.places.on_request(queued, now))
 
     def cancel(self, ask_id: str) -> None:
@@ -359,9 +360,14 @@
             pool_stalled = self._context.pool_stalled(self.record.service)
             self.places.pacing.pool_stalled = pool_stalled
             self.places.may_order = self._orders.may_order()
+            self._apply_limit(self._context.now())
             if self.places.queue_length():
                 self._carry_out(self.places.decide(self._context.now()))
 
+    def _apply_limit(self, now: float) -> None:
+        limit_per_s = self._context.limit_per_s(self.record.endpoint_id)
+        self.places.set_limit(limit_per_s, now)
+
     def _poll_by(self, at: float) -> None:
         """Poll the engine no later than the given time."""
         if at < self._next_poll_at:
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -62,6 +62,7 @@
     last_seen: float = 0.0
     tokens: int = 0
     loads: int = 0
+    requests: int = 0
 
 
 @dataclass(frozen=True)
@@ -96,6 +97,7 @@
     links: Links
     now: Callable[[], float]
     owner_by_engine: dict[str, EngineOwner] = field(default_factory=dict)
+    limit_per_s: Callable[[str], float | None] = lambda engine_id: None
     on_engine_needed: Callable[[], None] = lambda: None
     _sent_by_id: dict[str, _Sent] = field(default_factory=dict)
     _loaded_by_id: dict[str, _Loaded] = field(default_factory=dict)
@@ -124,6 +126,7 @@
     def note_sent(self, candidate: EngineCandidate, request: PlaceRequest) -> None:
         """Count a request that the owner's last status does not contain yet."""
         sent = self._sent_by_id.setdefault(request.engine_id, _Sent())
+        sent.requests += 1
         sent.tokens += request.prompt_tokens
         key = None if request.adapter is None else (request.model, request.adapter)
         sent.loads += not candidate.holds(key, request.version)
@@ -318,12 +321,15 @@
             sent.last_seen = owned.last_seen
             sent.tokens = 0
             sent.loads = 0
+            sent.requests = 0
+        limit_per_s = self.limit_per_s(engine_id)
         return EngineCandidate(
             engine_id,
             self._snapshot(owned.status),
             self._owner_of(engine_id),
             sent.tokens,
             sent.loads,
+            own_wait_s=0.0 if limit_per_s is None else sent.requests / limit_per_s,
         )
 
 
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -126,6 +126,11 @@
         self._advertised_at_version = self.version
         return self._advertised
 
+    def advertised_ids(self) -> list[str]:
+        """Return the ids of the VMs to advertise to callers, with this one."""
+        by_domain = self.advertised_by_domain()
+        return [member.vm_id for members in by_domain.values() for member in members]
+
     def designated(self, duty: str, count: int) -> list[str]:
         """Return the serving VMs that perform a shared duty, the same at every VM."""
         known = self._designated_by_duty.get((duty, count))
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -11,6 +11,7 @@
     MayHaveRun,
     NotRun,
 )
+from bamboovale.gateway.endpoint_limits import EndpointLimits
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.engines import Engines, GrantedPlace
 from bamboovale.gateway.events import EventBuffer, EventsBroken
@@ -36,6 +37,7 @@
         codec: CallCodec,
         endpoints: EndpointView,
         engines: Engines,
+        limits: EndpointLimits,
         version_of: Callable[[str, str | None], int],
         share_of: Callable[[str], RetryShare],
         now: Callable[[], float],
@@ -50,6 +52,7 @@
         self._search = PlaceSearch(
             endpoints=endpoints,
             engines=engines,
+            limits=limits,
             version_of=version_of,
             now=now,
             mechanisms=mechanisms,
--- a/bamboovale/gateway/owner_context.py
+++ b/bamboovale/gateway/owner_context.py
@@ -18,6 +18,7 @@
     evicts nothing, until the runs in flight are known. ``on_restart`` is called when a
     report shows a later start than the engine's record. ``pool_stalled`` returns
     whether prompt processing stalls the streams of many engines of a service.
+    ``limit_per_s`` returns the limit that an engine names, in requests a second.
     """
 
     client: EngineClient
@@ -29,4 +30,5 @@
     on_restart: Callable[[EndpointRecord, int], None]
     hold_off_s: Callable[[], float]
     pool_stalled: Callable[[str], bool]
+    limit_per_s: Callable[[str], float | None]
     mechanisms: Mechanisms
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -7,7 +7,12 @@
 
 from bamboovale.decisions.timer_lag import TimerLagMonitor
 from bamboovale.fleet.gossip import GossipProtocol
-from bamboovale.fleet.messages import AdapterNews, Gossip, SuspectRequest
+from bamboovale.fleet.messages import (
+    AdapterNews,
+    EndpointLimit,
+    Gossip,
+    SuspectRequest,
+)
 from bamboovale.fleet.view_proofs import ViewProofs
 from bamboovale.gateway.crashes import CrashGuard
 from bamboovale.gateway.engine_assignment import EngineAssignment
@@ -105,7 +110,9 @@
             abort_link=links.abort,
             proofs=ViewProofs(state.view, lease_clock, random.Random()),
             on_version=records.apply_news,
+            on_limit=self._on_limit,
         )
+        state.limits.tell = self._broadcast_limit
 
     def announce(self) -> None:
         """Update this VM's membership entry and gossip it if it changed."""
@@ -163,6 +170,20 @@
         if self._state.fleet.is_large() and self.gossip.note_version(news):
             self._wake_event.set()
 
+    def _broadcast_limit(self, news: EndpointLimit) -> None:
+        """Gossip a limit that this VM read from an answer."""
+        self.gossip.note_limit(news)
+        self._wake_event.set()
+
+    def _on_limit(self, news: EndpointLimit) -> bool:
+        """Apply a gossiped limit; return whether it is new.
+
+        That of an unknown endpoint is left out: it may be one that is gone.
+        """
+        if news.endpoint_id not in self._state.endpoints.record_by_id:
+            return False
+        return self._state.limits.on_news(news)
+
     def assign_engines(self) -> None:
         """Update the owned engines; announce them at once if they changed."""
         if self._assignment.assign():
--- a/bamboovale/gateway/place_search.py
+++ b/bamboovale/gateway/place_search.py
@@ -6,7 +6,9 @@
 
 from bamboovale.decisions.engine_choice import EngineCandidate, EngineChooser
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
+from bamboovale.decisions.place_work import RefusalReason
 from bamboovale.gateway.call import Call
+from bamboovale.gateway.endpoint_limits import UNOWNED_PART, EndpointLimits
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.engines import Engines, GrantedPlace, OwnerUnavailable
 from bamboovale.gateway.messages import PlaceRequest
@@ -18,6 +20,7 @@
 same status, so that an engine that has just started may get more than it can place."""
 IMMEDIATE_REFUSAL_S = 0.1
 """A refusal after a longer time ends the search."""
+LIMITED = RefusalReason.LIMITED.name.lower()
 MIN_RUN_S = 0.4
 """Time reserved for the prompt and the first tokens: a run that starts with less time
 left would end after its caller's deadline."""
@@ -28,6 +31,8 @@
 route's goal and multiples of its longest acceptable pause between events."""
 NO_ENGINE_RETRY_S = 0.5
 """Retry delay while engines have no owner: a new one is assigned within seconds."""
+MAX_LIMIT_RETRY_S = 2.0
+"""Longest retry delay while engines are at their limits: another VM may use them."""
 OWNER_TIMEOUT_S = 0.35
 OWNER_POLL_INTERVAL_S = 0.04
 """How long a request waits for an engine's owner to become known, and how often it
@@ -50,12 +55,14 @@
         *,
         endpoints: EndpointView,
         engines: Engines,
+        limits: EndpointLimits,
         version_of: Callable[[str, str | None], int],
         now: Callable[[], float],
         mechanisms: Mechanisms = ALL_ON,
     ) -> None:
         self._endpoints = endpoints
         self._engines = engines
+        self._limits = limits
         self._version_of = version_of
         self._now = now
         self._mechanisms = mechanisms
@@ -78,7 +85,7 @@
         while True:
             records = self._endpoints.ready(call.service)
             candidates = self._engines.candidates(records)
-            skipped = unavailable | full.keys()
+            skipped = unavailable | full.keys() | self._limited_unowned(candidates)
             chosen = self._choose(call, work, candidates, skipped, progress)
             if full and (chosen is None or len(full) == MAX_FULL_ENGINES):
                 raise _no_place(progress, full)
@@ -93,6 +100,7 @@
                 )
             record = self._endpoints.record_by_id[chosen]
             if candidates[chosen].owner is None:
+                self._limits.take(chosen)
                 return record, None
             try:
                 candidate = candidates[chosen]
@@ -130,6 +138,18 @@
             chosen = chooser.choose(key, version, candidates, skipped, tokens)
         return chosen
 
+    def _limited_unowned(self, candidates: dict[str, EngineCandidate]) -> set[str]:
+        """Return the engines without an owner that get no request from here now."""
+        return {
+            engine_id
+            for engine_id, candidate in candidates.items()
+            if candidate.owner is None and self._limit_wait_s(engine_id) > 0.0
+        }
+
+    def _limit_wait_s(self, engine_id: str) -> float:
+        """Return the wait that the engine's limit asks for without its owner."""
+        return self._limits.wait_s(engine_id, UNOWNED_PART)
+
     def _lacks_status(self, candidate: EngineCandidate) -> bool:
         """Return whether no status of an engine was received yet.
 
@@ -168,7 +188,13 @@
             raise progress.final_error(
                 "no engine can load the adapter now", NO_ENGINE_RETRY_S
             )
-        chosen = min(holders, key=lambda name: candidates[name].run_cost_s())
+        wait_s = min(map(self._limit_wait_s, holders))
+        if wait_s > 0.0:
+            retry_s = min(wait_s, MAX_LIMIT_RETRY_S)
+            raise progress.final_error("the engines are at their limits", retry_s)
+        free = [name for name in holders if self._limit_wait_s(name) <= 0.0]
+        chosen = min(free, key=lambda name: candidates[name].run_cost_s())
+        self._limits.take(chosen)
         return self._endpoints.record_by_id[chosen], None
 
     async def _request_place(
@@ -199,6 +225,9 @@
         self._engines.note_sent(candidate, request)
         owner = self._engines.owner_name(engine_id)
         note: dict[str, Any] = {"engine": engine_id, "owner": owner}
+        limit_per_s = self._limits.limit_per_s(engine_id)
+        if limit_per_s is not None:
+            note["limit_per_s"] = limit_per_s
         call.notes.setdefault("asks", []).append(note)
         try:
             reply = await self._engines.request_place(engine_id, request)
@@ -207,7 +236,7 @@
         if reply.version is None:
             note["refused"] = reply.reason
             full = EngineFull(reply.reason, reply.retry_after_s)
-            if note["s"] <= IMMEDIATE_REFUSAL_S:
+            if note["s"] <= IMMEDIATE_REFUSAL_S or reply.reason == LIMITED:
                 raise full
             raise _no_place(progress, {engine_id: full})
         note["version"] = reply.version
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -1,6 +1,7 @@
 """Calls of plain services: chooses endpoints and retries safe calls."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -8,6 +9,7 @@
 from bamboovale.decisions.routing import ServiceRouter
 from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
 from bamboovale.gateway.endpoint_client import EndpointClient, MayHaveRun, NotRun
+from bamboovale.gateway.endpoint_limits import EndpointLimits
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.model import AnswerFacts, CallKind, EndpointRecord
 
@@ -18,6 +20,8 @@
 an endpoint that hangs until the caller's deadline."""
 MIN_ATTEMPT_TIMEOUT_S = 0.15
 """Lower bound of that timeout, above usual answer times."""
+MAX_LIMIT_RETRY_S = 2.0
+"""Longest retry delay while endpoints are at their limits: another VM may use them."""
 MAX_ATTEMPTS = 6
 """Endpoints tried for one call, refusals included; each draws on the retry budget."""
 FULL_PAUSE_S = 0.05
@@ -36,6 +40,7 @@
         client: EndpointClient,
         codec: CallCodec,
         endpoints: EndpointView,
+        limits: EndpointLimits,
         share_of: Callable[[str], RetryShare],
         now: Callable[[], float],
         rng: random.Random,
@@ -43,6 +48,7 @@
         self._client = client
         self._codec = codec
         self._endpoints = endpoints
+        self._limits = limits
         self._share_of = share_of
         self._now = now
         self._rng = rng
@@ -59,14 +65,11 @@
         answered: tuple[AnswerFacts, bytes] | None = None
         failure: Exception | None = None
         for number in range(MAX_ATTEMPTS):
-            record = self._choose(call.service, excluded)
-            if record is None and self._may_wait_for_room(call, failure):
-                await asyncio.sleep(FULL_PAUSE_S * self._rng.uniform(0.5, 1.5))
-                excluded.clear()
-                record = self._choose(call.service, excluded)
+            record = await self._next_endpoint(call, excluded, failure)
             if record is None or (number and not share.take(self._now())):
                 break
             excluded.add(record.endpoint_id)
+            self._limits.take(record.endpoint_id)
             try:
                 facts, body = await self._try_once(call, record, number)
             except NotRun as error:
@@ -87,23 +90,59 @@
             call.notes["status"] = facts.status
             call.responder.answer(facts.status, facts.headers, body)
             return
-        self._give_up(failure)
+        self._give_up(call, failure)
 
-    def _may_wait_for_room(self, call: Call, failure: Exception | None) -> bool:
-        """Return whether all endpoints were just full and one may soon have room.
+    async def _next_endpoint(
+        self, call: Call, excluded: set[str], failure: Exception | None
+    ) -> EndpointRecord | None:
+        """Return the endpoint to try next, None if the call cannot be sent in time.
 
-        Guards against refusing calls in the bursts of a pool that can carry its load.
+        Waits for one that has room, or may get a call by its limit, within a part of
+        the goal: guards against refusals in the bursts of a pool that can carry its
+        load.
         """
-        if not isinstance(failure, NotRun) or not failure.is_full:
-            return False
+        record = self._choose(call.service, excluded)
+        if record is not None:
+            return record
+        wait_s = self._wait_for_room_s(call, excluded, failure)
+        if not self._may_wait(call, wait_s):
+            return None
+        await asyncio.sleep(wait_s * self._rng.uniform(0.5, 1.5))
+        excluded.clear()
+        return self._choose(call.service, excluded)
+
+    def _wait_for_room_s(
+        self, call: Call, excluded: set[str], failure: Exception | None
+    ) -> float:
+        """Return how long to wait before the endpoints are tried anew."""
+        if isinstance(failure, NotRun) and failure.is_full:
+            return FULL_PAUSE_S
+        waits_s = self._limit_waits_s(call.service)
+        return min(
+            (s for n, s in waits_s.items() if n not in excluded), default=math.inf
+        )
+
+    def _may_wait(self, call: Call, wait_s: float) -> bool:
         waited_s = self._now() - call.request.received_at
-        return waited_s + FULL_PAUSE_S < FULL_PATIENCE_GOALS * call.route.goal_s
+        return waited_s + wait_s < FULL_PATIENCE_GOALS * call.route.goal_s
+
+    def _limit_waits_s(self, service: str) -> dict[str, float]:
+        """Return by id how long endpoints at their limits take no call from here."""
+        return {
+            record.endpoint_id: wait_s
+            for record in self._endpoints.ready(service)
+            if (wait_s := self._limits.wait_s(record.endpoint_id)) > 0.0
+        }
 
-    def _give_up(self, failure: Exception | None) -> None:
+    def _give_up(self, call: Call, failure: Exception | None) -> None:
         if isinstance(failure, MayHaveRun):
             raise CallFailed(str(failure))
         if isinstance(failure, NotRun):
             raise CallRefused(str(failure), failure.retry_after_s or REFUSAL_RETRY_S)
+        waits_s = self._limit_waits_s(call.service)
+        if waits_s:
+            retry_s = min(MAX_LIMIT_RETRY_S, *waits_s.values())
+            raise CallRefused("the endpoints are at their limits", retry_s)
         raise CallRefused("no endpoint accepts calls", REFUSAL_RETRY_S)
 
     async def _try_once(
@@ -196,5 +235,7 @@
             router.set_endpoints(listed)
         now = self._now()
         router.on_tick(now)
-        name = router.choose(now, self._rng, excluded)
+        name = router.choose(
+            now, self._rng, excluded | self._limit_waits_s(service).keys()
+        )
         return None if name is None else self._endpoints.record_by_id.get(name)
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -134,6 +134,7 @@
             self.state.fleet,
             self.links,
             self.state.now,
+            limit_per_s=self.state.limits.limit_per_s,
         )
         calls = self._metrics.gateway_engine_calls
         self._owner_context = OwnerContext(
@@ -151,6 +152,7 @@
             on_fenced=lambda record, token: self._assignment.on_fenced(record, token),
             on_restart=self.state.endpoints.on_restart,
             pool_stalled=lambda service: self._assignment.pool_stalled(service),
+            limit_per_s=self.state.limits.limit_per_s,
             hold_off_s=lambda: HOLD_OFF_S + self.peering.gossip.spread_s(),
             mechanisms=self._mechanisms,
         )
@@ -236,6 +238,7 @@
                 client,
                 self._translation,
                 self.state.endpoints,
+                self.state.limits,
                 self.state.share_of,
                 self.state.now,
                 self._rng,
@@ -245,6 +248,7 @@
                 self._translation,
                 self.state.endpoints,
                 self._engines,
+                self.state.limits,
                 self.state.version_of,
                 self.state.share_of,
                 self.state.now,
@@ -371,6 +375,7 @@
             self._endpoint_pool.forget(change.endpoint_id)
             self._control_pool.forget(change.endpoint_id)
             self.state.limits.forget(change.endpoint_id)
+            self.peering.gossip.drop_limit(change.endpoint_id)
             if change.was_ready:
                 self._crashes.on_endpoint_gone(change.endpoint_id)
         self.peering.assign_engines()
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -42,7 +42,7 @@
         self.fleet = Fleet.from_node(node)
         self.store_watch = StoreWatch(self.now)
         self.endpoints = EndpointView(journal, self.store_watch)
-        self.limits = EndpointLimits(journal, self.now)
+        self.limits = EndpointLimits(journal, self.fleet, self.now)
 
     def now(self) -> float:
         """Return the monotonic time in seconds, as the event loop does."""
--- a/tests/owner_simulation.py
+++ b/tests/owner_simulation.py
@@ -277,6 +277,7 @@
             on_restart=lambda record, started_ms: None,
             hold_off_s=lambda: 0.3,
             pool_stalled=lambda service: False,
+            limit_per_s=lambda engine_id: None,
             mechanisms=ALL_ON,
         )
         self._owner = EngineOwner(self._record, self._capacity, context)
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -1,5 +1,7 @@
 """Tests of an engine's places, slots and queue at its owner, without a network."""
 
+import itertools
+
 from bamboovale.decisions.engine_places import EnginePlaces
 from bamboovale.decisions.place_work import (
     EngineCapacity,
@@ -326,6 +328,60 @@
         assert refusal.reason is RefusalReason.CANNOT_LOAD
 
 
+class TestLimit:
+    """An engine that names how many requests a second it takes."""
+
+    def make_limited(self, limit_per_s: float) -> EnginePlaces:
+        """Return a limited engine with adapter ``a1`` loaded."""
+        engine = make_places()
+        load_adapter(engine, "a1", 0.0)
+        engine.set_limit(limit_per_s, 2.0)
+        return engine
+
+    def test_places_are_granted_at_the_rate_of_the_limit(self) -> None:
+        """Guards against grants to several VMs that exceed it together."""
+        engine = self.make_limited(4.0)
+        granted_at = []
+        now = 2.0
+        for number in range(400):
+            now += 0.02
+            actions = engine.on_request(make_request(f"r{number}.0", "a1", now), now)
+            for action in actions:
+                if isinstance(action, Grant):
+                    granted_at.append(now)
+                    engine.on_release(action.request.ask_id, now)
+        assert 30 <= len(granted_at) <= 33
+        gaps = [b - a for a, b in itertools.pairwise(granted_at)]
+        assert min(gaps) >= 0.24
+
+    def test_a_request_past_its_goal_is_sent_elsewhere_at_once(self) -> None:
+        engine = self.make_limited(4.0)
+        actions = []
+        for number in range(8):
+            actions += engine.on_request(make_request(f"r{number}.0", "a1", 2.1), 2.1)
+        refused = [item for item in actions if isinstance(item, Refuse)]
+        assert {item.reason for item in refused} == {RefusalReason.LIMITED}
+        assert len(refused) == 4
+        assert all(0.9 < item.retry_after_s <= 1.25 for item in refused)
+
+    def test_an_idle_engine_takes_a_request_at_once(self) -> None:
+        engine = self.make_limited(0.5)
+        [grant] = engine.on_request(make_request("r1.0", "a1", 9.0), 9.0)
+        assert isinstance(grant, Grant)
+
+    def test_waiting_requests_start_once_the_limit_ends(self) -> None:
+        engine = self.make_limited(1.0)
+        assert engine.on_request(make_request("r1.0", "a1", 2.1), 2.1) == []
+        engine.set_limit(None, 2.2)
+        [grant] = engine.decide(2.2)
+        assert isinstance(grant, Grant)
+
+    def test_the_wait_shows_in_the_snapshot(self) -> None:
+        """Guards against VMs that choose a limited engine as it looks idle."""
+        engine = self.make_limited(2.0)
+        assert engine.snapshot(2.0).backlog_s == 0.5
+
+
 class TestBaseModel:
     """Guards against an engine that starts without its base model."""
 
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -1,8 +1,15 @@
 """Tests of what endpoints say of themselves in their answers."""
 
+import random
+from bisect import bisect_right
+
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from bamboovale.decisions.endpoint_limit import LimitBelief
+from bamboovale.decisions.limit_share import share_per_s
+from bamboovale.decisions.request_pace import RequestPace, enforced_per_s
 from bamboovale.gateway.model import EndpointSignals
 from bamboovale.platform.signals import decode_signals
 
@@ -63,3 +70,106 @@
         belief.on_answer(4.0, 1.0, 1.1, ends=True)
         assert not belief.on_answer(4.2, 2.0, 2.1, ends=True)
         assert belief.limit_per_s == 4.2
+
+    def test_the_newest_number_of_other_vms_applies(self) -> None:
+        belief = LimitBelief()
+        assert belief.on_news(4.0, 1, 1.0)
+        assert not belief.on_news(4.0, 1, 1.1)
+        assert belief.on_news(None, 2, 1.2)
+        assert not belief.on_news(4.0, 1, 1.3)
+        assert belief.limit_per_s is None
+
+    def test_two_vms_that_learn_at_once_agree_on_the_lower_limit(self) -> None:
+        first, second = LimitBelief(), LimitBelief()
+        first.on_answer(4.0, 1.0, 1.1, ends=True)
+        second.on_answer(8.0, 1.0, 1.1, ends=True)
+        assert not first.on_news(8.0, second.number, 1.2)
+        assert second.on_news(4.0, first.number, 1.2)
+        assert first.limit_per_s == second.limit_per_s == 4.0
+
+    def test_news_of_a_limit_are_not_ended_by_an_older_answer(self) -> None:
+        belief = LimitBelief()
+        belief.on_news(4.0, 1, 2.0)
+        assert not belief.on_answer(None, 1.9, 2.1, ends=True)
+        assert belief.on_answer(None, 2.2, 2.3, ends=True)
+
+
+class TestRequestPace:
+    """Requests to one endpoint from one sender."""
+
+    def test_it_starts_empty(self) -> None:
+        """Guards against a new owner that repeats the burst of the one before."""
+        pace = RequestPace()
+        pace.set_rate(4.0, 10.0)
+        assert pace.wait_s(10.0) == 0.25
+        assert pace.wait_s(10.0, ahead=3) == 1.0
+
+    def test_a_higher_rate_applies_at_once(self) -> None:
+        pace = RequestPace()
+        pace.set_rate(1.0, 0.0)
+        pace.set_rate(10.0, 0.5)
+        assert pace.wait_s(0.5) == pytest.approx(0.05)
+
+    def test_without_a_rate_all_may_go(self) -> None:
+        pace = RequestPace()
+        pace.take(0.0)
+        assert pace.wait_s(0.0, ahead=100) == 0.0
+
+    def test_an_endpoint_that_takes_nothing_is_asked_now_and_then(self) -> None:
+        """Guards against an endpoint that is never tried again after its limit."""
+        assert enforced_per_s(0.0) == 0.25
+
+
+WINDOW_S = 4.0
+
+
+def most_in_window(times: list[float]) -> int:
+    """Return the largest number of times in any window."""
+    times = sorted(times)
+    return max(
+        (bisect_right(times, at + WINDOW_S) - index for index, at in enumerate(times)),
+        default=0,
+    )
+
+
+class TestShares:
+    """VMs that share a limit without a message between them."""
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        limit_per_s=st.floats(0.5, 100.0),
+        vms=st.sampled_from([1, 2, 6, 9, 24, 86]),
+        missing=st.sets(st.integers(0, 85), max_size=3),
+        seed=st.integers(0, 10_000),
+    )
+    def test_together_they_keep_to_it(
+        self, limit_per_s: float, vms: int, missing: set[int], seed: int
+    ) -> None:
+        """Guards against VMs each of which is within its share and all are not.
+
+        Every VM has more demand than its share; some VMs are thought gone by half.
+        """
+        rng = random.Random(seed)
+        vm_ids = [f"vm-{number}" for number in range(vms)]
+        sent_at = []
+        for number, vm_id in enumerate(vm_ids):
+            seen = [v for n, v in enumerate(vm_ids) if n not in missing or n == number]
+            known = seen if number % 2 else vm_ids
+            pace = RequestPace()
+            now = rng.uniform(0.0, 1.0)
+            pace.set_rate(share_per_s("e", limit_per_s, vm_id, known), now)
+            while now < 12.0:
+                wait_s = pace.wait_s(now)
+                if wait_s <= 0.0:
+                    pace.take(now)
+                    sent_at.append(now)
+                    continue
+                now += min(max(wait_s, 0.001), 12.0)
+        assert most_in_window(sent_at) <= 1.5 * WINDOW_S * limit_per_s + 5.0
+
+    def test_what_the_limit_allows_is_used(self) -> None:
+        for vms in (1, 6, 86):
+            vm_ids = [f"vm-{number}" for number in range(vms)]
+            shares = [share_per_s("e", 4.3, vm_id, vm_ids) for vm_id in vm_ids]
+            assert sum(shares) == pytest.approx(4.3)
+            assert sum(share > 0.0 for share in shares) == min(vms, 5)
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -53,6 +53,13 @@
         """Return both endpoints."""
         return list(RECORDS.values())
 
+    def wait_s(self, endpoint_id: str) -> float:
+        """Return that no endpoint names a limit."""
+        return 0.0
+
+    def take(self, endpoint_id: str) -> None:
+        """Count nothing, as no endpoint names a limit."""
+
     async def connect(self, record: EndpointRecord, *, once_only: bool) -> str:
         """Return a connection."""
         return record.endpoint_id
@@ -100,7 +107,9 @@
     share = RetryShare.from_config(RetryShareConfig(0.2, 200.0, 10.0))
     parts: Any = pool
     vms = [
-        PlainCalls(parts, parts, parts, lambda service: share, time.monotonic, rng)
+        PlainCalls(
+            parts, parts, parts, parts, lambda service: share, time.monotonic, rng
+        )
         for _ in range(VMS)
     ]
     tasks = []
