Read and log what answers say of leaving and of rest

Both are decoded with the limit and logged (endpoint_leaving, endpoint_rests); nothing heeds them yet. The time to retry of a refusal, which callers are told, takes only usable values now: it took infinite and negative ones.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -7,8 +7,7 @@
 import h11
 
 from bamboovale.gateway.call import CallCodec
-from bamboovale.gateway.endpoint_limits import AnswerNotice
-from bamboovale.gateway.model import AnswerFacts, EndpointRecord
+from bamboovale.gateway.model import AnswerFacts, AnswerNotice, EndpointRecord
 from bamboovale.http1.connection import ConnectFailed, Connection, IncompleteResponse
 from bamboovale.http1.pool import ConnectionPool
 
--- a/bamboovale/gateway/endpoint_limits.py
+++ b/bamboovale/gateway/endpoint_limits.py
@@ -15,27 +15,13 @@
 from bamboovale.fleet.messages import EndpointLimit
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.journal import Journal
-from bamboovale.gateway.model import EndpointSignals
+from bamboovale.gateway.model import AnswerNotice
 
 UNOWNED_PART = 0.25
 """Part of an engine's limit for requests without an owner: VMs that cannot reach the
 owner send them while it still grants places to others."""
 
 
-@dataclass(frozen=True)
-class AnswerNotice:
-    """What an endpoint said in an answer; ``sent_at`` is when its request was sent.
-
-    ``tells_all`` is whether a signal that the answer lacks has ended: an endpoint says
-    so only where it runs a caller's request.
-    """
-
-    endpoint_id: str
-    signals: EndpointSignals
-    sent_at: float
-    tells_all: bool = False
-
-
 @dataclass
 class _Limited:
     """One endpoint that has named a limit; ``share_of`` is what the pace is set for."""
@@ -64,13 +50,8 @@
     # What endpoints and other VMs say.
 
     def on_answer(self, notice: AnswerNotice) -> None:
-        """Apply an answer's signals."""
+        """Apply an answer; one with a malformed header does not end a limit."""
         signals = notice.signals
-        if signals.malformed:
-            self._journal.write(
-                "bad_signal", endpoint=notice.endpoint_id, headers=signals.malformed
-            )
-            return
         limited = self._limited_by_id.get(notice.endpoint_id)
         if limited is None:
             if signals.limit_per_s is None:
@@ -78,8 +59,9 @@
             limited = self._limited_by_id[notice.endpoint_id] = _Limited()
         belief = limited.belief
         before, named_at = belief.limit_per_s, belief.named_at
+        ends = notice.tells_all and not signals.malformed
         if belief.on_answer(
-            signals.limit_per_s, notice.sent_at, self._now(), ends=notice.tells_all
+            signals.limit_per_s, notice.sent_at, self._now(), ends=ends
         ):
             self._log(notice.endpoint_id, before, named_at, "answer")
             self.tell(
--- a/bamboovale/gateway/engine_client.py
+++ b/bamboovale/gateway/engine_client.py
@@ -8,8 +8,8 @@
 import h11
 
 from bamboovale.decisions.order_timeout import OrderTimeout
-from bamboovale.gateway.endpoint_limits import AnswerNotice
 from bamboovale.gateway.model import (
+    AnswerNotice,
     EndpointRecord,
     EndpointSignals,
     EngineOrder,
--- a/bamboovale/gateway/model.py
+++ b/bamboovale/gateway/model.py
@@ -259,13 +259,31 @@
     """What an endpoint says of itself in an answer, beside the answer's status.
 
     ``limit_per_s`` is how many requests a second it takes from all VMs together, None
-    if it names no limit. ``malformed`` are the headers without a usable value.
+    if it names no limit. ``leaving`` is whether it will stop serving soon. ``rest_s``
+    is how long it wants no requests from this VM, in seconds, None if it does not say.
+    ``malformed`` are the headers without a usable value.
     """
 
     limit_per_s: float | None = None
+    leaving: bool = False
+    rest_s: float | None = None
     malformed: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class AnswerNotice:
+    """What an endpoint said in an answer; ``sent_at`` is when its request was sent.
+
+    ``tells_all`` is whether a signal that the answer lacks has ended: an endpoint says
+    so only where it runs a caller's request.
+    """
+
+    endpoint_id: str
+    signals: EndpointSignals
+    sent_at: float
+    tells_all: bool = False
+
+
 @dataclass(frozen=True)
 class AnswerFacts:
     """The head of an endpoint's answer, decoded.
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -142,7 +142,7 @@
                 self._control_pool,
                 self._translation,
                 node.name,
-                self.state.limits.on_answer,
+                self.state.signals.on_answer,
                 lambda name, outcome: calls.labels(name, outcome).inc(),
             ),
             journal=self.state.journal,
@@ -230,7 +230,7 @@
             self._endpoint_pool,
             self._translation,
             self.state.now,
-            self.state.limits.on_answer,
+            self.state.signals.on_answer,
         )
         return RequestHandler(
             codec=self._translation,
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -7,6 +7,7 @@
 from bamboovale.decisions.retry_share import RetryShare, RetryShareConfig
 from bamboovale.decisions.view_freshness import ViewFreshness
 from bamboovale.gateway.endpoint_limits import EndpointLimits
+from bamboovale.gateway.endpoint_signals import SignalReader
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.journal import Journal
@@ -43,6 +44,7 @@
         self.store_watch = StoreWatch(self.now)
         self.endpoints = EndpointView(journal, self.store_watch)
         self.limits = EndpointLimits(journal, self.fleet, self.now)
+        self.signals = SignalReader(journal, self.limits)
 
     def now(self) -> float:
         """Return the monotonic time in seconds, as the event loop does."""
--- a/bamboovale/platform/names.py
+++ b/bamboovale/platform/names.py
@@ -27,6 +27,7 @@
 INSTANCE_ID = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 CHALLENGE = b"www-authenticate"
 CONTENT_LENGTH = b"content-length"
 
--- a/bamboovale/platform/requests.py
+++ b/bamboovale/platform/requests.py
@@ -9,7 +9,7 @@
 from bamboovale.http1.server import BadRequest, Request
 from bamboovale.platform import customers, names
 from bamboovale.platform.customers import decode_key
-from bamboovale.platform.signals import decode_signals
+from bamboovale.platform.signals import decode_retry_after, decode_signals
 
 MAX_DEADLINE_S = 3600.0
 
@@ -144,19 +144,12 @@
         signed=head.get(names.SERVER_STAMP) is not None,
         not_run=head.get(names.NOT_EXECUTED) is not None or head.status == 421,
         wrong_endpoint=head.status == 421,
-        retry_after_s=_decode_seconds(head.get(names.RETRY_AFTER)),
+        retry_after_s=decode_retry_after(head.headers, []),
         headers=headers,
-        signals=decode_signals(head.headers),
+        signals=decode_signals(head),
     )
 
 
-def _decode_seconds(value: bytes | None) -> float | None:
-    try:
-        return None if value is None else float(value)
-    except ValueError:
-        return None
-
-
 def encode_refusal(
     retry_after_s: float | None,
     request_id: str | None,
--- a/bamboovale/platform/translation.py
+++ b/bamboovale/platform/translation.py
@@ -150,7 +150,7 @@
 
     def decode_signals(self, head: ResponseHead) -> EndpointSignals:
         """Decode what an endpoint says of itself in an answer to a report or order."""
-        return signals.decode_signals(head.headers)
+        return signals.decode_signals(head)
 
     def order_outcome(self, status: int) -> OrderOutcome:
         """Return the outcome that the status of an order's answer stands for."""
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -11,9 +11,17 @@
 from bamboovale.decisions.limit_share import share_per_s
 from bamboovale.decisions.request_pace import RequestPace, enforced_per_s
 from bamboovale.gateway.model import EndpointSignals
+from bamboovale.http1.connection import ResponseHead
 from bamboovale.platform.signals import decode_signals
 
 LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
+RETRY = b"retry-after"
+
+
+def decode(*headers: tuple[bytes, bytes], status: int = 200) -> EndpointSignals:
+    """Return the signals of an answer."""
+    return decode_signals(ResponseHead(status, list(headers)))
 
 
 class TestDecoding:
@@ -24,21 +32,41 @@
         [(b"4", 4.0), (b"4.25", 4.25), (b"0.5", 0.5), (b" 12 ", 12.0), (b"0", 0.0)],
     )
     def test_a_limit_is_read(self, value: bytes, limit_per_s: float) -> None:
-        assert decode_signals([(LIMIT, value)]) == EndpointSignals(limit_per_s)
+        assert decode((LIMIT, value)) == EndpointSignals(limit_per_s)
 
     @pytest.mark.parametrize(
         "value", [b"", b"four", b"-1", b"inf", b"nan", b"1e9", b"4, 5"]
     )
     def test_a_bad_limit_is_no_signal(self, value: bytes) -> None:
-        signals = decode_signals([(LIMIT, value)])
+        signals = decode((LIMIT, value))
         assert signals == EndpointSignals(malformed=("server-limit",))
 
     def test_a_limit_named_twice_is_no_signal(self) -> None:
-        signals = decode_signals([(LIMIT, b"4"), (LIMIT, b"4")])
+        signals = decode((LIMIT, b"4"), (LIMIT, b"4"))
         assert signals == EndpointSignals(malformed=("server-limit",))
 
+    def test_leaving_is_read_from_any_answer(self) -> None:
+        for status in (200, 421, 500, 503):
+            assert decode((LEAVING, b"1"), status=status).leaving
+
+    @pytest.mark.parametrize("value", [b"", b"yes", b"2", b"1, 1"])
+    def test_a_bad_word_of_leaving_is_no_signal(self, value: bytes) -> None:
+        signals = decode((LEAVING, value), (LIMIT, b"3"))
+        assert signals == EndpointSignals(3.0, malformed=("server-leaving",))
+
+    def test_a_rest_is_asked_for_by_503_alone(self) -> None:
+        assert decode((RETRY, b"2.5"), status=503).rest_s == 2.5
+        assert decode((RETRY, b"2.5"), status=200).rest_s is None
+
+    @pytest.mark.parametrize(
+        "value", [b"-1", b"inf", b"nan", b"1e9", b"Wed, 21 Oct 2026 07:28:00 GMT"]
+    )
+    def test_a_bad_rest_is_no_signal(self, value: bytes) -> None:
+        signals = decode((RETRY, value), status=503)
+        assert signals == EndpointSignals(malformed=("retry-after",))
+
     def test_no_header_is_no_signal(self) -> None:
-        assert decode_signals([(b"server", b"x")]) == EndpointSignals()
+        assert decode((b"server", b"x")) == EndpointSignals()
 
 
 class TestLimitBelief:
