--- a/bamboovale/standins/endpoint_signals.py
+++ b/bamboovale/standins/endpoint_signals.py
@@ -15,7 +15,9 @@
 """In a window an endpoint may get the factor of what its limit allows, and the slack
 more."""
 TOLD_AFTER_S = 0.5
-"""A VM is held to a signal from this time after it was answered with it."""
+"""A VM is held to a limit or a rest from this time after it was answered with it."""
+MAX_IN_REST = 2
+"""Requests that an endpoint at rest may still get from a VM."""
 
 
 @dataclass(frozen=True)
@@ -35,11 +37,27 @@
     ended_at: float | None = None
 
 
+@dataclass(frozen=True)
+class Rest:
+    """A VM was turned away at a time and asked for so many seconds of rest."""
+
+    vm: str
+    at: float
+    rest_s: float
+
+
 @dataclass
 class EndpointSignals:
-    """The signals of one endpoint, and the record of answers and arrivals."""
+    """The signals of one endpoint, and the record of answers and arrivals.
+
+    While ``rest_s`` is set the endpoint turns requests away and asks for that rest.
+    """
 
     now: Callable[[], float] = time.monotonic
+    leaving: bool = False
+    rest_s: float | None = None
+    rests: list[Rest] = field(default_factory=list)
+    leaving_told_at: dict[str, float] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     limits: list[LimitSpan] = field(default_factory=list)
     _limit_told_at: dict[str, float] = field(default_factory=dict)
@@ -63,6 +81,17 @@
         if self.limits and self.limits[-1].ended_at is None:
             self._limit_told_at.setdefault(vm, self.now())
             headers.append((b"server-limit", f"{self.limits[-1].per_s:g}".encode()))
+        if self.leaving:
+            self.leaving_told_at.setdefault(vm, self.now())
+            headers.append((b"server-leaving", b"1"))
+        return headers
+
+    def refusal_headers(self, vm: str) -> Headers:
+        """Return the headers of an answer that turns a VM away."""
+        headers = self.answer_headers(vm)
+        if self.rest_s is not None:
+            self.rests.append(Rest(vm, self.now(), self.rest_s))
+            headers.append((b"retry-after", f"{self.rest_s:g}".encode()))
         return headers
 
     def on_arrival(self, vm: str) -> None:
@@ -93,6 +122,25 @@
             if got > allowed:
                 yield f"{got} requests in {LIMIT_WINDOW_S:g} s, allowed {allowed:.1f}"
 
+    def drain_violations(self, drain_s: float) -> Iterator[str]:
+        """Yield each request later than ``drain_s`` after its VM was told to go."""
+        for arrival in self.arrivals:
+            told_at = self.leaving_told_at.get(arrival.vm)
+            if told_at is not None and arrival.at > told_at + drain_s:
+                late_s = arrival.at - told_at
+                yield f"{arrival.vm} sent {late_s:.2f} s after it was told"
+
+    def rest_violations(self) -> Iterator[str]:
+        """Yield each rest in which its VM sent more than it may."""
+        for rest in self.rests:
+            starts_at, ends_at = rest.at + TOLD_AFTER_S, rest.at + rest.rest_s
+            got = sum(
+                arrival.vm == rest.vm and starts_at < arrival.at < ends_at
+                for arrival in self.arrivals
+            )
+            if got > MAX_IN_REST:
+                yield f"{rest.vm} sent {got} requests in {rest.rest_s:g} s of rest"
+
     def _was_told(self, arrival: Arrival) -> bool:
         told_at = self._limit_told_at.get(arrival.vm)
         return told_at is not None and arrival.at >= told_at + TOLD_AFTER_S
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -122,7 +122,7 @@
         if not self._is_expected(request):
             self._refuse(request, responder, 421)
             return
-        if self.faults.refuse:
+        if self._turns_away():
             self._refuse(request, responder, 503)
             return
         run = self._start_run(request)
@@ -166,14 +166,24 @@
             (b"x-server-stamp", f"stamp.{self.endpoint_id}".encode()),
         ]
 
+    def _turns_away(self) -> bool:
+        return self.faults.refuse or self.signals.rest_s is not None
+
     def _is_expected(self, request: Request) -> bool:
         expected = request.get(b"x-expect-instance")
         return expected in (None, self.endpoint_id.encode())
 
     def _refuse(self, request: Request, responder: Responder, status: int) -> None:
         self.refused += 1
+        vm = responder.caller_host()
+        is_turned_away = status == 503
+        signals = (
+            self.signals.refusal_headers
+            if is_turned_away
+            else self.signals.answer_headers
+        )
         headers: Headers = [
-            *self.signals.answer_headers(responder.caller_host()),
+            *signals(vm),
             (b"x-not-executed", b"1"),
             (b"x-instance-id", self.endpoint_id.encode()),
             (b"x-request-id", request.get(b"x-request-id") or b""),
@@ -362,7 +372,7 @@
         missing = adapter and adapter not in self.version_by_adapter
         if not self._is_expected(request) or model != self._model or wrong:
             self._refuse(request, responder, 421)
-        elif adapter in self._loading or self.faults.refuse:
+        elif adapter in self._loading or self._turns_away():
             self._refuse(request, responder, 503)
         elif missing:
             self._refuse(request, responder, 421)
