Send nothing to an endpoint that has said in an answer that it leaves

Cause: leaving was known from the store's record alone. The store was down for 13 s, so that the record still said ready. The class: a fact that comes with an answer stands in no record.

Change: a VM that reads it takes the endpoint out of new work whatever its record says, until that start of it is gone, and tells the others by gossip: fewer answers are lost, for one row an endpoint. A VM that starts hears of it with the first message of each neighbour, and keeps it until it knows the endpoint's record. A place that was granted while its engine said so is given back. Owners let go of the engine, as they do for a record that says draining.

--- a/bamboovale/fleet/gossip.py
+++ b/bamboovale/fleet/gossip.py
@@ -19,6 +19,7 @@
     AdapterNews,
     EndpointLimit,
     Gossip,
+    LeavingEndpoint,
     Member,
     SuspectRequest,
     Suspicion,
@@ -55,7 +56,8 @@
 TIMER_TOLERANCE_S = 0.001
 """Time by which a timer may fire early."""
 INTRODUCTION = -1
-"""In place of a change number, marks the first message, which has our own record."""
+"""In place of a change number, marks the first message to a neighbour, which contains
+our own record and all news of endpoints."""
 
 
 class EndpointsTopic(Protocol):
@@ -103,10 +105,12 @@
         proofs: ViewProofs | None = None,
         on_version: Callable[[AdapterNews], None] = lambda news: None,
         on_limit: Callable[[EndpointLimit], bool] = lambda news: False,
+        on_leaving: Callable[[LeavingEndpoint], bool] = lambda news: False,
     ) -> None:
         self.config_version = -1
         self._on_version = on_version
         self._on_limit = on_limit
+        self._on_leaving = on_leaving
         self._version_by_adapter: dict[tuple[str, str | None], int] = {}
         self.store_answered_at = NEVER
         self._store_count = 0
@@ -176,8 +180,9 @@
         neighbour = self.neighbours.on_message(sender, now)
         if gossip.watches:
             neighbour.watches_us_until = now + WATCHER_TTL_S
-        if any(member.vm_id == sender for member in gossip.members):
-            self._answer_introduction(neighbour, now)
+        for member in gossip.members:
+            if member.vm_id == sender:
+                self._answer_introduction(neighbour, member, now)
         neighbour.config_version = gossip.config_version
         for member in gossip.members:
             self._membership.apply(member, now)
@@ -194,17 +199,25 @@
         for limit in gossip.limits:
             if self._on_limit(limit):
                 self.note_limit(limit)
+        for leaving in gossip.leaving:
+            if self._on_leaving(leaving):
+                self.note_leaving(leaving)
         self._apply_counts(gossip, now)
         if gossip.wants_all:
             neighbour.sent_number = 0
         self._compare_digest(neighbour, gossip.digest, now)
 
-    def _answer_introduction(self, neighbour: Neighbour, now: float) -> None:
+    def _answer_introduction(
+        self, neighbour: Neighbour, member: Member, now: float
+    ) -> None:
         """Reply before the next interval to a VM that sent its own record.
 
         It has reopened its link to us because we are silent to it; by the next interval
-        it may suspect us.
+        it may suspect us. One that has started anew gets a first message anew.
         """
+        if member.start > neighbour.start:
+            neighbour.start = member.start
+            neighbour.introduced = False
         if now - neighbour.sent_at > self.neighbours.interval_s() / 2:
             neighbour.sent_at = NEVER
 
@@ -269,9 +282,14 @@
         """Forward a change of an endpoint's limit."""
         self._changes.put(("limit", news.endpoint_id), news)
 
-    def drop_limit(self, endpoint_id: str) -> None:
-        """Forward the limit of an endpoint that is gone no more."""
+    def note_leaving(self, news: LeavingEndpoint) -> None:
+        """Forward that an endpoint leaves."""
+        self._changes.put(("leaving", news.endpoint_id), news)
+
+    def drop_endpoint(self, endpoint_id: str) -> None:
+        """Forward what an endpoint that is gone had said no more."""
         self._changes.drop(("limit", endpoint_id))
+        self._changes.drop(("leaving", endpoint_id))
 
     def set_config_version(self, version: int) -> None:
         """Set the version of our configuration; a newer one is told at once."""
@@ -346,8 +364,9 @@
         )
         items, sent_number = self._changes.after(sent_number, MAX_ITEMS)
         own = self._membership.own
-        if introduces and own not in items:
-            items.append(own)
+        if introduces:
+            introduction = [own, *self._endpoint_news()]
+            items += [item for item in introduction if item not in items]
         changes = self._endpoints.changes
         next_offset = -1 if changes.next_offset is None else changes.next_offset
         first, rows = changes.rows_from(state.first_offset)
@@ -374,11 +393,16 @@
             rows=tuple(rows),
             versions=tuple(item for item in items if isinstance(item, AdapterNews)),
             limits=tuple(item for item in items if isinstance(item, EndpointLimit)),
+            leaving=tuple(item for item in items if isinstance(item, LeavingEndpoint)),
             stamp=proofs.new_stamp() if proofs else 0,
             echoes=proofs.echoes(targets) if proofs else (),
             view_age_ms=proofs.age_ms() if proofs else NO_PROOF,
         )
 
+    def _endpoint_news(self) -> list[Change]:
+        """Return what endpoints have said, which no VM can read from the store."""
+        return [item for item in self._changes if isinstance(item, LeavingEndpoint)]
+
     def _is_behind(self, neighbour: Neighbour) -> bool:
         """Return whether updates are pending for a neighbour."""
         if not neighbour.introduced or neighbour.sent_number < self._changes.last:
--- a/bamboovale/fleet/membership.py
+++ b/bamboovale/fleet/membership.py
@@ -15,6 +15,7 @@
 from bamboovale.fleet.messages import (
     AdapterNews,
     EndpointLimit,
+    LeavingEndpoint,
     Member,
     SuspectRequest,
     Suspicion,
@@ -32,7 +33,9 @@
 MAX_MEMBERS = 4096
 """Limit of known VMs, against malformed or hostile messages."""
 
-Change = Member | Suspicion | SuspectRequest | AdapterNews | EndpointLimit
+Change = (
+    Member | Suspicion | SuspectRequest | AdapterNews | EndpointLimit | LeavingEndpoint
+)
 
 
 @dataclass
--- a/bamboovale/fleet/messages.py
+++ b/bamboovale/fleet/messages.py
@@ -84,6 +84,14 @@
     number: int
 
 
+@row
+@dataclass(frozen=True)
+class LeavingEndpoint:
+    """An endpoint that said in an answer that it leaves."""
+
+    endpoint_id: str
+
+
 TopicRow = tuple[str, bytes | None, int]
 """A record of a topic: key, value (None: the key was removed) and offset."""
 
@@ -101,7 +109,7 @@
     ``wants_all`` a full copy of its view of the fleet. ``stamp``, ``echoes`` and
     ``view_age_ms`` prove how fresh the sender's configuration is (see ``ViewProofs``).
     ``versions`` are adapter versions that the operator published, ``limits`` those that
-    endpoints name.
+    endpoints name, ``leaving`` the endpoints that said that they leave.
     """
 
     digest: int
@@ -121,3 +129,4 @@
     view_age_ms: int = -1
     versions: tuple[AdapterNews, ...] = ()
     limits: tuple[EndpointLimit, ...] = ()
+    leaving: tuple[LeavingEndpoint, ...] = ()
--- a/bamboovale/fleet/neighbours.py
+++ b/bamboovale/fleet/neighbours.py
@@ -47,7 +47,8 @@
 
     ``sent_number`` is the number of the last change sent to it, ``sent_offset`` the
     offset of the endpoints' topic up to which it is informed. ``introduced`` tells
-    whether our own record has been sent to it. Silence counts from ``awaited_from`` or
+    whether our own record has been sent to it. ``start`` is that of its last
+    introduction. Silence counts from ``awaited_from`` or
     the last message, whichever is later.
     """
 
@@ -63,6 +64,7 @@
     introduced: bool = False
     config_version: int = -1
     differs_since: float | None = None
+    start: int = 0
 
     def silent_since(self) -> float:
         """Return the time from which its silence counts."""
--- a/bamboovale/gateway/endpoint_signals.py
+++ b/bamboovale/gateway/endpoint_signals.py
@@ -1,28 +1,39 @@
 """Passes what endpoints say of themselves in their answers to those who heed it."""
 
+from collections.abc import Callable
+
+from bamboovale.fleet.messages import LeavingEndpoint
 from bamboovale.gateway.endpoint_limits import EndpointLimits
+from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.model import AnswerNotice
 
 
 class SignalReader:
-    """Reads the signals of each answer that this VM gets from an endpoint."""
+    """Reads the signals of each answer that this VM gets from an endpoint.
+
+    ``tell_leaving`` is called with an endpoint that told this VM first that it leaves.
+    """
 
-    def __init__(self, journal: Journal, limits: EndpointLimits) -> None:
+    def __init__(
+        self, journal: Journal, endpoints: EndpointView, limits: EndpointLimits
+    ) -> None:
         self._journal = journal
+        self._endpoints = endpoints
         self._limits = limits
+        self.tell_leaving: Callable[[LeavingEndpoint], None] = lambda news: None
 
     def on_answer(self, notice: AnswerNotice) -> None:
         """Apply an answer's signals."""
-        signals = notice.signals
+        endpoint_id, signals = notice.endpoint_id, notice.signals
         if signals.malformed:
             self._journal.write(
-                "bad_signal", endpoint=notice.endpoint_id, headers=signals.malformed
+                "bad_signal", endpoint=endpoint_id, headers=signals.malformed
             )
-        if signals.leaving:
-            self._journal.write("endpoint_leaving", endpoint=notice.endpoint_id)
+        if signals.leaving and self._endpoints.on_leaving(endpoint_id, "answer"):
+            self.tell_leaving(LeavingEndpoint(endpoint_id))
         if signals.rest_s is not None:
             self._journal.write(
-                "endpoint_rests", endpoint=notice.endpoint_id, rest_s=signals.rest_s
+                "endpoint_rests", endpoint=endpoint_id, rest_s=signals.rest_s
             )
         self._limits.on_answer(notice)
--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -24,6 +24,9 @@
     A restart under the same registered id is a new endpoint: the previous one is
     removed together with all state kept for it.
 
+    An endpoint that says in an answer that it leaves gets no new work, whatever its
+    record says: the store may not have taken the next one yet.
+
     A missing record removes an endpoint only while the store is settled (see
     ``StoreWatch``): in an outage records expire and are written again afterwards.
     """
@@ -34,6 +37,7 @@
         self._record_by_id: dict[str, EndpointRecord] = {}
         self._id_by_registration: dict[str, str] = {}
         self._expired: set[str] = set()
+        self._leaving: set[str] = set()
         self._listeners: list[Callable[[EndpointChange], None]] = []
         store.listen(self.drop_expired)
 
@@ -54,6 +58,11 @@
             if record.service == service and record.ready
         ]
 
+    def is_ready(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint accepts new work."""
+        record = self._record_by_id.get(endpoint_id)
+        return record is not None and record.ready
+
     def on_record(self, registered_id: str, record: EndpointRecord | None) -> bool:
         """Apply a record, or (None) its removal; returns False if nothing changes."""
         if record is None:
@@ -67,6 +76,8 @@
                 known=before.endpoint_id,
             )
             return False
+        if record.endpoint_id in self._leaving:
+            record = replace(record, ready=False)
         was_expired = registered_id in self._expired
         self._expired.discard(registered_id)
         if before is not None and before.endpoint_id != record.endpoint_id:
@@ -92,6 +103,25 @@
             return False
         return self.on_record(registered_id, replace(known, ready=False))
 
+    def on_leaving(self, endpoint_id: str, origin: str) -> bool:
+        """Apply that an endpoint said it leaves; return whether it is known and new.
+
+        ``origin`` is ``answer`` or ``peer``.
+        """
+        record = self._record_by_id.get(endpoint_id)
+        if record is None or endpoint_id in self._leaving:
+            return False
+        self._leaving.add(endpoint_id)
+        self._journal.write(
+            "endpoint_leaving", endpoint=endpoint_id, origin=origin, ready=record.ready
+        )
+        self.on_record(record.registered_id, record)
+        return True
+
+    def leaving_ids(self) -> set[str]:
+        """Return the endpoints that said in an answer that they leave."""
+        return set(self._leaving)
+
     def on_restart(self, record: EndpointRecord, started_ms: int) -> None:
         """Apply a restart that an endpoint's report shows before its record does.
 
@@ -165,6 +195,7 @@
         if endpoint_id is None:
             return
         record = self._record_by_id.pop(endpoint_id)
+        self._leaving.discard(endpoint_id)
         self._journal.write("endpoint_gone", endpoint=endpoint_id)
         self._notify(EndpointChange(endpoint_id, None, record.ready))
 
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -11,10 +11,12 @@
     AdapterNews,
     EndpointLimit,
     Gossip,
+    LeavingEndpoint,
     SuspectRequest,
 )
 from bamboovale.fleet.view_proofs import ViewProofs
 from bamboovale.gateway.crashes import CrashGuard
+from bamboovale.gateway.early_news import EarlyNews, EndpointNews
 from bamboovale.gateway.engine_assignment import EngineAssignment
 from bamboovale.gateway.engine_owner import EngineOwner
 from bamboovale.gateway.engines import Engines
@@ -96,6 +98,7 @@
         )
         self._fences_announced_at = -FENCE_ANNOUNCE_INTERVAL_S
         self._lag_monitor = TimerLagMonitor()
+        self._early_news = EarlyNews()
         self._start_by_live: dict[str, int] = {}
         self.status_exchange = EngineStatusExchange(state, engines, links)
         self.gossip = GossipProtocol(
@@ -111,8 +114,10 @@
             proofs=ViewProofs(state.view, lease_clock, random.Random()),
             on_version=records.apply_news,
             on_limit=self._on_limit,
+            on_leaving=self._on_endpoint_news,
         )
         state.limits.tell = self._broadcast_limit
+        state.signals.tell_leaving = self._broadcast_leaving
 
     def announce(self) -> None:
         """Update this VM's membership entry and gossip it if it changed."""
@@ -175,6 +180,11 @@
         self.gossip.note_limit(news)
         self._wake_event.set()
 
+    def _broadcast_leaving(self, news: LeavingEndpoint) -> None:
+        """Gossip an endpoint that told this VM that it leaves."""
+        self.gossip.note_leaving(news)
+        self._wake_event.set()
+
     def _on_limit(self, news: EndpointLimit) -> bool:
         """Apply a gossiped limit; return whether it is new.
 
@@ -184,6 +194,18 @@
             return False
         return self._state.limits.on_news(news)
 
+    def _on_endpoint_news(self, news: EndpointNews) -> bool:
+        """Apply what another VM tells of an endpoint; return whether it is new."""
+        if news.endpoint_id not in self._state.endpoints.record_by_id:
+            self._early_news.hold(news)
+            return False
+        return self._state.endpoints.on_leaving(news.endpoint_id, "peer")
+
+    def on_endpoint_known(self, endpoint_id: str) -> None:
+        """Apply what other VMs told of an endpoint before its record was known."""
+        for news in self._early_news.take(endpoint_id):
+            self._on_endpoint_news(news)
+
     def assign_engines(self) -> None:
         """Update the owned engines; announce them at once if they changed."""
         if self._assignment.assign():
--- a/bamboovale/gateway/place_search.py
+++ b/bamboovale/gateway/place_search.py
@@ -107,7 +107,11 @@
                 place = await self._request_place(
                     call, work, candidate, version, progress
                 )
-                return record, place
+                if self._endpoints.is_ready(chosen):
+                    return record, place
+                # It has said that it leaves while the request was queued.
+                self._engines.release(place)
+                unavailable.add(chosen)
             except EngineFull as error:
                 full[chosen] = error
             except OwnerUnavailable as error:
--- a/bamboovale/gateway/state_dump.py
+++ b/bamboovale/gateway/state_dump.py
@@ -92,6 +92,7 @@
             for endpoint_id, record in record_by_id.items()
         },
         "lapsed_endpoints": sorted(state.endpoints.expired_ids()),
+        "leaving_endpoints": sorted(state.endpoints.leaving_ids()),
         "owner_by_engine": {
             engine_id: engines.owner_name(engine_id) for engine_id in record_by_id
         },
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -375,9 +375,11 @@
             self._endpoint_pool.forget(change.endpoint_id)
             self._control_pool.forget(change.endpoint_id)
             self.state.limits.forget(change.endpoint_id)
-            self.peering.gossip.drop_limit(change.endpoint_id)
+            self.peering.gossip.drop_endpoint(change.endpoint_id)
             if change.was_ready:
                 self._crashes.on_endpoint_gone(change.endpoint_id)
+        else:
+            self.peering.on_endpoint_known(change.endpoint_id)
         self.peering.assign_engines()
 
     async def _own_engines(self) -> None:
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -44,7 +44,7 @@
         self.store_watch = StoreWatch(self.now)
         self.endpoints = EndpointView(journal, self.store_watch)
         self.limits = EndpointLimits(journal, self.fleet, self.now)
-        self.signals = SignalReader(journal, self.limits)
+        self.signals = SignalReader(journal, self.endpoints, self.limits)
 
     def now(self) -> float:
         """Return the monotonic time in seconds, as the event loop does."""
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -1,6 +1,15 @@
 """Endpoints that say in their answers that they leave, and not yet in the store."""
 
-from tests.gateway_site import run, running_site
+import asyncio
+
+from tests.gateway_site import (
+    CallerAnswer,
+    Site,
+    call,
+    eventually,
+    run,
+    running_site,
+)
 from tests.signal_load import engine_with, load, served, slow_services
 
 DRAIN_S = 1.0
@@ -8,6 +17,27 @@
 LOAD_S = 3.0
 
 
+def knows_of_leaving(site: Site, endpoint_id: str) -> bool:
+    """Return whether every VM knows that the endpoint leaves."""
+    return all(
+        item.vm.dump()["leaving_endpoints"] == [endpoint_id] for item in site.vms
+    )
+
+
+async def eventually_told(site: Site) -> None:
+    """Call the leaving endpoint by one VM until all know that it leaves."""
+    for _ in range(100):
+        await call(site.vms[0].address, "/book/1")
+        if knows_of_leaving(site, "service-0"):
+            return
+    raise AssertionError("not all VMs know that the endpoint leaves")
+
+
+async def call_model(site: Site) -> CallerAnswer:
+    """Send a request for an adapter by the first VM."""
+    return await call(site.vms[0].address, "/chat/1", adapter="a1")
+
+
 class TestLeavingEndpoint:
     """The store's record says that the endpoint is ready, as its writes are lost."""
 
@@ -45,3 +75,58 @@
                 assert served(answers) > 0.97
 
         run(test())
+
+    def test_one_answer_is_enough_for_all_vms_and_for_one_that_starts_later(
+        self,
+    ) -> None:
+        """Guards against each VM losing an answer of its own before it knows."""
+
+        async def test() -> None:
+            async with running_site(vms=3, services=2) as site:
+                slow_services(site)
+                service = site.services[0]
+                service.signals.leaving = True
+                await eventually_told(site)
+                await site.add_vm("entry-3")
+                await eventually(lambda: knows_of_leaving(site, "service-0"))
+                arrivals = len(service.signals.arrivals)
+                for item in site.vms * 4:
+                    assert (await call(item.address, "/book/1")).status == 200
+                assert len(service.signals.arrivals) == arrivals
+
+        run(test())
+
+    def test_a_restart_under_the_same_id_is_not_leaving(self) -> None:
+        """Guards against an endpoint that stays unused after it has started anew."""
+
+        async def test() -> None:
+            async with running_site(runners=2) as site:
+                engine = await engine_with(site, "a1")
+                engine.signals.leaving = True
+                assert (await call_model(site)).status == 200
+                vm = site.vms[0].vm
+                await eventually(lambda: vm.dump()["leaving_endpoints"] != [])
+                engine.signals.leaving = False
+                await engine.restart(1000)
+                restarted = f"{engine.endpoint_id}@1000"
+                await eventually(lambda: vm.state.endpoints.is_ready(restarted))
+                assert vm.dump()["leaving_endpoints"] == []
+
+        run(test())
+
+    def test_a_place_granted_by_an_engine_that_leaves_meanwhile_is_not_used(
+        self,
+    ) -> None:
+        """Guards against requests that were queued when their engine said it leaves."""
+
+        async def test() -> None:
+            async with running_site(runners=2, load_s=0.5) as site:
+                waiting = asyncio.create_task(call_model(site))
+                await eventually(lambda: any(item.orders for item in site.runners))
+                engine = next(item for item in site.runners if item.orders)
+                vm = site.vms[0].vm
+                vm.state.endpoints.on_leaving(engine.endpoint_id, "peer")
+                assert (await waiting).status == 200
+                assert engine.runs == []
+
+        run(test())
