Tell a VM that starts of the limits that endpoints have named

Cause: a first message to a neighbour left out what endpoints had said, as for leaving before; a limit of an endpoint whose record the VM had not read yet was dropped. Change: both kinds of news go with the first message and are kept until the record is known.

--- a/bamboovale/fleet/gossip.py
+++ b/bamboovale/fleet/gossip.py
@@ -401,7 +401,8 @@
 
     def _endpoint_news(self) -> list[Change]:
         """Return what endpoints have said, which no VM can read from the store."""
-        return [item for item in self._changes if isinstance(item, LeavingEndpoint)]
+        kinds = (EndpointLimit, LeavingEndpoint)
+        return [item for item in self._changes if isinstance(item, kinds)]
 
     def _is_behind(self, neighbour: Neighbour) -> bool:
         """Return whether updates are pending for a neighbour."""
--- a/bamboovale/gateway/early_news.py
+++ b/bamboovale/gateway/early_news.py
@@ -5,9 +5,9 @@
 
 from collections import OrderedDict
 
-from bamboovale.fleet.messages import LeavingEndpoint
+from bamboovale.fleet.messages import EndpointLimit, LeavingEndpoint
 
-EndpointNews = LeavingEndpoint
+EndpointNews = EndpointLimit | LeavingEndpoint
 
 MAX_NEWS = 256
 """News kept; the oldest may be of endpoints that are gone."""
@@ -22,13 +22,19 @@
     def hold(self, news: EndpointNews) -> None:
         """Keep news of an unknown endpoint."""
         key = (type(news), news.endpoint_id)
-        self._news_by_key.pop(key, None)
-        self._news_by_key[key] = news
+        known = self._news_by_key.pop(key, None)
+        self._news_by_key[key] = _newer(known, news)
         if len(self._news_by_key) > MAX_NEWS:
             self._news_by_key.popitem(last=False)
 
     def take(self, endpoint_id: str) -> list[EndpointNews]:
         """Return and drop the news of an endpoint that is known now."""
-        kinds = (LeavingEndpoint,)
+        kinds = (EndpointLimit, LeavingEndpoint)
         found = [self._news_by_key.pop((kind, endpoint_id), None) for kind in kinds]
         return [news for news in found if news is not None]
+
+
+def _newer(known: EndpointNews | None, news: EndpointNews) -> EndpointNews:
+    if isinstance(known, EndpointLimit) and isinstance(news, EndpointLimit):
+        return max(known, news, key=lambda limit: limit.number)
+    return news
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -113,7 +113,7 @@
             abort_link=links.abort,
             proofs=ViewProofs(state.view, lease_clock, random.Random()),
             on_version=records.apply_news,
-            on_limit=self._on_limit,
+            on_limit=self._on_endpoint_news,
             on_leaving=self._on_endpoint_news,
         )
         state.limits.tell = self._broadcast_limit
@@ -185,20 +185,13 @@
         self.gossip.note_leaving(news)
         self._wake_event.set()
 
-    def _on_limit(self, news: EndpointLimit) -> bool:
-        """Apply a gossiped limit; return whether it is new.
-
-        That of an unknown endpoint is left out: it may be one that is gone.
-        """
-        if news.endpoint_id not in self._state.endpoints.record_by_id:
-            return False
-        return self._state.limits.on_news(news)
-
     def _on_endpoint_news(self, news: EndpointNews) -> bool:
         """Apply what another VM tells of an endpoint; return whether it is new."""
         if news.endpoint_id not in self._state.endpoints.record_by_id:
             self._early_news.hold(news)
             return False
+        if isinstance(news, EndpointLimit):
+            return self._state.limits.on_news(news)
         return self._state.endpoints.on_leaving(news.endpoint_id, "peer")
 
     def on_endpoint_known(self, endpoint_id: str) -> None:
--- a/tests/test_gateway_endpoint_limits.py
+++ b/tests/test_gateway_endpoint_limits.py
@@ -1,7 +1,9 @@
 """Endpoints that name a limit in their answers, and VMs that share it."""
 
+import asyncio
+
 from bamboovale.standins.platform_endpoints import PlatformEndpoint
-from tests.gateway_site import run, running_site
+from tests.gateway_site import RunningVM, Site, call, eventually, run, running_site
 from tests.signal_load import engine_with, load, served, slow_services
 
 LIMIT_PER_S = 4.0
@@ -50,3 +52,37 @@
                 assert used(site.services[0]) > 0.5
 
         run(test())
+
+
+class TestNews:
+    """What VMs hear of a limit from one another."""
+
+    def test_a_vm_that_starts_later_hears_of_a_limit_and_of_its_end(self) -> None:
+        """Guards against a VM that starts and sends as if there were no limit."""
+
+        async def test() -> None:
+            async with running_site(vms=2, services=1) as site:
+                signals = site.services[0].signals
+                signals.set_limit(LIMIT_PER_S)
+                assert (await call(site.vms[0].address, "/book/1")).status == 200
+                await site.add_vm("entry-2")
+                await eventually(lambda: limits_known(site) == [LIMIT_PER_S] * 3)
+                signals.set_limit(None)
+                await eventually_free(site, site.vms[0])
+
+        run(test())
+
+
+def limits_known(site: Site) -> list[float | None]:
+    """Return the limit that each VM knows of the first plain endpoint."""
+    return [item.vm.state.limits.limit_per_s("service-0") for item in site.vms]
+
+
+async def eventually_free(site: Site, sharing: RunningVM) -> None:
+    """Call the endpoint until every VM knows that its limit has ended."""
+    for _ in range(50):
+        await call(sharing.address, "/book/1")
+        if limits_known(site) == [None] * len(site.vms):
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError("not all VMs know that the limit has ended")
