Give an endpoint the rest that it asks for when it turns a request away

Cause: Retry-After of an endpoint was passed on to callers and kept by no one; only the request itself avoided the engine. An engine that turns everything away is idle, so that all VMs chose it first.

Change: the rest is kept by endpoint on the steady clock, never shortened by a later refusal. Every path asks one gate, with the limits: the choice of plain endpoints, of engines with and without an owner, repeats, and places that were granted before. The owner reads no reports and gives no orders meanwhile. Where all endpoints rest, a request waits if the first is back within its goal (a plain call: half of it), else it is refused at once with the time. Log line, state dump and a counter tell which endpoints were passed over, and why.

Other VMs are not told: the rest is asked of one VM, and at 300 VMs each refusal would be a row over every link of the fleet.

--- a/bamboovale/gateway/endpoint_limits.py
+++ b/bamboovale/gateway/endpoint_limits.py
@@ -84,6 +84,10 @@
 
     # Requests.
 
+    def limited_ids(self) -> set[str]:
+        """Return the endpoints that have named a limit."""
+        return set(self._limited_by_id)
+
     def limit_per_s(self, endpoint_id: str) -> float | None:
         """Return the rate that all VMs together may send, None without a limit."""
         limited = self._limited_by_id.get(endpoint_id)
--- a/bamboovale/gateway/endpoint_signals.py
+++ b/bamboovale/gateway/endpoint_signals.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from bamboovale.decisions.endpoint_rests import EndpointRests
 from bamboovale.fleet.messages import LeavingEndpoint
 from bamboovale.gateway.endpoint_limits import EndpointLimits
 from bamboovale.gateway.endpoints import EndpointView
@@ -16,11 +17,18 @@
     """
 
     def __init__(
-        self, journal: Journal, endpoints: EndpointView, limits: EndpointLimits
+        self,
+        journal: Journal,
+        endpoints: EndpointView,
+        limits: EndpointLimits,
+        rests: EndpointRests,
+        now: Callable[[], float],
     ) -> None:
         self._journal = journal
         self._endpoints = endpoints
         self._limits = limits
+        self._rests = rests
+        self._now = now
         self.tell_leaving: Callable[[LeavingEndpoint], None] = lambda news: None
 
     def on_answer(self, notice: AnswerNotice) -> None:
@@ -33,7 +41,9 @@
         if signals.leaving and self._endpoints.on_leaving(endpoint_id, "answer"):
             self.tell_leaving(LeavingEndpoint(endpoint_id))
         if signals.rest_s is not None:
-            self._journal.write(
-                "endpoint_rests", endpoint=endpoint_id, rest_s=signals.rest_s
-            )
+            self._on_turned_away(endpoint_id, signals.rest_s)
         self._limits.on_answer(notice)
+
+    def _on_turned_away(self, endpoint_id: str, rest_s: float) -> None:
+        if self._rests.on_turned_away(endpoint_id, rest_s, self._now()):
+            self._journal.write("endpoint_rests", endpoint=endpoint_id, rest_s=rest_s)
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -302,7 +302,12 @@
         return IDLE_POLL_INTERVAL_S
 
     async def poll(self) -> bool:
-        """Read and apply one report; returns False if there was none to apply."""
+        """Read and apply one report; returns False if there was none to apply.
+
+        None is read while the engine wants no requests from this VM.
+        """
+        if self._context.rest_s(self.record.endpoint_id) > 0.0:
+            return False
         requested_at = self._context.now()
         try:
             report = await self._context.client.report(self.record)
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -11,12 +11,12 @@
     MayHaveRun,
     NotRun,
 )
-from bamboovale.gateway.endpoint_limits import EndpointLimits
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.engines import Engines, GrantedPlace
 from bamboovale.gateway.events import EventBuffer, EventsBroken
 from bamboovale.gateway.model import EndpointRecord, ModelWork
 from bamboovale.gateway.place_search import PlaceSearch
+from bamboovale.gateway.send_gate import SendGate
 from bamboovale.gateway.stream_progress import Progress, StreamCut
 from bamboovale.http1.connection import IncompleteResponse
 
@@ -37,7 +37,7 @@
         codec: CallCodec,
         endpoints: EndpointView,
         engines: Engines,
-        limits: EndpointLimits,
+        gate: SendGate,
         version_of: Callable[[str, str | None], int],
         share_of: Callable[[str], RetryShare],
         now: Callable[[], float],
@@ -52,7 +52,7 @@
         self._search = PlaceSearch(
             endpoints=endpoints,
             engines=engines,
-            limits=limits,
+            gate=gate,
             version_of=version_of,
             now=now,
             mechanisms=mechanisms,
--- a/bamboovale/gateway/order_sender.py
+++ b/bamboovale/gateway/order_sender.py
@@ -104,6 +104,8 @@
     def _may_order_with(self, fence: int) -> bool:
         if self._rejected_fence is not None and fence <= self._rejected_fence:
             return False
+        if self._context.rest_s(self._record().endpoint_id) > 0.0:
+            return False
         return self._context.may_order(self._record().registered_id)
 
     async def _send_once(
--- a/bamboovale/gateway/owner_context.py
+++ b/bamboovale/gateway/owner_context.py
@@ -18,7 +18,8 @@
     evicts nothing, until the runs in flight are known. ``on_restart`` is called when a
     report shows a later start than the engine's record. ``pool_stalled`` returns
     whether prompt processing stalls the streams of many engines of a service.
-    ``limit_per_s`` returns the limit that an engine names, in requests a second.
+    ``limit_per_s`` returns the limit that an engine names, in requests a second,
+    ``rest_s`` for how many seconds it wants nothing from this VM.
     """
 
     client: EngineClient
@@ -31,4 +32,5 @@
     hold_off_s: Callable[[], float]
     pool_stalled: Callable[[str], bool]
     limit_per_s: Callable[[str], float | None]
+    rest_s: Callable[[str], float]
     mechanisms: Mechanisms
--- a/bamboovale/gateway/place_search.py
+++ b/bamboovale/gateway/place_search.py
@@ -8,11 +8,12 @@
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.decisions.place_work import RefusalReason
 from bamboovale.gateway.call import Call
-from bamboovale.gateway.endpoint_limits import UNOWNED_PART, EndpointLimits
+from bamboovale.gateway.endpoint_limits import UNOWNED_PART
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.engines import Engines, GrantedPlace, OwnerUnavailable
 from bamboovale.gateway.messages import PlaceRequest
 from bamboovale.gateway.model import EndpointRecord, ModelWork
+from bamboovale.gateway.send_gate import SendGate
 from bamboovale.gateway.stream_progress import Progress
 
 MAX_FULL_ENGINES = 3
@@ -55,14 +56,14 @@
         *,
         endpoints: EndpointView,
         engines: Engines,
-        limits: EndpointLimits,
+        gate: SendGate,
         version_of: Callable[[str, str | None], int],
         now: Callable[[], float],
         mechanisms: Mechanisms = ALL_ON,
     ) -> None:
         self._endpoints = endpoints
         self._engines = engines
-        self._limits = limits
+        self._gate = gate
         self._version_of = version_of
         self._now = now
         self._mechanisms = mechanisms
@@ -84,8 +85,14 @@
         full: dict[str, EngineFull] = {}
         while True:
             records = self._endpoints.ready(call.service)
+            rest_s = self._gate.common_rest_s([r.endpoint_id for r in records])
+            if rest_s > 0.0:
+                await self._wait_for_rest(call, progress, rest_s)
+                continue
             candidates = self._engines.candidates(records)
-            skipped = unavailable | full.keys() | self._limited_unowned(candidates)
+            blocked = self._blocked(candidates)
+            self._gate.note_passed_over(call.notes, blocked)
+            skipped = unavailable | full.keys() | blocked
             chosen = self._choose(call, work, candidates, skipped, progress)
             if full and (chosen is None or len(full) == MAX_FULL_ENGINES):
                 raise _no_place(progress, full)
@@ -100,16 +107,16 @@
                 )
             record = self._endpoints.record_by_id[chosen]
             if candidates[chosen].owner is None:
-                self._limits.take(chosen)
+                self._gate.take(chosen)
                 return record, None
             try:
                 candidate = candidates[chosen]
                 place = await self._request_place(
                     call, work, candidate, version, progress
                 )
-                if self._endpoints.is_ready(chosen):
+                if self._endpoints.is_ready(chosen) and not self._gate.rest_s(chosen):
                     return record, place
-                # It has said that it leaves while the request was queued.
+                # It said that it leaves or wants rest while the request was queued.
                 self._engines.release(place)
                 unavailable.add(chosen)
             except EngineFull as error:
@@ -142,17 +149,32 @@
             chosen = chooser.choose(key, version, candidates, skipped, tokens)
         return chosen
 
-    def _limited_unowned(self, candidates: dict[str, EngineCandidate]) -> set[str]:
-        """Return the engines without an owner that get no request from here now."""
+    async def _wait_for_rest(
+        self, call: Call, progress: Progress, rest_s: float
+    ) -> None:
+        """Wait for the end of a rest, or refuse the request if it is beyond its goal.
+
+        Guards against repeats that keep a whole pool from recovering.
+        """
+        if self._now() + rest_s > call.goal_at:
+            raise progress.final_error("the engines want rest", rest_s)
+        await asyncio.sleep(rest_s)
+
+    def _blocked(self, candidates: dict[str, EngineCandidate]) -> set[str]:
+        """Return the engines that may get no request of this VM now.
+
+        The limit of an engine with an owner is the owner's to keep.
+        """
         return {
             engine_id
             for engine_id, candidate in candidates.items()
-            if candidate.owner is None and self._limit_wait_s(engine_id) > 0.0
+            if self._gate.rest_s(engine_id) > 0.0
+            or (candidate.owner is None and self._unowned_wait_s(engine_id) > 0.0)
         }
 
-    def _limit_wait_s(self, engine_id: str) -> float:
-        """Return the wait that the engine's limit asks for without its owner."""
-        return self._limits.wait_s(engine_id, UNOWNED_PART)
+    def _unowned_wait_s(self, engine_id: str) -> float:
+        """Return the wait before a request may be sent without the engine's owner."""
+        return self._gate.wait_s(engine_id, UNOWNED_PART)
 
     def _lacks_status(self, candidate: EngineCandidate) -> bool:
         """Return whether no status of an engine was received yet.
@@ -192,13 +214,14 @@
             raise progress.final_error(
                 "no engine can load the adapter now", NO_ENGINE_RETRY_S
             )
-        wait_s = min(map(self._limit_wait_s, holders))
+        wait_s = min(map(self._unowned_wait_s, holders))
         if wait_s > 0.0:
+            call.notes["engines"] = len(candidates)
             retry_s = min(wait_s, MAX_LIMIT_RETRY_S)
             raise progress.final_error("the engines are at their limits", retry_s)
-        free = [name for name in holders if self._limit_wait_s(name) <= 0.0]
+        free = [name for name in holders if self._unowned_wait_s(name) <= 0.0]
         chosen = min(free, key=lambda name: candidates[name].run_cost_s())
-        self._limits.take(chosen)
+        self._gate.take(chosen)
         return self._endpoints.record_by_id[chosen], None
 
     async def _request_place(
@@ -229,7 +252,7 @@
         self._engines.note_sent(candidate, request)
         owner = self._engines.owner_name(engine_id)
         note: dict[str, Any] = {"engine": engine_id, "owner": owner}
-        limit_per_s = self._limits.limit_per_s(engine_id)
+        limit_per_s = self._gate.limits.limit_per_s(engine_id)
         if limit_per_s is not None:
             note["limit_per_s"] = limit_per_s
         call.notes.setdefault("asks", []).append(note)
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -9,9 +9,9 @@
 from bamboovale.decisions.routing import ServiceRouter
 from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
 from bamboovale.gateway.endpoint_client import EndpointClient, MayHaveRun, NotRun
-from bamboovale.gateway.endpoint_limits import EndpointLimits
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.model import AnswerFacts, CallKind, EndpointRecord
+from bamboovale.gateway.send_gate import SendGate
 
 REFUSAL_RETRY_S = 0.2
 """Retry delay for callers if no endpoint accepts a call."""
@@ -20,8 +20,8 @@
 an endpoint that hangs until the caller's deadline."""
 MIN_ATTEMPT_TIMEOUT_S = 0.15
 """Lower bound of that timeout, above usual answer times."""
-MAX_LIMIT_RETRY_S = 2.0
-"""Longest retry delay while endpoints are at their limits: another VM may use them."""
+NO_SHARE_RETRY_S = 1.0
+"""Retry delay for callers if only other VMs may use endpoints at their limits."""
 MAX_ATTEMPTS = 6
 """Endpoints tried for one call, refusals included; each draws on the retry budget."""
 FULL_PAUSE_S = 0.05
@@ -40,7 +40,7 @@
         client: EndpointClient,
         codec: CallCodec,
         endpoints: EndpointView,
-        limits: EndpointLimits,
+        gate: SendGate,
         share_of: Callable[[str], RetryShare],
         now: Callable[[], float],
         rng: random.Random,
@@ -48,7 +48,7 @@
         self._client = client
         self._codec = codec
         self._endpoints = endpoints
-        self._limits = limits
+        self._gate = gate
         self._share_of = share_of
         self._now = now
         self._rng = rng
@@ -69,7 +69,7 @@
             if record is None or (number and not share.take(self._now())):
                 break
             excluded.add(record.endpoint_id)
-            self._limits.take(record.endpoint_id)
+            self._gate.take(record.endpoint_id)
             try:
                 facts, body = await self._try_once(call, record, number)
             except NotRun as error:
@@ -97,52 +97,67 @@
     ) -> EndpointRecord | None:
         """Return the endpoint to try next, None if the call cannot be sent in time.
 
-        Waits for one that has room, or may get a call by its limit, within a part of
-        the goal: guards against refusals in the bursts of a pool that can carry its
-        load.
+        Waits for one that has room, or may get a call by its limit or after its rest,
+        within a part of the goal: guards against refusals in the bursts of a pool that
+        can carry its load.
         """
-        record = self._choose(call.service, excluded)
+        record = self._choose(call, excluded)
         if record is not None:
             return record
-        wait_s = self._wait_for_room_s(call, excluded, failure)
+        is_full = isinstance(failure, NotRun) and failure.is_full
+        wait_s = self._wait_for_room_s(call.service, excluded, is_full=is_full)
         if not self._may_wait(call, wait_s):
             return None
-        await asyncio.sleep(wait_s * self._rng.uniform(0.5, 1.5))
-        excluded.clear()
-        return self._choose(call.service, excluded)
+        await asyncio.sleep(wait_s)
+        if is_full:
+            excluded.clear()
+        return self._choose(call, excluded)
 
     def _wait_for_room_s(
-        self, call: Call, excluded: set[str], failure: Exception | None
+        self, service: str, excluded: set[str], *, is_full: bool
     ) -> float:
-        """Return how long to wait before the endpoints are tried anew."""
-        if isinstance(failure, NotRun) and failure.is_full:
-            return FULL_PAUSE_S
-        waits_s = self._limit_waits_s(call.service)
-        return min(
-            (s for n, s in waits_s.items() if n not in excluded), default=math.inf
+        """Return how long to wait before the endpoints are tried anew.
+
+        ``is_full`` is whether the excluded ones were just full, which soon passes.
+        """
+        waits_s = self._waits_s(service)
+        if not is_full:
+            return min(
+                (s for n, s in waits_s.items() if n not in excluded), default=math.inf
+            )
+        return max(
+            FULL_PAUSE_S * self._rng.uniform(0.5, 1.5),
+            self._common_wait_s(service),
         )
 
     def _may_wait(self, call: Call, wait_s: float) -> bool:
         waited_s = self._now() - call.request.received_at
         return waited_s + wait_s < FULL_PATIENCE_GOALS * call.route.goal_s
 
-    def _limit_waits_s(self, service: str) -> dict[str, float]:
-        """Return by id how long endpoints at their limits take no call from here."""
-        return {
-            record.endpoint_id: wait_s
-            for record in self._endpoints.ready(service)
-            if (wait_s := self._limits.wait_s(record.endpoint_id)) > 0.0
-        }
+    def _waits_s(self, service: str) -> dict[str, float]:
+        """Return the wait by id for the endpoints that take no call from here now."""
+        return self._gate.waits_s(self._listed(service))
+
+    def _common_wait_s(self, service: str) -> float:
+        """Return the wait until the first endpoint takes a call from here."""
+        waits_s = self._waits_s(service)
+        takes_none = len(waits_s) == len(self._listed(service))
+        return min(waits_s.values(), default=0.0) if takes_none else 0.0
+
+    def _listed(self, service: str) -> frozenset[str]:
+        """Return the endpoints that accept new work."""
+        records = self._endpoints.ready(service)
+        return frozenset(record.endpoint_id for record in records)
 
     def _give_up(self, call: Call, failure: Exception | None) -> None:
         if isinstance(failure, MayHaveRun):
             raise CallFailed(str(failure))
+        wait_s = self._common_wait_s(call.service)
+        if wait_s > 0.0:
+            retry_s = wait_s if math.isfinite(wait_s) else NO_SHARE_RETRY_S
+            raise CallRefused("the endpoints want rest or are at their limits", retry_s)
         if isinstance(failure, NotRun):
             raise CallRefused(str(failure), failure.retry_after_s or REFUSAL_RETRY_S)
-        waits_s = self._limit_waits_s(call.service)
-        if waits_s:
-            retry_s = min(MAX_LIMIT_RETRY_S, *waits_s.values())
-            raise CallRefused("the endpoints are at their limits", retry_s)
         raise CallRefused("no endpoint accepts calls", REFUSAL_RETRY_S)
 
     async def _try_once(
@@ -225,17 +240,16 @@
             )
             return attempt.facts, await attempt.read_body()
 
-    def _choose(self, service: str, excluded: set[str]) -> EndpointRecord | None:
+    def _choose(self, call: Call, excluded: set[str]) -> EndpointRecord | None:
+        service = call.service
         router = self._router_by_service.setdefault(service, ServiceRouter())
-        listed = frozenset(
-            record.endpoint_id for record in self._endpoints.ready(service)
-        )
+        listed = self._listed(service)
         if listed != self._endpoints_by_service.get(service):
             self._endpoints_by_service[service] = listed
             router.set_endpoints(listed)
+        blocked = self._gate.waits_s(listed).keys()
+        self._gate.note_passed_over(call.notes, blocked)
         now = self._now()
         router.on_tick(now)
-        name = router.choose(
-            now, self._rng, excluded | self._limit_waits_s(service).keys()
-        )
+        name = router.choose(now, self._rng, excluded | blocked)
         return None if name is None else self._endpoints.record_by_id.get(name)
--- a/bamboovale/gateway/state_dump.py
+++ b/bamboovale/gateway/state_dump.py
@@ -74,6 +74,12 @@
     }
 
 
+def dump_rests(state: VMState) -> dict[str, float]:
+    """Return by endpoint for how long it wants nothing from this VM, in seconds."""
+    left_by_id = state.rests.left_by_id(state.now())
+    return {endpoint_id: round(left_s, 2) for endpoint_id, left_s in left_by_id.items()}
+
+
 def dump_quotas(quotas: QuotaExchange, now: float) -> dict[str, Any]:
     """Return this VM's shares of quotas, and the accounts that it keeps."""
     return {
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -28,6 +28,7 @@
 from bamboovale.gateway.records import Records
 from bamboovale.gateway.registration import Registration
 from bamboovale.gateway.request_handler import RequestHandler
+from bamboovale.gateway.send_gate import SendGate
 from bamboovale.gateway.settings_watch import ReadSettings, SettingsWatch
 from bamboovale.gateway.stall_records import StallRecords
 from bamboovale.gateway.state_dump import (
@@ -35,6 +36,7 @@
     dump_fleet,
     dump_quotas,
     dump_reads,
+    dump_rests,
     dump_view,
 )
 from bamboovale.gateway.translation import Translation
@@ -153,6 +155,9 @@
             on_restart=self.state.endpoints.on_restart,
             pool_stalled=lambda service: self._assignment.pool_stalled(service),
             limit_per_s=self.state.limits.limit_per_s,
+            rest_s=lambda engine_id: self.state.rests.rest_s(
+                engine_id, self.state.now()
+            ),
             hold_off_s=lambda: HOLD_OFF_S + self.peering.gossip.spread_s(),
             mechanisms=self._mechanisms,
         )
@@ -232,13 +237,20 @@
             self.state.now,
             self.state.signals.on_answer,
         )
+        passed_over = self._metrics.gateway_passed_over
+        gate = SendGate(
+            self.state.limits,
+            self.state.rests,
+            self.state.now,
+            lambda reason: passed_over.labels(reason).inc(),
+        )
         return RequestHandler(
             codec=self._translation,
             plain_calls=PlainCalls(
                 client,
                 self._translation,
                 self.state.endpoints,
-                self.state.limits,
+                gate,
                 self.state.share_of,
                 self.state.now,
                 self._rng,
@@ -248,7 +260,7 @@
                 self._translation,
                 self.state.endpoints,
                 self._engines,
-                self.state.limits,
+                gate,
                 self.state.version_of,
                 self.state.share_of,
                 self.state.now,
@@ -375,6 +387,7 @@
             self._endpoint_pool.forget(change.endpoint_id)
             self._control_pool.forget(change.endpoint_id)
             self.state.limits.forget(change.endpoint_id)
+            self.state.rests.forget(change.endpoint_id)
             self.peering.gossip.drop_endpoint(change.endpoint_id)
             if change.was_ready:
                 self._crashes.on_endpoint_gone(change.endpoint_id)
@@ -422,6 +435,7 @@
             "view": dump_view(self.state.view),
             "quotas": dump_quotas(self._quotas, self.state.now()),
             "limits": self.state.limits.dump(),
+            "rests": dump_rests(self.state),
             "store_reads": dump_reads(self.records.followers()),
             "generation": self._ownership.generation,
             "store_reachable": self._ownership.reachable,
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -4,6 +4,7 @@
 import time
 from typing import Any
 
+from bamboovale.decisions.endpoint_rests import EndpointRests
 from bamboovale.decisions.retry_share import RetryShare, RetryShareConfig
 from bamboovale.decisions.view_freshness import ViewFreshness
 from bamboovale.gateway.endpoint_limits import EndpointLimits
@@ -44,7 +45,10 @@
         self.store_watch = StoreWatch(self.now)
         self.endpoints = EndpointView(journal, self.store_watch)
         self.limits = EndpointLimits(journal, self.fleet, self.now)
-        self.signals = SignalReader(journal, self.endpoints, self.limits)
+        self.rests = EndpointRests()
+        self.signals = SignalReader(
+            journal, self.endpoints, self.limits, self.rests, self.now
+        )
 
     def now(self) -> float:
         """Return the monotonic time in seconds, as the event loop does."""
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -97,6 +97,11 @@
             "Requests refused as over the quota of their customer.",
             ["customer"],
         )
+        self.gateway_passed_over = self._counter(
+            "gateway_passed_over",
+            "Endpoints that requests passed over, as they asked for it, by reason.",
+            ["reason"],
+        )
         self.gateway_engine_calls = self._counter(
             "gateway_engine_calls",
             "Reports read from engines and orders given, by outcome.",
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -218,6 +218,7 @@
         super().__init__(store, endpoint_id, service)
         self.orders: list[Order] = []
         self.overfilled = False
+        self.reports_read = 0
         self.version_by_adapter: dict[str, int] = {}
         self._newest: dict[str, int] = {}
         self._loading: dict[str, int] = {}
@@ -279,6 +280,7 @@
         return [{"name": self._model, "version": 1, "adapters": names}]
 
     def _report(self, request: Request, responder: Responder) -> None:
+        self.reports_read += 1
         if not self._is_expected(request):
             self._refuse(request, responder, 421)
             return
--- a/tests/owner_simulation.py
+++ b/tests/owner_simulation.py
@@ -278,6 +278,7 @@
             hold_off_s=lambda: 0.3,
             pool_stalled=lambda service: False,
             limit_per_s=lambda engine_id: None,
+            rest_s=lambda engine_id: 0.0,
             mechanisms=ALL_ON,
         )
         self._owner = EngineOwner(self._record, self._capacity, context)
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -53,13 +53,17 @@
         """Return both endpoints."""
         return list(RECORDS.values())
 
-    def wait_s(self, endpoint_id: str) -> float:
-        """Return that no endpoint names a limit."""
-        return 0.0
+    def waits_s(self, endpoint_ids: frozenset[str]) -> dict[str, float]:
+        """Return that all endpoints take calls."""
+        return {}
 
     def take(self, endpoint_id: str) -> None:
         """Count nothing, as no endpoint names a limit."""
 
+    def note_passed_over(self, notes: dict, endpoint_ids: set[str]) -> None:
+        """Check that no endpoint is passed over."""
+        assert not endpoint_ids
+
     async def connect(self, record: EndpointRecord, *, once_only: bool) -> str:
         """Return a connection."""
         return record.endpoint_id
--- a/tests/test_gateway_rest.py
+++ b/tests/test_gateway_rest.py
@@ -1,6 +1,10 @@
 """Endpoints that turn a VM away and ask it for a rest."""
 
-from tests.gateway_site import CallerAnswer, run, running_site
+import asyncio
+import time
+
+from bamboovale.decisions.endpoint_rests import EndpointRests
+from tests.gateway_site import CallerAnswer, call, eventually, run, running_site
 from tests.signal_load import engine_with, load, served, slow_services
 
 REST_S = 2.0
@@ -70,3 +74,86 @@
                 )
 
         run(test())
+
+    def test_a_request_whose_goal_is_before_the_end_is_refused_at_once(self) -> None:
+        """Guards against requests that wait for engines which want none."""
+
+        async def test() -> None:
+            async with running_site(runners=2) as site:
+                for runner in site.runners:
+                    site.vms[0].vm.state.rests.on_turned_away(
+                        runner.endpoint_id, REST_S, site.vms[0].vm.state.now()
+                    )
+                started_at = time.monotonic()
+                answer = await call(site.vms[0].address, "/chat/1", adapter="a1")
+                assert answer.status == 503
+                assert time.monotonic() - started_at < 0.2
+                assert float(answer.header("retry-after") or 0.0) > REST_S / 2
+
+        run(test())
+
+    def test_a_request_waits_for_a_rest_that_ends_within_its_goal(self) -> None:
+        async def test() -> None:
+            async with running_site(runners=1) as site:
+                runner, state = site.runners[0], site.vms[0].vm.state
+                state.rests.on_turned_away(runner.endpoint_id, 0.15, state.now())
+                answer = await call(site.vms[0].address, "/chat/1", adapter="a1")
+                assert answer.status == 200
+
+        run(test())
+
+    def test_a_place_granted_by_an_engine_that_wants_rest_is_not_used(self) -> None:
+        """Guards against requests that were queued when their engine asked for rest."""
+
+        async def test() -> None:
+            async with running_site(runners=2, load_s=0.5) as site:
+                state = site.vms[0].vm.state
+                waiting = asyncio.create_task(
+                    call(site.vms[0].address, "/chat/1", adapter="a1")
+                )
+                await eventually(lambda: any(item.orders for item in site.runners))
+                engine = next(item for item in site.runners if item.orders)
+                state.rests.on_turned_away(engine.endpoint_id, 5.0, state.now())
+                assert (await waiting).status == 200
+                assert engine.runs == []
+
+        run(test())
+
+    def test_an_owner_orders_nothing_at_an_engine_that_wants_rest(self) -> None:
+        """Guards against orders and reports that count as requests in a rest."""
+
+        async def test() -> None:
+            async with running_site(runners=1) as site:
+                engine, state = site.runners[0], site.vms[0].vm.state
+                state.rests.on_turned_away(engine.endpoint_id, 1.0, state.now())
+                calls = engine.reports_read
+                answer = await call(site.vms[0].address, "/chat/1", adapter="a1")
+                assert answer.status == 503
+                await asyncio.sleep(0.6)
+                assert (engine.orders, engine.reports_read) == ([], calls)
+
+        run(test())
+
+
+class TestEndpointRests:
+    """Until when endpoints want nothing."""
+
+    def test_a_later_refusal_does_not_shorten_a_rest(self) -> None:
+        rests = EndpointRests()
+        assert rests.on_turned_away("e", 3.0, 10.0)
+        assert not rests.on_turned_away("e", 1.0, 11.0)
+        assert rests.rest_s("e", 11.0) == 2.0
+        assert not rests.on_turned_away("e", 3.0, 12.0)
+        assert rests.rest_s("e", 12.0) == 3.0
+
+    def test_a_rest_ends_and_may_begin_again(self) -> None:
+        rests = EndpointRests()
+        rests.on_turned_away("e", 1.0, 10.0)
+        assert rests.rest_s("e", 11.0) == 0.0
+        assert rests.left_by_id(11.0) == {}
+        assert rests.on_turned_away("e", 1.0, 11.5)
+
+    def test_no_rest_is_no_rest(self) -> None:
+        rests = EndpointRests()
+        assert not rests.on_turned_away("e", 0.0, 10.0)
+        assert rests.rest_s("e", 10.0) == 0.0
