--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -45,6 +45,7 @@
     """Send an order that expects number 5; return the numbers of all attempts."""
     client = UnansweredCalls(reported)
     context = SimpleNamespace(
+        rest_s=lambda engine_id: 0.0,
         client=client,
         journal=RecordedJournal("owner"),
         fence=lambda engine_id: 1,
