--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -28,6 +28,7 @@
 from bamboovale.gateway.model import EndpointRecord, EngineReport, OrderOutcome
 from bamboovale.gateway.order_sender import OrderSender
 from bamboovale.gateway.owner_context import OwnerContext
+from bamboovale.gateway.report_schedule import ReportSchedule
 
 IDLE_POLL_INTERVAL_S = 2.0
 """Poll interval while nothing is expected: detects evicted adapters and orders of
@@ -69,9 +70,8 @@
         self._orders = OrderSender(
             lambda: self.record, context, lambda: self.places.slots.free()
         )
-        self._wake = asyncio.Event()
+        self._reports = ReportSchedule(context.now)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._next_poll_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
 
@@ -168,12 +168,12 @@
             not_held = notice.not_held
             actions = self.places.on_run_refused(ask_id, now, not_held=not_held)
             self._carry_out(actions)
-            self._poll_by(now)
+            self._reports.read_by(now)
         else:
             aborted = notice.aborted
             self._carry_out(self.places.on_release(ask_id, now, aborted=aborted))
             if aborted:
-                self._poll_by(now + 2 * RUN_REPORT_LAG_S)
+                self._reports.read_by(now + 2 * RUN_REPORT_LAG_S)
 
     def on_entry_gone(self, entry_vm: str, before_start: int | None = None) -> None:
         """Free the places of an entry VM, or of its processes before a start."""
@@ -275,22 +275,14 @@
             self._on_engine_unreachable()
         self.places.on_order_failed(action, certain=result.is_certain)
         if result.outcome is not None:
-            self._poll_by(now + CONFLICT_POLL_DELAY_S)
+            self._reports.read_by(now + CONFLICT_POLL_DELAY_S)
 
     # Reports.
 
     async def _poll_forever(self) -> None:
         while True:
             succeeded = await self.poll()
-            now = self._context.now()
-            self._next_poll_at = now + self._poll_interval_s(succeeded)
-            while (left := self._next_poll_at - self._context.now()) > 0:
-                self._wake.clear()
-                try:
-                    async with asyncio.timeout(left):
-                        await self._wake.wait()
-                except TimeoutError:
-                    break
+            await self._reports.wait(self._poll_interval_s(succeeded))
 
     def _poll_interval_s(self, succeeded: bool) -> float:
         if not succeeded:
@@ -373,17 +365,11 @@
         limit_per_s = self._context.limit_per_s(self.record.endpoint_id)
         self.places.set_limit(limit_per_s, now)
 
-    def _poll_by(self, at: float) -> None:
-        """Poll the engine no later than the given time."""
-        if at < self._next_poll_at:
-            self._next_poll_at = at
-            self._wake.set()
-
     def _poll_at_load_end(self, now: float) -> None:
         """Poll when the load just ordered is about to end."""
         if self.places.awaits_report():
             before_end_s = self.places.slots.load_s.value - 2 * LOADING_POLL_INTERVAL_S
-            self._poll_by(now + max(0.05, before_end_s))
+            self._reports.read_by(now + max(0.05, before_end_s))
 
     def _schedule_decision(self, now: float) -> None:
         """Schedule the next decision, when a load should end or a prompt may start."""
