Let the soak's endpoints send signals, and check that they are heeded

A lane of its own: limits that change while they hold, rests, and leaving that is said in answers 4 s before the store knows. Endpoints know a VM by its address, which the soak's proxies keep now; a restart or a pause of a VM and a fault of an endpoint's link excuse what was told until then.

The stand-ins' class is called SignalRecord, as the product has EndpointSignals.

--- a/bamboovale/standins/endpoint_signals.py
+++ b/bamboovale/standins/endpoint_signals.py
@@ -47,7 +47,7 @@
 
 
 @dataclass
-class EndpointSignals:
+class SignalRecord:
     """The signals of one endpoint, and the record of answers and arrivals.
 
     While ``rest_s`` is set the endpoint turns requests away and asks for that rest.
@@ -75,6 +75,27 @@
         else:
             self.limits.append(LimitSpan(per_s, now))
 
+    def end_all(self) -> None:
+        """End all signals, as a restart or the end of a test does."""
+        self.set_limit(None)
+        self.leaving = False
+        self.rest_s = None
+        self.excuse()
+
+    def excuse(self, vm: str | None = None) -> None:
+        """Hold a VM, or (None) all, to nothing that they were told until now.
+
+        A restart, a freeze or a cut of a VM excuses it.
+        """
+        if vm is None:
+            self._limit_told_at.clear()
+            self.leaving_told_at.clear()
+            self.rests.clear()
+            return
+        self._limit_told_at.pop(vm, None)
+        self.leaving_told_at.pop(vm, None)
+        self.rests = [rest for rest in self.rests if rest.vm != vm]
+
     def answer_headers(self, vm: str) -> Headers:
         """Return the headers of an answer to a VM, and record that it was told."""
         headers: Headers = []
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -12,7 +12,7 @@
 
 from bamboovale.http1.connection import Headers
 from bamboovale.http1.server import Request, Responder, Server
-from bamboovale.standins.endpoint_signals import EndpointSignals
+from bamboovale.standins.endpoint_signals import SignalRecord
 from bamboovale.standins.platform_store import PlatformStore
 
 REPORT_LAG_S = 0.05
@@ -69,7 +69,7 @@
         self.endpoint_id = endpoint_id
         self.service = service
         self.faults = EndpointFaults()
-        self.signals = EndpointSignals()
+        self.signals = SignalRecord()
         self.runs: list[Run] = []
         self.address = ("", 0)
         self.connections_opened = 0
--- a/bench/guard.py
+++ b/bench/guard.py
@@ -14,6 +14,14 @@
     QUOTAS = "no window exceeds a customer's limit by more than the bound"
 
 
+class EndpointPromise(StrEnum):
+    """A property of the routed interface that must hold for endpoints."""
+
+    LIMIT = "an endpoint gets no more than the limit that it names"
+    LEAVING = "an endpoint that said it leaves gets nothing new"
+    REST = "an endpoint gets the rest that it asks for"
+
+
 @dataclass(frozen=True)
 class Change:
     """A text replacement in one file."""
@@ -28,6 +36,6 @@
     """A guard, the changes that remove it, and the test that must then fail."""
 
     name: str
-    promise: Promise | CustomerPromise
+    promise: Promise | CustomerPromise | EndpointPromise
     test: str
     changes: tuple[Change, ...]
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -39,7 +39,8 @@
 
     ``starts_again``: engines also crash and restart under the same id. ``silences``:
     open connections also stop passing data for good, while new ones work.
-    ``revokes``: keys of customers are also taken away.
+    ``revokes``: keys of customers are also taken away. ``signals``: endpoints also name
+    limits, ask for rest and say that they leave in their answers.
     """
 
     seconds: float = 60.0
@@ -51,6 +52,7 @@
     starts_again: bool = True
     silences: bool = True
     revokes: bool = True
+    signals: bool = True
 
 
 @dataclass
@@ -93,6 +95,7 @@
             faults=list(self.faults),
             overfilled=[r.endpoint_id for r in site.runners if r.overfilled],
             version_acks=site.version_acks,
+            signals={e.endpoint_id: e.signals for e in endpoints},
             leaving_at=site.leaving_at,
             revoked_at=dict(site.keys.revoked_at),
             owner_by_key=dict(site.keys.owner_by_key),
@@ -129,6 +132,10 @@
                 rng = random.Random(f"{self.config.seed}-keys")
                 revocations = FaultLane.of_revocations(self.site, self.faults, rng)
                 group.create_task(revocations.run())
+            if self.config.signals:
+                rng = random.Random(f"{self.config.seed}-signals")
+                signals = FaultLane.of_signals(self.site, self.faults, rng)
+                group.create_task(signals.run())
             if self.config.silences:
                 rng = random.Random(f"{self.config.seed}-silences")
                 silences = FaultLane.of_silent_connections(self.site, self.faults, rng)
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
+from bamboovale.standins.endpoint_signals import SignalRecord
 from bamboovale.standins.platform_endpoints import Run
 from bench.soak_callers import ONCE_ONLY, STREAMS, Attempt, Kind
 from bench.soak_customers import broken_by
@@ -19,6 +20,9 @@
 LEAVING_S = 2.0
 """Longest time from the store's acknowledgement that an endpoint is draining to the
 last request that starts there, as configured; only while no fault is active."""
+LIMIT_STABLE_S = 3.0
+"""Time after an endpoint first named its limit from which it must hold, as
+configured."""
 STOP_SLACK_S = 0.5
 PAUSED = "paused"
 """Name of the fault that suspends a VM's process by SIGSTOP."""
@@ -64,6 +68,7 @@
     version_acks: Mapping[str, Sequence[tuple[float, int]]] = field(
         default_factory=dict
     )
+    signals: Mapping[str, SignalRecord] = field(default_factory=dict)
     leaving_at: Mapping[str, float] = field(default_factory=dict)
     runs_by_leaving: Mapping[str, Sequence[Run]] = field(default_factory=dict)
     revoked_at: Mapping[str, float] = field(default_factory=dict)
@@ -86,9 +91,21 @@
     found += _never_overfilled(evidence.overfilled)
     found += _no_new_runs_while_leaving(evidence)
     found += _planned_stops(evidence)
+    found += _signals_heeded(evidence)
     return found
 
 
+def _signals_heeded(evidence: Evidence) -> Iterator[Violation]:
+    """Find requests that endpoints had asked VMs not to send."""
+    for endpoint_id, signals in evidence.signals.items():
+        for detail in signals.limit_violations(LIMIT_STABLE_S):
+            yield Violation("limit", endpoint_id, detail)
+        for detail in signals.drain_violations(LEAVING_S):
+            yield Violation("leaving", endpoint_id, detail)
+        for detail in signals.rest_violations():
+            yield Violation("rest", endpoint_id, detail)
+
+
 def _at_most_once(attempt: Attempt, runs: list[Run]) -> Iterator[Violation]:
     if attempt.kind in ONCE_ONLY and len(runs) > 1:
         yield Violation("at most once", attempt.request_id, f"ran {len(runs)} times")
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -6,8 +6,9 @@
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from math import inf
 
-from bamboovale.standins.platform_endpoints import EndpointFaults
+from bamboovale.standins.platform_endpoints import EndpointFaults, PlatformEndpoint
 from bamboovale.standins.platform_store import StoreFaults
 from bench.soak_callers import ADAPTERS
 from bench.soak_checks import PAUSED, FaultSpan
@@ -24,6 +25,8 @@
 """Time a draining endpoint still serves: twice the time allowed for new requests, so
 that late ones are recorded."""
 
+LIMITS_PER_S = (0.5, 2.0, 5.0, 20.0)
+
 Injection = Callable[[], Awaitable[None]]
 
 
@@ -94,6 +97,18 @@
         lane._injections = [lane._key_is_replaced]
         return lane
 
+    @classmethod
+    def of_signals(
+        cls,
+        site: SoakSite,
+        spans: list[FaultSpan],
+        rng: random.Random,
+    ) -> "FaultLane":
+        """Return a lane in which endpoints ask for something in their answers."""
+        lane = cls(site, spans, rng)
+        lane._injections = [lane._limit, lane._rest, lane._leave_by_answers]
+        return lane
+
     async def run(self) -> None:
         """Inject faults until cancelled."""
         while True:
@@ -108,9 +123,13 @@
             vm.store.faults = LinkFaults()
             vm.signal(signal.SIGCONT)
             await vm.finish()
+        for endpoint in [*self._site.runners, *self._site.services]:
+            if endpoint.signals.leaving:
+                self._site.leaving_at.setdefault(endpoint.endpoint_id, inf)
         await self._replace_leaving()
         for endpoint in [*self._site.runners, *self._site.services]:
             endpoint.faults = EndpointFaults()
+            endpoint.signals.end_all()
             self._site.proxy_by_endpoint[endpoint.endpoint_id].faults = LinkFaults()
         await self._site.wait_until_ready()
 
@@ -132,6 +151,7 @@
         async with vm.lock, self._span("killed", vm.name):
             await vm.kill()
             await asyncio.sleep(self._rng.random())
+            self._site.excuse(vm)
             await vm.start()
 
     async def _stop(self) -> None:
@@ -145,6 +165,7 @@
         """Stop as planned and restart; the lock keeps out the other lanes."""
         async with vm.lock:
             await vm.stop()
+            self._site.excuse(vm)
             await vm.start()
 
     async def _pause(self) -> None:
@@ -153,6 +174,7 @@
             vm.signal(signal.SIGSTOP)
             await self._wait_for_duration()
             vm.signal(signal.SIGCONT)
+            self._site.excuse(vm)
 
     # The store.
 
@@ -198,7 +220,9 @@
         site = self._site
         endpoint = self._rng.choice([*site.runners, *site.services])
         async with self._span("endpoint link", endpoint.endpoint_id):
+            endpoint.signals.excuse()
             await self._disturb_link(site.proxy_by_endpoint[endpoint.endpoint_id])
+            endpoint.signals.excuse()
 
     async def _runner_misbehaves(self) -> None:
         runner = self._rng.choice(self._site.runners)
@@ -244,6 +268,10 @@
         leaving = self._rng.choice([*site.runners, *site.services])
         if leaving.endpoint_id in site.leaving_at:
             return
+        await self._leave(leaving)
+
+    async def _leave(self, leaving: PlatformEndpoint) -> None:
+        site = self._site
         await site.mark_leaving(leaving)
         await asyncio.sleep(DRAIN_S)
         if leaving in site.runners:
@@ -251,6 +279,36 @@
         elif leaving in site.services:
             await site.replace_service(leaving)
 
+    # Signals in answers.
+
+    def _staying(self) -> PlatformEndpoint:
+        endpoints = [*self._site.runners, *self._site.services]
+        staying = [e for e in endpoints if e.endpoint_id not in self._site.leaving_at]
+        return self._rng.choice(staying or endpoints)
+
+    async def _limit(self) -> None:
+        endpoint = self._staying()
+        async with self._span("names a limit", endpoint.endpoint_id):
+            for _ in range(2):
+                endpoint.signals.set_limit(self._rng.choice(LIMITS_PER_S))
+                await self._wait_for_duration()
+            endpoint.signals.set_limit(None)
+
+    async def _rest(self) -> None:
+        endpoint = self._staying()
+        async with self._span("wants rest", endpoint.endpoint_id):
+            endpoint.signals.rest_s = self._rng.uniform(0.6, 3.0)
+            await self._wait_for_duration()
+            endpoint.signals.rest_s = None
+
+    async def _leave_by_answers(self) -> None:
+        """Say in answers that an endpoint leaves, a while before the store knows."""
+        endpoint = self._staying()
+        endpoint.signals.leaving = True
+        await asyncio.sleep(DRAIN_S)
+        if endpoint.endpoint_id not in self._site.leaving_at:
+            await self._leave(endpoint)
+
     # The operator.
 
     async def _operator_changes(self) -> None:
--- a/bench/soak_proxy.py
+++ b/bench/soak_proxy.py
@@ -65,8 +65,11 @@
             _reset(writer)
             return
         try:
-            far_reader, far_writer = await asyncio.open_connection(*self.target)
-        except OSError:
+            caller_host = writer.get_extra_info("peername")[0]
+            far_reader, far_writer = await asyncio.open_connection(
+                *self.target, local_addr=(caller_host, 0)
+            )
+        except (OSError, TypeError):  # refused, or the caller has gone
             _reset(writer)
             return
         ends = {writer, far_writer}
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -228,12 +228,18 @@
 
     async def _restart_runner(self, runner: PlatformRunner) -> None:
         proxy = self.proxy_by_endpoint[runner.endpoint_id]
+        runner.signals.end_all()
         runner.address = proxy.target
         await runner.restart(time.time_ns() // 1_000_000, registers=False)
         runner.address = proxy.address
         await asyncio.sleep(RESTART_RECORD_DELAY_S)
         await runner.register("ready")
 
+    def excuse(self, vm: VMProcess) -> None:
+        """Hold a VM to nothing that endpoints have told it until now."""
+        for endpoint in self.endpoints:
+            endpoint.signals.excuse(vm.document["ip"])
+
     async def mark_leaving(self, endpoint: PlatformEndpoint) -> None:
         """Register an endpoint as draining; it keeps serving."""
         await endpoint.register("draining")
@@ -311,7 +317,7 @@
         for _ in range(services):
             await site.add_service()
         for number in range(vms):
-            await _add_vm(site, f"entry-{number}", store_address)
+            await _add_vm(site, number, store_address)
         await site.wait_until_ready()
         yield site
     finally:
@@ -324,11 +330,12 @@
         site.store.close()
 
 
-async def _add_vm(site: SoakSite, name: str, store: tuple[str, int]) -> None:
+async def _add_vm(site: SoakSite, number: int, store: tuple[str, int]) -> None:
     proxy = Proxy(store)
     await proxy.start()
     bounds: dict[str, Any] = {"grace-s": GRACE_S, **BOUNDS}
-    document = node_document(proxy.address, name, **bounds)
+    name = f"entry-{number}"
+    document = node_document(proxy.address, name, f"127.0.0.{number + 2}", **bounds)
     vm = VMProcess(name, document, proxy, site.directory)
     site.vms.append(vm)
     await vm.start()
