--- a/bench/signal_guards.py
+++ b/bench/signal_guards.py
@@ -58,6 +58,18 @@
             ),
         ),
     ),
+    Guard(
+        "two VMs that see changes at once go by the lower limit",
+        EndpointPromise.LIMIT,
+        "tests/test_endpoint_limit_machine.py::TestLimitBeliefs::runTest",
+        (
+            Change(
+                "bamboovale/decisions/endpoint_limit.py",
+                "if number < self.number or (is_same_time and not is_lower):",
+                "if number < self.number or is_same_time:",
+            ),
+        ),
+    ),
     Guard(
         "what an endpoint said goes before its record",
         EndpointPromise.LEAVING,
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -4,7 +4,7 @@
 from bisect import bisect_right
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from bamboovale.decisions.endpoint_limit import LimitBelief
@@ -171,6 +171,7 @@
         idle_s=st.sampled_from([0.0, 10.0, 400.0]),
         seed=st.integers(0, 10_000),
     )
+    @example(limit_per_s=0.5, vms=86, missing=set(), idle_s=400.0, seed=1)
     def test_together_they_keep_to_it(
         self,
         limit_per_s: float,
