Ignore the signals of an endpoint that is gone

An answer that comes after its endpoint's record went put its limit and rest back into tables that drop them only when the endpoint goes, and told the other VMs. The test failed before: a limit was left.

--- a/bamboovale/gateway/endpoint_signals.py
+++ b/bamboovale/gateway/endpoint_signals.py
@@ -32,8 +32,10 @@
         self.tell_leaving: Callable[[LeavingEndpoint], None] = lambda news: None
 
     def on_answer(self, notice: AnswerNotice) -> None:
-        """Apply an answer's signals."""
+        """Apply an answer's signals, unless its endpoint is gone."""
         endpoint_id, signals = notice.endpoint_id, notice.signals
+        if endpoint_id not in self._endpoints.record_by_id:
+            return
         if signals.malformed:
             self._journal.write(
                 "bad_signal", endpoint=endpoint_id, headers=signals.malformed
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -10,9 +10,12 @@
 from bamboovale.decisions.endpoint_limit import LimitBelief
 from bamboovale.decisions.limit_share import share_per_s
 from bamboovale.decisions.request_pace import RequestPace, enforced_per_s
-from bamboovale.gateway.model import EndpointSignals
+from bamboovale.gateway.model import AnswerNotice, EndpointRecord, EndpointSignals
+from bamboovale.gateway.vm_state import VMState
 from bamboovale.http1.connection import ResponseHead
+from bamboovale.platform.node_file import NodeSettings
 from bamboovale.platform.signals import decode_signals
+from tests.gateway_site import RecordedJournal, node_document
 
 LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
@@ -210,3 +213,26 @@
             shares = [share_per_s("e", 4.3, vm_id, vm_ids) for vm_id in vm_ids]
             assert sum(shares) == pytest.approx(4.3)
             assert sum(share > 0.0 for share in shares) == min(vms, 9)
+
+
+class TestSignalReader:
+    """Signals of endpoints whose records come and go."""
+
+    def make_state(self) -> VMState:
+        """Return the state of a VM that knows one endpoint."""
+        document = node_document(("127.0.0.1", 1), "entry-0")
+        node = NodeSettings.from_document(document).unwrap()
+        state = VMState(node, RecordedJournal("entry-0"))
+        record = EndpointRecord("e", "app", ("127.0.0.1", 1), "a", True, 6)
+        state.endpoints.on_record("e", record)
+        return state
+
+    def test_a_late_answer_of_an_endpoint_that_is_gone_leaves_nothing(self) -> None:
+        """Guards against tables that grow with each endpoint that was ever there."""
+        state = self.make_state()
+        state.endpoints._drop("e")
+        signals = EndpointSignals(4.0, leaving=True, rest_s=2.0)
+        state.signals.on_answer(AnswerNotice("e", signals, state.now()))
+        assert state.limits.limited_ids() == set()
+        assert state.endpoints.leaving_ids() == set()
+        assert state.rests.left_by_id(state.now()) == {}
