Drop a lapsed endpoint after an outage although it said that it leaves

Hearing that it leaves counted as a new record, so that an endpoint whose record had lapsed in an outage of the store was kept for ever, without work. The test failed before: the endpoint was still known.

--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -115,7 +115,9 @@
         self._journal.write(
             "endpoint_leaving", endpoint=endpoint_id, origin=origin, ready=record.ready
         )
-        self.on_record(record.registered_id, record)
+        leaving = replace(record, ready=False)
+        self._record_by_id[endpoint_id] = leaving
+        self._log_change(record, leaving)
         return True
 
     def leaving_ids(self) -> set[str]:
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -236,3 +236,16 @@
         assert state.limits.limited_ids() == set()
         assert state.endpoints.leaving_ids() == set()
         assert state.rests.left_by_id(state.now()) == {}
+
+    def test_a_lapsed_endpoint_that_says_it_leaves_is_dropped_after_the_outage(
+        self,
+    ) -> None:
+        """Guards against an endpoint that stays known after its record went."""
+        state = self.make_state()
+        state.endpoints.on_record("e", None)
+        assert state.endpoints.expired_ids() == {"e"}
+        assert state.endpoints.on_leaving("e", "answer")
+        assert not state.endpoints.is_ready("e")
+        state.endpoints.drop_expired()
+        assert state.endpoints.record_by_id == {}
+        assert state.endpoints.leaving_ids() == set()
