Give the soak's lanes of one kind one constructor; see its new checks fail

Four constructors differed in a list; the seeds of the lanes are as before. Tests show that each check of signals finds its violation.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -22,7 +22,7 @@
 from bamboovale.http1.connection import ConnectFailed
 from bench.soak_callers import Attempt, Caller, Kind
 from bench.soak_checks import Evidence, FaultSpan, Violation, find_violations
-from bench.soak_faults import FaultLane
+from bench.soak_faults import FaultLane, LaneKind
 from bench.soak_site import SoakSite, running_site
 
 LANES = 2
@@ -124,22 +124,20 @@
             for lane in range(LANES):
                 rng = random.Random(f"{self.config.seed}-lane-{lane}")
                 group.create_task(FaultLane(self.site, self.faults, rng).run())
-            if self.config.starts_again:
-                rng = random.Random(f"{self.config.seed}-starts")
-                starts = FaultLane.of_engine_restarts(self.site, self.faults, rng)
-                group.create_task(starts.run())
-            if self.config.revokes:
-                rng = random.Random(f"{self.config.seed}-keys")
-                revocations = FaultLane.of_revocations(self.site, self.faults, rng)
-                group.create_task(revocations.run())
-            if self.config.signals:
-                rng = random.Random(f"{self.config.seed}-signals")
-                signals = FaultLane.of_signals(self.site, self.faults, rng)
-                group.create_task(signals.run())
-            if self.config.silences:
-                rng = random.Random(f"{self.config.seed}-silences")
-                silences = FaultLane.of_silent_connections(self.site, self.faults, rng)
-                group.create_task(silences.run())
+            for kind in self._lane_kinds():
+                rng = random.Random(f"{self.config.seed}-{kind}")
+                lane_of_kind = FaultLane.of_kind(kind, self.site, self.faults, rng)
+                group.create_task(lane_of_kind.run())
+
+    def _lane_kinds(self) -> list[LaneKind]:
+        """Return the kinds of faults that have a lane of their own in this soak."""
+        wanted = {
+            LaneKind.STARTS: self.config.starts_again,
+            LaneKind.KEYS: self.config.revokes,
+            LaneKind.SIGNALS: self.config.signals,
+            LaneKind.SILENCES: self.config.silences,
+        }
+        return [kind for kind, is_wanted in wanted.items() if is_wanted]
 
     async def _recover(self) -> list[Violation]:
         """End all faults; check that every VM serves every kind of request again."""
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from enum import StrEnum
 from math import inf
 
 from bamboovale.standins.platform_endpoints import EndpointFaults, PlatformEndpoint
@@ -30,6 +31,15 @@
 Injection = Callable[[], Awaitable[None]]
 
 
+class LaneKind(StrEnum):
+    """Faults that have a lane of their own; the value is part of its seed."""
+
+    STARTS = "starts"
+    KEYS = "keys"
+    SIGNALS = "signals"
+    SILENCES = "silences"
+
+
 class FaultLane:
     """Injects random faults one after another."""
 
@@ -59,54 +69,25 @@
         ]
 
     @classmethod
-    def of_engine_restarts(
+    def of_kind(
         cls,
+        kind: LaneKind,
         site: SoakSite,
         spans: list[FaultSpan],
         rng: random.Random,
     ) -> "FaultLane":
-        """Return a lane that only restarts engines under the same id.
+        """Return a lane that injects faults of one kind only.
 
         A separate lane keeps the random sequences of the other lanes unchanged.
         """
         lane = cls(site, spans, rng)
-        lane._injections = [lane._runner_starts_again]
-        return lane
-
-    @classmethod
-    def of_silent_connections(
-        cls,
-        site: SoakSite,
-        spans: list[FaultSpan],
-        rng: random.Random,
-    ) -> "FaultLane":
-        """Return a lane that only silences open connections for good."""
-        lane = cls(site, spans, rng)
-        lane._injections = [lane._connections_fall_silent]
-        return lane
-
-    @classmethod
-    def of_revocations(
-        cls,
-        site: SoakSite,
-        spans: list[FaultSpan],
-        rng: random.Random,
-    ) -> "FaultLane":
-        """Return a lane that only replaces keys of customers."""
-        lane = cls(site, spans, rng)
-        lane._injections = [lane._key_is_replaced]
-        return lane
-
-    @classmethod
-    def of_signals(
-        cls,
-        site: SoakSite,
-        spans: list[FaultSpan],
-        rng: random.Random,
-    ) -> "FaultLane":
-        """Return a lane in which endpoints ask for something in their answers."""
-        lane = cls(site, spans, rng)
-        lane._injections = [lane._limit, lane._rest, lane._leave_by_answers]
+        injections_by_kind: dict[LaneKind, list[Injection]] = {
+            LaneKind.STARTS: [lane._runner_starts_again],
+            LaneKind.KEYS: [lane._key_is_replaced],
+            LaneKind.SIGNALS: [lane._limit, lane._rest, lane._leave_by_answers],
+            LaneKind.SILENCES: [lane._connections_fall_silent],
+        }
+        lane._injections = injections_by_kind[kind]
         return lane
 
     async def run(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,12 @@
 
 import pytest
 
+from bamboovale.standins.endpoint_signals import (
+    Arrival,
+    LimitSpan,
+    Rest,
+    SignalRecord,
+)
 from bamboovale.standins.platform_endpoints import Run
 from bench.soak import SoakConfig, describe, run_soak
 from bench.soak_callers import Attempt, Kind
@@ -24,6 +30,13 @@
 STOPPED = Life("vm", 0.0, True, 10.2, None, 12.0, 0)
 
 
+def record_with(arrivals_at: list[float]) -> SignalRecord:
+    """Return the record of an endpoint that got requests of one VM."""
+    signals = SignalRecord(now=lambda: 0.0)
+    signals.arrivals = [Arrival("vm", at) for at in arrivals_at]
+    return signals
+
+
 def promises(
     *attempts: Attempt,
     runs: tuple[Run, ...] = RUNS,
@@ -76,6 +89,31 @@
         acks = {"a1": [(4.0, 2)]}
         assert promises(STREAM, version_acks=acks, faults=(down,)) == []
 
+    def test_more_requests_than_a_limit_allows(self) -> None:
+        signals = record_with(arrivals_at=[4.0 + n / 20 for n in range(40)])
+        signals.limits.append(LimitSpan(4.0, 0.0))
+        signals.answer_headers("vm")
+        allowed = 1.5 * 4.0 * 4.0 + 5.0
+        broken = ["limit"] * int(40 - allowed)
+        assert promises(CALL, signals={"e": signals}) == broken
+
+    def test_a_request_after_its_vm_was_told_that_the_endpoint_leaves(self) -> None:
+        signals = record_with(arrivals_at=[1.9, 2.1])
+        signals.leaving_told_at["vm"] = 0.0
+        assert promises(CALL, signals={"e": signals}) == ["leaving"]
+
+    def test_requests_in_a_rest(self) -> None:
+        signals = record_with(arrivals_at=[0.4, 0.6, 0.7, 0.8, 3.1])
+        signals.rests.append(Rest("vm", 0.0, 3.0))
+        assert promises(CALL, signals={"e": signals}) == ["rest"]
+
+    def test_requests_of_a_vm_that_has_restarted_since_are_no_fault(self) -> None:
+        signals = record_with(arrivals_at=[2.1])
+        signals.leaving_told_at["vm"] = 0.0
+        signals.rests.append(Rest("vm", 0.0, 3.0))
+        signals.excuse("vm")
+        assert promises(CALL, signals={"e": signals}) == []
+
     def test_an_engine_loaded_beyond_its_slots(self) -> None:
         assert promises(CALL, overfilled=("runner-1",)) == ["slots"]
 
