Show each VM's part of a retry budget, and why requests are sent again (BUDGET)

Change: a class of its own keeps the shares of all services. A refused retry bears in its request's line the counts of the window, what was allowed, the number of VMs counted with and the cause; the first refusal is a line; /state shows every share; a counter tells retries by cause and outcome. What is decided is the same.

--- a/bamboovale/decisions/retry_share.py
+++ b/bamboovale/decisions/retry_share.py
@@ -60,6 +60,16 @@
         burst = config.burst / max(1, self.fleet_size)
         return SAFETY * (config.ratio * len(self._fresh_at) + burst)
 
+    def fresh(self, now: float) -> int:
+        """Return the callers' requests of the current window."""
+        self._remove_expired(now)
+        return len(self._fresh_at)
+
+    def retries(self, now: float) -> int:
+        """Return the retries of the current window."""
+        self._remove_expired(now)
+        return len(self._retries_at)
+
     def _remove_expired(self, now: float) -> None:
         oldest = now - self._config.window_s
         for times in (self._fresh_at, self._retries_at):
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
-from bamboovale.decisions.retry_share import RetryShare
 from bamboovale.gateway.call import Call, CallCodec, CallFailed
 from bamboovale.gateway.endpoint_client import (
     EndpointAnswer,
@@ -16,6 +15,7 @@
 from bamboovale.gateway.events import EventBuffer, EventsBroken
 from bamboovale.gateway.model import EndpointRecord, ModelWork
 from bamboovale.gateway.place_search import PlaceSearch
+from bamboovale.gateway.retry_budgets import RetryBudgets, cause_of
 from bamboovale.gateway.send_gate import SendGate
 from bamboovale.gateway.stream_progress import Progress, StreamCut
 from bamboovale.http1.connection import IncompleteResponse
@@ -39,7 +39,7 @@
         engines: Engines,
         gate: SendGate,
         version_of: Callable[[str, str | None], int],
-        share_of: Callable[[str], RetryShare],
+        retries: RetryBudgets,
         now: Callable[[], float],
         mechanisms: Mechanisms = ALL_ON,
     ) -> None:
@@ -47,7 +47,7 @@
         self._codec = codec
         self._engines = engines
         self._version_of = version_of
-        self._share_of = share_of
+        self._retries = retries
         self._now = now
         self._search = PlaceSearch(
             endpoints=endpoints,
@@ -68,11 +68,10 @@
             call.notes.update(progress.pauses.log_fields(call.request.received_at))
 
     async def _run(self, call: Call, work: ModelWork, progress: Progress) -> None:
-        share = self._share_of(call.service)
-        share.on_fresh(self._now())
+        self._retries.on_fresh(call.service)
         for _ in range(MAX_ATTEMPTS):
             engine, place = await self._search.find(call, work, progress)
-            if progress.arrivals and not share.take(self._now()):
+            if progress.arrivals and not self._take_retry(call, progress):
                 if place is not None:
                     self._engines.release(place)
                 raise progress.final_error("the retry budget is used up")
@@ -80,6 +79,9 @@
                 return
         raise progress.final_error("no engine ran the request")
 
+    def _take_retry(self, call: Call, progress: Progress) -> bool:
+        return self._retries.take(call, cause_of(progress.failure))
+
     # One engine.
 
     async def _try_engine(
@@ -101,6 +103,7 @@
             return True
         except NotRun as error:
             note["failed"] = str(error)
+            progress.failure = error
             progress.arrivals += error.reached
             refused = error.reached
             not_held = error.wrong_endpoint
@@ -110,6 +113,7 @@
             return False
         except (MayHaveRun, StreamCut) as error:
             note["failed"] = str(error)
+            progress.failure = error
             progress.arrivals += 1
             progress.runs += 1
             progress.excluded.add(record.endpoint_id)
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -286,8 +286,7 @@
                 for vm_id in _first_ids(before - live)
             },
         )
-        for share in self._state.share_by_service.values():
-            share.fleet_size = len(live) + 1
+        self._state.retries.set_fleet_size(len(live) + 1)
 
     def _free_places_of_ended_processes(self, before: Mapping[str, int]) -> None:
         """Free the places of VMs that are gone, or have restarted without being missed.
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -5,12 +5,12 @@
 import random
 from collections.abc import Callable
 
-from bamboovale.decisions.retry_share import RetryShare
 from bamboovale.decisions.routing import ServiceRouter
 from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
 from bamboovale.gateway.endpoint_client import EndpointClient, MayHaveRun, NotRun
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.model import AnswerFacts, CallKind, EndpointRecord
+from bamboovale.gateway.retry_budgets import RetryBudgets, cause_of
 from bamboovale.gateway.send_gate import SendGate
 
 REFUSAL_RETRY_S = 0.2
@@ -41,7 +41,7 @@
         codec: CallCodec,
         endpoints: EndpointView,
         gate: SendGate,
-        share_of: Callable[[str], RetryShare],
+        retries: RetryBudgets,
         now: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -49,7 +49,7 @@
         self._codec = codec
         self._endpoints = endpoints
         self._gate = gate
-        self._share_of = share_of
+        self._retries = retries
         self._now = now
         self._rng = rng
         self._router_by_service: dict[str, ServiceRouter] = {}
@@ -58,29 +58,30 @@
 
     async def run(self, call: Call) -> None:
         """Answer the call; raises CallRefused or CallFailed."""
-        share = self._share_of(call.service)
-        share.on_fresh(self._now())
+        self._retries.on_fresh(call.service)
         excluded: set[str] = set()
         runs = 0
         answered: tuple[AnswerFacts, bytes] | None = None
         failure: Exception | None = None
+        last_failure: Exception | None = None
         for number in range(MAX_ATTEMPTS):
             record = await self._next_endpoint(call, excluded, failure)
-            if record is None or (number and not share.take(self._now())):
+            if record is None or not self._may_send(call, number, last_failure):
                 break
             excluded.add(record.endpoint_id)
             self._gate.take(record.endpoint_id)
             try:
                 facts, body = await self._try_once(call, record, number)
             except NotRun as error:
+                last_failure = error
                 failure = failure if isinstance(failure, MayHaveRun) else error
                 continue
             except MayHaveRun as error:
-                failure = error
+                last_failure = failure = error
                 runs += 1
             else:
                 runs += 1
-                answered = (facts, body)
+                answered, last_failure = (facts, body), None
                 if facts.status < SERVER_ERROR:
                     break
             if call.route.kind is not CallKind.SAFE or runs >= call.route.max_attempts:
@@ -92,6 +93,10 @@
             return
         self._give_up(call, failure)
 
+    def _may_send(self, call: Call, number: int, failure: Exception | None) -> bool:
+        """Return whether the first attempt, or a retry by the budget, may go out."""
+        return not number or self._retries.take(call, cause_of(failure))
+
     async def _next_endpoint(
         self, call: Call, excluded: set[str], failure: Exception | None
     ) -> EndpointRecord | None:
--- a/bamboovale/gateway/stream_progress.py
+++ b/bamboovale/gateway/stream_progress.py
@@ -18,7 +18,8 @@
     """Progress of a stream towards its caller.
 
     ``runs`` are attempts that may have run, ``arrivals`` those that reached an engine;
-    ``stalled`` is true after a pause longer than the route allows.
+    ``failure`` is how the last one failed. ``stalled`` is true after a pause longer
+    than the route allows.
     """
 
     events: EventBuffer
@@ -27,6 +28,7 @@
     stalled: bool = False
     runs: int = 0
     arrivals: int = 0
+    failure: Exception | None = None
     excluded: set[str] = field(default_factory=set)
 
     def final_error(
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -231,6 +231,7 @@
         )
 
     def _build_request_handler(self) -> RequestHandler:
+        self.state.retries.on_retry = self._metrics.count_retry
         client = EndpointClient(
             self._endpoint_pool,
             self._translation,
@@ -251,7 +252,7 @@
                 self._translation,
                 self.state.endpoints,
                 gate,
-                self.state.share_of,
+                self.state.retries,
                 self.state.now,
                 self._rng,
             ),
@@ -262,7 +263,7 @@
                 self._engines,
                 gate,
                 self.state.version_of,
-                self.state.share_of,
+                self.state.retries,
                 self.state.now,
                 self._mechanisms,
             ),
@@ -436,6 +437,7 @@
             "quotas": dump_quotas(self._quotas, self.state.now()),
             "limits": self.state.limits.dump(),
             "rests": dump_rests(self.state),
+            "retries": self.state.retries.dump(),
             "store_reads": dump_reads(self.records.followers()),
             "generation": self._ownership.generation,
             "store_reachable": self._ownership.reachable,
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from bamboovale.decisions.endpoint_rests import EndpointRests
-from bamboovale.decisions.retry_share import RetryShare, RetryShareConfig
+from bamboovale.decisions.retry_share import RetryShareConfig
 from bamboovale.decisions.view_freshness import ViewFreshness
 from bamboovale.gateway.endpoint_limits import EndpointLimits
 from bamboovale.gateway.endpoint_signals import SignalReader
@@ -13,6 +13,7 @@
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.model import EndpointRecord, RoutingTable
+from bamboovale.gateway.retry_budgets import RetryBudgets
 from bamboovale.gateway.store_watch import StoreWatch
 
 
@@ -33,7 +34,6 @@
         self.incarnation = os.urandom(6).hex()
         self.table: RoutingTable | None = None
         self.version_by_adapter: dict[tuple[str, str | None], int] = {}
-        self.share_by_service: dict[str, RetryShare] = {}
         self.stopping = False
         self.draining = False
         self.knows_fleet = False
@@ -42,6 +42,9 @@
         self.unproven = False
         self.view = ViewFreshness()
         self.fleet = Fleet.from_node(node)
+        self.retries = RetryBudgets(
+            journal, self._retry_bounds(), self.fleet.size, self.now
+        )
         self.store_watch = StoreWatch(self.now)
         self.endpoints = EndpointView(journal, self.store_watch)
         self.limits = EndpointLimits(journal, self.fleet, self.now)
@@ -83,19 +86,9 @@
             if record.service in pools and record.ready
         ]
 
-    def share_of(self, service: str) -> RetryShare:
-        """Return this VM's share of a service's retry budget."""
-        share = self.share_by_service.get(service)
-        if share is None:
-            share = RetryShare.from_config(self._retry_bounds())
-            share.fleet_size = self.fleet.size()
-            self.share_by_service[service] = share
-        return share
-
     def set_retry_bounds(self) -> None:
-        """Apply the current settings to every service's retry share."""
-        for share in self.share_by_service.values():
-            share.set_config(self._retry_bounds())
+        """Apply the current settings to every service's retry budget."""
+        self.retries.set_config(self._retry_bounds())
 
     def _retry_bounds(self) -> RetryShareConfig:
         bounds = self.node.bounds
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -55,6 +55,11 @@
         label = customer if known else OTHER_CUSTOMERS
         self._gateway_customer_refusals.labels(label).inc()
 
+    def count_retry(self, cause: str, allowed: bool) -> None:
+        """Count a retry at an endpoint that was allowed, or refused by the budget."""
+        outcome = "allowed" if allowed else "refused"
+        self.gateway_retries.labels(cause, outcome).inc()
+
     def _declare_gateway(self) -> None:
         self.gateway_requests = self._counter(
             "gateway_requests",
@@ -102,6 +107,11 @@
             "Endpoints that requests passed over, as they asked for it, by reason.",
             ["reason"],
         )
+        self.gateway_retries = self._counter(
+            "gateway_retries",
+            "Requests sent to an endpoint again, by cause and the budget's answer.",
+            ["cause", "outcome"],
+        )
         self.gateway_engine_calls = self._counter(
             "gateway_engine_calls",
             "Reports read from engines and orders given, by outcome.",
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -10,14 +10,15 @@
 
 import pytest
 
-from bamboovale.decisions.retry_share import RetryShare, RetryShareConfig
+from bamboovale.decisions.retry_share import RetryShareConfig
 from bamboovale.gateway import plain_calls
 from bamboovale.gateway.call import Call, CallFailed, CallRefused
 from bamboovale.gateway.endpoint_client import NotRun
 from bamboovale.gateway.model import CallFacts, CallKind, EndpointRecord, Route
 from bamboovale.gateway.plain_calls import PlainCalls
+from bamboovale.gateway.retry_budgets import RetryBudgets
 from bamboovale.http1.server import Request
-from tests.gateway_site import run
+from tests.gateway_site import RecordedJournal, run
 
 VMS = 8
 SLOTS = 6
@@ -108,12 +109,11 @@
     """Return the share of calls answered in time, and arrivals a call."""
     pool = FullPool()
     rng = random.Random(7)
-    share = RetryShare.from_config(RetryShareConfig(0.2, 200.0, 10.0))
+    config = RetryShareConfig(0.2, 200.0, 10.0)
+    retries = RetryBudgets(RecordedJournal("vm"), config, lambda: 1, time.monotonic)
     parts: Any = pool
     vms = [
-        PlainCalls(
-            parts, parts, parts, parts, lambda service: share, time.monotonic, rng
-        )
+        PlainCalls(parts, parts, parts, parts, retries, time.monotonic, rng)
         for _ in range(VMS)
     ]
     tasks = []
