--- a/bamboovale/standins/endpoint_signals.py
+++ b/bamboovale/standins/endpoint_signals.py
@@ -26,6 +26,7 @@
 
     vm: str
     at: float
+    request_id: str
 
 
 @dataclass(frozen=True)
@@ -115,9 +116,9 @@
             headers.append((b"retry-after", f"{self.rest_s:g}".encode()))
         return headers
 
-    def on_arrival(self, vm: str) -> None:
+    def on_arrival(self, vm: str, request_id: str) -> None:
         """Record a request of a caller."""
-        self.arrivals.append(Arrival(vm, self.now()))
+        self.arrivals.append(Arrival(vm, self.now(), request_id))
 
     # Checks.
 
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -118,7 +118,7 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serve one request."""
-        self.signals.on_arrival(responder.caller_host())
+        self.signals.on_arrival(responder.caller_host(), _request_id(request))
         if not self._is_expected(request):
             self._refuse(request, responder, 421)
             return
@@ -134,7 +134,7 @@
 
     def _start_run(self, request: Request) -> Run:
         run = Run(
-            request_id=(request.get(b"x-request-id") or b"").decode(),
+            request_id=_request_id(request),
             target=request.target,
             body=request.body,
             headers=request.headers,
@@ -191,6 +191,10 @@
         responder.answer(status, headers, b"")
 
 
+def _request_id(request: Request) -> str:
+    return (request.get(b"x-request-id") or b"").decode()
+
+
 @dataclass
 class Order:
     """One order that the runner received; ``status`` 0 if it was dropped."""
@@ -366,7 +370,7 @@
     # Requests.
 
     async def _serve(self, request: Request, responder: Responder) -> None:
-        self.signals.on_arrival(responder.caller_host())
+        self.signals.on_arrival(responder.caller_host(), _request_id(request))
         model, _, adapter = (request.get(b"x-model") or b"").decode().partition("/")
         version = self.version_by_adapter.get(adapter, 1)
         expected = request.get(b"x-expect-version")
