--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -382,3 +382,31 @@
                 assert await pool.take("e", address) is connection
 
         run(test())
+
+
+class TestAbandonedRequest:
+    """A request that is given up while its bytes are held up on the way."""
+
+    def test_a_request_that_was_given_up_does_not_arrive_later(self) -> None:
+        """Guards against retries that arrive beside the request they replaced."""
+
+        async def test() -> None:
+            listener = socket.socket()
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            body = b"x" * 30_000
+            connection = await Connection.open(*listener.getsockname())
+            accepted, _ = listener.accept()
+            headers = [("Host", "a"), ("Content-Length", str(len(body)))]
+            request = h11.Request(method="POST", target="/", headers=headers)
+            connection.send(request, body)
+            connection.close()
+            await asyncio.sleep(0.1)
+            received = 0
+            with accepted, listener, pytest.raises(ConnectionResetError):
+                while data := await asyncio.to_thread(accepted.recv, 65536):
+                    received += len(data)
+            assert received < len(body)
+
+        run(test())
