--- a/bamboovale/decisions/retry_share.py
+++ b/bamboovale/decisions/retry_share.py
@@ -4,6 +4,10 @@
 time. Each VM takes the ratio of its own fresh requests, which needs no coordination,
 and an equal part of the fixed burst. Guards against a failing service that gets several
 times its load.
+
+The parts must not add up to more than the burst while VMs cannot hear one another, so
+that it is divided by all VMs that may be running, live or not, and by the largest such
+number of a window: what was taken under it still counts.
 """
 
 from collections import deque
@@ -35,12 +39,24 @@
         self._config = config
         self._fresh_at: deque[float] = deque()
         self._retries_at: deque[float] = deque()
-        self.fleet_size = 1
+        self._fleet_sizes: deque[tuple[float, int]] = deque()
 
     def set_config(self, config: RetryShareConfig) -> None:
         """Change the bound; counts stay."""
         self._config = config
 
+    def set_fleet_size(self, fleet_size: int, now: float) -> None:
+        """Set the number of VMs that may be running."""
+        self._remove_expired(now)
+        while self._fleet_sizes and self._fleet_sizes[-1][1] <= fleet_size:
+            self._fleet_sizes.pop()
+        self._fleet_sizes.append((now, fleet_size))
+
+    @property
+    def fleet_size(self) -> int:
+        """Return the largest number of VMs in the window, 0 if none is known."""
+        return self._fleet_sizes[0][1] if self._fleet_sizes else 0
+
     def on_fresh(self, now: float) -> None:
         """Count a request from a caller."""
         self._fresh_at.append(now)
@@ -57,7 +73,7 @@
     def allowed(self) -> float:
         """Return how many retries the current window may contain."""
         config = self._config
-        burst = config.burst / max(1, self.fleet_size)
+        burst = config.burst / self.fleet_size if self.fleet_size else 0.0
         return SAFETY * (config.ratio * len(self._fresh_at) + burst)
 
     def fresh(self, now: float) -> int:
@@ -75,3 +91,5 @@
         for times in (self._fresh_at, self._retries_at):
             while times and times[0] < oldest:
                 times.popleft()
+        while len(self._fleet_sizes) > 1 and self._fleet_sizes[0][0] < oldest:
+            self._fleet_sizes.popleft()
--- a/bamboovale/fleet/membership.py
+++ b/bamboovale/fleet/membership.py
@@ -93,6 +93,17 @@
             if known.removed_at is None and vm_id not in self._silent_to_us
         ]
 
+    def may_run_count(self) -> int:
+        """Return how many VMs may be running, this one included.
+
+        Silence does not show that a VM has ended: it may be cut off from us. Only those
+        that left, or were removed long ago, do not count. While no other VM is live for
+        us, registered ones that have not answered count too.
+        """
+        known = sum(not known.member.left for known in self._known_by_id.values())
+        count = 1 + known + len(self._contact_by_id)
+        return count if self.live() else count + len(self._expired_contacts)
+
     def not_live(self) -> list[str]:
         """Return the known VMs that are not live, contacts included."""
         silent = [v for v in self._known_by_id if not self.is_live(v)]
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -286,7 +286,6 @@
                 for vm_id in _first_ids(before - live)
             },
         )
-        self._state.retries.set_fleet_size(len(live) + 1)
 
     def _free_places_of_ended_processes(self, before: Mapping[str, int]) -> None:
         """Free the places of VMs that are gone, or have restarted without being missed.
--- a/bamboovale/gateway/retry_budgets.py
+++ b/bamboovale/gateway/retry_budgets.py
@@ -74,11 +74,6 @@
         for budget in self._budget_by_service.values():
             budget.share.set_config(config)
 
-    def set_fleet_size(self, fleet_size: int) -> None:
-        """Set the number of VMs that share the budgets."""
-        for budget in self._budget_by_service.values():
-            budget.share.fleet_size = fleet_size
-
     def on_fresh(self, service: str) -> None:
         """Count a caller's request for a service."""
         self._budget(service).share.on_fresh(self._now())
@@ -106,8 +101,8 @@
         budget = self._budget_by_service.get(service)
         if budget is None:
             budget = _Budget(RetryShare.from_config(self._config))
-            budget.share.fleet_size = self._fleet_size()
             self._budget_by_service[service] = budget
+        budget.share.set_fleet_size(self._fleet_size(), self._now())
         return budget
 
     def _figures(self, budget: _Budget) -> dict[str, Any]:
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -43,7 +43,10 @@
         self.view = ViewFreshness()
         self.fleet = Fleet.from_node(node)
         self.retries = RetryBudgets(
-            journal, self._retry_bounds(), self.fleet.size, self.now
+            journal,
+            self._retry_bounds(),
+            self.fleet.membership.may_run_count,
+            self.now,
         )
         self.store_watch = StoreWatch(self.now)
         self.endpoints = EndpointView(journal, self.store_watch)
--- a/tests/test_decisions_retry_share.py
+++ b/tests/test_decisions_retry_share.py
@@ -1,5 +1,7 @@
 """Tests of one VM's share of the retry budget of a fleet."""
 
+import pytest
+
 from bamboovale.decisions.retry_share import RetryShare, RetryShareConfig
 
 CONFIG = RetryShareConfig(ratio=0.2, burst=50, window_s=10)
@@ -13,7 +15,7 @@
         shares = [RetryShare.from_config(CONFIG) for _ in range(9)]
         retries = 0
         for share in shares:
-            share.fleet_size = len(shares)
+            share.set_fleet_size(len(shares), 0.0)
             for number in range(100):
                 share.on_fresh(number * 0.1)
                 retries += share.take(number * 0.1)
@@ -21,7 +23,7 @@
 
     def test_retries_stop_when_the_share_is_used_up_and_resume(self) -> None:
         share = RetryShare.from_config(CONFIG)
-        share.fleet_size = 50
+        share.set_fleet_size(50, 0.0)
         assert not share.take(0.0)
         for _ in range(100):
             share.on_fresh(0.0)
@@ -31,3 +33,17 @@
         for _ in range(100):
             share.on_fresh(12.0)
         assert share.take(12.0)
+
+    def test_what_was_taken_in_a_larger_fleet_still_counts(self) -> None:
+        """Guards against a burst anew for those that are left when VMs fall silent."""
+        share = RetryShare.from_config(CONFIG)
+        share.set_fleet_size(10, 0.0)
+        share.set_fleet_size(2, 3.0)
+        assert share.allowed() == pytest.approx(0.7 * 50 / 10)
+        share.set_fleet_size(2, 14.0)
+        assert not [share.take(14.0) for _ in range(20)][-1]
+        assert share.allowed() == pytest.approx(0.7 * 50 / 2)
+
+    def test_a_vm_that_knows_no_fleet_takes_no_part_of_the_burst(self) -> None:
+        share = RetryShare.from_config(CONFIG)
+        assert share.allowed() == 0.0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -223,6 +223,39 @@
         assert view.apply(member("a", start=2), 99.0)
 
 
+class TestVMsThatMayRun:
+    """The number of VMs among which a bound of the fleet is divided."""
+
+    @pytest.mark.parametrize("count", [6, 61])
+    def test_vms_that_fall_silent_still_count(self, count: int) -> None:
+        """Guards against halves of a fleet that each take the whole of a bound."""
+        fleet = SimulatedFleet()
+        fleet.start_all(count)
+        fleet.run(10.0)
+        half = {f"vm{number}" for number in range(count // 2)}
+        fleet.passes = lambda sender, receiver: (sender in half) == (receiver in half)
+        fleet.run(20.0)
+        for vm in fleet.vm_by_id.values():
+            assert vm.membership.may_run_count() == count
+            assert len(vm.membership.live()) < count - 1
+
+    def test_a_vm_that_hears_nobody_counts_the_registered_ones(self) -> None:
+        fleet = SimulatedFleet()
+        fleet.passes = lambda sender, receiver: False
+        fleet.start_all(6)
+        fleet.run(10.0)
+        counts = [v.membership.may_run_count() for v in fleet.vm_by_id.values()]
+        assert counts == [6] * 6
+
+    def test_a_vm_that_left_does_not_count(self) -> None:
+        fleet = SimulatedFleet()
+        first, *others = fleet.start_all(6)
+        fleet.run(10.0)
+        first.membership.update_own(serving=False, left=True)
+        fleet.run(1.0)
+        assert [v.membership.may_run_count() for v in others] == [5] * 5
+
+
 class TestFleetOfHundreds:
     """Time until all VMs agree, and the cost in messages."""
 
