--- a/bamboovale/decisions/retry_share.py
+++ b/bamboovale/decisions/retry_share.py
@@ -8,6 +8,9 @@
 The parts must not add up to more than the burst while VMs cannot hear one another, so
 that it is divided by all VMs that may be running, live or not, and by the largest such
 number of a window: what was taken under it still counts.
+
+A process does not know what the one before it took, and the other VMs may not know the
+process yet. It takes no part of the burst until a window has passed since its start.
 """
 
 from collections import deque
@@ -31,12 +34,13 @@
     """Counts the fresh requests and retries of one service at one entry VM."""
 
     @classmethod
-    def from_config(cls, config: RetryShareConfig) -> "RetryShare":
-        """Return a share without requests."""
-        return cls(config)
+    def from_config(cls, config: RetryShareConfig, started_at: float) -> "RetryShare":
+        """Return a share without requests, of a process with this start."""
+        return cls(config, started_at)
 
-    def __init__(self, config: RetryShareConfig) -> None:
+    def __init__(self, config: RetryShareConfig, started_at: float) -> None:
         self._config = config
+        self._started_at = started_at
         self._fresh_at: deque[float] = deque()
         self._retries_at: deque[float] = deque()
         self._fleet_sizes: deque[tuple[float, int]] = deque()
@@ -65,16 +69,21 @@
     def take(self, now: float) -> bool:
         """Count and allow a retry; return False if the share is used up."""
         self._remove_expired(now)
-        if len(self._retries_at) + 1 > self.allowed():
+        if len(self._retries_at) + 1 > self.allowed(now):
             return False
         self._retries_at.append(now)
         return True
 
-    def allowed(self) -> float:
+    def allowed(self, now: float) -> float:
         """Return how many retries the current window may contain."""
-        config = self._config
-        burst = config.burst / self.fleet_size if self.fleet_size else 0.0
-        return SAFETY * (config.ratio * len(self._fresh_at) + burst)
+        of_requests = self._config.ratio * len(self._fresh_at)
+        return SAFETY * (of_requests + self._part_of_burst(now))
+
+    def _part_of_burst(self, now: float) -> float:
+        is_new = now < self._started_at + self._config.window_s
+        if is_new or not self.fleet_size:
+            return 0.0
+        return self._config.burst / self.fleet_size
 
     def fresh(self, now: float) -> int:
         """Return the callers' requests of the current window."""
--- a/bamboovale/gateway/retry_budgets.py
+++ b/bamboovale/gateway/retry_budgets.py
@@ -1,5 +1,6 @@
 """This VM's retries at the endpoints of each service, within the fleet's budget."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -8,7 +9,7 @@
 from bamboovale.decisions.retry_share import RetryShare, RetryShareConfig
 from bamboovale.gateway.call import Call
 from bamboovale.gateway.endpoint_client import MayHaveRun, NotRun
-from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.journal import Journal, finite_age_s
 from bamboovale.gateway.stream_progress import StreamCut
 
 
@@ -50,7 +51,8 @@
 class RetryBudgets:
     """The shares of all services' retry budgets by service.
 
-    ``on_retry`` is called with the cause of each retry and whether it was allowed.
+    ``is_first_start`` is whether no process of the fleet ran before. ``on_retry`` is
+    called with the cause of each retry and whether it was allowed.
     """
 
     def __init__(
@@ -59,12 +61,14 @@
         config: RetryShareConfig,
         fleet_size: Callable[[], int],
         now: Callable[[], float],
+        *,
+        is_first_start: bool = False,
     ) -> None:
         self._journal = journal
         self._config = config
         self._fleet_size = fleet_size
         self._now = now
-        self._started_at = now()
+        self._started_at = -math.inf if is_first_start else now()
         self._budget_by_service: dict[str, _Budget] = {}
         self.on_retry: Callable[[RetryCause, bool], None] = lambda cause, allowed: None
 
@@ -100,7 +104,7 @@
     def _budget(self, service: str) -> _Budget:
         budget = self._budget_by_service.get(service)
         if budget is None:
-            budget = _Budget(RetryShare.from_config(self._config))
+            budget = _Budget(RetryShare.from_config(self._config, self._started_at))
             self._budget_by_service[service] = budget
         budget.share.set_fleet_size(self._fleet_size(), self._now())
         return budget
@@ -110,7 +114,7 @@
         return {
             "fresh": share.fresh(now),
             "retries": share.retries(now),
-            "allowed": round(share.allowed(), 2),
+            "allowed": round(share.allowed(now), 2),
             "vms": share.fleet_size,
         }
 
@@ -119,6 +123,6 @@
             "retry_budget_used_up",
             service=service,
             cause=cause,
-            started_s_ago=round(self._now() - self._started_at, 3),
+            started_s_ago=finite_age_s(self._now() - self._started_at),
             **self._figures(budget),
         )
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -47,6 +47,7 @@
             self._retry_bounds(),
             self.fleet.membership.may_run_count,
             self.now,
+            is_first_start=node.first_start,
         )
         self.store_watch = StoreWatch(self.now)
         self.endpoints = EndpointView(journal, self.store_watch)
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -71,7 +71,8 @@
     async def start(self) -> None:
         """Start a process with the VM's settings."""
         file = self.directory / f"{self.name}.toml"
-        file.write_text(to_toml(self.document))
+        document = {**self.document, "bootstrap": not self.lives}
+        file.write_text(to_toml(document))
         log = self._log_path(len(self.lives)).open("wb")
         program = [sys.executable, "-m", "bamboovale.routed_vm"]
         options = {
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -92,6 +92,7 @@
     vms: list[RunningVM] = field(default_factory=list)
     runners: list[PlatformRunner] = field(default_factory=list)
     services: list[PlatformEndpoint] = field(default_factory=list)
+    _started: set[str] = field(default_factory=set)
     _hosts: Iterator[int] = field(default_factory=lambda: itertools.count(2))
 
     async def add_vm(
@@ -108,6 +109,8 @@
         """
         address = f"127.0.0.{next(self._hosts)}"
         document = node_document(store or self.store_address, name, address, **bounds)
+        document["bootstrap"] = name not in self._started
+        self._started.add(name)
         node = NodeSettings.from_document(document).unwrap()
         journal = RecordedJournal(name)
         vm = GatewayVM(
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -50,14 +50,17 @@
     def test_changed_bounds_are_applied(self) -> None:
         """Guards against spending a retry budget that was lowered."""
         file = ChangingFile()
-        file.state.retries.on_fresh("booking")
+        retries = file.state.retries
+        retries._started_at -= retries._config.window_s
+        retries.on_fresh("booking")
+        assert retries.dump()["booking"]["allowed"] > 4
         file.document["bounds"]["retry-burst"] = 4
         file.document["bounds"]["retry-ratio"] = 0.0
         file.watch.poll()
         file.state.set_retry_bounds()
         assert len(file.changes) == 1
         assert file.state.node.bounds.retry_burst == 4
-        assert file.state.retries.dump()["booking"]["allowed"] <= 4
+        assert retries.dump()["booking"]["allowed"] <= 4
 
     def test_a_malformed_file_keeps_the_last_valid_settings(self) -> None:
         """Guards against settings from a file that is incomplete or invalid."""
