--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,7 +33,7 @@
 def record_with(arrivals_at: list[float]) -> SignalRecord:
     """Return the record of an endpoint that got requests of one VM."""
     signals = SignalRecord(now=lambda: 0.0)
-    signals.arrivals = [Arrival("vm", at) for at in arrivals_at]
+    signals.arrivals = [Arrival("vm", at, str(at)) for at in arrivals_at]
     return signals
 
 
