--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,6 +17,8 @@
 network partition; TCP alone would wait for minutes."""
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PROBES = 2
+RESET_AT_ONCE = struct.pack("ii", 1, 0)
+"""SO_LINGER on, with no time for what is unsent."""
 MAX_HEAD_BYTES = 64 * 1024
 HIGH_WATER_BYTES = 256 * 1024
 """Response bytes buffered for a slow consumer before reading is paused."""
@@ -162,9 +165,15 @@
         return True
 
     def close(self) -> None:
-        """Abort the connection; the endpoint cancels a request in flight."""
+        """Abort the connection; the endpoint cancels a request in flight.
+
+        A request in flight is taken back: what the kernel has not delivered yet must
+        not arrive beside the request's next attempt.
+        """
         self.closed = True
         if self._transport is not None:
+            if self._busy:
+                reset_on_close(self._transport.get_extra_info("socket"))
             self._transport.abort()
 
     def _new_wire(self) -> h11.Connection:
@@ -217,6 +226,13 @@
             self.reusable = True
 
 
+def reset_on_close(sock: Any) -> None:
+    """Have a socket drop unsent bytes and reset its connection when it is closed."""
+    if sock is not None and hasattr(sock, "setsockopt"):
+        with contextlib.suppress(OSError):  # closed already
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_ONCE)
+
+
 def enable_dead_peer_detection(sock: Any) -> None:
     """Enable TCP keep-alive and user timeout to detect a peer that sends no reset."""
     if sock is None or not hasattr(sock, "setsockopt"):
