--- a/bamboovale/standins/retry_arrivals.py
+++ b/bamboovale/standins/retry_arrivals.py
@@ -4,13 +4,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
-
-@dataclass(frozen=True)
-class RequestArrival:
-    """A caller's request that reached some endpoint of a service."""
-
-    request_id: str
-    at: float
+from bamboovale.standins.endpoint_signals import Arrival
 
 
 @dataclass(frozen=True)
@@ -23,7 +17,7 @@
 
 
 def retry_violations(
-    arrivals: Sequence[RequestArrival], sent_at: Sequence[float], bound: RetryBound
+    arrivals: Sequence[Arrival], sent_at: Sequence[float], bound: RetryBound
 ) -> Iterator[str]:
     """Yield each window in which too many requests arrived once more.
 
@@ -39,7 +33,7 @@
 
 
 def retry_windows(
-    arrivals: Sequence[RequestArrival], sent_at: Sequence[float], bound: RetryBound
+    arrivals: Sequence[Arrival], sent_at: Sequence[float], bound: RetryBound
 ) -> Iterator[tuple[float, int, float]]:
     """Yield the end, the retries and the bound of each window that ends with one."""
     sent = sorted(sent_at)
@@ -54,7 +48,7 @@
         yield ends_at, retries, bound.ratio * requests + bound.burst
 
 
-def _retried_at(arrivals: Sequence[RequestArrival]) -> list[float]:
+def _retried_at(arrivals: Sequence[Arrival]) -> list[float]:
     """Return when requests arrived that had arrived before, in order."""
     seen: set[str] = set()
     retried_at = []
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -96,6 +96,7 @@
             overfilled=[r.endpoint_id for r in site.runners if r.overfilled],
             version_acks=site.version_acks,
             signals={e.endpoint_id: e.signals for e in endpoints},
+            arrivals_by_service=site.arrivals_by_service(),
             leaving_at=site.leaving_at,
             revoked_at=dict(site.keys.revoked_at),
             owner_by_key=dict(site.keys.owner_by_key),
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -28,6 +28,11 @@
     CHAT = "chat"
     LONG = "long"
 
+    @property
+    def service(self) -> str:
+        """Return the service that the route leads to."""
+        return "llm" if self in STREAMS else "app"
+
 
 STREAMS = (Kind.CHAT, Kind.LONG)
 ONCE_ONLY = (Kind.BOOK, Kind.CHAT)
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -1,12 +1,14 @@
 """Checks of a soak, over the responses of callers and the runs of endpoints."""
 
+import itertools
 import re
 import signal
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from bamboovale.standins.endpoint_signals import SignalRecord
+from bamboovale.standins.endpoint_signals import Arrival, SignalRecord
 from bamboovale.standins.platform_endpoints import Run
+from bamboovale.standins.retry_arrivals import RetryBound, retry_violations
 from bench.soak_callers import ONCE_ONLY, STREAMS, Attempt, Kind
 from bench.soak_customers import broken_by
 from bench.soak_site import GRACE_S, Life
@@ -24,6 +26,8 @@
 """Time after an endpoint first named its limit from which it must hold, as
 configured."""
 STOP_SLACK_S = 0.5
+RETRIES = RetryBound(ratio=0.2, burst=10.0, window_s=10.0)
+"""Most retries of a service's requests over all VMs, as configured."""
 PAUSED = "paused"
 """Name of the fault that suspends a VM's process by SIGSTOP."""
 EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
@@ -69,6 +73,7 @@
         default_factory=dict
     )
     signals: Mapping[str, SignalRecord] = field(default_factory=dict)
+    arrivals_by_service: Mapping[str, Sequence[Arrival]] = field(default_factory=dict)
     leaving_at: Mapping[str, float] = field(default_factory=dict)
     runs_by_leaving: Mapping[str, Sequence[Run]] = field(default_factory=dict)
     revoked_at: Mapping[str, float] = field(default_factory=dict)
@@ -92,9 +97,19 @@
     found += _no_new_runs_while_leaving(evidence)
     found += _planned_stops(evidence)
     found += _signals_heeded(evidence)
+    found += _retries_bounded(evidence)
     return found
 
 
+def _retries_bounded(evidence: Evidence) -> Iterator[Violation]:
+    """Find services that got more retries than allowed, once for each."""
+    for service, arrivals in evidence.arrivals_by_service.items():
+        sent_at = [a.sent_at for a in evidence.attempts if a.kind.service == service]
+        details = retry_violations(arrivals, sent_at, RETRIES)
+        for detail in itertools.islice(details, 1):
+            yield Violation("retry budget", service, detail)
+
+
 def _signals_heeded(evidence: Evidence) -> Iterator[Violation]:
     """Find requests that endpoints had asked VMs not to send."""
     for endpoint_id, signals in evidence.signals.items():
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from bamboovale.standins.endpoint_signals import Arrival
 from bamboovale.standins.platform_endpoints import PlatformEndpoint, PlatformRunner
 from bamboovale.standins.platform_store import PlatformStore
 from bench.routed import MODEL, configuration, node_document
@@ -163,6 +164,14 @@
         """Return all endpoints, including removed ones."""
         return [*self.runners, *self.services, *self.gone]
 
+    def arrivals_by_service(self) -> dict[str, list[Arrival]]:
+        """Return by service the callers' requests that reached its endpoints."""
+        arrivals: dict[str, list[Arrival]] = {}
+        for endpoint in self.endpoints:
+            found = arrivals.setdefault(endpoint.service, [])
+            found += endpoint.signals.arrivals
+        return arrivals
+
     async def add_runner(self) -> None:
         """Start an engine."""
         name = f"runner-{next(self._numbers)}"
--- a/tests/test_gateway_retry_budget.py
+++ b/tests/test_gateway_retry_budget.py
@@ -4,11 +4,7 @@
 import time
 
 from bamboovale.standins.platform_endpoints import PlatformEndpoint
-from bamboovale.standins.retry_arrivals import (
-    RequestArrival,
-    RetryBound,
-    retry_violations,
-)
+from bamboovale.standins.retry_arrivals import RetryBound, retry_violations
 from tests.gateway_site import Site, call, eventually, run, running_site
 
 BOUND = RetryBound(ratio=0.2, burst=12.0, window_s=10.0)
@@ -50,9 +46,7 @@
 def violations(endpoints: list[PlatformEndpoint], sent_at: list[float]) -> list[str]:
     """Return the windows in which a service got too many retries."""
     arrivals = [
-        RequestArrival(arrival.request_id, arrival.at)
-        for endpoint in endpoints
-        for arrival in endpoint.signals.arrivals
+        arrival for endpoint in endpoints for arrival in endpoint.signals.arrivals
     ]
     return list(retry_violations(arrivals, sent_at, BOUND))
 
--- a/tests/test_retry_arrivals.py
+++ b/tests/test_retry_arrivals.py
@@ -1,24 +1,21 @@
 """Tests of the check of a fleet's retry budget at stand-in endpoints."""
 
-from bamboovale.standins.retry_arrivals import (
-    RequestArrival,
-    RetryBound,
-    retry_violations,
-)
+from bamboovale.standins.endpoint_signals import Arrival
+from bamboovale.standins.retry_arrivals import RetryBound, retry_violations
 
 BOUND = RetryBound(ratio=0.2, burst=2.0, window_s=10.0)
 
 
-def arrivals(*times: float, request_id: str = "one") -> list[RequestArrival]:
+def arrivals(*times: float, request_id: str = "one") -> list[Arrival]:
     """Return arrivals of one request."""
-    return [RequestArrival(request_id, at) for at in times]
+    return [Arrival("vm", at, request_id) for at in times]
 
 
 class TestRetryViolations:
     """What counts as a retry, and which requests allow it."""
 
     def test_the_first_arrival_of_a_request_is_no_retry(self) -> None:
-        one_each = [RequestArrival(str(number), 1.0) for number in range(50)]
+        one_each = [Arrival("vm", 1.0, str(number)) for number in range(50)]
         assert list(retry_violations(one_each, [], BOUND)) == []
 
     def test_arrivals_beyond_the_burst_are_found(self) -> None:
