Draw no retry for an attempt that reached no endpoint (BUDGET)

What callers saw: calls refused as the budget was used up, although an endpoint was in reach. Cause: plain calls drew on the budget for each attempt after the first, also where no connection was made and nothing could arrive; streams did not. Evidence: the new test fails without the change (two of five calls 503), with a budget of 0. Change: only attempts that reached an endpoint count as arrivals. Why it works: the bound counts arrivals beyond the first; without an arrival the next is first. Measured: tests of the budget and of overload pass.

--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -64,9 +64,10 @@
         answered: tuple[AnswerFacts, bytes] | None = None
         failure: Exception | None = None
         last_failure: Exception | None = None
+        arrivals = 0
         for number in range(MAX_ATTEMPTS):
             record = await self._next_endpoint(call, excluded, failure)
-            if record is None or not self._may_send(call, number, last_failure):
+            if record is None or not self._may_send(call, arrivals, last_failure):
                 break
             excluded.add(record.endpoint_id)
             self._gate.take(record.endpoint_id)
@@ -74,12 +75,15 @@
                 facts, body = await self._try_once(call, record, number)
             except NotRun as error:
                 last_failure = error
+                arrivals += error.reached
                 failure = failure if isinstance(failure, MayHaveRun) else error
                 continue
             except MayHaveRun as error:
                 last_failure = failure = error
+                arrivals += 1
                 runs += 1
             else:
+                arrivals += 1
                 runs += 1
                 answered, last_failure = (facts, body), None
                 if facts.status < SERVER_ERROR:
@@ -93,9 +97,12 @@
             return
         self._give_up(call, failure)
 
-    def _may_send(self, call: Call, number: int, failure: Exception | None) -> bool:
-        """Return whether the first attempt, or a retry by the budget, may go out."""
-        return not number or self._retries.take(call, cause_of(failure))
+    def _may_send(self, call: Call, arrivals: int, failure: Exception | None) -> bool:
+        """Return whether a first attempt, or a retry by the budget, may go out.
+
+        An attempt that never reached an endpoint leaves the next one the first.
+        """
+        return not arrivals or self._retries.take(call, cause_of(failure))
 
     async def _next_endpoint(
         self, call: Call, excluded: set[str], failure: Exception | None
--- a/tests/test_gateway_retry_budget.py
+++ b/tests/test_gateway_retry_budget.py
@@ -88,6 +88,19 @@
 
         run(test())
 
+    def test_attempts_that_reach_no_endpoint_need_no_budget(self) -> None:
+        """Guards against calls that fail while a VM could reach another endpoint."""
+
+        async def test() -> None:
+            bounds = {"retry-ratio": 0.0, "retry-burst": 0}
+            async with running_site(services=3, bounds=bounds) as site:
+                for service in site.services[:2]:
+                    service.crash()
+                answers = [await call(site.vms[0].address, "/check/1") for _ in "12345"]
+                assert [answer.status for answer in answers] == [200] * len(answers)
+
+        run(test())
+
     def test_streams_after_starts_in_series_share_one_budget(self) -> None:
         """Guards against streams sent on and on to engines that take none."""
 
