--- /dev/null
+++ b/tests/path_cuts.py
@@ -0,0 +1,71 @@
+"""Cuts of entry VMs from endpoints, while all else reaches them."""
+
+import asyncio
+from collections.abc import Collection, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+
+from bamboovale.http1.connection import CONNECT_TIMEOUT_S, ConnectFailed, Connection
+from tests.gateway_site import RunningVM, Site
+
+HANG = "hang"
+"""New connections get no answer, and open ones pass nothing."""
+REFUSE = "refuse"
+"""New connections are refused, and open ones are reset."""
+LIVE_ON = "live on"
+"""New connections are refused, and open ones go on."""
+
+
+@contextmanager
+def cut_from_endpoints(
+    site: Site,
+    vms: Collection[RunningVM],
+    how: str,
+    endpoint_ids: Collection[str] | None = None,
+) -> Iterator[None]:
+    """Cut VMs from all endpoints, or those given, until the end of the block."""
+    endpoints = [
+        endpoint
+        for endpoint in [*site.runners, *site.services]
+        if endpoint_ids is None or endpoint.endpoint_id in endpoint_ids
+    ]
+    addresses = {endpoint.address for endpoint in endpoints}
+    hosts = {item.node.ip for item in vms}
+    open_connection = Connection.open
+
+    async def open_or_fail(
+        host: str,
+        port: int,
+        source: str | None = None,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> Connection:
+        if source not in hosts or (host, port) not in addresses:
+            return await open_connection(host, port, source, timeout_s)
+        if how == HANG:
+            await asyncio.sleep(timeout_s)
+        raise ConnectFailed("cut")
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Connection, "open", open_or_fail)
+        if how != LIVE_ON:
+            for connection in _open_connections(
+                vms, {e.endpoint_id for e in endpoints}
+            ):
+                if how == HANG:
+                    patch.setattr(connection, "data_received", lambda data: None)
+                else:
+                    connection.close()
+        yield
+
+
+def _open_connections(
+    vms: Collection[RunningVM], endpoint_ids: Collection[str]
+) -> Iterator[Any]:
+    """Yield the idle connections of VMs to endpoints."""
+    for item in vms:
+        for pool in (item.vm._endpoint_pool, item.vm._control_pool):
+            for endpoint_id, kept in pool._pool_by_id.items():
+                if endpoint_id in endpoint_ids:
+                    yield from list(kept.idle)
--- /dev/null
+++ b/tests/test_gateway_cut_paths.py
@@ -0,0 +1,88 @@
+"""VMs that reach callers, the store and other VMs, but no endpoint."""
+
+import asyncio
+
+import pytest
+
+from tests.gateway_site import CallerAnswer, RunningVM, call, run, running_site
+from tests.path_cuts import HANG, LIVE_ON, REFUSE, cut_from_endpoints
+from tests.signal_load import served
+
+STABLE_S = 3.0
+"""Time from the beginning of a cut after which callers must be served, as
+configured."""
+LOAD_S = 2.0
+PER_S = 15.0
+LEAST_PART = 2.0 / 3.0
+"""Least part of the others' share of requests served at VMs that are cut."""
+MAX_FAILED = 10.0
+MAX_FAILED_SHARE = 1.0 / 50.0
+"""First attempts that may fail at VMs that are cut, whatever part that is."""
+PATHS = ("/chat/1", "/long/1", "/check/1", "/book/1")
+
+
+async def load(vm: RunningVM, seconds: float) -> list[CallerAnswer]:
+    """Send requests of all kinds to one VM; return their answers."""
+    tasks = []
+    for number in range(int(seconds * PER_S)):
+        path = PATHS[number % len(PATHS)]
+        adapter = "a1" if path in ("/chat/1", "/long/1") else None
+        tasks.append(asyncio.create_task(call(vm.address, path, adapter=adapter)))
+        await asyncio.sleep(1.0 / PER_S)
+    return list(await asyncio.gather(*tasks))
+
+
+def is_served_like_others(cut: list[CallerAnswer], others: list[CallerAnswer]) -> bool:
+    """Return whether VMs that are cut serve about as the others do."""
+    failed = len(cut) * (1.0 - served(cut))
+    is_few = failed <= MAX_FAILED + MAX_FAILED_SHARE * len(cut)
+    return is_few or served(cut) >= LEAST_PART * served(others)
+
+
+class TestVMWithoutPaths:
+    """One of three VMs loses its paths to all endpoints."""
+
+    @pytest.mark.parametrize("how", [HANG, REFUSE, LIVE_ON])
+    def test_its_callers_are_served_like_those_of_the_others(self, how: str) -> None:
+        """Guards against callers that wait at a VM which can reach no endpoint."""
+
+        async def test() -> None:
+            async with running_site(vms=3, runners=2, services=2) as site:
+                for item in site.vms:
+                    await load(item, 0.5)
+                cut, *others = site.vms
+                with cut_from_endpoints(site, [cut], how):
+                    await load(cut, STABLE_S)
+                    answers = await asyncio.gather(
+                        load(cut, LOAD_S), *(load(item, LOAD_S) for item in others)
+                    )
+                of_others = [answer for found in answers[1:] for answer in found]
+                assert is_served_like_others(answers[0], of_others), (
+                    served(answers[0]),
+                    served(of_others),
+                )
+
+        run(test())
+
+
+class TestEnginesOfACutOwner:
+    """The owner of engines loses its paths to all endpoints."""
+
+    def test_another_vm_takes_its_engines_over(self) -> None:
+        """Guards against engines that load nothing while their owner is cut off."""
+
+        async def test() -> None:
+            async with running_site(vms=3, runners=2, services=1) as site:
+                cut = site.owned()[site.runners[0].endpoint_id]
+                others = [item for item in site.vms if item is not cut]
+                with cut_from_endpoints(site, [cut], HANG):
+                    await asyncio.sleep(STABLE_S)
+                    answers = [
+                        await call(item.address, "/chat/1", adapter=f"a{number}")
+                        for number, item in enumerate(others * 4, start=1)
+                    ]
+                    owners = list(site.owned().values())
+                assert served(answers) == 1.0
+                assert cut not in owners
+
+        run(test())
