--- a/bamboovale/gateway/endpoint_signals.py
+++ b/bamboovale/gateway/endpoint_signals.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from bamboovale.decisions.endpoint_paths import EndpointPaths
 from bamboovale.decisions.endpoint_rests import EndpointRests
 from bamboovale.fleet.messages import LeavingEndpoint
 from bamboovale.gateway.endpoint_limits import EndpointLimits
@@ -22,17 +23,20 @@
         endpoints: EndpointView,
         limits: EndpointLimits,
         rests: EndpointRests,
+        paths: EndpointPaths,
         now: Callable[[], float],
     ) -> None:
         self._journal = journal
         self._endpoints = endpoints
         self._limits = limits
         self._rests = rests
+        self._paths = paths
         self._now = now
         self.tell_leaving: Callable[[LeavingEndpoint], None] = lambda news: None
 
     def on_answer(self, notice: AnswerNotice) -> None:
         """Apply an answer's signals, unless its endpoint is gone."""
+        self._paths.on_answer(self._now())
         endpoint_id, signals = notice.endpoint_id, notice.signals
         if endpoint_id not in self._endpoints.record_by_id:
             return
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -99,12 +99,22 @@
         node = self.state.node
         opened = self._metrics.gateway_connections_opened
 
+        paths = self.state.path_watch
+
         def pool(target: str) -> ConnectionPool:
-            return ConnectionPool(self.state.now, opened.labels(target).inc, node.ip)
+            return ConnectionPool(
+                self.state.now,
+                opened.labels(target).inc,
+                node.ip,
+                paths.on_connected,
+                paths.on_failed,
+            )
 
         self._endpoint_pool = pool("endpoint")
         self._control_pool = pool("control")
-        self._store_pool = pool("store")
+        self._store_pool = ConnectionPool(
+            self.state.now, opened.labels("store").inc, node.ip
+        )
         self._store = LostReadDetector(
             self._translation.store(
                 self._store_pool,
@@ -388,6 +398,7 @@
             self._endpoint_pool.forget(change.endpoint_id)
             self._control_pool.forget(change.endpoint_id)
             self.state.limits.forget(change.endpoint_id)
+            self.state.path_watch.paths.forget(change.endpoint_id)
             self.state.rests.forget(change.endpoint_id)
             self.peering.gossip.drop_endpoint(change.endpoint_id)
             if change.was_ready:
@@ -438,6 +449,7 @@
             "limits": self.state.limits.dump(),
             "rests": dump_rests(self.state),
             "retries": self.state.retries.dump(),
+            "paths": self.state.path_watch.paths.dump(self.state.now()),
             "store_reads": dump_reads(self.records.followers()),
             "generation": self._ownership.generation,
             "store_reachable": self._ownership.reachable,
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -13,6 +13,7 @@
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.model import EndpointRecord, RoutingTable
+from bamboovale.gateway.path_watch import PathWatch
 from bamboovale.gateway.retry_budgets import RetryBudgets
 from bamboovale.gateway.store_watch import StoreWatch
 
@@ -49,12 +50,18 @@
             self.now,
             is_first_start=node.first_start,
         )
+        self.path_watch = PathWatch(journal, self.now)
         self.store_watch = StoreWatch(self.now)
         self.endpoints = EndpointView(journal, self.store_watch)
         self.limits = EndpointLimits(journal, self.fleet, self.now)
         self.rests = EndpointRests()
         self.signals = SignalReader(
-            journal, self.endpoints, self.limits, self.rests, self.now
+            journal,
+            self.endpoints,
+            self.limits,
+            self.rests,
+            self.path_watch.paths,
+            self.now,
         )
 
     def now(self) -> float:
--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from bamboovale.http1.connection import Connection
+from bamboovale.http1.connection import CONNECT_TIMEOUT_S, ConnectFailed, Connection
 
 KEEP_ALIVE_S = 4.0
 """Idle limit for endpoints that send no ``Keep-Alive: timeout``."""
@@ -26,16 +26,24 @@
 
 
 class ConnectionPool:
-    """Provides connections by endpoint id; endpoint ids are never reused."""
+    """Provides connections by endpoint id; endpoint ids are never reused.
+
+    ``on_connected`` is called with the endpoint of each new connection, ``on_failed``
+    with that of one that could not be made, and why.
+    """
 
     def __init__(
         self,
         now: Callable[[], float],
         on_opened: Callable[[], None] = lambda: None,
         source: str | None = None,
+        on_connected: Callable[[str], None] = lambda endpoint_id: None,
+        on_failed: Callable[[str, str], None] = lambda endpoint_id, reason: None,
     ) -> None:
         self._now = now
         self._on_opened = on_opened
+        self._on_connected = on_connected
+        self._on_failed = on_failed
         self._source = source
         self._pool_by_id: dict[str, EndpointPool] = {}
 
@@ -52,11 +60,24 @@
         idle = self._take_idle(pool, FRESH_IDLE_S if fresh_only else KEEP_ALIVE_S * 10)
         if idle is not None:
             return idle
+        return await self.open(endpoint_id, address, timeout_s)
+
+    async def open(
+        self,
+        endpoint_id: str,
+        address: tuple[str, int],
+        timeout_s: float | None = None,
+    ) -> Connection:
+        """Return a new connection; raises ConnectFailed."""
         self._on_opened()
-        host, port = address
-        if timeout_s is None:
-            return await Connection.open(host, port, self._source)
-        return await Connection.open(host, port, self._source, timeout_s)
+        limit_s = CONNECT_TIMEOUT_S if timeout_s is None else timeout_s
+        try:
+            connection = await Connection.open(*address, self._source, limit_s)
+        except ConnectFailed as error:
+            self._on_failed(endpoint_id, str(error))
+            raise
+        self._on_connected(endpoint_id)
+        return connection
 
     def give_back(self, endpoint_id: str, connection: Connection) -> None:
         """Keep a reusable connection; close any other."""
