--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -112,3 +112,8 @@
         self.attempts += 1
         self.notes.setdefault("attempts", []).append(fields)
         return fields
+
+    def note_via(self, vm_id: str | None) -> None:
+        """Add to the last attempt the VM that sent it, if it was another one."""
+        if vm_id is not None:
+            self.notes["attempts"][-1]["via"] = vm_id
--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -1,15 +1,24 @@
 """HTTP client for endpoints: sends one attempt of a request to one endpoint."""
 
+import asyncio
+import contextlib
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
 from dataclasses import dataclass
+from typing import Protocol
 
 import h11
 
+from bamboovale.decisions.endpoint_paths import EndpointPaths
 from bamboovale.gateway.call import CallCodec
 from bamboovale.gateway.model import AnswerFacts, AnswerNotice, EndpointRecord
-from bamboovale.http1.connection import ConnectFailed, Connection, IncompleteResponse
+from bamboovale.http1.connection import (
+    ConnectFailed,
+    Connection,
+    IncompleteResponse,
+    ResponseHead,
+)
 from bamboovale.http1.pool import ConnectionPool
+from bamboovale.relay.client import NotSent, Relays
 
 MAX_STALE_ANSWERS = 2
 """Answers to earlier requests that are skipped on one connection."""
@@ -43,11 +52,37 @@
     """The request was sent and no valid answer was received."""
 
 
+class Exchange(Protocol):
+    """A connection to an endpoint, or an exchange by way of another VM."""
+
+    closed: bool
+    reusable: bool
+
+    @property
+    def via(self) -> str | None:
+        """Return the VM that sends the request, None if this one does."""
+
+    def send(self, request: h11.Request, body: bytes) -> None:
+        """Send a complete request."""
+
+    async def head(self) -> ResponseHead:
+        """Return the head of the answer; raises IncompleteResponse or NotSent."""
+
+    async def data(self) -> bytes | None:
+        """Return the next body bytes, None at its end; raises IncompleteResponse."""
+
+    def skip_response(self) -> bool:
+        """Skip an answer to another request; return whether the next may follow."""
+
+    def close(self) -> None:
+        """Abort the exchange."""
+
+
 @dataclass
 class EndpointAnswer:
     """An answer whose head was received; its body is read from the connection."""
 
-    connection: Connection
+    connection: Exchange
     facts: AnswerFacts
 
     async def read_body(self) -> bytes:
@@ -69,7 +104,7 @@
 
 
 class EndpointClient:
-    """Sends requests to endpoints over pooled connections."""
+    """Sends requests to endpoints over pooled connections, or by way of other VMs."""
 
     def __init__(
         self,
@@ -77,17 +112,44 @@
         codec: CallCodec,
         now: Callable[[], float],
         on_answer: Callable[[AnswerNotice], None],
+        paths: EndpointPaths,
+        relays: Relays,
     ) -> None:
         self._pool = pool
         self._codec = codec
         self._now = now
         self._on_answer = on_answer
+        self._paths = paths
+        self._relays = relays
+        self._trials: set[asyncio.Task[None]] = set()
 
     async def connect(
         self,
         record: EndpointRecord,
+        request_id: str,
         *,
         once_only: bool,
+        left_s: float,
+    ) -> Exchange:
+        """Return a connection, or an exchange by way of another VM.
+
+        Guards against callers that wait here for an endpoint that others reach.
+        """
+        endpoint_id = record.endpoint_id
+        if not self._paths.is_out_of_reach(endpoint_id, self._now()):
+            kept = self._pool.take_kept(endpoint_id, fresh_only=once_only)
+            if kept is not None:
+                return kept
+            if not self._paths.is_in_doubt(endpoint_id):
+                with contextlib.suppress(NotRun):
+                    return await self.connect_here(record, once_only=once_only)
+        self._try_path(record)
+        return self._relays.open(
+            endpoint_id, request_id, once_only=once_only, left_s=left_s
+        )
+
+    async def connect_here(
+        self, record: EndpointRecord, *, once_only: bool
     ) -> Connection:
         """Return a connection; raises NotRun if the endpoint cannot be reached."""
         try:
@@ -99,13 +161,53 @@
         except ConnectFailed as error:
             raise NotRun(f"connect: {error}", reached=False) from error
 
-    async def send(
+    def _try_path(self, record: EndpointRecord) -> None:
+        """Try to connect, without a request that would wait for it."""
+        if not self._paths.take_trial(record.endpoint_id, self._now()):
+            return
+        task = asyncio.get_running_loop().create_task(self._open_spare(record))
+        self._trials.add(task)
+        task.add_done_callback(self._trials.discard)
+
+    async def _open_spare(self, record: EndpointRecord) -> None:
+        endpoint_id = record.endpoint_id
+        try:
+            connection = await self._pool.open(endpoint_id, record.address)
+        except ConnectFailed:
+            if self._paths.is_out_of_reach(endpoint_id, self._now()):
+                self._pool.forget(endpoint_id)
+            return
+        connection.reusable = True
+        self._pool.give_back(endpoint_id, connection)
+
+    async def send_relayed(
         self,
         connection: Connection,
         request: h11.Request,
         body: bytes,
         request_id: str,
         endpoint_id: str,
+    ) -> ResponseHead:
+        """Send a request for another VM; return the head of its own answer.
+
+        Raises NotRun or MayHaveRun.
+        """
+        if connection.closed:
+            raise NotRun("the connection was closed before use", reached=False)
+        connection.send(request, body)
+        try:
+            head, _ = await self._own_head(connection, request_id, endpoint_id)
+        except IncompleteResponse as error:
+            raise MayHaveRun(f"no answer: {error}") from error
+        return head
+
+    async def send(
+        self,
+        connection: Exchange,
+        request: h11.Request,
+        body: bytes,
+        request_id: str,
+        endpoint_id: str,
     ) -> EndpointAnswer:
         """Send the request and wait for the head of its answer.
 
@@ -115,7 +217,9 @@
             raise NotRun("the connection was closed before use", reached=False)
         connection.send(request, body)
         try:
-            facts = await self._own_head(connection, request_id, endpoint_id)
+            _, facts = await self._own_head(connection, request_id, endpoint_id)
+        except NotSent as error:
+            raise NotRun(f"not sent: {error}", reached=False) from error
         except IncompleteResponse as error:
             raise MayHaveRun(f"no answer: {error}") from error
         attempt = EndpointAnswer(connection, facts)
@@ -131,8 +235,8 @@
             raise MayHaveRun(f"answer {facts.status} has no signature")
         return attempt
 
-    @contextmanager
-    def closing(self, record: EndpointRecord, connection: Connection) -> Iterator[None]:
+    @contextlib.contextmanager
+    def closing(self, record: EndpointRecord, connection: Exchange) -> Iterator[None]:
         """Return the connection to the pool after a whole answer, else close it.
 
         Closing tells the endpoint that the run's answer is no longer needed.
@@ -140,15 +244,19 @@
         try:
             yield
         finally:
-            self._pool.give_back(record.endpoint_id, connection)
+            if isinstance(connection, Connection):
+                self._pool.give_back(record.endpoint_id, connection)
+            else:
+                connection.close()
 
     async def _own_head(
-        self, connection: Connection, request_id: str, endpoint_id: str
-    ) -> AnswerFacts:
+        self, connection: Exchange, request_id: str, endpoint_id: str
+    ) -> tuple[ResponseHead, AnswerFacts]:
         """Return the head of the answer to this request, skipping stale answers."""
         sent_at = self._now()
         for _ in range(MAX_STALE_ANSWERS + 1):
-            facts = self._codec.decode_answer(await connection.head())
+            head = await connection.head()
+            facts = self._codec.decode_answer(head)
             is_own = facts.request_id in (None, request_id)
             self._on_answer(
                 AnswerNotice(
@@ -159,7 +267,7 @@
                 )
             )
             if is_own:
-                return facts
+                return head, facts
             while await connection.data() is not None:
                 pass
             if not connection.skip_response():
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from bamboovale.decisions.advertised_vms import Candidate, advertised_in_domain
+from bamboovale.decisions.relay_choice import Helper
 from bamboovale.decisions.rendezvous import first_members
 from bamboovale.fleet.changes import ChangeLog
 from bamboovale.fleet.membership import Change, Membership
@@ -106,6 +107,14 @@
         """Return the other live VMs that serve callers."""
         return [member for member in self.live() if member.serving]
 
+    def helpers(self) -> list[Helper]:
+        """Return the VMs that may send requests to endpoints for this one."""
+        near = self.membership.own.failure_domain
+        return [
+            Helper(member.vm_id, member.failure_domain == near)
+            for member in self.serving()
+        ]
+
     def serving_ids(self) -> list[str]:
         """Return the ids of live VMs that serve callers, this one included."""
         return [self.membership.own.vm_id, *(m.vm_id for m in self.serving())]
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -145,7 +145,12 @@
         progress: Progress,
     ) -> None:
         once_only = not call.route.resumable
-        connection = await self._client.connect(record, once_only=once_only)
+        connection = await self._client.connect(
+            record,
+            call.facts.request_id,
+            once_only=once_only,
+            left_s=call.left_s(self._now()),
+        )
         with self._client.closing(record, connection):
             request = self._codec.encode_call(
                 call.request,
@@ -163,6 +168,7 @@
                 call.facts.request_id,
                 record.endpoint_id,
             )
+            call.note_via(connection.via)
             if attempt.facts.status != OK or not attempt.facts.is_event_stream:
                 await self._forward_body(call, attempt, progress)
             else:
--- a/bamboovale/gateway/path_watch.py
+++ b/bamboovale/gateway/path_watch.py
@@ -7,13 +7,17 @@
 
 
 class PathWatch:
-    """Applies the outcomes of connections to ``paths``, and logs changes of belief."""
+    """Applies the outcomes of connections to ``paths``, and logs changes of belief.
+
+    ``on_cut`` is called when this VM is found to reach no endpoint.
+    """
 
     def __init__(self, journal: Journal, now: Callable[[], float]) -> None:
         self.paths = EndpointPaths(now())
         self._journal = journal
         self._now = now
         self._is_cut = False
+        self.on_cut: Callable[[], None] = lambda: None
 
     def on_connected(self, endpoint_id: str) -> None:
         """Apply a new connection to an endpoint."""
@@ -34,6 +38,8 @@
         is_cut = self.paths.is_cut(self._now())
         if is_cut != self._is_cut:
             self._is_cut = is_cut
+            if is_cut:
+                self.on_cut()
             self._journal.write(
                 "cut_from_endpoints" if is_cut else "endpoints_reached_again",
                 in_doubt=sorted(self.paths.in_doubt_ids()),
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -43,6 +43,8 @@
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.peers.links import PeerLinks
+from bamboovale.relay.messages import RelayCancel, RelayNext, RelayRequest
+from bamboovale.relay.server import RelayServer
 
 PlaceNotice = PlaceCancel | PlaceRelease | PlaceHeld | PlaceStarted | PlacePaused
 PLACE_NOTICES = get_args(PlaceNotice)
@@ -81,8 +83,10 @@
         records: Records,
         crashes: CrashGuard,
         quotas: QuotaExchange,
+        relay_server: RelayServer,
     ) -> None:
         self._state = state
+        self._relay_server = relay_server
         self._translation = translation
         self._links = links
         self._engines = engines
@@ -315,6 +319,8 @@
             else:
                 self.status_exchange.on_subscribe(sender)
                 owner.request_place(sender, message, reply)
+        elif isinstance(message, RelayRequest | RelayNext):
+            self._relay_server.on_query(sender, message, reply)
         elif isinstance(message, TableQuery):
             reply(self._tables.answer())
         else:
@@ -342,6 +348,8 @@
             self._quotas.on_grants(message)
         elif isinstance(message, StatusSubscription):
             self.status_exchange.on_subscribe(sender)
+        elif isinstance(message, RelayCancel):
+            self._relay_server.on_cancel(sender, message)
         elif isinstance(message, PLACE_NOTICES):
             owner = self._engines.owner_by_engine.get(message.engine_id)
             if owner is not None:
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -235,7 +235,12 @@
         record: EndpointRecord,
     ) -> tuple[AnswerFacts, bytes]:
         once_only = call.route.kind is not CallKind.SAFE
-        connection = await self._client.connect(record, once_only=once_only)
+        connection = await self._client.connect(
+            record,
+            call.facts.request_id,
+            once_only=once_only,
+            left_s=call.left_s(self._now()),
+        )
         with self._client.closing(record, connection):
             request = self._codec.encode_call(
                 call.request,
@@ -250,6 +255,7 @@
                 call.facts.request_id,
                 record.endpoint_id,
             )
+            call.note_via(connection.via)
             return attempt.facts, await attempt.read_body()
 
     def _choose(self, call: Call, excluded: set[str]) -> EndpointRecord | None:
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
+from bamboovale.decisions.relay_choice import RelayChoice
 from bamboovale.gateway.access import AccessControl
 from bamboovale.gateway.crashes import CrashGuard
 from bamboovale.gateway.drain import drain
@@ -46,6 +47,8 @@
 from bamboovale.http1.server import Server, ServerLimits
 from bamboovale.metrics import Metrics
 from bamboovale.peers.links import PeerLinks
+from bamboovale.relay.client import Relays
+from bamboovale.relay.server import RelayServer
 
 HOLD_OFF_S = 0.25
 """How long a new owner evicts nothing, beside the time in which gossip reaches every
@@ -224,6 +227,7 @@
             records=self.records,
             crashes=self._crashes,
             quotas=self._quotas,
+            relay_server=self.relay_server,
         )
         self._registration = Registration(
             self.state,
@@ -240,21 +244,48 @@
             self.peering.announce,
         )
 
-    def _build_request_handler(self) -> RequestHandler:
-        self.state.retries.on_retry = self._metrics.count_retry
+    def _build_endpoint_client(self) -> tuple[EndpointClient, SendGate]:
+        """Build the client, the gate that it is used by, and the relays both ways."""
+        state = self.state
+        relays = Relays(
+            self.links, state.fleet.helpers, RelayChoice(self._rng), state.now
+        )
         client = EndpointClient(
             self._endpoint_pool,
             self._translation,
-            self.state.now,
-            self.state.signals.on_answer,
+            state.now,
+            state.signals.on_answer,
+            state.path_watch.paths,
+            relays,
         )
         passed_over = self._metrics.gateway_passed_over
         gate = SendGate(
-            self.state.limits,
-            self.state.rests,
-            self.state.now,
+            state.limits,
+            state.rests,
+            state.now,
             lambda reason: passed_over.labels(reason).inc(),
         )
+        self.relay_server = RelayServer(
+            client=client,
+            endpoints=state.endpoints,
+            gate=gate,
+            path_watch=state.path_watch,
+            journal=state.journal,
+            now=state.now,
+            cores=state.node.cores,
+            may_help=state.serving,
+            is_live=state.fleet.is_live,
+            on_relayed=lambda outcome: self._metrics.gateway_relayed.labels(
+                outcome
+            ).inc(),
+        )
+        # Connections that hang are of no use, and would hold requests up.
+        state.path_watch.on_cut = self._endpoint_pool.close
+        return client, gate
+
+    def _build_request_handler(self) -> RequestHandler:
+        self.state.retries.on_retry = self._metrics.count_retry
+        client, gate = self._build_endpoint_client()
         return RequestHandler(
             codec=self._translation,
             plain_calls=PlainCalls(
@@ -320,6 +351,7 @@
             task.cancel()
         for owner in self._engines.owner_by_engine.values():
             owner.stop()
+        self.relay_server.close()
         self._callers.close()
         self.ports.close()
         for pool in (self._endpoint_pool, self._control_pool, self._store_pool):
@@ -454,5 +486,6 @@
             "generation": self._ownership.generation,
             "store_reachable": self._ownership.reachable,
             "requests_under_way": self._callers.busy,
+            "relayed_under_way": len(self.relay_server),
             "idle_connections": self._endpoint_pool.idle_count(),
         }
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -55,6 +55,7 @@
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
         self.reusable = False
+        self.via: str | None = None
         self._reset = False
         self._ended = False
         self._busy = False
--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -12,6 +12,8 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 """Subtracted from the endpoint's idle timeout: a request sent just before it could
 race with the endpoint's close."""
+HANGING_CONNECT_S = 0.25
+"""A connection that is not made by then and given up counts as failed."""
 FRESH_IDLE_S = 2.5
 """Idle limit for a request that must not run twice: if the endpoint has silently
 dropped the connection, the request fails with an unknown outcome."""
@@ -56,12 +58,18 @@
         timeout_s: float | None = None,
     ) -> Connection:
         """Return an idle connection or a new one; raises ConnectFailed."""
-        pool = self._pool_by_id.setdefault(endpoint_id, EndpointPool())
-        idle = self._take_idle(pool, FRESH_IDLE_S if fresh_only else KEEP_ALIVE_S * 10)
-        if idle is not None:
-            return idle
+        kept = self.take_kept(endpoint_id, fresh_only=fresh_only)
+        if kept is not None:
+            return kept
         return await self.open(endpoint_id, address, timeout_s)
 
+    def take_kept(
+        self, endpoint_id: str, *, fresh_only: bool = False
+    ) -> Connection | None:
+        """Return an idle connection, None if there is none."""
+        pool = self._pool_by_id.setdefault(endpoint_id, EndpointPool())
+        return self._take_idle(pool, FRESH_IDLE_S if fresh_only else KEEP_ALIVE_S * 10)
+
     async def open(
         self,
         endpoint_id: str,
@@ -71,11 +79,16 @@
         """Return a new connection; raises ConnectFailed."""
         self._on_opened()
         limit_s = CONNECT_TIMEOUT_S if timeout_s is None else timeout_s
+        started_at = self._now()
         try:
             connection = await Connection.open(*address, self._source, limit_s)
         except ConnectFailed as error:
             self._on_failed(endpoint_id, str(error))
             raise
+        except asyncio.CancelledError:
+            if self._now() - started_at >= HANGING_CONNECT_S:
+                self._on_failed(endpoint_id, "hangs")
+            raise
         self._on_connected(endpoint_id)
         return connection
 
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -112,6 +112,11 @@
             "Requests sent to an endpoint again, by cause and the budget's answer.",
             ["cause", "outcome"],
         )
+        self.gateway_relayed = self._counter(
+            "gateway_relayed",
+            "Requests sent to endpoints for other entry VMs, by outcome.",
+            ["outcome"],
+        )
         self.gateway_engine_calls = self._counter(
             "gateway_engine_calls",
             "Reports read from engines and orders given, by outcome.",
--- /dev/null
+++ b/bamboovale/relay/server.py
@@ -0,0 +1,240 @@
+"""Sends requests to endpoints for other entry VMs."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import h11
+
+from bamboovale.gateway.endpoint_client import EndpointClient, MayHaveRun, NotRun
+from bamboovale.gateway.endpoints import EndpointView
+from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.path_watch import PathWatch
+from bamboovale.gateway.send_gate import SendGate
+from bamboovale.http1.connection import Connection, IncompleteResponse
+from bamboovale.relay.messages import (
+    RelayCancel,
+    RelayData,
+    RelayHead,
+    RelayQuery,
+    RelayRequest,
+)
+
+MAX_RELAYS_PER_CORE = 64
+"""Exchanges under way for other VMs; own callers are not to be starved by them."""
+MAX_PIECE_BYTES = 64 * 1024
+SENDER_CHECK_S = 0.5
+
+Reply = Callable[[Any], None]
+
+
+@dataclass
+class _Relay:
+    """One exchange; ``wanted`` are the replies that wait for pieces of the body."""
+
+    request: RelayRequest
+    sender: str
+    wanted: "asyncio.Queue[Reply]" = field(default_factory=asyncio.Queue)
+    task: "asyncio.Task[None] | None" = None
+
+
+class RelayServer:
+    """Exchanges requests with endpoints for other VMs, each at most once."""
+
+    def __init__(
+        self,
+        *,
+        client: EndpointClient,
+        endpoints: EndpointView,
+        gate: SendGate,
+        path_watch: PathWatch,
+        journal: Journal,
+        now: Callable[[], float],
+        cores: float,
+        may_help: Callable[[], bool],
+        is_live: Callable[[str], bool],
+        on_relayed: Callable[[str], None] = lambda outcome: None,
+    ) -> None:
+        self._client = client
+        self._endpoints = endpoints
+        self._gate = gate
+        self._path_watch = path_watch
+        self._journal = journal
+        self._now = now
+        self._most = max(1, int(MAX_RELAYS_PER_CORE * cores))
+        self._may_help = may_help
+        self._is_live = is_live
+        self._on_relayed = on_relayed
+        self._relay_by_key: dict[tuple[str, str], _Relay] = {}
+
+    def __len__(self) -> int:
+        """Return the number of exchanges under way."""
+        return len(self._relay_by_key)
+
+    def on_query(self, sender: str, query: RelayQuery, reply: Reply) -> None:
+        """Handle a message that wants a reply."""
+        if isinstance(query, RelayRequest):
+            self._start(sender, query, reply)
+            return
+        relay = self._relay_by_key.get((sender, query.relay_id))
+        if relay is None:
+            reply(RelayData(query.relay_id, ended=True, failure="no such exchange"))
+        else:
+            relay.wanted.put_nowait(reply)
+
+    def on_cancel(self, sender: str, notice: RelayCancel) -> None:
+        """End an exchange whose answer is no longer wanted."""
+        relay = self._relay_by_key.get((sender, notice.relay_id))
+        if relay is not None and relay.task is not None:
+            relay.task.cancel()
+
+    def close(self) -> None:
+        """End all exchanges at once."""
+        for relay in self._relay_by_key.values():
+            if relay.task is not None:
+                relay.task.cancel()
+
+    def _start(self, sender: str, request: RelayRequest, reply: Reply) -> None:
+        refusal = self._refusal(request)
+        if refusal is not None:
+            reply(self._not_sent(request, refusal, was_tried=False))
+            self._log(sender, request, "not_sent", refusal, 0.0)
+            return
+        relay = _Relay(request, sender)
+        key = sender, request.relay_id
+        self._relay_by_key[key] = relay
+        task = asyncio.get_running_loop().create_task(self._run(relay, reply))
+        relay.task = task
+        task.add_done_callback(lambda done: self._relay_by_key.pop(key, None))
+
+    def _refusal(self, request: RelayRequest) -> str | None:
+        """Return why a request cannot be sent from here, None if it can."""
+        endpoint_id = request.endpoint_id
+        if not self._may_help() or len(self) >= self._most:
+            return "busy"
+        if not self._endpoints.is_ready(endpoint_id):
+            return "endpoint not known"
+        paths = self._path_watch.paths
+        if paths.is_in_doubt(endpoint_id) or paths.is_cut(self._now()):
+            return "out of reach"
+        if self._gate.rest_s(endpoint_id) > 0.0:
+            return "the endpoint wants rest"
+        return None
+
+    def _not_sent(
+        self, request: RelayRequest, failure: str, *, was_tried: bool
+    ) -> RelayHead:
+        return RelayHead(
+            request.relay_id,
+            failure=failure,
+            was_sent=False,
+            was_tried=was_tried,
+            is_cut=self._path_watch.check(),
+        )
+
+    async def _run(self, relay: _Relay, reply: Reply) -> None:
+        request, started_at = relay.request, self._now()
+        outcome, reason = "answered", None
+        try:
+            async with asyncio.timeout(request.left_s):
+                await self._exchange(relay, reply)
+        except TimeoutError:
+            outcome = "timed_out"
+        except NotRun as error:
+            outcome, reason = "not_sent", str(error)
+        except (MayHaveRun, IncompleteResponse) as error:
+            outcome, reason = "broke_off", str(error)
+        except asyncio.CancelledError:
+            outcome = "cancelled"
+            raise
+        finally:
+            self._log(relay.sender, request, outcome, reason, self._now() - started_at)
+
+    async def _exchange(self, relay: _Relay, reply: Reply) -> None:
+        """Send the request, then the answer's pieces as they are asked for."""
+        request = relay.request
+        record = self._endpoints.record_by_id[request.endpoint_id]
+        try:
+            connection = await self._client.connect_here(
+                record, once_only=request.once_only
+            )
+        except NotRun as error:
+            reply(self._not_sent(request, str(error), was_tried=True))
+            raise
+        with self._client.closing(record, connection):
+            await self._forward(relay, connection, reply)
+
+    async def _forward(
+        self, relay: _Relay, connection: Connection, reply: Reply
+    ) -> None:
+        request = relay.request
+        message = h11.Request(
+            method=request.method, target=request.target, headers=[*request.headers]
+        )
+        try:
+            head = await self._client.send_relayed(
+                connection,
+                message,
+                request.body,
+                request.request_id,
+                request.endpoint_id,
+            )
+        except NotRun as error:
+            reply(self._not_sent(request, str(error), was_tried=True))
+            raise
+        except MayHaveRun as error:
+            reply(RelayHead(request.relay_id, failure=str(error)))
+            raise
+        reply(RelayHead(request.relay_id, head.status, tuple(head.headers)))
+        await self._forward_body(relay, connection)
+
+    async def _forward_body(self, relay: _Relay, connection: Connection) -> None:
+        """Answer each request for a piece with the next one, until the last."""
+        relay_id = relay.request.relay_id
+        while True:
+            reply = await self._next_wanted(relay)
+            try:
+                data = await connection.data()
+            except IncompleteResponse as error:
+                reply(RelayData(relay_id, ended=True, failure=str(error)))
+                raise
+            for start in range(0, len(data or b""), MAX_PIECE_BYTES):
+                assert data is not None
+                if start:
+                    reply = await self._next_wanted(relay)
+                reply(RelayData(relay_id, data[start : start + MAX_PIECE_BYTES]))
+            if data is None:
+                reply(RelayData(relay_id, ended=True))
+                return
+            if not data:
+                relay.wanted.put_nowait(reply)
+
+    async def _next_wanted(self, relay: _Relay) -> Reply:
+        """Return the next request for a piece while the VM that sends them is live."""
+        while True:
+            try:
+                async with asyncio.timeout(SENDER_CHECK_S):
+                    return await relay.wanted.get()
+            except TimeoutError:
+                if not self._is_live(relay.sender):
+                    raise IncompleteResponse("its VM is gone") from None
+
+    def _log(
+        self,
+        sender: str,
+        request: RelayRequest,
+        outcome: str,
+        reason: str | None,
+        seconds: float,
+    ) -> None:
+        self._on_relayed(outcome)
+        self._journal.write(
+            "relayed",
+            id=request.request_id,
+            sender=sender,
+            endpoint=request.endpoint_id,
+            outcome=outcome,
+            reason=reason,
+            s=round(seconds, 4),
+        )
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -42,6 +42,14 @@
 }
 
 
+@dataclass(frozen=True)
+class OpenConnection:
+    """A connection of this VM."""
+
+    endpoint_id: str
+    via: str | None = None
+
+
 @dataclass
 class FullPool:
     """Endpoints with few slots that reject calls beyond them at once."""
@@ -65,28 +73,31 @@
         """Check that no endpoint is passed over."""
         assert not endpoint_ids
 
-    async def connect(self, record: EndpointRecord, *, once_only: bool) -> str:
+    async def connect(
+        self, record: EndpointRecord, request_id: str, **fields: Any
+    ) -> "OpenConnection":
         """Return a connection."""
-        return record.endpoint_id
+        return OpenConnection(record.endpoint_id)
 
     @contextmanager
-    def closing(self, record: EndpointRecord, connection: str) -> Iterator[None]:
+    def closing(self, record: EndpointRecord, connection: Any) -> Iterator[None]:
         """Do nothing."""
         yield
 
     def encode_call(self, *arguments: Any, **fields: Any) -> None:
         """Return nothing, as nothing is sent."""
 
-    async def send(self, connection: str, *arguments: Any) -> "FullPool":
+    async def send(self, connection: "OpenConnection", *arguments: Any) -> "FullPool":
         """Run a call, or reject it."""
         self.arrivals += 1
-        if self.running[connection] >= SLOTS:
+        endpoint_id = connection.endpoint_id
+        if self.running[endpoint_id] >= SLOTS:
             raise NotRun("full", reached=True)
-        self.running[connection] += 1
+        self.running[endpoint_id] += 1
         try:
             await asyncio.sleep(WORK_S)
         finally:
-            self.running[connection] -= 1
+            self.running[endpoint_id] -= 1
         return self
 
     @property
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,155 @@
+"""Requests that entry VMs send to endpoints for one another."""
+
+import asyncio
+import random
+import time
+
+from bamboovale.decisions.relay_choice import PASSED_OVER_S, Helper, RelayChoice
+from tests.gateway_site import RunningVM, Site, call, eventually, run, running_site
+from tests.path_cuts import REFUSE, cut_from_endpoints
+
+LONG_EVENT_S = 0.5
+
+
+async def put_out_of_reach(vm: RunningVM) -> None:
+    """Have a VM that is cut off find it out, by requests that need not succeed."""
+    await eventually(lambda: _is_cut_after_failures(vm))
+
+
+def _is_cut_after_failures(vm: RunningVM) -> bool:
+    watch = vm.vm.state.path_watch
+    for endpoint_id in vm.vm.state.endpoints.record_by_id:
+        watch.on_failed(endpoint_id, "cut")
+    return watch.check()
+
+
+def relayed(site: Site) -> list[dict]:
+    """Return the lines of requests that VMs sent for others."""
+    return [line for item in site.vms for line in item.journal.of("relayed")]
+
+
+class TestRelayedRequest:
+    """A VM that is cut off from all endpoints has another VM send its requests."""
+
+    def test_both_vms_log_the_request(self) -> None:
+        async def test() -> None:
+            async with running_site(vms=2, services=2) as site:
+                cut, other = site.vms
+                with cut_from_endpoints(site, [cut], REFUSE):
+                    await put_out_of_reach(cut)
+                    answer = await call(cut.address, "/book/1", attempt="one")
+                assert answer.status == 200
+                [line] = [x for x in cut.journal.of("request") if x["id"] == "one"]
+                assert line["attempts"][-1]["via"] == other.node.name
+                [line] = other.journal.of("relayed")
+                assert (line["id"], line["sender"]) == ("one", cut.node.name)
+                assert line["outcome"] == "answered"
+
+        run(test())
+
+    def test_a_caller_that_leaves_ends_the_run(self) -> None:
+        """Guards against engines that work for nobody."""
+
+        async def test() -> None:
+            async with running_site(vms=2, runners=2) as site:
+                await call(site.vms[0].address, "/chat/1", adapter="a1")
+                for runner in site.runners:
+                    runner.faults.event_s = LONG_EVENT_S
+                cut = site.vms[0]
+                with cut_from_endpoints(site, [cut], REFUSE):
+                    await put_out_of_reach(cut)
+                    caller = asyncio.create_task(
+                        call(cut.address, "/chat/1", adapter="a1", attempt="left")
+                    )
+                    await eventually(lambda: _runs(site, "left"))
+                    caller.cancel()
+                    await eventually(
+                        lambda: _runs(site, "left")[0].ended == "cancelled", 2.0
+                    )
+
+        run(test())
+
+    def test_what_may_have_run_is_not_refused_when_the_other_vm_dies(self) -> None:
+        """Guards against a call that runs twice, as its caller was told it did not."""
+
+        async def test() -> None:
+            async with running_site(vms=2, services=2) as site:
+                for service in site.services:
+                    service.faults.event_s = 2.0
+                cut, other = site.vms
+                with cut_from_endpoints(site, [cut], REFUSE):
+                    await put_out_of_reach(cut)
+                    answer = asyncio.create_task(
+                        call(cut.address, "/book/1", attempt="lost")
+                    )
+                    await eventually(lambda: _runs(site, "lost"))
+                    other.task.cancel()
+                    await other.vm.close()
+                    assert (await answer).status in (502, 504)
+
+        run(test())
+
+    def test_without_a_vm_in_touch_it_is_refused_at_once_and_never_runs(self) -> None:
+        """Guards against VMs that pass a request on to one another until it is late."""
+
+        async def test() -> None:
+            async with running_site(vms=3, services=2) as site:
+                with cut_from_endpoints(site, site.vms, REFUSE):
+                    for item in site.vms:
+                        await put_out_of_reach(item)
+                    started_at = time.monotonic()
+                    answer = await call(site.vms[0].address, "/book/1", attempt="no")
+                    assert time.monotonic() - started_at < 0.3
+                assert answer.status == 503
+                assert not _runs(site, "no")
+                assert len(relayed(site)) <= 4
+
+        run(test())
+
+    def test_a_vm_whose_paths_are_back_sends_by_itself_soon(self) -> None:
+        async def test() -> None:
+            async with running_site(vms=2, services=2) as site:
+                cut, _ = site.vms
+                with cut_from_endpoints(site, [cut], REFUSE):
+                    await put_out_of_reach(cut)
+                    await call(cut.address, "/book/1")
+                for _ in range(15):
+                    await call(cut.address, "/book/1")
+                    await asyncio.sleep(0.1)
+                before = len(relayed(site))
+                answers = [await call(cut.address, "/book/1") for _ in range(5)]
+                assert {answer.status for answer in answers} == {200}
+                assert len(relayed(site)) == before
+
+        run(test())
+
+
+def _runs(site: Site, request_id: str) -> list:
+    endpoints = [*site.runners, *site.services]
+    runs = [run for endpoint in endpoints for run in endpoint.runs]
+    return [run for run in runs if run.request_id == request_id]
+
+
+class TestRelayChoice:
+    """Which VM is asked."""
+
+    def test_near_ones_come_first_until_they_could_not_help(self) -> None:
+        choice = RelayChoice(random.Random(1))
+        helpers = [Helper("near", True), Helper("far-1", False), Helper("far-2", False)]
+        assert choice.choose(helpers, "e", 0.0) == "near"
+        choice.on_refused("near", None, 0.0)
+        assert choice.choose(helpers, "e", 0.1) in ("far-1", "far-2")
+        assert choice.choose(helpers, "e", PASSED_OVER_S) == "near"
+
+    def test_a_refusal_for_one_endpoint_is_none_for_others(self) -> None:
+        choice = RelayChoice(random.Random(1))
+        choice.on_refused("near", "e", 0.0)
+        assert choice.choose([Helper("near", True)], "e", 0.1) is None
+        assert choice.choose([Helper("near", True)], "f", 0.1) == "near"
+
+    def test_a_lost_domain_is_spread_over_the_others(self) -> None:
+        """Guards against one VM that gets the requests of all that are cut off."""
+        choice = RelayChoice(random.Random(1))
+        helpers = [Helper(f"vm-{number}", False) for number in range(10)]
+        chosen = [choice.choose(helpers, "e", 0.0) for _ in range(100)]
+        assert max(chosen.count(item.vm_id) for item in helpers) <= 15
