--- a/bamboovale/decisions/endpoint_paths.py
+++ b/bamboovale/decisions/endpoint_paths.py
@@ -101,6 +101,10 @@
         is_long = max(failed_at) - self._reached_at >= CUT_AFTER_S
         return is_long and now - max(failed_at) < EVIDENCE_S
 
+    def is_reaching_none(self, now: float) -> bool:
+        """Return whether some connection failed and nothing was reached for a while."""
+        return bool(self._path_by_id) and now - self._reached_at >= CUT_AFTER_S
+
     def take_trial(self, endpoint_id: str, now: float) -> bool:
         """Return whether to try an endpoint's path now, and count the trial."""
         path = self._path_by_id.get(endpoint_id)
--- a/bamboovale/fleet/messages.py
+++ b/bamboovale/fleet/messages.py
@@ -15,6 +15,7 @@
     are the engines it owns, each with the fencing number of its orders. ``cores`` is
     its share of processor time, ``busy`` whether this is used up. ``partitions`` are
     those it holds in the store, each with the generation of the owners' group.
+    ``cut`` is whether it reaches no endpoint.
     """
 
     vm_id: str
@@ -31,6 +32,7 @@
     cores: float = 1.0
     busy: bool = False
     partitions: tuple[tuple[int, int], ...] = ()
+    cut: bool = False
 
     def replaces(self, other: "Member") -> bool:
         """Return whether this record of the same VM is newer."""
--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -163,8 +163,11 @@
 
     def _try_path(self, record: EndpointRecord) -> None:
         """Try to connect, without a request that would wait for it."""
-        if not self._paths.take_trial(record.endpoint_id, self._now()):
-            return
+        if self._paths.take_trial(record.endpoint_id, self._now()):
+            self.probe(record)
+
+    def probe(self, record: EndpointRecord) -> None:
+        """Open a connection to an endpoint, and keep it for the next request."""
         task = asyncio.get_running_loop().create_task(self._open_spare(record))
         self._trials.add(task)
         task.add_done_callback(self._trials.discard)
--- a/bamboovale/gateway/engine_client.py
+++ b/bamboovale/gateway/engine_client.py
@@ -67,7 +67,11 @@
 
 
 class EngineClient:
-    """Calls engines over a connection pool that carries no callers' requests."""
+    """Calls engines over a connection pool that carries no callers' requests.
+
+    ``on_hanging`` is called with an engine that answered nothing on an open connection,
+    and how that ended.
+    """
 
     def __init__(
         self,
@@ -76,12 +80,14 @@
         holder: str,
         on_answer: Callable[[AnswerNotice], None],
         on_call: Callable[[str, str], None] = lambda name, outcome: None,
+        on_hanging: Callable[[str, str], None] = lambda endpoint_id, reason: None,
     ) -> None:
         self._pool = pool
         self._codec = codec
         self._holder = holder
         self._on_answer = on_answer
         self._on_call = on_call
+        self._on_hanging = on_hanging
         self._order_timeout = OrderTimeout()
 
     async def report(self, record: EndpointRecord) -> EngineReport:
@@ -152,6 +158,7 @@
         except (TimeoutError, ConnectFailed, IncompleteResponse, OSError) as error:
             if connection is not None:
                 connection.close()
+                self._on_hanging(record.endpoint_id, type(error).__name__)
             raise EngineCallFailed(
                 f"{type(error).__name__}: {error}",
                 unreachable=isinstance(error, ConnectFailed),
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -113,6 +113,7 @@
         return [
             Helper(member.vm_id, member.failure_domain == near)
             for member in self.serving()
+            if not member.cut
         ]
 
     def serving_ids(self) -> list[str]:
--- a/bamboovale/gateway/isolation.py
+++ b/bamboovale/gateway/isolation.py
@@ -10,6 +10,7 @@
 
 CHECK_INTERVAL_S = 0.5
 """Interval of checks whether most peers are silent."""
+REASON = "isolated"
 ISOLATION_DELAY_S = 1.5
 """How long most peers must be silent, beside two gossip intervals: VMs that start
 together have received gossip from one another by then."""
@@ -89,4 +90,4 @@
             silent=sorted(silent),
         )
         self._announce()
-        await self._ownership.set_suspended(isolated)
+        await self._ownership.set_suspended(isolated, REASON)
--- a/bamboovale/gateway/ownership.py
+++ b/bamboovale/gateway/ownership.py
@@ -82,7 +82,11 @@
         self._store_unreachable_since: float | None = None
         self._joined = False
         self._leaving = False
-        self._suspended = False
+        self._suspended_for: set[str] = set()
+
+    @property
+    def _suspended(self) -> bool:
+        return bool(self._suspended_for)
 
     def holds(self, engine_id: str) -> bool:
         """Return whether this VM owns an engine, even if the lease has expired."""
@@ -196,16 +200,20 @@
         except StoreError as error:
             self._journal.write("ownership_leave_failed", error=str(error))
 
-    async def set_suspended(self, suspended: bool) -> None:
-        """Release all engines while this VM is isolated; rejoin the group afterwards.
+    async def set_suspended(self, suspended: bool, reason: str) -> None:
+        """Release all engines while a reason holds; rejoin the group after the last.
 
-        Guards against an owner that is cut off from its peers but not from the store
-        and keeps engines that no peer can use.
+        Guards against an owner that is cut off from its peers or from all endpoints,
+        but not from the store, and keeps engines that nobody can use.
         """
-        if suspended == self._suspended:
+        before = self._suspended
+        if suspended:
+            self._suspended_for.add(reason)
+        else:
+            self._suspended_for.discard(reason)
+        if self._suspended == before:
             return
-        self._suspended = suspended
-        self._journal.write("ownership_step_back", back=suspended)
+        self._journal.write("ownership_step_back", back=suspended, reason=reason)
         if suspended:
             self._held_since.clear()
             self._on_change()
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -131,6 +131,7 @@
             owned=self._owned_to_announce(),
             partitions=self._partitions_to_announce(),
             busy=self._lag_monitor.is_busy,
+            cut=self._state.path_watch.check(),
         )
         if is_new:
             self._wake_event.set()
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -10,6 +10,7 @@
 from bamboovale.decisions.relay_choice import RelayChoice
 from bamboovale.gateway.access import AccessControl
 from bamboovale.gateway.crashes import CrashGuard
+from bamboovale.gateway.cut_watch import CutWatch
 from bamboovale.gateway.drain import drain
 from bamboovale.gateway.endpoint_client import EndpointClient
 from bamboovale.gateway.endpoints import EndpointChange
@@ -159,6 +160,7 @@
                 node.name,
                 self.state.signals.on_answer,
                 lambda name, outcome: calls.labels(name, outcome).inc(),
+                self.state.path_watch.on_failed,
             ),
             journal=self.state.journal,
             now=self.state.now,
@@ -236,6 +238,9 @@
             self._stall_records,
             on_contact=self.peering.wake,
         )
+        self._cut_watch = CutWatch(
+            self.state, self._endpoint_client, self._ownership, self.peering.announce
+        )
         self._isolation = Isolation(
             self.state,
             self.peering.gossip,
@@ -286,6 +291,7 @@
     def _build_request_handler(self) -> RequestHandler:
         self.state.retries.on_retry = self._metrics.count_retry
         client, gate = self._build_endpoint_client()
+        self._endpoint_client = client
         return RequestHandler(
             codec=self._translation,
             plain_calls=PlainCalls(
@@ -379,6 +385,7 @@
             self.peering.status_exchange.publish_loads_forever(),
             self.peering.status_exchange.subscribe_forever(),
             self._isolation.watch(),
+            self._cut_watch.watch(),
             self._view_watch.watch(self.records.operator),
             self._quotas.exchange_forever(),
             self._assignment.write_stall_records_forever(),
--- a/tests/test_gateway_cut_paths.py
+++ b/tests/test_gateway_cut_paths.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bamboovale.gateway.engine_owner import IDLE_POLL_INTERVAL_S
 from tests.gateway_site import CallerAnswer, RunningVM, call, run, running_site
 from tests.path_cuts import HANG, LIVE_ON, REFUSE, cut_from_endpoints
 from tests.signal_load import served
@@ -68,7 +69,8 @@
 class TestEnginesOfACutOwner:
     """The owner of engines loses its paths to all endpoints."""
 
-    def test_another_vm_takes_its_engines_over(self) -> None:
+    @pytest.mark.parametrize("idle_s", [0.0, STABLE_S + IDLE_POLL_INTERVAL_S])
+    def test_another_vm_takes_its_engines_over(self, idle_s: float) -> None:
         """Guards against engines that load nothing while their owner is cut off."""
 
         async def test() -> None:
@@ -76,7 +78,9 @@
                 cut = site.owned()[site.runners[0].endpoint_id]
                 others = [item for item in site.vms if item is not cut]
                 with cut_from_endpoints(site, [cut], HANG):
-                    await asyncio.sleep(STABLE_S)
+                    await asyncio.sleep(idle_s)
+                    if not idle_s:
+                        await load(others[0], STABLE_S)
                     answers = [
                         await call(item.address, "/chat/1", adapter=f"a{number}")
                         for number, item in enumerate(others * 4, start=1)
