Take a relayed answer for no path of our own (RECOVER)

Cause: an answer that came by way of another VM counted as a sign that this one reaches its endpoints, so that a VM that is cut off thought itself in touch with each relayed answer, and named itself to callers. Change: an answer's notice says which VM sent the request; only those sent here are evidence.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -267,6 +267,7 @@
                     facts.signals,
                     sent_at,
                     tells_all=is_own and facts.signed and not facts.not_run,
+                    via=connection.via,
                 )
             )
             if is_own:
--- a/bamboovale/gateway/endpoint_signals.py
+++ b/bamboovale/gateway/endpoint_signals.py
@@ -36,7 +36,8 @@
 
     def on_answer(self, notice: AnswerNotice) -> None:
         """Apply an answer's signals, unless its endpoint is gone."""
-        self._paths.on_answer(self._now())
+        if notice.via is None:
+            self._paths.on_answer(self._now())
         endpoint_id, signals = notice.endpoint_id, notice.signals
         if endpoint_id not in self._endpoints.record_by_id:
             return
--- a/bamboovale/gateway/model.py
+++ b/bamboovale/gateway/model.py
@@ -275,13 +275,15 @@
     """What an endpoint said in an answer; ``sent_at`` is when its request was sent.
 
     ``tells_all`` is whether a signal that the answer lacks has ended: an endpoint says
-    so only where it runs a caller's request.
+    so only where it runs a caller's request. ``via`` is the VM that sent the request,
+    None if this one did.
     """
 
     endpoint_id: str
     signals: EndpointSignals
     sent_at: float
     tells_all: bool = False
+    via: str | None = None
 
 
 @dataclass(frozen=True)
