--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -125,7 +125,10 @@
         if self._advertised_at_version == self.version:
             return self._advertised
         own = self.membership.own
-        members = [*self.serving(), *([own] if own.serving else [])]
+        serving = [*self.serving(), *([own] if own.serving else [])]
+        # Callers of a VM that is cut off are served by way of others; if all are, as
+        # well at one as at another.
+        members = [member for member in serving if not member.cut] or serving
         by_domain: dict[str, list[Member]] = {}
         for member in members:
             by_domain.setdefault(member.failure_domain, []).append(member)
--- a/tests/test_gateway_cut_paths.py
+++ b/tests/test_gateway_cut_paths.py
@@ -5,7 +5,14 @@
 import pytest
 
 from bamboovale.gateway.engine_owner import IDLE_POLL_INTERVAL_S
-from tests.gateway_site import CallerAnswer, RunningVM, call, run, running_site
+from tests.gateway_site import (
+    CallerAnswer,
+    RunningVM,
+    call,
+    eventually,
+    run,
+    running_site,
+)
 from tests.path_cuts import HANG, LIVE_ON, REFUSE, cut_from_endpoints
 from tests.signal_load import served
 
@@ -66,6 +73,39 @@
         run(test())
 
 
+class TestDirectory:
+    """Which VMs callers are led to while some are cut off."""
+
+    def test_callers_are_led_to_vms_in_touch_until_paths_are_back(self) -> None:
+        async def test() -> None:
+            async with running_site(vms=3, services=2) as site:
+                cut, *others = site.vms
+                with cut_from_endpoints(site, [cut], HANG):
+                    await load(cut, STABLE_S)
+                    named = [
+                        set(item.vm.state.fleet.advertised_ids()) for item in site.vms
+                    ]
+                    assert named == [{item.node.name for item in others}] * 3
+                everybody = {item.node.name for item in site.vms}
+                await eventually(
+                    lambda: set(others[0].vm.state.fleet.advertised_ids()) == everybody,
+                    3.0,
+                )
+
+        run(test())
+
+    def test_all_are_named_where_all_are_cut_off(self) -> None:
+        """Guards against a directory that names nobody."""
+
+        async def test() -> None:
+            async with running_site(vms=2, services=2) as site:
+                with cut_from_endpoints(site, site.vms, HANG):
+                    await asyncio.gather(*(load(item, 2.0) for item in site.vms))
+                    assert len(site.vms[0].vm.state.fleet.advertised_ids()) == 2
+
+        run(test())
+
+
 class TestEnginesOfACutOwner:
     """The owner of engines loses its paths to all endpoints."""
 
