Use a path that is back by one request at a time until the first answer (RECOVER)

Cause: a connection that is made showed a path as sound, though it may break before any answer. Change: after a loss, requests go out on a new connection once a second until one is answered; a connection of this VM that breaks before its first answer counts as failed, and an answer on one from before the loss shows nothing of new ones. Connections of trials are kept. Measured: tests of paths, cuts, relays, HTTP and the gateway pass.

--- a/bamboovale/decisions/endpoint_paths.py
+++ b/bamboovale/decisions/endpoint_paths.py
@@ -5,8 +5,9 @@
 then in doubt, and no request opens another connection. A second one in a row, or the
 loss of all endpoints at once, shows that it is out of reach.
 
-An endpoint out of reach is tried again by connections that carry no request. What is
-believed ends with its evidence.
+An endpoint out of reach is tried again by connections that carry no request. Once one
+is made, requests go there one at a time until the first is answered. What is believed
+ends with its evidence.
 """
 
 from collections.abc import Collection
@@ -24,18 +25,26 @@
 TRIAL_PAUSE_S = 1.0
 MAX_TRIAL_PAUSE_S = 4.0
 """Pause between trials of one endpoint, doubled where a path fails again at once."""
+USE_PAUSE_S = 1.0
+"""Pause between requests on a path that no answer has confirmed."""
 RELAPSE_S = 5.0
 """A path that fails so soon after it was restored fails again at once."""
 
 
 @dataclass
 class _Path:
-    """One endpoint whose last connection failed."""
+    """One endpoint whose last connection failed.
+
+    ``is_connected`` is whether one was made since, ``used_at`` when a request was last
+    sent on it.
+    """
 
     failures: int
     failed_at: float
     pause_s: float
     trial_at: float
+    is_connected: bool = False
+    used_at: float | None = None
 
 
 class EndpointPaths:
@@ -46,18 +55,25 @@
         self._restored: dict[str, tuple[float, float]] = {}
         self._reached_at = started_at
 
-    def on_connected(self, endpoint_id: str, now: float) -> bool:
-        """Apply a new connection; return whether the endpoint was out of reach."""
+    def on_connected(self, endpoint_id: str) -> None:
+        """Apply a new connection."""
+        path = self._path_by_id.get(endpoint_id)
+        if path is not None:
+            path.is_connected = True
+
+    def on_answer(self, endpoint_id: str, now: float) -> bool:
+        """Apply an answer on a connection of this VM; return whether it ends a doubt.
+
+        One on a connection that was open before the endpoint was lost shows nothing of
+        new ones.
+        """
         self._reached_at = now
-        path = self._path_by_id.pop(endpoint_id, None)
-        if path is None:
+        path = self._path_by_id.get(endpoint_id)
+        if path is None or not path.is_connected:
             return False
+        del self._path_by_id[endpoint_id]
         self._restored[endpoint_id] = (now, path.pause_s)
-        return path.failures >= FAILURES_NEEDED
-
-    def on_answer(self, now: float) -> None:
-        """Apply an answer of some endpoint on a connection of this VM."""
-        self._reached_at = now
+        return True
 
     def on_failed(self, endpoint_id: str, now: float) -> bool:
         """Apply a connection that failed; return whether it is the first."""
@@ -65,6 +81,7 @@
         if path is not None:
             path.failures += 1
             path.failed_at = now
+            path.is_connected, path.used_at = False, None
             return False
         pause_s = TRIAL_PAUSE_S
         restored_at, last_pause_s = self._restored.pop(endpoint_id, (None, 0.0))
@@ -80,21 +97,38 @@
         self._restored.pop(endpoint_id, None)
 
     def is_in_doubt(self, endpoint_id: str) -> bool:
-        """Return whether the last connection to an endpoint failed."""
+        """Return whether a connection failed, and no request was answered since."""
         return endpoint_id in self._path_by_id
 
     def is_out_of_reach(self, endpoint_id: str, now: float) -> bool:
         """Return whether requests cannot be sent to an endpoint from here."""
         path = self._path_by_id.get(endpoint_id)
-        is_lost = path is not None and path.failures >= FAILURES_NEEDED
-        return is_lost or self.is_cut(now)
+        if path is None:
+            return self.is_cut(now)
+        is_lost = path.failures >= FAILURES_NEEDED or self.is_cut(now)
+        return is_lost and not path.is_connected
+
+    def is_restored(self, endpoint_id: str) -> bool:
+        """Return whether a connection was made after a loss, without an answer yet."""
+        path = self._path_by_id.get(endpoint_id)
+        return path is not None and path.is_connected
+
+    def take_restored(self, endpoint_id: str, now: float) -> bool:
+        """Return whether to send a request on the first connection after a loss."""
+        path = self._path_by_id.get(endpoint_id)
+        if path is None or not path.is_connected:
+            return False
+        if path.used_at is not None and now - path.used_at < USE_PAUSE_S:
+            return False
+        path.used_at = now
+        return True
 
     def is_cut(self, now: float) -> bool:
         """Return whether this VM reaches no endpoint, while it has tried several."""
         failed_at = [
             path.failed_at
             for path in self._path_by_id.values()
-            if path.failed_at > self._reached_at
+            if path.failed_at > self._reached_at and not path.is_connected
         ]
         if len(failed_at) < CUT_NEEDED:
             return False
@@ -108,9 +142,7 @@
     def take_trial(self, endpoint_id: str, now: float) -> bool:
         """Return whether to try an endpoint's path now, and count the trial."""
         path = self._path_by_id.get(endpoint_id)
-        if path is None:
-            return False
-        if now < path.trial_at:
+        if path is None or path.is_connected or now < path.trial_at:
             return False
         path.trial_at = now + path.pause_s
         return True
--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -8,9 +8,9 @@
 
 import h11
 
-from bamboovale.decisions.endpoint_paths import EndpointPaths
 from bamboovale.gateway.call import CallCodec
 from bamboovale.gateway.model import AnswerFacts, AnswerNotice, EndpointRecord
+from bamboovale.gateway.path_watch import PathWatch
 from bamboovale.http1.connection import (
     ConnectFailed,
     Connection,
@@ -57,6 +57,7 @@
 
     closed: bool
     reusable: bool
+    has_answered: bool
 
     @property
     def via(self) -> str | None:
@@ -112,14 +113,15 @@
         codec: CallCodec,
         now: Callable[[], float],
         on_answer: Callable[[AnswerNotice], None],
-        paths: EndpointPaths,
+        path_watch: PathWatch,
         relays: Relays,
     ) -> None:
         self._pool = pool
         self._codec = codec
         self._now = now
         self._on_answer = on_answer
-        self._paths = paths
+        self._path_watch = path_watch
+        self._paths = path_watch.paths
         self._relays = relays
         self._trials: set[asyncio.Task[None]] = set()
 
@@ -136,13 +138,18 @@
         Guards against callers that wait here for an endpoint that others reach.
         """
         endpoint_id = record.endpoint_id
-        if not self._paths.is_out_of_reach(endpoint_id, self._now()):
+        now = self._now()
+        if not self._paths.is_in_doubt(endpoint_id) and not self._paths.is_cut(now):
+            with contextlib.suppress(NotRun):
+                return await self.connect_here(record, once_only=once_only)
+        elif self._paths.is_restored(endpoint_id):
+            if self._paths.take_restored(endpoint_id, now):
+                with contextlib.suppress(NotRun):
+                    return await self.connect_here(record, once_only=once_only)
+        elif not self._paths.is_out_of_reach(endpoint_id, now):
             kept = self._pool.take_kept(endpoint_id, fresh_only=once_only)
             if kept is not None:
                 return kept
-            if not self._paths.is_in_doubt(endpoint_id):
-                with contextlib.suppress(NotRun):
-                    return await self.connect_here(record, once_only=once_only)
         self._try_path(record)
         return self._relays.open(
             endpoint_id, request_id, once_only=once_only, left_s=left_s
@@ -180,8 +187,7 @@
             if self._paths.is_out_of_reach(endpoint_id, self._now()):
                 self._pool.forget(endpoint_id)
             return
-        connection.reusable = True
-        self._pool.give_back(endpoint_id, connection)
+        self._pool.keep(endpoint_id, connection)
 
     async def send_relayed(
         self,
@@ -201,6 +207,7 @@
         try:
             head, _ = await self._own_head(connection, request_id, endpoint_id)
         except IncompleteResponse as error:
+            self._on_no_answer(connection, endpoint_id, str(error))
             raise MayHaveRun(f"no answer: {error}") from error
         return head
 
@@ -224,6 +231,7 @@
         except NotSent as error:
             raise NotRun(f"not sent: {error}", reached=False) from error
         except IncompleteResponse as error:
+            self._on_no_answer(connection, endpoint_id, str(error))
             raise MayHaveRun(f"no answer: {error}") from error
         attempt = EndpointAnswer(connection, facts)
         if facts.not_run:
@@ -238,6 +246,13 @@
             raise MayHaveRun(f"answer {facts.status} has no signature")
         return attempt
 
+    def _on_no_answer(
+        self, connection: Exchange, endpoint_id: str, reason: str
+    ) -> None:
+        """Count a connection of this VM that broke before its first answer."""
+        if connection.via is None and not connection.has_answered:
+            self._path_watch.on_failed(endpoint_id, reason)
+
     @contextlib.contextmanager
     def closing(self, record: EndpointRecord, connection: Exchange) -> Iterator[None]:
         """Return the connection to the pool after a whole answer, else close it.
--- a/bamboovale/gateway/endpoint_signals.py
+++ b/bamboovale/gateway/endpoint_signals.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable
 
-from bamboovale.decisions.endpoint_paths import EndpointPaths
 from bamboovale.decisions.endpoint_rests import EndpointRests
 from bamboovale.fleet.messages import LeavingEndpoint
 from bamboovale.gateway.endpoint_limits import EndpointLimits
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.model import AnswerNotice
+from bamboovale.gateway.path_watch import PathWatch
 
 
 class SignalReader:
@@ -23,21 +23,21 @@
         endpoints: EndpointView,
         limits: EndpointLimits,
         rests: EndpointRests,
-        paths: EndpointPaths,
+        path_watch: PathWatch,
         now: Callable[[], float],
     ) -> None:
         self._journal = journal
         self._endpoints = endpoints
         self._limits = limits
         self._rests = rests
-        self._paths = paths
+        self._path_watch = path_watch
         self._now = now
         self.tell_leaving: Callable[[LeavingEndpoint], None] = lambda news: None
 
     def on_answer(self, notice: AnswerNotice) -> None:
         """Apply an answer's signals, unless its endpoint is gone."""
         if notice.via is None:
-            self._paths.on_answer(self._now())
+            self._path_watch.on_answer(notice.endpoint_id)
         endpoint_id, signals = notice.endpoint_id, notice.signals
         if endpoint_id not in self._endpoints.record_by_id:
             return
--- a/bamboovale/gateway/path_watch.py
+++ b/bamboovale/gateway/path_watch.py
@@ -21,10 +21,15 @@
 
     def on_connected(self, endpoint_id: str) -> None:
         """Apply a new connection to an endpoint."""
-        if self.paths.on_connected(endpoint_id, self._now()):
-            self._journal.write("endpoint_reached", endpoint=endpoint_id)
+        self.paths.on_connected(endpoint_id)
         self.check()
 
+    def on_answer(self, endpoint_id: str) -> None:
+        """Apply an answer of an endpoint on a connection of this VM."""
+        if self.paths.on_answer(endpoint_id, self._now()):
+            self._journal.write("endpoint_reached", endpoint=endpoint_id)
+            self.check()
+
     def on_failed(self, endpoint_id: str, reason: str) -> None:
         """Apply a connection to an endpoint that failed."""
         if self.paths.on_failed(endpoint_id, self._now()):
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -260,7 +260,7 @@
             self._translation,
             state.now,
             state.signals.on_answer,
-            state.path_watch.paths,
+            state.path_watch,
             relays,
         )
         passed_over = self._metrics.gateway_passed_over
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -60,7 +60,7 @@
             self.endpoints,
             self.limits,
             self.rests,
-            self.path_watch.paths,
+            self.path_watch,
             self.now,
         )
 
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -56,6 +56,7 @@
         self.keep_alive_s: float | None = None
         self.reusable = False
         self.via: str | None = None
+        self.has_answered = False
         self._reset = False
         self._ended = False
         self._busy = False
@@ -136,6 +137,7 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise IncompleteResponse("no head")
+            self.has_answered = True
             self._note_keep_alive(event)
             return ResponseHead(event.status_code, list(event.headers))
 
--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -101,6 +101,12 @@
         connection.idle_since = self._now()
         pool.idle.appendleft(connection)
 
+    def keep(self, endpoint_id: str, connection: Connection) -> None:
+        """Keep a connection that was opened for a later request."""
+        connection.reusable = True
+        self._pool_by_id.setdefault(endpoint_id, EndpointPool())
+        self.give_back(endpoint_id, connection)
+
     def forget(self, endpoint_id: str) -> None:
         """Close the idle connections of a removed endpoint."""
         pool = self._pool_by_id.pop(endpoint_id, None)
--- a/bamboovale/relay/client.py
+++ b/bamboovale/relay/client.py
@@ -52,6 +52,7 @@
     """
 
     reusable = False
+    has_answered = False
 
     def __init__(
         self,
