--- a/bench/soak.py
+++ b/bench/soak.py
@@ -21,9 +21,10 @@
 
 from bamboovale.http1.connection import ConnectFailed
 from bench.soak_callers import Attempt, Caller, Kind
-from bench.soak_checks import Evidence, FaultSpan, Violation, find_violations
+from bench.soak_checks import Evidence, Violation, find_violations
 from bench.soak_faults import FaultLane, LaneKind
 from bench.soak_site import SoakSite, running_site
+from bench.soak_spans import FaultSpan
 
 LANES = 2
 CHECK_S = 1.0
@@ -40,7 +41,8 @@
     ``starts_again``: engines also crash and restart under the same id. ``silences``:
     open connections also stop passing data for good, while new ones work.
     ``revokes``: keys of customers are also taken away. ``signals``: endpoints also name
-    limits, ask for rest and say that they leave in their answers.
+    limits, ask for rest and say that they leave in their answers. ``cuts``: VMs also
+    lose their paths to all endpoints.
     """
 
     seconds: float = 60.0
@@ -53,6 +55,7 @@
     silences: bool = True
     revokes: bool = True
     signals: bool = True
+    cuts: bool = True
 
 
 @dataclass
@@ -137,6 +140,7 @@
             LaneKind.KEYS: self.config.revokes,
             LaneKind.SIGNALS: self.config.signals,
             LaneKind.SILENCES: self.config.silences,
+            LaneKind.PATHS: self.config.cuts,
         }
         return [kind for kind, is_wanted in wanted.items() if is_wanted]
 
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -11,7 +11,9 @@
 from bamboovale.standins.retry_arrivals import RetryBound, retry_violations
 from bench.soak_callers import ONCE_ONLY, STREAMS, Attempt, Kind
 from bench.soak_customers import broken_by
+from bench.soak_paths import served_without_paths
 from bench.soak_site import GRACE_S, Life
+from bench.soak_spans import FaultSpan
 
 NOT_RUN = (408, 421, 429, 503)
 EVENTS = 5
@@ -46,20 +48,6 @@
         return f"{self.promise}: {self.subject}: {self.detail}"
 
 
-@dataclass(frozen=True)
-class FaultSpan:
-    """Interval in which a fault was active; ``subject`` is a VM, store or endpoint."""
-
-    name: str
-    subject: str
-    started_at: float
-    ended_at: float
-
-    def overlaps(self, started_at: float, ended_at: float) -> bool:
-        """Tell whether the fault was active at any time in the interval."""
-        return self.started_at <= ended_at and started_at <= self.ended_at
-
-
 @dataclass
 class Evidence:
     """Input of the checks; ``leaving_at`` holds when each endpoint began to drain."""
@@ -98,6 +86,8 @@
     found += _planned_stops(evidence)
     found += _signals_heeded(evidence)
     found += _retries_bounded(evidence)
+    for vm, detail in served_without_paths(evidence.attempts, evidence.faults):
+        found.append(Violation("served without paths", vm, detail))
     return found
 
 
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -5,23 +5,26 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from contextlib import AsyncExitStack, suppress
 from enum import StrEnum
 from math import inf
 
 from bamboovale.standins.platform_endpoints import EndpointFaults, PlatformEndpoint
 from bamboovale.standins.platform_store import StoreFaults
 from bench.soak_callers import ADAPTERS
-from bench.soak_checks import PAUSED, FaultSpan
+from bench.soak_checks import PAUSED
 from bench.soak_customers import CUSTOMERS
-from bench.soak_proxy import LinkFaults, Proxy
+from bench.soak_paths import PATHS_CUT
+from bench.soak_proxy import CutKind, LinkFaults, Proxy
 from bench.soak_site import SoakSite, VMProcess
+from bench.soak_spans import FaultSpan
 
 LONGEST_FAULT_S = 4.0
 LONGEST_PAUSE_S = 1.0
 DETECTION_S = 3.0
 """Time to detect silent connections, as configured; all bounds hold afterwards."""
 FIRST_SILENCE_S = 8.0
+LONGEST_CUT_S = 8.0
 DRAIN_S = 4.0
 """Time a draining endpoint still serves: twice the time allowed for new requests, so
 that late ones are recorded."""
@@ -38,6 +41,7 @@
     KEYS = "keys"
     SIGNALS = "signals"
     SILENCES = "silences"
+    PATHS = "paths"
 
 
 class FaultLane:
@@ -86,6 +90,7 @@
             LaneKind.KEYS: [lane._key_is_replaced],
             LaneKind.SIGNALS: [lane._limit, lane._rest, lane._leave_by_answers],
             LaneKind.SILENCES: [lane._connections_fall_silent],
+            LaneKind.PATHS: [lane._paths_cut],
         }
         lane._injections = injections_by_kind[kind]
         return lane
@@ -111,7 +116,9 @@
         for endpoint in [*self._site.runners, *self._site.services]:
             endpoint.faults = EndpointFaults()
             endpoint.signals.end_all()
-            self._site.proxy_by_endpoint[endpoint.endpoint_id].faults = LinkFaults()
+            proxy = self._site.proxy_by_endpoint[endpoint.endpoint_id]
+            proxy.faults = LinkFaults()
+            proxy.heal_all()
         await self._site.wait_until_ready()
 
     async def _replace_leaving(self) -> None:
@@ -190,6 +197,29 @@
                 proxy.silence_open()
             await asyncio.sleep(DETECTION_S)
 
+    async def _paths_cut(self) -> None:
+        """Cut some VMs, also all, off from all endpoints; clients and store stay."""
+        await asyncio.sleep(FIRST_SILENCE_S * self._rng.random())
+        site = self._site
+        vms = self._rng.sample(site.vms, self._rng.randint(1, len(site.vms)))
+        how = self._rng.choice(list(CutKind))
+        duration_s = LONGEST_CUT_S * self._rng.uniform(0.3, 1.0)
+        hosts = frozenset(vm.document["ip"] for vm in vms)
+        ends_at = time.monotonic() + duration_s
+        async with AsyncExitStack() as spans:
+            for vm in vms:
+                site.excuse(vm)
+                await spans.enter_async_context(self._span(PATHS_CUT, vm.name))
+            while (left_s := ends_at - time.monotonic()) > 0.0:
+                # Endpoints that start meanwhile are cut off as well.
+                for endpoint in [*site.runners, *site.services]:
+                    site.proxy_by_endpoint[endpoint.endpoint_id].cut(hosts, how)
+                await asyncio.sleep(min(0.1, left_s))
+            for endpoint in [*site.runners, *site.services]:
+                site.proxy_by_endpoint[endpoint.endpoint_id].heal(hosts)
+            for vm in vms:
+                site.excuse(vm)
+
     async def _store_forgets(self) -> None:
         async with self._span("store forgets", "store"):
             self._site.store.compact()
--- a/bench/soak_proxy.py
+++ b/bench/soak_proxy.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Collection
 from dataclasses import dataclass
+from enum import StrEnum
 
 from bamboovale.standins.relay import RESET_ON_CLOSE
 
@@ -23,6 +25,14 @@
     refuse: bool = False
 
 
+class CutKind(StrEnum):
+    """What becomes of the open connections of a host that is cut off."""
+
+    RESET = "reset"
+    SILENT = "silent"
+    LIVE_ON = "live on"
+
+
 class Proxy:
     """Forwards connections to one target."""
 
@@ -34,6 +44,8 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._pumps: set[asyncio.Task[None]] = set()
         self._silent_writers: set[asyncio.StreamWriter] = set()
+        self._host_by_writer: dict[asyncio.StreamWriter, str] = {}
+        self._cut_hosts: set[str] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -56,6 +68,24 @@
         """Stop forwarding on the open connections for good; new ones work."""
         self._silent_writers |= self._writers
 
+    def cut(self, hosts: Collection[str], how: CutKind) -> None:
+        """Cut hosts off; open connections are treated once, as it begins."""
+        new = set(hosts) - self._cut_hosts
+        self._cut_hosts |= new
+        for writer, host in list(self._host_by_writer.items()):
+            if host in new and how is CutKind.RESET:
+                _reset(writer)
+            elif host in new and how is CutKind.SILENT:
+                self._silent_writers.add(writer)
+
+    def heal(self, hosts: Collection[str]) -> None:
+        """Let hosts connect again; connections that fell silent stay so."""
+        self._cut_hosts -= set(hosts)
+
+    def heal_all(self) -> None:
+        """Let all hosts connect again."""
+        self._cut_hosts.clear()
+
     async def _accept(
         self,
         reader: asyncio.StreamReader,
@@ -66,6 +96,9 @@
             return
         try:
             caller_host = writer.get_extra_info("peername")[0]
+            if caller_host in self._cut_hosts:
+                _reset(writer)
+                return
             far_reader, far_writer = await asyncio.open_connection(
                 *self.target, local_addr=(caller_host, 0)
             )
@@ -74,6 +107,7 @@
             return
         ends = {writer, far_writer}
         self._writers |= ends
+        self._host_by_writer.update(dict.fromkeys(ends, caller_host))
         pumps = [
             asyncio.create_task(self._pump(reader, far_writer, answers=False)),
             asyncio.create_task(self._pump(far_reader, writer, answers=True)),
@@ -87,6 +121,8 @@
         finally:
             self._writers -= ends
             self._silent_writers -= ends
+            for end in ends:
+                self._host_by_writer.pop(end, None)
             self._pumps.difference_update(pumps)
             for end in ends:
                 end.transport.abort()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,10 +18,11 @@
 from bamboovale.standins.platform_endpoints import Run
 from bench.soak import SoakConfig, describe, run_soak
 from bench.soak_callers import Attempt, Kind
-from bench.soak_checks import Evidence, FaultSpan, find_violations
+from bench.soak_checks import Evidence, find_violations
 from bench.soak_faults import FaultLane
 from bench.soak_proxy import Proxy
 from bench.soak_site import GRACE_S, Life, running_site, to_toml
+from bench.soak_spans import FaultSpan
 
 EVENTS = b"".join(f"id: {n}\ndata: a1@1\n\n".encode() for n in range(1, 6))
 STREAM = Attempt("r1", Kind.CHAT, "vm", "a1", 10.0, 10.5, 200, True, EVENTS)
@@ -89,6 +90,28 @@
         acks = {"a1": [(4.0, 2)]}
         assert promises(STREAM, version_acks=acks, faults=(down,)) == []
 
+    def test_few_requests_served_at_a_vm_without_paths(self) -> None:
+        cut = FaultSpan("paths cut", "vm", 5.0, 20.0)
+        here = [
+            replace(
+                CALL, request_id=f"h{n}", sent_at=9.0 + n / 10, status=503, body=b""
+            )
+            for n in range(30)
+        ]
+        others = [
+            replace(STREAM, request_id=f"o{n}", vm="other", sent_at=9.0 + n / 10)
+            for n in range(30)
+        ]
+        broken = promises(*here, *others, runs=(), faults=(cut,))
+        assert broken == ["served without paths"]
+        assert promises(*here[:10], *others, runs=(), faults=(cut,)) == []
+        killed = FaultSpan("killed", "vm", 6.0, 7.0)
+        assert promises(*here, *others, runs=(), faults=(cut, killed)) == []
+
+    def test_retries_beyond_the_budget(self) -> None:
+        arrivals = {"app": [Arrival("vm", at / 10, "r2") for at in range(13)]}
+        assert promises(CALL, arrivals_by_service=arrivals) == ["retry budget"]
+
     def test_more_requests_than_a_limit_allows(self) -> None:
         signals = record_with(arrivals_at=[4.0 + n / 20 for n in range(40)])
         signals.limits.append(LimitSpan(4.0, 0.0))
