Have few requests under way at endpoints that say that they are brittle

What callers would see: endpoints of a service fall over in bursts, with all that runs there. Cause: nobody read the header; each VM tried a full endpoint again after a moment. Change: decoded in the adapter as the other signals; a VM keeps to its part of the slots, halves that after a rejection and pauses, so that all VMs together cause half of what the endpoint bears; what does not fit waits here within half of its goal and is then refused. Engines' owners do not lower their grants.

--- a/bamboovale/decisions/routing.py
+++ b/bamboovale/decisions/routing.py
@@ -14,7 +14,7 @@
 
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 FAILURES_TO_EJECT = 5
@@ -64,6 +64,7 @@
     failures_in_row: int = 0
     ejections_in_row: int = 0
     limit: float = INITIAL_LIMIT
+    most: int | None = None
     started_at_by_call: dict[str, float] = field(default_factory=dict)
 
     def expected_latency(self, now: float) -> float:
@@ -86,8 +87,9 @@
         return self.rejected_share * math.exp(-age_s / REJECTION_DECAY_S)
 
     def has_room(self) -> bool:
-        """Return whether the concurrency limit allows one more call."""
-        return len(self.started_at_by_call) < self.limit
+        """Return whether the concurrency limits allow one more call."""
+        under_way = len(self.started_at_by_call)
+        return under_way < self.limit and (self.most is None or under_way < self.most)
 
 
 class ServiceRouter:
@@ -110,6 +112,16 @@
             del self._ejected[name]
         self._median_at = None
 
+    def set_most(self, most_by_id: Mapping[str, int]) -> None:
+        """Set how many calls may be under way at some endpoints, and at no others."""
+        for name, endpoint in self._endpoint_by_id.items():
+            endpoint.most = most_by_id.get(name)
+
+    def under_way(self, endpoint_id: str) -> int:
+        """Return the number of calls under way at an endpoint."""
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        return len(endpoint.started_at_by_call) if endpoint is not None else 0
+
     def choose(
         self,
         now: float,
--- a/bamboovale/gateway/endpoint_signals.py
+++ b/bamboovale/gateway/endpoint_signals.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from bamboovale.decisions.brittle_endpoints import BrittleEndpoints
 from bamboovale.decisions.endpoint_rests import EndpointRests
 from bamboovale.fleet.messages import LeavingEndpoint
 from bamboovale.gateway.endpoint_limits import EndpointLimits
@@ -23,6 +24,7 @@
         endpoints: EndpointView,
         limits: EndpointLimits,
         rests: EndpointRests,
+        brittle: BrittleEndpoints,
         path_watch: PathWatch,
         now: Callable[[], float],
     ) -> None:
@@ -30,6 +32,7 @@
         self._endpoints = endpoints
         self._limits = limits
         self._rests = rests
+        self._brittle = brittle
         self._path_watch = path_watch
         self._now = now
         self.tell_leaving: Callable[[LeavingEndpoint], None] = lambda news: None
@@ -50,6 +53,22 @@
         if signals.rest_s is not None:
             self._on_turned_away(endpoint_id, signals.rest_s)
         self._limits.on_answer(notice)
+        self._on_brittle(notice)
+
+    def _on_brittle(self, notice: AnswerNotice) -> None:
+        """Apply whether an endpoint is brittle; a malformed header ends nothing."""
+        bears_per_s = notice.signals.bears_per_s
+        may_end = notice.tells_all and not notice.signals.malformed
+        if bears_per_s is None and not may_end:
+            return
+        if self._brittle.on_answer(
+            notice.endpoint_id, bears_per_s, notice.sent_at, self._now()
+        ):
+            self._journal.write(
+                "endpoint_brittle",
+                endpoint=notice.endpoint_id,
+                bears_per_s=bears_per_s,
+            )
 
     def _on_turned_away(self, endpoint_id: str, rest_s: float) -> None:
         if self._rests.on_turned_away(endpoint_id, rest_s, self._now()):
--- a/bamboovale/gateway/model.py
+++ b/bamboovale/gateway/model.py
@@ -261,12 +261,15 @@
     ``limit_per_s`` is how many requests a second it takes from all VMs together, None
     if it names no limit. ``leaving`` is whether it will stop serving soon. ``rest_s``
     is how long it wants no requests from this VM, in seconds, None if it does not say.
+    ``bears_per_s`` is how many requests a second it may have to turn away before it
+    falls over, None if it is not brittle.
     ``malformed`` are the headers without a usable value.
     """
 
     limit_per_s: float | None = None
     leaving: bool = False
     rest_s: float | None = None
+    bears_per_s: float | None = None
     malformed: tuple[str, ...] = ()
 
 
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -27,6 +27,8 @@
 FULL_PAUSE_S = 0.05
 """Pause before the endpoints are tried anew once all have rejected a call as full:
 about the time until one of their running calls ends."""
+BRITTLE_PAUSE_S = 0.02
+"""Pause between looks for room at brittle endpoints, which is known here."""
 FULL_PATIENCE_GOALS = 0.5
 """Part of the route's goal after which such a call is refused."""
 SERVER_ERROR = 500
@@ -116,6 +118,8 @@
         record = self._choose(call, excluded)
         if record is not None:
             return record
+        if self._gate.most_by_id(self._endpoints.ready(call.service)):
+            return await self._wait_for_brittle(call, excluded)
         is_full = isinstance(failure, NotRun) and failure.is_full
         wait_s = self._wait_for_room_s(call.service, excluded, is_full=is_full)
         if not self._may_wait(call, wait_s):
@@ -125,6 +129,20 @@
             excluded.clear()
         return self._choose(call, excluded)
 
+    async def _wait_for_brittle(
+        self, call: Call, excluded: set[str]
+    ) -> EndpointRecord | None:
+        """Return an endpoint once one has room for this VM, None if not in time.
+
+        Guards against endpoints that fall over as they must turn calls away.
+        """
+        record = None
+        while record is None and self._may_wait(call, BRITTLE_PAUSE_S):
+            await asyncio.sleep(BRITTLE_PAUSE_S)
+            excluded.clear()
+            record = self._choose(call, excluded)
+        return record
+
     def _wait_for_room_s(
         self, service: str, excluded: set[str], *, is_full: bool
     ) -> float:
@@ -216,6 +234,9 @@
         error: bool,
     ) -> None:
         if rejected:
+            self._gate.on_rejected(
+                record.endpoint_id, router.under_way(record.endpoint_id)
+            )
             router.on_rejected(record.endpoint_id, call_id, self._now())
         else:
             now = self._now()
@@ -265,6 +286,7 @@
         if listed != self._endpoints_by_service.get(service):
             self._endpoints_by_service[service] = listed
             router.set_endpoints(listed)
+        router.set_most(self._gate.most_by_id(self._endpoints.ready(service)))
         blocked = self._gate.waits_s(listed).keys()
         self._gate.note_passed_over(call.notes, blocked)
         now = self._now()
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -267,6 +267,8 @@
         gate = SendGate(
             state.limits,
             state.rests,
+            state.brittle,
+            lambda: len(state.fleet.advertised_ids()),
             state.now,
             lambda reason: passed_over.labels(reason).inc(),
         )
@@ -439,6 +441,7 @@
             self.state.limits.forget(change.endpoint_id)
             self.state.path_watch.paths.forget(change.endpoint_id)
             self.state.rests.forget(change.endpoint_id)
+            self.state.brittle.forget(change.endpoint_id)
             self.peering.gossip.drop_endpoint(change.endpoint_id)
             if change.was_ready:
                 self._crashes.on_endpoint_gone(change.endpoint_id)
@@ -487,6 +490,7 @@
             "quotas": dump_quotas(self._quotas, self.state.now()),
             "limits": self.state.limits.dump(),
             "rests": dump_rests(self.state),
+            "brittle": self.state.brittle.dump(self.state.now()),
             "retries": self.state.retries.dump(),
             "paths": self.state.path_watch.paths.dump(self.state.now()),
             "store_reads": dump_reads(self.records.followers()),
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -4,6 +4,7 @@
 import time
 from typing import Any
 
+from bamboovale.decisions.brittle_endpoints import BrittleEndpoints
 from bamboovale.decisions.endpoint_rests import EndpointRests
 from bamboovale.decisions.retry_share import RetryShareConfig
 from bamboovale.decisions.view_freshness import ViewFreshness
@@ -55,11 +56,13 @@
         self.endpoints = EndpointView(journal, self.store_watch)
         self.limits = EndpointLimits(journal, self.fleet, self.now)
         self.rests = EndpointRests()
+        self.brittle = BrittleEndpoints()
         self.signals = SignalReader(
             journal,
             self.endpoints,
             self.limits,
             self.rests,
+            self.brittle,
             self.path_watch,
             self.now,
         )
--- a/bamboovale/platform/names.py
+++ b/bamboovale/platform/names.py
@@ -28,6 +28,7 @@
 RETRY_AFTER = b"retry-after"
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
+SERVER_BRITTLE = b"server-brittle"
 CHALLENGE = b"www-authenticate"
 CONTENT_LENGTH = b"content-length"
 
--- a/bamboovale/platform/signals.py
+++ b/bamboovale/platform/signals.py
@@ -22,6 +22,7 @@
     return EndpointSignals(
         limit_per_s=_number(head.headers, names.SERVER_LIMIT, malformed),
         leaving=_is_leaving(head.headers, malformed),
+        bears_per_s=_number(head.headers, names.SERVER_BRITTLE, malformed),
         rest_s=decode_retry_after(head.headers, malformed) if is_turned_away else None,
         malformed=tuple(malformed),
     )
--- a/bamboovale/standins/endpoint_signals.py
+++ b/bamboovale/standins/endpoint_signals.py
@@ -52,11 +52,15 @@
     """The signals of one endpoint, and the record of answers and arrivals.
 
     While ``rest_s`` is set the endpoint turns requests away and asks for that rest.
+    While ``bears_per_s`` is set it is brittle: it falls over if it must turn more
+    requests away in a second.
     """
 
     now: Callable[[], float] = time.monotonic
     leaving: bool = False
     rest_s: float | None = None
+    bears_per_s: float | None = None
+    rejected_at: list[float] = field(default_factory=list)
     rests: list[Rest] = field(default_factory=list)
     leaving_told_at: dict[str, float] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
@@ -81,6 +85,7 @@
         self.set_limit(None)
         self.leaving = False
         self.rest_s = None
+        self.bears_per_s = None
         self.excuse()
 
     def excuse(self, vm: str | None = None) -> None:
@@ -103,6 +108,8 @@
         if self.limits and self.limits[-1].ended_at is None:
             self._limit_told_at.setdefault(vm, self.now())
             headers.append((b"server-limit", f"{self.limits[-1].per_s:g}".encode()))
+        if self.bears_per_s is not None:
+            headers.append((b"server-brittle", f"{self.bears_per_s:g}".encode()))
         if self.leaving:
             self.leaving_told_at.setdefault(vm, self.now())
             headers.append((b"server-leaving", b"1"))
@@ -120,8 +127,26 @@
         """Record a request of a caller."""
         self.arrivals.append(Arrival(vm, self.now(), request_id))
 
+    def on_rejected(self) -> None:
+        """Record a request that was turned away for want of room."""
+        self.rejected_at.append(self.now())
+
     # Checks.
 
+    def falls(self) -> int:
+        """Return how often a brittle endpoint would have fallen over.
+
+        A fall empties the second in which too many were turned away.
+        """
+        falls = 0
+        recent: list[float] = []
+        for at in self.rejected_at:
+            recent = [other for other in recent if at - other < 1.0] + [at]
+            if self.bears_per_s is not None and len(recent) > self.bears_per_s:
+                falls += 1
+                recent = []
+        return falls
+
     def limit_violations(self, stable_s: float) -> Iterator[str]:
         """Yield each window in which VMs that were told sent too much.
 
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -42,7 +42,8 @@
     with status 500. ``hang``: never answer. ``lost_orders``: number of orders to
     execute without an answer. ``dropped_orders``: number of orders neither executed
     nor answered. ``stray``: send a second answer after the first. ``garble``: send
-    bytes that are not HTTP. ``refuse``: refuse all requests without a run.
+    bytes that are not HTTP. ``refuse``: refuse all requests without a run. ``room``:
+    number of requests beyond which others are refused without a run.
     """
 
     cut_after: int | None = None
@@ -53,6 +54,7 @@
     stray: bool = False
     garble: bool = False
     refuse: bool = False
+    room: int | None = None
     event_s: float = EVENT_INTERVAL_S
 
 
@@ -74,6 +76,7 @@
         self.address = ("", 0)
         self.connections_opened = 0
         self.refused = 0
+        self._under_way = 0
         self.born_ms: int | None = None
         self._store = store
         self._failure_domain = failure_domain
@@ -125,12 +128,19 @@
         if self._turns_away():
             self._refuse(request, responder, 503)
             return
+        if self.faults.room is not None and self._under_way >= self.faults.room:
+            self.signals.on_rejected()
+            self._refuse(request, responder, 503)
+            return
         run = self._start_run(request)
+        self._under_way += 1
         try:
             await self._answer(request, responder, run)
         except asyncio.CancelledError:
             run.ended = "cancelled"
             raise
+        finally:
+            self._under_way -= 1
 
     def _start_run(self, request: Request) -> Run:
         run = Run(
--- a/bench/signal_guards.py
+++ b/bench/signal_guards.py
@@ -137,6 +137,19 @@
             ),
         ),
     ),
+    Guard(
+        "VMs keep to their part of a brittle endpoint's room",
+        EndpointPromise.BRITTLE,
+        "tests/test_gateway_brittle.py::TestBrittlePool::"
+        "test_they_fall_over_no_more_often_than_allowed",
+        (
+            Change(
+                "bamboovale/gateway/endpoint_signals.py",
+                "        self._on_brittle(notice)\n",
+                "",
+            ),
+        ),
+    ),
     Guard(
         "the owner of an engine at rest orders nothing",
         EndpointPromise.REST,
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -66,6 +66,13 @@
         """Return that all endpoints take calls."""
         return {}
 
+    def most_by_id(self, records: list[EndpointRecord]) -> dict[str, int]:
+        """Return that no endpoint is brittle."""
+        return {}
+
+    def on_rejected(self, endpoint_id: str, under_way: int) -> None:
+        """Do nothing, as no endpoint is brittle."""
+
     def take(self, endpoint_id: str) -> None:
         """Count nothing, as no endpoint names a limit."""
 
