Let keep-alive probes and the user timeout give up at the same time

Cause: a user timeout decides when probes give up, whatever their count; that both said 3 s was chance. Measured: a test reads the options back from a socket and from an open connection; values are as before. With a peer that is silent in the kernel nothing was run: loopback drops no packets.

--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -12,11 +12,15 @@
 CONNECT_TIMEOUT_S = 0.6
 """Below the one-second retransmission timeout of a lost SYN: another endpoint can be
 tried sooner."""
-USER_TIMEOUT_MS = 3000
-"""TCP_USER_TIMEOUT: closes a connection whose data stays unacknowledged, as in a
-network partition; TCP alone would wait for minutes."""
+DEAD_AFTER_S = 3
+"""Silence of a peer after which its connection is closed, as in a network partition;
+TCP alone would wait for minutes. Longer than the pause of a sound peer."""
 KEEPALIVE_IDLE_S = 1
-KEEPALIVE_PROBES = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = (DEAD_AFTER_S - KEEPALIVE_IDLE_S) // KEEPALIVE_INTERVAL_S
+"""Counts only without TCP_USER_TIMEOUT, which else decides when probes give up."""
+USER_TIMEOUT_MS = 1000 * DEAD_AFTER_S
+"""Bounds unacknowledged data, unanswered probes, and a window that stays closed."""
 RESET_AT_ONCE = struct.pack("ii", 1, 0)
 """SO_LINGER on, with no time for what is unsent."""
 MAX_HEAD_BYTES = 64 * 1024
@@ -245,7 +249,7 @@
         (tcp, socket.TCP_NODELAY, 1),
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (tcp, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S),
+        (tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
         (tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
     )
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -9,7 +9,13 @@
 import h11
 import pytest
 
-from bamboovale.http1.connection import ConnectFailed, Connection, IncompleteResponse
+from bamboovale.http1.connection import (
+    USER_TIMEOUT_MS,
+    ConnectFailed,
+    Connection,
+    IncompleteResponse,
+    enable_dead_peer_detection,
+)
 from bamboovale.http1.pool import ConnectionPool
 from bamboovale.http1.server import Request, Responder, Server, ServerLimits
 from tests.gateway_site import eventually, free_port, run
@@ -410,3 +416,31 @@
             assert received < len(body)
 
         run(test())
+
+
+class TestDeadPeers:
+    """Options by which sockets find out that their peer is gone."""
+
+    def test_probes_and_user_timeout_give_up_at_the_same_time(self) -> None:
+        """Guards against a count of probes that the user timeout overrides."""
+        with socket.socket() as sock:
+            enable_dead_peer_detection(sock)
+
+            def option(name: int) -> int:
+                return sock.getsockopt(socket.IPPROTO_TCP, name)
+
+            probes_s = option(socket.TCP_KEEPCNT) * option(socket.TCP_KEEPINTVL)
+            gives_up_s = option(socket.TCP_KEEPIDLE) + probes_s
+            assert 1000 * gives_up_s == option(socket.TCP_USER_TIMEOUT)
+            assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+
+    def test_callers_and_endpoints_connections_set_them(self) -> None:
+        async def test() -> None:
+            async with server([]) as address:
+                connection = await Connection.open(*address)
+                sock = connection._transport.get_extra_info("socket")
+                timeout = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+                assert timeout == USER_TIMEOUT_MS
+                connection.close()
+
+        run(test())
