--- a/tests/path_cuts.py
+++ b/tests/path_cuts.py
@@ -1,8 +1,8 @@
 """Cuts of entry VMs from endpoints, while all else reaches them."""
 
 import asyncio
-from collections.abc import Collection, Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator, Collection, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from typing import Any
 
 import pytest
@@ -69,3 +69,48 @@
             for endpoint_id, kept in pool._pool_by_id.items():
                 if endpoint_id in endpoint_ids:
                     yield from list(kept.idle)
+
+
+@asynccontextmanager
+async def silent_for(site: Site, endpoint: Any, seconds: float) -> AsyncIterator[None]:
+    """Have a sound endpoint send nothing for a while, and go on after that."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + seconds
+    open_connection = Connection.open
+    receive = Connection.data_received
+    port = endpoint.address[1]
+
+    async def open_late(
+        host: str,
+        port_: int,
+        source: str | None = None,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> Connection:
+        left_s = ends_at - loop.time()
+        if port_ == port and left_s > 0.0:
+            await asyncio.sleep(min(left_s, timeout_s))
+            if left_s > timeout_s:
+                raise ConnectFailed("timeout")
+        return await open_connection(host, port_, source, timeout_s)
+
+    held: list[tuple[Any, bytes]] = []
+
+    def receive_held() -> None:
+        while held:
+            receive(*held.pop(0))
+
+    def receive_late(connection: Any, data: bytes) -> None:
+        if loop.time() >= ends_at:
+            receive_held()
+        peer = connection._transport.get_extra_info("peername")
+        if loop.time() < ends_at and peer is not None and peer[1] == port:
+            held.append((connection, data))
+        else:
+            receive(connection, data)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Connection, "open", open_late)
+        patch.setattr(Connection, "data_received", receive_late)
+        loop.call_at(ends_at, receive_held)
+        yield
+        await asyncio.sleep(max(0.0, ends_at - loop.time()) + 0.05)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -434,7 +434,7 @@
             assert 1000 * gives_up_s == option(socket.TCP_USER_TIMEOUT)
             assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
 
-    def test_callers_and_endpoints_connections_set_them(self) -> None:
+    def test_an_open_connection_has_them(self) -> None:
         async def test() -> None:
             async with server([]) as address:
                 connection = await Connection.open(*address)
