Let VMs that are about to stop send for one that is cut off, if no other can (RECOVER)

Change: VMs that leave help where no serving VM is in touch. Measured: a test of a VM that stops; it and those of the soak and cuts pass.

--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -108,12 +108,16 @@
         return [member for member in self.live() if member.serving]
 
     def helpers(self) -> list[Helper]:
-        """Return the VMs that may send requests to endpoints for this one."""
+        """Return the VMs that may send requests to endpoints for this one.
+
+        VMs that are about to stop help only if there are no others.
+        """
         near = self.membership.own.failure_domain
+        in_touch = [member for member in self.live() if not member.cut]
+        serving = [member for member in in_touch if member.serving]
         return [
             Helper(member.vm_id, member.failure_domain == near)
-            for member in self.serving()
-            if not member.cut
+            for member in serving or in_touch
         ]
 
     def serving_ids(self) -> list[str]:
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -280,7 +280,7 @@
             journal=state.journal,
             now=state.now,
             cores=state.node.cores,
-            may_help=state.serving,
+            may_help=state.takes_work,
             is_live=state.fleet.is_live,
             on_relayed=lambda outcome: self._metrics.gateway_relayed.labels(
                 outcome
--- a/bench/soak_paths.py
+++ b/bench/soak_paths.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator, Sequence
 
 from bench.soak_callers import Attempt
+from bench.soak_site import Life
 from bench.soak_spans import FaultSpan
 
 PATHS_CUT = "paths cut"
@@ -19,11 +20,12 @@
 
 
 def served_without_paths(
-    attempts: Sequence[Attempt], faults: Sequence[FaultSpan]
+    attempts: Sequence[Attempt], faults: Sequence[FaultSpan], lives: Sequence[Life]
 ) -> Iterator[tuple[str, str]]:
     """Yield each VM that served too few while it was cut off, and the numbers.
 
-    VMs with another fault at the time are left out.
+    VMs with another fault at the time, or whose processes started or were stopped, are
+    not in touch and left out.
     """
     for cut in faults:
         if cut.name != PATHS_CUT:
@@ -33,7 +35,7 @@
             fault.subject
             for fault in faults
             if fault is not cut and fault.overlaps(cut.started_at, until)
-        }
+        } | {life.vm for life in lives if _changed(life, cut.started_at, until)}
         if until <= since or cut.subject in disturbed:
             continue
         counted = [
@@ -52,6 +54,12 @@
             yield cut.subject, f"served {part:.2f}, the others {of_others:.2f}"
 
 
+def _changed(life: Life, since: float, until: float) -> bool:
+    """Return whether a process started, or was stopped or killed, in an interval."""
+    times = (life.started_at, life.stopped_at, life.killed_at)
+    return any(at is not None and since <= at <= until for at in times)
+
+
 def _is_served(attempt: Attempt) -> bool:
     return attempt.status == 200 and attempt.whole
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -69,6 +69,19 @@
 
         run(test())
 
+    def test_a_vm_that_is_about_to_stop_helps_if_there_is_no_other(self) -> None:
+        async def test() -> None:
+            async with running_site(vms=2, services=2) as site:
+                cut, other = site.vms
+                with cut_from_endpoints(site, [cut], REFUSE):
+                    await put_out_of_reach(cut)
+                    other.vm.stop()
+                    await eventually(lambda: not cut.vm.state.fleet.serving())
+                    answer = await call(cut.address, "/book/1")
+                    assert answer.status == 200
+
+        run(test())
+
     def test_what_may_have_run_is_not_refused_when_the_other_vm_dies(self) -> None:
         """Guards against a call that runs twice, as its caller was told it did not."""
 
