--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from bamboovale.decisions.routing import ServiceRouter
 from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
@@ -34,6 +35,43 @@
 SERVER_ERROR = 500
 
 
+@dataclass
+class _Attempts:
+    """What the attempts at one call gave; ``arrivals`` counts those that arrived.
+
+    ``failure`` is what the caller is told, which a later refusal does not change once
+    something may have run; ``last_failure`` is that of the last attempt, None if it was
+    answered.
+    """
+
+    excluded: set[str] = field(default_factory=set)
+    arrivals: int = 0
+    runs: int = 0
+    answer: tuple[AnswerFacts, bytes] | None = None
+    failure: Exception | None = None
+    last_failure: Exception | None = None
+
+    def on_not_run(self, error: NotRun) -> None:
+        """Apply an attempt that did not run."""
+        self.arrivals += error.reached
+        self.last_failure = error
+        if not isinstance(self.failure, MayHaveRun):
+            self.failure = error
+
+    def on_broken(self, error: MayHaveRun) -> None:
+        """Apply an attempt that may have run, without an answer."""
+        self.arrivals += 1
+        self.runs += 1
+        self.last_failure = self.failure = error
+
+    def on_answer(self, facts: AnswerFacts, body: bytes) -> None:
+        """Apply an answer; a later one takes its place."""
+        self.arrivals += 1
+        self.runs += 1
+        self.last_failure = None
+        self.answer = (facts, body)
+
+
 class PlainCalls:
     """Runs calls at the endpoints of plain services."""
 
@@ -61,53 +99,45 @@
     async def run(self, call: Call) -> None:
         """Answer the call; raises CallRefused or CallFailed."""
         self._retries.on_fresh(call.service)
-        excluded: set[str] = set()
-        runs = 0
-        answered: tuple[AnswerFacts, bytes] | None = None
-        failure: Exception | None = None
-        last_failure: Exception | None = None
-        arrivals = 0
+        so_far = _Attempts()
         for number in range(MAX_ATTEMPTS):
-            record = await self._next_endpoint(call, excluded, failure)
-            if record is None or not self._may_send(call, arrivals, last_failure):
+            record = await self._next_endpoint(call, so_far)
+            if record is None or not self._may_send(call, so_far):
                 break
-            excluded.add(record.endpoint_id)
+            so_far.excluded.add(record.endpoint_id)
             self._gate.take(record.endpoint_id)
             try:
                 facts, body = await self._try_once(call, record, number)
             except NotRun as error:
-                last_failure = error
-                arrivals += error.reached
-                failure = failure if isinstance(failure, MayHaveRun) else error
+                so_far.on_not_run(error)
                 continue
             except MayHaveRun as error:
-                last_failure = failure = error
-                arrivals += 1
-                runs += 1
+                so_far.on_broken(error)
             else:
-                arrivals += 1
-                runs += 1
-                answered, last_failure = (facts, body), None
+                so_far.on_answer(facts, body)
                 if facts.status < SERVER_ERROR:
                     break
-            if call.route.kind is not CallKind.SAFE or runs >= call.route.max_attempts:
+            is_safe = call.route.kind is CallKind.SAFE
+            if not is_safe or so_far.runs >= call.route.max_attempts:
                 break
-        if answered is not None:
-            facts, body = answered
-            call.notes["status"] = facts.status
-            call.responder.answer(facts.status, facts.headers, body)
+        if so_far.answer is None:
+            self._give_up(call, so_far.failure)
             return
-        self._give_up(call, failure)
+        facts, body = so_far.answer
+        call.notes["status"] = facts.status
+        call.responder.answer(facts.status, facts.headers, body)
 
-    def _may_send(self, call: Call, arrivals: int, failure: Exception | None) -> bool:
+    def _may_send(self, call: Call, so_far: "_Attempts") -> bool:
         """Return whether a first attempt, or a retry by the budget, may go out.
 
         An attempt that never reached an endpoint leaves the next one the first.
         """
-        return not arrivals or self._retries.take(call, cause_of(failure))
+        if not so_far.arrivals:
+            return True
+        return self._retries.take(call, cause_of(so_far.last_failure))
 
     async def _next_endpoint(
-        self, call: Call, excluded: set[str], failure: Exception | None
+        self, call: Call, so_far: "_Attempts"
     ) -> EndpointRecord | None:
         """Return the endpoint to try next, None if the call cannot be sent in time.
 
@@ -115,6 +145,7 @@
         within a part of the goal: guards against refusals in the bursts of a pool that
         can carry its load.
         """
+        excluded, failure = so_far.excluded, so_far.failure
         record = self._choose(call, excluded)
         if record is not None:
             return record
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -7,12 +7,11 @@
 from typing import Any
 
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
-from bamboovale.decisions.relay_choice import RelayChoice
 from bamboovale.gateway.access import AccessControl
 from bamboovale.gateway.crashes import CrashGuard
 from bamboovale.gateway.cut_watch import CutWatch
 from bamboovale.gateway.drain import drain
-from bamboovale.gateway.endpoint_client import EndpointClient
+from bamboovale.gateway.endpoint_access import EndpointAccess
 from bamboovale.gateway.endpoints import EndpointChange
 from bamboovale.gateway.engine_assignment import EngineAssignment
 from bamboovale.gateway.engine_client import EngineClient
@@ -30,7 +29,6 @@
 from bamboovale.gateway.records import Records
 from bamboovale.gateway.registration import Registration
 from bamboovale.gateway.request_handler import RequestHandler
-from bamboovale.gateway.send_gate import SendGate
 from bamboovale.gateway.settings_watch import ReadSettings, SettingsWatch
 from bamboovale.gateway.stall_records import StallRecords
 from bamboovale.gateway.state_dump import (
@@ -48,8 +46,6 @@
 from bamboovale.http1.server import Server, ServerLimits
 from bamboovale.metrics import Metrics
 from bamboovale.peers.links import PeerLinks
-from bamboovale.relay.client import Relays
-from bamboovale.relay.server import RelayServer
 
 HOLD_OFF_S = 0.25
 """How long a new owner evicts nothing, beside the time in which gossip reaches every
@@ -189,6 +185,14 @@
             store_answered_at=lambda: self.peering.gossip.store_answered_at,
             announce=lambda: self.peering.announce(),
         )
+        self._access = EndpointAccess.from_parts(
+            self.state,
+            self._translation,
+            self._endpoint_pool,
+            self.links,
+            self._metrics,
+            self._rng,
+        )
         self._request_handler = self._build_request_handler()
         self._stall_records = StallRecords(
             self.state.node.name,
@@ -229,7 +233,7 @@
             records=self.records,
             crashes=self._crashes,
             quotas=self._quotas,
-            relay_server=self.relay_server,
+            relay_server=self._access.relay_server,
         )
         self._registration = Registration(
             self.state,
@@ -239,7 +243,7 @@
             on_contact=self.peering.wake,
         )
         self._cut_watch = CutWatch(
-            self.state, self._endpoint_client, self._ownership, self.peering.announce
+            self.state, self._access.client, self._ownership, self.peering.announce
         )
         self._isolation = Isolation(
             self.state,
@@ -249,51 +253,9 @@
             self.peering.announce,
         )
 
-    def _build_endpoint_client(self) -> tuple[EndpointClient, SendGate]:
-        """Build the client, the gate that it is used by, and the relays both ways."""
-        state = self.state
-        relays = Relays(
-            self.links, state.fleet.helpers, RelayChoice(self._rng), state.now
-        )
-        client = EndpointClient(
-            self._endpoint_pool,
-            self._translation,
-            state.now,
-            state.signals.on_answer,
-            state.path_watch,
-            relays,
-        )
-        passed_over = self._metrics.gateway_passed_over
-        gate = SendGate(
-            state.limits,
-            state.rests,
-            state.brittle,
-            lambda: len(state.fleet.advertised_ids()),
-            state.now,
-            lambda reason: passed_over.labels(reason).inc(),
-        )
-        self.relay_server = RelayServer(
-            client=client,
-            endpoints=state.endpoints,
-            gate=gate,
-            path_watch=state.path_watch,
-            journal=state.journal,
-            now=state.now,
-            cores=state.node.cores,
-            may_help=state.takes_work,
-            is_live=state.fleet.is_live,
-            on_relayed=lambda outcome: self._metrics.gateway_relayed.labels(
-                outcome
-            ).inc(),
-        )
-        # Connections that hang are of no use, and would hold requests up.
-        state.path_watch.on_cut = self._endpoint_pool.close
-        return client, gate
-
     def _build_request_handler(self) -> RequestHandler:
         self.state.retries.on_retry = self._metrics.count_retry
-        client, gate = self._build_endpoint_client()
-        self._endpoint_client = client
+        client, gate = self._access.client, self._access.gate
         return RequestHandler(
             codec=self._translation,
             plain_calls=PlainCalls(
@@ -359,7 +321,7 @@
             task.cancel()
         for owner in self._engines.owner_by_engine.values():
             owner.stop()
-        self.relay_server.close()
+        self._access.relay_server.close()
         self._callers.close()
         self.ports.close()
         for pool in (self._endpoint_pool, self._control_pool, self._store_pool):
@@ -497,6 +459,6 @@
             "generation": self._ownership.generation,
             "store_reachable": self._ownership.reachable,
             "requests_under_way": self._callers.busy,
-            "relayed_under_way": len(self.relay_server),
+            "relayed_under_way": len(self._access.relay_server),
             "idle_connections": self._endpoint_pool.idle_count(),
         }
