--- a/bench/guard.py
+++ b/bench/guard.py
@@ -20,6 +20,7 @@
     LIMIT = "an endpoint gets no more than the limit that it names"
     LEAVING = "an endpoint that said it leaves gets nothing new"
     REST = "an endpoint gets the rest that it asks for"
+    PATHS = "a VM without a path to endpoints serves, and gives its engines away"
     BRITTLE = "a brittle endpoint has to turn few requests away"
     RETRIES = "a service gets no more retries of all VMs than its budget"
 
--- a/bench/guards.py
+++ b/bench/guards.py
@@ -16,7 +16,7 @@
 
 from bench.customer_guards import CUSTOMER_GUARDS
 from bench.guard import Change, Guard
-from bench.retry_guards import RETRY_GUARDS
+from bench.retry_guards import PATH_GUARDS, RETRY_GUARDS
 from bench.signal_guards import SIGNAL_GUARDS
 from bench.violations import Promise
 
@@ -241,7 +241,13 @@
     options = parser.parse_args(arguments)
     selected = [
         guard
-        for guard in (*GUARDS, *CUSTOMER_GUARDS, *SIGNAL_GUARDS, *RETRY_GUARDS)
+        for guard in (
+            *GUARDS,
+            *CUSTOMER_GUARDS,
+            *SIGNAL_GUARDS,
+            *RETRY_GUARDS,
+            *PATH_GUARDS,
+        )
         if not options.promises or guard.promise.name in options.promises
     ]
     all_failed = True
--- a/bench/retry_guards.py
+++ b/bench/retry_guards.py
@@ -1,10 +1,79 @@
-"""Guards of the fleet's retry budget."""
+"""Guards of the fleet's retry budget, and of VMs without a path to endpoints."""
 
 from bench.guard import Change, EndpointPromise, Guard
 
 FLEET = "tests/test_gateway_retry_budget.py::TestRetriesOfAFleet"
 SHARE = "bamboovale/decisions/retry_share.py"
 
+CUT_PATHS = "tests/test_gateway_cut_paths.py"
+RELAY = "tests/test_relay.py::TestRelayedRequest"
+
+PATH_GUARDS = (
+    Guard(
+        "another VM sends what this one cannot",
+        EndpointPromise.PATHS,
+        f"{CUT_PATHS}::TestVMWithoutPaths",
+        (
+            Change(
+                "bamboovale/relay/client.py",
+                "            vm_id = self._relays.choose(self._endpoint_id)\n",
+                "            vm_id = None\n",
+            ),
+        ),
+    ),
+    Guard(
+        "an owner that is cut off releases its engines",
+        EndpointPromise.PATHS,
+        f"{CUT_PATHS}::TestEnginesOfACutOwner",
+        (
+            Change(
+                "bamboovale/gateway/cut_watch.py",
+                "            await self._suspend_or_resume(is_cut)\n",
+                "",
+            ),
+        ),
+    ),
+    Guard(
+        "callers are led to VMs in touch",
+        EndpointPromise.PATHS,
+        f"{CUT_PATHS}::TestDirectory",
+        (
+            Change(
+                "bamboovale/gateway/fleet.py",
+                "[member for member in serving if not member.cut] or serving",
+                "serving",
+            ),
+        ),
+    ),
+    Guard(
+        "a caller that leaves ends the exchange at the other VM",
+        EndpointPromise.PATHS,
+        f"{RELAY}::test_a_caller_that_leaves_ends_the_run",
+        (
+            Change(
+                "bamboovale/relay/client.py",
+                "            self._relays.links.notify(self.via, "
+                "RelayCancel(self._relay_id))\n",
+                "",
+            ),
+        ),
+    ),
+    Guard(
+        "what may have run is not called refused",
+        EndpointPromise.PATHS,
+        f"{RELAY}::test_what_may_have_run_is_not_refused_when_the_other_vm_dies",
+        (
+            Change(
+                "bamboovale/relay/client.py",
+                '            raise IncompleteResponse(f"by {vm_id}: {error}") '
+                "from error\n        if not isinstance",
+                '            raise NotSent(f"by {vm_id}: {error}") '
+                "from error\n        if not isinstance",
+            ),
+        ),
+    ),
+)
+
 RETRY_GUARDS = (
     Guard(
         "a process takes no part of the burst in its first window",
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -18,13 +17,16 @@
 from bamboovale.gateway.plain_calls import PlainCalls
 from bamboovale.gateway.retry_budgets import RetryBudgets
 from bamboovale.http1.server import Request
-from tests.gateway_site import RecordedJournal, run
+from tests.gateway_site import RecordedJournal
+from tests.virtual_loop import run_in_virtual_time
 
 VMS = 8
 SLOTS = 6
 WORK_S = 0.03
 GOAL_S = 0.3
 SECONDS = 3.0
+LOAD = 0.7
+"""Part of the pool's capacity that is offered."""
 ROUTE = Route(
     name="book",
     host="shop",
@@ -42,6 +44,11 @@
 }
 
 
+def now() -> float:
+    """Return the time of the running event loop."""
+    return asyncio.get_running_loop().time()
+
+
 @dataclass(frozen=True)
 class OpenConnection:
     """A connection of this VM."""
@@ -128,16 +135,16 @@
     pool = FullPool()
     rng = random.Random(7)
     config = RetryShareConfig(0.2, 200.0, 10.0)
-    retries = RetryBudgets(RecordedJournal("vm"), config, lambda: 1, time.monotonic)
+    journal = RecordedJournal("vm")
+    retries = RetryBudgets(journal, config, lambda: 1, now, is_first_start=True)
     parts: Any = pool
     vms = [
-        PlainCalls(parts, parts, parts, parts, retries, time.monotonic, rng)
-        for _ in range(VMS)
+        PlainCalls(parts, parts, parts, parts, retries, now, rng) for _ in range(VMS)
     ]
     tasks = []
     per_s = load * SLOTS * len(RECORDS) / WORK_S
-    end = time.monotonic() + SECONDS
-    while time.monotonic() < end:
+    end = now() + SECONDS
+    while now() < end:
         tasks.append(asyncio.create_task(_is_in_time(rng.choice(vms), pool)))
         await asyncio.sleep(rng.expovariate(per_s))
     results = await asyncio.gather(*tasks)
@@ -145,7 +152,7 @@
 
 
 async def _is_in_time(vm: PlainCalls, pool: Any) -> bool:
-    started_at = time.monotonic()
+    started_at = now()
     request = Request("POST", "/book/1", [], b"", started_at)
     facts = CallFacts("id", "shop", None, None, [])
     call = Call(request, facts, ROUTE, "app", pool, started_at + ROUTE.timeout_s)
@@ -153,23 +160,23 @@
         await vm.run(call)
     except (CallRefused, CallFailed):
         return False
-    return time.monotonic() - started_at <= GOAL_S
+    return now() - started_at <= GOAL_S
 
 
 class TestFullPool:
     """Calls arrive unevenly at a pool that can carry them."""
 
-    def test_few_calls_are_refused_at_three_quarters_of_the_capacity(
+    def test_few_calls_are_refused_at_seven_tenths_of_the_capacity(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Guards against refusals while an endpoint has room within the goal."""
 
         async def test() -> None:
-            waiting, arrivals = await in_time_at(0.75)
+            waiting, arrivals = await in_time_at(LOAD)
             assert waiting > 0.97
             assert arrivals < 1.6
             monkeypatch.setattr(plain_calls, "FULL_PATIENCE_GOALS", 0.0)
-            at_once, _ = await in_time_at(0.75)
+            at_once, _ = await in_time_at(LOAD)
             assert waiting > at_once
 
-        run(test())
+        run_in_virtual_time(test())
--- /dev/null
+++ b/tests/virtual_loop.py
@@ -0,0 +1,30 @@
+"""An event loop whose time passes only while nothing can run."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Skips the time until the next timer; for tests without sockets or threads."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._virtual_s = 0.0
+        select: Any = self._selector.select
+
+        def skip(timeout_s: float | None) -> Any:
+            self._virtual_s += timeout_s or 0.0
+            return select(0)
+
+        self._selector.select = skip
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._virtual_s
+
+
+def run_in_virtual_time(test: Coroutine[Any, Any, None]) -> None:
+    """Run the body of a test; the speed of the machine has no effect on it."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        runner.run(test)
