Show log lines and event loop pauses of a failing test's VMs

The test's caller gave up to connect after 0.6 s, the product's own bound for endpoints; the connection was made, but the event loop did not hand it over in time.

Change: a failing test of a small deployment prints its VMs' newest lines and the pauses of its event loop. The test's callers wait 5 s for a connection, as callers do that have a deadline of seconds; no check asks for a time to connect.

--- a/bench/routed.py
+++ b/bench/routed.py
@@ -12,6 +12,7 @@
 
 HOST = "shop.example"
 MODEL = "base"
+CALLER_CONNECT_TIMEOUT_S = 5.0
 
 # Concurrent test processes start their search at different ports.
 _first_port = 18000 + os.getpid() * 37 % 11000
@@ -146,7 +147,7 @@
     else:
         fields["Content-Length"] = str(len(body))
     request = h11.Request(method=method, target=path, headers=list(fields.items()))
-    connection = await Connection.open(*address)
+    connection = await Connection.open(*address, timeout_s=CALLER_CONNECT_TIMEOUT_S)
     try:
         connection.send(request, body)
         return await read_answer(connection)
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import AsyncIterator, Coroutine, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -29,6 +30,7 @@
     route,
 )
 from bench.soak_proxy import Proxy
+from tests.failure_report import shown_on_failure
 
 DEFAULT_TIMEOUT_S = 10.0
 PEER_KEY = "test-key"
@@ -52,11 +54,14 @@
 
     def __init__(self, vm_id: str) -> None:
         super().__init__(vm_id)
+        self.vm_id = vm_id
         self.lines: list[dict[str, Any]] = []
+        self.written_at: list[float] = []
 
     def write(self, event: str, **fields: Any) -> None:
         """Collect one line."""
         self.lines.append({"event": event, **fields})
+        self.written_at.append(time.monotonic())
 
     def of(self, event: str) -> list[dict[str, Any]]:
         """Return the lines of one event."""
@@ -93,6 +98,7 @@
     runners: list[PlatformRunner] = field(default_factory=list)
     services: list[PlatformEndpoint] = field(default_factory=list)
     _started: set[str] = field(default_factory=set)
+    _journals: list[RecordedJournal] = field(default_factory=list)
     _hosts: Iterator[int] = field(default_factory=lambda: itertools.count(2))
 
     async def add_vm(
@@ -113,6 +119,7 @@
         self._started.add(name)
         node = NodeSettings.from_document(document).unwrap()
         journal = RecordedJournal(name)
+        self._journals.append(journal)
         vm = GatewayVM(
             PlatformTranslation(node),
             Metrics(),
@@ -177,6 +184,14 @@
         owned = len(owner_by_engine) == len(self.runners)
         return linked and len(generations) <= 1 and known and owned
 
+    def lines(self) -> list[dict[str, Any]]:
+        """Return the log lines of all VMs, also of killed ones."""
+        return [
+            {"at": at, "vm": journal.vm_id, **line}
+            for journal in self._journals
+            for at, line in zip(journal.written_at, journal.lines, strict=True)
+        ]
+
     def owned(self) -> dict[str, RunningVM]:
         """Return the owner of each engine whose first report was read."""
         return {
@@ -217,8 +232,9 @@
             proxy = site.store_proxy
             address = proxy and proxy.address
             await site.add_vm(f"entry-{number}", address, **(bounds or {}))
-        await site.ready()
-        yield site
+        async with shown_on_failure(site.lines):
+            await site.ready()
+            yield site
     finally:
         for item in site.vms:
             item.task.cancel()
