Keep the slot of an adapter whose new version is in transit

Callers of an engine that is ordered past its room lose all their streams. Cause: a new version was ordered by the owner before; the report lists the adapter both as loaded and as loading. The new owner took it for loaded, evicted it and gave its slot away; then the load completed (class: what an owner does not know of orders that it did not send).

Change: an adapter that a report lists as loading is not evicted.

--- a/bamboovale/decisions/adapter_slots.py
+++ b/bamboovale/decisions/adapter_slots.py
@@ -61,6 +61,8 @@
     this one, None if it was never loaded. ``warm`` is True if the load should come from
     the engine's own cache. ``confirmed`` is False until a report shows the adapter as
     loaded. ``replaces`` is the version that the engine holds until the load completes.
+    ``in_transit`` is True while a report lists a load of the adapter in progress, which
+    the previous owner may have ordered.
     """
 
     version: int
@@ -74,6 +76,7 @@
     warm: bool = False
     confirmed: bool = True
     replaces: int | None = None
+    in_transit: bool = False
     aborted_at: dict[str, float] = field(default_factory=dict)
 
     def demand_at(self, now: float) -> float:
@@ -86,9 +89,9 @@
 
         An aborted run may still be active at the engine. An engine that is ordered to
         unload an adapter in use waits for the run and refuses all other orders
-        meanwhile.
+        meanwhile. A new version in transit would take the slot again.
         """
-        used = self.active or self.aborted_at
+        used = self.active or self.aborted_at or self.in_transit
         return self.state is SlotState.LOADED and self.confirmed and not used
 
     def forget_ended_runs(self, report: ReportedState) -> None:
@@ -357,8 +360,9 @@
             if key not in self._slot_by_key and not self._just_unloaded(key, report):
                 version = self.newest(key).version
                 self._slot_by_key[key] = Slot(version, SlotState.LOADING, now)
-        for key in list(self._slot_by_key):
-            if key not in report.version_by_adapter and key not in report.loading:
+        for key, slot in list(self._slot_by_key.items()):
+            slot.in_transit = key in report.loading
+            if key not in report.version_by_adapter and not slot.in_transit:
                 self._on_unreported(key, now)
 
     def _on_reported_loaded(self, key: AdapterKey, version: int, now: float) -> None:
--- a/tests/owner_simulation.py
+++ b/tests/owner_simulation.py
@@ -44,13 +44,16 @@
     """Behaviour of the engine and the network; shares are 0 to 1, times in seconds.
 
     ``lost`` is the share of orders without an answer, ``late`` of those carried out
-    late, ``denied`` of times at which no order may be sent. An engine confirms orders
+    late, ``denied`` of times at which no order may be sent, ``owner_changes`` and
+    ``new_versions`` of requests with which these come. An engine confirms orders
     already in effect before checking their number if ``holds_before_number``.
     """
 
     lost: float = 0.25
     late: float = 0.25
     denied: float = 0.1
+    owner_changes: float = 0.002
+    new_versions: float = 0.008
     cold_load_s: tuple[float, float] = (0.1, 0.6)
     report_age_s: tuple[float, float] = (0.05, 0.3)
     holds_before_number: bool = False
@@ -255,11 +258,13 @@
             await asyncio.sleep(self.rng.expovariate(per_s))
             self._spawn(self._request())
             draw = self.rng.random()
-            if draw < 0.002:
+            changes = self._faults.owner_changes
+            versions = changes + self._faults.new_versions
+            if draw < changes:
                 self._change_owner()
-            elif draw < 0.01:
+            elif draw < versions:
                 self._publish_version()
-            elif draw < 0.01 + self._faults.denied / 5:
+            elif draw < versions + self._faults.denied / 5:
                 self._denied_until = loop.time() + self.rng.uniform(0.0, 0.4)
         self._owner.stop()
         for task in list(self._tasks):
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -1,6 +1,7 @@
 """Tests of an engine's places, slots and queue at its owner, without a network."""
 
 import itertools
+from collections.abc import Sequence
 
 from bamboovale.decisions.engine_places import EnginePlaces
 from bamboovale.decisions.place_work import (
@@ -25,10 +26,13 @@
     return engine
 
 
-def make_report(read_at: float, **version_by_adapter: int) -> ReportedState:
-    """Return a report with the given adapters loaded."""
+def make_report(
+    read_at: float, loading: Sequence[str] = (), **version_by_adapter: int
+) -> ReportedState:
+    """Return a report with the given adapters loaded, and some loading."""
     adapters = {(MODEL, name): v for name, v in version_by_adapter.items()}
-    return ReportedState({MODEL: 1}, adapters, frozenset(), 0, read_at)
+    coming = frozenset((MODEL, name) for name in loading)
+    return ReportedState({MODEL: 1}, adapters, coming, 0, read_at)
 
 
 def make_request(
@@ -106,6 +110,14 @@
         [order] = engine.on_report(make_report(0.6, a1=1), 0.6)
         assert order == OrderUnload(MODEL, "a1")
 
+    def test_a_new_version_in_transit_keeps_its_slot(self) -> None:
+        """Guards against evicting an adapter that the previous owner is replacing."""
+        engine = make_places(slots=1)
+        engine.on_report(make_report(1.0, loading=["a1"], a1=1), 1.0)
+        assert engine.on_request(make_request("r", "a2", 1.1), 1.1) == []
+        [order] = engine.on_report(make_report(2.0, a1=2), 2.0)
+        assert order == OrderUnload(MODEL, "a1")
+
     def test_an_adapter_in_use_is_never_evicted(self) -> None:
         engine = make_places(slots=1)
         [order] = engine.on_request(make_request("r1", "a1"), 0.0)
--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -16,6 +16,8 @@
 FAULTY = Faults(lost=0.35, late=0.35)
 FAULTY_AND_LENIENT = Faults(lost=0.35, late=0.35, holds_before_number=True)
 SECONDS = 30.0
+OWNERS_IN_TURN = Faults(lost=0.35, late=0.35, owner_changes=0.1, new_versions=0.02)
+OWNERS_IN_TURN_S = 20.0
 
 
 class UnansweredCalls:
@@ -88,3 +90,10 @@
         simulation = simulate(seed, FAULTY_AND_LENIENT, SECONDS)
         assert simulation.engine.overfilled == []
         assert simulation.served > 300
+
+    @pytest.mark.parametrize("seed", [10, 25, 31])
+    def test_owners_in_turn_never_overfill_an_engine(self, seed: int) -> None:
+        """Guards against a slot given away while a new version is in transit."""
+        simulation = simulate(seed, OWNERS_IN_TURN, OWNERS_IN_TURN_S)
+        assert simulation.engine.overfilled == []
+        assert simulation.served > 100
