Tell by the number of orders, not by time, what a report shows of slots

Callers of an engine that is ordered past its room lose all their streams. Cause: a new owner begins on an old report; the next one shows that an adapter is gone, but an unreported slot was kept for half a second after its last change, which each failed order renewed. A new version of that adapter was then ordered as a replacement, which needs no slot, though all were taken; or it was evicted once more, and the engine's confirmation counted, so that the next order expected a number of the future. A report that lagged by more than half a second brought an evicted adapter back.

Change: a report that shows all orders known to be accepted is the whole truth on unused slots; one that misses some does not undo an eviction, whatever its age.

Not excluded by reasoning: an unload that the engine confirms without counting it.

--- a/bamboovale/decisions/adapter_slots.py
+++ b/bamboovale/decisions/adapter_slots.py
@@ -363,7 +363,7 @@
         for key, slot in list(self._slot_by_key.items()):
             slot.in_transit = key in report.loading
             if key not in report.version_by_adapter and not slot.in_transit:
-                self._on_unreported(key, now)
+                self._on_unreported(key, report, now)
 
     def _on_reported_loaded(self, key: AdapterKey, version: int, now: float) -> None:
         slot = self._slot_by_key.get(key)
@@ -404,13 +404,23 @@
         unloaded_at = self._unloaded_at.get(key)
         if unloaded_at is None:
             return False
-        if report.read_at - unloaded_at < REPORT_LAG_S:
+        if report.missing_orders is None:
+            predates = report.read_at - unloaded_at < REPORT_LAG_S
+        else:
+            predates = report.missing_orders > 0
+        if predates:
             return True
         del self._unloaded_at[key]
         return False
 
-    def _on_unreported(self, key: AdapterKey, now: float) -> None:
+    def _on_unreported(
+        self, key: AdapterKey, report: ReportedState, now: float
+    ) -> None:
         slot = self._slot_by_key[key]
+        is_gone = slot.is_evictable() or slot.state is SlotState.UNLOADING
+        if report.missing_orders == 0 and is_gone:
+            del self._slot_by_key[key]
+            return
         expected = slot.state is SlotState.LOADED and not slot.confirmed
         coming = slot.state is SlotState.LOADING or expected
         kept_s = LOAD_TIMEOUT_S if coming else REPORT_LAG_S
--- a/bamboovale/decisions/place_work.py
+++ b/bamboovale/decisions/place_work.py
@@ -100,7 +100,11 @@
 
 @dataclass(frozen=True)
 class ReportedState:
-    """State that an engine reports: loaded and loading adapters, and its runs."""
+    """State that an engine reports: loaded and loading adapters, and its runs.
+
+    ``missing_orders`` is how many orders that the engine is known to have accepted it
+    does not show yet, None if that is unknown.
+    """
 
     version_by_model: dict[str, int]
     version_by_adapter: dict[AdapterKey, int]
@@ -108,6 +112,7 @@
     active: int
     read_at: float
     running: frozenset[str] = frozenset()
+    missing_orders: int | None = None
 
 
 @dataclass(frozen=True)
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -315,12 +315,10 @@
         if not self._is_from_same_start(report):
             return False
         self.reachable = True
-        self._orders.on_report(report.orders)
-        now = self._context.now()
+        missing_orders = self._orders.on_report(report.orders)
+        state = state_from_report(report, requested_at, missing_orders)
         self.places.may_order = self._orders.may_order()
-        self._carry_out(
-            self.places.on_report(state_from_report(report, requested_at), now)
-        )
+        self._carry_out(self.places.on_report(state, self._context.now()))
         return True
 
     def _is_from_same_start(self, report: EngineReport) -> bool:
@@ -400,7 +398,9 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def state_from_report(report: EngineReport, read_at: float) -> ReportedState:
+def state_from_report(
+    report: EngineReport, read_at: float, missing_orders: int
+) -> ReportedState:
     """Convert an engine's report into the input of the decisions."""
     return ReportedState(
         version_by_model={model.name: model.version for model in report.models},
@@ -413,4 +413,5 @@
         active=report.active,
         read_at=read_at,
         running=report.running,
+        missing_orders=missing_orders,
     )
--- a/bamboovale/gateway/order_sender.py
+++ b/bamboovale/gateway/order_sender.py
@@ -59,10 +59,14 @@
         """Return whether an order may be sent now."""
         return self._may_order_with(self.fence())
 
-    def on_report(self, orders: int) -> None:
-        """Apply the number of accepted orders that the engine reports."""
+    def on_report(self, orders: int) -> int:
+        """Apply the number of accepted orders that the engine reports.
+
+        Returns how many orders known to be accepted the report does not show yet.
+        """
         if self._accepted_orders is None or orders > self._accepted_orders:
             self._accepted_orders = orders
+        return self._accepted_orders - orders
 
     async def send(self, action: OrderLoad | OrderUnload) -> OrderResult:
         """Send an order until its outcome is known, at most a few times.
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -27,12 +27,17 @@
 
 
 def make_report(
-    read_at: float, loading: Sequence[str] = (), **version_by_adapter: int
+    read_at: float,
+    loading: Sequence[str] = (),
+    missing: int | None = None,
+    **version_by_adapter: int,
 ) -> ReportedState:
     """Return a report with the given adapters loaded, and some loading."""
     adapters = {(MODEL, name): v for name, v in version_by_adapter.items()}
     coming = frozenset((MODEL, name) for name in loading)
-    return ReportedState({MODEL: 1}, adapters, coming, 0, read_at)
+    return ReportedState(
+        {MODEL: 1}, adapters, coming, 0, read_at, missing_orders=missing
+    )
 
 
 def make_request(
@@ -118,6 +123,25 @@
         [order] = engine.on_report(make_report(2.0, a1=2), 2.0)
         assert order == OrderUnload(MODEL, "a1")
 
+    def test_an_adapter_that_a_current_report_lacks_is_not_replaced(self) -> None:
+        """Guards against a load that needs a slot taken for one that needs none."""
+        engine = make_places(slots=1)
+        engine.on_report(make_report(1.0, a1=1), 1.0)
+        engine.on_report(make_report(1.1, missing=0, a2=1), 1.1)
+        [order] = engine.on_request(make_request("r", "a1", 1.1, version=2), 1.1)
+        assert order == OrderUnload(MODEL, "a2")
+
+    def test_an_unload_that_a_report_does_not_show_yet_stays_done(self) -> None:
+        """Guards against reports that lag further behind than usual."""
+        engine = make_places(slots=1)
+        load_adapter(engine, "a1", 0.0)
+        [order] = engine.on_request(make_request("r", "a2", 2.0), 2.0)
+        engine.on_order_done(order, 2.0, at_once=True)
+        engine.on_report(make_report(4.0, missing=1, a1=1), 4.0)
+        assert (MODEL, "a1") not in engine.snapshot(4.0).loaded
+        engine.on_report(make_report(4.1, missing=0, a1=1), 4.1)
+        assert (MODEL, "a1") in engine.snapshot(4.1).loaded
+
     def test_an_adapter_in_use_is_never_evicted(self) -> None:
         engine = make_places(slots=1)
         [order] = engine.on_request(make_request("r1", "a1"), 0.0)
--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -17,6 +17,20 @@
 FAULTY_AND_LENIENT = Faults(lost=0.35, late=0.35, holds_before_number=True)
 SECONDS = 30.0
 OWNERS_IN_TURN = Faults(lost=0.35, late=0.35, owner_changes=0.1, new_versions=0.02)
+NEW_VERSIONS_AT_LENIENT_ENGINES = Faults(
+    lost=0.15,
+    late=0.2,
+    owner_changes=0.1,
+    new_versions=0.1,
+    holds_before_number=True,
+)
+SLOW_REPORTS = Faults(
+    lost=0.5,
+    late=0.2,
+    owner_changes=0.01,
+    new_versions=0.1,
+    report_age_s=(0.05, 0.8),
+)
 OWNERS_IN_TURN_S = 20.0
 
 
@@ -97,3 +111,21 @@
         simulation = simulate(seed, OWNERS_IN_TURN, OWNERS_IN_TURN_S)
         assert simulation.engine.overfilled == []
         assert simulation.served > 100
+
+    @pytest.mark.parametrize(
+        ("seed", "faults"),
+        [
+            (6, NEW_VERSIONS_AT_LENIENT_ENGINES),
+            (8, NEW_VERSIONS_AT_LENIENT_ENGINES),
+            (60, OWNERS_IN_TURN),
+            (163, SLOW_REPORTS),
+            (169, OWNERS_IN_TURN),
+        ],
+    )
+    def test_reports_of_all_ages_never_overfill_an_engine(
+        self, seed: int, faults: Faults
+    ) -> None:
+        """Guards against a belief that is older than the number of an order."""
+        simulation = simulate(seed, faults, OWNERS_IN_TURN_S)
+        assert simulation.engine.overfilled == []
+        assert simulation.served > 100
