Send an order with the number it was decided on

Cause: an order was decided on one report and took its expected number when its task began to send, after another report may have been read: the engine then accepts a load that no longer has a slot. The window is one turn of the event loop, wide on a busy VM.

Change: the number is taken with the decision; a newer report stops the order.

Measured: test_a_report_after_the_decision_stops_its_order sends a load that expects 6, decided at 5, without the change; with it none.

--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -236,7 +236,7 @@
             elif isinstance(action, Refuse):
                 self._refuse(action)
             else:
-                self._spawn(self._order(action))
+                self._spawn(self._order(action, self._orders.accepted_orders()))
         self._schedule_decision(self._context.now())
 
     def _reply(self, request: QueuedRequest, reply: PlaceReply) -> None:
@@ -261,9 +261,11 @@
         )
         self._reply(refusal.request, reply)
 
-    async def _order(self, action: OrderLoad | OrderUnload) -> None:
+    async def _order(
+        self, action: OrderLoad | OrderUnload, expected: int | None
+    ) -> None:
         """Send an order and apply its outcome."""
-        result = await self._orders.send(action)
+        result = await self._orders.send(action, expected)
         now = self._context.now()
         if result.is_done:
             at_once = result.outcome is OrderOutcome.HOLDS
--- a/bamboovale/gateway/order_sender.py
+++ b/bamboovale/gateway/order_sender.py
@@ -68,13 +68,19 @@
             self._accepted_orders = orders
         return self._accepted_orders - orders
 
-    async def send(self, action: OrderLoad | OrderUnload) -> OrderResult:
+    def accepted_orders(self) -> int | None:
+        """Return how many orders the engine has accepted, None if it is not known."""
+        return self._accepted_orders
+
+    async def send(
+        self, action: OrderLoad | OrderUnload, expected: int | None
+    ) -> OrderResult:
         """Send an order until its outcome is known, at most a few times.
 
-        Gives up without an outcome once a report shows another number of orders: the
-        decision is then based on a stale state.
+        ``expected`` is the number of accepted orders when it was decided. Gives up
+        without an outcome once a report shows another number: the decision is then
+        based on a stale state.
         """
-        expected = self._accepted_orders
         for lost in range(MAX_ORDER_ATTEMPTS):
             fence = self.fence()
             is_stale = self._accepted_orders != expected
--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -5,9 +5,19 @@
 
 import pytest
 
-from bamboovale.decisions.place_work import OrderLoad
-from bamboovale.gateway.model import EndpointRecord, EngineOrder, OrderOutcome
+from bamboovale.decisions.mechanisms import ALL_ON
+from bamboovale.decisions.place_work import EngineCapacity, OrderLoad
+from bamboovale.gateway.engine_owner import EngineOwner
+from bamboovale.gateway.messages import PlaceRequest
+from bamboovale.gateway.model import (
+    EndpointRecord,
+    EngineOrder,
+    EngineReport,
+    LoadedModel,
+    OrderOutcome,
+)
 from bamboovale.gateway.order_sender import OrderSender
+from bamboovale.gateway.owner_context import OwnerContext
 from tests.gateway_site import RecordedJournal
 from tests.owner_simulation import Faults, simulate
 
@@ -70,7 +80,7 @@
     sender = OrderSender(lambda: RECORD, context, lambda: 1)  # type: ignore[arg-type]
     client.sender = sender
     sender.on_report(5)
-    result = asyncio.run(sender.send(LOAD))
+    result = asyncio.run(sender.send(LOAD, sender.accepted_orders()))
     assert not result.is_done
     assert not result.is_certain
     return client.expected
@@ -88,6 +98,71 @@
         assert _expected_numbers(reported=6) == [5]
 
 
+class ReportingEngine:
+    """An engine client that reports without a pause and records orders."""
+
+    def __init__(self) -> None:
+        self.reported = full_report(5, "a1")
+        self.expected: list[int | None] = []
+
+    async def report(self, record: EndpointRecord) -> EngineReport:
+        """Return the current report."""
+        return self.reported
+
+    async def order(
+        self,
+        record: EndpointRecord,
+        order: EngineOrder,
+        fence: int,
+        expected: int | None,
+        lost: int,
+    ) -> OrderOutcome:
+        """Record the expected number of a load; refuse it."""
+        self.expected.append(expected)
+        return OrderOutcome.CONFLICT
+
+
+def full_report(orders: int, *adapters: str) -> EngineReport:
+    """Return a report with the given adapters loaded."""
+    model = LoadedModel("base", 1, dict.fromkeys(adapters, 1))
+    return EngineReport((model,), frozenset(), False, orders, 0, 0)
+
+
+class TestDecisionAndNumber:
+    """The number that an order expects, and the report it was decided on."""
+
+    def test_a_report_after_the_decision_stops_its_order(self) -> None:
+        """Guards against a load into a slot that another order has taken."""
+
+        async def test() -> None:
+            client = ReportingEngine()
+            context = OwnerContext(
+                client=client,  # type: ignore[arg-type]
+                journal=RecordedJournal("owner"),
+                now=asyncio.get_running_loop().time,
+                may_order=lambda engine_id: True,
+                fence=lambda engine_id: 1,
+                on_fenced=lambda record, token: None,
+                on_restart=lambda record, started_ms: None,
+                hold_off_s=lambda: 0.0,
+                pool_stalled=lambda service: False,
+                limit_per_s=lambda engine_id: None,
+                rest_s=lambda engine_id: 0.0,
+                mechanisms=ALL_ON,
+            )
+            owner = EngineOwner(RECORD, EngineCapacity(8, 100_000, 2), context)
+            await owner.poll()
+            request = PlaceRequest("e", "r.1", "base", "a2", 1, 100, 20, 0, 1.0, 3.0)
+            owner.request_place("vm", request, lambda reply: None)
+            client.reported = full_report(6, "a1", "a3")
+            await owner.poll()
+            await asyncio.sleep(0.01)
+            owner.stop()
+            assert client.expected == []
+
+        asyncio.run(test())
+
+
 class TestSlotsOfAnEngine:
     """An engine that is ordered beyond its adapter slots crashes with all its runs."""
 
