Order nothing while an engine is busy with an unload that waits

Cause: an unload that another owner ordered waits for a run. The report lists its adapter still, with the number that counts the unload; it goes later without a new number. A second owner evicted it once more; the engine confirmed that without counting it, and the owner expected a number of the future, which an order of the other one made true: the load that came with it had no slot.

Change: while a report says that the engine is busy with an order, nothing is ordered (the engine would refuse it) and the next report is read soon.

The simulated engine says now that it is busy.

--- a/bamboovale/decisions/adapter_slots.py
+++ b/bamboovale/decisions/adapter_slots.py
@@ -120,6 +120,7 @@
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
+        self.engine_is_busy = False
         self.load_s = MovingAverage(INITIAL_LOAD_S)
         self.cache_size = INITIAL_CACHE_SIZE
         self._slot_by_key: dict[AdapterKey, Slot] = {}
@@ -186,8 +187,8 @@
         }
 
     def awaits_report(self) -> bool:
-        """Return whether a report is expected to show a load as complete."""
-        return any(
+        """Return whether a report is expected to show an order as complete."""
+        return self.engine_is_busy or any(
             slot.state is SlotState.LOADING or not slot.confirmed
             for slot in self._slot_by_key.values()
         )
@@ -351,6 +352,7 @@
 
     def on_report(self, report: ReportedState, now: float) -> None:
         """Merge a report; keep changes that it may be too old to show."""
+        self.engine_is_busy = report.busy
         for slot in self._slot_by_key.values():
             slot.forget_ended_runs(report)
         for key, version in report.version_by_adapter.items():
--- a/bamboovale/decisions/load_orders.py
+++ b/bamboovale/decisions/load_orders.py
@@ -77,7 +77,7 @@
         may_evict: bool,
     ) -> OrderLoad | OrderUnload | None:
         """Return the next order for the queued requests, None if none is needed."""
-        if self.is_open:
+        if self.is_open or self._slots.engine_is_busy:
             return None
         order = self._next_needed(queue, now, may_evict=may_evict)
         self.is_open = order is not None
--- a/bamboovale/decisions/place_work.py
+++ b/bamboovale/decisions/place_work.py
@@ -102,8 +102,9 @@
 class ReportedState:
     """State that an engine reports: loaded and loading adapters, and its runs.
 
-    ``missing_orders`` is how many orders that the engine is known to have accepted it
-    does not show yet, None if that is unknown.
+    While ``busy`` with an order that waits for runs, the engine refuses others, and may
+    drop an adapter that it still lists. ``missing_orders`` is how many orders that the
+    engine is known to have accepted it does not show yet, None if that is unknown.
     """
 
     version_by_model: dict[str, int]
@@ -113,6 +114,7 @@
     read_at: float
     running: frozenset[str] = frozenset()
     missing_orders: int | None = None
+    busy: bool = False
 
 
 @dataclass(frozen=True)
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -416,4 +416,5 @@
         read_at=read_at,
         running=report.running,
         missing_orders=missing_orders,
+        busy=report.busy,
     )
--- a/tests/owner_simulation.py
+++ b/tests/owner_simulation.py
@@ -45,8 +45,9 @@
 
     ``lost`` is the share of orders without an answer, ``late`` of those carried out
     late, ``denied`` of times at which no order may be sent, ``owner_changes`` and
-    ``new_versions`` of requests with which these come. An engine confirms orders
-    already in effect before checking their number if ``holds_before_number``.
+    ``new_versions`` of requests with which these come, ``overlaps`` of changes after
+    which the previous owner goes on for a while. An engine confirms orders already in
+    effect before checking their number if ``holds_before_number``.
     """
 
     lost: float = 0.25
@@ -54,6 +55,7 @@
     denied: float = 0.1
     owner_changes: float = 0.002
     new_versions: float = 0.008
+    overlaps: float = 0.0
     cold_load_s: tuple[float, float] = (0.1, 0.6)
     report_age_s: tuple[float, float] = (0.05, 0.3)
     holds_before_number: bool = False
@@ -216,7 +218,7 @@
         report = EngineReport(
             models=(LoadedModel(BASE, 1, _by_name(self.version_by_key)),),
             loading=frozenset(self.coming),
-            busy=False,
+            busy=self._pending_unload is not None,
             orders=self.orders,
             queued=0,
             active=len(self.runs),
@@ -247,6 +249,7 @@
         self._record = EndpointRecord("e", "llm", ("10.0.0.1", 1), "a", True, 16)
         self._capacity = EngineCapacity(16, 1_000_000, slots, (BASE,))
         self._tasks: set[asyncio.Task[None]] = set()
+        self._owners: list[EngineOwner] = []
 
     async def run(self, seconds: float, per_s: float = 25.0) -> None:
         """Simulate a load for a while."""
@@ -266,7 +269,8 @@
                 self._publish_version()
             elif draw < versions + self._faults.denied / 5:
                 self._denied_until = loop.time() + self.rng.uniform(0.0, 0.4)
-        self._owner.stop()
+        for owner in self._owners:
+            owner.stop()
         for task in list(self._tasks):
             task.cancel()
 
@@ -287,14 +291,19 @@
             mechanisms=ALL_ON,
         )
         self._owner = EngineOwner(self._record, self._capacity, context)
+        self._owners.append(self._owner)
         self._owner.start()
 
     def _change_owner(self) -> None:
         """Replace the owner; the new one is notified of the runs a moment later."""
-        self._owner.stop()
+        loop = asyncio.get_running_loop()
+        overlaps = self._faults.overlaps
+        if overlaps and self.rng.random() < overlaps:
+            loop.call_later(self.rng.uniform(0.05, 2.0), self._owner.stop)
+        else:
+            self._owner.stop()
         self._fence += 1
         self._start_owner()
-        loop = asyncio.get_running_loop()
         for held in self._held_by_ask.values():
             loop.call_later(self.rng.uniform(0.0, 0.25), self._notify_held, held)
 
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -30,13 +30,14 @@
     read_at: float,
     loading: Sequence[str] = (),
     missing: int | None = None,
+    busy: bool = False,
     **version_by_adapter: int,
 ) -> ReportedState:
     """Return a report with the given adapters loaded, and some loading."""
     adapters = {(MODEL, name): v for name, v in version_by_adapter.items()}
     coming = frozenset((MODEL, name) for name in loading)
     return ReportedState(
-        {MODEL: 1}, adapters, coming, 0, read_at, missing_orders=missing
+        {MODEL: 1}, adapters, coming, 0, read_at, missing_orders=missing, busy=busy
     )
 
 
@@ -142,6 +143,15 @@
         engine.on_report(make_report(4.1, missing=0, a1=1), 4.1)
         assert (MODEL, "a1") in engine.snapshot(4.1).loaded
 
+    def test_nothing_is_ordered_while_an_unload_waits_for_a_run(self) -> None:
+        """Guards against evicting an adapter that is about to go by itself."""
+        engine = make_places(slots=1)
+        engine.on_report(make_report(1.0, busy=True, a1=1), 1.0)
+        assert engine.on_request(make_request("r", "a2", 1.0), 1.0) == []
+        assert engine.awaits_report()
+        [order] = engine.on_report(make_report(1.1, missing=0), 1.1)
+        assert order == OrderLoad(MODEL, "a2", 1)
+
     def test_an_adapter_in_use_is_never_evicted(self) -> None:
         engine = make_places(slots=1)
         [order] = engine.on_request(make_request("r1", "a1"), 0.0)
--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -41,6 +41,9 @@
     new_versions=0.1,
     report_age_s=(0.05, 0.8),
 )
+OVERLAPPING_OWNERS = Faults(
+    lost=0.3, late=0.3, owner_changes=0.05, new_versions=0.05, overlaps=0.6
+)
 OWNERS_IN_TURN_S = 20.0
 
 
@@ -204,3 +207,10 @@
         simulation = simulate(seed, faults, OWNERS_IN_TURN_S)
         assert simulation.engine.overfilled == []
         assert simulation.served > 100
+
+    @pytest.mark.parametrize("seed", [18, 45])
+    def test_overlapping_owners_never_overfill_an_engine(self, seed: int) -> None:
+        """Guards against an unload of the one that the other takes for its own."""
+        simulation = simulate(seed, OVERLAPPING_OWNERS, OWNERS_IN_TURN_S)
+        assert simulation.engine.overfilled == []
+        assert simulation.served > 100
