Check paths also while the store hangs on a release of engines

Cause: one loop checked the paths and released engines; a release waits for the store, which in an outage takes until its time limit.

Change: two loops, one for the paths, one for the engines.

Measured: test_paths_are_checked_while_the_store_hangs times out without the change.

--- a/bamboovale/gateway/cut_watch.py
+++ b/bamboovale/gateway/cut_watch.py
@@ -42,7 +42,10 @@
         self._was_cut = False
 
     async def watch(self) -> None:
-        """Check the paths, and act on what changed."""
+        """Check the paths, and give engines away; the store may never answer."""
+        await asyncio.gather(self._check_forever(), self._own_forever())
+
+    async def _check_forever(self) -> None:
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             is_cut = self._state.path_watch.check()
@@ -51,9 +54,14 @@
                 self._changed_at = self._state.now()
                 self._announce()
             self._probe(is_cut)
-            await self._suspend_or_resume(is_cut)
 
-    async def _suspend_or_resume(self, is_cut: bool) -> None:
+    async def _own_forever(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            await self._suspend_or_resume()
+
+    async def _suspend_or_resume(self) -> None:
+        is_cut = self._was_cut
         lasts_s = self._state.now() - self._changed_at
         if is_cut and lasts_s >= STEP_BACK_AFTER_S and self._others_reach_endpoints():
             await self._ownership.set_suspended(True, REASON)
--- a/tests/test_gateway_cut_paths.py
+++ b/tests/test_gateway_cut_paths.py
@@ -1,9 +1,11 @@
 """VMs that reach callers, the store and other VMs, but no endpoint."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
+from bamboovale.gateway.cut_watch import CutWatch
 from bamboovale.gateway.engine_owner import IDLE_POLL_INTERVAL_S
 from tests.gateway_site import (
     CallerAnswer,
@@ -130,3 +132,48 @@
                 assert cut not in owners
 
         run(test())
+
+
+class HangingOwnership:
+    """An ownership whose store never answers."""
+
+    def __init__(self) -> None:
+        self.reasons: list[str] = []
+
+    async def set_suspended(self, suspended: bool, reason: str) -> None:
+        """Record the reason; never returns."""
+        self.reasons.append(reason)
+        await asyncio.Event().wait()
+
+
+class TestCutInAnOutage:
+    """A VM is cut from endpoints while the store does not answer."""
+
+    def test_paths_are_checked_while_the_store_hangs(self) -> None:
+        """Guards against a VM that stays cut for others after its paths are back."""
+
+        async def test() -> None:
+            loop = asyncio.get_running_loop()
+            ownership = HangingOwnership()
+            cuts = [True]
+            told: list[bool] = []
+            paths = SimpleNamespace(is_reaching_none=lambda now: cuts[0])
+            state = SimpleNamespace(
+                now=loop.time,
+                path_watch=SimpleNamespace(check=lambda: cuts[0], paths=paths),
+                fleet=SimpleNamespace(serving=lambda: [SimpleNamespace(cut=False)]),
+                endpoints=SimpleNamespace(record_by_id={}),
+            )
+            watch = CutWatch(
+                state,  # type: ignore[arg-type]
+                SimpleNamespace(),  # type: ignore[arg-type]
+                ownership,  # type: ignore[arg-type]
+                lambda: told.append(cuts[0]),
+            )
+            task = asyncio.create_task(watch.watch())
+            await eventually(lambda: ownership.reasons)
+            cuts[0] = False
+            await eventually(lambda: told == [True, False], timeout_s=2.0)
+            task.cancel()
+
+        run(test())
