--- /dev/null
+++ b/bamboovale/gateway/pools.py
@@ -0,0 +1,48 @@
+"""The connections of one VM: to endpoints, for control calls to them, to the store."""
+
+from collections.abc import Coroutine
+from typing import Any
+
+from bamboovale.gateway.vm_state import VMState
+from bamboovale.http1.pool import ConnectionPool, sweep_forever
+from bamboovale.metrics import Metrics
+
+
+class Pools:
+    """A pool for each purpose, so that callers' requests never wait for control calls.
+
+    Connections to endpoints tell the VM which of them it reaches.
+    """
+
+    def __init__(self, state: VMState, metrics: Metrics) -> None:
+        self._state = state
+        self._opened = metrics.gateway_connections_opened
+        self.endpoint = self._to_endpoints("endpoint")
+        self.control = self._to_endpoints("control")
+        self.store = ConnectionPool(
+            state.now, self._opened.labels("store").inc, state.node.ip
+        )
+
+    def _to_endpoints(self, purpose: str) -> ConnectionPool:
+        paths = self._state.path_watch
+        return ConnectionPool(
+            self._state.now,
+            self._opened.labels(purpose).inc,
+            self._state.node.ip,
+            paths.on_connected,
+            paths.on_failed,
+        )
+
+    def sweeps(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the tasks that close idle connections to endpoints."""
+        return [sweep_forever(self.endpoint), sweep_forever(self.control)]
+
+    def forget(self, endpoint_id: str) -> None:
+        """Close the connections to an endpoint that is gone."""
+        self.endpoint.forget(endpoint_id)
+        self.control.forget(endpoint_id)
+
+    def close(self) -> None:
+        """Close all connections at once."""
+        for pool in (self.endpoint, self.control, self.store):
+            pool.close()
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -17,6 +17,7 @@
 from bamboovale.gateway.engine_client import EngineClient
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.isolation import Isolation
+from bamboovale.gateway.jobs import Jobs
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.lost_reads import LostReadDetector
 from bamboovale.gateway.model_calls import ModelCalls
@@ -24,6 +25,7 @@
 from bamboovale.gateway.ownership import Ownership, lease_clock
 from bamboovale.gateway.peering import Peering
 from bamboovale.gateway.plain_calls import PlainCalls
+from bamboovale.gateway.pools import Pools
 from bamboovale.gateway.ports import Ports
 from bamboovale.gateway.quota_exchange import QuotaExchange
 from bamboovale.gateway.records import Records
@@ -42,7 +44,6 @@
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.view_watch import ViewWatch
 from bamboovale.gateway.vm_state import VMState
-from bamboovale.http1.pool import ConnectionPool, sweep_forever
 from bamboovale.http1.server import Server, ServerLimits
 from bamboovale.metrics import Metrics
 from bamboovale.peers.links import PeerLinks
@@ -77,7 +78,7 @@
         self._metrics = metrics
         self._rng = random.Random()
         self._stop_event = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._jobs = Jobs(journal)
         self.settings_watch = SettingsWatch(
             self.state,
             read_settings,
@@ -97,27 +98,10 @@
 
     def _build_clients(self, peer_key: str) -> None:
         node = self.state.node
-        opened = self._metrics.gateway_connections_opened
-
-        paths = self.state.path_watch
-
-        def pool(target: str) -> ConnectionPool:
-            return ConnectionPool(
-                self.state.now,
-                opened.labels(target).inc,
-                node.ip,
-                paths.on_connected,
-                paths.on_failed,
-            )
-
-        self._endpoint_pool = pool("endpoint")
-        self._control_pool = pool("control")
-        self._store_pool = ConnectionPool(
-            self.state.now, opened.labels("store").inc, node.ip
-        )
+        self._pools = Pools(self.state, self._metrics)
         self._store = LostReadDetector(
             self._translation.store(
-                self._store_pool,
+                self._pools.store,
                 lambda name: self._metrics.gateway_store_calls.labels(name).inc(),
             ),
             self.state.now,
@@ -151,7 +135,7 @@
         calls = self._metrics.gateway_engine_calls
         self._owner_context = OwnerContext(
             client=EngineClient(
-                self._control_pool,
+                self._pools.control,
                 self._translation,
                 node.name,
                 self.state.signals.on_answer,
@@ -188,7 +172,7 @@
         self._access = EndpointAccess.from_parts(
             self.state,
             self._translation,
-            self._endpoint_pool,
+            self._pools.endpoint,
             self.links,
             self._metrics,
             self._rng,
@@ -306,8 +290,7 @@
             callers_port=node.callers[1],
             peers_port=node.peers_port,
         )
-        for job in self._background_tasks():
-            self._spawn(job)
+        self._jobs.start(self._background_tasks())
         await self._stop_event.wait()
         await drain(self.state, self._callers, self._ownership, self.peering)
         self.peering.announce_leaving()
@@ -317,15 +300,13 @@
 
     async def close(self) -> None:
         """Cancel all tasks and close all sockets at once."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._jobs.cancel()
         for owner in self._engines.owner_by_engine.values():
             owner.stop()
         self._access.relay_server.close()
         self._callers.close()
         self.ports.close()
-        for pool in (self._endpoint_pool, self._control_pool, self._store_pool):
-            pool.close()
+        self._pools.close()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LINKS_CLOSE_TIMEOUT_S):
                 await self.links.close()
@@ -353,8 +334,7 @@
             self._view_watch.watch(self.records.operator),
             self._quotas.exchange_forever(),
             self._assignment.write_stall_records_forever(),
-            sweep_forever(self._endpoint_pool),
-            sweep_forever(self._control_pool),
+            *self._pools.sweeps(),
         ]
 
     def stop(self) -> None:
@@ -376,34 +356,15 @@
         """Apply changed settings; requests in flight keep the previous ones."""
         self._translation.node = after
         if after.store != before.store:
-            self._store_pool.close()
+            self._pools.store.close()
         if after.bounds != before.bounds:
             self.state.set_retry_bounds()
         self._view_watch.update_bound()
 
-    def _spawn(self, job: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(self._guard(job))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _guard(self, job: Coroutine[Any, Any, None]) -> None:
-        """Log an exception that ends a task; the other tasks go on."""
-        try:
-            await job
-        except asyncio.CancelledError:
-            raise
-        except Exception as error:
-            self.state.journal.write("task_failed", job=str(job), error=repr(error))
-            raise
-
     def _on_endpoint(self, change: EndpointChange) -> None:
         if change.record is None:
-            self._endpoint_pool.forget(change.endpoint_id)
-            self._control_pool.forget(change.endpoint_id)
-            self.state.limits.forget(change.endpoint_id)
-            self.state.path_watch.paths.forget(change.endpoint_id)
-            self.state.rests.forget(change.endpoint_id)
-            self.state.brittle.forget(change.endpoint_id)
+            self._pools.forget(change.endpoint_id)
+            self.state.forget_endpoint(change.endpoint_id)
             self.peering.gossip.drop_endpoint(change.endpoint_id)
             if change.was_ready:
                 self._crashes.on_endpoint_gone(change.endpoint_id)
@@ -460,5 +421,5 @@
             "store_reachable": self._ownership.reachable,
             "requests_under_way": self._callers.busy,
             "relayed_under_way": len(self._access.relay_server),
-            "idle_connections": self._endpoint_pool.idle_count(),
+            "idle_connections": self._pools.endpoint.idle_count(),
         }
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -100,6 +100,13 @@
             if record.service in pools and record.ready
         ]
 
+    def forget_endpoint(self, endpoint_id: str) -> None:
+        """Drop what an endpoint that is gone has said and done."""
+        self.limits.forget(endpoint_id)
+        self.path_watch.paths.forget(endpoint_id)
+        self.rests.forget(endpoint_id)
+        self.brittle.forget(endpoint_id)
+
     def set_retry_bounds(self) -> None:
         """Apply the current settings to every service's retry budget."""
         self.retries.set_config(self._retry_bounds())
--- a/tests/path_cuts.py
+++ b/tests/path_cuts.py
@@ -65,7 +65,7 @@
 ) -> Iterator[Any]:
     """Yield the idle connections of VMs to endpoints."""
     for item in vms:
-        for pool in (item.vm._endpoint_pool, item.vm._control_pool):
+        for pool in (item.vm._pools.endpoint, item.vm._pools.control):
             for endpoint_id, kept in pool._pool_by_id.items():
                 if endpoint_id in endpoint_ids:
                     yield from list(kept.idle)
