Send plain and model calls to endpoints by one function

For reading only: both connected, encoded, sent and noted the path by the same lines. EndpointClient.attempt does it, with the request made once there is a connection. No behaviour changes; gateway, relay and customer tests pass.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
 import h11
 
 from bamboovale.decisions.endpoint_paths import PathUse
-from bamboovale.gateway.call import CallCodec
+from bamboovale.gateway.call import Call, CallCodec
 from bamboovale.gateway.model import AnswerFacts, AnswerNotice, EndpointRecord
 from bamboovale.gateway.path_watch import PathWatch
 from bamboovale.http1.connection import (
@@ -126,7 +126,37 @@
         self._relays = relays
         self._trials: set[asyncio.Task[None]] = set()
 
-    async def connect(
+    @contextlib.asynccontextmanager
+    async def attempt(
+        self,
+        call: Call,
+        record: EndpointRecord,
+        encode: Callable[[], h11.Request],
+        *,
+        once_only: bool,
+    ) -> AsyncIterator[EndpointAnswer]:
+        """Send a call to an endpoint; yield its answer.
+
+        ``encode`` makes the request once there is a connection. Raises NotRun or
+        MayHaveRun.
+        """
+        request_id = call.facts.request_id
+        left_s = call.left_s(self._now())
+        connection = await self._connect(
+            record, request_id, once_only=once_only, left_s=left_s
+        )
+        with self.closing(record, connection):
+            answer = await self._send(
+                connection,
+                encode(),
+                call.request.body,
+                request_id,
+                record.endpoint_id,
+            )
+            call.note_via(connection.via)
+            yield answer
+
+    async def _connect(
         self,
         record: EndpointRecord,
         request_id: str,
@@ -203,7 +233,7 @@
         )
         return head
 
-    async def send(
+    async def _send(
         self,
         connection: Exchange,
         request: h11.Request,
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import h11
+
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.gateway.call import Call, CallCodec, CallFailed
 from bamboovale.gateway.endpoint_client import (
@@ -144,15 +146,8 @@
         place: GrantedPlace | None,
         progress: Progress,
     ) -> None:
-        once_only = not call.route.resumable
-        connection = await self._client.connect(
-            record,
-            call.facts.request_id,
-            once_only=once_only,
-            left_s=call.left_s(self._now()),
-        )
-        with self._client.closing(record, connection):
-            request = self._codec.encode_call(
+        def encode() -> h11.Request:
+            return self._codec.encode_call(
                 call.request,
                 call.facts,
                 registered_id=record.registered_id,
@@ -161,14 +156,10 @@
                 urgency=min(LEAST_URGENT, MOST_URGENT + max(0, call.priority)),
                 resume_after=progress.events.last_id,
             )
-            attempt = await self._client.send(
-                connection,
-                request,
-                call.request.body,
-                call.facts.request_id,
-                record.endpoint_id,
-            )
-            call.note_via(connection.via)
+
+        once_only = not call.route.resumable
+        sending = self._client.attempt(call, record, encode, once_only=once_only)
+        async with sending as attempt:
             if attempt.facts.status != OK or not attempt.facts.is_event_stream:
                 await self._forward_body(call, attempt, progress)
             else:
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import h11
+
 from bamboovale.decisions.routing import ServiceRouter
 from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
 from bamboovale.gateway.endpoint_client import EndpointClient, MayHaveRun, NotRun
@@ -286,29 +288,18 @@
         call: Call,
         record: EndpointRecord,
     ) -> tuple[AnswerFacts, bytes]:
-        once_only = call.route.kind is not CallKind.SAFE
-        connection = await self._client.connect(
-            record,
-            call.facts.request_id,
-            once_only=once_only,
-            left_s=call.left_s(self._now()),
-        )
-        with self._client.closing(record, connection):
-            request = self._codec.encode_call(
+        def encode() -> h11.Request:
+            return self._codec.encode_call(
                 call.request,
                 call.facts,
                 registered_id=record.registered_id,
                 left_s=call.left_s(self._now()),
             )
-            attempt = await self._client.send(
-                connection,
-                request,
-                call.request.body,
-                call.facts.request_id,
-                record.endpoint_id,
-            )
-            call.note_via(connection.via)
-            return attempt.facts, await attempt.read_body()
+
+        once_only = call.route.kind is not CallKind.SAFE
+        sending = self._client.attempt(call, record, encode, once_only=once_only)
+        async with sending as answer:
+            return answer.facts, await answer.read_body()
 
     def _choose(self, call: Call, excluded: set[str]) -> EndpointRecord | None:
         service = call.service
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -49,14 +49,6 @@
     return asyncio.get_running_loop().time()
 
 
-@dataclass(frozen=True)
-class OpenConnection:
-    """A connection of this VM."""
-
-    endpoint_id: str
-    via: str | None = None
-
-
 @dataclass
 class FullPool:
     """Endpoints with few slots that reject calls beyond them at once."""
@@ -87,24 +79,13 @@
         """Check that no endpoint is passed over."""
         assert not endpoint_ids
 
-    async def connect(
-        self, record: EndpointRecord, request_id: str, **fields: Any
-    ) -> "OpenConnection":
-        """Return a connection."""
-        return OpenConnection(record.endpoint_id)
-
-    @contextmanager
-    def closing(self, record: EndpointRecord, connection: Any) -> Iterator[None]:
-        """Do nothing."""
-        yield
-
-    def encode_call(self, *arguments: Any, **fields: Any) -> None:
-        """Return nothing, as nothing is sent."""
-
-    async def send(self, connection: "OpenConnection", *arguments: Any) -> "FullPool":
+    @asynccontextmanager
+    async def attempt(
+        self, call: Any, record: EndpointRecord, *arguments: Any, **fields: Any
+    ) -> AsyncIterator["FullPool"]:
         """Run a call, or reject it."""
         self.arrivals += 1
-        endpoint_id = connection.endpoint_id
+        endpoint_id = record.endpoint_id
         if self.running[endpoint_id] >= SLOTS:
             raise NotRun("full", reached=True)
         self.running[endpoint_id] += 1
@@ -112,7 +93,7 @@
             await asyncio.sleep(WORK_S)
         finally:
             self.running[endpoint_id] -= 1
-        return self
+        yield self
 
     @property
     def facts(self) -> "FullPool":
