Send calls to a slow endpoint where no other takes them

Callers of a plain service got 503 'no endpoint accepts calls' for two seconds: a pause of the VM made one call slow, its endpoint was ejected as far slower than its pool, and the other endpoint was at the limit that it names (class: an endpoint is left out as better ones exist, without a look at whether they take anything).

Change: a call that no other endpoint takes goes to an ejected one that answers; one that fails or hangs still gets none.

Both tests fail without the change.

--- a/bamboovale/decisions/routing.py
+++ b/bamboovale/decisions/routing.py
@@ -8,8 +8,9 @@
 larger share of errors than others counts as busier, so that it loses most calls without
 being ejected. An endpoint with several failures in a row, or far slower than its pool,
 is ejected for a while and returns by one trial call; at most a third of the pool is
-ejected. Each endpoint has a concurrency limit that falls with failed or late calls. A
-call that an endpoint rejected because it was full is no failure of the endpoint.
+ejected. A slow one still gets the calls that no other endpoint takes. Each endpoint has
+a concurrency limit that falls with failed or late calls. A call that an endpoint
+rejected because it was full is no failure of the endpoint.
 """
 
 import math
@@ -69,10 +70,20 @@
 
     def expected_latency(self, now: float) -> float:
         """Return the recent latency, or the age of the oldest call if longer."""
+        return max(self._recent_latency(now), self._oldest_age(now))
+
+    def is_answering(self, now: float) -> bool:
+        """Return whether its last call succeeded, none hangs, and one more has room."""
+        hangs = self._oldest_age(now) > self._recent_latency(now)
+        return not self.failures_in_row and not hangs and self.has_room()
+
+    def _recent_latency(self, now: float) -> float:
         faded = math.exp(-max(0.0, now - self.measured_at) / LATENCY_DECAY_S)
-        recent = INITIAL_LATENCY_S + (self.latency_s - INITIAL_LATENCY_S) * faded
+        return INITIAL_LATENCY_S + (self.latency_s - INITIAL_LATENCY_S) * faded
+
+    def _oldest_age(self, now: float) -> float:
         oldest = next(iter(self.started_at_by_call.values()), now)
-        return max(recent, now - oldest)
+        return now - oldest
 
     def cost(self, now: float) -> float:
         """Return the expected work before a new call succeeds."""
@@ -132,7 +143,7 @@
         for name in self._ejected:
             if name not in excluded and self._is_trial_due(name, now):
                 return name
-        drawn = self._draw(rng, excluded)
+        drawn = self._draw(rng, excluded) or self._slow_but_answering(excluded, now)
         return min(
             drawn,
             key=lambda name: self._endpoint_by_id[name].cost(now),
@@ -213,6 +224,18 @@
         ]
         return rng.sample(ready, min(2, len(ready)))
 
+    def _slow_but_answering(self, excluded: Collection[str], now: float) -> list[str]:
+        """Return ejected endpoints that still answer.
+
+        Guards against refusals where the rest of the pool takes no calls, as endpoints
+        have limits or want rest. One that fails or hangs gets no calls even then.
+        """
+        return [
+            name
+            for name in self._ejected
+            if name not in excluded and self._endpoint_by_id[name].is_answering(now)
+        ]
+
     def _is_ready(self, name: str) -> bool:
         return name not in self._ejected and self._endpoint_by_id[name].has_room()
 
--- a/tests/test_decisions_routing.py
+++ b/tests/test_decisions_routing.py
@@ -58,6 +58,18 @@
         last = [name for at, name, _ in calls if at > 50.0]
         assert last.count("counter-1") > len(last) / 8
 
+    def test_it_gets_the_calls_that_no_other_endpoint_takes(self) -> None:
+        """Guards against refusals where the others are at limits that they name."""
+        router, rng = ServiceRouter(), random.Random(1)
+        router.set_endpoints(["counter-1", "counter-2"])
+        router.on_start("counter-1", "1", 0.0)
+        router.on_end("counter-1", "1", 0.6, ok=True)
+        assert router.ejected() == ["counter-1"]
+        assert router.choose(0.7, rng) == "counter-2"
+        assert router.choose(0.7, rng, {"counter-2"}) == "counter-1"
+        router.on_start("counter-1", "2", 0.7)
+        assert router.choose(2.5, rng, {"counter-2"}) is None
+
     def test_all_slow_ejects_at_most_a_third(self) -> None:
         router = ServiceRouter()
         run_calls(lambda name, now: -0.01, seconds=5.0, router=router)
--- a/tests/test_gateway_endpoint_limits.py
+++ b/tests/test_gateway_endpoint_limits.py
@@ -1,6 +1,7 @@
 """Endpoints that name a limit in their answers, and VMs that share it."""
 
 import asyncio
+import time
 
 from bamboovale.standins.platform_endpoints import PlatformEndpoint
 from tests.gateway_site import RunningVM, Site, call, eventually, run, running_site
@@ -10,6 +11,8 @@
 STABLE_S = 1.0
 """Time after the first naming from which the limit must hold."""
 LOAD_S = 5.5
+PAUSE_S = 0.5
+"""Time for which the event loop of all VMs stands still."""
 
 
 def used(endpoint: PlatformEndpoint) -> float:
@@ -53,6 +56,20 @@
 
         run(test())
 
+    def test_a_pause_of_the_vms_refuses_no_calls(self) -> None:
+        """Guards against an endpoint ejected as slow while the other has a limit."""
+
+        async def test() -> None:
+            async with running_site(vms=3, services=2) as site:
+                slow_services(site)
+                site.services[0].signals.set_limit(LIMIT_PER_S)
+                loop = asyncio.get_running_loop()
+                loop.call_later(LOAD_S / 2, time.sleep, PAUSE_S)
+                answers = await load(site, "/book/1", LOAD_S)
+                assert served(answers) > 0.97
+
+        run(test())
+
 
 class TestNews:
     """What VMs hear of a limit from one another."""
