--- a/tests/owner_simulation.py
+++ b/tests/owner_simulation.py
@@ -7,7 +7,6 @@
 import asyncio
 import itertools
 import random
-import selectors
 from collections.abc import Coroutine
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -16,6 +15,7 @@
 from bamboovale.decisions.place_work import AdapterKey, EngineCapacity
 from bamboovale.gateway.engine_client import EngineCallFailed
 from bamboovale.gateway.engine_owner import EngineOwner
+from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.messages import (
     PlaceHeld,
     PlaceRelease,
@@ -31,6 +31,7 @@
 )
 from bamboovale.gateway.owner_context import OwnerContext
 from tests.gateway_site import RecordedJournal
+from tests.virtual_loop import VirtualTimeLoop
 
 BASE = "base"
 MAX_LOADS = 4
@@ -61,26 +62,25 @@
     holds_before_number: bool = False
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop whose time passes only while it is idle."""
-
-    def __init__(self) -> None:
-        super().__init__(_JumpingSelector(self))
-        self.virtual_s = 0.0
-
-    def time(self) -> float:
-        """Return the virtual time in seconds."""
-        return self.virtual_s
-
-
-class _JumpingSelector(selectors.SelectSelector):
-    def __init__(self, loop: VirtualLoop) -> None:
-        super().__init__()
-        self._loop = loop
-
-    def select(self, timeout: float | None = None) -> list[Any]:
-        self._loop.virtual_s += max(0.0, timeout or 0.0)
-        return super().select(0)
+def owner_context(client: Any, journal: Journal, **changed: Any) -> OwnerContext:
+    """Return the dependencies of an owner that may always order."""
+    return replace(
+        OwnerContext(
+            client=client,
+            journal=journal,
+            now=asyncio.get_running_loop().time,
+            may_order=lambda engine_id: True,
+            fence=lambda engine_id: 1,
+            on_fenced=lambda record, token: None,
+            on_restart=lambda record, started_ms: None,
+            hold_off_s=lambda: 0.0,
+            pool_stalled=lambda service: False,
+            limit_per_s=lambda engine_id: None,
+            rest_s=lambda engine_id: 0.0,
+            mechanisms=ALL_ON,
+        ),
+        **changed,
+    )
 
 
 @dataclass
@@ -276,19 +276,12 @@
 
     def _start_owner(self) -> None:
         loop = asyncio.get_running_loop()
-        context = OwnerContext(
-            client=self.engine,  # type: ignore[arg-type]
-            journal=self.journal,
-            now=loop.time,
+        context = owner_context(
+            self.engine,
+            self.journal,
             may_order=lambda engine_id: loop.time() >= self._denied_until,
             fence=lambda engine_id: self._fence,
-            on_fenced=lambda record, token: None,
-            on_restart=lambda record, started_ms: None,
             hold_off_s=lambda: 0.3,
-            pool_stalled=lambda service: False,
-            limit_per_s=lambda engine_id: None,
-            rest_s=lambda engine_id: 0.0,
-            mechanisms=ALL_ON,
         )
         self._owner = EngineOwner(self._record, self._capacity, context)
         self._owners.append(self._owner)
@@ -362,7 +355,7 @@
 
 def simulate(seed: int, faults: Faults, seconds: float = 60.0) -> OwnerSimulation:
     """Run the simulation of one seed and return it."""
-    loop = VirtualLoop()
+    loop = VirtualTimeLoop()
     try:
         simulation = OwnerSimulation(seed, faults)
         loop.run_until_complete(simulation.run(seconds))
--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from bamboovale.decisions.mechanisms import ALL_ON
 from bamboovale.decisions.place_work import EngineCapacity, OrderLoad
 from bamboovale.gateway.engine_owner import EngineOwner
 from bamboovale.gateway.messages import PlaceRequest
@@ -19,9 +18,8 @@
     OrderOutcome,
 )
 from bamboovale.gateway.order_sender import OrderSender
-from bamboovale.gateway.owner_context import OwnerContext
 from tests.gateway_site import RecordedJournal
-from tests.owner_simulation import Faults, simulate
+from tests.owner_simulation import Faults, owner_context, simulate
 
 RECORD = EndpointRecord("e", "llm", ("10.0.0.1", 1), "a", True, 8)
 LOAD = OrderLoad("base", "a1", 1)
@@ -153,20 +151,7 @@
 
         async def test() -> None:
             client = ReportingEngine()
-            context = OwnerContext(
-                client=client,  # type: ignore[arg-type]
-                journal=RecordedJournal("owner"),
-                now=asyncio.get_running_loop().time,
-                may_order=lambda engine_id: True,
-                fence=lambda engine_id: 1,
-                on_fenced=lambda record, token: None,
-                on_restart=lambda record, started_ms: None,
-                hold_off_s=lambda: 0.0,
-                pool_stalled=lambda service: False,
-                limit_per_s=lambda engine_id: None,
-                rest_s=lambda engine_id: 0.0,
-                mechanisms=ALL_ON,
-            )
+            context = owner_context(client, RecordedJournal("owner"))
             owner = EngineOwner(RECORD, EngineCapacity(8, 100_000, 2), context)
             await owner.poll()
             request = PlaceRequest("e", "r.1", "base", "a2", 1, 100, 20, 0, 1.0, 3.0)
