--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -16,7 +16,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bamboovale.decisions.adapter_slots import AdapterSlots, SlotState
+from bamboovale.decisions.adapter_slot import SlotState
+from bamboovale.decisions.adapter_slots import AdapterSlots
 from bamboovale.decisions.engine_busyness import EngineBusyness
 from bamboovale.decisions.load_orders import LoadOrders
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanism, Mechanisms
--- a/bamboovale/decisions/load_orders.py
+++ b/bamboovale/decisions/load_orders.py
@@ -9,7 +9,8 @@
 
 from collections.abc import Mapping, Sequence
 
-from bamboovale.decisions.adapter_slots import AdapterSlots, SlotState
+from bamboovale.decisions.adapter_slot import SlotState
+from bamboovale.decisions.adapter_slots import AdapterSlots
 from bamboovale.decisions.place_work import (
     AdapterKey,
     EngineCapacity,
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from bamboovale.decisions.adapter_slots import RUN_REPORT_LAG_S
+from bamboovale.decisions.adapter_slot import RUN_REPORT_LAG_S
 from bamboovale.decisions.engine_places import EnginePlaces
 from bamboovale.decisions.place_work import (
     Action,
--- a/bench/order_guards.py
+++ b/bench/order_guards.py
@@ -14,7 +14,7 @@
         f"{ENGINE}::test_owners_in_turn_never_overfill_an_engine",
         (
             Change(
-                SLOTS_PATH,
+                "bamboovale/decisions/adapter_slot.py",
                 "self.active or self.aborted_at or self.in_transit",
                 "self.active or self.aborted_at",
             ),
