Give back an ejected endpoint where its pool shrinks to it

The log of the VM: five calls in a row broke off at app-3 while all VMs were cut from endpoints, so that it was ejected; app-4 left at 2488.83, and from then on every call was refused although app-3 answered others.

Cause: at most a third of a pool is ejected, but that was looked at only when one more was to be ejected, not when the pool shrank.

Change: a pool that shrinks gets back the ejected ones beyond its share, the one that is due first before others.

Measured: test_the_last_endpoint_of_a_pool_is_not_left_out fails without the change. Not mended: calls that break off for the VM's own paths count against their endpoints.

--- a/bamboovale/decisions/routing.py
+++ b/bamboovale/decisions/routing.py
@@ -114,13 +114,18 @@
         self._median_at: float | None = None
 
     def set_endpoints(self, endpoint_ids: Iterable[str]) -> None:
-        """Set the live endpoints; calls to removed ones still end normally."""
+        """Set the live endpoints; calls to removed ones still end normally.
+
+        A pool that shrinks gets back those that are ejected beyond its share.
+        """
         self._endpoint_by_id = {
             name: self._endpoint_by_id.get(name) or Endpoint() for name in endpoint_ids
         }
         self._names = sorted(self._endpoint_by_id)
         for name in set(self._ejected) - set(self._names):
             del self._ejected[name]
+        while len(self._ejected) > self._max_ejected():
+            del self._ejected[min(self._ejected, key=self._ejected.__getitem__)]
         self._median_at = None
 
     def set_most(self, most_by_id: Mapping[str, int]) -> None:
@@ -290,11 +295,14 @@
             self._median_at = now
         return self._median_s
 
+    def _max_ejected(self) -> int:
+        if len(self._names) < 2:
+            return 0
+        return max(1, int(len(self._names) * MAX_EJECTED_SHARE))
+
     def _eject(self, name: str, now: float) -> None:
-        if name not in self._ejected:
-            max_ejected = max(1, int(len(self._names) * MAX_EJECTED_SHARE))
-            if len(self._names) < 2 or len(self._ejected) >= max_ejected:
-                return
+        if name not in self._ejected and len(self._ejected) >= self._max_ejected():
+            return
         endpoint = self._endpoint_by_id[name]
         pause = FIRST_EJECTION_S * 2.0**endpoint.ejections_in_row
         self._ejected[name] = now + min(pause, MAX_EJECTION_S)
--- a/tests/test_decisions_routing.py
+++ b/tests/test_decisions_routing.py
@@ -70,6 +70,18 @@
         router.on_start("counter-1", "2", 0.7)
         assert router.choose(2.5, rng, {"counter-2"}) is None
 
+    def test_the_last_endpoint_of_a_pool_is_not_left_out(self) -> None:
+        """Guards against refusals after the endpoints that were not ejected left."""
+        router, rng = ServiceRouter(), random.Random(1)
+        router.set_endpoints(["counter-1", "counter-2"])
+        for number in range(5):
+            router.on_start("counter-1", str(number), 0.0)
+            router.on_end("counter-1", str(number), 0.1, ok=False)
+        assert router.ejected() == ["counter-1"]
+        router.set_endpoints(["counter-1"])
+        assert router.ejected() == []
+        assert router.choose(0.2, rng) == "counter-1"
+
     def test_all_slow_ejects_at_most_a_third(self) -> None:
         router = ServiceRouter()
         run_calls(lambda name, now: -0.01, seconds=5.0, router=router)
