Let no report from before a load end it

Cause: that a load has not begun was told by its age alone; a silence of a second, which the users announce, and one poll more are enough.

Change: a report that misses orders known to be accepted ends no load and no unload.

The simulation had no silences before.

--- a/bamboovale/decisions/adapter_slots.py
+++ b/bamboovale/decisions/adapter_slots.py
@@ -344,6 +344,8 @@
         self, key: AdapterKey, report: ReportedState, now: float
     ) -> None:
         slot = self._slot_by_key[key]
+        if report.missing_orders:
+            return
         is_gone = slot.is_evictable() or slot.state is SlotState.UNLOADING
         if report.missing_orders == 0 and is_gone:
             del self._slot_by_key[key]
--- a/bench/order_guards.py
+++ b/bench/order_guards.py
@@ -32,6 +32,16 @@
             ),
         ),
     ),
+    Guard(
+        "a report that misses orders ends no load",
+        EndpointPromise.ROOM,
+        f"{ENGINE}::test_no_change_of_owner_overfills_an_engine",
+        (
+            Change(
+                SLOTS_PATH, "        if report.missing_orders:\n", "        if False:\n"
+            ),
+        ),
+    ),
     Guard(
         "a report that misses an unload does not undo it",
         EndpointPromise.ROOM,
--- a/tests/owner_simulation.py
+++ b/tests/owner_simulation.py
@@ -38,6 +38,7 @@
 """Adapters that an engine loads at the same time."""
 ANSWER_S = 0.004
 ORDER_TIMEOUT_S = 0.05
+REPORT_TIMEOUT_S = 1.0
 
 
 @dataclass(frozen=True)
@@ -47,8 +48,10 @@
     ``lost`` is the share of orders without an answer, ``late`` of those carried out
     late, ``denied`` of times at which no order may be sent, ``owner_changes`` and
     ``new_versions`` of requests with which these come, ``overlaps`` of changes after
-    which the previous owner goes on for a while. An engine confirms orders already in
-    effect before checking their number if ``holds_before_number``.
+    which the previous owner goes on for a while. With the share ``silences`` of
+    requests the engine stops answering reports for seconds; the next report is of
+    before. An engine confirms orders already in effect before checking their number if
+    ``holds_before_number``.
     """
 
     lost: float = 0.25
@@ -57,6 +60,7 @@
     owner_changes: float = 0.002
     new_versions: float = 0.008
     overlaps: float = 0.0
+    silences: float = 0.0
     cold_load_s: tuple[float, float] = (0.1, 0.6)
     report_age_s: tuple[float, float] = (0.05, 0.3)
     holds_before_number: bool = False
@@ -101,6 +105,7 @@
     version_by_key: dict[AdapterKey, int] = field(default_factory=dict)
     coming: dict[AdapterKey, int] = field(default_factory=dict)
     runs: dict[str, AdapterKey] = field(default_factory=dict)
+    silent_until: float = 0.0
     newest: dict[AdapterKey, int] = field(default_factory=dict)
     _pending_unload: AdapterKey | None = None
     _history: list[_Snapshot] = field(default_factory=list)
@@ -116,10 +121,16 @@
     async def report(self, record: EndpointRecord) -> EngineReport:
         """Return a report of some time ago."""
         await asyncio.sleep(ANSWER_S)
+        if self.now() < self.silent_until:
+            await asyncio.sleep(REPORT_TIMEOUT_S)
+            raise EngineCallFailed("no answer")
         if self.rng.random() < self.faults.lost / 4:
             raise EngineCallFailed("no answer")
         age_s = self.rng.uniform(*self.faults.report_age_s)
-        self._reported_at = max(self._reported_at, self.now() - age_s)
+        if self.silent_until:
+            self.silent_until = 0.0
+        else:
+            self._reported_at = max(self._reported_at, self.now() - age_s)
         self._record_report()
         older = [item for item in self._history if item.at <= self._reported_at]
         return (older[-1] if older else self._history[0]).report
@@ -267,6 +278,8 @@
                 self._change_owner()
             elif draw < versions:
                 self._publish_version()
+            elif draw > 1.0 - self._faults.silences:
+                self.engine.silent_until = loop.time() + self.rng.uniform(0.5, 2.5)
             elif draw < versions + self._faults.denied / 5:
                 self._denied_until = loop.time() + self.rng.uniform(0.0, 0.4)
         for owner in self._owners:
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -143,6 +143,17 @@
         engine.on_report(make_report(4.1, missing=0, a1=1), 4.1)
         assert (MODEL, "a1") in engine.snapshot(4.1).loaded
 
+    def test_a_report_from_before_a_load_does_not_end_it(self) -> None:
+        """Guards against a slot given away after an engine was silent for seconds."""
+        engine = make_places(slots=1)
+        [order] = engine.on_request(make_request("r1", "a1"), 0.0)
+        engine.on_order_done(order, 0.0, at_once=False)
+        engine.on_cancel("r1", 0.1)
+        engine.on_request(make_request("r2", "a2", 3.0), 3.0)
+        assert engine.on_report(make_report(3.0, missing=1), 3.0) == []
+        [order] = engine.on_report(make_report(3.1, missing=0, a1=1), 3.1)
+        assert order == OrderUnload(MODEL, "a1")
+
     def test_nothing_is_ordered_while_an_unload_waits_for_a_run(self) -> None:
         """Guards against evicting an adapter that is about to go by itself."""
         engine = make_places(slots=1)
--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -45,6 +45,9 @@
 OVERLAPPING_OWNERS = Faults(
     lost=0.3, late=0.3, owner_changes=0.05, new_versions=0.05, overlaps=0.6
 )
+SILENT_REPORTS = Faults(
+    lost=0.1, late=0.1, owner_changes=0.005, new_versions=0.01, silences=0.02
+)
 OWNERS_IN_TURN_S = 20.0
 SEARCHED = (
     OWNERS_OFTEN,
@@ -54,6 +57,7 @@
     SLOW_REPORTS,
     OVERLAPPING_OWNERS,
     replace(OVERLAPPING_OWNERS, holds_before_number=True),
+    SILENT_REPORTS,
 )
 SEARCHED_SEEDS = int(os.environ.get("BAMBOOVALE_ORDER_SEEDS", "2"))
 """Seeds of each kind of faults; set it higher for a long search by hand."""
