Take back orders by way of another VM

Cause: the platform's rules take orders from two machines for orders of two owners, whatever name and fencing number they bear; I had not read that line.

Conclusion: an owner that reaches none of its engines has to give them away.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -21,8 +21,6 @@
 from bamboovale.http1.pool import ConnectionPool
 from bamboovale.relay.client import NotSent, Relays
 
-CONTROL_CALL_ID = "control"
-"""Request id of reports and orders in log lines of the VM that sends them."""
 MAX_STALE_ANSWERS = 2
 """Answers to earlier requests that are skipped on one connection."""
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
@@ -184,19 +182,6 @@
             endpoint_id, request_id, once_only=once_only, left_s=left_s
         )
 
-    def by_other_vm(self, record: EndpointRecord, left_s: float) -> Exchange | None:
-        """Return an exchange for a control call of an engine's owner by another VM.
-
-        None while this VM reaches the engine. Guards against engines that load nothing,
-        as their owner alone has lost its path to them.
-        """
-        if not self._paths.is_out_of_reach(record.endpoint_id, self._now()):
-            return None
-        self._try_path(record)
-        return self._relays.open(
-            record.endpoint_id, CONTROL_CALL_ID, once_only=False, left_s=left_s
-        )
-
     async def connect_here(
         self, record: EndpointRecord, *, once_only: bool
     ) -> Connection:
--- a/bamboovale/gateway/engine_client.py
+++ b/bamboovale/gateway/engine_client.py
@@ -8,7 +8,6 @@
 import h11
 
 from bamboovale.decisions.order_timeout import OrderTimeout
-from bamboovale.gateway.endpoint_client import Exchange
 from bamboovale.gateway.model import (
     AnswerNotice,
     EndpointRecord,
@@ -19,18 +18,14 @@
 )
 from bamboovale.http1.connection import (
     ConnectFailed,
-    Connection,
     IncompleteResponse,
     ResponseHead,
 )
 from bamboovale.http1.pool import ConnectionPool
-from bamboovale.relay.client import NotSent
 
 REPORT_TIMEOUT_S = 1.0
 """An engine answers within milliseconds; a slow link adds some hundred."""
 
-CALL_ERRORS = (TimeoutError, ConnectFailed, NotSent, IncompleteResponse, OSError)
-
 
 class EngineCodec(Protocol):
     """Encodes and decodes reports and orders in the engine's format."""
@@ -75,8 +70,7 @@
     """Calls engines over a connection pool that carries no callers' requests.
 
     ``on_hanging`` is called with an engine that answered nothing on an open connection,
-    and how that ended. ``by_other_vm`` returns an exchange for an engine that this VM
-    does not reach, with the seconds left for it.
+    and how that ended.
     """
 
     def __init__(
@@ -87,9 +81,6 @@
         on_answer: Callable[[AnswerNotice], None],
         on_call: Callable[[str, str], None] = lambda name, outcome: None,
         on_hanging: Callable[[str, str], None] = lambda endpoint_id, reason: None,
-        by_other_vm: Callable[[EndpointRecord, float], Exchange | None] = (
-            lambda record, left_s: None
-        ),
     ) -> None:
         self._pool = pool
         self._codec = codec
@@ -97,7 +88,6 @@
         self._on_answer = on_answer
         self._on_call = on_call
         self._on_hanging = on_hanging
-        self._by_other_vm = by_other_vm
         self._order_timeout = OrderTimeout()
 
     async def report(self, record: EndpointRecord) -> EngineReport:
@@ -152,37 +142,28 @@
         body: bytes,
         timeout_s: float,
     ) -> tuple[int, bytes]:
-        connection: Exchange | None = None
+        connection = None
         try:
             async with asyncio.timeout(timeout_s):
-                connection = self._by_other_vm(record, timeout_s)
-                if connection is None:
-                    connection = await self._pool.take(
-                        record.endpoint_id, record.address
-                    )
+                connection = await self._pool.take(record.endpoint_id, record.address)
                 sent_at = time.monotonic()
                 connection.send(request, body)
                 head = await connection.head()
                 signals = self._codec.decode_signals(head)
-                self._on_answer(
-                    AnswerNotice(
-                        record.endpoint_id, signals, sent_at, via=connection.via
-                    )
-                )
+                notice = AnswerNotice(record.endpoint_id, signals, sent_at)
+                self._on_answer(notice)
                 parts = []
                 while (data := await connection.data()) is not None:
                     parts.append(data)
-        except CALL_ERRORS as error:
+        except (TimeoutError, ConnectFailed, IncompleteResponse, OSError) as error:
             if connection is not None:
                 connection.close()
-            if isinstance(connection, Connection):
                 self._on_hanging(record.endpoint_id, type(error).__name__)
             raise EngineCallFailed(
                 f"{type(error).__name__}: {error}",
-                unreachable=isinstance(error, ConnectFailed | NotSent),
+                unreachable=isinstance(error, ConnectFailed),
             ) from error
-        if isinstance(connection, Connection):
-            self._pool.give_back(record.endpoint_id, connection)
+        self._pool.give_back(record.endpoint_id, connection)
         return head.status, b"".join(parts)
 
 
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -141,7 +141,6 @@
                 self.state.signals.on_answer,
                 lambda name, outcome: calls.labels(name, outcome).inc(),
                 self.state.path_watch.on_failed,
-                lambda record, left_s: self._access.client.by_other_vm(record, left_s),
             ),
             journal=self.state.journal,
             now=self.state.now,
