Log software versions and what a try takes up

Cause: neither the line of an endpoint nor that of a request showed a software version, and a try did not say which stream it takes up, so that the hypotheses of the ORDER incident could not be told apart from our lines. Change: version of endpoints' records and the header Resumes are decoded and logged; nothing decides by them yet.

--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -171,6 +171,7 @@
                 service=record.service,
                 address=f"{record.address[0]}:{record.address[1]}",
                 failure_domain=record.failure_domain,
+                software=record.software_version,
                 ready=record.ready,
                 remaining_s=record.remaining_s,
             )
--- a/bamboovale/gateway/model.py
+++ b/bamboovale/gateway/model.py
@@ -154,7 +154,8 @@
     """One start of an endpoint, as it registered itself.
 
     ``registered_id`` may be used again by a later start. ``started_ms`` is the start
-    time in Unix milliseconds, None if the endpoint does not report it. State of an
+    time in Unix milliseconds, None if the endpoint does not report it.
+    ``software_version`` is the version of the endpoint's software. State of an
     endpoint is kept by ``endpoint_id``, which no two starts share, so that state of an
     earlier start is not applied to a later one.
     """
@@ -168,6 +169,7 @@
     models: tuple[LoadedModel, ...] = ()
     remaining_s: float | None = None
     started_ms: int | None = None
+    software_version: str = ""
     endpoint_id: str = field(init=False)
 
     def __post_init__(self) -> None:
@@ -239,9 +241,10 @@
     """A caller's request, decoded; ``deadline_s`` is how long the caller will wait.
 
     ``forward`` are the headers to forward unchanged. ``resume_after`` is the id of the
-    last event of a stream that the caller received. ``tokens`` are those of the prompt
-    and the longest answer, None if the caller gives no count. ``key`` is the caller's
-    API key, None if it has no valid one.
+    last event of a stream that the caller received, ``resumes`` the id of the attempt
+    that brought it the first one, None if it names none. ``tokens`` are those of the
+    prompt and the longest answer, None if the caller gives no count. ``key`` is the
+    caller's API key, None if it has no valid one.
     """
 
     request_id: str
@@ -250,6 +253,7 @@
     work: ModelWork | None
     forward: Headers = field(repr=False)
     resume_after: str | None = None
+    resumes: str | None = None
     tokens: int | None = None
     key: bytes | None = field(default=None, repr=False)
 
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -96,7 +96,9 @@
     ) -> bool:
         """Return True once the caller has the whole answer, False to retry."""
         started_at = self._now()
-        note = call.note_attempt(endpoint=record.endpoint_id)
+        note = call.note_attempt(
+            endpoint=record.endpoint_id, software=record.software_version
+        )
         refused = not_held = False
         aborted = True
         try:
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -249,6 +249,8 @@
             customer=call.customer.name if call.customer else None,
             model=work.model if work else None,
             adapter=work.adapter if work else None,
+            resumes=call.facts.resumes,
+            resume_after=call.facts.resume_after,
             tokens=[work.prompt_tokens, work.output_tokens] if work else None,
             goal_s=call.route.goal_s,
             pause_allowed_s=call.route.gap_s,
--- a/bamboovale/platform/endpoints.py
+++ b/bamboovale/platform/endpoints.py
@@ -44,13 +44,17 @@
 
 @dataclass(frozen=True)
 class _EndpointEntry:
-    """An endpoint's record; ``remaining_ms`` is set when it leaves at short notice."""
+    """An endpoint's record; ``version`` is that of its software.
+
+    ``remaining_ms`` is set when it leaves at short notice.
+    """
 
     service: str
     addr: str
     zone: str
     state: str
     slots: int
+    version: str = ""
     models: tuple[_ModelEntry, ...] = ()
     remaining_ms: float | None = None
     born: int | None = None
@@ -98,6 +102,7 @@
         models=_models(entry.models, what),
         remaining_s=None if remaining_ms is None else remaining_ms / 1000,
         started_ms=entry.born,
+        software_version=entry.version,
     )
 
 
--- a/bamboovale/platform/requests.py
+++ b/bamboovale/platform/requests.py
@@ -12,6 +12,7 @@
 from bamboovale.platform.signals import decode_retry_after, decode_signals
 
 MAX_DEADLINE_S = 3600.0
+MAX_ATTEMPT_ID_BYTES = 128
 
 
 def decode_call(request: Request) -> CallFacts:
@@ -32,6 +33,7 @@
         work=_decode_work(request, tokens or (0, 0)),
         forward=_forwarded(request.headers),
         resume_after=None if resume_after is None else resume_after.decode("latin-1"),
+        resumes=_decode_resumes(request.headers),
         tokens=None if tokens is None else sum(tokens),
         key=decode_key(request.headers),
     )
@@ -55,6 +57,18 @@
     return min(max(milliseconds / 1000, 0.0), MAX_DEADLINE_S)
 
 
+def _decode_resumes(headers: Headers) -> str | None:
+    """Return the attempt that began a stream, None unless exactly one is named."""
+    values = {value.strip() for name, value in headers if name == names.RESUMES}
+    if len(values) != 1:
+        return None
+    value = values.pop()
+    if not 0 < len(value) <= MAX_ATTEMPT_ID_BYTES:
+        return None
+    is_id = all(0x20 < byte < 0x7F and byte != ord(",") for byte in value)
+    return value.decode("ascii") if is_id else None
+
+
 def _decode_work(request: Request, tokens: tuple[int, int]) -> ModelWork | None:
     name = request.get(names.MODEL)
     if name is None:
