--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -22,7 +22,10 @@
 
 @dataclass
 class Run:
-    """One request that the endpoint executed."""
+    """One request that the endpoint executed.
+
+    ``software`` is the version that ran it, ``events`` how many whole ones it sent.
+    """
 
     request_id: str
     target: str
@@ -30,6 +33,8 @@
     headers: Headers
     adapter: str | None = None
     version: int | None = None
+    software: str = ""
+    events: int = 0
     started_at: float = field(default_factory=time.monotonic)
     ended: str = "running"
 
@@ -67,9 +72,11 @@
         endpoint_id: str,
         service: str,
         failure_domain: str = "a",
+        software: str = "v1",
     ) -> None:
         self.endpoint_id = endpoint_id
         self.service = service
+        self.software = software
         self.faults = EndpointFaults()
         self.signals = SignalRecord()
         self.runs: list[Run] = []
@@ -93,7 +100,7 @@
             "service": self.service,
             "addr": f"{self.address[0]}:{self.address[1]}",
             "zone": self._failure_domain,
-            "version": "v1",
+            "version": self.software,
             "state": state,
             "cold-left-ms": 0,
             "seq": 0,
@@ -148,6 +155,7 @@
             target=request.target,
             body=request.body,
             headers=request.headers,
+            software=self.software,
         )
         self.runs.append(run)
         return run
@@ -228,8 +236,9 @@
         load_s: float = 0.1,
         events: int = 5,
         checks_fencing: bool = True,
+        software: str = "v1",
     ) -> None:
-        super().__init__(store, endpoint_id, service)
+        super().__init__(store, endpoint_id, service, software=software)
         self.orders: list[Order] = []
         self.overfilled = False
         self.reports_read = 0
@@ -433,5 +442,6 @@
                 return
             text = f"id: {number}\ndata: {run.adapter}@{run.version}\n\n"
             await responder.write(text.encode())
+            run.events += 1
         run.ended = "ok"
         responder.finish()
