Let streams go on only at the software version that began them

Cause: no choice looked at the version of an endpoint's software, and no VM knew which one had begun a stream of another VM. Both matters are one class: a fact about the first part of a stream that the choice of the next one lacks. Change, in bamboovale/streams: the version of the run whose first event went to the caller binds every later attempt of the answer (grants, sends without an owner, relays; an engine that may come back under its id is not used again). What nobody knows goes on if one version alone can have begun it, else it is refused at once: 503, with Retry-After only if VMs that may know did not answer. Engines that have just begun to leave serve such streams if no other is left.

--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -50,9 +50,12 @@
 
 
 class CallRefused(Exception):  # noqa: N818 - reads as what happened
-    """The request did not run and will not run; the caller may retry."""
+    """The request did not run and will not run.
 
-    def __init__(self, reason: str, retry_after_s: float) -> None:
+    ``retry_after_s`` is when the caller may retry, None if that would be in vain.
+    """
+
+    def __init__(self, reason: str, retry_after_s: float | None) -> None:
         super().__init__(reason)
         self.retry_after_s = retry_after_s
 
@@ -98,6 +101,16 @@
             return self.route.priority
         return self.customer.priority
 
+    @property
+    def customer_name(self) -> str | None:
+        """Return the customer's name, None for a caller without a key."""
+        return None if self.customer is None else self.customer.name
+
+    @property
+    def is_taken_up(self) -> bool:
+        """Return whether the caller goes on with a stream of an earlier attempt."""
+        return self.route.resumable and self.facts.resume_after is not None
+
     @property
     def goal_at(self) -> float:
         """Return the time until which an answer has its full value."""
--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -31,13 +31,17 @@
     ``StoreWatch``): in an outage records expire and are written again afterwards.
     """
 
-    def __init__(self, journal: Journal, store: StoreWatch) -> None:
+    def __init__(
+        self, journal: Journal, store: StoreWatch, now: Callable[[], float]
+    ) -> None:
         self._journal = journal
+        self._now = now
         self._store = store
         self._record_by_id: dict[str, EndpointRecord] = {}
         self._id_by_registration: dict[str, str] = {}
         self._expired: set[str] = set()
         self._leaving: set[str] = set()
+        self._left_at_by_id: dict[str, float] = {}
         self._listeners: list[Callable[[EndpointChange], None]] = []
         store.listen(self.drop_expired)
 
@@ -58,6 +62,16 @@
             if record.service == service and record.ready
         ]
 
+    def leaving(self, service: str, within_s: float) -> list[EndpointRecord]:
+        """Return the endpoints of a service that began to leave within a time."""
+        now = self._now()
+        return [
+            self._record_by_id[endpoint_id]
+            for endpoint_id, left_at in self._left_at_by_id.items()
+            if now - left_at <= within_s
+            and self._record_by_id[endpoint_id].service == service
+        ]
+
     def is_ready(self, endpoint_id: str) -> bool:
         """Return whether an endpoint accepts new work."""
         record = self._record_by_id.get(endpoint_id)
@@ -80,7 +94,7 @@
             record = replace(record, ready=False)
         was_expired = registered_id in self._expired
         self._expired.discard(registered_id)
-        if before is not None and before.endpoint_id != record.endpoint_id:
+        if before is not None and not record.is_same_start(before):
             self._drop(registered_id)
             before = None
         self._record_by_id[record.endpoint_id] = record
@@ -176,6 +190,10 @@
                 remaining_s=record.remaining_s,
             )
         was_ready = before is not None and before.ready
+        if was_ready and not record.ready:
+            self._left_at_by_id[record.endpoint_id] = self._now()
+        elif record.ready:
+            self._left_at_by_id.pop(record.endpoint_id, None)
         self._notify(EndpointChange(record.endpoint_id, record, was_ready))
 
     def _expire(self, registered_id: str) -> None:
@@ -199,6 +217,7 @@
             return
         record = self._record_by_id.pop(endpoint_id)
         self._leaving.discard(endpoint_id)
+        self._left_at_by_id.pop(endpoint_id, None)
         self._journal.write("endpoint_gone", endpoint=endpoint_id)
         self._notify(EndpointChange(endpoint_id, None, record.ready))
 
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -168,6 +168,13 @@
         vm_ids = {*self.serving_ids(), *expected}
         return first_members("owners", vm_ids, OWNER_CANDIDATES)
 
+    def stream_holders(self) -> list[str]:
+        """Return the VMs that remember the starts of streams for others.
+
+        Mostly those that own engines, to which every VM has links.
+        """
+        return self.designated("owners", OWNER_CANDIDATES)
+
     def address_of(self, vm_id: str) -> tuple[str, int] | None:
         """Return host and port at which a VM accepts peer links."""
         return self.membership.address_of(vm_id)
--- a/bamboovale/gateway/followers.py
+++ b/bamboovale/gateway/followers.py
@@ -40,7 +40,8 @@
     ``on_changed`` is called when there are new ones. ``may_read`` takes the seconds
     since the last progress. ``reachable`` is whether this VM's last read was answered.
     ``on_proof`` is called with the latest moment, by ``lease_clock``, at which nothing
-    newer than what was read existed.
+    newer than what was read existed. ``on_snapshot`` is called after a read of the
+    newest records alone, which may leave out earlier ones.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         on_answer: Callable[[], None] = lambda: None,
         on_failure: Callable[[], None] = lambda: None,
         on_proof: Callable[[float], None] = lambda proven_at: None,
+        on_snapshot: Callable[[], None] = lambda: None,
         may_read: Callable[[float], bool] = lambda progress_age_s: True,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -75,6 +77,7 @@
         self._on_answer = on_answer
         self._on_failure = on_failure
         self._on_proof = on_proof
+        self._on_snapshot = on_snapshot
         self._may_read = may_read
         self._now = now
         self._needs_snapshot = True
@@ -88,7 +91,7 @@
     async def follow(self) -> None:
         """Read forever; failures are retried, the first of a series is logged."""
         while True:
-            if not self._needs_snapshot and not self._may_read(self._progress_age_s()):
+            if not self._needs_snapshot and not self._may_read(self.progress_age_s()):
                 await asyncio.sleep(STALENESS_CHECK_INTERVAL_S)
                 continue
             try:
@@ -124,6 +127,10 @@
         """Return the seconds since the store answered a read, None if it never did."""
         return None if self._answered_at is None else self._now() - self._answered_at
 
+    def progress_age_s(self) -> float:
+        """Return the seconds since records were last read, or heard of."""
+        return self._now() - self._progress_at
+
     async def _step(self) -> None:
         self._read_started_at = self._now()
         self._reading = True
@@ -149,6 +156,7 @@
         gone = tuple(KeyedRecord(key, None, last) for key in missing)
         by_offset = sorted(snapshot.records, key=lambda record: record.offset)
         self._apply((*by_offset, *gone), snapshot.end)
+        self._on_snapshot()
         self._needs_snapshot = False
         return 0.0
 
@@ -207,9 +215,6 @@
         self._progress_at = self._now()
         self._apply([KeyedRecord(*row) for row in rows if row[2] >= known], next_offset)
 
-    def _progress_age_s(self) -> float:
-        return self._now() - self._progress_at
-
     def _on_lost(self, error: str, open_s: float | None) -> None:
         if self.reachable:
             self._journal.write(
--- a/bamboovale/gateway/model.py
+++ b/bamboovale/gateway/model.py
@@ -176,6 +176,13 @@
         start = "" if self.started_ms is None else f"@{self.started_ms}"
         object.__setattr__(self, "endpoint_id", f"{self.registered_id}{start}")
 
+    def is_same_start(self, other: "EndpointRecord") -> bool:
+        """Return whether both are of one start, whose software stays the same."""
+        return (self.endpoint_id, self.software_version) == (
+            other.endpoint_id,
+            other.software_version,
+        )
+
     def is_start_before(self, other: "EndpointRecord") -> bool:
         """Return whether this start of the endpoint is earlier than the other."""
         return (self.started_ms or 0) < (other.started_ms or 0)
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -21,6 +21,7 @@
 from bamboovale.gateway.send_gate import SendGate
 from bamboovale.gateway.stream_progress import Progress, StreamCut
 from bamboovale.http1.connection import IncompleteResponse
+from bamboovale.streams.call_streams import CallStreams
 
 MAX_ATTEMPTS = 4
 """Engines that are tried for one request before it is refused."""
@@ -42,7 +43,9 @@
         gate: SendGate,
         version_of: Callable[[str, str | None], int],
         retries: RetryBudgets,
+        streams: CallStreams,
         now: Callable[[], float],
+        leaving_use_s: float,
         mechanisms: Mechanisms = ALL_ON,
     ) -> None:
         self._client = client
@@ -50,6 +53,7 @@
         self._engines = engines
         self._version_of = version_of
         self._retries = retries
+        self._streams = streams
         self._now = now
         self._search = PlaceSearch(
             endpoints=endpoints,
@@ -57,16 +61,23 @@
             gate=gate,
             version_of=version_of,
             now=now,
+            leaving_use_s=leaving_use_s,
             mechanisms=mechanisms,
         )
 
     async def run(self, call: Call, work: ModelWork) -> None:
         """Answer the request; raises CallRefused, CallFailed or StreamCut."""
-        resume_after = call.facts.resume_after if call.route.resumable else None
-        progress = Progress(EventBuffer(resume_after))
+        source = await self._streams.source_of(call)
+        if source is not None:
+            services = call.route.weight_by_service
+            call.service = source.service_among(services, call.service)
+        resume_after = call.facts.resume_after if call.is_taken_up else None
+        progress = Progress(EventBuffer(resume_after), source)
         try:
             await self._run(call, work, progress)
         finally:
+            if call.is_taken_up and not progress.started:
+                self._streams.on_not_run(no_endpoint=progress.is_software_gone)
             call.notes.update(progress.pauses.log_fields(call.request.received_at))
 
     async def _run(self, call: Call, work: ModelWork, progress: Progress) -> None:
@@ -117,10 +128,7 @@
             return False
         except (MayHaveRun, StreamCut) as error:
             note["failed"] = str(error)
-            progress.failure = error
-            progress.arrivals += 1
-            progress.runs += 1
-            progress.excluded.add(record.endpoint_id)
+            progress.on_broken(record, error)
             self._check_resumable(call, progress, str(error))
             return False
         finally:
@@ -165,7 +173,7 @@
             if attempt.facts.status != OK or not attempt.facts.is_event_stream:
                 await self._forward_body(call, attempt, progress)
             else:
-                await self._forward_events(call, attempt, place, progress)
+                await self._forward_events(call, attempt, record, place, progress)
 
     def _least_version(self, work: ModelWork) -> int | None:
         """Return the version to require of an engine without an owner.
@@ -196,6 +204,7 @@
         self,
         call: Call,
         attempt: EndpointAnswer,
+        record: EndpointRecord,
         place: GrantedPlace | None,
         progress: Progress,
     ) -> None:
@@ -211,13 +220,13 @@
                 pause_s = progress.pauses.on_events(len(events), self._now())
                 if place is not None and self._is_first_stall(call, progress, pause_s):
                     self._engines.notify_paused(place, pause_s)
-                self._start_answer(call, attempt, progress)
+                self._start_answer(call, attempt, record, progress)
                 await call.responder.write(b"".join(event.data for event in events))
         except (IncompleteResponse, EventsBroken) as error:
             raise StreamCut(f"stream cut: {error}") from error
         if progress.events.has_partial:
             raise StreamCut("the stream ended within an event")
-        self._start_answer(call, attempt, progress)
+        self._start_answer(call, attempt, record, progress)
         call.responder.finish()
         call.notes["status"] = OK
 
@@ -230,11 +239,17 @@
         return True
 
     def _start_answer(
-        self, call: Call, attempt: EndpointAnswer, progress: Progress
+        self,
+        call: Call,
+        attempt: EndpointAnswer,
+        record: EndpointRecord,
+        progress: Progress,
     ) -> None:
         """Send the head with the first event: before, another engine may answer."""
         if progress.started:
             return
-        progress.started = True
+        progress.on_started(record)
+        assert progress.source is not None
+        self._streams.on_first_event(call, progress.source)
         call.notes["first_s"] = round(self._now() - call.request.received_at, 4)
         call.responder.start(attempt.facts.status, attempt.facts.headers)
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -45,6 +45,8 @@
 from bamboovale.peers.links import PeerLinks
 from bamboovale.relay.messages import RelayCancel, RelayNext, RelayRequest
 from bamboovale.relay.server import RelayServer
+from bamboovale.streams.exchange import StartExchange
+from bamboovale.streams.messages import StreamBegan, StreamQuery
 
 PlaceNotice = PlaceCancel | PlaceRelease | PlaceHeld | PlaceStarted | PlacePaused
 PLACE_NOTICES = get_args(PlaceNotice)
@@ -84,8 +86,10 @@
         crashes: CrashGuard,
         quotas: QuotaExchange,
         relay_server: RelayServer,
+        stream_starts: StartExchange,
     ) -> None:
         self._state = state
+        self._stream_starts = stream_starts
         self._relay_server = relay_server
         self._translation = translation
         self._links = links
@@ -322,6 +326,8 @@
                 owner.request_place(sender, message, reply)
         elif isinstance(message, RelayRequest | RelayNext):
             self._relay_server.on_query(sender, message, reply)
+        elif isinstance(message, StreamQuery):
+            reply(self._stream_starts.on_query(message))
         elif isinstance(message, TableQuery):
             reply(self._tables.answer())
         else:
@@ -343,6 +349,8 @@
             self._state.fleet.on_statuses(sender, message.statuses, now)
         elif isinstance(message, EngineLoads):
             self._state.fleet.on_loads(sender, message.loads, now)
+        elif isinstance(message, StreamBegan):
+            self._stream_starts.on_began(message)
         elif isinstance(message, QuotaReports):
             self._quotas.on_reports(sender, message)
         elif isinstance(message, QuotaGrants):
--- a/bamboovale/gateway/place_search.py
+++ b/bamboovale/gateway/place_search.py
@@ -21,6 +21,7 @@
 same status, so that an engine that has just started may get more than it can place."""
 IMMEDIATE_REFUSAL_S = 0.1
 """A refusal after a longer time ends the search."""
+NO_SOFTWARE = "no endpoint of the software that began the stream is left"
 LIMITED = RefusalReason.LIMITED.name.lower()
 MIN_RUN_S = 0.4
 """Time reserved for the prompt and the first tokens: a run that starts with less time
@@ -59,8 +60,10 @@
         gate: SendGate,
         version_of: Callable[[str, str | None], int],
         now: Callable[[], float],
+        leaving_use_s: float,
         mechanisms: Mechanisms = ALL_ON,
     ) -> None:
+        self._leaving_use_s = leaving_use_s
         self._endpoints = endpoints
         self._engines = engines
         self._gate = gate
@@ -84,7 +87,9 @@
         unavailable: set[str] = set()
         full: dict[str, EngineFull] = {}
         while True:
-            records = self._endpoints.ready(call.service)
+            records = progress.select(self._endpoints.ready(call.service))
+            if progress.source is not None and not records:
+                return self._choose_leaving(call, work, version, progress)
             rest_s = self._gate.common_rest_s([r.endpoint_id for r in records])
             if rest_s > 0.0:
                 await self._wait_for_rest(call, progress, rest_s)
@@ -224,6 +229,21 @@
         self._gate.take(chosen)
         return self._endpoints.record_by_id[chosen], None
 
+    def _choose_leaving(
+        self, call: Call, work: ModelWork, version: int, progress: Progress
+    ) -> tuple[EndpointRecord, GrantedPlace | None]:
+        """Return an engine that has just begun to leave, for a stream that goes on.
+
+        No other one has the software that began the stream.
+        """
+        leaving = self._endpoints.leaving(call.service, self._leaving_use_s)
+        records = progress.select(leaving)
+        if not records:
+            progress.is_software_gone = True
+            raise progress.final_error(NO_SOFTWARE, None)
+        candidates = self._engines.candidates(records)
+        return self._choose_without_owner(call, work, candidates, version, progress)
+
     async def _request_place(
         self,
         call: Call,
@@ -244,7 +264,7 @@
             prompt_tokens=work.prompt_tokens,
             output_tokens=work.output_tokens,
             rank=call.priority,
-            goal_within_s=call.goal_at - now,
+            goal_within_s=_goal_within_s(call, progress, now),
             starts_within_s=self._starts_within_s(call, progress, now),
             pause_s=call.route.gap_s,
             start=self._engines.fleet.membership.own.start,
@@ -297,6 +317,13 @@
         return max(0.0, waits_s - min(MIN_RUN_S, waits_s / 2))
 
 
+def _goal_within_s(call: Call, progress: Progress, now: float) -> float:
+    """Return within how many seconds the next event has its full value."""
+    if progress.started and call.route.gap_s is not None:
+        return call.route.gap_s
+    return call.goal_at - now
+
+
 def _no_place(progress: Progress, full: dict[str, EngineFull]) -> Exception:
     """Return the refusal; the caller should retry when the first engine has a place."""
     first = min(full.values(), key=lambda refusal: refusal.retry_after_s)
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -27,6 +27,8 @@
 STALE_AFTER_S = 4.0
 """Time without progress after which a VM reads for itself. Progress spreads by gossip,
 which takes several steps in a large fleet."""
+MAX_ENDPOINTS_AGE_S = STALE_AFTER_S + 1.0
+"""Time without progress after which endpoints may have come unseen."""
 LARGE_FLEET_RETRY_S = 2.0
 """Delay between retries of one VM in a larger fleet while the store fails: VMs that
 reach it pass on what they read."""
@@ -84,6 +86,7 @@
             on_changed=on_changed,
             on_answer=lambda: on_answer(state.store_watch.on_read()),
             on_failure=state.store_watch.on_read_failed,
+            on_snapshot=lambda: state.versions.on_snapshot(state.now()),
             may_read=self._may_read_endpoints,
             now=state.now,
         )
@@ -92,6 +95,10 @@
         """Return the followers of all topics."""
         return (self.operator, self.endpoints)
 
+    def are_endpoints_current(self) -> bool:
+        """Return whether this VM has heard of endpoints lately."""
+        return self.endpoints.progress_age_s() <= MAX_ENDPOINTS_AGE_S
+
     def apply_table(self, table: RoutingTable, origin: str) -> None:
         """Apply a configuration, unless it is not newer than the current one."""
         before = self._state.table.version if self._state.table else None
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -191,11 +191,13 @@
         self,
         responder: Responder,
         facts: CallFacts,
-        retry_after_s: float,
+        retry_after_s: float | None,
         status: int = 503,
     ) -> None:
-        # Jitter: callers refused together must not retry together.
-        spread_s = retry_after_s * self._rng.uniform(0.75, 1.25)
+        spread_s = None
+        if retry_after_s is not None:
+            # Jitter: callers refused together must not retry together.
+            spread_s = retry_after_s * self._rng.uniform(0.75, 1.25)
         self._answer(responder, status, spread_s, facts.request_id)
 
     def _answer(
@@ -246,7 +248,7 @@
             route=call.route.name,
             kind=kind,
             service=call.service,
-            customer=call.customer.name if call.customer else None,
+            customer=call.customer_name,
             model=work.model if work else None,
             adapter=work.adapter if work else None,
             resumes=call.facts.resumes,
--- a/bamboovale/gateway/stream_progress.py
+++ b/bamboovale/gateway/stream_progress.py
@@ -4,6 +4,8 @@
 
 from bamboovale.gateway.call import CallFailed, CallRefused
 from bamboovale.gateway.events import EventBuffer, Pauses
+from bamboovale.gateway.model import EndpointRecord
+from bamboovale.streams.source import StreamSource
 
 REFUSAL_RETRY_S = 0.3
 """Retry delay, about the load time of an adapter."""
@@ -19,10 +21,14 @@
 
     ``runs`` are attempts that may have run, ``arrivals`` those that reached an engine;
     ``failure`` is how the last one failed. ``stalled`` is true after a pause longer
-    than the route allows.
+    than the route allows. ``source`` is what began the stream, None before its first
+    event; ``is_software_gone`` is whether no endpoint of it is left. ``excluded``
+    engines are used again if there is no other, ``lost`` ones never.
     """
 
     events: EventBuffer
+    source: StreamSource | None = None
+    is_software_gone: bool = False
     pauses: Pauses = field(default_factory=Pauses)
     started: bool = False
     stalled: bool = False
@@ -30,11 +36,40 @@
     arrivals: int = 0
     failure: Exception | None = None
     excluded: set[str] = field(default_factory=set)
+    lost: set[str] = field(default_factory=set)
+
+    def on_started(self, record: EndpointRecord) -> None:
+        """Apply that the stream's first event goes to the caller."""
+        self.started = True
+        if self.source is None:
+            self.source = StreamSource(record.service, record.software_version)
+
+    def on_broken(self, record: EndpointRecord, error: Exception) -> None:
+        """Apply an attempt that may have run.
+
+        An engine that starts anew under its id may do so with other software.
+        """
+        self.failure = error
+        self.arrivals += 1
+        self.runs += 1
+        self.excluded.add(record.endpoint_id)
+        if record.started_ms is not None:
+            self.lost.add(record.endpoint_id)
+
+    def select(self, records: list[EndpointRecord]) -> list[EndpointRecord]:
+        """Return the endpoints that may go on with the stream."""
+        if self.source is None:
+            return records
+        return [
+            record
+            for record in self.source.select(records)
+            if record.endpoint_id not in self.lost
+        ]
 
     def final_error(
         self,
         reason: str,
-        retry_after_s: float = REFUSAL_RETRY_S,
+        retry_after_s: float | None = REFUSAL_RETRY_S,
     ) -> Exception:
         """Return the error that ends the request: CallRefused only if it never ran."""
         if self.started:
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -47,6 +47,7 @@
 from bamboovale.http1.server import Server, ServerLimits
 from bamboovale.metrics import Metrics
 from bamboovale.peers.links import PeerLinks
+from bamboovale.streams.call_streams import CallStreams
 
 HOLD_OFF_S = 0.25
 """How long a new owner evicts nothing, beside the time in which gossip reaches every
@@ -55,6 +56,9 @@
 """How long a starting VM waits for the addresses of the others before it may own
 engines."""
 FLEET_POLL_INTERVAL_S = 0.01
+LEAVING_USE_SHARE = 0.4
+"""Share of the time for which endpoints that leave still serve in which they are used
+for streams that they alone can go on with: this VM hears later that they leave."""
 LINKS_CLOSE_TIMEOUT_S = 0.2
 """Bounds the exit of the process when a peer does not answer the end of its link."""
 
@@ -177,6 +181,12 @@
             self._metrics,
             self._rng,
         )
+        self._streams = CallStreams.from_parts(
+            self.state,
+            self.links,
+            self._metrics,
+            lambda: self.records.are_endpoints_current(),
+        )
         self._request_handler = self._build_request_handler()
         self._stall_records = StallRecords(
             self.state.node.name,
@@ -218,6 +228,7 @@
             crashes=self._crashes,
             quotas=self._quotas,
             relay_server=self._access.relay_server,
+            stream_starts=self._streams.exchange,
         )
         self._registration = Registration(
             self.state,
@@ -259,7 +270,9 @@
                 gate,
                 self.state.version_of,
                 self.state.retries,
+                self._streams,
                 self.state.now,
+                LEAVING_USE_SHARE * self.state.node.bounds.drain_s,
                 self._mechanisms,
             ),
             access=AccessControl(
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -17,6 +17,7 @@
 from bamboovale.gateway.path_watch import PathWatch
 from bamboovale.gateway.retry_budgets import RetryBudgets
 from bamboovale.gateway.store_watch import StoreWatch
+from bamboovale.streams.version_history import VersionHistory
 
 
 class VMState:
@@ -53,7 +54,9 @@
         )
         self.path_watch = PathWatch(journal, self.now)
         self.store_watch = StoreWatch(self.now)
-        self.endpoints = EndpointView(journal, self.store_watch)
+        self.endpoints = EndpointView(journal, self.store_watch, self.now)
+        self.versions = VersionHistory(is_first_start=node.first_start)
+        self.endpoints.listen(lambda change: self._observe_versions())
         self.limits = EndpointLimits(journal, self.fleet, self.now)
         self.rests = EndpointRests()
         self.brittle = BrittleEndpoints()
@@ -107,6 +110,11 @@
         self.rests.forget(endpoint_id)
         self.brittle.forget(endpoint_id)
 
+    def _observe_versions(self) -> None:
+        records = self.endpoints.record_by_id.values()
+        serving = {(record.service, record.software_version) for record in records}
+        self.versions.observe(serving, self.now())
+
     def set_retry_bounds(self) -> None:
         """Apply the current settings to every service's retry budget."""
         self.retries.set_config(self._retry_bounds())
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -4,7 +4,7 @@
 collectors. ``docs/OPERATIONS.md`` explains each metric.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
@@ -60,6 +60,20 @@
         outcome = "allowed" if allowed else "refused"
         self.gateway_retries.labels(cause, outcome).inc()
 
+    def count_resumed(self, outcome: str) -> None:
+        """Count a stream that a caller took up again."""
+        self._gateway_resumed_streams.labels(outcome).inc()
+
+    def watch_stream_starts(self, count: Callable[[], int]) -> None:
+        """Export how many starts of streams are remembered, at each scrape."""
+        self._gateway_stream_starts.set_function(count)
+
+    def set_endpoints(self, count_by_version: Mapping[tuple[str, str], int]) -> None:
+        """Export the endpoints by service and software version."""
+        self._gateway_endpoints.clear()
+        for labels, count in count_by_version.items():
+            self._gateway_endpoints.labels(*labels).set(count)
+
     def _declare_gateway(self) -> None:
         self.gateway_requests = self._counter(
             "gateway_requests",
@@ -112,6 +126,20 @@
             "Requests sent to an endpoint again, by cause and the budget's answer.",
             ["cause", "outcome"],
         )
+        self._gateway_resumed_streams = self._counter(
+            "gateway_resumed_streams",
+            "Streams that callers took up again, by what became of them.",
+            ["outcome"],
+        )
+        self._gateway_endpoints = self._gauge(
+            "gateway_endpoints",
+            "Endpoints by service and software version.",
+            ["service", "software"],
+        )
+        self._gateway_stream_starts = self._gauge(
+            "gateway_stream_starts",
+            "Streams of which this VM remembers who began them.",
+        )
         self.gateway_relayed = self._counter(
             "gateway_relayed",
             "Requests sent to endpoints for other entry VMs, by outcome.",
@@ -260,8 +288,8 @@
     def _counter(self, name: str, text: str, labels: Sequence[str] = ()) -> Counter:
         return Counter(PREFIX + name, text, labels, registry=self.registry)
 
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(PREFIX + name, text, registry=self.registry)
+    def _gauge(self, name: str, text: str, labels: Sequence[str] = ()) -> Gauge:
+        return Gauge(PREFIX + name, text, labels, registry=self.registry)
 
     def _histogram(
         self,
--- /dev/null
+++ b/bamboovale/streams/call_streams.py
@@ -0,0 +1,123 @@
+"""Streams of callers: where one that is taken up goes on, and who began it."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from result import Err
+
+from bamboovale.gateway.call import Call, CallRefused
+from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.vm_state import VMState
+from bamboovale.metrics import Metrics
+from bamboovale.streams.decision import StartRefusal
+from bamboovale.streams.exchange import Links, StartExchange, TakenUp
+from bamboovale.streams.source import StreamSource
+
+
+class ResumeOutcome(StrEnum):
+    """What became of a stream that had begun before; a label of the counter."""
+
+    WENT_ON = "went_on"
+    START_UNKNOWN = "start_unknown"
+    NOT_KNOWN_IN_TIME = "not_known_in_time"
+    NO_ENDPOINT = "no_endpoint"
+    """No endpoint of its software version is left."""
+    NOT_RUN = "not_run"
+    """Endpoints are left, and none ran it in time."""
+
+
+@dataclass(frozen=True)
+class CallStreams:
+    """Looks up and records the starts of callers' streams."""
+
+    exchange: StartExchange
+    journal: Journal
+    now: Callable[[], float]
+    count: Callable[[ResumeOutcome], None]
+
+    @classmethod
+    def from_parts(
+        cls,
+        state: VMState,
+        links: Links,
+        metrics: Metrics,
+        is_current: Callable[[], bool],
+    ) -> "CallStreams":
+        """Return the streams of a VM that is being built.
+
+        ``is_current`` is whether its records of endpoints are up to date.
+        """
+        exchange = StartExchange(
+            state.node.name,
+            links,
+            state.fleet.stream_holders,
+            state.versions,
+            is_current,
+            state.now,
+        )
+        state.endpoints.listen(lambda change: metrics.set_endpoints(_counts(state)))
+        metrics.watch_stream_starts(lambda: len(exchange.starts))
+        return cls(exchange, state.journal, state.now, metrics.count_resumed)
+
+    async def source_of(self, call: Call) -> StreamSource | None:
+        """Return where a stream that a caller takes up goes on, None for a new one.
+
+        Raises CallRefused if that cannot be known.
+        """
+        if not call.is_taken_up:
+            return None
+        attempt_id = call.facts.resumes
+        asked_at = self.now()
+        found = await self.exchange.source_of(
+            TakenUp(
+                attempt_id,
+                call.customer_name,
+                tuple(call.route.weight_by_service),
+                call.route.timeout_s,
+            )
+        )
+        refusal = found.err_value if isinstance(found, Err) else None
+        source = None if isinstance(found, Err) else found.ok_value
+        self.journal.write(
+            "stream_taken_up",
+            id=call.facts.request_id,
+            resumes=attempt_id,
+            resume_after=call.facts.resume_after,
+            service=source.service if source else None,
+            software=source.software_version if source else None,
+            refused=refusal.cause if refusal else None,
+            s=round(self.now() - asked_at, 4),
+        )
+        if refusal is not None:
+            self._refuse(refusal)
+        return source
+
+    def on_first_event(self, call: Call, source: StreamSource) -> None:
+        """Record who began a stream, or went on with one, and tell other VMs."""
+        if not call.route.resumable:
+            return
+        own_id = call.facts.request_id
+        attempts: tuple[str, ...] = (own_id,)
+        if call.is_taken_up:
+            self.count(ResumeOutcome.WENT_ON)
+            if call.facts.resumes is not None:
+                attempts = (call.facts.resumes, own_id)
+        left_s = call.left_s(self.now())
+        self.exchange.on_first_event(attempts, source, call.customer_name, left_s)
+
+    def on_not_run(self, *, no_endpoint: bool) -> None:
+        """Count a stream that was taken up, and brought no event."""
+        self.count(ResumeOutcome.NO_ENDPOINT if no_endpoint else ResumeOutcome.NOT_RUN)
+
+    def _refuse(self, refusal: StartRefusal) -> None:
+        self.count(ResumeOutcome(refusal.cause))
+        reason = f"the stream cannot go on: {refusal.cause}"
+        raise CallRefused(reason, refusal.retry_after_s)
+
+
+def _counts(state: VMState) -> Counter[tuple[str, str]]:
+    """Return the number of endpoints by service and software version."""
+    records = state.endpoints.record_by_id.values()
+    return Counter((record.service, record.software_version) for record in records)
--- /dev/null
+++ b/bamboovale/streams/decision.py
@@ -0,0 +1,57 @@
+"""Decides where a stream goes on whose caller comes back with the id of an attempt."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from result import Err, Ok, Result
+
+from bamboovale.streams.source import StreamSource
+from bamboovale.streams.version_history import VersionsSeen
+
+ASK_AGAIN_S = 0.5
+"""Retry delay while VMs that may know the stream do not answer."""
+
+
+class RefusalCause(StrEnum):
+    """Why a stream is not taken up; a label of the counter and a word of log lines."""
+
+    START_UNKNOWN = "start_unknown"
+    """No VM knows who began it, and several versions may have."""
+    NOT_KNOWN_IN_TIME = "not_known_in_time"
+    """VMs that may know who began it did not answer."""
+
+
+@dataclass(frozen=True)
+class StartRefusal:
+    """A stream that is not taken up; it did not run.
+
+    ``retry_after_s`` is None if another attempt would be refused as well: the caller
+    should begin anew.
+    """
+
+    cause: RefusalCause
+    retry_after_s: float | None
+
+
+@dataclass(frozen=True)
+class Findings:
+    """What this VM and those it asked know of a stream's start.
+
+    ``all_answered`` is whether none of the VMs that were asked failed to answer.
+    """
+
+    source: StreamSource | None
+    versions: VersionsSeen
+    all_answered: bool
+
+
+def decide(findings: Findings) -> Result[StreamSource, StartRefusal]:
+    """Return where a stream goes on, or why it is refused."""
+    if findings.source is not None:
+        return Ok(findings.source)
+    only = findings.versions.only_version()
+    if only is not None:
+        return Ok(StreamSource("", only))
+    if not findings.all_answered:
+        return Err(StartRefusal(RefusalCause.NOT_KNOWN_IN_TIME, ASK_AGAIN_S))
+    return Err(StartRefusal(RefusalCause.START_UNKNOWN, None))
--- a/tests/stream_tries.py
+++ b/tests/stream_tries.py
@@ -7,6 +7,7 @@
 from tests.gateway_site import Site
 
 RESUMABLE_PATH = "/long/1"
+DEADLINE_MS = 4000
 RESUMES = "Resumes"
 LAST_EVENT_ID = "Last-Event-Id"
 
@@ -61,6 +62,7 @@
             RESUMABLE_PATH,
             adapter=self.adapter,
             attempt=self.ids[-1],
+            deadline_ms=DEADLINE_MS,
             headers=headers,
         )
         self.answers.append(answer)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -635,7 +635,7 @@
 def _new_view() -> EndpointView:
     store = StoreWatch(lambda: 0.0)
     store.on_settled()
-    return EndpointView(Journal("me", logging.getLogger("none")), store)
+    return EndpointView(Journal("me", logging.getLogger("none")), store, lambda: 0.0)
 
 
 class TestEndpointView:
--- a/tests/test_gateway_store_watch.py
+++ b/tests/test_gateway_store_watch.py
@@ -19,7 +19,7 @@
 
     def __post_init__(self) -> None:
         self.store = StoreWatch(lambda: self.now)
-        self.view = EndpointView(self.journal, self.store)
+        self.view = EndpointView(self.journal, self.store, lambda: self.now)
         self.view.on_record("e", RECORD)
 
     def read_for(self, seconds: float, pause_s: float = 0.5) -> bool:
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -1,10 +1,18 @@
 """Streams at engines whose software versions differ."""
 
 import asyncio
+from typing import Any
 
 import pytest
 
-from tests.gateway_site import CallerAnswer, Site, eventually, run, running_site
+from tests.gateway_site import (
+    CallerAnswer,
+    Site,
+    configuration,
+    eventually,
+    run,
+    running_site,
+)
 from tests.stream_tries import StreamTries, begin_streams
 
 EVENT_S = 0.05
@@ -12,11 +20,18 @@
 OLD, NEW = "v1", "v2"
 
 
+def roomy() -> dict[str, Any]:
+    """Return a configuration whose engines have slots for all adapters."""
+    config = configuration()
+    config["services"][0]["engine"]["adapter-slots"] = STREAMS
+    return config
+
+
 async def add_engine(site: Site, software: str, adapters: int = STREAMS) -> None:
     """Start an engine of a version that holds the first adapters."""
     name = f"runner-{len(site.runners)}"
     runner = await site.add_runner(
-        name, software=software, adapter_slots=STREAMS, events=60
+        name, software=software, adapter_slots=STREAMS, events=40
     )
     runner.faults.event_s = EVENT_S
     for number in range(1, adapters + 1):
@@ -57,7 +72,9 @@
         """Guards against answers joined from two software versions."""
 
         async def test() -> None:
-            async with running_site(vms=2, runners=0, services=1) as site:
+            async with running_site(
+                vms=2, runners=0, services=1, config=roomy()
+            ) as site:
                 streams, answers = await begin_at_the_old_version(site)
                 engine = site.runners[0]
                 engine.faults.cut_after = 0
@@ -79,13 +96,17 @@
         """Guards against a VM that takes up a stream it has never heard of."""
 
         async def test() -> None:
-            async with running_site(vms=4, runners=0, services=1) as site:
+            async with running_site(
+                vms=4, runners=0, services=1, config=roomy()
+            ) as site:
                 streams, answers = await begin_at_the_old_version(site)
-                site.vms[0].task.cancel()
-                await site.vms[0].vm.close()
+                killed = site.vms.pop(0)
+                killed.task.cancel()
+                await killed.vm.close()
                 await answers
-                site.runners[0].crash()
-                others = [item.address for item in site.vms[1:]]
+                await site.runners[0].unregister()
+                await eventually(lambda: len(site.owned()) == len(site.runners) - 1)
+                others = [item.address for item in site.vms]
                 for number, stream in enumerate(streams):
                     assert not stream.is_complete
                     await stream.attempt(others[number % len(others)])
