Prove which versions may have begun a stream that nobody knows

Cause, by reading: whether one version alone can have begun a stream was told by the age of the last progress, up to five seconds. A VM that had just lost the store and its peers would have sent streams of a new version to the old. Change: the VM reads the endpoints' records anew after its caller came back (at most four reads a second for all callers), which shows every version that any VM can have used. How far back it knows them may be joined with what another VM knows, if no gap lies between the two.

--- a/bamboovale/gateway/followers.py
+++ b/bamboovale/gateway/followers.py
@@ -1,6 +1,8 @@
 """Follow the store's topics of operator records and endpoint records."""
 
 import asyncio
+import contextlib
+import math
 import time
 from collections.abc import Callable, Iterable
 
@@ -23,6 +25,12 @@
 an answer is retried at once."""
 
 
+PROOF_TIMEOUT_S = 0.5
+"""How long a request may wait for a read."""
+PROOF_CHECK_INTERVAL_S = 0.01
+MIN_PROOF_INTERVAL_S = 0.25
+"""Bounds the reads that requests may cause, as each call is priced."""
+
 OnRecord = Callable[[KeyedRecord], bool | None]
 """Applies a record; returns False if it changed nothing that other VMs need."""
 
@@ -81,6 +89,8 @@
         self._may_read = may_read
         self._now = now
         self._needs_snapshot = True
+        self._proof_wanted = asyncio.Event()
+        self._proven_at = -math.inf
         self._progress_at = 0.0
         self._reading = False
         self._read_started_at: float | None = None
@@ -91,8 +101,8 @@
     async def follow(self) -> None:
         """Read forever; failures are retried, the first of a series is logged."""
         while True:
-            if not self._needs_snapshot and not self._may_read(self.progress_age_s()):
-                await asyncio.sleep(STALENESS_CHECK_INTERVAL_S)
+            if not self._must_read():
+                await self._sleep(STALENESS_CHECK_INTERVAL_S)
                 continue
             try:
                 await self._step()
@@ -112,7 +122,17 @@
             self._answered_at = self._now()
             self._on_answer()
             self._on_regained()
-            await asyncio.sleep(self._pause_s())
+            await self._sleep(self._pause_s())
+
+    async def _sleep(self, seconds: float) -> None:
+        """Sleep until a request wants a read."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._proof_wanted.wait()
+
+    def _must_read(self) -> bool:
+        is_due = self._needs_snapshot or self._proof_wanted.is_set()
+        return is_due or self._may_read(self._progress_age_s())
 
     def open_read_s(self) -> float | None:
         """Return the age of the last read in seconds, None if it was answered."""
@@ -127,22 +147,39 @@
         """Return the seconds since the store answered a read, None if it never did."""
         return None if self._answered_at is None else self._now() - self._answered_at
 
-    def progress_age_s(self) -> float:
-        """Return the seconds since records were last read, or heard of."""
-        return self._now() - self._progress_at
+    async def prove(self) -> bool:
+        """Read the topic now; return whether the store answered in time.
+
+        The reads that this causes are bounded, however often it is called.
+        """
+        wanted_at = lease_clock()
+        while self._proven_at < wanted_at:
+            waited_s = lease_clock() - wanted_at
+            if waited_s > PROOF_TIMEOUT_S:
+                return False
+            if lease_clock() - self._proven_at >= MIN_PROOF_INTERVAL_S:
+                self._proof_wanted.set()
+                self.restart_read(0.0)
+            await asyncio.sleep(PROOF_CHECK_INTERVAL_S)
+        return True
 
     async def _step(self) -> None:
         self._read_started_at = self._now()
         self._reading = True
+        is_for_proof = self._proof_wanted.is_set()
+        self._proof_wanted.clear()
         sent_at = lease_clock()
         try:
             waited_s = await (
-                self._read_all() if self._needs_snapshot else self._read_next()
+                self._read_all()
+                if self._needs_snapshot
+                else self._read_next(0.0 if is_for_proof else self._wait_s())
             )
         finally:
             self._reading = False
         self._progress_at = self._now()
-        self._on_proof(sent_at + waited_s)
+        self._proven_at = sent_at + waited_s
+        self._on_proof(self._proven_at)
 
     async def _read_all(self) -> float:
         """Read the newest record of each key; known keys that are missing are gone.
@@ -160,10 +197,9 @@
         self._needs_snapshot = False
         return 0.0
 
-    async def _read_next(self) -> float:
+    async def _read_next(self, wait_s: float) -> float:
         """Read the next records; return for how long there were certainly none."""
         first = self.changes.next_offset or 0
-        wait_s = self._wait_s()
         sent_at = lease_clock()
         records, following = await self._read_until_restarted(first, wait_s)
         self._apply(records, following)
@@ -215,6 +251,9 @@
         self._progress_at = self._now()
         self._apply([KeyedRecord(*row) for row in rows if row[2] >= known], next_offset)
 
+    def _progress_age_s(self) -> float:
+        return self._now() - self._progress_at
+
     def _on_lost(self, error: str, open_s: float | None) -> None:
         if self.reachable:
             self._journal.write(
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -7,6 +7,7 @@
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.followers import RETRY_S, TopicFollower
 from bamboovale.gateway.model import RoutingTable
+from bamboovale.gateway.ownership import lease_clock
 from bamboovale.gateway.store import KeyedRecord, MetadataStore
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
@@ -27,8 +28,6 @@
 STALE_AFTER_S = 4.0
 """Time without progress after which a VM reads for itself. Progress spreads by gossip,
 which takes several steps in a large fleet."""
-MAX_ENDPOINTS_AGE_S = STALE_AFTER_S + 1.0
-"""Time without progress after which endpoints may have come unseen."""
 LARGE_FLEET_RETRY_S = 2.0
 """Delay between retries of one VM in a larger fleet while the store fails: VMs that
 reach it pass on what they read."""
@@ -86,7 +85,8 @@
             on_changed=on_changed,
             on_answer=lambda: on_answer(state.store_watch.on_read()),
             on_failure=state.store_watch.on_read_failed,
-            on_snapshot=lambda: state.versions.on_snapshot(state.now()),
+            on_snapshot=lambda: state.versions.on_snapshot(lease_clock()),
+            on_proof=state.versions.on_proof,
             may_read=self._may_read_endpoints,
             now=state.now,
         )
@@ -95,10 +95,6 @@
         """Return the followers of all topics."""
         return (self.operator, self.endpoints)
 
-    def are_endpoints_current(self) -> bool:
-        """Return whether this VM has heard of endpoints lately."""
-        return self.endpoints.progress_age_s() <= MAX_ENDPOINTS_AGE_S
-
     def apply_table(self, table: RoutingTable, origin: str) -> None:
         """Apply a configuration, unless it is not newer than the current one."""
         before = self._state.table.version if self._state.table else None
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -185,7 +185,7 @@
             self.state,
             self.links,
             self._metrics,
-            lambda: self.records.are_endpoints_current(),
+            lambda: self.records.endpoints.prove(),
         )
         self._request_handler = self._build_request_handler()
         self._stall_records = StallRecords(
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -14,6 +14,7 @@
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.model import EndpointRecord, RoutingTable
+from bamboovale.gateway.ownership import lease_clock
 from bamboovale.gateway.path_watch import PathWatch
 from bamboovale.gateway.retry_budgets import RetryBudgets
 from bamboovale.gateway.store_watch import StoreWatch
@@ -113,7 +114,7 @@
     def _observe_versions(self) -> None:
         records = self.endpoints.record_by_id.values()
         serving = {(record.service, record.software_version) for record in records}
-        self.versions.observe(serving, self.now())
+        self.versions.observe(serving, lease_clock())
 
     def set_retry_bounds(self) -> None:
         """Apply the current settings to every service's retry budget."""
--- a/bamboovale/streams/call_streams.py
+++ b/bamboovale/streams/call_streams.py
@@ -1,7 +1,7 @@
 """Streams of callers: where one that is taken up goes on, and who began it."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -9,6 +9,7 @@
 
 from bamboovale.gateway.call import Call, CallRefused
 from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.ownership import lease_clock
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.metrics import Metrics
 from bamboovale.streams.decision import StartRefusal
@@ -43,19 +44,20 @@
         state: VMState,
         links: Links,
         metrics: Metrics,
-        is_current: Callable[[], bool],
+        prove: Callable[[], Awaitable[bool]],
     ) -> "CallStreams":
         """Return the streams of a VM that is being built.
 
-        ``is_current`` is whether its records of endpoints are up to date.
+        ``prove`` reads the endpoints' records up to now.
         """
         exchange = StartExchange(
             state.node.name,
             links,
             state.fleet.stream_holders,
             state.versions,
-            is_current,
+            prove,
             state.now,
+            lease_clock,
         )
         state.endpoints.listen(lambda change: metrics.set_endpoints(_counts(state)))
         metrics.watch_stream_starts(lambda: len(exchange.starts))
--- a/bamboovale/streams/decision.py
+++ b/bamboovale/streams/decision.py
@@ -6,7 +6,6 @@
 from result import Err, Ok, Result
 
 from bamboovale.streams.source import StreamSource
-from bamboovale.streams.version_history import VersionsSeen
 
 ASK_AGAIN_S = 0.5
 """Retry delay while VMs that may know the stream do not answer."""
@@ -37,21 +36,22 @@
 class Findings:
     """What this VM and those it asked know of a stream's start.
 
-    ``all_answered`` is whether none of the VMs that were asked failed to answer.
+    ``only_version`` is the software version that alone can have begun it, None if
+    there may be several. ``all_answered`` is whether none of the VMs that were asked,
+    nor the store, failed to answer.
     """
 
-    source: StreamSource | None
-    versions: VersionsSeen
-    all_answered: bool
+    source: StreamSource | None = None
+    only_version: str | None = None
+    all_answered: bool = True
 
 
 def decide(findings: Findings) -> Result[StreamSource, StartRefusal]:
     """Return where a stream goes on, or why it is refused."""
     if findings.source is not None:
         return Ok(findings.source)
-    only = findings.versions.only_version()
-    if only is not None:
-        return Ok(StreamSource("", only))
+    if findings.only_version is not None:
+        return Ok(StreamSource("", findings.only_version))
     if not findings.all_answered:
         return Err(StartRefusal(RefusalCause.NOT_KNOWN_IN_TIME, ASK_AGAIN_S))
     return Err(StartRefusal(RefusalCause.START_UNKNOWN, None))
--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -29,6 +29,8 @@
 ASKED = COPIES + 2
 """VMs that are asked: two may have come or gone since the stream began."""
 ANSWER_TIMEOUT_S = 0.3
+MAX_SINCE_S = 3600.0
+"""Stands for any longer time in a reply, also one without bound."""
 RETURN_S = 10.0
 """How long after the end of an attempt its caller may come back."""
 
@@ -65,8 +67,9 @@
 class StartExchange:
     """The starts of streams as this VM knows them, with the help of others.
 
-    ``holders`` returns the VMs among which those to tell are chosen; ``is_current`` is
-    whether this VM's records of endpoints are up to date.
+    ``holders`` returns the VMs among which those to tell are chosen. ``prove`` reads
+    the endpoints' records up to now and returns whether the store answered. ``clock``
+    is that of ``versions``.
     """
 
     def __init__(
@@ -75,16 +78,18 @@
         links: Links,
         holders: Callable[[], Sequence[str]],
         versions: VersionHistory,
-        is_current: Callable[[], bool],
+        prove: Callable[[], Awaitable[bool]],
         now: Callable[[], float],
+        clock: Callable[[], float],
     ) -> None:
         self.starts = StreamStarts()
         self.versions = versions
         self._own_id = own_id
         self._links = links
         self._holders = holders
-        self._is_current = is_current
+        self._prove = prove
         self._now = now
+        self._clock = clock
 
     def on_first_event(
         self,
@@ -120,11 +125,12 @@
             return StreamReply(
                 query.attempt_id, source.service, source.software_version
             )
-        seen = self._seen(query.services, query.within_s)
+        seen = self.versions.seen(query.services, query.within_s, self._clock())
         return StreamReply(
             query.attempt_id,
             versions=tuple(sorted(seen.versions)),
-            is_complete=seen.is_complete,
+            since_s=min(seen.since_s, MAX_SINCE_S),
+            until_s=min(seen.until_s, MAX_SINCE_S),
         )
 
     async def source_of(self, stream: TakenUp) -> Result[StreamSource, StartRefusal]:
@@ -132,19 +138,30 @@
         return decide(await self._find(stream))
 
     async def _find(self, stream: TakenUp) -> Findings:
-        attempt_id = stream.attempt_id
-        seen = self._seen(stream.services, stream.within_s)
-        if attempt_id is None:
-            return Findings(None, seen, all_answered=True)
-        known = self.starts.find(attempt_id, stream.customer, self._now())
-        if known is not None:
-            return Findings(known, seen, all_answered=True)
-        return await self._ask(attempt_id, stream, seen)
-
-    async def _ask(
-        self, attempt_id: str, stream: TakenUp, seen: VersionsSeen
-    ) -> Findings:
-        """Ask the VMs that were told if any was; the first that knows ends it."""
+        arrived_at = self._clock()
+        replies: list[StreamReply | None] = []
+        if stream.attempt_id is not None:
+            now = self._now()
+            known = self.starts.find(stream.attempt_id, stream.customer, now)
+            if known is not None:
+                return Findings(known)
+            replies = await self._ask(stream.attempt_id, stream)
+        told = [reply for reply in replies if reply is not None]
+        for reply in told:
+            if reply.software_version is not None:
+                return Findings(StreamSource(reply.service, reply.software_version))
+        is_proven = await self._prove()
+        now = self._clock()
+        seen = self.versions.seen(stream.services, stream.within_s, now)
+        for reply in told:
+            versions = frozenset(reply.versions)
+            seen = seen.join(VersionsSeen(versions, reply.since_s, reply.until_s))
+        only_version = seen.only_version(stream.within_s, now - arrived_at)
+        all_answered = is_proven and len(told) == len(replies)
+        return Findings(None, only_version, all_answered)
+
+    async def _ask(self, attempt_id: str, stream: TakenUp) -> list[StreamReply | None]:
+        """Return the replies of the VMs that may know, up to the first that does."""
         query = StreamQuery(
             attempt_id, stream.services, stream.within_s, stream.customer
         )
@@ -152,27 +169,17 @@
             asyncio.wrap_future(self._links.request(vm, query, ANSWER_TIMEOUT_S))
             for vm in self._others(attempt_id, ASKED)
         ]
-        all_answered = True
+        replies: list[StreamReply | None] = []
         try:
             for answer in asyncio.as_completed(asked):
                 reply = await _reply_of(answer)
-                if reply is None:
-                    all_answered = False
-                elif reply.software_version is not None:
-                    source = StreamSource(reply.service, reply.software_version)
-                    return Findings(source, seen, all_answered=True)
-                else:
-                    theirs = frozenset(reply.versions)
-                    seen = seen.merge(VersionsSeen(theirs, reply.is_complete))
+                replies.append(reply)
+                if reply is not None and reply.software_version is not None:
+                    break
         finally:
             for future in asked:
                 future.cancel()
-        return Findings(None, seen, all_answered)
-
-    def _seen(self, services: Iterable[str], within_s: float) -> VersionsSeen:
-        return self.versions.seen(
-            services, within_s, self._now(), is_current=self._is_current()
-        )
+        return replies
 
     def _others(self, attempt_id: str, count: int) -> list[str]:
         others = (vm for vm in self._holders() if vm != self._own_id)
--- a/bamboovale/streams/messages.py
+++ b/bamboovale/streams/messages.py
@@ -41,12 +41,13 @@
 class StreamReply:
     """What a VM knows of a stream's start; ``software_version`` is None if nothing.
 
-    ``versions`` are those that may have begun it; ``is_complete`` is whether the VM
-    would know of every one.
+    ``versions`` are those that may have begun it, as far as the VM knows; it knows all
+    that served between ``since_s`` and ``until_s`` ago.
     """
 
     attempt_id: str
     service: str = ""
     software_version: str | None = None
     versions: tuple[str, ...] = ()
-    is_complete: bool = False
+    since_s: float = 0.0
+    until_s: float = 0.0
--- a/bamboovale/streams/version_history.py
+++ b/bamboovale/streams/version_history.py
@@ -1,4 +1,7 @@
-"""Which software versions of each service may have begun a stream lately."""
+"""Which software versions of each service may have begun a stream lately.
+
+Times are those of a clock that also counts while the VM is paused.
+"""
 
 import math
 from collections.abc import Iterable
@@ -13,25 +16,28 @@
 
 @dataclass(frozen=True)
 class VersionsSeen:
-    """The versions of some services that served within a time, as one VM knows.
+    """The versions of some services that served lately, as one VM knows.
 
-    ``is_complete`` is whether it would know of every one.
+    No other one served between ``since_s`` and ``until_s`` ago.
     """
 
     versions: frozenset[str]
-    is_complete: bool
+    since_s: float
+    until_s: float
 
-    def merge(self, other: "VersionsSeen") -> "VersionsSeen":
-        """Return what two VMs know together."""
-        return VersionsSeen(
-            self.versions | other.versions, self.is_complete or other.is_complete
-        )
+    def join(self, earlier: "VersionsSeen") -> "VersionsSeen":
+        """Return what two VMs know together, where ``earlier`` reaches back further."""
+        is_joined = earlier.until_s <= self.since_s < earlier.since_s
+        since_s = earlier.since_s if is_joined else self.since_s
+        return VersionsSeen(self.versions | earlier.versions, since_s, self.until_s)
 
-    def only_version(self) -> str | None:
-        """Return the version that alone can have begun a stream, None if unsure."""
-        if not self.is_complete or len(self.versions) != 1:
-            return None
-        return next(iter(self.versions))
+    def only_version(self, within_s: float, since_arrival_s: float) -> str | None:
+        """Return the version that alone can have begun a stream, None if unsure.
+
+        It began within ``within_s``, and before its caller came back.
+        """
+        covers = self.since_s >= within_s and self.until_s <= since_arrival_s
+        return next(iter(self.versions)) if covers and len(self.versions) == 1 else None
 
 
 class VersionHistory:
@@ -44,14 +50,10 @@
     def __init__(self, *, is_first_start: bool = False) -> None:
         self._before_first_read = -math.inf if is_first_start else math.inf
         self._complete_since = math.inf
+        self._proven_at = -math.inf
         self._last_seen: dict[ServiceVersion, float] = {}
         self._serving: frozenset[ServiceVersion] = frozenset()
 
-    @property
-    def serving(self) -> frozenset[ServiceVersion]:
-        """Return the versions that serve now."""
-        return self._serving
-
     def observe(self, serving: Iterable[ServiceVersion], now: float) -> None:
         """Apply the versions that serve now."""
         present = frozenset(serving)
@@ -67,13 +69,14 @@
         self._complete_since = min(now, self._before_first_read)
         self._before_first_read = math.inf
 
+    def on_proof(self, proven_at: float) -> None:
+        """Apply that all records up to a moment were read."""
+        self._proven_at = max(self._proven_at, proven_at)
+
     def seen(
-        self, services: Iterable[str], within_s: float, now: float, *, is_current: bool
+        self, services: Iterable[str], within_s: float, now: float
     ) -> VersionsSeen:
-        """Return the versions of services that served within a time until now.
-
-        ``is_current`` is whether the records are up to date.
-        """
+        """Return the versions of services that served within a time until now."""
         wanted = frozenset(services)
         versions = frozenset(
             version
@@ -81,5 +84,5 @@
             if service in wanted
             and (now - seen_at <= within_s or (service, version) in self._serving)
         )
-        covers = now - self._complete_since >= within_s
-        return VersionsSeen(versions, is_complete=is_current and covers)
+        since_s = max(0.0, now - self._complete_since)
+        return VersionsSeen(versions, since_s, max(0.0, now - self._proven_at))
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,168 @@
+"""Which software began a stream: names of attempts, memory, versions, decisions."""
+
+import math
+
+import pytest
+from result import Err, Ok
+
+from bamboovale.http1.server import Request
+from bamboovale.platform.requests import decode_call
+from bamboovale.streams.decision import Findings, RefusalCause, decide
+from bamboovale.streams.source import StreamSource
+from bamboovale.streams.starts import MAX_LIFE_S, StreamStart, StreamStarts
+from bamboovale.streams.version_history import VersionHistory
+
+OLD = StreamSource("llm", "v1")
+NEW = StreamSource("llm", "v2")
+WITHIN_S = 20.0
+
+
+def resumes(*values: bytes) -> str | None:
+    """Return the attempt that a request with these headers takes up."""
+    headers = [(b"x-request-id", b"r2"), (b"last-event-id", b"3")]
+    headers += [(b"resumes", value) for value in values]
+    return decode_call(Request("POST", "/", headers, b"", 0.0)).resumes
+
+
+class TestNamedAttempt:
+    """The header by which a caller names the attempt that began its stream."""
+
+    def test_one_id_is_taken(self) -> None:
+        assert resumes(b"9c41d07be2a35f68") == "9c41d07be2a35f68"
+
+    @pytest.mark.parametrize(
+        "values",
+        [(), (b"",), (b"r1", b"r3"), (b"r1,r3",), (b"r 1",), (b"\xff",), (b"r" * 129,)],
+    )
+    def test_anything_else_names_none(self, values: tuple[bytes, ...]) -> None:
+        assert resumes(*values) is None
+
+
+class TestStarts:
+    """What one VM remembers of the starts of streams."""
+
+    def test_a_start_is_known_for_its_time(self) -> None:
+        starts = StreamStarts()
+        starts.note("r1", StreamStart(OLD, None), 10.0, 100.0)
+        assert starts.find("r1", None, 109.9) == OLD
+        assert starts.find("r1", None, 110.0) is None
+
+    def test_another_customer_does_not_learn_of_it(self) -> None:
+        starts = StreamStarts()
+        starts.note("r1", StreamStart(OLD, "agency-1"), 10.0, 100.0)
+        assert starts.find("r1", "agency-2", 101.0) is None
+        assert starts.find("r1", None, 101.0) is None
+
+    def test_a_later_note_extends_its_time_and_changes_nothing_else(self) -> None:
+        """Guards against an attempt's id that somebody uses for a stream of its own."""
+        starts = StreamStarts()
+        starts.note("r1", StreamStart(OLD, "agency-1"), 10.0, 100.0)
+        starts.note("r1", StreamStart(NEW, "agency-2"), 10.0, 105.0)
+        assert starts.find("r1", "agency-1", 114.0) == OLD
+        assert starts.find("r1", "agency-2", 106.0) is None
+
+    def test_neither_many_nor_long_lives_use_memory_without_bound(self) -> None:
+        starts = StreamStarts(capacity=10)
+        for number in range(1000):
+            starts.note(f"r{number}", StreamStart(OLD, None), math.inf, 100.0)
+        assert len(starts) == 10
+        assert starts.find("r999", None, 100.0) == OLD
+        assert starts.find("r999", None, 100.0 + MAX_LIFE_S) is None
+
+    def test_expired_ones_use_no_memory(self) -> None:
+        starts = StreamStarts()
+        for number in range(1000):
+            starts.note(f"r{number}", StreamStart(OLD, None), 1.0, float(number))
+        assert len(starts) == 1
+
+
+def history(first_start: bool = True) -> VersionHistory:
+    """Return the history of a VM that has read one version at second 100."""
+    found = VersionHistory(is_first_start=first_start)
+    found.observe({("llm", "v1"), ("app", "v9")}, 100.0)
+    found.on_snapshot(100.0)
+    found.on_proof(100.0)
+    return found
+
+
+def only_version(found: VersionHistory, now: float, arrived_at: float) -> str | None:
+    """Return the version that alone can have begun a stream of the service."""
+    return found.seen(("llm",), WITHIN_S, now).only_version(WITHIN_S, now - arrived_at)
+
+
+class TestVersionHistory:
+    """Which versions may have begun a stream that nobody knows."""
+
+    def test_one_version_alone(self) -> None:
+        assert only_version(history(), 100.0, 100.0) == "v1"
+
+    def test_not_if_records_are_older_than_the_callers_return(self) -> None:
+        """Guards against a VM that is cut off and has not heard of a new version."""
+        assert only_version(history(), 101.0, 100.5) is None
+
+    def test_not_while_one_that_ended_may_have_begun_it(self) -> None:
+        found = history()
+        found.observe({("llm", "v2")}, 110.0)
+        found.on_proof(129.0)
+        assert only_version(found, 129.0, 129.0) is None
+        found.on_proof(131.0)
+        assert only_version(found, 131.0, 131.0) == "v2"
+
+    def test_not_soon_after_a_start_without_knowledge_of_before(self) -> None:
+        found = history(first_start=False)
+        found.on_proof(110.0)
+        assert only_version(found, 110.0, 110.0) is None
+        found.on_proof(120.0)
+        assert only_version(found, 120.0, 120.0) == "v1"
+
+    def test_another_vm_knows_what_was_before(self) -> None:
+        old, young = history(), history(first_start=False)
+        own = young.seen(("llm",), WITHIN_S, 100.0)
+        joined = own.join(old.seen(("llm",), WITHIN_S, 100.0))
+        assert joined.only_version(WITHIN_S, 0.0) == "v1"
+
+    def test_not_if_versions_may_have_come_between_the_two(self) -> None:
+        old = history()
+        young = VersionHistory()
+        young.observe({("llm", "v1")}, 105.0)
+        young.on_snapshot(105.0)
+        young.on_proof(105.0)
+        own = young.seen(("llm",), WITHIN_S, 105.0)
+        joined = own.join(old.seen(("llm",), WITHIN_S, 105.0))
+        assert joined.only_version(WITHIN_S, 0.0) is None
+
+    def test_a_lost_history_is_not_complete(self) -> None:
+        found = history()
+        found.on_snapshot(105.0)
+        found.on_proof(105.0)
+        assert only_version(found, 105.0, 105.0) is None
+
+
+class TestDecision:
+    """Where a stream goes on, or why it is refused."""
+
+    def test_what_began_it_goes_before_what_serves(self) -> None:
+        assert decide(Findings(OLD, "v2")) == Ok(OLD)
+
+    def test_the_only_version(self) -> None:
+        assert decide(Findings(only_version="v2")) == Ok(StreamSource("", "v2"))
+
+    def test_refused_for_good_where_all_answered(self) -> None:
+        refusal = decide(Findings())
+        assert isinstance(refusal, Err)
+        assert refusal.err_value.cause is RefusalCause.START_UNKNOWN
+        assert refusal.err_value.retry_after_s is None
+
+    def test_refused_for_a_while_where_some_did_not_answer(self) -> None:
+        refusal = decide(Findings(all_answered=False))
+        assert isinstance(refusal, Err)
+        assert refusal.err_value.cause is RefusalCause.NOT_KNOWN_IN_TIME
+        assert refusal.err_value.retry_after_s is not None
+
+
+class TestService:
+    """The service at which a stream goes on where its route has changed."""
+
+    def test_the_one_that_began_it_while_the_route_leads_there(self) -> None:
+        assert OLD.service_among(("app", "llm"), "app") == "llm"
+        assert OLD.service_among(("app",), "app") == "app"
