Go on with a stream only at the start of an engine that is known

Cause: a version belongs to one start of an endpoint, and the record that says so is up to a heartbeat and a pause between reads old. Change: where endpoints tell when they started, the VM that sends such a stream (also one that sends it for another) first reads the engine's report on the connection on which the request will go.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -20,6 +20,7 @@
 )
 from bamboovale.http1.pool import ConnectionPool
 from bamboovale.relay.client import NotSent, Relays
+from bamboovale.streams.start_check import AnotherStart, ReportCodec, check_start
 
 MAX_STALE_ANSWERS = 2
 """Answers to earlier requests that are skipped on one connection."""
@@ -49,10 +50,18 @@
         self.retry_after_s = retry_after_s
 
 
+class StartChanged(NotRun):
+    """Another start of the endpoint was found; it did not get the request."""
+
+
 class MayHaveRun(Exception):  # noqa: N818 - reads as what happened
     """The request was sent and no valid answer was received."""
 
 
+class EndpointCodec(CallCodec, ReportCodec, Protocol):
+    """Encodes and decodes what endpoints get and answer."""
+
+
 class Exchange(Protocol):
     """A connection to an endpoint, or an exchange by way of another VM."""
 
@@ -111,7 +120,7 @@
     def __init__(
         self,
         pool: ConnectionPool,
-        codec: CallCodec,
+        codec: EndpointCodec,
         now: Callable[[], float],
         on_answer: Callable[[AnswerNotice], None],
         path_watch: PathWatch,
@@ -134,18 +143,26 @@
         encode: Callable[[], h11.Request],
         *,
         once_only: bool,
+        checks_start: bool = False,
     ) -> AsyncIterator[EndpointAnswer]:
         """Send a call to an endpoint; yield its answer.
 
-        ``encode`` makes the request once there is a connection. Raises NotRun or
+        ``encode`` makes the request once there is a connection. With ``checks_start``
+        it is sent only to the start of the endpoint that is known. Raises NotRun or
         MayHaveRun.
         """
         request_id = call.facts.request_id
         left_s = call.left_s(self._now())
         connection = await self._connect(
-            record, request_id, once_only=once_only, left_s=left_s
+            record,
+            request_id,
+            once_only=once_only,
+            checks_start=checks_start,
+            left_s=left_s,
         )
         with self.closing(record, connection):
+            if checks_start and isinstance(connection, Connection):
+                await self.check_start(connection, record)
             answer = await self._send(
                 connection,
                 encode(),
@@ -162,6 +179,7 @@
         request_id: str,
         *,
         once_only: bool,
+        checks_start: bool,
         left_s: float,
     ) -> Exchange:
         """Return a connection, or an exchange by way of another VM.
@@ -179,9 +197,21 @@
                 return kept
         self._try_path(record)
         return self._relays.open(
-            endpoint_id, request_id, once_only=once_only, left_s=left_s
+            endpoint_id,
+            request_id,
+            once_only=once_only,
+            checks_start=checks_start,
+            left_s=left_s,
         )
 
+    async def check_start(self, connection: Connection, record: EndpointRecord) -> None:
+        """Raise StartChanged unless the other end is this start of the endpoint."""
+        try:
+            await check_start(connection, record, self._codec)
+        except AnotherStart as error:
+            connection.close()
+            raise StartChanged(str(error), reached=False) from error
+
     async def connect_here(
         self, record: EndpointRecord, *, once_only: bool
     ) -> Connection:
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -11,6 +11,7 @@
     EndpointClient,
     MayHaveRun,
     NotRun,
+    StartChanged,
 )
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.engines import Engines, GrantedPlace
@@ -122,6 +123,8 @@
             progress.arrivals += error.reached
             refused = error.reached
             not_held = error.wrong_endpoint
+            if isinstance(error, StartChanged):
+                progress.lost.add(record.endpoint_id)
             # If it was sent before the load was complete, the engine is retried.
             if not not_held and (place is None or place.confirmed):
                 progress.excluded.add(record.endpoint_id)
@@ -168,7 +171,13 @@
             )
 
         once_only = not call.route.resumable
-        sending = self._client.attempt(call, record, encode, once_only=once_only)
+        sending = self._client.attempt(
+            call,
+            record,
+            encode,
+            once_only=once_only,
+            checks_start=progress.must_check(record),
+        )
         async with sending as attempt:
             if attempt.facts.status != OK or not attempt.facts.is_event_stream:
                 await self._forward_body(call, attempt, progress)
--- a/bamboovale/gateway/stream_progress.py
+++ b/bamboovale/gateway/stream_progress.py
@@ -56,6 +56,13 @@
         if record.started_ms is not None:
             self.lost.add(record.endpoint_id)
 
+    def must_check(self, record: EndpointRecord) -> bool:
+        """Return whether the endpoint must show that it has not started again.
+
+        Only those that tell when they started may do so under their id.
+        """
+        return self.source is not None and record.started_ms is not None
+
     def select(self, records: list[EndpointRecord]) -> list[EndpointRecord]:
         """Return the endpoints that may go on with the stream."""
         if self.source is None:
--- a/bamboovale/relay/client.py
+++ b/bamboovale/relay/client.py
@@ -62,6 +62,7 @@
         request_id: str,
         *,
         once_only: bool,
+        checks_start: bool,
         left_s: float,
     ) -> None:
         self.closed = False
@@ -71,6 +72,7 @@
         self._endpoint_id = endpoint_id
         self._request_id = request_id
         self._once_only = once_only
+        self._checks_start = checks_start
         self._expires_at = relays.now() + left_s
         self._request: h11.Request | None = None
         self._body = b""
@@ -159,6 +161,7 @@
             body=self._body,
             left_s=self._left_s(),
             once_only=self._once_only,
+            checks_start=self._checks_start,
         )
 
     def _end(self) -> None:
@@ -202,7 +205,13 @@
         self._numbers = itertools.count(1)
 
     def open(
-        self, endpoint_id: str, request_id: str, *, once_only: bool, left_s: float
+        self,
+        endpoint_id: str,
+        request_id: str,
+        *,
+        once_only: bool,
+        checks_start: bool,
+        left_s: float,
     ) -> RelayedConnection:
         """Return an exchange with an endpoint, for one request."""
         return RelayedConnection(
@@ -211,6 +220,7 @@
             endpoint_id,
             request_id,
             once_only=once_only,
+            checks_start=checks_start,
             left_s=min(left_s, MAX_LEFT_S),
         )
 
--- a/bamboovale/relay/messages.py
+++ b/bamboovale/relay/messages.py
@@ -12,7 +12,7 @@
 
     ``relay_id`` is unique among those of the sender. ``headers`` are final. ``left_s``
     is for how many seconds the answer is wanted. ``once_only`` is whether it must not
-    run twice.
+    run twice, ``checks_start`` whether only this start of the endpoint may run it.
     """
 
     relay_id: str
@@ -24,6 +24,7 @@
     body: bytes
     left_s: float
     once_only: bool
+    checks_start: bool = False
 
 
 @message("relay_head")
--- a/bamboovale/relay/server.py
+++ b/bamboovale/relay/server.py
@@ -10,6 +10,7 @@
 from bamboovale.gateway.endpoint_client import EndpointClient, MayHaveRun, NotRun
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.model import EndpointRecord
 from bamboovale.gateway.path_watch import PathWatch
 from bamboovale.gateway.send_gate import SendGate
 from bamboovale.http1.connection import Connection, IncompleteResponse
@@ -168,8 +169,24 @@
             reply(self._not_sent(request, str(error), was_tried=True))
             raise
         with self._client.closing(record, connection):
+            if request.checks_start:
+                await self._check_start(connection, record, relay, reply)
             await self._forward(relay, connection, reply)
 
+    async def _check_start(
+        self,
+        connection: Connection,
+        record: EndpointRecord,
+        relay: _Relay,
+        reply: Reply,
+    ) -> None:
+        """Raise NotRun unless the other end is this start of the endpoint."""
+        try:
+            await self._client.check_start(connection, record)
+        except NotRun as error:
+            reply(self._not_sent(relay.request, str(error), was_tried=True))
+            raise
+
     async def _forward(
         self, relay: _Relay, connection: Connection, reply: Reply
     ) -> None:
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -5,18 +5,27 @@
 
 import pytest
 
+from bamboovale.standins.platform_endpoints import PlatformRunner
 from tests.gateway_site import (
     CallerAnswer,
     Site,
+    call,
     configuration,
     eventually,
     run,
     running_site,
 )
-from tests.stream_tries import StreamTries, begin_streams
+from tests.stream_tries import (
+    LAST_EVENT_ID,
+    RESUMABLE_PATH,
+    RESUMES,
+    StreamTries,
+    begin_streams,
+)
 
 EVENT_S = 0.05
 STREAMS = 4
+AT_ONCE_S = 1.0
 OLD, NEW = "v1", "v2"
 
 
@@ -116,3 +125,146 @@
                 assert all(stream.is_complete for stream in streams)
 
         run(test())
+
+
+async def take_up(site: Site, vm: int, attempt: str) -> CallerAnswer:
+    """Take up a stream after its third event by the id of an attempt."""
+    headers = {RESUMES: attempt, LAST_EVENT_ID: "3"}
+    return await call(
+        site.vms[vm].address, RESUMABLE_PATH, adapter="a1", headers=headers
+    )
+
+
+class TestUnknownStart:
+    """Attempts that no VM knows."""
+
+    def test_it_goes_on_if_one_version_alone_can_have_begun_it(self) -> None:
+        """Guards against streams that are lost with the VMs that knew them."""
+
+        async def test() -> None:
+            async with running_site(2, 0, 1, roomy()) as site:
+                await add_engine(site, OLD)
+                await site.ready()
+                answer = await take_up(site, 0, "nobody-knows")
+                assert answer.status == 200
+                assert answer.body.startswith(b"id: 4\n")
+
+        run(test())
+
+    def test_it_is_refused_at_once_if_two_versions_may_have(self) -> None:
+        """Guards against streams joined from two versions, and vain attempts."""
+
+        async def test() -> None:
+            async with running_site(2, 0, 1, roomy()) as site:
+                await add_engine(site, OLD)
+                await add_engine(site, NEW)
+                await site.ready()
+                began_at = site.vms[0].vm.state.now()
+                answer = await take_up(site, 0, "nobody-knows")
+                took_s = site.vms[0].vm.state.now() - began_at
+                assert answer.status == 503
+                assert answer.header("retry-after") is None
+                assert took_s < AT_ONCE_S
+                assert not any(runner.runs for runner in site.runners)
+                lines = site.vms[0].journal.of("stream_taken_up")
+                assert [line["refused"] for line in lines] == ["start_unknown"]
+
+        run(test())
+
+    def test_a_version_that_came_lately_counts(self) -> None:
+        """Guards against a VM that has not read of a new version yet."""
+
+        async def test() -> None:
+            async with running_site(2, 0, 1, roomy()) as site:
+                await add_engine(site, OLD)
+                await site.ready()
+                await add_engine(site, NEW)
+                answer = await take_up(site, 0, "nobody-knows")
+                assert answer.status == 503
+
+        run(test())
+
+
+class TestSoftwareThatIsGone:
+    """The last engines of the version that began streams end or leave."""
+
+    def test_a_stream_ends_at_once_without_an_endpoint_of_its_version(self) -> None:
+        """Guards against callers that wait for a version that is gone."""
+
+        async def test() -> None:
+            async with running_site(2, 0, 1, roomy()) as site:
+                await add_engine(site, OLD)
+                await add_engine(site, NEW, adapters=0)
+                await site.ready()
+                streams = begin_streams(site.vms[0].address, 1)[0]
+                await eventually(lambda: has_begun(site, streams))
+                site.runners[0].crash()
+                await site.runners[0].unregister()
+                endpoints = site.vms[1].vm.state.endpoints
+                await eventually(lambda: not endpoints.is_ready("runner-0"))
+                began_at = site.vms[0].vm.state.now()
+                await eventually(lambda: streams[0].answers)
+                answer = await streams[0].attempt(site.vms[1].address)
+                assert site.vms[0].vm.state.now() - began_at < AT_ONCE_S
+                assert answer.status == 503
+                assert not site.runners[1].runs
+
+        run(test())
+
+    def test_a_leaving_engine_serves_streams_that_it_alone_can(self) -> None:
+        """Guards against streams that end while an engine could go on with them."""
+
+        async def test() -> None:
+            async with running_site(2, 0, 1, roomy()) as site:
+                await add_engine(site, OLD)
+                await add_engine(site, NEW)
+                await site.ready()
+                for vm in site.vms:
+                    await call(vm.address, RESUMABLE_PATH, adapter="a1")
+                stream = begin_streams(site.vms[0].address, 1)[0][0]
+                await eventually(lambda: has_begun(site, [stream]))
+                began = next(r for r in site.runners if has_run(r, stream.ids[0]))
+                await began.register("draining")
+                endpoints = site.vms[1].vm.state.endpoints
+                await eventually(lambda: not endpoints.is_ready(began.endpoint_id))
+                headers = {RESUMES: stream.ids[0], LAST_EVENT_ID: "3"}
+                answer = await call(
+                    site.vms[1].address, RESUMABLE_PATH, adapter="a1", headers=headers
+                )
+                assert answer.status == 200
+                assert answer.header("x-server-stamp") == f"stamp.{began.endpoint_id}"
+
+        run(test())
+
+
+def has_run(runner: PlatformRunner, attempt: str) -> bool:
+    """Return whether an engine ran an attempt."""
+    return any(run.request_id == attempt for run in runner.runs)
+
+
+class TestEngineThatStartsAgain:
+    """An engine comes back under its id with other software."""
+
+    def test_it_does_not_go_on_with_streams_of_the_software_before(self) -> None:
+        """Guards against a version that is taken to belong to an id or an address."""
+
+        async def test() -> None:
+            async with running_site(2, 0, 1, roomy()) as site:
+                await add_engine(site, OLD)
+                engine = site.runners[0]
+                engine.born_ms = 1
+                await engine.register("ready")
+                await eventually(lambda: "runner-0@1" in site.owned())
+                streams, answers = begin_streams(site.vms[0].address, 2)
+                await eventually(lambda: has_begun(site, streams))
+                engine.software = NEW
+                await engine.restart(born_ms=2)
+                engine.preload("a1")
+                engine.preload("a2")
+                await answers
+                for stream in streams:
+                    await stream.attempt(site.vms[1].address)
+                versions = [len(stream.versions(site)) for stream in streams]
+                assert versions == [1, 1]
+
+        run(test())
