Own interface: go on with a stream at the software that began it

Cause: the own interface resumed a broken stream at whatever runs under the engine's id by then. Change: rows of the VM list may name the version of an engine's software; the decision is the one of bamboovale/streams. Measured: the new test fails without it (went on at v2: ANSWERED, 1 resumed), passes with it; tests of promised answers and membership pass.

--- a/bamboovale/entry/model_runs.py
+++ b/bamboovale/entry/model_runs.py
@@ -30,6 +30,8 @@
 from bamboovale.entry.permits import DisconnectSignal, HeldPermit, PermitClient
 from bamboovale.environment import Environment
 from bamboovale.errors import ErrorCode, Refusal
+from bamboovale.models import VM
+from bamboovale.streams.source import StreamSource
 from bamboovale.views import Views
 
 STREAM_HEADERS = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache")]
@@ -144,7 +146,8 @@
         events = run.read_events(response)
         first = next(events, None)
         outcome = AnswerOutcome()
-        chunks = self._forward(spec, first, events, outcome)
+        source = self._source(spec)
+        chunks = self._forward(spec, source, first, events, outcome)
         held = stack.pop_all()
         return CallerAnswer(
             200,
@@ -156,6 +159,7 @@
     def _forward(
         self,
         spec: RunSpec,
+        source: StreamSource | None,
         first: bytes | None,
         events: Iterator[bytes],
         outcome: AnswerOutcome,
@@ -169,7 +173,8 @@
                 yield event
                 forwarded += 1
         except RunFailedError:
-            if not (yield from self._resume(spec, forwarded)):
+            may_resume = self._may_go_on(spec, source)
+            if not (may_resume and (yield from self._resume(spec, forwarded))):
                 outcome.state = AnswerState.UNKNOWN
                 outcome.code = ErrorCode.OUTCOME_UNKNOWN.value
                 yield _error_event(spec)
@@ -178,6 +183,23 @@
         self._decisions.on_answered(spec.fingerprint)
         yield DONE_EVENT + EVENT_END
 
+    def _engine(self, spec: RunSpec) -> VM | None:
+        return self._views.membership.vm_by_id.get(spec.held.permit.engine_id)
+
+    def _source(self, spec: RunSpec) -> StreamSource | None:
+        """Return what begins the stream, None if its engine is no longer listed."""
+        engine = self._engine(spec)
+        if engine is None:
+            return None
+        return StreamSource(engine.pool, engine.software_version)
+
+    def _may_go_on(self, spec: RunSpec, source: StreamSource | None) -> bool:
+        """Return whether the engine still runs the software that began the stream."""
+        engine = self._engine(spec)
+        if source is None or engine is None:
+            return False
+        return source.may_go_on_at(engine)
+
     def _resume(
         self,
         spec: RunSpec,
--- a/bamboovale/membership/vm_list.py
+++ b/bamboovale/membership/vm_list.py
@@ -24,6 +24,7 @@
         region=row.get("region", ""),
         pool=row.get("pool", ""),
         state=VMState(row.get("state", "live")),
+        software_version=row.get("software", ""),
     )
 
 
--- a/bamboovale/models.py
+++ b/bamboovale/models.py
@@ -32,7 +32,8 @@
 
     ``pool`` names the group of endpoints it serves in (``tutor-llm``); it is
     empty for an entry VM. ``ports`` is keyed by use: ``callers``, ``admin`` and
-    ``peers`` on an entry VM, ``http`` on an endpoint VM.
+    ``peers`` on an entry VM, ``http`` on an endpoint VM. ``software_version`` is that
+    of an endpoint's software, empty if the list does not tell.
     """
 
     id: str
@@ -43,6 +44,7 @@
     region: str = ""
     pool: str = ""
     state: VMState = VMState.LIVE
+    software_version: str = ""
 
 
 @dataclass(frozen=True, order=True)
