Check in the soak that streams go on, and at one software version

Change: engines of the soak have software versions, show them in their events and come back with others, under new ids or their own; callers take streams up again at any VM. Both rules are checked as worded, in standins/stream_versions. Its software is not known now until its record tells: no stream goes on there, and what it begins is not certain. The test of unknown software fails without the change.

--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -141,11 +141,13 @@
     def on_restart(self, record: EndpointRecord, started_ms: int) -> None:
         """Apply a restart that an endpoint's report shows before its record does.
 
-        The restarted endpoint holds no models.
+        The restarted endpoint holds no models, and may have other software.
         """
         known = self._current(record.registered_id)
         if known is not None:
-            fresh = replace(known, started_ms=started_ms, models=())
+            fresh = replace(
+                known, started_ms=started_ms, models=(), software_version=None
+            )
             self.on_record(record.registered_id, fresh)
 
     def expired_ids(self) -> set[str]:
--- a/bamboovale/gateway/model.py
+++ b/bamboovale/gateway/model.py
@@ -155,9 +155,9 @@
 
     ``registered_id`` may be used again by a later start. ``started_ms`` is the start
     time in Unix milliseconds, None if the endpoint does not report it.
-    ``software_version`` is the version of the endpoint's software. State of an
-    endpoint is kept by ``endpoint_id``, which no two starts share, so that state of an
-    earlier start is not applied to a later one.
+    ``software_version`` is that of the endpoint's software, None for a start that has
+    not registered yet. State of an endpoint is kept by ``endpoint_id``, which no two
+    starts share, so that state of an earlier start is not applied to a later one.
     """
 
     registered_id: str
@@ -169,7 +169,7 @@
     models: tuple[LoadedModel, ...] = ()
     remaining_s: float | None = None
     started_ms: int | None = None
-    software_version: str = ""
+    software_version: str | None = ""
     endpoint_id: str = field(init=False)
 
     def __post_init__(self) -> None:
@@ -178,10 +178,8 @@
 
     def is_same_start(self, other: "EndpointRecord") -> bool:
         """Return whether both are of one start, whose software stays the same."""
-        return (self.endpoint_id, self.software_version) == (
-            other.endpoint_id,
-            other.software_version,
-        )
+        versions = {self.software_version, other.software_version} - {None}
+        return self.endpoint_id == other.endpoint_id and len(versions) <= 1
 
     def is_start_before(self, other: "EndpointRecord") -> bool:
         """Return whether this start of the endpoint is earlier than the other."""
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -51,6 +51,7 @@
     ) -> None:
         self._client = client
         self._codec = codec
+        self._endpoints = endpoints
         self._engines = engines
         self._version_of = version_of
         self._retries = retries
@@ -257,7 +258,8 @@
         """Send the head with the first event: before, another engine may answer."""
         if progress.started:
             return
-        progress.on_started(record)
+        newest = self._endpoints.record_by_id.get(record.endpoint_id, record)
+        progress.on_started(newest)
         assert progress.source is not None
         self._streams.on_first_event(call, progress.source)
         call.notes["first_s"] = round(self._now() - call.request.received_at, 4)
--- a/bamboovale/gateway/stream_progress.py
+++ b/bamboovale/gateway/stream_progress.py
@@ -39,7 +39,10 @@
     lost: set[str] = field(default_factory=set)
 
     def on_started(self, record: EndpointRecord) -> None:
-        """Apply that the stream's first event goes to the caller."""
+        """Apply that the stream's first event goes to the caller.
+
+        ``record`` is the newest one of the engine's start.
+        """
         self.started = True
         if self.source is None:
             self.source = StreamSource(record.service, record.software_version)
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -14,6 +14,7 @@
 from bamboovale.http1.server import Request, Responder, Server
 from bamboovale.standins.endpoint_signals import SignalRecord
 from bamboovale.standins.platform_store import PlatformStore
+from bamboovale.standins.stream_versions import software_line
 
 REPORT_LAG_S = 0.05
 EVENT_INTERVAL_S = 0.005
@@ -269,9 +270,15 @@
         self._model = None
         self.version_by_adapter.clear()
 
-    async def restart(self, born_ms: int, *, registers: bool = True) -> None:
-        """Crash and restart with the same id and address, without adapters."""
+    async def restart(
+        self, born_ms: int, *, registers: bool = True, software: str | None = None
+    ) -> None:
+        """Crash and restart with the same id and address, without adapters.
+
+        It keeps its software version if none is given.
+        """
         self.crash()
+        self.software = software or self.software
         self._server = Server(self.handle)
         self.version_by_adapter.clear()
         self._loading.clear()
@@ -440,7 +447,8 @@
                 run.ended = "cut"
                 responder.abort()
                 return
-            text = f"id: {number}\ndata: {run.adapter}@{run.version}\n\n"
+            data = f"data: {run.adapter}@{run.version}\n\n"
+            text = f"id: {number}\n{software_line(run.software)}{data}"
             await responder.write(text.encode())
             run.events += 1
         run.ended = "ok"
--- a/bamboovale/streams/call_streams.py
+++ b/bamboovale/streams/call_streams.py
@@ -122,4 +122,6 @@
 def _counts(state: VMState) -> Counter[tuple[str, str]]:
     """Return the number of endpoints by service and software version."""
     records = state.endpoints.record_by_id.values()
-    return Counter((record.service, record.software_version) for record in records)
+    return Counter(
+        (record.service, record.software_version or "unknown") for record in records
+    )
--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -102,6 +102,8 @@
 
         ``left_s`` is how long the attempt may last from now on.
         """
+        if source.software_version is None:
+            return
         life_s = left_s + RETURN_S
         began = StreamBegan(
             attempts, source.service, source.software_version, life_s, customer
@@ -128,7 +130,7 @@
         seen = self.versions.seen(query.services, query.within_s, self._clock())
         return StreamReply(
             query.attempt_id,
-            versions=tuple(sorted(seen.versions)),
+            versions=tuple(seen.versions),
             since_s=min(seen.since_s, MAX_SINCE_S),
             until_s=min(seen.until_s, MAX_SINCE_S),
         )
--- a/bamboovale/streams/messages.py
+++ b/bamboovale/streams/messages.py
@@ -48,6 +48,6 @@
     attempt_id: str
     service: str = ""
     software_version: str | None = None
-    versions: tuple[str, ...] = ()
+    versions: tuple[str | None, ...] = ()
     since_s: float = 0.0
     until_s: float = 0.0
--- a/bamboovale/streams/source.py
+++ b/bamboovale/streams/source.py
@@ -9,8 +9,11 @@
     """An endpoint whose software version is known."""
 
     @property
-    def software_version(self) -> str:
-        """Return the version; versions are equal or not, and have no order."""
+    def software_version(self) -> str | None:
+        """Return the version, None before it is known.
+
+        Versions are equal or not, and have no order.
+        """
 
 
 Endpoint = TypeVar("Endpoint", bound=HasSoftware)
@@ -20,15 +23,17 @@
 class StreamSource:
     """The service and the software version that a stream's first event came from.
 
-    ``service`` is empty if only the version is certain.
+    ``service`` is empty if only the version is certain, ``software_version`` is None if
+    it was not known yet.
     """
 
     service: str
-    software_version: str
+    software_version: str | None
 
     def may_go_on_at(self, endpoint: HasSoftware) -> bool:
         """Return whether the endpoint's software may go on with the stream."""
-        return endpoint.software_version == self.software_version
+        version = self.software_version
+        return version is not None and endpoint.software_version == version
 
     def select(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
         """Return the endpoints that may go on with the stream."""
--- a/bamboovale/streams/version_history.py
+++ b/bamboovale/streams/version_history.py
@@ -10,8 +10,8 @@
 MAX_AGE_S = 300.0
 """Versions that ended longer ago are dropped."""
 
-ServiceVersion = tuple[str, str]
-"""A service and a version of its software."""
+ServiceVersion = tuple[str, str | None]
+"""A service and a version of its software, None while that is not known."""
 
 
 @dataclass(frozen=True)
@@ -21,7 +21,7 @@
     No other one served between ``since_s`` and ``until_s`` ago.
     """
 
-    versions: frozenset[str]
+    versions: frozenset[str | None]
     since_s: float
     until_s: float
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -42,13 +42,14 @@
     open connections also stop passing data for good, while new ones work.
     ``revokes``: keys of customers are also taken away. ``signals``: endpoints also name
     limits, ask for rest and say that they leave in their answers. ``cuts``: VMs also
-    lose their paths to all endpoints.
+    lose their paths to all endpoints. ``versions``: engines also come back with other
+    software.
     """
 
     seconds: float = 60.0
     seed: int = 1
     vms: int = 3
-    runners: int = 3
+    runners: int = 4
     services: int = 2
     callers: int = 12
     starts_again: bool = True
@@ -56,6 +57,7 @@
     revokes: bool = True
     signals: bool = True
     cuts: bool = True
+    versions: bool = True
 
 
 @dataclass
@@ -103,6 +105,7 @@
             leaving_at=site.leaving_at,
             revoked_at=dict(site.keys.revoked_at),
             owner_by_key=dict(site.keys.owner_by_key),
+            software=list(site.software),
             runs_by_leaving={
                 endpoint.endpoint_id: endpoint.runs
                 for endpoint in endpoints
@@ -141,6 +144,7 @@
             LaneKind.SIGNALS: self.config.signals,
             LaneKind.SILENCES: self.config.silences,
             LaneKind.PATHS: self.config.cuts,
+            LaneKind.VERSIONS: self.config.versions,
         }
         return [kind for kind, is_wanted in wanted.items() if is_wanted]
 
@@ -197,7 +201,8 @@
     lines = [
         f"seed {soak.config.seed}: {len(soak.attempts)} requests"
         f" {dict(outcomes.most_common())}, {len(soak.faults)} faults,"
-        f" {len(found)} broken promises"
+        f" {len(found)} broken promises,"
+        f" {sum(a.resumes is not None for a in soak.attempts)} streams taken up"
     ]
     lines += [str(violation) for violation in found[:10]]
     if found:
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import re
 import time
 from dataclasses import dataclass
 from enum import StrEnum
@@ -18,6 +19,8 @@
 DEADLINE_S = 3.0
 """Deadline sent with each request; the caller times out one second later."""
 PAUSE_S = 0.02
+MAX_RESUMPTIONS = 3
+EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
 
 class Kind(StrEnum):
@@ -44,6 +47,8 @@
     """One request of a caller and its result; ``status`` is 0 without a response.
 
     ``whole`` is true if the response was complete. ``key`` is the API key sent.
+    ``resumes`` is the attempt that began the stream, None for a new one,
+    ``resume_after`` the id of the last event that came before.
     """
 
     request_id: str
@@ -56,6 +61,14 @@
     whole: bool
     body: bytes = b""
     key: str | None = None
+    resumes: str | None = None
+    resume_after: int = 0
+
+    @property
+    def last_event_id(self) -> int:
+        """Return the id of the stream's last event that came, 0 for none."""
+        ids = EVENT_ID.findall(self.body[: self.body.rfind(b"\n\n") + 1])
+        return int(ids[-1]) if ids else self.resume_after
 
 
 class Caller:
@@ -87,9 +100,29 @@
                 await asyncio.sleep(PAUSE_S)
                 continue
             key = self._keys.choose(self._rng)
-            self._attempts.append(await self._send(kind, connection, key))
+            attempt = await self._send(kind, connection, key)
+            self._attempts.append(attempt)
+            if kind is Kind.LONG:
+                await self._take_up(attempt, key)
             await asyncio.sleep(PAUSE_S * self._rng.random())
 
+    async def _take_up(self, attempt: Attempt, key: str) -> None:
+        """Go on with a stream that broke off, at any VM."""
+        for _ in range(MAX_RESUMPTIONS):
+            if (attempt.whole and attempt.status == 200) or not attempt.last_event_id:
+                return
+            self._vm = self._rng.choice(self._vms)
+            try:
+                connection = await Connection.open(*self._vm.callers)
+            except (ConnectFailed, OSError):
+                await asyncio.sleep(PAUSE_S)
+                continue
+            try:
+                attempt = await self._send(Kind.LONG, connection, key, attempt)
+            finally:
+                connection.close()
+            self._attempts.append(attempt)
+
     async def send_once(self, kind: Kind, vm: VMProcess) -> Attempt:
         """Send one request to one VM on a new connection, with a key in use."""
         self._vm = vm
@@ -111,15 +144,29 @@
         self._connection = await Connection.open(*self._vm.callers)
         return self._connection
 
-    async def _send(self, kind: Kind, connection: Connection, key: str) -> Attempt:
+    async def _send(
+        self,
+        kind: Kind,
+        connection: Connection,
+        key: str,
+        before: Attempt | None = None,
+    ) -> Attempt:
+        """Send a request, or the next attempt of a stream that broke off."""
         assert self._vm is not None
         request_id = f"soak{next(self._numbers)}"
-        adapter = self._rng.choice(ADAPTERS) if kind in STREAMS else None
+        if before is not None:
+            adapter = before.adapter
+        else:
+            adapter = self._rng.choice(ADAPTERS) if kind in STREAMS else None
+        resumes = None if before is None else before.resumes or before.request_id
+        resume_after = 0 if before is None else before.last_event_id
         sent_at = time.monotonic()
         answer: CallerAnswer | None = None
         try:
             async with asyncio.timeout(DEADLINE_S + 1.0):
-                connection.send(*_request(kind, request_id, adapter, key))
+                connection.send(
+                    *_request(kind, request_id, adapter, key, resumes, resume_after)
+                )
                 answer = await read_answer(connection)
         except (TimeoutError, IncompleteResponse, OSError):
             connection.close()
@@ -134,6 +181,8 @@
             whole=answer.whole if answer else False,
             body=answer.body if answer else b"",
             key=key,
+            resumes=resumes,
+            resume_after=resume_after,
         )
 
 
@@ -142,6 +191,8 @@
     request_id: str,
     adapter: str | None,
     key: str,
+    resumes: str | None,
+    resume_after: int,
 ) -> tuple[h11.Request, bytes]:
     headers = [
         ("Host", HOST),
@@ -156,6 +207,9 @@
     if adapter is not None:
         headers.append(("X-Model", f"{MODEL}/{adapter}"))
         headers.append(("X-Token-Count", "100,20"))
+    if resumes is not None:
+        headers.append(("Resumes", resumes))
+        headers.append(("Last-Event-Id", str(resume_after)))
     method = "GET" if kind is Kind.CHECK else "POST"
     target = f"/{kind.value}/x"
     return h11.Request(method=method, target=target, headers=headers), body
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -9,11 +9,13 @@
 from bamboovale.standins.endpoint_signals import Arrival, SignalRecord
 from bamboovale.standins.platform_endpoints import Run
 from bamboovale.standins.retry_arrivals import RetryBound, retry_violations
+from bamboovale.standins.stream_versions import stream_violations
 from bench.soak_callers import ONCE_ONLY, STREAMS, Attempt, Kind
 from bench.soak_customers import broken_by
 from bench.soak_paths import served_without_paths
 from bench.soak_site import GRACE_S, Life
 from bench.soak_spans import FaultSpan
+from bench.soak_streams import SoftwareSpan, stream_attempts
 
 NOT_RUN = (408, 421, 429, 503)
 EVENTS = 5
@@ -32,7 +34,7 @@
 """Most retries of a service's requests over all VMs, as configured."""
 PAUSED = "paused"
 """Name of the fault that suspends a VM's process by SIGSTOP."""
-EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
+EVENT = re.compile(rb"id: (\d+)\n: [^\n]*\ndata: ([^\n]*)\n\n")
 
 
 @dataclass(frozen=True)
@@ -66,6 +68,7 @@
     runs_by_leaving: Mapping[str, Sequence[Run]] = field(default_factory=dict)
     revoked_at: Mapping[str, float] = field(default_factory=dict)
     owner_by_key: Mapping[str, str] = field(default_factory=dict)
+    software: Sequence[SoftwareSpan] = ()
 
 
 def find_violations(evidence: Evidence) -> list[Violation]:
@@ -86,6 +89,12 @@
     found += _planned_stops(evidence)
     found += _signals_heeded(evidence)
     found += _retries_bounded(evidence)
+    for detail in stream_violations(
+        stream_attempts(
+            evidence.attempts, evidence.faults, evidence.lives, evidence.software
+        )
+    ):
+        found.append(Violation("streams go on", "llm", detail))
     for vm, detail in served_without_paths(
         evidence.attempts, evidence.faults, evidence.lives
     ):
@@ -129,7 +138,7 @@
         return
     if attempt.kind in STREAMS:
         numbers = [int(number) for number, _ in EVENT.findall(attempt.body)]
-        good = numbers == list(range(1, EVENTS + 1))
+        good = numbers == list(range(attempt.resume_after + 1, EVENTS + 1))
         good = good and EVENT.sub(b"", attempt.body) == b""
     else:
         good = attempt.body.endswith(f" {attempt.request_id}".encode())
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -29,6 +29,10 @@
 """Time a draining endpoint still serves: twice the time allowed for new requests, so
 that late ones are recorded."""
 
+SLOW_EVENT_S = 0.1
+BREAK_SHARE = 0.7
+"""Share of the engines whose connections are reset at a change of software."""
+SOFTWARE_VERSIONS = ("v1", "v2", "v3")
 LIMITS_PER_S = (0.5, 2.0, 5.0, 20.0)
 
 Injection = Callable[[], Awaitable[None]]
@@ -42,6 +46,7 @@
     SIGNALS = "signals"
     SILENCES = "silences"
     PATHS = "paths"
+    VERSIONS = "versions"
 
 
 class FaultLane:
@@ -91,6 +96,7 @@
             LaneKind.SIGNALS: [lane._limit, lane._rest, lane._leave_by_answers],
             LaneKind.SILENCES: [lane._connections_fall_silent],
             LaneKind.PATHS: [lane._paths_cut],
+            LaneKind.VERSIONS: [lane._software_changes],
         }
         lane._injections = injections_by_kind[kind]
         return lane
@@ -273,6 +279,29 @@
         async with self._span("runner starts again", runner.endpoint_id):
             await self._site.restart_runner(runner)
 
+    async def _software_changes(self) -> None:
+        """Replace an engine by one of other software, or restart it with that.
+
+        Engines are slow meanwhile, so that streams are under way, and break off.
+        """
+        site = self._site
+        async with self._span("software changes", "engines"):
+            for runner in site.runners:
+                runner.faults.event_s = SLOW_EVENT_S
+            await self._wait_for_duration()
+            for runner in site.runners:
+                if self._rng.random() < BREAK_SHARE:
+                    site.proxy_by_endpoint[runner.endpoint_id].reset()
+            runner = self._rng.choice(site.runners)
+            if runner.endpoint_id in site.leaving_at:
+                return
+            others = [v for v in SOFTWARE_VERSIONS if v != runner.software]
+            software = self._rng.choice(others)
+            if self._rng.random() < 0.5:
+                await site.replace_runner(runner, software)
+            else:
+                await site.restart_runner(runner, software)
+
     async def _endpoint_leaves(self) -> None:
         """Let an endpoint leave as planned: it drains, then it is replaced."""
         site = self._site
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -19,6 +19,7 @@
 from bench.routed import MODEL, configuration, node_document
 from bench.soak_customers import BOUNDS, Keys
 from bench.soak_proxy import Proxy
+from bench.soak_streams import SoftwareSpan
 
 PEER_KEY = "soak-key-of-this-machine"
 READY_S = 20.0
@@ -156,6 +157,7 @@
     keys: Keys = field(default_factory=Keys.from_start)
     version_acks: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
     leaving_at: dict[str, float] = field(default_factory=dict)
+    software: list[SoftwareSpan] = field(default_factory=list)
     _changes: set[asyncio.Task[None]] = field(default_factory=set)
     _numbers: Any = field(default_factory=itertools.count)
 
@@ -172,8 +174,8 @@
             found += endpoint.signals.arrivals
         return arrivals
 
-    async def add_runner(self) -> None:
-        """Start an engine."""
+    async def add_runner(self, software: str = "v1") -> None:
+        """Start an engine with a software version."""
         name = f"runner-{next(self._numbers)}"
         runner = PlatformRunner(
             self.store,
@@ -181,8 +183,10 @@
             "llm",
             model=MODEL,
             adapter_slots=ADAPTER_SLOTS,
+            software=software,
         )
         await self._add(runner)
+        self._note_software(runner)
         self.runners.append(runner)
 
     async def add_service(self) -> None:
@@ -199,16 +203,24 @@
         endpoint.address = proxy.address
         await endpoint.register("ready")
 
-    async def replace_runner(self, runner: PlatformRunner) -> None:
-        """Crash an engine with its streams and add an empty one under another id."""
-        await self._finish(self._replace_runner(runner))
+    async def replace_runner(
+        self, runner: PlatformRunner, software: str | None = None
+    ) -> None:
+        """Crash an engine with its streams and add an empty one under another id.
 
-    async def restart_runner(self, runner: PlatformRunner) -> None:
+        It keeps its software version if none is given.
+        """
+        await self._finish(self._replace_runner(runner, software))
+
+    async def restart_runner(
+        self, runner: PlatformRunner, software: str | None = None
+    ) -> None:
         """Crash an engine with its streams and restart it, empty, under the same id.
 
-        Its record is written a little later, as a heartbeat would be.
+        Its record is written a little later, as a heartbeat would be. It keeps its
+        software version if none is given.
         """
-        await self._finish(self._restart_runner(runner))
+        await self._finish(self._restart_runner(runner, software))
 
     async def replace_service(self, service: PlatformEndpoint) -> None:
         """Remove a plain endpoint and add one under another id."""
@@ -228,22 +240,41 @@
         task.add_done_callback(self._changes.discard)
         await asyncio.shield(task)
 
-    async def _replace_runner(self, runner: PlatformRunner) -> None:
+    def _note_software(self, runner: PlatformRunner) -> None:
+        """Record that an engine serves from now on, with its software version."""
+        self._end_software(runner)
+        engine, version = runner.endpoint_id, runner.software
+        self.software.append(SoftwareSpan(engine, version, time.monotonic()))
+
+    def _end_software(self, runner: PlatformRunner) -> None:
+        self.software = [
+            span.ended(runner.endpoint_id, time.monotonic()) for span in self.software
+        ]
+
+    async def _replace_runner(
+        self, runner: PlatformRunner, software: str | None
+    ) -> None:
+        self._end_software(runner)
         self.runners.remove(runner)
         self.gone.append(runner)
         self.proxy_by_endpoint[runner.endpoint_id].close()
         runner.crash()
         await runner.unregister()
-        await self.add_runner()
+        await self.add_runner(software or runner.software)
 
-    async def _restart_runner(self, runner: PlatformRunner) -> None:
+    async def _restart_runner(
+        self, runner: PlatformRunner, software: str | None
+    ) -> None:
+        self._end_software(runner)
         proxy = self.proxy_by_endpoint[runner.endpoint_id]
         runner.signals.end_all()
         runner.address = proxy.target
-        await runner.restart(time.time_ns() // 1_000_000, registers=False)
+        started_ms = time.time_ns() // 1_000_000
+        await runner.restart(started_ms, registers=False, software=software)
         runner.address = proxy.address
         await asyncio.sleep(RESTART_RECORD_DELAY_S)
         await runner.register("ready")
+        self._note_software(runner)
 
     def excuse(self, vm: VMProcess) -> None:
         """Hold a VM to nothing that endpoints have told it until now."""
@@ -253,6 +284,8 @@
     async def mark_leaving(self, endpoint: PlatformEndpoint) -> None:
         """Register an endpoint as draining; it keeps serving."""
         await endpoint.register("draining")
+        if isinstance(endpoint, PlatformRunner):
+            self._end_software(endpoint)
         self.leaving_at[endpoint.endpoint_id] = time.monotonic()
 
     async def _replace_service(self, service: PlatformEndpoint) -> None:
@@ -322,8 +355,8 @@
     store_address = await site.store.listen("127.0.0.1")
     await site.write_configuration()
     try:
-        for _ in range(runners):
-            await site.add_runner()
+        for number in range(runners):
+            await site.add_runner(f"v{1 + number % 2}")
         for _ in range(services):
             await site.add_service()
         for number in range(vms):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -238,7 +238,9 @@
                 site.runners[0].faults.cut_after = 2
                 answer = await call(site.vms[0].address, "/chat/1", adapter="a1")
                 assert not answer.whole
-                assert answer.body == b"id: 1\ndata: a1@1\n\nid: 2\ndata: a1@1\n\n"
+                assert answer.body == (
+                    b"id: 1\n: v1\ndata: a1@1\n\nid: 2\n: v1\ndata: a1@1\n\n"
+                )
 
         run(test())
 
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -257,8 +257,7 @@
                 await eventually(lambda: "runner-0@1" in site.owned())
                 streams, answers = begin_streams(site.vms[0].address, 2)
                 await eventually(lambda: has_begun(site, streams))
-                engine.software = NEW
-                await engine.restart(born_ms=2)
+                await engine.restart(born_ms=2, software=NEW)
                 engine.preload("a1")
                 engine.preload("a2")
                 await answers
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,10 +1,16 @@
 """Which software began a stream: names of attempts, memory, versions, decisions."""
 
+import logging
 import math
+from dataclasses import replace
 
 import pytest
 from result import Err, Ok
 
+from bamboovale.gateway.endpoints import EndpointView
+from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.model import EndpointRecord
+from bamboovale.gateway.store_watch import StoreWatch
 from bamboovale.http1.server import Request
 from bamboovale.platform.requests import decode_call
 from bamboovale.streams.decision import Findings, RefusalCause, decide
@@ -166,3 +172,28 @@
     def test_the_one_that_began_it_while_the_route_leads_there(self) -> None:
         assert OLD.service_among(("app", "llm"), "app") == "llm"
         assert OLD.service_among(("app",), "app") == "app"
+
+
+class TestUnknownSoftware:
+    """An engine whose restart is known by a report alone."""
+
+    def test_no_stream_goes_on_there(self) -> None:
+        """Guards against software that a restarted engine had before."""
+        store = StoreWatch(lambda: 0.0)
+        journal = Journal("me", logging.getLogger("none"))
+        view = EndpointView(journal, store, lambda: 0.0)
+        record = EndpointRecord("e", "llm", ("127.0.0.1", 1), "a", True, 8)
+        record = replace(record, started_ms=1, software_version="v1")
+        view.on_record("e", record)
+        view.on_restart(record, 2)
+        restarted = view.record_by_id["e@2"]
+        assert not OLD.may_go_on_at(restarted)
+        assert not StreamSource("llm", None).may_go_on_at(restarted)
+        view.on_record("e", replace(record, started_ms=2, software_version="v2"))
+        assert NEW.may_go_on_at(view.record_by_id["e@2"])
+
+    def test_what_it_may_have_begun_is_not_certain(self) -> None:
+        found = history()
+        found.observe({("llm", "v1"), ("llm", None)}, 101.0)
+        found.on_proof(102.0)
+        assert only_version(found, 102.0, 102.0) is None
