--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -24,7 +24,7 @@
 from bamboovale.streams.starts import StreamStart, StreamStarts
 from bamboovale.streams.version_history import VersionHistory, VersionsSeen
 
-COPIES = 2
+COPIES = 3
 """VMs that are told of a stream's start, beside the one that begins it."""
 ASKED = COPIES + 2
 """VMs that are asked: two may have come or gone since the stream began."""
