--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -14,7 +14,8 @@
 from typing import Any
 
 from bamboovale.standins.endpoint_signals import Arrival
-from bamboovale.standins.platform_endpoints import PlatformEndpoint, PlatformRunner
+from bamboovale.standins.platform_endpoints import PlatformEndpoint
+from bamboovale.standins.platform_runner import PlatformRunner
 from bamboovale.standins.platform_store import PlatformStore
 from bench.routed import MODEL, configuration, node_document
 from bench.soak_customers import BOUNDS, Keys
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -15,7 +15,8 @@
 from bamboovale.metrics import Metrics
 from bamboovale.platform.node_file import NodeSettings
 from bamboovale.platform.translation import PlatformTranslation
-from bamboovale.standins.platform_endpoints import PlatformEndpoint, PlatformRunner
+from bamboovale.standins.platform_endpoints import PlatformEndpoint
+from bamboovale.standins.platform_runner import PlatformRunner
 from bamboovale.standins.platform_store import PlatformStore
 from bench.routed import (
     HOST,
--- a/tests/signal_load.py
+++ b/tests/signal_load.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from bamboovale.standins.platform_endpoints import PlatformRunner
+from bamboovale.standins.platform_runner import PlatformRunner
 from tests.gateway_site import CallerAnswer, Site, call
 
 LOAD_PER_S = 30.0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,7 +12,7 @@
 from bamboovale.gateway.messages import PlaceReply, PlaceRequest
 from bamboovale.http1.connection import Connection
 from bamboovale.peers.outgoing import PeerUnreachableError
-from bamboovale.standins.platform_endpoints import PlatformRunner
+from bamboovale.standins.platform_runner import PlatformRunner
 from tests.gateway_site import (
     HOST,
     MODEL,
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bamboovale.standins.platform_endpoints import PlatformRunner
+from bamboovale.standins.platform_runner import PlatformRunner
 from tests.gateway_site import (
     CallerAnswer,
     Site,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,7 +24,7 @@
 from bench.soak_site import GRACE_S, Life, running_site, to_toml
 from bench.soak_spans import FaultSpan
 
-EVENTS = b"".join(f"id: {n}\ndata: a1@1\n\n".encode() for n in range(1, 6))
+EVENTS = b"".join(f"id: {n}\n: v1\ndata: a1@1\n\n".encode() for n in range(1, 6))
 STREAM = Attempt("r1", Kind.CHAT, "vm", "a1", 10.0, 10.5, 200, True, EVENTS)
 CALL = Attempt("r2", Kind.BOOK, "vm", None, 10.0, 10.1, 200, True, b"app-1 r2")
 RUNS = (Run("r1", "/chat/x", b"", []), Run("r2", "/book/x", b"", []))
