Use an engine again whose run broke off, once it has shown its start

Cause, by reading: a stream was never sent again to an engine that tells when it started and that had broken its run off, though the check of its start on the connection suffices; with one engine left of its software it ended. Change: only an engine that showed another start is left out.

--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -125,7 +125,7 @@
             refused = error.reached
             not_held = error.wrong_endpoint
             if isinstance(error, StartChanged):
-                progress.lost.add(record.endpoint_id)
+                progress.started_again.add(record.endpoint_id)
             # If it was sent before the load was complete, the engine is retried.
             if not not_held and (place is None or place.confirmed):
                 progress.excluded.add(record.endpoint_id)
--- a/bamboovale/gateway/stream_progress.py
+++ b/bamboovale/gateway/stream_progress.py
@@ -23,7 +23,8 @@
     ``failure`` is how the last one failed. ``stalled`` is true after a pause longer
     than the route allows. ``source`` is what began the stream, None before its first
     event; ``is_software_gone`` is whether no endpoint of it is left. ``excluded``
-    engines are used again if there is no other, ``lost`` ones never.
+    engines are used again if there is no other; ``started_again`` are those that turned
+    out to be another start than the known one.
     """
 
     events: EventBuffer
@@ -36,7 +37,7 @@
     arrivals: int = 0
     failure: Exception | None = None
     excluded: set[str] = field(default_factory=set)
-    lost: set[str] = field(default_factory=set)
+    started_again: set[str] = field(default_factory=set)
 
     def on_started(self, record: EndpointRecord) -> None:
         """Apply that the stream's first event goes to the caller.
@@ -48,21 +49,17 @@
             self.source = StreamSource(record.service, record.software_version)
 
     def on_broken(self, record: EndpointRecord, error: Exception) -> None:
-        """Apply an attempt that may have run.
-
-        An engine that starts anew under its id may do so with other software.
-        """
+        """Apply an attempt that may have run."""
         self.failure = error
         self.arrivals += 1
         self.runs += 1
         self.excluded.add(record.endpoint_id)
-        if record.started_ms is not None:
-            self.lost.add(record.endpoint_id)
 
     def must_check(self, record: EndpointRecord) -> bool:
         """Return whether the endpoint must show that it has not started again.
 
-        Only those that tell when they started may do so under their id.
+        Only those that tell when they started do so under their id, and then may have
+        other software.
         """
         return self.source is not None and record.started_ms is not None
 
@@ -73,7 +70,7 @@
         return [
             record
             for record in self.source.select(records)
-            if record.endpoint_id not in self.lost
+            if record.endpoint_id not in self.started_again
         ]
 
     def final_error(
