Name resumed streams by the field's word

The code and pages said "taken up", which is the users' wording. Log line stream_resumed, ResumedStream, Call.is_resumption; replicas of a start. Measured: tests of names, docs, streams and checks pass.

--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -107,7 +107,7 @@
         return None if self.customer is None else self.customer.name
 
     @property
-    def is_taken_up(self) -> bool:
+    def is_resumption(self) -> bool:
         """Return whether the caller goes on with a stream of an earlier attempt."""
         return self.route.resumable and self.facts.resume_after is not None
 
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -73,12 +73,12 @@
         if source is not None:
             services = call.route.weight_by_service
             call.service = source.service_among(services, call.service)
-        resume_after = call.facts.resume_after if call.is_taken_up else None
+        resume_after = call.facts.resume_after if call.is_resumption else None
         progress = Progress(EventBuffer(resume_after), source)
         try:
             await self._run(call, work, progress)
         finally:
-            if call.is_taken_up and not progress.started:
+            if call.is_resumption and not progress.started:
                 self._streams.on_not_run(no_endpoint=progress.is_software_gone)
             call.notes.update(progress.pauses.log_fields(call.request.received_at))
 
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -61,7 +61,7 @@
         self.gateway_retries.labels(cause, outcome).inc()
 
     def count_resumed(self, outcome: str) -> None:
-        """Count a stream that a caller took up again."""
+        """Count a stream that a caller resumed."""
         self._gateway_resumed_streams.labels(outcome).inc()
 
     def watch_stream_starts(self, count: Callable[[], int]) -> None:
@@ -128,7 +128,7 @@
         )
         self._gateway_resumed_streams = self._counter(
             "gateway_resumed_streams",
-            "Streams that callers took up again, by what became of them.",
+            "Streams that callers resumed, by what became of them.",
             ["outcome"],
         )
         self._gateway_endpoints = self._gauge(
--- a/bamboovale/standins/stream_versions.py
+++ b/bamboovale/standins/stream_versions.py
@@ -6,8 +6,8 @@
 
 MAX_MIXED = 2
 """Streams that may hold events of two versions."""
-MIN_TAKEN_UP = 12
-"""Streams taken up again from which their share counts."""
+MIN_RESUMED = 12
+"""Resumed streams from which their share counts."""
 LEAST_PART = 0.5
 """Least part of the share of new streams that begin."""
 SOFTWARE = re.compile(rb"^: ([^\n]*)$", re.MULTILINE)
@@ -23,7 +23,7 @@
     """One attempt of a caller for a stream, and the bytes that came.
 
     ``resumes`` is the attempt that began the stream, None for a new one. ``counts`` is
-    whether its VM was in touch and, for one that is taken up, two engines of its
+    whether its VM was in touch and, for one that is resumed, two engines of its
     software served.
     """
 
@@ -57,14 +57,14 @@
     if len(mixed) > MAX_MIXED:
         yield f"{len(mixed)} streams hold events of two versions: {mixed[:5]}"
     counted = [attempt for attempt in attempts if attempt.counts]
-    taken_up = [attempt for attempt in counted if attempt.resumes is not None]
+    resumed = [attempt for attempt in counted if attempt.resumes is not None]
     new = [attempt for attempt in counted if attempt.resumes is None]
-    if len(taken_up) < MIN_TAKEN_UP or not new:
+    if len(resumed) < MIN_RESUMED or not new:
         return
-    went_on, began = _share(taken_up), _share(new)
+    went_on, began = _share(resumed), _share(new)
     if went_on < LEAST_PART * began:
         yield (
-            f"{went_on:.2f} of {len(taken_up)} streams taken up again went on, "
+            f"{went_on:.2f} of {len(resumed)} resumed streams went on, "
             f"{began:.2f} of {len(new)} new ones began"
         )
 
--- a/bamboovale/streams/call_streams.py
+++ b/bamboovale/streams/call_streams.py
@@ -1,4 +1,4 @@
-"""Streams of callers: where one that is taken up goes on, and who began it."""
+"""Streams of callers: where one that is resumed goes on, and who began it."""
 
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -13,7 +13,7 @@
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.metrics import Metrics
 from bamboovale.streams.decision import StartRefusal
-from bamboovale.streams.exchange import Links, StartExchange, TakenUp
+from bamboovale.streams.exchange import Links, ResumedStream, StartExchange
 from bamboovale.streams.source import StreamSource
 
 
@@ -64,16 +64,16 @@
         return cls(exchange, state.journal, state.now, metrics.count_resumed)
 
     async def source_of(self, call: Call) -> StreamSource | None:
-        """Return where a stream that a caller takes up goes on, None for a new one.
+        """Return where a stream that a caller resumes goes on, None for a new one.
 
         Raises CallRefused if that cannot be known.
         """
-        if not call.is_taken_up:
+        if not call.is_resumption:
             return None
         attempt_id = call.facts.resumes
         asked_at = self.now()
         found = await self.exchange.source_of(
-            TakenUp(
+            ResumedStream(
                 attempt_id,
                 call.customer_name,
                 tuple(call.route.weight_by_service),
@@ -83,7 +83,7 @@
         refusal = found.err_value if isinstance(found, Err) else None
         source = None if isinstance(found, Err) else found.ok_value
         self.journal.write(
-            "stream_taken_up",
+            "stream_resumed",
             id=call.facts.request_id,
             resumes=attempt_id,
             resume_after=call.facts.resume_after,
@@ -102,7 +102,7 @@
             return
         own_id = call.facts.request_id
         attempts: tuple[str, ...] = (own_id,)
-        if call.is_taken_up:
+        if call.is_resumption:
             self.count(ResumeOutcome.WENT_ON)
             if call.facts.resumes is not None:
                 attempts = (call.facts.resumes, own_id)
@@ -110,7 +110,7 @@
         self.exchange.on_first_event(attempts, source, call.customer_name, left_s)
 
     def on_not_run(self, *, no_endpoint: bool) -> None:
-        """Count a stream that was taken up, and brought no event."""
+        """Count a stream that was resumed, and brought no event."""
         self.count(ResumeOutcome.NO_ENDPOINT if no_endpoint else ResumeOutcome.NOT_RUN)
 
     def _refuse(self, refusal: StartRefusal) -> None:
--- a/bamboovale/streams/decision.py
+++ b/bamboovale/streams/decision.py
@@ -12,7 +12,7 @@
 
 
 class RefusalCause(StrEnum):
-    """Why a stream is not taken up; a label of the counter and a word of log lines."""
+    """Why a stream is not resumed; a label of the counter and a word of log lines."""
 
     START_UNKNOWN = "start_unknown"
     """No VM knows who began it, and several versions may have."""
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True)
 class StartRefusal:
-    """A stream that is not taken up; it did not run.
+    """A stream that is not resumed; it did not run.
 
     ``retry_after_s`` is None if another attempt would be refused as well: the caller
     should begin anew.
--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -24,9 +24,9 @@
 from bamboovale.streams.starts import StreamStart, StreamStarts
 from bamboovale.streams.version_history import VersionHistory, VersionsSeen
 
-COPIES = 3
+REPLICAS = 3
 """VMs that are told of a stream's start, beside the one that begins it."""
-ASKED = COPIES + 2
+ASKED = REPLICAS + 2
 """VMs that are asked: two may have come or gone since the stream began."""
 ANSWER_TIMEOUT_S = 0.3
 MAX_SINCE_S = 3600.0
@@ -46,8 +46,8 @@
 
 
 @dataclass(frozen=True)
-class TakenUp:
-    """A stream that a caller takes up again.
+class ResumedStream:
+    """A stream that a caller resumes.
 
     ``attempt_id`` is None if the caller names no attempt. ``services`` are those that
     its route leads to, ``attempt_s`` is how long an attempt may last, in seconds.
@@ -109,7 +109,7 @@
             attempts, source.service, source.software_version, life_s, customer
         )
         self.on_began(began)
-        told = {vm for attempt in attempts for vm in self._others(attempt, COPIES)}
+        told = {vm for attempt in attempts for vm in self._others(attempt, REPLICAS)}
         if told:
             self._links.notify_all(sorted(told), began)
 
@@ -135,11 +135,13 @@
             until_s=min(seen.until_s, MAX_SINCE_S),
         )
 
-    async def source_of(self, stream: TakenUp) -> Result[StreamSource, StartRefusal]:
+    async def source_of(
+        self, stream: ResumedStream
+    ) -> Result[StreamSource, StartRefusal]:
         """Return where a stream goes on, or why it may not."""
         return decide(await self._find(stream))
 
-    async def _find(self, stream: TakenUp) -> Findings:
+    async def _find(self, stream: ResumedStream) -> Findings:
         arrived_at = self._clock()
         replies: list[StreamReply | None] = []
         if stream.attempt_id is not None:
@@ -162,7 +164,9 @@
         all_answered = is_proven and len(told) == len(replies)
         return Findings(None, only_version, all_answered)
 
-    async def _ask(self, attempt_id: str, stream: TakenUp) -> list[StreamReply | None]:
+    async def _ask(
+        self, attempt_id: str, stream: ResumedStream
+    ) -> list[StreamReply | None]:
         """Return the replies of the VMs that may know, up to the first that does."""
         query = StreamQuery(
             attempt_id, stream.services, stream.within_s, stream.customer
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -202,7 +202,7 @@
         f"seed {soak.config.seed}: {len(soak.attempts)} requests"
         f" {dict(outcomes.most_common())}, {len(soak.faults)} faults,"
         f" {len(found)} broken promises,"
-        f" {sum(a.resumes is not None for a in soak.attempts)} streams taken up"
+        f" {sum(a.resumes is not None for a in soak.attempts)} streams resumed"
     ]
     lines += [str(violation) for violation in found[:10]]
     if found:
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -103,10 +103,10 @@
             attempt = await self._send(kind, connection, key)
             self._attempts.append(attempt)
             if kind is Kind.LONG:
-                await self._take_up(attempt, key)
+                await self._resume(attempt, key)
             await asyncio.sleep(PAUSE_S * self._rng.random())
 
-    async def _take_up(self, attempt: Attempt, key: str) -> None:
+    async def _resume(self, attempt: Attempt, key: str) -> None:
         """Go on with a stream that broke off, at any VM."""
         for _ in range(MAX_RESUMPTIONS):
             if (attempt.whole and attempt.status == 200) or not attempt.last_event_id:
--- a/bench/soak_streams.py
+++ b/bench/soak_streams.py
@@ -1,4 +1,4 @@
-"""Check of a soak: streams that are taken up again, at engines of several versions."""
+"""Check of a soak: resumed streams, at engines of several software versions."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
--- a/bench/stream_guards.py
+++ b/bench/stream_guards.py
@@ -22,7 +22,7 @@
         ),
     ),
     Guard(
-        "a stream that is taken up is bound to the software that began it",
+        "a stream that is resumed is bound to the software that began it",
         EndpointPromise.STREAMS,
         f"{STREAMS}::TestOverACallersTries",
         (
--- a/bench/stream_ways.py
+++ b/bench/stream_ways.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from bamboovale.decisions.rendezvous import first_members
-from bamboovale.streams.exchange import ASKED, COPIES
+from bamboovale.streams.exchange import ASKED, REPLICAS
 
 FLEETS = (6, 86, 300)
 SEEDS = (1, 2)
@@ -85,7 +85,7 @@
 class Outcome:
     """What a way gave over all its days."""
 
-    taken_up: int = 0
+    resumed: int = 0
     went_on: int = 0
     streams: int = 0
     messages: int = 0
@@ -147,11 +147,11 @@
     "tells all": lambda vms: Way(told=vms),
     "tells one, asks three": lambda vms: Way(told=1, asked=3),
     "tells two, asks four": lambda vms: Way(told=2, asked=4),
-    "tells three, asks five": lambda vms: Way(COPIES, ASKED),
-    "tells three and waits, asks five": lambda vms: Way(COPIES, ASKED, waits=True),
+    "tells three, asks five": lambda vms: Way(REPLICAS, ASKED),
+    "tells three and waits, asks five": lambda vms: Way(REPLICAS, ASKED, waits=True),
     "tells none, asks all": lambda vms: Way(asked=vms),
     "tells three, asks five, then all": lambda vms: Way(
-        COPIES, ASKED, then_asks_all=True
+        REPLICAS, ASKED, then_asks_all=True
     ),
 }
 
@@ -180,7 +180,7 @@
         new_vm = next((v for v in returns_to if day.is_up(v, back_at)), None)
         if new_vm is not None:
             known_by = ((vm, at), *((target, at + LINK_S) for target in told))
-            _take_up(day, way, outcome, stream, new_vm, back_at, known_by)
+            _resume(day, way, outcome, stream, new_vm, back_at, known_by)
     outcome.records.update(live)
 
 
@@ -190,7 +190,7 @@
     return min(times, default=None)
 
 
-def _take_up(
+def _resume(
     day: Day,
     way: Way,
     outcome: Outcome,
@@ -199,7 +199,7 @@
     at: float,
     known_by: Sequence[tuple[int, float]],
 ) -> None:
-    outcome.taken_up += 1
+    outcome.resumed += 1
     remembers = {v for v, since in known_by if _remembers(day, v, since, at)}
     if vm in remembers:
         outcome.went_on += 1
@@ -268,12 +268,12 @@
     share = max(outcome.records.values(), default=0) / streams
     kept = share * vms * STREAMS_PER_VM_S * LIFE_S
     cells = (
-        f"{outcome.went_on / max(1, outcome.taken_up):.2f} of {outcome.taken_up}",
+        f"{outcome.went_on / max(1, outcome.resumed):.2f} of {outcome.resumed}",
         f"{per_stream:.1f}",
         f"{per_vm_s:.0f}",
         f"{kept * RECORD_BYTES / 1000:.0f}",
         f"{1000 * outcome.added_first_s / streams:.1f}",
-        f"{1000 * outcome.added_resumed_s / max(1, outcome.taken_up):.1f}",
+        f"{1000 * outcome.added_resumed_s / max(1, outcome.resumed):.1f}",
     )
     return f"| {vms} | {kind} | {name} | {' | '.join(cells)} |"
 
--- a/tests/stream_tries.py
+++ b/tests/stream_tries.py
@@ -1,4 +1,4 @@
-"""Callers that take streams up again, and the software versions that ran them."""
+"""Callers that resume streams, and the software versions that ran them."""
 
 import asyncio
 from dataclasses import dataclass, field
@@ -52,10 +52,10 @@
         return last.status == 200 and last.whole
 
     async def attempt(self, address: tuple[str, int], **headers: str) -> CallerAnswer:
-        """Send the next attempt; one after the first event takes the stream up."""
+        """Send the next attempt; one after the first event resumes the stream."""
         if self.began_as is not None:
-            taken_up = {RESUMES: self.began_as, LAST_EVENT_ID: self.last_event_id}
-            headers = {**taken_up, **headers}
+            resumed = {RESUMES: self.began_as, LAST_EVENT_ID: self.last_event_id}
+            headers = {**resumed, **headers}
         self.ids.append(request_id())
         answer = await call(
             address,
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -102,7 +102,7 @@
     """A stream's VM ends, and its caller comes back at another one."""
 
     def test_a_stream_goes_on_at_the_version_that_began_it(self) -> None:
-        """Guards against a VM that takes up a stream it has never heard of."""
+        """Guards against a VM that resumes a stream it has never heard of."""
 
         async def test() -> None:
             async with running_site(
@@ -127,8 +127,8 @@
         run(test())
 
 
-async def take_up(site: Site, vm: int, attempt: str) -> CallerAnswer:
-    """Take up a stream after its third event by the id of an attempt."""
+async def resume_stream(site: Site, vm: int, attempt: str) -> CallerAnswer:
+    """Resume a stream after its third event by the id of an attempt."""
     headers = {RESUMES: attempt, LAST_EVENT_ID: "3"}
     return await call(
         site.vms[vm].address, RESUMABLE_PATH, adapter="a1", headers=headers
@@ -145,7 +145,7 @@
             async with running_site(2, 0, 1, roomy()) as site:
                 await add_engine(site, OLD)
                 await site.ready()
-                answer = await take_up(site, 0, "nobody-knows")
+                answer = await resume_stream(site, 0, "nobody-knows")
                 assert answer.status == 200
                 assert answer.body.startswith(b"id: 4\n")
 
@@ -160,13 +160,13 @@
                 await add_engine(site, NEW)
                 await site.ready()
                 began_at = site.vms[0].vm.state.now()
-                answer = await take_up(site, 0, "nobody-knows")
+                answer = await resume_stream(site, 0, "nobody-knows")
                 took_s = site.vms[0].vm.state.now() - began_at
                 assert answer.status == 503
                 assert answer.header("retry-after") is None
                 assert took_s < AT_ONCE_S
                 assert not any(runner.runs for runner in site.runners)
-                lines = site.vms[0].journal.of("stream_taken_up")
+                lines = site.vms[0].journal.of("stream_resumed")
                 assert [line["refused"] for line in lines] == ["start_unknown"]
 
         run(test())
@@ -179,7 +179,7 @@
                 await add_engine(site, OLD)
                 await site.ready()
                 await add_engine(site, NEW)
-                answer = await take_up(site, 0, "nobody-knows")
+                answer = await resume_stream(site, 0, "nobody-knows")
                 assert answer.status == 503
 
         run(test())
--- a/tests/test_stream_checks.py
+++ b/tests/test_stream_checks.py
@@ -22,8 +22,8 @@
     return StreamAttempt(name, None, body(*versions), counts)
 
 
-def taken_up(name: str, stream: str, *versions: str) -> StreamAttempt:
-    """Return an attempt that takes a stream up."""
+def resumed(name: str, stream: str, *versions: str) -> StreamAttempt:
+    """Return an attempt that resumes a stream."""
     return StreamAttempt(name, stream, body(*versions))
 
 
@@ -39,7 +39,7 @@
         attempts = []
         for number in range(3):
             attempts.append(new(f"s{number}", "v1"))
-            attempts.append(taken_up(f"t{number}", f"s{number}", "v2"))
+            attempts.append(resumed(f"t{number}", f"s{number}", "v2"))
         assert list(stream_violations(attempts[:4])) == []
         assert len(list(stream_violations(attempts))) == 1
 
@@ -49,18 +49,18 @@
 
 
 class TestStreamsThatEnd:
-    """Streams that are taken up and do not go on, though new ones begin."""
+    """Streams that are resumed and do not go on, though new ones begin."""
 
     def test_less_than_half_of_the_share_of_new_ones(self) -> None:
         began = [new(f"s{number}", "v1") for number in range(20)]
-        went_on = [taken_up(f"t{n}", f"s{n}", "v1") for n in range(5)]
-        refused = [taken_up(f"t{n}", f"s{n}") for n in range(5, 12)]
+        went_on = [resumed(f"t{n}", f"s{n}", "v1") for n in range(5)]
+        refused = [resumed(f"t{n}", f"s{n}") for n in range(5, 12)]
         assert len(list(stream_violations(began + went_on + refused))) == 1
         assert list(stream_violations(began + went_on + refused[:6])) == []
 
     def test_what_does_not_count_is_left_out(self) -> None:
         began = [new(f"s{number}", "v1", counts=False) for number in range(20)]
-        refused = [taken_up(f"t{number}", f"s{number}") for number in range(12)]
+        refused = [resumed(f"t{number}", f"s{number}") for number in range(12)]
         assert list(stream_violations(began + refused)) == []
 
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -24,7 +24,7 @@
 
 
 def resumes(*values: bytes) -> str | None:
-    """Return the attempt that a request with these headers takes up."""
+    """Return the attempt that a request with these headers resumes."""
     headers = [(b"x-request-id", b"r2"), (b"last-event-id", b"3")]
     headers += [(b"resumes", value) for value in values]
     return decode_call(Request("POST", "/", headers, b"", 0.0)).resumes
--- a/tests/test_streams_machine.py
+++ b/tests/test_streams_machine.py
@@ -13,7 +13,7 @@
 from result import Ok
 
 from bamboovale.peers.outgoing import PeerUnreachableError
-from bamboovale.streams.exchange import StartExchange, TakenUp
+from bamboovale.streams.exchange import ResumedStream, StartExchange
 from bamboovale.streams.source import StreamSource
 from bamboovale.streams.version_history import VersionHistory
 
@@ -214,11 +214,11 @@
     @rule(data=st.data(), vm_id=st.sampled_from(VMS))
     def a_caller_comes_back(self, data: st.DataObject, vm_id: str) -> None:
         stream = data.draw(st.sampled_from(self.streams))
-        taken_up = TakenUp(stream.attempt_id, None, (SERVICE,), ATTEMPT_S)
-        if self.now - stream.began_at > taken_up.within_s:
+        resumed = ResumedStream(stream.attempt_id, None, (SERVICE,), ATTEMPT_S)
+        if self.now - stream.began_at > resumed.within_s:
             return
         process = self.process_by_id[vm_id]
-        found = self.loop.run_until_complete(process.exchange.source_of(taken_up))
+        found = self.loop.run_until_complete(process.exchange.source_of(resumed))
         if isinstance(found, Ok):
             assert found.ok_value.software_version == stream.version
             if stream.version in process.versions:
