Handle peers' messages in a module of their own

Behaviour is the same. Measured: eight test modules of the gateway, relays, customers and streams pass.

--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Mapping, Set
-from typing import Any, get_args
 
 from bamboovale.decisions.timer_lag import TimerLagMonitor
 from bamboovale.fleet.gossip import GossipProtocol
@@ -18,24 +17,9 @@
 from bamboovale.gateway.crashes import CrashGuard
 from bamboovale.gateway.early_news import EarlyNews, EndpointNews
 from bamboovale.gateway.engine_assignment import EngineAssignment
-from bamboovale.gateway.engine_owner import EngineOwner
 from bamboovale.gateway.engines import Engines
-from bamboovale.gateway.messages import (
-    EngineLoads,
-    EngineStatuses,
-    PlaceCancel,
-    PlaceHeld,
-    PlacePaused,
-    PlaceRelease,
-    PlaceReply,
-    PlaceRequest,
-    PlaceStarted,
-    QuotaGrants,
-    QuotaReports,
-    StatusSubscription,
-    TableQuery,
-)
 from bamboovale.gateway.ownership import Ownership, lease_clock
+from bamboovale.gateway.peer_messages import PeerMessages
 from bamboovale.gateway.quota_exchange import QuotaExchange
 from bamboovale.gateway.records import Records
 from bamboovale.gateway.status_exchange import EngineStatusExchange
@@ -43,14 +27,9 @@
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.peers.links import PeerLinks
-from bamboovale.relay.messages import RelayCancel, RelayNext, RelayRequest
 from bamboovale.relay.server import RelayServer
 from bamboovale.streams.exchange import StartExchange
-from bamboovale.streams.messages import StreamBegan, StreamQuery
 
-PlaceNotice = PlaceCancel | PlaceRelease | PlaceHeld | PlaceStarted | PlacePaused
-PLACE_NOTICES = get_args(PlaceNotice)
-"""Notices about a place, for the engine's owner."""
 LOOP_LAG_LOG_S = 0.5
 """Lateness of the event loop that is logged, below the time after which neighbours
 suspect a VM."""
@@ -71,7 +50,7 @@
 
 
 class Peering:
-    """Tasks and message handlers of one VM's communication with its peers."""
+    """Tasks of one VM's communication with its peers; ``messages`` handles theirs."""
 
     def __init__(
         self,
@@ -89,16 +68,11 @@
         stream_starts: StartExchange,
     ) -> None:
         self._state = state
-        self._stream_starts = stream_starts
-        self._relay_server = relay_server
-        self._translation = translation
         self._links = links
         self._engines = engines
         self._ownership = ownership
         self._assignment = assignment
         self._records = records
-        self._crashes = crashes
-        self._quotas = quotas
         self._wake_event = asyncio.Event()
         self._seen_version = -1
         self._tables = TableExchange(
@@ -109,6 +83,16 @@
         self._early_news = EarlyNews()
         self._start_by_live: dict[str, int] = {}
         self.status_exchange = EngineStatusExchange(state, engines, links)
+        self.messages = PeerMessages(
+            state=state,
+            engines=engines,
+            status_exchange=self.status_exchange,
+            tables=self._tables,
+            quotas=quotas,
+            relay_server=relay_server,
+            stream_starts=stream_starts,
+            on_gossip=self._on_gossip,
+        )
         self.gossip = GossipProtocol(
             state.fleet.membership,
             state.fleet.changes,
@@ -315,69 +299,16 @@
         if newest is not None:
             self._tables.fetch(*newest)
 
-    def on_request(self, sender: str, message: Any, reply: Any) -> None:
-        """Answer a peer's request."""
-        if isinstance(message, PlaceRequest):
-            owner = self._engines.owner_by_engine.get(message.engine_id)
-            if owner is None:
-                reply(PlaceReply(message.ask_id, reason="no owner", not_owner=True))
-            else:
-                self.status_exchange.on_subscribe(sender)
-                owner.request_place(sender, message, reply)
-        elif isinstance(message, RelayRequest | RelayNext):
-            self._relay_server.on_query(sender, message, reply)
-        elif isinstance(message, StreamQuery):
-            reply(self._stream_starts.on_query(message))
-        elif isinstance(message, TableQuery):
-            reply(self._tables.answer())
-        else:
-            name = type(message).__name__
-            self._state.journal.write("bad_message", sender=sender, type=name)
-
-    def on_notice(self, sender: str, message: Any) -> None:
-        """Handle a peer's notice."""
-        now = self._state.now()
-        if isinstance(message, Gossip):
-            version = self._state.fleet.version
-            self.gossip.on_gossip(sender, message, now)
-            self._tables.fetch(sender, message.config_version)
-            if self.gossip.has_updates():
-                self._wake_event.set()
-            if self._state.fleet.version != version:
-                self._on_live_change()
-        elif isinstance(message, EngineStatuses):
-            self._state.fleet.on_statuses(sender, message.statuses, now)
-        elif isinstance(message, EngineLoads):
-            self._state.fleet.on_loads(sender, message.loads, now)
-        elif isinstance(message, StreamBegan):
-            self._stream_starts.on_began(message)
-        elif isinstance(message, QuotaReports):
-            self._quotas.on_reports(sender, message)
-        elif isinstance(message, QuotaGrants):
-            self._quotas.on_grants(message)
-        elif isinstance(message, StatusSubscription):
-            self.status_exchange.on_subscribe(sender)
-        elif isinstance(message, RelayCancel):
-            self._relay_server.on_cancel(sender, message)
-        elif isinstance(message, PLACE_NOTICES):
-            owner = self._engines.owner_by_engine.get(message.engine_id)
-            if owner is not None:
-                _notify_owner(owner, sender, message)
+    def _on_gossip(self, sender: str, gossip: Gossip) -> None:
+        version = self._state.fleet.version
+        self.gossip.on_gossip(sender, gossip, self._state.now())
+        self._tables.fetch(sender, gossip.config_version)
+        if self.gossip.has_updates():
+            self._wake_event.set()
+        if self._state.fleet.version != version:
+            self._on_live_change()
 
 
 def _first_ids(vm_ids: Set[str]) -> list[str]:
     """Return the first ids in order, for a log line."""
     return sorted(vm_ids)[:MAX_IDS_IN_LOG]
-
-
-def _notify_owner(owner: EngineOwner, sender: str, message: PlaceNotice) -> None:
-    if isinstance(message, PlaceCancel):
-        owner.cancel(message.ask_id)
-    elif isinstance(message, PlaceRelease):
-        owner.release(message)
-    elif isinstance(message, PlaceHeld):
-        owner.on_held(sender, message)
-    elif isinstance(message, PlaceStarted):
-        owner.on_started(message.ask_id)
-    else:
-        owner.on_paused(message.ask_id, message.pause_s)
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -325,7 +325,8 @@
                 await self.links.close()
 
     async def _listen(self) -> None:
-        await self.links.open(self.peering.on_request, self.peering.on_notice)
+        messages = self.peering.messages
+        await self.links.open(messages.on_request, messages.on_notice)
         await self.ports.listen()
         await self._callers.listen(*self.state.node.callers)
 
