Count endpoints by software version one change at a time

Cause, by reading: each change of an endpoint's record went over all records, which at a VM's start grows with their square. Change: the history of versions keeps a count by version. Measured: tests of streams, versions, metrics and the gateway's parts pass.

--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -10,7 +10,7 @@
 from bamboovale.decisions.view_freshness import ViewFreshness
 from bamboovale.gateway.endpoint_limits import EndpointLimits
 from bamboovale.gateway.endpoint_signals import SignalReader
-from bamboovale.gateway.endpoints import EndpointView
+from bamboovale.gateway.endpoints import EndpointChange, EndpointView
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.model import EndpointRecord, RoutingTable
@@ -57,7 +57,7 @@
         self.store_watch = StoreWatch(self.now)
         self.endpoints = EndpointView(journal, self.store_watch, self.now)
         self.versions = VersionHistory(is_first_start=node.first_start)
-        self.endpoints.listen(lambda change: self._observe_versions())
+        self.endpoints.listen(self._on_endpoint)
         self.limits = EndpointLimits(journal, self.fleet, self.now)
         self.rests = EndpointRests()
         self.brittle = BrittleEndpoints()
@@ -111,10 +111,12 @@
         self.rests.forget(endpoint_id)
         self.brittle.forget(endpoint_id)
 
-    def _observe_versions(self) -> None:
-        records = self.endpoints.record_by_id.values()
-        serving = {(record.service, record.software_version) for record in records}
-        self.versions.observe(serving, lease_clock())
+    def _on_endpoint(self, change: EndpointChange) -> None:
+        record = change.record
+        version = None
+        if record is not None:
+            version = (record.service, record.software_version)
+        self.versions.on_endpoint(change.endpoint_id, version, lease_clock())
 
     def set_retry_bounds(self) -> None:
         """Apply the current settings to every service's retry budget."""
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -68,10 +68,13 @@
         """Export how many starts of streams are remembered, at each scrape."""
         self._gateway_stream_starts.set_function(count)
 
-    def set_endpoints(self, count_by_version: Mapping[tuple[str, str], int]) -> None:
-        """Export the endpoints by service and software version."""
+    def set_endpoints(
+        self, count_by_version: Mapping[tuple[str, str | None], int]
+    ) -> None:
+        """Export the endpoints by service and software version, if it is known."""
         self._gateway_endpoints.clear()
-        for labels, count in count_by_version.items():
+        for (service, software), count in count_by_version.items():
+            labels = (service, "unknown" if software is None else software)
             self._gateway_endpoints.labels(*labels).set(count)
 
     def _declare_gateway(self) -> None:
--- a/bamboovale/streams/call_streams.py
+++ b/bamboovale/streams/call_streams.py
@@ -1,6 +1,5 @@
 """Streams of callers: where one that is resumed goes on, and who began it."""
 
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -59,7 +58,8 @@
             state.now,
             lease_clock,
         )
-        state.endpoints.listen(lambda change: metrics.set_endpoints(_counts(state)))
+        versions = state.versions.endpoints_by_version
+        state.endpoints.listen(lambda change: metrics.set_endpoints(versions))
         metrics.watch_stream_starts(lambda: len(exchange.starts))
         return cls(exchange, state.journal, state.now, metrics.count_resumed)
 
@@ -117,11 +117,3 @@
         self.count(ResumeOutcome(refusal.cause))
         reason = f"the stream cannot go on: {refusal.cause}"
         raise CallRefused(reason, refusal.retry_after_s)
-
-
-def _counts(state: VMState) -> Counter[tuple[str, str]]:
-    """Return the number of endpoints by service and software version."""
-    records = state.endpoints.record_by_id.values()
-    return Counter(
-        (record.service, record.software_version or "unknown") for record in records
-    )
--- a/bamboovale/streams/version_history.py
+++ b/bamboovale/streams/version_history.py
@@ -4,7 +4,8 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 MAX_AGE_S = 300.0
@@ -52,16 +53,34 @@
         self._complete_since = math.inf
         self._proven_at = -math.inf
         self._last_seen: dict[ServiceVersion, float] = {}
-        self._serving: frozenset[ServiceVersion] = frozenset()
-
-    def observe(self, serving: Iterable[ServiceVersion], now: float) -> None:
-        """Apply the versions that serve now."""
-        present = frozenset(serving)
-        for version in present | self._serving:
+        self._version_by_endpoint: dict[str, ServiceVersion] = {}
+        self._endpoints_by_version: Counter[ServiceVersion] = Counter()
+
+    @property
+    def endpoints_by_version(self) -> Mapping[ServiceVersion, int]:
+        """Return how many endpoints serve with each version."""
+        return self._endpoints_by_version
+
+    def on_endpoint(
+        self, endpoint_id: str, version: ServiceVersion | None, now: float
+    ) -> None:
+        """Apply that an endpoint serves with a version, or (None) is gone."""
+        before = self._version_by_endpoint.pop(endpoint_id, None)
+        if before is not None:
+            self._last_seen[before] = now
+            self._endpoints_by_version[before] -= 1
+            if not self._endpoints_by_version[before]:
+                del self._endpoints_by_version[before]
+        if version is not None:
+            self._version_by_endpoint[endpoint_id] = version
+            self._endpoints_by_version[version] += 1
             self._last_seen[version] = now
-        self._serving = present
+        self._drop_old(now)
+
+    def _drop_old(self, now: float) -> None:
         for version, seen_at in list(self._last_seen.items()):
-            if now - seen_at > MAX_AGE_S:
+            is_serving = version in self._endpoints_by_version
+            if now - seen_at > MAX_AGE_S and not is_serving:
                 del self._last_seen[version]
 
     def on_snapshot(self, now: float) -> None:
@@ -82,7 +101,10 @@
             version
             for (service, version), seen_at in self._last_seen.items()
             if service in wanted
-            and (now - seen_at <= within_s or (service, version) in self._serving)
+            and (
+                now - seen_at <= within_s
+                or (service, version) in self._endpoints_by_version
+            )
         )
         since_s = max(0.0, now - self._complete_since)
         return VersionsSeen(versions, since_s, max(0.0, now - self._proven_at))
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -85,7 +85,8 @@
 def history(first_start: bool = True) -> VersionHistory:
     """Return the history of a VM that has read one version at second 100."""
     found = VersionHistory(is_first_start=first_start)
-    found.observe({("llm", "v1"), ("app", "v9")}, 100.0)
+    found.on_endpoint("e1", ("llm", "v1"), 100.0)
+    found.on_endpoint("e2", ("app", "v9"), 100.0)
     found.on_snapshot(100.0)
     found.on_proof(100.0)
     return found
@@ -108,7 +109,7 @@
 
     def test_not_while_one_that_ended_may_have_begun_it(self) -> None:
         found = history()
-        found.observe({("llm", "v2")}, 110.0)
+        found.on_endpoint("e1", ("llm", "v2"), 110.0)
         found.on_proof(129.0)
         assert only_version(found, 129.0, 128.9) is None
         found.on_proof(131.0)
@@ -132,13 +133,20 @@
     def test_not_if_versions_may_have_come_between_the_two(self) -> None:
         old = history()
         young = VersionHistory()
-        young.observe({("llm", "v1")}, 105.0)
+        young.on_endpoint("e1", ("llm", "v1"), 105.0)
         young.on_snapshot(105.0)
         young.on_proof(105.0)
         own = young.seen(("llm",), WITHIN_S, 105.0)
         joined = own.join(old.seen(("llm",), WITHIN_S, 105.0))
         assert joined.only_version(WITHIN_S, 0.1) is None
 
+    def test_endpoints_are_counted_by_version(self) -> None:
+        found = history()
+        found.on_endpoint("e3", ("llm", "v1"), 101.0)
+        found.on_endpoint("e1", None, 102.0)
+        found.on_endpoint("e2", None, 102.0)
+        assert found.endpoints_by_version == {("llm", "v1"): 1}
+
     def test_a_lost_history_is_not_complete(self) -> None:
         found = history()
         found.on_snapshot(105.0)
@@ -196,6 +204,6 @@
 
     def test_what_it_may_have_begun_is_not_certain(self) -> None:
         found = history()
-        found.observe({("llm", "v1"), ("llm", None)}, 101.0)
+        found.on_endpoint("e3", ("llm", None), 101.0)
         found.on_proof(102.0)
         assert only_version(found, 102.0, 101.9) is None
--- a/tests/test_streams_machine.py
+++ b/tests/test_streams_machine.py
@@ -79,8 +79,9 @@
         return True
 
     def _observe(self, versions: frozenset[str]) -> None:
-        pairs = {(SERVICE, version) for version in versions}
-        self.history.observe(pairs, self.world.now)
+        for version in VERSIONS:
+            serves = (SERVICE, version) if version in versions else None
+            self.history.on_endpoint(version, serves, self.world.now)
 
     @property
     def versions(self) -> frozenset[str]:
