--- a/bench/stream_ways.py
+++ b/bench/stream_ways.py
@@ -4,6 +4,7 @@
 that a stream goes on only if the VM to which its caller comes back learns who began it.
 """
 
+import functools
 import random
 from collections import Counter
 from collections.abc import Callable, Sequence
@@ -125,13 +126,9 @@
     return tuple(int(v) for v in first_members(stream, holders, count))
 
 
-_holders_by_live: dict[tuple[str, ...], list[str]] = {}
-
-
+@functools.cache
 def _holders(live: tuple[str, ...]) -> list[str]:
-    if live not in _holders_by_live:
-        _holders_by_live[live] = first_members("owners", live, HOLDERS)
-    return _holders_by_live[live]
+    return first_members("owners", live, HOLDERS)
 
 
 def _gets(day: Day, sender: int, target: int, at: float, arrives_at: float) -> bool:
