Soak: name the VM of a caller's open connection right after resumptions

Cause, by reading: after a stream was resumed at another VM the caller's next attempts on its open connection were noted for that VM, which the check of VMs without paths counts by.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -107,10 +107,11 @@
             await asyncio.sleep(PAUSE_S * self._rng.random())
 
     async def _resume(self, attempt: Attempt, key: str) -> None:
-        """Go on with a stream that broke off, at any VM."""
+        """Go on with a stream that broke off, at any VM, on new connections."""
+        vm_of_open_connection = self._vm
         for _ in range(MAX_RESUMPTIONS):
             if (attempt.whole and attempt.status == 200) or not attempt.last_event_id:
-                return
+                break
             self._vm = self._rng.choice(self._vms)
             try:
                 connection = await Connection.open(*self._vm.callers)
@@ -122,6 +123,7 @@
             finally:
                 connection.close()
             self._attempts.append(attempt)
+        self._vm = vm_of_open_connection
 
     async def send_once(self, kind: Kind, vm: VMProcess) -> Attempt:
         """Send one request to one VM on a new connection, with a key in use."""
