--- a/bench/stream_guards.py
+++ b/bench/stream_guards.py
@@ -4,6 +4,7 @@
 
 STREAMS = "tests/test_gateway_stream_versions.py"
 MACHINE = "tests/test_streams_machine.py"
+VERSIONS = "tests/test_streams.py::TestVersionHistory"
 CHECKS = "tests/test_stream_checks.py"
 EXCHANGE = "bamboovale/streams/exchange.py"
 HISTORY = "bamboovale/streams/version_history.py"
@@ -66,19 +67,19 @@
     Guard(
         "records are read anew before one version counts as the only one",
         EndpointPromise.STREAMS,
-        MACHINE,
+        VERSIONS,
         (Change(HISTORY, " and self.until_s < since_arrival_s", ""),),
     ),
     Guard(
         "versions from before a VM's start may have begun a stream",
         EndpointPromise.STREAMS,
-        MACHINE,
+        VERSIONS,
         (Change(HISTORY, "self.since_s >= within_s and ", ""),),
     ),
     Guard(
         "what two VMs know is joined only without a gap",
         EndpointPromise.STREAMS,
-        MACHINE,
+        VERSIONS,
         (
             Change(
                 HISTORY,
