--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -15,6 +15,7 @@
 from bench.cluster import ClusterConfig, running_cluster
 from bench.http import call_json
 from bench.members import ADMIN_TOKEN, BASE_MODEL, ENGINE_POOL, SERVICE_POOL
+from tests.standin_client import wait_until
 
 ENTRIES = [
     {"kind": "pool", "name": ENGINE_POOL, "base_model": BASE_MODEL},
@@ -46,6 +47,14 @@
     return {line.rpartition(" ")[0]: float(line.rpartition(" ")[2]) for line in lines}
 
 
+def requests_timed(admin_url: str) -> float:
+    """Return the number of requests whose end is in the metrics."""
+    samples = scrape(admin_url)
+    kinds = ("model", "service")
+    names = [f'bamboovale_request_seconds_count{{kind="{kind}"}}' for kind in kinds]
+    return sum(samples.get(name, 0.0) for name in names)
+
+
 class TestScrape:
     """``GET /metrics`` after two model requests and two calls."""
 
@@ -67,6 +76,8 @@
             for _ in range(2):
                 assert call_json("POST", f"{base}/v1/completions", body)[0] == 200
                 assert call_json("GET", f"{base}/services/market-app/x")[0] == 200
+            # A request is counted after its last byte, which its caller may read first.
+            wait_until(lambda: requests_timed(entry.admin_url) >= 4)
             samples = scrape(entry.admin_url)
         assert samples['bamboovale_requests_total{outcome="ok"}'] == 4
         assert samples['bamboovale_request_seconds_count{kind="model"}'] == 2
