An engine that its owner alone does not reach is given away

Cause: only a VM that reaches no endpoint at all released its engines. Class: a belief about one path was acted on only where it was a belief about all.

Change: gateway/lost_engines.py. The owner asks one VM that may own engines to open a connection, and releases its engines if that succeeds while its own trial fails once more; not where fewer than half of the VMs that may own engines would be left, nor where the store does not say who owns any. It owns engines again once it has reached them for 3 s, or where one had no live owner for 3 s. Orders still go from the owner itself, as relayed ones break ONE.

Load this answers: one owner without a path; a dead engine costs one question and one connection at a time, and moves no lease.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -133,7 +133,7 @@
         self._path_watch = path_watch
         self._paths = path_watch.paths
         self._relays = relays
-        self._trials: set[asyncio.Task[None]] = set()
+        self._trials: set[asyncio.Task[bool]] = set()
 
     @contextlib.asynccontextmanager
     async def attempt(
@@ -195,7 +195,7 @@
             kept = self._pool.take_kept(endpoint_id, fresh_only=once_only)
             if kept is not None:
                 return kept
-        self._try_path(record)
+        self.try_path(record)
         return self._relays.open(
             endpoint_id,
             request_id,
@@ -225,7 +225,7 @@
         except ConnectFailed as error:
             raise NotRun(f"connect: {error}", reached=False) from error
 
-    def _try_path(self, record: EndpointRecord) -> None:
+    def try_path(self, record: EndpointRecord) -> None:
         """Try to connect, without a request that would wait for it."""
         if self._paths.take_trial(record.endpoint_id, self._now()):
             self.probe(record)
@@ -236,15 +236,20 @@
         self._trials.add(task)
         task.add_done_callback(self._trials.discard)
 
-    async def _open_spare(self, record: EndpointRecord) -> None:
+    async def reaches(self, record: EndpointRecord) -> bool:
+        """Return whether a new connection to an endpoint can be opened; keeps it."""
+        return await self._open_spare(record)
+
+    async def _open_spare(self, record: EndpointRecord) -> bool:
         endpoint_id = record.endpoint_id
         try:
             connection = await self._pool.open(endpoint_id, record.address)
         except ConnectFailed:
             if self._paths.is_out_of_reach(endpoint_id, self._now()):
                 self._pool.forget(endpoint_id)
-            return
+            return False
         self._pool.keep(endpoint_id, connection)
+        return True
 
     async def send_relayed(
         self,
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -49,6 +49,23 @@
     paced_s: float = 0.0
 
 
+@message("reach_query")
+@dataclass(frozen=True)
+class ReachQuery:
+    """Asks whether the receiver can connect to an engine; gets a ``ReachReply``."""
+
+    engine_id: str
+
+
+@message("reach_reply")
+@dataclass(frozen=True)
+class ReachReply:
+    """Whether the sender connected to an engine just now, and may own engines."""
+
+    engine_id: str
+    reached: bool
+
+
 @message("place_cancel")
 @dataclass(frozen=True)
 class PlaceCancel:
--- a/bamboovale/gateway/peer_messages.py
+++ b/bamboovale/gateway/peer_messages.py
@@ -6,6 +6,7 @@
 from bamboovale.fleet.messages import Gossip
 from bamboovale.gateway.engine_owner import EngineOwner
 from bamboovale.gateway.engines import Engines
+from bamboovale.gateway.lost_engines import LostEngines
 from bamboovale.gateway.messages import (
     EngineLoads,
     EngineStatuses,
@@ -18,6 +19,7 @@
     PlaceStarted,
     QuotaGrants,
     QuotaReports,
+    ReachQuery,
     StatusSubscription,
     TableQuery,
 )
@@ -48,6 +50,7 @@
         quotas: QuotaExchange,
         relay_server: RelayServer,
         stream_starts: StartExchange,
+        lost_engines: LostEngines,
         on_gossip: Callable[[str, Gossip], None],
     ) -> None:
         self._state = state
@@ -57,6 +60,7 @@
         self._quotas = quotas
         self._relay_server = relay_server
         self._stream_starts = stream_starts
+        self._lost_engines = lost_engines
         self._on_gossip = on_gossip
 
     def on_request(self, sender: str, message: Any, reply: Any) -> None:
@@ -67,6 +71,8 @@
             self._relay_server.on_query(sender, message, reply)
         elif isinstance(message, StreamQuery):
             reply(self._stream_starts.on_query(message))
+        elif isinstance(message, ReachQuery):
+            self._lost_engines.on_query(message, reply)
         elif isinstance(message, TableQuery):
             reply(self._tables.answer())
         else:
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -19,6 +19,7 @@
 from bamboovale.gateway.isolation import Isolation
 from bamboovale.gateway.jobs import Jobs
 from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.lost_engines import LostEngines
 from bamboovale.gateway.lost_reads import LostReadDetector
 from bamboovale.gateway.model_calls import ModelCalls
 from bamboovale.gateway.owner_context import OwnerContext
@@ -217,6 +218,15 @@
         for follower in self.records.followers():
             self._metrics.watch_open_read(follower.topic, follower.open_read_s)
         self._metrics.watch_view_age(lambda: self.state.view.age_s(lease_clock()))
+        self._lost_engines = LostEngines(
+            self.state,
+            self._engines,
+            self._access.client,
+            self._ownership,
+            self._store,
+            self.links,
+            self._rng,
+        )
         self.peering = Peering(
             state=self.state,
             translation=self._translation,
@@ -229,6 +239,7 @@
             quotas=self._quotas,
             relay_server=self._access.relay_server,
             stream_starts=self._streams.exchange,
+            lost_engines=self._lost_engines,
         )
         self._registration = Registration(
             self.state,
@@ -345,6 +356,7 @@
             self.peering.status_exchange.subscribe_forever(),
             self._isolation.watch(),
             self._cut_watch.watch(),
+            self._lost_engines.watch(),
             self._view_watch.watch(self.records.operator),
             self._quotas.exchange_forever(),
             self._assignment.write_stall_records_forever(),
--- a/bench/retry_guards.py
+++ b/bench/retry_guards.py
@@ -6,6 +6,8 @@
 SHARE = "bamboovale/decisions/retry_share.py"
 
 CUT_PATHS = "tests/test_gateway_cut_paths.py"
+LOST = f"{CUT_PATHS}::TestEngineOutOfItsOwnersReach"
+LOST_ENGINES = "bamboovale/gateway/lost_engines.py"
 RELAY = "tests/test_relay.py::TestRelayedRequest"
 
 PATH_GUARDS = (
@@ -33,6 +35,59 @@
             ),
         ),
     ),
+    Guard(
+        "an engine that its owner alone does not reach is given away",
+        EndpointPromise.PATHS,
+        f"{LOST}::test_its_adapters_are_still_loaded",
+        (
+            Change(
+                LOST_ENGINES,
+                "            if paths.is_out_of_reach(engine_id, now)\n        }",
+                "            if False\n        }",
+            ),
+        ),
+    ),
+    Guard(
+        "an engine that nobody reaches is kept",
+        EndpointPromise.PATHS,
+        f"{LOST}::test_an_engine_that_is_down_moves_no_lease",
+        (
+            Change(
+                LOST_ENGINES,
+                "        return vm_id if is_reached else None\n",
+                "        return vm_id\n",
+            ),
+        ),
+    ),
+    Guard(
+        "enough VMs own engines",
+        EndpointPromise.PATHS,
+        f"{LOST}::test_two_owners_that_each_lose_an_engine_do_not_both_step_back",
+        (
+            Change(
+                LOST_ENGINES,
+                "                or not await self._leaves_enough_owners()\n",
+                "",
+            ),
+            Change(
+                LOST_ENGINES,
+                "not self._is_asking and not self._given_away",
+                "True",
+            ),
+        ),
+    ),
+    Guard(
+        "a VM that gave engines away owns engines again",
+        EndpointPromise.PATHS,
+        f"{LOST}::test_its_owner_may_own_engines_again",
+        (
+            Change(
+                LOST_ENGINES,
+                "            self._client.try_path(record)\n",
+                "            pass\n",
+            ),
+        ),
+    ),
     Guard(
         "callers are led to VMs in touch",
         EndpointPromise.PATHS,
--- a/tests/test_gateway_cut_paths.py
+++ b/tests/test_gateway_cut_paths.py
@@ -1,6 +1,7 @@
 """VMs that reach callers, the store and other VMs, but no endpoint."""
 
 import asyncio
+import contextlib
 from types import SimpleNamespace
 
 import pytest
@@ -21,6 +22,7 @@
 STABLE_S = 3.0
 """Time from the beginning of a cut after which callers must be served, as
 configured."""
+CHECK_S = 0.1
 LOAD_S = 2.0
 PER_S = 15.0
 LEAST_PART = 2.0 / 3.0
@@ -42,6 +44,13 @@
     return list(await asyncio.gather(*tasks))
 
 
+async def keep_calling(vm: RunningVM) -> None:
+    """Send plain calls to one VM, so that it reaches some endpoint."""
+    while True:
+        await call(vm.address, "/book/1")
+        await asyncio.sleep(CHECK_S)
+
+
 def is_served_like_others(cut: list[CallerAnswer], others: list[CallerAnswer]) -> bool:
     """Return whether VMs that are cut serve about as the others do."""
     failed = len(cut) * (1.0 - served(cut))
@@ -156,6 +165,59 @@
 
         run(test())
 
+    def test_an_engine_that_is_down_moves_no_lease(self) -> None:
+        """Guards against owners that give engines away which nobody reaches."""
+
+        async def test() -> None:
+            for how in (HANG, REFUSE):
+                async with running_site(vms=3, runners=2, services=1) as site:
+                    engine_id = site.runners[0].endpoint_id
+                    owner = site.owned()[engine_id]
+                    with cut_from_endpoints(site, site.vms, how, [engine_id]):
+                        await load(owner, STABLE_S)
+                        assert site.owned()[engine_id] is owner
+
+        run(test())
+
+    def test_its_owner_may_own_engines_again(self) -> None:
+        """Guards against a VM that owns nothing for good after a path was lost."""
+
+        async def test() -> None:
+            async with running_site(vms=2, runners=1, services=1) as site:
+                engine_id = site.runners[0].endpoint_id
+                owner = site.owned()[engine_id]
+                (other,) = (item for item in site.vms if item is not owner)
+                with cut_from_endpoints(site, [owner], REFUSE, [engine_id]):
+                    await eventually(lambda: site.owned().get(engine_id) is other)
+                calls = asyncio.create_task(keep_calling(owner))
+                await eventually(lambda: not owner.vm._lost_engines._given_away)
+                calls.cancel()
+                with cut_from_endpoints(site, [other], REFUSE, [engine_id]):
+                    await eventually(lambda: site.owned().get(engine_id) is owner)
+
+        run(test())
+
+    def test_two_owners_that_each_lose_an_engine_do_not_both_step_back(self) -> None:
+        """Guards against a site without owners of engines."""
+
+        async def test() -> None:
+            async with running_site(vms=2, runners=4, services=1) as site:
+                owners = site.owned()
+                assert all(item in owners.values() for item in site.vms)
+                with contextlib.ExitStack() as cuts:
+                    for engine_id, owner in owners.items():
+                        cut = cut_from_endpoints(site, [owner], REFUSE, [engine_id])
+                        cuts.enter_context(cut)
+                    calls = [asyncio.create_task(keep_calling(i)) for i in site.vms]
+                    for _ in range(int(2 * STABLE_S / CHECK_S)):
+                        await asyncio.sleep(CHECK_S)
+                        given = [item.vm._lost_engines._given_away for item in site.vms]
+                        assert not all(given)
+                    for task in calls:
+                        task.cancel()
+
+        run(test())
+
 
 class HangingOwnership:
     """An ownership whose store never answers."""
