Soak: callers leave streams and resume them

Change: a quarter of the callers of resumable streams leave after the first event and resume at any VM. Where VMs without paths are compared with others, answers that their caller left are counted nowhere, as nobody waited for their end.

--- a/bench/routed.py
+++ b/bench/routed.py
@@ -3,6 +3,7 @@
 import itertools
 import os
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -155,14 +156,18 @@
         connection.close()
 
 
-async def read_answer(connection: Connection) -> CallerAnswer:
-    """Read a response until it is complete or cut off."""
+async def read_answer(
+    connection: Connection, is_enough: Callable[[bytes], bool] = lambda received: False
+) -> CallerAnswer:
+    """Read a response until it is complete, cut off or enough for its caller."""
     head = None
     received = b""
     try:
         head = await connection.head()
         while (data := await connection.data()) is not None:
             received += data
+            if is_enough(received):
+                return CallerAnswer(head.status, head, received, whole=False)
     except IncompleteResponse:
         return CallerAnswer(head.status if head else 0, head, received, whole=False)
     return CallerAnswer(head.status, head, received, whole=True)
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -19,7 +19,10 @@
 DEADLINE_S = 3.0
 """Deadline sent with each request; the caller times out one second later."""
 PAUSE_S = 0.02
+EVENT_END = b"\n\n"
 MAX_RESUMPTIONS = 3
+LEAVES_SHARE = 0.25
+"""Share of resumable streams whose caller leaves after the first event and resumes."""
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
 
@@ -48,7 +51,8 @@
 
     ``whole`` is true if the response was complete. ``key`` is the API key sent.
     ``resumes`` is the attempt that began the stream, None for a new one,
-    ``resume_after`` the id of the last event that came before.
+    ``resume_after`` the id of the last event that came before. ``left`` is whether its
+    caller left before the end.
     """
 
     request_id: str
@@ -63,11 +67,12 @@
     key: str | None = None
     resumes: str | None = None
     resume_after: int = 0
+    left: bool = False
 
     @property
     def last_event_id(self) -> int:
         """Return the id of the stream's last event that came, 0 for none."""
-        ids = EVENT_ID.findall(self.body[: self.body.rfind(b"\n\n") + 1])
+        ids = EVENT_ID.findall(self.body[: self.body.rfind(EVENT_END) + 1])
         return int(ids[-1]) if ids else self.resume_after
 
 
@@ -100,7 +105,8 @@
                 await asyncio.sleep(PAUSE_S)
                 continue
             key = self._keys.choose(self._rng)
-            attempt = await self._send(kind, connection, key)
+            leaves = kind is Kind.LONG and self._rng.random() < LEAVES_SHARE
+            attempt = await self._send(kind, connection, key, leaves=leaves)
             self._attempts.append(attempt)
             if kind is Kind.LONG:
                 await self._resume(attempt, key)
@@ -152,8 +158,13 @@
         connection: Connection,
         key: str,
         before: Attempt | None = None,
+        *,
+        leaves: bool = False,
     ) -> Attempt:
-        """Send a request, or the next attempt of a stream that broke off."""
+        """Send a request, or the next attempt of a stream that broke off.
+
+        With ``leaves`` the caller closes the connection after the first event.
+        """
         assert self._vm is not None
         request_id = f"soak{next(self._numbers)}"
         if before is not None:
@@ -169,9 +180,14 @@
                 connection.send(
                     *_request(kind, request_id, adapter, key, resumes, resume_after)
                 )
-                answer = await read_answer(connection)
+                answer = await read_answer(
+                    connection, lambda received: leaves and EVENT_END in received
+                )
         except (TimeoutError, IncompleteResponse, OSError):
             connection.close()
+        left = leaves and answer is not None and EVENT_END in answer.body
+        if left:
+            connection.close()
         return Attempt(
             request_id=request_id,
             kind=kind,
@@ -185,6 +201,7 @@
             key=key,
             resumes=resumes,
             resume_after=resume_after,
+            left=left,
         )
 
 
--- a/bench/soak_paths.py
+++ b/bench/soak_paths.py
@@ -41,7 +41,9 @@
         counted = [
             attempt
             for attempt in attempts
-            if since <= attempt.sent_at <= until and attempt.status not in REJECTED
+            if since <= attempt.sent_at <= until
+            and attempt.status not in REJECTED
+            and not attempt.left
         ]
         here = [a for a in counted if a.vm == cut.subject]
         others = [a for a in counted if a.vm not in {cut.subject, *disturbed}]
