The only VM that may help is asked again after 0.2 s

Change: 0.2 s there; others come first as before. Load: one message in 0.2 s for each endpoint and VM that is cut off.

Measured: new test fails before.

--- a/bamboovale/decisions/relay_choice.py
+++ b/bamboovale/decisions/relay_choice.py
@@ -2,7 +2,7 @@
 
 The load is that of a whole failure domain that loses its paths at once: the VMs that
 are left share it by what each has under way for this one, near ones first, and one that
-could not help is passed over for a while.
+could not help is passed over for a while, shorter where there is no other.
 """
 
 import random
@@ -11,7 +11,9 @@
 from dataclasses import dataclass
 
 PASSED_OVER_S = 1.0
-"""How long a VM that could not help is passed over."""
+"""How long a VM that could not help is passed over while others may."""
+ASKED_AGAIN_S = 0.2
+"""How long it is passed over where no other is left: its own paths may be back."""
 DRAWN = 2
 """VMs drawn at random, of which the one with less under way is taken."""
 
@@ -30,14 +32,21 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._under_way: Counter[str] = Counter()
-        self._passed_over_until: dict[tuple[str, str | None], float] = {}
+        self._refused_at: dict[tuple[str, str | None], float] = {}
 
     def choose(
         self, helpers: Iterable[Helper], endpoint_id: str, now: float
     ) -> str | None:
         """Return the VM to ask, None if none is left; ``on_end`` ends its part."""
         self._drop_old(now)
-        fit = [item for item in helpers if self._is_fit(item.vm_id, endpoint_id)]
+        refused_at = {item: self._last_refusal(item, endpoint_id) for item in helpers}
+        fit = [item for item, at in refused_at.items() if at is None]
+        if not fit:
+            fit = [
+                item
+                for item, at in refused_at.items()
+                if at is not None and now - at >= ASKED_AGAIN_S
+            ]
         near = [item for item in fit if item.is_near]
         among = near or fit
         if not among:
@@ -55,14 +64,18 @@
 
     def on_refused(self, vm_id: str, endpoint_id: str | None, now: float) -> None:
         """Pass a VM over for an endpoint, or (None) for all, for a while."""
-        self._passed_over_until[vm_id, endpoint_id] = now + PASSED_OVER_S
+        self._refused_at[vm_id, endpoint_id] = now
 
-    def _is_fit(self, vm_id: str, endpoint_id: str) -> bool:
-        return not {(vm_id, endpoint_id), (vm_id, None)} & (
-            self._passed_over_until.keys()
-        )
+    def _last_refusal(self, helper: Helper, endpoint_id: str) -> float | None:
+        """Return when a VM last refused to help with this endpoint, or with any."""
+        times = [
+            self._refused_at[key]
+            for key in ((helper.vm_id, endpoint_id), (helper.vm_id, None))
+            if key in self._refused_at
+        ]
+        return max(times, default=None)
 
     def _drop_old(self, now: float) -> None:
-        for key, until in list(self._passed_over_until.items()):
-            if until <= now:
-                del self._passed_over_until[key]
+        for key, at in list(self._refused_at.items()):
+            if now - at >= PASSED_OVER_S:
+                del self._refused_at[key]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,7 +4,12 @@
 import random
 import time
 
-from bamboovale.decisions.relay_choice import PASSED_OVER_S, Helper, RelayChoice
+from bamboovale.decisions.relay_choice import (
+    ASKED_AGAIN_S,
+    PASSED_OVER_S,
+    Helper,
+    RelayChoice,
+)
 from tests.gateway_site import RunningVM, Site, call, eventually, run, running_site
 from tests.path_cuts import REFUSE, cut_from_endpoints
 
@@ -160,6 +165,17 @@
         assert choice.choose([Helper("near", True)], "e", 0.1) is None
         assert choice.choose([Helper("near", True)], "f", 0.1) == "near"
 
+    def test_the_only_one_is_asked_again_sooner(self) -> None:
+        """Guards against refusals for a second after one that helps again."""
+        choice = RelayChoice(random.Random(1))
+        one, other = Helper("one", False), Helper("other", False)
+        choice.on_refused("one", "e", 0.0)
+        assert choice.choose([one], "e", 0.9 * ASKED_AGAIN_S) is None
+        assert choice.choose([one], "e", ASKED_AGAIN_S) == "one"
+        assert choice.choose([one, other], "e", ASKED_AGAIN_S) == "other"
+        choice.on_refused("one", "e", ASKED_AGAIN_S)
+        assert choice.choose([one], "e", 1.9 * ASKED_AGAIN_S) is None
+
     def test_a_lost_domain_is_spread_over_the_others(self) -> None:
         """Guards against one VM that gets the requests of all that are cut off."""
         choice = RelayChoice(random.Random(1))
