--- a/bamboovale/gateway/lost_engines.py
+++ b/bamboovale/gateway/lost_engines.py
@@ -42,6 +42,7 @@
 REASON = "engines out of reach"
 
 Reply = Callable[[ReachReply], None]
+OnReachQuery = Callable[[ReachQuery, Reply], None]
 
 
 class LostEngines:
--- a/bamboovale/gateway/peer_messages.py
+++ b/bamboovale/gateway/peer_messages.py
@@ -6,7 +6,7 @@
 from bamboovale.fleet.messages import Gossip
 from bamboovale.gateway.engine_owner import EngineOwner
 from bamboovale.gateway.engines import Engines
-from bamboovale.gateway.lost_engines import LostEngines
+from bamboovale.gateway.lost_engines import OnReachQuery
 from bamboovale.gateway.messages import (
     EngineLoads,
     EngineStatuses,
@@ -50,7 +50,7 @@
         quotas: QuotaExchange,
         relay_server: RelayServer,
         stream_starts: StartExchange,
-        lost_engines: LostEngines,
+        on_reach_query: OnReachQuery,
         on_gossip: Callable[[str, Gossip], None],
     ) -> None:
         self._state = state
@@ -60,7 +60,7 @@
         self._quotas = quotas
         self._relay_server = relay_server
         self._stream_starts = stream_starts
-        self._lost_engines = lost_engines
+        self._on_reach_query = on_reach_query
         self._on_gossip = on_gossip
 
     def on_request(self, sender: str, message: Any, reply: Any) -> None:
@@ -72,7 +72,7 @@
         elif isinstance(message, StreamQuery):
             reply(self._stream_starts.on_query(message))
         elif isinstance(message, ReachQuery):
-            self._lost_engines.on_query(message, reply)
+            self._on_reach_query(message, reply)
         elif isinstance(message, TableQuery):
             reply(self._tables.answer())
         else:
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -18,7 +18,7 @@
 from bamboovale.gateway.early_news import EarlyNews, EndpointNews
 from bamboovale.gateway.engine_assignment import EngineAssignment
 from bamboovale.gateway.engines import Engines
-from bamboovale.gateway.lost_engines import LostEngines
+from bamboovale.gateway.lost_engines import OnReachQuery
 from bamboovale.gateway.ownership import Ownership, lease_clock
 from bamboovale.gateway.peer_messages import PeerMessages
 from bamboovale.gateway.quota_exchange import QuotaExchange
@@ -67,7 +67,7 @@
         quotas: QuotaExchange,
         relay_server: RelayServer,
         stream_starts: StartExchange,
-        lost_engines: LostEngines,
+        on_reach_query: OnReachQuery,
     ) -> None:
         self._state = state
         self._links = links
@@ -93,7 +93,7 @@
             quotas=quotas,
             relay_server=relay_server,
             stream_starts=stream_starts,
-            lost_engines=lost_engines,
+            on_reach_query=on_reach_query,
             on_gossip=self._on_gossip,
         )
         self.gossip = GossipProtocol(
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -9,17 +9,14 @@
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.gateway.access import AccessControl
 from bamboovale.gateway.crashes import CrashGuard
-from bamboovale.gateway.cut_watch import CutWatch
 from bamboovale.gateway.drain import drain
 from bamboovale.gateway.endpoint_access import EndpointAccess
 from bamboovale.gateway.endpoints import EndpointChange
 from bamboovale.gateway.engine_assignment import EngineAssignment
 from bamboovale.gateway.engine_client import EngineClient
 from bamboovale.gateway.engines import Engines
-from bamboovale.gateway.isolation import Isolation
 from bamboovale.gateway.jobs import Jobs
 from bamboovale.gateway.journal import Journal
-from bamboovale.gateway.lost_engines import LostEngines
 from bamboovale.gateway.lost_reads import LostReadDetector
 from bamboovale.gateway.model_calls import ModelCalls
 from bamboovale.gateway.owner_context import OwnerContext
@@ -42,6 +39,7 @@
     dump_rests,
     dump_view,
 )
+from bamboovale.gateway.step_back import StepBack
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.view_watch import ViewWatch
 from bamboovale.gateway.vm_state import VMState
@@ -218,15 +216,6 @@
         for follower in self.records.followers():
             self._metrics.watch_open_read(follower.topic, follower.open_read_s)
         self._metrics.watch_view_age(lambda: self.state.view.age_s(lease_clock()))
-        self._lost_engines = LostEngines(
-            self.state,
-            self._engines,
-            self._access.client,
-            self._ownership,
-            self._store,
-            self.links,
-            self._rng,
-        )
         self.peering = Peering(
             state=self.state,
             translation=self._translation,
@@ -239,7 +228,9 @@
             quotas=self._quotas,
             relay_server=self._access.relay_server,
             stream_starts=self._streams.exchange,
-            lost_engines=self._lost_engines,
+            on_reach_query=lambda query, reply: self.step_back.lost_engines.on_query(
+                query, reply
+            ),
         )
         self._registration = Registration(
             self.state,
@@ -248,15 +239,15 @@
             self._stall_records,
             on_contact=self.peering.wake,
         )
-        self._cut_watch = CutWatch(
-            self.state, self._access.client, self._ownership, self.peering.announce
-        )
-        self._isolation = Isolation(
+        self.step_back = StepBack.from_parts(
             self.state,
-            self.peering.gossip,
+            self.peering,
+            self._engines,
+            self._access.client,
             self._ownership,
             self._store,
-            self.peering.announce,
+            self.links,
+            self._rng,
         )
 
     def _build_request_handler(self) -> RequestHandler:
@@ -354,12 +345,10 @@
             self.peering.status_exchange.publish_statuses_forever(),
             self.peering.status_exchange.publish_loads_forever(),
             self.peering.status_exchange.subscribe_forever(),
-            self._isolation.watch(),
-            self._cut_watch.watch(),
-            self._lost_engines.watch(),
             self._view_watch.watch(self.records.operator),
             self._quotas.exchange_forever(),
             self._assignment.write_stall_records_forever(),
+            *self.step_back.watches(),
             *self._pools.sweeps(),
         ]
 
--- a/tests/test_gateway_cut_paths.py
+++ b/tests/test_gateway_cut_paths.py
@@ -190,7 +190,9 @@
                 with cut_from_endpoints(site, [owner], REFUSE, [engine_id]):
                     await eventually(lambda: site.owned().get(engine_id) is other)
                 calls = asyncio.create_task(keep_calling(owner))
-                await eventually(lambda: not owner.vm._lost_engines._given_away)
+                await eventually(
+                    lambda: not owner.vm.step_back.lost_engines._given_away
+                )
                 calls.cancel()
                 with cut_from_endpoints(site, [other], REFUSE, [engine_id]):
                     await eventually(lambda: site.owned().get(engine_id) is owner)
@@ -211,7 +213,10 @@
                     calls = [asyncio.create_task(keep_calling(i)) for i in site.vms]
                     for _ in range(int(2 * STABLE_S / CHECK_S)):
                         await asyncio.sleep(CHECK_S)
-                        given = [item.vm._lost_engines._given_away for item in site.vms]
+                        given = [
+                            item.vm.step_back.lost_engines._given_away
+                            for item in site.vms
+                        ]
                         assert not all(given)
                     for task in calls:
                         task.cancel()
