A VM that is asked to send for others tries paths that it has lost

Cause: a VM tried a path in doubt only for requests of its own callers; for those of others it refused without a trial, and after a trial until an own request was answered. Class: evidence that only one kind of use renews.

Change: the same decision as for own requests (EndpointPaths.choose), and a trial where it refuses.

--- a/bamboovale/relay/server.py
+++ b/bamboovale/relay/server.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from bamboovale.decisions.endpoint_paths import PathUse
 from bamboovale.gateway.endpoint_client import EndpointClient, MayHaveRun, NotRun
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.journal import Journal
@@ -120,13 +121,22 @@
             return "busy"
         if not self._endpoints.is_ready(endpoint_id):
             return "endpoint not known"
-        paths = self._path_watch.paths
-        if paths.is_in_doubt(endpoint_id) or paths.is_cut(self._now()):
-            return "out of reach"
         if self._gate.rest_s(endpoint_id) > 0.0:
             return "the endpoint wants rest"
+        if not self._reaches(endpoint_id):
+            return "out of reach"
         return None
 
+    def _reaches(self, endpoint_id: str) -> bool:
+        """Return whether this VM may send to an endpoint; else try its path.
+
+        Guards against a doubt that lasts as long as no caller of this VM ends it.
+        """
+        if self._path_watch.paths.choose(endpoint_id, self._now()) is PathUse.ANY:
+            return True
+        self._client.try_path(self._endpoints.record_by_id[endpoint_id])
+        return False
+
     def _not_sent(
         self, request: RelayRequest, failure: str, *, was_tried: bool
     ) -> RelayHead:
--- a/tests/test_gateway_cut_paths.py
+++ b/tests/test_gateway_cut_paths.py
@@ -22,6 +22,8 @@
 STABLE_S = 3.0
 """Time from the beginning of a cut after which callers must be served, as
 configured."""
+HEALED_S = 1.2
+"""Time after which a path that is back is tried again."""
 CHECK_S = 0.1
 LOAD_S = 2.0
 PER_S = 15.0
@@ -84,6 +86,29 @@
         run(test())
 
 
+class TestHelperWhosePathWasLost:
+    """The only VM in touch loses a path for a while, and has no callers of its own."""
+
+    def test_it_helps_again_soon_after_its_path_is_back(self) -> None:
+        """Guards against a helper that tries its paths for its own callers only."""
+
+        async def test() -> None:
+            async with running_site(vms=2, runners=1, services=1) as site:
+                cut, helper = site.vms
+                service_id = site.services[0].endpoint_id
+                with cut_from_endpoints(site, [cut], REFUSE):
+                    with cut_from_endpoints(site, [helper], REFUSE, [service_id]):
+                        answers = [await call(cut.address, "/book/1") for _ in range(9)]
+                        assert served(answers) == 0.0
+                    await asyncio.sleep(HEALED_S)
+                    await call(cut.address, "/book/1")
+                    await asyncio.sleep(HEALED_S)
+                    answers = [await call(cut.address, "/book/1") for _ in range(9)]
+                    assert served(answers) == 1.0
+
+        run(test())
+
+
 class TestDirectory:
     """Which VMs callers are led to while some are cut off."""
 
