--- a/tests/signal_load.py
+++ b/tests/signal_load.py
@@ -1,9 +1,13 @@
 """An even load on all VMs of a small deployment, for endpoints that send signals."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
+from bamboovale.standins.platform_endpoints import PlatformEndpoint
 from bamboovale.standins.platform_runner import PlatformRunner
-from tests.gateway_site import CallerAnswer, Site, call
+from tests.gateway_site import CallerAnswer, Site, call, running_site
 
 LOAD_PER_S = 30.0
 WORK_S = 0.06
@@ -42,3 +46,33 @@
     """Have each plain call take ``WORK_S``."""
     for service in site.services:
         service.faults.event_s = WORK_S
+
+
+@dataclass(frozen=True)
+class OneOfTwo:
+    """One of two endpoints of a service, and the requests that lead to it."""
+
+    site: Site
+    endpoint: PlatformEndpoint
+    path: str
+    adapter: str | None = None
+
+    async def load(self, seconds: float) -> list[CallerAnswer]:
+        """Send requests that either endpoint can answer; return the answers."""
+        return await load(self.site, self.path, seconds, self.adapter)
+
+
+@asynccontextmanager
+async def one_of_two_engines() -> AsyncIterator[OneOfTwo]:
+    """Run three VMs and two engines; the one yielded holds the adapter."""
+    async with running_site(vms=3, runners=2) as site:
+        engine = await engine_with(site, "a1")
+        yield OneOfTwo(site, engine, "/chat/1", "a1")
+
+
+@asynccontextmanager
+async def one_of_two_services() -> AsyncIterator[OneOfTwo]:
+    """Run three VMs and two plain endpoints whose calls take some time."""
+    async with running_site(vms=3, services=2) as site:
+        slow_services(site)
+        yield OneOfTwo(site, site.services[0], "/book/1")
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -10,7 +10,13 @@
     run,
     running_site,
 )
-from tests.signal_load import engine_with, load, served, slow_services
+from tests.signal_load import (
+    OneOfTwo,
+    engine_with,
+    one_of_two_engines,
+    one_of_two_services,
+    served,
+)
 
 DRAIN_S = 1.0
 """Time after a VM was told from which it may send nothing; half of the platform's."""
@@ -38,6 +44,18 @@
     return await call(site.vms[0].address, "/chat/1", adapter="a1")
 
 
+async def check_leaving(tried: OneOfTwo) -> None:
+    """Check that VMs heed an endpoint that leaves, whatever its record says."""
+    signals = tried.endpoint.signals
+    signals.leaving = True
+    answers = await tried.load(LOAD_S / 2)
+    await tried.endpoint.register("ready")
+    answers += await tried.load(LOAD_S / 2)
+    assert signals.leaving_told_at
+    assert list(signals.drain_violations(DRAIN_S)) == []
+    assert served(answers) > 0.97
+
+
 class TestLeavingEndpoint:
     """The store's record says that the endpoint is ready, as its writes are lost."""
 
@@ -45,15 +63,8 @@
         """Guards against streams that end with an engine that had said it leaves."""
 
         async def test() -> None:
-            async with running_site(vms=3, runners=2) as site:
-                engine = await engine_with(site, "a1")
-                engine.signals.leaving = True
-                answers = await load(site, "/chat/1", LOAD_S / 2, "a1")
-                await engine.register("ready")
-                answers += await load(site, "/chat/1", LOAD_S / 2, "a1")
-                assert engine.signals.leaving_told_at
-                assert list(engine.signals.drain_violations(DRAIN_S)) == []
-                assert served(answers) > 0.97
+            async with one_of_two_engines() as tried:
+                await check_leaving(tried)
 
         run(test())
 
@@ -63,16 +74,8 @@
         """Guards against calls lost with an endpoint that had said it leaves."""
 
         async def test() -> None:
-            async with running_site(vms=3, services=2) as site:
-                slow_services(site)
-                service = site.services[0]
-                service.signals.leaving = True
-                answers = await load(site, "/book/1", LOAD_S / 2)
-                await service.register("ready")
-                answers += await load(site, "/book/1", LOAD_S / 2)
-                assert service.signals.leaving_told_at
-                assert list(service.signals.drain_violations(DRAIN_S)) == []
-                assert served(answers) > 0.97
+            async with one_of_two_services() as tried:
+                await check_leaving(tried)
 
         run(test())
 
@@ -82,9 +85,8 @@
         """Guards against each VM losing an answer of its own before it knows."""
 
         async def test() -> None:
-            async with running_site(vms=3, services=2) as site:
-                slow_services(site)
-                service = site.services[0]
+            async with one_of_two_services() as tried:
+                site, service = tried.site, tried.endpoint
                 service.signals.leaving = True
                 await eventually_told(site)
                 await site.add_vm("entry-3")
--- a/tests/test_gateway_rest.py
+++ b/tests/test_gateway_rest.py
@@ -6,7 +6,13 @@
 from bamboovale.decisions.endpoint_rests import EndpointRests
 from bamboovale.gateway.engine_owner import IDLE_POLL_INTERVAL_S
 from tests.gateway_site import CallerAnswer, call, eventually, run, running_site
-from tests.signal_load import engine_with, load, served, slow_services
+from tests.signal_load import (
+    OneOfTwo,
+    load,
+    one_of_two_engines,
+    one_of_two_services,
+    served,
+)
 
 REST_S = 2.0
 LOAD_S = 3.0
@@ -18,6 +24,16 @@
     return [float(answer.header("retry-after") or 0.0) for answer in refused]
 
 
+async def check_rest(tried: OneOfTwo) -> None:
+    """Check that VMs send an endpoint nothing while it wants rest from them."""
+    signals = tried.endpoint.signals
+    signals.rest_s = REST_S
+    answers = await tried.load(LOAD_S)
+    assert signals.rests
+    assert list(signals.rest_violations()) == []
+    assert served(answers) > 0.97
+
+
 class TestRestingEndpoint:
     """One of two endpoints turns everything away and asks for rest each time."""
 
@@ -27,13 +43,8 @@
         """Guards against an engine that sheds load, looks idle and gets more."""
 
         async def test() -> None:
-            async with running_site(vms=3, runners=2) as site:
-                engine = await engine_with(site, "a1")
-                engine.signals.rest_s = REST_S
-                answers = await load(site, "/chat/1", LOAD_S, "a1")
-                assert engine.signals.rests
-                assert list(engine.signals.rest_violations()) == []
-                assert served(answers) > 0.97
+            async with one_of_two_engines() as tried:
+                await check_rest(tried)
 
         run(test())
 
@@ -43,14 +54,8 @@
         """Guards against calls that an overloaded endpoint must turn away again."""
 
         async def test() -> None:
-            async with running_site(vms=3, services=2) as site:
-                slow_services(site)
-                service = site.services[0]
-                service.signals.rest_s = REST_S
-                answers = await load(site, "/book/1", LOAD_S)
-                assert service.signals.rests
-                assert list(service.signals.rest_violations()) == []
-                assert served(answers) > 0.97
+            async with one_of_two_services() as tried:
+                await check_rest(tried)
 
         run(test())
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -199,6 +199,20 @@
         running.close()
 
 
+def answers_with(data: bytes, *, stays_s: float = 0.0) -> Script:
+    """Return a script that answers one request, and closes after a while."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        await asyncio.sleep(stays_s)
+        writer.close()
+
+    return script
+
+
 async def ask(connection: Connection, body: bytes = b"") -> bytes:
     """Send a request and return the response body."""
     headers = [("Host", "h"), ("Content-Length", str(len(body)))]
@@ -215,13 +229,7 @@
 
     def test_a_response_without_length_ends_with_an_orderly_close(self) -> None:
         async def test() -> None:
-            async def script(
-                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-            ) -> None:
-                await reader.readuntil(b"\r\n\r\n")
-                writer.write(b"HTTP/1.1 200 OK\r\n\r\nall of it")
-                writer.close()
-
+            script = answers_with(b"HTTP/1.1 200 OK\r\n\r\nall of it")
             async with endpoint(script) as address:
                 connection = await Connection.open(*address)
                 assert await ask(connection) == b"all of it"
@@ -264,14 +272,7 @@
     )
     def test_a_broken_response_raises(self, answer: bytes) -> None:
         async def test() -> None:
-            async def script(
-                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-            ) -> None:
-                await reader.readuntil(b"\r\n\r\n")
-                writer.write(answer)
-                writer.close()
-
-            async with endpoint(script) as address:
+            async with endpoint(answers_with(answer)) as address:
                 connection = await Connection.open(*address)
                 with pytest.raises(IncompleteResponse):
                     await ask(connection)
@@ -308,14 +309,8 @@
         """
 
         async def test() -> None:
-            async def script(
-                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-            ) -> None:
-                await reader.readuntil(b"\r\n\r\n")
-                writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
-                await asyncio.sleep(1.0)
-
-            async with endpoint(script) as address:
+            busy = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+            async with endpoint(answers_with(busy, stays_s=1.0)) as address:
                 connection = await Connection.open(*address)
                 await ask(connection, b"x" * 20_000_000)
                 assert not connection.reusable
