A malformed answer puts no path in doubt

Cause: a new connection that ended without an answer counted as a lost path, also where bytes had come. Class: an error of the endpoint taken for one of the way to it. Change: only connections on which nothing was received count.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -67,7 +67,7 @@
 
     closed: bool
     reusable: bool
-    has_answered: bool
+    has_received: bool
 
     @property
     def via(self) -> str | None:
@@ -319,8 +319,11 @@
     def _on_no_answer(
         self, connection: Exchange, endpoint_id: str, reason: str
     ) -> None:
-        """Count a connection of this VM that broke before its first answer."""
-        if connection.via is None and not connection.has_answered:
+        """Count a connection of this VM that broke before anything was received.
+
+        An answer that is malformed shows that the endpoint is reached.
+        """
+        if connection.via is None and not connection.has_received:
             self._path_watch.on_failed(endpoint_id, reason)
 
     @contextlib.contextmanager
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -60,7 +60,7 @@
         self.keep_alive_s: float | None = None
         self.reusable = False
         self.via: str | None = None
-        self.has_answered = False
+        self.has_received = False
         self._reset = False
         self._ended = False
         self._busy = False
@@ -102,6 +102,7 @@
         if not self._busy:
             self.close()
             return
+        self.has_received = True
         self._buffered += len(data)
         if self._buffered > HIGH_WATER_BYTES:
             self._transport.pause_reading()
@@ -141,7 +142,6 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise IncompleteResponse("no head")
-            self.has_answered = True
             self._note_keep_alive(event)
             return ResponseHead(event.status_code, list(event.headers))
 
--- a/bamboovale/relay/client.py
+++ b/bamboovale/relay/client.py
@@ -52,7 +52,7 @@
     """
 
     reusable = False
-    has_answered = False
+    has_received = False
 
     def __init__(
         self,
--- a/tests/test_gateway_cut_paths.py
+++ b/tests/test_gateway_cut_paths.py
@@ -109,6 +109,27 @@
         run(test())
 
 
+class TestMalformedAnswers:
+    """A plain endpoint sends something else than an answer."""
+
+    def test_they_put_no_path_in_doubt(self) -> None:
+        """Guards against a VM that helps no other, as an endpoint is out of order."""
+
+        async def test() -> None:
+            async with running_site(vms=2, services=1) as site:
+                cut, helper = site.vms
+                service = site.services[0]
+                service.faults.garble = True
+                for _ in range(3):
+                    await call(helper.address, "/book/1")
+                assert helper.vm.dump()["paths"]["failures"] == {}
+                service.faults.garble = False
+                with cut_from_endpoints(site, [cut], REFUSE):
+                    assert (await call(cut.address, "/check/1")).status == 200
+
+        run(test())
+
+
 class TestDirectory:
     """Which VMs callers are led to while some are cut off."""
 
