A holder that stops returns its load grants

What callers saw: on the own interface nothing is loaded for up to 10 s after the lease on an engine has moved; requests wait (the listed test of queued requests). Cause, traced in a history of such a run: the lease on an engine moved 3.7 s after the first event, while its holder had one load under way and a grant for another; the stopped actor got neither result, so that both grants of the weight store stayed taken until they expired, and no engine got an order between 4.0 and 13.7 s. Class: a permit that is returned only by who may have ended.

Change: the thread that carries out a load ends its grant; a holder that stops returns those that wait for an eviction or were not begun. Load: each move of a lease, many at once when a VM joins.

--- a/bamboovale/engines/holder.py
+++ b/bamboovale/engines/holder.py
@@ -7,7 +7,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
@@ -147,12 +147,18 @@
         self._poll()
 
     def on_stop(self) -> None:
-        """Refuse the waiting requests, so that they are sent to the next holder."""
+        """Refuse the waiting requests, so that they are sent to the next holder.
+
+        Load grants are returned. Guards against other holders that wait for them until
+        they expire.
+        """
         for request_id, queued in self._queued_by_id.items():
             queued.reply(
                 _try_another_engine(request_id, "the lease on the engine has moved")
             )
         self._queued_by_id.clear()
+        while self._grants:
+            self._return_grant(self._grants.popleft())
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _now(self) -> float:
@@ -287,7 +293,6 @@
         now = self._now()
         name = completed.lora_name
         if completed.order is Load:
-            self._release_grant(used=completed.sent, loaded=completed.succeeded)
             if completed.succeeded:
                 self._execute(self._dispatch.on_loaded(name, now))
             else:
@@ -295,7 +300,7 @@
         elif completed.succeeded:
             self._execute(self._dispatch.on_unloaded(name, now))
         else:
-            self._release_grant(used=False, loaded=False)
+            self._return_next_grant()
             self._execute(self._dispatch.on_unload_failed(name, now))
         if not completed.succeeded:
             self._poll()
@@ -306,10 +311,12 @@
         name = message.grant.lora_name
         self._execute(self._dispatch.on_load_grant(name, self._now()))
 
-    def _release_grant(self, *, used: bool, loaded: bool) -> None:
+    def _return_next_grant(self) -> None:
         if self._grants:
-            grant = self._grants.popleft()
-            self._load_grants.release(grant, used=used, loaded=loaded)
+            self._return_grant(self._grants.popleft())
+
+    def _return_grant(self, grant: LoadGrantReply) -> None:
+        self._load_grants.release(grant, used=False, loaded=False)
 
     def _on_leaving(self, _: EngineLeaving) -> None:
         self._execute(self._dispatch.set_leaving(self._now()))
@@ -340,10 +347,27 @@
                     self._engine.id, action.lora_name, action.weight
                 )
             elif isinstance(action, ReturnLoadGrant):
-                self._release_grant(used=False, loaded=False)
+                self._return_next_grant()
+            elif isinstance(action, Load) and self._grants:
+                self._load(action, self._grants.popleft())
             else:
                 self._executor.submit(self._orders.carry_out, self.actor_ref, action)
 
+    def _load(self, order: Load, grant: LoadGrantReply) -> None:
+        """Have an adapter loaded; the grant ends with the load, also after a stop."""
+
+        def carry_out() -> None:
+            completed = self._orders.carry_out(self.actor_ref, order)
+            self._load_grants.release(
+                grant, used=completed.sent, loaded=completed.succeeded
+            )
+
+        def on_done(future: Future[None]) -> None:
+            if future.cancelled():
+                self._return_grant(grant)
+
+        self._executor.submit(carry_out).add_done_callback(on_done)
+
     def _grant(self, permit: Permit) -> None:
         """Send the permit, unless its request or the lease has expired meanwhile."""
         queued = self._queued_by_id.pop(permit.request_id, None)
--- a/bamboovale/engines/orders.py
+++ b/bamboovale/engines/orders.py
@@ -60,8 +60,8 @@
         """Read the engine's state and send it to the actor."""
         tell(actor, make_message(self._read()))
 
-    def carry_out(self, actor: pykka.ActorRef, order: Load | Unload) -> None:
-        """Send one order and report its result to the actor."""
+    def carry_out(self, actor: pykka.ActorRef, order: Load | Unload) -> OrderCompleted:
+        """Send one order; report its result to the actor and return it."""
         sent = self._may_send(order)
         succeeded = sent and self._send(order)
         if succeeded and not self.lease_valid():
@@ -71,7 +71,9 @@
                 self._engine.id,
                 order.lora_name,
             )
-        tell(actor, OrderCompleted(type(order), order.lora_name, sent, succeeded))
+        completed = OrderCompleted(type(order), order.lora_name, sent, succeeded)
+        tell(actor, completed)
+        return completed
 
     def _may_send(self, order: Load | Unload) -> bool:
         """Check the engine first and the lease last.
