The scheduler of loads takes grants of VMs that are gone back

Cause: only the holder ended a grant. Change: the scheduler ends those of VMs that are unreachable or left the list; their tokens count as used, so that the store's rate holds. on_withdrawn, which nothing called, is gone.

Load: a VM with several engines is killed while it loads.

--- a/bamboovale/decisions/load_scheduler.py
+++ b/bamboovale/decisions/load_scheduler.py
@@ -91,12 +91,6 @@
         )
         return self._grant(now)
 
-    def on_withdrawn(self, engine_id: str, now: float) -> list[LoadGrant]:
-        """Drop all load requests of an engine that restarted, left or moved."""
-        for key in [key for key in self._request_by_key if key[0] == engine_id]:
-            del self._request_by_key[key]
-        return self._grant(now)
-
     def on_done(self, number: int, now: float, *, loaded: bool) -> list[LoadGrant]:
         """End a grant after its load succeeded or failed."""
         if self.grant_by_number.pop(number, None) is None:
@@ -115,6 +109,11 @@
             self._tokens += 1.0
         return self._grant(now)
 
+    def on_lost(self, number: int, now: float) -> list[LoadGrant]:
+        """End a grant whose load nobody will report; its token counts as used."""
+        self.grant_by_number.pop(number, None)
+        return self._grant(now)
+
     def on_tick(self, now: float) -> list[LoadGrant]:
         """Remove expired grants and requests, and grant what the rate allows."""
         for number, grant in list(self.grant_by_number.items()):
--- a/bamboovale/engines/load_grants.py
+++ b/bamboovale/engines/load_grants.py
@@ -69,6 +69,7 @@
         self._scheduler_name = ""
         self._lease_valid: Callable[[], bool] = lambda: False
         self._vm_by_engine: dict[str, str] = {}
+        self._vm_by_grant: dict[int, str] = {}
         self._static_share = LoadScheduler.static_share(self._config, 1)
         self._static_share_of = 1
         self.handle(LoadRequestReceived, self._on_request)
@@ -80,6 +81,7 @@
     def _on_lease(self, message: SchedulerLeaseChanged) -> None:
         self._scheduler = None
         self._vm_by_engine.clear()
+        self._vm_by_grant.clear()
         self._lease_valid = message.valid
         if message.fencing is not None:
             self._scheduler = LoadScheduler.from_config(self._config)
@@ -123,9 +125,24 @@
     def _on_tick(self, _: Tick) -> None:
         now = self._environment.now()
         if self._scheduler is not None and self._lease_valid():
+            self._end_lost_grants(self._scheduler, now)
             self._deliver(self._scheduler.on_tick(now))
         self._deliver_share(self._static_share.on_tick(now))
 
+    def _end_lost_grants(self, scheduler: LoadScheduler, now: float) -> None:
+        """End the grants of VMs that are gone or unreachable.
+
+        Guards against loads elsewhere that wait until a lost grant expires.
+        """
+        membership = self._views.membership
+        present = membership.vm_by_id.keys() - membership.unreachable_ids
+        for number, vm_id in list(self._vm_by_grant.items()):
+            if number not in scheduler.grant_by_number:
+                del self._vm_by_grant[number]
+            elif vm_id not in present and vm_id != self._own_id:
+                del self._vm_by_grant[number]
+                self._deliver(scheduler.on_lost(number, now))
+
     @property
     def _static_share_name(self) -> str:
         return f"{self._own_id}:share"
@@ -139,6 +156,7 @@
                 grant.number,
             )
             vm_id = self._vm_by_engine.get(grant.engine_id, self._own_id)
+            self._vm_by_grant[grant.number] = vm_id
             if vm_id == self._own_id:
                 self._deliver_here(message)
             else:
--- a/tests/test_decisions_load_scheduler.py
+++ b/tests/test_decisions_load_scheduler.py
@@ -45,6 +45,12 @@
         self.returned += grant.number in self.scheduler.grant_by_number
         self.add_grants(self.scheduler.on_returned(grant.number, self.now))
 
+    @precondition(lambda self: self.open)
+    @rule()
+    def lose(self) -> None:
+        grant = self.open.pop(0)
+        self.add_grants(self.scheduler.on_lost(grant.number, self.now))
+
     @rule(seconds=st.sampled_from([0.05, 0.5, 4.0]))
     def pass_time(self, seconds: float) -> None:
         self.now += seconds
