--- a/bamboovale/leases/actor.py
+++ b/bamboovale/leases/actor.py
@@ -7,7 +7,6 @@
 from result import Err, Result
 
 from bamboovale.actors import MessageActor, Tick, tell
-from bamboovale.decisions.assignment import LeaseAssignment
 from bamboovale.environment import Environment
 from bamboovale.leases.fold import (
     Cleared,
@@ -30,6 +29,7 @@
     vm_of_node,
 )
 from bamboovale.leases.own_leases import HeldLease, OwnLeases
+from bamboovale.leases.ranking import LeaseRanking
 from bamboovale.leases.records import Release, Take
 from bamboovale.leases.recovery import LeaseRecovery
 from bamboovale.leases.timing import LeaseTerms
@@ -87,7 +87,7 @@
         self._reset_sent_at = 0.0
         self._own = OwnLeases(self._node)
         self._record_numbers = itertools.count()
-        self._assignment = LeaseAssignment()
+        self._ranking = LeaseRanking(settings.id, views)
         self._first_seen_at: dict[str, float] = {}
         self._take_sent_at: dict[str, float] = {}
         self._hand_overs = HandOverPlanner(settings.id)
@@ -144,7 +144,7 @@
     def _reset_if_due(self, now: float) -> None:
         """Append a reset once no lease can be valid, if no snapshot was found."""
         recovery = self._recovery
-        rank = self._rank(WEIGHT_STORE, None)
+        rank = self._ranking.own_rank(WEIGHT_STORE, None)
         if recovery is None or rank is None or not self._health.reachable:
             return
         due = recovery.reset_allowed_at(self._terms, rank)
@@ -251,7 +251,7 @@
             self._renew(terms, now)
         if self._handing_over or not self._views.serving:
             return
-        for engine in self._engines():
+        for engine in self._ranking.engines():
             self._take_if_due(engine, now)
         if self._health.reachable:
             self._hand_over_one(now)
@@ -272,10 +272,6 @@
                 self._own.drop(engine)
                 self._callbacks.on_lost(engine)
 
-    def _engines(self) -> list[str]:
-        runners = self._views.membership.runners()
-        return [WEIGHT_STORE, *(runner.id for runner in runners)]
-
     def _fleet_terms(self) -> LeaseTerms:
         listed = self._views.membership.listed_entry_vms()
         return self._terms.for_fleet(len(listed))
@@ -300,7 +296,9 @@
         if lease is not None and lease.holder == self._node:
             return
         first_seen = self._first_seen_at.setdefault(engine, now)
-        rank = self._rank(engine, vm_of_node(lease.holder) if lease else None)
+        rank = self._ranking.own_rank(
+            engine, vm_of_node(lease.holder) if lease else None
+        )
         if rank is None or not self._health.reachable:
             return
         due = self._terms.take_allowed_at(lease, rank, first_seen)
@@ -322,31 +320,12 @@
         self._own.note_sent(record, now)
         self._appender.append(record.to_json())
 
-    def _ranking(self, engine: str) -> list[str]:
-        membership = self._views.membership
-        domain_by_engine = {WEIGHT_STORE: ""}
-        for runner in membership.runners():
-            domain_by_engine[runner.id] = runner.failure_domain
-        domain_by_engine.setdefault(engine, "")
-        domain_by_vm = {
-            vm.id: vm.failure_domain for vm in membership.usable_entry_vms()
-        }
-        return self._assignment.vms_in_order(engine, domain_by_engine, domain_by_vm)
-
-    def _rank(self, engine: str, expired_holder: str | None) -> int | None:
-        """Return this VM's rank among the takers, None if it is not usable."""
-        own_id = self._environment.settings.id
-        others = [vm for vm in self._ranking(engine) if vm != expired_holder]
-        if own_id in others:
-            return others.index(own_id)
-        return len(others) if own_id == expired_holder else None
-
     def _hand_over_one(self, now: float) -> None:
         """Hand over at most one lease to the VM that ranks first for it."""
         incarnation_by_vm = self._views.incarnation_by_vm
         move = self._hand_overs.next_move(
             self._own.held_by_engine,
-            self._ranking,
+            self._ranking.vms_in_order,
             incarnation_by_vm,
             now,
         )
@@ -356,15 +335,8 @@
 
     def _on_hand_over_all(self, _: HandOverAll) -> None:
         self._handing_over = True
-        own_id = self._environment.settings.id
         for engine in list(self._own.held_by_engine):
-            others = [vm for vm in self._ranking(engine) if vm != own_id]
-            successors = [vm for vm in others if vm in self._views.incarnation_by_vm]
-            successor = None
-            if successors:
-                incarnation = self._views.incarnation_by_vm[successors[0]]
-                successor = node_name(successors[0], incarnation)
-            self._release(engine, successor)
+            self._release(engine, self._ranking.successor(engine))
 
     def _release(self, engine: str, successor: str | None) -> None:
         """Stop acting as holder, then append the release."""
