--- a/bamboovale/engines/holder.py
+++ b/bamboovale/engines/holder.py
@@ -5,11 +5,10 @@
 """
 
 import logging
-from collections import deque
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, replace
-from typing import Any, Protocol
+from typing import Any
 
 from bamboovale.actors import MessageActor, Tick, tell
 from bamboovale.decisions.dispatch import DispatchConfig, EngineDispatch
@@ -25,6 +24,7 @@
     WorkItem,
 )
 from bamboovale.engines.client import EngineAddress
+from bamboovale.engines.granted_loads import GrantedLoads, LoadGrants
 from bamboovale.engines.messages import (
     CancelReceived,
     DumpState,
@@ -41,7 +41,7 @@
 from bamboovale.environment import Environment
 from bamboovale.errors import ErrorCode, Refusal
 from bamboovale.models import AdapterVersion, WorkClass
-from bamboovale.peers.messages import LoadGrantReply, PermitReply, PermitRequest
+from bamboovale.peers.messages import PermitReply, PermitRequest
 
 POLL_INTERVAL_S = 0.5
 """Interval at which the engine's state is read; bounds the detection of restarts."""
@@ -54,18 +54,6 @@
 """One thread polls the state while two loads run."""
 
 
-class LoadGrants(Protocol):
-    """Requests and releases load grants, wherever their scheduler runs."""
-
-    def request(self, engine_id: str, lora_name: str, weight: float) -> None:
-        """Request a grant; it arrives as :class:`LoadGrantReceived`."""
-        ...
-
-    def release(self, grant: LoadGrantReply, *, used: bool, loaded: bool) -> None:
-        """Return a grant to the scheduler."""
-        ...
-
-
 @dataclass
 class WaitingRequest:
     """A permit request that waits for a place.
@@ -102,7 +90,6 @@
         self._dispatch = EngineDispatch.from_config(config, policy)
         self._orders = orders
         self._load_grants = load_grants
-        self._grants: deque[LoadGrantReply] = deque()
         self._on_hint = on_hint
         self._log_is_down = log_is_down
         self._queued_by_id: dict[str, WaitingRequest] = {}
@@ -111,6 +98,11 @@
             ORDER_THREADS,
             thread_name_prefix=f"orders-{engine.id}",
         )
+        self._granted_loads = GrantedLoads(
+            load_grants,
+            self._executor,
+            lambda order: self._orders.carry_out(self.actor_ref, order),
+        )
         self._boot_id: str | None = None
         self._polling = False
         self._missed_polls = 0
@@ -147,18 +139,13 @@
         self._poll()
 
     def on_stop(self) -> None:
-        """Refuse the waiting requests, so that they are sent to the next holder.
-
-        Load grants are returned. Guards against other holders that wait for them until
-        they expire.
-        """
+        """Refuse the waiting requests, so that they are sent to the next holder."""
         for request_id, queued in self._queued_by_id.items():
             queued.reply(
                 _try_another_engine(request_id, "the lease on the engine has moved")
             )
         self._queued_by_id.clear()
-        while self._grants:
-            self._return_grant(self._grants.popleft())
+        self._granted_loads.return_all()
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _now(self) -> float:
@@ -300,24 +287,17 @@
         elif completed.succeeded:
             self._execute(self._dispatch.on_unloaded(name, now))
         else:
-            self._return_next_grant()
+            self._granted_loads.return_oldest()
             self._execute(self._dispatch.on_unload_failed(name, now))
         if not completed.succeeded:
             self._poll()
 
     def _on_load_grant(self, message: LoadGrantReceived) -> None:
         """Use a grant; the dispatch may load another adapter than requested."""
-        self._grants.append(message.grant)
+        self._granted_loads.add(message.grant)
         name = message.grant.lora_name
         self._execute(self._dispatch.on_load_grant(name, self._now()))
 
-    def _return_next_grant(self) -> None:
-        if self._grants:
-            self._return_grant(self._grants.popleft())
-
-    def _return_grant(self, grant: LoadGrantReply) -> None:
-        self._load_grants.release(grant, used=False, loaded=False)
-
     def _on_leaving(self, _: EngineLeaving) -> None:
         self._execute(self._dispatch.set_leaving(self._now()))
 
@@ -347,27 +327,12 @@
                     self._engine.id, action.lora_name, action.weight
                 )
             elif isinstance(action, ReturnLoadGrant):
-                self._return_next_grant()
-            elif isinstance(action, Load) and self._grants:
-                self._load(action, self._grants.popleft())
+                self._granted_loads.return_oldest()
+            elif isinstance(action, Load):
+                self._granted_loads.load(action)
             else:
                 self._executor.submit(self._orders.carry_out, self.actor_ref, action)
 
-    def _load(self, order: Load, grant: LoadGrantReply) -> None:
-        """Have an adapter loaded; the grant ends with the load, also after a stop."""
-
-        def carry_out() -> None:
-            completed = self._orders.carry_out(self.actor_ref, order)
-            self._load_grants.release(
-                grant, used=completed.sent, loaded=completed.succeeded
-            )
-
-        def on_done(future: Future[None]) -> None:
-            if future.cancelled():
-                self._return_grant(grant)
-
-        self._executor.submit(carry_out).add_done_callback(on_done)
-
     def _grant(self, permit: Permit) -> None:
         """Send the permit, unless its request or the lease has expired meanwhile."""
         queued = self._queued_by_id.pop(permit.request_id, None)
--- a/bamboovale/engines/load_grant_router.py
+++ b/bamboovale/engines/load_grant_router.py
@@ -29,7 +29,7 @@
 
 
 class LoadGrantRouter:
-    """Implements :class:`~bamboovale.engines.holder.LoadGrants` for the holders."""
+    """Implements ``LoadGrants`` for the holders on this VM."""
 
     def __init__(self, own_id: str, links: Notifier, holders: HolderFinder) -> None:
         self._own_id = own_id
--- a/bamboovale/entry/engine_holders.py
+++ b/bamboovale/entry/engine_holders.py
@@ -13,9 +13,9 @@
 from bamboovale.decisions.policy import Policy
 from bamboovale.decisions.work import EngineHint
 from bamboovale.engines.client import EngineAddress, EngineClient
+from bamboovale.engines.granted_loads import LoadGrants
 from bamboovale.engines.holder import (
     EngineHolder,
-    LoadGrants,
 )
 from bamboovale.engines.messages import (
     DumpState,
