--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -232,15 +232,12 @@
 
     def probe(self, record: EndpointRecord) -> None:
         """Open a connection to an endpoint, and keep it for the next request."""
-        task = asyncio.get_running_loop().create_task(self._open_spare(record))
+        task = asyncio.get_running_loop().create_task(self.reaches(record))
         self._trials.add(task)
         task.add_done_callback(self._trials.discard)
 
     async def reaches(self, record: EndpointRecord) -> bool:
         """Return whether a new connection to an endpoint can be opened; keeps it."""
-        return await self._open_spare(record)
-
-    async def _open_spare(self, record: EndpointRecord) -> bool:
         endpoint_id = record.endpoint_id
         try:
             connection = await self._pool.open(endpoint_id, record.address)
