One package for requests that crash endpoints

Cause: what decides on them stood in three places (decisions, gateway, entry). Change: crash_counts, suspects, the routed interface's guard and the own interface's reporter move to bamboovale/crashes; nothing else changes. Measured: formatter, linter, mypy, the moved tests pass.

--- a/bamboovale/gateway/crashes.py
+++ b/bamboovale/crashes/guard.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from bamboovale.decisions.crash_counts import CrashCounts
+from bamboovale.crashes.counts import CrashCounts
 from bamboovale.fleet.messages import SuspectRequest
 from bamboovale.gateway.call import Call, CallFailed
 from bamboovale.gateway.journal import Journal
--- a/bamboovale/entry/crash_reporter.py
+++ b/bamboovale/crashes/reporter.py
@@ -7,7 +7,7 @@
 
 from result import Ok
 
-from bamboovale.decisions.suspects import CrashNotice
+from bamboovale.crashes.suspects import CrashNotice
 from bamboovale.decisions.work import Permit
 from bamboovale.engines.client import EngineAddress, EngineClient
 from bamboovale.entry.decision_facade import DecisionFacade
--- a/bamboovale/entry/caller_app_factory.py
+++ b/bamboovale/entry/caller_app_factory.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from bamboovale.crashes.reporter import CrashReporter
 from bamboovale.entry.caller_app import CallerApp
-from bamboovale.entry.crash_reporter import CrashReporter
 from bamboovale.entry.decision_facade import DecisionFacade
 from bamboovale.entry.disconnects import DisconnectWatcher
 from bamboovale.entry.endpoint_connections import EndpointConnections
--- a/bamboovale/entry/decision_facade.py
+++ b/bamboovale/entry/decision_facade.py
@@ -7,6 +7,7 @@
 from collections.abc import Collection, Iterator
 from typing import Any
 
+from bamboovale.crashes.suspects import CrashNotice, Suspects
 from bamboovale.decisions.admission import Admission, AdmissionConfig, Arrival
 from bamboovale.decisions.placement import (
     EnginePlacement,
@@ -16,7 +17,6 @@
 from bamboovale.decisions.policy import Policy
 from bamboovale.decisions.retry_budget import RetryBudget, RetryConfig
 from bamboovale.decisions.routing import ServiceRouter
-from bamboovale.decisions.suspects import CrashNotice, Suspects
 from bamboovale.decisions.work import EngineHint, WorkItem
 from bamboovale.environment import Environment
 from bamboovale.errors import Refusal
--- a/bamboovale/entry/model_requests.py
+++ b/bamboovale/entry/model_requests.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from bamboovale.catalogue.entries import AdapterEntry
+from bamboovale.crashes.reporter import CrashReporter
 from bamboovale.decisions.admission import Limits
 from bamboovale.decisions.work import WorkItem
 from bamboovale.entry.attempts import (
@@ -18,7 +19,6 @@
 )
 from bamboovale.entry.caller_answer import CallerAnswer
 from bamboovale.entry.caller_request import CallerRequest
-from bamboovale.entry.crash_reporter import CrashReporter
 from bamboovale.entry.decision_facade import DecisionFacade
 from bamboovale.entry.disconnects import DisconnectWatcher
 from bamboovale.entry.engine_run import RunFailedError, RunFailure
--- a/bamboovale/entry/peer_client.py
+++ b/bamboovale/entry/peer_client.py
@@ -10,7 +10,7 @@
 from bamboovale.actors import tell, tell_result
 from bamboovale.catalogue.actor import CATALOGUE_STREAM, PeerSnapshotReceived
 from bamboovale.claims.answers import AnswerState, AnswerStore, StoredAnswer
-from bamboovale.decisions.suspects import CrashNotice
+from bamboovale.crashes.suspects import CrashNotice
 from bamboovale.decisions.work import Permit
 from bamboovale.engines.messages import (
     PermitsReported,
--- a/bamboovale/entry/peer_handler.py
+++ b/bamboovale/entry/peer_handler.py
@@ -13,7 +13,7 @@
     SnapshotRequested,
 )
 from bamboovale.claims.answers import AnswerStore
-from bamboovale.decisions.suspects import CrashNotice
+from bamboovale.crashes.suspects import CrashNotice
 from bamboovale.engines.load_grants import LoadReleaseReceived, LoadRequestReceived
 from bamboovale.entry.decision_facade import DecisionFacade
 from bamboovale.entry.engine_holders import EngineHolders
--- a/bamboovale/entry/vm.py
+++ b/bamboovale/entry/vm.py
@@ -24,8 +24,9 @@
     DumpClaims,
 )
 from bamboovale.claims.answers import AnswerStore
+from bamboovale.crashes.reporter import CrashReporter
+from bamboovale.crashes.suspects import CrashNotice
 from bamboovale.decisions.policy import Policy
-from bamboovale.decisions.suspects import CrashNotice
 from bamboovale.engines.client import VllmEngineClient
 from bamboovale.engines.load_grant_router import LoadGrantRouter
 from bamboovale.engines.load_grants import (
@@ -35,7 +36,6 @@
 )
 from bamboovale.entry.administration import Administration
 from bamboovale.entry.caller_app_factory import CallerAppDependencies, build_caller_app
-from bamboovale.entry.crash_reporter import CrashReporter
 from bamboovale.entry.decision_facade import DecisionFacade
 from bamboovale.entry.disconnects import DisconnectWatcher
 from bamboovale.entry.endpoint_connections import EndpointConnections
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Mapping, Set
 
+from bamboovale.crashes.guard import CrashGuard
 from bamboovale.decisions.timer_lag import TimerLagMonitor
 from bamboovale.fleet.gossip import GossipProtocol
 from bamboovale.fleet.messages import (
@@ -14,7 +15,6 @@
     SuspectRequest,
 )
 from bamboovale.fleet.view_proofs import ViewProofs
-from bamboovale.gateway.crashes import CrashGuard
 from bamboovale.gateway.early_news import EarlyNews, EndpointNews
 from bamboovale.gateway.engine_assignment import EngineAssignment
 from bamboovale.gateway.engines import Engines
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 
-from bamboovale.decisions.suspects import fingerprint
+from bamboovale.crashes.guard import CrashGuard
+from bamboovale.crashes.suspects import fingerprint
 from bamboovale.gateway.access import AccessControl, Admission
 from bamboovale.gateway.call import (
     Call,
@@ -13,7 +14,6 @@
     KeyRejected,
     QuotaExceeded,
 )
-from bamboovale.gateway.crashes import CrashGuard
 from bamboovale.gateway.model import CallFacts, Route, RoutingTable
 from bamboovale.gateway.model_calls import ModelCalls
 from bamboovale.gateway.plain_calls import PlainCalls
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -6,9 +6,9 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from bamboovale.crashes.guard import CrashGuard
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.gateway.access import AccessControl
-from bamboovale.gateway.crashes import CrashGuard
 from bamboovale.gateway.drain import drain
 from bamboovale.gateway.endpoint_access import EndpointAccess
 from bamboovale.gateway.endpoints import EndpointChange
--- a/bamboovale/peers/messages.py
+++ b/bamboovale/peers/messages.py
@@ -199,7 +199,7 @@
 @message("crash_seen")
 @dataclass(frozen=True)
 class CrashSeen:
-    """A request that was running when its endpoint crashed (``decisions.suspects``)."""
+    """A request that was running when its endpoint crashed (``crashes.suspects``)."""
 
     fingerprint: str
     endpoint_id: str
--- a/bench/decision_speed.py
+++ b/bench/decision_speed.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable, Iterator
 
+from bamboovale.crashes.suspects import CrashNotice, Suspects
 from bamboovale.decisions.admission import Admission, AdmissionConfig, Limits
 from bamboovale.decisions.admission import Arrival as AdmissionArrival
 from bamboovale.decisions.dispatch import DispatchConfig, EngineDispatch
@@ -21,7 +22,6 @@
 from bamboovale.decisions.policy import Policy
 from bamboovale.decisions.retry_budget import RetryBudget, RetryConfig
 from bamboovale.decisions.routing import ServiceRouter
-from bamboovale.decisions.suspects import CrashNotice, Suspects
 from bamboovale.decisions.work import EngineHint, EngineView, Grant, WorkItem
 from bamboovale.models import AdapterVersion, WorkClass
 from bench.profiles import popularity_weights
--- a/tests/test_decisions_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -1,6 +1,6 @@
 """Tests of the refusal of requests that crash endpoints."""
 
-from bamboovale.decisions.crash_counts import RETENTION_S, CrashCounts
+from bamboovale.crashes.counts import RETENTION_S, CrashCounts
 
 
 class TestCrashCounts:
--- a/tests/test_decisions_suspects.py
+++ b/tests/test_suspects.py
@@ -1,6 +1,6 @@
 """Tests that a request that crashes endpoints costs a bounded number of them."""
 
-from bamboovale.decisions.suspects import (
+from bamboovale.crashes.suspects import (
     ENDPOINTS_PER_FINGERPRINT,
     CrashNotice,
     Suspects,
