Log crashes that count against a request, and cleared suspects

Cause: no line said that a crash was counted, how late, or that a suspect was cleared; run_broke_off did not say whether the run had brought events. Change: crash_counted, suspect_cleared; reason and events of run_broke_off.

--- a/bamboovale/crashes/counts.py
+++ b/bamboovale/crashes/counts.py
@@ -22,6 +22,15 @@
 MAX_TRACKED = 10_000
 
 
+@dataclass(frozen=True)
+class Counted:
+    """A crash that counts against a request, its number, and the lost run's age."""
+
+    fingerprint: str
+    crashes: int
+    lost_s_ago: float
+
+
 @dataclass
 class _Crashes:
     lost_at_by_endpoint: dict[str, float] = field(default_factory=dict)
@@ -48,19 +57,26 @@
         while len(self._crashes_by_fingerprint) > MAX_TRACKED:
             self._crashes_by_fingerprint.popitem(last=False)
 
-    def on_endpoint_gone(self, endpoint_id: str, now: float) -> None:
-        """Record that an endpoint disappeared unannounced: runs lost there count."""
+    def on_endpoint_gone(self, endpoint_id: str, now: float) -> list["Counted"]:
+        """Record that an endpoint disappeared unannounced: runs lost there count.
+
+        Returns those that it counts against.
+        """
         self._gone_at[endpoint_id] = now
         while len(self._gone_at) > MAX_TRACKED:
             self._gone_at.popitem(last=False)
-        for crashes in self._crashes_by_fingerprint.values():
+        counted = []
+        for fingerprint, crashes in self._crashes_by_fingerprint.items():
             lost_at = crashes.lost_at_by_endpoint.pop(endpoint_id, None)
             if lost_at is not None and now - lost_at < MAX_EXPIRY_DELAY_S:
                 crashes.crashed.add(endpoint_id)
+                age_s = now - lost_at
+                counted.append(Counted(fingerprint, len(crashes.crashed), age_s))
+        return counted
 
-    def on_answered(self, fingerprint: str) -> None:
-        """Clear a request that completed."""
-        self._crashes_by_fingerprint.pop(fingerprint, None)
+    def on_answered(self, fingerprint: str) -> bool:
+        """Clear a request that completed; return whether it was suspected."""
+        return self._crashes_by_fingerprint.pop(fingerprint, None) is not None
 
     def is_refused(self, fingerprint: str, now: float) -> bool:
         """Return whether the request has crashed too many endpoints."""
--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -34,7 +34,14 @@
 
     def on_endpoint_gone(self, endpoint_id: str) -> None:
         """Record that an endpoint ended without announcing that it leaves."""
-        self._counts.on_endpoint_gone(endpoint_id, self._now())
+        for counted in self._counts.on_endpoint_gone(endpoint_id, self._now()):
+            self._journal.write(
+                "crash_counted",
+                fingerprint=counted.fingerprint,
+                endpoint=endpoint_id,
+                crashes=counted.crashes,
+                lost_s_ago=round(counted.lost_s_ago, 3),
+            )
 
     @contextmanager
     def track(self, fingerprint: str, call: Call) -> Iterator[None]:
@@ -46,7 +53,8 @@
             raise
         else:
             self._record_cuts(fingerprint, call)
-            self._counts.on_answered(fingerprint)
+            if self._counts.on_answered(fingerprint):
+                self._journal.write("suspect_cleared", fingerprint=fingerprint)
 
     def _record_cuts(self, fingerprint: str, call: Call) -> None:
         for attempt in call.notes.get("attempts", []):
@@ -60,6 +68,8 @@
                 id=call.facts.request_id,
                 fingerprint=fingerprint,
                 endpoint=endpoint_id,
+                reason=attempt["failed"],
+                events=call.notes.get("events", 0),
             )
 
 
