Count a lost run where its attempt ends

What callers saw: a request that crashes engines was sent on. Cause: a lost run counted when its whole call was over, only where that ended answered, failed or as a cut stream, and by the first words of the failure's text; a call that timed out, whose caller left or that was refused after a lost attempt, and a stream that ended inside an event, told nothing. Change: CrashGuard.watch stands around each attempt of both kinds of calls and decides by the type of what ends it. Conclusion: no way to end an attempt hides a lost run any more.

--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -5,13 +5,14 @@
 
 from bamboovale.crashes.counts import CrashCounts
 from bamboovale.fleet.messages import SuspectRequest
-from bamboovale.gateway.call import Call, CallFailed
+from bamboovale.gateway.call import Call
+from bamboovale.gateway.endpoint_client import NotRun
 from bamboovale.gateway.journal import Journal
-from bamboovale.gateway.stream_progress import StreamCut
+from bamboovale.gateway.model import EndpointRecord
 
 
 class CrashGuard:
-    """Counts the endpoints at which a request's run was cut; notifies the other VMs."""
+    """Counts the endpoints at which a request's run was lost; tells the other VMs."""
 
     def __init__(
         self,
@@ -29,7 +30,7 @@
         return self._counts.is_refused(fingerprint, self._now())
 
     def on_notice(self, notice: SuspectRequest) -> None:
-        """Count a cut run that another VM observed."""
+        """Count a lost run that another VM observed."""
         self._counts.on_run_lost(notice.fingerprint, notice.endpoint_id, self._now())
 
     def on_endpoint_gone(self, endpoint_id: str) -> None:
@@ -44,34 +45,34 @@
             )
 
     @contextmanager
-    def track(self, fingerprint: str, call: Call) -> Iterator[None]:
-        """Record the endpoints at which the run was cut; clear them on an answer."""
+    def watch(self, call: Call, record: EndpointRecord) -> Iterator[None]:
+        """Watch one attempt at an endpoint: its run is lost unless it is answered.
+
+        Also where the caller leaves or the deadline passes meanwhile: an endpoint may
+        crash without closing its connections.
+        """
         try:
             yield
-        except (CallFailed, StreamCut):
-            self._record_cuts(fingerprint, call)
+        except NotRun:
+            raise
+        except BaseException as error:
+            self._on_lost(call, record.endpoint_id, repr(error))
             raise
         else:
-            self._record_cuts(fingerprint, call)
-            if self._counts.on_answered(fingerprint):
-                self._journal.write("suspect_cleared", fingerprint=fingerprint)
-
-    def _record_cuts(self, fingerprint: str, call: Call) -> None:
-        for attempt in call.notes.get("attempts", []):
-            if "failed" not in attempt or not _is_cut(attempt["failed"]):
-                continue
-            endpoint_id = attempt["endpoint"]
-            self._counts.on_run_lost(fingerprint, endpoint_id, self._now())
-            self._broadcast(SuspectRequest(fingerprint, endpoint_id))
-            self._journal.write(
-                "run_broke_off",
-                id=call.facts.request_id,
-                fingerprint=fingerprint,
-                endpoint=endpoint_id,
-                reason=attempt["failed"],
-                events=call.notes.get("events", 0),
-            )
+            self._on_answered(call)
 
+    def _on_lost(self, call: Call, endpoint_id: str, reason: str) -> None:
+        self._counts.on_run_lost(call.fingerprint, endpoint_id, self._now())
+        self._broadcast(SuspectRequest(call.fingerprint, endpoint_id))
+        self._journal.write(
+            "run_broke_off",
+            id=call.facts.request_id,
+            fingerprint=call.fingerprint,
+            endpoint=endpoint_id,
+            reason=reason,
+            events=call.notes.get("events", 0),
+        )
 
-def _is_cut(reason: str) -> bool:
-    return reason.startswith(("no answer: ", "stream cut: ", "answer cut: "))
+    def _on_answered(self, call: Call) -> None:
+        if self._counts.on_answered(call.fingerprint):
+            self._journal.write("suspect_cleared", fingerprint=call.fingerprint)
--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -1,10 +1,12 @@
 """A caller's request while it is handled, and the errors that can end it."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Any, Protocol
 
 import h11
 
+from bamboovale.crashes.suspects import fingerprint
 from bamboovale.gateway.customers import Customer
 from bamboovale.gateway.model import AnswerFacts, CallFacts, Route
 from bamboovale.http1.connection import Headers, ResponseHead
@@ -94,6 +96,11 @@
     notes: dict[str, Any] = field(default_factory=dict)
     attempts: int = 0
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Return a digest that is equal for all attempts at the same request."""
+        return fingerprint(self.facts.host, self.request.target, self.request.body)
+
     @property
     def priority(self) -> int:
         """Return the customer's priority, else the route's; 0 is the most urgent."""
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -4,6 +4,7 @@
 
 import h11
 
+from bamboovale.crashes.guard import CrashGuard
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.gateway.call import Call, CallCodec, CallFailed
 from bamboovale.gateway.endpoint_client import (
@@ -45,6 +46,7 @@
         version_of: Callable[[str, str | None], int],
         retries: RetryBudgets,
         streams: CallStreams,
+        crashes: CrashGuard,
         now: Callable[[], float],
         leaving_use_s: float,
         mechanisms: Mechanisms = ALL_ON,
@@ -56,6 +58,7 @@
         self._version_of = version_of
         self._retries = retries
         self._streams = streams
+        self._crashes = crashes
         self._now = now
         self._search = PlaceSearch(
             endpoints=endpoints,
@@ -115,7 +118,8 @@
         refused = not_held = False
         aborted = True
         try:
-            await self._exchange(call, work, record, place, progress)
+            with self._crashes.watch(call, record):
+                await self._exchange(call, work, record, place, progress)
             aborted = False
             return True
         except NotRun as error:
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from bamboovale.crashes.guard import CrashGuard
 from bamboovale.decisions.routing import ServiceRouter
 from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
 from bamboovale.gateway.endpoint_client import EndpointClient, MayHaveRun, NotRun
@@ -84,6 +85,7 @@
         endpoints: EndpointView,
         gate: SendGate,
         retries: RetryBudgets,
+        crashes: CrashGuard,
         now: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -92,6 +94,7 @@
         self._endpoints = endpoints
         self._gate = gate
         self._retries = retries
+        self._crashes = crashes
         self._now = now
         self._rng = rng
         self._router_by_service: dict[str, ServiceRouter] = {}
@@ -237,8 +240,9 @@
         router.on_start(record.endpoint_id, call_id, started_at)
         ok = error_answer = rejected = False
         try:
-            async with asyncio.timeout(self._attempt_timeout_s(call, number)):
-                answer = await self._exchange(call, record)
+            with self._crashes.watch(call, record):
+                async with asyncio.timeout(self._attempt_timeout_s(call, number)):
+                    answer = await self._exchange(call, record)
             note["status"] = answer[0].status
             ok = True
             error_answer = answer[0].status >= SERVER_ERROR
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -4,7 +4,6 @@
 import random
 
 from bamboovale.crashes.guard import CrashGuard
-from bamboovale.crashes.suspects import fingerprint
 from bamboovale.gateway.access import AccessControl, Admission
 from bamboovale.gateway.call import (
     Call,
@@ -155,21 +154,16 @@
     async def _dispatch(self, call: Call, table: RoutingTable) -> None:
         service = table.service_by_name.get(call.service)
         work = call.facts.work
-        request_fingerprint = fingerprint(
-            call.facts.host, call.request.target, call.request.body
-        )
-        if self._crashes.is_blocked(request_fingerprint):
+        if self._crashes.is_blocked(call.fingerprint):
             raise CallRefused("the request crashed endpoints before", SUSPECT_RETRY_S)
         if service is None or service.engines is None or work is None:
-            with self._crashes.track(request_fingerprint, call):
-                await self._plain_calls.run(call)
+            await self._plain_calls.run(call)
             return
         if work.model not in service.engines.model_by_name:
             self._answer(call.responder, 404, None, call.facts.request_id)
             call.notes["reason"] = "unknown model"
             return
-        with self._crashes.track(request_fingerprint, call):
-            await self._model_calls.run(call, work)
+        await self._model_calls.run(call, work)
 
     def _pick_service(self, route: Route) -> str:
         weights = route.weight_by_service
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -151,6 +151,12 @@
         """Stop serving and reset all connections without unregistering."""
         self._server.close()
 
+    def end(self) -> None:
+        """Crash for good."""
+        for task in self._changes:
+            task.cancel()
+        self.crash()
+
     def _crash_by(self, trigger: CrashTrigger) -> None:
         """Crash under a request, and come back."""
         trigger.crashed_at.append(time.monotonic())
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -370,7 +370,7 @@
             vm.store.close()
         for endpoint in site.endpoints:
             site.proxy_by_endpoint[endpoint.endpoint_id].close()
-            endpoint.crash()
+            endpoint.end()
         site.store.close()
 
 
