A closed port shows a crash, and all VMs are told of it

What callers saw: a request that crashes engines was sent on for 3.6 s after a crash, and for ever while the store was away. Cause: a crash counted only when the endpoint's record expired while the store was settled; VMs told one another of lost runs, not of crashes, so that one that started later had lost runs without crashes. Evidence: test_its_crashes_count_while_no_record_expires (26 late requests, 3 allowed), test_a_vm_that_starts_later_refuses_it (11) and test_it_is_refused_everywhere (4 to 11) failed before. Change: after a lost run the VM looks whether the port is closed and no connection is open, once after 0.05 s and once after 0.5 s; an address taken by another start is a sign too; crashes are gossiped, and the first message to a VM that starts holds what is known. Lost runs are told only once their endpoint has crashed, kept 8 s and 512 an endpoint until then. test_all_vms_restart is stricter now: nothing arrives, after two restarts. Measured: three runs of tests/test_crashing_requests.py clean but for it (4 more requests, listed); test_gateway*, relay, streams, fleet pass. Conclusion: the request is refused after two crashes, 0.05 to 0.4 s after the second.

--- a/bamboovale/fleet/gossip.py
+++ b/bamboovale/fleet/gossip.py
@@ -14,9 +14,12 @@
 from typing import NamedTuple, Protocol
 
 from bamboovale.fleet.changes import ChangeLog
+from bamboovale.fleet.crash_log import CrashLog
 from bamboovale.fleet.membership import Change, Membership
 from bamboovale.fleet.messages import (
     AdapterNews,
+    CrashedEndpoint,
+    CrashNews,
     EndpointLimit,
     Gossip,
     LeavingEndpoint,
@@ -52,7 +55,6 @@
 """Changes per message; the rest follows in the next one."""
 RESEND_AFTER_S = 0.4
 """A neighbour whose offset is behind for this long has lost the rows sent to it."""
-MAX_SUSPECTS = 256
 TIMER_TOLERANCE_S = 0.001
 """Time by which a timer may fire early."""
 INTRODUCTION = -1
@@ -98,7 +100,7 @@
         endpoints: EndpointsTopic,
         rng: random.Random,
         now: float,
-        on_suspect: Callable[[SuspectRequest], None] = lambda suspect: None,
+        on_crash_news: Callable[[CrashNews], None] = lambda news: None,
         on_store_answer: Callable[[], None] = lambda: None,
         on_settled: Callable[[], None] = lambda: None,
         abort_link: Callable[[str], None] = lambda vm_id: None,
@@ -120,12 +122,12 @@
         self._changes = changes
         self._endpoints = endpoints
         self._rng = rng
-        self._on_suspect = on_suspect
+        self._on_crash_news = on_crash_news
         self._on_store_answer = on_store_answer
         self._on_settled = on_settled
         self._probe_at = now + PROBE_INTERVAL_S
         self._pull_back_off = _PullBackOff()
-        self._suspects: dict[SuspectRequest, None] = {}
+        self._crash_log = CrashLog(changes)
         self._proofs = proofs
 
     def _new_neighbour(self, now: float) -> Neighbour:
@@ -188,9 +190,7 @@
             self._membership.apply(member, now)
         for suspicion in gossip.unheard:
             self._membership.apply_suspicion(suspicion, now)
-        for suspect in gossip.suspects:
-            if self.note_suspect(suspect):
-                self._on_suspect(suspect)
+        self._apply_crash_news([*gossip.suspects, *gossip.crashed])
         for news in gossip.versions:
             if self.note_version(news):
                 self._on_version(news)
@@ -207,6 +207,11 @@
             neighbour.sent_number = 0
         self._compare_digest(neighbour, gossip.digest, now)
 
+    def _apply_crash_news(self, news: list[CrashNews]) -> None:
+        for item in news:
+            if self.note_crash(item):
+                self._on_crash_news(item)
+
     def _answer_introduction(
         self, neighbour: Neighbour, member: Member, now: float
     ) -> None:
@@ -257,17 +262,9 @@
 
     # Messages sent.
 
-    def note_suspect(self, suspect: SuspectRequest) -> bool:
-        """Forward a request that crashed its endpoint; False if it is known."""
-        if suspect in self._suspects:
-            return False
-        self._suspects[suspect] = None
-        self._changes.put(("suspect", suspect), suspect)
-        if len(self._suspects) > MAX_SUSPECTS:
-            oldest = next(iter(self._suspects))
-            del self._suspects[oldest]
-            self._changes.drop(("suspect", oldest))
-        return True
+    def note_crash(self, news: CrashNews) -> bool:
+        """Forward what was seen of a crash; False if it is known."""
+        return self._crash_log.note(news)
 
     def note_version(self, news: AdapterNews) -> bool:
         """Forward a version of an adapter; False if it is not newer."""
@@ -394,15 +391,17 @@
             versions=tuple(item for item in items if isinstance(item, AdapterNews)),
             limits=tuple(item for item in items if isinstance(item, EndpointLimit)),
             leaving=tuple(item for item in items if isinstance(item, LeavingEndpoint)),
+            crashed=tuple(item for item in items if isinstance(item, CrashedEndpoint)),
             stamp=proofs.new_stamp() if proofs else 0,
             echoes=proofs.echoes(targets) if proofs else (),
             view_age_ms=proofs.age_ms() if proofs else NO_PROOF,
         )
 
     def _endpoint_news(self) -> list[Change]:
-        """Return what endpoints have said, which no VM can read from the store."""
+        """Return what is known of endpoints that no VM can read from the store."""
         kinds = (EndpointLimit, LeavingEndpoint)
-        return [item for item in self._changes if isinstance(item, kinds)]
+        said = [item for item in self._changes if isinstance(item, kinds)]
+        return [*said, *self._crash_log]
 
     def _is_behind(self, neighbour: Neighbour) -> bool:
         """Return whether updates are pending for a neighbour."""
--- a/bamboovale/fleet/membership.py
+++ b/bamboovale/fleet/membership.py
@@ -14,10 +14,10 @@
 from bamboovale.fleet.changes import ChangeLog
 from bamboovale.fleet.messages import (
     AdapterNews,
+    CrashNews,
     EndpointLimit,
     LeavingEndpoint,
     Member,
-    SuspectRequest,
     Suspicion,
 )
 from bamboovale.fleet.rings import Rings
@@ -33,9 +33,7 @@
 MAX_MEMBERS = 4096
 """Limit of known VMs, against malformed or hostile messages."""
 
-Change = (
-    Member | Suspicion | SuspectRequest | AdapterNews | EndpointLimit | LeavingEndpoint
-)
+Change = Member | Suspicion | CrashNews | AdapterNews | EndpointLimit | LeavingEndpoint
 
 
 @dataclass
--- a/bamboovale/fleet/messages.py
+++ b/bamboovale/fleet/messages.py
@@ -63,6 +63,17 @@
     endpoint_id: str
 
 
+@row
+@dataclass(frozen=True)
+class CrashedEndpoint:
+    """An endpoint that crashed, as a VM has seen."""
+
+    endpoint_id: str
+
+
+CrashNews = SuspectRequest | CrashedEndpoint
+
+
 @row
 @dataclass(frozen=True)
 class AdapterNews:
@@ -111,7 +122,8 @@
     ``wants_all`` a full copy of its view of the fleet. ``stamp``, ``echoes`` and
     ``view_age_ms`` prove how fresh the sender's configuration is (see ``ViewProofs``).
     ``versions`` are adapter versions that the operator published, ``limits`` those that
-    endpoints name, ``leaving`` the endpoints that said that they leave.
+    endpoints name, ``leaving`` the endpoints that said that they leave, ``crashed``
+    those that crashed.
     """
 
     digest: int
@@ -132,3 +144,4 @@
     versions: tuple[AdapterNews, ...] = ()
     limits: tuple[EndpointLimit, ...] = ()
     leaving: tuple[LeavingEndpoint, ...] = ()
+    crashed: tuple[CrashedEndpoint, ...] = ()
--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -15,6 +15,7 @@
 from bamboovale.http1.connection import (
     ConnectFailed,
     Connection,
+    ConnectRefused,
     IncompleteResponse,
     ResponseHead,
 )
@@ -248,6 +249,23 @@
         self._pool.keep(endpoint_id, connection)
         return True
 
+    async def is_port_closed(self, record: EndpointRecord) -> bool:
+        """Return whether nothing listens at an endpoint, and no connection is open.
+
+        A full endpoint refuses new connections, and keeps those that are open.
+        """
+        endpoint_id = record.endpoint_id
+        if self._pool.has_open(endpoint_id):
+            return False
+        try:
+            connection = await self._pool.open(endpoint_id, record.address)
+        except ConnectRefused:
+            return not self._pool.has_open(endpoint_id)
+        except ConnectFailed:
+            return False
+        self._pool.keep(endpoint_id, connection)
+        return False
+
     async def send_relayed(
         self,
         connection: Connection,
--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -62,6 +62,14 @@
             if record.service == service and record.ready
         ]
 
+    def ready_at(self, address: tuple[str, int]) -> list[EndpointRecord]:
+        """Return the endpoints with an address that accept new work."""
+        return [
+            record
+            for record in self._record_by_id.values()
+            if record.address == address and record.ready
+        ]
+
     def leaving(self, service: str, within_s: float) -> list[EndpointRecord]:
         """Return the endpoints of a service that began to leave within a time."""
         now = self._now()
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -9,10 +9,10 @@
 from bamboovale.fleet.gossip import GossipProtocol
 from bamboovale.fleet.messages import (
     AdapterNews,
+    CrashNews,
     EndpointLimit,
     Gossip,
     LeavingEndpoint,
-    SuspectRequest,
 )
 from bamboovale.fleet.view_proofs import ViewProofs
 from bamboovale.gateway.early_news import EarlyNews, EndpointNews
@@ -102,7 +102,7 @@
             records.endpoints,
             random.Random(),
             state.now(),
-            on_suspect=crashes.on_notice,
+            on_crash_news=crashes.on_news,
             on_store_answer=state.store_watch.on_answer,
             on_settled=state.store_watch.on_settled,
             abort_link=links.abort,
@@ -158,9 +158,9 @@
         self.gossip.mark_all_due()
         self._send_due()
 
-    def broadcast_suspect(self, suspect: SuspectRequest) -> None:
-        """Gossip a request that crashed its endpoint to every VM."""
-        if self.gossip.note_suspect(suspect):
+    def broadcast_crash(self, news: CrashNews) -> None:
+        """Gossip what was seen of a crash to every VM."""
+        if self.gossip.note_crash(news):
             self._wake_event.set()
 
     def broadcast_version(self, news: AdapterNews) -> None:
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -163,8 +163,10 @@
     def _build_parts(self) -> None:
         self._crashes = CrashGuard(
             self.state.journal,
+            self.state.endpoints,
             self.state.now,
-            lambda suspect: self.peering.broadcast_suspect(suspect),
+            is_port_closed=lambda record: self._access.client.is_port_closed(record),
+            broadcast=lambda news: self.peering.broadcast_crash(news),
         )
         self._quotas = QuotaExchange(self.state, self.links, self._ownership)
         self._view_watch = ViewWatch(
@@ -383,10 +385,9 @@
             self._pools.forget(change.endpoint_id)
             self.state.forget_endpoint(change.endpoint_id)
             self.peering.gossip.drop_endpoint(change.endpoint_id)
-            if change.was_ready:
-                self._crashes.on_endpoint_gone(change.endpoint_id)
         else:
             self.peering.on_endpoint_known(change.endpoint_id)
+        self._crashes.on_endpoint(change)
         self.peering.assign_engines()
 
     async def _own_engines(self) -> None:
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -34,6 +34,10 @@
     """The connection could not be opened; no byte was sent."""
 
 
+class ConnectRefused(ConnectFailed):
+    """Nothing listens at the address."""
+
+
 class IncompleteResponse(Exception):  # noqa: N818 - names the condition
     """The connection closed or sent invalid HTTP before the response was complete."""
 
@@ -86,6 +90,8 @@
                 _, connection = await loop.create_connection(
                     cls, host, port, local_addr=local
                 )
+        except ConnectionRefusedError as error:
+            raise ConnectRefused(str(error)) from error
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(str(error) or "timeout") from error
         return connection
--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -107,6 +107,11 @@
         self._pool_by_id.setdefault(endpoint_id, EndpointPool())
         self.give_back(endpoint_id, connection)
 
+    def has_open(self, endpoint_id: str) -> bool:
+        """Return whether an idle connection to an endpoint is open."""
+        pool = self._pool_by_id.get(endpoint_id)
+        return pool is not None and any(not item.closed for item in pool.idle)
+
     def forget(self, endpoint_id: str) -> None:
         """Close the idle connections of a removed endpoint."""
         pool = self._pool_by_id.pop(endpoint_id, None)
--- a/bamboovale/standins/crash_triggers.py
+++ b/bamboovale/standins/crash_triggers.py
@@ -22,9 +22,10 @@
 class CrashTrigger:
     """What crashes endpoints, when it did, and which requests with it arrived.
 
-    Either requests with a ``body``, or those with a ``part`` of their prompts that is
-    not the last one. An endpoint is back after ``back_s``; the record of its crashed
-    start goes after ``expires_s``, None: it stays. Times are monotonic, in seconds.
+    Either requests whose body begins with ``body``, or those with a ``part`` of their
+    prompts that is not the last one. An endpoint is back after ``back_s``; the record
+    of its crashed start goes after ``expires_s``, None: it stays. Times are monotonic,
+    in seconds.
     """
 
     body: bytes | None = None
@@ -38,7 +39,7 @@
     def is_in(self, request: Request) -> bool:
         """Return whether a request crashes its endpoint."""
         if self.body is not None:
-            return request.body == self.body
+            return request.body.startswith(self.body)
         parts = (request.get(PROMPT_PREFIX) or b"").decode().split(",")
         return self.part in [part.partition(":")[0] for part in parts[:-1]]
 
