Refusals of requests that crash endpoints outlast the processes

What callers saw: after a restart of all VMs a request that had crashed engines crashed as many again. Cause: the evidence was memory of the processes alone, and ended after 300 s, when the whole fleet tried again. Change: one VM, by rendezvous of the request, writes a record of each refusal to the store; every VM reads it with the addresses of the others. After the refusal that VM alone lets one request through as a trial; each crash more doubles the refusal, and from six crashes on there is no trial.

--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from bamboovale.crashes.evidence import Counted, CrashEvidence
+from bamboovale.crashes.records import Refused
 from bamboovale.fleet.messages import CrashedEndpoint, CrashNews, SuspectRequest
 from bamboovale.gateway.call import Call
 from bamboovale.gateway.endpoint_client import NotRun
@@ -32,7 +33,8 @@
     """Counts the endpoints at which a request's run was lost; tells the other VMs.
 
     ``is_port_closed`` looks whether an endpoint still listens; ``broadcast`` tells the
-    other VMs.
+    other VMs; ``is_designated`` returns whether this VM is the one that decides on a
+    subject for all, ``record`` writes that it is refused to the store.
     """
 
     def __init__(
@@ -42,18 +44,38 @@
         now: Callable[[], float],
         is_port_closed: Callable[[EndpointRecord], Awaitable[bool]],
         broadcast: Callable[[CrashNews], None],
+        is_designated: Callable[[str], bool],
+        record: Callable[[Refused], None],
     ) -> None:
         self._journal = journal
         self._endpoints = endpoints
         self._now = now
         self._is_port_closed = is_port_closed
         self._broadcast = broadcast
+        self._is_designated = is_designated
+        self._record = record
         self._evidence = CrashEvidence()
         self._look_by_endpoint: dict[str, asyncio.Task[None]] = {}
 
-    def is_blocked(self, fingerprint: str) -> bool:
-        """Return whether this request has crashed too many endpoints."""
-        return self._evidence.is_refused(fingerprint, self._now())
+    def is_refused(self, call: Call) -> bool:
+        """Return whether a call has crashed too many endpoints, and is no trial."""
+        subject, now = call.fingerprint, self._now()
+        if self._evidence.is_refused(subject, now):
+            return True
+        if not self._evidence.needs_trial(subject, now):
+            return False
+        if not self._is_designated(subject):
+            return True
+        return not self._evidence.take_trial(subject, call.facts.request_id, now)
+
+    def on_record(self, refused: Refused) -> None:
+        """Apply what the store tells of a request that is refused."""
+        if self._evidence.on_record(refused.subject, refused.crashes, self._now()):
+            self._journal.write(
+                "request_refused_by_record",
+                fingerprint=refused.subject,
+                crashes=refused.crashes,
+            )
 
     # Signs of crashes.
 
@@ -123,7 +145,10 @@
                 crashes=item.crashes,
                 lost_s_ago=round(item.lost_s_ago, 3),
                 sign=sign,
+                refused=item.is_refused,
             )
+            if item.is_refused and self._is_designated(item.subject):
+                self._record(Refused(item.subject, item.crashes))
 
     # Runs.
 
--- /dev/null
+++ b/bamboovale/crashes/records.py
@@ -0,0 +1,76 @@
+"""Records in the metadata store of requests that are refused as they crash endpoints.
+
+Guards against evidence that ends with the processes that have it: after a restart of
+all VMs such a request would crash as many endpoints again. One VM writes a record when
+a request is refused for the first time, or for longer; every VM reads the records
+together with the addresses of the others.
+"""
+
+import json
+import math
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.store import KeyedRecord, MetadataStore, StoreError
+
+KEY_PREFIX = "crash:"
+"""Distinguishes these records from those of VMs in the same topic."""
+MAX_AGE_S = 24 * 3600.0
+"""Older records are not read, as the endpoints may have been mended."""
+
+
+@dataclass(frozen=True)
+class Refused:
+    """A request that is refused, with the endpoints that it has crashed."""
+
+    subject: str
+    crashes: int
+
+
+class RefusalRecords:
+    """Writes and reads the records; ``on_read`` is called with each new one."""
+
+    def __init__(
+        self,
+        topic: str,
+        store: MetadataStore,
+        journal: Journal,
+        on_read: Callable[[Refused], None],
+        time_of_day: Callable[[], float] = time.time,
+    ) -> None:
+        self._topic = topic
+        self._store = store
+        self._journal = journal
+        self._on_read = on_read
+        self._time_of_day = time_of_day
+        self._offset_by_key: dict[str, int] = {}
+
+    def apply(self, record: KeyedRecord) -> bool:
+        """Apply a record; returns False if it is not one of these."""
+        if not record.key.startswith(KEY_PREFIX):
+            return False
+        if record.value is None or self._offset_by_key.get(record.key) == record.offset:
+            return True
+        self._offset_by_key[record.key] = record.offset
+        try:
+            fields = json.loads(record.value)
+            crashes, at = int(fields["crashes"]), float(fields["at"])
+        except (ValueError, KeyError, TypeError) as error:
+            self._journal.write("bad_record", key=record.key, error=repr(error))
+            return True
+        if math.isfinite(at) and self._time_of_day() - at < MAX_AGE_S:
+            self._on_read(Refused(record.key.removeprefix(KEY_PREFIX), crashes))
+        return True
+
+    async def write(self, refused: Refused) -> None:
+        """Write a record; a failure is logged, as the other VMs know it too."""
+        value = json.dumps({"crashes": refused.crashes, "at": self._time_of_day()})
+        key = f"{KEY_PREFIX}{refused.subject}"
+        try:
+            await self._store.put(self._topic, key, value.encode())
+        except StoreError as error:
+            self._journal.write(
+                "refusal_record_lost", fingerprint=refused.subject, error=str(error)
+            )
--- a/bamboovale/gateway/registration.py
+++ b/bamboovale/gateway/registration.py
@@ -3,9 +3,9 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Protocol
 
-from bamboovale.gateway.stall_records import StallRecords
 from bamboovale.gateway.store import KeyedRecord, MetadataStore, StoreError
 from bamboovale.gateway.vm_state import VMState
 
@@ -17,21 +17,31 @@
 SMALL_FLEET = 12
 
 
+class RecordReader(Protocol):
+    """Reads other records of the topic that holds the addresses."""
+
+    def apply(self, record: KeyedRecord) -> bool:
+        """Apply a record; returns False if it is not one of the reader's."""
+
+
 class Registration:
-    """Writes this VM's address to the store and reads those of the others."""
+    """Writes this VM's address to the store and reads those of the others.
+
+    ``others`` read the records that are no addresses.
+    """
 
     def __init__(
         self,
         state: VMState,
         topic: str,
         store: MetadataStore,
-        stall_records: StallRecords,
+        others: Sequence[RecordReader],
         on_contact: Callable[[], None],
     ) -> None:
         self._state = state
         self._topic = topic
         self._store = store
-        self._stall_records = stall_records
+        self._others = others
         self._on_contact = on_contact
         self._is_written = False
 
@@ -67,7 +77,7 @@
 
     def _apply(self, record: KeyedRecord) -> bool:
         """Apply a record; returns whether it names a new VM. Bad records are logged."""
-        if record.value is None or self._stall_records.apply(record):
+        if record.value is None or any(o.apply(record) for o in self._others):
             return False
         try:
             host, port = json.loads(record.value)
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -154,7 +154,7 @@
     async def _dispatch(self, call: Call, table: RoutingTable) -> None:
         service = table.service_by_name.get(call.service)
         work = call.facts.work
-        if self._crashes.is_blocked(call.fingerprint):
+        if self._crashes.is_refused(call):
             raise CallRefused("the request crashed endpoints before", SUSPECT_RETRY_S)
         if service is None or service.engines is None or work is None:
             await self._plain_calls.run(call)
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -7,7 +7,9 @@
 from typing import Any
 
 from bamboovale.crashes.guard import CrashGuard
+from bamboovale.crashes.records import RefusalRecords
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
+from bamboovale.decisions.rendezvous import first_members
 from bamboovale.gateway.access import AccessControl
 from bamboovale.gateway.drain import drain
 from bamboovale.gateway.endpoint_access import EndpointAccess
@@ -167,6 +169,14 @@
             self.state.now,
             is_port_closed=lambda record: self._access.client.is_port_closed(record),
             broadcast=lambda news: self.peering.broadcast_crash(news),
+            is_designated=lambda subject: self._is_designated(subject),
+            record=lambda refused: self._jobs.start([self._refusals.write(refused)]),
+        )
+        self._refusals = RefusalRecords(
+            self._translation.registration_topic,
+            self._store,
+            self.state.journal,
+            on_read=self._crashes.on_record,
         )
         self._quotas = QuotaExchange(self.state, self.links, self._ownership)
         self._view_watch = ViewWatch(
@@ -238,7 +248,7 @@
             self.state,
             self._translation.registration_topic,
             self._store,
-            self._stall_records,
+            [self._stall_records, self._refusals],
             on_contact=self.peering.wake,
         )
         self.step_back = StepBack.from_parts(
@@ -408,6 +418,12 @@
         self.peering.assign_engines()
         self.peering.announce()
 
+    def _is_designated(self, key: str) -> bool:
+        """Return whether this VM is the one that decides on a key for all."""
+        return [self.state.node.name] == first_members(
+            key, self.state.fleet.serving_ids(), 1
+        )
+
     def _may_own_engines(self) -> bool:
         return self.state.node.name in self.state.fleet.owner_candidates()
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -1,6 +1,18 @@
 """Tests of the refusal of requests that crash endpoints."""
 
-from bamboovale.crashes.evidence import RETENTION_S, CrashEvidence
+from bamboovale.crashes.evidence import (
+    CRASHES_FOR_GOOD,
+    MAX_TRACKED,
+    RETENTION_S,
+    TRIAL_S,
+    CrashEvidence,
+)
+
+
+def crash(evidence: CrashEvidence, subject: str, number: int, now: float) -> None:
+    """Lose a run of the subject with an endpoint that crashes."""
+    evidence.on_run_lost(subject, f"e{number}", now)
+    evidence.on_crashed(f"e{number}", now)
 
 
 class TestCrashEvidence:
@@ -44,3 +56,50 @@
             counts.on_run_lost("f", f"e{number}", 0.0)
             counts.on_crashed(f"e{number}", 1.0)
         assert not counts.is_refused("f", 1.0 + RETENTION_S)
+
+
+class TestTrials:
+    """Guards against refusing a mended request for ever, and against dear trials."""
+
+    def test_one_request_at_a_time_is_tried_after_the_refusal(self) -> None:
+        evidence = CrashEvidence()
+        for number in range(2):
+            crash(evidence, "f", number, 0.0)
+        now = RETENTION_S + 1.0
+        assert evidence.needs_trial("f", now)
+        assert evidence.take_trial("f", "r1", now)
+        assert evidence.take_trial("f", "r1", now + 0.1)
+        assert not evidence.take_trial("f", "r2", now + 0.1)
+        assert evidence.take_trial("f", "r2", now + TRIAL_S)
+
+    def test_a_day_of_trials_costs_four_endpoints(self) -> None:
+        evidence = CrashEvidence()
+        crashes = 0
+        for now in range(0, 24 * 3600, 5):
+            is_tried = evidence.needs_trial("f", now)
+            if not evidence.is_refused("f", now) and (
+                not is_tried or evidence.take_trial("f", f"r{now}", now)
+            ):
+                crash(evidence, "f", crashes, now)
+                crashes += 1
+        assert crashes == CRASHES_FOR_GOOD
+
+    def test_a_record_refuses_and_does_not_count_twice(self) -> None:
+        evidence = CrashEvidence()
+        assert evidence.on_record("f", 2, 0.0)
+        assert not evidence.on_record("f", 2, 100.0)
+        assert evidence.is_refused("f", RETENTION_S - 1.0)
+        assert evidence.needs_trial("f", RETENTION_S + 1.0)
+
+
+class TestBounds:
+    """Guards against memory that grows with invented requests."""
+
+    def test_refused_requests_outlive_suspects(self) -> None:
+        evidence = CrashEvidence()
+        for number in range(2):
+            crash(evidence, "guilty", number, 0.0)
+        for number in range(MAX_TRACKED + 10):
+            crash(evidence, f"s{number}", number, 1.0)
+        assert evidence.is_refused("guilty", 2.0)
+        assert len(evidence) <= MAX_TRACKED
