Ask before each attempt whether the request crashes endpoints

What callers saw: requests that were queued, or between two attempts, crashed engines after it was known that they do. Cause: a request was asked for once, when it was read. Evidence: test_requests_that_wait_are_refused_too failed before for plain calls and streams: each crashed an endpoint, its caller got 502. Change: both kinds of calls ask again right before each attempt; a request that never ran is refused as not run, one that may have run fails. Measured: both pass, test_gateway* pass. Conclusion: news of a crash ends waiting requests too.

--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -14,6 +14,9 @@
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.model import EndpointRecord
 
+CRASHES_ENDPOINTS = "the request crashed endpoints before"
+REFUSED_RETRY_S = 30.0
+"""Retry delay for a request that crashes endpoints, as it will do so again."""
 LOOK_DELAYS_S = (0.05, 0.45)
 """From a lost run to looks whether its endpoint's port is closed: a process that
 crashes closes all its connections first, and a connection may hang."""
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -4,7 +4,7 @@
 
 import h11
 
-from bamboovale.crashes.guard import CrashGuard
+from bamboovale.crashes.guard import CRASHES_ENDPOINTS, REFUSED_RETRY_S, CrashGuard
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.gateway.call import Call, CallCodec, CallFailed
 from bamboovale.gateway.endpoint_client import (
@@ -89,16 +89,27 @@
         self._retries.on_fresh(call.service)
         for _ in range(MAX_ATTEMPTS):
             engine, place = await self._search.find(call, work, progress)
-            if progress.arrivals and not self._take_retry(call, progress):
+            error = self._reason_not_to_send(call, progress)
+            if error is not None:
                 if place is not None:
                     self._engines.release(place)
-                raise progress.final_error("the retry budget is used up")
+                raise error
             if await self._try_engine(call, work, engine, place, progress):
                 return
         raise progress.final_error("no engine ran the request")
 
-    def _take_retry(self, call: Call, progress: Progress) -> bool:
-        return self._retries.take(call, cause_of(progress.failure))
+    def _reason_not_to_send(self, call: Call, progress: Progress) -> Exception | None:
+        """Return the error that ends the call instead of an attempt, None to send it.
+
+        Crashes may have become known while the request waited for its place.
+        """
+        if self._crashes.is_refused(call):
+            return progress.final_error(CRASHES_ENDPOINTS, REFUSED_RETRY_S)
+        if not progress.arrivals:
+            return None
+        if self._retries.take(call, cause_of(progress.failure)):
+            return None
+        return progress.final_error("the retry budget is used up")
 
     # One engine.
 
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from bamboovale.crashes.guard import CrashGuard
+from bamboovale.crashes.guard import CRASHES_ENDPOINTS, REFUSED_RETRY_S, CrashGuard
 from bamboovale.decisions.routing import ServiceRouter
 from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
 from bamboovale.gateway.endpoint_client import EndpointClient, MayHaveRun, NotRun
@@ -44,7 +44,7 @@
 
     ``failure`` is what the caller is told, which a later refusal does not change once
     something may have run; ``last_failure`` is that of the last attempt, None if it was
-    answered.
+    answered. ``is_refused`` is whether the call was found to crash endpoints.
     """
 
     excluded: set[str] = field(default_factory=set)
@@ -53,6 +53,7 @@
     answer: tuple[AnswerFacts, bytes] | None = None
     failure: Exception | None = None
     last_failure: Exception | None = None
+    is_refused: bool = False
 
     def on_not_run(self, error: NotRun) -> None:
         """Apply an attempt that did not run."""
@@ -107,7 +108,8 @@
         so_far = _Attempts()
         for number in range(MAX_ATTEMPTS):
             record = await self._next_endpoint(call, so_far)
-            if record is None or not self._may_send(call, so_far):
+            so_far.is_refused = self._crashes.is_refused(call)
+            if record is None or so_far.is_refused or not self._may_send(call, so_far):
                 break
             so_far.excluded.add(record.endpoint_id)
             self._gate.take(record.endpoint_id)
@@ -126,7 +128,7 @@
             if not is_safe or so_far.runs >= call.route.max_attempts:
                 break
         if so_far.answer is None:
-            self._give_up(call, so_far.failure)
+            self._give_up(call, so_far)
             return
         facts, body = so_far.answer
         call.notes["status"] = facts.status
@@ -215,9 +217,12 @@
         records = self._endpoints.ready(service)
         return frozenset(record.endpoint_id for record in records)
 
-    def _give_up(self, call: Call, failure: Exception | None) -> None:
+    def _give_up(self, call: Call, so_far: "_Attempts") -> None:
+        failure = so_far.failure
         if isinstance(failure, MayHaveRun):
             raise CallFailed(str(failure))
+        if so_far.is_refused:
+            raise CallRefused(CRASHES_ENDPOINTS, REFUSED_RETRY_S)
         wait_s = self._common_wait_s(call.service)
         if wait_s > 0.0:
             retry_s = wait_s if math.isfinite(wait_s) else NO_SHARE_RETRY_S
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from bamboovale.crashes.guard import CrashGuard
+from bamboovale.crashes.guard import CRASHES_ENDPOINTS, REFUSED_RETRY_S, CrashGuard
 from bamboovale.gateway.access import AccessControl, Admission
 from bamboovale.gateway.call import (
     Call,
@@ -23,8 +23,6 @@
 
 NOT_READY_RETRY_S = 1.0
 """Retry delay while this VM has no configuration or is draining."""
-SUSPECT_RETRY_S = 30.0
-"""Retry delay for a request that crashes endpoints, as it will do so again."""
 DEFAULT_TIMEOUT_S = 60.0
 """Timeout for callers that set no deadline; bounded by the route's timeout."""
 
@@ -155,7 +153,7 @@
         service = table.service_by_name.get(call.service)
         work = call.facts.work
         if self._crashes.is_refused(call):
-            raise CallRefused("the request crashed endpoints before", SUSPECT_RETRY_S)
+            raise CallRefused(CRASHES_ENDPOINTS, REFUSED_RETRY_S)
         if service is None or service.engines is None or work is None:
             await self._plain_calls.run(call)
             return
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -6,9 +6,19 @@
 
 import pytest
 
+from bamboovale.crashes.suspects import fingerprint
+from bamboovale.fleet.messages import CrashedEndpoint, SuspectRequest
 from bamboovale.standins.crash_triggers import CrashTrigger, Return
 from bamboovale.standins.platform_endpoints import PlatformEndpoint
-from tests.gateway_site import RunningVM, Site, call, eventually, run, running_site
+from tests.gateway_site import (
+    HOST,
+    RunningVM,
+    Site,
+    call,
+    eventually,
+    run,
+    running_site,
+)
 
 STABLE_S = 3.0
 """Time after the third crash from which few more requests may reach endpoints."""
@@ -47,6 +57,14 @@
     return statuses
 
 
+def tell_of_crashes(vm: RunningVM, request: str) -> None:
+    """Tell a VM, as another one would, that a request has crashed two endpoints."""
+    for name in ("gone-1", "gone-2"):
+        vm.vm.peering.gossip._apply_crash_news(
+            [SuspectRequest(request, name), CrashedEndpoint(name)]
+        )
+
+
 async def crash(site: Site, trigger: CrashTrigger, path: str, crashes: int) -> None:
     """Send the request by the first VM until it has crashed endpoints."""
     while len(trigger.crashed_at) < crashes:
@@ -160,6 +178,30 @@
 
         run(test())
 
+    @pytest.mark.parametrize("path", ["/check/1", "/chat/1"])
+    def test_requests_that_wait_are_refused_too(self, path: str) -> None:
+        """Guards against attempts of requests admitted before the crashes."""
+
+        async def test() -> None:
+            async with running_site(services=2, runners=1, load_s=0.5) as site:
+                trigger = CrashTrigger(body=BODY)
+                set_trigger([*site.services, *site.runners], trigger)
+                vm = site.vms[0]
+                adapter = "a1" if path == "/chat/1" else None
+                for service in site.services:
+                    service.faults.room = 0
+                waiting = asyncio.create_task(
+                    call(vm.address, path, body=BODY, adapter=adapter)
+                )
+                await asyncio.sleep(0.05)
+                tell_of_crashes(vm, fingerprint(HOST, path, BODY))
+                for service in site.services:
+                    service.faults.room = None
+                assert (await waiting).status == 503
+                assert trigger.crashed_at == []
+
+        run(test())
+
     def test_a_vm_that_starts_later_refuses_it(self) -> None:
         """Guards against evidence that only those have that saw the crashes."""
 
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -79,6 +79,10 @@
         """Check that no endpoint is passed over."""
         assert not endpoint_ids
 
+    def is_refused(self, call: Any) -> bool:
+        """Return that no call has crashed endpoints."""
+        return False
+
     @contextmanager
     def watch(self, call: Any, record: EndpointRecord) -> Iterator[None]:
         """Watch nothing, as no endpoint crashes."""
