A VM that sends for another one looks whether the endpoint crashed

What callers saw: at a VM that reaches no endpoint, requests sent by way of another went on crashing endpoints. Evidence: test_crashes_count_that_only_a_helper_sees fails without the look (more than two crashes) and passes with it. A VM that is cut from all endpoints draws nothing from closed ports. Conclusion: each way to send a request has a VM that sees its crash.

--- a/bamboovale/gateway/endpoint_access.py
+++ b/bamboovale/gateway/endpoint_access.py
@@ -1,6 +1,7 @@
 """What this VM sends callers' requests to endpoints with, for itself and for others."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bamboovale.decisions.relay_choice import RelayChoice
@@ -32,6 +33,7 @@
         links: PeerLinks,
         metrics: Metrics,
         rng: random.Random,
+        on_relayed_run_lost: Callable[[str], None],
     ) -> "EndpointAccess":
         """Return the access of a VM that is being built."""
         client = EndpointClient(
@@ -60,6 +62,7 @@
             cores=state.node.cores,
             may_help=state.takes_work,
             is_live=state.fleet.is_live,
+            on_run_lost=on_relayed_run_lost,
             on_relayed=lambda outcome: metrics.gateway_relayed.labels(outcome).inc(),
         )
         # Connections that hang are of no use, and would hold requests up.
--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -252,10 +252,11 @@
     async def is_port_closed(self, record: EndpointRecord) -> bool:
         """Return whether nothing listens at an endpoint, and no connection is open.
 
-        A full endpoint refuses new connections, and keeps those that are open.
+        A full endpoint refuses new connections, and keeps those that are open. False
+        also if this VM reaches no endpoint at all.
         """
         endpoint_id = record.endpoint_id
-        if self._pool.has_open(endpoint_id):
+        if self._pool.has_open(endpoint_id) or self._path_watch.check():
             return False
         try:
             connection = await self._pool.open(endpoint_id, record.address)
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -191,6 +191,7 @@
             self.links,
             self._metrics,
             self._rng,
+            on_relayed_run_lost=self._crashes.look,
         )
         self._streams = CallStreams.from_parts(
             self.state,
--- a/bamboovale/relay/server.py
+++ b/bamboovale/relay/server.py
@@ -60,6 +60,7 @@
         cores: float,
         may_help: Callable[[], bool],
         is_live: Callable[[str], bool],
+        on_run_lost: Callable[[str], None],
         on_relayed: Callable[[str], None] = lambda outcome: None,
     ) -> None:
         self._client = client
@@ -71,6 +72,7 @@
         self._most = max(1, int(MAX_RELAYS_PER_CORE * cores))
         self._may_help = may_help
         self._is_live = is_live
+        self._on_run_lost = on_run_lost
         self._on_relayed = on_relayed
         self._relay_by_key: dict[tuple[str, str], _Relay] = {}
 
@@ -159,8 +161,11 @@
             outcome = "timed_out"
         except NotRun as error:
             outcome, reason = "not_sent", str(error)
-        except (MayHaveRun, IncompleteResponse, SenderGone) as error:
+        except SenderGone as error:
             outcome, reason = "broke_off", str(error)
+        except (MayHaveRun, IncompleteResponse) as error:
+            outcome, reason = "broke_off", str(error)
+            self._on_run_lost(request.endpoint_id)
         except asyncio.CancelledError:
             outcome = "cancelled"
             raise
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -19,6 +19,7 @@
     run,
     running_site,
 )
+from tests.path_cuts import HANG, cut_from_endpoints
 
 STABLE_S = 3.0
 """Time after the third crash from which few more requests may reach endpoints."""
@@ -202,6 +203,24 @@
 
         run(test())
 
+    def test_crashes_count_that_only_a_helper_sees(self) -> None:
+        """Guards against a VM that sends by way of another and sees no crash."""
+
+        async def test() -> None:
+            async with running_site(vms=2, services=6, runners=0) as site:
+                trigger = CrashTrigger(body=BODY, returns=Return.NEVER, expires_s=None)
+                set_trigger(site.services, trigger)
+                cut = site.vms[0]
+                with cut_from_endpoints(site, [cut], HANG):
+                    for _ in range(5):
+                        await call(cut.address, "/check/1", deadline_ms=1000)
+                    for _ in range(6):
+                        await call(cut.address, "/book/1", body=BODY)
+                        await asyncio.sleep(0.5)
+                assert len(trigger.crashed_at) == 2
+
+        run(test())
+
     def test_a_vm_that_starts_later_refuses_it(self) -> None:
         """Guards against evidence that only those have that saw the crashes."""
 
