Log the shared parts of a lost run, and whether its answer had begun

Cause: no line named the parts of a prompt, so that what runs lost with different engines have in common could not be read from a log. Change: run_broke_off names the parts but the last, and whether the answer had begun (in place of the number of events).

--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -183,7 +183,8 @@
                 fingerprint=call.fingerprint,
                 endpoint=endpoint_id,
                 reason=str(error),
-                events=call.notes.get("events", 0),
+                began="first_s" in call.notes,
+                parts=[part_id for part_id, _ in call.shared_parts],
             )
             self.look(endpoint_id)
         self._note(counted, CrashSign.PORT_CLOSED)
--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -101,6 +101,12 @@
         """Return a digest that is equal for all attempts at the same request."""
         return fingerprint(self.facts.host, self.request.target, self.request.body)
 
+    @property
+    def shared_parts(self) -> tuple[tuple[str, int], ...]:
+        """Return the parts of the prompt that other requests may share."""
+        work = self.facts.work
+        return () if work is None else work.prompt_parts[:-1]
+
     @property
     def priority(self) -> int:
         """Return the customer's priority, else the route's; 0 is the most urgent."""
