--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -116,6 +116,7 @@
         self.refused = 0
         self.trigger: CrashTrigger | None = None
         self._changes: set[asyncio.Task[None]] = set()
+        self._is_down = False
         self._under_way = 0
         self.born_ms: int | None = None
         self._store = store
@@ -159,6 +160,9 @@
 
     def _crash_by(self, trigger: CrashTrigger) -> None:
         """Crash under a request, and come back."""
+        if self._is_down:
+            return
+        self._is_down = True
         trigger.crashed_at.append(time.monotonic())
         self.crash()
         task = asyncio.get_running_loop().create_task(self._come_back(trigger))
@@ -185,6 +189,7 @@
             self.endpoint_id = f"{bare_id}.{next(_start_numbers)}"
         self._server = Server(self.handle)
         await self._server.listen(*self.address)
+        self._is_down = False
         await self.register("ready")
 
     def forget_contents(self) -> None:
--- /dev/null
+++ b/tests/test_crashing_parts.py
@@ -0,0 +1,141 @@
+"""Parts of prompts that crash the engines that begin to write an answer on them."""
+
+import asyncio
+import itertools
+import random
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import pytest
+
+from bamboovale.standins.crash_triggers import CrashTrigger, Return
+from tests.gateway_site import (
+    CallerAnswer,
+    RunningVM,
+    Site,
+    call,
+    run,
+    running_site,
+)
+
+STABLE_S = 3.0
+"""Time after the fifth crash from which few more requests may reach engines."""
+CRASHES = 5
+ALLOWED_LATE = 3
+LEAST_PART = 0.5
+"""Least part of sound requests that begin at the first attempt, of those before."""
+ROUTE_PART = "aa01"
+"""The first part of all prompts of the route."""
+CUSTOMER_PART = "bb02"
+CRASHING_PART = "cc03"
+PER_S = 30.0
+CRASHING_SHARE = 0.2
+EVENT_S = 0.04
+BEFORE_S = 2.0
+
+_numbers = itertools.count(1)
+
+
+@dataclass
+class Answers:
+    """The answers to sound and to crashing requests, with the times they were sent."""
+
+    sound: list[tuple[float, CallerAnswer]] = field(default_factory=list)
+    crashing: list[tuple[float, CallerAnswer]] = field(default_factory=list)
+
+    def begun(self, since: float, until: float) -> float:
+        """Return the share of sound requests that brought an event."""
+        found = [a for at, a in self.sound if since <= at < until]
+        assert len(found) >= 20
+        return sum(a.status == 200 and bool(a.body) for a in found) / len(found)
+
+
+async def send(vm: RunningVM, answers: Answers, *, crashing: bool) -> None:
+    """Send one request; those with the crashing part share all others with the rest."""
+    number = next(_numbers)
+    parts = [ROUTE_PART, CUSTOMER_PART, f"{number:04x}"]
+    if crashing:
+        parts.insert(2, CRASHING_PART)
+    prefix = ",".join(f"{part}:100" for part in parts)
+    sent_at = time.monotonic()
+    answer = await call(
+        vm.address,
+        "/chat/1",
+        adapter="a1",
+        body=f"body {number}".encode(),
+        headers={"X-Prompt-Prefix": prefix},
+    )
+    kept = answers.crashing if crashing else answers.sound
+    kept.append((sent_at, answer))
+
+
+async def load(
+    vms: Sequence[RunningVM],
+    answers: Answers,
+    seconds: float,
+    crashing_share: float,
+    rng: random.Random,
+) -> None:
+    """Send requests to VMs at random for a while, and wait for the answers."""
+    tasks = []
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        crashing = rng.random() < crashing_share
+        tasks.append(
+            asyncio.create_task(send(rng.choice(vms), answers, crashing=crashing))
+        )
+        await asyncio.sleep(rng.expovariate(PER_S))
+    await asyncio.gather(*tasks)
+
+
+async def play(site: Site, trigger: CrashTrigger) -> Answers:
+    """Send sound requests, then such with the crashing part among them."""
+    for runner in site.runners:
+        runner.faults.event_s = EVENT_S
+        runner.trigger = trigger
+    answers, rng = Answers(), random.Random(5)
+    await load(site.vms, answers, BEFORE_S, 0.0, rng)
+    while len(trigger.crashed_at) < CRASHES and not is_refused(answers):
+        await load(site.vms, answers, 0.5, CRASHING_SHARE, rng)
+    await load(site.vms, answers, 2 * STABLE_S, CRASHING_SHARE, rng)
+    return answers
+
+
+def is_refused(answers: Answers) -> bool:
+    """Return whether the last requests with the crashing part were refused."""
+    last = [answer.status for _, answer in answers.crashing[-6:]]
+    return len(last) == 6 and set(last) == {503}
+
+
+class TestCrashingPart:
+    """Requests with the part come at any VM, no two alike."""
+
+    @pytest.mark.parametrize("returns", [Return.NEW_ID, Return.SAME_ID])
+    def test_it_is_refused_and_sound_requests_are_served(self, returns: Return) -> None:
+        """Guards against engines that crash one after the other under one part."""
+
+        async def test() -> None:
+            async with running_site(vms=3, services=0, runners=6) as site:
+                trigger = CrashTrigger(part=CRASHING_PART, returns=returns)
+                started_at = time.monotonic()
+                answers = await play(site, trigger)
+                assert len(trigger.crashed_at) >= 3
+                assert trigger.late_arrivals(CRASHES, STABLE_S) <= ALLOWED_LATE
+                ended_at = time.monotonic()
+                before = answers.begun(started_at, started_at + BEFORE_S)
+                after = answers.begun(ended_at - STABLE_S, ended_at)
+                assert after >= LEAST_PART * before
+
+        run(test())
+
+    def test_its_crashes_count_while_no_record_expires(self) -> None:
+        """Guards against a store outage that hides which engines crashed."""
+
+        async def test() -> None:
+            async with running_site(vms=3, services=0, runners=6) as site:
+                trigger = CrashTrigger(part=CRASHING_PART, expires_s=None)
+                await play(site, trigger)
+                assert trigger.late_arrivals(CRASHES, STABLE_S) <= ALLOWED_LATE
+
+        run(test())
