Refuse a part of prompts that crashes engines, not what runs beside it

What callers saw: requests with one part in their prompts crashed engine after engine, some one a second, and took with them all that ran there. Cause: only whole requests were counted, and no two of these are alike. Change: the parts of a prompt but the last are counted like whole requests. A run whose answer had begun counts against nothing; an answer begun at any VM clears its parts at all, and one of the last minute lets a part need five crashes in place of three. Of several parts that the same crashes speak against, the one that explains most is convicted, and its crashes no longer count against the others (greedy set cover); where they are alike, one more crash is needed. Conclusion: the part is refused after three crashes, and sound requests with the same first part, customer's part and adapter are served as before.

--- a/bamboovale/crashes/evidence.py
+++ b/bamboovale/crashes/evidence.py
@@ -1,183 +1,256 @@
-"""Evidence of which requests crash the endpoints that run them.
+"""Evidence of which requests, and parts of prompts, crash the endpoints that run them.
 
 Guards against a request that crashes each endpoint it runs on and that its caller
-retries.
+retries, and against a part that does so in requests of which no two are alike.
 
 A run that was lost is weak evidence: links break and endpoints restart for other
 reasons, and all other runs there were lost too. A run counts only if its endpoint has
-crashed, and a request is refused only after it crashed two different endpoints.
+crashed and its answer had not begun, and not against what begins answers elsewhere.
+``verdicts`` decides which subjects explain the crashes.
 
 The refusal ends after a while, as the endpoints may have been mended. Then one VM lets
 one request through as a trial; the next crash doubles the refusal, and after a few
 there is no other trial.
 """
 
-import math
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
 
+from bamboovale.crashes.begun import RECENT_S, BegunAnswers
 from bamboovale.crashes.lost_runs import MAX_DELAY_S, LostRuns
+from bamboovale.crashes.subjects import rule_of
+from bamboovale.crashes.suspicion import Suspicion
+from bamboovale.crashes.verdicts import MIN_CRASHES, convicted
 
-CRASHES_TO_REFUSE = 2
-"""Different endpoints; one crash alone may hit a request that only ran beside. With a
-higher count a request that crashes endpoints costs one more each time."""
-CRASHES_FOR_GOOD = 6
-"""From so many on there are no more trials: a fleet's trials for a day."""
-RETENTION_S = 300.0
-"""For how long a crash counts; and the first refusal, doubled with each crash more."""
-TRIAL_S = 10.0
-"""Least time between two trials: what the first one showed is known everywhere."""
 MAX_TRACKED = 10_000
+MAX_DUMPED = 50
 
 
 @dataclass(frozen=True)
 class Counted:
-    """A crash that counts against a request, its number, and the lost run's age.
-
-    ``is_refused`` is whether the request is refused from now on.
-    """
+    """A crash that counts against a subject, its number, and the lost run's age."""
 
     subject: str
     endpoint_id: str
     crashes: int
     lost_s_ago: float
-    is_refused: bool
 
 
-@dataclass
-class _Suspicion:
-    """Crashes under one subject; ``recorded`` are those that a record tells of.
+@dataclass(frozen=True)
+class Sound:
+    """A subject that began an answer ``age_s`` ago and was lost with an endpoint."""
+
+    subject: str
+    endpoint_id: str
+    age_s: float
 
-    ``trial_of`` is the request that was let through last, at ``trial_at``.
-    """
 
-    crashed: set[str] = field(default_factory=set)
-    recorded: int = 0
-    last_at: float = 0.0
-    trial_of: str = ""
-    trial_at: float = -math.inf
+@dataclass(frozen=True)
+class Convicted:
+    """A subject that is refused from now on, or for longer."""
 
-    @property
-    def crashes(self) -> int:
-        """Return the number of crashes; those of the record may be other ones."""
-        return max(len(self.crashed), self.recorded)
+    subject: str
+    crashes: int
 
-    @property
-    def convicted(self) -> bool:
-        """Return whether there were enough crashes to refuse the subject."""
-        return self.crashes >= CRASHES_TO_REFUSE
 
-    def is_refused(self, now: float) -> bool:
-        """Return whether the subject is refused, but for a trial."""
-        if not self.convicted:
-            return False
-        if self.crashes >= CRASHES_FOR_GOOD:
-            return True
-        refusal_s = RETENTION_S * 2.0 ** (self.crashes - CRASHES_TO_REFUSE)
-        return now - self.last_at < refusal_s
+@dataclass(frozen=True)
+class Cleared:
+    """A subject that is no longer suspected, or refused."""
 
-    def is_over(self, now: float) -> bool:
-        """Return whether too few crashes are too long ago to count."""
-        return not self.convicted and now - self.last_at >= RETENTION_S
+    subject: str
+    was_refused: bool
+
+
+Finding = Counted | Sound | Convicted | Cleared
 
 
 class CrashEvidence:
-    """Lost runs and crashed endpoints; a ``subject`` is a request's fingerprint."""
+    """Lost runs, crashed endpoints and answers begun, as one VM knows them."""
 
     def __init__(self) -> None:
-        self._suspicion_by_subject: OrderedDict[str, _Suspicion] = OrderedDict()
+        # Those with several crashes stand in ``_repeated`` too, as only they can be
+        # convicted, and most suspects have one.
+        self._suspicion_by_subject: OrderedDict[str, Suspicion] = OrderedDict()
         self._crashed_at: OrderedDict[str, float] = OrderedDict()
+        self._repeated: dict[str, Suspicion] = {}
         self._lost = LostRuns()
+        self._begun = BegunAnswers()
 
     def __len__(self) -> int:
         """Return the number of suspects, refused ones included."""
         return len(self._suspicion_by_subject)
 
-    def on_run_lost(self, subject: str, endpoint_id: str, now: float) -> list[Counted]:
-        """Record that a run was lost; return the crash if it counts already."""
+    # Events.
+
+    def on_run_lost(
+        self, subject: str, endpoint_id: str, now: float, *, by_peer: bool = False
+    ) -> list[Finding]:
+        """Record a run that was lost before its answer began, here or ``by_peer``."""
         crashed_at = self._crashed_at.get(endpoint_id)
-        if crashed_at is not None and now - crashed_at < MAX_DELAY_S:
-            return self._count(subject, endpoint_id, 0.0, now)
-        self._lost.add(subject, endpoint_id, now)
-        return []
+        if crashed_at is None or now - crashed_at >= MAX_DELAY_S:
+            self._lost.add(subject, endpoint_id, now, by_peer=by_peer)
+            return []
+        found = self._count(subject, endpoint_id, 0.0, now, by_peer=by_peer)
+        return found + self._judge(now)
 
-    def on_crashed(self, endpoint_id: str, now: float) -> list[Counted]:
-        """Record that an endpoint crashed; return what now counts against whom."""
+    def on_crashed(self, endpoint_id: str, now: float) -> list[Finding]:
+        """Record that an endpoint crashed."""
         self._crashed_at.setdefault(endpoint_id, now)
         while len(self._crashed_at) > MAX_TRACKED:
             self._crashed_at.popitem(last=False)
         self._lost.sweep(now)
-        return [
-            counted
-            for run in self._lost.take(endpoint_id, now)
-            for counted in self._count(run.subject, endpoint_id, now - run.lost_at, now)
-        ]
+        found: list[Finding] = []
+        for run in self._lost.take(endpoint_id, now):
+            age_s = now - run.lost_at
+            found += self._count(
+                run.subject, endpoint_id, age_s, now, by_peer=run.by_peer
+            )
+        return found + self._judge(now) if found else []
+
+    def on_begun(self, subjects: Iterable[str], now: float) -> list[Finding]:
+        """Record that an answer was begun for a request of these subjects."""
+        found: list[Finding] = []
+        for subject in subjects:
+            self._begun.note(subject, now)
+            found += self._clear(subject)
+        return found + self._judge(now) if found else []
+
+    def on_sound(self, subject: str, age_s: float, now: float) -> list[Finding]:
+        """Record that an answer was begun at another VM, some time ago."""
+        self._begun.note(subject, now - age_s)
+        found = self._clear(subject) if age_s < RECENT_S else []
+        return found + self._judge(now)
+
+    def on_record(self, subject: str, crashes: int, now: float) -> bool:
+        """Apply what another process recorded; return whether it is new."""
+        known = self._suspicion_by_subject.get(subject)
+        if crashes <= (known.crashes if known else 0):
+            return False
+        suspicion = self._suspicion_of(subject, now)
+        suspicion.recorded = crashes - len(suspicion.crashed)
+        suspicion.last_at = now
+        suspicion.is_convicted = True
+        return True
+
+    # Questions.
 
     def knows_crash(self, endpoint_id: str) -> bool:
         """Return whether an endpoint is known to have crashed."""
         return endpoint_id in self._crashed_at
 
-    def on_answered(self, subject: str) -> bool:
-        """Clear a request that completed; return whether it was suspected."""
-        return self._suspicion_by_subject.pop(subject, None) is not None
-
     def is_refused(self, subject: str, now: float) -> bool:
-        """Return whether the request has crashed too many endpoints."""
+        """Return whether a subject has crashed too many endpoints."""
         suspicion = self._suspicion_by_subject.get(subject)
         return suspicion is not None and suspicion.is_refused(now)
 
     def needs_trial(self, subject: str, now: float) -> bool:
         """Return whether a subject was refused, and may be tried again."""
         suspicion = self._suspicion_by_subject.get(subject)
-        if suspicion is None or not suspicion.convicted:
+        if suspicion is None or not suspicion.is_convicted:
             return False
         return not suspicion.is_refused(now)
 
     def take_trial(self, subject: str, request_id: str, now: float) -> bool:
         """Return whether a request is the one trial of its subject."""
-        suspicion = self._suspicion_by_subject[subject]
-        if suspicion.trial_of == request_id:
-            return True
-        if now - suspicion.trial_at < TRIAL_S:
-            return False
-        suspicion.trial_of, suspicion.trial_at = request_id, now
-        return True
+        return self._suspicion_by_subject[subject].take_trial(request_id, now)
 
-    def on_record(self, subject: str, crashes: int, now: float) -> bool:
-        """Apply what another process recorded; return whether it is new."""
-        suspicion = self._suspicion_by_subject.setdefault(subject, _Suspicion())
-        if crashes <= suspicion.crashes:
-            return False
-        suspicion.recorded, suspicion.last_at = crashes, now
-        return True
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the subjects with the most crashes, and their evidence."""
+        by_crashes = sorted(
+            self._suspicion_by_subject.items(), key=lambda item: -item[1].crashes
+        )
+        return {
+            subject: {
+                "crashed": sorted(suspicion.crashed),
+                "recorded": suspicion.recorded,
+                "last_s_ago": round(now - suspicion.last_at, 1),
+                "convicted": suspicion.is_convicted,
+                "refused": suspicion.is_refused(now),
+                "begun_s_ago": self._begun.age_s(subject, now),
+            }
+            for subject, suspicion in by_crashes[:MAX_DUMPED]
+        }
+
+    # Counting.
 
     def _count(
-        self, subject: str, endpoint_id: str, lost_s_ago: float, now: float
-    ) -> list[Counted]:
-        suspicion = self._suspicion_by_subject.get(subject)
-        if suspicion is None or suspicion.is_over(now):
-            suspicion = self._suspicion_by_subject[subject] = _Suspicion()
-            self._keep_bounded()
+        self,
+        subject: str,
+        endpoint_id: str,
+        lost_s_ago: float,
+        now: float,
+        *,
+        by_peer: bool,
+    ) -> list[Finding]:
+        begun_s_ago = self._begun.age_s(subject, now)
+        sound: list[Finding] = []
+        if begun_s_ago is not None and by_peer:
+            sound = [Sound(subject, endpoint_id, begun_s_ago)]
+        if self._begun.is_recent(subject, now):
+            return sound
+        suspicion = self._suspicion_of(subject, now)
         if endpoint_id in suspicion.crashed:
             return []
         suspicion.last_at = now
         suspicion.crashed.add(endpoint_id)
-        return [
-            Counted(
-                subject,
-                endpoint_id,
-                suspicion.crashes,
-                lost_s_ago,
-                is_refused=suspicion.convicted,
-            )
-        ]
+        if len(suspicion.crashed) >= MIN_CRASHES:
+            self._repeated[subject] = suspicion
+        counted = Counted(subject, endpoint_id, suspicion.crashes, lost_s_ago)
+        if suspicion.is_convicted:
+            return [counted, Convicted(subject, suspicion.crashes)]
+        return [counted, *sound]
+
+    def _clear(self, subject: str) -> list[Finding]:
+        suspicion = self._suspicion_by_subject.pop(subject, None)
+        self._repeated.pop(subject, None)
+        if suspicion is None:
+            return []
+        found: list[Finding] = [Cleared(subject, suspicion.is_convicted)]
+        if suspicion.crashed:
+            found.append(Sound(subject, max(suspicion.crashed), 0.0))
+        return found
+
+    def _judge(self, now: float) -> list[Finding]:
+        """Convict and acquit by what is known now."""
+        for subject, suspicion in list(self._repeated.items()):
+            if suspicion.is_over(now):
+                del self._repeated[subject]
+        known = frozenset(
+            subject
+            for subject in self._repeated
+            if self._begun.age_s(subject, now) is not None
+        )
+        guilty = convicted(self._repeated, known)
+        found: list[Finding] = []
+        for subject, suspicion in self._repeated.items():
+            if suspicion.recorded:
+                continue
+            if subject in guilty and not suspicion.is_convicted:
+                found.append(Convicted(subject, suspicion.crashes))
+            elif suspicion.is_convicted and subject not in guilty:
+                found.append(Cleared(subject, was_refused=True))
+            suspicion.is_convicted = subject in guilty
+        return found
+
+    def _suspicion_of(self, subject: str, now: float) -> Suspicion:
+        suspicion = self._suspicion_by_subject.get(subject)
+        if suspicion is None or suspicion.is_over(now):
+            suspicion = Suspicion(rule_of(subject), last_at=now)
+            self._repeated.pop(subject, None)
+            self._suspicion_by_subject[subject] = suspicion
+            self._keep_bounded()
+        return suspicion
 
     def _keep_bounded(self) -> None:
         """Drop the oldest subject, one that is not refused if there is any."""
         if len(self._suspicion_by_subject) <= MAX_TRACKED:
             return
+        by_subject = self._suspicion_by_subject
         oldest = next(
-            (s for s, item in self._suspicion_by_subject.items() if not item.convicted),
-            next(iter(self._suspicion_by_subject)),
+            (subject for subject, item in by_subject.items() if not item.is_convicted),
+            next(iter(by_subject)),
         )
-        del self._suspicion_by_subject[oldest]
+        del by_subject[oldest]
+        self._repeated.pop(oldest, None)
--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -1,20 +1,35 @@
-"""Detection of requests that crash endpoints, on the routed interface."""
+"""Requests, and parts of prompts, that crash endpoints, on the routed interface."""
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from enum import StrEnum
+from typing import Any
 
-from bamboovale.crashes.evidence import Counted, CrashEvidence
+from bamboovale.crashes.attempt_watch import AttemptWatch
+from bamboovale.crashes.begun import RECENT_S
+from bamboovale.crashes.evidence import (
+    Cleared,
+    Convicted,
+    Counted,
+    CrashEvidence,
+    Finding,
+    Sound,
+)
 from bamboovale.crashes.records import Refused
-from bamboovale.fleet.messages import CrashedEndpoint, CrashNews, SuspectRequest
+from bamboovale.fleet.messages import (
+    CrashedEndpoint,
+    CrashNews,
+    SoundRequest,
+    SuspectRequest,
+)
 from bamboovale.gateway.call import Call
 from bamboovale.gateway.endpoint_client import NotRun
 from bamboovale.gateway.endpoints import EndpointChange, EndpointView
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.model import EndpointRecord
 
-CRASHES_ENDPOINTS = "the request crashed endpoints before"
+CRASHES_ENDPOINTS = "the request, or a part of its prompt, crashed endpoints before"
 REFUSED_RETRY_S = 30.0
 """Retry delay for a request that crashes endpoints, as it will do so again."""
 LOOK_DELAYS_S = (0.05, 0.45)
@@ -33,11 +48,12 @@
 
 
 class CrashGuard:
-    """Counts the endpoints at which a request's run was lost; tells the other VMs.
+    """Gathers what speaks for and against requests; refuses those that crash endpoints.
 
     ``is_port_closed`` looks whether an endpoint still listens; ``broadcast`` tells the
     other VMs; ``is_designated`` returns whether this VM is the one that decides on a
-    subject for all, ``record`` writes that it is refused to the store.
+    subject for all, ``record`` writes that it is refused to the store. ``count_event``
+    counts by name.
     """
 
     def __init__(
@@ -49,6 +65,7 @@
         broadcast: Callable[[CrashNews], None],
         is_designated: Callable[[str], bool],
         record: Callable[[Refused], None],
+        count_event: Callable[[str], None],
     ) -> None:
         self._journal = journal
         self._endpoints = endpoints
@@ -57,41 +74,58 @@
         self._broadcast = broadcast
         self._is_designated = is_designated
         self._record = record
+        self._count_event = count_event
         self._evidence = CrashEvidence()
         self._look_by_endpoint: dict[str, asyncio.Task[None]] = {}
 
     def is_refused(self, call: Call) -> bool:
-        """Return whether a call has crashed too many endpoints, and is no trial."""
-        subject, now = call.fingerprint, self._now()
-        if self._evidence.is_refused(subject, now):
-            return True
-        if not self._evidence.needs_trial(subject, now):
-            return False
-        if not self._is_designated(subject):
-            return True
-        return not self._evidence.take_trial(subject, call.facts.request_id, now)
+        """Return whether a call would crash endpoints, and is no trial."""
+        return any(self._is_refused(call, subject) for subject in call.subjects)
 
-    def on_record(self, refused: Refused) -> None:
-        """Apply what the store tells of a request that is refused."""
-        if self._evidence.on_record(refused.subject, refused.crashes, self._now()):
-            self._journal.write(
-                "request_refused_by_record",
-                fingerprint=refused.subject,
-                crashes=refused.crashes,
-            )
+    def _is_refused(self, call: Call, subject: str) -> bool:
+        now = self._now()
+        if not self._evidence.is_refused(subject, now):
+            if not self._evidence.needs_trial(subject, now):
+                return False
+            request_id = call.facts.request_id
+            if self._is_designated(subject) and self._evidence.take_trial(
+                subject, request_id, now
+            ):
+                self._journal.write("crash_trial", id=request_id, subject=subject)
+                self._count_event("trial")
+                return False
+        call.notes["crashing"] = subject
+        self._count_event("refused")
+        return True
 
-    # Signs of crashes.
+    def dump(self) -> dict[str, Any]:
+        """Return what is suspected or refused, with the evidence."""
+        return self._evidence.dump(self._now())
+
+    # News of others.
 
     def on_news(self, news: CrashNews) -> None:
         """Apply what another VM has seen."""
+        now = self._now()
         if isinstance(news, CrashedEndpoint):
             self._on_crashed(news.endpoint_id, CrashSign.PEER)
-            return
-        now = self._now()
-        self._note(
-            self._evidence.on_run_lost(news.fingerprint, news.endpoint_id, now),
-            CrashSign.PEER,
-        )
+        elif isinstance(news, SuspectRequest):
+            subject, endpoint_id = news.fingerprint, news.endpoint_id
+            self._apply(
+                self._evidence.on_run_lost(subject, endpoint_id, now, by_peer=True)
+            )
+        else:
+            age_s = 0.0 if news.recent else RECENT_S
+            self._apply(self._evidence.on_sound(news.fingerprint, age_s, now))
+
+    def on_record(self, refused: Refused) -> None:
+        """Apply what the store tells of a subject that is refused."""
+        if self._evidence.on_record(refused.subject, refused.crashes, self._now()):
+            self._journal.write(
+                "refused_by_record", subject=refused.subject, crashes=refused.crashes
+            )
+
+    # Signs of crashes.
 
     def on_endpoint(self, change: EndpointChange) -> None:
         """Apply a change of an endpoint's record.
@@ -127,68 +161,99 @@
 
     def _on_crashed(self, endpoint_id: str, sign: CrashSign) -> None:
         is_new = not self._evidence.knows_crash(endpoint_id)
-        counted = self._evidence.on_crashed(endpoint_id, self._now())
+        found = self._evidence.on_crashed(endpoint_id, self._now())
         if is_new:
-            self._journal.write(
-                "endpoint_crashed",
-                endpoint=endpoint_id,
-                sign=sign,
-                lost_runs=len(counted),
-            )
+            self._journal.write("endpoint_crashed", endpoint=endpoint_id, sign=sign)
+            self._count_event("crash")
             self._broadcast(CrashedEndpoint(endpoint_id))
-        self._note(counted, sign)
-
-    def _note(self, counted: list[Counted], sign: CrashSign) -> None:
-        for item in counted:
-            self._broadcast(SuspectRequest(item.subject, item.endpoint_id))
-            self._journal.write(
-                "crash_counted",
-                fingerprint=item.subject,
-                endpoint=item.endpoint_id,
-                crashes=item.crashes,
-                lost_s_ago=round(item.lost_s_ago, 3),
-                sign=sign,
-                refused=item.is_refused,
-            )
-            if item.is_refused and self._is_designated(item.subject):
-                self._record(Refused(item.subject, item.crashes))
+        self._apply(found)
 
     # Runs.
 
     @contextmanager
-    def watch(self, call: Call, record: EndpointRecord) -> Iterator[None]:
+    def watch(self, call: Call, record: EndpointRecord) -> Iterator[AttemptWatch]:
         """Watch one attempt at an endpoint: its run is lost unless it is answered.
 
         Also where the caller leaves or the deadline passes meanwhile: an endpoint may
         crash without closing its connections.
         """
+        watch = AttemptWatch(self._now, lambda: self._on_begun(call))
         try:
-            yield
+            yield watch
         except NotRun:
             raise
         except BaseException as error:
-            self._on_lost(call, record.endpoint_id, error)
+            self._on_lost(call, record.endpoint_id, error, began=watch.has_begun)
             raise
         else:
-            self._on_answered(call)
+            watch.on_whole()
 
-    def _on_lost(self, call: Call, endpoint_id: str, error: BaseException) -> None:
-        is_cut = not isinstance(error, asyncio.CancelledError)
-        now = self._now()
-        counted = self._evidence.on_run_lost(call.fingerprint, endpoint_id, now)
-        if is_cut:
+    def _on_begun(self, call: Call) -> None:
+        self._apply(self._evidence.on_begun(call.subjects, self._now()))
+
+    def _on_lost(
+        self, call: Call, endpoint_id: str, error: BaseException, *, began: bool
+    ) -> None:
+        if not isinstance(error, asyncio.CancelledError):
             self._journal.write(
                 "run_broke_off",
                 id=call.facts.request_id,
                 fingerprint=call.fingerprint,
                 endpoint=endpoint_id,
                 reason=str(error),
-                began="first_s" in call.notes,
+                began=began,
                 parts=[part_id for part_id, _ in call.shared_parts],
             )
             self.look(endpoint_id)
-        self._note(counted, CrashSign.PORT_CLOSED)
+        if began:
+            return
+        now = self._now()
+        for subject in call.subjects:
+            self._apply(self._evidence.on_run_lost(subject, endpoint_id, now))
+
+    # What follows from the evidence.
+
+    def _apply(self, found: list[Finding]) -> None:
+        for finding in found:
+            match finding:
+                case Counted():
+                    self._on_counted(finding)
+                case Sound():
+                    recent = finding.age_s < RECENT_S
+                    self._broadcast(
+                        SoundRequest(finding.subject, finding.endpoint_id, recent)
+                    )
+                case Convicted():
+                    self._on_convicted(finding)
+                case Cleared():
+                    self._on_cleared(finding)
+
+    def _on_counted(self, counted: Counted) -> None:
+        self._broadcast(SuspectRequest(counted.subject, counted.endpoint_id))
+        self._count_event("suspected")
+        self._journal.write(
+            "crash_counted",
+            subject=counted.subject,
+            endpoint=counted.endpoint_id,
+            crashes=counted.crashes,
+            lost_s_ago=round(counted.lost_s_ago, 3),
+        )
+
+    def _on_convicted(self, convicted: Convicted) -> None:
+        self._count_event("convicted")
+        self._journal.write(
+            "crashes_endpoints", subject=convicted.subject, crashes=convicted.crashes
+        )
+        self._record_refused(Refused(convicted.subject, convicted.crashes))
+
+    def _on_cleared(self, cleared: Cleared) -> None:
+        self._count_event("cleared")
+        self._journal.write(
+            "suspect_cleared", subject=cleared.subject, refused=cleared.was_refused
+        )
+        if cleared.was_refused:
+            self._record_refused(Refused(cleared.subject, 0))
 
-    def _on_answered(self, call: Call) -> None:
-        if self._evidence.on_answered(call.fingerprint):
-            self._journal.write("suspect_cleared", fingerprint=call.fingerprint)
+    def _record_refused(self, refused: Refused) -> None:
+        if self._is_designated(refused.subject):
+            self._record(refused)
--- a/bamboovale/crashes/records.py
+++ b/bamboovale/crashes/records.py
@@ -1,4 +1,4 @@
-"""Records in the metadata store of requests that are refused as they crash endpoints.
+"""Records in the metadata store of what is refused as it crashes endpoints.
 
 Guards against evidence that ends with the processes that have it: after a restart of
 all VMs such a request would crash as many endpoints again. One VM writes a record when
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True)
 class Refused:
-    """A request that is refused, with the endpoints that it has crashed."""
+    """A subject that is refused for a number of crashes, none: it is not any more."""
 
     subject: str
     crashes: int
@@ -72,5 +72,5 @@
             await self._store.put(self._topic, key, value.encode())
         except StoreError as error:
             self._journal.write(
-                "refusal_record_lost", fingerprint=refused.subject, error=str(error)
+                "refusal_record_lost", subject=refused.subject, error=str(error)
             )
--- a/bamboovale/crashes/suspects.py
+++ b/bamboovale/crashes/suspects.py
@@ -10,7 +10,6 @@
 first crash becomes known.
 """
 
-import hashlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -27,15 +26,6 @@
 of crashes."""
 
 
-def fingerprint(customer: str, lora_name: str, body: bytes) -> str:
-    """Return a digest that is equal for retries of the same request."""
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (customer.encode(), lora_name.encode(), body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
-
-
 @dataclass(frozen=True)
 class CrashNotice:
     """A request that ran when its endpoint crashed, as sent to peers."""
--- /dev/null
+++ b/bamboovale/crashes/suspicion.py
@@ -0,0 +1,55 @@
+"""The crashes under one subject, and for how long it is refused."""
+
+import math
+from dataclasses import dataclass, field
+
+from bamboovale.crashes.subjects import CrashRule
+
+RETENTION_S = 300.0
+"""For how long a crash counts; and the first refusal, doubled with each crash more."""
+TRIAL_S = 10.0
+"""Least time between two trials: what the first one showed is known everywhere."""
+
+
+@dataclass
+class Suspicion:
+    """Crashes under one subject; ``recorded`` are others that a record tells of.
+
+    ``is_convicted`` is whether its crashes are enough to refuse it. ``trial_of`` is the
+    request that was let through last, at ``trial_at``.
+    """
+
+    rule: CrashRule
+    crashed: set[str] = field(default_factory=set)
+    recorded: int = 0
+    last_at: float = 0.0
+    is_convicted: bool = False
+    trial_of: str = ""
+    trial_at: float = -math.inf
+
+    @property
+    def crashes(self) -> int:
+        """Return the number of crashes."""
+        return len(self.crashed) + self.recorded
+
+    def is_refused(self, now: float) -> bool:
+        """Return whether the subject is refused, but for a trial."""
+        if not self.is_convicted:
+            return False
+        if self.crashes >= self.rule.for_good:
+            return True
+        more = max(0, self.crashes - self.rule.to_refuse)
+        return now - self.last_at < RETENTION_S * 2.0**more
+
+    def is_over(self, now: float) -> bool:
+        """Return whether too few crashes are too long ago to count."""
+        return not self.is_convicted and now - self.last_at >= RETENTION_S
+
+    def take_trial(self, request_id: str, now: float) -> bool:
+        """Return whether a request is the one trial of its subject."""
+        if self.trial_of == request_id:
+            return True
+        if now - self.trial_at < TRIAL_S:
+            return False
+        self.trial_of, self.trial_at = request_id, now
+        return True
--- a/bamboovale/fleet/gossip.py
+++ b/bamboovale/fleet/gossip.py
@@ -24,6 +24,7 @@
     Gossip,
     LeavingEndpoint,
     Member,
+    SoundRequest,
     SuspectRequest,
     Suspicion,
     TopicRow,
@@ -190,7 +191,7 @@
             self._membership.apply(member, now)
         for suspicion in gossip.unheard:
             self._membership.apply_suspicion(suspicion, now)
-        self._apply_crash_news([*gossip.suspects, *gossip.crashed])
+        self._apply_crash_news([*gossip.suspects, *gossip.crashed, *gossip.sound])
         for news in gossip.versions:
             if self.note_version(news):
                 self._on_version(news)
@@ -392,6 +393,7 @@
             limits=tuple(item for item in items if isinstance(item, EndpointLimit)),
             leaving=tuple(item for item in items if isinstance(item, LeavingEndpoint)),
             crashed=tuple(item for item in items if isinstance(item, CrashedEndpoint)),
+            sound=tuple(item for item in items if isinstance(item, SoundRequest)),
             stamp=proofs.new_stamp() if proofs else 0,
             echoes=proofs.echoes(targets) if proofs else (),
             view_age_ms=proofs.age_ms() if proofs else NO_PROOF,
--- a/bamboovale/fleet/messages.py
+++ b/bamboovale/fleet/messages.py
@@ -57,7 +57,7 @@
 @row
 @dataclass(frozen=True)
 class SuspectRequest:
-    """A request that was running when its endpoint crashed."""
+    """A request, or a part of prompts, that was running when its endpoint crashed."""
 
     fingerprint: str
     endpoint_id: str
@@ -71,7 +71,20 @@
     endpoint_id: str
 
 
-CrashNews = SuspectRequest | CrashedEndpoint
+@row
+@dataclass(frozen=True)
+class SoundRequest:
+    """A request, or a part of prompts, that was lost with an endpoint, but is sound.
+
+    It began an answer elsewhere, ``recent`` if that was only just.
+    """
+
+    fingerprint: str
+    endpoint_id: str
+    recent: bool
+
+
+CrashNews = SuspectRequest | CrashedEndpoint | SoundRequest
 
 
 @row
@@ -123,7 +136,7 @@
     ``view_age_ms`` prove how fresh the sender's configuration is (see ``ViewProofs``).
     ``versions`` are adapter versions that the operator published, ``limits`` those that
     endpoints name, ``leaving`` the endpoints that said that they leave, ``crashed``
-    those that crashed.
+    those that crashed, ``sound`` what was lost there and begins answers elsewhere.
     """
 
     digest: int
@@ -145,3 +158,4 @@
     limits: tuple[EndpointLimit, ...] = ()
     leaving: tuple[LeavingEndpoint, ...] = ()
     crashed: tuple[CrashedEndpoint, ...] = ()
+    sound: tuple[SoundRequest, ...] = ()
--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from bamboovale.crashes.suspects import fingerprint
+from bamboovale.crashes.subjects import fingerprint, subjects_of
 from bamboovale.gateway.customers import Customer
 from bamboovale.gateway.model import AnswerFacts, CallFacts, Route
 from bamboovale.http1.connection import Headers, ResponseHead
@@ -107,6 +107,11 @@
         work = self.facts.work
         return () if work is None else work.prompt_parts[:-1]
 
+    @cached_property
+    def subjects(self) -> tuple[str, ...]:
+        """Return what of the request may crash endpoints: itself, and its parts."""
+        return subjects_of(self.fingerprint, (part for part, _ in self.shared_parts))
+
     @property
     def priority(self) -> int:
         """Return the customer's priority, else the route's; 0 is the most urgent."""
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -4,6 +4,7 @@
 
 import h11
 
+from bamboovale.crashes.attempt_watch import AttemptWatch
 from bamboovale.crashes.guard import CRASHES_ENDPOINTS, REFUSED_RETRY_S, CrashGuard
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.gateway.call import Call, CallCodec, CallFailed
@@ -129,8 +130,8 @@
         refused = not_held = False
         aborted = True
         try:
-            with self._crashes.watch(call, record):
-                await self._exchange(call, work, record, place, progress)
+            with self._crashes.watch(call, record) as watch:
+                await self._exchange(call, work, record, place, progress, watch)
             aborted = False
             return True
         except NotRun as error:
@@ -174,6 +175,7 @@
         record: EndpointRecord,
         place: GrantedPlace | None,
         progress: Progress,
+        watch: AttemptWatch,
     ) -> None:
         def encode() -> h11.Request:
             return self._codec.encode_call(
@@ -196,9 +198,12 @@
         )
         async with sending as attempt:
             if attempt.facts.status != OK or not attempt.facts.is_event_stream:
+                watch.on_failure()
                 await self._forward_body(call, attempt, progress)
             else:
-                await self._forward_events(call, attempt, record, place, progress)
+                await self._forward_events(
+                    call, attempt, record, place, progress, watch
+                )
 
     def _least_version(self, work: ModelWork) -> int | None:
         """Return the version to require of an engine without an owner.
@@ -232,6 +237,7 @@
         record: EndpointRecord,
         place: GrantedPlace | None,
         progress: Progress,
+        watch: AttemptWatch,
     ) -> None:
         first = True
         try:
@@ -239,6 +245,7 @@
                 events = progress.events.feed(data)
                 if not events:
                     continue
+                watch.on_event()
                 if first and place is not None:
                     self._engines.notify_started(place)
                 first = False
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -171,6 +171,7 @@
             broadcast=lambda news: self.peering.broadcast_crash(news),
             is_designated=lambda subject: self._is_designated(subject),
             record=lambda refused: self._jobs.start([self._refusals.write(refused)]),
+            count_event=lambda name: self._metrics.crash_events.labels(name).inc(),
         )
         self._refusals = RefusalRecords(
             self._translation.registration_topic,
@@ -448,6 +449,7 @@
             "quotas": dump_quotas(self._quotas, self.state.now()),
             "limits": self.state.limits.dump(),
             "rests": dump_rests(self.state),
+            "crashes": self._crashes.dump(),
             "brittle": self.state.brittle.dump(self.state.now()),
             "retries": self.state.retries.dump(),
             "paths": self.state.path_watch.paths.dump(self.state.now()),
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -124,6 +124,11 @@
             "Endpoints that requests passed over, as they asked for it, by reason.",
             ["reason"],
         )
+        self.crash_events = self._counter(
+            "crash_events",
+            "Crashes of endpoints, and what is suspected of them, by event.",
+            ["event"],
+        )
         self.gateway_retries = self._counter(
             "gateway_retries",
             "Requests sent to an endpoint again, by cause and the budget's answer.",
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -1,12 +1,8 @@
 """Tests of the refusal of requests that crash endpoints."""
 
-from bamboovale.crashes.evidence import (
-    CRASHES_FOR_GOOD,
-    MAX_TRACKED,
-    RETENTION_S,
-    TRIAL_S,
-    CrashEvidence,
-)
+from bamboovale.crashes.evidence import MAX_TRACKED, CrashEvidence
+from bamboovale.crashes.subjects import REQUEST_RULE
+from bamboovale.crashes.suspicion import RETENTION_S, TRIAL_S
 
 
 def crash(evidence: CrashEvidence, subject: str, number: int, now: float) -> None:
@@ -45,7 +41,7 @@
         counts = CrashEvidence()
         counts.on_run_lost("f", "e0", 0.0)
         counts.on_crashed("e0", 1.0)
-        counts.on_answered("f")
+        counts.on_begun(["f"], 1.5)
         counts.on_run_lost("f", "e1", 2.0)
         counts.on_crashed("e1", 3.0)
         assert not counts.is_refused("f", 4.0)
@@ -82,7 +78,7 @@
             ):
                 crash(evidence, "f", crashes, now)
                 crashes += 1
-        assert crashes == CRASHES_FOR_GOOD
+        assert crashes == REQUEST_RULE.for_good
 
     def test_a_record_refuses_and_does_not_count_twice(self) -> None:
         evidence = CrashEvidence()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from bamboovale.crashes.suspects import fingerprint
+from bamboovale.crashes.subjects import fingerprint
 from bamboovale.fleet.messages import CrashedEndpoint, SuspectRequest
 from bamboovale.standins.crash_triggers import CrashTrigger, Return
 from bamboovale.standins.platform_endpoints import PlatformEndpoint
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -1,10 +1,10 @@
 """Tests that a request that crashes endpoints costs a bounded number of them."""
 
+from bamboovale.crashes.subjects import fingerprint
 from bamboovale.crashes.suspects import (
     ENDPOINTS_PER_FINGERPRINT,
     CrashNotice,
     Suspects,
-    fingerprint,
 )
 from bamboovale.errors import ErrorCode
 
