A stream that ends before its first event has been broken off

What callers saw: a whole, empty stream from an engine that had crashed. Cause: an answer may end with its connection, so that an engine that closes before it writes looks as if it had ended its stream; the request counted as answered, which cleared it. Evidence: test_a_stream_without_an_event_is_lost failed before (200); the other tests of answers without a length passed: whole, reset, ended inside an event, relayed, plain. Change: such a stream is lost, goes on elsewhere where it may, and counts like any run whose answer had not begun. A resumption after the last event may bring none. Measured: unframed, gateway, stream versions and streams pass. Conclusion: ended whole, reset and broken off are told apart.

--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -258,6 +258,8 @@
             raise StreamCut(f"stream cut: {error}") from error
         if progress.events.has_partial:
             raise StreamCut("the stream ended within an event")
+        if not progress.started and not call.is_resumption:
+            raise StreamCut("the stream ended before its first event")
         self._start_answer(call, attempt, record, progress)
         call.responder.finish()
         call.notes["status"] = OK
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from bamboovale.http1.connection import Headers
+from bamboovale.http1.connection import Headers, reset_on_close
 from bamboovale.http1.server import Request, Responder, Server
 from bamboovale.standins.crash_triggers import CrashTrigger, Return
 from bamboovale.standins.endpoint_signals import SignalRecord
@@ -44,16 +44,20 @@
 class EndpointFaults:
     """The active faults.
 
-    ``cut_after``: number of events after which a stream is aborted. ``fail``: answer
-    with status 500. ``hang``: never answer. ``lost_orders``: number of orders to
+    ``cut_after``: number of events after which a stream is aborted inside an event.
+    ``end_after``: number of events after which it ends as if it were whole. ``fail``:
+    answer with status 500. ``hang``: never answer. ``lost_orders``: number of orders to
     execute without an answer. ``dropped_orders``: number of orders neither executed
     nor answered. ``stray``: send a second answer after the first. ``garble``: send
     bytes that are not HTTP. ``refuse``: refuse all requests without a run. ``room``:
     number of requests beyond which others are refused without a run. ``unframed``:
-    answer with neither a length nor chunks, ended by the connection.
+    answer with neither a length nor chunks, ended by the connection. ``reset``: reset
+    such an answer before its end.
     """
 
     cut_after: int | None = None
+    end_after: int | None = None
+    reset: bool = False
     fail: bool = False
     hang: bool = False
     lost_orders: int = 0
@@ -90,7 +94,8 @@
         self._connection._transport.close()
 
     def abort(self) -> None:
-        """Close the connection at once."""
+        """Reset the connection."""
+        reset_on_close(self._connection._transport.get_extra_info("socket"))
         self._connection.abort()
 
 
@@ -267,7 +272,11 @@
             answer = UnframedAnswer(responder)
             answer.start(status, self._answer_headers(run, responder))
             await answer.write(body)
-            answer.finish()
+            if self.faults.reset:
+                await asyncio.sleep(self.faults.event_s)
+                answer.abort()
+            else:
+                answer.finish()
             return
         responder.answer(status, self._answer_headers(run, responder), body)
         if self.faults.stray:
--- a/bamboovale/standins/platform_runner.py
+++ b/bamboovale/standins/platform_runner.py
@@ -262,6 +262,8 @@
                 run.ended = "cut"
                 answer.abort()
                 return
+            if self.faults.end_after is not None and number > self.faults.end_after:
+                break
             data = f"data: {run.adapter}@{run.version}\n\n"
             text = f"id: {number}\n{software_line(run.software)}{data}"
             await answer.write(text.encode())
