--- a/bench/crash_guards.py
+++ b/bench/crash_guards.py
@@ -35,8 +35,8 @@
             ),
             Change(
                 "bamboovale/crashes/evidence.py",
-                "            found += self._clear(subject)\n",
-                "            pass\n",
+                "        suspicion = self._suspicion_by_subject.pop(subject, None)\n",
+                "        return []\n",
             ),
             Change(
                 "bamboovale/crashes/evidence.py",
