--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from bamboovale.standins.crash_triggers import CrashTrigger
 from bamboovale.standins.endpoint_signals import (
     Arrival,
     LimitSpan,
@@ -19,6 +20,8 @@
 from bench.soak import SoakConfig, describe, run_soak
 from bench.soak_callers import Attempt, Kind
 from bench.soak_checks import Evidence, find_violations
+from bench.soak_crashes import Begun, CrashLoad
+from bench.soak_customers import Keys
 from bench.soak_faults import FaultLane
 from bench.soak_proxy import Proxy
 from bench.soak_site import GRACE_S, Life, running_site, to_toml
@@ -38,6 +41,13 @@
     return signals
 
 
+def crash_load(crashed_at: list[float], arrived_at: list[float]) -> CrashLoad:
+    """Return the record of a load under which engines crashed."""
+    trigger = CrashTrigger(part="cc03", crashed_at=crashed_at)
+    trigger.arrivals = [Arrival("vm", at, str(at)) for at in arrived_at]
+    return CrashLoad([], Keys(), random.Random(1), trigger)
+
+
 def promises(
     *attempts: Attempt,
     runs: tuple[Run, ...] = RUNS,
@@ -90,6 +100,24 @@
         acks = {"a1": [(4.0, 2)]}
         assert promises(STREAM, version_acks=acks, faults=(down,)) == []
 
+    def test_requests_that_go_on_crashing_engines(self) -> None:
+        load = crash_load([1.0, 2.0, 3.0, 4.0, 5.0], [8.1, 8.2, 8.3, 8.4])
+        assert promises(crash_load=load) == ["crashing requests"]
+        assert promises(crash_load=crash_load([1.0] * 5, [3.9] * 9)) == []
+
+    def test_requests_that_crash_engines_at_a_vm_out_of_touch(self) -> None:
+        load = crash_load([1.0, 2.0, 3.0, 4.0, 5.0], [8.1, 8.2, 8.3, 8.4])
+        paused = FaultSpan("paused", "vm", 7.0, 7.5)
+        assert promises(crash_load=load, faults=(paused,)) == []
+
+    def test_sound_requests_that_are_refused_beside_crashes(self) -> None:
+        load = crash_load([10.0], [])
+        load.sound = [Begun("vm", n / 5, begun=True) for n in range(40)]
+        load.sound += [Begun("vm", 17.0 + n / 5, begun=n % 3 == 0) for n in range(40)]
+        assert promises(crash_load=load) == ["sound beside crashes"]
+        load.sound[40:] = [Begun("vm", 17.0 + n / 5, begun=True) for n in range(40)]
+        assert promises(crash_load=load) == []
+
     def test_few_requests_served_at_a_vm_without_paths(self) -> None:
         cut = FaultSpan("paths cut", "vm", 5.0, 20.0)
         here = [
@@ -328,8 +356,20 @@
             callers=8,
             starts_again=starts_again,
             silences=silences,
+            crashes=False,
         )
         soak, found = asyncio.run(run_soak(config, tmp_path))
         assert not found, describe(soak, found)
         assert sum(a.status == 200 for a in soak.attempts) > 50
         assert len(soak.faults) >= 3
+
+    @pytest.mark.xdist_group("soak-crashes")
+    def test_what_crashes_engines_is_refused_and_nothing_beside(
+        self, tmp_path: Path
+    ) -> None:
+        """Guards against both: engines that crash on and on, and sound refusals."""
+        config = SoakConfig(seconds=18.0, seed=8, callers=4)
+        soak, found = asyncio.run(run_soak(config, tmp_path))
+        assert not found, describe(soak, found)
+        assert soak.crash_load is not None
+        assert soak.crash_load.trigger.crashed_at
