Modules of their own for signs of crashes and for answers without a length

Change: signs.py takes the looks at ports and records out of the guard, the stand-ins' unframed answer has a module, the fleet says who is designated; of a request with very many parts the first 64 count.

--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
-from enum import StrEnum
 from typing import Any
 
 from bamboovale.crashes.attempt_watch import AttemptWatch
@@ -17,6 +16,7 @@
     Sound,
 )
 from bamboovale.crashes.records import Refused
+from bamboovale.crashes.signs import CrashSign, CrashSigns
 from bamboovale.fleet.messages import (
     CrashedEndpoint,
     CrashNews,
@@ -32,19 +32,6 @@
 CRASHES_ENDPOINTS = "the request, or a part of its prompt, crashed endpoints before"
 REFUSED_RETRY_S = 30.0
 """Retry delay for a request that crashes endpoints, as it will do so again."""
-LOOK_DELAYS_S = (0.05, 0.45)
-"""From a lost run to looks whether its endpoint's port is closed: a process that
-crashes closes all its connections first, and a connection may hang."""
-
-
-class CrashSign(StrEnum):
-    """What showed that an endpoint crashed; a field of log lines."""
-
-    PORT_CLOSED = "port_closed"
-    RECORD_GONE = "record_gone"
-    ADDRESS_TAKEN = "address_taken"
-    """Another start, or another endpoint, registered its address."""
-    PEER = "peer"
 
 
 class CrashGuard:
@@ -68,15 +55,13 @@
         count_event: Callable[[str], None],
     ) -> None:
         self._journal = journal
-        self._endpoints = endpoints
         self._now = now
-        self._is_port_closed = is_port_closed
+        self._signs = CrashSigns(endpoints, is_port_closed, self._on_crashed)
         self._broadcast = broadcast
         self._is_designated = is_designated
         self._record = record
         self._count_event = count_event
         self._evidence = CrashEvidence()
-        self._look_by_endpoint: dict[str, asyncio.Task[None]] = {}
 
     def is_refused(self, call: Call) -> bool:
         """Return whether a call would crash endpoints, and is no trial."""
@@ -125,39 +110,15 @@
                 "refused_by_record", subject=refused.subject, crashes=refused.crashes
             )
 
-    # Signs of crashes.
+    # Crashes.
 
     def on_endpoint(self, change: EndpointChange) -> None:
-        """Apply a change of an endpoint's record.
-
-        One that was ready has crashed if it is gone, or if its address is another's.
-        """
-        if change.record is None:
-            if change.was_ready:
-                self._on_crashed(change.endpoint_id, CrashSign.RECORD_GONE)
-        elif change.record.ready and not change.was_ready:
-            for other in self._endpoints.ready_at(change.record.address):
-                if other.endpoint_id != change.endpoint_id:
-                    self._on_crashed(other.endpoint_id, CrashSign.ADDRESS_TAKEN)
+        """Apply a change of an endpoint's record."""
+        self._signs.on_endpoint(change)
 
     def look(self, endpoint_id: str) -> None:
         """Look whether an endpoint at which a run was lost has crashed."""
-        if endpoint_id in self._look_by_endpoint:
-            return
-        task = asyncio.get_running_loop().create_task(self._look(endpoint_id))
-        self._look_by_endpoint[endpoint_id] = task
-        task.add_done_callback(lambda _: self._look_by_endpoint.pop(endpoint_id))
-
-    async def _look(self, endpoint_id: str) -> None:
-        for delay_s in LOOK_DELAYS_S:
-            await asyncio.sleep(delay_s)
-            record = self._endpoints.record_by_id.get(endpoint_id)
-            if record is None or not record.ready:
-                # One that leaves closes its port as planned.
-                return
-            if await self._is_port_closed(record):
-                self._on_crashed(endpoint_id, CrashSign.PORT_CLOSED)
-                return
+        self._signs.look(endpoint_id)
 
     def _on_crashed(self, endpoint_id: str, sign: CrashSign) -> None:
         is_new = not self._evidence.knows_crash(endpoint_id)
@@ -204,7 +165,7 @@
                 began=began,
                 parts=[part_id for part_id, _ in call.shared_parts],
             )
-            self.look(endpoint_id)
+            self._signs.look(endpoint_id)
         if began:
             return
         now = self._now()
--- a/bamboovale/crashes/subjects.py
+++ b/bamboovale/crashes/subjects.py
@@ -4,8 +4,11 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import islice
 
 PART_PREFIX = "part:"
+MAX_PARTS = 64
+"""Parts of one request that count; real prompts have a few."""
 MAX_PART_ID = 64
 """Longer ids of parts are replaced by a digest, as they go into keys of records."""
 
@@ -64,4 +67,5 @@
 
 def subjects_of(fingerprint: str, part_ids: Iterable[str]) -> tuple[str, ...]:
     """Return the subjects of a request: itself, then the parts that it shares."""
-    return fingerprint, *dict.fromkeys(part_subject(part) for part in part_ids)
+    parts = dict.fromkeys(part_subject(part) for part in islice(part_ids, MAX_PARTS))
+    return fingerprint, *parts
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -156,6 +156,11 @@
             self._designated_by_duty[duty, count] = known
         return known[1]
 
+    def is_designated(self, key: str) -> bool:
+        """Return whether this VM is the one that decides on a key for all."""
+        own_id = self.membership.own.vm_id
+        return first_members(key, self.serving_ids(), 1) == [own_id]
+
     def owner_candidates(self) -> list[str]:
         """Return the VMs that may own engines.
 
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -9,7 +9,6 @@
 from bamboovale.crashes.guard import CrashGuard
 from bamboovale.crashes.records import RefusalRecords
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
-from bamboovale.decisions.rendezvous import first_members
 from bamboovale.gateway.access import AccessControl
 from bamboovale.gateway.drain import drain
 from bamboovale.gateway.endpoint_access import EndpointAccess
@@ -169,7 +168,7 @@
             self.state.now,
             is_port_closed=lambda record: self._access.client.is_port_closed(record),
             broadcast=lambda news: self.peering.broadcast_crash(news),
-            is_designated=lambda subject: self._is_designated(subject),
+            is_designated=self.state.fleet.is_designated,
             record=lambda refused: self._jobs.start([self._refusals.write(refused)]),
             count_event=lambda name: self._metrics.crash_events.labels(name).inc(),
         )
@@ -420,12 +419,6 @@
         self.peering.assign_engines()
         self.peering.announce()
 
-    def _is_designated(self, key: str) -> bool:
-        """Return whether this VM is the one that decides on a key for all."""
-        return [self.state.node.name] == first_members(
-            key, self.state.fleet.serving_ids(), 1
-        )
-
     def _may_own_engines(self) -> bool:
         return self.state.node.name in self.state.fleet.owner_candidates()
 
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -11,11 +11,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from bamboovale.http1.connection import Headers, reset_on_close
+from bamboovale.http1.connection import Headers
 from bamboovale.http1.server import Request, Responder, Server
 from bamboovale.standins.crash_triggers import CrashTrigger, Return
 from bamboovale.standins.endpoint_signals import SignalRecord
 from bamboovale.standins.platform_store import PlatformStore
+from bamboovale.standins.unframed_answer import UnframedAnswer
 
 EVENT_INTERVAL_S = 0.005
 _start_numbers = itertools.count(1)
@@ -71,35 +72,6 @@
     event_s: float = EVENT_INTERVAL_S
 
 
-class UnframedAnswer:
-    """Writes an answer that has no length and ends with its connection."""
-
-    def __init__(self, responder: Responder) -> None:
-        self.started = False
-        self._connection = responder._connection
-
-    def start(self, status: int, headers: Headers) -> None:
-        """Write the head."""
-        self.started = True
-        lines = [name + b": " + value for name, value in headers]
-        head = [f"HTTP/1.1 {status} OK".encode(), *lines, b"", b""]
-        self._connection._transport.write(b"\r\n".join(head))
-
-    async def write(self, data: bytes) -> None:
-        """Write bytes of the body."""
-        self._connection._transport.write(data)
-
-    def finish(self) -> None:
-        """End the answer by closing its connection."""
-        self._connection.close_after = True
-        self._connection._transport.close()
-
-    def abort(self) -> None:
-        """Reset the connection."""
-        reset_on_close(self._connection._transport.get_extra_info("socket"))
-        self._connection.abort()
-
-
 class PlatformEndpoint:
     """A plain endpoint without models."""
 
--- a/bamboovale/standins/platform_runner.py
+++ b/bamboovale/standins/platform_runner.py
@@ -11,10 +11,10 @@
     JSON,
     PlatformEndpoint,
     Run,
-    UnframedAnswer,
 )
 from bamboovale.standins.platform_store import PlatformStore
 from bamboovale.standins.stream_versions import software_line
+from bamboovale.standins.unframed_answer import UnframedAnswer
 
 REPORT_LAG_S = 0.05
 
--- a/bench/crash_guards.py
+++ b/bench/crash_guards.py
@@ -76,12 +76,12 @@
         f"{REQUESTS}::test_its_crashes_count_while_no_record_expires",
         (
             Change(
-                "bamboovale/crashes/guard.py",
+                "bamboovale/crashes/signs.py",
                 "            if await self._is_port_closed(record):",
                 "            if False:",
             ),
             Change(
-                "bamboovale/crashes/guard.py",
+                "bamboovale/crashes/signs.py",
                 "                if other.endpoint_id != change.endpoint_id:",
                 "                if False:",
             ),
