--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -69,18 +69,23 @@
 
     def _is_refused(self, call: Call, subject: str) -> bool:
         now = self._now()
-        if not self._evidence.is_refused(subject, now):
-            if not self._evidence.needs_trial(subject, now):
-                return False
-            request_id = call.facts.request_id
-            if self._is_designated(subject) and self._evidence.take_trial(
-                subject, request_id, now
-            ):
-                self._journal.write("crash_trial", id=request_id, subject=subject)
-                self._count_event("trial")
-                return False
-        call.notes["crashing"] = subject
-        self._count_event("refused")
+        refused = self._evidence.is_refused(subject, now)
+        if not refused and self._evidence.needs_trial(subject, now):
+            refused = not self._is_trial(call, subject, now)
+        if refused:
+            call.notes["crashing"] = subject
+            self._count_event("refused")
+        return refused
+
+    def _is_trial(self, call: Call, subject: str, now: float) -> bool:
+        """Return whether a call is the one that may show what its subject does now."""
+        request_id = call.facts.request_id
+        if not self._is_designated(subject):
+            return False
+        if not self._evidence.take_trial(subject, request_id, now):
+            return False
+        self._journal.write("crash_trial", id=request_id, subject=subject)
+        self._count_event("trial")
         return True
 
     def dump(self) -> dict[str, Any]:
