--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -113,6 +113,8 @@
     """Find services that got more retries than allowed, once for each."""
     for service, arrivals in evidence.arrivals_by_service.items():
         sent_at = [a.sent_at for a in evidence.attempts if a.kind.service == service]
+        if evidence.crash_load is not None and service == "llm":
+            sent_at = sorted([*sent_at, *evidence.crash_load.sent_at])
         details = retry_violations(arrivals, sent_at, RETRIES)
         for detail in itertools.islice(details, 1):
             yield Violation("retry budget", service, detail)
--- a/bench/soak_crashes.py
+++ b/bench/soak_crashes.py
@@ -53,6 +53,7 @@
     rng: random.Random
     trigger: CrashTrigger
     sound: list[Begun] = field(default_factory=list)
+    sent_at: list[float] = field(default_factory=list)
     numbers: "itertools.count[int]" = field(default_factory=itertools.count)
 
     @classmethod
@@ -85,6 +86,7 @@
             body = BODY
         key = next(iter(self.keys.in_use.values()))[-1]
         sent_at = time.monotonic()
+        self.sent_at.append(sent_at)
         try:
             answer = await call(
                 vm.callers,
