A fleet on slow links may take longer to know itself before a test

Cause: the listed red test, traced: with PYTHONHASHSEED=68 it fails each time, before the outage that it is about. 61 VMs on links of 0.15 to 0.6 s know one another after 2.05 s (vm14 hears of vm50 last), with other seeds after 1.95 s; the bound of 2.0 s is that of links of some milliseconds, where it stays. The order of sets decides which neighbour is told first. Change: the set-up may take the delay of five hops more, as the test's own wait does; what is asserted of the outage is unchanged.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -33,11 +33,15 @@
 LARGE = 300
 
 
-def started(count: int, seed: int = 1) -> SimulatedFleet:
-    """Return a fleet in which all VMs know one another."""
+HOPS = 5
+"""From one VM to the farthest of some sixty."""
+
+
+def started(count: int, seed: int = 1, most_s: float = 2.0) -> SimulatedFleet:
+    """Return a fleet in which all VMs know one another within a time."""
     fleet = SimulatedFleet(seed)
     fleet.start_all(count)
-    fleet.run_until(lambda: fleet.agree(fleet.vm_by_id), 2.0)
+    fleet.run_until(lambda: fleet.agree(fleet.vm_by_id), most_s)
     fleet.run(2.0)
     return fleet
 
@@ -345,11 +349,11 @@
         whose records expire in it.
         """
         monkeypatch.setattr(fleet_simulation, "DELAY_S", delay_s)
-        fleet = started(61)
+        fleet = started(61, most_s=2.0 + HOPS * delay_s)
         for _ in range(10):
             fleet.vm_by_id["vm1"].exchange.note_store_answer(fleet.now)
             fleet.run(0.5)
-        # Each hop takes an interval and the delay; there are about five hops.
+        # Each hop takes an interval and the delay.
         fleet.run(8.0)
         at = [vm.exchange.store_answered_at for vm in _vms(fleet)]
         assert max(at) <= fleet.now - 3.0
