--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -166,7 +166,7 @@
                 id=call.facts.request_id,
                 fingerprint=call.fingerprint,
                 endpoint=endpoint_id,
-                reason=str(error),
+                reason=str(error) or type(error).__name__,
                 began=began,
                 parts=[part_id for part_id, _ in call.shared_parts],
             )
