--- a/bamboovale/standins/crash_triggers.py
+++ b/bamboovale/standins/crash_triggers.py
@@ -24,13 +24,14 @@
 class CrashTrigger:
     """What crashes endpoints, when it did, and which requests with it arrived.
 
-    Either requests whose body begins with ``body``, or those with a ``part`` of their
-    prompts that is not the last one. An endpoint is back after ``back_s``; the record
+    Either requests whose body begins with ``body``, or those with a ``target``, or
+    those with a ``part`` of their prompts that is not the last one. An endpoint is back after ``back_s``; the record
     of its crashed start goes after ``expires_s``, None: it stays. Times are monotonic,
     in seconds.
     """
 
     body: bytes | None = None
+    target: str | None = None
     part: str | None = None
     returns: Return = Return.NEW_ID
     back_s: float = 0.6
@@ -52,6 +53,8 @@
         """Return whether a request crashes its endpoint."""
         if self.body is not None:
             return request.body.startswith(self.body)
+        if self.target is not None:
+            return request.target == self.target
         parts = (request.get(PROMPT_PREFIX) or b"").decode().split(",")
         return self.part in [part.partition(":")[0] for part in parts[:-1]]
 
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -48,7 +48,8 @@
 
     ``cut_after``: number of events after which a stream is aborted inside an event.
     ``end_after``: number of events after which it ends as if it were whole. ``fail``:
-    answer with status 500. ``hang``: never answer. ``lost_orders``: number of orders to
+    answer with status 500. ``fail_unrun_every``: answer the first of every so many
+    requests with status 500 at once, before the run begins. ``hang``: never answer. ``lost_orders``: number of orders to
     execute without an answer. ``dropped_orders``: number of orders neither executed
     nor answered. ``stray``: send a second answer after the first. ``garble``: send
     bytes that are not HTTP. ``refuse``: refuse all requests without a run. ``room``:
@@ -61,6 +62,7 @@
     end_after: int | None = None
     reset: bool = False
     fail: bool = False
+    fail_unrun_every: int | None = None
     hang: bool = False
     lost_orders: int = 0
     dropped_orders: int = 0
@@ -197,6 +199,9 @@
             self._refuse(request, responder, 503)
             return
         run = self._start_run(request)
+        if self._fails_unrun():
+            self._answer_unrun(responder, run)
+            return
         self._under_way += 1
         try:
             await self._answer(request, responder, run)
@@ -270,6 +275,14 @@
     def _turns_away(self) -> bool:
         return self.faults.refuse or self.signals.rest_s is not None
 
+    def _fails_unrun(self) -> bool:
+        every = self.faults.fail_unrun_every
+        return every is not None and (len(self.runs) - 1) % every == 0
+
+    def _answer_unrun(self, responder: Responder, run: Run) -> None:
+        run.ended = "failed"
+        responder.answer(500, self._answer_headers(run, responder), b"")
+
     def _is_expected(self, request: Request) -> bool:
         expected = request.get(b"x-expect-instance")
         return expected in (None, self.endpoint_id.encode())
--- a/bamboovale/standins/platform_runner.py
+++ b/bamboovale/standins/platform_runner.py
@@ -229,6 +229,9 @@
     ) -> None:
         run = self._start_run(request)
         run.adapter, run.version = adapter, version
+        if self._fails_unrun():
+            self._answer_unrun(responder, run)
+            return
         active = self._active_by_adapter
         active[adapter] = active.get(adapter, 0) + 1
         try:
