A failure that an endpoint answers does not clear a plain request

Callers saw endpoint after endpoint crash under one request, more than three times later than three seconds after the third crash. Cause: PlainCalls counted every answer as an answer begun, a 500 from before the run too; it cleared the request at all VMs, and for 3 s no crash counted. Change: only an answer below 400 counts as begun. suspect_cleared names the request whose answer cleared the subject.

--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -106,7 +106,8 @@
             )
         else:
             age_s = 0.0 if news.recent else RECENT_S
-            self._apply(self._evidence.on_sound(news.fingerprint, age_s, now))
+            found = self._evidence.on_sound(news.fingerprint, age_s, now)
+            self._apply(found, answered="peer")
 
     def on_record(self, refused: Refused) -> None:
         """Apply what the store tells of a subject that is refused."""
@@ -155,7 +156,8 @@
             watch.on_whole()
 
     def _on_begun(self, call: Call) -> None:
-        self._apply(self._evidence.on_begun(call.subjects, self._now()))
+        found = self._evidence.on_begun(call.subjects, self._now())
+        self._apply(found, answered=call.facts.request_id)
 
     def _on_lost(
         self, call: Call, endpoint_id: str, error: BaseException, *, began: bool
@@ -179,7 +181,8 @@
 
     # What follows from the evidence.
 
-    def _apply(self, found: list[Finding]) -> None:
+    def _apply(self, found: list[Finding], answered: str | None = None) -> None:
+        """Tell and log findings; ``answered`` is the request whose answer led there."""
         for finding in found:
             match finding:
                 case Counted():
@@ -192,7 +195,7 @@
                 case Convicted():
                     self._on_convicted(finding)
                 case Cleared():
-                    self._on_cleared(finding)
+                    self._on_cleared(finding, answered)
 
     def _on_counted(self, counted: Counted) -> None:
         self._broadcast(SuspectRequest(counted.subject, counted.endpoint_id))
@@ -212,10 +215,13 @@
         )
         self._record_refused(Refused(convicted.subject, convicted.crashes))
 
-    def _on_cleared(self, cleared: Cleared) -> None:
+    def _on_cleared(self, cleared: Cleared, answered: str | None) -> None:
         self._count_event("cleared")
         self._journal.write(
-            "suspect_cleared", subject=cleared.subject, refused=cleared.was_refused
+            "suspect_cleared",
+            subject=cleared.subject,
+            refused=cleared.was_refused,
+            answered=answered,
         )
         if cleared.was_refused:
             self._record_refused(Refused(cleared.subject, 0))
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -35,6 +35,7 @@
 """Pause between looks for room at brittle endpoints, which is known here."""
 FULL_PATIENCE_GOALS = 0.5
 """Part of the route's goal after which such a call is refused."""
+CLIENT_ERROR = 400
 SERVER_ERROR = 500
 
 
@@ -245,9 +246,11 @@
         router.on_start(record.endpoint_id, call_id, started_at)
         ok = error_answer = rejected = False
         try:
-            with self._crashes.watch(call, record):
+            with self._crashes.watch(call, record) as watch:
                 async with asyncio.timeout(self._attempt_timeout_s(call, number)):
                     answer = await self._exchange(call, record)
+                if answer[0].status >= CLIENT_ERROR:
+                    watch.on_failure()
             note["status"] = answer[0].status
             ok = True
             error_answer = answer[0].status >= SERVER_ERROR
--- a/bamboovale/standins/crash_triggers.py
+++ b/bamboovale/standins/crash_triggers.py
@@ -25,9 +25,9 @@
     """What crashes endpoints, when it did, and which requests with it arrived.
 
     Either requests whose body begins with ``body``, or those with a ``target``, or
-    those with a ``part`` of their prompts that is not the last one. An endpoint is back after ``back_s``; the record
-    of its crashed start goes after ``expires_s``, None: it stays. Times are monotonic,
-    in seconds.
+    those with a ``part`` of their prompts that is not the last one. An endpoint is back
+    after ``back_s``; the record of its crashed start goes after ``expires_s``, None: it
+    stays. Times are monotonic, in seconds.
     """
 
     body: bytes | None = None
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -49,13 +49,13 @@
     ``cut_after``: number of events after which a stream is aborted inside an event.
     ``end_after``: number of events after which it ends as if it were whole. ``fail``:
     answer with status 500. ``fail_unrun_every``: answer the first of every so many
-    requests with status 500 at once, before the run begins. ``hang``: never answer. ``lost_orders``: number of orders to
-    execute without an answer. ``dropped_orders``: number of orders neither executed
-    nor answered. ``stray``: send a second answer after the first. ``garble``: send
-    bytes that are not HTTP. ``refuse``: refuse all requests without a run. ``room``:
-    number of requests beyond which others are refused without a run. ``unframed``:
-    answer with neither a length nor chunks, ended by the connection. ``reset``: reset
-    such an answer before its end.
+    requests with status 500 at once, before the run begins. ``hang``: never answer.
+    ``lost_orders``: number of orders to execute without an answer. ``dropped_orders``:
+    number of orders neither executed nor answered. ``stray``: send a second answer
+    after the first. ``garble``: send bytes that are not HTTP. ``refuse``: refuse all
+    requests without a run. ``room``: number of requests beyond which others are refused
+    without a run. ``unframed``: answer with neither a length nor chunks, ended by the
+    connection. ``reset``: reset such an answer before its end.
     """
 
     cut_after: int | None = None
