Red tests: the store returns from an older copy

Change: the stand-in store keeps copies, returns from one, gives its offsets out again, breaks open reads, answers 410 past its end and carries an era that rises; the operator's and endpoints' records are written again on request.

--- a/bamboovale/standins/platform_store.py
+++ b/bamboovale/standins/platform_store.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import contextlib
+import copy
 import json
 import time
 from collections.abc import Callable
@@ -19,6 +20,8 @@
 
 JSON: Headers = [(b"content-type", b"application/json")]
 PARTITIONS = 12
+WRITTEN_BY_OTHERS = ("keyed.op", "keyed.servers")
+ERA = b"store-era"
 
 
 @dataclass
@@ -78,10 +81,26 @@
     pending_move_by_part: dict[int, tuple[str, int]] = field(default_factory=dict)
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the store held at some moment."""
+
+    topic_by_name: dict[str, _Topic]
+    group_by_name: dict[str, _Group]
+
+
 class PlatformStore:
-    """The stand-in store; ``handle`` serves its HTTP calls."""
+    """The stand-in store; ``handle`` serves its HTTP calls.
+
+    ``era`` rises when it returns from an older copy, and is in each answer; None: the
+    answers do not carry it.
+    """
 
-    def __init__(self, now: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self, now: Callable[[], float] = time.monotonic, era: int | None = 1
+    ) -> None:
+        self.era = era
+        self.returns = 0
         self.faults = StoreFaults()
         self.calls: list[str] = []
         self._now = now
@@ -117,6 +136,34 @@
         for topic in self._topic_by_name.values():
             topic.compact()
 
+    def keep_copy(self) -> StoreCopy:
+        """Return a copy of all that is stored."""
+        return copy.deepcopy(StoreCopy(self._topic_by_name, self._group_by_name))
+
+    async def return_from(self, older: StoreCopy) -> None:
+        """Lose what was written since a copy; open reads are broken off."""
+        kept = copy.deepcopy(older)
+        self._topic_by_name = kept.topic_by_name
+        self._group_by_name = kept.group_by_name
+        self.returns += 1
+        if self.era is not None:
+            self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def write_again(self, lost: StoreCopy) -> None:
+        """Write what the operator and the endpoints had written, as they do.
+
+        Records that are the same are not written; what had been removed is removed.
+        """
+        for topic in WRITTEN_BY_OTHERS:
+            newest = lost.topic_by_name.get(topic, _Topic()).newest
+            present = self._topic(topic).newest
+            for key in sorted(newest.keys() | present.keys()):
+                value = newest[key][1] if key in newest else None
+                if value is None or key not in present or present[key][1] != value:
+                    await self.put(topic, key, value and json.loads(value))
+
     def reassign_partitions(self, group: str) -> None:
         """Move each partition to the next member without waiting for its owner."""
         state = self._group_by_name[group]
@@ -153,13 +200,20 @@
             "log-owners": self._owners,
         }.get(call)
         if handler is None:
-            responder.answer(404, [], b"")
+            self._answer(responder, 404, [], b"")
             return
         await handler(request, responder, query)
 
+    def _answer(
+        self, responder: Responder, status: int, headers: Headers, body: bytes
+    ) -> None:
+        if self.era is not None:
+            headers = [*headers, (ERA, str(self.era).encode())]
+        responder.answer(status, headers, body)
+
     async def _apply_fault(self, responder: Responder) -> None:
         if self.faults.mode == "busy":
-            responder.answer(503, [], b"")
+            self._answer(responder, 503, [], b"")
         elif self.faults.mode == "reset":
             responder.abort()
         else:
@@ -181,7 +235,7 @@
             for key, (offset, value) in sorted(topic.newest.items())
         ]
         body = {"items": items, "more": False, "end": topic.end}
-        responder.answer(200, JSON, json.dumps(body).encode())
+        self._answer(responder, 200, JSON, json.dumps(body).encode())
 
     async def _read(
         self,
@@ -192,18 +246,29 @@
         topic = self._topic(query["topic"])
         offset = int(query["from"])
         wait_s = int(query.get("wait-ms", "0")) / 1000
+        returns = self.returns
+        if offset > topic.end:
+            self._answer(responder, 410, JSON, json.dumps({"first": 0}).encode())
+            return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s), self._changed:
-                await self._changed.wait_for(lambda: topic.end > offset)
+                await self._changed.wait_for(
+                    lambda: topic.end > offset or self.returns > returns
+                )
+        if self.returns > returns:
+            responder.abort()
+            return
         if offset < topic.first:
-            responder.answer(410, JSON, json.dumps({"first": topic.first}).encode())
+            self._answer(
+                responder, 410, JSON, json.dumps({"first": topic.first}).encode()
+            )
             return
         data = topic.end.to_bytes(8, "big") + topic.first.to_bytes(8, "big")
         for key, value in topic.records[offset - topic.first :]:
             name = key.encode()
             content = bytes([len(name)]) + name + (value or b"")
             data += len(content).to_bytes(4, "big") + content
-        responder.answer(200, [], data)
+        self._answer(responder, 200, [], data)
 
     async def _append(
         self,
@@ -211,8 +276,8 @@
         responder: Responder,
         query: dict[str, str],
     ) -> None:
-        if query["topic"] in ("keyed.op", "keyed.servers"):
-            responder.answer(403, [], b"")
+        if query["topic"] in WRITTEN_BY_OTHERS:
+            self._answer(responder, 403, [], b"")
             return
         body = request.body
         topic = self._topic(query["topic"])
@@ -225,7 +290,7 @@
         async with self._changed:
             self._changed.notify_all()
         answer = {"offset": first, "end": topic.end}
-        responder.answer(200, JSON, json.dumps(answer).encode())
+        self._answer(responder, 200, JSON, json.dumps(answer).encode())
 
     async def _join(
         self,
@@ -255,7 +320,7 @@
             "ttl-ms": document["ttl-ms"],
             "parts": rows,
         }
-        responder.answer(200, JSON, json.dumps(answer).encode())
+        self._answer(responder, 200, JSON, json.dumps(answer).encode())
 
     async def _leave(
         self,
@@ -267,7 +332,7 @@
         group = self._group_by_name.setdefault(document["group"], _Group())
         if group.member_by_name.pop(document["member"], None) is not None:
             self._rebalance(group)
-        responder.answer(200, JSON, b"{}")
+        self._answer(responder, 200, JSON, b"{}")
 
     async def _owners(
         self,
@@ -279,7 +344,7 @@
         self._expire(group)
         owners = sorted(group.owner_by_part.items())
         rows = [["engines", part, owner, 0] for part, owner in owners]
-        responder.answer(200, JSON, json.dumps({"parts": rows}).encode())
+        self._answer(responder, 200, JSON, json.dumps({"parts": rows}).encode())
 
     # Groups.
 
