Positions in the store's topics count within an era of it

Callers' requests reached an endpoint 2.4 s after the store had acknowledged that it leaves; with the store back from an older copy no VM ever read its word. Cause: readers kept the larger of their offset and the store's new end, asked from there, and never saw what was written below; they believed the copy of records that had been removed, and dropped what the copy lacks; addresses and refusals stayed lost; generations of owners were given out again, so that engines refused orders with the fencing numbers that follow from them. On a return followers read anew (VMs of a large fleet over 0.6 s), nothing is proven fresh for 2 s, missing records count as in an outage, a removed endpoint's record counts once it is written again, one that leaves stays so, addresses, refusals and stall records are written again, and no generation of before is confirmed to the group. Without the header all is era 0. Conclusion: offsets of different eras cannot be compared any more, as positions of a later era are always later.

--- a/bamboovale/crashes/evidence.py
+++ b/bamboovale/crashes/evidence.py
@@ -159,6 +159,14 @@
         suspicion = self._suspicion_by_subject.get(subject)
         return suspicion is not None and suspicion.is_refused(now)
 
+    def refused(self, now: float) -> list[tuple[str, int]]:
+        """Return the subjects that are refused, and their crashes."""
+        return [
+            (subject, suspicion.crashes)
+            for subject, suspicion in self._suspicion_by_subject.items()
+            if suspicion.is_refused(now)
+        ]
+
     def needs_trial(self, subject: str, now: float) -> bool:
         """Return whether a subject was refused, and may be tried again."""
         suspicion = self._suspicion_by_subject.get(subject)
--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -116,6 +116,11 @@
                 "refused_by_record", subject=refused.subject, crashes=refused.crashes
             )
 
+    def on_store_returned(self) -> None:
+        """Record again what is refused, as the store may have lost it."""
+        for subject, crashes in self._evidence.refused(self._now()):
+            self._record_refused(Refused(subject, crashes))
+
     # Crashes.
 
     def on_endpoint(self, change: EndpointChange) -> None:
--- a/bamboovale/crashes/records.py
+++ b/bamboovale/crashes/records.py
@@ -45,15 +45,16 @@
         self._journal = journal
         self._on_read = on_read
         self._time_of_day = time_of_day
-        self._offset_by_key: dict[str, int] = {}
+        self._position_by_key: dict[str, int] = {}
 
     def apply(self, record: KeyedRecord) -> bool:
         """Apply a record; returns False if it is not one of these."""
         if not record.key.startswith(KEY_PREFIX):
             return False
-        if record.value is None or self._offset_by_key.get(record.key) == record.offset:
+        known = self._position_by_key.get(record.key)
+        if record.value is None or known == record.position:
             return True
-        self._offset_by_key[record.key] = record.offset
+        self._position_by_key[record.key] = record.position
         try:
             fields = json.loads(record.value)
             crashes, at = int(fields["crashes"]), float(fields["at"])
--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -6,6 +6,7 @@
 
 from bamboovale.gateway.journal import Journal, finite_age_s
 from bamboovale.gateway.model import EndpointRecord
+from bamboovale.store.removed_records import RemovedRecords
 from bamboovale.store.watch import StoreWatch
 
 
@@ -24,8 +25,9 @@
     A restart under the same registered id is a new endpoint: the previous one is
     removed together with all state kept for it.
 
-    An endpoint that says in an answer that it leaves gets no new work, whatever its
-    record says: the store may not have taken the next one yet.
+    An endpoint that said that it leaves, in its record or in an answer, gets no new
+    work whatever another record says: the store may not have taken the next one yet, or
+    may have returned from an older copy.
 
     A missing record removes an endpoint only while the store is settled (see
     ``StoreWatch``): in an outage records expire and are written again afterwards.
@@ -42,6 +44,7 @@
         self._expired: set[str] = set()
         self._leaving: set[str] = set()
         self._left_at_by_id: dict[str, float] = {}
+        self._removed = RemovedRecords()
         self._listeners: list[Callable[[EndpointChange], None]] = []
         store.listen(self.drop_expired)
 
@@ -85,11 +88,30 @@
         record = self._record_by_id.get(endpoint_id)
         return record is not None and record.ready
 
-    def on_record(self, registered_id: str, record: EndpointRecord | None) -> bool:
-        """Apply a record, or (None) its removal; returns False if nothing changes."""
+    def on_record(
+        self,
+        registered_id: str,
+        record: EndpointRecord | None,
+        position: int = 0,
+        *,
+        from_copy: bool = False,
+    ) -> bool:
+        """Apply a record, or (None) its removal; returns False if nothing changes.
+
+        ``position`` is that of the record in its topic, ``from_copy`` whether the store
+        may just have brought back an older one.
+        """
         if record is None:
             self._expire(registered_id)
             return True
+        if self._removed.is_copy(registered_id, position, from_copy=from_copy):
+            self._journal.write("removed_endpoint_in_copy", endpoint=registered_id)
+            return False
+        if not record.ready:
+            self._leaving.add(record.endpoint_id)
+        return self._apply(registered_id, record)
+
+    def _apply(self, registered_id: str, record: EndpointRecord) -> bool:
         before = self._current(registered_id)
         if before is not None and record.is_start_before(before):
             self._journal.write(
@@ -123,7 +145,7 @@
         known = self._current(registered_id)
         if known is None or not known.ready:
             return False
-        return self.on_record(registered_id, replace(known, ready=False))
+        return self._apply(registered_id, replace(known, ready=False))
 
     def on_leaving(self, endpoint_id: str, origin: str) -> bool:
         """Apply that an endpoint said it leaves; return whether it is known and new.
@@ -209,6 +231,7 @@
     def _expire(self, registered_id: str) -> None:
         if registered_id not in self._id_by_registration:
             return
+        self._removed.on_removed(registered_id)
         if self._store.is_settled():
             self._drop(registered_id)
             return
--- a/bamboovale/gateway/ownership.py
+++ b/bamboovale/gateway/ownership.py
@@ -20,6 +20,9 @@
 RENEW_INTERVAL_S = 0.6
 RETRY_INTERVAL_S = 0.3
 """Delay after a failed renewal, such that one lost call does not expire a lease."""
+GENERATIONS_PER_ERA = 1 << 20
+"""The store gives generations out again when it returns from an older copy, in a later
+era: each generation of that one is above all before."""
 FENCES_PER_GENERATION = 1 << 24
 VMS_PER_STEP = 1 << 14
 """A fencing number consists of the store's generation, a step within it for takeovers
@@ -45,6 +48,7 @@
 class Ownership:
     """The partitions that this VM holds, its lease and its fencing numbers.
 
+    ``generation`` is that of the store's group, counted over all eras of the store.
     ``renew_forever`` renews the lease. ``reachable`` is whether the store answered the
     last renewal.
     """
@@ -75,6 +79,8 @@
         self._clock = clock
         digest = hashlib.blake2b(member.encode(), digest_size=8).digest()
         self._vm_number = int.from_bytes(digest, "big") % VMS_PER_STEP
+        self._confirmed_generation = 0
+        self._era = 0
         self._held_until = 0.0
         self._held_since: dict[int, float] = {}
         self._takeover_fence: dict[str, int] = {}
@@ -241,7 +247,7 @@
                 self._member,
                 [TOPIC],
                 TTL_S,
-                self.generation,
+                self._confirmed_generation,
                 timeout_s=TTL_S - LEASE_MARGIN_S,
             )
         except StoreError as error:
@@ -260,17 +266,27 @@
         self._held_until = sent_at + TTL_S - LEASE_MARGIN_S
         self._apply(membership)
 
+    def on_store_returned(self) -> None:
+        """Confirm no generation to the store that it may not have given out yet."""
+        self._confirmed_generation = 0
+
     def _apply(self, membership: Membership) -> None:
         now = self._clock()
+        generation = membership.era * GENERATIONS_PER_ERA + membership.generation
+        if membership.era != self._era:
+            # Others may hold leases of the last era by their clocks.
+            self._held_since.clear()
+            self._raised_fence.clear()
+            self._era = membership.era
         numbers = {partition.number for partition in membership.partitions}
         # A partition may be added without a new generation, once its owner released it.
         moved = numbers != self._held_since.keys() or bool(self._takeover_fence)
         self._takeover_fence.clear()
-        changed = moved or membership.generation != self.generation
+        changed = moved or generation != self.generation
         if moved:
             self._journal.write(
                 "ownership_changed",
-                generation=membership.generation,
+                generation=generation,
                 before=self.generation,
                 gained=sorted(numbers - self._held_since.keys()),
                 lost=sorted(self._held_since.keys() - numbers),
@@ -278,6 +294,7 @@
         self._held_since = {
             number: self._held_since.get(number, now) for number in numbers
         }
-        self.generation = membership.generation
+        self.generation = generation
+        self._confirmed_generation = membership.generation
         if changed:
             self._on_change()
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -28,6 +28,9 @@
 STALE_AFTER_S = 4.0
 """Time without progress after which a VM reads for itself. Progress spreads by gossip,
 which takes several steps in a large fleet."""
+READ_ANEW_S = 0.6
+"""Time over which the VMs of a large fleet read the endpoints anew after the store has
+returned from an older copy: their calls have a common limit."""
 LARGE_FLEET_RETRY_S = 2.0
 """Delay between retries of one VM in a larger fleet while the store fails: VMs that
 reach it pass on what they read."""
@@ -64,6 +67,7 @@
             translation.operator_topic,
             store,
             state.journal,
+            state.eras,
             on_record=self._on_operator_record,
             wait_s=config_poll_s,
             pause_s=lambda: CONFIG_PAUSE_S,
@@ -77,6 +81,7 @@
             translation.endpoints_topic,
             store,
             state.journal,
+            state.eras,
             on_record=self._on_endpoint_record,
             known_keys=state.endpoints.registered_ids,
             wait_s=self._endpoints_poll_s,
@@ -91,6 +96,19 @@
             now=state.now,
         )
 
+        state.eras.listen(self._on_return)
+
+    def _on_return(self) -> None:
+        """Read the endpoints anew, VMs of a large fleet within a while of one another.
+
+        The configuration and versions are read anew by the VMs that read them, and the
+        others hear of them, as these only rise.
+        """
+        is_reader = self._is_reader()
+        delay_s = 0.0 if is_reader else READ_ANEW_S * random.random()
+        self.endpoints.read_anew(delay_s)
+        self.operator.stop_read()
+
     def followers(self) -> tuple[TopicFollower, ...]:
         """Return the followers of all topics."""
         return (self.operator, self.endpoints)
@@ -142,11 +160,13 @@
 
     def _on_endpoint_record(self, record: KeyedRecord) -> bool:
         if record.value is None:
-            return self._state.endpoints.on_record(record.key, None)
+            return self._state.endpoints.on_record(record.key, None, record.position)
         decoded = self._translation.decode_endpoint_record(record.key, record.value)
         if isinstance(decoded, str):
             return self._state.endpoints.on_unreadable_record(record.key, decoded)
-        return self._state.endpoints.on_record(record.key, decoded)
+        return self._state.endpoints.on_record(
+            record.key, decoded, record.position, from_copy=record.from_copy
+        )
 
     def _is_reader(self) -> bool:
         """Return whether this VM reads the endpoints' topic, also for other VMs."""
--- a/bamboovale/gateway/state_dump.py
+++ b/bamboovale/gateway/state_dump.py
@@ -10,7 +10,9 @@
 from bamboovale.gateway.ownership import lease_clock
 from bamboovale.gateway.quota_exchange import QuotaExchange
 from bamboovale.gateway.vm_state import VMState
+from bamboovale.store.eras import StoreEras
 from bamboovale.store.follower import TopicFollower
+from bamboovale.store.position import Position
 
 
 def dump_fleet(state: VMState, gossip: GossipProtocol) -> dict[str, Any]:
@@ -43,7 +45,7 @@
         },
         "store_answered_s_ago": finite_age_s(now - gossip.store_answered_at),
         "store_settled": state.store_watch.is_settled(),
-        "endpoints_offset": gossip.endpoints_offset,
+        "endpoints_offset": _offset(gossip.endpoints_offset),
     }
 
 
@@ -51,7 +53,7 @@
     """Return by topic the offset reached and the age of the open read, in seconds."""
     return {
         follower.topic: {
-            "offset": follower.changes.next_offset,
+            "offset": _offset(follower.changes.next_offset),
             "reachable": follower.reachable,
             "open_s": _rounded(follower.open_read_s()),
             "answered_s_ago": _rounded(follower.answered_s_ago()),
@@ -60,6 +62,19 @@
     }
 
 
+def _offset(position: int | None) -> int | None:
+    return None if position is None else Position(position).offset
+
+
+def dump_era(eras: StoreEras) -> dict[str, Any]:
+    """Return the store's era, and when it last returned from an older copy."""
+    return {
+        "era": eras.current,
+        "returns": eras.returns,
+        "returned_s_ago": finite_age_s(eras.returned_s_ago()),
+    }
+
+
 def _rounded(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 2)
 
--- a/bamboovale/gateway/translation.py
+++ b/bamboovale/gateway/translation.py
@@ -7,6 +7,7 @@
 from bamboovale.gateway.engine_client import EngineCodec
 from bamboovale.gateway.model import EndpointRecord, RoutingTable
 from bamboovale.http1.pool import ConnectionPool
+from bamboovale.store.eras import StoreEras
 from bamboovale.store.interface import MetadataStore
 
 
@@ -37,6 +38,7 @@
     def store(
         self,
         pool: ConnectionPool,
+        eras: StoreEras,
         on_call: Callable[[str], None],
     ) -> MetadataStore:
         """Return the client of the metadata store."""
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -31,6 +31,7 @@
 from bamboovale.gateway.settings_watch import ReadSettings, SettingsWatch
 from bamboovale.gateway.state_dump import (
     dump_engines,
+    dump_era,
     dump_fleet,
     dump_quotas,
     dump_reads,
@@ -97,6 +98,7 @@
             self._request_handler.on_bad_request,
         )
         self.state.endpoints.listen(self._on_endpoint)
+        self.state.eras.listen(self._on_store_returned)
 
     # Construction.
 
@@ -106,6 +108,7 @@
         self._store = LostReadDetector(
             self._translation.store(
                 self._pools.store,
+                self.state.eras,
                 lambda name: self._metrics.gateway_store_calls.labels(name).inc(),
             ),
             self.state.now,
@@ -401,6 +404,14 @@
         self._crashes.on_endpoint(change)
         self.peering.assign_engines()
 
+    def _on_store_returned(self) -> None:
+        """Write again what the store may have lost of what this VM wrote."""
+        self._metrics.gateway_store_returns.inc()
+        self._ownership.on_store_returned()
+        self._registration.on_store_returned()
+        self._stall_records.on_store_returned()
+        self._crashes.on_store_returned()
+
     async def _own_engines(self) -> None:
         """Take part in ownership of engines, once the other VMs are known.
 
@@ -447,6 +458,7 @@
             "retries": self.state.retries.dump(),
             "paths": self.state.path_watch.paths.dump(self.state.now()),
             "store_reads": dump_reads(self.records.followers()),
+            "store_era": dump_era(self.state.eras),
             "generation": self._ownership.generation,
             "store_reachable": self._ownership.reachable,
             "requests_under_way": self._callers.busy,
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -17,6 +17,7 @@
 from bamboovale.gateway.ownership import lease_clock
 from bamboovale.gateway.path_watch import PathWatch
 from bamboovale.gateway.retry_budgets import RetryBudgets
+from bamboovale.store.eras import StoreEras
 from bamboovale.store.watch import StoreWatch
 from bamboovale.streams.version_history import VersionHistory
 
@@ -55,6 +56,8 @@
         )
         self.path_watch = PathWatch(journal, self.now)
         self.store_watch = StoreWatch(self.now)
+        self.eras = StoreEras(journal, self.now)
+        self.eras.listen(self.store_watch.on_returned)
         self.endpoints = EndpointView(journal, self.store_watch, self.now)
         self.versions = VersionHistory(is_first_start=node.first_start)
         self.endpoints.listen(self._on_endpoint)
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -104,6 +104,10 @@
             "Calls to the metadata store by name.",
             ["call"],
         )
+        self.gateway_store_returns = self._counter(
+            "gateway_store_returns",
+            "Returns of the metadata store from an older copy.",
+        )
         self._gateway_open_read_seconds = Gauge(
             PREFIX + "gateway_store_read_open_seconds",
             "Seconds for which the open read of a topic has had no answer.",
--- a/bamboovale/platform/names.py
+++ b/bamboovale/platform/names.py
@@ -32,6 +32,7 @@
 SERVER_BRITTLE = b"server-brittle"
 CHALLENGE = b"www-authenticate"
 CONTENT_LENGTH = b"content-length"
+STORE_ERA = b"store-era"
 
 # Paths of engines.
 REPORT_PATH = "/api/report"
--- a/bamboovale/platform/store.py
+++ b/bamboovale/platform/store.py
@@ -4,13 +4,21 @@
 import base64
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
 import h11
 
-from bamboovale.http1.connection import ConnectFailed, Headers, IncompleteResponse
+from bamboovale.http1.connection import (
+    ConnectFailed,
+    Headers,
+    IncompleteResponse,
+    ResponseHead,
+)
 from bamboovale.http1.pool import ConnectionPool
+from bamboovale.platform.names import STORE_ERA
+from bamboovale.store.eras import StoreEras
 from bamboovale.store.interface import (
     HistoryLostError,
     KeyedRecord,
@@ -20,79 +28,110 @@
     Snapshot,
     StoreError,
 )
+from bamboovale.store.position import Position
 
 CALL_TIMEOUT_S = 1.5
 """Well above the answer time of a slow store."""
 READ_HEAD_BYTES = 16
 STORE_ID = "store"
+OK = 200
+GONE = 410
+
+
+@dataclass(frozen=True)
+class _Answer:
+    """The body of an answer, and the era in which the store gave it."""
+
+    body: bytes
+    era: int
+
+    def document(self, name: str) -> Any:
+        """Return the decoded body; raises StoreError."""
+        try:
+            return json.loads(self.body) if self.body else {}
+        except ValueError as error:
+            raise StoreError(f"{name}: answer is not valid JSON") from error
 
 
 class StoreClient:
     """HTTP client of the store; every method raises StoreError.
 
-    ``address`` is called before each request, as the settings may change. ``on_call``
-    is called with the name of each request.
+    ``address`` is called before each request, as the settings may change. ``eras``
+    hears of the era of each answer; one of an era that is over counts as a failure.
+    ``on_call`` is called with the name of each request.
     """
 
     def __init__(
         self,
         address: Callable[[], tuple[str, int]],
         pool: ConnectionPool,
+        eras: StoreEras,
         on_call: Callable[[str], None] = lambda name: None,
     ) -> None:
         self._address = address
         self._pool = pool
+        self._eras = eras
         self._on_call = on_call
 
     async def newest(self, topic: str) -> Snapshot:
-        """Return the newest record of each key of a keyed topic."""
+        """Return the newest record of each key of a keyed topic.
+
+        Raises HistoryLostError if the store returns from a copy between two pages.
+        """
         records: dict[str, KeyedRecord] = {}
-        end: int | None = None
+        end: Position | None = None
         after: str | None = None
         while True:
             query = {"topic": topic, "part": "0"}
             if after is not None:
                 query["after"] = after
-            page = await self._json("GET", "log-newest", query)
+            answer = await self._send("GET", "log-newest", query)
+            page = answer.document("log-newest")
+            page_end = Position.at(answer.era, int(page["end"]))
+            if end is not None and page_end.era != end.era:
+                raise HistoryLostError(f"{topic}: the store returned between pages")
             # Pages are not one snapshot: changes since the first page are read again.
-            end = page["end"] if end is None else min(end, page["end"])
+            end = page_end if end is None else min(end, page_end)
             for item in page["items"]:
-                record = _keyed_item(item)
+                record = _keyed_item(item, answer.era)
                 records[record.key] = record
                 after = record.key
             if not page.get("more") or not page["items"]:
-                return Snapshot(tuple(records.values()), int(end or 0))
+                return Snapshot(tuple(records.values()), end)
 
     async def read(
         self,
         topic: str,
-        offset: int,
+        position: Position,
         wait_s: float,
-    ) -> tuple[tuple[KeyedRecord, ...], int]:
-        """Return the records from an offset on, and the next offset.
+    ) -> tuple[tuple[KeyedRecord, ...], Position]:
+        """Return the records from a position on, and the next position.
 
         Waits up to ``wait_s`` seconds for a record. Raises HistoryLostError if the
-        store no longer has the offset.
+        store no longer has the position, or is in another era.
         """
-        query = {"topic": topic, "part": "0", "from": str(offset)}
+        self._check_era(topic, position, self._eras.current)
+        query = {"topic": topic, "part": "0", "from": str(position.offset)}
         if wait_s > 0:
             query["wait-ms"] = str(int(wait_s * 1000))
-        body = await self._call(
-            "GET",
-            f"/api/log-read?{urlencode(query)}",
-            b"",
-            CALL_TIMEOUT_S + wait_s,
-        )
-        records = _keyed_records(body[READ_HEAD_BYTES:], offset)
-        return records, offset + len(records)
+        answer = await self._send("GET", "log-read", query, CALL_TIMEOUT_S + wait_s)
+        self._check_era(topic, position, answer.era)
+        records = _keyed_records(answer.body[READ_HEAD_BYTES:], position)
+        return records, Position(position + len(records))
+
+    def _check_era(self, topic: str, position: Position, era: int) -> None:
+        if position.era != era:
+            raise HistoryLostError(
+                f"{topic}: offset {position.offset} is of era {position.era}, not {era}"
+            )
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Write the newest record of a key."""
         name = key.encode()
         content = bytes([len(name)]) + name + value
         record = len(content).to_bytes(4, "big") + content
-        query = urlencode({"topic": topic, "part": "0"})
-        await self._call("POST", f"/api/log-append?{query}", record, CALL_TIMEOUT_S)
+        query = {"topic": topic, "part": "0"}
+        await self._send("POST", "log-append", query, body=record)
 
     async def join(
         self,
@@ -111,64 +150,66 @@
             "ttl-ms": int(ttl_s * 1000),
             "generation": generation,
         }
-        answer = await self._json("POST", "log-join", {}, document, timeout_s)
-        partitions = tuple(Partition(row[0], int(row[1])) for row in answer["parts"])
-        return Membership(int(answer["generation"]), partitions)
+        answer = await self._send(
+            "POST", "log-join", {}, timeout_s, json.dumps(document).encode()
+        )
+        given = answer.document("log-join")
+        partitions = tuple(Partition(row[0], int(row[1])) for row in given["parts"])
+        return Membership(int(given["generation"]), partitions, answer.era)
 
     async def leave(self, group: str, member: str) -> None:
         """Leave a group, so that its other members take over at once."""
-        await self._json("POST", "log-leave", {}, {"group": group, "member": member})
+        document = {"group": group, "member": member}
+        await self._send("POST", "log-leave", {}, body=json.dumps(document).encode())
 
     async def members(self, group: str) -> frozenset[str]:
         """Return the members of a group that hold a partition."""
-        answer = await self._json("GET", "log-owners", {"group": group})
-        return frozenset(str(row[2]) for row in _owner_rows(answer) if row[2])
+        answer = await self._send("GET", "log-owners", {"group": group})
+        rows = _owner_rows(answer.document("log-owners"))
+        return frozenset(str(row[2]) for row in rows if row[2])
 
-    async def _json(
+    async def _send(
         self,
         method: str,
         name: str,
         query: dict[str, str],
-        document: dict[str, Any] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Any:
+        body: bytes = b"",
+    ) -> _Answer:
         target = f"/api/{name}?{urlencode(query)}" if query else f"/api/{name}"
-        body = b"" if document is None else json.dumps(document).encode()
-        answer = await self._call(method, target, body, timeout_s)
-        try:
-            return json.loads(answer) if answer else {}
-        except ValueError as error:
-            raise StoreError(f"{name}: answer is not valid JSON") from error
-
-    async def _call(
-        self,
-        method: str,
-        target: str,
-        body: bytes,
-        timeout_s: float,
-    ) -> bytes:
-        self._on_call(target.partition("?")[0].rpartition("/")[2])
+        self._on_call(name)
         try:
             async with asyncio.timeout(timeout_s):
-                status, answer = await self._exchange(method, target, body)
+                head, answer = await self._exchange(method, target, body)
         except TimeoutError as error:
             # Idle connections may be dead too, and each would cost a timeout.
             self._pool.forget(STORE_ID)
             raise NoAnswerError(f"{target}: no answer in time") from error
         except (ConnectFailed, IncompleteResponse, OSError) as error:
             raise StoreError(f"{target}: {error}") from error
-        if status == 410:
-            raise HistoryLostError(f"{target}: offset is no longer stored", status)
-        if status != 200:
-            raise StoreError(f"{target}: status {status}: {answer[:200]!r}", status)
-        return answer
+        era = self._observe_era(head, target)
+        if head.status == GONE:
+            raise HistoryLostError(f"{target}: offset is not stored", head.status)
+        if head.status != OK:
+            text = f"{target}: status {head.status}: {answer[:200]!r}"
+            raise StoreError(text, head.status)
+        return _Answer(answer, era)
+
+    def _observe_era(self, head: ResponseHead, target: str) -> int:
+        """Return the era of an answer; raises StoreError if it is over."""
+        named = head.get(STORE_ERA)
+        if named is None or not named.isdigit():
+            return self._eras.current
+        if not self._eras.observe(int(named), "store"):
+            raise StoreError(f"{target}: answered in era {int(named)}, which is over")
+        return int(named)
 
     async def _exchange(
         self,
         method: str,
         target: str,
         body: bytes,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[ResponseHead, bytes]:
         address = self._address()
         host = f"{address[0]}:{address[1]}"
         headers: Headers = [(b"host", host.encode())]
@@ -187,7 +228,7 @@
             connection.close()
             raise
         self._pool.give_back(STORE_ID, connection)
-        return head.status, b"".join(parts)
+        return head, b"".join(parts)
 
 
 def _owner_rows(answer: Any) -> list[list[Any]]:
@@ -196,12 +237,13 @@
     return [row for row in rows if isinstance(row, list) and len(row) > 2]
 
 
-def _keyed_item(item: dict[str, Any]) -> KeyedRecord:
+def _keyed_item(item: dict[str, Any], era: int) -> KeyedRecord:
     value = base64.b64decode(item["value"])
-    return KeyedRecord(str(item["key"]), value, int(item["offset"]))
+    position = Position.at(era, int(item["offset"]))
+    return KeyedRecord(str(item["key"]), value, position)
 
 
-def _keyed_records(data: bytes, offset: int) -> tuple[KeyedRecord, ...]:
+def _keyed_records(data: bytes, first: Position) -> tuple[KeyedRecord, ...]:
     """Split records: 4-byte length, 1-byte key length, key, value."""
     records: list[KeyedRecord] = []
     at = 0
@@ -212,5 +254,6 @@
         key_size = content[0] if content else 0
         key = content[1 : 1 + key_size].decode("utf-8", "replace")
         value = content[1 + key_size :]
-        records.append(KeyedRecord(key, value or None, offset + len(records)))
+        position = Position(first + len(records))
+        records.append(KeyedRecord(key, value or None, position))
     return tuple(records)
--- a/bamboovale/platform/translation.py
+++ b/bamboovale/platform/translation.py
@@ -26,6 +26,7 @@
 )
 from bamboovale.platform.node_file import NodeSettings
 from bamboovale.platform.store import StoreClient
+from bamboovale.store.eras import StoreEras
 from bamboovale.store.interface import MetadataStore
 
 
@@ -42,10 +43,11 @@
     def store(
         self,
         pool: ConnectionPool,
+        eras: StoreEras,
         on_call: Callable[[str], None],
     ) -> MetadataStore:
         """Return the client of the metadata store."""
-        return StoreClient(lambda: self.node.store, pool, on_call)
+        return StoreClient(lambda: self.node.store, pool, eras, on_call)
 
     def decode_operator_record(
         self,
--- a/bamboovale/store/follower.py
+++ b/bamboovale/store/follower.py
@@ -5,11 +5,13 @@
 import math
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from bamboovale.fleet.messages import TopicRow
 from bamboovale.fleet.topic_changes import TopicChanges
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.ownership import lease_clock
+from bamboovale.store.eras import StoreEras
 from bamboovale.store.interface import (
     HistoryLostError,
     KeyedRecord,
@@ -17,6 +19,7 @@
     NoAnswerError,
     StoreError,
 )
+from bamboovale.store.position import Position
 
 STALENESS_CHECK_INTERVAL_S = 0.5
 """Interval of checks whether updates from other readers have become stale."""
@@ -49,7 +52,8 @@
     since the last progress. ``reachable`` is whether this VM's last read was answered.
     ``on_proof`` is called with the latest moment, by ``lease_clock``, at which nothing
     newer than what was read existed. ``on_snapshot`` is called after a read of the
-    newest records alone, which may leave out earlier ones.
+    newest records alone, which may leave out earlier ones. ``eras`` tells when the
+    store has returned from an older copy.
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         topic: str,
         store: MetadataStore,
         journal: Journal,
+        eras: StoreEras,
         *,
         on_record: OnRecord,
         wait_s: Callable[[], float],
@@ -76,6 +81,7 @@
         self.changes = TopicChanges()
         self._store = store
         self._journal = journal
+        self._eras = eras
         self._on_record = on_record
         self._wait_s = wait_s
         self._pause_s = pause_s
@@ -89,6 +95,7 @@
         self._may_read = may_read
         self._now = now
         self._needs_snapshot = True
+        self._read_anew_at = -math.inf
         self._proof_wanted = asyncio.Event()
         self._proven_at = -math.inf
         self._progress_at = 0.0
@@ -109,8 +116,9 @@
             except _ReadRestarted:
                 continue
             except HistoryLostError:
-                at = self.changes.next_offset
-                self._journal.write("history_lost", topic=self.topic, at=at)
+                self._journal.write(
+                    "history_lost", topic=self.topic, at=self._known().offset
+                )
                 self._needs_snapshot = True
                 continue
             except StoreError as error:
@@ -131,9 +139,17 @@
                 await self._proof_wanted.wait()
 
     def _must_read(self) -> bool:
+        if self._now() < self._read_anew_at:
+            return False
         is_due = self._needs_snapshot or self._proof_wanted.is_set()
         return is_due or self._may_read(self._progress_age_s())
 
+    def read_anew(self, delay_s: float) -> None:
+        """Read the newest records after a delay, as the store may hold older ones."""
+        self._needs_snapshot = True
+        self._read_anew_at = self._now() + delay_s
+        self.stop_read()
+
     def open_read_s(self) -> float | None:
         """Return the age of the last read in seconds, None if it was answered."""
         started_at, answered_at = self._read_started_at, self._answered_at
@@ -178,8 +194,9 @@
         finally:
             self._reading = False
         self._progress_at = self._now()
-        self._proven_at = sent_at + waited_s
-        self._on_proof(self._proven_at)
+        if self._eras.is_rewritten():
+            self._proven_at = sent_at + waited_s
+            self._on_proof(self._proven_at)
 
     async def _read_all(self) -> float:
         """Read the newest record of each key; known keys that are missing are gone.
@@ -191,15 +208,20 @@
         last = max(0, snapshot.end - 1)
         missing = sorted(self._known_keys() - present)
         gone = tuple(KeyedRecord(key, None, last) for key in missing)
-        by_offset = sorted(snapshot.records, key=lambda record: record.offset)
-        self._apply((*by_offset, *gone), snapshot.end)
+        in_order = sorted(snapshot.records, key=lambda record: record.position)
+        if self._is_of_earlier_era(snapshot.end):
+            self._log_return(snapshot.end, lost=missing)
+            in_order = [replace(record, from_copy=True) for record in in_order]
+            # Positions of another era are told to nobody.
+            self.changes.reset(int(snapshot.end))
+        self._apply((*in_order, *gone), snapshot.end)
         self._on_snapshot()
         self._needs_snapshot = False
         return 0.0
 
     async def _read_next(self, wait_s: float) -> float:
         """Read the next records; return for how long there were certainly none."""
-        first = self.changes.next_offset or 0
+        first = self._known()
         sent_at = lease_clock()
         records, following = await self._read_until_restarted(first, wait_s)
         self._apply(records, following)
@@ -207,8 +229,8 @@
         return wait_s if not records and lease_clock() - sent_at >= wait_s else 0.0
 
     async def _read_until_restarted(
-        self, first: int, wait_s: float
-    ) -> tuple[tuple[KeyedRecord, ...], int]:
+        self, first: Position, wait_s: float
+    ) -> tuple[tuple[KeyedRecord, ...], Position]:
         try:
             async with asyncio.timeout(None) as self._open_poll:
                 self._open_poll_s = wait_s
@@ -223,15 +245,37 @@
 
         An open read proves nothing until it is answered.
         """
-        if self._open_poll is not None and self._open_poll_s > poll_s:
+        if self._open_poll_s > poll_s:
+            self.stop_read()
+
+    def stop_read(self) -> None:
+        """Stop an open read that waits for changes; another one follows."""
+        if self._open_poll is not None:
             self._open_poll.reschedule(asyncio.get_running_loop().time())
 
+    def _is_of_earlier_era(self, end: Position) -> bool:
+        """Return whether what was read before is of an earlier era than a position."""
+        known = self.changes.next_offset
+        return known is not None and Position(known).era < end.era
+
+    def _log_return(self, end: Position, lost: list[str]) -> None:
+        before = self._known()
+        self._journal.write(
+            "topic_returned",
+            topic=self.topic,
+            era=end.era,
+            offset=end.offset,
+            era_before=before.era,
+            offset_before=before.offset,
+            lost_keys=len(lost),
+        )
+
     def _apply(self, records: Iterable[KeyedRecord], next_offset: int) -> None:
         """Pass records on, and keep those that changed something for other VMs."""
         known = self.changes.next_offset or 0
         changed = [r for r in records if self._on_record(r) is not False]
-        rows = [(r.key, r.value, max(r.offset, known)) for r in changed]
-        self.changes.advance(next_offset, rows)
+        rows = [(r.key, r.value, int(max(r.position, known))) for r in changed]
+        self.changes.advance(int(next_offset), rows)
         if rows:
             self._on_changed()
 
@@ -244,6 +288,9 @@
         and they would not be passed on to VMs that receive updates only from here.
         """
         known = self.changes.next_offset
+        if known is not None and self._is_of_earlier_era(Position(next_offset)):
+            self._eras.observe(Position(next_offset).era, "peer")
+            return
         if self._reading or known is None or first_offset > known:
             return
         if next_offset <= known:
@@ -251,6 +298,10 @@
         self._progress_at = self._now()
         self._apply([KeyedRecord(*row) for row in rows if row[2] >= known], next_offset)
 
+    def _known(self) -> Position:
+        """Return the position up to which all records are known, the first without."""
+        return Position(self.changes.next_offset or 0)
+
     def _progress_age_s(self) -> float:
         return self._now() - self._progress_at
 
@@ -260,13 +311,13 @@
                 "store_lost",
                 topic=self.topic,
                 error=error,
-                offset=self.changes.next_offset,
+                offset=self._known().offset,
                 open_s=None if open_s is None else round(open_s, 3),
             )
         self.reachable = False
 
     def _on_regained(self) -> None:
         if not self.reachable:
-            offset = self.changes.next_offset
+            offset = self._known().offset
             self._journal.write("store_regained", topic=self.topic, offset=offset)
         self.reachable = True
--- a/bamboovale/store/interface.py
+++ b/bamboovale/store/interface.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from bamboovale.store.position import Position
+
 
 class StoreError(Exception):
     """The call failed; ``status`` is None if there was no answer."""
@@ -17,24 +19,32 @@
 
 
 class HistoryLostError(StoreError):
-    """The requested records are no longer stored; read the newest ones instead."""
+    """The requested records are not stored, any more or since the store has returned.
+
+    Read the newest ones instead.
+    """
 
 
 @dataclass(frozen=True)
 class KeyedRecord:
-    """The newest record of a key; ``value`` is None if the key was deleted."""
+    """The newest record of a key; ``value`` is None if the key was deleted.
+
+    ``from_copy`` is whether it may be older than what was read before, as the store has
+    just returned from an older copy.
+    """
 
     key: str
     value: bytes | None
-    offset: int
+    position: int
+    from_copy: bool = False
 
 
 @dataclass(frozen=True)
 class Snapshot:
-    """The newest record of each key; later records start at offset ``end``."""
+    """The newest record of each key; later records start at ``end``."""
 
     records: tuple[KeyedRecord, ...]
-    end: int
+    end: Position
 
 
 @dataclass(frozen=True)
@@ -47,10 +57,14 @@
 
 @dataclass(frozen=True)
 class Membership:
-    """The partitions of a group member; ``generation`` rises with each change."""
+    """The partitions of a group member; ``generation`` rises with each change.
+
+    It counts within an era of the store.
+    """
 
     generation: int
     partitions: tuple[Partition, ...]
+    era: int = 0
 
 
 class MetadataStore(Protocol):
@@ -62,10 +76,10 @@
     async def read(
         self,
         topic: str,
-        offset: int,
+        position: Position,
         wait_s: float,
-    ) -> tuple[tuple[KeyedRecord, ...], int]:
-        """Return records from an offset on and the next offset."""
+    ) -> tuple[tuple[KeyedRecord, ...], Position]:
+        """Return records from a position on and the next position."""
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Write the newest record of a key."""
--- a/bamboovale/store/lost_reads.py
+++ b/bamboovale/store/lost_reads.py
@@ -21,6 +21,7 @@
     Snapshot,
     StoreError,
 )
+from bamboovale.store.position import Position
 
 Answer = TypeVar("Answer")
 
@@ -45,12 +46,12 @@
     async def read(
         self,
         topic: str,
-        offset: int,
+        position: Position,
         wait_s: float,
-    ) -> tuple[tuple[KeyedRecord, ...], int]:
-        """Return records from an offset on and the next offset."""
+    ) -> tuple[tuple[KeyedRecord, ...], Position]:
+        """Return records from a position on and the next position."""
         async with self._cancelled_if_lost(topic):
-            return await self._observe(self._store.read(topic, offset, wait_s))
+            return await self._observe(self._store.read(topic, position, wait_s))
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Write the newest record of a key."""
--- a/bamboovale/store/registration.py
+++ b/bamboovale/store/registration.py
@@ -1,6 +1,7 @@
 """Registration of VM addresses in the metadata store, by which VMs find each other."""
 
 import asyncio
+import contextlib
 import json
 import random
 from collections.abc import Callable, Sequence
@@ -15,6 +16,8 @@
 """Interval of reads in a small fleet, to find VMs that could not announce themselves.
 In a larger fleet each VM reads less often, as gossip spreads what one of them finds."""
 SMALL_FLEET = 12
+WRITES_PER_S = 100.0
+"""Addresses that all VMs together write again after a return of the store."""
 
 
 class RecordReader(Protocol):
@@ -44,9 +47,15 @@
         self._others = others
         self._on_contact = on_contact
         self._is_written = False
+        self._returned = asyncio.Event()
+
+    def on_store_returned(self) -> None:
+        """Write this VM's address again, as the store may have lost it."""
+        self._is_written = False
+        self._returned.set()
 
     async def keep(self) -> None:
-        """Write this VM's address once and read the others forever."""
+        """Write this VM's address, and read the others forever."""
         while True:
             try:
                 await self._write()
@@ -58,7 +67,20 @@
                 self._state.knows_fleet = True
                 await asyncio.sleep(ALONE_READ_INTERVAL_S)
                 continue
-            await asyncio.sleep(self._pause_s())
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait until the next read, or the next write after a return of the store.
+
+        VMs write within a while of one another, as their calls have a common limit.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._pause_s()):
+                await self._returned.wait()
+        if self._returned.is_set():
+            self._returned.clear()
+            spread_s = self._state.fleet.expected_size() / WRITES_PER_S
+            await asyncio.sleep(spread_s * random.random())
 
     async def _write(self) -> None:
         if self._is_written:
--- a/bamboovale/store/stall_records.py
+++ b/bamboovale/store/stall_records.py
@@ -27,11 +27,13 @@
     """Recorded state of one pool.
 
     ``clear_since`` is since when no stall was observed, None while there is one.
+    ``is_lost`` is whether the store may not hold it any more.
     """
 
     stalled: bool = False
     clear_since: float | None = None
     written_at: float | None = None
+    is_lost: bool = False
 
     def evaluate(self, stalled: bool, now: float) -> bool:
         """Apply an observation; return whether it changes the record."""
@@ -71,6 +73,12 @@
         self._on_read = on_read
         self._record_by_service: dict[str, StallRecord] = {}
 
+    def on_store_returned(self) -> None:
+        """Have the records of stalls written again, as the store may have lost them."""
+        for record in self._record_by_service.values():
+            record.is_lost = record.stalled
+            record.written_at = None
+
     def is_stalled(self, service: str) -> bool:
         """Return whether the pool is recorded as stalled."""
         known = self._record_by_service.get(service)
@@ -102,11 +110,14 @@
         """Write changed records, if this VM is the owner designated to write them."""
         for service, stalled in stalled_by_service.items():
             known = self._record_by_service.setdefault(service, StallRecord())
-            if not known.may_write(now) or not known.evaluate(stalled, now):
+            if not known.may_write(now):
+                continue
+            was_lost, known.is_lost = known.is_lost, False
+            if not known.evaluate(stalled, now) and not was_lost:
                 continue
             if self._own_id in first_members(service, owner_ids, 1):
                 known.written_at = now
-                await self._write(service, stalled)
+                await self._write(service, known.stalled)
 
     async def _write(self, service: str, stalled: bool) -> None:
         value = json.dumps({"held_up": stalled}).encode()
--- a/bamboovale/store/watch.py
+++ b/bamboovale/store/watch.py
@@ -28,6 +28,7 @@
         self._failed_at = -math.inf
         self._failed_since_answer = False
         self._settled_at = -math.inf
+        self._returned_at = -math.inf
         self._on_settled: list[Callable[[], None]] = []
 
     def listen(self, on_settled: Callable[[], None]) -> None:
@@ -71,8 +72,19 @@
         self._failed_at = self._now()
         self._failed_since_answer = True
 
+    def on_returned(self) -> None:
+        """Apply that the store has returned from an older copy, as after an outage."""
+        self._returned_at = self._now()
+        self._settled_at = -math.inf
+        self.on_read_failed()
+
     def on_settled(self) -> None:
-        """Apply the report of a VM, maybe this one, that the store is settled."""
+        """Apply the report of a VM, maybe this one, that the store is settled.
+
+        A VM that has not heard of a return yet may still say so.
+        """
+        if self._now() - self._returned_at < RENEWAL_S:
+            return
         self._settled_at = self._now()
         for listener in self._on_settled:
             listener()
--- a/tests/test_gateway_older_copy.py
+++ b/tests/test_gateway_older_copy.py
@@ -9,6 +9,7 @@
 from bamboovale.crashes.records import Refused
 from bamboovale.standins.platform_endpoints import PlatformEndpoint
 from bamboovale.standins.platform_store import PlatformStore, StoreCopy
+from bamboovale.store.position import Position
 from tests.gateway_site import (
     Site,
     call,
@@ -39,7 +40,7 @@
         for follower in vm.vm.records.followers()
         if follower.topic == topic
     ]
-    end = end_of(site.store, topic)
+    end = Position.at(site.store.era, end_of(site.store, topic))
     await eventually(lambda: all(f.changes.next_offset >= end for f in followers))
 
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import os
+import time
 from collections.abc import Callable
 from dataclasses import fields, replace
 from typing import Any
@@ -42,6 +43,7 @@
 )
 from bamboovale.platform.endpoints import decode_endpoint, decode_report
 from bamboovale.platform.node_file import NodeSettings
+from bamboovale.store.eras import StoreEras
 from bamboovale.store.follower import TopicFollower
 from bamboovale.store.interface import (
     KeyedRecord,
@@ -50,6 +52,7 @@
     Snapshot,
     StoreError,
 )
+from bamboovale.store.position import Position
 from bamboovale.store.watch import StoreWatch
 from tests.gateway_site import configuration, node_document, run
 
@@ -609,7 +612,7 @@
 
     async def newest(self, topic: str) -> Snapshot:
         """Return nothing, at offset 10."""
-        return Snapshot((), 10)
+        return Snapshot((), Position(10))
 
     async def read(
         self, topic: str, offset: int, wait_s: float
@@ -619,13 +622,19 @@
         return (KeyedRecord("e", b"{}", offset),), offset + 1
 
 
+def no_eras() -> StoreEras:
+    """Return the era of a store that names none."""
+    return StoreEras(Journal("me", logging.getLogger("none")), time.monotonic)
+
+
 def follower(store: ScriptedStore, seen: list[int], reads: bool) -> TopicFollower:
     """Return a follower that reads itself or waits for rows of peers."""
     return TopicFollower(
         "t",
         store,  # type: ignore[arg-type]
         Journal("me", logging.getLogger("none")),
-        on_record=lambda record: seen.append(record.offset),
+        no_eras(),
+        on_record=lambda record: seen.append(record.position),
         wait_s=0.0,
         pause_s=lambda: 0.01,
         may_read=lambda progress_age_s: reads,
@@ -754,8 +763,8 @@
             known: set[int] = set()
 
             def apply(record: KeyedRecord) -> bool:
-                fresh = record.offset not in known
-                known.add(record.offset)
+                fresh = record.position not in known
+                known.add(record.position)
                 return fresh
 
             store = SlowStore()
@@ -763,6 +772,7 @@
                 "t",
                 store,  # type: ignore[arg-type]
                 Journal("me", logging.getLogger("none")),
+                no_eras(),
                 on_record=apply,
                 wait_s=0.0,
                 pause_s=lambda: 0.0,
@@ -807,6 +817,7 @@
                 "topic",
                 store,
                 Journal("vm"),
+                no_eras(),
                 on_record=lambda record: None,
                 wait_s=lambda: 0.1,
                 pause_s=lambda: 0.0,
@@ -825,7 +836,7 @@
             """Answers with a record 0.3 s after each read."""
 
             async def newest(self, topic: str) -> Snapshot:
-                return Snapshot((), 0)
+                return Snapshot((), Position(0))
 
             async def read(self, topic: str, offset: int, wait_s: float) -> Any:
                 await asyncio.sleep(0.3)
@@ -840,7 +851,7 @@
             """Answers without records after the wait."""
 
             async def newest(self, topic: str) -> Snapshot:
-                return Snapshot((), 0)
+                return Snapshot((), Position(0))
 
             async def read(self, topic: str, offset: int, wait_s: float) -> Any:
                 await asyncio.sleep(wait_s + 0.01)
