--- a/bamboovale/standins/crash_triggers.py
+++ b/bamboovale/standins/crash_triggers.py
@@ -25,14 +25,16 @@
     """What crashes endpoints, when it did, and which requests with it arrived.
 
     Either requests whose body begins with ``body``, or those with a ``target``, or
-    those with a ``part`` of their prompts that is not the last one. An endpoint is back
-    after ``back_s``; the record of its crashed start goes after ``expires_s``, None: it
-    stays. Times are monotonic, in seconds.
+    those with a ``part`` of their prompts that is not the last one. A model
+    endpoint crashes ``after_s`` into the run, or before its first event. An endpoint is
+    back after ``back_s``; the record of its crashed start goes after ``expires_s``,
+    None: it stays. Times are monotonic, in seconds.
     """
 
     body: bytes | None = None
     target: str | None = None
     part: str | None = None
+    after_s: float = 0.0
     returns: Return = Return.NEW_ID
     back_s: float = 0.6
     expires_s: float | None = 3.6
--- a/bamboovale/standins/platform_runner.py
+++ b/bamboovale/standins/platform_runner.py
@@ -242,6 +242,13 @@
         finally:
             active[adapter] -= 1
 
+    def _crashes_by_now(self, run: Run) -> bool:
+        """Return whether the run would crash now, if it is one that does."""
+        after_s = 0.0 if self.trigger is None else self.trigger.after_s
+        if after_s == 0.0:
+            return not run.events
+        return time.monotonic() - run.started_at >= after_s
+
     async def _stream(self, request: Request, responder: Responder, run: Run) -> None:
         if self.faults.hang:
             await asyncio.sleep(3600)
@@ -255,7 +262,7 @@
             headers.append((b"transfer-encoding", b"chunked"))
         for number in range(resume_after + 1, self._events + 1):
             await asyncio.sleep(self.faults.event_s)
-            if not run.events and self._crashes_under(request, run):
+            if self._crashes_by_now(run) and self._crashes_under(request, run):
                 return
             if not answer.started:
                 answer.start(200, headers)
--- a/tests/test_crashing_kinds.py
+++ b/tests/test_crashing_kinds.py
@@ -9,11 +9,13 @@
 import pytest
 
 from bamboovale.standins.crash_triggers import CrashTrigger
+from bamboovale.standins.platform_runner import PlatformRunner
 from tests.gateway_site import (
     CallerAnswer,
     RunningVM,
     Site,
     call,
+    eventually,
     run,
     running_site,
 )
@@ -23,6 +25,9 @@
 ALLOWED_LATE = 3
 PAUSE_S = 0.1
 SECONDS = 9.0
+BEGUN_S = 0.65
+"""From the start of a run to its crash, well after its answer began."""
+EVENT_S = 0.1
 VMS = 3
 PLAIN_ENDPOINTS = 3
 ENGINES = 8
@@ -68,9 +73,11 @@
         endpoint.faults.fail_unrun_every = fail_unrun_every
 
 
-async def send_in_turn(vms: Sequence[RunningVM], kind: Kind) -> list[int]:
+async def send_in_turn(
+    vms: Sequence[RunningVM], kind: Kind, seconds: float = SECONDS
+) -> list[int]:
     """Send the request for a while, at each VM in turn; return the statuses."""
-    until = time.monotonic() + SECONDS
+    until = time.monotonic() + seconds
     statuses = []
     for vm in itertools.cycle(vms):
         if time.monotonic() > until:
@@ -93,6 +100,59 @@
         assert statuses[-VMS:] == [503] * VMS
 
 
+def running_for_long(runners: Sequence[PlatformRunner]) -> PlatformRunner | None:
+    """Return the engine that is in the middle of an answer, if there is one."""
+    for runner in runners:
+        if any(run.ended == "running" and run.events > 6 for run in runner.runs):
+            return runner
+    return None
+
+
+class TestBegunAnswers:
+    """The request crashes its engine after its answer has begun."""
+
+    @pytest.mark.parametrize("name", ["stream", "resumable_stream"])
+    def test_it_is_refused_everywhere(self, name: str) -> None:
+        """Guards against a request that each of its answers clears as it begins."""
+
+        async def test() -> None:
+            kind = KINDS[name]
+            async with running_site(
+                VMS, services=0, runners=ENGINES, events=12
+            ) as site:
+                trigger = kind.trigger()
+                trigger.after_s = BEGUN_S
+                set_up(site, trigger, None)
+                for runner in site.runners:
+                    runner.faults.event_s = EVENT_S
+                statuses = await send_in_turn(site.vms, kind, 16.0)
+                assert trigger.late_arrivals(STABLE_S) <= ALLOWED_LATE
+                assert statuses[-VMS:] == [503] * VMS
+
+        run(test())
+
+    def test_streams_that_are_lost_at_two_engines_are_served(self) -> None:
+        """Guards against refusing what ran beside two crashes."""
+
+        async def test() -> None:
+            kind = KINDS["stream"]
+            async with running_site(services=0, runners=3, events=12) as site:
+                for runner in site.runners:
+                    runner.faults.event_s = EVENT_S
+                for _ in range(2):
+                    sent = asyncio.create_task(kind.send(site.vms[0]))
+                    await eventually(lambda: running_for_long(site.runners) is not None)
+                    running_for_long(site.runners).crash()
+                    await sent
+                statuses = []
+                while 200 not in statuses and len(statuses) < 20:
+                    statuses.append((await kind.send(site.vms[0])).status)
+                    await asyncio.sleep(PAUSE_S)
+                assert statuses[-1] == 200
+
+        run(test())
+
+
 class TestKinds:
     """The request comes again and again, at any VM."""
 
