A request whose answers begin and then crash their engines is refused

Callers saw engine after engine crash under one request, as long as each run sent events for a quarter of a second first. Cause: an answer that began cleared the request, at all VMs, and a run that had begun counted against nothing. An attempt that goes on with an earlier answer is never whole. VMs tell one another whether the run had begun (SuspectRequest.began). Conclusion: what a failure, a beginning and a rest show is told apart.

--- a/bamboovale/crashes/attempt_watch.py
+++ b/bamboovale/crashes/attempt_watch.py
@@ -8,14 +8,24 @@
 
 
 class AttemptWatch:
-    """``on_begun`` is called once, when the answer counts as begun."""
+    """Calls ``on_begun`` once the answer has begun, ``on_whole`` when it is whole.
 
-    def __init__(self, now: Callable[[], float], on_begun: Callable[[], None]) -> None:
+    One that goes on with the answer of an earlier attempt is never whole by itself.
+    """
+
+    def __init__(
+        self,
+        now: Callable[[], float],
+        on_begun: Callable[[], None],
+        on_whole: Callable[[], None],
+    ) -> None:
         self.has_begun = False
         self._now = now
         self._on_begun = on_begun
+        self._on_whole = on_whole
         self._first_at: float | None = None
         self._is_failure = False
+        self._goes_on = False
 
     def on_event(self) -> None:
         """Apply an event of the answer."""
@@ -23,14 +33,25 @@
         if self._first_at is None:
             self._first_at = now
         elif now - self._first_at >= BEGUN_AFTER_S:
-            self.on_whole()
+            self._begin()
 
     def on_failure(self) -> None:
         """Apply that the endpoint answers that it failed, perhaps before it began."""
         self._is_failure = True
 
+    def on_going_on(self) -> None:
+        """Apply that the endpoint gets the rest of a request only."""
+        self._goes_on = True
+
     def on_whole(self) -> None:
         """Apply that the answer is whole."""
-        if not self.has_begun and not self._is_failure:
+        if self._is_failure:
+            return
+        self._begin()
+        if not self._goes_on:
+            self._on_whole()
+
+    def _begin(self) -> None:
+        if not self.has_begun:
             self.has_begun = True
             self._on_begun()
--- a/bamboovale/crashes/evidence.py
+++ b/bamboovale/crashes/evidence.py
@@ -5,7 +5,8 @@
 
 A run that was lost is weak evidence: links break and endpoints restart for other
 reasons, and all other runs there were lost too. A run counts only if its endpoint has
-crashed and its answer had not begun, and not against what begins answers elsewhere.
+crashed, and not against what begins answers elsewhere. If its answer had begun it
+counts against the whole request alone, which only a whole answer clears.
 ``verdicts`` decides which subjects explain the crashes.
 
 The refusal ends after a while, as the endpoints may have been mended. Then one VM lets
@@ -19,7 +20,7 @@
 from typing import Any
 
 from bamboovale.crashes.begun import RECENT_S, BegunAnswers
-from bamboovale.crashes.lost_runs import MAX_DELAY_S, LostRuns
+from bamboovale.crashes.lost_runs import MAX_DELAY_S, LostRun, LostRuns
 from bamboovale.crashes.subjects import CrashRule, rule_of
 from bamboovale.crashes.suspicion import Suspicion
 from bamboovale.crashes.verdicts import MIN_CRASHES, convicted
@@ -33,12 +34,16 @@
 
 @dataclass(frozen=True)
 class Counted:
-    """A crash that counts against a subject, its number, and the lost run's age."""
+    """A crash that counts against a subject, its number, and the lost run's age.
+
+    ``began`` is whether the run's answer had begun.
+    """
 
     subject: str
     endpoint_id: str
     crashes: int
     lost_s_ago: float
+    began: bool
 
 
 @dataclass(frozen=True)
@@ -89,15 +94,24 @@
     # Events.
 
     def on_run_lost(
-        self, subject: str, endpoint_id: str, now: float, *, by_peer: bool = False
+        self,
+        subject: str,
+        endpoint_id: str,
+        now: float,
+        *,
+        by_peer: bool = False,
+        began: bool = False,
     ) -> list[Finding]:
-        """Record a run that was lost before its answer began, here or ``by_peer``."""
+        """Record a run that was lost, here or ``by_peer``.
+
+        ``began`` is whether its answer had begun, which needs more crashes.
+        """
+        run = LostRun(subject, now, by_peer, began)
         crashed_at = self._crashed_at.get(endpoint_id)
         if crashed_at is None or now - crashed_at >= MAX_DELAY_S:
-            self._lost.add(subject, endpoint_id, now, by_peer=by_peer)
+            self._lost.add(run, endpoint_id, now)
             return []
-        found = self._count(subject, endpoint_id, 0.0, now, by_peer=by_peer)
-        return found + self._judge(now)
+        return self._count(run, endpoint_id, now) + self._judge(now)
 
     def on_crashed(self, endpoint_id: str, now: float) -> list[Finding]:
         """Record that an endpoint crashed."""
@@ -107,10 +121,7 @@
         self._lost.sweep(now)
         found: list[Finding] = []
         for run in self._lost.take(endpoint_id, now):
-            age_s = now - run.lost_at
-            found += self._count(
-                run.subject, endpoint_id, age_s, now, by_peer=run.by_peer
-            )
+            found += self._count(run, endpoint_id, now)
         return found + self._judge(now) if found else []
 
     def on_begun(self, subjects: Iterable[str], now: float) -> list[Finding]:
@@ -202,18 +213,11 @@
 
     # Counting.
 
-    def _count(
-        self,
-        subject: str,
-        endpoint_id: str,
-        lost_s_ago: float,
-        now: float,
-        *,
-        by_peer: bool,
-    ) -> list[Finding]:
+    def _count(self, run: LostRun, endpoint_id: str, now: float) -> list[Finding]:
+        subject = run.subject
         begun_s_ago = self._begun.age_s(subject, now)
         sound: list[Finding] = []
-        if begun_s_ago is not None and by_peer:
+        if begun_s_ago is not None and run.by_peer:
             sound = [Sound(subject, endpoint_id, begun_s_ago)]
         if self._begun.is_recent(subject, now):
             return sound
@@ -222,9 +226,12 @@
             return []
         suspicion.last_at = now
         suspicion.crashed.add(endpoint_id)
+        suspicion.has_begun |= run.began
         if len(suspicion.crashed) >= MIN_CRASHES:
             self._repeated[subject] = suspicion
-        counted = Counted(subject, endpoint_id, suspicion.crashes, lost_s_ago)
+        counted = Counted(
+            subject, endpoint_id, suspicion.crashes, now - run.lost_at, run.began
+        )
         if suspicion.is_convicted:
             return [counted, Convicted(subject, suspicion.crashes)]
         return [counted, *sound]
@@ -246,8 +253,8 @@
                 del self._repeated[subject]
         known = frozenset(
             subject
-            for subject in self._repeated
-            if self._begun.age_s(subject, now) is not None
+            for subject, suspicion in self._repeated.items()
+            if suspicion.has_begun or self._begun.age_s(subject, now) is not None
         )
         guilty = convicted(self._repeated, known)
         found: list[Finding] = []
--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -100,10 +100,14 @@
         if isinstance(news, CrashedEndpoint):
             self._on_crashed(news.endpoint_id, CrashSign.PEER)
         elif isinstance(news, SuspectRequest):
-            subject, endpoint_id = news.fingerprint, news.endpoint_id
-            self._apply(
-                self._evidence.on_run_lost(subject, endpoint_id, now, by_peer=True)
+            found = self._evidence.on_run_lost(
+                news.fingerprint,
+                news.endpoint_id,
+                now,
+                by_peer=True,
+                began=news.began,
             )
+            self._apply(found)
         else:
             age_s = 0.0 if news.recent else RECENT_S
             found = self._evidence.on_sound(news.fingerprint, age_s, now)
@@ -149,7 +153,12 @@
         Also where the caller leaves or the deadline passes meanwhile: an endpoint may
         crash without closing its connections.
         """
-        watch = AttemptWatch(self._now, lambda: self._on_begun(call))
+        request, *parts = call.subjects
+        watch = AttemptWatch(
+            self._now,
+            on_begun=lambda: self._on_begun(call, parts),
+            on_whole=lambda: self._on_begun(call, [request]),
+        )
         try:
             yield watch
         except NotRun:
@@ -160,8 +169,8 @@
         else:
             watch.on_whole()
 
-    def _on_begun(self, call: Call) -> None:
-        found = self._evidence.on_begun(call.subjects, self._now())
+    def _on_begun(self, call: Call, subjects: list[str]) -> None:
+        found = self._evidence.on_begun(subjects, self._now())
         self._apply(found, answered=call.facts.request_id)
 
     def _on_lost(
@@ -178,11 +187,10 @@
                 parts=[part_id for part_id, _ in call.shared_parts],
             )
             self._signs.look(endpoint_id)
-        if began:
-            return
         now = self._now()
-        for subject in call.subjects:
-            self._apply(self._evidence.on_run_lost(subject, endpoint_id, now))
+        for subject in call.subjects[:1] if began else call.subjects:
+            found = self._evidence.on_run_lost(subject, endpoint_id, now, began=began)
+            self._apply(found)
 
     # What follows from the evidence.
 
@@ -203,7 +211,9 @@
                     self._on_cleared(finding, answered)
 
     def _on_counted(self, counted: Counted) -> None:
-        self._broadcast(SuspectRequest(counted.subject, counted.endpoint_id))
+        self._broadcast(
+            SuspectRequest(counted.subject, counted.endpoint_id, counted.began)
+        )
         self._count_event("suspected")
         self._journal.write(
             "crash_counted",
--- a/bamboovale/crashes/lost_runs.py
+++ b/bamboovale/crashes/lost_runs.py
@@ -12,11 +12,15 @@
 
 @dataclass(frozen=True)
 class LostRun:
-    """A run that was lost, here or as a peer told, at a monotonic time in seconds."""
+    """A run that was lost, here or as a peer told, at a monotonic time in seconds.
+
+    ``began`` is whether its answer had begun.
+    """
 
     subject: str
     lost_at: float
     by_peer: bool
+    began: bool = False
 
 
 class LostRuns:
@@ -25,12 +29,12 @@
     def __init__(self) -> None:
         self._runs_by_endpoint: dict[str, deque[LostRun]] = {}
 
-    def add(self, subject: str, endpoint_id: str, now: float, *, by_peer: bool) -> None:
+    def add(self, run: LostRun, endpoint_id: str, now: float) -> None:
         """Keep a lost run until its endpoint is known to have crashed."""
         runs = self._runs_by_endpoint.setdefault(endpoint_id, deque(maxlen=MAX_RUNS))
         while runs and now - runs[0].lost_at >= MAX_DELAY_S:
             runs.popleft()
-        runs.append(LostRun(subject, now, by_peer))
+        runs.append(run)
 
     def take(self, endpoint_id: str, now: float) -> list[LostRun]:
         """Return and drop what was lost lately at an endpoint, the oldest first."""
--- a/bamboovale/crashes/suspicion.py
+++ b/bamboovale/crashes/suspicion.py
@@ -13,15 +13,16 @@
 class Suspicion:
     """Crashes under one subject; ``recorded`` are others that a record tells of.
 
-    ``is_convicted`` is whether its crashes are enough to refuse it, ``is_proven``
-    whether that is certain whatever else is suspected of them. It is refused from
-    ``refused_from`` on. ``trial_of`` is the
-    request that was let through last, at ``trial_at``.
+    ``has_begun`` is whether an answer had begun in some of them. ``is_convicted`` is
+    whether its crashes are enough to refuse it, ``is_proven`` whether that is certain
+    whatever else is suspected of them. It is refused from ``refused_from`` on.
+    ``trial_of`` is the request that was let through last, at ``trial_at``.
     """
 
     rule: CrashRule
     crashed: set[str] = field(default_factory=set)
     recorded: int = 0
+    has_begun: bool = False
     last_at: float = 0.0
     is_convicted: bool = False
     is_proven: bool = False
--- a/bamboovale/fleet/messages.py
+++ b/bamboovale/fleet/messages.py
@@ -57,10 +57,14 @@
 @row
 @dataclass(frozen=True)
 class SuspectRequest:
-    """A request, or a part of prompts, that was running when its endpoint crashed."""
+    """A request, or a part of prompts, that was running when its endpoint crashed.
+
+    ``began`` is whether its answer had begun.
+    """
 
     fingerprint: str
     endpoint_id: str
+    began: bool = False
 
 
 @row
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -188,6 +188,8 @@
                 resume_after=progress.events.last_id,
             )
 
+        if progress.events.last_id is not None:
+            watch.on_going_on()
         once_only = not call.route.resumable
         sending = self._client.attempt(
             call,
