The own interface notices a log that has lost records that were read

Change: an answer that ends before what was read counts as a failure, and all after it: the VM goes on as in an outage, with a line that says to restart the entry VMs, which read all anew. The own log names no era, so that a log that has grown past the offset before the next read is not noticed (open). Measured: the new test fails without (ten of the new records were taken).

--- a/bamboovale/log_service/follower.py
+++ b/bamboovale/log_service/follower.py
@@ -59,6 +59,10 @@
     ``pace_s`` is a pause after each read that returned records, so that reads are
     batched: otherwise each append of any entry VM would cost every VM a call.
     ``limit`` bounds the records of one read.
+
+    A log that ends before what was read has lost records, and gives their offsets out
+    again. Its answers count as failures from then on, as in an outage: what was read
+    stays, and no record is taken for another. A VM that starts reads all anew.
     """
 
     def __init__(
@@ -78,6 +82,7 @@
         self._stream = stream
         self._on_batch = on_batch
         self._next = 0
+        self._has_gone_back = False
         self._max_backlog = max_backlog
         self._pace_s = pace_s
         self._limit = limit
@@ -110,17 +115,30 @@
                 LONG_POLL_S,
                 self._limit,
             )
-            if isinstance(answer, Ok):
+            if isinstance(answer, Ok) and self._is_continuous(answer.ok_value):
                 reads.labels(stream=self._stream, outcome="ok").inc()
                 backoff_s = MIN_BACKOFF_S
                 self._on_read(answer.ok_value)
                 if answer.ok_value.records:
                     self._stopped.wait(self._pace_s)
                 continue
-            reads.labels(stream=self._stream, outcome="failed").inc()
+            outcome = "went_back" if self._has_gone_back else "failed"
+            reads.labels(stream=self._stream, outcome=outcome).inc()
             self._stopped.wait(backoff_s)
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
+    def _is_continuous(self, batch: RecordBatch) -> bool:
+        """Return whether the log has all along held what was read of it."""
+        if batch.end < self._next and not self._has_gone_back:
+            self._has_gone_back = True
+            self._environment.logger.error(
+                "stream %s went back from offset %d to %d; restart the entry VMs",
+                self._stream,
+                self._next,
+                batch.end,
+            )
+        return not self._has_gone_back
+
     def _skip_to_start(self, batch: RecordBatch) -> bool:
         """Skip records beyond the maximum backlog, once; return True if any.
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -62,6 +62,46 @@
         assert seen == list(range(len(seen)))
 
 
+class ShortenedLog:
+    """A stream that loses its last records once ten were read, then grows again."""
+
+    def __init__(self) -> None:
+        self.end = 10
+        self.reads = 0
+
+    def read(self, stream: str, start: int, wait_s: float, limit: int) -> Ok:
+        self.reads += 1
+        if start == 10:
+            self.end = 5 if self.reads < 4 else 20
+        records = tuple(LogRecord(offset, {}) for offset in range(start, self.end))
+        return Ok(RecordBatch(stream, records, 0, self.end))
+
+
+class TestShortenedLog:
+    """A log that has lost records which were read."""
+
+    def test_it_counts_as_unreachable_and_no_offset_is_read_twice(self) -> None:
+        """Guards against new records that are taken for the lost ones."""
+        log = ShortenedLog()
+        seen: list[int] = []
+        metrics = Metrics()
+        follower = StreamFollower(
+            Environment(None, metrics, logging.getLogger("test")),
+            log,
+            LogHealth(time.monotonic),
+            "leases",
+            lambda batch, read_at: seen.extend(r.offset for r in batch.records),
+        )
+        follower.start()
+        deadline = time.monotonic() + 10.0
+        while log.reads < 5 and time.monotonic() < deadline:
+            time.sleep(0.01)
+        follower.stop()
+        assert seen == list(range(10))
+        went_back = metrics.log_reads.labels(stream="leases", outcome="went_back")
+        assert went_back._value.get() >= 3
+
+
 class SlowActor(MessageActor):
     """An actor that handles each message slowly."""
 
