Fencing numbers stay exact in programs that keep numbers as doubles

Cause: with eras in them they passed 2^53 from era 512 on. Change: 65,536 generations in an era, so that they stay below it for 8,192 eras. Measured: by calculation; the tests of owners pass.

--- a/bamboovale/gateway/ownership.py
+++ b/bamboovale/gateway/ownership.py
@@ -20,7 +20,7 @@
 RENEW_INTERVAL_S = 0.6
 RETRY_INTERVAL_S = 0.3
 """Delay after a failed renewal, such that one lost call does not expire a lease."""
-GENERATIONS_PER_ERA = 1 << 20
+GENERATIONS_PER_ERA = 1 << 16
 """The store gives generations out again when it returns from an older copy, in a later
 era: each generation of that one is above all before."""
 FENCES_PER_GENERATION = 1 << 24
