A store's first return is seen where it names its era only from then on

Readers read anew in any case, but nothing was written again, and missing records counted at once. Change: an answer without a number is of era 0. A line store_era at the start. Measured: the new test fails without (timed out waiting for addresses).

--- a/bamboovale/fleet/topic_changes.py
+++ b/bamboovale/fleet/topic_changes.py
@@ -11,8 +11,9 @@
 class TopicChanges:
     """The records that changed state, within a range of offsets of a topic.
 
-    ``next_offset`` is the offset up to which all records are known, None before the
-    first read.
+    Offsets are those of positions (``store.position``), so that each of a later era of
+    the store is later. ``next_offset`` is the one up to which all records are known,
+    None before the first read.
     """
 
     def __init__(self) -> None:
--- a/bamboovale/platform/store.py
+++ b/bamboovale/platform/store.py
@@ -196,13 +196,16 @@
         return _Answer(answer, era)
 
     def _observe_era(self, head: ResponseHead, target: str) -> int:
-        """Return the era of an answer; raises StoreError if it is over."""
+        """Return the era of an answer; raises StoreError if it is over.
+
+        A store may name none until its first return.
+        """
         named = head.get(STORE_ERA)
-        if named is None or not named.isdigit():
-            return self._eras.current
-        if not self._eras.observe(int(named), "store"):
-            raise StoreError(f"{target}: answered in era {int(named)}, which is over")
-        return int(named)
+        is_named = named is not None and named.isdigit()
+        era = int(named) if named is not None and is_named else self._eras.current
+        if not self._eras.observe(era, "store"):
+            raise StoreError(f"{target}: answered in era {era}, which is over")
+        return era
 
     async def _exchange(
         self,
--- a/bamboovale/store/eras.py
+++ b/bamboovale/store/eras.py
@@ -43,7 +43,9 @@
         if before is not None and era <= before:
             return era == before
         self._era = era
-        if before is not None:
+        if before is None:
+            self._journal.write("store_era", era=era, origin=origin)
+        else:
             self._on_return(before, origin)
         return True
 
--- a/bench/store_guards.py
+++ b/bench/store_guards.py
@@ -16,7 +16,7 @@
             Change(
                 "bamboovale/platform/store.py",
                 "        named = head.get(STORE_ERA)",
-                "        named = None",
+                "        named: bytes | None = None",
             ),
         ),
     ),
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -212,14 +212,16 @@
     *,
     behind_proxy: bool = False,
     bounds: dict[str, Any] | None = None,
+    era: int | None = 1,
     **options: Any,
 ) -> AsyncIterator[Site]:
     """Run a small deployment that is ready to serve.
 
     With ``behind_proxy`` its VMs reach the store only through ``store_proxy``.
-    ``bounds`` go into the settings of its VMs, ``options`` to its engines.
+    ``bounds`` go into the settings of its VMs, ``options`` to its engines. ``era`` is
+    the store's first.
     """
-    store = PlatformStore()
+    store = PlatformStore(era=era)
     site = Site(store, await store.listen("127.0.0.1"))
     if behind_proxy:
         site.store_proxy = await proxy_of_store(site)
--- a/tests/test_gateway_older_copy.py
+++ b/tests/test_gateway_older_copy.py
@@ -40,7 +40,7 @@
         for follower in vm.vm.records.followers()
         if follower.topic == topic
     ]
-    end = Position.at(site.store.era, end_of(site.store, topic))
+    end = Position.at(site.store.era or 0, end_of(site.store, topic))
     await eventually(lambda: all(f.changes.next_offset >= end for f in followers))
 
 
@@ -312,10 +312,28 @@
 class TestWithoutEra:
     """The platform's answers carry no number of the era."""
 
+    def test_the_first_return_is_seen_where_it_brings_the_first_number(self) -> None:
+        """Guards against a first number that is taken for the one of the start."""
+
+        async def test() -> None:
+            async with running_site(VMS, services=2, runners=0, era=None) as site:
+                older = StoreCopy({}, {})
+                await write_some(site, 4)
+                await all_read(site, SERVERS)
+                site.store.era = 0
+                await site.store.return_from(older)
+                await site.store.write_again()
+                names = {vm.node.name for vm in site.vms}
+                await eventually(
+                    lambda: site.store._topic(ENTRIES).newest.keys() >= names
+                )
+                assert [vm.vm.state.eras.returns for vm in site.vms] == [1] * VMS
+
+        run(test())
+
     def test_changes_are_read_as_before(self) -> None:
         async def test() -> None:
-            async with running_site(VMS, services=2, runners=0) as site:
-                site.store.era = None
+            async with running_site(VMS, services=2, runners=0, era=None) as site:
                 await site.services[0].register("draining")
                 await asyncio.sleep(DRAIN_S)
                 assert await arrivals(site, site.services[0], 0.5) == 0
