A record that the copy lacked is believed at once when it is written again

Seen by a new test in virtual time: of two returns in a row, an endpoint that the first copy lacked and that was written again before the first read of the second era was taken for a removed one, until its next heartbeat. Cause: a record that a full read lacks counted as a removal. Change: only a removal in the log, or one that was never written again, does. tests/test_store_returns_machine.py plays three VMs with the followers and views of the product, one of which hears rows only: endpoints start, leave and go, the store returns, links are cut, in any order; in the end all hold what the store holds, and none believes an older record of an endpoint that leaves.

--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -99,9 +99,11 @@
         """Apply a record, or (None) its removal; returns False if nothing changes.
 
         ``position`` is that of the record in its topic, ``from_copy`` whether the store
-        may just have brought back an older one.
+        may just have brought back an older one, or lost it.
         """
         if record is None:
+            if not from_copy:
+                self._removed.on_removed(registered_id)
             self._expire(registered_id)
             return True
         if self._removed.is_copy(registered_id, position, from_copy=from_copy):
@@ -198,6 +200,7 @@
     def drop_expired(self) -> None:
         """Drop endpoints whose records expired in an outage and were not renewed."""
         for registered_id in self._expired:
+            self._removed.on_removed(registered_id)
             self._drop(registered_id)
         self._expired.clear()
 
@@ -231,7 +234,6 @@
     def _expire(self, registered_id: str) -> None:
         if registered_id not in self._id_by_registration:
             return
-        self._removed.on_removed(registered_id)
         if self._store.is_settled():
             self._drop(registered_id)
             return
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -160,7 +160,9 @@
 
     def _on_endpoint_record(self, record: KeyedRecord) -> bool:
         if record.value is None:
-            return self._state.endpoints.on_record(record.key, None, record.position)
+            return self._state.endpoints.on_record(
+                record.key, None, record.position, from_copy=record.from_copy
+            )
         decoded = self._translation.decode_endpoint_record(record.key, record.value)
         if isinstance(decoded, str):
             return self._state.endpoints.on_unreadable_record(record.key, decoded)
--- a/bamboovale/store/follower.py
+++ b/bamboovale/store/follower.py
@@ -207,14 +207,14 @@
         present = {record.key for record in snapshot.records}
         last = max(0, snapshot.end - 1)
         missing = sorted(self._known_keys() - present)
-        gone = tuple(KeyedRecord(key, None, last) for key in missing)
-        in_order = sorted(snapshot.records, key=lambda record: record.position)
+        records = sorted(snapshot.records, key=lambda record: record.position)
+        records += [KeyedRecord(key, None, last) for key in missing]
         if self._is_of_earlier_era(snapshot.end):
             self._log_return(snapshot.end, lost=missing)
-            in_order = [replace(record, from_copy=True) for record in in_order]
+            records = [replace(record, from_copy=True) for record in records]
             # Positions of another era are told to nobody.
             self.changes.reset(int(snapshot.end))
-        self._apply((*in_order, *gone), snapshot.end)
+        self._apply(records, snapshot.end)
         self._on_snapshot()
         self._needs_snapshot = False
         return 0.0
