--- a/bamboovale/standins/platform_store.py
+++ b/bamboovale/standins/platform_store.py
@@ -124,11 +124,16 @@
         """Write a record like an operator or endpoint; None deletes the key."""
         value = None if document is None else json.dumps(document).encode()
         offset = self._topic(topic).append(key, value)
-        self._written_by_topic.setdefault(topic, {})[key] = value
+        self.note_written(topic, key, document)
         async with self._changed:
             self._changed.notify_all()
         return offset
 
+    def note_written(self, topic: str, key: str, document: Any) -> None:
+        """Have a record written again, as one that was acknowledged and lost."""
+        value = None if document is None else json.dumps(document).encode()
+        self._written_by_topic.setdefault(topic, {})[key] = value
+
     def newest(self, topic: str, key: str) -> Any:
         """Return the newest record of a key; raises KeyError if there is none."""
         return json.loads(self._topic(topic).newest[key][1])
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -1,7 +1,9 @@
 """Customers, their API keys and quotas on the routed interface."""
 
 import asyncio
+import contextlib
 import json
+import time
 from typing import Any
 
 import pytest
@@ -9,6 +11,7 @@
 from bamboovale.decoding import BadRecordError
 from bamboovale.gateway.customers import Quota, QuotaUnit
 from bamboovale.gateway.journal import Journal
+from bamboovale.http1.connection import ConnectFailed
 from bamboovale.platform.configuration import decode_routing_table
 from bamboovale.platform.customers import MAX_KEY_BYTES, decode_key
 from tests.gateway_site import (
@@ -386,3 +389,76 @@
                 assert isinstance(site.vms[0].journal, Journal)
 
         run(test())
+
+
+class TestStoreFromAnOlderCopy:
+    """A key is taken away, and the store returns from a copy that still has it."""
+
+    @staticmethod
+    async def refused_for(vm: RunningVM, seconds: float) -> None:
+        """Check for a while that a VM runs nothing with the key."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            with contextlib.suppress(ConnectFailed):
+                assert (await check(vm, KEY)).status in (401, 503)
+            await asyncio.sleep(0.02)
+
+    def test_it_stays_revoked_at_vms_that_know(self) -> None:
+        """Guards against the configuration of the copy."""
+
+        async def test() -> None:
+            config = with_customers(customer("agency-1", KEY))
+            async with running_site(vms=2, config=config, bounds=STRICT) as site:
+                older = site.store.keep_copy()
+                revoked = with_customers(customer("agency-1"), version=2)
+                await site.store.put("keyed.op", "config", revoked)
+                for vm in site.vms:
+                    await eventually(lambda vm=vm: vm.vm.state.table.version == 2)
+                await site.store.return_from(older)
+                await asyncio.gather(*(self.refused_for(vm, 3.0) for vm in site.vms))
+
+        run(test())
+
+    def test_a_vm_that_starts_before_it_is_written_again_refuses_it(self) -> None:
+        """Guards against a VM that knows the copy only."""
+
+        async def test() -> None:
+            config = with_customers(customer("agency-1", KEY))
+            async with running_site(vms=2, config=config, bounds=STRICT) as site:
+                older = site.store.keep_copy()
+                revoked = with_customers(customer("agency-1"), version=2)
+                await site.store.put("keyed.op", "config", revoked)
+                for vm in site.vms:
+                    await eventually(lambda vm=vm: vm.vm.state.table.version == 2)
+                await site.store.return_from(older)
+                started = await site.add_vm("entry-new", **STRICT)
+                await self.refused_for(started, 3.0)
+
+        run(test())
+
+    def test_an_answer_of_the_copy_proves_nothing(self) -> None:
+        """Guards against a key taken away in what was lost before any VM read it."""
+
+        async def test() -> None:
+            config = with_customers(customer("agency-1", KEY))
+            async with running_site(config=config, bounds=STRICT) as site:
+                older = site.store.keep_copy()
+                revoked = with_customers(customer("agency-1"), version=2)
+                acknowledged_at = time.monotonic()
+                await site.store.return_from(older)
+                site.store.note_written("keyed.op", "config", revoked)
+                site.store.faults.mode = "silent"
+                await asyncio.sleep(1.8)
+                site.store.faults.mode = "ok"
+                vm = site.vms[0]
+                while time.monotonic() - acknowledged_at < STRICT["revoke-ms"] / 1000:
+                    await asyncio.sleep(0.02)
+                await self.refused_for(vm, 1.2)
+                await site.store.write_again()
+                statuses = [503]
+                while statuses[-1] == 503 and len(statuses) < 100:
+                    statuses.append((await check(vm, KEY)).status)
+                    await asyncio.sleep(0.02)
+                assert statuses[-1] == 401
+
+        run(test())
