A VM that starts takes no answer of a copy for a proof

Callers' requests ran with a key that had been revoked, at a VM that started between the store's return and the rewriting. Cause: the first era that a VM hears counted as long settled. The stand-in store's first era is 0, as nothing was lost before it.

--- a/bamboovale/store/eras.py
+++ b/bamboovale/store/eras.py
@@ -23,6 +23,7 @@
         self._now = now
         self._era: int | None = None
         self._returned_at = -math.inf
+        self._doubted_since = -math.inf
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -43,6 +44,9 @@
         if before is not None and era <= before:
             return era == before
         self._era = era
+        if era > 0:
+            # The first era heard may have begun just before this VM started.
+            self._doubted_since = self._now()
         if before is None:
             self._journal.write("store_era", era=era, origin=origin)
         else:
@@ -51,7 +55,7 @@
 
     def is_rewritten(self) -> bool:
         """Return whether what a return has lost is expected to be written again."""
-        return self.returned_s_ago() >= REWRITE_S
+        return self._now() - self._doubted_since >= REWRITE_S
 
     def returned_s_ago(self) -> float:
         """Return the seconds since the last return, infinite without one."""
