A read that is put off after a return blocks no event loop

Cause: a request that wanted a proof while the read was put off kept the follower in a loop that never waited: up to 0.6 s, at VMs of a large fleet. Change: the read begins by a timer; a wake-up is used up by the wait that it ends.

--- a/bamboovale/store/follower.py
+++ b/bamboovale/store/follower.py
@@ -95,8 +95,8 @@
         self._may_read = may_read
         self._now = now
         self._needs_snapshot = True
-        self._read_anew_at = -math.inf
-        self._proof_wanted = asyncio.Event()
+        self._proof_wanted = False
+        self._woken = asyncio.Event()
         self._proven_at = -math.inf
         self._progress_at = 0.0
         self._reading = False
@@ -133,21 +133,26 @@
             await self._sleep(self._pause_s())
 
     async def _sleep(self, seconds: float) -> None:
-        """Sleep until a request wants a read."""
+        """Sleep until a read is wanted."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
-                await self._proof_wanted.wait()
+                await self._woken.wait()
+        self._woken.clear()
 
     def _must_read(self) -> bool:
-        if self._now() < self._read_anew_at:
-            return False
-        is_due = self._needs_snapshot or self._proof_wanted.is_set()
+        is_due = self._needs_snapshot or self._proof_wanted
         return is_due or self._may_read(self._progress_age_s())
 
     def read_anew(self, delay_s: float) -> None:
         """Read the newest records after a delay, as the store may hold older ones."""
+        asyncio.get_running_loop().call_later(delay_s, self._begin_anew)
+
+    def _begin_anew(self) -> None:
+        if self._known().era == self._eras.current:
+            # It was read meanwhile.
+            return
         self._needs_snapshot = True
-        self._read_anew_at = self._now() + delay_s
+        self._woken.set()
         self.stop_read()
 
     def open_read_s(self) -> float | None:
@@ -174,7 +179,8 @@
             if waited_s > PROOF_TIMEOUT_S:
                 return False
             if lease_clock() - self._proven_at >= MIN_PROOF_INTERVAL_S:
-                self._proof_wanted.set()
+                self._proof_wanted = True
+                self._woken.set()
                 self.restart_read(0.0)
             await asyncio.sleep(PROOF_CHECK_INTERVAL_S)
         return True
@@ -182,8 +188,8 @@
     async def _step(self) -> None:
         self._read_started_at = self._now()
         self._reading = True
-        is_for_proof = self._proof_wanted.is_set()
-        self._proof_wanted.clear()
+        is_for_proof = self._proof_wanted
+        self._proof_wanted = False
         sent_at = lease_clock()
         try:
             waited_s = await (
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -789,6 +789,27 @@
         run(test())
 
 
+class TestReadsAfterAReturn:
+    """Reads of the newest records after the store has returned from a copy."""
+
+    def test_a_request_that_wants_a_proof_meanwhile_blocks_nothing(self) -> None:
+        """Guards against a loop that never waits while a read is put off."""
+
+        async def test() -> None:
+            reader = follower(ScriptedStore(), [], reads=False)
+            task = asyncio.create_task(reader.follow())
+            await asyncio.sleep(0.3)
+            started_at = time.monotonic()
+            reader.read_anew(0.4)
+            proof = asyncio.create_task(reader.prove())
+            await asyncio.sleep(0.02)
+            assert time.monotonic() - started_at < 0.2
+            assert await proof
+            task.cancel()
+
+        run(test())
+
+
 class SlowStore(ScriptedStore):
     """A topic whose reads wait for ``go``."""
 
