What a VM reads anew after a return is told to no other VM

Seen by the plays in virtual time: a VM that hears rows took the records that a reader's copy lacked for removals in the log. Cause: the records of the full read after a return were kept as changes to tell, at the position of the copy's end. Change: they are applied here and not kept; each VM reads all by itself.

--- a/bamboovale/store/follower.py
+++ b/bamboovale/store/follower.py
@@ -211,16 +211,18 @@
         """
         snapshot = await self._store.newest(self.topic)
         present = {record.key for record in snapshot.records}
-        last = max(0, snapshot.end - 1)
+        last = snapshot.end - min(1, snapshot.end.offset)
         missing = sorted(self._known_keys() - present)
         records = sorted(snapshot.records, key=lambda record: record.position)
         records += [KeyedRecord(key, None, last) for key in missing]
         if self._is_of_earlier_era(snapshot.end):
             self._log_return(snapshot.end, lost=missing)
-            records = [replace(record, from_copy=True) for record in records]
-            # Positions of another era are told to nobody.
+            # Other VMs know other records of the last era, and read all by themselves.
+            for record in records:
+                self._on_record(replace(record, from_copy=True))
             self.changes.reset(int(snapshot.end))
-        self._apply(records, snapshot.end)
+        else:
+            self._apply(records, snapshot.end)
         self._on_snapshot()
         self._needs_snapshot = False
         return 0.0
