--- a/bench/store_simulation.py
+++ b/bench/store_simulation.py
@@ -203,6 +203,10 @@
                 self.ever_leaving.add(endpoint_id)
             assert not (record.ready and endpoint_id in self.ever_leaving)
 
+    def known_era(self) -> int:
+        """Return the era of what this VM has read."""
+        return Position(self.follower.changes.next_offset or 0).era
+
     def hear(self, other: "ModelVM") -> None:
         """Apply the rows that another VM tells."""
         known = self.follower.changes.next_offset
--- a/tests/owner_simulation.py
+++ b/tests/owner_simulation.py
@@ -30,8 +30,8 @@
     OrderOutcome,
 )
 from bamboovale.gateway.owner_context import OwnerContext
+from bench.virtual_loop import VirtualTimeLoop
 from tests.gateway_site import RecordedJournal
-from tests.virtual_loop import VirtualTimeLoop
 
 BASE = "base"
 MAX_LOADS = 4
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -17,8 +17,8 @@
 from bamboovale.gateway.plain_calls import PlainCalls
 from bamboovale.gateway.retry_budgets import RetryBudgets
 from bamboovale.http1.server import Request
+from bench.virtual_loop import run_in_virtual_time
 from tests.gateway_site import RecordedJournal
-from tests.virtual_loop import run_in_virtual_time
 
 VMS = 8
 SLOTS = 6
--- a/tests/test_store_returns_machine.py
+++ b/tests/test_store_returns_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from bench.store_simulation import LEAVING, READY, ModelVM, SharedStore
-from tests.virtual_loop import run_in_virtual_time
+from bench.virtual_loop import run_in_virtual_time
 
 VMS = 3
 ENDPOINTS = ("a", "b", "c")
