--- a/bench/virtual_loop.py
+++ b/bench/virtual_loop.py
@@ -1,6 +1,7 @@
 """An event loop whose time passes only while nothing can run."""
 
 import asyncio
+import selectors
 from collections.abc import Coroutine
 from typing import Any
 
@@ -9,15 +10,16 @@
     """Skips the time until the next timer; for tests without sockets or threads."""
 
     def __init__(self) -> None:
-        super().__init__()
+        selector: Any = selectors.DefaultSelector()
+        super().__init__(selector)
         self._virtual_s = 0.0
-        select: Any = self._selector.select
+        select = selector.select
 
         def skip(timeout_s: float | None) -> Any:
             self._virtual_s += timeout_s or 0.0
             return select(0)
 
-        self._selector.select = skip
+        selector.select = skip
 
     def time(self) -> float:
         """Return the virtual time in seconds."""
