--- a/bamboovale/decisions/place_work.py
+++ b/bamboovale/decisions/place_work.py
@@ -138,7 +138,10 @@
     events are. ``open_slots`` is the number of slots for one more adapter, less the
     adapters that wait for one; it may be negative. ``kept`` is how many recent adapters
     the engine is assumed to cache. ``s_per_token`` is the prefill time of a token.
-    ``held_up`` is True if prefill has recently stalled its streams.
+    ``held_up`` is True if prefill has recently stalled its streams. ``load_s`` and
+    ``cached_load_s`` are the time of a load from the weight store and from the engine's
+    own cache, ``s_per_output_token`` and ``run_s`` the time of an output token and of a
+    run at its current speed; each is 0 while unknown.
     """
 
     loaded: dict[AdapterKey, int]
@@ -152,3 +155,7 @@
     kept: int
     s_per_token: float
     held_up: bool = False
+    load_s: float = 0.0
+    cached_load_s: float = 0.0
+    s_per_output_token: float = 0.0
+    run_s: float = 0.0
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -306,6 +306,10 @@
             kept=status.kept,
             s_per_token=status.s_per_token,
             held_up=status.held_up,
+            load_s=status.load_s,
+            cached_load_s=status.cached_load_s,
+            s_per_output_token=status.s_per_output_token,
+            run_s=status.run_s,
         )
 
     def _candidate(self, record: EndpointRecord) -> EngineCandidate:
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -133,7 +133,8 @@
     """Status of one engine; adapters are (model, adapter, version).
 
     ``coming`` are adapters that are being loaded. ``fence`` is the fencing number of
-    the owner's orders; ``answers`` is false while the engine refuses connections.
+    the owner's orders; ``answers`` is false while the engine refuses connections. The
+    times from ``load_s`` on are 0 while unknown.
     """
 
     engine_id: str
@@ -150,6 +151,10 @@
     s_per_token: float
     held_up: bool = False
     answers: bool = True
+    load_s: float = 0.0
+    cached_load_s: float = 0.0
+    s_per_output_token: float = 0.0
+    run_s: float = 0.0
 
 
 @row
