Derive owners, partitions and serving VMs once per change of the fleet

Cause: each record of a VM that changed made every VM of the fleet build anew what it knows of all engines, and hash all VMs again for each shared duty. A load copied the whole status of an engine, some 300 times a second at a subscriber.

Ruled out: skipping the refresh for records whose owned engines are the same: the liveness of owners matters too, and the loop alone is cheap.

Change: entries of owners that did not change are kept; designated VMs are chosen again only when the set of serving VMs changed; holders of partitions and owners are looked up; a status is merged with the newest load when it is asked for.

--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
+from functools import cached_property
 from typing import Any
 
 from bamboovale.decisions.advertised_vms import Candidate, advertised_in_domain
@@ -32,17 +33,35 @@
 class OwnedEngine:
     """An engine's owner, with the last status that it published.
 
-    ``status`` is None before the first; ``last_seen`` is when it was last updated.
-    ``advertised`` is whether the owner's membership entry lists the engine,
-    ``released`` whether it did and no longer does.
+    ``published`` is None before the first; ``load`` is the load that was published
+    since; ``last_seen`` is when either was last updated. ``advertised`` is whether the
+    owner's membership entry lists the engine, ``released`` whether it did and no longer
+    does.
     """
 
     owner: str
     fence: int
-    status: EngineStatus | None = None
+    published: EngineStatus | None = None
     last_seen: float = 0.0
     advertised: bool = False
     released: bool = False
+    load: EngineLoad | None = None
+
+    @cached_property
+    def status(self) -> EngineStatus | None:
+        """Return the last status with the newest load, None before the first.
+
+        Merged when it is needed: loads arrive far more often than requests.
+        """
+        if self.published is None or self.load is None:
+            return self.published
+        return replace(
+            self.published,
+            active=self.load.active,
+            queued=self.load.queued,
+            backlog_s=self.load.backlog_s,
+            open_slots=self.load.open_slots,
+        )
 
 
 class Fleet:
@@ -54,6 +73,10 @@
         self._engine_by_id: dict[str, OwnedEngine] = {}
         self._refreshed_version = -1
         self._live: list[Member] = []
+        self._serving_ids: list[str] = []
+        self._serving_version = 0
+        self._owner_ids: set[str] = set()
+        self._holder_by_partition: dict[int, tuple[int, str]] = {}
         self._advertised: dict[str, list[Member]] = {}
         self._advertised_at_version = -1
         self._designated_by_duty: dict[tuple[str, int], tuple[int, list[str]]] = {}
@@ -122,7 +145,8 @@
 
     def serving_ids(self) -> list[str]:
         """Return the ids of live VMs that serve callers, this one included."""
-        return [self.membership.own.vm_id, *(m.vm_id for m in self.serving())]
+        self._refresh()
+        return self._serving_ids
 
     def advertised_by_domain(self) -> dict[str, list[Member]]:
         """Return by failure domain the VMs to advertise to callers, with this one."""
@@ -150,9 +174,11 @@
 
     def designated(self, duty: str, count: int) -> list[str]:
         """Return the serving VMs that perform a shared duty, the same at every VM."""
+        serving_ids = self.serving_ids()
         known = self._designated_by_duty.get((duty, count))
-        if known is None or known[0] != self.version:
-            known = (self.version, first_members(duty, self.serving_ids(), count))
+        if known is None or known[0] != self._serving_version:
+            first_ids = first_members(duty, serving_ids, count)
+            known = (self._serving_version, first_ids)
             self._designated_by_duty[duty, count] = known
         return known[1]
 
@@ -186,13 +212,9 @@
 
     def partition_holder(self, number: int) -> str | None:
         """Return the live VM that holds a partition, by the newest generation."""
-        holders = [
-            (generation, member.vm_id)
-            for member in self.live()
-            for partition, generation in member.partitions
-            if partition == number
-        ]
-        return max(holders)[1] if holders else None
+        self._refresh()
+        holder = self._holder_by_partition.get(number)
+        return None if holder is None else holder[1]
 
     # Owners of engines.
 
@@ -203,10 +225,8 @@
 
     def owner_ids(self) -> set[str]:
         """Return the live VMs that own engines, this one included."""
-        owners = {member.vm_id for member in self.live() if member.owned}
-        if self.membership.own.owned:
-            owners.add(self.membership.own.vm_id)
-        return owners
+        self._refresh()
+        return self._owner_ids
 
     def on_statuses(
         self,
@@ -221,12 +241,14 @@
         """
         self._refresh()
         for status in statuses:
-            owned = OwnedEngine(vm_id, status.fence, status, now)
-            known = self._engine_by_id.get(status.engine_id)
+            engine_id, fence = status.engine_id, status.fence
+            known = self._engine_by_id.get(engine_id)
             if known is not None and known.owner == vm_id:
-                owned = replace(known, fence=status.fence, status=status, last_seen=now)
-            if known is None or self._supersedes(owned, known):
-                self._engine_by_id[status.engine_id] = owned
+                self._engine_by_id[engine_id] = OwnedEngine(
+                    vm_id, fence, status, now, known.advertised, known.released
+                )
+            elif known is None or self._supersedes(vm_id, fence, known):
+                self._engine_by_id[engine_id] = OwnedEngine(vm_id, fence, status, now)
 
     def on_loads(self, vm_id: str, loads: Iterable[EngineLoad], now: float) -> None:
         """Apply the load of a VM's engines where it is their known owner."""
@@ -234,19 +256,10 @@
             known = self._engine_by_id.get(load.engine_id)
             if known is None or known.owner != vm_id or known.released:
                 continue
-            if known.status is None:
+            if known.published is None:
                 continue
-            status = replace(
-                known.status,
-                active=load.active,
-                queued=load.queued,
-                backlog_s=load.backlog_s,
-                open_slots=load.open_slots,
-            )
-            self._engine_by_id[load.engine_id] = replace(
-                known,
-                status=status,
-                last_seen=now,
+            self._engine_by_id[load.engine_id] = OwnedEngine(
+                vm_id, known.fence, known.published, now, known.advertised, load=load
             )
 
     def retain_engines(self, live_ids: set[str]) -> None:
@@ -261,41 +274,66 @@
             return
         self._refreshed_version = self.membership.version
         self._live = self.membership.live()
+        own = self.membership.own
+        serving_ids = [own.vm_id, *(m.vm_id for m in self._live if m.serving)]
+        if serving_ids != self._serving_ids:
+            self._serving_ids = serving_ids
+            self._serving_version += 1
+        self._refresh_holders()
+        owners = [member for member in (own, *self._live) if member.owned]
+        self._owner_ids = {member.vm_id for member in owners}
+        self._refresh_owners(owners)
+
+    def _refresh_holders(self) -> None:
+        """Find the live holder of each partition, by the newest generation."""
+        self._holder_by_partition = {}
+        for member in self._live:
+            for partition, generation in member.partitions:
+                holder = (generation, member.vm_id)
+                known = self._holder_by_partition.get(partition, holder)
+                self._holder_by_partition[partition] = max(known, holder)
+
+    def _refresh_owners(self, owners: list[Member]) -> None:
+        """Apply the engines that the live VMs list as theirs."""
         owned_now = set()
-        for member in (self.membership.own, *self._live):
+        for member in owners:
             for engine_id, fence in member.owned:
                 owned_now.add((engine_id, member.vm_id))
-                owned = OwnedEngine(member.vm_id, fence, advertised=True)
-                self._apply_owner(engine_id, owned)
+                self._apply_owner(engine_id, member.vm_id, fence)
         for engine_id, known in self._engine_by_id.items():
             is_advertised = (engine_id, known.owner) in owned_now
             if not is_advertised and known.advertised and self.is_live(known.owner):
                 released = replace(known, advertised=False, released=True)
                 self._engine_by_id[engine_id] = released
 
-    def _apply_owner(self, engine_id: str, owned: OwnedEngine) -> None:
+    def _apply_owner(self, engine_id: str, vm_id: str, fence: int) -> None:
         known = self._engine_by_id.get(engine_id)
         if known is None:
+            owned = OwnedEngine(vm_id, fence, advertised=True)
             self._engine_by_id[engine_id] = owned
-        elif known.owner == owned.owner:
+        elif known.owner == vm_id:
+            if known.advertised and not known.released and known.fence >= fence:
+                return
             self._engine_by_id[engine_id] = replace(
                 known,
-                fence=max(known.fence, owned.fence),
+                fence=max(known.fence, fence),
                 advertised=True,
                 released=False,
             )
-        elif self._supersedes(owned, known):
+        elif self._supersedes(vm_id, fence, known):
             # Until the new owner publishes, the last one's status is kept.
-            self._engine_by_id[engine_id] = replace(owned, status=known.status)
+            self._engine_by_id[engine_id] = OwnedEngine(
+                vm_id, fence, known.status, advertised=True
+            )
 
-    def _supersedes(self, owned: OwnedEngine, known: OwnedEngine) -> bool:
+    def _supersedes(self, vm_id: str, fence: int, known: OwnedEngine) -> bool:
         """Return whether an owner replaces the known one.
 
         The live owner with the highest fencing number prevails.
         """
-        if known.owner == owned.owner or known.released:
+        if known.owner == vm_id or known.released:
             return True
-        return owned.fence >= known.fence or not self.is_live(known.owner)
+        return fence >= known.fence or not self.is_live(known.owner)
 
 
 def _select_advertised(members: list[Member], fleet_size: int) -> list[Member]:
