Keep the candidate of an engine until its status or counts change

Ruled out: keeping the whole map of candidates: one owner's loads arrive between most requests, so that it would rarely be valid.

Change: a candidate is kept with what it was built from: the entry of the fleet, which is replaced when it changes, the owner and the counts of requests sent.

--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -11,8 +11,9 @@
 from bamboovale.decisions.place_work import AdapterKey, EngineSnapshot
 from bamboovale.decisions.prefill_speed import INITIAL_S_PER_TOKEN
 from bamboovale.gateway.engine_owner import EngineOwner
-from bamboovale.gateway.fleet import Fleet
+from bamboovale.gateway.fleet import Fleet, OwnedEngine
 from bamboovale.gateway.messages import (
+    EngineLoad,
     EngineStatus,
     PlaceCancel,
     PlaceHeld,
@@ -31,6 +32,8 @@
 
 AdapterVersions = tuple[tuple[str, str, int], ...]
 """Adapters as owners publish them: model, adapter, version."""
+CandidateState = tuple[str | None, int, int, float]
+"""Owner, own tokens, own loads and own wait of a candidate."""
 PRUNE_FACTOR = 2
 """State of former engines is dropped once entries exceed this multiple of the current
 engines: each start of an engine has an id of its own."""
@@ -74,6 +77,15 @@
     coming: dict[AdapterKey, int]
 
 
+@dataclass(frozen=True)
+class _Built:
+    """A candidate, and what it was built from: an entry of the fleet, or a record."""
+
+    source: EndpointRecord | OwnedEngine
+    state: CandidateState
+    candidate: EngineCandidate
+
+
 @dataclass(frozen=True)
 class GrantedPlace:
     """A place that an owner granted, which this VM must release."""
@@ -101,6 +113,7 @@
     on_engine_needed: Callable[[], None] = lambda: None
     _sent_by_id: dict[str, _Sent] = field(default_factory=dict)
     _loaded_by_id: dict[str, _Loaded] = field(default_factory=dict)
+    _candidate_by_id: dict[str, _Built] = field(default_factory=dict)
     _held_by_id: dict[str, PlaceHeld] = field(default_factory=dict)
     _owner_by_held: dict[str, str] = field(default_factory=dict)
 
@@ -108,15 +121,19 @@
         """Return each reachable engine by id, for the choice of an engine."""
         self.on_engine_needed()
         self._prune(records)
-        return {
-            record.endpoint_id: self._candidate(record)
-            for record in records
-            if self._is_reachable(record.endpoint_id)
-        }
+        owned_by_id = self.fleet.engines()
+        candidate_by_id = {}
+        for record in records:
+            owned = owned_by_id.get(record.endpoint_id)
+            status = None if owned is None else owned.published
+            if status is None or status.answers:
+                candidate = self._candidate(record, owned)
+                candidate_by_id[record.endpoint_id] = candidate
+        return candidate_by_id
 
     def _prune(self, records: list[EndpointRecord]) -> None:
         """Drop state of engines that no longer exist, once it outweighs the rest."""
-        for kept in (self._sent_by_id, self._loaded_by_id):
+        for kept in (self._sent_by_id, self._loaded_by_id, self._candidate_by_id):
             if len(kept) <= PRUNE_FACTOR * max(1, len(records)):
                 continue
             listed = {record.endpoint_id for record in records}
@@ -277,16 +294,18 @@
     def _owner_of(self, engine_id: str) -> str | None:
         if engine_id in self.owner_by_engine:
             return self.own_id
-        owned = self.fleet.engine(engine_id)
+        return self._live_owner(self.fleet.engine(engine_id))
+
+    def _live_owner(self, owned: OwnedEngine | None) -> str | None:
+        """Return the owner of an engine that is not owned here, None without one."""
         if owned is None or owned.released or owned.owner == self.own_id:
             return None
         return owned.owner if self.fleet.is_live(owned.owner) else None
 
-    def _is_reachable(self, engine_id: str) -> bool:
-        owned = self.fleet.engine(engine_id)
-        return owned is None or owned.status is None or owned.status.answers
-
-    def _snapshot(self, status: EngineStatus) -> EngineSnapshot:
+    def _snapshot(
+        self, status: EngineStatus, load: EngineLoad | EngineStatus
+    ) -> EngineSnapshot:
+        """Return the snapshot of an engine from its last status and newest load."""
         published = (status.loaded, status.coming)
         known = self._loaded_by_id.get(status.engine_id)
         if known is None or known.published != published:
@@ -298,11 +317,11 @@
             loaded=known.loaded,
             coming=known.coming,
             models=status.models,
-            active=status.active,
+            active=load.active,
             places=status.places,
-            queued=status.queued,
-            backlog_s=status.backlog_s,
-            open_slots=status.open_slots,
+            queued=load.queued,
+            backlog_s=load.backlog_s,
+            open_slots=load.open_slots,
             kept=status.kept,
             s_per_token=status.s_per_token,
             held_up=status.held_up,
@@ -312,14 +331,15 @@
             run_s=status.run_s,
         )
 
-    def _candidate(self, record: EndpointRecord) -> EngineCandidate:
+    def _candidate(
+        self, record: EndpointRecord, owned: OwnedEngine | None
+    ) -> EngineCandidate:
+        """Return the candidate of an engine, the last one if nothing has changed."""
         engine_id = record.endpoint_id
-        owned = self.fleet.engine(engine_id)
-        if owned is None or owned.status is None:
-            owner = self._owner_of(engine_id)
-            return EngineCandidate(
-                engine_id, snapshot_from_record(record), owner, has_status=False
-            )
+        is_own = engine_id in self.owner_by_engine
+        owner = self.own_id if is_own else self._live_owner(owned)
+        if owned is None or owned.published is None:
+            return self._kept_candidate(engine_id, record, (owner, 0, 0, 0.0))
         sent = self._sent_by_id.setdefault(engine_id, _Sent())
         if owned.last_seen > sent.last_seen:
             sent.last_seen = owned.last_seen
@@ -327,14 +347,40 @@
             sent.loads = 0
             sent.requests = 0
         limit_per_s = self.limit_per_s(engine_id)
-        return EngineCandidate(
+        own_wait_s = 0.0 if limit_per_s is None else sent.requests / limit_per_s
+        state = (owner, sent.tokens, sent.loads, own_wait_s)
+        return self._kept_candidate(engine_id, owned, state)
+
+    def _kept_candidate(
+        self,
+        engine_id: str,
+        source: EndpointRecord | OwnedEngine,
+        state: CandidateState,
+    ) -> EngineCandidate:
+        built = self._candidate_by_id.get(engine_id)
+        is_same = built is not None and built.source is source
+        if built is not None and is_same and built.state == state:
+            return built.candidate
+        if built is not None and is_same:
+            snapshot = built.candidate.snapshot
+        elif isinstance(source, OwnedEngine):
+            assert source.published is not None
+            load = source.load or source.published
+            snapshot = self._snapshot(source.published, load)
+        else:
+            snapshot = snapshot_from_record(source)
+        owner, own_tokens, own_loads, own_wait_s = state
+        candidate = EngineCandidate(
             engine_id,
-            self._snapshot(owned.status),
-            self._owner_of(engine_id),
-            sent.tokens,
-            sent.loads,
-            own_wait_s=0.0 if limit_per_s is None else sent.requests / limit_per_s,
+            snapshot,
+            owner,
+            own_tokens,
+            own_loads,
+            has_status=isinstance(source, OwnedEngine),
+            own_wait_s=own_wait_s,
         )
+        self._candidate_by_id[engine_id] = _Built(source, state, candidate)
+        return candidate
 
 
 def _versions(published: AdapterVersions) -> dict[AdapterKey, int]:
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from functools import cached_property
 from typing import Any
@@ -223,6 +223,11 @@
         self._refresh()
         return self._engine_by_id.get(engine_id)
 
+    def engines(self) -> Mapping[str, OwnedEngine]:
+        """Return the known engines by id; an entry is replaced when it changes."""
+        self._refresh()
+        return self._engine_by_id
+
     def owner_ids(self) -> set[str]:
         """Return the live VMs that own engines, this one included."""
         self._refresh()
--- a/bench/vm_speed.py
+++ b/bench/vm_speed.py
@@ -6,15 +6,19 @@
 """
 
 import argparse
+import itertools
 import random
 import sys
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from concurrent.futures import Future
 from dataclasses import replace
 from functools import partial
 from typing import Any
 
+from bamboovale.decisions.engine_choice import EngineChooser
 from bamboovale.fleet.messages import Gossip, Member
+from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.messages import (
     EngineLoad,
@@ -22,6 +26,7 @@
     EngineStatus,
     EngineStatuses,
 )
+from bamboovale.gateway.model import EndpointRecord
 from bamboovale.peers.frames import FrameKind, decode_frame, encode_frame
 
 VMS = 89
@@ -171,9 +176,68 @@
     }
 
 
+def choice_steps() -> dict[str, Step]:
+    """Return steps that choose an engine for a request, between two messages."""
+    fleet = full_fleet()
+    engines = Engines(fleet.membership.own.vm_id, fleet, _NoLinks(), time.monotonic)
+    records = [engine_record(s.engine_id) for n in range(OWNERS) for s in statuses(n)]
+    chooser = EngineChooser()
+    adapters = itertools.cycle(f"a{number}" for number in range(500))
+
+    owner_id, owner_loads = member(0).vm_id, loads(0)
+
+    def choose() -> None:
+        candidates = engines.candidates(records)
+        chooser.recently_held.update(candidates)
+        chooser.choose(("model-7b", next(adapters)), 1, candidates, (), 646)
+
+    def choose_after_loads() -> None:
+        fleet.on_loads(owner_id, owner_loads, time.monotonic())
+        choose()
+
+    candidates = engines.candidates(records)
+    return {
+        "candidates": lambda: engines.candidates(records),
+        "choose": lambda: chooser.choose(
+            ("model-7b", next(adapters)), 1, candidates, (), 646
+        ),
+        "candidates and choose": choose,
+        "the same after loads of one owner": choose_after_loads,
+    }
+
+
+class _NoLinks:
+    """Links that send nothing."""
+
+    def request(self, vm_id: str, message: Any, timeout_s: float) -> "Future[Any]":
+        """Return a future that is never completed."""
+        return Future()
+
+    def notify(self, vm_id: str, message: Any) -> None:
+        """Drop a notice."""
+
+    def notify_all(self, vm_ids: Iterable[str], message: Any) -> None:
+        """Drop a notice."""
+
+
+def engine_record(engine_id: str) -> EndpointRecord:
+    """Return the record of a model engine."""
+    registered_id, _, started_ms = engine_id.partition("@")
+    return EndpointRecord(
+        registered_id=registered_id,
+        service="llm",
+        address=("10.0.1.1", 8000),
+        failure_domain="domain-0",
+        ready=True,
+        slots=12,
+        started_ms=int(started_ms),
+    )
+
+
 PARTS: dict[str, Callable[[], dict[str, Step]]] = {
     "messages": message_steps,
     "fleet": fleet_steps,
+    "choice": choice_steps,
 }
 
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -14,6 +14,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bamboovale.decisions.engine_choice import EngineCandidate
 from bamboovale.decisions.place_work import EngineSnapshot
 from bamboovale.decoding import BadRecordError
 from bamboovale.fleet.messages import Member, Suspicion
@@ -22,7 +23,7 @@
 from bamboovale.gateway.events import EventBuffer, EventsBroken
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.journal import BURST_LINES, Journal, NonBlockingHandler
-from bamboovale.gateway.messages import EngineLoad, EngineStatus
+from bamboovale.gateway.messages import EngineLoad, EngineStatus, PlaceRequest
 from bamboovale.gateway.model import (
     CallerLimits,
     CallKind,
@@ -398,6 +399,30 @@
         record = EndpointRecord("e", "llm", ("10.0.0.1", 1), "a", True, 8)
         assert engines.candidates([record])["e"].snapshot == snapshot
 
+    def test_a_kept_candidate_is_built_anew_with_each_change(self) -> None:
+        """Guards against choosing by a load, counts or an owner of the past."""
+        fleet = fleet_of(member("a", 1, ("e", 1)))
+        record = EndpointRecord("e", "llm", ("10.0.0.1", 1), "a", True, 8)
+        engines = Engines("me", fleet, None, lambda: 1.0)  # type: ignore[arg-type]
+
+        def candidate() -> EngineCandidate:
+            return engines.candidates([record])["e"]
+
+        assert not candidate().has_status
+        fleet.on_statuses("a", [status("e", 1)], 1.0)
+        first = candidate()
+        assert first.has_status and first is candidate()
+        request = PlaceRequest("e", "r.0", "base", "a1", 1, 500, 20, 0, 1.0, 1.0)
+        engines.note_sent(first, request)
+        assert (candidate().own_tokens, candidate().own_loads) == (500, 1)
+        fleet.on_loads("a", (EngineLoad("e", 5, 1, 0.5, -1),), 1.1)
+        newer = candidate()
+        assert newer.snapshot is not None
+        assert (newer.snapshot.active, newer.snapshot.open_slots) == (5, -1)
+        assert newer.own_tokens == 0
+        fleet.membership.suspect("a", 5.0)
+        assert candidate().owner is None
+
 
 class FakeStore:
     """A store that answers joins with ``answer``, or fails without one."""
