Rank all engines of a pool once for each adapter

Cause: the rendezvous order of an adapter was computed among the engines that may load it. Those differ from adapter to adapter, and each difference dropped all cached orders: nearly every request hashed all engines of the pool.

Ruled out: an order of the first eight of all engines: where those hold the adapter already, the choice would differ.

Change: the order of an adapter ranks the whole pool and stays while the pool does; candidates are taken from it in turn. A full order of 45 engines takes some 400 bytes, 1.7 MB for the most orders that are cached. The choice is the same.

--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -184,7 +184,7 @@
     def __init__(self, mechanisms: Mechanisms = ALL_ON) -> None:
         self.recently_held = RecentlyHeldAdapters()
         self._mechanisms = mechanisms
-        self._order = RendezvousOrder()
+        self._order = RendezvousOrder(kept=None)
 
     def choose(
         self,
@@ -195,6 +195,7 @@
         prompt_tokens: int = 0,
     ) -> str | None:
         """Return the id of the engine to use, None if there is none."""
+        self._order.set_members(candidate_by_id)
         open_candidates = {
             name: candidate
             for name, candidate in candidate_by_id.items()
@@ -269,9 +270,8 @@
         if warm_acceptable:
             chosen = min(warm_acceptable, key=lambda engine_id: able[engine_id])
             return chosen, able[chosen]
-        self._order.set_members(able)
         name = "" if key is None else f"{key[0]}/{key[1]}"
-        for engine_id in self._order.candidates(name):
+        for engine_id in self._order.candidates_among(name, able):
             if engine_id in acceptable:
                 return engine_id, able[engine_id]
         chosen = min(able, key=lambda engine_id: able[engine_id])
--- a/bamboovale/decisions/rendezvous.py
+++ b/bamboovale/decisions/rendezvous.py
@@ -10,8 +10,9 @@
 
 import hashlib
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Container, Iterable, Iterator
 from heapq import nlargest
+from itertools import islice
 
 MAX_CACHED_ORDERS = 4096
 """Enough for the adapters that get nearly all requests, the busiest quarter of
@@ -32,10 +33,16 @@
 
 
 class RendezvousOrder:
-    """Cached candidates by key over a changing set of members."""
+    """Cached candidates by key over a changing set of members.
 
-    def __init__(self, members: Iterable[str] = ()) -> None:
+    ``kept`` is the number of members that an order holds, None for all of them.
+    """
+
+    def __init__(
+        self, members: Iterable[str] = (), kept: int | None = CANDIDATES
+    ) -> None:
         self.members = frozenset(members)
+        self._kept = kept
         self._order_by_key: OrderedDict[str, tuple[str, ...]] = OrderedDict()
 
     def set_members(self, members: Iterable[str]) -> None:
@@ -49,12 +56,20 @@
         """Return the best members for the key, best first."""
         order = self._order_by_key.get(key)
         if order is None:
-            order = tuple(
-                nlargest(CANDIDATES, self.members, key=lambda name: score(key, name))
-            )
+            count = len(self.members) if self._kept is None else self._kept
+            order = tuple(first_members(key, self.members, count))
             self._order_by_key[key] = order
             if len(self._order_by_key) > MAX_CACHED_ORDERS:
                 self._order_by_key.popitem(last=False)
         else:
             self._order_by_key.move_to_end(key)
         return order
+
+    def candidates_among(self, key: str, members: Container[str]) -> Iterator[str]:
+        """Yield the best ``CANDIDATES`` of some members, best first.
+
+        The order must hold all members. Guards against hashing all members again for
+        each key when the ones that may be chosen differ from key to key.
+        """
+        listed = (name for name in self.candidates(key) if name in members)
+        return islice(listed, CANDIDATES)
--- a/bench/vm_speed.py
+++ b/bench/vm_speed.py
@@ -196,11 +196,20 @@
         choose()
 
     candidates = engines.candidates(records)
+    loaded = itertools.cycle(
+        (model, adapter)
+        for number in range(OWNERS)
+        for status in statuses(number)
+        for model, adapter, _ in status.loaded
+    )
     return {
         "candidates": lambda: engines.candidates(records),
         "choose": lambda: chooser.choose(
             ("model-7b", next(adapters)), 1, candidates, (), 646
         ),
+        "choose for loaded adapters": lambda: chooser.choose(
+            next(loaded), 1, candidates, (), 646
+        ),
         "candidates and choose": choose,
         "the same after loads of one owner": choose_after_loads,
     }
--- a/tests/test_decisions_placement.py
+++ b/tests/test_decisions_placement.py
@@ -71,6 +71,16 @@
         firsts = [before[key][0] for key in keys]
         assert all(30 <= firsts.count(name) <= 75 for name in ENGINES)
 
+    def test_candidates_among_some_members_are_those_of_an_order_of_them(self) -> None:
+        """Guards against VMs that choose differently for engines of one pool."""
+        names = [f"engine-{number}" for number in range(45)]
+        order = RendezvousOrder(names, kept=None)
+        rng = random.Random(3)
+        for number in range(200):
+            some = rng.sample(names, rng.randrange(1, len(names)))
+            among = order.candidates_among(f"a{number}", set(some))
+            assert tuple(among) == RendezvousOrder(some).candidates(f"a{number}")
+
 
 class TestChoice:
     """Guards against choosing a costlier engine or one that is not live."""
