Do not wake the event loop for messages sent on its own thread

Cause: links accept calls from any thread and woke their loop through asyncio's socket for each notice, request and reply. An entry VM on the routed interface has one thread: each message cost two system calls and one more pass of the loop.

Ruled out: sending at once instead of in the next pass: the order of messages and of failures would change.

Change: a call on the loop's own thread is scheduled without waking it; replies are awaited by futures that take the outcome on the loop directly.

--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -24,6 +24,7 @@
     PlaceStarted,
 )
 from bamboovale.gateway.model import EndpointRecord
+from bamboovale.peers.loop_calls import await_on_loop
 from bamboovale.peers.outgoing import (
     PeerLostError,
     PeerTimeoutError,
@@ -249,7 +250,7 @@
     ) -> "asyncio.Future[PlaceReply]":
         if owner != self.own_id:
             timeout_s = request.starts_within_s + OWNER_CHECK_INTERVAL_S
-            return asyncio.wrap_future(
+            return await_on_loop(
                 self.links.request(owner, request, timeout_s),
             )
         future: asyncio.Future[PlaceReply]
--- a/bamboovale/gateway/lost_engines.py
+++ b/bamboovale/gateway/lost_engines.py
@@ -17,6 +17,7 @@
 from bamboovale.gateway.ownership import GROUP, Ownership
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.http1.connection import CONNECT_TIMEOUT_S
+from bamboovale.peers.loop_calls import await_on_loop
 from bamboovale.peers.outgoing import (
     PeerLostError,
     PeerTimeoutError,
@@ -150,7 +151,7 @@
         vm_id = self._rng.choice(asked)
         query = ReachQuery(engine_id)
         try:
-            answer: Any = await asyncio.wrap_future(
+            answer: Any = await await_on_loop(
                 self._links.request(vm_id, query, ANSWER_TIMEOUT_S)
             )
         except (PeerUnreachableError, PeerLostError, PeerTimeoutError):
--- a/bamboovale/peers/incoming.py
+++ b/bamboovale/peers/incoming.py
@@ -15,6 +15,7 @@
 from bamboovale.peers.codec import BadMessageError
 from bamboovale.peers.frames import PONG, Frame, FrameKind, decode_frame, encode_frame
 from bamboovale.peers.keepalive import INCOMING_SILENCE_S
+from bamboovale.peers.loop_calls import call_on
 
 logger = logging.getLogger(__name__)
 
@@ -121,7 +122,7 @@
         def reply(message: Any) -> None:
             data = encode_frame(FrameKind.REPLY, number, message)
             try:
-                self._loop.call_soon_threadsafe(self._enqueue, data)
+                call_on(self._loop, self._enqueue, data)
             except RuntimeError:  # the event loop is closed
                 self._metrics.peer_messages_dropped.inc()
 
--- a/bamboovale/peers/links.py
+++ b/bamboovale/peers/links.py
@@ -25,6 +25,7 @@
 from bamboovale.peers.handshake import MAX_HANDSHAKE_BYTES
 from bamboovale.peers.incoming import IncomingLink, NoticeHandler, RequestHandler
 from bamboovale.peers.keepalive import SWEEP_INTERVAL_S
+from bamboovale.peers.loop_calls import call_on
 from bamboovale.peers.outgoing import (
     OutboundMessage,
     OutgoingLink,
@@ -145,7 +146,7 @@
         loop = self._loop
         with contextlib.suppress(RuntimeError):  # the event loop is closed
             if loop is not None:
-                loop.call_soon_threadsafe(self._enqueue_notice, tuple(vm_ids), data)
+                call_on(loop, self._enqueue_notice, tuple(vm_ids), data)
 
     def link_states(self) -> dict[str, LinkState]:
         """Return the state of the links by VM id."""
@@ -170,7 +171,7 @@
         try:
             if loop is None:
                 raise RuntimeError
-            loop.call_soon_threadsafe(self._enqueue, vm_id, item, timeout_s)
+            call_on(loop, self._enqueue, vm_id, item, timeout_s)
         except RuntimeError:  # stopped, or the event loop has just closed
             item.settle(PeerUnreachableError("the links are stopped"))
 
--- a/bamboovale/relay/client.py
+++ b/bamboovale/relay/client.py
@@ -1,6 +1,5 @@
 """Has another entry VM exchange a request with an endpoint."""
 
-import asyncio
 import itertools
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future
@@ -10,6 +9,7 @@
 
 from bamboovale.decisions.relay_choice import Helper, RelayChoice
 from bamboovale.http1.connection import IncompleteResponse, ResponseHead
+from bamboovale.peers.loop_calls import await_on_loop
 from bamboovale.peers.outgoing import (
     PeerLostError,
     PeerTimeoutError,
@@ -177,7 +177,7 @@
     ) -> Any:
         future = self._relays.links.request(vm_id, message, self._left_s())
         try:
-            reply = await asyncio.wrap_future(future)
+            reply = await await_on_loop(future)
         except (PeerTimeoutError, PeerLostError) as error:
             raise IncompleteResponse(f"by {vm_id}: {error}") from error
         if not isinstance(reply, expected):
--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -13,6 +13,7 @@
 from result import Result
 
 from bamboovale.decisions.rendezvous import first_members
+from bamboovale.peers.loop_calls import await_on_loop
 from bamboovale.peers.outgoing import (
     PeerLostError,
     PeerTimeoutError,
@@ -182,7 +183,7 @@
             attempt_id, stream.services, stream.within_s, stream.customer
         )
         asked = [
-            asyncio.wrap_future(self._links.request(vm, query, ANSWER_TIMEOUT_S))
+            await_on_loop(self._links.request(vm, query, ANSWER_TIMEOUT_S))
             for vm in self._others(attempt_id, ASKED)
         ]
         replies: list[StreamReply | None] = []
