Learn the speed of each engine's runs at its owner and publish it

Cause: engines of one pool differ in speed by a factor of two, but a run counted alike at each of them, and a request with its adapter loaded was expected to wait for nothing, however long the queue for places. It was refused when its time had passed.

The owner forecasts the wait for a place by the time of a run, refuses at once what gets none in time and adds the queue for places to the published backlog. The status carries both times; changes under 15 % are sent with the next refresh only. A new owner starts from the last status.

Ruled out: the time until a place is free in the order of the queue. Requests are ordered when a place is free, so it changed no grant.

--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -37,6 +37,7 @@
 )
 from bamboovale.decisions.prompt_pacing import PromptPacing
 from bamboovale.decisions.request_pace import RequestPace
+from bamboovale.decisions.run_meter import RunMeter
 
 MAX_KV_SHARE = 0.92
 """Share of the KV cache that granted requests may reserve, to avoid preemption."""
@@ -76,6 +77,7 @@
         self._stopped_at: float | None = None
         self._queue = PlaceQueue(self.slots, self.pacing, mechanisms)
         self._place_by_id: dict[str, Place] = {}
+        self.runs = RunMeter()
         self._tokens = 0
         self._has_report = False
         self._reported_active = 0
@@ -132,7 +134,7 @@
         if place is not None and place.request.key is not None:
             self.slots.run_refused(place.request.key, now, not_held=not_held)
         self.pacing.on_refused(ask_id)
-        return self.on_release(ask_id, now)
+        return self._free(ask_id, now)
 
     # Events from entry VMs.
 
@@ -146,7 +148,7 @@
     def on_cancel(self, ask_id: str, now: float) -> list[Action]:
         """Remove a request, queued or granted, whose caller disconnected."""
         self._queue.remove(lambda request: request.ask_id == ask_id)
-        return self.on_release(ask_id, now)
+        return self._free(ask_id, now)
 
     def on_started(self, ask_id: str, now: float) -> None:
         """Handle the first event of a run; its lateness measures the load."""
@@ -154,6 +156,7 @@
         if place is None or place.started:
             return
         place.started = True
+        self.runs.on_started(ask_id, now)
         tokens = place.request.prompt_tokens
         late_s = now - place.granted_at - self.pacing.prefill_s(tokens)
         self._busyness.on_first_event(late_s, now)
@@ -170,6 +173,7 @@
         if request.ask_id in self._place_by_id:
             return
         self._place_by_id[request.ask_id] = Place(request, now, started=True)
+        self.runs.on_adopted(request.ask_id, now)
         self._tokens += request.tokens
         if request.key is not None:
             self.slots.note_version(request.key, version, now)
@@ -183,7 +187,15 @@
         aborted: bool = False,
     ) -> list[Action]:
         """Free a place; ``aborted``: the engine may still run the request."""
+        place = self._place_by_id.get(ask_id)
+        if place is not None and not aborted:
+            self.runs.on_ended(ask_id, place.request.output_tokens, now)
+        return self._free(ask_id, now, aborted=aborted)
+
+    def _free(self, ask_id: str, now: float, *, aborted: bool = False) -> list[Action]:
+        """Free a place whose run ended, or of whose run nothing is known."""
         place = self._place_by_id.pop(ask_id, None)
+        self.runs.on_gone(ask_id, now)
         if place is not None:
             self._tokens -= place.request.tokens
             slot = self.slots.get(place.request.key)
@@ -213,7 +225,7 @@
         ]
         actions: list[Action] = []
         for ask_id in gone:
-            actions += self.on_release(ask_id, now)
+            actions += self._free(ask_id, now)
         return actions
 
     # Decisions.
@@ -248,6 +260,8 @@
             kept=self.slots.cache_size,
             s_per_token=self.pacing.speed.s_per_token,
             held_up=self.pacing.stall_detector.is_stalled(),
+            s_per_output_token=self._s_per_output_token(now),
+            run_s=self._run_s(now),
         )
 
     def summary(self, now: float) -> dict[str, Any]:
@@ -266,6 +280,8 @@
             "reads_per_s": round(1 / self.pacing.speed.s_per_token),
             "paced": self.pacing.is_on(),
             "fixed_s": round(self.pacing.speed.fixed_s, 4),
+            "token_ms": round(1000 * self.runs.speed.mean_s_per_token(now), 3),
+            "run_s": round(self.runs.speed.run_s(now), 3),
             "load_s": round(self.slots.load_s.value, 3),
             "kept": self.slots.cache_size,
             "may_order": self.may_order,
@@ -290,9 +306,37 @@
         )
         limit_s = self._limit_pace.wait_s(now, len(self._queue))
         wait_s = max(limit_s, self.pacing.backlog_s(queued_tokens, now))
+        place_s = self._place_wait_s(self._startable_count(), now)
         if not self._mechanisms.has(Mechanism.LATENESS):
-            return wait_s
-        return max(wait_s, self._busyness.backlog_s(ages_s, now))
+            return max(wait_s, place_s)
+        return max(wait_s, place_s + self._busyness.backlog_s(ages_s, now))
+
+    def _startable_count(self) -> int:
+        """Return how many queued requests wait for no load."""
+        return sum(self._is_startable(request) for request in self._queue)
+
+    def _is_startable(self, request: QueuedRequest) -> bool:
+        return request.key is None or self.slots.is_loaded(request.key)
+
+    def _place_wait_s(self, position: int, now: float) -> float:
+        """Return the time until ``position`` more requests than now have a place.
+
+        A full batch frees a place whenever one of its runs ends. 0 while the time of a
+        run is unknown.
+        """
+        missing = len(self._place_by_id) + position - self.capacity.places
+        return max(0, missing) * self._run_s(now) / self.capacity.places
+
+    def _run_s(self, now: float) -> float:
+        """Return the mean time of a run, 0 if it is unknown."""
+        if not self._mechanisms.has(Mechanism.RUN_SPEED):
+            return 0.0
+        return self.runs.speed.run_s(now)
+
+    def _s_per_output_token(self, now: float) -> float:
+        if not self._mechanisms.has(Mechanism.RUN_SPEED):
+            return 0.0
+        return self.runs.speed.mean_s_per_token(now)
 
     def awaits_report(self) -> bool:
         """Return whether a report is expected to show a load as complete."""
@@ -378,6 +422,7 @@
 
     def _grant(self, request: QueuedRequest, version: int, now: float) -> Grant:
         self._place_by_id[request.ask_id] = Place(request, now)
+        self.runs.on_granted(request.ask_id, now)
         self._tokens += request.tokens
         self._limit_pace.take(now)
         paced_s = self._queue.end_pacing(request, now)
@@ -418,18 +463,25 @@
         """Return the predicted wait for a slot of each queued request.
 
         A request that needs a load waits for the loads queued before it, at the recent
-        slot turnover. One whose load is in progress does not wait for others.
+        slot turnover. One whose load is in progress does not wait for others, one whose
+        adapter is loaded waits for places behind others of its kind.
         """
         if not self._mechanisms.has(Mechanism.EARLY_REFUSAL):
             return [0.0] * len(self._queue)
         self._busyness.on_full(self._open_slots() < 0, now)
         waits_s = []
         ahead: set[AdapterKey] = set()
+        startable = 0
         for request in self._queue:
-            if request.key is None or request.key in self.slots or not self.may_order:
+            if self._is_startable(request):
+                startable += 1
+                waits_s.append(self._place_wait_s(startable, now))
+                continue
+            key = request.key
+            if key is None or key in self.slots or not self.may_order:
                 waits_s.append(0.0)
                 continue
-            ahead.add(request.key)
+            ahead.add(key)
             waits_s.append(self._busyness.slot_wait_s(len(ahead), now))
         return waits_s
 
--- a/bamboovale/decisions/mechanisms.py
+++ b/bamboovale/decisions/mechanisms.py
@@ -21,6 +21,8 @@
     EARLY_REFUSAL = "early-refusal"
     VERSION_ELSEWHERE = "version-elsewhere"
     RANK_ORDER = "rank-order"
+    RUN_SPEED = "run-speed"
+    TWO_CHOICES = "two-choices"
 
 
 @dataclass(frozen=True)
--- a/bamboovale/gateway/engine_assignment.py
+++ b/bamboovale/gateway/engine_assignment.py
@@ -56,6 +56,8 @@
             owner = EngineOwner(record, capacity, self._owner_context)
             owners[engine_id] = owner
             self._apply_known_stall(owner)
+            owned = self._state.fleet.engine(engine_id)
+            owner.seed_run_speed(owned.status if owned is not None else None)
             for (model, adapter), version in self._state.version_by_adapter.items():
                 if adapter is not None:
                     owner.note_version(model, adapter, version)
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -91,6 +91,12 @@
             reply(PlaceReply(ask_id, reason="not the owner", not_owner=True))
         self._reply_by_ask.clear()
 
+    def seed_run_speed(self, status: EngineStatus | None) -> None:
+        """Start from the run speed in the last status of the previous owner."""
+        if status is not None:
+            speed = self.places.runs.speed
+            speed.seed(status.s_per_output_token, status.run_s)
+
     # Requests of entry VMs.
 
     def request_place(self, entry_vm: str, request: PlaceRequest, reply: Reply) -> None:
@@ -206,6 +212,8 @@
             s_per_token=snapshot.s_per_token,
             held_up=snapshot.held_up,
             answers=self.reachable,
+            s_per_output_token=snapshot.s_per_output_token,
+            run_s=snapshot.run_s,
         )
 
     def load(self) -> EngineLoad:
--- a/bamboovale/gateway/state_dump.py
+++ b/bamboovale/gateway/state_dump.py
@@ -123,5 +123,11 @@
             if (owned := state.fleet.engine(engine_id)) is not None
             and owned.status is not None
         },
+        "run_s_by_engine": {
+            engine_id: round(owned.status.run_s, 3)
+            for engine_id in record_by_id
+            if (owned := state.fleet.engine(engine_id)) is not None
+            and owned.status is not None
+        },
         "owned_engines": [owner.status() for owner in engines.owner_by_engine.values()],
     }
--- a/bamboovale/gateway/status_exchange.py
+++ b/bamboovale/gateway/status_exchange.py
@@ -24,6 +24,8 @@
 """Interval at which the status of all engines is sent, changed or not."""
 SPEED_DIGITS = 2
 """Significant digits of the prefill speed below which it counts as unchanged."""
+MAX_RUN_CHANGE = 0.15
+"""Relative change of the time of a run or of a token that is sent at once."""
 OWNER_CHECK_INTERVAL_S = 0.3
 """Interval of checks whether this VM owns engines while it owns none."""
 
@@ -68,7 +70,14 @@
     def _is_news(self, status: EngineStatus) -> bool:
         """Return whether a status differs from the last one sent beyond its load."""
         published = self._published_by_engine.get(status.engine_id)
-        return published != _without_load(status)
+        if published is None or _run_speed_changed(published, status):
+            return True
+        same_speed = replace(
+            status,
+            s_per_output_token=published.s_per_output_token,
+            run_s=published.run_s,
+        )
+        return published != _without_load(same_speed)
 
     async def publish_statuses_forever(self) -> None:
         """Publish engine status at intervals while this VM owns engines."""
@@ -126,6 +135,15 @@
             self.subscribe_to_owners()
 
 
+def _run_speed_changed(published: EngineStatus, status: EngineStatus) -> bool:
+    """Return whether the speed of runs changed by more than its usual variation."""
+    changes = (
+        (published.s_per_output_token, status.s_per_output_token),
+        (published.run_s, status.run_s),
+    )
+    return any(abs(new - old) > MAX_RUN_CHANGE * old for old, new in changes)
+
+
 def _without_load(status: EngineStatus) -> EngineStatus:
     """Return the part of a status that its load does not contain, to compare it."""
     return replace(
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -3,7 +3,10 @@
 import itertools
 from collections.abc import Sequence
 
+import pytest
+
 from bamboovale.decisions.engine_places import EnginePlaces
+from bamboovale.decisions.mechanisms import Mechanisms
 from bamboovale.decisions.place_work import (
     EngineCapacity,
     Grant,
@@ -458,3 +461,75 @@
         engine = EnginePlaces(EngineCapacity(8, 100_000, 2, (MODEL, "other")))
         engine.may_order = True
         assert engine.on_report(ReportedState({}, {}, frozenset(), 0, 0.0), 0.0) == []
+
+
+class TestRunSpeed:
+    """Forecasts by the time of a run at an engine with two places."""
+
+    def engine_with_runs(self, run_s: float = 0.8) -> EnginePlaces:
+        """Return an engine that has ended some runs of this length."""
+        engine = make_places(batch=2)
+        load_adapter(engine, "a1", 0.0)
+        for number in range(5):
+            start = 2.0 + number
+            engine.on_request(make_request(f"r{number}", "a1", start), start)
+            engine.on_started(f"r{number}", start + 0.1)
+            engine.on_release(f"r{number}", start + run_s)
+        return engine
+
+    def fill(self, engine: EnginePlaces, requests: int) -> list:
+        """Send requests that the engine can't start in time; return the answers."""
+        answers: list = []
+        for number in range(requests):
+            request = make_request(f"f{number}", "a1", 10.0, waits_s=1.0)
+            answers += engine.on_request(request, 10.0)
+        return answers
+
+    def test_the_time_of_a_run_is_published(self) -> None:
+        snapshot = self.engine_with_runs().snapshot(7.0)
+        assert snapshot.run_s == pytest.approx(0.8)
+        assert snapshot.s_per_output_token == pytest.approx(0.7 / 20)
+
+    @pytest.mark.parametrize("end", ["aborted", "refused", "cancelled", "VM gone"])
+    def test_other_ends_are_not_measured(self, end: str) -> None:
+        """Guards against an engine that counts as slow as its callers are patient."""
+        engine = self.engine_with_runs()
+        engine.on_request(make_request("r", "a1", 10.0), 10.0)
+        engine.on_started("r", 10.1)
+        if end == "aborted":
+            engine.on_release("r", 15.0, aborted=True)
+        elif end == "refused":
+            engine.on_run_refused("r", 15.0, not_held=False)
+        elif end == "cancelled":
+            engine.on_cancel("r", 15.0)
+        else:
+            engine.on_entry_gone("entry-0", 15.0)
+        assert engine.snapshot(15.0).run_s == pytest.approx(0.8)
+        assert engine.snapshot(15.0).active == 0
+
+    def test_a_request_that_gets_no_place_in_time_is_refused_at_once(self) -> None:
+        """Guards against a wait that ends with a refusal after seconds.
+
+        Two requests run. With 0.4 s between two places, two of the others start
+        within 1 s.
+        """
+        answers = self.fill(self.engine_with_runs(), 6)
+        refused = [answer for answer in answers if isinstance(answer, Refuse)]
+        assert [refusal.request.ask_id for refusal in refused] == ["f4", "f5"]
+        assert refused[0].reason is RefusalReason.LATE
+        assert refused[0].retry_after_s > 0.19
+
+    def test_queued_requests_show_as_a_backlog(self) -> None:
+        """Guards against a full engine that looks as free as one without a queue."""
+        engine = self.engine_with_runs()
+        self.fill(engine, 2)
+        assert engine.snapshot(10.0).backlog_s == pytest.approx(0.0, abs=0.05)
+        engine.on_request(make_request("queued", "a1", 10.0), 10.0)
+        assert engine.snapshot(10.0).backlog_s == pytest.approx(0.4, abs=0.05)
+
+    def test_without_the_mechanism_nothing_is_forecast(self) -> None:
+        capacity = EngineCapacity(2, 100_000, 2)
+        engine = EnginePlaces(capacity, Mechanisms.without(["run-speed"]))
+        engine.runs.speed.seed(0.01, 0.8)
+        assert engine.snapshot(0.0).run_s == 0.0
+        assert engine.snapshot(0.0).s_per_output_token == 0.0
--- a/tests/test_gateway_status_exchange.py
+++ b/tests/test_gateway_status_exchange.py
@@ -106,6 +106,35 @@
         assert parts.sent == []
         assert parts.own[-2:] == ["engine-1", "engine-2"]
 
+    def test_small_changes_of_the_run_speed_are_not_sent(
+        self, parts: StubParts, exchange: EngineStatusExchange
+    ) -> None:
+        """Guards against a message with all adapters after nearly every run."""
+        owner = parts.owner_by_engine["engine-1"]
+        owner.current = replace(STATUS, s_per_output_token=0.005, run_s=0.4)
+        exchange.publish_statuses()
+        assert parts.engines_in_last() == ["engine-1"]
+        parts.sent.clear()
+        for factor in (1.1, 0.9, 1.0):
+            parts.time += 0.3
+            owner.current = replace(
+                STATUS, s_per_output_token=0.005 * factor, run_s=0.4 * factor
+            )
+            exchange.publish_statuses()
+        assert parts.sent == []
+
+    @pytest.mark.parametrize("figure", ["s_per_output_token", "run_s"])
+    def test_an_engine_that_becomes_slow_is_sent(
+        self, parts: StubParts, exchange: EngineStatusExchange, figure: str
+    ) -> None:
+        owner = parts.owner_by_engine["engine-1"]
+        owner.current = replace(STATUS, s_per_output_token=0.005, run_s=0.4)
+        exchange.publish_statuses()
+        parts.sent.clear()
+        owner.current = replace(owner.current, **{figure: 0.8})
+        exchange.publish_statuses()
+        assert parts.engines_in_last() == ["engine-1"]
+
     def test_an_engine_with_another_adapter_is_sent(
         self, parts: StubParts, exchange: EngineStatusExchange
     ) -> None:
