Choose engines by the speed of their runs, comparing two that hold the adapter

Cause: the choice counted a run as 16 ms and a full batch as 1 s at every engine, so slow engines got as many runs as fast ones, and an adapter was loaded again where a place would have been free within 40 ms. Many entry VMs took the least busy engine of the same status.

A run counts by the engine's time per token relative to the pool, a full batch by the time until a place is free, and requests sent since the last status count as running. A request compares two holders drawn at random. A long prompt is loaded only where its prefill takes little more than at the fastest engine. Engines without a speed count as the median; while none has one, the costs are as before.

--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -9,17 +9,25 @@
 engine with an open slot, among these at one that recently held it and loads it from its
 own cache, and otherwise in rendezvous order, which is the same at every entry VM.
 
+Engines differ in speed, and many entry VMs choose by the same statuses. A run counts by
+the engine's time per token relative to its pool, a full batch by the time until a place
+becomes free. Of the engines that hold the adapter, each request compares two drawn at
+random: if every entry VM took the best one, it would be overloaded before its next
+status.
+
 A new version of an adapter is loaded at another engine than that which holds the older
 one: there the load would wait for the runs of the older version, and all requests for
 an adapter in constant use with it.
 """
 
+import random
 from collections import OrderedDict
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanism, Mechanisms
 from bamboovale.decisions.place_work import AdapterKey, EngineSnapshot
+from bamboovale.decisions.pool_speed import UNKNOWN_SPEED, PoolSpeed
 from bamboovale.decisions.rendezvous import RendezvousOrder
 
 LOAD_COST_S = 0.35
@@ -29,28 +37,35 @@
 SLOT_TURNOVER_S = 0.12
 """Time between two slots that become free at an engine with all slots in use."""
 ACTIVE_COST_S = 0.016
-"""For each running request: it shares the steps of the batch and may pin a slot."""
+"""For each running request at an engine of typical speed: it shares the steps of the
+batch and may pin a slot."""
 QUEUED_COST_S = 0.05
 """For each request that waits for a slot; requests without a load do not wait."""
 FULL_COST_S = 1.0
-"""Batch without a free place: about one run must end first."""
+"""Batch without a free place, while the time of a run is not known."""
 UNKNOWN_COST_S = 1.0
 """Engine without a known state: used when all others are busy."""
 REPLACE_COST_S = 1.5
 """A new version at an engine that holds an older one: the load waits for its runs."""
 SPREAD_S = 0.3
 """Largest excess over the least busy engine at which an engine gets a load."""
+PREFILL_SPREAD_S = 0.1
+"""Largest excess of the prompt's prefill time over the fastest engine at which an
+engine gets a load: prefill speed differs for longer than load does."""
+SAMPLED_HOLDERS = 2
+"""Engines with the adapter that one request compares."""
 
 
 @dataclass(frozen=True)
 class EngineCandidate:
     """An engine as this entry VM knows it.
 
-    ``own_tokens`` and ``own_loads`` count what this VM sent there since the last
-    status: prompt tokens and requests that need a load; ``own_wait_s`` is how much
-    longer the engine's limit lets a request wait for them. ``owner`` is None while no
-    entry VM may order loads there. ``has_status`` is False while only the engine's own
-    record is known.
+    ``own_tokens``, ``own_loads`` and ``own_requests`` count what this VM sent there
+    since the last status: prompt tokens, requests that need a load and all requests;
+    ``own_wait_s`` is how much longer the engine's limit lets a request wait for them.
+    ``pool`` is the speed that counts for an engine without one. ``owner`` is None while
+    no entry VM may order loads there. ``has_status`` is False while only the engine's
+    own record is known.
     """
 
     engine_id: str
@@ -60,18 +75,38 @@
     own_loads: int = 0
     has_status: bool = True
     own_wait_s: float = 0.0
+    own_requests: int = 0
+    pool: PoolSpeed = UNKNOWN_SPEED
 
     def run_cost_s(self, prompt_tokens: int = 0) -> float:
         """Return the expected seconds to the first event without a load."""
         snapshot = self.snapshot
         if snapshot is None:
             return UNKNOWN_COST_S
-        batch_s = ACTIVE_COST_S * snapshot.active
-        full_s = FULL_COST_S if snapshot.active >= snapshot.places else 0.0
         own_s = snapshot.s_per_token * self.own_tokens
         prefill_s = snapshot.s_per_token * prompt_tokens
         backlog_s = snapshot.backlog_s + self.own_wait_s
-        return backlog_s + own_s + prefill_s + batch_s + full_s
+        batch_s = self._batch_s(snapshot) + self._place_wait_s(snapshot)
+        return backlog_s + own_s + prefill_s + batch_s
+
+    def _batch_s(self, snapshot: EngineSnapshot) -> float:
+        """Return the cost of the requests that run there, by the engine's speed."""
+        typical_s = self.pool.s_per_output_token
+        if not typical_s:
+            return ACTIVE_COST_S * snapshot.active
+        slowness = (snapshot.s_per_output_token or typical_s) / typical_s
+        return ACTIVE_COST_S * slowness * (snapshot.active + self.own_requests)
+
+    def _place_wait_s(self, snapshot: EngineSnapshot) -> float:
+        """Return the time until a place is free for one more request.
+
+        Requests queued for places are part of the backlog.
+        """
+        run_s = snapshot.run_s or self.pool.run_s
+        if not run_s:
+            return FULL_COST_S if snapshot.active >= snapshot.places else 0.0
+        missing = snapshot.active + self.own_requests + 1 - snapshot.places
+        return max(0, missing) * run_s / max(1, snapshot.places)
 
     def load_cost_s(
         self,
@@ -181,9 +216,12 @@
 class EngineChooser:
     """Chooses among the engines of one pool."""
 
-    def __init__(self, mechanisms: Mechanisms = ALL_ON) -> None:
+    def __init__(
+        self, mechanisms: Mechanisms = ALL_ON, rng: random.Random | None = None
+    ) -> None:
         self.recently_held = RecentlyHeldAdapters()
         self._mechanisms = mechanisms
+        self._rng = rng or random.Random()
         self._order = RendezvousOrder()
 
     def choose(
@@ -211,7 +249,7 @@
             if candidate.holds(key, version)
         ]
         best = min(
-            holders,
+            self._sample(holders),
             key=lambda name: open_candidates[name].run_cost_s(prompt_tokens),
             default=None,
         )
@@ -233,6 +271,13 @@
         held_s = open_candidates[best].run_cost_s(prompt_tokens)
         return best if held_s <= fresh_s else fresh
 
+    def _sample(self, holders: list[str]) -> list[str]:
+        """Return the holders that this request compares."""
+        few = len(holders) <= SAMPLED_HOLDERS
+        if few or not self._mechanisms.has(Mechanism.TWO_CHOICES):
+            return holders
+        return self._rng.sample(holders, SAMPLED_HOLDERS)
+
     def _for_load(
         self,
         key: AdapterKey | None,
@@ -265,6 +310,8 @@
             return None, 0.0
         max_cost_s = min(able.values()) + SPREAD_S
         acceptable = {engine_id for engine_id in able if able[engine_id] <= max_cost_s}
+        if self._mechanisms.has(Mechanism.RUN_SPEED):
+            acceptable = _fast_prefill(acceptable, engines, prompt_tokens)
         warm_acceptable = acceptable.intersection(warm)
         if warm_acceptable:
             chosen = min(warm_acceptable, key=lambda engine_id: able[engine_id])
@@ -276,3 +323,21 @@
                 return engine_id, able[engine_id]
         chosen = min(able, key=lambda engine_id: able[engine_id])
         return chosen, able[chosen]
+
+
+def _fast_prefill(
+    engine_ids: set[str],
+    engines: Mapping[str, EngineCandidate],
+    prompt_tokens: int,
+) -> set[str]:
+    """Return the engines whose prefill of the prompt takes little more than the least.
+
+    Guards against a long prompt at a slow engine, whose streams it stalls.
+    """
+    prefill_s = {
+        engine_id: snapshot.s_per_token * prompt_tokens
+        for engine_id in engine_ids
+        if (snapshot := engines[engine_id].snapshot) is not None
+    }
+    max_s = min(prefill_s.values(), default=0.0) + PREFILL_SPREAD_S
+    return {name for name in engine_ids if prefill_s.get(name, 0.0) <= max_s}
--- a/bamboovale/emulator/caller.py
+++ b/bamboovale/emulator/caller.py
@@ -9,6 +9,7 @@
 
 from bamboovale.decisions.engine_choice import EngineCandidate, EngineChooser
 from bamboovale.decisions.place_work import EngineSnapshot, Grant, QueuedRequest, Refuse
+from bamboovale.decisions.pool_speed import PoolSpeed
 from bamboovale.emulator.engine import EngineRun
 from bamboovale.emulator.outcomes import Outcome
 from bamboovale.emulator.owner import MODEL, EmulatedOwner
@@ -52,9 +53,11 @@
     snapshot_by_engine: dict[str, EngineSnapshot] = field(default_factory=dict)
     tokens_by_engine: Counter[str] = field(default_factory=Counter)
     loads_by_engine: Counter[str] = field(default_factory=Counter)
+    requests_by_engine: Counter[str] = field(default_factory=Counter)
 
     def views(self, live: set[str]) -> dict[str, EngineCandidate]:
         """Return the candidates among the ``live`` engines by name."""
+        pool = PoolSpeed.from_engines(self.snapshot_by_engine.values())
         return {
             name: EngineCandidate(
                 name,
@@ -62,6 +65,8 @@
                 "owner",
                 self.tokens_by_engine[name],
                 self.loads_by_engine[name],
+                own_requests=self.requests_by_engine[name],
+                pool=pool,
             )
             for name, snapshot in self.snapshot_by_engine.items()
             if name in live
@@ -75,6 +80,7 @@
         self.snapshot_by_engine[name] = snapshot
         self.tokens_by_engine[name] = 0
         self.loads_by_engine[name] = 0
+        self.requests_by_engine[name] = 0
 
 
 class CallerRequest:
@@ -108,6 +114,7 @@
             if name is None:
                 break
             entry.tokens_by_engine[name] += self._prompt_tokens
+            entry.requests_by_engine[name] += 1
             entry.loads_by_engine[name] += not views[name].holds(self._key, version)
             decision = yield from self._request_place(name, asked_at)
             if isinstance(decision, Refuse):
@@ -189,7 +196,8 @@
         self._outcome.complete = bool(ended.triggered and ended.value)
         if not ended.triggered:
             owner.engine.cancel(run.run_id)
-        owner.release(grant.request.ask_id)
+        current = self._simulation.owner(name) or owner
+        current.release(grant.request.ask_id, aborted=not self._outcome.complete)
         return True
 
 
--- a/bamboovale/emulator/owner.py
+++ b/bamboovale/emulator/owner.py
@@ -11,6 +11,7 @@
 from bamboovale.decisions.place_work import (
     Action,
     EngineCapacity,
+    EngineSnapshot,
     Grant,
     OrderLoad,
     OrderUnload,
@@ -60,6 +61,7 @@
         self._deployment = deployment
         self._rng = rng
         self._reply_by_ask: dict[str, Reply] = {}
+        self._grant_by_ask: dict[str, Grant] = {}
         self._stopped = False
         self._timer_at: float | None = None
         env.process(self._report_forever())
@@ -72,6 +74,13 @@
         for reply in replies.values():
             reply(None)
 
+    def take_over(self, previous: "EmulatedOwner", known: EngineSnapshot) -> None:
+        """Take over the runs of a lost owner; ``known`` is its last status."""
+        self.places.runs.speed.seed(known.s_per_output_token, known.run_s)
+        self._grant_by_ask.update(previous._grant_by_ask)
+        for grant in self._grant_by_ask.values():
+            self.places.adopt_place(grant.request, grant.version, self._env.now)
+
     # Entry VMs.
 
     def request_place(self, ask: QueuedRequest, reply: Reply) -> None:
@@ -90,12 +99,15 @@
         """Record a stall of a run's stream."""
         self.places.on_stall(ask_id, pause_s, self._env.now)
 
-    def release(self, ask_id: str) -> None:
+    def release(self, ask_id: str, *, aborted: bool = False) -> None:
         """Release the place of a request."""
-        self._execute(self.places.on_release(ask_id, self._env.now))
+        self._grant_by_ask.pop(ask_id, None)
+        now = self._env.now
+        self._execute(self.places.on_release(ask_id, now, aborted=aborted))
 
     def on_run_refused(self, ask_id: str) -> None:
         """Handle an engine's refusal of a run."""
+        self._grant_by_ask.pop(ask_id, None)
         now = self._env.now
         self._execute(self.places.on_run_refused(ask_id, now, not_held=True))
         self._env.process(self._report())
@@ -104,6 +116,8 @@
 
     def _execute(self, actions: list[Action]) -> None:
         for action in actions:
+            if isinstance(action, Grant):
+                self._grant_by_ask[action.request.ask_id] = action
             if isinstance(action, Grant | Refuse):
                 reply = self._reply_by_ask.pop(action.request.ask_id, None)
                 if reply is not None:
--- a/bamboovale/emulator/scenario.py
+++ b/bamboovale/emulator/scenario.py
@@ -58,7 +58,8 @@
     publish how busy an engine is, ``status_s`` the interval of the full status, which
     includes the loaded adapters. ``skew`` is the Zipf exponent of the adapters'
     popularity. ``loads_at_full_speed`` is the number of concurrent loads above which
-    the weight store slows them all down.
+    the weight store slows them all down. With ``same_statuses`` all entry VMs get an
+    engine's status at the same time, so that they decide by the same ones.
     """
 
     engines: tuple[EngineGroup, ...]
@@ -70,6 +71,7 @@
     load_word_s: float = 0.1
     status_s: float = 0.3
     loads_at_full_speed: int = 8
+    same_statuses: bool = False
 
 
 @dataclass(frozen=True)
@@ -80,7 +82,9 @@
     of a ``share`` of the engines by ``x``. ``crash`` stops a ``share`` of the engines,
     which restart without loaded adapters. ``shift`` moves the popularity ranking by
     ``x`` adapters and is permanent. ``lost_orders`` drops the answers to a ``share`` of
-    the orders. ``new_version`` publishes a new version of the adapter of rank ``x``.
+    the orders. ``owner_lost`` replaces the owners of a ``share`` of the engines; the
+    new ones know what was published. ``new_version`` publishes a new version of the
+    adapter of rank ``x``.
     """
 
     kind: str
@@ -91,7 +95,7 @@
 
 
 FAULT_KINDS = frozenset(
-    {"crowd", "slow", "crash", "shift", "lost_orders", "new_version"}
+    {"crowd", "slow", "crash", "shift", "lost_orders", "new_version", "owner_lost"}
 )
 
 
--- a/bamboovale/emulator/simulation.py
+++ b/bamboovale/emulator/simulation.py
@@ -53,8 +53,8 @@
         self._owner_by_name: dict[str, EmulatedOwner] = {}
         self._build_engines()
         self._entries = [
-            EmulatedEntry(EngineChooser(mechanisms))
-            for _ in range(self._deployment.entry_vms)
+            EmulatedEntry(EngineChooser(mechanisms, random.Random(f"{seed}/{n}")))
+            for n in range(self._deployment.entry_vms)
         ]
 
     def run(self) -> Result:
@@ -63,8 +63,12 @@
             self.env.process(self._arrivals(kind))
         for fault in self._scenario.faults:
             self.env.process(self._run_fault(fault))
-        for number, entry in enumerate(self._entries):
-            self.env.process(self._publish_status_forever(entry, number))
+        if self._deployment.same_statuses:
+            self.env.process(self._publish_status_forever(self._entries, 0.0))
+        else:
+            for number, entry in enumerate(self._entries):
+                phase = number / len(self._entries)
+                self.env.process(self._publish_status_forever([entry], phase))
         self.env.run(self._scenario.seconds + DRAIN_S)
         for engine in self._engine_by_name.values():
             for item in fields(engine.counts):
@@ -104,18 +108,21 @@
 
     def _publish_status_forever(
         self,
-        entry: EmulatedEntry,
-        number: int,
+        entries: list[EmulatedEntry],
+        phase: float,
     ) -> Generator[Any, Any, None]:
         interval_s = self._deployment.load_word_s
-        yield self.env.timeout(interval_s * number / len(self._entries))
+        yield self.env.timeout(interval_s * phase)
         whole_every = max(1, round(self._deployment.status_s / interval_s))
         for tick in itertools.count():
             self._update_pool_stalled()
             for name, owner in self._owner_by_name.items():
                 snapshot = owner.places.snapshot(self.env.now)
-                entry.on_status(name, snapshot, whole=tick % whole_every == 0)
-            entry.chooser.recently_held.update(entry.views(set(self._owner_by_name)))
+                for entry in entries:
+                    entry.on_status(name, snapshot, whole=tick % whole_every == 0)
+            live = set(self._owner_by_name)
+            for entry in entries:
+                entry.chooser.recently_held.update(entry.views(live))
             yield self.env.timeout(interval_s)
 
     def _update_pool_stalled(self) -> None:
@@ -201,6 +208,9 @@
         elif fault.kind == "crash":
             for name in chosen:
                 self._crash(name)
+        elif fault.kind == "owner_lost":
+            for name in chosen:
+                self._replace_owner(name)
 
     def _end_fault(self, fault: Fault, chosen: list[str]) -> None:
         if fault.kind == "crowd":
@@ -229,6 +239,13 @@
             run.on_lost()
         owner.stop()
 
+    def _replace_owner(self, name: str) -> None:
+        previous = self._owner_by_name[name]
+        known = self._entries[0].snapshot_by_engine[name]
+        self._add_owner(name)
+        self._owner_by_name[name].take_over(previous, known)
+        previous.stop()
+
     def next_number(self) -> int:
         """Return a number that is unique within the simulation."""
         return next(self._numbers)
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -9,6 +9,7 @@
 
 from bamboovale.decisions.engine_choice import EngineCandidate
 from bamboovale.decisions.place_work import AdapterKey, EngineSnapshot
+from bamboovale.decisions.pool_speed import PoolSpeed
 from bamboovale.decisions.prefill_speed import INITIAL_S_PER_TOKEN
 from bamboovale.gateway.engine_owner import EngineOwner
 from bamboovale.gateway.fleet import Fleet
@@ -108,12 +109,19 @@
         """Return each reachable engine by id, for the choice of an engine."""
         self.on_engine_needed()
         self._prune(records)
+        pool = self._pool_speed(records)
         return {
-            record.endpoint_id: self._candidate(record)
+            record.endpoint_id: self._candidate(record, pool)
             for record in records
             if self._is_reachable(record.endpoint_id)
         }
 
+    def _pool_speed(self, records: list[EndpointRecord]) -> PoolSpeed:
+        owned = (self.fleet.engine(record.endpoint_id) for record in records)
+        return PoolSpeed.from_engines(
+            engine.status for engine in owned if engine and engine.status
+        )
+
     def _prune(self, records: list[EndpointRecord]) -> None:
         """Drop state of engines that no longer exist, once it outweighs the rest."""
         for kept in (self._sent_by_id, self._loaded_by_id):
@@ -312,7 +320,7 @@
             run_s=status.run_s,
         )
 
-    def _candidate(self, record: EndpointRecord) -> EngineCandidate:
+    def _candidate(self, record: EndpointRecord, pool: PoolSpeed) -> EngineCandidate:
         engine_id = record.endpoint_id
         owned = self.fleet.engine(engine_id)
         if owned is None or owned.status is None:
@@ -334,6 +342,8 @@
             sent.tokens,
             sent.loads,
             own_wait_s=0.0 if limit_per_s is None else sent.requests / limit_per_s,
+            own_requests=sent.requests,
+            pool=pool,
         )
 
 
--- a/tests/test_decisions_engine_choice.py
+++ b/tests/test_decisions_engine_choice.py
@@ -1,9 +1,15 @@
 """Tests of the choice of an engine by an entry VM."""
 
+import random
 from collections import Counter
+from dataclasses import replace
+
+import pytest
 
 from bamboovale.decisions.engine_choice import EngineCandidate, EngineChooser
+from bamboovale.decisions.mechanisms import Mechanisms
 from bamboovale.decisions.place_work import EngineSnapshot
+from bamboovale.decisions.pool_speed import PoolSpeed
 
 KEY = ("base", "a1")
 
@@ -125,3 +131,104 @@
     def test_without_any_engine_that_has_the_model_one_is_chosen(self) -> None:
         candidates = {"e0": make_candidate("e0", models=())}
         assert EngineChooser().choose(KEY, 1, candidates) == "e0"
+
+
+POOL = PoolSpeed(s_per_output_token=0.005, run_s=0.4)
+
+
+def candidate_of_speed(
+    name: str, speed: float = 1.0, **fields: object
+) -> EngineCandidate:
+    """Return an engine with 12 places that holds the adapter, in a pool of speed 1."""
+    values = {
+        "loaded": {KEY: 1},
+        "places": 12,
+        "active": 6,
+        "s_per_output_token": POOL.s_per_output_token / speed,
+        "run_s": POOL.run_s / speed,
+    }
+    return replace(make_candidate(name, **(values | fields)), pool=POOL)
+
+
+class TestRunSpeed:
+    """Tests of the choice among engines of different speed."""
+
+    def test_a_slow_engine_gets_fewer_runs(self) -> None:
+        """Guards against as many runs at a slow engine as at a fast one."""
+        slow, fast = candidate_of_speed("slow", 0.5), candidate_of_speed("fast")
+        assert slow.run_cost_s() > fast.run_cost_s()
+        busier = candidate_of_speed("fast", active=11)
+        assert slow.run_cost_s() > busier.run_cost_s()
+
+    def test_an_unknown_engine_counts_as_the_median(self) -> None:
+        unknown = candidate_of_speed("new", s_per_output_token=0.0, run_s=0.0)
+        assert unknown.run_cost_s() == candidate_of_speed("known").run_cost_s()
+
+    def test_a_full_batch_costs_the_time_until_a_place_is_free(self) -> None:
+        """Guards against a load where a place at a holder is free sooner."""
+        full = candidate_of_speed("full", active=12)
+        cost_s = full.run_cost_s() - candidate_of_speed("busy", active=11).run_cost_s()
+        assert cost_s == pytest.approx(POOL.run_s / 12 + 0.016)
+        idle = candidate_of_speed("idle", active=0, loaded={}, open_slots=3)
+        chosen = EngineChooser().choose(KEY, 1, {"full": full, "idle": idle})
+        assert chosen == "full"
+
+    def test_own_requests_count_until_the_next_status(self) -> None:
+        """Guards against sending all requests between two statuses to one engine."""
+        sent = replace(candidate_of_speed("e0"), own_requests=3)
+        candidates = {"e0": sent, "e1": candidate_of_speed("e1", active=8)}
+        assert EngineChooser().choose(KEY, 1, candidates) == "e1"
+
+    def test_without_the_speed_of_any_engine_the_usual_costs_count(self) -> None:
+        candidate = make_candidate("e", active=12, places=12)
+        sent = replace(candidate, own_requests=4)
+        assert sent.run_cost_s() == candidate.run_cost_s() == pytest.approx(1.192)
+
+    def test_a_long_prompt_is_loaded_where_prefill_is_fast(self) -> None:
+        """Guards against long prompts that stall the streams of slow engines."""
+        candidates = {
+            f"e{n}": make_candidate(
+                f"e{n}", open_slots=2, s_per_token=1 / (20_000 if n else 40_000)
+            )
+            for n in range(4)
+        }
+        for number in range(20):
+            key = ("base", f"a{number}")
+            assert EngineChooser().choose(key, 1, candidates, (), 9000) == "e0"
+        chosen = {
+            EngineChooser().choose(("base", f"a{n}"), 1, candidates, (), 600)
+            for n in range(20)
+        }
+        assert len(chosen) > 2
+
+
+class TestTwoChoices:
+    """Tests of many VMs that decide by the same statuses."""
+
+    def shares(self, vms: int, *without: str) -> list[float]:
+        """Return the engines' shares of one request of each VM, least first."""
+        mechanisms = Mechanisms.without(without)
+        candidates = {
+            f"e{n}": candidate_of_speed(f"e{n}", active=6 + (n > 0)) for n in range(10)
+        }
+        counts = Counter(
+            EngineChooser(mechanisms, random.Random(number)).choose(KEY, 1, candidates)
+            for number in range(vms)
+        )
+        return sorted(counts[name] / vms for name in candidates)
+
+    @pytest.mark.parametrize("vms", [89, 300])
+    def test_the_least_busy_holder_is_not_chosen_by_all(self, vms: int) -> None:
+        assert self.shares(vms, "two-choices")[-1] == 1.0
+        shares = self.shares(vms)
+        assert shares[-1] < 0.3
+        assert shares[0] > 0.0
+
+    def test_the_busiest_holder_is_not_chosen(self) -> None:
+        candidates = {f"e{n}": candidate_of_speed(f"e{n}") for n in range(5)}
+        candidates["e4"] = candidate_of_speed("e4", active=12, backlog_s=0.2)
+        chosen = {
+            EngineChooser(rng=random.Random(number)).choose(KEY, 1, candidates)
+            for number in range(100)
+        }
+        assert chosen == {"e0", "e1", "e2", "e3"}
