--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from bamboovale.decisions.engine_choice import EngineCandidate
 from bamboovale.decisions.place_work import AdapterKey, EngineSnapshot
+from bamboovale.decisions.pool_speed import UNKNOWN_SPEED, PoolSpeed
 from bamboovale.decisions.prefill_speed import INITIAL_S_PER_TOKEN
 from bamboovale.gateway.engine_owner import EngineOwner
 from bamboovale.gateway.fleet import Fleet, OwnedEngine
@@ -33,8 +34,8 @@
 
 AdapterVersions = tuple[tuple[str, str, int], ...]
 """Adapters as owners publish them: model, adapter, version."""
-CandidateState = tuple[str | None, int, int, float]
-"""Owner, own tokens, own loads and own wait of a candidate."""
+POOL_SPEED_VALID_S = 0.3
+"""How long the speed of a pool is used: each new one renews all candidates."""
 PRUNE_FACTOR = 2
 """State of former engines is dropped once entries exceed this multiple of the current
 engines: each start of an engine has an id of its own."""
@@ -78,12 +79,24 @@
     coming: dict[AdapterKey, int]
 
 
+@dataclass(frozen=True)
+class _CandidateState:
+    """What a candidate consists of beside the engine's snapshot."""
+
+    owner: str | None
+    own_tokens: int = 0
+    own_loads: int = 0
+    own_requests: int = 0
+    own_wait_s: float = 0.0
+    pool: PoolSpeed = UNKNOWN_SPEED
+
+
 @dataclass(frozen=True)
 class _Built:
     """A candidate, and what it was built from: an entry of the fleet, or a record."""
 
     source: EndpointRecord | OwnedEngine
-    state: CandidateState
+    state: _CandidateState
     candidate: EngineCandidate
 
 
@@ -115,6 +128,7 @@
     _sent_by_id: dict[str, _Sent] = field(default_factory=dict)
     _loaded_by_id: dict[str, _Loaded] = field(default_factory=dict)
     _candidate_by_id: dict[str, _Built] = field(default_factory=dict)
+    _pool_by_service: dict[str, tuple[float, PoolSpeed]] = field(default_factory=dict)
     _held_by_id: dict[str, PlaceHeld] = field(default_factory=dict)
     _owner_by_held: dict[str, str] = field(default_factory=dict)
 
@@ -123,15 +137,33 @@
         self.on_engine_needed()
         self._prune(records)
         owned_by_id = self.fleet.engines()
+        pool = self._pool_speed(records, owned_by_id)
         candidate_by_id = {}
         for record in records:
             owned = owned_by_id.get(record.endpoint_id)
             status = None if owned is None else owned.published
             if status is None or status.answers:
-                candidate = self._candidate(record, owned)
+                candidate = self._candidate(record, owned, pool)
                 candidate_by_id[record.endpoint_id] = candidate
         return candidate_by_id
 
+    def _pool_speed(
+        self, records: list[EndpointRecord], owned_by_id: Mapping[str, OwnedEngine]
+    ) -> PoolSpeed:
+        """Return the speed of a pool, which is computed anew after a while."""
+        if not records:
+            return UNKNOWN_SPEED
+        now, service = self.now(), records[0].service
+        known = self._pool_by_service.get(service)
+        if known is not None and now - known[0] < POOL_SPEED_VALID_S:
+            return known[1]
+        owned = (owned_by_id.get(record.endpoint_id) for record in records)
+        pool = PoolSpeed.from_engines(
+            engine.published for engine in owned if engine and engine.published
+        )
+        self._pool_by_service[service] = (now, pool)
+        return pool
+
     def _prune(self, records: list[EndpointRecord]) -> None:
         """Drop state of engines that no longer exist, once it outweighs the rest."""
         for kept in (self._sent_by_id, self._loaded_by_id, self._candidate_by_id):
@@ -333,14 +365,14 @@
         )
 
     def _candidate(
-        self, record: EndpointRecord, owned: OwnedEngine | None
+        self, record: EndpointRecord, owned: OwnedEngine | None, pool: PoolSpeed
     ) -> EngineCandidate:
         """Return the candidate of an engine, the last one if nothing has changed."""
         engine_id = record.endpoint_id
         is_own = engine_id in self.owner_by_engine
         owner = self.own_id if is_own else self._live_owner(owned)
         if owned is None or owned.published is None:
-            return self._kept_candidate(engine_id, record, (owner, 0, 0, 0.0))
+            return self._kept_candidate(engine_id, record, _CandidateState(owner))
         sent = self._sent_by_id.setdefault(engine_id, _Sent())
         if owned.last_seen > sent.last_seen:
             sent.last_seen = owned.last_seen
@@ -349,14 +381,16 @@
             sent.requests = 0
         limit_per_s = self.limit_per_s(engine_id)
         own_wait_s = 0.0 if limit_per_s is None else sent.requests / limit_per_s
-        state = (owner, sent.tokens, sent.loads, own_wait_s)
+        state = _CandidateState(
+            owner, sent.tokens, sent.loads, sent.requests, own_wait_s, pool
+        )
         return self._kept_candidate(engine_id, owned, state)
 
     def _kept_candidate(
         self,
         engine_id: str,
         source: EndpointRecord | OwnedEngine,
-        state: CandidateState,
+        state: _CandidateState,
     ) -> EngineCandidate:
         built = self._candidate_by_id.get(engine_id)
         is_same = built is not None and built.source is source
@@ -370,15 +404,16 @@
             snapshot = self._snapshot(source.published, load)
         else:
             snapshot = snapshot_from_record(source)
-        owner, own_tokens, own_loads, own_wait_s = state
         candidate = EngineCandidate(
             engine_id,
             snapshot,
-            owner,
-            own_tokens,
-            own_loads,
+            state.owner,
+            state.own_tokens,
+            state.own_loads,
             has_status=isinstance(source, OwnedEngine),
-            own_wait_s=own_wait_s,
+            own_wait_s=state.own_wait_s,
+            own_requests=state.own_requests,
+            pool=state.pool,
         )
         self._candidate_by_id[engine_id] = _Built(source, state, candidate)
         return candidate
