Look for engines that are held up before going through a pool

Cause: each owner checks ten times a second, for each of its engines, whether the pool is stalled, and went through all endpoints and engines each time.

Change: the engines that are held up, usually none, are collected first; the pool is counted only if there are any. The result is the same.

--- a/bamboovale/gateway/engine_assignment.py
+++ b/bamboovale/gateway/engine_assignment.py
@@ -85,10 +85,11 @@
 
     def pool_stalled(self, service: str) -> bool:
         """Return whether prompt processing stalls the streams of a whole pool."""
+        held_up = self._state.fleet.held_up_ids()
+        if not held_up:
+            return False
         records = self._state.endpoints.ready(service)
-        engines = (self._state.fleet.engine(record.endpoint_id) for record in records)
-        statuses = (owned.status for owned in engines if owned is not None)
-        stalled = sum(status is not None and status.held_up for status in statuses)
+        stalled = sum(record.endpoint_id in held_up for record in records)
         return is_pool_stalled(stalled, len(records))
 
     def stalled_by_service(self) -> dict[str, bool]:
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -228,6 +228,14 @@
         self._refresh()
         return self._engine_by_id
 
+    def held_up_ids(self) -> set[str]:
+        """Return the engines whose streams were stalled by prefill recently."""
+        return {
+            engine_id
+            for engine_id, owned in self.engines().items()
+            if owned.published is not None and owned.published.held_up
+        }
+
     def owner_ids(self) -> set[str]:
         """Return the live VMs that own engines, this one included."""
         self._refresh()
--- a/bench/vm_speed.py
+++ b/bench/vm_speed.py
@@ -173,6 +173,7 @@
             owner_id, owner_statuses, 1.0
         ),
         "apply a changed record of a VM": change_member,
+        "engines held up": fleet.held_up_ids,
     }
 
 
