Do not import settings for links; reuse the encoder of log lines

Cause: links imported the settings of the other interface for one annotation, a data class of a hundred fields. Each log line built a JSON encoder of its own.

--- a/bamboovale/gateway/journal.py
+++ b/bamboovale/gateway/journal.py
@@ -20,6 +20,8 @@
 
 JOURNAL_NAME = "bamboovale.journal"
 
+_ENCODER = json.JSONEncoder(default=str, separators=(",", ":"))
+
 
 def finite_age_s(age_s: float) -> float | None:
     """Return an age in seconds rounded for a log line, None if it is infinite."""
@@ -80,7 +82,7 @@
             "time": round(self._time_of_day(), 3),
             **fields,
         }
-        self._logger.info(json.dumps(line, default=str, separators=(",", ":")))
+        self._logger.info(_ENCODER.encode(line))
 
 
 class NonBlockingHandler(logging.Handler):
--- a/bamboovale/peers/links.py
+++ b/bamboovale/peers/links.py
@@ -13,7 +13,7 @@
 from collections.abc import Coroutine, Iterable
 from concurrent.futures import Future
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from websockets.asyncio.server import Server, ServerConnection, serve
 
@@ -31,7 +31,9 @@
     OutgoingLink,
     PeerUnreachableError,
 )
-from bamboovale.settings import Settings
+
+if TYPE_CHECKING:
+    from bamboovale.settings import Settings
 
 logger = logging.getLogger(__name__)
 
@@ -92,7 +94,7 @@
     @classmethod
     def from_settings(
         cls,
-        settings: Settings,
+        settings: "Settings",
         address_of: AddressOf,
         metrics: Metrics,
     ) -> "PeerLinks":
