Places at plain endpoints, granted by one VM: the decisions

Entry VMs that outnumber the places of a plain service learn only from rejections what the others have in progress. SharedPlaces counts the calls of all VMs, queues by goal and rank, learns the time of calls at each endpoint, refuses at once what cannot start in time and says when a place is expected. Nothing uses them yet.

--- /dev/null
+++ b/bamboovale/decisions/place_endpoint.py
@@ -0,0 +1,205 @@
+"""Places at one endpoint of a plain service: how many it has and how long calls take.
+
+Answers endpoints that become slow, reject calls or fail. The time of a call is learned
+from the granted places that were released; without samples it returns to that of the
+pool, so that an endpoint that was slow is tried again. A rejection shows that the
+endpoint has fewer places than assumed, for instance because VMs without a granter send
+calls there: it gets no more than it had accepted, and regains places with each answer.
+"""
+
+import math
+import statistics
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+INITIAL_CALL_S = 0.05
+"""Assumed until an endpoint of the pool has answered."""
+TIME_WEIGHT = 0.25
+"""Weight of one call in the learned times."""
+TIME_DECAY_S = 1.0
+"""Time constant with which an unused endpoint's time returns to that of the pool."""
+HANG_FACTOR = 2.0
+"""Multiple of the learned time from which the age of the oldest call counts instead."""
+ERROR_COST = 12.0
+ERROR_WEIGHT = 0.12
+"""An error answer is no use to the caller, however fast it comes."""
+FAILURES_TO_PAUSE = 5
+"""Consecutive failures; hardly ever reached by chance."""
+FIRST_FAILURE_PAUSE_S = 2.0
+MAX_FAILURE_PAUSE_S = 30.0
+MAX_REJECTION_PAUSE_S = 1.0
+"""Bounds of pauses that double with each further setback."""
+
+PlaceKey = tuple[str, int]
+"""The VM of a call, and its number of the place."""
+
+
+class CallEnd(Enum):
+    """How the use of a place ended; only an answer tells how long calls take."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    REJECTED = "rejected"
+    UNUSED = "unused"
+
+
+@dataclass
+class UsedPlace:
+    """A place in use: ``granted_at`` is None if a VM took it by itself."""
+
+    ends_at: float
+    granted_at: float | None
+
+
+@dataclass
+class PlaceEndpoint:
+    """One endpoint; ``slots`` are the calls that it runs concurrently."""
+
+    slots: int
+    used_by_key: dict[PlaceKey, UsedPlace] = field(default_factory=dict)
+    paused_until: float = -math.inf
+    _room: float = math.inf
+    _held_s: float | None = None
+    _overhead_s: float = 0.0
+    _sampled_at: float = -math.inf
+    _error_share: float = 0.0
+    _failures_in_row: int = 0
+    _pauses_in_row: int = 0
+    _paused_at: float = -math.inf
+
+    @property
+    def learned_s(self) -> float | None:
+        """Return how long calls held a place on average, None if unknown."""
+        return self._held_s
+
+    @property
+    def room(self) -> int:
+        """Return how many calls the endpoint is taken to accept."""
+        return int(min(self.slots, self._room))
+
+    @property
+    def room_in_transit(self) -> int:
+        """Return how many more calls keep it busy while messages are on their way.
+
+        The slot of a call that ended stays idle until its release has led to the next
+        grant: this is the share of a place's time in which no call is at the endpoint.
+        One more covers that releases come unevenly.
+        """
+        if self._held_s is None or self.room < self.slots:
+            return 0
+        share = min(1.0, self._overhead_s / self._held_s)
+        return math.ceil(self.slots * share) + 1
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether it gets no calls after a setback."""
+        return now < self.paused_until
+
+    def is_failing(self) -> bool:
+        """Return whether it was paused for failures and has not answered since."""
+        return self._failures_in_row >= FAILURES_TO_PAUSE
+
+    def has_free(self, now: float, in_transit: bool = False) -> bool:
+        """Return whether one more call may be sent."""
+        room = self.room + (self.room_in_transit if in_transit else 0)
+        return len(self.used_by_key) < room and not self.is_paused(now)
+
+    def call_s(self, now: float, pool_s: float) -> float:
+        """Return how long a call is expected to hold a place."""
+        learned_s = pool_s
+        if self._held_s is not None:
+            age_s = 0.0 if self.used_by_key else now - self._sampled_at
+            faded = math.exp(-age_s / TIME_DECAY_S)
+            learned_s = pool_s + (self._held_s - pool_s) * faded
+        oldest_s = self._oldest_s(now)
+        return oldest_s if oldest_s > HANG_FACTOR * learned_s else learned_s
+
+    def cost(self, now: float, pool_s: float) -> float:
+        """Return by how much to avoid the endpoint: its time, errors and load."""
+        load = len(self.used_by_key) / self.slots
+        errors = ERROR_COST * self._error_share
+        return self.call_s(now, pool_s) * (1.0 + errors) * (1.0 + load)
+
+    def rate_per_s(self, now: float, pool_s: float) -> float:
+        """Return how many places become free per second while all are in use."""
+        return (self.room + self.room_in_transit) / self.call_s(now, pool_s)
+
+    def end(
+        self, key: PlaceKey, end: CallEnd, took_s: float, now: float, may_pause: bool
+    ) -> bool:
+        """Free a place; return False if it was not in use.
+
+        ``took_s`` is the time of the call as its VM saw it. ``may_pause`` is whether
+        another failing endpoint may be left out.
+        """
+        used = self.used_by_key.pop(key, None)
+        if used is None:
+            return False
+        if end is CallEnd.REJECTED:
+            self._on_rejected(used, now)
+            return True
+        self._learn(used, end, took_s, now)
+        if end is not CallEnd.UNUSED:
+            self._on_ended(end, now, may_pause)
+        return True
+
+    def expire(self, now: float) -> list[PlaceKey]:
+        """Free the places of calls whose deadline has passed; return their keys."""
+        expired = [key for key, used in self.used_by_key.items() if used.ends_at <= now]
+        for key in expired:
+            del self.used_by_key[key]
+        return expired
+
+    def _on_ended(self, end: CallEnd, now: float, may_pause: bool) -> None:
+        failed = end is CallEnd.FAILED
+        self._error_share += ERROR_WEIGHT * (failed - self._error_share)
+        if failed:
+            self._failures_in_row += 1
+            if self.is_failing() and may_pause:
+                self._pause(FIRST_FAILURE_PAUSE_S, MAX_FAILURE_PAUSE_S, now)
+                # One call shows whether the endpoint works again.
+                self._room = 1.0
+            return
+        self._failures_in_row = self._pauses_in_row = 0
+        self._room = min(self.slots, self._room + 1.0 / self._room)
+
+    def _learn(self, used: UsedPlace, end: CallEnd, took_s: float, now: float) -> None:
+        """Learn the time of a call; one without an answer shows only a slow endpoint.
+
+        Guards against an endpoint that is chosen because its failures come fast.
+        """
+        if used.granted_at is None:
+            return
+        held_s = now - used.granted_at
+        known_s = self._held_s or INITIAL_CALL_S
+        if end is not CallEnd.ANSWERED and held_s <= known_s:
+            return
+        overhead_s = max(0.0, held_s - took_s)
+        if self._held_s is None:
+            self._held_s, self._overhead_s = held_s, overhead_s
+        else:
+            self._held_s += TIME_WEIGHT * (held_s - self._held_s)
+            self._overhead_s += TIME_WEIGHT * (overhead_s - self._overhead_s)
+        self._sampled_at = now
+
+    def _on_rejected(self, used: UsedPlace, now: float) -> None:
+        self._room = max(1.0, min(self._room, float(len(self.used_by_key))))
+        granted_at = used.granted_at
+        if granted_at is not None and granted_at > self._paused_at:
+            self._pause(self._held_s or INITIAL_CALL_S, MAX_REJECTION_PAUSE_S, now)
+
+    def _pause(self, first_s: float, max_s: float, now: float) -> None:
+        pause_s = min(max_s, first_s * 2.0**self._pauses_in_row)
+        self._pauses_in_row = min(self._pauses_in_row + 1, 10)
+        self._paused_at = now
+        self.paused_until = now + pause_s
+
+    def _oldest_s(self, now: float) -> float:
+        granted = [used.granted_at for used in self.used_by_key.values()]
+        return now - min((at for at in granted if at is not None), default=now)
+
+
+def pool_call_s(endpoints: Iterable[PlaceEndpoint]) -> float:
+    """Return the usual time of a call in a pool: the lower median of its endpoints."""
+    learned = [e.learned_s for e in endpoints if e.learned_s is not None]
+    return statistics.median_low(learned) if learned else INITIAL_CALL_S
--- /dev/null
+++ b/bamboovale/decisions/shared_places.py
@@ -0,0 +1,308 @@
+"""Places at a plain service's endpoints, granted by one VM to all.
+
+Answers many entry VMs before few places: each VM alone sees a call or two in progress
+and learns only from rejections that an endpoint is full. Here one VM knows all calls in
+progress, so that none is sent to an endpoint without a free place, and none waits or is
+refused while a place is free.
+
+Requests wait in the order of whether their goal can still be met, their rank and their
+goal. One whose expected wait exceeds what its caller bears is refused at once, with the
+time at which a place is expected for it behind those refused before: callers that
+return together would be refused again.
+"""
+
+import bisect
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from bamboovale.decisions.place_endpoint import (
+    CallEnd,
+    PlaceEndpoint,
+    PlaceKey,
+    UsedPlace,
+    pool_call_s,
+)
+
+MAX_PAUSED_SHARE = 1.0 / 3.0
+"""Share of a pool that is left out for failures."""
+MAX_WAITING = 4096
+"""Bound of the queue's memory; expected waits bound it far below."""
+
+
+def has_shared_places(senders: int, places: int) -> bool:
+    """Return whether VMs that send calls need a granter for so many places.
+
+    With a place or less for each, a VM's own calls say nothing of the others'.
+    """
+    return 0 < places <= senders
+
+
+@dataclass(frozen=True)
+class PlaceWanted:
+    """A VM's request for a place; times are seconds from now.
+
+    ``rank`` 0 is the most urgent. ``waits_s`` is how long the caller bears to wait,
+    ``ends_in_s`` when its call ends at the latest. ``excluded`` are endpoints that
+    cannot take this call from this VM.
+    """
+
+    vm_id: str
+    number: int
+    rank: int
+    goal_in_s: float
+    waits_s: float
+    ends_in_s: float
+    excluded: frozenset[str] = frozenset()
+
+    @property
+    def key(self) -> PlaceKey:
+        """Return what names the place."""
+        return self.vm_id, self.number
+
+
+@dataclass(frozen=True)
+class PlaceDecision:
+    """An endpoint for a call, or a refusal with the seconds until a place is expected.
+
+    With neither the VM chooses by itself: no endpoint that it may use is known here.
+    """
+
+    key: PlaceKey
+    endpoint_id: str | None = None
+    retry_after_s: float | None = None
+
+
+@dataclass(order=True)
+class _Waiting:
+    """A request in the queue, in the order of its first field."""
+
+    order: tuple[bool, int, float, int]
+    wanted: PlaceWanted = field(compare=False)
+    latest_start_at: float = field(compare=False)
+    ends_at: float = field(compare=False)
+    is_new: bool = field(default=True, compare=False)
+
+
+class SharedPlaces:
+    """The places of one service: events in, ``decide`` returns what follows."""
+
+    def __init__(self) -> None:
+        self._endpoint_by_id: dict[str, PlaceEndpoint] = {}
+        self._queue: list[_Waiting] = []
+        self._waiting_by_key: dict[PlaceKey, _Waiting] = {}
+        self._endpoint_by_key: dict[PlaceKey, str] = {}
+        self._last_number = 0
+        self._returns_until = -math.inf
+
+    # Events.
+
+    def set_endpoints(self, slots_by_id: Mapping[str, int]) -> None:
+        """Set the endpoints that accept calls, with their concurrent calls."""
+        if slots_by_id == {n: e.slots for n, e in self._endpoint_by_id.items()}:
+            return
+        known = self._endpoint_by_id
+        self._endpoint_by_id = {}
+        for endpoint_id, slots in slots_by_id.items():
+            endpoint = known.get(endpoint_id) or PlaceEndpoint(slots)
+            endpoint.slots = max(1, slots)
+            self._endpoint_by_id[endpoint_id] = endpoint
+        self._endpoint_by_key = {
+            key: endpoint_id
+            for key, endpoint_id in self._endpoint_by_key.items()
+            if endpoint_id in self._endpoint_by_id
+        }
+
+    def on_request(self, wanted: PlaceWanted, now: float) -> None:
+        """Queue a request; ``decide`` answers it or leaves it waiting."""
+        if wanted.key in self._waiting_by_key or wanted.key in self._endpoint_by_key:
+            return
+        goal_at = now + wanted.goal_in_s
+        in_time_s = wanted.goal_in_s - pool_call_s(self._endpoint_by_id.values())
+        self._last_number += 1
+        waiting = _Waiting(
+            order=(wanted.goal_in_s <= 0.0, wanted.rank, goal_at, self._last_number),
+            wanted=wanted,
+            # A call that is late in any case is served late, if it need not wait long.
+            latest_start_at=now + (in_time_s if in_time_s > 0.0 else wanted.waits_s),
+            ends_at=now + wanted.ends_in_s,
+        )
+        bisect.insort(self._queue, waiting)
+        self._waiting_by_key[wanted.key] = waiting
+
+    def on_held(
+        self, key: PlaceKey, endpoint_id: str, ends_in_s: float, now: float
+    ) -> None:
+        """Count a call that a VM sent by itself, or by the grant of another VM."""
+        self._drop_waiting(key)
+        self._free(key)
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        if endpoint is not None:
+            endpoint.used_by_key[key] = UsedPlace(now + ends_in_s, granted_at=None)
+            self._endpoint_by_key[key] = endpoint_id
+
+    def on_release(
+        self, key: PlaceKey, end: CallEnd, took_s: float, now: float
+    ) -> None:
+        """Free a place, or drop the request for one; an unknown one is ignored."""
+        self._drop_waiting(key)
+        endpoint_id = self._endpoint_by_key.pop(key, None)
+        if endpoint_id is not None:
+            endpoint = self._endpoint_by_id[endpoint_id]
+            endpoint.end(key, end, took_s, now, self._may_pause(endpoint))
+
+    def on_vm_gone(self, vm_id: str) -> None:
+        """Free the places of a VM that has ended, and drop its requests."""
+        for key in [k for k in self._waiting_by_key if k[0] == vm_id]:
+            self._drop_waiting(key)
+        for key in [k for k in self._endpoint_by_key if k[0] == vm_id]:
+            self._free(key)
+
+    # Decisions.
+
+    def decide(self, now: float) -> list[PlaceDecision]:
+        """Return grants and refusals; requests without either go on waiting."""
+        for endpoint in self._endpoint_by_id.values():
+            for key in endpoint.expire(now):
+                del self._endpoint_by_key[key]
+        if not self._queue:
+            return []
+        return [*self._grant_free(now), *self._refuse_hopeless(now)]
+
+    def next_at(self, now: float) -> float:
+        """Return when to decide anew at the latest, without further events."""
+        at = min((waiting.latest_start_at for waiting in self._queue), default=math.inf)
+        for endpoint in self._endpoint_by_id.values():
+            ends = (used.ends_at for used in endpoint.used_by_key.values())
+            at = min(at, min(ends, default=math.inf))
+            if self._queue and endpoint.is_paused(now):
+                at = min(at, endpoint.paused_until)
+        return at
+
+    def expected_wait_s(self, wanted: PlaceWanted, ahead: int, now: float) -> float:
+        """Return when a place is expected behind so many requests, in seconds."""
+        usable = self._usable(wanted)
+        pool_s = pool_call_s(self._endpoint_by_id.values())
+        open_now = [e for e in usable if not e.is_paused(now)]
+        rate_per_s = sum(e.rate_per_s(now, pool_s) for e in open_now or usable)
+        until_open_s = 0.0
+        if not open_now:
+            until_open_s = min(e.paused_until for e in usable) - now
+        return until_open_s + (ahead + 1) / rate_per_s
+
+    def dump(self, now: float) -> dict[str, object]:
+        """Return the state for operators; times in seconds."""
+        pool_s = pool_call_s(self._endpoint_by_id.values())
+        return {
+            "waiting": len(self._queue),
+            "endpoints": {
+                endpoint_id: {
+                    "used": len(endpoint.used_by_key),
+                    "room": endpoint.room,
+                    "in_transit": endpoint.room_in_transit,
+                    "call_s": round(endpoint.call_s(now, pool_s), 4),
+                    "paused_s": round(max(0.0, endpoint.paused_until - now), 2),
+                }
+                for endpoint_id, endpoint in self._endpoint_by_id.items()
+            },
+        }
+
+    def _grant_free(self, now: float) -> list[PlaceDecision]:
+        granted = []
+        pool_s = pool_call_s(self._endpoint_by_id.values())
+        for waiting in list(self._queue):
+            endpoint_id = self._choose(waiting.wanted, pool_s, now)
+            if endpoint_id is not None:
+                key = waiting.wanted.key
+                self._drop_waiting(key)
+                used = UsedPlace(waiting.ends_at, granted_at=now)
+                self._endpoint_by_id[endpoint_id].used_by_key[key] = used
+                self._endpoint_by_key[key] = endpoint_id
+                granted.append(PlaceDecision(key, endpoint_id))
+            elif not self._has_free(now):
+                break
+        return granted
+
+    def _choose(self, wanted: PlaceWanted, pool_s: float, now: float) -> str | None:
+        """Return the best endpoint with a free place, else one kept busy in transit."""
+        for in_transit in (False, True):
+            costs = [
+                (endpoint.cost(now, pool_s), endpoint_id)
+                for endpoint_id, endpoint in self._endpoint_by_id.items()
+                if endpoint_id not in wanted.excluded
+                and endpoint.has_free(now, in_transit)
+            ]
+            if costs:
+                return min(costs)[1]
+        return None
+
+    def _refuse_hopeless(self, now: float) -> list[PlaceDecision]:
+        """Refuse new requests that would wait too long, and those that no longer can.
+
+        The last in the queue is looked at each time, as it is the one that a more
+        urgent request delays most.
+        """
+        refused = []
+        last = self._queue[-1] if self._queue else None
+        for ahead, waiting in enumerate(list(self._queue)):
+            is_over = waiting.latest_start_at <= now
+            if not (waiting.is_new or waiting is last or is_over):
+                continue
+            if not self._usable(waiting.wanted):
+                self._drop_waiting(waiting.wanted.key)
+                refused.append(PlaceDecision(waiting.wanted.key))
+                continue
+            ahead_now = ahead - len(refused)
+            wait_s = self.expected_wait_s(waiting.wanted, ahead_now, now)
+            bears_s = waiting.latest_start_at - now
+            if waiting.is_new:
+                bears_s = min(bears_s, waiting.wanted.waits_s)
+            is_full = waiting.is_new and len(self._queue) > MAX_WAITING
+            waiting.is_new = False
+            if is_over or is_full or wait_s > bears_s:
+                self._drop_waiting(waiting.wanted.key)
+                retry_s = self._return_in_s(waiting, wait_s, now)
+                refused.append(PlaceDecision(waiting.wanted.key, None, retry_s))
+        return refused
+
+    def _return_in_s(self, waiting: _Waiting, wait_s: float, now: float) -> float:
+        """Return when a place is expected for a refused caller, behind earlier ones.
+
+        A time after the call's deadline would be of no use to the caller.
+        """
+        usable = self._usable(waiting.wanted)
+        pool_s = pool_call_s(self._endpoint_by_id.values())
+        rate_per_s = sum(endpoint.rate_per_s(now, pool_s) for endpoint in usable)
+        due_at = max(now + wait_s, self._returns_until + 1.0 / rate_per_s)
+        due_at = min(due_at, max(now + wait_s, waiting.ends_at))
+        self._returns_until = due_at
+        return due_at - now
+
+    # Places and requests.
+
+    def _usable(self, wanted: PlaceWanted) -> list[PlaceEndpoint]:
+        return [
+            endpoint
+            for endpoint_id, endpoint in self._endpoint_by_id.items()
+            if endpoint_id not in wanted.excluded
+        ]
+
+    def _has_free(self, now: float) -> bool:
+        endpoints = self._endpoint_by_id.values()
+        return any(endpoint.has_free(now, in_transit=True) for endpoint in endpoints)
+
+    def _may_pause(self, endpoint: PlaceEndpoint) -> bool:
+        others = [e for e in self._endpoint_by_id.values() if e is not endpoint]
+        failing = sum(other.is_failing() for other in others)
+        most = max(1, int((len(others) + 1) * MAX_PAUSED_SHARE))
+        return bool(others) and failing < most
+
+    def _drop_waiting(self, key: PlaceKey) -> None:
+        waiting = self._waiting_by_key.pop(key, None)
+        if waiting is not None:
+            self._queue.pop(bisect.bisect_left(self._queue, waiting))
+
+    def _free(self, key: PlaceKey) -> None:
+        endpoint_id = self._endpoint_by_key.pop(key, None)
+        if endpoint_id is not None:
+            del self._endpoint_by_id[endpoint_id].used_by_key[key]
