Granter and client of shared places; PlainCalls asks for a place

PlainCalls opens a place for each attempt: with an endpoint that the granter chose, with a refusal, or with neither, when it chooses as before. The state of a call's attempts moves to a module of its own.

--- a/bamboovale/decisions/shared_places.py
+++ b/bamboovale/decisions/shared_places.py
@@ -239,11 +239,13 @@
     def _refuse_hopeless(self, now: float) -> list[PlaceDecision]:
         """Refuse new requests that would wait too long, and those that no longer can.
 
-        The last in the queue is looked at each time, as it is the one that a more
-        urgent request delays most.
+        Before an endpoint has answered nothing is known of waits. The last in the queue
+        is looked at each time, as it is the one that a more urgent request delays most.
         """
         refused = []
         last = self._queue[-1] if self._queue else None
+        endpoints = self._endpoint_by_id.values()
+        knows_times = any(e.learned_s is not None for e in endpoints)
         for ahead, waiting in enumerate(list(self._queue)):
             is_over = waiting.latest_start_at <= now
             if not (waiting.is_new or waiting is last or is_over):
@@ -258,8 +260,8 @@
             if waiting.is_new:
                 bears_s = min(bears_s, waiting.wanted.waits_s)
             is_full = waiting.is_new and len(self._queue) > MAX_WAITING
-            waiting.is_new = False
-            if is_over or is_full or wait_s > bears_s:
+            waiting.is_new = not knows_times
+            if is_over or is_full or (knows_times and wait_s > bears_s):
                 self._drop_waiting(waiting.wanted.key)
                 retry_s = self._return_in_s(waiting, wait_s, now)
                 refused.append(PlaceDecision(waiting.wanted.key, None, retry_s))
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -4,18 +4,21 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from contextlib import AbstractAsyncContextManager
 
 import h11
 
 from bamboovale.crashes.guard import CRASHES_ENDPOINTS, REFUSED_RETRY_S, CrashGuard
+from bamboovale.decisions.place_endpoint import CallEnd
 from bamboovale.decisions.routing import ServiceRouter
 from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
 from bamboovale.gateway.endpoint_client import EndpointClient, MayHaveRun, NotRun
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.model import AnswerFacts, CallKind, EndpointRecord
+from bamboovale.gateway.plain_attempts import Attempts
 from bamboovale.gateway.retry_budgets import RetryBudgets, cause_of
 from bamboovale.gateway.send_gate import SendGate
+from bamboovale.shared_places.places import OwnChoices, Place, Places
 
 REFUSAL_RETRY_S = 0.2
 """Retry delay for callers if no endpoint accepts a call."""
@@ -39,44 +42,6 @@
 SERVER_ERROR = 500
 
 
-@dataclass
-class _Attempts:
-    """What the attempts at one call gave; ``arrivals`` counts those that arrived.
-
-    ``failure`` is what the caller is told, which a later refusal does not change once
-    something may have run; ``last_failure`` is that of the last attempt, None if it was
-    answered. ``is_refused`` is whether the call was found to crash endpoints.
-    """
-
-    excluded: set[str] = field(default_factory=set)
-    arrivals: int = 0
-    runs: int = 0
-    answer: tuple[AnswerFacts, bytes] | None = None
-    failure: Exception | None = None
-    last_failure: Exception | None = None
-    is_refused: bool = False
-
-    def on_not_run(self, error: NotRun) -> None:
-        """Apply an attempt that did not run."""
-        self.arrivals += error.reached
-        self.last_failure = error
-        if not isinstance(self.failure, MayHaveRun):
-            self.failure = error
-
-    def on_broken(self, error: MayHaveRun) -> None:
-        """Apply an attempt that may have run, without an answer."""
-        self.arrivals += 1
-        self.runs += 1
-        self.last_failure = self.failure = error
-
-    def on_answer(self, facts: AnswerFacts, body: bytes) -> None:
-        """Apply an answer; a later one takes its place."""
-        self.arrivals += 1
-        self.runs += 1
-        self.last_failure = None
-        self.answer = (facts, body)
-
-
 class PlainCalls:
     """Runs calls at the endpoints of plain services."""
 
@@ -90,7 +55,9 @@
         crashes: CrashGuard,
         now: Callable[[], float],
         rng: random.Random,
+        places: Places | None = None,
     ) -> None:
+        self._places = places or OwnChoices()
         self._client = client
         self._codec = codec
         self._endpoints = endpoints
@@ -106,28 +73,11 @@
     async def run(self, call: Call) -> None:
         """Answer the call; raises CallRefused or CallFailed."""
         self._retries.on_fresh(call.service)
-        so_far = _Attempts()
+        so_far = Attempts()
         for number in range(MAX_ATTEMPTS):
-            record = await self._next_endpoint(call, so_far)
-            so_far.is_refused = self._crashes.is_refused(call)
-            if record is None or so_far.is_refused or not self._may_send(call, so_far):
-                break
-            so_far.excluded.add(record.endpoint_id)
-            self._gate.take(record.endpoint_id)
-            try:
-                facts, body = await self._try_once(call, record, number)
-            except NotRun as error:
-                so_far.on_not_run(error)
-                continue
-            except MayHaveRun as error:
-                so_far.on_broken(error)
-            else:
-                so_far.on_answer(facts, body)
-                if facts.status < SERVER_ERROR:
+            async with self._open_place(call, so_far) as place:
+                if not await self._attempt(call, place, so_far, number):
                     break
-            is_safe = call.route.kind is CallKind.SAFE
-            if not is_safe or so_far.runs >= call.route.max_attempts:
-                break
         if so_far.answer is None:
             self._give_up(call, so_far)
             return
@@ -135,7 +85,54 @@
         call.notes["status"] = facts.status
         call.responder.answer(facts.status, facts.headers, body)
 
-    def _may_send(self, call: Call, so_far: "_Attempts") -> bool:
+    def _open_place(
+        self, call: Call, so_far: Attempts
+    ) -> AbstractAsyncContextManager[Place]:
+        waited_s = self._now() - call.request.received_at
+        return self._places.open(
+            call,
+            lambda: so_far.excluded | self._unusable_ids(call),
+            FULL_PATIENCE_GOALS * call.route.goal_s - waited_s,
+        )
+
+    async def _attempt(
+        self, call: Call, place: Place, so_far: Attempts, number: int
+    ) -> bool:
+        """Make one attempt, if it may go out; return whether another may follow."""
+        so_far.no_place_retry_s = place.retry_after_s
+        if place.retry_after_s is not None:
+            return False
+        record = await self._endpoint_of(place, call, so_far)
+        so_far.is_refused = self._crashes.is_refused(call)
+        if record is None or so_far.is_refused or not self._may_send(call, so_far):
+            return False
+        so_far.excluded.add(record.endpoint_id)
+        self._gate.take(record.endpoint_id)
+        place.on_sent(record.endpoint_id)
+        try:
+            facts, body = await self._try_once(call, record, number, place)
+        except NotRun as error:
+            so_far.on_not_run(error)
+            return True
+        except MayHaveRun as error:
+            so_far.on_broken(error)
+        else:
+            so_far.on_answer(facts, body)
+            if facts.status < SERVER_ERROR:
+                return False
+        is_safe = call.route.kind is CallKind.SAFE
+        return is_safe and so_far.runs < call.route.max_attempts
+
+    async def _endpoint_of(
+        self, place: Place, call: Call, so_far: Attempts
+    ) -> EndpointRecord | None:
+        """Return the granted endpoint while it takes calls from here, else another."""
+        granted = place.endpoint_id
+        if granted is None or granted in self._unusable_ids(call):
+            return await self._next_endpoint(call, so_far)
+        return self._endpoints.record_by_id[granted]
+
+    def _may_send(self, call: Call, so_far: Attempts) -> bool:
         """Return whether a first attempt, or a retry by the budget, may go out.
 
         An attempt that never reached an endpoint leaves the next one the first.
@@ -145,7 +142,7 @@
         return self._retries.take(call, cause_of(so_far.last_failure))
 
     async def _next_endpoint(
-        self, call: Call, so_far: "_Attempts"
+        self, call: Call, so_far: Attempts
     ) -> EndpointRecord | None:
         """Return the endpoint to try next, None if the call cannot be sent in time.
 
@@ -218,12 +215,14 @@
         records = self._endpoints.ready(service)
         return frozenset(record.endpoint_id for record in records)
 
-    def _give_up(self, call: Call, so_far: "_Attempts") -> None:
+    def _give_up(self, call: Call, so_far: Attempts) -> None:
         failure = so_far.failure
         if isinstance(failure, MayHaveRun):
             raise CallFailed(str(failure))
         if so_far.is_refused:
             raise CallRefused(CRASHES_ENDPOINTS, REFUSED_RETRY_S)
+        if so_far.no_place_retry_s is not None:
+            raise CallRefused("no place is expected in time", so_far.no_place_retry_s)
         wait_s = self._common_wait_s(call.service)
         if wait_s > 0.0:
             retry_s = wait_s if math.isfinite(wait_s) else NO_SHARE_RETRY_S
@@ -237,6 +236,7 @@
         call: Call,
         record: EndpointRecord,
         number: int,
+        place: Place,
     ) -> tuple[AnswerFacts, bytes]:
         router = self._router_by_service[call.service]
         self._last_call_number += 1
@@ -244,7 +244,7 @@
         started_at = self._now()
         note = call.note_attempt(endpoint=record.endpoint_id)
         router.on_start(record.endpoint_id, call_id, started_at)
-        ok = error_answer = rejected = False
+        ok, end = False, CallEnd.FAILED
         try:
             with self._crashes.watch(call, record) as watch:
                 async with asyncio.timeout(self._attempt_timeout_s(call, number)):
@@ -253,39 +253,43 @@
                     watch.on_failure()
             note["status"] = answer[0].status
             ok = True
-            error_answer = answer[0].status >= SERVER_ERROR
+            if answer[0].status < SERVER_ERROR:
+                end = CallEnd.ANSWERED
             return answer
         except TimeoutError as error:
             note["failed"] = "no answer in time"
             raise MayHaveRun("no answer in time") from error
         except (NotRun, MayHaveRun) as error:
             note["failed"] = str(error)
-            rejected = isinstance(error, NotRun) and error.is_full
+            if isinstance(error, NotRun) and error.is_full:
+                end = CallEnd.REJECTED
             raise
         except asyncio.CancelledError:
-            ok = True
+            ok, end = True, CallEnd.UNUSED
             raise
         finally:
-            note["s"] = round(self._now() - started_at, 4)
-            self._note_end(router, record, call_id, rejected, ok, error_answer)
+            took_s = self._now() - started_at
+            note["s"] = round(took_s, 4)
+            place.on_end(end, took_s)
+            self._note_end(router, record, call_id, end, ok)
 
     def _note_end(
         self,
         router: ServiceRouter,
         record: EndpointRecord,
         call_id: str,
-        rejected: bool,
+        end: CallEnd,
         ok: bool,
-        error: bool,
     ) -> None:
-        if rejected:
+        if end is CallEnd.REJECTED:
             self._gate.on_rejected(
                 record.endpoint_id, router.under_way(record.endpoint_id)
             )
             router.on_rejected(record.endpoint_id, call_id, self._now())
         else:
             now = self._now()
-            router.on_end(record.endpoint_id, call_id, now, ok=ok, error=error)
+            is_error = ok and end is CallEnd.FAILED
+            router.on_end(record.endpoint_id, call_id, now, ok=ok, error=is_error)
 
     def _attempt_timeout_s(self, call: Call, number: int) -> float | None:
         """Return the timeout of one attempt; None: only the call's deadline applies."""
@@ -314,16 +318,32 @@
             return answer.facts, await answer.read_body()
 
     def _choose(self, call: Call, excluded: set[str]) -> EndpointRecord | None:
-        service = call.service
+        router = self._router(call.service)
+        now = self._now()
+        router.on_tick(now)
+        name = router.choose(now, self._rng, excluded | self._blocked_ids(call))
+        return None if name is None else self._endpoints.record_by_id.get(name)
+
+    def _router(self, service: str) -> ServiceRouter:
+        """Return the router of a service with the endpoints that accept new work."""
         router = self._router_by_service.setdefault(service, ServiceRouter())
         listed = self._listed(service)
         if listed != self._endpoints_by_service.get(service):
             self._endpoints_by_service[service] = listed
             router.set_endpoints(listed)
         router.set_most(self._gate.most_by_id(self._endpoints.ready(service)))
+        return router
+
+    def _blocked_ids(self, call: Call) -> set[str]:
+        """Return the endpoints that take no call from this VM now."""
+        listed = self._listed(call.service)
         blocked = self._gate.waits_s(listed).keys()
         self._gate.note_passed_over(call.notes, blocked)
-        now = self._now()
-        router.on_tick(now)
-        name = router.choose(now, self._rng, excluded | blocked)
-        return None if name is None else self._endpoints.record_by_id.get(name)
+        return set(blocked)
+
+    def _unusable_ids(self, call: Call) -> set[str]:
+        """Return the endpoints that take no call, or no more, from this VM now."""
+        router = self._router(call.service)
+        most_by_id = self._gate.most_by_id(self._endpoints.ready(call.service))
+        full = {n for n, most in most_by_id.items() if router.under_way(n) >= most}
+        return self._blocked_ids(call) | full
--- /dev/null
+++ b/bamboovale/shared_places/__init__.py
@@ -0,0 +1,1 @@
+"""Places at plain endpoints that one VM grants to all entry VMs."""
