--- a/bamboovale/cli/gateway.py
+++ b/bamboovale/cli/gateway.py
@@ -41,6 +41,13 @@
             help="Mechanisms to leave out, for experiments: names with commas between.",
         ),
     ] = "",
+    shared_places: Annotated[
+        str,
+        typer.Option(
+            envvar="BAMBOOVALE_SHARED_PLACES",
+            help="Whether one VM grants places at plain endpoints to all: on or off.",
+        ),
+    ] = "off",
     check: Annotated[
         bool,
         typer.Option("--check", help="Check the settings and end."),
@@ -55,6 +62,7 @@
         peer_key=peer_key,
         metrics_port=metrics_port,
         without=without,
+        shared_places=shared_places,
     )
     if isinstance(options, Err):
         for finding in options.err_value:
--- a/bamboovale/decisions/shared_places.py
+++ b/bamboovale/decisions/shared_places.py
@@ -94,6 +94,10 @@
         self._endpoint_by_key: dict[PlaceKey, str] = {}
         self._last_number = 0
         self._returns_until = -math.inf
+        self._undecided: list[_Waiting] = []
+        # Lower bounds of when a request or a place expires.
+        self._hopeless_at = math.inf
+        self._expires_at = math.inf
 
     # Events.
 
@@ -129,6 +133,8 @@
         )
         bisect.insort(self._queue, waiting)
         self._waiting_by_key[wanted.key] = waiting
+        self._undecided.append(waiting)
+        self._hopeless_at = min(self._hopeless_at, waiting.latest_start_at)
 
     def on_held(
         self, key: PlaceKey, endpoint_id: str, ends_in_s: float, now: float
@@ -136,10 +142,8 @@
         """Count a call that a VM sent by itself, or by the grant of another VM."""
         self._drop_waiting(key)
         self._free(key)
-        endpoint = self._endpoint_by_id.get(endpoint_id)
-        if endpoint is not None:
-            endpoint.used_by_key[key] = UsedPlace(now + ends_in_s, granted_at=None)
-            self._endpoint_by_key[key] = endpoint_id
+        if endpoint_id in self._endpoint_by_id:
+            self._use(key, endpoint_id, UsedPlace(now + ends_in_s, granted_at=None))
 
     def on_release(
         self, key: PlaceKey, end: CallEnd, took_s: float, now: float
@@ -162,22 +166,21 @@
 
     def decide(self, now: float) -> list[PlaceDecision]:
         """Return grants and refusals; requests without either go on waiting."""
-        for endpoint in self._endpoint_by_id.values():
-            for key in endpoint.expire(now):
-                del self._endpoint_by_key[key]
+        if now >= self._expires_at:
+            self._expire(now)
         if not self._queue:
+            self._undecided.clear()
+            self._hopeless_at = math.inf
             return []
         return [*self._grant_free(now), *self._refuse_hopeless(now)]
 
     def next_at(self, now: float) -> float:
         """Return when to decide anew at the latest, without further events."""
-        at = min((waiting.latest_start_at for waiting in self._queue), default=math.inf)
-        for endpoint in self._endpoint_by_id.values():
-            ends = (used.ends_at for used in endpoint.used_by_key.values())
-            at = min(at, min(ends, default=math.inf))
-            if self._queue and endpoint.is_paused(now):
-                at = min(at, endpoint.paused_until)
-        return at
+        at = min(self._hopeless_at, self._expires_at)
+        if not self._queue:
+            return at
+        endpoints = self._endpoint_by_id.values()
+        return min([at, *(e.paused_until for e in endpoints if e.is_paused(now))])
 
     def expected_wait_s(self, wanted: PlaceWanted, ahead: int, now: float) -> float:
         """Return when a place is expected behind so many requests, in seconds."""
@@ -208,16 +211,16 @@
         }
 
     def _grant_free(self, now: float) -> list[PlaceDecision]:
-        granted = []
+        granted: list[PlaceDecision] = []
+        if not self._has_free(now):
+            return granted
         pool_s = pool_call_s(self._endpoint_by_id.values())
         for waiting in list(self._queue):
             endpoint_id = self._choose(waiting.wanted, pool_s, now)
             if endpoint_id is not None:
                 key = waiting.wanted.key
                 self._drop_waiting(key)
-                used = UsedPlace(waiting.ends_at, granted_at=now)
-                self._endpoint_by_id[endpoint_id].used_by_key[key] = used
-                self._endpoint_by_key[key] = endpoint_id
+                self._use(key, endpoint_id, UsedPlace(waiting.ends_at, granted_at=now))
                 granted.append(PlaceDecision(key, endpoint_id))
             elif not self._has_free(now):
                 break
@@ -242,31 +245,51 @@
         Before an endpoint has answered nothing is known of waits. The last in the queue
         is looked at each time, as it is the one that a more urgent request delays most.
         """
-        refused = []
-        last = self._queue[-1] if self._queue else None
         endpoints = self._endpoint_by_id.values()
         knows_times = any(e.learned_s is not None for e in endpoints)
-        for ahead, waiting in enumerate(list(self._queue)):
-            is_over = waiting.latest_start_at <= now
-            if not (waiting.is_new or waiting is last or is_over):
-                continue
-            if not self._usable(waiting.wanted):
-                self._drop_waiting(waiting.wanted.key)
-                refused.append(PlaceDecision(waiting.wanted.key))
-                continue
-            ahead_now = ahead - len(refused)
-            wait_s = self.expected_wait_s(waiting.wanted, ahead_now, now)
-            bears_s = waiting.latest_start_at - now
-            if waiting.is_new:
-                bears_s = min(bears_s, waiting.wanted.waits_s)
-            is_full = waiting.is_new and len(self._queue) > MAX_WAITING
-            waiting.is_new = not knows_times
-            if is_over or is_full or (knows_times and wait_s > bears_s):
+        refused = []
+        for waiting in self._to_look_at(now):
+            decision = self._refusal(waiting, knows_times, now)
+            if decision is not None:
                 self._drop_waiting(waiting.wanted.key)
-                retry_s = self._return_in_s(waiting, wait_s, now)
-                refused.append(PlaceDecision(waiting.wanted.key, None, retry_s))
+                refused.append(decision)
+        if knows_times:
+            self._undecided.clear()
+        if now >= self._hopeless_at:
+            starts = (waiting.latest_start_at for waiting in self._queue)
+            self._hopeless_at = min(starts, default=math.inf)
         return refused
 
+    def _to_look_at(self, now: float) -> list[_Waiting]:
+        """Return the requests that may have to be refused, in their order."""
+        if now >= self._hopeless_at:
+            return list(self._queue)
+        known = self._waiting_by_key
+        found = [w for w in self._undecided if w.wanted.key in known]
+        last = self._queue[-1:]
+        return sorted(found) + [w for w in last if w not in found]
+
+    def _refusal(
+        self, waiting: _Waiting, knows_times: bool, now: float
+    ) -> PlaceDecision | None:
+        """Return the refusal of a request, None if it may go on waiting."""
+        wanted = waiting.wanted
+        if not self._usable(wanted):
+            return PlaceDecision(wanted.key)
+        ahead = bisect.bisect_left(self._queue, waiting)
+        wait_s = self.expected_wait_s(wanted, ahead, now)
+        bears_s = waiting.latest_start_at - now
+        is_full = False
+        if waiting.is_new:
+            bears_s = min(bears_s, wanted.waits_s)
+            is_full = len(self._queue) > MAX_WAITING
+            waiting.is_new = not knows_times
+        if is_full or bears_s <= 0.0 or (knows_times and wait_s > bears_s):
+            return PlaceDecision(
+                wanted.key, None, self._return_in_s(waiting, wait_s, now)
+            )
+        return None
+
     def _return_in_s(self, waiting: _Waiting, wait_s: float, now: float) -> float:
         """Return when a place is expected for a refused caller, behind earlier ones.
 
@@ -299,6 +322,20 @@
         most = max(1, int((len(others) + 1) * MAX_PAUSED_SHARE))
         return bool(others) and failing < most
 
+    def _use(self, key: PlaceKey, endpoint_id: str, used: UsedPlace) -> None:
+        self._endpoint_by_id[endpoint_id].used_by_key[key] = used
+        self._endpoint_by_key[key] = endpoint_id
+        self._expires_at = min(self._expires_at, used.ends_at)
+
+    def _expire(self, now: float) -> None:
+        """Free the places of calls whose deadline has passed."""
+        self._expires_at = math.inf
+        for endpoint in self._endpoint_by_id.values():
+            for key in endpoint.expire(now):
+                del self._endpoint_by_key[key]
+            ends = (used.ends_at for used in endpoint.used_by_key.values())
+            self._expires_at = min(self._expires_at, min(ends, default=math.inf))
+
     def _drop_waiting(self, key: PlaceKey) -> None:
         waiting = self._waiting_by_key.pop(key, None)
         if waiting is not None:
--- a/bamboovale/gateway/peer_messages.py
+++ b/bamboovale/gateway/peer_messages.py
@@ -29,6 +29,11 @@
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.relay.messages import RelayCancel, RelayNext, RelayRequest
 from bamboovale.relay.server import RelayServer
+from bamboovale.shared_places.exchange import (
+    SHARED_PLACE_NOTICES,
+    SharedPlaceExchange,
+)
+from bamboovale.shared_places.messages import SharedPlaceRequest
 from bamboovale.streams.exchange import StartExchange
 from bamboovale.streams.messages import StreamBegan, StreamQuery
 
@@ -48,6 +53,7 @@
         status_exchange: EngineStatusExchange,
         tables: TableExchange,
         quotas: QuotaExchange,
+        shared_places: SharedPlaceExchange,
         relay_server: RelayServer,
         stream_starts: StartExchange,
         on_reach_query: OnReachQuery,
@@ -58,6 +64,7 @@
         self._status_exchange = status_exchange
         self._tables = tables
         self._quotas = quotas
+        self._shared_places = shared_places
         self._relay_server = relay_server
         self._stream_starts = stream_starts
         self._on_reach_query = on_reach_query
@@ -67,6 +74,8 @@
         """Answer a peer's request."""
         if isinstance(message, PlaceRequest):
             self._on_place_request(sender, message, reply)
+        elif isinstance(message, SharedPlaceRequest):
+            self._shared_places.on_request(sender, message, reply)
         elif isinstance(message, RelayRequest | RelayNext):
             self._relay_server.on_query(sender, message, reply)
         elif isinstance(message, StreamQuery):
@@ -98,6 +107,8 @@
             self._status_exchange.on_subscribe(sender)
         elif isinstance(message, RelayCancel):
             self._relay_server.on_cancel(sender, message)
+        elif isinstance(message, SHARED_PLACE_NOTICES):
+            self._shared_places.on_notice(sender, message)
         elif isinstance(message, PLACE_NOTICES):
             owner = self._engines.owner_by_engine.get(message.engine_id)
             if owner is not None:
--- a/bamboovale/gateway/peering.py
+++ b/bamboovale/gateway/peering.py
@@ -29,6 +29,7 @@
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.peers.links import PeerLinks
 from bamboovale.relay.server import RelayServer
+from bamboovale.shared_places.exchange import SharedPlaceExchange
 from bamboovale.streams.exchange import StartExchange
 
 LOOP_LAG_LOG_S = 0.5
@@ -65,6 +66,7 @@
         records: Records,
         crashes: CrashGuard,
         quotas: QuotaExchange,
+        shared_places: SharedPlaceExchange,
         relay_server: RelayServer,
         stream_starts: StartExchange,
         on_reach_query: OnReachQuery,
@@ -75,6 +77,7 @@
         self._ownership = ownership
         self._assignment = assignment
         self._records = records
+        self._shared_places = shared_places
         self._wake_event = asyncio.Event()
         self._seen_version = -1
         self._tables = TableExchange(
@@ -91,6 +94,7 @@
             status_exchange=self.status_exchange,
             tables=self._tables,
             quotas=quotas,
+            shared_places=shared_places,
             relay_server=relay_server,
             stream_starts=stream_starts,
             on_reach_query=on_reach_query,
@@ -269,6 +273,7 @@
         self._engines.notify_new_owners()
         self.status_exchange.subscribe_to_owners()
         self._free_places_of_ended_processes(before_starts)
+        self._shared_places.refresh()
         live, before = self._start_by_live.keys(), before_starts.keys()
         if live == before:
             return
@@ -295,6 +300,7 @@
                 continue
             for owner in owners:
                 owner.on_entry_gone(vm_id, before_start=start)
+            self._shared_places.granter.on_vm_gone(vm_id)
 
     def _fetch_newer_table(self) -> None:
         """Request the configuration from a neighbour that has a newer one."""
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -45,6 +45,7 @@
 from bamboovale.http1.server import Server, ServerLimits
 from bamboovale.metrics import Metrics
 from bamboovale.peers.links import PeerLinks
+from bamboovale.shared_places.exchange import SharedPlaceExchange
 from bamboovale.store.lost_reads import LostReadDetector
 from bamboovale.store.registration import Registration
 from bamboovale.store.stall_records import StallRecords
@@ -76,6 +77,8 @@
         metrics_port: int,
         read_settings: ReadSettings,
         mechanisms: Mechanisms = ALL_ON,
+        *,
+        shares_places: bool = False,
     ) -> None:
         self.state = VMState(translation.node, journal)
         self._mechanisms = mechanisms
@@ -90,6 +93,13 @@
             self._on_settings,
         )
         self._build_clients(peer_key)
+        self._shared_places = SharedPlaceExchange(
+            self.state,
+            self.links,
+            self._ownership,
+            lambda outcome: metrics.gateway_shared_places.labels(outcome).inc(),
+            is_on=shares_places,
+        )
         self._build_parts()
         self.ports = Ports(self.state, translation, metrics, self.dump, metrics_port)
         self._callers = Server(
@@ -242,6 +252,7 @@
             records=self.records,
             crashes=self._crashes,
             quotas=self._quotas,
+            shared_places=self._shared_places,
             relay_server=self._access.relay_server,
             stream_starts=self._streams.exchange,
             on_reach_query=lambda query, reply: self.step_back.lost_engines.on_query(
@@ -280,6 +291,7 @@
                 self._crashes,
                 self.state.now,
                 self._rng,
+                self._shared_places.client,
             ),
             model_calls=ModelCalls(
                 client,
@@ -337,6 +349,7 @@
         for owner in self._engines.owner_by_engine.values():
             owner.stop()
         self._access.relay_server.close()
+        self._shared_places.granter.close()
         self._callers.close()
         self.ports.close()
         self._pools.close()
@@ -451,6 +464,7 @@
             **dump_engines(self.state, self._engines),
             "view": dump_view(self.state.view),
             "quotas": dump_quotas(self._quotas, self.state.now()),
+            "shared_places": self._shared_places.dump(),
             "limits": self.state.limits.dump(),
             "rests": dump_rests(self.state),
             "crashes": self._crashes.dump(),
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -128,6 +128,11 @@
             "Endpoints that requests passed over, as they asked for it, by reason.",
             ["reason"],
         )
+        self.gateway_shared_places = self._counter(
+            "gateway_shared_places",
+            "Requests for places at plain endpoints, by outcome.",
+            ["outcome"],
+        )
         self.crash_events = self._counter(
             "crash_events",
             "Crashes of endpoints, and what is suspected of them, by event.",
--- a/bamboovale/routed_vm.py
+++ b/bamboovale/routed_vm.py
@@ -27,6 +27,8 @@
 PEER_KEY = "BAMBOOVALE_PEER_KEY"
 METRICS_PORT = "BAMBOOVALE_METRICS_PORT"
 WITHOUT = "BAMBOOVALE_WITHOUT"
+SHARED_PLACES = "BAMBOOVALE_SHARED_PLACES"
+ON, OFF = "on", "off"
 DEFAULT_METRICS_PORT = 9464
 MAX_PORT = 65535
 
@@ -43,6 +45,7 @@
     peer_key: str
     metrics_port: int
     mechanisms: Mechanisms
+    shares_places: bool = False
 
     @classmethod
     def from_environment(
@@ -56,6 +59,7 @@
             peer_key=environ.get(PEER_KEY, ""),
             metrics_port=int(port) if port.isdecimal() else -1,
             without=environ.get(WITHOUT, ""),
+            shared_places=environ.get(SHARED_PLACES, OFF),
         )
 
     @classmethod
@@ -66,12 +70,18 @@
         peer_key: str,
         metrics_port: int,
         without: str,
+        shared_places: str = OFF,
     ) -> "Result[ProcessOptions, list[Finding]]":
-        """Validate the options; ``without`` is a comma-separated list of mechanisms."""
+        """Validate the options; ``without`` is a comma-separated list of mechanisms.
+
+        ``shared_places`` is ``on`` or ``off``.
+        """
         names = [name.strip() for name in without.split(",") if name.strip()]
         findings = _unknown_mechanisms(names)
         if not 0 <= metrics_port <= MAX_PORT:
             findings.append(Finding("metrics-port", "a port is expected, 0 to 65535"))
+        if shared_places not in (ON, OFF):
+            findings.append(Finding("shared-places", "on or off is expected"))
         node = _read_node_file(node_file)
         if isinstance(node, Err):
             return Err([*node.err_value, *findings])
@@ -84,6 +94,7 @@
                 peer_key=peer_key,
                 metrics_port=metrics_port,
                 mechanisms=Mechanisms.without(names),
+                shares_places=shared_places == ON,
             )
         )
 
@@ -115,6 +126,7 @@
         options.metrics_port,
         lambda: NodeSettings.from_file(options.node_file),
         options.mechanisms,
+        shares_places=options.shares_places,
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, vm.stop)
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -88,6 +88,7 @@
         self.endpoint_id = endpoint_id
         self.service = service
         self.software = software
+        self.slots = 6
         self.faults = EndpointFaults()
         self.signals = SignalRecord()
         self.runs: list[Run] = []
@@ -183,7 +184,7 @@
 
     def description(self) -> dict[str, Any]:
         """Return the record's fields that depend on the kind of endpoint."""
-        return {"slots": 6}
+        return {"slots": self.slots}
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serve one request."""
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -98,6 +98,7 @@
     vms: list[RunningVM] = field(default_factory=list)
     runners: list[PlatformRunner] = field(default_factory=list)
     services: list[PlatformEndpoint] = field(default_factory=list)
+    shares_places: bool = False
     _started: set[str] = field(default_factory=set)
     _journals: list[RecordedJournal] = field(default_factory=list)
     _hosts: Iterator[int] = field(default_factory=lambda: itertools.count(2))
@@ -128,6 +129,7 @@
             peer_key,
             0,
             lambda: Ok(node),
+            shares_places=self.shares_places,
         )
         task = asyncio.get_running_loop().create_task(vm.run())
         running = RunningVM(vm, node, journal, task, bounds)
@@ -213,6 +215,7 @@
     behind_proxy: bool = False,
     bounds: dict[str, Any] | None = None,
     era: int | None = 0,
+    shares_places: bool = False,
     **options: Any,
 ) -> AsyncIterator[Site]:
     """Run a small deployment that is ready to serve.
@@ -222,7 +225,7 @@
     the store's first.
     """
     store = PlatformStore(era=era)
-    site = Site(store, await store.listen("127.0.0.1"))
+    site = Site(store, await store.listen("127.0.0.1"), shares_places=shares_places)
     if behind_proxy:
         site.store_proxy = await proxy_of_store(site)
     try:
