A granted endpoint that a VM does not know is passed over

A granter may have read a record that the asking VM has not: the call then goes where that VM would have sent it. Log lines name the VM that was asked also after a refusal, and say that a caller left while it waited. The test fails with a KeyError without the check.

--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -128,7 +128,9 @@
     ) -> EndpointRecord | None:
         """Return the granted endpoint while it takes calls from here, else another."""
         granted = place.endpoint_id
-        if granted is None or granted in self._unusable_ids(call):
+        if granted is None or not self._endpoints.is_ready(granted):
+            return await self._next_endpoint(call, so_far)
+        if granted in self._unusable_ids(call):
             return await self._next_endpoint(call, so_far)
         return self._endpoints.record_by_id[granted]
 
--- a/bamboovale/shared_places/client.py
+++ b/bamboovale/shared_places/client.py
@@ -36,7 +36,9 @@
 TIMED_OUT = "timed_out"
 BACKED_OFF = "backed_off"
 NO_GRANTER = "no_granter"
-"""Outcomes of a request for a place, in log lines and the counter."""
+LEFT = "left"
+"""Outcomes of a request for a place, in log lines and the counter; ``left`` if its
+caller left first."""
 
 
 class ClientLookup(GranterLookup, Protocol):
@@ -51,7 +53,11 @@
 
 @dataclass
 class AskedPlace:
-    """A place that a granter may know of; ``granter`` is None if none was asked."""
+    """A place that a granter may know of.
+
+    ``asked`` is the VM that was asked for it, ``granter`` the one to tell of it; both
+    are None if there is none.
+    """
 
     service: str
     number: int
@@ -60,6 +66,7 @@
     report: Callable[["AskedPlace"], None]
     endpoint_id: str | None = None
     retry_after_s: float | None = None
+    asked: str | None = None
     granter: str | None = None
     sent_to: str | None = None
     end: CallEnd = CallEnd.UNUSED
@@ -125,15 +132,12 @@
         self._place_by_number[place.number] = place
         try:
             started_at = self._now()
-            outcome = await self._ask(place, call, excluded, waits_s)
-            self._on_outcome(outcome)
-            call.notes.setdefault("places", []).append(
-                {
-                    "outcome": outcome,
-                    "granter": place.granter,
-                    "s": round(self._now() - started_at, 4),
-                }
-            )
+            note: dict[str, Any] = {"outcome": LEFT}
+            call.notes.setdefault("places", []).append(note)
+            note["outcome"] = await self._ask(place, call, excluded, waits_s)
+            note["granter"] = place.asked
+            note["s"] = round(self._now() - started_at, 4)
+            self._on_outcome(note["outcome"])
             yield place
         finally:
             self._release(place)
@@ -193,7 +197,7 @@
         timeout_s = ASK_TIMEOUT_GOALS * call.route.goal_s
         if not state.back_off.may_ask(state.granter, self._now(), timeout_s):
             return BACKED_OFF
-        place.granter = granter = state.granter
+        place.asked = place.granter = granter = state.granter
         goal_in_s = call.goal_at - self._now()
         message = SharedPlaceRequest(
             service=place.service,
--- a/bench/shared_place_simulation.py
+++ b/bench/shared_place_simulation.py
@@ -214,6 +214,10 @@
         """Return all endpoints."""
         return list(self.record_by_id.values())
 
+    def is_ready(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint is known."""
+        return endpoint_id in self.record_by_id
+
     def waits_s(self, endpoint_ids: Collection[str]) -> dict[str, float]:
         """Return that no endpoint wants rest."""
         return {}
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -17,6 +17,7 @@
 from bamboovale.gateway.plain_calls import PlainCalls
 from bamboovale.gateway.retry_budgets import RetryBudgets
 from bamboovale.http1.server import Request
+from bamboovale.shared_places.places import OwnChoice
 from bench.virtual_loop import run_in_virtual_time
 from tests.gateway_site import RecordedJournal
 
@@ -61,6 +62,10 @@
         """Return both endpoints."""
         return list(RECORDS.values())
 
+    def is_ready(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint is known."""
+        return endpoint_id in RECORDS
+
     def waits_s(self, endpoint_ids: frozenset[str]) -> dict[str, float]:
         """Return that all endpoints take calls."""
         return {}
@@ -154,6 +159,35 @@
     return now() - started_at <= GOAL_S
 
 
+class GrantsUnknown:
+    """Grants an endpoint that this VM does not know."""
+
+    @asynccontextmanager
+    async def open(self, *arguments: Any) -> AsyncIterator[OwnChoice]:
+        """Give such a place."""
+        yield OwnChoice("app-9")
+
+
+class TestGrantedPlace:
+    """A place that another VM granted."""
+
+    def test_a_call_goes_elsewhere_if_the_endpoint_is_not_known_here(self) -> None:
+        """Guards against calls that fail as the granter has read more of the store."""
+
+        async def test() -> None:
+            pool: Any = FullPool()
+            journal = RecordedJournal("vm")
+            config = RetryShareConfig(0.2, 200.0, 10.0)
+            retries = RetryBudgets(journal, config, lambda: 1, now)
+            rng = random.Random(7)
+            vm = PlainCalls(
+                *(pool, pool, pool, pool, retries, pool, now, rng), GrantsUnknown()
+            )
+            assert await _is_in_time(vm, pool)
+
+        run_in_virtual_time(test())
+
+
 class TestFullPool:
     """Calls arrive unevenly at a pool that can carry them."""
 
