--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -302,9 +302,7 @@
         return max(MIN_ATTEMPT_TIMEOUT_S, ATTEMPT_TIME_SHARE * left_s)
 
     async def _exchange(
-        self,
-        call: Call,
-        record: EndpointRecord,
+        self, call: Call, record: EndpointRecord
     ) -> tuple[AnswerFacts, bytes]:
         def encode() -> h11.Request:
             return self._codec.encode_call(
