--- a/bench/shared_place_simulation.py
+++ b/bench/shared_place_simulation.py
@@ -117,7 +117,6 @@
     rejections: int = 0
     idle_refusals: int = 0
     refusals_s: list[float] = field(default_factory=list)
-    answered_at: list[tuple[float, bool]] = field(default_factory=list)
     bytes_by_kind: Counter[str] = field(default_factory=Counter)
     sent_by_kind: Counter[str] = field(default_factory=Counter)
     by_outcome: Counter[str] = field(default_factory=Counter)
@@ -604,7 +603,6 @@
         is_in_time = now() - started_at <= self.day.goal_s
         outcome.in_time += is_in_time
         outcome.late += not is_in_time
-        outcome.answered_at.append((now(), is_in_time))
         return None
 
 
