Describe the speed of runs; send its figures again after a change of a quarter

Cause: with a bound of 15 % the figures alone caused a status in about one of six intervals in an emulated pool, with a quarter in about one of twelve. The emulator applied them with every load, which the load message does not carry.

Two checks of the emulated pool play more seeds: with three, the spread of the seeds hid the difference.

--- a/bamboovale/emulator/caller.py
+++ b/bamboovale/emulator/caller.py
@@ -73,10 +73,16 @@
         }
 
     def on_status(self, name: str, snapshot: EngineSnapshot, *, whole: bool) -> None:
-        """Apply an engine status; only a ``whole`` one includes the loaded adapters."""
+        """Apply an engine status; only a ``whole`` one has the adapters and speeds."""
         known = self.snapshot_by_engine.get(name)
         if known is not None and not whole:
-            snapshot = replace(snapshot, loaded=known.loaded, coming=known.coming)
+            snapshot = replace(
+                snapshot,
+                loaded=known.loaded,
+                coming=known.coming,
+                s_per_output_token=known.s_per_output_token,
+                run_s=known.run_s,
+            )
         self.snapshot_by_engine[name] = snapshot
         self.tokens_by_engine[name] = 0
         self.loads_by_engine[name] = 0
--- a/bamboovale/gateway/status_exchange.py
+++ b/bamboovale/gateway/status_exchange.py
@@ -24,8 +24,9 @@
 """Interval at which the status of all engines is sent, changed or not."""
 SPEED_DIGITS = 2
 """Significant digits of the prefill speed below which it counts as unchanged."""
-MAX_RUN_CHANGE = 0.15
-"""Relative change of the time of a run or of a token that is sent at once."""
+MAX_RUN_CHANGE = 0.25
+"""Relative change of the time of a run or of a token that is sent at once, above the
+usual variation between runs."""
 OWNER_CHECK_INTERVAL_S = 0.3
 """Interval of checks whether this VM owns engines while it owns none."""
 
--- a/tests/test_emulator_run_speed.py
+++ b/tests/test_emulator_run_speed.py
@@ -40,12 +40,12 @@
 WITHOUT = ("run-speed", "two-choices")
 
 
-def kinds(per_s: float) -> tuple[RequestKind, ...]:
+def kinds(per_s: float, long_share: float) -> tuple[RequestKind, ...]:
     """Return short requests and few with long prompts."""
     return (
         RequestKind(
             name="short",
-            per_s=per_s * (1.0 - LONG_SHARE),
+            per_s=per_s * (1.0 - long_share),
             goal_s=0.515,
             pause_s=0.3,
             deadline_s=5.148,
@@ -54,7 +54,7 @@
         ),
         RequestKind(
             name="long",
-            per_s=per_s * LONG_SHARE,
+            per_s=per_s * max(1e-6, long_share),
             goal_s=0.835,
             pause_s=0.3,
             deadline_s=4.176,
@@ -71,6 +71,7 @@
     slowness: float = 2.0,
     seed: int = 1,
     seconds: float = 8.0,
+    long_share: float = LONG_SHARE,
     faults: tuple[Fault, ...] = (),
 ) -> Simulation:
     """Return a pool with one engine in four slower, at a share of its capacity.
@@ -90,14 +91,14 @@
         loads_at_full_speed=16,
         same_statuses=True,
     )
-    scenario = Scenario(deployment, kinds(per_s), seconds, faults=faults)
+    scenario = Scenario(deployment, kinds(per_s, long_share), seconds, faults=faults)
     return Simulation(scenario, seed, Mechanisms.without(without))
 
 
-def in_time(*without: str, after: float = 1.0, **changed: Any) -> float:
+def in_time(*without: str, after: float = 1.0, seeds: int = 3, **changed: Any) -> float:
     """Return the mean share in time over the seeds, of requests after a second."""
     shares = []
-    for seed in (1, 2, 3):
+    for seed in range(1, seeds + 1):
         result: Result = simulation(*without, seed=seed, **changed).run()
         asked = [o for o in result.outcomes if o.asked_at >= after]
         shares.append(fmean(outcome.is_in_time for outcome in asked))
@@ -113,9 +114,15 @@
         usual = in_time(*WITHOUT, load=0.9, vms=vms, seconds=6.0)
         assert in_time(load=0.9, vms=vms, seconds=6.0) > usual + 0.03
 
+    def test_many_vms_do_not_all_choose_the_best_engine(self) -> None:
+        """Guards against an engine that is overloaded before its next status."""
+        usual = in_time("two-choices", load=0.9, vms=89, seconds=6.0, seeds=6)
+        assert in_time(load=0.9, vms=89, seconds=6.0, seeds=6) > usual
+
     @pytest.mark.parametrize("vms", [6, 89])
     def test_below_capacity_no_fewer_are_in_time(self, vms: int) -> None:
-        assert in_time(load=0.6, vms=vms) > in_time(*WITHOUT, load=0.6, vms=vms) - 0.01
+        usual = in_time(*WITHOUT, load=0.6, vms=vms, seeds=8)
+        assert in_time(load=0.6, vms=vms, seeds=8) > usual - 0.01
 
     def test_equal_engines_are_used_no_worse(self) -> None:
         usual = in_time(*WITHOUT, load=0.9, slowness=1.0)
@@ -138,7 +145,12 @@
         tokens: dict[bool, list[list[int]]] = {True: [], False: []}
         for seed in (1, 2, 3):
             played = simulation(
-                load=0.8, slowness=1.0, seed=seed, seconds=ends[-1], faults=faults
+                load=0.8,
+                slowness=1.0,
+                seed=seed,
+                seconds=ends[-1],
+                long_share=0.0,
+                faults=faults,
             )
             counts: dict[str, list[int]] = defaultdict(list)
             slowed: set[str] = set()
