--- a/bamboovale/decisions/quota_account.py
+++ b/bamboovale/decisions/quota_account.py
@@ -5,13 +5,24 @@
 customer's budget in proportion to demand (flow proportional share: Raghavan et al.,
 "Cloud Control with Distributed Rate Limiting", 2007). A budget in debt is regained
 before anything is admitted, so that late reports delay requests but admit no more.
+
+VMs that are cut off go on at their last share for a while. The account counts that as
+used until it hears of them again. An account that moves to another VM goes on from the
+newest of the replies that its users had.
 """
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
-from bamboovale.decisions.quota_meter import DEMAND_MEMORY_S, QuotaGrant, QuotaReport
+from bamboovale.decisions.quota_meter import (
+    DEMAND_GROWTH,
+    DEMAND_MEMORY_S,
+    HOLD_S,
+    QuotaGrant,
+    QuotaReport,
+)
 
 FORGET_AFTER_S = 30.0
 """Time without a report after which a VM's counts are dropped."""
@@ -21,6 +32,10 @@
 """Part of the capacity from which the demand counts as far below the limit."""
 REOPEN_SHARE = 0.1
 """Part of the capacity that must be left before a used up account is open again."""
+RECALL_S = 8.0
+"""Age up to which a reply of an earlier account counts."""
+RECALL_FOR_S = 2.0
+"""Time in which an account that has moved hears of all VMs in use."""
 
 
 class Budget(Protocol):
@@ -54,12 +69,27 @@
     used: float
     demand_per_s: float
     reported_at: float
+    held_per_s: float = 0.0
+    presumed: float = 0.0
 
     def faded_demand_per_s(self, now: float) -> float:
         """Return the demand, less the longer ago it was reported."""
         age_s = now - self.reported_at
         return self.demand_per_s * math.exp(-age_s / DEMAND_MEMORY_S)
 
+    def held(self, now: float) -> float:
+        """Return what it may have admitted since without a reply."""
+        return self.held_per_s * min(HOLD_S, now - self.reported_at)
+
+
+@dataclass(frozen=True)
+class _Recalled:
+    """The newest reply of an earlier account, and the demand at all VMs then."""
+
+    replied_at: float
+    left: float
+    demand_per_s: float
+
 
 class QuotaAccount:
     """The budget of one customer and the VMs that use it; no sockets, no clock."""
@@ -67,8 +97,10 @@
     def __init__(self, customer: str, budget: Budget, now: float) -> None:
         self._customer = customer
         self._budget = budget
+        self._began_at = now
         self._charged = 0.0
-        self._credit = math.inf
+        self._recalled: _Recalled | None = None
+        self._credited = 0.0
         self._is_open = False
         self._noticed_at = now
         self._reporter_by_vm: dict[str, _Reporter] = {}
@@ -83,28 +115,53 @@
         if known is not None and known.start == report.start:
             charge = report.used - known.used
         else:
-            if report.replied_s_ago > 0.0:
-                self._credit_gap(report.replied_s_ago, now)
+            self._recall(report, now)
             charge = report.used - report.granted_for
         self._charged += charge
-        self._budget.spend(charge, now)
-        self._reporter_by_vm[vm_id] = _Reporter(
-            report.start, report.used, report.demand_per_s, now
-        )
-        total_per_s = self._demand_per_s(now)
-        return self._grant(report.demand_per_s, report.used, total_per_s, now)
-
-    def _credit_gap(self, gap_s: float, now: float) -> None:
-        """Credit the rate for the time in which nobody kept this account.
-
-        All that VMs admitted since the last replies of the account before is charged.
-        Busy VMs had the last of them, so that the shortest time counts.
+        presumed = known.presumed if known is not None else 0.0
+        self._budget.spend(charge - presumed, now)
+        reporter = _Reporter(report.start, report.used, report.demand_per_s, now)
+        self._reporter_by_vm[vm_id] = reporter
+        self._credit_recalled(now)
+        grant = self._grant(reporter, self._demand_per_s(now), now)
+        rate_per_s = grant.weight * grant.regained_per_s
+        reporter.held_per_s = min(rate_per_s, DEMAND_GROWTH * report.demand_per_s)
+        return grant
+
+    def _recall(self, report: QuotaReport, now: float) -> None:
+        """Keep the newest reply that a VM had of an earlier account."""
+        if not 0.0 < report.replied_s_ago <= RECALL_S or report.weight <= 0.0:
+            return
+        replied_at = now - report.replied_s_ago
+        if self._recalled is None or replied_at > self._recalled.replied_at:
+            demand_per_s = report.demand_per_s / report.weight
+            self._recalled = _Recalled(replied_at, report.left, demand_per_s)
+
+    def _credit_recalled(self, now: float) -> None:
+        """Go on from what the newest reply of an earlier account left.
+
+        What was regained since is credited as VMs report what they admitted since.
         """
-        credit = gap_s * self._budget.regained_per_s(now)
-        if credit < self._credit:
-            before = 0.0 if math.isinf(self._credit) else self._credit
-            self._budget.spend(before - credit, now)
-            self._credit = credit
+        if self._recalled is None or now - self._began_at > RECALL_FOR_S:
+            return
+        heard = self._heard_per_s(now) / max(1e-9, self._recalled_demand_per_s(now))
+        gap_s = self._began_at - self._recalled.replied_at
+        regained = gap_s * self._budget.regained_per_s(now) * min(1.0, heard)
+        credit = self._recalled.left + regained
+        self._budget.spend(self._credited - credit, now)
+        self._credited = credit
+        surplus = self._budget.left(now) - self._budget.capacity
+        if surplus > 0.0:
+            self._budget.spend(surplus, now)
+
+    def presume_use(self, is_live: Callable[[str], bool], now: float) -> None:
+        """Count what VMs that are not reached may admit at their last share."""
+        for vm_id, reporter in self._reporter_by_vm.items():
+            if is_live(vm_id):
+                continue
+            held = reporter.held(now)
+            self._budget.spend(held - reporter.presumed, now)
+            reporter.presumed = held
 
     def due_notices(self, now: float) -> dict[str, tuple[int, QuotaGrant]]:
         """Return start and grant of VMs that have not asked, once the account turned.
@@ -121,12 +178,7 @@
         self._noticed_at = now
         total_per_s = self._demand_per_s(now)
         return {
-            vm_id: (
-                reporter.start,
-                self._grant(
-                    reporter.faded_demand_per_s(now), reporter.used, total_per_s, now
-                ),
-            )
+            vm_id: (reporter.start, self._grant(reporter, total_per_s, now))
             for vm_id, reporter in self._reporter_by_vm.items()
         }
 
@@ -144,9 +196,8 @@
         """Return what is left, below 0 for a debt."""
         return self._budget.left(now)
 
-    def _grant(
-        self, demand_per_s: float, used: float, total_per_s: float, now: float
-    ) -> QuotaGrant:
+    def _grant(self, reporter: _Reporter, total_per_s: float, now: float) -> QuotaGrant:
+        demand_per_s = reporter.faded_demand_per_s(now)
         return QuotaGrant(
             customer=self._customer,
             left=self._budget.left(now),
@@ -154,7 +205,7 @@
             open_in_s=self._budget.open_in_s(now),
             is_ample=self._budget.left(now) >= AMPLE_SHARE * self._budget.capacity,
             weight=demand_per_s / total_per_s if total_per_s > 0.0 else 0.0,
-            used=used,
+            used=reporter.used,
         )
 
     def _is_open_at(self, now: float) -> bool:
@@ -171,4 +222,18 @@
                 del self._reporter_by_vm[vm_id]
             else:
                 total += reporter.faded_demand_per_s(now)
-        return total
+        return max(total, self._recalled_demand_per_s(now))
+
+    def _recalled_demand_per_s(self, now: float) -> float:
+        """Return the demand that the account before had, faded."""
+        if self._recalled is None:
+            return 0.0
+        age_s = now - self._began_at
+        return self._recalled.demand_per_s * math.exp(-age_s / DEMAND_MEMORY_S)
+
+    def _heard_per_s(self, now: float) -> float:
+        """Return the demand at the VMs that have reported."""
+        return sum(
+            reporter.faded_demand_per_s(now)
+            for reporter in self._reporter_by_vm.values()
+        )
--- a/bamboovale/decisions/quota_meter.py
+++ b/bamboovale/decisions/quota_meter.py
@@ -29,8 +29,8 @@
 LEASE_S = 1.0
 """Time for which a share of the rate holds without a new reply."""
 HOLD_S = 4.0
-"""Time for which a VM without replies goes on at its last demand, if that was far below
-the limit: longer than another VM needs to take over the account."""
+"""Time for which a VM without replies goes on at its last share: longer than another VM
+needs to take over the account."""
 DEMAND_GROWTH = 1.2
 """Growth of the demand that a VM without replies follows."""
 ALONE_SHARE = 0.05
@@ -64,7 +64,8 @@
     """What a VM admitted of a customer since it started, repeated reports included.
 
     ``granted_for`` is the part of ``used`` that the last reply had taken into account,
-    ``replied_s_ago`` the time since then, 0 if there was none.
+    ``replied_s_ago`` the time since then, 0 if there was none, ``left`` and
+    ``weight`` what it said.
     """
 
     customer: str
@@ -73,6 +74,8 @@
     granted_for: float
     replied_s_ago: float
     demand_per_s: float
+    left: float = 0.0
+    weight: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -122,7 +125,8 @@
 
     ``start`` tells the starts of this VM apart. ``fleet_size`` is the number of VMs
     that callers are sent to, which share a quota while no account is known;
-    ``knows_account`` tells whether a customer's is.
+    ``account_lost_s`` returns for how long a customer's account has had no known
+    holder, infinite if it never had one since the start.
     """
 
     def __init__(
@@ -130,13 +134,13 @@
         start: int,
         now: float,
         rng: random.Random,
-        knows_account: Callable[[str], bool],
+        account_lost_s: Callable[[str], float],
     ) -> None:
         self.fleet_size = 1
         self.start = start
         self._started_at = now
         self._rng = rng
-        self._knows_account = knows_account
+        self._account_lost_s = account_lost_s
         self._limit_by_customer: Mapping[str, Limit] = {}
         self._meter_by_customer: dict[str, _Meter] = {}
 
@@ -177,7 +181,10 @@
         The last request may overdraw the allowance, as one may be worth more than this
         VM's share.
         """
-        if meter.weight is None and not self._knows_account(meter.customer):
+        is_lost = self._account_lost_s(meter.customer) > HOLD_S
+        if meter.weight is None and is_lost:
+            return self._spend_by_chance(meter, cost)
+        if self._is_held(meter, now) and not meter.is_ample:
             return self._spend_by_chance(meter, cost)
         if meter.allowance <= -self._cushion(meter, now):
             return False
@@ -187,7 +194,8 @@
     def _spend_by_chance(self, meter: _Meter, cost: float) -> bool:
         """Admit a request in as many cases as the allowance is a part of its cost.
 
-        Guards against a restart of all VMs, each of which would overdraw by a request.
+        Guards against a restart of all VMs, or the loss of an account near the limit,
+        when each VM would overdraw by a request.
         The allowance is spent on the chance, whether it is admitted or not.
         """
         is_admitted = self._rng.random() * cost < meter.allowance
@@ -220,6 +228,8 @@
                     meter.granted_for,
                     self._replied_s_ago(meter, now),
                     meter.demand_per_s,
+                    meter.left,
+                    meter.weight or 0.0,
                 )
             )
         return due
@@ -286,7 +296,7 @@
         return CUSHION_SHARE * max(0.0, meter.left)
 
     def _replied_s_ago(self, meter: _Meter, now: float) -> float:
-        return 0.0 if meter.weight is None else min(HOLD_S, now - meter.granted_at)
+        return 0.0 if meter.weight is None else now - meter.granted_at
 
     def _refill(self, meter: _Meter, now: float) -> None:
         elapsed_s = max(0.0, now - meter.updated_at)
@@ -306,14 +316,22 @@
         """Return the rate at which the allowance grows."""
         rate_per_s = meter.limit.rate_per_s
         granted_s_ago = now - meter.granted_at
+        is_lost = 0.0 < self._account_lost_s(meter.customer) <= HOLD_S
         if meter.weight is not None and granted_s_ago <= HOLD_S:
             if granted_s_ago <= LEASE_S:
                 return meter.regained_per_s * meter.weight
-            if meter.is_ample:
+            if meter.is_ample or self._is_held(meter, now):
                 held_per_s = DEMAND_GROWTH * meter.granted_demand_per_s
                 return min(rate_per_s * meter.weight, held_per_s)
         is_starting = meter.weight is None and now - self._started_at <= STARTING_S
-        return self._alone_per_s(meter) * (1.0 if is_starting else ALONE_SHARE)
+        is_full = is_starting or is_lost
+        return self._alone_per_s(meter) * (1.0 if is_full else ALONE_SHARE)
+
+    def _is_held(self, meter: _Meter, now: float) -> bool:
+        """Return whether this VM asks in vain and goes on at its last share."""
+        if meter.weight is None or now - meter.granted_at <= LEASE_S:
+            return False
+        return meter.awaits_reply or self._account_lost_s(meter.customer) > 0.0
 
     def _alone_per_s(self, meter: _Meter) -> float:
         """Return this VM's equal part of the rate."""
--- a/tests/test_decisions_quota.py
+++ b/tests/test_decisions_quota.py
@@ -1,5 +1,6 @@
 """Quotas over many VMs: nothing above the bound, nothing refused below the limit."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -124,7 +125,8 @@
 
 def new_meter(*, knows_account: bool = True) -> QuotaMeter:
     """Return the meter of a VM that has just started."""
-    return QuotaMeter(1, 0.0, random.Random(1), lambda customer: knows_account)
+    lost_s = 0.0 if knows_account else math.inf
+    return QuotaMeter(1, 0.0, random.Random(1), lambda customer: lost_s)
 
 
 class TestMeter:
@@ -147,7 +149,7 @@
         admitted = 0
         for number in range(300):
             rng = random.Random(number)
-            meter = QuotaMeter(number, 0.0, rng, lambda customer: False)
+            meter = QuotaMeter(number, 0.0, rng, lambda customer: math.inf)
             meter.fleet_size = 300
             meter.set_limits({CUSTOMER: Limit(18_000, 18_000)}, 0.0)
             admitted += meter.take(CUSTOMER, 720, 1.0) is None
