--- a/bamboovale/decisions/quota_account.py
+++ b/bamboovale/decisions/quota_account.py
@@ -34,6 +34,8 @@
 """Part of the capacity that must be left before a used up account is open again."""
 RECALL_S = 8.0
 """Age up to which a reply of an earlier account counts."""
+USUAL_MEMORY_S = 20.0
+"""Time constant of the mean of what is admitted: longer than most peaks."""
 RECALL_FOR_S = 2.0
 """Time in which an account that has moved hears of all VMs in use."""
 
@@ -60,6 +62,20 @@
     def open_in_s(self, now: float) -> float:
         """Return after how long anything is left, if nothing is used."""
 
+    def early_use(self, now: float) -> float:
+        """Return the use that leaves the window within half of it."""
+
+    def sustained_per_s(self, now: float) -> float:
+        """Return the rate that can be used for half of the window."""
+
+    def restore(
+        self, early_use: float, sustained_per_s: float, at: float, now: float
+    ) -> None:
+        """Replace what is assumed of the use before by what was known at a time."""
+
+    def credit(self, amount: float, now: float) -> None:
+        """Add what an earlier budget had left, or take it back."""
+
 
 @dataclass
 class _Reporter:
@@ -101,6 +117,8 @@
         self._charged = 0.0
         self._recalled: _Recalled | None = None
         self._credited = 0.0
+        self._recent_use = 0.0
+        self._recent_at = now
         self._is_open = False
         self._noticed_at = now
         self._reporter_by_vm: dict[str, _Reporter] = {}
@@ -118,13 +136,15 @@
             self._recall(report, now)
             charge = report.used - report.granted_for
         self._charged += charge
+        self._recent_use = self._recent_use_at(now) + charge
+        self._recent_at = now
         presumed = known.presumed if known is not None else 0.0
         self._budget.spend(charge - presumed, now)
         reporter = _Reporter(report.start, report.used, report.demand_per_s, now)
         self._reporter_by_vm[vm_id] = reporter
         self._credit_recalled(now)
         grant = self._grant(reporter, self._demand_per_s(now), now)
-        rate_per_s = grant.weight * grant.regained_per_s
+        rate_per_s = min(grant.regained_per_s, grant.sustained_per_s) * grant.weight
         reporter.held_per_s = min(rate_per_s, DEMAND_GROWTH * report.demand_per_s)
         return grant
 
@@ -136,6 +156,9 @@
         if self._recalled is None or replied_at > self._recalled.replied_at:
             demand_per_s = report.demand_per_s / report.weight
             self._recalled = _Recalled(replied_at, report.left, demand_per_s)
+            self._budget.restore(
+                report.early_use, report.sustained_per_s, replied_at, now
+            )
 
     def _credit_recalled(self, now: float) -> None:
         """Go on from what the newest reply of an earlier account left.
@@ -148,11 +171,8 @@
         gap_s = self._began_at - self._recalled.replied_at
         regained = gap_s * self._budget.regained_per_s(now) * min(1.0, heard)
         credit = self._recalled.left + regained
-        self._budget.spend(self._credited - credit, now)
+        self._budget.credit(credit - self._credited, now)
         self._credited = credit
-        surplus = self._budget.left(now) - self._budget.capacity
-        if surplus > 0.0:
-            self._budget.spend(surplus, now)
 
     def presume_use(self, is_live: Callable[[str], bool], now: float) -> None:
         """Count what VMs that are not reached may admit at their last share."""
@@ -206,8 +226,21 @@
             is_ample=self._budget.left(now) >= AMPLE_SHARE * self._budget.capacity,
             weight=demand_per_s / total_per_s if total_per_s > 0.0 else 0.0,
             used=reporter.used,
+            usual_per_s=self._usual_per_s(now),
+            early_use=self._budget.early_use(now),
+            sustained_per_s=self._budget.sustained_per_s(now),
         )
 
+    def _recent_use_at(self, now: float) -> float:
+        age_s = now - self._recent_at
+        return self._recent_use * math.exp(-age_s / USUAL_MEMORY_S)
+
+    def _usual_per_s(self, now: float) -> float:
+        """Return the mean rate of what was admitted lately."""
+        seen_share = 1.0 - math.exp(-(now - self._began_at) / USUAL_MEMORY_S)
+        mean_s = max(1.0, USUAL_MEMORY_S * seen_share)
+        return self._recent_use_at(now) / mean_s
+
     def _is_open_at(self, now: float) -> bool:
         """Return whether anything is left, a little more once it was used up."""
         needed = 0.0 if self._is_open else REOPEN_SHARE * self._budget.capacity
--- a/bamboovale/decisions/quota_budget.py
+++ b/bamboovale/decisions/quota_budget.py
@@ -4,11 +4,16 @@
 bucket of the same rate and burst would refuse a lasting demand the part of the burst
 that each window allows anew. Counting the window alone would admit all of it at once
 and then nothing until it slides. So both hold: a bucket that regains the burst once a
-window, and the window itself as the bound.
+window, and the window itself as the bound. The bucket holds a little more than the
+burst, so that the start of a peak can use what the window allows; not much more, as
+after a restart of all VMs nobody knows what was used at once.
 """
 
 from bamboovale.decisions.usage_window import UsageWindow
 
+RESERVE_S = 0.5
+"""Seconds of the rate that the bucket holds beside the burst."""
+
 
 class QuotaBudget:
     """What a customer may use now, over all VMs; no clock.
@@ -25,14 +30,14 @@
         self._refilled_at = now
         self._in_bucket = 0.0
         self._regained_per_s = rate_per_s + burst / window_s
-        self.capacity = burst
+        self.capacity = burst + RESERVE_S * rate_per_s
 
     def set_limit(self, rate_per_s: float, burst: float, now: float) -> None:
         """Change the limit; a lower one applies at once."""
         self._refill(now)
         self._window.set_limit(rate_per_s, burst, now)
         self._regained_per_s = rate_per_s + burst / self._window_s
-        self.capacity = burst
+        self.capacity = burst + RESERVE_S * rate_per_s
         self._in_bucket = min(self._in_bucket, burst)
 
     def spend(self, amount: float, now: float) -> None:
@@ -58,6 +63,25 @@
         bucket_s = max(0.0, -self._in_bucket) / max(self._regained_per_s, 1e-9)
         return max(bucket_s, self._window.open_in_s(now))
 
+    def early_use(self, now: float) -> float:
+        """Return the use that leaves the window within half of it."""
+        return self._window.early_use(now)
+
+    def sustained_per_s(self, now: float) -> float:
+        """Return the rate that can be used for half of the window."""
+        return self._window.sustained_per_s(now)
+
+    def restore(
+        self, early_use: float, sustained_per_s: float, at: float, now: float
+    ) -> None:
+        """Replace what is assumed of the use before; see ``UsageWindow.restore``."""
+        self._window.restore(early_use, sustained_per_s, at, now)
+
+    def credit(self, amount: float, now: float) -> None:
+        """Add to the bucket what an earlier budget had left, or take it back."""
+        self._refill(now)
+        self._in_bucket = min(self.capacity, self._in_bucket + amount)
+
     def _refill(self, now: float) -> None:
         added = self._regained_per_s * max(0.0, now - self._refilled_at)
         most = max(self._in_bucket, self.capacity)
--- a/bamboovale/decisions/quota_meter.py
+++ b/bamboovale/decisions/quota_meter.py
@@ -8,9 +8,11 @@
 import math
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
+from bamboovale.decisions.return_queue import ReturnQueue, ReturnTerms
+
 DEMAND_MEMORY_S = 2.0
 """Time constant of the mean demand."""
 REPORT_INTERVAL_S = 0.5
@@ -44,7 +46,11 @@
 FIRST_ALLOWANCE = 1e-6
 """Just enough to admit the first request of a customer."""
 MIN_RETRY_S = 0.25
-MAX_RETRY_S = 10.0
+MAX_RETRY_S = 30.0
+DEFAULT_PATIENCE_S = 10.0
+"""Assumed time that a caller waits which does not say it."""
+LEAST_SPARE_SHARE = 0.1
+"""Least part of the rate at which refused requests may return."""
 
 
 class Limit(Protocol):
@@ -64,8 +70,8 @@
     """What a VM admitted of a customer since it started, repeated reports included.
 
     ``granted_for`` is the part of ``used`` that the last reply had taken into account,
-    ``replied_s_ago`` the time since then, 0 if there was none, ``left`` and
-    ``weight`` what it said.
+    ``replied_s_ago`` the time since then, 0 if there was none, ``left``, ``weight``,
+    ``early_use`` and ``sustained_per_s`` what it said.
     """
 
     customer: str
@@ -76,6 +82,8 @@
     demand_per_s: float
     left: float = 0.0
     weight: float = 0.0
+    early_use: float = 0.0
+    sustained_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -84,7 +92,9 @@
 
     ``regained_per_s`` is the rate at which more is regained next, ``open_in_s`` after
     how long anything is left, ``is_ample`` whether the demand is far below the limit.
-    ``used`` repeats that of the report.
+    ``used`` repeats that of the report. ``usual_per_s`` is the mean rate of what is
+    admitted, ``early_use`` the use that leaves the window within half of it,
+    ``sustained_per_s`` the rate that can be used for as long.
     """
 
     customer: str
@@ -94,6 +104,9 @@
     is_ample: bool
     weight: float
     used: float
+    usual_per_s: float = 0.0
+    early_use: float = 0.0
+    sustained_per_s: float = 0.0
 
 
 @dataclass
@@ -118,6 +131,10 @@
     reported_at: float = -math.inf
     awaits_reply: bool = False
     has_news: bool = False
+    usual_per_s: float = 0.0
+    early_use: float = 0.0
+    sustained_per_s: float = 0.0
+    returns: ReturnQueue = field(default_factory=ReturnQueue)
 
 
 class QuotaMeter:
@@ -156,25 +173,52 @@
             meter.limit = limit
             meter.allowance = min(meter.allowance, self._most(meter))
 
-    def take(self, customer: str, cost: float, now: float) -> float | None:
-        """Admit a request; else return the seconds after which to try again."""
+    def take(
+        self,
+        customer: str,
+        cost: float,
+        now: float,
+        patience_s: float = DEFAULT_PATIENCE_S,
+    ) -> float | None:
+        """Admit a request; else return the seconds after which to try again.
+
+        ``patience_s`` is how long its caller waits.
+        """
         limit = self._limit_by_customer.get(customer)
         if limit is None:
             return None
         meter = self._meter_by_customer.get(customer)
         if meter is None:
             meter = _Meter(customer, limit, now)
+            if self._account_lost_s(customer) > 0.0:
+                saved_s = min(STARTING_BURST_S, now - self._started_at)
+                meter.allowance = saved_s * self._rate_per_s(meter, now)
             self._meter_by_customer[customer] = meter
         self._refill(meter, now)
         meter.demand_per_s += cost / DEMAND_MEMORY_S
         meter.has_news = True
         if not self._may_spend(meter, cost, now):
-            wait_s = -meter.allowance / max(self._rate_per_s(meter, now), 1e-9)
-            wait_s = max(wait_s, meter.opens_at - now)
-            return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+            return self._retry_s(meter, cost, now, patience_s)
         meter.used += cost
         return None
 
+    def _retry_s(
+        self, meter: _Meter, cost: float, now: float, patience_s: float
+    ) -> float:
+        """Return after how long a refused request may return."""
+        rate_per_s = meter.limit.rate_per_s
+        weight = 1 / max(1, self.fleet_size) if meter.weight is None else meter.weight
+        spare_per_s = max(
+            LEAST_SPARE_SHARE * rate_per_s, rate_per_s - meter.usual_per_s
+        )
+        terms = ReturnTerms(
+            opens_in_s=max(MIN_RETRY_S, meter.opens_at - now),
+            spare_per_s=weight * spare_per_s,
+            crowding=meter.demand_per_s / max(1e-9, weight * rate_per_s),
+            patience_s=patience_s,
+        )
+        return min(MAX_RETRY_S, meter.returns.wait_s(cost, terms, now, self._rng))
+
     def _may_spend(self, meter: _Meter, cost: float, now: float) -> bool:
         """Spend the cost of a request if the allowance admits it.
 
@@ -230,6 +274,8 @@
                     meter.demand_per_s,
                     meter.left,
                     meter.weight or 0.0,
+                    meter.early_use,
+                    meter.sustained_per_s,
                 )
             )
         return due
@@ -251,6 +297,9 @@
         meter.left = grant.left
         meter.regained_per_s = grant.regained_per_s
         meter.opens_at = now + grant.open_in_s
+        meter.usual_per_s = grant.usual_per_s
+        meter.early_use = grant.early_use
+        meter.sustained_per_s = grant.sustained_per_s
         meter.is_ample = grant.is_ample
         meter.granted_for = grant.used
         meter.granted_demand_per_s = meter.demand_per_s
@@ -322,7 +371,8 @@
                 return meter.regained_per_s * meter.weight
             if meter.is_ample or self._is_held(meter, now):
                 held_per_s = DEMAND_GROWTH * meter.granted_demand_per_s
-                return min(rate_per_s * meter.weight, held_per_s)
+                most_per_s = min(rate_per_s, meter.sustained_per_s)
+                return min(most_per_s * meter.weight, held_per_s)
         is_starting = meter.weight is None and now - self._started_at <= STARTING_S
         is_full = is_starting or is_lost
         return self._alone_per_s(meter) * (1.0 if is_full else ALONE_SHARE)
--- a/bamboovale/decisions/usage_window.py
+++ b/bamboovale/decisions/usage_window.py
@@ -16,10 +16,14 @@
 
 @dataclass
 class _Slice:
-    """Use between ``started_at`` and the next slice."""
+    """Use between ``started_at`` and the next slice.
+
+    ``is_assumed`` is whether it was before this window was kept.
+    """
 
     started_at: float
     used: float
+    is_assumed: bool = False
 
 
 class UsageWindow:
@@ -34,13 +38,9 @@
     ) -> None:
         self._window_s = window_s
         self._capacity = rate_per_s * window_s + burst
-        count = max(1, round(window_s / SLICE_S))
-        first = now - window_s
-        self._slices = deque(
-            _Slice(first + number * SLICE_S, self._capacity / count)
-            for number in range(count)
-        )
-        self._used = self._capacity
+        self._slices: deque[_Slice] = deque()
+        self._used = 0.0
+        self.restore(self._capacity / 2, self._capacity / window_s, now, now)
 
     @property
     def capacity(self) -> float:
@@ -64,7 +64,8 @@
     def spend(self, amount: float, now: float) -> None:
         """Count use; a negative amount was given back."""
         self._expire(now)
-        if not self._slices or now - self._slices[-1].started_at >= SLICE_S:
+        last = self._slices[-1] if self._slices else None
+        if last is None or last.is_assumed or now - last.started_at >= SLICE_S:
             self._slices.append(_Slice(now, 0.0))
         self._slices[-1].used += amount
         self._used += amount
@@ -74,6 +75,39 @@
         self._expire(now)
         return self._capacity - self._used
 
+    def early_use(self, now: float) -> float:
+        """Return the use that leaves the window within half of it."""
+        self._expire(now)
+        until = now + self._window_s / 2
+        return sum(part.used for part in self._slices if self._leaves_at(part) <= until)
+
+    def sustained_per_s(self, now: float) -> float:
+        """Return the rate that can be used for half of the window."""
+        free = self._capacity - self._used + self.early_use(now)
+        return max(0.0, free) / (self._window_s / 2)
+
+    def restore(
+        self, early_use: float, sustained_per_s: float, at: float, now: float
+    ) -> None:
+        """Replace what is assumed of the use before this window was kept.
+
+        The arguments are those of an earlier one at the time ``at``.
+        """
+        self._expire(now)
+        known = [part for part in self._slices if not part.is_assumed]
+        early_use = max(0.0, early_use)
+        late_use = self._capacity - sustained_per_s * self._window_s / 2
+        late_use = max(0.0, late_use)
+        half = max(1, round(self._window_s / SLICE_S / 2))
+        first = at - 2 * half * SLICE_S
+        assumed = [
+            _Slice(first + number * SLICE_S, use / half, is_assumed=True)
+            for number, use in enumerate([early_use] * half + [late_use] * half)
+        ]
+        self._slices = deque(sorted(assumed + known, key=lambda part: part.started_at))
+        self._used = sum(part.used for part in self._slices)
+        self._expire(now)
+
     def regained_per_s(self, now: float) -> float:
         """Return the rate at which use leaves the window next."""
         self._expire(now)
@@ -83,6 +117,9 @@
         )
         return max(0.0, leaving) / RATE_SPAN_S
 
+    def credit(self, amount: float, now: float) -> None:
+        """Do nothing: what was left is known from what is assumed of the use."""
+
     def open_in_s(self, now: float) -> float:
         """Return after how long anything is left, if nothing is used."""
         missing = -self.left(now)
--- a/bench/quota_load.py
+++ b/bench/quota_load.py
@@ -28,7 +28,8 @@
 class Load:
     """Demand in tokens a second by time; requests of a mean size at random VMs.
 
-    ``clump`` is the number of requests that arrive together.
+    ``clump`` is the number of requests that arrive together, ``patience_s`` how long a
+    caller waits for an answer.
     """
 
     demand_per_s: Callable[[float], float]
@@ -36,6 +37,7 @@
     large_tokens: float = 9_250.0
     large_share: float = 0.03
     clump: int = 1
+    patience_s: float = 5.0
 
     def next_request(self, rng: random.Random) -> float:
         """Return the cost of a request."""
--- a/bench/quota_simulation.py
+++ b/bench/quota_simulation.py
@@ -37,7 +37,8 @@
     ``accounts_at`` is the VM to which the store assigns the account, None while it is
     nobody's; ``holder_seen`` has by VM the one that it reports to. VMs of ``cut_off``
     exchange no messages with the others. ``new_meter`` makes the meters, ``new_budget``
-    rate, burst, window and time. With ``returns`` callers return after Retry-After.
+    rate, burst, window and time. With ``returns`` callers return after
+    Retry-After, if their patience lasts.
     """
 
     def __init__(
@@ -203,14 +204,15 @@
             thaws_at = self._frozen_until[vm]
             self._at(thaws_at, partial(self._request, vm, cost, is_return=is_return))
             return
-        retry_s = self.meters[vm].take(CUSTOMER, cost, self.now)
+        patience_s = self.load.patience_s
+        retry_s = self.meters[vm].take(CUSTOMER, cost, self.now, patience_s)
         outcome, attempt = self.outcome, (self.now, cost)
         (outcome.admitted if retry_s is None else outcome.refused).append(attempt)
         if is_return:
             outcome.returned.append(attempt)
             if retry_s is not None:
                 outcome.refused_again.append(attempt)
-        elif retry_s is not None and self._returns:
+        elif retry_s is not None and self._returns and retry_s <= patience_s:
             again_at = self._rng.choice(self._active)
             again = partial(self._request, again_at, cost, is_return=True)
             self._at(self.now + retry_s, again)
--- a/bench/quota_ways.py
+++ b/bench/quota_ways.py
@@ -23,7 +23,9 @@
 class EqualShares(QuotaMeter):
     """Every VM has an equal part of rate and burst; no messages."""
 
-    def take(self, customer: str, cost: float, now: float) -> float | None:
+    def take(
+        self, customer: str, cost: float, now: float, patience_s: float = 10.0
+    ) -> float | None:
         """Admit a request from this VM's own part."""
         part = self._meter_by_customer.get(customer)
         if part is None:
@@ -95,6 +97,23 @@
         """Return the rate."""
         return self._rate_per_s
 
+    def early_use(self, now: float) -> float:
+        """Return 0, as no window is kept."""
+        return 0.0
+
+    def sustained_per_s(self, now: float) -> float:
+        """Return the rate."""
+        return self._rate_per_s
+
+    def restore(
+        self, early_use: float, sustained_per_s: float, at: float, now: float
+    ) -> None:
+        """Do nothing, as no window is kept."""
+
+    def credit(self, amount: float, now: float) -> None:
+        """Add what an earlier budget had left."""
+        self._left = min(self._burst, self.left(now) + amount)
+
     def open_in_s(self, now: float) -> float:
         """Return after how long anything is left."""
         return max(0.0, -self.left(now)) / self._rate_per_s
