--- a/bamboovale/gateway/access.py
+++ b/bamboovale/gateway/access.py
@@ -57,7 +57,7 @@
         customer = table.customers.holder_of(facts.key)
         if not route.public:
             customer = self._check_key(facts, customer)
-        cost = 0.0 if customer is None else self._spend(facts, customer)
+        cost = 0.0 if customer is None else self._spend(facts, route, customer)
         name = None if customer is None else customer.name
         return Admission(self._codec.name_customer(facts, name), customer, cost)
 
@@ -80,12 +80,13 @@
             raise KeyRejected("unknown key")
         return customer
 
-    def _spend(self, facts: CallFacts, customer: Customer) -> float:
+    def _spend(self, facts: CallFacts, route: Route, customer: Customer) -> float:
         if customer.quota is None:
             return 0.0
         cost = customer.quota.cost(facts.tokens)
-        retry_s = self._meter.take(customer.name, cost, self._now())
+        patience_s = min(route.timeout_s, facts.deadline_s or route.timeout_s)
+        retry_s = self._meter.take(customer.name, cost, self._now(), patience_s)
         self._on_spent(customer.name)
         if retry_s is not None:
-            raise QuotaExceeded(customer.name, retry_s)
+            raise QuotaExceeded(customer.name, cost, retry_s)
         return cost
--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -69,9 +69,11 @@
 class QuotaExceeded(CallRefused):
     """The customer is over its quota; the request did not run."""
 
-    def __init__(self, customer: str, retry_after_s: float) -> None:
+    def __init__(self, customer: str, cost: float, retry_after_s: float) -> None:
         super().__init__(f"{customer} is over its quota", retry_after_s)
         self.customer = customer
+        self.cost = cost
+        self.retry_after_s: float = retry_after_s
 
 
 class CallFailed(Exception):  # noqa: N818 - reads as what happened
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -186,13 +186,27 @@
 
     def partition_holder(self, number: int) -> str | None:
         """Return the live VM that holds a partition, by the newest generation."""
-        holders = [
+        holders = self._partition_holders(number)
+        return max(holders)[1] if holders else None
+
+    def newer_holder(self, number: int) -> str | None:
+        """Return the live VM that holds a partition of ours by a newer generation.
+
+        The store may have assigned it to another VM while it rejects this one.
+        """
+        own = dict(self.membership.own.partitions).get(number)
+        holders = self._partition_holders(number)
+        if own is None or not holders or max(holders)[0] <= own:
+            return None
+        return max(holders)[1]
+
+    def _partition_holders(self, number: int) -> list[tuple[int, str]]:
+        return [
             (generation, member.vm_id)
             for member in self.live()
             for partition, generation in member.partitions
             if partition == number
         ]
-        return max(holders)[1] if holders else None
 
     # Owners of engines.
 
--- a/bamboovale/gateway/peer_messages.py
+++ b/bamboovale/gateway/peer_messages.py
@@ -93,7 +93,7 @@
         elif isinstance(message, QuotaReports):
             self._quotas.on_reports(sender, message)
         elif isinstance(message, QuotaGrants):
-            self._quotas.on_grants(message)
+            self._quotas.on_grants(sender, message)
         elif isinstance(message, StatusSubscription):
             self._status_exchange.on_subscribe(sender)
         elif isinstance(message, RelayCancel):
--- a/bamboovale/gateway/quota_exchange.py
+++ b/bamboovale/gateway/quota_exchange.py
@@ -5,37 +5,28 @@
 """
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import Mapping
-from typing import Protocol
 
 from bamboovale.decisions.advertised_vms import advertised_count
 from bamboovale.decisions.quota_account import QuotaAccount
 from bamboovale.decisions.quota_budget import QuotaBudget
 from bamboovale.decisions.quota_meter import QuotaGrant, QuotaMeter, QuotaReport
+from bamboovale.gateway.account_holders import AccountHolders, Partitions
 from bamboovale.gateway.customers import Quota
 from bamboovale.gateway.engines import Links
 from bamboovale.gateway.messages import QuotaGrants, QuotaReports
 from bamboovale.gateway.model import RoutingTable
-from bamboovale.gateway.ownership import partition_of
 from bamboovale.gateway.vm_state import VMState
 
 ACTIVE_INTERVAL_S = 0.1
 IDLE_INTERVAL_S = 1.0
 """Intervals of checks for due reports and notices."""
-PARTITIONS_PER_ACCOUNTING_ONE = 4
-"""Accounts are spread over one partition in so many: a VM reports to few others."""
 UNREAD_FLEET_SIZE = 64
 """Assumed number of VMs until the registered ones were read from the store."""
 
 
-class Partitions(Protocol):
-    """The partitions that this VM holds in the store."""
-
-    def held_partitions(self) -> frozenset[int]:
-        """Return the partitions that this VM holds."""
-
-
 class QuotaExchange:
     """This VM's meter, and the accounts that it keeps for others.
 
@@ -47,11 +38,12 @@
             state.fleet.membership.own.start,
             state.now(),
             random.Random(),
-            knows_account=lambda customer: self._holder_of(customer) is not None,
+            account_lost_s=lambda customer: self._holders.lost_s(customer),
         )
         self._state = state
         self._links = links
-        self._partitions = partitions
+        self._holders = AccountHolders(state, partitions)
+        self._granter_by_customer: dict[str, str] = {}
         self._quota_by_customer: Mapping[str, Quota] = {}
         self._account_by_customer: dict[str, QuotaAccount] = {}
         self._wake_event = asyncio.Event()
@@ -95,6 +87,7 @@
     async def exchange_forever(self) -> None:
         """Send reports, and notices of the accounts kept here, forever."""
         while True:
+            self._holders.update()
             self._drop_lost_accounts()
             self._send_reports()
             self._send_notices()
@@ -116,11 +109,15 @@
         if grants:
             self._links.notify(sender, QuotaGrants(message.start, grants))
 
-    def on_grants(self, message: QuotaGrants) -> None:
+    def on_grants(self, sender: str, message: QuotaGrants) -> None:
         """Apply replies to this process's reports."""
         if message.start == self.meter.start:
             for grant in message.grants:
-                self.meter.on_grant(grant, self._state.now())
+                self._apply(sender, grant)
+
+    def _apply(self, granter: str, grant: QuotaGrant) -> None:
+        self._granter_by_customer[grant.customer] = granter
+        self.meter.on_grant(grant, self._state.now())
 
     def left_by_customer(self) -> dict[str, float]:
         """Return by customer what is left in the accounts kept here."""
@@ -132,8 +129,7 @@
 
     def _charge(self, sender: str, report: QuotaReport) -> QuotaGrant | None:
         quota = self._quota_by_customer.get(report.customer)
-        is_held = self._partition_of(report.customer) in self._held()
-        if quota is None or not is_held:
+        if quota is None or not self._holders.is_own(report.customer):
             return None
         now = self._state.now()
         account = self._account_by_customer.get(report.customer)
@@ -149,9 +145,12 @@
         own_id = self._state.node.name
         reports_by_vm: dict[str, list[QuotaReport]] = {}
         for report in self.meter.due_reports(self._state.now()):
-            holder = self._holder_of(report.customer)
-            if holder is not None:
-                reports_by_vm.setdefault(holder, []).append(report)
+            holder = self._holders.holder_of(report.customer)
+            if holder is None:
+                continue
+            if holder == self._granter_by_customer.get(report.customer):
+                report = _without_grant(report)
+            reports_by_vm.setdefault(holder, []).append(report)
         for vm_id, reports in reports_by_vm.items():
             if vm_id != own_id:
                 message = QuotaReports(self.meter.start, tuple(reports))
@@ -160,11 +159,12 @@
             for report in reports:
                 grant = self._charge(own_id, report)
                 if grant is not None:
-                    self.meter.on_grant(grant, self._state.now())
+                    self._apply(own_id, grant)
 
     def _send_notices(self) -> None:
         now = self._state.now()
         for customer, account in self._account_by_customer.items():
+            account.presume_use(self._state.fleet.is_live, now)
             notices = account.due_notices(now)
             if notices:
                 self._state.journal.write(
@@ -173,33 +173,25 @@
             for vm_id, (start, grant) in notices.items():
                 message = QuotaGrants(start, (grant,))
                 if vm_id == self._state.node.name:
-                    self.on_grants(message)
+                    self.on_grants(vm_id, message)
                 else:
                     self._links.notify(vm_id, message)
 
     def _drop_lost_accounts(self) -> None:
-        held = self._held()
         for customer in list(self._account_by_customer):
-            if self._partition_of(customer) not in held:
+            if not self._holders.is_own(customer):
                 del self._account_by_customer[customer]
 
-    def _held(self) -> frozenset[int]:
-        return self._partitions.held_partitions()
-
-    def _holder_of(self, customer: str) -> str | None:
-        partition = self._partition_of(customer)
-        if partition in self._held():
-            return self._state.node.name
-        return self._state.fleet.partition_holder(partition)
-
-    def _partition_of(self, customer: str) -> int:
-        partitions = self._state.node.store_limits.partitions
-        accounting = max(1, partitions // PARTITIONS_PER_ACCOUNTING_ONE)
-        return partition_of(f"quota/{customer}", accounting)
-
     def _fleet_size(self) -> int:
         """Return the number of VMs that callers are sent to."""
         size = self._state.fleet.expected_size()
         if not self._state.has_read_fleet:
             size = max(size, UNREAD_FLEET_SIZE)
         return advertised_count(size)
+
+
+def _without_grant(report: QuotaReport) -> QuotaReport:
+    """Return a report without the last reply, which the account's VM sent itself."""
+    return dataclasses.replace(
+        report, left=0.0, weight=0.0, early_use=0.0, sustained_per_s=0.0
+    )
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Mapping
 
 from bamboovale.crashes.guard import CRASHES_ENDPOINTS, REFUSED_RETRY_S, CrashGuard
 from bamboovale.gateway.access import AccessControl, Admission
@@ -86,6 +87,7 @@
         responder: Responder,
     ) -> Admission | None:
         """Return the admission of a request, None once it was refused; it never ran."""
+        details: dict[str, float] = {}
         try:
             return self._access.admit(facts, route, table)
         except KeyRejected as rejection:
@@ -94,11 +96,13 @@
         except QuotaExceeded as refusal:
             outcome, reason = "over_quota", str(refusal)
             self._metrics.count_refusal_of(refusal.customer)
-            self._refuse(responder, facts, refusal.retry_after_s, status=429)
+            # Each caller has a time of its own.
+            self._answer(responder, 429, refusal.retry_after_s, facts.request_id)
+            details = _quota_details(refusal)
         except CallRefused as refusal:
             outcome, reason = "view_unproven", str(refusal)
             self._refuse(responder, facts, refusal.retry_after_s)
-        self._log_unrouted(request, facts, outcome, table, reason)
+        self._log_unrouted(request, facts, outcome, table, reason, details)
         return None
 
     def on_bad_request(self, bad: BadRequest) -> None:
@@ -184,13 +188,12 @@
         responder: Responder,
         facts: CallFacts,
         retry_after_s: float | None,
-        status: int = 503,
     ) -> None:
         spread_s = None
         if retry_after_s is not None:
             # Jitter: callers refused together must not retry together.
             spread_s = retry_after_s * self._rng.uniform(0.75, 1.25)
-        self._answer(responder, status, spread_s, facts.request_id)
+        self._answer(responder, 503, spread_s, facts.request_id)
 
     def _answer(
         self,
@@ -213,6 +216,7 @@
         outcome: str,
         table: RoutingTable | None,
         reason: str | None = None,
+        details: Mapping[str, float] | None = None,
     ) -> None:
         self._metrics.gateway_requests.labels(outcome, "none").inc()
         self._journal.write(
@@ -223,6 +227,7 @@
             target=request.target,
             config=table.version if table else None,
             **({"reason": reason, "not_run": True} if reason else {}),
+            **(details or {}),
         )
 
     def _log(self, call: Call, outcome: str, table: RoutingTable) -> None:
@@ -253,3 +258,11 @@
             config=table.version,
             **call.notes,
         )
+
+
+def _quota_details(refusal: QuotaExceeded) -> dict[str, float]:
+    """Return for the log what a request cost and when it may return."""
+    return {
+        "cost": refusal.cost,
+        "retry_after_s": round(refusal.retry_after_s, 2),
+    }
