--- a/bamboovale/decisions/quota_account.py
+++ b/bamboovale/decisions/quota_account.py
@@ -20,9 +20,8 @@
     DEMAND_GROWTH,
     DEMAND_MEMORY_S,
     HOLD_S,
-    QuotaGrant,
-    QuotaReport,
 )
+from bamboovale.decisions.quota_reports import QuotaGrant, QuotaReport
 
 FORGET_AFTER_S = 30.0
 """Time without a report after which a VM's counts are dropped."""
--- a/bamboovale/decisions/quota_meter.py
+++ b/bamboovale/decisions/quota_meter.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from bamboovale.decisions.quota_reports import QuotaGrant, QuotaReport
 from bamboovale.decisions.return_queue import ReturnQueue, ReturnTerms
 
 DEMAND_MEMORY_S = 2.0
@@ -65,50 +66,6 @@
         """Return the size of the bucket."""
 
 
-@dataclass(frozen=True)
-class QuotaReport:
-    """What a VM admitted of a customer since it started, repeated reports included.
-
-    ``granted_for`` is the part of ``used`` that the last reply had taken into account,
-    ``replied_s_ago`` the time since then, 0 if there was none, ``left``, ``weight``,
-    ``early_use`` and ``sustained_per_s`` what it said.
-    """
-
-    customer: str
-    start: int
-    used: float
-    granted_for: float
-    replied_s_ago: float
-    demand_per_s: float
-    left: float = 0.0
-    weight: float = 0.0
-    early_use: float = 0.0
-    sustained_per_s: float = 0.0
-
-
-@dataclass(frozen=True)
-class QuotaGrant:
-    """Reply to a report: what is ``left`` for the fleet and this VM's share of it.
-
-    ``regained_per_s`` is the rate at which more is regained next, ``open_in_s`` after
-    how long anything is left, ``is_ample`` whether the demand is far below the limit.
-    ``used`` repeats that of the report. ``usual_per_s`` is the mean rate of what is
-    admitted, ``early_use`` the use that leaves the window within half of it,
-    ``sustained_per_s`` the rate that can be used for as long.
-    """
-
-    customer: str
-    left: float
-    regained_per_s: float
-    open_in_s: float
-    is_ample: bool
-    weight: float
-    used: float
-    usual_per_s: float = 0.0
-    early_use: float = 0.0
-    sustained_per_s: float = 0.0
-
-
 @dataclass
 class _Meter:
     """Counts and allowance of one customer; times are of the VM's clock."""
@@ -371,7 +328,9 @@
                 return meter.regained_per_s * meter.weight
             if meter.is_ample or self._is_held(meter, now):
                 held_per_s = DEMAND_GROWTH * meter.granted_demand_per_s
-                most_per_s = min(rate_per_s, meter.sustained_per_s)
+                # The longer without a reply, the more others may use that is not known.
+                faded = math.exp(-(granted_s_ago - LEASE_S) / HOLD_S)
+                most_per_s = min(rate_per_s, meter.sustained_per_s) * faded
                 return min(most_per_s * meter.weight, held_per_s)
         is_starting = meter.weight is None and now - self._started_at <= STARTING_S
         is_full = is_starting or is_lost
@@ -379,7 +338,7 @@
 
     def _is_held(self, meter: _Meter, now: float) -> bool:
         """Return whether this VM asks in vain and goes on at its last share."""
-        if meter.weight is None or now - meter.granted_at <= LEASE_S:
+        if meter.weight is None or now - meter.granted_at <= REPLY_TIMEOUT_S:
             return False
         return meter.awaits_reply or self._account_lost_s(meter.customer) > 0.0
 
--- a/bamboovale/decisions/return_queue.py
+++ b/bamboovale/decisions/return_queue.py
@@ -38,7 +38,8 @@
         self, cost: float, terms: ReturnTerms, now: float, rng: random.Random
     ) -> float:
         """Return after how long a refused request may return."""
-        crowded_s = terms.patience_s * max(0.0, 1.0 - 1.0 / max(terms.crowding, 1e-9))
+        chance = 1.0 / max(1.0, terms.crowding)
+        crowded_s = terms.patience_s * (1.0 - chance)
         begins_at = now + max(terms.opens_in_s, crowded_s)
         begins_at = max(begins_at, self._promised_until)
         interval_s = cost / max(terms.spare_per_s, 1e-9)
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from bamboovale.decisions.quota_meter import QuotaGrant, QuotaReport
+from bamboovale.decisions.quota_reports import QuotaGrant, QuotaReport
 from bamboovale.peers.codec import message, row
 
 
--- a/bamboovale/gateway/quota_exchange.py
+++ b/bamboovale/gateway/quota_exchange.py
@@ -12,7 +12,8 @@
 from bamboovale.decisions.advertised_vms import advertised_count
 from bamboovale.decisions.quota_account import QuotaAccount
 from bamboovale.decisions.quota_budget import QuotaBudget
-from bamboovale.decisions.quota_meter import QuotaGrant, QuotaMeter, QuotaReport
+from bamboovale.decisions.quota_meter import QuotaMeter
+from bamboovale.decisions.quota_reports import QuotaGrant, QuotaReport
 from bamboovale.gateway.account_holders import AccountHolders, Partitions
 from bamboovale.gateway.customers import Quota
 from bamboovale.gateway.engines import Links
--- a/bench/quota_ways.py
+++ b/bench/quota_ways.py
@@ -9,7 +9,8 @@
 
 from bamboovale.decisions.quota_account import Budget
 from bamboovale.decisions.quota_budget import QuotaBudget
-from bamboovale.decisions.quota_meter import QuotaGrant, QuotaMeter, QuotaReport
+from bamboovale.decisions.quota_meter import QuotaMeter
+from bamboovale.decisions.quota_reports import QuotaGrant, QuotaReport
 from bamboovale.decisions.usage_window import UsageWindow
 from bench.quota_simulation import Limit, Load, MeterClass, QuotaSimulation
 
