--- a/bamboovale/decisions/quota_meter.py
+++ b/bamboovale/decisions/quota_meter.py
@@ -9,10 +9,13 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
 
-from bamboovale.decisions.quota_reports import QuotaGrant, QuotaReport
-from bamboovale.decisions.return_queue import ReturnQueue, ReturnTerms
+from bamboovale.decisions.quota_reports import Limit, QuotaGrant, QuotaReport
+from bamboovale.decisions.return_queue import (
+    LEAST_SPARE_SHARE,
+    ReturnQueue,
+    ReturnTerms,
+)
 
 DEMAND_MEMORY_S = 2.0
 """Time constant of the mean demand."""
@@ -50,20 +53,6 @@
 MAX_RETRY_S = 30.0
 DEFAULT_PATIENCE_S = 10.0
 """Assumed time that a caller waits which does not say it."""
-LEAST_SPARE_SHARE = 0.1
-"""Least part of the rate at which refused requests may return."""
-
-
-class Limit(Protocol):
-    """The limit of a customer, in the unit of its costs."""
-
-    @property
-    def rate_per_s(self) -> float:
-        """Return the sustained rate."""
-
-    @property
-    def burst(self) -> float:
-        """Return the size of the bucket."""
 
 
 @dataclass
@@ -87,6 +76,7 @@
     demand_per_s: float = 0.0
     reported_at: float = -math.inf
     awaits_reply: bool = False
+    asked_at: float = -math.inf
     has_news: bool = False
     usual_per_s: float = 0.0
     early_use: float = 0.0
@@ -165,12 +155,13 @@
         """Return after how long a refused request may return."""
         rate_per_s = meter.limit.rate_per_s
         weight = 1 / max(1, self.fleet_size) if meter.weight is None else meter.weight
-        spare_per_s = max(
-            LEAST_SPARE_SHARE * rate_per_s, rate_per_s - meter.usual_per_s
-        )
+        most_per_s = rate_per_s
+        if meter.weight is not None:
+            most_per_s = min(rate_per_s, meter.sustained_per_s)
+        spare_per_s = most_per_s - meter.usual_per_s
         terms = ReturnTerms(
             opens_in_s=max(MIN_RETRY_S, meter.opens_at - now),
-            spare_per_s=weight * spare_per_s,
+            spare_per_s=weight * max(spare_per_s, LEAST_SPARE_SHARE * rate_per_s),
             crowding=meter.demand_per_s / max(1e-9, weight * rate_per_s),
             patience_s=patience_s,
         )
@@ -219,6 +210,8 @@
                 continue
             self._refill(meter, now)
             meter.reported_at = now
+            if not meter.awaits_reply:
+                meter.asked_at = now
             meter.awaits_reply = True
             meter.has_news = False
             due.append(
@@ -227,7 +220,7 @@
                     self.start,
                     meter.used,
                     meter.granted_for,
-                    self._replied_s_ago(meter, now),
+                    0.0 if meter.weight is None else now - meter.granted_at,
                     meter.demand_per_s,
                     meter.left,
                     meter.weight or 0.0,
@@ -237,6 +230,18 @@
             )
         return due
 
+    def report_anew(self, customer: str) -> None:
+        """Report at once, as another VM keeps the account now.
+
+        Guards against going by a reply from before the account was open again, of which
+        the new holder cannot tell a VM that it does not know.
+        """
+        meter = self._meter_by_customer.get(customer)
+        if meter is not None and meter.weight is not None:
+            meter.has_news = True
+            meter.awaits_reply = False
+            meter.reported_at = -math.inf
+
     def wants_report(self, customer: str, now: float) -> bool:
         """Return whether a report of this customer is due before the next interval."""
         meter = self._meter_by_customer.get(customer)
@@ -301,9 +306,6 @@
             return 0.0
         return CUSHION_SHARE * max(0.0, meter.left)
 
-    def _replied_s_ago(self, meter: _Meter, now: float) -> float:
-        return 0.0 if meter.weight is None else now - meter.granted_at
-
     def _refill(self, meter: _Meter, now: float) -> None:
         elapsed_s = max(0.0, now - meter.updated_at)
         added = self._rate_per_s(meter, now) * elapsed_s
@@ -333,14 +335,16 @@
                 most_per_s = min(rate_per_s, meter.sustained_per_s) * faded
                 return min(most_per_s * meter.weight, held_per_s)
         is_starting = meter.weight is None and now - self._started_at <= STARTING_S
-        is_full = is_starting or is_lost
-        return self._alone_per_s(meter) * (1.0 if is_full else ALONE_SHARE)
+        share = 1.0 if is_starting or is_lost else ALONE_SHARE
+        return self._alone_per_s(meter) * share
 
     def _is_held(self, meter: _Meter, now: float) -> bool:
         """Return whether this VM asks in vain and goes on at its last share."""
         if meter.weight is None or now - meter.granted_at <= REPLY_TIMEOUT_S:
             return False
-        return meter.awaits_reply or self._account_lost_s(meter.customer) > 0.0
+        if meter.awaits_reply and now - meter.asked_at > REPLY_TIMEOUT_S:
+            return True
+        return self._account_lost_s(meter.customer) > 0.0
 
     def _alone_per_s(self, meter: _Meter) -> float:
         """Return this VM's equal part of the rate."""
--- a/bamboovale/decisions/quota_reports.py
+++ b/bamboovale/decisions/quota_reports.py
@@ -1,6 +1,19 @@
-"""What entry VMs and the account of a customer's quota tell each other."""
+"""Limits of quotas, and what entry VMs and the account of a quota tell each other."""
 
 from dataclasses import dataclass
+from typing import Protocol
+
+
+class Limit(Protocol):
+    """The limit of a customer, in the unit of its costs."""
+
+    @property
+    def rate_per_s(self) -> float:
+        """Return the sustained rate."""
+
+    @property
+    def burst(self) -> float:
+        """Return the size of the bucket."""
 
 
 @dataclass(frozen=True)
--- a/bamboovale/decisions/return_queue.py
+++ b/bamboovale/decisions/return_queue.py
@@ -12,6 +12,9 @@
 import random
 from dataclasses import dataclass
 
+LEAST_SPARE_SHARE = 0.1
+"""Least part of the rate at which refused requests may return."""
+
 
 @dataclass(frozen=True)
 class ReturnTerms:
--- a/bamboovale/gateway/quota_exchange.py
+++ b/bamboovale/gateway/quota_exchange.py
@@ -45,6 +45,7 @@
         self._links = links
         self._holders = AccountHolders(state, partitions)
         self._granter_by_customer: dict[str, str] = {}
+        self._asked_by_customer: dict[str, str] = {}
         self._quota_by_customer: Mapping[str, Quota] = {}
         self._account_by_customer: dict[str, QuotaAccount] = {}
         self._wake_event = asyncio.Event()
@@ -118,6 +119,7 @@
 
     def _apply(self, granter: str, grant: QuotaGrant) -> None:
         self._granter_by_customer[grant.customer] = granter
+        self._asked_by_customer.pop(grant.customer, None)
         self.meter.on_grant(grant, self._state.now())
 
     def left_by_customer(self) -> dict[str, float]:
@@ -143,6 +145,7 @@
 
     def _send_reports(self) -> None:
         self.meter.fleet_size = self._fleet_size()
+        self._report_to_new_holders()
         own_id = self._state.node.name
         reports_by_vm: dict[str, list[QuotaReport]] = {}
         for report in self.meter.due_reports(self._state.now()):
@@ -162,6 +165,14 @@
                 if grant is not None:
                     self._apply(own_id, grant)
 
+    def _report_to_new_holders(self) -> None:
+        """Report at once where another VM keeps an account than granted last."""
+        for customer, granter in self._granter_by_customer.items():
+            holder = self._holders.holder_of(customer)
+            if holder not in (None, granter, self._asked_by_customer.get(customer)):
+                self._asked_by_customer[customer] = holder
+                self.meter.report_anew(customer)
+
     def _send_notices(self) -> None:
         now = self._state.now()
         for customer, account in self._account_by_customer.items():
--- a/bench/quota_peaks.py
+++ b/bench/quota_peaks.py
@@ -11,7 +11,7 @@
 from bench.quota_simulation import Limit, Load, QuotaSimulation
 
 FLEETS = ((6, 6), (89, 34), (300, 120))
-RATES = (40_000.0, 220_000.0)
+RATES = (7_400.0, 40_000.0, 220_000.0)
 FACTORS = (3.0, 6.7)
 USUAL_SHARE = 1 / 1.8
 PEAK_FROM_S, PEAK_UNTIL_S, END_S = 10.0, 17.0, 32.0
--- a/bench/quota_simulation.py
+++ b/bench/quota_simulation.py
@@ -157,12 +157,15 @@
         self.accounts_at = vm
         self._account_by_vm[vm] = self._new_account()
         self.holder_seen = [vm] * self._vms
+        for meter in self.meters:
+            meter.report_anew(CUSTOMER)
 
     def _hear_of(self, vm: int, holder: int) -> None:
         if self._is_frozen(vm):
             self._at(self._frozen_until[vm], partial(self._hear_of, vm, holder))
         elif holder == self.accounts_at:
             self.holder_seen[vm] = holder
+            self.meters[vm].report_anew(CUSTOMER)
             if vm != holder:
                 self._account_by_vm.pop(vm, None)
 
