--- a/bamboovale/decisions/quota_meter.py
+++ b/bamboovale/decisions/quota_meter.py
@@ -8,8 +8,14 @@
 import math
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Protocol
+from dataclasses import dataclass, field
+
+from bamboovale.decisions.quota_reports import Limit, QuotaGrant, QuotaReport
+from bamboovale.decisions.return_queue import (
+    LEAST_SPARE_SHARE,
+    ReturnQueue,
+    ReturnTerms,
+)
 
 DEMAND_MEMORY_S = 2.0
 """Time constant of the mean demand."""
@@ -29,8 +35,8 @@
 LEASE_S = 1.0
 """Time for which a share of the rate holds without a new reply."""
 HOLD_S = 4.0
-"""Time for which a VM without replies goes on at its last demand, if that was far below
-the limit: longer than another VM needs to take over the account."""
+"""Time for which a VM without replies goes on at its last share: longer than another VM
+needs to take over the account."""
 DEMAND_GROWTH = 1.2
 """Growth of the demand that a VM without replies follows."""
 ALONE_SHARE = 0.05
@@ -44,53 +50,9 @@
 FIRST_ALLOWANCE = 1e-6
 """Just enough to admit the first request of a customer."""
 MIN_RETRY_S = 0.25
-MAX_RETRY_S = 10.0
-
-
-class Limit(Protocol):
-    """The limit of a customer, in the unit of its costs."""
-
-    @property
-    def rate_per_s(self) -> float:
-        """Return the sustained rate."""
-
-    @property
-    def burst(self) -> float:
-        """Return the size of the bucket."""
-
-
-@dataclass(frozen=True)
-class QuotaReport:
-    """What a VM admitted of a customer since it started, repeated reports included.
-
-    ``granted_for`` is the part of ``used`` that the last reply had taken into account,
-    ``replied_s_ago`` the time since then, 0 if there was none.
-    """
-
-    customer: str
-    start: int
-    used: float
-    granted_for: float
-    replied_s_ago: float
-    demand_per_s: float
-
-
-@dataclass(frozen=True)
-class QuotaGrant:
-    """Reply to a report: what is ``left`` for the fleet and this VM's share of it.
-
-    ``regained_per_s`` is the rate at which more is regained next, ``open_in_s`` after
-    how long anything is left, ``is_ample`` whether the demand is far below the limit.
-    ``used`` repeats that of the report.
-    """
-
-    customer: str
-    left: float
-    regained_per_s: float
-    open_in_s: float
-    is_ample: bool
-    weight: float
-    used: float
+MAX_RETRY_S = 30.0
+DEFAULT_PATIENCE_S = 10.0
+"""Assumed time that a caller waits which does not say it."""
 
 
 @dataclass
@@ -114,7 +76,12 @@
     demand_per_s: float = 0.0
     reported_at: float = -math.inf
     awaits_reply: bool = False
+    asked_at: float = -math.inf
     has_news: bool = False
+    usual_per_s: float = 0.0
+    early_use: float = 0.0
+    sustained_per_s: float = 0.0
+    returns: ReturnQueue = field(default_factory=ReturnQueue)
 
 
 class QuotaMeter:
@@ -122,7 +89,8 @@
 
     ``start`` tells the starts of this VM apart. ``fleet_size`` is the number of VMs
     that callers are sent to, which share a quota while no account is known;
-    ``knows_account`` tells whether a customer's is.
+    ``account_lost_s`` returns for how long a customer's account has had no known
+    holder, infinite if it never had one since the start.
     """
 
     def __init__(
@@ -130,13 +98,13 @@
         start: int,
         now: float,
         rng: random.Random,
-        knows_account: Callable[[str], bool],
+        account_lost_s: Callable[[str], float],
     ) -> None:
         self.fleet_size = 1
         self.start = start
         self._started_at = now
         self._rng = rng
-        self._knows_account = knows_account
+        self._account_lost_s = account_lost_s
         self._limit_by_customer: Mapping[str, Limit] = {}
         self._meter_by_customer: dict[str, _Meter] = {}
 
@@ -152,32 +120,63 @@
             meter.limit = limit
             meter.allowance = min(meter.allowance, self._most(meter))
 
-    def take(self, customer: str, cost: float, now: float) -> float | None:
-        """Admit a request; else return the seconds after which to try again."""
+    def take(
+        self,
+        customer: str,
+        cost: float,
+        now: float,
+        patience_s: float = DEFAULT_PATIENCE_S,
+    ) -> float | None:
+        """Admit a request; else return the seconds after which to try again.
+
+        ``patience_s`` is how long its caller waits.
+        """
         limit = self._limit_by_customer.get(customer)
         if limit is None:
             return None
         meter = self._meter_by_customer.get(customer)
         if meter is None:
             meter = _Meter(customer, limit, now)
+            if self._account_lost_s(customer) > 0.0:
+                saved_s = min(STARTING_BURST_S, now - self._started_at)
+                meter.allowance = saved_s * self._rate_per_s(meter, now)
             self._meter_by_customer[customer] = meter
         self._refill(meter, now)
         meter.demand_per_s += cost / DEMAND_MEMORY_S
         meter.has_news = True
         if not self._may_spend(meter, cost, now):
-            wait_s = -meter.allowance / max(self._rate_per_s(meter, now), 1e-9)
-            wait_s = max(wait_s, meter.opens_at - now)
-            return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+            return self._retry_s(meter, cost, now, patience_s)
         meter.used += cost
         return None
 
+    def _retry_s(
+        self, meter: _Meter, cost: float, now: float, patience_s: float
+    ) -> float:
+        """Return after how long a refused request may return."""
+        rate_per_s = meter.limit.rate_per_s
+        weight = 1 / max(1, self.fleet_size) if meter.weight is None else meter.weight
+        most_per_s = rate_per_s
+        if meter.weight is not None:
+            most_per_s = min(rate_per_s, meter.sustained_per_s)
+        spare_per_s = most_per_s - meter.usual_per_s
+        terms = ReturnTerms(
+            opens_in_s=max(MIN_RETRY_S, meter.opens_at - now),
+            spare_per_s=weight * max(spare_per_s, LEAST_SPARE_SHARE * rate_per_s),
+            crowding=meter.demand_per_s / max(1e-9, weight * rate_per_s),
+            patience_s=patience_s,
+        )
+        return min(MAX_RETRY_S, meter.returns.wait_s(cost, terms, now, self._rng))
+
     def _may_spend(self, meter: _Meter, cost: float, now: float) -> bool:
         """Spend the cost of a request if the allowance admits it.
 
         The last request may overdraw the allowance, as one may be worth more than this
         VM's share.
         """
-        if meter.weight is None and not self._knows_account(meter.customer):
+        is_lost = self._account_lost_s(meter.customer) > HOLD_S
+        if meter.weight is None and is_lost:
+            return self._spend_by_chance(meter, cost)
+        if self._is_held(meter, now) and not meter.is_ample:
             return self._spend_by_chance(meter, cost)
         if meter.allowance <= -self._cushion(meter, now):
             return False
@@ -187,7 +186,8 @@
     def _spend_by_chance(self, meter: _Meter, cost: float) -> bool:
         """Admit a request in as many cases as the allowance is a part of its cost.
 
-        Guards against a restart of all VMs, each of which would overdraw by a request.
+        Guards against a restart of all VMs, or the loss of an account near the limit,
+        when each VM would overdraw by a request.
         The allowance is spent on the chance, whether it is admitted or not.
         """
         is_admitted = self._rng.random() * cost < meter.allowance
@@ -210,6 +210,8 @@
                 continue
             self._refill(meter, now)
             meter.reported_at = now
+            if not meter.awaits_reply:
+                meter.asked_at = now
             meter.awaits_reply = True
             meter.has_news = False
             due.append(
@@ -218,12 +220,28 @@
                     self.start,
                     meter.used,
                     meter.granted_for,
-                    self._replied_s_ago(meter, now),
+                    0.0 if meter.weight is None else now - meter.granted_at,
                     meter.demand_per_s,
+                    meter.left,
+                    meter.weight or 0.0,
+                    meter.early_use,
+                    meter.sustained_per_s,
                 )
             )
         return due
 
+    def report_anew(self, customer: str) -> None:
+        """Report at once, as another VM keeps the account now.
+
+        Guards against going by a reply from before the account was open again, of which
+        the new holder cannot tell a VM that it does not know.
+        """
+        meter = self._meter_by_customer.get(customer)
+        if meter is not None and meter.weight is not None:
+            meter.has_news = True
+            meter.awaits_reply = False
+            meter.reported_at = -math.inf
+
     def wants_report(self, customer: str, now: float) -> bool:
         """Return whether a report of this customer is due before the next interval."""
         meter = self._meter_by_customer.get(customer)
@@ -241,6 +259,9 @@
         meter.left = grant.left
         meter.regained_per_s = grant.regained_per_s
         meter.opens_at = now + grant.open_in_s
+        meter.usual_per_s = grant.usual_per_s
+        meter.early_use = grant.early_use
+        meter.sustained_per_s = grant.sustained_per_s
         meter.is_ample = grant.is_ample
         meter.granted_for = grant.used
         meter.granted_demand_per_s = meter.demand_per_s
@@ -285,9 +306,6 @@
             return 0.0
         return CUSHION_SHARE * max(0.0, meter.left)
 
-    def _replied_s_ago(self, meter: _Meter, now: float) -> float:
-        return 0.0 if meter.weight is None else min(HOLD_S, now - meter.granted_at)
-
     def _refill(self, meter: _Meter, now: float) -> None:
         elapsed_s = max(0.0, now - meter.updated_at)
         added = self._rate_per_s(meter, now) * elapsed_s
@@ -306,14 +324,27 @@
         """Return the rate at which the allowance grows."""
         rate_per_s = meter.limit.rate_per_s
         granted_s_ago = now - meter.granted_at
+        is_lost = 0.0 < self._account_lost_s(meter.customer) <= HOLD_S
         if meter.weight is not None and granted_s_ago <= HOLD_S:
             if granted_s_ago <= LEASE_S:
                 return meter.regained_per_s * meter.weight
-            if meter.is_ample:
+            if meter.is_ample or self._is_held(meter, now):
                 held_per_s = DEMAND_GROWTH * meter.granted_demand_per_s
-                return min(rate_per_s * meter.weight, held_per_s)
+                # The longer without a reply, the more others may use that is not known.
+                faded = math.exp(-(granted_s_ago - LEASE_S) / HOLD_S)
+                most_per_s = min(rate_per_s, meter.sustained_per_s) * faded
+                return min(most_per_s * meter.weight, held_per_s)
         is_starting = meter.weight is None and now - self._started_at <= STARTING_S
-        return self._alone_per_s(meter) * (1.0 if is_starting else ALONE_SHARE)
+        share = 1.0 if is_starting or is_lost else ALONE_SHARE
+        return self._alone_per_s(meter) * share
+
+    def _is_held(self, meter: _Meter, now: float) -> bool:
+        """Return whether this VM asks in vain and goes on at its last share."""
+        if meter.weight is None or now - meter.granted_at <= REPLY_TIMEOUT_S:
+            return False
+        if meter.awaits_reply and now - meter.asked_at > REPLY_TIMEOUT_S:
+            return True
+        return self._account_lost_s(meter.customer) > 0.0
 
     def _alone_per_s(self, meter: _Meter) -> float:
         """Return this VM's equal part of the rate."""
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -216,6 +216,18 @@
         holder = self._holder_by_partition.get(number)
         return None if holder is None else holder[1]
 
+    def newer_holder(self, number: int) -> str | None:
+        """Return the live VM that holds a partition of ours by a newer generation.
+
+        The store may have assigned it to another VM while it rejects this one.
+        """
+        self._refresh()
+        own = dict(self.membership.own.partitions).get(number)
+        holder = self._holder_by_partition.get(number)
+        if own is None or holder is None or holder[0] <= own:
+            return None
+        return holder[1]
+
     # Owners of engines.
 
     def engine(self, engine_id: str) -> OwnedEngine | None:
