Learn load times of each engine, and load into free slots first

Cause: load times were constants, and every reload counted as one from the engine's cache. At other load times requests were sent before their adapter was loaded, each time, and used up the retry budget. Engines that had held an adapter were preferred even where they had to evict another and slots were free elsewhere.

Change: the owner learns the time of a load from the store and from the engine's cache, the age of reports and the size of the cache, publishes the times and seeds a new owner; the choice of an engine uses them and prefers a free slot (mechanism free-slots). The emulator and the simulated engine read reports when an owner would.

--- a/bamboovale/decisions/adapter_slot.py
+++ b/bamboovale/decisions/adapter_slot.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from bamboovale.decisions.load_measurement import LoadMeasurement
 from bamboovale.decisions.place_work import ReportedState
 
 RUN_REPORT_LAG_S = 0.15
@@ -24,10 +25,10 @@
 class Slot:
     """One adapter at the engine.
 
-    ``loads_since`` is how many other adapters were loaded since the previous load of
-    this one, None if it was never loaded. ``warm`` is True if the load should come from
-    the engine's own cache. ``confirmed`` is False until a report shows the adapter as
-    loaded. ``replaces`` is the version that the engine holds until the load completes.
+    ``load`` measures a load in progress; it is None for a load whose time teaches
+    nothing. ``predicted`` is whether requests may be sent once the load should be
+    complete. ``confirmed`` is False until a report shows the adapter as loaded.
+    ``replaces`` is the version that the engine holds until the load completes.
     ``in_transit`` is True while a report lists a load of the adapter in progress, which
     the previous owner may have ordered.
     """
@@ -38,9 +39,8 @@
     active: int = 0
     demand: float = 0.0
     used_at: float = 0.0
-    ready_at: float | None = None
-    loads_since: int | None = None
-    warm: bool = False
+    load: LoadMeasurement | None = None
+    predicted: bool = False
     confirmed: bool = True
     replaces: int | None = None
     in_transit: bool = False
@@ -51,6 +51,10 @@
         faded = 0.5 ** (max(0.0, now - self.used_at) / DEMAND_HALF_LIFE_S)
         return self.demand * faded
 
+    def is_cached(self) -> bool | None:
+        """Return whether the load should come from the cache, None if unknown."""
+        return self.load is not None and self.load.cached
+
     def is_evictable(self) -> bool:
         """Return whether the adapter is confirmed as loaded and unused.
 
--- a/bamboovale/decisions/adapter_slots.py
+++ b/bamboovale/decisions/adapter_slots.py
@@ -6,34 +6,17 @@
 told by the number of orders in it, as reports may be of any age.
 """
 
-from collections import OrderedDict
 from collections.abc import Collection, Iterator
 
 from bamboovale.decisions.adapter_slot import NewestVersion, Slot, SlotState
-from bamboovale.decisions.estimates import MovingAverage
+from bamboovale.decisions.engine_cache import EngineCache
+from bamboovale.decisions.load_measurement import (
+    MIN_REPORT_INTERVAL_S,
+    LoadMeasurement,
+)
+from bamboovale.decisions.load_times import LoadTimes
 from bamboovale.decisions.place_work import AdapterKey, ReportedState
 
-INITIAL_LOAD_S = 0.42
-"""Expected load time, with the report delay, until loads have been seen."""
-REPORT_DELAY_S = 0.13
-"""From the end of a load until a report shows it."""
-READY_MARGIN_S = 0.03
-"""Added to the expected end of a load: an engine refuses a request sent too early, at
-the cost of a round trip and of retry budget."""
-WARM_LOAD_S = 0.06
-"""Load time of an adapter that is still in the engine's own cache, ten times as fast as
-from the weight store."""
-QUICK_LOAD_S = 0.25
-"""A load reported within this time came from the engine's own cache: twice the time of
-such a load, and the delay of the report."""
-INITIAL_CACHE_SIZE = 100
-"""Adapters assumed to fit into the engine's own cache until loads show otherwise."""
-MAX_TRACKED = 256
-"""Bound on the adapters whose order of loads is remembered."""
-EARLY_PENALTY_S = 0.1
-"""Added to the expected load time after a request that came too early."""
-LOAD_TIMEOUT_S = 1.5
-"""A load that is neither complete nor reported after this time did not start."""
 UNLOAD_TIMEOUT_S = 5.0
 """An adapter still reported this long after its unload counts as loaded again."""
 REPORT_LAG_S = 0.5
@@ -46,12 +29,11 @@
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.engine_is_busy = False
-        self.load_s = MovingAverage(INITIAL_LOAD_S)
-        self.cache_size = INITIAL_CACHE_SIZE
+        self.times = LoadTimes()
+        self.cache = EngineCache()
         self._slot_by_key: dict[AdapterKey, Slot] = {}
         self._newest_by_key: dict[AdapterKey, NewestVersion] = {}
         self._unloaded_at: dict[AdapterKey, float] = {}
-        self._recent_loads: OrderedDict[AdapterKey, None] = OrderedDict()
 
     # State.
 
@@ -111,21 +93,25 @@
             if slot.state is state
         }
 
-    def awaits_report(self) -> bool:
-        """Return whether a report is expected to show an order as complete."""
-        return self.engine_is_busy or any(
-            slot.state is SlotState.LOADING or not slot.confirmed
+    def next_report_at(self, now: float) -> float | None:
+        """Return when a report should show an order as complete, None without one."""
+        times = [
+            now + MIN_REPORT_INTERVAL_S
+            if slot.load is None
+            else slot.load.next_report_at(now, self.times)
             for slot in self._slot_by_key.values()
-        )
+            if slot.state is SlotState.LOADING or not slot.confirmed
+        ]
+        if self.engine_is_busy:
+            times.append(now + MIN_REPORT_INTERVAL_S)
+        if not times:
+            return None
+        return max(now + MIN_REPORT_INTERVAL_S / 2, min(times))
 
     def next_ready_at(self) -> float | None:
         """Return when the next load is expected to be complete."""
-        times = [
-            slot.ready_at
-            for slot in self._slot_by_key.values()
-            if slot.state is SlotState.LOADING and slot.ready_at is not None
-        ]
-        return min(times, default=None)
+        times = (self._ready_at(slot) for slot in self._slot_by_key.values())
+        return min((at for at in times if at is not None), default=None)
 
     def victim(
         self, wanted: Collection[AdapterKey | None], now: float
@@ -168,29 +154,32 @@
             slot.state = SlotState.LOADING
             slot.version = version
             slot.changed_at = now
-            slot.ready_at = None
-            self._recent_loads.pop(key, None)  # the new version is not in the cache
+            slot.predicted = False
         return version
 
     def begin_unload(self, key: AdapterKey) -> None:
         """Mark an adapter as unloading, so that it gets no new requests."""
         self._slot_by_key[key].state = SlotState.UNLOADING
 
-    def load_accepted(self, key: AdapterKey, now: float) -> None:
-        """Record that the engine accepted a load."""
+    def load_accepted(
+        self, key: AdapterKey, now: float, *, at_once: bool = False
+    ) -> None:
+        """Record that the engine accepted a load, or has it already (``at_once``).
+
+        The time of a load is measured from here, except that of a replacement, which
+        waits for active runs, and of a load that began with an earlier order.
+        """
         slot = self._slot_by_key.get(key)
         if slot is None or slot.state is not SlotState.LOADING:
             return
         slot.changed_at = now
-        slot.loads_since = self._uses_since(key)
-        slot.warm = slot.loads_since is not None and slot.loads_since < self.cache_size
-        # A replacement waits for active runs: only a report shows its end.
-        if not slot.active:
-            slot.ready_at = now + self._expected_load_s(warm=slot.warm)
-        self._recent_loads[key] = None
-        self._recent_loads.move_to_end(key)
-        if len(self._recent_loads) > MAX_TRACKED:
-            self._recent_loads.popitem(last=False)
+        slot.predicted = not slot.active
+        slot.load = None
+        if slot.replaces is None and not at_once:
+            loads_since = self.cache.loads_since(key, slot.version)
+            cached = self.cache.holds(loads_since)
+            slot.load = LoadMeasurement(now, loads_since, cached)
+        self.cache.on_load(key, slot.version)
 
     def unload_accepted(self, key: AdapterKey, now: float, *, at_once: bool) -> None:
         """Record an unload that is done (``at_once``) or waits for runs.
@@ -222,7 +211,9 @@
         if slot is not None and slot.state is SlotState.UNLOADING:
             slot.state = SlotState.LOADED
 
-    def run_refused(self, key: AdapterKey, now: float, *, not_held: bool) -> None:
+    def run_refused(
+        self, key: AdapterKey, now: float, *, sent_at: float, not_held: bool
+    ) -> None:
         """Handle a run that the engine refused; ``not_held``: adapter not loaded there.
 
         The slot stays reserved until the next report. An engine also refuses a run for
@@ -234,43 +225,44 @@
             return
         if slot.confirmed and not not_held:
             return
-        if not slot.confirmed:
-            self._on_early_request(slot)
+        if slot.load is not None:
+            slot.load.on_early(sent_at, self.times)
         slot.state = SlotState.LOADING
-        slot.ready_at = None
+        slot.predicted = False
         slot.changed_at = now
         slot.confirmed = False
 
-    def _on_early_request(self, slot: Slot) -> None:
-        """Adjust the estimates after a request that preceded the end of its load.
+    def mark_ready(self, now: float) -> None:
+        """Mark loads as complete whose expected time has passed.
 
-        If the adapter was expected in the engine's cache, the cache is smaller than
-        assumed; otherwise loads take longer.
+        Until a load time is known, one load at a time: the guess may be too short.
         """
-        if slot.warm and slot.loads_since is not None:
-            self.cache_size = (self.cache_size + 3 * slot.loads_since) // 4
-        else:
-            self.load_s.add(self.load_s.value + EARLY_PENALTY_S)
-
-    def mark_ready(self, now: float) -> None:
-        """Mark loads as complete whose expected time has passed."""
         for slot in self._slot_by_key.values():
-            if slot.state is not SlotState.LOADING or slot.ready_at is None:
-                continue
-            if now >= slot.ready_at:
+            ready_at = self._ready_at(slot)
+            if ready_at is not None and now >= ready_at:
                 slot.state = SlotState.LOADED
                 slot.confirmed = False
 
-    def _expected_load_s(self, *, warm: bool) -> float:
-        cold_s = max(WARM_LOAD_S, self.load_s.value - REPORT_DELAY_S) + READY_MARGIN_S
-        return WARM_LOAD_S if warm else cold_s
+    def may_start(self, slot: Slot) -> bool:
+        """Return whether one more request may be sent to a loaded adapter now.
 
-    def _uses_since(self, key: AdapterKey) -> int | None:
-        """Return how many other adapters were loaded since this one; None: unknown."""
-        if key not in self._recent_loads:
+        Only one is sent while the load time is a guess and no report shows the adapter.
+        """
+        return slot.confirmed or self.times.is_known or not slot.active
+
+    def _ready_at(self, slot: Slot) -> float | None:
+        """Return when a load counts as complete before a report, None if never."""
+        if slot.state is not SlotState.LOADING or not slot.predicted:
+            return None
+        if not self.times.may_predict or self._has_guessed():
             return None
-        return next(
-            n for n, recent in enumerate(reversed(self._recent_loads)) if recent == key
+        return slot.changed_at + self.times.expected_s(slot.is_cached())
+
+    def _has_guessed(self) -> bool:
+        """Return whether a load counts as complete by a time that is only assumed."""
+        return not self.times.is_known and any(
+            slot.state is SlotState.LOADED and not slot.confirmed
+            for slot in self._slot_by_key.values()
         )
 
     # Reports.
@@ -289,6 +281,8 @@
                 self._slot_by_key[key] = Slot(version, SlotState.LOADING, now)
         for key, slot in list(self._slot_by_key.items()):
             slot.in_transit = key in report.loading
+            if slot.load is not None and key not in report.version_by_adapter:
+                slot.load.on_absent(now, self.times, is_listed=slot.in_transit)
             if key not in report.version_by_adapter and not slot.in_transit:
                 self._on_unreported(key, report, now)
 
@@ -308,20 +302,18 @@
             slot.version = version
 
     def _confirm(self, slot: Slot, version: int, now: float) -> None:
-        took_s = now - slot.changed_at
-        if took_s > QUICK_LOAD_S:
-            self.load_s.add(took_s)
-        elif slot.loads_since is not None:
-            self.cache_size = max(self.cache_size, slot.loads_since + 1)
+        if slot.load is not None:
+            slot.load.on_complete(now, self.times, self.cache)
+            slot.load = None
         slot.version = version
         slot.replaces = None
         slot.state = SlotState.LOADED
         slot.confirmed = True
-        slot.ready_at = None
+        slot.predicted = False
 
     def _has_timed_out(self, slot: Slot, now: float) -> bool:
         """Return whether a replacement is overdue and no run blocks it."""
-        return now - slot.changed_at > LOAD_TIMEOUT_S and not slot.active
+        return now - slot.changed_at > self.times.timeout_s() and not slot.active
 
     def _just_unloaded(self, key: AdapterKey, report: ReportedState) -> bool:
         """Return whether the report may predate an unload.
@@ -352,6 +344,6 @@
             return
         expected = slot.state is SlotState.LOADED and not slot.confirmed
         coming = slot.state is SlotState.LOADING or expected
-        kept_s = LOAD_TIMEOUT_S if coming else REPORT_LAG_S
+        kept_s = self.times.timeout_s() if coming else REPORT_LAG_S
         if now - slot.changed_at > kept_s:
             del self._slot_by_key[key]
--- a/bamboovale/decisions/engine_choice.py
+++ b/bamboovale/decisions/engine_choice.py
@@ -9,6 +9,10 @@
 engine with an open slot, among these at one that recently held it and loads it from its
 own cache, and otherwise in rendezvous order, which is the same at every entry VM.
 
+An engine with a free slot goes before all that must evict an adapter, unless it is
+busier by more than the time of a load: callers of the evicted adapter would wait as
+long. Load times are those that the owners learned.
+
 A new version of an adapter is loaded at another engine than that which holds the older
 one: there the load would wait for the runs of the older version, and all requests for
 an adapter in constant use with it.
@@ -18,14 +22,14 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
+from bamboovale.decisions.load_times import INITIAL_LOAD_S, margin_s, median_s
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanism, Mechanisms
 from bamboovale.decisions.place_work import AdapterKey, EngineSnapshot
 from bamboovale.decisions.rendezvous import RendezvousOrder
 
-LOAD_COST_S = 0.35
-"""A load and the eviction before it, without a queue."""
-WARM_LOAD_COST_S = 0.1
-"""The same for an adapter that the engine recently held."""
+ORDERS_COST_S = 0.06
+"""The orders to evict an adapter and to load another, one after the other, and the
+wait for orders before them; without the load."""
 SLOT_TURNOVER_S = 0.12
 """Time between two slots that become free at an engine with all slots in use."""
 ACTIVE_COST_S = 0.016
@@ -77,13 +81,12 @@
         self,
         prompt_tokens: int = 0,
         *,
-        warm: bool = False,
+        load_s: float,
         by_slots: bool = True,
         replaces: bool = False,
     ) -> float:
-        """Return the expected seconds to the first event with a load."""
-        load_s = WARM_LOAD_COST_S if warm else LOAD_COST_S
-        load_s += REPLACE_COST_S if replaces else 0.0
+        """Return the expected seconds to the first event with a load of ``load_s``."""
+        load_s += ORDERS_COST_S + (REPLACE_COST_S if replaces else 0.0)
         if self.snapshot is None:
             return UNKNOWN_COST_S + load_s
         open_slots = self.snapshot.open_slots - self.own_loads
@@ -91,6 +94,12 @@
         queued_s = QUEUED_COST_S * self.snapshot.queued
         return self.run_cost_s(prompt_tokens) + max(slot_s, queued_s) + load_s
 
+    def free_slots(self) -> int:
+        """Return the free slots that no other adapter is waiting for."""
+        if self.snapshot is None:
+            return 0
+        return min(self.snapshot.free_slots, self.snapshot.open_slots) - self.own_loads
+
     def has_model(self, model: str) -> bool:
         """Return whether the engine has the base model, as far as known."""
         return self.snapshot is None or model in self.snapshot.models
@@ -119,6 +128,35 @@
         return key is None or self.snapshot.loaded.get(key, 0) >= version
 
 
+@dataclass(frozen=True)
+class PoolLoadTimes:
+    """Median load times of a pool, for engines whose own are not known; in seconds."""
+
+    stored_s: float
+    cached_s: float
+
+    @classmethod
+    def from_candidates(cls, engines: Mapping[str, EngineCandidate]) -> "PoolLoadTimes":
+        """Return the medians of the times that the engines' owners published."""
+        snapshots = [
+            candidate.snapshot
+            for candidate in engines.values()
+            if candidate.snapshot is not None
+        ]
+        stored_s = median_s([item.load_s for item in snapshots]) or INITIAL_LOAD_S
+        cached_s = median_s([item.cached_load_s for item in snapshots])
+        return cls(stored_s, cached_s or stored_s)
+
+    def load_s(self, candidate: EngineCandidate, *, is_cached: bool) -> float:
+        """Return the expected time of a load, from the engine's cache or the store."""
+        own = candidate.snapshot
+        if is_cached:
+            mean_s = (own.cached_load_s if own is not None else 0.0) or self.cached_s
+        else:
+            mean_s = (own.load_s if own is not None else 0.0) or self.stored_s
+        return mean_s + margin_s(mean_s)
+
+
 def _filter_by_model(
     engines: dict[str, EngineCandidate], model: str
 ) -> dict[str, EngineCandidate]:
@@ -244,6 +282,7 @@
     ) -> tuple[str | None, float]:
         """Return the engine that should load the adapter, and the expected wait."""
         by_slots = self._mechanisms.has(Mechanism.OPEN_SLOTS)
+        load_times = PoolLoadTimes.from_candidates(engines)
         replaced: set[str] = set()
         if key is not None and self._mechanisms.has(Mechanism.VERSION_ELSEWHERE):
             replaced = {
@@ -254,7 +293,7 @@
         able = {
             engine_id: candidate.load_cost_s(
                 prompt_tokens,
-                warm=engine_id in warm,
+                load_s=load_times.load_s(candidate, is_cached=engine_id in warm),
                 by_slots=by_slots,
                 replaces=engine_id in replaced,
             )
@@ -263,8 +302,11 @@
         }
         if not able:
             return None, 0.0
-        max_cost_s = min(able.values()) + SPREAD_S
-        acceptable = {engine_id for engine_id in able if able[engine_id] <= max_cost_s}
+        min_cost_s = min(able.values())
+        free = self._with_free_slots(engines, able, min_cost_s + load_times.stored_s)
+        acceptable = free or {
+            engine_id for engine_id in able if able[engine_id] <= min_cost_s + SPREAD_S
+        }
         warm_acceptable = acceptable.intersection(warm)
         if warm_acceptable:
             chosen = min(warm_acceptable, key=lambda engine_id: able[engine_id])
@@ -274,5 +316,20 @@
         for engine_id in self._order.candidates(name):
             if engine_id in acceptable:
                 return engine_id, able[engine_id]
-        chosen = min(able, key=lambda engine_id: able[engine_id])
+        chosen = min(acceptable, key=lambda engine_id: able[engine_id])
         return chosen, able[chosen]
+
+    def _with_free_slots(
+        self,
+        engines: Mapping[str, EngineCandidate],
+        cost_s_by_id: Mapping[str, float],
+        max_cost_s: float,
+    ) -> set[str]:
+        """Return the engines with a free slot up to a cost."""
+        if not self._mechanisms.has(Mechanism.FREE_SLOTS):
+            return set()
+        return {
+            engine_id
+            for engine_id, cost_s in cost_s_by_id.items()
+            if cost_s <= max_cost_s and engines[engine_id].free_slots() > 0
+        }
--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -130,7 +130,9 @@
         """Handle a run that the engine refused; ``not_held``: adapter not loaded."""
         place = self._place_by_id.get(ask_id)
         if place is not None and place.request.key is not None:
-            self.slots.run_refused(place.request.key, now, not_held=not_held)
+            self.slots.run_refused(
+                place.request.key, now, sent_at=place.granted_at, not_held=not_held
+            )
         self.pacing.on_refused(ask_id)
         return self.on_release(ask_id, now)
 
@@ -236,6 +238,7 @@
 
     def snapshot(self, now: float) -> EngineSnapshot:
         """Return the state by which entry VMs choose an engine."""
+        load_s, cached_load_s = self.slots.times.published_s()
         return EngineSnapshot(
             loaded=self.slots.versions(SlotState.LOADED),
             coming=self.slots.versions(SlotState.LOADING),
@@ -245,13 +248,17 @@
             queued=len(self._queue),
             backlog_s=self._backlog_s(now),
             open_slots=self._open_slots(),
-            kept=self.slots.cache_size,
+            kept=self.slots.cache.size,
             s_per_token=self.pacing.speed.s_per_token,
             held_up=self.pacing.stall_detector.is_stalled(),
+            load_s=load_s,
+            cached_load_s=cached_load_s,
+            free_slots=self.slots.free(),
         )
 
     def summary(self, now: float) -> dict[str, Any]:
         """Return the load of the engine for the log."""
+        load_s, cached_load_s = self.slots.times.published_s()
         return {
             "active": len(self._place_by_id),
             "queued": len(self._queue),
@@ -266,8 +273,9 @@
             "reads_per_s": round(1 / self.pacing.speed.s_per_token),
             "paced": self.pacing.is_on(),
             "fixed_s": round(self.pacing.speed.fixed_s, 4),
-            "load_s": round(self.slots.load_s.value, 3),
-            "kept": self.slots.cache_size,
+            "load_s": round(load_s, 3),
+            "cached_load_s": round(cached_load_s, 3),
+            "kept": self.slots.cache.size,
             "may_order": self.may_order,
             "order_open": self._orders.is_open,
         }
@@ -294,9 +302,9 @@
             return wait_s
         return max(wait_s, self._busyness.backlog_s(ages_s, now))
 
-    def awaits_report(self) -> bool:
-        """Return whether a report is expected to show a load as complete."""
-        return self._orders.loads_model() or self.slots.awaits_report()
+    def next_report_at(self, now: float) -> float | None:
+        """Return when a report should show an order as complete, None without one."""
+        return self.slots.next_report_at(now)
 
     def loads_model(self) -> bool:
         """Return whether the engine is loading its base model, which takes seconds."""
@@ -363,6 +371,8 @@
         slot = self.slots.get(request.key)
         if slot is None or slot.state is not SlotState.LOADED:
             return None
+        if not self.slots.may_start(slot):
+            return None
         newest = self.slots.newest(request.key)
         if slot.version >= newest.version:
             return slot.version
@@ -397,7 +407,7 @@
         """
         refusals: list[Action] = []
         remaining: list[QueuedRequest] = []
-        load_s = self.slots.load_s.value
+        load_s = self.slots.times.expected_s()
         waits_s = self._predicted_waits(now)
         for request, wait_s in zip(self._queue, waits_s, strict=True):
             limit_s = self._limit_pace.wait_s(now, len(remaining))
--- a/bamboovale/decisions/load_orders.py
+++ b/bamboovale/decisions/load_orders.py
@@ -58,7 +58,7 @@
         if isinstance(order, OrderUnload):
             self._slots.unload_accepted(key, now, at_once=at_once)
         else:
-            self._slots.load_accepted(key, now)
+            self._slots.load_accepted(key, now, at_once=at_once)
 
     def on_failed(self, order: OrderLoad | OrderUnload, *, certain: bool) -> None:
         """Handle an order that was refused, or (not ``certain``) got no answer."""
--- a/bamboovale/decisions/mechanisms.py
+++ b/bamboovale/decisions/mechanisms.py
@@ -21,6 +21,7 @@
     EARLY_REFUSAL = "early-refusal"
     VERSION_ELSEWHERE = "version-elsewhere"
     RANK_ORDER = "rank-order"
+    FREE_SLOTS = "free-slots"
 
 
 @dataclass(frozen=True)
--- a/bamboovale/decisions/place_queue.py
+++ b/bamboovale/decisions/place_queue.py
@@ -67,7 +67,7 @@
 
     def _position(self, request: QueuedRequest, now: float) -> tuple[bool, float]:
         is_loaded = self._slots.is_loaded(request.key)
-        start_s = 0.0 if is_loaded else self._slots.load_s.value
+        start_s = 0.0 if is_loaded else self._slots.times.expected_s()
         prefill_s = self._pacing.prefill_s(request.prompt_tokens)
         late = now + start_s + prefill_s + FIRST_TOKEN_S > request.goal_at
         due_at = request.latest_start if late else request.goal_at
--- a/bamboovale/decisions/place_work.py
+++ b/bamboovale/decisions/place_work.py
@@ -141,7 +141,8 @@
     ``held_up`` is True if prefill has recently stalled its streams. ``load_s`` and
     ``cached_load_s`` are the time of a load from the weight store and from the engine's
     own cache, ``s_per_output_token`` and ``run_s`` the time of an output token and of a
-    run at its current speed; each is 0 while unknown.
+    run at its current speed; each is 0 while unknown. ``free_slots`` is the number of
+    slots that hold no adapter.
     """
 
     loaded: dict[AdapterKey, int]
@@ -159,3 +160,4 @@
     cached_load_s: float = 0.0
     s_per_output_token: float = 0.0
     run_s: float = 0.0
+    free_slots: int = 0
--- a/bamboovale/emulator/owner.py
+++ b/bamboovale/emulator/owner.py
@@ -24,8 +24,7 @@
 MODEL = "base"
 TICK_S = 0.1
 IDLE_POLL_INTERVAL_S = 2.0
-LOADING_POLL_INTERVAL_S = 0.06
-"""Same values as in ``bamboovale.gateway.engine_owner``."""
+"""Same value as in ``bamboovale.gateway.engine_owner``."""
 LOST_ANSWER_S = 0.12
 """Delay until a report reveals the result of an order whose answer was lost."""
 
@@ -62,6 +61,7 @@
         self._reply_by_ask: dict[str, Reply] = {}
         self._stopped = False
         self._timer_at: float | None = None
+        self._order_accepted = env.event()
         env.process(self._report_forever())
         env.process(self._tick_forever())
 
@@ -145,16 +145,29 @@
         at_once = isinstance(order, OrderUnload)
         now = self._env.now
         self._execute(self.places.on_order_done(order, now, at_once=at_once))
+        if not self._order_accepted.triggered:
+            self._order_accepted.succeed()
 
     # Reports.
 
     def _report_forever(self) -> Generator[Any, Any, None]:
         while not self._stopped:
             yield self._env.process(self._report())
-            loading = self.places.awaits_report()
-            yield self._env.timeout(
-                LOADING_POLL_INTERVAL_S if loading else IDLE_POLL_INTERVAL_S
-            )
+            yield from self._wait_for_next_report()
+
+    def _wait_for_next_report(self) -> Generator[Any, Any, None]:
+        """Wait for the idle interval, less if a load that begins meanwhile needs it."""
+        idle_until = self._env.now + IDLE_POLL_INTERVAL_S
+        while True:
+            self._order_accepted = self._env.event()
+            report_at = self.places.next_report_at(self._env.now)
+            until = idle_until if report_at is None else min(idle_until, report_at)
+            # A report shows the state at the time when it was requested.
+            until -= self._deployment.report_lag_s
+            wait = self._env.timeout(max(0.0, until - self._env.now))
+            yield wait | self._order_accepted
+            if wait.processed:
+                return
 
     def _report(self) -> Generator[Any, Any, None]:
         loaded: dict[AdapterKey, int] = dict(self.engine.version_by_adapter)
--- a/bamboovale/gateway/engine_assignment.py
+++ b/bamboovale/gateway/engine_assignment.py
@@ -7,6 +7,7 @@
 from bamboovale.decisions.stall_detector import is_pool_stalled
 from bamboovale.gateway.engine_owner import EngineOwner
 from bamboovale.gateway.engines import Engines
+from bamboovale.gateway.known_load_times import KnownLoadTimes
 from bamboovale.gateway.model import EndpointRecord
 from bamboovale.gateway.owner_context import OwnerContext
 from bamboovale.gateway.ownership import Ownership
@@ -29,12 +30,14 @@
         ownership: Ownership,
         owner_context: OwnerContext,
         stall_records: StallRecords,
+        load_times: KnownLoadTimes,
     ) -> None:
         self._state = state
         self._engines = engines
         self._ownership = ownership
         self._owner_context = owner_context
         self._stall_records = stall_records
+        self._load_times = load_times
 
     def assign(self) -> bool:
         """Own the engines that the store assigns to this VM and release the others.
@@ -46,7 +49,9 @@
         before = set(owners)
         for engine_id in list(owners):
             if engine_id not in wanted:
-                owners.pop(engine_id).stop()
+                owner = owners.pop(engine_id)
+                owner.stop()
+                self._load_times.remember(owner.record, owner.status())
                 self._state.journal.write("owner_stopped", engine=engine_id)
         for engine_id, capacity in wanted.items():
             record = self._state.endpoints.record_by_id[engine_id]
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -33,8 +33,6 @@
 IDLE_POLL_INTERVAL_S = 2.0
 """Poll interval while nothing is expected: detects evicted adapters and orders of
 another owner. Each report is a priced call."""
-LOADING_POLL_INTERVAL_S = 0.06
-"""Poll interval while a load is expected to end, as queued requests wait for it."""
 MODEL_LOADING_POLL_INTERVAL_S = 0.2
 """Poll interval while a base model is loading, which takes seconds."""
 FAILED_POLL_INTERVAL_S = 0.25
@@ -77,6 +75,7 @@
 
     def start(self) -> None:
         """Start polling reports, deciding and logging."""
+        self._seed_load_times()
         self._spawn(self._poll_forever())
         self._spawn(self._tick_forever())
         self._spawn(self._log_forever())
@@ -206,6 +205,9 @@
             s_per_token=snapshot.s_per_token,
             held_up=snapshot.held_up,
             answers=self.reachable,
+            load_s=round(snapshot.load_s, 3),
+            cached_load_s=round(snapshot.cached_load_s, 3),
+            free_slots=snapshot.free_slots,
         )
 
     def load(self) -> EngineLoad:
@@ -291,9 +293,9 @@
             return FAILED_POLL_INTERVAL_S
         if self.places.loads_model():
             return MODEL_LOADING_POLL_INTERVAL_S
-        if self.places.awaits_report():
-            return LOADING_POLL_INTERVAL_S
-        return IDLE_POLL_INTERVAL_S
+        now = self._context.now()
+        report_at = self.places.next_report_at(now)
+        return IDLE_POLL_INTERVAL_S if report_at is None else report_at - now
 
     async def poll(self) -> bool:
         """Read and apply one report; returns False if there was none to apply.
@@ -358,18 +360,25 @@
             self.places.pacing.pool_stalled = pool_stalled
             self.places.may_order = self._orders.may_order()
             self._apply_limit(self._context.now())
+            self._seed_load_times()
             if self.places.queue_length():
                 self._carry_out(self.places.decide(self._context.now()))
 
+    def _seed_load_times(self) -> None:
+        """Start from the load times that other owners know, until one is learned."""
+        times = self.places.slots.times
+        if not times.is_known:
+            times.seed(*self._context.load_times(self.record))
+
     def _apply_limit(self, now: float) -> None:
         limit_per_s = self._context.limit_per_s(self.record.endpoint_id)
         self.places.set_limit(limit_per_s, now)
 
     def _poll_at_load_end(self, now: float) -> None:
-        """Poll when the load just ordered is about to end."""
-        if self.places.awaits_report():
-            before_end_s = self.places.slots.load_s.value - 2 * LOADING_POLL_INTERVAL_S
-            self._reports.read_by(now + max(0.05, before_end_s))
+        """Poll when the load just ordered should show in a report."""
+        report_at = self.places.next_report_at(now)
+        if report_at is not None:
+            self._reports.read_by(report_at)
 
     def _schedule_decision(self, now: float) -> None:
         """Schedule the next decision, when a load should end or a prompt may start."""
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -310,6 +310,7 @@
             cached_load_s=status.cached_load_s,
             s_per_output_token=status.s_per_output_token,
             run_s=status.run_s,
+            free_slots=status.free_slots,
         )
 
     def _candidate(self, record: EndpointRecord) -> EngineCandidate:
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -134,7 +134,7 @@
 
     ``coming`` are adapters that are being loaded. ``fence`` is the fencing number of
     the owner's orders; ``answers`` is false while the engine refuses connections. The
-    times from ``load_s`` on are 0 while unknown.
+    times from ``load_s`` on are 0 while unknown. ``free_slots`` hold no adapter.
     """
 
     engine_id: str
@@ -155,6 +155,7 @@
     cached_load_s: float = 0.0
     s_per_output_token: float = 0.0
     run_s: float = 0.0
+    free_slots: int = 0
 
 
 @row
--- a/bamboovale/gateway/owner_context.py
+++ b/bamboovale/gateway/owner_context.py
@@ -19,7 +19,9 @@
     report shows a later start than the engine's record. ``pool_stalled`` returns
     whether prompt processing stalls the streams of many engines of a service.
     ``limit_per_s`` returns the limit that an engine names, in requests a second,
-    ``rest_s`` for how many seconds it wants nothing from this VM.
+    ``rest_s`` for how many seconds it wants nothing from this VM. ``load_times``
+    returns the time of a load from the weight store and from the engine's cache, as
+    far as other owners learned them, 0 if unknown.
     """
 
     client: EngineClient
@@ -33,4 +35,5 @@
     pool_stalled: Callable[[str], bool]
     limit_per_s: Callable[[str], float | None]
     rest_s: Callable[[str], float]
+    load_times: Callable[[EndpointRecord], tuple[float, float]]
     mechanisms: Mechanisms
--- a/bamboovale/gateway/status_exchange.py
+++ b/bamboovale/gateway/status_exchange.py
@@ -22,8 +22,8 @@
 """Interval of checks which subscriptions are due: a quarter of a renewal interval."""
 REFRESH_INTERVAL_S = 2.0
 """Interval at which the status of all engines is sent, changed or not."""
-SPEED_DIGITS = 2
-"""Significant digits of the prefill speed below which it counts as unchanged."""
+SIGNIFICANT_DIGITS = 2
+"""Significant digits of learned times below which they count as unchanged."""
 OWNER_CHECK_INTERVAL_S = 0.3
 """Interval of checks whether this VM owns engines while it owns none."""
 
@@ -134,5 +134,11 @@
         queued=0,
         backlog_s=0.0,
         open_slots=0,
-        s_per_token=float(f"{status.s_per_token:.{SPEED_DIGITS}g}"),
+        s_per_token=_rounded(status.s_per_token),
+        load_s=_rounded(status.load_s),
+        cached_load_s=_rounded(status.cached_load_s),
     )
+
+
+def _rounded(seconds: float) -> float:
+    return float(f"{seconds:.{SIGNIFICANT_DIGITS}g}")
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -18,6 +18,7 @@
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.jobs import Jobs
 from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.known_load_times import KnownLoadTimes
 from bamboovale.gateway.model_calls import ModelCalls
 from bamboovale.gateway.owner_context import OwnerContext
 from bamboovale.gateway.ownership import Ownership, lease_clock
@@ -140,6 +141,7 @@
             limit_per_s=self.state.limits.limit_per_s,
         )
         calls = self._metrics.gateway_engine_calls
+        self._load_times = KnownLoadTimes(self.state)
         self._owner_context = OwnerContext(
             client=EngineClient(
                 self._pools.control,
@@ -161,6 +163,7 @@
                 engine_id, self.state.now()
             ),
             hold_off_s=lambda: HOLD_OFF_S + self.peering.gossip.spread_s(),
+            load_times=self._load_times.of,
             mechanisms=self._mechanisms,
         )
 
@@ -216,6 +219,7 @@
             self._ownership,
             self._owner_context,
             self._stall_records,
+            self._load_times,
         )
         self.records = Records(
             self.state,
--- a/tests/engine_load_simulation.py
+++ b/tests/engine_load_simulation.py
@@ -30,7 +30,7 @@
 COLD_LOAD_S = 0.25
 WARM_LOAD_S = 0.025
 CACHED_ADAPTERS = 100
-REPORT_S = 0.13
+REPORT_LAG_S = 0.1
 STATUS_S = 0.1
 TOKEN_S = 0.0125
 SLOWDOWN_PER_RUN = 0.004
@@ -79,6 +79,7 @@
     loading: set[AdapterKey] = field(default_factory=set)
     cache: OrderedDict[AdapterKey, None] = field(default_factory=OrderedDict)
     running: int = 0
+    report_at: float | None = None
     prefill_ends_at: float = 0.0
 
 
@@ -202,6 +203,20 @@
         else:
             self._after(ORDER_S, lambda: self._order(engine, action))
 
+    def _schedule_report(self, engine: _Engine) -> None:
+        """Read a report when the owner would, unless one is read before."""
+        at = engine.places.next_report_at(self._now)
+        if at is None or (engine.report_at is not None and engine.report_at <= at):
+            return
+        engine.report_at = at
+        read_at = max(self._now, at - REPORT_LAG_S)
+        self._at(read_at, lambda: self._read_report(engine, at))
+
+    def _read_report(self, engine: _Engine, at: float) -> None:
+        if engine.report_at == at:
+            engine.report_at = None
+            self._report(engine)
+
     def _order(self, engine: _Engine, order) -> None:
         key = (order.model, order.adapter)
         if isinstance(order, OrderLoad):
@@ -221,13 +236,13 @@
             order, self._now, at_once=not isinstance(order, OrderLoad)
         ):
             self._carry_out(engine, action)
+        self._schedule_report(engine)
 
     def _loaded(self, engine: _Engine, key: AdapterKey) -> None:
         engine.loading.discard(key)
         engine.loaded[key] = 1
         assert len(engine.loaded) + len(engine.loading) <= self.load.slots
         self._after(READY_S, lambda: self._do(engine, engine.places.decide))
-        self._after(REPORT_S, lambda: self._report(engine))
 
     def _report(self, engine: _Engine) -> None:
         facts = ReportedState(
@@ -237,7 +252,11 @@
             active=engine.running,
             read_at=self._now,
         )
+        self._after(REPORT_LAG_S, lambda: self._apply_report(engine, facts))
+
+    def _apply_report(self, engine: _Engine, facts: ReportedState) -> None:
         self._do(engine, engine.places.on_report, facts)
+        self._schedule_report(engine)
 
     def _start(self, engine: _Engine, request: QueuedRequest) -> None:
         engine.running += 1
--- a/tests/owner_simulation.py
+++ b/tests/owner_simulation.py
@@ -64,6 +64,7 @@
     cold_load_s: tuple[float, float] = (0.1, 0.6)
     report_age_s: tuple[float, float] = (0.05, 0.3)
     holds_before_number: bool = False
+    cached_adapters: int = 30
 
 
 def owner_context(client: Any, journal: Journal, **changed: Any) -> OwnerContext:
@@ -81,6 +82,7 @@
             pool_stalled=lambda service: False,
             limit_per_s=lambda engine_id: None,
             rest_s=lambda engine_id: 0.0,
+            load_times=lambda record: (0.0, 0.0),
             mechanisms=ALL_ON,
         ),
         **changed,
@@ -95,17 +97,23 @@
 
 @dataclass
 class SimulatedEngine:
-    """A simulated engine; ``overfilled`` are the loads without a free slot."""
+    """A simulated engine; ``overfilled`` are the loads without a free slot.
+
+    ``loads`` counts the loads that it began. ``cold_load_s`` replaces that of its
+    faults if it is set.
+    """
 
     rng: random.Random
     faults: Faults
     slots: int
     overfilled: list[str] = field(default_factory=list)
     orders: int = 0
+    loads: int = 0
     version_by_key: dict[AdapterKey, int] = field(default_factory=dict)
     coming: dict[AdapterKey, int] = field(default_factory=dict)
     runs: dict[str, AdapterKey] = field(default_factory=dict)
     silent_until: float = 0.0
+    cold_load_s: tuple[float, float] | None = None
     newest: dict[AdapterKey, int] = field(default_factory=dict)
     _pending_unload: AdapterKey | None = None
     _history: list[_Snapshot] = field(default_factory=list)
@@ -131,7 +139,7 @@
             self.silent_until = 0.0
         else:
             self._reported_at = max(self._reported_at, self.now() - age_s)
-        self._record_report()
+        self.record_report()
         older = [item for item in self._history if item.at <= self._reported_at]
         return (older[-1] if older else self._history[0]).report
 
@@ -166,7 +174,7 @@
         """End a run."""
         self.runs.pop(run, None)
         self._end_pending_unload()
-        self._record_report()
+        self.record_report()
 
     # Orders.
 
@@ -179,7 +187,7 @@
         if self._holds(order, key):
             return OrderOutcome.HOLDS
         outcome = self._load(key) if order.load else self._unload(key)
-        self._record_report()
+        self.record_report()
         return outcome
 
     def _holds(self, order: EngineOrder, key: AdapterKey) -> bool:
@@ -192,10 +200,11 @@
         if len(self.coming) >= MAX_LOADS:
             return OrderOutcome.CONFLICT
         self.orders += 1
+        self.loads += 1
         self.coming[key] = self.newest.get(key, 1)
         if len(self.version_by_key.keys() | self.coming.keys()) > self.slots:
             self.overfilled.append(f"{key[1]} at {self.now():.3f}")
-        cold_s = self.rng.uniform(*self.faults.cold_load_s)
+        cold_s = self.rng.uniform(*(self.cold_load_s or self.faults.cold_load_s))
         load_s = cold_s / 10 if key in self._recent else cold_s
         asyncio.get_running_loop().call_later(load_s, self._end_load, key)
         return OrderOutcome.ACCEPTED
@@ -208,8 +217,9 @@
             asyncio.get_running_loop().call_later(0.05, self._end_load, key)
             return
         self.version_by_key[key] = self.coming.pop(key)
-        self._recent = [*(k for k in self._recent if k != key), key][-30:]
-        self._record_report()
+        recent = [*(k for k in self._recent if k != key), key]
+        self._recent = recent[max(0, len(recent) - self.faults.cached_adapters) :]
+        self.record_report()
 
     def _unload(self, key: AdapterKey) -> OrderOutcome:
         self.orders += 1
@@ -225,7 +235,8 @@
             self._pending_unload = None
             self.version_by_key.pop(key, None)
 
-    def _record_report(self) -> None:
+    def record_report(self) -> None:
+        """Keep the current state for later reports."""
         report = EngineReport(
             models=(LoadedModel(BASE, 1, _by_name(self.version_by_key)),),
             loading=frozenset(self.coming),
@@ -266,7 +277,7 @@
         """Simulate a load for a while."""
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
-        self.engine._record_report()
+        self.engine.record_report()
         self._start_owner()
         while loop.time() < end and not self.engine.overfilled:
             await asyncio.sleep(self.rng.expovariate(per_s))
--- a/tests/test_decisions_engine_choice.py
+++ b/tests/test_decisions_engine_choice.py
@@ -1,8 +1,13 @@
 """Tests of the choice of an engine by an entry VM."""
 
 from collections import Counter
+from dataclasses import replace
 
-from bamboovale.decisions.engine_choice import EngineCandidate, EngineChooser
+from bamboovale.decisions.engine_choice import (
+    EngineCandidate,
+    EngineChooser,
+    PoolLoadTimes,
+)
 from bamboovale.decisions.place_work import EngineSnapshot
 
 KEY = ("base", "a1")
@@ -101,6 +106,50 @@
         assert chooser.choose(KEY, 1, candidates) == other
         assert chooser.choose(KEY, 2, candidates) == home
 
+    def held_and_free(self, **fields: object) -> tuple[EngineChooser, str, dict]:
+        """Return engines of which one held the adapter, and another has a free slot."""
+        candidates = {f"e{n}": make_candidate(f"e{n}", open_slots=2) for n in range(6)}
+        held = make_candidate("e0", open_slots=2, loaded={KEY: 1})
+        chooser = EngineChooser()
+        chooser.recently_held.update({**candidates, "e0": held})
+        chooser.recently_held.update(candidates)
+        free = make_candidate("e5", open_slots=2, free_slots=1, **fields)
+        return chooser, "e5", {**candidates, "e5": free}
+
+    def test_a_free_slot_goes_before_an_eviction(self) -> None:
+        """Guards against evicting an adapter where another engine has a free slot."""
+        chooser, free, candidates = self.held_and_free()
+        assert chooser.choose(KEY, 1, candidates) == free
+
+    def test_a_free_slot_at_a_busier_engine_is_left(self) -> None:
+        chooser, _, candidates = self.held_and_free(backlog_s=1.0)
+        assert chooser.choose(KEY, 1, candidates) == "e0"
+
+    def test_own_loads_take_free_slots_until_the_next_status(self) -> None:
+        """Guards against sending all loads between two statuses to one free slot."""
+        chooser, free, candidates = self.held_and_free()
+        candidates[free] = replace(candidates[free], own_loads=1)
+        assert chooser.choose(KEY, 1, candidates) == "e0"
+
+    def test_the_choice_follows_learned_load_times(self) -> None:
+        """Guards against a copy beside a busy holder where a load takes seconds."""
+        candidates = {
+            "e0": make_candidate("e0", loaded={KEY: 1}, backlog_s=1.0, load_s=0.1),
+            "e1": make_candidate("e1", open_slots=2, load_s=0.1),
+        }
+        assert EngineChooser().choose(KEY, 1, candidates) == "e1"
+        slow = make_candidate("e1", open_slots=2, load_s=2.0)
+        assert EngineChooser().choose(KEY, 1, {**candidates, "e1": slow}) == "e0"
+
+    def test_an_unknown_load_time_counts_as_the_median_of_the_pool(self) -> None:
+        candidates = {
+            f"e{n}": make_candidate(f"e{n}", load_s=load_s)
+            for n, load_s in enumerate((0.1, 2.0, 3.0, 0.0))
+        }
+        times = PoolLoadTimes.from_candidates(candidates)
+        assert times.stored_s == 2.0
+        assert times.load_s(candidates["e3"], is_cached=False) == 2.2
+
     def test_an_engine_with_faster_prefill_is_preferred_for_a_long_prompt(self) -> None:
         """Guards against ignoring the prefill speed of otherwise equal engines."""
         candidates = {
--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -159,7 +159,7 @@
         engine = make_places(slots=1)
         engine.on_report(make_report(1.0, busy=True, a1=1), 1.0)
         assert engine.on_request(make_request("r", "a2", 1.0), 1.0) == []
-        assert engine.awaits_report()
+        assert engine.next_report_at(1.0) is not None
         [order] = engine.on_report(make_report(1.1, missing=0), 1.1)
         assert order == OrderLoad(MODEL, "a2", 1)
 
