--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -132,7 +132,9 @@
         """Handle a run that the engine refused; ``not_held``: adapter not loaded."""
         place = self._place_by_id.get(ask_id)
         if place is not None and place.request.key is not None:
-            self.slots.run_refused(place.request.key, now, not_held=not_held)
+            self.slots.run_refused(
+                place.request.key, now, sent_at=place.granted_at, not_held=not_held
+            )
         self.pacing.on_refused(ask_id)
         return self._free(ask_id, now)
 
@@ -248,6 +250,7 @@
 
     def snapshot(self, now: float) -> EngineSnapshot:
         """Return the state by which entry VMs choose an engine."""
+        load_s, cached_load_s = self.slots.times.published_s()
         return EngineSnapshot(
             loaded=self.slots.versions(SlotState.LOADED),
             coming=self.slots.versions(SlotState.LOADING),
@@ -257,15 +260,19 @@
             queued=len(self._queue),
             backlog_s=self._backlog_s(now),
             open_slots=self._open_slots(),
-            kept=self.slots.cache_size,
+            kept=self.slots.cache.size,
             s_per_token=self.pacing.speed.s_per_token,
             held_up=self.pacing.stall_detector.is_stalled(),
+            load_s=load_s,
+            cached_load_s=cached_load_s,
+            free_slots=self.slots.free(),
             s_per_output_token=self._s_per_output_token(now),
             run_s=self._run_s(now),
         )
 
     def summary(self, now: float) -> dict[str, Any]:
         """Return the load of the engine for the log."""
+        load_s, cached_load_s = self.slots.times.published_s()
         return {
             "active": len(self._place_by_id),
             "queued": len(self._queue),
@@ -282,8 +289,9 @@
             "fixed_s": round(self.pacing.speed.fixed_s, 4),
             "token_ms": round(1000 * self.runs.speed.mean_s_per_token(now), 3),
             "run_s": round(self.runs.speed.run_s(now), 3),
-            "load_s": round(self.slots.load_s.value, 3),
-            "kept": self.slots.cache_size,
+            "load_s": round(load_s, 3),
+            "cached_load_s": round(cached_load_s, 3),
+            "kept": self.slots.cache.size,
             "may_order": self.may_order,
             "order_open": self._orders.is_open,
         }
@@ -338,9 +346,9 @@
             return 0.0
         return self.runs.speed.mean_s_per_token(now)
 
-    def awaits_report(self) -> bool:
-        """Return whether a report is expected to show a load as complete."""
-        return self._orders.loads_model() or self.slots.awaits_report()
+    def next_report_at(self, now: float) -> float | None:
+        """Return when a report should show an order as complete, None without one."""
+        return self.slots.next_report_at(now)
 
     def loads_model(self) -> bool:
         """Return whether the engine is loading its base model, which takes seconds."""
@@ -407,6 +415,8 @@
         slot = self.slots.get(request.key)
         if slot is None or slot.state is not SlotState.LOADED:
             return None
+        if not self.slots.may_start(slot):
+            return None
         newest = self.slots.newest(request.key)
         if slot.version >= newest.version:
             return slot.version
@@ -442,7 +452,7 @@
         """
         refusals: list[Action] = []
         remaining: list[QueuedRequest] = []
-        load_s = self.slots.load_s.value
+        load_s = self.slots.times.expected_s()
         waits_s = self._predicted_waits(now)
         for request, wait_s in zip(self._queue, waits_s, strict=True):
             limit_s = self._limit_pace.wait_s(now, len(remaining))
--- a/bamboovale/decisions/mechanisms.py
+++ b/bamboovale/decisions/mechanisms.py
@@ -23,6 +23,7 @@
     RANK_ORDER = "rank-order"
     RUN_SPEED = "run-speed"
     TWO_CHOICES = "two-choices"
+    FREE_SLOTS = "free-slots"
 
 
 @dataclass(frozen=True)
--- a/tests/test_gateway_new_owner.py
+++ b/tests/test_gateway_new_owner.py
@@ -9,6 +9,7 @@
 from bamboovale.gateway import engine_assignment
 from bamboovale.gateway.engine_assignment import EngineAssignment
 from bamboovale.gateway.engine_owner import EngineOwner
+from bamboovale.gateway.known_load_times import KnownLoadTimes
 from bamboovale.gateway.messages import EngineStatus
 from bamboovale.gateway.model import EndpointRecord
 from tests.gateway_site import RecordedJournal
@@ -52,7 +53,8 @@
     engines = SimpleNamespace(owner_by_engine={})
     ownership = SimpleNamespace(holds=lambda engine_id: True, generation=2)
     stalls = SimpleNamespace(is_stalled=lambda service: False)
-    parts: tuple[Any, ...] = (state, engines, ownership, context, stalls)
+    times = KnownLoadTimes(state)
+    parts: tuple[Any, ...] = (state, engines, ownership, context, stalls, times)
     assert EngineAssignment(*parts).assign()
     return engines.owner_by_engine["e"]
 
