Run entry VMs of the routed interface on uvloop where it is installed

Ruled out for now: fewer messages between owners and VMs that carry requests.

Change: bamboovale/event_loop.py takes uvloop's loop where the package is installed, else asyncio's, as in the binary, which holds no native packages. They are listed in requirements-native.txt.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 install: $(STAMP)
 
-$(STAMP): requirements.txt requirements-dev.txt
+$(STAMP): requirements.txt requirements-native.txt requirements-dev.txt
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
 	touch $(STAMP)
--- a/bamboovale/cli/gateway.py
+++ b/bamboovale/cli/gateway.py
@@ -1,12 +1,12 @@
 """``bamboovale gateway``: an entry VM on the routed interface."""
 
-import asyncio
 from pathlib import Path
 from typing import Annotated
 
 import typer
 from result import Err
 
+from bamboovale import event_loop
 from bamboovale.status import ExitStatus
 
 
@@ -72,4 +72,4 @@
         name = options.ok_value.node.name
         typer.echo(f"{node_file}: settings of {name} are valid")
         return
-    raise typer.Exit(asyncio.run(serve(options.ok_value)))
+    raise typer.Exit(event_loop.run(serve(options.ok_value)))
--- a/bamboovale/routed_vm.py
+++ b/bamboovale/routed_vm.py
@@ -14,6 +14,7 @@
 
 from result import Err, Ok, Result
 
+from bamboovale import event_loop
 from bamboovale.decisions.mechanisms import Mechanism, Mechanisms
 from bamboovale.errors import Finding
 from bamboovale.gateway.journal import Journal, configure_journal
@@ -147,7 +148,7 @@
         for finding in options.err_value:
             sys.stderr.write(f"{finding.place}: {finding.message}\n")
         return ExitStatus.SETTINGS_INVALID
-    return asyncio.run(serve(options.ok_value))
+    return event_loop.run(serve(options.ok_value))
 
 
 if __name__ == "__main__":
