--- a/tests/test_store_returns_machine.py
+++ b/tests/test_store_returns_machine.py
@@ -124,3 +124,14 @@
             *written,
         ]
         run_in_virtual_time(Play().run(steps))
+
+    def test_an_endpoint_that_leaves_between_two_returns_is_known(self) -> None:
+        """Guards against a VM that drops a leaving endpoint which is written again."""
+        steps: list[Step] = [
+            ("start", 0, 0.0),
+            ("return", 0, 0.0),
+            ("leave", 0, 0.05),
+            ("return", 0, 4.0),
+            ("return", 0, 0.0),
+        ]
+        run_in_virtual_time(Play().run(steps))
