--- a/bench/soak.py
+++ b/bench/soak.py
@@ -24,10 +24,12 @@
 from bench.soak_checks import Evidence, Violation, find_violations
 from bench.soak_crashes import CrashLoad
 from bench.soak_faults import FaultLane, LaneKind
-from bench.soak_site import SoakSite, running_site
+from bench.soak_site import USUAL_SLOTS, SoakSite, running_site
 from bench.soak_spans import FaultSpan
 
 LANES = 2
+SHARED_SLOTS = 1
+"""Places of a plain endpoint where its service has no more places than VMs."""
 CHECK_S = 1.0
 SETTLE_S = 4.0
 """Wait after the last fault before requests are expected to succeed."""
@@ -46,7 +48,8 @@
     lose their paths to all endpoints. ``versions``: engines also come back with other
     software. ``returns``: with every fourth seed the store also returns from older
     copies. ``crashes``: with every fourth seed some requests crash engines, in half
-    of these without other faults, so that all VMs are in touch.
+    of these without other faults, so that all VMs are in touch. ``shares_places``: with
+    every odd seed plain endpoints have so few places that one VM grants them to all.
     """
 
     seconds: float = 60.0
@@ -63,6 +66,13 @@
     versions: bool = True
     returns: bool = True
     crashes: bool = True
+    shares_places: bool = True
+
+    @property
+    def service_slots(self) -> int:
+        """Return the places of a plain endpoint."""
+        is_shared = self.shares_places and self.seed % 2 == 1
+        return SHARED_SLOTS if is_shared else USUAL_SLOTS
 
 
 @dataclass
@@ -217,6 +227,7 @@
         config.vms,
         config.runners,
         config.services,
+        config.service_slots,
     ) as site:
         soak = Soak(config, site)
         return soak, await soak.run()
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -27,6 +27,8 @@
 READY_S = 20.0
 GRACE_S = 6
 """Configured grace period; a stopping VM is killed after it."""
+USUAL_SLOTS = 6
+"""Places of a plain endpoint."""
 ADAPTER_SLOTS = 3
 RESTART_RECORD_DELAY_S = 0.4
 """From an engine's restart under its id to its new record: about a third of the
@@ -83,6 +85,7 @@
             "BAMBOOVALE_NODE_FILE": str(file),
             "BAMBOOVALE_METRICS_PORT": "0",
             "BAMBOOVALE_PEER_KEY": PEER_KEY,
+            "BAMBOOVALE_SHARED_PLACES": "on",
         }
         with log:
             self.process = await asyncio.create_subprocess_exec(
@@ -150,6 +153,7 @@
 
     directory: Path
     store: PlatformStore
+    service_slots: int
     vms: list[VMProcess] = field(default_factory=list)
     runners: list[PlatformRunner] = field(default_factory=list)
     services: list[PlatformEndpoint] = field(default_factory=list)
@@ -197,6 +201,7 @@
     async def add_service(self) -> None:
         """Start a plain endpoint."""
         service = PlatformEndpoint(self.store, f"app-{next(self._numbers)}", "app")
+        service.slots = self.service_slots
         self._set_trigger(service)
         await self._add(service)
         self.services.append(service)
@@ -377,9 +382,10 @@
     vms: int,
     runners: int,
     services: int,
+    service_slots: int = USUAL_SLOTS,
 ) -> AsyncIterator[SoakSite]:
     """Run a deployment; all its processes end with the block."""
-    site = SoakSite(directory, PlatformStore())
+    site = SoakSite(directory, PlatformStore(), service_slots)
     store_address = await site.store.listen("127.0.0.1")
     await site.write_configuration()
     try:
