Clearer names and docstrings of quotas, load times, run speed and shared places

Some new docstrings used figures of speech or words that a newcomer has to guess (hopeless, bears, teaches, recall for, heard), and some new private functions had none. Partitions is imported from the module that defines it, and FleetLookup no longer keeps a second copy of the partitions' holders, which Fleet.partition_holder looks up by its own map. No change in behaviour.

--- a/bamboovale/decisions/adapter_slot.py
+++ b/bamboovale/decisions/adapter_slot.py
@@ -25,9 +25,9 @@
 class Slot:
     """One adapter at the engine.
 
-    ``load`` measures a load in progress; it is None for a load whose time teaches
-    nothing. ``predicted`` is whether requests may be sent once the load should be
-    complete. ``confirmed`` is False until a report shows the adapter as loaded.
+    ``load`` measures a load in progress; it is None if its time is not measured.
+    ``predicted`` is whether requests may be sent once the load should be complete.
+    ``confirmed`` is False until a report shows the adapter as loaded.
     ``replaces`` is the version that the engine holds until the load completes.
     ``in_transit`` is True while a report lists a load of the adapter in progress, which
     the previous owner may have ordered.
--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -195,7 +195,7 @@
         return self._free(ask_id, now, aborted=aborted)
 
     def _free(self, ask_id: str, now: float, *, aborted: bool = False) -> list[Action]:
-        """Free a place whose run ended, or of whose run nothing is known."""
+        """Free a place without measuring its run."""
         place = self._place_by_id.pop(ask_id, None)
         self.runs.on_gone(ask_id, now)
         if place is not None:
@@ -324,6 +324,7 @@
         return sum(self._is_startable(request) for request in self._queue)
 
     def _is_startable(self, request: QueuedRequest) -> bool:
+        """Return whether a queued request waits for no load."""
         return request.key is None or self.slots.is_loaded(request.key)
 
     def _place_wait_s(self, position: int, now: float) -> float:
--- a/bamboovale/decisions/granter_back_off.py
+++ b/bamboovale/decisions/granter_back_off.py
@@ -14,7 +14,7 @@
 
 
 class GranterBackOff:
-    """The back-off from one service's granter; ``is_backing_off`` is for log lines."""
+    """The back-off from one service's granter; a new granter ends it."""
 
     def __init__(self) -> None:
         self._granter: str | None = None
@@ -28,7 +28,7 @@
         return self._pause_s > 0.0
 
     def may_ask(self, granter: str, now: float, timeout_s: float) -> bool:
-        """Return whether a call that waits so long may ask; another granter may be."""
+        """Return whether a call that waits ``timeout_s`` for an answer may ask."""
         if granter != self._granter:
             self._granter = granter
             self._pause_s = 0.0
@@ -40,13 +40,13 @@
         return True
 
     def on_answer(self, granter: str) -> None:
-        """Apply an answer of the granter."""
+        """End the back-off after an answer of the granter."""
         if granter == self._granter:
             self._pause_s = 0.0
             self._trial_until = -math.inf
 
     def on_timeout(self, granter: str, now: float, timeout_s: float) -> None:
-        """Apply that the granter did not answer within a time-out.
+        """Begin a pause, or double it, as the granter did not answer in time.
 
         Calls that asked before the current pause began do not prolong it.
         """
--- a/bamboovale/decisions/load_measurement.py
+++ b/bamboovale/decisions/load_measurement.py
@@ -1,9 +1,9 @@
-"""One adapter load in progress: when its end shows, and what it teaches.
+"""One adapter load in progress: when to read reports, and what is learned from it.
 
 Load: every load is waited for by requests, and each report that is read to see its end
 costs a call. Reports are read at about half of the expected time, shortly before and
-shortly after the end is expected to show in them, and then at growing intervals. Loads
-that became shorter are noticed by the first, and the bounds on the time are narrow.
+shortly after the end is expected to show in them, and then at growing intervals. The
+first shows loads that became shorter; the next two give narrow bounds on the time.
 """
 
 from dataclasses import dataclass, field
--- a/bamboovale/decisions/load_times.py
+++ b/bamboovale/decisions/load_times.py
@@ -102,9 +102,9 @@
         else:
             self.max_s = max(self.min_s, min(self.max_s, shown_s))
 
-    def lower(self, most_s: float) -> None:
-        """Apply that some report was younger than assumed."""
-        self.min_s = max(0.0, min(self.min_s, most_s))
+    def lower(self, age_s: float) -> None:
+        """Lower the minimum, as a report was received ``age_s`` after its state."""
+        self.min_s = max(0.0, min(self.min_s, age_s))
 
 
 class LoadTimes:
@@ -193,7 +193,7 @@
     def on_early(self, after_s: float, cached: bool | None) -> None:
         """Handle a request that came too early, ``after_s`` after the order's answer.
 
-        The load itself teaches more once it is complete.
+        The load is measured once it is complete.
         """
         self._is_contradicted = True
         time = self._of(cached)
@@ -206,6 +206,7 @@
     def _was_cached(
         self, min_s: float, max_s: float, cached: bool | None
     ) -> bool | None:
+        """Return whether a load came from the cache, None if its bounds allow both."""
         if cached is False or not self._stored.is_known:
             return False
         limit_s = QUICK_PART * self._stored.mean_s
@@ -214,7 +215,7 @@
         return False if min_s >= limit_s else None
 
     def _is_usual(self, max_s: float, cached: bool | None) -> bool:
-        """Return whether a load may teach the time of loads from the store."""
+        """Return whether a load counts for the time of loads from the store."""
         is_quick = max_s < QUICK_PART * self._stored.mean_s
         if cached is not False or not self._stored.is_known or not is_quick:
             self._quick_in_a_row = 0
--- a/bamboovale/decisions/place_endpoint.py
+++ b/bamboovale/decisions/place_endpoint.py
@@ -22,8 +22,10 @@
 HANG_FACTOR = 2.0
 """Multiple of the learned time from which the age of the oldest call counts instead."""
 ERROR_COST = 12.0
+"""Cost added to an endpoint that only fails, as a multiple of its time: fast failures
+must not attract calls."""
 ERROR_WEIGHT = 0.12
-"""An error answer is no use to the caller, however fast it comes."""
+"""Weight of one call in the share of errors."""
 FAILURES_TO_PAUSE = 5
 """Consecutive failures; hardly ever reached by chance."""
 FIRST_FAILURE_PAUSE_S = 2.0
@@ -32,11 +34,11 @@
 """Bounds of pauses that double with each further setback."""
 
 PlaceKey = tuple[str, int]
-"""The VM of a call, and its number of the place."""
+"""A VM, and the number that it gave to the place."""
 
 
 class CallEnd(Enum):
-    """How the use of a place ended; only an answer tells how long calls take."""
+    """How the use of a place ended; only an answer is a sample of the time of calls."""
 
     ANSWERED = "answered"
     FAILED = "failed"
@@ -115,7 +117,7 @@
         return oldest_s if oldest_s > HANG_FACTOR * learned_s else learned_s
 
     def cost(self, now: float, pool_s: float) -> float:
-        """Return by how much to avoid the endpoint: its time, errors and load."""
+        """Return the cost of one more call there, by its time, errors and load."""
         load = len(self.used_by_key) / self.slots
         errors = ERROR_COST * self._error_share
         return self.call_s(now, pool_s) * (1.0 + errors) * (1.0 + load)
--- a/bamboovale/decisions/quota_account.py
+++ b/bamboovale/decisions/quota_account.py
@@ -31,12 +31,12 @@
 """Part of the capacity from which the demand counts as far below the limit."""
 REOPEN_SHARE = 0.1
 """Part of the capacity that must be left before a used up account is open again."""
-RECALL_S = 8.0
-"""Age up to which a reply of an earlier account counts."""
+MAX_RECALLED_AGE_S = 8.0
+"""Age up to which a reply of an earlier holder of the account counts."""
 USUAL_MEMORY_S = 20.0
 """Time constant of the mean of what is admitted: longer than most peaks."""
-RECALL_FOR_S = 2.0
-"""Time in which an account that has moved hears of all VMs in use."""
+RECALL_PERIOD_S = 2.0
+"""Time within which all VMs in use report to an account that has moved."""
 
 
 class Budget(Protocol):
@@ -62,10 +62,10 @@
         """Return after how long anything is left, if nothing is used."""
 
     def early_use(self, now: float) -> float:
-        """Return the use that leaves the window within half of it."""
+        """Return the use that drops out of the window during its next half."""
 
     def sustained_per_s(self, now: float) -> float:
-        """Return the rate that can be used for half of the window."""
+        """Return the rate that can be used during the next half of the window."""
 
     def restore(
         self, early_use: float, sustained_per_s: float, at: float, now: float
@@ -78,7 +78,11 @@
 
 @dataclass
 class _Reporter:
-    """What one start of a VM last reported; times are of the account's clock."""
+    """What one start of a VM last reported; times are of the account's clock.
+
+    ``held_per_s`` is the rate at which it goes on without a reply, ``presumed`` what is
+    charged for that until it reports again.
+    """
 
     start: int
     used: float
@@ -93,7 +97,7 @@
         return self.demand_per_s * math.exp(-age_s / DEMAND_MEMORY_S)
 
     def held(self, now: float) -> float:
-        """Return what it may have admitted since without a reply."""
+        """Return what it may have admitted at its last share since its report."""
         return self.held_per_s * min(HOLD_S, now - self.reported_at)
 
 
@@ -149,7 +153,7 @@
 
     def _recall(self, report: QuotaReport, now: float) -> None:
         """Keep the newest reply that a VM had of an earlier account."""
-        if not 0.0 < report.replied_s_ago <= RECALL_S or report.weight <= 0.0:
+        if not 0.0 < report.replied_s_ago <= MAX_RECALLED_AGE_S or report.weight <= 0.0:
             return
         replied_at = now - report.replied_s_ago
         if self._recalled is None or replied_at > self._recalled.replied_at:
@@ -164,9 +168,11 @@
 
         What was regained since is credited as VMs report what they admitted since.
         """
-        if self._recalled is None or now - self._began_at > RECALL_FOR_S:
+        if self._recalled is None or now - self._began_at > RECALL_PERIOD_S:
             return
-        heard = self._heard_per_s(now) / max(1e-9, self._recalled_demand_per_s(now))
+        heard = self._reported_demand_per_s(now) / max(
+            1e-9, self._recalled_demand_per_s(now)
+        )
         gap_s = self._began_at - self._recalled.replied_at
         regained = gap_s * self._budget.regained_per_s(now) * min(1.0, heard)
         credit = self._recalled.left + regained
@@ -257,13 +263,13 @@
         return max(total, self._recalled_demand_per_s(now))
 
     def _recalled_demand_per_s(self, now: float) -> float:
-        """Return the demand that the account before had, faded."""
+        """Return the demand at all VMs under the earlier account, less with time."""
         if self._recalled is None:
             return 0.0
         age_s = now - self._began_at
         return self._recalled.demand_per_s * math.exp(-age_s / DEMAND_MEMORY_S)
 
-    def _heard_per_s(self, now: float) -> float:
+    def _reported_demand_per_s(self, now: float) -> float:
         """Return the demand at the VMs that have reported."""
         return sum(
             reporter.faded_demand_per_s(now)
--- a/bamboovale/decisions/quota_budget.py
+++ b/bamboovale/decisions/quota_budget.py
@@ -64,11 +64,11 @@
         return max(bucket_s, self._window.open_in_s(now))
 
     def early_use(self, now: float) -> float:
-        """Return the use that leaves the window within half of it."""
+        """Return the use that drops out of the window during its next half."""
         return self._window.early_use(now)
 
     def sustained_per_s(self, now: float) -> float:
-        """Return the rate that can be used for half of the window."""
+        """Return the rate that can be used during the next half of the window."""
         return self._window.sustained_per_s(now)
 
     def restore(
--- a/bamboovale/decisions/quota_meter.py
+++ b/bamboovale/decisions/quota_meter.py
@@ -52,7 +52,7 @@
 MIN_RETRY_S = 0.25
 MAX_RETRY_S = 30.0
 DEFAULT_PATIENCE_S = 10.0
-"""Assumed time that a caller waits which does not say it."""
+"""Time that a caller is assumed to wait if it is not known."""
 
 
 @dataclass
@@ -187,8 +187,8 @@
         """Admit a request in as many cases as the allowance is a part of its cost.
 
         Guards against a restart of all VMs, or the loss of an account near the limit,
-        when each VM would overdraw by a request.
-        The allowance is spent on the chance, whether it is admitted or not.
+        when each VM would overdraw by a request. The allowance is spent on the chance,
+        whether it is admitted or not.
         """
         is_admitted = self._rng.random() * cost < meter.allowance
         meter.allowance = max(0.0, meter.allowance - cost)
@@ -233,8 +233,8 @@
     def report_anew(self, customer: str) -> None:
         """Report at once, as another VM keeps the account now.
 
-        Guards against going by a reply from before the account was open again, of which
-        the new holder cannot tell a VM that it does not know.
+        Guards against refusals by an old reply: the new holder tells only VMs that have
+        reported to it that the account is open again.
         """
         meter = self._meter_by_customer.get(customer)
         if meter is not None and meter.weight is not None:
@@ -339,7 +339,7 @@
         return self._alone_per_s(meter) * share
 
     def _is_held(self, meter: _Meter, now: float) -> bool:
-        """Return whether this VM asks in vain and goes on at its last share."""
+        """Return whether this VM has no reply in time and goes on at its last share."""
         if meter.weight is None or now - meter.granted_at <= REPLY_TIMEOUT_S:
             return False
         if meter.awaits_reply and now - meter.asked_at > REPLY_TIMEOUT_S:
--- a/bamboovale/decisions/quota_reports.py
+++ b/bamboovale/decisions/quota_reports.py
@@ -21,8 +21,8 @@
     """What a VM admitted of a customer since it started, repeated reports included.
 
     ``granted_for`` is the part of ``used`` that the last reply had taken into account,
-    ``replied_s_ago`` the time since then, 0 if there was none, ``left``, ``weight``,
-    ``early_use`` and ``sustained_per_s`` what it said.
+    ``replied_s_ago`` the time since that reply, 0 if there was none. ``left``,
+    ``weight``, ``early_use`` and ``sustained_per_s`` are those of that reply.
     """
 
     customer: str
@@ -44,8 +44,8 @@
     ``regained_per_s`` is the rate at which more is regained next, ``open_in_s`` after
     how long anything is left, ``is_ample`` whether the demand is far below the limit.
     ``used`` repeats that of the report. ``usual_per_s`` is the mean rate of what is
-    admitted, ``early_use`` the use that leaves the window within half of it,
-    ``sustained_per_s`` the rate that can be used for as long.
+    admitted, ``early_use`` the use that drops out of the window during its next half,
+    ``sustained_per_s`` the rate that can be used during that half.
     """
 
     customer: str
--- a/bamboovale/decisions/return_queue.py
+++ b/bamboovale/decisions/return_queue.py
@@ -2,7 +2,7 @@
 
 Answers the load of a customer that sends several times its limit: callers that are
 told the same short time return together, are refused again and crowd out new requests.
-Each is given a time of its own, at the rate that the customer's usual demand leaves
+Each is given a different time, at the rate that the customer's usual demand leaves
 free. The further the demand is above the limit, the later the first of these times, as
 a request that returns meanwhile has little chance. No time is kept for a caller that
 will have given up by then.
@@ -46,7 +46,7 @@
         begins_at = now + max(terms.opens_in_s, crowded_s)
         begins_at = max(begins_at, self._promised_until)
         interval_s = cost / max(terms.spare_per_s, 1e-9)
-        # Queues of many VMs begin at the same time, and the times must not.
+        # The queues of many VMs begin at the same time; their callers must not.
         wait_s = begins_at - now + rng.random() * interval_s
         if wait_s <= terms.patience_s:
             self._promised_until = begins_at + interval_s
--- a/bamboovale/decisions/run_speed.py
+++ b/bamboovale/decisions/run_speed.py
@@ -4,10 +4,10 @@
 second. A fixed time per run sends a slow engine as many requests as a fast one, whose
 callers then wait for places there while others are free.
 
-A line gives the lasting time of a token by the number of concurrent runs. A factor on
-it follows the last runs within a few samples and returns to 1 without new ones, so that
-an engine that was slow is used again. Each run moves both by a bounded step: a run that
-met a fault takes many times longer than others.
+A linear regression gives the lasting time of a token by the number of concurrent runs.
+A factor on it follows the last runs within a few samples and returns to 1 without new
+ones, so that an engine that was slow is used again. Each run moves both by a bounded
+step: a run that met a fault takes many times longer than others.
 """
 
 import math
@@ -80,7 +80,7 @@
             self._mean_active = active
         self._learn_factor(sample, active, now)
         weight = self._lasting_weight(now)
-        self._learn_line(sample, active, weight)
+        self._learn_lasting(sample, active, weight)
         self._learn_length(seconds + first_s, weight, now)
         self._last_at = now
 
@@ -122,7 +122,7 @@
         weight = 1.0 - math.exp(-interval_s / LASTING_S)
         return max(weight, 1.0 / self._runs) if self._runs <= FIRST_RUNS else weight
 
-    def _learn_line(self, sample: float, active: float, weight: float) -> None:
+    def _learn_lasting(self, sample: float, active: float, weight: float) -> None:
         """Update the weighted linear regression of the lasting time per token."""
         lasting_s = self._lasting_s(active)
         bound_s = MAX_STEP * lasting_s
--- a/bamboovale/decisions/shared_places.py
+++ b/bamboovale/decisions/shared_places.py
@@ -6,7 +6,7 @@
 refused while a place is free.
 
 Requests wait in the order of whether their goal can still be met, their rank and their
-goal. One whose expected wait exceeds what its caller bears is refused at once, with the
+goal. One whose expected wait exceeds its caller's patience is refused at once, with the
 time at which a place is expected for it behind those refused before: callers that
 return together would be refused again.
 """
@@ -42,7 +42,7 @@
 class PlaceWanted:
     """A VM's request for a place; times are seconds from now.
 
-    ``rank`` 0 is the most urgent. ``waits_s`` is how long the caller bears to wait,
+    ``rank`` 0 is the most urgent. ``waits_s`` is how long the caller may wait,
     ``ends_in_s`` when its call ends at the latest. ``excluded`` are endpoints that
     cannot take this call from this VM.
     """
@@ -95,15 +95,15 @@
         self._last_number = 0
         self._returns_until = -math.inf
         self._undecided: list[_Waiting] = []
-        # Lower bounds of when a request or a place expires.
-        self._hopeless_at = math.inf
-        self._expires_at = math.inf
+        # Lower bounds of when a request can no longer wait and when a place expires.
+        self._next_refusal_at = math.inf
+        self._next_expiry_at = math.inf
 
     # Events.
 
     def set_endpoints(self, slots_by_id: Mapping[str, int]) -> None:
         """Set the endpoints that accept calls, with their concurrent calls."""
-        if slots_by_id == {n: e.slots for n, e in self._endpoint_by_id.items()}:
+        if slots_by_id == {i: e.slots for i, e in self._endpoint_by_id.items()}:
             return
         known = self._endpoint_by_id
         self._endpoint_by_id = {}
@@ -134,7 +134,7 @@
         bisect.insort(self._queue, waiting)
         self._waiting_by_key[wanted.key] = waiting
         self._undecided.append(waiting)
-        self._hopeless_at = min(self._hopeless_at, waiting.latest_start_at)
+        self._next_refusal_at = min(self._next_refusal_at, waiting.latest_start_at)
 
     def on_held(
         self, key: PlaceKey, endpoint_id: str, ends_in_s: float, now: float
@@ -166,17 +166,17 @@
 
     def decide(self, now: float) -> list[PlaceDecision]:
         """Return grants and refusals; requests without either go on waiting."""
-        if now >= self._expires_at:
+        if now >= self._next_expiry_at:
             self._expire(now)
         if not self._queue:
             self._undecided.clear()
-            self._hopeless_at = math.inf
+            self._next_refusal_at = math.inf
             return []
-        return [*self._grant_free(now), *self._refuse_hopeless(now)]
+        return [*self._grant_free(now), *self._refuse_overdue(now)]
 
     def next_at(self, now: float) -> float:
         """Return when to decide anew at the latest, without further events."""
-        at = min(self._hopeless_at, self._expires_at)
+        at = min(self._next_refusal_at, self._next_expiry_at)
         if not self._queue:
             return at
         endpoints = self._endpoint_by_id.values()
@@ -239,30 +239,30 @@
                 return min(costs)[1]
         return None
 
-    def _refuse_hopeless(self, now: float) -> list[PlaceDecision]:
-        """Refuse new requests that would wait too long, and those that no longer can.
+    def _refuse_overdue(self, now: float) -> list[PlaceDecision]:
+        """Refuse new requests that would wait too long, and others that now would.
 
         Before an endpoint has answered nothing is known of waits. The last in the queue
-        is looked at each time, as it is the one that a more urgent request delays most.
+        is checked each time, as it is the one that a more urgent request delays most.
         """
         endpoints = self._endpoint_by_id.values()
         knows_times = any(e.learned_s is not None for e in endpoints)
         refused = []
-        for waiting in self._to_look_at(now):
+        for waiting in self._refusal_candidates(now):
             decision = self._refusal(waiting, knows_times, now)
             if decision is not None:
                 self._drop_waiting(waiting.wanted.key)
                 refused.append(decision)
         if knows_times:
             self._undecided.clear()
-        if now >= self._hopeless_at:
+        if now >= self._next_refusal_at:
             starts = (waiting.latest_start_at for waiting in self._queue)
-            self._hopeless_at = min(starts, default=math.inf)
+            self._next_refusal_at = min(starts, default=math.inf)
         return refused
 
-    def _to_look_at(self, now: float) -> list[_Waiting]:
+    def _refusal_candidates(self, now: float) -> list[_Waiting]:
         """Return the requests that may have to be refused, in their order."""
-        if now >= self._hopeless_at:
+        if now >= self._next_refusal_at:
             return list(self._queue)
         known = self._waiting_by_key
         found = [w for w in self._undecided if w.wanted.key in known]
@@ -278,13 +278,13 @@
             return PlaceDecision(wanted.key)
         ahead = bisect.bisect_left(self._queue, waiting)
         wait_s = self.expected_wait_s(wanted, ahead, now)
-        bears_s = waiting.latest_start_at - now
+        patience_s = waiting.latest_start_at - now
         is_full = False
         if waiting.is_new:
-            bears_s = min(bears_s, wanted.waits_s)
+            patience_s = min(patience_s, wanted.waits_s)
             is_full = len(self._queue) > MAX_WAITING
             waiting.is_new = not knows_times
-        if is_full or bears_s <= 0.0 or (knows_times and wait_s > bears_s):
+        if is_full or patience_s <= 0.0 or (knows_times and wait_s > patience_s):
             return PlaceDecision(
                 wanted.key, None, self._return_in_s(waiting, wait_s, now)
             )
@@ -319,22 +319,24 @@
     def _may_pause(self, endpoint: PlaceEndpoint) -> bool:
         others = [e for e in self._endpoint_by_id.values() if e is not endpoint]
         failing = sum(other.is_failing() for other in others)
-        most = max(1, int((len(others) + 1) * MAX_PAUSED_SHARE))
-        return bool(others) and failing < most
+        max_failing = max(1, int((len(others) + 1) * MAX_PAUSED_SHARE))
+        return bool(others) and failing < max_failing
 
     def _use(self, key: PlaceKey, endpoint_id: str, used: UsedPlace) -> None:
         self._endpoint_by_id[endpoint_id].used_by_key[key] = used
         self._endpoint_by_key[key] = endpoint_id
-        self._expires_at = min(self._expires_at, used.ends_at)
+        self._next_expiry_at = min(self._next_expiry_at, used.ends_at)
 
     def _expire(self, now: float) -> None:
         """Free the places of calls whose deadline has passed."""
-        self._expires_at = math.inf
+        self._next_expiry_at = math.inf
         for endpoint in self._endpoint_by_id.values():
             for key in endpoint.expire(now):
                 del self._endpoint_by_key[key]
             ends = (used.ends_at for used in endpoint.used_by_key.values())
-            self._expires_at = min(self._expires_at, min(ends, default=math.inf))
+            self._next_expiry_at = min(
+                self._next_expiry_at, min(ends, default=math.inf)
+            )
 
     def _drop_waiting(self, key: PlaceKey) -> None:
         waiting = self._waiting_by_key.pop(key, None)
--- a/bamboovale/decisions/usage_window.py
+++ b/bamboovale/decisions/usage_window.py
@@ -76,13 +76,13 @@
         return self._capacity - self._used
 
     def early_use(self, now: float) -> float:
-        """Return the use that leaves the window within half of it."""
+        """Return the use that drops out of the window during its next half."""
         self._expire(now)
         until = now + self._window_s / 2
         return sum(part.used for part in self._slices if self._leaves_at(part) <= until)
 
     def sustained_per_s(self, now: float) -> float:
-        """Return the rate that can be used for half of the window."""
+        """Return the rate that can be used during the next half of the window."""
         free = self._capacity - self._used + self.early_use(now)
         return max(0.0, free) / (self._window_s / 2)
 
--- a/bamboovale/gateway/access.py
+++ b/bamboovale/gateway/access.py
@@ -85,7 +85,7 @@
             return 0.0
         cost = customer.quota.cost(facts.tokens)
         waits_s = min(route.timeout_s, facts.deadline_s or route.timeout_s)
-        # Who returns needs time for the answer as well.
+        # A caller that returns needs the goal's time for its answer.
         patience_s = max(0.0, waits_s - route.goal_s)
         retry_s = self._meter.take(customer.name, cost, self._now(), patience_s)
         self._on_spent(customer.name)
--- a/bamboovale/gateway/account_holders.py
+++ b/bamboovale/gateway/account_holders.py
@@ -10,8 +10,9 @@
 from bamboovale.gateway.ownership import partition_of
 from bamboovale.gateway.vm_state import VMState
 
-PARTITIONS_PER_ACCOUNTING_ONE = 4
-"""Accounts are spread over one partition in so many: a VM reports to few others."""
+ACCOUNT_PARTITION_DIVISOR = 4
+"""Accounts use a number of partitions smaller by this factor, so that a VM reports to
+few others."""
 
 
 class Partitions(Protocol):
@@ -80,4 +81,4 @@
 
     def _count(self) -> int:
         partitions = self._state.node.store_limits.partitions
-        return max(1, partitions // PARTITIONS_PER_ACCOUNTING_ONE)
+        return max(1, partitions // ACCOUNT_PARTITION_DIVISOR)
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -35,7 +35,8 @@
 AdapterVersions = tuple[tuple[str, str, int], ...]
 """Adapters as owners publish them: model, adapter, version."""
 POOL_SPEED_VALID_S = 0.3
-"""How long the speed of a pool is used: each new one renews all candidates."""
+"""How long the speed of a pool is used: after each change all candidates are built
+anew."""
 PRUNE_FACTOR = 2
 """State of former engines is dropped once entries exceed this multiple of the current
 engines: each start of an engine has an id of its own."""
@@ -92,7 +93,7 @@
 
 
 @dataclass(frozen=True)
-class _Built:
+class _CachedCandidate:
     """A candidate, and what it was built from: an entry of the fleet, or a record."""
 
     source: EndpointRecord | OwnedEngine
@@ -127,7 +128,7 @@
     on_engine_needed: Callable[[], None] = lambda: None
     _sent_by_id: dict[str, _Sent] = field(default_factory=dict)
     _loaded_by_id: dict[str, _Loaded] = field(default_factory=dict)
-    _candidate_by_id: dict[str, _Built] = field(default_factory=dict)
+    _candidate_by_id: dict[str, _CachedCandidate] = field(default_factory=dict)
     _pool_by_service: dict[str, tuple[float, PoolSpeed]] = field(default_factory=dict)
     _held_by_id: dict[str, PlaceHeld] = field(default_factory=dict)
     _owner_by_held: dict[str, str] = field(default_factory=dict)
@@ -373,7 +374,7 @@
         is_own = engine_id in self.owner_by_engine
         owner = self.own_id if is_own else self._live_owner(owned)
         if owned is None or owned.published is None:
-            return self._kept_candidate(engine_id, record, _CandidateState(owner))
+            return self._cached_candidate(engine_id, record, _CandidateState(owner))
         sent = self._sent_by_id.setdefault(engine_id, _Sent())
         if owned.last_seen > sent.last_seen:
             sent.last_seen = owned.last_seen
@@ -385,14 +386,18 @@
         state = _CandidateState(
             owner, sent.tokens, sent.loads, sent.requests, own_wait_s, pool
         )
-        return self._kept_candidate(engine_id, owned, state)
+        return self._cached_candidate(engine_id, owned, state)
 
-    def _kept_candidate(
+    def _cached_candidate(
         self,
         engine_id: str,
         source: EndpointRecord | OwnedEngine,
         state: _CandidateState,
     ) -> EngineCandidate:
+        """Return the last candidate if source and state are the same, else a new one.
+
+        A snapshot is reused while only the state differs.
+        """
         built = self._candidate_by_id.get(engine_id)
         is_same = built is not None and built.source is source
         if built is not None and is_same and built.state == state:
@@ -416,7 +421,7 @@
             own_requests=state.own_requests,
             pool=state.pool,
         )
-        self._candidate_by_id[engine_id] = _Built(source, state, candidate)
+        self._candidate_by_id[engine_id] = _CachedCandidate(source, state, candidate)
         return candidate
 
 
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -96,7 +96,7 @@
         except QuotaExceeded as refusal:
             outcome, reason = "over_quota", str(refusal)
             self._metrics.count_refusal_of(refusal.customer)
-            # Each caller has a time of its own.
+            # No random spread: each caller is told a different time.
             self._answer(responder, 429, refusal.retry_after_s, facts.request_id)
             details = _quota_details(refusal)
         except CallRefused as refusal:
--- a/bamboovale/peers/member_plans.py
+++ b/bamboovale/peers/member_plans.py
@@ -69,6 +69,7 @@
         return members
 
     def _plan(self, types: tuple[type, ...]) -> tuple[tuple[int, Convert], ...]:
+        """Return the positions to convert, each with its conversion."""
         return tuple(
             (number, self._converts[number])
             for number, kind in enumerate(types)
--- a/bamboovale/shared_places/client.py
+++ b/bamboovale/shared_places/client.py
@@ -31,6 +31,7 @@
 ASK_TIMEOUT_GOALS = 0.125
 """Part of the route's goal within which the granter must answer."""
 FIRST_NUMBER_BITS = 32
+"""Size of the random first number, so that a restarted VM does not repeat numbers."""
 GRANTED = "granted"
 REFUSED = "refused"
 UNABLE = "unable"
@@ -43,7 +44,7 @@
 
 
 class ClientLookup(GranterLookup, Protocol):
-    """Tells also which services have a granter, and what this VM cannot reach."""
+    """Adds which services have a granter, and which endpoints are out of reach."""
 
     def out_of_reach(self, endpoint_ids: Collection[str]) -> set[str]:
         """Return the endpoints to which this VM cannot connect."""
@@ -86,7 +87,7 @@
 
 @dataclass
 class _ServiceState:
-    """What this VM believes of a service's granter."""
+    """The granter of a service as this VM knows it, and the back-off from it."""
 
     granter: str | None = None
     back_off: GranterBackOff = field(default_factory=GranterBackOff)
--- a/bamboovale/shared_places/exchange.py
+++ b/bamboovale/shared_places/exchange.py
@@ -5,9 +5,9 @@
 
 from bamboovale.decisions.advertised_vms import advertised_count
 from bamboovale.decisions.shared_places import has_shared_places
+from bamboovale.gateway.account_holders import Partitions
 from bamboovale.gateway.engines import Links
 from bamboovale.gateway.ownership import partition_of
-from bamboovale.gateway.quota_exchange import Partitions
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.shared_places.client import PlaceClient
 from bamboovale.shared_places.granter import PlaceGranter, Reply
@@ -30,8 +30,6 @@
         self._state = state
         self._partitions = partitions
         self._is_on = is_on
-        self._holder_by_partition: dict[int, str | None] = {}
-        self._holders_version = -1
 
     @property
     def own_id(self) -> str:
@@ -60,13 +58,7 @@
         partition = partition_of(f"places/{service}", partitions)
         if partition in self._partitions.held_partitions():
             return self.own_id
-        fleet = self._state.fleet
-        if self._holders_version != fleet.version:
-            self._holders_version = fleet.version
-            self._holder_by_partition.clear()
-        if partition not in self._holder_by_partition:
-            self._holder_by_partition[partition] = fleet.partition_holder(partition)
-        return self._holder_by_partition[partition]
+        return self._state.fleet.partition_holder(partition)
 
     def slots_by_id(self, service: str) -> Mapping[str, int]:
         """Return the slots of the endpoints that accept new calls."""
--- a/bench/shared_place_simulation.py
+++ b/bench/shared_place_simulation.py
@@ -45,9 +45,9 @@
 DETECTION_S = 2.5
 """Time until a VM that is killed or cut off is missed, and another takes over."""
 PUBLISH_INTERVAL_S = 0.1
-"""Interval at which VMs learn the load of endpoints by news of others."""
+"""Interval at which VMs publish the load of endpoints to others."""
 FRAME_BYTES = 14
-"""What frames and links add to a message, about."""
+"""Approximate size that frames and links add to a message."""
 
 
 class Way(Enum):
@@ -61,13 +61,13 @@
 
 @dataclass(frozen=True)
 class Span:
-    """A time in which something is the case; seconds from the start."""
+    """A time in which a fault holds; seconds from the start."""
 
     start: float = math.inf
     end: float = math.inf
 
     def holds(self, now: float) -> bool:
-        """Return whether it is the case."""
+        """Return whether the fault holds."""
         return self.start <= now < self.end
 
 
@@ -409,7 +409,7 @@
 
 @dataclass
 class SimulatedLookup:
-    """What one VM believes of granters."""
+    """The granters as one VM knows them."""
 
     fleet: SimulatedFleet
     own_id: str
