State which outcome of a place request is only logged; shorten a cache lookup

The constant LEFT was said to be counted in the metric, which is updated only when the wait for a place ends by itself. No change in behaviour.

--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -398,12 +398,13 @@
 
         A snapshot is reused while only the state differs.
         """
-        built = self._candidate_by_id.get(engine_id)
-        is_same = built is not None and built.source is source
-        if built is not None and is_same and built.state == state:
-            return built.candidate
-        if built is not None and is_same:
-            snapshot = built.candidate.snapshot
+        cached = self._candidate_by_id.get(engine_id)
+        if cached is not None and cached.source is not source:
+            cached = None
+        if cached is not None and cached.state == state:
+            return cached.candidate
+        if cached is not None:
+            snapshot = cached.candidate.snapshot
         elif isinstance(source, OwnedEngine):
             assert source.published is not None
             load = source.load or source.published
--- a/bamboovale/shared_places/client.py
+++ b/bamboovale/shared_places/client.py
@@ -31,7 +31,7 @@
 ASK_TIMEOUT_GOALS = 0.125
 """Part of the route's goal within which the granter must answer."""
 FIRST_NUMBER_BITS = 32
-"""Size of the random first number, so that a restarted VM does not repeat numbers."""
+"""Size of the random first number of a place."""
 GRANTED = "granted"
 REFUSED = "refused"
 UNABLE = "unable"
@@ -39,8 +39,8 @@
 BACKED_OFF = "backed_off"
 NO_GRANTER = "no_granter"
 LEFT = "left"
-"""Outcomes of a request for a place, in log lines and the counter; ``left`` if its
-caller left first."""
+"""Outcomes of a request for a place, in log lines and the counter; ``left``, if its
+caller left first, is only in log lines."""
 
 
 class ClientLookup(GranterLookup, Protocol):
@@ -111,7 +111,7 @@
         self._journal = journal
         self._now = now
         self._on_outcome = on_outcome
-        # Another process of this VM may still hold places by its numbers.
+        # An earlier process of this VM may still hold places by its numbers.
         self._numbers = itertools.count(random.getrandbits(FIRST_NUMBER_BITS))
         self._place_by_number: dict[int, AskedPlace] = {}
         self._state_by_service: dict[str, _ServiceState] = {}
--- a/bench/return_ways.py
+++ b/bench/return_ways.py
@@ -28,17 +28,17 @@
 ENDPOINTS_PER_VM = 2
 NEIGHBOURS = 8
 NEWS_S = 0.1
-"""Time from news to the message that tells a neighbour."""
+"""Time from a change at a VM until it tells its neighbours."""
 HEARTBEAT_S = 1.2
 COPY_AT_S = 6.0
 AWAY_AT_S = 9.0
 AWAY_S = 0.5
 LEAVES_AFTER_S = 0.3
-"""From the return to the word of the endpoint that leaves."""
+"""Time from the return until an endpoint writes that it leaves."""
 DRAIN_S = 2.0
 SECONDS = 20.0
 CALLS_PER_VM_S = 1.0
-"""Calls of one VM to the endpoint that leaves, as long as it does not know."""
+"""Calls of one VM to the leaving endpoint until the VM knows that it leaves."""
 
 
 @dataclass(frozen=True)
