--- a/bamboovale/decisions/adapter_slots.py
+++ b/bamboovale/decisions/adapter_slots.py
@@ -102,7 +102,7 @@
             for slot in self._slot_by_key.values()
             if slot.state is SlotState.LOADING or not slot.confirmed
         ]
-        if self.engine_is_busy:
+        if self.engine_is_busy or self.count(SlotState.UNLOADING):
             times.append(now + MIN_REPORT_INTERVAL_S)
         if not times:
             return None
@@ -225,7 +225,7 @@
             return
         if slot.confirmed and not not_held:
             return
-        if slot.load is not None:
+        if not_held and slot.load is not None:
             slot.load.on_early(sent_at, self.times)
         slot.state = SlotState.LOADING
         slot.predicted = False
--- a/bamboovale/decisions/quota_budget.py
+++ b/bamboovale/decisions/quota_budget.py
@@ -38,7 +38,7 @@
         self._window.set_limit(rate_per_s, burst, now)
         self._regained_per_s = rate_per_s + burst / self._window_s
         self.capacity = burst + RESERVE_S * rate_per_s
-        self._in_bucket = min(self._in_bucket, burst)
+        self._in_bucket = min(self._in_bucket, self.capacity)
 
     def spend(self, amount: float, now: float) -> None:
         """Count use; a negative amount was given back."""
@@ -64,11 +64,11 @@
         return max(bucket_s, self._window.open_in_s(now))
 
     def early_use(self, now: float) -> float:
-        """Return the use that leaves the window within half of it."""
+        """Return the use that drops out of the window during its next half."""
         return self._window.early_use(now)
 
     def sustained_per_s(self, now: float) -> float:
-        """Return the rate that can be used for half of the window."""
+        """Return the rate that can be used during the next half of the window."""
         return self._window.sustained_per_s(now)
 
     def restore(
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -227,6 +227,7 @@
             queued=snapshot.queued,
             backlog_s=round(snapshot.backlog_s, 3),
             open_slots=snapshot.open_slots,
+            free_slots=snapshot.free_slots,
         )
 
     # Actions.
@@ -286,8 +287,7 @@
         if result.outcome is OrderOutcome.GONE:
             self._on_engine_unreachable()
         self.places.on_order_failed(action, certain=result.is_certain)
-        if result.outcome is not None:
-            self._reports.read_by(now + CONFLICT_POLL_DELAY_S)
+        self._reports.read_by(now + CONFLICT_POLL_DELAY_S)
 
     # Reports.
 
--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -61,6 +61,7 @@
             queued=self.load.queued,
             backlog_s=self.load.backlog_s,
             open_slots=self.load.open_slots,
+            free_slots=self.load.free_slots,
         )
 
 
--- a/bamboovale/gateway/messages.py
+++ b/bamboovale/gateway/messages.py
@@ -168,6 +168,7 @@
     queued: int
     backlog_s: float
     open_slots: int
+    free_slots: int = 0
 
 
 @message("engine_loads")
--- a/bamboovale/gateway/status_exchange.py
+++ b/bamboovale/gateway/status_exchange.py
@@ -153,6 +153,7 @@
         queued=0,
         backlog_s=0.0,
         open_slots=0,
+        free_slots=0,
         s_per_token=_rounded(status.s_per_token),
         load_s=_rounded(status.load_s),
         cached_load_s=_rounded(status.cached_load_s),
--- a/bamboovale/shared_places/client.py
+++ b/bamboovale/shared_places/client.py
@@ -31,6 +31,7 @@
 ASK_TIMEOUT_GOALS = 0.125
 """Part of the route's goal within which the granter must answer."""
 FIRST_NUMBER_BITS = 32
+"""Size of the random first number of a place."""
 GRANTED = "granted"
 REFUSED = "refused"
 UNABLE = "unable"
@@ -38,12 +39,12 @@
 BACKED_OFF = "backed_off"
 NO_GRANTER = "no_granter"
 LEFT = "left"
-"""Outcomes of a request for a place, in log lines and the counter; ``left`` if its
-caller left first."""
+"""Outcomes of a request for a place, in log lines and the counter; ``left``, if its
+caller left first, is only in log lines."""
 
 
 class ClientLookup(GranterLookup, Protocol):
-    """Tells also which services have a granter, and what this VM cannot reach."""
+    """Adds which services have a granter, and which endpoints are out of reach."""
 
     def out_of_reach(self, endpoint_ids: Collection[str]) -> set[str]:
         """Return the endpoints to which this VM cannot connect."""
@@ -86,7 +87,7 @@
 
 @dataclass
 class _ServiceState:
-    """What this VM believes of a service's granter."""
+    """The granter of a service as this VM knows it, and the back-off from it."""
 
     granter: str | None = None
     back_off: GranterBackOff = field(default_factory=GranterBackOff)
@@ -110,7 +111,7 @@
         self._journal = journal
         self._now = now
         self._on_outcome = on_outcome
-        # Another process of this VM may still hold places by its numbers.
+        # An earlier process of this VM may still hold places by its numbers.
         self._numbers = itertools.count(random.getrandbits(FIRST_NUMBER_BITS))
         self._place_by_number: dict[int, AskedPlace] = {}
         self._state_by_service: dict[str, _ServiceState] = {}
