--- a/bamboovale/decisions/quota_budget.py
+++ b/bamboovale/decisions/quota_budget.py
@@ -38,7 +38,7 @@
         self._window.set_limit(rate_per_s, burst, now)
         self._regained_per_s = rate_per_s + burst / self._window_s
         self.capacity = burst + RESERVE_S * rate_per_s
-        self._in_bucket = min(self._in_bucket, self.capacity)
+        self._in_bucket = min(self._in_bucket, burst)
 
     def spend(self, amount: float, now: float) -> None:
         """Count use; a negative amount was given back."""
