--- a/review/1/play.py
+++ b/review/1/play.py
@@ -192,6 +192,7 @@
         await asyncio.sleep(BOUNDS["recover-s"])
         measured_at = time.monotonic()
         await clients.run(MEASURED_S)
+        site.record_runs()
     return judge(clients.sent, fault_at, measured_at, record)
 
 
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -102,6 +102,7 @@
             tasks.append(asyncio.create_task(upload(site, number, size)))
             await asyncio.sleep(PAUSE_S)
         uploads = await asyncio.gather(*tasks)
+        site.record_runs()
         ran = {item["id"] for item in site.events() if item["event"] == "run"}
     for item in uploads:
         took = "never" if item.answered_s is None else f"after {item.answered_s:.3f} s"
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -122,6 +122,7 @@
             await site.add_vm(name, "nue-a", bootstrap=False)
             await asyncio.sleep(BETWEEN_S)
         await running_load
+        site.record_runs()
         events = site.events()
     return judge(events, {vm.name for vm in first}, record)
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -138,6 +138,12 @@
         lines = (self.folder / "servers.jsonl").read_text().splitlines()
         return sorted((json.loads(line) for line in lines), key=lambda item: item["at"])
 
+    def record_runs(self) -> None:
+        """Write to the record what the servers ran."""
+        for item in self.events():
+            if item["event"] == "run":
+                self.record(f"{item['server']} runs {item['id']}", item["at"])
+
     async def put(
         self, topic: str, key: str, document: Any, ttl_ms: int | None = None
     ) -> float:
