An owner that holds an engine again waits the lease time from its last order

Callers see nothing.

Cause: where engines check fencing numbers, an owner ordered as soon as the store listed a partition, also one that another VM had held since its own last order.

Change: OrderTurns keeps the time and count of this VM's last order to each engine. After a gap in its hold, or after it was fenced, it orders again once the lease time has passed, or at once if the engine's count shows that nobody else ordered it. Relatives: planned stop, kill, freeze, a store that moves partitions without consent and back between two renewals (the generation skips a step), an expired lease, a fenced owner that goes on.

--- a/bamboovale/gateway/order_sender.py
+++ b/bamboovale/gateway/order_sender.py
@@ -116,7 +116,8 @@
             return False
         if self._context.rest_s(self._record().endpoint_id) > 0.0:
             return False
-        return self._context.may_order(self._record().registered_id)
+        registered_id = self._record().registered_id
+        return self._context.may_order(registered_id, self._accepted_orders)
 
     async def _send_once(
         self,
@@ -133,7 +134,14 @@
             adapter=action.adapter,
             version=version or None,
         )
-        outcome = await self._context.client.order(record, order, fence, expected, lost)
+        outcome = OrderOutcome.UNKNOWN
+        try:
+            outcome = await self._context.client.order(
+                record, order, fence, expected, lost
+            )
+        finally:
+            if outcome is OrderOutcome.UNKNOWN:
+                self._context.on_order(record.registered_id, None)
         self._context.journal.write(
             "order",
             engine=record.endpoint_id,
@@ -157,6 +165,8 @@
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.HOLDS):
             if self._accepted_orders is not None and _is_counted(action, outcome):
                 self._accepted_orders += 1
+            registered_id = self._record().registered_id
+            self._context.on_order(registered_id, self._accepted_orders)
             return
         if outcome is OrderOutcome.FENCED:
             self._rejected_fence = fence
--- a/bamboovale/gateway/owner_context.py
+++ b/bamboovale/gateway/owner_context.py
@@ -13,6 +13,8 @@
 class OwnerContext:
     """Dependencies of an engine's owner.
 
+    ``may_order`` is called with an engine and how many orders it has accepted,
+    ``on_order`` with that number after an order, None if not known.
     ``fence`` returns the fencing number for orders to an engine; ``on_fenced`` is
     called with a number that the engine refused. ``hold_off_s`` is how long a new owner
     evicts nothing, until the runs in flight are known. ``on_restart`` is called when a
@@ -27,7 +29,8 @@
     client: EngineClient
     journal: Journal
     now: Callable[[], float]
-    may_order: Callable[[str], bool]
+    may_order: Callable[[str, int | None], bool]
+    on_order: Callable[[str, int | None], None]
     fence: Callable[[str], int]
     on_fenced: Callable[[EndpointRecord, int], None]
     on_restart: Callable[[EndpointRecord, int], None]
--- a/bamboovale/gateway/ownership.py
+++ b/bamboovale/gateway/ownership.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from bamboovale.gateway.journal import Journal
+from bamboovale.gateway.order_turns import OrderTurns
 from bamboovale.store.interface import Membership, MetadataStore, StoreError
 
 GROUP = "engine-owners"
@@ -49,6 +50,9 @@
     """The partitions that this VM holds, its lease and its fencing numbers.
 
     ``generation`` is that of the store's group, counted over all eras of the store.
+    ``settle_s`` is how long an owner waits where another VM may have ordered an engine:
+    before its first order if engines do not check fencing numbers, else only before it
+    takes turns with that VM.
     ``renew_forever`` renews the lease. ``reachable`` is whether the store answered the
     last renewal.
     """
@@ -74,6 +78,7 @@
         self._journal = journal
         self._engines_check_fencing = engines_check_fencing
         self._settle_s = 0.0 if engines_check_fencing else settle_s
+        self._turns = OrderTurns(settle_s, journal, clock)
         self._on_change = on_change
         self._may_own = may_own
         self._clock = clock
@@ -145,6 +150,7 @@
             del self._takeover_fence[engine_id]
             self._on_change()
         elif self.reachable and self.holds(engine_id):
+            self._turns.on_fenced(engine_id)
             used = max(above, self.fence(engine_id))
             self._raised_fence[engine_id] = self._next_fence(used)
 
@@ -153,9 +159,17 @@
         step = above // VMS_PER_STEP + 1
         return step * VMS_PER_STEP + self._vm_number
 
-    def may_order(self, engine_id: str) -> bool:
+    def on_order(self, engine_id: str, orders: int | None) -> None:
+        """Note an order of this VM that an engine accepted as its ``orders``-th.
+
+        None: it is not known whether it was accepted.
+        """
+        self._turns.on_order(engine_id, orders)
+
+    def may_order(self, engine_id: str, orders: int | None = None) -> bool:
         """Return whether an order to an engine may be sent now.
 
+        ``orders`` is how many orders the engine has accepted, None if not known.
         Where engines check fencing numbers, an owner continues after its lease while
         the store is unreachable: if it was replaced, the engine refuses its orders.
         Where they do not, this VM's lease must be valid and the last owner's expired.
@@ -170,6 +184,8 @@
         now = self._clock()
         if now - since < self._settle_s:
             return False
+        if not self._turns.may_order(engine_id, since, orders):
+            return False
         if now < self._held_until:
             return True
         return self._engines_check_fencing and not self.reachable
@@ -262,8 +278,20 @@
             # The join may have reached the store after the leave.
             await self._leave_store()
             return
+        if self._may_have_missed_a_holder(_generation(membership)):
+            self._held_since.clear()
         self._held_until = sent_at + TTL_S - LEASE_MARGIN_S
         self._apply(membership)
+        self._turns.drop_old()
+
+    def _may_have_missed_a_holder(self, generation: int) -> bool:
+        """Return whether others may have held partitions since the last renewal."""
+        if generation == self.generation:
+            return False
+        expired = self._clock() >= self._held_until + LEASE_MARGIN_S
+        # The store may move a partition without its owner's consent, and back.
+        skipped = generation > self.generation + 1
+        return expired or (skipped and self._engines_check_fencing)
 
     def on_store_returned(self) -> None:
         """Confirm no generation to the store that it may not have given out yet."""
@@ -271,7 +299,7 @@
 
     def _apply(self, membership: Membership) -> None:
         now = self._clock()
-        generation = membership.era * GENERATIONS_PER_ERA + membership.generation
+        generation = _generation(membership)
         if membership.era != self._era:
             # Others may hold leases of the last era by their clocks.
             self._held_since.clear()
@@ -297,3 +325,8 @@
         self._confirmed_generation = membership.generation
         if changed:
             self._on_change()
+
+
+def _generation(membership: Membership) -> int:
+    """Return a membership's generation, counted over all eras of the store."""
+    return membership.era * GENERATIONS_PER_ERA + membership.generation
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -164,6 +164,7 @@
             journal=self.state.journal,
             now=self.state.now,
             may_order=self._ownership.may_order,
+            on_order=self._ownership.on_order,
             fence=self._ownership.fence,
             on_fenced=lambda record, token: self._assignment.on_fenced(record, token),
             on_restart=self.state.endpoints.on_restart,
--- a/tests/owner_simulation.py
+++ b/tests/owner_simulation.py
@@ -74,7 +74,8 @@
             client=client,
             journal=journal,
             now=asyncio.get_running_loop().time,
-            may_order=lambda engine_id: True,
+            may_order=lambda engine_id, orders: True,
+            on_order=lambda engine_id, orders: None,
             fence=lambda engine_id: 1,
             on_fenced=lambda record, token: None,
             on_restart=lambda record, started_ms: None,
@@ -303,7 +304,7 @@
         context = owner_context(
             self.engine,
             self.journal,
-            may_order=lambda engine_id: loop.time() >= self._denied_until,
+            may_order=lambda engine_id, orders: loop.time() >= self._denied_until,
             fence=lambda engine_id: self._fence,
             hold_off_s=lambda: 0.3,
         )
--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -94,7 +94,8 @@
         client=client,
         journal=RecordedJournal("owner"),
         fence=lambda engine_id: 1,
-        may_order=lambda engine_id: True,
+        may_order=lambda engine_id, orders: True,
+        on_order=lambda engine_id, orders: None,
     )
     sender = OrderSender(lambda: RECORD, context, lambda: 1)  # type: ignore[arg-type]
     client.sender = sender
