An outage of all endpoints accuses nothing that was served until then

Cause: the crash guard dated a crash by when it became known. A silent endpoint closes no port; its record goes 3.0 to 3.6 s later, when the answers that would speak for a part (those of 3 s) were just too old. Five such crashes convict a part that was sound before, and then no answer with it can begin; the sentence was doubled with each crash.

Change: an answer begun in the 3 s before the endpoint was last heard speaks against the crash. A subject that began an answer in the minute before its conviction is tried after 6 s, others after 300 s as before; three trials that crash stay the last ones, but many crashes at once are no trials. The record in the store tells of trials.

Both work: without the first, the tests of TestOutage fail (plain endpoints and engines).

--- a/bamboovale/crashes/attempt_watch.py
+++ b/bamboovale/crashes/attempt_watch.py
@@ -10,17 +10,20 @@
 class AttemptWatch:
     """Calls ``on_begun`` once the answer has begun, ``on_whole`` when it is whole.
 
+    ``on_heard`` is called with each sign of life of the endpoint.
     One that goes on with the answer of an earlier attempt is never whole by itself.
     """
 
     def __init__(
         self,
         now: Callable[[], float],
+        on_heard: Callable[[], None],
         on_begun: Callable[[], None],
         on_whole: Callable[[], None],
     ) -> None:
         self.has_begun = False
         self._now = now
+        self._on_heard = on_heard
         self._on_begun = on_begun
         self._on_whole = on_whole
         self._first_at: float | None = None
@@ -29,6 +32,7 @@
 
     def on_event(self) -> None:
         """Apply an event of the answer."""
+        self._on_heard()
         now = self._now()
         if self._first_at is None:
             self._first_at = now
@@ -37,6 +41,7 @@
 
     def on_failure(self) -> None:
         """Apply that the endpoint answers that it failed, perhaps before it began."""
+        self._on_heard()
         self._is_failure = True
 
     def on_going_on(self) -> None:
@@ -45,6 +50,7 @@
 
     def on_whole(self) -> None:
         """Apply that the answer is whole."""
+        self._on_heard()
         if self._is_failure:
             return
         self._begin()
--- a/bamboovale/crashes/evidence.py
+++ b/bamboovale/crashes/evidence.py
@@ -48,7 +48,10 @@
 
 @dataclass(frozen=True)
 class Sound:
-    """A subject that began an answer ``age_s`` ago and was lost with an endpoint."""
+    """A subject that was lost with an endpoint, but is sound.
+
+    It began an answer ``age_s`` before the endpoint was last heard.
+    """
 
     subject: str
     endpoint_id: str
@@ -57,10 +60,21 @@
 
 @dataclass(frozen=True)
 class Convicted:
-    """A subject that is refused from now on, or for longer."""
+    """A subject that is refused from now on, or for longer.
+
+    ``trials`` are those of its crashes that followed its conviction, ``was_sound`` is
+    whether it had begun an answer not long before.
+    """
 
     subject: str
     crashes: int
+    trials: int = 0
+    was_sound: bool = False
+
+    @classmethod
+    def from_suspicion(cls, subject: str, suspicion: Suspicion) -> "Convicted":
+        """Return what is known of a subject."""
+        return cls(subject, suspicion.crashes, suspicion.trials, suspicion.was_sound)
 
 
 @dataclass(frozen=True)
@@ -74,6 +88,14 @@
 Finding = Counted | Sound | Convicted | Cleared
 
 
+@dataclass(frozen=True)
+class _Crash:
+    """When a crash became known, and when its endpoint was last heard before."""
+
+    known_at: float
+    heard_at: float
+
+
 class CrashEvidence:
     """Lost runs, crashed endpoints and answers begun, as one VM knows them."""
 
@@ -82,7 +104,7 @@
         # Those with several crashes stand in ``_repeated`` too, as only they can be
         # convicted, and most suspects have one.
         self._suspicion_by_subject: OrderedDict[str, Suspicion] = OrderedDict()
-        self._crashed_at: OrderedDict[str, float] = OrderedDict()
+        self._crash_by_endpoint: OrderedDict[str, _Crash] = OrderedDict()
         self._repeated: dict[str, Suspicion] = {}
         self._lost = LostRuns()
         self._begun = BegunAnswers()
@@ -107,17 +129,20 @@
         ``began`` is whether its answer had begun, which needs more crashes.
         """
         run = LostRun(subject, now, by_peer, began)
-        crashed_at = self._crashed_at.get(endpoint_id)
-        if crashed_at is None or now - crashed_at >= MAX_DELAY_S:
+        crash = self._crash_by_endpoint.get(endpoint_id)
+        if crash is None or now - crash.known_at >= MAX_DELAY_S:
             self._lost.add(run, endpoint_id, now)
             return []
         return self._count(run, endpoint_id, now) + self._judge(now)
 
-    def on_crashed(self, endpoint_id: str, now: float) -> list[Finding]:
-        """Record that an endpoint crashed."""
-        self._crashed_at.setdefault(endpoint_id, now)
-        while len(self._crashed_at) > MAX_TRACKED:
-            self._crashed_at.popitem(last=False)
+    def on_crashed(
+        self, endpoint_id: str, now: float, silent_s: float = 0.0
+    ) -> list[Finding]:
+        """Record that an endpoint crashed, which has been silent for a while."""
+        crash = _Crash(now, now - silent_s)
+        self._crash_by_endpoint.setdefault(endpoint_id, crash)
+        while len(self._crash_by_endpoint) > MAX_TRACKED:
+            self._crash_by_endpoint.popitem(last=False)
         self._lost.sweep(now)
         found: list[Finding] = []
         for run in self._lost.take(endpoint_id, now):
@@ -136,19 +161,35 @@
         """Suspect a subject no longer."""
         self._clear(subject)
 
-    def on_sound(self, subject: str, age_s: float, now: float) -> list[Finding]:
-        """Record that an answer was begun at another VM, some time ago."""
-        self._begun.note(subject, now - age_s)
+    def on_sound(
+        self, subject: str, age_s: float, now: float, silent_s: float = 0.0
+    ) -> list[Finding]:
+        """Record that an answer was begun at another VM.
+
+        That was ``age_s`` before the endpoint fell silent with which the subject was
+        lost, ``silent_s`` ago.
+        """
+        self._begun.note(subject, now - silent_s - age_s)
         found = self._clear(subject) if age_s < RECENT_S else []
         return found + self._judge(now)
 
-    def on_record(self, subject: str, crashes: int, now: float) -> bool:
+    def on_record(
+        self,
+        subject: str,
+        crashes: int,
+        now: float,
+        *,
+        trials: int = 0,
+        was_sound: bool = False,
+    ) -> bool:
         """Apply what another process recorded; return whether it is new."""
         known = self._suspicion_by_subject.get(subject)
         if crashes <= (known.crashes if known else 0):
             return False
         suspicion = self._suspicion_of(subject, now)
         suspicion.recorded = crashes - len(suspicion.crashed)
+        suspicion.trials = max(suspicion.trials, trials)
+        suspicion.was_sound |= was_sound
         suspicion.prove(now)
         return True
 
@@ -163,17 +204,17 @@
 
     def knows_crash(self, endpoint_id: str) -> bool:
         """Return whether an endpoint is known to have crashed."""
-        return endpoint_id in self._crashed_at
+        return endpoint_id in self._crash_by_endpoint
 
     def is_refused(self, subject: str, now: float) -> bool:
         """Return whether a subject has crashed too many endpoints."""
         suspicion = self._suspicion_by_subject.get(subject)
         return suspicion is not None and suspicion.is_refused(now)
 
-    def refused(self, now: float) -> list[tuple[str, int]]:
-        """Return the subjects that are refused, and their crashes."""
+    def refused(self, now: float) -> list[Convicted]:
+        """Return the subjects that are refused."""
         return [
-            (subject, suspicion.crashes)
+            Convicted.from_suspicion(subject, suspicion)
             for subject, suspicion in self._suspicion_by_subject.items()
             if suspicion.is_refused(now)
         ]
@@ -206,6 +247,8 @@
                 "last_s_ago": round(now - suspicion.last_at, 1),
                 "convicted": suspicion.is_convicted,
                 "refused": suspicion.is_refused(now),
+                "trials": suspicion.trials,
+                "was_sound": suspicion.was_sound,
                 "begun_s_ago": self._begun.age_s(subject, now),
             }
             for subject, suspicion in by_crashes[:MAX_DUMPED]
@@ -215,17 +258,18 @@
 
     def _count(self, run: LostRun, endpoint_id: str, now: float) -> list[Finding]:
         subject = run.subject
-        begun_s_ago = self._begun.age_s(subject, now)
+        # What began an answer just before the endpoint fell silent did not crash it.
+        heard_at = self._crash_by_endpoint[endpoint_id].heard_at
+        begun_s_before = self._begun.age_s(subject, heard_at)
         sound: list[Finding] = []
-        if begun_s_ago is not None and run.by_peer:
-            sound = [Sound(subject, endpoint_id, begun_s_ago)]
-        if self._begun.is_recent(subject, now):
+        if begun_s_before is not None and run.by_peer:
+            sound = [Sound(subject, endpoint_id, max(0.0, begun_s_before))]
+        if self._begun.is_recent(subject, heard_at):
             return sound
         suspicion = self._suspicion_of(subject, now)
         if endpoint_id in suspicion.crashed:
             return []
-        suspicion.last_at = now
-        suspicion.crashed.add(endpoint_id)
+        suspicion.on_crash(endpoint_id, now)
         suspicion.has_begun |= run.began
         if len(suspicion.crashed) >= MIN_CRASHES:
             self._repeated[subject] = suspicion
@@ -233,7 +277,7 @@
             subject, endpoint_id, suspicion.crashes, now - run.lost_at, run.began
         )
         if suspicion.is_convicted:
-            return [counted, Convicted(subject, suspicion.crashes)]
+            return [counted, Convicted.from_suspicion(subject, suspicion)]
         return [counted, *sound]
 
     def _clear(self, subject: str) -> list[Finding]:
@@ -262,8 +306,9 @@
             if suspicion.is_proven:
                 continue
             if subject in guilty and not suspicion.is_convicted:
-                found.append(Convicted(subject, suspicion.crashes))
                 suspicion.refused_from = now + (subject in known) * KNOWN_GRACE_S
+                suspicion.was_sound = self._begun.age_s(subject, now) is not None
+                found.append(Convicted.from_suspicion(subject, suspicion))
             elif suspicion.is_convicted and subject not in guilty:
                 found.append(Cleared(subject, was_refused=True))
             suspicion.is_convicted = subject in guilty
--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -15,6 +15,7 @@
     Finding,
     Sound,
 )
+from bamboovale.crashes.last_heard import LastHeard
 from bamboovale.crashes.records import Refused
 from bamboovale.crashes.signs import CrashSign, CrashSigns
 from bamboovale.fleet.messages import (
@@ -62,6 +63,7 @@
         self._record = record
         self._count_event = count_event
         self._evidence = CrashEvidence()
+        self._heard = LastHeard()
 
     def is_refused(self, call: Call) -> bool:
         """Return whether a call would crash endpoints, and is no trial."""
@@ -110,23 +112,38 @@
             self._apply(found)
         else:
             age_s = 0.0 if news.recent else RECENT_S
-            found = self._evidence.on_sound(news.fingerprint, age_s, now)
+            silent_s = self._heard.silent_s(news.endpoint_id, now)
+            found = self._evidence.on_sound(news.fingerprint, age_s, now, silent_s)
             self._apply(found, answered="peer")
 
     def on_record(self, refused: Refused) -> None:
         """Apply what the store tells of a subject that is refused."""
-        if self._evidence.on_record(refused.subject, refused.crashes, self._now()):
+        if self._evidence.on_record(
+            refused.subject,
+            refused.crashes,
+            self._now(),
+            trials=refused.trials,
+            was_sound=refused.was_sound,
+        ):
             self._journal.write(
                 "refused_by_record", subject=refused.subject, crashes=refused.crashes
             )
 
     def on_store_returned(self) -> None:
         """Record again what is refused, as the store may have lost it."""
-        for subject, crashes in self._evidence.refused(self._now()):
-            self._record_refused(Refused(subject, crashes))
+        for convicted in self._evidence.refused(self._now()):
+            self._record_refused(_refused(convicted))
 
     # Crashes.
 
+    def on_heard(self, endpoint_id: str) -> None:
+        """Note a sign of life of an endpoint."""
+        self._heard.note(endpoint_id, self._now())
+
+    def on_heartbeat(self, endpoint_id: str, position: int) -> None:
+        """Note an endpoint's record, which is new by its position in the topic."""
+        self._heard.note_record(endpoint_id, position, self._now())
+
     def on_endpoint(self, change: EndpointChange) -> None:
         """Apply a change of an endpoint's record."""
         self._signs.on_endpoint(change)
@@ -136,10 +153,17 @@
         self._signs.look(endpoint_id)
 
     def _on_crashed(self, endpoint_id: str, sign: CrashSign) -> None:
+        now = self._now()
+        silent_s = self._heard.silent_s(endpoint_id, now)
         is_new = not self._evidence.knows_crash(endpoint_id)
-        found = self._evidence.on_crashed(endpoint_id, self._now())
+        found = self._evidence.on_crashed(endpoint_id, now, silent_s)
         if is_new:
-            self._journal.write("endpoint_crashed", endpoint=endpoint_id, sign=sign)
+            self._journal.write(
+                "endpoint_crashed",
+                endpoint=endpoint_id,
+                sign=sign,
+                silent_s=round(silent_s, 3),
+            )
             self._count_event("crash")
             self._broadcast(CrashedEndpoint(endpoint_id))
         self._apply(found)
@@ -156,6 +180,7 @@
         request, *parts = call.subjects
         watch = AttemptWatch(
             self._now,
+            on_heard=lambda: self.on_heard(record.endpoint_id),
             on_begun=lambda: self._on_begun(call, parts),
             on_whole=lambda: self._on_begun(call, [request]),
         )
@@ -226,9 +251,13 @@
     def _on_convicted(self, convicted: Convicted) -> None:
         self._count_event("convicted")
         self._journal.write(
-            "crashes_endpoints", subject=convicted.subject, crashes=convicted.crashes
+            "crashes_endpoints",
+            subject=convicted.subject,
+            crashes=convicted.crashes,
+            trials=convicted.trials,
+            was_sound=convicted.was_sound,
         )
-        self._record_refused(Refused(convicted.subject, convicted.crashes))
+        self._record_refused(_refused(convicted))
 
     def _on_cleared(self, cleared: Cleared, answered: str | None) -> None:
         self._count_event("cleared")
@@ -244,3 +273,10 @@
     def _record_refused(self, refused: Refused) -> None:
         if self._is_designated(refused.subject):
             self._record(refused)
+
+
+def _refused(convicted: Convicted) -> Refused:
+    """Return the record of a conviction."""
+    return Refused(
+        convicted.subject, convicted.crashes, convicted.trials, convicted.was_sound
+    )
--- a/bamboovale/crashes/records.py
+++ b/bamboovale/crashes/records.py
@@ -23,10 +23,16 @@
 
 @dataclass(frozen=True)
 class Refused:
-    """A subject that is refused for a number of crashes, none: it is not any more."""
+    """A subject that is refused for a number of crashes, none: it is not any more.
+
+    ``trials`` are those that followed its conviction; ``was_sound`` is whether it had
+    begun an answer not long before.
+    """
 
     subject: str
     crashes: int
+    trials: int = 0
+    was_sound: bool = False
 
 
 class RefusalRecords:
@@ -57,20 +63,31 @@
         self._position_by_key[record.key] = record.position
         try:
             fields = json.loads(record.value)
-            crashes, at = int(fields["crashes"]), float(fields["at"])
+            refused = Refused(
+                record.key.removeprefix(KEY_PREFIX),
+                int(fields["crashes"]),
+                int(fields.get("trials", 0)),
+                bool(fields.get("was_sound", False)),
+            )
+            at = float(fields["at"])
         except (ValueError, KeyError, TypeError) as error:
             self._journal.write("bad_record", key=record.key, error=repr(error))
             return True
         if math.isfinite(at) and self._time_of_day() - at < MAX_AGE_S:
-            self._on_read(Refused(record.key.removeprefix(KEY_PREFIX), crashes))
+            self._on_read(refused)
         return True
 
     async def write(self, refused: Refused) -> None:
         """Write a record; a failure is logged, as the other VMs know it too."""
-        value = json.dumps({"crashes": refused.crashes, "at": self._time_of_day()})
+        fields = {
+            "crashes": refused.crashes,
+            "trials": refused.trials,
+            "was_sound": refused.was_sound,
+            "at": self._time_of_day(),
+        }
         key = f"{KEY_PREFIX}{refused.subject}"
         try:
-            await self._store.put(self._topic, key, value.encode())
+            await self._store.put(self._topic, key, json.dumps(fields).encode())
         except StoreError as error:
             self._journal.write(
                 "refusal_record_lost", subject=refused.subject, error=str(error)
--- a/bamboovale/crashes/suspicion.py
+++ b/bamboovale/crashes/suspicion.py
@@ -7,13 +7,23 @@
 
 TRIAL_S = 10.0
 """Least time between two trials: what the first one showed is known everywhere."""
+FIRST_TRIAL_S = 6.0
+"""From the last crash to the first trial of a subject that had begun answers: longer
+than a silent endpoint's record lasts, whose crash is not that of a trial."""
+LATE_NEWS_S = 1.0
+"""The crash of a trial may be known where the refusal lasts a little longer."""
+MIN_TRIALS = 3
+"""Trials that must have crashed before there are no more: many endpoints that crash at
+once show no more than one."""
 
 
 @dataclass
 class Suspicion:
     """Crashes under one subject; ``recorded`` are others that a record tells of.
 
-    ``has_begun`` is whether an answer had begun in some of them. ``is_convicted`` is
+    ``has_begun`` is whether an answer had begun in some of them, ``was_sound`` whether
+    one was begun not long before its conviction, ``trials`` how many crashed since.
+    ``is_convicted`` is
     whether its crashes are enough to refuse it, ``is_proven`` whether that is certain
     whatever else is suspected of them. It is refused from ``refused_from`` on.
     ``trial_of`` is the request that was let through last, at ``trial_at``.
@@ -23,6 +33,8 @@
     crashed: set[str] = field(default_factory=set)
     recorded: int = 0
     has_begun: bool = False
+    was_sound: bool = False
+    trials: int = 0
     last_at: float = 0.0
     is_convicted: bool = False
     is_proven: bool = False
@@ -39,10 +51,26 @@
         """Return whether the subject is refused, but for a trial."""
         if not self.is_convicted or now < self.refused_from:
             return False
-        if self.crashes >= self.rule.for_good:
+        if self.crashes >= self.rule.for_good and self.trials >= MIN_TRIALS:
             return True
-        more = max(0.0, self.crashes - self.rule.to_refuse)
-        return now - self.last_at < self.rule.refuse_s * 2.0**more
+        return now - self.last_at < self._refuse_s()
+
+    def _refuse_s(self) -> float:
+        """Return for how long it is refused from its last crash on."""
+        trials = self.trials
+        if self.was_sound:
+            if not trials:
+                return min(FIRST_TRIAL_S, self.rule.refuse_s)
+            trials -= 1
+        more = min(trials, self.crashes - self.rule.to_refuse)
+        return self.rule.refuse_s * 2.0 ** max(0.0, more)
+
+    def on_crash(self, endpoint_id: str, now: float) -> None:
+        """Count the crash of an endpoint."""
+        if self.is_convicted and not self.is_refused(now + LATE_NEWS_S):
+            self.trials += 1
+        self.last_at = now
+        self.crashed.add(endpoint_id)
 
     def needs_trial(self, now: float) -> bool:
         """Return whether the subject was refused, and may be tried again."""
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -42,7 +42,8 @@
     ``on_answer`` is called after each answer of the store to a read, with whether the
     store is settled (see ``StoreWatch``). ``config_poll_s`` returns how long a read of
     the operator's topic waits for a change, ``may_read_operator`` whether this VM
-    should read it. ``on_version`` is called with each version that was read.
+    should read it. ``on_version`` is called with each version that was read,
+    ``on_heartbeat`` with the endpoint and the position of each of its records.
     """
 
     def __init__(
@@ -57,12 +58,14 @@
         config_poll_s: Callable[[], float],
         may_read_operator: Callable[[], bool],
         on_version: Callable[[AdapterNews], None],
+        on_heartbeat: Callable[[str, int], None],
     ) -> None:
         self._state = state
         self._translation = translation
         self._engines = engines
         self._on_table = on_table
         self._on_version = on_version
+        self._on_heartbeat = on_heartbeat
         self.operator = TopicFollower(
             translation.operator_topic,
             store,
@@ -166,6 +169,7 @@
         decoded = self._translation.decode_endpoint_record(record.key, record.value)
         if isinstance(decoded, str):
             return self._state.endpoints.on_unreadable_record(record.key, decoded)
+        self._on_heartbeat(decoded.endpoint_id, record.position)
         return self._state.endpoints.on_record(
             record.key, decoded, record.position, from_copy=record.from_copy
         )
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -243,6 +243,7 @@
             config_poll_s=self._view_watch.poll_s,
             may_read_operator=self._view_watch.may_read,
             on_version=lambda news: self.peering.broadcast_version(news),
+            on_heartbeat=self._crashes.on_heartbeat,
         )
         for follower in self.records.followers():
             self._metrics.watch_open_read(follower.topic, follower.open_read_s)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -2,9 +2,13 @@
 
 from collections.abc import Iterable
 
+import pytest
+
 from bamboovale.crashes.evidence import MAX_TRACKED, CrashEvidence, Sound
-from bamboovale.crashes.subjects import REQUEST_RULE
-from bamboovale.crashes.suspicion import TRIAL_S
+from bamboovale.crashes.last_heard import LastHeard
+from bamboovale.crashes.lost_runs import MAX_DELAY_S
+from bamboovale.crashes.subjects import PART_RULE, REQUEST_RULE
+from bamboovale.crashes.suspicion import FIRST_TRIAL_S, TRIAL_S
 
 RETENTION_S = REQUEST_RULE.refuse_s
 
@@ -91,6 +95,121 @@
         assert evidence.is_refused("f", RETENTION_S - 1.0)
         assert evidence.needs_trial("f", RETENTION_S + 1.0)
 
+    @pytest.mark.parametrize("endpoints", [6, 70])
+    def test_what_was_sound_is_tried_soon(self, endpoints: int) -> None:
+        """Guards against a refusal that nothing can end, as nothing is served."""
+        evidence = convict_at_once("part:x", endpoints, was_sound=True)
+        assert evidence.is_refused("part:x", 10.0 + FIRST_TRIAL_S - 0.1)
+        now = 10.0 + FIRST_TRIAL_S
+        assert evidence.needs_trial("part:x", now)
+        assert evidence.take_trial("part:x", "r1", now)
+        evidence.on_begun(["part:x"], now + 0.1)
+        assert not evidence.needs_trial("part:x", now + 0.2)
+        assert not evidence.is_refused("part:x", now + 0.2)
+
+    @pytest.mark.parametrize("endpoints", [6, 70])
+    def test_what_never_was_sound_is_tried_late(self, endpoints: int) -> None:
+        evidence = convict_at_once("part:x", endpoints, was_sound=False)
+        assert evidence.is_refused("part:x", 10.0 + PART_RULE.refuse_s - 1.0)
+        assert evidence.needs_trial("part:x", 10.0 + PART_RULE.refuse_s)
+
+    @pytest.mark.parametrize("was_sound", [False, True])
+    def test_three_trials_are_the_last_ones(self, was_sound: bool) -> None:
+        """Guards against a part that crashes engines all day, one after the other."""
+        evidence = convict_at_once("part:x", 8, was_sound=was_sound)
+        trials = 0
+        for now in range(11, 24 * 3600):
+            if evidence.needs_trial("part:x", now) and evidence.take_trial(
+                "part:x", f"r{now}", now
+            ):
+                crash(evidence, "part:x", now, now + 0.2)
+                trials += 1
+        assert trials == 3
+
+    def test_a_record_holds_when_the_next_trial_is_due(self) -> None:
+        """Guards against a refusal that begins anew with each restart of all VMs."""
+        evidence = CrashEvidence()
+        evidence.on_record("part:x", 6, 0.0, was_sound=True)
+        assert evidence.needs_trial("part:x", FIRST_TRIAL_S)
+        evidence = CrashEvidence()
+        evidence.on_record("part:x", 9, 0.0, trials=3, was_sound=True)
+        assert evidence.is_refused("part:x", 24 * 3600.0)
+
+
+def convict_at_once(subject: str, endpoints: int, *, was_sound: bool) -> CrashEvidence:
+    """Return the evidence when many endpoints have just crashed under a subject."""
+    evidence = CrashEvidence()
+    if was_sound:
+        evidence.on_begun([subject], 0.0)
+    for number in range(endpoints):
+        crash(evidence, subject, number, 10.0)
+    return evidence
+
+
+class TestOutage:
+    """Endpoints fall silent, which is known to be a crash some seconds later."""
+
+    @pytest.mark.parametrize("endpoints", [3, 6, 70])
+    @pytest.mark.parametrize("known_after_s", [0.5, 3.6, 7.0])
+    @pytest.mark.parametrize("subject", ["r1", "part:route"])
+    def test_what_was_served_until_then_is_not_refused(
+        self, endpoints: int, known_after_s: float, subject: str
+    ) -> None:
+        """Guards against refusing all requests after an outage of all endpoints."""
+        evidence = CrashEvidence()
+        evidence.on_begun([subject], 9.0)
+        for number in range(endpoints):
+            silent_since = 10.0 + number * 0.01
+            for lost_s in (0.0, known_after_s / 2, known_after_s):
+                evidence.on_run_lost(subject, f"e{number}", silent_since + lost_s)
+            known_at = silent_since + known_after_s
+            evidence.on_crashed(f"e{number}", known_at, known_after_s)
+            evidence.on_run_lost(subject, f"e{number}", known_at)
+        assert not evidence.is_refused(subject, 30.0)
+        assert not evidence.needs_trial(subject, 30.0)
+
+    def test_what_began_nothing_before_is_refused(self) -> None:
+        """Guards against a part whose engines fall silent under it."""
+        evidence = CrashEvidence()
+        evidence.on_begun(["part:x"], 0.0)
+        for number in range(5):
+            now = 10.0 + 4.0 * number
+            evidence.on_run_lost("part:x", f"e{number}", now)
+            evidence.on_crashed(f"e{number}", now + 3.6, 3.6)
+        assert evidence.is_refused("part:x", 31.0)
+
+    def test_peers_hear_of_what_was_served_until_then(self) -> None:
+        """Guards against a VM that sees few answers and accuses what others served."""
+        evidence = CrashEvidence()
+        evidence.on_begun(["part:x"], 9.0)
+        evidence.on_crashed("e1", 14.0, 4.0)
+        found = evidence.on_run_lost("part:x", "e1", 14.1, by_peer=True)
+        assert found == [Sound("part:x", "e1", 1.0)]
+        other = CrashEvidence()
+        for number in range(3):
+            crash(other, "part:x", number, 14.2)
+        assert other.is_refused("part:x", 14.3)
+        other.on_sound("part:x", 0.0, 14.4, silent_s=4.4)
+        assert not other.is_refused("part:x", 14.5)
+        # The answer was begun when the endpoint was last heard, not now.
+        other.on_run_lost("part:x", "e9", 14.6)
+        assert other.on_crashed("e9", 14.6)
+
+
+class TestLastHeard:
+    """For how long an endpoint has been silent."""
+
+    def test_a_record_that_is_read_again_is_no_sign_of_life(self) -> None:
+        """Guards against a store that returns with the records of dead endpoints."""
+        heard = LastHeard()
+        assert heard.silent_s("e", 1.0) == 0.0
+        heard.note_record("e", 7, 1.0)
+        heard.note_record("e", 7, 3.0)
+        assert heard.silent_s("e", 4.0) == 3.0
+        heard.note_record("e", 8, 4.0)
+        assert heard.silent_s("e", 4.5) == 0.5
+        assert heard.silent_s("e", 1000.0) == MAX_DELAY_S
+
 
 class TestBounds:
     """Guards against memory that grows with invented requests."""
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -9,12 +9,15 @@
 
 import pytest
 
+from bamboovale.decisions.endpoint_paths import EVIDENCE_S
 from bamboovale.standins.crash_triggers import CrashTrigger, Return
+from bamboovale.standins.platform_endpoints import PlatformEndpoint
 from tests.gateway_site import (
     CallerAnswer,
     RunningVM,
     Site,
     call,
+    eventually,
     run,
     running_site,
 )
@@ -33,6 +36,8 @@
 CRASHING_SHARE = 0.2
 EVENT_S = 0.04
 BEFORE_S = 2.0
+GAP_S = 1.0
+"""From the expiry of records to the next start of their endpoints."""
 
 _numbers = itertools.count(1)
 
@@ -139,3 +144,84 @@
                 assert trigger.late_arrivals(STABLE_S) <= ALLOWED_LATE
 
         run(test())
+
+
+async def fall_silent(endpoints: Sequence[PlatformEndpoint], seconds: float) -> None:
+    """Have endpoints answer nothing until their records expire, then start anew."""
+    for endpoint in endpoints:
+        endpoint.faults.hang = True
+    await asyncio.sleep(seconds)
+    for endpoint in endpoints:
+        await endpoint.unregister()
+        endpoint.crash()
+    await asyncio.sleep(GAP_S)
+    for endpoint in endpoints:
+        endpoint.faults.hang = False
+        await endpoint._start_anew(Return.NEW_ID)
+
+
+async def all_known(site: Site, endpoints: Sequence[PlatformEndpoint]) -> None:
+    """Wait until all VMs know the endpoints that are there now, and no others."""
+    ids = {endpoint.endpoint_id for endpoint in endpoints}
+    await eventually(
+        lambda: all(ids == set(vm.vm.state.endpoints.record_by_id) for vm in site.vms)
+    )
+
+
+class TestOutage:
+    """All endpoints fall silent together, and others take their places."""
+
+    @pytest.mark.parametrize("silent_s", [1.5, 4.0, 6.0])
+    def test_engines_serve_all_parts_afterwards(self, silent_s: float) -> None:
+        """Guards against refusing for minutes what ran when all engines were lost."""
+
+        async def test() -> None:
+            async with running_site(vms=3, services=0, runners=6) as site:
+                answers, rng = Answers(), random.Random(5)
+                started_at = time.monotonic()
+                await load(site.vms, answers, BEFORE_S, 0.5, rng)
+                outage = asyncio.create_task(fall_silent(site.runners, silent_s))
+                await load(site.vms, answers, silent_s + GAP_S + 0.5, 0.5, rng)
+                await outage
+                await all_known(site, site.runners)
+                answers.crashing.clear()
+                served_from = time.monotonic()
+                await load(site.vms, answers, 3.0, 0.5, rng)
+                before = answers.begun(started_at, started_at + BEFORE_S)
+                after = answers.begun(served_from, time.monotonic())
+                assert after >= 0.9 * before
+                others = [answer.status for _, answer in answers.crashing]
+                assert others.count(200) >= 0.9 * before * len(others)
+
+        run(test())
+
+    def test_plain_endpoints_serve_the_same_request_afterwards(self) -> None:
+        """Guards against refusing a request that many callers send alike."""
+
+        async def test() -> None:
+            async with running_site(vms=3, services=4, runners=0) as site:
+
+                async def ask(number: int) -> int:
+                    vm = site.vms[number % len(site.vms)]
+                    answer = await call(vm.address, "/check/1", deadline_ms=1000)
+                    return answer.status
+
+                async def ask_for(seconds: float) -> list[int]:
+                    until = time.monotonic() + seconds
+                    tasks = []
+                    while time.monotonic() < until:
+                        tasks.append(asyncio.create_task(ask(len(tasks))))
+                        await asyncio.sleep(1 / PER_S)
+                    return await asyncio.gather(*tasks)
+
+                assert set(await ask_for(1.0)) == {200}
+                outage = asyncio.create_task(fall_silent(site.services, 4.0))
+                await ask_for(4.5 + GAP_S)
+                await outage
+                await all_known(site, site.services)
+                # Failed connections of the last seconds speak of the VMs' own paths.
+                await asyncio.sleep(EVIDENCE_S)
+                statuses = await ask_for(1.0)
+                assert statuses.count(200) >= 0.9 * len(statuses)
+
+        run(test())
