HTTP/1.1: reading goes on as soon as the received bytes are taken

Cause: reading was paused once more than 256 KiB had arrived since the task last ran, also within the body that it was reading, and resumed only after the answer. Relatives: a large body left reading paused while its request ran, so that a caller that left was not noticed; on the client side a large answer left its connection paused in the pool, so that its close was not seen.

Change: FlowControl, used by server and client, pauses while more bytes wait than the limit and resumes when they are taken: before each wait for the peer and at each message's end.

--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -9,6 +9,8 @@
 
 import h11
 
+from bamboovale.http1.flow_control import FlowControl
+
 CONNECT_TIMEOUT_S = 0.6
 """Below the one-second retransmission timeout of a lost SYN: another endpoint can be
 tried sooner."""
@@ -70,7 +72,7 @@
         self._reset = False
         self._ended = False
         self._busy = False
-        self._buffered = 0
+        self._flow = FlowControl(HIGH_WATER_BYTES)
         self._wake: asyncio.Future[None] | None = None
         self._wire = self._new_wire()
         self._request: h11.Request | None = None
@@ -103,6 +105,7 @@
     def connection_made(self, transport: Any) -> None:
         """Store the transport and enable dead peer detection."""
         self._transport = transport
+        self._flow.attach(transport)
         enable_dead_peer_detection(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
@@ -111,9 +114,7 @@
             self.close()
             return
         self.has_received = True
-        self._buffered += len(data)
-        if self._buffered > HIGH_WATER_BYTES:
-            self._transport.pause_reading()
+        self._flow.on_received(len(data))
         self._receive(data)
 
     def eof_received(self) -> None:
@@ -215,8 +216,7 @@
             if event is h11.NEED_DATA:
                 if self.closed:
                     raise IncompleteResponse("reset" if self._reset else "ended")
-                self._buffered = 0
-                self._transport.resume_reading()
+                self._flow.on_taken()
                 self._wake = asyncio.get_running_loop().create_future()
                 await self._wake
                 continue
@@ -233,6 +233,7 @@
         """Mark the connection reusable if the exchange ended cleanly."""
         self._busy = False
         rest, _ = self._wire.trailing_data
+        self._flow.on_taken(len(rest))
         unsent = self._transport.get_write_buffer_size()
         if rest or unsent or self._ended or self.closed:
             return
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -10,11 +10,12 @@
 import h11
 
 from bamboovale.http1.connection import Headers, enable_dead_peer_detection
+from bamboovale.http1.flow_control import FlowControl
 
 logger = logging.getLogger(__name__)
 
 READ_AHEAD_BYTES = 256 * 1024
-"""Bytes of pipelined requests that are buffered before reading is paused."""
+"""Bytes that are buffered beyond those taken before reading is paused."""
 REASON_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
@@ -131,7 +132,7 @@
         self._task: asyncio.Task[None] | None = None
         self._wake: asyncio.Future[None] | None = None
         self._writable: asyncio.Future[None] | None = None
-        self._unread = 0
+        self._flow = FlowControl(READ_AHEAD_BYTES)
         self._lost = False
 
     # Callbacks of asyncio.Protocol.
@@ -139,15 +140,14 @@
     def connection_made(self, transport: Any) -> None:
         """Start the task that serves requests."""
         self._transport = transport
+        self._flow.attach(transport)
         enable_dead_peer_detection(transport.get_extra_info("socket"))
         self._server.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; pause reading when a caller pipelines too much."""
-        self._unread += len(data)
-        if self.busy and self._unread > READ_AHEAD_BYTES:
-            self._transport.pause_reading()
+        self._flow.on_received(len(data))
         with contextlib.suppress(h11.RemoteProtocolError):
             self._wire.receive_data(data)
         self._notify()
@@ -205,7 +205,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight."""
-        if not self.busy and not self._unread:
+        if not self.busy and not self._flow.waiting_bytes:
             self._transport.close()
 
     def _write(self, event: Any) -> None:
@@ -255,13 +255,11 @@
             responder.close_after()
             responder.answer(500, [], b"")
         self.busy = False
-        self._unread = 0
         if self.close_after or self._wire.our_state is not h11.DONE:
             return False
         if self._wire.their_state is not h11.DONE:
             return False
         self._wire.start_next_cycle()
-        self._transport.resume_reading()
         return True
 
     async def _read_request(self) -> Request | None:
@@ -282,6 +280,7 @@
         if head_size(head) > limits.head_bytes:
             raise BadRequest(431, "the head is too large")
         body = await self._read_body(headers, limits, received_at)
+        self._flow.on_taken(len(self._wire.trailing_data[0]))
         return Request(
             method=head.method.decode("ascii"),
             target=head.target.decode("latin-1"),
@@ -325,7 +324,7 @@
                 raise BadRequest(hint, str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._unread = 0
+            self._flow.on_taken()
             if not await self._wait(deadline - loop.time()):
                 raise BadRequest(408, timeout_reason)
 
