--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -180,7 +180,9 @@
                 started_at = time.monotonic()
                 await load(site.vms, answers, BEFORE_S, CRASHING_SHARE, rng)
                 outage = asyncio.create_task(fall_silent(site.runners, silent_s))
-                await load(site.vms, answers, silent_s + GAP_S + 0.5, CRASHING_SHARE, rng)
+                await load(
+                    site.vms, answers, silent_s + GAP_S + 0.5, CRASHING_SHARE, rng
+                )
                 await outage
                 await all_known(site, site.runners)
                 answers.crashing.clear()
