--- a/tests/test_http1_flow_control.py
+++ b/tests/test_http1_flow_control.py
@@ -23,9 +23,9 @@
 MAX_BODY_BYTES = 3_000_000
 LIMITS = ServerLimits(body_bytes=MAX_BODY_BYTES)
 PIECE_BYTES = 64 * 1024
-SIZES = (0, 700, 40_000, READ_AHEAD_BYTES, READ_AHEAD_BYTES + 1, 400_000, 1_200_000)
+SIZES = (0, 700, 40_000, READ_AHEAD_BYTES, READ_AHEAD_BYTES + 1, 900_000, 2_500_000)
 """Sizes of bodies; integers drawn at random are mostly small."""
-PIECES = (3_000, PIECE_BYTES, READ_AHEAD_BYTES, 700_000)
+PIECES = (3_000, 100_000, READ_AHEAD_BYTES + 1, 700_000)
 
 
 class FakeTransport:
