--- a/bamboovale/crashes/attempt_watch.py
+++ b/bamboovale/crashes/attempt_watch.py
@@ -10,8 +10,8 @@
 class AttemptWatch:
     """Calls ``on_begun`` once the answer has begun, ``on_whole`` when it is whole.
 
+    An attempt that goes on with the answer of an earlier one is never whole by itself.
     ``on_heard`` is called with each sign of life of the endpoint.
-    One that goes on with the answer of an earlier attempt is never whole by itself.
     """
 
     def __init__(
--- a/bamboovale/crashes/evidence.py
+++ b/bamboovale/crashes/evidence.py
@@ -62,8 +62,8 @@
 class Convicted:
     """A subject that is refused from now on, or for longer.
 
-    ``trials`` are those of its crashes that followed its conviction, ``was_sound`` is
-    whether it had begun an answer not long before.
+    ``trials`` is how many trials have crashed since its conviction, ``was_sound``
+    whether it had begun an answer not long before it.
     """
 
     subject: str
--- a/bamboovale/crashes/records.py
+++ b/bamboovale/crashes/records.py
@@ -25,8 +25,7 @@
 class Refused:
     """A subject that is refused for a number of crashes, none: it is not any more.
 
-    ``trials`` are those that followed its conviction; ``was_sound`` is whether it had
-    begun an answer not long before.
+    ``trials`` and ``was_sound`` are those of its suspicion.
     """
 
     subject: str
--- a/bamboovale/crashes/suspicion.py
+++ b/bamboovale/crashes/suspicion.py
@@ -21,12 +21,12 @@
 class Suspicion:
     """Crashes under one subject; ``recorded`` are others that a record tells of.
 
-    ``has_begun`` is whether an answer had begun in some of them, ``was_sound`` whether
-    one was begun not long before its conviction, ``trials`` how many crashed since.
-    ``is_convicted`` is
+    ``has_begun`` is whether an answer had begun in some of them. ``is_convicted`` is
     whether its crashes are enough to refuse it, ``is_proven`` whether that is certain
     whatever else is suspected of them. It is refused from ``refused_from`` on.
-    ``trial_of`` is the request that was let through last, at ``trial_at``.
+    ``was_sound`` is whether it began an answer not long before its conviction,
+    ``trials`` how many trials have crashed since. ``trial_of`` is the request that was
+    let through last, at ``trial_at``.
     """
 
     rule: CrashRule
--- a/bamboovale/gateway/order_turns.py
+++ b/bamboovale/gateway/order_turns.py
@@ -42,7 +42,8 @@
 
     def on_fenced(self, engine_id: str) -> None:
         """Note that another VM ordered an engine while this VM held it."""
-        self._fenced_at[engine_id] = self._clock()
+        if engine_id in self._last_by_engine:
+            self._fenced_at[engine_id] = self._clock()
 
     def may_order(self, engine_id: str, held_since: float, orders: int | None) -> bool:
         """Return whether an engine may be ordered now.
@@ -60,17 +61,24 @@
             return True
         if orders is not None and orders == last.orders:
             return True
-        if engine_id not in self._waiting:
-            self._waiting.add(engine_id)
-            self._journal.write(
-                "order_waits_turn",
-                engine=engine_id,
-                wait_s=round(wait_s, 3),
-                orders=orders,
-                own_orders=last.orders,
-            )
+        self._log_wait(engine_id, wait_s, orders, last.orders)
         return False
 
+    def _log_wait(
+        self, engine_id: str, wait_s: float, orders: int | None, own_orders: int | None
+    ) -> None:
+        """Log the beginning of a wait."""
+        if engine_id in self._waiting:
+            return
+        self._waiting.add(engine_id)
+        self._journal.write(
+            "order_waits_turn",
+            engine=engine_id,
+            wait_s=round(wait_s, 3),
+            orders=orders,
+            own_orders=own_orders,
+        )
+
     def drop_old(self) -> None:
         """Drop what no longer matters, such as orders to engines that are gone."""
         oldest = self._clock() - self._turn_s
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -156,13 +156,13 @@
         crashed_id = self.endpoint_id
         if trigger.returns is not Return.NEVER:
             await asyncio.sleep(trigger.back_s)
-            await self._start_anew(trigger.returns)
+            await self.start_anew(trigger.returns)
         if trigger.expires_s is None or self.endpoint_id == crashed_id:
             return
         await asyncio.sleep(max(0.0, trigger.expires_s - trigger.back_s))
         await self._store.put("keyed.servers", crashed_id, None)
 
-    async def _start_anew(self, returns: Return) -> None:
+    async def start_anew(self, returns: Return) -> None:
         """Listen at the same address again, empty, and register."""
         self.forget_contents()
         if returns is Return.SAME_ID:
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -156,7 +156,7 @@
     await asyncio.sleep(GAP_S)
     for endpoint in endpoints:
         endpoint.faults.hang = False
-        await endpoint._start_anew(Return.NEW_ID)
+        await endpoint.start_anew(Return.NEW_ID)
 
 
 async def all_known(site: Site, endpoints: Sequence[PlatformEndpoint]) -> None:
--- a/tests/test_http1_flow_control.py
+++ b/tests/test_http1_flow_control.py
@@ -208,12 +208,7 @@
         """Guards against requests on a connection whose end was not read."""
 
         async def test() -> None:
-            transport = FakeTransport()
-            connection = Connection()
-            connection.connection_made(transport)
-            connection.send(
-                h11.Request(method="GET", target="/", headers=[("Host", "h")]), b""
-            )
+            connection, transport = requested()
             head = f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n".encode()
             data = head + b"x" * size
             for start in range(0, len(data), PIECE_BYTES):
@@ -228,12 +223,7 @@
         """Guards against memory that grows with the answers to slow callers."""
 
         async def test() -> None:
-            transport = FakeTransport()
-            connection = Connection()
-            connection.connection_made(transport)
-            connection.send(
-                h11.Request(method="GET", target="/", headers=[("Host", "h")]), b""
-            )
+            connection, transport = requested()
             connection.data_received(
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
             )
@@ -246,6 +236,16 @@
         asyncio.run(test())
 
 
+def requested() -> tuple[Connection, FakeTransport]:
+    """Return a connection with a request in flight, and its transport."""
+    transport = FakeTransport()
+    connection = Connection()
+    connection.connection_made(transport)
+    request = h11.Request(method="GET", target="/", headers=[("Host", "h")])
+    connection.send(request, b"")
+    return connection, transport
+
+
 async def read_whole(connection: Connection) -> None:
     """Take an answer to its end."""
     await connection.head()
