Binary: a package counts as native-only if it cannot be imported without native modules

The check compared sizes, ten to one; the native module of cbor2's wheel for arm64 has 971,824 bytes, its pure modules 82,833, so a package that the binary has always used was taken for a wrapper.

The check is replaced by a stricter one: a package that was installed with native modules is imported from the archive by an interpreter that sees nothing else. A package that only looks balanced in size and needs its native module is now found as well; a test has one of each. The archive is moved into place once it has passed.

--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -1,5 +1,6 @@
 """The packaged binary, built as it is released."""
 
+import importlib.metadata
 import signal
 import subprocess
 import sys
@@ -10,7 +11,13 @@
 import pytest
 
 from tests.standin_client import StandInClient
-from tools.build_binary import build
+from tools.build_binary import (
+    Member,
+    NativeOnlyError,
+    build,
+    check_pure,
+    write_archive,
+)
 
 PROC = Path("/proc")
 
@@ -98,3 +105,32 @@
         assert list(binary.parent.iterdir()) == [binary]
         mapped = mapped_files(process.pid)
         assert [name for name in mapped if "site-packages" in name] == []
+
+
+def installed(directory: Path, source: str) -> importlib.metadata.Distribution:
+    """Return a package with one module and one native module."""
+    info = directory / "wrapper-1.0.dist-info"
+    info.mkdir(parents=True)
+    (directory / "wrapper.py").write_text(source)
+    (info / "METADATA").write_text("Name: wrapper\nVersion: 1.0\n")
+    (info / "RECORD").write_text("wrapper.py,,\n_wrapper.so,,\n")
+    return importlib.metadata.Distribution.at(info)
+
+
+class TestNativePackages:
+    """Packages that were installed with native modules."""
+
+    def check(self, directory: Path, source: str) -> None:
+        distribution = installed(directory / "site", source)
+        archive = directory / "archive"
+        write_archive(archive, [Member("wrapper.py", source.encode())])
+        check_pure({"wrapper": distribution}, archive)
+
+    def test_one_that_needs_its_native_module_is_an_error(self, tmp_path: Path) -> None:
+        """Guards against a binary that cannot import one of its packages."""
+        with pytest.raises(NativeOnlyError, match="wrapper"):
+            self.check(tmp_path, "from _wrapper import *\n")
+
+    def test_one_with_a_fallback_is_included(self, tmp_path: Path) -> None:
+        source = "try:\n    import _wrapper\nexcept ImportError:\n    pass\n"
+        self.check(tmp_path, source)
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -9,6 +9,8 @@
 import argparse
 import importlib.metadata
 import py_compile
+import shutil
+import subprocess
 import sys
 import tempfile
 import zipfile
@@ -68,23 +70,37 @@
     return dict(sorted(distribution_by_name.items()))
 
 
-def is_native_only(distribution: Distribution) -> bool:
-    """Return whether a package is a wrapper of a native module.
+def has_native_modules(distribution: Distribution) -> bool:
+    """Return whether a package was installed with native modules."""
+    return any(file.suffix in NATIVE_SUFFIXES for file in distribution.files or [])
 
-    Packages with optional native modules (cbor2, websockets) include pure fallbacks;
-    a wrapper consists almost entirely of its native module.
+
+def pure_modules(distribution: Distribution) -> list[str]:
+    """Return the names of a package's outermost modules that are not native."""
+    files = [file for file in distribution.files or [] if is_included(file)]
+    packages = {f.parts[0] for f in files if f.parts[1:] == ("__init__.py",)}
+    modules = {f.stem for f in files if len(f.parts) == 1 and f.suffix == ".py"}
+    return sorted(packages | modules)
+
+
+def is_native_only(distribution: Distribution, archive: Path) -> bool:
+    """Return whether a package in the archive cannot be imported from there.
+
+    Packages with optional native modules (cbor2, websockets) include pure fallbacks.
     """
-    sizes = {True: 0, False: 0}
-    for file in distribution.files or []:
-        path = Path(str(distribution.locate_file(file)))
-        if file.suffix in (".py", *NATIVE_SUFFIXES) and path.exists():
-            sizes[file.suffix in NATIVE_SUFFIXES] += path.stat().st_size
-    return sizes[True] > 10 * sizes[False]
+    modules = pure_modules(distribution)
+    code = f"import sys; sys.path.insert(0, {str(archive)!r}); import "
+    command = [sys.executable, "-I", "-S", "-c", code + ", ".join(modules)]
+    return not modules or subprocess.run(command, capture_output=True).returncode != 0
 
 
-def check_pure(distributions: dict[str, Distribution]) -> None:
+def check_pure(distributions: dict[str, Distribution], archive: Path) -> None:
     """Raise NativeOnlyError if any package works only with native modules."""
-    found = [name for name, found in distributions.items() if is_native_only(found)]
+    found = [
+        name
+        for name, distribution in distributions.items()
+        if has_native_modules(distribution) and is_native_only(distribution, archive)
+    ]
     if found:
         raise NativeOnlyError(f"packages without pure modules: {', '.join(found)}")
 
@@ -144,7 +160,6 @@
     content_by_name = {member.name: member.content for member in members}
     for directory in directories_of(list(content_by_name)):
         content_by_name[directory] = b""
-    target.parent.mkdir(parents=True, exist_ok=True)
     with target.open("wb") as file:
         file.write(SHEBANG)
         with zipfile.ZipFile(file, "w", zipfile.ZIP_DEFLATED) as archive:
@@ -160,7 +175,6 @@
 def build(target: Path) -> None:
     """Build the binary at ``target``."""
     distributions = find_distributions(read_requirements(ROOT / "requirements.txt"))
-    check_pure(distributions)
     members = [Member("__main__.py", MAIN), *own_members(ROOT)]
     for distribution in distributions.values():
         members.extend(package_members(distribution))
@@ -170,7 +184,11 @@
             for member in members
             if member.name.endswith(".py")
         ]
-    write_archive(target, members + compiled)
+        archive = Path(scratch) / "archive"
+        write_archive(archive, members + compiled)
+        check_pure(distributions, archive)
+        target.parent.mkdir(parents=True, exist_ok=True)
+        shutil.move(archive, target)
 
 
 def main() -> None:
