Own interface: the end of a connection is not the end of an answer's head

Callers saw: an endpoint that stops in the middle of a head and closes was read as a whole answer, 200 with an empty body. A cut 503 or 404 of an engine counted as a promise that the request did not run, and led to another run; a cut 200 to an order as the adapter's load; a cut 304 as an unchanged list of VMs; a cut answer to an append or read ended its task by a TypeError; the command line reported a cut 200 as accepted. An interim answer other than 100 counted as the final one, and the final one was read as the answer to the next request on the connection.

Cause: http.client reads lines until an empty one or the end of the connection, takes the part of a line for a line (also of chunk sizes and trailers), and skips only status 100.

Fix, in one place (http_responses.py), used by endpoints, orders, lists, the log and the command line: a line that ends with the connection raises; all interim answers are skipped. Bytes that are no answer lose it, as http.client's own errors are caught too.

Cuts by reset raised before too, except after an interim answer.

--- a/bamboovale/cli/administration.py
+++ b/bamboovale/cli/administration.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from bamboovale.errors import ErrorCode
+from bamboovale.http_responses import PoolManager
 from bamboovale.status import ExitStatus
 
 CONNECT_TIMEOUT_S = 2.0
@@ -75,7 +76,7 @@
 class AdministrationClient:
     """Calls entry VMs in turn until one gives a final response."""
 
-    def __init__(self, urls: list[str], token: str, pool: urllib3.PoolManager) -> None:
+    def __init__(self, urls: list[str], token: str, pool: PoolManager) -> None:
         self._urls = urls
         self._token = token
         self._pool = pool
@@ -84,7 +85,7 @@
     def from_urls(cls, urls: list[str], token: str) -> "AdministrationClient":
         """Return a client without automatic retries and redirects."""
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
-        pool = urllib3.PoolManager(retries=False, timeout=timeout)
+        pool = PoolManager(retries=False, timeout=timeout)
         return cls([url.rstrip("/") for url in urls], token, pool)
 
     def call(
--- a/bamboovale/cli/entry.py
+++ b/bamboovale/cli/entry.py
@@ -11,6 +11,7 @@
 from result import Err, Result
 
 from bamboovale.errors import Finding
+from bamboovale.http_responses import PoolManager
 from bamboovale.logs import configure_logs
 from bamboovale.settings import DECLARATION_BY_NAME, Settings, flag_of, variable_of
 from bamboovale.status import ExitStatus
@@ -106,7 +107,7 @@
 ) -> None:
     """Print the state of a running entry VM as readable JSON."""
     try:
-        answer = urllib3.request(
+        answer = PoolManager().request(
             "GET",
             f"{admin.rstrip('/')}/admin/v1/state",
             headers={"Authorization": f"Bearer {token}"} if token else {},
--- a/bamboovale/entry/endpoint_connections.py
+++ b/bamboovale/entry/endpoint_connections.py
@@ -9,12 +9,13 @@
 import socket
 import threading
 from collections import defaultdict
+from http.client import HTTPException
 
 from urllib3 import BaseHTTPResponse
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from bamboovale.http_client import CONNECT_TIMEOUT_S
+from bamboovale.http_responses import Connection
 
 MAX_IDLE_PER_ENDPOINT = 32
 """Idle connections kept; an engine's batch bounds how many are in use at once."""
@@ -31,7 +32,7 @@
 class Exchange:
     """One request on one connection."""
 
-    def __init__(self, connection: HTTPConnection) -> None:
+    def __init__(self, connection: Connection) -> None:
         self.connection = connection
         self.response: BaseHTTPResponse | None = None
         self.aborted = False
@@ -54,7 +55,7 @@
                 decode_content=False,
             )
             self.response = self.connection.getresponse()
-        except (HTTPError, OSError, ValueError) as error:
+        except (HTTPError, HTTPException, OSError, ValueError) as error:
             raise ExchangeFailedError(type(error).__name__) from error
         return self.response
 
@@ -76,8 +77,8 @@
 
     def __init__(self, source_address: str) -> None:
         self._source = (source_address, 0)
-        self._idle_by_address: dict[tuple[str, int], list[HTTPConnection]] = (
-            defaultdict(list)
+        self._idle_by_address: dict[tuple[str, int], list[Connection]] = defaultdict(
+            list
         )
         self._lock = threading.Lock()
 
@@ -128,7 +129,7 @@
                     connection.close()
             self._idle_by_address.clear()
 
-    def _take_idle(self, address: tuple[str, int]) -> HTTPConnection | None:
+    def _take_idle(self, address: tuple[str, int]) -> Connection | None:
         with self._lock:
             idle = self._idle_by_address[address]
             while idle:
@@ -138,8 +139,8 @@
                 connection.close()
         return None
 
-    def _connect(self, address: tuple[str, int]) -> HTTPConnection:
-        connection = HTTPConnection(
+    def _connect(self, address: tuple[str, int]) -> Connection:
+        connection = Connection(
             address[0],
             address[1],
             timeout=CONNECT_TIMEOUT_S,
--- a/bamboovale/http_client.py
+++ b/bamboovale/http_client.py
@@ -14,6 +14,8 @@
     NewConnectionError,
 )
 
+from bamboovale.http_responses import ConnectionPool
+
 CONNECT_TIMEOUT_S = 1.0
 """Allows for one retransmitted SYN."""
 
@@ -26,15 +28,15 @@
 
     def __init__(self, source_address: str) -> None:
         self._source = (source_address, 0)
-        self._pool_by_address: dict[tuple[str, int], urllib3.HTTPConnectionPool] = {}
+        self._pool_by_address: dict[tuple[str, int], ConnectionPool] = {}
         self._lock = threading.Lock()
 
-    def pool(self, host: str, port: int) -> urllib3.HTTPConnectionPool:
+    def pool(self, host: str, port: int) -> ConnectionPool:
         """Return the pool of an address, created on first use."""
         with self._lock:
             pool = self._pool_by_address.get((host, port))
             if pool is None:
-                pool = urllib3.HTTPConnectionPool(
+                pool = ConnectionPool(
                     host,
                     port,
                     maxsize=POOL_SIZE,
