Streams without an attempt's id: refused unless one version can have begun them

What callers saw: after all entry VMs were killed just after the last endpoint of an old version had left, a stream that was taken up again without the id of its attempt was answered 200 and joined from two versions (ORDER).

Cause: `StartExchange` let such a stream go on while VMs knew of one version alone, and did not ask how far back they knew: after a start of all VMs they know the newer version only. For a stream that names an attempt it did ask.

Why it works: the stream goes on only if one version alone can have begun it, by records read after its caller came back and a history without a gap for as long as it may have run, as for an id that nobody knows. In an outage of the store such a stream is refused for a while, as this cannot be shown then.

--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -50,8 +50,8 @@
 class ResumedStream:
     """A stream that a caller resumes.
 
-    ``attempt_id`` is None if the caller names no attempt; such a stream goes on while
-    VMs know of one version alone. ``services`` are those that its route leads to,
+    ``attempt_id`` is None if the caller names no attempt; such a stream goes on if one
+    version alone can have begun it. ``services`` are those that its route leads to,
     ``attempt_s`` is how long an attempt may last, in seconds.
     """
 
@@ -154,9 +154,6 @@
             if reply.software_version is not None:
                 return Findings(StreamSource(reply.service, reply.software_version))
         all_answered = len(told) == len(replies)
-        if stream.attempt_id is None and told:
-            only_version = self._seen(stream, told).single_version()
-            return Findings(None, only_version, all_answered)
         all_answered &= await self._prove()
         seen = self._seen(stream, told)
         since_arrival_s = self._clock() - arrived_at
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -84,6 +84,12 @@
         """Return the address for callers."""
         return self.node.callers
 
+    async def kill(self) -> None:
+        """End the VM without a drain, and close its sockets."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        await self.vm.close()
+
 
 @dataclass
 class Site:
@@ -139,14 +145,21 @@
     async def restart_vm(self, number: int) -> RunningVM:
         """Kill an entry VM's process and start one that has its name."""
         killed = self.vms[number]
-        killed.task.cancel()
-        await asyncio.gather(killed.task, return_exceptions=True)
-        await killed.vm.close()
+        await killed.kill()
         started = await self.add_vm(killed.node.name, **killed.bounds)
         self.vms.remove(started)
         self.vms[number] = started
         return started
 
+    async def restart_vms(self) -> None:
+        """Kill the processes of all entry VMs, then start ones with their names."""
+        killed = list(self.vms)
+        for item in killed:
+            await item.kill()
+        self.vms.clear()
+        for item in killed:
+            await self.add_vm(item.node.name, **item.bounds)
+
     async def add_runner(self, name: str, **options: Any) -> PlatformRunner:
         """Start another engine."""
         runner = PlatformRunner(self.store, name, "llm", model=MODEL, **options)
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -205,6 +205,43 @@
         run(test())
 
 
+async def replace_the_software(site: Site) -> None:
+    """Start engines of the new version, and let those of the old one leave."""
+    olds = list(site.runners)
+    for _ in olds:
+        await add_engine(site, NEW)
+    await site.ready()
+    for runner in olds:
+        await runner.unregister()
+        site.runners.remove(runner)
+        runner.end()
+    await site.ready()
+
+
+class TestAllVMsKilled:
+    """All entry VMs are killed at once, start again, and callers come back."""
+
+    @pytest.mark.parametrize("names_attempt", [True, False])
+    def test_the_old_version_has_just_left(self, names_attempt: bool) -> None:
+        """Guards against a newer version that is taken for the only one there was."""
+
+        async def test() -> None:
+            async with running_site(2, 0, 1, roomy()) as site:
+                await add_engine(site, OLD)
+                await site.ready()
+                stream = begin_streams(site.vms[0].address, 1)[0][0]
+                await eventually(lambda: has_begun(site, [stream]))
+                await replace_the_software(site)
+                await site.restart_vms()
+                await site.ready()
+                attempt = stream.ids[0] if names_attempt else None
+                answer = await resume_stream(site, 0, attempt)
+                assert answer.status == 503
+                assert not any(runner.runs for runner in site.runners)
+
+        run(test())
+
+
 class TestSoftwareThatIsGone:
     """The last engines of the version that began streams end or leave."""
 
--- a/tests/test_streams_machine.py
+++ b/tests/test_streams_machine.py
@@ -211,6 +211,28 @@
             if vm_id == process.vm_id or self.linked(process.vm_id, vm_id)
         }
 
+    @rule()
+    def a_version_is_replaced_and_all_vms_are_killed(self) -> None:
+        """Leave no VM that knows of the version before, nor of its streams."""
+        before = self.log.states[-1]
+        self.log.states.append(frozenset(VERSIONS) - before)
+        self.vms_are_killed_and_start_again(set(VMS))
+
+    @precondition(lambda self: self.streams)
+    @rule(data=st.data(), vm_id=st.sampled_from(VMS))
+    def a_caller_comes_back_without_an_id(
+        self, data: st.DataObject, vm_id: str
+    ) -> None:
+        """Resume a stream by its last event alone; it may be refused."""
+        stream = data.draw(st.sampled_from(self.streams))
+        resumed = ResumedStream(None, None, (SERVICE,), ATTEMPT_S)
+        if self.now - stream.began_at > resumed.within_s:
+            return
+        process = self.process_by_id[vm_id]
+        found = self.loop.run_until_complete(process.exchange.source_of(resumed))
+        if isinstance(found, Ok):
+            assert found.ok_value.software_version == stream.version
+
     @precondition(lambda self: self.streams)
     @rule(data=st.data(), vm_id=st.sampled_from(VMS))
     def a_caller_comes_back(self, data: st.DataObject, vm_id: str) -> None:
