A request that is sent again gets another connection than before

Callers saw requests that must run once run twice, and 503 for requests that ran.

Cause: after a rejection a request may go to the same endpoint again, by the same kept connection and with the same id. An endpoint may send a second copy of an answer where the next one is expected. Its id is that of the request under way, so that the copy of the first rejection was taken for the answer to the second attempt, which ran: the VM sent the request once more, or refused it. Ids tell answers of requests apart, not answers of attempts.

A connection now remembers the last requests that it was taken for, and the pool gives it for none of them: the request gets another kept connection, else a new one. So an answer with the id of the request is one to this attempt. It holds for the relay server too, which uses the same pool.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -191,9 +191,11 @@
         use = self._paths.choose(endpoint_id, self._now())
         if use is PathUse.ANY:
             with contextlib.suppress(NotRun):
-                return await self.connect_here(record, once_only=once_only)
+                return await self.connect_here(record, request_id, once_only=once_only)
         elif use is PathUse.OPEN_CONNECTION:
-            kept = self._pool.take_kept(endpoint_id, fresh_only=once_only)
+            kept = self._pool.take_kept(
+                endpoint_id, request_id=request_id, fresh_only=once_only
+            )
             if kept is not None:
                 return kept
         self.try_path(record)
@@ -214,13 +216,17 @@
             raise StartChanged(str(error), reached=False) from error
 
     async def connect_here(
-        self, record: EndpointRecord, *, once_only: bool
+        self, record: EndpointRecord, request_id: str, *, once_only: bool
     ) -> Connection:
-        """Return a connection; raises NotRun if the endpoint cannot be reached."""
+        """Return a connection for a request.
+
+        Raises NotRun if the endpoint cannot be reached.
+        """
         try:
             return await self._pool.take(
                 record.endpoint_id,
                 record.address,
+                request_id=request_id,
                 fresh_only=once_only,
             )
         except ConnectFailed as error:
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import struct
+from collections import deque
 from dataclasses import dataclass
 from typing import Any
 
@@ -31,6 +32,9 @@
 HIGH_WATER_BYTES = 256 * 1024
 """Response bytes buffered for a slow consumer before reading is paused."""
 
+CARRIED_IDS = 4
+"""Requests that a connection remembers, as their answers may come a second time."""
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -59,10 +63,14 @@
 
 
 class Connection(asyncio.Protocol):
-    """A client connection; create it with ``open``."""
+    """A client connection; create it with ``open``.
+
+    ``carried_ids`` are the ids of the requests that it was taken for last.
+    """
 
     def __init__(self) -> None:
         self.closed = False
+        self.carried_ids: deque[str] = deque(maxlen=CARRIED_IDS)
         self.used = False
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -54,21 +54,43 @@
         endpoint_id: str,
         address: tuple[str, int],
         *,
+        request_id: str | None = None,
         fresh_only: bool = False,
         timeout_s: float | None = None,
     ) -> Connection:
-        """Return an idle connection or a new one; raises ConnectFailed."""
-        kept = self.take_kept(endpoint_id, fresh_only=fresh_only)
+        """Return an idle connection or a new one; raises ConnectFailed.
+
+        ``request_id`` names the request that it is for, None if answers bear no id.
+        """
+        kept = self.take_kept(endpoint_id, request_id=request_id, fresh_only=fresh_only)
         if kept is not None:
             return kept
-        return await self.open(endpoint_id, address, timeout_s)
+        connection = await self.open(endpoint_id, address, timeout_s)
+        _note_request(connection, request_id)
+        return connection
 
     def take_kept(
-        self, endpoint_id: str, *, fresh_only: bool = False
+        self,
+        endpoint_id: str,
+        *,
+        request_id: str | None = None,
+        fresh_only: bool = False,
     ) -> Connection | None:
-        """Return an idle connection, None if there is none."""
+        """Return an idle connection that has not carried the request, None if none is.
+
+        Guards against a second copy of an endpoint's answer to the earlier attempt,
+        which nothing tells from its answer to this one.
+        """
         pool = self._pool_by_id.setdefault(endpoint_id, EndpointPool())
-        return self._take_idle(pool, FRESH_IDLE_S if fresh_only else KEEP_ALIVE_S * 10)
+        max_idle_s = FRESH_IDLE_S if fresh_only else KEEP_ALIVE_S * 10
+        passed_over: list[Connection] = []
+        while (connection := self._take_idle(pool, max_idle_s)) is not None:
+            if request_id not in connection.carried_ids:
+                _note_request(connection, request_id)
+                break
+            passed_over.append(connection)
+        pool.idle.extendleft(reversed(passed_over))
+        return connection
 
     async def open(
         self,
@@ -152,6 +174,11 @@
         return not connection.closed and idle_s < min(limit_s, max_idle_s)
 
 
+def _note_request(connection: Connection, request_id: str | None) -> None:
+    if request_id is not None:
+        connection.carried_ids.append(request_id)
+
+
 async def sweep_forever(pool: ConnectionPool, interval_s: float = 1.0) -> None:
     """Periodically close connections that exceed their idle limit."""
     while True:
--- a/bamboovale/relay/server.py
+++ b/bamboovale/relay/server.py
@@ -178,7 +178,7 @@
         record = self._endpoints.record_by_id[request.endpoint_id]
         try:
             connection = await self._client.connect_here(
-                record, once_only=request.once_only
+                record, request.request_id, once_only=request.once_only
             )
         except NotRun as error:
             reply(self._not_sent(request, str(error), was_tried=True))
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
+from weakref import WeakKeyDictionary
 
 from bamboovale.http1.connection import Headers
 from bamboovale.http1.server import Request, Responder, Server
@@ -55,7 +56,9 @@
     after the first. ``garble``: send bytes that are not HTTP. ``refuse``: refuse all
     requests without a run. ``room``: number of requests beyond which others are refused
     without a run. ``unframed``: answer with neither a length nor chunks, ended by the
-    connection. ``reset``: reset such an answer before its end.
+    connection. ``reset``: reset such an answer before its end. ``late_copies``: send a
+    second copy of a refusal as the next request on its connection arrives;
+    ``unnamed_copies``: without the id of the request.
     """
 
     cut_after: int | None = None
@@ -71,6 +74,8 @@
     refuse: bool = False
     room: int | None = None
     unframed: bool = False
+    late_copies: bool = False
+    unnamed_copies: bool = False
     event_s: float = EVENT_INTERVAL_S
 
 
@@ -97,6 +102,7 @@
         self.refused = 0
         self.trigger: CrashTrigger | None = None
         self.come_back: Callable[[], Coroutine[Any, Any, None]] | None = None
+        self._copy_by_connection: WeakKeyDictionary[Any, bytes] = WeakKeyDictionary()
         self._changes: set[asyncio.Task[None]] = set()
         self._is_down = False
         self._under_way = 0
@@ -213,6 +219,8 @@
             self._under_way -= 1
 
     def _note_arrival(self, request: Request, responder: Responder) -> None:
+        connection = responder._connection
+        connection._transport.write(self._copy_by_connection.pop(connection, b""))
         arrival = responder.caller_host(), request_id(request)
         self.signals.on_arrival(*arrival)
         if self.trigger is not None:
@@ -304,6 +312,16 @@
             (b"x-request-id", request.get(b"x-request-id") or b""),
         ]
         responder.answer(status, headers, b"")
+        if self.faults.late_copies:
+            if self.faults.unnamed_copies:
+                headers = [pair for pair in headers if pair[0] != b"x-request-id"]
+            self._copy_by_connection[responder._connection] = _bare(status, headers)
+
+
+def _bare(status: int, headers: Headers) -> bytes:
+    """Return the bytes of an answer without a body."""
+    lines = [b"%s: %s\r\n" % pair for pair in [*headers, (b"content-length", b"0")]]
+    return b"HTTP/1.1 %d Copy\r\n%s\r\n" % (status, b"".join(lines))
 
 
 def request_id(request: Request) -> str:
--- a/bench/http1_guards.py
+++ b/bench/http1_guards.py
@@ -1,8 +1,9 @@
-"""Guards of messages that arrive faster than they are taken."""
+"""Guards of messages that come too fast, and of answers that come a second time."""
 
 from bench.guard import Change, EndpointPromise, Guard
 
 TESTS = "tests/test_http1_flow_control.py"
+LATE_ANSWERS = "tests/test_gateway_late_answers.py::TestCopyOfARejection"
 SERVER_PATH = "bamboovale/http1/server.py"
 
 HTTP1_GUARDS = (
@@ -54,4 +55,16 @@
             ),
         ),
     ),
+    Guard(
+        "a request is not sent again on the connection that carried it",
+        EndpointPromise.ONCE,
+        f"{LATE_ANSWERS}::test_a_plain_call_that_runs_is_not_refused",
+        (
+            Change(
+                "bamboovale/http1/pool.py",
+                "            if request_id not in connection.carried_ids:",
+                "            if True:",
+            ),
+        ),
+    ),
 )
--- a/tests/path_cuts.py
+++ b/tests/path_cuts.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bamboovale.http1.connection import CONNECT_TIMEOUT_S, ConnectFailed, Connection
-from tests.gateway_site import RunningVM, Site
+from tests.gateway_site import RunningVM, Site, eventually
 
 HANG = "hang"
 """New connections get no answer, and open ones pass nothing."""
@@ -114,3 +114,15 @@
         loop.call_at(ends_at, receive_held)
         yield
         await asyncio.sleep(max(0.0, ends_at - loop.time()) + 0.05)
+
+
+async def put_out_of_reach(vm: RunningVM) -> None:
+    """Have a VM that is cut off find it out, by requests that need not succeed."""
+    await eventually(lambda: _is_cut_after_failures(vm))
+
+
+def _is_cut_after_failures(vm: RunningVM) -> bool:
+    watch = vm.vm.state.path_watch
+    for endpoint_id in vm.vm.state.endpoints.record_by_id:
+        watch.on_failed(endpoint_id, "cut")
+    return watch.check()
--- /dev/null
+++ b/tests/test_gateway_late_answers.py
@@ -0,0 +1,111 @@
+"""Endpoints that reject a request, and send a second copy of the answer later."""
+
+from typing import Any
+
+from bamboovale.standins.platform_endpoints import PlatformEndpoint
+from tests.gateway_site import (
+    CallerAnswer,
+    Site,
+    call,
+    configuration,
+    route,
+    run,
+    running_site,
+)
+from tests.path_cuts import REFUSE, cut_from_endpoints, put_out_of_reach
+
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+REJECTED, ACCEPTED = True, False
+RUN_S = 0.1
+
+
+def calls_with_goal(goal_s: float) -> dict[str, Any]:
+    """Return a configuration with one route, whose calls must run once at most."""
+    config = configuration()
+    config["routes"] = [route("book", "app", "unsafe", **{"goal-ms": 1000 * goal_s})]
+    return config
+
+
+def turn_away(endpoint: PlatformEndpoint, *turns: bool) -> None:
+    """Reject the arrivals for which the turn is true, and all after the last turn.
+
+    Each rejection is sent a second time, as the next request arrives.
+    """
+    endpoint.faults.late_copies = True
+    endpoint.faults.event_s = RUN_S
+    left = list(turns)
+    endpoint._turns_away = lambda: left.pop(0) if left else True
+
+
+def runs(site: Site, attempt: str) -> int:
+    """Return how often a request ran at the endpoints."""
+    endpoints = [*site.runners, *site.services]
+    return sum(run.request_id == attempt for item in endpoints for run in item.runs)
+
+
+def assert_truth(site: Site, answer: CallerAnswer, attempt: str) -> None:
+    """Check that a request ran once at most, and was not refused if it ran."""
+    assert runs(site, attempt) <= 1
+    assert not (runs(site, attempt) and answer.status in PROMISES_NOT_RUN)
+
+
+class TestCopyOfARejection:
+    """A second copy of a rejection, where the next answer is expected."""
+
+    def test_a_plain_call_that_is_sent_again_runs_once(self) -> None:
+        """Guards against calls that run although a VM takes them for rejected."""
+
+        async def test() -> None:
+            async with running_site(runners=0, config=calls_with_goal(1.5)) as site:
+                answer = await self._call(site, "one")
+                assert_truth(site, answer, "one")
+                assert answer.status == 200
+
+        run(test())
+
+    def test_a_plain_call_that_runs_is_not_refused(self) -> None:
+        """Guards against the promise that a call did not run which runs."""
+
+        async def test() -> None:
+            async with running_site(runners=0, config=calls_with_goal(0.2)) as site:
+                for number in range(8):
+                    answer = await self._call(site, f"call-{number}")
+                    assert_truth(site, answer, f"call-{number}")
+
+        run(test())
+
+    def test_a_stream_that_is_sent_again_runs_once(self) -> None:
+        """Guards against streams that run although a VM takes them for rejected."""
+
+        async def test() -> None:
+            async with running_site(services=0) as site:
+                [engine] = site.runners
+                engine.preload("a1")
+                address = site.vms[0].address
+                await call(address, "/chat/1", adapter="a1")
+                turn_away(engine, REJECTED, ACCEPTED, ACCEPTED)
+                answer = await call(address, "/chat/1", adapter="a1", attempt="one")
+                assert_truth(site, answer, "one")
+                assert answer.status == 200
+
+        run(test())
+
+    def test_a_call_that_another_vm_sends_runs_once(self) -> None:
+        """Guards against the same in the VM that sends for another one."""
+
+        async def test() -> None:
+            config = calls_with_goal(1.5)
+            async with running_site(2, 0, 2, config) as site:
+                with cut_from_endpoints(site, [site.vms[0]], REFUSE):
+                    await put_out_of_reach(site.vms[0])
+                    answer = await self._call(site, "one")
+                assert_truth(site, answer, "one")
+                assert answer.status == 200
+
+        run(test())
+
+    @staticmethod
+    async def _call(site: Site, attempt: str) -> CallerAnswer:
+        for service in site.services:
+            turn_away(service, REJECTED, ACCEPTED, ACCEPTED)
+        return await call(site.vms[0].address, "/book/1", attempt=attempt)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -386,6 +386,40 @@
 
         run(test())
 
+    def test_a_request_that_is_sent_again_gets_another_connection(self) -> None:
+        """Guards against a second copy of the answer to its earlier attempt."""
+
+        async def test() -> None:
+            async with server([]) as address:
+                pool = ConnectionPool(asyncio.get_running_loop().time)
+                first = await pool.take("e", address, request_id="one")
+                second = await pool.take("e", address, request_id="two")
+                for connection in (second, first):
+                    await ask(connection)
+                    pool.give_back("e", connection)
+                assert await pool.take("e", address, request_id="one") is second
+                other = await pool.take("e", address, request_id="one")
+                assert other not in (first, second)
+                assert await pool.take("e", address, request_id="three") is first
+
+        run(test())
+
+    def test_connections_that_are_passed_over_stay_in_their_order(self) -> None:
+        async def test() -> None:
+            async with server([]) as address:
+                pool = ConnectionPool(asyncio.get_running_loop().time)
+                taken = [
+                    await pool.take("e", address, request_id="one") for _ in range(3)
+                ]
+                for connection in taken:
+                    await ask(connection)
+                    pool.give_back("e", connection)
+                assert pool.take_kept("e", request_id="one") is None
+                again = [await pool.take("e", address) for _ in range(3)]
+                assert again == taken[::-1]
+
+        run(test())
+
 
 class TestAbandonedRequest:
     """A request that is given up while its bytes are held up on the way."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,24 +10,12 @@
     Helper,
     RelayChoice,
 )
-from tests.gateway_site import RunningVM, Site, call, eventually, run, running_site
-from tests.path_cuts import REFUSE, cut_from_endpoints
+from tests.gateway_site import Site, call, eventually, run, running_site
+from tests.path_cuts import REFUSE, cut_from_endpoints, put_out_of_reach
 
 LONG_EVENT_S = 0.5
 
 
-async def put_out_of_reach(vm: RunningVM) -> None:
-    """Have a VM that is cut off find it out, by requests that need not succeed."""
-    await eventually(lambda: _is_cut_after_failures(vm))
-
-
-def _is_cut_after_failures(vm: RunningVM) -> bool:
-    watch = vm.vm.state.path_watch
-    for endpoint_id in vm.vm.state.endpoints.record_by_id:
-        watch.on_failed(endpoint_id, "cut")
-    return watch.check()
-
-
 def relayed(site: Site) -> list[dict]:
     """Return the lines of requests that VMs sent for others."""
     return [line for item in site.vms for line in item.journal.of("relayed")]
