An answer to another request is skipped also alone, and before one with a body

Callers saw 500 or 502 for requests that ran, where an endpoint sent a second copy of its answer to an earlier request on the same connection.

Cause: to skip it the connection feeds the rest of the received bytes to a new parser. Without a rest it fed no bytes, which a parser takes for the end of the connection: the answer counted as broken (502). And the parser was told that a request with a length was sent without its body, which it rejects: the handler ended with an unexpected error (500), and the connection went back to the pool. Tests sent both answers in one write, and requests without a body.

Evidence: test_after_a_response_to_another_request_the_next_one_is_read (both cases) and test_the_next_call_on_the_connection_gets_its_own_answer fail before with IncompleteResponse, LocalProtocolError and 500 in place of 200.

--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -32,6 +32,7 @@
 HIGH_WATER_BYTES = 256 * 1024
 """Response bytes buffered for a slow consumer before reading is paused."""
 
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 CARRIED_IDS = 4
 """Requests that a connection remembers, as their answers may come a second time."""
 
@@ -182,10 +183,13 @@
             return False
         rest, _ = self._wire.trailing_data
         self._wire = self._new_wire()
-        self._wire.send(self._request)
+        self._wire.send(_without_body(self._request))
         self._wire.send(h11.EndOfMessage())
         self._busy = True
-        self._receive(bytes(rest))
+        if rest:
+            self._receive(bytes(rest))
+        if self._ended:
+            self._receive(b"")
         return True
 
     def close(self) -> None:
@@ -250,6 +254,12 @@
             self.reusable = True
 
 
+def _without_body(request: h11.Request) -> h11.Request:
+    """Return a request to which the same response belongs, with no body to send."""
+    headers = [pair for pair in request.headers if pair[0] not in FRAMING_HEADERS]
+    return h11.Request(method=request.method, target=request.target, headers=headers)
+
+
 def reset_on_close(sock: Any) -> None:
     """Have a socket drop unsent bytes and reset its connection when it is closed."""
     if sock is not None and hasattr(sock, "setsockopt"):
--- a/tests/test_gateway_late_answers.py
+++ b/tests/test_gateway_late_answers.py
@@ -104,6 +104,21 @@
 
         run(test())
 
+    def test_the_next_call_on_the_connection_gets_its_own_answer(self) -> None:
+        """Guards against calls with bodies that fail as another answer is skipped."""
+
+        async def test() -> None:
+            async with running_site(runners=0, config=calls_with_goal(0.2)) as site:
+                address = site.vms[0].address
+                turn_away(site.services[0], *[REJECTED] * 6)
+                refused = await call(address, "/book/1", attempt="one")
+                turn_away(site.services[0], *[ACCEPTED] * 6)
+                answer = await call(address, "/book/1", attempt="two", body=b"body")
+                assert (refused.status, answer.status) == (503, 200)
+                assert answer.body == b"service-0 two"
+
+        run(test())
+
     @staticmethod
     async def _call(site: Site, attempt: str) -> CallerAnswer:
         for service in site.services:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -319,6 +319,29 @@
 
         run(test())
 
+    @pytest.mark.parametrize("body", [b"", b"body"], ids=["no body", "body"])
+    def test_after_a_response_to_another_request_the_next_one_is_read(
+        self, body: bytes
+    ) -> None:
+        async def test() -> None:
+            async with endpoint(self._stale_answer_first) as address:
+                connection = await Connection.open(*address)
+                assert await ask(connection, body) == b"stale"
+                assert connection.skip_response()
+                await connection.head()
+                assert await connection.data() == b"own"
+
+        run(test())
+
+    @staticmethod
+    async def _stale_answer_first(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale")
+        await asyncio.sleep(0.1)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
+
     def test_a_refused_connection_raises(self) -> None:
         async def test() -> None:
             with pytest.raises(ConnectFailed):
