A connection whose response is still to come does not go back to the pool

A caller that left while its connection skipped an answer to another request left a connection in the pool with a request under way: it ran on, and the next request on it ended with an unexpected error (500).

Cause: the end of the skipped answer marks the connection as reusable, and the wait for the next answer did not take that back.

Evidence: test_a_connection_with_a_response_to_come_is_not_reused fails before: the pool keeps the connection.

--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -186,6 +186,7 @@
         self._wire.send(_without_body(self._request))
         self._wire.send(h11.EndOfMessage())
         self._busy = True
+        self.reusable = False
         if rest:
             self._receive(bytes(rest))
         if self._ended:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -333,6 +333,24 @@
 
         run(test())
 
+    def test_a_connection_with_a_response_to_come_is_not_reused(self) -> None:
+        """Guards against a caller that leaves and a next one that gets its response.
+
+        The caller leaves after a response to another request was skipped.
+        """
+
+        async def test() -> None:
+            async with endpoint(self._stale_answer_first) as address:
+                pool = ConnectionPool(asyncio.get_running_loop().time)
+                connection = await pool.take("e", address)
+                await ask(connection)
+                connection.skip_response()
+                pool.give_back("e", connection)
+                assert connection.closed
+                assert pool.idle_count() == 0
+
+        run(test())
+
     @staticmethod
     async def _stale_answer_first(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
