--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import struct
+from collections import deque
 from dataclasses import dataclass
 from typing import Any
 
@@ -31,6 +32,10 @@
 HIGH_WATER_BYTES = 256 * 1024
 """Response bytes buffered for a slow consumer before reading is paused."""
 
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+CARRIED_IDS = 4
+"""Requests that a connection remembers, as their answers may come a second time."""
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -59,10 +64,14 @@
 
 
 class Connection(asyncio.Protocol):
-    """A client connection; create it with ``open``."""
+    """A client connection; create it with ``open``.
+
+    ``carried_ids`` are the ids of the requests that it was taken for last.
+    """
 
     def __init__(self) -> None:
         self.closed = False
+        self.carried_ids: deque[str] = deque(maxlen=CARRIED_IDS)
         self.used = False
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
@@ -174,10 +183,14 @@
             return False
         rest, _ = self._wire.trailing_data
         self._wire = self._new_wire()
-        self._wire.send(self._request)
+        self._wire.send(_without_body(self._request))
         self._wire.send(h11.EndOfMessage())
         self._busy = True
-        self._receive(bytes(rest))
+        self.reusable = False
+        if rest:
+            self._receive(bytes(rest))
+        if self._ended:
+            self._receive(b"")
         return True
 
     def close(self) -> None:
@@ -242,6 +255,12 @@
             self.reusable = True
 
 
+def _without_body(request: h11.Request) -> h11.Request:
+    """Return a request to which the same response belongs, with no body to send."""
+    headers = [pair for pair in request.headers if pair[0] not in FRAMING_HEADERS]
+    return h11.Request(method=request.method, target=request.target, headers=headers)
+
+
 def reset_on_close(sock: Any) -> None:
     """Have a socket drop unsent bytes and reset its connection when it is closed."""
     if sock is not None and hasattr(sock, "setsockopt"):
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -319,6 +319,47 @@
 
         run(test())
 
+    @pytest.mark.parametrize("body", [b"", b"body"], ids=["no body", "body"])
+    def test_after_a_response_to_another_request_the_next_one_is_read(
+        self, body: bytes
+    ) -> None:
+        async def test() -> None:
+            async with endpoint(self._stale_answer_first) as address:
+                connection = await Connection.open(*address)
+                assert await ask(connection, body) == b"stale"
+                assert connection.skip_response()
+                await connection.head()
+                assert await connection.data() == b"own"
+
+        run(test())
+
+    def test_a_connection_with_a_response_to_come_is_not_reused(self) -> None:
+        """Guards against a caller that leaves and a next one that gets its response.
+
+        The caller leaves after a response to another request was skipped.
+        """
+
+        async def test() -> None:
+            async with endpoint(self._stale_answer_first) as address:
+                pool = ConnectionPool(asyncio.get_running_loop().time)
+                connection = await pool.take("e", address)
+                await ask(connection)
+                connection.skip_response()
+                pool.give_back("e", connection)
+                assert connection.closed
+                assert pool.idle_count() == 0
+
+        run(test())
+
+    @staticmethod
+    async def _stale_answer_first(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale")
+        await asyncio.sleep(0.1)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
+
     def test_a_refused_connection_raises(self) -> None:
         async def test() -> None:
             with pytest.raises(ConnectFailed):
@@ -386,6 +427,40 @@
 
         run(test())
 
+    def test_a_request_that_is_sent_again_gets_another_connection(self) -> None:
+        """Guards against a second copy of the answer to its earlier attempt."""
+
+        async def test() -> None:
+            async with server([]) as address:
+                pool = ConnectionPool(asyncio.get_running_loop().time)
+                first = await pool.take("e", address, request_id="one")
+                second = await pool.take("e", address, request_id="two")
+                for connection in (second, first):
+                    await ask(connection)
+                    pool.give_back("e", connection)
+                assert await pool.take("e", address, request_id="one") is second
+                other = await pool.take("e", address, request_id="one")
+                assert other not in (first, second)
+                assert await pool.take("e", address, request_id="three") is first
+
+        run(test())
+
+    def test_connections_that_are_passed_over_stay_in_their_order(self) -> None:
+        async def test() -> None:
+            async with server([]) as address:
+                pool = ConnectionPool(asyncio.get_running_loop().time)
+                taken = [
+                    await pool.take("e", address, request_id="one") for _ in range(3)
+                ]
+                for connection in taken:
+                    await ask(connection)
+                    pool.give_back("e", connection)
+                assert pool.take_kept("e", request_id="one") is None
+                again = [await pool.take("e", address) for _ in range(3)]
+                assert again == taken[::-1]
+
+        run(test())
+
 
 class TestAbandonedRequest:
     """A request that is given up while its bytes are held up on the way."""
