Store: an empty or cut answer is a failure, not an empty list

Seen by VMs, not by callers: a 200 of the store with an empty body read as a group without members, or as a read that proves that there are no new records; other calls raised KeyError, TypeError or AttributeError, which nobody catches and which ends the VM's tasks. Where the answer had no length and ended inside a record, the part counted as the value.

Cause: an empty body was decoded as an empty document, and only JSON errors became StoreError.

Fix: what an answer holds is decoded under one guard, in platform/store.py. A read gives its whole records; without one, though the topic has more, it fails.

--- a/bamboovale/platform/store.py
+++ b/bamboovale/platform/store.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import base64
+import contextlib
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
@@ -33,6 +34,9 @@
 CALL_TIMEOUT_S = 1.5
 """Well above the answer time of a slow store."""
 READ_HEAD_BYTES = 16
+"""The topic's end and its first offset, before the records of a read."""
+END_BYTES = 8
+SIZE_BYTES = 4
 STORE_ID = "store"
 OK = 200
 GONE = 410
@@ -45,12 +49,31 @@
     body: bytes
     era: int
 
-    def document(self, name: str) -> Any:
-        """Return the decoded body; raises StoreError."""
-        try:
-            return json.loads(self.body) if self.body else {}
-        except ValueError as error:
-            raise StoreError(f"{name}: answer is not valid JSON") from error
+    def document(self) -> Any:
+        """Return the decoded body; raises ValueError."""
+        return json.loads(self.body)
+
+
+@dataclass(frozen=True)
+class _Page:
+    """Newest records of a topic, and the topic's end when they were read."""
+
+    records: tuple[KeyedRecord, ...]
+    end: Position
+    has_more: bool
+
+
+@contextlib.contextmanager
+def _decoding(name: str) -> Iterator[None]:
+    """Raise StoreError for an answer that is malformed, or empty where it may not be.
+
+    Guards against an answer without a length that stops early, and reads as few or no
+    records.
+    """
+    try:
+        yield
+    except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
+        raise StoreError(f"{name}: malformed answer: {error!r}") from error
 
 
 class StoreClient:
@@ -86,17 +109,15 @@
             if after is not None:
                 query["after"] = after
             answer = await self._send("GET", "log-newest", query)
-            page = answer.document("log-newest")
-            page_end = Position.at(answer.era, int(page["end"]))
-            if end is not None and page_end.era != end.era:
+            page = _decode_page(answer)
+            if end is not None and page.end.era != end.era:
                 raise HistoryLostError(f"{topic}: the store returned between pages")
             # Pages are not one snapshot: changes since the first page are read again.
-            end = page_end if end is None else min(end, page_end)
-            for item in page["items"]:
-                record = _keyed_item(item, answer.era)
+            end = page.end if end is None else min(end, page.end)
+            for record in page.records:
                 records[record.key] = record
                 after = record.key
-            if not page.get("more") or not page["items"]:
+            if not page.has_more:
                 return Snapshot(tuple(records.values()), end)
 
     async def read(
@@ -116,7 +137,8 @@
             query["wait-ms"] = str(int(wait_s * 1000))
         answer = await self._send("GET", "log-read", query, CALL_TIMEOUT_S + wait_s)
         self._check_era(topic, position, answer.era)
-        records = _keyed_records(answer.body[READ_HEAD_BYTES:], position)
+        with _decoding("log-read"):
+            records = _keyed_records(answer.body, position)
         return records, Position(position + len(records))
 
     def _check_era(self, topic: str, position: Position, era: int) -> None:
@@ -153,9 +175,10 @@
         answer = await self._send(
             "POST", "log-join", {}, timeout_s, json.dumps(document).encode()
         )
-        given = answer.document("log-join")
-        partitions = tuple(Partition(row[0], int(row[1])) for row in given["parts"])
-        return Membership(int(given["generation"]), partitions, answer.era)
+        with _decoding("log-join"):
+            given = answer.document()
+            partitions = tuple(Partition(row[0], int(row[1])) for row in given["parts"])
+            return Membership(int(given["generation"]), partitions, answer.era)
 
     async def leave(self, group: str, member: str) -> None:
         """Leave a group, so that its other members take over at once."""
@@ -165,7 +188,8 @@
     async def members(self, group: str) -> frozenset[str]:
         """Return the members of a group that hold a partition."""
         answer = await self._send("GET", "log-owners", {"group": group})
-        rows = _owner_rows(answer.document("log-owners"))
+        with _decoding("log-owners"):
+            rows = _owner_rows(answer.document())
         return frozenset(str(row[2]) for row in rows if row[2])
 
     async def _send(
@@ -236,10 +260,18 @@
 
 def _owner_rows(answer: Any) -> list[list[Any]]:
     """Return rows of topic, partition, member and offset."""
-    rows = answer.get("parts", answer.get("owners", [])) if answer else []
+    rows = answer["parts"] if "parts" in answer else answer["owners"]
     return [row for row in rows if isinstance(row, list) and len(row) > 2]
 
 
+def _decode_page(answer: _Answer) -> _Page:
+    with _decoding("log-newest"):
+        page = answer.document()
+        records = tuple(_keyed_item(item, answer.era) for item in page["items"])
+        has_more = bool(records and page.get("more"))
+        return _Page(records, Position.at(answer.era, int(page["end"])), has_more)
+
+
 def _keyed_item(item: dict[str, Any], era: int) -> KeyedRecord:
     value = base64.b64decode(item["value"])
     position = Position.at(era, int(item["offset"]))
@@ -247,16 +279,30 @@
 
 
 def _keyed_records(data: bytes, first: Position) -> tuple[KeyedRecord, ...]:
-    """Split records: 4-byte length, 1-byte key length, key, value."""
+    """Split what follows the head: 4-byte length, 1-byte key length, key, value.
+
+    Leaves out a last record that is not whole. Raises ValueError if there is none,
+    though the topic goes on after ``first``.
+    """
+    if len(data) < READ_HEAD_BYTES:
+        raise ValueError("no whole head")
     records: list[KeyedRecord] = []
-    at = 0
-    while at + 4 <= len(data):
-        size = int.from_bytes(data[at : at + 4], "big")
-        content = data[at + 4 : at + 4 + size]
-        at += 4 + size
+    at = READ_HEAD_BYTES
+    while (end := _end_of_record(data, at)) is not None:
+        content = data[at + SIZE_BYTES : end]
+        at = end
         key_size = content[0] if content else 0
         key = content[1 : 1 + key_size].decode("utf-8", "replace")
         value = content[1 + key_size :]
         position = Position(first + len(records))
         records.append(KeyedRecord(key, value or None, position))
+    if not records and int.from_bytes(data[:END_BYTES], "big") > first.offset:
+        raise ValueError("no whole record")
     return tuple(records)
+
+
+def _end_of_record(data: bytes, at: int) -> int | None:
+    """Return where a record ends, None if it is not whole."""
+    content_at = at + SIZE_BYTES
+    end = content_at + int.from_bytes(data[at:content_at], "big")
+    return end if content_at <= len(data) and end <= len(data) else None
