Own interface: a body that this VM aborts is not kept as whole

Callers saw: a caller leaves while an answer without a length is read; its call has an idempotency key. The repeat gets the part that had been read, as the whole answer. Read from the code; no report.

Cause: the VM shuts the endpoint's connection down as the caller leaves, and the reading thread takes that for the end of the body.

Fix: Exchange.read fails if the exchange was aborted; the key's outcome stays unknown. test_an_answer_that_is_aborted_is_lost failed before: `DID NOT RAISE ExchangeFailedError`.

--- a/bamboovale/entry/endpoint_connections.py
+++ b/bamboovale/entry/endpoint_connections.py
@@ -75,6 +75,9 @@
                     raise ExchangeFailedError(f"the answer exceeds {limit} bytes")
         except (HTTPError, OSError, ValueError) as error:
             raise ExchangeFailedError(type(error).__name__) from error
+        if self.aborted:
+            # Without a length the body seems to end where it was aborted.
+            raise ExchangeFailedError("aborted")
         return bytes(body)
 
     def abort(self) -> None:
--- a/tests/cut_answers.py
+++ b/tests/cut_answers.py
@@ -66,15 +66,17 @@
     """Sends prepared bytes in answer to requests, then closes or resets.
 
     ``kept`` are whole answers to the first requests of each connection, ``data`` is
-    the last one. ``requests`` counts what was read.
+    the last one, after which the connection stays open until ``left`` is set or for
+    ``stays_s``. ``requests`` counts what was read.
     """
 
     data: bytes = b""
     how: str = CLOSE
     kept: tuple[bytes, ...] = ()
+    stays_s: float = 0.0
+    left: threading.Event = field(default_factory=threading.Event)
     requests: int = 0
     address: tuple[str, int] = ("", 0)
-    _connections: list[socket.socket] = field(default_factory=list)
 
     @contextmanager
     def running(self) -> Iterator["CuttingServer"]:
@@ -101,6 +103,7 @@
             if not self._read_request(connection):
                 return
             connection.sendall(answer)
+        self.left.wait(self.stays_s)
         if self.how == RESET:
             reset_on_close(connection)
 
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -1,6 +1,7 @@
 """Answers that stop early, cut after each byte, on the own interface."""
 
 import json
+import threading
 from collections.abc import Iterator
 
 import pytest
@@ -91,6 +92,21 @@
         connections.close()
         assert bodies == [BODY, b'"second"']
 
+    def test_an_answer_that_is_aborted_is_lost(self, server: CuttingServer) -> None:
+        """Guards against a part of an answer that is kept as a whole one for its key.
+
+        The caller leaves while a body without a length is read.
+        """
+        unframed = next(answer for answer in ANSWERS if not answer.framed)
+        server.data, server.stays_s = unframed.data[:-1], READ_TIMEOUT_S
+        exchange = EndpointConnections("127.0.0.1").open(server.address, READ_TIMEOUT_S)
+        exchange.send("GET", "/", b"", {})
+        threading.Timer(0.1, exchange.abort).start()
+        with pytest.raises(ExchangeFailedError):
+            exchange.read(MAX_BODY_BYTES)
+        server.left.set()
+        exchange.connection.close()
+
     def test_bytes_that_are_no_answer_lose_it(self, server: CuttingServer) -> None:
         """Guards against an error that no caller of the connection expects."""
         server.data = b"no status line at all\r\n\r\n"
