Who began streams is recorded in the store, and read after all VMs ended

What callers saw: after all entry VMs were killed at once, every stream that was taken up again was refused for as long as two attempts and ten seconds, though endpoints of the version that began it served (LOST).

Cause: who began a stream is known to VMs alone, and they ended.

Why it works: a record says which version an attempt began at, and that stays true: from an older copy of the store, too. What is not recorded is refused as before: what began in the last moments before all VMs ended.

--- a/bamboovale/gateway/translation.py
+++ b/bamboovale/gateway/translation.py
@@ -34,6 +34,7 @@
     operator_topic: str
     endpoints_topic: str
     registration_topic: str
+    streams_topic: str
 
     def store(
         self,
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -215,6 +215,8 @@
             self.links,
             self._metrics,
             lambda: self.records.endpoints.prove(),
+            self._store,
+            self._translation.streams_topic,
         )
         self._request_handler = self._build_request_handler()
         self._stall_records = StallRecords(
@@ -385,6 +387,8 @@
             self._view_watch.watch(self.records.operator),
             self._quotas.exchange_forever(),
             self._assignment.write_stall_records_forever(),
+            self._streams.records.write_forever(),
+            self._streams.records.read_forever(),
             *self.step_back.watches(),
             *self._pools.sweeps(),
         ]
--- a/bamboovale/platform/names.py
+++ b/bamboovale/platform/names.py
@@ -42,6 +42,7 @@
 OPERATOR_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
 ENTRIES_TOPIC = "keyed.entries"  # addresses of the entry VMs
+STREAMS_TOPIC = "keyed.streams"  # who began streams
 CONFIG_KEY = "config"
 VERSION_PREFIX = "version/"
 
--- a/bamboovale/platform/translation.py
+++ b/bamboovale/platform/translation.py
@@ -36,6 +36,7 @@
     operator_topic = names.OPERATOR_TOPIC
     endpoints_topic = names.SERVERS_TOPIC
     registration_topic = names.ENTRIES_TOPIC
+    streams_topic = names.STREAMS_TOPIC
 
     def __init__(self, node: NodeSettings) -> None:
         self.node = node
--- a/bamboovale/streams/call_streams.py
+++ b/bamboovale/streams/call_streams.py
@@ -11,9 +11,11 @@
 from bamboovale.gateway.ownership import lease_clock
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.metrics import Metrics
+from bamboovale.store.interface import MetadataStore
 from bamboovale.streams.decision import StartRefusal
 from bamboovale.streams.exchange import Links, ResumedStream, StartExchange
 from bamboovale.streams.source import StreamSource
+from bamboovale.streams.start_records import StartRecords
 
 
 class ResumeOutcome(StrEnum):
@@ -33,6 +35,7 @@
     """Looks up and records the starts of callers' streams."""
 
     exchange: StartExchange
+    records: StartRecords
     journal: Journal
     now: Callable[[], float]
     count: Callable[[ResumeOutcome], None]
@@ -44,24 +47,37 @@
         links: Links,
         metrics: Metrics,
         prove: Callable[[], Awaitable[bool]],
+        store: MetadataStore,
+        topic: str,
     ) -> "CallStreams":
         """Return the streams of a VM that is being built.
 
-        ``prove`` reads the endpoints' records up to now.
+        ``prove`` reads the endpoints' records up to now, ``topic`` is that of the
+        records of streams.
         """
+        records = StartRecords(
+            state.node.name,
+            topic,
+            store,
+            state.journal,
+            state.fleet.stream_holders,
+            on_read=lambda began: exchange.remember(began),
+            now=state.now,
+        )
         exchange = StartExchange(
             state.node.name,
             links,
             state.fleet.stream_holders,
             state.versions,
             prove,
+            records,
             state.now,
             lease_clock,
         )
         versions = state.versions.endpoints_by_version
         state.endpoints.listen(lambda change: metrics.set_endpoints(versions))
         metrics.watch_stream_starts(lambda: len(exchange.starts))
-        return cls(exchange, state.journal, state.now, metrics.count_resumed)
+        return cls(exchange, records, state.journal, state.now, metrics.count_resumed)
 
     async def source_of(self, call: Call) -> StreamSource | None:
         """Return where a stream that a caller resumes goes on, None for a new one.
--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -22,6 +22,7 @@
 from bamboovale.streams.decision import Findings, StartRefusal, decide
 from bamboovale.streams.messages import StreamBegan, StreamQuery, StreamReply
 from bamboovale.streams.source import StreamSource
+from bamboovale.streams.start_records import StartLog
 from bamboovale.streams.starts import StreamStart, StreamStarts
 from bamboovale.streams.version_history import VersionHistory, VersionsSeen
 
@@ -70,8 +71,8 @@
     """The starts of streams as this VM knows them, with the help of others.
 
     ``holders`` returns the VMs among which those to tell are chosen. ``prove`` reads
-    the endpoints' records up to now and returns whether the store answered. ``clock``
-    is that of ``versions``.
+    the endpoints' records up to now and returns whether the store answered.
+    ``records`` outlast all VMs. ``clock`` is that of ``versions``.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         holders: Callable[[], Sequence[str]],
         versions: VersionHistory,
         prove: Callable[[], Awaitable[bool]],
+        records: StartLog,
         now: Callable[[], float],
         clock: Callable[[], float],
     ) -> None:
@@ -90,6 +92,7 @@
         self._links = links
         self._holders = holders
         self._prove = prove
+        self._records = records
         self._now = now
         self._clock = clock
 
@@ -112,11 +115,19 @@
         )
         self.on_began(began)
         told = {vm for attempt in attempts for vm in self._others(attempt, REPLICAS)}
+        writer = self._records.writer_of(attempts[0])
+        if writer is not None and writer != self._own_id:
+            told.add(writer)
         if told:
             self._links.notify_all(sorted(told), began)
 
     def on_began(self, began: StreamBegan) -> None:
-        """Remember a start of which another VM tells."""
+        """Remember a start of which another VM tells, and have it recorded."""
+        self.remember(began)
+        self._records.add(began)
+
+    def remember(self, began: StreamBegan) -> None:
+        """Remember a start."""
         source = StreamSource(began.service, began.software_version)
         start = StreamStart(source, began.customer)
         for attempt in began.attempts:
@@ -158,7 +169,10 @@
         seen = self._seen(stream, told)
         since_arrival_s = self._clock() - arrived_at
         only_version = seen.only_version(stream.within_s, since_arrival_s)
-        return Findings(None, only_version, all_answered)
+        if only_version is not None or stream.attempt_id is None:
+            return Findings(None, only_version, all_answered)
+        all_answered &= await self._records.read_new()
+        return Findings(self._known_here(stream), None, all_answered)
 
     def _known_here(self, stream: ResumedStream) -> StreamSource | None:
         if stream.attempt_id is None:
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -242,6 +242,30 @@
         run(test())
 
 
+class TestTwoVersionsAndAllVMsKilled:
+    """All entry VMs are killed at once while two versions serve."""
+
+    def test_streams_go_on_at_the_version_that_began_them(self) -> None:
+        """Guards against streams that end with the VMs that knew who began them."""
+
+        async def test() -> None:
+            async with running_site(2, 0, 1, roomy()) as site:
+                streams, answers = await begin_at_the_old_version(site)
+                await site.restart_vms()
+                await answers
+                await site.runners[0].unregister()
+                await eventually(lambda: len(site.owned()) == len(site.runners) - 1)
+                for number, stream in enumerate(streams):
+                    assert not stream.is_complete
+                    await stream.attempt(site.vms[number % 2].address)
+                assert [len(stream.versions(site)) for stream in streams] == (
+                    [1] * STREAMS
+                )
+                assert all(stream.is_complete for stream in streams)
+
+        run(test())
+
+
 class TestSoftwareThatIsGone:
     """The last engines of the version that began streams end or leave."""
 
