Requests cut by a planned stop are told apart in the log and counted

What could not be seen: a stream that the exit of a VM cut had the outcome 'left', as if its caller had gone, and 'drained' said only how many there were.

Change: such a request has the outcome 'cut_by_stop', in its log line and in gateway_requests_total; each request line of a VM that stops says when the request came relative to SIGTERM (since_stop_s). With total_s, the s of its attempts and first_s that tells when its run began and how far it was: too late a start, a wait for a place, or an end before the time was over.

--- a/bamboovale/gateway/drain.py
+++ b/bamboovale/gateway/drain.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+from bamboovale.decisions.planned_stop import PlannedStop
 from bamboovale.gateway.ownership import Ownership
 from bamboovale.gateway.peering import Peering
 from bamboovale.gateway.vm_state import VMState
@@ -21,8 +22,9 @@
     state: VMState, callers: Server, ownership: Ownership, peering: Peering
 ) -> None:
     """Release engines, serve while callers cache this address, then drain."""
-    state.stopping = True
     started_at = state.now()
+    ends_at = started_at + state.node.bounds.grace_s - STOP_MARGIN_S
+    state.planned_stop = PlannedStop(started_at, ends_at)
     state.journal.write("stopping", busy=callers.busy)
     peering.announce()
     with contextlib.suppress(StoreError, TimeoutError):
@@ -33,17 +35,16 @@
         await asyncio.sleep(0.1)
     state.draining = True
     callers.close_idle()
-    await _wait_for_callers(state, callers, started_at)
+    await _wait_for_callers(state, callers, state.planned_stop)
     callers.stop_listening()
     state.journal.write("drained", cut_off=callers.busy)
 
 
-async def _wait_for_callers(state: VMState, callers: Server, started_at: float) -> None:
+async def _wait_for_callers(state: VMState, callers: Server, stop: PlannedStop) -> None:
     """Wait until all connections are closed, or the grace time is nearly over."""
-    last = started_at + state.node.bounds.grace_s - STOP_MARGIN_S
-    while state.now() < last:
+    while state.now() < stop.ends_at:
         await asyncio.sleep(0.05)
         if not callers.busy and not callers.connections:
             break
-        if state.now() > started_at + LISTEN_AFTER_STOP_S + 1.0:
+        if state.now() > stop.started_at + LISTEN_AFTER_STOP_S + 1.0:
             callers.close_idle()
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -133,6 +133,8 @@
         try:
             outcome = await self._run(call, table)
         finally:
+            if outcome == "left" and self._is_stop_over():
+                outcome = "cut_by_stop"
             if outcome == "refused" or not call.attempts:
                 self._access.give_back(admission)
             self._log(call, outcome, table)
@@ -230,6 +232,10 @@
             **(details or {}),
         )
 
+    def _is_stop_over(self) -> bool:
+        stop = self._state.planned_stop
+        return stop is not None and self._now() >= stop.ends_at
+
     def _log(self, call: Call, outcome: str, table: RoutingTable) -> None:
         kind = call.route.kind.name.lower()
         total_s = self._now() - call.request.received_at
@@ -237,6 +243,10 @@
         self._metrics.gateway_request_seconds.labels(kind).observe(total_s)
         if "first_s" in call.notes:
             self._metrics.gateway_first_event_seconds.observe(call.notes["first_s"])
+        stop = self._state.planned_stop
+        if stop is not None:
+            since_stop_s = call.request.received_at - stop.started_at
+            call.notes["since_stop_s"] = round(since_stop_s, 3)
         work = call.facts.work
         self._journal.write(
             "request",
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -6,6 +6,7 @@
 
 from bamboovale.decisions.brittle_endpoints import BrittleEndpoints
 from bamboovale.decisions.endpoint_rests import EndpointRests
+from bamboovale.decisions.planned_stop import PlannedStop
 from bamboovale.decisions.retry_share import RetryShareConfig
 from bamboovale.decisions.view_freshness import ViewFreshness
 from bamboovale.gateway.endpoint_limits import EndpointLimits
@@ -30,7 +31,8 @@
     VMs' addresses, even if it failed; until then duties designated to a few VMs are not
     performed; ``has_read_fleet`` is true once a read succeeded. ``isolated`` is true
     while this VM is cut off from most others, ``unproven`` while others can show that
-    their ``view`` of the configuration is the newest, but not this VM.
+    their ``view`` of the configuration is the newest, but not this VM. ``planned_stop``
+    is None until the VM is told to stop.
     """
 
     def __init__(self, node: Any, journal: Journal) -> None:
@@ -39,7 +41,7 @@
         self.incarnation = os.urandom(6).hex()
         self.table: RoutingTable | None = None
         self.version_by_adapter: dict[tuple[str, str | None], int] = {}
-        self.stopping = False
+        self.planned_stop: PlannedStop | None = None
         self.draining = False
         self.knows_fleet = False
         self.has_read_fleet = False
@@ -78,6 +80,11 @@
             self.now,
         )
 
+    @property
+    def stopping(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self.planned_stop is not None
+
     def now(self) -> float:
         """Return the monotonic time in seconds, as the event loop does."""
         return time.monotonic()
