Scripted endpoints of tests close their connections

tests/test_http1.py run alone ended with a SystemError of the interpreter after its tests: connections that a script left open were collected once the event loop was closed, while pytest compiled a module. The endpoint now closes each.

--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -192,7 +192,10 @@
     """Run an endpoint that writes the raw bytes of a script."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await script(reader, writer)
+        try:
+            await script(reader, writer)
+        finally:
+            writer.close()
 
     running = await asyncio.start_server(serve, "127.0.0.1", 0)
     try:
