An answer without an id is believed only on a connection's first request

Callers saw requests that must run once run up to three times.

Cause: an answer without an id was taken for the answer to the request under way. On a connection that carried another request before it may be a second copy of that one's answer: a rejection made the VM send a request again that the endpoint ran. Endpoints echo the id, so such an answer is skipped now as one with another id is. As the first answer on a connection it can belong to nothing else and still counts, so that a rejection of an endpoint that names no id is not lost. An answer that is skipped and followed by none ends in 502 or 504, as any that may have run.

Evidence: test_the_next_call_on_the_connection_gets_its_own_answer[without id] fails before with three runs of one request.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -68,6 +68,7 @@
 
     closed: bool
     reusable: bool
+    is_reused: bool
     has_received: bool
 
     @property
@@ -370,7 +371,7 @@
         for _ in range(MAX_STALE_ANSWERS + 1):
             head = await connection.head()
             facts = self._codec.decode_answer(head)
-            is_own = facts.request_id in (None, request_id)
+            is_own = _is_own(facts, connection, request_id)
             self._on_answer(
                 AnswerNotice(
                     endpoint_id,
@@ -387,3 +388,14 @@
             if not connection.skip_response():
                 break
         raise IncompleteResponse("only answers to other requests were received")
+
+
+def _is_own(facts: AnswerFacts, connection: Exchange, request_id: str) -> bool:
+    """Return whether an answer belongs to this request.
+
+    Endpoints echo the id. One without it is own only if the connection has carried no
+    other request: else it may be a second answer to that one.
+    """
+    if facts.request_id is None:
+        return not connection.is_reused
+    return facts.request_id == request_id
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -66,13 +66,15 @@
 class Connection(asyncio.Protocol):
     """A client connection; create it with ``open``.
 
-    ``carried_ids`` are the ids of the requests that it was taken for last.
+    ``carried_ids`` are the ids of the requests that it was taken for last;
+    ``is_reused`` is whether another request went before the last one.
     """
 
     def __init__(self) -> None:
         self.closed = False
         self.carried_ids: deque[str] = deque(maxlen=CARRIED_IDS)
-        self.used = False
+        self.is_reused = False
+        self._is_used = False
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
         self.reusable = False
@@ -143,7 +145,8 @@
     def send(self, request: h11.Request, body: bytes) -> None:
         """Write a complete request."""
         self._busy = True
-        self.used = True
+        self.is_reused = self._is_used
+        self._is_used = True
         self.reusable = False
         self._request = request
         data = self._wire.send(request)
--- a/bamboovale/relay/client.py
+++ b/bamboovale/relay/client.py
@@ -52,6 +52,7 @@
     """
 
     reusable = False
+    is_reused = False
     has_received = False
 
     def __init__(
--- a/bench/http1_guards.py
+++ b/bench/http1_guards.py
@@ -67,4 +67,16 @@
             ),
         ),
     ),
+    Guard(
+        "an answer without an id may belong to an earlier request",
+        EndpointPromise.ONCE,
+        f"{LATE_ANSWERS}::test_the_next_call_on_the_connection_gets_its_own_answer",
+        (
+            Change(
+                "bamboovale/gateway/endpoint_client.py",
+                "        return not connection.is_reused",
+                "        return True",
+            ),
+        ),
+    ),
 )
--- a/tests/test_gateway_late_answers.py
+++ b/tests/test_gateway_late_answers.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import pytest
+
 from bamboovale.standins.platform_endpoints import PlatformEndpoint
 from tests.gateway_site import (
     CallerAnswer,
@@ -104,18 +106,23 @@
 
         run(test())
 
-    def test_the_next_call_on_the_connection_gets_its_own_answer(self) -> None:
-        """Guards against calls with bodies that fail as another answer is skipped."""
+    @pytest.mark.parametrize("unnamed", [False, True], ids=["with id", "without id"])
+    def test_the_next_call_on_the_connection_gets_its_own_answer(
+        self, unnamed: bool
+    ) -> None:
+        """Guards against calls that take the answer to an earlier one for their own."""
 
         async def test() -> None:
             async with running_site(runners=0, config=calls_with_goal(0.2)) as site:
                 address = site.vms[0].address
                 turn_away(site.services[0], *[REJECTED] * 6)
+                site.services[0].faults.unnamed_copies = unnamed
                 refused = await call(address, "/book/1", attempt="one")
                 turn_away(site.services[0], *[ACCEPTED] * 6)
                 answer = await call(address, "/book/1", attempt="two", body=b"body")
                 assert (refused.status, answer.status) == (503, 200)
                 assert answer.body == b"service-0 two"
+                assert runs(site, "two") == 1
 
         run(test())
 
