Log: a whole answer that holds not what was asked for is a failure

Cause: only answers that are not JSON were failures; an empty or odd one raised TypeError or KeyError, which nobody catches, and ended the task that appends or reads.

Fix: an append has an unknown outcome, a read fails. The 5 cases of test_an_odd_answer_of_the_log_is_a_failure failed before: `'NoneType' object is not subscriptable`, `KeyError: 'offset'`.

--- a/bamboovale/log_service/log_client.py
+++ b/bamboovale/log_service/log_client.py
@@ -16,6 +16,8 @@
 APPEND_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 3.0
 MAX_RECORDS_PER_READ = 500
+MALFORMED = (KeyError, TypeError, ValueError)
+"""Raised by JSON that holds not what was asked for."""
 
 
 @dataclass(frozen=True)
@@ -81,7 +83,10 @@
             )
         if status != 200:
             return Err(LogFailure(f"status {status}", may_have_taken_effect=False))
-        return Ok(answer["offset"])
+        try:
+            return Ok(int(answer["offset"]))
+        except MALFORMED as error:
+            return Err(LogFailure(_malformed(error), may_have_taken_effect=True))
 
     def read(
         self,
@@ -107,8 +112,15 @@
             return Err(LogFailure(type(error).__name__, may_have_taken_effect=False))
         if status != 200:
             return Err(LogFailure(f"status {status}", may_have_taken_effect=False))
-        records = tuple(
-            LogRecord(record["offset"], record["value"], record["time"])
-            for record in answer["records"]
-        )
-        return Ok(RecordBatch(stream, records, answer["first"], answer["end"]))
+        try:
+            records = tuple(
+                LogRecord(record["offset"], record["value"], record["time"])
+                for record in answer["records"]
+            )
+            return Ok(RecordBatch(stream, records, answer["first"], answer["end"]))
+        except MALFORMED as error:
+            return Err(LogFailure(_malformed(error), may_have_taken_effect=False))
+
+
+def _malformed(error: Exception) -> str:
+    return f"malformed answer: {error!r}"
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -179,6 +179,18 @@
                 assert isinstance(appended, Err)
                 assert appended.err_value.may_have_taken_effect
 
+    @pytest.mark.parametrize("document", [None, {}, [], 1, {"records": 1}])
+    def test_an_odd_answer_of_the_log_is_a_failure(
+        self, server: CuttingServer, document: object
+    ) -> None:
+        """Guards against an end of the task that uses the log."""
+        client = LogClient(url_of(server), HttpClient("127.0.0.1"))
+        server.data = whole(b"200 OK", document)
+        appended = client.append("s", 1)
+        assert isinstance(appended, Err)
+        assert appended.err_value.may_have_taken_effect
+        assert client.read("s", 0, wait_s=0.0).is_err()
+
     def test_a_cut_read_of_the_log_has_no_records(self, server: CuttingServer) -> None:
         """Guards against an end of the task that reads the log."""
         client = LogClient(url_of(server), HttpClient("127.0.0.1"))
