Routed interface: answers cut after each byte, in tests

The stand-in endpoints can stop an answer after any number of bytes (`cut_at`, by close or reset) and send interim answers first. A resumed stream of the stand-in with no event left ended without a head, which its server logged as an error; it sends an empty stream now.

--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -11,9 +11,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import h11
+
 from bamboovale.http1.connection import Headers
 from bamboovale.http1.server import Request, Responder, Server
 from bamboovale.standins.crash_triggers import CrashTrigger, Return
+from bamboovale.standins.cut_answer import CutTransport, cut_answer
 from bamboovale.standins.endpoint_signals import SignalRecord
 from bamboovale.standins.platform_store import PlatformStore
 from bamboovale.standins.unframed_answer import UnframedAnswer
@@ -55,7 +58,9 @@
     after the first. ``garble``: send bytes that are not HTTP. ``refuse``: refuse all
     requests without a run. ``room``: number of requests beyond which others are refused
     without a run. ``unframed``: answer with neither a length nor chunks, ended by the
-    connection. ``reset``: reset such an answer before its end.
+    connection. ``cut_at``: number of bytes after which an answer stops, in its head or
+    its body. ``reset``: reset answers of the last two kinds instead of closing them.
+    ``interim``: send an interim answer before each answer.
     """
 
     cut_after: int | None = None
@@ -71,6 +76,8 @@
     refuse: bool = False
     room: int | None = None
     unframed: bool = False
+    cut_at: int | None = None
+    interim: bool = False
     event_s: float = EVENT_INTERVAL_S
 
 
@@ -95,6 +102,7 @@
         self.address = ("", 0)
         self.connections_opened = 0
         self.refused = 0
+        self.last_cut: CutTransport | None = None
         self.trigger: CrashTrigger | None = None
         self.come_back: Callable[[], Coroutine[Any, Any, None]] | None = None
         self._changes: set[asyncio.Task[None]] = set()
@@ -217,6 +225,12 @@
         self.signals.on_arrival(*arrival)
         if self.trigger is not None:
             self.trigger.on_arrival(request, *arrival)
+        faults = self.faults
+        self.last_cut = cut_answer(responder, faults.cut_at, resets=faults.reset)
+        if faults.interim:
+            responder._connection._write(
+                h11.InformationalResponse(status_code=103, headers=[(b"link", b"</>")])
+            )
 
     def _crashes_under(self, request: Request, run: Run) -> bool:
         """Crash if the request does that; return whether it did."""
--- a/bamboovale/standins/platform_runner.py
+++ b/bamboovale/standins/platform_runner.py
@@ -281,5 +281,7 @@
             text = f"id: {number}\n{software_line(run.software)}{data}"
             await answer.write(text.encode())
             run.events += 1
+        if not answer.started:
+            answer.start(200, headers)
         run.ended = "ok"
         answer.finish()
--- /dev/null
+++ b/tests/test_gateway_cut_answers.py
@@ -0,0 +1,144 @@
+"""Answers of endpoints that stop early, as callers of the routed interface see them."""
+
+import pytest
+
+from bamboovale.standins.platform_endpoints import PlatformEndpoint
+from tests.gateway_site import CallerAnswer, Site, call, run, running_site
+from tests.path_cuts import HANG, cut_from_endpoints
+
+MAX_ANSWER_BYTES = 1000
+EVENTS = 5
+each_end = pytest.mark.parametrize("resets", [False, True], ids=["close", "reset"])
+each_kind = pytest.mark.parametrize(
+    "path", ["/book/1", "/check/1", "/chat/1", "/long/1"]
+)
+
+
+def is_stream(path: str) -> bool:
+    """Return whether a route leads to the engine."""
+    return path in ("/chat/1", "/long/1")
+
+
+def endpoint_of(site: Site, path: str) -> PlatformEndpoint:
+    """Return the only endpoint of a route, with no pauses."""
+    if not is_stream(path):
+        site.services[0].faults.event_s = 0.0
+        return site.services[0]
+    engine = site.runners[0]
+    engine.preload("a1")
+    engine.faults.event_s = 0.0
+    return engine
+
+
+async def ask(site: Site, path: str) -> CallerAnswer:
+    """Send a request by the first VM."""
+    adapter = "a1" if is_stream(path) else None
+    return await call(site.vms[0].address, path, adapter=adapter)
+
+
+def check_whole(path: str, answer: CallerAnswer) -> None:
+    """Check that an answer is all that its endpoint has to say."""
+    assert (answer.status, answer.whole) == (200, True)
+    assert answer.header("x-server-stamp") is not None
+    if is_stream(path):
+        assert answer.body.count(b"data:") == EVENTS
+    else:
+        assert answer.body.startswith(b"service-0 ")
+
+
+async def check_each_cut(site: Site, path: str, *, step: int = 1) -> None:
+    """Check answers that are cut after more and more bytes, until one is whole."""
+    endpoint = endpoint_of(site, path)
+    for cut in range(1, MAX_ANSWER_BYTES, step):
+        endpoint.faults.cut_at = cut
+        runs = len(endpoint.runs)
+        answer = await ask(site, path)
+        assert len(endpoint.runs) > runs
+        assert endpoint.last_cut is not None
+        if not endpoint.last_cut.is_cut:
+            check_whole(path, answer)
+            return
+        assert not answer.whole or answer.status == 502, cut
+        assert answer.status in (0, 200, 502), cut
+    raise AssertionError("no answer was whole")
+
+
+class TestCutAnswers:
+    """An answer that its endpoint does not finish is a failure or is broken off."""
+
+    @each_kind
+    @each_end
+    @pytest.mark.parametrize("interim", [False, True])
+    def test_none_looks_whole(self, path: str, resets: bool, interim: bool) -> None:
+        """Guards against a success, or an end, that no endpoint sent."""
+
+        async def test() -> None:
+            async with running_site() as site:
+                faults = endpoint_of(site, path).faults
+                faults.reset, faults.interim = resets, interim
+                await check_each_cut(site, path, step=3 if interim else 1)
+
+        run(test())
+
+    @each_kind
+    @each_end
+    def test_none_looks_whole_that_another_vm_relays(
+        self, path: str, resets: bool
+    ) -> None:
+        async def test() -> None:
+            async with running_site(vms=2) as site:
+                endpoint_of(site, path).faults.reset = resets
+                with cut_from_endpoints(site, [site.vms[0]], HANG):
+                    await check_each_cut(site, path, step=5)
+                assert site.vms[1].journal.of("relayed") != []
+
+        run(test())
+
+    @each_end
+    def test_a_stream_goes_on_at_another_engine(self, resets: bool) -> None:
+        """Guards against events that are lost or come twice where a part was cut."""
+
+        async def test() -> None:
+            bounds = {"retry-burst": MAX_ANSWER_BYTES}
+            async with running_site(runners=2, bounds=bounds) as site:
+                cutting, sound = site.runners
+                sound.preload("a1")
+                sound.faults.event_s = 0.0
+                endpoint_of(site, "/long/1").faults.reset = resets
+                cuts = 0
+                for cut in range(1, MAX_ANSWER_BYTES, 7):
+                    cutting.faults.cut_at = cut
+                    runs = len(cutting.runs)
+                    answer = await ask(site, "/long/1")
+                    check_whole("/long/1", answer)
+                    cuts += len(cutting.runs) > runs
+                assert cuts > 0
+
+        run(test())
+
+
+class TestCutRefusals:
+    """A refusal is a promise once it is whole."""
+
+    @pytest.mark.parametrize("path", ["/book/1", "/check/1"])
+    @each_end
+    def test_a_cut_one_promises_nothing(self, path: str, resets: bool) -> None:
+        """Guards against a "not run" that no endpoint gave."""
+
+        async def test() -> None:
+            async with running_site() as site:
+                endpoint = endpoint_of(site, path)
+                endpoint.faults.reset, endpoint.faults.refuse = resets, True
+                for cut in range(1, MAX_ANSWER_BYTES):
+                    endpoint.faults.cut_at = cut
+                    refused = endpoint.refused
+                    answer = await ask(site, path)
+                    assert endpoint.refused > refused
+                    assert endpoint.last_cut is not None
+                    if not endpoint.last_cut.is_cut:
+                        assert answer.status == 503
+                        return
+                    assert answer.status == 502
+                raise AssertionError("no refusal was whole")
+
+        run(test())
