A VM that stops begins no run that its exit would cut

What callers saw: streams that ended without their last part around the planned stop of the VM that took them in, each after its run had begun at an engine.

Cause: a stop takes on requests for 3.2 s, as callers still have the address, and cuts what is left grace-s less 0.7 s after SIGTERM. Whether a run could end by then was never asked: a request at 3.1 s waited up to 2.8 s for a place at a full engine and then began a run of seconds. The owner's limit for the wait followed the caller's patience only.

Change: the time of a run is estimated from the tokens asked and the learned speed of the engine, or of this VM's own runs where the owner is new and does not know it. A request whose run could not end before the exit, with a margin of a quarter, is refused as not run, with a short Retry-After; no place is waited for longer than that; a place granted too late goes back. What has begun goes on as before.

Tests, new: on the code before, a_stream_that_would_be_cut_is_refused and no_place_is_waited_for_until_the_run_would_be_cut failed with (200, False) for (503, True).

--- a/bamboovale/decisions/planned_stop.py
+++ b/bamboovale/decisions/planned_stop.py
@@ -1,7 +1,16 @@
-"""Times of a VM's planned stop."""
+"""Which requests a VM that stops can still complete.
+
+A VM that stops serves on for a while, as callers still have its address, and cuts what
+is left when it exits. Under long runs and full engines, a run that begins in that time
+may outlast it. Guards against taking on such a request: another VM can complete it.
+"""
 
 from dataclasses import dataclass
 
+RUN_MARGIN = 1.25
+"""Time that is left for a run, as a multiple of the expected time: engines slow down
+while they take over the load of others."""
+
 
 @dataclass(frozen=True)
 class PlannedStop:
@@ -13,3 +22,30 @@
 
     started_at: float
     ends_at: float
+
+    def latest_start(self, run_s: float) -> float:
+        """Return until when a run of ``run_s`` may begin and still be completed."""
+        return self.ends_at - RUN_MARGIN * run_s
+
+
+@dataclass(frozen=True)
+class EngineSpeed:
+    """Learned speed of an engine in seconds; each time is 0 if unknown.
+
+    ``s_per_token`` is the prefill time of a token, ``s_per_output_token`` the time of
+    an output token, ``run_s`` that of a mean run.
+    """
+
+    s_per_token: float
+    s_per_output_token: float
+    run_s: float
+
+    def run_time_s(self, prompt_tokens: int, output_tokens: int) -> float:
+        """Return how long a run will take, 0 if that is unknown.
+
+        ``output_tokens`` is 0 if the caller gave no count.
+        """
+        if not self.s_per_output_token or not output_tokens:
+            return self.run_s
+        output_s = self.s_per_output_token * output_tokens
+        return self.s_per_token * prompt_tokens + output_s
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -9,8 +9,10 @@
 
 from bamboovale.decisions.engine_choice import EngineCandidate
 from bamboovale.decisions.place_work import AdapterKey, EngineSnapshot
+from bamboovale.decisions.planned_stop import EngineSpeed
 from bamboovale.decisions.pool_speed import UNKNOWN_SPEED, PoolSpeed
 from bamboovale.decisions.prefill_speed import INITIAL_S_PER_TOKEN
+from bamboovale.decisions.run_meter import RunMeter
 from bamboovale.gateway.engine_owner import EngineOwner
 from bamboovale.gateway.fleet import Fleet, OwnedEngine
 from bamboovale.gateway.messages import (
@@ -130,6 +132,7 @@
     _loaded_by_id: dict[str, _Loaded] = field(default_factory=dict)
     _candidate_by_id: dict[str, _CachedCandidate] = field(default_factory=dict)
     _pool_by_service: dict[str, tuple[float, PoolSpeed]] = field(default_factory=dict)
+    _own_runs_by_model: dict[str, RunMeter] = field(default_factory=dict)
     _held_by_id: dict[str, PlaceHeld] = field(default_factory=dict)
     _owner_by_held: dict[str, str] = field(default_factory=dict)
 
@@ -165,6 +168,23 @@
         self._pool_by_service[service] = (now, pool)
         return pool
 
+    def speed(self, engine_id: str, model: str) -> EngineSpeed:
+        """Return an engine's speed by its owner, else by this VM's own runs.
+
+        A new owner may not know it yet.
+        """
+        owned = self.fleet.engine(engine_id)
+        status = None if owned is None else owned.published
+        if status is not None and status.run_s > 0.0:
+            return EngineSpeed(
+                status.s_per_token, status.s_per_output_token, status.run_s
+            )
+        own, now = self._own_runs(model).speed, self.now()
+        return EngineSpeed(0.0, own.mean_s_per_token(now), own.run_s(now))
+
+    def _own_runs(self, model: str) -> RunMeter:
+        return self._own_runs_by_model.setdefault(model, RunMeter())
+
     def _prune(self, records: list[EndpointRecord]) -> None:
         """Drop state of engines that no longer exist, once it outweighs the rest."""
         for kept in (self._sent_by_id, self._loaded_by_id, self._candidate_by_id):
@@ -201,6 +221,9 @@
 
     def notify_started(self, place: GrantedPlace) -> None:
         """Notify the owner that the first event was received."""
+        held = self._held_by_id.get(place.ask_id)
+        if held is not None:
+            self._own_runs(held.model).on_started(place.ask_id, self.now())
         local = self.owner_by_engine.get(place.engine_id)
         if place.owner != self.own_id:
             notice = PlaceStarted(place.engine_id, place.ask_id)
@@ -231,6 +254,7 @@
             start=request.start,
         )
         self._owner_by_held[place.ask_id] = place.owner
+        self._own_runs(request.model).on_granted(place.ask_id, self.now())
 
     def notify_new_owners(self) -> None:
         """Notify new owners of engines of this VM's runs in flight there.
@@ -257,7 +281,12 @@
         aborted: bool = False,
     ) -> None:
         """Notify the owner that a run is over."""
-        self._held_by_id.pop(place.ask_id, None)
+        held = self._held_by_id.pop(place.ask_id, None)
+        if held is not None:
+            runs = self._own_runs(held.model)
+            if not (refused or not_held or aborted):
+                runs.on_ended(place.ask_id, held.output_tokens, self.now())
+            runs.on_gone(place.ask_id, self.now())
         owner = self._owner_by_held.pop(place.ask_id, place.owner)
         notice = PlaceRelease(
             place.engine_id,
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -7,6 +7,7 @@
 from bamboovale.crashes.attempt_watch import AttemptWatch
 from bamboovale.crashes.guard import CRASHES_ENDPOINTS, REFUSED_RETRY_S, CrashGuard
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
+from bamboovale.decisions.planned_stop import PlannedStop
 from bamboovale.gateway.call import Call, CallCodec, CallFailed
 from bamboovale.gateway.endpoint_client import (
     EndpointAnswer,
@@ -50,6 +51,7 @@
         crashes: CrashGuard,
         now: Callable[[], float],
         leaving_use_s: float,
+        planned_stop: Callable[[], PlannedStop | None] = lambda: None,
         mechanisms: Mechanisms = ALL_ON,
     ) -> None:
         self._client = client
@@ -68,6 +70,7 @@
             version_of=version_of,
             now=now,
             leaving_use_s=leaving_use_s,
+            planned_stop=planned_stop,
             mechanisms=mechanisms,
         )
 
@@ -90,7 +93,8 @@
         self._retries.on_fresh(call.service)
         for _ in range(MAX_ATTEMPTS):
             engine, place = await self._search.find(call, work, progress)
-            error = self._reason_not_to_send(call, progress)
+            error = self._search.stop_refusal(call, work, engine, progress)
+            error = error or self._reason_not_to_send(call, progress)
             if error is not None:
                 if place is not None:
                     self._engines.release(place)
--- a/bamboovale/gateway/place_search.py
+++ b/bamboovale/gateway/place_search.py
@@ -1,12 +1,14 @@
 """Finds a place for a request: chooses engines and requests places of their owners."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any
 
 from bamboovale.decisions.engine_choice import EngineCandidate, EngineChooser
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.decisions.place_work import RefusalReason
+from bamboovale.decisions.planned_stop import PlannedStop
 from bamboovale.gateway.call import Call
 from bamboovale.gateway.endpoint_limits import UNOWNED_PART
 from bamboovale.gateway.endpoints import EndpointView
@@ -21,6 +23,7 @@
 same status, so that an engine that has just started may get more than it can place."""
 IMMEDIATE_REFUSAL_S = 0.1
 """A refusal after a longer time ends the search."""
+STOPS = "the VM stops before the run could end"
 NO_SOFTWARE = "no endpoint of the software that began the stream is left"
 LIMITED = RefusalReason.LIMITED.name.lower()
 MIN_RUN_S = 0.4
@@ -61,9 +64,11 @@
         version_of: Callable[[str, str | None], int],
         now: Callable[[], float],
         leaving_use_s: float,
+        planned_stop: Callable[[], PlannedStop | None],
         mechanisms: Mechanisms = ALL_ON,
     ) -> None:
         self._leaving_use_s = leaving_use_s
+        self._planned_stop = planned_stop
         self._endpoints = endpoints
         self._engines = engines
         self._gate = gate
@@ -111,13 +116,16 @@
                     call, work, candidates, version, progress
                 )
             record = self._endpoints.record_by_id[chosen]
+            refusal = self.stop_refusal(call, work, record, progress)
+            if refusal is not None:
+                raise refusal
             if candidates[chosen].owner is None:
                 self._gate.take(chosen)
                 return record, None
             try:
                 candidate = candidates[chosen]
                 place = await self._request_place(
-                    call, work, candidate, version, progress
+                    call, work, candidate, version, progress, record
                 )
                 if self._endpoints.is_ready(chosen) and not self._gate.rest_s(chosen):
                     return record, place
@@ -132,6 +140,33 @@
                 )
                 unavailable.add(chosen)
 
+    def stop_refusal(
+        self,
+        call: Call,
+        work: ModelWork,
+        record: EndpointRecord,
+        progress: Progress,
+    ) -> Exception | None:
+        """Return the refusal of a run that this VM's stop would cut, else None.
+
+        A stream that has begun goes on as long as it can.
+        """
+        if progress.runs or self._now() < self._latest_start(call, work, record):
+            return None
+        return progress.final_error(STOPS)
+
+    def _latest_start(
+        self, call: Call, work: ModelWork, record: EndpointRecord
+    ) -> float:
+        """Return until when a run may begin that this VM can complete."""
+        stop = self._planned_stop()
+        if stop is None:
+            return math.inf
+        speed = self._engines.speed(record.endpoint_id, work.model)
+        run_s = speed.run_time_s(work.prompt_tokens, work.output_tokens)
+        call.notes["expected_run_s"] = round(run_s, 3)
+        return stop.latest_start(run_s)
+
     def _choose(
         self,
         call: Call,
@@ -251,6 +286,7 @@
         candidate: EngineCandidate,
         version: int,
         progress: Progress,
+        record: EndpointRecord,
     ) -> GrantedPlace:
         engine_id = candidate.engine_id
         now = self._now()
@@ -265,7 +301,10 @@
             output_tokens=work.output_tokens,
             rank=call.priority,
             goal_within_s=_goal_within_s(call, progress, now),
-            starts_within_s=self._starts_within_s(call, progress, now),
+            starts_within_s=min(
+                self._starts_within_s(call, progress, now),
+                max(0.0, self._latest_start(call, work, record) - now),
+            ),
             pause_s=call.route.gap_s,
             start=self._engines.fleet.membership.own.start,
         )
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -311,6 +311,7 @@
                 self._crashes,
                 self.state.now,
                 LEAVING_USE_SHARE * self.state.node.bounds.drain_s,
+                lambda: self.state.planned_stop,
                 self._mechanisms,
             ),
             access=AccessControl(
--- a/bench/guard.py
+++ b/bench/guard.py
@@ -29,6 +29,7 @@
     CRASHES = "what crashes endpoints soon reaches none any more"
     BESIDE_CRASHES = "what only ran beside a crash is served as before"
     OLDER_COPY = "a store that returns from an older copy takes nothing back"
+    STOPS = "a planned stop cuts no answer that another VM can give"
     RETRIES = "a service gets no more retries of all VMs than its budget"
 
 
--- a/bench/guards.py
+++ b/bench/guards.py
@@ -21,6 +21,7 @@
 from bench.order_guards import ORDER_GUARDS
 from bench.retry_guards import PATH_GUARDS, RETRY_GUARDS
 from bench.signal_guards import SIGNAL_GUARDS
+from bench.stop_guards import STOP_GUARDS
 from bench.store_guards import STORE_GUARDS
 from bench.stream_guards import STREAM_GUARDS
 from bench.violations import Promise
@@ -257,6 +258,7 @@
             *PATH_GUARDS,
             *ORDER_GUARDS,
             *HTTP1_GUARDS,
+            *STOP_GUARDS,
         )
         if not options.promises or guard.promise.name in options.promises
     ]
--- /dev/null
+++ b/tests/test_decisions_planned_stop.py
@@ -0,0 +1,37 @@
+"""Which requests a VM that stops can still complete."""
+
+from bamboovale.decisions.planned_stop import EngineSpeed, PlannedStop
+
+STOP = PlannedStop(started_at=100.0, ends_at=107.0)
+
+
+class TestLatestStart:
+    """The time until which a run may begin."""
+
+    def test_a_run_that_begins_in_time_ends_before_the_exit(self) -> None:
+        """Guards against runs that are cut although they take as long as expected."""
+        for run_s in (0.1, 1.0, 3.0, 10.0):
+            assert STOP.latest_start(run_s) + run_s < STOP.ends_at
+
+    def test_short_runs_begin_until_shortly_before_the_exit(self) -> None:
+        """Guards against refusals of requests that the VM could complete."""
+        assert STOP.latest_start(0.2) > STOP.ends_at - 0.5
+        assert STOP.latest_start(0.0) == STOP.ends_at
+
+    def test_a_run_longer_than_the_stop_never_begins(self) -> None:
+        assert STOP.latest_start(8.0) < STOP.started_at
+
+
+class TestEngineSpeed:
+    """The expected time of a run."""
+
+    def test_it_follows_the_tokens_of_the_request(self) -> None:
+        speed = EngineSpeed(s_per_token=0.001, s_per_output_token=0.02, run_s=1.0)
+        assert speed.run_time_s(1000, 100) == 3.0
+
+    def test_without_a_count_it_is_that_of_a_mean_run(self) -> None:
+        speed = EngineSpeed(s_per_token=0.001, s_per_output_token=0.02, run_s=1.0)
+        assert speed.run_time_s(0, 0) == 1.0
+
+    def test_it_is_0_while_nothing_is_known(self) -> None:
+        assert EngineSpeed(0.001, 0.0, 0.0).run_time_s(1000, 100) == 0.0
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -1,8 +1,14 @@
 """Requests that a VM gets shortly before and during its planned stop."""
 
 import asyncio
+from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
+from bamboovale.gateway.drain import LISTEN_AFTER_STOP_S
+from bamboovale.gateway.engines import Engines, GrantedPlace
+from bamboovale.gateway.messages import PlaceRequest
 from tests.gateway_site import (
     CallerAnswer,
     Site,
@@ -15,21 +21,131 @@
 )
 
 GRACE_S = 5
+LATE_S = LISTEN_AFTER_STOP_S - 0.3
+"""A time after SIGTERM at which new requests are still accepted."""
+EVENTS = 10
+RUN_S = 1.8
+"""Longer than a stop goes on after ``LATE_S``, shorter than all of it."""
+PLACES = 8
+"""Places of an engine."""
 PATIENT = {"timeout-ms": 20_000, "gap-target-ms": 400}
 SITE: dict[str, Any] = {
     "vms": 2,
     "bounds": {"grace-s": GRACE_S},
+    "events": EVENTS,
     "config": configuration(extra=(route("slow", "llm", "stream", **PATIENT),)),
 }
 
 
-async def stream(site: Site, **options: Any) -> CallerAnswer:
-    """Send a request for an adapter by the VM that stops."""
-    return await call(
-        site.vms[0].address, "/slow/1", adapter="a1", deadline_ms=9000, **options
+async def stream(site: Site, vm: int = 0) -> CallerAnswer:
+    """Send a request for an adapter, by the VM that stops if no other is named."""
+    return await call(site.vms[vm].address, "/slow/1", adapter="a1", deadline_ms=9000)
+
+
+async def learn_run_time(site: Site) -> None:
+    """Have all VMs know how long a run takes."""
+    [runner] = site.runners
+    runner.faults.event_s = RUN_S / EVENTS
+    for _ in range(2):
+        await asyncio.gather(*(stream(site) for _ in range(PLACES // 2)))
+    fleet = site.vms[0].vm.state.fleet
+    await eventually(
+        lambda: fleet.engine(runner.endpoint_id).published.run_s > 0.7 * RUN_S
     )
 
 
+class TestRequestsTooLate:
+    """Requests that the VM cannot complete before it exits."""
+
+    def test_a_stream_that_would_be_cut_is_refused(self) -> None:
+        """Guards against taking on a run that lasts longer than the stop."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                await learn_run_time(site)
+                before = len(site.runners[0].runs)
+                site.vms[0].vm.stop()
+                await asyncio.sleep(LATE_S)
+                answer = await stream(site)
+                assert (answer.status, answer.whole) == (503, True)
+                assert float(answer.header("retry-after") or 9) < 1.0
+                assert answer.header("connection") == "close"
+                assert len(site.runners[0].runs) == before
+
+        run(test())
+
+    def test_no_place_is_waited_for_until_the_run_would_be_cut(self) -> None:
+        """Guards against runs that begin too late, after a wait for a full engine."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                await learn_run_time(site)
+                site.vms[0].vm.stop()
+                await asyncio.sleep(1.5)
+                full = [asyncio.create_task(stream(site, vm=1)) for _ in range(PLACES)]
+                await asyncio.sleep(0.2)
+                before = len(site.runners[0].runs)
+                assert before >= PLACES
+                async with asyncio.timeout(RUN_S / 2):
+                    answer = await stream(site)
+                assert (answer.status, answer.whole) == (503, True)
+                assert len(site.runners[0].runs) == before
+                assert {item.status for item in await asyncio.gather(*full)} == {200}
+
+        run(test())
+
+    def test_a_stream_that_can_be_completed_is_served(self) -> None:
+        """Guards against refusals by a VM that callers cannot know to be stopping."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                await learn_run_time(site)
+                site.vms[0].vm.stop()
+                await asyncio.sleep(1.0)
+                answer = await stream(site)
+                assert (answer.status, answer.whole) == (200, True)
+
+        run(test())
+
+
+class TestExpectedRunTime:
+    """What a VM knows of the speed of an engine."""
+
+    def test_own_runs_tell_it_while_the_owner_does_not_know_it(self) -> None:
+        """Guards against runs taken on unseen while owners stop one by one."""
+        now = 0.0
+        links = SimpleNamespace(notify=lambda vm_id, message: None)
+        fleet = SimpleNamespace(engine=lambda engine_id: None)
+        engines = Engines("me", fleet, links, lambda: now)  # type: ignore[arg-type]
+        assert engines.speed("e", "base").run_time_s(100, 50) == 0.0
+        for number in range(4):
+            place = GrantedPlace("e", f"r{number}", "other", 1)
+            request = PlaceRequest(
+                "e", place.ask_id, "base", "a1", 1, 100, 50, 0, 1.0, 1.0
+            )
+            engines.track_run(place, request)
+            now += 0.5
+            engines.notify_started(place)
+            now += 3.0
+            engines.release(place)
+        assert engines.speed("e", "base").run_time_s(100, 50) == pytest.approx(3.0)
+
+    def test_runs_that_were_broken_off_tell_nothing(self) -> None:
+        """Guards against an engine that seems fast as callers leave it early."""
+        now = 0.0
+        links = SimpleNamespace(notify=lambda vm_id, message: None)
+        fleet = SimpleNamespace(engine=lambda engine_id: None)
+        engines = Engines("me", fleet, links, lambda: now)  # type: ignore[arg-type]
+        place = GrantedPlace("e", "r", "other", 1)
+        engines.track_run(
+            place, PlaceRequest("e", "r", "base", "a1", 1, 100, 50, 0, 1.0, 1.0)
+        )
+        engines.notify_started(place)
+        now += 0.1
+        engines.release(place, aborted=True)
+        assert engines.speed("e", "base").run_time_s(100, 50) == 0.0
+
+
 class TestLogOfAStop:
     """What the log says of requests around a planned stop."""
 
