Requests left at the end of a planned stop are answered, not reset

What callers saw: a connection reset without any answer, for requests that still waited (for a place, for an answer) when a VM that stops came to its exit.

Cause: the stop waited until the time was over and then aborted every connection.

Change: when the time is over, calls that were never sent to an endpoint are refused as not run, those that may have run get 502, and only streams that have begun are broken off, so that they do not look complete. The answers get 0.2 s to leave before the rest is reset; the whole stop stays within grace-s.

--- a/bamboovale/gateway/drain.py
+++ b/bamboovale/gateway/drain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 
 from bamboovale.decisions.planned_stop import PlannedStop
 from bamboovale.gateway.ownership import Ownership
@@ -14,14 +15,23 @@
 """How long new requests are served after SIGTERM, as callers cache addresses."""
 STOP_MARGIN_S = 0.7
 """Time left for the exit before the platform kills the process."""
+FLUSH_TIMEOUT_S = 0.2
+"""How long the last answers may take to reach the callers, within that time."""
 LEAVE_TIMEOUT_S = 1.0
 """How long the store may take to release the engines."""
 
 
 async def drain(
-    state: VMState, callers: Server, ownership: Ownership, peering: Peering
+    state: VMState,
+    callers: Server,
+    ownership: Ownership,
+    peering: Peering,
+    end_calls: Callable[[], None],
 ) -> None:
-    """Release engines, serve while callers cache this address, then drain."""
+    """Release engines, serve while callers cache this address, then drain.
+
+    ``end_calls`` answers the requests that are left when the time is over.
+    """
     started_at = state.now()
     ends_at = started_at + state.node.bounds.grace_s - STOP_MARGIN_S
     state.planned_stop = PlannedStop(started_at, ends_at)
@@ -36,8 +46,11 @@
     state.draining = True
     callers.close_idle()
     await _wait_for_callers(state, callers, state.planned_stop)
+    cut_off = callers.busy
+    end_calls()
+    await _flush(state, callers)
     callers.stop_listening()
-    state.journal.write("drained", cut_off=callers.busy)
+    state.journal.write("drained", cut_off=cut_off)
 
 
 async def _wait_for_callers(state: VMState, callers: Server, stop: PlannedStop) -> None:
@@ -48,3 +61,11 @@
             break
         if state.now() > stop.started_at + LISTEN_AFTER_STOP_S + 1.0:
             callers.close_idle()
+
+
+async def _flush(state: VMState, callers: Server) -> None:
+    """Wait until the last answers are sent: a reset would drop what is not."""
+    callers.close_idle()
+    deadline = state.now() + FLUSH_TIMEOUT_S
+    while callers.connections and state.now() < deadline:
+        await asyncio.sleep(0.01)
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -24,6 +24,9 @@
 
 NOT_READY_RETRY_S = 1.0
 """Retry delay while this VM has no configuration or is draining."""
+STOPPED = "the VM stopped"
+STOPPED_RETRY_S = 0.2
+"""Retry delay once the VM stops: others serve."""
 DEFAULT_TIMEOUT_S = 60.0
 """Timeout for callers that set no deadline; bounded by the route's timeout."""
 
@@ -53,6 +56,13 @@
         self._now = state.now
         self._metrics = metrics
         self._rng = rng
+        self._timeouts: set[asyncio.Timeout] = set()
+
+    def end_calls(self) -> None:
+        """End all calls under way at the end of a planned stop; each is answered."""
+        for timeout in self._timeouts:
+            if not timeout.expired():
+                timeout.reschedule(self._now())
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request; the task is cancelled if its caller disconnects."""
@@ -133,19 +143,21 @@
         try:
             outcome = await self._run(call, table)
         finally:
-            if outcome == "left" and self._is_stop_over():
-                outcome = "cut_by_stop"
             if outcome == "refused" or not call.attempts:
                 self._access.give_back(admission)
             self._log(call, outcome, table)
 
     async def _run(self, call: Call, table: RoutingTable) -> str:
         """Run the call to its final answer; return the outcome for log and metrics."""
+        timeout = asyncio.timeout_at(call.deadline)
         try:
-            async with asyncio.timeout_at(call.deadline):
+            async with timeout:
+                self._timeouts.add(timeout)
                 await self._dispatch(call, table)
             return "answered"
         except TimeoutError:
+            if self._is_stop_over() and self._now() < call.deadline:
+                return self._end_by_stop(call)
             return self._fail(call, 504, "timed_out")
         except CallRefused as refusal:
             call.notes["reason"] = str(refusal)
@@ -154,6 +166,8 @@
         except (CallFailed, StreamCut) as failure:
             call.notes["reason"] = str(failure)
             return self._fail(call, 502, "failed")
+        finally:
+            self._timeouts.discard(timeout)
 
     async def _dispatch(self, call: Call, table: RoutingTable) -> None:
         service = table.service_by_name.get(call.service)
@@ -175,6 +189,15 @@
             return next(iter(weights))
         return self._rng.choices(list(weights), list(weights.values()))[0]
 
+    def _end_by_stop(self, call: Call) -> str:
+        """Answer a call that is not complete when this VM exits."""
+        call.notes["reason"] = STOPPED
+        call.responder.close_after()
+        if call.attempts:
+            return self._fail(call, 502, "cut_by_stop")
+        self._refuse(call.responder, call.facts, STOPPED_RETRY_S)
+        return "refused"
+
     def _fail(self, call: Call, status: int, outcome: str) -> str:
         """End a call whose request may have run."""
         if call.responder.started:
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -344,7 +344,13 @@
         )
         self._jobs.start(self._background_tasks())
         await self._stop_event.wait()
-        await drain(self.state, self._callers, self._ownership, self.peering)
+        await drain(
+            self.state,
+            self._callers,
+            self._ownership,
+            self.peering,
+            self._request_handler.end_calls,
+        )
         self.peering.announce_leaving()
         await asyncio.sleep(0)
         await self.close()
--- a/bench/stop_guards.py
+++ b/bench/stop_guards.py
@@ -3,6 +3,7 @@
 from bench.guard import Change, EndpointPromise, Guard
 
 TESTS = "tests/test_gateway_stops.py"
+DRAIN_PATH = "bamboovale/gateway/drain.py"
 SEARCH_PATH = "bamboovale/gateway/place_search.py"
 
 STOP_GUARDS = (
@@ -31,4 +32,10 @@
             ),
         ),
     ),
+    Guard(
+        "requests that are left get an answer",
+        EndpointPromise.STOPS,
+        f"{TESTS}::TestRequestsLeftAtTheEnd::test_one_that_may_have_run_is_told_so",
+        (Change(DRAIN_PATH, "    end_calls()\n", ""),),
+    ),
 )
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -108,6 +108,50 @@
         run(test())
 
 
+class TestRequestsLeftAtTheEnd:
+    """Requests without an answer when the time for the stop is over."""
+
+    def test_one_that_waits_for_a_place_is_refused(self) -> None:
+        """Guards against a reset of requests that another VM can still run."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                site.runners[0].faults.hang = True
+                full = [asyncio.create_task(stream(site, vm=1)) for _ in range(PLACES)]
+                await eventually(lambda: len(site.runners[0].runs) == PLACES)
+                site.vms[0].vm.stop()
+                await asyncio.sleep(LATE_S)
+                answer = await stream(site)
+                assert (answer.status, answer.whole) == (503, True)
+                assert float(answer.header("retry-after") or 9) < 1.0
+                assert len(site.runners[0].runs) == PLACES
+                for task in full:
+                    task.cancel()
+
+        run(test())
+
+    def test_one_that_may_have_run_is_told_so(self) -> None:
+        """Guards against a reset that leaves the caller without any answer."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                site.runners[0].faults.hang = True
+                site.services[0].faults.hang = True
+                site.vms[0].vm.stop()
+                await asyncio.sleep(LATE_S)
+                address = site.vms[0].address
+                answers = await asyncio.gather(stream(site), call(address, "/book/1"))
+                assert [(item.status, item.whole) for item in answers] == [
+                    (502, True),
+                    (502, True),
+                ]
+                await site.vms[0].task
+                lines = site.vms[0].journal.of("request")
+                assert {line["outcome"] for line in lines} == {"cut_by_stop"}
+
+        run(test())
+
+
 class TestExpectedRunTime:
     """What a VM knows of the speed of an engine."""
 
