--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -313,6 +313,7 @@
                 self._crashes,
                 self.state.now,
                 LEAVING_USE_SHARE * self.state.node.bounds.drain_s,
+                lambda: self.state.planned_stop,
                 self._mechanisms,
             ),
             access=AccessControl(
@@ -345,7 +346,13 @@
         )
         self._jobs.start(self._background_tasks())
         await self._stop_event.wait()
-        await drain(self.state, self._callers, self._ownership, self.peering)
+        await drain(
+            self.state,
+            self._callers,
+            self._ownership,
+            self.peering,
+            self._request_handler.end_calls,
+        )
         self.peering.announce_leaving()
         await asyncio.sleep(0)
         await self.close()
