HTTP/1.0: a stream that is broken off is reset

Callers saw: a caller that speaks HTTP/1.0 gets a stream that its endpoint, or its VM's end, cuts; the connection closes in order, and what came so far looks like all of it.

Cause: HTTP/1.0 has no chunks, so that a body without a length ends with its connection, and aborting a transport closes its socket in order when nothing is unsent or unread.

Fix: while such a body is written its socket is set to reset on close, which also holds for a process that is killed; the end of the body takes that back.

test_a_cut_stream_is_reset and test_a_vm_that_ends_resets_its_streams failed before: `DID NOT RAISE ConnectionError`.

--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -27,6 +27,8 @@
 """Raised by the options of a socket that is closed; the second one by uvloop's."""
 RESET_AT_ONCE = struct.pack("ii", 1, 0)
 """SO_LINGER on, with no time for what is unsent."""
+CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
+"""SO_LINGER off."""
 MAX_HEAD_BYTES = 64 * 1024
 HIGH_WATER_BYTES = 256 * 1024
 """Response bytes buffered for a slow consumer before reading is paused."""
@@ -244,9 +246,18 @@
 
 def reset_on_close(sock: Any) -> None:
     """Have a socket drop unsent bytes and reset its connection when it is closed."""
+    _set_linger(sock, RESET_AT_ONCE)
+
+
+def end_on_close(sock: Any) -> None:
+    """Have a socket send what is unsent and end its connection when it is closed."""
+    _set_linger(sock, CLOSE_IN_ORDER)
+
+
+def _set_linger(sock: Any, linger: bytes) -> None:
     if sock is not None and hasattr(sock, "setsockopt"):
         with contextlib.suppress(*CLOSED_ERRORS):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_ONCE)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 def enable_dead_peer_detection(sock: Any) -> None:
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -9,13 +9,19 @@
 
 import h11
 
-from bamboovale.http1.connection import Headers, enable_dead_peer_detection
+from bamboovale.http1.connection import (
+    Headers,
+    enable_dead_peer_detection,
+    end_on_close,
+    reset_on_close,
+)
 from bamboovale.http1.flow_control import FlowControl
 
 logger = logging.getLogger(__name__)
 
 READ_AHEAD_BYTES = 256 * 1024
 """Bytes that are buffered beyond those taken before reading is paused."""
+HTTP_1_0 = b"1.0"
 REASON_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
@@ -179,7 +185,13 @@
         return peer[0] if peer else ""
 
     def write_head(self, status: int, headers: Headers) -> None:
-        """Write the head of a response."""
+        """Write the head of a response.
+
+        Until its end is written, a body without a frame would seem to end with the
+        connection: it is reset if it closes meanwhile, also with this process.
+        """
+        if self._is_unframed(headers):
+            reset_on_close(self._transport.get_extra_info("socket"))
         if self.close_after:
             headers = [*headers, (b"connection", b"close")]
         reason = REASON_BY_STATUS.get(status, b"")
@@ -192,6 +204,13 @@
     def write_end(self) -> None:
         """Complete a body."""
         self._write(h11.EndOfMessage())
+        if self._wire.their_http_version == HTTP_1_0:
+            end_on_close(self._transport.get_extra_info("socket"))
+
+    def _is_unframed(self, headers: Headers) -> bool:
+        """Return whether a body ends with the connection: HTTP/1.0 has no chunks."""
+        has_length = any(name == b"content-length" for name, _ in headers)
+        return self._wire.their_http_version == HTTP_1_0 and not has_length
 
     async def drain(self) -> None:
         """Wait until the write buffer has room."""
--- a/tests/test_gateway_cut_answers.py
+++ b/tests/test_gateway_cut_answers.py
@@ -1,9 +1,21 @@
 """Answers of endpoints that stop early, as callers of the routed interface see them."""
 
+import asyncio
+
 import pytest
 
 from bamboovale.standins.platform_endpoints import PlatformEndpoint
-from tests.gateway_site import CallerAnswer, Site, call, run, running_site
+from tests.gateway_site import (
+    HOST,
+    MODEL,
+    CallerAnswer,
+    Site,
+    call,
+    eventually,
+    request_id,
+    run,
+    running_site,
+)
 from tests.path_cuts import HANG, cut_from_endpoints
 
 MAX_ANSWER_BYTES = 1000
@@ -117,6 +129,64 @@
         run(test())
 
 
+async def ask_by_http_1_0(site: Site) -> bytes:
+    """Return all bytes of a stream; raises ConnectionError if it is reset."""
+    reader, writer = await asyncio.open_connection(*site.vms[0].address)
+    lines = [
+        "POST /chat/1 HTTP/1.0",
+        f"Host: {HOST}",
+        f"X-Request-Id: {request_id()}",
+        f"X-Model: {MODEL}/a1",
+        "X-Token-Count: 100,20",
+        "Content-Length: 0",
+        "",
+        "",
+    ]
+    writer.write("\r\n".join(lines).encode())
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+class TestCallersWithoutChunks:
+    """HTTP/1.0 ends a body without a length by closing its connection."""
+
+    def test_a_whole_stream_ends_in_order(self) -> None:
+        async def test() -> None:
+            async with running_site() as site:
+                endpoint_of(site, "/chat/1")
+                assert (await ask_by_http_1_0(site)).count(b"data:") == EVENTS
+
+        run(test())
+
+    def test_a_cut_stream_is_reset(self) -> None:
+        """Guards against a stream that ends early and looks complete."""
+
+        async def test() -> None:
+            async with running_site() as site:
+                endpoint_of(site, "/chat/1").faults.cut_after = 2
+                with pytest.raises(ConnectionError):
+                    await ask_by_http_1_0(site)
+
+        run(test())
+
+    def test_a_vm_that_ends_resets_its_streams(self) -> None:
+        """Guards against streams that look complete as their VM was killed."""
+
+        async def test() -> None:
+            async with running_site() as site:
+                endpoint_of(site, "/chat/1").faults.event_s = 0.2
+                asking = asyncio.create_task(ask_by_http_1_0(site))
+                await eventually(lambda: site.runners[0].runs)
+                await asyncio.sleep(0.5)
+                await site.restart_vm(0)
+                with pytest.raises(ConnectionError):
+                    await asking
+
+        run(test())
+
+
 class TestCutRefusals:
     """A refusal is a promise once it is whole."""
 
