A run that answers 408, 429 or 503 is no refusal to its caller

Callers could get 503, 429 or 408 for a request that must run once and ran.

Cause: these statuses tell a caller that the request did not run. Only an answer that says so in its own header does; any other answer of an endpoint was forwarded with its status, also one of these. Such a request now ends in 502, without the endpoint's signature. What may run again is answered as before. The rule stands in one place, Call.answer, for plain calls and models; the endpoint's answer still counts as a sign of life, not as a crash.

Evidence: TestFailureOfARun fails before for 408, 429 and 503 (one run, status as the endpoint's).

--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -8,7 +8,7 @@
 
 from bamboovale.crashes.subjects import fingerprint, subjects_of
 from bamboovale.gateway.customers import Customer
-from bamboovale.gateway.model import AnswerFacts, CallFacts, Route
+from bamboovale.gateway.model import AnswerFacts, CallFacts, CallKind, Route
 from bamboovale.http1.connection import Headers, ResponseHead
 from bamboovale.http1.server import Request, Responder
 
@@ -126,6 +126,11 @@
         """Return the customer's name, None for a caller without a key."""
         return None if self.customer is None else self.customer.name
 
+    @property
+    def must_run_once(self) -> bool:
+        """Return whether the request may run once at most."""
+        return self.route.kind is not CallKind.SAFE and not self.route.resumable
+
     @property
     def is_resumption(self) -> bool:
         """Return whether the caller goes on with a stream of an earlier attempt."""
@@ -140,6 +145,19 @@
         """Return the seconds left until the deadline, at least 0."""
         return max(0.0, self.deadline - now)
 
+    def answer(self, facts: AnswerFacts, body: bytes) -> None:
+        """Forward the whole answer of an endpoint that ran the request.
+
+        Raises CallFailed if its status would tell the caller that the request did not
+        run, and that it may be sent again.
+        """
+        if facts.reads_not_run and self.must_run_once:
+            raise CallFailed(
+                f"the endpoint answered {facts.status} and may have run it"
+            )
+        self.notes["status"] = facts.status
+        self.responder.answer(facts.status, facts.headers, body)
+
     def note_attempt(self, **fields: Any) -> dict[str, Any]:
         """Add an attempt to the log line; returns its fields for later additions."""
         self.attempts += 1
--- a/bamboovale/gateway/model.py
+++ b/bamboovale/gateway/model.py
@@ -302,14 +302,16 @@
 class AnswerFacts:
     """The head of an endpoint's answer, decoded.
 
-    ``not_run`` is the endpoint's guarantee that it did not run the request. ``signed``
-    is whether the answer carries the endpoint's signature.
+    ``not_run`` is the endpoint's guarantee that it did not run the request;
+    ``reads_not_run`` is whether its status tells a caller so. ``signed`` is whether the
+    answer carries the endpoint's signature.
     """
 
     status: int
     request_id: str | None
     signed: bool
     not_run: bool
+    reads_not_run: bool
     wrong_endpoint: bool
     retry_after_s: float | None
     headers: Headers
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -18,7 +18,7 @@
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.engines import Engines, GrantedPlace
 from bamboovale.gateway.events import EventBuffer, EventsBroken
-from bamboovale.gateway.model import EndpointRecord, ModelWork
+from bamboovale.gateway.model import AnswerFacts, EndpointRecord, ModelWork
 from bamboovale.gateway.place_search import PlaceSearch
 from bamboovale.gateway.retry_budgets import RetryBudgets, cause_of
 from bamboovale.gateway.send_gate import SendGate
@@ -131,8 +131,12 @@
         aborted = True
         try:
             with self._crashes.watch(call, record) as watch:
-                await self._exchange(call, work, record, place, progress, watch)
+                answer = await self._exchange(
+                    call, work, record, place, progress, watch
+                )
             aborted = False
+            if answer is not None:
+                call.answer(*answer)
             return True
         except NotRun as error:
             note["failed"] = str(error)
@@ -176,7 +180,9 @@
         place: GrantedPlace | None,
         progress: Progress,
         watch: AttemptWatch,
-    ) -> None:
+    ) -> tuple[AnswerFacts, bytes] | None:
+        """Forward a stream; return any other answer, which is whole."""
+
         def encode() -> h11.Request:
             return self._codec.encode_call(
                 call.request,
@@ -201,11 +207,9 @@
         async with sending as attempt:
             if attempt.facts.status != OK or not attempt.facts.is_event_stream:
                 watch.on_failure()
-                await self._forward_body(call, attempt, progress)
-            else:
-                await self._forward_events(
-                    call, attempt, record, place, progress, watch
-                )
+                return attempt.facts, await self._read_failure(attempt, progress)
+            await self._forward_events(call, attempt, record, place, progress, watch)
+            return None
 
     def _least_version(self, work: ModelWork) -> int | None:
         """Return the version to require of an engine without an owner.
@@ -217,20 +221,14 @@
             return None
         return self._version_of(work.model, work.adapter)
 
-    async def _forward_body(
-        self,
-        call: Call,
-        attempt: EndpointAnswer,
-        progress: Progress,
-    ) -> None:
-        """Forward an answer that is not a stream, unless a stream was started."""
+    async def _read_failure(self, attempt: EndpointAnswer, progress: Progress) -> bytes:
+        """Return the body of an answer that is no stream; raises StreamCut in one."""
         body = await attempt.read_body()
         if progress.started:
             raise StreamCut(
                 f"engine answered {attempt.facts.status} after the stream started"
             )
-        call.notes["status"] = attempt.facts.status
-        call.responder.answer(attempt.facts.status, attempt.facts.headers, body)
+        return body
 
     async def _forward_events(
         self,
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -81,9 +81,7 @@
         if so_far.answer is None:
             self._give_up(call, so_far)
             return
-        facts, body = so_far.answer
-        call.notes["status"] = facts.status
-        call.responder.answer(facts.status, facts.headers, body)
+        call.answer(*so_far.answer)
 
     def _open_place(
         self, call: Call, so_far: Attempts
--- a/bamboovale/platform/names.py
+++ b/bamboovale/platform/names.py
@@ -34,6 +34,10 @@
 CONTENT_LENGTH = b"content-length"
 STORE_ERA = b"store-era"
 
+WRONG_INSTANCE_STATUS = 421
+NOT_RUN_STATUSES = frozenset({408, WRONG_INSTANCE_STATUS, 429, 503})
+"""Statuses by which callers know that a request did not run and never will."""
+
 # Paths of engines.
 REPORT_PATH = "/api/report"
 ORDER_PATH = "/api/order"
--- a/bamboovale/platform/requests.py
+++ b/bamboovale/platform/requests.py
@@ -151,13 +151,15 @@
 def decode_answer(head: ResponseHead) -> AnswerFacts:
     """Decode the head of an endpoint's answer."""
     request_id = head.get(names.REQUEST_ID)
+    wrong_endpoint = head.status == names.WRONG_INSTANCE_STATUS
     headers = [pair for pair in head.headers if pair[0] not in names.HOP_BY_HOP]
     return AnswerFacts(
         status=head.status,
         request_id=None if request_id is None else request_id.decode("latin-1"),
         signed=head.get(names.SERVER_STAMP) is not None,
-        not_run=head.get(names.NOT_EXECUTED) is not None or head.status == 421,
-        wrong_endpoint=head.status == 421,
+        not_run=head.get(names.NOT_EXECUTED) is not None or wrong_endpoint,
+        reads_not_run=head.status in names.NOT_RUN_STATUSES,
+        wrong_endpoint=wrong_endpoint,
         retry_after_s=decode_retry_after(head.headers, []),
         headers=headers,
         signals=decode_signals(head),
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -49,22 +49,23 @@
 
     ``cut_after``: number of events after which a stream is aborted inside an event.
     ``end_after``: number of events after which it ends as if it were whole. ``fail``:
-    answer with status 500. ``fail_unrun_every``: answer the first of every so many
-    requests with status 500 at once, before the run begins. ``hang``: never answer.
-    ``lost_orders``: number of orders to execute without an answer. ``dropped_orders``:
-    number of orders neither executed nor answered. ``stray``: send a second answer
-    after the first. ``garble``: send bytes that are not HTTP. ``refuse``: refuse all
-    requests without a run. ``room``: number of requests beyond which others are refused
-    without a run. ``unframed``: answer with neither a length nor chunks, ended by the
-    connection. ``reset``: reset such an answer before its end. ``late_copies``: send a
-    second copy of a refusal as the next request on its connection arrives;
-    ``unnamed_copies``: without the id of the request.
+    answer with status ``fail_status`` after the run. ``fail_unrun_every``: answer the
+    first of every so many requests with that status at once, before the run begins.
+    ``hang``: never answer. ``lost_orders``: number of orders to execute without an
+    answer. ``dropped_orders``: number of orders neither executed nor answered.
+    ``stray``: send a second answer after the first. ``garble``: send bytes that are not
+    HTTP. ``refuse``: refuse all requests without a run. ``room``: number of requests
+    beyond which others are refused without a run. ``unframed``: answer with neither a
+    length nor chunks, ended by the connection. ``reset``: reset such an answer before
+    its end. ``late_copies``: send a second copy of a refusal as the next request on its
+    connection arrives; ``unnamed_copies``: without the id of the request.
     """
 
     cut_after: int | None = None
     end_after: int | None = None
     reset: bool = False
     fail: bool = False
+    fail_status: int = 500
     fail_unrun_every: int | None = None
     hang: bool = False
     lost_orders: int = 0
@@ -256,7 +257,7 @@
             responder._connection._transport.write(b"no status line at all\r\n\r\n")
             responder.abort()
             return
-        status = 500 if self.faults.fail else 200
+        status = self.faults.fail_status if self.faults.fail else 200
         body = f"{self.endpoint_id} {run.request_id}".encode()
         if self.faults.unframed:
             answer = UnframedAnswer(responder)
@@ -290,7 +291,8 @@
 
     def _answer_unrun(self, responder: Responder, run: Run) -> None:
         run.ended = "failed"
-        responder.answer(500, self._answer_headers(run, responder), b"")
+        status = self.faults.fail_status
+        responder.answer(status, self._answer_headers(run, responder), b"")
 
     def _is_expected(self, request: Request) -> bool:
         expected = request.get(b"x-expect-instance")
--- a/bench/http1_guards.py
+++ b/bench/http1_guards.py
@@ -3,7 +3,8 @@
 from bench.guard import Change, EndpointPromise, Guard
 
 TESTS = "tests/test_http1_flow_control.py"
-LATE_ANSWERS = "tests/test_gateway_late_answers.py::TestCopyOfARejection"
+NOT_RUN = "tests/test_gateway_not_run.py"
+LATE_ANSWERS = f"{NOT_RUN}::TestCopyOfARejection"
 SERVER_PATH = "bamboovale/http1/server.py"
 
 HTTP1_GUARDS = (
@@ -79,4 +80,16 @@
             ),
         ),
     ),
+    Guard(
+        "the status of a run does not promise that it did not run",
+        EndpointPromise.ONCE,
+        f"{NOT_RUN}::TestFailureOfARun",
+        (
+            Change(
+                "bamboovale/gateway/call.py",
+                "        if facts.reads_not_run and self.must_run_once:",
+                "        if False:",
+            ),
+        ),
+    ),
 )
--- a/tests/test_gateway_late_answers.py
+++ b/tests/test_gateway_not_run.py
@@ -1,4 +1,4 @@
-"""Endpoints that reject a request, and send a second copy of the answer later."""
+"""Answers of endpoints that seem to say that a request did not run, and which ran."""
 
 from typing import Any
 
@@ -131,3 +131,49 @@
         for service in site.services:
             turn_away(service, REJECTED, ACCEPTED, ACCEPTED)
         return await call(site.vms[0].address, "/book/1", attempt=attempt)
+
+
+class TestFailureOfARun:
+    """An answer that does not say that the request did not run."""
+
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_its_status_does_not_promise_that_the_call_did_not_run(
+        self, status: int
+    ) -> None:
+        """Guards against callers that send a call again which has run."""
+
+        async def test() -> None:
+            async with running_site(runners=0, config=calls_with_goal(0.5)) as site:
+                site.services[0].faults.fail = True
+                site.services[0].faults.fail_status = status
+                answer = await call(site.vms[0].address, "/book/1", attempt="one")
+                assert_truth(site, answer, "one")
+                assert answer.status == 502
+
+        run(test())
+
+    def test_nor_that_a_stream_did_not_run(self) -> None:
+        async def test() -> None:
+            async with running_site(services=0) as site:
+                [engine] = site.runners
+                engine.preload("a1")
+                address = site.vms[0].address
+                await call(address, "/chat/1", adapter="a1")
+                engine.faults.fail_unrun_every = 1
+                engine.faults.fail_status = 503
+                answer = await call(address, "/chat/1", adapter="a1", attempt="one")
+                assert_truth(site, answer, "one")
+                assert answer.status == 502
+                assert site.vms[0].journal.of("run_broke_off") == []
+
+        run(test())
+
+    def test_the_status_of_a_call_that_may_run_again_is_the_endpoints(self) -> None:
+        async def test() -> None:
+            async with running_site(runners=0) as site:
+                site.services[0].faults.fail = True
+                site.services[0].faults.fail_status = 429
+                answer = await call(site.vms[0].address, "/check/1")
+                assert answer.status == 429
+
+        run(test())
