An exchange of a VM's earlier process does not end one of its new process

A VM that is killed and starts again numbered its exchanges by way of other VMs from 1 again, while those may still have exchanges of its earlier process. As one of these ended, the new one of its number was forgotten: its caller got 502, or a cut stream, although the request ran and was answered, and a caller that left no longer ended its run.

The first number is random now, as that of shared places is; and a VM forgets an exchange only if it is the one that ended, for senders of older versions.

Evidence: both tests of TestEarlierProcess fail before (no exchange left; one number for two processes).

--- a/bamboovale/relay/client.py
+++ b/bamboovale/relay/client.py
@@ -1,6 +1,7 @@
 """Has another entry VM exchange a request with an endpoint."""
 
 import itertools
+import random
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 from typing import Any, Protocol
@@ -26,6 +27,8 @@
 MAX_BODY_BYTES = 1024 * 1024
 """Largest request that is passed on: it crosses a link that other messages share."""
 MAX_LEFT_S = 60.0
+FIRST_NUMBER_BITS = 32
+"""Size of the random first number of an exchange."""
 MAX_HELPERS = 3
 """VMs that are asked for one request, of which only the last tries to connect."""
 
@@ -203,7 +206,8 @@
         self.now = now
         self._helpers = helpers
         self._choice = choice
-        self._numbers = itertools.count(1)
+        # Another VM may still have exchanges of an earlier process of this VM.
+        self._numbers = itertools.count(random.getrandbits(FIRST_NUMBER_BITS))
 
     def open(
         self,
--- a/bamboovale/relay/server.py
+++ b/bamboovale/relay/server.py
@@ -114,7 +114,16 @@
         self._relay_by_key[key] = relay
         task = asyncio.get_running_loop().create_task(self._run(relay, reply))
         relay.task = task
-        task.add_done_callback(lambda done: self._relay_by_key.pop(key, None))
+        task.add_done_callback(lambda done: self._forget(key, relay))
+
+    def _forget(self, key: tuple[str, str], relay: _Relay) -> None:
+        """Forget an exchange that ended.
+
+        Guards against one of an earlier process of its sender that bears the number of
+        one under way.
+        """
+        if self._relay_by_key.get(key) is relay:
+            del self._relay_by_key[key]
 
     def _refusal(self, request: RelayRequest) -> str | None:
         """Return why a request cannot be sent from here, None if it can."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from typing import Any
 
 from bamboovale.decisions.relay_choice import (
     ASKED_AGAIN_S,
@@ -10,6 +11,9 @@
     Helper,
     RelayChoice,
 )
+from bamboovale.relay.client import Relays
+from bamboovale.relay.messages import RelayNext, RelayRequest
+from bamboovale.standins.platform_endpoints import PlatformEndpoint
 from tests.gateway_site import Site, call, eventually, run, running_site
 from tests.path_cuts import REFUSE, cut_from_endpoints, put_out_of_reach
 
@@ -130,6 +134,58 @@
         run(test())
 
 
+class TestEarlierProcess:
+    """A VM that starts again while others have exchanges of its earlier process."""
+
+    def test_the_end_of_an_old_exchange_leaves_a_new_one_of_its_number(self) -> None:
+        """Guards against requests that run and whose answers are not found."""
+
+        async def test() -> None:
+            async with running_site(runners=0) as site:
+                [service] = site.services
+                service.faults.event_s = 0.4
+                server = site.vms[0].vm._access.relay_server
+                old: list[Any] = []
+                new: list[Any] = []
+                server.on_query("other", _request("old", service, 0.2), old.append)
+                await asyncio.sleep(0.1)
+                server.on_query("other", _request("new", service, 3.0), new.append)
+                await asyncio.sleep(0.2)
+                assert len(server) == 1
+                await eventually(lambda: new)
+                server.on_query("other", RelayNext("1"), new.append)
+                await eventually(lambda: len(new) == 2)
+                assert (new[0].status, new[1].data) == (200, b"service-0 new")
+                assert old == []
+
+        run(test())
+
+    def test_the_numbers_of_two_processes_differ(self) -> None:
+        choice = RelayChoice(random.Random(1))
+        numbers = {
+            Relays(None, list, choice, time.monotonic)
+            .open("e", "one", once_only=True, checks_start=False, left_s=1.0)
+            ._relay_id
+            for _ in range(2)
+        }
+        assert len(numbers) == 2
+
+
+def _request(attempt: str, service: PlatformEndpoint, left_s: float) -> RelayRequest:
+    headers = [(b"host", b"h"), (b"x-request-id", attempt.encode())]
+    return RelayRequest(
+        relay_id="1",
+        endpoint_id=service.endpoint_id,
+        request_id=attempt,
+        method="GET",
+        target="/book/1",
+        headers=tuple(headers),
+        body=b"",
+        left_s=left_s,
+        once_only=True,
+    )
+
+
 def _runs(site: Site, request_id: str) -> list:
     endpoints = [*site.runners, *site.services]
     runs = [run for endpoint in endpoints for run in endpoint.runs]
