Paths: an endpoint that closes its connection is reached

Callers saw: the only endpoint of a route takes a request and closes a new connection without a byte; the next requests to it are refused with 503 for about a second (`no VM is left to send it`), or go by way of other VMs, though the endpoint is there.

Cause: a connection that brought nothing counted as a failed path. An orderly close is something that the endpoint sends; resets and silence still count.

Fix: the end of a connection counts as received. TestTrust failed before on each kind of route: `503 == 502`. The tests of cut paths and of relays pass.

--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -120,8 +120,11 @@
         self._receive(data)
 
     def eof_received(self) -> None:
-        """Handle the peer's end of stream, which may complete a response."""
-        self._ended = True
+        """Handle the peer's end of stream, which may complete a response.
+
+        It shows that the peer is reached, as any byte of it does.
+        """
+        self._ended = self.has_received = True
         if self._busy:
             self._receive(b"")
 
--- a/tests/test_gateway_cut_answers.py
+++ b/tests/test_gateway_cut_answers.py
@@ -187,6 +187,26 @@
         run(test())
 
 
+class TestTrust:
+    """What a cut answer says of the path to its endpoint, and of its request."""
+
+    @each_kind
+    def test_an_endpoint_that_closes_is_reached(self, path: str) -> None:
+        """Guards against requests that are refused, as an endpoint answers nothing."""
+
+        async def test() -> None:
+            async with running_site() as site:
+                endpoint = endpoint_of(site, path)
+                for cut in (0, 0, 1, 0):
+                    endpoint.faults.cut_at = cut
+                    assert (await ask(site, path)).status == 502
+                endpoint.faults.cut_at = None
+                check_whole(path, await ask(site, path))
+                assert site.vms[0].journal.of("endpoint_unreached") == []
+
+        run(test())
+
+
 class TestCutRefusals:
     """A refusal is a promise once it is whole."""
 
