A connection remembers the requests of a full endpoint's pause

Four requests were remembered. A full endpoint rejects within a millisecond, so that one kept connection carries dozens of calls within the pause after which the first of them is sent again: it could get the same connection once more, where a second copy of its rejection has its id. 128 are remembered now.

Evidence: test_also_if_many_others_were_rejected_on_it_meanwhile fails before.

--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -33,8 +33,9 @@
 """Response bytes buffered for a slow consumer before reading is paused."""
 
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
-CARRIED_IDS = 4
-"""Requests that a connection remembers, as their answers may come a second time."""
+CARRIED_IDS = 128
+"""Requests that a connection remembers, as their answers may come a second time: those
+of the pause after which a request is sent again to a full endpoint."""
 
 Headers = list[tuple[bytes, bytes]]
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -448,6 +448,24 @@
 
         run(test())
 
+    def test_also_if_many_others_were_rejected_on_it_meanwhile(self) -> None:
+        """Guards against the same at a full endpoint, which rejects at once."""
+
+        async def test() -> None:
+            async with server([]) as address:
+                pool = ConnectionPool(asyncio.get_running_loop().time)
+                first = await pool.take("e", address, request_id="one")
+                for number in range(100):
+                    await ask(first)
+                    pool.give_back("e", first)
+                    again = await pool.take("e", address, request_id=f"other-{number}")
+                    assert again is first
+                await ask(first)
+                pool.give_back("e", first)
+                assert await pool.take("e", address, request_id="one") is not first
+
+        run(test())
+
     def test_connections_that_are_passed_over_stay_in_their_order(self) -> None:
         async def test() -> None:
             async with server([]) as address:
