The start check skips second answers to earlier requests

A stream that may go on at one engine only ended, or was refused, where that engine sent a second copy of an earlier answer.

Cause: the check that an engine is still the start that is known took the first answer on the connection for the engine's report; the copy of a rejection counted as another start. The report names no request, answers to requests do: those are skipped.

--- a/bamboovale/streams/start_check.py
+++ b/bamboovale/streams/start_check.py
@@ -10,8 +10,12 @@
 
 import h11
 
-from bamboovale.gateway.model import EndpointRecord, EngineReport
-from bamboovale.http1.connection import Connection, IncompleteResponse
+from bamboovale.gateway.model import AnswerFacts, EndpointRecord, EngineReport
+from bamboovale.http1.connection import (
+    Connection,
+    IncompleteResponse,
+    ResponseHead,
+)
 
 TIMEOUT_S = 1.0
 OK = 200
@@ -23,6 +27,9 @@
     def report_request(self, registered_id: str, host: str) -> h11.Request:
         """Return the request for a report."""
 
+    def decode_answer(self, head: ResponseHead) -> AnswerFacts:
+        """Read the head of an answer."""
+
     def decode_report(self, body: bytes) -> EngineReport:
         """Read a report; raises ValueError."""
 
@@ -39,10 +46,7 @@
     try:
         async with asyncio.timeout(TIMEOUT_S):
             connection.send(codec.report_request(record.registered_id, host), b"")
-            head = await connection.head()
-            body = b""
-            while (data := await connection.data()) is not None:
-                body += data
+            head, body = await _read_report(connection, codec)
     except (TimeoutError, IncompleteResponse) as error:
         raise AnotherStart(f"no report: {error}") from error
     if head.status != OK:
@@ -53,3 +57,21 @@
         raise AnotherStart(str(error)) from error
     if report.started_ms != record.started_ms:
         raise AnotherStart("the engine started again")
+
+
+async def _read_report(
+    connection: Connection, codec: ReportCodec
+) -> tuple[ResponseHead, bytes]:
+    """Return head and body of the report, skipping second answers to requests.
+
+    Those name their request, which a report does not.
+    """
+    while True:
+        head = await connection.head()
+        body = b""
+        while (data := await connection.data()) is not None:
+            body += data
+        if codec.decode_answer(head).request_id is None:
+            return head, body
+        if not connection.skip_response():
+            raise IncompleteResponse("only answers to other requests were received")
