Log for each attempt whether its connection was kept, and skipped answers

The logs could not tell apart the ways in which a VM takes a request for not run: an answer to the request's earlier attempt, or to another request on the same connection, looked like its own. Each entry of `attempts` now says that its connection had carried other requests (`kept`) and how many answers to others were skipped (`skipped`); `via` stands there also if the attempt failed. Fields that say nothing are left out.

Evidence: test_the_next_call_on_the_connection_gets_its_own_answer.

--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -164,7 +164,17 @@
         self.notes.setdefault("attempts", []).append(fields)
         return fields
 
-    def note_via(self, vm_id: str | None) -> None:
-        """Add to the last attempt the VM that sent it, if it was another one."""
-        if vm_id is not None:
-            self.notes["attempts"][-1]["via"] = vm_id
+    def note_exchange(self, via: str | None, *, is_reused: bool, skipped: int) -> None:
+        """Add to the last attempt how it was sent.
+
+        ``via`` is the VM that sent it, None for this one; ``is_reused`` whether its
+        connection had carried another request; ``skipped`` the number of answers to
+        other requests that came instead of its own.
+        """
+        note = self.notes["attempts"][-1]
+        if via is not None:
+            note["via"] = via
+        if is_reused:
+            note["kept"] = True
+        if skipped:
+            note["skipped"] = skipped
--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -69,6 +69,7 @@
     closed: bool
     reusable: bool
     is_reused: bool
+    skipped: int
     has_received: bool
 
     @property
@@ -165,14 +166,21 @@
         with self.closing(record, connection):
             if checks_start and isinstance(connection, Connection):
                 await self.check_start(connection, record)
-            answer = await self._send(
-                connection,
-                encode(),
-                call.request.body,
-                request_id,
-                record.endpoint_id,
-            )
-            call.note_via(connection.via)
+            skipped_before = connection.skipped
+            try:
+                answer = await self._send(
+                    connection,
+                    encode(),
+                    call.request.body,
+                    request_id,
+                    record.endpoint_id,
+                )
+            finally:
+                call.note_exchange(
+                    connection.via,
+                    is_reused=connection.is_reused,
+                    skipped=connection.skipped - skipped_before,
+                )
             yield answer
 
     async def _connect(
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -68,13 +68,15 @@
     """A client connection; create it with ``open``.
 
     ``carried_ids`` are the ids of the requests that it was taken for last;
-    ``is_reused`` is whether another request went before the last one.
+    ``is_reused`` is whether another request went before the last one; ``skipped``
+    counts responses to other requests that came instead of the expected ones.
     """
 
     def __init__(self) -> None:
         self.closed = False
         self.carried_ids: deque[str] = deque(maxlen=CARRIED_IDS)
         self.is_reused = False
+        self.skipped = 0
         self._is_used = False
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
@@ -191,6 +193,7 @@
         self._wire.send(h11.EndOfMessage())
         self._busy = True
         self.reusable = False
+        self.skipped += 1
         if rest:
             self._receive(bytes(rest))
         if self._ended:
--- a/bamboovale/relay/client.py
+++ b/bamboovale/relay/client.py
@@ -56,6 +56,7 @@
 
     reusable = False
     is_reused = False
+    skipped = 0
     has_received = False
 
     def __init__(
--- a/tests/test_gateway_not_run.py
+++ b/tests/test_gateway_not_run.py
@@ -123,6 +123,9 @@
                 assert (refused.status, answer.status) == (503, 200)
                 assert answer.body == b"service-0 two"
                 assert runs(site, "two") == 1
+                *_, line = site.vms[0].journal.of("request")
+                [attempt] = line["attempts"]
+                assert (attempt["kept"], attempt["skipped"]) == (True, 1)
 
         run(test())
 
