A route that is unsafe is not resumable, whatever it is marked

A request of an unsafe route to engines that is marked as resumable was sent to a second engine after the first one broke off, and ran twice.

Cause: whether a request may run again was read from the mark alone; only safe routes and streams may. The configuration now drops the mark from unsafe routes. Whether an operator marks any so is not known.

Evidence: TestUnsafeRoute fails before with two runs.

--- a/bamboovale/platform/configuration.py
+++ b/bamboovale/platform/configuration.py
@@ -52,11 +52,12 @@
 def _route(item: Mapping[str, Any]) -> Route:
     split = item.get("split") or [{"service": item["service"], "weight": 1}]
     gap_ms = item.get("gap-target-ms")
+    kind = KIND_BY_NAME.get(item["type"], CallKind.UNSAFE)
     return Route(
         name=str(item["name"]),
         host=str(item["host"]),
         path_prefix=str(item["path-prefix"]),
-        kind=KIND_BY_NAME.get(item["type"], CallKind.UNSAFE),
+        kind=kind,
         timeout_s=float(item["timeout-ms"]) / 1000,
         goal_s=float(item.get("goal-ms") or item["timeout-ms"]) / 1000,
         priority=int(item.get("priority", 0)),
@@ -64,7 +65,8 @@
             str(part["service"]): float(part.get("weight", 1)) for part in split
         },
         max_attempts=max(1, int(item.get("max-attempts", 1))),
-        resumable=bool(item.get("resumable", False)),
+        # Only streams are resumed; what is unsafe besides must run once.
+        resumable=kind is not CallKind.UNSAFE and bool(item.get("resumable", False)),
         public=bool(item.get("public", False)),
         gap_s=None if gap_ms is None else float(gap_ms) / 1000,
     )
--- a/tests/test_gateway_not_run.py
+++ b/tests/test_gateway_not_run.py
@@ -180,3 +180,25 @@
                 assert answer.status == 429
 
         run(test())
+
+
+class TestUnsafeRoute:
+    """A route whose requests must run once, and that is marked as resumable."""
+
+    def test_its_request_is_not_sent_again_after_it_broke_off(self) -> None:
+        """Guards against a mark that only streams can have."""
+
+        async def test() -> None:
+            once = route("once", "llm", "unsafe", resumable=True)
+            config = configuration(extra=(once,))
+            async with running_site(runners=2, services=0, config=config) as site:
+                for engine in site.runners:
+                    engine.preload("a1")
+                    engine.faults.cut_after = 2
+                answer = await call(
+                    site.vms[0].address, "/once/1", adapter="a1", attempt="one"
+                )
+                assert runs(site, "one") == 1
+                assert not answer.whole
+
+        run(test())
