--- a/tests/test_gateway_cut_answers.py
+++ b/tests/test_gateway_cut_answers.py
@@ -106,6 +106,30 @@
 
         run(test())
 
+    @each_end
+    def test_no_resumed_stream_looks_whole(self, resets: bool) -> None:
+        """Guards against the rest of a stream that seems to be empty or whole."""
+
+        async def test() -> None:
+            async with running_site() as site:
+                engine = endpoint_of(site, "/long/1")
+                engine.faults.reset = resets
+                resumed = {"Last-Event-Id": "2"}
+                for cut in range(1, MAX_ANSWER_BYTES):
+                    engine.faults.cut_at = cut
+                    answer = await call(
+                        site.vms[0].address, "/long/1", adapter="a1", headers=resumed
+                    )
+                    assert engine.last_cut is not None
+                    if not engine.last_cut.is_cut:
+                        assert (answer.status, answer.whole) == (200, True)
+                        assert answer.body.count(b"data:") == EVENTS - 2
+                        return
+                    assert not answer.whole or answer.status == 502, cut
+                raise AssertionError("no answer was whole")
+
+        run(test())
+
     @each_end
     def test_a_stream_goes_on_at_another_engine(self, resets: bool) -> None:
         """Guards against events that are lost or come twice where a part was cut."""
