A VM that stops completes what it sends for other VMs

Change: the stop waits for these exchanges as for its own callers, within the same time; once it has begun, only requests whose deadline lies before its end are taken on. Others are told at once that nothing was sent, so that another VM can be asked.

Tests, new: a_stream_sent_for_another_vm_is_completed failed with (200, False) for (200, True), cut 3.3 s after SIGTERM; none_is_taken_on_that_may_outlast_the_stop failed with 502 for 503. Both with two VMs on.

--- a/bamboovale/gateway/drain.py
+++ b/bamboovale/gateway/drain.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Sized
 
 from bamboovale.decisions.planned_stop import PlannedStop
 from bamboovale.gateway.ownership import Ownership
@@ -27,10 +27,12 @@
     ownership: Ownership,
     peering: Peering,
     end_calls: Callable[[], None],
+    relays: Sized,
 ) -> None:
     """Release engines, serve while callers cache this address, then drain.
 
-    ``end_calls`` answers the requests that are left when the time is over.
+    ``end_calls`` answers the requests that are left when the time is over; ``relays``
+    are the exchanges for callers of other VMs.
     """
     started_at = state.now()
     ends_at = started_at + state.node.bounds.grace_s - STOP_MARGIN_S
@@ -45,7 +47,7 @@
         await asyncio.sleep(0.1)
     state.draining = True
     callers.close_idle()
-    await _wait_for_callers(state, callers, state.planned_stop)
+    await _wait_for_callers(state, callers, relays, state.planned_stop)
     cut_off = callers.busy
     end_calls()
     await _flush(state, callers)
@@ -53,11 +55,16 @@
     state.journal.write("drained", cut_off=cut_off)
 
 
-async def _wait_for_callers(state: VMState, callers: Server, stop: PlannedStop) -> None:
-    """Wait until all connections are closed, or the grace time is nearly over."""
+async def _wait_for_callers(
+    state: VMState, callers: Server, relays: Sized, stop: PlannedStop
+) -> None:
+    """Wait until all connections are closed, or the grace time is nearly over.
+
+    Guards also against cutting streams of other VMs, whose callers see no stop.
+    """
     while state.now() < stop.ends_at:
         await asyncio.sleep(0.05)
-        if not callers.busy and not callers.connections:
+        if not callers.busy and not callers.connections and not relays:
             break
         if state.now() > stop.started_at + LISTEN_AFTER_STOP_S + 1.0:
             callers.close_idle()
--- a/bamboovale/gateway/endpoint_access.py
+++ b/bamboovale/gateway/endpoint_access.py
@@ -60,7 +60,7 @@
             journal=state.journal,
             now=state.now,
             cores=state.node.cores,
-            may_help=state.takes_work,
+            may_help=state.may_help,
             is_live=state.fleet.is_live,
             on_run_lost=on_relayed_run_lost,
             on_relayed=lambda outcome: metrics.gateway_relayed.labels(outcome).inc(),
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -350,6 +350,7 @@
             self._ownership,
             self.peering,
             self._request_handler.end_calls,
+            self._access.relay_server,
         )
         self.peering.announce_leaving()
         await asyncio.sleep(0)
--- a/bamboovale/gateway/vm_state.py
+++ b/bamboovale/gateway/vm_state.py
@@ -93,6 +93,14 @@
         """Return whether new requests are accepted."""
         return not self.draining
 
+    def may_help(self, left_s: float) -> bool:
+        """Return whether requests of other VMs are sent on that end within a time.
+
+        Guards against cutting them at the end of a planned stop.
+        """
+        stop = self.planned_stop
+        return stop is None or self.now() + left_s < stop.ends_at
+
     def serving(self) -> bool:
         """Return whether this VM may be advertised to callers."""
         known = self.table is not None and bool(self.endpoints.record_by_id)
--- a/bamboovale/relay/server.py
+++ b/bamboovale/relay/server.py
@@ -58,7 +58,7 @@
         journal: Journal,
         now: Callable[[], float],
         cores: float,
-        may_help: Callable[[], bool],
+        may_help: Callable[[float], bool],
         is_live: Callable[[str], bool],
         on_run_lost: Callable[[str], None],
         on_relayed: Callable[[str], None] = lambda outcome: None,
@@ -119,7 +119,7 @@
     def _refusal(self, request: RelayRequest) -> str | None:
         """Return why a request cannot be sent from here, None if it can."""
         endpoint_id = request.endpoint_id
-        if not self._may_help() or len(self) >= self._most:
+        if not self._may_help(request.left_s) or len(self) >= self._most:
             return "busy"
         if not self._endpoints.is_ready(endpoint_id):
             return "endpoint not known"
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -19,6 +19,7 @@
     run,
     running_site,
 )
+from tests.path_cuts import REFUSE, cut_from_endpoints
 
 GRACE_S = 5
 LATE_S = LISTEN_AFTER_STOP_S - 0.3
@@ -152,6 +153,45 @@
         run(test())
 
 
+class TestRequestsOfOtherVMs:
+    """Requests that a VM which stops sends for another one."""
+
+    def test_a_stream_sent_for_another_vm_is_completed(self) -> None:
+        """Guards against an exit as soon as the VM has no callers of its own."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                cut, helper = site.vms
+                site.runners[0].faults.event_s = 0.38
+                with cut_from_endpoints(site, [cut], REFUSE):
+                    waiting = asyncio.create_task(stream(site))
+                    await eventually(lambda: bool(site.runners[0].runs))
+                    assert helper.vm.dump()["relayed_under_way"] == 1
+                    helper.vm.stop()
+                    answer = await waiting
+                assert (answer.status, answer.whole) == (200, True)
+
+        run(test())
+
+    def test_none_is_taken_on_that_may_outlast_the_stop(self) -> None:
+        """Guards against cutting a request whose own VM does not stop."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                cut, helper = site.vms
+                with cut_from_endpoints(site, [cut], REFUSE):
+                    helper.vm.stop()
+                    await asyncio.sleep(LATE_S / 2)
+                    short = await call(cut.address, "/book/1", deadline_ms=1000)
+                    assert (short.status, short.whole) == (200, True)
+                    site.services[0].faults.event_s = 3.4
+                    answer = await call(cut.address, "/book/1", deadline_ms=4000)
+                assert (answer.status, answer.whole) == (503, True)
+                assert len(site.services[0].runs) == 1
+
+        run(test())
+
+
 class TestExpectedRunTime:
     """What a VM knows of the speed of an engine."""
 
