A VM that stops begins no run of which nobody knows how long it takes

Cause: a length that is not known was taken for 0 s, so that the run could begin until the exit. Requests without a count of tokens were never measured by the VM itself.

Change: the pool's speed counts where neither the owner nor this VM's own runs tell it; own runs without a count are measured as well; while nothing is known, no run begins once the stop has begun: another VM is not short of time.

--- a/bamboovale/decisions/planned_stop.py
+++ b/bamboovale/decisions/planned_stop.py
@@ -24,7 +24,12 @@
     ends_at: float
 
     def latest_start(self, run_s: float) -> float:
-        """Return until when a run of ``run_s`` may begin and still be completed."""
+        """Return until when a run of ``run_s`` may begin and still be completed.
+
+        Of unknown length (0), none begins: another VM is not short of time.
+        """
+        if run_s <= 0.0:
+            return self.started_at
         return self.ends_at - RUN_MARGIN * run_s
 
 
--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -168,19 +168,23 @@
         self._pool_by_service[service] = (now, pool)
         return pool
 
-    def speed(self, engine_id: str, model: str) -> EngineSpeed:
-        """Return an engine's speed by its owner, else by this VM's own runs.
+    def speed(self, record: EndpointRecord, model: str) -> EngineSpeed:
+        """Return an engine's speed by its owner, by this VM's own runs or its pool.
 
-        A new owner may not know it yet.
+        A new owner may not know it yet. Own runs are an estimate: those under way when
+        more callers come are slower.
         """
-        owned = self.fleet.engine(engine_id)
+        owned = self.fleet.engine(record.endpoint_id)
         status = None if owned is None else owned.published
+        own, now = self._own_runs(model).speed, self.now()
         if status is not None and status.run_s > 0.0:
             return EngineSpeed(
                 status.s_per_token, status.s_per_output_token, status.run_s
             )
-        own, now = self._own_runs(model).speed, self.now()
-        return EngineSpeed(0.0, own.mean_s_per_token(now), own.run_s(now))
+        if own.run_s(now) > 0.0:
+            return EngineSpeed(0.0, own.mean_s_per_token(now), own.run_s(now))
+        _, pool = self._pool_by_service.get(record.service, (0.0, UNKNOWN_SPEED))
+        return EngineSpeed(0.0, pool.s_per_output_token, pool.run_s)
 
     def _own_runs(self, model: str) -> RunMeter:
         return self._own_runs_by_model.setdefault(model, RunMeter())
@@ -285,7 +289,7 @@
         if held is not None:
             runs = self._own_runs(held.model)
             if not (refused or not_held or aborted):
-                runs.on_ended(place.ask_id, held.output_tokens, self.now())
+                runs.on_ended(place.ask_id, max(1, held.output_tokens), self.now())
             runs.on_gone(place.ask_id, self.now())
         owner = self._owner_by_held.pop(place.ask_id, place.owner)
         notice = PlaceRelease(
--- a/bamboovale/gateway/place_search.py
+++ b/bamboovale/gateway/place_search.py
@@ -162,7 +162,7 @@
         stop = self._planned_stop()
         if stop is None:
             return math.inf
-        speed = self._engines.speed(record.endpoint_id, work.model)
+        speed = self._engines.speed(record, work.model)
         run_s = speed.run_time_s(work.prompt_tokens, work.output_tokens)
         call.notes["expected_run_s"] = round(run_s, 3)
         return stop.latest_start(run_s)
