Store: an empty page that is not the last is a failure

A page with `more` and no items counted as the end, so that a part of a topic read as all of it, and known keys of the rest as gone. Found by a reviewer. The new test failed before: `DID NOT RAISE StoreError`.

--- a/bamboovale/platform/store.py
+++ b/bamboovale/platform/store.py
@@ -268,7 +268,9 @@
     with _decoding("log-newest"):
         page = answer.document()
         records = tuple(_keyed_item(item, answer.era) for item in page["items"])
-        has_more = bool(records and page.get("more"))
+        has_more = bool(page.get("more"))
+        if has_more and not records:
+            raise ValueError("a page without items that is not the last")
         return _Page(records, Position.at(answer.era, int(page["end"])), has_more)
 
 
--- a/tests/test_cut_store_answers.py
+++ b/tests/test_cut_store_answers.py
@@ -149,6 +149,18 @@
 
         asyncio.run(test())
 
+    def test_an_empty_page_that_is_not_the_last_is_a_failure(
+        self, server: CuttingServer
+    ) -> None:
+        """Guards against a part of a topic that reads as all of it."""
+
+        async def test() -> None:
+            server.data = with_length(b'{"items": [], "more": true, "end": 3}')
+            with pytest.raises(StoreError):
+                await client_of(server).newest("keyed.op")
+
+        asyncio.run(test())
+
     def test_an_empty_list_is_one(self, server: CuttingServer) -> None:
         async def test() -> None:
             server.data = with_length(b'{"items": [], "end": 3}')
