Soak: stops that overlap, stalls, cut answers, all VMs killed at once

What it lacked: stops in series ended one before the next began, and what they lost was judged only in stops without any fault (with eight lanes, hardly ever) and by half an answer only; pauses lasted 0.3 s and more; no endpoint stopped within a head; VMs were killed one by one, and callers gave up a stream after three refused connections; a 500 of a VM broke nothing.

Now: `--play stops` stops all VMs but one, overlapping, with streams of up to 2.3 s, endpoints that reject and answer twice, with odd seeds among stalls of 50 to 500 ms; lost requests are judged by the rule on planned work and the endpoints' own records (soak_stops.py). `--play kills` kills all VMs at once, among stalls and cut answers, and callers try to go on for 6 s. Stalls and cut answers are lanes of the usual soak too. Errors logged as unhandled break a promise.

A response that a planned stop cuts is found by the old and by the new check, so that their test names both promises.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -17,6 +17,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from enum import StrEnum
 from pathlib import Path
 
 from bamboovale.http1.connection import ConnectFailed
@@ -27,7 +28,22 @@
 from bench.soak_site import USUAL_SLOTS, SoakSite, running_site
 from bench.soak_spans import FaultSpan
 
+
+class Play(StrEnum):
+    """What happens in a soak."""
+
+    FAULTS = "faults"
+    STOPS = "stops"
+    """Planned stops that overlap, streams that last, endpoints that reject; with every
+    odd seed also stalls. Without those, no request may be lost."""
+    KILLS = "kills"
+    """All VMs are killed at once, among stalls and answers that are cut."""
+
+
 LANES = 2
+SLOW_EVENTS_S = (0.1, 0.45)
+"""Least and most pause between an engine's events where streams are to be open when a
+VM stops; the longest streams end just within their deadline."""
 SHARED_SLOTS = 1
 """Places of a plain endpoint where its service has no more places than VMs."""
 CHECK_S = 1.0
@@ -50,7 +66,9 @@
     copies. ``crashes``: with every fourth seed some requests crash engines, in half
     of these without other faults, so that all VMs are in touch. ``shares_places``: with
     every odd seed plain endpoints have so few places that one VM grants them to all.
-    ``copies``: endpoints also reject requests and send each answer twice.
+    ``copies``: endpoints also reject requests and send each answer twice. ``stalls``:
+    VMs and endpoints also stand still for moments. ``cuts_answers``: endpoints also
+    stop their answers early. ``play`` is which of all this happens.
     """
 
     seconds: float = 60.0
@@ -68,6 +86,9 @@
     returns: bool = True
     crashes: bool = True
     shares_places: bool = True
+    stalls: bool = True
+    cuts_answers: bool = True
+    play: Play = Play.FAULTS
     copies: bool = True
 
     @property
@@ -97,7 +118,8 @@
 
     @property
     def _has_crashes(self) -> bool:
-        return self.config.crashes and self.config.seed % 4 == 0
+        is_wanted = self.config.crashes and self.config.play is Play.FAULTS
+        return is_wanted and self.config.seed % 4 == 0
 
     @property
     def _is_calm(self) -> bool:
@@ -105,6 +127,10 @@
 
     async def run(self) -> list[Violation]:
         """Inject faults for the configured time; return every violation."""
+        if self.config.play is not Play.FAULTS:
+            rng = random.Random(f"{self.config.seed}-events")
+            for runner in self.site.runners:
+                runner.faults.event_s = rng.uniform(*SLOW_EVENTS_S)
         tasks = [asyncio.create_task(caller.run()) for caller in self._callers()]
         tasks.append(asyncio.create_task(self._inject_faults()))
         if self.crash_load is not None:
@@ -124,7 +150,11 @@
             await asyncio.gather(*tasks, return_exceptions=True)
         if not found:
             found += await self._recover()
-            found += find_violations(self.evidence())
+            evidence = self.evidence()
+            evidence.unhandled = {
+                vm.name: vm.unhandled_errors() for vm in self.site.vms
+            }
+            found += find_violations(evidence)
         return found
 
     def evidence(self) -> Evidence:
@@ -167,7 +197,8 @@
     async def _inject_faults(self) -> None:
         """Run the fault lanes; an error that ends one is a bug in the soak."""
         async with asyncio.TaskGroup() as group:
-            for lane in range(0 if self._is_calm else LANES):
+            has_all = self.config.play is Play.FAULTS and not self._is_calm
+            for lane in range(LANES if has_all else 0):
                 rng = random.Random(f"{self.config.seed}-lane-{lane}")
                 group.create_task(FaultLane(self.site, self.faults, rng).run())
             for kind in self._lane_kinds():
@@ -179,6 +210,11 @@
         """Return the kinds of faults that have a lane of their own in this soak."""
         if self._is_calm:
             return []
+        if self.config.play is Play.STOPS:
+            stalls = [LaneKind.STALLS] if self.config.seed % 2 == 1 else []
+            return [LaneKind.STOPS, LaneKind.COPIES, *stalls]
+        if self.config.play is Play.KILLS:
+            return [LaneKind.KILLS, LaneKind.CUTS, LaneKind.STALLS]
         wanted = {
             LaneKind.STARTS: self.config.starts_again,
             LaneKind.KEYS: self.config.revokes,
@@ -188,6 +224,8 @@
             LaneKind.VERSIONS: self.config.versions,
             LaneKind.COPIES: self.config.copies,
             LaneKind.RETURNS: self.config.returns and self.config.seed % 4 == 1,
+            LaneKind.STALLS: self.config.stalls,
+            LaneKind.CUTS: self.config.cuts_answers,
         }
         return [kind for kind, is_wanted in wanted.items() if is_wanted]
 
@@ -243,7 +281,7 @@
         for a in soak.attempts
     )
     lines = [
-        f"seed {soak.config.seed}: {len(soak.attempts)} requests"
+        f"{soak.config.play} seed {soak.config.seed}: {len(soak.attempts)} requests"
         f" {dict(outcomes.most_common())}, {len(soak.faults)} faults,"
         f" {len(found)} broken promises,"
         f" {sum(a.resumes is not None for a in soak.attempts)} streams resumed"
@@ -275,6 +313,7 @@
         action=argparse.BooleanOptionalAction,
         default=SoakConfig.silences,
     )
+    parser.add_argument("--play", type=Play, choices=Play, default=SoakConfig.play)
     options = parser.parse_args()
     config = SoakConfig(
         seconds=options.seconds,
@@ -284,6 +323,7 @@
         callers=options.callers,
         starts_again=options.starts_again,
         silences=options.silences,
+        play=options.play,
     )
     directory = Path(tempfile.mkdtemp(prefix="bamboovale-soak-"))
     soak, found = asyncio.run(run_soak(config, directory))
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -21,6 +21,8 @@
 PAUSE_S = 0.02
 EVENT_END = b"\n\n"
 MAX_RESUMPTIONS = 3
+RESUME_S = 6.0
+"""How long a caller tries to go on with a stream, also while no VM listens."""
 LEAVES_SHARE = 0.25
 """Share of resumable streams whose caller leaves after the first event and resumes."""
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
@@ -115,7 +117,9 @@
     async def _resume(self, attempt: Attempt, key: str) -> None:
         """Go on with a stream that broke off, at any VM, on new connections."""
         vm_of_open_connection = self._vm
-        for _ in range(MAX_RESUMPTIONS):
+        tries = 0
+        until = time.monotonic() + RESUME_S
+        while tries < MAX_RESUMPTIONS and time.monotonic() < until:
             if (attempt.whole and attempt.status == 200) or not attempt.last_event_id:
                 break
             self._vm = self._rng.choice(self._vms)
@@ -124,6 +128,7 @@
             except (ConnectFailed, OSError):
                 await asyncio.sleep(PAUSE_S)
                 continue
+            tries += 1
             try:
                 attempt = await self._send(Kind.LONG, connection, key, attempt)
             finally:
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -16,6 +16,7 @@
 from bench.soak_paths import served_without_paths
 from bench.soak_site import GRACE_S, Life
 from bench.soak_spans import FaultSpan
+from bench.soak_stops import lost_by_stops
 from bench.soak_streams import SoftwareSpan, stream_attempts
 
 NOT_RUN = (408, 421, 429, 503)
@@ -53,7 +54,10 @@
 
 @dataclass
 class Evidence:
-    """Input of the checks; ``leaving_at`` holds when each endpoint began to drain."""
+    """Input of the checks; ``leaving_at`` holds when each endpoint began to drain.
+
+    ``unhandled`` holds log lines by VM, of errors that nobody expected.
+    """
 
     attempts: Sequence[Attempt]
     runs: Sequence[Run]
@@ -71,6 +75,7 @@
     owner_by_key: Mapping[str, str] = field(default_factory=dict)
     software: Sequence[SoftwareSpan] = ()
     crash_load: CrashLoad | None = None
+    unhandled: Mapping[str, Sequence[str]] = field(default_factory=dict)
 
 
 def find_violations(evidence: Evidence) -> list[Violation]:
@@ -89,8 +94,16 @@
     found += _never_overfilled(evidence.overfilled)
     found += _no_new_runs_while_leaving(evidence)
     found += _planned_stops(evidence)
+    for request_id, detail in lost_by_stops(
+        evidence.attempts, evidence.faults, evidence.lives, runs_by_id
+    ):
+        found.append(Violation("lost by a stop", request_id, detail))
     found += _signals_heeded(evidence)
     found += _retries_bounded(evidence)
+    for vm, lines in evidence.unhandled.items():
+        for line in lines[:1]:
+            detail = f"{len(lines)} errors that nobody expected: ...{line[-120:]}"
+            found.append(Violation("no unhandled error", vm, detail))
     for detail in stream_violations(
         stream_attempts(
             evidence.attempts, evidence.faults, evidence.lives, evidence.software
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -18,6 +18,7 @@
 from bench.soak_proxy import CutKind, LinkFaults, Proxy
 from bench.soak_site import SoakSite, VMProcess
 from bench.soak_spans import FaultSpan
+from bench.soak_stops import COPIES, STABLE_S, STALLED
 
 LONGEST_FAULT_S = 4.0
 LONGEST_PAUSE_S = 1.0
@@ -36,6 +37,14 @@
 BREAK_SHARE = 0.7
 """Share of the engines whose connections are reset at a change of software."""
 SOFTWARE_VERSIONS = ("v1", "v2", "v3")
+STALLS_S = (0.05, 0.5)
+"""Shortest and longest stall, as of a busy machine."""
+STALLS_IN_A_ROW = 5
+STOP_PAUSE_S = 1.5
+"""Longest pause between the stops of two VMs: shorter than one stop."""
+KILL_PAUSE_S = 8.0
+MOST_ANSWER_BYTES = 400
+"""Answers are cut after up to as many bytes: in the head, or early in the body."""
 LIMITS_PER_S = (0.5, 2.0, 5.0, 20.0)
 
 Injection = Callable[[], Awaitable[None]]
@@ -51,6 +60,10 @@
     PATHS = "paths"
     VERSIONS = "versions"
     RETURNS = "returns"
+    STALLS = "stalls"
+    CUTS = "cuts"
+    STOPS = "stops"
+    KILLS = "kills"
     COPIES = "copies"
 
 
@@ -103,6 +116,10 @@
             LaneKind.PATHS: [lane._paths_cut],
             LaneKind.VERSIONS: [lane._software_changes],
             LaneKind.RETURNS: [lane._store_returns],
+            LaneKind.STALLS: [lane._stalls],
+            LaneKind.CUTS: [lane._answers_cut],
+            LaneKind.STOPS: [lane._stop_all_overlapping],
+            LaneKind.KILLS: [lane._kill_all],
             LaneKind.COPIES: [lane._answers_come_twice],
         }
         lane._injections = injections_by_kind[kind]
@@ -169,6 +186,55 @@
             self._site.excuse(vm)
             await vm.start()
 
+    async def _stop_all_overlapping(self) -> None:
+        """Stop all VMs but one, each before the last one is back."""
+        vms = self._rng.sample(self._site.vms, len(self._site.vms) - 1)
+        async with asyncio.TaskGroup() as group:
+            for vm in vms:
+                group.create_task(self._replace(vm))
+                await asyncio.sleep(STOP_PAUSE_S * self._rng.random())
+        await asyncio.sleep(STABLE_S)
+
+    async def _kill_all(self) -> None:
+        """Kill all VMs at once, and start them again."""
+        await asyncio.sleep(KILL_PAUSE_S)
+        async with AsyncExitStack() as held:
+            for vm in self._site.vms:
+                await held.enter_async_context(vm.lock)
+            for vm in self._site.vms:
+                await held.enter_async_context(self._span("killed", vm.name))
+            await asyncio.gather(*(vm.kill() for vm in self._site.vms))
+            for vm in self._site.vms:
+                self._site.excuse(vm)
+                await vm.start()
+
+    async def _stalls(self) -> None:
+        """Stall VMs, or links to endpoints, for some moments in a row."""
+        for _ in range(STALLS_IN_A_ROW):
+            if self._rng.random() < 0.5:
+                await self._stall_vm(self._vm())
+            else:
+                await self._stall_endpoint()
+            await asyncio.sleep(self._rng.random())
+
+    async def _stall_vm(self, vm: VMProcess) -> None:
+        async with self._span(PAUSED, vm.name):
+            vm.signal(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(*STALLS_S))
+            vm.signal(signal.SIGCONT)
+            self._site.excuse(vm)
+
+    async def _stall_endpoint(self) -> None:
+        """Hold back what an endpoint gets and sends, then pass it on."""
+        endpoint = self._rng.choice([*self._site.runners, *self._site.services])
+        proxy = self._site.proxy_by_endpoint[endpoint.endpoint_id]
+        async with self._span(STALLED, endpoint.endpoint_id):
+            endpoint.signals.excuse()
+            proxy.faults = LinkFaults(hold_requests=True, hold_answers=True)
+            await asyncio.sleep(self._rng.uniform(*STALLS_S))
+            proxy.faults = LinkFaults()
+            endpoint.signals.excuse()
+
     async def _pause(self) -> None:
         vm = self._vm()
         async with self._span(PAUSED, vm.name):
@@ -284,13 +350,24 @@
             await self._wait_for_duration()
             service.faults = EndpointFaults()
 
+    async def _answers_cut(self) -> None:
+        """Have an endpoint stop its answers, also in their heads."""
+        endpoint = self._rng.choice([*self._site.runners, *self._site.services])
+        async with self._span("answers cut", endpoint.endpoint_id):
+            faults = endpoint.faults
+            faults.cut_at = self._rng.randrange(MOST_ANSWER_BYTES)
+            faults.reset = self._rng.random() < 0.5
+            faults.interim = self._rng.random() < 0.5
+            await self._wait_for_duration()
+            faults.cut_at, faults.reset, faults.interim = None, False, False
+
     async def _answers_come_twice(self) -> None:
         """Reject every second request, and send each answer a second time.
 
         All endpoints at once: so a request soon goes to the same one again.
         """
         endpoints = [*self._site.runners, *self._site.services]
-        async with self._span("answers come twice", "all endpoints"):
+        async with self._span(COPIES, "all endpoints"):
             for endpoint in endpoints:
                 endpoint.faults.late_copies = True
                 endpoint.faults.refuse_every = 2
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -30,6 +30,8 @@
 USUAL_SLOTS = 6
 """Places of a plain endpoint."""
 ADAPTER_SLOTS = 3
+UNHANDLED = '"unhandled error'
+"""In the log line of an error that ends a request or a connection."""
 RESTART_RECORD_DELAY_S = 0.4
 """From an engine's restart under its id to its new record: about a third of the
 heartbeat interval."""
@@ -143,6 +145,17 @@
             log = self._log_path(len(self.lives) - 1).read_bytes()
             life.has_started = b'"event":"started"' in log
 
+    def unhandled_errors(self) -> list[str]:
+        """Return the log lines of errors that nobody expected, of all processes."""
+        return [
+            line
+            for number in range(len(self.lives))
+            for line in self._log_path(number)
+            .read_text("utf-8", "replace")
+            .splitlines()
+            if UNHANDLED in line
+        ]
+
     def _log_path(self, number: int) -> Path:
         return self.directory / f"{self.name}-{number}.log"
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -196,6 +196,10 @@
         ended = replace(STOPPED, stopped_at=None, exit_code=1)
         assert promises(CALL, lives=(ended,)) == ["lives"]
 
+    def test_an_error_that_nobody_expected(self) -> None:
+        found = promises(CALL, unhandled={"vm": ["a line", "another"], "sound": []})
+        assert found == ["no unhandled error"]
+
     def test_a_stop_that_fails(self) -> None:
         failed = replace(STOPPED, exit_code=1)
         assert promises(CALL, lives=(failed,)) == ["planned stop"]
@@ -223,10 +227,49 @@
 
     def test_an_answer_cut_by_a_planned_stop(self) -> None:
         cut = replace(STREAM, whole=False, body=EVENTS[:20])
-        assert promises(cut, lives=(STOPPED,)) == ["planned stop"]
+        broken = ["planned stop", "lost by a stop"]
+        assert promises(cut, lives=(STOPPED,)) == broken
         crash = FaultSpan("runner crashes", "runner-1", 10.3, 10.4)
         assert promises(cut, lives=(STOPPED,), faults=(crash,)) == []
 
+    def test_a_request_lost_by_a_planned_stop(self) -> None:
+        """Guards against requests that end without an answer as their VM stops."""
+        lost = replace(CALL, status=0, whole=False, body=b"", ended_at=10.6)
+        broken = ["lost by a stop"]
+        assert promises(lost, lives=(STOPPED,)) == broken
+        assert promises(replace(lost, kind=Kind.LONG), lives=(STOPPED,)) == broken
+        assert promises(lost, runs=(), lives=(STOPPED,)) == broken
+        copies = FaultSpan("answers come twice", "all endpoints", 9.0, 11.0)
+        assert promises(lost, lives=(STOPPED,), faults=(copies,)) == broken
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"whole": True},
+            {"left": True},
+            {"vm": "another"},
+            {"ended_at": 13.0},
+            {"ended_at": 10.1},
+        ],
+        ids=["whole", "left by its caller", "elsewhere", "at its deadline", "before"],
+    )
+    def test_a_request_that_a_planned_stop_did_not_lose(self, changes: Any) -> None:
+        lost = replace(CALL, status=0, whole=False, body=b"", ended_at=10.6)
+        assert promises(replace(lost, **changes), lives=(STOPPED,)) == []
+
+    def test_a_loss_that_a_planned_stop_did_not_cause(self) -> None:
+        """It crossed the close, its endpoint broke off, or faults were near."""
+        lost = replace(CALL, status=0, whole=False, body=b"", ended_at=10.6)
+        crossed = replace(lost, ended_at=10.25)
+        assert promises(crossed, runs=(), lives=(STOPPED,)) == []
+        assert promises(crossed, lives=(STOPPED,)) == ["lost by a stop"]
+        cut = (replace(RUNS[1], ended="cut"),)
+        assert promises(lost, runs=cut, lives=(STOPPED,)) == []
+        paused = FaultSpan("paused", "another", 7.5, 7.6)
+        assert promises(lost, lives=(STOPPED,), faults=(paused,)) == []
+        killed = Life("another", 0.0, True, None, 8.0, 8.0, -9)
+        assert promises(lost, lives=(STOPPED, killed)) == []
+
 
 class TestProxy:
     """The proxy applies its configured link faults."""
