A request that waits for a place as a stop begins is refused in time

What callers saw: a request that was queued at a full engine before SIGTERM waited on until it was granted a place, which was then too late for its run, or until the exit.

Cause: the limit for the wait was set when the place was asked for, before the stop.

Also, by reading: what has run before (a stream that goes on at another engine) is bounded by no stop any more; gave it no time to wait for a place once it was late.

--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -50,6 +50,10 @@
     """The engine has no live owner, or its owner did not answer or has changed."""
 
 
+class PlaceTooLate(Exception):  # noqa: N818 - reads as what happened
+    """A place would be of no use any more."""
+
+
 class Links(Protocol):
     """Sends messages to other entry VMs."""
 
@@ -206,8 +210,16 @@
         key = None if request.adapter is None else (request.model, request.adapter)
         sent.loads += not candidate.holds(key, request.version)
 
-    async def request_place(self, engine_id: str, request: PlaceRequest) -> PlaceReply:
-        """Request a place from the engine's owner; raises OwnerUnavailable."""
+    async def request_place(
+        self,
+        engine_id: str,
+        request: PlaceRequest,
+        is_too_late: Callable[[], bool] = lambda: False,
+    ) -> PlaceReply:
+        """Request a place from the engine's owner.
+
+        Raises OwnerUnavailable, and PlaceTooLate once ``is_too_late``.
+        """
         owner = self._owner_of(engine_id)
         if owner is None:
             raise OwnerUnavailable("the engine has no live owner")
@@ -215,7 +227,7 @@
         # If the caller disconnects, the future remains without a consumer.
         future.add_done_callback(_ignore_result)
         try:
-            reply = await self._wait_for(future, owner, engine_id)
+            reply = await self._wait_for(future, owner, engine_id, is_too_late)
         except BaseException:
             self._cancel(owner, engine_id, request.ask_id)
             raise
@@ -334,6 +346,7 @@
         future: "asyncio.Future[PlaceReply]",
         owner: str,
         engine_id: str,
+        is_too_late: Callable[[], bool],
     ) -> PlaceReply:
         """Wait for the reply while the engine's owner is alive.
 
@@ -346,6 +359,8 @@
             if self._owner_of(engine_id) != owner:
                 future.cancel()
                 raise OwnerUnavailable("the owner is unreachable or was replaced")
+            if is_too_late():
+                raise PlaceTooLate
         try:
             return future.result()
         except (PeerUnreachableError, PeerLostError, PeerTimeoutError) as error:
--- a/bamboovale/gateway/place_search.py
+++ b/bamboovale/gateway/place_search.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from bamboovale.decisions.engine_choice import EngineCandidate, EngineChooser
@@ -12,7 +13,12 @@
 from bamboovale.gateway.call import Call
 from bamboovale.gateway.endpoint_limits import UNOWNED_PART
 from bamboovale.gateway.endpoints import EndpointView
-from bamboovale.gateway.engines import Engines, GrantedPlace, OwnerUnavailable
+from bamboovale.gateway.engines import (
+    Engines,
+    GrantedPlace,
+    OwnerUnavailable,
+    PlaceTooLate,
+)
 from bamboovale.gateway.messages import PlaceRequest
 from bamboovale.gateway.model import EndpointRecord, ModelWork
 from bamboovale.gateway.send_gate import SendGate
@@ -147,20 +153,24 @@
         record: EndpointRecord,
         progress: Progress,
     ) -> Exception | None:
-        """Return the refusal of a run that this VM's stop would cut, else None.
-
-        A stream that has begun goes on as long as it can.
-        """
-        if progress.runs or self._now() < self._latest_start(call, work, record):
+        """Return the refusal of a run that this VM's stop would cut, else None."""
+        if self._now() < self._latest_start(call, work, record, progress):
             return None
         return progress.final_error(STOPS)
 
     def _latest_start(
-        self, call: Call, work: ModelWork, record: EndpointRecord
+        self,
+        call: Call,
+        work: ModelWork,
+        record: EndpointRecord,
+        progress: Progress,
     ) -> float:
-        """Return until when a run may begin that this VM can complete."""
+        """Return until when a run may begin that this VM can complete.
+
+        A request that has run goes on as long as it can.
+        """
         stop = self._planned_stop()
-        if stop is None:
+        if stop is None or progress.runs:
             return math.inf
         speed = self._engines.speed(record, work.model)
         run_s = speed.run_time_s(work.prompt_tokens, work.output_tokens)
@@ -290,6 +300,7 @@
     ) -> GrantedPlace:
         engine_id = candidate.engine_id
         now = self._now()
+        latest_start = partial(self._latest_start, call, work, record, progress)
         ask_id = f"{call.facts.request_id}.{len(call.notes.get('asks', []))}"
         request = PlaceRequest(
             engine_id=engine_id,
@@ -303,7 +314,7 @@
             goal_within_s=_goal_within_s(call, progress, now),
             starts_within_s=min(
                 self._starts_within_s(call, progress, now),
-                max(0.0, self._latest_start(call, work, record) - now),
+                max(0.0, latest_start() - now),
             ),
             pause_s=call.route.gap_s,
             start=self._engines.fleet.membership.own.start,
@@ -316,7 +327,11 @@
             note["limit_per_s"] = limit_per_s
         call.notes.setdefault("asks", []).append(note)
         try:
-            reply = await self._engines.request_place(engine_id, request)
+            reply = await self._engines.request_place(
+                engine_id, request, lambda: self._now() >= latest_start()
+            )
+        except PlaceTooLate:
+            raise progress.final_error(STOPS) from None
         finally:
             note["s"] = round(self._now() - now, 4)
         if reply.version is None:
--- a/bench/stop_guards.py
+++ b/bench/stop_guards.py
@@ -27,7 +27,7 @@
         (
             Change(
                 SEARCH_PATH,
-                "max(0.0, self._latest_start(call, work, record) - now)",
+                "max(0.0, latest_start() - now)",
                 "math.inf",
             ),
         ),
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -1,11 +1,13 @@
 """Requests that a VM gets shortly before and during its planned stop."""
 
 import asyncio
+import math
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
+from bamboovale.decisions.planned_stop import PlannedStop
 from bamboovale.gateway.drain import LISTEN_AFTER_STOP_S
 from bamboovale.gateway.engines import Engines, GrantedPlace
 from bamboovale.gateway.messages import PlaceRequest
@@ -36,7 +38,12 @@
     "vms": 2,
     "bounds": {"grace-s": GRACE_S},
     "events": EVENTS,
-    "config": configuration(extra=(route("slow", "llm", "stream", **PATIENT),)),
+    "config": configuration(
+        extra=(
+            route("slow", "llm", "stream", **PATIENT),
+            route("draft", "llm", "stream", **{**PATIENT, "goal-ms": 3000}),
+        )
+    ),
 }
 
 
@@ -45,6 +52,11 @@
     return await call(site.vms[vm].address, "/slow/1", adapter="a1", deadline_ms=9000)
 
 
+async def draft(site: Site) -> CallerAnswer:
+    """Send a request that can wait for long, by the VM that stops."""
+    return await call(site.vms[0].address, "/draft/1", adapter="a1", deadline_ms=15_000)
+
+
 async def learn_run_time(site: Site) -> None:
     """Have all VMs know how long a run takes."""
     [runner] = site.runners
@@ -111,6 +123,28 @@
 
         run(test())
 
+    def test_one_that_waits_as_the_stop_begins_is_refused_in_time(self) -> None:
+        """Guards against a wait for a run that can no longer be completed."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                await learn_run_time(site)
+                site.runners[0].faults.event_s = 4.0 / EVENTS
+                full = [asyncio.create_task(stream(site, vm=1)) for _ in range(PLACES)]
+                await asyncio.sleep(0.2)
+                before = len(site.runners[0].runs)
+                waiting = asyncio.create_task(draft(site))
+                await asyncio.sleep(0.1)
+                site.vms[0].vm.stop()
+                async with asyncio.timeout(GRACE_S / 2 + 0.5):
+                    answer = await waiting
+                assert (answer.status, answer.whole) == (503, True)
+                assert len(site.runners[0].runs) == before
+                for task in full:
+                    task.cancel()
+
+        run(test())
+
     def test_a_stream_that_can_be_completed_is_served(self) -> None:
         """Guards against refusals by a VM that callers cannot know to be stopping."""
 
@@ -147,6 +181,29 @@
 
         run(test())
 
+    def test_one_that_waits_until_the_end_is_refused(self) -> None:
+        """Guards against a reset of requests that were never sent to an engine."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                site.runners[0].faults.hang = True
+                full = [asyncio.create_task(stream(site, vm=1)) for _ in range(PLACES)]
+                await eventually(lambda: len(site.runners[0].runs) == PLACES)
+                with pytest.MonkeyPatch.context() as patch:
+                    patch.setattr(
+                        PlannedStop, "latest_start", lambda self, run_s: math.inf
+                    )
+                    waiting = asyncio.create_task(draft(site))
+                    await asyncio.sleep(0.1)
+                    site.vms[0].vm.stop()
+                    answer = await waiting
+                assert (answer.status, answer.whole) == (503, True)
+                assert len(site.runners[0].runs) == PLACES
+                for task in full:
+                    task.cancel()
+
+        run(test())
+
     def test_one_that_may_have_run_is_told_so(self) -> None:
         """Guards against a reset that leaves the caller without any answer."""
 
