A VM that stops takes on runs of unknown length in the first third of the stop

Change: two thirds of the stop's time are left for a run of unknown length, so it may begin at first and no longer near the end.

--- a/bamboovale/decisions/planned_stop.py
+++ b/bamboovale/decisions/planned_stop.py
@@ -11,6 +11,10 @@
 """Time that is left for a run, as a multiple of the expected time: engines slow down
 while they take over the load of others."""
 
+UNKNOWN_RUN_PART = 2.0 / 3.0
+"""Part of the whole stop that is left for a run of unknown length: most end in it, and
+callers soon have the address of another VM."""
+
 
 @dataclass(frozen=True)
 class PlannedStop:
@@ -26,10 +30,10 @@
     def latest_start(self, run_s: float) -> float:
         """Return until when a run of ``run_s`` may begin and still be completed.
 
-        Of unknown length (0), none begins: another VM is not short of time.
+        The length is 0 if it is unknown.
         """
         if run_s <= 0.0:
-            return self.started_at
+            return self.ends_at - UNKNOWN_RUN_PART * (self.ends_at - self.started_at)
         return self.ends_at - RUN_MARGIN * run_s
 
 
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -103,6 +103,19 @@
 
         run(test())
 
+    def test_one_of_unknown_length_is_served_at_first(self) -> None:
+        """Guards against refusals by VMs that have just started."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                site.runners[0].faults.event_s = RUN_S / EVENTS
+                site.vms[0].vm.stop()
+                await asyncio.sleep(0.5)
+                answer = await stream(site)
+                assert (answer.status, answer.whole) == (200, True)
+
+        run(test())
+
     def test_no_place_is_waited_for_until_the_run_would_be_cut(self) -> None:
         """Guards against runs that begin too late, after a wait for a full engine."""
 
