Starts of streams are recorded sooner with two versions, and seldom with one

What callers saw: after all entry VMs were killed with two versions in service, streams that had brought one or two events were still refused, and their callers came back three times in vain. And a fleet in which one version serves paid for records that are needed with several alone.

Cause: what begins between two writes is not recorded, and many streams that break off have only just begun.

Change: while another version of the service serves, or did in the last minute, a write each 0.03 s at most; with one version one a second. What waits is written when the second version appears. A key is used for 0.3 s and each write to it holds all starts of that time, so that few keys suffice. One VM writes, the first of those that hold starts (a look-up that is kept; before, all holders were hashed for each start); its keys are one of two sets by its name, so that two VMs that both take themselves for the writer seldom replace each other's. All pages of a read are read; before, one was taken for all that is recorded, and streams with records were refused for good. After 30 s without a read the newest record of each key is read instead.

Tried in vain, not in the code: records of all versions with a mark that they are complete, by which one version would be known as the only one after all VMs ended. It is not sound: a stream may begin at a version while the store takes no record of it from that VM.

--- a/bamboovale/streams/call_streams.py
+++ b/bamboovale/streams/call_streams.py
@@ -62,8 +62,12 @@
             state.journal,
             state.fleet.stream_holders,
             on_read=lambda began: exchange.remember(began),
+            is_single=lambda service, version: state.versions.is_single(
+                service, version, lease_clock()
+            ),
             now=state.now,
         )
+        state.endpoints.listen(lambda change: records.on_versions())
         exchange = StartExchange(
             state.node.name,
             links,
--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -115,7 +115,7 @@
         )
         self.on_began(began)
         told = {vm for attempt in attempts for vm in self._others(attempt, REPLICAS)}
-        writer = self._records.writer_of(attempts[0])
+        writer = self._records.writer()
         if writer is not None and writer != self._own_id:
             told.add(writer)
         if told:
--- a/bamboovale/streams/start_records.py
+++ b/bamboovale/streams/start_records.py
@@ -1,20 +1,22 @@
 """Records in the metadata store of who began streams.
 
-Guards against streams that cannot go on after all VMs ended at once. A few VMs write
-what the others tell them, many starts in a record; a VM reads the records when neither
+Guards against streams that cannot go on after all VMs ended at once. One VM writes
+what the others tell it, many starts in a record; a VM reads the records when neither
 it nor those that it asked know a stream. The keys are used again in turn, so that the
 newest record of each key is all that is needed of the topic.
 """
 
 import asyncio
+import contextlib
 import json
 import math
 import time
+import zlib
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
-from bamboovale.decisions.rendezvous import first_members
 from bamboovale.gateway.journal import Journal
 from bamboovale.store.interface import (
     HistoryLostError,
@@ -25,19 +27,25 @@
 from bamboovale.store.position import Position
 from bamboovale.streams.messages import StreamBegan
 
-DUTY = "stream records"
-WRITERS = 2
-"""VMs that write; each start is written by one of them."""
-WRITE_INTERVAL_S = 0.15
-"""Least time between two writes of one VM, as each is a priced call. The streams that
-began in it are lost with all VMs."""
-SLOTS = 240
-"""Keys of one writer: they hold the starts of the last 36 s, and those of all writers
-come in one answer of the store."""
+WRITE_INTERVAL_S = 0.03
+"""Least time between two writes while several versions serve, or did lately, as each is
+a priced call. The streams that began in it are lost with all VMs."""
+SINGLE_INTERVAL_S = 1.0
+"""Time between two writes while one version serves."""
+SLOT_S = 0.3
+"""How long a writer uses one key: each write holds all starts of this time."""
+SLOTS = 120
+"""Keys of one writer: they hold the starts of the last 36 s."""
+KEY_SETS = 2
+"""Sets of keys, by the writer's name: two VMs that both take themselves for the writer
+seldom replace one another's records. All keys come in one answer of the store."""
+READ_ANEW_S = 30.0
+"""Time after a read after which the newest record of each key is less to read than
+all records since."""
 RETRY_S = 0.5
 MAX_WAITING = 2000
 """Bounds the starts that wait for the store; the oldest are dropped."""
-MAX_ROWS = 500
+MAX_ROWS = 300
 """Bounds one record."""
 MIN_READ_INTERVAL_S = 0.25
 """Bounds the reads that callers may cause."""
@@ -49,8 +57,8 @@
 class StartLog(Protocol):
     """Where starts are kept that outlast all VMs."""
 
-    def writer_of(self, attempt_id: str) -> str | None:
-        """Return the VM that writes the start of a stream."""
+    def writer(self) -> str | None:
+        """Return the VM that writes the starts of streams."""
 
     def add(self, began: StreamBegan) -> None:
         """Have a start written soon, if this VM writes it."""
@@ -59,11 +67,21 @@
         """Read the starts that are recorded by now; return whether that succeeded."""
 
 
+@dataclass(frozen=True)
+class _Waiting:
+    """A start that is to be written, while its caller may come back."""
+
+    began: StreamBegan
+    expires_at: float
+
+
 class StartRecords:
     """Writes and reads the records; ``on_read`` is called with each recorded start.
 
-    ``holders`` returns the VMs among which the writers are chosen. ``now`` is
-    monotonic, in seconds; ``time_of_day`` counts the keys.
+    ``holders`` returns the VMs of which the first one writes, the same at every VM.
+    ``is_single`` returns whether a version is the only one of its service lately: then
+    its starts may wait for longer. ``now`` is monotonic, in seconds; ``time_of_day``
+    counts the keys.
     """
 
     def __init__(
@@ -74,6 +92,7 @@
         journal: Journal,
         holders: Callable[[], Sequence[str]],
         on_read: Callable[[StreamBegan], None],
+        is_single: Callable[[str, str], bool],
         now: Callable[[], float],
         time_of_day: Callable[[], float] = time.time,
     ) -> None:
@@ -83,10 +102,15 @@
         self._journal = journal
         self._holders = holders
         self._on_read = on_read
+        self._is_single = is_single
+        self._key_set = zlib.crc32(own_id.encode()) % KEY_SETS
         self._now = now
         self._time_of_day = time_of_day
-        self._waiting: deque[StreamBegan] = deque(maxlen=MAX_WAITING)
+        self._waiting: deque[_Waiting] = deque(maxlen=MAX_WAITING)
         self._added = asyncio.Event()
+        self._urgent = asyncio.Event()
+        self._slot = -1
+        self._written_in_slot: list[_Waiting] = []
         self._write_fails = False
         self._next: Position | None = None
         self._wanted = asyncio.Event()
@@ -95,48 +119,78 @@
 
     # Writing.
 
-    def writer_of(self, attempt_id: str) -> str | None:
-        """Return the VM that writes the start of a stream, None if none is known."""
-        return next(iter(first_members(attempt_id, self._writers(), 1)), None)
-
-    def _writers(self) -> list[str]:
-        return first_members(DUTY, self._holders(), WRITERS)
+    def writer(self) -> str | None:
+        """Return the VM that writes, None if none is known."""
+        return next(iter(self._holders()), None)
 
     def add(self, began: StreamBegan) -> None:
-        """Have a start written soon, if this VM writes it."""
-        if self.writer_of(began.attempts[0]) == self._own_id:
-            self._waiting.append(began)
-            self._added.set()
+        """Have a start written soon, if this VM writes."""
+        if self.writer() != self._own_id:
+            return
+        self._waiting.append(_Waiting(began, self._now() + began.life_s))
+        self._added.set()
+        if not self._is_single(began.service, began.software_version):
+            self._urgent.set()
+
+    def on_versions(self) -> None:
+        """Write what waits sooner if another version of its service serves now."""
+        began = (waiting.began for waiting in self._waiting)
+        if any(not self._is_single(b.service, b.software_version) for b in began):
+            self._urgent.set()
 
     async def write_forever(self) -> None:
         """Write what waits, again after a failure; the first of a series is logged."""
         while True:
             await self._added.wait()
-            rows = list(self._waiting)[:MAX_ROWS]
+            await self._until_due()
+            self._drop_expired()
             try:
-                await self._store.put(self._topic, self._key(), encode(rows))
+                await self._write()
             except StoreError as error:
                 self._on_write_failed(error)
                 await asyncio.sleep(RETRY_S)
                 continue
             self._write_fails = False
-            self._drop(rows)
             await asyncio.sleep(WRITE_INTERVAL_S)
 
-    def _key(self) -> str:
-        """Return the key that this VM uses now: no other write of late has it."""
-        writers = self._writers()
-        number = writers.index(self._own_id) if self._own_id in writers else 0
-        slot = int(self._time_of_day() / WRITE_INTERVAL_S) % SLOTS
-        return f"{number}.{slot}"
+    async def _write(self) -> None:
+        """Write what waits with what was written to the same key; raises StoreError."""
+        key = self._next_key()
+        rows = list(self._waiting)[: MAX_ROWS - len(self._written_in_slot)]
+        if rows:
+            starts = [row.began for row in [*self._written_in_slot, *rows]]
+            await self._store.put(self._topic, key, encode(starts))
+        self._written_in_slot += rows
+        self._drop(rows)
+
+    def _next_key(self) -> str:
+        """Return the key that this VM uses now."""
+        slot = int(self._time_of_day() / SLOT_S) % SLOTS
+        if slot != self._slot:
+            self._slot = slot
+            self._written_in_slot = []
+        return f"{self._key_set}.{slot}"
 
-    def _drop(self, rows: Iterable[StreamBegan]) -> None:
+    async def _until_due(self) -> None:
+        """Wait while what waits need not be written yet."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SINGLE_INTERVAL_S - WRITE_INTERVAL_S):
+                await self._urgent.wait()
+
+    def _drop_expired(self) -> None:
+        """Drop those that nobody can resume any more, after a long outage."""
+        now = self._now()
+        while self._waiting and self._waiting[0].expires_at <= now:
+            self._waiting.popleft()
+
+    def _drop(self, rows: Iterable[_Waiting]) -> None:
         """Drop what was written; some of it may have been dropped as the oldest."""
         for row in rows:
             if self._waiting and self._waiting[0] is row:
                 self._waiting.popleft()
         if not self._waiting:
             self._added.clear()
+            self._urgent.clear()
 
     def _on_write_failed(self, error: StoreError) -> None:
         if not self._write_fails:
@@ -177,19 +231,31 @@
             await asyncio.sleep(MIN_READ_INTERVAL_S)
 
     async def _read(self) -> None:
-        """Read the records since the last time, at first the newest of each key."""
+        """Read all records since the last time, or the newest of each key."""
+        if self._next is None or self._now() - self._read_at > READ_ANEW_S:
+            await self._read_newest()
+            return
         try:
-            if self._next is None:
-                snapshot = await self._store.newest(self._topic)
-                self._next = snapshot.end
-                self._journal.write("stream_records", records=len(snapshot.records))
-                self._apply(snapshot.records)
-                return
-            records, self._next = await self._store.read(self._topic, self._next, 0.0)
+            await self._read_since(self._next)
         except HistoryLostError:
-            self._next = None
-            raise
-        self._apply(records)
+            await self._read_newest()
+
+    async def _read_newest(self) -> None:
+        self._next = None
+        snapshot = await self._store.newest(self._topic)
+        self._apply(snapshot.records)
+        self._next = snapshot.end
+        self._journal.write("stream_records", records=len(snapshot.records))
+
+    async def _read_since(self, position: Position) -> None:
+        """Read on until there are no more, as one answer may hold a part of them."""
+        while True:
+            records, following = await self._store.read(self._topic, position, 0.0)
+            self._apply(records)
+            self._next = following
+            if following == position:
+                return
+            position = following
 
     def _apply(self, records: Iterable[KeyedRecord]) -> None:
         for record in records:
--- a/bamboovale/streams/version_history.py
+++ b/bamboovale/streams/version_history.py
@@ -11,6 +11,9 @@
 MAX_AGE_S = 300.0
 """Versions that ended longer ago are dropped."""
 
+LATELY_S = 60.0
+"""A version that ended longer ago has begun none of the streams that run."""
+
 ServiceVersion = tuple[str, str | None]
 """A service and a version of its software, None while that is not known."""
 
@@ -96,6 +99,13 @@
         """Apply that all records up to a moment were read."""
         self._proven_at = max(self._proven_at, proven_at)
 
+    def is_single(self, service: str, version: str, now: float) -> bool:
+        """Return whether no other version of a service was seen lately.
+
+        A VM that has just started may not have seen one that is gone.
+        """
+        return self.seen((service,), LATELY_S, now).versions <= {version}
+
     def seen(
         self, services: Iterable[str], within_s: float, now: float
     ) -> VersionsSeen:
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
-from bamboovale.decisions.rendezvous import first_members
 from bamboovale.store.interface import (
     HistoryLostError,
     KeyedRecord,
@@ -21,6 +21,7 @@
 
 VMS = ("a", "b", "c")
 TOPIC = "streams"
+PAGE = 5
 
 
 def began(attempt: str, customer: str | None = None) -> StreamBegan:
@@ -57,9 +58,9 @@
         records = [
             KeyedRecord(key, value, at)
             for at, (key, value) in enumerate(self.log)
-            if at >= position
+            if position <= at < position + PAGE
         ]
-        return tuple(records), Position(len(self.log))
+        return tuple(records), Position(position + len(records))
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         self._call("put")
@@ -71,6 +72,8 @@
 
     def __init__(self, vm_id: str, store: KeyedStore, clock: Callable[[], float]):
         self.read: list[StreamBegan] = []
+        self.is_single = False
+        self.late_s = 0.0
         self.journal = RecordedJournal(vm_id)
         self.records = StartRecords(
             vm_id,
@@ -79,10 +82,15 @@
             self.journal,
             lambda: VMS,
             self.read.append,
-            asyncio.get_running_loop().time,
+            lambda service, version: self.is_single,
+            self.now,
             clock,
         )
 
+    def now(self) -> float:
+        """Return the time, ``late_s`` later than it is."""
+        return asyncio.get_running_loop().time() + self.late_s
+
     @asynccontextmanager
     async def running(self) -> AsyncIterator["VM"]:
         """Run its tasks."""
@@ -97,16 +105,9 @@
                 task.cancel()
 
 
-def writers() -> list[str]:
-    """Return the VMs that write."""
-    return first_members(start_records.DUTY, VMS, start_records.WRITERS)
-
-
-def written_by(vm_id: str, count: int) -> list[StreamBegan]:
-    """Return starts that a VM writes."""
-    ids = (f"r{number}" for number in range(10_000))
-    own = (i for i in ids if first_members(i, writers(), 1) == [vm_id])
-    return [began(next(own)) for _ in range(count)]
+def starts(count: int) -> list[StreamBegan]:
+    """Return starts of several streams."""
+    return [began(f"r{number}") for number in range(count)]
 
 
 def run(test: Any) -> None:
@@ -115,7 +116,7 @@
     async def with_writer() -> None:
         store = KeyedStore()
         clock = asyncio.get_running_loop().time
-        async with VM(writers()[0], store, clock).running() as vm:
+        async with VM(VMS[0], store, clock).running() as vm:
             await test(store, vm)
 
     asyncio.run(asyncio.wait_for(with_writer(), 20.0))
@@ -128,24 +129,80 @@
         """Guards against a call for each stream, as all VMs' calls are rationed."""
 
         async def test(store: KeyedStore, vm: VM) -> None:
-            starts = written_by(vm.journal.vm_id, 50)
-            vm.records.add(starts[0])
+            first, *others = starts(50)
+            vm.records.add(first)
             await eventually(lambda: len(store.log) == 1)
-            for start in starts[1:]:
+            for start in others:
                 vm.records.add(start)
             await eventually(lambda: len(store.log) == 2)
-            assert [len(decode(value)) for _, value in store.log] == [1, 49]
+            assert {began for _, value in store.log for began in decode(value)} == {
+                first,
+                *others,
+            }
 
         run(test)
 
-    def test_each_start_is_written_by_one_vm(self) -> None:
+    def test_a_write_keeps_what_its_key_held(self) -> None:
+        """Guards against a start that is replaced by the next one."""
+
         async def test(store: KeyedStore, vm: VM) -> None:
-            for other in (vm_id for vm_id in VMS if vm_id != vm.journal.vm_id):
-                for start in written_by(writers()[1], 3):
-                    vm.records.add(start)
-                assert vm.records.writer_of(began("r1").attempts[0]) in writers(), other
-            await asyncio.sleep(0.05)
-            assert not store.calls
+            written = starts(20)
+            for start in written:
+                vm.records.add(start)
+                await asyncio.sleep(2 * start_records.WRITE_INTERVAL_S)
+            newest = dict(store.log)
+            assert len(newest) < len(store.log)
+            kept = {began for value in newest.values() for began in decode(value)}
+            assert kept == set(written)
+
+        run(test)
+
+    def test_one_vm_writes(self) -> None:
+        """Guards against calls of each VM, as all VMs' calls are rationed."""
+        store = KeyedStore()
+
+        async def test() -> None:
+            async with VM(VMS[1], store, lambda: 0.0).running() as vm:
+                assert vm.records.writer() == VMS[0]
+                vm.records.add(began("r1"))
+                await asyncio.sleep(0.05)
+
+        asyncio.run(test())
+        assert not store.calls
+
+    def test_with_one_version_it_writes_seldom(self) -> None:
+        """Guards against a price that is paid while nothing can be confused."""
+
+        async def test(store: KeyedStore, vm: VM) -> None:
+            vm.is_single = True
+            until = vm.now() + 3 * start_records.SINGLE_INTERVAL_S
+            while vm.now() < until:
+                vm.records.add(began("r1"))
+                await asyncio.sleep(0.02)
+            assert 2 <= len(store.log) <= 3
+
+        run(test)
+
+    def test_what_waits_is_written_once_another_version_serves(self) -> None:
+        """Guards against streams of the old version that are known to VMs alone."""
+
+        async def test(store: KeyedStore, vm: VM) -> None:
+            vm.is_single = True
+            began_at = vm.now()
+            vm.records.add(began("r1"))
+            vm.is_single = False
+            vm.records.on_versions()
+            await eventually(lambda: store.log)
+            assert vm.now() - began_at < start_records.SINGLE_INTERVAL_S / 2
+
+        run(test)
+
+    def test_streams_that_ended_long_ago_are_not_written(self) -> None:
+        async def test(store: KeyedStore, vm: VM) -> None:
+            vm.records.add(replace(began("r1"), life_s=0.0))
+            vm.records.add(began("r2"))
+            await eventually(lambda: store.log)
+            assert decode(store.log[0][1]) == [began("r2")]
 
         run(test)
 
@@ -154,27 +211,27 @@
 
         async def test(store: KeyedStore, vm: VM) -> None:
             store.error = StoreError("away", 503)
-            starts = written_by(vm.journal.vm_id, 3)
-            for start in starts:
+            waiting = starts(3)
+            for start in waiting:
                 vm.records.add(start)
             await eventually(lambda: store.calls)
             assert len(vm.journal.of("stream_record_lost")) == 1
             store.error = None
             await eventually(lambda: store.log)
-            assert decode(store.log[0][1]) == starts
+            assert decode(store.log[0][1]) == waiting
 
         run(test)
 
     def test_an_outage_uses_bounded_memory(self) -> None:
         async def test(store: KeyedStore, vm: VM) -> None:
             store.error = StoreError("away", 503)
-            starts = written_by(vm.journal.vm_id, start_records.MAX_WAITING + 5)
-            for start in starts:
+            waiting = starts(start_records.MAX_WAITING + 5)
+            for start in waiting:
                 vm.records.add(start)
             await eventually(lambda: store.calls)
             store.error = None
             await eventually(lambda: store.log)
-            assert decode(store.log[0][1])[0] == starts[5]
+            assert decode(store.log[0][1])[0] == waiting[5]
             assert len(decode(store.log[0][1])) == start_records.MAX_ROWS
 
         run(test)
@@ -184,11 +241,11 @@
         store, times = KeyedStore(), iter(range(10_000))
 
         def clock() -> float:
-            return next(times) * start_records.WRITE_INTERVAL_S * 1.001
+            return next(times) * start_records.SLOT_S * 1.001
 
         async def test() -> list[str]:
-            vm = VM(writers()[0], store, clock)
-            return [vm.records._key() for _ in range(3 * start_records.SLOTS)]
+            vm = VM(VMS[0], store, clock)
+            return [vm.records._next_key() for _ in range(3 * start_records.SLOTS)]
 
         keys = asyncio.run(test())
         assert len(set(keys)) == start_records.SLOTS
@@ -204,10 +261,10 @@
         """Guards against streams that end with the VMs that knew who began them."""
 
         async def test(store: KeyedStore, vm: VM) -> None:
-            starts = [began("r1"), began("r2", "agency-1")]
-            store.log += [("0.1", encode(starts[:1])), ("0.2", encode(starts[1:]))]
+            written = [began("r1"), began("r2", "agency-1")]
+            store.log += [("0.1", encode(written[:1])), ("0.2", encode(written[1:]))]
             assert await vm.records.read_new()
-            assert vm.read == starts
+            assert vm.read == written
 
         run(test)
 
@@ -218,7 +275,32 @@
             store.log.append(("0.2", encode([began("r2")])))
             assert await vm.records.read_new()
             assert vm.read == [began("r1"), began("r2")]
-            assert store.calls == ["newest", "read"]
+            assert store.calls == ["newest", "read", "read"]
+
+        run(test)
+
+    def test_more_than_one_answer_holds(self) -> None:
+        """Guards against a part of the records that is taken for all of them."""
+
+        async def test(store: KeyedStore, vm: VM) -> None:
+            assert await vm.records.read_new()
+            written = starts(3 * PAGE + 1)
+            store.log += [(f"0.{n}", encode([b])) for n, b in enumerate(written)]
+            assert await vm.records.read_new()
+            assert vm.read == written
+
+        run(test)
+
+    def test_after_a_long_time_the_newest_are_read(self) -> None:
+        """Guards against a caller that waits while all since the last read is read."""
+
+        async def test(store: KeyedStore, vm: VM) -> None:
+            assert await vm.records.read_new()
+            store.log.append(("0.1", encode([began("r1")])))
+            vm.late_s = start_records.READ_ANEW_S + 1.0
+            assert await vm.records.read_new()
+            assert vm.read == [began("r1")]
+            assert store.calls == ["newest", "newest"]
 
         run(test)
 
--- a/tests/test_streams_machine.py
+++ b/tests/test_streams_machine.py
@@ -12,7 +12,6 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 from result import Ok
 
-from bamboovale.decisions.rendezvous import first_members
 from bamboovale.peers.outgoing import PeerUnreachableError
 from bamboovale.streams.exchange import ResumedStream, StartExchange
 from bamboovale.streams.messages import StreamBegan
@@ -98,13 +97,13 @@
 
     # Records in the store of who began streams.
 
-    def writer_of(self, attempt_id: str) -> str | None:
-        """Return the VM that writes the start of a stream."""
-        return first_members(attempt_id, VMS[:2], 1)[0]
+    def writer(self) -> str | None:
+        """Return the VM that writes the starts of streams."""
+        return VMS[0]
 
     def add(self, began: StreamBegan) -> None:
         """Have a start written when this process writes next."""
-        if self.writer_of(began.attempts[0]) == self.vm_id:
+        if self.writer() == self.vm_id:
             self.waiting.append(began)
 
     def write(self) -> None:
