The log says on which ground a stream goes on, and how far the history reached

Cause of the change: after the report it could not be told apart whether a version was believed as somebody knew it, as the store held it or as one alone was thought to have served: `stream_resumed` named the software and the refusal.

Change: `ground` (told, asked, recorded, only_version) and `history_s`. Evidence: the tests of all VMs killed read both; they pass.

--- a/bamboovale/streams/call_streams.py
+++ b/bamboovale/streams/call_streams.py
@@ -12,7 +12,7 @@
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.metrics import Metrics
 from bamboovale.store.interface import MetadataStore
-from bamboovale.streams.decision import StartRefusal
+from bamboovale.streams.decision import StartRefusal, decide
 from bamboovale.streams.exchange import Links, ResumedStream, StartExchange
 from bamboovale.streams.source import StreamSource
 from bamboovale.streams.start_records import StartRecords
@@ -92,7 +92,7 @@
             return None
         attempt_id = call.facts.resumes
         asked_at = self.now()
-        found = await self.exchange.source_of(
+        findings = await self.exchange.find(
             ResumedStream(
                 attempt_id,
                 call.customer_name,
@@ -100,6 +100,7 @@
                 call.route.timeout_s,
             )
         )
+        found = decide(findings)
         refusal = found.err_value if isinstance(found, Err) else None
         source = None if isinstance(found, Err) else found.ok_value
         self.journal.write(
@@ -110,6 +111,8 @@
             service=source.service if source else None,
             software=source.software_version if source else None,
             refused=refusal.cause if refusal else None,
+            ground=findings.ground,
+            history_s=findings.history_s,
             s=round(self.now() - asked_at, 4),
         )
         if refusal is not None:
--- a/bamboovale/streams/decision.py
+++ b/bamboovale/streams/decision.py
@@ -32,18 +32,35 @@
     retry_after_s: float | None
 
 
+class Ground(StrEnum):
+    """How it is known where a stream goes on; a word of log lines."""
+
+    TOLD = "told"
+    """This VM began it, or was told who did."""
+    ASKED = "asked"
+    """A VM that was asked knew."""
+    RECORDED = "recorded"
+    """The store holds who began it."""
+    ONLY_VERSION = "only_version"
+    """One version alone can have begun it."""
+
+
 @dataclass(frozen=True)
 class Findings:
     """What this VM and those it asked know of a stream's start.
 
     ``only_version`` is the software version that alone can have begun it, None if
     there may be several. ``all_answered`` is whether none of the VMs that were asked,
-    nor the store, failed to answer.
+    nor the store, failed to answer. ``ground`` is on what the version rests, None if
+    none is known; ``history_s`` is how far back all versions are known, in seconds,
+    None where that was not looked at.
     """
 
     source: StreamSource | None = None
     only_version: str | None = None
     all_answered: bool = True
+    ground: Ground | None = None
+    history_s: float | None = None
 
 
 def decide(findings: Findings) -> Result[StreamSource, StartRefusal]:
--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -19,7 +19,7 @@
     PeerTimeoutError,
     PeerUnreachableError,
 )
-from bamboovale.streams.decision import Findings, StartRefusal, decide
+from bamboovale.streams.decision import Findings, Ground, StartRefusal, decide
 from bamboovale.streams.messages import StreamBegan, StreamQuery, StreamReply
 from bamboovale.streams.source import StreamSource
 from bamboovale.streams.start_records import StartLog
@@ -152,27 +152,35 @@
         self, stream: ResumedStream
     ) -> Result[StreamSource, StartRefusal]:
         """Return where a stream goes on, or why it may not."""
-        return decide(await self._find(stream))
+        return decide(await self.find(stream))
 
-    async def _find(self, stream: ResumedStream) -> Findings:
+    async def find(self, stream: ResumedStream) -> Findings:
+        """Return what this VM, others and the store know of a stream's start."""
         arrived_at = self._clock()
         known = self._known_here(stream)
         if known is not None:
-            return Findings(known)
+            return Findings(known, ground=Ground.TOLD)
         replies = await self._ask(stream)
         told = [reply for reply in replies if reply is not None]
         for reply in told:
             if reply.software_version is not None:
-                return Findings(StreamSource(reply.service, reply.software_version))
+                source = StreamSource(reply.service, reply.software_version)
+                return Findings(source, ground=Ground.ASKED)
         all_answered = len(told) == len(replies)
         all_answered &= await self._prove()
         seen = self._seen(stream, told)
         since_arrival_s = self._clock() - arrived_at
         only_version = seen.only_version(stream.within_s, since_arrival_s)
-        if only_version is not None or stream.attempt_id is None:
-            return Findings(None, only_version, all_answered)
-        all_answered &= await self._records.read_new()
-        return Findings(self._known_here(stream), None, all_answered)
+        history_s = round(min(seen.since_s, MAX_SINCE_S), 1)
+        if only_version is not None:
+            return Findings(
+                None, only_version, all_answered, Ground.ONLY_VERSION, history_s
+            )
+        if stream.attempt_id is not None:
+            all_answered &= await self._records.read_new()
+        known = self._known_here(stream)
+        ground = None if known is None else Ground.RECORDED
+        return Findings(known, None, all_answered, ground, history_s)
 
     def _known_here(self, stream: ResumedStream) -> StreamSource | None:
         if stream.attempt_id is None:
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -26,7 +26,9 @@
 EVENT_S = 0.05
 STREAMS = 4
 AT_ONCE_S = 1.0
+HISTORY_S = 10.0
 OLD, NEW = "v1", "v2"
+RESUMED = "stream_resumed"
 
 
 def roomy() -> dict[str, Any]:
@@ -238,6 +240,9 @@
                 answer = await resume_stream(site, 0, attempt)
                 assert answer.status == 503
                 assert not any(runner.runs for runner in site.runners)
+                line = site.vms[0].journal.of(RESUMED)[0]
+                assert line["ground"] == ("recorded" if names_attempt else None)
+                assert line["history_s"] < HISTORY_S
 
         run(test())
 
@@ -262,6 +267,8 @@
                     [1] * STREAMS
                 )
                 assert all(stream.is_complete for stream in streams)
+                lines = [line for vm in site.vms for line in vm.journal.of(RESUMED)]
+                assert "recorded" in {line["ground"] for line in lines}
 
         run(test())
 
