--- a/bench/stream_guards.py
+++ b/bench/stream_guards.py
@@ -8,6 +8,8 @@
 CHECKS = "tests/test_stream_checks.py"
 EXCHANGE = "bamboovale/streams/exchange.py"
 HISTORY = "bamboovale/streams/version_history.py"
+RECORDS = "bamboovale/streams/start_records.py"
+RECORDED = "tests/test_stream_records.py"
 
 STREAM_GUARDS = (
     Guard(
@@ -88,6 +90,58 @@
             ),
         ),
     ),
+    Guard(
+        "a stream whose caller names no attempt needs a history without a gap",
+        EndpointPromise.STREAMS,
+        f"{STREAMS}::TestAllVMsKilled",
+        (
+            Change(
+                EXCHANGE,
+                "        all_answered &= await self._prove()\n"
+                "        seen = self._seen(stream, told)\n",
+                "        seen = self._seen(stream, told)\n"
+                "        if stream.attempt_id is None:\n"
+                "            return Findings(None, seen.single_version())\n"
+                "        all_answered &= await self._prove()\n",
+            ),
+        ),
+    ),
+    Guard(
+        "streams go on after all VMs ended, by what the store holds",
+        EndpointPromise.STREAMS,
+        f"{STREAMS}::TestTwoVersionsAndAllVMsKilled",
+        (
+            Change(
+                EXCHANGE,
+                "            all_answered &= await self._records.read_new()\n",
+                "            pass\n",
+            ),
+        ),
+    ),
+    Guard(
+        "a start that is recorded is not replaced by the next one",
+        EndpointPromise.STREAMS,
+        f"{RECORDED}::TestWriting",
+        (Change(RECORDS, "        self._written_in_slot += rows\n", ""),),
+    ),
+    Guard(
+        "all pages of recorded starts are read",
+        EndpointPromise.STREAMS,
+        f"{RECORDED}::TestReading",
+        (
+            Change(
+                RECORDS,
+                "            if following == position:\n",
+                "            if True:\n",
+            ),
+        ),
+    ),
+    Guard(
+        "starts are recorded seldom while one version serves",
+        EndpointPromise.STREAMS,
+        f"{RECORDED}::TestWriting",
+        (Change(RECORDS, "            await self._until_due()\n", ""),),
+    ),
     Guard(
         "another customer gets nothing of a stream",
         EndpointPromise.STREAMS,
