Waiting starts are looked at once a version when endpoints come or go

A change of endpoints asked for each of up to 2,000 waiting starts whether its version is the only one; now once for each version. tests/test_stream_records.py passes.

--- a/bamboovale/streams/start_records.py
+++ b/bamboovale/streams/start_records.py
@@ -134,8 +134,9 @@
 
     def on_versions(self) -> None:
         """Write what waits sooner if another version of its service serves now."""
-        began = (waiting.began for waiting in self._waiting)
-        if any(not self._is_single(b.service, b.software_version) for b in began):
+        began = [waiting.began for waiting in self._waiting]
+        versions = {(start.service, start.software_version) for start in began}
+        if not all(self._is_single(*version) for version in versions):
             self._urgent.set()
 
     async def write_forever(self) -> None:
