An error while engines are released does not end a stop

What callers would see: all streams of a VM cut some milliseconds after SIGTERM.

Cause: the stop let errors other than of the store pass, and run() ended with them: the process exits with its callers' streams open.

Change: such an error is logged as task_failed, and the stop goes on.

Test, new: streams_are_completed_though_engines_are_not_released; before, run() had ended with the injected error while the stream was running.

--- a/bamboovale/gateway/drain.py
+++ b/bamboovale/gateway/drain.py
@@ -39,10 +39,7 @@
     state.planned_stop = PlannedStop(started_at, ends_at)
     state.journal.write("stopping", busy=callers.busy)
     peering.announce()
-    with contextlib.suppress(StoreError, TimeoutError):
-        async with asyncio.timeout(LEAVE_TIMEOUT_S):
-            await ownership.leave()
-    peering.assign_engines()
+    await _release_engines(state, ownership, peering)
     while state.now() < started_at + LISTEN_AFTER_STOP_S:
         await asyncio.sleep(0.1)
     state.draining = True
@@ -55,6 +52,19 @@
     state.journal.write("drained", cut_off=cut_off)
 
 
+async def _release_engines(
+    state: VMState, ownership: Ownership, peering: Peering
+) -> None:
+    """Release the engines; an error is logged, as it would end the process."""
+    try:
+        with contextlib.suppress(StoreError, TimeoutError):
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await ownership.leave()
+        peering.assign_engines()
+    except Exception as error:
+        state.journal.write("task_failed", job="release engines", error=repr(error))
+
+
 async def _wait_for_callers(
     state: VMState, callers: Server, relays: Sized, stop: PlannedStop
 ) -> None:
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -4,6 +4,7 @@
 import math
 from types import SimpleNamespace
 from typing import Any
+from unittest.mock import AsyncMock
 
 import pytest
 
@@ -241,6 +242,31 @@
         run(test())
 
 
+class TestErrorsOfAStop:
+    """Parts of the stop that fail."""
+
+    def test_streams_are_completed_though_engines_are_not_released(self) -> None:
+        """Guards against an error that ends the process with its callers' streams."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                stopping = site.vms[0]
+                site.runners[0].faults.event_s = RUN_S / EVENTS
+                waiting = asyncio.create_task(stream(site))
+                await eventually(lambda: bool(site.runners[0].runs))
+                leave = AsyncMock(side_effect=KeyError("engine"))
+                with pytest.MonkeyPatch.context() as patch:
+                    patch.setattr(stopping.vm._ownership, "leave", leave)
+                    stopping.vm.stop()
+                    answer = await waiting
+                    assert not stopping.task.done()
+                assert (answer.status, answer.whole) == (200, True)
+                await stopping.task
+                assert stopping.journal.of("task_failed")
+
+        run(test())
+
+
 class TestRequestsOfOtherVMs:
     """Requests that a VM which stops sends for another one."""
 
