Store: an open read may be ended twice

Callers saw: 500, where several of them took up streams at once at a VM that had just started.

Cause: each caller wants proof that its VM's view is new, which ends the open read of a topic; ending it a second time before it has ended raises `Cannot change state of expiring Timeout`. Reads whose answer may be lost had the same cause: there the error met a call that had been answered, such as a renewal of the VM's membership.

Fix: a read that is ending is left alone. Both new tests failed before with that RuntimeError.

--- a/bamboovale/store/follower.py
+++ b/bamboovale/store/follower.py
@@ -257,8 +257,11 @@
             self.stop_read()
 
     def stop_read(self) -> None:
-        """Stop an open read that waits for changes; another one follows."""
-        if self._open_poll is not None:
+        """Stop an open read that waits for changes; another one follows.
+
+        It may be asked for again before the read has ended.
+        """
+        if self._open_poll is not None and not self._open_poll.expired():
             self._open_poll.reschedule(asyncio.get_running_loop().time())
 
     def _is_of_earlier_era(self, end: Position) -> bool:
--- a/bamboovale/store/lost_reads.py
+++ b/bamboovale/store/lost_reads.py
@@ -91,7 +91,7 @@
 
     def _cancel_lost_reads(self) -> None:
         for read, started_at in self._started_at_by_read.items():
-            if started_at <= self._failed_at:
+            if started_at <= self._failed_at and not read.expired():
                 read.reschedule(asyncio.get_running_loop().time())
 
     @asynccontextmanager
--- a/tests/test_gateway_lost_reads.py
+++ b/tests/test_gateway_lost_reads.py
@@ -44,6 +44,25 @@
 class TestLongPollReads:
     """Effect of other calls on an open read."""
 
+    def test_a_read_that_is_being_cancelled_fails_no_other_call(self) -> None:
+        """Guards against an error of a call that was answered as the read ends."""
+
+        async def test() -> None:
+            store = UnansweredReads()
+            detector = LostReadDetector(store)  # type: ignore[arg-type]
+            read = asyncio.create_task(detector.read("t", 0, 20.0))
+            await asyncio.sleep(0.01)
+            store.error = StoreError("gone")
+            await _join(detector)
+            store.error = None
+            for _ in range(4):
+                await _join(detector)
+                await asyncio.sleep(0)
+            with pytest.raises(NoAnswerError):
+                await read
+
+        asyncio.run(test())
+
     @pytest.mark.parametrize("status", [None, 503])
     def test_a_read_that_was_open_at_a_failure_is_cancelled(
         self, status: int | None
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -851,6 +851,47 @@
         return await super().read(topic, offset, wait_s)
 
 
+class TestStoppedReads:
+    """An open read that is ended in favour of a new one."""
+
+    def test_a_read_that_is_ending_may_be_stopped_again(self) -> None:
+        """Guards against an error for the second of two callers who want a proof."""
+
+        class WaitingStore:
+            """Answers no read."""
+
+            reads = 0
+
+            async def newest(self, topic: str) -> Snapshot:
+                return Snapshot((), Position(0))
+
+            async def read(self, topic: str, offset: int, wait_s: float) -> Any:
+                self.reads += 1
+                await asyncio.sleep(3600)
+
+        async def test() -> None:
+            store = WaitingStore()
+            reader = TopicFollower(
+                "topic",
+                store,  # type: ignore[arg-type]
+                Journal("vm"),
+                no_eras(),
+                on_record=lambda record: None,
+                wait_s=lambda: 10.0,
+                pause_s=lambda: 0.0,
+            )
+            following = asyncio.create_task(reader.follow())
+            await asyncio.sleep(0.05)
+            for _ in range(4):
+                reader.stop_read()
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.05)
+            assert store.reads >= 2
+            following.cancel()
+
+        run(test())
+
+
 class TestProofsOfReads:
     """What an answered read of a topic proves."""
 
