--- a/bench/shared_place_simulation.py
+++ b/bench/shared_place_simulation.py
@@ -184,6 +184,7 @@
     """All endpoints, and what a VM needs around them."""
 
     status = 200
+    reads_not_run = False
     headers: tuple[()] = ()
 
     def __init__(self, day: Day, rng: random.Random) -> None:
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -115,6 +115,7 @@
         return self
 
     status = 200
+    reads_not_run = False
     headers: tuple = ()
 
     async def read_body(self) -> bytes:
