Starts of streams are recorded within 0.01 s while several versions serve

By the log, three streams were refused three times each; each had brought one event before the kill, and no record named it.

Cause: what begins between two writes, or while one is under way, is in no record.

Change: a write each 0.01 s at most in place of 0.03 s; with one version in service still one a second.

--- a/bamboovale/streams/start_records.py
+++ b/bamboovale/streams/start_records.py
@@ -27,7 +27,7 @@
 from bamboovale.store.position import Position
 from bamboovale.streams.messages import StreamBegan
 
-WRITE_INTERVAL_S = 0.03
+WRITE_INTERVAL_S = 0.01
 """Least time between two writes while several versions serve, or did lately, as each is
 a priced call. The streams that began in it are lost with all VMs."""
 SINGLE_INTERVAL_S = 1.0
