Soak: endpoints and requests of two soaks on one machine are told apart

Endpoints of all soaks had the same ids and requests the same numbers, and ports of endpoints that are gone are used again.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import random
 import re
 import time
@@ -177,7 +178,7 @@
         With ``leaves`` the caller closes the connection after the first event.
         """
         assert self._vm is not None
-        request_id = f"soak{next(self._numbers)}"
+        request_id = f"soak-{os.getpid():x}-{next(self._numbers)}"
         if before is not None:
             adapter = before.adapter
         else:
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -162,7 +162,11 @@
 
 @dataclass
 class SoakSite:
-    """The deployment that faults act on and checks read."""
+    """The deployment that faults act on and checks read.
+
+    ``mark`` ends the ids of endpoints: guards against requests of another soak on this
+    machine, whose endpoint had the address before.
+    """
 
     directory: Path
     store: PlatformStore
@@ -178,6 +182,7 @@
     leaving_at: dict[str, float] = field(default_factory=dict)
     software: list[SoftwareSpan] = field(default_factory=list)
     trigger: CrashTrigger | None = None
+    mark: str = f"-{os.getpid():x}"
     _fail_unrun_every: int | None = None
     _changes: set[asyncio.Task[None]] = field(default_factory=set)
     _numbers: Any = field(default_factory=itertools.count)
@@ -197,7 +202,7 @@
 
     async def add_runner(self, software: str = "v1") -> None:
         """Start an engine with a software version."""
-        name = f"runner-{next(self._numbers)}"
+        name = f"runner-{next(self._numbers)}{self.mark}"
         runner = PlatformRunner(
             self.store,
             name,
@@ -213,7 +218,9 @@
 
     async def add_service(self) -> None:
         """Start a plain endpoint."""
-        service = PlatformEndpoint(self.store, f"app-{next(self._numbers)}", "app")
+        service = PlatformEndpoint(
+            self.store, f"app-{next(self._numbers)}{self.mark}", "app"
+        )
         service.slots = self.service_slots
         self._set_trigger(service)
         await self._add(service)
