--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,7 @@
     SignalRecord,
 )
 from bamboovale.standins.platform_endpoints import Run
-from bench.soak import SoakConfig, describe, run_soak
+from bench.soak import Play, SoakConfig, describe, run_soak
 from bench.soak_callers import Attempt, Kind
 from bench.soak_checks import Evidence, find_violations
 from bench.soak_crashes import Begun, CrashLoad
@@ -406,6 +406,24 @@
         assert sum(a.status == 200 for a in soak.attempts) > 50
         assert len(soak.faults) >= 3
 
+    @pytest.mark.parametrize(
+        "play, seed",
+        [
+            pytest.param(play, seed, marks=pytest.mark.xdist_group(f"soak-{play}"))
+            for play, seed in ((Play.STOPS, 2), (Play.STOPS, 3), (Play.KILLS, 2))
+        ],
+    )
+    def test_stops_and_kills_of_all_break_no_promise(
+        self, play: Play, seed: int, tmp_path: Path
+    ) -> None:
+        """Guards against requests and streams that are lost as VMs end in series."""
+        config = SoakConfig(seconds=14.0, seed=seed, callers=8, play=play)
+        soak, found = asyncio.run(run_soak(config, tmp_path))
+        assert not found, describe(soak, found)
+        assert sum(a.status == 200 for a in soak.attempts) > 50
+        ended = [vm for vm in soak.site.vms if len(vm.lives) > 1]
+        assert len(ended) >= len(soak.site.vms) - 1
+
     @pytest.mark.xdist_group("soak-crashes")
     def test_what_crashes_engines_is_refused_and_nothing_beside(
         self, tmp_path: Path
