--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -272,6 +272,73 @@
 
         run(test())
 
+    def test_they_are_killed_twice_in_a_row(self) -> None:
+        """Guards against records that the first start of all VMs replaces."""
+
+        async def test() -> None:
+            async with running_site(2, 0, 1, roomy()) as site:
+                streams, answers = await begin_at_the_old_version(site)
+                await site.restart_vms()
+                await answers
+                await site.ready()
+                await site.restart_vms()
+                await site.ready()
+                for stream in streams:
+                    await stream.attempt(site.vms[0].address)
+                assert [len(stream.versions(site)) for stream in streams] == (
+                    [1] * STREAMS
+                )
+                assert all(stream.is_complete for stream in streams)
+
+        run(test())
+
+    def test_the_store_is_away_when_callers_come_back(self) -> None:
+        """Guards against streams that are refused for good while they are recorded."""
+
+        async def test() -> None:
+            async with running_site(2, 0, 1, roomy()) as site:
+                streams, answers = await begin_at_the_old_version(site)
+                await site.restart_vms()
+                await answers
+                await site.ready()
+                site.store.faults.mode = "busy"
+                attempt = streams[0].ids[0]
+                answer = await resume_stream(site, 0, attempt)
+                assert answer.status == 503
+                assert answer.header("retry-after") is not None
+                site.store.faults.mode = "ok"
+                answer = await resume_stream(site, 0, attempt)
+                assert answer.status == 200
+                assert f"\n: {OLD}\n".encode() in answer.body
+                assert f"\n: {NEW}\n".encode() not in answer.body
+
+        run(test())
+
+    def test_the_store_returns_from_a_copy_without_the_records(self) -> None:
+        """Guards against a store that has lost records and is taken for complete."""
+
+        async def test() -> None:
+            async with running_site(2, 0, 1, roomy()) as site:
+                await add_engine(site, OLD)
+                await site.ready()
+                older = site.store.keep_copy()
+                stream = begin_streams(site.vms[0].address, 1)[0][0]
+                await eventually(lambda: has_begun(site, [stream]))
+                await replace_the_software(site)
+                for item in site.vms:
+                    await item.kill()
+                await site.store.return_from(older)
+                await site.store.write_again()
+                await site.restart_vms()
+                await site.ready()
+                eras = [item.vm.state.eras for item in site.vms]
+                await eventually(lambda: all(era.is_rewritten() for era in eras))
+                answer = await resume_stream(site, 0, stream.ids[0])
+                assert answer.status == 503
+                assert not any(runner.runs for runner in site.runners)
+
+        run(test())
+
 
 class TestSoftwareThatIsGone:
     """The last engines of the version that began streams end or leave."""
