--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -23,10 +23,12 @@
     begin_streams,
 )
 
-EVENT_S = 0.05
+EVENT_S, LASTING_EVENT_S = 0.05, 0.15
 STREAMS = 4
 AT_ONCE_S = 1.0
+HISTORY_S = 10.0
 OLD, NEW = "v1", "v2"
+RESUMED = "stream_resumed"
 
 
 def roomy() -> dict[str, Any]:
@@ -60,9 +62,11 @@
 ) -> tuple[list[StreamTries], "asyncio.Future[list[CallerAnswer]]"]:
     """Begin streams while only the old version serves, then add engines.
 
-    Of the old version only the first one has the adapters.
+    Of the old version only the first one has the adapters; it is slow enough for its
+    streams to be under way when the others are ready.
     """
     await add_engine(site, OLD)
+    site.runners[0].faults.event_s = LASTING_EVENT_S
     await site.ready()
     streams, answers = begin_streams(site.vms[0].address, STREAMS)
     await eventually(lambda: has_begun(site, streams))
@@ -238,6 +242,9 @@
                 answer = await resume_stream(site, 0, attempt)
                 assert answer.status == 503
                 assert not any(runner.runs for runner in site.runners)
+                line = site.vms[0].journal.of(RESUMED)[0]
+                assert line["ground"] == ("recorded" if names_attempt else None)
+                assert line["history_s"] < HISTORY_S
 
         run(test())
 
@@ -262,6 +269,8 @@
                     [1] * STREAMS
                 )
                 assert all(stream.is_complete for stream in streams)
+                lines = [line for vm in site.vms for line in vm.journal.of(RESUMED)]
+                assert "recorded" in {line["ground"] for line in lines}
 
         run(test())
 
