--- a/bamboovale/gateway/engines.py
+++ b/bamboovale/gateway/engines.py
@@ -1,23 +1,19 @@
-"""Candidate engines for this entry VM, and place requests to their owners."""
+"""Place requests of this entry VM to the owners of engines."""
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from bamboovale.decisions.engine_choice import EngineCandidate
-from bamboovale.decisions.place_work import AdapterKey, EngineSnapshot
 from bamboovale.decisions.planned_stop import EngineSpeed
-from bamboovale.decisions.pool_speed import UNKNOWN_SPEED, PoolSpeed
-from bamboovale.decisions.prefill_speed import INITIAL_S_PER_TOKEN
 from bamboovale.decisions.run_meter import RunMeter
+from bamboovale.gateway.engine_candidates import EngineCandidates
 from bamboovale.gateway.engine_owner import EngineOwner
 from bamboovale.gateway.fleet import Fleet, OwnedEngine
 from bamboovale.gateway.messages import (
-    EngineLoad,
-    EngineStatus,
     PlaceCancel,
     PlaceHeld,
     PlacePaused,
@@ -34,14 +30,6 @@
     PeerUnreachableError,
 )
 
-AdapterVersions = tuple[tuple[str, str, int], ...]
-"""Adapters as owners publish them: model, adapter, version."""
-POOL_SPEED_VALID_S = 0.3
-"""How long the speed of a pool is used: after each change all candidates are built
-anew."""
-PRUNE_FACTOR = 2
-"""State of former engines is dropped once entries exceed this multiple of the current
-engines: each start of an engine has an id of its own."""
 OWNER_CHECK_INTERVAL_S = 0.25
 """Interval at which a pending request checks that the owner is alive."""
 
@@ -67,46 +55,6 @@
         """Send one notice to several VMs."""
 
 
-@dataclass
-class _Sent:
-    """Requests sent to an engine since its owner's last status."""
-
-    last_seen: float = 0.0
-    tokens: int = 0
-    loads: int = 0
-    requests: int = 0
-
-
-@dataclass(frozen=True)
-class _Loaded:
-    """Published adapters of an engine as maps, cached until the owner's next change."""
-
-    published: tuple[AdapterVersions, AdapterVersions]
-    loaded: dict[AdapterKey, int]
-    coming: dict[AdapterKey, int]
-
-
-@dataclass(frozen=True)
-class _CandidateState:
-    """What a candidate consists of beside the engine's snapshot."""
-
-    owner: str | None
-    own_tokens: int = 0
-    own_loads: int = 0
-    own_requests: int = 0
-    own_wait_s: float = 0.0
-    pool: PoolSpeed = UNKNOWN_SPEED
-
-
-@dataclass(frozen=True)
-class _CachedCandidate:
-    """A candidate, and what it was built from: an entry of the fleet, or a record."""
-
-    source: EndpointRecord | OwnedEngine
-    state: _CandidateState
-    candidate: EngineCandidate
-
-
 @dataclass(frozen=True)
 class GrantedPlace:
     """A place that an owner granted, which this VM must release."""
@@ -132,45 +80,23 @@
     owner_by_engine: dict[str, EngineOwner] = field(default_factory=dict)
     limit_per_s: Callable[[str], float | None] = lambda engine_id: None
     on_engine_needed: Callable[[], None] = lambda: None
-    _sent_by_id: dict[str, _Sent] = field(default_factory=dict)
-    _loaded_by_id: dict[str, _Loaded] = field(default_factory=dict)
-    _candidate_by_id: dict[str, _CachedCandidate] = field(default_factory=dict)
-    _pool_by_service: dict[str, tuple[float, PoolSpeed]] = field(default_factory=dict)
+    _candidates: EngineCandidates = field(init=False)
     _own_runs_by_model: dict[str, RunMeter] = field(default_factory=dict)
     _held_by_id: dict[str, PlaceHeld] = field(default_factory=dict)
     _owner_by_held: dict[str, str] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Start without any known engine."""
+        self._candidates = EngineCandidates(self.now, self.limit_per_s, self._owner_of)
+
     def candidates(self, records: list[EndpointRecord]) -> dict[str, EngineCandidate]:
         """Return each reachable engine by id, for the choice of an engine."""
         self.on_engine_needed()
-        self._prune(records)
-        owned_by_id = self.fleet.engines()
-        pool = self._pool_speed(records, owned_by_id)
-        candidate_by_id = {}
-        for record in records:
-            owned = owned_by_id.get(record.endpoint_id)
-            status = None if owned is None else owned.published
-            if status is None or status.answers:
-                candidate = self._candidate(record, owned, pool)
-                candidate_by_id[record.endpoint_id] = candidate
-        return candidate_by_id
-
-    def _pool_speed(
-        self, records: list[EndpointRecord], owned_by_id: Mapping[str, OwnedEngine]
-    ) -> PoolSpeed:
-        """Return the speed of a pool, which is computed anew after a while."""
-        if not records:
-            return UNKNOWN_SPEED
-        now, service = self.now(), records[0].service
-        known = self._pool_by_service.get(service)
-        if known is not None and now - known[0] < POOL_SPEED_VALID_S:
-            return known[1]
-        owned = (owned_by_id.get(record.endpoint_id) for record in records)
-        pool = PoolSpeed.from_engines(
-            engine.published for engine in owned if engine and engine.published
-        )
-        self._pool_by_service[service] = (now, pool)
-        return pool
+        return self._candidates.build(records, self.fleet.engines())
+
+    def note_sent(self, candidate: EngineCandidate, request: PlaceRequest) -> None:
+        """Count a request that the owner's last status does not contain yet."""
+        self._candidates.note_sent(candidate, request)
 
     def speed(self, record: EndpointRecord, model: str) -> EngineSpeed:
         """Return an engine's speed by its owner, by this VM's own runs or its pool.
@@ -187,29 +113,12 @@
             )
         if own.run_s(now) > 0.0:
             return EngineSpeed(0.0, own.mean_s_per_token(now), own.run_s(now))
-        _, pool = self._pool_by_service.get(record.service, (0.0, UNKNOWN_SPEED))
+        pool = self._candidates.pool_speed(record.service)
         return EngineSpeed(0.0, pool.s_per_output_token, pool.run_s)
 
     def _own_runs(self, model: str) -> RunMeter:
         return self._own_runs_by_model.setdefault(model, RunMeter())
 
-    def _prune(self, records: list[EndpointRecord]) -> None:
-        """Drop state of engines that no longer exist, once it outweighs the rest."""
-        for kept in (self._sent_by_id, self._loaded_by_id, self._candidate_by_id):
-            if len(kept) <= PRUNE_FACTOR * max(1, len(records)):
-                continue
-            listed = {record.endpoint_id for record in records}
-            for engine_id in kept.keys() - listed:
-                del kept[engine_id]
-
-    def note_sent(self, candidate: EngineCandidate, request: PlaceRequest) -> None:
-        """Count a request that the owner's last status does not contain yet."""
-        sent = self._sent_by_id.setdefault(request.engine_id, _Sent())
-        sent.requests += 1
-        sent.tokens += request.prompt_tokens
-        key = None if request.adapter is None else (request.model, request.adapter)
-        sent.loads += not candidate.holds(key, request.version)
-
     async def request_place(
         self,
         engine_id: str,
@@ -220,7 +129,7 @@
 
         Raises OwnerUnavailable, and PlaceTooLate once ``is_too_late``.
         """
-        owner = self._owner_of(engine_id)
+        owner = self._owner_of(engine_id, self.fleet.engine(engine_id))
         if owner is None:
             raise OwnerUnavailable("the engine has no live owner")
         future = self._send_request(owner, request)
@@ -279,7 +188,8 @@
         for the run and refuse all other orders.
         """
         for ask_id, held in self._held_by_id.items():
-            owner = self._owner_of(held.engine_id)
+            owned = self.fleet.engine(held.engine_id)
+            owner = self._owner_of(held.engine_id, owned)
             if owner is None or owner == self._owner_by_held[ask_id]:
                 continue
             self._owner_by_held[ask_id] = owner
@@ -319,7 +229,7 @@
 
     def owner_name(self, engine_id: str) -> str | None:
         """Return the live owner of an engine, or None."""
-        return self._owner_of(engine_id)
+        return self._owner_of(engine_id, self.fleet.engine(engine_id))
 
     def _send_request(
         self,
@@ -356,7 +266,7 @@
             done, _ = await asyncio.wait({future}, timeout=OWNER_CHECK_INTERVAL_S)
             if done:
                 break
-            if self._owner_of(engine_id) != owner:
+            if self._owner_of(engine_id, self.fleet.engine(engine_id)) != owner:
                 future.cancel()
                 raise OwnerUnavailable("the owner is unreachable or was replaced")
             if is_too_late():
@@ -373,10 +283,11 @@
         with contextlib.suppress(KeyError):
             self.owner_by_engine[engine_id].cancel(ask_id)
 
-    def _owner_of(self, engine_id: str) -> str | None:
+    def _owner_of(self, engine_id: str, owned: OwnedEngine | None) -> str | None:
+        """Return the live owner of an engine, None without one."""
         if engine_id in self.owner_by_engine:
             return self.own_id
-        return self._live_owner(self.fleet.engine(engine_id))
+        return self._live_owner(owned)
 
     def _live_owner(self, owned: OwnedEngine | None) -> str | None:
         """Return the owner of an engine that is not owned here, None without one."""
@@ -384,120 +295,7 @@
             return None
         return owned.owner if self.fleet.is_live(owned.owner) else None
 
-    def _snapshot(
-        self, status: EngineStatus, load: EngineLoad | EngineStatus
-    ) -> EngineSnapshot:
-        """Return the snapshot of an engine from its last status and newest load."""
-        published = (status.loaded, status.coming)
-        known = self._loaded_by_id.get(status.engine_id)
-        if known is None or known.published != published:
-            known = _Loaded(
-                published, _versions(status.loaded), _versions(status.coming)
-            )
-            self._loaded_by_id[status.engine_id] = known
-        return EngineSnapshot(
-            loaded=known.loaded,
-            coming=known.coming,
-            models=status.models,
-            active=load.active,
-            places=status.places,
-            queued=load.queued,
-            backlog_s=load.backlog_s,
-            open_slots=load.open_slots,
-            kept=status.kept,
-            s_per_token=status.s_per_token,
-            held_up=status.held_up,
-            load_s=status.load_s,
-            cached_load_s=status.cached_load_s,
-            s_per_output_token=status.s_per_output_token,
-            run_s=status.run_s,
-            free_slots=load.free_slots,
-        )
-
-    def _candidate(
-        self, record: EndpointRecord, owned: OwnedEngine | None, pool: PoolSpeed
-    ) -> EngineCandidate:
-        """Return the candidate of an engine, the last one if nothing has changed."""
-        engine_id = record.endpoint_id
-        is_own = engine_id in self.owner_by_engine
-        owner = self.own_id if is_own else self._live_owner(owned)
-        if owned is None or owned.published is None:
-            return self._cached_candidate(engine_id, record, _CandidateState(owner))
-        sent = self._sent_by_id.setdefault(engine_id, _Sent())
-        if owned.last_seen > sent.last_seen:
-            sent.last_seen = owned.last_seen
-            sent.tokens = 0
-            sent.loads = 0
-            sent.requests = 0
-        limit_per_s = self.limit_per_s(engine_id)
-        own_wait_s = 0.0 if limit_per_s is None else sent.requests / limit_per_s
-        state = _CandidateState(
-            owner, sent.tokens, sent.loads, sent.requests, own_wait_s, pool
-        )
-        return self._cached_candidate(engine_id, owned, state)
-
-    def _cached_candidate(
-        self,
-        engine_id: str,
-        source: EndpointRecord | OwnedEngine,
-        state: _CandidateState,
-    ) -> EngineCandidate:
-        """Return the last candidate if source and state are the same, else a new one.
-
-        A snapshot is reused while only the state differs.
-        """
-        cached = self._candidate_by_id.get(engine_id)
-        if cached is not None and cached.source is not source:
-            cached = None
-        if cached is not None and cached.state == state:
-            return cached.candidate
-        if cached is not None:
-            snapshot = cached.candidate.snapshot
-        elif isinstance(source, OwnedEngine):
-            assert source.published is not None
-            load = source.load or source.published
-            snapshot = self._snapshot(source.published, load)
-        else:
-            snapshot = snapshot_from_record(source)
-        candidate = EngineCandidate(
-            engine_id,
-            snapshot,
-            state.owner,
-            state.own_tokens,
-            state.own_loads,
-            has_status=isinstance(source, OwnedEngine),
-            own_wait_s=state.own_wait_s,
-            own_requests=state.own_requests,
-            pool=state.pool,
-        )
-        self._candidate_by_id[engine_id] = _CachedCandidate(source, state, candidate)
-        return candidate
-
-
-def _versions(published: AdapterVersions) -> dict[AdapterKey, int]:
-    return {(model, name): version for model, name, version in published}
-
 
 def _ignore_result(future: "asyncio.Future[PlaceReply]") -> None:
     if not future.cancelled():
         future.exception()
-
-
-def snapshot_from_record(record: EndpointRecord) -> EngineSnapshot:
-    """Return the snapshot that an engine's own record gives, without a status."""
-    return EngineSnapshot(
-        loaded={
-            (model.name, adapter): version
-            for model in record.models
-            for adapter, version in model.version_by_adapter.items()
-        },
-        coming={},
-        models=tuple(model.name for model in record.models),
-        active=0,
-        places=record.slots,
-        queued=0,
-        backlog_s=0.0,
-        open_slots=0,
-        kept=0,
-        s_per_token=INITIAL_S_PER_TOKEN,
-    )
