Soak: the play of stops has streams that can reach the exit, judged by the engine's times

Cause: callers' deadlines of 3 s ended every run of the play before the exit of a stopping VM, and the check excused each cut in the last sixth of the grace time of what was sent within 3 s, whether its run had ended or not. A VM that is killed at the end of its grace time breaks the promise of a planned stop; before it was taken for one killed by a fault.

--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -45,6 +45,11 @@
     events: int = 0
     started_at: float = field(default_factory=time.monotonic)
     ended: str = "running"
+    ended_at: float | None = None
+
+    def end(self, how: str) -> None:
+        """Record how the endpoint ended its work, and when."""
+        self.ended, self.ended_at = how, time.monotonic()
 
 
 @dataclass
@@ -65,7 +70,8 @@
     ``reset``: reset answers of the last two kinds instead of closing them.
     ``interim``: send an interim answer before each answer. ``late_copies``: send a
     second copy of an answer as the next request on its connection arrives;
-    ``unnamed_copies``: without the id of the request.
+    ``unnamed_copies``: without the id of the request. ``event_s``: pause before each
+    event of a stream, ``slower_by_run_s`` longer for each other run at the engine.
     """
 
     cut_after: int | None = None
@@ -87,6 +93,7 @@
     refuse_every: int | None = None
     late_copies: bool = False
     unnamed_copies: bool = False
+    slower_by_run_s: float = 0.0
     event_s: float = EVENT_INTERVAL_S
 
 
@@ -226,7 +233,7 @@
         try:
             await self._answer(request, responder, run)
         except asyncio.CancelledError:
-            run.ended = "cancelled"
+            run.end("cancelled")
             raise
         finally:
             self._under_way -= 1
@@ -249,7 +256,7 @@
         """Crash if the request does that; return whether it did."""
         if self.trigger is None or not self.trigger.is_in(request):
             return False
-        run.ended = "crashed"
+        run.end("crashed")
         self._crash_by(self.trigger)
         return True
 
@@ -270,7 +277,7 @@
         await asyncio.sleep(self.faults.event_s)
         if self._crashes_under(request, run):
             return
-        run.ended = "ok"
+        run.end("ok")
         if self.faults.garble:
             responder._connection._transport.write(b"no status line at all\r\n\r\n")
             responder.abort()
@@ -326,7 +333,7 @@
         return every is not None and (len(self.runs) - 1) % every == 0
 
     def _answer_unrun(self, responder: Responder, run: Run) -> None:
-        run.ended = "failed"
+        run.end("failed")
         status = self.faults.fail_status
         with self.telling(responder):
             responder.answer(status, self._answer_headers(run, responder), b"")
--- a/bamboovale/standins/platform_runner.py
+++ b/bamboovale/standins/platform_runner.py
@@ -44,6 +44,7 @@
         events: int = 5,
         checks_fencing: bool = True,
         software: str = "v1",
+        tokens_per_event: int | None = None,
     ) -> None:
         super().__init__(store, endpoint_id, service, software=software)
         self.orders: list[Order] = []
@@ -57,6 +58,7 @@
         self._adapter_slots = adapter_slots
         self._load_s = load_s
         self._events = events
+        self._tokens_per_event = tokens_per_event
         self._checks_fencing = checks_fencing
         self._highest_fence = 0
         self._accepted_orders = 0
@@ -238,11 +240,23 @@
         try:
             await self._stream(request, responder, run)
         except asyncio.CancelledError:
-            run.ended = "cancelled"
+            run.end("cancelled")
             raise
         finally:
             active[adapter] -= 1
 
+    def _length(self, request: Request) -> int:
+        """Return how many events a stream has: as many as its caller asked for."""
+        tokens = (request.get(b"x-token-count") or b"").partition(b",")[2]
+        if self._tokens_per_event is None or not tokens:
+            return self._events
+        return int(tokens) // self._tokens_per_event
+
+    def _pause_s(self) -> float:
+        """Return the pause before an event; it grows with the engine's runs."""
+        others = sum(self._active_by_adapter.values()) - 1
+        return self.faults.event_s + others * self.faults.slower_by_run_s
+
     def _crashes_by_now(self, run: Run) -> bool:
         """Return whether the run would crash now, if it is one that does."""
         after_s = 0.0 if self.trigger is None else self.trigger.after_s
@@ -260,8 +274,8 @@
             answer = UnframedAnswer(responder)
         else:
             headers.append((b"transfer-encoding", b"chunked"))
-        for number in range(resume_after + 1, self._events + 1):
-            await asyncio.sleep(self.faults.event_s)
+        for number in range(resume_after + 1, self._length(request) + 1):
+            await asyncio.sleep(self._pause_s())
             if self._crashes_by_now(run) and self._crashes_under(request, run):
                 return
             if not answer.started:
@@ -269,7 +283,7 @@
             if self.faults.cut_after is not None and number > self.faults.cut_after:
                 await answer.write(b"id: 9")
                 await asyncio.sleep(0.02)
-                run.ended = "cut"
+                run.end("cut")
                 if self.faults.unframed and not self.faults.reset:
                     answer.finish()
                 else:
@@ -283,7 +297,7 @@
             run.events += 1
         if not answer.started:
             self._start(answer, responder, run, headers)
-        run.ended = "ok"
+        run.end("ok")
         answer.finish()
 
     def _start(
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -27,6 +27,7 @@
 from bench.soak_faults import FaultLane, LaneKind
 from bench.soak_site import USUAL_SLOTS, SoakSite, running_site
 from bench.soak_spans import FaultSpan
+from bench.soak_stop_callers import StopLoad, describe_streams
 
 
 class Play(StrEnum):
@@ -34,8 +35,8 @@
 
     FAULTS = "faults"
     STOPS = "stops"
-    """Planned stops that overlap, streams that last, endpoints that reject; with every
-    odd seed also stalls. Without those, no request may be lost."""
+    """Planned stops that overlap, streams that last; with every odd seed VMs are busy,
+    with two of four endpoints reject. No request may be lost."""
     KILLS = "kills"
     """All VMs are killed at once; with every odd seed among stalls and answers that are
     cut."""
@@ -45,6 +46,10 @@
 SLOW_EVENTS_S = (0.1, 0.45)
 """Least and most pause between an engine's events where streams are to be open when a
 VM stops; the longest streams end just within their deadline."""
+STREAM_EVENTS_S = (0.015, 0.025)
+"""The same where streams are long, and the engine has one run."""
+SLOWER_BY_RUN_S = (0.003, 0.008)
+"""How much longer it is for each other run, as batches slow engines down."""
 SHARED_SLOTS = 1
 """Places of a plain endpoint where its service has no more places than VMs."""
 CHECK_S = 1.0
@@ -113,6 +118,7 @@
     faults: list[FaultSpan] = field(default_factory=list)
     numbers: "itertools.count[int]" = field(default_factory=itertools.count)
     crash_load: CrashLoad | None = None
+    stop_load: StopLoad | None = None
 
     def __post_init__(self) -> None:
         """Choose the requests that crash engines, if there are any."""
@@ -135,9 +141,16 @@
         if self.config.play is not Play.FAULTS:
             rng = random.Random(f"{self.config.seed}-events")
             for runner in self.site.runners:
-                runner.faults.event_s = rng.uniform(*SLOW_EVENTS_S)
+                if self.config.play is Play.STOPS:
+                    runner.faults.event_s = rng.uniform(*STREAM_EVENTS_S)
+                    runner.faults.slower_by_run_s = rng.uniform(*SLOWER_BY_RUN_S)
+                else:
+                    runner.faults.event_s = rng.uniform(*SLOW_EVENTS_S)
         tasks = [asyncio.create_task(caller.run()) for caller in self._callers()]
         tasks.append(asyncio.create_task(self._inject_faults()))
+        if self.config.play is Play.STOPS:
+            self.stop_load = self._stop_load()
+            tasks.append(asyncio.create_task(self.stop_load.run()))
         if self.crash_load is not None:
             self.site.set_trigger(
                 self.crash_load.trigger, self.crash_load.fail_unrun_every
@@ -152,7 +165,10 @@
         finally:
             for task in tasks:
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            ends = await asyncio.gather(*tasks, return_exceptions=True)
+        for end in ends:
+            if isinstance(end, Exception):
+                raise end
         if not found:
             found += await self._recover()
             evidence = self.evidence()
@@ -188,6 +204,12 @@
             },
         )
 
+    @property
+    def _usual_callers(self) -> int:
+        """Return how many callers send one request at a time; others send streams."""
+        is_shared = self.config.play is Play.STOPS
+        return self.config.callers // (2 if is_shared else 1)
+
     def _callers(self) -> list[Caller]:
         """Return the callers; only kills break off streams where they are judged."""
         leaves_share = 0.0 if self.config.play is Play.KILLS else LEAVES_SHARE
@@ -201,9 +223,20 @@
                 leaves_share,
                 self.sent,
             )
-            for number in range(self.config.callers)
+            for number in range(self._usual_callers)
         ]
 
+    def _stop_load(self) -> StopLoad:
+        return StopLoad(
+            self.site.vms,
+            self.attempts,
+            self.numbers,
+            random.Random(f"{self.config.seed}-streams"),
+            self.site.keys,
+            self.sent,
+            self.config.callers,
+        )
+
     async def _inject_faults(self) -> None:
         """Run the fault lanes; an error that ends one is a bug in the soak."""
         async with asyncio.TaskGroup() as group:
@@ -222,8 +255,9 @@
             return []
         unplanned = self.config.seed % 2 == 1
         if self.config.play is Play.STOPS:
-            stalls = [LaneKind.STALLS] if unplanned else []
-            return [LaneKind.STOPS, LaneKind.COPIES, *stalls]
+            busy = [LaneKind.BUSY] if unplanned else []
+            copies = [LaneKind.COPIES] if self.config.seed % 4 in (2, 3) else []
+            return [LaneKind.STOPS, *busy, *copies]
         if self.config.play is Play.KILLS:
             others = [LaneKind.CUTS, LaneKind.STALLS] if unplanned else []
             return [LaneKind.KILLS, *others]
@@ -303,6 +337,8 @@
         f" {len(found)} broken promises,"
         f" {sum(a.resumes is not None for a in soak.attempts)} streams resumed"
     ]
+    if soak.stop_load is not None:
+        lines.append(describe_streams(soak.stop_load.streams))
     lines += [str(violation) for violation in found[:10]]
     if found:
         lines += [
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -14,11 +14,13 @@
 from bamboovale.http1.connection import ConnectFailed, Connection, IncompleteResponse
 from bench.routed import HOST, MODEL, CallerAnswer, read_answer
 from bench.soak_customers import Keys
-from bench.soak_site import VMProcess
+from bench.soak_site import TOKENS_PER_EVENT, VMProcess
 
 ADAPTERS = tuple(f"a{number}" for number in range(1, 9))
 DEADLINE_S = 3.0
 """Deadline sent with each request; the caller times out one second later."""
+EVENTS = 5
+"""Number of events in a usual stream."""
 PAUSE_S = 0.02
 EVENT_END = b"\n\n"
 MAX_RESUMPTIONS = 3
@@ -50,14 +52,27 @@
 """Must run at most once: unsafe calls, and streams that cannot be resumed."""
 
 
+@dataclass(frozen=True)
+class Load:
+    """What a caller asks for; ``half_s`` is the pause between a body's two halves."""
+
+    events: int = EVENTS
+    deadline_s: float = DEADLINE_S
+    half_s: float = 0.0
+
+
+USUAL = Load()
+
+
 @dataclass(frozen=True)
 class Attempt:
     """One request of a caller and its result; ``status`` is 0 without a response.
 
-    ``whole`` is true if the response was complete. ``key`` is the API key sent.
+    ``sent_at`` is when its last byte was sent; ``sent_whole`` is false if that never
+    was. ``whole`` is true if the response was complete. ``key`` is the API key sent.
     ``resumes`` is the attempt that began the stream, None for a new one,
     ``resume_after`` the id of the last event that came before. ``left`` is whether its
-    caller left before the end.
+    caller left before the end. ``first_at`` is when the first bytes of the answer came.
     """
 
     request_id: str
@@ -73,6 +88,10 @@
     resumes: str | None = None
     resume_after: int = 0
     left: bool = False
+    load: Load = USUAL
+    sent_whole: bool = True
+    first_at: float | None = None
+    retry_after_s: float | None = None
 
     @property
     def last_event_id(self) -> int:
@@ -166,6 +185,14 @@
         finally:
             connection.close()
 
+    async def send_on(
+        self, connection: Connection, kind: Kind, vm: VMProcess, load: Load
+    ) -> Attempt:
+        """Send one request on a connection to a VM, with a random key."""
+        self._vm = vm
+        key = self._keys.choose(self._rng)
+        return await self._send(kind, connection, key, load=load)
+
     async def _connected(self) -> Connection:
         """Return the open connection, or a new one to a random VM."""
         kept = self._connection
@@ -185,6 +212,7 @@
         before: Attempt | None = None,
         *,
         leaves: bool = False,
+        load: Load = USUAL,
     ) -> Attempt:
         """Send a request, or the next attempt of a stream that broke off.
 
@@ -201,14 +229,22 @@
         sent_at = time.monotonic()
         self._sent.append(SentRequest(kind.service, sent_at))
         answer: CallerAnswer | None = None
+        first_at: list[float] = []
+        sent_whole = False
+
+        def is_enough(received: bytes) -> bool:
+            if not first_at:
+                first_at.append(time.monotonic())
+            return leaves and EVENT_END in received
+
         try:
-            async with asyncio.timeout(DEADLINE_S + 1.0):
-                connection.send(
-                    *_request(kind, request_id, adapter, key, resumes, resume_after)
-                )
-                answer = await read_answer(
-                    connection, lambda received: leaves and EVENT_END in received
+            async with asyncio.timeout(load.deadline_s + 1.0):
+                request, body = _request(
+                    kind, request_id, adapter, key, resumes, resume_after, load
                 )
+                sent_whole = await _write(connection, request, body, load.half_s)
+                sent_at = time.monotonic()
+                answer = await read_answer(connection, is_enough)
         except (TimeoutError, IncompleteResponse, OSError):
             connection.close()
         left = leaves and answer is not None and EVENT_END in answer.body
@@ -228,6 +264,10 @@
             resumes=resumes,
             resume_after=resume_after,
             left=left,
+            load=load,
+            sent_whole=sent_whole,
+            first_at=first_at[0] if first_at else None,
+            retry_after_s=_retry_after_s(answer),
         )
 
 
@@ -238,12 +278,13 @@
     key: str,
     resumes: str | None,
     resume_after: int,
+    load: Load,
 ) -> tuple[h11.Request, bytes]:
     headers = [
         ("Host", HOST),
         ("X-Request-Id", request_id),
         ("Authorization", f"Token {key}"),
-        ("X-Deadline-Ms", str(int(DEADLINE_S * 1000))),
+        ("X-Deadline-Ms", str(int(load.deadline_s * 1000))),
     ]
     # Bodies differ, because identical requests count as repeats of one.
     body = b"" if kind is Kind.CHECK else f"hello {request_id}".encode()
@@ -251,10 +292,45 @@
         headers.append(("Content-Length", str(len(body))))
     if adapter is not None:
         headers.append(("X-Model", f"{MODEL}/{adapter}"))
-        headers.append(("X-Token-Count", "100,20"))
+        headers.append(("X-Token-Count", f"100,{load.events * TOKENS_PER_EVENT}"))
     if resumes is not None:
         headers.append(("Resumes", resumes))
         headers.append(("Last-Event-Id", str(resume_after)))
     method = "GET" if kind is Kind.CHECK else "POST"
     target = f"/{kind.value}/x"
     return h11.Request(method=method, target=target, headers=headers), body
+
+
+def _retry_after_s(answer: CallerAnswer | None) -> float | None:
+    value = answer.header("retry-after") if answer else None
+    return float(value) if value else None
+
+
+class _Held:
+    """Takes the bytes of a request in place of its connection's transport."""
+
+    def __init__(self) -> None:
+        self.data = b""
+
+    def write(self, data: bytes) -> None:
+        self.data += data
+
+
+async def _write(
+    connection: Connection, request: h11.Request, body: bytes, half_s: float
+) -> bool:
+    """Send a request, the second half of its body later; return whether it is sent."""
+    if not half_s or not body:
+        connection.send(request, body)
+        return True
+    transport, held = connection._transport, _Held()
+    connection._transport = held
+    connection.send(request, body)
+    connection._transport = transport
+    middle = len(held.data) - len(body) // 2
+    transport.write(held.data[:middle])
+    await asyncio.sleep(half_s)
+    if connection.closed or connection._ended:
+        return False
+    transport.write(held.data[middle:])
+    return True
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -10,18 +10,16 @@
 from bamboovale.standins.platform_endpoints import Run
 from bamboovale.standins.retry_arrivals import RetryBound, retry_violations
 from bamboovale.standins.stream_versions import stream_violations
-from bench.soak_callers import ONCE_ONLY, STREAMS, Attempt, Kind, SentRequest
+from bench.soak_callers import EVENTS, ONCE_ONLY, STREAMS, Attempt, Kind, SentRequest
 from bench.soak_crashes import CrashLoad, crash_violations
 from bench.soak_customers import broken_by
 from bench.soak_paths import served_without_paths
 from bench.soak_site import GRACE_S, Life
 from bench.soak_spans import FaultSpan
-from bench.soak_stops import lost_by_stops
+from bench.soak_stops import lost_by_stops, passed_on
 from bench.soak_streams import SoftwareSpan, stream_attempts
 
 NOT_RUN = (408, 421, 429, 503)
-EVENTS = 5
-"""Number of events in each stream of the stand-in engines."""
 VERSION_S = 5.0
 """Longest time from the store's acknowledgement of a version to the last run of an
 older one, as configured; only while the store is reachable for all VMs."""
@@ -96,7 +94,11 @@
     found += _no_new_runs_while_leaving(evidence)
     found += _planned_stops(evidence)
     for request_id, detail in lost_by_stops(
-        evidence.attempts, evidence.faults, evidence.lives, runs_by_id
+        evidence.attempts,
+        evidence.faults,
+        evidence.lives,
+        runs_by_id,
+        passed_on(evidence.signals.values()),
     ):
         found.append(Violation("lost by a stop", request_id, detail))
     found += _signals_heeded(evidence)
@@ -161,7 +163,7 @@
         return
     if attempt.kind in STREAMS:
         numbers = [int(number) for number, _ in EVENT.findall(attempt.body)]
-        good = numbers == list(range(attempt.resume_after + 1, EVENTS + 1))
+        good = numbers == list(range(attempt.resume_after + 1, attempt.load.events + 1))
         good = good and EVENT.sub(b"", attempt.body) == b""
     else:
         good = attempt.body.endswith(f" {attempt.request_id}".encode())
@@ -274,6 +276,11 @@
             )
         elif not life.has_started and life.exit_code == -signal.SIGTERM:
             continue  # stopped before it could serve requests or handle signals
+        elif life.overstayed:
+            if _stop_duration_s(life, evidence.faults) > GRACE_S - STOP_SLACK_S:
+                yield Violation(
+                    "planned stop", life.vm, "killed after the grace period"
+                )
         elif life.exit_code != 0:
             yield Violation("planned stop", life.vm, f"exit code {life.exit_code}")
         elif _stop_duration_s(life, evidence.faults) > GRACE_S + STOP_SLACK_S:
@@ -294,7 +301,8 @@
         here = attempt.vm == life.vm and attempt.sent_at >= life.started_at
         during = attempt.ended_at >= stop[0] and attempt.sent_at <= stop[1]
         cut_off = attempt.status == 200 and not attempt.whole
-        if here and during and cut_off and attempt.kind is not Kind.LONG:
+        is_short = attempt.load.events <= EVENTS
+        if here and during and cut_off and is_short and attempt.kind is not Kind.LONG:
             yield Violation(
                 "planned stop", attempt.request_id, "its response was cut off"
             )
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -1,6 +1,7 @@
 """Faults of a soak, drawn from a seed and injected from outside the entry VMs."""
 
 import asyncio
+import itertools
 import random
 import signal
 import time
@@ -18,7 +19,7 @@
 from bench.soak_proxy import CutKind, LinkFaults, Proxy
 from bench.soak_site import SoakSite, VMProcess
 from bench.soak_spans import FaultSpan
-from bench.soak_stops import COPIES, STABLE_S, STALLED
+from bench.soak_stops import BUSY, COPIES, STALLED
 
 LONGEST_FAULT_S = 4.0
 LONGEST_PAUSE_S = 1.0
@@ -40,8 +41,12 @@
 STALLS_S = (0.05, 0.5)
 """Shortest and longest stall, as of a busy machine."""
 STALLS_IN_A_ROW = 5
-STOP_PAUSE_S = 1.5
-"""Longest pause between the stops of two VMs: shorter than one stop."""
+STOP_INTERVALS_S = (2.0, 3.5)
+"""Times between the stops of two VMs: several stops overlap."""
+BUSY_S = (0.03, 0.3)
+"""Shortest and longest suspension that stands for a busy machine."""
+LEAST_UP = 1
+"""VMs that always stay while others stop."""
 KILL_PAUSE_S = 8.0
 MOST_ANSWER_BYTES = 400
 """Answers are cut after up to as many bytes: in the head, or early in the body."""
@@ -65,6 +70,7 @@
     STOPS = "stops"
     KILLS = "kills"
     COPIES = "copies"
+    BUSY = "busy"
 
 
 class FaultLane:
@@ -118,7 +124,8 @@
             LaneKind.RETURNS: [lane._store_returns],
             LaneKind.STALLS: [lane._stalls],
             LaneKind.CUTS: [lane._answers_cut],
-            LaneKind.STOPS: [lane._stop_all_overlapping],
+            LaneKind.STOPS: [lane._stop_in_series],
+            LaneKind.BUSY: [lane._busy],
             LaneKind.KILLS: [lane._kill_all],
             LaneKind.COPIES: [lane._answers_come_twice],
         }
@@ -186,14 +193,31 @@
             self._site.excuse(vm)
             await vm.start()
 
-    async def _stop_all_overlapping(self) -> None:
-        """Stop all VMs but one, each before the last one is back."""
-        vms = self._rng.sample(self._site.vms, len(self._site.vms) - 1)
+    async def _stop_in_series(self) -> None:
+        """Stop one VM after another at a fixed interval, each before the last is back.
+
+        The first interval lets callers open connections.
+        """
+        interval_s = self._rng.choice(STOP_INTERVALS_S)
+        vms = itertools.cycle(self._rng.sample(self._site.vms, len(self._site.vms)))
         async with asyncio.TaskGroup() as group:
-            for vm in vms:
-                group.create_task(self._replace(vm))
-                await asyncio.sleep(STOP_PAUSE_S * self._rng.random())
-        await asyncio.sleep(STABLE_S)
+            while True:
+                await asyncio.sleep(interval_s)
+                up = [vm for vm in self._site.vms if not vm.lock.locked()]
+                vm = next(vms)
+                if len(up) > LEAST_UP and vm in up:
+                    group.create_task(self._replace(vm))
+
+    async def _busy(self) -> None:
+        """Suspend a VM for a moment, as on a busy machine."""
+        vm = self._vm()
+        async with self._span(BUSY, vm.name):
+            vm.signal(signal.SIGSTOP)
+            try:
+                await asyncio.sleep(self._rng.uniform(*BUSY_S))
+            finally:
+                vm.signal(signal.SIGCONT)
+            self._site.excuse(vm)
 
     async def _kill_all(self) -> None:
         """Kill all VMs at once, and start them again."""
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -25,11 +25,14 @@
 
 PEER_KEY = "soak-key-of-this-machine"
 READY_S = 20.0
-GRACE_S = 6
+GRACE_S = 8
 """Configured grace period; a stopping VM is killed after it."""
 USUAL_SLOTS = 6
 """Places of a plain endpoint."""
 ADAPTER_SLOTS = 3
+TOKENS_PER_EVENT = 4
+ROUTE_TIMEOUT_MS = 12_000
+"""Longer than any caller's deadline."""
 UNHANDLED = '"unhandled error'
 """In the log line of an error that ends a request or a connection."""
 RESTART_RECORD_DELAY_S = 0.4
@@ -41,7 +44,8 @@
 class Life:
     """One process of an entry VM; monotonic times, None until they happen.
 
-    ``has_started`` is true if the process logged that it had started.
+    ``has_started`` is true if the process logged that it had started, ``overstayed``
+    if it was killed at the end of its grace period, as the platform does.
     """
 
     vm: str
@@ -51,6 +55,7 @@
     killed_at: float | None = None
     ended_at: float | None = None
     exit_code: int | None = None
+    overstayed: bool = False
 
 
 @dataclass
@@ -116,25 +121,29 @@
             return
         self.lives[-1].stopped_at = time.monotonic()
         self.signal(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(GRACE_S):
-                await self._wait_for_exit()
-        except TimeoutError:
-            await self.kill()
+        await self._wait_for_stop()
 
     async def finish(self) -> None:
         """Wait for a requested stop to end, then start a new process."""
         life = self.lives[-1]
         if life.stopped_at is not None and life.ended_at is None:
-            try:
-                async with asyncio.timeout(GRACE_S):
-                    await self._wait_for_exit()
-            except TimeoutError:
-                await self.kill()
+            await self._wait_for_stop()
         if not self.is_running:
             await self._wait_for_exit()
             await self.start()
 
+    async def _wait_for_stop(self) -> None:
+        """Wait for the end of a planned stop; kill the process after its grace time."""
+        life = self.lives[-1]
+        assert life.stopped_at is not None
+        try:
+            async with asyncio.timeout(life.stopped_at + GRACE_S - time.monotonic()):
+                await self._wait_for_exit()
+        except TimeoutError:
+            life.overstayed = True
+            self.signal(signal.SIGKILL)
+            await self._wait_for_exit()
+
     async def _wait_for_exit(self) -> None:
         if self.process is None:
             return
@@ -210,6 +219,7 @@
             model=MODEL,
             adapter_slots=ADAPTER_SLOTS,
             software=software,
+            tokens_per_event=TOKENS_PER_EVENT,
         )
         self._set_trigger(runner)
         await self._add(runner)
@@ -372,8 +382,10 @@
         await self.store.put("keyed.op", "config", self._configuration())
 
     def _configuration(self) -> dict[str, Any]:
-        customers = self.keys.document()
-        return {**configuration(self.config_version), "tenants": customers}
+        document = configuration(self.config_version)
+        for route in document["routes"]:
+            route["timeout-ms"] = ROUTE_TIMEOUT_MS
+        return {**document, "tenants": self.keys.document()}
 
     async def wait_until_ready(self) -> None:
         """Wait until every VM reports ready; raises TimeoutError."""
--- /dev/null
+++ b/bench/soak_stop_callers.py
@@ -0,0 +1,188 @@
+"""Callers of the play of stops: long streams, sent where a stop leaves little time.
+
+They arrive at a steady rate, and in bursts shortly before callers forget the address of
+a VM that stops. Those that are refused come back at another VM.
+"""
+
+import asyncio
+import itertools
+import math
+import random
+import time
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from statistics import median
+
+from bamboovale.http1.connection import ConnectFailed, Connection
+from bench.soak_callers import Attempt, Caller, Kind, Load, SentRequest
+from bench.soak_customers import Keys
+from bench.soak_site import VMProcess
+
+DEADLINE_S = 10.0
+"""Beyond the longest stop: it, and not a deadline, ends the longest runs."""
+CACHED_S = 3.3
+"""Time after SIGTERM for which callers use a VM's address."""
+BURST_S = (2.9, 3.3)
+"""Time after SIGTERM in which the bursts are sent."""
+BURST_PER_CALLER = 0.6
+BURST_EVENTS = (30, 130)
+MOST_EVENTS = 180
+STREAMS_PER_CALLER_S = 0.6
+HALVES_SHARE = 0.1
+HALF_S = (0.02, 0.4)
+"""Shortest and longest pause between the halves of a body."""
+REUSE_SHARE = 0.5
+MOST_TRIES = 4
+RETRY_PAUSE_S = 0.05
+REFUSED = (429, 503)
+
+
+@dataclass
+class Stream:
+    """One stream that a caller wants, and its tries that have ended."""
+
+    begun_at: float
+    load: Load
+    has_ended: bool = False
+    tries: list[Attempt] = field(default_factory=list)
+
+    @property
+    def outcome(self) -> str:
+        """Return how it ended for the caller."""
+        if not self.has_ended:
+            return "under way"
+        if not self.tries:
+            return "no VM"
+        last = self.tries[-1]
+        if last.status == 200:
+            return "served" if last.whole else "cut"
+        return "refused" if last.status in REFUSED else "failed"
+
+    @property
+    def first_s(self) -> float | None:
+        """Return how long the caller waited for the first event."""
+        last = self.tries[-1] if self.tries else None
+        if last is None or last.status != 200 or last.first_at is None:
+            return None
+        return last.first_at - self.begun_at
+
+
+class StopLoad:
+    """Sends streams to VMs that stop in series."""
+
+    def __init__(
+        self,
+        vms: Sequence[VMProcess],
+        attempts: list[Attempt],
+        numbers: "itertools.count[int]",
+        rng: random.Random,
+        keys: Keys,
+        sent: list[SentRequest],
+        callers: int,
+    ) -> None:
+        self.streams: list[Stream] = []
+        self._vms = vms
+        self._attempts = attempts
+        self._numbers = numbers
+        self._rng = rng
+        self._keys = keys
+        self._sent = sent
+        self._callers = callers
+        self._kept: dict[str, list[Connection]] = {}
+
+    async def run(self) -> None:
+        """Send streams until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._steady(group))
+            for vm in self._vms:
+                group.create_task(self._bursts(vm, group))
+
+    async def _steady(self, group: asyncio.TaskGroup) -> None:
+        """Send streams of all lengths, most of them short."""
+        rate_per_s = STREAMS_PER_CALLER_S * self._callers
+        while True:
+            await asyncio.sleep(self._rng.expovariate(rate_per_s))
+            events = round(math.exp(self._rng.uniform(0.0, math.log(MOST_EVENTS))))
+            group.create_task(self._serve(self._load(events), None))
+
+    async def _bursts(self, vm: VMProcess, group: asyncio.TaskGroup) -> None:
+        """Send long streams to a VM just before its address is forgotten."""
+        for number in itertools.count():
+            while len(vm.lives) <= number or vm.lives[number].stopped_at is None:
+                await asyncio.sleep(0.1)
+            stopped_at = vm.lives[number].stopped_at
+            assert stopped_at is not None
+            for _ in range(round(BURST_PER_CALLER * self._callers)):
+                load = self._load(self._rng.randint(*BURST_EVENTS))
+                at = stopped_at + self._rng.uniform(*BURST_S) - load.half_s
+                group.create_task(self._serve(load, vm, at))
+
+    def _load(self, events: int) -> Load:
+        is_halved = self._rng.random() < HALVES_SHARE
+        half_s = self._rng.uniform(*HALF_S) if is_halved else 0.0
+        return Load(events, DEADLINE_S, half_s)
+
+    async def _serve(self, load: Load, vm: VMProcess | None, at: float = 0.0) -> None:
+        """Send a stream, to another VM each time that it is refused."""
+        await asyncio.sleep(at - time.monotonic())
+        stream = Stream(time.monotonic(), load)
+        self.streams.append(stream)
+        for _ in range(MOST_TRIES):
+            vm = vm or self._choose()
+            try:
+                attempt = await self._send(load, vm)
+            except (ConnectFailed, OSError):
+                await asyncio.sleep(RETRY_PAUSE_S)
+            else:
+                self._attempts.append(attempt)
+                stream.tries.append(attempt)
+                if attempt.status not in REFUSED:
+                    break
+                await asyncio.sleep(self._rng.random() * (attempt.retry_after_s or 0.1))
+            vm = self._choose(but=vm)
+        stream.has_ended = True
+
+    def _choose(self, but: VMProcess | None = None) -> VMProcess:
+        """Return a VM whose address callers have."""
+        now = time.monotonic()
+        known = [vm for vm in self._vms if vm is not but and _is_known(vm, now)]
+        return self._rng.choice(known or list(self._vms))
+
+    async def _send(self, load: Load, vm: VMProcess) -> Attempt:
+        kept = self._kept.setdefault(vm.name, [])
+        while kept and (kept[-1].closed or not kept[-1].reusable):
+            kept.pop().close()
+        if kept and self._rng.random() < REUSE_SHARE:
+            connection = kept.pop()
+        else:
+            connection = await Connection.open(*vm.callers)
+        caller = Caller([vm], [], self._numbers, self._rng, self._keys, sent=self._sent)
+        try:
+            return await caller.send_on(connection, Kind.CHAT, vm, load)
+        finally:
+            if connection.reusable and not connection.closed:
+                kept.append(connection)
+            else:
+                connection.close()
+
+
+def _is_known(vm: VMProcess, now: float) -> bool:
+    """Return whether callers have a VM's address."""
+    if not vm.lives:
+        return False
+    stopped_at = vm.lives[-1].stopped_at
+    return stopped_at is None or now < stopped_at + CACHED_S
+
+
+def describe_streams(streams: Sequence[Stream]) -> str:
+    """Return what became of the streams, and what their callers waited."""
+    outcomes = Counter(stream.outcome for stream in streams)
+    tries = sum(len(stream.tries) for stream in streams)
+    refusals = sum(a.status in REFUSED for s in streams for a in s.tries)
+    first_s = sorted(s.first_s for s in streams if s.first_s is not None) or [0.0]
+    return (
+        f"{len(streams)} streams {dict(outcomes.most_common())}, {tries} tries, "
+        f"{refusals} refusals, first event after {median(first_s):.2f} s in the median,"
+        f" {first_s[int(0.9 * len(first_s))]:.2f} s at nine tenths"
+    )
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -1,9 +1,14 @@
-"""Check of a soak: planned stops lose no request that their VM has read."""
+"""Check of a soak: planned stops lose no request that their VM has read.
 
-from collections.abc import Iterator, Mapping, Sequence
+It follows the operators' sentence on requests lost around planned work.
+"""
 
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+from math import inf
+
+from bamboovale.standins.endpoint_signals import SignalRecord
 from bamboovale.standins.platform_endpoints import Run
-from bench.soak_callers import DEADLINE_S, Attempt
+from bench.soak_callers import Attempt
 from bench.soak_site import GRACE_S, Life
 from bench.soak_spans import FaultSpan
 
@@ -15,60 +20,90 @@
 as configured."""
 CALLERS_DELAY_S = 0.3
 """How late callers, in one process with all stand-ins, may hear of a close."""
+RUNS_ON_S = 3.0
+"""Time after SIGTERM until which a request may be sent whose run may be cut late."""
 LATE_PART = 5.0 / 6.0
 """Part of the grace period from which requests may be cut that still run."""
 COPIES = "answers come twice"
 STALLED = "endpoint stalls"
-HARMLESS = frozenset({COPIES})
-"""Faults that excuse no loss: endpoints reject requests, or repeat themselves."""
+BUSY = "busy machine"
+"""Name of short suspensions of a VM: the platform does not see a late loop."""
+HARMLESS = frozenset({COPIES, BUSY})
+"""Faults that excuse no loss."""
 BROKE_OFF = frozenset({"cut", "crashed"})
 """How runs end that their endpoint broke off."""
 
 
+def passed_on(signals: Iterable[SignalRecord]) -> set[str]:
+    """Return the ids of the requests that reached an endpoint, run or not."""
+    return {arrival.request_id for record in signals for arrival in record.arrivals}
+
+
 def lost_by_stops(
     attempts: Sequence[Attempt],
     faults: Sequence[FaultSpan],
     lives: Sequence[Life],
     runs_by_id: Mapping[str, Sequence[Run]],
+    passed_on_ids: Collection[str] = (),
 ) -> Iterator[tuple[str, str]]:
     """Yield each request that a planned stop lost, and what its caller saw."""
     for life in lives:
         if life.stopped_at is None or life.killed_at is not None:
             continue
         for attempt in attempts:
-            if not _is_broken(attempt, life):
+            if not _ends_in_stop(attempt, life):
                 continue
             runs = runs_by_id.get(attempt.request_id, ())
-            after_s = attempt.ended_at - attempt.sent_at
-            if not runs and after_s <= LOSS_SLACK_S + CALLERS_DELAY_S:
+            is_passed_on = bool(runs) or attempt.request_id in passed_on_ids
+            if _is_crossed(attempt) and not is_passed_on:
                 continue
-            if any(run.ended in BROKE_OFF for run in runs):
+            if _is_excused(attempt, life, runs):
                 continue
             if not _is_disturbed(attempt, faults, lives):
-                at_s = attempt.ended_at - life.stopped_at
-                yield (
-                    attempt.request_id,
-                    f"{attempt.kind} ended after {len(attempt.body)} bytes, "
-                    f"{after_s:.2f} s after it was sent, {at_s:.2f} s after the stop "
-                    f"of {life.vm} began; {len(runs)} runs",
-                )
+                yield attempt.request_id, _describe(attempt, life, runs)
 
 
-def _is_broken(attempt: Attempt, life: Life) -> bool:
+def _ends_in_stop(attempt: Attempt, life: Life) -> bool:
     """Return whether a connection ended early in the time of a VM's planned stop."""
     assert life.stopped_at is not None
     if attempt.vm != life.vm or attempt.whole or attempt.left:
         return False
-    if attempt.ended_at - attempt.sent_at >= DEADLINE_S - CALLERS_DELAY_S:
+    if not attempt.sent_whole:
         return False
     if not life.started_at <= attempt.sent_at <= (life.ended_at or attempt.sent_at):
         return False
-    may_run_on = attempt.sent_at <= life.stopped_at + STABLE_S
-    late_at = life.stopped_at + LATE_PART * GRACE_S
-    until = late_at if may_run_on else life.stopped_at + GRACE_S + AFTER_GRACE_S
+    until = life.stopped_at + GRACE_S + AFTER_GRACE_S
     return life.stopped_at <= attempt.ended_at <= until
 
 
+def _is_crossed(attempt: Attempt) -> bool:
+    """Return whether a request may have met the close of its connection."""
+    return attempt.ended_at - attempt.sent_at <= LOSS_SLACK_S + CALLERS_DELAY_S
+
+
+def _is_excused(attempt: Attempt, life: Life, runs: Sequence[Run]) -> bool:
+    """Return whether its deadline or its endpoint ended the request, or a late cut."""
+    if attempt.ended_at - attempt.sent_at >= attempt.load.deadline_s - CALLERS_DELAY_S:
+        return True
+    last = max(runs, key=lambda run: run.started_at, default=None)
+    if last is not None and last.ended in BROKE_OFF:
+        return True
+    assert life.stopped_at is not None
+    is_in_time = attempt.sent_at <= life.stopped_at + RUNS_ON_S
+    late_at = life.stopped_at + LATE_PART * GRACE_S
+    return (
+        is_in_time
+        and attempt.ended_at >= late_at
+        and any(_is_at_work(run, attempt.ended_at, late_at) for run in runs)
+    )
+
+
+def _is_at_work(run: Run, cut_at: float, late_at: float) -> bool:
+    """Return whether a run went on until its caller's answer was cut, and late."""
+    ended_at = inf if run.ended_at is None else run.ended_at
+    return ended_at >= max(late_at, cut_at - CALLERS_DELAY_S)
+
+
 def _is_disturbed(
     attempt: Attempt, faults: Sequence[FaultSpan], lives: Sequence[Life]
 ) -> bool:
@@ -80,3 +115,22 @@
         life.killed_at is not None and since <= life.killed_at <= until
         for life in lives
     )
+
+
+def _describe(attempt: Attempt, life: Life, runs: Sequence[Run]) -> str:
+    """Return when a request was sent, run and cut, in seconds after SIGTERM."""
+    assert life.stopped_at is not None
+    origin = life.stopped_at
+    spans = [
+        f"{run.started_at - origin:.2f} to "
+        + ("now" if run.ended_at is None else f"{run.ended_at - origin:.2f}")
+        + f" {run.ended} after {run.events} events"
+        for run in runs
+    ]
+    exit_s = "not yet" if life.ended_at is None else f"{life.ended_at - origin:.2f}"
+    return (
+        f"{attempt.kind} of {attempt.load.events} events at {life.vm}, sent "
+        f"{attempt.sent_at - origin:.2f} s after SIGTERM, ended "
+        f"{attempt.ended_at - origin:.2f} with status {attempt.status} and "
+        f"{len(attempt.body)} bytes; runs: {', '.join(spans) or 'none'}; exit: {exit_s}"
+    )
