Soak: each clause of the rule on losses around stops, tested just inside and outside

The check measures how late callers may have heard of an end, up to the 0.3 s that were granted to all before. What endpoints rejected counts as passed on. A run that broke off excuses only if it was the last. A request of which a half was never sent does not count.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -24,6 +24,7 @@
 from bench.soak_callers import LEAVES_SHARE, Attempt, Caller, Kind, SentRequest
 from bench.soak_checks import Evidence, Violation, find_violations
 from bench.soak_crashes import CrashLoad
+from bench.soak_delay import LoopDelay
 from bench.soak_faults import FaultLane, LaneKind
 from bench.soak_site import USUAL_SLOTS, SoakSite, running_site
 from bench.soak_spans import FaultSpan
@@ -119,6 +120,7 @@
     numbers: "itertools.count[int]" = field(default_factory=itertools.count)
     crash_load: CrashLoad | None = None
     stop_load: StopLoad | None = None
+    delay: LoopDelay = field(default_factory=LoopDelay)
 
     def __post_init__(self) -> None:
         """Choose the requests that crash engines, if there are any."""
@@ -147,6 +149,7 @@
                 else:
                     runner.faults.event_s = rng.uniform(*SLOW_EVENTS_S)
         tasks = [asyncio.create_task(caller.run()) for caller in self._callers()]
+        tasks.append(asyncio.create_task(self.delay.run()))
         tasks.append(asyncio.create_task(self._inject_faults()))
         if self.config.play is Play.STOPS:
             self.stop_load = self._stop_load()
@@ -222,6 +225,7 @@
                 self.site.keys,
                 leaves_share,
                 self.sent,
+                self.delay,
             )
             for number in range(self._usual_callers)
         ]
@@ -234,6 +238,7 @@
             random.Random(f"{self.config.seed}-streams"),
             self.site.keys,
             self.sent,
+            self.delay,
             self.config.callers,
         )
 
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -14,6 +14,7 @@
 from bamboovale.http1.connection import ConnectFailed, Connection, IncompleteResponse
 from bench.routed import HOST, MODEL, CallerAnswer, read_answer
 from bench.soak_customers import Keys
+from bench.soak_delay import MOST_S, LoopDelay
 from bench.soak_site import TOKENS_PER_EVENT, VMProcess
 
 ADAPTERS = tuple(f"a{number}" for number in range(1, 9))
@@ -73,6 +74,8 @@
     ``resumes`` is the attempt that began the stream, None for a new one,
     ``resume_after`` the id of the last event that came before. ``left`` is whether its
     caller left before the end. ``first_at`` is when the first bytes of the answer came.
+    ``begun_at`` is when its first byte was sent, ``late_s`` how late its end may have
+    been noted.
     """
 
     request_id: str
@@ -92,6 +95,13 @@
     sent_whole: bool = True
     first_at: float | None = None
     retry_after_s: float | None = None
+    begun_at: float | None = None
+    late_s: float = MOST_S
+
+    @property
+    def lasted_s(self) -> float:
+        """Return the time from its first byte to the end."""
+        return self.ended_at - (self.begun_at or self.sent_at)
 
     @property
     def last_event_id(self) -> int:
@@ -123,8 +133,10 @@
         keys: Keys,
         leaves_share: float = LEAVES_SHARE,
         sent: list[SentRequest] | None = None,
+        delay: LoopDelay | None = None,
     ) -> None:
         self._sent = [] if sent is None else sent
+        self._delay = delay
         self._keys = keys
         self._leaves_share = leaves_share
         self._vms = vms
@@ -226,7 +238,7 @@
             adapter = self._rng.choice(ADAPTERS) if kind in STREAMS else None
         resumes = None if before is None else before.resumes or before.request_id
         resume_after = 0 if before is None else before.last_event_id
-        sent_at = time.monotonic()
+        begun_at = sent_at = time.monotonic()
         self._sent.append(SentRequest(kind.service, sent_at))
         answer: CallerAnswer | None = None
         first_at: list[float] = []
@@ -266,6 +278,8 @@
             left=left,
             load=load,
             sent_whole=sent_whole,
+            begun_at=begun_at,
+            late_s=self._delay.recent_s() if self._delay else MOST_S,
             first_at=first_at[0] if first_at else None,
             retry_after_s=_retry_after_s(answer),
         )
--- a/bench/soak_stop_callers.py
+++ b/bench/soak_stop_callers.py
@@ -17,6 +17,7 @@
 from bamboovale.http1.connection import ConnectFailed, Connection
 from bench.soak_callers import Attempt, Caller, Kind, Load, SentRequest
 from bench.soak_customers import Keys
+from bench.soak_delay import LoopDelay
 from bench.soak_site import VMProcess
 
 DEADLINE_S = 10.0
@@ -79,6 +80,7 @@
         rng: random.Random,
         keys: Keys,
         sent: list[SentRequest],
+        delay: LoopDelay,
         callers: int,
     ) -> None:
         self.streams: list[Stream] = []
@@ -88,6 +90,7 @@
         self._rng = rng
         self._keys = keys
         self._sent = sent
+        self._delay = delay
         self._callers = callers
         self._kept: dict[str, list[Connection]] = {}
 
@@ -157,7 +160,15 @@
             connection = kept.pop()
         else:
             connection = await Connection.open(*vm.callers)
-        caller = Caller([vm], [], self._numbers, self._rng, self._keys, sent=self._sent)
+        caller = Caller(
+            [vm],
+            [],
+            self._numbers,
+            self._rng,
+            self._keys,
+            sent=self._sent,
+            delay=self._delay,
+        )
         try:
             return await caller.send_on(connection, Kind.CHAT, vm, load)
         finally:
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -18,8 +18,6 @@
 LOSS_SLACK_S = 0.2
 """Time after its last byte from which a request that was not sent on may not be lost,
 as configured."""
-CALLERS_DELAY_S = 0.3
-"""How late callers, in one process with all stand-ins, may hear of a close."""
 RUNS_ON_S = 3.0
 """Time after SIGTERM until which a request may be sent whose run may be cut late."""
 LATE_PART = 5.0 / 6.0
@@ -78,12 +76,12 @@
 
 def _is_crossed(attempt: Attempt) -> bool:
     """Return whether a request may have met the close of its connection."""
-    return attempt.ended_at - attempt.sent_at <= LOSS_SLACK_S + CALLERS_DELAY_S
+    return attempt.ended_at - attempt.sent_at <= LOSS_SLACK_S + attempt.late_s
 
 
 def _is_excused(attempt: Attempt, life: Life, runs: Sequence[Run]) -> bool:
     """Return whether its deadline or its endpoint ended the request, or a late cut."""
-    if attempt.ended_at - attempt.sent_at >= attempt.load.deadline_s - CALLERS_DELAY_S:
+    if attempt.lasted_s >= attempt.load.deadline_s - attempt.late_s:
         return True
     last = max(runs, key=lambda run: run.started_at, default=None)
     if last is not None and last.ended in BROKE_OFF:
@@ -94,14 +92,14 @@
     return (
         is_in_time
         and attempt.ended_at >= late_at
-        and any(_is_at_work(run, attempt.ended_at, late_at) for run in runs)
+        and any(_is_at_work(run, attempt, late_at) for run in runs)
     )
 
 
-def _is_at_work(run: Run, cut_at: float, late_at: float) -> bool:
+def _is_at_work(run: Run, attempt: Attempt, late_at: float) -> bool:
     """Return whether a run went on until its caller's answer was cut, and late."""
     ended_at = inf if run.ended_at is None else run.ended_at
-    return ended_at >= max(late_at, cut_at - CALLERS_DELAY_S)
+    return ended_at >= max(late_at, attempt.ended_at - attempt.late_s)
 
 
 def _is_disturbed(
--- /dev/null
+++ b/tests/test_soak_stops.py
@@ -0,0 +1,245 @@
+"""The soak's check of planned stops: each clause of the rule, just inside and outside.
+
+SIGTERM comes at 100 s; the grace period is 8 s, its last sixth begins at 106.67 s.
+"""
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from bamboovale.standins.endpoint_signals import Arrival, SignalRecord
+from bamboovale.standins.platform_endpoints import Run
+from bench.soak_callers import Attempt, Kind, Load
+from bench.soak_site import GRACE_S, Life
+from bench.soak_spans import FaultSpan
+from bench.soak_stop_callers import Stream, describe_streams
+from bench.soak_stops import BUSY, COPIES, lost_by_stops, passed_on
+
+STOPPED = Life("vm", 50.0, True, 100.0, None, 107.5, 0)
+LOAD = Load(events=100, deadline_s=10.0)
+CUT = Attempt(
+    *("r1", Kind.CHAT, "vm", "a1", 103.1, 107.3, 200, False, b"id: 1"),
+    load=LOAD,
+    late_s=0.05,
+)
+"""Sent too late to be excused; its run was still going on."""
+IN_TIME = replace(CUT, sent_at=102.0)
+"""The same, sent early enough to be excused."""
+UNSENT = replace(CUT, status=0, ended_at=103.6, body=b"")
+"""Never passed on, and closed without an answer."""
+
+
+def run(started_at: float, ended_at: float | None, ended: str = "cancelled") -> Run:
+    """Return the record of a run of the request."""
+    return Run(
+        *("r1", "/chat/x", b"", []),
+        started_at=started_at,
+        ended=ended,
+        ended_at=ended_at,
+    )
+
+
+RUN = run(103.1, 107.3)
+
+
+def is_lost(
+    attempt: Attempt,
+    *runs: Run,
+    lives: tuple[Life, ...] = (STOPPED,),
+    faults: tuple[FaultSpan, ...] = (),
+    passed_on_ids: set[str] | None = None,
+) -> bool:
+    """Return whether the check takes the attempt for lost by a stop."""
+    lost = lost_by_stops(
+        [attempt], faults, lives, {"r1": runs} if runs else {}, passed_on_ids or set()
+    )
+    return bool(list(lost))
+
+
+class TestLoss:
+    """A connection that ends without a complete answer around a stop of its VM."""
+
+    def test_a_stream_that_is_cut(self) -> None:
+        assert is_lost(CUT, RUN)
+        assert not is_lost(replace(CUT, whole=True), RUN)
+
+    def test_only_the_vm_that_took_it(self) -> None:
+        assert not is_lost(replace(CUT, vm="another"), RUN)
+
+    def test_only_the_process_that_took_it(self) -> None:
+        assert not is_lost(CUT, RUN, lives=(replace(STOPPED, started_at=103.2),))
+
+    def test_the_end_of_an_answer_that_its_caller_left(self) -> None:
+        assert not is_lost(replace(CUT, left=True), RUN)
+
+    def test_a_request_of_which_a_half_was_never_sent(self) -> None:
+        assert not is_lost(replace(CUT, sent_whole=False), RUN)
+
+    @pytest.mark.parametrize(
+        "ended_at, lost", [(99.99, False), (100.0, True), (109.0, True), (109.1, False)]
+    )
+    def test_from_sigterm_until_a_second_after_the_grace_time(
+        self, ended_at: float, lost: bool
+    ) -> None:
+        sent_at = min(ended_at - 1.0, 107.0)
+        attempt = replace(CUT, sent_at=sent_at, ended_at=ended_at)
+        assert is_lost(attempt, run(sent_at, sent_at + 0.1)) is lost
+
+    def test_a_vm_that_is_killed_at_the_end_of_its_grace_time(self) -> None:
+        end = replace(STOPPED, ended_at=108.0, exit_code=-9, overstayed=True)
+        assert is_lost(replace(CUT, ended_at=108.0), run(103.1, 108.0), lives=(end,))
+        killed = replace(end, killed_at=108.0, overstayed=False)
+        attempt = replace(CUT, ended_at=108.0)
+        assert not is_lost(attempt, run(103.1, 108.0), lives=(killed,))
+
+
+class TestPassedOn:
+    """What was passed on is lost at once, else later than the slack."""
+
+    @pytest.mark.parametrize("after_s, lost", [(0.24, False), (0.26, True)])
+    def test_the_slack_and_what_the_caller_noted_late(
+        self, after_s: float, lost: bool
+    ) -> None:
+        attempt = replace(UNSENT, ended_at=UNSENT.sent_at + after_s)
+        assert is_lost(attempt) is lost
+
+    def test_the_slack_begins_at_the_last_byte(self) -> None:
+        begun = replace(UNSENT, begun_at=102.7)
+        assert not is_lost(replace(begun, ended_at=UNSENT.sent_at + 0.1))
+
+    def test_a_run_has_no_slack(self) -> None:
+        crossed = replace(UNSENT, ended_at=UNSENT.sent_at + 0.1)
+        assert is_lost(crossed, run(103.1, 103.2))
+
+    def test_a_request_that_endpoints_rejected_was_passed_on(self) -> None:
+        crossed = replace(UNSENT, ended_at=UNSENT.sent_at + 0.1)
+        signals = SignalRecord()
+        signals.arrivals = [Arrival("vm", 103.1, "r1")]
+        assert is_lost(crossed, passed_on_ids=passed_on([signals]))
+        assert not is_lost(crossed, passed_on_ids={"r2"})
+
+
+class TestDeadline:
+    """The deadline was reached."""
+
+    @pytest.mark.parametrize("lasted_s, lost", [(9.94, True), (9.96, False)])
+    def test_it_ends_what_it_reaches(self, lasted_s: float, lost: bool) -> None:
+        attempt = replace(CUT, sent_at=CUT.ended_at - lasted_s)
+        early = run(97.4, 103.0, "ok")
+        assert is_lost(attempt, early) is lost
+
+    def test_it_begins_with_the_first_byte(self) -> None:
+        attempt = replace(CUT, sent_at=97.7, begun_at=97.3)
+        assert not is_lost(attempt, run(97.7, 103.0, "ok"))
+
+
+class TestBrokenOff:
+    """The endpoint broke off."""
+
+    @pytest.mark.parametrize("how", ["cut", "crashed"])
+    def test_it_ends_the_answer(self, how: str) -> None:
+        assert not is_lost(CUT, run(103.1, 104.0, how))
+
+    def test_it_was_not_the_last_one(self) -> None:
+        assert is_lost(CUT, run(103.1, 104.0, "cut"), run(104.1, 107.3))
+
+    @pytest.mark.parametrize("how", ["cancelled", "ok", "running"])
+    def test_it_did_not(self, how: str) -> None:
+        assert is_lost(CUT, run(103.1, 104.0, how))
+
+
+class TestStillAtWork:
+    """The endpoint was at work in the last sixth on what was sent within 3 s."""
+
+    @pytest.mark.parametrize("sent_s, lost", [(3.0, False), (3.01, True)])
+    def test_the_last_byte_was_sent_in_time(self, sent_s: float, lost: bool) -> None:
+        sent_at = 100.0 + sent_s
+        attempt = replace(CUT, sent_at=sent_at, begun_at=sent_at - 0.3)
+        assert is_lost(attempt, run(sent_at, 107.3)) is lost
+
+    @pytest.mark.parametrize(
+        "cut_at, lost", [(106.66, True), (106.67, False), (107.9, False)]
+    )
+    def test_the_cut_comes_in_the_last_sixth(self, cut_at: float, lost: bool) -> None:
+        attempt = replace(IN_TIME, ended_at=cut_at)
+        assert is_lost(attempt, run(102.0, cut_at)) is lost
+        assert is_lost(attempt, run(102.0, None, "running")) is lost
+
+    @pytest.mark.parametrize("ended", ["ok", "cancelled"])
+    @pytest.mark.parametrize("run_end, lost", [(106.66, True), (106.67, False)])
+    def test_the_run_reaches_the_last_sixth(
+        self, ended: str, run_end: float, lost: bool
+    ) -> None:
+        attempt = replace(IN_TIME, ended_at=106.68)
+        assert is_lost(attempt, run(102.0, run_end, ended)) is lost
+
+    @pytest.mark.parametrize("run_end, lost", [(107.24, True), (107.26, False)])
+    def test_the_run_goes_on_until_the_cut(self, run_end: float, lost: bool) -> None:
+        assert is_lost(IN_TIME, run(102.0, run_end, "ok")) is lost
+
+    def test_a_run_that_never_began_excuses_nothing(self) -> None:
+        assert is_lost(IN_TIME)
+
+    def test_another_run_that_had_ended_excuses_nothing(self) -> None:
+        assert is_lost(IN_TIME, run(102.0, 103.0, "ok"), run(103.0, 105.0, "ok"))
+        assert not is_lost(IN_TIME, run(102.0, 103.0), run(103.0, 107.3))
+
+
+class TestDisruption:
+    """Nothing unplanned from the stable time before the request to its end."""
+
+    @pytest.mark.parametrize(
+        "span, lost",
+        [
+            ((99.0, 100.09), True),
+            ((99.0, 100.11), False),
+            ((107.29, 109.0), False),
+            ((107.31, 109.0), True),
+        ],
+    )
+    def test_when_it_counts(self, span: tuple[float, float], lost: bool) -> None:
+        paused = FaultSpan("paused", "another", *span)
+        assert is_lost(CUT, RUN, faults=(paused,)) is lost
+
+    @pytest.mark.parametrize("name", [BUSY, COPIES])
+    def test_what_excuses_nothing(self, name: str) -> None:
+        assert is_lost(CUT, RUN, faults=(FaultSpan(name, "vm", 102.0, 102.3),))
+
+    @pytest.mark.parametrize("killed_at, lost", [(100.0, True), (100.2, False)])
+    def test_a_kill_of_any_vm(self, killed_at: float, lost: bool) -> None:
+        killed = Life("another", 0.0, True, None, killed_at, killed_at, -9)
+        assert is_lost(CUT, RUN, lives=(STOPPED, killed)) is lost
+
+    def test_planned_stops_of_others_excuse_nothing(self) -> None:
+        other = replace(STOPPED, vm="another", stopped_at=102.0, ended_at=109.5)
+        assert is_lost(CUT, RUN, lives=(STOPPED, other))
+        overstayed = replace(other, ended_at=102.0 + GRACE_S, overstayed=True)
+        assert is_lost(CUT, RUN, lives=(STOPPED, overstayed))
+
+
+class TestStreams:
+    """The summary of what callers wanted and got."""
+
+    @pytest.mark.parametrize(
+        "changes, outcome",
+        [
+            ({"whole": True}, "served"),
+            ({}, "cut"),
+            ({"status": 503, "whole": True}, "refused"),
+            ({"status": 502, "whole": True}, "failed"),
+            ({"status": 0}, "failed"),
+        ],
+    )
+    def test_the_last_try_counts(self, changes: dict[str, Any], outcome: str) -> None:
+        refused = replace(CUT, status=503, whole=True)
+        tries = [refused, replace(CUT, **changes)]
+        stream = Stream(103.0, LOAD, has_ended=True, tries=tries)
+        assert stream.outcome == outcome
+
+    def test_the_wait_for_the_first_event_includes_the_tries_before(self) -> None:
+        tries = [replace(CUT, status=503), replace(CUT, whole=True, first_at=105.5)]
+        streams = [Stream(103.0, LOAD, True, tries), Stream(103.0, LOAD)]
+        text = describe_streams(streams)
+        assert "'served': 1" in text and "'under way': 1" in text
+        assert "1 refusals, first event after 2.50 s in the median" in text
