--- a/bench/soak.py
+++ b/bench/soak.py
@@ -343,7 +343,9 @@
         f" {sum(a.resumes is not None for a in soak.attempts)} streams resumed"
     ]
     if soak.stop_load is not None:
-        lines.append(describe_streams(soak.stop_load.streams))
+        excuses = Counter(cut.excuse for cut in soak.evidence().cut_by_stops())
+        lines.append(describe_streams(soak.stop_load.streams, soak.evidence().lives))
+        lines.append(f"ended early around stops: {dict(excuses)}")
     lines += [str(violation) for violation in found[:10]]
     if found:
         lines += [
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -16,7 +16,7 @@
 from bench.soak_paths import served_without_paths
 from bench.soak_site import GRACE_S, Life
 from bench.soak_spans import FaultSpan
-from bench.soak_stops import lost_by_stops, passed_on
+from bench.soak_stops import CutRequest, cut_by_stops, passed_on
 from bench.soak_streams import SoftwareSpan, stream_attempts
 
 NOT_RUN = (408, 421, 429, 503)
@@ -76,12 +76,29 @@
     sent: Sequence[SentRequest] = ()
     unhandled: Mapping[str, Sequence[str]] = field(default_factory=dict)
 
+    def runs_by_id(self) -> dict[str, list[Run]]:
+        """Return the runs of each request."""
+        runs: dict[str, list[Run]] = {}
+        for run in self.runs:
+            runs.setdefault(run.request_id, []).append(run)
+        return runs
+
+    def cut_by_stops(self) -> list[CutRequest]:
+        """Return the requests that ended early around planned stops."""
+        return list(
+            cut_by_stops(
+                self.attempts,
+                self.faults,
+                self.lives,
+                self.runs_by_id(),
+                passed_on(self.signals.values()),
+            )
+        )
+
 
 def find_violations(evidence: Evidence) -> list[Violation]:
     """Return all violations found in the evidence."""
-    runs_by_id: dict[str, list[Run]] = {}
-    for run in evidence.runs:
-        runs_by_id.setdefault(run.request_id, []).append(run)
+    runs_by_id = evidence.runs_by_id()
     found: list[Violation] = []
     for attempt in evidence.attempts:
         runs = runs_by_id.get(attempt.request_id, [])
@@ -93,14 +110,9 @@
     found += _never_overfilled(evidence.overfilled)
     found += _no_new_runs_while_leaving(evidence)
     found += _planned_stops(evidence)
-    for request_id, detail in lost_by_stops(
-        evidence.attempts,
-        evidence.faults,
-        evidence.lives,
-        runs_by_id,
-        passed_on(evidence.signals.values()),
-    ):
-        found.append(Violation("lost by a stop", request_id, detail))
+    for cut in evidence.cut_by_stops():
+        if not cut.excuse:
+            found.append(Violation("lost by a stop", cut.request_id, cut.detail))
     found += _signals_heeded(evidence)
     found += _retries_bounded(evidence)
     for vm, lines in evidence.unhandled.items():
--- a/bench/soak_stop_callers.py
+++ b/bench/soak_stop_callers.py
@@ -18,7 +18,8 @@
 from bench.soak_callers import Attempt, Caller, Kind, Load, SentRequest
 from bench.soak_customers import Keys
 from bench.soak_delay import LoopDelay
-from bench.soak_site import VMProcess
+from bench.soak_site import Life, VMProcess
+from bench.soak_stops import RUNS_ON_S
 
 DEADLINE_S = 10.0
 """Beyond the longest stop: it, and not a deadline, ends the longest runs."""
@@ -53,12 +54,7 @@
         """Return how it ended for the caller."""
         if not self.has_ended:
             return "under way"
-        if not self.tries:
-            return "no VM"
-        last = self.tries[-1]
-        if last.status == 200:
-            return "served" if last.whole else "cut"
-        return "refused" if last.status in REFUSED else "failed"
+        return _outcome(self.tries[-1]) if self.tries else "no VM"
 
     @property
     def first_s(self) -> float | None:
@@ -69,6 +65,12 @@
         return last.first_at - self.begun_at
 
 
+def _outcome(attempt: Attempt) -> str:
+    if attempt.status == 200:
+        return "served" if attempt.whole else "cut"
+    return "refused" if attempt.status in REFUSED else "failed"
+
+
 class StopLoad:
     """Sends streams to VMs that stop in series."""
 
@@ -147,16 +149,21 @@
         stream.has_ended = True
 
     def _choose(self, but: VMProcess | None = None) -> VMProcess:
-        """Return a VM whose address callers have."""
-        now = time.monotonic()
-        known = [vm for vm in self._vms if vm is not but and _is_known(vm, now)]
+        """Return a VM whose address callers have, or an open connection to it."""
+        others = [vm for vm in self._vms if vm is not but]
+        known = [vm for vm in others if _is_known(vm) or self._open_to(vm)]
         return self._rng.choice(known or list(self._vms))
 
+    def _open_to(self, vm: VMProcess) -> list[Connection]:
+        """Return the connections to a VM that wait for a request."""
+        kept = self._kept.get(vm.name, [])
+        is_open = [not c.closed and c.reusable and not c._ended for c in kept]
+        self._kept[vm.name] = list(itertools.compress(kept, is_open))
+        return self._kept[vm.name]
+
     async def _send(self, load: Load, vm: VMProcess) -> Attempt:
-        kept = self._kept.setdefault(vm.name, [])
-        while kept and (kept[-1].closed or not kept[-1].reusable):
-            kept.pop().close()
-        if kept and self._rng.random() < REUSE_SHARE:
+        kept = self._open_to(vm)
+        if kept and (not _is_known(vm) or self._rng.random() < REUSE_SHARE):
             connection = kept.pop()
         else:
             connection = await Connection.open(*vm.callers)
@@ -173,21 +180,37 @@
             return await caller.send_on(connection, Kind.CHAT, vm, load)
         finally:
             if connection.reusable and not connection.closed:
-                kept.append(connection)
+                self._kept.setdefault(vm.name, []).append(connection)
             else:
                 connection.close()
 
 
-def _is_known(vm: VMProcess, now: float) -> bool:
+def _is_known(vm: VMProcess) -> bool:
     """Return whether callers have a VM's address."""
     if not vm.lives:
         return False
     stopped_at = vm.lives[-1].stopped_at
-    return stopped_at is None or now < stopped_at + CACHED_S
+    return stopped_at is None or time.monotonic() < stopped_at + CACHED_S
 
 
-def describe_streams(streams: Sequence[Stream]) -> str:
+def _is_late(attempt: Attempt, lives: Sequence[Life]) -> bool:
+    """Return whether a request was sent in the last moments of a VM's address."""
+    return any(
+        life.vm == attempt.vm
+        and life.stopped_at is not None
+        and RUNS_ON_S <= attempt.sent_at - life.stopped_at <= CACHED_S
+        for life in lives
+    )
+
+
+def describe_streams(streams: Sequence[Stream], lives: Sequence[Life]) -> str:
     """Return what became of the streams, and what their callers waited."""
+    late = Counter(
+        _outcome(attempt)
+        for stream in streams
+        for attempt in stream.tries
+        if _is_late(attempt, lives)
+    )
     outcomes = Counter(stream.outcome for stream in streams)
     tries = sum(len(stream.tries) for stream in streams)
     refusals = sum(a.status in REFUSED for s in streams for a in s.tries)
@@ -195,5 +218,6 @@
     return (
         f"{len(streams)} streams {dict(outcomes.most_common())}, {tries} tries, "
         f"{refusals} refusals, first event after {median(first_s):.2f} s in the median,"
-        f" {first_s[int(0.9 * len(first_s))]:.2f} s at nine tenths"
+        f" {first_s[int(0.9 * len(first_s))]:.2f} s at nine tenths;"
+        f" tries {RUNS_ON_S} to {CACHED_S} s after SIGTERM: {dict(late.most_common())}"
     )
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
 from math import inf
 
 from bamboovale.standins.endpoint_signals import SignalRecord
@@ -37,14 +38,26 @@
     return {arrival.request_id for record in signals for arrival in record.arrivals}
 
 
-def lost_by_stops(
+@dataclass(frozen=True)
+class CutRequest:
+    """A request that ended without a whole answer around its VM's planned stop.
+
+    ``excuse`` is empty if the stop lost it; ``detail`` is what its caller saw.
+    """
+
+    request_id: str
+    excuse: str
+    detail: str
+
+
+def cut_by_stops(
     attempts: Sequence[Attempt],
     faults: Sequence[FaultSpan],
     lives: Sequence[Life],
     runs_by_id: Mapping[str, Sequence[Run]],
     passed_on_ids: Collection[str] = (),
-) -> Iterator[tuple[str, str]]:
-    """Yield each request that a planned stop lost, and what its caller saw."""
+) -> Iterator[CutRequest]:
+    """Yield each request that ended early around a planned stop of its VM."""
     for life in lives:
         if life.stopped_at is None or life.killed_at is not None:
             continue
@@ -53,12 +66,13 @@
                 continue
             runs = runs_by_id.get(attempt.request_id, ())
             is_passed_on = bool(runs) or attempt.request_id in passed_on_ids
+            excuse = _excuse(attempt, life, runs)
             if _is_crossed(attempt) and not is_passed_on:
-                continue
-            if _is_excused(attempt, life, runs):
-                continue
-            if not _is_disturbed(attempt, faults, lives):
-                yield attempt.request_id, _describe(attempt, life, runs)
+                excuse = "crossed the close"
+            elif _is_disturbed(attempt, faults, lives):
+                excuse = "disturbed"
+            detail = _describe(attempt, life, runs)
+            yield CutRequest(attempt.request_id, excuse, detail)
 
 
 def _ends_in_stop(attempt: Attempt, life: Life) -> bool:
@@ -79,21 +93,19 @@
     return attempt.ended_at - attempt.sent_at <= LOSS_SLACK_S + attempt.late_s
 
 
-def _is_excused(attempt: Attempt, life: Life, runs: Sequence[Run]) -> bool:
-    """Return whether its deadline or its endpoint ended the request, or a late cut."""
+def _excuse(attempt: Attempt, life: Life, runs: Sequence[Run]) -> str:
+    """Return what ended the request if that was no loss, else nothing."""
     if attempt.lasted_s >= attempt.load.deadline_s - attempt.late_s:
-        return True
+        return "deadline"
     last = max(runs, key=lambda run: run.started_at, default=None)
     if last is not None and last.ended in BROKE_OFF:
-        return True
+        return "endpoint broke off"
     assert life.stopped_at is not None
-    is_in_time = attempt.sent_at <= life.stopped_at + RUNS_ON_S
     late_at = life.stopped_at + LATE_PART * GRACE_S
-    return (
-        is_in_time
-        and attempt.ended_at >= late_at
-        and any(_is_at_work(run, attempt, late_at) for run in runs)
-    )
+    if attempt.sent_at > life.stopped_at + RUNS_ON_S or attempt.ended_at < late_at:
+        return ""
+    is_at_work = any(_is_at_work(run, attempt, late_at) for run in runs)
+    return "still at work" if is_at_work else ""
 
 
 def _is_at_work(run: Run, attempt: Attempt, late_at: float) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -435,7 +435,7 @@
         self, play: Play, seed: int, tmp_path: Path
     ) -> None:
         """Guards against requests and streams that are lost as VMs end in series."""
-        config = SoakConfig(seconds=14.0, seed=seed, callers=8, play=play)
+        config = SoakConfig(seconds=16.0, seed=seed, vms=4, callers=12, play=play)
         soak, found = asyncio.run(run_soak(config, tmp_path))
         assert not found, describe(soak, found)
         assert sum(a.status == 200 for a in soak.attempts) > 50
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -14,7 +14,7 @@
 from bench.soak_site import GRACE_S, Life
 from bench.soak_spans import FaultSpan
 from bench.soak_stop_callers import Stream, describe_streams
-from bench.soak_stops import BUSY, COPIES, lost_by_stops, passed_on
+from bench.soak_stops import BUSY, COPIES, cut_by_stops, passed_on
 
 STOPPED = Life("vm", 50.0, True, 100.0, None, 107.5, 0)
 LOAD = Load(events=100, deadline_s=10.0)
@@ -51,10 +51,10 @@
     passed_on_ids: set[str] | None = None,
 ) -> bool:
     """Return whether the check takes the attempt for lost by a stop."""
-    lost = lost_by_stops(
+    cuts = cut_by_stops(
         [attempt], faults, lives, {"r1": runs} if runs else {}, passed_on_ids or set()
     )
-    return bool(list(lost))
+    return any(not cut.excuse for cut in cuts)
 
 
 class TestLoss:
@@ -240,6 +240,7 @@
     def test_the_wait_for_the_first_event_includes_the_tries_before(self) -> None:
         tries = [replace(CUT, status=503), replace(CUT, whole=True, first_at=105.5)]
         streams = [Stream(103.0, LOAD, True, tries), Stream(103.0, LOAD)]
-        text = describe_streams(streams)
+        text = describe_streams(streams, [STOPPED])
+        assert text.endswith("{'refused': 1, 'served': 1}")
         assert "'served': 1" in text and "'under way': 1" in text
         assert "1 refusals, first event after 2.50 s in the median" in text
