--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -3,15 +3,25 @@
 SIGTERM comes at 100 s; the grace period is 8 s, its last sixth begins at 106.67 s.
 """
 
+import asyncio
+import itertools
+import random
+import time
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import pytest
 
+from bamboovale.http1.connection import Connection
 from bamboovale.standins.endpoint_signals import Arrival, SignalRecord
 from bamboovale.standins.platform_endpoints import Run
-from bench.soak_callers import Attempt, Kind, Load
-from bench.soak_site import GRACE_S, Life
+from bench.soak_callers import ADAPTERS, Attempt, Caller, Kind, Load
+from bench.soak_checks import Evidence, find_violations
+from bench.soak_delay import MOST_S, SURE_S, LoopDelay
+from bench.soak_proxy import Proxy
+from bench.soak_site import GRACE_S, Life, SoakSite, VMProcess, running_site
 from bench.soak_spans import FaultSpan
 from bench.soak_stop_callers import Stream, describe_streams
 from bench.soak_stops import BUSY, COPIES, cut_by_stops, passed_on
@@ -244,3 +254,129 @@
         assert text.endswith("{'refused': 1, 'served': 1}")
         assert "'served': 1" in text and "'under way': 1" in text
         assert "1 refusals, first event after 2.50 s in the median" in text
+
+
+class TestOverstay:
+    """A VM that is killed at the end of its grace time broke the promise of a stop."""
+
+    def broken(self, *faults: FaultSpan) -> list[str]:
+        end = replace(STOPPED, ended_at=108.0, exit_code=-9, overstayed=True)
+        found = find_violations(Evidence([], [], [end], faults))
+        return [violation.promise for violation in found]
+
+    def test_it_is_found(self) -> None:
+        assert self.broken() == ["planned stop"]
+
+    @pytest.mark.parametrize(
+        "name, paused_s, broken",
+        [("paused", 0.4, True), ("paused", 0.6, False), (BUSY, 0.6, True)],
+    )
+    def test_not_after_a_long_pause(
+        self, name: str, paused_s: float, broken: bool
+    ) -> None:
+        span = FaultSpan(name, "vm", 102.0, 102.0 + paused_s)
+        assert bool(self.broken(span)) is broken
+
+
+class TestLoopDelay:
+    """How late callers may have noted the end of a connection."""
+
+    def test_a_loop_that_was_held_up(self) -> None:
+        async def test() -> tuple[float, float]:
+            delay = LoopDelay()
+            task = asyncio.create_task(delay.run())
+            await asyncio.sleep(0.05)
+            before_s = delay.recent_s()
+            time.sleep(0.05)
+            during_s = delay.recent_s()
+            time.sleep(0.2)
+            await asyncio.sleep(0.02)
+            task.cancel()
+            assert delay.recent_s() == MOST_S
+            return before_s, during_s
+
+        before_s, during_s = asyncio.run(test())
+        assert SURE_S <= before_s < during_s < MOST_S
+
+
+class TestStreamsOfStandIns:
+    """Streams are as long as asked, slow down with the batch, and note their end."""
+
+    def play(
+        self,
+        directory: Path,
+        steps: Callable[[SoakSite, Callable[[Load], Awaitable[Attempt]]], Any],
+    ) -> None:
+        """Run steps that send requests to one engine, without an entry VM."""
+
+        async def test() -> None:
+            async with running_site(directory, vms=0, runners=1, services=0) as site:
+                (runner,) = site.runners
+                for adapter in ADAPTERS:
+                    runner.preload(adapter)
+                runner.faults.event_s = 0.005
+                vm = VMProcess("vm", {}, Proxy(("", 0)), directory)
+                numbers = itertools.count()
+
+                async def send(load: Load) -> Attempt:
+                    caller = Caller([], [], numbers, random.Random(1), site.keys)
+                    connection = await Connection.open(*runner.address)
+                    try:
+                        return await caller.send_on(connection, Kind.CHAT, vm, load)
+                    finally:
+                        connection.close()
+
+                await steps(site, send)
+
+        asyncio.run(test())
+
+    def test_their_length(self, tmp_path: Path) -> None:
+        async def steps(site: SoakSite, send: Any) -> None:
+            for events in (1, 5, 40):
+                attempt = await send(Load(events=events))
+                assert attempt.whole and attempt.last_event_id == events
+                run = site.runners[0].runs[-1]
+                assert (run.ended, run.events) == ("ok", events)
+                assert attempt.sent_at <= run.started_at <= run.ended_at
+                assert run.ended_at <= attempt.ended_at
+
+        self.play(tmp_path, steps)
+
+    def test_their_pace(self, tmp_path: Path) -> None:
+        async def steps(site: SoakSite, send: Any) -> None:
+            site.runners[0].faults.slower_by_run_s = 0.005
+            load = Load(events=20)
+            alone = await send(load)
+            beside = (await asyncio.gather(*(send(load) for _ in range(5))))[0]
+            assert alone.lasted_s >= 20 * 0.005
+            assert beside.lasted_s >= alone.lasted_s + 10 * 0.02
+
+        self.play(tmp_path, steps)
+
+    def test_a_run_whose_connection_ends(self, tmp_path: Path) -> None:
+        async def steps(site: SoakSite, send: Any) -> None:
+            task = asyncio.create_task(send(Load(events=1000)))
+            await asyncio.sleep(0.2)
+            (run,) = site.runners[0].runs
+            assert (run.ended, run.ended_at) == ("running", None)
+            task.cancel()
+            await asyncio.sleep(0.1)
+            assert run.ended == "cancelled"
+            assert run.ended_at is not None and run.ended_at > run.started_at + 0.1
+
+        self.play(tmp_path, steps)
+
+    def test_a_body_in_two_halves(self, tmp_path: Path) -> None:
+        async def steps(site: SoakSite, send: Any) -> None:
+            attempt = await send(Load(half_s=0.2))
+            assert attempt.whole and attempt.sent_whole
+            assert attempt.begun_at + 0.2 <= attempt.sent_at
+            run = site.runners[0].runs[-1]
+            assert run.started_at >= attempt.begun_at + 0.2
+            assert run.body == f"hello {attempt.request_id}".encode()
+            sending = asyncio.create_task(send(Load(half_s=0.2)))
+            await asyncio.sleep(0.1)
+            site.proxy_by_endpoint[site.runners[0].endpoint_id].reset()
+            assert not (await sending).sent_whole
+
+        self.play(tmp_path, steps)
