Log each request that a planned stop ends in a line of its own

The operators' record of lost streams showed no line that names one. Request lines share one limit with all requests and may be dropped; nothing told when a cut request was sent on, whether the endpoint's answer was whole, and what its caller had not yet taken.

cut_by_stop is written for each call that ends without its answer after the time of the stop is over, undelivered for each complete answer that did not leave the process.

--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -85,7 +85,8 @@
     """A request with its route; timestamps are those of the event loop.
 
     ``deadline`` is when the caller or the route stops waiting. ``notes`` collects the
-    fields of the request's log line.
+    fields of the request's log line. ``sent_at`` is when the first attempt began;
+    ``is_answer_whole`` is whether an endpoint's answer was read to its end.
     """
 
     request: Request
@@ -97,6 +98,8 @@
     customer: Customer | None = None
     notes: dict[str, Any] = field(default_factory=dict)
     attempts: int = 0
+    sent_at: float | None = None
+    is_answer_whole: bool = False
 
     @cached_property
     def fingerprint(self) -> str:
@@ -155,12 +158,14 @@
             raise CallFailed(
                 f"the endpoint answered {facts.status} and may have run it"
             )
+        self.is_answer_whole = True
         self.notes["status"] = facts.status
         self.responder.answer(facts.status, facts.headers, body)
 
-    def note_attempt(self, **fields: Any) -> dict[str, Any]:
+    def note_attempt(self, started_at: float, **fields: Any) -> dict[str, Any]:
         """Add an attempt to the log line; returns its fields for later additions."""
         self.attempts += 1
+        self.sent_at = started_at if self.sent_at is None else self.sent_at
         self.notes.setdefault("attempts", []).append(fields)
         return fields
 
--- a/bamboovale/gateway/drain.py
+++ b/bamboovale/gateway/drain.py
@@ -8,7 +8,7 @@
 from bamboovale.gateway.ownership import Ownership
 from bamboovale.gateway.peering import Peering
 from bamboovale.gateway.vm_state import VMState
-from bamboovale.http1.server import Server
+from bamboovale.http1.server import Request, Server
 from bamboovale.store.interface import StoreError
 
 LISTEN_AFTER_STOP_S = 3.2
@@ -28,11 +28,13 @@
     peering: Peering,
     end_calls: Callable[[], None],
     relays: Sized,
+    log_undelivered: Callable[[Request, int], None],
 ) -> None:
     """Release engines, serve while callers cache this address, then drain.
 
     ``end_calls`` answers the requests that are left when the time is over; ``relays``
-    are the exchanges for callers of other VMs.
+    are the exchanges for callers of other VMs. ``log_undelivered`` is told of each
+    request whose complete answer was not sent, with the bytes left.
     """
     started_at = state.now()
     ends_at = started_at + state.node.bounds.grace_s - STOP_MARGIN_S
@@ -48,6 +50,8 @@
     cut_off = callers.busy
     end_calls()
     await _flush(state, callers)
+    for request, unsent_bytes in callers.undelivered():
+        log_undelivered(request, unsent_bytes)
     callers.stop_listening()
     state.journal.write("drained", cut_off=cut_off)
 
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -129,7 +129,7 @@
         """Return True once the caller has the whole answer, False to retry."""
         started_at = self._now()
         note = call.note_attempt(
-            endpoint=record.endpoint_id, software=record.software_version
+            started_at, endpoint=record.endpoint_id, software=record.software_version
         )
         refused = not_held = False
         aborted = True
@@ -264,6 +264,7 @@
             raise StreamCut("the stream ended within an event")
         if not progress.started and not call.is_resumption:
             raise StreamCut("the stream ended before its first event")
+        call.is_answer_whole = True
         self._start_answer(call, attempt, record, progress)
         call.responder.finish()
         call.notes["status"] = OK
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -242,7 +242,7 @@
         self._last_call_number += 1
         call_id = str(self._last_call_number)
         started_at = self._now()
-        note = call.note_attempt(endpoint=record.endpoint_id)
+        note = call.note_attempt(started_at, endpoint=record.endpoint_id)
         router.on_start(record.endpoint_id, call_id, started_at)
         ok, end = False, CallEnd.FAILED
         try:
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -1,6 +1,7 @@
 """Handles callers' requests: finds the route, sets the deadline, always answers."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Mapping
 
@@ -64,6 +65,22 @@
             if not timeout.expired():
                 timeout.reschedule(self._now())
 
+    def log_undelivered(self, request: Request, unsent_bytes: int) -> None:
+        """Log a request whose complete answer this VM could not send."""
+        stop = self._state.planned_stop
+        if stop is None:
+            return
+        request_id = None
+        with contextlib.suppress(BadRequest):
+            request_id = self._codec.decode_call(request).request_id
+        self._journal.write(
+            "undelivered",
+            id=request_id,
+            received_s=round(request.received_at - stop.started_at, 3),
+            cut_s=round(self._now() - stop.started_at, 3),
+            unsent_bytes=unsent_bytes,
+        )
+
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request; the task is cancelled if its caller disconnects."""
         if self._state.stopping:
@@ -145,6 +162,8 @@
         finally:
             if outcome == "refused" or not call.attempts:
                 self._access.give_back(admission)
+            if outcome != "answered" and self._is_stop_over():
+                self._log_cut(call, outcome)
             self._log(call, outcome, table)
 
     async def _run(self, call: Call, table: RoutingTable) -> str:
@@ -259,6 +278,27 @@
         stop = self._state.planned_stop
         return stop is not None and self._now() >= stop.ends_at
 
+    def _log_cut(self, call: Call, outcome: str) -> None:
+        """Log a call that the stop ended, beside its line among those of all calls.
+
+        Guards against a cut that no line tells of, as there are many requests.
+        """
+        stop = self._state.planned_stop
+        assert stop is not None
+        sent_at = call.sent_at
+        self._journal.write(
+            "cut_by_stop",
+            id=call.facts.request_id,
+            outcome=outcome,
+            route=call.route.name,
+            received_s=round(call.request.received_at - stop.started_at, 3),
+            sent_s=None if sent_at is None else round(sent_at - stop.started_at, 3),
+            cut_s=round(self._now() - stop.started_at, 3),
+            answer_started=call.responder.started,
+            answer_whole=call.is_answer_whole,
+            unsent_bytes=call.responder.unsent_bytes,
+        )
+
     def _log(self, call: Call, outcome: str, table: RoutingTable) -> None:
         kind = call.route.kind.name.lower()
         total_s = self._now() - call.request.received_at
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -353,6 +353,7 @@
             self.peering,
             self._request_handler.end_calls,
             self._access.relay_server,
+            self._request_handler.log_undelivered,
         )
         self.peering.announce_leaving()
         await asyncio.sleep(0)
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -112,6 +112,11 @@
         """Reset the connection, so that a partial response does not look complete."""
         self._connection.abort()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes that this process still holds for the caller."""
+        return self._connection.unsent_bytes
+
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response with a Content-Length."""
         length = (b"content-length", str(len(body)).encode())
@@ -130,6 +135,8 @@
     def __init__(self, server: "Server") -> None:
         self.close_after = False
         self.busy = False
+        self.last_request: Request | None = None
+        self._dropped_bytes = 0
         self._server = server
         self._wire = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits().head_bytes
@@ -220,8 +227,16 @@
     def abort(self) -> None:
         """Reset the connection."""
         self.close_after = True
+        self._dropped_bytes += self._transport.get_write_buffer_size()
         self._transport.abort()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of answers not given to the kernel, with dropped ones."""
+        if self._transport.is_closing() and self._dropped_bytes:
+            return self._dropped_bytes
+        return int(self._transport.get_write_buffer_size())
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight."""
         if not self.busy and not self._flow.waiting_bytes:
@@ -261,6 +276,7 @@
         if request is None:
             return False
         self.busy = True
+        self.last_request = request
         responder = Responder(self)
         try:
             await self._server.handler(request, responder)
@@ -408,6 +424,16 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def undelivered(self) -> list[tuple[Request, int]]:
+        """Return the requests whose answers are complete but not sent, with bytes."""
+        return [
+            (connection.last_request, connection.unsent_bytes)
+            for connection in self.connections
+            if connection.last_request is not None
+            and not connection.busy
+            and connection.unsent_bytes
+        ]
+
     @property
     def busy(self) -> int:
         """Return the number of requests in flight."""
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -367,3 +367,22 @@
                 assert all(-1.0 < line["since_stop_s"] < 0.0 for line in lines)
 
         run(test())
+
+    def test_each_cut_has_a_line_that_many_requests_do_not_drop(self) -> None:
+        """Guards against a cut that the limit on lines of all requests hides."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                site.runners[0].faults.event_s = 2.0
+                waiting = asyncio.create_task(stream(site))
+                await eventually(lambda: bool(site.runners[0].runs))
+                site.vms[0].vm.stop()
+                assert not (await waiting).whole
+                await site.vms[0].task
+                [line] = site.vms[0].journal.of("cut_by_stop")
+                assert line["id"] == site.runners[0].runs[0].request_id
+                assert line["received_s"] <= line["sent_s"] <= 0.0
+                assert line["cut_s"] == pytest.approx(GRACE_S - 0.7, abs=0.3)
+                assert (line["answer_started"], line["answer_whole"]) == (True, False)
+
+        run(test())
