Late in a stop, take on only what the deadline ends before the exit

The platform excuses the cut of a run that is at work only for requests sent until 3.0 s; between that and 3.2 s, when new requests are refused, only an estimate of the run's length stood before the loss. Engines slow down in the very stops, and a VM that has just started knows no speeds: an estimate fails.

Cause: a promise to callers rested on a guess. From 2.9 s on a request needs one that the clock gives: its own deadline, or its route's timeout, ends it before the exit. All others are refused at once as not run. The time is read when the request is whole and about to be handled, so that it was sent earlier, also by a late loop or in two halves. What estimates still do is to spare callers of earlier requests a cut that the platform would excuse.

Relayed work is taken on by its deadline alone already; no change there.

LATE_S of the other tests moves from 2.9 to 2.4 s, where it is still the estimate that refuses. Refusals of a VM that stops have one retry delay, 0.2 s, as others serve (1 s before, once it had drained).

--- a/bamboovale/decisions/planned_stop.py
+++ b/bamboovale/decisions/planned_stop.py
@@ -2,11 +2,21 @@
 
 A VM that stops serves on for a while, as callers still have its address, and cuts what
 is left when it exits. Under long runs and full engines, a run that begins in that time
-may outlast it. Guards against taking on such a request: another VM can complete it.
+may outlast it: another VM can complete it.
+
+The platform excuses the cut of a run that is still at work, if its request was sent
+soon after the VM was told to stop. Later ones need a promise, which only the clock can
+give: they are taken on if their own deadline ends them before the exit. Estimates of
+run times only spare callers of the earlier ones a cut.
 """
 
 from dataclasses import dataclass
 
+EXCUSED_S = 3.0
+"""Time after SIGTERM until which a request is sent whose cut the platform excuses."""
+SENT_MARGIN_S = 0.1
+"""Bounds by how much the platform's record of a stop may precede its signal, and that
+of a request follow its arrival."""
 RUN_MARGIN = 1.25
 """Time that is left for a run, as a multiple of the expected time: engines slow down
 while they take over the load of others."""
@@ -27,6 +37,14 @@
     started_at: float
     ends_at: float
 
+    def may_take(self, received_at: float, ends_by: float) -> bool:
+        """Return whether a request may be taken on that ends by its deadline.
+
+        ``received_at`` is when its last byte was known to be here.
+        """
+        is_excused = received_at < self.started_at + EXCUSED_S - SENT_MARGIN_S
+        return is_excused or ends_by <= self.ends_at
+
     def latest_start(self, run_s: float) -> float:
         """Return until when a run of ``run_s`` may begin and still be completed.
 
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -24,8 +24,9 @@
 from bamboovale.metrics import Metrics
 
 NOT_READY_RETRY_S = 1.0
-"""Retry delay while this VM has no configuration or is draining."""
+"""Retry delay while this VM has no configuration."""
 STOPPED = "the VM stopped"
+STOPS = "the VM stops, possibly before the deadline"
 STOPPED_RETRY_S = 0.2
 """Retry delay once the VM stops: others serve."""
 DEFAULT_TIMEOUT_S = 60.0
@@ -94,7 +95,8 @@
         table = self._state.table
         if table is None or not self._state.takes_work():
             self._log_unrouted(request, facts, "not_ready", table)
-            self._refuse(responder, facts, NOT_READY_RETRY_S)
+            retry_s = STOPPED_RETRY_S if self._state.stopping else NOT_READY_RETRY_S
+            self._refuse(responder, facts, retry_s)
             return
         route = table.match(facts.host, request.target)
         if route is None:
@@ -189,6 +191,9 @@
             self._timeouts.discard(timeout)
 
     async def _dispatch(self, call: Call, table: RoutingTable) -> None:
+        stop = self._state.planned_stop
+        if stop is not None and not stop.may_take(self._now(), call.deadline):
+            raise CallRefused(STOPS, STOPPED_RETRY_S)
         service = table.service_by_name.get(call.service)
         work = call.facts.work
         if self._crashes.is_refused(call):
--- a/tests/test_decisions_planned_stop.py
+++ b/tests/test_decisions_planned_stop.py
@@ -26,6 +26,18 @@
         assert 0.5 < left_s / (STOP.ends_at - STOP.started_at) < 0.75
 
 
+class TestPromise:
+    """Which requests are taken on although their runs may be cut."""
+
+    def test_at_first_all_are_as_a_cut_is_excused(self) -> None:
+        assert STOP.may_take(received_at=102.8, ends_by=160.0)
+
+    def test_later_only_those_that_the_clock_ends_in_time(self) -> None:
+        """Guards against requests that only an estimate keeps from being lost."""
+        assert STOP.may_take(received_at=102.95, ends_by=107.0)
+        assert not STOP.may_take(received_at=102.95, ends_by=107.01)
+
+
 class TestEngineSpeed:
     """The expected time of a run."""
 
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -14,6 +14,8 @@
 from bamboovale.gateway.messages import PlaceRequest
 from bamboovale.gateway.model import EndpointRecord
 from tests.gateway_site import (
+    HOST,
+    MODEL,
     CallerAnswer,
     Site,
     call,
@@ -26,8 +28,10 @@
 from tests.path_cuts import REFUSE, cut_from_endpoints
 
 GRACE_S = 5
-LATE_S = LISTEN_AFTER_STOP_S - 0.3
-"""A time after SIGTERM at which new requests are still accepted."""
+UNEXCUSED_S = LISTEN_AFTER_STOP_S - 0.1
+"""A time after SIGTERM at which requests are accepted, but none may be cut."""
+LATE_S = UNEXCUSED_S - 0.7
+"""One at which a cut is excused, and many runs would no longer end in time."""
 EVENTS = 10
 RUN_S = 1.8
 """Longer than a stop goes on after ``LATE_S``, shorter than all of it."""
@@ -58,15 +62,15 @@
     return await call(site.vms[0].address, "/draft/1", adapter="a1", deadline_ms=15_000)
 
 
-async def learn_run_time(site: Site) -> None:
+async def learn_run_time(site: Site, run_s: float = RUN_S) -> None:
     """Have all VMs know how long a run takes."""
     [runner] = site.runners
-    runner.faults.event_s = RUN_S / EVENTS
+    runner.faults.event_s = run_s / EVENTS
     for _ in range(2):
         await asyncio.gather(*(stream(site) for _ in range(PLACES // 2)))
     fleet = site.vms[0].vm.state.fleet
     await eventually(
-        lambda: fleet.engine(runner.endpoint_id).published.run_s > 0.7 * RUN_S
+        lambda: fleet.engine(runner.endpoint_id).published.run_s > 0.7 * run_s
     )
 
 
@@ -173,6 +177,74 @@
         run(test())
 
 
+class TestPromisedRequests:
+    """Requests that come when the platform excuses no cut any more."""
+
+    def test_a_stream_that_only_an_estimate_would_end_is_refused(self) -> None:
+        """Guards against a cut of a run that is slower than expected."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                await learn_run_time(site, run_s=0.2)
+                site.runners[0].faults.event_s = 6.0 / EVENTS
+                before = len(site.runners[0].runs)
+                site.vms[0].vm.stop()
+                await asyncio.sleep(UNEXCUSED_S)
+                async with asyncio.timeout(0.5):
+                    answer = await stream(site)
+                assert (answer.status, answer.whole) == (503, True)
+                assert float(answer.header("retry-after") or 9) < 1.0
+                assert answer.header("connection") == "close"
+                assert len(site.runners[0].runs) == before
+
+        run(test())
+
+    def test_what_the_deadline_ends_in_time_is_served(self) -> None:
+        """Guards against refusals of requests that the clock alone ends in time."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                await learn_run_time(site, run_s=0.2)
+                address = site.vms[0].address
+                site.vms[0].vm.stop()
+                await asyncio.sleep(UNEXCUSED_S - 0.05)
+                answers = await asyncio.gather(
+                    call(address, "/book/1", deadline_ms=900),
+                    call(address, "/slow/1", adapter="a1", deadline_ms=900),
+                )
+                assert [(item.status, item.whole) for item in answers] == [
+                    (200, True),
+                    (200, True),
+                ]
+
+        run(test())
+
+    def test_a_body_that_ends_late_makes_a_late_request(self) -> None:
+        """Guards against a request dated by its head."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                await learn_run_time(site, run_s=0.2)
+                before = len(site.runners[0].runs)
+                stopping = site.vms[0]
+                reader, writer = await asyncio.open_connection(*stopping.address)
+                head = (
+                    f"POST /slow/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Deadline-Ms: 9000\r\n"
+                    f"X-Model: {MODEL}/a1\r\nX-Token-Count: 100,20\r\n"
+                    f"X-Request-Id: halves\r\nContent-Length: 2\r\n\r\n"
+                )
+                stopping.vm.stop()
+                await asyncio.sleep(UNEXCUSED_S - 0.5)
+                writer.write(head.encode() + b"{")
+                await asyncio.sleep(0.5)
+                writer.write(b"}")
+                assert b" 503 " in await asyncio.wait_for(reader.readline(), 0.5)
+                assert len(site.runners[0].runs) == before
+                writer.close()
+
+        run(test())
+
+
 class TestRequestsLeftAtTheEnd:
     """Requests without an answer when the time for the stop is over."""
 
