Date a planned stop by the last time before which no signal can have come

The platform counts the grace time, and the 3 s in which it excuses cuts, from when it sends SIGTERM; the VM counted from when its loop handled it. A loop that is late, or a process that is suspended as the signal comes, took requests on after it believed and exited late: in a play with suspended VMs an exit came 8.0 s after SIGTERM, which is when the platform kills.

A watch notes each 0.1 s the time before four passes of the loop that handled all signals: a stop is dated by the last such time. The end keeps to both dates: before the kill counted from the earliest, and not before the last sixth of the grace time counted from the latest, as a cut is excused only then. The stop begins in the signal's handler, not some passes later. A grace time below 3.9 s was exceeded, as new requests were served for 3.2 s in any case: bounded by the end too.

--- a/bamboovale/decisions/planned_stop.py
+++ b/bamboovale/decisions/planned_stop.py
@@ -17,6 +17,12 @@
 SENT_MARGIN_S = 0.1
 """Bounds by how much the platform's record of a stop may precede its signal, and that
 of a request follow its arrival."""
+STOP_MARGIN_S = 0.7
+"""Time left for the exit before the platform kills the process."""
+LEAST_STOP_MARGIN_S = 0.5
+"""The least such time, for a VM that does not know exactly when it was told to stop."""
+AT_WORK_PART = 5.0 / 6.0
+"""Part of the grace time after which the platform excuses cuts of runs at work."""
 RUN_MARGIN = 1.25
 """Time that is left for a run, as a multiple of the expected time: engines slow down
 while they take over the load of others."""
@@ -30,13 +36,27 @@
 class PlannedStop:
     """Times of a stop on the VM's clock, in seconds.
 
-    ``started_at`` is when the VM was told to stop, ``ends_at`` when it cuts the answers
-    that are not complete.
+    ``started_at`` is when the VM was told to stop, or earlier, ``ends_at`` when it cuts
+    the answers that are not complete.
     """
 
     started_at: float
     ends_at: float
 
+    @classmethod
+    def between(
+        cls, earliest_at: float, noticed_at: float, grace_s: float
+    ) -> "PlannedStop":
+        """Return a stop that the VM was told between two times.
+
+        It counts from the first; it cuts no run before cuts are excused even if it
+        counts from the last, as long as the first leaves time for the exit.
+        """
+        excused_at = noticed_at + AT_WORK_PART * grace_s + SENT_MARGIN_S
+        kills_at = earliest_at + grace_s
+        ends_at = max(kills_at - STOP_MARGIN_S, excused_at)
+        return cls(earliest_at, min(ends_at, kills_at - LEAST_STOP_MARGIN_S))
+
     def may_take(self, received_at: float, ends_by: float) -> bool:
         """Return whether a request may be taken on that ends by its deadline.
 
--- a/bamboovale/gateway/drain.py
+++ b/bamboovale/gateway/drain.py
@@ -13,8 +13,6 @@
 
 LISTEN_AFTER_STOP_S = 3.2
 """How long new requests are served after SIGTERM, as callers cache addresses."""
-STOP_MARGIN_S = 0.7
-"""Time left for the exit before the platform kills the process."""
 FLUSH_TIMEOUT_S = 0.2
 """How long the last answers may take to reach the callers, within that time."""
 LEAVE_TIMEOUT_S = 1.0
@@ -36,17 +34,21 @@
     are the exchanges for callers of other VMs. ``log_undelivered`` is told of each
     request whose complete answer was not sent, with the bytes left.
     """
-    started_at = state.now()
-    ends_at = started_at + state.node.bounds.grace_s - STOP_MARGIN_S
-    state.planned_stop = PlannedStop(started_at, ends_at)
-    state.journal.write("stopping", busy=callers.busy)
+    stop = state.planned_stop
+    assert stop is not None
+    state.journal.write(
+        "stopping",
+        busy=callers.busy,
+        since_stop_s=round(state.now() - stop.started_at, 3),
+        left_s=round(stop.ends_at - state.now(), 3),
+    )
     peering.announce()
     await _release_engines(state, ownership, peering)
-    while state.now() < started_at + LISTEN_AFTER_STOP_S:
+    while state.now() < min(stop.started_at + LISTEN_AFTER_STOP_S, stop.ends_at):
         await asyncio.sleep(0.1)
     state.draining = True
     callers.close_idle()
-    await _wait_for_callers(state, callers, relays, state.planned_stop)
+    await _wait_for_callers(state, callers, relays, stop)
     cut_off = callers.busy
     end_calls()
     await _flush(state, callers)
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -9,6 +9,7 @@
 from bamboovale.crashes.guard import CrashGuard
 from bamboovale.crashes.records import RefusalRecords
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
+from bamboovale.decisions.planned_stop import PlannedStop
 from bamboovale.gateway.access import AccessControl
 from bamboovale.gateway.drain import drain
 from bamboovale.gateway.endpoint_access import EndpointAccess
@@ -40,6 +41,7 @@
     dump_view,
 )
 from bamboovale.gateway.step_back import StepBack
+from bamboovale.gateway.stop_clock import StopClock
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.view_watch import ViewWatch
 from bamboovale.gateway.vm_state import VMState
@@ -87,6 +89,7 @@
         self._metrics = metrics
         self._rng = random.Random()
         self._stop_event = asyncio.Event()
+        self._stop_clock = StopClock(self.state.now)
         self._jobs = Jobs(journal)
         self.settings_watch = SettingsWatch(
             self.state,
@@ -382,6 +385,7 @@
 
     def _background_tasks(self) -> list[Coroutine[Any, Any, None]]:
         return [
+            self._stop_clock.watch(),
             self.records.operator.follow(),
             self.records.endpoints.follow(),
             self.state.endpoints.watch_expired(),
@@ -403,7 +407,13 @@
         ]
 
     def stop(self) -> None:
-        """Start the planned stop."""
+        """Start the planned stop, dated by what the platform may count it from."""
+        if self.state.planned_stop is None:
+            self.state.planned_stop = PlannedStop.between(
+                self._stop_clock.unasked_until,
+                self.state.now(),
+                self.state.node.bounds.grace_s,
+            )
         self._stop_event.set()
 
     async def poll_engines(self) -> None:
--- a/tests/test_decisions_planned_stop.py
+++ b/tests/test_decisions_planned_stop.py
@@ -1,5 +1,7 @@
 """Which requests a VM that stops can still complete."""
 
+import pytest
+
 from bamboovale.decisions.planned_stop import EngineSpeed, PlannedStop
 
 STOP = PlannedStop(started_at=100.0, ends_at=107.0)
@@ -26,6 +28,22 @@
         assert 0.5 < left_s / (STOP.ends_at - STOP.started_at) < 0.75
 
 
+class TestTimes:
+    """When a stop ends that the VM was told between two times."""
+
+    @pytest.mark.parametrize("grace_s", [5.0, 6.0, 8.0, 30.0])
+    def test_a_stop_that_is_noticed_at_once(self, grace_s: float) -> None:
+        """Guards against cuts too soon to be excused, or after the kill."""
+        stop = PlannedStop.between(100.0, 100.05, grace_s)
+        assert stop.started_at == 100.0
+        assert 5 / 6 * grace_s + 0.05 < stop.ends_at - 100.0 <= grace_s - 0.5
+
+    def test_one_that_may_have_been_told_long_before(self) -> None:
+        """Guards against an exit after the process is killed."""
+        assert PlannedStop.between(100.0, 100.7, 8.0).ends_at >= 107.367
+        assert PlannedStop.between(100.0, 102.0, 8.0).ends_at == 107.5
+
+
 class TestPromise:
     """Which requests are taken on although their runs may be cut."""
 
