Hand complete answers to the kernel before a VM that stops exits

An answer whose run had ended seconds before was dropped if its caller read slowly: the process held the bytes and reset the connection at the exit, 0.2 s after the end. Half a second before the end handlers no longer wait for their callers, so that whole answers of endpoints are passed on whole, and the sockets' send buffers grow: the kernel delivers what it holds after the exit.

A caller that takes nothing at all for 3 s is still reset as dead, in a stop or not.

--- a/bamboovale/gateway/drain.py
+++ b/bamboovale/gateway/drain.py
@@ -13,6 +13,9 @@
 
 LISTEN_AFTER_STOP_S = 3.2
 """How long new requests are served after SIGTERM, as callers cache addresses."""
+HASTEN_S = 0.5
+"""How long before the end answers are handed over to the kernel, which delivers what
+callers have not taken after the exit."""
 FLUSH_TIMEOUT_S = 0.2
 """How long the last answers may take to reach the callers, within that time."""
 LEAVE_TIMEOUT_S = 1.0
@@ -82,6 +85,8 @@
         await asyncio.sleep(0.05)
         if not callers.busy and not callers.connections and not relays:
             break
+        if state.now() > stop.ends_at - HASTEN_S:
+            callers.hasten()
         if state.now() > stop.started_at + LISTEN_AFTER_STOP_S + 1.0:
             callers.close_idle()
 
@@ -89,6 +94,7 @@
 async def _flush(state: VMState, callers: Server) -> None:
     """Wait until the last answers are sent: a reset would drop what is not."""
     callers.close_idle()
+    callers.hasten()
     deadline = state.now() + FLUSH_TIMEOUT_S
     while callers.connections and state.now() < deadline:
         await asyncio.sleep(0.01)
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -10,6 +11,7 @@
 import h11
 
 from bamboovale.http1.connection import (
+    CLOSED_ERRORS,
     Headers,
     enable_dead_peer_detection,
     end_on_close,
@@ -21,6 +23,8 @@
 
 READ_AHEAD_BYTES = 256 * 1024
 """Bytes that are buffered beyond those taken before reading is paused."""
+LAST_SEND_BUFFER_BYTES = 4 * 1024 * 1024
+"""What the kernel may hold of an answer as the process exits; it delivers it after."""
 HTTP_1_0 = b"1.0"
 REASON_BY_STATUS = {
     200: b"OK",
@@ -137,6 +141,7 @@
         self.busy = False
         self.last_request: Request | None = None
         self._dropped_bytes = 0
+        self._is_hastened = False
         self._server = server
         self._wire = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits().head_bytes
@@ -176,6 +181,8 @@
 
     def pause_writing(self) -> None:
         """Make ``drain`` wait: the write buffer is full."""
+        if self._is_hastened:
+            return
         self._writable = asyncio.get_running_loop().create_future()
 
     def resume_writing(self) -> None:
@@ -237,6 +244,17 @@
             return self._dropped_bytes
         return int(self._transport.get_write_buffer_size())
 
+    def hasten(self) -> None:
+        """Write without waiting for the caller, and have the kernel hold more of it."""
+        if self._is_hastened:
+            return
+        self._is_hastened = True
+        self.resume_writing()
+        with contextlib.suppress(*CLOSED_ERRORS):
+            self._transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, LAST_SEND_BUFFER_BYTES
+            )
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight."""
         if not self.busy and not self._flow.waiting_bytes:
@@ -419,6 +437,14 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def hasten(self) -> None:
+        """Hand over to the kernel what callers have not taken, before an exit.
+
+        Guards against dropping complete answers of callers that read slowly.
+        """
+        for connection in list(self.connections):
+            connection.hasten()
+
     def close_idle(self) -> None:
         """Close connections with no request in flight."""
         for connection in list(self.connections):
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -1,7 +1,11 @@
 """Requests that a VM gets shortly before and during its planned stop."""
 
 import asyncio
+import contextlib
 import math
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 from types import SimpleNamespace
 from typing import Any
 from unittest.mock import AsyncMock
@@ -13,6 +17,8 @@
 from bamboovale.gateway.engines import Engines, GrantedPlace
 from bamboovale.gateway.messages import PlaceRequest
 from bamboovale.gateway.model import EndpointRecord
+from bamboovale.http1.server import Request, Responder, Server
+from bamboovale.standins.platform_endpoints import PlatformEndpoint, Run
 from tests.gateway_site import (
     HOST,
     MODEL,
@@ -35,6 +41,7 @@
 EVENTS = 10
 RUN_S = 1.8
 """Longer than a stop goes on after ``LATE_S``, shorter than all of it."""
+LARGE_BYTES = 500_000
 PLACES = 8
 """Places of an engine."""
 RECORD = EndpointRecord("e", "llm", ("10.0.0.1", 1), "a", True, 8)
@@ -74,6 +81,54 @@
     )
 
 
+@contextmanager
+def large_answers(service: PlatformEndpoint) -> Iterator[None]:
+    """Have the endpoint's answers be longer than a socket's buffers."""
+
+    async def answer(request: Request, responder: Responder, run: Run) -> None:
+        await asyncio.sleep(service.faults.event_s)
+        headers = service._answer_headers(run, responder)
+        responder.answer(200, headers, b"x" * LARGE_BYTES)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(service, "_answer", answer)
+        yield
+
+
+def plain_request(name: str) -> bytes:
+    """Return a request to a plain service."""
+    return (
+        f"GET /book/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {name}\r\n\r\n"
+    ).encode()
+
+
+@contextmanager
+def slow_caller(address: tuple[str, int]) -> Iterator[socket.socket]:
+    """Send a request, with little room for its answer."""
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        caller.connect(address)
+        caller.sendall(plain_request("slow"))
+        yield caller
+
+
+def shrink_send_buffers(server: Server) -> None:
+    """Have the kernel take few bytes at once, as on a network; loopback takes many."""
+    for connection in server.connections:
+        caller = connection._transport.get_extra_info("socket")
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32768)
+
+
+def read_all(caller: socket.socket) -> bytes:
+    """Read until the connection ends."""
+    caller.settimeout(5.0)
+    received = b""
+    with contextlib.suppress(ConnectionError):
+        while piece := caller.recv(65536):
+            received += piece
+    return received
+
+
 class TestRequestsTooLate:
     """Requests that the VM cannot complete before it exits."""
 
@@ -314,6 +369,34 @@
         run(test())
 
 
+class TestDelivery:
+    """Complete answers that callers have not taken when the VM exits."""
+
+    def test_a_caller_that_reads_slowly_gets_all_of_it(self) -> None:
+        """Guards against bytes of complete answers that the exit drops."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                site.services[0].faults.event_s = 0.5
+                with (
+                    large_answers(site.services[0]),
+                    slow_caller(site.vms[0].address) as caller,
+                ):
+                    await eventually(lambda: bool(site.services[0].runs))
+                    shrink_send_buffers(site.vms[0].vm._callers)
+                    site.vms[0].vm.stop()
+                    received = await asyncio.to_thread(caller.recv, 4000)
+                    while not site.vms[0].task.done():
+                        await asyncio.sleep(0.2)
+                        received += await asyncio.to_thread(caller.recv, 4000)
+                    assert len(received) < LARGE_BYTES / 2
+                    received += await asyncio.to_thread(read_all, caller)
+                assert received.startswith(b"HTTP/1.1 200 ")
+                assert received.count(b"x") >= LARGE_BYTES
+
+        run(test())
+
+
 class TestErrorsOfAStop:
     """Parts of the stop that fail."""
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -32,6 +32,34 @@
 )
 
 
+class TestHastenedAnswer:
+    """An answer that is to leave the process though its caller does not read."""
+
+    def test_it_is_written_without_waiting_for_the_caller(self) -> None:
+        """Guards against a handler that waits for a slow caller until the exit."""
+
+        async def test() -> None:
+            async def answer(request: Request, responder: Responder) -> None:
+                responder.start(200, [])
+                for _ in range(40):
+                    await responder.write(b"x" * 100_000)
+                responder.finish()
+
+            running = Server(answer)
+            port = await running.listen("127.0.0.1", 0)
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+                caller.connect(("127.0.0.1", port))
+                caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                await asyncio.sleep(0.2)
+                assert running.busy == 1
+                running.hasten()
+                await eventually(lambda: running.busy == 0)
+            running.close()
+
+        run(test())
+
+
 @asynccontextmanager
 async def server(seen: list[Request]) -> AsyncIterator[tuple[str, int]]:
     """Run a server that records requests and echoes their bodies."""
