Answer requests behind another before a VM that stops closes their connection

A VM that stops closed each connection after the answer in flight. A next request that it had read by then, sent without waiting, ended without an answer, which is a loss at any time of sending. The close is now announced with the last answer of those requests that are there; those behind are served or refused like others.

test_a_request_behind_another_is_answered: one answer of two before. One that is sent after the head that announces the close is still dropped, as HTTP allows.

--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -206,7 +206,7 @@
         """
         if self._is_unframed(headers):
             reset_on_close(self._transport.get_extra_info("socket"))
-        if self.close_after:
+        if self.close_after and not self._has_next():
             headers = [*headers, (b"connection", b"close")]
         reason = REASON_BY_STATUS.get(status, b"")
         self._write(h11.Response(status_code=status, headers=headers, reason=reason))
@@ -265,6 +265,13 @@
         if data and not self._lost and not self._transport.is_closing():
             self._transport.write(data)
 
+    def _has_next(self) -> bool:
+        """Return whether a request was received behind the one in flight.
+
+        Guards against closing a connection with a request that was read.
+        """
+        return bool(self._wire.trailing_data[0])
+
     def _notify(self) -> None:
         if self._wake is not None and not self._wake.done():
             self._wake.set_result(None)
@@ -308,7 +315,9 @@
             responder.close_after()
             responder.answer(500, [], b"")
         self.busy = False
-        if self.close_after or self._wire.our_state is not h11.DONE:
+        if self.close_after and not self._has_next():
+            return False
+        if self._transport.is_closing() or self._wire.our_state is not h11.DONE:
             return False
         if self._wire.their_state is not h11.DONE:
             return False
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -396,6 +396,24 @@
 
         run(test())
 
+    def test_a_request_behind_another_is_answered(self) -> None:
+        """Guards against a close that drops a request which was read."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                site.services[0].faults.event_s = 0.5
+                site.vms[0].vm.stop()
+                address = site.vms[0].address
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(plain_request("first") + plain_request("second"))
+                received = await asyncio.wait_for(reader.read(), 4.0)
+                writer.close()
+                assert received.count(b"HTTP/1.1 200 ") == 2
+                assert received.count(b"connection: close") == 1
+                assert received.endswith(b"second")
+
+        run(test())
+
 
 class TestErrorsOfAStop:
     """Parts of the stop that fail."""
