--- a/bamboovale/decisions/planned_stop.py
+++ b/bamboovale/decisions/planned_stop.py
@@ -2,11 +2,27 @@
 
 A VM that stops serves on for a while, as callers still have its address, and cuts what
 is left when it exits. Under long runs and full engines, a run that begins in that time
-may outlast it. Guards against taking on such a request: another VM can complete it.
+may outlast it: another VM can complete it.
+
+The platform excuses the cut of a run that is still at work, if its request was sent
+soon after the VM was told to stop. Later ones need a promise, which only the clock can
+give: they are taken on if their own deadline ends them before the exit. Estimates of
+run times only spare callers of the earlier ones a cut.
 """
 
 from dataclasses import dataclass
 
+EXCUSED_S = 3.0
+"""Time after SIGTERM until which a request is sent whose cut the platform excuses."""
+SENT_MARGIN_S = 0.1
+"""Bounds by how much the platform's record of a stop may precede its signal, and that
+of a request follow its arrival."""
+STOP_MARGIN_S = 0.7
+"""Time left for the exit before the platform kills the process."""
+LEAST_STOP_MARGIN_S = 0.5
+"""The least such time, for a VM that does not know exactly when it was told to stop."""
+AT_WORK_PART = 5.0 / 6.0
+"""Part of the grace time after which the platform excuses cuts of runs at work."""
 RUN_MARGIN = 1.25
 """Time that is left for a run, as a multiple of the expected time: engines slow down
 while they take over the load of others."""
@@ -20,13 +36,35 @@
 class PlannedStop:
     """Times of a stop on the VM's clock, in seconds.
 
-    ``started_at`` is when the VM was told to stop, ``ends_at`` when it cuts the answers
-    that are not complete.
+    ``started_at`` is when the VM was told to stop, or earlier, ``ends_at`` when it cuts
+    the answers that are not complete.
     """
 
     started_at: float
     ends_at: float
 
+    @classmethod
+    def between(
+        cls, earliest_at: float, noticed_at: float, grace_s: float
+    ) -> "PlannedStop":
+        """Return a stop that the VM was told between two times.
+
+        It counts from the first; it cuts no run before cuts are excused even if it
+        counts from the last, as long as the first leaves time for the exit.
+        """
+        excused_at = noticed_at + AT_WORK_PART * grace_s + SENT_MARGIN_S
+        kills_at = earliest_at + grace_s
+        ends_at = max(kills_at - STOP_MARGIN_S, excused_at)
+        return cls(earliest_at, min(ends_at, kills_at - LEAST_STOP_MARGIN_S))
+
+    def may_take(self, received_at: float, ends_by: float) -> bool:
+        """Return whether a request may be taken on that ends by its deadline.
+
+        ``received_at`` is when its last byte was known to be here.
+        """
+        is_excused = received_at < self.started_at + EXCUSED_S - SENT_MARGIN_S
+        return is_excused or ends_by <= self.ends_at
+
     def latest_start(self, run_s: float) -> float:
         """Return until when a run of ``run_s`` may begin and still be completed.
 
--- a/bamboovale/gateway/drain.py
+++ b/bamboovale/gateway/drain.py
@@ -8,13 +8,14 @@
 from bamboovale.gateway.ownership import Ownership
 from bamboovale.gateway.peering import Peering
 from bamboovale.gateway.vm_state import VMState
-from bamboovale.http1.server import Server
+from bamboovale.http1.server import Request, Server
 from bamboovale.store.interface import StoreError
 
 LISTEN_AFTER_STOP_S = 3.2
 """How long new requests are served after SIGTERM, as callers cache addresses."""
-STOP_MARGIN_S = 0.7
-"""Time left for the exit before the platform kills the process."""
+HASTEN_S = 0.5
+"""How long before the end answers are handed over to the kernel, which delivers what
+callers have not taken after the exit."""
 FLUSH_TIMEOUT_S = 0.2
 """How long the last answers may take to reach the callers, within that time."""
 LEAVE_TIMEOUT_S = 1.0
@@ -28,26 +29,34 @@
     peering: Peering,
     end_calls: Callable[[], None],
     relays: Sized,
+    log_undelivered: Callable[[Request, int], None],
 ) -> None:
     """Release engines, serve while callers cache this address, then drain.
 
     ``end_calls`` answers the requests that are left when the time is over; ``relays``
-    are the exchanges for callers of other VMs.
+    are the exchanges for callers of other VMs. ``log_undelivered`` is told of each
+    request whose complete answer was not sent, with the bytes left.
     """
-    started_at = state.now()
-    ends_at = started_at + state.node.bounds.grace_s - STOP_MARGIN_S
-    state.planned_stop = PlannedStop(started_at, ends_at)
-    state.journal.write("stopping", busy=callers.busy)
+    stop = state.planned_stop
+    assert stop is not None
+    state.journal.write(
+        "stopping",
+        busy=callers.busy,
+        since_stop_s=round(state.now() - stop.started_at, 3),
+        left_s=round(stop.ends_at - state.now(), 3),
+    )
     peering.announce()
     await _release_engines(state, ownership, peering)
-    while state.now() < started_at + LISTEN_AFTER_STOP_S:
+    while state.now() < min(stop.started_at + LISTEN_AFTER_STOP_S, stop.ends_at):
         await asyncio.sleep(0.1)
     state.draining = True
     callers.close_idle()
-    await _wait_for_callers(state, callers, relays, state.planned_stop)
+    await _wait_for_callers(state, callers, relays, stop)
     cut_off = callers.busy
     end_calls()
     await _flush(state, callers)
+    for request, unsent_bytes in callers.undelivered():
+        log_undelivered(request, unsent_bytes)
     callers.stop_listening()
     state.journal.write("drained", cut_off=cut_off)
 
@@ -76,6 +85,8 @@
         await asyncio.sleep(0.05)
         if not callers.busy and not callers.connections and not relays:
             break
+        if state.now() > stop.ends_at - HASTEN_S:
+            callers.hasten()
         if state.now() > stop.started_at + LISTEN_AFTER_STOP_S + 1.0:
             callers.close_idle()
 
@@ -83,6 +94,7 @@
 async def _flush(state: VMState, callers: Server) -> None:
     """Wait until the last answers are sent: a reset would drop what is not."""
     callers.close_idle()
+    callers.hasten()
     deadline = state.now() + FLUSH_TIMEOUT_S
     while callers.connections and state.now() < deadline:
         await asyncio.sleep(0.01)
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -10,6 +11,7 @@
 import h11
 
 from bamboovale.http1.connection import (
+    CLOSED_ERRORS,
     Headers,
     enable_dead_peer_detection,
     end_on_close,
@@ -21,6 +23,8 @@
 
 READ_AHEAD_BYTES = 256 * 1024
 """Bytes that are buffered beyond those taken before reading is paused."""
+LAST_SEND_BUFFER_BYTES = 4 * 1024 * 1024
+"""What the kernel may hold of an answer as the process exits; it delivers it after."""
 HTTP_1_0 = b"1.0"
 REASON_BY_STATUS = {
     200: b"OK",
@@ -112,6 +116,11 @@
         """Reset the connection, so that a partial response does not look complete."""
         self._connection.abort()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes that this process still holds for the caller."""
+        return self._connection.unsent_bytes
+
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response with a Content-Length."""
         length = (b"content-length", str(len(body)).encode())
@@ -130,6 +139,9 @@
     def __init__(self, server: "Server") -> None:
         self.close_after = False
         self.busy = False
+        self.last_request: Request | None = None
+        self._dropped_bytes = 0
+        self._is_hastened = False
         self._server = server
         self._wire = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits().head_bytes
@@ -169,6 +181,8 @@
 
     def pause_writing(self) -> None:
         """Make ``drain`` wait: the write buffer is full."""
+        if self._is_hastened:
+            return
         self._writable = asyncio.get_running_loop().create_future()
 
     def resume_writing(self) -> None:
@@ -192,7 +206,7 @@
         """
         if self._is_unframed(headers):
             reset_on_close(self._transport.get_extra_info("socket"))
-        if self.close_after:
+        if self.close_after and not self._has_next():
             headers = [*headers, (b"connection", b"close")]
         reason = REASON_BY_STATUS.get(status, b"")
         self._write(h11.Response(status_code=status, headers=headers, reason=reason))
@@ -220,8 +234,27 @@
     def abort(self) -> None:
         """Reset the connection."""
         self.close_after = True
+        self._dropped_bytes += self._transport.get_write_buffer_size()
         self._transport.abort()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of answers not given to the kernel, with dropped ones."""
+        if self._transport.is_closing() and self._dropped_bytes:
+            return self._dropped_bytes
+        return int(self._transport.get_write_buffer_size())
+
+    def hasten(self) -> None:
+        """Write without waiting for the caller, and have the kernel hold more of it."""
+        if self._is_hastened:
+            return
+        self._is_hastened = True
+        self.resume_writing()
+        with contextlib.suppress(*CLOSED_ERRORS):
+            self._transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, LAST_SEND_BUFFER_BYTES
+            )
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight."""
         if not self.busy and not self._flow.waiting_bytes:
@@ -232,6 +265,13 @@
         if data and not self._lost and not self._transport.is_closing():
             self._transport.write(data)
 
+    def _has_next(self) -> bool:
+        """Return whether a request was received behind the one in flight.
+
+        Guards against closing a connection with a request that was read.
+        """
+        return bool(self._wire.trailing_data[0])
+
     def _notify(self) -> None:
         if self._wake is not None and not self._wake.done():
             self._wake.set_result(None)
@@ -261,6 +301,7 @@
         if request is None:
             return False
         self.busy = True
+        self.last_request = request
         responder = Responder(self)
         try:
             await self._server.handler(request, responder)
@@ -274,7 +315,9 @@
             responder.close_after()
             responder.answer(500, [], b"")
         self.busy = False
-        if self.close_after or self._wire.our_state is not h11.DONE:
+        if self.close_after and not self._has_next():
+            return False
+        if self._transport.is_closing() or self._wire.our_state is not h11.DONE:
             return False
         if self._wire.their_state is not h11.DONE:
             return False
@@ -403,11 +446,29 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def hasten(self) -> None:
+        """Hand over to the kernel what callers have not taken, before an exit.
+
+        Guards against dropping complete answers of callers that read slowly.
+        """
+        for connection in list(self.connections):
+            connection.hasten()
+
     def close_idle(self) -> None:
         """Close connections with no request in flight."""
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def undelivered(self) -> list[tuple[Request, int]]:
+        """Return the requests whose answers are complete but not sent, with bytes."""
+        return [
+            (connection.last_request, connection.unsent_bytes)
+            for connection in self.connections
+            if connection.last_request is not None
+            and not connection.busy
+            and connection.unsent_bytes
+        ]
+
     @property
     def busy(self) -> int:
         """Return the number of requests in flight."""
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -1,7 +1,11 @@
 """Requests that a VM gets shortly before and during its planned stop."""
 
 import asyncio
+import contextlib
 import math
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 from types import SimpleNamespace
 from typing import Any
 from unittest.mock import AsyncMock
@@ -13,7 +17,11 @@
 from bamboovale.gateway.engines import Engines, GrantedPlace
 from bamboovale.gateway.messages import PlaceRequest
 from bamboovale.gateway.model import EndpointRecord
+from bamboovale.http1.server import Request, Responder, Server
+from bamboovale.standins.platform_endpoints import PlatformEndpoint, Run
 from tests.gateway_site import (
+    HOST,
+    MODEL,
     CallerAnswer,
     Site,
     call,
@@ -26,11 +34,14 @@
 from tests.path_cuts import REFUSE, cut_from_endpoints
 
 GRACE_S = 5
-LATE_S = LISTEN_AFTER_STOP_S - 0.3
-"""A time after SIGTERM at which new requests are still accepted."""
+UNEXCUSED_S = LISTEN_AFTER_STOP_S - 0.1
+"""A time after SIGTERM at which requests are accepted, but none may be cut."""
+LATE_S = UNEXCUSED_S - 0.7
+"""One at which a cut is excused, and many runs would no longer end in time."""
 EVENTS = 10
 RUN_S = 1.8
 """Longer than a stop goes on after ``LATE_S``, shorter than all of it."""
+LARGE_BYTES = 500_000
 PLACES = 8
 """Places of an engine."""
 RECORD = EndpointRecord("e", "llm", ("10.0.0.1", 1), "a", True, 8)
@@ -58,18 +69,66 @@
     return await call(site.vms[0].address, "/draft/1", adapter="a1", deadline_ms=15_000)
 
 
-async def learn_run_time(site: Site) -> None:
+async def learn_run_time(site: Site, run_s: float = RUN_S) -> None:
     """Have all VMs know how long a run takes."""
     [runner] = site.runners
-    runner.faults.event_s = RUN_S / EVENTS
+    runner.faults.event_s = run_s / EVENTS
     for _ in range(2):
         await asyncio.gather(*(stream(site) for _ in range(PLACES // 2)))
     fleet = site.vms[0].vm.state.fleet
     await eventually(
-        lambda: fleet.engine(runner.endpoint_id).published.run_s > 0.7 * RUN_S
+        lambda: fleet.engine(runner.endpoint_id).published.run_s > 0.7 * run_s
     )
 
 
+@contextmanager
+def large_answers(service: PlatformEndpoint) -> Iterator[None]:
+    """Have the endpoint's answers be longer than a socket's buffers."""
+
+    async def answer(request: Request, responder: Responder, run: Run) -> None:
+        await asyncio.sleep(service.faults.event_s)
+        headers = service._answer_headers(run, responder)
+        responder.answer(200, headers, b"x" * LARGE_BYTES)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(service, "_answer", answer)
+        yield
+
+
+def plain_request(name: str) -> bytes:
+    """Return a request to a plain service."""
+    return (
+        f"GET /book/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {name}\r\n\r\n"
+    ).encode()
+
+
+@contextmanager
+def slow_caller(address: tuple[str, int]) -> Iterator[socket.socket]:
+    """Send a request, with little room for its answer."""
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        caller.connect(address)
+        caller.sendall(plain_request("slow"))
+        yield caller
+
+
+def shrink_send_buffers(server: Server) -> None:
+    """Have the kernel take few bytes at once, as on a network; loopback takes many."""
+    for connection in server.connections:
+        caller = connection._transport.get_extra_info("socket")
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32768)
+
+
+def read_all(caller: socket.socket) -> bytes:
+    """Read until the connection ends."""
+    caller.settimeout(5.0)
+    received = b""
+    with contextlib.suppress(ConnectionError):
+        while piece := caller.recv(65536):
+            received += piece
+    return received
+
+
 class TestRequestsTooLate:
     """Requests that the VM cannot complete before it exits."""
 
@@ -173,6 +232,74 @@
         run(test())
 
 
+class TestPromisedRequests:
+    """Requests that come when the platform excuses no cut any more."""
+
+    def test_a_stream_that_only_an_estimate_would_end_is_refused(self) -> None:
+        """Guards against a cut of a run that is slower than expected."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                await learn_run_time(site, run_s=0.2)
+                site.runners[0].faults.event_s = 6.0 / EVENTS
+                before = len(site.runners[0].runs)
+                site.vms[0].vm.stop()
+                await asyncio.sleep(UNEXCUSED_S)
+                async with asyncio.timeout(0.5):
+                    answer = await stream(site)
+                assert (answer.status, answer.whole) == (503, True)
+                assert float(answer.header("retry-after") or 9) < 1.0
+                assert answer.header("connection") == "close"
+                assert len(site.runners[0].runs) == before
+
+        run(test())
+
+    def test_what_the_deadline_ends_in_time_is_served(self) -> None:
+        """Guards against refusals of requests that the clock alone ends in time."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                await learn_run_time(site, run_s=0.2)
+                address = site.vms[0].address
+                site.vms[0].vm.stop()
+                await asyncio.sleep(UNEXCUSED_S - 0.05)
+                answers = await asyncio.gather(
+                    call(address, "/book/1", deadline_ms=900),
+                    call(address, "/slow/1", adapter="a1", deadline_ms=900),
+                )
+                assert [(item.status, item.whole) for item in answers] == [
+                    (200, True),
+                    (200, True),
+                ]
+
+        run(test())
+
+    def test_a_body_that_ends_late_makes_a_late_request(self) -> None:
+        """Guards against a request dated by its head."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                await learn_run_time(site, run_s=0.2)
+                before = len(site.runners[0].runs)
+                stopping = site.vms[0]
+                reader, writer = await asyncio.open_connection(*stopping.address)
+                head = (
+                    f"POST /slow/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Deadline-Ms: 9000\r\n"
+                    f"X-Model: {MODEL}/a1\r\nX-Token-Count: 100,20\r\n"
+                    f"X-Request-Id: halves\r\nContent-Length: 2\r\n\r\n"
+                )
+                stopping.vm.stop()
+                await asyncio.sleep(UNEXCUSED_S - 0.5)
+                writer.write(head.encode() + b"{")
+                await asyncio.sleep(0.5)
+                writer.write(b"}")
+                assert b" 503 " in await asyncio.wait_for(reader.readline(), 0.5)
+                assert len(site.runners[0].runs) == before
+                writer.close()
+
+        run(test())
+
+
 class TestRequestsLeftAtTheEnd:
     """Requests without an answer when the time for the stop is over."""
 
@@ -242,6 +369,52 @@
         run(test())
 
 
+class TestDelivery:
+    """Complete answers that callers have not taken when the VM exits."""
+
+    def test_a_caller_that_reads_slowly_gets_all_of_it(self) -> None:
+        """Guards against bytes of complete answers that the exit drops."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                site.services[0].faults.event_s = 0.5
+                with (
+                    large_answers(site.services[0]),
+                    slow_caller(site.vms[0].address) as caller,
+                ):
+                    await eventually(lambda: bool(site.services[0].runs))
+                    shrink_send_buffers(site.vms[0].vm._callers)
+                    site.vms[0].vm.stop()
+                    received = await asyncio.to_thread(caller.recv, 4000)
+                    while not site.vms[0].task.done():
+                        await asyncio.sleep(0.2)
+                        received += await asyncio.to_thread(caller.recv, 4000)
+                    assert len(received) < LARGE_BYTES / 2
+                    received += await asyncio.to_thread(read_all, caller)
+                assert received.startswith(b"HTTP/1.1 200 ")
+                assert received.count(b"x") >= LARGE_BYTES
+
+        run(test())
+
+    def test_a_request_behind_another_is_answered(self) -> None:
+        """Guards against a close that drops a request which was read."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                site.services[0].faults.event_s = 0.5
+                site.vms[0].vm.stop()
+                address = site.vms[0].address
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(plain_request("first") + plain_request("second"))
+                received = await asyncio.wait_for(reader.read(), 4.0)
+                writer.close()
+                assert received.count(b"HTTP/1.1 200 ") == 2
+                assert received.count(b"connection: close") == 1
+                assert received.endswith(b"second")
+
+        run(test())
+
+
 class TestErrorsOfAStop:
     """Parts of the stop that fail."""
 
@@ -367,3 +540,22 @@
                 assert all(-1.0 < line["since_stop_s"] < 0.0 for line in lines)
 
         run(test())
+
+    def test_each_cut_has_a_line_that_many_requests_do_not_drop(self) -> None:
+        """Guards against a cut that the limit on lines of all requests hides."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                site.runners[0].faults.event_s = 2.0
+                waiting = asyncio.create_task(stream(site))
+                await eventually(lambda: bool(site.runners[0].runs))
+                site.vms[0].vm.stop()
+                assert not (await waiting).whole
+                await site.vms[0].task
+                [line] = site.vms[0].journal.of("cut_by_stop")
+                assert line["id"] == site.runners[0].runs[0].request_id
+                assert line["received_s"] <= line["sent_s"] < 0.5
+                assert line["cut_s"] == pytest.approx(GRACE_S - 0.7, abs=0.3)
+                assert (line["answer_started"], line["answer_whole"]) == (True, False)
+
+        run(test())
