The line of a record that is left out names topic, key, offset and reason, in a bounded length

bad_record had a key and a reason only: the topics could not be told apart, and a reason quoted the record, so that an entry of 200 kB made a line as long, at up to 150 lines a second. All five readers of records write the line the same way now. The reason is the error's type and text, not its repr, which of some errors holds the whole value.

--- a/bamboovale/crashes/records.py
+++ b/bamboovale/crashes/records.py
@@ -14,6 +14,7 @@
 
 from bamboovale.gateway.journal import Journal
 from bamboovale.store.interface import KeyedRecord, MetadataStore, StoreError
+from bamboovale.store.odd_records import log_odd_record
 
 KEY_PREFIX = "crash:"
 """Distinguishes these records from those of VMs in the same topic."""
@@ -70,7 +71,7 @@
             )
             at = float(fields["at"])
         except (ValueError, KeyError, TypeError) as error:
-            self._journal.write("bad_record", key=record.key, error=repr(error))
+            log_odd_record(self._journal, self._topic, record, error)
             return True
         if math.isfinite(at) and self._time_of_day() - at < MAX_AGE_S:
             self._on_read(refused)
--- a/bamboovale/gateway/endpoints.py
+++ b/bamboovale/gateway/endpoints.py
@@ -137,13 +137,12 @@
         self._log_change(before, record)
         return True
 
-    def on_unreadable_record(self, registered_id: str, finding: str) -> bool:
+    def on_unreadable_record(self, registered_id: str) -> bool:
         """Apply a record that cannot be decoded; returns False if nothing changes.
 
         Guards against sending work to an endpoint whose record was overwritten: it gets
         no new work until its next heartbeat registers it again; current runs go on.
         """
-        self._journal.write("bad_record", key=registered_id, error=finding)
         known = self._current(registered_id)
         if known is None or not known.ready:
             return False
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+from bamboovale.decoding import BadRecordError
 from bamboovale.fleet.messages import AdapterNews
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.model import RoutingTable
@@ -11,6 +12,7 @@
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.store.follower import RETRY_S, TopicFollower
 from bamboovale.store.interface import KeyedRecord, MetadataStore
+from bamboovale.store.odd_records import log_odd_record
 
 CONFIG_PAUSE_S = 0.02
 """Pause between two reads of the operator's topic."""
@@ -138,7 +140,7 @@
         if change is None:
             return
         if isinstance(change, str):
-            self._state.journal.write("bad_record", key=record.key, error=change)
+            self._log_odd(self.operator, record, change)
         elif isinstance(change, RoutingTable):
             self.apply_table(change, origin="store")
         else:
@@ -168,12 +170,19 @@
             )
         decoded = self._translation.decode_endpoint_record(record.key, record.value)
         if isinstance(decoded, str):
-            return self._state.endpoints.on_unreadable_record(record.key, decoded)
+            self._log_odd(self.endpoints, record, decoded)
+            return self._state.endpoints.on_unreadable_record(record.key)
         self._on_heartbeat(decoded.endpoint_id, record.position)
         return self._state.endpoints.on_record(
             record.key, decoded, record.position, from_copy=record.from_copy
         )
 
+    def _log_odd(
+        self, follower: TopicFollower, record: KeyedRecord, finding: str
+    ) -> None:
+        error = BadRecordError(finding)
+        log_odd_record(self._state.journal, follower.topic, record, error)
+
     def _is_reader(self) -> bool:
         """Return whether this VM reads the endpoints' topic, also for other VMs."""
         fleet = self._state.fleet
--- a/bamboovale/store/registration.py
+++ b/bamboovale/store/registration.py
@@ -9,6 +9,7 @@
 
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.store.interface import KeyedRecord, MetadataStore, StoreError
+from bamboovale.store.odd_records import log_odd_record
 
 ALONE_READ_INTERVAL_S = 1.0
 """Interval of reads while no other VM is known, or after a failure."""
@@ -105,7 +106,7 @@
             host, port = json.loads(record.value)
             address = (str(host), int(port))
         except (ValueError, TypeError) as error:
-            self._state.journal.write("bad_record", key=record.key, error=str(error))
+            log_odd_record(self._state.journal, self._topic, record, error)
             return False
         membership = self._state.fleet.membership
         return membership.add_contact(record.key, address, self._state.now())
--- a/bamboovale/store/stall_records.py
+++ b/bamboovale/store/stall_records.py
@@ -12,6 +12,7 @@
 from bamboovale.decisions.rendezvous import first_members
 from bamboovale.gateway.journal import Journal
 from bamboovale.store.interface import KeyedRecord, MetadataStore, StoreError
+from bamboovale.store.odd_records import log_odd_record
 
 KEY_PREFIX = "pool:"
 """Distinguishes these records from those of VMs in the same topic."""
@@ -94,7 +95,7 @@
         try:
             stalled = json.loads(record.value)["held_up"] is True
         except (ValueError, KeyError, TypeError) as error:
-            self._journal.write("bad_record", key=record.key, error=repr(error))
+            log_odd_record(self._journal, self._topic, record, error)
             return True
         self._record_by_service[service] = StallRecord(stalled)
         self._journal.write("pool_noted", service=service, held_up=stalled)
--- a/bamboovale/streams/start_records.py
+++ b/bamboovale/streams/start_records.py
@@ -24,6 +24,7 @@
     MetadataStore,
     StoreError,
 )
+from bamboovale.store.odd_records import log_odd_record
 from bamboovale.store.position import Position
 from bamboovale.streams.messages import StreamBegan
 
@@ -265,7 +266,7 @@
             try:
                 starts = decode(record.value)
             except (ValueError, TypeError) as error:
-                self._journal.write("bad_record", key=record.key, error=repr(error))
+                log_odd_record(self._journal, self._topic, record, error)
                 continue
             for began in starts:
                 self._on_read(began)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -743,8 +743,8 @@
         other = replace(self.NEW, registered_id="f")
         view.on_record("e", self.OLD)
         view.on_record("f", other)
-        assert view.on_unreadable_record("e", "no JSON")
-        assert not view.on_unreadable_record("g", "no JSON")
+        assert view.on_unreadable_record("e")
+        assert not view.on_unreadable_record("g")
         assert view.ready("llm") == [other]
         assert view.on_record("e", self.OLD)
         assert len(view.ready("llm")) == 2
