One record that cannot be applied ends nothing else, in every topic

What operators saw: one odd entry of another writer, and the machines stop following the list while they say that they are ready. Cause: each reader of a topic named the exceptions that it expects of a record; any other one passed through the reader and ended its task for good.

Before, each test of the four topics failed, two VMs and a third one that starts: - keyed.servers: task_failed TopicFollower.follow, ValueError('Exceeds the limit (4300 digits) for integer string conversion: value has 5000 digits ...') at both VMs, then 'timed out' (the new endpoint is never seen) - keyed.op: the same task, RecursionError('maximum recursion depth exceeded while decoding a JSON array ...') for a configuration that is nested 100,000 deep - keyed.entries: Registration.keep, OverflowError('cannot convert float infinity to integer') - keyed.streams: StartRecords.read_forever, RecursionError

All readers apply records through one guard now, whatever a record raises; an endpoint's record that fails counts as unreadable. The readers' own lists of exceptions go.

--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -12,7 +12,6 @@
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.store.follower import RETRY_S, TopicFollower
 from bamboovale.store.interface import KeyedRecord, MetadataStore
-from bamboovale.store.odd_records import log_odd_record
 
 CONFIG_PAUSE_S = 0.02
 """Pause between two reads of the operator's topic."""
@@ -88,6 +87,7 @@
             state.journal,
             state.eras,
             on_record=self._on_endpoint_record,
+            on_odd=lambda record: state.endpoints.on_unreadable_record(record.key),
             known_keys=state.endpoints.registered_ids,
             wait_s=self._endpoints_poll_s,
             pause_s=lambda: ENDPOINTS_PAUSE_S,
@@ -140,8 +140,8 @@
         if change is None:
             return
         if isinstance(change, str):
-            self._log_odd(self.operator, record, change)
-        elif isinstance(change, RoutingTable):
+            raise BadRecordError(change)
+        if isinstance(change, RoutingTable):
             self.apply_table(change, origin="store")
         else:
             news = AdapterNews(change.model, change.adapter, change.version)
@@ -170,19 +170,12 @@
             )
         decoded = self._translation.decode_endpoint_record(record.key, record.value)
         if isinstance(decoded, str):
-            self._log_odd(self.endpoints, record, decoded)
-            return self._state.endpoints.on_unreadable_record(record.key)
+            raise BadRecordError(decoded)
         self._on_heartbeat(decoded.endpoint_id, record.position)
         return self._state.endpoints.on_record(
             record.key, decoded, record.position, from_copy=record.from_copy
         )
 
-    def _log_odd(
-        self, follower: TopicFollower, record: KeyedRecord, finding: str
-    ) -> None:
-        error = BadRecordError(finding)
-        log_odd_record(self._state.journal, follower.topic, record, error)
-
     def _is_reader(self) -> bool:
         """Return whether this VM reads the endpoints' topic, also for other VMs."""
         fleet = self._state.fleet
--- a/bamboovale/store/follower.py
+++ b/bamboovale/store/follower.py
@@ -20,6 +20,7 @@
     StoreError,
 )
 from bamboovale.store.position import Position
+from bamboovale.store.record_guard import RecordGuard
 
 STALENESS_CHECK_INTERVAL_S = 0.5
 """Interval of checks whether updates from other readers have become stale."""
@@ -45,6 +46,8 @@
 class TopicFollower:
     """Reads one keyed topic forever and passes each change on.
 
+    ``on_odd`` is called with each record that ``on_record`` fails at.
+
     ``known_keys`` returns the keys that are reported as removed if a full read lacks
     them. ``pause_s`` returns the pause between two reads, which bounds the calls for a
     topic that changes constantly. ``changes`` are kept for VMs that do not read;
@@ -64,6 +67,7 @@
         eras: StoreEras,
         *,
         on_record: OnRecord,
+        on_odd: OnRecord = lambda record: None,
         wait_s: Callable[[], float],
         pause_s: Callable[[], float],
         retry_s: Callable[[], float] = lambda: RETRY_S,
@@ -82,7 +86,7 @@
         self._store = store
         self._journal = journal
         self._eras = eras
-        self._on_record = on_record
+        self._guard = RecordGuard(topic, journal, on_record, on_odd)
         self._wait_s = wait_s
         self._pause_s = pause_s
         self._retry_s = retry_s
@@ -219,7 +223,7 @@
             self._log_return(snapshot.end, lost=missing)
             # Other VMs know other records of the last era, and read all by themselves.
             for record in records:
-                self._on_record(replace(record, from_copy=True))
+                self._guard.apply(replace(record, from_copy=True))
             self.changes.reset(int(snapshot.end))
         else:
             self._apply(records, snapshot.end)
@@ -284,7 +288,7 @@
     def _apply(self, records: Iterable[KeyedRecord], next_offset: int) -> None:
         """Pass records on, and keep those that changed something for other VMs."""
         known = self.changes.next_offset or 0
-        changed = [r for r in records if self._on_record(r) is not False]
+        changed = [r for r in records if self._guard.apply(r) is not False]
         rows = [(r.key, r.value, int(max(r.position, known))) for r in changed]
         self.changes.advance(int(next_offset), rows)
         if rows:
--- a/bamboovale/store/registration.py
+++ b/bamboovale/store/registration.py
@@ -9,7 +9,7 @@
 
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.store.interface import KeyedRecord, MetadataStore, StoreError
-from bamboovale.store.odd_records import log_odd_record
+from bamboovale.store.record_guard import RecordGuard
 
 ALONE_READ_INTERVAL_S = 1.0
 """Interval of reads while no other VM is known, or after a failure."""
@@ -45,6 +45,7 @@
         self._state = state
         self._topic = topic
         self._store = store
+        self._guard = RecordGuard(topic, state.journal, self._apply)
         self._others = others
         self._on_contact = on_contact
         self._is_written = False
@@ -94,20 +95,16 @@
     async def _read(self) -> None:
         """Read all addresses; calls ``on_contact`` if there are new VMs."""
         snapshot = await self._store.newest(self._topic)
-        is_new = [self._apply(record) for record in snapshot.records]
+        is_new = [self._guard.apply(record) for record in snapshot.records]
         if any(is_new):
             self._on_contact()
 
     def _apply(self, record: KeyedRecord) -> bool:
-        """Apply a record; returns whether it names a new VM. Bad records are logged."""
+        """Apply a record; returns whether it names a new VM."""
         if record.value is None or any(o.apply(record) for o in self._others):
             return False
-        try:
-            host, port = json.loads(record.value)
-            address = (str(host), int(port))
-        except (ValueError, TypeError) as error:
-            log_odd_record(self._state.journal, self._topic, record, error)
-            return False
+        host, port = json.loads(record.value)
+        address = (str(host), int(port))
         membership = self._state.fleet.membership
         return membership.add_contact(record.key, address, self._state.now())
 
--- a/bamboovale/streams/start_records.py
+++ b/bamboovale/streams/start_records.py
@@ -24,8 +24,8 @@
     MetadataStore,
     StoreError,
 )
-from bamboovale.store.odd_records import log_odd_record
 from bamboovale.store.position import Position
+from bamboovale.store.record_guard import RecordGuard
 from bamboovale.streams.messages import StreamBegan
 
 WRITE_INTERVAL_S = 0.01
@@ -101,6 +101,7 @@
         self._topic = topic
         self._store = store
         self._journal = journal
+        self._guard = RecordGuard(topic, journal, self._on_record)
         self._holders = holders
         self._on_read = on_read
         self._is_single = is_single
@@ -261,15 +262,11 @@
 
     def _apply(self, records: Iterable[KeyedRecord]) -> None:
         for record in records:
-            if record.value is None:
-                continue
-            try:
-                starts = decode(record.value)
-            except (ValueError, TypeError) as error:
-                log_odd_record(self._journal, self._topic, record, error)
-                continue
-            for began in starts:
-                self._on_read(began)
+            self._guard.apply(record)
+
+    def _on_record(self, record: KeyedRecord) -> None:
+        for began in decode(record.value) if record.value is not None else ():
+            self._on_read(began)
 
 
 def encode(starts: Sequence[StreamBegan]) -> bytes:
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -1,9 +1,24 @@
 """Odd records of other writers, in every topic that a VM reads."""
 
+import asyncio
+import json
+from typing import Any
+
+import pytest
+
 from bamboovale.store.interface import KeyedRecord
 from bamboovale.store.odd_records import MAX_ERROR_CHARS, MAX_KEY_CHARS, log_odd_record
 from bamboovale.store.position import Position
-from tests.gateway_site import RecordedJournal
+from tests.gateway_site import (
+    RecordedJournal,
+    RunningVM,
+    Site,
+    configuration,
+    eventually,
+    run,
+    running_site,
+)
+from tests.test_gateway_parts import ENDPOINT_RECORD
 
 
 class TestLogLine:
@@ -20,3 +35,90 @@
         assert (
             len(line["key"]) + len(line["error"]) < MAX_ERROR_CHARS + MAX_KEY_CHARS + 9
         )
+
+
+TOPICS = {
+    "keyed.servers": "i-odd",
+    "keyed.op": "config",
+    "keyed.entries": "entry-odd",
+    "keyed.streams": "0.odd",
+}
+"""Every topic that a VM reads, with a key that it decodes."""
+
+
+def deep(depth: int) -> bytes:
+    """Return a document that is nested too deeply for the decoder."""
+    return b"[" * depth + b"]" * depth
+
+
+def endpoint(**fields: Any) -> bytes:
+    """Return an endpoint's record with other fields."""
+    return json.dumps({**ENDPOINT_RECORD, **fields}).encode()
+
+
+ODD = {
+    "deep": deep(100_000),
+    "no_utf_8": b"\xff\xfe",
+    "digits_5000": b"9" * 5000,
+    "infinite": b"[1e400, 1e400]",
+    "not_a_number": b"NaN",
+    "empty": b"",
+    "surrogate": b'"\\ud800"',
+    "adapter_of_5000_digits": endpoint(
+        models=[{"name": "m", "adapters": ["a1@" + "9" * 5000]}]
+    ),
+    "remaining_of_400_digits": endpoint(**{"remaining-ms": 10**400}),
+    "address_with_port_infinite": b'["127.0.0.1", 1e400]',
+    "starts_of_5000_digits": b'[[["r1"], "llm", "v", null, 1' + b"0" * 400 + b"]]",
+}
+
+
+async def put_raw(site: Site, topic: str, key: str, value: bytes) -> None:
+    """Write a record's bytes as they are."""
+    site.store._topic(topic).append(key, value)
+    async with site.store._changed:
+        site.store._changed.notify_all()
+
+
+async def follows(site: Site, name: str) -> None:
+    """Check that every VM sees a new endpoint, a configuration and a new VM."""
+    await site.add_service(name)
+    known = len(site.services) + len(site.runners)
+    version = 2 + len(site.services)
+    await site.store.put("keyed.op", "config", configuration(version=version))
+    for item in site.vms:
+        await eventually(lambda vm=item.vm: len(vm.dump()["endpoints"]) == known)
+        await eventually(lambda vm=item.vm: vm.state.table.version == version)
+        assert await item.vm._streams.records.read_new()
+
+
+def knows_peers(item: RunningVM) -> bool:
+    """Return whether a VM of three knows the others."""
+    return len([up for up in item.vm.dump()["peers"].values() if up]) >= 2
+
+
+class TestOddRecords:
+    """One odd record among sound ones, in each topic."""
+
+    @pytest.mark.parametrize("topic", TOPICS)
+    def test_a_vm_follows_on_after_each_kind(self, topic: str) -> None:
+        """Guards against a VM that is ready and sees no change any more."""
+
+        async def test() -> None:
+            async with running_site(vms=2) as site:
+                for name, value in ODD.items():
+                    await put_raw(site, topic, TOPICS[topic], value)
+                    if topic == "keyed.streams":
+                        await site.vms[0].vm._streams.records.read_new()
+                    await asyncio.sleep(0.1)
+                    key = TOPICS[topic] if topic == "keyed.op" else f"odd.{name}"
+                    await put_raw(site, topic, key, value)
+                await follows(site, "service-new")
+                added = await site.add_vm("entry-new")
+                await eventually(added.vm.state.serving)
+                await eventually(lambda: all(map(knows_peers, site.vms)))
+                await follows(site, "service-last")
+                failed = [vm.journal.of("task_failed") for vm in site.vms]
+                assert not any(failed)
+
+        run(test())
