A background task that an error ends runs again, logged and counted

What operators saw: VMs that say they are ready and follow the list no more. An engine's owner had it worse: its loops end without a line.

Jobs are factories now, as a coroutine cannot run twice. Looked at one by one: all tasks keep their state in their objects and begin with a read or a check of it, so that all may run again. Ownership assigns its engines first, as an error in its last renewal may have come before that; orders stay bound to the lease's clock meanwhile. None makes the VM unready: an input that ends a task here ends it at all VMs, and a VM that serves with its last view is worth more than none. Cancelling and closing are as before.

--- a/bamboovale/errors.py
+++ b/bamboovale/errors.py
@@ -90,3 +90,24 @@
 
     place: str
     message: str
+
+
+MAX_ERROR_CHARS = 300
+"""Bounds an error in a log line: it may quote an input of any size."""
+
+
+def shorten(text: str, chars: int) -> str:
+    """Return a text of a bounded length."""
+    return text if len(text) <= chars else f"{text[:chars]}..."
+
+
+def describe(error: Exception) -> str:
+    """Return the type and text of an error, in a bounded length.
+
+    The text is left out if it cannot be made, as of a number with too many digits.
+    """
+    try:
+        text = str(error)
+    except Exception:
+        text = "(no text)"
+    return shorten(f"{type(error).__name__}: {text}", MAX_ERROR_CHARS)
--- a/bamboovale/gateway/engine_owner.py
+++ b/bamboovale/gateway/engine_owner.py
@@ -17,6 +17,7 @@
     ReportedState,
 )
 from bamboovale.gateway.engine_client import EngineCallFailed
+from bamboovale.gateway.jobs import Job, keep_running
 from bamboovale.gateway.messages import (
     EngineLoad,
     EngineStatus,
@@ -76,9 +77,9 @@
     def start(self) -> None:
         """Start polling reports, deciding and logging."""
         self._seed_load_times()
-        self._spawn(self._poll_forever())
-        self._spawn(self._tick_forever())
-        self._spawn(self._log_forever())
+        self._keep("engine_reports", self._poll_forever)
+        self._keep("engine_ticks", self._tick_forever)
+        self._keep("engine_log", self._log_forever)
 
     def stop(self) -> None:
         """Cancel all tasks; replies to queued requests that the owner changed."""
@@ -411,6 +412,10 @@
             reply(PlaceReply(ask_id, reason="engine is lost", not_owner=True))
         self._reply_by_ask.clear()
 
+    def _keep(self, name: str, job: Job) -> None:
+        name = f"{name} {self.record.endpoint_id}"
+        self._spawn(keep_running(name, job, self._context.journal))
+
     def _spawn(self, job: "object") -> None:
         task: asyncio.Task[None] = asyncio.get_running_loop().create_task(job)  # type: ignore[arg-type]
         self._tasks.add(task)
--- a/bamboovale/gateway/pools.py
+++ b/bamboovale/gateway/pools.py
@@ -1,8 +1,8 @@
 """The connections of one VM: to endpoints, for control calls to them, to the store."""
 
-from collections.abc import Coroutine
-from typing import Any
+from functools import partial
 
+from bamboovale.gateway.jobs import Job
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.http1.pool import ConnectionPool, sweep_forever
 from bamboovale.metrics import Metrics
@@ -33,9 +33,12 @@
             paths.on_failed,
         )
 
-    def sweeps(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the tasks that close idle connections to endpoints."""
-        return [sweep_forever(self.endpoint), sweep_forever(self.control)]
+    def sweeps(self) -> dict[str, Job]:
+        """Return the tasks by name that close idle connections to endpoints."""
+        return {
+            "endpoint_connections": partial(sweep_forever, self.endpoint),
+            "control_connections": partial(sweep_forever, self.control),
+        }
 
     def forget(self, endpoint_id: str) -> None:
         """Close the connections to an endpoint that is gone."""
--- a/bamboovale/gateway/step_back.py
+++ b/bamboovale/gateway/step_back.py
@@ -1,13 +1,13 @@
 """The conditions under which a VM owns no engines, each with its own watch."""
 
 import random
-from collections.abc import Coroutine
-from typing import Any, Self
+from typing import Self
 
 from bamboovale.gateway.cut_watch import CutWatch
 from bamboovale.gateway.endpoint_client import EndpointClient
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.isolation import Isolation
+from bamboovale.gateway.jobs import Job
 from bamboovale.gateway.lost_engines import LostEngines
 from bamboovale.gateway.ownership import Ownership
 from bamboovale.gateway.peering import Peering
@@ -48,10 +48,10 @@
             Isolation(state, peering.gossip, ownership, store, peering.announce),
         )
 
-    def watches(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the tasks of the watches; none of them ends."""
-        return [
-            self._isolation.watch(),
-            self._cuts.watch(),
-            self.lost_engines.watch(),
-        ]
+    def watches(self) -> dict[str, Job]:
+        """Return the tasks of the watches by name; none of them ends."""
+        return {
+            "isolation_watch": self._isolation.watch,
+            "cut_watch": self._cuts.watch,
+            "lost_engines_watch": self.lost_engines.watch,
+        }
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Coroutine
+from functools import partial
 from typing import Any
 
 from bamboovale.crashes.guard import CrashGuard
@@ -16,7 +16,7 @@
 from bamboovale.gateway.engine_assignment import EngineAssignment
 from bamboovale.gateway.engine_client import EngineClient
 from bamboovale.gateway.engines import Engines
-from bamboovale.gateway.jobs import Jobs
+from bamboovale.gateway.jobs import Job, Jobs
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.known_load_times import KnownLoadTimes
 from bamboovale.gateway.model_calls import ModelCalls
@@ -87,7 +87,8 @@
         self._metrics = metrics
         self._rng = random.Random()
         self._stop_event = asyncio.Event()
-        self._jobs = Jobs(journal)
+        failures = metrics.gateway_task_failures
+        self._jobs = Jobs(journal, lambda name: failures.labels(name).inc())
         self.settings_watch = SettingsWatch(
             self.state,
             read_settings,
@@ -186,7 +187,9 @@
             is_port_closed=lambda record: self._access.client.is_port_closed(record),
             broadcast=lambda news: self.peering.broadcast_crash(news),
             is_designated=self.state.fleet.is_designated,
-            record=lambda refused: self._jobs.start([self._refusals.write(refused)]),
+            record=lambda refused: self._jobs.start(
+                "refusal_record", partial(self._refusals.write, refused)
+            ),
             count_event=lambda name: self._metrics.crash_events.labels(name).inc(),
         )
         self._refusals = RefusalRecords(
@@ -344,7 +347,7 @@
             callers_port=node.callers[1],
             peers_port=node.peers_port,
         )
-        self._jobs.start(self._background_tasks())
+        self._jobs.keep(self._background_tasks())
         await self._stop_event.wait()
         await drain(
             self.state,
@@ -379,27 +382,28 @@
         await self.ports.listen()
         await self._callers.listen(*self.state.node.callers)
 
-    def _background_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        return [
-            self.records.operator.follow(),
-            self.records.endpoints.follow(),
-            self.state.endpoints.watch_expired(),
-            self.settings_watch.watch(),
-            self._own_engines(),
-            self._registration.keep(),
-            self.peering.exchange_forever(),
-            self.peering.poll_forever(),
-            self.peering.status_exchange.publish_statuses_forever(),
-            self.peering.status_exchange.publish_loads_forever(),
-            self.peering.status_exchange.subscribe_forever(),
-            self._view_watch.watch(self.records.operator),
-            self._quotas.exchange_forever(),
-            self._assignment.write_stall_records_forever(),
-            self._streams.records.write_forever(),
-            self._streams.records.read_forever(),
-            *self.step_back.watches(),
-            *self._pools.sweeps(),
-        ]
+    def _background_tasks(self) -> dict[str, Job]:
+        statuses = self.peering.status_exchange
+        return {
+            "operator_topic": self.records.operator.follow,
+            "endpoints_topic": self.records.endpoints.follow,
+            "expired_endpoints": self.state.endpoints.watch_expired,
+            "settings_file": self.settings_watch.watch,
+            "ownership": self._own_engines,
+            "registration": self._registration.keep,
+            "gossip_sent": self.peering.exchange_forever,
+            "gossip_received": self.peering.poll_forever,
+            "statuses": statuses.publish_statuses_forever,
+            "loads": statuses.publish_loads_forever,
+            "subscriptions": statuses.subscribe_forever,
+            "view_watch": partial(self._view_watch.watch, self.records.operator),
+            "quotas": self._quotas.exchange_forever,
+            "stall_records": self._assignment.write_stall_records_forever,
+            "stream_records_written": self._streams.records.write_forever,
+            "stream_records_read": self._streams.records.read_forever,
+            **self.step_back.watches(),
+            **self._pools.sweeps(),
+        }
 
     def stop(self) -> None:
         """Start the planned stop."""
@@ -452,6 +456,8 @@
         deadline = self.state.now() + FLEET_TIMEOUT_S
         while not self.state.knows_fleet and self.state.now() < deadline:
             await asyncio.sleep(FLEET_POLL_INTERVAL_S)
+        # An error may have kept the engines of the last renewal from being assigned.
+        self.peering.assign_engines()
         await self._ownership.renew_forever()
 
     def _on_table(self) -> None:
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -108,6 +108,11 @@
             "gateway_store_returns",
             "Returns of the metadata store from an older copy.",
         )
+        self.gateway_task_failures = self._counter(
+            "gateway_task_failures",
+            "Errors that ended a background task, which runs again after a pause.",
+            ["job"],
+        )
         self._gateway_open_read_seconds = Gauge(
             PREFIX + "gateway_store_read_open_seconds",
             "Seconds for which the open read of a topic has had no answer.",
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -6,8 +6,9 @@
 
 import pytest
 
+from bamboovale.errors import MAX_ERROR_CHARS
 from bamboovale.store.interface import KeyedRecord
-from bamboovale.store.odd_records import MAX_ERROR_CHARS, MAX_KEY_CHARS, log_odd_record
+from bamboovale.store.odd_records import MAX_KEY_CHARS, log_odd_record
 from bamboovale.store.position import Position
 from tests.gateway_site import (
     RecordedJournal,
