Numbers, texts and ids of endpoints' records and reports are bounded where they are read

What callers would see: an endpoint whose record was taken and at which each call fails, or an engine whose owner stops reading its reports. Cause: the decoders checked types but no bounds, so that a record could pass and fail later, or fail with an error that is not the decoder's.

Before, tests/test_outside_input.py on: an id that no header holds was accepted and failed at the request, UnicodeEncodeError: 'latin-1' codec can't encode character '\u0100'; the adapter's version of 5,000 digits raised ValueError. tests/test_odd_records.py[keyed.servers] with remaining-ms of 1e400: accepted, 'timed out' as there is one endpoint too many; report_failed four times a second, cut_from_endpoints and endpoints_reached_again in turn.

--- a/bamboovale/decoding.py
+++ b/bamboovale/decoding.py
@@ -5,13 +5,22 @@
 finding. Implemented without a library to keep the start of a VM short.
 """
 
+import contextlib
 import dataclasses
 import json
 import types
 import typing
-from collections.abc import Callable
+import unicodedata
+from collections.abc import Callable, Iterator
 from typing import Any, TypeVar
 
+from bamboovale.errors import MAX_ERROR_CHARS, describe, shorten
+
+MAX_NUMBER = 2**53
+"""Numbers up to this one are exact as floats, in JSON and in messages between VMs."""
+MAX_TEXT_CHARS = 1024
+UNSOUND_TEXT = "too long a text, or one with control characters"
+
 Decoded = TypeVar("Decoded")
 
 Findings = list[str]
@@ -42,20 +51,67 @@
     findings: Findings = []
     try:
         result = _reader_of(target)(document, "$", findings)
-    except (ValueError, TypeError, RecursionError) as error:
-        raise BadRecordError(f"{what}: {error}") from error
+    except Exception as error:
+        raise BadRecordError(f"{what}: {describe(error)}") from error
     if findings:
         raise BadRecordError(f"{what}: {'; '.join(findings)}")
     return typing.cast(Decoded, result)
 
 
 def decode(source: bytes, target: type[Decoded], what: str) -> Decoded:
-    """Decode a JSON document; raises BadRecordError with ``what`` and the findings."""
+    """Decode a JSON document; raises BadRecordError with ``what`` and the findings.
+
+    Their text is of a bounded length, as it is logged.
+    """
     try:
         document = json.loads(source)
-    except (ValueError, RecursionError) as error:
-        raise BadRecordError(f"{what}: {error}") from error
-    return structure(document, target, what)
+    except Exception as error:
+        raise BadRecordError(f"{what}: {describe(error)}") from error
+    try:
+        return structure(document, target, what)
+    except BadRecordError as error:
+        raise BadRecordError(shorten(str(error), MAX_ERROR_CHARS)) from error
+
+
+@contextlib.contextmanager
+def reading(what: str) -> Iterator[None]:
+    """Raise BadRecordError for whatever the decoding of an input raises."""
+    try:
+        yield
+    except BadRecordError:
+        raise
+    except Exception as error:
+        raise BadRecordError(f"{what}: {describe(error)}") from error
+
+
+def to_number(value: Any) -> float:
+    """Return a finite number of bounded size; raises BadRecordError."""
+    number = float(value)
+    if not -MAX_NUMBER <= number <= MAX_NUMBER:
+        raise BadRecordError("a number is too large")
+    return number
+
+
+def to_int(value: Any) -> int:
+    """Return an integer of bounded size; raises BadRecordError."""
+    if type(value) is int and -MAX_NUMBER <= value <= MAX_NUMBER:
+        return value
+    return int(to_number(value))
+
+
+def to_text(value: Any) -> str:
+    """Return a text that logs, headers and messages can hold; raises BadRecordError."""
+    text = str(value)
+    if len(text) > MAX_TEXT_CHARS or not _is_plain(text):
+        raise BadRecordError(UNSOUND_TEXT)
+    return text
+
+
+def _is_plain(text: str) -> bool:
+    """Return whether a text is without control characters and lone surrogates."""
+    return text.isprintable() or not any(
+        unicodedata.category(character) in ("Cc", "Cs") for character in text
+    )
 
 
 def _reader_of(hint: Any) -> Reader:
@@ -80,24 +136,53 @@
     if dataclasses.is_dataclass(hint):
         return _record_reader(typing.cast(type, hint))
     if hint is float:
-        return _scalar_reader((float, int), float)
-    if hint in (str, int, bool, list) or origin is list:
-        return _scalar_reader((origin or hint,), lambda value: value)
+        return _number_reader((float, int), float)
+    if hint is int:
+        return _number_reader((int,), int)
+    if hint is str:
+        return _read_text
+    if hint in (bool, list) or origin is list:
+        return _scalar_reader(origin or hint)
     raise TypeError(f"no reader for the type hint {hint!r}")
 
 
-def _scalar_reader(kinds: tuple[type, ...], convert: Callable[[Any], Any]) -> Reader:
-    """Accept exactly these types; a bool is not accepted as an int."""
+def _scalar_reader(kind: type) -> Reader:
+    """Accept exactly this type."""
+
+    def read(value: Any, place: str, findings: Findings) -> Any:
+        if type(value) is kind:
+            return value
+        findings.append(f"{kind.__name__} expected @ {place}")
+        return None
+
+    return read
+
+
+def _number_reader(kinds: tuple[type, ...], convert: Callable[[Any], Any]) -> Reader:
+    """Accept bounded numbers of these types; a bool is not accepted as an int."""
 
     def read(value: Any, place: str, findings: Findings) -> Any:
-        if type(value) in kinds:
+        if type(value) not in kinds:
+            findings.append(f"{kinds[0].__name__} expected @ {place}")
+        elif -MAX_NUMBER <= value <= MAX_NUMBER:
             return convert(value)
-        findings.append(f"{kinds[0].__name__} expected @ {place}")
+        else:
+            findings.append(f"too large a number @ {place}")
         return None
 
     return read
 
 
+def _read_text(value: Any, place: str, findings: Findings) -> Any:
+    if type(value) is not str:
+        findings.append(f"str expected @ {place}")
+    elif len(value) <= MAX_TEXT_CHARS and (value.isprintable() or _is_plain(value)):
+        return value
+    else:
+        findings.append(f"{UNSOUND_TEXT} @ {place}")
+    return None
+
+
 def _optional_reader(arguments: tuple[Any, ...]) -> Reader:
     (target,) = (item for item in arguments if item is not type(None))
     reader = _reader_of(target)
--- a/bamboovale/platform/endpoints.py
+++ b/bamboovale/platform/endpoints.py
@@ -7,7 +7,14 @@
 
 import h11
 
-from bamboovale.decoding import BadRecordError, decode, set_wire_names
+from bamboovale.decoding import (
+    BadRecordError,
+    decode,
+    reading,
+    set_wire_names,
+    to_text,
+)
+from bamboovale.errors import shorten
 from bamboovale.gateway.model import (
     EndpointRecord,
     EngineOrder,
@@ -19,6 +26,8 @@
 from bamboovale.platform import names
 from bamboovale.platform.node_file import parse_address
 
+MAX_VERSION_DIGITS = 15
+"""Longer versions are no numbers that other VMs can be told."""
 READY = "ready"
 STATES = frozenset({READY, "draining"})
 
@@ -83,6 +92,8 @@
 def decode_endpoint(registered_id: str, source: bytes) -> EndpointRecord:
     """Decode an endpoint's record; raises BadRecordError."""
     what = f"endpoint {registered_id}"
+    if not _is_header_word(registered_id):
+        raise BadRecordError(f"{what}: not an id that a header can hold")
     entry = decode(source, _EndpointEntry, what)
     address = _decode_address(entry.addr)
     if address is None:
@@ -106,6 +117,10 @@
     )
 
 
+def _is_header_word(text: str) -> bool:
+    return text.isascii() and text.isprintable() and bool(text) and " " not in text
+
+
 def _decode_address(text: str) -> tuple[str, int] | None:
     """Return host and port of IPV4:PORT, None if it is malformed."""
     try:
@@ -132,24 +147,26 @@
 def _adapter(text: str, what: str) -> tuple[str, int]:
     """Split NAME@VERSION; the version is 1 if it is missing."""
     name, _, version = text.partition("@")
-    if not name or (version and not version.isdecimal()):
-        raise BadRecordError(f"{what}: malformed adapter {text!r}")
+    is_version = version.isdecimal() and len(version) <= MAX_VERSION_DIGITS
+    if not name or (version and not is_version):
+        raise BadRecordError(f"{what}: malformed adapter {shorten(text, 60)!r}")
     return name, int(version or 1)
 
 
 def decode_report(body: bytes) -> EngineReport:
     """Decode an engine's report; raises BadRecordError."""
     entry = decode(body, _ReportEntry, "report")
-    return EngineReport(
-        models=_models(entry.models, "report"),
-        loading=frozenset(_loading(text) for text in entry.loading),
-        busy=entry.busy,
-        orders=entry.seq,
-        queued=entry.queued,
-        active=entry.active,
-        running=frozenset(str(row[0]) for row in entry.runs if row),
-        started_ms=entry.born,
-    )
+    with reading("report"):
+        return EngineReport(
+            models=_models(entry.models, "report"),
+            loading=frozenset(_loading(text) for text in entry.loading),
+            busy=entry.busy,
+            orders=entry.seq,
+            queued=entry.queued,
+            active=entry.active,
+            running=frozenset(to_text(row[0]) for row in entry.runs if row),
+            started_ms=entry.born,
+        )
 
 
 def _loading(text: str) -> tuple[str, str]:
--- a/bamboovale/store/registration.py
+++ b/bamboovale/store/registration.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
+from bamboovale.decoding import BadRecordError, reading, to_int, to_text
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.store.interface import KeyedRecord, MetadataStore, StoreError
 from bamboovale.store.record_guard import RecordGuard
@@ -17,6 +18,7 @@
 """Interval of reads in a small fleet, to find VMs that could not announce themselves.
 In a larger fleet each VM reads less often, as gossip spreads what one of them finds."""
 SMALL_FLEET = 12
+PORTS = 65_536
 WRITES_PER_S = 100.0
 """Addresses that all VMs together write again after a return of the store."""
 
@@ -103,8 +105,7 @@
         """Apply a record; returns whether it names a new VM."""
         if record.value is None or any(o.apply(record) for o in self._others):
             return False
-        host, port = json.loads(record.value)
-        address = (str(host), int(port))
+        address = decode_address(record.value)
         membership = self._state.fleet.membership
         return membership.add_contact(record.key, address, self._state.now())
 
@@ -113,3 +114,13 @@
         if size == 1:
             return ALONE_READ_INTERVAL_S
         return READ_INTERVAL_S * max(1.0, size / SMALL_FLEET) * random.uniform(0.8, 1.2)
+
+
+def decode_address(value: bytes) -> tuple[str, int]:
+    """Return host and port of a VM's record; raises BadRecordError."""
+    with reading("address"):
+        host, port = json.loads(value)
+        address = (to_text(host), to_int(port))
+    if not 0 < address[1] < PORTS:
+        raise BadRecordError("address: not a port")
+    return address
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 from typing import Any
 
 import pytest
@@ -68,6 +69,7 @@
     "adapter_of_5000_digits": endpoint(
         models=[{"name": "m", "adapters": ["a1@" + "9" * 5000]}]
     ),
+    "remaining_infinite": endpoint(**{"remaining-ms": math.inf}),
     "remaining_of_400_digits": endpoint(**{"remaining-ms": 10**400}),
     "address_with_port_infinite": b'["127.0.0.1", 1e400]',
     "starts_of_5000_digits": b'[[["r1"], "llm", "v", null, 1' + b"0" * 400 + b"]]",
@@ -98,6 +100,27 @@
     return len([up for up in item.vm.dump()["peers"].values() if up]) >= 2
 
 
+class TestKnownEndpoint:
+    """An endpoint whose sound record an odd one replaces."""
+
+    def test_it_gets_no_new_work_until_it_is_sound_again(self) -> None:
+        """Guards against an odd record that is taken for a removal."""
+
+        async def test() -> None:
+            async with running_site() as site:
+                [item] = site.vms
+                view = item.vm.state.endpoints
+                [known] = [r for r in view.record_by_id.values() if r.service == "llm"]
+                sound = json.dumps(site.store.newest("keyed.servers", "runner-0"))
+                await put_raw(site, "keyed.servers", "runner-0", ODD["deep"])
+                await eventually(lambda: not view.is_ready(known.endpoint_id))
+                assert known.endpoint_id in view.record_by_id
+                await put_raw(site, "keyed.servers", "runner-0", sound.encode())
+                await eventually(lambda: view.is_ready(known.endpoint_id))
+
+        run(test())
+
+
 class TestOddRecords:
     """One odd record among sound ones, in each topic."""
 
--- /dev/null
+++ b/tests/test_outside_input.py
@@ -0,0 +1,229 @@
+"""Any input from outside: each decoder returns a value or raises its own error."""
+
+import contextlib
+import json
+import logging
+import math
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import cbor2
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.strategies import SearchStrategy
+
+from bamboovale.decoding import BadRecordError
+from bamboovale.fleet.messages import Gossip
+from bamboovale.gateway.journal import Journal
+from bamboovale.peers import codec
+from bamboovale.platform.configuration import (
+    decode_adapter_version,
+)
+from bamboovale.platform.endpoints import (
+    decode_endpoint,
+    decode_report,
+    report_request,
+)
+from tests.gateway_site import configuration
+from tests.test_gateway_parts import ENDPOINT_RECORD
+
+EMPTY_GOSSIP = Gossip(0, 0, 0, 0, 1)
+JOURNAL = Journal("vm", logging.getLogger("none"))
+DEPTH = 2000
+"""Deeper than Python's limit on recursion."""
+
+
+def deep(depth: int) -> Any:
+    """Return a list within a list, many times."""
+    value: Any = []
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+ODD_VALUES = st.sampled_from(
+    [
+        None,
+        True,
+        -1,
+        0,
+        65_536,
+        2**63,
+        2**64,
+        10**400,
+        -(10**400),
+        10**4299,
+        math.nan,
+        math.inf,
+        -math.inf,
+        1e308,
+        "",
+        "\ud800",
+        "a\r\nx: y",
+        "\x00",
+        "9" * 5000,
+        "127.0.0.1:99999",
+        "127.0.0.1:²",
+        "a@" + "9" * 5000,
+        "x" * 100_000,
+        [],
+        [[]],
+        {},
+        {"": None},
+    ]
+)
+VALUES = st.recursive(
+    ODD_VALUES | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+def places(document: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """Return the paths of all values within a document."""
+    found = [path]
+    if isinstance(document, dict):
+        for key, value in document.items():
+            found += places(value, (*path, key))
+    elif isinstance(document, list):
+        for number, value in enumerate(document):
+            found += places(value, (*path, number))
+    return found
+
+
+def put(document: Any, path: tuple[Any, ...], value: Any) -> Any:
+    """Return a document with another value in one place."""
+    if not path:
+        return value
+    changed = dict(document) if isinstance(document, dict) else list(document)
+    changed[path[0]] = put(document[path[0]], path[1:], value)
+    return changed
+
+
+def odd(document: Any) -> SearchStrategy[Any]:
+    """Return documents that are sound but for some of their values."""
+    one = st.tuples(st.sampled_from(places(document)), VALUES).map(
+        lambda drawn: put(document, *drawn)
+    )
+    return one | VALUES
+
+
+def source(document: Any) -> bytes:
+    """Return JSON, as another writer may encode it; too long numbers are left out."""
+    try:
+        return json.dumps(document).encode()
+    except ValueError:
+        return b"9" * 5000
+
+
+SOURCES = st.binary(max_size=40) | st.sampled_from(
+    [
+        b"[" * 100_000,
+        b'{"a":' * 100_000,
+        b"9" * 5000,
+        b"[1e400]",
+        b'"\\ud800"',
+        b"\xff",
+        b"",
+    ]
+)
+ENDPOINT = {
+    **ENDPOINT_RECORD,
+    "version": "z0",
+    "born": 1_760_000_000_123,
+    "remaining-ms": 1500.0,
+    "models": [{"name": "m", "version": 2, "adapters": ["a1@3"]}],
+}
+REPORT = {
+    "models": ENDPOINT["models"],
+    "loading": ["m/a2@1"],
+    "busy": False,
+    "seq": 2,
+    "queued": 1,
+    "active": 1,
+    "runs": [["r1", 10, 2, 0]],
+    "born": 1_760_000_000_123,
+}
+VERSION = {"model": "m", "adapter": "a1", "version": 2}
+CUSTOMERS = [
+    {
+        "name": "agency-1",
+        "priority": 1,
+        "api-keys": ["key-1"],
+        "rate-per-s": 3.0,
+        "burst": 2,
+        "raw-tokens": 1,
+        "unit": "tokens",
+    }
+]
+CONFIGURATION = {**configuration(), "tenants": CUSTOMERS}
+REFUSED = {"crashes": 2, "trials": 1, "was_sound": False, "at": 1.0}
+STARTS = [[["r1"], "llm", "v1", None, 12.0]]
+PAGE = {"items": [{"key": "k", "value": "e30=", "offset": 1}], "more": True, "end": 2}
+HEADERS = (
+    b"server-limit",
+    b"server-leaving",
+    b"server-brittle",
+    b"retry-after",
+    b"x-request-id",
+    b"x-weight-versions",
+    b"x-deadline-ms",
+    b"x-token-count",
+    b"x-length-hint",
+    b"x-model",
+    b"x-prompt-prefix",
+    b"last-event-id",
+    b"resumes",
+    b"authorization",
+)
+HEADER_VALUES = st.binary(max_size=20) | st.sampled_from(
+    [b"9" * 5000, b"1e400", b"nan", b"-1", b"\xb2", b"1_0", b"a:" + b"9" * 5000]
+)
+HEADER_LISTS = st.lists(st.tuples(st.sampled_from(HEADERS), HEADER_VALUES), max_size=6)
+
+
+def gossip(key: Any, value: bytes) -> Gossip:
+    """Return what other VMs are told of a record."""
+    return replace(EMPTY_GOSSIP, rows=((key, value, 1),))
+
+
+def decodes(decode: Callable[[], Any], *errors: type[Exception]) -> Any:
+    """Decode, or return None for an error of the decoder's own."""
+    with contextlib.suppress(*errors):
+        return decode()
+    return None
+
+
+class TestRecords:
+    """Records of the store, whoever wrote them."""
+
+    @given(odd(ENDPOINT).map(source) | SOURCES, st.text(max_size=9))
+    def test_endpoints(self, value: bytes, key: str) -> None:
+        for name in ("e", key):
+            record = decodes(
+                lambda name=name: decode_endpoint(name, value), BadRecordError
+            )
+            if record is not None:
+                report_request(record.registered_id, "host")
+                codec.encode(gossip(name, value))
+                json.dumps(str(record)).encode()
+
+    @given(odd(REPORT).map(source) | SOURCES)
+    def test_reports(self, value: bytes) -> None:
+        decodes(lambda: decode_report(value), BadRecordError)
+
+    @given(odd(VERSION).map(source) | SOURCES)
+    def test_versions(self, value: bytes) -> None:
+        decodes(lambda: decode_adapter_version(value), BadRecordError)
+
+
+def as_cbor(value: Any) -> bytes:
+    """Return a frame with a value as its message."""
+    try:
+        return cbor2.dumps([2, 0, value])
+    except Exception:
+        return b"\x83\x02\x00"
