--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+from bamboovale.decoding import BadRecordError
 from bamboovale.fleet.messages import AdapterNews
 from bamboovale.gateway.engines import Engines
 from bamboovale.gateway.model import RoutingTable
@@ -86,6 +87,7 @@
             state.journal,
             state.eras,
             on_record=self._on_endpoint_record,
+            on_odd=lambda record: state.endpoints.on_unreadable_record(record.key),
             known_keys=state.endpoints.registered_ids,
             wait_s=self._endpoints_poll_s,
             pause_s=lambda: ENDPOINTS_PAUSE_S,
@@ -138,8 +140,8 @@
         if change is None:
             return
         if isinstance(change, str):
-            self._state.journal.write("bad_record", key=record.key, error=change)
-        elif isinstance(change, RoutingTable):
+            raise BadRecordError(change)
+        if isinstance(change, RoutingTable):
             self.apply_table(change, origin="store")
         else:
             news = AdapterNews(change.model, change.adapter, change.version)
@@ -168,7 +170,7 @@
             )
         decoded = self._translation.decode_endpoint_record(record.key, record.value)
         if isinstance(decoded, str):
-            return self._state.endpoints.on_unreadable_record(record.key, decoded)
+            raise BadRecordError(decoded)
         self._on_heartbeat(decoded.endpoint_id, record.position)
         return self._state.endpoints.on_record(
             record.key, decoded, record.position, from_copy=record.from_copy
