A part of what is to be read proves nothing

What callers saw: a stream that had begun at a newer version was taken up at a VM that had missed some records, and went on at the older one: 200, joined from two versions (ORDER).

Cause: a read of a topic answers with 1,024 kB at most, and an answer without a length may be cut short. The client dropped the topic's end, which each answer names; the follower took each answer for all that there was when the read was sent. A VM that is seconds of heartbeats behind so proved its view by the first part of them, with the newer endpoints' records in the rest, and said that one version alone can have begun the stream.

Class: a lease renewed by an answer that does not hold what the lease says. The same proof stands for keys that were taken away, which such a VM went on accepting.

The fix: a read says whether the topic ended where the answer did. Only then is it a proof; else the VM reads on at once, without the usual pause. So a take-up waits for the parts it lacks (0.5 s at most, as before), and is refused with Retry-After only if they take longer.

--- a/bamboovale/platform/store.py
+++ b/bamboovale/platform/store.py
@@ -25,6 +25,7 @@
     KeyedRecord,
     Membership,
     NoAnswerError,
+    Part,
     Partition,
     Snapshot,
     StoreError,
@@ -120,13 +121,8 @@
             if not page.has_more:
                 return Snapshot(tuple(records.values()), end)
 
-    async def read(
-        self,
-        topic: str,
-        position: Position,
-        wait_s: float,
-    ) -> tuple[tuple[KeyedRecord, ...], Position]:
-        """Return the records from a position on, and the next position.
+    async def read(self, topic: str, position: Position, wait_s: float) -> Part:
+        """Return the records from a position on, as far as the answer holds them.
 
         Waits up to ``wait_s`` seconds for a record. Raises HistoryLostError if the
         store no longer has the position, or is in another era.
@@ -139,7 +135,9 @@
         self._check_era(topic, position, answer.era)
         with _decoding("log-read"):
             records = _keyed_records(answer.body, position)
-        return records, Position(position + len(records))
+        following = Position(position + len(records))
+        end = int.from_bytes(answer.body[:END_BYTES], "big")
+        return Part(records, following, is_last=following.offset >= end)
 
     def _check_era(self, topic: str, position: Position, era: int) -> None:
         if position.era != era:
--- a/bamboovale/standins/platform_store.py
+++ b/bamboovale/standins/platform_store.py
@@ -21,6 +21,8 @@
 JSON: Headers = [(b"content-type", b"application/json")]
 PARTITIONS = 12
 WRITTEN_BY_OTHERS = ("keyed.op", "keyed.servers")
+READ_BYTES = 1024 * 1024
+"""Bytes of records in one answer, unless the first one is larger."""
 ERA = b"store-era"
 
 
@@ -103,6 +105,7 @@
         self.returns = 0
         self.faults = StoreFaults()
         self.calls: list[str] = []
+        self.read_bytes = READ_BYTES
         self._now = now
         self._topic_by_name: dict[str, _Topic] = {}
         self._group_by_name: dict[str, _Group] = {}
@@ -267,11 +270,19 @@
             )
             return
         data = topic.end.to_bytes(8, "big") + topic.first.to_bytes(8, "big")
+        self._answer(responder, 200, [], data + self._part_from(topic, offset))
+
+    def _part_from(self, topic: _Topic, offset: int) -> bytes:
+        """Return the first records from an offset on."""
+        data = b""
         for key, value in topic.records[offset - topic.first :]:
             name = key.encode()
             content = bytes([len(name)]) + name + (value or b"")
-            data += len(content).to_bytes(4, "big") + content
-        self._answer(responder, 200, [], data)
+            record = len(content).to_bytes(4, "big") + content
+            if data and len(data) + len(record) > self.read_bytes:
+                break
+            data += record
+        return data
 
     async def _append(
         self,
--- a/bamboovale/store/follower.py
+++ b/bamboovale/store/follower.py
@@ -17,6 +17,7 @@
     KeyedRecord,
     MetadataStore,
     NoAnswerError,
+    Part,
     StoreError,
 )
 from bamboovale.store.position import Position
@@ -100,6 +101,7 @@
         self._proven_at = -math.inf
         self._progress_at = 0.0
         self._reading = False
+        self._is_behind = False
         self._read_started_at: float | None = None
         self._answered_at: float | None = None
         self._open_poll: asyncio.Timeout | None = None
@@ -130,7 +132,8 @@
             self._answered_at = self._now()
             self._on_answer()
             self._on_regained()
-            await self._sleep(self._pause_s())
+            if not self._is_behind:
+                await self._sleep(self._pause_s())
 
     async def _sleep(self, seconds: float) -> None:
         """Sleep until a read is wanted."""
@@ -140,7 +143,7 @@
         self._woken.clear()
 
     def _must_read(self) -> bool:
-        is_due = self._needs_snapshot or self._proof_wanted
+        is_due = self._needs_snapshot or self._proof_wanted or self._is_behind
         return is_due or self._may_read(self._progress_age_s())
 
     def read_anew(self, delay_s: float) -> None:
@@ -200,7 +203,7 @@
         finally:
             self._reading = False
         self._progress_at = self._now()
-        if self._eras.is_rewritten():
+        if self._eras.is_rewritten() and not self._is_behind:
             self._proven_at = sent_at + waited_s
             self._on_proof(self._proven_at)
 
@@ -224,21 +227,21 @@
         else:
             self._apply(records, snapshot.end)
         self._on_snapshot()
-        self._needs_snapshot = False
+        self._needs_snapshot = self._is_behind = False
         return 0.0
 
     async def _read_next(self, wait_s: float) -> float:
         """Read the next records; return for how long there were certainly none."""
         first = self._known()
         sent_at = lease_clock()
-        records, following = await self._read_until_restarted(first, wait_s)
-        self._apply(records, following)
+        part = await self._read_until_restarted(first, wait_s)
+        self._apply(part.records, part.following)
+        self._is_behind = not part.is_last
         # An answer without records that came early does not tell when it was given.
-        return wait_s if not records and lease_clock() - sent_at >= wait_s else 0.0
+        waited = not part.records and lease_clock() - sent_at >= wait_s
+        return wait_s if waited else 0.0
 
-    async def _read_until_restarted(
-        self, first: Position, wait_s: float
-    ) -> tuple[tuple[KeyedRecord, ...], Position]:
+    async def _read_until_restarted(self, first: Position, wait_s: float) -> Part:
         try:
             async with asyncio.timeout(None) as self._open_poll:
                 self._open_poll_s = wait_s
--- a/bamboovale/store/interface.py
+++ b/bamboovale/store/interface.py
@@ -47,6 +47,19 @@
     end: Position
 
 
+@dataclass(frozen=True)
+class Part:
+    """Records of a topic in order; later ones start at ``following``.
+
+    ``is_last`` is whether the topic ended there when the store answered: an answer
+    holds a bounded part, and may have been cut short.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    following: Position
+    is_last: bool = True
+
+
 @dataclass(frozen=True)
 class Partition:
     """One partition of a topic."""
@@ -73,13 +86,8 @@
     async def newest(self, topic: str) -> Snapshot:
         """Return the newest record of each key."""
 
-    async def read(
-        self,
-        topic: str,
-        position: Position,
-        wait_s: float,
-    ) -> tuple[tuple[KeyedRecord, ...], Position]:
-        """Return records from a position on and the next position."""
+    async def read(self, topic: str, position: Position, wait_s: float) -> Part:
+        """Return records from a position on."""
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Write the newest record of a key."""
--- a/bamboovale/store/lost_reads.py
+++ b/bamboovale/store/lost_reads.py
@@ -14,10 +14,10 @@
 from typing import Any, TypeVar
 
 from bamboovale.store.interface import (
-    KeyedRecord,
     Membership,
     MetadataStore,
     NoAnswerError,
+    Part,
     Snapshot,
     StoreError,
 )
@@ -43,13 +43,8 @@
         """Return the newest record of each key."""
         return await self._observe(self._store.newest(topic))
 
-    async def read(
-        self,
-        topic: str,
-        position: Position,
-        wait_s: float,
-    ) -> tuple[tuple[KeyedRecord, ...], Position]:
-        """Return records from a position on and the next position."""
+    async def read(self, topic: str, position: Position, wait_s: float) -> Part:
+        """Return records from a position on."""
         async with self._cancelled_if_lost(topic):
             return await self._observe(self._store.read(topic, position, wait_s))
 
--- a/bamboovale/streams/start_records.py
+++ b/bamboovale/streams/start_records.py
@@ -251,12 +251,12 @@
     async def _read_since(self, position: Position) -> None:
         """Read on until there are no more, as one answer may hold a part of them."""
         while True:
-            records, following = await self._store.read(self._topic, position, 0.0)
-            self._apply(records)
-            self._next = following
-            if following == position:
+            part = await self._store.read(self._topic, position, 0.0)
+            self._apply(part.records)
+            self._next = part.following
+            if part.following == position:
                 return
-            position = following
+            position = part.following
 
     def _apply(self, records: Iterable[KeyedRecord]) -> None:
         for record in records:
--- a/bench/store_simulation.py
+++ b/bench/store_simulation.py
@@ -19,6 +19,7 @@
     HistoryLostError,
     KeyedRecord,
     NoAnswerError,
+    Part,
     Snapshot,
 )
 from bamboovale.store.position import Position
@@ -89,9 +90,7 @@
         ]
         return Snapshot(tuple(records), Position.at(era, len(self.store.records)))
 
-    async def read(
-        self, topic: str, position: Position, wait_s: float
-    ) -> tuple[tuple[KeyedRecord, ...], Position]:
+    async def read(self, topic: str, position: Position, wait_s: float) -> Part:
         """Return the records from a position on."""
         waited_s = 0.0
         await self._call()
@@ -109,7 +108,7 @@
             KeyedRecord(key, value, Position(position + number))
             for number, (key, value) in enumerate(records)
         ]
-        return tuple(found), Position(position + len(found))
+        return Part(tuple(found), Position(position + len(found)))
 
     async def _call(self) -> None:
         self.store.called_at.append(asyncio.get_running_loop().time())
--- a/tests/test_cut_store_answers.py
+++ b/tests/test_cut_store_answers.py
@@ -10,7 +10,7 @@
 from bamboovale.http1.pool import ConnectionPool
 from bamboovale.platform.store import StoreClient
 from bamboovale.store.eras import StoreEras
-from bamboovale.store.interface import Snapshot, StoreError
+from bamboovale.store.interface import Part, Snapshot, StoreError
 from bamboovale.store.position import Position
 from tests.cut_answers import CLOSE, RESET, CuttingServer
 from tests.gateway_site import RecordedJournal
@@ -121,10 +121,12 @@
                     with pytest.raises(StoreError):
                         await client.read("keyed.op", START, 0.0)
                     continue
-                records, following = await client.read("keyed.op", START, 0.0)
+                part = await client.read("keyed.op", START, 0.0)
                 count = sum(cut >= end for end in ends)
-                assert [item.value for item in records] == [b"one", b"two"][:count]
-                assert following == count
+                values = [item.value for item in part.records]
+                assert values == [b"one", b"two"][:count]
+                assert part.following == count
+                assert part.is_last == (count == 2)
 
         asyncio.run(test())
 
@@ -171,6 +173,6 @@
             server.data = with_length(records_of(3))
             after = Position.at(0, 3)
             read = await client_of(server).read("keyed.op", after, 0.0)
-            assert read == ((), after)
+            assert read == Part((), after)
 
         asyncio.run(test())
--- a/tests/test_gateway_lost_reads.py
+++ b/tests/test_gateway_lost_reads.py
@@ -6,14 +6,13 @@
 import pytest
 
 from bamboovale.store.interface import (
-    KeyedRecord,
     Membership,
     NoAnswerError,
+    Part,
     StoreError,
 )
 from bamboovale.store.lost_reads import LostReadDetector
-
-Records = tuple[tuple[KeyedRecord, ...], int]
+from bamboovale.store.position import Position
 
 
 class UnansweredReads:
@@ -23,11 +22,11 @@
         self.error: StoreError | None = None
         self.reads = 0
 
-    async def read(self, topic: str, offset: int, wait_s: float) -> Records:
+    async def read(self, topic: str, offset: int, wait_s: float) -> Part:
         """Wait forever."""
         self.reads += 1
         await asyncio.sleep(3600)
-        return (), offset
+        return Part((), Position(offset))
 
     async def join(self, *_: object) -> Membership:
         """Return a membership, or fail."""
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -49,6 +49,7 @@
 from bamboovale.store.interface import (
     KeyedRecord,
     Membership,
+    Part,
     Partition,
     Snapshot,
     StoreError,
@@ -639,12 +640,10 @@
         """Return nothing, at offset 10."""
         return Snapshot((), Position(10))
 
-    async def read(
-        self, topic: str, offset: int, wait_s: float
-    ) -> tuple[tuple[KeyedRecord, ...], int]:
+    async def read(self, topic: str, offset: int, wait_s: float) -> Part:
         """Return one record more at each read."""
         self.reads += 1
-        return (KeyedRecord("e", b"{}", offset),), offset + 1
+        return Part((KeyedRecord("e", b"{}", offset),), Position(offset + 1))
 
 
 def no_eras() -> StoreEras:
@@ -842,9 +841,7 @@
         super().__init__()
         self.go = asyncio.Event()
 
-    async def read(
-        self, topic: str, offset: int, wait_s: float
-    ) -> tuple[tuple[KeyedRecord, ...], int]:
+    async def read(self, topic: str, offset: int, wait_s: float) -> Part:
         """Wait, then return one record more."""
         await self.go.wait()
         await asyncio.sleep(0.01)
@@ -927,12 +924,29 @@
 
             async def read(self, topic: str, offset: int, wait_s: float) -> Any:
                 await asyncio.sleep(0.3)
-                return (KeyedRecord("key", b"value", offset),), offset + 1
+                record = KeyedRecord("key", b"value", offset)
+                return Part((record,), Position(offset + 1))
 
         ages = self.proofs_of(HeldBackStore())
         assert len(ages) >= 3
         assert min(ages[1:]) >= 0.29
 
+    def test_a_part_of_the_records_proves_nothing(self) -> None:
+        """Guards against keys and versions judged by a view that is known as old."""
+
+        class LongTopic:
+            """Has ever more records than an answer holds."""
+
+            async def newest(self, topic: str) -> Snapshot:
+                return Snapshot((), Position(0))
+
+            async def read(self, topic: str, offset: int, wait_s: float) -> Any:
+                await asyncio.sleep(0.02)
+                record = KeyedRecord("key", b"value", offset)
+                return Part((record,), Position(offset + 1), is_last=False)
+
+        assert len(self.proofs_of(LongTopic())) == 1
+
     def test_an_answer_without_records_proves_the_end_of_its_wait(self) -> None:
         class EmptyStore:
             """Answers without records after the wait."""
@@ -942,7 +956,7 @@
 
             async def read(self, topic: str, offset: int, wait_s: float) -> Any:
                 await asyncio.sleep(wait_s + 0.01)
-                return (), offset
+                return Part((), Position(offset))
 
         ages = self.proofs_of(EmptyStore())
         assert max(ages[1:]) < 0.1
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -27,6 +27,7 @@
 STREAMS = 4
 AT_ONCE_S = 1.0
 HISTORY_S = 10.0
+MISSED_HEARTBEATS = 30
 OLD, NEW = "v1", "v2"
 RESUMED = "stream_resumed"
 
@@ -210,6 +211,27 @@
         run(test())
 
 
+class TestVMOutOfStep:
+    """A VM that has missed what the others read, and gets their streams."""
+
+    def test_a_new_version_behind_many_records_counts(self) -> None:
+        """Guards against a part of what is to be read that is taken for all of it."""
+
+        async def test() -> None:
+            async with running_site(2, 0, 1, roomy()) as site:
+                await add_engine(site, OLD)
+                await site.ready()
+                site.store.read_bytes = 1
+                for _ in range(MISSED_HEARTBEATS):
+                    await site.runners[0].register("ready")
+                await add_engine(site, NEW)
+                answer = await resume_stream(site, 0, "nobody-knows")
+                assert answer.status == 503
+                assert not any(runner.runs for runner in site.runners)
+
+        run(test())
+
+
 async def replace_the_software(site: Site) -> None:
     """Start engines of the new version, and let those of the old one leave."""
     olds = list(site.runners)
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -10,6 +10,7 @@
     HistoryLostError,
     KeyedRecord,
     MetadataStore,
+    Part,
     Snapshot,
     StoreError,
 )
@@ -49,9 +50,7 @@
         records = [KeyedRecord(key, value, at) for key, (at, value) in newest.items()]
         return Snapshot(tuple(records), Position(len(self.log)))
 
-    async def read(
-        self, topic: str, position: Position, wait_s: float
-    ) -> tuple[tuple[KeyedRecord, ...], Position]:
+    async def read(self, topic: str, position: Position, wait_s: float) -> Part:
         self._call("read")
         if position < self.first or position > len(self.log):
             raise HistoryLostError("gone")
@@ -60,7 +59,7 @@
             for at, (key, value) in enumerate(self.log)
             if position <= at < position + PAGE
         ]
-        return tuple(records), Position(position + len(records))
+        return Part(tuple(records), Position(position + len(records)))
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         self._call("put")
