Streams whose start nobody knows: the services come from a proven configuration

What callers saw: a stream that had begun at one service was taken up, after its route had moved to a service of another version, at a VM that had heard nothing of the stream: 200, joined from two versions (ORDER). It happened at VMs that had read the move, and at a VM out of step that had not.

Cause: "one version alone can have begun it" was proven by the endpoints' records, of the services that the VM's configuration names. That configuration had no proof, and a service that the route had just left was not asked about.

Class: a proof of one view that stands on another view without one.

The fix: the configuration is read up to the caller's return beside the endpoints' records; without both proofs no version counts as the only one. What a route led to within the time in which the stream may have begun counts with what it leads to now, at this VM and at those that it asks.

--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -1,5 +1,6 @@
 """Records of the operator and the endpoints, from the store or from other VMs."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -116,12 +117,21 @@
         """Return the followers of all topics."""
         return (self.operator, self.endpoints)
 
+    async def prove(self) -> bool:
+        """Read all topics up to now; return whether the store answered in time."""
+        proofs = [follower.prove() for follower in self.followers()]
+        return all(await asyncio.gather(*proofs))
+
     def apply_table(self, table: RoutingTable, origin: str) -> None:
         """Apply a configuration, unless it is not newer than the current one."""
         before = self._state.table.version if self._state.table else None
         if before is not None and table.version <= before:
             return
         self._state.table = table
+        services_by_route = {
+            route.name: frozenset(route.weight_by_service) for route in table.routes
+        }
+        self._state.versions.routes.on_routes(services_by_route, lease_clock())
         self._state.journal.write(
             "config_in_force",
             version=table.version,
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -214,7 +214,7 @@
             self.state,
             self.links,
             self._metrics,
-            lambda: self.records.endpoints.prove(),
+            lambda: self.records.prove(),
             self._store,
             self._translation.streams_topic,
         )
--- a/bamboovale/streams/call_streams.py
+++ b/bamboovale/streams/call_streams.py
@@ -52,8 +52,8 @@
     ) -> "CallStreams":
         """Return the streams of a VM that is being built.
 
-        ``prove`` reads the endpoints' records up to now, ``topic`` is that of the
-        records of streams.
+        ``prove`` reads the endpoints' records and the configuration up to now,
+        ``topic`` is that of the records of streams.
         """
         records = StartRecords(
             state.node.name,
--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -71,7 +71,7 @@
     """The starts of streams as this VM knows them, with the help of others.
 
     ``holders`` returns the VMs among which those to tell are chosen. ``prove`` reads
-    the endpoints' records up to now and returns whether the store answered.
+    endpoints' records and configuration up to now and returns whether that succeeded.
     ``records`` outlast all VMs. ``clock`` is that of ``versions``.
     """
 
@@ -167,10 +167,13 @@
                 source = StreamSource(reply.service, reply.software_version)
                 return Findings(source, ground=Ground.ASKED)
         all_answered = len(told) == len(replies)
-        all_answered &= await self._prove()
+        is_proven = await self._prove()
+        all_answered &= is_proven
         seen = self._seen(stream, told)
         since_arrival_s = self._clock() - arrived_at
-        only_version = seen.only_version(stream.within_s, since_arrival_s)
+        only_version = (
+            seen.only_version(stream.within_s, since_arrival_s) if is_proven else None
+        )
         history_s = round(min(seen.since_s, MAX_SINCE_S), 1)
         if only_version is not None:
             return Findings(
--- a/bamboovale/streams/version_history.py
+++ b/bamboovale/streams/version_history.py
@@ -8,8 +8,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-MAX_AGE_S = 300.0
-"""Versions that ended longer ago are dropped."""
+from bamboovale.streams.route_history import MAX_AGE_S, RouteHistory
 
 LATELY_S = 60.0
 """A version that ended longer ago has begun none of the streams that run."""
@@ -56,6 +55,7 @@
     """
 
     def __init__(self, *, is_first_start: bool = False) -> None:
+        self.routes = RouteHistory()
         self._before_first_read = -math.inf if is_first_start else math.inf
         self._complete_since = math.inf
         self._proven_at = -math.inf
@@ -109,8 +109,11 @@
     def seen(
         self, services: Iterable[str], within_s: float, now: float
     ) -> VersionsSeen:
-        """Return the versions of services that served within a time until now."""
-        wanted = frozenset(services)
+        """Return the versions of services that served within a time until now.
+
+        Those of services that their routes led to within that time count too.
+        """
+        wanted = self.routes.with_changed(services, within_s, now)
         versions = frozenset(
             version
             for (service, version), seen_at in self._last_seen.items()
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -160,9 +160,11 @@
         for item in killed:
             await self.add_vm(item.node.name, **item.bounds)
 
-    async def add_runner(self, name: str, **options: Any) -> PlatformRunner:
+    async def add_runner(
+        self, name: str, service: str = "llm", **options: Any
+    ) -> PlatformRunner:
         """Start another engine."""
-        runner = PlatformRunner(self.store, name, "llm", model=MODEL, **options)
+        runner = PlatformRunner(self.store, name, service, model=MODEL, **options)
         await runner.start()
         self.runners.append(runner)
         return runner
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -39,11 +39,23 @@
     return config
 
 
-async def add_engine(site: Site, software: str, adapters: int = STREAMS) -> None:
+def two_pools(version: int, service: str) -> dict[str, Any]:
+    """Return a configuration with two pools of engines, and streams at one."""
+    config = {**roomy(), "version": version}
+    config["services"].append({**config["services"][0], "name": "llm-2"})
+    for route in config["routes"]:
+        if route["service"] == "llm":
+            route["service"] = service
+    return config
+
+
+async def add_engine(
+    site: Site, software: str, adapters: int = STREAMS, **options: Any
+) -> None:
     """Start an engine of a version that holds the first adapters."""
     name = f"runner-{len(site.runners)}"
     runner = await site.add_runner(
-        name, software=software, adapter_slots=STREAMS, events=40
+        name, software=software, adapter_slots=STREAMS, events=40, **options
     )
     runner.faults.event_s = EVENT_S
     for number in range(1, adapters + 1):
@@ -231,6 +243,33 @@
 
         run(test())
 
+    @pytest.mark.parametrize("reads_it", [True, False])
+    def test_a_service_that_the_route_moved_to_counts(self, reads_it: bool) -> None:
+        """Guards against versions of one service that are taken for the route's."""
+
+        async def test() -> None:
+            async with running_site(
+                1, 0, 1, two_pools(1, "llm"), behind_proxy=True
+            ) as site:
+                await add_engine(site, OLD)
+                await add_engine(site, NEW, service="llm-2")
+                await site.ready()
+                assert site.store_proxy is not None
+                if not reads_it:
+                    site.store_proxy.silence_open()
+                moved = two_pools(2, "llm-2")
+                await site.store.put("keyed.op", "config", moved)
+                state = site.vms[0].vm.state
+                if reads_it:
+                    await eventually(lambda: state.table.version == 2)
+                answer = await resume_stream(site, 0, "nobody-knows")
+                while answer.header("retry-after") is not None:
+                    answer = await resume_stream(site, 0, "nobody-knows")
+                assert answer.status == 503
+                assert not any(runner.runs for runner in site.runners)
+
+        run(test())
+
 
 async def replace_the_software(site: Site) -> None:
     """Start engines of the new version, and let those of the old one leave."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -14,6 +14,7 @@
 from bamboovale.platform.requests import decode_call
 from bamboovale.store.watch import StoreWatch
 from bamboovale.streams.decision import Findings, RefusalCause, decide
+from bamboovale.streams.route_history import RouteHistory
 from bamboovale.streams.source import StreamSource
 from bamboovale.streams.starts import MAX_LIFE_S, StreamStart, StreamStarts
 from bamboovale.streams.version_history import VersionHistory
@@ -154,6 +155,21 @@
         assert only_version(found, 105.0, 104.9) is None
 
 
+class TestRouteHistory:
+    """Services that a stream of a route may have begun at."""
+
+    def test_what_a_route_exchanged_lately_counts_for_its_services_alone(self) -> None:
+        routes = RouteHistory()
+        old, new, both = frozenset({"llm"}), frozenset({"llm-2"}), {"llm", "llm-2"}
+        routes.on_routes({"chat": old, "book": frozenset({"app"})}, 100.0)
+        assert routes.with_changed(old, WITHIN_S, 101.0) == old
+        routes.on_routes({"chat": new, "book": frozenset({"app"})}, 110.0)
+        for services in (old, new):
+            assert routes.with_changed(services, WITHIN_S, 111.0) == both
+        assert routes.with_changed(("app",), WITHIN_S, 111.0) == {"app"}
+        assert routes.with_changed(new, WITHIN_S, 111.0 + WITHIN_S) == new
+
+
 class TestDecision:
     """Where a stream goes on, or why it is refused."""
 
