Gossip: a pull that cannot be sent now does not back off; answers are complete

Seen: 61 VMs in virtual time did not agree within 3 s after messages to one of them were lost (test_updates_lost_with_a_broken_link_are_sent_again, once in five runs of the suite).

The draw: nothing in the test is unseeded but the order of the neighbours, which came out of sets and so from the hash seed of the process.

Cause: a VM whose digest differs chooses a neighbour to pull the full view from and doubles its back-off, but sends nothing if that neighbour got a message within the last 0.1 s. In the failing run vm9 chose one 9 ms and one 95 ms after a message to it, at 1.4 and 2.6 s, and pulled for the first time 5.0 s after the cut began. Class: a step counted as done that was dropped further down.

Ruled out: real time, process-wide state and other tests of the worker; the run above is one process in virtual time.

Now only neighbours are chosen to which a message may be sent at once. Found beside it: neighbours that get a first message together got the changes after the number of the first of them, so that an answer to a pull lacked what the first one knew.

--- a/bamboovale/fleet/gossip.py
+++ b/bamboovale/fleet/gossip.py
@@ -58,9 +58,6 @@
 """A neighbour whose offset is behind for this long has lost the rows sent to it."""
 TIMER_TOLERANCE_S = 0.001
 """Time by which a timer may fire early."""
-INTRODUCTION = -1
-"""In place of a change number, marks the first message to a neighbour, which contains
-our own record and all news of endpoints."""
 
 
 class EndpointsTopic(Protocol):
@@ -75,9 +72,13 @@
 
 
 class _State(NamedTuple):
-    """What determines a message; neighbours with the same state get the same one."""
+    """What determines a message; neighbours with the same state get the same one.
+
+    The first message to a neighbour contains our own record and all news of endpoints.
+    """
 
     sent_number: int
+    introduced: bool
     first_offset: int
     watches: bool
     wants_all: bool
@@ -333,13 +334,16 @@
             pause_s = (
                 MIN_SEND_INTERVAL_S if is_pull_target else self._pause_s(neighbour, now)
             )
-            if now - neighbour.sent_at < pause_s - TIMER_TOLERANCE_S:
+            if not _is_due(neighbour, pause_s, now):
                 continue
             first, _ = self._endpoints.changes.rows_from(neighbour.sent_offset)
-            sent_number = (
-                neighbour.sent_number if neighbour.introduced else INTRODUCTION
+            state = _State(
+                neighbour.sent_number,
+                neighbour.introduced,
+                first,
+                neighbour.watched,
+                is_pull_target,
             )
-            state = _State(sent_number, first, neighbour.watched, is_pull_target)
             targets_by_state.setdefault(state, []).append(vm_id)
         messages = [
             (targets, self._message(state, targets, now))
@@ -354,15 +358,9 @@
         now: float,
     ) -> Gossip:
         """Return the message for VMs in the same state, and mark it as sent."""
-        introduces = state.sent_number == INTRODUCTION
-        sent_number = (
-            self.neighbours.by_id[targets[0]].sent_number
-            if introduces
-            else state.sent_number
-        )
-        items, sent_number = self._changes.after(sent_number, MAX_ITEMS)
+        items, sent_number = self._changes.after(state.sent_number, MAX_ITEMS)
         own = self._membership.own
-        if introduces:
+        if not state.introduced:
             introduction = [own, *self._endpoint_news()]
             items += [item for item in introduction if item not in items]
         changes = self._endpoints.changes
@@ -412,7 +410,11 @@
         return self._endpoints.changes.has_rows_from(neighbour.sent_offset)
 
     def _pull_target(self, now: float) -> str | None:
-        """Return the neighbour to pull the full view from, if its digest differs."""
+        """Return the neighbour to pull the full view from, if its digest differs.
+
+        One that got a message just now gets none again yet: a pull from it would not be
+        sent, and the next one backs off.
+        """
         if now < self._pull_back_off.next_at:
             return None
         differing = [
@@ -420,6 +422,7 @@
             for vm_id, neighbour in self.neighbours.by_id.items()
             if neighbour.differs_since is not None
             and now - neighbour.differs_since >= self._pull_back_off.pause_s
+            and _is_due(neighbour, MIN_SEND_INTERVAL_S, now)
         ]
         if not differing:
             return None
@@ -439,6 +442,11 @@
         if not silent:
             return []
         vm_id = self._rng.choice(silent)
-        self.neighbours.get_or_add(vm_id, now)
-        state = _State(INTRODUCTION, 0, watches=False, wants_all=False)
+        neighbour = self.neighbours.get_or_add(vm_id, now)
+        state = _State(neighbour.sent_number, False, 0, watches=False, wants_all=False)
         return [([vm_id], self._message(state, [vm_id], now))]
+
+
+def _is_due(neighbour: Neighbour, pause_s: float, now: float) -> bool:
+    """Return whether the pause since the last message to a neighbour is over."""
+    return now - neighbour.sent_at >= pause_s - TIMER_TOLERANCE_S
--- a/bamboovale/fleet/neighbours.py
+++ b/bamboovale/fleet/neighbours.py
@@ -158,7 +158,8 @@
         width = self._width(now)
         rings = self._membership.rings
         watched = rings.watched_by(own_id, is_excluded, width)
-        for vm_id in watched:
+        # In order, so that a simulated fleet does the same in every process.
+        for vm_id in sorted(watched):
             neighbour = self.get_or_add(vm_id, now)
             if not neighbour.watched:
                 neighbour.watched = True
@@ -168,7 +169,7 @@
             neighbour.watched = vm_id in watched
         self._defer_to_others(watched, is_excluded)
         chosen = rings.neighbours(own_id, is_excluded, width)
-        for vm_id in chosen - watched:
+        for vm_id in sorted(chosen - watched):
             self.get_or_add(vm_id, now)
         self._drop_unchosen(chosen, now)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,7 +13,11 @@
 )
 
 from bamboovale.fleet.changes import ChangeLog
-from bamboovale.fleet.gossip import MAX_ITEMS, WATCH_RENEWAL_S
+from bamboovale.fleet.gossip import (
+    MAX_ITEMS,
+    MIN_SEND_INTERVAL_S,
+    WATCH_RENEWAL_S,
+)
 from bamboovale.fleet.membership import FORGET_AFTER_S, MAX_MEMBERS, Change, Membership
 from bamboovale.fleet.messages import Gossip, Member, SuspectRequest, Suspicion
 from bamboovale.fleet.neighbours import BLOCK_S, INTERVAL_S, SUSPICIONS_BEFORE_BLOCK
@@ -360,6 +364,40 @@
         assert min(at) >= fleet.now - 9.0
 
 
+class TestFullViews:
+    """A full view that is pulled from a neighbour with another one."""
+
+    def test_a_pull_waits_for_a_message_sent_just_before(self) -> None:
+        """Guards against a pull that is not sent, and the next one backs off."""
+        vm = SimulatedFleet().start("me", ["other"])
+        assert vm.exchange.due(0.0)
+        vm.exchange.on_gossip("other", Gossip(1, 0, -1, 0, 0), 0.05)
+        vm.exchange.due(0.05)
+        sent = vm.exchange.due(MIN_SEND_INTERVAL_S)
+        assert [gossip.wants_all for _, gossip in sent] == [True]
+
+    def test_it_is_sent_to_a_neighbour_that_is_introduced_with_others(self) -> None:
+        """Guards against an answer without the changes that another VM knows."""
+        vm = SimulatedFleet().start("me", ["pulling", "other"])
+        vm.membership.apply(member("third"), 0.0)
+        vm.exchange.due(0.0)
+        for neighbour in vm.exchange.neighbours.by_id.values():
+            neighbour.introduced = False
+        pull = Gossip(vm.membership.digest, 0, -1, 0, 0, wants_all=True)
+        vm.exchange.on_gossip("pulling", pull, 0.05)
+        told = _members_told(vm.exchange.due(MIN_SEND_INTERVAL_S), "pulling")
+        assert told == {"me", "third"}
+
+
+def _members_told(messages: list[tuple[list[str], Gossip]], receiver: str) -> set[str]:
+    return {
+        item.vm_id
+        for receivers, gossip in messages
+        if receiver in receivers
+        for item in gossip.members
+    }
+
+
 def _reopens_links(
     silent: set[tuple[str, str]],
     vm_id: str,
