Gossip: VMs that suspected one another become neighbours again

One of them lacks every owner that the other became meanwhile; as it does not know it for an owner it does not subscribe to its statuses either.

Cause: a VM leaves out the ones that it suspects when it chooses neighbours, until they refute. The suspicion itself was dropped: a suspected VM is no neighbour any more after a second of silence, and a new neighbour is told only changes from then on. A probe or a message clears the silence, the digests are equal, so that nothing was left to send. Class: state that blocks and is told once, over a link that is known to be broken.

Now the first message to a neighbour holds our suspicion of it, and one that we suspect gets a first message again when it is heard. It refutes at once.

--- a/bamboovale/fleet/gossip.py
+++ b/bamboovale/fleet/gossip.py
@@ -74,7 +74,8 @@
 class _State(NamedTuple):
     """What determines a message; neighbours with the same state get the same one.
 
-    The first message to a neighbour contains our own record and all news of endpoints.
+    The first message to a neighbour contains our own record, our suspicion of it and
+    all news of endpoints.
     """
 
     sent_number: int
@@ -184,6 +185,9 @@
         neighbour = self.neighbours.on_message(sender, now)
         if gossip.watches:
             neighbour.watches_us_until = now + WATCHER_TTL_S
+        if self._membership.is_suspected_by_us(sender):
+            # It has not heard so, or would have refuted it, and is no neighbour before.
+            neighbour.introduced = False
         for member in gossip.members:
             if member.vm_id == sender:
                 self._answer_introduction(neighbour, member, now)
@@ -362,6 +366,7 @@
         own = self._membership.own
         if not state.introduced:
             introduction = [own, *self._endpoint_news()]
+            introduction += self._membership.own_suspicions(targets)
             items += [item for item in introduction if item not in items]
         changes = self._endpoints.changes
         next_offset = -1 if changes.next_offset is None else changes.next_offset
--- a/bamboovale/fleet/membership.py
+++ b/bamboovale/fleet/membership.py
@@ -8,6 +8,7 @@
 """
 
 import hashlib
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -141,6 +142,12 @@
         """Return whether our own suspicion of a VM is not refuted."""
         return self.own.vm_id in self._suspicions_by_id.get(vm_id, ())
 
+    def own_suspicions(self, vm_ids: Iterable[str]) -> list[Suspicion]:
+        """Return our own suspicions of VMs that are not refuted."""
+        own_id = self.own.vm_id
+        known = (self._suspicions_by_id.get(vm_id, {}).get(own_id) for vm_id in vm_ids)
+        return [suspicion for suspicion in known if suspicion is not None]
+
     # Our own record.
 
     def update_own(self, **fields: Any) -> bool:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -364,6 +364,11 @@
         assert min(at) >= fleet.now - 9.0
 
 
+def _revision(vm: SimulatedVM, of: str) -> int:
+    known = vm.membership.member(of)
+    return 0 if known is None else known.revision
+
+
 class TestFullViews:
     """A full view that is pulled from a neighbour with another one."""
 
@@ -426,6 +431,28 @@
 class TestFaults:
     """Partial failures of VMs and links."""
 
+    @pytest.mark.parametrize("cut_s", [1.0, 2.0, 5.0])
+    @pytest.mark.parametrize("count", [2, 3, 9, 61])
+    def test_vms_that_all_suspected_one_another_exchange_updates(
+        self, count: int, cut_s: float
+    ) -> None:
+        """Guards against VMs that are live for one another and no neighbours."""
+        fleet = started(count)
+        fleet.passes = lambda sender, receiver: False
+        fleet.run(cut_s)
+        fleet.passes = lambda sender, receiver: True
+        fleet.run(10.0)
+        assert fleet.agree(fleet.vm_by_id)
+        first = fleet.vm_by_id["vm0"]
+        first.membership.update_own(busy=True)
+        first.exchange.mark_all_due()
+        fleet.send_due(first)
+        revision = first.membership.own.revision
+        others = _vms(fleet, "vm0")
+        fleet.run_until(
+            lambda: {_revision(vm, "vm0") for vm in others} == {revision}, SPREAD_S
+        )
+
     @pytest.mark.parametrize("count", [9, LARGE])
     def test_a_link_that_fails_one_way_removes_no_vm(self, count: int) -> None:
         """Messages from one VM to one of its neighbours are lost for a minute."""
--- a/tests/test_gateway_outages.py
+++ b/tests/test_gateway_outages.py
@@ -4,6 +4,9 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import pytest
+
+from bamboovale.fleet.neighbours import RECENT_S
 from tests.gateway_site import (
     RunningVM,
     Site,
@@ -146,3 +149,30 @@
                 assert site.vms[0].vm.dump()["lapsed_endpoints"] == ["service-0"]
 
         run(test())
+
+
+class TestLinksOfAllVMs:
+    """All links between the VMs carry nothing for a while."""
+
+    def test_owners_are_known_afterwards(self) -> None:
+        """Guards against VMs that stay without news of one another."""
+
+        async def test() -> None:
+            async with running_site(vms=2) as site:
+                await site.ready()
+                links = [item.vm.links for item in site.vms]
+                with pytest.MonkeyPatch.context() as patch:
+                    for cut in links:
+                        patch.setattr(cut, "notify_all", lambda ids, message: None)
+                    await eventually(lambda: all(_suspects_some(v) for v in site.vms))
+                    await asyncio.sleep(RECENT_S)
+                await eventually(lambda: not any(_suspects_some(v) for v in site.vms))
+                for number in range(1, 5):
+                    await site.add_runner(f"runner-{number}")
+                await site.ready()
+
+        run(test())
+
+
+def _suspects_some(item: RunningVM) -> bool:
+    return bool(item.vm.state.fleet.membership.suspected_ids())
