--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,7 +13,11 @@
 )
 
 from bamboovale.fleet.changes import ChangeLog
-from bamboovale.fleet.gossip import MAX_ITEMS, WATCH_RENEWAL_S
+from bamboovale.fleet.gossip import (
+    MAX_ITEMS,
+    MIN_SEND_INTERVAL_S,
+    WATCH_RENEWAL_S,
+)
 from bamboovale.fleet.membership import FORGET_AFTER_S, MAX_MEMBERS, Change, Membership
 from bamboovale.fleet.messages import Gossip, Member, SuspectRequest, Suspicion
 from bamboovale.fleet.neighbours import BLOCK_S, INTERVAL_S, SUSPICIONS_BEFORE_BLOCK
@@ -316,9 +320,10 @@
         fleet.run_until(lambda: all(map(_knows_endpoint, _vms(fleet))), SPREAD_S)
         fleet.run_until(lambda: all(map(_is_up_to_date, _vms(fleet))), 3.0)
 
-    def test_updates_lost_with_a_broken_link_are_sent_again(self) -> None:
+    @pytest.mark.parametrize("seed", [1, 425, 963, 1306])
+    def test_updates_lost_with_a_broken_link_are_sent_again(self, seed: int) -> None:
         """All messages to one VM are lost for half a second."""
-        fleet = started(61)
+        fleet = started(61, seed)
         fleet.passes = lambda _, receiver: receiver != "vm9"
         fleet.vm_by_id["vm1"].topic.value_by_key["endpoint"] = b"draining"
         fleet.vm_by_id["vm1"].topic.changes.advance(9, [("endpoint", b"draining", 3)])
@@ -360,6 +365,45 @@
         assert min(at) >= fleet.now - 9.0
 
 
+def _revision(vm: SimulatedVM, of: str) -> int:
+    known = vm.membership.member(of)
+    return 0 if known is None else known.revision
+
+
+class TestFullViews:
+    """A full view that is pulled from a neighbour with another one."""
+
+    def test_a_pull_waits_for_a_message_sent_just_before(self) -> None:
+        """Guards against a pull that is not sent, and the next one backs off."""
+        vm = SimulatedFleet().start("me", ["other"])
+        assert vm.exchange.due(0.0)
+        vm.exchange.on_gossip("other", Gossip(1, 0, -1, 0, 0), 0.05)
+        vm.exchange.due(0.05)
+        sent = vm.exchange.due(MIN_SEND_INTERVAL_S)
+        assert [gossip.wants_all for _, gossip in sent] == [True]
+
+    def test_it_is_sent_to_a_neighbour_that_is_introduced_with_others(self) -> None:
+        """Guards against an answer without the changes that another VM knows."""
+        vm = SimulatedFleet().start("me", ["pulling", "other"])
+        vm.membership.apply(member("third"), 0.0)
+        vm.exchange.due(0.0)
+        for neighbour in vm.exchange.neighbours.by_id.values():
+            neighbour.introduced = False
+        pull = Gossip(vm.membership.digest, 0, -1, 0, 0, wants_all=True)
+        vm.exchange.on_gossip("pulling", pull, 0.05)
+        told = _members_told(vm.exchange.due(MIN_SEND_INTERVAL_S), "pulling")
+        assert told == {"me", "third"}
+
+
+def _members_told(messages: list[tuple[list[str], Gossip]], receiver: str) -> set[str]:
+    return {
+        item.vm_id
+        for receivers, gossip in messages
+        if receiver in receivers
+        for item in gossip.members
+    }
+
+
 def _reopens_links(
     silent: set[tuple[str, str]],
     vm_id: str,
@@ -388,6 +432,28 @@
 class TestFaults:
     """Partial failures of VMs and links."""
 
+    @pytest.mark.parametrize("cut_s", [1.0, 2.0, 5.0])
+    @pytest.mark.parametrize("count", [2, 3, 9, 61])
+    def test_vms_that_all_suspected_one_another_exchange_updates(
+        self, count: int, cut_s: float
+    ) -> None:
+        """Guards against VMs that are live for one another and no neighbours."""
+        fleet = started(count)
+        fleet.passes = lambda sender, receiver: False
+        fleet.run(cut_s)
+        fleet.passes = lambda sender, receiver: True
+        fleet.run(10.0)
+        assert fleet.agree(fleet.vm_by_id)
+        first = fleet.vm_by_id["vm0"]
+        first.membership.update_own(busy=True)
+        first.exchange.mark_all_due()
+        fleet.send_due(first)
+        revision = first.membership.own.revision
+        others = _vms(fleet, "vm0")
+        fleet.run_until(
+            lambda: {_revision(vm, "vm0") for vm in others} == {revision}, SPREAD_S
+        )
+
     @pytest.mark.parametrize("count", [9, LARGE])
     def test_a_link_that_fails_one_way_removes_no_vm(self, count: int) -> None:
         """Messages from one VM to one of its neighbours are lost for a minute."""
