A read that holds no record is no reason to read on at once

Cause: a follower that is behind the end of its topic reads on without its pause. An answer without records that names a later end (cut short, or a store that is at fault) would be read again as fast as it comes, against the store's limit of calls. The pause is left out only after records. The follower of the older tests had a wrong wait_s, which no test read with.

--- a/bamboovale/store/follower.py
+++ b/bamboovale/store/follower.py
@@ -105,7 +105,7 @@
         self._proven_at = -math.inf
         self._progress_at = 0.0
         self._reading = False
-        self._is_behind = False
+        self._is_behind = self._has_more = False
         self._read_started_at: float | None = None
         self._answered_at: float | None = None
         self._open_poll: asyncio.Timeout | None = None
@@ -136,7 +136,7 @@
             self._answered_at = self._now()
             self._on_answer()
             self._on_regained()
-            if not self._is_behind:
+            if not self._has_more:
                 await self._sleep(self._pause_s())
 
     async def _sleep(self, seconds: float) -> None:
@@ -231,7 +231,7 @@
         else:
             self._apply(records, snapshot.end)
         self._on_snapshot()
-        self._needs_snapshot = self._is_behind = False
+        self._needs_snapshot = self._is_behind = self._has_more = False
         return 0.0
 
     async def _read_next(self, wait_s: float) -> float:
@@ -241,6 +241,8 @@
         part = await self._read_until_restarted(first, wait_s)
         self._apply(part.records, part.following)
         self._is_behind = not part.is_last
+        # Without records the next answer may be the same: it is no reason to hurry.
+        self._has_more = self._is_behind and bool(part.records)
         # An answer without records that came early does not tell when it was given.
         waited = not part.records and lease_clock() - sent_at >= wait_s
         return wait_s if waited else 0.0
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -646,6 +646,16 @@
         return Part((KeyedRecord("e", b"{}", offset),), Position(offset + 1))
 
 
+class StuckStore(ScriptedStore):
+    """A topic that goes on, of which no answer holds anything."""
+
+    async def read(self, topic: str, offset: int, wait_s: float) -> Part:
+        """Return no record, but say that there are more."""
+        await asyncio.sleep(0)
+        self.reads += 1
+        return Part((), Position(offset), is_last=False)
+
+
 def no_eras() -> StoreEras:
     """Return the era of a store that names none."""
     return StoreEras(Journal("me", logging.getLogger("none")), time.monotonic)
@@ -659,7 +669,7 @@
         Journal("me", logging.getLogger("none")),
         no_eras(),
         on_record=lambda record: seen.append(record.position),
-        wait_s=0.0,
+        wait_s=lambda: 0.0,
         pause_s=lambda: 0.01,
         may_read=lambda progress_age_s: reads,
     )
@@ -798,7 +808,7 @@
                 Journal("me", logging.getLogger("none")),
                 no_eras(),
                 on_record=apply,
-                wait_s=0.0,
+                wait_s=lambda: 0.0,
                 pause_s=lambda: 0.0,
             )
             task = asyncio.create_task(reader.follow())
@@ -813,6 +823,22 @@
         run(test())
 
 
+class TestAnswersWithoutProgress:
+    """A topic that says it goes on, but answers no record."""
+
+    def test_reads_keep_their_pause(self) -> None:
+        """Guards against a loop of reads that uses up the store's limit."""
+
+        async def test() -> None:
+            store = StuckStore()
+            task = asyncio.create_task(follower(store, [], reads=True).follow())
+            await asyncio.sleep(0.2)
+            task.cancel()
+            assert 2 <= store.reads <= 25
+
+        run(test())
+
+
 class TestReadsAfterAReturn:
     """Reads of the newest records after the store has returned from a copy."""
 
