--- a/bench/soak_stop_callers.py
+++ b/bench/soak_stop_callers.py
@@ -15,7 +15,7 @@
 from statistics import median
 
 from bamboovale.http1.connection import ConnectFailed, Connection
-from bench.soak_callers import Attempt, Caller, Kind, Load, SentRequest
+from bench.soak_callers import STREAMS, Attempt, Caller, Load, SentRequest
 from bench.soak_customers import Keys
 from bench.soak_delay import LoopDelay
 from bench.soak_site import Life, VMProcess
@@ -176,8 +176,9 @@
             sent=self._sent,
             delay=self._delay,
         )
+        kind = self._rng.choice(STREAMS)
         try:
-            return await caller.send_on(connection, Kind.CHAT, vm, load)
+            return await caller.send_on(connection, kind, vm, load)
         finally:
             if connection.reusable and not connection.closed:
                 self._kept.setdefault(vm.name, []).append(connection)
