Soak: a response that reached its deadline was not cut off by a stop

The rule has this exception; the check of streams that are never cut had none, as engines were idle.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -103,6 +103,11 @@
         """Return the time from its first byte to the end."""
         return self.ended_at - (self.begun_at or self.sent_at)
 
+    @property
+    def reached_deadline(self) -> bool:
+        """Return whether it ended at its deadline, or the caller may have seen that."""
+        return self.lasted_s >= self.load.deadline_s - self.late_s
+
     @property
     def last_event_id(self) -> int:
         """Return the id of the stream's last event that came, 0 for none."""
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -314,8 +314,8 @@
         here = attempt.vm == life.vm and attempt.sent_at >= life.started_at
         during = attempt.ended_at >= stop[0] and attempt.sent_at <= stop[1]
         cut_off = attempt.status == 200 and not attempt.whole
-        is_short = attempt.load.events <= EVENTS
-        if here and during and cut_off and is_short and attempt.kind is not Kind.LONG:
+        is_short = attempt.load.events <= EVENTS and attempt.kind is not Kind.LONG
+        if here and during and cut_off and is_short and not attempt.reached_deadline:
             yield Violation(
                 "planned stop", attempt.request_id, "its response was cut off"
             )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -247,6 +247,10 @@
         cut = replace(STREAM, whole=False, body=EVENTS[:20])
         broken = ["planned stop", "lost by a stop"]
         assert promises(cut, lives=(STOPPED,)) == broken
+        assert promises(replace(cut, ended_at=13.0), lives=(STOPPED,)) == []
+        in_time = replace(cut, ended_at=12.99, late_s=0.0)
+        stopped_late = replace(STOPPED, ended_at=13.0)
+        assert "planned stop" in promises(in_time, lives=(stopped_late,))
         crash = FaultSpan("runner crashes", "runner-1", 10.3, 10.4)
         assert promises(cut, lives=(STOPPED,), faults=(crash,)) == []
 
