Close no idle connection with a request that the loop has not read yet

The VM was suspended, came to the timer at 3.2 s before it read its sockets, and closed all connections that it took for idle; a close with unread bytes resets. The kernel is asked for unread bytes now.

test_a_request_that_the_loop_has_not_read_is_answered: connection reset before.

--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
 import struct
+import sys
+import termios
 from collections import deque
 from dataclasses import dataclass
 from typing import Any
@@ -289,6 +292,18 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def unread_bytes(connected: Any) -> int:
+    """Return how many received bytes of a socket the loop has not read yet.
+
+    Guards against closing a connection with a request on it: a late loop may come to
+    its timers before it reads.
+    """
+    size = bytearray(struct.calcsize("i"))
+    with contextlib.suppress(*CLOSED_ERRORS):
+        fcntl.ioctl(connected.fileno(), termios.FIONREAD, size)
+    return int.from_bytes(size, sys.byteorder)
+
+
 def enable_dead_peer_detection(sock: Any) -> None:
     """Enable TCP keep-alive and user timeout to detect a peer that sends no reset."""
     if sock is None or not hasattr(sock, "setsockopt"):
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -16,6 +16,7 @@
     enable_dead_peer_detection,
     end_on_close,
     reset_on_close,
+    unread_bytes,
 )
 from bamboovale.http1.flow_control import FlowControl
 
@@ -256,8 +257,10 @@
             )
 
     def close_if_idle(self) -> None:
-        """Close the connection if no request is in flight."""
-        if not self.busy and not self._flow.waiting_bytes:
+        """Close the connection if no request is in flight, also none not read yet."""
+        if self.busy or self._flow.waiting_bytes or self._transport.is_closing():
+            return
+        if not unread_bytes(self._transport.get_extra_info("socket")):
             self._transport.close()
 
     def _write(self, event: Any) -> None:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -32,6 +32,33 @@
 )
 
 
+class TestIdleConnections:
+    """The close of connections without a request."""
+
+    def test_a_request_that_the_loop_has_not_read_is_answered(self) -> None:
+        """Guards against a reset of requests that come while the loop is late."""
+
+        async def test() -> None:
+            async def answer(request: Request, responder: Responder) -> None:
+                responder.answer(200, [], b"")
+
+            running = Server(answer)
+            port = await running.listen("127.0.0.1", 0)
+            with socket.socket() as caller:
+                caller.connect(("127.0.0.1", port))
+                await eventually(lambda: len(running.connections) == 1)
+                caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                running.close_idle()
+                caller.settimeout(2.0)
+                received = await asyncio.to_thread(caller.recv, 1000)
+                assert received.startswith(b"HTTP/1.1 200 ")
+                running.close_idle()
+                assert await asyncio.to_thread(caller.recv, 1000) == b""
+            running.close()
+
+        run(test())
+
+
 class TestHastenedAnswer:
     """An answer that is to leave the process though its caller does not read."""
 
