A configuration of any form is decoded or a bad record

What callers would see: a configuration in force with times that are infinite or no numbers, or a VM that follows the operator no more. Before, test_configurations on: RecursionError: maximum recursion depth exceeded while decoding a JSON array; infinite integers (OverflowError) and non-finite times passed the list of exceptions and the checks.

--- a/bamboovale/platform/configuration.py
+++ b/bamboovale/platform/configuration.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bamboovale.decoding import BadRecordError, decode
+from bamboovale.decoding import decode, reading, to_int, to_number, to_text
 from bamboovale.gateway.model import (
     BaseModel,
     CallerLimits,
@@ -35,18 +35,16 @@
 
 def decode_routing_table(source: bytes) -> RoutingTable:
     """Decode the configuration; raises BadRecordError."""
-    try:
+    with reading("configuration"):
         document = json.loads(source)
         return RoutingTable.from_routes(
-            version=int(document["version"]),
+            version=to_int(document["version"]),
             routes=tuple(_route(item) for item in document["routes"]),
             services=tuple(_service(item) for item in document["services"]),
             limits=_limits(document.get("limits", {})),
             customers=decode_customers(document),
             source=source,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise BadRecordError(f"configuration: {error!r}") from error
 
 
 def _route(item: Mapping[str, Any]) -> Route:
@@ -54,29 +52,29 @@
     gap_ms = item.get("gap-target-ms")
     kind = KIND_BY_NAME.get(item["type"], CallKind.UNSAFE)
     return Route(
-        name=str(item["name"]),
-        host=str(item["host"]),
-        path_prefix=str(item["path-prefix"]),
+        name=to_text(item["name"]),
+        host=to_text(item["host"]),
+        path_prefix=to_text(item["path-prefix"]),
         kind=kind,
-        timeout_s=float(item["timeout-ms"]) / 1000,
-        goal_s=float(item.get("goal-ms") or item["timeout-ms"]) / 1000,
-        priority=int(item.get("priority", 0)),
+        timeout_s=to_number(item["timeout-ms"]) / 1000,
+        goal_s=to_number(item.get("goal-ms") or item["timeout-ms"]) / 1000,
+        priority=to_int(item.get("priority", 0)),
         weight_by_service={
-            str(part["service"]): float(part.get("weight", 1)) for part in split
+            to_text(part["service"]): to_number(part.get("weight", 1)) for part in split
         },
-        max_attempts=max(1, int(item.get("max-attempts", 1))),
+        max_attempts=max(1, to_int(item.get("max-attempts", 1))),
         # Only streams are resumed; what is unsafe besides must run once.
         resumable=kind is not CallKind.UNSAFE and bool(item.get("resumable", False)),
         public=bool(item.get("public", False)),
-        gap_s=None if gap_ms is None else float(gap_ms) / 1000,
+        gap_s=None if gap_ms is None else to_number(gap_ms) / 1000,
     )
 
 
 def _service(item: Mapping[str, Any]) -> Service:
     engine = item.get("engine")
     return Service(
-        name=str(item["name"]),
-        max_connections=int(item.get("max-conns", 64)),
+        name=to_text(item["name"]),
+        max_connections=to_int(item.get("max-conns", 64)),
         engines=_engine_pool(engine) if engine else None,
     )
 
@@ -84,32 +82,32 @@
 def _engine_pool(item: Mapping[str, Any]) -> EnginePool:
     models = [_base_model(model) for model in item.get("models", [])]
     return EnginePool(
-        slots=int(item["slots"]),
-        kv_tokens=int(item["kv-capacity"]),
-        adapter_slots=int(item.get("adapter-slots", 0)),
-        weights_mb=float(item.get("weights-mb", 0)),
-        loads_per_s=float(item.get("loads-per-s", 1)),
+        slots=to_int(item["slots"]),
+        kv_tokens=to_int(item["kv-capacity"]),
+        adapter_slots=to_int(item.get("adapter-slots", 0)),
+        weights_mb=to_number(item.get("weights-mb", 0)),
+        loads_per_s=to_number(item.get("loads-per-s", 1)),
         model_by_name={model.name: model for model in models},
     )
 
 
 def _base_model(item: Mapping[str, Any]) -> BaseModel:
     return BaseModel(
-        name=str(item["name"]),
-        weights_mb=float(item["weights-mb"]),
-        load_s=float(item["load-s"]),
-        adapters=int(item.get("adapters", 0)),
-        adapter_mb=float(item.get("adapter-mb", 0)),
+        name=to_text(item["name"]),
+        weights_mb=to_number(item["weights-mb"]),
+        load_s=to_number(item["load-s"]),
+        adapters=to_int(item.get("adapters", 0)),
+        adapter_mb=to_number(item.get("adapter-mb", 0)),
     )
 
 
 def _limits(item: Mapping[str, Any]) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
-        head_bytes=int(item.get("max-header-bytes", default.head_bytes)),
-        body_bytes=int(item.get("max-body-bytes", default.body_bytes)),
-        head_timeout_s=float(item.get("header-timeout-ms", 3000)) / 1000,
-        idle_timeout_s=float(item.get("idle-timeout-ms", 15000)) / 1000,
+        head_bytes=to_int(item.get("max-header-bytes", default.head_bytes)),
+        body_bytes=to_int(item.get("max-body-bytes", default.body_bytes)),
+        head_timeout_s=to_number(item.get("header-timeout-ms", 3000)) / 1000,
+        idle_timeout_s=to_number(item.get("idle-timeout-ms", 15000)) / 1000,
     )
 
 
--- a/bamboovale/platform/customers.py
+++ b/bamboovale/platform/customers.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from bamboovale.decoding import BadRecordError
+from bamboovale.decoding import MAX_NUMBER, BadRecordError
 from bamboovale.errors import Finding
 from bamboovale.gateway.customers import Customer, Customers, Quota, QuotaUnit
 from bamboovale.http1.connection import Headers
@@ -105,7 +105,8 @@
 
 
 def _is_number(value: Any) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool)
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return is_number and -MAX_NUMBER <= value <= MAX_NUMBER
 
 
 def _is_header_text(text: str) -> bool:
--- a/bamboovale/platform/translation.py
+++ b/bamboovale/platform/translation.py
@@ -4,6 +4,7 @@
 
 import h11
 
+from bamboovale.decoding import BadRecordError
 from bamboovale.gateway.model import (
     AnswerFacts,
     CallFacts,
@@ -20,7 +21,6 @@
 from bamboovale.platform import directory, endpoints, names, requests, signals
 from bamboovale.platform.configuration import (
     AdapterVersion,
-    BadRecordError,
     decode_adapter_version,
     decode_routing_table,
 )
--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -19,6 +19,7 @@
 from bamboovale.peers import codec
 from bamboovale.platform.configuration import (
     decode_adapter_version,
+    decode_routing_table,
 )
 from bamboovale.platform.endpoints import (
     decode_endpoint,
@@ -220,6 +221,13 @@
     def test_versions(self, value: bytes) -> None:
         decodes(lambda: decode_adapter_version(value), BadRecordError)
 
+    @given(odd(CONFIGURATION).map(source) | SOURCES)
+    def test_configurations(self, value: bytes) -> None:
+        table = decodes(lambda: decode_routing_table(value), BadRecordError)
+        for route in table.routes if table else ():
+            assert math.isfinite(route.timeout_s + route.goal_s + (route.gap_s or 0))
+            route.host.encode()
+
 
 def as_cbor(value: Any) -> bytes:
     """Return a frame with a value as its message."""
