A settings file of any form is read or rejected with findings

What operators would see: a VM that no longer follows its settings file, or does not start with a traceback in place of findings. Before, test_documents and test_files on: ValueError for an integer of 5,000 digits (tomllib raises it as it is), RecursionError for deep nesting, and errors of port-range, zones and ports that are not what they should be. All are findings now.

--- a/bamboovale/platform/node_file.py
+++ b/bamboovale/platform/node_file.py
@@ -8,10 +8,14 @@
 
 from result import Err, Ok, Result
 
-from bamboovale.errors import Finding
+from bamboovale.decoding import MAX_NUMBER
+from bamboovale.errors import Finding, describe
 
 PATH_VARIABLE = "BAMBOOVALE_NODE_FILE"
 
+PORTS = 65_536
+MAX_PORT_DIGITS = 5
+
 Address = tuple[str, int]
 
 
@@ -77,8 +81,8 @@
         """Read and validate the file; all findings are returned together."""
         try:
             document = tomllib.loads(path.read_text("utf-8"))
-        except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-            return Err([Finding(str(path), str(error))])
+        except (OSError, ValueError, RecursionError) as error:
+            return Err([Finding(str(path), describe(error))])
         return cls.from_document(document)
 
     @classmethod
@@ -88,7 +92,6 @@
     ) -> "Result[NodeSettings, list[Finding]]":
         """Validate a parsed file; unknown fields are ignored."""
         reader = _Reader(document)
-        ports = reader.get("port-range", list) or [0, 0]
         bounds = _read_bounds(reader.table("bounds"))
         limits = reader.table("limits")
         platform = reader.table("platform")
@@ -102,7 +105,7 @@
             callers=listen.address("front"),
             readiness=listen.address("ready"),
             directory=listen.address("directory"),
-            peers_port=int(ports[0]),
+            peers_port=reader.first_port("port-range"),
             store=platform.address("addr"),
             store_limits=StoreLimits(
                 partitions=int(platform.number("parts", 12)),
@@ -111,7 +114,7 @@
                 least_ttl_s=platform.number("ttl-min-ms", 1000) / 1000,
             ),
             bounds=bounds,
-            region_by_failure_domain=dict(document.get("zones", {})),
+            region_by_failure_domain=dict(reader.table("zones").document),
             cores=limits.number("cpu-share", 1) * limits.number("cores", 1),
             memory_mb=limits.number("memory-mb", 300),
         )
@@ -169,8 +172,18 @@
         if isinstance(value, bool) or not isinstance(value, int | float):
             self._find(name, "must be a number")
             return float(default)
+        if not -MAX_NUMBER <= value <= MAX_NUMBER:
+            self._find(name, "must be a smaller number")
+            return float(default)
         return float(value)
 
+    def first_port(self, name: str) -> int:
+        ports = self.get(name, list) or [0]
+        if type(ports[0]) is not int or not 0 <= ports[0] < PORTS:
+            self._find(name, "must be a list of ports")
+            return 0
+        return ports[0]
+
     def address(self, name: str) -> Address:
         text = self.document.get(name)
         parsed = parse_address(text) if isinstance(text, str) else None
@@ -186,4 +199,5 @@
 def parse_address(text: str) -> Address | None:
     """Return host and port of IP:PORT, None if it is malformed."""
     host, _, port = text.rpartition(":")
-    return (host, int(port)) if host and port.isdigit() else None
+    is_number = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    return (host, int(port)) if host and is_number and int(port) < PORTS else None
--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import cbor2
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from hypothesis.strategies import SearchStrategy
@@ -26,7 +27,8 @@
     decode_report,
     report_request,
 )
-from tests.gateway_site import configuration
+from bamboovale.platform.node_file import NodeSettings
+from tests.gateway_site import configuration, node_document
 from tests.test_gateway_parts import ENDPOINT_RECORD
 
 EMPTY_GOSSIP = Gossip(0, 0, 0, 0, 1)
@@ -229,6 +231,23 @@
             route.host.encode()
 
 
+class TestSettings:
+    """The settings file, which anybody may write while a VM runs."""
+
+    @given(odd(node_document(("127.0.0.1", 80), "entry-0", "127.0.0.2")))
+    def test_documents(self, document: Any) -> None:
+        if isinstance(document, dict):
+            NodeSettings.from_document(document)
+
+    @pytest.mark.parametrize(
+        "text", [b"a = " + b"9" * 5000, b"a = " + b"[" * 100_000, b"\xff", b"a = nan"]
+    )
+    def test_files(self, text: bytes, tmp_path: Any) -> None:
+        path = tmp_path / "node.toml"
+        path.write_bytes(text)
+        assert NodeSettings.from_file(path).is_err()
+
+
 def as_cbor(value: Any) -> bytes:
     """Return a frame with a value as its message."""
     try:
