Records of the VMs' own topics are decoded or bad records, with bounds

What operators would see: an entry of a VM with a port that no socket takes, or a record that the reader's own list of exceptions does not name. Before, on: test_addresses_of_vms accepted ports outside 1 to 65,535 and raised RecursionError and OverflowError, test_stalled_pools and test_refused_requests RecursionError out of apply, test_starts_of_streams RecursionError and accepted infinite times. Request ids in starts and reports stay as they are, whatever callers choose: bounds there would hide the starts and the engine of others.

--- a/bamboovale/crashes/records.py
+++ b/bamboovale/crashes/records.py
@@ -7,11 +7,11 @@
 """
 
 import json
-import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bamboovale.decoding import BadRecordError, reading, to_int, to_number, to_text
 from bamboovale.gateway.journal import Journal
 from bamboovale.store.interface import KeyedRecord, MetadataStore, StoreError
 from bamboovale.store.odd_records import log_odd_record
@@ -62,18 +62,11 @@
             return True
         self._position_by_key[record.key] = record.position
         try:
-            fields = json.loads(record.value)
-            refused = Refused(
-                record.key.removeprefix(KEY_PREFIX),
-                int(fields["crashes"]),
-                int(fields.get("trials", 0)),
-                bool(fields.get("was_sound", False)),
-            )
-            at = float(fields["at"])
-        except (ValueError, KeyError, TypeError) as error:
+            refused, at = decode_refused(record.key, record.value)
+        except BadRecordError as error:
             log_odd_record(self._journal, self._topic, record, error)
             return True
-        if math.isfinite(at) and self._time_of_day() - at < MAX_AGE_S:
+        if self._time_of_day() - at < MAX_AGE_S:
             self._on_read(refused)
         return True
 
@@ -92,3 +85,16 @@
             self._journal.write(
                 "refusal_record_lost", subject=refused.subject, error=str(error)
             )
+
+
+def decode_refused(key: str, value: bytes) -> tuple[Refused, float]:
+    """Return what is refused and since when, as time of day; raises BadRecordError."""
+    with reading("refused request"):
+        fields = json.loads(value)
+        refused = Refused(
+            to_text(key.removeprefix(KEY_PREFIX)),
+            to_int(fields["crashes"]),
+            to_int(fields.get("trials", 0)),
+            bool(fields.get("was_sound", False)),
+        )
+        return refused, to_number(fields["at"])
--- a/bamboovale/platform/endpoints.py
+++ b/bamboovale/platform/endpoints.py
@@ -12,7 +12,6 @@
     decode,
     reading,
     set_wire_names,
-    to_text,
 )
 from bamboovale.errors import shorten
 from bamboovale.gateway.model import (
@@ -164,7 +163,7 @@
             orders=entry.seq,
             queued=entry.queued,
             active=entry.active,
-            running=frozenset(to_text(row[0]) for row in entry.runs if row),
+            running=frozenset(str(row[0]) for row in entry.runs if row),
             started_ms=entry.born,
         )
 
--- a/bamboovale/store/stall_records.py
+++ b/bamboovale/store/stall_records.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from bamboovale.decisions.rendezvous import first_members
+from bamboovale.decoding import BadRecordError, reading
 from bamboovale.gateway.journal import Journal
 from bamboovale.store.interface import KeyedRecord, MetadataStore, StoreError
 from bamboovale.store.odd_records import log_odd_record
@@ -93,8 +94,9 @@
         if service in self._record_by_service or record.value is None:
             return True
         try:
-            stalled = json.loads(record.value)["held_up"] is True
-        except (ValueError, KeyError, TypeError) as error:
+            with reading("stalled pool"):
+                stalled = json.loads(record.value)["held_up"] is True
+        except BadRecordError as error:
             log_odd_record(self._journal, self._topic, record, error)
             return True
         self._record_by_service[service] = StallRecord(stalled)
--- a/bamboovale/streams/start_records.py
+++ b/bamboovale/streams/start_records.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from bamboovale.decoding import reading, to_number, to_text
 from bamboovale.gateway.journal import Journal
 from bamboovale.store.interface import (
     HistoryLostError,
@@ -285,14 +286,15 @@
 
 
 def decode(value: bytes) -> list[StreamBegan]:
-    """Return the starts of a record; raises ValueError or TypeError."""
-    return [
-        StreamBegan(
-            tuple(str(attempt) for attempt in attempts),
-            str(service),
-            str(version),
-            float(life_s),
-            None if customer is None else str(customer),
-        )
-        for attempts, service, version, customer, life_s in json.loads(value)
-    ]
+    """Return the starts of a record; raises BadRecordError."""
+    with reading("starts"):
+        return [
+            StreamBegan(
+                tuple(str(attempt) for attempt in attempts),
+                to_text(service),
+                to_text(version),
+                to_number(life_s),
+                None if customer is None else str(customer),
+            )
+            for attempts, service, version, customer, life_s in json.loads(value)
+        ]
--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 import cbor2
@@ -14,10 +15,12 @@
 from hypothesis import strategies as st
 from hypothesis.strategies import SearchStrategy
 
+from bamboovale.crashes.records import RefusalRecords
 from bamboovale.decoding import BadRecordError
 from bamboovale.fleet.messages import Gossip
 from bamboovale.gateway.journal import Journal
 from bamboovale.peers import codec
+from bamboovale.peers.codec import BadMessageError
 from bamboovale.platform.configuration import (
     decode_adapter_version,
     decode_routing_table,
@@ -28,6 +31,11 @@
     report_request,
 )
 from bamboovale.platform.node_file import NodeSettings
+from bamboovale.store.interface import KeyedRecord
+from bamboovale.store.registration import decode_address
+from bamboovale.store.stall_records import StallRecords
+from bamboovale.streams import start_records
+from bamboovale.streams.messages import StreamBegan
 from tests.gateway_site import configuration, node_document
 from tests.test_gateway_parts import ENDPOINT_RECORD
 
@@ -219,6 +227,12 @@
     def test_reports(self, value: bytes) -> None:
         decodes(lambda: decode_report(value), BadRecordError)
 
+    def test_a_report_with_any_request_id_is_read(self) -> None:
+        """Guards against a caller whose id hides an engine from its owner."""
+        ids = {"\x85", "x" * 2000}
+        report = {**REPORT, "runs": [[name, 1, 0, 0] for name in ids]}
+        assert decode_report(source(report)).running == ids
+
     @given(odd(VERSION).map(source) | SOURCES)
     def test_versions(self, value: bytes) -> None:
         decodes(lambda: decode_adapter_version(value), BadRecordError)
@@ -230,6 +244,33 @@
             assert math.isfinite(route.timeout_s + route.goal_s + (route.gap_s or 0))
             route.host.encode()
 
+    @given(odd(["127.0.0.1", 7000]).map(source) | SOURCES)
+    def test_addresses_of_vms(self, value: bytes) -> None:
+        address = decodes(lambda: decode_address(value), BadRecordError)
+        assert address is None or 0 < address[1] < 65_536
+
+    @given(odd({"held_up": True}).map(source) | SOURCES)
+    def test_stalled_pools(self, value: bytes) -> None:
+        records = StallRecords("vm", "t", None, JOURNAL, lambda service: None)  # type: ignore[arg-type]
+        assert records.apply(KeyedRecord("pool:llm", value, 1))
+
+    @given(odd(REFUSED).map(source) | SOURCES)
+    def test_refused_requests(self, value: bytes) -> None:
+        records = RefusalRecords("t", None, JOURNAL, lambda refused: None)  # type: ignore[arg-type]
+        assert records.apply(KeyedRecord("crash:x", value, 1))
+
+    @given(odd(STARTS).map(source) | SOURCES)
+    def test_starts_of_streams(self, value: bytes) -> None:
+        starts = decodes(lambda: start_records.decode(value), BadRecordError)
+        for began in starts or ():
+            decodes(partial(codec.encode, began), BadMessageError)
+            assert math.isfinite(began.life_s)
+
+    def test_a_start_with_any_request_id_is_read(self) -> None:
+        """Guards against a caller whose id hides the starts written beside its own."""
+        began = StreamBegan(("\x85", "x" * 2000), "llm", "v1", 12.0)
+        assert start_records.decode(start_records.encode([began])) == [began]
+
 
 class TestSettings:
     """The settings file, which anybody may write while a VM runs."""
