A page of the store's records fails with the client's own error; keys are texts that can be encoded

What operators would see: a task that follows a topic ends, now begins again and again, at a key that no query can hold or a page that is nested too deeply. Before, on: test_pages RecursionError out of the client; a key with a lone surrogate at the end of a page, UnicodeEncodeError: 'utf-8' codec can't encode character '\ud800' as the next page is asked for. A store that answers the same page again is an error of the call in place of a loop without end.

--- a/bamboovale/platform/store.py
+++ b/bamboovale/platform/store.py
@@ -11,6 +11,8 @@
 
 import h11
 
+from bamboovale.decoding import to_int
+from bamboovale.errors import describe
 from bamboovale.http1.connection import (
     ConnectFailed,
     Headers,
@@ -56,11 +58,15 @@
 
 @dataclass(frozen=True)
 class _Page:
-    """Newest records of a topic, and the topic's end when they were read."""
+    """Newest records of a topic, and the topic's end when they were read.
+
+    ``last_key`` is that of the last record as the store names it.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: Position
     has_more: bool
+    last_key: str | None
 
 
 @contextlib.contextmanager
@@ -72,8 +78,8 @@
     """
     try:
         yield
-    except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
-        raise StoreError(f"{name}: malformed answer: {error!r}") from error
+    except Exception as error:
+        raise StoreError(f"{name}: malformed answer: {describe(error)}") from error
 
 
 class StoreClient:
@@ -116,9 +122,11 @@
             end = page.end if end is None else min(end, page.end)
             for record in page.records:
                 records[record.key] = record
-                after = record.key
             if not page.has_more:
                 return Snapshot(tuple(records.values()), end)
+            if page.last_key == after:
+                raise StoreError(f"{topic}: a page that does not go on")
+            after = page.last_key
 
     async def read(
         self,
@@ -200,7 +208,8 @@
         timeout_s: float = CALL_TIMEOUT_S,
         body: bytes = b"",
     ) -> _Answer:
-        target = f"/api/{name}?{urlencode(query)}" if query else f"/api/{name}"
+        asked = urlencode(query, errors="surrogatepass")
+        target = f"/api/{name}?{asked}" if query else f"/api/{name}"
         self._on_call(name)
         try:
             async with asyncio.timeout(timeout_s):
@@ -267,17 +276,21 @@
 def _decode_page(answer: _Answer) -> _Page:
     with _decoding("log-newest"):
         page = answer.document()
-        records = tuple(_keyed_item(item, answer.era) for item in page["items"])
+        items = page["items"]
+        records = tuple(_keyed_item(item, answer.era) for item in items)
         has_more = bool(page.get("more"))
         if has_more and not records:
             raise ValueError("a page without items that is not the last")
-        return _Page(records, Position.at(answer.era, int(page["end"])), has_more)
+        end = Position.at(answer.era, to_int(page["end"]))
+        return _Page(records, end, has_more, str(items[-1]["key"]) if items else None)
 
 
 def _keyed_item(item: dict[str, Any], era: int) -> KeyedRecord:
     value = base64.b64decode(item["value"])
-    position = Position.at(era, int(item["offset"]))
-    return KeyedRecord(str(item["key"]), value, position)
+    position = Position.at(era, to_int(item["offset"]))
+    # Guards against keys that no message, header or query can hold.
+    key = str(item["key"]).encode("utf-8", "replace").decode()
+    return KeyedRecord(key, value, position)
 
 
 def _keyed_records(data: bytes, first: Position) -> tuple[KeyedRecord, ...]:
--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -1,5 +1,6 @@
 """Any input from outside: each decoder returns a value or raises its own error."""
 
+import asyncio
 import contextlib
 import json
 import logging
@@ -19,6 +20,7 @@
 from bamboovale.decoding import BadRecordError
 from bamboovale.fleet.messages import Gossip
 from bamboovale.gateway.journal import Journal
+from bamboovale.http1.connection import ResponseHead
 from bamboovale.peers import codec
 from bamboovale.peers.codec import BadMessageError
 from bamboovale.platform.configuration import (
@@ -31,7 +33,15 @@
     report_request,
 )
 from bamboovale.platform.node_file import NodeSettings
-from bamboovale.store.interface import KeyedRecord
+from bamboovale.platform.store import (
+    StoreClient,
+    _Answer,
+    _decode_page,
+    _keyed_records,
+)
+from bamboovale.store.eras import StoreEras
+from bamboovale.store.interface import KeyedRecord, StoreError
+from bamboovale.store.position import Position
 from bamboovale.store.registration import decode_address
 from bamboovale.store.stall_records import StallRecords
 from bamboovale.streams import start_records
@@ -271,6 +281,32 @@
         began = StreamBegan(("\x85", "x" * 2000), "llm", "v1", 12.0)
         assert start_records.decode(start_records.encode([began])) == [began]
 
+    @given(odd(PAGE).map(source) | SOURCES)
+    def test_pages_of_the_store(self, value: bytes) -> None:
+        page = decodes(lambda: _decode_page(_Answer(value, 0)), StoreError)
+        for record in page.records if page else ():
+            record.key.encode()
+
+    def test_a_key_with_a_lone_surrogate_is_read_over_pages(self) -> None:
+        """Guards against an odd key that ends the reading of a list."""
+        page = {**PAGE, "items": [{**PAGE["items"][0], "key": "\ud800"}]}
+        store = StoreClient(lambda: ("127.0.0.1", 80), None, StoreEras(JOURNAL, float))  # type: ignore[arg-type]
+        answers = [source(page), source({**PAGE, "more": False})]
+        targets: list[str] = []
+
+        async def exchange(method: str, target: str, body: bytes) -> Any:
+            targets.append(target)
+            return ResponseHead(200, []), answers.pop(0)
+
+        store._exchange = exchange  # type: ignore[method-assign]
+        snapshot = asyncio.run(store.newest("keyed.servers"))
+        assert [record.key for record in snapshot.records] == ["?", "k"]
+        assert targets[1].endswith("&after=%ED%A0%80")
+
+    @given(st.binary(max_size=60))
+    def test_reads_of_the_store(self, value: bytes) -> None:
+        decodes(lambda: _keyed_records(value, Position(0)), ValueError)
+
 
 class TestSettings:
     """The settings file, which anybody may write while a VM runs."""
