A malformed target or Host is another path or host

What callers would see: no answer from the directory, the readiness port or the ingress, and a traceback in the log for each, by one header. Before, test_targets and test_hosts on: ValueError: Invalid IPv6 URL for 'A://[' and ':['.

--- a/bamboovale/gateway/model.py
+++ b/bamboovale/gateway/model.py
@@ -137,7 +137,12 @@
 
 def _bare_host(host: str) -> str:
     """Return the host name without port, in lower case."""
-    return (urlsplit(f"//{host}").hostname or "") if ":" in host else host.lower()
+    if ":" not in host:
+        return host.lower()
+    try:
+        return urlsplit(f"//{host}").hostname or ""
+    except ValueError:
+        return ""
 
 
 @dataclass(frozen=True)
--- a/bamboovale/platform/directory.py
+++ b/bamboovale/platform/directory.py
@@ -3,7 +3,7 @@
 import json
 from collections.abc import Iterable
 from dataclasses import dataclass
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import SplitResult, parse_qs, urlsplit
 
 from bamboovale.platform import names
 
@@ -21,10 +21,13 @@
 
 def decode_query(target: str) -> DirectoryQuery | None:
     """Decode a directory query; None if the target is another path."""
-    parts = urlsplit(target)
-    if parts.path != names.RESOLVE_PATH:
+    parts = _split(target)
+    if parts is None or parts.path != names.RESOLVE_PATH:
+        return None
+    try:
+        query = parse_qs(parts.query)
+    except ValueError:
         return None
-    query = parse_qs(parts.query)
     return DirectoryQuery(
         region=query.get("region", [""])[0],
         failure_domain=query.get("zone", [""])[0],
@@ -39,4 +42,13 @@
 
 def is_readiness_query(target: str) -> bool:
     """Return whether the target is the readiness path."""
-    return urlsplit(target).path == names.READY_PATH
+    parts = _split(target)
+    return parts is not None and parts.path == names.READY_PATH
+
+
+def _split(target: str) -> SplitResult | None:
+    """Return the parts of a target, None if it is malformed."""
+    try:
+        return urlsplit(target)
+    except ValueError:
+        return None
--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -21,18 +21,21 @@
 from bamboovale.fleet.messages import Gossip
 from bamboovale.gateway.journal import Journal
 from bamboovale.http1.connection import ResponseHead
+from bamboovale.http1.server import BadRequest, Request
 from bamboovale.peers import codec
 from bamboovale.peers.codec import BadMessageError
 from bamboovale.platform.configuration import (
     decode_adapter_version,
     decode_routing_table,
 )
+from bamboovale.platform.directory import decode_query, is_readiness_query
 from bamboovale.platform.endpoints import (
     decode_endpoint,
     decode_report,
     report_request,
 )
 from bamboovale.platform.node_file import NodeSettings
+from bamboovale.platform.requests import decode_answer, decode_call
 from bamboovale.platform.store import (
     StoreClient,
     _Answer,
@@ -46,7 +49,7 @@
 from bamboovale.store.stall_records import StallRecords
 from bamboovale.streams import start_records
 from bamboovale.streams.messages import StreamBegan
-from tests.gateway_site import configuration, node_document
+from tests.gateway_site import HOST, configuration, node_document
 from tests.test_gateway_parts import ENDPOINT_RECORD
 
 EMPTY_GOSSIP = Gossip(0, 0, 0, 0, 1)
@@ -325,6 +328,29 @@
         assert NodeSettings.from_file(path).is_err()
 
 
+class TestHeads:
+    """Heads of endpoints' answers and of callers' requests."""
+
+    @given(st.integers(100, 599), HEADER_LISTS)
+    def test_answers(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        decode_answer(ResponseHead(status, headers))
+
+    @given(HEADER_LISTS)
+    def test_requests(self, headers: list[tuple[bytes, bytes]]) -> None:
+        request = Request("POST", "/chat/1", [(b"host", b"h"), *headers], b"", 0.0)
+        decodes(lambda: decode_call(request), BadRequest)
+
+    @given(st.text(max_size=9) | st.sampled_from(["http://[", "//[x", "/api/\ud800"]))
+    def test_targets(self, target: str) -> None:
+        decode_query(target)
+        is_readiness_query(target)
+
+    @given(st.text(max_size=9) | st.sampled_from(["[:", "h:x", ":[::"]))
+    def test_hosts(self, host: str) -> None:
+        table = decode_routing_table(source(configuration()))
+        assert host == HOST or table.match(host, "/chat/1") is None
+
+
 def as_cbor(value: Any) -> bytes:
     """Return a frame with a value as its message."""
     try:
