What VMs pass on of the endpoints' topic fits into one message

What operators would see in a fleet where not all VMs read the store: no heartbeats of the VM that read a few large records, as each message with them is too large (4 MB), and its task fails anew. 512 changes were kept, of any size. Before, on: 100 records of 200 kB were all kept (first offset 0), and one of 5 MB too. Now 1 MB is kept; a VM that is further behind reads the topic from the store, as it does beyond 512 changes.

--- a/bamboovale/fleet/topic_changes.py
+++ b/bamboovale/fleet/topic_changes.py
@@ -6,6 +6,8 @@
 
 MAX_ROWS = 512
 """Changes kept; a VM that is further behind reads the topic from the store."""
+MAX_BYTES = 1024 * 1024
+"""Bounds the same: a message holds up to 4 MB, and all of them may go into one."""
 
 
 class TopicChanges:
@@ -20,12 +22,14 @@
         self.next_offset: int | None = None
         self._first_offset = 0
         self._rows: deque[TopicRow] = deque()
+        self._bytes = 0
 
     def reset(self, offset: int) -> None:
         """Drop all records and continue from an offset."""
         self.next_offset = offset
         self._first_offset = offset
         self._rows.clear()
+        self._bytes = 0
 
     def advance(self, next_offset: int, rows: list[TopicRow]) -> None:
         """Add the changes up to an offset."""
@@ -34,8 +38,11 @@
             self.reset(next_offset)
             return
         self._rows.extend(rows)
-        while len(self._rows) > MAX_ROWS:
-            self._first_offset = self._rows.popleft()[2] + 1
+        self._bytes += sum(map(_size_of, rows))
+        while len(self._rows) > MAX_ROWS or self._bytes > MAX_BYTES:
+            oldest = self._rows.popleft()
+            self._bytes -= _size_of(oldest)
+            self._first_offset = oldest[2] + 1
         self.next_offset = max(self.next_offset, next_offset)
 
     def has_rows_from(self, offset: int) -> bool:
@@ -54,3 +61,8 @@
                 return row[2] + 1, rows[::-1]
             rows.append(row)
         return self._first_offset, rows[::-1]
+
+
+def _size_of(row: TopicRow) -> int:
+    key, value, _ = row
+    return len(key) + len(value or b"")
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -8,6 +8,9 @@
 import pytest
 
 from bamboovale.errors import MAX_ERROR_CHARS
+from bamboovale.fleet.messages import Gossip
+from bamboovale.fleet.topic_changes import TopicChanges
+from bamboovale.peers import codec
 from bamboovale.store.interface import KeyedRecord
 from bamboovale.store.odd_records import MAX_KEY_CHARS, log_odd_record
 from bamboovale.store.position import Position
@@ -146,3 +149,24 @@
                 assert not any(failed)
 
         run(test())
+
+
+class TestChangesForOtherVMs:
+    """Records that a VM passes on to those that do not read."""
+
+    def test_large_records_fit_into_a_message(self) -> None:
+        """Guards against records that are sound and too large for other VMs."""
+        changes = TopicChanges()
+        changes.advance(0, [])
+        for offset in range(100):
+            changes.advance(offset + 1, [("e", b"x" * 200_000, offset)])
+        first, rows = changes.rows_from(0)
+        assert first == rows[0][2] > 0 and rows[-1][2] == 99
+        codec.encode(Gossip(0, 0, 0, first, 100, rows=tuple(rows)))
+
+    def test_one_that_no_message_holds_is_read_from_the_store(self) -> None:
+        changes = TopicChanges()
+        changes.advance(0, [])
+        changes.advance(1, [("e", b"x" * 5_000_000, 0)])
+        changes.advance(2, [("f", b"x", 1)])
+        assert changes.rows_from(0) == (1, [("f", b"x", 1)])
