--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -1,31 +1,55 @@
 """Any input from outside: each decoder returns a value or raises its own error."""
 
+import asyncio
 import contextlib
 import json
 import logging
 import math
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 import cbor2
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from hypothesis.strategies import SearchStrategy
 
+from bamboovale.crashes.records import RefusalRecords
 from bamboovale.decoding import BadRecordError
 from bamboovale.fleet.messages import Gossip
 from bamboovale.gateway.journal import Journal
+from bamboovale.http1.connection import ResponseHead
+from bamboovale.http1.server import BadRequest, Request
 from bamboovale.peers import codec
+from bamboovale.peers.codec import BadMessageError
 from bamboovale.platform.configuration import (
     decode_adapter_version,
+    decode_routing_table,
 )
+from bamboovale.platform.directory import decode_query, is_readiness_query
 from bamboovale.platform.endpoints import (
     decode_endpoint,
     decode_report,
     report_request,
 )
-from tests.gateway_site import configuration
+from bamboovale.platform.node_file import NodeSettings
+from bamboovale.platform.requests import decode_answer, decode_call
+from bamboovale.platform.store import (
+    StoreClient,
+    _Answer,
+    _decode_page,
+    _keyed_records,
+)
+from bamboovale.store.eras import StoreEras
+from bamboovale.store.interface import KeyedRecord, StoreError
+from bamboovale.store.position import Position
+from bamboovale.store.registration import decode_address
+from bamboovale.store.stall_records import StallRecords
+from bamboovale.streams import start_records
+from bamboovale.streams.messages import StreamBegan
+from tests.gateway_site import HOST, configuration, node_document
 from tests.test_gateway_parts import ENDPOINT_RECORD
 
 EMPTY_GOSSIP = Gossip(0, 0, 0, 0, 1)
@@ -216,10 +240,116 @@
     def test_reports(self, value: bytes) -> None:
         decodes(lambda: decode_report(value), BadRecordError)
 
+    def test_a_report_with_any_request_id_is_read(self) -> None:
+        """Guards against a caller whose id hides an engine from its owner."""
+        ids = {"\x85", "x" * 2000}
+        report = {**REPORT, "runs": [[name, 1, 0, 0] for name in ids]}
+        assert decode_report(source(report)).running == ids
+
     @given(odd(VERSION).map(source) | SOURCES)
     def test_versions(self, value: bytes) -> None:
         decodes(lambda: decode_adapter_version(value), BadRecordError)
 
+    @given(odd(CONFIGURATION).map(source) | SOURCES)
+    def test_configurations(self, value: bytes) -> None:
+        table = decodes(lambda: decode_routing_table(value), BadRecordError)
+        for route in table.routes if table else ():
+            assert math.isfinite(route.timeout_s + route.goal_s + (route.gap_s or 0))
+            route.host.encode()
+
+    @given(odd(["127.0.0.1", 7000]).map(source) | SOURCES)
+    def test_addresses_of_vms(self, value: bytes) -> None:
+        address = decodes(lambda: decode_address(value), BadRecordError)
+        assert address is None or 0 < address[1] < 65_536
+
+    @given(odd({"held_up": True}).map(source) | SOURCES)
+    def test_stalled_pools(self, value: bytes) -> None:
+        records = StallRecords("vm", "t", None, JOURNAL, lambda service: None)  # type: ignore[arg-type]
+        assert records.apply(KeyedRecord("pool:llm", value, 1))
+
+    @given(odd(REFUSED).map(source) | SOURCES)
+    def test_refused_requests(self, value: bytes) -> None:
+        records = RefusalRecords("t", None, JOURNAL, lambda refused: None)  # type: ignore[arg-type]
+        assert records.apply(KeyedRecord("crash:x", value, 1))
+
+    @given(odd(STARTS).map(source) | SOURCES)
+    def test_starts_of_streams(self, value: bytes) -> None:
+        starts = decodes(lambda: start_records.decode(value), BadRecordError)
+        for began in starts or ():
+            decodes(partial(codec.encode, began), BadMessageError)
+            assert math.isfinite(began.life_s)
+
+    def test_a_start_with_any_request_id_is_read(self) -> None:
+        """Guards against a caller whose id hides the starts written beside its own."""
+        began = StreamBegan(("\x85", "x" * 2000), "llm", "v1", 12.0)
+        assert start_records.decode(start_records.encode([began])) == [began]
+
+    @given(odd(PAGE).map(source) | SOURCES)
+    def test_pages_of_the_store(self, value: bytes) -> None:
+        page = decodes(lambda: _decode_page(_Answer(value, 0)), StoreError)
+        for record in page.records if page else ():
+            record.key.encode()
+
+    def test_a_key_with_a_lone_surrogate_is_read_over_pages(self) -> None:
+        """Guards against an odd key that ends the reading of a list."""
+        page = {**PAGE, "items": [{**PAGE["items"][0], "key": "\ud800"}]}
+        store = StoreClient(lambda: ("127.0.0.1", 80), None, StoreEras(JOURNAL, float))  # type: ignore[arg-type]
+        answers = [source(page), source({**PAGE, "more": False})]
+        targets: list[str] = []
+
+        async def exchange(method: str, target: str, body: bytes) -> Any:
+            targets.append(target)
+            return ResponseHead(200, []), answers.pop(0)
+
+        store._exchange = exchange  # type: ignore[method-assign]
+        snapshot = asyncio.run(store.newest("keyed.servers"))
+        assert [record.key for record in snapshot.records] == ["?", "k"]
+        assert targets[1].endswith("&after=%ED%A0%80")
+
+    @given(st.binary(max_size=60))
+    def test_reads_of_the_store(self, value: bytes) -> None:
+        decodes(lambda: _keyed_records(value, Position(0)), ValueError)
+
+
+class TestSettings:
+    """The settings file, which anybody may write while a VM runs."""
+
+    @given(odd(node_document(("127.0.0.1", 80), "entry-0", "127.0.0.2")))
+    def test_documents(self, document: Any) -> None:
+        if isinstance(document, dict):
+            NodeSettings.from_document(document)
+
+    @pytest.mark.parametrize(
+        "text", [b"a = " + b"9" * 5000, b"a = " + b"[" * 100_000, b"\xff", b"a = nan"]
+    )
+    def test_files(self, text: bytes, tmp_path: Any) -> None:
+        path = tmp_path / "node.toml"
+        path.write_bytes(text)
+        assert NodeSettings.from_file(path).is_err()
+
+
+class TestHeads:
+    """Heads of endpoints' answers and of callers' requests."""
+
+    @given(st.integers(100, 599), HEADER_LISTS)
+    def test_answers(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        decode_answer(ResponseHead(status, headers))
+
+    @given(HEADER_LISTS)
+    def test_requests(self, headers: list[tuple[bytes, bytes]]) -> None:
+        request = Request("POST", "/chat/1", [(b"host", b"h"), *headers], b"", 0.0)
+        decodes(lambda: decode_call(request), BadRequest)
+
+    @given(st.text(max_size=9) | st.sampled_from(["http://[", "//[x", "/api/\ud800"]))
+    def test_targets(self, target: str) -> None:
+        decode_query(target)
+        is_readiness_query(target)
+
+    @given(st.text(max_size=9) | st.sampled_from(["[:", "h:x", ":[::"]))
+    def test_hosts(self, host: str) -> None:
+        table = decode_routing_table(source(configuration()))
+        assert host == HOST or table.match(host, "/chat/1") is None
+
 
 def as_cbor(value: Any) -> bytes:
     """Return a frame with a value as its message."""
