What two VMs know of versions is joined at one moment

What callers saw: a stream begins at a version that comes and goes, its VM ends and starts again, is asked for the stream, asks the others, and stands still before it judges: 200, joined from two versions (ORDER). Without standing still the same holds for the time that its read of the store takes.

Cause: the reply says how long ago the other VM's knowledge ended, as of the reply. It was compared with how long ago this VM's began as of the judgement, which is later: by all the time that the VM stood still, another VM seemed to know of more. The time in which the stream may have begun was counted back from the judgement too, not from the caller's return.

Class: ages that were taken at different moments and compared.

The fix: a reply is taken as old as the question; the time in which the stream may have begun grows by what has passed since the caller came back. A VM that has just started was helped by the error (it was joined 0.1 s after its start with replies of before it), so it asks again, each 0.2 s up to nine times, while a VM that knows of before has not read of its start.

--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -31,6 +31,10 @@
 ASKED = REPLICAS + 2
 """VMs that are asked: two may have come or gone since the stream began."""
 ANSWER_TIMEOUT_S = 0.3
+REASK_S = 0.2
+REASKS = 9
+"""Times that VMs are asked anew which have not read the endpoints since this VM's
+start: they do so within 1.6 s."""
 MAX_SINCE_S = 3600.0
 """Stands for any longer time in a reply, also one without bound."""
 RETURN_S = 10.0
@@ -67,6 +71,23 @@
         return 2 * self.attempt_s + RETURN_S
 
 
+@dataclass(frozen=True)
+class _Asked:
+    """What other VMs replied to a question that was sent at a moment."""
+
+    at: float
+    told: tuple[StreamReply, ...]
+    all_answered: bool
+
+    @property
+    def source(self) -> StreamSource | None:
+        """Return where the stream began, None if no VM knows."""
+        for reply in self.told:
+            if reply.software_version is not None:
+                return StreamSource(reply.service, reply.software_version)
+        return None
+
+
 class StartExchange:
     """The starts of streams as this VM knows them, with the help of others.
 
@@ -85,6 +106,7 @@
         records: StartLog,
         now: Callable[[], float],
         clock: Callable[[], float],
+        reask_s: float = REASK_S,
     ) -> None:
         self.starts = StreamStarts()
         self.versions = versions
@@ -95,6 +117,7 @@
         self._records = records
         self._now = now
         self._clock = clock
+        self._reask_s = reask_s
 
     def on_first_event(
         self,
@@ -160,19 +183,20 @@
         known = self._known_here(stream)
         if known is not None:
             return Findings(known, ground=Ground.TOLD)
-        replies = await self._ask(stream)
-        told = [reply for reply in replies if reply is not None]
-        for reply in told:
-            if reply.software_version is not None:
-                source = StreamSource(reply.service, reply.software_version)
-                return Findings(source, ground=Ground.ASKED)
-        all_answered = len(told) == len(replies)
+        asked = await self._ask(stream)
+        if asked.source is not None:
+            return Findings(asked.source, ground=Ground.ASKED)
         is_proven = await self._prove()
-        all_answered &= is_proven
-        seen = self._seen(stream, told)
+        if is_proven:
+            asked = await self._ask_anew(stream, asked, arrived_at)
+        if asked.source is not None:
+            return Findings(asked.source, ground=Ground.ASKED)
+        all_answered = asked.all_answered and is_proven
         since_arrival_s = self._clock() - arrived_at
+        within_s = stream.within_s + since_arrival_s
+        seen = self._seen(stream, asked, within_s)
         only_version = (
-            seen.only_version(stream.within_s, since_arrival_s) if is_proven else None
+            seen.only_version(within_s, since_arrival_s) if is_proven else None
         )
         history_s = round(min(seen.since_s, MAX_SINCE_S), 1)
         if only_version is not None:
@@ -190,20 +214,52 @@
             return None
         return self.starts.find(stream.attempt_id, stream.customer, self._now())
 
-    def _seen(self, stream: ResumedStream, told: Iterable[StreamReply]) -> VersionsSeen:
-        """Return the versions that this VM and those that replied have seen."""
-        seen = self.versions.seen(stream.services, stream.within_s, self._clock())
-        for reply in told:
-            versions = frozenset(reply.versions)
-            seen = seen.join(VersionsSeen(versions, reply.since_s, reply.until_s))
+    def _seen(
+        self, stream: ResumedStream, asked: "_Asked", within_s: float
+    ) -> VersionsSeen:
+        """Return the versions that this VM and those that replied have seen.
+
+        A reply may have been given at any moment since it was asked for.
+        """
+        now = self._clock()
+        seen = self.versions.seen(stream.services, within_s, now)
+        for reply in asked.told:
+            until_s = reply.until_s + now - asked.at
+            told = VersionsSeen(frozenset(reply.versions), reply.since_s, until_s)
+            seen = seen.join(told)
         return seen
 
-    async def _ask(self, stream: ResumedStream) -> list[StreamReply | None]:
-        """Return the replies of the VMs that may know, up to the first that does."""
+    def _is_reply_too_old(
+        self, stream: ResumedStream, asked: "_Asked", arrived_at: float
+    ) -> bool:
+        """Return whether a VM knows of before, and will soon of this VM's start."""
+        within_s = stream.within_s + self._clock() - arrived_at
+        seen = self._seen(stream, asked, within_s)
+        if seen.single_version() is None or seen.since_s >= within_s:
+            return False
+        return any(reply.since_s >= within_s for reply in asked.told)
+
+    async def _ask_anew(
+        self, stream: ResumedStream, asked: "_Asked", arrived_at: float
+    ) -> "_Asked":
+        """Ask again while a VM that knows of before has to read of this VM's start."""
+        for _ in range(REASKS):
+            if asked.source or not self._is_reply_too_old(stream, asked, arrived_at):
+                break
+            await asyncio.sleep(self._reask_s)
+            asked = await self._ask(stream)
+        return asked
+
+    async def _ask(self, stream: ResumedStream) -> "_Asked":
+        """Ask the VMs that may know, up to the first that does."""
         attempt_id = stream.attempt_id or ""
         query = StreamQuery(
-            attempt_id, stream.services, stream.within_s, stream.customer
+            attempt_id,
+            stream.services,
+            stream.within_s + ANSWER_TIMEOUT_S,
+            stream.customer,
         )
+        at = self._clock()
         asked = [
             await_on_loop(self._links.request(vm, query, ANSWER_TIMEOUT_S))
             for vm in self._others(attempt_id, ASKED)
@@ -218,7 +274,8 @@
         finally:
             for future in asked:
                 future.cancel()
-        return replies
+        told = tuple(reply for reply in replies if reply is not None)
+        return _Asked(at, told, len(told) == len(replies))
 
     def _others(self, attempt_id: str, count: int) -> list[str]:
         others = (vm for vm in self._holders() if vm != self._own_id)
--- a/tests/test_streams_machine.py
+++ b/tests/test_streams_machine.py
@@ -62,6 +62,7 @@
             self,
             lambda: world.now,
             lambda: world.now,
+            reask_s=0.0,
         )
 
     def read(self) -> bool:
@@ -92,7 +93,8 @@
         return self.world.log.states[self.read_to] if self.has_read else frozenset()
 
     async def prove(self) -> bool:
-        """Read the store for a request."""
+        """Read the store for a request, maybe after the VM stood still."""
+        self.world.now += self.world.pause_s
         return self.read()
 
     # Records in the store of who began streams.
@@ -148,6 +150,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = 1000.0
+        self.pause_s = 0.0
         self.numbers = itertools.count(1)
         self.loop = asyncio.new_event_loop()
         self.log = StoreLog()
@@ -276,14 +279,33 @@
             assert found.ok_value.software_version == stream.version
 
     @precondition(lambda self: self.streams)
-    @rule(data=st.data(), vm_id=st.sampled_from(VMS))
-    def a_caller_comes_back(self, data: st.DataObject, vm_id: str) -> None:
-        stream = data.draw(st.sampled_from(self.streams))
+    @rule(
+        data=st.data(),
+        vm_id=st.sampled_from(VMS),
+        pause_s=st.sampled_from([0.0, 0.0, 5.0]),
+    )
+    def a_caller_comes_back(
+        self, data: st.DataObject, vm_id: str, pause_s: float
+    ) -> None:
+        """Resume a stream at a VM that may stand still once it has asked others."""
+        self._come_back(data.draw(st.sampled_from(self.streams)), vm_id, pause_s)
+
+    @rule(vm_id=st.sampled_from(VMS), version=st.sampled_from(VERSIONS))
+    def a_caller_comes_back_at_its_vm_that_starts_and_stands_still(
+        self, vm_id: str, version: str
+    ) -> None:
+        self.a_stream_begins_and_its_vm_ends_untold(vm_id, version, True)
+        if self.streams:
+            self._come_back(self.streams[-1], vm_id, 5.0)
+
+    def _come_back(self, stream: Stream, vm_id: str, pause_s: float) -> None:
         resumed = ResumedStream(stream.attempt_id, None, (SERVICE,), ATTEMPT_S)
         if self.now - stream.began_at > resumed.within_s:
             return
         process = self.process_by_id[vm_id]
+        self.pause_s = pause_s
         found = self.loop.run_until_complete(process.exchange.source_of(resumed))
+        self.pause_s = 0.0
         if isinstance(found, Ok):
             assert found.ok_value.software_version == stream.version
             if stream.version in process.versions:
