Gossip: a VM that is suspected and heard is a neighbour again

Cause: a VM that we suspect was left out of the neighbours until it refuted, also once it was heard and so neither silent, probed, nor watched. Now it is left out only while it is not live for us: every VM is either a neighbour by the rings or probed.

--- a/bamboovale/fleet/neighbours.py
+++ b/bamboovale/fleet/neighbours.py
@@ -212,12 +212,21 @@
                 del self.by_id[vm_id]
 
     def _exclusion(self, now: float) -> Callable[[str], bool]:
-        """Return a predicate for VMs that are not to be chosen."""
+        """Return a predicate for VMs that are not to be chosen.
+
+        One that we suspect may be chosen again once it is heard: guards against two VMs
+        that suspect each other and are live, but no neighbours, when the refutations
+        are lost.
+        """
         for vm_id, until in list(self._blocked_until.items()):
             if until <= now:
                 del self._blocked_until[vm_id]
         return lambda vm_id: (
-            vm_id in self._blocked_until or self._membership.is_suspected_by_us(vm_id)
+            vm_id in self._blocked_until
+            or (
+                self._membership.is_suspected_by_us(vm_id)
+                and not self._membership.is_live(vm_id)
+            )
         )
 
     def _check_watched(self, now: float) -> None:
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -104,6 +104,14 @@
         """Kill a VM; it sends no last message."""
         self.vm_by_id.pop(vm_id).dead = True
 
+    def freeze(self, vm: SimulatedVM, at: float, seconds: float) -> None:
+        """Schedule a time in which a VM does not run."""
+
+        def begin() -> None:
+            vm.frozen_until = max(vm.frozen_until, self.now + seconds)
+
+        self.at(at, begin)
+
     # Time.
 
     def at(self, when: float, what: Callable[[], None]) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,9 @@
 """Gossip membership in virtual time with up to 300 VMs."""
 
+import itertools
+import random
 from collections.abc import Callable
+from functools import partial
 
 import pytest
 from hypothesis import HealthCheck, settings
@@ -429,6 +432,45 @@
     return vm.topic.changes.next_offset == 9
 
 
+class TestDisturbedStart:
+    """Two VMs start while links and processes fail for up to two seconds each."""
+
+    @pytest.mark.parametrize("seed", [37, 68, 341, 1079, 4014, 5016])
+    def test_each_knows_the_last_record_of_the_other(self, seed: int) -> None:
+        """Guards against VMs that exchange nothing for good after such a start."""
+        fleet = SimulatedFleet(seed)
+        fleet.start_all(2)
+        _disturb(fleet, random.Random(seed))
+        fleet.run(9.0)
+        fleet.run_until(lambda: _knows_last_records(fleet), 5.0)
+
+
+def _disturb(fleet: SimulatedFleet, rng: random.Random) -> None:
+    """Lose messages, freeze VMs and change their records at random times."""
+    vms = _vms(fleet)
+    lost = {}
+    for pair in itertools.permutations(fleet.vm_by_id, 2):
+        starts = [rng.uniform(0.0, 6.0) for _ in range(rng.randrange(3))]
+        lost[pair] = [(at, at + rng.uniform(0.0, 2.0)) for at in starts]
+    fleet.passes = lambda *pair: not any(a <= fleet.now < b for a, b in lost[pair])
+    for _ in range(rng.randrange(4)):
+        fleet.freeze(rng.choice(vms), rng.uniform(0.0, 6.0), rng.uniform(0.0, 2.5))
+    for _ in range(4):
+        membership = rng.choice(vms).membership
+        fleet.at(rng.uniform(0.0, 9.0), partial(_change_record, membership))
+
+
+def _change_record(membership: Membership) -> None:
+    membership.update_own(busy=not membership.own.busy)
+
+
+def _knows_last_records(fleet: SimulatedFleet) -> bool:
+    own = [vm.membership.own for vm in _vms(fleet)]
+    return all(
+        vm.membership.member(m.vm_id) in (None, m) for vm in _vms(fleet) for m in own
+    ) and fleet.agree(fleet.vm_by_id)
+
+
 class TestFaults:
     """Partial failures of VMs and links."""
 
