Paths: a connection that breaks at once is none

Cause: a trial that connects counted as a path that is back before anything showed that the connection lasts. Class: evidence that is weaker than what it ends.

Now a new connection to an endpoint in doubt counts after it was open for 50 ms. A path that is back is used 50 ms later (HEALED_S holds).

Test: test_no_request_is_sent_where_connections_break_at_once failed before.

--- a/bamboovale/gateway/pools.py
+++ b/bamboovale/gateway/pools.py
@@ -31,6 +31,7 @@
             self._state.node.ip,
             paths.on_connected,
             paths.on_failed,
+            paths.paths.is_in_doubt,
         )
 
     def sweeps(self) -> list[Coroutine[Any, Any, None]]:
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -150,6 +150,11 @@
 
     # Client interface.
 
+    async def lasts(self, seconds: float) -> bool:
+        """Return whether the connection is still open after a time."""
+        await asyncio.sleep(seconds)
+        return not self.closed
+
     def send(self, request: h11.Request, body: bytes) -> None:
         """Write a complete request."""
         self._busy = True
--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -14,6 +14,8 @@
 race with the endpoint's close."""
 HANGING_CONNECT_S = 0.25
 """A connection that is not made by then and given up counts as failed."""
+LASTS_S = 0.05
+"""A connection to an endpoint in doubt that breaks by then counts as not made."""
 FRESH_IDLE_S = 2.5
 """Idle limit for a request that must not run twice: if the endpoint has silently
 dropped the connection, the request fails with an unknown outcome."""
@@ -31,7 +33,8 @@
     """Provides connections by endpoint id; endpoint ids are never reused.
 
     ``on_connected`` is called with the endpoint of each new connection, ``on_failed``
-    with that of one that could not be made, and why.
+    with that of one that could not be made, and why. ``is_in_doubt`` returns whether
+    the last connection to an endpoint failed.
     """
 
     def __init__(
@@ -41,8 +44,10 @@
         source: str | None = None,
         on_connected: Callable[[str], None] = lambda endpoint_id: None,
         on_failed: Callable[[str, str], None] = lambda endpoint_id, reason: None,
+        is_in_doubt: Callable[[str], bool] = lambda endpoint_id: False,
     ) -> None:
         self._now = now
+        self._is_in_doubt = is_in_doubt
         self._on_opened = on_opened
         self._on_connected = on_connected
         self._on_failed = on_failed
@@ -104,6 +109,8 @@
         started_at = self._now()
         try:
             connection = await Connection.open(*address, self._source, limit_s)
+            if self._is_in_doubt(endpoint_id):
+                await _check_lasts(connection)
         except ConnectFailed as error:
             self._on_failed(endpoint_id, str(error))
             raise
@@ -174,6 +181,22 @@
         return not connection.closed and idle_s < min(limit_s, max_idle_s)
 
 
+async def _check_lasts(connection: Connection) -> None:
+    """Raise ConnectFailed if a new connection breaks at once.
+
+    Guards against requests that are sent on a path where connections are made and
+    reset.
+    """
+    lasts = False
+    try:
+        lasts = await connection.lasts(LASTS_S)
+    finally:
+        if not lasts:
+            connection.close()
+    if not lasts:
+        raise ConnectFailed("broke at once")
+
+
 def _note_request(connection: Connection, request_id: str | None) -> None:
     if request_id is not None:
         connection.carried_ids.append(request_id)
--- a/tests/path_cuts.py
+++ b/tests/path_cuts.py
@@ -14,6 +14,8 @@
 """New connections get no answer, and open ones pass nothing."""
 REFUSE = "refuse"
 """New connections are refused, and open ones are reset."""
+BREAK = "break"
+"""New connections are made and reset at once, and open ones are reset."""
 LIVE_ON = "live on"
 """New connections are refused, and open ones go on."""
 
@@ -45,6 +47,10 @@
             return await open_connection(host, port, source, timeout_s)
         if how == HANG:
             await asyncio.sleep(timeout_s)
+        if how == BREAK:
+            connection = await open_connection(host, port, source, timeout_s)
+            asyncio.get_running_loop().call_soon(connection._transport.abort)
+            return connection
         raise ConnectFailed("cut")
 
     with pytest.MonkeyPatch.context() as patch:
--- a/tests/test_gateway_cut_paths.py
+++ b/tests/test_gateway_cut_paths.py
@@ -16,7 +16,7 @@
     run,
     running_site,
 )
-from tests.path_cuts import HANG, LIVE_ON, REFUSE, cut_from_endpoints
+from tests.path_cuts import BREAK, HANG, LIVE_ON, REFUSE, cut_from_endpoints
 from tests.signal_load import served
 
 STABLE_S = 3.0
@@ -63,7 +63,7 @@
 class TestVMWithoutPaths:
     """One of three VMs loses its paths to all endpoints."""
 
-    @pytest.mark.parametrize("how", [HANG, REFUSE, LIVE_ON])
+    @pytest.mark.parametrize("how", [HANG, REFUSE, BREAK, LIVE_ON])
     def test_its_callers_are_served_like_those_of_the_others(self, how: str) -> None:
         """Guards against callers that wait at a VM which can reach no endpoint."""
 
@@ -85,6 +85,23 @@
 
         run(test())
 
+    def test_no_request_is_sent_where_connections_break_at_once(self) -> None:
+        """Guards against a connection that is taken for a path that is back."""
+
+        async def test() -> None:
+            async with running_site(vms=3, runners=2, services=2) as site:
+                cut = site.vms[0]
+                await load(cut, 0.5)
+                with cut_from_endpoints(site, [cut], BREAK):
+                    await load(cut, STABLE_S)
+                    before = len(cut.journal.of("request"))
+                    await load(cut, LOAD_S)
+                lines = cut.journal.of("request")[before:]
+                attempts = [a for line in lines for a in line.get("attempts", ())]
+                assert attempts and all("via" in attempt for attempt in attempts)
+
+        run(test())
+
 
 class TestHelperWhosePathWasLost:
     """The only VM in touch loses a path for a while, and has no callers of its own."""
