Accept what has connected before a VM that stops closes its listener

A VM that had no connection left exited at once, also if its loop had been late: what had connected meanwhile was accepted and reset in the next passes, requests unread. It goes on for 0.02 s, stops to listen, and then answers what is there.

test_one_that_the_loop_has_not_accepted_is_answered: an empty answer before, 503 after.

--- a/bamboovale/gateway/drain.py
+++ b/bamboovale/gateway/drain.py
@@ -16,6 +16,8 @@
 HASTEN_S = 0.5
 """How long before the end answers are handed over to the kernel, which delivers what
 callers have not taken after the exit."""
+ACCEPT_S = 0.02
+"""Time for the loop to accept the connections that came while it was late."""
 FLUSH_TIMEOUT_S = 0.2
 """How long the last answers may take to reach the callers, within that time."""
 LEAVE_TIMEOUT_S = 1.0
@@ -54,10 +56,11 @@
     await _wait_for_callers(state, callers, relays, stop)
     cut_off = callers.busy
     end_calls()
+    await asyncio.sleep(ACCEPT_S)
+    callers.stop_listening()
     await _flush(state, callers)
     for request, unsent_bytes in callers.undelivered():
         log_undelivered(request, unsent_bytes)
-    callers.stop_listening()
     state.journal.write("drained", cut_off=cut_off)
 
 
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -4,6 +4,7 @@
 import contextlib
 import math
 import socket
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from types import SimpleNamespace
@@ -415,6 +416,26 @@
         run(test())
 
 
+class TestConnectionsAtTheEnd:
+    """Callers that connect as the VM is about to exit."""
+
+    def test_one_that_the_loop_has_not_accepted_is_answered(self) -> None:
+        """Guards against an exit that resets what comes while the loop is late."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                stopping = site.vms[0]
+                stopping.vm.stop()
+                while not stopping.vm.state.draining:
+                    await asyncio.sleep(0.002)
+                with slow_caller(stopping.address) as caller:
+                    time.sleep(0.1)
+                    received = await asyncio.to_thread(read_all, caller)
+                assert received.startswith(b"HTTP/1.1 503 ")
+
+        run(test())
+
+
 class TestErrorsOfAStop:
     """Parts of the stop that fail."""
 
