--- a/bench/stop_guards.py
+++ b/bench/stop_guards.py
@@ -5,6 +5,7 @@
 TESTS = "tests/test_gateway_stops.py"
 DRAIN_PATH = "bamboovale/gateway/drain.py"
 SEARCH_PATH = "bamboovale/gateway/place_search.py"
+SERVER_PATH = "bamboovale/http1/server.py"
 
 STILL_IN_TIME = "lambda: self._now() >= latest_start()"
 
@@ -55,4 +56,72 @@
         f"{TESTS}::TestRequestsLeftAtTheEnd::test_one_that_may_have_run_is_told_so",
         (Change(DRAIN_PATH, "    end_calls()\n", ""),),
     ),
+    Guard(
+        "late requests need a promise by the clock",
+        EndpointPromise.STOPS,
+        f"{TESTS}::TestPromisedRequests"
+        "::test_a_stream_that_only_an_estimate_would_end_is_refused",
+        (
+            Change(
+                "bamboovale/decisions/planned_stop.py",
+                "        return is_excused or ends_by <= self.ends_at\n",
+                "        return True\n",
+            ),
+        ),
+    ),
+    Guard(
+        "a stop is dated before its signal",
+        EndpointPromise.STOPS,
+        "tests/test_gateway_stop_clock.py::TestStopOfALateVM"
+        "::test_it_ends_by_the_clock_of_the_platform",
+        (
+            Change(
+                "bamboovale/gateway/vm.py",
+                "                self._stop_clock.unasked_until,\n",
+                "                self.state.now(),\n",
+            ),
+        ),
+    ),
+    Guard(
+        "no timer that precedes the signal's handler dates the stop",
+        EndpointPromise.STOPS,
+        "tests/test_gateway_stop_clock.py::TestStopClock"
+        "::test_a_suspension_dates_the_signal_no_later",
+        (
+            Change(
+                "bamboovale/gateway/stop_clock.py",
+                "LOOP_PASSES = 4\n",
+                "LOOP_PASSES = 0\n",
+            ),
+        ),
+    ),
+    Guard(
+        "complete answers leave a process that exits",
+        EndpointPromise.STOPS,
+        f"{TESTS}::TestDelivery::test_a_caller_that_reads_slowly_gets_all_of_it",
+        (
+            Change(
+                SERVER_PATH, "            connection.hasten()\n", "            pass\n"
+            ),
+        ),
+    ),
+    Guard(
+        "requests behind another are answered",
+        EndpointPromise.STOPS,
+        f"{TESTS}::TestDelivery::test_a_request_behind_another_is_answered",
+        (
+            Change(
+                SERVER_PATH,
+                "        if self.close_after and not self._has_next():\n",
+                "        if self.close_after:\n",
+            ),
+        ),
+    ),
+    Guard(
+        "what connects while the loop is late is answered",
+        EndpointPromise.STOPS,
+        f"{TESTS}::TestConnectionsAtTheEnd"
+        "::test_one_that_the_loop_has_not_accepted_is_answered",
+        (Change(DRAIN_PATH, "    await asyncio.sleep(ACCEPT_S)\n", ""),),
+    ),
 )
