An idle connection holds no request that was answered

Cause: the request was kept for the line of an answer that a stop could not deliver. It is kept only while bytes of its answer wait. The test fails before: the request is still there.

--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -328,6 +328,8 @@
             responder.close_after()
             responder.answer(500, [], b"")
         self.busy = False
+        if not self.unsent_bytes:
+            self.last_request = None
         if self.close_after and not self._has_next():
             return False
         if self._transport.is_closing() or self._wire.our_state is not h11.DONE:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -59,6 +59,26 @@
 
         run(test())
 
+    def test_it_holds_no_request_that_was_answered(self) -> None:
+        """Guards against memory for the bodies of all that idle callers ever sent."""
+
+        async def test() -> None:
+            async def answer(request: Request, responder: Responder) -> None:
+                responder.answer(200, [], b"")
+
+            running = Server(answer)
+            port = await running.listen("127.0.0.1", 0)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody")
+            assert await reader.readline() == b"HTTP/1.1 200 OK\r\n"
+            [connection] = running.connections
+            await eventually(lambda: not connection.busy)
+            assert connection.last_request is None
+            writer.close()
+            running.close()
+
+        run(test())
+
     def test_a_request_read_as_the_idle_time_ends_is_answered(self) -> None:
         """Guards against a late loop that drops a request with its connection."""
 
