--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -45,6 +45,8 @@
 """Times between the stops of two VMs: several stops overlap."""
 BUSY_S = (0.03, 0.3)
 """Shortest and longest suspension that stands for a busy machine."""
+STOPPING_WEIGHT = 3
+"""How much more often a VM is suspended while it stops."""
 LEAST_UP = 1
 """VMs that always stay while others stop."""
 KILL_PAUSE_S = 8.0
@@ -209,8 +211,9 @@
                     group.create_task(self._replace(vm))
 
     async def _busy(self) -> None:
-        """Suspend a VM for a moment, as on a busy machine."""
-        vm = self._vm()
+        """Suspend a VM, more often one that stops, as a busy machine does."""
+        stopping = [vm for vm in self._site.vms if vm.lock.locked()]
+        vm = self._rng.choice([*self._site.vms, *STOPPING_WEIGHT * stopping])
         async with self._span(BUSY, vm.name):
             vm.signal(signal.SIGSTOP)
             try:
