A message between VMs of any form is decoded or a bad message; so is one that cannot be encoded

What operators would see: a link that closes without a count or a cause, or the error of an encoder in a task that expects BadMessageError. Before, on: OverflowError: int too large to convert to float; ValueError: Exceeds the limit (4300 digits) ... for a frame number, kind or failure of 5,000 digits, also out of the making of the decoder's own error; UnicodeEncodeError for a lone surrogate in a row.

--- a/bamboovale/peers/codec.py
+++ b/bamboovale/peers/codec.py
@@ -20,6 +20,7 @@
 
 import cbor2
 
+from bamboovale.errors import describe
 from bamboovale.peers.member_plans import MAX_PLANS, Coder, MemberPlans
 from bamboovale.peers.value_coders import (
     BadMessageError,
@@ -33,6 +34,7 @@
     "MAX_FRAME_BYTES",
     "BadMessageError",
     "decode",
+    "dump",
     "encode",
     "load",
     "message",
@@ -83,12 +85,7 @@
     Raises BadMessageError if it is not registered, does not match its type hints or
     is too large.
     """
-    try:
-        frame = cbor2.dumps(pack(item))
-    except cbor2.CBOREncodeError as error:
-        raise BadMessageError(
-            f"cannot encode {type(item).__name__}: {error}"
-        ) from error
+    frame = dump(pack(item))
     if len(frame) > MAX_FRAME_BYTES:
         raise BadMessageError(f"message of {len(frame)} bytes is too large")
     return frame
@@ -96,7 +93,12 @@
 
 def decode(frame: bytes) -> Any:
     """Decode a registered message; raises BadMessageError."""
-    return unpack(load(frame))
+    try:
+        return unpack(load(frame))
+    except BadMessageError:
+        raise
+    except Exception as error:  # of a value of which not even a text can be made
+        raise BadMessageError(f"malformed: {describe(error)}") from error
 
 
 def load(frame: bytes) -> Any:
@@ -117,6 +119,14 @@
     return value
 
 
+def dump(value: Any) -> bytes:
+    """Return a value as CBOR; raises BadMessageError, also for a lone surrogate."""
+    try:
+        return cbor2.dumps(value)
+    except Exception as error:
+        raise BadMessageError(f"cannot encode: {describe(error)}") from error
+
+
 def pack(item: Any) -> dict[str, Any]:
     """Return the tagged map of a registered message; raises BadMessageError."""
     tag = _tag_by_class.get(type(item))
--- a/bamboovale/peers/frames.py
+++ b/bamboovale/peers/frames.py
@@ -10,7 +10,15 @@
 
 import cbor2
 
-from bamboovale.peers.codec import MAX_FRAME_BYTES, BadMessageError, load, pack, unpack
+from bamboovale.errors import describe
+from bamboovale.peers.codec import (
+    MAX_FRAME_BYTES,
+    BadMessageError,
+    dump,
+    load,
+    pack,
+    unpack,
+)
 
 
 class FrameKind(IntEnum):
@@ -36,12 +44,7 @@
 def encode_frame(kind: FrameKind, number: int, message: Any) -> bytes:
     """Return the bytes of a frame; raises BadMessageError if it cannot be encoded."""
     body = message if kind is FrameKind.FAILURE else pack(message)
-    try:
-        data = cbor2.dumps([int(kind), number, body])
-    except cbor2.CBOREncodeError as error:
-        raise BadMessageError(
-            f"cannot encode {type(message).__name__}: {error}"
-        ) from error
+    data = dump([int(kind), number, body])
     if len(data) > MAX_FRAME_BYTES:
         raise BadMessageError(f"message of {len(data)} bytes is too large")
     return data
@@ -51,7 +54,15 @@
     """Decode a frame; raises BadMessageError."""
     if isinstance(data, str):
         raise BadMessageError("frame is text, not bytes")
-    value = load(data)
+    try:
+        return _frame_of(load(data))
+    except BadMessageError:
+        raise
+    except Exception as error:  # of a value of which not even a text can be made
+        raise BadMessageError(f"malformed: {describe(error)}") from error
+
+
+def _frame_of(value: Any) -> Frame:
     if not isinstance(value, list) or len(value) != 3:
         raise BadMessageError("a frame must be an array of three items")
     kind, number, body = value
--- a/bamboovale/peers/value_coders.py
+++ b/bamboovale/peers/value_coders.py
@@ -27,11 +27,18 @@
             raise BadMessageError(
                 f"{kind.__name__} expected, not {type(value).__name__}"
             )
-        return float(value) if kind is float else value
+        return _to_float(value) if kind is float else value
 
     return Coder(check, check, frozenset([kind]))
 
 
+def _to_float(value: float) -> float:
+    try:
+        return float(value)
+    except OverflowError as error:
+        raise BadMessageError("a number too large for a float") from error
+
+
 def plain_coder() -> Coder:
     """Return the coder of JSON-like values."""
 
--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -24,6 +24,7 @@
 from bamboovale.http1.server import BadRequest, Request
 from bamboovale.peers import codec
 from bamboovale.peers.codec import BadMessageError
+from bamboovale.peers.frames import decode_frame
 from bamboovale.platform.configuration import (
     decode_adapter_version,
     decode_routing_table,
@@ -54,16 +55,6 @@
 
 EMPTY_GOSSIP = Gossip(0, 0, 0, 0, 1)
 JOURNAL = Journal("vm", logging.getLogger("none"))
-DEPTH = 2000
-"""Deeper than Python's limit on recursion."""
-
-
-def deep(depth: int) -> Any:
-    """Return a list within a list, many times."""
-    value: Any = []
-    for _ in range(depth):
-        value = [value]
-    return value
 
 
 ODD_VALUES = st.sampled_from(
@@ -351,6 +342,44 @@
         assert host == HOST or table.match(host, "/chat/1") is None
 
 
+class TestMessages:
+    """Messages between VMs, in frames of CBOR."""
+
+    @given(
+        st.sampled_from(sorted(codec._class_by_tag)),
+        st.dictionaries(st.text(max_size=3), VALUES, max_size=3),
+        st.data(),
+    )
+    def test_messages(self, tag: str, extra: dict[str, Any], data: Any) -> None:
+        names = list(codec._class_by_tag[tag].__dataclass_fields__)
+        fields = {name: data.draw(VALUES) for name in names}
+        for members in (fields, {**fields, **extra}):
+            decodes(
+                lambda members=members: codec.unpack({"type": tag, **members}),
+                BadMessageError,
+            )
+
+    @given(st.binary(max_size=60) | VALUES.map(lambda value: as_cbor(value)))
+    def test_frames(self, data: bytes) -> None:
+        decodes(lambda: decode_frame(data), BadMessageError)
+
+    def test_a_number_too_large_for_its_field_is_a_bad_message(self) -> None:
+        began = {"type": "stream_began", "attempts": ["r1"], "service": "llm"}
+        message = {**began, "software_version": "v1", "life_s": 10**400}
+        with pytest.raises(BadMessageError):
+            codec.unpack(message)
+
+    @pytest.mark.parametrize("frame", [[3, 0, 10**5000], [10**5000, 0, None]])
+    def test_numbers_of_any_size_are_a_bad_message(self, frame: Any) -> None:
+        with pytest.raises(BadMessageError):
+            decode_frame(cbor2.dumps(frame))
+
+    @pytest.mark.parametrize("text", ["\ud800", 10**400])
+    def test_what_cannot_be_encoded_is_a_bad_message(self, text: Any) -> None:
+        with pytest.raises(BadMessageError):
+            codec.encode(gossip(text, b""))
+
+
 def as_cbor(value: Any) -> bytes:
     """Return a frame with a value as its message."""
     try:
