--- a/bamboovale/store/follower.py
+++ b/bamboovale/store/follower.py
@@ -4,7 +4,7 @@
 import contextlib
 import math
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 
 from bamboovale.fleet.messages import TopicRow
@@ -222,11 +222,12 @@
         if self._is_of_earlier_era(snapshot.end):
             self._log_return(snapshot.end, lost=missing)
             # Other VMs know other records of the last era, and read all by themselves.
-            for record in records:
-                self._guard.apply(replace(record, from_copy=True))
+            copies = [replace(record, from_copy=True) for record in records]
+            await self._guard.apply_all(copies)
             self.changes.reset(int(snapshot.end))
         else:
-            self._apply(records, snapshot.end)
+            results = await self._guard.apply_all(records)
+            self._keep(records, results, snapshot.end)
         self._on_snapshot()
         self._needs_snapshot = False
         return 0.0
@@ -236,7 +237,8 @@
         first = self._known()
         sent_at = lease_clock()
         records, following = await self._read_until_restarted(first, wait_s)
-        self._apply(records, following)
+        results = await self._guard.apply_all(records)
+        self._keep(records, results, following)
         # An answer without records that came early does not tell when it was given.
         return wait_s if not records and lease_clock() - sent_at >= wait_s else 0.0
 
@@ -285,10 +287,16 @@
             lost_keys=len(lost),
         )
 
-    def _apply(self, records: Iterable[KeyedRecord], next_offset: int) -> None:
-        """Pass records on, and keep those that changed something for other VMs."""
+    def _keep(
+        self,
+        records: Sequence[KeyedRecord],
+        results: Sequence[bool | None],
+        next_offset: int,
+    ) -> None:
+        """Keep the records that changed something for other VMs."""
+        pairs = zip(records, results, strict=True)
+        changed = [record for record, result in pairs if result is not False]
         known = self.changes.next_offset or 0
-        changed = [r for r in records if self._guard.apply(r) is not False]
         rows = [(r.key, r.value, int(max(r.position, known))) for r in changed]
         self.changes.advance(int(next_offset), rows)
         if rows:
@@ -311,7 +319,9 @@
         if next_offset <= known:
             return
         self._progress_at = self._now()
-        self._apply([KeyedRecord(*row) for row in rows if row[2] >= known], next_offset)
+        records = [KeyedRecord(*row) for row in rows if row[2] >= known]
+        results = [self._guard.apply(record) for record in records]
+        self._keep(records, results, next_offset)
 
     def _known(self) -> Position:
         """Return the position up to which all records are known, the first without."""
--- a/bamboovale/store/registration.py
+++ b/bamboovale/store/registration.py
@@ -97,8 +97,7 @@
     async def _read(self) -> None:
         """Read all addresses; calls ``on_contact`` if there are new VMs."""
         snapshot = await self._store.newest(self._topic)
-        is_new = [self._guard.apply(record) for record in snapshot.records]
-        if any(is_new):
+        if any(await self._guard.apply_all(snapshot.records)):
             self._on_contact()
 
     def _apply(self, record: KeyedRecord) -> bool:
--- a/bamboovale/streams/start_records.py
+++ b/bamboovale/streams/start_records.py
@@ -247,7 +247,7 @@
     async def _read_newest(self) -> None:
         self._next = None
         snapshot = await self._store.newest(self._topic)
-        self._apply(snapshot.records)
+        await self._guard.apply_all(snapshot.records)
         self._next = snapshot.end
         self._journal.write("stream_records", records=len(snapshot.records))
 
@@ -255,16 +255,12 @@
         """Read on until there are no more, as one answer may hold a part of them."""
         while True:
             records, following = await self._store.read(self._topic, position, 0.0)
-            self._apply(records)
+            await self._guard.apply_all(records)
             self._next = following
             if following == position:
                 return
             position = following
 
-    def _apply(self, records: Iterable[KeyedRecord]) -> None:
-        for record in records:
-            self._guard.apply(record)
-
     def _on_record(self, record: KeyedRecord) -> None:
         for began in decode(record.value) if record.value is not None else ():
             self._on_read(began)
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import math
 from typing import Any
 
@@ -10,10 +11,13 @@
 from bamboovale.errors import MAX_ERROR_CHARS
 from bamboovale.fleet.messages import Gossip
 from bamboovale.fleet.topic_changes import TopicChanges
+from bamboovale.gateway.journal import BURST_LINES, Journal
 from bamboovale.peers import codec
+from bamboovale.platform.endpoints import decode_endpoint
 from bamboovale.store.interface import KeyedRecord
 from bamboovale.store.odd_records import MAX_KEY_CHARS, log_odd_record
 from bamboovale.store.position import Position
+from bamboovale.store.record_guard import RECORDS_AT_ONCE, RecordGuard
 from tests.gateway_site import (
     RecordedJournal,
     RunningVM,
@@ -170,3 +174,52 @@
         changes.advance(1, [("e", b"x" * 5_000_000, 0)])
         changes.advance(2, [("f", b"x", 1)])
         assert changes.rows_from(0) == (1, [("f", b"x", 1)])
+
+
+class TestVeryMany:
+    """A topic with 100,000 odd records, met at a start."""
+
+    COUNT = 100_000
+
+    def test_they_cost_few_lines_and_other_tasks_go_on(self) -> None:
+        """Guards against a log line for each, and requests that wait for all."""
+
+        async def test() -> None:
+            logger, lines = logging.getLogger("tests.odd"), CountedLines()
+            logger.handlers, logger.propagate = [lines], False
+            logger.setLevel(logging.INFO)
+            journal = Journal("vm", logger, now=lambda: 0.0)
+            sound: list[str] = []
+
+            def on_record(record: KeyedRecord) -> None:
+                decode_endpoint(record.key, record.value or b"")
+                sound.append(record.key)
+
+            guard = RecordGuard("keyed.servers", journal, on_record)
+            odd = ODD["adapter_of_5000_digits"]
+            records = [KeyedRecord("odd", odd, n) for n in range(self.COUNT)]
+            records.append(KeyedRecord("sound", endpoint(), self.COUNT))
+            applying = asyncio.create_task(guard.apply_all(records))
+            turns = 0
+            while not applying.done():
+                await asyncio.sleep(0)
+                turns += 1
+            assert sound == ["sound"]
+            assert turns >= self.COUNT / RECORDS_AT_ONCE
+            assert lines.count <= BURST_LINES
+            assert lines.chars < 1_000 * lines.count
+
+        run(test())
+
+
+class CountedLines(logging.Handler):
+    """Counts log lines and their length."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.count = 0
+        self.chars = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.count += 1
+        self.chars += len(record.getMessage())
