Fleet: an owner heard of before its engine's record is kept

Where a read holds several new engines, the owners of the later ones, heard of by gossip before, are dropped, and not looked up again until a member's record changes; a subscriber gets them back with the next refresh of statuses (2 s), a VM that needs no engine not at all.

Now engines that a live VM lists are kept; they go once it no longer lists them. test_an_owner_may_be_heard_of_before_its_engine_is_read failed before.

--- a/bamboovale/gateway/fleet.py
+++ b/bamboovale/gateway/fleet.py
@@ -289,9 +289,14 @@
             )
 
     def retain_engines(self, live_ids: set[str]) -> None:
-        """Drop all engines but those with the given ids."""
-        for engine_id in list(self._engine_by_id):
-            if engine_id not in live_ids:
+        """Drop all engines but those with the given ids and those that a VM lists.
+
+        An owner may be heard of before the endpoint's record is read here.
+        """
+        self._refresh()
+        for engine_id, known in list(self._engine_by_id.items()):
+            is_listed = known.advertised and self.is_live(known.owner)
+            if engine_id not in live_ids and not is_listed:
                 del self._engine_by_id[engine_id]
 
     def _refresh(self) -> None:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -306,6 +306,16 @@
         owned = fleet.engine("e")
         assert owned is not None and owned.owner == "b"
 
+    def test_an_owner_may_be_heard_of_before_its_engine_is_read(self) -> None:
+        """Guards against an engine without an owner for a VM that read it late."""
+        fleet = fleet_of(member("a", 1, ("e", 5), ("f", 5)))
+        assert fleet.engine("f") is not None
+        fleet.retain_engines({"e"})
+        assert fleet.engine("f") is not None
+        fleet.membership.apply(member("a", 2, ("e", 5)), 1.1)
+        fleet.retain_engines({"e"})
+        assert fleet.engine("f") is None
+
     def test_a_status_may_arrive_before_gossip_of_its_owner(self) -> None:
         """Guards against treating an engine as released before the gossip arrives."""
         fleet = fleet_of(member("a", 1), member("b", 1))
