Soak: VMs without paths are compared by service

By its log it served 14 of 14 plain calls from 3 s on, the others 42 of 42, and 3 of 17 streams, the others 8 of 30: all streams failed alike (no engine could load the adapter, the retry budget), while the VM got more of them. No request was sent on a connection of its own.

So the premise that VMs get the same mix is wrong: refused streams come back at once. What the others served is now weighted by the services that the VM's callers asked for; bounds, counts and exceptions are the same, and a VM that serves fewer of its plain calls shows, whatever its streams hide (test_few_requests_served_there_beside_another_mix_elsewhere, whose first half failed before).

--- a/bench/soak_paths.py
+++ b/bench/soak_paths.py
@@ -13,8 +13,8 @@
 LEAST_PART = 2.0 / 3.0
 MAX_FAILED = 10.0
 MAX_FAILED_SHARE = 1.0 / 50.0
-"""A VM that is cut off serves at least this part of the others' share, or fails no more
-than the number and the share of its requests."""
+"""A VM that is cut off serves at least this part of what the others would have served
+of its requests, or fails no more than the number and the share of them."""
 REJECTED = (401, 404)
 """Answers that are the right ones, wherever they are given."""
 
@@ -51,11 +51,26 @@
         if failed <= MAX_FAILED + MAX_FAILED_SHARE * len(here) or not others:
             continue
         part = sum(map(_is_served, here)) / len(here)
-        of_others = sum(map(_is_served, others)) / len(others)
+        of_others = _share_with_mix(others, here)
         if part < LEAST_PART * of_others:
             yield cut.subject, f"served {part:.2f}, the others {of_others:.2f}"
 
 
+def _share_with_mix(others: Sequence[Attempt], here: Sequence[Attempt]) -> float:
+    """Return the share that the others served, weighted by the services asked here.
+
+    Streams fail more often than calls, and each VM gets another mix of them.
+    """
+    share_of_all = sum(map(_is_served, others)) / len(others)
+    share_by_service: dict[str, float] = {}
+    for service in {attempt.kind.service for attempt in others}:
+        of_service = [a for a in others if a.kind.service == service]
+        served = sum(map(_is_served, of_service))
+        share_by_service[service] = served / len(of_service)
+    shares = [share_by_service.get(a.kind.service, share_of_all) for a in here]
+    return sum(shares) / len(shares)
+
+
 def _changed(life: Life, since: float, until: float) -> bool:
     """Return whether a process started, or was stopped or killed, in an interval."""
     times = (life.started_at, life.stopped_at, life.killed_at)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -136,6 +136,26 @@
         killed = FaultSpan("killed", "vm", 6.0, 7.0)
         assert promises(*here, *others, runs=(), faults=(cut, killed)) == []
 
+    def test_few_requests_served_there_beside_another_mix_elsewhere(self) -> None:
+        """Guards against a comparison of streams with the others' plain calls."""
+        cut = FaultSpan("paths cut", "vm", 5.0, 20.0)
+
+        def load(attempt: Attempt, vm: str, served: int, lost: int) -> list[Attempt]:
+            failed = replace(attempt, status=503, body=b"")
+            found = [attempt] * served + [failed] * lost
+            return [
+                replace(item, request_id=f"{vm}{item.kind}{n}", vm=vm, sent_at=9.0)
+                for n, item in enumerate(found)
+            ]
+
+        others = load(CALL, "other", 90, 10) + load(STREAM, "other", 10, 30)
+        alike = load(CALL, "vm", 9, 1) + load(STREAM, "vm", 10, 30)
+        broken = promises(*alike, *others, runs=(), faults=(cut,))
+        assert "served without paths" not in broken
+        fewer = load(CALL, "vm", 50, 50) + load(STREAM, "vm", 2, 8)
+        broken = promises(*fewer, *others, runs=(), faults=(cut,))
+        assert "served without paths" in broken
+
     def test_retries_beyond_the_budget(self) -> None:
         arrivals = {"app": [Arrival("vm", at / 10, "r2") for at in range(13)]}
         sent = [SentRequest("app", CALL.sent_at)]
