A configuration with large values is taken, as it was

Found by a reviewer: bounds at the boundary refused a whole configuration for a time-out of 1e16 ms (never) or a prefix of 1,200 characters, both accepted before; VMs of the new program would have none in force while the others serve by it. Finite numbers are held at the bounds, prefixes may be as long as a head. The test fails before: BadRecordError.

--- a/bamboovale/decoding.py
+++ b/bamboovale/decoding.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import json
+import math
 import types
 import typing
 import unicodedata
@@ -85,24 +86,24 @@
 
 
 def to_number(value: Any) -> float:
-    """Return a finite number of bounded size; raises BadRecordError."""
+    """Return a number, at the bounds if it is beyond; raises BadRecordError."""
     number = float(value)
-    if not -MAX_NUMBER <= number <= MAX_NUMBER:
-        raise BadRecordError("a number is too large")
-    return number
+    if not math.isfinite(number):
+        raise BadRecordError("not a finite number")
+    return min(MAX_NUMBER, max(-MAX_NUMBER, number))
 
 
 def to_int(value: Any) -> int:
-    """Return an integer of bounded size; raises BadRecordError."""
+    """Return an integer, at the bounds if it is beyond; raises BadRecordError."""
     if type(value) is int and -MAX_NUMBER <= value <= MAX_NUMBER:
         return value
     return int(to_number(value))
 
 
-def to_text(value: Any) -> str:
+def to_text(value: Any, most_chars: int = MAX_TEXT_CHARS) -> str:
     """Return a text that logs, headers and messages can hold; raises BadRecordError."""
     text = str(value)
-    if len(text) > MAX_TEXT_CHARS or not _is_plain(text):
+    if len(text) > most_chars or not _is_plain(text):
         raise BadRecordError(UNSOUND_TEXT)
     return text
 
--- a/bamboovale/platform/configuration.py
+++ b/bamboovale/platform/configuration.py
@@ -17,6 +17,8 @@
 )
 from bamboovale.platform.customers import decode_customers
 
+MAX_PATH_CHARS = 64 * 1024
+"""Bounds a path prefix: no request can name a longer one."""
 KIND_BY_NAME = {
     "safe": CallKind.SAFE,
     "unsafe": CallKind.UNSAFE,
@@ -54,7 +56,7 @@
     return Route(
         name=to_text(item["name"]),
         host=to_text(item["host"]),
-        path_prefix=to_text(item["path-prefix"]),
+        path_prefix=to_text(item["path-prefix"], MAX_PATH_CHARS),
         kind=kind,
         timeout_s=to_number(item["timeout-ms"]) / 1000,
         goal_s=to_number(item.get("goal-ms") or item["timeout-ms"]) / 1000,
--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -248,6 +248,14 @@
             assert math.isfinite(route.timeout_s + route.goal_s + (route.gap_s or 0))
             route.host.encode()
 
+    def test_a_configuration_with_large_values_is_in_force(self) -> None:
+        """Guards against new VMs that refuse what the others serve by."""
+        document = configuration()
+        [route, *_] = document["routes"]
+        route |= {"timeout-ms": 1e16, "path-prefix": "/" + 1_200 * "a" + "/"}
+        table = decode_routing_table(json.dumps(document).encode())
+        assert table.match(HOST, route["path-prefix"] + "x") is not None
+
     @given(odd(["127.0.0.1", 7000]).map(source) | SOURCES)
     def test_addresses_of_vms(self, value: bytes) -> None:
         address = decodes(lambda: decode_address(value), BadRecordError)
