Take no slow caller for a dead one during a stop and after the exit

A caller that reads on slowly with a small window had its connection reset 3 s later by the kernel, as the limit on unacknowledged data also counts bytes that wait for a window. In a stop that is a loss of a complete answer; after the exit nobody is there to save memory for. The limit is off from SIGTERM on.

test_a_caller_that_reads_slowly_gets_all_of_it, which now reads slowly for 4 s after the exit too: ConnectionResetError before. Outside of stops the limit stays.

--- a/bamboovale/gateway/drain.py
+++ b/bamboovale/gateway/drain.py
@@ -47,6 +47,7 @@
         since_stop_s=round(state.now() - stop.started_at, 3),
         left_s=round(stop.ends_at - state.now(), 3),
     )
+    callers.keep_slow()
     peering.announce()
     await _release_engines(state, ownership, peering)
     while state.now() < min(stop.started_at + LISTEN_AFTER_STOP_S, stop.ends_at):
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -292,12 +292,30 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def keep_slow_peer(connected: Any) -> None:
+    """Never close a socket as its peer takes few bytes, also not after an exit."""
+    if not hasattr(connected, "setsockopt"):
+        return
+    with contextlib.suppress(*CLOSED_ERRORS):
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+
+
+def enlarge_send_buffer(connected: Any, size: int) -> None:
+    """Have the kernel hold up to so many bytes that the peer has not taken."""
+    if not hasattr(connected, "setsockopt"):
+        return
+    with contextlib.suppress(*CLOSED_ERRORS):
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+
 def unread_bytes(connected: Any) -> int:
     """Return how many received bytes of a socket the loop has not read yet.
 
     Guards against closing a connection with a request on it: a late loop may come to
     its timers before it reads.
     """
+    if not hasattr(connected, "fileno"):
+        return 0
     size = bytearray(struct.calcsize("i"))
     with contextlib.suppress(*CLOSED_ERRORS):
         fcntl.ioctl(connected.fileno(), termios.FIONREAD, size)
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import logging
-import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -11,10 +10,11 @@
 import h11
 
 from bamboovale.http1.connection import (
-    CLOSED_ERRORS,
     Headers,
     enable_dead_peer_detection,
     end_on_close,
+    enlarge_send_buffer,
+    keep_slow_peer,
     reset_on_close,
     unread_bytes,
 )
@@ -161,6 +161,8 @@
         self._transport = transport
         self._flow.attach(transport)
         enable_dead_peer_detection(transport.get_extra_info("socket"))
+        if self._server.keeps_slow:
+            self.keep_slow()
         self._server.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
@@ -245,16 +247,18 @@
             return self._dropped_bytes
         return int(self._transport.get_write_buffer_size())
 
+    def keep_slow(self) -> None:
+        """Keep the connection also if its caller takes few bytes for long."""
+        keep_slow_peer(self._transport.get_extra_info("socket"))
+
     def hasten(self) -> None:
         """Write without waiting for the caller, and have the kernel hold more of it."""
         if self._is_hastened:
             return
         self._is_hastened = True
         self.resume_writing()
-        with contextlib.suppress(*CLOSED_ERRORS):
-            self._transport.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_SNDBUF, LAST_SEND_BUFFER_BYTES
-            )
+        caller = self._transport.get_extra_info("socket")
+        enlarge_send_buffer(caller, LAST_SEND_BUFFER_BYTES)
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight, also none not read yet."""
@@ -429,6 +433,7 @@
         self.limits = limits
         self.on_bad_request = on_bad_request
         self.connections: set[ServerConnection] = set()
+        self.keeps_slow = False
         self._listener: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> int:
@@ -450,6 +455,16 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def keep_slow(self) -> None:
+        """Take no slow caller for a dead one any more, before an exit.
+
+        Guards against resets of callers whose complete answers wait in the kernel. Dead
+        ones are forgotten with the process.
+        """
+        self.keeps_slow = True
+        for connection in list(self.connections):
+            connection.keep_slow()
+
     def hasten(self) -> None:
         """Hand over to the kernel what callers have not taken, before an exit.
 
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -18,6 +18,7 @@
 from bamboovale.gateway.engines import Engines, GrantedPlace
 from bamboovale.gateway.messages import PlaceRequest
 from bamboovale.gateway.model import EndpointRecord
+from bamboovale.http1 import server
 from bamboovale.http1.server import Request, Responder, Server
 from bamboovale.standins.platform_endpoints import PlatformEndpoint, Run
 from tests.gateway_site import (
@@ -43,6 +44,8 @@
 RUN_S = 1.8
 """Longer than a stop goes on after ``LATE_S``, shorter than all of it."""
 LARGE_BYTES = 500_000
+SLOW_S = 4.0
+"""How long a slow caller reads on after the exit: longer than dead ones are kept."""
 PLACES = 8
 """Places of an engine."""
 RECORD = EndpointRecord("e", "llm", ("10.0.0.1", 1), "a", True, 8)
@@ -113,9 +116,9 @@
         yield caller
 
 
-def shrink_send_buffers(server: Server) -> None:
+def shrink_send_buffers(callers: Server) -> None:
     """Have the kernel take few bytes at once, as on a network; loopback takes many."""
-    for connection in server.connections:
+    for connection in callers.connections:
         caller = connection._transport.get_extra_info("socket")
         caller.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32768)
 
@@ -390,6 +393,9 @@
                     while not site.vms[0].task.done():
                         await asyncio.sleep(0.2)
                         received += await asyncio.to_thread(caller.recv, 4000)
+                    for _ in range(round(SLOW_S / 0.2)):
+                        await asyncio.sleep(0.2)
+                        received += await asyncio.to_thread(caller.recv, 4000)
                     assert len(received) < LARGE_BYTES / 2
                     received += await asyncio.to_thread(read_all, caller)
                 assert received.startswith(b"HTTP/1.1 200 ")
@@ -397,6 +403,31 @@
 
         run(test())
 
+    def test_one_that_does_not_leave_has_a_line(self) -> None:
+        """Guards against answers dropped by an exit that nobody notices."""
+
+        async def test() -> None:
+            async with running_site(**SITE) as site:
+                site.services[0].faults.event_s = 2.0
+                with (
+                    large_answers(site.services[0]),
+                    slow_caller(site.vms[0].address) as caller,
+                    pytest.MonkeyPatch.context() as patch,
+                ):
+                    patch.setattr(server, "LAST_SEND_BUFFER_BYTES", 32768)
+                    await eventually(lambda: bool(site.services[0].runs))
+                    shrink_send_buffers(site.vms[0].vm._callers)
+                    site.vms[0].vm.stop()
+                    while not site.vms[0].task.done():
+                        await asyncio.sleep(0.2)
+                        await asyncio.to_thread(caller.recv, 4000)
+                [line] = site.vms[0].journal.of("undelivered")
+                assert line["id"] == "slow"
+                assert line["received_s"] < line["cut_s"]
+                assert 0 < line["unsent_bytes"] < LARGE_BYTES
+
+        run(test())
+
     def test_a_request_behind_another_is_answered(self) -> None:
         """Guards against a close that drops a request which was read."""
 
