--- a/bamboovale/gateway/drain.py
+++ b/bamboovale/gateway/drain.py
@@ -51,7 +51,6 @@
     peering.announce()
     await _release_engines(state, ownership, peering)
     while state.now() < min(stop.started_at + LISTEN_AFTER_STOP_S, stop.ends_at):
-        callers.keep_slow_callers()
         await asyncio.sleep(0.1)
     state.draining = True
     callers.close_idle()
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -142,7 +142,7 @@
         self.busy = False
         self.last_request: Request | None = None
         self._dropped_bytes = 0
-        self._is_hastened = self._is_kept = False
+        self._is_hastened = False
         self._server = server
         self._wire = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits().head_bytes
@@ -260,16 +260,6 @@
         caller = self._transport.get_extra_info("socket")
         enlarge_send_buffer(caller, LAST_SEND_BUFFER_BYTES)
 
-    def keep_if_slow(self) -> None:
-        """Keep the connection although its caller takes nothing for seconds."""
-        if self._is_kept:
-            return
-        self._is_kept = True
-        with contextlib.suppress(*CLOSED_ERRORS):
-            self._transport.get_extra_info("socket").setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0
-            )
-
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight, also none not read yet."""
         if self.busy or self._flow.waiting_bytes or self._transport.is_closing():
@@ -485,15 +475,6 @@
         for connection in list(self.connections):
             connection.hasten()
 
-    def keep_slow_callers(self) -> None:
-        """Keep connections of callers that take nothing for seconds, before an exit.
-
-        Guards against taking a full receive window for a dead caller: nobody is left
-        to answer it again.
-        """
-        for connection in list(self.connections):
-            connection.keep_if_slow()
-
     def close_idle(self) -> None:
         """Close connections with no request in flight."""
         for connection in list(self.connections):
