Soak: what a stop lost before its VM was killed counts

Found by taking each condition out of the check: this one was covered by the condition on disruptions, which looks at the time of the request.

--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -59,7 +59,7 @@
 ) -> Iterator[CutRequest]:
     """Yield each request that ended early around a planned stop of its VM."""
     for life in lives:
-        if life.stopped_at is None or life.killed_at is not None:
+        if life.stopped_at is None:
             continue
         for attempt in attempts:
             if not _ends_in_stop(attempt, life):
