--- a/bamboovale/streams/call_streams.py
+++ b/bamboovale/streams/call_streams.py
@@ -39,6 +39,7 @@
     journal: Journal
     now: Callable[[], float]
     count: Callable[[ResumeOutcome], None]
+    config_version: Callable[[], int | None]
 
     @classmethod
     def from_parts(
@@ -81,7 +82,14 @@
         versions = state.versions.endpoints_by_version
         state.endpoints.listen(lambda change: metrics.set_endpoints(versions))
         metrics.watch_stream_starts(lambda: len(exchange.starts))
-        return cls(exchange, records, state.journal, state.now, metrics.count_resumed)
+        return cls(
+            exchange,
+            records,
+            state.journal,
+            state.now,
+            metrics.count_resumed,
+            lambda: state.table.version if state.table else None,
+        )
 
     async def source_of(self, call: Call) -> StreamSource | None:
         """Return where a stream that a caller resumes goes on, None for a new one.
@@ -113,6 +121,8 @@
             refused=refusal.cause if refusal else None,
             ground=findings.ground,
             history_s=findings.history_s,
+            versions=sorted(str(version) for version in findings.versions),
+            config=self.config_version(),
             s=round(self.now() - asked_at, 4),
         )
         if refusal is not None:
--- a/bamboovale/streams/decision.py
+++ b/bamboovale/streams/decision.py
@@ -53,7 +53,8 @@
     there may be several. ``all_answered`` is whether none of the VMs that were asked,
     nor the store, failed to answer. ``ground`` is on what the version rests, None if
     none is known; ``history_s`` is how far back all versions are known, in seconds,
-    None where that was not looked at.
+    None where that was not looked at. ``versions`` are those that served lately, as far
+    as that was looked at.
     """
 
     source: StreamSource | None = None
@@ -61,6 +62,7 @@
     all_answered: bool = True
     ground: Ground | None = None
     history_s: float | None = None
+    versions: frozenset[str | None] = frozenset()
 
 
 def decide(findings: Findings) -> Result[StreamSource, StartRefusal]:
--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -200,14 +200,15 @@
         )
         history_s = round(min(seen.since_s, MAX_SINCE_S), 1)
         if only_version is not None:
+            ground = Ground.ONLY_VERSION
             return Findings(
-                None, only_version, all_answered, Ground.ONLY_VERSION, history_s
+                None, only_version, all_answered, ground, history_s, seen.versions
             )
         if stream.attempt_id is not None:
             all_answered &= await self._records.read_new()
         known = self._known_here(stream)
-        ground = None if known is None else Ground.RECORDED
-        return Findings(known, None, all_answered, ground, history_s)
+        recorded = None if known is None else Ground.RECORDED
+        return Findings(known, None, all_answered, recorded, history_s, seen.versions)
 
     def _known_here(self, stream: ResumedStream) -> StreamSource | None:
         if stream.attempt_id is None:
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -267,6 +267,8 @@
                     answer = await resume_stream(site, 0, "nobody-knows")
                 assert answer.status == 503
                 assert not any(runner.runs for runner in site.runners)
+                line = site.vms[0].journal.of(RESUMED)[-1]
+                assert (line["config"], line["versions"]) == (2, [OLD, NEW])
 
         run(test())
 
