Soak: requests of another soak are no arrivals

VMs of a soak that ended may still have the address that an endpoint gets. Ids of callers bear the process; those of another process do not count now. Nothing else is left out.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import os
 import random
 import re
 import time
@@ -15,7 +14,7 @@
 from bench.routed import HOST, MODEL, CallerAnswer, read_answer
 from bench.soak_customers import Keys
 from bench.soak_delay import MOST_S, LoopDelay
-from bench.soak_site import TOKENS_PER_EVENT, VMProcess
+from bench.soak_site import OWN_IDS, TOKENS_PER_EVENT, VMProcess
 
 ADAPTERS = tuple(f"a{number}" for number in range(1, 9))
 DEADLINE_S = 3.0
@@ -236,7 +235,7 @@
         With ``leaves`` the caller closes the connection after the first event.
         """
         assert self._vm is not None
-        request_id = f"soak-{os.getpid():x}-{next(self._numbers)}"
+        request_id = f"{OWN_IDS}{next(self._numbers)}"
         if before is not None:
             adapter = before.adapter
         else:
--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -24,6 +24,9 @@
 from bench.soak_streams import SoftwareSpan
 
 PEER_KEY = "soak-key-of-this-machine"
+IDS = "soak-"
+OWN_IDS = f"{IDS}{os.getpid():x}-"
+"""How the ids of requests begin, of all soaks and of this one."""
 READY_S = 20.0
 GRACE_S = 8
 """Configured grace period; a stopping VM is killed after it."""
@@ -210,11 +213,18 @@
         return [*self.runners, *self.services, *self.gone]
 
     def arrivals_by_service(self) -> dict[str, list[Arrival]]:
-        """Return by service the callers' requests that reached its endpoints."""
+        """Return by service the callers' requests that reached its endpoints.
+
+        VMs of another soak on this machine may still have an endpoint's address.
+        """
         arrivals: dict[str, list[Arrival]] = {}
         for endpoint in self.endpoints:
             found = arrivals.setdefault(endpoint.service, [])
-            found += endpoint.signals.arrivals
+            found += [
+                arrival
+                for arrival in endpoint.signals.arrivals
+                if not is_of_another_soak(arrival.request_id)
+            ]
         return arrivals
 
     async def add_runner(self, software: str = "v1") -> None:
@@ -403,6 +413,11 @@
                     await asyncio.sleep(0.1)
 
 
+def is_of_another_soak(request_id: str) -> bool:
+    """Return whether the callers of another soak on this machine sent a request."""
+    return request_id.startswith(IDS) and not request_id.startswith(OWN_IDS)
+
+
 async def is_ready(vm: VMProcess) -> bool:
     """Tell whether an entry VM reports that it is ready for callers."""
     host, port = vm.document["listen"]["ready"].split(":")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,7 +24,7 @@
 from bench.soak_customers import Keys
 from bench.soak_faults import FaultLane
 from bench.soak_proxy import Proxy
-from bench.soak_site import GRACE_S, Life, running_site, to_toml
+from bench.soak_site import GRACE_S, OWN_IDS, Life, running_site, to_toml
 from bench.soak_spans import FaultSpan
 
 EVENTS = b"".join(f"id: {n}\n: v1\ndata: a1@1\n\n".encode() for n in range(1, 6))
@@ -355,6 +355,19 @@
 class TestSite:
     """Changes of a soak's deployment."""
 
+    def test_requests_of_another_soak_are_not_arrivals(self, tmp_path: Path) -> None:
+        """Guards against retries of another soak whose VMs have an address of ours."""
+
+        async def test() -> None:
+            async with running_site(tmp_path, vms=0, runners=0, services=1) as site:
+                ids = ["soak-0-1", f"{OWN_IDS}1", "request1"]
+                signals = site.services[0].signals
+                signals.arrivals = [Arrival("vm", 1.0, name) for name in ids]
+                found = [a.request_id for a in site.arrivals_by_service()["app"]]
+                assert found == ids[1:]
+
+        asyncio.run(test())
+
     def test_a_restart_cut_off_by_the_last_fault_writes_its_record(
         self,
         tmp_path: Path,
