--- a/bench/guards.py
+++ b/bench/guards.py
@@ -19,6 +19,7 @@
 from bench.cut_guards import CUT_GUARDS
 from bench.guard import Change, Guard
 from bench.http1_guards import HTTP1_GUARDS
+from bench.odd_guards import ODD_GUARDS
 from bench.order_guards import ORDER_GUARDS
 from bench.retry_guards import PATH_GUARDS, RETRY_GUARDS
 from bench.signal_guards import SIGNAL_GUARDS
@@ -260,6 +261,7 @@
             *ORDER_GUARDS,
             *HTTP1_GUARDS,
             *CUT_GUARDS,
+            *ODD_GUARDS,
             *STOP_GUARDS,
         )
         if not options.promises or guard.promise.name in options.promises
