--- a/bench/customer_guards.py
+++ b/bench/customer_guards.py
@@ -74,8 +74,8 @@
         (
             Change(
                 "bamboovale/store/follower.py",
-                "self._on_proof(sent_at + waited_s)",
-                "self._on_proof(lease_clock() + waited_s)",
+                "self._proven_at = sent_at + waited_s",
+                "self._proven_at = lease_clock() + waited_s",
             ),
         ),
     ),
--- a/bench/stream_guards.py
+++ b/bench/stream_guards.py
@@ -10,6 +10,7 @@
 HISTORY = "bamboovale/streams/version_history.py"
 RECORDS = "bamboovale/streams/start_records.py"
 RECORDED = "tests/test_stream_records.py"
+OUT_OF_STEP = f"{STREAMS}::TestVMOutOfStep"
 
 STREAM_GUARDS = (
     Guard(
@@ -97,15 +98,50 @@
         (
             Change(
                 EXCHANGE,
-                "        all_answered &= await self._prove()\n"
-                "        seen = self._seen(stream, told)\n",
-                "        seen = self._seen(stream, told)\n"
+                "        is_proven = await self._prove()\n",
+                "        seen = self._seen(stream, asked, stream.within_s)\n"
                 "        if stream.attempt_id is None:\n"
                 "            return Findings(None, seen.single_version())\n"
-                "        all_answered &= await self._prove()\n",
+                "        is_proven = await self._prove()\n",
             ),
         ),
     ),
+    Guard(
+        "a part of what is to be read proves nothing",
+        EndpointPromise.STREAMS,
+        f"{OUT_OF_STEP}::test_a_new_version_behind_many_records_counts",
+        (Change("bamboovale/store/follower.py", " and not self._is_behind", ""),),
+    ),
+    Guard(
+        "the services of a route are those of a proven configuration",
+        EndpointPromise.STREAMS,
+        f"{OUT_OF_STEP}::test_a_service_that_the_route_moved_to_counts[False]",
+        (
+            Change(
+                "bamboovale/gateway/records.py",
+                "for follower in self.followers()]",
+                "for follower in [self.endpoints]]",
+            ),
+        ),
+    ),
+    Guard(
+        "streams may have begun at a service that their route has left",
+        EndpointPromise.STREAMS,
+        f"{OUT_OF_STEP}::test_a_service_that_the_route_moved_to_counts[True]",
+        (
+            Change(
+                HISTORY,
+                "self.routes.with_changed(services, within_s, now)",
+                "frozenset(services)",
+            ),
+        ),
+    ),
+    Guard(
+        "what two VMs know is joined at one moment",
+        EndpointPromise.STREAMS,
+        MACHINE,
+        (Change(EXCHANGE, "reply.until_s + now - asked.at", "reply.until_s"),),
+    ),
     Guard(
         "streams go on after all VMs ended, by what the store holds",
         EndpointPromise.STREAMS,
@@ -131,7 +167,7 @@
         (
             Change(
                 RECORDS,
-                "            if following == position:\n",
+                "            if part.following == position:\n",
                 "            if True:\n",
             ),
         ),
