--- a/bench/soak_site.py
+++ b/bench/soak_site.py
@@ -335,6 +335,8 @@
     async def _replace_runner(
         self, runner: PlatformRunner, software: str | None
     ) -> None:
+        if runner not in self.runners:
+            return  # another lane has replaced it meanwhile
         self._end_software(runner)
         self.runners.remove(runner)
         self.gone.append(runner)
