--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -39,11 +39,12 @@
     return config
 
 
-def two_pools(version: int, service: str) -> dict[str, Any]:
+def two_pools(version: int, service: str, suffix: str = "") -> dict[str, Any]:
     """Return a configuration with two pools of engines, and streams at one."""
     config = {**roomy(), "version": version}
     config["services"].append({**config["services"][0], "name": "llm-2"})
     for route in config["routes"]:
+        route["name"] += suffix
         if route["service"] == "llm":
             route["service"] = service
     return config
@@ -223,6 +224,33 @@
         run(test())
 
 
+async def check_moved_service_counts(*, reads_it: bool, suffix: str) -> None:
+    """Resume a stream nobody knows after its route has moved to another service.
+
+    The suffix is that of all routes' names then; ``reads_it`` is whether the VM reads
+    of the move before it is asked.
+    """
+    async with running_site(1, 0, 1, two_pools(1, "llm"), behind_proxy=True) as site:
+        await add_engine(site, OLD)
+        await add_engine(site, NEW, service="llm-2")
+        await site.ready()
+        assert site.store_proxy is not None
+        if not reads_it:
+            site.store_proxy.silence_open()
+        moved = two_pools(2, "llm-2", suffix)
+        await site.store.put("keyed.op", "config", moved)
+        state = site.vms[0].vm.state
+        if reads_it:
+            await eventually(lambda: state.table.version == 2)
+        answer = await resume_stream(site, 0, "nobody-knows")
+        while answer.header("retry-after") is not None:
+            answer = await resume_stream(site, 0, "nobody-knows")
+        assert answer.status == 503
+        assert not any(runner.runs for runner in site.runners)
+        line = site.vms[0].journal.of(RESUMED)[-1]
+        assert (line["config"], line["versions"]) == (2, [OLD, NEW])
+
+
 class TestVMOutOfStep:
     """A VM that has missed what the others read, and gets their streams."""
 
@@ -246,31 +274,12 @@
     @pytest.mark.parametrize("reads_it", [True, False])
     def test_a_service_that_the_route_moved_to_counts(self, reads_it: bool) -> None:
         """Guards against versions of one service that are taken for the route's."""
+        run(check_moved_service_counts(reads_it=reads_it, suffix=""))
 
-        async def test() -> None:
-            async with running_site(
-                1, 0, 1, two_pools(1, "llm"), behind_proxy=True
-            ) as site:
-                await add_engine(site, OLD)
-                await add_engine(site, NEW, service="llm-2")
-                await site.ready()
-                assert site.store_proxy is not None
-                if not reads_it:
-                    site.store_proxy.silence_open()
-                moved = two_pools(2, "llm-2")
-                await site.store.put("keyed.op", "config", moved)
-                state = site.vms[0].vm.state
-                if reads_it:
-                    await eventually(lambda: state.table.version == 2)
-                answer = await resume_stream(site, 0, "nobody-knows")
-                while answer.header("retry-after") is not None:
-                    answer = await resume_stream(site, 0, "nobody-knows")
-                assert answer.status == 503
-                assert not any(runner.runs for runner in site.runners)
-                line = site.vms[0].journal.of(RESUMED)[-1]
-                assert (line["config"], line["versions"]) == (2, [OLD, NEW])
-
-        run(test())
+    @pytest.mark.parametrize("reads_it", [True, False])
+    def test_also_if_the_route_has_another_name_then(self, reads_it: bool) -> None:
+        """Guards against a route that is known by its name, and not by its path."""
+        run(check_moved_service_counts(reads_it=reads_it, suffix="-new"))
 
 
 async def replace_the_software(site: Site) -> None:
