--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -406,9 +406,13 @@
             run = site.runners[0].runs[-1]
             assert run.started_at >= attempt.begun_at + 0.2
             assert run.body == f"hello {attempt.request_id}".encode()
-            sending = asyncio.create_task(send(Load(half_s=0.2)))
-            await asyncio.sleep(0.1)
-            site.proxy_by_endpoint[site.runners[0].endpoint_id].reset()
+            proxy = site.proxy_by_endpoint[site.runners[0].endpoint_id]
+            while proxy._writers:  # of the request before
+                await asyncio.sleep(0.01)
+            sending = asyncio.create_task(send(Load(half_s=1.0)))
+            while not proxy._writers:
+                await asyncio.sleep(0.01)
+            proxy.reset()
             assert not (await sending).sent_whole
 
         self.play(tmp_path, steps)
