--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -42,7 +42,7 @@
 """One at which a cut is excused, and many runs would no longer end in time."""
 EVENTS = 10
 RUN_S = 1.8
-"""Longer than a stop goes on after ``LATE_S``, shorter than all of it."""
+"""With its margin longer than a stop goes on after ``LATE_S``."""
 LARGE_BYTES = 500_000
 SLOW_S = 4.0
 """How long a slow caller reads on after the exit: longer than dead ones are kept."""
