Log for each attempt when it was sent, and how long a caller that left had been silent

Callers that left (GONE): the lines could not tell a request that was sent behind an unread close from one that was sent before it. at_s in each attempt; caller_silent_s, by the kernel's tcp_info, in requests whose outcome is left. No logic changes. test_outer_names, test_docs, test_http1: passed.

--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -163,9 +163,14 @@
         self.responder.answer(facts.status, facts.headers, body)
 
     def note_attempt(self, started_at: float, **fields: Any) -> dict[str, Any]:
-        """Add an attempt to the log line; returns its fields for later additions."""
+        """Add an attempt to the log line; returns its fields for later additions.
+
+        ``at_s`` is when it began, in seconds after the request was read.
+        """
         self.attempts += 1
         self.sent_at = started_at if self.sent_at is None else self.sent_at
+        at_s = round(started_at - self.request.received_at, 4)
+        fields = {"at_s": at_s, **fields}
         self.notes.setdefault("attempts", []).append(fields)
         return fields
 
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -29,6 +29,8 @@
 STOPS = "the VM stops, possibly before the deadline"
 STOPPED_RETRY_S = 0.2
 """Retry delay once the VM stops: others serve."""
+LEFT = "left"
+"""Outcome of a request whose caller closed its connection before the answer."""
 DEFAULT_TIMEOUT_S = 60.0
 """Timeout for callers that set no deadline; bounded by the route's timeout."""
 
@@ -158,7 +160,7 @@
             deadline=request.received_at + wait_s,
             customer=admission.customer,
         )
-        outcome = "left"
+        outcome = LEFT
         try:
             outcome = await self._run(call, table)
         finally:
@@ -315,6 +317,8 @@
         if stop is not None:
             since_stop_s = call.request.received_at - stop.started_at
             call.notes["since_stop_s"] = round(since_stop_s, 3)
+        if outcome == LEFT:
+            call.notes["caller_silent_s"] = call.responder.caller_silent_s
         work = call.facts.work
         self._journal.write(
             "request",
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -33,6 +33,9 @@
 """SO_LINGER on, with no time for what is unsent."""
 CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 """SO_LINGER off."""
+LAST_DATA_RECEIVED = struct.Struct("@52xI")
+"""Its place in the kernel's ``tcp_info``, in milliseconds."""
+TCP_INFO_BYTES = LAST_DATA_RECEIVED.size
 MAX_HEAD_BYTES = 64 * 1024
 HIGH_WATER_BYTES = 256 * 1024
 """Response bytes buffered for a slow consumer before reading is paused."""
@@ -327,6 +330,21 @@
     return int.from_bytes(size, sys.byteorder)
 
 
+def silent_s(connected: Any) -> float | None:
+    """Return the seconds since a socket last received data, None if not known.
+
+    By the kernel, also for what the loop has not read. The peer's close is no data.
+    """
+    if not hasattr(connected, "getsockopt"):
+        return None
+    with contextlib.suppress(*CLOSED_ERRORS):
+        info = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        if len(info) == TCP_INFO_BYTES:
+            silent_ms: int = LAST_DATA_RECEIVED.unpack_from(info)[0]
+            return silent_ms / 1000.0
+    return None
+
+
 def enable_dead_peer_detection(sock: Any) -> None:
     """Enable TCP keep-alive and user timeout to detect a peer that sends no reset."""
     if sock is None or not hasattr(sock, "setsockopt"):
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -16,6 +16,7 @@
     enlarge_send_buffer,
     keep_slow_peer,
     reset_on_close,
+    silent_s,
     unread_bytes,
 )
 from bamboovale.http1.flow_control import FlowControl
@@ -122,6 +123,14 @@
         """Return the bytes that this process still holds for the caller."""
         return self._connection.unsent_bytes
 
+    @property
+    def caller_silent_s(self) -> float | None:
+        """Return how long a caller that left had sent nothing, in seconds.
+
+        None while it is there, and where the kernel does not tell.
+        """
+        return self._connection.caller_silent_s
+
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response with a Content-Length."""
         length = (b"content-length", str(len(body)).encode())
@@ -141,6 +150,7 @@
         self.close_after = False
         self.busy = False
         self.last_request: Request | None = None
+        self.caller_silent_s: float | None = None
         self._dropped_bytes = 0
         self._is_hastened = False
         self._server = server
@@ -176,6 +186,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request of a caller that has disconnected."""
         self._lost = True
+        if self.busy:
+            self.caller_silent_s = silent_s(self._transport.get_extra_info("socket"))
         self._server.connections.discard(self)
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
