--- a/bench/soak.py
+++ b/bench/soak.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 from pathlib import Path
+from typing import TypeVar
 
 from bamboovale.http1.connection import ConnectFailed
 from bench.soak_callers import LEAVES_SHARE, Attempt, Caller, Kind, SentRequest
@@ -26,6 +27,7 @@
 from bench.soak_crashes import CrashLoad
 from bench.soak_delay import LoopDelay
 from bench.soak_faults import FaultLane, LaneKind
+from bench.soak_left import EVENT_S, LeaveLoad, describe_left
 from bench.soak_site import USUAL_SLOTS, SoakSite, running_site
 from bench.soak_spans import FaultSpan
 from bench.soak_stop_callers import StopLoad, describe_streams
@@ -42,8 +44,13 @@
     KILLS = "kills"
     """All VMs are killed at once; with every odd seed among stalls and answers that are
     cut."""
+    LEAVES = "leaves"
+    """Callers leave early, while VMs are late; by seed they also stand still, stop, or
+    lose their paths to endpoints."""
 
 
+AnyLoad = TypeVar("AnyLoad", StopLoad, LeaveLoad)
+
 LANES = 2
 SLOW_EVENTS_S = (0.1, 0.45)
 """Least and most pause between an engine's events where streams are to be open when a
@@ -149,8 +156,10 @@
         tasks.append(asyncio.create_task(self.delay.run()))
         tasks.append(asyncio.create_task(self._inject_faults()))
         if self.config.play is Play.STOPS:
-            self.stop_load = self._stop_load()
+            self.stop_load = self._load(StopLoad)
             tasks.append(asyncio.create_task(self.stop_load.run()))
+        if self.config.play is Play.LEAVES:
+            tasks.append(asyncio.create_task(self._load(LeaveLoad).run()))
         if self.crash_load is not None:
             self.site.set_trigger(
                 self.crash_load.trigger, self.crash_load.fail_unrun_every
@@ -175,12 +184,17 @@
             evidence.unhandled = {
                 vm.name: vm.unhandled_errors() for vm in self.site.vms
             }
+            evidence.is_complete = True
             found += find_violations(evidence)
         return found
 
     def _slow_down(self) -> None:
         """Have endpoints take so long that work is under way when VMs end."""
         rng = random.Random(f"{self.config.seed}-events")
+        if self.config.play is Play.LEAVES:
+            for runner in self.site.runners:
+                runner.faults.event_s = EVENT_S
+            return
         if self.config.play is not Play.STOPS:
             for runner in self.site.runners:
                 runner.faults.event_s = rng.uniform(*SLOW_EVENTS_S)
@@ -210,6 +224,7 @@
             owner_by_key=dict(site.keys.owner_by_key),
             software=list(site.software),
             crash_load=self.crash_load,
+            delay=self.delay,
             runs_by_leaving={
                 endpoint.endpoint_id: endpoint.runs
                 for endpoint in endpoints
@@ -220,7 +235,7 @@
     @property
     def _usual_callers(self) -> int:
         """Return how many callers send one request at a time; others send streams."""
-        is_shared = self.config.play is Play.STOPS
+        is_shared = self.config.play in (Play.STOPS, Play.LEAVES)
         return self.config.callers // (2 if is_shared else 1)
 
     def _callers(self) -> list[Caller]:
@@ -240,8 +255,8 @@
             for number in range(self._usual_callers)
         ]
 
-    def _stop_load(self) -> StopLoad:
-        return StopLoad(
+    def _load(self, kind: type[AnyLoad]) -> AnyLoad:
+        return kind(
             self.site.vms,
             self.attempts,
             self.numbers,
@@ -277,6 +292,11 @@
         if self.config.play is Play.KILLS:
             others = [LaneKind.CUTS, LaneKind.STALLS] if unplanned else []
             return [LaneKind.KILLS, *others]
+        if self.config.play is Play.LEAVES:
+            other = [LaneKind.LATE, LaneKind.PAUSES, LaneKind.STOPS, LaneKind.PATHS]
+            return list(
+                dict.fromkeys([LaneKind.LATE, other[self.config.seed % len(other)]])
+            )
         wanted = {
             LaneKind.STARTS: self.config.starts_again,
             LaneKind.KEYS: self.config.revokes,
@@ -357,6 +377,7 @@
         excuses = Counter(cut.excuse for cut in soak.evidence().cut_by_stops())
         lines.append(describe_streams(soak.stop_load.streams, soak.evidence().lives))
         lines.append(f"ended early around stops: {dict(excuses)}")
+    lines.append(describe_left(soak.evidence().left_requests()))
     lines += [str(violation) for violation in found[:10]]
     if found:
         lines += [
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -30,6 +30,8 @@
 """How long a caller tries to go on with a stream, also while no VM listens."""
 LEAVES_SHARE = 0.25
 """Share of resumable streams whose caller leaves after the first event and resumes."""
+RESET_SHARE = 0.3
+"""Share of the callers that leave by a reset, not by the end of their bytes."""
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
 
@@ -54,11 +56,22 @@
 
 @dataclass(frozen=True)
 class Load:
-    """What a caller asks for; ``half_s`` is the pause between a body's two halves."""
+    """What a caller asks for; ``half_s`` is the pause between a body's two halves.
+
+    ``leaves_after_s`` is when it closes its connection after it began to send.
+    """
 
     events: int = EVENTS
     deadline_s: float = DEADLINE_S
     half_s: float = 0.0
+    leaves_after_s: float | None = None
+
+    @property
+    def patience_s(self) -> float:
+        """Return how long the caller waits for the end of the answer."""
+        if self.leaves_after_s is not None:
+            return self.leaves_after_s
+        return self.deadline_s + 1.0
 
 
 USUAL = Load()
@@ -74,7 +87,8 @@
     ``resume_after`` the id of the last event that came before. ``left`` is whether its
     caller left before the end. ``first_at`` is when the first bytes of the answer came.
     ``begun_at`` is when its first byte was sent, ``late_s`` how late its end may have
-    been noted.
+    been noted. ``closed_at`` is when its caller had closed the connection for it, None
+    if it did not.
     """
 
     request_id: str
@@ -96,6 +110,7 @@
     retry_after_s: float | None = None
     begun_at: float | None = None
     late_s: float = MOST_S
+    closed_at: float | None = None
 
     @property
     def lasted_s(self) -> float:
@@ -147,6 +162,8 @@
         self._attempts = attempts
         self._numbers = numbers
         self._rng = rng
+        # Of its own, so that the faults and requests of a seed stay the same.
+        self._closes = random.Random(next(numbers))
         self._vm: VMProcess | None = None
         self._connection: Connection | None = None
 
@@ -247,6 +264,7 @@
         answer: CallerAnswer | None = None
         first_at: list[float] = []
         sent_whole = False
+        closed_at: float | None = None
 
         def is_enough(received: bytes) -> bool:
             if not first_at:
@@ -254,18 +272,20 @@
             return leaves and EVENT_END in received
 
         try:
-            async with asyncio.timeout(load.deadline_s + 1.0):
+            async with asyncio.timeout(load.patience_s):
                 request, body = _request(
                     kind, request_id, adapter, key, resumes, resume_after, load
                 )
                 sent_whole = await _write(connection, request, body, load.half_s)
                 sent_at = time.monotonic()
                 answer = await read_answer(connection, is_enough)
-        except (TimeoutError, IncompleteResponse, OSError):
+        except TimeoutError:
+            closed_at = await self._close(connection)
+        except (IncompleteResponse, OSError):
             connection.close()
         left = leaves and answer is not None and EVENT_END in answer.body
         if left:
-            connection.close()
+            closed_at = await self._close(connection)
         return Attempt(
             request_id=request_id,
             kind=kind,
@@ -279,15 +299,25 @@
             key=key,
             resumes=resumes,
             resume_after=resume_after,
-            left=left,
+            left=left or (load.leaves_after_s is not None and closed_at is not None),
             load=load,
             sent_whole=sent_whole,
             begun_at=begun_at,
             late_s=self._delay.recent_s() if self._delay else MOST_S,
             first_at=first_at[0] if first_at else None,
+            closed_at=closed_at,
             retry_after_s=_retry_after_s(answer),
         )
 
+    async def _close(self, connection: Connection) -> float:
+        """Close a connection, some with a reset; return a time at which it is."""
+        if self._closes.random() < RESET_SHARE:
+            connection.close()
+        else:
+            connection._transport.close()
+        await asyncio.sleep(0)
+        return time.monotonic()
+
 
 def _request(
     kind: Kind,
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -13,6 +13,8 @@
 from bench.soak_callers import EVENTS, ONCE_ONLY, STREAMS, Attempt, Kind, SentRequest
 from bench.soak_crashes import CrashLoad, crash_violations
 from bench.soak_customers import broken_by
+from bench.soak_delay import LoopDelay
+from bench.soak_left import LeftRequest, left_requests, left_violations
 from bench.soak_paths import served_without_paths
 from bench.soak_site import GRACE_S, Life
 from bench.soak_spans import FaultSpan
@@ -54,7 +56,8 @@
 class Evidence:
     """Input of the checks; ``leaving_at`` holds when each endpoint began to drain.
 
-    ``unhandled`` holds log lines by VM, of errors that nobody expected.
+    ``unhandled`` holds log lines by VM, of errors that nobody expected. ``is_complete``
+    is whether the play is over.
     """
 
     attempts: Sequence[Attempt]
@@ -75,6 +78,8 @@
     crash_load: CrashLoad | None = None
     sent: Sequence[SentRequest] = ()
     unhandled: Mapping[str, Sequence[str]] = field(default_factory=dict)
+    delay: LoopDelay = field(default_factory=LoopDelay)
+    is_complete: bool = False
 
     def runs_by_id(self) -> dict[str, list[Run]]:
         """Return the runs of each request."""
@@ -95,6 +100,20 @@
             )
         )
 
+    def left_requests(self) -> list[LeftRequest]:
+        """Return the requests whose callers left, with what was done for them since."""
+        arrivals = itertools.chain.from_iterable(self.arrivals_by_service.values())
+        return list(
+            left_requests(
+                self.attempts,
+                arrivals,
+                self.runs_by_id(),
+                self.faults,
+                self.lives,
+                self.delay,
+            )
+        )
+
 
 def find_violations(evidence: Evidence) -> list[Violation]:
     """Return all violations found in the evidence."""
@@ -113,6 +132,10 @@
     for cut in evidence.cut_by_stops():
         if not cut.excuse:
             found.append(Violation("lost by a stop", cut.request_id, cut.detail))
+    for promise, detail in left_violations(
+        evidence.left_requests(), is_complete=evidence.is_complete
+    ):
+        found.append(Violation(promise, "callers that left", detail))
     found += _signals_heeded(evidence)
     found += _retries_bounded(evidence)
     for vm, lines in evidence.unhandled.items():
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -45,6 +45,11 @@
 """Times between the stops of two VMs: several stops overlap."""
 BUSY_S = (0.03, 0.3)
 """Shortest and longest suspension that stands for a busy machine."""
+LITTLE_TIME_S = (0.025, 0.225)
+"""How long a VM runs and then does not, by turns, that has a tenth of a core."""
+LITTLE_TIME_TURNS = 24
+ALL_LATE = 0.75
+"""How often all VMs have little of the processor at once, not one."""
 STOPPING_WEIGHT = 3
 """How much more often a VM is suspended while it stops."""
 LEAST_UP = 1
@@ -73,6 +78,8 @@
     KILLS = "kills"
     COPIES = "copies"
     BUSY = "busy"
+    LATE = "late"
+    PAUSES = "pauses"
 
 
 class FaultLane:
@@ -128,6 +135,8 @@
             LaneKind.CUTS: [lane._answers_cut],
             LaneKind.STOPS: [lane._stop_in_series],
             LaneKind.BUSY: [lane._busy],
+            LaneKind.LATE: [lane._little_time],
+            LaneKind.PAUSES: [lane._pause],
             LaneKind.KILLS: [lane._kill_all],
             LaneKind.COPIES: [lane._answers_come_twice],
         }
@@ -222,6 +231,26 @@
                 vm.signal(signal.SIGCONT)
             self._site.excuse(vm)
 
+    async def _little_time(self) -> None:
+        """Give one VM, or all, little of the processor, as a busy machine does."""
+        some = self._site.vms if self._rng.random() < ALL_LATE else [self._vm()]
+        runs_s, waits_s = LITTLE_TIME_S
+        async with AsyncExitStack() as spans:
+            for vm in some:
+                await spans.enter_async_context(self._span(BUSY, vm.name))
+            try:
+                for _ in range(LITTLE_TIME_TURNS):
+                    for vm in some:
+                        vm.signal(signal.SIGSTOP)
+                    await asyncio.sleep(waits_s)
+                    for vm in some:
+                        vm.signal(signal.SIGCONT)
+                    await asyncio.sleep(runs_s)
+            finally:
+                for vm in some:
+                    vm.signal(signal.SIGCONT)
+                    self._site.excuse(vm)
+
     async def _kill_all(self) -> None:
         """Kill all VMs at once, and start them again."""
         await asyncio.sleep(KILL_PAUSE_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -479,6 +479,16 @@
         ended = [vm for vm in soak.site.vms if len(vm.lives) > 1]
         assert len(ended) >= len(soak.site.vms) - 1
 
+    @pytest.mark.xdist_group("soak-leaves")
+    def test_nobody_works_for_callers_that_left(self, tmp_path: Path) -> None:
+        """Guards against late VMs that send on what their callers gave up."""
+        config = SoakConfig(seconds=16.0, seed=4, callers=16, play=Play.LEAVES)
+        soak, found = asyncio.run(run_soak(config, tmp_path))
+        assert not found, describe(soak, found)
+        left = soak.evidence().left_requests()
+        assert sum(request.in_touch for request in left) > 100
+        assert sum(request.works_on is not None for request in left) > 20
+
     @pytest.mark.xdist_group("soak-crashes")
     def test_what_crashes_engines_is_refused_and_nothing_beside(
         self, tmp_path: Path
