Nothing is sent for a caller that has closed its connection, also if the loop has not read that

Callers saw nothing; operators saw requests sent on after their clients had left (GONE). Cause: a close is known once the loop has read it. A late loop reads a request first and the close behind it a pass later, and in between the handler sends the request on; a retry, a granted place or a stream's next engine that is due in such a pass goes out as well. Class: acting on a belief whose age nobody asks. Change: the caller's socket is asked (poll, POLLRDHUP) as a request is taken up, and directly before each send unless that was within 0.1 s; the request then ends as left, before it takes quota, retries or a place.

--- a/bamboovale/crashes/guard.py
+++ b/bamboovale/crashes/guard.py
@@ -24,7 +24,7 @@
     SoundRequest,
     SuspectRequest,
 )
-from bamboovale.gateway.call import Call
+from bamboovale.gateway.call import Call, CallerLeft
 from bamboovale.gateway.endpoint_client import NotRun
 from bamboovale.gateway.endpoints import EndpointChange, EndpointView
 from bamboovale.gateway.journal import Journal
@@ -186,7 +186,7 @@
         )
         try:
             yield watch
-        except NotRun:
+        except (NotRun, CallerLeft):
             raise
         except BaseException as error:
             self._on_lost(call, record.endpoint_id, error, began=watch.has_begun)
--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -62,6 +62,10 @@
         self.retry_after_s = retry_after_s
 
 
+class CallerLeft(Exception):  # noqa: N818 - reads as what happened
+    """The caller closed its connection: nothing more is to be done for it."""
+
+
 class KeyRejected(Exception):  # noqa: N818 - reads as what happened
     """The route needs a key, and the caller has none that is known. It did not run."""
 
@@ -144,6 +148,11 @@
         """Return the time until which an answer has its full value."""
         return self.request.received_at + self.route.goal_s
 
+    def check_caller(self) -> None:
+        """Raise CallerLeft if the caller has closed its connection."""
+        if self.responder.has_caller_left():
+            raise CallerLeft
+
     def left_s(self, now: float) -> float:
         """Return the seconds left until the deadline, at least 0."""
         return max(0.0, self.deadline - now)
--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -151,8 +151,8 @@
         """Send a call to an endpoint; yield its answer.
 
         ``encode`` makes the request once there is a connection. With ``checks_start``
-        it is sent only to the start of the endpoint that is known. Raises NotRun or
-        MayHaveRun.
+        it is sent only to the start of the endpoint that is known. Raises NotRun,
+        MayHaveRun or CallerLeft.
         """
         request_id = call.facts.request_id
         left_s = call.left_s(self._now())
@@ -166,6 +166,7 @@
         with self.closing(record, connection):
             if checks_start and isinstance(connection, Connection):
                 await self.check_start(connection, record)
+            call.check_caller()
             skipped_before = connection.skipped
             try:
                 answer = await self._send(
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -8,7 +8,7 @@
 from bamboovale.crashes.guard import CRASHES_ENDPOINTS, REFUSED_RETRY_S, CrashGuard
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.decisions.planned_stop import PlannedStop
-from bamboovale.gateway.call import Call, CallCodec, CallFailed
+from bamboovale.gateway.call import Call, CallCodec, CallerLeft, CallFailed
 from bamboovale.gateway.endpoint_client import (
     EndpointAnswer,
     EndpointClient,
@@ -106,8 +106,11 @@
     def _reason_not_to_send(self, call: Call, progress: Progress) -> Exception | None:
         """Return the error that ends the call instead of an attempt, None to send it.
 
-        Crashes may have become known while the request waited for its place.
+        Crashes may have become known while the request waited for its place, and its
+        caller may have left.
         """
+        if call.responder.has_caller_left():
+            return CallerLeft()
         if self._crashes.is_refused(call):
             return progress.final_error(CRASHES_ENDPOINTS, REFUSED_RETRY_S)
         if not progress.arrivals:
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -11,7 +11,13 @@
 from bamboovale.crashes.guard import CRASHES_ENDPOINTS, REFUSED_RETRY_S, CrashGuard
 from bamboovale.decisions.place_endpoint import CallEnd
 from bamboovale.decisions.routing import ServiceRouter
-from bamboovale.gateway.call import Call, CallCodec, CallFailed, CallRefused
+from bamboovale.gateway.call import (
+    Call,
+    CallCodec,
+    CallerLeft,
+    CallFailed,
+    CallRefused,
+)
 from bamboovale.gateway.endpoint_client import EndpointClient, MayHaveRun, NotRun
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.model import AnswerFacts, CallKind, EndpointRecord
@@ -97,6 +103,7 @@
         self, call: Call, place: Place, so_far: Attempts, number: int
     ) -> bool:
         """Make one attempt, if it may go out; return whether another may follow."""
+        call.check_caller()
         so_far.no_place_retry_s = place.retry_after_s
         if place.retry_after_s is not None:
             return False
@@ -264,7 +271,7 @@
             if isinstance(error, NotRun) and error.is_full:
                 end = CallEnd.REJECTED
             raise
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, CallerLeft):
             ok, end = True, CallEnd.UNUSED
             raise
         finally:
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -10,6 +10,7 @@
 from bamboovale.gateway.call import (
     Call,
     CallCodec,
+    CallerLeft,
     CallFailed,
     CallRefused,
     KeyRejected,
@@ -95,6 +96,9 @@
             self._answer(responder, bad.status, None, None)
             return
         table = self._state.table
+        if responder.has_caller_left():
+            self._drop(request, facts, table, responder)
+            return
         if table is None or not self._state.takes_work():
             self._log_unrouted(request, facts, "not_ready", table)
             retry_s = STOPPED_RETRY_S if self._state.stopping else NOT_READY_RETRY_S
@@ -109,6 +113,19 @@
         if admission is not None:
             await self._handle_admitted(request, admission, route, table, responder)
 
+    def _drop(
+        self,
+        request: Request,
+        facts: CallFacts,
+        table: RoutingTable | None,
+        responder: Responder,
+    ) -> None:
+        """End a request whose caller left before it was read."""
+        silent_s = responder.caller_silent_s
+        details = {} if silent_s is None else {"caller_silent_s": silent_s}
+        self._log_unrouted(request, facts, LEFT, table, details=details)
+        responder.abort()
+
     def _admit(
         self,
         request: Request,
@@ -182,6 +199,9 @@
             if self._is_stop_over() and self._now() < call.deadline:
                 return self._end_by_stop(call)
             return self._fail(call, 504, "timed_out")
+        except CallerLeft:
+            call.responder.abort()
+            return LEFT
         except CallRefused as refusal:
             call.notes["reason"] = str(refusal)
             self._refuse(call.responder, call.facts, refusal.retry_after_s)
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import fcntl
+import select
 import socket
 import struct
 import sys
@@ -330,6 +331,20 @@
     return int.from_bytes(size, sys.byteorder)
 
 
+def has_ended(connected: Any) -> bool:
+    """Return whether the peer of a socket has closed or reset its connection.
+
+    By the kernel, also where the loop has not read that yet.
+    """
+    if not hasattr(connected, "fileno"):
+        return False
+    poll = select.poll()
+    with contextlib.suppress(*CLOSED_ERRORS):
+        poll.register(connected.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+    return False
+
+
 def silent_s(connected: Any) -> float | None:
     """Return the seconds since a socket last received data, None if not known.
 
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -14,6 +15,7 @@
     enable_dead_peer_detection,
     end_on_close,
     enlarge_send_buffer,
+    has_ended,
     keep_slow_peer,
     reset_on_close,
     silent_s,
@@ -27,6 +29,8 @@
 """Bytes that are buffered beyond those taken before reading is paused."""
 LAST_SEND_BUFFER_BYTES = 4 * 1024 * 1024
 """What the kernel may hold of an answer as the process exits; it delivers it after."""
+CALLER_KNOWN_S = 0.1
+"""How long a caller counts as there after it was looked whether it is."""
 HTTP_1_0 = b"1.0"
 REASON_BY_STATUS = {
     200: b"OK",
@@ -123,6 +127,14 @@
         """Return the bytes that this process still holds for the caller."""
         return self._connection.unsent_bytes
 
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed the connection, or has just done so.
+
+        Guards against work for nobody: a late loop handles a request, and what it
+        waited for, before it reads the close behind it.
+        """
+        return self._connection.has_caller_left()
+
     @property
     def caller_silent_s(self) -> float | None:
         """Return how long a caller that left had sent nothing, in seconds.
@@ -151,6 +163,7 @@
         self.busy = False
         self.last_request: Request | None = None
         self.caller_silent_s: float | None = None
+        self._caller_known_until = 0.0
         self._dropped_bytes = 0
         self._is_hastened = False
         self._server = server
@@ -187,7 +200,7 @@
         """Cancel the request of a caller that has disconnected."""
         self._lost = True
         if self.busy:
-            self.caller_silent_s = silent_s(self._transport.get_extra_info("socket"))
+            self._note_silence()
         self._server.connections.discard(self)
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
@@ -213,6 +226,24 @@
         peer = self._transport.get_extra_info("peername")
         return peer[0] if peer else ""
 
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed the connection, read or not."""
+        if self._lost or self._transport.is_closing():
+            return True
+        now = time.monotonic()
+        if now < self._caller_known_until:
+            return False
+        if has_ended(self._transport.get_extra_info("socket")):
+            self._note_silence()
+            return True
+        self._caller_known_until = now + CALLER_KNOWN_S
+        return False
+
+    def _note_silence(self) -> None:
+        """Note how long a caller that left has sent nothing, unless that was done."""
+        if self.caller_silent_s is None:
+            self.caller_silent_s = silent_s(self._transport.get_extra_info("socket"))
+
     def write_head(self, status: int, headers: Headers) -> None:
         """Write the head of a response.
 
