A relay ends an exchange whose sender can't be answered any more

Guards against engines that work on for callers whose VM died, stood still or lost its link. Cause: a relay heard that nobody waits only by a notice of the sender, which a dead VM or a broken link does not send, or between two pieces of an answer, which are seconds apart at a slow engine and come never before the head. Class: work for another VM that ends by a message alone. Change: every 0.25 s exchanges end whose outstanding reply came on a link that has ended, and (as before) those of VMs that are not live between two pieces; an exchange of an earlier process with the same number ends too. Evidence: TestRelayedRun failed before (the run went on for more than 1 s after the VM's end) and passes; tests of relays, links: 22 passed.

--- a/bamboovale/peers/incoming.py
+++ b/bamboovale/peers/incoming.py
@@ -6,7 +6,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from websockets.exceptions import ConnectionClosed
 
@@ -19,7 +19,18 @@
 
 logger = logging.getLogger(__name__)
 
-Reply = Callable[[Any], None]
+
+class Reply(Protocol):
+    """Replies to one request of a peer, from any thread."""
+
+    def __call__(self, message: Any) -> None:
+        """Send the reply."""
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the link has ended, so that no reply can arrive."""
+
+
 RequestHandler = Callable[[str, Any, Reply], None]
 NoticeHandler = Callable[[str, Any], None]
 
@@ -43,6 +54,7 @@
         self._loop = asyncio.get_running_loop()
         self._last_received_at = self._loop.time()
         self._outbox: asyncio.Queue[bytes] = asyncio.Queue(QUEUE_LIMIT)
+        self.has_ended = False
 
     async def serve(self) -> None:
         """Serve until the link closes."""
@@ -54,6 +66,7 @@
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
+            self.has_ended = True
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -106,7 +119,7 @@
     def _handle_request(self, frame: Frame) -> None:
         """Call the handler; an exception is reported to the peer as a failure."""
         try:
-            self._on_request(self.sender, frame.message, self._reply_to(frame.number))
+            self._on_request(self.sender, frame.message, LinkReply(self, frame.number))
         except Exception as error:
             logger.exception("handler of a request from peer %s failed", self.sender)
             text = type(error).__name__
@@ -116,17 +129,13 @@
         """Send an encoded notice to the peer."""
         self._enqueue(data)
 
-    def _reply_to(self, number: int) -> Reply:
-        """Return the function that replies to one request, from any thread."""
-
-        def reply(message: Any) -> None:
-            data = encode_frame(FrameKind.REPLY, number, message)
-            try:
-                call_on(self._loop, self._enqueue, data)
-            except RuntimeError:  # the event loop is closed
-                self._metrics.peer_messages_dropped.inc()
-
-        return reply
+    def reply(self, number: int, message: Any) -> None:
+        """Reply to one request, from any thread."""
+        data = encode_frame(FrameKind.REPLY, number, message)
+        try:
+            call_on(self._loop, self._enqueue, data)
+        except RuntimeError:  # the event loop is closed
+            self._metrics.peer_messages_dropped.inc()
 
     def _enqueue(self, data: bytes) -> None:
         """Send a frame, or queue it; abort the link if the queue is full.
@@ -142,3 +151,20 @@
         except asyncio.QueueFull:
             self._metrics.peer_messages_dropped.inc()
             self._channel.abort("slow_reader")
+
+
+class LinkReply:
+    """Replies to one request on the link on which it came."""
+
+    def __init__(self, link: IncomingLink, number: int) -> None:
+        self._link = link
+        self._number = number
+
+    def __call__(self, message: Any) -> None:
+        """Send the reply."""
+        self._link.reply(self._number, message)
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the link has ended, so that no reply can arrive."""
+        return self._link.has_ended
--- a/bamboovale/relay/server.py
+++ b/bamboovale/relay/server.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 import h11
 
@@ -15,6 +14,7 @@
 from bamboovale.gateway.path_watch import PathWatch
 from bamboovale.gateway.send_gate import SendGate
 from bamboovale.http1.connection import Connection, IncompleteResponse
+from bamboovale.peers.incoming import Reply
 from bamboovale.relay.messages import (
     RelayCancel,
     RelayData,
@@ -26,23 +26,33 @@
 MAX_RELAYS_PER_CORE = 64
 """Exchanges under way for other VMs; own callers are not to be starved by them."""
 MAX_PIECE_BYTES = 64 * 1024
-SENDER_CHECK_S = 0.5
-
-Reply = Callable[[Any], None]
-
-
-class SenderGone(Exception):  # noqa: N818 - reads as what happened
-    """The VM that wants the answer is no longer live."""
+SENDER_CHECK_S = 0.25
+MOST_PAUSE_S = 0.5
+"""Longest time between two pieces for which a VM that is not live is waited for."""
+SENDER_GONE = "the VM that asked is gone"
 
 
 @dataclass
 class _Relay:
-    """One exchange; ``wanted`` are the replies that wait for pieces of the body."""
+    """One exchange; ``wanted`` are the replies that wait for pieces of the body.
+
+    ``unanswered`` is the reply that the sender waits for, None between two pieces, when
+    ``answered_at`` is when it got the last one.
+    """
 
     request: RelayRequest
     sender: str
+    unanswered: Reply | None
     wanted: "asyncio.Queue[Reply]" = field(default_factory=asyncio.Queue)
+    answered_at: float = 0.0
     task: "asyncio.Task[None] | None" = None
+    end_reason: str | None = None
+
+    def end(self, reason: str | None = None) -> None:
+        """End the exchange, which closes its connection to the endpoint."""
+        self.end_reason = reason
+        if self.task is not None:
+            self.task.cancel()
 
 
 class RelayServer:
@@ -75,6 +85,7 @@
         self._on_run_lost = on_run_lost
         self._on_relayed = on_relayed
         self._relay_by_key: dict[tuple[str, str], _Relay] = {}
+        self._is_check_due = False
 
     def __len__(self) -> int:
         """Return the number of exchanges under way."""
@@ -89,19 +100,19 @@
         if relay is None:
             reply(RelayData(query.relay_id, ended=True, failure="no such exchange"))
         else:
+            relay.unanswered = reply
             relay.wanted.put_nowait(reply)
 
     def on_cancel(self, sender: str, notice: RelayCancel) -> None:
         """End an exchange whose answer is no longer wanted."""
         relay = self._relay_by_key.get((sender, notice.relay_id))
-        if relay is not None and relay.task is not None:
-            relay.task.cancel()
+        if relay is not None:
+            relay.end()
 
     def close(self) -> None:
         """End all exchanges at once."""
         for relay in self._relay_by_key.values():
-            if relay.task is not None:
-                relay.task.cancel()
+            relay.end()
 
     def _start(self, sender: str, request: RelayRequest, reply: Reply) -> None:
         refusal = self._refusal(request)
@@ -109,9 +120,12 @@
             reply(self._not_sent(request, refusal, was_tried=False))
             self._log(sender, request, "not_sent", refusal, 0.0)
             return
-        relay = _Relay(request, sender)
+        relay = _Relay(request, sender, reply)
         key = sender, request.relay_id
+        if (earlier := self._relay_by_key.get(key)) is not None:
+            earlier.end(SENDER_GONE)
         self._relay_by_key[key] = relay
+        self._check_senders_later()
         task = asyncio.get_running_loop().create_task(self._run(relay, reply))
         relay.task = task
         task.add_done_callback(lambda done: self._forget(key, relay))
@@ -125,6 +139,30 @@
         if self._relay_by_key.get(key) is relay:
             del self._relay_by_key[key]
 
+    def _check_senders_later(self) -> None:
+        if not self._is_check_due:
+            self._is_check_due = True
+            asyncio.get_running_loop().call_later(SENDER_CHECK_S, self._check_senders)
+
+    def _check_senders(self) -> None:
+        """End the exchanges that nobody waits for, and look again while there are any.
+
+        Guards against work for callers whose VM died, or lost the link to this one: it
+        sends no notice, and has told its caller that the request failed.
+        """
+        self._is_check_due = False
+        for relay in list(self._relay_by_key.values()):
+            if self._is_abandoned(relay):
+                relay.end(SENDER_GONE)
+        if self._relay_by_key:
+            self._check_senders_later()
+
+    def _is_abandoned(self, relay: _Relay) -> bool:
+        if relay.unanswered is not None:
+            return relay.unanswered.is_lost
+        paused_s = self._now() - relay.answered_at
+        return paused_s > MOST_PAUSE_S and not self._is_live(relay.sender)
+
     def _refusal(self, request: RelayRequest) -> str | None:
         """Return why a request cannot be sent from here, None if it can."""
         endpoint_id = request.endpoint_id
@@ -170,13 +208,11 @@
             outcome = "timed_out"
         except NotRun as error:
             outcome, reason = "not_sent", str(error)
-        except SenderGone as error:
-            outcome, reason = "broke_off", str(error)
         except (MayHaveRun, IncompleteResponse) as error:
             outcome, reason = "broke_off", str(error)
             self._on_run_lost(request.endpoint_id)
         except asyncio.CancelledError:
-            outcome = "cancelled"
+            outcome, reason = "cancelled", relay.end_reason
             raise
         finally:
             self._log(relay.sender, request, outcome, reason, self._now() - started_at)
@@ -232,33 +268,31 @@
         except MayHaveRun as error:
             reply(RelayHead(request.relay_id, failure=str(error)))
             raise
-        reply(RelayHead(request.relay_id, head.status, tuple(head.headers)))
+        answer = RelayHead(request.relay_id, head.status, tuple(head.headers))
+        self._answer(relay, reply, answer)
         await self._forward_body(relay, connection)
 
+    def _answer(
+        self, relay: _Relay, reply: Reply, answer: RelayHead | RelayData
+    ) -> None:
+        relay.unanswered = None
+        relay.answered_at = self._now()
+        reply(answer)
+
     async def _forward_body(self, relay: _Relay, connection: Connection) -> None:
         """Send each piece of the answer when it is asked for, then how it ended."""
         relay_id, failure = relay.request.relay_id, ""
         try:
             async for piece in _pieces(connection):
-                reply = await self._next_wanted(relay)
-                reply(RelayData(relay_id, piece))
+                reply = await relay.wanted.get()
+                self._answer(relay, reply, RelayData(relay_id, piece))
         except IncompleteResponse as error:
             failure = str(error)
-        reply = await self._next_wanted(relay)
-        reply(RelayData(relay_id, ended=True, failure=failure))
+        reply = await relay.wanted.get()
+        self._answer(relay, reply, RelayData(relay_id, ended=True, failure=failure))
         if failure:
             raise IncompleteResponse(failure)
 
-    async def _next_wanted(self, relay: _Relay) -> Reply:
-        """Return the next request for a piece; raises SenderGone."""
-        while True:
-            try:
-                async with asyncio.timeout(SENDER_CHECK_S):
-                    return await relay.wanted.get()
-            except TimeoutError:
-                if not self._is_live(relay.sender):
-                    raise SenderGone("the VM that asked is gone") from None
-
     def _log(
         self,
         sender: str,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -134,6 +134,16 @@
         run(test())
 
 
+class Replies(list[Any]):
+    """Collects what a VM replies, on a link that may have ended."""
+
+    is_lost = False
+
+    def __call__(self, message: Any) -> None:
+        """Collect a reply."""
+        self.append(message)
+
+
 class TestEarlierProcess:
     """A VM that starts again while others have exchanges of its earlier process."""
 
@@ -145,15 +155,14 @@
                 [service] = site.services
                 service.faults.event_s = 0.4
                 server = site.vms[0].vm._access.relay_server
-                old: list[Any] = []
-                new: list[Any] = []
-                server.on_query("other", _request("old", service, 0.2), old.append)
+                old, new = Replies(), Replies()
+                server.on_query("other", _request("old", service, 0.2), old)
                 await asyncio.sleep(0.1)
-                server.on_query("other", _request("new", service, 3.0), new.append)
+                server.on_query("other", _request("new", service, 3.0), new)
                 await asyncio.sleep(0.2)
                 assert len(server) == 1
                 await eventually(lambda: new)
-                server.on_query("other", RelayNext("1"), new.append)
+                server.on_query("other", RelayNext("1"), new)
                 await eventually(lambda: len(new) == 2)
                 assert (new[0].status, new[1].data) == (200, b"service-0 new")
                 assert old == []
