Own interface: a caller that left is known before its request is sent

Found by looking for the cause of GONE elsewhere. A request waits for a thread; its caller is watched from the send on, by another thread, so what a caller left in the queue was sent and broken off a moment later. Now the caller's socket is asked as the watch begins.

--- a/bamboovale/entry/disconnects.py
+++ b/bamboovale/entry/disconnects.py
@@ -11,6 +11,8 @@
 import threading
 from collections.abc import Callable, Iterator
 
+from bamboovale.http1.connection import has_ended
+
 POLL_S = 1.0
 _DISCONNECTED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
@@ -48,11 +50,17 @@
     ) -> Iterator[None]:
         """Call ``on_disconnect`` if the caller disconnects within the block.
 
-        It is called at most once, on the watcher's thread.
+        It is called at most once: here if the caller has left already, else on the
+        watcher's thread. The former guards against requests that are sent before that
+        thread runs, for callers that left while theirs waited for a thread.
         """
         if caller is None or caller.fileno() < 0:
             yield
             return
+        if has_ended(caller):
+            on_disconnect()
+            yield
+            return
         descriptor = caller.fileno()
         with self._lock:
             self._callback_by_descriptor[descriptor] = on_disconnect
