HTTP server: a close behind bytes that wait is not missed

Callers that left were worked for until the next write failed: (1) reading pauses behind 256 KiB that a caller sent ahead, and its close is not read; (2) the end of a caller's bytes closes the transport only once it has taken what waits for it. Class: a close that is known in order with the bytes before it. Change: while reading is paused the socket is asked every 0.25 s; the end of a caller's bytes ends its request at once, as it did where nothing waits.

--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -31,6 +31,8 @@
 """What the kernel may hold of an answer as the process exits; it delivers it after."""
 CALLER_KNOWN_S = 0.1
 """How long a caller counts as there after it was looked whether it is."""
+CLOSE_CHECK_S = 0.25
+"""How often it is looked for a close that reading does not come to."""
 HTTP_1_0 = b"1.0"
 REASON_BY_STATUS = {
     200: b"OK",
@@ -164,6 +166,7 @@
         self.last_request: Request | None = None
         self.caller_silent_s: float | None = None
         self._caller_known_until = 0.0
+        self._looks_for_close = False
         self._dropped_bytes = 0
         self._is_hastened = False
         self._server = server
@@ -192,10 +195,21 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; pause reading when a caller pipelines too much."""
         self._flow.on_received(len(data))
+        if self._flow.is_paused:
+            self._look_for_close_later()
         with contextlib.suppress(h11.RemoteProtocolError):
             self._wire.receive_data(data)
         self._notify()
 
+    def eof_received(self) -> None:
+        """Take the end of a caller's bytes for its leaving, while it has a request.
+
+        Guards against work for a caller that does not take what waits for it: until it
+        does, the transport would stay open.
+        """
+        if self.busy:
+            self._transport.abort()
+
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request of a caller that has disconnected."""
         self._lost = True
@@ -239,6 +253,21 @@
         self._caller_known_until = now + CALLER_KNOWN_S
         return False
 
+    def _look_for_close_later(self) -> None:
+        if not self._looks_for_close:
+            self._looks_for_close = True
+            asyncio.get_running_loop().call_later(CLOSE_CHECK_S, self._look_for_close)
+
+    def _look_for_close(self) -> None:
+        """End the request of a caller whose close lies behind bytes that wait."""
+        self._looks_for_close = False
+        if self._lost or not (self.busy and self._flow.is_paused):
+            return
+        if self.has_caller_left():
+            self._transport.abort()
+        else:
+            self._look_for_close_later()
+
     def _note_silence(self) -> None:
         """Note how long a caller that left has sent nothing, unless that was done."""
         if self.caller_silent_s is None:
--- a/tests/test_callers_that_left.py
+++ b/tests/test_callers_that_left.py
@@ -8,7 +8,9 @@
 
 import pytest
 
+from bamboovale.entry.disconnects import DisconnectWatcher
 from bamboovale.http1.connection import Connection
+from bamboovale.http1.server import READ_AHEAD_BYTES, Request, Responder, Server
 from bamboovale.standins.platform_endpoints import PlatformEndpoint
 from bench.routed import HOST, MODEL
 from tests.gateway_site import RunningVM, Site, call, eventually, run, running_site
@@ -224,3 +226,71 @@
         for item in runner.runs
         if item.request_id == attempt
     ]
+
+
+class TestOwnInterface:
+    """Callers of the own interface, whose requests wait for a thread."""
+
+    def test_one_that_left_is_known_before_its_request_is_sent(self) -> None:
+        """Guards against calls that are sent before the watching thread runs."""
+        caller, accepted = socket.socketpair()
+        caller.close()
+        called: list[str] = []
+        watcher = DisconnectWatcher()
+        with watcher.watch(accepted, lambda: called.append("left")):
+            assert called == ["left"]
+        assert called == ["left"]
+        accepted.close()
+        watcher.stop()
+
+
+class TestCloseBehindBytes:
+    """A caller closed while bytes to or from it wait in its connection."""
+
+    @staticmethod
+    async def cancelled(sends: bytes, *, closes: bool) -> list[str]:
+        """Return how a handler ended 1 s after its caller closed, or half-closed."""
+        ended: list[str] = []
+
+        async def handle(request: Request, responder: Responder) -> None:
+            try:
+                if not closes:
+                    responder.start(200, [])
+                    while True:
+                        await responder.write(b"x" * 100_000)
+                await asyncio.sleep(10.0)
+            except asyncio.CancelledError:
+                ended.append("cancelled")
+                raise
+
+        running = Server(handle)
+        port = await running.listen("127.0.0.1", 0)
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        caller.connect(("127.0.0.1", port))
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+        await asyncio.to_thread(caller.sendall, head + sends)
+        await eventually(lambda: running.busy == 1)
+        await asyncio.sleep(0.2)
+        caller.close() if closes else caller.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(1.0)
+        caller.close()
+        running.close()
+        return ended
+
+    def test_behind_more_than_is_read_ahead(self) -> None:
+        """Guards against work for callers that sent much behind their request."""
+        much = b"y" * (READ_AHEAD_BYTES + 200_000)
+
+        async def test() -> None:
+            assert await self.cancelled(much, closes=True) == ["cancelled"]
+
+        run(test())
+
+    def test_with_an_answer_that_it_does_not_take(self) -> None:
+        """Guards against a stream that goes on behind a write buffer that is full."""
+
+        async def test() -> None:
+            assert await self.cancelled(b"", closes=False) == ["cancelled"]
+
+        run(test())
