Streams: which services a path led to is known by host and path, not by the route's name

A stream that nobody knows went on at another software version where its route was replaced under another name (or, by reading, by a longer prefix): the history of routes knew them by names, requests are matched by host and path. Now a change is what the longest matching prefix led to before and after.

--- a/bamboovale/gateway/model.py
+++ b/bamboovale/gateway/model.py
@@ -121,6 +121,14 @@
         by_name = {service.name: service for service in services}
         return cls(version, routes, by_name, limits, source, customers, index)
 
+    def services_by_path(self) -> dict[tuple[str, str], frozenset[str]]:
+        """Return the services of each route by its host and path prefix."""
+        return {
+            (host, prefix): frozenset(route.weight_by_service)
+            for host, route_by_prefix in self._route_by_prefix_by_host.items()
+            for prefix, route in route_by_prefix.items()
+        }
+
     def match(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of the path, or None."""
         by_prefix = self._route_by_prefix_by_host.get(_bare_host(host))
--- a/bamboovale/gateway/records.py
+++ b/bamboovale/gateway/records.py
@@ -130,10 +130,7 @@
         if before is not None and table.version <= before:
             return
         self._state.table = table
-        services_by_route = {
-            route.name: frozenset(route.weight_by_service) for route in table.routes
-        }
-        self._state.versions.routes.on_routes(services_by_route, lease_clock())
+        self._state.versions.routes.on_routes(table.services_by_path(), lease_clock())
         self._state.journal.write(
             "config_in_force",
             version=table.version,
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -161,14 +161,28 @@
     def test_what_a_route_exchanged_lately_counts_for_its_services_alone(self) -> None:
         routes = RouteHistory()
         old, new, both = frozenset({"llm"}), frozenset({"llm-2"}), {"llm", "llm-2"}
-        routes.on_routes({"chat": old, "book": frozenset({"app"})}, 100.0)
+        chat, book = ("shop", "/chat/"), ("shop", "/book/")
+        routes.on_routes({chat: old, book: frozenset({"app"})}, 100.0)
         assert routes.with_changed(old, WITHIN_S, 101.0) == old
-        routes.on_routes({"chat": new, "book": frozenset({"app"})}, 110.0)
+        routes.on_routes({chat: new, book: frozenset({"app"})}, 110.0)
         for services in (old, new):
             assert routes.with_changed(services, WITHIN_S, 111.0) == both
         assert routes.with_changed(("app",), WITHIN_S, 111.0) == {"app"}
         assert routes.with_changed(new, WITHIN_S, 111.0 + WITHIN_S) == new
 
+    def test_a_longer_prefix_that_comes_or_goes_exchanges_services(self) -> None:
+        """Guards against a part of a route that is taken for another one."""
+        old, new, both = frozenset({"llm"}), frozenset({"llm-2"}), {"llm", "llm-2"}
+        whole, part = ("shop", "/chat/"), ("shop", "/chat/short/")
+        routes = RouteHistory()
+        routes.on_routes({whole: old}, 100.0)
+        routes.on_routes({whole: old, part: new}, 110.0)
+        assert routes.with_changed(new, WITHIN_S, 111.0) == both
+        later = 110.0 + 2 * WITHIN_S
+        assert routes.with_changed(new, WITHIN_S, later) == new
+        routes.on_routes({whole: old}, later)
+        assert routes.with_changed(old, WITHIN_S, later + 1.0) == both
+
 
 class TestDecision:
     """Where a stream goes on, or why it is refused."""
