Relays: no further VM is asked to send a request whose caller left

The exchange now checks before each VM that it asks. By reading; its test uses the new argument, so it could not run before.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -155,13 +155,8 @@
         MayHaveRun or CallerLeft.
         """
         request_id = call.facts.request_id
-        left_s = call.left_s(self._now())
         connection = await self._connect(
-            record,
-            request_id,
-            once_only=once_only,
-            checks_start=checks_start,
-            left_s=left_s,
+            record, call, once_only=once_only, checks_start=checks_start
         )
         with self.closing(record, connection):
             if checks_start and isinstance(connection, Connection):
@@ -187,17 +182,17 @@
     async def _connect(
         self,
         record: EndpointRecord,
-        request_id: str,
+        call: Call,
         *,
         once_only: bool,
         checks_start: bool,
-        left_s: float,
     ) -> Exchange:
         """Return a connection, or an exchange by way of another VM.
 
         Guards against callers that wait here for an endpoint that others reach.
         """
-        endpoint_id = record.endpoint_id
+        endpoint_id, request_id = record.endpoint_id, call.facts.request_id
+        left_s = call.left_s(self._now())
         use = self._paths.choose(endpoint_id, self._now())
         if use is PathUse.ANY:
             with contextlib.suppress(NotRun):
@@ -215,6 +210,7 @@
             once_only=once_only,
             checks_start=checks_start,
             left_s=left_s,
+            check_wanted=call.check_caller,
         )
 
     async def check_start(self, connection: Connection, record: EndpointRecord) -> None:
--- a/bamboovale/relay/client.py
+++ b/bamboovale/relay/client.py
@@ -69,6 +69,7 @@
         once_only: bool,
         checks_start: bool,
         left_s: float,
+        check_wanted: Callable[[], None],
     ) -> None:
         self.closed = False
         self.via: str | None = None
@@ -78,6 +79,7 @@
         self._request_id = request_id
         self._once_only = once_only
         self._checks_start = checks_start
+        self._check_wanted = check_wanted
         self._expires_at = relays.now() + left_s
         self._request: h11.Request | None = None
         self._body = b""
@@ -89,7 +91,10 @@
         self._body = body
 
     async def head(self) -> ResponseHead:
-        """Return the head of the answer; raises NotSent or IncompleteResponse."""
+        """Return the head of the answer.
+
+        Raises NotSent, IncompleteResponse, or what ``check_wanted`` raises.
+        """
         if len(self._body) > MAX_BODY_BYTES:
             raise NotSent("too large to be passed on")
         failure = "no VM is left to send it"
@@ -97,6 +102,7 @@
             vm_id = self._relays.choose(self._endpoint_id)
             if vm_id is None:
                 break
+            self._check_wanted()
             reply = await self._start_at(vm_id)
             if reply.status:
                 return ResponseHead(reply.status, [*reply.headers])
@@ -218,8 +224,12 @@
         once_only: bool,
         checks_start: bool,
         left_s: float,
+        check_wanted: Callable[[], None] = lambda: None,
     ) -> RelayedConnection:
-        """Return an exchange with an endpoint, for one request."""
+        """Return an exchange with an endpoint, for one request.
+
+        ``check_wanted`` raises, before each VM is asked, if nobody waits any more.
+        """
         return RelayedConnection(
             self,
             str(next(self._numbers)),
@@ -228,6 +238,7 @@
             once_only=once_only,
             checks_start=checks_start,
             left_s=min(left_s, MAX_LEFT_S),
+            check_wanted=check_wanted,
         )
 
     def choose(self, endpoint_id: str) -> str | None:
--- a/tests/test_callers_that_left.py
+++ b/tests/test_callers_that_left.py
@@ -1,16 +1,22 @@
 """Requests of callers that closed their connection before the loop has read that."""
 
 import asyncio
+import random
 import socket
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from unittest.mock import Mock
 
+import h11
 import pytest
 
+from bamboovale.decisions.relay_choice import Helper, RelayChoice
 from bamboovale.entry.disconnects import DisconnectWatcher
+from bamboovale.gateway.call import CallerLeft
 from bamboovale.http1.connection import Connection
 from bamboovale.http1.server import READ_AHEAD_BYTES, Request, Responder, Server
+from bamboovale.relay.client import Relays
 from bamboovale.standins.platform_endpoints import PlatformEndpoint
 from bench.routed import HOST, MODEL
 from tests.gateway_site import RunningVM, Site, call, eventually, run, running_site
@@ -294,3 +300,39 @@
             assert await self.cancelled(b"", closes=False) == ["cancelled"]
 
         run(test())
+
+
+class TestRelayedRequest:
+    """A request that another VM is to send."""
+
+    def test_no_vm_is_asked_for_a_caller_that_left(self) -> None:
+        """Guards against VMs that are asked one after another for nobody."""
+
+        def check_wanted() -> None:
+            raise CallerLeft
+
+        async def test() -> None:
+            links = Mock()
+            relays = Relays(
+                links,
+                lambda: [Helper("other", "zone")],
+                RelayChoice(random.Random(1)),
+                time.monotonic,
+            )
+            exchange = relays.open(
+                "endpoint",
+                "left",
+                once_only=True,
+                checks_start=False,
+                left_s=1.0,
+                check_wanted=check_wanted,
+            )
+            exchange.send(
+                h11.Request(method="GET", target="/", headers=[("host", "h")]), b""
+            )
+            with pytest.raises(CallerLeft):
+                await exchange.head()
+            exchange.close()
+            assert not links.request.called
+
+        run(test())
