--- a/bench/guard.py
+++ b/bench/guard.py
@@ -32,6 +32,7 @@
     BESIDE_CRASHES = "what only ran beside a crash is served as before"
     OLDER_COPY = "a store that returns from an older copy takes nothing back"
     STOPS = "a planned stop cuts no answer that another VM can give"
+    LEFT = "nothing is done for a caller that has left"
     ODD = "an odd record or an error ends nothing but itself"
     RETRIES = "a service gets no more retries of all VMs than its budget"
 
--- a/bench/guards.py
+++ b/bench/guards.py
@@ -19,6 +19,7 @@
 from bench.cut_guards import CUT_GUARDS
 from bench.guard import Change, Guard
 from bench.http1_guards import HTTP1_GUARDS
+from bench.left_guards import LEFT_GUARDS
 from bench.odd_guards import ODD_GUARDS
 from bench.order_guards import ORDER_GUARDS
 from bench.retry_guards import PATH_GUARDS, RETRY_GUARDS
@@ -256,6 +257,7 @@
             *SIGNAL_GUARDS,
             *RETRY_GUARDS,
             *STORE_GUARDS,
+            *LEFT_GUARDS,
             *STREAM_GUARDS,
             *PATH_GUARDS,
             *ORDER_GUARDS,
