--- a/bench/shared_place_simulation.py
+++ b/bench/shared_place_simulation.py
@@ -267,6 +267,10 @@
     def answer(self, *arguments: Any) -> None:
         """Accept the answer to the caller."""
 
+    def has_caller_left(self) -> bool:
+        """Return that callers wait."""
+        return False
+
 
 @dataclass
 class SimulatedVM:
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -84,6 +84,10 @@
         """Check that no endpoint is passed over."""
         assert not endpoint_ids
 
+    def has_caller_left(self) -> bool:
+        """Return that callers wait."""
+        return False
+
     def is_refused(self, call: Any) -> bool:
         """Return that no call has crashed endpoints."""
         return False
