HTTP server: the end of a caller's bytes ends its request, and drops no earlier answer

Found on reading again: the transport was aborted, and with it what waits of an answer to an earlier request on the connection, which was delivered before. Now the request's task alone is cancelled, and the transport ends as it has sent what waits.

--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -205,10 +205,10 @@
         """Take the end of a caller's bytes for its leaving, while it has a request.
 
         Guards against work for a caller that does not take what waits for it: until it
-        does, the transport would stay open.
+        does, the transport stays open, as that may hold an earlier answer.
         """
-        if self.busy:
-            self._transport.abort()
+        if self.busy and self._task is not None:
+            self._task.cancel()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request of a caller that has disconnected."""
--- a/bench/left_guards.py
+++ b/bench/left_guards.py
@@ -108,8 +108,8 @@
         (
             Change(
                 SERVER_PATH,
-                "        if self.busy:\n            self._transport.abort()\n",
-                "        return\n",
+                "        if self.busy and self._task is not None:\n",
+                "        if False:\n",
             ),
         ),
     ),
--- a/tests/test_callers_that_left.py
+++ b/tests/test_callers_that_left.py
@@ -54,6 +54,15 @@
     )
 
 
+def read_all(caller: socket.socket) -> bytes:
+    """Read until the connection ends."""
+    caller.settimeout(5.0)
+    received = b""
+    while piece := caller.recv(65536):
+        received += piece
+    return received
+
+
 def outcomes(item: RunningVM, attempt: str) -> list[str]:
     """Return how a VM's log says that a request ended."""
     return [x["outcome"] for x in item.journal.of("request") if x["id"] == attempt]
@@ -293,6 +302,34 @@
 
         run(test())
 
+    def test_an_earlier_answer_is_still_delivered(self) -> None:
+        """Guards against a whole answer that is dropped with the request behind it."""
+        whole = b"x" * 16_000_000
+
+        async def test() -> None:
+            async def handle(request: Request, responder: Responder) -> None:
+                if request.target == "/second":
+                    await asyncio.sleep(10.0)
+                responder.answer(200, [], whole)
+
+            running = Server(handle)
+            port = await running.listen("127.0.0.1", 0)
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+            caller.connect(("127.0.0.1", port))
+            for target in ("first", "second"):
+                caller.sendall(f"GET /{target} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+            await eventually(lambda: running.busy == 1)
+            await asyncio.sleep(0.2)
+            caller.shutdown(socket.SHUT_WR)
+            received = await asyncio.to_thread(read_all, caller)
+            assert received.count(b"x") == len(whole)
+            assert not running.busy
+            caller.close()
+            running.close()
+
+        run(test())
+
     def test_with_an_answer_that_it_does_not_take(self) -> None:
         """Guards against a stream that goes on behind a write buffer that is full."""
 
