Soak: what loads at a rate of their own share is in one place

Two loads repeated their construction and the callers they make for one request (duplicates, two pairs); a guard file repeated two changes.

--- a/bench/left_guards.py
+++ b/bench/left_guards.py
@@ -8,6 +8,17 @@
 BEHIND = f"{TESTS}::TestCloseBehindBytes"
 SERVER_PATH = "bamboovale/http1/server.py"
 
+_SEND_UNASKED = Change(
+    "bamboovale/gateway/endpoint_client.py",
+    "            call.check_caller()\n",
+    "",
+)
+_TRY_UNASKED = Change(
+    "bamboovale/gateway/plain_calls.py",
+    "        call.check_caller()\n",
+    "",
+)
+
 LEFT_GUARDS = (
     Guard(
         "a request that is read after its caller left is dropped",
@@ -19,16 +30,8 @@
                 "        if responder.has_caller_left():\n",
                 "        if False:\n",
             ),
-            Change(
-                "bamboovale/gateway/plain_calls.py",
-                "        call.check_caller()\n",
-                "",
-            ),
-            Change(
-                "bamboovale/gateway/endpoint_client.py",
-                "            call.check_caller()\n",
-                "",
-            ),
+            _TRY_UNASKED,
+            _SEND_UNASKED,
         ),
     ),
     Guard(
@@ -36,16 +39,8 @@
         EndpointPromise.LEFT,
         f"{UNREAD}::test_no_retry_is_sent",
         (
-            Change(
-                "bamboovale/gateway/plain_calls.py",
-                "        call.check_caller()\n",
-                "",
-            ),
-            Change(
-                "bamboovale/gateway/endpoint_client.py",
-                "            call.check_caller()\n",
-                "",
-            ),
+            _TRY_UNASKED,
+            _SEND_UNASKED,
         ),
     ),
     Guard(
@@ -58,11 +53,7 @@
                 "        if call.responder.has_caller_left():\n",
                 "        if False:\n",
             ),
-            Change(
-                "bamboovale/gateway/endpoint_client.py",
-                "            call.check_caller()\n",
-                "",
-            ),
+            _SEND_UNASKED,
         ),
     ),
     Guard(
--- a/bench/soak_left.py
+++ b/bench/soak_left.py
@@ -4,8 +4,6 @@
 """
 
 import asyncio
-import itertools
-import random
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from math import inf
@@ -13,9 +11,9 @@
 from bamboovale.http1.connection import ConnectFailed, Connection
 from bamboovale.standins.endpoint_signals import Arrival
 from bamboovale.standins.platform_endpoints import Run
-from bench.soak_callers import Attempt, Caller, Kind, Load, SentRequest
-from bench.soak_customers import Keys
+from bench.soak_callers import Attempt, Kind, Load
 from bench.soak_delay import LoopDelay
+from bench.soak_load import SoakLoad
 from bench.soak_site import Life, VMProcess
 from bench.soak_spans import FaultSpan
 from bench.soak_stops import BUSY
@@ -43,35 +41,15 @@
 """How a run ends whose connection is closed before."""
 
 
-class LeaveLoad:
+class LeaveLoad(SoakLoad):
     """Sends requests at a steady rate; most of their callers leave early."""
 
-    def __init__(
-        self,
-        vms: Sequence[VMProcess],
-        attempts: list[Attempt],
-        numbers: "itertools.count[int]",
-        rng: random.Random,
-        keys: Keys,
-        sent: list[SentRequest],
-        delay: LoopDelay,
-        callers: int,
-    ) -> None:
-        self._vms = vms
-        self._attempts = attempts
-        self._numbers = numbers
-        self._rng = rng
-        self._keys = keys
-        self._sent = sent
-        self._delay = delay
-        self._rate_per_s = RATE_PER_CALLER_S * callers
-        self._kept: dict[str, list[Connection]] = {}
-
     async def run(self) -> None:
         """Send requests until cancelled."""
+        rate_per_s = RATE_PER_CALLER_S * self._callers
         async with asyncio.TaskGroup() as group:
             while True:
-                await asyncio.sleep(self._rng.expovariate(self._rate_per_s))
+                await asyncio.sleep(self._rng.expovariate(rate_per_s))
                 group.create_task(self._send(self._rng.choice(list(self._vms))))
 
     async def _send(self, vm: VMProcess) -> None:
@@ -87,20 +65,9 @@
             connection = await self._connect(vm)
         except (ConnectFailed, OSError):
             return
-        caller = Caller(
-            [vm],
-            [],
-            self._numbers,
-            self._rng,
-            self._keys,
-            sent=self._sent,
-            delay=self._delay,
-        )
-        self._attempts.append(await caller.send_on(connection, kind, vm, load))
-        if connection.reusable and not connection.closed:
-            self._kept.setdefault(vm.name, []).append(connection)
-        else:
-            connection.close()
+        attempt = await self._caller(vm).send_on(connection, kind, vm, load)
+        self._attempts.append(attempt)
+        self._give_back(vm, connection)
 
     async def _connect(self, vm: VMProcess) -> Connection:
         kept = self._kept.get(vm.name, [])
--- a/bench/soak_stop_callers.py
+++ b/bench/soak_stop_callers.py
@@ -7,17 +7,16 @@
 import asyncio
 import itertools
 import math
-import random
 import time
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from statistics import median
+from typing import Any
 
 from bamboovale.http1.connection import ConnectFailed, Connection
-from bench.soak_callers import STREAMS, Attempt, Caller, Load, SentRequest
-from bench.soak_customers import Keys
-from bench.soak_delay import LoopDelay
+from bench.soak_callers import STREAMS, Attempt, Load
+from bench.soak_load import SoakLoad
 from bench.soak_site import Life, VMProcess
 from bench.soak_stops import RUNS_ON_S
 
@@ -71,30 +70,12 @@
     return "refused" if attempt.status in REFUSED else "failed"
 
 
-class StopLoad:
+class StopLoad(SoakLoad):
     """Sends streams to VMs that stop in series."""
 
-    def __init__(
-        self,
-        vms: Sequence[VMProcess],
-        attempts: list[Attempt],
-        numbers: "itertools.count[int]",
-        rng: random.Random,
-        keys: Keys,
-        sent: list[SentRequest],
-        delay: LoopDelay,
-        callers: int,
-    ) -> None:
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
         self.streams: list[Stream] = []
-        self._vms = vms
-        self._attempts = attempts
-        self._numbers = numbers
-        self._rng = rng
-        self._keys = keys
-        self._sent = sent
-        self._delay = delay
-        self._callers = callers
-        self._kept: dict[str, list[Connection]] = {}
 
     async def run(self) -> None:
         """Send streams until cancelled."""
@@ -167,23 +148,11 @@
             connection = kept.pop()
         else:
             connection = await Connection.open(*vm.callers)
-        caller = Caller(
-            [vm],
-            [],
-            self._numbers,
-            self._rng,
-            self._keys,
-            sent=self._sent,
-            delay=self._delay,
-        )
         kind = self._rng.choice(STREAMS)
         try:
-            return await caller.send_on(connection, kind, vm, load)
+            return await self._caller(vm).send_on(connection, kind, vm, load)
         finally:
-            if connection.reusable and not connection.closed:
-                self._kept.setdefault(vm.name, []).append(connection)
-            else:
-                connection.close()
+            self._give_back(vm, connection)
 
 
 def _is_known(vm: VMProcess) -> bool:
