--- a/tests/test_decisions_engine_places.py
+++ b/tests/test_decisions_engine_places.py
@@ -269,6 +269,16 @@
         [order] = engine.on_release("old.0", 1.5)
         assert order == OrderUnload(MODEL, "a1")
 
+    def test_a_run_that_is_told_of_after_its_end_keeps_nothing(self) -> None:
+        """Guards against places that a new owner keeps for nobody, for good."""
+        engine = make_places(slots=1)
+        engine.on_report(make_report(1.0, a1=1), 1.0)
+        engine.on_release("old.0", 1.1)
+        engine.adopt_place(make_request("old.0", "a1", 1.1), 1, 1.2)
+        engine.on_report(make_report(9.0, a1=1), 9.0)
+        [order] = engine.on_request(make_request("r.0", "a2", 9.1), 9.1)
+        assert order == OrderUnload(MODEL, "a1")
+
     def test_a_new_owner_evicts_nothing_before_it_knows_the_runs(self) -> None:
         engine = make_places(slots=1)
         engine.may_evict_from = 1.6
