A crowd ends a process: what it holds has no bound in memory

What callers saw: a process that ran out of memory by bodies (announced, sent, inside the limit without an end) or by long answers that many read slowly.

Cause: limits of one request are each client's alone; memory-mb was read and used by nothing. Bodies were kept in pieces and copied, plain answers whole and again in the transport, streams 256 KiB each, and the kernel enlarged the buffers of slow peers. The directory, readiness and monitoring took bodies of 4 MiB that they do not need. Answers piled up on a connection whose client sent requests ahead and took nothing.

Change: one budget for all ports, a quarter of memory-mb. Holders are counted when received and written bytes may have used it up; the largest are let go until nine tenths are left. A request that is not whole gets 503 with Retry-After: no part of it went to an endpoint. Any other connection is reset. Bodies grow in one buffer; socket buffers are 128 KiB; bodies of queries 4 KiB; two answers at most wait on a connection. An answer without a length is reset when it is cut, also when its handler writes the end after the cut (found by the new test, HTTP/1.0 looked whole).

Why it holds: what is counted is what the bounds count, and nothing grows between two counts by more than the limit.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -76,6 +76,9 @@
     def via(self) -> str | None:
         """Return the VM that sends the request, None if this one does."""
 
+    def held_bytes(self) -> int:
+        """Return the received bytes that are not taken."""
+
     def send(self, request: h11.Request, body: bytes) -> None:
         """Send a complete request."""
 
@@ -98,9 +101,10 @@
 
     connection: Exchange
     facts: AnswerFacts
+    hold: Callable[[int], None]
 
     async def read_body(self) -> bytes:
-        """Return the rest of the body.
+        """Return the rest of the body; ``hold`` is told how much of it is kept.
 
         Raises MayHaveRun if it is cut short or exceeds ``MAX_BUFFERED_BYTES``.
         """
@@ -110,6 +114,7 @@
             while (data := await self.connection.data()) is not None:
                 parts.append(data)
                 size += len(data)
+                self.hold(size)
                 if size > MAX_BUFFERED_BYTES:
                     raise MayHaveRun("the answer exceeds the size limit")
         except IncompleteResponse as error:
@@ -154,7 +159,6 @@
         it is sent only to the start of the endpoint that is known. Raises NotRun,
         MayHaveRun or CallerLeft.
         """
-        request_id = call.facts.request_id
         connection = await self._connect(
             record, call, once_only=once_only, checks_start=checks_start
         )
@@ -164,12 +168,9 @@
             call.check_caller()
             skipped_before = connection.skipped
             try:
+                call.responder.read_from(connection)
                 answer = await self._send(
-                    connection,
-                    encode(),
-                    call.request.body,
-                    request_id,
-                    record.endpoint_id,
+                    connection, encode(), call, record.endpoint_id
                 )
             finally:
                 call.note_exchange(
@@ -300,8 +301,7 @@
         self,
         connection: Exchange,
         request: h11.Request,
-        body: bytes,
-        request_id: str,
+        call: Call,
         endpoint_id: str,
     ) -> EndpointAnswer:
         """Send the request and wait for the head of its answer.
@@ -309,9 +309,13 @@
         Raises NotRun or MayHaveRun.
         """
         _, facts = await self._send_for_head(
-            connection, request, body, request_id, endpoint_id
+            connection,
+            request,
+            call.request.body,
+            call.facts.request_id,
+            endpoint_id,
         )
-        attempt = EndpointAnswer(connection, facts)
+        attempt = EndpointAnswer(connection, facts, call.responder.hold)
         if facts.not_run:
             await attempt.read_body()
             raise NotRun(
--- a/bamboovale/gateway/ports.py
+++ b/bamboovale/gateway/ports.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from bamboovale.gateway.client_bounds import QUERY_LIMITS, ClientBounds
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
-from bamboovale.http1.server import Request, Responder, Server
+from bamboovale.http1.server import Handler, Request, Responder, Server
 from bamboovale.metrics import Metrics
 
 DIRECTORY_TTL_S = 1.0
@@ -23,15 +24,20 @@
         metrics: Metrics,
         dump: Callable[[], dict[str, Any]],
         metrics_port: int,
+        bounds: ClientBounds,
     ) -> None:
         self._state = state
         self._translation = translation
         self._metrics = metrics
         self._dump = dump
         self._metrics_port = metrics_port
-        self._directory = Server(self._answer_directory)
-        self._readiness = Server(self._answer_readiness)
-        self._monitoring = Server(self._answer_monitoring)
+        self._bounds = bounds
+        self._directory = self._server(self._answer_directory)
+        self._readiness = self._server(self._answer_readiness)
+        self._monitoring = self._server(self._answer_monitoring)
+
+    def _server(self, handler: Handler) -> Server:
+        return Server(handler, lambda: QUERY_LIMITS, memory=self._bounds.memory)
 
     async def listen(self) -> None:
         """Bind all ports; raises OSError."""
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -11,6 +11,7 @@
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.decisions.planned_stop import PlannedStop
 from bamboovale.gateway.access import AccessControl
+from bamboovale.gateway.client_bounds import ClientBounds
 from bamboovale.gateway.drain import drain
 from bamboovale.gateway.endpoint_access import EndpointAccess
 from bamboovale.gateway.endpoints import EndpointChange
@@ -88,6 +89,7 @@
         self._translation = translation
         self._metrics = metrics
         self._rng = random.Random()
+        self._bounds = ClientBounds(translation.node, journal, metrics)
         self._stop_event = asyncio.Event()
         self._stop_clock = StopClock(self.state.now)
         failures = metrics.gateway_task_failures
@@ -106,11 +108,14 @@
             is_on=shares_places,
         )
         self._build_parts()
-        self.ports = Ports(self.state, translation, metrics, self.dump, metrics_port)
+        self.ports = Ports(
+            self.state, translation, metrics, self.dump, metrics_port, self._bounds
+        )
         self._callers = Server(
             self._request_handler.handle,
             self._caller_limits,
             self._request_handler.on_bad_request,
+            self._bounds.memory,
         )
         self.state.endpoints.listen(self._on_endpoint)
         self.state.eras.listen(self._on_store_returned)
@@ -511,6 +516,8 @@
             "generation": self._ownership.generation,
             "store_reachable": self._ownership.reachable,
             "requests_under_way": self._callers.busy,
+            "caller_connections": len(self._callers.connections),
+            "held_by_clients_bytes": self._bounds.memory.held_bytes(),
             "relayed_under_way": len(self._access.relay_server),
             "idle_connections": self._pools.endpoint.idle_count(),
         }
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -41,6 +41,9 @@
 HIGH_WATER_BYTES = 256 * 1024
 """Response bytes buffered for a slow consumer before reading is paused."""
 
+SOCKET_BUFFER_BYTES = 128 * 1024
+"""What the kernel may hold of one connection in each direction."""
+
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 CARRIED_IDS = 128
 """Requests that a connection remembers, as their answers may come a second time: those
@@ -129,7 +132,14 @@
         """Store the transport and enable dead peer detection."""
         self._transport = transport
         self._flow.attach(transport)
-        enable_dead_peer_detection(transport.get_extra_info("socket"))
+        connected = transport.get_extra_info("socket")
+        enable_dead_peer_detection(connected)
+        set_receive_buffer(connected)
+
+    def held_bytes(self) -> int:
+        """Return the received bytes that are not taken, with those in the kernel."""
+        in_kernel = SOCKET_BUFFER_BYTES if self._flow.is_paused else 0
+        return self._flow.waiting_bytes + in_kernel
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no request is in flight."""
@@ -309,12 +319,34 @@
         connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
 
 
-def enlarge_send_buffer(connected: Any, size: int) -> None:
+def set_send_buffer(connected: Any, size: int = SOCKET_BUFFER_BYTES) -> None:
     """Have the kernel hold up to so many bytes that the peer has not taken."""
-    if not hasattr(connected, "setsockopt"):
-        return
-    with contextlib.suppress(*CLOSED_ERRORS):
-        connected.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+    _set_buffer(connected, socket.SO_SNDBUF, size)
+
+
+def set_receive_buffer(connected: Any, size: int = SOCKET_BUFFER_BYTES) -> None:
+    """Have the kernel hold up to so many bytes that the loop has not read."""
+    _set_buffer(connected, socket.SO_RCVBUF, size)
+
+
+def set_socket_buffers(listener: Any) -> None:
+    """Bound what the kernel holds of each connection that a socket accepts.
+
+    Guards against buffers that the kernel enlarges for many slow peers at once.
+    """
+    set_send_buffer(listener)
+    set_receive_buffer(listener)
+
+
+def _set_buffer(connected: Any, option: int, size: int) -> None:
+    if hasattr(connected, "setsockopt"):
+        with contextlib.suppress(*CLOSED_ERRORS):
+            connected.setsockopt(socket.SOL_SOCKET, option, size)
+
+
+def unsent_in_kernel(connected: Any) -> int:
+    """Return how many bytes given to the kernel the peer has not taken."""
+    return _queued(connected, termios.TIOCOUTQ)
 
 
 def unread_bytes(connected: Any) -> int:
@@ -323,11 +355,16 @@
     Guards against closing a connection with a request on it: a late loop may come to
     its timers before it reads.
     """
+    return _queued(connected, termios.FIONREAD)
+
+
+def _queued(connected: Any, request: int) -> int:
+    """Return the length of one of a socket's queues, in bytes."""
     if not hasattr(connected, "fileno"):
         return 0
     size = bytearray(struct.calcsize("i"))
     with contextlib.suppress(*CLOSED_ERRORS):
-        fcntl.ioctl(connected.fileno(), termios.FIONREAD, size)
+        fcntl.ioctl(connected.fileno(), request, size)
     return int.from_bytes(size, sys.byteorder)
 
 
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -5,23 +5,27 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
-from typing import Any
+from dataclasses import dataclass, field, replace
+from typing import Any, Protocol
 
 import h11
 
 from bamboovale.http1.connection import (
+    SOCKET_BUFFER_BYTES,
     Headers,
     enable_dead_peer_detection,
     end_on_close,
-    enlarge_send_buffer,
     has_ended,
     keep_slow_peer,
     reset_on_close,
+    set_send_buffer,
+    set_socket_buffers,
     silent_s,
     unread_bytes,
+    unsent_in_kernel,
 )
 from bamboovale.http1.flow_control import FlowControl
+from bamboovale.http1.memory import MemoryBudget
 
 logger = logging.getLogger(__name__)
 
@@ -34,6 +38,16 @@
 CLOSE_CHECK_S = 0.25
 """How often it is looked for a close that reading does not come to."""
 HTTP_1_0 = b"1.0"
+CONNECTION_BYTES = 16 * 1024
+"""What a connection takes by itself."""
+HEADER_BYTES = 512
+"""What one header of a request under way takes, beside its text."""
+BODY_COPIES = 3
+"""The body of a request under way, as received, encoded, and in the send buffer."""
+TOO_MUCH_HELD = "too much is held for other requests"
+HELD_RETRY_S = b"1"
+"""When a request that was refused for memory may come back, in seconds."""
+SERVICE_UNAVAILABLE = 503
 REASON_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
@@ -91,6 +105,13 @@
 Handler = Callable[[Request, "Responder"], Awaitable[None]]
 
 
+class Upstream(Protocol):
+    """Where the answer to a request comes from."""
+
+    def held_bytes(self) -> int:
+        """Return the bytes received from there that are not taken."""
+
+
 class Responder:
     """Writes the response to one request."""
 
@@ -124,6 +145,14 @@
         """Reset the connection, so that a partial response does not look complete."""
         self._connection.abort()
 
+    def read_from(self, upstream: Upstream | None) -> None:
+        """Count what an endpoint has sent for the caller as held by the caller."""
+        self._connection.read_from(upstream)
+
+    def hold(self, answer_bytes: int) -> None:
+        """Count the bytes of an answer that is kept until it is whole."""
+        self._connection.hold_answer(answer_bytes)
+
     @property
     def unsent_bytes(self) -> int:
         """Return the bytes that this process still holds for the caller."""
@@ -179,6 +208,12 @@
         self._writable: asyncio.Future[None] | None = None
         self._flow = FlowControl(READ_AHEAD_BYTES)
         self._lost = False
+        self._is_handling = False
+        self._is_shed = False
+        self._body = bytearray()
+        self._request_bytes = 0
+        self._answer_bytes = 0
+        self._upstream: Upstream | None = None
 
     # Callbacks of asyncio.Protocol.
 
@@ -186,10 +221,10 @@
         """Start the task that serves requests."""
         self._transport = transport
         self._flow.attach(transport)
+        self._server.admit(self)
         enable_dead_peer_detection(transport.get_extra_info("socket"))
         if self._server.keeps_slow:
             self.keep_slow()
-        self._server.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
     def data_received(self, data: bytes) -> None:
@@ -197,6 +232,9 @@
         self._flow.on_received(len(data))
         if self._flow.is_paused:
             self._look_for_close_later()
+        self._server.memory.grow(len(data))
+        if self._is_shed:
+            return
         with contextlib.suppress(h11.RemoteProtocolError):
             self._wire.receive_data(data)
         self._notify()
@@ -215,7 +253,7 @@
         self._lost = True
         if self.busy:
             self._note_silence()
-        self._server.connections.discard(self)
+        self._server.forget(self)
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
         if self._task is not None:
@@ -233,6 +271,51 @@
             self._writable.set_result(None)
         self._writable = None
 
+    # What the connection holds, for the bounds of the process.
+
+    def held_bytes(self) -> int:
+        """Return the bytes that the connection holds, with those in the kernel."""
+        if self._lost or self._is_shed:
+            return 0
+        held = CONNECTION_BYTES + self._flow.waiting_bytes + len(self._body)
+        held += self._request_bytes + self._answer_bytes
+        if self._flow.is_paused:
+            held += SOCKET_BUFFER_BYTES
+        if self._upstream is not None:
+            held += self._upstream.held_bytes()
+        held += int(self._transport.get_write_buffer_size())
+        return held + unsent_in_kernel(self._transport.get_extra_info("socket"))
+
+    def waits_for_client(self) -> bool:
+        """Return whether the client has to send or to take bytes."""
+        return not self._is_handling or self._writable is not None
+
+    def shed(self) -> None:
+        """Refuse a request that is not whole yet; reset the connection else.
+
+        Guards against an answer that looks whole, and a promise that may not hold.
+        """
+        self._is_shed = True
+        self._body = bytearray()
+        if self._is_handling or self.unsent_bytes or not self.busy:
+            self.abort()
+        else:
+            self._transport.pause_reading()
+            self._notify()
+
+    def read_from(self, upstream: Upstream | None) -> None:
+        """Count what an endpoint has sent as held by this connection."""
+        self._upstream = upstream
+        self._answer_bytes = 0
+        if upstream is not None:
+            self._server.memory.grow(SOCKET_BUFFER_BYTES)
+
+    def hold_answer(self, size: int) -> None:
+        """Count the bytes of an answer that is kept until it is whole."""
+        grown = size - self._answer_bytes
+        self._answer_bytes = size
+        self._server.memory.grow(grown)
+
     # Used by Responder.
 
     def caller_host(self) -> str:
@@ -293,7 +376,8 @@
     def write_end(self) -> None:
         """Complete a body."""
         self._write(h11.EndOfMessage())
-        if self._wire.their_http_version == HTTP_1_0:
+        is_cut = self._transport.is_closing()
+        if self._wire.their_http_version == HTTP_1_0 and not is_cut:
             end_on_close(self._transport.get_extra_info("socket"))
 
     def _is_unframed(self, headers: Headers) -> bool:
@@ -307,8 +391,10 @@
             await self._writable
 
     def abort(self) -> None:
-        """Reset the connection."""
+        """Reset the connection; an answer that is cut by that must not look whole."""
         self.close_after = True
+        if self._transport.get_write_buffer_size():
+            reset_on_close(self._transport.get_extra_info("socket"))
         self._dropped_bytes += self._transport.get_write_buffer_size()
         self._transport.abort()
 
@@ -323,14 +409,13 @@
         """Keep the connection also if its caller takes few bytes for long."""
         keep_slow_peer(self._transport.get_extra_info("socket"))
 
-    def hasten(self) -> None:
+    def hasten(self, send_buffer_bytes: int) -> None:
         """Write without waiting for the caller, and have the kernel hold more of it."""
         if self._is_hastened:
             return
         self._is_hastened = True
         self.resume_writing()
-        caller = self._transport.get_extra_info("socket")
-        enlarge_send_buffer(caller, LAST_SEND_BUFFER_BYTES)
+        set_send_buffer(self._transport.get_extra_info("socket"), send_buffer_bytes)
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight, also none not read yet."""
@@ -343,6 +428,7 @@
         data = self._wire.send(event)
         if data and not self._lost and not self._transport.is_closing():
             self._transport.write(data)
+            self._server.memory.grow(len(data))
 
     def _has_next(self) -> bool:
         """Return whether a request was received behind the one in flight.
@@ -379,7 +465,8 @@
             return False
         if request is None:
             return False
-        self.busy = True
+        self.busy = self._is_handling = True
+        is_behind = bool(self.unsent_bytes)
         self.last_request = request
         responder = Responder(self)
         try:
@@ -393,15 +480,20 @@
                 return False
             responder.close_after()
             responder.answer(500, [], b"")
-        self.busy = False
-        if not self.unsent_bytes:
-            self.last_request = None
+        self.busy = self._is_handling = False
+        self._request_bytes = self._answer_bytes = 0
+        self._upstream = None
+        self.last_request = replace(request, body=b"") if self.unsent_bytes else None
+        del request
         if self.close_after and not self._has_next():
             return False
         if self._transport.is_closing() or self._wire.our_state is not h11.DONE:
             return False
         if self._wire.their_state is not h11.DONE:
             return False
+        if is_behind:
+            # Answers to more requests would pile up behind two that are not taken.
+            await self.drain()
         self._wire.start_next_cycle()
         return True
 
@@ -423,6 +515,8 @@
         # h11 bounds only heads that are still incomplete when it parses them.
         if head_size(head) > limits.head_bytes:
             raise BadRequest(431, "the head is too large")
+        self._request_bytes = HEADER_BYTES * len(headers)
+        self._server.memory.grow(self._request_bytes)
         body = await self._read_body(headers, limits, received_at)
         self._flow.on_taken(len(self._wire.trailing_data[0]))
         return Request(
@@ -445,22 +539,33 @@
         if self._wire.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         deadline = started_at + limits.body_timeout_s
-        parts: list[bytes] = []
-        size = 0
         while True:
             event = await self._event(deadline, "the body took too long")
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return self._take_body()
             if not isinstance(event, h11.Data):
                 raise BadRequest(400, "the body is cut short")
-            parts.append(bytes(event.data))
-            size += len(event.data)
-            if size > limits.body_bytes:
+            self._body += event.data
+            if len(self._body) > limits.body_bytes:
                 raise BadRequest(413, "the body is too large")
 
+    def _take_body(self) -> bytes:
+        """Return the whole body, which counts with its copies from now on."""
+        body, self._body = bytes(self._body), bytearray()
+        if body:
+            self._request_bytes += BODY_COPIES * len(body)
+            self._server.memory.grow((BODY_COPIES - 1) * len(body))
+            self._refuse_if_shed()
+        return body
+
+    def _refuse_if_shed(self) -> None:
+        if self._is_shed:
+            raise BadRequest(SERVICE_UNAVAILABLE, TOO_MUCH_HELD)
+
     async def _event(self, deadline: float, timeout_reason: str) -> Any:
         loop = asyncio.get_running_loop()
         while True:
+            self._refuse_if_shed()
             try:
                 event = self._wire.next_event()
             except h11.RemoteProtocolError as error:
@@ -491,21 +596,30 @@
         if self._wire.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         body = str(bad).encode("utf-8", "replace")
-        Responder(self).answer(bad.status, [(b"content-type", b"text/plain")], body)
+        headers = [(b"content-type", b"text/plain")]
+        if bad.status == SERVICE_UNAVAILABLE:
+            headers.append((b"retry-after", HELD_RETRY_S))
+        Responder(self).answer(bad.status, headers, body)
 
 
 class Server:
-    """An HTTP server; ``limits`` is called for each request."""
+    """An HTTP server; ``limits`` is called for each request.
+
+    ``memory`` bounds what all its clients hold, with those of other servers that have
+    the same budget.
+    """
 
     def __init__(
         self,
         handler: Handler,
         limits: Callable[[], ServerLimits] = ServerLimits,
         on_bad_request: Callable[[BadRequest], None] = lambda bad: None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.on_bad_request = on_bad_request
+        self.memory = memory or MemoryBudget()
         self.connections: set[ServerConnection] = set()
         self.keeps_slow = False
         self._listener: asyncio.Server | None = None
@@ -516,7 +630,20 @@
         self._listener = await loop.create_server(
             lambda: ServerConnection(self), host, port, backlog=1024
         )
-        return int(self._listener.sockets[0].getsockname()[1])
+        listener = self._listener.sockets[0]
+        set_socket_buffers(listener)
+        return int(listener.getsockname()[1])
+
+    def admit(self, new: ServerConnection) -> None:
+        """Count a new connection."""
+        self.connections.add(new)
+        self.memory.add(new)
+        self.memory.grow(CONNECTION_BYTES)
+
+    def forget(self, connection: ServerConnection) -> None:
+        """Count a closed connection no longer."""
+        self.connections.discard(connection)
+        self.memory.remove(connection)
 
     def stop_listening(self) -> None:
         """Stop accepting connections."""
@@ -545,7 +672,7 @@
         Guards against dropping complete answers of callers that read slowly.
         """
         for connection in list(self.connections):
-            connection.hasten()
+            connection.hasten(LAST_SEND_BUFFER_BYTES)
 
     def close_idle(self) -> None:
         """Close connections with no request in flight."""
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -99,6 +99,11 @@
             "New connections to endpoints and to the metadata store.",
             ["target"],
         )
+        self.gateway_clients_cut = self._counter(
+            "gateway_clients_cut",
+            "Clients cut or not let in, by the limit of this process.",
+            ["limit"],
+        )
         self.gateway_store_calls = self._counter(
             "gateway_store_calls",
             "Calls to the metadata store by name.",
--- a/bamboovale/relay/client.py
+++ b/bamboovale/relay/client.py
@@ -85,6 +85,10 @@
         self._body = b""
         self._ended = True
 
+    def held_bytes(self) -> int:
+        """Return 0: the other VM holds what is not asked for."""
+        return 0
+
     def send(self, request: h11.Request, body: bytes) -> None:
         """Keep the request, which goes out when its answer is awaited."""
         self._request = request
--- /dev/null
+++ b/tests/test_client_bounds.py
@@ -0,0 +1,122 @@
+"""Bounds of what all clients hold: who is refused, cut or let go, and how."""
+
+import asyncio
+import socket
+
+import pytest
+
+from bamboovale.http1.memory import MIB, MemoryBudget
+from bamboovale.http1.server import Request, Responder, Server
+from tests.gateway_site import eventually, run
+
+ANSWER = b"x" * 8 * MIB
+
+
+async def serve_late(request: Request, responder: Responder) -> None:
+    """Answer ``/long`` at length, any other request after a while."""
+    if request.target == "/long":
+        responder.answer(200, [], ANSWER)
+        return
+    await asyncio.sleep(0.3)
+    responder.answer(200, [], b"served")
+
+
+async def serve_unframed(request: Request, responder: Responder) -> None:
+    """Answer without a length."""
+    responder.start(200, [])
+    responder._connection.write_data(ANSWER)
+    responder.finish()
+
+
+async def connect(port: int, data: bytes) -> socket.socket:
+    """Return a client with a small receive buffer that has sent bytes."""
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.connect(("127.0.0.1", port))
+    await asyncio.to_thread(client.sendall, data)
+    client.settimeout(5.0)
+    return client
+
+
+def receive(client: socket.socket) -> tuple[bytes, bool]:
+    """Return what a client gets, and whether its connection ended in order."""
+    received = b""
+    try:
+        while data := client.recv(65536):
+            received += data
+    except ConnectionError:
+        return received, False
+    return received, True
+
+
+def is_served(client: socket.socket) -> bool:
+    """Return whether a client gets its whole answer."""
+    received = b""
+    while not received.endswith(b"served"):
+        data = client.recv(4096)
+        if not data:
+            return False
+        received += data
+    return True
+
+
+class TestMemory:
+    """A budget that is used up."""
+
+    def test_a_request_that_is_not_whole_is_refused(self) -> None:
+        """Guards against a refusal without a promise that the request has not run."""
+
+        async def test() -> None:
+            handled: list[str] = []
+
+            async def handle(request: Request, responder: Responder) -> None:
+                handled.append(request.target)
+
+            server = Server(handle, memory=MemoryBudget(MIB))
+            port = await server.listen("127.0.0.1", 0)
+            head = b"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 1200000\r\n\r\n"
+            client = await connect(port, head)
+            await eventually(lambda: server.connections)
+            await asyncio.to_thread(client.sendall, b"x" * 1_100_000)
+            answer, _ = await asyncio.to_thread(receive, client)
+            assert answer.startswith(b"HTTP/1.1 503 ")
+            assert b"retry-after: 1\r\n" in answer
+            assert not handled
+            server.close()
+
+        run(test())
+
+    def test_the_largest_goes_and_a_small_one_stays(self) -> None:
+        """Guards against ordinary callers that are cut for a greedy one."""
+
+        async def test() -> None:
+            shed: list[int] = []
+            server = Server(serve_late, memory=MemoryBudget(4 * MIB, shed.append))
+            port = await server.listen("127.0.0.1", 0)
+            small = await connect(port, b"GET /s HTTP/1.1\r\nHost: a\r\n\r\n")
+            large = await connect(port, b"GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+            await eventually(lambda: shed)
+            assert await asyncio.to_thread(is_served, small)
+            received, _ = await asyncio.to_thread(receive, large)
+            assert len(received) < len(ANSWER)
+            server.close()
+
+        run(test())
+
+    @pytest.mark.parametrize("version", ["1.0", "1.1"])
+    def test_a_cut_answer_does_not_look_whole(self, version: str) -> None:
+        """Guards against the regular end of an answer whose rest was dropped."""
+
+        async def test() -> None:
+            shed: list[int] = []
+            server = Server(serve_unframed, memory=MemoryBudget(4 * MIB, shed.append))
+            port = await server.listen("127.0.0.1", 0)
+            head = f"GET / HTTP/{version}\r\nHost: a\r\n\r\n"
+            client = await connect(port, head.encode())
+            await eventually(lambda: shed)
+            received, in_order = await asyncio.to_thread(receive, client)
+            assert len(received) < len(ANSWER)
+            assert not in_order
+            server.close()
+
+        run(test())
