A body in chunks of two bytes holds all others up

Cause: what one read brought was parsed without a pause, about 37,000 chunks; with 64 clients one pass of the loop took longer than any deadline. Requests sent ahead were handled the same way.

Change: after 64 short chunks, or 16 requests sent ahead, other connections have their turn. Only such bodies take more passes: tests/test_http1_flow_control.py is unchanged.

--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 import time
 from collections.abc import Awaitable, Callable
@@ -44,6 +45,11 @@
 """What one header of a request under way takes, beside its text."""
 BODY_COPIES = 3
 """The body of a request under way, as received, encoded, and in the send buffer."""
+SHORT_CHUNK_BYTES = 2048
+SHORT_CHUNKS_A_TURN = 64
+"""Short chunks of a body that are parsed before other connections have their turn."""
+REQUESTS_A_TURN = 16
+"""Requests sent ahead that are handled before other connections have their turn."""
 TOO_MUCH_HELD = "too much is held for other requests"
 HELD_RETRY_S = b"1"
 """When a request that was refused for memory may come back, in seconds."""
@@ -445,8 +451,11 @@
 
     async def _serve(self) -> None:
         try:
-            while await self._serve_one():
-                pass
+            for number in itertools.count(1):
+                if not await self._serve_one():
+                    break
+                if self._has_next() and number % REQUESTS_A_TURN == 0:
+                    await asyncio.sleep(0)
         except asyncio.CancelledError:
             if not self._lost:
                 raise
@@ -539,6 +548,7 @@
         if self._wire.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         deadline = started_at + limits.body_timeout_s
+        short_chunks = 0
         while True:
             event = await self._event(deadline, "the body took too long")
             if isinstance(event, h11.EndOfMessage):
@@ -548,6 +558,10 @@
             self._body += event.data
             if len(self._body) > limits.body_bytes:
                 raise BadRequest(413, "the body is too large")
+            short_chunks += len(event.data) < SHORT_CHUNK_BYTES
+            if short_chunks >= SHORT_CHUNKS_A_TURN:
+                short_chunks = 0
+                await asyncio.sleep(0)
 
     def _take_body(self) -> bytes:
         """Return the whole body, which counts with its copies from now on."""
