--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -685,8 +685,9 @@
 
         Guards against dropping complete answers of callers that read slowly.
         """
+        share = self.memory.limit_bytes / max(1, len(self.connections))
         for connection in list(self.connections):
-            connection.hasten(LAST_SEND_BUFFER_BYTES)
+            connection.hasten(int(min(LAST_SEND_BUFFER_BYTES, share)))
 
     def close_idle(self) -> None:
         """Close connections with no request in flight."""
