What a VM holds for callers of another one has no bound

Cause: up to 64 exchanges a core, each with a body of 4 MiB and what its endpoint sent.

Change: an exchange counts in the budget of the VM that makes it. One that is ended for it tells the VM that asked that the request may have run (502 or a cut stream), at once rather than at the deadline, also if its task never began.

--- a/bamboovale/gateway/endpoint_access.py
+++ b/bamboovale/gateway/endpoint_access.py
@@ -9,6 +9,7 @@
 from bamboovale.gateway.send_gate import SendGate
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
+from bamboovale.http1.memory import MemoryBudget
 from bamboovale.http1.pool import ConnectionPool
 from bamboovale.metrics import Metrics
 from bamboovale.peers.links import PeerLinks
@@ -33,6 +34,7 @@
         links: PeerLinks,
         metrics: Metrics,
         rng: random.Random,
+        memory: MemoryBudget,
         on_relayed_run_lost: Callable[[str], None],
     ) -> "EndpointAccess":
         """Return the access of a VM that is being built."""
@@ -60,6 +62,7 @@
             journal=state.journal,
             now=state.now,
             cores=state.node.cores,
+            memory=memory,
             may_help=state.may_help,
             is_live=state.fleet.is_live,
             on_run_lost=on_relayed_run_lost,
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -219,6 +219,7 @@
             self.links,
             self._metrics,
             self._rng,
+            self._bounds.memory,
             on_relayed_run_lost=self._crashes.look,
         )
         self._streams = CallStreams.from_parts(
--- a/bamboovale/relay/server.py
+++ b/bamboovale/relay/server.py
@@ -13,7 +13,12 @@
 from bamboovale.gateway.model import EndpointRecord
 from bamboovale.gateway.path_watch import PathWatch
 from bamboovale.gateway.send_gate import SendGate
-from bamboovale.http1.connection import Connection, IncompleteResponse
+from bamboovale.http1.connection import (
+    HIGH_WATER_BYTES,
+    Connection,
+    IncompleteResponse,
+)
+from bamboovale.http1.memory import MemoryBudget
 from bamboovale.peers.incoming import Reply
 from bamboovale.relay.messages import (
     RelayCancel,
@@ -30,9 +35,12 @@
 MOST_PAUSE_S = 0.5
 """Longest time between two pieces for which a VM that is not live is waited for."""
 SENDER_GONE = "the VM that asked is gone"
+TOO_MUCH_HELD = "too much is held for other requests"
+BODY_COPIES = 3
+"""The body of a request, as received, encoded, and in the send buffer."""
 
 
-@dataclass
+@dataclass(eq=False)
 class _Relay:
     """One exchange; ``wanted`` are the replies that wait for pieces of the body.
 
@@ -47,6 +55,23 @@
     answered_at: float = 0.0
     task: "asyncio.Task[None] | None" = None
     end_reason: str | None = None
+    has_head: bool = False
+    connection: Connection | None = None
+
+    def held_bytes(self) -> int:
+        """Return the bytes held for the sender's caller."""
+        held = BODY_COPIES * len(self.request.body)
+        if self.end_reason == TOO_MUCH_HELD:
+            return 0
+        return held + (self.connection.held_bytes() if self.connection else 0)
+
+    def waits_for_client(self) -> bool:
+        """Return whether the sender has not asked for more of the answer."""
+        return self.unanswered is None
+
+    def shed(self) -> None:
+        """End the exchange, as this VM holds too much."""
+        self.end(TOO_MUCH_HELD)
 
     def end(self, reason: str | None = None) -> None:
         """End the exchange, which closes its connection to the endpoint."""
@@ -68,6 +93,7 @@
         journal: Journal,
         now: Callable[[], float],
         cores: float,
+        memory: MemoryBudget,
         may_help: Callable[[float], bool],
         is_live: Callable[[str], bool],
         on_run_lost: Callable[[str], None],
@@ -80,6 +106,7 @@
         self._journal = journal
         self._now = now
         self._most = max(1, int(MAX_RELAYS_PER_CORE * cores))
+        self._memory = memory
         self._may_help = may_help
         self._is_live = is_live
         self._on_run_lost = on_run_lost
@@ -125,10 +152,12 @@
         if (earlier := self._relay_by_key.get(key)) is not None:
             earlier.end(SENDER_GONE)
         self._relay_by_key[key] = relay
+        self._memory.add(relay)
         self._check_senders_later()
         task = asyncio.get_running_loop().create_task(self._run(relay, reply))
         relay.task = task
         task.add_done_callback(lambda done: self._forget(key, relay))
+        self._memory.grow(relay.held_bytes() + HIGH_WATER_BYTES)
 
     def _forget(self, key: tuple[str, str], relay: _Relay) -> None:
         """Forget an exchange that ended.
@@ -136,6 +165,9 @@
         Guards against one of an earlier process of its sender that bears the number of
         one under way.
         """
+        self._memory.remove(relay)
+        if relay.end_reason == TOO_MUCH_HELD:
+            self._tell_failed(relay)
         if self._relay_by_key.get(key) is relay:
             del self._relay_by_key[key]
 
@@ -228,6 +260,7 @@
         except NotRun as error:
             reply(self._not_sent(request, str(error), was_tried=True))
             raise
+        relay.connection = connection
         with self._client.closing(record, connection):
             if request.checks_start:
                 await self._check_start(connection, record, relay, reply)
@@ -270,6 +303,7 @@
             raise
         answer = RelayHead(request.relay_id, head.status, tuple(head.headers))
         self._answer(relay, reply, answer)
+        relay.has_head = True
         await self._forward_body(relay, connection)
 
     def _answer(
@@ -293,6 +327,18 @@
         if failure:
             raise IncompleteResponse(failure)
 
+    def _tell_failed(self, relay: _Relay) -> None:
+        """Tell a sender that waits that its request, which may have run, failed."""
+        if (reply := relay.unanswered) is None:
+            return
+        relay_id = relay.request.relay_id
+        if relay.has_head:
+            self._answer(
+                relay, reply, RelayData(relay_id, ended=True, failure=TOO_MUCH_HELD)
+            )
+        else:
+            self._answer(relay, reply, RelayHead(relay_id, failure=TOO_MUCH_HELD))
+
     def _log(
         self,
         sender: str,
