One port takes all descriptors of a process

Cause: max-fds was read by nobody, and a listener accepts all that came in one pass.

Change: each port has a share of the sockets. At the limit the connection that waits longest for a request is closed for the new one, then the slowest reader, and the new one if all others have requests under way. Connections that may wait to be accepted are a quarter of that, as they are accepted at once.

--- a/bamboovale/gateway/ports.py
+++ b/bamboovale/gateway/ports.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from bamboovale.gateway.client_bounds import QUERY_LIMITS, ClientBounds
+from bamboovale.gateway.client_bounds import (
+    DIRECTORY,
+    MONITORING,
+    QUERY_LIMITS,
+    READINESS,
+    ClientBounds,
+)
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.http1.server import Handler, Request, Responder, Server
@@ -32,12 +38,17 @@
         self._dump = dump
         self._metrics_port = metrics_port
         self._bounds = bounds
-        self._directory = self._server(self._answer_directory)
-        self._readiness = self._server(self._answer_readiness)
-        self._monitoring = self._server(self._answer_monitoring)
+        self._directory = self._server(DIRECTORY, self._answer_directory)
+        self._readiness = self._server(READINESS, self._answer_readiness)
+        self._monitoring = self._server(MONITORING, self._answer_monitoring)
 
-    def _server(self, handler: Handler) -> Server:
-        return Server(handler, lambda: QUERY_LIMITS, memory=self._bounds.memory)
+    def _server(self, name: str, handler: Handler) -> Server:
+        return Server(
+            handler,
+            lambda: QUERY_LIMITS,
+            memory=self._bounds.memory,
+            connection_limit=self._bounds.port(name),
+        )
 
     async def listen(self) -> None:
         """Bind all ports; raises OSError."""
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -11,7 +11,7 @@
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.decisions.planned_stop import PlannedStop
 from bamboovale.gateway.access import AccessControl
-from bamboovale.gateway.client_bounds import ClientBounds
+from bamboovale.gateway.client_bounds import CALLERS, ClientBounds
 from bamboovale.gateway.drain import drain
 from bamboovale.gateway.endpoint_access import EndpointAccess
 from bamboovale.gateway.endpoints import EndpointChange
@@ -116,6 +116,7 @@
             self._caller_limits,
             self._request_handler.on_bad_request,
             self._bounds.memory,
+            self._bounds.port(CALLERS),
         )
         self.state.endpoints.listen(self._on_endpoint)
         self.state.eras.listen(self._on_store_returned)
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -25,6 +25,7 @@
     unread_bytes,
     unsent_in_kernel,
 )
+from bamboovale.http1.connection_limit import ConnectionLimit, Wait
 from bamboovale.http1.flow_control import FlowControl
 from bamboovale.http1.memory import MemoryBudget
 
@@ -220,6 +221,7 @@
         self._request_bytes = 0
         self._answer_bytes = 0
         self._upstream: Upstream | None = None
+        self._waits_since = 0.0
 
     # Callbacks of asyncio.Protocol.
 
@@ -227,11 +229,14 @@
         """Start the task that serves requests."""
         self._transport = transport
         self._flow.attach(transport)
-        self._server.admit(self)
+        loop = asyncio.get_running_loop()
+        self._waits_since = loop.time()
+        if not self._server.admit(self):
+            return
         enable_dead_peer_detection(transport.get_extra_info("socket"))
         if self._server.keeps_slow:
             self.keep_slow()
-        self._task = asyncio.get_running_loop().create_task(self._serve())
+        self._task = loop.create_task(self._serve())
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; pause reading when a caller pipelines too much."""
@@ -269,7 +274,9 @@
         """Make ``drain`` wait: the write buffer is full."""
         if self._is_hastened:
             return
-        self._writable = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self._waits_since = loop.time()
+        self._writable = loop.create_future()
 
     def resume_writing(self) -> None:
         """Release tasks that wait in ``drain``."""
@@ -296,6 +303,15 @@
         """Return whether the client has to send or to take bytes."""
         return not self._is_handling or self._writable is not None
 
+    def wait(self) -> Wait | None:
+        """Return the wait for the client, None while its request is under way.
+
+        What it sent and is not looked at yet may be a whole request.
+        """
+        if not self.waits_for_client() or self._flow.waiting_bytes:
+            return None
+        return Wait(self._is_handling or bool(self.unsent_bytes), self._waits_since)
+
     def shed(self) -> None:
         """Refuse a request that is not whole yet; reset the connection else.
 
@@ -309,6 +325,13 @@
             self._transport.pause_reading()
             self._notify()
 
+    def drop(self) -> None:
+        """Close the connection for another one; reset it with what is not taken."""
+        if self._is_handling or self.unsent_bytes:
+            self.abort()
+        else:
+            self._transport.close()
+
     def read_from(self, upstream: Upstream | None) -> None:
         """Count what an endpoint has sent as held by this connection."""
         self._upstream = upstream
@@ -492,6 +515,7 @@
         self.busy = self._is_handling = False
         self._request_bytes = self._answer_bytes = 0
         self._upstream = None
+        self._waits_since = asyncio.get_running_loop().time()
         self.last_request = replace(request, body=b"") if self.unsent_bytes else None
         del request
         if self.close_after and not self._has_next():
@@ -620,7 +644,7 @@
     """An HTTP server; ``limits`` is called for each request.
 
     ``memory`` bounds what all its clients hold, with those of other servers that have
-    the same budget.
+    the same budget; ``connection_limit`` how many connections they keep open.
     """
 
     def __init__(
@@ -629,6 +653,7 @@
         limits: Callable[[], ServerLimits] = ServerLimits,
         on_bad_request: Callable[[BadRequest], None] = lambda bad: None,
         memory: MemoryBudget | None = None,
+        connection_limit: ConnectionLimit | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
@@ -636,23 +661,30 @@
         self.memory = memory or MemoryBudget()
         self.connections: set[ServerConnection] = set()
         self.keeps_slow = False
+        self._connection_limit = connection_limit or ConnectionLimit()
         self._listener: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> int:
         """Bind and return the port; raises OSError."""
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            lambda: ServerConnection(self), host, port, backlog=1024
+            lambda: ServerConnection(self),
+            host,
+            port,
+            backlog=self._connection_limit.backlog,
         )
         listener = self._listener.sockets[0]
         set_socket_buffers(listener)
         return int(listener.getsockname()[1])
 
-    def admit(self, new: ServerConnection) -> None:
-        """Count a new connection."""
+    def admit(self, new: ServerConnection) -> bool:
+        """Return whether a new connection may stay, in place of another one if full."""
+        if not self._connection_limit.admit(new, self.connections):
+            return False
         self.connections.add(new)
         self.memory.add(new)
         self.memory.grow(CONNECTION_BYTES)
+        return True
 
     def forget(self, connection: ServerConnection) -> None:
         """Count a closed connection no longer."""
--- a/bamboovale/platform/node_file.py
+++ b/bamboovale/platform/node_file.py
@@ -75,6 +75,7 @@
     region_by_failure_domain: Mapping[str, str]
     cores: float
     memory_mb: float
+    max_fds: float
 
     @classmethod
     def from_file(cls, path: Path) -> "Result[NodeSettings, list[Finding]]":
@@ -117,6 +118,7 @@
             region_by_failure_domain=dict(reader.table("zones").document),
             cores=limits.number("cpu-share", 1) * limits.number("cores", 1),
             memory_mb=limits.number("memory-mb", 300),
+            max_fds=limits.number("max-fds", 4100),
         )
         return Err(reader.findings) if reader.findings else Ok(settings)
 
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bamboovale.http1.connection_limit import ConnectionLimit
 from bamboovale.http1.memory import MIB, MemoryBudget
 from bamboovale.http1.server import Request, Responder, Server
 from tests.gateway_site import eventually, run
@@ -120,3 +121,41 @@
             server.close()
 
         run(test())
+
+
+class TestConnections:
+    """A port that has as many connections as it may have."""
+
+    def test_who_waits_for_nothing_goes_first(self) -> None:
+        """Guards against callers with a request that make room for new ones."""
+
+        async def test() -> None:
+            server = Server(serve_late, connection_limit=ConnectionLimit(2))
+            port = await server.listen("127.0.0.1", 0)
+            idle = await connect(port, b"")
+            await eventually(lambda: len(server.connections) == 1)
+            busy = await connect(port, b"GET /s HTTP/1.1\r\nHost: a\r\n\r\n")
+            await eventually(lambda: server.busy == 1)
+            new = await connect(port, b"GET /s HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert await asyncio.to_thread(receive, idle) == (b"", True)
+            for client in (busy, new):
+                assert await asyncio.to_thread(is_served, client)
+            server.close()
+
+        run(test())
+
+    def test_a_new_one_goes_if_all_have_requests(self) -> None:
+        """Guards against cutting requests that are under way."""
+
+        async def test() -> None:
+            server = Server(serve_late, connection_limit=ConnectionLimit(1))
+            port = await server.listen("127.0.0.1", 0)
+            busy = await connect(port, b"GET /s HTTP/1.1\r\nHost: a\r\n\r\n")
+            await eventually(lambda: server.busy == 1)
+            new = await connect(port, b"")
+            received, _ = await asyncio.to_thread(receive, new)
+            assert received == b""
+            assert await asyncio.to_thread(is_served, busy)
+            server.close()
+
+        run(test())
