The port for peers takes all descriptors before anyone is authenticated

A share of the sockets is for connections that have not proved which VM they are from; the oldest of these is reset for a new one. Links of VMs are not counted here.

--- a/bamboovale/gateway/client_bounds.py
+++ b/bamboovale/gateway/client_bounds.py
@@ -10,7 +10,7 @@
 from bamboovale.platform.node_file import NodeSettings
 
 CALLERS, DIRECTORY, READINESS = "callers", "directory", "readiness"
-MONITORING = "monitoring"
+MONITORING, PEERS = "monitoring", "peers"
 MEMORY = "memory"
 
 SHARE_BY_PORT = {
@@ -18,6 +18,7 @@
     DIRECTORY: 0.08,
     READINESS: 0.02,
     MONITORING: 0.02,
+    PEERS: 0.05,
 }
 """Part of the sockets for each port, and for connections to endpoints; of peers those
 that have not proved who they are. As many connections may wait to be accepted as
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -11,7 +11,7 @@
 from bamboovale.decisions.mechanisms import ALL_ON, Mechanisms
 from bamboovale.decisions.planned_stop import PlannedStop
 from bamboovale.gateway.access import AccessControl
-from bamboovale.gateway.client_bounds import CALLERS, ClientBounds
+from bamboovale.gateway.client_bounds import CALLERS, PEERS, ClientBounds
 from bamboovale.gateway.drain import drain
 from bamboovale.gateway.endpoint_access import EndpointAccess
 from bamboovale.gateway.endpoints import EndpointChange
@@ -141,6 +141,8 @@
             peer_key,
             self.state.fleet.address_of,
             self._metrics,
+            self._bounds.sockets(PEERS),
+            partial(self._bounds.on_dropped, PEERS),
         )
         self._ownership = Ownership(
             node.name,
--- a/bamboovale/peers/links.py
+++ b/bamboovale/peers/links.py
@@ -8,15 +8,17 @@
 import contextlib
 import itertools
 import logging
+import math
 import threading
 from collections import Counter
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from concurrent.futures import Future
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from websockets.asyncio.server import Server, ServerConnection, serve
 
+from bamboovale.http1.connection import set_socket_buffers
 from bamboovale.metrics import Metrics
 from bamboovale.peers.authentication import AddressOf, Authenticator
 from bamboovale.peers.channel import HANDSHAKE_TIMEOUT_S, WEBSOCKETS_LOGGER, Channel
@@ -26,6 +28,7 @@
 from bamboovale.peers.incoming import IncomingLink, NoticeHandler, RequestHandler
 from bamboovale.peers.keepalive import SWEEP_INTERVAL_S
 from bamboovale.peers.loop_calls import call_on
+from bamboovale.peers.newcomers import Newcomers
 from bamboovale.peers.outgoing import (
     OutboundMessage,
     OutgoingLink,
@@ -75,7 +78,10 @@
         key: str,
         address_of: AddressOf,
         metrics: Metrics,
+        max_unproved: float = math.inf,
+        on_unproved_dropped: Callable[[], None] = lambda: None,
     ) -> None:
+        self._newcomers = Newcomers(max_unproved, on_unproved_dropped)
         self._address = address
         self._port = port
         self._authenticator = Authenticator(own_id, address, key, address_of, metrics)
@@ -249,7 +255,10 @@
             ping_interval=None,
             server_header=None,
             logger=WEBSOCKETS_LOGGER,
+            create_connection=self._newcomers.connection,  # type: ignore[arg-type]
         )
+        for listener in self._server.sockets:
+            set_socket_buffers(listener)
         self._loop = asyncio.get_running_loop()
         self._sweep_task = asyncio.create_task(self._sweep())
 
@@ -291,6 +300,7 @@
             self._metrics.peer_links_closed.labels("unproved").inc()
             connection.transport.abort()
             return
+        self._newcomers.discard(connection)
         connection.protocol.max_message_size = MAX_FRAME_BYTES
         outgoing = self._link_by_vm_id.get(sender)
         if outgoing is not None:
