Connections to endpoints have no bound

By reading; no test showed it alone. Each request under way may open one, and idle ones are kept: together with those of callers they may pass max-fds. At the share for endpoints the one that is idle longest is closed; without one the request goes another way or is refused as not run.

--- a/bamboovale/gateway/client_bounds.py
+++ b/bamboovale/gateway/client_bounds.py
@@ -10,7 +10,7 @@
 from bamboovale.platform.node_file import NodeSettings
 
 CALLERS, DIRECTORY, READINESS = "callers", "directory", "readiness"
-MONITORING, PEERS = "monitoring", "peers"
+MONITORING, PEERS, ENDPOINTS = "monitoring", "peers", "endpoints"
 MEMORY = "memory"
 
 SHARE_BY_PORT = {
@@ -19,6 +19,7 @@
     READINESS: 0.02,
     MONITORING: 0.02,
     PEERS: 0.05,
+    ENDPOINTS: 0.35,
 }
 """Part of the sockets for each port, and for connections to endpoints; of peers those
 that have not proved who they are. As many connections may wait to be accepted as
--- a/bamboovale/gateway/pools.py
+++ b/bamboovale/gateway/pools.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+from bamboovale.gateway.client_bounds import ENDPOINTS, ClientBounds
 from bamboovale.gateway.jobs import Job
 from bamboovale.gateway.vm_state import VMState
 from bamboovale.http1.pool import ConnectionPool, sweep_forever
@@ -14,10 +15,13 @@
     Connections to endpoints tell the VM which of them it reaches.
     """
 
-    def __init__(self, state: VMState, metrics: Metrics) -> None:
+    def __init__(self, state: VMState, metrics: Metrics, bounds: ClientBounds) -> None:
         self._state = state
         self._opened = metrics.gateway_connections_opened
         self.endpoint = self._to_endpoints("endpoint")
+        self.endpoint.limit(
+            bounds.sockets(ENDPOINTS), partial(bounds.on_dropped, ENDPOINTS)
+        )
         self.control = self._to_endpoints("control")
         self.store = ConnectionPool(
             state.now, self._opened.labels("store").inc, state.node.ip
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -125,7 +125,7 @@
 
     def _build_clients(self, peer_key: str) -> None:
         node = self.state.node
-        self._pools = Pools(self.state, self._metrics)
+        self._pools = Pools(self.state, self._metrics, self._bounds)
         self._store = LostReadDetector(
             self._translation.store(
                 self._pools.store,
--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -1,9 +1,11 @@
 """Connection pool: idle connections of each endpoint, kept for reuse."""
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from weakref import WeakSet
 
 from bamboovale.http1.connection import CONNECT_TIMEOUT_S, ConnectFailed, Connection
 
@@ -53,6 +55,17 @@
         self._on_failed = on_failed
         self._source = source
         self._pool_by_id: dict[str, EndpointPool] = {}
+        self._open: WeakSet[Connection] = WeakSet()
+        self._opening = 0
+        self._most: float = math.inf
+        self._on_full: Callable[[], None] = lambda: None
+
+    def limit(self, most: int, on_full: Callable[[], None]) -> None:
+        """Keep at most so many connections open; ``on_full`` is told of each other.
+
+        Guards against requests that together take all descriptors of the process.
+        """
+        self._most, self._on_full = most, on_full
 
     async def take(
         self,
@@ -104,6 +117,36 @@
         timeout_s: float | None = None,
     ) -> Connection:
         """Return a new connection; raises ConnectFailed."""
+        self._make_room()
+        self._opening += 1
+        try:
+            connection = await self._open_new(endpoint_id, address, timeout_s)
+        finally:
+            self._opening -= 1
+        self._open.add(connection)
+        return connection
+
+    def _make_room(self) -> None:
+        """Close an idle connection if there are too many; raises ConnectFailed."""
+        if len(self._open) + self._opening < self._most:
+            return
+        self._open = WeakSet(item for item in self._open if not item.closed)
+        if len(self._open) + self._opening < self._most:
+            return
+        self._on_full()
+        idle = [pool.idle for pool in self._pool_by_id.values() if pool.idle]
+        if not idle:
+            raise ConnectFailed("too many connections are open")
+        longest = min(idle, key=lambda items: items[-1].idle_since).pop()
+        longest.close()
+        self._open.discard(longest)
+
+    async def _open_new(
+        self,
+        endpoint_id: str,
+        address: tuple[str, int],
+        timeout_s: float | None,
+    ) -> Connection:
         self._on_opened()
         limit_s = CONNECT_TIMEOUT_S if timeout_s is None else timeout_s
         started_at = self._now()
