--- a/bench/guard.py
+++ b/bench/guard.py
@@ -34,6 +34,7 @@
     STOPS = "a planned stop cuts no answer that another VM can give"
     LEFT = "nothing is done for a caller that has left"
     ODD = "an odd record or an error ends nothing but itself"
+    CROWDS = "what all clients hold together stays within the machine"
     RETRIES = "a service gets no more retries of all VMs than its budget"
 
 
--- a/bench/guards.py
+++ b/bench/guards.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from bench.crash_guards import CRASH_GUARDS
+from bench.crowd_guards import CROWD_GUARDS
 from bench.customer_guards import CUSTOMER_GUARDS
 from bench.cut_guards import CUT_GUARDS
 from bench.guard import Change, Guard
@@ -257,6 +258,7 @@
             *SIGNAL_GUARDS,
             *RETRY_GUARDS,
             *STORE_GUARDS,
+            *CROWD_GUARDS,
             *LEFT_GUARDS,
             *STREAM_GUARDS,
             *PATH_GUARDS,
