--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -1,10 +1,13 @@
 """Bounds of what all clients hold: who is refused, cut or let go, and how."""
 
 import asyncio
+import contextlib
 import socket
+from typing import Any
 
 import pytest
 
+from bamboovale.event_loop import loop_factory
 from bamboovale.http1.connection_limit import ConnectionLimit
 from bamboovale.http1.memory import MIB, MemoryBudget
 from bamboovale.http1.server import Request, Responder, Server
@@ -29,6 +32,15 @@
     responder.finish()
 
 
+def nonblocking(port: int) -> socket.socket:
+    """Return a client that does not wait until it is connected."""
+    client = socket.socket()
+    client.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        client.connect(("127.0.0.1", port))
+    return client
+
+
 async def connect(port: int, data: bytes) -> socket.socket:
     """Return a client with a small receive buffer that has sent bytes."""
     client = socket.socket()
@@ -159,3 +171,28 @@
             server.close()
 
         run(test())
+
+    @pytest.mark.parametrize(
+        "new_loop",
+        [asyncio.new_event_loop, loop_factory()],
+        ids=["asyncio", "preferred"],
+    )
+    def test_several_that_come_at_once_make_room_for_each(self, new_loop: Any) -> None:
+        """Guards against one old connection that makes room for several new ones."""
+
+        async def test() -> None:
+            limit = ConnectionLimit(40)
+            server = Server(serve_late, connection_limit=limit)
+            port = await server.listen("127.0.0.1", 0)
+            clients: list[socket.socket] = []
+            for _ in range(20):
+                clients += [nonblocking(port) for _ in range(limit.backlog - 2)]
+                await asyncio.sleep(0.05)
+            open_connections = len(server.connections)
+            server.close()
+            for client in clients:
+                client.close()
+            assert open_connections <= limit.most
+
+        with asyncio.Runner(loop_factory=new_loop) as runner:
+            runner.run(asyncio.wait_for(test(), 30.0))
