A place that is due at once ends later decisions of its granter

What callers saw: 500 on a plain call, and an unhandled error in the log.

The granter asked its timer when it is due as the next decision came before the timer did. Elsewhere: no other place asks a timer for its time (grep for .when()).

Change: the granter keeps the time itself. Its test failed before, with the same AttributeError.

--- a/bamboovale/shared_places/granter.py
+++ b/bamboovale/shared_places/granter.py
@@ -52,7 +52,8 @@
         self._journal = journal
         self._now = now
         self._places_by_service: dict[str, SharedPlaces] = {}
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: asyncio.Handle | None = None
+        self._timer_at = math.inf
 
     def on_request(
         self, sender: str, message: SharedPlaceRequest, reply: Reply
@@ -155,11 +156,13 @@
             default=math.inf,
         )
         if self._timer is not None:
-            if self._timer.when() <= due_at:
+            if self._timer_at <= due_at:
                 return
             self._timer.cancel()
             self._timer = None
         if due_at < math.inf:
+            # Not asked of the timer: uvloop gives one that is due at once no time.
+            self._timer_at = due_at
             self._timer = asyncio.get_running_loop().call_at(due_at, self._on_timer)
 
     def _on_timer(self) -> None:
--- a/tests/test_shared_places.py
+++ b/tests/test_shared_places.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from bamboovale.event_loop import loop_factory
 from bamboovale.gateway.call import Call
 from bamboovale.gateway.model import CallFacts
 from bamboovale.http1.server import Request
@@ -300,3 +301,39 @@
             assert request.excluded == excluded
 
         run_in_virtual_time(test())
+
+
+class TestTimer:
+    """When a granter decides anew."""
+
+    def test_a_decision_follows_one_that_is_due_at_once(self) -> None:
+        """Guards against an error of a request behind a timer that is due at once."""
+
+        async def test() -> None:
+            vm = LoneVM()
+            due_at = now() - 1.0
+            vm.granter._places_by_service["app"] = DueAt(due_at)  # type: ignore[assignment]
+            vm.granter.on_vm_gone("other")
+            vm.granter.on_vm_gone("other")
+            vm.granter.close()
+
+        with asyncio.Runner(loop_factory=loop_factory()) as runner:
+            runner.run(test())
+
+
+class DueAt:
+    """Places that decide nothing, and are to do so at one time."""
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+
+    def next_at(self, now: float) -> float:
+        """Return that time."""
+        return self.at
+
+    def decide(self, now: float) -> list[Any]:
+        """Decide nothing."""
+        return []
+
+    def on_vm_gone(self, vm_id: str) -> None:
+        """Free nothing."""
