Without uvloop several new connections share one that made room

Cause: asyncio tells of a lost connection a pass after its close, so one that is being closed waited longest for each new connection of the same pass.

Change: a connection that is being closed waits for nobody. Each new one finds another.

--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -310,6 +310,8 @@
         """
         if not self.waits_for_client() or self._flow.waiting_bytes:
             return None
+        if self._transport.is_closing():  # it has made room for another one
+            return None
         return Wait(self._is_handling or bool(self.unsent_bytes), self._waits_since)
 
     def shed(self) -> None:
