Proofs for stops, relays and connections to endpoints; turns are counted

Where only reading stood before, each change has a test now that fails with its guard taken out: buffers shared at a stop, exchanges for other VMs that count and whose end is told (504 in place of 502 without), connections to endpoints. That a body in short chunks lets others have their turn is counted in turns, no longer seen by a wait only.

--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -8,12 +8,17 @@
 import pytest
 
 from bamboovale.event_loop import loop_factory
+from bamboovale.http1.connection import ConnectFailed
 from bamboovale.http1.connection_limit import ConnectionLimit
 from bamboovale.http1.memory import MIB, MemoryBudget
-from bamboovale.http1.server import Request, Responder, Server
+from bamboovale.http1.pool import ConnectionPool
+from bamboovale.http1.server import Request, Responder, Server, ServerConnection
 from tests.gateway_site import eventually, run
+from tests.test_http1_flow_control import FakeTransport
 
 ANSWER = b"x" * 8 * MIB
+KERNEL_FACTOR = 2
+"""The kernel takes twice what it is told, for its own records."""
 
 
 async def serve_late(request: Request, responder: Responder) -> None:
@@ -135,6 +140,83 @@
         run(test())
 
 
+class TestTurns:
+    """A connection that has much to be parsed."""
+
+    def test_a_body_in_short_chunks_does_not_hold_others_up(self) -> None:
+        """Guards against a pass of the loop that parses all that was received."""
+        head = b"POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunks = b"2\r\naa\r\n" * 10_000
+
+        async def handle(request: Request, responder: Responder) -> None:
+            responder.answer(200, [], b"")
+
+        async def test() -> None:
+            server = Server(handle)
+            connection = ServerConnection(server)
+            connection.connection_made(FakeTransport())
+            await asyncio.sleep(0)
+            connection.data_received(head + chunks)
+            for _ in range(3):
+                await asyncio.sleep(0)
+            assert 0 < len(connection._body) < 20_000
+            connection.connection_lost(None)
+
+        asyncio.run(test())
+
+
+class TestStop:
+    """Slow readers of a process that stops."""
+
+    def test_they_share_what_the_kernel_takes_over(self) -> None:
+        """Guards against a large buffer for each, whatever their number."""
+
+        async def test() -> None:
+            server = Server(serve_late, memory=MemoryBudget(16 * MIB))
+            port = await server.listen("127.0.0.1", 0)
+            get = b"GET /s HTTP/1.1\r\nHost: a\r\n\r\n"
+            clients = [await connect(port, get) for _ in range(64)]
+            await eventually(lambda: server.busy == len(clients))
+            server.hasten()
+            sizes = [
+                connection._transport.get_extra_info("socket").getsockopt(
+                    socket.SOL_SOCKET, socket.SO_SNDBUF
+                )
+                for connection in server.connections
+            ]
+            assert sum(sizes) <= KERNEL_FACTOR * 16 * MIB
+            server.close()
+            for client in clients:
+                client.close()
+
+        run(test())
+
+
+class TestEndpointConnections:
+    """A pool that has as many connections as it may have."""
+
+    def test_an_idle_one_makes_room_and_a_busy_one_does_not(self) -> None:
+        """Guards against requests that together take all descriptors."""
+
+        async def test() -> None:
+            server = Server(serve_late)
+            address = "127.0.0.1", await server.listen("127.0.0.1", 0)
+            pool = ConnectionPool(asyncio.get_running_loop().time)
+            pool.limit(2, lambda: None)
+            first = await pool.take("a", address)
+            await pool.take("b", address)
+            with pytest.raises(ConnectFailed):
+                await pool.take("c", address)
+            first.reusable = True
+            pool.give_back("a", first)
+            await pool.take("c", address)
+            assert first.closed
+            pool.close()
+            server.close()
+
+        run(test())
+
+
 class TestConnections:
     """A port that has as many connections as it may have."""
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -235,3 +235,30 @@
         helpers = [Helper(f"vm-{number}", False) for number in range(10)]
         chosen = [choice.choose(helpers, "e", 0.0) for _ in range(100)]
         assert max(chosen.count(item.vm_id) for item in helpers) <= 15
+
+
+class TestMemory:
+    """What a VM holds for callers of another one."""
+
+    def test_it_counts_and_its_end_is_told(self) -> None:
+        """Guards against memory without a bound, and a sender that waits for nobody."""
+        body = b"a" * 50_000
+
+        async def test() -> None:
+            async with running_site(vms=2, services=1) as site:
+                site.services[0].faults.hang = True
+                cut, other = site.vms
+                memory = other.vm._bounds.memory
+                with cut_from_endpoints(site, [cut], REFUSE):
+                    await put_out_of_reach(cut)
+                    caller = asyncio.create_task(
+                        call(cut.address, "/book/1", body=body, attempt="large")
+                    )
+                    await eventually(lambda: site.services[0].runs)
+                    assert memory.held_bytes() >= len(body)
+                    memory.limit_bytes = len(body) / 2
+                    memory.grow(len(body))
+                    # Without being told, its VM would wait until the deadline: 504.
+                    assert (await caller).status == 502
+
+        run(test())
