A run whose end an owner hears of first keeps its place for good

Change: the ends of runs that are not known are remembered, 1,024 at most, and such a run is not taken over.

--- a/bamboovale/decisions/engine_places.py
+++ b/bamboovale/decisions/engine_places.py
@@ -46,6 +46,9 @@
 STOPPED_GRACE_S = 0.4
 """Time after which stopped orders cause refusals: longer than a late lease renewal."""
 
+MAX_ENDED_IDS = 1024
+"""Runs whose end is remembered as it came before the news of the run."""
+
 
 @dataclass
 class Place:
@@ -77,6 +80,7 @@
         self._stopped_at: float | None = None
         self._queue = PlaceQueue(self.slots, self.pacing, mechanisms)
         self._place_by_id: dict[str, Place] = {}
+        self._ended_ids: dict[str, None] = {}
         self.runs = RunMeter()
         self._tokens = 0
         self._has_report = False
@@ -171,8 +175,11 @@
             self.pacing.on_stall(pause_s, now)
 
     def adopt_place(self, request: QueuedRequest, version: int, now: float) -> None:
-        """Take over a place that the previous owner granted."""
-        if request.ask_id in self._place_by_id:
+        """Take over a place that the previous owner granted.
+
+        Guards against a place for nobody: its end may come first, on another link.
+        """
+        if request.ask_id in self._place_by_id or request.ask_id in self._ended_ids:
             return
         self._place_by_id[request.ask_id] = Place(request, now, started=True)
         self.runs.on_adopted(request.ask_id, now)
@@ -190,10 +197,18 @@
     ) -> list[Action]:
         """Free a place; ``aborted``: the engine may still run the request."""
         place = self._place_by_id.get(ask_id)
-        if place is not None and not aborted:
+        if place is None:
+            self._note_ended(ask_id)
+        elif not aborted:
             self.runs.on_ended(ask_id, place.request.output_tokens, now)
         return self._free(ask_id, now, aborted=aborted)
 
+    def _note_ended(self, ask_id: str) -> None:
+        """Remember the end of an unknown run; the oldest is forgotten."""
+        self._ended_ids[ask_id] = None
+        if len(self._ended_ids) > MAX_ENDED_IDS:
+            del self._ended_ids[next(iter(self._ended_ids))]
+
     def _free(self, ask_id: str, now: float, *, aborted: bool = False) -> list[Action]:
         """Free a place without measuring its run."""
         place = self._place_by_id.pop(ask_id, None)
