--- a/bamboovale/gateway/call.py
+++ b/bamboovale/gateway/call.py
@@ -10,7 +10,8 @@
 from bamboovale.gateway.customers import Customer
 from bamboovale.gateway.model import AnswerFacts, CallFacts, CallKind, Route
 from bamboovale.http1.connection import Headers, ResponseHead
-from bamboovale.http1.server import Request, Responder
+from bamboovale.http1.request import Request
+from bamboovale.http1.responder import Responder
 
 
 class CallCodec(Protocol):
--- a/bamboovale/gateway/client_bounds.py
+++ b/bamboovale/gateway/client_bounds.py
@@ -5,7 +5,7 @@
 from bamboovale.gateway.journal import Journal
 from bamboovale.http1.connection_limit import ConnectionLimit, share_of_sockets
 from bamboovale.http1.memory import MemoryBudget
-from bamboovale.http1.server import ServerLimits
+from bamboovale.http1.request import ServerLimits
 from bamboovale.metrics import Metrics
 from bamboovale.platform.node_file import NodeSettings
 
--- a/bamboovale/gateway/drain.py
+++ b/bamboovale/gateway/drain.py
@@ -8,7 +8,8 @@
 from bamboovale.gateway.ownership import Ownership
 from bamboovale.gateway.peering import Peering
 from bamboovale.gateway.vm_state import VMState
-from bamboovale.http1.server import Request, Server
+from bamboovale.http1.request import Request
+from bamboovale.http1.server import Server
 from bamboovale.store.interface import StoreError
 
 LISTEN_AFTER_STOP_S = 3.2
--- a/bamboovale/gateway/ports.py
+++ b/bamboovale/gateway/ports.py
@@ -13,7 +13,9 @@
 )
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.vm_state import VMState
-from bamboovale.http1.server import Handler, Request, Responder, Server
+from bamboovale.http1.request import Request
+from bamboovale.http1.responder import Handler, Responder
+from bamboovale.http1.server import Server
 from bamboovale.metrics import Metrics
 
 DIRECTORY_TTL_S = 1.0
--- a/bamboovale/gateway/request_handler.py
+++ b/bamboovale/gateway/request_handler.py
@@ -21,7 +21,8 @@
 from bamboovale.gateway.plain_calls import PlainCalls
 from bamboovale.gateway.stream_progress import StreamCut
 from bamboovale.gateway.vm_state import VMState
-from bamboovale.http1.server import BadRequest, Request, Responder
+from bamboovale.http1.request import BadRequest, Request
+from bamboovale.http1.responder import Responder
 from bamboovale.metrics import Metrics
 
 NOT_READY_RETRY_S = 1.0
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -46,7 +46,8 @@
 from bamboovale.gateway.translation import Translation
 from bamboovale.gateway.view_watch import ViewWatch
 from bamboovale.gateway.vm_state import VMState
-from bamboovale.http1.server import Server, ServerLimits
+from bamboovale.http1.request import ServerLimits
+from bamboovale.http1.server import Server
 from bamboovale.metrics import Metrics
 from bamboovale.peers.links import PeerLinks
 from bamboovale.shared_places.exchange import SharedPlaceExchange
--- a/bamboovale/platform/requests.py
+++ b/bamboovale/platform/requests.py
@@ -6,7 +6,7 @@
 
 from bamboovale.gateway.model import AnswerFacts, CallFacts, ModelWork
 from bamboovale.http1.connection import Headers, ResponseHead
-from bamboovale.http1.server import BadRequest, Request
+from bamboovale.http1.request import BadRequest, Request
 from bamboovale.platform import customers, names
 from bamboovale.platform.customers import decode_key
 from bamboovale.platform.signals import decode_retry_after, decode_signals
--- a/bamboovale/platform/translation.py
+++ b/bamboovale/platform/translation.py
@@ -17,7 +17,7 @@
 )
 from bamboovale.http1.connection import Headers, ResponseHead
 from bamboovale.http1.pool import ConnectionPool
-from bamboovale.http1.server import Request
+from bamboovale.http1.request import Request
 from bamboovale.platform import directory, endpoints, names, requests, signals
 from bamboovale.platform.configuration import (
     AdapterVersion,
--- a/bamboovale/standins/crash_triggers.py
+++ b/bamboovale/standins/crash_triggers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from bamboovale.http1.server import Request
+from bamboovale.http1.request import Request
 from bamboovale.standins.endpoint_signals import Arrival
 
 PROMPT_PREFIX = b"x-prompt-prefix"
--- a/bamboovale/standins/cut_answer.py
+++ b/bamboovale/standins/cut_answer.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from bamboovale.http1.connection import reset_on_close
-from bamboovale.http1.server import Responder
+from bamboovale.http1.responder import Responder
 
 END_OF_HEAD = b"\r\n\r\n"
 
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -16,7 +16,9 @@
 import h11
 
 from bamboovale.http1.connection import Headers
-from bamboovale.http1.server import Request, Responder, Server
+from bamboovale.http1.request import Request
+from bamboovale.http1.responder import Responder
+from bamboovale.http1.server import Server
 from bamboovale.standins.crash_triggers import CrashTrigger, Return
 from bamboovale.standins.cut_answer import CutTransport, cut_answer
 from bamboovale.standins.endpoint_signals import SignalRecord
--- a/bamboovale/standins/platform_runner.py
+++ b/bamboovale/standins/platform_runner.py
@@ -7,7 +7,9 @@
 from typing import Any
 
 from bamboovale.http1.connection import Headers
-from bamboovale.http1.server import Request, Responder, Server
+from bamboovale.http1.request import Request
+from bamboovale.http1.responder import Responder
+from bamboovale.http1.server import Server
 from bamboovale.standins.platform_endpoints import (
     JSON,
     PlatformEndpoint,
--- a/bamboovale/standins/platform_store.py
+++ b/bamboovale/standins/platform_store.py
@@ -16,7 +16,9 @@
 from urllib.parse import parse_qs, urlsplit
 
 from bamboovale.http1.connection import Headers
-from bamboovale.http1.server import Request, Responder, Server
+from bamboovale.http1.request import Request
+from bamboovale.http1.responder import Responder
+from bamboovale.http1.server import Server
 
 JSON: Headers = [(b"content-type", b"application/json")]
 PARTITIONS = 12
--- a/bench/crowd_guards.py
+++ b/bench/crowd_guards.py
@@ -5,7 +5,8 @@
 CROWDS = "tests/test_hostile_clients.py"
 BOUNDS = "tests/test_client_bounds.py"
 RELAYS = "tests/test_relay.py::TestMemory::test_it_counts_and_its_end_is_told"
-SERVER_PATH = "bamboovale/http1/server.py"
+LISTENER_PATH = "bamboovale/http1/server.py"
+SERVER_PATH = "bamboovale/http1/server_connection.py"
 
 CROWD_GUARDS = (
     Guard(
@@ -71,7 +72,7 @@
         f"{BOUNDS}::TestStop::test_they_share_what_the_kernel_takes_over",
         (
             Change(
-                SERVER_PATH,
+                LISTENER_PATH,
                 "int(min(LAST_SEND_BUFFER_BYTES, share))",
                 "LAST_SEND_BUFFER_BYTES",
             ),
--- a/bench/cut_guards.py
+++ b/bench/cut_guards.py
@@ -96,7 +96,7 @@
         f"{ROUTED}::TestCallersWithoutChunks::test_a_cut_stream_is_reset",
         (
             Change(
-                "bamboovale/http1/server.py",
+                "bamboovale/http1/server_connection.py",
                 "        if self._is_unframed(headers):",
                 "        if False:",
             ),
--- a/bench/http1_guards.py
+++ b/bench/http1_guards.py
@@ -5,7 +5,7 @@
 TESTS = "tests/test_http1_flow_control.py"
 NOT_RUN = "tests/test_gateway_not_run.py"
 LATE_ANSWERS = f"{NOT_RUN}::TestCopyOfARejection"
-SERVER_PATH = "bamboovale/http1/server.py"
+SERVER_PATH = "bamboovale/http1/server_connection.py"
 
 HTTP1_GUARDS = (
     Guard(
--- a/bench/left_guards.py
+++ b/bench/left_guards.py
@@ -6,7 +6,7 @@
 LATE = f"{TESTS}::TestLateLoop::test_a_request_whose_caller_left_is_not_sent_on"
 UNREAD = f"{TESTS}::TestUnreadClose"
 BEHIND = f"{TESTS}::TestCloseBehindBytes"
-SERVER_PATH = "bamboovale/http1/server.py"
+SERVER_PATH = "bamboovale/http1/server_connection.py"
 
 _SEND_UNASKED = Change(
     "bamboovale/gateway/endpoint_client.py",
--- a/bench/shared_place_simulation.py
+++ b/bench/shared_place_simulation.py
@@ -24,7 +24,7 @@
 from bamboovale.gateway.model import CallFacts, CallKind, EndpointRecord, Route
 from bamboovale.gateway.plain_calls import PlainCalls
 from bamboovale.gateway.retry_budgets import RetryBudgets
-from bamboovale.http1.server import Request
+from bamboovale.http1.request import Request
 from bamboovale.peers.codec import encode
 from bamboovale.peers.outgoing import PeerTimeoutError
 from bamboovale.shared_places.client import PlaceClient
--- a/bench/stop_guards.py
+++ b/bench/stop_guards.py
@@ -5,7 +5,8 @@
 TESTS = "tests/test_gateway_stops.py"
 DRAIN_PATH = "bamboovale/gateway/drain.py"
 SEARCH_PATH = "bamboovale/gateway/place_search.py"
-SERVER_PATH = "bamboovale/http1/server.py"
+LISTENER_PATH = "bamboovale/http1/server.py"
+SERVER_PATH = "bamboovale/http1/server_connection.py"
 
 STILL_IN_TIME = "lambda: self._now() >= latest_start()"
 
@@ -101,7 +102,9 @@
         f"{TESTS}::TestDelivery::test_a_caller_that_reads_slowly_gets_all_of_it",
         (
             Change(
-                SERVER_PATH, "            connection.hasten()\n", "            pass\n"
+                LISTENER_PATH,
+                "connection.hasten(int(min(LAST_SEND_BUFFER_BYTES, share)))",
+                "pass",
             ),
         ),
     ),
--- a/tests/hostile_site.py
+++ b/tests/hostile_site.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 from typing import Any
 
-from bamboovale.http1.server import Request, Responder
+from bamboovale.http1.request import Request
+from bamboovale.http1.responder import Responder
 from bamboovale.standins.platform_endpoints import PlatformEndpoint, Run
 from bamboovale.standins.platform_runner import PlatformRunner
 from bamboovale.standins.platform_store import PlatformStore
--- a/tests/test_callers_that_left.py
+++ b/tests/test_callers_that_left.py
@@ -15,7 +15,10 @@
 from bamboovale.entry.disconnects import DisconnectWatcher
 from bamboovale.gateway.call import CallerLeft
 from bamboovale.http1.connection import Connection
-from bamboovale.http1.server import READ_AHEAD_BYTES, Request, Responder, Server
+from bamboovale.http1.request import Request
+from bamboovale.http1.responder import Responder
+from bamboovale.http1.server import Server
+from bamboovale.http1.server_connection import READ_AHEAD_BYTES
 from bamboovale.relay.client import Relays
 from bamboovale.standins.platform_endpoints import PlatformEndpoint
 from bench.routed import HOST, MODEL
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -12,7 +12,10 @@
 from bamboovale.http1.connection_limit import ConnectionLimit
 from bamboovale.http1.memory import MIB, MemoryBudget
 from bamboovale.http1.pool import ConnectionPool
-from bamboovale.http1.server import Request, Responder, Server, ServerConnection
+from bamboovale.http1.request import Request
+from bamboovale.http1.responder import Responder
+from bamboovale.http1.server import Server
+from bamboovale.http1.server_connection import ServerConnection
 from tests.gateway_site import eventually, run
 from tests.test_http1_flow_control import FakeTransport
 
--- a/tests/test_gateway_plain_overload.py
+++ b/tests/test_gateway_plain_overload.py
@@ -16,7 +16,7 @@
 from bamboovale.gateway.model import CallFacts, CallKind, EndpointRecord, Route
 from bamboovale.gateway.plain_calls import PlainCalls
 from bamboovale.gateway.retry_budgets import RetryBudgets
-from bamboovale.http1.server import Request
+from bamboovale.http1.request import Request
 from bamboovale.shared_places.places import OwnChoice
 from bench.virtual_loop import run_in_virtual_time
 from tests.gateway_site import RecordedJournal
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -19,7 +19,9 @@
 from bamboovale.gateway.messages import PlaceRequest
 from bamboovale.gateway.model import EndpointRecord
 from bamboovale.http1 import server
-from bamboovale.http1.server import Request, Responder, Server
+from bamboovale.http1.request import Request
+from bamboovale.http1.responder import Responder
+from bamboovale.http1.server import Server
 from bamboovale.standins.platform_endpoints import PlatformEndpoint, Run
 from tests.gateway_site import (
     HOST,
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -20,7 +20,9 @@
     reset_on_close,
 )
 from bamboovale.http1.pool import ConnectionPool
-from bamboovale.http1.server import Request, Responder, Server, ServerLimits
+from bamboovale.http1.request import Request, ServerLimits
+from bamboovale.http1.responder import Responder
+from bamboovale.http1.server import Server
 from tests.gateway_site import eventually, free_port, run
 
 CHUNKED = "Transfer-Encoding: chunked"
--- a/tests/test_http1_flow_control.py
+++ b/tests/test_http1_flow_control.py
@@ -10,14 +10,10 @@
 
 from bamboovale.event_loop import loop_factory
 from bamboovale.http1.connection import HIGH_WATER_BYTES, Connection
-from bamboovale.http1.server import (
-    READ_AHEAD_BYTES,
-    Request,
-    Responder,
-    Server,
-    ServerConnection,
-    ServerLimits,
-)
+from bamboovale.http1.request import Request, ServerLimits
+from bamboovale.http1.responder import Responder
+from bamboovale.http1.server import Server
+from bamboovale.http1.server_connection import READ_AHEAD_BYTES, ServerConnection
 from tests.gateway_site import eventually
 
 MAX_BODY_BYTES = 3_000_000
--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -21,7 +21,7 @@
 from bamboovale.fleet.messages import Gossip
 from bamboovale.gateway.journal import Journal
 from bamboovale.http1.connection import ResponseHead
-from bamboovale.http1.server import BadRequest, Request
+from bamboovale.http1.request import BadRequest, Request
 from bamboovale.peers import codec
 from bamboovale.peers.codec import BadMessageError
 from bamboovale.peers.frames import decode_frame
--- a/tests/test_shared_places.py
+++ b/tests/test_shared_places.py
@@ -12,7 +12,7 @@
 from bamboovale.event_loop import loop_factory
 from bamboovale.gateway.call import Call
 from bamboovale.gateway.model import CallFacts
-from bamboovale.http1.server import Request
+from bamboovale.http1.request import Request
 from bamboovale.peers.outgoing import PeerTimeoutError
 from bamboovale.shared_places.client import PlaceClient
 from bamboovale.shared_places.granter import PlaceGranter
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,7 +10,7 @@
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.model import EndpointRecord
-from bamboovale.http1.server import Request
+from bamboovale.http1.request import Request
 from bamboovale.platform.requests import decode_call
 from bamboovale.store.watch import StoreWatch
 from bamboovale.streams.decision import Findings, RefusalCause, decide
