--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -17,6 +17,7 @@
     CLIENTS,
     CONNECTIONS,
     HEAD_BYTES,
+    LONG_ANSWER_BYTES,
     MIB,
     Client,
     HostileSite,
@@ -285,3 +286,23 @@
                 site.check_bounds()
 
         run(test())
+
+    def test_a_slow_reader_gets_all_of_a_long_answer(self, tmp_path: Path) -> None:
+        """Guards against cutting a client that is inside the limits, without need."""
+
+        async def test() -> None:
+            async with running_site(tmp_path) as site:
+                address = site.address_of(site.vms[0], "front")
+                reader, writer = await asyncio.open_connection(*address, limit=4096)
+                writer.write(request("/check/1", 1, "X-Long: 1", "Content-Length: 0"))
+                answer = await reader.readuntil(b"\r\n\r\n")
+                assert answer.startswith(b"HTTP/1.1 200 ")
+                left = LONG_ANSWER_BYTES
+                while left:
+                    piece = await reader.readexactly(min(left, 64 * 1024))
+                    left -= len(piece)
+                    await asyncio.sleep(0.05)
+                writer.close()
+                site.check_bounds()
+
+        run(test())
