Test of buffers at a stop: requests stay under way until it has looked

Cause: the test's own. Its requests were answered after 0.3 s, and it waits until 64 are under way at one time; where 64 connects take longer than that, never.

Change: requests are held until the buffers are read. What is checked is the same.

--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -175,7 +175,13 @@
         """Guards against a large buffer for each, whatever their number."""
 
         async def test() -> None:
-            server = Server(serve_late, memory=MemoryBudget(16 * MIB))
+            release = asyncio.Event()
+
+            async def serve_at_the_end(request: Request, responder: Responder) -> None:
+                await release.wait()
+                responder.answer(200, [], b"served")
+
+            server = Server(serve_at_the_end, memory=MemoryBudget(16 * MIB))
             port = await server.listen("127.0.0.1", 0)
             get = b"GET /s HTTP/1.1\r\nHost: a\r\n\r\n"
             clients = [await connect(port, get) for _ in range(64)]
@@ -188,6 +194,7 @@
                 for connection in server.connections
             ]
             assert sum(sizes) <= KERNEL_FACTOR * 16 * MIB
+            release.set()
             server.close()
             for client in clients:
                 client.close()
