Tests of crowds: a VM's monitoring port is that of its own sockets

By reading, not seen to fail: the port was looked for by the VM's address alone. With a listener of another process at that address, the crowd would press that one and the test would pass without a look at the VM.

--- a/tests/hostile_site.py
+++ b/tests/hostile_site.py
@@ -85,9 +85,9 @@
         """Take what the process holds now, if it runs."""
         assert vm.process is not None
         with contextlib.suppress(OSError):
-            process = Path("/proc") / str(vm.process.pid)
-            status = (process / "status").read_text()
-            links = [_link(entry) for entry in (process / "fd").iterdir()]
+            pid = vm.process.pid
+            status = (Path("/proc") / str(pid) / "status").read_text()
+            links = _links(pid)
             held = _resident_bytes(status) + _queued_bytes(links)
             self.memory_bytes = max(self.memory_bytes, held)
             self.descriptors = max(self.descriptors, len(links))
@@ -105,13 +105,25 @@
     return ""
 
 
-def _queued_bytes(links: list[str]) -> int:
-    """Return the bytes that wait in the kernel on a process's TCP connections."""
+def _links(pid: int) -> list[str]:
+    """Return what a process's descriptors are."""
+    return [_link(entry) for entry in (Path("/proc") / str(pid) / "fd").iterdir()]
+
+
+def _connections(links: list[str]) -> Iterator[list[str]]:
+    """Yield the fields of a process's TCP sockets, as the kernel lists them."""
     inodes = {link[8:-1] for link in links if link.startswith("socket:[")}
-    queued = 0
     for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
         fields = line.split()
-        if fields[9] in inodes and fields[3] != LISTENING:
+        if fields[9] in inodes:
+            yield fields
+
+
+def _queued_bytes(links: list[str]) -> int:
+    """Return the bytes that wait in the kernel on a process's TCP connections."""
+    queued = 0
+    for fields in _connections(links):
+        if fields[3] != LISTENING:
             sent, received = fields[4].split(":")
             queued += int(sent, 16) + int(received, 16)
     return queued
@@ -185,15 +197,16 @@
 
 
 def _unnamed_port(vm: VMProcess) -> int:
-    """Return the port at which a VM listens that its settings do not name."""
-    ip = vm.document["ip"]
-    local = "".join(f"{int(part):02X}" for part in reversed(ip.split(".")))
+    """Return the port at which a VM listens that its settings do not name.
+
+    Its address may be that of a VM of another test.
+    """
+    assert vm.process is not None
     named = {int(text.split(":")[1]) for text in vm.document["listen"].values()}
     named |= set(vm.document["port-range"])
-    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        _, address, _, state, *_ = line.split()
-        port = int(address.split(":")[1], 16)
-        if address.startswith(local) and state == LISTENING and port not in named:
+    for fields in _connections(_links(vm.process.pid)):
+        port = int(fields[1].split(":")[1], 16)
+        if fields[3] == LISTENING and port not in named:
             return port
     raise AssertionError("no such port")
 
