Clients that do not take a last answer keep a port's connections

What callers saw: a crowd of 128 that asks for 512 KiB with Connection: close, or sends eight requests ahead, and reads slowly: 0 of 6 ordinary requests answered beside each (each closed at once; 60 connections may be open). Both are inside the limits of one client. Found by reading the change anew.

Cause: two kinds of connection never made room. One that is ending counted as one that has made room already. One with requests sent ahead counted as one whose request is not looked at yet, though nothing more is read before its client has taken two answers.

Change: only a connection that was dropped has made room, and bytes not looked at keep a connection only while its client has nothing to take.

Evidence: the two tests of the limit fail on (the new connection is reset) and pass now.

Elsewhere, by reading: the peers' port drops the oldest whatever it does; the pool of endpoints closes idle ones only, whose number is exact.

--- a/bamboovale/http1/server_connection.py
+++ b/bamboovale/http1/server_connection.py
@@ -105,6 +105,7 @@
         self._lost = False
         self._is_handling = False
         self._is_shed = False
+        self._is_dropped = False
         self._body = bytearray()
         self._request_bytes = 0
         self._answer_bytes = 0
@@ -194,11 +195,13 @@
     def wait(self) -> Wait | None:
         """Return the wait for the client, None while its request is under way.
 
-        What it sent and is not looked at yet may be a whole request.
+        What it sent and is not looked at yet may be a whole request, unless nothing
+        more is answered before its client has taken what it was sent.
         """
-        if not self.waits_for_client() or self._flow.waiting_bytes:
+        if self._is_dropped or not self.waits_for_client():
             return None
-        if self._transport.is_closing():  # it has made room for another one
+        must_read = self._writable is not None or self._transport.is_closing()
+        if self._flow.waiting_bytes and not must_read:
             return None
         return Wait(self._is_handling or bool(self.unsent_bytes), self._waits_since)
 
@@ -217,6 +220,7 @@
 
     def drop(self) -> None:
         """Close the connection for another one; reset it with what is not taken."""
+        self._is_dropped = True
         if self._is_handling or self.unsent_bytes:
             self.abort()
         else:
--- a/tests/hostile_site.py
+++ b/tests/hostile_site.py
@@ -54,7 +54,8 @@
             return
         run.end("ok")
         headers = self._answer_headers(run, responder)
-        responder.answer(200, headers, b"a" * LONG_ANSWER_BYTES)
+        size = int(dict(request.headers).get(b"x-long-bytes", LONG_ANSWER_BYTES))
+        responder.answer(200, headers, b"a" * size)
 
 
 class LongStreams(PlatformRunner):
@@ -348,8 +349,8 @@
         await asyncio.sleep(0.2)
 
 
-def request(path: str, number: int, *fields: str, method: str = "POST") -> bytes:
-    """Return the head of a request."""
+def request(path: str, number: int | str, *fields: str, method: str = "POST") -> bytes:
+    """Return the head of a request; ``number`` tells its id from others'."""
     lines = [
         f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -81,6 +81,17 @@
     return True
 
 
+def ending(server: Server) -> int:
+    """Return how many connections close once their clients have read."""
+    return sum(item._transport.is_closing() for item in server.connections)
+
+
+def waits_behind(connection: ServerConnection) -> bool:
+    """Return whether requests wait behind two answers that are not taken."""
+    is_full = connection.unsent_bytes > len(ANSWER)
+    return is_full and connection._flow.waiting_bytes > 0
+
+
 class TestMemory:
     """A budget that is used up."""
 
@@ -288,3 +299,39 @@
 
         with asyncio.Runner(loop_factory=new_loop) as runner:
             runner.run(asyncio.wait_for(test(), 30.0))
+
+    def test_ending_ones_make_room(self) -> None:
+        """Guards against last answers that are not read and keep others out."""
+
+        async def test() -> None:
+            server = Server(serve_late, connection_limit=ConnectionLimit(2))
+            port = await server.listen("127.0.0.1", 0)
+            last = b"GET /long HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+            slow = [await connect(port, last) for _ in range(2)]
+            await eventually(lambda: ending(server) == 2)
+            new = await connect(port, b"GET /s HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert await asyncio.to_thread(is_served, new)
+            server.close()
+            for client in slow:
+                client.close()
+
+        run(test())
+
+    def test_requests_behind_answers_that_are_not_read_make_room(self) -> None:
+        """Guards against requests behind unread answers that keep others out."""
+
+        async def test() -> None:
+            server = Server(serve_late, connection_limit=ConnectionLimit(2))
+            port = await server.listen("127.0.0.1", 0)
+            ahead = b"GET /long HTTP/1.1\r\nHost: a\r\n\r\n" * 8
+            slow = [await connect(port, ahead) for _ in range(2)]
+            await eventually(
+                lambda: all(waits_behind(item) for item in server.connections)
+            )
+            new = await connect(port, b"GET /s HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert await asyncio.to_thread(is_served, new)
+            server.close()
+            for client in slow:
+                client.close()
+
+        run(test())
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -32,6 +32,8 @@
 pytestmark = pytest.mark.alone
 
 SENT_BYTES = 64 * MIB
+SHORT_ANSWER_BYTES = 512 * 1024
+"""Of an answer of which as many as a port has connections are inside the bounds."""
 PIECE = b"a" * 65536
 DOORS = ("front", "directory", "ready", "monitoring")
 """Where a VM takes requests."""
@@ -212,6 +214,20 @@
         """Guards against slow readers that keep all descriptors."""
         run(press(tmp_path, LONG_STREAM, 2 * CLIENTS))
 
+    def test_with_last_answers_that_are_read_slowly(self, tmp_path: Path) -> None:
+        """Guards against connections that are ending and keep others out."""
+        answer = f"X-Long-Bytes: {SHORT_ANSWER_BYTES}"
+        client = reads("/check/1", answer, "Connection: close")
+        run(press(tmp_path, client, 2 * CLIENTS))
+
+    def test_with_requests_behind_answers_that_are_not_read(
+        self, tmp_path: Path
+    ) -> None:
+        """Guards against requests sent ahead that keep others out."""
+        answer = f"X-Long-Bytes: {SHORT_ANSWER_BYTES // 2}"
+        client = reads("/check/1", answer, copies=8)
+        run(press(tmp_path, client, 2 * CLIENTS))
+
 
 class TestStops:
     """A crowd that presses a VM which stops."""
