Long names in small requests stay with a process, or multiply in it

What a crowd may do: send small requests whose heads, inside their limit, are almost all id, or all parts of a prompt. Found by asking which tables have keys from clients.

Cause: the number of entries was bounded, their size was not. Each connection to an endpoint remembers 128 ids, and there may be hundreds; 20,000 starts of streams are remembered by id, sent to others and written to the store; an owner remembers 1,024 ids of ended runs. A prompt's parts, some bytes each, become objects of a hundred bytes and are held as long as the request.

Change: an id of over 128 characters is kept as its digest. A stream that began with such an id isn't remembered: nobody can name it, as longer names were already not read. Of a prompt the first 64 shared parts are kept, which are all that were used; all are still checked.

In calm an id costs one comparison of its length.

--- a/bamboovale/gateway/place_search.py
+++ b/bamboovale/gateway/place_search.py
@@ -23,6 +23,7 @@
 from bamboovale.gateway.model import EndpointRecord, ModelWork
 from bamboovale.gateway.send_gate import SendGate
 from bamboovale.gateway.stream_progress import Progress
+from bamboovale.request_ids import kept_id
 
 MAX_FULL_ENGINES = 3
 """Immediate refusals by engines before the caller is refused. Many VMs choose by the
@@ -301,7 +302,8 @@
         engine_id = candidate.engine_id
         now = self._now()
         latest_start = partial(self._latest_start, call, work, record, progress)
-        ask_id = f"{call.facts.request_id}.{len(call.notes.get('asks', []))}"
+        asked = len(call.notes.get("asks", []))
+        ask_id = f"{kept_id(call.facts.request_id)}.{asked}"
         request = PlaceRequest(
             engine_id=engine_id,
             ask_id=ask_id,
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -79,7 +79,7 @@
 class Connection(asyncio.Protocol):
     """A client connection; create it with ``open``.
 
-    ``carried_ids`` are the ids of the requests that it was taken for last;
+    ``carried_ids`` are the kept ids of the requests that it was taken for last;
     ``is_reused`` is whether another request went before the last one; ``skipped``
     counts responses to other requests that came instead of the expected ones.
     """
--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -8,6 +8,7 @@
 from weakref import WeakSet
 
 from bamboovale.http1.connection import CONNECT_TIMEOUT_S, ConnectFailed, Connection
+from bamboovale.request_ids import kept_id
 
 KEEP_ALIVE_S = 4.0
 """Idle limit for endpoints that send no ``Keep-Alive: timeout``."""
@@ -103,7 +104,7 @@
         max_idle_s = FRESH_IDLE_S if fresh_only else KEEP_ALIVE_S * 10
         passed_over: list[Connection] = []
         while (connection := self._take_idle(pool, max_idle_s)) is not None:
-            if request_id not in connection.carried_ids:
+            if not _has_carried(connection, request_id):
                 _note_request(connection, request_id)
                 break
             passed_over.append(connection)
@@ -242,7 +243,11 @@
 
 def _note_request(connection: Connection, request_id: str | None) -> None:
     if request_id is not None:
-        connection.carried_ids.append(request_id)
+        connection.carried_ids.append(kept_id(request_id))
+
+
+def _has_carried(connection: Connection, request_id: str | None) -> bool:
+    return request_id is not None and kept_id(request_id) in connection.carried_ids
 
 
 async def sweep_forever(pool: ConnectionPool, interval_s: float = 1.0) -> None:
--- a/bamboovale/platform/requests.py
+++ b/bamboovale/platform/requests.py
@@ -10,9 +10,11 @@
 from bamboovale.platform import customers, names
 from bamboovale.platform.customers import decode_key
 from bamboovale.platform.signals import decode_retry_after, decode_signals
+from bamboovale.request_ids import MAX_KEPT_CHARS
 
 MAX_DEADLINE_S = 3600.0
-MAX_ATTEMPT_ID_BYTES = 128
+MAX_PROMPT_PARTS = 65
+"""Parts of a prompt that are looked at, with the request's own; prompts have a few."""
 
 
 def decode_call(request: Request) -> CallFacts:
@@ -63,7 +65,7 @@
     if len(values) != 1:
         return None
     value = values.pop()
-    if not 0 < len(value) <= MAX_ATTEMPT_ID_BYTES:
+    if not 0 < len(value) <= MAX_KEPT_CHARS:
         return None
     is_id = all(0x20 < byte < 0x7F and byte != ord(",") for byte in value)
     return value.decode("ascii") if is_id else None
@@ -97,10 +99,12 @@
 def _decode_parts(value: bytes | None) -> tuple[tuple[str, int], ...]:
     if not value:
         return ()
-    parts = []
+    parts: list[tuple[str, int]] = []
     for item in value.decode("latin-1").split(","):
         part_id, _, tokens = item.strip().partition(":")
-        parts.append((part_id, int(tokens)))
+        part = part_id, int(tokens)
+        if len(parts) < MAX_PROMPT_PARTS:
+            parts.append(part)
     return tuple(parts)
 
 
--- a/bamboovale/streams/exchange.py
+++ b/bamboovale/streams/exchange.py
@@ -19,6 +19,7 @@
     PeerTimeoutError,
     PeerUnreachableError,
 )
+from bamboovale.request_ids import MAX_KEPT_CHARS
 from bamboovale.streams.decision import Findings, Ground, StartRefusal, decide
 from bamboovale.streams.messages import StreamBegan, StreamQuery, StreamReply
 from bamboovale.streams.source import StreamSource
@@ -128,9 +129,11 @@
     ) -> None:
         """Remember who began a stream, and tell the VMs that others will ask.
 
-        ``left_s`` is how long the attempt may last from now on.
+        ``left_s`` is how long the attempt may last from now on. An attempt with a long
+        id cannot be named by a caller that returns.
         """
-        if source.software_version is None:
+        attempts = tuple(item for item in attempts if len(item) <= MAX_KEPT_CHARS)
+        if source.software_version is None or not attempts:
             return
         life_s = left_s + RETURN_S
         began = StreamBegan(
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import socket
+from sys import getsizeof
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -16,10 +18,14 @@
 from bamboovale.http1.responder import Responder
 from bamboovale.http1.server import Server
 from bamboovale.http1.server_connection import ServerConnection
+from bamboovale.platform.requests import decode_call
+from bamboovale.streams.exchange import StartExchange
+from bamboovale.streams.source import StreamSource
 from tests.gateway_site import eventually, run
 from tests.test_http1_flow_control import FakeTransport
 
 ANSWER = b"x" * 8 * MIB
+LONG_NAME = "n" * 12 * 1024
 KERNEL_FACTOR = 2
 """The kernel takes twice what it is told, for its own records."""
 
@@ -213,6 +219,49 @@
         run(test())
 
 
+class TestNames:
+    """Names in small requests, of which something is kept after them."""
+
+    def test_a_connection_remembers_short_ids(self) -> None:
+        """Guards against ids of callers that are kept in full, however long."""
+
+        async def test() -> None:
+            server = Server(serve_late)
+            address = "127.0.0.1", await server.listen("127.0.0.1", 0)
+            pool = ConnectionPool(asyncio.get_running_loop().time)
+            connection = await pool.take("a", address, request_id=LONG_NAME)
+            connection.reusable = True
+            pool.give_back("a", connection)
+            assert sum(map(len, connection.carried_ids)) < len(LONG_NAME)
+            assert pool.take_kept("a", request_id=LONG_NAME) is None
+            assert pool.take_kept("a", request_id=LONG_NAME + "n") is connection
+            pool.close()
+            server.close()
+
+        run(test())
+
+    def test_a_stream_that_nobody_can_name_is_not_remembered(self) -> None:
+        """Guards against starts of streams under ids of any length."""
+        records = SimpleNamespace(writer=lambda: None, add=lambda began: None)
+        exchange = StartExchange(
+            "vm", None, list, None, None, records, lambda: 0.0, lambda: 0.0
+        )
+        source = StreamSource("llm", 1)
+        exchange.on_first_event((LONG_NAME,), source, None, 10.0)
+        assert len(exchange.starts) == 0
+        exchange.on_first_event(("short", LONG_NAME), source, None, 10.0)
+        assert len(exchange.starts) == 1
+
+    def test_many_parts_of_a_prompt(self) -> None:
+        """Guards against a head whose parts take more memory than its text."""
+        parts = b",".join(b"%02x:1" % (number % 256) for number in range(2_000))
+        headers = [(b"x-request-id", b"1"), (b"x-model", b"base/a1")]
+        headers.append((b"x-prompt-prefix", parts))
+        work = decode_call(Request("POST", "/", headers, b"", 0.0)).work
+        assert work is not None
+        assert 0 < sum(map(getsizeof, work.prompt_parts)) < len(parts)
+
+
 class TestEndpointConnections:
     """A pool that has as many connections as it may have."""
 
