What is cut is not let go of at once, and the kernel's part is not counted

With 400 descriptors, as in the tests so far, a port has too few connections to show it.

Cause: in one pass of the loop hundreds of connections are read. One that was cut counted as nothing, but what it had received stayed with it for some passes, until its task ended; so each pass took more in place of what was still there. The kernel's part of a connection, 128 KiB that were received and not read, was counted only while reading was paused, and was for each connection, whatever their number.

Change: a cut connection lets go of what it received in that moment, and its refusal is sent there. Only taken-apart headers wait for its task; a head of over 64 headers is taken apart only when no cut one holds such, for 64 passes at most, else 503. What the kernel holds unread is asked for when all is counted; all connections of a port together may have as much there as the budget, and each no more than a request, but 16 KiB at least.

In calm a request costs one look for line ends in what was received.

--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -329,13 +329,13 @@
     _set_buffer(connected, socket.SO_RCVBUF, size)
 
 
-def set_socket_buffers(listener: Any) -> None:
+def set_socket_buffers(listener: Any, receive_bytes: int = SOCKET_BUFFER_BYTES) -> None:
     """Bound what the kernel holds of each connection that a socket accepts.
 
     Guards against buffers that the kernel enlarges for many slow peers at once.
     """
     set_send_buffer(listener)
-    set_receive_buffer(listener)
+    set_receive_buffer(listener, receive_bytes)
 
 
 def _set_buffer(connected: Any, option: int, size: int) -> None:
--- a/bamboovale/http1/memory.py
+++ b/bamboovale/http1/memory.py
@@ -29,7 +29,8 @@
 
     Each client's part is bounded by the limits of its request; guards against a crowd
     whose parts together are more than the machine has. ``on_shed`` is told the bytes
-    of each holder that is cut.
+    of each holder that is cut. ``releasing`` are those that were cut and have not let
+    go of all; they add and remove themselves.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
     ) -> None:
         self.limit_bytes = limit_bytes
         self._on_shed = on_shed
+        self.releasing: set[Holder] = set()
         self._holders: set[Holder] = set()
         self._most_bytes = 0
 
--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -1,9 +1,10 @@
 """HTTP/1.1 server: its listener, its connections and their bounds."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
-from bamboovale.http1.connection import set_socket_buffers
+from bamboovale.http1.connection import SOCKET_BUFFER_BYTES, set_socket_buffers
 from bamboovale.http1.connection_limit import ConnectionLimit
 from bamboovale.http1.memory import MemoryBudget
 from bamboovale.http1.request import BadRequest, Request, ServerLimits
@@ -12,6 +13,8 @@
 
 LAST_SEND_BUFFER_BYTES = 4 * 1024 * 1024
 """What the kernel may hold of an answer as the process exits; it delivers it after."""
+LEAST_RECEIVE_BYTES = 16 * 1024
+"""What the kernel may always hold of one connection before the loop reads it."""
 
 
 class Server:
@@ -48,9 +51,22 @@
             backlog=self._connection_limit.backlog,
         )
         listener = self._listener.sockets[0]
-        set_socket_buffers(listener)
+        set_socket_buffers(listener, self._receive_buffer_bytes())
         return int(listener.getsockname()[1])
 
+    def _receive_buffer_bytes(self) -> int:
+        """Return what the kernel may hold unread of each connection.
+
+        Guards against bytes of a crowd that fill the memory before the loop has read
+        any: all connections together may have as much as the budget, and none more
+        than a request.
+        """
+        limits, most = self.limits(), self._connection_limit.most
+        request_bytes = limits.head_bytes + limits.body_bytes
+        share = math.inf if most == math.inf else self.memory.limit_bytes / most
+        wanted = min(SOCKET_BUFFER_BYTES, request_bytes, share)
+        return int(max(LEAST_RECEIVE_BYTES, wanted))
+
     def admit(self, new: ServerConnection) -> bool:
         """Return whether a new connection may stay, in place of another one if full."""
         if not self._connection_limit.admit(new, self.connections):
--- a/bamboovale/http1/server_connection.py
+++ b/bamboovale/http1/server_connection.py
@@ -57,10 +57,18 @@
 """Short chunks of a body that are parsed before other connections have their turn."""
 REQUESTS_A_TURN = 16
 """Requests sent ahead that are handled before other connections have their turn."""
-TOO_MUCH_HELD = "too much is held for other requests"
+MANY_HEADERS = 64
+"""Headers of a head that is taken apart only while nobody lets go of others."""
+MOST_PASSES = 64
+"""Passes of the loop that such a head waits at most."""
+SERVICE_UNAVAILABLE = 503
 HELD_RETRY_S = b"1"
 """When a request that was refused for memory may come back, in seconds."""
-SERVICE_UNAVAILABLE = 503
+HELD_TOO_MUCH_ANSWER = (
+    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n"
+    b"retry-after: " + HELD_RETRY_S + b"\r\ncontent-length: 0\r\n\r\n"
+)
+"""Sent when nothing may be allocated for an answer of its own."""
 REASON_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
@@ -78,6 +86,13 @@
 }
 
 
+class HeldTooMuch(BadRequest):
+    """The request is refused, as all clients together hold too much."""
+
+    def __init__(self) -> None:
+        super().__init__(SERVICE_UNAVAILABLE, "too much is held for other requests")
+
+
 class ServerConnection(asyncio.Protocol):
     """Serves the requests of one connection sequentially.
 
@@ -94,9 +109,7 @@
         self._dropped_bytes = 0
         self._is_hastened = False
         self._server = server
-        self._wire = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits().head_bytes
-        )
+        self._wire = self._new_wire()
         self._transport: Any = None
         self._task: asyncio.Task[None] | None = None
         self._wake: asyncio.Future[None] | None = None
@@ -112,6 +125,10 @@
         self._upstream: Upstream | None = None
         self._waits_since = 0.0
 
+    def _new_wire(self) -> h11.Connection:
+        head_bytes = self._server.limits().head_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
+
     # Callbacks of asyncio.Protocol.
 
     def connection_made(self, transport: Any) -> None:
@@ -181,12 +198,11 @@
             return 0
         held = CONNECTION_BYTES + self._flow.waiting_bytes + len(self._body)
         held += self._request_bytes + self._answer_bytes
-        if self._flow.is_paused:
-            held += SOCKET_BUFFER_BYTES
         if self._upstream is not None:
             held += self._upstream.held_bytes()
         held += int(self._transport.get_write_buffer_size())
-        return held + unsent_in_kernel(self._transport.get_extra_info("socket"))
+        connected = self._transport.get_extra_info("socket")
+        return held + unsent_in_kernel(connected) + unread_bytes(connected)
 
     def waits_for_client(self) -> bool:
         """Return whether the client has to send or to take bytes."""
@@ -208,15 +224,21 @@
     def shed(self) -> None:
         """Refuse a request that is not whole yet; reset the connection else.
 
-        Guards against an answer that looks whole, and a promise that may not hold.
+        Guards against an answer that looks whole, and a promise that may not hold. What
+        was received is let go of at once, headers as the connection's task ends.
         """
         self._is_shed = True
-        self._body = bytearray()
+        if self._request_bytes:
+            self._server.memory.releasing.add(self)
         if self._is_handling or self.unsent_bytes or not self.busy:
             self.abort()
         else:
-            self._transport.pause_reading()
-            self._notify()
+            self._server.on_bad_request(HeldTooMuch())
+            self._transport.write(HELD_TOO_MUCH_ANSWER)
+            self._transport.close()
+        self._body = bytearray()
+        self._wire = self._new_wire()
+        self._notify()
 
     def drop(self) -> None:
         """Close the connection for another one; reset it with what is not taken."""
@@ -348,6 +370,8 @@
             self._transport.close()
 
     def _write(self, event: Any) -> None:
+        if self._is_shed:
+            return
         data = self._wire.send(event)
         if data and not self._lost and not self._transport.is_closing():
             self._transport.write(data)
@@ -379,6 +403,7 @@
         except Exception:
             logger.exception("unhandled error on a connection")
         finally:
+            self._server.memory.releasing.discard(self)
             # A cancelled task keeps its frames, and these keep this connection.
             self._task = None
             if not self._lost:
@@ -389,7 +414,8 @@
         try:
             request = await self._read_request()
         except BadRequest as bad:
-            self._refuse(bad)
+            if not self._is_shed:
+                self._refuse(bad)
             return False
         if request is None:
             return False
@@ -434,6 +460,8 @@
         if not self._has_next():
             return None
         deadline = loop.time() + limits.head_timeout_s
+        if self._wire.trailing_data[0].count(b"\n") > MANY_HEADERS:
+            await self._until_released()
         head = await self._event(deadline, "the head took too long")
         if not isinstance(head, h11.Request):
             return None
@@ -494,7 +522,19 @@
 
     def _refuse_if_shed(self) -> None:
         if self._is_shed:
-            raise BadRequest(SERVICE_UNAVAILABLE, TOO_MUCH_HELD)
+            raise HeldTooMuch
+
+    async def _until_released(self) -> None:
+        """Wait while others that were cut still hold headers; raises BadRequest.
+
+        Guards against a crowd of heads that are all taken apart in one pass of the
+        loop, in which none that was cut can let go.
+        """
+        for _ in range(MOST_PASSES):
+            if not self._server.memory.releasing:
+                return
+            await asyncio.sleep(0)
+        raise HeldTooMuch
 
     async def _event(self, deadline: float, timeout_reason: str) -> Any:
         loop = asyncio.get_running_loop()
--- a/tests/hostile_site.py
+++ b/tests/hostile_site.py
@@ -23,6 +23,9 @@
 """Memory of a VM's machine."""
 MAX_FDS = 400
 """Descriptors of a VM's machine, of which 200 are for files."""
+LOW_MEMORY_MB = 120
+MANY_FDS = 4100
+"""A machine whose memory, not its descriptors, bounds a crowd that connects."""
 BODY_BYTES = 4 * MIB
 HEAD_BYTES = 16 * 1024
 LONG_ANSWER_BYTES = 6 * MIB
@@ -170,9 +173,9 @@
                 assert vm.lives[-1].exit_code == 0
             else:
                 assert vm.is_running
-            usage = self.usage_by_vm[vm.name]
-            assert usage.memory_bytes <= MEMORY_MB * MIB, usage
-            assert usage.descriptors <= MAX_FDS, usage
+            usage, limits = self.usage_by_vm[vm.name], vm.document["limits"]
+            assert usage.memory_bytes <= limits["memory-mb"] * MIB, usage
+            assert usage.descriptors <= limits["max-fds"], usage
 
     async def check_serves(self, vm: VMProcess) -> None:
         """Check that an ordinary request of each kind is answered, if need be later."""
@@ -213,8 +216,14 @@
 
 
 @asynccontextmanager
-async def running_site(directory: Path, vms: int = 1) -> AsyncIterator[HostileSite]:
+async def running_site(
+    directory: Path,
+    vms: int = 1,
+    memory_mb: int = MEMORY_MB,
+    max_fds: int = MAX_FDS,
+) -> AsyncIterator[HostileSite]:
     """Run a small deployment with low limits; all its processes end with the block."""
+    limits = {"memory-mb": memory_mb, "max-fds": max_fds}
     store = PlatformStore()
     site = HostileSite(store)
     address = await store.listen("127.0.0.1")
@@ -228,7 +237,7 @@
         for endpoint in (runner, service):
             await _start_behind_proxy(site, endpoint)
         for number in range(vms):
-            await _start_vm(site, number, address, directory)
+            await _start_vm(site, number, address, directory, limits)
         async with asyncio.timeout(READY_S):
             for vm in site.vms:
                 while not await is_ready(vm):
@@ -272,13 +281,17 @@
 
 
 async def _start_vm(
-    site: HostileSite, number: int, store: Address, directory: Path
+    site: HostileSite,
+    number: int,
+    store: Address,
+    directory: Path,
+    limits: dict[str, int],
 ) -> None:
     proxy = Proxy(store)
     await proxy.start()
     name = f"entry-{number}"
     document = node_document(proxy.address, name, f"127.0.0.{number + 2}")
-    document["limits"] = {"memory-mb": MEMORY_MB, "max-fds": MAX_FDS}
+    document["limits"] = limits
     document["bounds"]["grace-s"] = 8
     vm = VMProcess(name, document, proxy, directory)
     site.vms.append(vm)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -19,6 +19,8 @@
     CONNECTIONS,
     HEAD_BYTES,
     LONG_ANSWER_BYTES,
+    LOW_MEMORY_MB,
+    MANY_FDS,
     MIB,
     Client,
     HostileSite,
@@ -52,9 +54,11 @@
     asyncio.run(asyncio.wait_for(test, 110.0))
 
 
-async def press(directory: Path, make_client: MakeClient, count: int = CLIENTS) -> None:
+async def press(
+    directory: Path, make_client: MakeClient, count: int = CLIENTS, **limits: int
+) -> None:
     """Press one VM with a crowd; it serves while the crowd presses, and after."""
-    async with running_site(directory) as site:
+    async with running_site(directory, **limits) as site:
         async with pressing(make_client(site), count):
             await site.check_serves(site.vms[0])
         await site.check_serves(site.vms[0])
@@ -137,6 +141,13 @@
     return make
 
 
+def head_of_short_lines() -> bytes:
+    """Return a head that takes much more memory than it has bytes."""
+    lines = ["a:"] * ((HEAD_BYTES - 512) // 5)
+    return request("/check/1", 1, *lines, f"Content-Length: {BODY_BYTES}")
+
+
+MANY_CONNECTIONS = {"memory_mb": LOW_MEMORY_MB, "max_fds": MANY_FDS}
 LONG_STREAM = reads("/chat/1", "X-Model: base/a1", "X-Token-Count: 100,20")
 
 
@@ -179,9 +190,27 @@
     @pytest.mark.parametrize("door", DOORS)
     def test_of_many_short_lines(self, tmp_path: Path, door: str) -> None:
         """Guards against heads that take more memory than they have bytes."""
-        lines = ["a:"] * ((HEAD_BYTES - 512) // 5)
-        head = request("/check/1", 1, *lines, f"Content-Length: {BODY_BYTES}")
-        run(press(tmp_path, connects(door, head), CONNECTIONS))
+        run(press(tmp_path, connects(door, head_of_short_lines()), CONNECTIONS))
+
+
+class TestLargeCrowds:
+    """Crowds that have as many connections as they like."""
+
+    def test_bodies_without_an_end(self, tmp_path: Path) -> None:
+        """Guards against what is received in one go, from all at once."""
+        field = f"Content-Length: {BODY_BYTES}"
+        body = sends("front", field, lambda: plain(BODY_BYTES - 1))
+        run(press(tmp_path, body, CONNECTIONS, **MANY_CONNECTIONS))
+
+    def test_heads_of_many_short_lines(self, tmp_path: Path) -> None:
+        """Guards against heads that are read while cut ones are still let go of."""
+        heads = connects("front", head_of_short_lines())
+        run(press(tmp_path, heads, CONNECTIONS, **MANY_CONNECTIONS))
+
+    def test_requests_behind_answers_that_are_not_read(self, tmp_path: Path) -> None:
+        """Guards against requests sent ahead that fill what may be read ahead."""
+        client = reads("/check/1", body=b"a" * 256 * 1024, copies=4)
+        run(press(tmp_path, client, CONNECTIONS, **MANY_CONNECTIONS))
 
 
 class TestSlowReaders:
