What engines send for slow callers is not known until it is asked for

Cause: the budget counts anew only after it was told of enough bytes. What endpoints send was told when it was passed on, not when it was received, and each may have 384 KiB before that. A partial event, up to 1 MiB, was not counted at all. While a stream waits for its caller, the bytes it waits with were held three times. Blocks of 32 to 128 KiB stayed with the allocator.

Change: connections to endpoints tell the budget what they receive; partial events count; what waits is held once; blocks from 32 KiB on are given back as they are freed.

--- a/bamboovale/gateway/events.py
+++ b/bamboovale/gateway/events.py
@@ -64,6 +64,11 @@
         """Return whether bytes of an incomplete event are buffered."""
         return bool(self._pending.strip())
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the bytes that wait for the end of their event."""
+        return len(self._pending)
+
     def discard_partial(self) -> None:
         """Discard a partial event, which another endpoint will send again."""
         self._pending = b""
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -250,6 +250,7 @@
         try:
             while (data := await attempt.connection.data()) is not None:
                 events = progress.events.feed(data)
+                call.responder.hold(progress.events.partial_bytes)
                 if not events:
                     continue
                 watch.on_event()
@@ -260,7 +261,9 @@
                 if place is not None and self._is_first_stall(call, progress, pause_s):
                     self._engines.notify_paused(place, pause_s)
                 self._start_answer(call, attempt, record, progress)
-                await call.responder.write(b"".join(event.data for event in events))
+                write = call.responder.write(b"".join(event.data for event in events))
+                del data, events  # not held beside what waits for a slow caller
+                await write
         except (IncompleteResponse, EventsBroken) as error:
             raise StreamCut(f"stream cut: {error}") from error
         if progress.events.has_partial:
--- a/bamboovale/gateway/pools.py
+++ b/bamboovale/gateway/pools.py
@@ -22,6 +22,7 @@
         self.endpoint.limit(
             bounds.sockets(ENDPOINTS), partial(bounds.on_dropped, ENDPOINTS)
         )
+        self.endpoint.tell_received(bounds.memory.grow)
         self.control = self._to_endpoints("control")
         self.store = ConnectionPool(
             state.now, self._opened.labels("store").inc, state.node.ip
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -9,6 +9,7 @@
 import sys
 import termios
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -82,10 +83,12 @@
     ``carried_ids`` are the kept ids of the requests that it was taken for last;
     ``is_reused`` is whether another request went before the last one; ``skipped``
     counts responses to other requests that came instead of the expected ones.
+    ``on_received`` is told how many bytes of a response were received.
     """
 
     def __init__(self) -> None:
         self.closed = False
+        self.on_received: Callable[[int], None] = lambda size: None
         self.carried_ids: deque[str] = deque(maxlen=CARRIED_IDS)
         self.is_reused = False
         self.skipped = 0
@@ -138,7 +141,7 @@
 
     def held_bytes(self) -> int:
         """Return the received bytes that are not taken, with those in the kernel."""
-        in_kernel = SOCKET_BUFFER_BYTES if self._flow.is_paused else 0
+        in_kernel = unread_bytes(self._transport.get_extra_info("socket"))
         return self._flow.waiting_bytes + in_kernel
 
     def data_received(self, data: bytes) -> None:
@@ -148,6 +151,7 @@
             return
         self.has_received = True
         self._flow.on_received(len(data))
+        self.on_received(len(data))
         self._receive(data)
 
     def eof_received(self) -> None:
--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -60,6 +60,7 @@
         self._opening = 0
         self._most: float = math.inf
         self._on_full: Callable[[], None] = lambda: None
+        self._on_received: Callable[[int], None] = lambda size: None
 
     def limit(self, most: int, on_full: Callable[[], None]) -> None:
         """Keep at most so many connections open; ``on_full`` is told of each other.
@@ -68,6 +69,10 @@
         """
         self._most, self._on_full = most, on_full
 
+    def tell_received(self, on_received: Callable[[int], None]) -> None:
+        """Have ``on_received`` told of the bytes of responses, as they come."""
+        self._on_received = on_received
+
     async def take(
         self,
         endpoint_id: str,
@@ -124,6 +129,7 @@
             connection = await self._open_new(endpoint_id, address, timeout_s)
         finally:
             self._opening -= 1
+        connection.on_received = self._on_received
         self._open.add(connection)
         return connection
 
--- a/bamboovale/http1/responder.py
+++ b/bamboovale/http1/responder.py
@@ -36,6 +36,7 @@
     async def write(self, data: bytes) -> None:
         """Write bytes of the body; waits while the write buffer is full."""
         self._connection.write_data(data)
+        del data  # the connection holds it now
         await self._connection.drain()
 
     def finish(self) -> None:
--- a/bamboovale/process_memory.py
+++ b/bamboovale/process_memory.py
@@ -3,7 +3,7 @@
 import contextlib
 import ctypes
 
-LARGE_BLOCK_BYTES = 128 * 1024
+LARGE_BLOCK_BYTES = 32 * 1024
 """Blocks from this size on are the system's again as soon as they are freed."""
 M_MMAP_THRESHOLD = -3
 """Of the C library's ``mallopt``."""
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -9,9 +9,11 @@
 from types import SimpleNamespace
 from typing import Any
 
+import h11
 import pytest
 
 from bamboovale.event_loop import loop_factory
+from bamboovale.gateway.events import EventBuffer
 from bamboovale.http1.connection import ConnectFailed
 from bamboovale.http1.connection_limit import ConnectionLimit
 from bamboovale.http1.memory import MIB, MemoryBudget
@@ -28,6 +30,7 @@
 
 ANSWER = b"x" * 8 * MIB
 LONG_NAME = "n" * 12 * 1024
+HOST = [(b"host", b"a")]
 KERNEL_FACTOR = 2
 """The kernel takes twice what it is told, for its own records."""
 
@@ -295,6 +298,36 @@
         assert 0 < sum(map(getsizeof, work.prompt_parts)) < len(parts)
 
 
+class TestEndpointAnswers:
+    """What endpoints send for callers."""
+
+    def test_it_is_told_as_it_comes(self) -> None:
+        """Guards against answers that fill what may be read ahead and are not known."""
+
+        async def test() -> None:
+            told: list[int] = []
+            server = Server(serve_late)
+            address = "127.0.0.1", await server.listen("127.0.0.1", 0)
+            pool = ConnectionPool(asyncio.get_running_loop().time)
+            pool.tell_received(told.append)
+            connection = await pool.take("a", address)
+            connection.send(
+                h11.Request(method="GET", target="/long", headers=HOST), b""
+            )
+            await eventually(lambda: sum(told) > MIB // 8)
+            assert connection.held_bytes() >= sum(told)
+            pool.close()
+            server.close()
+
+        run(test())
+
+    def test_a_part_of_an_event_counts(self) -> None:
+        """Guards against events that are large and never whole."""
+        events = EventBuffer()
+        assert events.feed(b"data: " + b"a" * 1000) == []
+        assert events.partial_bytes > 1000
+
+
 class TestEndpointConnections:
     """A pool that has as many connections as it may have."""
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -207,6 +207,10 @@
         heads = connects("front", head_of_short_lines())
         run(press(tmp_path, heads, CONNECTIONS, **MANY_CONNECTIONS))
 
+    def test_streams(self, tmp_path: Path) -> None:
+        """Guards against what engines sent and slow callers have not taken."""
+        run(press(tmp_path, LONG_STREAM, CONNECTIONS, **MANY_CONNECTIONS))
+
     def test_handshakes_with_long_heads(self, tmp_path: Path) -> None:
         """Guards against what is received before a peer is authenticated."""
         lines = [f"x-{number}: " + "a" * 8000 for number in range(120)]
