A large crowd that needs much parsing holds all others up

Cause: each connection let others have their turn after little parsing, but all of them went on in the same pass of the loop, which so took a second and more.

Change: of those that wait with more to parse one goes on in a pass. A body that is past its time is refused with 408 if others wait; a client alone goes on as before.

Evidence: test_bodies_in_tiny_chunks of a large crowd fails on (no answer within its 110 s) and passes now, as does test_one_of_many_goes_on_in_a_pass.

--- a/bamboovale/http1/server.py
+++ b/bamboovale/http1/server.py
@@ -10,6 +10,7 @@
 from bamboovale.http1.request import BadRequest, Request, ServerLimits
 from bamboovale.http1.responder import Handler
 from bamboovale.http1.server_connection import CONNECTION_BYTES, ServerConnection
+from bamboovale.http1.turns import Turns
 
 LAST_SEND_BUFFER_BYTES = 4 * 1024 * 1024
 """What the kernel may hold of an answer as the process exits; it delivers it after."""
@@ -38,6 +39,7 @@
         self.memory = memory or MemoryBudget()
         self.connections: set[ServerConnection] = set()
         self.keeps_slow = False
+        self.turns = Turns()
         self._connection_limit = connection_limit or ConnectionLimit()
         self._listener: asyncio.Server | None = None
 
--- a/bamboovale/http1/server_connection.py
+++ b/bamboovale/http1/server_connection.py
@@ -55,6 +55,7 @@
 SHORT_CHUNK_BYTES = 2048
 SHORT_CHUNKS_A_TURN = 64
 """Short chunks of a body that are parsed before other connections have their turn."""
+BODY_TOOK_TOO_LONG = "the body took too long"
 REQUESTS_A_TURN = 16
 """Requests sent ahead that are handled before other connections have their turn."""
 MANY_HEADERS = 64
@@ -395,8 +396,8 @@
             for number in itertools.count(1):
                 if not await self._serve_one():
                     break
-                if self._has_next() and number % REQUESTS_A_TURN == 0:
-                    await asyncio.sleep(0)
+                if number % REQUESTS_A_TURN == 0 and self._has_next():
+                    await self._server.turns.take()
         except asyncio.CancelledError:
             if not self._lost:
                 raise
@@ -498,7 +499,7 @@
         deadline = started_at + limits.body_timeout_s
         short_chunks = 0
         while True:
-            event = await self._event(deadline, "the body took too long")
+            event = await self._event(deadline, BODY_TOOK_TOO_LONG)
             if isinstance(event, h11.EndOfMessage):
                 return self._take_body()
             if not isinstance(event, h11.Data):
@@ -509,7 +510,14 @@
             short_chunks += len(event.data) < SHORT_CHUNK_BYTES
             if short_chunks >= SHORT_CHUNKS_A_TURN:
                 short_chunks = 0
-                await asyncio.sleep(0)
+                await self._take_turn(deadline)
+
+    async def _take_turn(self, deadline: float) -> None:
+        """Let others have their turns; raises BadRequest if they keep this one late."""
+        await self._server.turns.take()
+        is_late = asyncio.get_running_loop().time() > deadline
+        if is_late and self._server.turns:
+            raise BadRequest(408, BODY_TOOK_TOO_LONG)
 
     def _take_body(self) -> bytes:
         """Return the whole body, which counts with its copies from now on."""
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -21,7 +21,7 @@
 from bamboovale.http1.request import Request
 from bamboovale.http1.responder import Responder
 from bamboovale.http1.server import Server
-from bamboovale.http1.server_connection import ServerConnection
+from bamboovale.http1.server_connection import SHORT_CHUNKS_A_TURN, ServerConnection
 from bamboovale.platform.requests import decode_call
 from bamboovale.streams.exchange import StartExchange
 from bamboovale.streams.source import StreamSource
@@ -31,6 +31,10 @@
 ANSWER = b"x" * 8 * MIB
 LONG_NAME = "n" * 12 * 1024
 HOST = [(b"host", b"a")]
+SHORT_CHUNKS = (
+    b"POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + b"2\r\naa\r\n" * 10_000
+)
 KERNEL_FACTOR = 2
 """The kernel takes twice what it is told, for its own records."""
 
@@ -170,8 +174,6 @@
 
     def test_a_body_in_short_chunks_does_not_hold_others_up(self) -> None:
         """Guards against a pass of the loop that parses all that was received."""
-        head = b"POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
-        chunks = b"2\r\naa\r\n" * 10_000
 
         async def handle(request: Request, responder: Responder) -> None:
             responder.answer(200, [], b"")
@@ -181,7 +183,7 @@
             connection = ServerConnection(server)
             connection.connection_made(FakeTransport())
             await asyncio.sleep(0)
-            connection.data_received(head + chunks)
+            connection.data_received(SHORT_CHUNKS)
             for _ in range(3):
                 await asyncio.sleep(0)
             assert 0 < len(connection._body) < 20_000
@@ -189,6 +191,27 @@
 
         asyncio.run(test())
 
+    def test_one_of_many_goes_on_in_a_pass(self) -> None:
+        """Guards against a crowd whose members each take little of the loop's time."""
+
+        async def test() -> None:
+            server = Server(serve_late)
+            connections = [ServerConnection(server) for _ in range(20)]
+            for connection in connections:
+                connection.connection_made(FakeTransport())
+            await asyncio.sleep(0)
+            for connection in connections:
+                connection.data_received(SHORT_CHUNKS)
+            for _ in range(3):
+                await asyncio.sleep(0)
+            first_turn = 2 * SHORT_CHUNKS_A_TURN
+            sizes = [len(connection._body) for connection in connections]
+            assert sizes.count(first_turn) >= len(connections) - 3
+            for connection in connections:
+                connection.connection_lost(None)
+
+        asyncio.run(test())
+
 
 class TestStop:
     """Slow readers of a process that stops."""
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -207,6 +207,12 @@
         heads = connects("front", head_of_short_lines())
         run(press(tmp_path, heads, CONNECTIONS, **MANY_CONNECTIONS))
 
+    def test_bodies_in_tiny_chunks(self, tmp_path: Path) -> None:
+        """Guards against a pass of the loop in which each of a crowd has its turn."""
+        field = "Transfer-Encoding: chunked"
+        body = sends("front", field, lambda: chunks(2, BODY_BYTES // 2))
+        run(press(tmp_path, body, CONNECTIONS, **MANY_CONNECTIONS))
+
     def test_streams(self, tmp_path: Path) -> None:
         """Guards against what engines sent and slow callers have not taken."""
         run(press(tmp_path, LONG_STREAM, CONNECTIONS, **MANY_CONNECTIONS))
