--- a/bench/crowd_guards.py
+++ b/bench/crowd_guards.py
@@ -54,8 +54,8 @@
         (
             Change(
                 SERVER_PATH,
-                "        if self._transport.is_closing():  # it has made room",
-                "        if False:  # it has made room",
+                "        if self._is_dropped or not self.waits_for_client():",
+                "        if not self.waits_for_client():",
             ),
         ),
     ),
@@ -114,6 +114,152 @@
             ),
         ),
     ),
+    Guard(
+        "requests that wait for their own client make room",
+        EndpointPromise.CROWDS,
+        f"{BOUNDS}::TestConnections::"
+        "test_requests_behind_answers_that_are_not_read_make_room",
+        (
+            Change(
+                SERVER_PATH,
+                "        must_read = self._writable is not None or",
+                "        must_read = False and",
+            ),
+        ),
+    ),
+    Guard(
+        "long ids are kept as digests",
+        EndpointPromise.CROWDS,
+        f"{BOUNDS}::TestNames::test_a_connection_remembers_short_ids",
+        (
+            Change(
+                "bamboovale/request_ids.py",
+                "    if len(request_id) <= MAX_KEPT_CHARS:",
+                "    if True:",
+            ),
+        ),
+    ),
+    Guard(
+        "streams that nobody can name are not remembered",
+        EndpointPromise.CROWDS,
+        f"{BOUNDS}::TestNames::test_a_stream_that_nobody_can_name_is_not_remembered",
+        (
+            Change(
+                "bamboovale/streams/exchange.py",
+                " if len(item) <= MAX_KEPT_CHARS)",
+                ")",
+            ),
+        ),
+    ),
+    Guard(
+        "of a prompt a few parts are kept",
+        EndpointPromise.CROWDS,
+        f"{BOUNDS}::TestNames::test_many_parts_of_a_prompt",
+        (
+            Change(
+                "bamboovale/platform/requests.py",
+                "        if len(parts) < MAX_PROMPT_PARTS:",
+                "        if True:",
+            ),
+        ),
+    ),
+    Guard(
+        "adapters that callers make up are not found",
+        EndpointPromise.CROWDS,
+        "tests/test_gateway.py::TestAdapters::"
+        "test_an_unknown_adapter_is_not_found[other]",
+        (
+            Change(
+                "bamboovale/gateway/request_handler.py",
+                " or not self._has_adapter(model, work.adapter):",
+                ":",
+            ),
+        ),
+    ),
+    Guard(
+        "nothing is kept of clients that leave",
+        EndpointPromise.CROWDS,
+        f"{BOUNDS}::TestClientsThatLeave::test_nothing_of_them_is_kept[begun]",
+        (
+            Change(
+                SERVER_PATH,
+                "            self._task = None\n",
+                "",
+            ),
+        ),
+    ),
+    Guard(
+        "what a cut connection received is let go of at once",
+        EndpointPromise.CROWDS,
+        f"{CROWDS}::TestLargeCrowds::test_requests_behind_answers_that_are_not_read",
+        (
+            Change(
+                SERVER_PATH,
+                "        self._wire = self._new_wire()\n        self._notify()",
+                "        self._notify()",
+            ),
+        ),
+    ),
+    Guard(
+        "long heads wait until cut ones are let go of",
+        EndpointPromise.CROWDS,
+        f"{CROWDS}::TestLargeCrowds::test_heads_of_many_short_lines",
+        (
+            Change(
+                SERVER_PATH,
+                "            if not self._server.memory.releasing:",
+                "            if True:",
+            ),
+        ),
+    ),
+    Guard(
+        "the kernel holds little for each of many",
+        EndpointPromise.CROWDS,
+        f"{CROWDS}::TestLargeCrowds::test_bodies_without_an_end",
+        (
+            Change(
+                LISTENER_PATH,
+                "        return int(max(LEAST_RECEIVE_BYTES, wanted))",
+                "        return SOCKET_BUFFER_BYTES",
+            ),
+        ),
+    ),
+    Guard(
+        "a link opens with few bytes",
+        EndpointPromise.CROWDS,
+        f"{CROWDS}::TestLargeCrowds::test_handshakes_with_long_heads",
+        (
+            Change(
+                "bamboovale/peers/newcomers.py",
+                "            if self._opening_bytes > MAX_OPENING_BYTES:",
+                "            if False:",
+            ),
+        ),
+    ),
+    Guard(
+        "one of many that need parsing goes on in a pass",
+        EndpointPromise.CROWDS,
+        f"{BOUNDS}::TestTurns::test_one_of_many_goes_on_in_a_pass",
+        (
+            Change(
+                "bamboovale/http1/turns.py",
+                "                break\n",
+                "",
+            ),
+        ),
+    ),
+    Guard(
+        "what endpoints send is told as it comes",
+        EndpointPromise.CROWDS,
+        f"{BOUNDS}::TestEndpointAnswers::test_it_is_told_as_it_comes",
+        (
+            Change(
+                "bamboovale/http1/pool.py",
+                "        connection.on_received = self._on_received\n",
+                "",
+            ),
+        ),
+    ),
     Guard(
         "a cut answer without a length is reset",
         EndpointPromise.CUTS,
