A long head in pieces is taken apart without the wait for cut ones

By reading: the wait of looked at a head as its first bytes came; one that comes in pieces was taken apart at once, beside hundreds of others, in one pass.

Change: it is looked at each time before a head is taken apart.

--- a/bamboovale/http1/server_connection.py
+++ b/bamboovale/http1/server_connection.py
@@ -461,9 +461,7 @@
         if not self._has_next():
             return None
         deadline = loop.time() + limits.head_timeout_s
-        if self._wire.trailing_data[0].count(b"\n") > MANY_HEADERS:
-            await self._until_released()
-        head = await self._event(deadline, "the head took too long")
+        head = await self._event(deadline, "the head took too long", is_head=True)
         if not isinstance(head, h11.Request):
             return None
         self.busy = True
@@ -544,9 +542,13 @@
             await asyncio.sleep(0)
         raise HeldTooMuch
 
-    async def _event(self, deadline: float, timeout_reason: str) -> Any:
+    async def _event(
+        self, deadline: float, timeout_reason: str, *, is_head: bool = False
+    ) -> Any:
         loop = asyncio.get_running_loop()
         while True:
+            if is_head and self._wire.trailing_data[0].count(b"\n") > MANY_HEADERS:
+                await self._until_released()
             self._refuse_if_shed()
             try:
                 event = self._wire.next_event()
