--- a/tests/hostile_site.py
+++ b/tests/hostile_site.py
@@ -39,6 +39,7 @@
 READY_S = 30.0
 ANSWER_TRIES = 120
 TRY_PAUSE_S = 0.5
+PIECE_PAUSE_S = 0.5
 SAMPLE_S = 0.05
 LISTENING = "0A"
 RECEIVE_BUFFER_BYTES = 4096
@@ -339,6 +340,18 @@
         await _wait_for_end(connection)
 
 
+async def send_slowly(address: Address, *pieces: bytes) -> None:
+    """Send pieces of a request with pauses; then stay connected."""
+    loop = asyncio.get_running_loop()
+    with socket.socket() as connection:
+        connection.setblocking(False)
+        await loop.sock_connect(connection, address)
+        for piece in pieces:
+            await loop.sock_sendall(connection, piece)
+            await asyncio.sleep(PIECE_PAUSE_S)
+        await _wait_for_end(connection)
+
+
 async def _wait_for_end(connection: socket.socket) -> None:
     loop = asyncio.get_running_loop()
     while await loop.sock_recv(connection, 65536):
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -31,6 +31,7 @@
     request,
     running_site,
     send_all,
+    send_slowly,
 )
 
 pytestmark = pytest.mark.alone
@@ -223,6 +224,20 @@
         head = "\r\n".join(["GET / HTTP/1.1", *lines, ""]).encode()
         run(press(tmp_path, connects("peers", head), CONNECTIONS, **MANY_CONNECTIONS))
 
+    def test_heads_that_come_in_pieces(self, tmp_path: Path) -> None:
+        """Guards against heads that seem to be short when their first bytes come."""
+        head = head_of_short_lines()
+
+        def make(site: HostileSite) -> Client:
+            address = site.address_of(site.vms[0], "front")
+
+            async def send() -> None:
+                await send_slowly(address, head[:200], head[200:])
+
+            return lambda: again_and_again(send)
+
+        run(press(tmp_path, make, CONNECTIONS, **MANY_CONNECTIONS))
+
     def test_requests_behind_answers_that_are_not_read(self, tmp_path: Path) -> None:
         """Guards against requests sent ahead that fill what may be read ahead."""
         client = reads("/check/1", body=b"a" * 256 * 1024, copies=4)
