Test of cut streams waits until its VM knows both engines' adapters

Cause: the test's own, by its log: the VM held runner-0 for empty (loaded 0) for the whole second that the test took, as it had not read a report since the preload, and sent all to the other one. Nothing is wrong with that.

Change: the test begins once the VM knows of both. What is checked is the same.

--- a/tests/test_gateway_cut_answers.py
+++ b/tests/test_gateway_cut_answers.py
@@ -168,6 +168,7 @@
                 cutting, sound = site.runners
                 for engine in site.runners:
                     engine.preload("a1")
+                await eventually(lambda: both_hold_an_adapter(site))
                 sound.faults.event_s = 0.0
                 endpoint_of(site, "/long/1").faults.reset = resets
                 cuts = 0
@@ -182,6 +183,12 @@
         run(test())
 
 
+def both_hold_an_adapter(site: Site) -> bool:
+    """Return whether the VM knows that; else it sends all to the one that does."""
+    engines = [site.vms[0].vm.state.fleet.engine(f"runner-{n}") for n in range(2)]
+    return all(engine and engine.status and engine.status.loaded for engine in engines)
+
+
 async def ask_by_http_1_0(site: Site) -> bytes:
     """Return all bytes of a stream; raises ConnectionError if it is reset."""
     reader, writer = await asyncio.open_connection(*site.vms[0].address)
