--- a/review/harness2/endless.py
+++ b/review/harness2/endless.py
@@ -174,6 +174,7 @@
         if has_trouble():
             trouble.append(spoil(site, runners))
         await asyncio.gather(load.run(), *trouble)
+        site.record.write_runs([*runners, *counters])
         return _judge(site, load)
 
 
--- a/review/harness2/site.py
+++ b/review/harness2/site.py
@@ -8,11 +8,12 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
+from bamboovale.standins.platform_endpoints import PlatformEndpoint
 from bamboovale.standins.platform_store import PlatformStore
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -56,6 +57,7 @@
     "disk-mb": 0,
 }
 MODEL = "daka510000"
+LAST_EVENT_ID = b"last-event-id"
 
 _ports = iter(range(FIRST_PORT + os.getpid() * 41 % 15_000, LAST_PORT))
 
@@ -146,6 +148,18 @@
         self._file.write(f"{time.monotonic() - self._started_at:8.3f} {text}\n")
         self._file.flush()
 
+    def write_runs(self, endpoints: Sequence[PlatformEndpoint]) -> None:
+        """Add what the endpoints ran, in their order."""
+        runs = [(run, end) for end in endpoints for run in end.runs]
+        for run, endpoint in sorted(runs, key=lambda pair: pair[0].started_at):
+            after = [v.decode() for name, v in run.headers if name == LAST_EVENT_ID]
+            went_on = f", to go on after {after[0]}" if after else ""
+            started_s = run.started_at - self._started_at
+            self.write(
+                f"{run.request_id} ran at {endpoint.endpoint_id}"
+                f" from {started_s:.3f}{went_on}: {run.ended}"
+            )
+
 
 class EntryVM:
     """One entry VM, started by the command of the deploy file."""
--- a/review/harness2/spoilt.py
+++ b/review/harness2/spoilt.py
@@ -145,7 +145,8 @@
         attempts: list[Attempt] = []
         trouble = [_spoil(site, runners)] if has_trouble() else []
         await asyncio.gather(_send_streams(site, attempts), *trouble)
-        return _judge(site, runners, attempts)
+        site.record.write_runs(runners)
+        return _judge(site, attempts)
 
 
 def _runner(site: Site, number: int, spoiling: Spoiling) -> SpoilingRunner:
@@ -161,7 +162,7 @@
     return runner
 
 
-def _judge(site: Site, runners: list[SpoilingRunner], attempts: list[Attempt]) -> int:
+def _judge(site: Site, attempts: list[Attempt]) -> int:
     """Check ORDER: a piece is missing or comes twice in a stream that looks whole."""
     whole = [a for a in attempts if a.status == 200 and a.is_whole]
     expected = list(range(1, EVENTS + 1))
@@ -170,11 +171,6 @@
         text = f"broken: {attempt.request_id} got {_numbers(attempt)}"
         site.record.write(text)
         print(text)
-        for runner in runners:
-            for found in runner.runs:
-                if found.request_id == attempt.request_id:
-                    after = [v for k, v in found.headers if k == b"last-event-id"]
-                    site.record.write(f"  ran at {runner.endpoint_id}, after {after}")
     text = f"{len(attempts)} streams, {len(whole)} whole, {len(broken)} broken"
     site.record.write(text)
     print(text)
