--- a/review/harness2/site.py
+++ b/review/harness2/site.py
@@ -260,27 +260,6 @@
             return False
         return b" 200 " in line
 
-    def peak_mb(self) -> float:
-        """Return the peak of the memory that the process has used."""
-        assert self.process is not None
-        return _status_mb(self.process.pid, "VmHWM")
-
-    def memory_mb(self) -> float:
-        """Return the memory that the process uses now."""
-        assert self.process is not None
-        return _status_mb(self.process.pid, "VmRSS")
-
-
-def _status_mb(pid: int, field: str) -> float:
-    try:
-        text = Path(f"/proc/{pid}/status").read_text("utf-8")
-    except OSError:
-        return 0.0
-    for line in text.splitlines():
-        if line.startswith(f"{field}:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
 
 class Site:
     """The deployment of one run."""
