--- a/review/harness2/site.py
+++ b/review/harness2/site.py
@@ -57,23 +57,30 @@
     "disk-mb": 0,
 }
 MODEL = "daka510000"
+ADDRESSES = ("127.0.0.1", "127.0.3.1", "127.0.3.2", "127.0.3.3")
+"""Of the stand-ins, and of the entry VMs."""
 LAST_EVENT_ID = b"last-event-id"
 
 _ports = iter(range(FIRST_PORT + os.getpid() * 41 % 15_000, LAST_PORT))
 
 
 def free_port() -> int:
-    """Return a port that is free at all addresses."""
+    """Return a port that is free at the loopback addresses of a case."""
     for port in _ports:
-        with socket.socket() as probe:
-            try:
-                probe.bind(("", port))
-            except OSError:
-                continue
-        return port
+        if all(_is_free(address, port) for address in ADDRESSES):
+            return port
     raise OSError("no free port")
 
 
+def _is_free(address: str, port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((address, port))
+        except OSError:
+            return False
+    return True
+
+
 def route(name: str, service: str, kind: str, **fields: Any) -> dict[str, Any]:
     """Return a route; its path prefix is its name."""
     return {
