An answer in short parts without end holds up no other request

Runners answered 1 stream in 50 with chunks of 32 bytes without end, and for seconds a VM answered nobody: 67 of 69 late requests to sound runners had no answer half a second after their timeout either, readiness gave no 200.

Cause: Connection._next_event returned events without suspending while any were buffered, and reading filled the buffer meanwhile; EventBuffer.feed copied and searched the whole pending event for each part (quadratic, up to 1 MiB).

Change: received bytes are held in one place, the parser gets 16 KiB at once, parts that came together go on together, then the connection waits for its turn among those of its pool. Heads are searched once, bounded in bytes and lines before they are taken apart. Events are searched once.

--- a/bamboovale/gateway/events.py
+++ b/bamboovale/gateway/events.py
@@ -1,9 +1,12 @@
 """Splits a stream of server-sent events into whole events and checks their ids."""
 
+import re
 from dataclasses import dataclass
 
 MAX_EVENT_BYTES = 1024 * 1024
 """Bounds the memory that a stream without an end of event can use."""
+END_OF_EVENT = re.compile(rb"\n\n|\r\n\r\n")
+SEARCHED_AGAIN_BYTES = 3
 
 
 class EventsBroken(Exception):  # noqa: N818 - reads as what happened
@@ -52,12 +55,14 @@
     """Buffers bytes until an event is whole.
 
     Guards against forwarding a partial event, which no other endpoint could continue,
-    and, by checking that ids rise, against repeated or reordered events.
+    and, by checking that ids rise, against repeated or reordered events. Each byte is
+    searched once: guards against an event without an end that comes in short pieces.
     """
 
     def __init__(self, resume_after: str | None = None) -> None:
         self.last_id = resume_after
-        self._pending = b""
+        self._pending = bytearray()
+        self._searched = 0
 
     @property
     def has_partial(self) -> bool:
@@ -71,21 +76,27 @@
 
     def discard_partial(self) -> None:
         """Discard a partial event, which another endpoint will send again."""
-        self._pending = b""
+        self._pending = bytearray()
+        self._searched = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that are now whole; raises EventsBroken."""
         self._pending += data
         if len(self._pending) > MAX_EVENT_BYTES:
+            self.discard_partial()
             raise EventsBroken("the event exceeds the size limit")
         events = []
-        while (end := _end_of_event(self._pending)) > 0:
-            chunk, self._pending = self._pending[:end], self._pending[end:]
+        begin = 0
+        for found in END_OF_EVENT.finditer(self._pending, self._searched):
+            chunk = bytes(self._pending[begin : found.end()])
+            begin = found.end()
             event = Event(chunk, _id_of(chunk))
             if event.event_id is not None:
                 self._check_order(event.event_id)
                 self.last_id = event.event_id
             events.append(event)
+        del self._pending[:begin]
+        self._searched = max(0, len(self._pending) - SEARCHED_AGAIN_BYTES)
         return events
 
     def _check_order(self, event_id: str) -> None:
@@ -95,17 +106,9 @@
             raise EventsBroken(f"event {event_id} after {self.last_id}")
 
 
-def _end_of_event(data: bytes) -> int:
-    """Return the length of the first whole event, 0 if there is none."""
-    ends = [
-        at + len(mark)
-        for mark in (b"\n\n", b"\r\n\r\n")
-        if (at := data.find(mark)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _id_of(event: bytes) -> str | None:
+    if b"id:" not in event:
+        return None
     for line in event.splitlines():
         if line.startswith(b"id:"):
             return line[3:].strip().decode("latin-1")
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -16,6 +16,8 @@
 import h11
 
 from bamboovale.http1.flow_control import FlowControl
+from bamboovale.http1.received import PIECE_BYTES, HeadTooLarge, ReceivedBytes
+from bamboovale.http1.turns import Turns
 
 CONNECT_TIMEOUT_S = 0.6
 """Below the one-second retransmission timeout of a lost SYN: another endpoint can be
@@ -38,7 +40,11 @@
 LAST_DATA_RECEIVED = struct.Struct("@52xI")
 """Its place in the kernel's ``tcp_info``, in milliseconds."""
 TCP_INFO_BYTES = LAST_DATA_RECEIVED.size
-MAX_HEAD_BYTES = 64 * 1024
+MAX_LINE_BYTES = 4 * 1024
+"""Of a line between chunks, and of the trailers behind them, beyond a piece."""
+MAX_INTERIM_RESPONSES = 16
+PARTS_A_TURN = 128
+"""Parts of a body that are taken apart before other connections have their turn."""
 HIGH_WATER_BYTES = 256 * 1024
 """Response bytes buffered for a slow consumer before reading is paused."""
 
@@ -83,12 +89,14 @@
     ``carried_ids`` are the kept ids of the requests that it was taken for last;
     ``is_reused`` is whether another request went before the last one; ``skipped``
     counts responses to other requests that came instead of the expected ones.
-    ``on_received`` is told how many bytes of a response were received.
+    ``on_received`` is told how many bytes of a response were received. ``turns`` are
+    those of all connections of its kind.
     """
 
     def __init__(self) -> None:
         self.closed = False
         self.on_received: Callable[[int], None] = lambda size: None
+        self.turns = Turns()
         self.carried_ids: deque[str] = deque(maxlen=CARRIED_IDS)
         self.is_reused = False
         self.skipped = 0
@@ -103,6 +111,12 @@
         self._busy = False
         self._flow = FlowControl(HIGH_WATER_BYTES)
         self._wake: asyncio.Future[None] | None = None
+        self._received = ReceivedBytes()
+        self._has_head = False
+        self._is_turn_due = False
+        self._is_end_told = False
+        self._needs_bytes = False
+        self._ahead: Any = None
         self._wire = self._new_wire()
         self._request: h11.Request | None = None
         self._transport: Any = None
@@ -152,7 +166,8 @@
         self.has_received = True
         self._flow.on_received(len(data))
         self.on_received(len(data))
-        self._receive(data)
+        self._received.add(data)
+        self._notify()
 
     def eof_received(self) -> None:
         """Handle the peer's end of stream, which may complete a response.
@@ -160,8 +175,7 @@
         It shows that the peer is reached, as any byte of it does.
         """
         self._ended = self.has_received = True
-        if self._busy:
-            self._receive(b"")
+        self._notify()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Record whether the connection was reset, so its response is incomplete."""
@@ -183,6 +197,7 @@
         self._is_used = True
         self.reusable = False
         self._request = request
+        self._has_head = self._needs_bytes = False
         data = self._wire.send(request)
         if body:
             data += self._wire.send(h11.Data(data=body))
@@ -191,20 +206,29 @@
 
     async def head(self) -> ResponseHead:
         """Return the head of the final response; raises IncompleteResponse."""
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
             if not isinstance(event, h11.Response):
                 raise IncompleteResponse("no head")
+            self._has_head = True
             self._note_keep_alive(event)
             return ResponseHead(event.status_code, list(event.headers))
+        self.close()
+        raise IncompleteResponse("only interim responses")
 
     async def data(self) -> bytes | None:
-        """Return the next body bytes, None at its end; raises IncompleteResponse."""
+        """Return the next body bytes, None at its end; raises IncompleteResponse.
+
+        Parts that were received together are returned together, up to a bound.
+        """
+        if self._is_turn_due:
+            self._is_turn_due = False
+            await self.turns.take()
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return self._with_parts_behind(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._finish()
             return None
@@ -219,16 +243,14 @@
         if self.closed or self._request is None:
             return False
         rest, _ = self._wire.trailing_data
+        self._received.put_back(rest)
         self._wire = self._new_wire()
         self._wire.send(_without_body(self._request))
         self._wire.send(h11.EndOfMessage())
+        self._has_head = self._is_end_told = self._needs_bytes = False
         self._busy = True
         self.reusable = False
         self.skipped += 1
-        if rest:
-            self._receive(bytes(rest))
-        if self._ended:
-            self._receive(b"")
         return True
 
     def close(self) -> None:
@@ -238,42 +260,97 @@
         not arrive beside the request's next attempt.
         """
         self.closed = True
+        self._received.clear()
         if self._transport is not None:
             if self._busy:
                 reset_on_close(self._transport.get_extra_info("socket"))
             self._transport.abort()
 
     def _new_wire(self) -> h11.Connection:
-        return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-
-    def _receive(self, data: bytes) -> None:
-        try:
-            self._wire.receive_data(data)
-        except h11.RemoteProtocolError:
-            self.closed = True
-        self._notify()
+        return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_LINE_BYTES)
 
     def _notify(self) -> None:
         if self._wake is not None and not self._wake.done():
             self._wake.set_result(None)
 
     async def _next_event(self) -> Any:
-        while True:
-            try:
-                event = self._wire.next_event()
-            except h11.RemoteProtocolError as error:
-                self.close()
-                raise IncompleteResponse(str(error)) from error
-            if event is h11.NEED_DATA:
-                if self.closed:
-                    raise IncompleteResponse("reset" if self._reset else "ended")
-                self._flow.on_taken()
-                self._wake = asyncio.get_running_loop().create_future()
-                await self._wake
-                continue
-            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                raise IncompleteResponse("ended")
+        """Return the next event once its bytes are there; raises IncompleteResponse."""
+        while (event := self._received_event()) is None:
+            if self.closed:
+                raise IncompleteResponse("reset" if self._reset else "ended")
+            self._flow.on_taken()
+            self._wake = asyncio.get_running_loop().create_future()
+            await self._wake
+        return event
+
+    def _received_event(self) -> Any:
+        """Return the next event of what is received, None if that is all.
+
+        Raises IncompleteResponse.
+        """
+        if self._ahead is not None:
+            event, self._ahead = self._ahead, None
+            if isinstance(event, IncompleteResponse):
+                raise event
             return event
+        try:
+            event = self._parse()
+        except (h11.RemoteProtocolError, HeadTooLarge) as error:
+            self.close()
+            raise IncompleteResponse(str(error)) from error
+        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            raise IncompleteResponse("ended")
+        return event
+
+    def _parse(self) -> Any:
+        """Return the parser's next event, None once it has been given all bytes."""
+        while True:
+            if self._needs_bytes and not self._feed():
+                return None
+            event = self._wire.next_event()
+            self._needs_bytes = event is h11.NEED_DATA
+            if not self._needs_bytes:
+                return event
+
+    def _feed(self) -> bool:
+        """Give the parser the next bytes, or their end; return whether there are any.
+
+        Raises HeadTooLarge.
+        """
+        received = self._received
+        data = received.take_piece() if self._has_head else received.take_head()
+        if not data and (not self._ended or self._is_end_told):
+            return False
+        self._is_end_told = not data
+        self._wire.receive_data(data)
+        return True
+
+    def _with_parts_behind(self, first: bytes | bytearray) -> bytes:
+        """Return a part of a body with those that were received behind it.
+
+        Guards against short parts that each cost a pass through all of a VM, and
+        against many that hold up other connections.
+        """
+        parts = [first]
+        size = len(first)
+        while len(parts) < PARTS_A_TURN and size < PIECE_BYTES:
+            if (part := self._part_ahead()) is None:
+                return b"".join(parts)
+            parts.append(part)
+            size += len(part)
+        self._is_turn_due = True
+        return b"".join(parts)
+
+    def _part_ahead(self) -> bytes | bytearray | None:
+        """Return the next part of a body if it is received; keep what else comes."""
+        try:
+            event = self._received_event()
+        except IncompleteResponse as error:
+            event = error
+        if isinstance(event, h11.Data):
+            return event.data
+        self._ahead = event
+        return None
 
     def _note_keep_alive(self, head: h11.Response) -> None:
         for name, value in head.headers:
@@ -283,8 +360,9 @@
     def _finish(self) -> None:
         """Mark the connection reusable if the exchange ended cleanly."""
         self._busy = False
-        rest, _ = self._wire.trailing_data
-        self._flow.on_taken(len(rest))
+        trailing, _ = self._wire.trailing_data
+        rest = len(trailing) + len(self._received)
+        self._flow.on_taken(rest)
         unsent = self._transport.get_write_buffer_size()
         if rest or unsent or self._ended or self.closed:
             return
--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -8,6 +8,7 @@
 from weakref import WeakSet
 
 from bamboovale.http1.connection import CONNECT_TIMEOUT_S, ConnectFailed, Connection
+from bamboovale.http1.turns import Turns
 from bamboovale.request_ids import kept_id
 
 KEEP_ALIVE_S = 4.0
@@ -57,6 +58,7 @@
         self._source = source
         self._pool_by_id: dict[str, EndpointPool] = {}
         self._open: WeakSet[Connection] = WeakSet()
+        self._turns = Turns()
         self._opening = 0
         self._most: float = math.inf
         self._on_full: Callable[[], None] = lambda: None
@@ -130,6 +132,7 @@
         finally:
             self._opening -= 1
         connection.on_received = self._on_received
+        connection.turns = self._turns
         self._open.add(connection)
         return connection
 
--- a/tests/hostile_site.py
+++ b/tests/hostile_site.py
@@ -17,6 +17,7 @@
 from bench.routed import HOST, MODEL, CallerAnswer, call, configuration, node_document
 from bench.soak_proxy import CutKind, Proxy
 from bench.soak_site import VMProcess, is_ready
+from tests.endless_answers import EndlessAnswers
 
 MIB = 1024 * 1024
 MEMORY_MB = 160
@@ -49,7 +50,7 @@
 Client = Callable[[], Coroutine[Any, Any, None]]
 
 
-class LongAnswers(PlatformEndpoint):
+class LongAnswers(EndlessAnswers, PlatformEndpoint):
     """A plain endpoint with long answers to requests that ask for one."""
 
     async def _answer(self, request: Request, responder: Responder, run: Run) -> None:
@@ -62,7 +63,7 @@
         responder.answer(200, headers, b"a" * size)
 
 
-class LongStreams(PlatformRunner):
+class LongStreams(EndlessAnswers, PlatformRunner):
     """An engine whose streams have long events."""
 
     async def _stream(self, request: Request, responder: Responder, run: Run) -> None:
--- /dev/null
+++ b/tests/test_http1_received.py
@@ -0,0 +1,221 @@
+"""What a client connection takes apart at once, however its bytes come."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+import pytest
+
+from bamboovale.gateway.events import EventBuffer
+from bamboovale.http1.connection import (
+    HIGH_WATER_BYTES,
+    PARTS_A_TURN,
+    Connection,
+)
+from bamboovale.http1.received import (
+    MAX_HEAD_BYTES,
+    MAX_HEAD_LINES,
+    PIECE_BYTES,
+    HeadTooLarge,
+    ReceivedBytes,
+)
+from bamboovale.http1.turns import Turns
+from tests.test_http1_flow_control import FakeTransport
+
+REQUEST = h11.Request(method="GET", target="/", headers=[("Host", "h")])
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+LENGTH = HEAD + b"Content-Length: 10000000\r\n\r\n"
+UNFRAMED = HEAD + b"\r\n"
+BODIES = {
+    "chunks of a byte": (CHUNKED, b"1\r\nx\r\n"),
+    "chunks of 32 bytes": (CHUNKED, b"20\r\n" + b"x" * 32 + b"\r\n"),
+    "long chunks": (CHUNKED, b"8000\r\n" + b"x" * 0x8000 + b"\r\n"),
+    "length": (LENGTH, b"x"),
+    "no frame": (UNFRAMED, b"x"),
+}
+each_body = pytest.mark.parametrize("body", BODIES.values(), ids=BODIES.keys())
+TOGETHER = 8
+MANY_PASSES = 10 * HIGH_WATER_BYTES // PARTS_A_TURN
+SHORT_BYTES, LONG_BYTES = 48 * 1024, 16 * 48 * 1024
+
+
+@dataclass
+class Passes:
+    """Passes of the event loop, counted by a task that waits for nothing."""
+
+    number: int = 0
+
+    async def run(self, count: int) -> None:
+        """Let so many passes go by."""
+        for self.number in range(count):
+            await asyncio.sleep(0)
+
+
+def with_received(body: tuple[bytes, bytes], turns: Turns | None = None) -> Connection:
+    """Return a connection that has received much of a body at once."""
+    connection = Connection()
+    connection.connection_made(FakeTransport())
+    if turns is not None:
+        connection.turns = turns
+    connection.send(REQUEST, b"")
+    head, pattern = body
+    connection.data_received(head + pattern * (HIGH_WATER_BYTES // len(pattern)))
+    return connection
+
+
+async def read_pieces(connection: Connection, on_piece: Callable[[bytes], Any]) -> None:
+    """Read what was received of a body."""
+    await connection.head()
+    while (piece := await connection.data()) is not None:
+        on_piece(piece)
+
+
+def run(test: Any) -> None:
+    """Run the body of a test for a short time: its bodies have no end."""
+    asyncio.run(asyncio.wait_for(test, 20.0))
+
+
+class TestTurns:
+    """Connections that have received much, beside others."""
+
+    @each_body
+    def test_others_go_on_between_two_pieces(self, body: tuple[bytes, bytes]) -> None:
+        """Guards against an answer without end that holds up all other requests."""
+
+        async def test() -> None:
+            connection = with_received(body)
+            passes = Passes()
+            passes_by_piece: list[int] = []
+            reading = asyncio.create_task(
+                read_pieces(connection, lambda _: passes_by_piece.append(passes.number))
+            )
+            await passes.run(MANY_PASSES)
+            reading.cancel()
+            assert len(passes_by_piece) >= TOGETHER
+            assert len(set(passes_by_piece)) == len(passes_by_piece)
+
+        run(test())
+
+    def test_one_of_many_goes_on_in_a_pass(self) -> None:
+        """Guards against a crowd of answers of which each takes little time."""
+
+        async def test() -> None:
+            turns = Turns()
+            connections = [
+                with_received(BODIES["chunks of a byte"], turns)
+                for _ in range(TOGETHER)
+            ]
+            passes = Passes()
+            passes_by_piece: list[int] = []
+            tasks = [
+                asyncio.create_task(
+                    read_pieces(item, lambda _: passes_by_piece.append(passes.number))
+                )
+                for item in connections
+            ]
+            await passes.run(500)
+            for task in tasks:
+                task.cancel()
+            later = [number for number in passes_by_piece if number > TOGETHER]
+            assert len(later) > 10 * TOGETHER
+            assert len(set(later)) == len(later)
+
+        run(test())
+
+    @each_body
+    def test_pieces_are_bounded_and_complete(self, body: tuple[bytes, bytes]) -> None:
+        """Guards against pieces that are lost, or that take a pass for themselves."""
+
+        async def test() -> None:
+            connection = with_received(body)
+            pieces: list[bytes] = []
+            reading = asyncio.create_task(read_pieces(connection, pieces.append))
+            await Passes().run(MANY_PASSES)
+            reading.cancel()
+            _, pattern = body
+            sent = HIGH_WATER_BYTES // len(pattern) * pattern.count(b"x")
+            assert b"".join(pieces) == b"x" * sent
+            assert max(map(len, pieces)) < 2 * PIECE_BYTES
+
+        run(test())
+
+
+class TestEvents:
+    """Streams whose events come in short pieces, or in great number."""
+
+    @pytest.mark.parametrize(
+        ("before", "piece"),
+        [
+            (b"", b"data: 0123456789\n"),
+            (b"", b"\n\n"),
+            (b"", b"\r\n\r"),
+            (b"data: ", b"x" * 32),
+        ],
+    )
+    def test_time_grows_with_the_bytes(self, before: bytes, piece: bytes) -> None:
+        """Guards against a search of all that is pending for each piece.
+
+        Sixteen times as many bytes may take some sixteen times as long, not 256 times.
+        """
+
+        def seconds(size: int) -> float:
+            buffer = EventBuffer()
+            buffer.feed(before)
+            pieces = [piece] * (size // len(piece))
+            started_at = time.process_time()
+            for item in pieces:
+                buffer.feed(item)
+            return time.process_time() - started_at
+
+        short, long = (
+            min(seconds(size) for _ in range(3)) for size in (SHORT_BYTES, LONG_BYTES)
+        )
+        assert long < 64 * short
+
+
+class TestHeads:
+    """Heads that come at any speed."""
+
+    def test_of_any_pieces_is_taken_whole(self) -> None:
+        data = CHUNKED + b"1\r\n"
+        for size in (1, 2, 3, 7, len(data)):
+            received = ReceivedBytes()
+            heads = []
+            for at in range(0, len(data), size):
+                received.add(data[at : at + size])
+                if head := received.take_head():
+                    heads.append(head)
+                    break
+            assert heads == [CHUNKED]
+
+    @pytest.mark.parametrize(
+        "line",
+        [b"a:\r\n", b"a:\n", b"a: " + b"x" * 1000 + b"\r\n", b"x"],
+    )
+    @pytest.mark.parametrize("size", [1000, 2 * HIGH_WATER_BYTES])
+    def test_without_an_end_is_refused(self, line: bytes, size: int) -> None:
+        """Guards against a head that takes memory, or a pass of the loop, by its size.
+
+        ``size`` is what is received at once.
+        """
+        received = ReceivedBytes()
+        received.add(HEAD)
+        added = 0
+        with pytest.raises(HeadTooLarge):
+            while added < 4 * HIGH_WATER_BYTES:
+                data = line * (size // len(line) + 1)
+                received.add(data)
+                added += len(data)
+                assert received.take_head() == b""
+        assert added <= MAX_HEAD_BYTES + len(data)
+
+    def test_a_whole_one_of_too_many_lines_is_refused(self) -> None:
+        """Guards against a head that is whole before its size is looked at."""
+        received = ReceivedBytes()
+        received.add(HEAD + b"a:\r\n" * MAX_HEAD_LINES + b"\r\n")
+        with pytest.raises(HeadTooLarge):
+            received.take_head()
