Sound events that come with a spoilt one reach their caller

Cause: EventBuffer.feed set last_id for the sound events of a piece, then raised for the spoilt one behind them, and they were dropped with the exception. The next engine was asked to go on after them.

Change: feed returns the sound events, raise_if_broken ends the run once these are forwarded. last_id is that of a returned event whatever the bytes are. Ids of other digits than 0 to 9, or of very many, no longer raise ValueError out of the request.

Tests: test_spoilt_streams.py (framed and not, one to five events a write, relayed): 8 of its 12 cases failed without the change, and 5 of the 8 new ones of TestEvents, seen here (the one of arbitrary bytes did not).

--- a/bamboovale/gateway/events.py
+++ b/bamboovale/gateway/events.py
@@ -5,6 +5,7 @@
 
 MAX_EVENT_BYTES = 1024 * 1024
 """Bounds the memory that a stream without an end of event can use."""
+MAX_ID_DIGITS = 20
 END_OF_EVENT = re.compile(rb"\n\n|\r\n\r\n")
 SEARCHED_AGAIN_BYTES = 3
 
@@ -63,6 +64,7 @@
         self.last_id = resume_after
         self._pending = bytearray()
         self._searched = 0
+        self._broken: EventsBroken | None = None
 
     @property
     def has_partial(self) -> bool:
@@ -78,14 +80,37 @@
         """Discard a partial event, which another endpoint will send again."""
         self._pending = bytearray()
         self._searched = 0
+        self._broken = None
 
     def feed(self, data: bytes) -> list[Event]:
-        """Add bytes and return the events that are now whole; raises EventsBroken."""
+        """Add bytes and return the events that are now whole; raises EventsBroken.
+
+        If the bytes are no valid continuation after some whole events, returns these,
+        and ``raise_if_broken`` raises: guards against events that count as received
+        and are not forwarded.
+        """
+        self.raise_if_broken()
         self._pending += data
-        if len(self._pending) > MAX_EVENT_BYTES:
+        events: list[Event] = []
+        try:
+            self._take_whole(events)
+        except EventsBroken as error:
             self.discard_partial()
-            raise EventsBroken("the event exceeds the size limit")
-        events = []
+            self._broken = error
+            if not events:
+                raise
+        return events
+
+    def raise_if_broken(self) -> None:
+        """Raise EventsBroken if the events that were returned last are the last ones.
+
+        To be called once these are forwarded.
+        """
+        if self._broken is not None:
+            raise self._broken
+
+    def _take_whole(self, events: list[Event]) -> None:
+        """Move the whole events that are buffered to a list; raises EventsBroken."""
         begin = 0
         for found in END_OF_EVENT.finditer(self._pending, self._searched):
             chunk = bytes(self._pending[begin : found.end()])
@@ -97,15 +122,23 @@
             events.append(event)
         del self._pending[:begin]
         self._searched = max(0, len(self._pending) - SEARCHED_AGAIN_BYTES)
-        return events
+        if len(self._pending) > MAX_EVENT_BYTES:
+            raise EventsBroken("the event exceeds the size limit")
 
     def _check_order(self, event_id: str) -> None:
-        if self.last_id is None or not (event_id.isdigit() and self.last_id.isdigit()):
+        if self.last_id is None:
             return
-        if int(event_id) <= int(self.last_id):
+        number, last = _number_of(event_id), _number_of(self.last_id)
+        if number is not None and last is not None and number <= last:
             raise EventsBroken(f"event {event_id} after {self.last_id}")
 
 
+def _number_of(event_id: str) -> int | None:
+    """Return an id as a number, None if it is none."""
+    is_number = event_id.isdecimal() and len(event_id) <= MAX_ID_DIGITS
+    return int(event_id) if is_number else None
+
+
 def _id_of(event: bytes) -> str | None:
     if b"id:" not in event:
         return None
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -264,6 +264,7 @@
                 write = call.responder.write(b"".join(event.data for event in events))
                 del data, events  # not held beside what waits for a slow caller
                 await write
+                progress.events.raise_if_broken()
         except (IncompleteResponse, EventsBroken) as error:
             raise StreamCut(f"stream cut: {error}") from error
         if progress.events.has_partial:
--- a/bamboovale/standins/platform_endpoints.py
+++ b/bamboovale/standins/platform_endpoints.py
@@ -74,6 +74,8 @@
     second copy of an answer as the next request on its connection arrives;
     ``unnamed_copies``: without the id of the request. ``event_s``: pause before each
     event of a stream, ``slower_by_run_s`` longer for each other run at the engine.
+    ``wrong_ids``: ids by the number of the events that bear them instead, in runs that
+    begin a stream. ``together``: number of events that are written at once.
     """
 
     cut_after: int | None = None
@@ -96,6 +98,8 @@
     late_copies: bool = False
     unnamed_copies: bool = False
     slower_by_run_s: float = 0.0
+    wrong_ids: dict[int, int] = field(default_factory=dict)
+    together: int = 1
     event_s: float = EVENT_INTERVAL_S
 
 
--- a/bamboovale/standins/platform_runner.py
+++ b/bamboovale/standins/platform_runner.py
@@ -276,7 +276,9 @@
             answer = UnframedAnswer(responder)
         else:
             headers.append((b"transfer-encoding", b"chunked"))
-        for number in range(resume_after + 1, self._length(request) + 1):
+        wrong_ids = {} if resume_after else self.faults.wrong_ids
+        last, unwritten = self._length(request), b""
+        for number in range(resume_after + 1, last + 1):
             await asyncio.sleep(self._pause_s())
             if self._crashes_by_now(run) and self._crashes_under(request, run):
                 return
@@ -294,9 +296,13 @@
             if self.faults.end_after is not None and number > self.faults.end_after:
                 break
             data = f"data: {run.adapter}@{run.version}\n\n"
-            text = f"id: {number}\n{software_line(run.software)}{data}"
-            await answer.write(text.encode())
+            event_id = wrong_ids.get(number, number)
+            text = f"id: {event_id}\n{software_line(run.software)}{data}"
+            unwritten += text.encode()
             run.events += 1
+            if number % self.faults.together == 0 or number == last:
+                await answer.write(unwritten)
+                unwritten = b""
         if not answer.started:
             self._start(answer, responder, run, headers)
         run.end("ok")
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -20,7 +20,12 @@
 from bamboovale.fleet.messages import Member, Suspicion
 from bamboovale.gateway.endpoints import EndpointChange, EndpointView
 from bamboovale.gateway.engines import Engines
-from bamboovale.gateway.events import EventBuffer, EventsBroken
+from bamboovale.gateway.events import (
+    MAX_EVENT_BYTES,
+    Event,
+    EventBuffer,
+    EventsBroken,
+)
 from bamboovale.gateway.fleet import Fleet
 from bamboovale.gateway.journal import BURST_LINES, Journal, NonBlockingHandler
 from bamboovale.gateway.messages import EngineLoad, EngineStatus, PlaceRequest
@@ -82,6 +87,42 @@
         with pytest.raises(EventsBroken):
             buffer.feed(b"id: 2\n\n")
 
+    @pytest.mark.parametrize(
+        "spoilt",
+        [b"id: 2\n\n", b"id: 0\n\nid: 4\n\n", b"x" * MAX_EVENT_BYTES + b"xx"],
+    )
+    def test_whole_events_before_a_break_are_returned(self, spoilt: bytes) -> None:
+        """Guards against a stream that goes on after events that were dropped."""
+        buffer = EventBuffer(resume_after="1")
+        events = buffer.feed(b"id: 2\n\nid: 3\n\n" + spoilt)
+        assert [event.event_id for event in events] == ["2", "3"]
+        assert buffer.last_id == "3"
+        for broken in (buffer.raise_if_broken, lambda: buffer.feed(b"id: 9\n\n")):
+            with pytest.raises(EventsBroken):
+                broken()
+        buffer.discard_partial()
+        assert [event.event_id for event in buffer.feed(b"id: 4\n\n")] == ["4"]
+
+    @given(st.binary(max_size=60), st.integers(1, 60))
+    def test_the_last_id_is_that_of_a_returned_event(
+        self, data: bytes, size: int
+    ) -> None:
+        """Guards against any bytes after which a stream goes on too far, or fails."""
+        buffer = EventBuffer(resume_after="0")
+        returned = [Event(b"", "0")]
+        with contextlib.suppress(EventsBroken):
+            for at in range(0, len(data), size):
+                returned += buffer.feed(b"id:" + data[at : at + size] + b"\n\n")
+        named = [item.event_id for item in returned if item.event_id is not None]
+        assert buffer.last_id == named[-1]
+
+    @pytest.mark.parametrize("event_id", ["\u00b2", "9" * 5000, "-1", ""])
+    def test_an_id_that_is_no_number_breaks_nothing(self, event_id: str) -> None:
+        """Guards against an id on which a stream fails with an unforeseen error."""
+        buffer = EventBuffer(resume_after="7")
+        data = f"id: {event_id}\n\n".encode("latin-1")
+        assert [event.event_id for event in buffer.feed(data)] == [event_id]
+
     def test_a_resumed_stream_must_continue_after_its_last_event(self) -> None:
         buffer = EventBuffer(resume_after="7")
         with pytest.raises(EventsBroken):
--- /dev/null
+++ b/tests/test_spoilt_streams.py
@@ -0,0 +1,47 @@
+"""Streams of engines that spoil the id of an event."""
+
+import pytest
+
+from tests.gateway_site import Site, call, run, running_site
+from tests.path_cuts import HANG, cut_from_endpoints
+
+EVENTS = 5
+
+
+def spoil(site: Site, wrong_ids: dict[int, int], together: int) -> None:
+    """Have all engines spoil the streams that they begin."""
+    for engine in site.runners:
+        engine.preload("a1")
+        engine.faults.wrong_ids = wrong_ids
+        engine.faults.together = together
+
+
+def ids_in(body: bytes) -> list[int]:
+    """Return the ids of a stream's events."""
+    lines = body.splitlines()
+    return [int(line[3:]) for line in lines if line.startswith(b"id:")]
+
+
+class TestOneSpoiltEvent:
+    """The events before it are sound."""
+
+    @pytest.mark.parametrize("unframed", [False, True])
+    @pytest.mark.parametrize("together", [1, 2, EVENTS])
+    @pytest.mark.parametrize("relayed", [False, True])
+    def test_the_caller_gets_each_event_once(
+        self, unframed: bool, together: int, relayed: bool
+    ) -> None:
+        """Guards against events that are lost as they come with a spoilt one."""
+
+        async def test() -> None:
+            async with running_site(vms=2, runners=2) as site:
+                spoil(site, {4: 0}, together)
+                for engine in site.runners:
+                    engine.faults.unframed = unframed
+                cut = [site.vms[0]] if relayed else []
+                with cut_from_endpoints(site, cut, HANG):
+                    answer = await call(site.vms[0].address, "/long/1", adapter="a1")
+                assert (answer.status, answer.whole) == (200, True)
+                assert ids_in(answer.body) == [1, 2, 3, 4, 5]
+
+        run(test())
