No engine goes on after an id that may be the wrong one

Streams of which one id was spoilt (9 in place of 5) lacked four events and ended as complete.

Cause: at a break in the order of ids the stream went on after the last id that had been forwarded, which may itself be the wrong one.

Change: the last id counts as known only if it is in step with those before; else the stream is cut, which its caller sees. A spoilt id behind sound ones goes on as before.

--- a/bamboovale/gateway/events.py
+++ b/bamboovale/gateway/events.py
@@ -11,7 +11,15 @@
 
 
 class EventsBroken(Exception):  # noqa: N818 - reads as what happened
-    """The bytes are not a valid continuation of the stream."""
+    """The bytes are not a valid continuation of the stream.
+
+    ``is_position_known`` is whether the last event that was returned bears its own id,
+    so that another endpoint may go on after it.
+    """
+
+    def __init__(self, reason: str, *, is_position_known: bool = True) -> None:
+        super().__init__(reason)
+        self.is_position_known = is_position_known
 
 
 @dataclass(frozen=True)
@@ -62,6 +70,8 @@
 
     def __init__(self, resume_after: str | None = None) -> None:
         self.last_id = resume_after
+        self._usual_step = 1
+        self._last_step = 1
         self._pending = bytearray()
         self._searched = 0
         self._broken: EventsBroken | None = None
@@ -126,11 +136,20 @@
             raise EventsBroken("the event exceeds the size limit")
 
     def _check_order(self, event_id: str) -> None:
-        if self.last_id is None:
+        """Raise EventsBroken unless an id may follow the last one.
+
+        One of the two is wrong then. It may be the last one if it is out of step with
+        those before: guards against going on after an id that its event does not have.
+        """
+        number, last = _number_of(event_id), _number_of(self.last_id or "0")
+        if number is None or last is None:
             return
-        number, last = _number_of(event_id), _number_of(self.last_id)
-        if number is not None and last is not None and number <= last:
-            raise EventsBroken(f"event {event_id} after {self.last_id}")
+        if number <= last and self.last_id is not None:
+            raise EventsBroken(
+                f"event {event_id} after {self.last_id}",
+                is_position_known=self._last_step == self._usual_step,
+            )
+        self._usual_step, self._last_step = self._last_step, number - last
 
 
 def _number_of(event_id: str) -> int | None:
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -174,7 +174,8 @@
 
     def _check_resumable(self, call: Call, progress: Progress, reason: str) -> None:
         """Raise StreamCut or CallFailed unless another engine may go on."""
-        if call.route.resumable and progress.runs < call.route.max_attempts:
+        may_go_on = call.route.resumable and progress.is_position_known
+        if may_go_on and progress.runs < call.route.max_attempts:
             progress.events.discard_partial()
             return
         raise StreamCut(reason) if progress.started else CallFailed(reason)
@@ -266,6 +267,8 @@
                 await write
                 progress.events.raise_if_broken()
         except (IncompleteResponse, EventsBroken) as error:
+            if isinstance(error, EventsBroken):
+                progress.is_position_known = error.is_position_known
             raise StreamCut(f"stream cut: {error}") from error
         if progress.events.has_partial:
             raise StreamCut("the stream ended within an event")
--- a/bamboovale/gateway/stream_progress.py
+++ b/bamboovale/gateway/stream_progress.py
@@ -22,14 +22,16 @@
     ``runs`` are attempts that may have run, ``arrivals`` those that reached an engine;
     ``failure`` is how the last one failed. ``stalled`` is true after a pause longer
     than the route allows. ``source`` is what began the stream, None before its first
-    event; ``is_software_gone`` is whether no endpoint of it is left. ``excluded``
-    engines are used again if there is no other; ``started_again`` are those that turned
-    out to be another start than the known one.
+    event; ``is_software_gone`` is whether no endpoint of it is left.
+    ``is_position_known`` is whether another engine may go on after the last event.
+    ``excluded`` engines are used again if there is no other; ``started_again`` are
+    those that turned out to be another start than the known one.
     """
 
     events: EventBuffer
     source: StreamSource | None = None
     is_software_gone: bool = False
+    is_position_known: bool = True
     pauses: Pauses = field(default_factory=Pauses)
     started: bool = False
     stalled: bool = False
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -103,6 +103,28 @@
         buffer.discard_partial()
         assert [event.event_id for event in buffer.feed(b"id: 4\n\n")] == ["4"]
 
+    @pytest.mark.parametrize(
+        ("ids", "is_known"),
+        [
+            ((1, 2, 3, 0), True),
+            ((1, 2, 9, 4), False),
+            ((1, 2, 9, 10, 5), False),
+            ((5, 10, 15, 4), True),
+            ((5, 10, 90, 20), False),
+            ((9, 2), False),
+            ((1, 0), True),
+        ],
+    )
+    def test_a_break_tells_whether_the_last_id_is_in_step(
+        self, ids: tuple[int, ...], is_known: bool
+    ) -> None:
+        """Guards against going on after an id that may itself be the wrong one."""
+        buffer = EventBuffer()
+        with pytest.raises(EventsBroken) as broken:
+            for number in ids:
+                buffer.feed(b"id: %d\n\n" % number)
+        assert broken.value.is_position_known == is_known
+
     @given(st.binary(max_size=60), st.integers(1, 60))
     def test_the_last_id_is_that_of_a_returned_event(
         self, data: bytes, size: int
--- a/tests/test_spoilt_streams.py
+++ b/tests/test_spoilt_streams.py
@@ -45,3 +45,22 @@
                 assert ids_in(answer.body) == [1, 2, 3, 4, 5]
 
         run(test())
+
+
+class TestWrongPlace:
+    """The caller got an event that bears the id of a later one."""
+
+    @pytest.mark.parametrize("together", [1, 2, EVENTS])
+    @pytest.mark.parametrize("number", [1, 3])
+    def test_no_other_engine_goes_on_after_it(self, number: int, together: int) -> None:
+        """Guards against a stream that looks whole and lacks what it skipped."""
+
+        async def test() -> None:
+            async with running_site(runners=2) as site:
+                spoil(site, {number: 9}, together)
+                answer = await call(site.vms[0].address, "/long/1", adapter="a1")
+                assert not answer.whole
+                assert ids_in(answer.body) == [*range(1, number), 9]
+                assert sum(len(engine.runs) for engine in site.runners) == 1
+
+        run(test())
