Heads of many lines are taken apart in turns

Cause: each such head takes milliseconds, and all of a pass were taken apart in it; only bodies had turns.

Change: a whole head of more than 64 lines waits for its turn, one in each pass.

--- a/bamboovale/http1/server_connection.py
+++ b/bamboovale/http1/server_connection.py
@@ -25,6 +25,7 @@
 )
 from bamboovale.http1.connection_limit import Wait
 from bamboovale.http1.flow_control import FlowControl
+from bamboovale.http1.received import END_OF_HEAD
 from bamboovale.http1.request import (
     BadRequest,
     Request,
@@ -55,11 +56,12 @@
 SHORT_CHUNK_BYTES = 2048
 SHORT_CHUNKS_A_TURN = 64
 """Short chunks of a body that are parsed before other connections have their turn."""
+HEAD_TOOK_TOO_LONG = "the head took too long"
 BODY_TOOK_TOO_LONG = "the body took too long"
 REQUESTS_A_TURN = 16
 """Requests sent ahead that are handled before other connections have their turn."""
 MANY_HEADERS = 64
-"""Headers of a head that is taken apart only while nobody lets go of others."""
+"""Headers of a head that is taken apart in its turn, while nobody lets go of others."""
 MOST_PASSES = 64
 """Passes of the loop that such a head waits at most."""
 SERVICE_UNAVAILABLE = 503
@@ -461,7 +463,7 @@
         if not self._has_next():
             return None
         deadline = loop.time() + limits.head_timeout_s
-        head = await self._event(deadline, "the head took too long", is_head=True)
+        head = await self._event(deadline, HEAD_TOOK_TOO_LONG, is_head=True)
         if not isinstance(head, h11.Request):
             return None
         self.busy = True
@@ -508,14 +510,14 @@
             short_chunks += len(event.data) < SHORT_CHUNK_BYTES
             if short_chunks >= SHORT_CHUNKS_A_TURN:
                 short_chunks = 0
-                await self._take_turn(deadline)
+                await self._take_turn(deadline, BODY_TOOK_TOO_LONG)
 
-    async def _take_turn(self, deadline: float) -> None:
+    async def _take_turn(self, deadline: float, timeout_reason: str) -> None:
         """Let others have their turns; raises BadRequest if they keep this one late."""
         await self._server.turns.take()
         is_late = asyncio.get_running_loop().time() > deadline
         if is_late and self._server.turns:
-            raise BadRequest(408, BODY_TOOK_TOO_LONG)
+            raise BadRequest(408, timeout_reason)
 
     def _take_body(self) -> bytes:
         """Return the whole body, which counts with its copies from now on."""
@@ -547,8 +549,9 @@
     ) -> Any:
         loop = asyncio.get_running_loop()
         while True:
-            if is_head and self._wire.trailing_data[0].count(b"\n") > MANY_HEADERS:
+            if is_head and self._has_long_head():
                 await self._until_released()
+                await self._take_turn(deadline, timeout_reason)
             self._refuse_if_shed()
             try:
                 event = self._wire.next_event()
@@ -561,6 +564,14 @@
             if not await self._wait(deadline - loop.time()):
                 raise BadRequest(408, timeout_reason)
 
+    def _has_long_head(self) -> bool:
+        """Return whether a whole head of many lines is to be taken apart."""
+        received = self._wire.trailing_data[0]
+        end = END_OF_HEAD.search(received)
+        if end is None:
+            return False
+        return received.count(b"\n", 0, end.end()) > MANY_HEADERS
+
     async def _wait(self, timeout_s: float) -> bool:
         """Wait for bytes; return False on timeout."""
         self._wake = asyncio.get_running_loop().create_future()
--- a/tests/test_http1_received.py
+++ b/tests/test_http1_received.py
@@ -22,6 +22,10 @@
     HeadTooLarge,
     ReceivedBytes,
 )
+from bamboovale.http1.request import Request
+from bamboovale.http1.responder import Responder
+from bamboovale.http1.server import Server
+from bamboovale.http1.server_connection import ServerConnection
 from bamboovale.http1.turns import Turns
 from tests.test_http1_flow_control import FakeTransport
 
@@ -51,7 +55,8 @@
 
     async def run(self, count: int) -> None:
         """Let so many passes go by."""
-        for self.number in range(count):
+        for _ in range(count):
+            self.number += 1
             await asyncio.sleep(0)
 
 
@@ -144,6 +149,40 @@
         run(test())
 
 
+class TestRequests:
+    """Clients of a server that have sent what takes long to be taken apart."""
+
+    @pytest.mark.parametrize("first_bytes", [0, 100, -2])
+    def test_a_long_head_is_taken_apart_in_each_pass(self, first_bytes: int) -> None:
+        """Guards against a crowd of heads of short lines that holds up all others.
+
+        The heads come in two pieces, of which the first has so many bytes.
+        """
+        head = b"GET /p HTTP/1.1\r\nHost: h\r\n" + b"a:\r\n" * 3000 + b"\r\n"
+
+        async def test() -> None:
+            passes = Passes()
+            passes_by_request: list[int] = []
+
+            async def handle(request: Request, responder: Responder) -> None:
+                passes_by_request.append(passes.number)
+                responder.answer(200, [], b"")
+
+            server = Server(handle)
+            connections = [ServerConnection(server) for _ in range(TOGETHER)]
+            for connection in connections:
+                connection.connection_made(FakeTransport())
+            for piece in filter(None, (head[:first_bytes], head[first_bytes:])):
+                await passes.run(3)
+                for connection in connections:
+                    connection.data_received(piece)
+            await passes.run(MANY_PASSES)
+            assert len(passes_by_request) == TOGETHER
+            assert len(set(passes_by_request)) == TOGETHER
+
+        run(test())
+
+
 class TestEvents:
     """Streams whose events come in short pieces, or in great number."""
 
