What endpoints and the store send without end is bounded by what a VM holds

Cause: bodies were kept as lists of parts, whose objects were not counted; errors kept them after they had failed; reports, orders, answers of the store and skipped answers had no bound but a timeout.

Change: one reader of bodies with one buffer, a bound for each kind of answer, and nothing kept if it fails.

--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -12,6 +12,7 @@
 from bamboovale.gateway.call import Call, CallCodec
 from bamboovale.gateway.model import AnswerFacts, AnswerNotice, EndpointRecord
 from bamboovale.gateway.path_watch import PathWatch
+from bamboovale.http1.body import read_body, skip_body
 from bamboovale.http1.connection import (
     ConnectFailed,
     Connection,
@@ -108,18 +109,10 @@
 
         Raises MayHaveRun if it is cut short or exceeds ``MAX_BUFFERED_BYTES``.
         """
-        parts = []
-        size = 0
         try:
-            while (data := await self.connection.data()) is not None:
-                parts.append(data)
-                size += len(data)
-                self.hold(size)
-                if size > MAX_BUFFERED_BYTES:
-                    raise MayHaveRun("the answer exceeds the size limit")
+            return await read_body(self.connection, MAX_BUFFERED_BYTES, self.hold)
         except IncompleteResponse as error:
             raise MayHaveRun(f"answer cut: {error}") from error
-        return b"".join(parts)
 
 
 class EndpointClient:
@@ -392,8 +385,7 @@
             )
             if is_own:
                 return head, facts
-            while await connection.data() is not None:
-                pass
+            await skip_body(connection, MAX_BUFFERED_BYTES)
             if not connection.skip_response():
                 break
         raise IncompleteResponse("only answers to other requests were received")
--- a/bamboovale/gateway/engine_client.py
+++ b/bamboovale/gateway/engine_client.py
@@ -16,6 +16,7 @@
     EngineReport,
     OrderOutcome,
 )
+from bamboovale.http1.body import read_body
 from bamboovale.http1.connection import (
     ConnectFailed,
     IncompleteResponse,
@@ -23,6 +24,8 @@
 )
 from bamboovale.http1.pool import ConnectionPool
 
+MAX_ANSWER_BYTES = 256 * 1024
+"""Of a report, the longest answer: it names an engine's adapters and runs."""
 REPORT_TIMEOUT_S = 1.0
 """An engine answers within milliseconds; a slow link adds some hundred."""
 
@@ -152,9 +155,7 @@
                 signals = self._codec.decode_signals(head)
                 notice = AnswerNotice(record.endpoint_id, signals, sent_at)
                 self._on_answer(notice)
-                parts = []
-                while (data := await connection.data()) is not None:
-                    parts.append(data)
+                answer = await read_body(connection, MAX_ANSWER_BYTES)
         except (TimeoutError, ConnectFailed, IncompleteResponse, OSError) as error:
             if connection is not None:
                 connection.close()
@@ -164,7 +165,7 @@
                 unreachable=isinstance(error, ConnectFailed),
             ) from error
         self._pool.give_back(record.endpoint_id, connection)
-        return head.status, b"".join(parts)
+        return head.status, answer
 
 
 def _host(record: EndpointRecord) -> str:
--- a/bamboovale/platform/store.py
+++ b/bamboovale/platform/store.py
@@ -13,6 +13,7 @@
 
 from bamboovale.decoding import to_int
 from bamboovale.errors import describe
+from bamboovale.http1.body import read_body
 from bamboovale.http1.connection import (
     ConnectFailed,
     Headers,
@@ -36,6 +37,8 @@
 
 CALL_TIMEOUT_S = 1.5
 """Well above the answer time of a slow store."""
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+"""Twice what a page or a read of 1 MiB takes, with its encoding."""
 READ_HEAD_BYTES = 16
 """The topic's end and its first offset, before the records of a read."""
 END_BYTES = 8
@@ -255,14 +258,12 @@
         try:
             connection.send(request, body)
             head = await connection.head()
-            parts = []
-            while (data := await connection.data()) is not None:
-                parts.append(data)
+            answer = await read_body(connection, MAX_ANSWER_BYTES)
         except BaseException:
             connection.close()
             raise
         self._pool.give_back(STORE_ID, connection)
-        return head, b"".join(parts)
+        return head, answer
 
 
 def _owner_rows(answer: Any) -> list[list[Any]]:
--- a/bamboovale/streams/start_check.py
+++ b/bamboovale/streams/start_check.py
@@ -11,6 +11,7 @@
 import h11
 
 from bamboovale.gateway.model import AnswerFacts, EndpointRecord, EngineReport
+from bamboovale.http1.body import read_body
 from bamboovale.http1.connection import (
     Connection,
     IncompleteResponse,
@@ -18,6 +19,10 @@
 )
 
 TIMEOUT_S = 1.0
+MAX_STALE_ANSWERS = 2
+"""Answers to earlier requests that are skipped on one connection."""
+MAX_REPORT_BYTES = 256 * 1024
+"""Also of such an answer, which may be that to a request."""
 OK = 200
 
 
@@ -66,12 +71,11 @@
 
     Those name their request, which a report does not.
     """
-    while True:
+    for _ in range(MAX_STALE_ANSWERS + 1):
         head = await connection.head()
-        body = b""
-        while (data := await connection.data()) is not None:
-            body += data
+        body = await read_body(connection, MAX_REPORT_BYTES)
         if codec.decode_answer(head).request_id is None:
             return head, body
         if not connection.skip_response():
-            raise IncompleteResponse("only answers to other requests were received")
+            break
+    raise IncompleteResponse("only answers to other requests were received")
--- a/tests/endless_answers.py
+++ b/tests/endless_answers.py
@@ -77,10 +77,24 @@
 }
 
 
-class EndlessAnswers:
-    """Has an endpoint answer requests that ask for it without end."""
+class EndlessCalls:
+    """Has a stand-in answer calls of its own interface without end.
 
-    endless_reports: EndlessAnswer | None = None
+    ``endless_calls`` is that answer, None while it is sound.
+    """
+
+    endless_calls: EndlessAnswer | None = None
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Serve a request or a call."""
+        if self.endless_calls is not None and request.target.startswith("/api/"):
+            await self.endless_calls.send(responder, "", b"application/json")
+            return
+        await super().handle(request, responder)  # type: ignore[misc]
+
+
+class EndlessAnswers(EndlessCalls):
+    """Has an endpoint answer without end those requests that ask for it."""
 
     async def _answer(self, request: Request, responder: Responder, run: Run) -> None:
         if not await _send_endless(request, responder, run, b"text/plain"):
@@ -90,13 +104,6 @@
         if not await _send_endless(request, responder, run, b"text/event-stream"):
             await super()._stream(request, responder, run)  # type: ignore[misc]
 
-    async def handle(self, request: Request, responder: Responder) -> None:
-        """Serve a request, a report or an order."""
-        if self.endless_reports is not None and request.target.startswith("/api/"):
-            await self.endless_reports.send(responder, "", b"application/json")
-            return
-        await super().handle(request, responder)  # type: ignore[misc]
-
 
 async def _send_endless(
     request: Request, responder: Responder, run: Run, kind: bytes
--- a/tests/hostile_site.py
+++ b/tests/hostile_site.py
@@ -17,7 +17,7 @@
 from bench.routed import HOST, MODEL, CallerAnswer, call, configuration, node_document
 from bench.soak_proxy import CutKind, Proxy
 from bench.soak_site import VMProcess, is_ready
-from tests.endless_answers import EndlessAnswers
+from tests.endless_answers import EndlessAnswers, EndlessCalls
 
 MIB = 1024 * 1024
 MEMORY_MB = 160
@@ -50,6 +50,10 @@
 Client = Callable[[], Coroutine[Any, Any, None]]
 
 
+class Store(EndlessCalls, PlatformStore):
+    """A store whose answers may have no end."""
+
+
 class LongAnswers(EndlessAnswers, PlatformEndpoint):
     """A plain endpoint with long answers to requests that ask for one."""
 
@@ -139,7 +143,8 @@
 class HostileSite:
     """Stand-ins, entry VMs and what each of these used most, by its name."""
 
-    store: PlatformStore
+    store: Store
+    runner: LongStreams
     vms: list[VMProcess] = field(default_factory=list)
     proxies: list[Proxy] = field(default_factory=list)
     usage_by_vm: dict[str, Usage] = field(default_factory=dict)
@@ -226,12 +231,12 @@
 ) -> AsyncIterator[HostileSite]:
     """Run a small deployment with low limits; all its processes end with the block."""
     limits = {"memory-mb": memory_mb, "max-fds": max_fds}
-    store = PlatformStore()
-    site = HostileSite(store)
-    address = await store.listen("127.0.0.1")
-    await store.put("keyed.op", "config", _configuration())
+    store = Store()
     runner = LongStreams(store, "runner-0", "llm", model=MODEL)
     runner.preload("a1")
+    site = HostileSite(store, runner)
+    address = await store.listen("127.0.0.1")
+    await store.put("keyed.op", "config", _configuration())
     service = LongAnswers(store, "service-0", "app")
     service.slots = 2 * CLIENTS
     sampling = asyncio.create_task(site.sample_forever())
