A reset behind the end of an unframed answer does not pass for its end

Cause: whether such an answer ended or was reset was told by the event loop. A reset behind an end, or one whose error the writer was told, is read as an end.

Change: the end is believed once the request is taken by the other side and the kernel says that the connection is not over in both directions.

--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -37,6 +37,11 @@
 """SO_LINGER on, with no time for what is unsent."""
 CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 """SO_LINGER off."""
+TCP_CLOSE = 7
+"""The kernel's state, the first byte of its ``tcp_info``."""
+REQUEST_TAKEN_S = 0.5
+"""How long a peer that has ended its answer may take for the rest of the request."""
+REQUEST_TAKEN_CHECK_S = 0.01
 LAST_DATA_RECEIVED = struct.Struct("@52xI")
 """Its place in the kernel's ``tcp_info``, in milliseconds."""
 TCP_INFO_BYTES = LAST_DATA_RECEIVED.size
@@ -169,13 +174,15 @@
         self._received.add(data)
         self._notify()
 
-    def eof_received(self) -> None:
+    def eof_received(self) -> bool:
         """Handle the peer's end of stream, which may complete a response.
 
-        It shows that the peer is reached, as any byte of it does.
+        It shows that the peer is reached, as any byte of it does. A connection with a
+        request in flight stays open, so that a reset behind the end is seen.
         """
         self._ended = self.has_received = True
         self._notify()
+        return self._busy
 
     def connection_lost(self, error: Exception | None) -> None:
         """Record whether the connection was reset, so its response is incomplete."""
@@ -230,6 +237,8 @@
         if isinstance(event, h11.Data):
             return self._with_parts_behind(event.data)
         if isinstance(event, h11.EndOfMessage):
+            if self._is_end_told:
+                await self._check_end()
             self._finish()
             return None
         raise IncompleteResponse("no body")
@@ -352,6 +361,26 @@
         self._ahead = event
         return None
 
+    async def _check_end(self) -> None:
+        """Raise IncompleteResponse unless the peer ended what ends with its connection.
+
+        A reset that meets a request still being written may be read as an end, or come
+        behind one: guards against a part of an answer that passes for all of it.
+        """
+        connected = self._transport.get_extra_info("socket")
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + REQUEST_TAKEN_S
+        while self._transport.get_write_buffer_size() or unsent_in_kernel(connected):
+            if self._reset or self.closed or is_reset(connected):
+                break
+            if loop.time() > deadline:
+                self.close()
+                raise IncompleteResponse("ended before the request was taken")
+            await asyncio.sleep(REQUEST_TAKEN_CHECK_S)
+        if self._reset or self.closed or is_reset(connected):
+            self.close()
+            raise IncompleteResponse("reset")
+
     def _note_keep_alive(self, head: h11.Response) -> None:
         for name, value in head.headers:
             if name == b"keep-alive":
@@ -464,6 +493,20 @@
     return False
 
 
+def is_reset(connected: Any) -> bool:
+    """Return whether the connection of a socket is over in both directions.
+
+    By the kernel, also where the error was told to an earlier call. False where the
+    kernel does not tell.
+    """
+    if not hasattr(connected, "getsockopt"):
+        return False
+    with contextlib.suppress(*CLOSED_ERRORS):
+        info = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        return bool(info) and info[0] == TCP_CLOSE
+    return False
+
+
 def silent_s(connected: Any) -> float | None:
     """Return the seconds since a socket last received data, None if not known.
 
