A link with many frames lets other work go on

Cause: a link's reader takes frames for as long as some are here without a wait. Change: it lets others go on after 32 frames.

--- a/bamboovale/peers/channel.py
+++ b/bamboovale/peers/channel.py
@@ -1,5 +1,6 @@
 """A channel: an authenticated connection that counts its traffic."""
 
+import asyncio
 import ipaddress
 import logging
 from typing import Any
@@ -12,6 +13,8 @@
 
 # Bounds the memory of a link to a peer that reads too slowly.
 QUEUE_LIMIT = 512
+FRAMES_A_TURN = 32
+"""Received frames that are handled before other links have their turn."""
 
 # Silences the tracebacks that websockets logs for each failed connection.
 WEBSOCKETS_LOGGER = logging.getLogger("bamboovale.peers.library")
@@ -36,6 +39,7 @@
         self._connection = connection
         self._metrics = metrics
         self.close_cause = "closed"
+        self._frames = 0
 
     async def send(self, data: bytes) -> None:
         """Send one frame once there is room for it; raises ConnectionClosed."""
@@ -71,7 +75,14 @@
         self._metrics.peer_bytes_out.inc(len(data))
 
     async def receive(self) -> bytes | str:
-        """Return the next frame; raises ConnectionClosed."""
+        """Return the next frame; raises ConnectionClosed.
+
+        Guards against a peer that sends more than is handled: frames that are already
+        here come without a wait.
+        """
+        self._frames += 1
+        if self._frames % FRAMES_A_TURN == 0:
+            await asyncio.sleep(0)
         data = await self._connection.recv()
         self._metrics.peer_messages_in.inc()
         self._metrics.peer_bytes_in.inc(len(data))
--- a/tests/test_http1_received.py
+++ b/tests/test_http1_received.py
@@ -12,8 +12,10 @@
 from bamboovale.gateway.events import EventBuffer
 from bamboovale.http1.connection import (
     HIGH_WATER_BYTES,
+    MAX_INTERIM_RESPONSES,
     PARTS_A_TURN,
     Connection,
+    IncompleteResponse,
 )
 from bamboovale.http1.received import (
     MAX_HEAD_BYTES,
@@ -252,6 +254,43 @@
                 assert received.take_head() == b""
         assert added <= MAX_HEAD_BYTES + len(data)
 
+    @pytest.mark.parametrize("status", [b"000", b"099", b"00", b"0000", b"-20"])
+    def test_with_no_status_is_no_answer(self, status: bytes) -> None:
+        """Guards against an answer whose status its caller cannot read."""
+
+        async def test() -> None:
+            connection = Connection()
+            connection.connection_made(FakeTransport())
+            connection.send(REQUEST, b"")
+            head = b"HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\nhi" % status
+            connection.data_received(head)
+            with pytest.raises(IncompleteResponse):
+                await connection.head()
+
+        run(test())
+
+    @pytest.mark.parametrize("received_together", [1, 1000])
+    def test_of_interim_responses_only_is_no_answer(
+        self, received_together: int
+    ) -> None:
+        """Guards against interim responses without end that are skipped for ever."""
+
+        async def test() -> None:
+            connection = Connection()
+            connection.connection_made(FakeTransport())
+            connection.send(REQUEST, b"")
+            reading = asyncio.create_task(connection.head())
+            for _ in range(MAX_INTERIM_RESPONSES + 1):
+                await asyncio.sleep(0)
+                if not connection.closed:
+                    interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+                    connection.data_received(interim * received_together)
+            with pytest.raises(IncompleteResponse):
+                await reading
+            assert connection.closed
+
+        run(test())
+
     def test_a_whole_one_of_too_many_lines_is_refused(self) -> None:
         """Guards against a head that is whole before its size is looked at."""
         received = ReceivedBytes()
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -16,7 +16,7 @@
 
 from bamboovale.metrics import Metrics
 from bamboovale.peers import incoming
-from bamboovale.peers.channel import QUEUE_LIMIT
+from bamboovale.peers.channel import FRAMES_A_TURN, QUEUE_LIMIT, Channel
 from bamboovale.peers.codec import message
 from bamboovale.peers.keepalive import (
     IDLE_PING_INTERVAL_S,
@@ -314,6 +314,42 @@
         assert b.links.link_states()["a"].incoming == 1
 
 
+class _FullConnection:
+    """A connection on which the next frame is always here."""
+
+    async def recv(self) -> bytes:
+        """Return a frame at once."""
+        return b"frame"
+
+
+class TestManyFrames:
+    """A peer that sends more than its frames are handled."""
+
+    def test_others_go_on_between_them(self) -> None:
+        """Guards against one link that holds up all other work of a VM."""
+
+        async def test() -> None:
+            channel = Channel(_FullConnection(), Metrics())
+            received = 0
+
+            async def receive() -> None:
+                nonlocal received
+                while True:
+                    await channel.receive()
+                    received += 1
+
+            task = asyncio.create_task(receive())
+            received_by_pass = []
+            for _ in range(10):
+                await asyncio.sleep(0)
+                received_by_pass.append(received)
+            task.cancel()
+            steps = map(int.__sub__, received_by_pass[1:], received_by_pass)
+            assert set(steps) == {FRAMES_A_TURN}
+
+        asyncio.run(asyncio.wait_for(test(), 10.0))
+
+
 class TestUnreachable:
     """Messages that were not sent, so that they can be retried elsewhere."""
 
