The own interface bounds what engines answer without end

Cause: an engine's answer was read whole without a bound, an event without an end was kept and searched anew for each piece, and interim responses were skipped without a bound.

Change: one bounded reader, as for plain services; each byte of a stream is searched once and an event ends at 1 MiB; 16 interim responses at most.

--- a/bamboovale/entry/engine_run.py
+++ b/bamboovale/entry/engine_run.py
@@ -20,6 +20,8 @@
 """Covers the engine's queue and an answer of some thousand tokens."""
 
 STREAM_READ_BYTES = 64 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 DONE_EVENT = b"data: [DONE]"
 EVENT_END = b"\n\n"
 
@@ -103,7 +105,7 @@
 
     def read_answer(self, response: BaseHTTPResponse) -> bytes:
         """Return the body of a complete answer that is not a stream."""
-        data = self._read(response)
+        data = self._read()
         try:
             answer = json.loads(data)
         except ValueError as error:
@@ -120,19 +122,15 @@
         Raises RunFailedError(BROKEN) for a stream that ends without the marker, so
         that a truncated answer is not passed on as complete.
         """
-        pending = b""
         first = True
-        for chunk in self._read_chunks(response):
-            pending += chunk
-            while EVENT_END in pending:
-                event, pending = pending.split(EVENT_END, 1)
-                if event.strip() == DONE_EVENT:
-                    self._read_rest(response)
-                    return
-                if first:
-                    self._check_identity(_event_json(event))
-                    first = False
-                yield event + EVENT_END
+        for event in self._whole_events(response):
+            if event.strip() == DONE_EVENT:
+                self._read_rest()
+                return
+            if first:
+                self._check_identity(_event_json(event))
+                first = False
+            yield event
         raise RunFailedError(
             RunFailure.BROKEN, "the stream ended without its end marker"
         )
@@ -142,11 +140,31 @@
         if not self._finished:
             self._connections.discard(self.exchange)
 
-    def _read(self, response: BaseHTTPResponse) -> bytes:
+    def _read(self) -> bytes:
         try:
-            return response.read()
-        except (HTTPError, OSError, ValueError) as error:
-            raise RunFailedError(RunFailure.BROKEN, type(error).__name__) from error
+            return self.exchange.read(MAX_ANSWER_BYTES)
+        except ExchangeFailedError as error:
+            raise RunFailedError(RunFailure.BROKEN, str(error)) from error
+
+    def _whole_events(self, response: BaseHTTPResponse) -> Iterator[bytes]:
+        """Yield events with their ends; raises RunFailedError for one without an end.
+
+        Guards against an engine that sends without end: each byte is searched once,
+        and an event is bounded.
+        """
+        pending = bytearray()
+        searched = 0
+        for chunk in self._read_chunks(response):
+            pending += chunk
+            begin = 0
+            while (at := pending.find(EVENT_END, max(begin, searched))) >= 0:
+                event_end = at + len(EVENT_END)
+                yield bytes(pending[begin:event_end])
+                begin = searched = event_end
+            del pending[:begin]
+            searched = max(0, len(pending) - len(EVENT_END) + 1)
+            if len(pending) > MAX_EVENT_BYTES:
+                raise RunFailedError(RunFailure.BROKEN, "an event without an end")
 
     def _read_chunks(self, response: BaseHTTPResponse) -> Iterator[bytes]:
         try:
@@ -154,18 +172,17 @@
         except (HTTPError, OSError, ValueError, AttributeError) as error:
             raise RunFailedError(RunFailure.BROKEN, type(error).__name__) from error
 
-    def _read_rest(self, response: BaseHTTPResponse) -> None:
+    def _read_rest(self) -> None:
         """Read to the end of the response, so that the connection can be reused."""
         try:
-            rest = response.read()
-        except (HTTPError, OSError, ValueError, AttributeError):
-            rest = b"?"
-        if not rest:
-            self._finished = True
-            self._connections.release(self._target.address, self.exchange)
+            self.exchange.read(0)
+        except (ExchangeFailedError, AttributeError):
+            return
+        self._finished = True
+        self._connections.release(self._target.address, self.exchange)
 
     def _head_failure(self, response: BaseHTTPResponse) -> RunFailedError:
-        data = self._read(response)
+        data = self._read()
         if response.status in (404, 503):
             # The engine did not accept the request: the adapter is not loaded there,
             # or the engine is full.
--- a/bamboovale/http_responses.py
+++ b/bamboovale/http_responses.py
@@ -14,6 +14,7 @@
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
 FIRST_FINAL_STATUS = 200
+MAX_INTERIM_RESPONSES = 16
 
 
 class ResponseCutError(ConnectionError):
@@ -35,6 +36,7 @@
 
     def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
         super().__init__(sock, *args, **options)
+        self._heads = 0
         self.fp.close()
         self.fp = _WholeLines(sock.makefile("rb", buffering=0))
 
@@ -45,6 +47,13 @@
             self.headers = self.msg = None  # type: ignore[assignment]
             super().begin()
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read a status line; interim responses are bounded, also those of the base."""
+        self._heads += 1
+        if self._heads > MAX_INTERIM_RESPONSES + 1:
+            raise http.client.HTTPException("only interim responses")
+        return super()._read_status()  # type: ignore[misc,no-any-return]
+
 
 class Connection(HTTPConnection):
     """A connection on which only whole responses are received."""
--- a/tests/test_engine_run.py
+++ b/tests/test_engine_run.py
@@ -211,3 +211,33 @@
             first = run.start()
             first.read_answer(first.send("/v1/completions", b"{}"))
             assert run.start().exchange.connection is first.exchange.connection
+
+
+class TestAnswersWithoutEnd:
+    """An engine sends until it is cut; what is kept of that is bounded."""
+
+    BYTES = 24 * 1024 * 1024
+    """Far more than is kept of any answer."""
+
+    @pytest.mark.parametrize("status", [200, 400, 500])
+    def test_an_answer_is_broken(self, status: int) -> None:
+        """Guards against an answer that fills the memory."""
+        sent = response(status, b"x" * self.BYTES)
+        with engine_that_sends(sent) as address:
+            assert Run(address).failure("read_answer") is RunFailure.BROKEN
+
+    @pytest.mark.parametrize("line", [b"x", b"data: x\n"])
+    def test_an_event_is_broken(self, line: bytes) -> None:
+        """Guards against an event without an end that is kept, and searched anew."""
+        piece = line * (1000 // len(line))
+        sent = stream(event("a"), *[piece] * (self.BYTES // len(piece)))
+        with engine_that_sends(sent) as address:
+            assert Run(address).failure("events") is RunFailure.BROKEN
+
+    @pytest.mark.parametrize("status", [100, 103])
+    def test_interim_responses_are_no_answer(self, status: int) -> None:
+        """Guards against a thread that skips interim responses for ever."""
+        interim = b"HTTP/1.1 %d X\r\n\r\n" % status
+        sent = interim * 100_000 + response(200, answer())
+        with engine_that_sends(sent) as address:
+            assert Run(address).failure("read_answer") is not None
