--- a/tests/test_hostile_endpoints.py
+++ b/tests/test_hostile_endpoints.py
@@ -92,14 +92,17 @@
     await send_all(address, request(path, next(_numbers), *fields) + b"hi")
 
 
-async def press(directory: Path, path: str, names: Iterable[str]) -> None:
+async def press(
+    directory: Path, path: str, names: Iterable[str], *, relayed: bool = False
+) -> None:
     """Have many callers ask for answers without end, beside ordinary requests.
 
-    These are of a kind that the other endpoint serves.
+    These are of a kind that the other endpoint serves. With ``relayed`` another VM
+    sends them all.
     """
     other = ("/book/1", None) if ROUTES[path] else ("/chat/1", "a1")
     kinds = itertools.cycle(names)
-    async with pressed_site(directory, *other) as site:
+    async with pressed_site(directory, *other, relayed=relayed) as site:
         tasks = [
             asyncio.create_task(again_and_again(lambda: ask_for(site, path, kinds)))
             for _ in range(CALLERS)
@@ -112,11 +115,14 @@
 
 @asynccontextmanager
 async def pressed_site(
-    directory: Path, path: str, adapter: str | None = None
+    directory: Path, path: str, adapter: str | None = None, *, relayed: bool = False
 ) -> AsyncIterator[HostileSite]:
     """Run a site and ask it for what is sound; check the answers, and what is held."""
-    async with running_site(directory, **LIMITS) as site:
+    async with running_site(directory, vms=2 if relayed else 1, **LIMITS) as site:
         vm = site.vms[0]
+        if relayed:
+            site.cut_from_endpoints(vm)
+            await site.check_serves(vm)
         before = usage_of(vm)
         ordinary = Ordinary(vm, path, adapter)
         asking = asyncio.create_task(ordinary.run())
@@ -155,6 +161,15 @@
         run(press(tmp_path, "/long/1", [name]))
 
 
+class TestRelays:
+    """Answers by way of another VM."""
+
+    @pytest.mark.parametrize("path", ["/long/1", "/book/1"])
+    def test_in_all_ways_without_an_end(self, tmp_path: Path, path: str) -> None:
+        """Guards against two VMs that are filled, or held up, by one endpoint."""
+        run(press(tmp_path, path, ANSWERS, relayed=True))
+
+
 class TestReports:
     """Answers to a VM's own questions to endpoints."""
 
