--- a/tests/test_start_check.py
+++ b/tests/test_start_check.py
@@ -35,6 +35,19 @@
     await asyncio.sleep(0.5)
 
 
+def known_start(address: tuple[str, int], started_ms: int) -> EndpointRecord:
+    """Return the record of an engine that is known."""
+    return EndpointRecord(
+        registered_id="e",
+        service="llm",
+        address=address,
+        failure_domain="a",
+        ready=True,
+        slots=8,
+        started_ms=started_ms,
+    )
+
+
 async def check(started_ms: int) -> None:
     """Check a start on a connection whose request was rejected."""
     document = node_document(("127.0.0.1", 1), "entry-0")
@@ -42,16 +55,7 @@
     async with endpoint(rejects_twice_and_reports) as address:
         connection = await Connection.open(*address, timeout_s=10.0)
         await ask(connection)
-        record = EndpointRecord(
-            registered_id="e",
-            service="llm",
-            address=address,
-            failure_domain="a",
-            ready=True,
-            slots=8,
-            started_ms=started_ms,
-        )
-        await check_start(connection, record, codec)
+        await check_start(connection, known_start(address, started_ms), codec)
         assert connection.reusable
 
 
@@ -65,3 +69,37 @@
     def test_another_start_is_recognized(self) -> None:
         with pytest.raises(AnotherStart):
             run(check(STARTED_MS + 1))
+
+
+async def reports_and_closes(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer a request, then send a report that says that the connection ends."""
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(REJECTION)
+    await reader.readuntil(b"\r\n\r\n")
+    body = json.dumps({"models": [], "seq": 2, "born": STARTED_MS}).encode()
+    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n"
+    writer.write(head % len(body) + body)
+    await asyncio.sleep(0.5)
+
+
+class TestLastAnswer:
+    """An endpoint says with its report that it ends the connection."""
+
+    def test_nothing_more_is_sent_on_it(self) -> None:
+        """Guards against a request that fails as its connection is no longer used."""
+
+        async def test() -> None:
+            codec = PlatformTranslation(
+                NodeSettings.from_document(
+                    node_document(("127.0.0.1", 1), "entry-0")
+                ).unwrap()
+            )
+            async with endpoint(reports_and_closes) as address:
+                connection = await Connection.open(*address, timeout_s=10.0)
+                await ask(connection)
+                await check_start(connection, known_start(address, STARTED_MS), codec)
+                assert connection.reusable or connection.closed
+
+        run(test())
