Test of a waiting request as a stop begins waits for the full engine, not for a time

Traced by its log: the test's loop stood still for 0.179 s of the 0.2 s in which it let eight streams begin (event_loop_paused), so it took its count before these had begun. The request that waits was refused with 503 and never ran: 16 are 8 of before and these 8.

Change: the test waits until the eight have begun, then checks as strictly as before.

--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -209,9 +209,9 @@
             async with running_site(**SITE) as site:
                 await learn_run_time(site)
                 site.runners[0].faults.event_s = 4.0 / EVENTS
+                before = len(site.runners[0].runs) + PLACES
                 full = [asyncio.create_task(stream(site, vm=1)) for _ in range(PLACES)]
-                await asyncio.sleep(0.2)
-                before = len(site.runners[0].runs)
+                await eventually(lambda: len(site.runners[0].runs) == before)
                 waiting = asyncio.create_task(draft(site))
                 await asyncio.sleep(0.1)
                 site.vms[0].vm.stop()
