No request is sent on a connection that ended with a report

Cause: check_start left the connection open and not usable, and EndpointClient asks only whether it is closed. Change: check_start closes it, so that the request is not sent there.

--- a/bamboovale/streams/start_check.py
+++ b/bamboovale/streams/start_check.py
@@ -13,14 +13,13 @@
 from bamboovale.gateway.model import AnswerFacts, EndpointRecord, EngineReport
 from bamboovale.http1.body import read_body
 from bamboovale.http1.connection import (
+    MAX_STALE_RESPONSES,
     Connection,
     IncompleteResponse,
     ResponseHead,
 )
 
 TIMEOUT_S = 1.0
-MAX_STALE_ANSWERS = 2
-"""Answers to earlier requests that are skipped on one connection."""
 MAX_REPORT_BYTES = 256 * 1024
 """Also of such an answer, which may be that to a request."""
 OK = 200
@@ -46,7 +45,10 @@
 async def check_start(
     connection: Connection, record: EndpointRecord, codec: ReportCodec
 ) -> None:
-    """Read the report of an engine on a connection; raises AnotherStart."""
+    """Read the report of an engine on a connection; raises AnotherStart.
+
+    Closes the connection if nothing more can be sent on it.
+    """
     host = f"{record.address[0]}:{record.address[1]}"
     try:
         async with asyncio.timeout(TIMEOUT_S):
@@ -62,6 +64,9 @@
         raise AnotherStart(str(error)) from error
     if report.started_ms != record.started_ms:
         raise AnotherStart("the engine started again")
+    if not connection.reusable:
+        # Guards against a request on a connection that ends with the report.
+        connection.close()
 
 
 async def _read_report(
@@ -71,7 +76,7 @@
 
     Those name their request, which a report does not.
     """
-    for _ in range(MAX_STALE_ANSWERS + 1):
+    for _ in range(MAX_STALE_RESPONSES + 1):
         head = await connection.head()
         body = await read_body(connection, MAX_REPORT_BYTES)
         if codec.decode_answer(head).request_id is None:
