Answers that are cut at a bound are logged and counted by the bound's name

No bound and no behaviour changes. Beside it, read anew: one constant for answers that are skipped (it stood twice), the loop of _check_end, the name of the bytes that are searched again.

--- a/bamboovale/gateway/endpoint_access.py
+++ b/bamboovale/gateway/endpoint_access.py
@@ -38,13 +38,16 @@
         on_relayed_run_lost: Callable[[str], None],
     ) -> "EndpointAccess":
         """Return the access of a VM that is being built."""
+        relays = Relays(
+            links, state.fleet.helpers, RelayChoice(rng), state.now, pool.note_limit
+        )
         client = EndpointClient(
             pool,
             translation,
             state.now,
             state.signals.on_answer,
             state.path_watch,
-            Relays(links, state.fleet.helpers, RelayChoice(rng), state.now),
+            relays,
         )
         gate = SendGate(
             state.limits,
--- a/bamboovale/gateway/endpoint_client.py
+++ b/bamboovale/gateway/endpoint_client.py
@@ -12,8 +12,10 @@
 from bamboovale.gateway.call import Call, CallCodec
 from bamboovale.gateway.model import AnswerFacts, AnswerNotice, EndpointRecord
 from bamboovale.gateway.path_watch import PathWatch
+from bamboovale.http1.answer_limits import AnswerLimit
 from bamboovale.http1.body import read_body, skip_body
 from bamboovale.http1.connection import (
+    MAX_STALE_RESPONSES,
     ConnectFailed,
     Connection,
     ConnectRefused,
@@ -24,8 +26,6 @@
 from bamboovale.relay.client import NotSent, Relays
 from bamboovale.streams.start_check import AnotherStart, ReportCodec, check_start
 
-MAX_STALE_ANSWERS = 2
-"""Answers to earlier requests that are skipped on one connection."""
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 """Limit of an answer that is buffered whole before it is forwarded."""
 
@@ -72,6 +72,7 @@
     is_reused: bool
     skipped: int
     has_received: bool
+    on_limit: Callable[[AnswerLimit], None]
 
     @property
     def via(self) -> str | None:
@@ -370,7 +371,7 @@
     ) -> tuple[ResponseHead, AnswerFacts]:
         """Return the head of the answer to this request, skipping stale answers."""
         sent_at = self._now()
-        for _ in range(MAX_STALE_ANSWERS + 1):
+        for _ in range(MAX_STALE_RESPONSES + 1):
             head = await connection.head()
             facts = self._codec.decode_answer(head)
             is_own = _is_own(facts, connection, request_id)
--- a/bamboovale/gateway/events.py
+++ b/bamboovale/gateway/events.py
@@ -22,6 +22,10 @@
         self.is_position_known = is_position_known
 
 
+class EventTooLong(EventsBroken):
+    """An event has no end within the bound of an event."""
+
+
 @dataclass(frozen=True)
 class Event:
     """One whole event as received; ``event_id`` is None if it has no id."""
@@ -133,7 +137,7 @@
         del self._pending[:begin]
         self._searched = max(0, len(self._pending) - SEARCHED_AGAIN_BYTES)
         if len(self._pending) > MAX_EVENT_BYTES:
-            raise EventsBroken("the event exceeds the size limit")
+            raise EventTooLong("the event exceeds the size limit")
 
     def _check_order(self, event_id: str) -> None:
         """Raise EventsBroken unless an id may follow the last one.
--- a/bamboovale/gateway/model_calls.py
+++ b/bamboovale/gateway/model_calls.py
@@ -18,12 +18,13 @@
 )
 from bamboovale.gateway.endpoints import EndpointView
 from bamboovale.gateway.engines import Engines, GrantedPlace
-from bamboovale.gateway.events import EventBuffer, EventsBroken
+from bamboovale.gateway.events import EventBuffer, EventsBroken, EventTooLong
 from bamboovale.gateway.model import AnswerFacts, EndpointRecord, ModelWork
 from bamboovale.gateway.place_search import PlaceSearch
 from bamboovale.gateway.retry_budgets import RetryBudgets, cause_of
 from bamboovale.gateway.send_gate import SendGate
 from bamboovale.gateway.stream_progress import Progress, StreamCut
+from bamboovale.http1.answer_limits import AnswerLimit
 from bamboovale.http1.connection import IncompleteResponse
 from bamboovale.streams.call_streams import CallStreams
 
@@ -267,6 +268,8 @@
                 await write
                 progress.events.raise_if_broken()
         except (IncompleteResponse, EventsBroken) as error:
+            if isinstance(error, EventTooLong):
+                attempt.connection.on_limit(AnswerLimit.EVENT)
             if isinstance(error, EventsBroken):
                 progress.is_position_known = error.is_position_known
             raise StreamCut(f"stream cut: {error}") from error
--- a/bamboovale/gateway/pools.py
+++ b/bamboovale/gateway/pools.py
@@ -5,6 +5,7 @@
 from bamboovale.gateway.client_bounds import ENDPOINTS, ClientBounds
 from bamboovale.gateway.jobs import Job
 from bamboovale.gateway.vm_state import VMState
+from bamboovale.http1.answer_limits import AnswerLimit
 from bamboovale.http1.pool import ConnectionPool, sweep_forever
 from bamboovale.metrics import Metrics
 
@@ -18,6 +19,7 @@
     def __init__(self, state: VMState, metrics: Metrics, bounds: ClientBounds) -> None:
         self._state = state
         self._opened = metrics.gateway_connections_opened
+        self._cut = metrics.gateway_answers_cut
         self.endpoint = self._to_endpoints("endpoint")
         self.endpoint.limit(
             bounds.sockets(ENDPOINTS), partial(bounds.on_dropped, ENDPOINTS)
@@ -27,6 +29,8 @@
         self.store = ConnectionPool(
             state.now, self._opened.labels("store").inc, state.node.ip
         )
+        for pool in (self.endpoint, self.control, self.store):
+            pool.tell_limits(self._on_limit)
 
     def _to_endpoints(self, purpose: str) -> ConnectionPool:
         paths = self._state.path_watch
@@ -39,6 +43,11 @@
             paths.paths.is_in_doubt,
         )
 
+    def _on_limit(self, endpoint_id: str, limit: AnswerLimit) -> None:
+        """Log and count an answer that was cut at a bound."""
+        self._cut.labels(limit).inc()
+        self._state.journal.write("answer_cut", endpoint=endpoint_id, limit=limit)
+
     def sweeps(self) -> dict[str, Job]:
         """Return the tasks by name that close idle connections to endpoints."""
         return {
--- a/bamboovale/http1/body.py
+++ b/bamboovale/http1/body.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from bamboovale.http1.answer_limits import AnswerLimit
 from bamboovale.http1.connection import IncompleteResponse
 
 
@@ -11,7 +12,9 @@
 
 
 class BodySource(Protocol):
-    """Gives the parts of a body."""
+    """Gives the parts of a body; ``on_limit`` is told if there are too many bytes."""
+
+    on_limit: Callable[[AnswerLimit], None]
 
     async def data(self) -> bytes | None:
         """Return the next body bytes, None at its end; raises IncompleteResponse."""
@@ -33,7 +36,7 @@
             body += data
             on_size(len(body))
             if len(body) > most_bytes:
-                raise BodyTooLong(f"more than {most_bytes} bytes")
+                raise _too_long(source, most_bytes)
         return bytes(body)
     finally:
         body.clear()
@@ -45,4 +48,9 @@
     while (data := await source.data()) is not None:
         size += len(data)
         if size > most_bytes:
-            raise BodyTooLong(f"more than {most_bytes} bytes")
+            raise _too_long(source, most_bytes)
+
+
+def _too_long(source: BodySource, most_bytes: int) -> BodyTooLong:
+    source.on_limit(AnswerLimit.BODY)
+    return BodyTooLong(f"more than {most_bytes} bytes")
--- a/bamboovale/http1/connection.py
+++ b/bamboovale/http1/connection.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from bamboovale.http1.answer_limits import AnswerLimit
 from bamboovale.http1.flow_control import FlowControl
 from bamboovale.http1.received import PIECE_BYTES, HeadTooLarge, ReceivedBytes
 from bamboovale.http1.sockets import (
@@ -29,7 +30,11 @@
 REQUEST_TAKEN_CHECK_S = 0.01
 MAX_LINE_BYTES = 4 * 1024
 """Of a line between chunks, and of the trailers behind them, beyond a piece."""
+HEADER_FIELDS_TOO_LARGE = 431
+"""What the parser names when lines exceed that."""
 MAX_INTERIM_RESPONSES = 16
+MAX_STALE_RESPONSES = 2
+"""Responses to earlier requests that are skipped on one connection."""
 PARTS_A_TURN = 128
 """Parts of a body that are taken apart before other connections have their turn."""
 HIGH_WATER_BYTES = 256 * 1024
@@ -73,13 +78,14 @@
     ``carried_ids`` are the kept ids of the requests that it was taken for last;
     ``is_reused`` is whether another request went before the last one; ``skipped``
     counts responses to other requests that came instead of the expected ones.
-    ``on_received`` is told how many bytes of a response were received. ``turns`` are
-    those of all connections of its kind.
+    ``on_received`` is told how many bytes of a response were received, ``on_limit``
+    which bound a response exceeded. ``turns`` are those of all connections of its kind.
     """
 
     def __init__(self) -> None:
         self.closed = False
         self.on_received: Callable[[int], None] = lambda size: None
+        self.on_limit: Callable[[AnswerLimit], None] = lambda limit: None
         self.turns = Turns()
         self.carried_ids: deque[str] = deque(maxlen=CARRIED_IDS)
         self.is_reused = False
@@ -201,6 +207,7 @@
             self._has_head = True
             self._note_keep_alive(event)
             return ResponseHead(event.status_code, list(event.headers))
+        self.on_limit(AnswerLimit.INTERIM)
         self.close()
         raise IncompleteResponse("only interim responses")
 
@@ -284,12 +291,19 @@
         try:
             event = self._parse()
         except (h11.RemoteProtocolError, HeadTooLarge) as error:
+            self._tell_limit(error)
             self.close()
             raise IncompleteResponse(str(error)) from error
         if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
             raise IncompleteResponse("ended")
         return event
 
+    def _tell_limit(self, error: Exception) -> None:
+        if isinstance(error, HeadTooLarge):
+            self.on_limit(AnswerLimit.HEAD)
+        elif getattr(error, "error_status_hint", None) == HEADER_FIELDS_TOO_LARGE:
+            self.on_limit(AnswerLimit.LINE)
+
     def _parse(self) -> Any:
         """Return the parser's next event, None once it has been given all bytes."""
         while True:
@@ -349,16 +363,16 @@
         connected = self._transport.get_extra_info("socket")
         loop = asyncio.get_running_loop()
         deadline = loop.time() + REQUEST_TAKEN_S
-        while self._transport.get_write_buffer_size() or unsent_in_kernel(connected):
-            if self._reset or self.closed or is_reset(connected):
-                break
+        while not (self._reset or self.closed or is_reset(connected)):
+            unsent = self._transport.get_write_buffer_size()
+            if not unsent and not unsent_in_kernel(connected):
+                return
             if loop.time() > deadline:
                 self.close()
                 raise IncompleteResponse("ended before the request was taken")
             await asyncio.sleep(REQUEST_TAKEN_CHECK_S)
-        if self._reset or self.closed or is_reset(connected):
-            self.close()
-            raise IncompleteResponse("reset")
+        self.close()
+        raise IncompleteResponse("reset")
 
     def _note_keep_alive(self, head: h11.Response) -> None:
         for name, value in head.headers:
--- a/bamboovale/http1/pool.py
+++ b/bamboovale/http1/pool.py
@@ -5,12 +5,16 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from weakref import WeakSet
 
+from bamboovale.http1.answer_limits import AnswerLimit
 from bamboovale.http1.connection import CONNECT_TIMEOUT_S, ConnectFailed, Connection
 from bamboovale.http1.turns import Turns
 from bamboovale.request_ids import kept_id
 
+OnLimit = Callable[[str, AnswerLimit], None]
+"""Is told of the endpoint and bound of an answer that is cut."""
 KEEP_ALIVE_S = 4.0
 """Idle limit for endpoints that send no ``Keep-Alive: timeout``."""
 KEEP_ALIVE_MARGIN_S = 1.0
@@ -63,6 +67,7 @@
         self._most: float = math.inf
         self._on_full: Callable[[], None] = lambda: None
         self._on_received: Callable[[int], None] = lambda size: None
+        self._on_limit: OnLimit = lambda endpoint_id, limit: None
 
     def limit(self, most: int, on_full: Callable[[], None]) -> None:
         """Keep at most so many connections open; ``on_full`` is told of each other.
@@ -75,6 +80,14 @@
         """Have ``on_received`` told of the bytes of responses, as they come."""
         self._on_received = on_received
 
+    def tell_limits(self, on_limit: OnLimit) -> None:
+        """Have ``on_limit`` told of the endpoint and bound of an answer that is cut."""
+        self._on_limit = on_limit
+
+    def note_limit(self, endpoint_id: str, limit: AnswerLimit) -> None:
+        """Tell that an answer of an endpoint is cut at a bound."""
+        self._on_limit(endpoint_id, limit)
+
     async def take(
         self,
         endpoint_id: str,
@@ -132,6 +145,7 @@
         finally:
             self._opening -= 1
         connection.on_received = self._on_received
+        connection.on_limit = partial(self.note_limit, endpoint_id)
         connection.turns = self._turns
         self._open.add(connection)
         return connection
--- a/bamboovale/http1/received.py
+++ b/bamboovale/http1/received.py
@@ -9,7 +9,8 @@
 """Each line takes much more memory than it has bytes."""
 FIRST_PRINTABLE = 0x21
 END_OF_HEAD = re.compile(rb"\n\r?\n")
-END_OF_HEAD_BYTES = 3
+SEARCHED_AGAIN_BYTES = 2
+"""Of the end of a head, which may come in two pieces."""
 
 
 class HeadTooLarge(Exception):  # noqa: N818 - names the condition
@@ -59,7 +60,7 @@
             raise HeadTooLarge(f"a head of more than {MAX_HEAD_LINES} lines")
         if found:
             return self._take(size)
-        self._searched = max(0, size - END_OF_HEAD_BYTES)
+        self._searched = max(0, size - SEARCHED_AGAIN_BYTES)
         return b""
 
     def clear(self) -> None:
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -104,6 +104,11 @@
             "Clients cut or not let in, by the limit of this process.",
             ["limit"],
         )
+        self.gateway_answers_cut = self._counter(
+            "gateway_answers_cut",
+            "Answers of endpoints and the store that were cut, by the bound exceeded.",
+            ["limit"],
+        )
         self.gateway_store_calls = self._counter(
             "gateway_store_calls",
             "Calls to the metadata store by name.",
--- a/bamboovale/relay/client.py
+++ b/bamboovale/relay/client.py
@@ -4,11 +4,13 @@
 import random
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future
+from functools import partial
 from typing import Any, Protocol
 
 import h11
 
 from bamboovale.decisions.relay_choice import Helper, RelayChoice
+from bamboovale.http1.answer_limits import AnswerLimit
 from bamboovale.http1.connection import IncompleteResponse, ResponseHead
 from bamboovale.peers.loop_calls import await_on_loop
 from bamboovale.peers.outgoing import (
@@ -72,6 +74,9 @@
         check_wanted: Callable[[], None],
     ) -> None:
         self.closed = False
+        self.on_limit: Callable[[AnswerLimit], None] = partial(
+            relays.on_limit, endpoint_id
+        )
         self.via: str | None = None
         self._relays = relays
         self._relay_id = relay_id
@@ -203,7 +208,8 @@
 class Relays:
     """The exchanges of this VM by way of others.
 
-    ``helpers`` returns the live VMs that may send a request for this one.
+    ``helpers`` returns the live VMs that may send a request for this one. ``on_limit``
+    is told of the endpoint and bound of an answer that is cut here.
     """
 
     def __init__(
@@ -212,8 +218,10 @@
         helpers: Callable[[], Iterable[Helper]],
         choice: RelayChoice,
         now: Callable[[], float],
+        on_limit: Callable[[str, AnswerLimit], None] = lambda endpoint, limit: None,
     ) -> None:
         self.links = links
+        self.on_limit = on_limit
         self.now = now
         self._helpers = helpers
         self._choice = choice
