Endpoints that answer a part of their calls are not left out of a granter's pool

Cause: the granter left an endpoint out after five failures in a row, which come by chance about once a second where 0.45 of all calls fail; the cap of a third of the pool counted failures in a row, which a call still under way resets while the pause lasts, so that all were left out at once; and the pause doubled to 30 s, long after the failures had ended.

A row counts only if it hardly ever comes by chance, by how the endpoint answered until it began and by the best other endpoint. What is left out is a state of its own, which an answer to a call begun since ends together with the pause. The last endpoint that takes calls stays, so that a cap by count is not needed: two dead endpoints of three are left out. The pause doubles to 4 s only.

tests/test_place_shortages.py judges callers by what the endpoints left could serve.

--- a/bamboovale/decisions/place_endpoint.py
+++ b/bamboovale/decisions/place_endpoint.py
@@ -5,6 +5,10 @@
 pool, so that an endpoint that was slow is tried again. A rejection shows that the
 endpoint has fewer places than assumed, for instance because VMs without a granter send
 calls there: it gets no more than it had accepted, and regains places with each answer.
+
+An endpoint that has stopped working is left out, then one call tries it. An answer to a
+call that began since ends that at once: an endpoint that answers some of its calls is
+worth more than none.
 """
 
 import math
@@ -13,6 +17,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from bamboovale.decisions.failure_row import FailureRow
+
 INITIAL_CALL_S = 0.05
 """Assumed until an endpoint of the pool has answered."""
 TIME_WEIGHT = 0.25
@@ -24,12 +30,9 @@
 ERROR_COST = 12.0
 """Cost added to an endpoint that only fails, as a multiple of its time: fast failures
 must not attract calls."""
-ERROR_WEIGHT = 0.12
-"""Weight of one call in the share of errors."""
-FAILURES_TO_PAUSE = 5
-"""Consecutive failures; hardly ever reached by chance."""
 FIRST_FAILURE_PAUSE_S = 2.0
-MAX_FAILURE_PAUSE_S = 30.0
+MAX_FAILURE_PAUSE_S = 4.0
+"""Short, as one call of all VMs tries the endpoint, and its places may be missed."""
 MAX_REJECTION_PAUSE_S = 1.0
 """Bounds of pauses that double with each further setback."""
 
@@ -56,7 +59,10 @@
 
 @dataclass
 class PlaceEndpoint:
-    """One endpoint; ``slots`` are the calls that it runs concurrently."""
+    """One endpoint; ``slots`` are the calls that it runs concurrently.
+
+    ``is_left_out`` is whether it has stopped working, and has not answered since.
+    """
 
     slots: int
     used_by_key: dict[PlaceKey, UsedPlace] = field(default_factory=dict)
@@ -65,9 +71,10 @@
     _held_s: float | None = None
     _overhead_s: float = 0.0
     _sampled_at: float = -math.inf
-    _error_share: float = 0.0
+    failures: FailureRow = field(default_factory=FailureRow)
+    is_left_out: bool = False
     _ended_at: float = -math.inf
-    _failures_in_row: int = 0
+    _row_began_at: float = -math.inf
     _pauses_in_row: int = 0
     _paused_at: float = -math.inf
 
@@ -98,9 +105,9 @@
         """Return whether it gets no calls after a setback."""
         return now < self.paused_until
 
-    def is_failing(self) -> bool:
-        """Return whether it was paused for failures and has not answered since."""
-        return self._failures_in_row >= FAILURES_TO_PAUSE
+    def end_pause(self) -> None:
+        """Let it take calls again; if it was left out, one at first."""
+        self.paused_until = -math.inf
 
     def has_free(self, now: float, in_transit: bool = False) -> bool:
         """Return whether one more call may be sent."""
@@ -123,7 +130,7 @@
         """Return the cost of one more call there, by its time, errors and load."""
         load = len(self.used_by_key) / self.slots
         faded = math.exp(-max(0.0, now - self._ended_at) / TIME_DECAY_S)
-        errors = ERROR_COST * self._error_share * faded
+        errors = ERROR_COST * self.failures.error_share * faded
         return self.call_s(now, pool_s) * (1.0 + errors) * (1.0 + load)
 
     def rate_per_s(self, now: float, pool_s: float) -> float:
@@ -134,12 +141,17 @@
         return (self.room + self.room_in_transit) / self._usual_s(now, pool_s)
 
     def end(
-        self, key: PlaceKey, end: CallEnd, took_s: float, now: float, may_pause: bool
+        self,
+        key: PlaceKey,
+        end: CallEnd,
+        took_s: float,
+        now: float,
+        usual_error_share: float | None,
     ) -> bool:
         """Free a place; return False if it was not in use.
 
-        ``took_s`` is the time of the call as its VM saw it. ``may_pause`` is whether
-        another failing endpoint may be left out.
+        ``took_s`` is the time of the call as its VM saw it. ``usual_error_share`` is
+        that of the best endpoint that would remain without this one, None without any.
         """
         used = self.used_by_key.pop(key, None)
         if used is None:
@@ -150,8 +162,10 @@
         was_sent = end is not CallEnd.UNUSED or took_s > 0.0
         if was_sent:
             self._learn(used, end, took_s, now)
-        if end is not CallEnd.UNUSED:
-            self._on_ended(end, now, may_pause)
+        if end is CallEnd.ANSWERED:
+            self._on_answered(used, now)
+        elif end is CallEnd.FAILED:
+            self._on_failed(now, usual_error_share)
         return True
 
     def expire(self, now: float) -> list[PlaceKey]:
@@ -161,20 +175,32 @@
             del self.used_by_key[key]
         return expired
 
-    def _on_ended(self, end: CallEnd, now: float, may_pause: bool) -> None:
-        failed = end is CallEnd.FAILED
+    def _on_answered(self, used: UsedPlace, now: float) -> None:
         self._ended_at = now
-        self._error_share += ERROR_WEIGHT * (failed - self._error_share)
-        if failed:
-            self._failures_in_row += 1
-            if self.is_failing() and may_pause:
-                self._pause(FIRST_FAILURE_PAUSE_S, MAX_FAILURE_PAUSE_S, now)
-                # One call shows whether the endpoint works again.
-                self._room = 1.0
-            return
-        self._failures_in_row = self._pauses_in_row = 0
+        began_at = -math.inf if used.granted_at is None else used.granted_at
+        if self.is_left_out and began_at >= self._row_began_at:
+            self.paused_until = now
+        if self.is_left_out:
+            # What it did while it had stopped working says nothing of it now.
+            self.is_left_out = False
+            self.failures = FailureRow()
+        self.failures.on_answer()
+        self._pauses_in_row = 0
         self._room = min(self.slots, self._room + 1.0 / self._room)
 
+    def _on_failed(self, now: float, usual_error_share: float | None) -> None:
+        self._ended_at = now
+        if not self.failures.length:
+            self._row_began_at = now
+        self.failures.on_failure()
+        if usual_error_share is None:
+            return
+        if self.is_left_out or self.failures.is_conclusive(usual_error_share):
+            self.is_left_out = True
+            self._pause(FIRST_FAILURE_PAUSE_S, MAX_FAILURE_PAUSE_S, now)
+            # One call shows whether the endpoint works again.
+            self._room = 1.0
+
     def _learn(self, used: UsedPlace, end: CallEnd, took_s: float, now: float) -> None:
         """Learn the time of a call; one without an answer shows only a slow endpoint.
 
@@ -204,7 +230,7 @@
         pause_s = min(max_s, first_s * 2.0**self._pauses_in_row)
         self._pauses_in_row = min(self._pauses_in_row + 1, 10)
         self._paused_at = now
-        self.paused_until = now + pause_s
+        self.paused_until = max(self.paused_until, now + pause_s)
 
     def _oldest_s(self, now: float) -> float:
         granted = [used.granted_at for used in self.used_by_key.values()]
--- a/bamboovale/decisions/shared_places.py
+++ b/bamboovale/decisions/shared_places.py
@@ -24,8 +24,6 @@
     pool_call_s,
 )
 
-MAX_PAUSED_SHARE = 1.0 / 3.0
-"""Share of a pool that is left out for failures."""
 MAX_WAITING = 4096
 """Bound of the queue's memory; expected waits bound it far below."""
 
@@ -111,6 +109,11 @@
             endpoint = known.get(endpoint_id) or PlaceEndpoint(slots)
             endpoint.slots = max(1, slots)
             self._endpoint_by_id[endpoint_id] = endpoint
+        endpoints = self._endpoint_by_id.values()
+        if all(endpoint.is_left_out for endpoint in endpoints):
+            # Guards against a pool of which nothing is left as the others have gone.
+            for endpoint in endpoints:
+                endpoint.end_pause()
         self._endpoint_by_key = {
             key: endpoint_id
             for key, endpoint_id in self._endpoint_by_key.items()
@@ -153,7 +156,7 @@
         endpoint_id = self._endpoint_by_key.pop(key, None)
         if endpoint_id is not None:
             endpoint = self._endpoint_by_id[endpoint_id]
-            endpoint.end(key, end, took_s, now, self._may_pause(endpoint))
+            endpoint.end(key, end, took_s, now, self._usual_error_share(endpoint))
 
     def on_vm_gone(self, vm_id: str) -> None:
         """Free the places of a VM that has ended, and drop its requests."""
@@ -316,11 +319,14 @@
         endpoints = self._endpoint_by_id.values()
         return any(endpoint.has_free(now, in_transit=True) for endpoint in endpoints)
 
-    def _may_pause(self, endpoint: PlaceEndpoint) -> bool:
+    def _usual_error_share(self, endpoint: PlaceEndpoint) -> float | None:
+        """Return the share of errors at the best other endpoint that takes calls.
+
+        Guards against a pool whose endpoints all fail, and are all left out.
+        """
         others = [e for e in self._endpoint_by_id.values() if e is not endpoint]
-        failing = sum(other.is_failing() for other in others)
-        max_failing = max(1, int((len(others) + 1) * MAX_PAUSED_SHARE))
-        return bool(others) and failing < max_failing
+        shares = (e.failures.error_share for e in others if not e.is_left_out)
+        return min(shares, default=None)
 
     def _use(self, key: PlaceKey, endpoint_id: str, used: UsedPlace) -> None:
         self._endpoint_by_id[endpoint_id].used_by_key[key] = used
--- a/bench/shared_place_simulation.py
+++ b/bench/shared_place_simulation.py
@@ -22,7 +22,7 @@
 from bamboovale.gateway.endpoint_client import NotRun
 from bamboovale.gateway.journal import Journal
 from bamboovale.gateway.model import CallFacts, CallKind, EndpointRecord, Route
-from bamboovale.gateway.plain_calls import PlainCalls
+from bamboovale.gateway.plain_calls import SERVER_ERROR, PlainCalls
 from bamboovale.gateway.retry_budgets import RetryBudgets
 from bamboovale.http1.request import Request
 from bamboovale.peers.codec import encode
@@ -79,7 +79,10 @@
     the first endpoint, or (``all_slow``) all, slower by ``slow_factor``. The granter is
     the first VM: it is killed at ``killed_at``. The second half of the VMs is cut from
     the first while ``cut``, takes the second VM for the granter while ``two_granters``,
-    and gets its messages 2 s late while ``delayed``.
+    and gets its messages 2 s late while ``delayed``. No VM is known as granter while
+    ``unknown_granter``. While ``failing``, the first ``failing_endpoints`` answer
+    ``failing_share`` of their calls with an error after ``failing_part`` of the usual
+    time. The last ``leaving_endpoints`` take no new calls while ``leaving``.
     """
 
     vms: int = 89
@@ -101,6 +104,13 @@
     cut: Span = Span()
     two_granters: Span = Span()
     delayed: Span = Span()
+    unknown_granter: Span = Span()
+    failing: Span = Span()
+    failing_share: float = 1.0
+    failing_part: float = 0.05
+    failing_endpoints: int = 1
+    leaving: Span = Span()
+    leaving_endpoints: int = 1
     kind: CallKind = CallKind.UNSAFE
 
 
@@ -120,6 +130,8 @@
     bytes_by_kind: Counter[str] = field(default_factory=Counter)
     sent_by_kind: Counter[str] = field(default_factory=Counter)
     by_outcome: Counter[str] = field(default_factory=Counter)
+    in_time_by_s: Counter[int] = field(default_factory=Counter)
+    callers_by_s: Counter[int] = field(default_factory=Counter)
     used_after: int = 0
 
     def share(self, count: int) -> float:
@@ -163,8 +175,14 @@
         is_slow = day.slow.holds(now()) and (day.all_slow or self.number == 0)
         return day.slow_factor if is_slow else 1.0
 
-    async def run(self) -> None:
-        """Run a call, or raise NotRun at once."""
+    def fails(self) -> bool:
+        """Return whether a call that starts now is answered with an error."""
+        day = self.day
+        is_failing = day.failing.holds(now()) and self.number < day.failing_endpoints
+        return is_failing and self.rng.random() < day.failing_share
+
+    async def run(self) -> int:
+        """Run a call and return its status, or raise NotRun at once."""
         is_rejecting = self.day.rejecting.holds(now()) and self.number == 0
         if is_rejecting or self.present >= self.day.slots + self.day.queue:
             self.rejections += 1
@@ -174,20 +192,38 @@
         try:
             async with self._running:
                 work_s = self.day.work_s * self.rng.gammavariate(8.0, 1.0 / 8.0)
-                await asyncio.sleep(work_s * self.speed_factor())
+                fails = self.fails()
+                part = self.day.failing_part if fails else self.speed_factor()
+                await asyncio.sleep(work_s * part)
+                return 500 if fails else 200
         finally:
             self.present -= 1
             self.on_freed(self.endpoint_id)
 
 
-class SimulatedPool:
-    """All endpoints, and what a VM needs around them."""
+@dataclass
+class SimulatedAnswer:
+    """An endpoint's answer, and its head."""
 
-    status = 200
-    reads_not_run = False
+    status: int
+    reads_not_run: bool = False
     headers: tuple[()] = ()
 
+    @property
+    def facts(self) -> "SimulatedAnswer":
+        """Return the head of the answer."""
+        return self
+
+    async def read_body(self) -> bytes:
+        """Return an empty body."""
+        return b""
+
+
+class SimulatedPool:
+    """All endpoints, and what a VM needs around them."""
+
     def __init__(self, day: Day, rng: random.Random) -> None:
+        self.day = day
         self.arrivals = 0
         self.freed_listeners: list[Callable[[str], None]] = []
         self.endpoint_by_id = {
@@ -211,12 +247,15 @@
             listener(endpoint_id)
 
     def ready(self, service: str) -> list[EndpointRecord]:
-        """Return all endpoints."""
-        return list(self.record_by_id.values())
+        """Return the endpoints that take new calls."""
+        records = list(self.record_by_id.values())
+        if not self.day.leaving.holds(now()):
+            return records
+        return records[: self.day.endpoints - self.day.leaving_endpoints]
 
     def is_ready(self, endpoint_id: str) -> bool:
-        """Return whether an endpoint is known."""
-        return endpoint_id in self.record_by_id
+        """Return whether an endpoint takes new calls."""
+        return endpoint_id in {r.endpoint_id for r in self.ready(SERVICE)}
 
     def waits_s(self, endpoint_ids: Collection[str]) -> dict[str, float]:
         """Return that no endpoint wants rest."""
@@ -240,32 +279,23 @@
         return False
 
     @contextmanager
-    def watch(self, call: Any, record: EndpointRecord) -> Iterator[None]:
+    def watch(self, call: Any, record: EndpointRecord) -> Iterator["SimulatedPool"]:
         """Watch nothing, as no endpoint crashes."""
-        yield
+        yield self
+
+    def on_failure(self) -> None:
+        """Suspect no call, as no endpoint crashes."""
 
     @asynccontextmanager
     async def attempt(
         self, call: Any, record: EndpointRecord, *arguments: Any, **fields: Any
-    ) -> AsyncIterator["SimulatedPool"]:
+    ) -> AsyncIterator[SimulatedAnswer]:
         """Send a call, and wait for its answer."""
         self.arrivals += 1
         await asyncio.sleep(ONE_WAY_S)
-        await self.endpoint_by_id[record.endpoint_id].run()
+        status = await self.endpoint_by_id[record.endpoint_id].run()
         await asyncio.sleep(ONE_WAY_S)
-        yield self
-
-    @property
-    def facts(self) -> "SimulatedPool":
-        """Return the head of the answer."""
-        return self
-
-    async def read_body(self) -> bytes:
-        """Return an empty body."""
-        return b""
-
-    def answer(self, *arguments: Any) -> None:
-        """Accept the answer to the caller."""
+        yield SimulatedAnswer(status)
 
     def has_caller_left(self) -> bool:
         """Return that callers wait."""
@@ -327,6 +357,8 @@
     def granter_of(self, number: int) -> str | None:
         """Return the VM that a VM takes for the granter."""
         day = self.day
+        if day.unknown_granter.holds(now()):
+            return None
         in_second_half = number >= day.vms / 2
         is_missed = now() >= day.killed_at + DETECTION_S
         is_cut = day.cut.holds(now()) and now() >= day.cut.start + DETECTION_S
@@ -429,8 +461,8 @@
         return self.fleet.granter_of(self.number)
 
     def slots_by_id(self, service: str) -> Mapping[str, int]:
-        """Return the slots of all endpoints."""
-        return {n: r.slots for n, r in self.fleet.pool.record_by_id.items()}
+        """Return the slots of the endpoints that take new calls."""
+        return {r.endpoint_id: r.slots for r in self.fleet.pool.ready(service)}
 
     def out_of_reach(self, endpoint_ids: Collection[str]) -> set[str]:
         """Return that this VM reaches all endpoints."""
@@ -517,6 +549,21 @@
         yield OwnChoice(self._fleet.rng.choice(names) if names else None)
 
 
+@dataclass
+class _Responder:
+    """What a caller got."""
+
+    status: int = 0
+
+    def answer(self, status: int, headers: Any, body: bytes) -> None:
+        """Take the answer."""
+        self.status = status
+
+    def has_caller_left(self) -> bool:
+        """Return that callers wait."""
+        return False
+
+
 class _Play:
     """Plays a day with its callers."""
 
@@ -548,6 +595,7 @@
             if now() >= day.seconds:
                 break
             vms = [vm for vm in fleet.vm_by_id.values() if vm.is_alive]
+            self.outcome.callers_by_s[int(now())] += 1
             tasks.append(asyncio.create_task(self._serve(arrivals.choice(vms))))
             if now() >= day.killed_at and fleet.vm_by_id["entry-0"].is_alive:
                 fleet.vm_by_id["entry-0"].is_alive = False
@@ -593,7 +641,7 @@
         request = Request("POST", "/book/1", [], b"", started_at)
         facts = CallFacts("id", "shop", None, None, [])
         deadline = started_at + self.day.deadline_s
-        responder: Any = self.fleet.pool
+        responder: Any = _Responder()
         call = Call(request, facts, self.route, SERVICE, responder, deadline)
         try:
             async with asyncio.timeout_at(deadline):
@@ -605,8 +653,12 @@
         except (CallFailed, TimeoutError):
             outcome.failed += 1
             return None
+        if responder.status >= SERVER_ERROR:
+            outcome.failed += 1
+            return None
         is_in_time = now() - started_at <= self.day.goal_s
         outcome.in_time += is_in_time
+        outcome.in_time_by_s[int(started_at)] += is_in_time
         outcome.late += not is_in_time
         return None
 
--- a/tests/test_decisions_shared_places.py
+++ b/tests/test_decisions_shared_places.py
@@ -256,6 +256,17 @@
             shared.on_release(("vm", number), end, took_s, at + took_s)
         assert chosen["a"] < 5
 
+    def test_endpoints_left_out_get_calls_once_the_others_have_gone(self) -> None:
+        """Guards against a pool of which nothing is left to use."""
+        shared = places({"a": 1, "b": 1})
+        shared.on_held(("other", 0), "b", 60.0, 0.0)
+        for number in range(10):
+            if ask(shared, number, 0.0):
+                shared.on_release(("vm", number), CallEnd.FAILED, 0.01, 0.0)
+        assert ask(shared, 10, 0.0) == []
+        shared.set_endpoints({"a": 1})
+        assert granted_id(shared.decide(0.0)) == "a"
+
     def test_the_last_endpoint_is_never_left_out(self) -> None:
         shared = places({"a": 1})
         for number in range(20):
--- /dev/null
+++ b/tests/test_place_shortages.py
@@ -0,0 +1,80 @@
+"""What callers get where few endpoints are left, judged by what these could serve.
+
+The bound of each play is what the endpoints that take calls could answer well: calls go
+first to those that answer all, each has a number of slots over the time of a call.
+"""
+
+from dataclasses import replace
+from functools import cache
+from statistics import mean
+
+import pytest
+
+from bench.shared_place_simulation import Day, Span, play
+
+CHANCE_LOSS = 0.03
+"""What callers may get less than the bound, as arrivals and failures are random."""
+SEEDS = range(1, 5)
+ALWAYS = Span(0.0)
+SITE = Day(
+    vms=86, endpoints=3, work_s=0.06, goal_s=0.3, deadline_s=1.5, seconds=4.0, load=0.65
+)
+ALL_FAIL = replace(SITE, failing=ALWAYS, failing_share=0.45, failing_endpoints=3)
+TWO_FAIL = replace(ALL_FAIL, failing_endpoints=2)
+TWO_DEAD = replace(SITE, load=0.5, failing=ALWAYS, failing_endpoints=2)
+
+
+def bound(day: Day) -> float:
+    """Return the share of callers that the endpoints could answer well."""
+    asked = day.load * day.endpoints
+    left = day.endpoints - day.leaving_endpoints * (day.leaving != Span())
+    failing = day.failing_endpoints * (day.failing != Span())
+    sound_share = min(1.0, (left - failing) / asked)
+    failing_share = min(1.0 - sound_share, failing / asked)
+    return sound_share + failing_share * (1.0 - day.failing_share)
+
+
+@cache
+def in_time(day: Day) -> float:
+    """Return the share of callers that were answered in time, over some seeds."""
+    played = [play(replace(day, seed=seed)) for seed in SEEDS]
+    return mean(outcome.share(outcome.in_time) for outcome in played)
+
+
+def in_time_between(day: Day, start: int, end: int) -> float:
+    """Return the share of callers of some seconds that were answered in time."""
+    played = [play(replace(day, seed=seed)) for seed in SEEDS]
+    answered = sum(
+        o.in_time_by_s[second] for o in played for second in range(start, end)
+    )
+    return answered / sum(
+        o.callers_by_s[second] for o in played for second in range(start, end)
+    )
+
+
+class TestFailingEndpoints:
+    """Endpoints that answer a part of their calls with errors."""
+
+    @pytest.mark.parametrize("vms", [6, 86])
+    @pytest.mark.parametrize("load", [0.65, 0.8])
+    @pytest.mark.parametrize("share", [0.45, 0.7])
+    def test_a_pool_that_fails_a_share_of_its_calls_answers_the_others(
+        self, vms: int, load: float, share: float
+    ) -> None:
+        """Guards against a pool that is left out as a whole."""
+        day = replace(ALL_FAIL, vms=vms, load=load, failing_share=share)
+        assert in_time(day) > bound(day) - CHANCE_LOSS
+
+    def test_callers_are_served_again_as_soon_as_the_failures_end(self) -> None:
+        """Guards against endpoints that stand idle after they have recovered."""
+        day = replace(ALL_FAIL, failing=Span(1.0, 5.0), load=0.85, seconds=9.0)
+        assert in_time_between(day, 6, 9) > 1.0 - CHANCE_LOSS
+
+    def test_endpoints_that_stopped_working_are_back_within_some_seconds(self) -> None:
+        """Guards against an endpoint that is tried ever more rarely."""
+        day = replace(TWO_DEAD, failing=Span(1.0, 9.0), load=0.85, seconds=16.0)
+        assert in_time_between(day, 14, 16) > 1.0 - CHANCE_LOSS
+
+    def test_two_of_three_that_stopped_working_get_hardly_a_call(self) -> None:
+        """Guards against calls that are lost at all but one dead endpoint."""
+        assert in_time(TWO_DEAD) > bound(TWO_DEAD) - CHANCE_LOSS
