Calls wait for endpoints that do not fail, while these can take them in time

Where two of three endpoints failed 0.45 of their calls, calls went there whenever the sound one was full at that moment, and failed, though it could have taken them within their goal. A request now waits for half of its time if endpoints with a share of errors lower by 0.25 will have a place; what these cannot take still goes to the others, and is not refused.

--- a/bamboovale/decisions/shared_places.py
+++ b/bamboovale/decisions/shared_places.py
@@ -24,6 +24,11 @@
     pool_call_s,
 )
 
+WORSE_ERROR_SHARE = 0.25
+"""Difference in the share of errors from which requests wait for a better endpoint; less
+may come by chance."""
+BETTER_PATIENCE = 0.5
+"""Part of the time that a request may wait which it waits for a better endpoint."""
 MAX_WAITING = 4096
 """Bound of the queue's memory; expected waits bound it far below."""
 
@@ -81,6 +86,11 @@
     ends_at: float = field(compare=False)
     is_new: bool = field(default=True, compare=False)
 
+    def patience_s(self, now: float) -> float:
+        """Return how long the request may go on waiting, less if it is new."""
+        left_s = self.latest_start_at - now
+        return min(left_s, self.wanted.waits_s) if self.is_new else left_s
+
 
 class SharedPlaces:
     """The places of one service: events in, ``decide`` returns what follows."""
@@ -218,9 +228,14 @@
         if not self._has_free(now):
             return granted
         pool_s = pool_call_s(self._endpoint_by_id.values())
+        ahead = 0
         for waiting in list(self._queue):
             endpoint_id = self._choose(waiting.wanted, pool_s, now)
-            if endpoint_id is not None:
+            if endpoint_id is not None and self._waits_for_better(
+                waiting, endpoint_id, ahead, now
+            ):
+                ahead += 1
+            elif endpoint_id is not None:
                 key = waiting.wanted.key
                 self._drop_waiting(key)
                 self._use(key, endpoint_id, UsedPlace(waiting.ends_at, granted_at=now))
@@ -242,6 +257,26 @@
                 return min(costs)[1]
         return None
 
+    def _waits_for_better(
+        self, waiting: _Waiting, endpoint_id: str, ahead: int, now: float
+    ) -> bool:
+        """Return whether a request waits although an endpoint has a free place.
+
+        One that fails many of its calls gets what the others cannot take in time.
+        """
+        share = self._endpoint_by_id[endpoint_id].failures.error_share
+        better = [
+            endpoint
+            for endpoint in self._usable(waiting.wanted)
+            if endpoint.failures.error_share < share - WORSE_ERROR_SHARE
+            and not endpoint.is_paused(now)
+        ]
+        if not better:
+            return False
+        pool_s = pool_call_s(self._endpoint_by_id.values())
+        rate_per_s = sum(endpoint.rate_per_s(now, pool_s) for endpoint in better)
+        return (ahead + 1) / rate_per_s < BETTER_PATIENCE * waiting.patience_s(now)
+
     def _refuse_overdue(self, now: float) -> list[PlaceDecision]:
         """Refuse new requests that would wait too long, and others that now would.
 
@@ -281,10 +316,9 @@
             return PlaceDecision(wanted.key)
         ahead = bisect.bisect_left(self._queue, waiting)
         wait_s = self.expected_wait_s(wanted, ahead, now)
-        patience_s = waiting.latest_start_at - now
+        patience_s = waiting.patience_s(now)
         is_full = False
         if waiting.is_new:
-            patience_s = min(patience_s, wanted.waits_s)
             is_full = len(self._queue) > MAX_WAITING
             waiting.is_new = not knows_times
         if is_full or patience_s <= 0.0 or (knows_times and wait_s > patience_s):
--- a/tests/test_place_shortages.py
+++ b/tests/test_place_shortages.py
@@ -78,3 +78,13 @@
     def test_two_of_three_that_stopped_working_get_hardly_a_call(self) -> None:
         """Guards against calls that are lost at all but one dead endpoint."""
         assert in_time(TWO_DEAD) > bound(TWO_DEAD) - CHANCE_LOSS
+
+    def test_calls_wait_for_endpoints_that_do_not_fail(self) -> None:
+        """Guards against calls at a failing endpoint that others take in time."""
+        day = replace(TWO_FAIL, load=0.5)
+        assert in_time(day) > bound(day) - CHANCE_LOSS
+
+    def test_failing_endpoints_serve_what_the_others_cannot(self) -> None:
+        """Guards against callers that are refused at half of an endpoint's worth."""
+        day = replace(TWO_FAIL, load=0.8)
+        assert in_time(day) > bound(day) - CHANCE_LOSS
