Lines and metrics say why plain calls are refused

Now the granter tells once a second while it refuses what it granted and refused, and the places used, idle, left out and waiting; each endpoint left out, and its return; for how long no granter was known. Counters hold refusals by reason, the time calls waited for the granter by outcome, and the seconds without one; a gauge the granter's places. All are bounded: a line a second and service, labels by service and reason.

--- a/bamboovale/decisions/send_share.py
+++ b/bamboovale/decisions/send_share.py
@@ -19,7 +19,7 @@
 """Calls that may be sent at once after an idle time."""
 SHORTER_WEIGHT = 0.25
 LONGER_WEIGHT = 0.05
-"""Weight of one call in the learned time: longer ones may have waited at the endpoint."""
+"""Weight of one call in the learned time: longer ones may have waited there."""
 
 
 @dataclass(frozen=True)
--- a/bamboovale/decisions/shared_places.py
+++ b/bamboovale/decisions/shared_places.py
@@ -76,6 +76,32 @@
     retry_after_s: float | None = None
 
 
+@dataclass(frozen=True)
+class PlaceTotals:
+    """The places of a service at one time.
+
+    ``idle`` are free places at endpoints that take calls, ``left_out`` the endpoints
+    that have stopped working.
+    """
+
+    endpoints: int
+    left_out: int
+    slots: int
+    used: int
+    idle: int
+    waiting: int
+
+
+@dataclass(frozen=True)
+class LeftOutChange:
+    """An endpoint was left out, or answers again, after so many failures in a row."""
+
+    endpoint_id: str
+    is_left_out: bool
+    failures: int
+    error_share: float
+
+
 @dataclass(order=True)
 class _Waiting:
     """A request in the queue, in the order of its first field."""
@@ -103,6 +129,7 @@
         self._last_number = 0
         self._returns_until = -math.inf
         self._undecided: list[_Waiting] = []
+        self._changes: list[LeftOutChange] = []
         # Lower bounds of when a request can no longer wait and when a place expires.
         self._next_refusal_at = math.inf
         self._next_expiry_at = math.inf
@@ -166,7 +193,10 @@
         endpoint_id = self._endpoint_by_key.pop(key, None)
         if endpoint_id is not None:
             endpoint = self._endpoint_by_id[endpoint_id]
+            was_left_out, failures = endpoint.is_left_out, endpoint.failures.length
             endpoint.end(key, end, took_s, now, self._usual_error_share(endpoint))
+            if endpoint.is_left_out != was_left_out:
+                self._note_change(endpoint_id, endpoint, failures)
 
     def on_vm_gone(self, vm_id: str) -> None:
         """Free the places of a VM that has ended, and drop its requests."""
@@ -223,6 +253,33 @@
             },
         }
 
+    def totals(self, now: float) -> PlaceTotals:
+        """Return the places in use, free and missing."""
+        endpoints = self._endpoint_by_id.values()
+        open_now = [e for e in endpoints if not e.is_paused(now)]
+        return PlaceTotals(
+            endpoints=len(endpoints),
+            left_out=sum(e.is_left_out for e in endpoints),
+            slots=sum(e.slots for e in endpoints),
+            used=sum(len(e.used_by_key) for e in endpoints),
+            idle=sum(max(0, e.room - len(e.used_by_key)) for e in open_now),
+            waiting=len(self._queue),
+        )
+
+    def take_changes(self) -> list[LeftOutChange]:
+        """Return the changes of endpoints left out since the last time."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def _note_change(
+        self, endpoint_id: str, endpoint: PlaceEndpoint, failures: int
+    ) -> None:
+        failures = max(failures, endpoint.failures.length)
+        share = endpoint.failures.error_share
+        self._changes.append(
+            LeftOutChange(endpoint_id, endpoint.is_left_out, failures, share)
+        )
+
     def _grant_free(self, now: float) -> list[PlaceDecision]:
         granted: list[PlaceDecision] = []
         if not self._has_free(now):
--- a/bamboovale/gateway/plain_calls.py
+++ b/bamboovale/gateway/plain_calls.py
@@ -44,6 +44,13 @@
 """Pause between looks for room at brittle endpoints, which is known here."""
 FULL_PATIENCE_GOALS = 0.5
 """Part of the route's goal after which such a call is refused."""
+NO_PLACE = "no_place"
+AT_REST = "at_rest"
+FULL = "full"
+UNREACHED = "unreached"
+NO_ENDPOINT = "no_endpoint"
+CRASHES = "crashes"
+"""Reasons for which calls are refused, in the counter."""
 CLIENT_ERROR = 400
 SERVER_ERROR = 500
 
@@ -62,7 +69,9 @@
         now: Callable[[], float],
         rng: random.Random,
         places: Places | None = None,
+        on_refused: Callable[[str], None] = lambda reason: None,
     ) -> None:
+        self._on_refused = on_refused
         self._places = places or OwnChoices()
         self._client = client
         self._codec = codec
@@ -223,20 +232,31 @@
         return frozenset(record.endpoint_id for record in records)
 
     def _give_up(self, call: Call, so_far: Attempts) -> None:
+        if isinstance(so_far.failure, MayHaveRun):
+            raise CallFailed(str(so_far.failure))
+        reason, refusal = self._refusal(call, so_far)
+        self._on_refused(reason)
+        raise refusal
+
+    def _refusal(self, call: Call, so_far: Attempts) -> tuple[str, CallRefused]:
+        """Return why a call is refused, as a label, and the refusal."""
         failure = so_far.failure
-        if isinstance(failure, MayHaveRun):
-            raise CallFailed(str(failure))
         if so_far.is_refused:
-            raise CallRefused(CRASHES_ENDPOINTS, REFUSED_RETRY_S)
+            return CRASHES, CallRefused(CRASHES_ENDPOINTS, REFUSED_RETRY_S)
         if so_far.no_place_retry_s is not None:
-            raise CallRefused("no place is expected in time", so_far.no_place_retry_s)
+            reason = "no place is expected in time"
+            return NO_PLACE, CallRefused(reason, so_far.no_place_retry_s)
         wait_s = self._common_wait_s(call.service)
         if wait_s > 0.0:
+            reason = "the endpoints want rest or are at their limits"
             retry_s = wait_s if math.isfinite(wait_s) else NO_SHARE_RETRY_S
-            raise CallRefused("the endpoints want rest or are at their limits", retry_s)
+            return AT_REST, CallRefused(reason, retry_s)
         if isinstance(failure, NotRun):
-            raise CallRefused(str(failure), failure.retry_after_s or REFUSAL_RETRY_S)
-        raise CallRefused("no endpoint accepts calls", REFUSAL_RETRY_S)
+            retry_s = failure.retry_after_s or REFUSAL_RETRY_S
+            label = FULL if failure.is_full else UNREACHED
+            return label, CallRefused(str(failure), retry_s)
+        refusal = CallRefused("no endpoint accepts calls", REFUSAL_RETRY_S)
+        return NO_ENDPOINT, refusal
 
     async def _try_once(
         self,
--- a/bamboovale/gateway/vm.py
+++ b/bamboovale/gateway/vm.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from dataclasses import asdict
 from functools import partial
 from typing import Any
 
@@ -105,7 +106,11 @@
             self.state,
             self.links,
             self._ownership,
-            lambda outcome: metrics.gateway_shared_places.labels(outcome).inc(),
+            metrics.count_place,
+            lambda service, totals: metrics.set_granted_places(
+                service, {} if totals is None else asdict(totals)
+            ),
+            metrics.count_granter_unknown,
             is_on=shares_places,
         )
         self._build_parts()
@@ -317,6 +322,7 @@
                 self.state.now,
                 self._rng,
                 self._shared_places.client,
+                self._metrics.count_plain_refusal,
             ),
             model_calls=ModelCalls(
                 client,
--- a/bamboovale/metrics.py
+++ b/bamboovale/metrics.py
@@ -60,6 +60,28 @@
         outcome = "allowed" if allowed else "refused"
         self.gateway_retries.labels(cause, outcome).inc()
 
+    def count_place(self, outcome: str, seconds: float) -> None:
+        """Count a request for a place at a plain endpoint, and the time it took."""
+        self.gateway_shared_places.labels(outcome).inc()
+        self._gateway_shared_place_seconds.labels(outcome).inc(seconds)
+
+    def count_granter_unknown(self, service: str, seconds: float) -> None:
+        """Count the time for which no granter of a service was known."""
+        self._gateway_granter_unknown_seconds.labels(service).inc(seconds)
+
+    def count_plain_refusal(self, reason: str) -> None:
+        """Count a plain call that was refused for want of an endpoint."""
+        self._gateway_plain_refusals.labels(reason).inc()
+
+    def set_granted_places(
+        self, service: str, count_by_state: Mapping[str, int]
+    ) -> None:
+        """Export the places of a service that this VM grants; none drops them."""
+        for state, count in count_by_state.items():
+            self._gateway_granted_places.labels(service, state).set(count)
+        if not count_by_state:
+            self._gateway_granted_places.remove_by_labels({"service": service})
+
     def count_resumed(self, outcome: str) -> None:
         """Count a stream that a caller resumed."""
         self._gateway_resumed_streams.labels(outcome).inc()
@@ -148,6 +170,26 @@
             "Requests for places at plain endpoints, by outcome.",
             ["outcome"],
         )
+        self._gateway_shared_place_seconds = self._counter(
+            "gateway_shared_place_seconds",
+            "Seconds for which calls waited for the granter, by outcome.",
+            ["outcome"],
+        )
+        self._gateway_granter_unknown_seconds = self._counter(
+            "gateway_granter_unknown_seconds",
+            "Seconds for which this VM knew no granter of a service that has calls.",
+            ["service"],
+        )
+        self._gateway_granted_places = self._gauge(
+            "gateway_granted_places",
+            "Places of the services that this VM grants, by state.",
+            ["service", "state"],
+        )
+        self._gateway_plain_refusals = self._counter(
+            "gateway_plain_refusals",
+            "Plain calls refused for want of an endpoint, by reason.",
+            ["reason"],
+        )
         self.crash_events = self._counter(
             "crash_events",
             "Crashes of endpoints, and what is suspected of them, by event.",
--- a/bamboovale/shared_places/client.py
+++ b/bamboovale/shared_places/client.py
@@ -45,6 +45,11 @@
 """Outcomes of a request for a place, in log lines and the counter; ``left``, if its
 caller left first, is only in log lines."""
 
+OnOutcome = Callable[[str, float], None]
+"""Takes the outcome of a request for a place, and its seconds."""
+OnGranterKnown = Callable[[str, float], None]
+"""Takes a service, and for how many seconds this VM knew no granter of it."""
+
 
 class ClientLookup(GranterLookup, Protocol):
     """Adds which services have a granter, and which endpoints are out of reach."""
@@ -98,9 +103,11 @@
 class _ServiceState:
     """The granter of a service as this VM knows it, and the back-off from it.
 
-    ``share`` is what this VM sends by its own choice.
+    ``share`` is what this VM sends by its own choice, ``since`` when the granter became
+    known, or unknown.
     """
 
+    since: float
     granter: str | None = None
     back_off: GranterBackOff = field(default_factory=GranterBackOff)
     share: SendShare = field(default_factory=SendShare)
@@ -116,7 +123,8 @@
         links: Links,
         journal: Journal,
         now: Callable[[], float],
-        on_outcome: Callable[[str], None] = lambda outcome: None,
+        on_outcome: OnOutcome = lambda outcome, seconds: None,
+        on_granter_known: OnGranterKnown = lambda service, unknown_s: None,
     ) -> None:
         self._lookup = lookup
         self._granter = granter
@@ -124,6 +132,7 @@
         self._journal = journal
         self._now = now
         self._on_outcome = on_outcome
+        self._on_granter_known = on_granter_known
         # An earlier process of this VM may still hold places by its numbers.
         self._numbers = itertools.count(random.getrandbits(FIRST_NUMBER_BITS))
         self._place_by_number: dict[int, AskedPlace] = {}
@@ -154,8 +163,9 @@
             outcome = await self._ask(place, call, excluded, waits_s)
             note["outcome"] = self._after_share(place, outcome)
             note["granter"] = place.asked
-            note["s"] = round(self._now() - started_at, 4)
-            self._on_outcome(note["outcome"])
+            asked_s = self._now() - started_at
+            note["s"] = round(asked_s, 4)
+            self._on_outcome(note["outcome"], asked_s)
             yield place
         finally:
             self._release(place)
@@ -177,12 +187,16 @@
             granter = self._lookup.granter_of(service)
             if granter == state.granter:
                 continue
+            since, state.since = state.since, self._now()
             self._journal.write(
                 "shared_places_granter",
                 service=service,
                 granter=granter,
                 before=state.granter,
+                before_s=round(state.since - since, 3),
             )
+            if state.granter is None:
+                self._on_granter_known(service, state.since - since)
             state.granter = granter
             for place in self._place_by_number.values():
                 if place.service == service and place.granter != granter:
@@ -193,7 +207,9 @@
         return {
             service: {
                 "granter": state.granter,
+                "for_s": round(self._now() - state.since, 2),
                 "backing_off": state.back_off.is_backing_off,
+                "is_short": state.share.is_short(self._now()),
             }
             for service, state in self._state_by_service.items()
         }
@@ -206,7 +222,7 @@
         waits_s: float,
     ) -> str:
         """Ask for a place; return the outcome."""
-        self._state_by_service.setdefault(place.service, _ServiceState())
+        self._state_by_service.setdefault(place.service, _ServiceState(self._now()))
         self.refresh()
         state = self._state_by_service[place.service]
         usable, unusable = self._usable_ids(place.service, excluded())
--- a/bamboovale/shared_places/exchange.py
+++ b/bamboovale/shared_places/exchange.py
@@ -1,6 +1,6 @@
 """Both sides of shared places in one VM, and which VM grants which service."""
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Collection, Mapping
 from typing import Any, get_args
 
 from bamboovale.decisions.advertised_vms import advertised_count
@@ -9,8 +9,9 @@
 from bamboovale.gateway.engines import Links
 from bamboovale.gateway.ownership import partition_of
 from bamboovale.gateway.vm_state import VMState
-from bamboovale.shared_places.client import PlaceClient
+from bamboovale.shared_places.client import OnGranterKnown, OnOutcome, PlaceClient
 from bamboovale.shared_places.granter import PlaceGranter, Reply
+from bamboovale.shared_places.granter_report import OnTotals
 from bamboovale.shared_places.messages import (
     SharedPlaceHeld,
     SharedPlaceRelease,
@@ -79,16 +80,26 @@
         state: VMState,
         links: Links,
         partitions: Partitions,
-        on_outcome: Callable[[str], None],
+        on_outcome: OnOutcome,
+        on_totals: OnTotals,
+        on_granter_known: OnGranterKnown,
         *,
         is_on: bool,
     ) -> None:
         self._links = links
         self._lookup = FleetLookup(state, partitions, is_on=is_on)
         self._is_on = is_on
-        self.granter = PlaceGranter(self._lookup, self._tell, state.journal, state.now)
+        self.granter = PlaceGranter(
+            self._lookup, self._tell, state.journal, state.now, on_totals
+        )
         self.client = PlaceClient(
-            self._lookup, self.granter, links, state.journal, state.now, on_outcome
+            self._lookup,
+            self.granter,
+            links,
+            state.journal,
+            state.now,
+            on_outcome,
+            on_granter_known,
         )
 
     def on_request(
--- a/bamboovale/shared_places/granter.py
+++ b/bamboovale/shared_places/granter.py
@@ -12,6 +12,7 @@
     SharedPlaces,
 )
 from bamboovale.gateway.journal import Journal
+from bamboovale.shared_places.granter_report import GranterReport, OnTotals
 from bamboovale.shared_places.messages import (
     SharedPlaceHeld,
     SharedPlaceRelease,
@@ -46,9 +47,11 @@
         tell: Tell,
         journal: Journal,
         now: Callable[[], float],
+        on_totals: OnTotals = lambda service, totals: None,
     ) -> None:
         self._lookup = lookup
         self._tell = tell
+        self._report = GranterReport(journal, on_totals)
         self._journal = journal
         self._now = now
         self._places_by_service: dict[str, SharedPlaces] = {}
@@ -75,7 +78,7 @@
         places.on_request(wanted, self._now())
         others = []
         answer = SharedPlaceReply(message.number)
-        for decision in places.decide(self._now()):
+        for decision in self._decisions(message.service, places):
             if decision.key == wanted.key:
                 answer = _reply_of(decision)
             else:
@@ -95,7 +98,7 @@
             )
         key = (sender, message.number)
         places.on_release(key, message.end, message.took_s, self._now())
-        self._decide(places)
+        self._decide(message.service, places)
 
     def on_held(self, sender: str, message: SharedPlaceHeld) -> None:
         """Count a call in progress."""
@@ -103,19 +106,20 @@
         if places is not None:
             key = (sender, message.number)
             places.on_held(key, message.endpoint_id, message.ends_in_s, self._now())
-            self._decide(places)
+            self._decide(message.service, places)
 
     def on_vm_gone(self, vm_id: str) -> None:
         """Free the places of a VM that has ended or restarted."""
-        for places in self._places_by_service.values():
+        for service, places in self._places_by_service.items():
             places.on_vm_gone(vm_id)
-            self._decide(places)
+            self._decide(service, places)
 
     def drop_lost(self) -> None:
         """Drop the places of services that another VM grants now."""
         for service in list(self._places_by_service):
             if self._lookup.granter_of(service) != self._lookup.own_id:
                 del self._places_by_service[service]
+                self._report.on_lost(service)
                 self._journal.write("shared_places_lost", service=service)
 
     def close(self) -> None:
@@ -140,10 +144,16 @@
         places.set_endpoints(self._lookup.slots_by_id(service))
         return places
 
-    def _decide(self, places: SharedPlaces) -> None:
-        self._send(places.decide(self._now()))
+    def _decide(self, service: str, places: SharedPlaces) -> None:
+        self._send(self._decisions(service, places))
         self._set_timer()
 
+    def _decisions(self, service: str, places: SharedPlaces) -> list[PlaceDecision]:
+        now = self._now()
+        decisions = places.decide(now)
+        self._report.on_decisions(service, places, decisions, now)
+        return decisions
+
     def _send(self, decisions: list[PlaceDecision]) -> None:
         for decision in decisions:
             self._tell(decision.key[0], _reply_of(decision))
@@ -167,8 +177,8 @@
 
     def _on_timer(self) -> None:
         self._timer = None
-        for places in list(self._places_by_service.values()):
-            self._send(places.decide(self._now()))
+        for service, places in list(self._places_by_service.items()):
+            self._send(self._decisions(service, places))
         self._set_timer()
 
 
--- a/bench/shared_place_simulation.py
+++ b/bench/shared_place_simulation.py
@@ -336,7 +336,12 @@
         granter = PlaceGranter(lookup, lookup.tell, journal, now)
         outcomes = self.outcome.by_outcome
         client = PlaceClient(
-            lookup, granter, links, journal, now, lambda name: outcomes.update([name])
+            lookup,
+            granter,
+            links,
+            journal,
+            now,
+            lambda name, seconds: outcomes.update([name]),
         )
         places_by_way: dict[Way, Any] = {
             Way.LOCAL: OwnChoices(),
--- a/tests/test_shared_places.py
+++ b/tests/test_shared_places.py
@@ -9,6 +9,12 @@
 
 import pytest
 
+from bamboovale.decisions.place_endpoint import CallEnd
+from bamboovale.decisions.shared_places import (
+    PlaceDecision,
+    PlaceTotals,
+    SharedPlaces,
+)
 from bamboovale.event_loop import loop_factory
 from bamboovale.gateway.call import Call
 from bamboovale.gateway.model import CallFacts
@@ -16,6 +22,7 @@
 from bamboovale.peers.outgoing import PeerTimeoutError
 from bamboovale.shared_places.client import PlaceClient
 from bamboovale.shared_places.granter import PlaceGranter
+from bamboovale.shared_places.granter_report import GranterReport
 from bamboovale.shared_places.messages import SharedPlaceReply, SharedPlaceRequest
 from bench.shared_place_simulation import Day, Outcome, Span, Way, play
 from bench.virtual_loop import run_in_virtual_time
@@ -140,7 +147,7 @@
 
     def __init__(self, remote: str | None = None, slots: int = 1) -> None:
         journal = RecordedJournal("vm")
-        self.granter_id = remote or "vm"
+        self.granter_id: str | None = remote or "vm"
         self.sent: list[Any] = []
         self.unreachable: set[str] = set()
         self.granter = PlaceGranter(self, self.tell, journal, now)
@@ -339,5 +346,66 @@
         """Decide nothing."""
         return []
 
+    def take_changes(self) -> list[Any]:
+        """Return no changes."""
+        return []
+
     def on_vm_gone(self, vm_id: str) -> None:
         """Free nothing."""
+
+
+class TestReport:
+    """What an operator sees of a granter's places."""
+
+    @staticmethod
+    def places(slots: int = 1) -> SharedPlaces:
+        """Return the places of two endpoints that have answered."""
+        shared = SharedPlaces()
+        shared.set_endpoints({"app-1": slots, "app-2": slots})
+        return shared
+
+    def test_a_shortage_is_told_once_a_second_with_what_is_missing(self) -> None:
+        """Guards against refusals of which no line says what they are for."""
+        journal = RecordedJournal("vm")
+        totals: list[PlaceTotals | None] = []
+        report = GranterReport(journal, lambda service, total: totals.append(total))
+        shared = self.places()
+        refusal = PlaceDecision(("vm", 1), retry_after_s=1.0)
+        for tenth in range(25):
+            report.on_decisions("app", shared, [refusal], tenth / 10.0)
+        lines = journal.of("shared_places_short")
+        assert [line["refused"] for line in lines] == [11, 10]
+        assert {line["idle"] for line in lines} == {2}
+        assert totals == [PlaceTotals(2, 0, 2, 0, 2, 0)] * 2
+        report.on_lost("app")
+        assert totals[-1] is None
+
+    def test_an_endpoint_that_is_left_out_is_told_and_its_return(self) -> None:
+        journal = RecordedJournal("vm")
+        report = GranterReport(journal, lambda service, total: None)
+        shared = self.places()
+        for number in range(6):
+            shared.on_held(("vm", number), "app-1", 9.0, 0.0)
+            shared.on_release(("vm", number), CallEnd.FAILED, 0.1, 0.0)
+        report.on_decisions("app", shared, [], 0.0)
+        [line] = journal.of("shared_place_left_out")
+        assert (line["endpoint"], line["failures"]) == ("app-1", 5)
+        shared.on_held(("vm", 9), "app-1", 9.0, 0.0)
+        shared.on_release(("vm", 9), CallEnd.ANSWERED, 0.1, 0.0)
+        report.on_decisions("app", shared, [], 0.0)
+        assert len(journal.of("shared_place_back")) == 1
+
+    def test_the_time_without_a_granter_is_told(self) -> None:
+        async def test() -> None:
+            vm = LoneVM()
+            known: list[tuple[str, float]] = []
+            vm.client._on_granter_known = lambda *told: known.append(told)
+            await vm.hold(0.0)
+            vm.granter_id = None
+            vm.client.refresh()
+            await asyncio.sleep(3.0)
+            vm.granter_id = "vm"
+            vm.client.refresh()
+            assert known[-1] == ("app", 3.0)
+
+        run_in_virtual_time(test())
