A request is refused if it could begin only at the end of its time

A new request is now accepted if it is expected to begin in the first half of the time in which it can.

--- a/bamboovale/decisions/shared_places.py
+++ b/bamboovale/decisions/shared_places.py
@@ -113,9 +113,13 @@
     is_new: bool = field(default=True, compare=False)
 
     def patience_s(self, now: float) -> float:
-        """Return how long the request may go on waiting, less if it is new."""
+        """Return how long the request may go on waiting, less if it is new.
+
+        The other half of the time of a new one covers calls that take longer than
+        usual, and more urgent requests that follow.
+        """
         left_s = self.latest_start_at - now
-        return min(left_s, self.wanted.waits_s) if self.is_new else left_s
+        return min(left_s / 2.0, self.wanted.waits_s) if self.is_new else left_s
 
 
 class SharedPlaces:
--- a/tests/test_place_shortages.py
+++ b/tests/test_place_shortages.py
@@ -96,6 +96,22 @@
 """Part of the bound that VMs which know nothing of one another must reach."""
 
 
+class TestShortage:
+    """Few endpoints, whose places a granter gives."""
+
+    @pytest.mark.parametrize(
+        "day",
+        [ONE_LEAVES, TWO_LEAVE, replace(SITE, load=1.7)],
+        ids=["one leaves", "two leave", "overload"],
+    )
+    def test_hardly_an_answer_is_late(self, day: Day) -> None:
+        """Guards against waits that leave no time for a call longer than usual."""
+        uneven = replace(day, work_spread=0.6, seconds=6.0)
+        played = [play(replace(uneven, seed=seed)) for seed in SEEDS]
+        assert mean(outcome.share(outcome.late) for outcome in played) < CHANCE_LOSS
+        assert in_time(uneven) > bound(day) - CHANCE_LOSS
+
+
 class TestNoGranter:
     """Few endpoints while no VM grants their places."""
 
