Calls with a short goal are not refused for ones that can wait longer

No new request may wait longer now than requests usually may, so that each kind is refused about as often.

The new test fails without the change (0.59 of the calls with a goal of 0.3 s got a place, 0.94 of those with 1 s, at 150 and 50 a second for one endpoint of six slots); now 0.72 and 0.55.

--- a/bamboovale/decisions/shared_places.py
+++ b/bamboovale/decisions/shared_places.py
@@ -29,6 +29,8 @@
 smaller one may come by chance."""
 BETTER_PATIENCE = 0.5
 """Part of the time that a request may wait which it waits for a better endpoint."""
+WAIT_WEIGHT = 0.05
+"""Weight of one request in the learned time that callers may wait."""
 MAX_WAITING = 4096
 """Bound of the queue's memory; expected waits bound it far below."""
 
@@ -110,6 +112,7 @@
     wanted: PlaceWanted = field(compare=False)
     latest_start_at: float = field(compare=False)
     ends_at: float = field(compare=False)
+    most_wait_s: float = field(compare=False)
     is_new: bool = field(default=True, compare=False)
 
     def patience_s(self, now: float) -> float:
@@ -119,7 +122,7 @@
         usual, and more urgent requests that follow.
         """
         left_s = self.latest_start_at - now
-        return min(left_s / 2.0, self.wanted.waits_s) if self.is_new else left_s
+        return min(left_s / 2.0, self.most_wait_s) if self.is_new else left_s
 
 
 class SharedPlaces:
@@ -131,6 +134,7 @@
         self._waiting_by_key: dict[PlaceKey, _Waiting] = {}
         self._endpoint_by_key: dict[PlaceKey, str] = {}
         self._last_number = 0
+        self._usual_wait_s: float | None = None
         self._returns_until = -math.inf
         self._undecided: list[_Waiting] = []
         self._changes: list[LeftOutChange] = []
@@ -167,6 +171,7 @@
             return
         goal_at = now + wanted.goal_in_s
         in_time_s = wanted.goal_in_s - pool_call_s(self._endpoint_by_id.values())
+        self._note_wait(wanted.waits_s)
         self._last_number += 1
         waiting = _Waiting(
             order=(wanted.goal_in_s <= 0.0, wanted.rank, goal_at, self._last_number),
@@ -174,12 +179,18 @@
             # A call that is late in any case is served late, if it need not wait long.
             latest_start_at=now + (in_time_s if in_time_s > 0.0 else wanted.waits_s),
             ends_at=now + wanted.ends_in_s,
+            most_wait_s=min(wanted.waits_s, self._usual_wait_s or 0.0),
         )
         bisect.insort(self._queue, waiting)
         self._waiting_by_key[wanted.key] = waiting
         self._undecided.append(waiting)
         self._next_refusal_at = min(self._next_refusal_at, waiting.latest_start_at)
 
+    def _note_wait(self, waits_s: float) -> None:
+        """Learn how long callers usually may wait."""
+        known_s = waits_s if self._usual_wait_s is None else self._usual_wait_s
+        self._usual_wait_s = known_s + WAIT_WEIGHT * (waits_s - known_s)
+
     def on_held(
         self, key: PlaceKey, endpoint_id: str, ends_in_s: float, now: float
     ) -> None:
--- a/tests/test_decisions_shared_places.py
+++ b/tests/test_decisions_shared_places.py
@@ -1,5 +1,6 @@
 """Tests of the places that one VM grants to all, and of the back-off from that VM."""
 
+import heapq
 import random
 from collections import Counter
 
@@ -307,3 +308,45 @@
         back_off = GranterBackOff()
         back_off.on_timeout("vm", 0.0, 0.02)
         assert back_off.may_ask("other", 0.0, 0.02)
+
+
+def served_by_goal(
+    per_s_by_goal: dict[float, float], seconds: float
+) -> dict[float, float]:
+    """Return by goal the share of requests that got a place at one endpoint of six."""
+    rng = random.Random(1)
+    shared = places({"a": 6})
+    goal_by_number: dict[int, float] = {}
+    served: Counter[float] = Counter()
+    ends: list[tuple[float, int]] = []
+    goals, rates = list(per_s_by_goal), list(per_s_by_goal.values())
+
+    def apply(decisions: list[PlaceDecision], at: float) -> None:
+        for decision in decisions:
+            if decision.endpoint_id is not None:
+                served[goal_by_number[decision.key[1]]] += 1
+                end_at = at + 0.06 * rng.uniform(0.5, 1.5)
+                heapq.heappush(ends, (end_at, decision.key[1]))
+
+    at = 0.0
+    for number in range(int(sum(rates) * seconds)):
+        at += rng.expovariate(sum(rates))
+        while ends and ends[0][0] <= at:
+            end_at, ended = heapq.heappop(ends)
+            shared.on_release(("vm", ended), CallEnd.ANSWERED, 0.06, end_at)
+            apply(shared.decide(end_at), end_at)
+        goal_s = goal_by_number[number] = rng.choices(goals, rates)[0]
+        asked = ask(shared, number, at, goal_in_s=goal_s, waits_s=goal_s / 2)
+        apply(asked, at)
+    asked_by_goal = Counter(goal_by_number.values())
+    return {goal: served[goal] / asked_by_goal[goal] for goal in goals}
+
+
+class TestFairness:
+    """Kinds of calls with different goals, at places that are short."""
+
+    def test_neither_kind_pays_for_the_other(self) -> None:
+        """Guards against patient calls that take the places of urgent ones."""
+        share_by_goal = served_by_goal({0.3: 150.0, 1.0: 50.0}, 20.0)
+        assert share_by_goal[0.3] > 0.7 * share_by_goal[1.0]
+        assert share_by_goal[1.0] > 0.7 * share_by_goal[0.3]
