--- a/bamboovale/shared_places/client.py
+++ b/bamboovale/shared_places/client.py
@@ -69,7 +69,8 @@
     """A place that a granter may know of.
 
     ``asked`` is the VM that was asked for it, ``granter`` the one to tell of it; both
-    are None if there is none.
+    are None if there is none. ``report`` is called with the place if it is used without
+    that granter's grant, ``ended`` once its attempt has ended.
     """
 
     service: str
