--- a/tests/test_place_shortages.py
+++ b/tests/test_place_shortages.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from bench.shared_place_simulation import Day, Span, play
+from bench.shared_place_simulation import Day, Outcome, Span, play
 
 CHANCE_LOSS = 0.03
 """What callers may get less than the bound, as arrivals and failures are random."""
@@ -37,21 +37,22 @@
 
 
 @cache
+def played(day: Day) -> tuple[Outcome, ...]:
+    """Return what callers get on a day, for each seed."""
+    return tuple(play(replace(day, seed=seed)) for seed in SEEDS)
+
+
 def in_time(day: Day) -> float:
-    """Return the share of callers that were answered in time, over some seeds."""
-    played = [play(replace(day, seed=seed)) for seed in SEEDS]
-    return mean(outcome.share(outcome.in_time) for outcome in played)
+    """Return the share of callers that were answered in time, over the seeds."""
+    return mean(outcome.share(outcome.in_time) for outcome in played(day))
 
 
 def in_time_between(day: Day, start: int, end: int) -> float:
     """Return the share of callers of some seconds that were answered in time."""
-    played = [play(replace(day, seed=seed)) for seed in SEEDS]
-    answered = sum(
-        o.in_time_by_s[second] for o in played for second in range(start, end)
-    )
-    return answered / sum(
-        o.callers_by_s[second] for o in played for second in range(start, end)
-    )
+    seconds = range(start, end)
+    answered = sum(o.in_time_by_s[second] for o in played(day) for second in seconds)
+    callers = sum(o.callers_by_s[second] for o in played(day) for second in seconds)
+    return answered / callers
 
 
 class TestFailingEndpoints:
@@ -107,8 +108,8 @@
     def test_hardly_an_answer_is_late(self, day: Day) -> None:
         """Guards against waits that leave no time for a call longer than usual."""
         uneven = replace(day, work_spread=0.6, seconds=6.0)
-        played = [play(replace(uneven, seed=seed)) for seed in SEEDS]
-        assert mean(outcome.share(outcome.late) for outcome in played) < CHANCE_LOSS
+        late = mean(outcome.share(outcome.late) for outcome in played(uneven))
+        assert late < CHANCE_LOSS
         assert in_time(uneven) > bound(day) - CHANCE_LOSS
 
 
