Where VMs choose by themselves, errors that come fast attract no calls

In small fleets, which have no granter, and wherever a call goes out without a grant, an endpoint that answered every call with an error within milliseconds got most of the calls: its time was learned from its errors, and an answer of 5xx in time counted as a success, so that it was never left out.

An error counts with the usual time of the pool at least, and in the same row of failures as at the granter: one that hardly ever comes by chance leaves an endpoint out, still a third of the pool at most.

--- a/bamboovale/decisions/routing.py
+++ b/bamboovale/decisions/routing.py
@@ -6,11 +6,12 @@
 Of two random endpoints the one with less expected work is chosen: outstanding calls
 times recent latency, where a call that hangs counts with its age. An endpoint with a
 larger share of errors than others counts as busier, so that it loses most calls without
-being ejected. An endpoint with several failures in a row, or far slower than its pool,
-is ejected for a while and returns by one trial call; at most a third of the pool is
-ejected. A slow one still gets the calls that no other endpoint takes. Each endpoint has
-a concurrency limit that falls with failed or late calls. A call that an endpoint
-rejected because it was full is no failure of the endpoint.
+being ejected. An endpoint that has stopped working, or is far slower than its pool, is
+ejected for a while and returns by one trial call; at most a third of the pool is
+ejected. A failure that comes fast makes no endpoint faster. A slow one still gets the
+calls that no other endpoint takes. Each endpoint has a concurrency limit that falls
+with failed or late calls. A call that an endpoint rejected because it was full is no
+failure of the endpoint.
 """
 
 import math
@@ -18,8 +19,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-FAILURES_TO_EJECT = 5
-"""Consecutive failures; hardly ever reached by chance."""
+from bamboovale.decisions.failure_row import FailureRow
+
 SLOW_FACTOR = 5.0
 """Multiple of the median latency, far outside the spread of healthy endpoints."""
 MIN_SLOW_S = 0.1
@@ -30,9 +31,7 @@
 repaired endpoint is back soon."""
 MAX_EJECTED_SHARE = 1.0 / 3.0
 ERROR_COST = 12.0
-ERROR_WEIGHT = 0.12
-"""``ERROR_COST`` scales the cost by the share of errors, which is learned with this
-weight."""
+"""Scales the cost by the share of errors."""
 REJECTION_COST = 4.0
 REJECTION_WEIGHT = 0.25
 REJECTION_DECAY_S = 1.0
@@ -59,10 +58,9 @@
 
     latency_s: float = INITIAL_LATENCY_S
     measured_at: float = 0.0
-    error_share: float = 0.0
+    failures: FailureRow = field(default_factory=FailureRow)
     rejected_share: float = 0.0
     rejected_at: float = 0.0
-    failures_in_row: int = 0
     ejections_in_row: int = 0
     limit: float = INITIAL_LIMIT
     most: int | None = None
@@ -75,7 +73,7 @@
     def is_answering(self, now: float) -> bool:
         """Return whether its last call succeeded, none hangs, and one more has room."""
         hangs = self._oldest_age(now) > self._recent_latency(now)
-        return not self.failures_in_row and not hangs and self.has_room()
+        return not self.failures.length and not hangs and self.has_room()
 
     def _recent_latency(self, now: float) -> float:
         faded = math.exp(-max(0.0, now - self.measured_at) / LATENCY_DECAY_S)
@@ -90,7 +88,7 @@
         work_s = (len(self.started_at_by_call) + 1) * self.expected_latency(now)
         faded = math.exp(-max(0.0, now - self.measured_at) / LATENCY_DECAY_S)
         full = REJECTION_COST * self.recently_rejected(now)
-        return work_s * (1.0 + ERROR_COST * self.error_share * faded + full)
+        return work_s * (1.0 + ERROR_COST * self.failures.error_share * faded + full)
 
     def recently_rejected(self, now: float) -> float:
         """Return the share of calls that were rejected, less the longer ago."""
@@ -177,15 +175,19 @@
         endpoint = self._endpoint_by_id.get(endpoint_id)
         if endpoint is None:
             return
-        started_at = endpoint.started_at_by_call.pop(call_id, now)
+        took_s = now - endpoint.started_at_by_call.pop(call_id, now)
         endpoint.rejected_share *= 1.0 - REJECTION_WEIGHT
-        failed = 1.0 if error or not ok else 0.0
-        endpoint.error_share += ERROR_WEIGHT * (failed - endpoint.error_share)
-        self._update_latency(endpoint, now - started_at, now)
-        if ok:
+        if ok and not error:
+            endpoint.failures.on_answer()
+            self._update_latency(endpoint, took_s, now)
             self._succeeded(endpoint_id, now)
-        else:
-            self._failed(endpoint_id, now)
+            return
+        endpoint.failures.on_failure()
+        # A fast failure must not attract calls.
+        self._update_latency(endpoint, max(took_s, self._median(now)), now)
+        if not ok:
+            endpoint.limit = max(MIN_LIMIT, endpoint.limit * LIMIT_DECREASE)
+        self._failed(endpoint_id, now)
 
     def on_rejected(self, endpoint_id: str, call_id: str, now: float) -> None:
         """Record a call that an endpoint rejected, as it was full.
@@ -258,7 +260,6 @@
 
     def _succeeded(self, name: str, now: float) -> None:
         endpoint = self._endpoint_by_id[name]
-        endpoint.failures_in_row = 0
         endpoint.limit = min(MAX_LIMIT, endpoint.limit + 1.0 / endpoint.limit)
         ejected_until = self._ejected.get(name)
         if ejected_until is not None and now < ejected_until:
@@ -270,14 +271,21 @@
             endpoint.ejections_in_row = 0
 
     def _failed(self, name: str, now: float) -> None:
-        endpoint = self._endpoint_by_id[name]
-        endpoint.failures_in_row += 1
-        endpoint.limit = max(MIN_LIMIT, endpoint.limit * LIMIT_DECREASE)
         if now < self._ejected.get(name, now):
             return
-        if name in self._ejected or endpoint.failures_in_row >= FAILURES_TO_EJECT:
+        if name in self._ejected or self._has_stopped(name):
             self._eject(name, now)
 
+    def _has_stopped(self, name: str) -> bool:
+        """Return whether an endpoint has stopped working, by the best other one."""
+        shares = (
+            endpoint.failures.error_share
+            for other, endpoint in self._endpoint_by_id.items()
+            if other != name and other not in self._ejected
+        )
+        failures = self._endpoint_by_id[name].failures
+        return failures.is_conclusive(min(shares, default=0.0))
+
     def _is_slow(self, name: str, now: float) -> bool:
         latency_s = self._endpoint_by_id[name].expected_latency(now)
         if latency_s <= MIN_SLOW_S:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,8 +5,8 @@
 
 import urllib3
 
+from bamboovale.decisions.failure_row import MIN_ROW
 from bamboovale.decisions.policy import Policy
-from bamboovale.decisions.routing import FAILURES_TO_EJECT
 from bamboovale.entry.decision_facade import DecisionFacade
 from bamboovale.environment import Environment
 from bamboovale.models import VM, VMKind
@@ -116,7 +116,7 @@
         facade.on_membership()
         for number in range(20):
             # Forces enough calls to s0: random choice may not reach the threshold.
-            others = {"s1", "s2", "s3"} if number < FAILURES_TO_EJECT else {"s0"}
+            others = {"s1", "s2", "s3"} if number < MIN_ROW else {"s0"}
             endpoint = facade.choose_endpoint("market-app", f"c{number}", others)
             assert endpoint is not None
             facade.call_ended("market-app", endpoint, f"c{number}", endpoint != "s0")
--- a/tests/test_place_shortages.py
+++ b/tests/test_place_shortages.py
@@ -10,10 +10,12 @@
 
 import pytest
 
-from bench.shared_place_simulation import Day, Outcome, Span, play
+from bench.shared_place_simulation import Day, Outcome, Span, Way, play
 
 CHANCE_LOSS = 0.03
 """What callers may get less than the bound, as arrivals and failures are random."""
+OWN_CHOICE_PART = 0.8
+"""Part of the bound that VMs which know nothing of one another must reach."""
 SEEDS = range(1, 5)
 ALWAYS = Span(0.0)
 SITE = Day(
@@ -93,8 +95,26 @@
         assert in_time(day) > bound(day) - CHANCE_LOSS
 
 
-OWN_CHOICE_PART = 0.8
-"""Part of the bound that VMs which know nothing of one another must reach."""
+@pytest.mark.parametrize("vms", [3, 6, 15])
+class TestSmallFleet:
+    """VMs that choose by themselves, as they do not outnumber the places."""
+
+    def test_two_of_three_that_stopped_working_get_few_calls(self, vms: int) -> None:
+        """Guards against calls that fast failures attract."""
+        day = replace(TWO_DEAD, vms=vms, way=Way.LOCAL, seconds=6.0)
+        assert in_time(day) > OWN_CHOICE_PART * bound(day)
+
+    def test_one_of_three_that_stopped_working_gets_few_calls(self, vms: int) -> None:
+        """Guards against an endpoint that only answers errors and is not left out."""
+        day = replace(TWO_DEAD, vms=vms, way=Way.LOCAL, seconds=6.0)
+        day = replace(day, load=0.6, failing_endpoints=1)
+        assert in_time(day) > OWN_CHOICE_PART * bound(day)
+
+    def test_a_pool_that_fails_a_share_of_its_calls_answers_the_others(
+        self, vms: int
+    ) -> None:
+        day = replace(ALL_FAIL, vms=vms, way=Way.LOCAL, load=0.8, seconds=6.0)
+        assert in_time(day) > bound(day) - CHANCE_LOSS
 
 
 class TestShortage:
