VMs keep to their part of short places also where no granter is asked

A small fleet never has a granter: while places were short, each of its VMs filled the endpoints' queues, and nearly all answers came late, as without a grant in a large one. The part that a VM sends while places are short now holds there too. A sign of shortage must also be twice the usual time of a call, so that a slow service is not taken for a short one, and a VM may send its part of the slots at once, as one of few VMs gets bursts.

--- a/bamboovale/decisions/send_share.py
+++ b/bamboovale/decisions/send_share.py
@@ -13,10 +13,12 @@
 
 SLOW_GOALS = 0.6
 """Part of its goal from which an answer shows that calls wait at endpoints."""
+WAITED_FACTOR = 2.0
+"""Multiple of the usual time of a call from which it has waited at its endpoint."""
 DOUBLING_S = 1.5
 """Time without a sign in which the part doubles."""
-MAX_TOKENS = 2.0
-"""Calls that may be sent at once after an idle time."""
+MIN_BURST = 2.0
+"""Calls that may go out at once after an idle time, if the part of slots is less."""
 SHORTER_WEIGHT = 0.25
 LONGER_WEIGHT = 0.05
 """Weight of one call in the learned time: longer ones may have waited there."""
@@ -36,7 +38,7 @@
     def __init__(self) -> None:
         self._call_s: float | None = None
         self._sign_at = -math.inf
-        self._tokens = MAX_TOKENS
+        self._tokens = MIN_BURST
         self._filled_at = -math.inf
 
     def is_short(self, now: float) -> bool:
@@ -52,7 +54,7 @@
         known_s = took_s if self._call_s is None else self._call_s
         weight = SHORTER_WEIGHT if took_s < known_s else LONGER_WEIGHT
         self._call_s = known_s + weight * (took_s - known_s)
-        if took_s > SLOW_GOALS * goal_s:
+        if took_s > max(SLOW_GOALS * goal_s, WAITED_FACTOR * known_s):
             self.on_sign(now)
 
     def wait_s(self, pool: PoolSize, now: float) -> float:
@@ -60,8 +62,9 @@
         rate_per_s = self._rate_per_s(pool, now)
         if math.isinf(rate_per_s):
             return 0.0
+        burst = max(MIN_BURST, pool.slots / max(1, pool.senders))
         gained = rate_per_s * max(0.0, now - self._filled_at)
-        self._tokens = min(MAX_TOKENS, self._tokens + gained)
+        self._tokens = min(burst, self._tokens + gained)
         self._filled_at = now
         return max(0.0, (1.0 - self._tokens) / rate_per_s)
 
--- a/bamboovale/shared_places/client.py
+++ b/bamboovale/shared_places/client.py
@@ -11,7 +11,6 @@
 
 from bamboovale.decisions.granter_back_off import GranterBackOff
 from bamboovale.decisions.place_endpoint import CallEnd
-from bamboovale.decisions.send_share import PoolSize, SendShare
 from bamboovale.gateway.call import Call
 from bamboovale.gateway.engines import Links
 from bamboovale.gateway.journal import Journal
@@ -28,7 +27,8 @@
     SharedPlaceReply,
     SharedPlaceRequest,
 )
-from bamboovale.shared_places.places import Excluded, OwnChoice, Place
+from bamboovale.shared_places.own_shares import OwnPlace, OwnShares, PoolLookup
+from bamboovale.shared_places.places import Excluded, Place
 
 ASK_TIMEOUT_GOALS = 0.125
 """Part of the route's goal within which the granter must answer."""
@@ -51,7 +51,7 @@
 """Takes a service, and for how many seconds this VM knew no granter of it."""
 
 
-class ClientLookup(GranterLookup, Protocol):
+class ClientLookup(GranterLookup, PoolLookup, Protocol):
     """Adds which services have a granter, and which endpoints are out of reach."""
 
     def out_of_reach(self, endpoint_ids: Collection[str]) -> set[str]:
@@ -60,9 +60,6 @@
     def applies(self, service: str) -> bool:
         """Return whether calls of a service ask a granter."""
 
-    def senders(self) -> int:
-        """Return the number of VMs that send calls."""
-
 
 @dataclass
 class AskedPlace:
@@ -104,14 +101,12 @@
 class _ServiceState:
     """The granter of a service as this VM knows it, and the back-off from it.
 
-    ``share`` is what this VM sends by its own choice, ``since`` when the granter became
-    known, or unknown.
+    ``since`` is when the granter became known, or unknown.
     """
 
     since: float
     granter: str | None = None
     back_off: GranterBackOff = field(default_factory=GranterBackOff)
-    share: SendShare = field(default_factory=SendShare)
 
 
 class PlaceClient:
@@ -134,6 +129,7 @@
         self._now = now
         self._on_outcome = on_outcome
         self._on_granter_known = on_granter_known
+        self._shares = OwnShares(lookup, now)
         # An earlier process of this VM may still hold places by its numbers.
         self._numbers = itertools.count(random.getrandbits(FIRST_NUMBER_BITS))
         self._place_by_number: dict[int, AskedPlace] = {}
@@ -145,7 +141,7 @@
     ) -> AsyncIterator[Place]:
         """Ask the granter for a place, and release it at the exit."""
         if not self._lookup.applies(call.service):
-            yield OwnChoice()
+            yield self._own_place(call)
             return
         place = AskedPlace(
             service=call.service,
@@ -210,7 +206,7 @@
                 "granter": state.granter,
                 "for_s": round(self._now() - state.since, 2),
                 "backing_off": state.back_off.is_backing_off,
-                "is_short": state.share.is_short(self._now()),
+                "is_short": self._shares.is_short(service),
             }
             for service, state in self._state_by_service.items()
         }
@@ -230,7 +226,7 @@
         if state.granter is None or not usable:
             return NO_GRANTER
         timeout_s = ASK_TIMEOUT_GOALS * call.route.goal_s
-        if state.share.is_short(self._now()):
+        if self._shares.is_short(place.service):
             # Sent without a grant, the call would wait at a full endpoint instead.
             timeout_s = max(timeout_s, waits_s)
         if not state.back_off.may_ask(state.granter, self._now(), timeout_s):
@@ -258,31 +254,31 @@
             return TIMED_OUT
         return self._apply(place, reply, timeout_s)
 
-    def _after_share(self, place: AskedPlace, outcome: str) -> str:
-        """Refuse a call that would go out by this VM's choice beyond its share.
+    def _own_place(self, call: Call) -> OwnPlace:
+        """Return a place of a service that has no granter."""
+        place = OwnPlace(self._shares, call.service, call.route.goal_s)
+        wait_s = self._shares.take(call.service)
+        if wait_s > 0.0:
+            place.retry_after_s = wait_s
+            call.notes.setdefault("places", []).append({"outcome": NO_SHARE})
+            self._on_outcome(NO_SHARE, 0.0)
+        return place
 
-        Guards against late answers as every VM fills the endpoints.
-        """
-        share, now = self._state_by_service[place.service].share, self._now()
+    def _after_share(self, place: AskedPlace, outcome: str) -> str:
+        """Refuse a call that would go out by this VM's choice beyond its share."""
         if outcome == REFUSED:
-            share.on_sign(now)
+            self._shares.on_refused(place.service)
         if outcome in (GRANTED, REFUSED):
             return outcome
-        slots = sum(self._lookup.slots_by_id(place.service).values())
-        wait_s = share.wait_s(PoolSize(slots, self._lookup.senders()), now)
+        wait_s = self._shares.take(place.service)
         if wait_s > 0.0:
             place.retry_after_s = wait_s
             return NO_SHARE
-        share.take()
         return outcome
 
     def _on_ended(self, place: AskedPlace) -> None:
         """Learn from a call that ended whether places are short."""
-        share, now = self._state_by_service[place.service].share, self._now()
-        if place.end is CallEnd.ANSWERED:
-            share.on_answer(place.took_s, place.goal_s, now)
-        elif place.end is CallEnd.REJECTED:
-            share.on_sign(now)
+        self._shares.on_ended(place.service, place.end, place.took_s, place.goal_s)
 
     def _usable_ids(
         self, service: str, excluded: Collection[str]
--- a/bench/shared_place_simulation.py
+++ b/bench/shared_place_simulation.py
@@ -54,6 +54,7 @@
     """How a VM chooses the endpoint of a call."""
 
     LOCAL = "local choice"
+    SHARE = "own share"
     GRANTER = "granter"
     PUBLISHED = "two choices by published load"
     IDLE_QUEUE = "join idle queue"
@@ -349,6 +350,7 @@
         )
         places_by_way: dict[Way, Any] = {
             Way.LOCAL: OwnChoices(),
+            Way.SHARE: client,
             Way.GRANTER: client,
             Way.PUBLISHED: PublishedLoad(self),
             Way.IDLE_QUEUE: IdleQueue(self),
@@ -462,8 +464,8 @@
     number: int
 
     def applies(self, service: str) -> bool:
-        """Return that every call asks for a place."""
-        return True
+        """Return whether calls ask for places."""
+        return self.fleet.day.way is Way.GRANTER
 
     def granter_of(self, service: str) -> str | None:
         """Return the VM that this one takes for the granter."""
--- a/tests/test_place_shortages.py
+++ b/tests/test_place_shortages.py
@@ -117,6 +117,37 @@
         assert in_time(day) > bound(day) - CHANCE_LOSS
 
 
+@pytest.mark.parametrize("vms", [3, 6, 15])
+class TestSmallFleetShortage:
+    """Places that are short for VMs that do not outnumber them, without a granter."""
+
+    @pytest.mark.parametrize(
+        "day",
+        [TWO_LEAVE, ONE_LEAVES, replace(SITE, load=1.2), replace(SITE, load=1.7)],
+        ids=["two leave", "one leaves", "overload", "large overload"],
+    )
+    def test_what_is_left_serves_callers_in_time(self, vms: int, day: Day) -> None:
+        """Guards against full queues at the endpoints, where all answers are late."""
+        day = replace(day, vms=vms, way=Way.SHARE, seconds=6.0)
+        assert in_time(day) > OWN_CHOICE_PART * bound(day)
+
+    @pytest.mark.parametrize("load", [0.8, 0.9])
+    def test_no_caller_is_refused_where_places_are_not_short(
+        self, vms: int, load: float
+    ) -> None:
+        """Guards against a share that takes bursts and slow calls for a shortage."""
+        day = replace(SITE, vms=vms, way=Way.SHARE, load=load, work_spread=0.5)
+        assert in_time(replace(day, seconds=6.0)) > bound(day) - CHANCE_LOSS
+
+    def test_calls_that_usually_take_most_of_their_goal_are_not_refused(
+        self, vms: int
+    ) -> None:
+        """Guards against a slow service that is taken for a short one."""
+        day = replace(SITE, vms=vms, way=Way.SHARE, work_s=0.2, load=0.6)
+        refused = mean(outcome.share(outcome.refused) for outcome in played(day))
+        assert refused < CHANCE_LOSS
+
+
 class TestShortage:
     """Few endpoints, whose places a granter gives."""
 
