--- a/bamboovale/decisions/shared_places.py
+++ b/bamboovale/decisions/shared_places.py
@@ -14,7 +14,6 @@
 import bisect
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
 from bamboovale.decisions.place_endpoint import (
     CallEnd,
@@ -23,6 +22,12 @@
     UsedPlace,
     pool_call_s,
 )
+from bamboovale.decisions.place_requests import (
+    PlaceDecision,
+    PlaceWanted,
+    WaitingRequest,
+)
+from bamboovale.decisions.place_totals import LeftOutChange, PlaceTotals
 
 WORSE_ERROR_SHARE = 0.25
 """Difference in the share of errors from which requests wait for a better endpoint; a
@@ -43,100 +48,18 @@
     return 0 < places <= senders
 
 
-@dataclass(frozen=True)
-class PlaceWanted:
-    """A VM's request for a place; times are seconds from now.
-
-    ``rank`` 0 is the most urgent. ``waits_s`` is how long the caller may wait,
-    ``ends_in_s`` when its call ends at the latest. ``excluded`` are endpoints that
-    cannot take this call from this VM.
-    """
-
-    vm_id: str
-    number: int
-    rank: int
-    goal_in_s: float
-    waits_s: float
-    ends_in_s: float
-    excluded: frozenset[str] = frozenset()
-
-    @property
-    def key(self) -> PlaceKey:
-        """Return what names the place."""
-        return self.vm_id, self.number
-
-
-@dataclass(frozen=True)
-class PlaceDecision:
-    """An endpoint for a call, or a refusal with the seconds until a place is expected.
-
-    With neither the VM chooses by itself: no endpoint that it may use is known here.
-    """
-
-    key: PlaceKey
-    endpoint_id: str | None = None
-    retry_after_s: float | None = None
-
-
-@dataclass(frozen=True)
-class PlaceTotals:
-    """The places of a service at one time.
-
-    ``idle`` are free places at endpoints that take calls, ``left_out`` the endpoints
-    that have stopped working.
-    """
-
-    endpoints: int
-    left_out: int
-    slots: int
-    used: int
-    idle: int
-    waiting: int
-
-
-@dataclass(frozen=True)
-class LeftOutChange:
-    """An endpoint was left out, or answers again, after so many failures in a row."""
-
-    endpoint_id: str
-    is_left_out: bool
-    failures: int
-    error_share: float
-
-
-@dataclass(order=True)
-class _Waiting:
-    """A request in the queue, in the order of its first field."""
-
-    order: tuple[bool, int, float, int]
-    wanted: PlaceWanted = field(compare=False)
-    latest_start_at: float = field(compare=False)
-    ends_at: float = field(compare=False)
-    most_wait_s: float = field(compare=False)
-    is_new: bool = field(default=True, compare=False)
-
-    def patience_s(self, now: float) -> float:
-        """Return how long the request may go on waiting, less if it is new.
-
-        The other half of the time of a new one covers calls that take longer than
-        usual, and more urgent requests that follow.
-        """
-        left_s = self.latest_start_at - now
-        return min(left_s / 2.0, self.most_wait_s) if self.is_new else left_s
-
-
 class SharedPlaces:
     """The places of one service: events in, ``decide`` returns what follows."""
 
     def __init__(self) -> None:
         self._endpoint_by_id: dict[str, PlaceEndpoint] = {}
-        self._queue: list[_Waiting] = []
-        self._waiting_by_key: dict[PlaceKey, _Waiting] = {}
+        self._queue: list[WaitingRequest] = []
+        self._waiting_by_key: dict[PlaceKey, WaitingRequest] = {}
         self._endpoint_by_key: dict[PlaceKey, str] = {}
         self._last_number = 0
         self._usual_wait_s: float | None = None
         self._returns_until = -math.inf
-        self._undecided: list[_Waiting] = []
+        self._undecided: list[WaitingRequest] = []
         self._changes: list[LeftOutChange] = []
         # Lower bounds of when a request can no longer wait and when a place expires.
         self._next_refusal_at = math.inf
@@ -173,7 +96,7 @@
         in_time_s = wanted.goal_in_s - pool_call_s(self._endpoint_by_id.values())
         self._note_wait(wanted.waits_s)
         self._last_number += 1
-        waiting = _Waiting(
+        waiting = WaitingRequest(
             order=(wanted.goal_in_s <= 0.0, wanted.rank, goal_at, self._last_number),
             wanted=wanted,
             # A call that is late in any case is served late, if it need not wait long.
@@ -330,7 +253,7 @@
         return None
 
     def _waits_for_better(
-        self, waiting: _Waiting, endpoint_id: str, ahead: int, now: float
+        self, waiting: WaitingRequest, endpoint_id: str, ahead: int, now: float
     ) -> bool:
         """Return whether a request waits although an endpoint has a free place.
 
@@ -370,7 +293,7 @@
             self._next_refusal_at = min(starts, default=math.inf)
         return refused
 
-    def _refusal_candidates(self, now: float) -> list[_Waiting]:
+    def _refusal_candidates(self, now: float) -> list[WaitingRequest]:
         """Return the requests that may have to be refused, in their order."""
         if now >= self._next_refusal_at:
             return list(self._queue)
@@ -380,7 +303,7 @@
         return sorted(found) + [w for w in last if w not in found]
 
     def _refusal(
-        self, waiting: _Waiting, knows_times: bool, now: float
+        self, waiting: WaitingRequest, knows_times: bool, now: float
     ) -> PlaceDecision | None:
         """Return the refusal of a request, None if it may go on waiting."""
         wanted = waiting.wanted
@@ -399,7 +322,7 @@
             )
         return None
 
-    def _return_in_s(self, waiting: _Waiting, wait_s: float, now: float) -> float:
+    def _return_in_s(self, waiting: WaitingRequest, wait_s: float, now: float) -> float:
         """Return when a place is expected for a refused caller, behind earlier ones.
 
         A time after the call's deadline would be of no use to the caller.
--- a/bamboovale/shared_places/granter.py
+++ b/bamboovale/shared_places/granter.py
@@ -6,11 +6,8 @@
 from typing import Any, Protocol
 
 from bamboovale.decisions.place_endpoint import CallEnd
-from bamboovale.decisions.shared_places import (
-    PlaceDecision,
-    PlaceWanted,
-    SharedPlaces,
-)
+from bamboovale.decisions.place_requests import PlaceDecision, PlaceWanted
+from bamboovale.decisions.shared_places import SharedPlaces
 from bamboovale.gateway.journal import Journal
 from bamboovale.shared_places.granter_report import GranterReport, OnTotals
 from bamboovale.shared_places.messages import (
--- a/bamboovale/shared_places/granter_report.py
+++ b/bamboovale/shared_places/granter_report.py
@@ -3,12 +3,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from bamboovale.decisions.shared_places import (
-    LeftOutChange,
-    PlaceDecision,
-    PlaceTotals,
-    SharedPlaces,
-)
+from bamboovale.decisions.place_requests import PlaceDecision
+from bamboovale.decisions.place_totals import LeftOutChange, PlaceTotals
+from bamboovale.decisions.shared_places import SharedPlaces
 from bamboovale.gateway.journal import Journal
 
 INTERVAL_S = 1.0
--- a/tests/test_decisions_shared_places.py
+++ b/tests/test_decisions_shared_places.py
@@ -8,12 +8,8 @@
 
 from bamboovale.decisions.granter_back_off import MAX_PAUSE_S, GranterBackOff
 from bamboovale.decisions.place_endpoint import CallEnd
-from bamboovale.decisions.shared_places import (
-    PlaceDecision,
-    PlaceWanted,
-    SharedPlaces,
-    has_shared_places,
-)
+from bamboovale.decisions.place_requests import PlaceDecision, PlaceWanted
+from bamboovale.decisions.shared_places import SharedPlaces, has_shared_places
 
 CALL_S = 0.05
 SLOTS_BY_ID = {"a": 2, "b": 2}
--- a/tests/test_shared_places.py
+++ b/tests/test_shared_places.py
@@ -10,11 +10,9 @@
 import pytest
 
 from bamboovale.decisions.place_endpoint import CallEnd
-from bamboovale.decisions.shared_places import (
-    PlaceDecision,
-    PlaceTotals,
-    SharedPlaces,
-)
+from bamboovale.decisions.place_requests import PlaceDecision
+from bamboovale.decisions.place_totals import PlaceTotals
+from bamboovale.decisions.shared_places import SharedPlaces
 from bamboovale.event_loop import loop_factory
 from bamboovale.gateway.call import Call
 from bamboovale.gateway.model import CallFacts
